Set up package, checks and the types the slices meet at

Weighed for the settings and message codec: pydantic (reports all faults at once, but heavier in memory) and msgspec (strict conversion of NamedTuple types, small); msgspec was taken because a node has 128 MB for control.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the package on one machine."""
--- /dev/null
+++ b/src/savorylift/__init__.py
@@ -0,0 +1,1 @@
+"""Serves generations of unknown length on crowded engines."""
--- /dev/null
+++ b/src/savorylift/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP faces for callers and operators."""
--- /dev/null
+++ b/src/savorylift/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The other nodes: roster, heartbeats and messages between nodes."""
--- /dev/null
+++ b/src/savorylift/permits/__init__.py
@@ -0,0 +1,1 @@
+"""Admission rights: which work may start on which backend server."""
--- /dev/null
+++ b/src/savorylift/permits/gate.py
@@ -0,0 +1,93 @@
+"""Permits as the request path asks for them."""
+
+from typing import NamedTuple, Protocol
+
+from returns.result import Result
+
+from savorylift.identity import NodeRef
+from savorylift.outcomes import Refusal
+
+
+class PermitRequest(NamedTuple):
+    """Asks to start one piece of work on one backend server.
+
+    Attributes:
+        permit_id: Identifier made by the asking node.
+        backend_server: Name of the backend server.
+        stream_id: Generation or call the permit is for.
+        team: Team of the caller.
+        weight: The team's weight.
+        priority: Higher goes first; 0 is ordinary.
+        tokens: Memory to reserve, in tokens; 0 for a plain service.
+        deadline_s: `time.monotonic()` of the asking node after which the
+            permit is of no use.
+    """
+
+    permit_id: str
+    backend_server: str
+    stream_id: str
+    team: str
+    weight: int
+    priority: int
+    tokens: int
+    deadline_s: float
+
+
+class Permit(NamedTuple):
+    """A granted right to run one piece of work.
+
+    Attributes:
+        permit_id: From the request.
+        backend_server: From the request.
+        stream_id: From the request.
+        keeper: Node that granted it and takes it back.
+        cold: True if the backend server counted as cold when granted.
+    """
+
+    permit_id: str
+    backend_server: str
+    stream_id: str
+    keeper: NodeRef
+    cold: bool
+
+
+class PermitUse(NamedTuple):
+    """How the work under a permit ended.
+
+    Attributes:
+        finished: True if the backend server is known to have stopped working
+            on it (completed, or cancelled and confirmed).
+        completed: True if it completed normally.
+        first_token_s: Delay of the first token or answer byte; None if none.
+        output_tokens: Tokens produced; 0 for a plain service.
+        overloaded: True if the backend server refused for lack of capacity.
+        incarnation: Backend server's incarnation seen in its answer, if any.
+    """
+
+    finished: bool
+    completed: bool
+    first_token_s: float | None
+    output_tokens: int
+    overloaded: bool
+    incarnation: str | None
+
+
+class PermitGate(Protocol):
+    """Grants permits through the keepers of each backend server.
+
+    Calls block the asking thread up to the request's deadline.
+    """
+
+    def acquire(self, req: PermitRequest) -> Result[Permit, Refusal]:
+        """Waits for a permit or returns why there will be none."""
+
+    def adjust(self, permit: Permit, tokens: int) -> None:
+        """Replaces the memory reserved under a permit."""
+
+    def release(self, permit: Permit, use: PermitUse) -> None:
+        """Returns a permit to its keeper."""
+
+    def take_over(
+        self, permit: Permit, lost_holder: NodeRef
+    ) -> Result[Permit, Refusal]:
+        """Moves a lost node's permit for a resumed stream to this node."""
--- /dev/null
+++ b/src/savorylift/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's log service and VM list."""
--- /dev/null
+++ b/src/savorylift/refusals/__init__.py
@@ -0,0 +1,1 @@
+"""The account of requests that were turned away."""
--- /dev/null
+++ b/src/savorylift/rules/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration: the rules file, its versions and what is in force."""
--- /dev/null
+++ b/src/savorylift/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Generations: relay, resume, replay and length estimates."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package, with the stand-ins they run against."""
