Let a permit request name several backend servers

A request that may run on any runner of a model would otherwise have to pick one before it knows which has room. The gate now gets the acceptable ones, best first, and says which it granted; hints from keepers feed the order.

Not measured: no implementation exists yet.

--- a/src/savorylift/permits/gate.py
+++ b/src/savorylift/permits/gate.py
@@ -1,5 +1,6 @@
 """Permits as the request path asks for them."""
 
+from collections.abc import Mapping
 from typing import NamedTuple, Protocol
 
 from returns.result import Result
@@ -9,11 +10,11 @@
 
 
 class PermitRequest(NamedTuple):
-    """Asks to start one piece of work on one backend server.
+    """Asks to start one piece of work on one of several backend servers.
 
     Attributes:
         permit_id: Identifier made by the asking node.
-        backend_server: Name of the backend server.
+        candidates: Names of acceptable backend servers, best first.
         stream_id: Generation or call the permit is for.
         team: Team of the caller.
         weight: The team's weight.
@@ -24,7 +25,7 @@
     """
 
     permit_id: str
-    backend_server: str
+    candidates: tuple[str, ...]
     stream_id: str
     team: str
     weight: int
@@ -38,7 +39,7 @@
 
     Attributes:
         permit_id: From the request.
-        backend_server: From the request.
+        backend_server: The candidate it is for.
         stream_id: From the request.
         keeper: Node that granted it and takes it back.
         cold: True if the backend server counted as cold when granted.
@@ -72,6 +73,24 @@
     incarnation: str | None
 
 
+class BackendHint(NamedTuple):
+    """What keepers last said about a backend server; may be out of date.
+
+    Attributes:
+        free_slots: Concurrent requests it could still take.
+        free_tokens: Memory not reserved, in tokens.
+        waiting: Requests waiting at its keepers.
+        cold: True if it counts as cold.
+        seen_s: `time.monotonic()` when this was learned.
+    """
+
+    free_slots: int
+    free_tokens: int
+    waiting: int
+    cold: bool
+    seen_s: float
+
+
 class PermitGate(Protocol):
     """Grants permits through the keepers of each backend server.
 
@@ -81,6 +100,9 @@
     def acquire(self, req: PermitRequest) -> Result[Permit, Refusal]:
         """Waits for a permit or returns why there will be none."""
 
+    def hints(self) -> Mapping[str, BackendHint]:
+        """Returns the newest hints by backend server name."""
+
     def adjust(self, permit: Permit, tokens: int) -> None:
         """Replaces the memory reserved under a permit."""
 
--- /dev/null
+++ b/src/savorylift/rendezvous.py
@@ -0,0 +1,17 @@
+"""Rendezvous hashing: the same choice on every node, with few moves."""
+
+import hashlib
+from collections.abc import Iterable
+
+
+def rank(key: str, names: Iterable[str]) -> list[str]:
+    """Returns `names` in descending order of their score for `key`.
+
+    Adding or removing one name leaves the order of the others unchanged.
+    """
+    return sorted(names, key=lambda name: _score(key, name), reverse=True)
+
+
+def _score(key: str, name: str) -> bytes:
+    data = f"{key}\0{name}".encode()
+    return hashlib.blake2b(data, digest_size=8).digest()
