--- a/src/savorylift/outcomes.py
+++ b/src/savorylift/outcomes.py
@@ -53,6 +53,7 @@
     BACKEND_ERROR = "backend_error"
     BACKEND_LOST = "backend_lost"
     GENERATION_DIVERGED = "generation_diverged"
+    CALLER_GONE = "caller_gone"
     CALLER_TOO_SLOW = "caller_too_slow"
 
 
--- a/src/savorylift/permits/gate.py
+++ b/src/savorylift/permits/gate.py
@@ -103,12 +103,30 @@
     def hints(self) -> Mapping[str, BackendHint]:
         """Returns the newest hints by backend server name."""
 
+    def started(
+        self,
+        permit: Permit,
+        incarnation: str,
+        first_token_s: float,
+        *,
+        is_cold: bool,
+    ) -> None:
+        """Reports the first output under a permit, as soon as it is seen.
+
+        A keeper lets no more work than the cold limit be without output at a
+        model engine, so that a late report costs capacity. A plain service's
+        calls need no report.
+        """
+
     def adjust(self, permit: Permit, tokens: int) -> None:
         """Replaces the memory reserved under a permit."""
 
     def release(self, permit: Permit, use: PermitUse) -> None:
         """Returns a permit to its keeper."""
 
+    def is_held(self, permit: Permit) -> bool:
+        """Returns False if another node has taken the permit over."""
+
     def take_over(
         self, permit: Permit, lost_holder: NodeRef
     ) -> Result[Permit, Refusal]:
--- /dev/null
+++ b/src/savorylift/streams/relay.py
@@ -0,0 +1,261 @@
+"""Moves token events from engines to callers on one thread.
+
+One thread serves every stream of a node: with a thread a stream, waiting for
+the interpreter lock after each system call costs more than the work itself.
+"""
+
+import collections
+import enum
+import selectors
+import socket
+import threading
+import time
+from typing import NamedTuple, cast
+
+from savorylift.streams.delivery import Delivery, Verdict
+from savorylift.streams.events import TokenEvent
+from savorylift.streams.sink import Sink
+from savorylift.streams.upstream import EngineStream
+
+SWEEP_S = 0.05  # granularity of timeouts
+
+
+class RelayEnd(enum.Enum):
+    """Why the relay stopped moving a stream."""
+
+    COMPLETE = enum.auto()
+    SOURCE_LOST = enum.auto()
+    SOURCE_SILENT = enum.auto()
+    OUT_OF_ORDER = enum.auto()
+    WRONG_GENERATION = enum.auto()
+    DIVERGED = enum.auto()
+    CALLER_GONE = enum.auto()
+    CALLER_TOO_SLOW = enum.auto()
+    DEADLINE = enum.auto()
+    STOPPED = enum.auto()
+
+
+VERDICT_ENDS = {
+    Verdict.OUT_OF_ORDER: RelayEnd.OUT_OF_ORDER,
+    Verdict.WRONG_GENERATION: RelayEnd.WRONG_GENERATION,
+    Verdict.DIVERGED: RelayEnd.DIVERGED,
+}
+
+
+class RelayTimes(NamedTuple):
+    """Bounds of one attempt.
+
+    Attributes:
+        deadline_s: `time.monotonic()` at which the answer is given up.
+        first_token_s: Longest silence before the first event.
+        token_s: Longest silence between events.
+    """
+
+    deadline_s: float
+    first_token_s: float
+    token_s: float
+
+
+class RelayJob:
+    """One attempt: events of one engine connection for one caller."""
+
+    def __init__(
+        self,
+        source: EngineStream,
+        sink: Sink,
+        delivery: Delivery,
+        times: RelayTimes,
+    ) -> None:
+        """Prepares the attempt; the relay closes `source` at its end."""
+        self.source = source
+        self.sink = sink
+        self.delivery = delivery
+        self.times = times
+        self.started_s = time.monotonic()
+        self.last_event_s = self.started_s
+        self.first_event_s: float | None = None
+        self.end: RelayEnd | None = None
+        self._done = threading.Event()
+
+    def wait(self, timeout_s: float) -> RelayEnd | None:
+        """Returns the end, or None if there is none within the timeout."""
+        self._done.wait(timeout_s)
+        return self.end
+
+    def finish(self, end: RelayEnd) -> None:
+        """Records the end and wakes the waiting thread."""
+        self.end = end
+        self._done.set()
+
+    def expired(self, now_s: float) -> RelayEnd | None:
+        """Returns the end that the passing of time has brought, if any."""
+        if now_s >= self.times.deadline_s:
+            return RelayEnd.DEADLINE
+        is_first = self.first_event_s is None
+        bound_s = self.times.first_token_s if is_first else self.times.token_s
+        is_silent = now_s - self.last_event_s > bound_s
+        return RelayEnd.SOURCE_SILENT if is_silent else None
+
+
+class Relay:
+    """The relay thread and its streams."""
+
+    def __init__(self) -> None:
+        """Prepares the thread; `start` runs it."""
+        self._selector = selectors.DefaultSelector()
+        self._wake_reader, self._wake_writer = socket.socketpair()
+        self._wake_reader.setblocking(False)
+        self._wake_writer.setblocking(False)
+        self._selector.register(self._wake_reader, selectors.EVENT_READ)
+        self._added: collections.deque[RelayJob] = collections.deque()
+        self._jobs: set[RelayJob] = set()
+        self._is_stopping = False
+        self._thread = threading.Thread(target=self._run, name="relay")
+        self._thread.daemon = True
+
+    def start(self) -> None:
+        """Starts the thread."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Ends every stream with `STOPPED` and waits for the thread."""
+        self._is_stopping = True
+        self._wake()
+        self._thread.join()
+
+    def add(self, job: RelayJob) -> None:
+        """Hands a job to the thread; the caller then waits on the job."""
+        self._added.append(job)
+        self._wake()
+
+    def _wake(self) -> None:
+        try:
+            self._wake_writer.send(b"\0")
+        except BlockingIOError:
+            return  # a wake-up is already on its way
+
+    def _run(self) -> None:
+        next_sweep_s = time.monotonic() + SWEEP_S
+        while not self._is_stopping:
+            timeout_s = max(0.0, next_sweep_s - time.monotonic())
+            for key, _ in self._selector.select(timeout_s):
+                self._handle(key)
+            self._take_added()
+            if time.monotonic() >= next_sweep_s:
+                self._sweep()
+                next_sweep_s = time.monotonic() + SWEEP_S
+        self._take_added()
+        for job in tuple(self._jobs):
+            self._finish(job, RelayEnd.STOPPED)
+
+    def _handle(self, key: selectors.SelectorKey) -> None:
+        if key.fileobj is self._wake_reader:
+            self._drain_wakes()
+            return
+        job = cast("RelayJob", key.data)
+        if job not in self._jobs:
+            return  # finished earlier in the same round
+        if key.fileobj is job.source:
+            self._read_source(job)
+        else:
+            self._serve_caller(job)
+
+    def _drain_wakes(self) -> None:
+        try:
+            while self._wake_reader.recv(4096):
+                pass
+        except BlockingIOError:
+            return
+
+    def _take_added(self) -> None:
+        while self._added:
+            job = self._added.popleft()
+            self._jobs.add(job)
+            self._selector.register(job.source, selectors.EVENT_READ, job)
+            self._selector.register(job.sink.caller, selectors.EVENT_READ, job)
+            self._take(job, *job.source.buffered())
+
+    def _read_source(self, job: RelayJob) -> None:
+        self._take(job, *job.source.receive())
+
+    def _take(
+        self,
+        job: RelayJob,
+        events: tuple[TokenEvent, ...],
+        is_closed: bool,  # noqa: FBT001
+        fault: str | None,
+    ) -> None:
+        """Judges events, delivers the good ones and notes an end."""
+        end = self._pass_on(job, events)
+        if end is None and (is_closed or fault is not None):
+            end = RelayEnd.SOURCE_LOST
+        if job.sink.caller.is_lost:
+            end = RelayEnd.CALLER_GONE
+        elif job.sink.caller.is_too_slow():
+            end = RelayEnd.CALLER_TOO_SLOW
+        if end is None:
+            self._watch_caller(job)
+        else:
+            self._finish(job, end)
+
+    def _pass_on(
+        self, job: RelayJob, events: tuple[TokenEvent, ...]
+    ) -> RelayEnd | None:
+        if not events:
+            return None
+        job.last_event_s = time.monotonic()
+        if job.first_event_s is None:
+            job.first_event_s = job.last_event_s
+        ready: list[TokenEvent] = []
+        end = None
+        for event in events:
+            verdict = job.delivery.judge(event)
+            if verdict in (Verdict.DELIVER, Verdict.END):
+                ready.append(event)
+            end = VERDICT_ENDS.get(verdict)
+            if verdict is Verdict.END:
+                end = RelayEnd.COMPLETE
+            if end is not None:
+                break
+        if ready:
+            job.sink.deliver(ready)
+        return end
+
+    def _serve_caller(self, job: RelayJob) -> None:
+        caller = job.sink.caller
+        caller.flush()
+        caller.check_gone()
+        if caller.is_lost:
+            self._finish(job, RelayEnd.CALLER_GONE)
+            return
+        self._watch_caller(job)
+
+    def _watch_caller(self, job: RelayJob) -> None:
+        """Asks the selector for what the caller's connection needs now."""
+        caller = job.sink.caller
+        wanted = selectors.EVENT_READ if caller.is_read_watched else 0
+        if caller.has_unsent():
+            wanted |= selectors.EVENT_WRITE
+        registered = self._selector.get_map().get(caller)
+        if wanted == 0:
+            if registered is not None:
+                self._selector.unregister(caller)
+        elif registered is None:
+            self._selector.register(caller, wanted, job)
+        elif registered.events != wanted:
+            self._selector.modify(caller, wanted, job)
+
+    def _sweep(self) -> None:
+        now_s = time.monotonic()
+        for job in tuple(self._jobs):
+            end = job.expired(now_s)
+            if end is not None:
+                self._finish(job, end)
+
+    def _finish(self, job: RelayJob, end: RelayEnd) -> None:
+        self._jobs.discard(job)
+        self._selector.unregister(job.source)
+        if job.sink.caller in self._selector.get_map():
+            self._selector.unregister(job.sink.caller)
+        job.source.close()
+        job.finish(end)
