--- a/src/savorylift/rules/check.py
+++ b/src/savorylift/rules/check.py
@@ -7,7 +7,7 @@
 
 from savorylift.rules.line import Kind, ParsedLine, kind_of, parse_line
 from savorylift.rules.tables import build_tables, number_rule, view_of
-from savorylift.rules.view import RulesView
+from savorylift.rules.view import BackendServer, FailureDomain, RulesView
 
 
 class Fault(NamedTuple):
@@ -38,6 +38,7 @@
     faults = [
         *_line_faults(parsed, file_name),
         *_name_faults(parsed, file_name),
+        *_shared_name_faults(parsed, file_name),
         *_reference_faults(parsed, file_name),
     ]
     if faults:
@@ -54,7 +55,7 @@
     """Returns the lines of a file; a line break at its end adds no line."""
     if not text:
         return []
-    return text.removesuffix("\n").replace("\r\n", "\n").split("\n")
+    return text.replace("\r\n", "\n").removesuffix("\n").split("\n")
 
 
 def _line_faults(parsed: list[ParsedLine], file_name: str) -> Iterable[Fault]:
@@ -77,6 +78,21 @@
             yield Fault(file_name, number, line.name_column, message)
 
 
+def _shared_name_faults(
+    parsed: list[ParsedLine], file_name: str
+) -> Iterable[Fault]:
+    # Orders name their target alone, so the two kinds must not share names.
+    domains = {
+        line.rule.name
+        for line in parsed
+        if isinstance(line.rule, FailureDomain)
+    }
+    for number, line in enumerate(parsed, start=1):
+        if isinstance(line.rule, BackendServer) and line.rule.name in domains:
+            message = f"'{line.rule.name}' is also a failure_domain"
+            yield Fault(file_name, number, line.name_column, message)
+
+
 def _reference_faults(
     parsed: list[ParsedLine], file_name: str
 ) -> Iterable[Fault]:
--- a/tests/rules/test_check.py
+++ b/tests/rules/test_check.py
@@ -89,12 +89,14 @@
         " cold 3 warm 2 # x\n"
         "set a 1 # x\r\n"
         "set a 2 # y\n"
+        "failure_domain b in region r # x\n"
         "what"
     )
     faults = _faults(text)
     assert faults[:-2] == [
         "r:1:24: unknown model 'gone'",
         "r:1:28: missing comment on who asked for it",
+        "r:2:16: 'b' is also a failure_domain",
         "r:2:21: 'host' isn't an IP number",
         "r:2:21: port 99999 is out of range",
         "r:2:35: unknown failure_domain 'nowhere'",
@@ -102,8 +104,8 @@
         "r:2:65: cold is above warm",
         "r:4:5: set 'a' already stands on line 3",
     ]
-    assert faults[-2].startswith("r:5:1: expected 'backend_server' or")
-    assert faults[-1] == "r:5:5: missing comment on who asked for it"
+    assert faults[-2].startswith("r:6:1: expected 'backend_server' or")
+    assert faults[-1] == "r:6:5: missing comment on who asked for it"
 
 
 def test_empty_file_is_empty_view() -> None:
