--- a/src/savorylift/peers/counters.py
+++ b/src/savorylift/peers/counters.py
@@ -69,3 +69,49 @@
     def connection_lost(self) -> None:
         """Counts a connection that broke or fell silent."""
         self._reopened.inc()
+
+
+class GossipCounters:
+    """Counts gossip, proofs and refusals; safe from any thread."""
+
+    def __init__(self, registry: CollectorRegistry) -> None:
+        """Registers the counters."""
+        self._exchanges = Counter(
+            "savorylift_gossip_exchanges",
+            "Gossip questions by outcome.",
+            ["outcome"],
+            registry=registry,
+        )
+        self._proofs = Counter(
+            "savorylift_tail_proofs",
+            "Proofs of the log's tail by where they came from.",
+            ["source"],
+            registry=registry,
+        )
+        self._refusals = Counter(
+            "savorylift_guard_refusals",
+            "Dispatches refused because an order may be missing.",
+            ["reason"],
+            registry=registry,
+        )
+        self._pauses = Counter(
+            "savorylift_pauses",
+            "Pauses of this process that were noticed.",
+            registry=registry,
+        )
+
+    def exchange(self, outcome: str) -> None:
+        """Counts a gossip question as answered, unsent or unanswered."""
+        self._exchanges.labels(outcome).inc()
+
+    def proof(self, source: str) -> None:
+        """Counts a newer proof from the log or a peer."""
+        self._proofs.labels(source).inc()
+
+    def refusal(self, reason: str) -> None:
+        """Counts a dispatch that the guard refused."""
+        self._refusals.labels(reason).inc()
+
+    def pause(self) -> None:
+        """Counts a pause."""
+        self._pauses.inc()
--- /dev/null
+++ b/src/savorylift/peers/watcher.py
@@ -0,0 +1,90 @@
+"""A thread that reads the platform's list of VMs."""
+
+import threading
+from collections.abc import Callable
+from typing import NamedTuple
+
+import structlog
+from returns.pipeline import is_successful
+
+from savorylift.identity import NodeRef
+from savorylift.peers.gone import GoneJudge, GoneOptions
+from savorylift.peers.membership import Membership
+from savorylift.peers.view import RosterSource
+from savorylift.platform.vms import VmEntry, VmList
+
+
+class WatcherOptions(NamedTuple):
+    """Options of the watcher.
+
+    Attributes:
+        own: This node.
+        interval_s: Time between two reads.
+        append_timeout_s: Bound on reporting one node as gone.
+        gone: When a node counts as gone.
+    """
+
+    own: NodeRef
+    interval_s: float = 2.0
+    append_timeout_s: float = 2.0
+    gone: GoneOptions = GoneOptions()
+
+
+class VmWatcher:
+    """Reads the list, hands it on, and reports vanished nodes as gone."""
+
+    def __init__(
+        self,
+        cfg: WatcherOptions,
+        vms: VmList,
+        roster: RosterSource,
+        membership: Membership,
+        heard: Callable[[], frozenset[str]],
+        on_list: Callable[[tuple[VmEntry, ...]], None],
+    ) -> None:
+        """Prepares the thread; `on_list` gets each successful read."""
+        self._cfg = cfg
+        self._vms = vms
+        self._roster = roster
+        self._membership = membership
+        self._heard = heard
+        self._on_list = on_list
+        self._judge = GoneJudge(cfg.own, cfg.gone)
+        self._stop = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name="vm-watcher", daemon=True
+        )
+
+    def start(self) -> None:
+        """Starts the thread."""
+        self._thread.start()
+
+    def stop(self, timeout_s: float = 2.0) -> bool:
+        """Ends the thread; False if it did not end in time."""
+        self._stop.set()
+        if self._thread.is_alive():
+            self._thread.join(timeout_s)
+        return not self._thread.is_alive()
+
+    def read_once(self) -> None:
+        """Reads the list and acts on it."""
+        result = self._vms.read()
+        if not is_successful(result):
+            return
+        entries = result.unwrap()
+        self._on_list(entries)
+        gone = self._judge.observe(
+            entries, self._roster.current(), self._heard()
+        )
+        for ref in gone:
+            outcome = self._membership.report_gone(
+                ref, self._cfg.append_timeout_s
+            )
+            structlog.get_logger().info(
+                "node_gone", node=ref.vm, reported=is_successful(outcome)
+            )
+
+    def _run(self) -> None:
+        while not self._stop.is_set():
+            self.read_once()
+            self._stop.wait(self._cfg.interval_s)
