Grant permits through keepers of split limits

Ownership moves by release with the table of permits, or by every member's report when the owner is lost. Waiting requests move to a keeper with room rather than places to a keeper with a queue: a request in two places is a second grant that is returned, a place in two places would be one too many. Not measured yet.

--- /dev/null
+++ b/src/savorylift/permits/holder.py
@@ -0,0 +1,437 @@
+"""Decisions of one node as the holder of permits."""
+
+import time
+from collections.abc import Callable, Mapping
+from typing import NamedTuple, Protocol
+
+from returns.result import Failure, Result, Success
+
+from savorylift.identity import NodeRef
+from savorylift.outcomes import Reason, Refusal, not_run
+from savorylift.peers.view import RosterSource
+from savorylift.permits.gate import (
+    BackendHint,
+    Permit,
+    PermitRequest,
+    PermitUse,
+)
+from savorylift.permits.keeper import Sender
+from savorylift.permits.messages import (
+    HeldPermit,
+    Lot,
+    PermitAdjust,
+    PermitAsk,
+    PermitDenied,
+    PermitGiveUp,
+    PermitGrant,
+    PermitQueued,
+    PermitReturn,
+    PermitStarted,
+    PermitTakeOver,
+    ServerState,
+)
+from savorylift.permits.options import PermitOptions
+from savorylift.permits.route import Route, Target
+from savorylift.permits.tally import Tally
+
+UNFINISHED = PermitUse(
+    finished=False,
+    completed=False,
+    first_token_s=None,
+    output_tokens=0,
+    overloaded=False,
+    incarnation=None,
+)
+KeepersOf = Callable[[str], list[NodeRef]]
+
+
+class Resolver(Protocol):
+    """Takes the one final answer of each request."""
+
+    def resolve(self, permit_id: str, answer: Result[Permit, Refusal]) -> None:
+        """Hands over the answer."""
+
+
+class _Waiting:
+    """A request without an answer yet."""
+
+    def __init__(self, req: PermitRequest, route: Route) -> None:
+        self.req = req
+        self.route = route
+        self.asked_s = time.monotonic()
+        self.created_s = self.asked_s
+        self.is_confirmed = False
+
+
+class Holding(NamedTuple):
+    """A permit that this node holds.
+
+    Attributes:
+        permit: As handed to the request path.
+        held: As keepers see it.
+        is_closing: True once the request path is done with it while the
+            work's end is not confirmed.
+    """
+
+    permit: Permit
+    held: HeldPermit
+    is_closing: bool = False
+
+
+class Holder:
+    """Asks keepers for permits and returns them.
+
+    Attributes:
+        hints: Newest hints by backend server name; replaced, never changed.
+    """
+
+    def __init__(
+        self,
+        ref: NodeRef,
+        roster: RosterSource,
+        keepers_of: KeepersOf,
+        cfg: PermitOptions,
+        sender: Sender,
+        resolver: Resolver,
+        tally: Tally,
+    ) -> None:
+        """Starts with no permit."""
+        self.hints: Mapping[str, BackendHint] = {}
+        self._ref = ref
+        self._roster = roster
+        self._keepers_of = keepers_of
+        self._cfg = cfg
+        self._sender = sender
+        self._resolver = resolver
+        self._tally = tally
+        self._waiting: dict[str, _Waiting] = {}
+        self._taking: dict[str, tuple[Permit, float]] = {}
+        self._held: dict[str, Holding] = {}
+        self._floors: dict[Lot, int] = {}
+
+    def acquire(self, req: PermitRequest) -> None:
+        """Starts to ask for a permit; the resolver gets the answer."""
+        route = Route(
+            self._ref, req, self._keepers_of, self.hints, self._cfg.max_tries
+        )
+        waiting = _Waiting(req, route)
+        self._waiting[req.permit_id] = waiting
+        self._ask_next(waiting)
+
+    def release(self, permit: Permit, use: PermitUse) -> None:
+        """Returns a permit, or hands its unfinished work to the keeper."""
+        holding = self._held.get(permit.permit_id)
+        if holding is None:
+            return
+        if use.finished:
+            del self._held[permit.permit_id]
+        else:
+            closing = holding._replace(is_closing=True)
+            self._held[permit.permit_id] = closing
+        self._send_return(holding.permit, use)
+
+    def adjust(self, permit: Permit, tokens: int) -> None:
+        """Replaces the memory reserved under a permit."""
+        holding = self._held.get(permit.permit_id)
+        if holding is None:
+            return
+        held = holding.held._replace(tokens=tokens)
+        self._held[permit.permit_id] = holding._replace(held=held)
+        msg = PermitAdjust(permit.permit_id, permit.backend_server, tokens)
+        self._sender.send(holding.permit.keeper, msg)
+
+    def started(
+        self,
+        permit: Permit,
+        incarnation: str,
+        first_token_s: float,
+        *,
+        is_cold: bool,
+    ) -> None:
+        """Reports the first output under a permit."""
+        holding = self._held.get(permit.permit_id)
+        if holding is None:
+            return
+        held = holding.held._replace(started_on=incarnation)
+        self._held[permit.permit_id] = holding._replace(held=held)
+        msg = PermitStarted(
+            permit.permit_id,
+            permit.backend_server,
+            incarnation,
+            is_cold,
+            first_token_s,
+        )
+        self._sender.send(holding.permit.keeper, msg)
+
+    def take_over(self, permit: Permit, lost_holder: NodeRef) -> None:
+        """Asks the keepers to move a lost node's permit to this node."""
+        until_s = time.monotonic() + 2 * self._cfg.refresh_s
+        self._taking[permit.permit_id] = (permit, until_s)
+        msg = PermitTakeOver(
+            permit.permit_id,
+            permit.backend_server,
+            permit.stream_id,
+            lost_holder,
+        )
+        for keeper in self._keepers_of(permit.backend_server):
+            self._sender.send(keeper, msg)
+
+    def give_up(self, permit_id: str) -> None:
+        """Ends a request that nobody waits for any more."""
+        waiting = self._waiting.pop(permit_id, None)
+        if waiting is not None:
+            self._withdraw(waiting)
+        holding = self._held.pop(permit_id, None)
+        if holding is not None:
+            self._return_unused(holding.permit)
+
+    def granted(self, keeper: NodeRef, msg: PermitGrant) -> None:
+        """Takes a permit, or returns one that is not wanted."""
+        self._note(msg.state)
+        holding = self._held.get(msg.permit_id)
+        if holding is not None and holding.held.lot == msg.lot:
+            self._follow_keeper(holding, keeper, msg)
+            return
+        if not self._may_use(keeper, msg):
+            return
+        permit = Permit(
+            msg.permit_id,
+            msg.lot.backend_server,
+            msg.stream_id,
+            keeper,
+            msg.state.cold,
+        )
+        waiting = self._waiting.pop(msg.permit_id, None)
+        taking = self._taking.pop(msg.permit_id, None)
+        if holding is not None or (waiting is None and taking is None):
+            self._return_unused(permit)
+        elif waiting and waiting.req.deadline_s <= time.monotonic():
+            self._return_unused(permit)
+            self._refuse_late(waiting)
+        else:
+            self._hold(permit, msg, waiting)
+
+    def denied(self, keeper: NodeRef, msg: PermitDenied) -> None:
+        """Tries elsewhere, or passes a final refusal on."""
+        if msg.state is not None:
+            self._note(msg.state)
+        if msg.permit_id in self._taking:
+            return  # another keeper may know it
+        waiting = self._waiting.get(msg.permit_id)
+        if waiting is None:
+            return
+        target = Target(msg.backend_server, keeper)
+        if msg.reason:
+            self._refuse(waiting, Reason(msg.reason), msg.retry_after_s)
+        elif waiting.route.answered(target, msg.state):
+            self._ask_next(waiting)
+
+    def queued(self, keeper: NodeRef, msg: PermitQueued) -> None:
+        """Notes where a request waits."""
+        self._note(msg.state)
+        waiting = self._waiting.get(msg.permit_id)
+        if waiting is not None:
+            waiting.is_confirmed = True
+            waiting.asked_s = time.monotonic()
+            waiting.route.moved(Target(msg.backend_server, keeper), msg.state)
+
+    def unknown_of(self, permit_ids: tuple[str, ...]) -> tuple[str, ...]:
+        """Returns those that this node neither holds nor waits for."""
+        known = self._held.keys() | self._waiting.keys() | self._taking.keys()
+        return tuple(p for p in permit_ids if p not in known)
+
+    def ended(self, permit_id: str) -> None:
+        """Drops a permit whose end its keeper has confirmed."""
+        holding = self._held.get(permit_id)
+        if holding is not None and holding.is_closing:
+            del self._held[permit_id]
+
+    def moved(self, permit_id: str) -> None:
+        """Drops a permit that another node has taken over."""
+        self._held.pop(permit_id, None)
+
+    def is_held(self, permit_id: str) -> bool:
+        """Returns True if this node holds the permit."""
+        holding = self._held.get(permit_id)
+        return holding is not None and not holding.is_closing
+
+    def fence(self, lot: Lot, floor: int) -> tuple[HeldPermit, ...]:
+        """Refuses older grants of a lot; returns what is held of it."""
+        self._floors[lot] = max(floor, self._floors.get(lot, -1))
+        held = (h.held for h in self._held.values())
+        return tuple(h for h in held if h.lot == lot)
+
+    def tick(self) -> None:
+        """Ends late requests and repeats messages that may be lost."""
+        now = time.monotonic()
+        for waiting in list(self._waiting.values()):
+            if waiting.req.deadline_s <= now:
+                self._refuse_late(waiting)
+            elif self._is_unanswered(waiting, now):
+                self._retry(waiting)
+        for permit_id, (permit, until_s) in list(self._taking.items()):
+            if until_s <= now:
+                del self._taking[permit_id]
+                self._close_taken(permit)
+                self._answer(permit_id, Failure(_unreachable()))
+
+    def refresh(self) -> None:
+        """Repeats the return of permits whose work may still run."""
+        for holding in self._held.values():
+            if holding.is_closing:
+                self._send_return(holding.permit, UNFINISHED)
+
+    def holdings(self) -> list[Holding]:
+        """Returns what this node holds."""
+        return list(self._held.values())
+
+    @property
+    def waiting_count(self) -> int:
+        """Number of requests without an answer."""
+        return len(self._waiting)
+
+    def _close_taken(self, permit: Permit) -> None:
+        # A keeper may have moved the permit here although its answer was
+        # lost; the work goes on, so the permit must not count as unknown.
+        lot = Lot(permit.backend_server, -1)
+        held = HeldPermit(permit.permit_id, permit.stream_id, lot, 0, self._ref)
+        self._held[permit.permit_id] = Holding(permit, held, is_closing=True)
+
+    def _ask_next(self, waiting: _Waiting) -> None:
+        target, may_queue = waiting.route.next()
+        if target is None:
+            self._refuse(waiting, Reason.KEEPER_UNREACHABLE, 1.0)
+            return
+        req = waiting.req
+        waiting.asked_s = time.monotonic()
+        waiting.is_confirmed = False
+        msg = PermitAsk(
+            req.permit_id,
+            target.server,
+            req.stream_id,
+            req.team,
+            req.weight,
+            req.priority,
+            req.tokens,
+            req.deadline_s - time.monotonic(),
+            may_queue,
+            self._ref,
+        )
+        self._sender.send(target.keeper, msg)
+
+    def _is_unanswered(self, waiting: _Waiting, now: float) -> bool:
+        if waiting.is_confirmed:
+            return now - waiting.asked_s >= self._cfg.refresh_s
+        return now - waiting.asked_s >= self._cfg.answer_timeout_s
+
+    def _retry(self, waiting: _Waiting) -> None:
+        if waiting.is_confirmed:
+            cause = "refresh"
+            waiting.route.repeat()
+        else:
+            cause = "no_answer"
+            waiting.route.silent()
+        self._tally.retries.labels(cause).inc()
+        self._ask_next(waiting)
+
+    def _may_use(self, keeper: NodeRef, msg: PermitGrant) -> bool:
+        roster = self._roster.current()
+        if not roster.is_member(keeper) or not roster.is_member(self._ref):
+            return False
+        return msg.epoch >= self._floors.get(msg.lot, -1)
+
+    def _follow_keeper(
+        self, holding: Holding, keeper: NodeRef, msg: PermitGrant
+    ) -> None:
+        if self._may_use(keeper, msg):
+            permit = holding.permit._replace(keeper=keeper)
+            self._held[msg.permit_id] = holding._replace(permit=permit)
+
+    def _hold(
+        self, permit: Permit, msg: PermitGrant, waiting: _Waiting | None
+    ) -> None:
+        tokens = waiting.req.tokens if waiting else 0
+        held = HeldPermit(
+            msg.permit_id, msg.stream_id, msg.lot, tokens, self._ref
+        )
+        self._held[msg.permit_id] = Holding(permit, held)
+        if waiting is not None:
+            self._withdraw(waiting, permit.keeper)
+            waited_s = time.monotonic() - waiting.created_s
+            self._tally.wait_s.observe(waited_s)
+        self._answer(msg.permit_id, Success(permit))
+
+    def _refuse_late(self, waiting: _Waiting) -> None:
+        hint = self.hints.get(waiting.req.candidates[0])
+        retry_after_s = 1.0 if hint is None or hint.waiting else 0.1
+        self._refuse(waiting, Reason.DEADLINE, retry_after_s)
+
+    def _refuse(
+        self, waiting: _Waiting, reason: Reason, retry_after_s: float
+    ) -> None:
+        permit_id = waiting.req.permit_id
+        self._waiting.pop(permit_id, None)
+        self._withdraw(waiting)
+        self._tally.refusals.labels(reason.value).inc()
+        refusal = not_run(reason, _MESSAGES[reason], retry_after_s)
+        self._answer(permit_id, Failure(refusal))
+
+    def _withdraw(
+        self, waiting: _Waiting, granter: NodeRef | None = None
+    ) -> None:
+        for target in waiting.route.asked:
+            if target.keeper != granter:
+                self._send_give_up(waiting.req.permit_id, target)
+
+    def _return_unused(self, permit: Permit) -> None:
+        self._tally.unused.labels("late_or_second").inc()
+        target = Target(permit.backend_server, permit.keeper)
+        self._send_give_up(permit.permit_id, target)
+
+    def _send_give_up(self, permit_id: str, target: Target) -> None:
+        kept_lot = -1
+        holding = self._held.get(permit_id)
+        if holding and holding.held.lot.backend_server == target.server:
+            kept_lot = holding.held.lot.number
+        msg = PermitGiveUp(permit_id, target.server, kept_lot)
+        self._sender.send(target.keeper, msg)
+
+    def _send_return(self, permit: Permit, use: PermitUse) -> None:
+        first_token_s = -1.0 if use.first_token_s is None else use.first_token_s
+        msg = PermitReturn(
+            permit.permit_id,
+            permit.backend_server,
+            use.finished,
+            use.completed,
+            first_token_s,
+            use.overloaded,
+            use.incarnation or "",
+            self._ref,
+        )
+        self._sender.send(permit.keeper, msg)
+
+    def _answer(self, permit_id: str, answer: Result[Permit, Refusal]) -> None:
+        self._resolver.resolve(permit_id, answer)
+
+    def _note(self, state: ServerState) -> None:
+        hint = BackendHint(
+            state.free_slots,
+            state.free_tokens,
+            state.waiting,
+            state.cold,
+            time.monotonic(),
+        )
+        self.hints = {**self.hints, state.backend_server: hint}
+
+
+def _unreachable() -> Refusal:
+    reason = Reason.KEEPER_UNREACHABLE
+    return not_run(reason, _MESSAGES[reason], 1.0)
+
+
+_MESSAGES = {
+    Reason.DEADLINE: "No backend server will be free before the deadline.",
+    Reason.QUEUE_FULL: "Too many requests wait for the backend server.",
+    Reason.KEEPER_UNREACHABLE: "No node could grant a permit.",
+    Reason.NO_BACKEND_SERVER: "No backend server was named.",
+}
--- /dev/null
+++ b/src/savorylift/permits/node.py
@@ -0,0 +1,296 @@
+"""Permit decisions of one node: its holder, its keepers and handovers."""
+
+import time
+from collections.abc import Callable, Mapping
+from typing import Any, Protocol
+
+from savorylift.identity import NodeRef
+from savorylift.peers.link import Message
+from savorylift.peers.view import RosterSource, RosterView
+from savorylift.permits import messages as m
+from savorylift.permits.handover import REFUSED_FLOOR, Acquired, Handover
+from savorylift.permits.holder import Holder, Resolver
+from savorylift.permits.keeper import Keeper, LoadReport, Sender
+from savorylift.permits.lots import keepers_of, lot_count, lots_of, split
+from savorylift.permits.options import PermitOptions
+from savorylift.permits.share import OwnedLot
+from savorylift.permits.status import PermitStatus, ServerStatus
+from savorylift.permits.tally import Tally
+from savorylift.rules.view import BackendServer, RulesSource
+
+
+class Effects(Sender, Resolver, Protocol):
+    """What decisions cause outside of the node's state."""
+
+    def cancel(self, backend_server: str, permit: m.HeldPermit) -> None:
+        """Starts to cancel work; `PermitNode.cancelled` gets the success."""
+
+
+class PermitNode:
+    """Threadless state of one node; an actor owns it.
+
+    Attributes:
+        holder: Permits that this node holds or waits for.
+        keepers: Backend servers of which this node keeps a share, by name.
+    """
+
+    def __init__(
+        self,
+        ref: NodeRef,
+        rules: RulesSource,
+        roster: RosterSource,
+        cfg: PermitOptions,
+        effects: Effects,
+        tally: Tally,
+    ) -> None:
+        """Starts with no share; `tick` begins to acquire them."""
+        self.keepers: dict[str, Keeper] = {}
+        self._ref = ref
+        self._rules = rules
+        self._roster = roster
+        self._cfg = cfg
+        self._effects = effects
+        self._tally = tally
+        self._handover = Handover(ref)
+        self._seen: tuple[int, int] | None = None
+        self._refreshed_s = -float("inf")
+        self._choices: dict[str, list[NodeRef]] = {}
+        self._choices_offset = -2
+        self.holder = Holder(
+            ref, roster, self.keepers_of, cfg, effects, effects, tally
+        )
+        self._handlers = self._routes()
+
+    def receive(self, sender: NodeRef, msg: Message) -> None:
+        """Applies a message from a node, this one included."""
+        self._handlers[type(msg)](sender, msg)
+
+    def tick(self) -> None:
+        """Follows rules and roster and does what is due."""
+        self._follow_views()
+        for keeper in self.keepers.values():
+            keeper.tick()
+        self.holder.tick()
+        if time.monotonic() - self._refreshed_s >= self._cfg.refresh_s:
+            self._refreshed_s = time.monotonic()
+            self._refresh()
+
+    def load(self, backend_server: str, report: LoadReport) -> None:
+        """Applies a backend server's load report."""
+        keeper = self.keepers.get(backend_server)
+        if keeper is not None:
+            keeper.load(report)
+
+    def cancelled(self, backend_server: str, permit: m.HeldPermit) -> None:
+        """Ends a permit whose work was cancelled or is unknown."""
+        keeper = self.keepers.get(backend_server)
+        if keeper is not None:
+            keeper.cancelled(permit.permit_id, permit.holder)
+
+    def keepers_of(self, server: str) -> list[NodeRef]:
+        """Returns the keeper of each lot by the roster seen now."""
+        roster = self._roster.current()
+        if roster.offset != self._choices_offset:
+            self._choices = {}
+            self._choices_offset = roster.offset
+        if server not in self._choices:
+            rule = self._rules.current().backend_servers.get(server)
+            count = lot_count(rule.cold_limit) if rule else 0
+            self._choices[server] = keepers_of(roster, server, count)
+        return self._choices[server]
+
+    def status(self) -> PermitStatus:
+        """Returns what operators are shown."""
+        servers = [self._server_status(k) for k in self.keepers.values()]
+        held = len(self.holder.holdings())
+        return PermitStatus(held, self.holder.waiting_count, tuple(servers))
+
+    def _follow_views(self) -> None:
+        rules, roster = self._rules.current(), self._roster.current()
+        if self._seen == (rules.offset, roster.offset):
+            return
+        self._seen = (rules.offset, roster.offset)
+        self._choices = {}
+        for server in rules.backend_servers.values():
+            self._follow_server(server, roster)
+        for name in self.keepers.keys() - rules.backend_servers.keys():
+            self._drop_if_empty(name)
+        self._finish(self._handover.recheck(roster))
+        self._query_members()
+
+    def _follow_server(self, server: BackendServer, roster: RosterView) -> None:
+        chosen = self.keepers_of(server.name)
+        keeper = self.keepers.get(server.name)
+        if keeper is not None:
+            keeper.follow_rules(server)
+            keeper.set_others(set(chosen) - {self._ref})
+        for lot in lots_of(server.name, len(chosen)):
+            if chosen[lot.number] != self._ref:
+                self._handover.abandon(lot)
+            elif keeper is None or lot.number not in keeper.share.lots:
+                self._keeper(server)
+                self._handover.begin(lot, roster.offset)
+        if self._ref not in chosen:
+            self._drop_if_empty(server.name)
+
+    def _keeper(self, server: BackendServer) -> Keeper:
+        keeper = self.keepers.get(server.name)
+        if keeper is None:
+            keeper = Keeper(server, self._cfg, self._effects, self._tally)
+            keeper.set_others(set(self.keepers_of(server.name)) - {self._ref})
+            self.keepers[server.name] = keeper
+        return keeper
+
+    def _drop_if_empty(self, name: str) -> None:
+        keeper = self.keepers.get(name)
+        if keeper is not None and not keeper.share.lots:
+            keeper.dismiss(self.keepers_of(name))
+            del self.keepers[name]
+
+    def _refresh(self) -> None:
+        self.holder.refresh()
+        self._query_members()
+        roster = self._roster.current()
+        for name, keeper in self.keepers.items():
+            keeper.announce()
+            for permit in keeper.watch_lost(roster):
+                self._effects.cancel(name, permit)
+            for holder, permit_ids in keeper.due_queries().items():
+                self._effects.send(holder, m.PermitQuery(name, permit_ids))
+
+    def _query_members(self) -> None:
+        missing = self._handover.missing(self._roster.current())
+        for (member, epoch), lots in missing.items():
+            self._effects.send(member, m.LotQuery(epoch, tuple(lots)))
+
+    def _on_lot_query(self, sender: NodeRef, msg: m.LotQuery) -> None:
+        roster = self._roster.current()
+        if roster.offset >= msg.epoch and not roster.is_member(sender):
+            return
+        statuses = tuple(
+            self._lot_status(sender, msg.epoch, lot) for lot in msg.lots
+        )
+        self._effects.send(sender, m.LotReport(msg.epoch, statuses))
+
+    def _lot_status(
+        self, successor: NodeRef, epoch: int, lot: m.Lot
+    ) -> m.LotStatus:
+        if self._handover.is_outdated(lot, epoch):
+            return m.LotStatus(lot, REFUSED_FLOOR, was_owner=False, held=())
+        told = self._handover.released(lot, epoch, successor)
+        if told is not None:
+            return told
+        self._handover.raise_floor(lot, epoch)
+        held = self.holder.fence(lot, epoch)
+        keeper = self.keepers.get(lot.backend_server)
+        if keeper is None or lot.number not in keeper.share.lots:
+            return m.LotStatus(lot, epoch, was_owner=False, held=held)
+        status = keeper.give_lot(lot, epoch)
+        self._handover.release(status, successor)
+        keeper.announce()
+        return status
+
+    def _on_lot_report(self, sender: NodeRef, msg: m.LotReport) -> None:
+        roster = self._roster.current()
+        self._finish(self._handover.report(sender, msg, roster))
+
+    def _finish(self, acquired: list[Acquired]) -> None:
+        for item in acquired:
+            keeper = self.keepers.get(item.lot.backend_server)
+            if keeper is None:
+                continue  # its rule is gone, and the lot with it
+            way = "released" if item.release else "reported"
+            self._tally.handovers.labels(way).inc()
+            keeper.take_lot(self._owned(item, keeper), item.release)
+
+    def _owned(self, item: Acquired, keeper: Keeper) -> OwnedLot:
+        if item.release is not None:
+            unaccounted = item.release.unaccounted
+            held = item.release.held
+        else:
+            held = tuple(p for s in item.statuses for p in s.held)
+            server = keeper.share.server
+            count = keeper.share.lot_count
+            places = split(server.warm_limit, count, item.lot.number)
+            unaccounted = max(0, places - len(held))
+        owned = OwnedLot(item.lot, item.epoch, unaccounted)
+        owned.held = {permit.permit_id: permit for permit in held}
+        return owned
+
+    def _with_keeper(self, name: str, apply: Callable[[Keeper], None]) -> None:
+        keeper = self.keepers.get(name)
+        if keeper is not None:
+            apply(keeper)
+
+    def _on_ask(self, _: NodeRef, msg: m.PermitAsk) -> None:
+        keeper = self.keepers.get(msg.backend_server)
+        if keeper is not None and self._roster.current().is_member(msg.holder):
+            keeper.ask(msg)
+            return
+        denied = m.PermitDenied(
+            msg.permit_id, msg.backend_server, "", 0.0, None
+        )
+        self._effects.send(msg.holder, denied)
+
+    def _on_return(self, sender: NodeRef, msg: m.PermitReturn) -> None:
+        keeper = self.keepers.get(msg.backend_server)
+        if keeper is not None and keeper.share.find(msg.permit_id):
+            keeper.end(msg)
+        elif keeper is not None and keeper.has_ended(msg.permit_id):
+            self._effects.send(msg.holder, m.PermitEnded(msg.permit_id))
+        elif sender == msg.holder:
+            for node in self._handover.successors(msg.backend_server):
+                self._effects.send(node, msg)
+
+    def _on_query(self, sender: NodeRef, msg: m.PermitQuery) -> None:
+        unknown = self.holder.unknown_of(msg.permit_ids)
+        if unknown:
+            answer = m.PermitUnknown(msg.backend_server, unknown)
+            self._effects.send(sender, answer)
+
+    def _on_unknown(self, sender: NodeRef, msg: m.PermitUnknown) -> None:
+        keeper = self.keepers.get(msg.backend_server)
+        if keeper is not None:
+            for permit_id in msg.permit_ids:
+                keeper.forget(permit_id, sender)
+
+    def _server_status(self, keeper: Keeper) -> ServerStatus:
+        lots = lots_of(keeper.name, keeper.share.lot_count)
+        acquiring = filter(self._handover.is_acquiring, lots)
+        return keeper.status(tuple(lot.number for lot in acquiring))
+
+    def _routes(self) -> Mapping[type, Callable[[NodeRef, Any], None]]:
+        holder, on = self.holder, self._with_keeper
+        return {
+            m.PermitAsk: self._on_ask,
+            m.PermitGrant: holder.granted,
+            m.PermitDenied: holder.denied,
+            m.PermitQueued: holder.queued,
+            m.PermitGiveUp: lambda sender, msg: on(
+                msg.backend_server,
+                lambda k: k.forget(msg.permit_id, sender, msg.kept_lot),
+            ),
+            m.PermitStarted: lambda sender, msg: on(
+                msg.backend_server, lambda k: k.start(msg, sender)
+            ),
+            m.PermitAdjust: lambda sender, msg: on(
+                msg.backend_server,
+                lambda k: k.adjust(msg.permit_id, sender, msg.tokens),
+            ),
+            m.PermitReturn: self._on_return,
+            m.PermitQuery: self._on_query,
+            m.PermitUnknown: self._on_unknown,
+            m.PermitEnded: lambda _, msg: holder.ended(msg.permit_id),
+            m.PermitMoved: lambda _, msg: holder.moved(msg.permit_id),
+            m.PermitTakeOver: lambda sender, msg: on(
+                msg.backend_server, lambda k: k.take_over(msg, sender)
+            ),
+            m.ColdFall: lambda _, msg: on(
+                msg.backend_server, lambda k: k.cold_fall(msg)
+            ),
+            m.ServerState: lambda sender, msg: on(
+                msg.backend_server, lambda k: k.hear(sender, msg)
+            ),
+            m.LotQuery: self._on_lot_query,
+            m.LotReport: self._on_lot_report,
+        }
