--- a/src/savorylift/peers/service.py
+++ b/src/savorylift/peers/service.py
@@ -11,16 +11,20 @@
 
 from savorylift.identity import NodeRef
 from savorylift.peers.actor import (
-    GossipOptions,
     LeavingNoticed,
     ListArrived,
     PeersActor,
     ProofArrived,
     QuestionArrived,
-    Surroundings,
     Tick,
 )
 from savorylift.peers.board import PeersBoard, PeersView
+from savorylift.peers.core import (
+    GossipOptions,
+    PeersCore,
+    Published,
+    Surroundings,
+)
 from savorylift.peers.counters import GossipCounters
 from savorylift.peers.link import Message, PeerLink
 from savorylift.peers.membership import Membership
@@ -85,15 +89,16 @@
             lambda reason: counters.refusal(reason.value),
         )
         self.board = PeersBoard(own)
-        self._actor = PeersActor.start(
+        core = PeersCore(
             cfg.gossip,
-            parts.link,
             parts.roster,
-            self.guard,
-            self.board,
+            Published(self.guard, self.board),
             parts.surroundings,
             counters,
         )
+        self._actor = PeersActor.start(
+            core, parts.link, cfg.gossip.ask_timeout_s, counters
+        )
         self._tick_taken = threading.Event()
         self._tick_taken.set()
         self._ticker = Ticker(TICK_S, self._tick, "peers-ticker")
