Add process harness, links and tests of the stand-ins

Cause: tests and the demo must start whole deployments, kill and freeze their processes and silence or cut connections between them.

--- /dev/null
+++ b/tests/harness/__init__.py
@@ -0,0 +1,1 @@
+"""Starts, watches and disturbs processes for tests and the demo."""
--- /dev/null
+++ b/tests/harness/rules_text.py
@@ -0,0 +1,50 @@
+"""The rules file of a deployment."""
+
+from collections.abc import Mapping
+
+from tests.harness.plans import Plan
+
+RUNNER_COLD = 4
+RUNNER_WARM = 32
+RUNNER_KV_TOKENS = 8192
+INSTANCE_COLD = 2
+INSTANCE_WARM = 16
+
+
+def rules_text(plan: Plan, addresses: Mapping[str, str]) -> str:
+    """Returns the rules file; `addresses` are those of backend servers."""
+    methods = ",".join(plan.repeatable)
+    lines = [
+        *(
+            f"failure_domain {domain} in region {plan.region}  # platform"
+            for domain in plan.failure_domains
+        ),
+        f"model {plan.model} version {plan.version}  # model desk",
+        f"service {plan.service} repeatable {methods}  # service desk",
+        *_runner_lines(plan, addresses),
+        *_instance_lines(plan, addresses),
+        *(
+            f"team {team.name} weight {team.weight} models *  # {team.asked_by}"
+            for team in plan.teams
+        ),
+    ]
+    return "\n".join(lines) + "\n"
+
+
+def _runner_lines(plan: Plan, addresses: Mapping[str, str]) -> list[str]:
+    return [
+        f"backend_server {name} at {addresses[name]}"
+        f" in {plan.domain_of(number)} serves model {plan.model}"
+        f" cold {RUNNER_COLD} warm {RUNNER_WARM} kv {RUNNER_KV_TOKENS}"
+        f"{' checks fencing' if number % 2 else ''}  # model desk"
+        for number, name in enumerate(plan.runner_names(), start=1)
+    ]
+
+
+def _instance_lines(plan: Plan, addresses: Mapping[str, str]) -> list[str]:
+    return [
+        f"backend_server {name} at {addresses[name]}"
+        f" in {plan.domain_of(number)} serves service {plan.service}"
+        f" cold {INSTANCE_COLD} warm {INSTANCE_WARM}  # service desk"
+        for number, name in enumerate(plan.instance_names(), start=1)
+    ]
--- a/tests/standins/log_service.py
+++ b/tests/standins/log_service.py
@@ -154,7 +154,10 @@
         """Returns counters, stream sizes and the records asked for."""
         shown: dict[str, object] = {
             "counts": dict(self._counts),
-            "streams": {k: len(s.records) for k, s in self._streams.items()},
+            "next_offsets": {
+                name: len(stream.records)
+                for name, stream in self._streams.items()
+            },
         }
         if "stream" in query:
             shown["records"] = self._stream(query["stream"]).records
--- a/tests/standins/plain_service.py
+++ b/tests/standins/plain_service.py
@@ -19,6 +19,8 @@
     run,
 )
 
+HANG_STEP_S = 0.1
+
 
 class ServiceSettings(control.Settings):
     """Capacity and faults of a plain service.
@@ -36,11 +38,12 @@
         die_s: One-shot: time without answers before a new incarnation;
             below 0 until `revive`.
         revive: One-shot: ends a `die_s` below 0.
+        hang_when_dead: True leaves calls unanswered while dead.
         lose_answers: Number of next calls that run unanswered.
         lose_requests: Number of next calls dropped before they run.
         delay_s: Time that an answer waits after the call ran.
         delay_answers: Number of next calls that `delay_s` applies to.
-        wrong_ids: Number of next answers with another request's id.
+        wrong_ids: Number of next calls that get the answer before theirs.
     """
 
     run_s: float = 0.01
@@ -54,6 +57,7 @@
     leaving: bool = False
     die_s: float = 0.0
     revive: bool = False
+    hang_when_dead: bool = False
     lose_answers: int = 0
     lose_requests: int = 0
     delay_s: float = 0.0
@@ -65,7 +69,7 @@
     """Echoes calls and counts how often each ran."""
 
     def __init__(self, settings: ServiceSettings) -> None:
-        """Starts a first incarnation, cold if `cold_calls` says so."""
+        """Starts a first incarnation, cold unless told otherwise."""
         self.settings = settings
         self.lock = threading.Lock()
         self._runs_by_key: Counter[str] = Counter()
@@ -74,7 +78,7 @@
         self._overruns: list[float] = []
         self._max_running = 0
         self._max_cold_offered = 0
-        self._last_id = "none"
+        self._last_reply = Reply(200, {}, {"X-Request-Id": "of-another"})
         self._dead_until_s = 0.0
         self._begin()
 
@@ -107,7 +111,7 @@
     def handle(self, req: Request) -> Reply | Dropped:
         """Answers a load request or runs a call."""
         if self._is_dead():
-            return Dropped()
+            return self._drop()
         if (req.method, req.path) == ("GET", "/v1/load"):
             with self.lock:
                 return Reply(200, self._load())
@@ -134,28 +138,19 @@
         return self._answer(req, incarnation)
 
     def _answer(self, req: Request, incarnation: str) -> Reply | Dropped:
-        request_id = req.headers.get("x-request-id", "")
+        if incarnation != self._incarnation:
+            return self._drop()
+        reply = _echo(req, incarnation)
         with self.lock:
-            if incarnation != self._incarnation or self._is_dead():
-                return Dropped()
             self._calls_until_warm = max(0, self._calls_until_warm - 1)
             is_lost = self._takes("lose_answers")
-            delay_s = self.settings.delay_s
-            delay_s = delay_s if self._takes("delay_answers") else 0.0
+            is_delayed = self._takes("delay_answers")
             is_wrong = self._takes("wrong_ids")
-            shown_id = self._last_id if is_wrong else request_id
-            self._last_id = request_id
-        time.sleep(delay_s)
+            previous, self._last_reply = self._last_reply, reply
+        time.sleep(self.settings.delay_s if is_delayed else 0.0)
         if is_lost:
             return Dropped()
-        headers = {"X-Request-Id": shown_id, "X-Incarnation": incarnation}
-        echo = {
-            "method": req.method,
-            "path": req.path,
-            "body": req.body.decode(errors="replace"),
-            "request_id": shown_id,
-        }
-        return Reply(200, echo, headers)
+        return previous if is_wrong else reply
 
     def _refusal(self) -> Reply | None:
         if self.settings.leaving:
@@ -202,6 +197,11 @@
         setattr(self.settings, field, left - 1)
         return True
 
+    def _drop(self) -> Dropped:
+        while self.settings.hang_when_dead and self._is_dead():
+            time.sleep(HANG_STEP_S)
+        return Dropped()
+
     def _is_dead(self) -> bool:
         return time.monotonic() < self._dead_until_s
 
@@ -216,6 +216,18 @@
         self._running: set[object] = set()
 
 
+def _echo(req: Request, incarnation: str) -> Reply:
+    request_id = req.headers.get("x-request-id", "")
+    echo = {
+        "method": req.method,
+        "path": req.path,
+        "body": req.body.decode(errors="replace"),
+        "request_id": request_id,
+    }
+    headers = {"X-Request-Id": request_id, "X-Incarnation": incarnation}
+    return Reply(200, echo, headers)
+
+
 def main() -> None:
     """Runs the service with the settings of the command line."""
     port, settings = control.parse_command_line(ServiceSettings, sys.argv[1:])
--- a/tests/standins/record.py
+++ b/tests/standins/record.py
@@ -3,7 +3,9 @@
 import time
 from collections import Counter
 
-from tests.standins.batch import Ask, Batch, Generation
+from tests.standins.batch import Batch
+from tests.standins.engine_settings import Ask
+from tests.standins.generation import Generation
 
 
 class EngineRecord:
@@ -48,11 +50,11 @@
             }
         )
 
-    def overrun(self, batch: Batch, cold_since_s: float) -> None:
+    def overrun(self, batch: Batch) -> None:
         """Notes a request past the cold limit."""
         noted = {
             "time": time.time(),
-            "cold_for_s": time.monotonic() - cold_since_s,
+            "cold_for_s": time.monotonic() - batch.cold_since_s,
             "unfinished": batch.unfinished,
         }
         self.overruns.append(noted)
--- a/tests/standins/serving.py
+++ b/tests/standins/serving.py
@@ -11,7 +11,10 @@
 
 from tests.standins import control
 
-THREADS = 96
+THREADS = 64  # long polls wait in a thread each
+CONNECTIONS = 512
+KEEP_ALIVE_S = 600
+
 S = TypeVar("S", bound=control.Settings)
 
 
@@ -78,8 +81,9 @@
         minthreads=THREADS,
         maxthreads=THREADS,
     )
-    http_server.request_queue_size = 512
-    http_server.timeout = 600
+    http_server.request_queue_size = CONNECTIONS
+    http_server.timeout = KEEP_ALIVE_S
+    http_server.keep_alive_conn_limit = CONNECTIONS
     http_server.prepare()
     control.announce(http_server.bind_addr[1])
     http_server.serve()
--- /dev/null
+++ b/tests/standins/test_plain_service.py
@@ -0,0 +1,125 @@
+"""The plain service, the list of VMs and the weight store as programs."""
+
+import threading
+import time
+
+import pytest
+import urllib3
+
+from tests.harness.answers import Answer, request
+from tests.harness.fixtures import StartStandIn
+from tests.harness.standin import Kind, StandIn
+
+pytestmark = pytest.mark.processes
+
+
+def call(service: StandIn, key: str, request_id: str = "r") -> Answer:
+    headers = {"Idempotency-Key": key, "X-Request-Id": request_id}
+    return request("POST", f"{service.url}/shifts", {"n": 1}, headers)
+
+
+def call_at_once(service: StandIn, count: int) -> list[int | None]:
+    """Returns the statuses; None for a call without an answer."""
+    statuses: list[int | None] = []
+
+    def one() -> None:
+        try:
+            statuses.append(call(service, "k").status)
+        except urllib3.exceptions.HTTPError:
+            statuses.append(None)
+
+    threads = [threading.Thread(target=one) for _ in range(count)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return statuses
+
+
+def test_echo_and_runs_by_key(start_standin: StartStandIn) -> None:
+    service = start_standin(Kind.PLAIN_SERVICE)
+    answers = [call(service, "k", "r-1"), call(service, "k", "r-2")]
+    assert [answer.headers["X-Request-Id"] for answer in answers] == [
+        "r-1",
+        "r-2",
+    ]
+    assert answers[0].json()["path"] == "/shifts"
+    seen = service.seen()
+    assert seen["runs_by_key"] == {"k": 2}
+    assert seen["runs_by_id"] == {"r-1": 1, "r-2": 1}
+
+
+@pytest.mark.parametrize(
+    ("fault", "runs"),
+    [
+        ({"lose_answers": 1}, 1),
+        ({"lose_requests": 1}, 0),
+        ({"die_s": -1}, 0),
+    ],
+)
+def test_call_without_answer(
+    start_standin: StartStandIn, fault: dict[str, object], runs: int
+) -> None:
+    service = start_standin(Kind.PLAIN_SERVICE)
+    before = service.seen()["incarnation"]
+    service.control(**fault)
+    with pytest.raises(urllib3.exceptions.HTTPError):
+        call(service, "k")
+    service.control(revive=True)
+    assert service.seen()["runs_by_key"].get("k", 0) == runs
+    assert call(service, "k").status == 200
+    assert (service.seen()["incarnation"] != before) == ("die_s" in fault)
+
+
+def test_delayed_wrong_and_leaving_answers(
+    start_standin: StartStandIn,
+) -> None:
+    service = start_standin(Kind.PLAIN_SERVICE)
+    service.control(delay_s=0.1, delay_answers=1)
+    began_s = time.monotonic()
+    call(service, "k", "r-1")
+    assert time.monotonic() - began_s >= 0.1
+    service.control(wrong_ids=1)
+    assert call(service, "k", "r-2").headers["X-Request-Id"] == "r-1"
+    service.control(leaving=True)
+    answer = call(service, "k")
+    assert answer.json()["error"]["code"] == "leaving"
+    assert request("GET", f"{service.url}/v1/load").json()["leaving"]
+
+
+def test_cold_service_falls_over_past_its_limit(
+    start_standin: StartStandIn,
+) -> None:
+    service = start_standin(
+        Kind.PLAIN_SERVICE, run_s=0.1, cold_limit=2, cold_calls=2
+    )
+    assert call_at_once(service, 2) == [200, 200]
+    assert call_at_once(service, 4) == [200] * 4
+    assert not service.seen()["overruns"]
+    service.control(turn_cold=True, restart_s=0.1)
+    assert 503 in call_at_once(service, 3)
+    seen = service.seen()
+    assert (len(seen["overruns"]), seen["max_cold_offered"]) == (1, 3)
+
+
+def test_vm_list_lags(start_standin: StartStandIn) -> None:
+    old = {"vm": "runner-1", "incarnation": "1", "leaving": False}
+    new = {**old, "leaving": True}
+    standin = start_standin(Kind.VM_LIST, vms=[old])
+
+    def shown() -> object:
+        return request("GET", f"{standin.url}/v1/vms").json()["vms"]
+
+    assert shown() == [old]
+    standin.control(vms=[new], lag_s=60)
+    assert shown() == [old]
+    standin.control(lag_s=0)
+    assert shown() == [new]
+    standin.control(older_copy_share=1, older_copy_s=60)
+    assert shown() == [old]
+
+
+def test_weight_store_has_a_rate(start_standin: StartStandIn) -> None:
+    store = start_standin(Kind.WEIGHT_STORE, rate=1)
+    url = f"{store.url}/v1/weights/m/v1"
+    assert [request("GET", url).status for _ in range(2)] == [200, 429]
