Add the client library and tests of generations under engine faults

The client finds nodes, keeps their list for its time to live, retries what may be retried and resumes a stream with its ticket.

Tests run generations against engine processes that drop connections, go silent, stall, die, name a wrong generation, cross two answers or answer differently on replay; the oracle is the engine's token function. The fuzzed delivery rule fails with a baseline that passes on whatever arrives.

Keepers learn of the first token as soon as it is seen, since they bound the work that has no output yet.

--- /dev/null
+++ b/src/savorylift/client/__init__.py
@@ -0,0 +1,15 @@
+"""Client library: finds nodes, retries what may be retried, resumes."""
+
+from savorylift.client.client import Client, ClientOptions
+from savorylift.client.outcomes import Answer, CallReply, ClientError
+from savorylift.client.stream import Restarted, Token
+
+__all__ = [
+    "Answer",
+    "CallReply",
+    "Client",
+    "ClientError",
+    "ClientOptions",
+    "Restarted",
+    "Token",
+]
--- /dev/null
+++ b/src/savorylift/client/stream.py
@@ -0,0 +1,214 @@
+"""A streamed generation that survives the loss of its node."""
+
+import contextlib
+import time
+from collections.abc import Iterator
+from typing import NamedTuple, NotRequired, TypedDict, cast
+
+import msgspec
+import urllib3
+from returns.result import Failure, Result, Success
+
+from savorylift.client.entries import Entries
+from savorylift.client.outcomes import ClientError, error_from, not_reached
+from savorylift.outcomes import Ending
+from savorylift.streams.events import END_MARK, EventSplitter
+
+RESUME_PAUSE_S = 0.05
+HTTP_OK = 200
+
+
+class Token(NamedTuple):
+    """One token, or the end if `finish_reason` is set.
+
+    Attributes:
+        answer_id: Identifier of the answer that the token belongs to.
+        token_index: Position in the answer, from 0.
+        text: Text of the token; empty at the end.
+        finish_reason: `stop` or `length` at the end, else None.
+    """
+
+    answer_id: str
+    token_index: int
+    text: str
+    finish_reason: str | None
+
+
+class Restarted(NamedTuple):
+    """All tokens so far are void; a new answer follows."""
+
+    answer_id: str
+
+
+Item = Token | Restarted | ClientError
+
+
+class _Choice(TypedDict):
+    text: str
+    finish_reason: str | None
+
+
+class _Event(TypedDict):
+    id: NotRequired[str]
+    choices: NotRequired[list[_Choice]]
+    token_index: NotRequired[int]
+    resume_ticket: NotRequired[str]
+    restart: NotRequired[bool]
+    error: NotRequired[dict[str, object]]
+
+
+_decoder = msgspec.json.Decoder(_Event)
+
+
+class StreamOptions(NamedTuple):
+    """Options of one stream.
+
+    Attributes:
+        headers: Headers of each request.
+        body: JSON body of the first request.
+        deadline_s: `time.monotonic()` by which the answer must be whole.
+        silence_s: Silence after which another node is asked.
+    """
+
+    headers: dict[str, str]
+    body: bytes
+    deadline_s: float
+    silence_s: float
+
+
+class GenerationStream:
+    """Iterates over an answer's tokens across lost connections."""
+
+    def __init__(
+        self, entries: Entries, pool: urllib3.PoolManager, cfg: StreamOptions
+    ) -> None:
+        """Prepares the stream; iterating sends the request."""
+        self._entries = entries
+        self._pool = pool
+        self._cfg = cfg
+        self._ticket: str | None = None
+        self._next_index = 0
+        self._answer_id = ""
+        self._is_over = False
+        self.resumes = 0
+
+    def __iter__(self) -> Iterator[Item]:
+        """Yields tokens in order; an error, if one comes, is the last."""
+        while not self._is_over:
+            opened = self._open()
+            if isinstance(opened, Failure):
+                yield opened.failure()
+                return
+            url, response = opened.unwrap()
+            yield from self._read(url, response)
+
+    def _open(
+        self,
+    ) -> Result[tuple[str, urllib3.BaseHTTPResponse], ClientError]:
+        """Sends the request or the resumption, on one node after another."""
+        error = not_reached("no node could be reached")
+        while time.monotonic() < self._cfg.deadline_s:
+            for url in self._entries.in_order():
+                tried = self._try(url)
+                if isinstance(tried, Success):
+                    return Success((url, tried.unwrap()))
+                error = tried.failure()
+                if not _may_retry(error):
+                    return Failure(error)
+            self._pause(error.retry_after_s)
+        return Failure(error)
+
+    def _pause(self, wanted_s: float | None) -> None:
+        left_s = self._cfg.deadline_s - time.monotonic()
+        pause_s = max(wanted_s or 0.0, RESUME_PAUSE_S)
+        time.sleep(max(0.0, min(pause_s, left_s)))
+
+    def _try(self, url: str) -> Result[urllib3.BaseHTTPResponse, ClientError]:
+        try:
+            response = self._request(url)
+            if response.status == HTTP_OK:
+                return Success(response)
+            return Failure(error_from(response.read()))
+        except urllib3.exceptions.HTTPError as exc:
+            self._entries.note_failed(url)
+            # A generation nobody reads is ended by its node, so asking
+            # another node for a new one doubles nothing for the caller.
+            return Failure(not_reached(str(exc)))
+
+    def _request(self, url: str) -> urllib3.BaseHTTPResponse:
+        left_s = self._cfg.deadline_s - time.monotonic()
+        headers = self._cfg.headers | {
+            "X-Deadline-Ms": str(max(1, int(left_s * 1000)))
+        }
+        if self._ticket is None:
+            return self._pool.request(
+                "POST",
+                f"{url}/v1/completions",
+                body=self._cfg.body,
+                headers=headers,
+                timeout=urllib3.Timeout(connect=1.0, read=max(0.01, left_s)),
+                retries=False,
+                preload_content=False,
+            )
+        self.resumes += 1
+        return self._pool.request(
+            "GET",
+            f"{url}/v1/streams/{self._ticket}?from={self._next_index}",
+            headers=headers,
+            timeout=urllib3.Timeout(connect=1.0, read=self._cfg.silence_s),
+            retries=False,
+            preload_content=False,
+        )
+
+    def _read(
+        self, url: str, response: urllib3.BaseHTTPResponse
+    ) -> Iterator[Item]:
+        """Yields items until the end mark, an error or a lost connection."""
+        splitter = EventSplitter()
+        self._limit_silence(response)
+        try:
+            while data := response.read1():
+                for event in splitter.feed(data):
+                    if event == END_MARK:
+                        self._is_over = True
+                        return
+                    yield from self._items(event)
+                if self._is_over:
+                    return
+        except (urllib3.exceptions.HTTPError, OSError):
+            self._entries.note_failed(url)
+        finally:
+            response.close()
+
+    def _limit_silence(self, response: urllib3.BaseHTTPResponse) -> None:
+        """Bounds the silence between events, once the first has come."""
+        connection = getattr(response, "connection", None)
+        sock = getattr(connection, "sock", None)
+        with contextlib.suppress(OSError, AttributeError):
+            sock.settimeout(self._cfg.silence_s)  # type: ignore[union-attr]
+
+    def _items(self, data: bytes) -> Iterator[Item]:
+        event = _decoder.decode(data)
+        if "error" in event:
+            self._is_over = True
+            yield error_from(data)
+            return
+        self._answer_id = event.get("id", self._answer_id)
+        self._ticket = event.get("resume_ticket", self._ticket)
+        if event.get("restart", False):
+            self._next_index = 0
+            yield Restarted(self._answer_id)
+        for choice in event.get("choices", []):
+            token = Token(
+                self._answer_id,
+                cast("int", event.get("token_index")),
+                choice["text"],
+                choice["finish_reason"],
+            )
+            if token.finish_reason is None:
+                self._next_index = token.token_index + 1
+            yield token
+
+
+def _may_retry(error: ClientError) -> bool:
+    return error.ending is Ending.NOT_RUN and error.retry_after_s is not None
--- a/src/savorylift/entry/caller_face.py
+++ b/src/savorylift/entry/caller_face.py
@@ -14,7 +14,12 @@
 from savorylift.entry.completions import Completions
 from savorylift.entry.counters import REFUSALS, REQUESTS
 from savorylift.entry.directory import entries_for
-from savorylift.entry.errors import error_body, retry_headers, status_line
+from savorylift.entry.errors import (
+    ERROR_HEADER,
+    error_body,
+    retry_headers,
+    status_line,
+)
 from savorylift.entry.exchange import Exchange
 from savorylift.entry.node_state import NodeState
 from savorylift.entry.request_head import (
@@ -266,6 +271,7 @@
             status_line(refusal),
             error_body(refusal, request_id, entries),
             headers=[
+                ERROR_HEADER,
                 (REQUEST_ID_HEADER, request_id),
                 *retry_headers(refusal),
             ],
--- a/src/savorylift/entry/connection.py
+++ b/src/savorylift/entry/connection.py
@@ -8,7 +8,12 @@
 from cheroot.makefile import StreamReader
 from cheroot.server import HTTPConnection, HTTPRequest
 
-from savorylift.entry.errors import error_body, http_refusal, status_line
+from savorylift.entry.errors import (
+    ERROR_HEADER,
+    error_body,
+    http_refusal,
+    status_line,
+)
 
 NO_REQUEST_ID = ""
 
@@ -62,6 +67,7 @@
         head = (
             f"HTTP/1.1 {status_line(refusal)}\r\n"
             "Content-Type: application/json\r\n"
+            f"{ERROR_HEADER[0]}: {ERROR_HEADER[1]}\r\n"
             f"Content-Length: {len(body)}\r\n"
             "Connection: close\r\n\r\n"
         )
--- a/src/savorylift/entry/errors.py
+++ b/src/savorylift/entry/errors.py
@@ -34,6 +34,8 @@
 }
 UNAVAILABLE = "503 Service Unavailable"
 Header = tuple[str, str]
+# Tells a node's own errors from those that a plain service answers with.
+ERROR_HEADER: Header = ("X-Savorylift-Error", "true")
 
 
 def status_line(refusal: Refusal) -> str:
--- a/src/savorylift/entry/server.py
+++ b/src/savorylift/entry/server.py
@@ -16,7 +16,7 @@
 from cheroot.ssl import Adapter
 
 from savorylift.entry.connection import Connection
-from savorylift.entry.errors import error_body, status_line
+from savorylift.entry.errors import ERROR_HEADER, error_body, status_line
 from savorylift.entry.exchange import Exchange
 from savorylift.outcomes import Reason, not_run
 
@@ -168,6 +168,7 @@
         head = (
             f"HTTP/1.1 {status_line(refusal)}\r\n"
             "Content-Type: application/json\r\n"
+            f"{ERROR_HEADER[0]}: {ERROR_HEADER[1]}\r\n"
             f"Content-Length: {len(body)}\r\n"
             f"Retry-After: {BUSY_RETRY_S:.0f}\r\n"
             "Connection: close\r\n\r\n"
--- a/src/savorylift/streams/attempt.py
+++ b/src/savorylift/streams/attempt.py
@@ -101,9 +101,9 @@
         while True:
             before = self._delivery.expected_index
             job = self._relay(stream, silence_s)
+            if first_token_s is None:
+                first_token_s = self._await_first(job, attempt, stream)
             end = self._await_end(job, attempt, reserve)
-            if job.first_event_s is not None and first_token_s is None:
-                first_token_s = job.first_event_s - attempt.dispatched_s
             ended = AttemptEnd(end, first_token_s, incarnation)
             if end not in RESUMABLE:
                 return ended
@@ -163,6 +163,27 @@
         self._parts.relay.add(job)
         return job
 
+    def _await_first(
+        self, job: RelayJob, attempt: Attempt, stream: EngineStream
+    ) -> float | None:
+        """Waits for the first event and tells the keeper of it at once.
+
+        Returns:
+            Its delay in seconds, or None if the connection ended without.
+        """
+        while not job.wait_first_event(ADJUST_S):
+            continue  # the relay ends every job by its own timeouts
+        if job.first_event_s is None:
+            return None
+        delay_s = job.first_event_s - attempt.dispatched_s
+        self._parts.gate.started(
+            attempt.permit,
+            stream.incarnation or "",
+            delay_s,
+            is_cold=stream.is_cold,
+        )
+        return delay_s
+
     def _await_end(
         self, job: RelayJob, attempt: Attempt, reserve: Reserve
     ) -> RelayEnd:
--- a/src/savorylift/streams/relay.py
+++ b/src/savorylift/streams/relay.py
@@ -76,6 +76,18 @@
         self.first_event_s: float | None = None
         self.end: RelayEnd | None = None
         self._done = threading.Event()
+        self._first = threading.Event()
+
+    def wait_first_event(self, timeout_s: float) -> bool:
+        """Waits for the first event or the end; False on a timeout."""
+        return self._first.wait(timeout_s)
+
+    def note_events(self) -> None:
+        """Records that events have arrived."""
+        self.last_event_s = time.monotonic()
+        if self.first_event_s is None:
+            self.first_event_s = self.last_event_s
+            self._first.set()
 
     def wait(self, timeout_s: float) -> RelayEnd | None:
         """Returns the end, or None if there is none within the timeout."""
@@ -85,6 +97,7 @@
     def finish(self, end: RelayEnd) -> None:
         """Records the end and wakes the waiting thread."""
         self.end = end
+        self._first.set()
         self._done.set()
 
     def expired(self, now_s: float) -> RelayEnd | None:
@@ -203,9 +216,7 @@
     ) -> RelayEnd | None:
         if not events:
             return None
-        job.last_event_s = time.monotonic()
-        if job.first_event_s is None:
-            job.first_event_s = job.last_event_s
+        job.note_events()
         ready: list[TokenEvent] = []
         end = None
         for event in events:
--- a/src/savorylift/streams/sink.py
+++ b/src/savorylift/streams/sink.py
@@ -102,7 +102,7 @@
         """Tells the caller to drop what it got."""
         self._name(answer_id)
         if self._is_started:
-            self.caller.write(b"event: restart\n" + self._event(b""))
+            self.caller.write(self._event(b', "choices": [], "restart": true'))
 
     def fail(self, body: bytes) -> None:
         """Ends the stream with an error event.
