Run calls that must not repeat under claims on the log

A booking retried at another node, or sent by a node that was paused, must not run twice, and no second store may be kept. A call now needs a claim on its UUIDv7 key, read back from the log before the one dispatch.

Weighed: leases (a paused holder wakes after its lease lapsed and runs the call again), taking an accepted append for a won claim (two writers both do), and letting a later claim win once the first is voided (needs a second void for each loser). Taken: the claim that meets no holder at its place in the log holds the key until its claimant voids it; a loser is dead for good, so that a repeated append of it is harmless. A void may come before its claim.

A lost append answer is met by appending again under the same identifier, since an append may still be on its way and absence can't be known. A reader refuses keys that may have claims among records it never saw. Outcomes stay on the log; memory holds their offsets.

Claims a second not measured yet.

--- /dev/null
+++ b/src/savorylift/calls/claim_desk.py
@@ -0,0 +1,239 @@
+"""Claims for the calls of this node, through the nodes that serve a shard."""
+
+import threading
+import time
+from concurrent.futures import Future
+from concurrent.futures import TimeoutError as FutureTimeoutError
+from typing import NamedTuple
+
+import msgspec
+import pykka
+from returns.result import Failure, Result, Success
+
+from savorylift.calls.claim_try import Ask, ClaimTry, Ended, Replay, Step
+from savorylift.calls.claims import Claim, ClaimRequest
+from savorylift.calls.courier import CourierActor, Pending, Retry
+from savorylift.calls.messages import (
+    OUTCOME_KIND,
+    ClaimAnswer,
+    ClaimAsk,
+    ClaimBody,
+    ConcludeAnswer,
+    ConcludeAsk,
+    OutcomeBody,
+    outcome_entry,
+    shard_of,
+    stream_of,
+    void_entry,
+)
+from savorylift.calls.request import CallAnswer
+from savorylift.calls.shard_set import ShardCfg, ShardSet
+from savorylift.identity import NodeRef, new_id
+from savorylift.outcomes import Ending, Reason, Refusal
+from savorylift.peers.link import PeerFault, PeerLink
+from savorylift.peers.view import RosterSource
+from savorylift.platform.log import Log, LogEntry
+
+SERVER_WAIT_S = 2.0
+CONCLUDE_WAIT_S = 3.0
+REFRESH_S = 0.5
+FLUSH_STEP_S = 0.05
+REPLAY_RETRY_AFTER_S = 5.0
+
+ClaimResult = Result[Claim | CallAnswer, Refusal]
+
+
+class DeskParts(NamedTuple):
+    """What `ClaimDesk` works with."""
+
+    me: NodeRef
+    log: Log
+    link: PeerLink
+    roster: RosterSource
+    cfg: ShardCfg = ShardCfg()
+
+
+class ClaimDesk:
+    """Implements `ClaimBook`; a call blocks its thread until the verdict."""
+
+    def __init__(self, parts: DeskParts) -> None:
+        """Starts nothing; call `start` before the first claim."""
+        self._parts = parts
+        self._shards = ShardSet(parts.me, parts.log, parts.roster, parts.cfg)
+        self._courier = CourierActor.start(self._route)
+        self._stop_event = threading.Event()
+        self._thread = threading.Thread(
+            target=self._follow_roster, name="claims-roster", daemon=True
+        )
+
+    def start(self) -> None:
+        """Answers other nodes and serves the shards that fall to this one."""
+        self._shards.listen(self._parts.link)
+        self._shards.refresh()
+        self._thread.start()
+
+    def flush(self, timeout_s: float) -> bool:
+        """Waits until all voids and outcomes are on the log."""
+        until_s = time.monotonic() + timeout_s
+        while time.monotonic() < until_s:
+            if self._courier.ask(Pending()) == 0:
+                return True
+            self._stop_event.wait(FLUSH_STEP_S)
+        return False
+
+    def stop(self) -> None:
+        """Stops threads and actors; call `flush` before."""
+        self._stop_event.set()
+        if self._thread.is_alive():
+            self._thread.join(timeout=REFRESH_S * 4)
+        self._courier.stop(block=False)
+        self._shards.stop()
+
+    def claim(self, req: ClaimRequest) -> ClaimResult:
+        """Waits for the claim, or returns the recorded answer of its key."""
+        shard = shard_of(req.key.value, self._parts.cfg.shards)
+        claim = Claim(new_id("claim"), req.key)
+        servers = self._shards.servers(shard)
+        attempt = ClaimTry(len(servers))
+        step = attempt.begin()
+        while isinstance(step, Ask):
+            node = servers[step.server]
+            step = self._ask(attempt, node, self._message(claim, shard, req))
+        return self._conclude_try(step, claim, shard)
+
+    def void(self, claim: Claim) -> None:
+        """Gives up a claim whose call was certainly not run."""
+        self._send(claim, void_entry(claim.claim_id, claim.key.value))
+
+    def record(self, claim: Claim, answer: CallAnswer | None) -> None:
+        """Records the answer, or None for a call whose answer was lost."""
+        entry = outcome_entry(claim.claim_id, claim.key.value, answer)
+        self._send(claim, entry)
+
+    def _message(
+        self, claim: Claim, shard: int, req: ClaimRequest
+    ) -> tuple[ClaimAsk, float]:
+        me = self._parts.me
+        body = ClaimBody(
+            req.key.value,
+            req.fingerprint,
+            me.vm,
+            me.incarnation,
+            req.request_id,
+        )
+        wait_s = min(SERVER_WAIT_S, req.deadline_s - time.monotonic())
+        wait_ms = max(0, int(wait_s * 1000))
+        return ClaimAsk(shard, claim.claim_id, body, wait_ms), wait_s
+
+    def _ask(
+        self,
+        attempt: ClaimTry,
+        node: NodeRef,
+        message: tuple[ClaimAsk, float],
+    ) -> Step:
+        ask, wait_s = message
+        if wait_s <= 0:
+            return attempt.on_deadline()
+        if node == self._parts.me:
+            return self._ask_here(attempt, ask, wait_s)
+        fut = self._parts.link.ask(node, ask, ClaimAnswer, wait_s)
+        try:
+            result = fut.result(wait_s + FLUSH_STEP_S)
+        except FutureTimeoutError:
+            return attempt.on_fault(may_have_arrived=True)
+        if isinstance(result, Failure):
+            fault: PeerFault = result.failure()
+            return attempt.on_fault(may_have_arrived=fault.sent)
+        return self._take(attempt, result.unwrap())
+
+    def _ask_here(
+        self, attempt: ClaimTry, ask: ClaimAsk, wait_s: float
+    ) -> Step:
+        fut: Future[ClaimAnswer] = Future()
+        self._shards.submit(ask, fut)
+        try:
+            answer = fut.result(wait_s)
+        except FutureTimeoutError:
+            return attempt.on_fault(may_have_arrived=True)
+        return self._take(attempt, answer)
+
+    def _take(self, attempt: ClaimTry, answer: ClaimAnswer) -> Step:
+        ref = NodeRef(answer.vm, answer.incarnation)
+        is_live = ref == self._parts.me or not answer.vm
+        is_live = is_live or self._parts.roster.current().is_member(ref)
+        return attempt.on_answer(answer, is_claimant_gone=not is_live)
+
+    def _conclude_try(
+        self, step: Step, claim: Claim, shard: int
+    ) -> ClaimResult:
+        if isinstance(step, Replay):
+            return self._replay(shard, step.outcome_offset)
+        if isinstance(step, Ended):
+            if step.needs_void:
+                self.void(claim)
+            return Failure(step.refusal)
+        return Success(claim)
+
+    def _replay(self, shard: int, offset: int) -> ClaimResult:
+        read = self._parts.log.read(stream_of(shard), offset)
+        if isinstance(read, Failure):
+            return Failure(_ran("its outcome can't be read now", retry=True))
+        records = read.unwrap().records
+        if not records or records[0].offset != offset:
+            return Failure(_ran("its outcome is forgotten"))
+        if records[0].kind != OUTCOME_KIND:
+            return Failure(_ran("its outcome can't be read"))
+        outcome = msgspec.json.decode(records[0].body, type=OutcomeBody)
+        if outcome.status is None or outcome.body is None:
+            return Failure(_ran(f"its answer ({outcome.status}) is not kept"))
+        return Success(
+            CallAnswer(
+                outcome.status,
+                outcome.headers,
+                outcome.body,
+                outcome.backend_server,
+                is_replay=True,
+            )
+        )
+
+    def _send(self, claim: Claim, entry: LogEntry) -> None:
+        shard = shard_of(claim.key.value, self._parts.cfg.shards)
+        try:
+            self._courier.tell(ConcludeAsk(shard, *entry))
+        except pykka.ActorDeadError:
+            return  # the node is ending: the key stays `unknown`
+
+    def _route(
+        self, ask: ConcludeAsk, attempt: int
+    ) -> "Future[ConcludeAnswer]":
+        servers = self._shards.servers(ask.shard)
+        node = servers[attempt % len(servers)]
+        done: Future[ConcludeAnswer] = Future()
+        if node == self._parts.me:
+            self._shards.conclude(ask, done)
+            return done
+        asked = self._parts.link.ask(node, ask, ConcludeAnswer, CONCLUDE_WAIT_S)
+        asked.add_done_callback(lambda fut: _pass_on(fut, done))
+        return done
+
+    def _follow_roster(self) -> None:
+        while not self._stop_event.wait(REFRESH_S):
+            self._shards.refresh()
+            self._courier.tell(Retry())
+
+
+def _pass_on(
+    asked: "Future[Result[ConcludeAnswer, PeerFault]]",
+    done: "Future[ConcludeAnswer]",
+) -> None:
+    result = asked.result()
+    done.set_result(result.value_or(ConcludeAnswer(is_appended=False)))
+
+
+def _ran(cause: str, *, retry: bool = False) -> Refusal:
+    return Refusal(
+        Ending.FAILED,
+        Reason.ANSWER_LOST,
+        f"An earlier try with this key ran; {cause}.",
+        REPLAY_RETRY_AFTER_S if retry else None,
+    )
--- /dev/null
+++ b/src/savorylift/calls/claim_writer.py
@@ -0,0 +1,217 @@
+"""Actors that serve one claim shard: one decides, one appends, one reads."""
+
+import threading
+import time
+from typing import NamedTuple
+
+import pykka
+import structlog
+from returns.result import Failure, Result, Success
+
+from savorylift.calls.claim_shard import ClaimShard, Done, Reply
+from savorylift.calls.counters import CLAIM_APPENDS, CLAIM_RECORDS, CLAIMS
+from savorylift.calls.key import KeyWindow
+from savorylift.calls.messages import ClaimAnswer, ClaimAsk, stream_of
+from savorylift.calls.shard_start import find_start
+from savorylift.platform.log import Log, LogEntry, LogFault, LogPage
+
+GROUP_INTERVAL_S = 0.02
+READ_WAIT_S = 0.5
+READ_RETRY_S = 0.2
+
+_log = structlog.get_logger()
+
+
+class Submit(NamedTuple):
+    """A claim to append and judge."""
+
+    ask: ClaimAsk
+    reply: Reply
+
+
+class Conclude(NamedTuple):
+    """A void or an outcome to append."""
+
+    entry: LogEntry
+    done: Done
+
+
+class Started(NamedTuple):
+    """The reader found where the key window begins."""
+
+    offset: int
+
+
+class PageRead(NamedTuple):
+    """A page, and when it was asked for."""
+
+    page: LogPage
+    asked_s: float
+
+
+class ReadFailed(NamedTuple):
+    """A read of the stream failed."""
+
+
+class GroupAppended(NamedTuple):
+    """How the append of the last group ended."""
+
+    result: Result[int, LogFault]
+
+
+class Group(NamedTuple):
+    """Records to append together."""
+
+    entries: tuple[LogEntry, ...]
+
+
+class ShardActor(pykka.ThreadingActor):
+    """Owns the state of one shard."""
+
+    use_daemon_thread = True
+
+    def __init__(self, log: Log, shard: int, window: KeyWindow) -> None:
+        """Serves `shard`; told pages by a `ShardReader`."""
+        super().__init__()
+        self._log = log
+        self._stream = stream_of(shard)
+        self._window = window
+        self._state = ClaimShard(window)
+        self._appender: pykka.ActorRef[AppendActor] | None = None
+
+    def on_start(self) -> None:
+        """Starts the appending actor."""
+        self._appender = AppendActor.start(
+            self._log, self._stream, self.actor_ref
+        )
+
+    def on_stop(self) -> None:
+        """Stops the appending actor and hands conclusions back."""
+        self._state.abandon()
+        if self._appender is not None:
+            self._appender.stop(block=False)
+
+    def on_receive(self, message: object) -> None:
+        """Takes one message and starts an append if one is due."""
+        if isinstance(message, Submit):
+            self._state.submit(message.ask, _counted(message.reply))
+        elif isinstance(message, Conclude):
+            self._state.conclude(message.entry, message.done)
+        elif isinstance(message, PageRead):
+            self._state.note_page(message.page, message.asked_s)
+        elif isinstance(message, ReadFailed):
+            self._state.note_read_fault()
+        elif isinstance(message, GroupAppended):
+            self._state.note_appended(message.result)
+        elif isinstance(message, Started):
+            self._state.start_at(message.offset)
+        self._append_due()
+
+    def _append_due(self) -> None:
+        group = self._state.take_group()
+        if group and self._appender is not None:
+            self._appender.tell(Group(group))
+
+
+class AppendActor(pykka.ThreadingActor):
+    """Appends groups, one at a time and not too often."""
+
+    use_daemon_thread = True
+
+    def __init__(
+        self, log: Log, stream: str, owner: "pykka.ActorRef[ShardActor]"
+    ) -> None:
+        """Tells `owner` how each append ended."""
+        super().__init__()
+        self._log = log
+        self._stream = stream
+        self._owner = owner
+        self._pause = threading.Event()
+        self._last_s = 0.0
+
+    def on_receive(self, message: object) -> None:
+        """Appends one group."""
+        assert isinstance(message, Group)
+        self._pause.wait(self._last_s + GROUP_INTERVAL_S - time.monotonic())
+        self._last_s = time.monotonic()
+        result = self._log.append(self._stream, message.entries)
+        CLAIM_RECORDS.inc(len(message.entries))
+        CLAIM_APPENDS.labels(_label(result)).inc()
+        if self._owner.is_alive():
+            self._owner.tell(GroupAppended(result))
+
+
+class ShardReader(threading.Thread):
+    """Reads one claim stream and tells its pages to the shard's actor."""
+
+    def __init__(
+        self,
+        log: Log,
+        shard: int,
+        window: KeyWindow,
+        owner: "pykka.ActorRef[ShardActor]",
+    ) -> None:
+        """Reads from the start of the key window once started."""
+        super().__init__(name=f"claims-{shard}", daemon=True)
+        self._log = log
+        self._stream = stream_of(shard)
+        self._window = window
+        self._owner = owner
+        self._stop_event = threading.Event()
+
+    def run(self) -> None:
+        """Reads until stopped."""
+        offset = self._start_offset()
+        while not self._stop_event.is_set():
+            offset = self._read_once(offset)
+
+    def stop(self) -> None:
+        """Ends the thread after its current read."""
+        self._stop_event.set()
+
+    def _start_offset(self) -> int:
+        while not self._stop_event.is_set():
+            found = find_start(self._log, self._stream, self._window)
+            if isinstance(found, Success):
+                offset: int = found.unwrap()
+                self._tell(Started(offset))
+                return offset
+            self._note_fault(found.failure())
+        return 0
+
+    def _read_once(self, offset: int) -> int:
+        asked_s = time.monotonic()
+        read = self._log.read(self._stream, offset, READ_WAIT_S)
+        if isinstance(read, Failure):
+            self._note_fault(read.failure())
+            return offset
+        page: LogPage = read.unwrap()
+        self._tell(PageRead(page, asked_s))
+        if page.records:
+            return page.records[-1].offset + 1
+        return max(offset, page.first_offset)
+
+    def _note_fault(self, fault: LogFault) -> None:
+        _log.info(
+            "claims_read_failed", stream=self._stream, cause=fault.message
+        )
+        self._tell(ReadFailed())
+        self._stop_event.wait(READ_RETRY_S)
+
+    def _tell(self, message: Started | PageRead | ReadFailed) -> None:
+        if self._owner.is_alive():
+            self._owner.tell(message)
+
+
+def _counted(reply: Reply) -> Reply:
+    def count_and_reply(answer: ClaimAnswer) -> None:
+        CLAIMS.labels(answer.state.value).inc()
+        reply(answer)
+
+    return count_and_reply
+
+
+def _label(result: Result[int, LogFault]) -> str:
+    if isinstance(result, Success):
+        return "applied"
+    return "unsure" if result.failure().may_have_applied else "refused"
--- a/tests/calls/fakes.py
+++ b/tests/calls/fakes.py
@@ -74,6 +74,19 @@
     def hints(self) -> Mapping[str, BackendHint]:
         return {}
 
+    def started(
+        self,
+        permit: Permit,
+        incarnation: str,
+        first_token_s: float,
+        *,
+        is_cold: bool,
+    ) -> None:
+        pass
+
+    def is_held(self, permit: Permit) -> bool:
+        return True
+
     def adjust(self, permit: Permit, tokens: int) -> None:
         pass
 
