--- a/src/savorylift/rules/fold.py
+++ b/src/savorylift/rules/fold.py
@@ -24,6 +24,7 @@
 from savorylift.rules.text import RulesText
 from savorylift.rules.view import OutOfService, RulesView
 
+CONFIG_FOLD = "config"  # name of the fold in snapshots
 MAX_DECISIONS = 64
 MAX_CANCELLED = 256
 
@@ -106,6 +107,10 @@
                 return decision
         return None
 
+    def is_cancelled(self, record_id: str) -> bool:
+        """Returns True if an order back named this record."""
+        return record_id in self._cancelled
+
     def accepted_after(self, version: int) -> tuple[Decision, ...]:
         """Returns remembered accepted edits that are newer than `version`."""
         return tuple(
--- a/src/savorylift/rules/messages.py
+++ b/src/savorylift/rules/messages.py
@@ -150,11 +150,13 @@
         proof_age_s: Seconds since the node sent the question whose answer
             showed that the log's tail was `next_offset`; negative if no
             answer has shown it.
+        orders: Orders that may not be on the log yet.
     """
 
     next_offset: int
     records: tuple[LogRecord, ...]
     proof_age_s: float
+    orders: tuple[PendingOrder, ...] = ()
 
 
 class StateAsk(NamedTuple):
@@ -171,11 +173,13 @@
         data: Text of `snapshot.encode_state`; empty if `offset` is not
             above the asked one.
         proof_age_s: As in `RecordsAnswer`.
+        orders: As in `RecordsAnswer`.
     """
 
     offset: int
     data: str
     proof_age_s: float
+    orders: tuple[PendingOrder, ...] = ()
 
 
 def encode(message: object) -> str:
@@ -187,5 +191,5 @@
     """Returns the message of a record body, or why it can't be read."""
     try:
         return Success(msgspec.json.decode(body, type=message_type))
-    except msgspec.DecodeError as exc:
+    except (msgspec.DecodeError, UnicodeError) as exc:
         return Failure(str(exc))
