--- a/tests/harness/deployment.py
+++ b/tests/harness/deployment.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
+from tests.harness.first_rules import append_first_rules
 from tests.harness.link import Link, Relay
 from tests.harness.node import Node
 from tests.harness.node_settings import NodePlace, node_settings
@@ -133,6 +134,10 @@
             self._vms[vm] = {"vm": vm, "incarnation": "1", "leaving": False}
         self._list_vms()
 
+    def put_first_rules(self) -> None:
+        """Puts the rules file on the log as its first version."""
+        append_first_rules(self.log.url, self.rules_path.read_text())
+
     def start_nodes(
         self,
         names: Iterable[str] = (),
--- a/tests/harness/test_deployment.py
+++ b/tests/harness/test_deployment.py
@@ -1,9 +1,15 @@
 """Deployments without their nodes' programs."""
 
 import pytest
+from prometheus_client import CollectorRegistry
 from returns.pipeline import is_successful
 
+from savorylift.platform.counters import PlatformCounters
+from savorylift.platform.json_client import ClientConfig
+from savorylift.platform.log import RULES_STREAM
+from savorylift.platform.log_client import HttpLog
 from savorylift.rules.check import check_rules
+from savorylift.rules.fold import ConfigFold
 from savorylift.settings_file import check_settings
 from tests.harness.answers import request
 from tests.harness.fixtures import Deploy, StartStandIn
@@ -53,6 +59,29 @@
     assert load["models"] == [["rota-writer", "v3"]]
 
 
+def test_first_rules_are_accepted(deploy: Deploy) -> None:
+    deployment = deploy(HARMATTAN._replace(runners=1, nodes=0))
+    deployment.put_first_rules()
+    log = HttpLog(
+        ClientConfig((deployment.log.url,)),
+        PlatformCounters(CollectorRegistry()),
+    )
+    fold = ConfigFold()
+    for record in log.read(RULES_STREAM, 0).unwrap().records:
+        fold.apply(record)
+    log.close()
+    assert fold.version == 0
+    assert "\n".join(fold.lines()) + "\n" == deployment.rules_path.read_text()
+
+
+def test_node_that_ends_is_reported(deploy: Deploy) -> None:
+    changes = {"vm": "not a name"}
+    plan = AJLOUN._replace(runners=0, instances=0, nodes=1)
+    deployment = deploy(plan, node_changes=changes)
+    with pytest.raises(TimeoutError, match="entry-1 ended"):
+        deployment.start_nodes()
+
+
 def test_processes_freeze_and_restart_at_their_address(
     start_standin: StartStandIn,
 ) -> None:
