--- a/src/savorylift/streams/events.py
+++ b/src/savorylift/streams/events.py
@@ -6,6 +6,8 @@
 from returns.result import Failure, Result, Success
 
 END_MARK = b"[DONE]"
+# Any other reason, such as `cancelled`, is no end of a whole answer.
+FINISHED = frozenset({"stop", "length"})
 MAX_EVENT_BYTES = 65_536  # one token each; more means a broken engine
 
 
@@ -41,12 +43,15 @@
         event = _decoder.decode(data)
     except msgspec.MsgspecError as exc:
         return Failure(f"bad engine event: {exc}")
+    reason = event.get("finish_reason")
+    if reason is not None and reason not in FINISHED:
+        return Failure(f"generation ended early: {reason}")
     return Success(
         TokenEvent(
             event["id"],
             event["index"],
             event["token"],
-            event.get("finish_reason"),
+            reason,
         )
     )
 
--- a/tests/streams/test_generation.py
+++ b/tests/streams/test_generation.py
@@ -11,6 +11,7 @@
 from returns.result import Result
 
 from savorylift.outcomes import Ending, Reason, Refusal
+from savorylift.streams.engine_control import EngineControl
 from savorylift.streams.generation import Generation
 from savorylift.streams.resumption import Resumption
 from savorylift.streams.ticket import open_ticket
@@ -232,3 +233,16 @@
     for _ in range(4):
         assert is_successful(Outcome(bench, Caller(), PROMPT).result())
     assert bench.gate.granted.count("engine-a") <= 1
+
+
+def test_generation_cancelled_at_the_engine_is_no_whole_answer(
+    bench: Bench, engines: list[StandIn]
+) -> None:
+    caller = Caller()
+    outcome = Outcome(bench, caller, PROMPT)
+    outcome.wait_started()
+    engine = by_name(engines, "engine-a")
+    generation_id = engine.seen()["dispatches"][0]["generation_id"]
+    EngineControl().cancel(engine.address, generation_id)
+    assert is_successful(outcome.result())
+    assert answer(caller.received()) == EXPECTED
