--- a/src/savorylift/client/client.py
+++ b/src/savorylift/client/client.py
@@ -65,9 +65,10 @@
         prompt: str,
         max_tokens: int | None = None,
         timeout_s: float | None = None,
+        seed: int | None = None,
     ) -> GenerationStream:
         """Returns a stream whose iteration yields the answer's tokens."""
-        body = _completion(model, prompt, max_tokens, is_stream=True)
+        body = _completion(model, prompt, max_tokens, seed, is_stream=True)
         cfg = StreamOptions(
             headers=self._headers(new_id("req")),
             body=json.dumps(body).encode(),
@@ -82,9 +83,10 @@
         prompt: str,
         max_tokens: int | None = None,
         timeout_s: float | None = None,
+        seed: int | None = None,
     ) -> Result[Answer, ClientError]:
         """Returns a whole answer."""
-        body = _completion(model, prompt, max_tokens, is_stream=False)
+        body = _completion(model, prompt, max_tokens, seed, is_stream=False)
         replied = self._send(
             "POST",
             "/v1/completions",
@@ -216,7 +218,12 @@
 
 
 def _completion(
-    model: str, prompt: str, max_tokens: int | None, *, is_stream: bool
+    model: str,
+    prompt: str,
+    max_tokens: int | None,
+    seed: int | None,
+    *,
+    is_stream: bool,
 ) -> dict[str, object]:
     body: dict[str, object] = {
         "model": model,
@@ -225,6 +232,8 @@
     }
     if max_tokens is not None:
         body["max_tokens"] = max_tokens
+    if seed is not None:
+        body["seed"] = seed
     return body
 
 
--- /dev/null
+++ b/tests/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A demonstration of both deployments with faults."""
