--- a/src/savorylift/node.py
+++ b/src/savorylift/node.py
@@ -31,6 +31,7 @@
 from savorylift.peers.view import RosterSource
 from savorylift.peers.watcher import WatcherOptions
 from savorylift.permits.keeper_gate import KeeperGate
+from savorylift.permits.load import LoadWatch
 from savorylift.permits.tally import Tally
 from savorylift.platform.counters import PlatformCounters
 from savorylift.platform.json_client import ClientConfig
@@ -168,6 +169,9 @@
         self._restrictions = Restrictions(
             rules, lambda vm: self._peers.view().marks.is_leaving(vm)
         )
+        self._load_watch = LoadWatch(
+            self._gate, rules, lambda vm: self._mark_leaving(vm, None)
+        )
         self._relay = Relay()
         self._cleaner = Cleaner(self._gate, rules, control)
         self._generations = GenerationParts(
@@ -269,6 +273,7 @@
         self._cleaner.start()
         self.rules_service.start()
         self._peers.start()
+        self._load_watch.start()
         self._desk.start()
         IN_FLIGHT.set_function(self._views.state.in_flight)
         log.info("started", incarnation=self.ref.incarnation)
@@ -315,6 +320,7 @@
         self._callers.stop()
         self._cleaner.stop()
         self._desk.stop()
+        self._load_watch.stop()
         self._gate.stop()
         self._peers.stop()
         self.rules_service.stop()
