--- /dev/null
+++ b/src/savorylift/refusals/formats.py
@@ -0,0 +1,72 @@
+"""Prints a report as a table, JSON or CSV."""
+
+import csv
+import enum
+import io
+
+import msgspec
+
+from savorylift.refusals.query import Report, ReportLine
+
+COLUMNS = ReportLine._fields
+NONE_TEXT = "-"
+
+
+class Format(enum.StrEnum):
+    """How a report is printed."""
+
+    TABLE = "table"
+    JSON = "json"
+    CSV = "csv"
+
+
+def print_report(report: Report, fmt: Format) -> str:
+    """Returns the report as text that ends with a newline."""
+    if fmt == Format.JSON:
+        return _to_json(report)
+    if fmt == Format.CSV:
+        return _to_csv(report)
+    return _to_table(report)
+
+
+def _to_json(report: Report) -> str:
+    body = {
+        "refusals": [line._asdict() for line in report.lines],
+        "total": report.total,
+        "is_widened": report.is_widened,
+        "missed_offsets": report.missed,
+    }
+    return msgspec.json.encode(body).decode() + "\n"
+
+
+def _to_csv(report: Report) -> str:
+    text = io.StringIO()
+    writer = csv.writer(text, lineterminator="\n")
+    writer.writerow(COLUMNS)
+    writer.writerows(report.lines)
+    return text.getvalue()
+
+
+def _to_table(report: Report) -> str:
+    rows = [COLUMNS, *(_cells(line) for line in report.lines)]
+    widths = [max(map(len, column)) for column in zip(*rows, strict=True)]
+    lines = [_row(row, widths) for row in rows]
+    lines.append(f"total {report.total}")
+    if report.is_widened:
+        lines.append("counts kept by the hour reach past the period's ends")
+    lines.extend(
+        f"forgotten uncounted: offsets {start} to {end - 1}"
+        for start, end in report.missed
+    )
+    return "\n".join(lines) + "\n"
+
+
+def _cells(line: ReportLine) -> tuple[str, ...]:
+    return tuple(
+        NONE_TEXT if cell in (None, "") else str(cell) for cell in line
+    )
+
+
+def _row(cells: tuple[str, ...], widths: list[int]) -> str:
+    padded = (cell.ljust(w) for cell, w in zip(cells, widths, strict=True))
+    return "  ".join(padded).rstrip()
