Leave the counting of refusals by reason to the entry

Both slices registered savorylift_refusals, so that a process could not load both. The entry sees every refusal; the account keeps its own counters for copies, appends and what is pending.

tests/refusals/test_desk.py passes; both modules import together.

--- a/src/savorylift/refusals/counters.py
+++ b/src/savorylift/refusals/counters.py
@@ -1,12 +1,7 @@
-"""Counters of the refusals slice."""
+"""Counters of the account; refusals themselves are counted at the entry."""
 
 from prometheus_client import Counter, Gauge
 
-REFUSALS = Counter(
-    "savorylift_refusals",
-    "Requests that ended without an answer.",
-    ["ending", "reason"],
-)
 COPIES = Counter(
     "savorylift_refusal_copies", "Copies sent to peers.", ["result"]
 )
--- a/src/savorylift/refusals/desk.py
+++ b/src/savorylift/refusals/desk.py
@@ -20,7 +20,7 @@
     Write,
 )
 from savorylift.refusals.book import RefusedRequest
-from savorylift.refusals.counters import DROPPED, REFUSALS
+from savorylift.refusals.counters import DROPPED
 from savorylift.refusals.messages import CopyAnswer, CopyAsk, DropCopies
 
 COPY_WAIT_S = 0.02
@@ -50,8 +50,6 @@
 
     def write(self, refused: RefusedRequest) -> None:
         """Keeps one refusal; returns once two peers hold it or soon after."""
-        refusal = refused.refusal
-        REFUSALS.labels(refusal.ending.value, refusal.reason.value).inc()
         done = threading.Event()
         try:
             self._actor.tell(Write(refused, done))
