Test roster, marks and gone against oracles

Marks under list copies of any age on three nodes; believing the newest read fails the same oracle. Two reads of a new incarnation now have to follow each other: a read of an older copy between them used to count on.

--- a/src/savorylift/peers/marks.py
+++ b/src/savorylift/peers/marks.py
@@ -102,12 +102,11 @@
 
     def _observe(self, entry: VmEntry) -> bool:
         if entry.leaving:
+            self._candidates.pop(entry.vm, None)
             return self.mark(entry.vm, entry.incarnation)
         state = self._learn(entry)
-        if entry.incarnation == state.current:
-            self._candidates.pop(entry.vm, None)
-            return False
         if not self._may_succeed(entry.incarnation, state):
+            self._candidates.pop(entry.vm, None)
             return False
         if state.marked and not self._is_confirmed(entry):
             return False
