--- a/src/savorylift/rules/log_state.py
+++ b/src/savorylift/rules/log_state.py
@@ -4,7 +4,13 @@
 
 from returns.result import Success
 
-from savorylift.platform.log import RULES_STREAM, Log, LogPage, LogRecord
+from savorylift.platform.log import (
+    RULES_STREAM,
+    Log,
+    LogEntry,
+    LogPage,
+    LogRecord,
+)
 from savorylift.rules.fold import CONFIG_FOLD, ConfigFold
 from savorylift.rules.stream import RulesStream
 from savorylift.rules.view import RulesView
@@ -61,6 +67,10 @@
         """Returns the rules and orders read so far."""
         return self.config.view(self._stream.next_offset - 1)
 
+    def snapshot(self) -> tuple[LogEntry, ...]:
+        """Returns records of a snapshot of what was read so far."""
+        return self._stream.snapshot()
+
     def read_to_tail(self, deadline_s: float) -> str | None:
         """Reads up to the log's tail; returns why it can't, or None."""
         while True:
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -4,6 +4,7 @@
 import threading
 import time
 from collections import defaultdict, deque
+from collections.abc import Callable
 from enum import StrEnum
 
 from returns.result import Failure, Result, Success
@@ -27,12 +28,14 @@
         is_down: While True every request is refused.
         append_faults: Consumed one an append; then appends succeed.
         page_size: Most records a read returns.
+        before_append: Called once before the next append, if set.
     """
 
     def __init__(self) -> None:
         self.is_down = False
         self.append_faults: deque[AppendFault] = deque()
         self.page_size = 500
+        self.before_append: Callable[[], object] | None = None
         self.reads = 0
         self._changed = threading.Condition()
         self._records: dict[str, list[LogRecord]] = defaultdict(list)
@@ -42,6 +45,9 @@
     def append(
         self, stream: str, entries: tuple[LogEntry, ...]
     ) -> Result[int, LogFault]:
+        hook, self.before_append = self.before_append, None
+        if hook is not None:
+            hook()
         with self._changed:
             if self.is_down:
                 return Failure(LogFault(False, "down"))
