Test gossip over real links, cut and silenced

Five nodes share proofs, offsets and marks; three whose links all fall silent refuse, and dispatch again over new connections.

--- a/tests/peers/linkkit.py
+++ b/tests/peers/linkkit.py
@@ -138,6 +138,7 @@
         self._silent: set[socket.socket] = set()
         self._ways: dict[socket.socket, tuple[socket.socket, bool]] = {}
         self.accepted = 0
+        self.is_cut = False  # new connections are silent too
         self._is_stopping = False
         self._thread = threading.Thread(target=self._run, daemon=True)
         self._thread.start()
@@ -168,6 +169,8 @@
         far = socket.create_connection(self._target)
         self.accepted += 1
         self._ways[near], self._ways[far] = (far, False), (near, True)
+        if self.is_cut:
+            self._silent |= {near, far}
         for sock in (near, far):
             self._selector.register(sock, selectors.EVENT_READ)
 
