--- a/src/savorylift/calls/claim_shard.py
+++ b/src/savorylift/calls/claim_shard.py
@@ -67,6 +67,7 @@
         self._next_offset = 0
         self._is_caught_up = False
         self._proof_s: float | None = None
+        self._has_read_fault = False
         self._record_s = time.monotonic()
         self._waiting: dict[str, _Waiting] = {}
         self._conclusions: dict[str, _Conclusion] = {}
@@ -143,6 +144,7 @@
     def note_page(self, page: LogPage, asked_s: float) -> None:
         """Applies a page that was asked for at `asked_s`, and replies."""
         self._proof_s = asked_s
+        self._has_read_fault = False
         self._cover(page)
         for record in page.records:
             if record.offset >= self._next_offset:
@@ -158,6 +160,7 @@
 
     def note_read_fault(self) -> None:
         """Takes in that a read of the stream failed."""
+        self._has_read_fault = True
         self._proof_s = None
 
     def _note_applied(self, group: tuple[LogEntry, ...]) -> None:
@@ -178,7 +181,9 @@
     def _known(self, ask: ClaimAsk) -> ClaimAnswer | None:
         if self._is_log_down():
             return ClaimAnswer(ClaimState.LOG_DOWN)
-        if not self._is_caught_up or len(self._waiting) >= MAX_WAITING:
+        if self._proof_s is None or not self._is_caught_up:
+            return ClaimAnswer(ClaimState.NOT_READY)
+        if len(self._waiting) >= MAX_WAITING:
             return ClaimAnswer(ClaimState.NOT_READY)
         if self._fold.is_held_by(ask.claim.key, ask.claim_id):
             return self._fold.judge(ask.claim_id, ask.claim)
@@ -186,7 +191,7 @@
 
     def _is_log_down(self) -> bool:
         if self._proof_s is None:
-            return True
+            return self._has_read_fault
         return time.monotonic() - self._proof_s > TAIL_STALE_S
 
     def _settle(self, record_id: str) -> None:
--- a/src/savorylift/calls/claim_writer.py
+++ b/src/savorylift/calls/claim_writer.py
@@ -137,6 +137,9 @@
         result = self._log.append(self._stream, message.entries)
         CLAIM_RECORDS.inc(len(message.entries))
         CLAIM_APPENDS.labels(_label(result)).inc()
+        if isinstance(result, Failure):
+            cause = result.failure().message
+            _log.info("claims_append_failed", stream=self._stream, cause=cause)
         if self._owner.is_alive():
             self._owner.tell(GroupAppended(result))
 
@@ -161,9 +164,10 @@
 
     def run(self) -> None:
         """Reads until stopped."""
-        offset = self._start_offset()
+        offset, wait_s = self._start_offset(), 0.0
         while not self._stop_event.is_set():
-            offset = self._read_once(offset)
+            offset = self._read_once(offset, wait_s)
+            wait_s = READ_WAIT_S
 
     def stop(self) -> None:
         """Ends the thread after its current read."""
@@ -179,9 +183,9 @@
             self._note_fault(found.failure())
         return 0
 
-    def _read_once(self, offset: int) -> int:
+    def _read_once(self, offset: int, wait_s: float) -> int:
         asked_s = time.monotonic()
-        read = self._log.read(self._stream, offset, READ_WAIT_S)
+        read = self._log.read(self._stream, offset, wait_s)
         if isinstance(read, Failure):
             self._note_fault(read.failure())
             return offset
--- a/src/savorylift/calls/dispatch.py
+++ b/src/savorylift/calls/dispatch.py
@@ -157,7 +157,8 @@
     req: CallRequest,
     first_byte_s: float,
 ) -> DispatchOutcome:
-    if resp.headers.get(REQUEST_ID_HEADER) != req.request_id:
+    answered_id = resp.headers.get(REQUEST_ID_HEADER)
+    if answered_id not in (None, req.request_id):
         return AnswerLost("the answer belongs to another request")
     if not _has_marked_end(resp, req.method):
         return AnswerLost("the answer has neither length nor end mark")
@@ -167,7 +168,10 @@
     incarnation = resp.headers.get(INCARNATION_HEADER)
     code = _refusal_code(resp.status, body)
     if code is not None:
+        # A refusal may lack the id: only this request used the connection.
         return BackendRefused(code, incarnation)
+    if answered_id is None:
+        return AnswerLost("the answer names no request")
     headers = _end_to_end(tuple(resp.headers.items()))
     return Answered(resp.status, headers, body, first_byte_s, incarnation)
 
