--- a/src/savorylift/rules/fold.py
+++ b/src/savorylift/rules/fold.py
@@ -142,7 +142,7 @@
         """Replaces the state by one that `dump` returned."""
         dump = msgspec.json.decode(text, type=_Dump)
         self.version = dump.version
-        self._text = RulesText(dump.lines)
+        self._text = RulesText(dump.lines, self._text)
         self._orders = {
             (order.is_domain, order.target): order for order in dump.orders
         }
--- a/src/savorylift/rules/tables.py
+++ b/src/savorylift/rules/tables.py
@@ -9,6 +9,7 @@
     FailureDomain,
     Model,
     OutOfService,
+    RuleSource,
     RulesView,
     Service,
     Setting,
@@ -30,7 +31,8 @@
     """Returns `rule` with the line number of its source replaced."""
     if rule.source.line == number:
         return rule
-    return rule._replace(source=rule.source._replace(line=number))
+    source = RuleSource(number, rule.source.text, rule.source.asked_by)
+    return rule._replace(source=source)
 
 
 def view_of(
--- a/src/savorylift/rules/text.py
+++ b/src/savorylift/rules/text.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable, Sequence
+from typing import Self
 
 from savorylift.rules.edits import apply_edits
 from savorylift.rules.line import Kind, Rule, kind_of, parse_line
@@ -21,14 +22,24 @@
         tables: Rules by kind and name; replaced, never changed, by edits.
     """
 
-    def __init__(self, lines: Iterable[str] = ()) -> None:
-        """Parses all lines."""
+    def __init__(
+        self, lines: Iterable[str] = (), known: Self | None = None
+    ) -> None:
+        """Parses the lines that `known`, another version, doesn't have."""
         self.lines: list[str] = list(lines)
-        self._rules = [_read_rule(line) for line in self.lines]
+        read = known.rules_by_line() if known is not None else {}
+        self._rules = [
+            read[line] if line in read else _read_rule(line)
+            for line in self.lines
+        ]
         self._number_from(0)
         self.tables: Tables = {}
         self._rebuild_tables()
 
+    def rules_by_line(self) -> dict[str, Rule | None]:
+        """Returns the rule read from each line's text."""
+        return dict(zip(self.lines, self._rules, strict=True))
+
     def unread_lines(self) -> tuple[int, ...]:
         """Returns the numbers of lines that hold no readable rule."""
         return tuple(
--- a/tests/rules/test_edits.py
+++ b/tests/rules/test_edits.py
@@ -48,6 +48,8 @@
         fresh = RulesText(new)
         assert text.lines == new
         assert repr(text.tables) == repr(fresh.tables)  # the order too
+        again = RulesText(new, RulesText(texts[0]))
+        assert repr(again.tables) == repr(fresh.tables)
         assert text.unread_lines() == fresh.unread_lines()
         before.append(text.tables)
         snapshots.append(repr(text.tables))
