Show the version in force and prove the tail sooner after a fault

A read after a fault was held back by the log for the long-poll time, during which the node had no proof of the tail; it now asks for an answer at once. Lines that this release can't read are counted and logged.

--- a/src/savorylift/rules/counters.py
+++ b/src/savorylift/rules/counters.py
@@ -45,6 +45,16 @@
             registry=registry,
         )
 
+        self._unread = prometheus_client.Gauge(
+            "savorylift_rules_unread_lines",
+            "Lines of the version in force that this release can't read.",
+            registry=registry,
+        )
+
+    def show_unread(self, lines: int) -> None:
+        """Sets the number of lines that are left out."""
+        self._unread.set(lines)
+
     def count(self, event: RulesEvent) -> None:
         """Counts one event."""
         self._events.labels(event.value).inc()
--- a/src/savorylift/rules/node.py
+++ b/src/savorylift/rules/node.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
+import structlog
 from returns.result import Success
 
 from savorylift.identity import NodeRef, new_id
@@ -114,6 +115,8 @@
         self._next_peer = 0
         self._quiet_until_s: dict[str, float] = {}
         self._unusable_since_s: float | None = None
+        self._shown_version = -1
+        self._logger = structlog.get_logger()
 
     def take_page(self, read: PageRead) -> int:
         """Takes an answer of the log; returns the offset to read next."""
@@ -123,6 +126,7 @@
         self._stream.take_page(read.page)
         if self._stream.is_rebuilding and not was_rebuilding:
             self._count(RulesEvent.GAP)
+            self._logger.warning("rules_gap", wanted=before)
         if self._stream.next_offset != before:
             self._publish()
         if read.page.next_offset >= read.asked_offset:
@@ -229,6 +233,13 @@
             return OrderReceipt("", OrderState.REFUSED)
         pending = self._make_order(order)
         self._pending.add(pending)
+        self._logger.info(
+            "order_taken",
+            record_id=pending.record_id,
+            action=order.action.value,
+            target=order.target,
+            author=order.author,
+        )
         self._publish()
         self._gossip_to_all(OrderGossip((pending,)))
         self._append_orders()
@@ -266,6 +277,16 @@
         self._parts.on_folded()
         held = len(self._pending.orders())
         self._parts.counters.show(offset, view.version, held)
+        if view.version != self._shown_version:
+            self._show_version(view.version)
+
+    def _show_version(self, version: int) -> None:
+        self._shown_version = version
+        unread = self._config.unread_lines()
+        self._parts.counters.show_unread(len(unread))
+        self._logger.info("rules_in_force", version=version)
+        if unread:
+            self._logger.warning("rules_unread_lines", lines=unread[:20])
 
     def _is_settled(self, record_id: str) -> bool:
         return self._stream.has_applied(record_id) or self._config.is_cancelled(
--- a/src/savorylift/rules/workers.py
+++ b/src/savorylift/rules/workers.py
@@ -15,7 +15,7 @@
     ReadFailed,
 )
 
-FAULT_PAUSE_S = 0.2
+FAULT_PAUSE_S = 0.1
 MAX_PAUSE_S = 1.0
 
 
@@ -55,14 +55,19 @@
     def _run(self) -> None:
         offset: int | None = 0
         pause_s = FAULT_PAUSE_S
+        # The first answer, and the first after a fault, must not be held
+        # back: until it comes this node has no proof of the log's tail.
+        wait_s = 0.0
         while offset is not None and not self._stop.is_set():
             sent_s = time.monotonic()
-            result = self._log.read(RULES_STREAM, offset, self._wait_s)
+            result = self._log.read(RULES_STREAM, offset, wait_s)
+            wait_s = self._wait_s
             if isinstance(result, Success):
                 pause_s = FAULT_PAUSE_S
                 offset = self._take(PageRead(offset, sent_s, result.unwrap()))
                 continue
             offset = self._take(ReadFailed(result.failure()))
+            wait_s = 0.0
             self._stop.wait(pause_s)
             pause_s = min(2 * pause_s, MAX_PAUSE_S)
 
