--- a/src/savorylift/rules/check.py
+++ b/src/savorylift/rules/check.py
@@ -25,7 +25,7 @@
     column: int
     message: str
 
-    def render(self) -> str:
+    def __str__(self) -> str:
         """Returns `FILE:LINE:COL: message`."""
         return f"{self.file}:{self.line}:{self.column}: {self.message}"
 
--- a/tests/rules/test_check.py
+++ b/tests/rules/test_check.py
@@ -33,7 +33,7 @@
 def _faults(text: str) -> list[str]:
     result = check_rules(text, "r")
     assert isinstance(result, Failure)
-    return [fault.render() for fault in result.failure()]
+    return [str(fault) for fault in result.failure()]
 
 
 def test_reads_every_kind() -> None:
--- a/tests/rules/test_operations.py
+++ b/tests/rules/test_operations.py
@@ -99,7 +99,7 @@
 def test_faulty_file_is_not_written(noor: Operator, log: FakeLog) -> None:
     outcome = noor.publish("set a 1")
     assert isinstance(outcome, FileFaulty)
-    assert outcome.faults[0].render().startswith("r:1:8: missing comment")
+    assert str(outcome.faults[0]).startswith("r:1:8: missing comment")
     assert log.all_records(RULES_STREAM) == ()
 
 
