--- a/src/savorylift/calls/claim_writer.py
+++ b/src/savorylift/calls/claim_writer.py
@@ -59,6 +59,10 @@
     result: Result[int, LogFault]
 
 
+class AppenderReady(NamedTuple):
+    """The next group may be appended now."""
+
+
 class Group(NamedTuple):
     """Records to append together."""
 
@@ -78,6 +82,7 @@
         self._window = window
         self._state = ClaimShard(window)
         self._appender: pykka.ActorRef[AppendActor] | None = None
+        self._may_append = True
 
     def on_start(self) -> None:
         """Starts the appending actor."""
@@ -103,13 +108,19 @@
             self._state.note_read_fault()
         elif isinstance(message, GroupAppended):
             self._state.note_appended(message.result)
+        elif isinstance(message, AppenderReady):
+            self._may_append = True
         elif isinstance(message, Started):
             self._state.start_at(message.offset)
         self._append_due()
 
     def _append_due(self) -> None:
+        """Hands over a group as late as possible, so that it grows."""
+        if not self._may_append or self._appender is None:
+            return
         group = self._state.take_group()
-        if group and self._appender is not None:
+        if group:
+            self._may_append = False
             self._appender.tell(Group(group))
 
 
@@ -127,21 +138,24 @@
         self._stream = stream
         self._owner = owner
         self._pause = threading.Event()
-        self._last_s = 0.0
 
     def on_receive(self, message: object) -> None:
         """Appends one group."""
         assert isinstance(message, Group)
-        self._pause.wait(self._last_s + GROUP_INTERVAL_S - time.monotonic())
-        self._last_s = time.monotonic()
+        started_s = time.monotonic()
         result = self._log.append(self._stream, message.entries)
+        self._tell(GroupAppended(result))
         CLAIM_RECORDS.inc(len(message.entries))
         CLAIM_APPENDS.labels(_label(result)).inc()
         if isinstance(result, Failure):
             cause = result.failure().message
             _log.info("claims_append_failed", stream=self._stream, cause=cause)
+        self._pause.wait(started_s + GROUP_INTERVAL_S - time.monotonic())
+        self._tell(AppenderReady())
+
+    def _tell(self, message: GroupAppended | AppenderReady) -> None:
         if self._owner.is_alive():
-            self._owner.tell(GroupAppended(result))
+            self._owner.tell(message)
 
 
 class ShardReader(threading.Thread):
--- a/src/savorylift/calls/key.py
+++ b/src/savorylift/calls/key.py
@@ -19,7 +19,7 @@
         skew_ms: How far ahead of the reader's clock a key may be.
     """
 
-    age_ms: int = 4 * 3_600_000
+    age_ms: int = 3_600_000
     skew_ms: int = 60_000
 
     def is_too_old(self, key_ms: int, now_ms: int) -> bool:
--- a/tests/calls/desks.py
+++ b/tests/calls/desks.py
@@ -18,6 +18,7 @@
 from tests.calls.fakes import make_key
 
 WAIT_S = 5.0
+START_MS = int(time.time() * 1000)
 
 
 class FakeNet:
@@ -101,8 +102,8 @@
 
 
 def request(tail: int, body: str = "f", wait_s: float = WAIT_S) -> ClaimRequest:
-    """Returns a claim on the key with this tail, made now."""
-    key = parse_key(make_key(int(time.time() * 1000) // 60_000 * 60_000, tail))
+    """Returns a claim on the key with this tail."""
+    key = parse_key(make_key(START_MS, tail))
     assert key is not None
     return ClaimRequest(key, body, "r1", time.monotonic() + wait_s)
 
--- a/tests/calls/test_over_http.py
+++ b/tests/calls/test_over_http.py
@@ -60,6 +60,7 @@
     "wrong_ids": 0,
     "delay_answers": 0,
 }
+START_MS = int(time.time() * 1000)
 CALL_S = 1.0
 AGAIN = frozenset({"not_run", "in_use"})
 RETRIES = 20
@@ -124,8 +125,7 @@
 
 
 def key_of(case: int, tail: int) -> str:
-    hour_ms = int(time.time() * 1000) // 3_600_000 * 3_600_000
-    return make_key(hour_ms, case * 1000 + tail)
+    return make_key(START_MS, case * 1000 + tail)
 
 
 def test_fault_matrix(rig: Rig) -> None:
