Split the node's decisions and the parser into smaller modules

The node picked whom to tell and whom to ask from one round of nodes; split as it was at first, both took a turn each tick, so that with two others the same one was asked for records for ever. Each now has its own round, with a test.

--- a/src/savorylift/rules/check.py
+++ b/src/savorylift/rules/check.py
@@ -5,7 +5,8 @@
 
 from returns.result import Failure, Result, Success
 
-from savorylift.rules.line import Kind, ParsedLine, kind_of, parse_line
+from savorylift.rules.line import Kind, ParsedLine, kind_of
+from savorylift.rules.parser import parse_line
 from savorylift.rules.tables import build_tables, number_rule, view_of
 from savorylift.rules.view import BackendServer, FailureDomain, RulesView
 
--- /dev/null
+++ b/src/savorylift/rules/order_desk.py
@@ -0,0 +1,92 @@
+"""Takes operators' orders on a node and tells other nodes of them."""
+
+import time
+from collections.abc import Callable, Sequence
+from typing import NamedTuple
+
+from savorylift.identity import NodeRef, new_id
+from savorylift.rules.inbox import OrderAction, SubmitOrder
+from savorylift.rules.messages import (
+    OrderBack,
+    OrderGossip,
+    OrderOut,
+    PendingOrder,
+    RecordKind,
+    encode,
+)
+from savorylift.rules.peer_ring import PeerRing
+from savorylift.rules.pending import PendingOrders
+
+GOSSIP_INTERVAL_S = 1.0
+NEVER_S = float("-inf")
+
+
+class OrderLink(NamedTuple):
+    """Tells other nodes.
+
+    Attributes:
+        live_peers: Returns the nodes that can be reached now.
+        tell: Sends orders to one of them.
+    """
+
+    live_peers: Callable[[], Sequence[NodeRef]]
+    tell: Callable[[NodeRef, OrderGossip], object]
+
+
+class OrderDesk:
+    """Holds orders until the log has them.
+
+    Attributes:
+        pending: The orders held.
+    """
+
+    def __init__(self, vm: str, link: OrderLink) -> None:
+        """Starts without orders on the node `vm`."""
+        self.pending = PendingOrders(vm)
+        self._vm = vm
+        self._link = link
+        self._ring = PeerRing(link.live_peers)
+        self._told_s = NEVER_S
+
+    def submit(self, order: SubmitOrder) -> PendingOrder | None:
+        """Holds an operator's order; None if there is no room."""
+        pending = self._make_order(order)
+        return pending if self.pending.add(pending) else None
+
+    def take(self, gossip: OrderGossip) -> tuple[PendingOrder, ...]:
+        """Holds orders of other nodes; returns those that are new."""
+        return tuple(
+            order for order in gossip.orders if self.pending.add(order)
+        )
+
+    def tell_all(self, orders: Sequence[PendingOrder]) -> None:
+        """Tells every reachable node of those orders still held."""
+        held = set(self.pending.orders())
+        news = tuple(order for order in orders if order in held)
+        if not news:
+            return
+        for node in self._link.live_peers():
+            self._link.tell(node, OrderGossip(news))
+
+    def tell_one(self) -> None:
+        """Tells the next node of all held orders, once in a while."""
+        now_s = time.monotonic()
+        orders = self.pending.orders()
+        if not orders or now_s - self._told_s < GOSSIP_INTERVAL_S:
+            return
+        self._told_s = now_s
+        node = self._ring.next()
+        if node is not None:
+            self._link.tell(node, OrderGossip(orders))
+
+    def _make_order(self, order: SubmitOrder) -> PendingOrder:
+        fields = (order.target, order.is_domain, order.author, order.cause)
+        if order.action is OrderAction.OUT:
+            kind, body = RecordKind.ORDER_OUT, encode(OrderOut(*fields))
+        else:
+            cancels = self.pending.outs_of(
+                order.target, is_domain=order.is_domain
+            )
+            kind = RecordKind.ORDER_BACK
+            body = encode(OrderBack(*fields, cancels))
+        return PendingOrder(new_id("order"), kind, body, self._vm)
--- a/src/savorylift/rules/snapshot.py
+++ b/src/savorylift/rules/snapshot.py
@@ -11,7 +11,6 @@
 
 from savorylift.identity import new_id
 from savorylift.platform.log import LogEntry, LogRecord
-from savorylift.rendezvous import rank
 from savorylift.rules.messages import (
     RecordKind,
     SnapshotPart,
@@ -22,11 +21,6 @@
 PART_CHARS = 64 * 1024
 MAX_STATE_BYTES = 64 * 1024 * 1024
 
-DUE_FRACTION = 0.5  # of retention, for the node that ranks first
-RANK_FRACTION = 0.05  # of retention, more for each further rank
-LATEST_FRACTION = 0.9
-LOST_RANK_DELAY_S = 2.0  # between ranks once no snapshot is usable
-
 
 class SnapshotMark(NamedTuple):
     """Where the newest complete snapshot of a stream stands.
@@ -49,56 +43,6 @@
         )
 
 
-class SnapshotTurn(NamedTuple):
-    """What decides whether this node writes a snapshot now.
-
-    Attributes:
-        mark: Newest snapshot; None if there is none.
-        first_offset: Oldest offset the log keeps.
-        oldest_ms: Time of the oldest record known; None if none is.
-        now_ms: Wall-clock time.
-        retention_s: How long the log keeps records.
-        unusable_s: Seconds since `mark` was first seen to be unusable.
-        vm: This node.
-        members: VM names of the nodes on the roster.
-    """
-
-    mark: SnapshotMark | None
-    first_offset: int
-    oldest_ms: int | None
-    now_ms: int
-    retention_s: float
-    unusable_s: float
-    vm: str
-    members: Sequence[str]
-
-    def is_due(self) -> bool:
-        """Returns True if it's this node's turn to write a snapshot.
-
-        Ranks follow from rendezvous hashing, so that one node does it
-        and the next ones only if it hasn't.
-        """
-        if self.is_lost():
-            return self.unusable_s >= self._rank() * LOST_RANK_DELAY_S
-        since_ms = self.mark.time_ms if self.mark else self.oldest_ms
-        if since_ms is None:
-            return False
-        fraction = DUE_FRACTION + RANK_FRACTION * self._rank()
-        limit_s = self.retention_s * min(fraction, LATEST_FRACTION)
-        return (self.now_ms - since_ms) / 1000 >= limit_s
-
-    def is_lost(self) -> bool:
-        """Returns True if the log has forgotten what a new reader needs."""
-        if self.mark is None:
-            return self.first_offset > 0
-        return not self.mark.is_usable(self.first_offset)
-
-    def _rank(self) -> int:
-        key = f"snapshot {self.mark.offset if self.mark else -1}"
-        order = rank(key, {*self.members, self.vm})
-        return order.index(self.vm)
-
-
 def encode_state(dumps: Mapping[str, str]) -> str:
     """Returns the text of every fold's dump, by fold name."""
     return base64.b85encode(
--- a/src/savorylift/rules/text.py
+++ b/src/savorylift/rules/text.py
@@ -9,8 +9,9 @@
 from typing import Self
 
 from savorylift.rules.edits import apply_edits
-from savorylift.rules.line import Kind, Rule, kind_of, parse_line
+from savorylift.rules.line import Kind, Rule, kind_of
 from savorylift.rules.messages import LineEdit
+from savorylift.rules.parser import parse_line
 from savorylift.rules.tables import Tables, build_tables, number_rule
 
 
--- a/tests/rules/test_node.py
+++ b/tests/rules/test_node.py
@@ -8,7 +8,7 @@
 from freezegun.api import FrozenDateTimeFactory
 
 from savorylift.identity import NodeRef
-from savorylift.platform.log import RULES_STREAM, LogEntry
+from savorylift.platform.log import RULES_STREAM, LogEntry, LogRecord
 from savorylift.rules.inbox import OrderAction, OrderState, SubmitOrder
 from savorylift.rules.messages import (
     OrderBack,
@@ -19,7 +19,8 @@
 )
 from savorylift.rules.operations import Published, PublishRequest, publish
 from savorylift.rules.pending import BACKUP_DELAY_S, MAX_PENDING
-from savorylift.rules.snapshot import SnapshotMark, SnapshotTurn, encode_state
+from savorylift.rules.snapshot import SnapshotMark, encode_state
+from savorylift.rules.snapshot_schedule import SnapshotTurn
 from tests.platform.fakes import FakeLog
 from tests.rules.fakes import FakeNode, Fleet
 
@@ -82,6 +83,23 @@
     assert fleet.log.tail(RULES_STREAM) == 2
 
 
+@pytest.mark.parametrize("vm", ["e2", "e3"])
+def test_every_reachable_node_is_asked_in_turn(
+    fleet: Fleet, clock: FrozenDateTimeFactory, vm: str
+) -> None:
+    """A node that holds an order tells and asks others in separate turns."""
+    fleet.log.set_down(is_down=True)
+    node = fleet.nodes["e1"]
+    _order(node, OrderAction.OUT)
+    fleet.nodes[vm].stream.take_records(
+        (LogRecord(1, "new", "other", "{}", 0),)
+    )
+    for _ in range(3):
+        clock.tick(1)
+        node.node.tick()
+    assert node.stream.next_offset == 2
+
+
 def test_proof_counts_from_the_question(
     fleet: Fleet, clock: FrozenDateTimeFactory
 ) -> None:
