--- a/src/savorylift/calls/dispatch.py
+++ b/src/savorylift/calls/dispatch.py
@@ -9,33 +9,20 @@
 from urllib3.connection import HTTPConnection
 from urllib3.response import BaseHTTPResponse
 
+from savorylift.calls.http_form import (
+    REQUEST_ID_HEADER,
+    end_to_end,
+    request_headers,
+)
 from savorylift.calls.request import CallRequest, Headers
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_ANSWER_BYTES = 8 * 1024 * 1024
 READ_BYTES = 64 * 1024
-REQUEST_ID_HEADER = "X-Request-Id"
 INCARNATION_HEADER = "X-Incarnation"
-KEY_HEADER = "Idempotency-Key"
 BODILESS_STATUSES = frozenset({204, 304})
 REFUSED_STATUS = 503
 REFUSED_CODES = frozenset({"overloaded", "leaving"})
-DROPPED_HEADERS = frozenset(
-    {
-        "connection",
-        "content-length",
-        "host",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
-SET_HEADERS = frozenset({REQUEST_ID_HEADER.lower(), KEY_HEADER.lower()})
 
 _TRANSPORT_ERRORS = (OSError, urllib3.exceptions.HTTPError)
 
@@ -140,7 +127,7 @@
         req.method,
         req.path,
         body=req.body or None,
-        headers=_request_headers(req),
+        headers=request_headers(req),
         preload_content=False,
     )
     resp = conn.getresponse()
@@ -172,7 +159,7 @@
         return BackendRefused(code, incarnation)
     if answered_id is None:
         return AnswerLost("the answer names no request")
-    headers = _end_to_end(tuple(resp.headers.items()))
+    headers = end_to_end(tuple(resp.headers.items()))
     return Answered(resp.status, headers, body, first_byte_s, incarnation)
 
 
@@ -209,28 +196,6 @@
     return None
 
 
-def _request_headers(req: CallRequest) -> dict[str, str]:
-    headers = {
-        name: value
-        for name, value in _end_to_end(req.headers)
-        if name.lower() not in SET_HEADERS
-    }
-    headers[REQUEST_ID_HEADER] = req.request_id
-    headers["Accept-Encoding"] = "identity"
-    headers["Connection"] = "close"
-    if req.key:
-        headers[KEY_HEADER] = req.key
-    return headers
-
-
-def _end_to_end(headers: Headers) -> Headers:
-    return tuple(
-        (name, value)
-        for name, value in headers
-        if name.lower() not in DROPPED_HEADERS
-    )
-
-
 def _refusal_code(status: int, body: bytes) -> str | None:
     if status != REFUSED_STATUS:
         return None
--- a/src/savorylift/calls/key.py
+++ b/src/savorylift/calls/key.py
@@ -15,8 +15,11 @@
     """When a key is accepted, relative to its own time.
 
     Attributes:
-        age_ms: Oldest accepted key; shorter than the log's retention.
-        skew_ms: How far ahead of the reader's clock a key may be.
+        age_ms: Oldest accepted key; shorter than the log's retention. A node
+            with a shorter one than others refuses more, and is safe.
+        skew_ms: How far ahead of the log's clock a key may be. It must be
+            the same on every node, since a reader takes it for the earliest
+            time of a claim.
     """
 
     age_ms: int = 3_600_000
--- a/tests/calls/fakes.py
+++ b/tests/calls/fakes.py
@@ -6,9 +6,9 @@
 from returns.result import Failure, Result, Success
 
 from savorylift.calls.budget import RetryBudget
-from savorylift.calls.caller import CallParts
 from savorylift.calls.claims import Claim, ClaimRequest
 from savorylift.calls.dispatch import Answered, DispatchOutcome
+from savorylift.calls.parts import CallParts
 from savorylift.calls.request import CallAnswer, CallRequest
 from savorylift.identity import NodeRef
 from savorylift.outcomes import Refusal
--- a/tests/calls/test_caller.py
+++ b/tests/calls/test_caller.py
@@ -1,11 +1,12 @@
 """Tests of calls: candidates, retries and truthful endings."""
 
 import time
+from typing import Any
 
 import pytest
 from returns.result import Failure, Success
 
-from savorylift.calls.caller import CallParts, CallService
+from savorylift.calls.caller import CallService
 from savorylift.calls.dispatch import (
     Answered,
     AnswerLost,
@@ -13,6 +14,7 @@
     DispatchOutcome,
     NotSent,
 )
+from savorylift.calls.parts import CallParts
 from savorylift.calls.request import CallAnswer, CallRequest
 from savorylift.outcomes import Reason, Refusal, not_run
 from savorylift.rules.view import OutOfService
@@ -154,6 +156,33 @@
     assert len(dispatcher.sent) <= 100 + 10
 
 
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"path": "/a b"},
+        {"path": "no-slash"},
+        {"path": "/a\r\nX: y"},
+        {"method": "GE T"},
+        {"headers": (("X", "a\r\nY: b"),)},
+        {"headers": (("X y", "a"),)},
+        {"headers": (("X", "\u20ac"),)},
+    ],
+)
+def test_call_that_is_no_http_is_refused(change: dict[str, Any]) -> None:
+    dispatcher = FakeDispatcher()
+    req = request("GET")._replace(**change)
+    assert ending(call_parts(dispatcher), req) == "not_run/bad_request"
+    assert dispatcher.sent == []
+
+
+def test_leaving_server_is_marked() -> None:
+    marks: list[tuple[str, str | None]] = []
+    parts = call_parts(FakeDispatcher(BackendRefused("leaving", "7")))
+    marking = parts._replace(mark_leaving=lambda *mark: marks.append(mark))
+    assert ending(marking, request("GET")) == "answer"
+    assert [incarnation for _, incarnation in marks] == ["7"]
+
+
 def test_closed_backend_servers_are_no_candidates() -> None:
     parts = call_parts(FakeDispatcher())._replace(is_open=lambda _: False)
     assert ending(parts, request("GET")) == "not_run/no_backend_server"
--- a/tests/calls/test_dispatch.py
+++ b/tests/calls/test_dispatch.py
@@ -53,7 +53,12 @@
 
 def request() -> CallRequest:
     deadline_s = time.monotonic() + 0.5
-    headers = (("Content-Type", "text/plain"), ("Host", "evil"))
+    headers = (
+        ("Content-Type", "text/plain"),
+        ("Host", "evil"),
+        ("X-Two", "1"),
+        ("X-Two", "2"),
+    )
     return CallRequest(
         "r1", "t", "crew", "POST", "/a?b=1", headers, b"x", "k", deadline_s
     )
@@ -140,6 +145,7 @@
     text = seen[0].decode()
     assert text.startswith("POST /a?b=1 HTTP/1.1\r\n")
     assert "evil" not in text
+    assert "X-Two: 1\r\nX-Two: 2\r\n" in text
     assert "X-Request-Id: r1\r\n" in text
     assert "Idempotency-Key: k\r\n" in text
 
