--- a/src/savorylift/streams/memory_placement.py
+++ b/src/savorylift/streams/memory_placement.py
@@ -13,7 +13,7 @@
 from savorylift.streams.reserve import Headroom
 
 BAND = 1 / 16  # share of an engine's memory within which prefixes decide
-START_LEVEL = 0.5  # quantile of the length that must fit before the deadline
+START_LEVEL = 0.35  # quantile of the length that must fit before the deadline
 
 
 class MemoryPlacement:
