--- a/src/savorylift/permits/holder.py
+++ b/src/savorylift/permits/holder.py
@@ -17,6 +17,7 @@
 )
 from savorylift.permits.keeper import Sender
 from savorylift.permits.messages import (
+    Charge,
     HeldPermit,
     Lot,
     PermitAdjust,
@@ -24,6 +25,7 @@
     PermitDenied,
     PermitGiveUp,
     PermitGrant,
+    PermitQuery,
     PermitQueued,
     PermitReturn,
     PermitStarted,
@@ -34,6 +36,7 @@
 from savorylift.permits.route import Route, Target
 from savorylift.permits.tally import Tally
 
+UNKNOWN_LOT = -1
 UNFINISHED = PermitUse(
     finished=False,
     completed=False,
@@ -189,7 +192,8 @@
         """Takes a permit, or returns one that is not wanted."""
         self._note(msg.state)
         holding = self._held.get(msg.permit_id)
-        if holding is not None and holding.held.lot == msg.lot:
+        unknown_lot = Lot(msg.lot.backend_server, UNKNOWN_LOT)
+        if holding and holding.held.lot in (msg.lot, unknown_lot):
             self._follow_keeper(holding, keeper, msg)
             return
         if not self._may_use(keeper, msg):
@@ -235,10 +239,14 @@
             waiting.asked_s = time.monotonic()
             waiting.route.moved(Target(msg.backend_server, keeper), msg.state)
 
-    def unknown_of(self, permit_ids: tuple[str, ...]) -> tuple[str, ...]:
-        """Returns those that this node neither holds nor waits for."""
-        known = self._held.keys() | self._waiting.keys() | self._taking.keys()
-        return tuple(p for p in permit_ids if p not in known)
+    def unknown_of(
+        self, keeper: NodeRef, msg: PermitQuery
+    ) -> tuple[Charge, ...]:
+        """Returns the charges that this node never uses.
+
+        Permits that it does use are returned to the asking keeper from now on.
+        """
+        return tuple(c for c in msg.charges if not self._uses(c, keeper))
 
     def ended(self, permit_id: str) -> None:
         """Drops a permit whose end its keeper has confirmed."""
@@ -290,10 +298,21 @@
         """Number of requests without an answer."""
         return len(self._waiting)
 
+    def _uses(self, charge: Charge, keeper: NodeRef) -> bool:
+        holding = self._held.get(charge.permit_id)
+        if holding is None:
+            waits = self._waiting.keys() | self._taking.keys()
+            return charge.permit_id in waits
+        if holding.held.lot.number not in (charge.lot_number, UNKNOWN_LOT):
+            return False
+        permit = holding.permit._replace(keeper=keeper)
+        self._held[charge.permit_id] = holding._replace(permit=permit)
+        return True
+
     def _close_taken(self, permit: Permit) -> None:
         # A keeper may have moved the permit here although its answer was
         # lost; the work goes on, so the permit must not count as unknown.
-        lot = Lot(permit.backend_server, -1)
+        lot = Lot(permit.backend_server, UNKNOWN_LOT)
         held = HeldPermit(permit.permit_id, permit.stream_id, lot, 0, self._ref)
         self._held[permit.permit_id] = Holding(permit, held, is_closing=True)
 
@@ -345,7 +364,9 @@
     ) -> None:
         if self._may_use(keeper, msg):
             permit = holding.permit._replace(keeper=keeper)
-            self._held[msg.permit_id] = holding._replace(permit=permit)
+            held = holding.held._replace(lot=msg.lot)
+            holding = holding._replace(permit=permit, held=held)
+            self._held[msg.permit_id] = holding
 
     def _hold(
         self, permit: Permit, msg: PermitGrant, waiting: _Waiting | None
--- a/src/savorylift/permits/keeper.py
+++ b/src/savorylift/permits/keeper.py
@@ -9,8 +9,8 @@
 from savorylift.peers.link import Message
 from savorylift.peers.view import RosterView
 from savorylift.permits.fair_queue import FairQueue
-from savorylift.permits.lost_work import LostWork
 from savorylift.permits.messages import (
+    Charge,
     ColdFall,
     HeldPermit,
     Lot,
@@ -26,6 +26,7 @@
     ServerState,
 )
 from savorylift.permits.options import PermitOptions
+from savorylift.permits.policies import SAFE, Policies
 from savorylift.permits.service_rate import ServiceRate
 from savorylift.permits.share import OwnedLot, Share
 from savorylift.permits.status import LotView, ServerStatus
@@ -80,6 +81,7 @@
         cfg: PermitOptions,
         sender: Sender,
         tally: Tally,
+        policies: Policies = SAFE,
     ) -> None:
         """Starts with no lot, cold."""
         self.share = Share(server)
@@ -94,7 +96,7 @@
         self._had_room = False
         self._report: LoadReport | None = None
         self._moved: dict[str, NodeRef] = {}
-        self._lost = LostWork(cfg.cancel_after_s)
+        self._lost = policies.lost_work(cfg.cancel_after_s)
         self._checked_s: dict[str, float] = {}
 
     @property
@@ -199,10 +201,16 @@
             self._end_lost(permit.permit_id, permit.holder)
         return due
 
-    def due_queries(self) -> dict[NodeRef, tuple[str, ...]]:
+    def unknown(self, charges: tuple[Charge, ...], holder: NodeRef) -> None:
+        """Ends permits that their holder doesn't use."""
+        for charge in charges:
+            self.share.remove_charge(charge, holder)
+        self.serve()
+
+    def due_queries(self) -> dict[NodeRef, tuple[Charge, ...]]:
         """Returns the permits to ask each holder about now."""
         now = time.monotonic()
-        due: dict[NodeRef, tuple[str, ...]] = {}
+        due: dict[NodeRef, tuple[Charge, ...]] = {}
         checked: dict[str, float] = {}
         moved: dict[str, NodeRef] = {}
         for permit in self.share.held():
@@ -210,7 +218,8 @@
             if now - checked_s >= self._cfg.query_after_s:
                 checked_s = now
                 known = due.get(permit.holder, ())
-                due[permit.holder] = (*known, permit.permit_id)
+                charge = Charge(permit.permit_id, permit.lot.number)
+                due[permit.holder] = (*known, charge)
             checked[permit.permit_id] = checked_s
             if permit.permit_id in self._moved:
                 moved[permit.permit_id] = self._moved[permit.permit_id]
--- a/src/savorylift/permits/messages.py
+++ b/src/savorylift/permits/messages.py
@@ -174,18 +174,25 @@
     holder: NodeRef
 
 
+class Charge(NamedTuple):
+    """A permit and the number of the lot that it is charged to."""
+
+    permit_id: str
+    lot_number: int
+
+
 class PermitQuery(NamedTuple):
-    """Asks a holder which of these permits it doesn't know."""
+    """Asks a holder which of these permits it doesn't use."""
 
     backend_server: str
-    permit_ids: tuple[str, ...]
+    charges: tuple[Charge, ...]
 
 
 class PermitUnknown(NamedTuple):
-    """Names permits that the sender neither holds nor waits for."""
+    """Names permits that the sender never uses under the given lots."""
 
     backend_server: str
-    permit_ids: tuple[str, ...]
+    charges: tuple[Charge, ...]
 
 
 class PermitEnded(NamedTuple):
--- a/src/savorylift/permits/node.py
+++ b/src/savorylift/permits/node.py
@@ -8,11 +8,12 @@
 from savorylift.peers.link import Message
 from savorylift.peers.view import RosterSource, RosterView
 from savorylift.permits import messages as m
-from savorylift.permits.handover import REFUSED_FLOOR, Acquired, Handover
+from savorylift.permits.handover import REFUSED_FLOOR, Acquired
 from savorylift.permits.holder import Holder, Resolver
 from savorylift.permits.keeper import Keeper, LoadReport, Sender
 from savorylift.permits.lots import keepers_of, lot_count, lots_of, split
 from savorylift.permits.options import PermitOptions
+from savorylift.permits.policies import SAFE, Policies
 from savorylift.permits.share import OwnedLot
 from savorylift.permits.status import PermitStatus, ServerStatus
 from savorylift.permits.tally import Tally
@@ -42,6 +43,7 @@
         cfg: PermitOptions,
         effects: Effects,
         tally: Tally,
+        policies: Policies = SAFE,
     ) -> None:
         """Starts with no share; `tick` begins to acquire them."""
         self.keepers: dict[str, Keeper] = {}
@@ -51,7 +53,8 @@
         self._cfg = cfg
         self._effects = effects
         self._tally = tally
-        self._handover = Handover(ref)
+        self._policies = policies
+        self._handover = policies.handover(ref)
         self._seen: tuple[int, int] | None = None
         self._refreshed_s = -float("inf")
         self._choices: dict[str, list[NodeRef]] = {}
@@ -136,7 +139,9 @@
     def _keeper(self, server: BackendServer) -> Keeper:
         keeper = self.keepers.get(server.name)
         if keeper is None:
-            keeper = Keeper(server, self._cfg, self._effects, self._tally)
+            keeper = Keeper(
+                server, self._cfg, self._effects, self._tally, self._policies
+            )
             keeper.set_others(set(self.keepers_of(server.name)) - {self._ref})
             self.keepers[server.name] = keeper
         return keeper
@@ -155,8 +160,8 @@
             keeper.announce()
             for permit in keeper.watch_lost(roster):
                 self._effects.cancel(name, permit)
-            for holder, permit_ids in keeper.due_queries().items():
-                self._effects.send(holder, m.PermitQuery(name, permit_ids))
+            for holder, charges in keeper.due_queries().items():
+                self._effects.send(holder, m.PermitQuery(name, charges))
 
     def _query_members(self) -> None:
         missing = self._handover.missing(self._roster.current())
@@ -180,10 +185,14 @@
         told = self._handover.released(lot, epoch, successor)
         if told is not None:
             return told
+        keeper = self.keepers.get(lot.backend_server)
+        owned = keeper.share.lots.get(lot.number) if keeper else None
+        if owned is not None and owned.epoch >= epoch:
+            # A late copy of this node's own query.
+            return m.LotStatus(lot, REFUSED_FLOOR, was_owner=False, held=())
         self._handover.raise_floor(lot, epoch)
         held = self.holder.fence(lot, epoch)
-        keeper = self.keepers.get(lot.backend_server)
-        if keeper is None or lot.number not in keeper.share.lots:
+        if keeper is None or owned is None:
             return m.LotStatus(lot, epoch, was_owner=False, held=held)
         status = keeper.give_lot(lot, epoch)
         self._handover.release(status, successor)
@@ -243,7 +252,7 @@
                 self._effects.send(node, msg)
 
     def _on_query(self, sender: NodeRef, msg: m.PermitQuery) -> None:
-        unknown = self.holder.unknown_of(msg.permit_ids)
+        unknown = self.holder.unknown_of(sender, msg)
         if unknown:
             answer = m.PermitUnknown(msg.backend_server, unknown)
             self._effects.send(sender, answer)
@@ -251,8 +260,7 @@
     def _on_unknown(self, sender: NodeRef, msg: m.PermitUnknown) -> None:
         keeper = self.keepers.get(msg.backend_server)
         if keeper is not None:
-            for permit_id in msg.permit_ids:
-                keeper.forget(permit_id, sender)
+            keeper.unknown(msg.charges, sender)
 
     def _server_status(self, keeper: Keeper) -> ServerStatus:
         lots = lots_of(keeper.name, keeper.share.lot_count)
--- a/src/savorylift/permits/share.py
+++ b/src/savorylift/permits/share.py
@@ -5,7 +5,7 @@
 
 from savorylift.identity import NodeRef
 from savorylift.permits.lots import lot_count, split
-from savorylift.permits.messages import HeldPermit, Lot
+from savorylift.permits.messages import Charge, HeldPermit, Lot
 from savorylift.rules.view import BackendServer
 
 
@@ -103,6 +103,14 @@
             if index != kept_lot:
                 owned.held.pop(permit_id, None)
 
+    def remove_charge(self, charge: Charge, holder: NodeRef) -> None:
+        """Ends a holder's permit in one lot."""
+        owned = self.lots.get(charge.lot_number)
+        if owned is None or charge.permit_id not in owned.held:
+            return
+        if owned.held[charge.permit_id].holder == holder:
+            del owned.held[charge.permit_id]
+
     def held(self) -> list[HeldPermit]:
         """Returns every permit that is out."""
         return [p for o in self.lots.values() for p in o.held.values()]
--- a/tests/permits/fakes.py
+++ b/tests/permits/fakes.py
@@ -19,6 +19,7 @@
 from savorylift.permits.messages import HeldPermit
 from savorylift.permits.node import PermitNode
 from savorylift.permits.options import PermitOptions
+from savorylift.permits.policies import SAFE, Policies
 from savorylift.permits.tally import Tally
 from savorylift.rules.view import (
     BackendServer,
@@ -27,6 +28,7 @@
     RulesView,
 )
 
+MAX_DELIVERIES = 5000
 SOURCE = RuleSource(1, "", "test")
 UNUSED = PermitUse(
     finished=True,
@@ -96,6 +98,7 @@
         self.is_cold = True
         self.running: dict[str, Work] = {}
         self.violations: list[str] = []
+        self.samples: deque[LoadReport] = deque(maxlen=64)
 
     @property
     def incarnation(self) -> str:
@@ -118,19 +121,29 @@
             for key, work in self.running.items()
         }
 
+    def cool_down(self) -> None:
+        """Turns cold in place; only what starts from now on counts."""
+        self.warm_up()
+        self.is_cold = True
+
     def restart(self) -> None:
         self.generation += 1
         self.is_cold = True
         self.running = {}
 
     def report(self) -> LoadReport:
-        return LoadReport(
-            time.monotonic(),
-            self.incarnation,
-            self.is_cold,
-            False,
-            len(self.running),
-        )
+        now = time.monotonic()
+        active = len(self.running)
+        return LoadReport(now, self.incarnation, self.is_cold, False, active)
+
+    def sample(self) -> None:
+        self.samples.append(self.report())
+
+    def late_report(self, lag_s: float) -> LoadReport:
+        """Returns the oldest content that a report asked for now may have."""
+        now = time.monotonic()
+        recent = [s for s in self.samples if s.asked_s >= now - lag_s]
+        return (recent[0] if recent else self.report())._replace(asked_s=now)
 
 
 class FakeNode:
@@ -146,7 +159,13 @@
         self.tally = Tally()
         self._cluster = cluster
         self.node = PermitNode(
-            ref, cluster.rules, self.roster, cluster.cfg, self, self.tally
+            ref,
+            cluster.rules,
+            self.roster,
+            cluster.cfg,
+            self,
+            self.tally,
+            cluster.policies,
         )
 
     def send(self, node: NodeRef, msg: Message) -> None:
@@ -175,7 +194,9 @@
         nodes: int = 3,
         domains: int = 3,
         cfg: PermitOptions | None = None,
+        policies: Policies = SAFE,
     ) -> None:
+        self.policies = policies
         self.cfg = cfg or PermitOptions(load_lag_s=0.0, cancel_after_s=1.0)
         self.rules = RulesSource(rules_of(*servers))
         self.engines = {rule.name: FakeEngine(rule) for rule in servers}
@@ -242,11 +263,14 @@
 
     def deliver_all(self, rng: random.Random | None = None) -> None:
         """Hands over every message, in random order if `rng` is given."""
+        left = MAX_DELIVERIES
         while ready := [
             number
             for number, (_, to, _) in enumerate(self.pool)
             if not self.nodes[to].is_frozen
         ]:
+            left -= 1
+            assert left > 0, f"messages without end: {self.pool[:4]}"
             self.deliver(rng.choice(ready) if rng else ready[0])
 
     def tick(self) -> None:
--- /dev/null
+++ b/tests/permits/test_safety.py
@@ -0,0 +1,304 @@
+"""Stateful fuzzing of several nodes against the engines' own counts."""
+
+import random
+from typing import Any, ClassVar
+
+import freezegun
+import pytest
+from freezegun.api import FrozenDateTimeFactory
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from savorylift.identity import NodeRef
+from savorylift.permits.gate import Permit
+from savorylift.permits.options import PermitOptions
+from savorylift.permits.policies import SAFE, Policies
+from tests.permits.baselines import STATIC_SPLIT, TIME_BASED
+from tests.permits.fakes import UNUSED, Cluster, FakeNode, request, server
+
+LAG_S = 0.5
+CFG = PermitOptions(load_lag_s=LAG_S, cancel_after_s=1.0, query_after_s=1.0)
+MAX_JOINS = 8
+pick = st.integers(0, 10_000)
+
+
+class Machine(RuleBasedStateMachine):
+    """Nodes, engines and faults in any order."""
+
+    policies: ClassVar[Policies] = SAFE
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._freezer = freezegun.freeze_time("2026-01-01")
+        clock = self._freezer.start()
+        assert isinstance(clock, FrozenDateTimeFactory)
+        self.clock = clock
+        self.numbers = 0
+        self.joins = 3
+        self.undispatched: list[tuple[FakeNode, str]] = []
+        self.running: list[tuple[FakeNode, Permit]] = []
+        self.killed: list[NodeRef] = []
+
+    @initialize(cold=st.integers(1, 4), extra=st.integers(0, 5))
+    def start(self, cold: int, extra: int) -> None:
+        self.cluster = Cluster(
+            server("runner-1", cold, cold + extra),
+            server("crew-1", 2, 2, model=None),
+            cfg=CFG,
+            policies=self.policies,
+        )
+        self.cluster.settle(self.clock, 3)
+
+    def live(self, number: int) -> FakeNode:
+        nodes = self.cluster.live()
+        return nodes[number % len(nodes)]
+
+    @rule(number=pick, both=st.booleans())
+    def acquire(self, number: int, *, both: bool) -> None:
+        node = self.live(number)
+        names = ("crew-1", "runner-1") if both else ("runner-1",)
+        self.numbers += 1
+        node.node.holder.acquire(request(self.numbers, *names))
+        self.undispatched.append((node, f"p{self.numbers}"))
+
+    @rule(number=pick, keep=st.booleans())
+    def deliver(self, number: int, *, keep: bool) -> None:
+        if self.cluster.pool:
+            place = number % len(self.cluster.pool)
+            self.cluster.deliver(place, keep=keep)
+
+    @rule(number=pick, count=st.integers(1, 6))
+    def burst(self, number: int, count: int) -> None:
+        for _ in range(count):
+            self.acquire(number, both=False)
+        self.cluster.deliver_all()
+        self.dispatch()
+
+    @rule(seconds=st.sampled_from([0.5, 3.0]))
+    def calm(self, seconds: float) -> None:
+        if not self.killed:
+            self.cluster.settle(self.clock, seconds)
+
+    @rule(seed=pick)
+    def deliver_all(self, seed: int) -> None:
+        self.cluster.deliver_all(random.Random(seed))
+
+    @rule(number=pick)
+    def drop(self, number: int) -> None:
+        if self.cluster.pool:
+            self.cluster.pool.pop(number % len(self.cluster.pool))
+
+    @rule(seconds=st.sampled_from([0.1, 0.3, 1.0, 3.0]))
+    def pass_time(self, seconds: float) -> None:
+        for engine in self.cluster.engines.values():
+            engine.sample()
+        self.clock.tick(seconds)
+        self.cluster.tick()
+
+    @rule(number=pick)
+    def see_roster(self, number: int) -> None:
+        self.cluster.sync(self.live(number))
+
+    @rule(number=pick)
+    def see_load(self, number: int) -> None:
+        node = self.live(number)
+        for name, engine in self.cluster.engines.items():
+            node.node.load(name, engine.late_report(LAG_S))
+
+    @rule()
+    def dispatch(self) -> None:
+        for node, permit_id in list(self.undispatched):
+            if node.is_frozen or permit_id not in node.answers:
+                continue
+            self.undispatched.remove((node, permit_id))
+            if node.permit(permit_id) and not node.is_dead:
+                permit = self.cluster.begin(node, permit_id)
+                self.running.append((node, permit))
+
+    @precondition(lambda self: self.running)
+    @rule(number=pick, is_sure=st.booleans())
+    def finish(self, number: int, *, is_sure: bool) -> None:
+        node, permit = self.running[number % len(self.running)]
+        is_answered = permit.permit_id in node.answers
+        if node not in self.cluster.live() or not is_answered:
+            return
+        self.running.remove((node, permit))
+        if not node.node.holder.is_held(permit.permit_id):
+            return  # taken over
+        if is_sure:
+            self.cluster.finish(node, permit)
+        else:
+            use = UNUSED._replace(finished=False)
+            node.node.holder.release(permit, use)
+
+    @precondition(lambda self: self.running)
+    @rule(number=pick)
+    def first_token(self, number: int) -> None:
+        node, permit = self.running[number % len(self.running)]
+        engine = self.cluster.engines[permit.backend_server]
+        is_there = permit.stream_id in engine.running
+        if node in self.cluster.live() and is_there:
+            self.cluster.first_token(node, permit)
+
+    @precondition(lambda self: self.running)
+    @rule(number=pick)
+    def finish_at_engine(self, number: int) -> None:
+        _, permit = self.running[number % len(self.running)]
+        engine = self.cluster.engines[permit.backend_server]
+        engine.running.pop(permit.stream_id, None)
+
+    @rule(name=st.sampled_from(["runner-1", "crew-1"]))
+    def warm_up(self, name: str) -> None:
+        self.cluster.engines[name].warm_up()
+
+    @rule(is_restart=st.booleans())
+    def turn_cold(self, *, is_restart: bool) -> None:
+        engine = self.cluster.engines["runner-1"]
+        if is_restart:
+            engine.restart()
+        else:
+            engine.cool_down()
+
+    @precondition(lambda self: len(self.cluster.live()) > 1)
+    @rule(number=pick)
+    def kill(self, number: int) -> None:
+        node = self.live(number)
+        node.is_dead = True
+        self.killed.append(node.ref)
+
+    @precondition(lambda self: self.killed)
+    @rule(number=pick, is_restart=st.booleans())
+    def replace(self, number: int, *, is_restart: bool) -> None:
+        ref = self.killed.pop(number % len(self.killed))
+        if is_restart and ref.vm in self.cluster.roster.members:
+            self.cluster.join(ref.vm)
+        else:
+            self.cluster.gone(ref)
+
+    @precondition(lambda self: self.joins < MAX_JOINS)
+    @rule()
+    def join(self) -> None:
+        self.cluster.join(f"vm-{self.joins}")
+        self.joins += 1
+
+    @precondition(lambda self: len(self.cluster.live()) > 2)
+    @rule(number=pick)
+    def leave(self, number: int) -> None:
+        ref = self.live(number).ref
+        self.cluster.leave(ref)
+
+    @precondition(lambda self: len(self.cluster.live()) > 1)
+    @rule(number=pick)
+    def freeze(self, number: int) -> None:
+        self.live(number).is_frozen = True
+
+    @rule()
+    def wake(self) -> None:
+        for node in self.cluster.nodes.values():
+            node.is_frozen = False
+
+    @rule(one=pick, other=pick)
+    def cut(self, one: int, other: int) -> None:
+        pair = (self.live(one).ref.vm, self.live(other).ref.vm)
+        if pair[0] != pair[1]:
+            self.cluster.cut.add(pair)
+
+    @rule()
+    def heal(self) -> None:
+        self.cluster.cut.clear()
+
+    @precondition(lambda self: self.running)
+    @rule(number=pick, other=pick)
+    def resume_elsewhere(self, number: int, other: int) -> None:
+        node, permit = self.running[number % len(self.running)]
+        resumer = self.live(other)
+        if resumer is node or permit.permit_id in resumer.answers:
+            return
+        resumer.node.holder.take_over(permit, node.ref)
+        self.running.append((resumer, permit))
+
+    @invariant()
+    def engines_bear_their_work(self) -> None:
+        for engine in self.cluster.engines.values():
+            assert not engine.violations, engine.violations
+
+    def teardown(self) -> None:
+        try:
+            if hasattr(self, "cluster") and self.policies is SAFE:
+                self._recover()
+                self.engines_bear_their_work()
+        finally:
+            self._freezer.stop()
+
+    def _recover(self) -> None:
+        """All capacity comes back once faults end and work is done."""
+        self.wake()
+        self.heal()
+        for ref in self.killed:
+            self.cluster.gone(ref)
+        for _ in range(100):
+            self.dispatch()
+            for node, permit in list(self.running):
+                if permit.permit_id in node.answers or node.is_dead:
+                    self.running.remove((node, permit))
+                    if not node.is_dead:
+                        self.cluster.finish(node, permit)
+            self.cluster.settle(self.clock, 1)
+            if not self.undispatched and not self.running:
+                break
+        for engine in self.cluster.engines.values():
+            engine.running.clear()
+        self.cluster.settle(self.clock, 4)
+        self._assert_whole()
+
+    def _assert_whole(self) -> None:
+        if all(m.leaving for m in self.cluster.roster.members.values()):
+            return
+        for name, engine in self.cluster.engines.items():
+            statuses: list[Any] = [
+                status
+                for node in self.cluster.live()
+                for status in node.node.status().servers
+                if status.backend_server == name
+            ]
+            lots = [lot for status in statuses for lot in status.lots]
+            cold = engine.rule.cold_limit
+            assert sum(s.share for s in statuses) >= cold, statuses
+            left = [
+                permit
+                for node in self.cluster.live()
+                if name in node.node.keepers
+                for permit in node.node.keepers[name].share.held()
+            ]
+            assert not left, left
+            assert not any(lot.unaccounted for lot in lots), lots
+
+
+def run(policies: Policies, examples: int) -> None:
+    machine = type("Machine", (Machine,), {"policies": policies})
+    run_state_machine_as_test(
+        machine,
+        settings=settings(
+            max_examples=examples,
+            stateful_step_count=60,
+            phases=(Phase.explicit, Phase.generate),
+        ),
+    )
+
+
+def test_no_fault_gives_a_cold_server_too_much() -> None:
+    run(SAFE, 150)
+
+
+@pytest.mark.parametrize("policies", [STATIC_SPLIT, TIME_BASED])
+def test_naive_rules_are_caught(policies: Policies) -> None:
+    with pytest.raises(AssertionError, match=r"while cold|at once"):
+        run(policies, 300)
