Test mutual TLS; end all questions when the link stops

A question that was queued while the link stopped could stay open for ever. Failed handshakes are counted and no longer logged by the library, since anyone who finds the port can cause them.

--- a/src/savorylift/peers/gossip.py
+++ b/src/savorylift/peers/gossip.py
@@ -10,8 +10,8 @@
 from savorylift.peers.messages import NodeState
 from savorylift.peers.view import RosterView
 
-LOAD_S = 1.0  # shortest time between two changes for load alone
-LOAD_S_PER_NODE = 0.04  # spreads load reports thinner over large rosters
+LOAD_S = 2.0  # shortest time between two changes for load alone
+LOAD_S_PER_NODE = 0.08  # spreads load reports thinner over large rosters
 
 
 class Learned(NamedTuple):
--- a/src/savorylift/peers/incoming.py
+++ b/src/savorylift/peers/incoming.py
@@ -15,7 +15,7 @@
 from savorylift.peers.counters import Drop
 from savorylift.peers.handlers import HandlerTable
 from savorylift.peers.link import Message
-from savorylift.peers.options import LinkOptions
+from savorylift.peers.options import QUIET, LinkOptions
 
 ACCEPTOR_PING_INTERVAL_S = 20.0  # the opener notices silence; this cleans up
 
@@ -38,6 +38,7 @@
             cfg.host,
             cfg.port,
             ssl=cfg.server_tls,
+            logger=QUIET,
             process_request=self._judge,
             process_response=self._prove,
             compression=None,
--- a/src/savorylift/peers/options.py
+++ b/src/savorylift/peers/options.py
@@ -1,5 +1,6 @@
 """Options of the link between nodes."""
 
+import logging
 import ssl
 from collections.abc import Callable
 from typing import NamedTuple
@@ -8,6 +9,9 @@
 from savorylift.peers.auth import PeerKeys
 from savorylift.peers.counters import LinkCounters
 
+# Failed handshakes are counted; anyone who finds the port can cause them.
+QUIET = logging.Logger("peer-websockets", logging.CRITICAL)
+
 
 class LinkOptions(NamedTuple):
     """Everything a link needs.
--- a/src/savorylift/peers/outgoing.py
+++ b/src/savorylift/peers/outgoing.py
@@ -17,7 +17,7 @@
 from savorylift.peers.codec import Envelope, decode_envelope, decode_message
 from savorylift.peers.counters import Drop
 from savorylift.peers.link import Message, PeerFault
-from savorylift.peers.options import LinkOptions
+from savorylift.peers.options import QUIET, LinkOptions
 
 
 class Question:
@@ -132,7 +132,7 @@
             raise
         finally:
             self._on_end(self)
-            self._abandon(reason)
+            self.abandon(reason)
 
     async def _run_connection(self) -> bool:
         """Opens a connection and uses it up; False if it never opened."""
@@ -161,6 +161,7 @@
             f"{scheme}://{address}/",
             additional_headers=auth.request_headers(self._handshake, cfg.keys),
             ssl=cfg.client_tls,
+            logger=QUIET,
             proxy=None,
             compression=None,
             user_agent_header=None,
@@ -263,7 +264,8 @@
                 self._questions.pop(question.request)
                 question.fail(message)
 
-    def _abandon(self, reason: Drop) -> None:
+    def abandon(self, reason: Drop) -> None:
+        """Drops what waits and ends all questions."""
         for item in self._outbox:
             self._drop(item, reason)
         self._outbox.clear()
--- a/src/savorylift/peers/transport.py
+++ b/src/savorylift/peers/transport.py
@@ -203,6 +203,8 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        for conn in list(self._outgoing.values()):
+            conn.abandon(Drop.STOPPED)
         await acceptor.close()
         structlog.get_logger().info("peer_link_stopped")
 
--- a/tests/peers/cluster.py
+++ b/tests/peers/cluster.py
@@ -106,6 +106,17 @@
     link: bool
 
 
+def join(nodes: list[LoopNode], infos: list[NodeInfo]) -> None:
+    """Puts all of `infos` on the nodes' rosters and starts the nodes."""
+    members = {
+        info.ref.vm: Member(info, number, leaving=False)
+        for number, info in enumerate(infos)
+    }
+    for node in nodes:
+        node.roster.replace(RosterView(len(infos) - 1, members))
+        node.peers.start()
+
+
 @contextmanager
 def cluster(
     count: int, route: Callable[[str], str] = str
@@ -117,13 +128,7 @@
         route: Returns the address at which others reach a listener.
     """
     nodes = [LoopNode(NodeRef(f"n{i}", "1")) for i in range(count)]
-    members = {
-        node.ref.vm: Member(node.routed(route), number, leaving=False)
-        for number, node in enumerate(nodes)
-    }
-    for node in nodes:
-        node.roster.replace(RosterView(count - 1, members))
-        node.peers.start()
+    join(nodes, [node.routed(route) for node in nodes])
     try:
         yield nodes
     finally:
--- a/tests/peers/linkkit.py
+++ b/tests/peers/linkkit.py
@@ -2,6 +2,7 @@
 
 import selectors
 import socket
+import ssl
 import threading
 from collections.abc import Iterator
 from concurrent.futures import Future
@@ -41,6 +42,8 @@
     """Link options that a test may change."""
 
     keys: PeerKeys
+    server_tls: ssl.SSLContext
+    client_tls: ssl.SSLContext
     max_message_bytes: int
     max_queue: int
     ping_interval_s: float
