End lost work on a restart only if it can't run on the new incarnation

A restart that is seen late may lie before the lost work's dispatch; the fuzzing found the permit ended while the work ran. A load report taken after the loss now fixes the last incarnation that may run it.

--- a/src/savorylift/permits/keeper.py
+++ b/src/savorylift/permits/keeper.py
@@ -320,7 +320,8 @@
         settled_s = report.asked_s - self._cfg.load_lag_s
         for owned in self.share.lots.values():
             if settled_s >= owned.since_s:
-                owned.unaccounted = min(owned.unaccounted, report.active)
+                owned.settle(report.incarnation, report.active)
+        self._lost.settle(settled_s, report.incarnation)
         self.serve()
 
     def is_idle_since(self, since_s: float) -> bool:
@@ -370,10 +371,7 @@
     def _is_over(self, permit: HeldPermit, since_s: float) -> bool:
         if self.is_idle_since(since_s):
             return True
-        seen = self.warmth.incarnation
-        return self.warmth.is_past(permit.granted_on) and (
-            permit.started_on != seen
-        )
+        return self.warmth.is_past(self._lost.settled_on(permit.permit_id))
 
     def _end_lost(self, permit_id: str, holder: NodeRef) -> None:
         self._tally.ended.labels("lost").inc()
@@ -402,7 +400,6 @@
             owned.lot,
             tokens,
             msg.holder,
-            self.warmth.incarnation,
         )
         self.share.put(permit)
         self._tally.grants.labels(str(self.warmth.is_cold)).inc()
@@ -483,7 +480,8 @@
 
     def _end_work_of_past_incarnations(self) -> None:
         for owned in self.share.lots.values():
-            owned.unaccounted = 0
+            if self.warmth.is_past(owned.settled_on):
+                owned.unaccounted = 0
         for permit in self.share.held():
             if self.warmth.is_past(permit.started_on):
                 self.share.remove(permit.permit_id)
--- a/src/savorylift/permits/lost_work.py
+++ b/src/savorylift/permits/lost_work.py
@@ -22,6 +22,7 @@
         """Starts with no lost work."""
         self._cancel_after_s = cancel_after_s
         self._since_s: dict[str, float] = {}
+        self._settled_on: dict[str, str] = {}
         self._abandoned: set[str] = set()
         self._ended: deque[str] = deque(maxlen=MAX_ENDED)
 
@@ -33,6 +34,7 @@
         """Notes that a node looks after the work again."""
         self._abandoned.discard(permit_id)
         self._since_s.pop(permit_id, None)
+        self._settled_on.pop(permit_id, None)
 
     def is_lost(self, permit_id: str) -> bool:
         """Returns True if nobody looks after the work."""
@@ -48,6 +50,19 @@
         self._abandoned.discard(permit_id)
         self._ended.append(permit_id)
 
+    def settle(self, settled_s: float, incarnation: str) -> None:
+        """Notes the backend server's incarnation at `settled_s` or later.
+
+        Work lost before then can run on no later incarnation.
+        """
+        for permit_id, since_s in self._since_s.items():
+            if since_s <= settled_s:
+                self._settled_on.setdefault(permit_id, incarnation)
+
+    def settled_on(self, permit_id: str) -> str:
+        """Returns the last incarnation that may run the work, or ""."""
+        return self._settled_on.get(permit_id, "")
+
     def review(
         self,
         held: Iterable[HeldPermit],
@@ -70,4 +85,7 @@
                 due.append(permit)
         self._since_s = lost
         self._abandoned &= lost.keys()
+        self._settled_on = {
+            key: value for key, value in self._settled_on.items() if key in lost
+        }
         return over, due
--- a/src/savorylift/permits/messages.py
+++ b/src/savorylift/permits/messages.py
@@ -21,7 +21,6 @@
         lot: Part of the limit that it is charged to.
         tokens: Memory reserved, in tokens.
         holder: Node that may use it.
-        granted_on: Backend server incarnation when granted, "" if unknown.
         started_on: Incarnation that produced output for it, "" for none yet.
     """
 
@@ -30,7 +29,6 @@
     lot: Lot
     tokens: int
     holder: NodeRef
-    granted_on: str = ""
     started_on: str = ""
 
 
--- a/src/savorylift/permits/node.py
+++ b/src/savorylift/permits/node.py
@@ -114,13 +114,17 @@
             return
         self._seen = (rules.offset, roster.offset)
         self._choices = {}
-        for server in rules.backend_servers.values():
-            self._follow_server(server, roster)
+        self._claim_shares()
         for name in self.keepers.keys() - rules.backend_servers.keys():
             self._drop_if_empty(name)
         self._finish(self._handover.recheck(roster))
         self._query_members()
 
+    def _claim_shares(self) -> None:
+        roster = self._roster.current()
+        for server in self._rules.current().backend_servers.values():
+            self._follow_server(server, roster)
+
     def _follow_server(self, server: BackendServer, roster: RosterView) -> None:
         chosen = self.keepers_of(server.name)
         keeper = self.keepers.get(server.name)
@@ -154,6 +158,7 @@
 
     def _refresh(self) -> None:
         self.holder.refresh()
+        self._claim_shares()
         self._query_members()
         roster = self._roster.current()
         for name, keeper in self.keepers.items():
@@ -187,8 +192,7 @@
             return told
         keeper = self.keepers.get(lot.backend_server)
         owned = keeper.share.lots.get(lot.number) if keeper else None
-        if owned is not None and owned.epoch >= epoch:
-            # A late copy of this node's own query.
+        if owned is not None and self._keeps_against(owned, successor, epoch):
             return m.LotStatus(lot, REFUSED_FLOOR, was_owner=False, held=())
         self._handover.raise_floor(lot, epoch)
         held = self.holder.fence(lot, epoch)
@@ -199,6 +203,16 @@
         keeper.announce()
         return status
 
+    def _keeps_against(
+        self, owned: OwnedLot, successor: NodeRef, epoch: int
+    ) -> bool:
+        if owned.epoch >= epoch:
+            return True  # a late copy of this node's own query
+        if self._roster.current().offset <= epoch:
+            return False
+        chosen = self.keepers_of(owned.lot.backend_server)
+        return successor not in chosen[owned.lot.number :][:1]
+
     def _on_lot_report(self, sender: NodeRef, msg: m.LotReport) -> None:
         roster = self._roster.current()
         self._finish(self._handover.report(sender, msg, roster))
--- a/src/savorylift/permits/policies.py
+++ b/src/savorylift/permits/policies.py
@@ -71,6 +71,12 @@
     def end(self, permit_id: str) -> None:
         """Notes that the work is known to be over."""
 
+    def settle(self, settled_s: float, incarnation: str) -> None:
+        """Notes the backend server's incarnation at `settled_s` or later."""
+
+    def settled_on(self, permit_id: str) -> str:
+        """Returns the last incarnation that may run the work, or ""."""
+
     def review(
         self,
         held: Iterable[HeldPermit],
--- a/src/savorylift/permits/share.py
+++ b/src/savorylift/permits/share.py
@@ -18,6 +18,8 @@
         held: Permits out, by identifier.
         unaccounted: Places that work of lost nodes may still occupy.
         since_s: `time.monotonic()` of the acquisition.
+        settled_on: Last backend server incarnation that may run work of
+            lost nodes, "" if unknown.
     """
 
     def __init__(self, lot: Lot, epoch: int, unaccounted: int) -> None:
@@ -27,6 +29,12 @@
         self.held: dict[str, HeldPermit] = {}
         self.unaccounted = unaccounted
         self.since_s = time.monotonic()
+        self.settled_on = ""
+
+    def settle(self, incarnation: str, active: int) -> None:
+        """Applies a load report on a moment after the acquisition."""
+        self.settled_on = self.settled_on or incarnation
+        self.unaccounted = min(self.unaccounted, active)
 
     @property
     def places_used(self) -> int:
