--- a/src/savorylift/permits/holder.py
+++ b/src/savorylift/permits/holder.py
@@ -37,6 +37,7 @@
 from savorylift.permits.tally import Tally
 
 UNKNOWN_LOT = -1
+UNKNOWN_WAIT_S = 1.0
 UNFINISHED = PermitUse(
     finished=False,
     completed=False,
@@ -110,6 +111,7 @@
         self._waiting: dict[str, _Waiting] = {}
         self._taking: dict[str, tuple[Permit, float]] = {}
         self._held: dict[str, Holding] = {}
+        self._wait_s: dict[str, float] = {}
         self._floors: dict[Lot, int] = {}
 
     def acquire(self, req: PermitRequest) -> None:
@@ -383,8 +385,9 @@
         self._answer(msg.permit_id, Success(permit))
 
     def _refuse_late(self, waiting: _Waiting) -> None:
-        hint = self.hints.get(waiting.req.candidates[0])
-        retry_after_s = 1.0 if hint is None or hint.waiting else 0.1
+        known = [self._wait_s.get(name) for name in waiting.req.candidates]
+        waits = [wait_s for wait_s in known if wait_s]
+        retry_after_s = min(waits, default=UNKNOWN_WAIT_S)
         self._refuse(waiting, Reason.DEADLINE, retry_after_s)
 
     def _refuse(
@@ -442,6 +445,7 @@
             state.cold,
             time.monotonic(),
         )
+        self._wait_s[state.backend_server] = state.wait_s
         self.hints = {**self.hints, state.backend_server: hint}
 
 
--- a/src/savorylift/permits/keeper.py
+++ b/src/savorylift/permits/keeper.py
@@ -122,6 +122,7 @@
             room.tokens,
             len(self.queue),
             warmth.is_cold,
+            self._rate.wait_s(len(self.queue) + 1),
         )
 
     def ask(self, msg: PermitAsk) -> None:
@@ -165,11 +166,11 @@
             self._lost.abandon(msg.permit_id)
             return
         self.share.remove(msg.permit_id)
+        self._rate.add()
         is_judged = bool(permit.started_on)
         first_token_s = -1.0 if is_judged else msg.first_token_s
         self._judge(msg.incarnation, first_token_s, is_cold=msg.overloaded)
         if msg.completed:
-            self._rate.add()
             places = self.share.places(self.warmth.window)
             self.warmth.complete(msg.incarnation, places)
         self.serve()
--- a/src/savorylift/permits/load.py
+++ b/src/savorylift/permits/load.py
@@ -1,52 +1,43 @@
 """Polls the load reports of the backend servers that a node keeps."""
 
-import contextlib
 import random
 import threading
 import time
-from collections.abc import Callable, Sequence
-from concurrent.futures import ThreadPoolExecutor
-from typing import NamedTuple, Protocol
+from collections.abc import Callable
+from typing import NamedTuple
 
 import msgspec
-import pykka
+import structlog
 import urllib3
+from returns.result import Failure, Result, Success
 
 from savorylift.permits.keeper import LoadReport
 from savorylift.rules.view import BackendServer, RulesSource
 
-POLL_S = 0.5
-JITTER = 0.2  # share of the interval, so that keepers do not poll in step
-TIMEOUT_S = 0.4
-THREADS = 4
-HTTP_OK = 200
+PATH = "/v1/load"
+MAX_BACKOFF = 8
+MAX_BODY_BYTES = 65_536
+JITTER = 0.2  # part of the interval
 
-
-class LoadTaker(Protocol):
-    """Takes load reports and knows whose are wanted."""
-
-    def kept_servers(self) -> Sequence[str]:
-        """Returns names of the backend servers to poll."""
-
-    def load(self, backend_server: str, report: LoadReport) -> None:
-        """Takes one report."""
+KeptServers = Callable[[], tuple[str, ...]]
+OnReport = Callable[[str, LoadReport], None]
+OnLeaving = Callable[[str, str], None]
+_log = structlog.get_logger()
 
 
 class LoadOptions(NamedTuple):
-    """Options of the poller.
+    """Options of the poller, in seconds.
 
     Attributes:
-        poll_s: Time between two rounds.
-        timeout_s: Bound on one report.
-        threads: Reports asked for at once.
+        interval_s: Time between two polls of a backend server.
+        timeout_s: Longest wait for one report.
     """
 
-    poll_s: float = POLL_S
-    timeout_s: float = TIMEOUT_S
-    threads: int = THREADS
+    interval_s: float = 0.25
+    timeout_s: float = 0.5
 
 
-class _Load(msgspec.Struct):
+class _Body(msgspec.Struct, frozen=True):
     incarnation: str
     cold: bool
     leaving: bool
@@ -54,84 +45,111 @@
     waiting: int = 0
 
 
-class LoadWatch:
-    """Asks for reports on threads of its own; silence changes nothing."""
+class _Due(NamedTuple):
+    at_s: float = 0.0
+    backoff: int = 1
+
+
+class LoadPoller:
+    """Reads load reports on a thread of its own.
+
+    A poll without an answer changes nothing, so that a server whose reports
+    fail can't grow past what its reports allowed.
+    """
 
     def __init__(
         self,
-        taker: LoadTaker,
         rules: RulesSource,
-        on_leaving: Callable[[str], None],
+        kept_servers: KeptServers,
+        on_report: OnReport,
+        on_leaving: OnLeaving,
         cfg: LoadOptions | None = None,
     ) -> None:
-        """Prepares the threads.
+        """Polls from `start` on.
 
         Args:
-            taker: Gets the reports.
-            rules: Names the addresses.
-            on_leaving: Is told the name of a server that says it is leaving.
+            rules: Where the backend servers' addresses stand.
+            kept_servers: Returns the names to poll.
+            on_report: Takes a name and its report.
+            on_leaving: Takes a leaving server's VM and incarnation.
             cfg: Options.
         """
-        self._taker = taker
         self._rules = rules
+        self._kept_servers = kept_servers
+        self._on_report = on_report
         self._on_leaving = on_leaving
         self._cfg = cfg or LoadOptions()
-        self._stop = threading.Event()
-        self._pool = ThreadPoolExecutor(self._cfg.threads, "load")
-        self._thread = threading.Thread(target=self._run, name="load-watch")
-        self._thread.daemon = True
+        self._due: dict[str, _Due] = {}
+        self._pool = urllib3.PoolManager(retries=False)
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(
+            target=self._run, name="load-poller", daemon=True
+        )
 
     def start(self) -> None:
-        """Starts to poll."""
+        """Starts the thread."""
         self._thread.start()
 
     def stop(self) -> None:
-        """Ends the threads after the reports being asked for."""
-        self._stop.set()
-        self._thread.join()
-        self._pool.shutdown()
+        """Ends the thread after the poll under way."""
+        self._stopped.set()
+        self._thread.join(2 * self._cfg.timeout_s)
+
+    def poll_due(self) -> float:
+        """Polls what is due; returns the seconds until the next poll."""
+        names = self._kept_servers()
+        self._due = {name: self._due.get(name, _Due()) for name in names}
+        servers = self._rules.current().backend_servers
+        for name, due in list(self._due.items()):
+            if name in servers and due.at_s <= time.monotonic():
+                self._due[name] = self._poll(servers[name], due)
+        next_s = min((due.at_s for due in self._due.values()), default=0.0)
+        wait_s = next_s - time.monotonic()
+        return min(self._cfg.interval_s, max(0.01, wait_s))
 
     def _run(self) -> None:
-        while not self._stop.is_set():
-            self._poll_all()
-            jitter = 1.0 + JITTER * (2.0 * random.random() - 1.0)
-            self._stop.wait(self._cfg.poll_s * jitter)
+        wait_s = 0.0
+        while not self._stopped.wait(wait_s):
+            wait_s = self.poll_due()
+
+    def _poll(self, server: BackendServer, due: _Due) -> _Due:
+        asked_s = time.monotonic()
+        match self._read(server):
+            case Success(body):
+                self._hand_over(server.name, body, asked_s)
+                backoff = 1
+            case Failure(cause):
+                _log.info("no load report", server=server.name, cause=cause)
+                backoff = min(MAX_BACKOFF, 2 * due.backoff)
+        spread = random.uniform(1 - JITTER, 1 + JITTER)
+        pause_s = self._cfg.interval_s * spread * backoff
+        return _Due(time.monotonic() + pause_s, backoff)
+
+    def _read(self, server: BackendServer) -> Result[_Body, str]:
+        url = f"http://{server.address}{PATH}"
+        timeout = urllib3.Timeout(total=self._cfg.timeout_s)
+        try:
+            answer = self._pool.request("GET", url, timeout=timeout)
+        except urllib3.exceptions.HTTPError as exc:
+            return Failure(repr(exc))
+        if answer.status != 200:
+            return Failure(f"status {answer.status}")
+        return _parse(answer.data)
+
+    def _hand_over(self, name: str, body: _Body, asked_s: float) -> None:
+        if body.leaving:
+            self._on_leaving(name, body.incarnation)
+        active = body.running + body.waiting
+        report = LoadReport(
+            asked_s, body.incarnation, body.cold, body.leaving, active
+        )
+        self._on_report(name, report)
 
-    def _poll_all(self) -> None:
-        servers = self._rules.current().backend_servers
-        kept = self._taker.kept_servers()
-        known = [servers[name] for name in kept if name in servers]
-        list(self._pool.map(self._poll, known))
-
-    def _poll(self, server: BackendServer) -> None:
-        report = fetch_report(server.address, self._cfg.timeout_s)
-        if report is None:
-            return
-        if report.leaving:
-            self._on_leaving(server.name)
-        with contextlib.suppress(pykka.ActorDeadError):
-            self._taker.load(server.name, report)
-
-
-def fetch_report(address: str, timeout_s: float) -> LoadReport | None:
-    """Returns a backend server's load report, or None if it can't be had."""
-    asked_s = time.monotonic()
+
+def _parse(data: bytes) -> Result[_Body, str]:
+    if len(data) > MAX_BODY_BYTES:
+        return Failure("body too large")
     try:
-        response = urllib3.request(
-            "GET",
-            f"http://{address}/v1/load",
-            timeout=timeout_s,
-            retries=False,
-        )
-        load = msgspec.json.decode(response.data, type=_Load)
-    except (urllib3.exceptions.HTTPError, msgspec.MsgspecError):
-        return None
-    if response.status != HTTP_OK:
-        return None
-    return LoadReport(
-        asked_s,
-        load.incarnation,
-        load.cold,
-        load.leaving,
-        load.running + load.waiting,
-    )
+        return Success(msgspec.json.decode(data, type=_Body))
+    except msgspec.MsgspecError as exc:
+        return Failure(repr(exc))
--- a/src/savorylift/permits/messages.py
+++ b/src/savorylift/permits/messages.py
@@ -44,6 +44,7 @@
         free_tokens: Memory free in the keeper's share, in tokens.
         waiting: Requests in the keeper's queue.
         cold: True if `window` is the cold limit.
+        wait_s: Expected wait of one more request; 0 if unknown.
     """
 
     backend_server: str
@@ -54,6 +55,7 @@
     free_tokens: int
     waiting: int
     cold: bool
+    wait_s: float
 
 
 class PermitAsk(NamedTuple):
--- a/src/savorylift/permits/route.py
+++ b/src/savorylift/permits/route.py
@@ -132,4 +132,6 @@
 
 
 def _relative_wait(state: ServerState) -> float:
+    if state.wait_s > 0:
+        return state.wait_s
     return (state.waiting + 1) / max(1, state.window)
