Keep serving claims through timeouts, dead actors and leaving nodes

An answer to a question that the link had given up raised in the actor that answered, which pykka ends with the actor. Such answers are dropped now, and a shard whose actor has ended is started anew.

A node that shuts down no longer counts among the servers of a shard, so that claims move to the next one before it goes.

test_claim_desk, test_desk and test_messages pass; the latter sends every message of both slices through the peers' codec.

--- a/src/savorylift/calls/shard_set.py
+++ b/src/savorylift/calls/shard_set.py
@@ -1,7 +1,8 @@
 """The claim shards that this node serves, by the roster."""
 
+import contextlib
 import threading
-from concurrent.futures import Future
+from concurrent.futures import Future, InvalidStateError
 from typing import NamedTuple
 
 import pykka
@@ -81,9 +82,7 @@
 
         All prefer the same one, so that claims share its appends.
         """
-        members = self._roster.current().members
-        refs = {vm: member.info.ref for vm, member in members.items()}
-        refs[self._me.vm] = self._me
+        refs = self._staying() or {self._me.vm: self._me}
         order = rank(stream_of(shard), refs)[:SERVERS_PER_SHARD]
         return tuple(refs[vm] for vm in order)
 
@@ -95,6 +94,9 @@
             if self._me in self.servers(shard)
         }
         with self._lock:
+            for shard, served in list(self._served.items()):
+                if not served.actor.is_alive():
+                    _stop(self._served.pop(shard))
             for shard in wanted - self._served.keys():
                 self._served[shard] = self._start(shard)
             for shard in self._served.keys() - wanted:
@@ -110,7 +112,7 @@
         """Resolves `fut` with the verdict on a claim, if there comes one."""
 
         def reply(answer: ClaimAnswer) -> None:
-            if not fut.done():
+            with contextlib.suppress(InvalidStateError):  # timed out
                 fut.set_result(answer)
 
         if not self._tell(ask.shard, Submit(ask, reply)):
@@ -120,12 +122,25 @@
         """Resolves `fut` once a void or an outcome is on the log."""
 
         def done(is_appended: bool) -> None:  # noqa: FBT001
-            if not fut.done():
+            with contextlib.suppress(InvalidStateError):  # timed out
                 fut.set_result(ConcludeAnswer(is_appended))
 
         entry = LogEntry(ask.record_id, ask.kind, ask.body)
         if not self._tell(ask.shard, Conclude(entry, done)):
-            fut.set_result(ConcludeAnswer(is_appended=False))
+            done(False)
+
+    def _staying(self) -> dict[str, NodeRef]:
+        """Returns the nodes that are not shutting down, by VM."""
+        members = self._roster.current().members
+        refs = {
+            vm: member.info.ref
+            for vm, member in members.items()
+            if not member.leaving
+        }
+        own = members.get(self._me.vm)
+        if own is None or not own.leaving:
+            refs[self._me.vm] = self._me
+        return refs
 
     def _tell(self, shard: int, message: Submit | Conclude) -> bool:
         served = self._served.get(shard)
--- a/src/savorylift/refusals/desk.py
+++ b/src/savorylift/refusals/desk.py
@@ -1,8 +1,9 @@
 """The refusal book of a node."""
 
+import contextlib
 import threading
 import time
-from concurrent.futures import Future
+from concurrent.futures import Future, InvalidStateError
 
 import pykka
 
@@ -87,7 +88,8 @@
         self, _sender: NodeRef, ask: CopyAsk, fut: "Future[Message]"
     ) -> None:
         def reply() -> None:
-            fut.set_result(CopyAnswer(is_held=True))
+            with contextlib.suppress(InvalidStateError):  # timed out
+                fut.set_result(CopyAnswer(is_held=True))
 
         self._actor.tell(Hold(ask.batch, reply))
 
--- a/tests/calls/test_claim_desk.py
+++ b/tests/calls/test_claim_desk.py
@@ -14,6 +14,7 @@
 from tests.calls.desks import request, running_desks, wait_until
 from tests.platform.fakes import AppendFault, FakeLog
 
+IN_USE = "unknown/key_in_use"
 BOOKED = CallAnswer(201, (("Content-Type", "text/plain"),), b"ok", "s1")
 
 
@@ -163,6 +164,22 @@
         assert time.monotonic() - started_s < 0.5, "asked the silent one again"
 
 
+def test_leaving_node_hands_its_shard_on() -> None:
+    with running_desks(FakeLog(), 6) as desks:
+        win(desks[0], request(1))
+        first = _servers(desks[0])[0]
+        roster = desks[0]._parts.roster
+        members = {
+            vm: member._replace(leaving=member.info.ref == first)
+            for vm, member in roster.current().members.items()
+        }
+        roster.replace(roster.current()._replace(members=members))
+        assert all(first not in _servers(desk) for desk in desks)
+        for desk in desks:
+            wait_until(lambda desk=desk: ending(desk, request(1)) == IN_USE)  # type: ignore[misc]
+            win(desk, request(10 + desks.index(desk)))
+
+
 def test_unreachable_servers_are_not_run() -> None:
     with running_desks(FakeLog(), 6) as desks:
         desk = next(desk for desk in desks if not _serves(desk))
