Keep an order back from lifting an order out that it did not know

An order back that waits out an outage on a backup node could reach the log after a newer order out, and so open a failure domain against the newest order. It now names the newest offset its writer knew; a newer order out stays, and the command says so. Ending waiting orders after a time was ruled out: a paused node may hold one for any time. The command line gave each node an order of its own in an outage, which at 350 nodes is more than a node holds (256); all now get the same record id. Fails first: a fold that lets the last order win breaks the oracle.

--- a/src/savorylift/entry/operator_face.py
+++ b/src/savorylift/entry/operator_face.py
@@ -3,18 +3,22 @@
 import hmac
 import json
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Annotated, NamedTuple
 
 import msgspec
 import prometheus_client
 import pykka
+from returns.result import Failure, Result
 
 from savorylift.entry.errors import error_body, status_line
 from savorylift.entry.exchange import Exchange
 from savorylift.identity import new_id
 from savorylift.outcomes import Reason, Refusal, not_run
+from savorylift.refusals.formats import Format
+from savorylift.refusals.request import ReportRequest
 from savorylift.rules.inbox import OrderAction, OrderReceipt, SubmitOrder
 from savorylift.settings import Key
+from savorylift.trail import Trail
 
 ORDER_TIMEOUT_S = 2.0
 BEARER = "Bearer "
@@ -29,6 +33,8 @@
         status: Returns the node's status as JSON-encodable values.
         submit_order: Takes an order, with a timeout in seconds.
         order_state: Tells what is known of an order.
+        report: Prints the account of refusals, or says what is wrong.
+        trail: Decisions about recent requests.
         keys: Credentials for orders; with none, no order is taken.
     """
 
@@ -36,6 +42,8 @@
     status: Callable[[], object]
     submit_order: Callable[[SubmitOrder, float], OrderReceipt]
     order_state: Callable[[str, float], OrderReceipt]
+    report: Callable[[ReportRequest], Result[str, str]]
+    trail: Trail
     keys: tuple[Key, ...]
 
 
@@ -58,6 +66,11 @@
                 exchange.send("200 OK", text, TEXT)
             case "GET", ["v1", "status"]:
                 _send_json(exchange, self._parts.status())
+            case "GET", ["v1", "refusals"]:
+                self._send_report(exchange)
+            case "GET", ["v1", "requests", request_id]:
+                found = self._parts.trail.find(request_id)
+                _send_json(exchange, [item._asdict() for item in found])
             case "POST", ["v1", "orders"]:
                 self._take_order(exchange)
             case "GET", ["v1", "orders", record_id]:
@@ -72,6 +85,20 @@
         else:
             exchange.send("503 Service Unavailable", b"not ready\n", TEXT)
 
+    def _send_report(self, exchange: Exchange) -> None:
+        query = exchange.query
+        wanted = ReportRequest(
+            query.get("from", "1h"),
+            query.get("to", ""),
+            query.get("team", ""),
+            query.get("format", Format.JSON.value),
+        )
+        printed = self._parts.report(wanted)
+        if isinstance(printed, Failure):
+            _refuse(exchange, not_run(Reason.BAD_REQUEST, printed.failure()))
+            return
+        exchange.send("200 OK", printed.unwrap().encode(), TEXT)
+
     def _take_order(self, exchange: Exchange) -> None:
         body = exchange.read_body().value_or(b"")
         if not self._is_authorized(exchange):
@@ -115,13 +142,12 @@
     is_domain: bool
     author: str
     cause: str
+    record_id: Annotated[str, msgspec.Meta(max_length=64)] = ""
 
 
 def _read_order(body: bytes) -> SubmitOrder:
     order = msgspec.json.decode(body, type=OrderBody)
-    return SubmitOrder(
-        order.action, order.target, order.is_domain, order.author, order.cause
-    )
+    return SubmitOrder(**msgspec.structs.asdict(order))
 
 
 def _send_json(exchange: Exchange, value: object) -> None:
--- a/src/savorylift/operations.py
+++ b/src/savorylift/operations.py
@@ -1,5 +1,6 @@
 """What the operators' commands do and print; one place for their texts."""
 
+import datetime as dt
 import json
 import pathlib
 import sys
@@ -11,9 +12,13 @@
 from prometheus_client import CollectorRegistry
 from returns.result import Failure
 
+from savorylift.identity import new_id
 from savorylift.platform.counters import PlatformCounters
 from savorylift.platform.json_client import ClientConfig
 from savorylift.platform.log_client import HttpLog
+from savorylift.refusals.query import FoundRow, find_request
+from savorylift.refusals.request import ReportRequest
+from savorylift.refusals.request import answer as answer_report
 from savorylift.rules import operations as rules
 from savorylift.rules.check import check_rules
 from savorylift.rules.inbox import OrderAction, OrderState
@@ -124,14 +129,17 @@
         case rules.OrderAccepted(offset):
             _say(f"{target} {action.value}: accepted at offset {offset}")
             return _report_force(cfg, offset)
+        case rules.BackOverruled(by):
+            cause = by.asked_by if by else "it has ended since"
+            return _fail(f"{target} stays out: a newer order out ({cause})")
         case rules.UnknownTarget(name, known):
             return _fail(f"no failure domain {name}; known: {', '.join(known)}")
         case rules.NotWritten(message):
             _report(f"the log takes no order now: {message}")
-            return _order_nodes(cfg, req)
-        case rules.Unknown(_, message):
+            return _order_nodes(cfg, req, new_id("order"))
+        case rules.Unknown(record_id, message):
             _report(f"not known whether accepted: {message}")
-            return _order_nodes(cfg, req)
+            return _order_nodes(cfg, req, record_id)
 
 
 def status(settings_path: str, *, is_full: bool) -> int:
@@ -145,6 +153,63 @@
     return EXIT_OK if any(answers.values()) else EXIT_FAILED
 
 
+def refusals(settings_path: str, wanted: ReportRequest) -> int:
+    """Prints who was turned away in a period, and why."""
+    printed = answer_report(_log(_settings(settings_path)), wanted)
+    if isinstance(printed, Failure):
+        return _fail(printed.failure())
+    _say(printed.unwrap())
+    return EXIT_OK
+
+
+def explain(settings_path: str, request_id: str) -> int:
+    """Prints which node decided what about a request, and by which rule."""
+    cfg = _settings(settings_path)
+    lines: list[str] = []
+    for vm, address in _operator_addresses(cfg).items():
+        path = f"/v1/requests/{request_id}"
+        decisions = _ask(cfg, address, "GET", path, None)
+        lines += [_decision_line(vm, item) for item in decisions or ()]
+    found = find_request(_log(cfg), request_id)
+    if isinstance(found, Failure):
+        _report(f"can't read the log: {found.failure().message}")
+    else:
+        lines += [_refusal_line(item) for item in found.unwrap()]
+    for line in sorted(lines):
+        _say(line)
+    return EXIT_OK if lines else _fail(f"nothing is known of {request_id}")
+
+
+def _decision_line(vm: str, decision: dict[str, Any]) -> str:
+    parts = [
+        _time_text(decision["time_ms"]),
+        vm,
+        decision["what"],
+        f"rules offset {decision['rules_offset']}",
+    ]
+    if decision["backend_server"]:
+        parts.append(f"backend server {decision['backend_server']}")
+    if decision["keeper"]:
+        parts.append(f"permit from {decision['keeper']}")
+    if decision["detail"]:
+        parts.append(decision["detail"])
+    return ", ".join(parts)
+
+
+def _refusal_line(found: FoundRow) -> str:
+    row = found.row
+    rule = f", rule: {row.rule} ({row.asked_by})" if row.rule else ""
+    return (
+        f"{_time_text(row.time_ms)}, {found.source.vm}, on the log: "
+        f"{row.ending}, {row.reason}{rule}"
+    )
+
+
+def _time_text(time_ms: int) -> str:
+    moment = dt.datetime.fromtimestamp(time_ms / 1000, dt.UTC)
+    return moment.isoformat(timespec="milliseconds")
+
+
 def _status_line(vm: str, answer: dict[str, Any] | None) -> str:
     if answer is None:
         return f"{vm}: no answer"
@@ -158,14 +223,18 @@
     )
 
 
-def _order_nodes(cfg: Settings, req: rules.OrderRequest) -> int:
-    """Gives an order to the nodes themselves while the log is down."""
+def _order_nodes(cfg: Settings, req: rules.OrderRequest, record_id: str) -> int:
+    """Gives an order to the nodes themselves while the log is down.
+
+    All get the same record identifier, so that the order counts once.
+    """
     body = {
         "action": req.action.value,
         "target": req.target,
         "is_domain": req.is_domain,
         "author": req.author,
         "cause": req.cause,
+        "record_id": record_id,
     }
     taken: list[str] = []
     silent: list[str] = []
@@ -231,7 +300,7 @@
     method: str,
     path: str,
     body: Mapping[str, object] | None,
-) -> dict[str, Any] | None:
+) -> Any:  # noqa: ANN401
     """Returns a node's JSON answer, or None if there is none in time."""
     scheme = "https" if cfg.operator_tls else "http"
     headers = {}
@@ -252,8 +321,7 @@
         return None
     if response.status != 200:
         return None
-    answer: dict[str, Any] = json.loads(response.data)
-    return answer
+    return json.loads(response.data)
 
 
 def _log(cfg: Settings) -> HttpLog:
--- a/src/savorylift/rules/fold.py
+++ b/src/savorylift/rules/fold.py
@@ -27,6 +27,7 @@
 CONFIG_FOLD = "config"  # name of the fold in snapshots
 MAX_DECISIONS = 64
 MAX_CANCELLED = 256
+MAX_OVERRULED = 64
 
 
 class Verdict(enum.StrEnum):
@@ -62,6 +63,7 @@
     orders: tuple[OutOfService, ...]
     decisions: tuple[Decision, ...]
     cancelled: tuple[str, ...]
+    overruled: tuple[str, ...]
 
 
 class ConfigFold:
@@ -78,6 +80,7 @@
         self._orders: dict[tuple[bool, str], OutOfService] = {}
         self._decisions: deque[Decision] = deque(maxlen=MAX_DECISIONS)
         self._cancelled: deque[str] = deque(maxlen=MAX_CANCELLED)
+        self._overruled: deque[str] = deque(maxlen=MAX_OVERRULED)
 
     def apply(self, record: LogRecord) -> None:
         """Applies one record; ignores other kinds and unreadable bodies."""
@@ -90,7 +93,8 @@
             out = decode(record.body, OrderOut)
             out.map(lambda order: self._apply_out(order, record.offset))
         elif record.kind == RecordKind.ORDER_BACK:
-            decode(record.body, OrderBack).map(self._apply_back)
+            back = decode(record.body, OrderBack)
+            back.map(lambda order: self._apply_back(order, record.record_id))
 
     def lines(self) -> tuple[str, ...]:
         """Returns the lines of the version in force."""
@@ -111,6 +115,10 @@
         """Returns True if an order back named this record."""
         return record_id in self._cancelled
 
+    def is_overruled(self, record_id: str) -> bool:
+        """Returns True if an order back came after an out it didn't know."""
+        return record_id in self._overruled
+
     def accepted_after(self, version: int) -> tuple[Decision, ...]:
         """Returns remembered accepted edits that are newer than `version`."""
         return tuple(
@@ -135,6 +143,7 @@
             tuple(order for _, order in sorted(self._orders.items())),
             tuple(self._decisions),
             tuple(self._cancelled),
+            tuple(self._overruled),
         )
         return msgspec.json.encode(dump).decode()
 
@@ -148,6 +157,7 @@
         }
         self._decisions = deque(dump.decisions, MAX_DECISIONS)
         self._cancelled = deque(dump.cancelled, MAX_CANCELLED)
+        self._overruled = deque(dump.overruled, MAX_OVERRULED)
 
     def _apply_edit(self, edit: Edit, record: LogRecord) -> None:
         verdict = self._judge(edit)
@@ -180,6 +190,11 @@
             order.target, order.is_domain, asked_by, offset
         )
 
-    def _apply_back(self, order: OrderBack) -> None:
+    def _apply_back(self, order: OrderBack, record_id: str) -> None:
         self._cancelled.extend(order.cancels)
-        self._orders.pop((order.is_domain, order.target), None)
+        key = (order.is_domain, order.target)
+        current = self._orders.get(key)
+        if current is not None and current.offset > order.known_offset:
+            self._overruled.append(record_id)
+            return
+        self._orders.pop(key, None)
--- a/src/savorylift/rules/inbox.py
+++ b/src/savorylift/rules/inbox.py
@@ -125,6 +125,8 @@
         is_domain: True for a failure domain.
         author: Operator.
         cause: Why, in the operator's words.
+        record_id: Identifier of its record, when several nodes are given
+            the same order; empty for a new one.
     """
 
     action: OrderAction
@@ -132,6 +134,7 @@
     is_domain: bool
     author: str
     cause: str
+    record_id: str = ""
 
 
 class OrderState(enum.StrEnum):
@@ -140,6 +143,7 @@
     ACCEPTED = "accepted"  # read back from the log
     APPLIED = "applied"  # an order out, acting but not on the log yet
     WAITING = "waiting"  # an order back, not on the log yet
+    OVERRULED = "overruled"  # an order back; a newer out stays in force
     REFUSED = "refused"  # no room for more orders; not taken
     UNKNOWN = "unknown"  # not held here, and not read of late
 
--- a/src/savorylift/rules/messages.py
+++ b/src/savorylift/rules/messages.py
@@ -79,6 +79,8 @@
         is_domain: True for a failure domain.
         author: Operator.
         cause: Why, in the operator's words.
+        known_offset: Newest log offset that the writer knew; an order out
+            that is newer stays in force.
         cancels: Record identifiers of orders that the writer knew of and
             that were not on the log yet; they count as seen.
     """
@@ -87,6 +89,7 @@
     is_domain: bool
     author: str
     cause: str
+    known_offset: int
     cancels: tuple[str, ...] = ()
 
 
--- a/src/savorylift/rules/node.py
+++ b/src/savorylift/rules/node.py
@@ -204,7 +204,9 @@
 
     def submit(self, order: SubmitOrder) -> OrderReceipt:
         """Takes an operator's order; an order out acts at once."""
-        pending = self._desk.submit(order)
+        if order.record_id and self._stream.has_applied(order.record_id):
+            return self.order_state(order.record_id)
+        pending = self._desk.submit(order, self._stream.next_offset - 1)
         if pending is None:
             self._count(RulesEvent.ORDER_DROPPED)
             return OrderReceipt("", OrderState.REFUSED)
@@ -222,14 +224,18 @@
 
     def order_state(self, record_id: str) -> OrderReceipt:
         """Returns what is known of an order."""
+        return OrderReceipt(record_id, self._order_state(record_id))
+
+    def _order_state(self, record_id: str) -> OrderState:
+        if self._config.is_overruled(record_id):
+            return OrderState.OVERRULED
         if self._stream.has_applied(record_id):
-            return OrderReceipt(record_id, OrderState.ACCEPTED)
-        for order in self._desk.pending.orders():
-            if order.record_id == record_id:
-                is_out = order.kind == RecordKind.ORDER_OUT
-                state = OrderState.APPLIED if is_out else OrderState.WAITING
-                return OrderReceipt(record_id, state)
-        return OrderReceipt(record_id, OrderState.UNKNOWN)
+            return OrderState.ACCEPTED
+        order = self._desk.pending.find(record_id)
+        if order is None:
+            return OrderState.UNKNOWN
+        is_out = order.kind == RecordKind.ORDER_OUT
+        return OrderState.APPLIED if is_out else OrderState.WAITING
 
     def _publish(self) -> None:
         self._desk.pending.drop_settled(self._is_settled)
--- a/src/savorylift/rules/operations.py
+++ b/src/savorylift/rules/operations.py
@@ -30,7 +30,7 @@
     RecordKind,
     encode,
 )
-from savorylift.rules.view import RulesView
+from savorylift.rules.view import OutOfService, RulesView
 
 Pause: TypeAlias = Callable[[float], None]
 
@@ -141,6 +141,16 @@
     offset: int
 
 
+class BackOverruled(NamedTuple):
+    """The target stays out: the log had a newer order out.
+
+    Attributes:
+        by: The order in force; None if it has ended since.
+    """
+
+    by: OutOfService | None
+
+
 class OrderRequest(NamedTuple):
     """An order to take out of service or to bring back.
 
@@ -170,7 +180,9 @@
     | NotWritten
     | Unknown
 )
-OrderOutcome: TypeAlias = OrderAccepted | UnknownTarget | NotWritten | Unknown
+OrderOutcome: TypeAlias = (
+    OrderAccepted | BackOverruled | UnknownTarget | NotWritten | Unknown
+)
 
 
 def show(log: Log, deadline_s: float) -> Result[Shown, str]:
@@ -233,24 +245,38 @@
     is_out = req.action is OrderAction.OUT
     if is_out and req.is_domain and req.target not in domains:
         return UnknownTarget(req.target, tuple(sorted(domains)))
-    entry = LogEntry(new_id("order"), *_order_record(req))
+    known_offset = state.next_offset() - 1
+    entry = LogEntry(new_id("order"), *_order_record(req, known_offset))
     outcome = append_and_read_back(
         log, _append_request(state, entry, req.deadline_s), pause
     )
     match outcome:
         case Appended(offset):
-            return OrderAccepted(offset)
+            return _order_outcome(state, req, entry.record_id, offset)
         case NotAppended(message):
             return NotWritten(message)
         case AppendUnknown(message):
             return Unknown(entry.record_id, message)
 
 
-def _order_record(req: OrderRequest) -> tuple[str, str]:
+def _order_outcome(
+    state: LogState, req: OrderRequest, record_id: str, offset: int
+) -> OrderOutcome:
+    if req.action is OrderAction.OUT:
+        return OrderAccepted(offset)
+    cause = state.read_to_tail(req.deadline_s)
+    if state.next_offset() <= offset:
+        return Unknown(record_id, cause or "not read back")
+    if state.config.is_overruled(record_id):
+        return BackOverruled(state.view().out_of_service.get(req.target))
+    return OrderAccepted(offset)
+
+
+def _order_record(req: OrderRequest, known_offset: int) -> tuple[str, str]:
     fields = (req.target, req.is_domain, req.author, req.cause)
     if req.action is OrderAction.OUT:
         return RecordKind.ORDER_OUT, encode(OrderOut(*fields))
-    return RecordKind.ORDER_BACK, encode(OrderBack(*fields))
+    return RecordKind.ORDER_BACK, encode(OrderBack(*fields, known_offset))
 
 
 def _append_request(
--- a/src/savorylift/rules/order_desk.py
+++ b/src/savorylift/rules/order_desk.py
@@ -48,9 +48,19 @@
         self._ring = PeerRing(link.live_peers)
         self._told_s = NEVER_S
 
-    def submit(self, order: SubmitOrder) -> PendingOrder | None:
-        """Holds an operator's order; None if there is no room."""
-        pending = self._make_order(order)
+    def submit(
+        self, order: SubmitOrder, known_offset: int
+    ) -> PendingOrder | None:
+        """Holds an operator's order; None if there is no room.
+
+        Args:
+            order: The order.
+            known_offset: Newest log offset that this node has folded in.
+        """
+        held = self.pending.find(order.record_id)
+        if held is not None:
+            return held
+        pending = self._make_order(order, known_offset)
         return pending if self.pending.add(pending) else None
 
     def take(self, gossip: OrderGossip) -> tuple[PendingOrder, ...]:
@@ -79,7 +89,9 @@
         if node is not None:
             self._link.tell(node, OrderGossip(orders))
 
-    def _make_order(self, order: SubmitOrder) -> PendingOrder:
+    def _make_order(
+        self, order: SubmitOrder, known_offset: int
+    ) -> PendingOrder:
         fields = (order.target, order.is_domain, order.author, order.cause)
         if order.action is OrderAction.OUT:
             kind, body = RecordKind.ORDER_OUT, encode(OrderOut(*fields))
@@ -88,5 +100,6 @@
                 order.target, is_domain=order.is_domain
             )
             kind = RecordKind.ORDER_BACK
-            body = encode(OrderBack(*fields, cancels))
-        return PendingOrder(new_id("order"), kind, body, self._vm)
+            body = encode(OrderBack(*fields, known_offset, cancels))
+        record_id = order.record_id or new_id("order")
+        return PendingOrder(record_id, kind, body, self._vm)
--- a/src/savorylift/rules/pending.py
+++ b/src/savorylift/rules/pending.py
@@ -44,6 +44,11 @@
         """Returns all orders, in the order they came."""
         return tuple(held.order for held in self._held.values())
 
+    def find(self, record_id: str) -> PendingOrder | None:
+        """Returns an order that is held, or None."""
+        held = self._held.get(record_id)
+        return held.order if held is not None else None
+
     def has_room(self) -> bool:
         """Returns True if another order can be held."""
         return len(self._held) < MAX_PENDING
--- a/tests/rules/naive.py
+++ b/tests/rules/naive.py
@@ -1,9 +1,11 @@
 """Simpler ways to agree on rules, which must fail the oracle."""
 
+import sys
+
 from savorylift.platform.log import LogRecord
 from savorylift.rules.edits import are_applicable
 from savorylift.rules.fold import ConfigFold, Verdict
-from savorylift.rules.messages import Edit, RecordKind
+from savorylift.rules.messages import Edit, OrderBack, RecordKind
 from savorylift.rules.snapshot import join_parts, read_mark
 from savorylift.rules.stream import RulesStream
 
@@ -16,6 +18,14 @@
         return Verdict.ACCEPTED if is_fit else Verdict.MISFIT
 
 
+class LastOrderWinsFold(ConfigFold):
+    """Lets an order back lift orders out that its writer did not know."""
+
+    def _apply_back(self, order: OrderBack, record_id: str) -> None:
+        newest = order._replace(known_offset=sys.maxsize)
+        super()._apply_back(newest, record_id)
+
+
 class AnySnapshotStream(RulesStream):
     """Loads each snapshot when it is read, whatever it stands for."""
 
--- a/tests/rules/oracle.py
+++ b/tests/rules/oracle.py
@@ -41,8 +41,12 @@
         order = (body[0], body[1], record.offset)
         return state._replace(out=tuple(sorted([*kept, order])))
     if record.kind == "rules.order_back":
-        cancelled.update(body[4])
-        kept = [order for order in state.out if order[:2] != tuple(body[:2])]
+        cancelled.update(body[5])
+        kept = [
+            order
+            for order in state.out
+            if order[:2] != tuple(body[:2]) or order[2] > body[4]
+        ]
         return state._replace(out=tuple(kept))
     return state
 
--- a/tests/rules/test_agreement.py
+++ b/tests/rules/test_agreement.py
@@ -35,6 +35,7 @@
 from tests.rules.fakes import FakeNode, Fleet, MakeStream
 from tests.rules.naive import (
     AnySnapshotStream,
+    LastOrderWinsFold,
     LastWriteWinsFold,
     NoIdsStream,
 )
@@ -120,13 +121,14 @@
         operator = data.draw(st.sampled_from(sorted(self.edits)), "operator")
         self._send(self.edits.pop(operator))
 
-    @rule(domain=DOMAINS, is_out=st.booleans())
-    def send_order(self, domain: str, is_out: bool) -> None:  # noqa: FBT001
+    @rule(domain=DOMAINS, is_out=st.booleans(), age=st.integers(0, 5))
+    def send_order(self, domain: str, is_out: bool, age: int) -> None:  # noqa: FBT001
         if is_out:
             body = encode(OrderOut(domain, True, "noor", "works"))
             self._send(LogEntry(new_id("o"), RecordKind.ORDER_OUT, body))
         else:
-            body = encode(OrderBack(domain, True, "noor", "done"))
+            known = self.log.tail(RULES_STREAM) - 1 - age
+            body = encode(OrderBack(domain, True, "noor", "done", known))
             self._send(LogEntry(new_id("o"), RecordKind.ORDER_BACK, body))
 
     @precondition(lambda self: self.sent)
@@ -278,6 +280,12 @@
     make_fold = LastWriteWinsFold
 
 
+class LastOrderWins(Agreement):
+    """The naive way to take orders back."""
+
+    make_fold = LastOrderWinsFold
+
+
 class AnySnapshot(Agreement):
     """The naive way to take snapshots."""
 
@@ -309,7 +317,9 @@
     run_state_machine_as_test(Agreement, settings=SETTINGS)
 
 
-@pytest.mark.parametrize("naive", [LastWriteWins, AnySnapshot, NoIds])
+@pytest.mark.parametrize(
+    "naive", [LastWriteWins, LastOrderWins, AnySnapshot, NoIds]
+)
 def test_naive_ways_fail(naive: type[Agreement]) -> None:
     with pytest.raises(AssertionError):
         run_state_machine_as_test(naive, settings=FIRST_FAILURE)
--- a/tests/rules/test_node.py
+++ b/tests/rules/test_node.py
@@ -147,7 +147,7 @@
 
 
 def test_older_order_back_does_not_lift_a_restriction(fleet: Fleet) -> None:
-    body = encode(OrderBack("anjara", True, "ada", "done"))
+    body = encode(OrderBack("anjara", True, "ada", "done", 0))
     entry = LogEntry("old", RecordKind.ORDER_BACK, body)
     fleet.log.append(RULES_STREAM, (entry,))
     node = fleet.nodes["e1"]
@@ -176,6 +176,44 @@
     assert _kinds(fleet)[1:] == [RecordKind.ORDER_BACK, RecordKind.ORDER_OUT]
 
 
+def test_order_back_does_not_lift_an_order_out_that_it_did_not_know(
+    fleet: Fleet, clock: FrozenDateTimeFactory
+) -> None:
+    """The order back waits out an outage, and a newer order out is first."""
+    node, other = fleet.nodes["e1"], fleet.nodes["e2"]
+    _order(node, OrderAction.OUT)
+    node.write()
+    fleet.poll_all()
+    fleet.log.set_down(is_down=True)
+    back = _order(node, OrderAction.BACK)
+    fleet.log.set_down(is_down=False)
+    _order(other, OrderAction.OUT)
+    other.write()
+    for _ in range(4):
+        clock.tick(2)
+        fleet.poll_all()
+    assert RecordKind.ORDER_BACK in _kinds(fleet)
+    assert node.node.order_state(back).state is OrderState.OVERRULED
+    assert all(_is_out(node) for node in fleet.nodes.values())
+
+
+def test_order_given_to_several_nodes_counts_once(
+    fleet: Fleet, clock: FrozenDateTimeFactory
+) -> None:
+    req = SubmitOrder(
+        OrderAction.OUT, "anjara", True, "noor", "works", "order-1"
+    )
+    for node in fleet.nodes.values():
+        assert node.node.submit(req).state is OrderState.APPLIED
+    for _ in range(4):
+        clock.tick(2)
+        fleet.poll_all()
+    records = fleet.log.all_records(RULES_STREAM)
+    assert {record.record_id for record in records[1:]} == {"order-1"}
+    late = fleet.nodes["e3"].node.submit(req)
+    assert late.state is OrderState.ACCEPTED
+
+
 def test_others_append_when_the_receiver_is_lost(
     fleet: Fleet, clock: FrozenDateTimeFactory
 ) -> None:
--- a/tests/rules/test_operations.py
+++ b/tests/rules/test_operations.py
@@ -14,6 +14,7 @@
 from savorylift.rules.log_state import LogState
 from savorylift.rules.messages import Edit, LineEdit, RecordKind, encode
 from savorylift.rules.operations import (
+    BackOverruled,
     FileFaulty,
     NothingChanged,
     NotWritten,
@@ -205,6 +206,16 @@
     assert list(shown.view.out_of_service) == ["runner-1"]
 
 
+def test_order_back_that_lost_its_race(noor: Operator, log: FakeLog) -> None:
+    noor.publish(ONE)
+    noor.order(OrderAction.OUT, "anjara")
+    log.before_append = lambda: noor.order(OrderAction.OUT, "anjara")
+    outcome = noor.order(OrderAction.BACK, "anjara")
+    assert isinstance(outcome, BackOverruled)
+    assert outcome.by is not None
+    assert outcome.by.offset == 2
+
+
 def test_force_report_names_who_has_not_confirmed() -> None:
     answers = [NodeAnswer("b", 4), NodeAnswer("a", 6), NodeAnswer("a", 5)]
     report = report_force(5, ["a", "b", "c"], answers)
