--- a/tests/permits/test_safety.py
+++ b/tests/permits/test_safety.py
@@ -1,7 +1,7 @@
 """Stateful fuzzing of several nodes against the engines' own counts."""
 
 import random
-from typing import Any, ClassVar
+from typing import ClassVar
 
 import freezegun
 import pytest
@@ -17,12 +17,12 @@
     run_state_machine_as_test,
 )
 
-from savorylift.identity import NodeRef
 from savorylift.permits.gate import Permit
 from savorylift.permits.options import PermitOptions
 from savorylift.permits.policies import SAFE, Policies
 from tests.permits.baselines import STATIC_SPLIT, TIME_BASED
-from tests.permits.fakes import UNUSED, Cluster, FakeNode, request, server
+from tests.permits.driver import Driver
+from tests.permits.fakes import UNUSED, Cluster, FakeNode, server
 
 LAG_S = 0.5
 CFG = PermitOptions(load_lag_s=LAG_S, cancel_after_s=1.0, query_after_s=1.0)
@@ -41,11 +41,7 @@
         clock = self._freezer.start()
         assert isinstance(clock, FrozenDateTimeFactory)
         self.clock = clock
-        self.numbers = 0
         self.joins = 3
-        self.undispatched: list[tuple[FakeNode, str]] = []
-        self.running: list[tuple[FakeNode, Permit]] = []
-        self.killed: list[NodeRef] = []
 
     @initialize(cold=st.integers(1, 4), extra=st.integers(0, 5))
     def start(self, cold: int, extra: int) -> None:
@@ -56,6 +52,11 @@
             policies=self.policies,
         )
         self.cluster.settle(self.clock, 3)
+        self.driver = Driver(self.cluster, self.clock)
+
+    @property
+    def running(self) -> list[tuple[FakeNode, Permit]]:
+        return self.driver.running
 
     def live(self, number: int) -> FakeNode:
         nodes = self.cluster.live()
@@ -65,9 +66,7 @@
     def acquire(self, number: int, *, both: bool) -> None:
         node = self.live(number)
         names = ("crew-1", "runner-1") if both else ("runner-1",)
-        self.numbers += 1
-        node.node.holder.acquire(request(self.numbers, *names))
-        self.undispatched.append((node, f"p{self.numbers}"))
+        self.driver.acquire(node, *names)
 
     @rule(number=pick, keep=st.booleans())
     def deliver(self, number: int, *, keep: bool) -> None:
@@ -84,7 +83,7 @@
 
     @rule(seconds=st.sampled_from([0.5, 3.0]))
     def calm(self, seconds: float) -> None:
-        if not self.killed:
+        if not self.driver.killed:
             self.cluster.settle(self.clock, seconds)
 
     @rule(seed=pick)
@@ -115,13 +114,7 @@
 
     @rule()
     def dispatch(self) -> None:
-        for node, permit_id in list(self.undispatched):
-            if node.is_frozen or permit_id not in node.answers:
-                continue
-            self.undispatched.remove((node, permit_id))
-            if node.permit(permit_id) and not node.is_dead:
-                permit = self.cluster.begin(node, permit_id)
-                self.running.append((node, permit))
+        self.driver.dispatch()
 
     @precondition(lambda self: self.running)
     @rule(number=pick, is_sure=st.booleans())
@@ -170,14 +163,12 @@
     @precondition(lambda self: len(self.cluster.live()) > 1)
     @rule(number=pick)
     def kill(self, number: int) -> None:
-        node = self.live(number)
-        node.is_dead = True
-        self.killed.append(node.ref)
+        self.driver.kill(self.live(number))
 
-    @precondition(lambda self: self.killed)
+    @precondition(lambda self: self.driver.killed)
     @rule(number=pick, is_restart=st.booleans())
     def replace(self, number: int, *, is_restart: bool) -> None:
-        ref = self.killed.pop(number % len(self.killed))
+        ref = self.driver.killed.pop(number % len(self.driver.killed))
         if is_restart and ref.vm in self.cluster.roster.members:
             self.cluster.join(ref.vm)
         else:
@@ -227,60 +218,15 @@
 
     @invariant()
     def engines_bear_their_work(self) -> None:
-        for engine in self.cluster.engines.values():
-            assert not engine.violations, engine.violations
+        self.driver.assert_safe()
 
     def teardown(self) -> None:
         try:
-            if hasattr(self, "cluster") and self.policies is SAFE:
-                self._recover()
-                self.engines_bear_their_work()
+            if hasattr(self, "driver") and self.policies is SAFE:
+                self.driver.recover()
         finally:
             self._freezer.stop()
 
-    def _recover(self) -> None:
-        """All capacity comes back once faults end and work is done."""
-        self.wake()
-        self.heal()
-        for ref in self.killed:
-            self.cluster.gone(ref)
-        for _ in range(100):
-            self.dispatch()
-            for node, permit in list(self.running):
-                if permit.permit_id in node.answers or node.is_dead:
-                    self.running.remove((node, permit))
-                    if not node.is_dead:
-                        self.cluster.finish(node, permit)
-            self.cluster.settle(self.clock, 1)
-            if not self.undispatched and not self.running:
-                break
-        for engine in self.cluster.engines.values():
-            engine.running.clear()
-        self.cluster.settle(self.clock, 4)
-        self._assert_whole()
-
-    def _assert_whole(self) -> None:
-        if all(m.leaving for m in self.cluster.roster.members.values()):
-            return
-        for name, engine in self.cluster.engines.items():
-            statuses: list[Any] = [
-                status
-                for node in self.cluster.live()
-                for status in node.node.status().servers
-                if status.backend_server == name
-            ]
-            lots = [lot for status in statuses for lot in status.lots]
-            cold = engine.rule.cold_limit
-            assert sum(s.share for s in statuses) >= cold, statuses
-            left = [
-                permit
-                for node in self.cluster.live()
-                if name in node.node.keepers
-                for permit in node.node.keepers[name].share.held()
-            ]
-            assert not left, left
-            assert not any(lot.unaccounted for lot in lots), lots
-
 
 def run(policies: Policies, examples: int) -> None:
     machine = type("Machine", (Machine,), {"policies": policies})
