Account for refusals, explain requests and end a node whose thread died

The refusal book, its roll-ups and reports are wired, and explain shows what was decided about a request: dispatch, permit, rules offset, refusal.

Cause of a hang seen in the relay measurement: a change had registered a caller's socket twice, the relay thread died of it, and 200 callers waited for good. Ruled out: the engine (it had sent all tokens). Besides the mistake itself, a dead thread or actor now ends the process (exit 70), so that callers resume elsewhere instead of waiting.

The relay touches the selector only on changes and encodes a token with one template a stream.

--- a/src/savorylift/cli.py
+++ b/src/savorylift/cli.py
@@ -10,6 +10,8 @@
 from savorylift import operations
 from savorylift.daemon import run_node
 from savorylift.operations import Target
+from savorylift.refusals.formats import Format
+from savorylift.refusals.request import ReportRequest
 
 SettingsPath = Annotated[
     str,
@@ -185,12 +187,54 @@
         return operations.status(self.settings, is_full=self.full)
 
 
+@cappa.command(name="refusals")
+@dataclass
+class RefusalsCommand:
+    """Show who was turned away in a period, and why."""
+
+    settings: SettingsPath
+    start: Annotated[
+        str, cappa.Arg(long="--from", help="Time, or an age such as 12h.")
+    ]
+    end: Annotated[
+        str, cappa.Arg(long="--to", help="Time or age; now if not given.")
+    ] = ""
+    team: Annotated[str, cappa.Arg(long="--team", help="One team only.")] = ""
+    fmt: Annotated[
+        str, cappa.Arg(long="--format", help="table, json or csv.")
+    ] = Format.TABLE.value
+
+    def run(self) -> int:
+        """Prints the account."""
+        wanted = ReportRequest(self.start, self.end, self.team, self.fmt)
+        return operations.refusals(self.settings, wanted)
+
+
+@cappa.command(name="explain")
+@dataclass
+class ExplainCommand:
+    """Show what was decided about a request, where and by which rule."""
+
+    request_id: str
+    settings: SettingsPath
+
+    def run(self) -> int:
+        """Prints one line a decision."""
+        return operations.explain(self.settings, self.request_id)
+
+
 @dataclass
 class Savorylift:
     """Serves generations of unknown length on crowded engines."""
 
     command: cappa.Subcommands[
-        NodeCommand | RulesCommand | DomainCommand | VmCommand | StatusCommand
+        NodeCommand
+        | RulesCommand
+        | DomainCommand
+        | VmCommand
+        | StatusCommand
+        | RefusalsCommand
+        | ExplainCommand
     ]
 
 
--- a/src/savorylift/daemon.py
+++ b/src/savorylift/daemon.py
@@ -1,7 +1,10 @@
 """Runs one node as a process until it is told to end."""
 
+import logging
+import os
 import signal
 import sys
+import threading
 from types import FrameType
 
 import structlog
@@ -13,6 +16,7 @@
 
 EXIT_FAILED = 1
 EXIT_BAD_SETTINGS = 2
+EXIT_BROKEN = 70
 
 log = structlog.get_logger()
 
@@ -36,6 +40,7 @@
     except OSError as exc:
         print(f"{settings_path}: tls: {exc}", file=sys.stderr)
         return EXIT_BAD_SETTINGS
+    _end_on_broken_invariants()
     started = node.start()
     if isinstance(started, Failure):
         print(f"{settings_path}: {started.failure()}", file=sys.stderr)
@@ -47,6 +52,31 @@
     return 0
 
 
+def _end_on_broken_invariants() -> None:
+    """Ends the process when a thread or actor dies of an exception.
+
+    A node that lost one of them would hold its callers without an answer;
+    once it is gone they resume elsewhere.
+    """
+    threading.excepthook = lambda args: _end_process(args.exc_value)
+    logging.getLogger("pykka").addHandler(_ActorDeaths(logging.ERROR))
+
+
+class _ActorDeaths(logging.Handler):
+    """Ends the process on an actor's unhandled exception."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Takes what pykka reports of an actor that has died."""
+        if record.exc_info:
+            _end_process(record.exc_info[1])
+
+
+def _end_process(exc: BaseException | None) -> None:
+    log.critical("broken invariant", exc_info=exc)
+    sys.stderr.flush()
+    os._exit(EXIT_BROKEN)
+
+
 class _Signals:
     """The first signal drains; a further one ends at once if allowed."""
 
--- a/src/savorylift/entry/caller_face.py
+++ b/src/savorylift/entry/caller_face.py
@@ -33,6 +33,7 @@
 from savorylift.peers.view import RosterSource
 from savorylift.refusals.book import RefusalBook, RefusedRequest
 from savorylift.rules.view import RulesSource
+from savorylift.trail import Trail
 
 ENTRY_PATH = "/v1/entry"
 COMPLETIONS_PATH = "/v1/completions"
@@ -58,6 +59,7 @@
         max_in_flight: Requests served at once, the rest being refused.
         request_timeout_s: Deadline of a request that names none.
         entry_ttl_s: How long callers keep an answer about entries.
+        trail: Keeps decisions for operators.
     """
 
     state: NodeState
@@ -70,6 +72,7 @@
     max_in_flight: int
     request_timeout_s: float
     entry_ttl_s: float
+    trail: Trail
 
 
 Serve = Callable[[Exchange, RequestHead], Result[None, Refusal]]
@@ -210,6 +213,12 @@
         if isinstance(answer, Failure):
             return answer
         got = answer.unwrap()
+        self._parts.trail.note(
+            head.request_id,
+            "answered",
+            self._parts.rules.current().offset,
+            got.backend_server,
+        )
         kind = "application/octet-stream"
         kept = []
         for name, value in got.headers:
@@ -249,13 +258,20 @@
         if refusal.reason is Reason.CALLER_GONE:
             exchange.note_streamed()
             return  # nobody was refused anything
+        rules_offset = self._parts.rules.current().offset
+        self._parts.trail.note(
+            request_id,
+            refusal.reason.value,
+            rules_offset,
+            detail=refusal.message,
+        )
         self._parts.refusals.write(
             RefusedRequest(
                 request_id=request_id,
                 team=team,
                 time_ms=int(time.time() * 1000),
                 refusal=refusal,
-                rules_offset=self._parts.rules.current().offset,
+                rules_offset=rules_offset,
                 backend_server="",
             )
         )
--- a/src/savorylift/node.py
+++ b/src/savorylift/node.py
@@ -31,13 +31,16 @@
 from savorylift.peers.view import RosterSource
 from savorylift.peers.watcher import WatcherOptions
 from savorylift.permits.keeper_gate import KeeperGate
-from savorylift.permits.load import LoadWatch
+from savorylift.permits.load import LoadPoller
 from savorylift.permits.tally import Tally
 from savorylift.platform.counters import PlatformCounters
 from savorylift.platform.json_client import ClientConfig
 from savorylift.platform.log_client import HttpLog
 from savorylift.platform.vm_client import HttpVmList
-from savorylift.refusals.book import RefusedRequest
+from savorylift.refusals.desk import RefusalDesk
+from savorylift.refusals.request import answer as answer_report
+from savorylift.refusals.roll_up import RollUpCfg
+from savorylift.refusals.roller import RollUpThread
 from savorylift.restrictions import Restrictions
 from savorylift.rules.node import NodeConfig
 from savorylift.rules.service import RulesOptions, RulesParts, RulesService
@@ -48,6 +51,7 @@
 from savorylift.streams.parts import GenerationParts
 from savorylift.streams.placement import LeastLoadedPlacement
 from savorylift.streams.relay import Relay
+from savorylift.trail import Trail
 
 ROSTER_FOLD = "roster"
 JOIN_TIMEOUT_S = 2.0
@@ -81,6 +85,7 @@
         self._cfg = cfg
         self.ref = NodeRef(cfg.vm, new_incarnation())
         self._views = _Views(RulesSource(), RosterSource(), NodeState())
+        self._trail = Trail()
         self._stopping = threading.Event()
         self._build_platform()
         self._build_agreement()
@@ -169,8 +174,12 @@
         self._restrictions = Restrictions(
             rules, lambda vm: self._peers.view().marks.is_leaving(vm)
         )
-        self._load_watch = LoadWatch(
-            self._gate, rules, lambda vm: self._mark_leaving(vm, None)
+        # A report names the engine's incarnation, the list that of the VM.
+        self._load_poller = LoadPoller(
+            rules,
+            self._gate.kept_servers,
+            self._gate.load,
+            lambda vm, _: self._mark_leaving(vm, None),
         )
         self._relay = Relay()
         self._cleaner = Cleaner(self._gate, rules, control)
@@ -187,11 +196,17 @@
             mark_leaving=self._mark_leaving,
             ticket_keys=cfg.ticket_keys,
             timing=cfg.timing,
+            trail=self._trail,
         )
         self._desk = ClaimDesk(
             DeskParts(self.ref, self._log, self._link, self._views.roster)
         )
-        self._refusals = _LoggedRefusals()
+        self._refusals = RefusalDesk(
+            self.ref, self._log, self._link, self._views.roster
+        )
+        self._roll_up = RollUpThread(
+            self.ref, self._log, self._views.roster, RollUpCfg()
+        )
         self._calls = CallService(
             CallParts(
                 rules=rules,
@@ -201,6 +216,7 @@
                 is_open=self._restrictions.is_open,
                 may_dispatch=self._peers.guard.may_dispatch,
                 budget=RetryBudget(),
+                mark_leaving=lambda vm, _: self._mark_leaving(vm, None),
             )
         )
 
@@ -222,6 +238,7 @@
                 max_in_flight=bounds.caller_threads,
                 request_timeout_s=cfg.timing.request_timeout_s,
                 entry_ttl_s=cfg.timing.entry_ttl_s,
+                trail=self._trail,
             )
         )
         operators = OperatorFace(
@@ -230,6 +247,8 @@
                 status=self.status,
                 submit_order=self.rules_service.submit,
                 order_state=self.rules_service.order_state,
+                report=lambda wanted: answer_report(self._log, wanted),
+                trail=self._trail,
                 keys=cfg.operator_keys,
             )
         )
@@ -273,8 +292,10 @@
         self._cleaner.start()
         self.rules_service.start()
         self._peers.start()
-        self._load_watch.start()
+        self._load_poller.start()
         self._desk.start()
+        self._refusals.start()
+        self._roll_up.start()
         IN_FLIGHT.set_function(self._views.state.in_flight)
         log.info("started", incarnation=self.ref.incarnation)
         return Success(None)
@@ -310,6 +331,7 @@
         log.info("drained", whole=is_idle)
         _wait_for(lambda: self._cleaner.pending() == 0, FLUSH_TIMEOUT_S)
         self._desk.flush(FLUSH_TIMEOUT_S)
+        self._refusals.flush(FLUSH_TIMEOUT_S)
         _wait_for(lambda: not self._gate.kept_servers(), SHARES_TIMEOUT_S)
         self._membership.end_leave(JOIN_TIMEOUT_S)
 
@@ -319,8 +341,10 @@
         self._relay.stop()
         self._callers.stop()
         self._cleaner.stop()
+        self._roll_up.stop()
+        self._refusals.stop()
         self._desk.stop()
-        self._load_watch.stop()
+        self._load_poller.stop()
         self._gate.stop()
         self._peers.stop()
         self.rules_service.stop()
@@ -426,13 +450,6 @@
         return cancelled.map(lambda _: None)
 
 
-class _LoggedRefusals:
-    """Writes refusals to the structured log."""
-
-    def write(self, refused: RefusedRequest) -> None:
-        log.info("refusal kept", reason=refused.refusal.reason.value)
-
-
 def _wait_for(condition: Callable[[], bool], timeout_s: float) -> bool:
     deadline_s = time.monotonic() + timeout_s
     while not condition():
--- a/src/savorylift/streams/caller_socket.py
+++ b/src/savorylift/streams/caller_socket.py
@@ -45,22 +45,31 @@
         return len(self._unsent) > self._bound
 
     def write(self, data: bytes) -> None:
-        """Queues bytes and sends what the connection takes now."""
-        self._unsent += data
-        self.flush()
+        """Sends what the connection takes now and queues the rest."""
+        if self._unsent:
+            self._unsent += data
+            self.flush()
+        elif not self.is_lost:
+            self._unsent += data[self._send(data) :]
 
     def flush(self) -> None:
         """Sends queued bytes until done or the connection is full."""
         while self._unsent and not self.is_lost:
-            try:
-                sent = self._sock.send(self._unsent)
-            except NOT_NOW:
-                return
-            except OSError:
-                self.is_lost = True
+            sent = self._send(self._unsent)
+            if sent == 0:
                 return
             del self._unsent[:sent]
 
+    def _send(self, data: bytes | bytearray) -> int:
+        """Returns how many bytes the connection took."""
+        try:
+            return self._sock.send(data)
+        except NOT_NOW:
+            return 0
+        except OSError:
+            self.is_lost = True
+            return 0
+
     def check_gone(self) -> None:
         """Notes whether the caller has closed its side.
 
--- a/src/savorylift/streams/generation.py
+++ b/src/savorylift/streams/generation.py
@@ -194,6 +194,13 @@
             keeper=permit.keeper.vm,
             rules_offset=self._parts.rules.current().offset,
         )
+        self._parts.trail.note(
+            self._req.request_id,
+            "dispatched",
+            self._parts.rules.current().offset,
+            server.name,
+            permit.keeper.vm,
+        )
         reserve = _GrowingReserve(self._parts, self._req)
         return Success(_Placed(attempt, opened.unwrap(), reserve))
 
--- a/src/savorylift/streams/parts.py
+++ b/src/savorylift/streams/parts.py
@@ -15,6 +15,7 @@
 from savorylift.streams.cleaner import Cleaner
 from savorylift.streams.placement import Placement
 from savorylift.streams.relay import Relay
+from savorylift.trail import Trail
 
 
 class GenerationParts(NamedTuple):
@@ -33,6 +34,7 @@
         mark_leaving: Notes that a backend server says it is leaving.
         ticket_keys: Keys that sign resume tickets.
         timing: Durations.
+        trail: Keeps decisions for operators.
     """
 
     ref: NodeRef
@@ -47,3 +49,4 @@
     mark_leaving: Callable[[str, str | None], None]
     ticket_keys: tuple[Key, ...]
     timing: Timing
+    trail: Trail
--- a/src/savorylift/streams/relay.py
+++ b/src/savorylift/streams/relay.py
@@ -75,6 +75,7 @@
         self.last_event_s = self.started_s
         self.first_event_s: float | None = None
         self.end: RelayEnd | None = None
+        self.watched_events = 0  # what the selector watches the caller for
         self._done = threading.Event()
         self._first = threading.Event()
 
@@ -185,7 +186,7 @@
             job = self._added.popleft()
             self._jobs.add(job)
             self._selector.register(job.source, selectors.EVENT_READ, job)
-            self._selector.register(job.sink.caller, selectors.EVENT_READ, job)
+            self._watch_caller(job)
             self._take(job, *job.source.buffered())
 
     def _read_source(self, job: RelayJob) -> None:
@@ -247,14 +248,13 @@
         wanted = selectors.EVENT_READ if caller.is_read_watched else 0
         if caller.has_unsent():
             wanted |= selectors.EVENT_WRITE
-        registered = self._selector.get_map().get(caller)
-        if wanted == 0:
-            if registered is not None:
-                self._selector.unregister(caller)
-        elif registered is None:
+        if wanted == job.watched_events:
+            return
+        if job.watched_events:
+            self._selector.unregister(caller)
+        if wanted:
             self._selector.register(caller, wanted, job)
-        elif registered.events != wanted:
-            self._selector.modify(caller, wanted, job)
+        job.watched_events = wanted
 
     def _sweep(self) -> None:
         now_s = time.monotonic()
@@ -266,7 +266,8 @@
     def _finish(self, job: RelayJob, end: RelayEnd) -> None:
         self._jobs.discard(job)
         self._selector.unregister(job.source)
-        if job.sink.caller in self._selector.get_map():
+        if job.watched_events:
             self._selector.unregister(job.sink.caller)
+            job.watched_events = 0
         job.source.close()
         job.finish(end)
--- a/src/savorylift/streams/sink.py
+++ b/src/savorylift/streams/sink.py
@@ -1,9 +1,10 @@
 """Where a generation's tokens go: a live stream or a whole answer."""
 
-import json
 from collections.abc import Sequence
 from typing import Protocol
 
+import msgspec
+
 from savorylift.streams.caller_socket import CallerSocket
 from savorylift.streams.events import TokenEvent
 
@@ -13,6 +14,11 @@
     b"Cache-Control: no-store\r\n"
     b"Connection: close\r\n"
 )
+# One template a stream, since this runs for every token.
+TOKEN_FIELDS = (
+    b', "token_index": %d, "choices": '
+    b'[{"index": 0, "text": %b, "finish_reason": %b}]'
+)
 
 
 class Sink(Protocol):
@@ -73,7 +79,8 @@
             "object": "text_completion",
             "model": self._model,
         }
-        self._common = json.dumps(common)[:-1].encode()
+        self._common = msgspec.json.encode(common)[:-1]
+        self._token_form = self._event(TOKEN_FIELDS, escape=True)
 
     def is_started(self) -> bool:
         """Returns True once the response head was sent."""
@@ -112,27 +119,24 @@
         """
         self.caller.write(b"event: error\ndata: " + body + b"\n\n")
 
-    def _event(self, fields: bytes) -> bytes:
-        return b"data: " + self._common + fields + b"}\n\n"
+    def _event(self, fields: bytes, *, escape: bool = False) -> bytes:
+        common = self._common.replace(b"%", b"%%") if escape else self._common
+        return b"data: " + common + fields + b"}\n\n"
 
     def _ticket_event(self) -> bytes:
         if self._pending_ticket is None:
             return b""
-        ticket = json.dumps(self._pending_ticket).encode()
+        ticket = msgspec.json.encode(self._pending_ticket)
         self._pending_ticket = None
         return self._event(b', "choices": [], "resume_ticket": ' + ticket)
 
     def _token_event(self, event: TokenEvent) -> bytes:
-        text = json.dumps(event.token)
-        finish = json.dumps(event.finish_reason)
-        fields = (
-            f', "token_index": {event.token_index}, "choices": [{{"index": 0, '
-            f'"text": {text}, "finish_reason": {finish}}}]'
-        )
-        data = self._event(fields.encode())
-        if event.finish_reason is not None:
-            data += b"data: [DONE]\n\n"
-        return data
+        text = msgspec.json.encode(event.token)
+        if event.finish_reason is None:
+            return self._token_form % (event.token_index, text, b"null")
+        reason = msgspec.json.encode(event.finish_reason)
+        last = self._token_form % (event.token_index, text, reason)
+        return last + b"data: [DONE]\n\n"
 
 
 class WholeSink:
--- a/tests/entry/faces.py
+++ b/tests/entry/faces.py
@@ -17,6 +17,7 @@
 from savorylift.peers.view import RosterSource
 from savorylift.refusals.book import RefusedRequest
 from savorylift.rules.view import RulesSource, RulesView, Team
+from savorylift.trail import Trail
 from tests.harness.ports import free_addresses
 from tests.streams.fakes import MODEL, SOURCE, Bench
 
@@ -82,6 +83,7 @@
                 max_in_flight=max_in_flight,
                 request_timeout_s=5.0,
                 entry_ttl_s=1.0,
+                trail=Trail(),
             )
         )
         (self.address,) = free_addresses(1)
--- a/tests/streams/fakes.py
+++ b/tests/streams/fakes.py
@@ -35,6 +35,7 @@
 )
 from savorylift.streams.relay import Relay
 from savorylift.streams.sink import StreamSink
+from savorylift.trail import Trail
 
 SOURCE = RuleSource(1, "rule", "desk")
 OWN = NodeRef("entry-1", "i1")
@@ -119,6 +120,7 @@
             mark_leaving=lambda vm, _: self.leaving.add(vm),
             ticket_keys=KEYS,
             timing=TIMING,
+            trail=Trail(),
         )
 
     def __enter__(self) -> "Bench":
