--- a/bench/policy_engine.py
+++ b/bench/policy_engine.py
@@ -81,6 +81,8 @@
         self._at_s = 0.0
         self._used = 0.0
         self._completed = 0
+        # Constant until the batch changes, since it advances at one rate.
+        self._event: tuple[float, Callable[[], None]] | None = None
 
     @property
     def is_cold(self) -> bool:
@@ -111,6 +113,7 @@
     def cancel(self, stream: Stream) -> None:
         """Stops a generation."""
         self.run()
+        self._event = None
         stream.is_over = True
         if stream in self._batch:
             self._leave(stream)
@@ -136,11 +139,17 @@
         while (event := self._next_event())[0] <= now_s:
             event_s, apply = event
             self._advance(event_s)
+            self._event = None
             apply()
             self._start_prefill()
         self._advance(now_s)
 
     def _next_event(self) -> tuple[float, Callable[[], None]]:
+        if self._event is None:
+            self._event = self._find_event()
+        return self._event
+
+    def _find_event(self) -> tuple[float, Callable[[], None]]:
         end_s, overflow_s = self._end_s(), self._overflow_s()
         if self._prefill_end_s <= min(end_s, overflow_s):
             return self._prefill_end_s, self._join
@@ -188,6 +197,7 @@
         if self._batch and self._used + need >= self._kv_tokens * 0.99:
             return
         self._waiting.popleft()
+        self._event = None
         self._prefill = stream
         self._used += need
         if self._is_cached(stream.prefix):
--- a/bench/policy_load.py
+++ b/bench/policy_load.py
@@ -1,5 +1,6 @@
 """Deployments and their requests, drawn from a seed."""
 
+import functools
 import math
 import random
 from collections.abc import Sequence
@@ -116,7 +117,7 @@
     share = (RUN_S - WARM_UP_S) / (
         calm + deployment.burst * (BURST_TO_S - BURST_FROM_S)
     )
-    rate = load * capacity(deployment) * share
+    rate = load * capacity(deployment.name) * share
     found: list[Arrival] = []
     at_s = 0.0
     while True:
@@ -126,13 +127,14 @@
         found.append(_draw(deployment, at_s, rng))
 
 
-def capacity(deployment: Deployment) -> float:
-    """Returns the requests a second that fill every engine's memory.
+@functools.cache
+def capacity(name: str) -> float:
+    """Returns a deployment's requests a second with every memory full.
 
     It is that of warm engines without a waste of memory: the batch whose
     expected memory is all there is, at its interval between tokens.
     """
-    rng = random.Random(deployment.name)
+    deployment, rng = DEPLOYMENTS[name], random.Random(name)
     drawn = [_draw(deployment, 0.0, rng) for _ in range(20_000)]
     length = math.fsum(d.length for d in drawn) / len(drawn)
     prompt = math.fsum(d.prompt for d in drawn) / len(drawn)
--- a/src/savorylift/streams/lengths.py
+++ b/src/savorylift/streams/lengths.py
@@ -6,17 +6,19 @@
 """
 
 import math
+import operator
 import threading
 from array import array
 from bisect import bisect_right
 from collections import OrderedDict
 from collections.abc import Sequence
-from itertools import accumulate
+from itertools import accumulate, pairwise
 from typing import NamedTuple
 
 BINS = 48
 BINS_PER_DOUBLING = 3
 EDGES = [0.0] + [2 ** (i / BINS_PER_DOUBLING) for i in range(1, BINS + 1)]
+MIDDLES = [(low + high) / 2 for low, high in pairwise(EDGES)]
 MAX_COUNT = 1024  # halved there
 TEAM_PRIOR_WEIGHT = 12.0  # observations that the model's lengths count for
 MODEL_PRIOR_WEIGHT = 12.0
@@ -158,9 +160,9 @@
     total = weights[first] * _share_above(first, produced)
     low = max(float(produced), EDGES[first])
     weighted = total * (low + max(low, EDGES[first + 1])) / 2
-    for index in range(first + 1, BINS):
-        total += weights[index]
-        weighted += weights[index] * (EDGES[index] + EDGES[index + 1]) / 2
+    above = weights[first + 1 :]
+    total += sum(above)
+    weighted += sum(map(operator.mul, above, MIDDLES[first + 1 :]))
     return weighted / total if total > 0 else 2.0 * max(1, produced)
 
 
--- a/src/savorylift/streams/memory_placement.py
+++ b/src/savorylift/streams/memory_placement.py
@@ -1,10 +1,13 @@
 """Placement by expected memory, with lengths learned per team and model."""
 
+import math
 import zlib
+from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
+from typing import NamedTuple
 
 from savorylift.permits.gate import BackendHint
-from savorylift.rules.view import BackendServer, RulesSource
+from savorylift.rules.view import BackendServer, RulesSource, RulesView
 from savorylift.streams.lengths import Lengths
 from savorylift.streams.pace import Pace
 from savorylift.streams.placement import GenerationRequest, prompt_tokens
@@ -12,12 +15,13 @@
 from savorylift.streams.prefixes import CacheEvent, Prefixes, prefix_hash
 from savorylift.streams.reserve import Headroom
 
+CHOICES = 3  # engines drawn for a request; nodes ask so many at most
 BAND = 1 / 16  # share of an engine's memory within which prefixes decide
 START_LEVEL = 0.35  # quantile of the length that must fit before the deadline
 
 
 class MemoryPlacement:
-    """Orders engines by free memory and reserves a quantile of the length.
+    """Orders engines by free memory and reserves by expected lengths.
 
     Any number of threads may call it; it asks no actor.
     """
@@ -28,6 +32,8 @@
         self._lengths = Lengths()
         self._pace = Pace()
         self._prefixes = Prefixes()
+        self._missing: dict[str, float] = {}
+        self._last_known = _read(rules.current())
         self._headrooms: dict[str, Headroom] = {}
 
     def order(
@@ -36,37 +42,39 @@
         servers: Sequence[BackendServer],
         hints: Mapping[str, BackendHint],
     ) -> tuple[str, ...]:
-        """Returns engines with room first, then by free memory in bands.
+        """Returns the names of `servers`, best first.
 
-        Within a band, one that probably caches the prompt's prefix goes
-        first. The tie between equals is broken by the request's identifier.
+        Engines with room for the reserve go before those without. Hints
+        are old, so that nodes which all took the engine that looks best
+        would overload it together: of equal engines, those drawn go first.
+        Among these, more free memory, counted in bands, goes first, and
+        within a band one that probably caches the prompt's prefix.
         """
         tokens = self.reserve(req, 0)
+        self._note_open(req.model.name, servers)
         hash_ = prefix_hash(req.model.name, req.prompt)
-
-        def key(server: BackendServer) -> tuple[bool, int, int, bool, int]:
-            hint = hints.get(server.name)
-            cached = self._prefixes.is_cached(server.name, hash_)
-            tie = zlib.crc32(f"{req.request_id}{server.name}".encode())
-            if hint is None:
-                return False, 0, -round(1 / BAND), not cached, tie
-            fits = hint.free_slots >= 1 and hint.free_tokens >= tokens
-            band = max(1.0, server.kv_tokens * BAND)
-            free = int(hint.free_tokens / band)
-            return not fits, hint.waiting, -free, not cached, tie
-
-        return tuple(server.name for server in sorted(servers, key=key))
+        drawn = sorted(servers, key=lambda server: _draw(req, server))
+        ranks = {}
+        for number, server in enumerate(drawn):
+            ranks[server.name] = _rank(
+                server,
+                hints.get(server.name),
+                tokens,
+                is_spare=number >= CHOICES,
+                is_cached=self._prefixes.is_cached(server.name, hash_),
+            )
+        return tuple(sorted(ranks, key=lambda name: ranks[name]))
 
     def reserve(self, req: GenerationRequest, produced: int) -> int:
-        """Returns prompt and a quantile of the length given `produced`."""
-        cfg = self._settings()
+        """Returns prompt, `produced` and a share of the expected rest."""
         if produced > 0:
             self._pace.note_progress(req.request_id, produced)
-        level = self._headroom(req.model.name).level(cfg)
-        length = self._lengths.quantile(
-            req.team.name, req.model.name, level, produced
-        )
-        bounded = max(produced, min(req.max_tokens, round(length)))
+        model = req.model.name
+        missing = self._missing.get(model, 0.0)
+        share = self._headroom(model).share(self._known().cfg, missing)
+        mean = self._lengths.mean(req.team.name, model, produced)
+        length = produced + share * (mean - produced)
+        bounded = max(produced, min(req.max_tokens, math.ceil(length)))
         return prompt_tokens(req.prompt) + bounded
 
     def note_finished(self, req: GenerationRequest, produced: int) -> None:
@@ -101,9 +109,13 @@
             return
         model = servers[server].model
         if model is not None:
-            engines = sum(1 for rule in servers.values() if rule.model == model)
-            headroom = self._headroom(model)
-            headroom.note_preemptions(count / engines, self._settings())
+            known = self._known()
+            rate = count / known.engines[model]
+            self._headroom(model).note_preemptions(rate, known.cfg)
+
+    def _note_open(self, model: str, servers: Sequence[BackendServer]) -> None:
+        engines = self._known().engines[model]
+        self._missing[model] = 1.0 - len(servers) / max(1, engines)
 
     def _headroom(self, model: str) -> Headroom:
         headroom = self._headrooms.get(model)
@@ -111,5 +123,51 @@
             headroom = self._headrooms.setdefault(model, Headroom())
         return headroom
 
-    def _settings(self) -> PolicySettings:
-        return read_settings(self._rules.current())
+    def _known(self) -> "_Known":
+        rules = self._rules.current()
+        if rules is not self._last_known.rules:
+            self._last_known = _read(rules)
+        return self._last_known
+
+
+class _Known(NamedTuple):
+    """What one version of the rules says, in the form used here."""
+
+    rules: RulesView
+    cfg: PolicySettings
+    engines: Mapping[str | None, int]
+
+
+def _read(rules: RulesView) -> _Known:
+    servers = rules.backend_servers.values()
+    engines = Counter(server.model for server in servers)
+    return _Known(rules, read_settings(rules), engines)
+
+
+class _Rank(NamedTuple):
+    """Sorts the engines that a request may go to; least first."""
+
+    lacks_room: bool
+    is_spare: bool
+    waiting: int
+    used_bands: int
+    is_uncached: bool
+
+
+def _rank(
+    server: BackendServer,
+    hint: BackendHint | None,
+    tokens: int,
+    *,
+    is_spare: bool,
+    is_cached: bool,
+) -> _Rank:
+    if hint is None:
+        return _Rank(False, is_spare, 0, -round(1 / BAND), not is_cached)
+    has_room = hint.free_slots >= 1 and hint.free_tokens >= tokens
+    bands = int(hint.free_tokens / max(1, server.kv_tokens) / BAND)
+    return _Rank(not has_room, is_spare, hint.waiting, -bands, not is_cached)
+
+
+def _draw(req: GenerationRequest, server: BackendServer) -> int:
+    return zlib.crc32(f"{req.request_id}{server.name}".encode())
--- a/src/savorylift/streams/reserve.py
+++ b/src/savorylift/streams/reserve.py
@@ -6,45 +6,53 @@
 
 from savorylift.streams.policy_settings import PolicySettings
 
-BASE_LEVEL = 0.28
-MIN_LEVEL = 0.1
-MAX_LEVEL = 0.95
+BASE_SHARE = 0.4
+SHARE_PER_WEIGHT = 0.03
+MISSING_SHARE = 0.3  # more while engines are out
+MIN_SHARE = 0.1
+MAX_SHARE = 1.0  # above it a reserve could fall as an output grows
 PREEMPTION_STEP = 0.012
-DECAY_S = 60.0  # time constant of the return to the base level
+DECAY_S = 60.0  # time constant of the return to the base
 
 
 class Headroom:
-    """Quantile level of the reserve of one model, for any thread.
+    """Share of the expected rest of outputs to reserve, of one model.
 
-    It rises with each preemption that engines report and returns to the base
-    level while there are none.
+    It rises with each preemption that engines report and returns to its base
+    while there are none. Any number of threads may call it.
     """
 
     def __init__(self) -> None:
-        """Starts at the base level."""
+        """Starts at the base."""
         self._lock = threading.Lock()
         self._raised = 0.0
         self._noted_s = time.monotonic()
 
     def note_preemptions(self, rate: float, cfg: PolicySettings) -> None:
-        """Raises the level for `rate` preemptions per engine seen now."""
+        """Raises the share for `rate` preemptions per engine seen now."""
         with self._lock:
             raised = self._decayed()
             step = PREEMPTION_STEP * cfg.preemption_weight
-            self._raised = min(MAX_LEVEL - MIN_LEVEL, raised + step * rate)
+            self._raised = min(MAX_SHARE - MIN_SHARE, raised + step * rate)
             self._noted_s = time.monotonic()
 
-    def level(self, cfg: PolicySettings) -> float:
-        """Returns the quantile level to reserve at."""
-        base = base_level(cfg)
-        return min(MAX_LEVEL, base + self._decayed())
+    def share(self, cfg: PolicySettings, missing: float) -> float:
+        """Returns the share to reserve.
+
+        Args:
+            cfg: Weights in force.
+            missing: Share of the model's engines that take no new work.
+        """
+        return min(MAX_SHARE, base_share(cfg, missing) + self._decayed())
 
     def _decayed(self) -> float:
         age_s = max(0.0, time.monotonic() - self._noted_s)
         return self._raised * math.exp(-age_s / DECAY_S)
 
 
-def base_level(cfg: PolicySettings) -> float:
-    """Returns the level without preemptions; stalls weighed more raise it."""
-    level = BASE_LEVEL + 0.05 * (cfg.stall_weight - 1.0)
-    return min(MAX_LEVEL, max(MIN_LEVEL, level))
+def base_share(cfg: PolicySettings, missing: float) -> float:
+    """Returns the share without preemptions; see `Headroom.share`."""
+    weights = cfg.stall_weight + cfg.preemption_weight + cfg.token_tail_weight
+    share = BASE_SHARE + SHARE_PER_WEIGHT * (weights - 3.0)
+    share += MISSING_SHARE * missing * cfg.domain_change_weight
+    return min(MAX_SHARE, max(MIN_SHARE, share))
