--- a/src/savorylift/streams/lengths.py
+++ b/src/savorylift/streams/lengths.py
@@ -9,7 +9,7 @@
 import operator
 import threading
 from array import array
-from bisect import bisect_right
+from bisect import bisect_left, bisect_right
 from collections import OrderedDict
 from collections.abc import Sequence
 from itertools import accumulate, pairwise
@@ -25,6 +25,7 @@
 PRIOR_FROM_TOKENS = 16
 PRIOR_TO_TOKENS = 1024
 MAX_SKETCHES = 8192
+LEAST_LEVEL = 1e-9
 
 
 class Sketch:
@@ -143,14 +144,12 @@
     sums = list(accumulate(masses))
     if sums[-1] <= 0:
         return 2.0 * max(1, produced)
-    wanted = level * sums[-1]
-    offset = bisect_right(sums, wanted)
-    if offset >= len(sums):
-        offset = len(sums) - 1
+    wanted = max(level, LEAST_LEVEL) * sums[-1]
+    offset = bisect_left(sums, wanted)  # its mass is not zero
     index = first + offset
     low = max(float(produced), EDGES[index])
     before = sums[offset] - masses[offset]
-    part = (wanted - before) / masses[offset] if masses[offset] > 0 else 1.0
+    part = (wanted - before) / masses[offset]
     return low + min(1.0, part) * max(0.0, EDGES[index + 1] - low)
 
 
--- /dev/null
+++ b/tests/streams/test_reserve.py
@@ -0,0 +1,49 @@
+"""Share of the expected rest that is reserved."""
+
+import freezegun
+import pytest
+
+from savorylift.streams.policy_settings import PolicySettings
+from savorylift.streams.reserve import MAX_SHARE, Headroom
+
+PLAIN = PolicySettings()
+
+
+def share_after(
+    rates: list[float], cfg: PolicySettings = PLAIN, missing: float = 0.0
+) -> float:
+    headroom = Headroom()
+    for rate in rates:
+        headroom.note_preemptions(rate, cfg)
+    return headroom.share(cfg, missing)
+
+
+@pytest.mark.parametrize(
+    "more",
+    [
+        share_after([1.0]),
+        share_after([], missing=0.4),
+        share_after([], PLAIN._replace(stall_weight=2.0)),
+        share_after([], PLAIN._replace(token_tail_weight=2.0)),
+        share_after([], PLAIN._replace(preemption_weight=2.0)),
+    ],
+)
+def test_what_calls_for_memory_raises_the_share(more: float) -> None:
+    assert share_after([]) < more <= MAX_SHARE
+
+
+def test_weights_scale_what_they_weigh() -> None:
+    heavy = PLAIN._replace(preemption_weight=3.0, domain_change_weight=3.0)
+    for rates, missing in (([1.0], 0.0), ([], 0.2)):
+        light = share_after(rates, PLAIN, missing) - share_after([])
+        rise = share_after(rates, heavy, missing) - share_after([], heavy)
+        assert rise == pytest.approx(3 * light, rel=0.01)
+
+
+def test_share_returns_to_its_base_and_stays_bounded() -> None:
+    with freezegun.freeze_time() as clock:
+        headroom = Headroom()
+        headroom.note_preemptions(1e6, PLAIN)
+        assert headroom.share(PLAIN, 0.0) == MAX_SHARE
+        clock.tick(3600)
+        assert headroom.share(PLAIN, 0.0) == pytest.approx(share_after([]))
