--- a/src/savorylift/permits/actor.py
+++ b/src/savorylift/permits/actor.py
@@ -72,11 +72,9 @@
 
 
 class TakeOver(NamedTuple):
-    """Moves a lost node's permit here; `fut` gets the one answer."""
+    """Makes this node the holder of a permit."""
 
     permit: Permit
-    lost_holder: NodeRef
-    fut: "Future[Answer]"
 
 
 class Loaded(NamedTuple):
@@ -158,9 +156,8 @@
                 node.holder.started(
                     permit, incarnation, first_token_s, is_cold=is_cold
                 )
-            case TakeOver(permit, lost_holder, fut):
-                self._answers[permit.permit_id] = fut
-                node.holder.take_over(permit, lost_holder)
+            case TakeOver(permit):
+                node.holder.take_over(permit)
             case Loaded(backend_server, report):
                 node.load(backend_server, report)
             case Cancelled(backend_server, permit):
--- a/src/savorylift/permits/gate.py
+++ b/src/savorylift/permits/gate.py
@@ -127,7 +127,9 @@
     def is_held(self, permit: Permit) -> bool:
         """Returns False if another node has taken the permit over."""
 
-    def take_over(
-        self, permit: Permit, lost_holder: NodeRef
-    ) -> Result[Permit, Refusal]:
-        """Moves a lost node's permit for a resumed stream to this node."""
+    def take_over(self, permit: Permit) -> None:
+        """Makes this node the holder of a permit whose stream it resumes.
+
+        Needs no answer: the work runs already, so nothing new is granted.
+        The newest node to take a permit over holds it.
+        """
--- a/src/savorylift/permits/holder.py
+++ b/src/savorylift/permits/holder.py
@@ -25,6 +25,7 @@
     PermitDenied,
     PermitGiveUp,
     PermitGrant,
+    PermitMoved,
     PermitQuery,
     PermitQueued,
     PermitReturn,
@@ -75,11 +76,13 @@
         held: As keepers see it.
         is_closing: True once the request path is done with it while the
             work's end is not confirmed.
+        is_taken_over: False until a keeper has confirmed a take-over.
     """
 
     permit: Permit
     held: HeldPermit
     is_closing: bool = False
+    is_taken_over: bool = True
 
 
 class Holder:
@@ -109,7 +112,6 @@
         self._resolver = resolver
         self._tally = tally
         self._waiting: dict[str, _Waiting] = {}
-        self._taking: dict[str, tuple[Permit, float]] = {}
         self._held: dict[str, Holding] = {}
         self._wait_s: dict[str, float] = {}
         self._floors: dict[Lot, int] = {}
@@ -168,18 +170,25 @@
         )
         self._sender.send(holding.permit.keeper, msg)
 
-    def take_over(self, permit: Permit, lost_holder: NodeRef) -> None:
-        """Asks the keepers to move a lost node's permit to this node."""
-        until_s = time.monotonic() + 2 * self._cfg.refresh_s
-        self._taking[permit.permit_id] = (permit, until_s)
-        msg = PermitTakeOver(
+    def take_over(self, permit: Permit) -> None:
+        """Holds a permit from now on and tells its keeper, whoever it is."""
+        time_ms = time.time_ns() // 1_000_000
+        attempt = f"{time_ms:012x}-{self._ref.vm}"
+        lot = Lot(permit.backend_server, UNKNOWN_LOT)
+        known = self._held.get(permit.permit_id)
+        if known is not None:
+            lot = known.held.lot
+        held = HeldPermit(
             permit.permit_id,
-            permit.backend_server,
             permit.stream_id,
-            lost_holder,
+            lot,
+            0,
+            self._ref,
+            attempt=attempt,
         )
-        for keeper in self._keepers_of(permit.backend_server):
-            self._sender.send(keeper, msg)
+        holding = Holding(permit, held, is_taken_over=False)
+        self._held[permit.permit_id] = holding
+        self._send_take_over(holding)
 
     def give_up(self, permit_id: str) -> None:
         """Ends a request that nobody waits for any more."""
@@ -208,10 +217,9 @@
             msg.state.cold,
         )
         waiting = self._waiting.pop(msg.permit_id, None)
-        taking = self._taking.pop(msg.permit_id, None)
-        if holding is not None or (waiting is None and taking is None):
+        if holding is not None or waiting is None:
             self._return_unused(permit)
-        elif waiting and waiting.req.deadline_s <= time.monotonic():
+        elif waiting.req.deadline_s <= time.monotonic():
             self._return_unused(permit)
             self._refuse_late(waiting)
         else:
@@ -221,14 +229,12 @@
         """Tries elsewhere, or passes a final refusal on."""
         if msg.state is not None:
             self._note(msg.state)
-        if msg.permit_id in self._taking:
-            return  # another keeper may know it
         waiting = self._waiting.get(msg.permit_id)
         if waiting is None:
             return
         target = Target(msg.backend_server, keeper)
         if msg.reason:
-            self._refuse(waiting, Reason(msg.reason), msg.retry_after_s)
+            self._refuse(waiting, msg.reason, msg.retry_after_s)
         elif waiting.route.answered(target, msg.state):
             self._ask_next(waiting)
 
@@ -256,9 +262,11 @@
         if holding is not None and holding.is_closing:
             del self._held[permit_id]
 
-    def moved(self, permit_id: str) -> None:
-        """Drops a permit that another node has taken over."""
-        self._held.pop(permit_id, None)
+    def moved(self, msg: PermitMoved) -> None:
+        """Drops a permit that a newer attempt has taken over."""
+        holding = self._held.get(msg.permit_id)
+        if holding is not None and holding.held.attempt == msg.attempt:
+            del self._held[msg.permit_id]
 
     def is_held(self, permit_id: str) -> bool:
         """Returns True if this node holds the permit."""
@@ -279,15 +287,12 @@
                 self._refuse_late(waiting)
             elif self._is_unanswered(waiting, now):
                 self._retry(waiting)
-        for permit_id, (permit, until_s) in list(self._taking.items()):
-            if until_s <= now:
-                del self._taking[permit_id]
-                self._close_taken(permit)
-                self._answer(permit_id, Failure(_unreachable()))
 
     def refresh(self) -> None:
-        """Repeats the return of permits whose work may still run."""
+        """Repeats what keepers have not confirmed."""
         for holding in self._held.values():
+            if not holding.is_taken_over:
+                self._send_take_over(holding)
             if holding.is_closing:
                 self._send_return(holding.permit, UNFINISHED)
 
@@ -303,29 +308,37 @@
     def _uses(self, charge: Charge, keeper: NodeRef) -> bool:
         holding = self._held.get(charge.permit_id)
         if holding is None:
-            waits = self._waiting.keys() | self._taking.keys()
-            return charge.permit_id in waits
+            return charge.permit_id in self._waiting
         if holding.held.lot.number not in (charge.lot_number, UNKNOWN_LOT):
             return False
         permit = holding.permit._replace(keeper=keeper)
         self._held[charge.permit_id] = holding._replace(permit=permit)
         return True
 
-    def _close_taken(self, permit: Permit) -> None:
-        # A keeper may have moved the permit here although its answer was
-        # lost; the work goes on, so the permit must not count as unknown.
-        lot = Lot(permit.backend_server, UNKNOWN_LOT)
-        held = HeldPermit(permit.permit_id, permit.stream_id, lot, 0, self._ref)
-        self._held[permit.permit_id] = Holding(permit, held, is_closing=True)
+    def _send_take_over(self, holding: Holding) -> None:
+        permit = holding.permit
+        msg = PermitTakeOver(
+            permit.permit_id,
+            permit.backend_server,
+            permit.stream_id,
+            holding.held.attempt,
+        )
+        for keeper in self._keepers_of(permit.backend_server):
+            self._sender.send(keeper, msg)
 
     def _ask_next(self, waiting: _Waiting) -> None:
         target, may_queue = waiting.route.next()
         if target is None:
             self._refuse(waiting, Reason.KEEPER_UNREACHABLE, 1.0)
             return
-        req = waiting.req
         waiting.asked_s = time.monotonic()
         waiting.is_confirmed = False
+        self._send_ask(waiting, target, may_queue=may_queue)
+
+    def _send_ask(
+        self, waiting: _Waiting, target: Target, *, may_queue: bool
+    ) -> None:
+        req = waiting.req
         msg = PermitAsk(
             req.permit_id,
             target.server,
@@ -349,6 +362,9 @@
         if waiting.is_confirmed:
             cause = "refresh"
             waiting.route.repeat()
+            probe = waiting.route.probe()
+            if probe is not None:
+                self._send_ask(waiting, probe, may_queue=False)
         else:
             cause = "no_answer"
             waiting.route.silent()
@@ -367,8 +383,9 @@
         if self._may_use(keeper, msg):
             permit = holding.permit._replace(keeper=keeper)
             held = holding.held._replace(lot=msg.lot)
-            holding = holding._replace(permit=permit, held=held)
-            self._held[msg.permit_id] = holding
+            self._held[msg.permit_id] = holding._replace(
+                permit=permit, held=held, is_taken_over=True
+            )
 
     def _hold(
         self, permit: Permit, msg: PermitGrant, waiting: _Waiting | None
--- a/src/savorylift/permits/keeper.py
+++ b/src/savorylift/permits/keeper.py
@@ -95,7 +95,7 @@
         self._rate = ServiceRate()
         self._had_room = False
         self._report: LoadReport | None = None
-        self._moved: dict[str, NodeRef] = {}
+        self._moved: dict[str, HeldPermit] = {}
         self._lost = policies.lost_work(cfg.cancel_after_s)
         self._checked_s: dict[str, float] = {}
 
@@ -122,7 +122,8 @@
             room.tokens,
             len(self.queue),
             warmth.is_cold,
-            self._rate.wait_s(len(self.queue) + 1),
+            self._wait_s(len(self.queue)),
+            self._rate.per_s,
         )
 
     def ask(self, msg: PermitAsk) -> None:
@@ -213,7 +214,7 @@
         now = time.monotonic()
         due: dict[NodeRef, tuple[Charge, ...]] = {}
         checked: dict[str, float] = {}
-        moved: dict[str, NodeRef] = {}
+        moved: dict[str, HeldPermit] = {}
         for permit in self.share.held():
             checked_s = self._checked_s.get(permit.permit_id, now)
             if now - checked_s >= self._cfg.query_after_s:
@@ -284,19 +285,19 @@
     def take_over(self, msg: PermitTakeOver, holder: NodeRef) -> None:
         """Moves a permit to the node that resumes its stream."""
         permit = self.share.find(msg.permit_id)
-        known = permit is not None and permit.stream_id == msg.stream_id
-        if permit is None or not known:
-            denied = self._denied(msg.permit_id, Reason.KEEPER_UNREACHABLE, 0.0)
-            self._sender.send(holder, denied)
+        if permit is None or permit.stream_id != msg.stream_id:
+            return  # another keeper may know it
+        if msg.attempt < permit.attempt:
+            moved = PermitMoved(msg.permit_id, msg.attempt)
+            self._sender.send(holder, moved)
             return
-        if permit.holder == msg.lost_holder != holder:
-            self._moved[permit.permit_id] = permit.holder
+        if msg.attempt > permit.attempt:
+            self._moved[permit.permit_id] = permit
             self._tell_moved(permit)
-            permit = permit._replace(holder=holder)
+            permit = permit._replace(holder=holder, attempt=msg.attempt)
             self._lost.resume(msg.permit_id)
             self.share.put(permit)
-        if permit.holder == holder:
-            self._send_grant(permit)
+        self._send_grant(permit)
 
     def cold_fall(self, msg: ColdFall) -> None:
         """Follows another keeper's fall to cold."""
@@ -365,9 +366,10 @@
             self._sender.send(successors[number % len(successors)], msg)
 
     def _tell_moved(self, permit: HeldPermit) -> None:
-        old_holder = self._moved.get(permit.permit_id)
-        if old_holder is not None:
-            self._sender.send(old_holder, PermitMoved(permit.permit_id))
+        old = self._moved.get(permit.permit_id)
+        if old is not None:
+            moved = PermitMoved(old.permit_id, old.attempt)
+            self._sender.send(old.holder, moved)
 
     def _is_over(self, permit: HeldPermit, since_s: float) -> bool:
         if self.is_idle_since(since_s):
@@ -388,7 +390,7 @@
         if msg.may_queue:
             self._enqueue(msg)
         else:
-            self._deny(msg, "", "no room")
+            self._deny(msg, None, "no room")
 
     def _grant(self, msg: PermitAsk) -> bool:
         tokens = min(msg.tokens, self.share.server.kv_tokens)
@@ -443,9 +445,9 @@
         queued = PermitQueued(msg.permit_id, self.name, self.state())
         self._sender.send(msg.holder, queued)
 
-    def _deny(self, msg: PermitAsk, reason: str, cause: str) -> None:
-        if reason:
-            self._tally.denials.labels(reason).inc()
+    def _deny(self, msg: PermitAsk, reason: Reason | None, cause: str) -> None:
+        if reason is not None:
+            self._tally.denials.labels(reason.value).inc()
         self.last_decision = f"denied {msg.permit_id}: {cause}"
         wait_s = max(MIN_RETRY_AFTER_S, self._expected_wait_s(msg))
         self._sender.send(
@@ -453,12 +455,20 @@
         )
 
     def _denied(
-        self, permit_id: str, reason: str, wait_s: float
+        self, permit_id: str, reason: Reason | None, wait_s: float
     ) -> PermitDenied:
         return PermitDenied(permit_id, self.name, reason, wait_s, self.state())
 
     def _expected_wait_s(self, msg: PermitAsk) -> float:
-        return self._rate.wait_s(self.queue.ahead_of(msg) + 1)
+        return self._wait_s(self.queue.ahead_of(msg))
+
+    def _wait_s(self, ahead: int) -> float:
+        # Any keeper's place may serve this queue, so all rates count. It is 0
+        # while nothing is known, so that nothing is refused on a guess.
+        others = [state for state in self.others.values() if state]
+        rate = self._rate.per_s + sum(state.rate for state in others)
+        waiting = ahead + 1 + sum(state.waiting for state in others)
+        return waiting / rate if rate > 0 else 0.0
 
     def _judge(
         self, incarnation: str, first_token_s: float, *, is_cold: bool
--- a/src/savorylift/permits/keeper_gate.py
+++ b/src/savorylift/permits/keeper_gate.py
@@ -118,14 +118,9 @@
         """Returns False if another node has taken the permit over."""
         return bool(self._actor.ask(act.IsHeld(permit.permit_id)))
 
-    def take_over(
-        self, permit: Permit, lost_holder: NodeRef
-    ) -> Result[Permit, Refusal]:
-        """Moves a lost node's permit for a resumed stream to this node."""
-        fut: Future[act.Answer] = Future()
-        self._tell(act.TakeOver(permit, lost_holder, fut))
-        deadline_s = time.monotonic() + 2 * self._cfg.refresh_s
-        return self._wait(permit.permit_id, fut, deadline_s)
+    def take_over(self, permit: Permit) -> None:
+        """Makes this node the holder of a permit whose stream it resumes."""
+        self._tell(act.TakeOver(permit))
 
     def load(self, backend_server: str, report: LoadReport) -> None:
         """Hands over a backend server's load report."""
--- a/src/savorylift/permits/messages.py
+++ b/src/savorylift/permits/messages.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from savorylift.identity import NodeRef
+from savorylift.outcomes import Reason
 
 
 class Lot(NamedTuple):
@@ -22,6 +23,8 @@
         tokens: Memory reserved, in tokens.
         holder: Node that may use it.
         started_on: Incarnation that produced output for it, "" for none yet.
+        attempt: Identifier of the holder's take-over; sorts by time, "" for
+            the node that asked first.
     """
 
     permit_id: str
@@ -30,6 +33,7 @@
     tokens: int
     holder: NodeRef
     started_on: str = ""
+    attempt: str = ""
 
 
 class ServerState(NamedTuple):
@@ -45,6 +49,7 @@
         waiting: Requests in the keeper's queue.
         cold: True if `window` is the cold limit.
         wait_s: Expected wait of one more request; 0 if unknown.
+        rate: Permits that came back a second; 0 if unknown.
     """
 
     backend_server: str
@@ -56,6 +61,7 @@
     waiting: int
     cold: bool
     wait_s: float
+    rate: float
 
 
 class PermitAsk(NamedTuple):
@@ -107,14 +113,14 @@
     Attributes:
         permit_id: From the request.
         backend_server: From the request.
-        reason: A `Reason` value, or "" if the holder may ask elsewhere.
+        reason: Cause of a final refusal; None to let the holder ask elsewhere.
         retry_after_s: Expected wait, in seconds.
         state: The keeper's state; None if it doesn't keep the server.
     """
 
     permit_id: str
     backend_server: str
-    reason: str
+    reason: Reason | None
     retry_after_s: float
     state: ServerState | None
 
@@ -202,18 +208,19 @@
 
 
 class PermitMoved(NamedTuple):
-    """Tells a holder that another node has taken a permit over."""
+    """Tells a holder that a newer attempt has taken a permit over."""
 
     permit_id: str
+    attempt: str
 
 
 class PermitTakeOver(NamedTuple):
-    """Moves a lost node's permit to the sender."""
+    """Moves a permit to the sender; the newest attempt holds it."""
 
     permit_id: str
     backend_server: str
     stream_id: str
-    lost_holder: NodeRef
+    attempt: str
 
 
 class ColdFall(NamedTuple):
--- a/src/savorylift/permits/node.py
+++ b/src/savorylift/permits/node.py
@@ -251,7 +251,7 @@
             keeper.ask(msg)
             return
         denied = m.PermitDenied(
-            msg.permit_id, msg.backend_server, "", 0.0, None
+            msg.permit_id, msg.backend_server, None, 0.0, None
         )
         self._effects.send(msg.holder, denied)
 
@@ -303,7 +303,7 @@
             m.PermitQuery: self._on_query,
             m.PermitUnknown: self._on_unknown,
             m.PermitEnded: lambda _, msg: holder.ended(msg.permit_id),
-            m.PermitMoved: lambda _, msg: holder.moved(msg.permit_id),
+            m.PermitMoved: lambda _, msg: holder.moved(msg),
             m.PermitTakeOver: lambda sender, msg: on(
                 msg.backend_server, lambda k: k.take_over(msg, sender)
             ),
--- a/src/savorylift/permits/route.py
+++ b/src/savorylift/permits/route.py
@@ -49,6 +49,7 @@
         self._silent: dict[Target, int] = {}
         self._current: Target | None = None
         self._repeat = False
+        self._probes = 0
 
     def next(self) -> tuple[Target | None, bool]:
         """Returns the target to ask, and whether it may queue.
@@ -95,6 +96,18 @@
         """Asks the same target again next."""
         self._repeat = True
 
+    def probe(self) -> Target | None:
+        """Returns a keeper of another candidate to ask without queueing."""
+        current = self._current.server if self._current else ""
+        others = [name for name in self._req.candidates if name != current]
+        if not others:
+            return None
+        self._probes += 1
+        target = self._choose(others[self._probes % len(others)])
+        if target is not None:
+            self.asked.add(target)
+        return target
+
     def _is_kept(self) -> bool:
         current = self._current
         assert current is not None, "nothing was asked"
--- a/src/savorylift/permits/service_rate.py
+++ b/src/savorylift/permits/service_rate.py
@@ -24,11 +24,7 @@
             self._span_s = self._span_s * keep + gap_s
         self._last_s = now
 
-    def wait_s(self, places: int) -> float:
-        """Returns the expected time until `places` completions.
-
-        Without observations it is 0, so that nothing is refused on a guess.
-        """
-        if self._weight == 0 or self._last_s is None:
-            return 0.0
-        return places * self._span_s / self._weight
+    @property
+    def per_s(self) -> float:
+        """Completions a second; 0 without observations."""
+        return self._weight / self._span_s if self._span_s > 0 else 0.0
--- a/tests/permits/fakes.py
+++ b/tests/permits/fakes.py
@@ -331,9 +331,10 @@
 
     def tell(self, node: NodeRef, msg: Message) -> bool:
         link = self._links.get(node)
-        if link is None:
+        handler = link._handlers.get(type(msg)) if link else None
+        if handler is None:
             return False
-        link._handlers[type(msg)](self._ref, msg)
+        handler(self._ref, msg)
         return True
 
     def ask(
--- a/tests/permits/test_parts.py
+++ b/tests/permits/test_parts.py
@@ -1,6 +1,5 @@
 """Queue, window, split and choice of keepers, each alone."""
 
-import time
 from collections import Counter
 
 import freezegun
@@ -187,12 +186,11 @@
     assert warmth.is_slow(1.5, 5.0)
 
 
-def test_rate_gives_the_expected_wait() -> None:
+def test_rate_is_that_of_the_last_seconds() -> None:
     with freezegun.freeze_time("2026-01-01") as clock:
         rate = ServiceRate()
-        assert rate.wait_s(3) == 0
+        assert rate.per_s == 0
         for _ in range(20):
             clock.tick(0.5)
             rate.add()
-        assert rate.wait_s(4) == pytest.approx(2.0)
-        assert time.monotonic() > 0
+        assert rate.per_s == pytest.approx(2.0)
--- a/tests/permits/test_safety.py
+++ b/tests/permits/test_safety.py
@@ -16,6 +16,7 @@
     rule,
     run_state_machine_as_test,
 )
+from returns.result import Success
 
 from savorylift.permits.gate import Permit
 from savorylift.permits.options import PermitOptions
@@ -213,7 +214,8 @@
         resumer = self.live(other)
         if resumer is node or permit.permit_id in resumer.answers:
             return
-        resumer.node.holder.take_over(permit, node.ref)
+        resumer.node.holder.take_over(permit)
+        resumer.answers[permit.permit_id] = Success(permit)  # needs no answer
         self.running.append((resumer, permit))
 
     @invariant()
