Resume a stream without waiting for its permit's keeper

Cause: the node that resumes asked the keepers to move the lost holder's permit and refused the caller when none could. Where holder and keeper were the same killed node (one in three with three keepers), every node refused with keeper_unreachable until the caller's deadline; seen in the demo as a stream lost after 20 s.

Resuming adds no load, since the work runs already, so the node now holds the permit at once and tells the keepers until one confirms. A second fault found by reading: a caller that came back to the same node was cut off by the cleaner 5 s later.

Weighed: the lost holder's name as the condition for a move (kept out; a caller that never saw the first resumption's ticket could not come back).

--- a/src/savorylift/entry/completions.py
+++ b/src/savorylift/entry/completions.py
@@ -114,13 +114,9 @@
         if isinstance(opened, Failure):
             return opened
         ticket = opened.unwrap()
-        permit, holder = ticket_permit(ticket)
-        taken = self._parts.gate.take_over(permit, holder)
-        if isinstance(taken, Failure):
-            return taken
-        remnant = Remnant(
-            taken.unwrap(), ticket.generation_id, time.monotonic(), 0
-        )
+        permit = ticket_permit(ticket)
+        self._parts.gate.take_over(permit)
+        remnant = Remnant(permit, ticket.generation_id, time.monotonic(), 0)
         self._parts.cleaner.end(remnant)
         exchange.send("202 Accepted", b'{"cancelled": true}')
         return Success(None)
--- a/src/savorylift/streams/cleaner.py
+++ b/src/savorylift/streams/cleaner.py
@@ -78,6 +78,16 @@
         """
         self._put(remnant, after_s, RETRY_S)
 
+    def forget(self, generation_id: str) -> None:
+        """Leaves a generation alone, since its caller has come back."""
+        with self._changed:
+            self._due = [
+                item
+                for item in self._due
+                if item[-1].generation_id != generation_id
+            ]
+            heapq.heapify(self._due)
+
     def _put(self, remnant: Remnant, after_s: float, retry_s: float) -> None:
         due_s = time.monotonic() + after_s
         with self._changed:
--- a/src/savorylift/streams/generation.py
+++ b/src/savorylift/streams/generation.py
@@ -253,8 +253,6 @@
                 permit_id=permit.permit_id,
                 keeper_vm=permit.keeper.vm,
                 keeper_incarnation=permit.keeper.incarnation,
-                holder_vm=self._parts.ref.vm,
-                holder_incarnation=self._parts.ref.incarnation,
                 is_cold=permit.cold,
                 expires_ms=expiry_ms(),
             ),
--- a/src/savorylift/streams/resumption.py
+++ b/src/savorylift/streams/resumption.py
@@ -35,12 +35,12 @@
 
     def run(self) -> Result[None, Refusal]:
         """Blocks until the answer is whole, or returns why it will not be."""
-        taken = self._take_permit()
-        if isinstance(taken, Failure):
-            return taken
         ticket = self._ticket
+        permit = ticket_permit(ticket)
+        self._parts.gate.take_over(permit)
+        self._parts.cleaner.forget(ticket.generation_id)
         attempt = Attempt(
-            taken.unwrap(),
+            permit,
             ticket.backend_address,
             ticket.generation_id,
             time.monotonic(),
@@ -51,23 +51,11 @@
             self._parts.cleaner.end(remnant(attempt, 0))
             reason, message = LOST
             return Failure(Refusal(Ending.FAILED, reason, message))
-        self._sink.announce(self._new_ticket())
+        renewed = ticket._replace(expires_ms=expiry_ms())
+        self._sink.announce(sign_ticket(renewed, self._parts.ticket_keys))
         ended = self._follower.follow(attempt, stream, _FixedReserve())
         return settle(self._parts, attempt, ended, self._delivery, self._sink)
 
-    def _take_permit(self) -> Result[Permit, Refusal]:
-        permit, holder = ticket_permit(self._ticket)
-        return self._parts.gate.take_over(permit, holder)
-
-    def _new_ticket(self) -> str:
-        ref = self._parts.ref
-        ticket = self._ticket._replace(
-            holder_vm=ref.vm,
-            holder_incarnation=ref.incarnation,
-            expires_ms=expiry_ms(),
-        )
-        return sign_ticket(ticket, self._parts.ticket_keys)
-
 
 class _FixedReserve:
     """Keeps the memory that the first node reserved."""
@@ -77,13 +65,12 @@
         return None
 
 
-def ticket_permit(ticket: Ticket) -> tuple[Permit, NodeRef]:
-    """Returns the permit that a ticket names, and its last known holder."""
-    permit = Permit(
+def ticket_permit(ticket: Ticket) -> Permit:
+    """Returns the permit that a ticket names."""
+    return Permit(
         ticket.permit_id,
         ticket.backend_server,
         ticket.generation_id,
         NodeRef(ticket.keeper_vm, ticket.keeper_incarnation),
         ticket.is_cold,
     )
-    return permit, NodeRef(ticket.holder_vm, ticket.holder_incarnation)
--- a/src/savorylift/streams/ticket.py
+++ b/src/savorylift/streams/ticket.py
@@ -32,8 +32,6 @@
         permit_id: Permit under which the generation runs.
         keeper_vm: VM of the node that granted the permit.
         keeper_incarnation: Incarnation of that node.
-        holder_vm: VM of the node that holds the permit.
-        holder_incarnation: Incarnation of that node.
         is_cold: True if the permit was for a cold engine.
         expires_ms: Wall-clock time after which the ticket is refused.
     """
@@ -49,8 +47,6 @@
     permit_id: str
     keeper_vm: str
     keeper_incarnation: str
-    holder_vm: str
-    holder_incarnation: str
     is_cold: bool
     expires_ms: int
 
--- a/tests/streams/test_generation.py
+++ b/tests/streams/test_generation.py
@@ -11,6 +11,7 @@
 from returns.result import Result
 
 from savorylift.outcomes import Ending, Reason, Refusal
+from savorylift.streams import settle
 from savorylift.streams.engine_control import EngineControl
 from savorylift.streams.generation import Generation
 from savorylift.streams.resumption import Resumption
@@ -246,3 +247,24 @@
     EngineControl().cancel(engine.address, generation_id)
     assert is_successful(outcome.result())
     assert answer(caller.received()) == EXPECTED
+
+
+def test_caller_that_came_back_is_not_cut_off_later(
+    bench: Bench, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(settle, "RECONNECT_S", 0.3)
+    caller = Caller()
+    outcome = Outcome(bench, caller, "long report len=300")
+    outcome.wait_started()
+    got = caller.near.recv(65_536)
+    caller.near.close()
+    outcome.result()
+    first = events(got[: got.rindex(b"\n\n") + 2])
+    tickets = [str(e["resume_ticket"]) for e in first if "resume_ticket" in e]
+    ticket = open_ticket(tickets[-1], KEYS, "desk").unwrap()
+    again = Caller()
+    resumption = Resumption(
+        bench.parts, ticket, again.sink, len(first) - 1, time.monotonic() + 10
+    )
+    assert is_successful(resumption.run())
+    again.received()
