Keep a later incarnation's word that it is leaving

A VM already marked for an older incarnation dropped the newer one's word, and the mark would have ended with the older. The test's proxy no longer fails when its target stops first.

--- a/src/savorylift/peers/core.py
+++ b/src/savorylift/peers/core.py
@@ -204,7 +204,10 @@
         proof = self._staleness.newest_proof()
         since_s = time.monotonic() - self._cfg.urgent_after_s
         is_urgent = proof is None or proof.sent_s < since_s
-        return self._cfg.urgent_gossip_s if is_urgent else self._cfg.gossip_s
+        gossip_s = self._cfg.gossip_s
+        return (
+            min(gossip_s, self._cfg.urgent_gossip_s) if is_urgent else gossip_s
+        )
 
     def _forget_all_but(self, nodes: list[NodeRef]) -> None:
         for node in self._due_s.keys() - set(nodes):
--- a/src/savorylift/peers/service.py
+++ b/src/savorylift/peers/service.py
@@ -154,7 +154,9 @@
             vm: Name of the VM.
             incarnation: Its incarnation; empty for the one listed now.
         """
-        if vm not in self.view().marks.leaving:
+        marked = self.view().marks.leaving.get(vm, frozenset())
+        is_known = incarnation in marked if incarnation else bool(marked)
+        if not is_known:
             self._post(LeavingNoticed(vm, incarnation))
 
     def _tick(self) -> None:
--- a/tests/peers/linkkit.py
+++ b/tests/peers/linkkit.py
@@ -6,7 +6,7 @@
 import threading
 from collections.abc import Iterator
 from concurrent.futures import Future
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from typing import NamedTuple, TypedDict, Unpack
 
 from prometheus_client import CollectorRegistry
@@ -169,7 +169,11 @@
 
     def _accept(self) -> None:
         near, _ = self._listener.accept()
-        far = socket.create_connection(self._target)
+        try:
+            far = socket.create_connection(self._target)
+        except OSError:  # the target has stopped
+            near.close()
+            return
         self.accepted += 1
         self._ways[near], self._ways[far] = (far, False), (near, True)
         if self.is_cut:
@@ -188,4 +192,5 @@
         if not data:
             self._selector.unregister(sock)
             if sock not in self._silent:
-                other.close() if other.fileno() < 0 else other.shutdown(2)
+                with suppress(OSError):  # it may have ended as well
+                    other.shutdown(socket.SHUT_RDWR)
--- a/tests/peers/test_marks.py
+++ b/tests/peers/test_marks.py
@@ -45,6 +45,7 @@
         ([("mark", "3"), LIVE_4, LIVE_4, ("list", "3", True)], False),
         ([("mark", "3"), LIVE_4, LIVE_4, LIVE_3, LIVE_3], False),
         ([LIVE_4, LIVE_4, ("mark", "3")], False),
+        ([("mark", "3"), ("mark", "4"), LIVE_4, LIVE_4], True),
         ([LIVE_X, ("mark", "x"), LIVE_X, LIVE_Y], True),
         ([LIVE_X, ("mark", "x"), LIVE_Y, LIVE_Y], False),
         ([LIVE_X, LIVE_Y, ("mark", "y"), LIVE_X, LIVE_X], True),
--- a/tests/peers/test_peers.py
+++ b/tests/peers/test_peers.py
@@ -49,6 +49,8 @@
         wait_for(lambda: all(v().marks.is_leaving("runner-1") for v in views))
         nodes[4].peers.mark_leaving("runner-2", "9")
         wait_for(lambda: nodes[0].peers.view().marks.is_leaving("runner-2"))
+        nodes[0].peers.mark_leaving("runner-2", "10")
+        wait_for(lambda: "10" in views[4]().marks.leaving["runner-2"])
         status = nodes[0].peers.status()
         assert status.may_dispatch
         assert status.leaving_vms == ("runner-1", "runner-2")
