--- /dev/null
+++ b/tests/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Every fault at every step, over real processes and an outside oracle."""
