--- a/src/savorylift/permits/actor.py
+++ b/src/savorylift/permits/actor.py
@@ -13,8 +13,8 @@
 from savorylift.peers.link import Message, PeerLink
 from savorylift.peers.view import RosterSource
 from savorylift.permits.canceller import StreamCanceller
+from savorylift.permits.evidence import LoadReport
 from savorylift.permits.gate import Permit, PermitRequest, PermitUse
-from savorylift.permits.keeper import LoadReport
 from savorylift.permits.messages import HeldPermit
 from savorylift.permits.node import PermitNode
 from savorylift.permits.options import PermitOptions
--- a/src/savorylift/permits/holder.py
+++ b/src/savorylift/permits/holder.py
@@ -9,13 +9,13 @@
 from savorylift.identity import NodeRef
 from savorylift.outcomes import Reason, Refusal, not_run
 from savorylift.peers.view import RosterSource
+from savorylift.permits.co_keepers import Sender
 from savorylift.permits.gate import (
     BackendHint,
     Permit,
     PermitRequest,
     PermitUse,
 )
-from savorylift.permits.keeper import Sender
 from savorylift.permits.messages import (
     Charge,
     HeldPermit,
--- a/src/savorylift/permits/keeper_gate.py
+++ b/src/savorylift/permits/keeper_gate.py
@@ -16,13 +16,13 @@
 from savorylift.permits import actor as act
 from savorylift.permits import messages as m
 from savorylift.permits.canceller import StreamCanceller
+from savorylift.permits.evidence import LoadReport
 from savorylift.permits.gate import (
     BackendHint,
     Permit,
     PermitRequest,
     PermitUse,
 )
-from savorylift.permits.keeper import LoadReport
 from savorylift.permits.options import PermitOptions
 from savorylift.permits.status import PermitStatus
 from savorylift.permits.tally import Tally
--- a/src/savorylift/permits/load.py
+++ b/src/savorylift/permits/load.py
@@ -11,7 +11,7 @@
 import urllib3
 from returns.result import Failure, Result, Success
 
-from savorylift.permits.keeper import LoadReport
+from savorylift.permits.evidence import LoadReport
 from savorylift.rules.view import BackendServer, RulesSource
 
 PATH = "/v1/load"
--- a/src/savorylift/permits/node.py
+++ b/src/savorylift/permits/node.py
@@ -8,9 +8,11 @@
 from savorylift.peers.link import Message
 from savorylift.peers.view import RosterSource, RosterView
 from savorylift.permits import messages as m
+from savorylift.permits.co_keepers import Sender
+from savorylift.permits.evidence import LoadReport
 from savorylift.permits.handover import REFUSED_FLOOR, Acquired
 from savorylift.permits.holder import Holder, Resolver
-from savorylift.permits.keeper import Keeper, LoadReport, Sender
+from savorylift.permits.keeper import Keeper
 from savorylift.permits.lots import keepers_of, lot_count, lots_of, split
 from savorylift.permits.options import PermitOptions
 from savorylift.permits.policies import SAFE, Policies
@@ -88,7 +90,8 @@
         """Ends a permit whose work was cancelled or is unknown."""
         keeper = self.keepers.get(backend_server)
         if keeper is not None:
-            keeper.cancelled(permit.permit_id, permit.holder)
+            keeper.watch.cancelled(permit)
+            keeper.serve()
 
     def keepers_of(self, server: str) -> list[NodeRef]:
         """Returns the keeper of each lot by the roster seen now."""
@@ -130,7 +133,7 @@
         keeper = self.keepers.get(server.name)
         if keeper is not None:
             keeper.follow_rules(server)
-            keeper.set_others(set(chosen) - {self._ref})
+            keeper.co_keepers.replace(set(chosen) - {self._ref})
         for lot in lots_of(server.name, len(chosen)):
             if chosen[lot.number] != self._ref:
                 self._handover.abandon(lot)
@@ -146,7 +149,9 @@
             keeper = Keeper(
                 server, self._cfg, self._effects, self._tally, self._policies
             )
-            keeper.set_others(set(self.keepers_of(server.name)) - {self._ref})
+            keeper.co_keepers.replace(
+                set(self.keepers_of(server.name)) - {self._ref}
+            )
             self.keepers[server.name] = keeper
         return keeper
 
@@ -163,9 +168,10 @@
         roster = self._roster.current()
         for name, keeper in self.keepers.items():
             keeper.announce()
-            for permit in keeper.watch_lost(roster):
+            keeper.watch.repeat_moves()
+            for permit in keeper.watch.review(roster):
                 self._effects.cancel(name, permit)
-            for holder, charges in keeper.due_queries().items():
+            for holder, charges in keeper.watch.due_queries().items():
                 self._effects.send(holder, m.PermitQuery(name, charges))
 
     def _query_members(self) -> None:
@@ -259,7 +265,7 @@
         keeper = self.keepers.get(msg.backend_server)
         if keeper is not None and keeper.share.find(msg.permit_id):
             keeper.end(msg)
-        elif keeper is not None and keeper.has_ended(msg.permit_id):
+        elif keeper is not None and keeper.watch.has_ended(msg.permit_id):
             self._effects.send(msg.holder, m.PermitEnded(msg.permit_id))
         elif sender == msg.holder:
             for node in self._handover.successors(msg.backend_server):
--- a/tests/permits/fakes.py
+++ b/tests/permits/fakes.py
@@ -14,8 +14,8 @@
 from savorylift.outcomes import Refusal
 from savorylift.peers.link import Answer, M, Message, PeerFault
 from savorylift.peers.view import Member, RosterSource, RosterView
+from savorylift.permits.evidence import LoadReport
 from savorylift.permits.gate import Permit, PermitRequest, PermitUse
-from savorylift.permits.keeper import LoadReport
 from savorylift.permits.messages import HeldPermit
 from savorylift.permits.node import PermitNode
 from savorylift.permits.options import PermitOptions
--- a/tests/permits/test_keeper_gate.py
+++ b/tests/permits/test_keeper_gate.py
@@ -9,8 +9,8 @@
 from savorylift.identity import NodeRef
 from savorylift.outcomes import Reason
 from savorylift.peers.view import RosterSource, RosterView
+from savorylift.permits.evidence import LoadReport
 from savorylift.permits.gate import PermitGate
-from savorylift.permits.keeper import LoadReport
 from savorylift.permits.keeper_gate import KeeperGate
 from savorylift.permits.options import PermitOptions
 from savorylift.rules.view import RulesSource
--- a/tests/permits/test_load.py
+++ b/tests/permits/test_load.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from savorylift.permits.keeper import LoadReport
+from savorylift.permits.evidence import LoadReport
 from savorylift.permits.load import LoadOptions, LoadPoller
 from savorylift.rules.view import RulesSource
 from tests.permits.fakes import rules_of, server
