--- a/bench/rules.py
+++ b/bench/rules.py
@@ -107,13 +107,8 @@
     stream = RulesStream({CONFIG_FOLD: ConfigFold()})
     _, load_s = _timed(lambda: stream.take_page(_page(first)))
     replace_us, insert_us, edit_bytes = _run_changes(stream, lines, rng)
-    entries = stream.snapshot()
-    state = stream.state_text()
-    fresh = RulesStream({CONFIG_FOLD: ConfigFold()})
-    _, restore_s = _timed(lambda: fresh.take_state(state))
-    behind = RulesStream({CONFIG_FOLD: ConfigFold()})
-    behind.take_page(_page(first))
-    _, reload_s = _timed(lambda: behind.take_state(state))
+    restore_s, reload_s = _time_restores(stream, first)
+    snapshot_bytes = sum(len(entry.body) for entry in stream.snapshot())
     every_us = replace_us + insert_us
     return Row(
         teams=teams,
@@ -129,10 +124,22 @@
         worst_us=max(every_us),
         edit_bytes=edit_bytes,
         day_s=sum(every_us) / 1e6,
-        snapshot_bytes=sum(len(entry.body) for entry in entries),
+        snapshot_bytes=snapshot_bytes,
     )
 
 
+def _time_restores(
+    stream: RulesStream, first: LogRecord
+) -> tuple[float, float]:
+    state = stream.state_text()
+    fresh = RulesStream({CONFIG_FOLD: ConfigFold()})
+    _, restore_s = _timed(lambda: fresh.take_state(state))
+    behind = RulesStream({CONFIG_FOLD: ConfigFold()})
+    behind.take_page(_page(first))
+    _, reload_s = _timed(lambda: behind.take_state(state))
+    return restore_s, reload_s
+
+
 def _make_lines(teams: int, rng: random.Random) -> list[str]:
     lines = [
         f"failure_domain d{n} in region r{n % 2} # op: n" for n in range(6)
--- a/src/savorylift/rules/rule_builders.py
+++ b/src/savorylift/rules/rule_builders.py
@@ -75,12 +75,8 @@
         source=_NO_SOURCE,
     )
     references = (
-        Reference(Kind.FAILURE_DOMAIN, rule.failure_domain, _column(domain)),
-        Reference(
-            Kind.MODEL if is_model else Kind.SERVICE,
-            str(served),
-            _column(served),
-        ),
+        _reference(Kind.FAILURE_DOMAIN, domain),
+        _reference(Kind.MODEL if is_model else Kind.SERVICE, served),
     )
     faults = [*_address_faults(address), *_positive_faults(tokens[10:])]
     if rule.cold_limit > rule.warm_limit:
@@ -88,6 +84,10 @@
     return ParsedLine(rule, _column(name), references, tuple(faults))
 
 
+def _reference(kind: Kind, name: lark.Token) -> Reference:
+    return Reference(kind, str(name), _column(name))
+
+
 def _team(tokens: _Tokens) -> ParsedLine:
     bound = tokens[-1]
     _, name, _, weight, _, models = _present(tokens[:-2])
