--- a/bench/permits.py
+++ b/bench/permits.py
@@ -291,7 +291,7 @@
         _acquire(cluster, node, f"held-{number}")
         permit = node.permit(f"held-{number}")
         assert permit is not None, "there is room"
-        node.node.holder.started(permit, "1", 0.1, is_cold=True)
+        node.node.holder.holdings.started(permit, "1", 0.1, is_cold=True)
     cluster.deliver_all()
     return list(node.answers)
 
@@ -311,8 +311,8 @@
         _acquire(cluster, node, f"timed-{number}")
         permit = node.permit(f"timed-{number}")
         assert permit is not None, "there is room"
-        node.node.holder.started(permit, "1", 0.1, is_cold=True)
-        node.node.holder.release(permit, use)
+        node.node.holder.holdings.started(permit, "1", 0.1, is_cold=True)
+        node.node.holder.holdings.release(permit, use)
         cluster.deliver_all()
     return (time.process_time() - started_s) / count * 1e6
 
--- a/src/savorylift/permits/actor.py
+++ b/src/savorylift/permits/actor.py
@@ -149,21 +149,21 @@
                 self._answers.pop(permit_id, None)
                 node.holder.give_up(permit_id)
             case Release(permit, use):
-                node.holder.release(permit, use)
+                node.holder.holdings.release(permit, use)
             case Adjust(permit, tokens):
-                node.holder.adjust(permit, tokens)
+                node.holder.holdings.adjust(permit, tokens)
             case Started(permit, incarnation, first_token_s, is_cold):
-                node.holder.started(
+                node.holder.holdings.started(
                     permit, incarnation, first_token_s, is_cold=is_cold
                 )
             case TakeOver(permit):
-                node.holder.take_over(permit)
+                node.holder.holdings.take_over(permit)
             case Loaded(backend_server, report):
                 node.load(backend_server, report)
             case Cancelled(backend_server, permit):
                 node.cancelled(backend_server, permit)
             case IsHeld(permit_id):
-                return node.holder.is_held(permit_id)
+                return node.holder.holdings.is_held(permit_id)
             case GetStatus():
                 return node.status()
         return None
--- a/src/savorylift/permits/holder.py
+++ b/src/savorylift/permits/holder.py
@@ -1,8 +1,8 @@
 """Decisions of one node as the holder of permits."""
 
 import time
-from collections.abc import Callable, Mapping
-from typing import NamedTuple, Protocol
+from collections.abc import Mapping
+from typing import Protocol
 
 from returns.result import Failure, Result, Success
 
@@ -14,40 +14,25 @@
     BackendHint,
     Permit,
     PermitRequest,
-    PermitUse,
 )
+from savorylift.permits.holdings import Holdings, KeepersOf
 from savorylift.permits.messages import (
     Charge,
     HeldPermit,
     Lot,
-    PermitAdjust,
     PermitAsk,
     PermitDenied,
     PermitGiveUp,
     PermitGrant,
-    PermitMoved,
     PermitQuery,
     PermitQueued,
-    PermitReturn,
-    PermitStarted,
-    PermitTakeOver,
     ServerState,
 )
 from savorylift.permits.options import PermitOptions
 from savorylift.permits.route import Route, Target
 from savorylift.permits.tally import Tally
 
-UNKNOWN_LOT = -1
 UNKNOWN_WAIT_S = 1.0
-UNFINISHED = PermitUse(
-    finished=False,
-    completed=False,
-    first_token_s=None,
-    output_tokens=0,
-    overloaded=False,
-    incarnation=None,
-)
-KeepersOf = Callable[[str], list[NodeRef]]
 
 
 class Resolver(Protocol):
@@ -68,28 +53,12 @@
         self.is_confirmed = False
 
 
-class Holding(NamedTuple):
-    """A permit that this node holds.
-
-    Attributes:
-        permit: As handed to the request path.
-        held: As keepers see it.
-        is_closing: True once the request path is done with it while the
-            work's end is not confirmed.
-        is_taken_over: False until a keeper has confirmed a take-over.
-    """
-
-    permit: Permit
-    held: HeldPermit
-    is_closing: bool = False
-    is_taken_over: bool = True
-
-
 class Holder:
     """Asks keepers for permits and returns them.
 
     Attributes:
         hints: Newest hints by backend server name; replaced, never changed.
+        holdings: Permits held.
     """
 
     def __init__(
@@ -112,7 +81,7 @@
         self._resolver = resolver
         self._tally = tally
         self._waiting: dict[str, _Waiting] = {}
-        self._held: dict[str, Holding] = {}
+        self.holdings = Holdings(ref, keepers_of, sender)
         self._wait_s: dict[str, float] = {}
         self._floors: dict[Lot, int] = {}
 
@@ -125,90 +94,24 @@
         self._waiting[req.permit_id] = waiting
         self._ask_next(waiting)
 
-    def release(self, permit: Permit, use: PermitUse) -> None:
-        """Returns a permit, or hands its unfinished work to the keeper."""
-        holding = self._held.get(permit.permit_id)
-        if holding is None:
-            return
-        if use.finished:
-            del self._held[permit.permit_id]
-        else:
-            closing = holding._replace(is_closing=True)
-            self._held[permit.permit_id] = closing
-        self._send_return(holding.permit, use)
-
-    def adjust(self, permit: Permit, tokens: int) -> None:
-        """Replaces the memory reserved under a permit."""
-        holding = self._held.get(permit.permit_id)
-        if holding is None:
-            return
-        held = holding.held._replace(tokens=tokens)
-        self._held[permit.permit_id] = holding._replace(held=held)
-        msg = PermitAdjust(permit.permit_id, permit.backend_server, tokens)
-        self._sender.send(holding.permit.keeper, msg)
-
-    def started(
-        self,
-        permit: Permit,
-        incarnation: str,
-        first_token_s: float,
-        *,
-        is_cold: bool,
-    ) -> None:
-        """Reports the first output under a permit."""
-        holding = self._held.get(permit.permit_id)
-        if holding is None:
-            return
-        held = holding.held._replace(started_on=incarnation)
-        self._held[permit.permit_id] = holding._replace(held=held)
-        msg = PermitStarted(
-            permit.permit_id,
-            permit.backend_server,
-            incarnation,
-            is_cold,
-            first_token_s,
-        )
-        self._sender.send(holding.permit.keeper, msg)
-
-    def take_over(self, permit: Permit) -> None:
-        """Holds a permit from now on and tells its keeper, whoever it is."""
-        time_ms = time.time_ns() // 1_000_000
-        attempt = f"{time_ms:012x}-{self._ref.vm}"
-        lot = Lot(permit.backend_server, UNKNOWN_LOT)
-        known = self._held.get(permit.permit_id)
-        if known is not None:
-            lot = known.held.lot
-        held = HeldPermit(
-            permit.permit_id,
-            permit.stream_id,
-            lot,
-            0,
-            self._ref,
-            attempt=attempt,
-        )
-        holding = Holding(permit, held, is_taken_over=False)
-        self._held[permit.permit_id] = holding
-        self._send_take_over(holding)
-
     def give_up(self, permit_id: str) -> None:
         """Ends a request that nobody waits for any more."""
         waiting = self._waiting.pop(permit_id, None)
         if waiting is not None:
             self._withdraw(waiting)
-        holding = self._held.pop(permit_id, None)
+        holding = self.holdings.drop(permit_id)
         if holding is not None:
             self._return_unused(holding.permit)
 
     def granted(self, keeper: NodeRef, msg: PermitGrant) -> None:
         """Takes a permit, or returns one that is not wanted."""
         self._note(msg.state)
-        holding = self._held.get(msg.permit_id)
-        unknown_lot = Lot(msg.lot.backend_server, UNKNOWN_LOT)
-        if holding and holding.held.lot in (msg.lot, unknown_lot):
-            self._follow_keeper(holding, keeper, msg)
-            return
         if not self._may_use(keeper, msg):
             return
+        holding = self.holdings.get(msg.permit_id)
+        if holding and self.holdings.is_charged(holding, msg.lot):
+            self.holdings.follow(holding, keeper, msg)
+            return
         permit = Permit(
             msg.permit_id,
             msg.lot.backend_server,
@@ -254,30 +157,17 @@
 
         Permits that it does use are returned to the asking keeper from now on.
         """
-        return tuple(c for c in msg.charges if not self._uses(c, keeper))
-
-    def ended(self, permit_id: str) -> None:
-        """Drops a permit whose end its keeper has confirmed."""
-        holding = self._held.get(permit_id)
-        if holding is not None and holding.is_closing:
-            del self._held[permit_id]
-
-    def moved(self, msg: PermitMoved) -> None:
-        """Drops a permit that a newer attempt has taken over."""
-        holding = self._held.get(msg.permit_id)
-        if holding is not None and holding.held.attempt == msg.attempt:
-            del self._held[msg.permit_id]
-
-    def is_held(self, permit_id: str) -> bool:
-        """Returns True if this node holds the permit."""
-        holding = self._held.get(permit_id)
-        return holding is not None and not holding.is_closing
+        return tuple(
+            charge
+            for charge in msg.charges
+            if charge.permit_id not in self._waiting
+            and not self.holdings.uses(charge, keeper)
+        )
 
     def fence(self, lot: Lot, floor: int) -> tuple[HeldPermit, ...]:
         """Refuses older grants of a lot; returns what is held of it."""
         self._floors[lot] = max(floor, self._floors.get(lot, -1))
-        held = (h.held for h in self._held.values())
-        return tuple(h for h in held if h.lot == lot)
+        return self.holdings.of_lot(lot)
 
     def tick(self) -> None:
         """Ends late requests and repeats messages that may be lost."""
@@ -288,44 +178,11 @@
             elif self._is_unanswered(waiting, now):
                 self._retry(waiting)
 
-    def refresh(self) -> None:
-        """Repeats what keepers have not confirmed."""
-        for holding in self._held.values():
-            if not holding.is_taken_over:
-                self._send_take_over(holding)
-            if holding.is_closing:
-                self._send_return(holding.permit, UNFINISHED)
-
-    def holdings(self) -> list[Holding]:
-        """Returns what this node holds."""
-        return list(self._held.values())
-
     @property
     def waiting_count(self) -> int:
         """Number of requests without an answer."""
         return len(self._waiting)
 
-    def _uses(self, charge: Charge, keeper: NodeRef) -> bool:
-        holding = self._held.get(charge.permit_id)
-        if holding is None:
-            return charge.permit_id in self._waiting
-        if holding.held.lot.number not in (charge.lot_number, UNKNOWN_LOT):
-            return False
-        permit = holding.permit._replace(keeper=keeper)
-        self._held[charge.permit_id] = holding._replace(permit=permit)
-        return True
-
-    def _send_take_over(self, holding: Holding) -> None:
-        permit = holding.permit
-        msg = PermitTakeOver(
-            permit.permit_id,
-            permit.backend_server,
-            permit.stream_id,
-            holding.held.attempt,
-        )
-        for keeper in self._keepers_of(permit.backend_server):
-            self._sender.send(keeper, msg)
-
     def _ask_next(self, waiting: _Waiting) -> None:
         target, may_queue = waiting.route.next()
         if target is None:
@@ -377,24 +234,11 @@
             return False
         return msg.epoch >= self._floors.get(msg.lot, -1)
 
-    def _follow_keeper(
-        self, holding: Holding, keeper: NodeRef, msg: PermitGrant
-    ) -> None:
-        if self._may_use(keeper, msg):
-            permit = holding.permit._replace(keeper=keeper)
-            held = holding.held._replace(lot=msg.lot)
-            self._held[msg.permit_id] = holding._replace(
-                permit=permit, held=held, is_taken_over=True
-            )
-
     def _hold(
         self, permit: Permit, msg: PermitGrant, waiting: _Waiting | None
     ) -> None:
         tokens = waiting.req.tokens if waiting else 0
-        held = HeldPermit(
-            msg.permit_id, msg.stream_id, msg.lot, tokens, self._ref
-        )
-        self._held[msg.permit_id] = Holding(permit, held)
+        self.holdings.hold(permit, msg.lot, tokens)
         if waiting is not None:
             self._withdraw(waiting, permit.keeper)
             waited_s = time.monotonic() - waiting.created_s
@@ -431,26 +275,12 @@
 
     def _send_give_up(self, permit_id: str, target: Target) -> None:
         kept_lot = -1
-        holding = self._held.get(permit_id)
+        holding = self.holdings.get(permit_id)
         if holding and holding.held.lot.backend_server == target.server:
             kept_lot = holding.held.lot.number
         msg = PermitGiveUp(permit_id, target.server, kept_lot)
         self._sender.send(target.keeper, msg)
 
-    def _send_return(self, permit: Permit, use: PermitUse) -> None:
-        first_token_s = -1.0 if use.first_token_s is None else use.first_token_s
-        msg = PermitReturn(
-            permit.permit_id,
-            permit.backend_server,
-            use.finished,
-            use.completed,
-            first_token_s,
-            use.overloaded,
-            use.incarnation or "",
-            self._ref,
-        )
-        self._sender.send(permit.keeper, msg)
-
     def _answer(self, permit_id: str, answer: Result[Permit, Refusal]) -> None:
         self._resolver.resolve(permit_id, answer)
 
--- a/src/savorylift/permits/keeper.py
+++ b/src/savorylift/permits/keeper.py
@@ -33,6 +33,8 @@
 from savorylift.permits.warmth import Warmth
 from savorylift.rules.view import BackendServer
 
+__all__ = ["Keeper", "LoadReport"]
+
 MAX_HOPS = 2
 UNKNOWN_INCARNATION = "?"
 MIN_RETRY_AFTER_S = 0.1
--- a/src/savorylift/permits/node.py
+++ b/src/savorylift/permits/node.py
@@ -108,7 +108,7 @@
     def status(self) -> PermitStatus:
         """Returns what operators are shown."""
         servers = [self._server_status(k) for k in self.keepers.values()]
-        held = len(self.holder.holdings())
+        held = len(self.holder.holdings.all())
         return PermitStatus(held, self.holder.waiting_count, tuple(servers))
 
     def _follow_views(self) -> None:
@@ -162,7 +162,7 @@
             del self.keepers[name]
 
     def _refresh(self) -> None:
-        self.holder.refresh()
+        self.holder.holdings.refresh()
         self._claim_shares()
         self._query_members()
         roster = self._roster.current()
@@ -308,8 +308,8 @@
             m.PermitReturn: self._on_return,
             m.PermitQuery: self._on_query,
             m.PermitUnknown: self._on_unknown,
-            m.PermitEnded: lambda _, msg: holder.ended(msg.permit_id),
-            m.PermitMoved: lambda _, msg: holder.moved(msg),
+            m.PermitEnded: lambda _, msg: holder.holdings.ended(msg.permit_id),
+            m.PermitMoved: lambda _, msg: holder.holdings.moved(msg),
             m.PermitTakeOver: lambda sender, msg: on(
                 msg.backend_server, lambda k: k.take_over(msg, sender)
             ),
--- a/tests/permits/fakes.py
+++ b/tests/permits/fakes.py
@@ -304,7 +304,7 @@
 
     def first_token(self, node: FakeNode, permit: Permit) -> None:
         engine = self.engines[permit.backend_server]
-        node.node.holder.started(
+        node.node.holder.holdings.started(
             permit, engine.incarnation, 0.1, is_cold=engine.is_cold
         )
 
@@ -315,7 +315,7 @@
         use = UNUSED._replace(
             completed=was_running, incarnation=engine.incarnation
         )
-        node.node.holder.release(permit, use)
+        node.node.holder.holdings.release(permit, use)
 
 
 class DirectLink:
--- a/tests/permits/test_node.py
+++ b/tests/permits/test_node.py
@@ -186,13 +186,13 @@
     cluster = driver.cluster
     lost, permit = driver.running[0]
     resumer = next(n for n in cluster.live() if n is not lost)
-    resumer.node.holder.take_over(permit)
+    resumer.node.holder.holdings.take_over(permit)
     cluster.settle(clock, 1)
-    assert resumer.node.holder.is_held(permit.permit_id)
-    assert not lost.node.holder.is_held(permit.permit_id)
+    assert resumer.node.holder.holdings.is_held(permit.permit_id)
+    assert not lost.node.holder.holdings.is_held(permit.permit_id)
     driver.running[0] = (resumer, permit)
     resumer.answers[permit.permit_id] = Success(permit)  # needs no answer
-    lost.node.holder.release(permit, UNUSED)
+    lost.node.holder.holdings.release(permit, UNUSED)
     cluster.settle(clock, 5)
     assert [h for k in keepers(cluster) for h in k.share.held()]
     driver.recover()
@@ -239,7 +239,7 @@
     assert node.permit("p3") is None
     first = node.permit("p0")
     assert first is not None
-    node.node.holder.adjust(first, 10)
+    node.node.holder.holdings.adjust(first, 10)
     driver.cluster.deliver_all()
     assert node.permit("p3") is not None
     node.node.holder.acquire(request(9, tokens=10_000))
--- a/tests/permits/test_safety.py
+++ b/tests/permits/test_safety.py
@@ -125,13 +125,13 @@
         if node not in self.cluster.live() or not is_answered:
             return
         self.running.remove((node, permit))
-        if not node.node.holder.is_held(permit.permit_id):
+        if not node.node.holder.holdings.is_held(permit.permit_id):
             return  # taken over
         if is_sure:
             self.cluster.finish(node, permit)
         else:
             use = UNUSED._replace(finished=False)
-            node.node.holder.release(permit, use)
+            node.node.holder.holdings.release(permit, use)
 
     @precondition(lambda self: self.running)
     @rule(number=pick)
@@ -214,7 +214,7 @@
         resumer = self.live(other)
         if resumer is node or permit.permit_id in resumer.answers:
             return
-        resumer.node.holder.take_over(permit)
+        resumer.node.holder.holdings.take_over(permit)
         resumer.answers[permit.permit_id] = Success(permit)  # needs no answer
         self.running.append((resumer, permit))
 
--- a/tests/permits/test_take_over.py
+++ b/tests/permits/test_take_over.py
@@ -41,11 +41,11 @@
     cluster = driver.cluster
     driver.kill(keeper)
     resumer = cluster.live()[0]
-    resumer.node.holder.take_over(permit)
-    assert resumer.node.holder.is_held(permit.permit_id)
+    resumer.node.holder.holdings.take_over(permit)
+    assert resumer.node.holder.holdings.is_held(permit.permit_id)
     cluster.gone(keeper.ref)
     cluster.settle(clock, 10.0)
-    assert resumer.node.holder.is_held(permit.permit_id)
+    assert resumer.node.holder.holdings.is_held(permit.permit_id)
     driver.acquire(cluster.live()[1], NAME)  # the one place is still taken
     cluster.settle(clock)
     driver.dispatch()
@@ -62,13 +62,15 @@
     driver, keeper, permit = running(clock)
     cluster = driver.cluster
     first, second = (n for n in cluster.live() if n is not keeper)
-    first.node.holder.take_over(permit)
+    first.node.holder.holdings.take_over(permit)
     clock.tick(0.1)
-    second.node.holder.take_over(permit)
+    second.node.holder.holdings.take_over(permit)
     while cluster.pool:  # the older message arrives last
         cluster.deliver(len(cluster.pool) - 1)
     cluster.settle(clock)
     held = [
-        n for n in cluster.live() if n.node.holder.is_held(permit.permit_id)
+        n
+        for n in cluster.live()
+        if n.node.holder.holdings.is_held(permit.permit_id)
     ]
     assert held == [second]
