--- a/src/savorylift/permits/node.py
+++ b/src/savorylift/permits/node.py
@@ -234,16 +234,17 @@
 
     def _owned(self, item: Acquired, keeper: Keeper) -> OwnedLot:
         if item.release is not None:
-            unaccounted = item.release.unaccounted
+            owned = OwnedLot(item.lot, item.epoch, item.release.unaccounted)
             held = item.release.held
         else:
+            owned = OwnedLot(item.lot, item.epoch, 0)
             held = tuple(p for s in item.statuses for p in s.held)
-            server = keeper.share.server
-            count = keeper.share.lot_count
+        for permit in sorted(held, key=lambda permit: permit.attempt):
+            owned.put(permit)  # of two holders, the newest attempt counts
+        if item.release is None:
+            server, count = keeper.share.server, keeper.share.lot_count
             places = split(server.warm_limit, count, item.lot.number)
-            unaccounted = max(0, places - len(held))
-        owned = OwnedLot(item.lot, item.epoch, unaccounted)
-        owned.held = {permit.permit_id: permit for permit in held}
+            owned.unaccounted = max(0, places - len(owned.held))
         return owned
 
     def _with_keeper(self, name: str, apply: Callable[[Keeper], None]) -> None:
--- a/src/savorylift/permits/share.py
+++ b/src/savorylift/permits/share.py
@@ -1,6 +1,8 @@
 """The lots of one backend server that a node owns, and what is out."""
 
 import time
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 from savorylift.identity import NodeRef
@@ -16,6 +18,8 @@
         lot: The lot.
         epoch: Roster offset at which this node acquired it.
         held: Permits out, by identifier.
+        tokens_used: Memory reserved by them, in tokens.
+        unproven: Number of those whose work has produced no output yet.
         unaccounted: Places that work of lost nodes may still occupy.
         since_s: `time.monotonic()` of the acquisition.
         settled_on: Last backend server incarnation that may run work of
@@ -26,7 +30,10 @@
         """Starts with no permit out."""
         self.lot = lot
         self.epoch = epoch
-        self.held: dict[str, HeldPermit] = {}
+        self._held: dict[str, HeldPermit] = {}
+        self.held: Mapping[str, HeldPermit] = MappingProxyType(self._held)
+        self.tokens_used = 0
+        self.unproven = 0
         self.unaccounted = unaccounted
         self.since_s = time.monotonic()
         self.settled_on = ""
@@ -41,15 +48,19 @@
         """Places that may be occupied at the backend server."""
         return len(self.held) + self.unaccounted
 
-    @property
-    def tokens_used(self) -> int:
-        """Memory reserved, in tokens."""
-        return sum(permit.tokens for permit in self.held.values())
+    def put(self, permit: HeldPermit) -> None:
+        """Adds or replaces a permit."""
+        self.pop(permit.permit_id)
+        self._held[permit.permit_id] = permit
+        self.tokens_used += permit.tokens
+        self.unproven += not permit.started_on
 
-    @property
-    def unproven(self) -> int:
-        """Permits whose work has produced no output yet."""
-        return sum(1 for p in self.held.values() if not p.started_on)
+    def pop(self, permit_id: str) -> None:
+        """Ends a permit, if it is out."""
+        permit = self._held.pop(permit_id, None)
+        if permit is not None:
+            self.tokens_used -= permit.tokens
+            self.unproven -= not permit.started_on
 
 
 class Room(NamedTuple):
@@ -103,13 +114,13 @@
 
     def put(self, permit: HeldPermit) -> None:
         """Adds or replaces a permit; its lot must be owned."""
-        self.lots[permit.lot.number].held[permit.permit_id] = permit
+        self.lots[permit.lot.number].put(permit)
 
     def remove(self, permit_id: str, kept_lot: int = -1) -> None:
         """Ends a permit in every owned lot but `kept_lot`."""
         for index, owned in self.lots.items():
             if index != kept_lot:
-                owned.held.pop(permit_id, None)
+                owned.pop(permit_id)
 
     def remove_charge(self, charge: Charge, holder: NodeRef) -> None:
         """Ends a holder's permit in one lot."""
@@ -117,7 +128,7 @@
         if owned is None or charge.permit_id not in owned.held:
             return
         if owned.held[charge.permit_id].holder == holder:
-            del owned.held[charge.permit_id]
+            owned.pop(charge.permit_id)
 
     def held(self) -> list[HeldPermit]:
         """Returns every permit that is out."""
