--- a/src/savorylift/client/client.py
+++ b/src/savorylift/client/client.py
@@ -53,7 +53,6 @@
     def __init__(self, cfg: ClientOptions) -> None:
         """Opens no connection before the first request."""
         self._cfg = cfg
-        # A stalled connection is never used again, so none is kept.
         self._pool = urllib3.PoolManager(
             maxsize=1, block=False, ca_certs=cfg.authorities
         )
@@ -139,6 +138,9 @@
             "X-Team": self._cfg.team,
             "X-Request-Id": request_id,
             "Content-Type": "application/json",
+            # A node may close an idle connection just as it is used again,
+            # and then nobody knows whether the request ran.
+            "Connection": "close",
         }
         if self._cfg.accepts_restart:
             headers["X-Accept-Restart"] = "true"
