--- a/src/savorylift/streams/memory_placement.py
+++ b/src/savorylift/streams/memory_placement.py
@@ -17,6 +17,7 @@
 
 CHOICES = 3  # engines drawn for a request; nodes ask so many at most
 BAND = 1 / 16  # share of an engine's memory within which prefixes decide
+MIXER, MASK = 0x9E3779B1, 0xFFFFFFFF
 START_LEVEL = 0.35  # quantile of the length that must fit before the deadline
 
 
@@ -53,7 +54,8 @@
         tokens = self.reserve(req, 0)
         self._note_open(req.model.name, servers)
         hash_ = prefix_hash(req.model.name, req.prompt)
-        drawn = sorted(servers, key=lambda server: _draw(req, server))
+        seed = zlib.crc32(req.request_id.encode())
+        drawn = sorted(servers, key=lambda server: _draw(seed, server))
         ranks = {}
         for number, server in enumerate(drawn):
             ranks[server.name] = _rank(
@@ -169,5 +171,6 @@
     return _Rank(not has_room, is_spare, hint.waiting, -bands, not is_cached)
 
 
-def _draw(req: GenerationRequest, server: BackendServer) -> int:
-    return zlib.crc32(f"{req.request_id}{server.name}".encode())
+def _draw(seed: int, server: BackendServer) -> int:
+    # Checksums alone differ by the same bits for every seed.
+    return zlib.crc32(server.name.encode(), seed) * MIXER & MASK
--- a/src/savorylift/streams/reserve.py
+++ b/src/savorylift/streams/reserve.py
@@ -11,7 +11,7 @@
 MISSING_SHARE = 0.3  # more while engines are out
 MIN_SHARE = 0.1
 MAX_SHARE = 1.0  # above it a reserve could fall as an output grows
-PREEMPTION_STEP = 0.012
+PREEMPTION_STEP = 0.05
 DECAY_S = 60.0  # time constant of the return to the base
 
 
