--- a/bench/permits.py
+++ b/bench/permits.py
@@ -19,17 +19,22 @@
 import freezegun
 from freezegun.api import FrozenDateTimeFactory
 from returns.result import Failure, Result, Success
-from tests.permits.fakes import Cluster, FakeNode, server
+from tests.permits.fakes import Cluster, FakeNode, member, server
 
 from savorylift.identity import NodeRef
 from savorylift.outcomes import Refusal
 from savorylift.peers.link import Message
+from savorylift.peers.view import RosterView
 from savorylift.permits.gate import Permit, PermitRequest, PermitUse
+from savorylift.permits.lots import KeeperChoice
 from savorylift.permits.options import PermitOptions
 
 NODE_COUNTS = (3, 6, 9, 27)
 COST_SIZES = (10, 100, 1_000, 10_000)
 SEEDS = range(1, 11)
+MEMBERS = (9, 27, 81, 350)
+CHOICE_SERVERS = 600
+CHOICE_DOMAINS = 6
 TARGET = 0.95
 SERVERS = 5
 COLD_LIMIT = 4
@@ -275,6 +280,23 @@
         )
 
 
+def measure_choice(node_counts: list[int]) -> None:
+    """Prints the time to choose all keepers after a change of the roster."""
+    print(f"nodes ms_to_choose_keepers_of_{CHOICE_SERVERS}_servers")
+    for count in node_counts:
+        refs = [NodeRef(f"vm-{n}", "1") for n in range(count)]
+        members = {
+            ref.vm: member(ref, 0, f"d{number % CHOICE_DOMAINS}")
+            for number, ref in enumerate(refs)
+        }
+        roster = RosterView(0, members)
+        started_s = time.process_time()
+        choice = KeeperChoice(roster)
+        for number in range(CHOICE_SERVERS):
+            choice.keepers_of(f"runner-{number}", 3)
+        print(f"{count} {(time.process_time() - started_s) * 1e3:.0f}")
+
+
 def _settle(cluster: Cluster) -> Cluster:
     for node in cluster.live():
         cluster.sync(node)
@@ -343,9 +365,11 @@
     parser.add_argument("--nodes", type=int, nargs="*", default=NODE_COUNTS)
     parser.add_argument("--seeds", type=int, nargs="*", default=SEEDS)
     parser.add_argument("--sizes", type=int, nargs="*", default=COST_SIZES)
+    parser.add_argument("--members", type=int, nargs="*", default=MEMBERS)
     args = parser.parse_args()
     measure_capacity(list(args.nodes), list(args.seeds))
     measure_cost(list(args.sizes))
+    measure_choice(list(args.members))
 
 
 if __name__ == "__main__":
--- a/src/savorylift/permits/lots.py
+++ b/src/savorylift/permits/lots.py
@@ -1,7 +1,7 @@
 """Which node keeps which part of a backend server's limit."""
 
 from savorylift.identity import NodeRef
-from savorylift.peers.view import Member, RosterView
+from savorylift.peers.view import RosterView
 from savorylift.permits.messages import Lot
 from savorylift.rendezvous import rank
 
@@ -20,38 +20,36 @@
     return limit // lots + (1 if index < limit % lots else 0)
 
 
-def keepers_of(roster: RosterView, server: str, lots: int) -> list[NodeRef]:
-    """Returns the keeper of each lot, spread over failure domains.
-
-    The result depends on the roster and the arguments alone; it is empty if
-    every member is leaving.
-    """
-    by_domain = _nodes_by_domain(roster)
-    keepers: list[NodeRef] = []
-    used_domains: set[str] = set()
-    for index in range(lots if by_domain else 0):
-        free = by_domain.keys() - used_domains or by_domain.keys()
-        domain = rank(f"{server}#{index}", free)[0]
-        used_domains.add(domain)
-        keepers.append(_pick(f"{server}#{index}", by_domain[domain], keepers))
-    return keepers
-
-
 def lots_of(server: str, count: int) -> list[Lot]:
     """Returns the lots of a backend server."""
     return [Lot(server, index) for index in range(count)]
 
 
-def _nodes_by_domain(roster: RosterView) -> dict[str, list[Member]]:
-    by_domain: dict[str, list[Member]] = {}
-    for member in roster.members.values():
-        if not member.leaving:
-            domain = member.info.failure_domain
-            by_domain.setdefault(domain, []).append(member)
-    return by_domain
-
-
-def _pick(key: str, members: list[Member], used: list[NodeRef]) -> NodeRef:
-    refs = {member.info.ref.vm: member.info.ref for member in members}
-    fresh = {vm: ref for vm, ref in refs.items() if ref not in used} or refs
-    return fresh[rank(key, fresh)[0]]
+class KeeperChoice:
+    """Chooses keepers by one roster, spread over failure domains."""
+
+    def __init__(self, roster: RosterView) -> None:
+        """Groups the members that aren't leaving."""
+        self._by_domain: dict[str, dict[str, NodeRef]] = {}
+        for member in roster.members.values():
+            if not member.leaving:
+                info = member.info
+                domain = self._by_domain.setdefault(info.failure_domain, {})
+                domain[info.ref.vm] = info.ref
+
+    def keepers_of(self, server: str, lots: int) -> list[NodeRef]:
+        """Returns the keeper of each lot; none if every member is leaving.
+
+        The result depends on the roster and the arguments alone.
+        """
+        keepers: list[NodeRef] = []
+        used_domains: set[str] = set()
+        for index in range(lots if self._by_domain else 0):
+            free = self._by_domain.keys() - used_domains or self._by_domain
+            domain = rank(f"{server}#{index}", free)[0]
+            used_domains.add(domain)
+            refs = self._by_domain[domain]
+            fresh = {vm: ref for vm, ref in refs.items() if ref not in keepers}
+            vm = rank(f"{server}#{index}", fresh or refs)[0]
+            keepers.append(refs[vm])
+        return keepers
--- a/src/savorylift/permits/node.py
+++ b/src/savorylift/permits/node.py
@@ -13,7 +13,7 @@
 from savorylift.permits.handover import REFUSED_FLOOR, Acquired
 from savorylift.permits.holder import Holder, Resolver
 from savorylift.permits.keeper import Keeper
-from savorylift.permits.lots import keepers_of, lot_count, lots_of, split
+from savorylift.permits.lots import KeeperChoice, lot_count, lots_of, split
 from savorylift.permits.options import PermitOptions
 from savorylift.permits.policies import SAFE, Policies
 from savorylift.permits.share import OwnedLot
@@ -59,8 +59,9 @@
         self._handover = policies.handover(ref)
         self._seen: tuple[int, int] | None = None
         self._refreshed_s = -float("inf")
-        self._choices: dict[str, list[NodeRef]] = {}
+        self._choices: dict[tuple[str, int], list[NodeRef]] = {}
         self._choices_offset = -2
+        self._choice = KeeperChoice(roster.current())
         self.holder = Holder(
             ref, roster, self.keepers_of, cfg, effects, effects, tally
         )
@@ -99,11 +100,12 @@
         if roster.offset != self._choices_offset:
             self._choices = {}
             self._choices_offset = roster.offset
-        if server not in self._choices:
-            rule = self._rules.current().backend_servers.get(server)
-            count = lot_count(rule.cold_limit) if rule else 0
-            self._choices[server] = keepers_of(roster, server, count)
-        return self._choices[server]
+            self._choice = KeeperChoice(roster)
+        rule = self._rules.current().backend_servers.get(server)
+        key = (server, lot_count(rule.cold_limit) if rule else 0)
+        if key not in self._choices:
+            self._choices[key] = self._choice.keepers_of(*key)
+        return self._choices[key]
 
     def status(self) -> PermitStatus:
         """Returns what operators are shown."""
@@ -116,7 +118,6 @@
         if self._seen == (rules.offset, roster.offset):
             return
         self._seen = (rules.offset, roster.offset)
-        self._choices = {}
         self._claim_shares()
         for name in self.keepers.keys() - rules.backend_servers.keys():
             self._drop_if_empty(name)
--- a/tests/permits/test_parts.py
+++ b/tests/permits/test_parts.py
@@ -10,7 +10,7 @@
 from savorylift.identity import NodeRef
 from savorylift.peers.view import RosterView
 from savorylift.permits.fair_queue import FairQueue
-from savorylift.permits.lots import keepers_of, lot_count, split
+from savorylift.permits.lots import KeeperChoice, lot_count, split
 from savorylift.permits.messages import PermitAsk
 from savorylift.permits.service_rate import ServiceRate
 from savorylift.permits.warmth import Warmth
@@ -114,20 +114,21 @@
 ) -> None:
     view = roster(nodes, domains)
     for number in range(20):
-        keepers = keepers_of(view, f"runner-{number}", 3)
+        keepers = KeeperChoice(view).keepers_of(f"runner-{number}", 3)
         assert len(set(keepers)) == distinct
         of = {k: view.members[k.vm].info.failure_domain for k in keepers}
         assert len(set(of.values())) == spread
 
 
 def test_one_change_moves_few_lots() -> None:
-    before, after = roster(60, 6), roster(61, 6)
+    before = KeeperChoice(roster(60, 6))
+    after = KeeperChoice(roster(61, 6))
     names = [f"runner-{n}" for n in range(200)]
     moved = sum(
         a != b
         for name in names
         for a, b in zip(
-            keepers_of(before, name, 3), keepers_of(after, name, 3), strict=True
+            before.keepers_of(name, 3), after.keepers_of(name, 3), strict=True
         )
     )
     assert moved < 3 * 200 * 2 / 60  # twice the even share
