--- a/src/savorylift/peers/core.py
+++ b/src/savorylift/peers/core.py
@@ -113,7 +113,7 @@
         self._table.set_own(offset, self._surroundings.load())
         self._publish_guard()
         if time.monotonic() - self._board_at_s >= BOARD_S:
-            self._publish_board()
+            self.publish_board()
 
     def due_questions(
         self, asking: Container[NodeRef] = ()
@@ -194,6 +194,20 @@
         is_new = self._marks.mark(vm, incarnation)
         self._change_marks([vm] if is_new else [])
 
+    def publish_board(self) -> None:
+        """Publishes what is known of the other nodes."""
+        self._board_at_s = time.monotonic()
+        self._published.board.replace(
+            PeersView(
+                own=self._cfg.own,
+                roster=self._roster.current(),
+                heard_s=self._hearing.by_node(),
+                states=self._table.states(),
+                marks=self._marks.view(),
+                newest_offset=self._newest_offset,
+            )
+        )
+
     def _use_roster(self) -> None:
         roster = self._roster.current()
         self._hearing.use_roster(roster)
@@ -245,7 +259,7 @@
         self._table.touch_vms(changed)
         if changed:
             self._has_news = True
-            self._publish_board()
+            self.publish_board()
 
     def _publish_guard(self) -> None:
         roster = self._roster.current()
@@ -259,19 +273,6 @@
             )
         )
 
-    def _publish_board(self) -> None:
-        self._board_at_s = time.monotonic()
-        self._published.board.replace(
-            PeersView(
-                own=self._cfg.own,
-                roster=self._roster.current(),
-                heard_s=self._hearing.by_node(),
-                states=self._table.states(),
-                marks=self._marks.view(),
-                newest_offset=self._newest_offset,
-            )
-        )
-
 
 def _age_ms(proof: TailProof | None) -> int:
     """Returns the proof's age, rounded up; -1 for no proof."""
--- a/src/savorylift/peers/transport.py
+++ b/src/savorylift/peers/transport.py
@@ -18,7 +18,8 @@
 from savorylift.peers.incoming import Acceptor
 from savorylift.peers.link import Message, PeerFault
 from savorylift.peers.options import LinkOptions
-from savorylift.peers.outgoing import Outbound, Outgoing, Question
+from savorylift.peers.outgoing import Outgoing
+from savorylift.peers.question import Outbound, Question
 
 M = TypeVar("M", bound=Message)
 Answer = TypeVar("Answer", bound=Message)
--- a/tests/peers/linkkit.py
+++ b/tests/peers/linkkit.py
@@ -48,6 +48,7 @@
     max_queue: int
     ping_interval_s: float
     ping_timeout_s: float
+    retry_s: float
 
 
 FAST_PINGS: Options = {"ping_interval_s": 0.1, "ping_timeout_s": 0.2}
