Say what earlier attempts of a client's request may have done

Cause: a client that lost its connection after sending a keyed call asked the next node, was told 'not run' for that second try and passed it on, although the first try had run the call. A stream that ran out of time after it had tokens said 'not run' too. And the bound on silence between tokens never applied: an answer without a length takes the socket from the connection, so the bound was set on nothing and a silent connection was waited on until the deadline.

Found by the fault matrix ('node killed at call sent', 'caller's connection silent at mid-stream').

--- a/src/savorylift/client/client.py
+++ b/src/savorylift/client/client.py
@@ -13,6 +13,7 @@
     Answer,
     CallReply,
     ClientError,
+    despite,
     error_from,
     not_reached,
 )
@@ -158,6 +159,7 @@
     ) -> Result[CallReply, ClientError]:
         """Tries one node after another until one answers."""
         error = not_reached("no node could be reached")
+        known = Ending.NOT_RUN
         while time.monotonic() < deadline_s:
             for url in self._entries.in_order():
                 tried = self._try(method, url + path, headers, body, deadline_s)
@@ -167,10 +169,12 @@
                 if error.code == "connection":
                     self._entries.note_failed(url)
                 if not _may_retry(error, may_repeat=may_repeat):
-                    return tried
+                    return Failure(despite(error, known))
+                if error.ending is not Ending.NOT_RUN:
+                    known = error.ending
             pause_s = max(error.retry_after_s or 0.0, MIN_PAUSE_S)
             time.sleep(max(0.0, min(pause_s, deadline_s - time.monotonic())))
-        return Failure(error)
+        return Failure(despite(error, known))
 
     def _try(
         self,
--- a/src/savorylift/client/outcomes.py
+++ b/src/savorylift/client/outcomes.py
@@ -61,6 +61,18 @@
         return ClientError(Ending.UNKNOWN, "bad_answer", "no error body")
 
 
+def despite(error: ClientError, earlier: Ending) -> ClientError:
+    """Returns an error with what earlier attempts leave possible.
+
+    Args:
+        error: How the last attempt ended.
+        earlier: What is known about the effect of those before it.
+    """
+    if error.ending is Ending.NOT_RUN:
+        return error._replace(ending=earlier)
+    return error
+
+
 def not_reached(message: str, ending: Ending = Ending.NOT_RUN) -> ClientError:
     """Returns the error for a node that gave no answer."""
     return ClientError(ending, "connection", message, 0.0)
--- a/src/savorylift/client/stream.py
+++ b/src/savorylift/client/stream.py
@@ -10,11 +10,20 @@
 from returns.result import Failure, Result, Success
 
 from savorylift.client.entries import Entries
-from savorylift.client.outcomes import ClientError, error_from, not_reached
+from savorylift.client.outcomes import (
+    ClientError,
+    despite,
+    error_from,
+    not_reached,
+)
 from savorylift.outcomes import Ending
 from savorylift.streams.events import END_MARK, EventSplitter
 
 RESUME_PAUSE_S = 0.05
+NEVER_SENT = (
+    urllib3.exceptions.NewConnectionError,
+    urllib3.exceptions.ConnectTimeoutError,
+)
 HTTP_OK = 200
 
 
@@ -90,6 +99,7 @@
         self._next_index = 0
         self._answer_id = ""
         self._is_over = False
+        self._is_unsure = False  # a request may have begun a generation
         self.resumes = 0
 
     def __iter__(self) -> Iterator[Item]:
@@ -97,7 +107,7 @@
         while not self._is_over:
             opened = self._open()
             if isinstance(opened, Failure):
-                yield opened.failure()
+                yield despite(opened.failure(), self._known())
                 return
             url, response = opened.unwrap()
             yield from self._read(url, response)
@@ -118,6 +128,12 @@
             self._pause(error.retry_after_s)
         return Failure(error)
 
+    def _known(self) -> Ending:
+        """Returns what is known about the effect of all requests so far."""
+        if self._ticket is not None:
+            return Ending.FAILED
+        return Ending.UNKNOWN if self._is_unsure else Ending.NOT_RUN
+
     def _pause(self, wanted_s: float | None) -> None:
         left_s = self._cfg.deadline_s - time.monotonic()
         pause_s = max(wanted_s or 0.0, RESUME_PAUSE_S)
@@ -127,10 +143,12 @@
         try:
             response = self._request(url)
             if response.status == HTTP_OK:
+                self._is_unsure = True
                 return Success(response)
             return Failure(error_from(response.read()))
         except urllib3.exceptions.HTTPError as exc:
             self._entries.note_failed(url)
+            self._is_unsure |= not isinstance(exc, NEVER_SENT)
             # A generation nobody reads is ended by its node, so asking
             # another node for a new one doubles nothing for the caller.
             return Failure(not_reached(str(exc)))
@@ -182,10 +200,12 @@
 
     def _limit_silence(self, response: urllib3.BaseHTTPResponse) -> None:
         """Bounds the silence between events, once the first has come."""
-        connection = getattr(response, "connection", None)
-        sock = getattr(connection, "sock", None)
+        # The connection no longer has its socket once an answer without a
+        # length has begun; only the answer's own file does.
         with contextlib.suppress(OSError, AttributeError):
-            sock.settimeout(self._cfg.silence_s)  # type: ignore[union-attr]
+            response._fp.fp.raw._sock.settimeout(  # type: ignore[attr-defined]
+                self._cfg.silence_s
+            )
 
     def _items(self, data: bytes) -> Iterator[Item]:
         event = _decoder.decode(data)
