--- a/bench/peers.py
+++ b/bench/peers.py
@@ -3,9 +3,10 @@
 Run: python -m bench.peers [nodes ...]
 
 The nodes run in a few processes, with one link each over loopback; processor
-time is that of a node with a process to itself. Bytes are
-frames with their websocket headers, without TCP and IP. The log is taken
-as up: every node is given a proof of its tail each half second.
+time is that of a node with a process to itself. Bytes are frames with their
+websocket headers, without TCP and IP. While the log is up every node is given
+a proof of its tail each half second; a last run of the largest size goes
+without.
 """
 
 import itertools
@@ -80,6 +81,8 @@
         print(describe(rows[-1]), flush=True)
     if len(rows) > 1:
         print(describe_slope(rows))
+    outage = measure(rows[-1].nodes, has_log=False)
+    print(f"log out: {describe(outage)}", flush=True)
     for size in (rows[-1].nodes, FULL_SIZE):
         print(f"{size:4d} nodes: decisions alone {decide(size):.2%} of a core")
 
@@ -109,13 +112,13 @@
     return (time.thread_time() - started_s) / DECIDED_S
 
 
-def measure(size: int) -> Usage:
+def measure(size: int, *, has_log: bool = True) -> Usage:
     """Runs `size` nodes and returns what one of them uses."""
     context = multiprocessing.get_context("spawn")
     pipes = []
     for names in share_out([f"n{number}" for number in range(size)]):
         here, there = context.Pipe()
-        context.Process(target=run_nodes, args=(names, there)).start()
+        context.Process(target=run_nodes, args=(names, there, has_log)).start()
         pipes.append(here)
     infos = [info for pipe in pipes for info in pipe.recv()]
     for pipe in pipes:
@@ -145,13 +148,18 @@
     return [names[:1], *(names[i : i + NODES_PER_PROCESS] for i in starts)]
 
 
-def run_nodes(names: list[str], pipe: Connection) -> None:
+def run_nodes(  # positional, as a process takes its arguments
+    names: list[str],
+    pipe: Connection,
+    has_log: bool,  # noqa: FBT001
+) -> None:
     """Runs some of the nodes in a process of their own."""
     nodes = [LoopNode(NodeRef(name, "1")) for name in names]
     pipe.send([node.info for node in nodes])
     join(nodes, pipe.recv())
     stop = threading.Event()
-    threading.Thread(target=prove, args=(nodes, stop)).start()
+    if has_log:
+        threading.Thread(target=prove, args=(nodes, stop)).start()
     time.sleep(WARM_UP_S)
     before = totals(nodes)
     cpu_s, wall_s = time.process_time(), time.monotonic()
