--- a/src/savorylift/streams/placement.py
+++ b/src/savorylift/streams/placement.py
@@ -1,10 +1,11 @@
 """Which engines a generation may run on, best first, and what it reserves."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from typing import NamedTuple, Protocol
 
 from savorylift.permits.gate import BackendHint
 from savorylift.rules.view import BackendServer, Model, Team
+from savorylift.streams.prefixes import CacheEvent
 
 UNKNOWN_OUTPUT_TOKENS = 256
 
@@ -51,6 +52,24 @@
         """Learns the length of a completed output."""
 
 
+class LearningPlacement(Placement, Protocol):
+    """Placement that learns from more than completed outputs."""
+
+    def latest_start_s(self, req: GenerationRequest) -> float:
+        """Returns the `time.monotonic()` after which a start is of no use."""
+
+    def note_dispatched(self, req: GenerationRequest, server: str) -> None:
+        """Notes that an engine has been given the prompt."""
+
+    def note_cache_events(
+        self, server: str, events: Iterable[CacheEvent]
+    ) -> None:
+        """Notes what an engine says of its prefix cache."""
+
+    def note_preemptions(self, server: str, count: int) -> None:
+        """Notes preemptions that an engine reports since the last report."""
+
+
 class LeastLoadedPlacement:
     """Orders engines by free places; reserves a fixed output length."""
 
--- a/tests/streams/test_placement.py
+++ b/tests/streams/test_placement.py
@@ -13,6 +13,7 @@
 from savorylift.streams.memory_placement import MemoryPlacement
 from savorylift.streams.placement import (
     GenerationRequest,
+    LearningPlacement,
     LeastLoadedPlacement,
     Placement,
     prompt_tokens,
@@ -36,7 +37,7 @@
 )
 
 
-def policy() -> MemoryPlacement:
+def policy() -> LearningPlacement:
     return MemoryPlacement(RulesSource(RulesView(backend_servers=SERVERS)))
 
 
