--- a/tests/permits/test_node.py
+++ b/tests/permits/test_node.py
@@ -9,6 +9,7 @@
 
 from savorylift.outcomes import Ending, Reason, Refusal
 from savorylift.permits.keeper import Keeper
+from savorylift.permits.lots import KeeperChoice
 from savorylift.permits.options import PermitOptions
 from savorylift.rules.view import BackendServer
 from tests.permits.driver import Driver
@@ -198,6 +199,75 @@
     driver.recover()
 
 
+def keeper_of(cluster: Cluster, lot: int = 0) -> FakeNode:
+    chosen = cluster.live()[0].node.keepers_of("runner-1")
+    return cluster.nodes[chosen[lot]]
+
+
+def test_a_permit_reported_by_two_holders_counts_once(
+    clock: FrozenDateTimeFactory,
+) -> None:
+    driver = warmed(clock, server(cold=2, warm=4, model=None))
+    cluster = driver.cluster
+    lost, other = keeper_of(cluster), keeper_of(cluster, 1)
+    first = next(n for n in cluster.live() if n not in (lost, other))
+    for node in (first, lost):
+        driver.acquire(node, "runner-1")
+        # Asked at the keeper that is lost later.
+        sender, _, ask = cluster.pool.pop()
+        lost.node.receive(sender, ask)
+        cluster.deliver_all()
+    driver.dispatch()
+    permit = driver.running[0][1]
+    assert [p.keeper for _, p in driver.running] == [lost.ref] * 2
+    cluster.cut.add((lost.ref.vm, first.ref.vm))  # it never learns
+    other.node.holder.holdings.take_over(permit)
+    cluster.deliver_all()
+    driver.kill(lost)
+    cluster.gone(driver.killed.pop())
+    cluster.settle(clock, 3)
+    for _ in range(3):
+        driver.acquire(other, "runner-1")
+        cluster.settle(clock, 1)
+    driver.dispatch()
+    driver.assert_safe()
+    assert len(cluster.engines["runner-1"].running) == 4
+
+
+def test_a_late_grant_of_a_lost_keeper_is_not_used(
+    clock: FrozenDateTimeFactory,
+) -> None:
+    driver = started(clock, server(cold=1), nodes=4)
+    cluster = driver.cluster
+    lost = keeper_of(cluster)
+    members = dict(cluster.roster.members)
+    del members[lost.ref.vm]
+    left = KeeperChoice(cluster.roster._replace(members=members))
+    successor = cluster.nodes[left.keepers_of("runner-1", 1)[0]]
+    holder, *others = (n for n in cluster.live() if n not in (lost, successor))
+    others.append(successor)
+    driver.acquire(holder, "runner-1")
+    cluster.deliver(0)
+    late = cluster.pool.pop(0)
+    driver.kill(lost)
+    cluster.gone(driver.killed.pop())
+    for _ in range(12):  # the holder doesn't see the roster change
+        for node in others:
+            cluster.sync(node)
+        clock.tick(0.25)
+        cluster.tick()
+        cluster.deliver_all()
+        cluster.report_loads()
+    driver.acquire(others[0], "runner-1")
+    cluster.deliver_all()
+    driver.dispatch()
+    assert len(driver.running) == 1
+    cluster.pool.append(late)
+    cluster.deliver_all()
+    driver.dispatch()
+    driver.assert_safe()
+
+
 def test_a_fall_to_cold_is_told_to_the_other_keepers(
     clock: FrozenDateTimeFactory,
 ) -> None:
