--- a/tests/permits/test_node.py
+++ b/tests/permits/test_node.py
@@ -268,6 +268,34 @@
     driver.assert_safe()
 
 
+def test_a_restart_seen_late_ends_no_lost_work(
+    clock: FrozenDateTimeFactory,
+) -> None:
+    driver = started(clock, server(cold=2), nodes=4)
+    cluster = driver.cluster
+    lost = keeper_of(cluster)
+    cluster.engines["runner-1"].restart()
+    driver.acquire(lost, "runner-1")
+    cluster.deliver_all()
+    driver.dispatch()
+    assert len(driver.running) == 1
+    driver.kill(lost)
+    cluster.gone(driver.killed.pop())
+    for _ in range(8):  # no load report tells of the restart yet
+        clock.tick(0.25)
+        for node in cluster.live():
+            cluster.sync(node)
+        cluster.tick()
+        cluster.deliver_all()
+    cluster.report_loads()
+    for node in cluster.live():
+        driver.acquire(node, "runner-1")
+        cluster.deliver_all()
+    driver.dispatch()
+    driver.assert_safe()
+    assert len(cluster.engines["runner-1"].running) == 2
+
+
 def test_a_fall_to_cold_is_told_to_the_other_keepers(
     clock: FrozenDateTimeFactory,
 ) -> None:
