--- a/tests/faults/conftest.py
+++ b/tests/faults/conftest.py
@@ -29,6 +29,16 @@
             self._world = self._stack.enter_context(World(directory))
         return self._world
 
+    @property
+    def is_running(self) -> bool:
+        """True if a world runs, broken or not."""
+        return self._world is not None
+
+    def current_or_broken(self) -> World:
+        """Returns the world that runs."""
+        assert self._world is not None
+        return self._world
+
     def close(self) -> None:
         """Ends every process."""
         self._stack.close()
--- a/tests/faults/load.py
+++ b/tests/faults/load.py
@@ -26,6 +26,7 @@
 WHOLE = "whole"
 CUT = "cut"
 NO_NODE = "connection"  # the client's own code
+KINDS = ("stream", "stream", "whole", "GET", "POST")
 PROMPT_WORDS = 3
 BOUNDS = (8, 256)
 SILENCE_S = 1.0
@@ -205,11 +206,16 @@
     """Callers on threads of their own until `stop`."""
 
     def __init__(
-        self, callers: list[Caller], seed: int, numbers: Iterator[int]
+        self,
+        callers: list[Caller],
+        seed: int,
+        numbers: Iterator[int],
+        kinds: tuple[str, ...],
     ) -> None:
         """Prepares a load; requests follow from `seed` alone."""
         self.got: list[Got] = []
         self._numbers = numbers
+        self._kinds = kinds
         self._is_over = threading.Event()
         self._threads = [
             threading.Thread(
@@ -237,7 +243,7 @@
     def _request(self, caller: Caller, rng: random.Random) -> None:
         number = next(self._numbers)
         length = rng.choice((10, 30, 60, 120))
-        kind = rng.choice(("stream", "stream", "whole", "GET", "POST"))
+        kind = rng.choice(self._kinds)
         if kind == "stream":
             self.got.append(caller.stream(number, length))
         elif kind == "whole":
--- a/tests/faults/world.py
+++ b/tests/faults/world.py
@@ -11,7 +11,7 @@
 from typing import Any, NamedTuple
 
 from savorylift.platform.log import REFUSALS_STREAM, RULES_STREAM
-from tests.faults.load import WHOLE, Caller, Load, numbers
+from tests.faults.load import KINDS, WHOLE, Caller, Load, numbers
 from tests.faults.watch import StatusWatch, status_of
 from tests.harness.deployment import Deployment, Options
 from tests.harness.link import Link, Relay
@@ -131,7 +131,12 @@
         }
         return Caller(self.plan, team, seeds, links, timeout_s)
 
-    def load(self, seed: int, callers: int = CALLERS) -> Load:
+    def load(
+        self,
+        seed: int,
+        callers: int = CALLERS,
+        kinds: tuple[str, ...] = KINDS,
+    ) -> Load:
         """Returns a load of several teams, not yet started."""
         teams = self.plan.teams[:callers]
         nodes = list(self.deployment.nodes)
@@ -142,6 +147,7 @@
             ],
             seed,
             self.numbers,
+            kinds,
         )
 
     def node_at(self, address: str) -> str:
