--- a/src/savorylift/daemon.py
+++ b/src/savorylift/daemon.py
@@ -44,7 +44,8 @@
     started = node.start()
     if isinstance(started, Failure):
         print(f"{settings_path}: {started.failure()}", file=sys.stderr)
-        return EXIT_FAILED
+        sys.stderr.flush()
+        os._exit(EXIT_FAILED)  # actors run already and serve nobody
     _Signals(node, second_signal_stops=second_signal_stops).install()
     node.serve()
     node.drain()
--- a/src/savorylift/node.py
+++ b/src/savorylift/node.py
@@ -1,5 +1,6 @@
 """Composition root: builds a node out of its settings and runs it."""
 
+import ssl
 import threading
 import time
 from collections.abc import Callable, Mapping, Sequence
@@ -65,6 +66,15 @@
 IN_FLIGHT = Gauge("savorylift_in_flight", "Callers' requests being served.")
 
 
+class _Contexts(NamedTuple):
+    """TLS contexts; None where connections are plain."""
+
+    callers: ssl.SSLContext | None
+    operators: ssl.SSLContext | None
+    peer_server: ssl.SSLContext | None
+    peer_client: ssl.SSLContext | None
+
+
 class _Views(NamedTuple):
     """Published state that request threads read."""
 
@@ -83,6 +93,13 @@
             OSError: A TLS file can't be read.
         """
         self._cfg = cfg
+        # Before any actor runs, since a missing file must end the process.
+        self._tls = _Contexts(
+            tls.server_context(cfg.caller_tls),
+            tls.server_context(cfg.operator_tls),
+            tls.server_context(cfg.peer_tls, asks_certificate=True),
+            tls.client_context(cfg.peer_tls),
+        )
         self.ref = NodeRef(cfg.vm, new_incarnation())
         self._views = _Views(RulesSource(), RosterSource(), NodeState())
         self._trail = Trail()
@@ -113,10 +130,8 @@
                 self.ref, host, int(port), roster, REGISTRY
             )._replace(
                 keys=PeerKeys(keys),
-                server_tls=tls.server_context(
-                    cfg.peer_tls, asks_certificate=True
-                ),
-                client_tls=tls.client_context(cfg.peer_tls),
+                server_tls=self._tls.peer_server,
+                client_tls=self._tls.peer_client,
             )
         )
         self._membership = Membership(self._info(), self._log, roster)
@@ -259,7 +274,7 @@
             body_bytes=bounds.body_bytes,
             header_bytes=bounds.header_bytes,
             request_read_s=bounds.request_read_s,
-            tls=tls.server_context(cfg.caller_tls),
+            tls=self._tls.callers,
         )
         self._callers = HttpListener(base, callers.handle)
         self._operators = HttpListener(
@@ -267,7 +282,7 @@
                 name="operators",
                 address=cfg.operator_listen,
                 threads=bounds.operator_threads,
-                tls=tls.server_context(cfg.operator_tls),
+                tls=self._tls.operators,
             ),
             operators.handle,
         )
--- /dev/null
+++ b/tests/node/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of whole nodes wired from settings."""
