--- a/src/savorylift/daemon.py
+++ b/src/savorylift/daemon.py
@@ -10,6 +10,7 @@
 import structlog
 from returns.result import Failure
 
+from savorylift.composition import compose
 from savorylift.logs import configure_logs
 from savorylift.node import Node
 from savorylift.settings_file import read_settings
@@ -36,10 +37,11 @@
     cfg = read.unwrap()
     configure_logs(cfg.log_format, cfg.log_level, cfg.vm)
     try:
-        node = Node(cfg)
+        parts = compose(cfg)
     except OSError as exc:
         print(f"{settings_path}: tls: {exc}", file=sys.stderr)
         return EXIT_BAD_SETTINGS
+    node = Node(parts)
     _end_on_broken_invariants()
     started = node.start()
     if isinstance(started, Failure):
--- a/src/savorylift/operations.py
+++ b/src/savorylift/operations.py
@@ -1,22 +1,25 @@
 """What the operators' commands do and print; one place for their texts."""
 
-import datetime as dt
 import json
 import pathlib
 import sys
 import time
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from typing import Any, NamedTuple, NoReturn
 
-import urllib3
 from prometheus_client import CollectorRegistry
 from returns.result import Failure
 
+from savorylift.explanation import explain_request
 from savorylift.identity import new_id
+from savorylift.operator_client import (
+    ask_node,
+    find_operators,
+    read_statuses,
+)
 from savorylift.platform.counters import PlatformCounters
 from savorylift.platform.json_client import ClientConfig
 from savorylift.platform.log_client import HttpLog
-from savorylift.refusals.query import FoundRow, find_request
 from savorylift.refusals.request import ReportRequest
 from savorylift.refusals.request import answer as answer_report
 from savorylift.rules import operations as rules
@@ -32,7 +35,6 @@
 LOG_TIMEOUT_S = 5.0
 FORCE_TIMEOUT_S = 7.0
 FORCE_POLL_S = 0.1
-NODE_TIMEOUT_S = 1.0
 
 
 class Target(NamedTuple):
@@ -145,7 +147,7 @@
 def status(settings_path: str, *, is_full: bool) -> int:
     """Prints the state of every node."""
     cfg = _settings(settings_path)
-    answers = _statuses(cfg)
+    answers = read_statuses(cfg)
     if is_full:
         _say(json.dumps(answers, indent=2, sort_keys=True))
     for vm, answer in answers.items():
@@ -165,51 +167,12 @@
 def explain(settings_path: str, request_id: str) -> int:
     """Prints which node decided what about a request, and by which rule."""
     cfg = _settings(settings_path)
-    lines: list[str] = []
-    for vm, address in _operator_addresses(cfg).items():
-        path = f"/v1/requests/{request_id}"
-        decisions = _ask(cfg, address, "GET", path, None)
-        lines += [_decision_line(vm, item) for item in decisions or ()]
-    found = find_request(_log(cfg), request_id)
-    if isinstance(found, Failure):
-        _report(f"can't read the log: {found.failure().message}")
-    else:
-        lines += [_refusal_line(item) for item in found.unwrap()]
-    for line in sorted(lines):
+    lines = explain_request(cfg, _log(cfg), request_id)
+    for line in lines:
         _say(line)
     return EXIT_OK if lines else _fail(f"nothing is known of {request_id}")
 
 
-def _decision_line(vm: str, decision: dict[str, Any]) -> str:
-    parts = [
-        _time_text(decision["time_ms"]),
-        vm,
-        decision["what"],
-        f"rules offset {decision['rules_offset']}",
-    ]
-    if decision["backend_server"]:
-        parts.append(f"backend server {decision['backend_server']}")
-    if decision["keeper"]:
-        parts.append(f"permit from {decision['keeper']}")
-    if decision["detail"]:
-        parts.append(decision["detail"])
-    return ", ".join(parts)
-
-
-def _refusal_line(found: FoundRow) -> str:
-    row = found.row
-    rule = f", rule: {row.rule} ({row.asked_by})" if row.rule else ""
-    return (
-        f"{_time_text(row.time_ms)}, {found.source.vm}, on the log: "
-        f"{row.ending}, {row.reason}{rule}"
-    )
-
-
-def _time_text(time_ms: int) -> str:
-    moment = dt.datetime.fromtimestamp(time_ms / 1000, dt.UTC)
-    return moment.isoformat(timespec="milliseconds")
-
-
 def _status_line(vm: str, answer: dict[str, Any] | None) -> str:
     if answer is None:
         return f"{vm}: no answer"
@@ -238,8 +201,8 @@
     }
     taken: list[str] = []
     silent: list[str] = []
-    for vm, address in _operator_addresses(cfg).items():
-        receipt = _ask(cfg, address, "POST", "/v1/orders", body)
+    for vm, address in find_operators(cfg).items():
+        receipt = ask_node(cfg, address, "POST", "/v1/orders", body)
         state = receipt and receipt.get("state")
         is_taken = state not in (None, OrderState.REFUSED, OrderState.UNKNOWN)
         (taken if is_taken else silent).append(vm)
@@ -258,7 +221,7 @@
     """Waits until `offset` is in force on all nodes, and says on which."""
     deadline_s = time.monotonic() + FORCE_TIMEOUT_S
     while True:
-        answers = _statuses(cfg)
+        answers = read_statuses(cfg)
         confirmed = [
             vm
             for vm, answer in answers.items()
@@ -275,55 +238,6 @@
     return EXIT_UNKNOWN
 
 
-def _statuses(cfg: Settings) -> dict[str, dict[str, Any] | None]:
-    return {
-        vm: _ask(cfg, address, "GET", "/v1/status", None)
-        for vm, address in sorted(_operator_addresses(cfg).items())
-    }
-
-
-def _operator_addresses(cfg: Settings) -> dict[str, str]:
-    """Returns operators' addresses by VM, from the node of the settings."""
-    answer = _ask(cfg, cfg.operator_listen, "GET", "/v1/status", None)
-    if answer is None:
-        return {cfg.vm: cfg.operator_listen}
-    found = {
-        str(member["vm"]): str(member["operator_address"])
-        for member in answer["members"]
-    }
-    return found or {cfg.vm: cfg.operator_listen}
-
-
-def _ask(
-    cfg: Settings,
-    address: str,
-    method: str,
-    path: str,
-    body: Mapping[str, object] | None,
-) -> Any:  # noqa: ANN401
-    """Returns a node's JSON answer, or None if there is none in time."""
-    scheme = "https" if cfg.operator_tls else "http"
-    headers = {}
-    if cfg.operator_keys:
-        headers["Authorization"] = f"Bearer {cfg.operator_keys[0].secret}"
-    authorities = cfg.operator_tls.authorities if cfg.operator_tls else None
-    pool = urllib3.PoolManager(ca_certs=authorities)
-    try:
-        response = pool.request(
-            method,
-            f"{scheme}://{address}{path}",
-            body=None if body is None else json.dumps(body).encode(),
-            headers=headers,
-            timeout=NODE_TIMEOUT_S,
-            retries=False,
-        )
-    except urllib3.exceptions.HTTPError:
-        return None
-    if response.status != 200:
-        return None
-    return json.loads(response.data)
-
-
 def _log(cfg: Settings) -> HttpLog:
     client = ClientConfig(cfg.log_urls)
     return HttpLog(client, PlatformCounters(CollectorRegistry()))
