--- a/src/savorylift/streams/memory_placement.py
+++ b/src/savorylift/streams/memory_placement.py
@@ -13,11 +13,12 @@
 from savorylift.streams.placement import GenerationRequest, prompt_tokens
 from savorylift.streams.policy_settings import PolicySettings, read_settings
 from savorylift.streams.prefixes import CacheEvent, Prefixes, prefix_hash
-from savorylift.streams.reserve import Headroom
+from savorylift.streams.reserve import CALM, Crowding, Headroom
 
 CHOICES = 3  # engines drawn for a request; nodes ask so many at most
 BAND = 1 / 16  # share of an engine's memory within which prefixes decide
 MIXER, MASK = 0x9E3779B1, 0xFFFFFFFF
+QUEUED_SMOOTHING = 0.1
 START_LEVEL = 0.35  # quantile of the length that must fit before the deadline
 
 
@@ -33,7 +34,7 @@
         self._lengths = Lengths()
         self._pace = Pace()
         self._prefixes = Prefixes()
-        self._missing: dict[str, float] = {}
+        self._crowding: dict[str, Crowding] = {}
         self._last_known = _read(rules.current())
         self._headrooms: dict[str, Headroom] = {}
 
@@ -52,7 +53,7 @@
         within a band one that probably caches the prompt's prefix.
         """
         tokens = self.reserve(req, 0)
-        self._note_open(req.model.name, servers)
+        self._note_crowding(req.model.name, servers, hints)
         hash_ = prefix_hash(req.model.name, req.prompt)
         seed = zlib.crc32(req.request_id.encode())
         drawn = sorted(servers, key=lambda server: _draw(seed, server))
@@ -72,8 +73,8 @@
         if produced > 0:
             self._pace.note_progress(req.request_id, produced)
         model = req.model.name
-        missing = self._missing.get(model, 0.0)
-        share = self._headroom(model).share(self._known().cfg, missing)
+        crowding = self._crowding.get(model, CALM)
+        share = self._headroom(model).share(self._known().cfg, crowding)
         mean = self._lengths.mean(req.team.name, model, produced)
         length = produced + share * (mean - produced)
         bounded = max(produced, min(req.max_tokens, math.ceil(length)))
@@ -115,9 +116,23 @@
             rate = count / known.engines[model]
             self._headroom(model).note_preemptions(rate, known.cfg)
 
-    def _note_open(self, model: str, servers: Sequence[BackendServer]) -> None:
+    def _note_crowding(
+        self,
+        model: str,
+        servers: Sequence[BackendServer],
+        hints: Mapping[str, BackendHint],
+    ) -> None:
         engines = self._known().engines[model]
-        self._missing[model] = 1.0 - len(servers) / max(1, engines)
+        missing = 1.0 - len(servers) / max(1, engines)
+        queued = sum(
+            1
+            for server in servers
+            if (hint := hints.get(server.name)) and hint.waiting > 0
+        )
+        old = self._crowding.get(model, CALM).queued
+        new = queued / max(1, len(servers))
+        smooth = old + QUEUED_SMOOTHING * (new - old)
+        self._crowding[model] = Crowding(missing, smooth)
 
     def _headroom(self, model: str) -> Headroom:
         headroom = self._headrooms.get(model)
--- a/src/savorylift/streams/reserve.py
+++ b/src/savorylift/streams/reserve.py
@@ -3,11 +3,13 @@
 import math
 import threading
 import time
+from typing import NamedTuple
 
 from savorylift.streams.policy_settings import PolicySettings
 
-BASE_SHARE = 0.4
+BASE_SHARE = 0.68
 SHARE_PER_WEIGHT = 0.03
+QUEUED_SHARE = 0.32  # less while requests wait
 MISSING_SHARE = 0.3  # more while engines are out
 MIN_SHARE = 0.1
 MAX_SHARE = 1.0  # above it a reserve could fall as an output grows
@@ -15,6 +17,21 @@
 DECAY_S = 60.0  # time constant of the return to the base
 
 
+class Crowding(NamedTuple):
+    """How crowded the engines of a model are.
+
+    Attributes:
+        missing: Part of them that takes no new work.
+        queued: Part of the others at which requests wait.
+    """
+
+    missing: float
+    queued: float
+
+
+CALM = Crowding(0.0, 0.0)
+
+
 class Headroom:
     """Share of the expected rest of outputs to reserve, of one model.
 
@@ -36,23 +53,19 @@
             self._raised = min(MAX_SHARE - MIN_SHARE, raised + step * rate)
             self._noted_s = time.monotonic()
 
-    def share(self, cfg: PolicySettings, missing: float) -> float:
-        """Returns the share to reserve.
-
-        Args:
-            cfg: Weights in force.
-            missing: Share of the model's engines that take no new work.
-        """
-        return min(MAX_SHARE, base_share(cfg, missing) + self._decayed())
+    def share(self, cfg: PolicySettings, crowding: Crowding) -> float:
+        """Returns the share to reserve under the weights in force."""
+        return min(MAX_SHARE, base_share(cfg, crowding) + self._decayed())
 
     def _decayed(self) -> float:
         age_s = max(0.0, time.monotonic() - self._noted_s)
         return self._raised * math.exp(-age_s / DECAY_S)
 
 
-def base_share(cfg: PolicySettings, missing: float) -> float:
-    """Returns the share without preemptions; see `Headroom.share`."""
+def base_share(cfg: PolicySettings, crowding: Crowding) -> float:
+    """Returns the share without preemptions."""
     weights = cfg.stall_weight + cfg.preemption_weight + cfg.token_tail_weight
     share = BASE_SHARE + SHARE_PER_WEIGHT * (weights - 3.0)
-    share += MISSING_SHARE * missing * cfg.domain_change_weight
+    share += MISSING_SHARE * crowding.missing * cfg.domain_change_weight
+    share -= QUEUED_SHARE * crowding.queued
     return min(MAX_SHARE, max(MIN_SHARE, share))
--- a/tests/streams/test_placement.py
+++ b/tests/streams/test_placement.py
@@ -147,6 +147,15 @@
     assert placement.reserve(req, 0) > before
 
 
+def test_requests_that_wait_lower_the_reserve() -> None:
+    placement, req = policy(), request(PROMPT)
+    before = placement.reserve(req, 0)
+    hints = {name: BackendHint(0, 0, 5, False, 0.0) for name in NAMES}
+    for _ in range(20):
+        placement.order(req, list(SERVERS.values()), hints)
+    assert placement.reserve(req, 0) < before
+
+
 def test_latest_start_leaves_time_at_the_pace_seen() -> None:
     with freezegun.freeze_time() as clock:
         placement = policy()
