Split admission from a keeper's other duties

Admission now grants, forwards, queues and denies; the keeper applies what happens to permits and lots.

--- a/src/savorylift/permits/node.py
+++ b/src/savorylift/permits/node.py
@@ -92,7 +92,7 @@
         keeper = self.keepers.get(backend_server)
         if keeper is not None:
             keeper.watch.cancelled(permit)
-            keeper.serve()
+            keeper.admission.serve()
 
     def keepers_of(self, server: str) -> list[NodeRef]:
         """Returns the keeper of each lot by the roster seen now."""
@@ -159,7 +159,7 @@
     def _drop_if_empty(self, name: str) -> None:
         keeper = self.keepers.get(name)
         if keeper is not None and not keeper.share.lots:
-            keeper.dismiss(self.keepers_of(name))
+            keeper.admission.dismiss(self.keepers_of(name))
             del self.keepers[name]
 
     def _refresh(self) -> None:
@@ -168,7 +168,7 @@
         self._query_members()
         roster = self._roster.current()
         for name, keeper in self.keepers.items():
-            keeper.announce()
+            keeper.admission.announce()
             keeper.watch.repeat_moves()
             for permit in keeper.watch.review(roster):
                 self._effects.cancel(name, permit)
@@ -207,7 +207,7 @@
             return m.LotStatus(lot, epoch, was_owner=False, held=held)
         status = keeper.give_lot(lot, epoch)
         self._handover.release(status, successor)
-        keeper.announce()
+        keeper.admission.announce()
         return status
 
     def _keeps_against(
