Keep a cold backend server under more load than it bears for longer

The burst ended within the second that the stand-in excuses, so the cell could not have seen an overrun; it now goes on for 2.5 s on a server that stays cold.

--- a/tests/faults/faults.py
+++ b/tests/faults/faults.py
@@ -16,6 +16,8 @@
 FREEZE_S = 2.5  # longer than `stale_after_s`
 CLOSED_S = 4.0  # longer than the bound on new work after an order
 BURST = 12
+BURST_S = 2.5  # past the time in which the stand-in bears too much
+STAYS_COLD = 1000  # requests
 BURST_LENGTH = 30
 
 
@@ -147,19 +149,36 @@
 
 def _turn_cold(world: World, place: Place) -> list[Got]:
     """Turns a server cold, under more requests than it then bears."""
-    world.deployment.backend_servers[place.server].control(turn_cold=True)
-    world.cold_turns.append(ColdTurn(place.server, time.time()))
     is_service = place.server in world.deployment.instances
+    server = world.deployment.backend_servers[place.server]
+    until_warm = "cold_calls" if is_service else "cold_requests"
+    server.control(turn_cold=True, **{until_warm: STAYS_COLD})
+    world.cold_turns.append(ColdTurn(place.server, time.time()))
+    until_s = time.monotonic() + BURST_S
     callers = [world.caller(PROBE_TEAM) for _ in range(BURST)]
 
-    def ask(caller: Caller) -> Got:
-        number = next(world.numbers)
-        if is_service:
-            return caller.call("GET", number)
-        return caller.stream(number, BURST_LENGTH)
+    def ask(caller: Caller) -> list[Got]:
+        got: list[Got] = []
+        while time.monotonic() < until_s:
+            number = next(world.numbers)
+            if is_service:
+                got.append(caller.call("GET", number))
+            else:
+                got.append(caller.stream(number, BURST_LENGTH))
+        return got
 
     with concurrent.futures.ThreadPoolExecutor(BURST) as pool:
-        return list(pool.map(ask, callers))
+        return [got for each in pool.map(ask, callers) for got in each]
+
+
+def _let_warm(world: World, place: Place) -> list[Got]:
+    is_service = place.server in world.deployment.instances
+    server = world.deployment.backend_servers[place.server]
+    if is_service:
+        server.control(turn_cold=True, cold_calls=4)
+    else:
+        server.control(cold_requests=8)
+    return []
 
 
 def _kill_engine(world: World, place: Place) -> list[Got]:
@@ -250,7 +269,7 @@
         _log_with(lose_answers=2, lose_share=0.5), _heal_log
     ),
     Fault.LOG_TRIMMED: Doing(_trim, _nothing),
-    Fault.ENGINE_COLD: Doing(_turn_cold, _nothing),
+    Fault.ENGINE_COLD: Doing(_turn_cold, _let_warm),
     Fault.ENGINE_KILLED: Doing(_kill_engine, _nothing),
     Fault.ENGINE_RECLAIMED: Doing(_reclaim, _heal_reclaimed),
     Fault.VM_LIST_LATE: Doing(_delay_list, _heal_list),
