--- a/src/savorylift/refusals/actor.py
+++ b/src/savorylift/refusals/actor.py
@@ -1,26 +1,33 @@
-"""Actors behind the refusal book: one decides, one appends."""
+"""The actor that decides for the refusal book."""
 
 import functools
 import threading
-from collections.abc import Callable
 from concurrent.futures import Future
-from typing import NamedTuple
 
 import pykka
-import structlog
 from returns.result import Result, Success
 
 from savorylift.identity import NodeRef
 from savorylift.peers.link import PeerFault, PeerLink
 from savorylift.peers.view import RosterSource
-from savorylift.platform.log import REFUSALS_STREAM, Log, LogEntry, LogFault
+from savorylift.platform.log import Log
 from savorylift.refusals.account import Account
-from savorylift.refusals.book import RefusedRequest
+from savorylift.refusals.appender import BatchAppender
 from savorylift.refusals.copies import CopyPlan
-from savorylift.refusals.counters import APPENDS, COPIES, DROPPED, PENDING
+from savorylift.refusals.counters import COPIES, DROPPED, PENDING
+from savorylift.refusals.inbox import (
+    AppendBatch,
+    BatchAppended,
+    CopyEnded,
+    CountHeld,
+    Drop,
+    Flush,
+    Hold,
+    Tick,
+    Write,
+)
 from savorylift.refusals.keeper import Keeper
 from savorylift.refusals.messages import (
-    Batch,
     CopyAnswer,
     CopyAsk,
     DropCopies,
@@ -30,67 +37,6 @@
 
 COPY_TIMEOUT_S = 1.0
 
-_log = structlog.get_logger()
-
-
-class Write(NamedTuple):
-    """A refusal to keep; `done` is set once it is copied."""
-
-    refused: RefusedRequest
-    done: threading.Event
-
-
-class Hold(NamedTuple):
-    """Copies that another node sent."""
-
-    batch: Batch
-    reply: Callable[[], None]
-
-
-class Drop(NamedTuple):
-    """Another node's refusals that are on the log."""
-
-    source: NodeRef
-    sequences: tuple[Range, ...]
-
-
-class CopyEnded(NamedTuple):
-    """A peer's answer to copies, or that there came none."""
-
-    peer: NodeRef
-    is_held: bool
-
-
-class BatchAppended(NamedTuple):
-    """How an append ended.
-
-    Attributes:
-        result: From the log.
-        is_own: False for a batch published for another node.
-    """
-
-    result: Result[int, LogFault]
-    is_own: bool
-
-
-class Tick(NamedTuple):
-    """Time to look at the roster and for due batches."""
-
-
-class Flush(NamedTuple):
-    """Appends without waiting from now on; answered with what is pending."""
-
-
-class CountHeld(NamedTuple):
-    """Asks how many refusals are held for other nodes."""
-
-
-class AppendBatch(NamedTuple):
-    """A record to append."""
-
-    entry: LogEntry
-    is_own: bool
-
 
 class BookActor(pykka.ThreadingActor):
     """Owns the account of this node and the copies it holds for others."""
@@ -232,32 +178,3 @@
         refs = {member.info.ref for member in view.members.values()}
         for ref in self._copies.holders(refs):
             self._link.tell(ref, DropCopies(sequences))
-
-
-class BatchAppender(pykka.ThreadingActor):
-    """Appends batches, one at a time."""
-
-    use_daemon_thread = True
-
-    def __init__(self, log: Log, owner: "pykka.ActorRef[BookActor]") -> None:
-        """Tells `owner` how each append ended."""
-        super().__init__()
-        self._log = log
-        self._owner = owner
-
-    def on_receive(self, message: object) -> None:
-        """Appends one batch."""
-        assert isinstance(message, AppendBatch)
-        result = self._log.append(REFUSALS_STREAM, (message.entry,))
-        APPENDS.labels(_label(result)).inc()
-        if not isinstance(result, Success):
-            cause = result.failure().message
-            _log.info("refusals_append_failed", cause=cause)
-        if self._owner.is_alive():
-            self._owner.tell(BatchAppended(result, message.is_own))
-
-
-def _label(result: Result[int, LogFault]) -> str:
-    if isinstance(result, Success):
-        return "applied"
-    return "unsure" if result.failure().may_have_applied else "refused"
--- a/src/savorylift/refusals/desk.py
+++ b/src/savorylift/refusals/desk.py
@@ -11,8 +11,10 @@
 from savorylift.peers.link import Message, PeerLink
 from savorylift.peers.view import RosterSource
 from savorylift.platform.log import Log
-from savorylift.refusals.actor import (
-    BookActor,
+from savorylift.refusals.actor import BookActor
+from savorylift.refusals.book import RefusedRequest
+from savorylift.refusals.counters import DROPPED
+from savorylift.refusals.inbox import (
     CountHeld,
     Drop,
     Flush,
@@ -20,8 +22,6 @@
     Tick,
     Write,
 )
-from savorylift.refusals.book import RefusedRequest
-from savorylift.refusals.counters import DROPPED
 from savorylift.refusals.messages import CopyAnswer, CopyAsk, DropCopies
 
 COPY_WAIT_S = 0.02
--- a/tests/refusals/test_desk.py
+++ b/tests/refusals/test_desk.py
@@ -13,9 +13,9 @@
 from savorylift.outcomes import Ending, Reason, Refusal
 from savorylift.peers.view import RosterSource
 from savorylift.platform.log import REFUSALS_STREAM
-from savorylift.refusals.actor import Write
 from savorylift.refusals.book import RefusedRequest
 from savorylift.refusals.desk import RefusalDesk
+from savorylift.refusals.inbox import Write
 from savorylift.refusals.query import Period, report
 from tests.calls.desks import FakeNet, roster_of, wait_until
 from tests.platform.fakes import AppendFault, FakeLog
