Split a holder's messages and states from its decisions

A holder mixed the wording of messages and the keeping of server states with its decisions. RequestSender asks and withdraws, ServerStates keeps hints and waits. Behaviour unchanged; 159 passed in tests/permits.

--- a/src/savorylift/permits/holder.py
+++ b/src/savorylift/permits/holder.py
@@ -20,19 +20,18 @@
     Charge,
     HeldPermit,
     Lot,
-    PermitAsk,
     PermitDenied,
-    PermitGiveUp,
     PermitGrant,
     PermitQuery,
     PermitQueued,
-    ServerState,
 )
 from savorylift.permits.options import PermitOptions
+from savorylift.permits.request_sender import RequestSender, WaitingRequest
 from savorylift.permits.route import Route, Target
+from savorylift.permits.server_states import ServerStates
 from savorylift.permits.tally import Tally
 
-UNKNOWN_WAIT_S = 1.0
+NO_KEEPER_RETRY_AFTER_S = 1.0
 
 
 class Resolver(Protocol):
@@ -42,22 +41,10 @@
         """Hands over the answer."""
 
 
-class _Waiting:
-    """A request without an answer yet."""
-
-    def __init__(self, req: PermitRequest, route: Route) -> None:
-        self.req = req
-        self.route = route
-        self.asked_s = time.monotonic()
-        self.created_s = self.asked_s
-        self.is_confirmed = False
-
-
 class Holder:
     """Asks keepers for permits and returns them.
 
     Attributes:
-        hints: Newest hints by backend server name; replaced, never changed.
         holdings: Permits held.
     """
 
@@ -72,25 +59,29 @@
         tally: Tally,
     ) -> None:
         """Starts with no permit."""
-        self.hints: Mapping[str, BackendHint] = {}
         self._ref = ref
         self._roster = roster
         self._keepers_of = keepers_of
         self._cfg = cfg
-        self._sender = sender
         self._resolver = resolver
         self._tally = tally
-        self._waiting: dict[str, _Waiting] = {}
+        self._waiting: dict[str, WaitingRequest] = {}
         self.holdings = Holdings(ref, keepers_of, sender)
-        self._wait_s: dict[str, float] = {}
+        self._requests = RequestSender(ref, self.holdings, sender)
+        self._states = ServerStates()
         self._floors: dict[Lot, int] = {}
 
+    @property
+    def hints(self) -> Mapping[str, BackendHint]:
+        """Newest hints by backend server name; replaced, never changed."""
+        return self._states.hints
+
     def acquire(self, req: PermitRequest) -> None:
         """Starts to ask for a permit; the resolver gets the answer."""
         route = Route(
             self._ref, req, self._keepers_of, self.hints, self._cfg.max_tries
         )
-        waiting = _Waiting(req, route)
+        waiting = WaitingRequest(req, route)
         self._waiting[req.permit_id] = waiting
         self._ask_next(waiting)
 
@@ -98,14 +89,14 @@
         """Ends a request that nobody waits for any more."""
         waiting = self._waiting.pop(permit_id, None)
         if waiting is not None:
-            self._withdraw(waiting)
+            self._requests.withdraw(waiting)
         holding = self.holdings.drop(permit_id)
         if holding is not None:
             self._return_unused(holding.permit)
 
     def granted(self, keeper: NodeRef, msg: PermitGrant) -> None:
         """Takes a permit, or returns one that is not wanted."""
-        self._note(msg.state)
+        self._states.note(msg.state)
         if not self._may_use(keeper, msg):
             return
         holding = self.holdings.get(msg.permit_id)
@@ -131,7 +122,7 @@
     def denied(self, keeper: NodeRef, msg: PermitDenied) -> None:
         """Tries elsewhere, or passes a final refusal on."""
         if msg.state is not None:
-            self._note(msg.state)
+            self._states.note(msg.state)
         waiting = self._waiting.get(msg.permit_id)
         if waiting is None:
             return
@@ -143,11 +134,10 @@
 
     def queued(self, keeper: NodeRef, msg: PermitQueued) -> None:
         """Notes where a request waits."""
-        self._note(msg.state)
+        self._states.note(msg.state)
         waiting = self._waiting.get(msg.permit_id)
         if waiting is not None:
-            waiting.is_confirmed = True
-            waiting.asked_s = time.monotonic()
+            waiting.note_asked(is_confirmed=True)
             waiting.route.moved(Target(msg.backend_server, keeper), msg.state)
 
     def unknown_of(
@@ -183,45 +173,28 @@
         """Number of requests without an answer."""
         return len(self._waiting)
 
-    def _ask_next(self, waiting: _Waiting) -> None:
+    def _ask_next(self, waiting: WaitingRequest) -> None:
         target, may_queue = waiting.route.next()
         if target is None:
-            self._refuse(waiting, Reason.KEEPER_UNREACHABLE, 1.0)
+            self._refuse(
+                waiting, Reason.KEEPER_UNREACHABLE, NO_KEEPER_RETRY_AFTER_S
+            )
             return
-        waiting.asked_s = time.monotonic()
-        waiting.is_confirmed = False
-        self._send_ask(waiting, target, may_queue=may_queue)
-
-    def _send_ask(
-        self, waiting: _Waiting, target: Target, *, may_queue: bool
-    ) -> None:
-        req = waiting.req
-        msg = PermitAsk(
-            req.permit_id,
-            target.server,
-            req.stream_id,
-            req.team,
-            req.weight,
-            req.priority,
-            req.tokens,
-            req.deadline_s - time.monotonic(),
-            may_queue,
-            self._ref,
-        )
-        self._sender.send(target.keeper, msg)
+        waiting.note_asked(is_confirmed=False)
+        self._requests.send(waiting, target, may_queue=may_queue)
 
-    def _is_unanswered(self, waiting: _Waiting, now: float) -> bool:
+    def _is_unanswered(self, waiting: WaitingRequest, now: float) -> bool:
         if waiting.is_confirmed:
             return now - waiting.asked_s >= self._cfg.refresh_s
         return now - waiting.asked_s >= self._cfg.answer_timeout_s
 
-    def _retry(self, waiting: _Waiting) -> None:
+    def _retry(self, waiting: WaitingRequest) -> None:
         if waiting.is_confirmed:
             cause = "refresh"
             waiting.route.repeat()
             probe = waiting.route.probe()
             if probe is not None:
-                self._send_ask(waiting, probe, may_queue=False)
+                self._requests.send(waiting, probe, may_queue=False)
         else:
             cause = "no_answer"
             waiting.route.silent()
@@ -235,71 +208,35 @@
         return msg.epoch >= self._floors.get(msg.lot, -1)
 
     def _hold(
-        self, permit: Permit, msg: PermitGrant, waiting: _Waiting | None
+        self, permit: Permit, msg: PermitGrant, waiting: WaitingRequest
     ) -> None:
-        tokens = waiting.req.tokens if waiting else 0
-        self.holdings.hold(permit, msg.lot, tokens)
-        if waiting is not None:
-            self._withdraw(waiting, permit.keeper)
-            waited_s = time.monotonic() - waiting.created_s
-            self._tally.wait_s.observe(waited_s)
+        self.holdings.hold(permit, msg.lot, waiting.req.tokens)
+        self._requests.withdraw(waiting, permit.keeper)
+        self._tally.wait_s.observe(time.monotonic() - waiting.created_s)
         self._answer(msg.permit_id, Success(permit))
 
-    def _refuse_late(self, waiting: _Waiting) -> None:
-        known = [self._wait_s.get(name) for name in waiting.req.candidates]
-        waits = [wait_s for wait_s in known if wait_s]
-        retry_after_s = min(waits, default=UNKNOWN_WAIT_S)
+    def _refuse_late(self, waiting: WaitingRequest) -> None:
+        retry_after_s = self._states.least_wait_s(waiting.req.candidates)
         self._refuse(waiting, Reason.DEADLINE, retry_after_s)
 
     def _refuse(
-        self, waiting: _Waiting, reason: Reason, retry_after_s: float
+        self, waiting: WaitingRequest, reason: Reason, retry_after_s: float
     ) -> None:
         permit_id = waiting.req.permit_id
         self._waiting.pop(permit_id, None)
-        self._withdraw(waiting)
+        self._requests.withdraw(waiting)
         self._tally.refusals.labels(reason.value).inc()
         refusal = not_run(reason, _MESSAGES[reason], retry_after_s)
         self._answer(permit_id, Failure(refusal))
 
-    def _withdraw(
-        self, waiting: _Waiting, granter: NodeRef | None = None
-    ) -> None:
-        for target in waiting.route.asked:
-            if target.keeper != granter:
-                self._send_give_up(waiting.req.permit_id, target)
-
     def _return_unused(self, permit: Permit) -> None:
         self._tally.unused.labels("late_or_second").inc()
         target = Target(permit.backend_server, permit.keeper)
-        self._send_give_up(permit.permit_id, target)
-
-    def _send_give_up(self, permit_id: str, target: Target) -> None:
-        kept_lot = -1
-        holding = self.holdings.get(permit_id)
-        if holding and holding.held.lot.backend_server == target.server:
-            kept_lot = holding.held.lot.number
-        msg = PermitGiveUp(permit_id, target.server, kept_lot)
-        self._sender.send(target.keeper, msg)
+        self._requests.give_up(permit.permit_id, target)
 
     def _answer(self, permit_id: str, answer: Result[Permit, Refusal]) -> None:
         self._resolver.resolve(permit_id, answer)
 
-    def _note(self, state: ServerState) -> None:
-        hint = BackendHint(
-            state.free_slots,
-            state.free_tokens,
-            state.waiting,
-            state.cold,
-            time.monotonic(),
-        )
-        self._wait_s[state.backend_server] = state.wait_s
-        self.hints = {**self.hints, state.backend_server: hint}
-
-
-def _unreachable() -> Refusal:
-    reason = Reason.KEEPER_UNREACHABLE
-    return not_run(reason, _MESSAGES[reason], 1.0)
-
 
 _MESSAGES = {
     Reason.DEADLINE: "No backend server will be free before the deadline.",
--- a/src/savorylift/permits/share.py
+++ b/src/savorylift/permits/share.py
@@ -134,10 +134,6 @@
         """Returns every permit that is out."""
         return [p for o in self.lots.values() for p in o.held.values()]
 
-    def held_by(self, holder: NodeRef) -> list[HeldPermit]:
-        """Returns the permits of one holder."""
-        return [p for p in self.held() if p.holder == holder]
-
     def _free(self, owned: OwnedLot, window: int) -> int:
         number = owned.lot.number
         free = split(window, self.lot_count, number) - owned.places_used
