--- a/bench/policy.py
+++ b/bench/policy.py
@@ -2,6 +2,7 @@
 
 import argparse
 import multiprocessing
+import sys
 import time
 from collections import Counter
 from collections.abc import Iterable, Mapping
@@ -57,7 +58,8 @@
                 f"{verdict:11} {check.text}: {check.measured:.4g}"
                 f" (bound {check.bound:.4g})"
             )
-    print(f"took {time.monotonic() - started_s:.0f} s")
+    took_s = time.monotonic() - started_s
+    print(f"took {took_s:.0f} s", file=sys.stderr)
 
 
 def _scenarios(loads: Iterable[float]) -> list[Scenario]:
