--- a/tests/streams/fakes.py
+++ b/tests/streams/fakes.py
@@ -1,6 +1,7 @@
 """Fakes at the interfaces of the streams slice."""
 
 import socket
+import threading
 import time
 from collections.abc import Mapping
 
@@ -157,10 +158,15 @@
 
     def received(self) -> bytes:
         """Closes the node's end and returns all that the caller got."""
-        self.sink.caller.release()
-        self._far.close()
+        ending = threading.Thread(target=self._end)
+        ending.start()  # blocks while the connection is full
         self.near.settimeout(5.0)
         parts = []
         while data := self.near.recv(65_536):
             parts.append(data)
+        ending.join()
         return b"".join(parts)
+
+    def _end(self) -> None:
+        self.sink.caller.release()
+        self._far.close()
