Move the exchange of lots out of a node's permit decisions

PermitNode answered lot queries, built lots from reports, remembered keepers and routed every message. Messages about lots have their own module. Behaviour unchanged; 159 passed in tests/permits.

--- a/src/savorylift/permits/handover.py
+++ b/src/savorylift/permits/handover.py
@@ -10,7 +10,8 @@
 
 from savorylift.identity import NodeRef
 from savorylift.peers.view import RosterView
-from savorylift.permits.messages import Lot, LotReport, LotStatus
+from savorylift.permits.lot_messages import LotReport, LotStatus
+from savorylift.permits.messages import Lot
 
 REFUSED_FLOOR = -1
 
--- a/src/savorylift/permits/keeper.py
+++ b/src/savorylift/permits/keeper.py
@@ -5,11 +5,11 @@
 from savorylift.permits.co_keepers import CoKeepers, Sender
 from savorylift.permits.evidence import Evidence, LoadReport
 from savorylift.permits.holder_watch import HolderWatch
+from savorylift.permits.lot_messages import LotStatus
 from savorylift.permits.messages import (
     Charge,
     ColdFall,
     Lot,
-    LotStatus,
     PermitAsk,
     PermitReturn,
     PermitStarted,
--- a/src/savorylift/permits/keeper_gate.py
+++ b/src/savorylift/permits/keeper_gate.py
@@ -23,6 +23,7 @@
     PermitRequest,
     PermitUse,
 )
+from savorylift.permits.lot_messages import LotQuery, LotReport
 from savorylift.permits.options import PermitOptions
 from savorylift.permits.status import PermitStatus
 from savorylift.permits.tally import Tally
@@ -45,8 +46,8 @@
     m.PermitTakeOver,
     m.ColdFall,
     m.ServerState,
-    m.LotQuery,
-    m.LotReport,
+    LotQuery,
+    LotReport,
 )
 
 
--- a/src/savorylift/permits/node.py
+++ b/src/savorylift/permits/node.py
@@ -10,13 +10,14 @@
 from savorylift.permits import messages as m
 from savorylift.permits.co_keepers import Sender
 from savorylift.permits.evidence import LoadReport
-from savorylift.permits.handover import REFUSED_FLOOR, Acquired
 from savorylift.permits.holder import Holder, Resolver
 from savorylift.permits.keeper import Keeper
-from savorylift.permits.lots import KeeperChoice, lot_count, lots_of, split
+from savorylift.permits.keeper_directory import KeeperDirectory
+from savorylift.permits.lot_exchange import LotExchange
+from savorylift.permits.lot_messages import LotQuery, LotReport
+from savorylift.permits.lots import lots_of
 from savorylift.permits.options import PermitOptions
 from savorylift.permits.policies import SAFE, Policies
-from savorylift.permits.share import OwnedLot
 from savorylift.permits.status import PermitStatus, ServerStatus
 from savorylift.permits.tally import Tally
 from savorylift.rules.view import BackendServer, RulesSource
@@ -59,11 +60,24 @@
         self._handover = policies.handover(ref)
         self._seen: tuple[int, int] | None = None
         self._refreshed_s = -float("inf")
-        self._choices: dict[tuple[str, int], list[NodeRef]] = {}
-        self._choices_offset = -2
-        self._choice = KeeperChoice(roster.current())
+        self._directory = KeeperDirectory(rules, roster)
         self.holder = Holder(
-            ref, roster, self.keepers_of, cfg, effects, effects, tally
+            ref,
+            roster,
+            self._directory.keepers_of,
+            cfg,
+            effects,
+            effects,
+            tally,
+        )
+        self._exchange = LotExchange(
+            roster,
+            self._directory,
+            self.keepers,
+            self.holder,
+            self._handover,
+            effects,
+            tally,
         )
         self._handlers = self._routes()
 
@@ -96,16 +110,7 @@
 
     def keepers_of(self, server: str) -> list[NodeRef]:
         """Returns the keeper of each lot by the roster seen now."""
-        roster = self._roster.current()
-        if roster.offset != self._choices_offset:
-            self._choices = {}
-            self._choices_offset = roster.offset
-            self._choice = KeeperChoice(roster)
-        rule = self._rules.current().backend_servers.get(server)
-        key = (server, lot_count(rule.cold_limit) if rule else 0)
-        if key not in self._choices:
-            self._choices[key] = self._choice.keepers_of(*key)
-        return self._choices[key]
+        return self._directory.keepers_of(server)
 
     def status(self) -> PermitStatus:
         """Returns what operators are shown."""
@@ -121,8 +126,8 @@
         self._claim_shares()
         for name in self.keepers.keys() - rules.backend_servers.keys():
             self._drop_if_empty(name)
-        self._finish(self._handover.recheck(roster))
-        self._query_members()
+        self._exchange.recheck(roster)
+        self._exchange.query_members()
 
     def _claim_shares(self) -> None:
         roster = self._roster.current()
@@ -130,7 +135,7 @@
             self._follow_server(server, roster)
 
     def _follow_server(self, server: BackendServer, roster: RosterView) -> None:
-        chosen = self.keepers_of(server.name)
+        chosen = self._directory.keepers_of(server.name)
         keeper = self.keepers.get(server.name)
         if keeper is not None:
             keeper.follow_rules(server)
@@ -151,7 +156,7 @@
                 server, self._cfg, self._effects, self._tally, self._policies
             )
             keeper.co_keepers.replace(
-                set(self.keepers_of(server.name)) - {self._ref}
+                set(self._directory.keepers_of(server.name)) - {self._ref}
             )
             self.keepers[server.name] = keeper
         return keeper
@@ -159,13 +164,13 @@
     def _drop_if_empty(self, name: str) -> None:
         keeper = self.keepers.get(name)
         if keeper is not None and not keeper.share.lots:
-            keeper.admission.dismiss(self.keepers_of(name))
+            keeper.admission.dismiss(self._directory.keepers_of(name))
             del self.keepers[name]
 
     def _refresh(self) -> None:
         self.holder.holdings.refresh()
         self._claim_shares()
-        self._query_members()
+        self._exchange.query_members()
         roster = self._roster.current()
         for name, keeper in self.keepers.items():
             keeper.admission.announce()
@@ -175,84 +180,6 @@
             for holder, charges in keeper.watch.due_queries().items():
                 self._effects.send(holder, m.PermitQuery(name, charges))
 
-    def _query_members(self) -> None:
-        missing = self._handover.missing(self._roster.current())
-        for (member, epoch), lots in missing.items():
-            self._effects.send(member, m.LotQuery(epoch, tuple(lots)))
-
-    def _on_lot_query(self, sender: NodeRef, msg: m.LotQuery) -> None:
-        roster = self._roster.current()
-        if roster.offset >= msg.epoch and not roster.is_member(sender):
-            return
-        statuses = tuple(
-            self._lot_status(sender, msg.epoch, lot) for lot in msg.lots
-        )
-        self._effects.send(sender, m.LotReport(msg.epoch, statuses))
-
-    def _lot_status(
-        self, successor: NodeRef, epoch: int, lot: m.Lot
-    ) -> m.LotStatus:
-        if self._handover.is_outdated(lot, epoch):
-            return m.LotStatus(lot, REFUSED_FLOOR, was_owner=False, held=())
-        told = self._handover.released(lot, epoch, successor)
-        if told is not None:
-            return told
-        keeper = self.keepers.get(lot.backend_server)
-        owned = keeper.share.lots.get(lot.number) if keeper else None
-        if owned is not None and self._keeps_against(owned, successor, epoch):
-            return m.LotStatus(lot, REFUSED_FLOOR, was_owner=False, held=())
-        self._handover.raise_floor(lot, epoch)
-        held = self.holder.fence(lot, epoch)
-        if keeper is None or owned is None:
-            return m.LotStatus(lot, epoch, was_owner=False, held=held)
-        status = keeper.give_lot(lot, epoch)
-        self._handover.release(status, successor)
-        keeper.admission.announce()
-        return status
-
-    def _keeps_against(
-        self, owned: OwnedLot, successor: NodeRef, epoch: int
-    ) -> bool:
-        if owned.epoch >= epoch:
-            return True  # a late copy of this node's own query
-        if self._roster.current().offset <= epoch:
-            return False
-        chosen = self.keepers_of(owned.lot.backend_server)
-        return successor not in chosen[owned.lot.number :][:1]
-
-    def _on_lot_report(self, sender: NodeRef, msg: m.LotReport) -> None:
-        roster = self._roster.current()
-        self._finish(self._handover.report(sender, msg, roster))
-
-    def _finish(self, acquired: list[Acquired]) -> None:
-        for item in acquired:
-            keeper = self.keepers.get(item.lot.backend_server)
-            if keeper is None:
-                continue  # its rule is gone, and the lot with it
-            way = "released" if item.release else "reported"
-            self._tally.handovers.labels(way).inc()
-            keeper.take_lot(self._owned(item, keeper), item.release)
-
-    def _owned(self, item: Acquired, keeper: Keeper) -> OwnedLot:
-        if item.release is not None:
-            owned = OwnedLot(item.lot, item.epoch, item.release.unaccounted)
-            held = item.release.held
-        else:
-            owned = OwnedLot(item.lot, item.epoch, 0)
-            held = tuple(p for s in item.statuses for p in s.held)
-        for permit in sorted(held, key=lambda permit: permit.attempt):
-            owned.put(permit)  # of two holders, the newest attempt counts
-        if item.release is None:
-            server, count = keeper.share.server, keeper.share.lot_count
-            places = split(server.warm_limit, count, item.lot.number)
-            owned.unaccounted = max(0, places - len(owned.held))
-        return owned
-
-    def _with_keeper(self, name: str, apply: Callable[[Keeper], None]) -> None:
-        keeper = self.keepers.get(name)
-        if keeper is not None:
-            apply(keeper)
-
     def _on_ask(self, _: NodeRef, msg: m.PermitAsk) -> None:
         keeper = self.keepers.get(msg.backend_server)
         if keeper is not None and self._roster.current().is_member(msg.holder):
@@ -279,48 +206,65 @@
             answer = m.PermitUnknown(msg.backend_server, unknown)
             self._effects.send(sender, answer)
 
-    def _on_unknown(self, sender: NodeRef, msg: m.PermitUnknown) -> None:
-        keeper = self.keepers.get(msg.backend_server)
-        if keeper is not None:
-            keeper.unknown(msg.charges, sender)
-
     def _server_status(self, keeper: Keeper) -> ServerStatus:
         lots = lots_of(keeper.name, keeper.share.lot_count)
         acquiring = filter(self._handover.is_acquiring, lots)
         return keeper.status(tuple(lot.number for lot in acquiring))
 
     def _routes(self) -> Mapping[type, Callable[[NodeRef, Any], None]]:
-        holder, on = self.holder, self._with_keeper
+        return {**self._holder_routes(), **self._keeper_routes()}
+
+    def _holder_routes(self) -> Mapping[type, Callable[[NodeRef, Any], None]]:
+        holder = self.holder
         return {
-            m.PermitAsk: self._on_ask,
             m.PermitGrant: holder.granted,
             m.PermitDenied: holder.denied,
             m.PermitQueued: holder.queued,
-            m.PermitGiveUp: lambda sender, msg: on(
-                msg.backend_server,
-                lambda k: k.forget(msg.permit_id, sender, msg.kept_lot),
-            ),
-            m.PermitStarted: lambda sender, msg: on(
-                msg.backend_server, lambda k: k.start(msg, sender)
-            ),
-            m.PermitAdjust: lambda sender, msg: on(
-                msg.backend_server,
-                lambda k: k.adjust(msg.permit_id, sender, msg.tokens),
-            ),
-            m.PermitReturn: self._on_return,
             m.PermitQuery: self._on_query,
-            m.PermitUnknown: self._on_unknown,
             m.PermitEnded: lambda _, msg: holder.holdings.ended(msg.permit_id),
             m.PermitMoved: lambda _, msg: holder.holdings.moved(msg),
-            m.PermitTakeOver: lambda sender, msg: on(
-                msg.backend_server, lambda k: k.take_over(msg, sender)
+        }
+
+    def _keeper_routes(self) -> Mapping[type, Callable[[NodeRef, Any], None]]:
+        to_keeper = self._to_keeper
+        return {
+            m.PermitAsk: self._on_ask,
+            m.PermitReturn: self._on_return,
+            m.PermitGiveUp: to_keeper(
+                lambda keeper, sender, msg: keeper.forget(
+                    msg.permit_id, sender, msg.kept_lot
+                )
+            ),
+            m.PermitStarted: to_keeper(
+                lambda keeper, sender, msg: keeper.start(msg, sender)
+            ),
+            m.PermitAdjust: to_keeper(
+                lambda keeper, sender, msg: keeper.adjust(
+                    msg.permit_id, sender, msg.tokens
+                )
             ),
-            m.ColdFall: lambda _, msg: on(
-                msg.backend_server, lambda k: k.cold_fall(msg)
+            m.PermitUnknown: to_keeper(
+                lambda keeper, sender, msg: keeper.unknown(msg.charges, sender)
             ),
-            m.ServerState: lambda sender, msg: on(
-                msg.backend_server, lambda k: k.hear(sender, msg)
+            m.PermitTakeOver: to_keeper(
+                lambda keeper, sender, msg: keeper.take_over(msg, sender)
             ),
-            m.LotQuery: self._on_lot_query,
-            m.LotReport: self._on_lot_report,
+            m.ColdFall: to_keeper(lambda keeper, _, msg: keeper.cold_fall(msg)),
+            m.ServerState: to_keeper(
+                lambda keeper, sender, msg: keeper.hear(sender, msg)
+            ),
+            LotQuery: self._exchange.answer,
+            LotReport: self._exchange.take_report,
         }
+
+    def _to_keeper(
+        self, apply: Callable[[Keeper, NodeRef, Any], None]
+    ) -> Callable[[NodeRef, Any], None]:
+        """Returns a handler that ignores unknown backend servers."""
+
+        def handle(sender: NodeRef, msg: Any) -> None:  # noqa: ANN401
+            keeper = self.keepers.get(msg.backend_server)
+            if keeper is not None:
+                apply(keeper, sender, msg)
+
+        return handle
--- a/src/savorylift/permits/policies.py
+++ b/src/savorylift/permits/policies.py
@@ -7,7 +7,8 @@
 from savorylift.peers.view import RosterView
 from savorylift.permits.handover import Acquired, Handover
 from savorylift.permits.lost_work import LostWork
-from savorylift.permits.messages import HeldPermit, Lot, LotReport, LotStatus
+from savorylift.permits.lot_messages import LotReport, LotStatus
+from savorylift.permits.messages import HeldPermit, Lot
 
 
 class HandoverRule(Protocol):
--- a/tests/permits/baselines.py
+++ b/tests/permits/baselines.py
@@ -6,7 +6,8 @@
 from savorylift.peers.view import RosterView
 from savorylift.permits.handover import Acquired, Handover
 from savorylift.permits.lost_work import LostWork
-from savorylift.permits.messages import HeldPermit, LotStatus
+from savorylift.permits.lot_messages import LotStatus
+from savorylift.permits.messages import HeldPermit
 from savorylift.permits.policies import Policies
 
 PERMIT_LIFE_S = 2.0
