--- a/src/savorylift/permits/lot_exchange.py
+++ b/src/savorylift/permits/lot_exchange.py
@@ -30,7 +30,7 @@
         sender: Sender,
         tally: Tally,
     ) -> None:
-        """Takes the node's parts; it adds to `keepers` and removes."""
+        """Takes the node's parts; `keepers` may change later."""
         self._roster = roster
         self._directory = directory
         self._keepers = keepers
--- a/src/savorylift/permits/node.py
+++ b/src/savorylift/permits/node.py
@@ -6,13 +6,14 @@
 
 from savorylift.identity import NodeRef
 from savorylift.peers.link import Message
-from savorylift.peers.view import RosterSource, RosterView
+from savorylift.peers.view import RosterSource
 from savorylift.permits import messages as m
 from savorylift.permits.co_keepers import Sender
 from savorylift.permits.evidence import LoadReport
 from savorylift.permits.holder import Holder, Resolver
 from savorylift.permits.keeper import Keeper
 from savorylift.permits.keeper_directory import KeeperDirectory
+from savorylift.permits.kept_servers import KeptServers
 from savorylift.permits.lot_exchange import LotExchange
 from savorylift.permits.lot_messages import LotQuery, LotReport
 from savorylift.permits.lots import lots_of
@@ -20,7 +21,7 @@
 from savorylift.permits.policies import SAFE, Policies
 from savorylift.permits.status import PermitStatus, ServerStatus
 from savorylift.permits.tally import Tally
-from savorylift.rules.view import BackendServer, RulesSource
+from savorylift.rules.view import RulesSource
 
 
 class Effects(Sender, Resolver, Protocol):
@@ -49,18 +50,23 @@
         policies: Policies = SAFE,
     ) -> None:
         """Starts with no share; `tick` begins to acquire them."""
-        self.keepers: dict[str, Keeper] = {}
-        self._ref = ref
         self._rules = rules
         self._roster = roster
         self._cfg = cfg
         self._effects = effects
-        self._tally = tally
-        self._policies = policies
         self._handover = policies.handover(ref)
         self._seen: tuple[int, int] | None = None
         self._refreshed_s = -float("inf")
         self._directory = KeeperDirectory(rules, roster)
+        self._kept = KeptServers(
+            ref,
+            rules,
+            roster,
+            self._directory,
+            self._handover,
+            lambda rule: Keeper(rule, cfg, effects, tally, policies),
+        )
+        self.keepers: Mapping[str, Keeper] = self._kept.keepers
         self.holder = Holder(
             ref,
             roster,
@@ -123,53 +129,14 @@
         if self._seen == (rules.offset, roster.offset):
             return
         self._seen = (rules.offset, roster.offset)
-        self._claim_shares()
-        for name in self.keepers.keys() - rules.backend_servers.keys():
-            self._drop_if_empty(name)
+        self._kept.follow()
+        self._kept.drop_removed(rules)
         self._exchange.recheck(roster)
         self._exchange.query_members()
 
-    def _claim_shares(self) -> None:
-        roster = self._roster.current()
-        for server in self._rules.current().backend_servers.values():
-            self._follow_server(server, roster)
-
-    def _follow_server(self, server: BackendServer, roster: RosterView) -> None:
-        chosen = self._directory.keepers_of(server.name)
-        keeper = self.keepers.get(server.name)
-        if keeper is not None:
-            keeper.follow_rules(server)
-            keeper.co_keepers.replace(set(chosen) - {self._ref})
-        for lot in lots_of(server.name, len(chosen)):
-            if chosen[lot.number] != self._ref:
-                self._handover.abandon(lot)
-            elif keeper is None or lot.number not in keeper.share.lots:
-                self._keeper(server)
-                self._handover.begin(lot, roster.offset)
-        if self._ref not in chosen:
-            self._drop_if_empty(server.name)
-
-    def _keeper(self, server: BackendServer) -> Keeper:
-        keeper = self.keepers.get(server.name)
-        if keeper is None:
-            keeper = Keeper(
-                server, self._cfg, self._effects, self._tally, self._policies
-            )
-            keeper.co_keepers.replace(
-                set(self._directory.keepers_of(server.name)) - {self._ref}
-            )
-            self.keepers[server.name] = keeper
-        return keeper
-
-    def _drop_if_empty(self, name: str) -> None:
-        keeper = self.keepers.get(name)
-        if keeper is not None and not keeper.share.lots:
-            keeper.admission.dismiss(self._directory.keepers_of(name))
-            del self.keepers[name]
-
     def _refresh(self) -> None:
         self.holder.holdings.refresh()
-        self._claim_shares()
+        self._kept.follow()
         self._exchange.query_members()
         roster = self._roster.current()
         for name, keeper in self.keepers.items():
