Split operators' requests and outcomes from what they do

rules.operations listed 130 lines of requests and outcomes before its first function; they stand in rules.outcomes. The operations module still exports them, since callers name both.

--- a/src/savorylift/rules/operations.py
+++ b/src/savorylift/rules/operations.py
@@ -5,7 +5,7 @@
 
 import time
 from collections.abc import Callable
-from typing import NamedTuple, TypeAlias
+from typing import TypeAlias
 
 from returns.result import Failure, Result, Success
 
@@ -18,7 +18,7 @@
     append_and_read_back,
 )
 from savorylift.platform.log import RULES_STREAM, Log, LogEntry
-from savorylift.rules.check import Fault, check_rules, split_lines
+from savorylift.rules.check import check_rules, split_lines
 from savorylift.rules.edits import hash_lines, make_edits, render_diff
 from savorylift.rules.fold import Decision, Verdict
 from savorylift.rules.inbox import OrderAction
@@ -30,159 +30,48 @@
     RecordKind,
     encode,
 )
-from savorylift.rules.view import OutOfService, RulesView
-
-Pause: TypeAlias = Callable[[float], None]
-
-
-class Shown(NamedTuple):
-    """The rules as the log has them.
-
-    Attributes:
-        lines: The file's lines.
-        view: The rules read from them, with the orders in force.
-    """
-
-    lines: tuple[str, ...]
-    view: RulesView
-
-
-class PublishRequest(NamedTuple):
-    """A rules file to publish.
-
-    Attributes:
-        text: The file's text.
-        file_name: Its name, for faults.
-        author: Operator.
-        deadline_s: `time.monotonic()` at which to give up.
-        base: Version that the file was made from; None for the newest.
-    """
-
-    text: str
-    file_name: str
-    author: str
-    deadline_s: float
-    base: int | None = None
-
-
-class Published(NamedTuple):
-    """The file was accepted.
-
-    Attributes:
-        version: Its version, the log offset to wait for on the nodes.
-        changed: Lines removed and added, as `edits.render_diff` gives them.
-    """
-
-    version: int
-    changed: tuple[str, ...]
-
-
-class NothingChanged(NamedTuple):
-    """The file is what is in force; nothing was written."""
-
-    version: int
-
-
-class FileFaulty(NamedTuple):
-    """The file has faults; nothing was written."""
-
-    faults: tuple[Fault, ...]
-
-
-class RaceLost(NamedTuple):
-    """Others published after the version that the file was made from.
-
-    Attributes:
-        base: That version.
-        winners: Edits accepted since, as far as they are remembered.
-        changed: What they changed, as `edits.render_diff` gives it; empty if
-            the log's newest snapshot is newer than the file's version.
-    """
-
-    base: int
-    winners: tuple[Decision, ...]
-    changed: tuple[str, ...]
-
-
-class Rejected(NamedTuple):
-    """The log has the edit, but its content does not fit its base."""
-
-    verdict: Verdict
-
-
-class NotWritten(NamedTuple):
-    """The log has not taken the record and never will."""
-
-    message: str
-
-
-class Unknown(NamedTuple):
-    """The log may have taken the record, now or later.
-
-    Attributes:
-        record_id: Identifier to ask about with `find_publish`.
-        message: Cause.
-    """
-
-    record_id: str
-    message: str
-
-
-class UnknownTarget(NamedTuple):
-    """The rules name no such failure domain; nothing was written."""
-
-    target: str
-    known: tuple[str, ...]
-
-
-class OrderAccepted(NamedTuple):
-    """The order was read back at `offset`."""
-
-    offset: int
-
-
-class BackOverruled(NamedTuple):
-    """The target stays out: the log had a newer order out.
-
-    Attributes:
-        by: The order in force; None if it has ended since.
-    """
-
-    by: OutOfService | None
-
-
-class OrderRequest(NamedTuple):
-    """An order to take out of service or to bring back.
-
-    Attributes:
-        action: Out or back.
-        target: Name of the failure domain or VM.
-        is_domain: True for a failure domain.
-        author: Operator.
-        cause: Why, in the operator's words.
-        deadline_s: `time.monotonic()` at which to give up.
-    """
-
-    action: OrderAction
-    target: str
-    is_domain: bool
-    author: str
-    cause: str
-    deadline_s: float
+from savorylift.rules.outcomes import (
+    BackOverruled,
+    FileFaulty,
+    NothingChanged,
+    NotWritten,
+    OrderAccepted,
+    OrderOutcome,
+    OrderRequest,
+    Published,
+    PublishOutcome,
+    PublishRequest,
+    RaceLost,
+    Rejected,
+    Shown,
+    Unknown,
+    UnknownTarget,
+)
 
+__all__ = [
+    "BackOverruled",
+    "FileFaulty",
+    "NotWritten",
+    "NothingChanged",
+    "OrderAccepted",
+    "OrderOutcome",
+    "OrderRequest",
+    "PublishOutcome",
+    "PublishRequest",
+    "Published",
+    "RaceLost",
+    "Rejected",
+    "Shown",
+    "Unknown",
+    "UnknownTarget",
+    "diff",
+    "find_publish",
+    "order",
+    "publish",
+    "show",
+]
 
-PublishOutcome: TypeAlias = (
-    Published
-    | NothingChanged
-    | FileFaulty
-    | RaceLost
-    | Rejected
-    | NotWritten
-    | Unknown
-)
-OrderOutcome: TypeAlias = (
-    OrderAccepted | BackOverruled | UnknownTarget | NotWritten | Unknown
-)
+Pause: TypeAlias = Callable[[float], None]
 
 
 def show(log: Log, deadline_s: float) -> Result[Shown, str]:
@@ -307,10 +196,16 @@
     decision = state.config.decision(entry.record_id)
     if decision is None:
         return Unknown(entry.record_id, cause or "not remembered")
-    if decision.verdict is Verdict.ACCEPTED:
-        return Published(decision.offset, render_diff(old_lines, lines))
     if decision.verdict is Verdict.STALE_BASE:
         return _race_lost(state, base, old_lines)
+    return _judged(decision, render_diff(old_lines, lines))
+
+
+def _judged(
+    decision: Decision, changed: tuple[str, ...]
+) -> Published | Rejected:
+    if decision.verdict is Verdict.ACCEPTED:
+        return Published(decision.offset, changed)
     return Rejected(decision.verdict)
 
 
