Place generations by expected memory, with the most pressing one first

The placement that knows no lengths moved to the tests as their baseline. A test built its cases out of a decaying value and got other names in each process; it builds them inside the test now, with the same assertion.

--- a/src/savorylift/composition.py
+++ b/src/savorylift/composition.py
@@ -46,8 +46,8 @@
 from savorylift.streams.canceller import EngineCanceller
 from savorylift.streams.cleaner import Cleaner
 from savorylift.streams.engine_control import EngineControl
+from savorylift.streams.memory_placement import MemoryPlacement
 from savorylift.streams.parts import GenerationParts
-from savorylift.streams.placement import LeastLoadedPlacement
 from savorylift.streams.relay import Relay
 from savorylift.trail import Trail
 
@@ -306,6 +306,7 @@
         # A server names its engine's incarnation; the list names the VM's.
         peers.mark_leaving(vm, "")
 
+    placement = MemoryPlacement(rules)
     relay = Relay()
     cleaner = Cleaner(gate, rules, control)
     generations = GenerationParts(
@@ -316,7 +317,7 @@
         gate=gate,
         relay=relay,
         cleaner=cleaner,
-        placement=LeastLoadedPlacement(),
+        placement=placement,
         budget=RetryBudget(),
         mark_leaving=mark_leaving,
         ticket_keys=cfg.ticket_keys,
@@ -341,7 +342,11 @@
     return Work(
         gate=gate,
         load_poller=LoadPoller(
-            rules, gate.kept_servers, gate.load, mark_leaving
+            rules,
+            gate.kept_servers,
+            gate.load,
+            mark_leaving,
+            placement.note_preemptions,
         ),
         relay=relay,
         cleaner=cleaner,
--- a/src/savorylift/permits/fair_queue.py
+++ b/src/savorylift/permits/fair_queue.py
@@ -16,17 +16,26 @@
     deadline_s: float
 
 
+class _Rank(NamedTuple):
+    """Order within a team: priority, then the earliest deadline."""
+
+    negative_priority: int
+    deadline_s: float
+    sequence: int
+    permit_id: str
+
+
 class FairQueue:
-    """Orders by priority, then by start-time fair queueing over teams.
+    """Orders by priority, then fairly over teams, then by deadline.
 
-    Each request of a team advances the team's tag by 1 / weight, so that
-    backlogged teams get places in proportion to their weights however many
-    requests each has waiting.
+    Teams are served by start-time fair queueing: each request that leaves
+    advances its team's tag by 1 / weight, so that backlogged teams get places
+    in proportion to their weights however many requests each has waiting.
     """
 
     def __init__(self) -> None:
         """Starts empty."""
-        self._heap: list[tuple[int, float, int, str]] = []
+        self._teams: dict[str, list[_Rank]] = {}
         self._waiters: dict[str, Waiter] = {}
         self._tags: dict[str, float] = {}
         self._virtual_time = 0.0
@@ -44,30 +53,35 @@
         """Adds a request; replaces nothing if it waits already."""
         if ask.permit_id in self._waiters:
             return
-        start = max(self._virtual_time, self._tags.get(ask.team, 0.0))
-        self._tags[ask.team] = start + 1.0 / max(1, ask.weight)
+        waiter = Waiter(ask, time.monotonic() + ask.wait_s)
+        self._waiters[ask.permit_id] = waiter
+        if not self._heap_of(ask.team):
+            tag = self._tags.get(ask.team, 0.0)
+            self._tags[ask.team] = max(self._virtual_time, tag)
         self._sequence += 1
-        key = (-ask.priority, start, self._sequence, ask.permit_id)
-        heapq.heappush(self._heap, key)
-        self._waiters[ask.permit_id] = Waiter(
-            ask, time.monotonic() + ask.wait_s
+        rank = _Rank(
+            -ask.priority, waiter.deadline_s, self._sequence, ask.permit_id
         )
+        heapq.heappush(self._teams.setdefault(ask.team, []), rank)
         self._forget_idle_teams()
 
     def peek(self) -> Waiter | None:
         """Returns the request that goes next."""
-        while self._heap and self._heap[0][3] not in self._waiters:
-            heapq.heappop(self._heap)
-        return self._waiters[self._heap[0][3]] if self._heap else None
+        team = self._next_team()
+        if team is None:
+            return None
+        return self._waiters[self._teams[team][0].permit_id]
 
     def pop(self) -> Waiter | None:
         """Removes and returns the request that goes next."""
-        waiter = self.peek()
-        if waiter is None:
+        team = self._next_team()
+        if team is None:
             return None
-        self._virtual_time = max(self._virtual_time, self._heap[0][1])
-        heapq.heappop(self._heap)
-        del self._waiters[waiter.ask.permit_id]
+        rank = heapq.heappop(self._teams[team])
+        waiter = self._waiters.pop(rank.permit_id)
+        tag = self._tags[team]
+        self._virtual_time = max(self._virtual_time, tag)
+        self._tags[team] = tag + 1.0 / max(1, waiter.ask.weight)
         return waiter
 
     def remove(self, permit_id: str) -> Waiter | None:
@@ -83,16 +97,61 @@
         return late
 
     def ahead_of(self, ask: PermitAsk) -> int:
-        """Returns how many waiting requests would go before `ask`."""
+        """Returns about how many waiting requests would go before `ask`."""
+        deadline_s = time.monotonic() + ask.wait_s
+        key = (-ask.priority, deadline_s)
+        own = sum(rank[:2] <= key for rank in self._heap_of(ask.team))
         start = max(self._virtual_time, self._tags.get(ask.team, 0.0))
-        key = (-ask.priority, start)
-        return sum(
-            1
-            for priority, tag, _, permit_id in self._heap
-            if (priority, tag) <= key and permit_id in self._waiters
+        start += own / max(1, ask.weight)
+        return own + sum(
+            self._count_before(team, start, -ask.priority)
+            for team in list(self._teams)
+            if team != ask.team
         )
 
+    def _count_before(
+        self, team: str, start: float, negative_priority: int
+    ) -> int:
+        """Returns how many of another team's requests go before a tag."""
+        heap = self._heap_of(team)
+        urgent = sum(r.negative_priority < negative_priority for r in heap)
+        equal = sum(r.negative_priority == negative_priority for r in heap)
+        if not equal:
+            return urgent
+        waiter = self._waiters[heap[0].permit_id]
+        lead = (start - self._tags[team]) * max(1, waiter.ask.weight)
+        return urgent + min(equal, max(0, int(lead) + (lead >= 0)))
+
+    def _next_team(self) -> str | None:
+        best: tuple[int, float, float, str] | None = None
+        for team in list(self._teams):
+            heap = self._heap_of(team)
+            if not heap:
+                continue
+            head = heap[0]
+            key = (
+                head.negative_priority,
+                self._tags[team],
+                head.deadline_s,
+                team,
+            )
+            if best is None or key < best:
+                best = key
+        return None if best is None else best[3]
+
+    def _heap_of(self, team: str) -> list[_Rank]:
+        """Returns a team's heap without removed heads; empty ones go."""
+        heap = self._teams.get(team, [])
+        while heap and heap[0].permit_id not in self._waiters:
+            heapq.heappop(heap)
+        if not heap:
+            self._teams.pop(team, None)
+        return heap
+
     def _forget_idle_teams(self) -> None:
         if len(self._tags) > MAX_TEAM_TAGS:
-            now = self._virtual_time
-            self._tags = {t: v for t, v in self._tags.items() if v > now}
+            self._tags = {
+                team: tag
+                for team, tag in self._tags.items()
+                if tag > self._virtual_time or team in self._teams
+            }
--- a/src/savorylift/permits/load.py
+++ b/src/savorylift/permits/load.py
@@ -22,6 +22,7 @@
 KeptServers = Callable[[], tuple[str, ...]]
 OnReport = Callable[[str, LoadReport], None]
 OnLeaving = Callable[[str, str], None]
+OnPreemptions = Callable[[str, int], None]
 _log = structlog.get_logger()
 
 
@@ -43,6 +44,7 @@
     leaving: bool
     running: int
     waiting: int = 0
+    preemptions: int = 0
 
 
 class _Due(NamedTuple):
@@ -63,6 +65,7 @@
         kept_servers: KeptServers,
         on_report: OnReport,
         on_leaving: OnLeaving,
+        on_preemptions: OnPreemptions,
         cfg: LoadOptions | None = None,
     ) -> None:
         """Polls from `start` on.
@@ -72,12 +75,16 @@
             kept_servers: Returns the names to poll.
             on_report: Takes a name and its report.
             on_leaving: Takes a leaving server's VM and incarnation.
+            on_preemptions: Takes a name and the preemptions since the last
+                report of the same incarnation.
             cfg: Options.
         """
         self._rules = rules
         self._kept_servers = kept_servers
         self._on_report = on_report
         self._on_leaving = on_leaving
+        self._on_preemptions = on_preemptions
+        self._preemptions: dict[str, tuple[str, int]] = {}
         self._cfg = cfg or LoadOptions()
         self._due: dict[str, _Due] = {}
         self._pool = urllib3.PoolManager(retries=False)
@@ -139,12 +146,19 @@
     def _hand_over(self, name: str, body: _Body, asked_s: float) -> None:
         if body.leaving:
             self._on_leaving(name, body.incarnation)
+        self._note_preemptions(name, body)
         active = body.running + body.waiting
         report = LoadReport(
             asked_s, body.incarnation, body.cold, body.leaving, active
         )
         self._on_report(name, report)
 
+    def _note_preemptions(self, name: str, body: _Body) -> None:
+        incarnation, before = self._preemptions.get(name, ("", 0))
+        self._preemptions[name] = (body.incarnation, body.preemptions)
+        if incarnation == body.incarnation and body.preemptions > before:
+            self._on_preemptions(name, body.preemptions - before)
+
 
 def _parse(data: bytes) -> Result[_Body, str]:
     if len(data) > MAX_BODY_BYTES:
--- a/src/savorylift/streams/dispatch.py
+++ b/src/savorylift/streams/dispatch.py
@@ -103,7 +103,7 @@
                 weight=self._req.team.weight,
                 priority=self._req.priority,
                 tokens=placement.reserve(self._req, produced),
-                deadline_s=self._req.deadline_s,
+                deadline_s=placement.latest_start_s(self._req),
             )
         )
 
@@ -135,6 +135,7 @@
             self._note_fault(attempt, opened.failure())
             return opened
         self._note_effect(Ending.FAILED)
+        self._parts.placement.note_dispatched(self._req, server.name)
         log.info(
             "generation dispatched",
             backend_server=server.name,
--- a/src/savorylift/streams/parts.py
+++ b/src/savorylift/streams/parts.py
@@ -13,7 +13,7 @@
 from savorylift.rules.view import RulesSource
 from savorylift.settings import Key, Timing
 from savorylift.streams.cleaner import Cleaner
-from savorylift.streams.placement import Placement
+from savorylift.streams.placement import LearningPlacement
 from savorylift.streams.relay import Relay
 from savorylift.trail import Trail
 
@@ -44,7 +44,7 @@
     gate: PermitGate
     relay: Relay
     cleaner: Cleaner
-    placement: Placement
+    placement: LearningPlacement
     budget: RetryBudget
     mark_leaving: Callable[[str, str | None], None]
     ticket_keys: tuple[Key, ...]
--- a/src/savorylift/streams/placement.py
+++ b/src/savorylift/streams/placement.py
@@ -7,8 +7,6 @@
 from savorylift.rules.view import BackendServer, Model, Team
 from savorylift.streams.prefixes import CacheEvent
 
-UNKNOWN_OUTPUT_TOKENS = 256
-
 
 class GenerationRequest(NamedTuple):
     """One generation as its caller asked for it.
@@ -70,33 +68,6 @@
         """Notes preemptions that an engine reports since the last report."""
 
 
-class LeastLoadedPlacement:
-    """Orders engines by free places; reserves a fixed output length."""
-
-    def order(
-        self,
-        req: GenerationRequest,
-        servers: Sequence[BackendServer],
-        hints: Mapping[str, BackendHint],
-    ) -> tuple[str, ...]:
-        """Returns engines with the most free places first."""
-
-        def free(server: BackendServer) -> tuple[int, str]:
-            hint = hints.get(server.name)
-            places = server.cold_limit if hint is None else hint.free_slots
-            return -places, f"{req.request_id}{server.name}"
-
-        return tuple(server.name for server in sorted(servers, key=free))
-
-    def reserve(self, req: GenerationRequest, produced: int) -> int:
-        """Returns prompt and output so far plus a fixed remainder."""
-        expected = max(produced, min(req.max_tokens, UNKNOWN_OUTPUT_TOKENS))
-        return prompt_tokens(req.prompt) + expected
-
-    def note_finished(self, req: GenerationRequest, produced: int) -> None:
-        """Learns nothing."""
-
-
 def prompt_tokens(prompt: str) -> int:
     """Returns an estimate of a prompt's length in tokens."""
     return len(prompt.split()) or 1
--- a/tests/permits/test_load.py
+++ b/tests/permits/test_load.py
@@ -40,6 +40,9 @@
     http.server_close()
 
 
+PREEMPTED: list[tuple[str, int]] = []
+
+
 def poll(address: str) -> tuple[list[LoadReport], list[tuple[str, str]]]:
     rules = rules_of(server()._replace(address=address))
     reports: list[LoadReport] = []
@@ -49,12 +52,31 @@
         lambda: ("runner-1", "unknown"),
         lambda _, report: reports.append(report),
         lambda vm, incarnation: leaving.append((vm, incarnation)),
+        lambda name, count: PREEMPTED.append((name, count)),
         LoadOptions(timeout_s=0.2),
     )
     assert poller.poll_due() > 0
     return reports, leaving
 
 
+def test_preemptions_since_the_last_report_are_told(address: str) -> None:
+    PREEMPTED.clear()
+    Handler.status = 200
+    poller = LoadPoller(
+        RulesSource(rules_of(server()._replace(address=address))),
+        lambda: ("runner-1",),
+        lambda *_: None,
+        lambda *_: None,
+        lambda name, count: PREEMPTED.append((name, count)),
+        LoadOptions(interval_s=0.0, timeout_s=0.2),
+    )
+    for incarnation, count in (("3", 5), ("3", 7), ("4", 9), ("4", 9)):
+        load = {**GOOD, "incarnation": incarnation, "preemptions": count}
+        Handler.body = json.dumps(load).encode()
+        poller.poll_due()
+    assert PREEMPTED == [("runner-1", 2)]
+
+
 def test_reads_reports_and_leaving(address: str) -> None:
     Handler.status = 200
     Handler.body = json.dumps({**GOOD, "waiting": 1, "leaving": True}).encode()
--- a/tests/permits/test_parts.py
+++ b/tests/permits/test_parts.py
@@ -64,6 +64,18 @@
     assert teams[:3] == ["urgent", "small", "large"]
 
 
+def test_a_team_starts_its_most_pressing_request_first() -> None:
+    queue = FairQueue()
+    for number, wait_s in enumerate((5.0, 1.0, 3.0)):
+        queue.push(ask(number, "a")._replace(wait_s=wait_s))
+    queue.push(ask(3, "b"))
+    assert queue.ahead_of(ask(9, "a")._replace(wait_s=2.0)) >= 1
+    served = [(each.team, each.wait_s) for each in order(queue)]
+    of_a = [wait_s for team, wait_s in served if team == "a"]
+    assert of_a == [1.0, 3.0, 5.0]
+    assert served.index(("b", 9.0)) <= 1
+
+
 @given(
     st.lists(st.tuples(st.sampled_from("abc"), st.integers(1, 5)), min_size=1)
 )
--- a/tests/streams/fakes.py
+++ b/tests/streams/fakes.py
@@ -29,11 +29,9 @@
 from savorylift.streams.caller_socket import CallerSocket
 from savorylift.streams.cleaner import Cleaner
 from savorylift.streams.engine_control import EngineControl
+from savorylift.streams.memory_placement import MemoryPlacement
 from savorylift.streams.parts import GenerationParts
-from savorylift.streams.placement import (
-    GenerationRequest,
-    LeastLoadedPlacement,
-)
+from savorylift.streams.placement import GenerationRequest
 from savorylift.streams.relay import Relay
 from savorylift.streams.sink import StreamSink
 from savorylift.trail import Trail
@@ -112,7 +110,7 @@
             gate=self.gate,
             relay=self.relay,
             cleaner=self.cleaner,
-            placement=LeastLoadedPlacement(),
+            placement=MemoryPlacement(self.rules),
             budget=RetryBudget(),
             mark_leaving=lambda vm, _: self.leaving.add(vm),
             ticket_keys=KEYS,
--- a/tests/streams/test_placement.py
+++ b/tests/streams/test_placement.py
@@ -14,11 +14,11 @@
 from savorylift.streams.placement import (
     GenerationRequest,
     LearningPlacement,
-    LeastLoadedPlacement,
     Placement,
     prompt_tokens,
 )
 from savorylift.streams.prefixes import prefix_hash
+from tests.streams.baselines import LeastLoadedPlacement
 from tests.streams.fakes import engine_rule, request
 
 NAMES = [f"r{i}" for i in range(7)]
--- a/tests/streams/test_reserve.py
+++ b/tests/streams/test_reserve.py
@@ -19,16 +19,19 @@
 
 
 @pytest.mark.parametrize(
-    "more",
+    ("rates", "cfg", "missing"),
     [
-        share_after([1.0]),
-        share_after([], missing=0.4),
-        share_after([], PLAIN._replace(stall_weight=2.0)),
-        share_after([], PLAIN._replace(token_tail_weight=2.0)),
-        share_after([], PLAIN._replace(preemption_weight=2.0)),
+        ([1.0], PLAIN, 0.0),
+        ([], PLAIN, 0.4),
+        ([], PLAIN._replace(stall_weight=2.0), 0.0),
+        ([], PLAIN._replace(token_tail_weight=2.0), 0.0),
+        ([], PLAIN._replace(preemption_weight=2.0), 0.0),
     ],
 )
-def test_what_calls_for_memory_raises_the_share(more: float) -> None:
+def test_what_calls_for_memory_raises_the_share(
+    rates: list[float], cfg: PolicySettings, missing: float
+) -> None:
+    more = share_after(rates, cfg, missing)
     assert share_after([]) < more <= MAX_SHARE
 
 
