Split the schedule of questions from the peers' core; one ticking thread

The core held due times and known changes beside its beliefs; they are a QuestionSchedule now, and what the slice needs of others is in surroundings. VmWatcher had a thread of its own with the start and stop of Ticker; Ticker serves both and can call at the start as well.

--- a/src/savorylift/peers/core.py
+++ b/src/savorylift/peers/core.py
@@ -1,9 +1,8 @@
 """Decisions of the peers slice: whom to ask, what to tell, what to believe."""
 
-import random
 import time
 from collections.abc import Container, Iterable
-from typing import NamedTuple, Protocol
+from typing import NamedTuple
 
 from savorylift.identity import NodeRef
 from savorylift.peers.board import PeersBoard, PeersView
@@ -14,34 +13,20 @@
 from savorylift.peers.messages import GossipAnswer, GossipQuestion
 from savorylift.peers.neighbours import Neighbours
 from savorylift.peers.options import seed_ref
+from savorylift.peers.question_schedule import QuestionSchedule
 from savorylift.peers.staleness import (
     DispatchGuard,
     Staleness,
     StalenessOptions,
     TailProof,
 )
+from savorylift.peers.surroundings import Surroundings
 from savorylift.peers.view import RosterSource
 from savorylift.platform.vms import VmEntry
 
 BOARD_S = 0.5  # between two views of the board without new marks
 
 
-class Surroundings(Protocol):
-    """What the other slices tell this one, and are told by it.
-
-    Calls come from the owner's thread and must return within a millisecond.
-    """
-
-    def rules_offset(self) -> int:
-        """Returns the newest log offset in force on this node."""
-
-    def load(self) -> tuple[int, ...]:
-        """Returns a few integers to tell the other nodes."""
-
-    def on_peer_offset(self, node: NodeRef, offset: int) -> None:
-        """Is told that `node` has a newer offset than this node."""
-
-
 class GossipOptions(NamedTuple):
     """Options of gossip and of the staleness rule.
 
@@ -99,8 +84,7 @@
         self._neighbours = Neighbours(cfg.own)
         self._staleness = Staleness(cfg.staleness)
         self._newest_offset = -1
-        self._known_changes: dict[NodeRef, int] = {}
-        self._due_s: dict[NodeRef, float] = {}
+        self._schedule = QuestionSchedule(cfg.gossip_s)
         self._has_news = False
         self._board_at_s = float("-inf")
 
@@ -119,35 +103,25 @@
         self, asking: Container[NodeRef] = ()
     ) -> list[tuple[NodeRef, GossipQuestion]]:
         """Returns whom to ask now, save those that are being asked."""
-        now_s = time.monotonic()
         nodes = self._neighbours.current(self._hearing.heard_s)
         if not nodes:
             nodes = [seed_ref(address) for address in self._cfg.seeds]
-        self._forget_all_but(nodes)
-        interval_s = self._interval_s()
-        due = []
-        for node in nodes:
-            if self._due_s[node] > now_s + interval_s:
-                self._due_s[node] = now_s + random.random() * interval_s
-            if self._due_s[node] <= now_s and node not in asking:
-                self._due_s[node] = now_s + interval_s
-                due.append(node)
+        self._schedule.follow(nodes)
         return [
-            (node, GossipQuestion(self._known_changes.get(node, 0)))
-            for node in due
+            (node, GossipQuestion(self._schedule.known_change(node)))
+            for node in self._schedule.take_due(self._interval_s(), asking)
         ]
 
     def ask_soon(self, node: NodeRef) -> None:
         """Makes a question to a neighbour due that has news."""
-        if node in self._due_s:
-            self._due_s[node] = time.monotonic()
+        self._schedule.hasten(node)
 
     def take_news(self) -> list[NodeRef]:
         """Returns whom to tell that there are new marks here, once."""
         if not self._has_news:
             return []
         self._has_news = False
-        return list(self._due_s)
+        return self._schedule.nodes()
 
     def answer(self, sender: NodeRef, question: GossipQuestion) -> GossipAnswer:
         """Returns the answer to another node's question."""
@@ -215,29 +189,19 @@
         self._table.use_roster(roster)
 
     def _interval_s(self) -> float:
+        cfg = self._cfg
         proof = self._staleness.newest_proof()
-        since_s = time.monotonic() - self._cfg.urgent_after_s
-        is_urgent = proof is None or proof.sent_s < since_s
-        gossip_s = self._cfg.gossip_s
-        return (
-            min(gossip_s, self._cfg.urgent_gossip_s) if is_urgent else gossip_s
-        )
-
-    def _forget_all_but(self, nodes: list[NodeRef]) -> None:
-        for node in self._due_s.keys() - set(nodes):
-            del self._due_s[node]
-            self._known_changes.pop(node, None)
-        for node in nodes:
-            if node not in self._due_s:
-                delay_s = random.random() * self._cfg.gossip_s
-                self._due_s[node] = time.monotonic() + delay_s
+        since_s = time.monotonic() - cfg.urgent_after_s
+        if proof is None or proof.sent_s < since_s:
+            return min(cfg.gossip_s, cfg.urgent_gossip_s)
+        return cfg.gossip_s
 
     def _take_states(self, node: NodeRef, answer: GossipAnswer) -> None:
         self._table.merge(answer.nodes, node)
         changed = [s.vm for s in answer.vms if self._marks.merge(s)]
         self._change_marks(changed)
         if answer.roster_offset <= self._roster.current().offset:
-            self._known_changes[node] = answer.change
+            self._schedule.note_change(node, answer.change)
 
     def _take_offsets(self, node: NodeRef, answer: GossipAnswer) -> None:
         offset = self._surroundings.rules_offset()
--- a/src/savorylift/peers/service.py
+++ b/src/savorylift/peers/service.py
@@ -24,7 +24,6 @@
     GossipOptions,
     PeersCore,
     Published,
-    Surroundings,
 )
 from savorylift.peers.counters import GossipCounters
 from savorylift.peers.link import Message, PeerLink
@@ -32,6 +31,7 @@
 from savorylift.peers.messages import GossipNews, GossipQuestion
 from savorylift.peers.staleness import DispatchGuard, TailProof
 from savorylift.peers.status import PeersStatus, describe
+from savorylift.peers.surroundings import Surroundings
 from savorylift.peers.ticker import Ticker
 from savorylift.peers.view import RosterSource
 from savorylift.peers.watcher import VmWatcher, WatcherOptions
@@ -103,7 +103,7 @@
         self._tick_taken = threading.Event()
         self._tick_taken.set()
         self._ticker = Ticker(TICK_S, self._tick, "peers-ticker")
-        self._watcher = VmWatcher(
+        watcher = VmWatcher(
             cfg.watcher,
             parts.vms,
             parts.roster,
@@ -111,19 +111,25 @@
             lambda: self.view().heard(HEARD_WITHIN_S),
             self._take_list,
         )
+        self._list_reader = Ticker(
+            cfg.watcher.interval_s,
+            watcher.read_once,
+            "vm-watcher",
+            is_immediate=True,
+        )
         parts.link.on_ask(GossipQuestion, self._take_question)
         parts.link.on_tell(GossipNews, self._take_news)
 
     def start(self) -> None:
         """Starts to ask neighbours and to read the list; after the link."""
         self._ticker.start()
-        self._watcher.start()
+        self._list_reader.start()
 
     def stop(self, timeout_s: float = 2.0) -> bool:
         """Ends all threads; False if one did not end in time."""
         deadline_s = time.monotonic() + timeout_s
         is_stopped = self._ticker.stop(timeout_s)
-        is_stopped &= self._watcher.stop(
+        is_stopped &= self._list_reader.stop(
             max(0.0, deadline_s - time.monotonic())
         )
         self._actor.stop(block=False)
--- a/src/savorylift/peers/ticker.py
+++ b/src/savorylift/peers/ticker.py
@@ -1,4 +1,4 @@
-"""A thread that sends ticks to an actor."""
+"""A thread that calls a function at a steady interval."""
 
 import threading
 from collections.abc import Callable
@@ -8,11 +8,17 @@
     """Calls a function at a steady interval until stopped."""
 
     def __init__(
-        self, interval_s: float, func: Callable[[], None], name: str
+        self,
+        interval_s: float,
+        func: Callable[[], None],
+        name: str,
+        *,
+        is_immediate: bool = False,
     ) -> None:
-        """Prepares the thread."""
+        """Prepares the thread; `is_immediate` calls at the start as well."""
         self._interval_s = interval_s
         self._func = func
+        self._is_immediate = is_immediate
         self._stop = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name=name, daemon=True
@@ -30,5 +36,7 @@
         return not self._thread.is_alive()
 
     def _run(self) -> None:
+        if self._is_immediate and not self._stop.is_set():
+            self._func()
         while not self._stop.wait(self._interval_s):
             self._func()
--- a/src/savorylift/peers/watcher.py
+++ b/src/savorylift/peers/watcher.py
@@ -1,6 +1,5 @@
-"""A thread that reads the platform's list of VMs."""
+"""The node's watch over the platform's list of VMs."""
 
-import threading
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -42,7 +41,7 @@
         heard: Callable[[], frozenset[str]],
         on_list: Callable[[tuple[VmEntry, ...]], None],
     ) -> None:
-        """Prepares the thread; `on_list` gets each successful read."""
+        """Takes the slice's parts; `on_list` gets each successful read."""
         self._cfg = cfg
         self._vms = vms
         self._roster = roster
@@ -50,21 +49,6 @@
         self._heard = heard
         self._on_list = on_list
         self._judge = GoneJudge(cfg.own, cfg.gone)
-        self._stop = threading.Event()
-        self._thread = threading.Thread(
-            target=self._run, name="vm-watcher", daemon=True
-        )
-
-    def start(self) -> None:
-        """Starts the thread."""
-        self._thread.start()
-
-    def stop(self, timeout_s: float = 2.0) -> bool:
-        """Ends the thread; False if it did not end in time."""
-        self._stop.set()
-        if self._thread.is_alive():
-            self._thread.join(timeout_s)
-        return not self._thread.is_alive()
 
     def read_once(self) -> None:
         """Reads the list and acts on it."""
@@ -83,8 +67,3 @@
             structlog.get_logger().info(
                 "node_gone", node=ref.vm, reported=is_successful(outcome)
             )
-
-    def _run(self) -> None:
-        while not self._stop.is_set():
-            self.read_once()
-            self._stop.wait(self._cfg.interval_s)
