--- a/src/savorylift/rules/node.py
+++ b/src/savorylift/rules/node.py
@@ -7,8 +7,8 @@
 
 from savorylift.identity import NodeRef
 from savorylift.peers.view import RosterSource
-from savorylift.platform.log import LogPage
 from savorylift.rules.append_pacer import AppendPacer
+from savorylift.rules.append_plan import AppendPlan
 from savorylift.rules.counters import RulesCounters, RulesEvent
 from savorylift.rules.fold import ConfigFold
 from savorylift.rules.inbox import (
@@ -21,7 +21,6 @@
 )
 from savorylift.rules.messages import (
     OrderGossip,
-    RecordKind,
     RecordsAnswer,
     RecordsAsk,
     StateAnswer,
@@ -30,12 +29,11 @@
 from savorylift.rules.order_desk import OrderDesk, OrderLink
 from savorylift.rules.peer_source import PeerQuestions, PeerSource
 from savorylift.rules.proofs import TailProofs
+from savorylift.rules.publisher import RulesPublisher
 from savorylift.rules.snapshot_schedule import SnapshotSchedule
 from savorylift.rules.stream import RulesStream
 from savorylift.rules.view import RulesSource
 
-_SNAPSHOT = "snapshot"
-
 
 class NodeConfig(NamedTuple):
     """Options of the rules stream on one node.
@@ -94,9 +92,7 @@
         self._parts = parts
         self._stream = stream
         self._config = config
-        self._proofs = TailProofs()
-        self._pacer = AppendPacer(parts.append)
-        self._snapshots = SnapshotSchedule(cfg.own.vm, cfg.log_retention_s)
+        self._proofs = TailProofs(parts.on_tail_proof)
         self._desk = OrderDesk(
             cfg.own.vm, OrderLink(parts.live_peers, parts.tell)
         )
@@ -105,7 +101,21 @@
             PeerQuestions(parts.live_peers, parts.ask_records, parts.ask_state),
             cfg.peers_after_s,
         )
-        self._shown_version = -1
+        self._appends = AppendPlan(
+            stream,
+            self._desk.pending,
+            SnapshotSchedule(cfg.own.vm, cfg.log_retention_s),
+            AppendPacer(parts.append),
+            parts.roster,
+        )
+        self._publisher = RulesPublisher(
+            parts.source,
+            stream,
+            config,
+            self._desk.pending,
+            parts.on_folded,
+            parts.counters,
+        )
         self._logger = structlog.get_logger()
 
     def take_page(self, read: PageRead) -> int:
@@ -118,11 +128,12 @@
             self._count(RulesEvent.GAP)
             self._logger.warning("rules_gap", wanted=before)
         if self._stream.next_offset != before:
-            self._publish()
+            self._publisher.publish()
         if read.page.next_offset >= read.asked_offset:
-            self._prove(read.sent_s, read.page.next_offset)
-        self._append_orders()
-        self._append_snapshot(read.page)
+            self._proofs.add(read.sent_s, read.page.next_offset)
+        self._appends.append_orders()
+        if self._appends.append_snapshot(read.page.next_offset):
+            self._count(RulesEvent.SNAPSHOT)
         return self._stream.read_offset()
 
     def read_failed(self) -> int:
@@ -132,7 +143,7 @@
 
     def append_ended(self, ended: AppendEnded) -> None:
         """Notes the end of an append; it stays due until read back."""
-        if not self._pacer.ended(ended):
+        if not self._appends.ended(ended):
             self._count(RulesEvent.APPEND_RETRY)
 
     def tick(self) -> None:
@@ -154,9 +165,11 @@
         after = self._stream.next_offset
         if after != before:
             self._count(RulesEvent.PEER_RECORDS)
-            self._publish()
+            self._publisher.publish()
         if answer.next_offset <= after:
-            self._prove_by_peer(sent_s, answer.proof_age_s, answer.next_offset)
+            self._proofs.add_from_peer(
+                sent_s, answer.proof_age_s, answer.next_offset
+            )
         elif after != before:
             self._peers.ask_records(node)
         else:
@@ -167,10 +180,10 @@
         self.take_gossip(OrderGossip(answer.orders))
         if answer.data and self._stream.take_state(answer.data):
             self._count(RulesEvent.PEER_STATE)
-            self._publish()
+            self._publisher.publish()
         if answer.offset < self._stream.next_offset:
             next_offset = answer.offset + 1
-            self._prove_by_peer(sent_s, answer.proof_age_s, next_offset)
+            self._proofs.add_from_peer(sent_s, answer.proof_age_s, next_offset)
 
     def peer_failed(self) -> None:
         """Notes that another node did not answer."""
@@ -199,7 +212,7 @@
         """Takes orders that another node holds, and passes new ones on."""
         new = self._desk.take(gossip)
         if new:
-            self._publish()
+            self._publisher.publish()
             self._desk.pass_on(new)
 
     def submit(self, order: SubmitOrder) -> OrderReceipt:
@@ -217,81 +230,18 @@
             target=order.target,
             author=order.author,
         )
-        self._publish()
+        self._publisher.publish()
         self._desk.tell_all(pending)
-        self._append_orders()
+        self._appends.append_orders()
         return self.order_state(pending.record_id)
 
     def order_state(self, record_id: str) -> OrderReceipt:
         """Returns what is known of an order."""
-        return OrderReceipt(record_id, self._order_state(record_id))
-
-    def _order_state(self, record_id: str) -> OrderState:
         if self._config.is_overruled(record_id):
-            return OrderState.OVERRULED
+            return OrderReceipt(record_id, OrderState.OVERRULED)
         if self._stream.has_applied(record_id):
-            return OrderState.ACCEPTED
-        order = self._desk.pending.find(record_id)
-        if order is None:
-            return OrderState.UNKNOWN
-        is_out = order.kind == RecordKind.ORDER_OUT
-        return OrderState.APPLIED if is_out else OrderState.WAITING
-
-    def _publish(self) -> None:
-        self._desk.pending.drop_settled(self._is_settled)
-        offset = self._stream.next_offset - 1
-        view = self._config.view(offset)
-        orders = {**self._desk.pending.restrictions(), **view.out_of_service}
-        self._parts.source.replace(view._replace(out_of_service=orders))
-        self._parts.on_folded()
-        held = len(self._desk.pending.orders())
-        self._parts.counters.show(offset, view.version, held)
-        if view.version != self._shown_version:
-            self._show_version(view.version)
-
-    def _show_version(self, version: int) -> None:
-        self._shown_version = version
-        unread = self._config.unread_lines()
-        self._parts.counters.show_unread(len(unread))
-        self._logger.info("rules_in_force", version=version)
-        if unread:
-            self._logger.warning("rules_unread_lines", lines=unread[:20])
-
-    def _is_settled(self, record_id: str) -> bool:
-        return self._stream.has_applied(record_id) or self._config.is_cancelled(
-            record_id
-        )
-
-    def _append_orders(self) -> None:
-        due = self._desk.pending.due(self._members())
-        for record_id, entry in due.items():
-            self._pacer.start(AppendJob(record_id, (entry,)))
-
-    def _append_snapshot(self, page: LogPage) -> None:
-        is_at_tail = self._stream.next_offset == page.next_offset
-        if self._stream.is_rebuilding or not is_at_tail:
-            return
-        if self._pacer.is_quiet(_SNAPSHOT):
-            return
-        if self._snapshots.is_due(self._stream, self._members()):
-            self._count(RulesEvent.SNAPSHOT)
-            entries = self._stream.snapshot()
-            self._pacer.start(AppendJob(_SNAPSHOT, entries))
-
-    def _members(self) -> tuple[str, ...]:
-        return tuple(self._parts.roster.current().members)
-
-    def _prove(self, sent_s: float, next_offset: int) -> None:
-        self._proofs.add(sent_s, next_offset)
-        self._parts.on_tail_proof(sent_s, next_offset)
-
-    def _prove_by_peer(
-        self, sent_s: float, age_s: float, next_offset: int
-    ) -> None:
-        # The peer sent its question `age_s` before it answered, which was
-        # after `sent_s`; so the proof is at least as young as this.
-        if age_s >= 0:
-            self._prove(sent_s - age_s, next_offset)
+            return OrderReceipt(record_id, OrderState.ACCEPTED)
+        return OrderReceipt(record_id, self._desk.pending.state(record_id))
 
     def _count(self, event: RulesEvent) -> None:
         self._parts.counters.count(event)
--- a/src/savorylift/rules/pending.py
+++ b/src/savorylift/rules/pending.py
@@ -14,6 +14,7 @@
 
 from savorylift.platform.log import LogEntry
 from savorylift.rendezvous import rank
+from savorylift.rules.inbox import OrderState
 from savorylift.rules.messages import (
     OrderOut,
     PendingOrder,
@@ -49,6 +50,14 @@
         held = self._held.get(record_id)
         return held.order if held is not None else None
 
+    def state(self, record_id: str) -> OrderState:
+        """Returns the state of an order that the log is not seen to have."""
+        order = self.find(record_id)
+        if order is None:
+            return OrderState.UNKNOWN
+        is_out = order.kind == RecordKind.ORDER_OUT
+        return OrderState.APPLIED if is_out else OrderState.WAITING
+
     def has_room(self) -> bool:
         """Returns True if another order can be held."""
         return len(self._held) < MAX_PENDING
