--- a/src/savorylift/refusals/desk.py
+++ b/src/savorylift/refusals/desk.py
@@ -9,6 +9,7 @@
 
 from savorylift.identity import NodeRef
 from savorylift.peers.link import Message, PeerLink
+from savorylift.peers.ticker import Ticker
 from savorylift.peers.view import RosterSource
 from savorylift.platform.log import Log
 from savorylift.refusals.actor import BookActor
@@ -38,16 +39,14 @@
         """Starts the actors; call `start` for the rest."""
         self._link = link
         self._actor = BookActor.start(me, log, link, roster)
-        self._stop_event = threading.Event()
-        self._thread = threading.Thread(
-            target=self._tick, name="refusals-tick", daemon=True
-        )
+        self._stopped = threading.Event()
+        self._ticker = Ticker(TICK_S, self._tick, "refusals-tick")
 
     def start(self) -> None:
         """Holds copies for other nodes and begins to append."""
         self._link.on_ask(CopyAsk, self._on_copy)
         self._link.on_tell(DropCopies, self._on_drop)
-        self._thread.start()
+        self._ticker.start()
 
     def write(self, refused: RefusedRequest) -> None:
         """Keeps one refusal; returns once two peers hold it or soon after."""
@@ -65,7 +64,7 @@
         while time.monotonic() < until_s:
             if self._actor.ask(Flush()) == 0:
                 return True
-            self._stop_event.wait(FLUSH_STEP_S)
+            self._stopped.wait(FLUSH_STEP_S)
         return False
 
     def held_for_peers(self) -> int:
@@ -74,15 +73,13 @@
 
     def stop(self) -> None:
         """Stops the thread and the actors; call `flush` before."""
-        self._stop_event.set()
-        if self._thread.is_alive():
-            self._thread.join(timeout=TICK_S * 5)
+        self._stopped.set()
+        self._ticker.stop(TICK_S * 5)
         self._actor.stop(block=False)
 
     def _tick(self) -> None:
-        while not self._stop_event.wait(TICK_S):
-            if self._actor.is_alive():
-                self._actor.tell(Tick())
+        if self._actor.is_alive():
+            self._actor.tell(Tick())
 
     def _on_copy(
         self, _sender: NodeRef, ask: CopyAsk, fut: "Future[Message]"
