Name the order exchange for what it does; type an order's log entry

OrderDesk holds orders and tells other nodes of them, so it is OrderExchange. An order's record was a pair of strings; it is a LogEntry from the start.

--- a/src/savorylift/rules/node.py
+++ b/src/savorylift/rules/node.py
@@ -26,7 +26,7 @@
     StateAnswer,
     StateAsk,
 )
-from savorylift.rules.order_desk import OrderDesk, OrderLink
+from savorylift.rules.order_exchange import OrderExchange, OrderLink
 from savorylift.rules.peer_source import PeerQuestions, PeerSource
 from savorylift.rules.proofs import TailProofs
 from savorylift.rules.publisher import RulesPublisher
@@ -93,7 +93,7 @@
         self._stream = stream
         self._config = config
         self._proofs = TailProofs(parts.on_tail_proof)
-        self._desk = OrderDesk(
+        self._orders = OrderExchange(
             cfg.own.vm, OrderLink(parts.live_peers, parts.tell)
         )
         self._peers = PeerSource(
@@ -103,7 +103,7 @@
         )
         self._appends = AppendPlan(
             stream,
-            self._desk.pending,
+            self._orders.pending,
             SnapshotSchedule(cfg.own.vm, cfg.log_retention_s),
             AppendPacer(parts.append),
             parts.roster,
@@ -112,7 +112,7 @@
             parts.source,
             stream,
             config,
-            self._desk.pending,
+            self._orders.pending,
             parts.on_folded,
             parts.counters,
         )
@@ -148,7 +148,7 @@
 
     def tick(self) -> None:
         """Asks and tells other nodes where the log can't be relied on."""
-        self._desk.tell_one()
+        self._orders.tell_one()
         self._peers.tick()
 
     def peer_is_ahead(self, node: NodeRef, offset: int) -> None:
@@ -195,7 +195,7 @@
             self._stream.next_offset,
             self._stream.records_from(question.offset),
             self._proofs.age_s(self._stream.next_offset),
-            self._desk.pending.orders(),
+            self._orders.pending.orders(),
         )
 
     def answer_state(self, question: StateAsk) -> StateAnswer:
@@ -203,23 +203,23 @@
         offset = self._stream.next_offset - 1
         has_news = offset > question.above_offset
         data = self._stream.state_text() if has_news else ""
-        orders = self._desk.pending.orders()
+        orders = self._orders.pending.orders()
         return StateAnswer(
             offset, data, self._proofs.age_s(self._stream.next_offset), orders
         )
 
     def take_gossip(self, gossip: OrderGossip) -> None:
         """Takes orders that another node holds, and passes new ones on."""
-        new = self._desk.take(gossip)
+        new = self._orders.take(gossip)
         if new:
             self._publisher.publish()
-            self._desk.pass_on(new)
+            self._orders.pass_on(new)
 
     def submit(self, order: SubmitOrder) -> OrderReceipt:
         """Takes an operator's order; an order out acts at once."""
         if order.record_id and self._stream.has_applied(order.record_id):
             return self.order_state(order.record_id)
-        pending = self._desk.submit(order, self._stream.next_offset - 1)
+        pending = self._orders.submit(order, self._stream.next_offset - 1)
         if pending is None:
             self._count(RulesEvent.ORDER_DROPPED)
             return OrderReceipt("", OrderState.REFUSED)
@@ -231,7 +231,7 @@
             author=order.author,
         )
         self._publisher.publish()
-        self._desk.tell_all(pending)
+        self._orders.tell_all(pending)
         self._appends.append_orders()
         return self.order_state(pending.record_id)
 
@@ -241,7 +241,7 @@
             return OrderReceipt(record_id, OrderState.OVERRULED)
         if self._stream.has_applied(record_id):
             return OrderReceipt(record_id, OrderState.ACCEPTED)
-        return OrderReceipt(record_id, self._desk.pending.state(record_id))
+        return OrderReceipt(record_id, self._orders.pending.state(record_id))
 
     def _count(self, event: RulesEvent) -> None:
         self._parts.counters.count(event)
--- a/src/savorylift/rules/operations.py
+++ b/src/savorylift/rules/operations.py
@@ -135,7 +135,7 @@
     if is_out and req.is_domain and req.target not in domains:
         return UnknownTarget(req.target, tuple(sorted(domains)))
     known_offset = state.next_offset() - 1
-    entry = LogEntry(new_id("order"), *_order_record(req, known_offset))
+    entry = _order_entry(req, known_offset)
     outcome = append_and_read_back(
         log, _append_request(state, entry, req.deadline_s), pause
     )
@@ -161,11 +161,14 @@
     return OrderAccepted(offset)
 
 
-def _order_record(req: OrderRequest, known_offset: int) -> tuple[str, str]:
+def _order_entry(req: OrderRequest, known_offset: int) -> LogEntry:
+    record_id = new_id("order")
     fields = (req.target, req.is_domain, req.author, req.cause)
     if req.action is OrderAction.OUT:
-        return RecordKind.ORDER_OUT, encode(OrderOut(*fields))
-    return RecordKind.ORDER_BACK, encode(OrderBack(*fields, known_offset))
+        body = encode(OrderOut(*fields))
+        return LogEntry(record_id, RecordKind.ORDER_OUT, body)
+    body = encode(OrderBack(*fields, known_offset))
+    return LogEntry(record_id, RecordKind.ORDER_BACK, body)
 
 
 def _append_request(
--- a/src/savorylift/rules/order_desk.py
+++ b/src/savorylift/rules/order_exchange.py
@@ -34,7 +34,7 @@
     tell: Callable[[NodeRef, OrderGossip], object]
 
 
-class OrderDesk:
+class OrderExchange:
     """Holds orders until the log has them.
 
     Attributes:
--- a/tests/rules/test_node.py
+++ b/tests/rules/test_node.py
@@ -19,7 +19,7 @@
     encode,
 )
 from savorylift.rules.operations import Published, PublishRequest, publish
-from savorylift.rules.order_desk import FANOUT
+from savorylift.rules.order_exchange import FANOUT
 from savorylift.rules.pending import BACKUP_DELAY_S, MAX_PENDING
 from savorylift.rules.snapshot import SnapshotMark, encode_state
 from savorylift.rules.snapshot_schedule import DUE_RECORDS, SnapshotTurn
