Give the permit actor's messages a module and use Ticker for its ticks

The actor's module began with twelve messages and ended with a second ticking thread. Messages stand in permits.inbox as in rules and refusals; the actor passes those for the holder on in a function of their own.

--- a/src/savorylift/permits/actor.py
+++ b/src/savorylift/permits/actor.py
@@ -1,105 +1,38 @@
 """Actor that owns a node's permit decisions."""
 
 import contextlib
-import threading
 from concurrent.futures import Future, ThreadPoolExecutor
-from typing import Any, NamedTuple
+from typing import Any
 
 import pykka
-from returns.result import Result, Success
+from returns.result import Success
 
 from savorylift.identity import NodeRef
-from savorylift.outcomes import Refusal
 from savorylift.peers.link import Message, PeerLink
+from savorylift.peers.ticker import Ticker
 from savorylift.peers.view import RosterSource
 from savorylift.permits.canceller import StreamCanceller
-from savorylift.permits.evidence import LoadReport
-from savorylift.permits.gate import Permit, PermitRequest, PermitUse
+from savorylift.permits.inbox import (
+    Acquire,
+    Adjust,
+    Answer,
+    Cancelled,
+    GetStatus,
+    GiveUp,
+    IsHeld,
+    Loaded,
+    Received,
+    Release,
+    Started,
+    TakeOver,
+    Tick,
+)
 from savorylift.permits.messages import HeldPermit
 from savorylift.permits.node import PermitNode
 from savorylift.permits.options import PermitOptions
 from savorylift.permits.tally import Tally
 from savorylift.rules.view import RulesSource
 
-Answer = Result[Permit, Refusal]
-
-
-class Received(NamedTuple):
-    """A message from a node."""
-
-    sender: NodeRef
-    msg: Message
-
-
-class Tick(NamedTuple):
-    """Asks for timed work."""
-
-
-class Acquire(NamedTuple):
-    """Asks for a permit; `fut` gets the one answer."""
-
-    req: PermitRequest
-    fut: "Future[Answer]"
-
-
-class Release(NamedTuple):
-    """Returns a permit."""
-
-    permit: Permit
-    use: PermitUse
-
-
-class GiveUp(NamedTuple):
-    """Ends a request that nobody waits for any more."""
-
-    permit_id: str
-
-
-class Adjust(NamedTuple):
-    """Replaces the memory reserved under a permit."""
-
-    permit: Permit
-    tokens: int
-
-
-class Started(NamedTuple):
-    """Reports the first output under a permit."""
-
-    permit: Permit
-    incarnation: str
-    first_token_s: float
-    is_cold: bool
-
-
-class TakeOver(NamedTuple):
-    """Makes this node the holder of a permit."""
-
-    permit: Permit
-
-
-class Loaded(NamedTuple):
-    """A backend server's load report."""
-
-    backend_server: str
-    report: LoadReport
-
-
-class Cancelled(NamedTuple):
-    """Work that was cancelled or is unknown to its backend server."""
-
-    backend_server: str
-    permit: HeldPermit
-
-
-class IsHeld(NamedTuple):
-    """Asks whether this node holds a permit."""
-
-    permit_id: str
-
-
-class GetStatus(NamedTuple):
-    """Asks for the status shown to operators."""
-
 
 class PermitActor(pykka.ThreadingActor):
     """Runs a `PermitNode`'s decisions one at a time."""
@@ -121,52 +54,58 @@
         self._answers: dict[str, Future[Answer]] = {}
         self._cancelling: set[str] = set()
         self._pool = ThreadPoolExecutor(1, thread_name_prefix="permit-cancel")
-        self._ticks = _Ticker(self.actor_ref, cfg.tick_s)
+        self._is_tick_pending = False
+        self._ticker = Ticker(cfg.tick_s, self._request_tick, "permit-ticks")
         self.node = PermitNode(ref, rules, roster, cfg, self, tally)
 
     def on_start(self) -> None:
         """Starts the timed work."""
-        self._ticks.start()
+        self._ticker.start()
 
     def on_stop(self) -> None:
         """Stops the timed work and the cancelling thread."""
-        self._ticks.stop()
+        self._ticker.stop()
         self._pool.shutdown(wait=False, cancel_futures=True)
 
     def on_receive(self, message: Any) -> Any:  # noqa: ANN401
-        """Applies one message of this module."""
-        node = self.node
+        """Applies one message; returns the answer to a question."""
         match message:
             case Received(sender, msg):
-                node.receive(sender, msg)
+                self.node.receive(sender, msg)
             case Tick():
-                self._ticks.is_pending = False
-                node.tick()
+                self._is_tick_pending = False
+                self.node.tick()
+            case Loaded(backend_server, report):
+                self.node.load(backend_server, report)
+            case Cancelled(backend_server, permit):
+                self.node.cancelled(backend_server, permit)
+            case IsHeld(permit_id):
+                return self.node.holder.holdings.is_held(permit_id)
+            case GetStatus():
+                return self.node.status()
+            case _:
+                self._apply_to_holder(message)
+        return None
+
+    def _apply_to_holder(self, message: object) -> None:
+        holder = self.node.holder
+        match message:
             case Acquire(req, fut):
                 self._answers[req.permit_id] = fut
-                node.holder.acquire(req)
+                holder.acquire(req)
             case GiveUp(permit_id):
                 self._answers.pop(permit_id, None)
-                node.holder.give_up(permit_id)
+                holder.give_up(permit_id)
             case Release(permit, use):
-                node.holder.holdings.release(permit, use)
+                holder.holdings.release(permit, use)
             case Adjust(permit, tokens):
-                node.holder.holdings.adjust(permit, tokens)
+                holder.holdings.adjust(permit, tokens)
             case Started(permit, incarnation, first_token_s, is_cold):
-                node.holder.holdings.started(
+                holder.holdings.started(
                     permit, incarnation, first_token_s, is_cold=is_cold
                 )
             case TakeOver(permit):
-                node.holder.holdings.take_over(permit)
-            case Loaded(backend_server, report):
-                node.load(backend_server, report)
-            case Cancelled(backend_server, permit):
-                node.cancelled(backend_server, permit)
-            case IsHeld(permit_id):
-                return node.holder.holdings.is_held(permit_id)
-            case GetStatus():
-                return node.status()
-        return None
+                holder.holdings.take_over(permit)
 
     def send(self, node: NodeRef, msg: Message) -> None:
         """Sends a message; a lost one is repeated by the decisions."""
@@ -185,37 +124,17 @@
         self._cancelling.add(permit.permit_id)
         self._pool.submit(self._cancel, backend_server, permit)
 
+    def _request_tick(self) -> None:
+        """Queues a tick unless one waits already; on the ticking thread."""
+        if self._is_tick_pending:
+            return
+        self._is_tick_pending = True
+        with contextlib.suppress(pykka.ActorDeadError):
+            self.actor_ref.tell(Tick())
+
     def _cancel(self, backend_server: str, permit: HeldPermit) -> None:
         result = self._canceller.cancel(backend_server, permit.stream_id)
         self._cancelling.discard(permit.permit_id)
         if isinstance(result, Success):
             with contextlib.suppress(pykka.ActorDeadError):
                 self.actor_ref.tell(Cancelled(backend_server, permit))
-
-
-class _Ticker:
-    """Thread that asks an actor for timed work, one request at a time."""
-
-    def __init__(
-        self, ref: "pykka.ActorRef[PermitActor]", tick_s: float
-    ) -> None:
-        self.is_pending = False
-        self._ref = ref
-        self._tick_s = tick_s
-        self._stopped = threading.Event()
-
-    def start(self) -> None:
-        threading.Thread(
-            target=self._run, name="permit-ticks", daemon=True
-        ).start()
-
-    def stop(self) -> None:
-        self._stopped.set()
-
-    def _run(self) -> None:
-        while not self._stopped.wait(self._tick_s):
-            if self.is_pending:
-                continue
-            self.is_pending = True
-            with contextlib.suppress(pykka.ActorDeadError):
-                self._ref.tell(Tick())
--- a/src/savorylift/permits/keeper_gate.py
+++ b/src/savorylift/permits/keeper_gate.py
@@ -13,8 +13,9 @@
 from savorylift.outcomes import Reason, Refusal, not_run
 from savorylift.peers.link import Message, PeerLink
 from savorylift.peers.view import RosterSource
-from savorylift.permits import actor as act
+from savorylift.permits import inbox
 from savorylift.permits import messages as m
+from savorylift.permits.actor import PermitActor
 from savorylift.permits.canceller import StreamCanceller
 from savorylift.permits.evidence import LoadReport
 from savorylift.permits.gate import (
@@ -71,7 +72,7 @@
         """Starts the threads and registers with `link`."""
         cfg = cfg or PermitOptions()
         self._cfg = cfg
-        self._actor: pykka.ActorRef[act.PermitActor] = act.PermitActor.start(
+        self._actor: pykka.ActorRef[PermitActor] = PermitActor.start(
             ref, rules, roster, link, canceller, cfg, tally or Tally()
         )
         self._node = self._actor.proxy().node.get()
@@ -86,8 +87,8 @@
                     Reason.NO_BACKEND_SERVER, "No backend server was named."
                 )
             )
-        fut: Future[act.Answer] = Future()
-        self._tell(act.Acquire(req, fut))
+        fut: Future[inbox.Answer] = Future()
+        self._tell(inbox.Acquire(req, fut))
         return self._wait(req.permit_id, fut, req.deadline_s)
 
     def hints(self) -> Mapping[str, BackendHint]:
@@ -104,28 +105,28 @@
         is_cold: bool,
     ) -> None:
         """Reports the first output under a permit."""
-        msg = act.Started(permit, incarnation, first_token_s, is_cold)
+        msg = inbox.Started(permit, incarnation, first_token_s, is_cold)
         self._tell(msg)
 
     def adjust(self, permit: Permit, tokens: int) -> None:
         """Replaces the memory reserved under a permit."""
-        self._tell(act.Adjust(permit, tokens))
+        self._tell(inbox.Adjust(permit, tokens))
 
     def release(self, permit: Permit, use: PermitUse) -> None:
         """Returns a permit to its keeper."""
-        self._tell(act.Release(permit, use))
+        self._tell(inbox.Release(permit, use))
 
     def is_held(self, permit: Permit) -> bool:
         """Returns False if another node has taken the permit over."""
-        return bool(self._actor.ask(act.IsHeld(permit.permit_id)))
+        return bool(self._actor.ask(inbox.IsHeld(permit.permit_id)))
 
     def take_over(self, permit: Permit) -> None:
         """Makes this node the holder of a permit whose stream it resumes."""
-        self._tell(act.TakeOver(permit))
+        self._tell(inbox.TakeOver(permit))
 
     def load(self, backend_server: str, report: LoadReport) -> None:
         """Hands over a backend server's load report."""
-        self._tell(act.Loaded(backend_server, report))
+        self._tell(inbox.Loaded(backend_server, report))
 
     def kept_servers(self) -> tuple[str, ...]:
         """Returns the backend servers of which this node keeps a share."""
@@ -133,26 +134,26 @@
 
     def status(self) -> PermitStatus:
         """Returns what operators are shown."""
-        return cast("PermitStatus", self._actor.ask(act.GetStatus()))
+        return cast("PermitStatus", self._actor.ask(inbox.GetStatus()))
 
     def stop(self) -> None:
         """Stops the threads; permits out stay with their keepers."""
         self._actor.stop()
 
     def _receive(self, sender: NodeRef, msg: Message) -> None:
-        self._tell(act.Received(sender, msg))
+        self._tell(inbox.Received(sender, msg))
 
     def _tell(self, message: tuple[object, ...]) -> None:
         with contextlib.suppress(pykka.ActorDeadError):
             self._actor.tell(message)
 
     def _wait(
-        self, permit_id: str, fut: "Future[act.Answer]", deadline_s: float
+        self, permit_id: str, fut: "Future[inbox.Answer]", deadline_s: float
     ) -> Result[Permit, Refusal]:
         left_s = max(0.0, deadline_s - time.monotonic())
         try:
             return fut.result(left_s + ANSWER_SLACK_S)
         except TimeoutError:
-            self._tell(act.GiveUp(permit_id))
+            self._tell(inbox.GiveUp(permit_id))
             message = "This node is too busy to answer in time."
             return Failure(not_run(Reason.NODE_BUSY, message, 1.0))
