Use Ticker in the claim desk and standard names in calls

The desk had a thread with the start and stop of Ticker, and passed a message and its wait as a bare pair. The courier is an outbox. The search for a stream's start stands apart from its bounds.

--- a/src/savorylift/calls/claim_desk.py
+++ b/src/savorylift/calls/claim_desk.py
@@ -12,7 +12,6 @@
 
 from savorylift.calls.claim_try import Ask, ClaimTry, Ended, Replay, Step
 from savorylift.calls.claims import Claim, ClaimRequest
-from savorylift.calls.courier import CourierActor, Pending, Retry
 from savorylift.calls.messages import (
     ClaimAnswer,
     ClaimAsk,
@@ -24,12 +23,14 @@
     stream_of,
     void_entry,
 )
+from savorylift.calls.outbox import OutboxActor, Pending, Retry
 from savorylift.calls.replay import read_outcome
 from savorylift.calls.request import CallAnswer
 from savorylift.calls.shard_set import ShardCfg, ShardSet
 from savorylift.identity import NodeRef, new_id
 from savorylift.outcomes import Refusal
 from savorylift.peers.link import PeerFault, PeerLink
+from savorylift.peers.ticker import Ticker
 from savorylift.peers.view import RosterSource
 from savorylift.platform.log import Log, LogEntry
 
@@ -59,34 +60,31 @@
         """Starts nothing; call `start` before the first claim."""
         self._parts = parts
         self._shards = ShardSet(parts.me, parts.log, parts.roster, parts.cfg)
-        self._courier = CourierActor.start(self._route)
+        self._outbox = OutboxActor.start(self._route)
         self._silent_until_s: Mapping[NodeRef, float] = {}
-        self._stop_event = threading.Event()
-        self._thread = threading.Thread(
-            target=self._follow_roster, name="claims-roster", daemon=True
-        )
+        self._stopped = threading.Event()
+        self._ticker = Ticker(REFRESH_S, self._refresh, "claims-roster")
 
     def start(self) -> None:
         """Answers other nodes and serves the shards that fall to this one."""
         self._shards.listen(self._parts.link)
         self._shards.refresh()
-        self._thread.start()
+        self._ticker.start()
 
     def flush(self, timeout_s: float) -> bool:
         """Waits until all voids and outcomes are on the log."""
         until_s = time.monotonic() + timeout_s
         while time.monotonic() < until_s:
-            if self._courier.ask(Pending()) == 0:
+            if self._outbox.ask(Pending()) == 0:
                 return True
-            self._stop_event.wait(FLUSH_STEP_S)
+            self._stopped.wait(FLUSH_STEP_S)
         return False
 
     def stop(self) -> None:
         """Stops threads and actors; call `flush` before."""
-        self._stop_event.set()
-        if self._thread.is_alive():
-            self._thread.join(timeout=REFRESH_S * 4)
-        self._courier.stop(block=False)
+        self._stopped.set()
+        self._ticker.stop(REFRESH_S * 4)
+        self._outbox.stop(block=False)
         self._shards.stop()
 
     def claim(self, req: ClaimRequest) -> ClaimResult:
@@ -97,8 +95,9 @@
         attempt = ClaimTry(len(servers))
         step = attempt.begin()
         while isinstance(step, Ask):
-            node = servers[step.server]
-            step = self._ask(attempt, node, self._message(claim, shard, req))
+            wait_s = min(SERVER_WAIT_S, req.deadline_s - time.monotonic())
+            ask = self._message(claim, shard, req, wait_s)
+            step = self._ask(attempt, servers[step.server], ask, wait_s)
         return self._conclude_try(step, claim, shard)
 
     def void(self, claim: Claim) -> None:
@@ -126,8 +125,8 @@
         self._silent_until_s = {**kept, node: now_s + SILENT_S}
 
     def _message(
-        self, claim: Claim, shard: int, req: ClaimRequest
-    ) -> tuple[ClaimAsk, float]:
+        self, claim: Claim, shard: int, req: ClaimRequest, wait_s: float
+    ) -> ClaimAsk:
         me = self._parts.me
         body = ClaimBody(
             req.key.value,
@@ -136,17 +135,16 @@
             me.incarnation,
             req.request_id,
         )
-        wait_s = min(SERVER_WAIT_S, req.deadline_s - time.monotonic())
         wait_ms = max(0, int(wait_s * 1000))
-        return ClaimAsk(shard, claim.claim_id, body, wait_ms), wait_s
+        return ClaimAsk(shard, claim.claim_id, body, wait_ms)
 
     def _ask(
         self,
         attempt: ClaimTry,
         node: NodeRef,
-        message: tuple[ClaimAsk, float],
+        ask: ClaimAsk,
+        wait_s: float,
     ) -> Step:
-        ask, wait_s = message
         if wait_s <= 0:
             return attempt.on_deadline()
         if node == self._parts.me:
@@ -195,7 +193,7 @@
     def _send(self, claim: Claim, entry: LogEntry) -> None:
         shard = shard_of(claim.key.value, self._parts.cfg.shards)
         try:
-            self._courier.tell(ConcludeAsk(shard, *entry))
+            self._outbox.tell(ConcludeAsk(shard, *entry))
         except pykka.ActorDeadError:
             return  # the node is ending: the key stays `unknown`
 
@@ -212,10 +210,9 @@
         asked.add_done_callback(lambda fut: _pass_on(fut, done))
         return done
 
-    def _follow_roster(self) -> None:
-        while not self._stop_event.wait(REFRESH_S):
-            self._shards.refresh()
-            self._courier.tell(Retry())
+    def _refresh(self) -> None:
+        self._shards.refresh()
+        self._outbox.tell(Retry())
 
 
 def _pass_on(
--- a/src/savorylift/calls/courier.py
+++ b/src/savorylift/calls/outbox.py
@@ -1,4 +1,4 @@
-"""Carries voids and outcomes to a node that appends them."""
+"""Voids and outcomes on their way to a node that appends them."""
 
 import functools
 import itertools
@@ -38,7 +38,7 @@
     retry_s: float
 
 
-class CourierActor(pykka.ThreadingActor):
+class OutboxActor(pykka.ThreadingActor):
     """Holds records until some node says that they are on the log.
 
     Past `MAX_PENDING` the oldest is dropped; its key then stays `unknown`,
--- a/src/savorylift/calls/shard_start.py
+++ b/src/savorylift/calls/shard_start.py
@@ -25,6 +25,14 @@
     if isinstance(newest, Failure):
         return newest
     oldest_ms = newest.unwrap() - window.age_ms - 2 * window.skew_ms
+    found = _search(log, stream, low, high, oldest_ms)
+    return found.map(lambda offset: max(offset - 1, page.first_offset))
+
+
+def _search(
+    log: Log, stream: str, low: int, high: int, oldest_ms: int
+) -> Result[int, LogFault]:
+    """Returns the first offset not older than `oldest_ms`, at most `high`."""
     while low < high:
         middle = (low + high) // 2
         found = _time_at(log, stream, middle)
@@ -34,7 +42,7 @@
             low = middle + 1
         else:
             high = middle
-    return Success(max(low - 1, page.first_offset))
+    return Success(low)
 
 
 def _time_at(log: Log, stream: str, offset: int) -> Result[int, LogFault]:
