--- a/src/savorylift/permits/handover.py
+++ b/src/savorylift/permits/handover.py
@@ -41,6 +41,13 @@
     statuses: tuple[LotStatus, ...]
 
 
+class QueryTarget(NamedTuple):
+    """The node to ask about lots, and the epoch to ask for."""
+
+    member: NodeRef
+    epoch: int
+
+
 class _Released(NamedTuple):
     successor: NodeRef
     epoch: int
@@ -107,17 +114,15 @@
         released = _Released(successor, status.floor, status)
         self._released[status.lot] = released
 
-    def missing(
-        self, roster: RosterView
-    ) -> dict[tuple[NodeRef, int], list[Lot]]:
+    def missing(self, roster: RosterView) -> dict[QueryTarget, list[Lot]]:
         """Returns the lots to ask each member about, by member and epoch."""
-        queries: dict[tuple[NodeRef, int], list[Lot]] = {}
+        queries: dict[QueryTarget, list[Lot]] = {}
         for lot, acquisition in self._acquiring.items():
             for member in roster.members.values():
                 ref = member.info.ref
                 if ref not in acquisition.reports:
-                    key = (ref, acquisition.epoch)
-                    queries.setdefault(key, []).append(lot)
+                    target = QueryTarget(ref, acquisition.epoch)
+                    queries.setdefault(target, []).append(lot)
         return queries
 
     def report(
--- a/src/savorylift/permits/lot_exchange.py
+++ b/src/savorylift/permits/lot_exchange.py
@@ -42,8 +42,9 @@
     def query_members(self) -> None:
         """Asks members for the lots that this node has yet to acquire."""
         missing = self._handover.missing(self._roster.current())
-        for (member, epoch), lots in missing.items():
-            self._sender.send(member, LotQuery(epoch, tuple(lots)))
+        for target, lots in missing.items():
+            query = LotQuery(target.epoch, tuple(lots))
+            self._sender.send(target.member, query)
 
     def answer(self, sender: NodeRef, msg: LotQuery) -> None:
         """Answers a query, releasing owned lots to the asking node."""
--- a/src/savorylift/permits/node.py
+++ b/src/savorylift/permits/node.py
@@ -2,7 +2,7 @@
 
 import time
 from collections.abc import Callable, Mapping
-from typing import Any, Protocol
+from typing import Any, NamedTuple, Protocol
 
 from savorylift.identity import NodeRef
 from savorylift.peers.link import Message
@@ -31,6 +31,13 @@
         """Starts to cancel work; `PermitNode.cancelled` gets the success."""
 
 
+class _Offsets(NamedTuple):
+    """Log offsets of the rules and the roster that were followed."""
+
+    rules: int
+    roster: int
+
+
 class PermitNode:
     """Threadless state of one node; an actor owns it.
 
@@ -55,7 +62,7 @@
         self._cfg = cfg
         self._effects = effects
         self._handover = policies.handover(ref)
-        self._seen: tuple[int, int] | None = None
+        self._followed: _Offsets | None = None
         self._refreshed_s = -float("inf")
         self._directory = KeeperDirectory(rules, roster)
         self._kept = KeptServers(
@@ -126,9 +133,10 @@
 
     def _follow_views(self) -> None:
         rules, roster = self._rules.current(), self._roster.current()
-        if self._seen == (rules.offset, roster.offset):
+        offsets = _Offsets(rules.offset, roster.offset)
+        if offsets == self._followed:
             return
-        self._seen = (rules.offset, roster.offset)
+        self._followed = offsets
         self._kept.follow()
         self._kept.drop_removed(rules)
         self._exchange.recheck(roster)
--- a/src/savorylift/permits/policies.py
+++ b/src/savorylift/permits/policies.py
@@ -5,7 +5,7 @@
 
 from savorylift.identity import NodeRef
 from savorylift.peers.view import RosterView
-from savorylift.permits.handover import Acquired, Handover
+from savorylift.permits.handover import Acquired, Handover, QueryTarget
 from savorylift.permits.lost_work import LostWork
 from savorylift.permits.lot_messages import LotReport, LotStatus
 from savorylift.permits.messages import HeldPermit, Lot
@@ -40,9 +40,7 @@
     def release(self, status: LotStatus, successor: NodeRef) -> None:
         """Keeps a release so that a repeated query gets the same answer."""
 
-    def missing(
-        self, roster: RosterView
-    ) -> dict[tuple[NodeRef, int], list[Lot]]:
+    def missing(self, roster: RosterView) -> dict[QueryTarget, list[Lot]]:
         """Returns the lots to ask each member about, by member and epoch."""
 
     def report(
@@ -61,10 +59,10 @@
         """Notes that the holder can't tell whether the work has ended."""
 
     def resume(self, permit_id: str) -> None:
-        """Notes that a node looks after the work again."""
+        """Notes that a node supervises the work again."""
 
     def is_lost(self, permit_id: str) -> bool:
-        """Returns True if nobody looks after the work."""
+        """Returns True if no node supervises the work."""
 
     def has_ended(self, permit_id: str) -> bool:
         """Returns True if lost work under the permit is known to be over."""
