Say in usual terms what peers and refusals do

Comments spoke of silence, looking after and handing over; they name timeouts, supervision and forwarding. An append in flight is a NamedTuple. A drop reason that nothing counts is gone.

--- a/src/savorylift/peers/core.py
+++ b/src/savorylift/peers/core.py
@@ -1,4 +1,4 @@
-"""Decisions of the peers slice: whom to ask, what to tell, what to believe."""
+"""Gossip and staleness decisions of one node."""
 
 import time
 from collections.abc import Container, Iterable
@@ -72,7 +72,7 @@
         surroundings: Surroundings,
         counters: GossipCounters,
     ) -> None:
-        """Starts with nobody heard and nothing proven."""
+        """Starts without answers and without a proof."""
         self._cfg = cfg
         self._roster = roster
         self._published = published
--- a/src/savorylift/peers/counters.py
+++ b/src/savorylift/peers/counters.py
@@ -12,7 +12,6 @@
     NO_ADDRESS = "no_address"
     UNREACHABLE = "unreachable"
     STOPPED = "stopped"
-    CONNECTION_LOST = "connection_lost"
     ENDED_INCARNATION = "ended_incarnation"
     OTHER_INCARNATION = "other_incarnation"
     WRONG_SENDER = "wrong_sender"
@@ -67,7 +66,7 @@
         self._drops.labels(reason.value).inc()
 
     def connection_lost(self) -> None:
-        """Counts a connection that broke or fell silent."""
+        """Counts a connection that broke or timed out."""
         self._reopened.inc()
 
 
--- a/src/savorylift/peers/incoming.py
+++ b/src/savorylift/peers/incoming.py
@@ -104,7 +104,7 @@
                 del self._conns[handshake.sender]
 
     async def _replace(self, sender: NodeRef, conn: ServerConnection) -> None:
-        """Keeps one connection an opener; an older one has gone silent."""
+        """Keeps one connection an opener; an older one is taken for dead."""
         older = self._conns.get(sender)
         self._conns[sender] = conn
         if older is not None:
--- a/src/savorylift/peers/link.py
+++ b/src/savorylift/peers/link.py
@@ -27,7 +27,7 @@
 
 
 class PeerLink(Protocol):
-    """Sends typed messages to other nodes and hands over received ones.
+    """Sends typed messages to other nodes and dispatches received ones.
 
     Message types are `NamedTuple` classes; a type's name on the wire is its
     class name. Handlers run on the link's own thread and must return within
--- a/src/savorylift/peers/outgoing.py
+++ b/src/savorylift/peers/outgoing.py
@@ -71,7 +71,7 @@
         return now_s - self._unanswered_s >= self._cfg.ping_interval_s
 
     async def probe(self) -> None:
-        """Pings the other end and drops the connection if it is silent."""
+        """Pings the other end and drops the connection on a timeout."""
         conn = self._conn
         if conn is None:
             return
--- a/src/savorylift/peers/question.py
+++ b/src/savorylift/peers/question.py
@@ -23,7 +23,7 @@
         self._fut = fut
 
     def resolve(self, result: Result[Message, PeerFault]) -> None:
-        """Hands the result to the asker, once."""
+        """Resolves the question, once."""
         if self.timer is not None:
             self.timer.cancel()
         if not self._fut.done():
--- a/src/savorylift/peers/staleness.py
+++ b/src/savorylift/peers/staleness.py
@@ -72,7 +72,7 @@
     is_ended: bool = False
 
     def is_proven(self, now_s: float) -> bool:
-        """Returns True if a proof of the log's tail is young enough."""
+        """Returns True if a proof of the log's tail is recent enough."""
         return now_s - self.proven_s < self.cfg.stale_after_s
 
     def hears_majority(self, now_s: float) -> bool:
@@ -94,7 +94,7 @@
     """Collects proofs and times of hearing; plain state of one owner."""
 
     def __init__(self, cfg: StalenessOptions) -> None:
-        """Starts with no proof and nobody heard."""
+        """Starts with no proof and no answer of a node."""
         self._cfg = cfg
         self._proofs: collections.deque[TailProof] = collections.deque(
             maxlen=MAX_PROOFS
@@ -104,7 +104,7 @@
         self._is_started = False
 
     def newest_proof(self) -> TailProof | None:
-        """Returns the newest proof, to be told to peers with its age."""
+        """Returns the newest proof, to be sent to peers with its age."""
         return self._proofs[-1] if self._proofs else None
 
     def add_proof(self, proof: TailProof) -> bool:
--- a/src/savorylift/peers/transport.py
+++ b/src/savorylift/peers/transport.py
@@ -210,7 +210,7 @@
         structlog.get_logger().info("peer_link_stopped")
 
     async def _sweep(self) -> None:
-        """Waits a while, then looks after silent and idle connections."""
+        """Waits a while, then checks for dead and idle connections."""
         interval_s = self._cfg.ping_interval_s / SWEEPS_PER_PING
         try:
             await asyncio.wait_for(self._stopping.wait(), interval_s)
--- a/src/savorylift/peers/watcher.py
+++ b/src/savorylift/peers/watcher.py
@@ -1,4 +1,4 @@
-"""The node's watch over the platform's list of VMs."""
+"""Polling of the platform's list of VMs."""
 
 from collections.abc import Callable
 from typing import NamedTuple
@@ -30,7 +30,7 @@
 
 
 class VmWatcher:
-    """Reads the list, hands it on, and reports vanished nodes as gone."""
+    """Reads the list, forwards it, and reports vanished nodes as gone."""
 
     def __init__(
         self,
--- a/src/savorylift/refusals/account.py
+++ b/src/savorylift/refusals/account.py
@@ -20,7 +20,7 @@
 
 
 class Account:
-    """Numbers refusals and hands them out in batches.
+    """Numbers refusals and groups them into batches.
 
     A batch whose append failed is built anew: readers count each sequence
     number of an incarnation once, however often it is appended.
--- a/src/savorylift/refusals/copies.py
+++ b/src/savorylift/refusals/copies.py
@@ -58,7 +58,7 @@
             peer.unsent = [r for r in peer.unsent if r.sequence not in gone]
 
     def set_ranked(self, ranked: tuple[NodeRef, ...]) -> None:
-        """Takes the first peers that have not been silent lately."""
+        """Takes the first peers that have not failed to answer recently."""
         now_s = time.monotonic()
         silent = self._silent_until_s
         talking = [ref for ref in ranked if silent.get(ref, 0.0) <= now_s]
@@ -85,7 +85,7 @@
         return messages
 
     def note(self, ref: NodeRef, *, is_held: bool) -> None:
-        """Takes in a peer's answer, or that there came none."""
+        """Applies a peer's answer, or its timeout."""
         if not is_held:
             self._silent_until_s[ref] = time.monotonic() + SILENT_PEER_S
             self._peers.pop(ref, None)
--- a/src/savorylift/refusals/fold.py
+++ b/src/savorylift/refusals/fold.py
@@ -71,7 +71,7 @@
         return Fresh(batch.source, rows, counts)
 
     def dump(self, now_ms: int) -> tuple[SeenSequences, ...]:
-        """Returns what is counted, without nodes long silent."""
+        """Returns what is counted, without nodes whose records are all old."""
         return tuple(
             SeenSequences(*ref, mark.sequences.ranges(), mark.time_ms)
             for ref, mark in sorted(self._seen.items())
--- a/src/savorylift/refusals/inbox.py
+++ b/src/savorylift/refusals/inbox.py
@@ -35,7 +35,7 @@
 
 
 class CopyEnded(NamedTuple):
-    """A peer's answer to copies, or that there came none."""
+    """A peer's answer to copies, or its timeout."""
 
     peer: NodeRef
     is_held: bool
--- a/src/savorylift/refusals/keeper.py
+++ b/src/savorylift/refusals/keeper.py
@@ -1,6 +1,7 @@
 """Copies of other nodes' refusals, published when such a node has ended."""
 
 import time
+from typing import NamedTuple
 
 from returns.result import Result, Success
 
@@ -17,6 +18,11 @@
 RETRY_S = 1.0
 
 
+class _InFlight(NamedTuple):
+    source: NodeRef
+    sequences: tuple[Range, ...]
+
+
 class Keeper:
     """Holds copies by the node that refused.
 
@@ -28,7 +34,7 @@
         """Starts without copies."""
         self._held: dict[NodeRef, PendingRefusals] = {}
         self._missing_since_s: dict[NodeRef, float] = {}
-        self._in_flight: tuple[NodeRef, tuple[Range, ...]] | None = None
+        self._in_flight: _InFlight | None = None
         self._retry_s = 0.0
 
     def __len__(self) -> int:
@@ -65,7 +71,7 @@
             if not self._has_ended(source, view):
                 continue
             rows, lines = pending.peek(BATCH_ROWS, BATCH_LINES)
-            self._in_flight = (source, sequences_of(rows, lines))
+            self._in_flight = _InFlight(source, sequences_of(rows, lines))
             return batch_entry(new_id("refusals"), Batch(*source, rows, lines))
         return None
 
