Say in usual terms what rules does

Docstrings spoke of a silent log and of handing on; they name a log that does not answer, and forwarding.

--- a/src/savorylift/rules/actor.py
+++ b/src/savorylift/rules/actor.py
@@ -8,7 +8,7 @@
 
 
 class RulesActor(pykka.ThreadingActor):
-    """Hands each message to the decisions of `RulesNode`."""
+    """Dispatches each message to `RulesNode`."""
 
     use_daemon_thread = True
 
--- a/src/savorylift/rules/node.py
+++ b/src/savorylift/rules/node.py
@@ -152,7 +152,7 @@
         self._peers.tick()
 
     def peer_is_ahead(self, node: NodeRef, offset: int) -> None:
-        """Notes a heartbeat's offset; asks the node if the log is silent."""
+        """Notes a heartbeat's offset; asks the node if the log is down."""
         self._peers.peer_is_ahead(node, offset)
 
     def take_records(
@@ -209,7 +209,7 @@
         )
 
     def take_gossip(self, gossip: OrderGossip) -> None:
-        """Takes orders that another node holds, and passes new ones on."""
+        """Takes orders that another node holds, and forwards new ones."""
         new = self._orders.take(gossip)
         if new:
             self._publisher.publish()
--- a/src/savorylift/rules/order_exchange.py
+++ b/src/savorylift/rules/order_exchange.py
@@ -88,7 +88,7 @@
                 self._link.tell(node, OrderGossip(news))
 
     def tell_one(self) -> None:
-        """Tells the next node of all held orders, once in a while."""
+        """Sends all held orders to the next node, at a steady interval."""
         now_s = time.monotonic()
         orders = self.pending.orders()
         if not orders or now_s - self._told_s < GOSSIP_INTERVAL_S:
--- a/src/savorylift/rules/peer_source.py
+++ b/src/savorylift/rules/peer_source.py
@@ -1,4 +1,4 @@
-"""Other nodes as the second source of records, while the log is silent."""
+"""Other nodes as the source of records while the log does not answer."""
 
 import time
 from collections.abc import Callable, Sequence
@@ -33,7 +33,7 @@
     def __init__(
         self, stream: RulesStream, questions: PeerQuestions, after_s: float
     ) -> None:
-        """Asks once the log has been silent for `after_s`."""
+        """Asks once the log has not answered for `after_s`."""
         self._stream = stream
         self._questions = questions
         self._after_s = after_s
@@ -46,7 +46,7 @@
         self._log_answered_s = time.monotonic()
 
     def tick(self) -> None:
-        """Asks the next node if the log is silent or has a gap."""
+        """Asks the next node if the log fails to answer or has a gap."""
         if time.monotonic() - self._asked_s < ASK_INTERVAL_S:
             return
         if not self._stream.is_rebuilding and self._has_log():
@@ -60,7 +60,7 @@
             self.ask_records(node)
 
     def peer_is_ahead(self, node: NodeRef, offset: int) -> None:
-        """Asks a node that has newer records, if the log is silent."""
+        """Asks a node with newer records, if the log does not answer."""
         if offset >= self._stream.next_offset and not self._has_log():
             self.ask_records(node)
 
--- a/src/savorylift/rules/proofs.py
+++ b/src/savorylift/rules/proofs.py
@@ -8,7 +8,7 @@
 
 
 class TailProofs:
-    """Keeps the newest proof, to be told to other nodes with its age."""
+    """Keeps the newest proof, to be sent to other nodes with its age."""
 
     def __init__(self, on_proof: Callable[[float, int], None]) -> None:
         """Starts without a proof; `on_proof` gets each that arrives."""
@@ -28,7 +28,7 @@
     ) -> None:
         """Takes the proof in a node's answer to a question of `sent_s`."""
         # The peer sent its question `age_s` before it answered, which was
-        # after `sent_s`; so the proof is at least as young as this.
+        # after `sent_s`; so the proof is at least as recent as this.
         if age_s >= 0:
             self.add(sent_s - age_s, next_offset)
 
