--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 	$(BIN)/ruff check --fix .
 
 bench: $(STAMP)
-	$(BIN)/python -m bench.control
+	$(BIN)/python -m bench
 
 bench-policy: $(STAMP)
 	$(BIN)/python -m bench.policy
