Replay every stream of a dead engine, and notice silence sooner

Replays are bounded by three for each answer now; permits keep them from overloading the other engines. A dispatch that never left costs nobody anything and takes nothing from the budget either.

The test of eight streams on one dying engine fails without the change.

--- a/src/savorylift/client/stream.py
+++ b/src/savorylift/client/stream.py
@@ -20,6 +20,7 @@
 from savorylift.streams.events import END_MARK, EventSplitter
 
 RESUME_PAUSE_S = 0.05
+MAX_SILENCE_S = 8.0
 NEVER_SENT = (
     urllib3.exceptions.NewConnectionError,
     urllib3.exceptions.ConnectTimeoutError,
@@ -76,7 +77,8 @@
         headers: Headers of each request.
         body: JSON body of the first request.
         deadline_s: `time.monotonic()` by which the answer must be whole.
-        silence_s: Silence after which another node is asked.
+        silence_s: Silence after which another node is asked; doubles with
+            each resumption that brought no token.
     """
 
     headers: dict[str, str]
@@ -100,6 +102,7 @@
         self._answer_id = ""
         self._is_over = False
         self._is_unsure = False  # a request may have begun a generation
+        self._silence_s = cfg.silence_s
         self.resumes = 0
 
     def __iter__(self) -> Iterator[Item]:
@@ -169,11 +172,13 @@
                 preload_content=False,
             )
         self.resumes += 1
+        # An engine that preempted the stream is silent at every node.
+        self._silence_s = min(2 * self._silence_s, MAX_SILENCE_S)
         return self._pool.request(
             "GET",
             f"{url}/v1/streams/{self._ticket}?from={self._next_index}",
             headers=headers,
-            timeout=urllib3.Timeout(connect=1.0, read=self._cfg.silence_s),
+            timeout=urllib3.Timeout(connect=1.0, read=self._silence_s),
             retries=False,
             preload_content=False,
         )
@@ -204,7 +209,7 @@
         # length has begun; only the answer's own file does.
         with contextlib.suppress(OSError, AttributeError):
             response._fp.fp.raw._sock.settimeout(  # type: ignore[attr-defined]
-                self._cfg.silence_s
+                self._silence_s
             )
 
     def _items(self, data: bytes) -> Iterator[Item]:
@@ -225,6 +230,7 @@
                 choice["text"],
                 choice["finish_reason"],
             )
+            self._silence_s = self._cfg.silence_s
             if token.finish_reason is None:
                 self._next_index = token.token_index + 1
             yield token
--- a/src/savorylift/settings.py
+++ b/src/savorylift/settings.py
@@ -62,7 +62,7 @@
     log_poll_s: Seconds = 0.5
     request_timeout_s: Seconds = 60.0
     connect_timeout_s: Seconds = 1.0
-    token_timeout_s: Seconds = 2.0
+    token_timeout_s: Seconds = 0.5
     first_token_timeout_s: Seconds = 10.0
     entry_ttl_s: Seconds = 5.0
     drain_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
--- a/src/savorylift/streams/dispatch.py
+++ b/src/savorylift/streams/dispatch.py
@@ -70,6 +70,8 @@
             if isinstance(opened, Success):
                 return Success(opened.unwrap())
             self.exclude(permit.backend_server)
+            if opened.failure().kind is OpenFaultKind.NOT_SENT:
+                continue  # costs no engine anything
             if not self._parts.budget.take_retry():
                 message = f"retry budget spent: {opened.failure().message}"
                 return Failure(
--- a/src/savorylift/streams/generation.py
+++ b/src/savorylift/streams/generation.py
@@ -28,6 +28,10 @@
     EngineStream,
 )
 
+# An engine's death strikes all of its streams at once, so replays are bounded
+# for each answer; permits keep them from overloading the other engines.
+MAX_REPLAYS = 3
+
 log = structlog.get_logger()
 
 
@@ -45,6 +49,7 @@
         self._follower = Follower(parts, sink, self._delivery, req.deadline_s)
         self._answer_id = req.request_id
         self._placer = Placer(parts, req)
+        self._replays = 0
 
     def run(self) -> Result[None, Refusal]:
         """Blocks until the answer is whole, or returns why it will not be."""
@@ -118,9 +123,8 @@
         if settled.failure().reason is not Reason.BACKEND_LOST:
             return settled
         self._placer.exclude(attempt.permit.backend_server)
-        if self._parts.budget.take_retry():
-            return None
-        return settled
+        self._replays += 1
+        return settled if self._replays > MAX_REPLAYS else None
 
     def _truthful(self, refusal: Refusal) -> Refusal:
         """Corrects a refusal after a dispatch that may have run."""
--- a/tests/streams/test_generation.py
+++ b/tests/streams/test_generation.py
@@ -268,3 +268,16 @@
     )
     assert is_successful(resumption.run())
     again.received()
+
+
+def test_engine_death_replays_every_stream_of_a_quiet_node(
+    bench: Bench, engines: list[StandIn]
+) -> None:
+    outcomes = [Outcome(bench, Caller(), PROMPT) for _ in range(8)]
+    for outcome in outcomes:
+        outcome.wait_started()
+    by_name(engines, bench.gate.granted[0]).control(die_s=1.0)
+    results = [outcome.result() for outcome in outcomes]
+    assert all(map(is_successful, results)), results
+    for outcome in outcomes:
+        assert answer(outcome.caller.received()) == EXPECTED
