--- a/tests/streams/test_placement.py
+++ b/tests/streams/test_placement.py
@@ -59,11 +59,11 @@
 def puts_room_first(
     kind: type[MemoryPlacement], hints: Mapping[str, BackendHint]
 ) -> bool:
-    placement = kind(RulesSource(RulesView(backend_servers=SERVERS)))
     req = request(PROMPT)
-    for name in NAMES[:3]:
-        placement.note_dispatched(req, name)
     with freezegun.freeze_time():
+        placement = kind(RulesSource(RulesView(backend_servers=SERVERS)))
+        for name in NAMES[:3]:
+            placement.note_dispatched(req, name)
         tokens = placement.reserve(req, 0)  # `order` changes what is known
         names = placement.order(req, list(SERVERS.values()), hints)
     assert sorted(names) == NAMES
