Type a route's next step and name its failures; usual terms in permits

Route.next returned a target and a flag as a pair, and counted timeouts and denials alike as silence. It returns a Step or None and counts failures. Docstrings speak of supervision and forwarding.

--- a/src/savorylift/permits/admission.py
+++ b/src/savorylift/permits/admission.py
@@ -110,7 +110,7 @@
         self._co_keepers.tell(self.state())
 
     def dismiss(self, successors: list[NodeRef]) -> None:
-        """Passes the queue on to the nodes that now keep the shares."""
+        """Forwards the queue to the nodes that now keep the shares."""
         for number in itertools.count():
             waiter = self.queue.pop()
             if waiter is None or not successors:
--- a/src/savorylift/permits/co_keepers.py
+++ b/src/savorylift/permits/co_keepers.py
@@ -49,7 +49,7 @@
 
     @property
     def rate(self) -> float:
-        """Permits that came back to them a second."""
+        """Permits returned to them a second."""
         return sum(state.rate for state in self._states.values() if state)
 
     @property
--- a/src/savorylift/permits/holder.py
+++ b/src/savorylift/permits/holder.py
@@ -38,7 +38,7 @@
     """Takes the one final answer of each request."""
 
     def resolve(self, permit_id: str, answer: Result[Permit, Refusal]) -> None:
-        """Hands over the answer."""
+        """Takes one answer."""
 
 
 class Holder:
@@ -120,7 +120,7 @@
             self._hold(permit, msg, waiting)
 
     def denied(self, keeper: NodeRef, msg: PermitDenied) -> None:
-        """Tries elsewhere, or passes a final refusal on."""
+        """Tries another keeper, or resolves a final refusal."""
         if msg.state is not None:
             self._states.note(msg.state)
         waiting = self._waiting.get(msg.permit_id)
@@ -129,7 +129,7 @@
         target = Target(msg.backend_server, keeper)
         if msg.reason:
             self._refuse(waiting, msg.reason, msg.retry_after_s)
-        elif waiting.route.answered(target, msg.state):
+        elif waiting.route.denied(target, msg.state):
             self._ask_next(waiting)
 
     def queued(self, keeper: NodeRef, msg: PermitQueued) -> None:
@@ -138,7 +138,7 @@
         waiting = self._waiting.get(msg.permit_id)
         if waiting is not None:
             waiting.note_asked(is_confirmed=True)
-            waiting.route.moved(Target(msg.backend_server, keeper), msg.state)
+            waiting.route.queued(Target(msg.backend_server, keeper), msg.state)
 
     def unknown_of(
         self, keeper: NodeRef, msg: PermitQuery
@@ -174,14 +174,14 @@
         return len(self._waiting)
 
     def _ask_next(self, waiting: WaitingRequest) -> None:
-        target, may_queue = waiting.route.next()
-        if target is None:
+        step = waiting.route.next_step()
+        if step is None:
             self._refuse(
                 waiting, Reason.KEEPER_UNREACHABLE, NO_KEEPER_RETRY_AFTER_S
             )
             return
         waiting.note_asked(is_confirmed=False)
-        self._requests.send(waiting, target, may_queue=may_queue)
+        self._requests.send(waiting, step.target, may_queue=step.may_queue)
 
     def _is_unanswered(self, waiting: WaitingRequest, now: float) -> bool:
         if waiting.is_confirmed:
@@ -197,7 +197,7 @@
                 self._requests.send(waiting, probe, may_queue=False)
         else:
             cause = "no_answer"
-            waiting.route.silent()
+            waiting.route.time_out()
         self._tally.retries.labels(cause).inc()
         self._ask_next(waiting)
 
--- a/src/savorylift/permits/holder_watch.py
+++ b/src/savorylift/permits/holder_watch.py
@@ -1,4 +1,4 @@
-"""A keeper's watch over the holders of its permits."""
+"""A keeper's supervision of the holders of its permits."""
 
 import time
 
@@ -20,7 +20,7 @@
 
 
 class HolderWatch:
-    """Finds permits that no holder looks after, and moves resumed ones."""
+    """Finds permits that no holder supervises, and moves resumed ones."""
 
     def __init__(
         self,
--- a/src/savorylift/permits/holdings.py
+++ b/src/savorylift/permits/holdings.py
@@ -114,7 +114,7 @@
         )
 
     def release(self, permit: Permit, use: PermitUse) -> None:
-        """Returns a permit, or hands its unfinished work to the keeper."""
+        """Returns a permit, or leaves its unfinished work to the keeper."""
         holding = self._held.get(permit.permit_id)
         if holding is None:
             return
--- a/src/savorylift/permits/keeper.py
+++ b/src/savorylift/permits/keeper.py
@@ -108,7 +108,7 @@
             self.admission.serve()
 
     def end(self, msg: PermitReturn) -> None:
-        """Ends a permit on its holder's word, learning from its use."""
+        """Ends a permit that its holder reports as finished or abandoned."""
         self.admission.queue.remove(msg.permit_id)
         permit = self.share.find(msg.permit_id)
         if permit is None or permit.holder != msg.holder:
--- a/src/savorylift/permits/keeper_gate.py
+++ b/src/savorylift/permits/keeper_gate.py
@@ -125,7 +125,7 @@
         self._tell(inbox.TakeOver(permit))
 
     def load(self, backend_server: str, report: LoadReport) -> None:
-        """Hands over a backend server's load report."""
+        """Applies a backend server's load report."""
         self._tell(inbox.Loaded(backend_server, report))
 
     def kept_servers(self) -> tuple[str, ...]:
--- a/src/savorylift/permits/lost_work.py
+++ b/src/savorylift/permits/lost_work.py
@@ -1,4 +1,4 @@
-"""Permits whose holder no longer looks after the work."""
+"""Permits for work that no node supervises."""
 
 import time
 from collections import deque
@@ -31,13 +31,13 @@
         self._abandoned.add(permit_id)
 
     def resume(self, permit_id: str) -> None:
-        """Notes that a node looks after the work again."""
+        """Notes that a node supervises the work again."""
         self._abandoned.discard(permit_id)
         self._since_s.pop(permit_id, None)
         self._settled_on.pop(permit_id, None)
 
     def is_lost(self, permit_id: str) -> bool:
-        """Returns True if nobody looks after the work."""
+        """Returns True if no node supervises the work."""
         return permit_id in self._since_s
 
     def has_ended(self, permit_id: str) -> bool:
--- a/src/savorylift/permits/route.py
+++ b/src/savorylift/permits/route.py
@@ -10,7 +10,7 @@
 from savorylift.rendezvous import rank
 
 HINT_LIFE_S = 1.0
-MAX_SILENT = 6
+MAX_FAILURES = 6
 
 
 class Target(NamedTuple):
@@ -20,6 +20,18 @@
     keeper: NodeRef
 
 
+class Step(NamedTuple):
+    """A question to one keeper.
+
+    Attributes:
+        target: Whom to ask, and about which backend server.
+        may_queue: False to be denied at once when there is no room.
+    """
+
+    target: Target
+    may_queue: bool
+
+
 class Route:
     """Order in which a request asks keepers.
 
@@ -46,50 +58,48 @@
         self._hints = hints
         self._to_try = self._by_room()[:max_tries]
         self._waits: dict[Target, float] = {}
-        self._silent: dict[Target, int] = {}
+        self._failures: dict[Target, int] = {}
         self._current: Target | None = None
         self._repeat = False
         self._probes = 0
 
-    def next(self) -> tuple[Target | None, bool]:
-        """Returns the target to ask, and whether it may queue.
-
-        The target is None when too many requests got no answer.
-        """
-        if sum(self._silent.values()) >= MAX_SILENT:
-            return None, False
+    def next_step(self) -> Step | None:
+        """Returns the next step; None when too many requests have failed."""
+        if sum(self._failures.values()) >= MAX_FAILURES:
+            return None
         if self._repeat and self._current is not None and self._is_kept():
             self._repeat = False
-            return self._current, True
+            return Step(self._current, may_queue=True)
         may_queue = not self._to_try
         if may_queue:
             self._current = self._shortest_wait()
         else:
             self._current = self._choose(self._to_try.pop(0))
-        if self._current is not None:
-            self.asked.add(self._current)
-        return self._current, may_queue
+        if self._current is None:
+            return None
+        self.asked.add(self._current)
+        return Step(self._current, may_queue)
 
-    def answered(self, target: Target, state: ServerState | None) -> bool:
+    def denied(self, target: Target, state: ServerState | None) -> bool:
         """Notes a denial; returns True if it ends the newest request."""
         if state is not None:
             self._waits[target] = _relative_wait(state)
         else:
-            self._silent[target] = self._silent.get(target, 0) + 1
+            self._failures[target] = self._failures.get(target, 0) + 1
         return target.server == (self._current and self._current.server)
 
-    def moved(self, target: Target, state: ServerState) -> None:
+    def queued(self, target: Target, state: ServerState) -> None:
         """Notes the keeper in whose queue the request waits."""
         self._current = target
         self.asked.add(target)
         self._waits[target] = _relative_wait(state)
-        self._silent.clear()
+        self._failures.clear()
 
-    def silent(self) -> None:
+    def time_out(self) -> None:
         """Notes that the newest request got no answer in time."""
         if self._current is not None:
-            count = self._silent.get(self._current, 0)
-            self._silent[self._current] = count + 1
+            count = self._failures.get(self._current, 0)
+            self._failures[self._current] = count + 1
             self._waits.pop(self._current, None)
 
     def repeat(self) -> None:
@@ -130,7 +140,7 @@
         if self._ref.vm in keepers:
             order = [self._ref.vm, *order]
         targets = [Target(server, keepers[vm]) for vm in order]
-        return min(targets, key=lambda target: self._silent.get(target, 0))
+        return min(targets, key=lambda target: self._failures.get(target, 0))
 
     def _shortest_wait(self) -> Target | None:
         waits = self._waits
@@ -140,8 +150,8 @@
             del waits[best]
         targets = [self._choose(server) for server in self._req.candidates]
         known = [target for target in targets if target is not None]
-        silent = self._silent
-        return min(known, key=lambda t: silent.get(t, 0), default=None)
+        failures = self._failures
+        return min(known, key=lambda t: failures.get(t, 0), default=None)
 
 
 def _relative_wait(state: ServerState) -> float:
