--- a/src/savorylift/calls/claim_try.py
+++ b/src/savorylift/calls/claim_try.py
@@ -98,7 +98,7 @@
         return self._next()
 
     def on_deadline(self) -> Step:
-        """Ends the try for good unless it has ended before."""
+        """Ends the try unless it has ended before."""
         if self._end is not None:
             return self._end
         self._is_unsure = True
