Name the second bound on recovery from an engine's death

With 0.5 s of silence the client gives a node up that makes the delivered tokens again, and resumes at another one; that node can't reach the dead engine, has no way to replay and ends the answer with `backend_lost`.

Not mended by this change.

--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -324,7 +324,7 @@
         "engine killed",
         _kill_engine,
         _restart_engine,
-        "tokens made again by another engine",
+        "tokens made again, if within silence_s",
         None,
     ),
     Case(
