Show callers a sign of life while a stream is silent

Ruled out: the retry budget (gone from replays before) and permits (granted).

The relay sends a comment on started streams that were silent for 0.25 s, between attempts too; the client's silence may then be short and is 0.75 s.

--- a/src/savorylift/client/client.py
+++ b/src/savorylift/client/client.py
@@ -43,7 +43,7 @@
     team: str
     timeout_s: float = 60.0
     connect_s: float = 1.0
-    silence_s: float = 1.0
+    silence_s: float = 0.75
     accepts_restart: bool = False
     authorities: str | None = None
 
--- a/src/savorylift/entry/completions.py
+++ b/src/savorylift/entry/completions.py
@@ -3,6 +3,7 @@
 import json
 import secrets
 import time
+from collections.abc import Callable
 from typing import Annotated, NotRequired, TypedDict
 
 import msgspec
@@ -102,7 +103,7 @@
         resumption = Resumption(
             self._parts, ticket, sink, int(from_index), head.deadline_s
         )
-        return _finish_stream(exchange, head, sink, resumption.run())
+        return self._run_stream(exchange, head, sink, resumption.run)
 
     def cancel(
         self, exchange: Exchange, head: RequestHead, ticket_text: str
@@ -132,7 +133,22 @@
             _stream_headers(req.request_id),
             accepts_restart=head.accepts_restart,
         )
-        result = Generation(self._parts, req, sink).run()
+        generation = Generation(self._parts, req, sink)
+        return self._run_stream(exchange, head, sink, generation.run)
+
+    def _run_stream(
+        self,
+        exchange: Exchange,
+        head: RequestHead,
+        sink: StreamSink,
+        run: Callable[[], Result[None, Refusal]],
+    ) -> Result[None, Refusal]:
+        """Runs a stream and keeps its caller's connection alive meanwhile."""
+        self._parts.relay.keep_alive(sink)
+        try:
+            result = run()
+        finally:
+            self._parts.relay.forget(sink)
         return _finish_stream(exchange, head, sink, result)
 
     def _whole(
--- a/src/savorylift/streams/caller_socket.py
+++ b/src/savorylift/streams/caller_socket.py
@@ -3,6 +3,8 @@
 import os
 import socket
 import ssl
+import threading
+import time
 
 NOTHING_YET = (BlockingIOError, InterruptedError, ssl.SSLWantReadError)
 NOT_NOW = (*NOTHING_YET, ssl.SSLWantWriteError)
@@ -12,7 +14,7 @@
     """Writes to a caller and notices when it is gone.
 
     Bytes that the connection does not take at once are kept up to a bound.
-    One thread uses it at a time.
+    Writes may come from the relay thread and from the request's own.
     """
 
     def __init__(self, sock: socket.socket, buffer_bytes: int) -> None:
@@ -27,6 +29,8 @@
         self._watch = socket.socket(fileno=os.dup(sock.fileno()))
         self._bound = buffer_bytes
         self._unsent = bytearray()
+        self._lock = threading.Lock()
+        self.last_write_s = time.monotonic()
         self.is_lost = False
         self.is_read_watched = True
         self._timeout_s = sock.gettimeout()
@@ -46,14 +50,20 @@
 
     def write(self, data: bytes) -> None:
         """Sends what the connection takes now and queues the rest."""
-        if self._unsent:
-            self._unsent += data
-            self.flush()
-        elif not self.is_lost:
-            self._unsent += data[self._send(data) :]
+        self.last_write_s = time.monotonic()
+        with self._lock:
+            if self._unsent:
+                self._unsent += data
+                self._send_unsent()
+            elif not self.is_lost:
+                self._unsent += data[self._send(data) :]
 
     def flush(self) -> None:
         """Sends queued bytes until done or the connection is full."""
+        with self._lock:
+            self._send_unsent()
+
+    def _send_unsent(self) -> None:
         while self._unsent and not self.is_lost:
             sent = self._send(self._unsent)
             if sent == 0:
--- a/src/savorylift/streams/relay.py
+++ b/src/savorylift/streams/relay.py
@@ -123,6 +123,7 @@
         self._selector.register(self._wake_reader, selectors.EVENT_READ)
         self._added: collections.deque[RelayJob] = collections.deque()
         self._jobs: set[RelayJob] = set()
+        self._sinks: set[Sink] = set()
         self._is_stopping = False
         self._thread = threading.Thread(target=self._run, name="relay")
         self._thread.daemon = True
@@ -142,6 +143,15 @@
         self._added.append(job)
         self._wake()
 
+    def keep_alive(self, sink: Sink) -> None:
+        """Shows a sink's caller that this node is alive, until `forget`."""
+        self._sinks.add(sink)
+        self._wake()
+
+    def forget(self, sink: Sink) -> None:
+        """Ends what `keep_alive` began."""
+        self._sinks.discard(sink)
+
     def _wake(self) -> None:
         try:
             self._wake_writer.send(b"\0")
@@ -153,7 +163,7 @@
         while not self._is_stopping:
             timeout_s = max(0.0, next_sweep_s - time.monotonic())
             for key, _ in self._selector.select(
-                timeout_s if self._jobs else None
+                timeout_s if self._jobs or self._sinks else None
             ):
                 self._handle(key)
             self._take_added()
@@ -259,6 +269,8 @@
         job.watched_events = wanted
 
     def _sweep(self) -> None:
+        for sink in tuple(self._sinks):
+            sink.keep_alive()
         now_s = time.monotonic()
         for job in tuple(self._jobs):
             end = job.expired(now_s)
--- a/src/savorylift/streams/sink.py
+++ b/src/savorylift/streams/sink.py
@@ -1,5 +1,6 @@
 """Where a generation's tokens go: a live stream or a whole answer."""
 
+import time
 from collections.abc import Sequence
 from typing import Protocol
 
@@ -8,6 +9,7 @@
 from savorylift.streams.caller_socket import CallerSocket
 from savorylift.streams.events import TokenEvent
 
+KEEP_ALIVE_S = 0.25  # callers that hear nothing for longer go elsewhere
 SSE_HEAD = (
     b"HTTP/1.1 200 OK\r\n"
     b"Content-Type: text/event-stream\r\n"
@@ -35,6 +37,9 @@
     def deliver(self, events: Sequence[TokenEvent]) -> None:
         """Passes on tokens, and the finishing event as the last one."""
 
+    def keep_alive(self) -> None:
+        """Shows the caller that its node is alive while no token comes."""
+
     def can_restart(self) -> bool:
         """Returns True if `restart` is allowed at this point."""
 
@@ -101,6 +106,12 @@
         parts += [self._token_event(event) for event in events]
         self.caller.write(b"".join(parts))
 
+    def keep_alive(self) -> None:
+        """Sends a comment if the stream has been silent for a while."""
+        silent_s = time.monotonic() - self.caller.last_write_s
+        if self._is_started and silent_s > KEEP_ALIVE_S:
+            self.caller.write(b":\n\n")
+
     def can_restart(self) -> bool:
         """Returns True if nothing was sent or the caller takes restarts."""
         return self._accepts_restart or not self._is_started
@@ -161,6 +172,9 @@
             self._parts.append(event.token)
             self.finish_reason = event.finish_reason
 
+    def keep_alive(self) -> None:
+        """Does nothing: the caller waits for the whole answer."""
+
     def can_restart(self) -> bool:
         """Returns True: the caller has seen nothing."""
         return True
