Let no lot grant while another one runs too much for a cold server

Keepers tell each other how many places are used past their share, at once on a fall to cold, and a cold server gets nothing new while these outweigh what is free. Exposed: up to one refresh (0.5 s) from the fall that only its own evidence shows a keeper.

The new test fails without the change (6 running where 4 were). tests/permits: 162 passed.

--- a/src/savorylift/permits/admission.py
+++ b/src/savorylift/permits/admission.py
@@ -58,17 +58,19 @@
         """Returns the state to tell other keepers and holders."""
         room = self._share.room(self._warmth.window)
         warmth = self._warmth
+        spare = room.slots - self._overflow()
         return ServerState(
             self._share.server.name,
             warmth.incarnation,
             warmth.falls,
             warmth.window,
-            max(0, room.slots - len(self.queue)),
+            max(0, spare - len(self.queue)),
             room.tokens,
             len(self.queue),
             warmth.is_cold,
             self._wait_s(len(self.queue)),
             self.rate.per_s,
+            self._share.overflow(warmth.window),
         )
 
     def ask(self, msg: PermitAsk) -> None:
@@ -133,7 +135,8 @@
     def _grant(self, msg: PermitAsk) -> bool:
         tokens = min(msg.tokens, self._share.server.kv_tokens)
         owned = self._share.lot_with_room(tokens, self._warmth.window)
-        if owned is None:
+        room = self._share.room(self._warmth.window)
+        if owned is None or room.slots <= self._overflow():
             return False
         permit = HeldPermit(
             msg.permit_id,
@@ -185,6 +188,17 @@
         )
         self._sender.send(msg.holder, denied)
 
+    def _overflow(self) -> int:
+        """Returns the places that a cold server's other lots use too many.
+
+        A server that turned cold while it ran more than its cold limit must
+        get nothing new, though the work may all be charged to a few lots.
+        """
+        if not self._warmth.is_cold:
+            return 0
+        own = self._share.overflow(self._warmth.window)
+        return own + self._co_keepers.overflow
+
     def _expected_wait_s(self, msg: PermitAsk) -> float:
         return self._wait_s(self.queue.ahead_of(msg))
 
--- a/src/savorylift/permits/co_keepers.py
+++ b/src/savorylift/permits/co_keepers.py
@@ -47,6 +47,11 @@
                 return ref
         return None
 
+    @property
+    def overflow(self) -> int:
+        """Places that they use past their shares."""
+        return sum(s.overflow for s in self._states.values() if s)
+
     @property
     def rate(self) -> float:
         """Permits returned to them a second."""
--- a/src/savorylift/permits/keeper.py
+++ b/src/savorylift/permits/keeper.py
@@ -204,6 +204,7 @@
     def cold_fall(self, msg: ColdFall) -> None:
         """Follows another keeper's fall to cold."""
         self._evidence.hear_fall(msg)
+        self.admission.announce()  # others must know what is over its part
 
     def hear(self, other: NodeRef, state: ServerState) -> None:
         """Notes another keeper's state and forwards requests to its room."""
--- a/src/savorylift/permits/messages.py
+++ b/src/savorylift/permits/messages.py
@@ -50,6 +50,7 @@
         cold: True if `window` is the cold limit.
         wait_s: Expected wait of one more request; 0 if unknown.
         rate: Permits that came back a second; 0 if unknown.
+        overflow: Places used past the keeper's share of `window`.
     """
 
     backend_server: str
@@ -62,6 +63,7 @@
     cold: bool
     wait_s: float
     rate: float
+    overflow: int = 0
 
 
 class PermitAsk(NamedTuple):
--- a/src/savorylift/permits/share.py
+++ b/src/savorylift/permits/share.py
@@ -93,6 +93,13 @@
         tokens = sum(max(0, self._tokens(o)) for o in self.lots.values())
         return Room(slots, tokens)
 
+    def overflow(self, window: int) -> int:
+        """Returns the places used past what the owned lots have."""
+        return sum(
+            max(0, o.places_used - split(window, self.lot_count, index))
+            for index, o in self.lots.items()
+        )
+
     def lot_with_room(self, tokens: int, window: int) -> OwnedLot | None:
         """Returns the owned lot with most free places that can take it."""
         best: OwnedLot | None = None
