Pass a service's path on as its caller wrote it

Cause: the path that the listener had unescaped was sent on, so that a space written as %20 made a call that is no HTTP (refused as bad_request) and an escaped slash or ampersand changed its meaning. Seen when reading the module; the new test fails without the change.

--- a/src/savorylift/entry/caller_face.py
+++ b/src/savorylift/entry/caller_face.py
@@ -10,7 +10,6 @@
 from returns.result import Failure, Result, Success
 
 from savorylift.calls.caller import CallService
-from savorylift.calls.request import CallRequest
 from savorylift.entry.completions import Completions
 from savorylift.entry.counters import REFUSALS, REQUESTS
 from savorylift.entry.directory import entries_for
@@ -29,6 +28,8 @@
     read_head,
     request_id_of,
 )
+from savorylift.entry.service_calls import SERVICES_PREFIX, ServiceCalls
+from savorylift.entry.team_counts import TeamCounts
 from savorylift.outcomes import Ending, Reason, Refusal, not_run
 from savorylift.peers.view import RosterSource
 from savorylift.refusals.book import RefusalBook, RefusedRequest
@@ -38,9 +39,7 @@
 ENTRY_PATH = "/v1/entry"
 COMPLETIONS_PATH = "/v1/completions"
 STREAMS_PREFIX = "/v1/streams/"
-SERVICES_PREFIX = "/v1/services/"
 BUSY_RETRY_S = 1.0
-KEY_HEADER = "idempotency-key"
 
 log = structlog.get_logger()
 
@@ -85,7 +84,8 @@
         """Starts with no request in flight."""
         self._parts = parts
         self._places = threading.BoundedSemaphore(parts.max_in_flight)
-        self._teams = _TeamCounts()
+        self._teams = TeamCounts()
+        self._services = ServiceCalls(parts.calls, parts.rules, parts.trail)
 
     def handle(self, exchange: Exchange) -> None:
         """Answers one request."""
@@ -158,7 +158,7 @@
         """Finds what serves the request's method and path."""
         path, method = exchange.path, exchange.method
         if path.startswith(SERVICES_PREFIX):
-            return Success(self._call)
+            return Success(self._services.serve)
         by_method: dict[str, Serve] = {}
         if path == COMPLETIONS_PATH:
             by_method = {"POST": self._parts.completions.complete}
@@ -186,50 +186,6 @@
         ticket = exchange.path.removeprefix(STREAMS_PREFIX)
         return self._parts.completions.cancel(exchange, head, ticket)
 
-    def _call(
-        self, exchange: Exchange, head: RequestHead
-    ) -> Result[None, Refusal]:
-        """Carries `ANY /v1/services/{service}/{path}`."""
-        rest = exchange.path.removeprefix(SERVICES_PREFIX)
-        service, _, path = rest.partition("/")
-        query = f"?{exchange.query_text}" if exchange.query_text else ""
-        body = exchange.read_body()
-        if isinstance(body, Failure):
-            return body
-        answer = self._parts.calls.call(
-            CallRequest(
-                request_id=head.request_id,
-                team=head.team.name,
-                service=service,
-                method=exchange.method,
-                path=f"/{path}{query}",
-                headers=exchange.end_to_end_headers(),
-                body=body.unwrap(),
-                key=exchange.header(KEY_HEADER),
-                deadline_s=head.deadline_s,
-                priority=head.priority,
-            )
-        )
-        if isinstance(answer, Failure):
-            return answer
-        got = answer.unwrap()
-        self._parts.trail.note(
-            head.request_id,
-            "answered",
-            self._parts.rules.current().offset,
-            got.backend_server,
-        )
-        kind = "application/octet-stream"
-        kept = []
-        for name, value in got.headers:
-            if name.lower() == "content-type":
-                kind = value
-            elif name.lower() != REQUEST_ID_HEADER:
-                kept.append((name, value))
-        kept.append((REQUEST_ID_HEADER, head.request_id))
-        exchange.send(f"{got.status} Status", got.body, kind, kept)
-        return Success(None)
-
     def _send_entries(self, exchange: Exchange) -> None:
         team = exchange.query.get("team", "")
         entries = self._entries(team)
@@ -292,25 +248,3 @@
                 *retry_headers(refusal),
             ],
         )
-
-
-class _TeamCounts:
-    """Requests in flight on this node by team."""
-
-    def __init__(self) -> None:
-        self._counts: dict[str, int] = {}
-        self._lock = threading.Lock()
-
-    def enter(self, team: str, bound: int) -> bool:
-        with self._lock:
-            count = self._counts.get(team, 0)
-            if bound and count >= bound:
-                return False
-            self._counts[team] = count + 1
-            return True
-
-    def leave(self, team: str) -> None:
-        with self._lock:
-            left = self._counts.pop(team) - 1
-            if left:
-                self._counts[team] = left
--- a/src/savorylift/entry/exchange.py
+++ b/src/savorylift/entry/exchange.py
@@ -30,17 +30,23 @@
 
 
 class Exchange:
-    """A request read by `cheroot`; answered once."""
+    """A request read by `cheroot`; answered once.
+
+    Attributes:
+        method: HTTP method in upper case.
+        path: Path without escapes and query.
+        target: Path and query as the caller wrote them.
+        query: Query fields; of a repeated one the last.
+    """
 
     def __init__(self, req: Any) -> None:  # noqa: ANN401
         """Wraps `cheroot`'s request, which has no types of its own."""
         self._req = req
         self.method: str = req.method.decode("ascii", "replace")
         self.path: str = req.path.decode("utf-8", "replace")
-        self.query_text: str = req.qs.decode("utf-8", "replace")
-        self.query: dict[str, str] = dict(
-            urllib.parse.parse_qsl(self.query_text)
-        )
+        self.target: str = req.uri.decode("latin-1")
+        query = req.qs.decode("utf-8", "replace")
+        self.query: dict[str, str] = dict(urllib.parse.parse_qsl(query))
         self._headers: dict[str, str] = {
             name.decode("latin-1").lower(): value.decode("latin-1")
             for name, value in req.inheaders.items()
--- a/tests/entry/faces.py
+++ b/tests/entry/faces.py
@@ -39,12 +39,14 @@
     """Answers calls after `gate` is set."""
 
     def __init__(self) -> None:
+        self.paths: list[str] = []
         self.gate = threading.Event()
         self.gate.set()
 
     def call(self, req: CallRequest) -> Result[CallAnswer, Refusal]:
         if req.service != "crew":
             return Failure(not_run(Reason.UNKNOWN_SERVICE, "no such service"))
+        self.paths.append(req.path)
         self.gate.wait(10.0)
         return Success(CallAnswer(200, (), b"done", "s1"))
 
--- a/tests/entry/test_caller_face.py
+++ b/tests/entry/test_caller_face.py
@@ -140,6 +140,12 @@
     assert [reply.status for reply in replies] == [200, 200, 200]
 
 
+def test_service_gets_the_path_as_it_was_written(face: Face) -> None:
+    reply = face.send(request("GET /v1/services/crew/a%20b/%2F?c=%26&c=d"))
+    assert reply.status == 200
+    assert face.calls.paths == ["/a%20b/%2F?c=%26&c=d"]
+
+
 def test_team_limit_names_its_rule(face: Face) -> None:
     face.calls.gate.clear()
     call = request("GET /v1/services/crew/x", team="small")
