--- a/src/savorylift/streams/attempt.py
+++ b/src/savorylift/streams/attempt.py
@@ -11,7 +11,7 @@
 from savorylift.streams.counters import RESUMES
 from savorylift.streams.delivery import Delivery
 from savorylift.streams.parts import GenerationParts
-from savorylift.streams.relay import RelayEnd, RelayJob, RelayTimes
+from savorylift.streams.relay_job import RelayEnd, RelayJob, RelayTimes
 from savorylift.streams.sink import Sink
 from savorylift.streams.upstream import (
     EngineRequest,
--- a/src/savorylift/streams/generation.py
+++ b/src/savorylift/streams/generation.py
@@ -20,7 +20,7 @@
 from savorylift.streams.dispatch import Placer
 from savorylift.streams.parts import GenerationParts
 from savorylift.streams.placement import GenerationRequest
-from savorylift.streams.relay import RelayEnd
+from savorylift.streams.relay_job import RelayEnd
 from savorylift.streams.settle import settle
 from savorylift.streams.sink import Sink
 from savorylift.streams.ticket import Ticket, expiry_ms, sign_ticket
--- a/src/savorylift/streams/settle.py
+++ b/src/savorylift/streams/settle.py
@@ -8,7 +8,7 @@
 from savorylift.streams.counters import FIRST_TOKEN
 from savorylift.streams.delivery import Delivery
 from savorylift.streams.parts import GenerationParts
-from savorylift.streams.relay import RelayEnd
+from savorylift.streams.relay_job import RelayEnd
 from savorylift.streams.sink import Sink
 
 RECONNECT_S = 5.0  # a caller that lost its connection may resume this long
