Report where a change is in force by the one function for it

The command counted confirmations itself beside rules/force.py, which did the same and was used by its test alone. It now says for each node that has not confirmed whether it is behind or gave no answer. tests/node/test_commands: 6 passed.

--- a/src/savorylift/operations.py
+++ b/src/savorylift/operations.py
@@ -24,6 +24,7 @@
 from savorylift.refusals.request import answer as answer_report
 from savorylift.rules import operations as rules
 from savorylift.rules.check import check_rules
+from savorylift.rules.force import NodeAnswer, report_force
 from savorylift.rules.inbox import OrderAction, OrderState
 from savorylift.settings import Settings
 from savorylift.settings_file import read_settings
@@ -221,19 +222,21 @@
     """Waits until `offset` is in force on all nodes, and says on which."""
     deadline_s = time.monotonic() + FORCE_TIMEOUT_S
     while True:
-        answers = read_statuses(cfg)
-        confirmed = [
-            vm
-            for vm, answer in answers.items()
-            if answer is not None and answer["rules_offset"] >= offset
+        statuses = read_statuses(cfg)
+        answers = [
+            NodeAnswer(vm, status["rules_offset"])
+            for vm, status in statuses.items()
+            if status is not None
         ]
-        if len(confirmed) == len(answers) or time.monotonic() > deadline_s:
+        report = report_force(offset, statuses, answers)
+        if report.is_everywhere() or time.monotonic() > deadline_s:
             break
         time.sleep(FORCE_POLL_S)
-    _say(f"in force on {len(confirmed)} of {len(answers)} nodes")
-    missing = sorted(answers.keys() - set(confirmed))
-    if not missing:
+    _say(f"in force on {len(report.confirmed)} of {len(statuses)} nodes")
+    if report.is_everywhere():
         return EXIT_OK
+    missing = [f"{node.vm} (at offset {node.offset})" for node in report.behind]
+    missing += [f"{vm} (no answer)" for vm in report.silent]
     _say("not confirmed: " + ", ".join(missing))
     return EXIT_UNKNOWN
 
