Learn nothing of an engine's delay from a resumed stream

Cause, found by reading: a node that resumes a stream reported the time to read stored tokens again, a few milliseconds, as the engine's first token. Keepers learn the usual delay from these and take much slower ones for a cold start, so that resumptions could make a warm engine fall to its cold limit.

A resumed stream reports output without a delay.

--- a/src/savorylift/permits/gate.py
+++ b/src/savorylift/permits/gate.py
@@ -113,9 +113,10 @@
     ) -> None:
         """Reports the first output under a permit, as soon as it is seen.
 
-        A keeper lets no more work than the cold limit be without output at a
-        model engine, so that a late report costs capacity. A plain service's
-        calls need no report.
+        A negative `first_token_s` says that there is output but not how long
+        it took. A keeper lets no more work than the cold limit be without
+        output at a model engine, so that a late report costs capacity. A
+        plain service's calls need no report.
         """
 
     def adjust(self, permit: Permit, tokens: int) -> None:
--- a/src/savorylift/streams/attempt.py
+++ b/src/savorylift/streams/attempt.py
@@ -22,6 +22,7 @@
 ADJUST_S = 1.0  # interval of memory corrections while a stream runs
 MAX_FRUITLESS_RESUMES = 3
 RESUME_PAUSE_S = 0.1
+NO_DELAY_S = -1.0  # tells a keeper of output without a delay to learn from
 PATIENCE_FACTOR = 2.0  # a preempted generation is silent but not lost
 
 RESUMABLE = frozenset(
@@ -44,12 +45,14 @@
         address: `ip:port` of the engine.
         generation_id: Identifier at the engine.
         dispatched_s: `time.monotonic()` when the engine was asked.
+        is_resumed: True if another connection had relayed it before.
     """
 
     permit: Permit
     address: str
     generation_id: str
     dispatched_s: float
+    is_resumed: bool = False
 
 
 class AttemptEnd(NamedTuple):
@@ -169,20 +172,23 @@
         """Waits for the first event and tells the keeper of it at once.
 
         Returns:
-            Its delay in seconds, or None if the connection ended without.
+            Its delay in seconds, or None if the connection ended without or
+            the engine had produced it before.
         """
         while not job.wait_first_event(ADJUST_S):
             continue  # the relay ends every job by its own timeouts
         if job.first_event_s is None:
             return None
+        # What is read again at once says nothing of the engine's own delay.
+        is_new = not attempt.is_resumed
         delay_s = job.first_event_s - attempt.dispatched_s
         self._parts.gate.started(
             attempt.permit,
             stream.incarnation or "",
-            delay_s,
+            delay_s if is_new else NO_DELAY_S,
             is_cold=stream.is_cold,
         )
-        return delay_s
+        return delay_s if is_new else None
 
     def _await_end(
         self, job: RelayJob, attempt: Attempt, reserve: Reserve
--- a/src/savorylift/streams/resumption.py
+++ b/src/savorylift/streams/resumption.py
@@ -44,6 +44,7 @@
             ticket.backend_address,
             ticket.generation_id,
             time.monotonic(),
+            is_resumed=True,
         )
         self._delivery.attach(ticket.generation_id)
         stream = self._follower.reopen(attempt)
--- a/tests/streams/fakes.py
+++ b/tests/streams/fakes.py
@@ -58,6 +58,7 @@
         self.uses: list[tuple[str, PermitUse]] = []
         self.held: set[str] = set()
         self.starts: list[str] = []
+        self.delays_s: list[float] = []
 
     def acquire(self, req: PermitRequest) -> Result[Permit, Refusal]:
         name = req.candidates[0]
@@ -77,6 +78,7 @@
         is_cold: bool,
     ) -> None:
         self.starts.append(permit.backend_server)
+        self.delays_s.append(first_token_s)
 
     def adjust(self, permit: Permit, tokens: int) -> None:
         pass
--- a/tests/streams/test_generation.py
+++ b/tests/streams/test_generation.py
@@ -215,6 +215,8 @@
         for choice in event["choices"]  # type: ignore[attr-defined]
     )
     assert answer(cut) + rest == EXPECTED
+    assert bench.gate.delays_s[0] > 0
+    assert bench.gate.delays_s[1:] == [-1.0], "nothing to learn from"
 
 
 def test_deadline_ends_a_stream_at_once(bench: Bench) -> None:
