Choose keepers anew only where a changed node can matter

A node can change a choice only if it was the keeper, or if it beats the keeper in its own failure domain, which one comparison of hashes tells.

Weighed: remembering every score (some 60 MB for 630,000 of them).

--- a/src/savorylift/permits/keeper_directory.py
+++ b/src/savorylift/permits/keeper_directory.py
@@ -21,11 +21,27 @@
         """Returns the keeper of each lot by the roster seen now."""
         roster = self._roster.current()
         if roster.offset != self._choices_offset:
-            self._choices = {}
             self._choices_offset = roster.offset
-            self._choice = KeeperChoice(roster)
+            self._follow(KeeperChoice(roster))
         rule = self._rules.current().backend_servers.get(server)
         key = (server, lot_count(rule.cold_limit) if rule else 0)
         if key not in self._choices:
             self._choices[key] = self._choice.keepers_of(*key)
         return self._choices[key]
+
+    def _follow(self, choice: KeeperChoice) -> None:
+        """Forgets the choices that a new roster may change.
+
+        Choosing anew for hundreds of backend servers from hundreds of nodes
+        would hold up every permit for as long.
+        """
+        changes = choice.changes_since(self._choice)
+        self._choice = choice
+        if changes is None:
+            self._choices = {}
+            return
+        self._choices = {
+            key: keepers
+            for key, keepers in self._choices.items()
+            if not choice.may_differ(key[0], keepers, changes)
+        }
