Let a dead engine's cancels hold up no others

Cause, found by reading: one thread cancels abandoned generations, each with a timeout of a second, so that a dead engine's twenty streams kept every other engine's permits for twenty seconds and more. After a cancel without an answer the engine is left alone for 2 s; its permits stay out as before.

--- a/src/savorylift/streams/cleaner.py
+++ b/src/savorylift/streams/cleaner.py
@@ -15,6 +15,7 @@
 
 RETRY_S = 0.5
 MAX_RETRY_S = 8.0
+AVOID_S = 2.0
 SETTLE_S = 2.0  # a request on a lost connection may still reach the engine
 
 log = structlog.get_logger()
@@ -48,6 +49,7 @@
         self._control = control
         self._due: list[tuple[float, int, float, Remnant]] = []
         self._numbers = itertools.count()
+        self._avoided_until_s: dict[str, float] = {}
         self._changed = threading.Condition()
         self._is_stopping = False
         self._thread = threading.Thread(target=self._run, name="cleaner")
@@ -100,6 +102,9 @@
             retry_s, remnant = taken
             if not self._gate.is_held(remnant.permit):
                 continue
+            if self._is_avoided(remnant):
+                self._put(remnant, retry_s, retry_s)
+                continue
             if self._is_stopped_there(remnant):
                 self._gate.release(remnant.permit, _use(remnant))
                 continue
@@ -119,6 +124,14 @@
                 self._changed.wait(wait_s)
         return None
 
+    def _is_avoided(self, remnant: Remnant) -> bool:
+        """Returns True while the engine has just failed to answer.
+
+        Asking it for each of its generations would hold up all others.
+        """
+        name = remnant.permit.backend_server
+        return time.monotonic() < self._avoided_until_s.get(name, 0.0)
+
     def _is_stopped_there(self, remnant: Remnant) -> bool:
         servers = self._rules.current().backend_servers
         server = servers.get(remnant.permit.backend_server)
@@ -131,6 +144,8 @@
             case Success(CancelOutcome.UNKNOWN_THERE):
                 return time.monotonic() - remnant.dispatched_s > SETTLE_S
             case Failure(cause):
+                until_s = time.monotonic() + AVOID_S
+                self._avoided_until_s[server.name] = until_s
                 log.warning(
                     "cancel failed",
                     backend_server=server.name,
