Write errors that bypass the exchange in one place

Cause: the answer to a request that could not be parsed and the one of a full thread pool each built their status line, headers and JSON body by hand, found when reading the change.

--- a/src/savorylift/entry/connection.py
+++ b/src/savorylift/entry/connection.py
@@ -8,14 +8,7 @@
 from cheroot.makefile import StreamReader
 from cheroot.server import HTTPConnection, HTTPRequest
 
-from savorylift.entry.errors import (
-    ERROR_HEADER,
-    error_body,
-    http_refusal,
-    status_line,
-)
-
-NO_REQUEST_ID = ""
+from savorylift.entry.errors import http_refusal, raw_error
 
 
 class DeadlineIO(socket.SocketIO):
@@ -62,19 +55,11 @@
 
     def simple_response(self, status: object, msg: str = "") -> None:
         """Answers a request that could not be parsed or read in time."""
-        refusal = http_refusal(str(status), msg)
-        body = error_body(refusal, NO_REQUEST_ID)
-        head = (
-            f"HTTP/1.1 {status_line(refusal)}\r\n"
-            "Content-Type: application/json\r\n"
-            f"{ERROR_HEADER[0]}: {ERROR_HEADER[1]}\r\n"
-            f"Content-Length: {len(body)}\r\n"
-            "Connection: close\r\n\r\n"
-        )
+        answer = raw_error(http_refusal(str(status), msg))
         self.close_connection = True
         self.sent_headers = True
         try:
-            self.conn.wfile.write(head.encode() + body)
+            self.conn.wfile.write(answer)
         except OSError:
             return  # the caller is gone
 
--- a/src/savorylift/entry/errors.py
+++ b/src/savorylift/entry/errors.py
@@ -75,6 +75,25 @@
     return [("Retry-After", str(math.ceil(refusal.retry_after_s)))]
 
 
+def raw_error(refusal: Refusal) -> bytes:
+    """Returns a whole response for a request without an identifier.
+
+    For answers that are written to the connection directly, which closes
+    after them.
+    """
+    body = error_body(refusal, "")
+    headers = [
+        ("Content-Type", "application/json"),
+        ERROR_HEADER,
+        ("Content-Length", str(len(body))),
+        *retry_headers(refusal),
+        ("Connection", "close"),
+    ]
+    lines = [f"HTTP/1.1 {status_line(refusal)}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
 def http_refusal(status: str, message: str) -> Refusal:
     """Returns the refusal for a request that `cheroot` rejected."""
     code = status[:3]
--- a/src/savorylift/entry/server.py
+++ b/src/savorylift/entry/server.py
@@ -16,7 +16,7 @@
 from cheroot.ssl import Adapter
 
 from savorylift.entry.connection import Connection
-from savorylift.entry.errors import ERROR_HEADER, error_body, status_line
+from savorylift.entry.errors import raw_error
 from savorylift.entry.exchange import Exchange
 from savorylift.outcomes import Reason, not_run
 
@@ -164,18 +164,9 @@
         refusal = not_run(
             Reason.NODE_BUSY, "every thread of the node is busy", BUSY_RETRY_S
         )
-        body = error_body(refusal, "")
-        head = (
-            f"HTTP/1.1 {status_line(refusal)}\r\n"
-            "Content-Type: application/json\r\n"
-            f"{ERROR_HEADER[0]}: {ERROR_HEADER[1]}\r\n"
-            f"Content-Length: {len(body)}\r\n"
-            f"Retry-After: {BUSY_RETRY_S:.0f}\r\n"
-            "Connection: close\r\n\r\n"
-        )
         with contextlib.suppress(OSError):
             conn.socket.settimeout(BUSY_WRITE_S)
-            conn.socket.sendall(head.encode() + body)
+            conn.socket.sendall(raw_error(refusal))
             conn.socket.shutdown(socket.SHUT_WR)
         self._lingering.append((time.monotonic(), conn))
 
