Set out the programs on the users' platform

The clients of the earlier log service move to log_service/, so that platform/ holds only what speaks to the users' platform.

--- a/bench/calls.py
+++ b/bench/calls.py
@@ -30,7 +30,7 @@
     outcome_entry,
 )
 from savorylift.calls.request import CallAnswer
-from savorylift.platform.log import LogRecord
+from savorylift.log_service.log import LogRecord
 
 CLAIMS = 4_000
 CLAIM_LOADS = ((1, 1), (8, 1), (64, 1), (64, 9))  # threads and nodes
--- a/bench/counting_log.py
+++ b/bench/counting_log.py
@@ -6,9 +6,9 @@
 import msgspec
 import structlog
 from returns.result import Result
-from tests.platform.fakes import FakeLog
+from tests.log_service.fakes import FakeLog
 
-from savorylift.platform.log import LogEntry, LogFault, LogPage
+from savorylift.log_service.log import LogEntry, LogFault, LogPage
 
 APPEND_DELAY_S = 0.005
 MICROSECONDS = 1_000_000
--- a/bench/force.py
+++ b/bench/force.py
@@ -23,10 +23,10 @@
 from tests.harness.plans import AJLOUN
 
 from bench.processes import percentile
-from savorylift.platform.counters import PlatformCounters
-from savorylift.platform.json_client import ClientConfig
-from savorylift.platform.log import RULES_STREAM
-from savorylift.platform.log_client import HttpLog
+from savorylift.log_service.counters import PlatformCounters
+from savorylift.log_service.json_client import ClientConfig
+from savorylift.log_service.log import RULES_STREAM
+from savorylift.log_service.log_client import HttpLog
 from savorylift.rules.operations import Published, PublishRequest, publish
 
 EDITS = 30
--- a/bench/refusals.py
+++ b/bench/refusals.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from tests.calls.desks import FakeNet, roster_of
-from tests.platform.fakes import FakeLog
+from tests.log_service.fakes import FakeLog
 
 from bench.counting_log import (
     MICROSECONDS,
@@ -14,9 +14,9 @@
     silence_logs,
 )
 from savorylift.identity import NodeRef
+from savorylift.log_service.log import REFUSALS_STREAM
 from savorylift.outcomes import Ending, Reason, Refusal
 from savorylift.peers.view import RosterSource
-from savorylift.platform.log import REFUSALS_STREAM
 from savorylift.refusals.book import RefusedRequest
 from savorylift.refusals.desk import RefusalDesk
 from savorylift.refusals.messages import Batch, Row, batch_entry
--- a/bench/rules.py
+++ b/bench/rules.py
@@ -15,7 +15,7 @@
 
 from returns.result import Success
 
-from savorylift.platform.log import LogPage, LogRecord
+from savorylift.log_service.log import LogPage, LogRecord
 from savorylift.rules.check import check_rules
 from savorylift.rules.edits import apply_edits, hash_lines, make_edits
 from savorylift.rules.fold import CONFIG_FOLD, ConfigFold
--- a/src/savorylift/calls/claim_desk.py
+++ b/src/savorylift/calls/claim_desk.py
@@ -28,11 +28,11 @@
 from savorylift.calls.request import CallAnswer
 from savorylift.calls.shard_set import ShardCfg, ShardSet
 from savorylift.identity import NodeRef, new_id
+from savorylift.log_service.log import Log, LogEntry
 from savorylift.outcomes import Refusal
 from savorylift.peers.link import PeerFault, PeerLink
 from savorylift.peers.ticker import Ticker
 from savorylift.peers.view import RosterSource
-from savorylift.platform.log import Log, LogEntry
 
 SERVER_WAIT_S = 1.0
 SILENT_S = 3.0
--- a/src/savorylift/calls/claim_fold.py
+++ b/src/savorylift/calls/claim_fold.py
@@ -22,7 +22,7 @@
     VoidBody,
 )
 from savorylift.identity import NodeRef
-from savorylift.platform.log import LogRecord
+from savorylift.log_service.log import LogRecord
 
 BUCKET_MS = 60_000
 KEY_BITS = 128
--- a/src/savorylift/calls/claim_shard.py
+++ b/src/savorylift/calls/claim_shard.py
@@ -22,7 +22,7 @@
     claim_entry,
 )
 from savorylift.identity import new_id
-from savorylift.platform.log import LogEntry, LogFault, LogPage
+from savorylift.log_service.log import LogEntry, LogFault, LogPage
 
 GROUP_RECORDS = 200
 MAX_WAITING = 5_000
--- a/src/savorylift/calls/claim_writer.py
+++ b/src/savorylift/calls/claim_writer.py
@@ -13,7 +13,7 @@
 from savorylift.calls.key import KeyWindow
 from savorylift.calls.messages import ClaimAnswer, ClaimAsk, stream_of
 from savorylift.calls.shard_start import find_start
-from savorylift.platform.log import Log, LogEntry, LogFault, LogPage
+from savorylift.log_service.log import Log, LogEntry, LogFault, LogPage
 
 READ_WAIT_S = 0.5
 READ_RETRY_S = 0.2
--- a/src/savorylift/calls/messages.py
+++ b/src/savorylift/calls/messages.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from savorylift.calls.request import CallAnswer, Headers
-from savorylift.platform.log import CLAIMS_STREAM, LogEntry
+from savorylift.log_service.log import CLAIMS_STREAM, LogEntry
 
 CLAIM_KIND = "claims.claim"
 VOID_KIND = "claims.void"
--- a/src/savorylift/calls/replay.py
+++ b/src/savorylift/calls/replay.py
@@ -5,8 +5,8 @@
 
 from savorylift.calls.messages import OUTCOME_KIND, OutcomeBody
 from savorylift.calls.request import CallAnswer
+from savorylift.log_service.log import Log, LogPage
 from savorylift.outcomes import Ending, Reason, Refusal
-from savorylift.platform.log import Log, LogPage
 
 RETRY_AFTER_S = 5.0
 
--- a/src/savorylift/calls/shard_set.py
+++ b/src/savorylift/calls/shard_set.py
@@ -23,9 +23,9 @@
     stream_of,
 )
 from savorylift.identity import NodeRef
+from savorylift.log_service.log import Log, LogEntry
 from savorylift.peers.link import Message, PeerLink
 from savorylift.peers.view import RosterSource
-from savorylift.platform.log import Log, LogEntry
 from savorylift.rendezvous import rank
 
 SERVERS_PER_SHARD = 3
--- a/src/savorylift/calls/shard_start.py
+++ b/src/savorylift/calls/shard_start.py
@@ -3,7 +3,7 @@
 from returns.result import Failure, Result, Success
 
 from savorylift.calls.key import KeyWindow
-from savorylift.platform.log import Log, LogFault, LogPage
+from savorylift.log_service.log import Log, LogFault, LogPage
 
 
 def find_start(
--- a/src/savorylift/composition.py
+++ b/src/savorylift/composition.py
@@ -18,6 +18,10 @@
 from savorylift.entry.operator_face import OperatorFace, OperatorParts
 from savorylift.entry.server import HttpListener, ServerOptions
 from savorylift.identity import NodeInfo, NodeRef, new_incarnation
+from savorylift.log_service.counters import PlatformCounters
+from savorylift.log_service.json_client import ClientConfig
+from savorylift.log_service.log_client import HttpLog
+from savorylift.log_service.vm_client import HttpVmList
 from savorylift.peers.addresses import roster_link_options
 from savorylift.peers.auth import PeerKeys
 from savorylift.peers.core import GossipOptions
@@ -31,10 +35,6 @@
 from savorylift.permits.keeper_gate import KeeperGate
 from savorylift.permits.load import LoadPoller
 from savorylift.permits.tally import Tally
-from savorylift.platform.counters import PlatformCounters
-from savorylift.platform.json_client import ClientConfig
-from savorylift.platform.log_client import HttpLog
-from savorylift.platform.vm_client import HttpVmList
 from savorylift.refusals.desk import RefusalDesk
 from savorylift.refusals.roll_up import RollUpCfg
 from savorylift.refusals.roller import RollUpThread
--- a/src/savorylift/explanation.py
+++ b/src/savorylift/explanation.py
@@ -5,8 +5,8 @@
 
 from returns.result import Failure
 
+from savorylift.log_service.log import Log
 from savorylift.operator_client import ask_node, find_operators
-from savorylift.platform.log import Log
 from savorylift.refusals.query import FoundRow, find_request
 from savorylift.settings import Settings
 
--- /dev/null
+++ b/src/savorylift/log_service/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the log service and VM list behind the earlier interface."""
--- a/src/savorylift/platform/append.py
+++ b/src/savorylift/log_service/append.py
@@ -12,7 +12,7 @@
 
 from returns.result import Success
 
-from savorylift.platform.log import Log, LogEntry, LogPage
+from savorylift.log_service.log import Log, LogEntry, LogPage
 
 RETRY_PAUSE_S = 0.1
 
--- a/src/savorylift/platform/fold.py
+++ b/src/savorylift/log_service/fold.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from savorylift.platform.log import LogRecord
+from savorylift.log_service.log import LogRecord
 
 
 class Fold(Protocol):
--- a/src/savorylift/platform/json_client.py
+++ b/src/savorylift/log_service/json_client.py
@@ -9,7 +9,7 @@
 import urllib3
 from returns.result import Failure, Result, Success
 
-from savorylift.platform.counters import PlatformCounters
+from savorylift.log_service.counters import PlatformCounters
 
 OK = 200
 
--- a/src/savorylift/platform/log_client.py
+++ b/src/savorylift/log_service/log_client.py
@@ -5,15 +5,15 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from savorylift.platform.counters import PlatformCounters
-from savorylift.platform.json_client import (
+from savorylift.log_service.counters import PlatformCounters
+from savorylift.log_service.json_client import (
     ClientConfig,
     ClientFault,
     JsonClient,
     JsonRequest,
     bad_answer,
 )
-from savorylift.platform.log import LogEntry, LogFault, LogPage, LogRecord
+from savorylift.log_service.log import LogEntry, LogFault, LogPage, LogRecord
 
 READ_LIMIT = 500  # records a page; bounds the memory one answer takes
 
--- a/src/savorylift/platform/vm_client.py
+++ b/src/savorylift/log_service/vm_client.py
@@ -3,13 +3,13 @@
 import msgspec
 from returns.result import Result
 
-from savorylift.platform.counters import PlatformCounters
-from savorylift.platform.json_client import (
+from savorylift.log_service.counters import PlatformCounters
+from savorylift.log_service.json_client import (
     ClientConfig,
     JsonClient,
     JsonRequest,
 )
-from savorylift.platform.vms import VmEntry
+from savorylift.log_service.vms import VmEntry
 
 
 class _WireVm(msgspec.Struct):
--- a/src/savorylift/operations.py
+++ b/src/savorylift/operations.py
@@ -12,14 +12,14 @@
 
 from savorylift.explanation import explain_request
 from savorylift.identity import new_id
+from savorylift.log_service.counters import PlatformCounters
+from savorylift.log_service.json_client import ClientConfig
+from savorylift.log_service.log_client import HttpLog
 from savorylift.operator_client import (
     ask_node,
     find_operators,
     read_statuses,
 )
-from savorylift.platform.counters import PlatformCounters
-from savorylift.platform.json_client import ClientConfig
-from savorylift.platform.log_client import HttpLog
 from savorylift.refusals.request import ReportRequest
 from savorylift.refusals.request import answer as answer_report
 from savorylift.rules import operations as rules
--- a/src/savorylift/peers/actor.py
+++ b/src/savorylift/peers/actor.py
@@ -13,6 +13,7 @@
 from returns.result import Result
 
 from savorylift.identity import NodeRef
+from savorylift.log_service.vms import VmEntry
 from savorylift.peers.core import PeersCore
 from savorylift.peers.counters import GossipCounters
 from savorylift.peers.link import Message, PeerFault, PeerLink
@@ -22,7 +23,6 @@
     GossipQuestion,
 )
 from savorylift.peers.staleness import TailProof
-from savorylift.platform.vms import VmEntry
 
 
 class Tick(NamedTuple):
--- a/src/savorylift/peers/core.py
+++ b/src/savorylift/peers/core.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from savorylift.identity import NodeRef
+from savorylift.log_service.vms import VmEntry
 from savorylift.peers.board import PeersBoard, PeersView
 from savorylift.peers.counters import GossipCounters
 from savorylift.peers.gossip import GossipTable
@@ -22,7 +23,6 @@
 )
 from savorylift.peers.surroundings import Surroundings
 from savorylift.peers.view import RosterSource
-from savorylift.platform.vms import VmEntry
 
 BOARD_S = 0.5  # between two views of the board without new marks
 
--- a/src/savorylift/peers/gone.py
+++ b/src/savorylift/peers/gone.py
@@ -6,8 +6,8 @@
 
 from savorylift import rendezvous
 from savorylift.identity import NodeRef
+from savorylift.log_service.vms import VmEntry
 from savorylift.peers.view import RosterView
-from savorylift.platform.vms import VmEntry
 
 
 class GoneOptions(NamedTuple):
--- a/src/savorylift/peers/marks.py
+++ b/src/savorylift/peers/marks.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
-from savorylift.platform.vms import VmEntry
+from savorylift.log_service.vms import VmEntry
 
 MAX_INCARNATIONS = 8  # remembered per VM
 CONFIRM_READS = 2  # reads in a row that must show a new incarnation live
--- a/src/savorylift/peers/membership.py
+++ b/src/savorylift/peers/membership.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from savorylift.identity import NodeInfo, NodeRef
+from savorylift.log_service.log import RULES_STREAM, Log
 from savorylift.peers.records import (
     RosterBody,
     RosterGone,
@@ -14,7 +15,6 @@
     new_entry,
 )
 from savorylift.peers.view import RosterSource, RosterView
-from savorylift.platform.log import RULES_STREAM, Log
 
 RETRY_S = 0.5
 POLL_S = 0.02
--- a/src/savorylift/peers/records.py
+++ b/src/savorylift/peers/records.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from savorylift.identity import NodeInfo, NodeRef, new_id
-from savorylift.platform.log import LogEntry, LogRecord
+from savorylift.log_service.log import LogEntry, LogRecord
 
 
 class RosterKind(enum.StrEnum):
--- a/src/savorylift/peers/roster.py
+++ b/src/savorylift/peers/roster.py
@@ -7,6 +7,7 @@
 import structlog
 
 from savorylift.identity import NodeInfo, NodeRef
+from savorylift.log_service.log import LogRecord
 from savorylift.peers.records import (
     RosterGone,
     RosterJoin,
@@ -15,7 +16,6 @@
     read_body,
 )
 from savorylift.peers.view import Member, RosterSource, RosterView
-from savorylift.platform.log import LogRecord
 
 MAX_ENDED = 1024
 
--- a/src/savorylift/peers/service.py
+++ b/src/savorylift/peers/service.py
@@ -10,6 +10,7 @@
 from prometheus_client import CollectorRegistry
 
 from savorylift.identity import NodeRef
+from savorylift.log_service.vms import VmEntry, VmList
 from savorylift.peers.actor import (
     LeavingNoticed,
     ListArrived,
@@ -35,7 +36,6 @@
 from savorylift.peers.ticker import Ticker
 from savorylift.peers.view import RosterSource
 from savorylift.peers.watcher import VmWatcher, WatcherOptions
-from savorylift.platform.vms import VmEntry, VmList
 
 TICK_S = 0.2
 HEARD_WITHIN_S = 5.0
--- a/src/savorylift/peers/watcher.py
+++ b/src/savorylift/peers/watcher.py
@@ -7,10 +7,10 @@
 from returns.pipeline import is_successful
 
 from savorylift.identity import NodeRef
+from savorylift.log_service.vms import VmEntry, VmList
 from savorylift.peers.gone import GoneJudge, GoneOptions
 from savorylift.peers.membership import Membership
 from savorylift.peers.view import RosterSource
-from savorylift.platform.vms import VmEntry, VmList
 
 
 class WatcherOptions(NamedTuple):
--- a/src/savorylift/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Clients of the platform's log service and VM list."""
--- a/src/savorylift/refusals/account.py
+++ b/src/savorylift/refusals/account.py
@@ -5,7 +5,7 @@
 from returns.result import Result, Success
 
 from savorylift.identity import NodeRef, new_id
-from savorylift.platform.log import LogEntry, LogFault
+from savorylift.log_service.log import LogEntry, LogFault
 from savorylift.refusals.book import RefusedRequest
 from savorylift.refusals.messages import Batch, Row, batch_entry
 from savorylift.refusals.pending import PendingRefusals, sequences_of
--- a/src/savorylift/refusals/actor.py
+++ b/src/savorylift/refusals/actor.py
@@ -8,9 +8,9 @@
 from returns.result import Result, Success
 
 from savorylift.identity import NodeRef
+from savorylift.log_service.log import Log
 from savorylift.peers.link import PeerFault, PeerLink
 from savorylift.peers.view import RosterSource
-from savorylift.platform.log import Log
 from savorylift.refusals.account import Account
 from savorylift.refusals.appender import BatchAppender
 from savorylift.refusals.copies import CopyPlan
--- a/src/savorylift/refusals/appender.py
+++ b/src/savorylift/refusals/appender.py
@@ -4,7 +4,7 @@
 import structlog
 from returns.result import Result, Success
 
-from savorylift.platform.log import REFUSALS_STREAM, Log, LogFault
+from savorylift.log_service.log import REFUSALS_STREAM, Log, LogFault
 from savorylift.refusals.counters import APPENDS
 from savorylift.refusals.inbox import AppendBatch, BatchAppended
 
--- a/src/savorylift/refusals/desk.py
+++ b/src/savorylift/refusals/desk.py
@@ -8,10 +8,10 @@
 import pykka
 
 from savorylift.identity import NodeRef
+from savorylift.log_service.log import Log
 from savorylift.peers.link import Message, PeerLink
 from savorylift.peers.ticker import Ticker
 from savorylift.peers.view import RosterSource
-from savorylift.platform.log import Log
 from savorylift.refusals.actor import BookActor
 from savorylift.refusals.book import RefusedRequest
 from savorylift.refusals.counters import DROPPED
--- a/src/savorylift/refusals/fold.py
+++ b/src/savorylift/refusals/fold.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from savorylift.identity import NodeRef
-from savorylift.platform.log import LogRecord
+from savorylift.log_service.log import LogRecord
 from savorylift.refusals.messages import (
     BATCH_KIND,
     Batch,
--- a/src/savorylift/refusals/hours.py
+++ b/src/savorylift/refusals/hours.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from savorylift.platform.log import LogEntry, LogRecord
+from savorylift.log_service.log import LogEntry, LogRecord
 from savorylift.refusals.messages import (
     CHECKPOINT_KIND,
     HOUR_KIND,
--- a/src/savorylift/refusals/inbox.py
+++ b/src/savorylift/refusals/inbox.py
@@ -7,7 +7,7 @@
 from returns.result import Result
 
 from savorylift.identity import NodeRef
-from savorylift.platform.log import LogEntry, LogFault
+from savorylift.log_service.log import LogEntry, LogFault
 from savorylift.refusals.book import RefusedRequest
 from savorylift.refusals.messages import Batch
 from savorylift.refusals.ranges import Range
--- a/src/savorylift/refusals/keeper.py
+++ b/src/savorylift/refusals/keeper.py
@@ -6,8 +6,8 @@
 from returns.result import Result, Success
 
 from savorylift.identity import NodeRef, new_id
+from savorylift.log_service.log import LogEntry, LogFault
 from savorylift.peers.view import RosterView
-from savorylift.platform.log import LogEntry, LogFault
 from savorylift.refusals.account import BATCH_LINES, BATCH_ROWS
 from savorylift.refusals.messages import Batch, batch_entry
 from savorylift.refusals.pending import PendingRefusals, sequences_of
--- a/src/savorylift/refusals/messages.py
+++ b/src/savorylift/refusals/messages.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from savorylift.identity import NodeRef
+from savorylift.log_service.log import LogEntry
 from savorylift.outcomes import Ending, Reason
-from savorylift.platform.log import LogEntry
 from savorylift.refusals.ranges import Range
 
 BATCH_KIND = "refusals.batch"
--- a/src/savorylift/refusals/query.py
+++ b/src/savorylift/refusals/query.py
@@ -6,8 +6,8 @@
 from returns.result import Failure, Result, Success
 
 from savorylift.identity import NodeRef
+from savorylift.log_service.log import Log, LogFault, LogRecord
 from savorylift.outcomes import Ending, Reason
-from savorylift.platform.log import Log, LogFault, LogRecord
 from savorylift.refusals.fold import RefusalFold
 from savorylift.refusals.hours import HOUR_MS, HoursFold
 from savorylift.refusals.messages import LineKey, Row
--- a/src/savorylift/refusals/request.py
+++ b/src/savorylift/refusals/request.py
@@ -6,7 +6,7 @@
 
 from returns.result import Failure, Result, Success
 
-from savorylift.platform.log import Log
+from savorylift.log_service.log import Log
 from savorylift.refusals.formats import Format, print_report
 from savorylift.refusals.query import Period, report
 
--- a/src/savorylift/refusals/roll_up.py
+++ b/src/savorylift/refusals/roll_up.py
@@ -12,7 +12,7 @@
 from returns.result import Failure, Result, Success
 
 from savorylift.identity import new_id
-from savorylift.platform.log import Log, LogEntry, LogFault, LogRecord
+from savorylift.log_service.log import Log, LogEntry, LogFault, LogRecord
 from savorylift.refusals.fold import RefusalFold
 from savorylift.refusals.hours import (
     Counts,
--- a/src/savorylift/refusals/roller.py
+++ b/src/savorylift/refusals/roller.py
@@ -6,8 +6,8 @@
 from returns.result import Failure
 
 from savorylift.identity import NodeRef
+from savorylift.log_service.log import Log
 from savorylift.peers.view import RosterSource
-from savorylift.platform.log import Log
 from savorylift.refusals.roll_up import RollUpCfg, roll_up
 from savorylift.rendezvous import rank
 
--- a/src/savorylift/refusals/scan.py
+++ b/src/savorylift/refusals/scan.py
@@ -4,7 +4,7 @@
 
 from returns.result import Failure, Result, Success
 
-from savorylift.platform.log import (
+from savorylift.log_service.log import (
     REFUSALS_STREAM,
     Log,
     LogFault,
--- a/src/savorylift/rules/fold.py
+++ b/src/savorylift/rules/fold.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from savorylift.platform.log import LogRecord
+from savorylift.log_service.log import LogRecord
 from savorylift.rules.edits import apply_edits, are_applicable, hash_lines
 from savorylift.rules.messages import (
     Edit,
--- a/src/savorylift/rules/inbox.py
+++ b/src/savorylift/rules/inbox.py
@@ -7,8 +7,8 @@
 from returns.result import Result
 
 from savorylift.identity import NodeRef
+from savorylift.log_service.log import LogEntry, LogFault, LogPage
 from savorylift.peers.link import Message, PeerFault
-from savorylift.platform.log import LogEntry, LogFault, LogPage
 from savorylift.rules.messages import (
     OrderGossip,
     RecordsAnswer,
--- a/src/savorylift/rules/log_state.py
+++ b/src/savorylift/rules/log_state.py
@@ -4,7 +4,7 @@
 
 from returns.result import Success
 
-from savorylift.platform.log import (
+from savorylift.log_service.log import (
     RULES_STREAM,
     Log,
     LogEntry,
--- a/src/savorylift/rules/messages.py
+++ b/src/savorylift/rules/messages.py
@@ -11,7 +11,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from savorylift.platform.log import LogRecord
+from savorylift.log_service.log import LogRecord
 
 M = TypeVar("M")
 
--- a/src/savorylift/rules/operations.py
+++ b/src/savorylift/rules/operations.py
@@ -10,14 +10,14 @@
 from returns.result import Failure, Result, Success
 
 from savorylift.identity import new_id
-from savorylift.platform.append import (
+from savorylift.log_service.append import (
     Appended,
     AppendRequest,
     AppendUnknown,
     NotAppended,
     append_and_read_back,
 )
-from savorylift.platform.log import RULES_STREAM, Log, LogEntry
+from savorylift.log_service.log import RULES_STREAM, Log, LogEntry
 from savorylift.rules.check import check_rules, split_lines
 from savorylift.rules.edits import hash_lines, make_edits, render_diff
 from savorylift.rules.fold import Decision, Verdict
--- a/src/savorylift/rules/pending.py
+++ b/src/savorylift/rules/pending.py
@@ -12,7 +12,7 @@
 
 from returns.result import Success
 
-from savorylift.platform.log import LogEntry
+from savorylift.log_service.log import LogEntry
 from savorylift.rendezvous import rank
 from savorylift.rules.inbox import OrderState
 from savorylift.rules.messages import (
--- a/src/savorylift/rules/service.py
+++ b/src/savorylift/rules/service.py
@@ -10,11 +10,11 @@
 from prometheus_client import CollectorRegistry
 
 from savorylift.identity import NodeRef
+from savorylift.log_service.fold import Fold
+from savorylift.log_service.log import Log
 from savorylift.peers.link import Message, PeerLink
 from savorylift.peers.ticker import Ticker
 from savorylift.peers.view import RosterSource
-from savorylift.platform.fold import Fold
-from savorylift.platform.log import Log
 from savorylift.rules import inbox
 from savorylift.rules.actor import RulesActor
 from savorylift.rules.counters import RulesCounters
--- a/src/savorylift/rules/snapshot.py
+++ b/src/savorylift/rules/snapshot.py
@@ -10,7 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from savorylift.identity import new_id
-from savorylift.platform.log import LogEntry, LogRecord
+from savorylift.log_service.log import LogEntry, LogRecord
 from savorylift.rules.messages import (
     RecordKind,
     SnapshotPart,
--- a/src/savorylift/rules/stream.py
+++ b/src/savorylift/rules/stream.py
@@ -11,8 +11,8 @@
 import msgspec
 from returns.result import Success
 
-from savorylift.platform.fold import Fold
-from savorylift.platform.log import LogEntry, LogPage, LogRecord
+from savorylift.log_service.fold import Fold
+from savorylift.log_service.log import LogEntry, LogPage, LogRecord
 from savorylift.rules.messages import RecordKind, decode
 from savorylift.rules.snapshot import (
     SnapshotMark,
--- a/src/savorylift/rules/workers.py
+++ b/src/savorylift/rules/workers.py
@@ -7,7 +7,7 @@
 
 from returns.result import Success
 
-from savorylift.platform.log import RULES_STREAM, Log
+from savorylift.log_service.log import RULES_STREAM, Log
 from savorylift.rules.inbox import (
     AppendEnded,
     AppendJob,
--- a/tests/calls/desks.py
+++ b/tests/calls/desks.py
@@ -12,9 +12,9 @@
 from savorylift.calls.claims import ClaimRequest
 from savorylift.calls.key import parse_key
 from savorylift.identity import NodeInfo, NodeRef
+from savorylift.log_service.log import Log
 from savorylift.peers.link import Message, PeerFault
 from savorylift.peers.view import Member, RosterSource, RosterView
-from savorylift.platform.log import Log
 from tests.calls.fakes import make_key
 
 WAIT_S = 5.0
--- a/tests/calls/test_claim_desk.py
+++ b/tests/calls/test_claim_desk.py
@@ -12,7 +12,7 @@
 from savorylift.calls.messages import KEPT_ANSWER_BYTES
 from savorylift.calls.request import CallAnswer
 from tests.calls.desks import request, running_desks, wait_until
-from tests.platform.fakes import AppendFault, FakeLog
+from tests.log_service.fakes import AppendFault, FakeLog
 
 IN_USE = "unknown/key_in_use"
 BOOKED = CallAnswer(201, (("Content-Type", "text/plain"),), b"ok", "s1")
--- a/tests/calls/test_claims.py
+++ b/tests/calls/test_claims.py
@@ -21,7 +21,7 @@
 from savorylift.calls.claim_shard import ClaimShard
 from savorylift.calls.key import KeyWindow
 from savorylift.calls.messages import ClaimAnswer, ClaimBody, ClaimState
-from savorylift.platform.log import LogFault
+from savorylift.log_service.log import LogFault
 from tests.calls.world import World, run_history
 
 SEED = 20261204
--- a/tests/calls/test_over_http.py
+++ b/tests/calls/test_over_http.py
@@ -14,10 +14,10 @@
 from savorylift.calls.claim_desk import ClaimDesk
 from savorylift.calls.dispatch import HttpDispatcher
 from savorylift.calls.request import CallRequest
+from savorylift.log_service.counters import PlatformCounters
+from savorylift.log_service.json_client import ClientConfig
+from savorylift.log_service.log_client import HttpLog
 from savorylift.outcomes import Reason, Refusal
-from savorylift.platform.counters import PlatformCounters
-from savorylift.platform.json_client import ClientConfig
-from savorylift.platform.log_client import HttpLog
 from savorylift.rules.view import RulesSource
 from tests.calls.desks import running_desks, wait_until
 from tests.calls.fakes import FakeDispatcher, call_parts, make_key, rules
--- a/tests/calls/world.py
+++ b/tests/calls/world.py
@@ -25,10 +25,10 @@
 )
 from savorylift.calls.request import CallAnswer
 from savorylift.calls.shard_start import find_start
+from savorylift.log_service.log import LogEntry, LogFault
 from savorylift.outcomes import Ending, Refusal
-from savorylift.platform.log import LogEntry, LogFault
 from tests.calls.fakes import make_key
-from tests.platform.fakes import AppendFault, FakeLog
+from tests.log_service.fakes import AppendFault, FakeLog
 
 STREAM = "claims"
 WINDOW = KeyWindow(age_ms=60_000, skew_ms=5_000)
--- a/tests/faults/faults.py
+++ b/tests/faults/faults.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from savorylift.platform.log import RULES_STREAM
+from savorylift.log_service.log import RULES_STREAM
 from tests.faults.load import Caller, Got
 from tests.faults.steps import Place
 from tests.faults.world import PROBE_TEAM, ColdTurn, World, running
--- a/tests/faults/steps.py
+++ b/tests/faults/steps.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from savorylift.platform.log import CLAIMS_STREAM, RULES_STREAM
+from savorylift.log_service.log import CLAIMS_STREAM, RULES_STREAM
 from tests.demo.callers import new_key
 from tests.faults.load import Got
 from tests.faults.world import (
--- a/tests/faults/world.py
+++ b/tests/faults/world.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable, Iterator
 from typing import Any, NamedTuple
 
-from savorylift.platform.log import REFUSALS_STREAM, RULES_STREAM
+from savorylift.log_service.log import REFUSALS_STREAM, RULES_STREAM
 from tests.faults.load import KINDS, WHOLE, Caller, Load, numbers
 from tests.faults.watch import StatusWatch, status_of
 from tests.harness.deployment import Deployment, Options
--- a/tests/harness/first_rules.py
+++ b/tests/harness/first_rules.py
@@ -1,7 +1,7 @@
 """The first version of the rules, put on the log without a node."""
 
 from savorylift.identity import new_id
-from savorylift.platform.log import RULES_STREAM
+from savorylift.log_service.log import RULES_STREAM
 from savorylift.rules.check import split_lines
 from savorylift.rules.edits import hash_lines, make_edits
 from savorylift.rules.messages import Edit, RecordKind, encode
--- a/tests/harness/test_deployment.py
+++ b/tests/harness/test_deployment.py
@@ -4,10 +4,10 @@
 from prometheus_client import CollectorRegistry
 from returns.pipeline import is_successful
 
-from savorylift.platform.counters import PlatformCounters
-from savorylift.platform.json_client import ClientConfig
-from savorylift.platform.log import RULES_STREAM
-from savorylift.platform.log_client import HttpLog
+from savorylift.log_service.counters import PlatformCounters
+from savorylift.log_service.json_client import ClientConfig
+from savorylift.log_service.log import RULES_STREAM
+from savorylift.log_service.log_client import HttpLog
 from savorylift.rules.check import check_rules
 from savorylift.rules.fold import ConfigFold
 from savorylift.settings_file import check_settings
--- a/tests/platform/fakes.py
+++ b/tests/log_service/fakes.py
@@ -9,7 +9,7 @@
 
 from returns.result import Failure, Result, Success
 
-from savorylift.platform.log import LogEntry, LogFault, LogPage, LogRecord
+from savorylift.log_service.log import LogEntry, LogFault, LogPage, LogRecord
 
 
 class AppendFault(StrEnum):
--- a/tests/platform/test_append.py
+++ b/tests/log_service/test_append.py
@@ -7,7 +7,7 @@
 import pytest
 from freezegun.api import FrozenDateTimeFactory
 
-from savorylift.platform.append import (
+from savorylift.log_service.append import (
     Appended,
     AppendOutcome,
     AppendRequest,
@@ -15,8 +15,8 @@
     NotAppended,
     append_and_read_back,
 )
-from savorylift.platform.log import LogEntry
-from tests.platform.fakes import AppendFault, FakeLog
+from savorylift.log_service.log import LogEntry
+from tests.log_service.fakes import AppendFault, FakeLog
 
 ENTRY = LogEntry("mine", "k", "{}")
 OTHER = LogEntry("other", "k", "{}")
--- a/tests/platform/test_clients.py
+++ b/tests/log_service/test_clients.py
@@ -10,12 +10,12 @@
 import pytest
 from returns.result import Failure, Success
 
-from savorylift.platform.counters import PlatformCounters
-from savorylift.platform.json_client import ClientConfig
-from savorylift.platform.log import LogEntry, LogPage, LogRecord
-from savorylift.platform.log_client import HttpLog
-from savorylift.platform.vm_client import HttpVmList
-from savorylift.platform.vms import VmEntry
+from savorylift.log_service.counters import PlatformCounters
+from savorylift.log_service.json_client import ClientConfig
+from savorylift.log_service.log import LogEntry, LogPage, LogRecord
+from savorylift.log_service.log_client import HttpLog
+from savorylift.log_service.vm_client import HttpVmList
+from savorylift.log_service.vms import VmEntry
 
 CLOSED_URL = "http://127.0.0.1:1"  # nothing listens there
 STALL = -1
--- a/tests/peers/cluster.py
+++ b/tests/peers/cluster.py
@@ -10,6 +10,8 @@
 from returns.result import Failure, Result, Success
 
 from savorylift.identity import NodeInfo, NodeRef
+from savorylift.log_service.log import LogEntry, LogFault, LogPage
+from savorylift.log_service.vms import VmEntry
 from savorylift.peers.addresses import roster_link_options
 from savorylift.peers.core import GossipOptions
 from savorylift.peers.membership import Membership
@@ -17,8 +19,6 @@
 from savorylift.peers.transport import WebsocketLink
 from savorylift.peers.view import Member, RosterSource, RosterView
 from savorylift.peers.watcher import WatcherOptions
-from savorylift.platform.log import LogEntry, LogFault, LogPage
-from savorylift.platform.vms import VmEntry
 
 
 class NoLog:
--- a/tests/peers/test_marks.py
+++ b/tests/peers/test_marks.py
@@ -6,10 +6,10 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
 from savorylift.identity import NodeInfo, NodeRef
+from savorylift.log_service.vms import VmEntry
 from savorylift.peers.gone import GoneJudge, GoneOptions
 from savorylift.peers.marks import LeavingMarks
 from savorylift.peers.view import Member, RosterView
-from savorylift.platform.vms import VmEntry
 
 Step = tuple[str, str] | tuple[str, str, bool]
 
--- a/tests/peers/test_peers.py
+++ b/tests/peers/test_peers.py
@@ -10,6 +10,7 @@
 from returns.pipeline import is_successful
 
 from savorylift.identity import NodeRef
+from savorylift.log_service.vms import VmEntry
 from savorylift.peers.board import PeersBoard
 from savorylift.peers.hearing import (
     AGE_STEP_S,
@@ -19,7 +20,6 @@
 )
 from savorylift.peers.neighbours import Neighbours
 from savorylift.peers.view import RosterSource
-from savorylift.platform.vms import VmEntry
 from tests.peers.cluster import LoopNode, cluster
 from tests.peers.linkkit import Proxy
 from tests.peers.world import World
--- a/tests/peers/test_roster.py
+++ b/tests/peers/test_roster.py
@@ -10,6 +10,12 @@
 from returns.result import Failure, Result, Success
 
 from savorylift.identity import NodeInfo, NodeRef
+from savorylift.log_service.log import (
+    LogEntry,
+    LogFault,
+    LogPage,
+    LogRecord,
+)
 from savorylift.peers.membership import Membership
 from savorylift.peers.records import (
     RosterBody,
@@ -20,12 +26,6 @@
 )
 from savorylift.peers.roster import RosterFold
 from savorylift.peers.view import RosterSource
-from savorylift.platform.log import (
-    LogEntry,
-    LogFault,
-    LogPage,
-    LogRecord,
-)
 
 VMS = ("a", "b", "c")
 
--- a/tests/refusals/test_account.py
+++ b/tests/refusals/test_account.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule
 
-from savorylift.platform.log import REFUSALS_STREAM, LogRecord
+from savorylift.log_service.log import REFUSALS_STREAM, LogRecord
 from savorylift.refusals import account, keeper, query, roll_up
 from savorylift.refusals.fold import Fresh, RefusalFold
 from savorylift.refusals.messages import (
--- a/tests/refusals/test_desk.py
+++ b/tests/refusals/test_desk.py
@@ -10,15 +10,15 @@
 import pytest
 
 from savorylift.identity import NodeRef
+from savorylift.log_service.log import REFUSALS_STREAM
 from savorylift.outcomes import Ending, Reason, Refusal
 from savorylift.peers.view import RosterSource
-from savorylift.platform.log import REFUSALS_STREAM
 from savorylift.refusals.book import RefusedRequest
 from savorylift.refusals.desk import RefusalDesk
 from savorylift.refusals.inbox import Write
 from savorylift.refusals.query import Period, report
 from tests.calls.desks import FakeNet, roster_of, wait_until
-from tests.platform.fakes import AppendFault, FakeLog
+from tests.log_service.fakes import AppendFault, FakeLog
 
 FULL = Refusal(Ending.NOT_RUN, Reason.QUEUE_FULL, "full", 1.0)
 
--- a/tests/refusals/test_query.py
+++ b/tests/refusals/test_query.py
@@ -9,14 +9,14 @@
 from returns.result import Success
 
 from savorylift.identity import NodeRef
+from savorylift.log_service.log import REFUSALS_STREAM
 from savorylift.outcomes import Ending, Reason
-from savorylift.platform.log import REFUSALS_STREAM
 from savorylift.refusals.formats import Format, print_report
 from savorylift.refusals.hours import HOUR_MS
 from savorylift.refusals.messages import Batch, Row, batch_entry
 from savorylift.refusals.query import Period, Report, find_request, report
 from savorylift.refusals.roll_up import RollUpCfg, roll_up
-from tests.platform.fakes import FakeLog
+from tests.log_service.fakes import FakeLog
 
 T0_MS = 1_767_225_600_000  # 2026-01-01, on the hour
 SOURCE = NodeRef("n0", "i0")
--- a/tests/refusals/world.py
+++ b/tests/refusals/world.py
@@ -13,9 +13,9 @@
 import msgspec
 
 from savorylift.identity import NodeInfo, NodeRef
+from savorylift.log_service.log import REFUSALS_STREAM
 from savorylift.outcomes import Ending, Reason, Refusal
 from savorylift.peers.view import Member, RosterView
-from savorylift.platform.log import REFUSALS_STREAM
 from savorylift.refusals.account import Account
 from savorylift.refusals.book import RefusedRequest
 from savorylift.refusals.copies import CopyPlan
@@ -24,7 +24,7 @@
 from savorylift.refusals.query import Period, Report, report
 from savorylift.refusals.roll_up import RollUpCfg, roll_up
 from savorylift.rendezvous import rank
-from tests.platform.fakes import AppendFault, FakeLog
+from tests.log_service.fakes import AppendFault, FakeLog
 
 NODES = 4
 RETENTION_MS = 50_000
--- a/tests/rules/fakes.py
+++ b/tests/rules/fakes.py
@@ -6,9 +6,9 @@
 from returns.result import Success
 
 from savorylift.identity import NodeRef
+from savorylift.log_service.fold import Fold
+from savorylift.log_service.log import RULES_STREAM
 from savorylift.peers.view import RosterSource
-from savorylift.platform.fold import Fold
-from savorylift.platform.log import RULES_STREAM
 from savorylift.rules.counters import RulesCounters
 from savorylift.rules.fold import CONFIG_FOLD, ConfigFold
 from savorylift.rules.inbox import AppendEnded, AppendJob, PageRead
@@ -16,7 +16,7 @@
 from savorylift.rules.node import NodeConfig, NodeParts, RulesNode
 from savorylift.rules.stream import RulesStream
 from savorylift.rules.view import RulesSource, RulesView
-from tests.platform.fakes import FakeLog
+from tests.log_service.fakes import FakeLog
 
 MakeStream = Callable[[Mapping[str, Fold]], RulesStream]
 
--- a/tests/rules/naive.py
+++ b/tests/rules/naive.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from savorylift.platform.log import LogRecord
+from savorylift.log_service.log import LogRecord
 from savorylift.rules.edits import are_applicable
 from savorylift.rules.fold import ConfigFold, Verdict
 from savorylift.rules.messages import Edit, OrderBack, RecordKind
--- a/tests/rules/oracle.py
+++ b/tests/rules/oracle.py
@@ -7,7 +7,7 @@
 import json
 from typing import NamedTuple
 
-from savorylift.platform.log import LogRecord
+from savorylift.log_service.log import LogRecord
 
 
 class Meaning(NamedTuple):
--- a/tests/rules/test_agreement.py
+++ b/tests/rules/test_agreement.py
@@ -18,7 +18,7 @@
 )
 
 from savorylift.identity import new_id
-from savorylift.platform.log import RULES_STREAM, LogEntry
+from savorylift.log_service.log import RULES_STREAM, LogEntry
 from savorylift.rules.edits import hash_lines, make_edits
 from savorylift.rules.fold import ConfigFold
 from savorylift.rules.inbox import OrderAction, OrderReceipt, SubmitOrder
@@ -31,7 +31,7 @@
     encode,
 )
 from savorylift.rules.stream import RulesStream
-from tests.platform.fakes import AppendFault
+from tests.log_service.fakes import AppendFault
 from tests.rules.fakes import FakeNode, Fleet, MakeStream
 from tests.rules.naive import (
     AnySnapshotStream,
--- a/tests/rules/test_fault_matrix.py
+++ b/tests/rules/test_fault_matrix.py
@@ -14,7 +14,7 @@
 import pytest
 from freezegun.api import FrozenDateTimeFactory
 
-from savorylift.platform.log import RULES_STREAM
+from savorylift.log_service.log import RULES_STREAM
 from savorylift.rules.inbox import OrderAction, OrderState, SubmitOrder
 from savorylift.rules.operations import (
     NotWritten,
@@ -29,7 +29,7 @@
     publish,
 )
 from savorylift.rules.pending import PendingOrders
-from tests.platform.fakes import AppendFault
+from tests.log_service.fakes import AppendFault
 from tests.rules.fakes import Fleet
 from tests.rules.naive import AnySnapshotStream, LastWriteWinsFold
 from tests.rules.oracle import interpret
--- a/tests/rules/test_node.py
+++ b/tests/rules/test_node.py
@@ -8,7 +8,7 @@
 from freezegun.api import FrozenDateTimeFactory
 
 from savorylift.identity import NodeRef
-from savorylift.platform.log import RULES_STREAM, LogEntry, LogRecord
+from savorylift.log_service.log import RULES_STREAM, LogEntry, LogRecord
 from savorylift.rules.fold import ConfigFold
 from savorylift.rules.inbox import OrderAction, OrderState, SubmitOrder
 from savorylift.rules.messages import (
@@ -23,7 +23,7 @@
 from savorylift.rules.pending import BACKUP_DELAY_S, MAX_PENDING
 from savorylift.rules.snapshot import SnapshotMark, encode_state
 from savorylift.rules.snapshot_schedule import DUE_RECORDS, SnapshotTurn
-from tests.platform.fakes import FakeLog
+from tests.log_service.fakes import FakeLog
 from tests.rules.fakes import FakeNode, Fleet
 
 RETENTION_S = 1000.0
--- a/tests/rules/test_operations.py
+++ b/tests/rules/test_operations.py
@@ -8,7 +8,7 @@
 from freezegun.api import FrozenDateTimeFactory
 from returns.result import Failure, Success
 
-from savorylift.platform.log import RULES_STREAM, LogEntry
+from savorylift.log_service.log import RULES_STREAM, LogEntry
 from savorylift.rules.force import NodeAnswer, report_force
 from savorylift.rules.inbox import OrderAction
 from savorylift.rules.log_state import LogState
@@ -34,7 +34,7 @@
     publish,
     show,
 )
-from tests.platform.fakes import AppendFault, FakeLog
+from tests.log_service.fakes import AppendFault, FakeLog
 
 ONE = "failure_domain anjara in region jo # noor: first\n"
 TWO = ONE + "set a 1 # tariq: try\n"
--- a/tests/rules/test_service.py
+++ b/tests/rules/test_service.py
@@ -19,7 +19,7 @@
 from savorylift.rules.operations import Published, PublishRequest, publish
 from savorylift.rules.service import RulesOptions, RulesParts, RulesService
 from savorylift.rules.view import RulesSource
-from tests.platform.fakes import FakeLog
+from tests.log_service.fakes import FakeLog
 
 TIMEOUT_S = 3.0  # the stated limit for a change to be in force
 
