--- /dev/null
+++ b/src/savorylift/backends/__init__.py
@@ -0,0 +1,1 @@
+"""What a node believes of the backend servers."""
--- /dev/null
+++ b/src/savorylift/backends/registry.py
@@ -0,0 +1,93 @@
+"""The backend servers that are known, by what they wrote last."""
+
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
+
+from savorylift.backends.server import ServerEntry
+
+# Servers that the store lost while it was away write again within this time.
+RETURN_S = 2.2
+
+
+class Known(NamedTuple):
+    """A backend server and what follows from its entry.
+
+    Attributes:
+        entry: What it last wrote.
+        cold_until_s: Steady time until which it is taken as cold.
+        gone_at_s: Steady time at which it is dropped unless it writes again.
+    """
+
+    entry: ServerEntry
+    cold_until_s: float
+    gone_at_s: float | None = None
+
+    def is_cold(self, now_s: float) -> bool:
+        """Whether it must be spared."""
+        return now_s < self.cold_until_s
+
+
+class Registry:
+    """Backend servers by identifier; every change is judged by its age."""
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self._known: dict[str, Known] = {}
+        self._last: dict[str, ServerEntry] = {}
+        self._lapse_until_s = 0.0
+
+    @property
+    def known(self) -> Mapping[str, Known]:
+        """Every server that may be used or is leaving."""
+        return self._known
+
+    def expect_lapses(self, returned_s: float) -> None:
+        """Keeps servers whose entries vanish just after the store's return.
+
+        Args:
+            returned_s: Steady time at which the store answered again.
+        """
+        self._lapse_until_s = returned_s + RETURN_S
+
+    def put(self, entry: ServerEntry, now_s: float) -> bool:
+        """Takes over an entry; says whether it changes what is believed."""
+        last = self._last.get(entry.server_id)
+        if last is not None and entry.is_older_than(last):
+            return False
+        self._last[entry.server_id] = entry
+        known = self._known.get(entry.server_id)
+        cold_until_s = now_s + entry.cold_s if entry.cold_s > 0 else 0.0
+        self._known[entry.server_id] = Known(entry, cold_until_s)
+        return known is None or entry.says_more_than(known.entry)
+
+    def remove(self, server_id: str, now_s: float) -> bool:
+        """Drops a server whose entry is gone; says whether it was known."""
+        known = self._known.get(server_id)
+        if known is None:
+            return False
+        if now_s < self._lapse_until_s and not known.entry.is_leaving:
+            if known.gone_at_s is None:
+                self._known[server_id] = known._replace(
+                    gone_at_s=self._lapse_until_s
+                )
+            return False
+        del self._known[server_id]
+        return True
+
+    def keep_only(self, server_ids: Iterable[str], now_s: float) -> bool:
+        """Removes every other server; says whether one was dropped."""
+        kept = set(server_ids)
+        absent = [name for name in self._known if name not in kept]
+        dropped = [self.remove(name, now_s) for name in absent]
+        return any(dropped)
+
+    def drop_lapsed(self, now_s: float) -> list[str]:
+        """Drops servers that did not write again in time."""
+        lapsed = [
+            server_id
+            for server_id, known in self._known.items()
+            if known.gone_at_s is not None and now_s >= known.gone_at_s
+        ]
+        for server_id in lapsed:
+            del self._known[server_id]
+        return lapsed
--- /dev/null
+++ b/src/savorylift/exchange/__init__.py
@@ -0,0 +1,1 @@
+"""One request, from its head to its final answer."""
--- /dev/null
+++ b/src/savorylift/exchange/ending.py
@@ -0,0 +1,63 @@
+"""How sending a request to one backend server can end."""
+
+from typing import NamedTuple
+
+from savorylift.exchange.request import AnswerHead
+from savorylift.outcomes import Reason
+
+
+class Answered(NamedTuple):
+    """A whole answer.
+
+    Attributes:
+        head: Its head.
+        body: Its body.
+    """
+
+    head: AnswerHead
+    body: bytes
+
+
+class NotRun(NamedTuple):
+    """The server certainly didn't run it.
+
+    Attributes:
+        reason: Why.
+        detail: For logs.
+        has_arrived: Whether the server got the request and rejected it.
+    """
+
+    reason: Reason
+    detail: str
+    has_arrived: bool
+
+
+class Unsure(NamedTuple):
+    """The server may have run it.
+
+    Attributes:
+        reason: Why there is no answer.
+        detail: For logs.
+    """
+
+    reason: Reason
+    detail: str
+
+
+class Refused(NamedTuple):
+    """A final answer of the system's own.
+
+    Attributes:
+        status: Status code.
+        reason: Stable code for counters and logs.
+        message: One plain sentence for the caller.
+        retry_after_s: When to come back, if that may help.
+    """
+
+    status: int
+    reason: Reason
+    message: str
+    retry_after_s: float | None = None
+
+
+SendEnding = Answered | NotRun | Unsure
--- /dev/null
+++ b/src/savorylift/exchange/generation.py
@@ -0,0 +1,388 @@
+"""Serves generations: one stream of events from one run, kept alive."""
+
+import asyncio
+import random
+import time
+from typing import NamedTuple, Protocol
+
+import structlog
+
+from savorylift.backends.registry import Known
+from savorylift.exchange import counters
+from savorylift.exchange.admission import Admitted
+from savorylift.exchange.ending import Answered, NotRun, Refused, Unsure
+from savorylift.exchange.events import Event, EventSplitter
+from savorylift.exchange.mover import Mover
+from savorylift.exchange.pool import Pool
+from savorylift.exchange.request import AnswerHead, Generation
+from savorylift.exchange.run import NextPart, Run
+from savorylift.exchange.send import Resumption, Sender, Started
+from savorylift.outcomes import Reason
+from savorylift.placement.engines import EngineOptions, expected_tokens
+from savorylift.placement.waiting import Waiting
+from savorylift.routing.configuration import EngineTraits
+from savorylift.wire.client_call import BrokenAnswerError
+
+DEFAULT_OBJECTIVE_S = 2.0
+# Reading the prompt must still fit between the wait and the objective.
+HOLD = 0.75
+# Engines that are full free some memory within about a second.
+FULL_RETRY_S = 1.0
+FULL_RETRY_SPREAD_S = 0.5
+# Share of the objective after which an engine without a first event is given
+# up, where the run may be repeated.
+PATIENCE = 0.6
+# A source that was told to stop ends its stream within this time.
+SWITCH_S = 1.0
+PLAIN_ENGINE = EngineTraits(
+    1, 1, 0.0, 0.0, can_move=False, can_back_up=False, tokens_per_event=1
+)
+
+_log = structlog.get_logger()
+
+
+class EventSink(Protocol):
+    """The caller's end of a stream."""
+
+    @property
+    def is_started(self) -> bool:
+        """Whether the head was sent."""
+        ...
+
+    def start(self, head: AnswerHead) -> None:
+        """Sends the head."""
+        ...
+
+    async def send(self, data: bytes) -> None:
+        """Sends a part of the body."""
+        ...
+
+    def finish(self) -> None:
+        """Ends the stream as complete."""
+        ...
+
+    def abort(self) -> None:
+        """Ends the connection, so that the stream can't look complete."""
+        ...
+
+
+class Broken(NamedTuple):
+    """A stream that ended early and has nowhere to go on.
+
+    Attributes:
+        reason: Why.
+        detail: For logs.
+    """
+
+    reason: Reason
+    detail: str
+
+
+class Generations:
+    """Finds engines for generations and keeps their streams going."""
+
+    def __init__(
+        self, pool: Pool, sender: Sender, mover: Mover, rng: random.Random
+    ) -> None:
+        """Takes what it chooses, sends and moves with."""
+        self._pool = pool
+        self._sender = sender
+        self._mover = mover
+        self._rng = rng
+        self._waiting: dict[str, Waiting] = {}
+        self._runs: set[Run] = set()
+
+    def on_change(self) -> None:
+        """Reacts to news of servers, nodes or loads."""
+        for run in list(self._runs):
+            self._consider_move(run)
+        self._offer_room()
+
+    async def serve(
+        self, adm: Admitted, sink: EventSink
+    ) -> Answered | Refused | None:
+        """Streams a generation; returns an answer if none was streamed."""
+        run = Run(adm, expected_tokens(adm.req.generation or Generation(0, 0)))
+        self._runs.add(run)
+        try:
+            async with asyncio.timeout_at(adm.deadline_s):
+                return await self._serve(run, sink)
+        except TimeoutError:
+            detail = "the time for the request is over"
+            return self._give_up(run, sink, Broken(Reason.DEADLINE, detail))
+        finally:
+            self._runs.discard(run)
+            self._release(run)
+
+    async def _serve(
+        self, run: Run, sink: EventSink
+    ) -> Answered | Refused | None:
+        adm = run.adm
+        tried: set[str] = set()
+        may_have_run = 0
+        has_arrived = False
+        reason = Reason.QUEUE_FULL
+        while True:
+            if has_arrived and not self._pool.take_repeat(adm.service.name):
+                counters.RETRIES_DENIED.labels(adm.service.name).inc()
+                ending = Broken(reason, "no repeat left in the budget")
+                return self._end(run, sink, ending, may_have_run)
+            server = await self._acquire(run, tried)
+            if server is None:
+                ending = Broken(reason, "no engine has room")
+                return self._end(run, sink, ending, may_have_run)
+            if has_arrived:
+                counters.RETRIES.labels(reason.value).inc()
+            is_last = may_have_run + 1 >= adm.route.max_servers
+            ended = await self._run_at(run, server, sink, is_last=is_last)
+            self._release(run)
+            if ended is None:
+                return None
+            server_id = server.entry.server_id
+            tried.add(server_id)
+            self._pool.work.judge(server_id, is_success=False)
+            if isinstance(ended, NotRun):
+                has_arrived = has_arrived or ended.has_arrived
+                reason = ended.reason
+                continue
+            has_arrived = True
+            may_have_run += 1
+            if not adm.route.is_idempotent or is_last:
+                if isinstance(ended, Answered):
+                    return ended
+                return self._end(run, sink, ended, may_have_run)
+            if isinstance(ended, Answered):
+                reason = Reason.BACKEND_ERROR
+            else:
+                reason = ended.reason
+
+    async def _run_at(
+        self, run: Run, server: Known, sink: EventSink, *, is_last: bool
+    ) -> NotRun | Answered | Broken | None:
+        """Runs at one engine and those it moves to; None if complete."""
+        until_s = self._first_event_limit(run, is_last=is_last)
+        resumption = Resumption(run.resume_after)
+        while True:
+            started = await self._sender.start(
+                server, run.adm, resumption, until_s
+            )
+            self._log_sent(run, server, started)
+            if isinstance(started, NotRun):
+                return started
+            if isinstance(started, Unsure):
+                return Broken(started.reason, started.detail)
+            if not started.head.is_success:
+                return await self._read_failure(run, started)
+            run.call = started.call
+            ended = await self._relay(run, started, sink, until_s)
+            started.call.close()
+            run.call = None
+            if ended is None:
+                self._pool.work.judge(server.entry.server_id, is_success=True)
+                return None
+            part = await self._next_part(run)
+            if part is None:
+                return ended
+            server = part.server
+            self._put_at(run, server)
+            resumption = Resumption(run.resume_after, part.continuation)
+            until_s = run.adm.deadline_s
+
+    async def _relay(
+        self, run: Run, started: Started, sink: EventSink, until_s: float
+    ) -> Broken | None:
+        """Passes on whole events; None once the stream is complete."""
+        splitter = EventSplitter()
+        try:
+            while True:
+                limit_s = run.adm.deadline_s if sink.is_started else until_s
+                async with asyncio.timeout_at(limit_s):
+                    part = await started.call.read_part()
+                if part is None:
+                    break
+                for event in splitter.feed(part):
+                    await self._pass_on(run, started, sink, event)
+        except TimeoutError:
+            return Broken(Reason.DEADLINE, "no event in time")
+        except BrokenAnswerError as exc:
+            return Broken(Reason.ANSWER_LOST, str(exc))
+        if not sink.is_started:
+            sink.start(started.head)
+        if splitter.rest:
+            await sink.send(splitter.rest)
+        sink.finish()
+        counters.EVENT_GAP.observe(run.longest_gap_s)
+        return None
+
+    async def _pass_on(
+        self, run: Run, started: Started, sink: EventSink, event: Event
+    ) -> None:
+        data, number = event
+        if number is not None and run.last_event is not None:
+            if number <= run.last_event:
+                return
+            if number > run.last_event + 1:
+                raise BrokenAnswerError(
+                    f"event {number} came after {run.last_event}"
+                )
+        if not sink.is_started:
+            sink.start(started.head)
+            waited_s = time.monotonic() - run.adm.req.arrived_s
+            counters.ANSWER_TIME.labels("stream").observe(waited_s)
+        run.note_event(number)
+        await sink.send(data)
+        self._consider_move(run)
+
+    async def _next_part(self, run: Run) -> NextPart | None:
+        """Returns where a stopped run goes on, if it was moved."""
+        if run.move is None:
+            return None
+        move, run.move = run.move, None
+        try:
+            async with asyncio.timeout(SWITCH_S):
+                return await move
+        except TimeoutError:
+            return None
+
+    async def _read_failure(
+        self, run: Run, started: Started
+    ) -> NotRun | Answered | Broken:
+        ending = await self._sender.finish(started, run.adm.deadline_s)
+        if isinstance(ending, Unsure):
+            return Broken(ending.reason, ending.detail)
+        return ending
+
+    async def _acquire(self, run: Run, tried: set[str]) -> Known | None:
+        """Returns an engine that counts the run, waiting for room."""
+        adm = run.adm
+        engine = adm.service.engine or PLAIN_ENGINE
+        options = EngineOptions(engine, run.tokens)
+
+        def choose() -> Known | None:
+            run.server = self._pool.pick_engine(adm, options, tried)
+            return run.server
+
+        waiting = self._waiting.setdefault(adm.service.name, Waiting())
+        if not waiting:
+            found = choose()
+            if found is not None:
+                return found
+        objective_s = adm.route.objective_s or DEFAULT_OBJECTIVE_S
+        until_s = adm.req.arrived_s + HOLD * objective_s
+        counters.WAITING.inc()
+        try:
+            async with asyncio.timeout_at(min(until_s, adm.deadline_s)):
+                return await waiting.wait(adm.priority, choose)
+        except TimeoutError:
+            return None
+        finally:
+            counters.WAITING.dec()
+
+    def _first_event_limit(self, run: Run, *, is_last: bool) -> float:
+        if is_last or not run.adm.route.is_idempotent:
+            return run.adm.deadline_s
+        objective_s = run.adm.route.objective_s or DEFAULT_OBJECTIVE_S
+        limit_s = time.monotonic() + PATIENCE * objective_s
+        return min(run.adm.deadline_s, limit_s)
+
+    def _consider_move(self, run: Run) -> None:
+        """Starts to move a run whose engine is leaving."""
+        if run.move is not None or run.server is None or run.call is None:
+            return
+        engine = run.adm.service.engine
+        if engine is None or not engine.can_move:
+            return
+        if run.first_event_s is None or self._pool.is_staying(run.server):
+            return
+        loop = asyncio.get_running_loop()
+        run.move = loop.create_task(self._mover.move(run))
+
+    def _put_at(self, run: Run, server: Known) -> None:
+        """Counts a run at the engine that it moved to."""
+        self._end_work(run)
+        run.server = server
+        self._pool.work.begin(
+            server.entry.server_id, run.attempt_id, run.tokens
+        )
+        self._offer_room()
+
+    def _release(self, run: Run) -> None:
+        """Ends what a run holds at engines."""
+        if run.call is not None:
+            run.call.close()
+            run.call = None
+        if run.move is not None:
+            self._stop_move(run.move)
+            run.move = None
+        self._end_work(run)
+        run.server = None
+        self._offer_room()
+
+    def _stop_move(self, move: "asyncio.Task[NextPart | None]") -> None:
+        if not move.done():
+            move.cancel()
+            return
+        if not move.cancelled() and move.exception() is None:
+            part = move.result()
+            if part is not None:
+                self._mover.drop(part)
+
+    def _end_work(self, run: Run) -> None:
+        if run.server is not None:
+            self._pool.work.end(run.server.entry.server_id, run.attempt_id)
+
+    def _offer_room(self) -> None:
+        for waiting in self._waiting.values():
+            if waiting:
+                waiting.offer()
+
+    def _end(
+        self,
+        run: Run,
+        sink: EventSink,
+        ending: Broken,
+        may_have_run: int,
+    ) -> Refused | None:
+        """Ends a request that no engine can serve."""
+        if may_have_run or sink.is_started:
+            return self._give_up(run, sink, ending)
+        message = "No engine has room for the request; it did not run."
+        retry_s = FULL_RETRY_S + self._rng.uniform(0, FULL_RETRY_SPREAD_S)
+        return Refused(503, ending.reason, message, retry_s)
+
+    def _give_up(
+        self, run: Run, sink: EventSink, ending: Broken
+    ) -> Refused | None:
+        """Ends a request that may have run."""
+        _log.warning(
+            "stream_broken",
+            request=run.attempt_id,
+            server=run.server and run.server.entry.server_id,
+            reason=ending.reason.value,
+            detail=ending.detail,
+            last_event=run.last_event,
+        )
+        counters.BROKEN_STREAMS.labels(ending.reason.value).inc()
+        if sink.is_started:
+            sink.abort()
+            return None
+        status = 504 if ending.reason is Reason.DEADLINE else 502
+        message = "The engine gave no whole answer; the request may have run."
+        return Refused(status, ending.reason, message)
+
+    def _log_sent(
+        self, run: Run, server: Known, started: Started | NotRun | Unsure
+    ) -> None:
+        if isinstance(started, Started):
+            detail = str(started.head.status)
+        else:
+            detail = f"{started.reason.value}: {started.detail}"
+        _log.info(
+            "sent",
+            request=run.attempt_id,
+            server=server.entry.server_id,
+            ending=type(started).__name__,
+            detail=detail,
+            resumed_after=run.resume_after,
+            tokens=run.tokens,
+        )
--- /dev/null
+++ b/src/savorylift/exchange/mover.py
@@ -0,0 +1,179 @@
+"""Moves runs from an engine that is leaving to another one.
+
+The memory is copied while the run goes on, and once more for what came
+since; only then the run stops for the last, small part. So the caller sees a
+pause of a few events at most.
+"""
+
+import asyncio
+import time
+
+import structlog
+from returns.pipeline import is_successful
+
+from savorylift.backends.registry import Known
+from savorylift.exchange import counters
+from savorylift.exchange.pool import Pool
+from savorylift.exchange.request import Continuation
+from savorylift.exchange.run import NextPart, Run
+from savorylift.placement.engines import EngineOptions
+from savorylift.platform.engine import (
+    Copied,
+    MoveError,
+    MoveFault,
+    copy_run,
+    drop_copy,
+)
+
+# An engine is gone about two seconds after its notice.
+NOTICE_S = 2.5
+# A run that has not begun can't be copied yet.
+BEGIN_RETRY_S = 0.08
+# A first copy that took longer left much behind that is new.
+FRESH_COPY_S = 0.08
+DESTINATIONS = 3
+DROP_S = 0.5
+# Nodes that move runs off one engine should not all choose the same other.
+JITTER = 0.3
+
+_log = structlog.get_logger()
+
+
+class Mover:
+    """Copies a run's memory ahead, stops it, and says where it goes on."""
+
+    def __init__(self, pool: Pool) -> None:
+        """Chooses destinations from the pool."""
+        self._pool = pool
+        self._drops: set[asyncio.Task[bool]] = set()
+
+    async def move(self, run: Run) -> NextPart | None:
+        """Returns where the stopped run goes on; None if it stays."""
+        source = run.server
+        assert source is not None
+        until_s = time.monotonic() + NOTICE_S
+        tried = {source.entry.server_id}
+        for _ in range(DESTINATIONS):
+            destination = self._choose(run, tried)
+            if destination is None:
+                break
+            tried.add(destination.entry.server_id)
+            part = await self._move_to(run, source, destination, until_s)
+            if part is not None:
+                counters.MOVES.labels("moved").inc()
+                return part
+            if time.monotonic() > until_s:
+                break
+        counters.MOVES.labels("failed").inc()
+        _log.warning(
+            "move_failed", request=run.attempt_id, server=source.entry.server_id
+        )
+        return None
+
+    def drop(self, part: NextPart) -> None:
+        """Frees the copy of a run that doesn't go on."""
+        copy = part.continuation
+        task = asyncio.get_running_loop().create_task(
+            drop_copy(copy.source, copy.handle, timeout_s=DROP_S)
+        )
+        self._drops.add(task)
+        task.add_done_callback(self._drops.discard)
+
+    def _choose(self, run: Run, tried: set[str]) -> Known | None:
+        engine = run.adm.service.engine
+        assert engine is not None
+        assert run.server is not None
+        near = run.server.entry.failure_domain
+        options = EngineOptions(engine, run.tokens, near, JITTER)
+        return self._pool.pick_copy(run.adm.service, options, tried)
+
+    async def _move_to(
+        self, run: Run, source: Known, destination: Known, until_s: float
+    ) -> NextPart | None:
+        name = f"{run.attempt_id}/copy"
+        server_id = destination.entry.server_id
+        self._pool.work.begin(server_id, name, run.tokens)
+        handle: str | None = None
+        is_done = False
+        try:
+            began_s = time.monotonic()
+            copied = await self._copy_begun(run, source, destination, until_s)
+            if copied is None:
+                return None
+            handle = copied.handle
+            if time.monotonic() - began_s > FRESH_COPY_S:
+                await self._copy(run, source, destination, until_s)
+            last = await self._copy(
+                run, source, destination, until_s, stops_run=True
+            )
+            if isinstance(last, Copied):
+                is_done = True
+                return self._part(run, source, destination, last.handle)
+            if last.handle is not None:
+                # The run stopped without a copy: it goes on where it was.
+                is_done = True
+                return self._part(run, source, source, last.handle)
+            return None
+        finally:
+            self._pool.work.end(server_id, name)
+            if handle is not None and not is_done:
+                copy = Continuation(source.entry.address, handle)
+                self.drop(NextPart(destination, copy))
+
+    async def _copy_begun(
+        self, run: Run, source: Known, destination: Known, until_s: float
+    ) -> Copied | None:
+        """Makes the first copy, as soon as the run has begun."""
+        while True:
+            copied = await self._copy(run, source, destination, until_s)
+            if isinstance(copied, Copied):
+                return copied
+            if copied.fault is not MoveFault.NO_SUCH_RUN:
+                return None
+            if time.monotonic() > until_s:
+                return None
+            await asyncio.sleep(BEGIN_RETRY_S)
+
+    async def _copy(
+        self,
+        run: Run,
+        source: Known,
+        destination: Known,
+        until_s: float,
+        *,
+        stops_run: bool = False,
+    ) -> Copied | MoveError:
+        began_s = time.monotonic()
+        result = await copy_run(
+            source.entry.address,
+            destination.entry.address,
+            run.attempt_id,
+            stops_run=stops_run,
+            timeout_s=max(until_s - began_s, 0.01),
+        )
+        copied = result.unwrap() if is_successful(result) else result.failure()
+        _log.info(
+            "copied",
+            request=run.attempt_id,
+            source=source.entry.server_id,
+            destination=destination.entry.server_id,
+            stops_run=stops_run,
+            outcome=(
+                "ok" if isinstance(copied, Copied) else copied.fault.value
+            ),
+            events=copied.events if isinstance(copied, Copied) else None,
+            last_event=run.last_event,
+            took_ms=round((time.monotonic() - began_s) * 1000),
+        )
+        return copied
+
+    def _part(
+        self, run: Run, source: Known, destination: Known, handle: str
+    ) -> NextPart:
+        _log.info(
+            "moved",
+            request=run.attempt_id,
+            source=source.entry.server_id,
+            destination=destination.entry.server_id,
+        )
+        return NextPart(destination, Continuation(source.entry.address, handle))
--- /dev/null
+++ b/src/savorylift/exchange/pool.py
@@ -0,0 +1,125 @@
+"""What a request needs to know of backend servers, nodes and limits."""
+
+import random
+import time
+from collections.abc import Collection, Iterator, Mapping
+
+from savorylift.backends.cold_start import ColdStart
+from savorylift.backends.registry import Known
+from savorylift.backends.work import Load, Work, add_up
+from savorylift.exchange.admission import Admitted
+from savorylift.exchange.budget import RetryBudget
+from savorylift.fleet.knowledge import Knowledge
+from savorylift.fleet.membership import Membership
+from savorylift.placement.candidates import usable
+from savorylift.placement.engines import EngineOptions, choose_engine
+from savorylift.placement.plain import choose_plain
+from savorylift.routing.configuration import Service
+
+
+class Pool:
+    """Chooses backend servers and counts what is sent to them."""
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        membership: Membership,
+        budget: RetryBudget,
+        rng: random.Random,
+    ) -> None:
+        """Reads `knowledge` and `membership` at each choice."""
+        self._knowledge = knowledge
+        self._membership = membership
+        self._budget = budget
+        self._rng = rng
+        self._cold_start = ColdStart()
+        self.work = Work()
+
+    def pick_plain(self, adm: Admitted, tried: Collection[str]) -> Known | None:
+        """Returns a server for a plain call and counts the call there."""
+        found = choose_plain(
+            self._sendable(adm.service, tried),
+            self._loads(),
+            time.monotonic(),
+            self._rng,
+        )
+        if found is not None:
+            self._begin(found, adm, 0)
+        return found
+
+    def pick_engine(
+        self, adm: Admitted, options: EngineOptions, tried: Collection[str]
+    ) -> Known | None:
+        """Returns an engine with room and counts the generation there."""
+        found = choose_engine(
+            self._sendable(adm.service, tried),
+            self._loads(),
+            options,
+            self._rng,
+        )
+        if found is not None:
+            self._begin(found, adm, options.tokens)
+        return found
+
+    def pick_copy(
+        self, service: Service, options: EngineOptions, tried: Collection[str]
+    ) -> Known | None:
+        """Returns an engine for the copy of a run, without counting it."""
+        return choose_engine(
+            self._sendable(service, tried), self._loads(), options, self._rng
+        )
+
+    def is_usable(self, server: Known) -> bool:
+        """Whether a server may still get what was chosen for it."""
+        entry = server.entry
+        known = self._knowledge.registry.known.get(entry.server_id)
+        return (
+            known is not None
+            and known.entry.address == entry.address
+            and not known.entry.is_leaving
+            and entry.failure_domain not in self._knowledge.evacuated
+        )
+
+    def is_staying(self, server: Known) -> bool:
+        """Whether a server with work is neither leaving nor gone."""
+        known = self._knowledge.registry.known.get(server.entry.server_id)
+        return known is not None and not known.entry.is_leaving
+
+    def count_request(self, service: str) -> None:
+        """Counts a caller's request for the retry budget."""
+        self._budget.count_request(service)
+
+    def take_repeat(self, service: str) -> bool:
+        """Takes one repeat from this node's share, if there is one."""
+        nodes = self._membership.count_sharing(time.monotonic())
+        if not self._budget.may_repeat(service, nodes):
+            return False
+        self._budget.count_repeat(service)
+        return True
+
+    def _loads(self) -> Mapping[str, Load]:
+        others = self._membership.loads(time.monotonic())
+        return add_up([*self.work.loads(), *others])
+
+    def _sendable(
+        self, service: Service, tried: Collection[str]
+    ) -> Iterator[Known]:
+        now_s = time.monotonic()
+        nodes = self._membership.count_sharing(now_s)
+        candidates = usable(
+            self._knowledge.registry.known,
+            service.name,
+            self._knowledge.evacuated,
+            tried,
+        )
+        for server in candidates:
+            if not server.is_cold(now_s) or self._cold_start.may_send(
+                server.entry.server_id, service.cold_requests_per_s, nodes
+            ):
+                yield server
+
+    def _begin(self, server: Known, adm: Admitted, tokens: int) -> None:
+        server_id = server.entry.server_id
+        self.work.begin(server_id, adm.req.attempt_id, tokens)
+        if server.is_cold(time.monotonic()):
+            self._cold_start.count(server_id)
--- /dev/null
+++ b/src/savorylift/exchange/run.py
@@ -0,0 +1,76 @@
+"""One generation under way at an engine."""
+
+import asyncio
+import time
+from typing import NamedTuple
+
+from savorylift.backends.registry import Known
+from savorylift.exchange.admission import Admitted
+from savorylift.exchange.request import Continuation
+from savorylift.wire.client_call import ClientCall
+
+
+class NextPart(NamedTuple):
+    """Where a run that stopped goes on.
+
+    Attributes:
+        server: The engine to go on at.
+        continuation: Memory to go on from.
+    """
+
+    server: Known
+    continuation: Continuation
+
+
+class Run:
+    """What this node knows of one generation.
+
+    Attributes:
+        adm: The request.
+        tokens: Tokens that it is expected to reach.
+        server: Engine that has it; None while it waits.
+        call: Call to that engine; None before it and between engines.
+        last_event: Number of the newest event passed on; None before one.
+        move: Task that moves it to another engine, if one does.
+        first_event_s: Steady time of the first event.
+        newest_event_s: Steady time of the newest event.
+        longest_gap_s: Longest pause between events so far.
+    """
+
+    def __init__(self, adm: Admitted, tokens: int) -> None:
+        """Starts without an engine."""
+        self.adm = adm
+        self.tokens = tokens
+        self.server: Known | None = None
+        self.call: ClientCall | None = None
+        self.last_event: int | None = None
+        self.move: asyncio.Task[NextPart | None] | None = None
+        self.first_event_s: float | None = None
+        self.newest_event_s: float | None = None
+        self.longest_gap_s = 0.0
+
+    @property
+    def attempt_id(self) -> str:
+        """The caller's name for the request."""
+        return self.adm.req.attempt_id
+
+    @property
+    def resume_after(self) -> str | None:
+        """Last event that the caller has, as a header value."""
+        if self.last_event is not None:
+            return str(self.last_event)
+        if self.adm.route.can_resume:
+            return self.adm.req.resume_after
+        return None
+
+    def note_event(self, number: int | None) -> None:
+        """Remembers an event that is passed on."""
+        now_s = time.monotonic()
+        if self.newest_event_s is None:
+            self.first_event_s = now_s
+        else:
+            gap_s = now_s - self.newest_event_s
+            self.longest_gap_s = max(self.longest_gap_s, gap_s)
+        self.newest_event_s = now_s
+        if number is not None:
+            self.last_event = number
--- /dev/null
+++ b/src/savorylift/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The nodes that hear each other and what they share."""
--- /dev/null
+++ b/src/savorylift/fleet/follower.py
@@ -0,0 +1,166 @@
+"""Follows the store's topics while it is this node's turn to read."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+import structlog
+from returns.pipeline import is_successful
+from returns.result import Result
+
+from savorylift.fleet.knowledge import Change
+from savorylift.platform.store import (
+    Batch,
+    Fault,
+    StoreClient,
+    StoreError,
+)
+
+# A silent connection to the store is noticed after this and the time-out.
+POLL_S = 1.0
+# Servers write a few times a second together; each answered poll is paid.
+PACE_S = 0.2
+RETRY_S = 0.5
+SPARE_RETRY_S = 2.0
+# Longer silence of the store than this lets entries in it lapse.
+AWAY_S = 1.0
+FAULT_SHOWN_S = 10.0
+# Other nodes' readings that are older are no longer relied on.
+STALE_S = 1.5
+
+_log = structlog.get_logger()
+
+
+class Turn:
+    """Whether this node should read the store now."""
+
+    def __init__(
+        self,
+        is_reader: Callable[[], bool],
+        others_age_s: Callable[[], float | None],
+    ) -> None:
+        """Asks the fleet.
+
+        Args:
+            is_reader: Whether this node is one of the readers.
+            others_age_s: Age of the newest reading of another node.
+        """
+        self._is_reader = is_reader
+        self._others_age_s = others_age_s
+
+    @property
+    def is_reader(self) -> bool:
+        """Whether this node is one of the readers."""
+        return self._is_reader()
+
+    def should_read(self) -> bool:
+        """Whether to read: as a reader, or since the others' news is old."""
+        if self._is_reader():
+            return True
+        age_s = self._others_age_s()
+        return age_s is None or age_s > STALE_S
+
+
+class Follower:
+    """Reads one topic of the store into what is known."""
+
+    def __init__(
+        self,
+        store: StoreClient,
+        topic: str,
+        turn: Turn,
+        changed: Callable[[], None],
+    ) -> None:
+        """Calls `changed` after each change of what is known."""
+        self._store = store
+        self._topic = topic
+        self._turn = turn
+        self._changed = changed
+        self._offset: int | None = None
+        self._read_s: float | None = None
+        self._fault_s: float | None = None
+        self._failing_since_s: float | None = None
+        self.returned: Callable[[float], None] = _ignore
+
+    @property
+    def read_s(self) -> float | None:
+        """Steady time of the last answer."""
+        return self._read_s
+
+    def has_fault(self, now_s: float) -> bool:
+        """Whether the store failed this node lately."""
+        if self._fault_s is None:
+            return False
+        return now_s - self._fault_s < FAULT_SHOWN_S
+
+    def skip_to(self, offset: int) -> None:
+        """Goes on at `offset`: what lies before came from another node."""
+        if self._offset is None or offset > self._offset:
+            self._offset = offset
+
+    async def run(
+        self,
+        take_list: Callable[[list[Change], int], object],
+        take_records: Callable[[list[Change], int], bool],
+    ) -> None:
+        """Reads for ever, whenever it is this node's turn."""
+        while True:
+            if not self._turn.should_read():
+                await asyncio.sleep(PACE_S)
+                continue
+            wait_s = await self._read(take_list, take_records)
+            await asyncio.sleep(wait_s)
+
+    async def _read(
+        self,
+        take_list: Callable[[list[Change], int], object],
+        take_records: Callable[[list[Change], int], bool],
+    ) -> float:
+        """Makes one call; returns the pause before the next."""
+        is_list = self._offset is None
+        answer = await self._call()
+        if not is_successful(answer):
+            return self._fail(answer.failure())
+        self._succeed()
+        batch = answer.unwrap()
+        if self._offset is not None and batch.next_offset < self._offset:
+            return PACE_S
+        self._offset = batch.next_offset
+        changes = [Change(*record) for record in batch.records]
+        if is_list:
+            take_list(changes, batch.next_offset)
+            self._changed()
+        elif take_records(changes, batch.next_offset):
+            self._changed()
+        return PACE_S if batch.records else 0.0
+
+    async def _call(self) -> Result[Batch, StoreError]:
+        if self._offset is None:
+            return await self._store.list_newest(self._topic)
+        return await self._store.read(self._topic, self._offset, POLL_S)
+
+    def _succeed(self) -> None:
+        now_s = time.monotonic()
+        since_s = self._failing_since_s
+        if since_s is not None:
+            _log.info("store_regained", topic=self._topic)
+            if now_s - since_s > AWAY_S:
+                self.returned(now_s)
+        self._failing_since_s = None
+        self._read_s = now_s
+
+    def _fail(self, error: StoreError) -> float:
+        now_s = time.monotonic()
+        if error.fault is Fault.TRIMMED:
+            _log.warning("store_trimmed", topic=self._topic)
+            self._offset = None
+            return 0.0
+        if self._failing_since_s is None:
+            self._failing_since_s = self._read_s or now_s
+            _log.warning("store_lost", topic=self._topic, detail=error.detail)
+        self._fault_s = now_s
+        return RETRY_S if self._turn.is_reader else SPARE_RETRY_S
+
+
+def _ignore(_returned_s: float) -> None:
+    """Stands for a listener that is not there."""
--- /dev/null
+++ b/src/savorylift/fleet/knowledge.py
@@ -0,0 +1,216 @@
+"""What the store's records say, from the store itself or from a node."""
+
+import time
+from collections.abc import Callable, Iterable, Mapping
+from typing import NamedTuple
+
+import structlog
+from returns.pipeline import is_successful
+from returns.result import Result
+
+from savorylift.backends.registry import Registry
+from savorylift.backends.server import ServerEntry
+from savorylift.fleet.state import Snapshot
+from savorylift.routing.configuration import Configuration
+
+_log = structlog.get_logger()
+
+
+class Change(NamedTuple):
+    """A key's newest value.
+
+    Attributes:
+        key: The key.
+        value: The value; None if it was removed.
+    """
+
+    key: str
+    value: bytes | None
+
+
+class Decoders(NamedTuple):
+    """How records are read.
+
+    Attributes:
+        configuration: Decodes the configuration.
+        server: Decodes a backend server's entry, given its identifier.
+        configuration_key: Key of the configuration.
+        evacuation_prefix: Start of the keys that take a failure domain out.
+    """
+
+    configuration: Callable[[bytes], Result[Configuration, str]]
+    server: Callable[[str, bytes], Result[ServerEntry, str]]
+    configuration_key: str
+    evacuation_prefix: str
+
+
+class Knowledge:
+    """The configuration, the evacuated domains and the backend servers.
+
+    Attributes:
+        configuration: The newest configuration; None until one is known.
+        evacuated: Failure domains whose backend servers get nothing new.
+        registry: The backend servers.
+        operators_version: Offset after the last operators' change.
+        servers_version: Offset after the last change of a backend server,
+            and the number of changes since that were not records.
+    """
+
+    def __init__(self, decoders: Decoders) -> None:
+        """Starts without anything known."""
+        self._decoders = decoders
+        self._operators: dict[str, bytes] = {}
+        self._servers: dict[str, bytes] = {}
+        self.configuration: Configuration | None = None
+        self.evacuated: frozenset[str] = frozenset()
+        self.registry = Registry()
+        self.operators_version = 0
+        self.servers_version = (0, 0)
+
+    def snapshot(self) -> Snapshot:
+        """Returns all that is known."""
+        return Snapshot(
+            self.operators_version,
+            self.servers_version,
+            dict(self._operators),
+            dict(self._servers),
+        )
+
+    def take_over(self, snapshot: Snapshot) -> bool:
+        """Takes what another node knows better; says whether it did."""
+        is_changed = False
+        if snapshot.operators_version > self.operators_version:
+            self.list_operators(
+                [Change(*item) for item in snapshot.operators.items()],
+                snapshot.operators_version,
+            )
+            is_changed = True
+        if snapshot.servers_version > self.servers_version:
+            self._list_servers(snapshot.servers)
+            self.servers_version = snapshot.servers_version
+            is_changed = True
+        return is_changed
+
+    def list_operators(self, changes: Iterable[Change], offset: int) -> None:
+        """Takes over every key that operators wrote.
+
+        A configuration that is missing from the list stays in force: none
+        was put in its place.
+        """
+        kept = self._operators.get(self._decoders.configuration_key)
+        self._operators = {}
+        if kept is not None:
+            self._operators[self._decoders.configuration_key] = kept
+        self._put_operators(changes, offset)
+
+    def apply_operators(self, changes: Iterable[Change], offset: int) -> bool:
+        """Applies records in order; says whether there were any."""
+        listed = list(changes)
+        if listed:
+            self._put_operators(listed, offset)
+        return bool(listed)
+
+    def list_servers(self, changes: Iterable[Change], offset: int) -> bool:
+        """Takes over the entries of all backend servers."""
+        values = {c.key: c.value for c in changes if c.value is not None}
+        is_changed = self._list_servers(values)
+        if is_changed:
+            self.servers_version = (offset, 0)
+        return is_changed
+
+    def apply_servers(self, changes: Iterable[Change], offset: int) -> bool:
+        """Applies records in order; says whether they change anything."""
+        now_s = time.monotonic()
+        is_changed = False
+        for change in changes:
+            if change.value is None:
+                changed = self.registry.remove(change.key, now_s)
+                if changed:
+                    self._servers.pop(change.key, None)
+                    _log.info("server_removed", server=change.key)
+            else:
+                changed = self._put_server(change.key, change.value, now_s)
+            is_changed = is_changed or changed
+        if is_changed:
+            self.servers_version = (offset, 0)
+        return is_changed
+
+    def drop_lapsed(self) -> bool:
+        """Drops servers that did not come back after the store did."""
+        lapsed = self.registry.drop_lapsed(time.monotonic())
+        for server_id in lapsed:
+            self._servers.pop(server_id, None)
+            _log.info("server_lapsed", server=server_id)
+        if lapsed:
+            offset, changes = self.servers_version
+            self.servers_version = (offset, changes + 1)
+        return bool(lapsed)
+
+    def _list_servers(self, values: Mapping[str, bytes]) -> bool:
+        now_s = time.monotonic()
+        lost = self.registry.keep_only(values, now_s)
+        put = [self._put_server(*item, now_s) for item in values.items()]
+        self._servers = {
+            key: value
+            for key, value in (self._servers | dict(values)).items()
+            if key in values or key in self.registry.known
+        }
+        return lost or any(put)
+
+    def _put_server(self, server_id: str, value: bytes, now_s: float) -> bool:
+        decoded = self._decoders.server(server_id, value)
+        if not is_successful(decoded):
+            _log.warning(
+                "server_entry_unreadable",
+                server=server_id,
+                detail=decoded.failure(),
+            )
+            return False
+        self._servers[server_id] = value
+        entry = decoded.unwrap()
+        is_changed = self.registry.put(entry, now_s)
+        if is_changed:
+            _log.info(
+                "server_changed",
+                server=server_id,
+                service=entry.service,
+                is_leaving=entry.is_leaving,
+                cold_s=entry.cold_s,
+                sequence=entry.sequence,
+            )
+        return is_changed
+
+    def _put_operators(self, changes: Iterable[Change], offset: int) -> None:
+        for change in changes:
+            if change.value is None:
+                if change.key != self._decoders.configuration_key:
+                    self._operators.pop(change.key, None)
+            elif change.key == self._decoders.configuration_key:
+                self._put_configuration(change.value)
+            else:
+                self._operators[change.key] = change.value
+        prefix = self._decoders.evacuation_prefix
+        evacuated = frozenset(
+            key.removeprefix(prefix)
+            for key in self._operators
+            if key.startswith(prefix)
+        )
+        if evacuated != self.evacuated:
+            _log.info("evacuation", domains=sorted(evacuated), offset=offset)
+        self.evacuated = evacuated
+        self.operators_version = offset
+
+    def _put_configuration(self, value: bytes) -> None:
+        decoded = self._decoders.configuration(value)
+        if not is_successful(decoded):
+            _log.error("configuration_unreadable", detail=decoded.failure())
+            return
+        cfg = decoded.unwrap()
+        if self.configuration is not None and (
+            cfg.version < self.configuration.version
+        ):
+            _log.warning("configuration_older", version=cfg.version)
+            return
+        self._operators[self._decoders.configuration_key] = value
+        self.configuration = cfg
+        _log.info("configuration", version=cfg.version)
--- /dev/null
+++ b/src/savorylift/front/__init__.py
@@ -0,0 +1,1 @@
+"""The program on every front VM: settings, composition, life cycle."""
--- /dev/null
+++ b/src/savorylift/front/caller_door.py
@@ -0,0 +1,240 @@
+"""Serves callers' connections: one request at a time, one final answer."""
+
+import asyncio
+import time
+
+import structlog
+from returns.pipeline import is_successful
+
+from savorylift.exchange import counters
+from savorylift.exchange.admission import Admitted, admit
+from savorylift.exchange.ending import Answered, Refused
+from savorylift.exchange.generation import Generations
+from savorylift.exchange.plain_call import PlainCalls, within_deadline
+from savorylift.exchange.pool import Pool
+from savorylift.exchange.request import AnswerHead, CallerRequest
+from savorylift.exchange.send import Codec
+from savorylift.fleet.knowledge import Knowledge
+from savorylift.front.life import Life
+from savorylift.outcomes import Reason
+from savorylift.platform.ingress import decode_request
+from savorylift.routing.configuration import Kind
+from savorylift.wire.message import Request
+from savorylift.wire.server_connection import (
+    BadRequest,
+    Closing,
+    ServerConnection,
+)
+
+# Another node takes the request at once.
+LEAVING_RETRY_S = 0.02
+
+_log = structlog.get_logger()
+
+
+class CallerSink:
+    """Writes a stream to a caller's connection."""
+
+    def __init__(self, conn: ServerConnection) -> None:
+        """Writes nothing yet."""
+        self._conn = conn
+        self.is_started = False
+
+    def start(self, head: AnswerHead) -> None:
+        """Sends the head."""
+        self.is_started = True
+        self._conn.start_response(head.status, head.headers)
+
+    async def send(self, data: bytes) -> None:
+        """Sends a part of the body, at the caller's pace."""
+        self._conn.send_body(data)
+        await self._conn.channel.drain()
+
+    def finish(self) -> None:
+        """Ends the stream as complete."""
+        self._conn.end_response()
+
+    def abort(self) -> None:
+        """Ends the connection without the end of the body."""
+        self._conn.is_closing = True
+        self._conn.channel.close()
+
+
+class CallerDoor:
+    """Takes requests from callers and gives each its final answer."""
+
+    def __init__(
+        self,
+        knowledge: Knowledge,
+        pool: Pool,
+        calls: PlainCalls,
+        generations: Generations,
+        codec: Codec,
+        life: Life,
+        default_timeout_s: float,
+    ) -> None:
+        """Takes the parts that serve requests."""
+        self._knowledge = knowledge
+        self._pool = pool
+        self._calls = calls
+        self._generations = generations
+        self._codec = codec
+        self._life = life
+        self._default_timeout_s = default_timeout_s
+
+    async def serve(self, conn: ServerConnection) -> None:
+        """Serves a connection until it ends."""
+        while True:
+            if self._life.is_leaving:
+                conn.is_closing = True
+            req = await conn.next_request()
+            if isinstance(req, Closing):
+                return
+            if isinstance(req, BadRequest):
+                self._refuse_unread(conn, req)
+                break
+            if self._life.is_leaving:
+                conn.is_closing = True
+            await self._exchange(conn, req)
+            await conn.channel.drain()
+            if not conn.can_go_on():
+                break
+        await conn.channel.close_gently()
+
+    async def _exchange(self, conn: ServerConnection, req: Request) -> None:
+        decoded = decode_request(req)
+        if not is_successful(decoded):
+            refused = Refused(400, Reason.BAD_REQUEST, decoded.failure())
+            self._answer(conn, None, refused)
+            return
+        asked = decoded.unwrap()
+        self._life.begin()
+        counters.OPEN_REQUESTS.inc()
+        try:
+            await self._while_caller_waits(conn, asked)
+        finally:
+            counters.OPEN_REQUESTS.dec()
+            self._life.end()
+
+    async def _while_caller_waits(
+        self, conn: ServerConnection, asked: CallerRequest
+    ) -> None:
+        """Serves a request, and stops at once when its caller leaves."""
+        work = asyncio.ensure_future(self._serve_one(conn, asked))
+        gone = asyncio.ensure_future(conn.channel.gone.wait())
+        try:
+            await asyncio.wait(
+                (work, gone), return_when=asyncio.FIRST_COMPLETED
+            )
+            if not work.done():
+                counters.CALLERS_GONE.inc()
+                _log.info(
+                    "caller_gone",
+                    request=asked.attempt_id,
+                    after_ms=_age_ms(asked),
+                )
+        finally:
+            gone.cancel()
+            if not work.done():
+                work.cancel()
+                await asyncio.wait((work,))
+        if not work.cancelled():
+            work.result()
+
+    async def _serve_one(
+        self, conn: ServerConnection, asked: CallerRequest
+    ) -> None:
+        admitted = admit(
+            asked, self._knowledge.configuration, self._default_timeout_s
+        )
+        if not is_successful(admitted):
+            self._answer(conn, asked, admitted.failure())
+            return
+        adm = admitted.unwrap()
+        self._pool.count_request(adm.service.name)
+        refused = self._refuse_while_leaving(adm)
+        if refused is not None:
+            self._answer(conn, asked, refused)
+            return
+        if adm.route.kind is Kind.STREAM:
+            sink = CallerSink(conn)
+            answer = await self._generations.serve(adm, sink)
+            if answer is None:
+                self._log_stream(adm, sink)
+                return
+        else:
+            answer = await within_deadline(adm, self._calls)
+        self._answer(conn, asked, answer)
+
+    def _refuse_while_leaving(self, adm: Admitted) -> Refused | None:
+        """Refuses a stream that would outlast this node."""
+        if adm.route.kind is not Kind.STREAM or not self._life.is_leaving:
+            return None
+        return Refused(
+            503,
+            Reason.NODE_DRAINING,
+            "This node is leaving; another one takes the request.",
+            LEAVING_RETRY_S,
+        )
+
+    def _answer(
+        self,
+        conn: ServerConnection,
+        asked: CallerRequest | None,
+        answer: Answered | Refused,
+    ) -> None:
+        if isinstance(answer, Answered):
+            status = answer.head.status
+            conn.respond(status, answer.head.headers, answer.body)
+            reason = "answered"
+        else:
+            status = answer.status
+            headers, body = self._codec.refusal(
+                answer.message, answer.retry_after_s
+            )
+            conn.respond(status, headers, body)
+            reason = answer.reason.value
+            counters.REFUSALS.labels(reason).inc()
+        counters.ANSWERS.labels(str(status)).inc()
+        if asked is None:
+            _log.info("request_unreadable", peer=conn.channel.peer)
+            return
+        age_ms = _age_ms(asked)
+        counters.ANSWER_TIME.labels("whole").observe(age_ms / 1000)
+        cfg = self._knowledge.configuration
+        _log.info(
+            "answer",
+            request=asked.attempt_id,
+            status=status,
+            reason=reason,
+            took_ms=age_ms,
+            path=asked.path,
+            configuration=cfg and cfg.version,
+        )
+
+    def _log_stream(self, adm: Admitted, sink: CallerSink) -> None:
+        counters.ANSWERS.labels("200").inc()
+        _log.info(
+            "stream",
+            request=adm.req.attempt_id,
+            route=adm.route.name,
+            took_ms=_age_ms(adm.req),
+            is_started=sink.is_started,
+        )
+
+    def _refuse_unread(self, conn: ServerConnection, req: BadRequest) -> None:
+        conn.is_closing = True
+        headers, body = self._codec.refusal(req.message, None)
+        conn.respond(req.status, headers, body)
+        counters.ANSWERS.labels(str(req.status)).inc()
+        counters.REFUSALS.labels(Reason.BAD_REQUEST.value).inc()
+        _log.info(
+            "request_unreadable",
+            peer=conn.channel.peer,
+            status=req.status,
+            detail=req.message,
+        )
+
+
+def _age_ms(asked: CallerRequest) -> int:
+    return round((time.monotonic() - asked.arrived_s) * 1000)
--- /dev/null
+++ b/src/savorylift/front/node.py
@@ -0,0 +1,315 @@
+"""Composition root of a front node: wires the parts and runs them."""
+
+import asyncio
+import os
+import random
+import signal
+import time
+from collections.abc import Awaitable, Callable
+
+import structlog
+from prometheus_client import generate_latest
+
+from savorylift.exchange.budget import BudgetOptions, RetryBudget
+from savorylift.exchange.generation import Generations
+from savorylift.exchange.mover import Mover
+from savorylift.exchange.plain_call import PlainCalls
+from savorylift.exchange.pool import Pool
+from savorylift.exchange.send import Sender
+from savorylift.fleet.follower import Follower, Turn
+from savorylift.fleet.knowledge import Decoders, Knowledge
+from savorylift.fleet.link import Link, fetch_snapshot, snapshot_handler
+from savorylift.fleet.membership import Membership
+from savorylift.fleet.state import NodeState
+from savorylift.front.caller_door import CallerDoor
+from savorylift.front.life import Life
+from savorylift.front.settings import FrontSettings
+from savorylift.platform.backend_servers import decode_server, parse_address
+from savorylift.platform.configuration import (
+    CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
+    decode_configuration,
+)
+from savorylift.platform.directory import (
+    Addresses,
+    Lookup,
+    directory_handler,
+    readiness_handler,
+)
+from savorylift.platform.ingress import PlatformCodec
+from savorylift.platform.store import NODES, OPERATORS, SERVERS, StoreClient
+from savorylift.wire.listener import Listener, answering
+from savorylift.wire.message import Request, Response
+from savorylift.wire.server_connection import InputLimits
+
+# Callers keep answers for up to three times this, so a short one follows
+# changes of the fleet within seconds.
+ENTRY_TTL_S = 1.5
+UPKEEP_S = 0.2
+# A node without peers asks the store where others may be.
+LONELY_S = 3.0
+METRICS_PATH = "/metrics"
+INCARNATION_BITS = 48
+
+_log = structlog.get_logger()
+
+
+class FrontNode:
+    """One running node."""
+
+    def __init__(self, cfg: FrontSettings) -> None:
+        """Wires the parts; nothing is opened yet."""
+        self._cfg = cfg
+        self._ip, _ = _address(cfg.caller_listen)
+        self._incarnation = random.getrandbits(INCARNATION_BITS)
+        self._sequence = 0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._fetching: set[str] = set()
+        rng = random.Random(self._incarnation)
+        self._life = Life(cfg.grace_period_s)
+        self._knowledge = Knowledge(
+            Decoders(
+                decode_configuration,
+                decode_server,
+                CONFIGURATION_KEY,
+                EVACUATION_PREFIX,
+            )
+        )
+        seeds = [_address(seed)[0] for seed in cfg.seeds]
+        self._membership = Membership(self._ip, seeds)
+        budget = RetryBudget(
+            BudgetOptions(cfg.retry_ratio, cfg.retry_window_s, cfg.retry_slack)
+        )
+        self._pool = Pool(self._knowledge, self._membership, budget, rng)
+        codec = PlatformCodec()
+        sender = Sender(codec, self._pool.is_usable)
+        self._generations = Generations(
+            self._pool, sender, Mover(self._pool), rng
+        )
+        door = CallerDoor(
+            self._knowledge,
+            self._pool,
+            PlainCalls(self._pool, sender),
+            self._generations,
+            codec,
+            self._life,
+            cfg.request_timeout_s,
+        )
+        self._store = StoreClient(_address(cfg.store))
+        turn = Turn(self._is_reader, self._others_age_s)
+        self._operators = Follower(
+            self._store, OPERATORS, turn, self._on_store_change
+        )
+        self._servers = Follower(
+            self._store, SERVERS, turn, self._on_store_change
+        )
+        self._servers.returned = self._knowledge.registry.expect_lapses
+        self._link = Link(cfg.peer_port, self._state, self._hear, self._targets)
+        self._door = Listener(door.serve, self._limits)
+
+    async def run(self) -> None:
+        """Runs until a signal has ended the node."""
+        loop = asyncio.get_running_loop()
+        stopped = asyncio.Event()
+        loop.add_signal_handler(signal.SIGTERM, self._leave, stopped)
+        loop.add_signal_handler(signal.SIGINT, self._leave, stopped)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        await self._listen()
+        _log.info(
+            "start",
+            incarnation=self._incarnation,
+            process=os.getpid(),
+            settings=self._cfg._asdict(),
+        )
+        self._spawn(self._link.run())
+        self._spawn(
+            self._operators.run(
+                self._knowledge.list_operators, self._knowledge.apply_operators
+            )
+        )
+        self._spawn(
+            self._servers.run(
+                self._knowledge.list_servers, self._knowledge.apply_servers
+            )
+        )
+        self._spawn(self._keep_up())
+        self._spawn(self._register())
+        await stopped.wait()
+        await self._life.wait_until_served()
+        _log.info("stop", after_s=time.monotonic() - self._life.leaving_s)
+        self._door.close()
+
+    async def _listen(self) -> None:
+        await self._link.start(self._ip)
+        peers = Listener(
+            answering(snapshot_handler(self._knowledge.snapshot)), InputLimits
+        )
+        await peers.start(self._ip, self._cfg.peer_port)
+        directory = directory_handler(self._resolve)
+        await self._serve_short(self._cfg.directory_listen, directory)
+        readiness = readiness_handler(lambda: self._is_ready)
+        await self._serve_short(self._cfg.readiness_listen, readiness)
+        metrics = f"{self._ip}:{self._cfg.metrics_port}"
+        await self._serve_short(metrics, _answer_metrics)
+        await self._door.start(*_address(self._cfg.caller_listen))
+
+    async def _serve_short(
+        self, address: str, handle: Callable[[Request], Awaitable[Response]]
+    ) -> None:
+        await Listener(answering(handle), InputLimits).start(*_address(address))
+
+    @property
+    def _is_ready(self) -> bool:
+        has_configuration = self._knowledge.configuration is not None
+        return has_configuration and not self._life.is_leaving
+
+    def _limits(self) -> InputLimits:
+        cfg = self._knowledge.configuration
+        return InputLimits() if cfg is None else cfg.limits
+
+    def _resolve(self, lookup: Lookup) -> Addresses:
+        found = self._membership.callers_addresses(
+            self._state(), lookup.region, time.monotonic()
+        )
+        return Addresses(found, min(ENTRY_TTL_S, self._cfg.entry_ttl_max_s))
+
+    def _state(self) -> NodeState:
+        """Returns the next message to the other nodes."""
+        self._sequence += 1
+        now_s = time.monotonic()
+        faults = (self._operators, self._servers)
+        return NodeState(
+            node=self._cfg.vm,
+            ip=self._ip,
+            region=self._cfg.region,
+            failure_domain=self._cfg.failure_domain,
+            caller_address=self._cfg.caller_listen,
+            incarnation=self._incarnation,
+            sequence=self._sequence,
+            is_ready=self._is_ready,
+            is_leaving=self._life.is_leaving,
+            operators_version=self._knowledge.operators_version,
+            servers_version=self._knowledge.servers_version,
+            reading_age_s=self._own_age_s(now_s),
+            has_store_fault=any(part.has_fault(now_s) for part in faults),
+            loads=self._pool.work.loads(),
+            peers=tuple(h.state.ip for h in self._membership.live(now_s)),
+        )
+
+    def _own_age_s(self, now_s: float) -> float | None:
+        """Returns the age of this node's own reading of both topics."""
+        read = (self._operators.read_s, self._servers.read_s)
+        if read[0] is None or read[1] is None:
+            return None
+        return now_s - min(read[0], read[1])
+
+    def _is_reader(self) -> bool:
+        return self._membership.is_reader(self._state(), time.monotonic())
+
+    def _others_age_s(self) -> float | None:
+        return self._membership.reading_age_s(time.monotonic())
+
+    def _targets(self, to_silent: bool) -> tuple[str, ...]:
+        if to_silent:
+            return self._membership.addresses
+        live = self._membership.live(time.monotonic())
+        return tuple(heard.state.ip for heard in live)
+
+    def _hear(self, state: NodeState) -> None:
+        """Takes a message of another node."""
+        is_new = self._membership.hear(state, time.monotonic())
+        if is_new:
+            _log.info(
+                "peer_heard", peer=state.node, incarnation=state.incarnation
+            )
+            self._link.send_soon()
+        if (
+            state.operators_version > self._knowledge.operators_version
+            or state.servers_version > self._knowledge.servers_version
+        ):
+            self._fetch_from(state.ip)
+        self._generations.on_change()
+
+    def _fetch_from(self, ip: str) -> None:
+        if ip not in self._fetching:
+            self._fetching.add(ip)
+            self._spawn(self._fetch(ip))
+
+    async def _fetch(self, ip: str) -> None:
+        try:
+            snapshot = await fetch_snapshot(ip, self._cfg.peer_port)
+        finally:
+            self._fetching.discard(ip)
+        if snapshot is None or not self._knowledge.take_over(snapshot):
+            return
+        self._operators.skip_to(self._knowledge.operators_version)
+        self._servers.skip_to(self._knowledge.servers_version[0])
+        _log.info(
+            "state_from_peer",
+            peer=ip,
+            operators_version=snapshot.operators_version,
+            servers_version=snapshot.servers_version,
+        )
+        self._generations.on_change()
+
+    def _on_store_change(self) -> None:
+        self._link.send(to_silent=False)
+        self._generations.on_change()
+
+    async def _keep_up(self) -> None:
+        """Does what time brings."""
+        while True:
+            await asyncio.sleep(UPKEEP_S)
+            self._membership.forget_silent(time.monotonic())
+            if self._knowledge.drop_lapsed():
+                self._on_store_change()
+            else:
+                self._generations.on_change()
+
+    async def _register(self) -> None:
+        """Makes this node known in the store, and finds others there."""
+        value = self._cfg.caller_listen.encode()
+        while True:
+            added = await self._store.append(NODES, self._ip, value)
+            found = await self._store.list_newest(NODES)
+            now_s = time.monotonic()
+            for record in found.map(lambda b: b.records).value_or(()):
+                if parse_address(f"{record.key}:1") is not None:
+                    self._membership.add_address(record.key, now_s)
+            self._link.send(to_silent=True)
+            await asyncio.sleep(LONELY_S)
+            has_peers = any(True for _ in self._membership.live(now_s))
+            if has_peers and added.map(lambda _: True).value_or(False):
+                return
+
+    def _leave(self, stopped: asyncio.Event) -> None:
+        if self._life.leave():
+            _log.info("leaving")
+            self._door.announce_closing()
+            self._link.send(to_silent=False)
+        stopped.set()
+
+    def _reload(self) -> None:
+        _log.info("reload")
+
+    def _spawn(self, work: "Awaitable[None]") -> None:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._on_task_end)
+
+    def _on_task_end(self, task: "asyncio.Future[None]") -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            _log.error("task_failed", exc_info=task.exception())
+
+
+async def _answer_metrics(req: Request) -> Response:
+    if req.target.partition("?")[0] != METRICS_PATH:
+        return Response(404, ())
+    headers = (("content-type", "text/plain; version=0.0.4"),)
+    return Response(200, headers, generate_latest())
+
+
+def _address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    return host, int(port)
--- /dev/null
+++ b/src/savorylift/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which backend server gets a request, and which waits."""
--- /dev/null
+++ b/src/savorylift/placement/candidates.py
@@ -0,0 +1,28 @@
+"""Backend servers that may get a request now."""
+
+from collections.abc import Collection, Iterator, Mapping
+
+from savorylift.backends.registry import Known
+
+
+def usable(
+    known: Mapping[str, Known],
+    service: str,
+    evacuated: Collection[str],
+    tried: Collection[str] = (),
+) -> Iterator[Known]:
+    """Yields servers of a service that take new work.
+
+    Args:
+        known: Every known server.
+        service: Service that the request is for.
+        evacuated: Failure domains that get nothing new.
+        tried: Servers that already failed this request.
+    """
+    for server_id, server in known.items():
+        entry = server.entry
+        if entry.service != service or entry.is_leaving:
+            continue
+        if entry.failure_domain in evacuated or server_id in tried:
+            continue
+        yield server
--- /dev/null
+++ b/src/savorylift/placement/waiting.py
@@ -0,0 +1,74 @@
+"""Generations that wait for room on an engine, in the order they go.
+
+Answers a load above what the engines' memory holds: the most urgent goes
+first, then the one that has waited longest. A generation that does not fit
+lets smaller ones pass for a while only, so that large ones are served too.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+from savorylift.backends.registry import Known
+
+PASSED_BY_S = 0.5
+
+
+class Place(NamedTuple):
+    """Where a waiting generation stands.
+
+    Attributes:
+        priority: Rank, 0 first.
+        since_s: Steady time at which it began to wait.
+        number: Order of arrival.
+    """
+
+    priority: int
+    since_s: float
+    number: int
+
+
+class Waiting:
+    """The generations that wait at this node for one service."""
+
+    def __init__(self) -> None:
+        """Starts empty."""
+        self._number = 0
+        self._entries: dict[
+            Place, tuple[asyncio.Future[Known], Callable[[], Known | None]]
+        ] = {}
+
+    def __len__(self) -> int:
+        """Returns how many wait."""
+        return len(self._entries)
+
+    async def wait(
+        self, priority: int, choose: Callable[[], Known | None]
+    ) -> Known:
+        """Returns an engine as soon as `choose` finds one in its turn.
+
+        `choose` must count the generation on the engine that it returns.
+        """
+        self._number += 1
+        place = Place(priority, time.monotonic(), self._number)
+        fut: asyncio.Future[Known] = asyncio.get_running_loop().create_future()
+        self._entries[place] = (fut, choose)
+        try:
+            self.offer()
+            return await fut
+        finally:
+            self._entries.pop(place, None)
+
+    def offer(self) -> None:
+        """Lets those who wait choose, now that there may be room."""
+        now_s = time.monotonic()
+        for place in sorted(self._entries):
+            fut, choose = self._entries[place]
+            if fut.done():
+                continue
+            found = choose()
+            if found is not None:
+                fut.set_result(found)
+            elif now_s - place.since_s > PASSED_BY_S:
+                return
--- /dev/null
+++ b/src/savorylift/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The users' platform: its names, formats and calls, translated."""
--- /dev/null
+++ b/src/savorylift/platform/backend_servers.py
@@ -0,0 +1,64 @@
+"""Decodes the entries that backend servers write about themselves."""
+
+import ipaddress
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from savorylift.backends.server import ServerEntry
+
+STATES = {"ready": False, "draining": True}
+
+
+class _Entry(msgspec.Struct, rename="camel"):
+    service: str
+    address: str
+    zone: str
+    slots: int
+    # `ready` or `draining`.
+    state: str
+    # Counts the entries since the server's start.
+    sequence: int
+    cold_remaining_ms: float = 0.0
+    # Unix milliseconds of the server's start.
+    born: int = 0
+
+
+def decode_server(server_id: str, value: bytes) -> Result[ServerEntry, str]:
+    """Returns the entry in a record, or what is wrong with it."""
+    try:
+        entry = msgspec.json.decode(value, type=_Entry)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        return Failure(str(exc))
+    if entry.state not in STATES:
+        return Failure(f"unknown state {entry.state!r}")
+    address = parse_address(entry.address)
+    if address is None:
+        return Failure(f"bad address {entry.address!r}")
+    if entry.slots < 1:
+        return Failure(f"bad number of slots {entry.slots}")
+    return Success(
+        ServerEntry(
+            server_id=server_id,
+            service=entry.service,
+            address=address,
+            failure_domain=entry.zone,
+            slots=entry.slots,
+            is_leaving=STATES[entry.state],
+            cold_s=max(entry.cold_remaining_ms, 0.0) / 1000,
+            started_ms=entry.born,
+            sequence=entry.sequence,
+        )
+    )
+
+
+def parse_address(text: str) -> tuple[str, int] | None:
+    """Returns the parts of IP:PORT, or None if it is something else."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return None
+    if not port.isascii() or not port.isdigit() or not 0 < int(port) < 65_536:
+        return None
+    return host, int(port)
--- /dev/null
+++ b/src/savorylift/platform/configuration.py
@@ -0,0 +1,180 @@
+"""Decodes the operators' configuration from its store record."""
+
+from collections.abc import Mapping
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from savorylift.routing.configuration import (
+    Configuration,
+    EngineTraits,
+    Kind,
+    Route,
+    Service,
+    Target,
+    Team,
+)
+from savorylift.wire.server_connection import InputLimits
+
+CONFIGURATION_KEY = "config"
+EVACUATION_PREFIX = "evacuate/"
+
+KINDS = {
+    "safe": Kind.IDEMPOTENT,
+    "unsafe": Kind.ONCE,
+    "streaming": Kind.STREAM,
+}
+DEFAULT_PRIORITY = 5
+MEGABIT_BYTES = 125_000.0
+
+
+class _Target(msgspec.Struct):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    service: str | None = None
+    traffic_split: list[_Target] = []
+    # Milliseconds.
+    timeout_ms: float | None = None
+    # Milliseconds within which an answer counts in full.
+    target_latency_ms: float | None = None
+    max_attempts: int = 1
+    priority: int = DEFAULT_PRIORITY
+    public: bool = False
+    stream_resumption: bool = False
+    gap_aim_ms: float | None = None
+    allowed_regions: list[str] = []
+
+
+class _Engine(msgspec.Struct, rename="camel"):
+    slots: int
+    kv_capacity: int
+    kv_token_bytes: float = 0.0
+    link_mbps: float = 0.0
+    moves: bool = False
+    backups: bool = False
+    # Tokens in one event.
+    stride: int = 1
+
+
+class _Service(msgspec.Struct, rename="camel"):
+    name: str
+    cold_per_s: float | None = None
+    engine: _Engine | None = None
+
+
+class _Tenant(msgspec.Struct, rename="camel"):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    allowed_regions: list[str] = []
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    max_header_bytes: int = InputLimits().head_bytes
+    max_body_bytes: int = InputLimits().body_bytes
+    header_timeout_ms: float = InputLimits().head_s * 1000
+    idle_timeout_ms: float = InputLimits().idle_s * 1000
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    tenants: list[_Tenant] | None = None
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+def decode_configuration(value: bytes) -> Result[Configuration, str]:
+    """Returns the configuration in a record, or what is wrong with it."""
+    try:
+        cfg = msgspec.json.decode(value, type=_Configuration)
+    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
+        return Failure(str(exc))
+    unknown = [route.kind for route in cfg.routes if route.kind not in KINDS]
+    if unknown:
+        return Failure(f"unknown kind of route {unknown[0]!r}")
+    return Success(
+        Configuration(
+            version=cfg.version,
+            routes=_routes_by_host(cfg.routes),
+            services={item.name: _service(item) for item in cfg.services},
+            teams_by_key=_teams_by_key(cfg.tenants),
+            limits=InputLimits(
+                cfg.limits.max_header_bytes,
+                cfg.limits.max_body_bytes,
+                cfg.limits.header_timeout_ms / 1000,
+                cfg.limits.idle_timeout_ms / 1000,
+            ),
+        )
+    )
+
+
+def _routes_by_host(
+    routes: list[_Route],
+) -> Mapping[str, tuple[Route, ...]]:
+    by_host: dict[str, list[Route]] = {}
+    for item in routes:
+        by_host.setdefault(item.host.lower(), []).append(_route(item))
+    return {
+        host: tuple(sorted(group, key=lambda r: -len(r.path_prefix)))
+        for host, group in by_host.items()
+    }
+
+
+def _route(item: _Route) -> Route:
+    targets = [Target(part.service, part.weight) for part in item.traffic_split]
+    if not targets and item.service is not None:
+        targets = [Target(item.service, 1.0)]
+    return Route(
+        name=item.name,
+        host=item.host.lower(),
+        path_prefix=item.path_prefix,
+        kind=KINDS[item.kind],
+        targets=tuple(targets),
+        timeout_s=_seconds(item.timeout_ms),
+        objective_s=_seconds(item.target_latency_ms),
+        max_servers=max(item.max_attempts, 1),
+        priority=item.priority,
+        is_public=item.public,
+        can_resume=item.stream_resumption,
+        gap_objective_s=_seconds(item.gap_aim_ms),
+        regions=frozenset(item.allowed_regions),
+    )
+
+
+def _service(item: _Service) -> Service:
+    engine = None
+    if item.engine is not None:
+        engine = EngineTraits(
+            slots=item.engine.slots,
+            memory_tokens=item.engine.kv_capacity,
+            token_bytes=item.engine.kv_token_bytes,
+            link_bytes_per_s=item.engine.link_mbps * MEGABIT_BYTES,
+            can_move=item.engine.moves,
+            can_back_up=item.engine.backups,
+            tokens_per_event=max(item.engine.stride, 1),
+        )
+    return Service(item.name, item.cold_per_s, engine)
+
+
+def _teams_by_key(
+    tenants: list[_Tenant] | None,
+) -> Mapping[str, Team] | None:
+    if tenants is None:
+        return None
+    return {
+        key: Team(item.name, item.priority, frozenset(item.allowed_regions))
+        for item in tenants
+        for key in item.api_keys
+    }
+
+
+def _seconds(milliseconds: float | None) -> float | None:
+    return None if milliseconds is None else milliseconds / 1000
--- /dev/null
+++ b/src/savorylift/routing/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration in force and what it says of a request."""
--- a/src/savorylift/settings_file.py
+++ b/src/savorylift/settings_file.py
@@ -4,7 +4,7 @@
 import json
 import pathlib
 from collections.abc import Iterator, Mapping
-from typing import Any, NamedTuple, cast, get_type_hints
+from typing import Any, NamedTuple, TypeVar, cast, get_type_hints
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -36,8 +36,18 @@
         return ": ".join(part for part in self if part)
 
 
+Shape = TypeVar("Shape", bound=tuple[Any, ...])
+
+
 def read_settings(path: str) -> Result[Settings, tuple[SettingsFault, ...]]:
     """Returns the settings in the file, or every fault found in it."""
+    return read_settings_as(path, Settings)
+
+
+def read_settings_as(
+    path: str, shape: type[Shape]
+) -> Result[Shape, tuple[SettingsFault, ...]]:
+    """Returns settings of another shape, or every fault of the file."""
     try:
         data = json.loads(pathlib.Path(path).read_text(encoding="utf-8"))
     except OSError as exc:
@@ -45,26 +55,34 @@
         return Failure((SettingsFault(path, "", cause.lower()),))
     except ValueError as exc:
         return Failure((SettingsFault(path, "", f"not JSON: {exc}"),))
-    return check_settings(data, path)
+    return check_settings_as(data, path, shape)
 
 
 def check_settings(
     data: object, path: str
 ) -> Result[Settings, tuple[SettingsFault, ...]]:
     """Checks decoded JSON; `path` only names the file in faults."""
+    return check_settings_as(data, path, Settings)
+
+
+def check_settings_as(
+    data: object, path: str, shape: type[Shape]
+) -> Result[Shape, tuple[SettingsFault, ...]]:
+    """Checks decoded JSON against any shape of settings."""
     if not isinstance(data, dict):
         return Failure((SettingsFault(path, "", "expected a JSON object"),))
     faults = tuple(
         SettingsFault(path, key, message)
-        for key, message in _faults(data, Settings, "")
+        for key, message in _faults(data, shape, "")
     )
     if faults:
         return Failure(faults)
     nested = {
-        key: shape(**_convert_all(data.get(key, {}), shape))
-        for key, shape in NESTED.items()
+        key: part(**_convert_all(data.get(key, {}), part))
+        for key, part in NESTED.items()
+        if key in _hints(shape)
     }
-    return Success(Settings(**(_convert_all(data, Settings) | nested)))
+    return Success(shape(**(_convert_all(data, shape) | nested)))
 
 
 def _faults(
--- /dev/null
+++ b/src/savorylift/wire/message.py
@@ -0,0 +1,88 @@
+"""HTTP messages as values, the same for callers and backend servers."""
+
+from typing import NamedTuple
+
+Headers = tuple[tuple[str, str], ...]
+
+SINGLE_HOP = frozenset(
+    {
+        "connection",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+
+
+class Request(NamedTuple):
+    """A whole request.
+
+    Attributes:
+        method: Upper-case method.
+        target: Path and query as sent.
+        headers: Lower-case names with values, in order.
+        body: The decoded body.
+        arrived_s: Steady time at which its first byte was read.
+    """
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    arrived_s: float
+
+    def values(self, name: str) -> list[str]:
+        """Returns every value of a header; `name` in lower case."""
+        return [value for key, value in self.headers if key == name]
+
+
+class ResponseHead(NamedTuple):
+    """Status and headers of a response.
+
+    Attributes:
+        status: Status code.
+        headers: Lower-case names with values, in order.
+    """
+
+    status: int
+    headers: Headers
+
+    def value(self, name: str) -> str | None:
+        """Returns the first value of a header; `name` in lower case."""
+        return next((text for key, text in self.headers if key == name), None)
+
+
+class Response(NamedTuple):
+    """A whole response.
+
+    Attributes:
+        status: Status code.
+        headers: Lower-case names with values, in order.
+        body: The decoded body.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes = b""
+
+    def value(self, name: str) -> str | None:
+        """Returns the first value of a header; `name` in lower case."""
+        return ResponseHead(self.status, self.headers).value(name)
+
+
+def end_to_end(headers: Headers) -> Headers:
+    """Returns the headers that concern more than one connection."""
+    named = {
+        token.strip().lower()
+        for key, value in headers
+        if key == "connection"
+        for token in value.split(",")
+    }
+    dropped = SINGLE_HOP | named
+    return tuple(item for item in headers if item[0] not in dropped)
