Continue runs at a copy made ahead, and queue the other copies

Runs now go on at a backup at once, the others are copied one after another in an order that all nodes share; the drop of a copy is sent to both ends, since a failed one kept memory for 5 s.

--- a/src/savorylift/exchange/pool.py
+++ b/src/savorylift/exchange/pool.py
@@ -2,17 +2,22 @@
 
 import random
 import time
-from collections.abc import Collection, Iterator, Mapping
+from collections.abc import Callable, Collection, Iterator, Mapping
 
 from savorylift.backends.cold_start import ColdStart
 from savorylift.backends.registry import Known
 from savorylift.backends.work import Load, Work, add_up
 from savorylift.exchange.admission import Admitted
 from savorylift.exchange.budget import RetryBudget
+from savorylift.exchange.move_queue import MoveQueue
 from savorylift.fleet.knowledge import Knowledge
 from savorylift.fleet.membership import Membership
 from savorylift.placement.candidates import usable
-from savorylift.placement.engines import EngineOptions, choose_engine
+from savorylift.placement.engines import (
+    EngineOptions,
+    choose_engine,
+    choose_refuge,
+)
 from savorylift.placement.plain import choose_plain
 from savorylift.routing.configuration import Service
 
@@ -26,14 +31,26 @@
         membership: Membership,
         budget: RetryBudget,
         rng: random.Random,
+        announce: Callable[[], None],
     ) -> None:
-        """Reads `knowledge` and `membership` at each choice."""
+        """Reads `knowledge` and `membership` at each choice.
+
+        Args:
+            knowledge: What the store says.
+            membership: The other nodes.
+            budget: This node's share of repeats.
+            rng: Breaks ties.
+            announce: Tells the other nodes of a change soon.
+        """
         self._knowledge = knowledge
         self._membership = membership
         self._budget = budget
         self._rng = rng
         self._cold_start = ColdStart()
         self.work = Work()
+        self.move_queue = MoveQueue(
+            lambda: membership.moves(time.monotonic()), announce
+        )
 
     def pick_plain(self, adm: Admitted, tried: Collection[str]) -> Known | None:
         """Returns a server for a plain call and counts the call there."""
@@ -69,6 +86,14 @@
             self._sendable(service, tried), self._loads(), options, self._rng
         )
 
+    def pick_refuge(
+        self, service: Service, options: EngineOptions, tried: Collection[str]
+    ) -> Known | None:
+        """Returns the engine with most room, even if it may be too little."""
+        return choose_refuge(
+            self._sendable(service, tried), self._loads(), options, self._rng
+        )
+
     def is_usable(self, server: Known) -> bool:
         """Whether a server may still get what was chosen for it."""
         entry = server.entry
--- a/src/savorylift/fleet/membership.py
+++ b/src/savorylift/fleet/membership.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from savorylift.fleet.state import NodeState, ServerLoad
+from savorylift.placement.move_order import PlannedMove
 from savorylift.rendezvous import rank
 
 # Five messages in a row are missing by then.
@@ -90,6 +91,11 @@
         for heard in self.live(now_s):
             yield from heard.state.loads
 
+    def moves(self, now_s: float) -> Iterator[PlannedMove]:
+        """Yields the runs that other nodes copy off leaving engines."""
+        for heard in self.live(now_s):
+            yield from heard.state.moves
+
     def callers_addresses(
         self, me: NodeState, region: str | None, now_s: float
     ) -> list[str]:
--- a/src/savorylift/fleet/state.py
+++ b/src/savorylift/fleet/state.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from savorylift.placement.move_order import PlannedMove
+
 
 class ServerLoad(NamedTuple):
     """A node's work on one backend server.
@@ -41,6 +43,7 @@
             has none.
         has_store_fault: Whether the store lately failed it.
         loads: Its work on each backend server.
+        moves: Runs that it is to copy off engines that leave.
         peers: Addresses of other nodes that it heard lately.
     """
 
@@ -58,6 +61,7 @@
     reading_age_s: float | None
     has_store_fault: bool
     loads: tuple[ServerLoad, ...]
+    moves: tuple[PlannedMove, ...]
     peers: tuple[str, ...]
 
 
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -80,11 +80,17 @@
         budget = RetryBudget(
             BudgetOptions(cfg.retry_ratio, cfg.retry_window_s, cfg.retry_slack)
         )
-        self._pool = Pool(self._knowledge, self._membership, budget, rng)
+        self._pool = Pool(
+            self._knowledge,
+            self._membership,
+            budget,
+            rng,
+            lambda: self._link.send_soon(),
+        )
         codec = PlatformCodec()
         sender = Sender(codec, self._pool.is_usable)
         self._generations = Generations(
-            self._pool, sender, Mover(self._pool), rng
+            self._pool, sender, Mover(self._pool, sender), rng
         )
         door = CallerDoor(
             self._knowledge,
@@ -193,6 +199,7 @@
             reading_age_s=self._own_age_s(now_s),
             has_store_fault=any(part.has_fault(now_s) for part in faults),
             loads=self._pool.work.loads(),
+            moves=self._pool.move_queue.planned,
             peers=tuple(h.state.ip for h in self._membership.live(now_s)),
         )
 
@@ -228,6 +235,7 @@
             or state.servers_version > self._knowledge.servers_version
         ):
             self._fetch_from(state.ip)
+        self._pool.move_queue.on_change()
         self._generations.on_change()
 
     def _fetch_from(self, ip: str) -> None:
--- a/src/savorylift/placement/engines.py
+++ b/src/savorylift/placement/engines.py
@@ -17,8 +17,6 @@
 FILL = 0.95
 # Without a caller's estimate: share of the output limit.
 DEFAULT_OUTPUT = 0.4
-# Copies to the same failure domain take half as long.
-FAR_COST = 0.15
 # Spread of equal choices over engines, as a share of an engine.
 JITTER = 0.03
 
@@ -30,13 +28,17 @@
         traits: What the service's engines can do.
         tokens: Tokens that the generation is expected to reach.
         near: Failure domain whose engines are preferred, if any.
+        far_cost: What another failure domain costs, as a share of an engine.
         jitter: Spread of nearly equal choices, as a share of an engine.
+        fill: Share of an engine's memory that may be taken.
     """
 
     traits: EngineTraits
     tokens: int
     near: str | None = None
+    far_cost: float = 0.0
     jitter: float = JITTER
+    fill: float = FILL
 
 
 def expected_tokens(generation: Generation) -> int:
@@ -59,15 +61,25 @@
         for server in candidates
         if has_room(loads.get(server.entry.server_id, Load()), options)
     ]
+    return choose_refuge(room, loads, options, rng)
+
+
+def choose_refuge(
+    candidates: Iterable[Known],
+    loads: Mapping[str, Load],
+    options: EngineOptions,
+    rng: random.Random,
+) -> Known | None:
+    """Returns the engine with most room, whether or not it is enough."""
 
     def cost(server: Known) -> tuple[bool, float]:
         load = loads.get(server.entry.server_id, Load())
         fill = load.tokens / options.traits.memory_tokens
         if options.near not in (None, server.entry.failure_domain):
-            fill += FAR_COST
+            fill += options.far_cost
         return load.is_grey, fill + rng.uniform(0, options.jitter)
 
-    return min(room, key=cost, default=None)
+    return min(candidates, key=cost, default=None)
 
 
 def has_room(load: Load, options: EngineOptions) -> bool:
@@ -76,5 +88,5 @@
         return False
     if load.requests == 0:
         return True
-    limit = options.traits.memory_tokens * FILL
+    limit = options.traits.memory_tokens * options.fill
     return load.tokens + options.tokens <= limit
--- /dev/null
+++ b/src/savorylift/placement/move_order.py
@@ -0,0 +1,32 @@
+"""The order in which runs are copied off an engine that is leaving.
+
+Answers several nodes that move runs off one engine within its notice: copies
+share the engine's link, so they go one after another, the smallest first,
+and each run stops for its last part before the next copy begins. Started all
+at once, every copy would end late and most runs would be lost.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+
+class PlannedMove(NamedTuple):
+    """A run that is to be copied off an engine.
+
+    Attributes:
+        server_id: The engine that it leaves.
+        tokens: Size of its memory.
+        attempt_id: The run.
+    """
+
+    server_id: str
+    tokens: int
+    attempt_id: str
+
+
+def is_next(move: PlannedMove, others: Iterable[PlannedMove]) -> bool:
+    """Whether no other planned move of the same engine goes before."""
+    return all(
+        other.server_id != move.server_id or move[1:] <= other[1:]
+        for other in others
+    )
