--- a/src/savorylift/exchange/admission.py
+++ b/src/savorylift/exchange/admission.py
@@ -16,8 +16,8 @@
     find_route,
 )
 
-# A node that has just started usually knows its configuration by then.
-STARTING_RETRY_S = 0.3
+# A node that has waited for its configuration in vain may need this long.
+STARTING_RETRY_S = 1.0
 MOST_PRIORITY = 9
 SPREAD = 10_000
 
--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -161,7 +161,7 @@
     ) -> NotRun | Answered | Broken | None:
         """Runs at one engine and those it moves to; None if complete."""
         until_s = self._first_event_limit(run, is_last=is_last)
-        self._back_up_at(run, self._mover.choose_backup(run, server))
+        self._back_up_at(run, None)
         resumption = Resumption(run.resume_after, None, run.backup)
         begun: Started | None = None
         while True:
@@ -320,6 +320,10 @@
         run.backup = backup
         if backup is not None:
             self._pool.work.begin(backup.entry.server_id, name, run.tokens)
+            self._pool.work.save(backup.entry.server_id, name)
+            if run.server is not None:
+                server_id = run.server.entry.server_id
+                self._pool.work.save(server_id, run.attempt_id)
 
     def _release(self, run: Run) -> None:
         """Ends what a run holds at engines."""
--- a/src/savorylift/exchange/mover.py
+++ b/src/savorylift/exchange/mover.py
@@ -18,7 +18,7 @@
 from savorylift.exchange.request import Continuation
 from savorylift.exchange.run import NextPart, Run
 from savorylift.exchange.send import Resumption, Sender, Started
-from savorylift.placement.engines import EngineOptions
+from savorylift.placement.engines import EngineOptions, needs_backup
 from savorylift.placement.move_order import PlannedMove
 from savorylift.platform.engine import (
     Copied,
@@ -130,6 +130,8 @@
         engine = run.adm.service.engine
         if engine is None or not engine.can_back_up:
             return None
+        if not needs_backup(self._pool.load(server), engine):
+            return None
         options = EngineOptions(
             engine, run.tokens, jitter=BACKUP_JITTER, fill=BACKUP_FILL
         )
@@ -169,6 +171,7 @@
         name = f"{run.attempt_id}/copy"
         server_id = destination.entry.server_id
         self._pool.work.begin(server_id, name, run.tokens)
+        self._pool.work.save(server_id, name)
         handle: str | None = None
         is_done = False
         try:
--- a/src/savorylift/exchange/pool.py
+++ b/src/savorylift/exchange/pool.py
@@ -94,6 +94,10 @@
             self._sendable(service, tried), self._loads(), options, self._rng
         )
 
+    def load(self, server: Known) -> Load:
+        """Returns the work of all nodes on a server."""
+        return self._loads().get(server.entry.server_id, Load())
+
     def is_usable(self, server: Known) -> bool:
         """Whether a server may still get what was chosen for it."""
         entry = server.entry
--- a/src/savorylift/fleet/follower.py
+++ b/src/savorylift/fleet/follower.py
@@ -21,6 +21,8 @@
 # Servers write a few times a second together; each answered poll is paid.
 PACE_S = 0.2
 RETRY_S = 0.5
+# A node without a configuration can serve nobody.
+STARTING_RETRY_S = 0.1
 SPARE_RETRY_S = 2.0
 # Longer silence of the store than this lets entries in it lapse.
 AWAY_S = 1.0
@@ -38,20 +40,25 @@
         self,
         is_reader: Callable[[], bool],
         others_age_s: Callable[[], float | None],
+        is_starting: Callable[[], bool],
     ) -> None:
         """Asks the fleet.
 
         Args:
             is_reader: Whether this node is one of the readers.
             others_age_s: Age of the newest reading of another node.
+            is_starting: Whether this node knows no configuration yet.
         """
         self._is_reader = is_reader
         self._others_age_s = others_age_s
+        self._is_starting = is_starting
 
     @property
-    def is_reader(self) -> bool:
-        """Whether this node is one of the readers."""
-        return self._is_reader()
+    def retry_s(self) -> float:
+        """How long to wait after a call that failed."""
+        if self._is_starting():
+            return STARTING_RETRY_S
+        return RETRY_S if self._is_reader() else SPARE_RETRY_S
 
     def should_read(self) -> bool:
         """Whether to read: as a reader, or since the others' news is old."""
@@ -159,7 +166,7 @@
             self._failing_since_s = self._read_s or now_s
             _log.warning("store_lost", topic=self._topic, detail=error.detail)
         self._fault_s = now_s
-        return RETRY_S if self._turn.is_reader else SPARE_RETRY_S
+        return self._turn.retry_s
 
 
 def _ignore(_returned_s: float) -> None:
--- a/src/savorylift/fleet/knowledge.py
+++ b/src/savorylift/fleet/knowledge.py
@@ -1,5 +1,6 @@
 """What the store's records say, from the store itself or from a node."""
 
+import asyncio
 import time
 from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
@@ -49,6 +50,7 @@
 
     Attributes:
         configuration: The newest configuration; None until one is known.
+        is_configured: Set once a configuration is known.
         evacuated: Failure domains whose backend servers get nothing new.
         registry: The backend servers.
         operators_version: Offset after the last operators' change.
@@ -62,6 +64,7 @@
         self._operators: dict[str, bytes] = {}
         self._servers: dict[str, bytes] = {}
         self.configuration: Configuration | None = None
+        self.is_configured = asyncio.Event()
         self.evacuated: frozenset[str] = frozenset()
         self.registry = Registry()
         self.operators_version = 0
@@ -213,4 +216,5 @@
             return
         self._operators[self._decoders.configuration_key] = value
         self.configuration = cfg
+        self.is_configured.set()
         _log.info("configuration", version=cfg.version)
--- a/src/savorylift/front/caller_door.py
+++ b/src/savorylift/front/caller_door.py
@@ -1,6 +1,7 @@
 """Serves callers' connections: one request at a time, one final answer."""
 
 import asyncio
+import contextlib
 import time
 
 import structlog
@@ -28,6 +29,10 @@
 
 # Another node takes the request at once.
 LEAVING_RETRY_S = 0.02
+# A node that starts has its configuration within this time, if the store or
+# another node answers; longer waiting is left to the caller.
+STARTING_HOLD_S = 0.8
+STARTING_SHARE = 0.2
 
 _log = structlog.get_logger()
 
@@ -144,6 +149,7 @@
     async def _serve_one(
         self, conn: ServerConnection, asked: CallerRequest
     ) -> None:
+        await self._wait_for_configuration(asked)
         admitted = admit(
             asked, self._knowledge.configuration, self._default_timeout_s
         )
@@ -166,6 +172,16 @@
             answer = await within_deadline(adm, self._calls)
         self._answer(conn, asked, answer)
 
+    async def _wait_for_configuration(self, asked: CallerRequest) -> None:
+        """Holds a request for a moment on a node that has just started."""
+        if self._knowledge.configuration is not None:
+            return
+        time_left_s = asked.time_left_s or STARTING_HOLD_S
+        hold_s = min(STARTING_HOLD_S, STARTING_SHARE * time_left_s)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(hold_s):
+                await self._knowledge.is_configured.wait()
+
     def _refuse_while_leaving(self, adm: Admitted) -> Refused | None:
         """Refuses a stream that would outlast this node."""
         if adm.route.kind is not Kind.STREAM or not self._life.is_leaving:
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -102,7 +102,11 @@
             cfg.request_timeout_s,
         )
         self._store = StoreClient(_address(cfg.store))
-        turn = Turn(self._is_reader, self._others_age_s)
+        turn = Turn(
+            self._is_reader,
+            self._others_age_s,
+            lambda: self._knowledge.configuration is None,
+        )
         self._operators = Follower(
             self._store, OPERATORS, turn, self._on_store_change
         )
--- a/src/savorylift/platform/store.py
+++ b/src/savorylift/platform/store.py
@@ -18,7 +18,7 @@
 
 CONNECT_S = 0.5
 # Slower answers are of no use: the next try starts a new connection.
-ANSWER_S = 1.5
+ANSWER_S = 0.8
 READ_KB = 1024
 _LENGTH = struct.Struct(">I")
 _READ_HEAD = struct.Struct(">QQ")
