--- a/src/savorylift/backends/work.py
+++ b/src/savorylift/backends/work.py
@@ -21,14 +21,12 @@
     Attributes:
         requests: Requests under way.
         tokens: Tokens that its generations are expected to reach.
-        unsaved: Part of these tokens that has no copy elsewhere.
         succeeded: Requests that ended well lately.
         failed: Requests that failed lately.
     """
 
     requests: int = 0
     tokens: int = 0
-    unsaved: int = 0
     succeeded: int = 0
     failed: int = 0
 
@@ -45,7 +43,6 @@
     def __init__(self) -> None:
         """Starts without work."""
         self._tokens: dict[str, dict[str, int]] = {}
-        self._saved: set[tuple[str, str]] = set()
         self._results: dict[str, collections.deque[tuple[float, bool]]] = {}
 
     def begin(self, server_id: str, attempt_id: str, tokens: int) -> None:
@@ -56,14 +53,9 @@
         """Counts a request that is over; a second call does nothing."""
         requests = self._tokens.get(server_id, {})
         requests.pop(attempt_id, None)
-        self._saved.discard((server_id, attempt_id))
         if not requests:
             self._tokens.pop(server_id, None)
 
-    def save(self, server_id: str, attempt_id: str) -> None:
-        """Notes that a request's memory has a copy elsewhere, or is one."""
-        self._saved.add((server_id, attempt_id))
-
     def judge(self, server_id: str, *, is_success: bool) -> None:
         """Remembers how a request ended at a server."""
         results = self._results.setdefault(server_id, collections.deque())
@@ -82,11 +74,6 @@
             server_id,
             len(requests),
             sum(requests.values()),
-            sum(
-                tokens
-                for attempt_id, tokens in requests.items()
-                if (server_id, attempt_id) not in self._saved
-            ),
             results.count(True),
             results.count(False),
         )
@@ -108,7 +95,6 @@
         total[part.server_id] = Load(
             so_far.requests + part.requests,
             so_far.tokens + part.tokens,
-            so_far.unsaved + part.unsaved,
             so_far.succeeded + part.succeeded,
             so_far.failed + part.failed,
         )
--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -161,11 +161,9 @@
     ) -> NotRun | Answered | Broken | None:
         """Runs at one engine and those it moves to; None if complete."""
         until_s = self._first_event_limit(run, is_last=is_last)
-        self._back_up_at(run, None)
-        resumption = Resumption(run.resume_after, None, run.backup)
-        begun: Started | None = None
+        resumption = Resumption(run.resume_after)
         while True:
-            started = begun or await self._sender.start(
+            started = await self._sender.start(
                 server, run.adm, resumption, until_s
             )
             self._log_sent(run, server, started)
@@ -186,12 +184,8 @@
             if part is None:
                 return ended
             server = part.server
-            begun = part.started
             self._put_at(run, server)
-            self._back_up_at(run, part.backup)
-            resumption = Resumption(
-                run.resume_after, part.continuation, run.backup
-            )
+            resumption = Resumption(run.resume_after, part.continuation)
             until_s = run.adm.deadline_s
 
     async def _relay(
@@ -241,11 +235,11 @@
 
     async def _next_part(self, run: Run) -> NextPart | None:
         """Returns where a stopped run goes on, if it was moved."""
+        if run.move is None:
+            return None
         move, run.move = run.move, None
         try:
             async with asyncio.timeout(SWITCH_S):
-                if move is None:
-                    return await self._mover.use_backup(run)
                 return await move
         except TimeoutError:
             return None
@@ -312,19 +306,6 @@
         )
         self._offer_room()
 
-    def _back_up_at(self, run: Run, backup: Known | None) -> None:
-        """Counts the copy of a run at the engine that gets it."""
-        name = f"{run.attempt_id}/backup"
-        if run.backup is not None:
-            self._pool.work.end(run.backup.entry.server_id, name)
-        run.backup = backup
-        if backup is not None:
-            self._pool.work.begin(backup.entry.server_id, name, run.tokens)
-            self._pool.work.save(backup.entry.server_id, name)
-            if run.server is not None:
-                server_id = run.server.entry.server_id
-                self._pool.work.save(server_id, run.attempt_id)
-
     def _release(self, run: Run) -> None:
         """Ends what a run holds at engines."""
         if run.call is not None:
@@ -334,7 +315,6 @@
             self._stop_move(run.move)
             run.move = None
         self._end_work(run)
-        self._back_up_at(run, None)
         run.server = None
         self._offer_room()
 
--- a/src/savorylift/exchange/mover.py
+++ b/src/savorylift/exchange/mover.py
@@ -1,9 +1,8 @@
 """Moves runs from an engine that is leaving to another one.
 
-A run whose memory was copied to another engine as it grew goes on there at
-once. Otherwise the memory is copied while the run goes on, and once more for what came
-since; only then the run stops for the last, small part. So the caller sees a
-pause of a few events at most.
+The memory is copied while the run goes on; only then the run stops, for what
+came since. So the caller sees a pause of a few events at most. Copies of all
+nodes share the engine's link, so they go one after another.
 """
 
 import asyncio
@@ -17,8 +16,7 @@
 from savorylift.exchange.pool import Pool
 from savorylift.exchange.request import Continuation
 from savorylift.exchange.run import NextPart, Run
-from savorylift.exchange.send import Resumption, Sender, Started
-from savorylift.placement.engines import EngineOptions, needs_backup
+from savorylift.placement.engines import EngineOptions
 from savorylift.placement.move_order import PlannedMove
 from savorylift.platform.engine import (
     Copied,
@@ -40,9 +38,6 @@
 JITTER = 0.1
 # Copies to another failure domain take twice as long.
 MOVE_FAR_COST = 0.3
-BACKUP_JITTER = 0.1
-# Copies must not keep new work from an engine.
-BACKUP_FILL = 0.85
 
 _log = structlog.get_logger()
 
@@ -50,19 +45,15 @@
 class Mover:
     """Copies a run's memory ahead, stops it, and says where it goes on."""
 
-    def __init__(self, pool: Pool, sender: Sender) -> None:
-        """Takes what it chooses and sends with."""
+    def __init__(self, pool: Pool) -> None:
+        """Chooses destinations from the pool."""
         self._pool = pool
-        self._sender = sender
         self._drops: set[asyncio.Task[bool]] = set()
 
     async def move(self, run: Run) -> NextPart | None:
         """Returns where the stopped run goes on; None if it stays."""
         source = run.server
         assert source is not None
-        part = await self.use_backup(run)
-        if part is not None:
-            return part
         planned = PlannedMove(
             source.entry.server_id, run.memory_tokens, run.attempt_id
         )
@@ -89,55 +80,6 @@
         )
         return None
 
-    async def use_backup(self, run: Run) -> NextPart | None:
-        """Goes on at the engine that has a copy; None if it has none.
-
-        The run before is stopped as soon as the new one has begun.
-        """
-        backup = run.backup
-        if backup is None or not self._pool.is_staying(backup):
-            return None
-        copy = Continuation(backup.entry.address, run.attempt_id)
-        next_backup = self.choose_backup(run, backup)
-        started = await self._sender.start(
-            backup,
-            run.adm,
-            Resumption(run.resume_after, copy, next_backup),
-            run.adm.deadline_s,
-        )
-        is_begun = isinstance(started, Started) and started.head.is_success
-        _log.info(
-            "backup_used",
-            request=run.attempt_id,
-            server=backup.entry.server_id,
-            is_begun=is_begun,
-            last_event=run.last_event,
-        )
-        if not isinstance(started, Started):
-            counters.MOVES.labels("backup_failed").inc()
-            return None
-        if not started.head.is_success:
-            started.call.close()
-            counters.MOVES.labels("backup_refused").inc()
-            return None
-        counters.MOVES.labels("backup").inc()
-        if run.call is not None:
-            run.call.close()
-        return NextPart(backup, copy, started, next_backup)
-
-    def choose_backup(self, run: Run, server: Known) -> Known | None:
-        """Returns an engine for the copy of a run at `server`."""
-        engine = run.adm.service.engine
-        if engine is None or not engine.can_back_up:
-            return None
-        if not needs_backup(self._pool.load(server), engine):
-            return None
-        options = EngineOptions(
-            engine, run.tokens, jitter=BACKUP_JITTER, fill=BACKUP_FILL
-        )
-        tried = {server.entry.server_id}
-        return self._pool.pick_copy(run.adm.service, options, tried)
-
     def drop(self, part: NextPart) -> None:
         """Frees the copy of a run that doesn't go on.
 
@@ -171,7 +113,6 @@
         name = f"{run.attempt_id}/copy"
         server_id = destination.entry.server_id
         self._pool.work.begin(server_id, name, run.tokens)
-        self._pool.work.save(server_id, name)
         handle: str | None = None
         is_done = False
         try:
--- a/src/savorylift/exchange/pool.py
+++ b/src/savorylift/exchange/pool.py
@@ -78,14 +78,6 @@
             self._begin(found, adm, options.tokens)
         return found
 
-    def pick_copy(
-        self, service: Service, options: EngineOptions, tried: Collection[str]
-    ) -> Known | None:
-        """Returns an engine for the copy of a run, without counting it."""
-        return choose_engine(
-            self._sendable(service, tried), self._loads(), options, self._rng
-        )
-
     def pick_refuge(
         self, service: Service, options: EngineOptions, tried: Collection[str]
     ) -> Known | None:
@@ -94,10 +86,6 @@
             self._sendable(service, tried), self._loads(), options, self._rng
         )
 
-    def load(self, server: Known) -> Load:
-        """Returns the work of all nodes on a server."""
-        return self._loads().get(server.entry.server_id, Load())
-
     def is_usable(self, server: Known) -> bool:
         """Whether a server may still get what was chosen for it."""
         entry = server.entry
--- a/src/savorylift/exchange/request.py
+++ b/src/savorylift/exchange/request.py
@@ -76,7 +76,6 @@
         priority: Rank, 0 first, up to 9; None for the usual one.
         resume_after: Event after which a stream goes on.
         continuation: Memory from which a run goes on.
-        backup: Engine that the run's memory is copied to as it grows.
     """
 
     server_id: str
@@ -85,7 +84,6 @@
     priority: int | None = None
     resume_after: str | None = None
     continuation: Continuation | None = None
-    backup: tuple[str, int] | None = None
 
 
 class AnswerHead(NamedTuple):
--- a/src/savorylift/exchange/run.py
+++ b/src/savorylift/exchange/run.py
@@ -7,7 +7,6 @@
 from savorylift.backends.registry import Known
 from savorylift.exchange.admission import Admitted
 from savorylift.exchange.request import Continuation
-from savorylift.exchange.send import Started
 from savorylift.wire.client_call import ClientCall
 
 
@@ -17,14 +16,10 @@
     Attributes:
         server: The engine to go on at.
         continuation: Memory to go on from.
-        started: The answer there, if it has begun already.
-        backup: Engine that gets a copy of the run from then on.
     """
 
     server: Known
     continuation: Continuation
-    started: Started | None = None
-    backup: Known | None = None
 
 
 class Run:
@@ -34,7 +29,6 @@
         adm: The request.
         tokens: Tokens that it is expected to reach.
         server: Engine that has it; None while it waits.
-        backup: Engine that gets a copy as it grows; None without one.
         call: Call to that engine; None before it and between engines.
         last_event: Number of the newest event passed on; None before one.
         move: Task that moves it to another engine, if one does.
@@ -48,7 +42,6 @@
         self.adm = adm
         self.tokens = tokens
         self.server: Known | None = None
-        self.backup: Known | None = None
         self.call: ClientCall | None = None
         self.last_event: int | None = None
         self.move: asyncio.Task[NextPart | None] | None = None
--- a/src/savorylift/exchange/send.py
+++ b/src/savorylift/exchange/send.py
@@ -47,12 +47,10 @@
     Attributes:
         after: Last event that the caller has, as sent; None for all.
         continuation: Memory that the run goes on from.
-        backup: Engine that gets a copy of the run as it grows.
     """
 
     after: str | None = None
     continuation: Continuation | None = None
-    backup: Known | None = None
 
 
 class Started(NamedTuple):
@@ -154,7 +152,6 @@
             priority=adm.priority if req.generation is not None else None,
             resume_after=resumption.after,
             continuation=resumption.continuation,
-            backup=resumption.backup and resumption.backup.entry.address,
         )
         headers = self._codec.forwarded(req, how)
         call.send(req.method, req.target, headers, req.body)
--- a/src/savorylift/fleet/link.py
+++ b/src/savorylift/fleet/link.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections.abc import Callable
-from typing import cast
+from typing import Protocol, cast
 
 import structlog
 from returns.pipeline import is_successful
@@ -25,6 +25,14 @@
 _log = structlog.get_logger()
 
 
+class Targets(Protocol):
+    """Where to send this node's state."""
+
+    def __call__(self, *, to_silent: bool) -> tuple[str, ...]:
+        """Returns addresses; with `to_silent`, those not heard too."""
+        ...
+
+
 class Link(asyncio.DatagramProtocol):
     """Sends this node's state to the others and hears theirs."""
 
@@ -33,7 +41,7 @@
         port: int,
         make_state: Callable[[], NodeState],
         hear: Callable[[NodeState], None],
-        targets: Callable[[bool], tuple[str, ...]],
+        targets: Targets,
     ) -> None:
         """Takes what it needs of the node.
 
@@ -41,7 +49,7 @@
             port: Port of every node's datagrams and whole-state calls.
             make_state: Returns the message to send.
             hear: Takes a message that arrived.
-            targets: Returns where to send; with True, silent nodes too.
+            targets: Returns where to send.
         """
         self._port = port
         self._make_state = make_state
@@ -82,7 +90,7 @@
         data = encode(self._make_state())
         if self._transport is None or self._transport.is_closing():
             return
-        for ip in self._targets(to_silent):
+        for ip in self._targets(to_silent=to_silent):
             self._transport.sendto(data, (ip, self._port))
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
--- a/src/savorylift/fleet/state.py
+++ b/src/savorylift/fleet/state.py
@@ -12,7 +12,6 @@
         server_id: The backend server.
         requests: Requests under way.
         tokens: Tokens that its generations there are expected to reach.
-        unsaved: Part of these tokens that has no copy elsewhere.
         succeeded: Requests that ended well in the last seconds.
         failed: Requests that failed in the last seconds.
     """
@@ -20,7 +19,6 @@
     server_id: str
     requests: int
     tokens: int
-    unsaved: int
     succeeded: int
     failed: int
 
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -90,7 +90,7 @@
         codec = PlatformCodec()
         sender = Sender(codec, self._pool.is_usable)
         self._generations = Generations(
-            self._pool, sender, Mover(self._pool, sender), rng
+            self._pool, sender, Mover(self._pool), rng
         )
         door = CallerDoor(
             self._knowledge,
@@ -220,7 +220,7 @@
     def _others_age_s(self) -> float | None:
         return self._membership.reading_age_s(time.monotonic())
 
-    def _targets(self, to_silent: bool) -> tuple[str, ...]:
+    def _targets(self, *, to_silent: bool) -> tuple[str, ...]:
         if to_silent:
             return self._membership.addresses
         live = self._membership.live(time.monotonic())
--- a/src/savorylift/placement/engines.py
+++ b/src/savorylift/placement/engines.py
@@ -15,8 +15,6 @@
 
 # Runs that grow beyond what was expected need some room.
 FILL = 0.95
-# Engines leave some 1.5 s after their notice.
-COPIED_IN_NOTICE_S = 1.5
 # Without a caller's estimate: share of the output limit.
 DEFAULT_OUTPUT = 0.4
 # Spread of equal choices over engines, as a share of an engine.
@@ -32,7 +30,6 @@
         near: Failure domain whose engines are preferred, if any.
         far_cost: What another failure domain costs, as a share of an engine.
         jitter: Spread of nearly equal choices, as a share of an engine.
-        fill: Share of an engine's memory that may be taken.
     """
 
     traits: EngineTraits
@@ -40,7 +37,6 @@
     near: str | None = None
     far_cost: float = 0.0
     jitter: float = JITTER
-    fill: float = FILL
 
 
 def expected_tokens(generation: Generation) -> int:
@@ -84,21 +80,11 @@
     return min(candidates, key=cost, default=None)
 
 
-def needs_backup(load: Load, traits: EngineTraits) -> bool:
-    """Whether an engine's runs are too many to be copied at its notice.
-
-    Copies to another failure domain take twice as long as the link needs.
-    Runs beyond what fits into a notice are copied as they grow.
-    """
-    copy_s = load.unsaved * traits.token_bytes * 2 / traits.link_bytes_per_s
-    return copy_s > COPIED_IN_NOTICE_S
-
-
 def has_room(load: Load, options: EngineOptions) -> bool:
     """Whether an engine can take the generation without preempting."""
     if load.requests >= options.traits.slots:
         return False
     if load.requests == 0:
         return True
-    limit = options.traits.memory_tokens * options.fill
+    limit = options.traits.memory_tokens * FILL
     return load.tokens + options.tokens <= limit
--- a/src/savorylift/platform/ingress.py
+++ b/src/savorylift/platform/ingress.py
@@ -91,9 +91,6 @@
         added.append((names.LAST_EVENT_ID, how.resume_after))
     if how.continuation is not None:
         added.append((names.COPIED_MEMORY, _encode_copy(how.continuation)))
-    if how.backup is not None:
-        host, port = how.backup
-        added.append((names.BACKUP, f"{host}:{port}"))
     return req.headers + tuple(added)
 
 
