--- a/src/savorylift/wire/server_connection.py
+++ b/src/savorylift/wire/server_connection.py
@@ -151,10 +151,11 @@
         return bool(self._pending)
 
     async def _read_head(self, limit: int) -> bytes | BadRequest | Closing:
-        while self._pending.startswith(b"\r\n"):
-            del self._pending[:2]
         searched = 0
         while True:
+            while self._pending.startswith(b"\r\n"):
+                del self._pending[:2]
+                searched = 0
             end = self._pending.find(HEAD_END, max(searched - 3, 0))
             searched = len(self._pending)
             if end > limit or (end < 0 and searched > limit):
--- /dev/null
+++ b/tests/backends/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of beliefs about backend servers."""
--- /dev/null
+++ b/tests/backends/test_registry.py
@@ -0,0 +1,87 @@
+"""Tests of what is believed of backend servers."""
+
+import pytest
+
+from savorylift.backends.registry import RETURN_S, Registry
+from tests.exchange.fakes import entry
+
+
+def test_signs_of_life_change_nothing() -> None:
+    registry = Registry()
+    assert registry.put(entry(), 0.0)
+    assert not registry.put(entry()._replace(sequence=2), 1.0)
+    assert registry.put(entry()._replace(sequence=3, is_leaving=True), 2.0)
+
+
+@pytest.mark.parametrize(
+    "late",
+    [
+        entry()._replace(sequence=4),
+        entry()._replace(sequence=9, started_ms=0),
+    ],
+)
+def test_late_entries_are_not_believed(late: object) -> None:
+    registry = Registry()
+    registry.put(entry()._replace(sequence=5, is_leaving=True), 0.0)
+    assert not registry.put(late, 1.0)  # type: ignore[arg-type]
+    assert registry.known["i-1"].entry.is_leaving
+
+
+def test_late_entry_does_not_bring_a_removed_server_back() -> None:
+    registry = Registry()
+    registry.put(entry()._replace(sequence=5), 0.0)
+    assert registry.remove("i-1", 1.0)
+    assert not registry.put(entry()._replace(sequence=4), 1.1)
+    assert "i-1" not in registry.known
+
+
+def test_restart_under_the_same_name_starts_anew() -> None:
+    registry = Registry()
+    registry.put(entry()._replace(sequence=50, is_leaving=True), 0.0)
+    assert registry.put(
+        entry()._replace(sequence=1, started_ms=2, cold_s=1.0), 1.0
+    )
+    server = registry.known["i-1"]
+    assert not server.entry.is_leaving
+    assert server.is_cold(1.5)
+    assert not server.is_cold(2.5)
+
+
+def test_server_that_turns_cold_again_is_news() -> None:
+    registry = Registry()
+    registry.put(entry(), 0.0)
+    assert registry.put(entry()._replace(sequence=2, cold_s=3.0), 1.0)
+    assert registry.known["i-1"].is_cold(2.0)
+
+
+def test_removed_server_is_gone_at_once() -> None:
+    registry = Registry()
+    registry.put(entry(), 0.0)
+    assert registry.remove("i-1", 1.0)
+    assert not registry.known
+
+
+def test_lapsed_server_has_time_to_return() -> None:
+    registry = Registry()
+    registry.put(entry("back"), 0.0)
+    registry.put(entry("gone"), 0.0)
+    registry.expect_lapses(10.0)
+    assert not registry.keep_only([], 10.1)
+    registry.put(entry("back")._replace(sequence=2), 11.0)
+    assert registry.drop_lapsed(10.0 + RETURN_S - 0.1) == []
+    assert registry.drop_lapsed(10.0 + RETURN_S) == ["gone"]
+    assert list(registry.known) == ["back"]
+
+
+def test_leaving_server_does_not_lapse_but_goes() -> None:
+    registry = Registry()
+    registry.put(entry()._replace(is_leaving=True), 0.0)
+    registry.expect_lapses(10.0)
+    assert registry.remove("i-1", 10.1)
+
+
+def test_removal_after_the_return_time_is_final() -> None:
+    registry = Registry()
+    registry.put(entry(), 0.0)
+    registry.expect_lapses(10.0)
+    assert registry.remove("i-1", 10.0 + RETURN_S)
--- /dev/null
+++ b/tests/exchange/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of requests."""
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of translation of the users' platform."""  # noqa: A005
--- /dev/null
+++ b/tests/platform/test_backend_servers.py
@@ -0,0 +1,66 @@
+"""Tests of decoding the entries of backend servers."""
+
+import json
+from typing import Any
+
+import pytest
+from returns.pipeline import is_successful
+
+from savorylift.platform.backend_servers import decode_server
+
+ENTRY = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "coldRemainingMs": 1500,
+    "sequence": 3,
+    "born": 99,
+}
+
+
+def test_decodes_an_entry() -> None:
+    entry = decode_server("i", json.dumps(ENTRY).encode()).unwrap()
+    assert entry.address == ("10.0.0.1", 80)
+    assert entry.cold_s == 1.5
+    assert not entry.is_leaving
+    assert (entry.started_ms, entry.sequence) == (99, 3)
+
+
+def test_decodes_a_leaving_server() -> None:
+    value = json.dumps(ENTRY | {"state": "draining"}).encode()
+    assert decode_server("i", value).unwrap().is_leaving
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "resting"},
+        {"state": None},
+        {"service": 3},
+        {"address": "host:80"},
+        {"address": "10.0.0.1"},
+        {"address": "10.0.0.1:0"},
+        {"address": "10.0.0.1:99999"},
+        {"slots": "6"},
+        {"slots": 0},
+        {"sequence": 1.5},
+        {"zone": []},
+    ],
+)
+def test_foreign_entries_name_no_server(change: dict[str, Any]) -> None:
+    result = decode_server("i", json.dumps(ENTRY | change).encode())
+    assert not is_successful(result)
+
+
+@pytest.mark.parametrize("field", ["service", "address", "zone", "state"])
+def test_missing_fields_name_no_server(field: str) -> None:
+    entry = {key: value for key, value in ENTRY.items() if key != field}
+    assert not is_successful(decode_server("i", json.dumps(entry).encode()))
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff", b"null", b"{", b"3"])
+def test_unreadable_bytes_name_no_server(value: bytes) -> None:
+    assert not is_successful(decode_server("i", value))
--- /dev/null
+++ b/tests/platform/test_configuration.py
@@ -0,0 +1,111 @@
+"""Tests of decoding the operators' configuration."""
+
+import json
+from collections.abc import Mapping
+
+import pytest
+from returns.pipeline import is_successful
+
+from savorylift.platform.configuration import decode_configuration
+from savorylift.routing.configuration import Configuration, Kind
+
+ROUTE = {
+    "name": "r",
+    "host": "H.example",
+    "pathPrefix": "/a/",
+    "kind": "streaming",
+    "timeoutMs": 39000,
+    "targetLatencyMs": 1800,
+    "priority": 1,
+    "trafficSplit": [{"service": "s", "weight": 90}],
+    "maxAttempts": 2,
+    "public": False,
+    "streamResumption": True,
+    "gapAimMs": 180,
+    "newField": 1,
+}
+SERVICE = {
+    "name": "s",
+    "healthPath": "/health",
+    "coldPerS": 49.0,
+    "engine": {
+        "slots": 64,
+        "kvCapacity": 34415,
+        "kvTokenBytes": 35136,
+        "linkMbps": 5100.0,
+        "moves": True,
+        "stride": 4,
+    },
+}
+
+
+def decoded(fields: Mapping[str, object] = {}) -> Configuration:
+    document = {"version": 7, "routes": [ROUTE], "services": [SERVICE]}
+    return decode_configuration(
+        json.dumps(document | dict(fields)).encode()
+    ).unwrap()
+
+
+def test_decodes_a_route_in_seconds() -> None:
+    (route,) = decoded().routes["h.example"]
+    assert route.kind is Kind.STREAM
+    assert (route.timeout_s, route.objective_s) == (39.0, 1.8)
+    assert route.gap_objective_s == 0.18
+    assert route.max_servers == 2
+    assert route.is_idempotent
+
+
+def test_decodes_an_engine() -> None:
+    engine = decoded().services["s"].engine
+    assert engine is not None
+    assert (engine.slots, engine.memory_tokens) == (64, 34415)
+    assert engine.link_bytes_per_s == 637_500_000
+    assert engine.can_move
+    assert not engine.can_back_up
+
+
+@pytest.mark.parametrize(
+    ("kind", "is_idempotent"),
+    [("safe", True), ("unsafe", False), ("streaming", False)],
+)
+def test_what_may_be_repeated(kind: str, *, is_idempotent: bool) -> None:
+    route = ROUTE | {"kind": kind, "streamResumption": False}
+    (found,) = decoded({"routes": [route]}).routes["h.example"]
+    assert found.is_idempotent is is_idempotent
+
+
+def test_longest_prefix_comes_first() -> None:
+    routes = [ROUTE | {"pathPrefix": p} for p in ("/", "/a/b/", "/a/")]
+    found = decoded({"routes": routes}).routes["h.example"]
+    assert [route.path_prefix for route in found] == ["/a/b/", "/a/", "/"]
+
+
+def test_keys_name_teams_only_where_teams_are_configured() -> None:
+    assert decoded().teams_by_key is None
+    tenants = [{"name": "t", "apiKeys": ["k1", "k2"], "priority": 1}]
+    keys = decoded({"tenants": tenants}).teams_by_key
+    assert keys is not None
+    assert {key: team.name for key, team in keys.items()} == {
+        "k1": "t",
+        "k2": "t",
+    }
+    assert decoded({"tenants": []}).teams_by_key == {}
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"\xff\xfe",
+        b"[]",
+        b'{"version": 1}',
+        b'{"version": "x", "routes": [], "services": []}',
+        json.dumps(
+            {"version": 1, "routes": [ROUTE | {"kind": "x"}], "services": []}
+        ).encode(),
+    ],
+)
+def test_names_what_is_wrong(value: bytes) -> None:
+    result = decode_configuration(value)
+    assert not is_successful(result)
+    assert result.failure()
--- /dev/null
+++ b/tests/platform/test_ingress.py
@@ -0,0 +1,143 @@
+"""Tests of translating callers' requests and backend servers' answers."""
+
+import pytest
+from returns.pipeline import is_successful
+
+from savorylift.exchange.request import Continuation, Forwarding
+from savorylift.platform.ingress import (
+    decode_answer_head,
+    decode_request,
+    encode_forwarded,
+    encode_refusal,
+)
+from savorylift.wire.message import Headers, Request, ResponseHead
+
+BASE: Headers = (
+    ("host", "H.example:80"),
+    ("x-savorylift-attempt-id", "a1"),
+)
+
+
+def request(*headers: tuple[str, str]) -> Request:
+    return Request("POST", "/a/b?c", BASE + headers, b"body", 5.0)
+
+
+def test_decodes_a_generation() -> None:
+    asked = decode_request(
+        request(
+            ("x-savorylift-token-counts", "1460,80"),
+            ("x-savorylift-prompt-prefix", "5c:800,91:410"),
+            ("x-savorylift-length-hint", "40"),
+            ("x-savorylift-deadline-remaining", "39000"),
+            ("x-api-key", "k"),
+        )
+    ).unwrap()
+    assert (asked.host, asked.path, asked.target) == (
+        "h.example",
+        "/a/b",
+        "/a/b?c",
+    )
+    assert asked.api_key == "k"
+    assert asked.time_left_s == 39.0
+    assert asked.generation is not None
+    assert asked.generation.prompt_tokens == 1460
+    assert asked.generation.max_output_tokens == 80
+    assert asked.generation.output_hint == 40
+    assert asked.generation.prompt_parts == (("5c", 800), ("91", 410))
+
+
+@pytest.mark.parametrize(
+    "name",
+    [
+        "X-Api-Key",
+        "X-Savorylift-Tenant",
+        "X-Savorylift-Expected-Instance",
+        "X-Savorylift-Request-Priority",
+        "X-Savorylift-Hold",
+        "X-Savorylift-Pin-Duration",
+        "X-Savorylift-Kv-Backup",
+        "Kv-From",
+        "Kv-Fetch",
+        "Connection",
+        "Transfer-Encoding",
+        "X-Named",
+    ],
+)
+def test_what_callers_may_not_set_is_dropped(name: str) -> None:
+    asked = decode_request(
+        request((name.lower(), "x-named"), ("connection", "x-named"))
+    ).unwrap()
+    assert name.lower() not in dict(asked.headers)
+
+
+def test_other_headers_pass() -> None:
+    asked = decode_request(
+        request(("x-other", "1"), ("x-savorylift-model", "m"))
+    ).unwrap()
+    assert ("x-other", "1") in asked.headers
+    assert ("x-savorylift-model", "m") in asked.headers
+    assert ("x-savorylift-attempt-id", "a1") in asked.headers
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [
+        (("x-savorylift-attempt-id", "a2"),),
+        (("x-api-key", "a"), ("x-api-key", "b")),
+        (("x-savorylift-deadline-remaining", "soon"),),
+        (("x-savorylift-deadline-remaining", "-1"),),
+    ],
+)
+def test_ambiguous_requests_are_refused(headers: Headers) -> None:
+    assert not is_successful(decode_request(request(*headers)))
+
+
+def test_forwards_what_the_system_sets() -> None:
+    asked = decode_request(request()).unwrap()
+    how = Forwarding(
+        "i-1",
+        1.5,
+        "team",
+        priority=2,
+        resume_after="7",
+        continuation=Continuation(("10.0.0.1", 80), "h9"),
+    )
+    headers = dict(encode_forwarded(asked, how))
+    assert headers["x-savorylift-expected-instance"] == "i-1"
+    assert headers["x-savorylift-deadline-remaining"] == "1500"
+    assert headers["x-savorylift-tenant"] == "team"
+    assert headers["x-savorylift-request-priority"] == "2"
+    assert headers["last-event-id"] == "7"
+    assert headers["kv-from"] == "10.0.0.1:80/h9"
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "is_not_run"),
+    [
+        (200, (), False),
+        (503, (), False),
+        (503, (("x-savorylift-not-executed", "1"),), True),
+        (429, (("x-savorylift-not-executed", "1"),), True),
+        (421, (), True),
+        (500, (), False),
+    ],
+)
+def test_what_says_that_it_did_not_run(
+    status: int, headers: Headers, *, is_not_run: bool
+) -> None:
+    head = decode_answer_head(ResponseHead(status, headers), "a1")
+    assert head.is_not_run is is_not_run
+
+
+def test_tells_whose_answer_it_is() -> None:
+    named = ResponseHead(200, (("x-savorylift-attempt-id", "a1"),))
+    assert decode_answer_head(named, "a1").is_ours
+    assert not decode_answer_head(named, "a2").is_ours
+    assert not decode_answer_head(ResponseHead(200, ()), "a1").is_ours
+
+
+def test_refusal_says_when_to_come_back() -> None:
+    headers, body = encode_refusal("full", 0.25)
+    assert ("retry-after", "0.250") in headers
+    assert body == b'{"error":"full"}'
+    assert "retry-after" not in dict(encode_refusal("no", None)[0])
--- /dev/null
+++ b/tests/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of connections and HTTP."""
