--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -65,6 +65,7 @@
         self._sequence = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._fetching: set[str] = set()
+        self._stopped = asyncio.Event()
         rng = random.Random(self._incarnation)
         self._life = Life(cfg.grace_period_s)
         self._knowledge = Knowledge(
@@ -117,12 +118,25 @@
         self._link = Link(cfg.peer_port, self._state, self._hear, self._targets)
         self._door = Listener(door.serve, self._limits)
 
+    @property
+    def configuration_version(self) -> int | None:
+        """Version of the configuration in force; None before the first."""
+        cfg = self._knowledge.configuration
+        return None if cfg is None else cfg.version
+
+    def leave(self) -> None:
+        """Begins to leave, as on SIGTERM."""
+        if self._life.leave():
+            _log.info("leaving")
+            self._door.announce_closing()
+            self._link.send(to_silent=False)
+        self._stopped.set()
+
     async def run(self) -> None:
         """Runs until a signal has ended the node."""
         loop = asyncio.get_running_loop()
-        stopped = asyncio.Event()
-        loop.add_signal_handler(signal.SIGTERM, self._leave, stopped)
-        loop.add_signal_handler(signal.SIGINT, self._leave, stopped)
+        loop.add_signal_handler(signal.SIGTERM, self.leave)
+        loop.add_signal_handler(signal.SIGINT, self.leave)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self._listen()
         _log.info(
@@ -144,7 +158,7 @@
         )
         self._spawn(self._keep_up())
         self._spawn(self._register())
-        await stopped.wait()
+        await self._stopped.wait()
         await self._life.wait_until_served()
         _log.info("stop", after_s=time.monotonic() - self._life.leaving_s)
         self._door.close()
@@ -294,13 +308,6 @@
             if has_peers and added.map(lambda _: True).value_or(False):
                 return
 
-    def _leave(self, stopped: asyncio.Event) -> None:
-        if self._life.leave():
-            _log.info("leaving")
-            self._door.announce_closing()
-            self._link.send(to_silent=False)
-        stopped.set()
-
     def _reload(self) -> None:
         _log.info("reload")
 
--- /dev/null
+++ b/tests/front/stage.py
@@ -0,0 +1,212 @@
+"""A front node in this process before stand-ins of the platform."""
+
+import asyncio
+import json
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+from savorylift.front.node import FrontNode
+from savorylift.front.settings import FrontSettings
+from savorylift.platform.store import OPERATORS, SERVERS
+from savorylift.wire.channel import connect
+from savorylift.wire.client_call import ClientCall, fetch
+from savorylift.wire.message import Headers, Response
+from tests.harness.ports import free_addresses
+from tests.standins.platform_server import PlatformServer
+from tests.standins.platform_store import PlatformStore
+
+T = TypeVar("T")
+
+HOST = "127.0.0.1"
+SCENE_S = 30.0
+READY_S = 8.0
+CALL_S = 6.0
+
+
+def limits() -> dict[str, int]:
+    """Returns what callers may send."""
+    return {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 65536,
+        "headerTimeoutMs": 1000,
+        "idleTimeoutMs": 2000,
+    }
+
+
+def route(path: str, kind: str, service: str) -> dict[str, object]:
+    """Returns a route of the configuration, as in the store."""
+    return {
+        "name": f"r{path.replace('/', '-')}",
+        "host": "h.example",
+        "pathPrefix": path,
+        "kind": kind,
+        "timeoutMs": 2000,
+        "targetLatencyMs": 400,
+        "priority": 2,
+        "service": service,
+        "maxAttempts": 2 if kind == "safe" else 1,
+        "public": False,
+        "streamResumption": False,
+    }
+
+
+def configuration(version: int = 1) -> dict[str, object]:
+    """Returns a configuration, as in the store."""
+    engine = {
+        "slots": 8,
+        "kvCapacity": 10000,
+        "kvTokenBytes": 35136,
+        "linkMbps": 5100.0,
+        "moves": True,
+        "stride": 1,
+    }
+    return {
+        "version": version,
+        "routes": [
+            route("/safe/", "safe", "app"),
+            route("/once/", "unsafe", "app"),
+            route("/stream/", "streaming", "pool"),
+        ],
+        "services": [
+            {"name": "app", "healthPath": "/health"},
+            {"name": "pool", "healthPath": "/health", "engine": engine},
+        ],
+        "tenants": [{"name": "team", "apiKeys": ["key"]}],
+        "limits": limits(),
+    }
+
+
+class Stage:
+    """One node, a store, two plain servers and two engines."""
+
+    def __init__(self) -> None:
+        """Starts nothing."""
+        self.store = PlatformStore()
+        self.app = [PlatformServer(f"app-{n}") for n in range(2)]
+        self.pool = [PlatformServer(f"pool-{n}") for n in range(2)]
+        self.ports = [
+            int(address.rpartition(":")[2]) for address in free_addresses(12)
+        ]
+        self.node: asyncio.Task[None] | None = None
+        self.front: FrontNode | None = None
+
+    async def start(self, *, has_configuration: bool = True) -> None:
+        """Starts everything and waits until the node is ready."""
+        servers = [*self.app, *self.pool]
+        await self.store.start(self.ports[0])
+        for server, port in zip(servers, self.ports[1:], strict=False):
+            await server.start(port)
+        for server in self.pool:
+            server.peers = {other.port: other for other in self.pool}
+        for server in self.app:
+            self.put(server, "app")
+        for server in self.pool:
+            self.put(server, "pool")
+        if has_configuration:
+            self.store.add(OPERATORS, "config", configuration())
+        self.front = FrontNode(self.settings())
+        self.node = asyncio.ensure_future(self.front.run())
+        if has_configuration:
+            await self.wait_ready()
+
+    def put(
+        self, server: PlatformServer, service: str, state: str = "ready"
+    ) -> None:
+        """Writes a server's entry."""
+        number = server.server_id[-1]
+        entry = server.entry(service, f"z{number}", state)
+        self.store.add(SERVERS, server.server_id, entry)
+
+    def settings(self) -> FrontSettings:
+        """Returns the node's settings."""
+        caller, directory, ready, peer, metrics = self.ports[5:10]
+        return FrontSettings(
+            vm="vm-1",
+            region="r",
+            failure_domain="z0",
+            caller_listen=f"{HOST}:{caller}",
+            directory_listen=f"{HOST}:{directory}",
+            readiness_listen=f"{HOST}:{ready}",
+            peer_port=peer,
+            metrics_port=metrics,
+            store=f"{HOST}:{self.ports[0]}",
+            seeds=(),
+            grace_period_s=2.0,
+            retry_ratio=0.2,
+            retry_window_s=10.0,
+            retry_slack=20.0,
+            entry_ttl_max_s=5.0,
+        )
+
+    async def get(self, port_index: int, target: str) -> Response:
+        """Makes a call to one of the node's short listeners."""
+        return await fetch(
+            (HOST, self.ports[port_index]),
+            "GET",
+            target,
+            timeout_s=CALL_S,
+            connect_s=1.0,
+        )
+
+    async def is_ready(self) -> bool:
+        """Asks as the platform does."""
+        try:
+            return (await self.get(7, "/readiness")).status == 200
+        except OSError:
+            return False
+
+    async def wait_ready(self) -> None:
+        """Waits until the node takes requests."""
+        async with asyncio.timeout(READY_S):
+            while not await self.is_ready():
+                await asyncio.sleep(0.02)
+
+    async def open(
+        self, path: str, attempt: str = "a1", headers: Headers = ()
+    ) -> ClientCall:
+        """Sends a request as a caller does."""
+        call = ClientCall(await connect(HOST, self.ports[5], 1.0))
+        named = {
+            "host": "h.example",
+            "x-savorylift-attempt-id": attempt,
+            "x-savorylift-deadline-remaining": "4000",
+            "x-api-key": "key",
+        } | dict(headers)
+        call.send("POST", path, tuple(named.items()), b"question")
+        return call
+
+    async def call(
+        self, path: str, attempt: str = "a1", headers: Headers = ()
+    ) -> Response:
+        """Makes a whole call as a caller does."""
+        call = await self.open(path, attempt, headers)
+        async with asyncio.timeout(CALL_S):
+            return await call.read_answer()
+
+    async def wait_version(self, version: int) -> None:
+        """Waits until the node works by a configuration version."""
+        assert self.front is not None
+        async with asyncio.timeout(READY_S):
+            while self.front.configuration_version != version:
+                await asyncio.sleep(0.02)
+
+
+def play(scene: Coroutine[Any, Any, T]) -> T:
+    """Runs a scene, bounded."""
+
+    async def bounded() -> T:
+        async with asyncio.timeout(SCENE_S):
+            return await scene
+
+    return asyncio.run(bounded())
+
+
+def event_numbers(body: bytes) -> list[int]:
+    """Returns the numbers of the events in a stream."""
+    lines = body.decode().splitlines()
+    return [int(line[3:]) for line in lines if line.startswith("id:")]
+
+
+def as_json(response: Response) -> dict[str, Any]:
+    """Returns the decoded body."""
+    return dict(json.loads(response.body))
--- /dev/null
+++ b/tests/front/test_node.py
@@ -0,0 +1,288 @@
+"""Tests of a whole front node, as callers and backend servers see it."""
+
+import asyncio
+
+import pytest
+
+from savorylift.platform.store import OPERATORS, SERVERS
+from savorylift.wire.client_call import BrokenAnswerError
+from tests.front.stage import Stage, as_json, configuration, event_numbers, play
+
+COUNTS = (("x-savorylift-token-counts", "100,50"),)
+
+
+def test_serves_each_kind_of_request() -> None:
+    async def scene() -> None:
+        stage = Stage()
+        await stage.start()
+        for path in ("/safe/x?q=1", "/once/x"):
+            answer = await stage.call(path)
+            assert (answer.status, answer.body) == (200, b"answer of a1")
+            assert answer.value("x-savorylift-response-seal") == "seal"
+        stream = await stage.call("/stream/x", "s1", COUNTS)
+        assert event_numbers(stream.body) == list(range(1, 11))
+
+    play(scene())
+
+
+def test_passes_on_what_the_platform_asks_for() -> None:
+    async def scene() -> None:
+        stage = Stage()
+        await stage.start()
+        extra = (("x-savorylift-tenant", "forged"), ("x-other", "kept"))
+        await stage.call("/once/x", headers=extra)
+        (server,) = [s for s in stage.app if s.runs]
+        assert server.body == b"question"
+        assert server.headers["x-savorylift-tenant"] == "team"
+        assert server.headers["x-other"] == "kept"
+        assert "x-api-key" not in server.headers
+        left = int(server.headers["x-savorylift-deadline-remaining"])
+        assert 0 < left <= 2000
+
+    play(scene())
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "status"),
+    [
+        ("/nowhere/", (), 404),
+        ("/safe/", (("x-api-key", "other"),), 401),
+        ("/safe/", (("host", "other.example"),), 404),
+    ],
+)
+def test_refuses_what_the_configuration_does_not_allow(
+    path: str, headers: tuple[tuple[str, str], ...], status: int
+) -> None:
+    async def scene() -> None:
+        stage = Stage()
+        await stage.start()
+        assert (await stage.call(path, headers=headers)).status == status
+        assert not any(server.runs for server in stage.app)
+
+    play(scene())
+
+
+@pytest.mark.parametrize(
+    ("path", "fault", "status", "runs"),
+    [
+        ("/safe/", {"sheds": True}, 503, 0),
+        ("/once/", {"sheds": True}, 503, 0),
+        ("/safe/", {"breaks_after": 3}, 502, 2),
+        ("/once/", {"breaks_after": 3}, 502, 1),
+        ("/safe/", {"answers_as": "a9"}, 502, 2),
+        ("/once/", {"answers_as": "a9"}, 502, 1),
+        ("/safe/", {"status": 500}, 500, 2),
+        ("/once/", {"status": 500}, 500, 1),
+        ("/once/", {"delay_s": 9.0}, 504, 1),
+        ("/safe/", {"delay_s": 9.0}, 504, 2),
+    ],
+)
+def test_tells_the_truth_about_what_ran(
+    path: str, fault: dict[str, object], status: int, runs: int
+) -> None:
+    async def scene() -> None:
+        stage = Stage()
+        await stage.start()
+        for server in stage.app:
+            for name, value in fault.items():
+                setattr(server, name, value)
+        began_s = asyncio.get_running_loop().time()
+        answer = await stage.call(path)
+        took_s = asyncio.get_running_loop().time() - began_s
+        assert answer.status == status
+        assert sum(len(server.runs) for server in stage.app) == runs
+        assert (answer.value("retry-after") is not None) is (status == 503)
+        assert took_s < 2.5
+
+    play(scene())
+
+
+def test_second_server_helps_an_idempotent_call() -> None:
+    async def scene() -> None:
+        stage = Stage()
+        await stage.start()
+        stage.app[0].breaks_after = 2
+        for number in range(4):
+            answer = await stage.call("/safe/", f"a{number}")
+            assert answer.status == 200
+
+    play(scene())
+
+
+def test_caller_that_leaves_ends_its_run() -> None:
+    async def scene() -> None:
+        stage = Stage()
+        await stage.start()
+        for server in stage.pool:
+            server.events = 1000
+        call = await stage.open("/stream/x", "s1", COUNTS)
+        await call.read_head()
+        call.close()
+        await asyncio.sleep(0.5)
+        made = [server.streams.get("s1", 0) for server in stage.pool]
+        await asyncio.sleep(0.3)
+        assert made == [server.streams.get("s1", 0) for server in stage.pool]
+
+    play(scene())
+
+
+def test_run_goes_on_when_its_engine_leaves() -> None:
+    async def scene() -> None:
+        stage = Stage()
+        await stage.start()
+        for server in stage.pool:
+            server.events = 60
+        call = await stage.open("/stream/x", "s1", COUNTS)
+        head = await call.read_head()
+        first = await call.read_part()
+        assert first is not None
+        (leaving,) = [s for s in stage.pool if "s1" in s.runs]
+        stage.put(leaving, "pool", "draining")
+        answer = await call.read_rest(head)
+        assert event_numbers(first + answer.body) == list(range(1, 61))
+        assert "s1" in leaving.stopped
+        assert sum(len(server.runs) for server in stage.pool) == 1
+
+    play(scene())
+
+
+def test_broken_stream_does_not_look_complete() -> None:
+    async def scene() -> None:
+        stage = Stage()
+        await stage.start()
+        for server in stage.pool:
+            server.breaks_after = 4
+        call = await stage.open("/stream/x", "s1", COUNTS)
+        head = await call.read_head()
+        with pytest.raises(BrokenAnswerError):
+            await call.read_rest(head)
+        assert sum(len(server.runs) for server in stage.pool) == 1
+
+    play(scene())
+
+
+def test_evacuated_and_leaving_servers_get_nothing() -> None:
+    async def scene() -> None:
+        stage = Stage()
+        await stage.start()
+        stage.store.add(OPERATORS, "evacuate/z0", {})
+        await asyncio.sleep(0.5)
+        for number in range(6):
+            assert (await stage.call("/safe/", f"a{number}")).status == 200
+        assert not stage.app[0].runs
+        stage.put(stage.app[1], "app", "draining")
+        await asyncio.sleep(0.5)
+        answer = await stage.call("/safe/", "z")
+        assert answer.status == 503
+        assert answer.value("retry-after")
+
+    play(scene())
+
+
+def test_follows_the_configuration_through_a_trimmed_history() -> None:
+    async def scene() -> None:
+        stage = Stage()
+        await stage.start()
+        stage.store.add(OPERATORS, "config", configuration(5))
+        await stage.wait_version(5)
+        stage.store.add(OPERATORS, "config", configuration(9))
+        stage.store.topic(OPERATORS).trim()
+        await stage.wait_version(9)
+
+    play(scene())
+
+
+@pytest.mark.parametrize("fault", ["silent", "busy"])
+def test_serves_while_the_store_is_away(fault: str) -> None:
+    async def scene() -> None:
+        stage = Stage()
+        await stage.start()
+        stage.store.is_silent = fault == "silent"
+        stage.store.status = 503 if fault == "busy" else None
+        await asyncio.sleep(2.5)
+        assert (await stage.call("/once/")).status == 200
+        stage.store.is_silent = False
+        stage.store.status = None
+        stage.store.add(OPERATORS, "config", configuration(5))
+        await stage.wait_version(5)
+
+    play(scene())
+
+
+def test_node_without_a_configuration_says_when_to_come_back() -> None:
+    async def scene() -> None:
+        stage = Stage()
+        await stage.start(has_configuration=False)
+        await asyncio.sleep(0.3)
+        assert not await stage.is_ready()
+        answer = await stage.call("/safe/")
+        assert answer.status == 503
+        assert answer.value("retry-after")
+        stage.store.add(OPERATORS, "config", configuration())
+        assert (await stage.call("/safe/")).status == 200
+
+    play(scene())
+
+
+def test_calls_to_the_store_are_few() -> None:
+    async def scene() -> None:
+        stage = Stage()
+        await stage.start()
+        await asyncio.sleep(1.0)
+        before = len(stage.store.calls)
+        await asyncio.sleep(3.0)
+        # Two topics, each asked once a second while nothing changes.
+        assert len(stage.store.calls) - before <= 8
+
+    play(scene())
+
+
+def test_stopped_node_serves_what_is_open() -> None:
+    async def scene() -> None:
+        stage = Stage()
+        await stage.start()
+        for server in stage.app:
+            server.delay_s = 0.6
+        call = await stage.open("/once/")
+        await asyncio.sleep(0.1)
+        assert stage.front is not None
+        assert stage.node is not None
+        stage.front.leave()
+        assert not await stage.is_ready()
+        answer = await call.read_answer()
+        assert answer.status == 200
+        assert answer.value("connection") == "close"
+        refused = await stage.call("/stream/x", "s1", COUNTS)
+        assert refused.status == 503
+        await asyncio.wait_for(stage.node, 3.0)
+
+    play(scene())
+
+
+def test_directory_and_metrics_answer() -> None:
+    async def scene() -> None:
+        stage = Stage()
+        await stage.start()
+        found = await stage.get(6, "/resolution?name=h.example&region=r&zone=z")
+        assert as_json(found) == {
+            "addresses": [stage.settings().caller_listen],
+            "ttlS": 1.5,
+        }
+        await stage.call("/nowhere/")
+        metrics = await stage.get(9, "/metrics")
+        assert b'savorylift_refusals_total{reason="not_found"}' in metrics.body
+
+    play(scene())
+
+
+def test_foreign_entries_leave_the_others() -> None:
+    async def scene() -> None:
+        stage = Stage()
+        await stage.start()
+        stage.store.topic(SERVERS).add("bad", b"\xff\xfe")
+        stage.store.add(SERVERS, "worse", {"service": 3})
+        stage.store.add(SERVERS, "empty", None)
+        await asyncio.sleep(0.5)
+        assert (await stage.call("/safe/")).status == 200
+
+    play(scene())
