Log how a stream went: first event, longest pause, moves

Cause: a late stream could not be told from one that was cut or on time. One line a stream now says the time to the first event, the longest pause and the event that ended it, and the moves.

--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -184,6 +184,7 @@
             if part is None:
                 return ended
             server = part.server
+            run.moves += 1
             self._put_at(run, server)
             resumption = Resumption(run.resume_after, part.continuation)
             until_s = run.adm.deadline_s
@@ -211,7 +212,7 @@
         if splitter.rest:
             await sink.send(splitter.rest)
         sink.finish()
-        counters.EVENT_GAP.observe(run.longest_gap_s)
+        self._log_complete(run)
         return None
 
     async def _pass_on(
@@ -370,6 +371,22 @@
         message = "The engine gave no whole answer; the request may have run."
         return Refused(status, ending.reason, message)
 
+    def _log_complete(self, run: Run) -> None:
+        counters.EVENT_GAP.observe(run.longest_gap_s)
+        asked_s = run.adm.req.arrived_s
+        first_s = (run.first_event_s or time.monotonic()) - asked_s
+        _log.info(
+            "stream_complete",
+            request=run.attempt_id,
+            server=run.server and run.server.entry.server_id,
+            route=run.adm.route.name,
+            first_event_ms=round(first_s * 1000),
+            longest_gap_ms=round(run.longest_gap_s * 1000),
+            gap_event=run.gap_event,
+            last_event=run.last_event,
+            moved=run.moves,
+        )
+
     def _log_sent(
         self, run: Run, server: Known, started: Started | NotRun | Unsure
     ) -> None:
--- a/src/savorylift/exchange/run.py
+++ b/src/savorylift/exchange/run.py
@@ -35,6 +35,8 @@
         first_event_s: Steady time of the first event.
         newest_event_s: Steady time of the newest event.
         longest_gap_s: Longest pause between events so far.
+        gap_event: Number of the event that ended this pause.
+        moves: Times that it went on at another engine.
     """
 
     def __init__(self, adm: Admitted, tokens: int) -> None:
@@ -48,6 +50,8 @@
         self.first_event_s: float | None = None
         self.newest_event_s: float | None = None
         self.longest_gap_s = 0.0
+        self.gap_event: int | None = None
+        self.moves = 0
 
     @property
     def attempt_id(self) -> str:
@@ -80,7 +84,9 @@
             self.first_event_s = now_s
         else:
             gap_s = now_s - self.newest_event_s
-            self.longest_gap_s = max(self.longest_gap_s, gap_s)
+            if gap_s > self.longest_gap_s:
+                self.longest_gap_s = gap_s
+                self.gap_event = number
         self.newest_event_s = now_s
         if number is not None:
             self.last_event = number
