--- a/src/savorylift/backends/work.py
+++ b/src/savorylift/backends/work.py
@@ -21,12 +21,14 @@
     Attributes:
         requests: Requests under way.
         tokens: Tokens that its generations are expected to reach.
+        unread: Prompt tokens of those that have made no event yet.
         succeeded: Requests that ended well lately.
         failed: Requests that failed lately.
     """
 
     requests: int = 0
     tokens: int = 0
+    unread: int = 0
     succeeded: int = 0
     failed: int = 0
 
@@ -43,16 +45,33 @@
     def __init__(self) -> None:
         """Starts without work."""
         self._tokens: dict[str, dict[str, int]] = {}
+        self._unread: dict[tuple[str, str], int] = {}
         self._results: dict[str, collections.deque[tuple[float, bool]]] = {}
 
-    def begin(self, server_id: str, attempt_id: str, tokens: int) -> None:
-        """Counts a request that is about to be sent."""
+    def begin(
+        self, server_id: str, attempt_id: str, tokens: int, unread: int = 0
+    ) -> None:
+        """Counts a request that is about to be sent.
+
+        Args:
+            server_id: Where to.
+            attempt_id: The request.
+            tokens: Tokens that a generation is expected to reach.
+            unread: Tokens of its prompt, until its first event.
+        """
         self._tokens.setdefault(server_id, {})[attempt_id] = tokens
+        if unread:
+            self._unread[server_id, attempt_id] = unread
+
+    def note_event(self, server_id: str, attempt_id: str) -> None:
+        """Notes that a generation's prompt has been read."""
+        self._unread.pop((server_id, attempt_id), None)
 
     def end(self, server_id: str, attempt_id: str) -> None:
         """Counts a request that is over; a second call does nothing."""
         requests = self._tokens.get(server_id, {})
         requests.pop(attempt_id, None)
+        self._unread.pop((server_id, attempt_id), None)
         if not requests:
             self._tokens.pop(server_id, None)
 
@@ -74,6 +93,7 @@
             server_id,
             len(requests),
             sum(requests.values()),
+            sum(self._unread.get((server_id, name), 0) for name in requests),
             results.count(True),
             results.count(False),
         )
@@ -95,6 +115,7 @@
         total[part.server_id] = Load(
             so_far.requests + part.requests,
             so_far.tokens + part.tokens,
+            so_far.unread + part.unread,
             so_far.succeeded + part.succeeded,
             so_far.failed + part.failed,
         )
--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -230,6 +230,10 @@
             sink.start(started.head)
             waited_s = time.monotonic() - run.adm.req.arrived_s
             counters.ANSWER_TIME.labels("stream").observe(waited_s)
+        if run.first_event_s is None and run.server is not None:
+            self._pool.work.note_event(
+                run.server.entry.server_id, run.attempt_id
+            )
         run.note_event(number)
         await sink.send(data)
         self._consider_move(run)
--- a/src/savorylift/exchange/pool.py
+++ b/src/savorylift/exchange/pool.py
@@ -47,6 +47,7 @@
         self._budget = budget
         self._rng = rng
         self._cold_start = ColdStart()
+        self._announce = announce
         self.work = Work()
         self.move_queue = MoveQueue(
             lambda: membership.moves(time.monotonic()), announce
@@ -61,7 +62,7 @@
             self._rng,
         )
         if found is not None:
-            self._begin(found, adm, 0)
+            self._begin(found, adm, 0, 0)
         return found
 
     def pick_engine(
@@ -75,7 +76,9 @@
             self._rng,
         )
         if found is not None:
-            self._begin(found, adm, options.tokens)
+            generation = adm.req.generation
+            unread = generation.prompt_tokens if generation else 0
+            self._begin(found, adm, options.tokens, unread)
         return found
 
     def pick_refuge(
@@ -135,8 +138,12 @@
             ):
                 yield server
 
-    def _begin(self, server: Known, adm: Admitted, tokens: int) -> None:
+    def _begin(
+        self, server: Known, adm: Admitted, tokens: int, unread: int
+    ) -> None:
         server_id = server.entry.server_id
-        self.work.begin(server_id, adm.req.attempt_id, tokens)
+        self.work.begin(server_id, adm.req.attempt_id, tokens, unread)
+        if unread:
+            self._announce()
         if server.is_cold(time.monotonic()):
             self._cold_start.count(server_id)
--- a/src/savorylift/fleet/state.py
+++ b/src/savorylift/fleet/state.py
@@ -12,6 +12,7 @@
         server_id: The backend server.
         requests: Requests under way.
         tokens: Tokens that its generations there are expected to reach.
+        unread: Prompt tokens of those that have made no event yet.
         succeeded: Requests that ended well in the last seconds.
         failed: Requests that failed in the last seconds.
     """
@@ -19,6 +20,7 @@
     server_id: str
     requests: int
     tokens: int
+    unread: int
     succeeded: int
     failed: int
 
--- a/src/savorylift/placement/engines.py
+++ b/src/savorylift/placement/engines.py
@@ -15,6 +15,8 @@
 
 # Runs that grow beyond what was expected need some room.
 FILL = 0.95
+# Prompts that wait to be read delay the next one's first event.
+UNREAD_COST = 2.0
 # Without a caller's estimate: share of the output limit.
 DEFAULT_OUTPUT = 0.4
 # Spread of equal choices over engines, as a share of an engine.
@@ -73,6 +75,7 @@
     def cost(server: Known) -> tuple[bool, float]:
         load = loads.get(server.entry.server_id, Load())
         fill = load.tokens / options.traits.memory_tokens
+        fill += UNREAD_COST * load.unread / options.traits.memory_tokens
         if options.near not in (None, server.entry.failure_domain):
             fill += options.far_cost
         return load.is_grey, fill + rng.uniform(0, options.jitter)
--- a/tests/backends/test_work.py
+++ b/tests/backends/test_work.py
@@ -12,7 +12,7 @@
     work = Work()
     work.begin("i", "a", 100)
     work.begin("i", "b", 50)
-    assert work.loads() == (ServerLoad("i", 2, 150, 0, 0),)
+    assert work.loads() == (ServerLoad("i", 2, 150, 0, 0, 0),)
     work.end("i", "a")
     work.end("i", "a")
     work.end("i", "b")
@@ -25,16 +25,16 @@
         work.judge("i", is_success=True)
         clock.tick(WINDOW_S / 2)
         work.judge("i", is_success=False)
-        assert work.loads() == (ServerLoad("i", 0, 0, 1, 1),)
+        assert work.loads() == (ServerLoad("i", 0, 0, 0, 1, 1),)
         clock.tick(WINDOW_S / 2 + 0.1)
-        assert work.loads() == (ServerLoad("i", 0, 0, 0, 1),)
+        assert work.loads() == (ServerLoad("i", 0, 0, 0, 0, 1),)
         clock.tick(WINDOW_S)
         assert work.loads() == ()
 
 
 def test_nodes_add_up() -> None:
-    parts = [ServerLoad("i", 1, 10, 3, 1), ServerLoad("i", 2, 20, 0, 2)]
-    assert add_up(parts) == {"i": Load(3, 30, 3, 3)}
+    parts = [ServerLoad("i", 1, 10, 4, 3, 1), ServerLoad("i", 2, 20, 5, 0, 2)]
+    assert add_up(parts) == {"i": Load(3, 30, 9, 3, 3)}
 
 
 @pytest.mark.parametrize(
