--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -16,7 +16,7 @@
 from savorylift.exchange.pool import Pool
 from savorylift.exchange.request import AnswerHead, Generation
 from savorylift.exchange.run import NextPart, Run
-from savorylift.exchange.send import Resumption, Sender, Started
+from savorylift.exchange.send import Patience, Resumption, Sender, Started
 from savorylift.outcomes import Reason
 from savorylift.placement.engines import EngineOptions, expected_tokens
 from savorylift.placement.waiting import Waiting
@@ -134,13 +134,14 @@
             if has_arrived:
                 counters.RETRIES.labels(reason.value).inc()
             is_last = may_have_run + 1 >= adm.route.max_servers
-            ended = await self._run_at(run, server, sink, is_last=is_last)
+            tried.add(server.entry.server_id)
+            ended = await self._run_at(
+                run, server, sink, tried, is_last=is_last
+            )
             self._release(run)
             if ended is None:
                 return None
-            server_id = server.entry.server_id
-            tried.add(server_id)
-            self._pool.work.judge(server_id, is_success=False)
+            self._pool.work.judge(server.entry.server_id, is_success=False)
             if isinstance(ended, NotRun):
                 has_arrived = has_arrived or ended.has_arrived
                 reason = ended.reason
@@ -157,14 +158,20 @@
                 reason = ended.reason
 
     async def _run_at(
-        self, run: Run, server: Known, sink: EventSink, *, is_last: bool
+        self,
+        run: Run,
+        server: Known,
+        sink: EventSink,
+        tried: set[str],
+        *,
+        is_last: bool,
     ) -> NotRun | Answered | Broken | None:
         """Runs at one engine and those it moves to; None if complete."""
-        until_s = self._first_event_limit(run, is_last=is_last)
+        patience = self._patience(run, tried, is_last=is_last)
         resumption = Resumption(run.resume_after)
         while True:
             started = await self._sender.start(
-                server, run.adm, resumption, until_s
+                server, run.adm, resumption, patience
             )
             self._log_sent(run, server, started)
             if isinstance(started, NotRun):
@@ -174,7 +181,7 @@
             if not started.head.is_success:
                 return await self._read_failure(run, started)
             run.call = started.call
-            ended = await self._relay(run, started, sink, until_s)
+            ended = await self._relay(run, started, sink)
             started.call.close()
             run.call = None
             if ended is None:
@@ -187,24 +194,22 @@
             run.moves += 1
             self._put_at(run, server)
             resumption = Resumption(run.resume_after, part.continuation)
-            until_s = run.adm.deadline_s
+            patience = Patience(
+                run.adm.deadline_s, run.adm.deadline_s, lambda: False
+            )
 
     async def _relay(
-        self, run: Run, started: Started, sink: EventSink, until_s: float
+        self, run: Run, started: Started, sink: EventSink
     ) -> Broken | None:
         """Passes on whole events; None once the stream is complete."""
         splitter = EventSplitter()
         try:
             while True:
-                limit_s = run.adm.deadline_s if sink.is_started else until_s
-                async with asyncio.timeout_at(limit_s):
-                    part = await started.call.read_part()
+                part = await started.call.read_part()
                 if part is None:
                     break
                 for event in splitter.feed(part):
                     await self._pass_on(run, started, sink, event)
-        except TimeoutError:
-            return Broken(Reason.DEADLINE, "no event in time")
         except BrokenAnswerError as exc:
             return Broken(Reason.ANSWER_LOST, str(exc))
         if not sink.is_started:
@@ -260,8 +265,7 @@
     async def _acquire(self, run: Run, tried: set[str]) -> Known | None:
         """Returns an engine that counts the run, waiting for room."""
         adm = run.adm
-        engine = adm.service.engine or PLAIN_ENGINE
-        options = EngineOptions(engine, run.tokens)
+        options = self._options(run)
 
         def choose() -> Known | None:
             run.server = self._pool.pick_engine(adm, options, tried)
@@ -283,12 +287,25 @@
         finally:
             counters.WAITING.dec()
 
-    def _first_event_limit(self, run: Run, *, is_last: bool) -> float:
-        if is_last or not run.adm.route.is_idempotent:
-            return run.adm.deadline_s
-        objective_s = run.adm.route.objective_s or DEFAULT_OBJECTIVE_S
-        limit_s = time.monotonic() + PATIENCE * objective_s
-        return min(run.adm.deadline_s, limit_s)
+    def _patience(
+        self, run: Run, tried: set[str], *, is_last: bool
+    ) -> Patience:
+        """Returns how long an engine may take until its first event."""
+        adm = run.adm
+        options = self._options(run)
+        until_s = adm.deadline_s
+        if not is_last and adm.route.is_idempotent:
+            objective_s = adm.route.objective_s or DEFAULT_OBJECTIVE_S
+            until_s = time.monotonic() + PATIENCE * objective_s
+        return Patience(
+            min(until_s, adm.deadline_s),
+            adm.deadline_s,
+            lambda: self._pool.has_room(adm.service, options, tried),
+        )
+
+    def _options(self, run: Run) -> EngineOptions:
+        engine = run.adm.service.engine or PLAIN_ENGINE
+        return EngineOptions(engine, run.tokens)
 
     def _consider_move(self, run: Run) -> None:
         """Starts to move a run whose engine is leaving."""
--- a/src/savorylift/exchange/plain_call.py
+++ b/src/savorylift/exchange/plain_call.py
@@ -15,7 +15,7 @@
     Unsure,
 )
 from savorylift.exchange.pool import Pool
-from savorylift.exchange.send import Sender
+from savorylift.exchange.send import Patience, Sender
 from savorylift.outcomes import Reason
 
 # Room at a plain service appears within a few service times.
@@ -55,13 +55,13 @@
             if last is not None:
                 counters.RETRIES.labels(_reason(last).value).inc()
             is_last = may_have_run + 1 >= adm.route.max_servers
-            until_s = _patience(adm, is_last=is_last)
             server_id = server.entry.server_id
+            tried.add(server_id)
+            patience = self._patience(adm, tried, is_last=is_last)
             try:
-                last = await self._sender.send(server, adm, until_s)
+                last = await self._sender.send(server, adm, patience)
             finally:
                 self._pool.work.end(server_id, adm.req.attempt_id)
-            tried.add(server_id)
             self._judge(server_id, last)
             _log.info(
                 "sent",
@@ -82,19 +82,25 @@
             if not adm.route.is_idempotent:
                 return _final(last)
 
+    def _patience(
+        self, adm: Admitted, tried: set[str], *, is_last: bool
+    ) -> Patience:
+        """Returns how long one server may keep a call."""
+        until_s = adm.deadline_s
+        if not is_last and adm.route.is_idempotent:
+            objective_s = adm.route.objective_s or DEFAULT_OBJECTIVE_S
+            until_s = time.monotonic() + PATIENCE * objective_s
+        return Patience(
+            min(until_s, adm.deadline_s),
+            adm.deadline_s,
+            lambda: self._pool.has_server(adm.service, tried),
+        )
+
     def _judge(self, server_id: str, ending: SendEnding) -> None:
         is_fault = not isinstance(ending, Answered) or _is_server_fault(ending)
         self._pool.work.judge(server_id, is_success=not is_fault)
 
 
-def _patience(adm: Admitted, *, is_last: bool) -> float:
-    """Returns the steady time until which one server may keep a call."""
-    if is_last or not adm.route.is_idempotent:
-        return adm.deadline_s
-    objective_s = adm.route.objective_s or DEFAULT_OBJECTIVE_S
-    return min(adm.deadline_s, time.monotonic() + PATIENCE * objective_s)
-
-
 def _is_server_fault(ending: Answered) -> bool:
     return ending.head.status >= FIRST_SERVER_FAULT
 
--- a/src/savorylift/exchange/pool.py
+++ b/src/savorylift/exchange/pool.py
@@ -81,6 +81,18 @@
             self._begin(found, adm, options.tokens, unread)
         return found
 
+    def has_room(
+        self, service: Service, options: EngineOptions, tried: Collection[str]
+    ) -> bool:
+        """Whether an engine that was not tried has room."""
+        candidates = self._sendable(service, tried)
+        found = choose_engine(candidates, self._loads(), options, self._rng)
+        return found is not None
+
+    def has_server(self, service: Service, tried: Collection[str]) -> bool:
+        """Whether there is a server that was not tried."""
+        return any(True for _ in self._sendable(service, tried))
+
     def pick_refuge(
         self, service: Service, options: EngineOptions, tried: Collection[str]
     ) -> Known | None:
--- a/src/savorylift/exchange/send.py
+++ b/src/savorylift/exchange/send.py
@@ -21,6 +21,8 @@
 
 # Many round trips: a server that is there accepts within a few milliseconds.
 CONNECT_S = 0.2
+# How often another server is looked for once patience has ended.
+LOOK_AGAIN_S = 0.1
 
 
 class Codec(Protocol):
@@ -53,6 +55,21 @@
     continuation: Continuation | None = None
 
 
+class Patience(NamedTuple):
+    """How long the head of an answer is waited for.
+
+    Attributes:
+        until_s: Steady time at which another server is considered.
+        deadline_s: Steady time after which no answer is of use.
+        has_alternative: Whether another server could take over now; without
+            one, waiting goes on.
+    """
+
+    until_s: float
+    deadline_s: float
+    has_alternative: Callable[[], bool]
+
+
 class Started(NamedTuple):
     """A request whose answer has begun.
 
@@ -80,7 +97,7 @@
         server: Known,
         adm: Admitted,
         resumption: Resumption,
-        until_s: float,
+        patience: Patience,
     ) -> Started | NotRun | Unsure:
         """Sends a request and returns the answer's head.
 
@@ -88,10 +105,10 @@
             server: Where to.
             adm: The request.
             resumption: Where a stream goes on.
-            until_s: Steady time at which waiting for the head ends.
+            patience: How long the head is waited for.
         """
         host, port = server.entry.address
-        limit_s = min(CONNECT_S, until_s - time.monotonic())
+        limit_s = min(CONNECT_S, patience.until_s - time.monotonic())
         try:
             channel = await connect(host, port, max(limit_s, 0.0))
         except OSError as exc:
@@ -103,19 +120,19 @@
             return NotRun(Reason.OUT_OF_SERVICE, detail, has_arrived=False)
         call = ClientCall(channel)
         try:
-            return await self._exchange(call, server, adm, resumption, until_s)
+            return await self._exchange(call, server, adm, resumption, patience)
         except BaseException:
             call.close()
             raise
 
     async def send(
-        self, server: Known, adm: Admitted, until_s: float
+        self, server: Known, adm: Admitted, patience: Patience
     ) -> SendEnding:
         """Sends a request and returns how that ended."""
-        started = await self.start(server, adm, Resumption(), until_s)
+        started = await self.start(server, adm, Resumption(), patience)
         if not isinstance(started, Started):
             return started
-        return await self.finish(started, until_s)
+        return await self.finish(started, patience.deadline_s)
 
     async def finish(self, started: Started, until_s: float) -> SendEnding:
         """Reads the rest of an answer that isn't a stream."""
@@ -142,7 +159,7 @@
         server: Known,
         adm: Admitted,
         resumption: Resumption,
-        until_s: float,
+        patience: Patience,
     ) -> Started | Unsure:
         req = adm.req
         how = Forwarding(
@@ -156,8 +173,7 @@
         headers = self._codec.forwarded(req, how)
         call.send(req.method, req.target, headers, req.body)
         try:
-            async with asyncio.timeout_at(until_s):
-                raw = await call.read_head()
+            raw = await _read_head(call, patience)
         except TimeoutError:
             call.close()
             return Unsure(Reason.DEADLINE, "no answer in time")
@@ -172,6 +188,25 @@
         return Started(call, head)
 
 
+async def _read_head(call: ClientCall, patience: Patience) -> ResponseHead:
+    """Returns the head of an answer.
+
+    Raises:
+        TimeoutError: There is none in time.
+        BrokenAnswerError: There will be none.
+    """
+    until_s = min(patience.until_s, patience.deadline_s)
+    while True:
+        try:
+            async with asyncio.timeout_at(until_s):
+                return await call.read_head()
+        except TimeoutError:
+            now_s = time.monotonic()
+            if now_s >= patience.deadline_s or patience.has_alternative():
+                raise
+            until_s = min(now_s + LOOK_AGAIN_S, patience.deadline_s)
+
+
 def _find_fault(head: AnswerHead) -> str | None:
     """Says why an answer can't be passed on, or None if it can."""
     if head.is_not_run:
