Hold generations that an engine could not read in time

A generation waits at the node while an engine could not read its prompt within 0.6 of the objective, at a rate learned from first events; those that are late anyway go last, and all are held for twice the objective before a refusal says when to come back.

--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -19,13 +19,18 @@
 from savorylift.exchange.send import Patience, Resumption, Sender, Started
 from savorylift.outcomes import Reason
 from savorylift.placement.engines import EngineOptions, expected_tokens
+from savorylift.placement.reading_rate import ReadingRate
 from savorylift.placement.waiting import Waiting
 from savorylift.routing.configuration import EngineTraits
 from savorylift.wire.client_call import BrokenAnswerError
 
 DEFAULT_OBJECTIVE_S = 2.0
-# Reading the prompt must still fit between the wait and the objective.
-HOLD = 0.75
+# Share of the objective that waiting prompts may take at an engine.
+READING = 0.6
+# A late answer is still worth something; callers leave after some four times
+# the objective, and a refusal must leave them time to come back.
+HOLD = 2.0
+HOLD_SHARE = 0.4
 # Engines that are full free some memory within about a second.
 FULL_RETRY_S = 1.0
 FULL_RETRY_SPREAD_S = 0.5
@@ -90,6 +95,7 @@
         self._mover = mover
         self._rng = rng
         self._waiting: dict[str, Waiting] = {}
+        self._reading = ReadingRate()
         self._runs: set[Run] = set()
 
     def on_change(self) -> None:
@@ -239,6 +245,9 @@
             self._pool.work.note_event(
                 run.server.entry.server_id, run.attempt_id
             )
+            self._reading.learn(
+                run.unread_at_start, time.monotonic() - run.sent_s
+            )
         run.note_event(number)
         await sink.send(data)
         self._consider_move(run)
@@ -269,6 +278,9 @@
 
         def choose() -> Known | None:
             run.server = self._pool.pick_engine(adm, options, tried)
+            if run.server is not None:
+                run.sent_s = time.monotonic()
+                run.unread_at_start = self._pool.unread(run.server)
             return run.server
 
         waiting = self._waiting.setdefault(adm.service.name, Waiting())
@@ -276,12 +288,17 @@
             found = choose()
             if found is not None:
                 return found
-        objective_s = adm.route.objective_s or DEFAULT_OBJECTIVE_S
-        until_s = adm.req.arrived_s + HOLD * objective_s
+        objective_s = _objective(adm)
+        hold_s = HOLD * objective_s
+        if adm.req.time_left_s is not None:
+            hold_s = min(hold_s, HOLD_SHARE * adm.req.time_left_s)
+        until_s = adm.req.arrived_s + hold_s
+        reading_s = options.prompt / self._reading.tokens_per_s
+        in_time_s = adm.req.arrived_s + objective_s - reading_s
         counters.WAITING.inc()
         try:
             async with asyncio.timeout_at(min(until_s, adm.deadline_s)):
-                return await waiting.wait(adm.priority, choose)
+                return await waiting.wait(adm.priority, in_time_s, choose)
         except TimeoutError:
             return None
         finally:
@@ -295,8 +312,7 @@
         options = self._options(run)
         until_s = adm.deadline_s
         if not is_last and adm.route.is_idempotent:
-            objective_s = adm.route.objective_s or DEFAULT_OBJECTIVE_S
-            until_s = time.monotonic() + PATIENCE * objective_s
+            until_s = time.monotonic() + PATIENCE * _objective(adm)
         return Patience(
             min(until_s, adm.deadline_s),
             adm.deadline_s,
@@ -305,7 +321,10 @@
 
     def _options(self, run: Run) -> EngineOptions:
         engine = run.adm.service.engine or PLAIN_ENGINE
-        return EngineOptions(engine, run.tokens)
+        generation = run.adm.req.generation
+        prompt = generation.prompt_tokens if generation is not None else 0
+        most_unread = READING * _objective(run.adm) * self._reading.tokens_per_s
+        return EngineOptions(engine, run.tokens, prompt, most_unread)
 
     def _consider_move(self, run: Run) -> None:
         """Starts to move a run whose engine is leaving."""
@@ -424,3 +443,8 @@
             resumed_after=run.resume_after,
             tokens=run.tokens,
         )
+
+
+def _objective(adm: Admitted) -> float:
+    """Returns the time within which the first event is due."""
+    return adm.route.objective_s or DEFAULT_OBJECTIVE_S
--- a/src/savorylift/exchange/mover.py
+++ b/src/savorylift/exchange/mover.py
@@ -101,9 +101,9 @@
         options = EngineOptions(
             engine,
             run.tokens,
-            run.server.entry.failure_domain,
-            MOVE_FAR_COST,
-            JITTER,
+            near=run.server.entry.failure_domain,
+            far_cost=MOVE_FAR_COST,
+            jitter=JITTER,
         )
         return self._pool.pick_refuge(run.adm.service, options, tried)
 
--- a/src/savorylift/exchange/pool.py
+++ b/src/savorylift/exchange/pool.py
@@ -89,6 +89,10 @@
         found = choose_engine(candidates, self._loads(), options, self._rng)
         return found is not None
 
+    def unread(self, server: Known) -> int:
+        """Returns the prompt tokens that an engine has not read yet."""
+        return self._loads().get(server.entry.server_id, Load()).unread
+
     def has_server(self, service: Service, tried: Collection[str]) -> bool:
         """Whether there is a server that was not tried."""
         return any(True for _ in self._sendable(service, tried))
--- a/src/savorylift/exchange/run.py
+++ b/src/savorylift/exchange/run.py
@@ -32,6 +32,8 @@
         call: Call to that engine; None before it and between engines.
         last_event: Number of the newest event passed on; None before one.
         move: Task that moves it to another engine, if one does.
+        sent_s: Steady time at which it was given to its first engine.
+        unread_at_start: Prompt tokens that this engine had to read then.
         first_event_s: Steady time of the first event.
         newest_event_s: Steady time of the newest event.
         longest_gap_s: Longest pause between events so far.
@@ -47,6 +49,8 @@
         self.call: ClientCall | None = None
         self.last_event: int | None = None
         self.move: asyncio.Task[NextPart | None] | None = None
+        self.sent_s = 0.0
+        self.unread_at_start = 0
         self.first_event_s: float | None = None
         self.newest_event_s: float | None = None
         self.longest_gap_s = 0.0
--- a/src/savorylift/placement/engines.py
+++ b/src/savorylift/placement/engines.py
@@ -4,6 +4,7 @@
 engine: each counts with the tokens that it is expected to reach.
 """
 
+import math
 import random
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
@@ -29,6 +30,9 @@
     Attributes:
         traits: What the service's engines can do.
         tokens: Tokens that the generation is expected to reach.
+        prompt: Tokens of its prompt.
+        most_unread: Prompt tokens that an engine may have before it, this
+            generation's included, for a first event in time.
         near: Failure domain whose engines are preferred, if any.
         far_cost: What another failure domain costs, as a share of an engine.
         jitter: Spread of nearly equal choices, as a share of an engine.
@@ -36,6 +40,8 @@
 
     traits: EngineTraits
     tokens: int
+    prompt: int = 0
+    most_unread: float = math.inf
     near: str | None = None
     far_cost: float = 0.0
     jitter: float = JITTER
@@ -89,5 +95,7 @@
         return False
     if load.requests == 0:
         return True
+    if load.unread and load.unread + options.prompt > options.most_unread:
+        return False
     limit = options.traits.memory_tokens * FILL
     return load.tokens + options.tokens <= limit
--- a/src/savorylift/placement/waiting.py
+++ b/src/savorylift/placement/waiting.py
@@ -1,8 +1,9 @@
 """Generations that wait for room on an engine, in the order they go.
 
-Answers a load above what the engines' memory holds: the most urgent goes
-first, then the one that has waited longest. A generation that does not fit
-lets smaller ones pass for a while only, so that large ones are served too.
+Answers a load above what the engines' memory holds: those that can still be
+on time go before those that are late anyway, the most urgent first, then the
+one that has waited longest. A generation that does not fit lets smaller ones
+pass for a while only, so that large ones are served too.
 """
 
 import asyncio
@@ -21,13 +22,20 @@
     Attributes:
         priority: Rank, 0 first.
         since_s: Steady time at which it began to wait.
+        in_time_s: Steady time until which it can still be on time.
         number: Order of arrival.
     """
 
     priority: int
     since_s: float
+    in_time_s: float
     number: int
 
+    def order(self, now_s: float) -> tuple[bool, int, float, int]:
+        """Returns the sort key: smaller goes first."""
+        is_late = now_s > self.in_time_s
+        return is_late, self.priority, self.since_s, self.number
+
 
 class Waiting:
     """The generations that wait at this node for one service."""
@@ -44,14 +52,17 @@
         return len(self._entries)
 
     async def wait(
-        self, priority: int, choose: Callable[[], Known | None]
+        self,
+        priority: int,
+        in_time_s: float,
+        choose: Callable[[], Known | None],
     ) -> Known:
         """Returns an engine as soon as `choose` finds one in its turn.
 
         `choose` must count the generation on the engine that it returns.
         """
         self._number += 1
-        place = Place(priority, time.monotonic(), self._number)
+        place = Place(priority, time.monotonic(), in_time_s, self._number)
         fut: asyncio.Future[Known] = asyncio.get_running_loop().create_future()
         self._entries[place] = (fut, choose)
         try:
@@ -63,7 +74,7 @@
     def offer(self) -> None:
         """Lets those who wait choose, now that there may be room."""
         now_s = time.monotonic()
-        for place in sorted(self._entries):
+        for place in sorted(self._entries, key=lambda p: p.order(now_s)):
             fut, choose = self._entries[place]
             if fut.done():
                 continue
--- a/tests/placement/test_choices.py
+++ b/tests/placement/test_choices.py
@@ -29,7 +29,7 @@
 def engine(
     loads: dict[str, Load], tokens: int = 1000, near: str | None = None
 ) -> str | None:
-    options = EngineOptions(ENGINE, tokens, near, far_cost=0.3, jitter=0.0)
+    options = EngineOptions(ENGINE, tokens, near=near, far_cost=0.3, jitter=0.0)
     servers = [
         Known(entry(name)._replace(failure_domain=name), 0.0) for name in "abc"
     ]
--- a/tests/placement/test_waiting.py
+++ b/tests/placement/test_waiting.py
@@ -1,6 +1,7 @@
 """Tests of the order in which generations that wait are served."""
 
 import asyncio
+import time
 
 from savorylift.backends.registry import Known
 from savorylift.placement.waiting import PASSED_BY_S, Waiting
@@ -26,10 +27,19 @@
 
 
 def wait(
-    waiting: Waiting, room: Room, name: str, priority: int, tokens: int
+    waiting: Waiting,
+    room: Room,
+    name: str,
+    priority: int,
+    tokens: int,
+    in_time_s: float = 9.0,
 ) -> "asyncio.Task[Known]":
     return asyncio.ensure_future(
-        waiting.wait(priority, lambda: room.take(name, tokens))
+        waiting.wait(
+            priority,
+            time.monotonic() + in_time_s,
+            lambda: room.take(name, tokens),
+        )
     )
 
 
@@ -84,3 +94,17 @@
         assert (len(waiting), room.order) == (0, [])
 
     run(scene())
+
+
+def test_those_that_are_late_anyway_go_last() -> None:
+    async def scene() -> None:
+        waiting, room = Waiting(), Room()
+        late = wait(waiting, room, "late", 0, 1, in_time_s=-1.0)
+        in_time = wait(waiting, room, "in time", 1, 1)
+        await asyncio.sleep(0)
+        room.tokens = 2
+        waiting.offer()
+        await asyncio.gather(late, in_time)
+        assert room.order == ["in time", "late"]
+
+    run(scene())
