Account for refusals in the platform's store

Cause: on the platform a refusal was only a log line and a counter; the users ask, for any period, whose requests were turned away and why.

--- a/src/savorylift/front/caller_door.py
+++ b/src/savorylift/front/caller_door.py
@@ -7,6 +7,7 @@
 import structlog
 from returns.pipeline import is_successful
 
+from savorylift.account.counts import RefusalCounts
 from savorylift.exchange import counters
 from savorylift.exchange.admission import Admitted, admit
 from savorylift.exchange.ending import Answered, Refused
@@ -44,6 +45,7 @@
         """Writes nothing yet."""
         self._conn = conn
         self.is_started = False
+        self.is_aborted = False
 
     def start(self, head: AnswerHead) -> None:
         """Sends the head."""
@@ -61,6 +63,7 @@
 
     def abort(self) -> None:
         """Ends the connection without the end of the body."""
+        self.is_aborted = True
         self._conn.is_closing = True
         self._conn.channel.close()
 
@@ -70,6 +73,7 @@
 
     def __init__(
         self,
+        counts: RefusalCounts,
         knowledge: Knowledge,
         pool: Pool,
         calls: PlainCalls,
@@ -79,6 +83,7 @@
         default_timeout_s: float,
     ) -> None:
         """Takes the parts that serve requests."""
+        self._counts = counts
         self._knowledge = knowledge
         self._pool = pool
         self._calls = calls
@@ -210,7 +215,7 @@
             )
             conn.respond(status, headers, body)
             reason = answer.reason.value
-            counters.REFUSALS.labels(reason).inc()
+            self._account_for(asked, answer.reason, status)
         counters.ANSWERS.labels(str(status)).inc()
         if asked is None:
             _log.info("request_unreadable", peer=conn.channel.peer)
@@ -228,14 +233,27 @@
             configuration=cfg and cfg.version,
         )
 
+    def _account_for(
+        self, asked: CallerRequest | None, reason: Reason, status: int
+    ) -> None:
+        """Counts a request that was turned away."""
+        counters.REFUSALS.labels(reason.value).inc()
+        cfg = self._knowledge.configuration
+        keys = {} if cfg is None else cfg.teams_by_key or {}
+        team = keys.get(asked.api_key or "") if asked is not None else None
+        name = "" if team is None else team.name
+        self._counts.add(time.time(), name, reason, status)
+
     def _log_stream(self, adm: Admitted, sink: CallerSink) -> None:
         counters.ANSWERS.labels("200").inc()
+        if sink.is_aborted:
+            self._account_for(adm.req, Reason.ANSWER_LOST, 200)
         _log.info(
             "stream",
             request=adm.req.attempt_id,
             route=adm.route.name,
             took_ms=_age_ms(adm.req),
-            is_started=sink.is_started,
+            is_aborted=sink.is_aborted,
         )
 
     def _refuse_unread(self, conn: ServerConnection, req: BadRequest) -> None:
@@ -243,7 +261,7 @@
         headers, body = self._codec.refusal(req.message, None)
         conn.respond(req.status, headers, body)
         counters.ANSWERS.labels(str(req.status)).inc()
-        counters.REFUSALS.labels(Reason.BAD_REQUEST.value).inc()
+        self._account_for(None, Reason.BAD_REQUEST, req.status)
         _log.info(
             "request_unreadable",
             peer=conn.channel.peer,
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -10,6 +10,8 @@
 import structlog
 from prometheus_client import generate_latest
 
+from savorylift.account.counts import RefusalCounts
+from savorylift.account.writer import AccountWriter
 from savorylift.exchange.budget import BudgetOptions, RetryBudget
 from savorylift.exchange.generation import Generations
 from savorylift.exchange.mover import Mover
@@ -37,7 +39,13 @@
     readiness_handler,
 )
 from savorylift.platform.ingress import PlatformCodec
-from savorylift.platform.store import NODES, OPERATORS, SERVERS, StoreClient
+from savorylift.platform.store import (
+    NODES,
+    OPERATORS,
+    SERVERS,
+    Record,
+    StoreClient,
+)
 from savorylift.wire.listener import Listener, answering
 from savorylift.wire.message import Request, Response
 from savorylift.wire.server_connection import InputLimits
@@ -93,7 +101,9 @@
         self._generations = Generations(
             self._pool, sender, Mover(self._pool), rng
         )
+        counts = RefusalCounts(cfg.vm, self._incarnation)
         door = CallerDoor(
+            counts,
             self._knowledge,
             self._pool,
             PlainCalls(self._pool, sender),
@@ -103,6 +113,7 @@
             cfg.request_timeout_s,
         )
         self._store = StoreClient(_address(cfg.store))
+        self._account = AccountWriter(self._store, counts)
         turn = Turn(
             self._is_reader,
             self._others_age_s,
@@ -158,8 +169,10 @@
         )
         self._spawn(self._keep_up())
         self._spawn(self._register())
+        self._spawn(self._account.run())
         await self._stopped.wait()
         await self._life.wait_until_served()
+        await self._account.save()
         _log.info("stop", after_s=time.monotonic() - self._life.leaving_s)
         self._door.close()
 
@@ -294,9 +307,9 @@
 
     async def _register(self) -> None:
         """Makes this node known in the store, and finds others there."""
-        value = self._cfg.caller_listen.encode()
+        me = Record(self._ip, self._cfg.caller_listen.encode())
         while True:
-            added = await self._store.append(NODES, self._ip, value)
+            added = await self._store.append(NODES, [me])
             found = await self._store.list_newest(NODES)
             now_s = time.monotonic()
             for record in found.map(lambda b: b.records).value_or(()):
--- a/src/savorylift/platform/store.py
+++ b/src/savorylift/platform/store.py
@@ -4,6 +4,7 @@
 import enum
 import struct
 import urllib.parse
+from collections.abc import Sequence
 from typing import NamedTuple
 
 import msgspec
@@ -15,6 +16,7 @@
 OPERATORS = "keyed.op"
 SERVERS = "keyed.servers"
 NODES = "keyed.nodes"
+REFUSALS = "keyed.refusals"
 
 CONNECT_S = 0.5
 # Slower answers are of no use: the next try starts a new connection.
@@ -136,12 +138,10 @@
         return Success(Batch(keyed, offset + len(records)))
 
     async def append(
-        self, topic: str, key: str, value: bytes
+        self, topic: str, records: Sequence[Record]
     ) -> Result[int, StoreError]:
-        """Adds a record under a key; returns its offset."""
-        name = key.encode()
-        record = bytes([len(name)]) + name + value
-        body = _LENGTH.pack(len(record)) + record
+        """Adds records, all or none; returns the offset of the first."""
+        body = b"".join(_encode(record) for record in records)
         query = {"topic": topic, "part": "0"}
         answer = await self._call("POST", "/log-append", query, body=body)
         if isinstance(answer, StoreError):
@@ -179,6 +179,12 @@
         return answer
 
 
+def _encode(record: Record) -> bytes:
+    name = record.key.encode()
+    content = bytes([len(name)]) + name + (record.value or b"")
+    return _LENGTH.pack(len(content)) + content
+
+
 def _record(item: _Item) -> Record:
     return Record(item.key, base64.b64decode(item.value))
 
--- /dev/null
+++ b/tests/account/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the account of refusals on the platform."""
--- /dev/null
+++ b/tests/account/test_account.py
@@ -0,0 +1,68 @@
+"""Tests of counting refusals and adding them up."""
+
+import pytest
+
+from savorylift.account.counts import RefusalCounts, decode_count
+from savorylift.account.report import Line, report
+from savorylift.outcomes import Reason
+
+
+def counted(*times_s: float) -> RefusalCounts:
+    counts = RefusalCounts("vm-1", 7)
+    for time_s in times_s:
+        counts.add(time_s, "team", Reason.QUEUE_FULL, 503)
+    return counts
+
+
+def values(counts: RefusalCounts) -> dict[str, bytes]:
+    """Returns what the store would keep: the newest value of each key."""
+    return {count.key: count.encode() for count in counts.unsaved()}
+
+
+def test_counts_by_minute() -> None:
+    saved = counted(0, 59, 60).unsaved()
+    assert [(c.minute_s, c.requests) for c in saved] == [(0, 2), (60, 1)]
+
+
+def test_a_count_is_written_again_only_when_it_grows() -> None:
+    counts = counted(0, 1)
+    first = counts.unsaved()
+    counts.add(2, "team", Reason.QUEUE_FULL, 503)
+    counts.note_saved(first)
+    (again,) = counts.unsaved()
+    assert again.requests == 3
+    assert again.key == first[0].key
+    counts.note_saved([again])
+    assert counts.unsaved() == ()
+
+
+def test_writing_twice_adds_nothing() -> None:
+    counts = counted(0, 1)
+    store = values(counts) | values(counts)
+    found = report(store.values(), 0, 60)
+    assert found.lines == (Line("team", "queue_full", 503, 2),)
+
+
+def test_nodes_and_restarts_add_up() -> None:
+    store: dict[str, bytes] = {}
+    for node, incarnation in [("vm-1", 1), ("vm-1", 2), ("vm-2", 1)]:
+        counts = RefusalCounts(node, incarnation)
+        counts.add(5, "team", Reason.DEADLINE, 504)
+        store |= values(counts)
+    found = report(store.values(), 0, 60)
+    assert found.lines == (Line("team", "deadline", 504, 3),)
+
+
+@pytest.mark.parametrize(
+    ("since_s", "until_s", "requests"),
+    [(0, 60, 1), (0, 61, 2), (59, 60, 1), (60, 120, 1), (120, 999, 0)],
+)
+def test_period(since_s: float, until_s: float, requests: int) -> None:
+    found = report(values(counted(10, 70)).values(), since_s, until_s)
+    assert sum(line.requests for line in found.lines) == requests
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff", b"{}", b'{"team": 3}'])
+def test_foreign_records_are_told(value: bytes) -> None:
+    assert decode_count(value).failure()
+    assert report([value], 0, 60).unreadable == 1
--- a/tests/front/test_node.py
+++ b/tests/front/test_node.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from savorylift.platform.store import OPERATORS, SERVERS
+from savorylift.front.refusals_command import main
+from savorylift.platform.store import OPERATORS, REFUSALS, SERVERS
 from savorylift.wire.client_call import BrokenAnswerError
 from tests.front.stage import Stage, as_json, configuration, event_numbers, play
 
@@ -275,6 +276,27 @@
     play(scene())
 
 
+def test_refusals_are_accounted_for_in_the_store(
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    async def scene() -> None:
+        stage = Stage()
+        await stage.start()
+        await stage.call("/nowhere/")
+        await stage.call("/nowhere/", "a2")
+        async with asyncio.timeout(9.0):
+            while not stage.store.topic(REFUSALS).newest:
+                await asyncio.sleep(0.1)
+        store = f"127.0.0.1:{stage.store.port}"
+        words = [store, "2000-01-01", "2100-01-01"]
+        assert await asyncio.to_thread(main, words) == 0
+
+    play(scene())
+    assert "team                     not_found               404         2" in (
+        capsys.readouterr().out
+    )
+
+
 def test_foreign_entries_leave_the_others() -> None:
     async def scene() -> None:
         stage = Stage()
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -49,7 +49,7 @@
 def test_append_is_read_back() -> None:
     async def scene() -> None:
         _, client = await started()
-        assert (await client.append("t", "k", b"v")).unwrap() == 0
+        assert (await client.append("t", [Record("k", b"v")])).unwrap() == 0
         listed = (await client.list_newest("t")).unwrap()
         assert listed.records == (Record("k", b"v"),)
 
@@ -96,7 +96,7 @@
 def test_absent_store_is_unreachable() -> None:
     async def scene() -> None:
         client = StoreClient(("127.0.0.1", 1))
-        result = await client.append("t", "k", b"v")
+        result = await client.append("t", [Record("k", b"v")])
         assert result.failure().fault is Fault.UNREACHABLE
 
     run(scene())
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -104,10 +104,14 @@
         return await self._read(topic, fields)
 
     def _append(self, topic: Topic, body: bytes) -> Response:
-        (length,) = LENGTH.unpack_from(body)
-        record = body[LENGTH.size : LENGTH.size + length]
-        key = record[1 : 1 + record[0]].decode()
-        offset = topic.add(key, record[1 + record[0] :])
+        offset, position = topic.end, 0
+        while position < len(body):
+            (length,) = LENGTH.unpack_from(body, position)
+            position += LENGTH.size
+            record = body[position : position + length]
+            key = record[1 : 1 + record[0]].decode()
+            topic.add(key, record[1 + record[0] :])
+            position += length
         self._wake()
         answer = {"offset": offset, "end": topic.end}
         return Response(200, (), json.dumps(answer).encode())
