Never start a run anew that has begun

A run that has begun now goes on from its memory only: at the destination, once more there, at its source, or it ends.

--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -37,6 +37,8 @@
 # Share of the objective after which an engine without a first event is given
 # up, where the run may be repeated.
 PATIENCE = 0.6
+# A connection may fail once on a link that loses packets.
+RESUME_TRIES = 2
 # A source that was told to stop ends its stream within this time.
 SWITCH_S = 1.0
 PLAIN_ENGINE = EngineTraits(
@@ -174,18 +176,12 @@
     ) -> NotRun | Answered | Broken | None:
         """Runs at one engine and those it moves to; None if complete."""
         patience = self._patience(run, tried, is_last=is_last)
-        resumption = Resumption(run.resume_after)
+        started = await self._send(
+            run, server, Resumption(run.resume_after), patience
+        )
         while True:
-            started = await self._sender.start(
-                server, run.adm, resumption, patience
-            )
-            self._log_sent(run, server, started)
-            if isinstance(started, NotRun):
+            if not isinstance(started, Started):
                 return started
-            if isinstance(started, Unsure):
-                return Broken(started.reason, started.detail)
-            if not started.head.is_success:
-                return await self._read_failure(run, started)
             run.call = started.call
             ended = await self._relay(run, started, sink)
             started.call.close()
@@ -196,13 +192,58 @@
             part = await self._next_part(run)
             if part is None:
                 return ended
-            server = part.server
             run.moves += 1
-            self._put_at(run, server)
-            resumption = Resumption(run.resume_after, part.continuation)
-            patience = Patience(
-                run.adm.deadline_s, run.adm.deadline_s, lambda: False
-            )
+            resumed = await self._go_on(run, part)
+            if not isinstance(resumed, Started):
+                return _as_broken(resumed)
+            assert run.server is not None
+            server = run.server
+            started = resumed
+
+    async def _go_on(
+        self, run: Run, part: NextPart
+    ) -> Started | NotRun | Answered | Broken:
+        """Resumes a run that was stopped, from its memory only.
+
+        The run has begun, so an engine that doesn't take it is no reason to
+        start it anew. The source keeps the memory, so it is the last resort.
+        """
+        resumption = Resumption(run.resume_after, part.continuation)
+        deadline_s = run.adm.deadline_s
+        patience = Patience(deadline_s, deadline_s, lambda: False)
+        places = [part.server] * RESUME_TRIES + [part.source] * RESUME_TRIES
+        rejected_by: set[str] = set()
+        result: Started | NotRun | Answered | Broken = Broken(
+            Reason.BACKEND_LOST, "no engine to go on at"
+        )
+        for place in places:
+            if place.entry.server_id in rejected_by:
+                continue
+            self._put_at(run, place)
+            result = await self._send(run, place, resumption, patience)
+            if not isinstance(result, NotRun):
+                return result
+            if result.has_arrived:
+                rejected_by.add(place.entry.server_id)
+        return result
+
+    async def _send(
+        self,
+        run: Run,
+        server: Known,
+        resumption: Resumption,
+        patience: Patience,
+    ) -> Started | NotRun | Answered | Broken:
+        """Sends a run to an engine; anything but a start is an ending."""
+        started = await self._sender.start(
+            server, run.adm, resumption, patience
+        )
+        self._log_sent(run, server, started)
+        if isinstance(started, Unsure):
+            return Broken(started.reason, started.detail)
+        if isinstance(started, Started) and not started.head.is_success:
+            return await self._read_failure(run, started)
+        return started
 
     async def _relay(
         self, run: Run, started: Started, sink: EventSink
@@ -448,3 +489,13 @@
 def _objective(adm: Admitted) -> float:
     """Returns the time within which the first event is due."""
     return adm.route.objective_s or DEFAULT_OBJECTIVE_S
+
+
+def _as_broken(ending: NotRun | Answered | Broken) -> Broken:
+    """Returns how a run that has begun ended, when it could not go on."""
+    if isinstance(ending, Broken):
+        return ending
+    if isinstance(ending, NotRun):
+        return Broken(ending.reason, f"could not go on: {ending.detail}")
+    detail = f"could not go on: {ending.head.status}"
+    return Broken(Reason.BACKEND_ERROR, detail)
--- a/src/savorylift/exchange/mover.py
+++ b/src/savorylift/exchange/mover.py
@@ -138,7 +138,7 @@
             self._pool.work.end(server_id, name)
             if handle is not None and not is_done:
                 copy = Continuation(source.entry.address, handle)
-                self.drop(NextPart(destination, copy))
+                self.drop(NextPart(destination, source, copy))
 
     async def _copy_begun(
         self, run: Run, source: Known, destination: Known, until_s: float
@@ -196,4 +196,5 @@
             source=source.entry.server_id,
             destination=destination.entry.server_id,
         )
-        return NextPart(destination, Continuation(source.entry.address, handle))
+        copy = Continuation(source.entry.address, handle)
+        return NextPart(destination, source, copy)
--- a/src/savorylift/exchange/run.py
+++ b/src/savorylift/exchange/run.py
@@ -15,10 +15,12 @@
 
     Attributes:
         server: The engine to go on at.
+        source: The engine that it ran at, which keeps its memory.
         continuation: Memory to go on from.
     """
 
     server: Known
+    source: Known
     continuation: Continuation
 
 
--- a/tests/front/stage.py
+++ b/tests/front/stage.py
@@ -66,6 +66,8 @@
             route("/safe/", "safe", "app"),
             route("/once/", "unsafe", "app"),
             route("/stream/", "streaming", "pool"),
+            route("/resumable/", "streaming", "pool")
+            | {"streamResumption": True, "maxAttempts": 2},
         ],
         "services": [
             {"name": "app", "healthPath": "/health"},
--- a/tests/front/test_node.py
+++ b/tests/front/test_node.py
@@ -308,3 +308,52 @@
         assert (await stage.call("/safe/")).status == 200
 
     play(scene())
+
+
+@pytest.mark.parametrize("path", ["/stream/", "/resumable/"])
+def test_run_that_finds_no_place_to_go_on_is_not_started_again(
+    path: str,
+) -> None:
+    """Only a stream that may be resumed may run a second time."""
+
+    async def scene() -> None:
+        stage = Stage()
+        await stage.start()
+        for server in stage.pool:
+            server.events = 60
+        call = await stage.open(path, "s1", COUNTS)
+        head = await call.read_head()
+        (leaving,) = [s for s in stage.pool if "s1" in s.runs]
+        (other,) = [s for s in stage.pool if s is not leaving]
+        other.loses_copies = True
+        leaving.loses_copies = True
+        stage.put(leaving, "pool", "draining")
+        if path == "/stream/":
+            with pytest.raises(BrokenAnswerError):
+                await call.read_rest(head)
+            assert other.runs == []
+        else:
+            answer = await call.read_rest(head)
+            assert event_numbers(answer.body)[-1] == 60
+            assert other.runs == ["s1"]
+
+    play(scene())
+
+
+def test_run_goes_on_at_its_source_when_the_destination_rejects_it() -> None:
+    async def scene() -> None:
+        stage = Stage()
+        await stage.start()
+        for server in stage.pool:
+            server.events = 60
+        call = await stage.open("/stream/x", "s1", COUNTS)
+        head = await call.read_head()
+        (leaving,) = [s for s in stage.pool if "s1" in s.runs]
+        (other,) = [s for s in stage.pool if s is not leaving]
+        other.loses_copies = True
+        stage.put(leaving, "pool", "draining")
+        answer = await call.read_rest(head)
+        assert event_numbers(answer.body) == list(range(1, 61))
+        assert other.runs == []
+
+    play(scene())
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -42,6 +42,10 @@
         breaks_after: Bytes or events after which it breaks off; None never.
         events: Events of a stream.
         streams: Attempts that stream now, with their events so far.
+        answers_as: Attempt that its answers name instead of the real one.
+        loses_copies: Whether no run can go on here.
+        stopped: Attempts that were told to stop.
+        peers: Engines by port, to which runs are copied.
         handles: Copies of runs that may go on here, by name.
     """
 
@@ -57,6 +61,7 @@
         self.sheds = False
         self.breaks_after: int | None = None
         self.answers_as: str | None = None
+        self.loses_copies = False
         self.events = 10
         self.streams: dict[str, int] = {}
         self.stopped: set[str] = set()
@@ -133,14 +138,15 @@
     ) -> None:
         if "kv-from" in headers:
             name = headers["kv-from"].rpartition("/")[2]
-            if self.handles.pop(name, None) is None:
+            if self.handles.pop(name, None) is None or self.loses_copies:
                 conn.respond(503, (NOT_RUN,), b"")
                 return
         start = int(headers.get("last-event-id", "0"))
         conn.start_response(200, marks)
         for number in range(start + 1, self.events + 1):
             await asyncio.sleep(STEP_S)
-            if attempt in self.stopped or conn.channel.is_ended:
+            is_stopped = attempt in self.stopped and "kv-from" not in headers
+            if is_stopped or conn.channel.is_ended:
                 return
             if self.breaks_after == number:
                 conn.send_body(b"id: %d\ndata: cut" % number)
@@ -160,5 +166,6 @@
         made = self.streams[attempt]
         port = int(str(order["to"]).rpartition(":")[2])
         self.peers[port].handles[name] = Handle(attempt, made)
+        self.handles[name] = Handle(attempt, made)
         answer = {"handle": name, "createdRev": made}
         conn.respond(200, (), json.dumps(answer).encode())
