--- a/src/savorylift/exchange/move_queue.py
+++ b/src/savorylift/exchange/move_queue.py
@@ -28,22 +28,34 @@
         """
         self._others = others
         self._announce = announce
-        self._planned: set[PlannedMove] = set()
+        self._planned: dict[str, PlannedMove] = {}
         self._changed = asyncio.Event()
 
     @property
     def planned(self) -> tuple[PlannedMove, ...]:
         """This node's moves that have not ended."""
-        return tuple(sorted(self._planned))
+        return tuple(sorted(self._planned.values()))
 
     def on_change(self) -> None:
         """Lets moves that wait look again."""
         self._changed.set()
 
+    def destinations(self) -> set[str]:
+        """Returns the engines that runs are being copied to."""
+        moves = [*self.planned, *self._others()]
+        return {move.destination for move in moves if move.destination}
+
+    def set_destination(self, attempt_id: str, server_id: str) -> None:
+        """Notes where a run is being copied to."""
+        move = self._planned.get(attempt_id)
+        if move is not None:
+            self._planned[attempt_id] = move._replace(destination=server_id)
+            self._announce()
+
     @contextlib.asynccontextmanager
     async def turn(self, move: PlannedMove) -> AsyncIterator[None]:
         """Holds the turn of a move while the context is open."""
-        self._planned.add(move)
+        self._planned[move.attempt_id] = move
         self._announce()
         try:
             await asyncio.sleep(ANNOUNCE_S)
@@ -52,11 +64,11 @@
                     await self._wait(move)
             yield
         finally:
-            self._planned.discard(move)
+            self._planned.pop(move.attempt_id, None)
             self._changed.set()
             self._announce()
 
     async def _wait(self, move: PlannedMove) -> None:
-        while not is_next(move, [*self._planned, *self._others()]):
+        while not is_next(move, [*self.planned, *self._others()]):
             self._changed.clear()
             await self._changed.wait()
--- a/src/savorylift/exchange/mover.py
+++ b/src/savorylift/exchange/mover.py
@@ -105,13 +105,19 @@
             far_cost=MOVE_FAR_COST,
             jitter=JITTER,
         )
-        return self._pool.pick_refuge(run.adm.service, options, tried)
+        # Copies from several engines to one would share its link.
+        taken = tried | self._pool.move_queue.destinations()
+        service = run.adm.service
+        return self._pool.pick_copy(
+            service, options, taken
+        ) or self._pool.pick_refuge(service, options, tried)
 
     async def _move_to(
         self, run: Run, source: Known, destination: Known, until_s: float
     ) -> NextPart | None:
         name = f"{run.attempt_id}/copy"
         server_id = destination.entry.server_id
+        self._pool.move_queue.set_destination(run.attempt_id, server_id)
         self._pool.work.begin(server_id, name, run.tokens)
         handle: str | None = None
         is_done = False
--- a/src/savorylift/exchange/pool.py
+++ b/src/savorylift/exchange/pool.py
@@ -81,13 +81,18 @@
             self._begin(found, adm, options.tokens, unread)
         return found
 
+    def pick_copy(
+        self, service: Service, options: EngineOptions, taken: Collection[str]
+    ) -> Known | None:
+        """Returns an engine with room for a copy of a run."""
+        candidates = self._sendable(service, taken)
+        return choose_engine(candidates, self._loads(), options, self._rng)
+
     def has_room(
         self, service: Service, options: EngineOptions, tried: Collection[str]
     ) -> bool:
         """Whether an engine that was not tried has room."""
-        candidates = self._sendable(service, tried)
-        found = choose_engine(candidates, self._loads(), options, self._rng)
-        return found is not None
+        return self.pick_copy(service, options, tried) is not None
 
     def unread(self, server: Known) -> int:
         """Returns the prompt tokens that an engine has not read yet."""
--- a/src/savorylift/placement/move_order.py
+++ b/src/savorylift/placement/move_order.py
@@ -17,16 +17,23 @@
         server_id: The engine that it leaves.
         tokens: Size of its memory.
         attempt_id: The run.
+        destination: The engine that it is being copied to; empty before.
     """
 
     server_id: str
     tokens: int
     attempt_id: str
+    destination: str = ""
+
+    @property
+    def order(self) -> tuple[int, str]:
+        """Sort key among the moves of one engine."""
+        return self.tokens, self.attempt_id
 
 
 def is_next(move: PlannedMove, others: Iterable[PlannedMove]) -> bool:
     """Whether no other planned move of the same engine goes before."""
     return all(
-        other.server_id != move.server_id or move[1:] <= other[1:]
+        other.server_id != move.server_id or move.order <= other.order
         for other in others
     )
--- /dev/null
+++ b/tests/exchange/test_move_queue.py
@@ -0,0 +1,61 @@
+"""Tests of copying runs off an engine one after another."""
+
+import asyncio
+
+from savorylift.exchange.move_queue import MoveQueue
+from savorylift.placement.move_order import PlannedMove
+from tests.wire.pair import run
+
+
+async def hold(
+    queue: MoveQueue, move: PlannedMove, order: list[str], hold_s: float
+) -> None:
+    async with queue.turn(move):
+        order.append(move.attempt_id)
+        await asyncio.sleep(hold_s)
+
+
+def test_smallest_first_and_never_two_at_once() -> None:
+    async def scene() -> None:
+        queue = MoveQueue(lambda: (), lambda: None)
+        order: list[str] = []
+        moves = [PlannedMove("e", 10 * n, f"r{n}") for n in (3, 1, 2)]
+        began_s = asyncio.get_running_loop().time()
+        await asyncio.gather(*(hold(queue, m, order, 0.05) for m in moves))
+        assert order == ["r1", "r2", "r3"]
+        assert asyncio.get_running_loop().time() - began_s >= 0.15
+        assert queue.planned == ()
+
+    run(scene())
+
+
+def test_waits_for_the_moves_of_other_nodes() -> None:
+    async def scene() -> None:
+        others = [PlannedMove("e", 5, "other")]
+        queue = MoveQueue(lambda: others, lambda: None)
+        order: list[str] = []
+        move = PlannedMove("e", 9, "mine")
+        task = asyncio.ensure_future(hold(queue, move, order, 0))
+        await asyncio.sleep(0.1)
+        assert order == []
+        others.clear()
+        queue.on_change()
+        await task
+        assert order == ["mine"]
+
+    run(scene())
+
+
+def test_tells_where_runs_are_copied_to() -> None:
+    async def scene() -> None:
+        told: list[int] = []
+        others = [PlannedMove("f", 5, "other", "d2")]
+        queue = MoveQueue(lambda: others, lambda: told.append(1))
+        async with queue.turn(PlannedMove("e", 9, "mine")):
+            queue.set_destination("mine", "d1")
+            assert queue.destinations() == {"d1", "d2"}
+            assert queue.planned[0].destination == "d1"
+        assert queue.destinations() == {"d2"}
+        assert len(told) == 3
+
+    run(scene())
