--- a/src/savorylift/exchange/ending.py
+++ b/src/savorylift/exchange/ending.py
@@ -44,6 +44,18 @@
     detail: str
 
 
+class Broken(NamedTuple):
+    """A generation that ended early and has nowhere to go on.
+
+    Attributes:
+        reason: Why.
+        detail: For logs.
+    """
+
+    reason: Reason
+    detail: str
+
+
 class Refused(NamedTuple):
     """A final answer of the system's own.
 
--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -2,50 +2,42 @@
 
 import asyncio
 import random
-import time
-from typing import NamedTuple, Protocol
-
-import structlog
+from typing import Protocol
 
 from savorylift.backends.registry import Known
 from savorylift.exchange import counters
 from savorylift.exchange.admission import Admitted
-from savorylift.exchange.ending import Answered, NotRun, Refused, Unsure
+from savorylift.exchange.ending import (
+    Answered,
+    Broken,
+    NotRun,
+    Refused,
+    Unsure,
+)
+from savorylift.exchange.engine_queue import EngineQueue
 from savorylift.exchange.events import Event, EventSplitter
 from savorylift.exchange.mover import Mover
 from savorylift.exchange.pool import Pool
 from savorylift.exchange.request import AnswerHead, Generation
 from savorylift.exchange.run import NextPart, Run
+from savorylift.exchange.run_log import (
+    log_broken,
+    log_complete,
+    log_first_event,
+    log_sent,
+)
 from savorylift.exchange.send import Patience, Resumption, Sender, Started
 from savorylift.outcomes import Reason
-from savorylift.placement.engines import EngineOptions, expected_tokens
-from savorylift.placement.reading_rate import ReadingRate
-from savorylift.placement.waiting import Waiting
-from savorylift.routing.configuration import EngineTraits
+from savorylift.placement.engines import expected_tokens
 from savorylift.wire.client_call import BrokenAnswerError
 
-DEFAULT_OBJECTIVE_S = 2.0
-# Share of the objective that waiting prompts may take at an engine.
-READING = 0.6
-# A late answer is still worth something; callers leave after some four times
-# the objective, and a refusal must leave them time to come back.
-HOLD = 2.0
-HOLD_SHARE = 0.4
 # Engines that are full free some memory within about a second.
 FULL_RETRY_S = 1.0
 FULL_RETRY_SPREAD_S = 0.5
-# Share of the objective after which an engine without a first event is given
-# up, where the run may be repeated.
-PATIENCE = 0.6
 # A connection may fail once on a link that loses packets.
 RESUME_TRIES = 2
 # A source that was told to stop ends its stream within this time.
 SWITCH_S = 1.0
-PLAIN_ENGINE = EngineTraits(
-    1, 1, 0.0, 0.0, can_move=False, can_back_up=False, tokens_per_event=1
-)
-
-_log = structlog.get_logger()
 
 
 class EventSink(Protocol):
@@ -73,18 +65,6 @@
         ...
 
 
-class Broken(NamedTuple):
-    """A stream that ended early and has nowhere to go on.
-
-    Attributes:
-        reason: Why.
-        detail: For logs.
-    """
-
-    reason: Reason
-    detail: str
-
-
 class Generations:
     """Finds engines for generations and keeps their streams going."""
 
@@ -96,15 +76,14 @@
         self._sender = sender
         self._mover = mover
         self._rng = rng
-        self._waiting: dict[str, Waiting] = {}
-        self._reading = ReadingRate()
+        self._queue = EngineQueue(pool)
         self._runs: set[Run] = set()
 
     def on_change(self) -> None:
         """Reacts to news of servers, nodes or loads."""
         for run in list(self._runs):
             self._consider_move(run)
-        self._offer_room()
+        self._queue.offer_room()
 
     async def serve(
         self, adm: Admitted, sink: EventSink
@@ -135,7 +114,7 @@
                 counters.RETRIES_DENIED.labels(adm.service.name).inc()
                 ending = Broken(reason, "no repeat left in the budget")
                 return self._end(run, sink, ending, may_have_run)
-            server = await self._acquire(run, tried)
+            server = await self._queue.acquire(run, tried)
             if server is None:
                 ending = Broken(reason, "no engine has room")
                 return self._end(run, sink, ending, may_have_run)
@@ -175,7 +154,7 @@
         is_last: bool,
     ) -> NotRun | Answered | Broken | None:
         """Runs at one engine and those it moves to; None if complete."""
-        patience = self._patience(run, tried, is_last=is_last)
+        patience = self._queue.patience(run, tried, is_last=is_last)
         started = await self._send(
             run, server, Resumption(run.resume_after), patience
         )
@@ -238,7 +217,7 @@
         started = await self._sender.start(
             server, run.adm, resumption, patience
         )
-        self._log_sent(run, server, started)
+        log_sent(run, server, started)
         if isinstance(started, Unsure):
             return Broken(started.reason, started.detail)
         if isinstance(started, Started) and not started.head.is_success:
@@ -264,7 +243,7 @@
         if splitter.rest:
             await sink.send(splitter.rest)
         sink.finish()
-        self._log_complete(run)
+        log_complete(run)
         return None
 
     async def _pass_on(
@@ -280,15 +259,10 @@
                 )
         if not sink.is_started:
             sink.start(started.head)
-            waited_s = time.monotonic() - run.adm.req.arrived_s
-            counters.ANSWER_TIME.labels("stream").observe(waited_s)
-        if run.first_event_s is None and run.server is not None:
-            self._pool.work.note_event(
-                run.server.entry.server_id, run.attempt_id
-            )
-            self._reading.learn(
-                run.unread_at_start, time.monotonic() - run.sent_s
-            )
+            log_first_event(run)
+        if run.awaits_first_event:
+            run.awaits_first_event = False
+            self._queue.note_first_event(run)
         run.note_event(number)
         await sink.send(data)
         self._consider_move(run)
@@ -312,61 +286,6 @@
             return Broken(ending.reason, ending.detail)
         return ending
 
-    async def _acquire(self, run: Run, tried: set[str]) -> Known | None:
-        """Returns an engine that counts the run, waiting for room."""
-        adm = run.adm
-        options = self._options(run)
-
-        def choose() -> Known | None:
-            run.server = self._pool.pick_engine(adm, options, tried)
-            if run.server is not None:
-                run.sent_s = time.monotonic()
-                run.unread_at_start = self._pool.unread(run.server)
-            return run.server
-
-        waiting = self._waiting.setdefault(adm.service.name, Waiting())
-        if not waiting:
-            found = choose()
-            if found is not None:
-                return found
-        objective_s = _objective(adm)
-        hold_s = HOLD * objective_s
-        if adm.req.time_left_s is not None:
-            hold_s = min(hold_s, HOLD_SHARE * adm.req.time_left_s)
-        until_s = adm.req.arrived_s + hold_s
-        reading_s = options.prompt / self._reading.tokens_per_s
-        in_time_s = adm.req.arrived_s + objective_s - reading_s
-        counters.WAITING.inc()
-        try:
-            async with asyncio.timeout_at(min(until_s, adm.deadline_s)):
-                return await waiting.wait(adm.priority, in_time_s, choose)
-        except TimeoutError:
-            return None
-        finally:
-            counters.WAITING.dec()
-
-    def _patience(
-        self, run: Run, tried: set[str], *, is_last: bool
-    ) -> Patience:
-        """Returns how long an engine may take until its first event."""
-        adm = run.adm
-        options = self._options(run)
-        until_s = adm.deadline_s
-        if not is_last and adm.route.is_idempotent:
-            until_s = time.monotonic() + PATIENCE * _objective(adm)
-        return Patience(
-            min(until_s, adm.deadline_s),
-            adm.deadline_s,
-            lambda: self._pool.has_room(adm.service, options, tried),
-        )
-
-    def _options(self, run: Run) -> EngineOptions:
-        engine = run.adm.service.engine or PLAIN_ENGINE
-        generation = run.adm.req.generation
-        prompt = generation.prompt_tokens if generation is not None else 0
-        most_unread = READING * _objective(run.adm) * self._reading.tokens_per_s
-        return EngineOptions(engine, run.tokens, prompt, most_unread)
-
     def _consider_move(self, run: Run) -> None:
         """Starts to move a run whose engine is leaving."""
         if run.move is not None or run.server is None or run.call is None:
@@ -386,7 +305,7 @@
         self._pool.work.begin(
             server.entry.server_id, run.attempt_id, run.tokens
         )
-        self._offer_room()
+        self._queue.offer_room()
 
     def _release(self, run: Run) -> None:
         """Ends what a run holds at engines."""
@@ -398,7 +317,7 @@
             run.move = None
         self._end_work(run)
         run.server = None
-        self._offer_room()
+        self._queue.offer_room()
 
     def _stop_move(self, move: "asyncio.Task[NextPart | None]") -> None:
         if not move.done():
@@ -413,11 +332,6 @@
         if run.server is not None:
             self._pool.work.end(run.server.entry.server_id, run.attempt_id)
 
-    def _offer_room(self) -> None:
-        for waiting in self._waiting.values():
-            if waiting:
-                waiting.offer()
-
     def _end(
         self,
         run: Run,
@@ -436,15 +350,7 @@
         self, run: Run, sink: EventSink, ending: Broken
     ) -> Refused | None:
         """Ends a request that may have run."""
-        _log.warning(
-            "stream_broken",
-            request=run.attempt_id,
-            server=run.server and run.server.entry.server_id,
-            reason=ending.reason.value,
-            detail=ending.detail,
-            last_event=run.last_event,
-        )
-        counters.BROKEN_STREAMS.labels(ending.reason.value).inc()
+        log_broken(run, ending)
         if sink.is_started:
             sink.abort()
             return None
@@ -452,44 +358,6 @@
         message = "The engine gave no whole answer; the request may have run."
         return Refused(status, ending.reason, message)
 
-    def _log_complete(self, run: Run) -> None:
-        counters.EVENT_GAP.observe(run.longest_gap_s)
-        asked_s = run.adm.req.arrived_s
-        first_s = (run.first_event_s or time.monotonic()) - asked_s
-        _log.info(
-            "stream_complete",
-            request=run.attempt_id,
-            server=run.server and run.server.entry.server_id,
-            route=run.adm.route.name,
-            first_event_ms=round(first_s * 1000),
-            longest_gap_ms=round(run.longest_gap_s * 1000),
-            gap_event=run.gap_event,
-            last_event=run.last_event,
-            moved=run.moves,
-        )
-
-    def _log_sent(
-        self, run: Run, server: Known, started: Started | NotRun | Unsure
-    ) -> None:
-        if isinstance(started, Started):
-            detail = str(started.head.status)
-        else:
-            detail = f"{started.reason.value}: {started.detail}"
-        _log.info(
-            "sent",
-            request=run.attempt_id,
-            server=server.entry.server_id,
-            ending=type(started).__name__,
-            detail=detail,
-            resumed_after=run.resume_after,
-            tokens=run.tokens,
-        )
-
-
-def _objective(adm: Admitted) -> float:
-    """Returns the time within which the first event is due."""
-    return adm.route.objective_s or DEFAULT_OBJECTIVE_S
-
 
 def _as_broken(ending: NotRun | Answered | Broken) -> Broken:
     """Returns how a run that has begun ended, when it could not go on."""
--- a/src/savorylift/exchange/run.py
+++ b/src/savorylift/exchange/run.py
@@ -35,6 +35,7 @@
         last_event: Number of the newest event passed on; None before one.
         move: Task that moves it to another engine, if one does.
         sent_s: Steady time at which it was given to its first engine.
+        awaits_first_event: Whether its engine has made no event yet.
         unread_at_start: Prompt tokens that this engine had to read then.
         first_event_s: Steady time of the first event.
         newest_event_s: Steady time of the newest event.
@@ -52,6 +53,7 @@
         self.last_event: int | None = None
         self.move: asyncio.Task[NextPart | None] | None = None
         self.sent_s = 0.0
+        self.awaits_first_event = True
         self.unread_at_start = 0
         self.first_event_s: float | None = None
         self.newest_event_s: float | None = None
@@ -83,6 +85,16 @@
             return self.adm.req.resume_after
         return None
 
+    def note_sent(self, unread: int) -> None:
+        """Remembers that it is given to an engine.
+
+        Args:
+            unread: Prompt tokens that the engine has to read by now.
+        """
+        self.sent_s = time.monotonic()
+        self.awaits_first_event = True
+        self.unread_at_start = unread
+
     def note_event(self, number: int | None) -> None:
         """Remembers an event that is passed on."""
         now_s = time.monotonic()
