Split hearing other nodes off the composition root

A background task that fails now ends the node, which starts anew, in place of a line and a silent gap.

--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -5,10 +5,11 @@
 import random
 import signal
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 
 import structlog
 from prometheus_client import generate_latest
+from returns.pipeline import is_successful
 
 from savorylift.account.counts import RefusalCounts
 from savorylift.account.writer import AccountWriter
@@ -20,12 +21,14 @@
 from savorylift.exchange.send import Sender
 from savorylift.fleet.follower import Follower, Turn
 from savorylift.fleet.knowledge import Decoders, Knowledge
-from savorylift.fleet.link import Link, fetch_snapshot, snapshot_handler
+from savorylift.fleet.link import snapshot_handler
 from savorylift.fleet.membership import Membership
 from savorylift.fleet.state import Delta, NodeState, Topic
 from savorylift.front.caller_door import CallerDoor
 from savorylift.front.life import Life
+from savorylift.front.peering import Peering
 from savorylift.front.settings import FrontSettings
+from savorylift.front.tasks import Tasks
 from savorylift.platform.backend_servers import decode_server, parse_address
 from savorylift.platform.configuration import (
     CONFIGURATION_KEY,
@@ -56,10 +59,6 @@
 UPKEEP_S = 0.2
 # A node without peers asks the store where others may be.
 LONELY_S = 3.0
-# A change and the news of its version travel apart.
-DELTA_S = 0.03
-# Whole states that are asked for at once.
-FETCHES = 2
 METRICS_PATH = "/metrics"
 INCARNATION_BITS = 48
 
@@ -75,9 +74,8 @@
         self._ip, _ = _address(cfg.caller_listen)
         self._incarnation = random.getrandbits(INCARNATION_BITS)
         self._sequence = 0
-        self._tasks: set[asyncio.Task[None]] = set()
-        self._fetching: set[str] = set()
         self._stopped = asyncio.Event()
+        self._tasks = Tasks(self.leave)
         rng = random.Random(self._incarnation)
         self._life = Life(cfg.grace_period_s)
         self._knowledge = Knowledge(
@@ -98,7 +96,7 @@
             self._membership,
             budget,
             rng,
-            lambda: self._link.send_soon(),
+            lambda: self._peering.link.send_soon(),
         )
         codec = PlatformCodec()
         sender = Sender(codec, self._pool.is_usable)
@@ -122,7 +120,7 @@
             self._is_reader,
             self._others_age_s,
             lambda: self._knowledge.configuration is None,
-            lambda: self._link.interval_s,
+            lambda: self._peering.link.interval_s,
         )
         self._operators = Follower(
             self._store,
@@ -141,7 +139,15 @@
             self._on_store_change,
         )
         self._servers.returned = self._knowledge.registry.expect_lapses
-        self._link = Link(cfg.peer_port, self._state, self._hear, self._targets)
+        self._peering = Peering(
+            cfg.peer_port,
+            self._membership,
+            self._knowledge,
+            self._state,
+            self._tasks,
+            learned=self._on_learned,
+            heard=self._on_heard,
+        )
         self._door = Listener(door.serve, self._limits)
 
     @property
@@ -155,7 +161,7 @@
         if self._life.leave():
             _log.info("leaving")
             self._door.announce_closing()
-            self._link.send(to_silent=False)
+            self._peering.tell(None)
         self._stopped.set()
 
     async def run(self) -> None:
@@ -171,12 +177,12 @@
             process=os.getpid(),
             settings=self._cfg._asdict(),
         )
-        self._spawn(self._link.run())
-        self._spawn(self._operators.run())
-        self._spawn(self._servers.run())
-        self._spawn(self._keep_up())
-        self._spawn(self._register())
-        self._spawn(self._account.run())
+        self._tasks.spawn(self._peering.link.run())
+        self._tasks.spawn(self._operators.run())
+        self._tasks.spawn(self._servers.run())
+        self._tasks.spawn(self._keep_up())
+        self._tasks.spawn(self._register())
+        self._tasks.spawn(self._account.run())
         await self._stopped.wait()
         await self._life.wait_until_served()
         await self._account.save()
@@ -184,7 +190,7 @@
         self._door.close()
 
     async def _listen(self) -> None:
-        await self._link.start(self._ip)
+        await self._peering.link.start(self._ip)
         peers = Listener(
             answering(snapshot_handler(self._knowledge.snapshot)), InputLimits
         )
@@ -239,7 +245,7 @@
             has_store_fault=any(part.has_fault(now_s) for part in faults),
             loads=self._pool.work.loads(),
             moves=self._pool.move_queue.planned,
-            interval_s=self._link.interval_s,
+            interval_s=self._peering.link.interval_s,
             peers=tuple(heard.state.ip for heard in peers),
         )
 
@@ -256,81 +262,18 @@
     def _others_age_s(self) -> float | None:
         return self._membership.reading_age_s(time.monotonic())
 
-    def _targets(self, *, to_silent: bool) -> tuple[str, ...]:
-        if to_silent:
-            return self._membership.addresses
-        live = self._membership.live(time.monotonic())
-        return tuple(heard.state.ip for heard in live)
-
-    def _hear(self, message: NodeState | Delta) -> None:
-        """Takes a message of another node."""
-        if isinstance(message, Delta):
-            if self._knowledge.apply(message):
-                self._skip_known()
-                self._generations.on_change()
-            return
-        self._hear_state(message)
-
-    def _hear_state(self, state: NodeState) -> None:
-        is_new = self._membership.hear(state, time.monotonic())
-        if is_new:
-            _log.info(
-                "peer_heard", peer=state.node, incarnation=state.incarnation
-            )
-            self._link.send_soon()
-        if self._is_behind(state):
-            self._fetch_from(state)
-        self._pool.move_queue.on_change()
-        self._generations.on_change()
-
-    def _is_behind(self, state: NodeState) -> bool:
-        """Whether another node knows more than this one."""
-        return (
-            state.operators_version > self._knowledge.operators_version
-            or state.servers_version > self._knowledge.servers_version
-        )
-
-    def _fetch_from(self, state: NodeState) -> None:
-        ip = state.ip
-        if ip not in self._fetching and len(self._fetching) < FETCHES:
-            self._fetching.add(ip)
-            self._spawn(self._fetch(state))
-
-    async def _fetch(self, state: NodeState) -> None:
-        """Gets what another node knows, unless the change itself arrives."""
-        ip = state.ip
-        try:
-            await asyncio.sleep(DELTA_S)
-            if not self._is_behind(state):
-                return
-            snapshot = await fetch_snapshot(
-                ip,
-                self._cfg.peer_port,
-                self._knowledge.operators_version,
-                self._knowledge.servers_version,
-            )
-        finally:
-            self._fetching.discard(ip)
-        if snapshot is None or not self._knowledge.take_over(snapshot):
-            return
-        self._skip_known()
-        _log.info(
-            "state_from_peer",
-            peer=ip,
-            operators_version=snapshot.operators_version,
-            servers_version=snapshot.servers_version,
-        )
-        self._generations.on_change()
-
-    def _skip_known(self) -> None:
+    def _on_learned(self) -> None:
         """Reads the store on from what other nodes have told."""
         self._operators.skip_to(self._knowledge.operators_version)
         self._servers.skip_to(self._knowledge.servers_version[0])
+        self._generations.on_change()
+
+    def _on_heard(self) -> None:
+        self._pool.move_queue.on_change()
+        self._generations.on_change()
 
     def _on_store_change(self, delta: Delta | None) -> None:
-        if delta is not None:
-            self._link.send_delta(delta)
-        self._link.send(to_silent=False)
+        self._peering.tell(delta)
         self._generations.on_change()
 
     async def _keep_up(self) -> None:
@@ -346,32 +289,26 @@
     async def _register(self) -> None:
         """Makes this node known in the store, and finds others there."""
         me = Record(self._ip, self._cfg.caller_listen.encode())
+        is_added = False
         while True:
-            added = await self._store.append(NODES, [me])
+            if not is_added:
+                is_added = is_successful(await self._store.append(NODES, [me]))
             found = await self._store.list_newest(NODES)
-            now_s = time.monotonic()
-            for record in found.map(lambda b: b.records).value_or(()):
-                if parse_address(f"{record.key}:1") is not None:
-                    self._membership.add_address(record.key, now_s)
-            self._link.send(to_silent=True)
+            self._add_addresses(found.map(lambda b: b.records).value_or(()))
             await asyncio.sleep(LONELY_S)
-            has_peers = any(True for _ in self._membership.live(now_s))
-            if has_peers and added.map(lambda _: True).value_or(False):
+            if is_added and any(self._membership.live(time.monotonic())):
                 return
 
+    def _add_addresses(self, records: Iterable[Record]) -> None:
+        now_s = time.monotonic()
+        for record in records:
+            if parse_address(f"{record.key}:1") is not None:
+                self._membership.add_address(record.key, now_s)
+        self._peering.link.send(to_silent=True)
+
     def _reload(self) -> None:
         _log.info("reload")
 
-    def _spawn(self, work: "Awaitable[None]") -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._on_task_end)
-
-    def _on_task_end(self, task: "asyncio.Future[None]") -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            _log.error("task_failed", exc_info=task.exception())
-
 
 async def _answer_metrics(req: Request) -> Response:
     if req.target.partition("?")[0] != METRICS_PATH:
