--- a/src/savorylift/front/__main__.py
+++ b/src/savorylift/front/__main__.py
@@ -4,11 +4,12 @@
 import sys
 
 from returns.pipeline import is_successful
+from returns.result import Result
 
 from savorylift.front.log_output import configure_logs
 from savorylift.front.node import FrontNode
 from savorylift.front.settings import FrontSettings
-from savorylift.settings_file import read_settings_as
+from savorylift.settings_file import SettingsFault, read_settings_as
 
 
 def main() -> int:
@@ -16,14 +17,18 @@
     if len(sys.argv) != 2:
         print("usage: python -m savorylift.front SETTINGS", file=sys.stderr)
         return 2
-    settings = read_settings_as(sys.argv[1], FrontSettings)
+
+    def read() -> Result[FrontSettings, tuple[SettingsFault, ...]]:
+        return read_settings_as(sys.argv[1], FrontSettings)
+
+    settings = read()
     if not is_successful(settings):
         for fault in settings.failure():
             print(fault, file=sys.stderr)
         return 2
     cfg = settings.unwrap()
     configure_logs(cfg.vm, cfg.log_lines_per_s)
-    asyncio.run(FrontNode(cfg).run())
+    asyncio.run(FrontNode(cfg, read).run())
     return 0
 
 
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -10,6 +10,7 @@
 import structlog
 from prometheus_client import generate_latest
 from returns.pipeline import is_successful
+from returns.result import Result
 
 from savorylift.account.counts import RefusalCounts
 from savorylift.account.writer import AccountWriter
@@ -49,10 +50,13 @@
     Record,
     StoreClient,
 )
+from savorylift.settings_file import SettingsFault
 from savorylift.wire.listener import Listener, answering
 from savorylift.wire.message import Request, Response
 from savorylift.wire.server_connection import InputLimits
 
+ReadSettings = Callable[[], Result[FrontSettings, tuple[SettingsFault, ...]]]
+
 # Callers keep answers for up to three times this, so a short one follows
 # changes of the fleet within seconds.
 ENTRY_TTL_S = 1.5
@@ -68,9 +72,15 @@
 class FrontNode:
     """One running node."""
 
-    def __init__(self, cfg: FrontSettings) -> None:
-        """Wires the parts; nothing is opened yet."""
+    def __init__(self, cfg: FrontSettings, read: ReadSettings) -> None:
+        """Wires the parts; nothing is opened yet.
+
+        Args:
+            cfg: Settings to start with.
+            read: Reads the settings again, on SIGHUP.
+        """
         self._cfg = cfg
+        self._read = read
         self._ip, _ = _address(cfg.caller_listen)
         self._incarnation = random.getrandbits(INCARNATION_BITS)
         self._sequence = 0
@@ -169,7 +179,7 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.leave)
         loop.add_signal_handler(signal.SIGINT, self.leave)
-        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         await self._listen()
         _log.info(
             "start",
@@ -306,8 +316,21 @@
                 self._membership.add_address(record.key, now_s)
         self._peering.link.send(to_silent=True)
 
-    def _reload(self) -> None:
-        _log.info("reload")
+    def reload(self) -> None:
+        """Reads the settings again; seeds take effect, others at a start."""
+        result = self._read()
+        if not is_successful(result):
+            faults = [str(fault) for fault in result.failure()]
+            _log.error("reload", faults=faults)
+            return
+        cfg = result.unwrap()
+        old, new = self._cfg._asdict(), cfg._asdict()
+        changed = sorted(key for key in new if new[key] != old[key])
+        now_s = time.monotonic()
+        for seed in cfg.seeds:
+            self._membership.add_address(_address(seed)[0], now_s)
+        self._cfg = cfg
+        _log.info("reload", changed=changed)
 
 
 async def _answer_metrics(req: Request) -> Response:
--- a/tests/front/stage.py
+++ b/tests/front/stage.py
@@ -5,6 +5,8 @@
 from collections.abc import Coroutine
 from typing import Any, TypeVar
 
+from returns.result import Success
+
 from savorylift.front.node import FrontNode
 from savorylift.front.settings import FrontSettings
 from savorylift.platform.store import OPERATORS, SERVERS
@@ -106,7 +108,9 @@
             self.put(server, "pool")
         if has_configuration:
             self.store.add(OPERATORS, "config", configuration())
-        self.front = FrontNode(self.settings())
+        self.front = FrontNode(
+            self.settings(), lambda: Success(self.settings())
+        )
         self.node = asyncio.ensure_future(self.front.run())
         if has_configuration:
             await self.wait_ready()
--- /dev/null
+++ b/tests/front/test_program.py
@@ -0,0 +1,108 @@
+"""Tests of the program as a process: settings, signals, start-up."""
+
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+
+import pytest
+
+from tests.harness.ports import free_addresses
+
+START_S = 15.0
+
+pytestmark = pytest.mark.processes
+
+
+def settings() -> dict[str, object]:
+    caller, directory, ready, peer, metrics, store = free_addresses(6)
+    return {
+        "vm": "vm-1",
+        "region": "r",
+        "failure_domain": "z",
+        "caller_listen": caller,
+        "directory_listen": directory,
+        "readiness_listen": ready,
+        "peer_port": int(peer.rpartition(":")[2]),
+        "metrics_port": int(metrics.rpartition(":")[2]),
+        "store": store,
+        "seeds": [],
+        "grace_period_s": 1.0,
+        "retry_ratio": 0.2,
+        "retry_window_s": 10,
+        "retry_slack": 5,
+        "entry_ttl_max_s": 5,
+    }
+
+
+def start(path: pathlib.Path) -> "subprocess.Popen[str]":
+    return subprocess.Popen(
+        [sys.executable, "-m", "savorylift.front", str(path)],
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+        env=os.environ | {"PYTHONUNBUFFERED": "1"},
+    )
+
+
+def events_until(process: "subprocess.Popen[str]", name: str) -> list[str]:
+    """Returns the events logged up to one with a name."""
+    assert process.stdout is not None
+    found: list[str] = []
+    deadline_s = time.monotonic() + START_S
+    while name not in found:
+        assert time.monotonic() < deadline_s
+        found.append(json.loads(process.stdout.readline())["event"])
+    return found
+
+
+def test_starts_reloads_and_stops(tmp_path: pathlib.Path) -> None:
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(settings()))
+    process = start(path)
+    try:
+        events_until(process, "start")
+        path.write_text("{")
+        process.send_signal(signal.SIGHUP)
+        events_until(process, "reload")
+        process.send_signal(signal.SIGTERM)
+        events_until(process, "leaving")
+        assert process.wait(START_S) == 0
+    finally:
+        process.kill()
+        process.communicate()
+
+
+def test_names_every_fault_of_the_settings(tmp_path: pathlib.Path) -> None:
+    values = settings() | {"store": "nowhere", "extra": 1}
+    del values["vm"]
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(values))
+    process = start(path)
+    _, errors = process.communicate(timeout=START_S)
+    assert process.returncode == 2
+    for fault in ("vm: missing", "store: ", "extra: unknown key"):
+        assert fault in errors
+
+
+def test_takes_over_new_seeds(tmp_path: pathlib.Path) -> None:
+    path = tmp_path / "settings.json"
+    values = settings()
+    path.write_text(json.dumps(values))
+    process = start(path)
+    try:
+        events_until(process, "start")
+        path.write_text(json.dumps(values | {"seeds": ["127.0.0.9:1"]}))
+        process.send_signal(signal.SIGHUP)
+        assert process.stdout is not None
+        while True:
+            line = json.loads(process.stdout.readline())
+            if line["event"] == "reload":
+                break
+        assert line["changed"] == ["seeds"]
+    finally:
+        process.kill()
+        process.communicate()
