--- a/src/savorylift/exchange/move_queue.py
+++ b/src/savorylift/exchange/move_queue.py
@@ -6,8 +6,9 @@
 
 from savorylift.placement.move_order import PlannedMove, is_next
 
-# Other nodes announce their moves within this time of the same notice.
-ANNOUNCE_S = 0.03
+# Other nodes announce their moves within this share of the interval of their
+# messages: both grow with the number of nodes.
+ANNOUNCE = 0.15
 # An engine is gone by then: waiting longer is of no use.
 TURN_S = 2.0
 
@@ -19,15 +20,18 @@
         self,
         others: Callable[[], Iterable[PlannedMove]],
         announce: Callable[[], None],
+        interval_s: Callable[[], float],
     ) -> None:
         """Takes what it needs of the fleet.
 
         Args:
             others: Returns the moves that other nodes plan.
             announce: Tells the other nodes of a change.
+            interval_s: Interval of the nodes' messages.
         """
         self._others = others
         self._announce = announce
+        self._interval_s = interval_s
         self._planned: dict[str, PlannedMove] = {}
         self._changed = asyncio.Event()
 
@@ -58,7 +62,7 @@
         self._planned[move.attempt_id] = move
         self._announce()
         try:
-            await asyncio.sleep(ANNOUNCE_S)
+            await asyncio.sleep(ANNOUNCE * self._interval_s())
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(TURN_S):
                     await self._wait(move)
--- a/src/savorylift/exchange/mover.py
+++ b/src/savorylift/exchange/mover.py
@@ -17,7 +17,7 @@
 from savorylift.exchange.request import Continuation
 from savorylift.exchange.run import NextPart, Run
 from savorylift.placement.engines import EngineOptions
-from savorylift.placement.move_order import PlannedMove
+from savorylift.placement.move_order import PlannedMove, copy_time_s
 from savorylift.platform.engine import (
     Copied,
     MoveError,
@@ -30,8 +30,12 @@
 NOTICE_S = 2.5
 # A run that has not begun can't be copied yet.
 BEGIN_RETRY_S = 0.08
-# A first copy that took longer left much behind that is new.
-FRESH_COPY_S = 0.6
+# A copy that takes this much longer than the links need shares them with
+# others; then the run goes on while its last part becomes small.
+CONTENDED = 1.3
+CONTENDED_SLACK_S = 0.03
+SHORT_COPY_S = 0.1
+MORE_COPIES = 3
 DESTINATIONS = 3
 DROP_S = 0.5
 # Nodes that move runs off one engine should not all choose the same other.
@@ -127,8 +131,9 @@
             if copied is None:
                 return None
             handle = copied.handle
-            if time.monotonic() - began_s > FRESH_COPY_S:
-                await self._copy(run, source, destination, until_s)
+            took_s = time.monotonic() - began_s
+            if is_contended(run, source, destination, took_s):
+                await self._copy_until_short(run, source, destination, until_s)
             last = await self._copy(
                 run, source, destination, until_s, stops_run=True
             )
@@ -160,6 +165,16 @@
                 return None
             await asyncio.sleep(BEGIN_RETRY_S)
 
+    async def _copy_until_short(
+        self, run: Run, source: Known, destination: Known, until_s: float
+    ) -> None:
+        """Copies what is new until that takes no time worth mentioning."""
+        for _ in range(MORE_COPIES):
+            began_s = time.monotonic()
+            await self._copy(run, source, destination, until_s)
+            if time.monotonic() - began_s < SHORT_COPY_S:
+                return
+
     async def _copy(
         self,
         run: Run,
@@ -204,3 +219,15 @@
         )
         copy = Continuation(source.entry.address, handle)
         return NextPart(destination, source, copy)
+
+
+def is_contended(
+    run: Run, source: Known, destination: Known, took_s: float
+) -> bool:
+    """Whether a first copy took longer than its links alone need."""
+    engine = run.adm.service.engine
+    if engine is None or engine.link_bytes_per_s <= 0:
+        return False
+    is_far = source.entry.failure_domain != destination.entry.failure_domain
+    copy_s = copy_time_s(run.memory_tokens, engine, is_far=is_far)
+    return took_s > CONTENDED * copy_s + CONTENDED_SLACK_S
--- a/src/savorylift/exchange/pool.py
+++ b/src/savorylift/exchange/pool.py
@@ -32,6 +32,7 @@
         budget: RetryBudget,
         rng: random.Random,
         announce: Callable[[], None],
+        interval_s: Callable[[], float],
     ) -> None:
         """Reads `knowledge` and `membership` at each choice.
 
@@ -41,6 +42,7 @@
             budget: This node's share of repeats.
             rng: Breaks ties.
             announce: Tells the other nodes of a change soon.
+            interval_s: Interval of the nodes' messages.
         """
         self._knowledge = knowledge
         self._membership = membership
@@ -50,7 +52,7 @@
         self._announce = announce
         self.work = Work()
         self.move_queue = MoveQueue(
-            lambda: membership.moves(time.monotonic()), announce
+            lambda: membership.moves(time.monotonic()), announce, interval_s
         )
 
     def pick_plain(self, adm: Admitted, tried: Collection[str]) -> Known | None:
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -107,6 +107,7 @@
             budget,
             rng,
             lambda: self._peering.link.send_soon(),
+            lambda: self._peering.link.interval_s,
         )
         codec = PlatformCodec()
         sender = Sender(codec, self._pool.is_usable)
--- a/src/savorylift/placement/move_order.py
+++ b/src/savorylift/placement/move_order.py
@@ -9,6 +9,8 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from savorylift.routing.configuration import EngineTraits
+
 
 class PlannedMove(NamedTuple):
     """A run that is to be copied off an engine.
@@ -31,6 +33,15 @@
         return self.tokens, self.attempt_id
 
 
+def copy_time_s(tokens: int, traits: EngineTraits, *, is_far: bool) -> float:
+    """Returns how long a copy takes on links that carry nothing else.
+
+    Copies to another failure domain take twice as long.
+    """
+    size = tokens * traits.token_bytes
+    return size / traits.link_bytes_per_s * (2 if is_far else 1)
+
+
 def is_next(move: PlannedMove, others: Iterable[PlannedMove]) -> bool:
     """Whether no other planned move of the same engine goes before."""
     return all(
--- a/tests/exchange/fakes.py
+++ b/tests/exchange/fakes.py
@@ -177,4 +177,5 @@
         RetryBudget(BudgetOptions(0.2, 10.0, slack)),
         random.Random(1),
         lambda: None,
+        lambda: 0.2,
     )
--- a/tests/exchange/test_move_queue.py
+++ b/tests/exchange/test_move_queue.py
@@ -17,7 +17,7 @@
 
 def test_smallest_first_and_never_two_at_once() -> None:
     async def scene() -> None:
-        queue = MoveQueue(lambda: (), lambda: None)
+        queue = MoveQueue(lambda: (), lambda: None, lambda: 0.2)
         order: list[str] = []
         moves = [PlannedMove("e", 10 * n, f"r{n}") for n in (3, 1, 2)]
         began_s = asyncio.get_running_loop().time()
@@ -32,7 +32,7 @@
 def test_waits_for_the_moves_of_other_nodes() -> None:
     async def scene() -> None:
         others = [PlannedMove("e", 5, "other")]
-        queue = MoveQueue(lambda: others, lambda: None)
+        queue = MoveQueue(lambda: others, lambda: None, lambda: 0.2)
         order: list[str] = []
         move = PlannedMove("e", 9, "mine")
         task = asyncio.ensure_future(hold(queue, move, order, 0))
@@ -50,7 +50,7 @@
     async def scene() -> None:
         told: list[int] = []
         others = [PlannedMove("f", 5, "other", "d2")]
-        queue = MoveQueue(lambda: others, lambda: told.append(1))
+        queue = MoveQueue(lambda: others, lambda: told.append(1), lambda: 0.2)
         async with queue.turn(PlannedMove("e", 9, "mine")):
             queue.set_destination("mine", "d1")
             assert queue.destinations() == {"d1", "d2"}
--- a/tests/placement/test_choices.py
+++ b/tests/placement/test_choices.py
@@ -14,7 +14,11 @@
     choose_refuge,
     expected_tokens,
 )
-from savorylift.placement.move_order import PlannedMove, is_next
+from savorylift.placement.move_order import (
+    PlannedMove,
+    copy_time_s,
+    is_next,
+)
 from savorylift.placement.plain import choose_plain
 from tests.exchange.fakes import ENGINE, entry, known
 
@@ -151,3 +155,14 @@
     ]
     turns = [move.attempt_id for move in moves if is_next(move, moves)]
     assert turns == ["b", "d"]
+
+
+@pytest.mark.parametrize(
+    ("tokens", "is_far", "expected_s"),
+    [(0, False, 0.0), (4000, False, 0.2196), (4000, True, 0.4392)],
+)
+def test_time_of_a_copy(
+    tokens: int, expected_s: float, *, is_far: bool
+) -> None:
+    took_s = copy_time_s(tokens, ENGINE, is_far=is_far)
+    assert took_s == pytest.approx(expected_s, abs=0.001)
