Name undecodable bytes of a rules file beside its other faults

Cause: one byte that isn't UTF-8 hid every other fault of the file behind one line without a column.

--- a/src/savorylift/operations.py
+++ b/src/savorylift/operations.py
@@ -23,7 +23,7 @@
 from savorylift.refusals.request import ReportRequest
 from savorylift.refusals.request import answer as answer_report
 from savorylift.rules import operations as rules
-from savorylift.rules.check import check_rules
+from savorylift.rules.check import byte_faults, check_rules, split_lines
 from savorylift.rules.force import NodeAnswer, report_force
 from savorylift.rules.inbox import OrderAction, OrderState
 from savorylift.settings import Settings
@@ -73,7 +73,12 @@
 def diff(settings_path: str, path: str) -> int:
     """Prints what publishing a file would change."""
     log = _log(_settings(settings_path))
-    changed = rules.diff(log, _read(path), _deadline_s())
+    text = _read(path)
+    faults = list(byte_faults(split_lines(text), path))
+    if faults:
+        _report_all(str(fault) for fault in faults)
+        return EXIT_BAD_INPUT
+    changed = rules.diff(log, text, _deadline_s())
     if isinstance(changed, Failure):
         return _fail(f"can't read the log: {changed.failure()}")
     for line in changed.unwrap():
@@ -260,8 +265,10 @@
 
 def _read(path: str) -> str:
     try:
-        return pathlib.Path(path).read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as exc:
+        return pathlib.Path(path).read_text(
+            encoding="utf-8", errors="surrogateescape"
+        )
+    except OSError as exc:
         _report(f"{path}: {exc}")
         _leave(EXIT_BAD_INPUT)
 
--- a/src/savorylift/rules/check.py
+++ b/src/savorylift/rules/check.py
@@ -10,6 +10,11 @@
 from savorylift.rules.tables import build_tables, number_rule, view_of
 from savorylift.rules.view import BackendServer, FailureDomain, RulesView
 
+# How `surrogateescape` stands for a byte that can't be decoded.
+ESCAPED_FIRST = "\udc80"
+ESCAPED_LAST = "\udcff"
+ESCAPED_OFFSET = 0xDC00
+
 
 class Fault(NamedTuple):
     """One fault of a rules file.
@@ -34,9 +39,17 @@
 def check_rules(
     text: str, file_name: str
 ) -> Result[RulesView, tuple[Fault, ...]]:
-    """Returns the file's rules, or its faults by line and column."""
-    parsed = [parse_line(line) for line in split_lines(text)]
+    """Returns the file's rules, or its faults by line and column.
+
+    Args:
+        text: The file, decoded with `surrogateescape`, so that bytes that
+            aren't UTF-8 are faults beside the others.
+        file_name: Name of the file for the faults.
+    """
+    lines = split_lines(text)
+    parsed = [parse_line(line) for line in lines]
     faults = [
+        *byte_faults(lines, file_name),
         *_line_faults(parsed, file_name),
         *_name_faults(parsed, file_name),
         *_shared_name_faults(parsed, file_name),
@@ -59,6 +72,16 @@
     return text.replace("\r\n", "\n").removesuffix("\n").split("\n")
 
 
+def byte_faults(lines: Iterable[str], file_name: str) -> Iterable[Fault]:
+    """Yields a fault for each byte that isn't UTF-8."""
+    for number, line in enumerate(lines, start=1):
+        for column, char in enumerate(line, start=1):
+            if ESCAPED_FIRST <= char <= ESCAPED_LAST:
+                byte = ord(char) - ESCAPED_OFFSET
+                message = f"byte 0x{byte:02x} is not UTF-8"
+                yield Fault(file_name, number, column, message)
+
+
 def _line_faults(parsed: list[ParsedLine], file_name: str) -> Iterable[Fault]:
     for number, line in enumerate(parsed, start=1):
         for fault in line.faults:
--- a/tests/rules/test_check.py
+++ b/tests/rules/test_check.py
@@ -108,5 +108,19 @@
     assert faults[-1] == "r:6:5: missing comment on who asked for it"
 
 
+def test_bytes_that_are_not_utf8_hide_no_other_fault() -> None:
+    data = (
+        b"failure_domain a in region r # as\xfeked by x\n"
+        b"team t weight 1 models gone # \xff\xff\n"
+    )
+    faults = _faults(data.decode("utf-8", "surrogateescape"))
+    assert faults == [
+        "r:1:34: byte 0xfe is not UTF-8",
+        "r:2:24: unknown model 'gone'",
+        "r:2:31: byte 0xff is not UTF-8",
+        "r:2:32: byte 0xff is not UTF-8",
+    ]
+
+
 def test_empty_file_is_empty_view() -> None:
     assert _read("") == RulesView()
