Ask engines whether they leave while the store is away

A node asks the engines that have its runs twice a second, only then. Tests: a run is moved while the store is silent; the registry believes the engine.

--- a/src/savorylift/backends/registry.py
+++ b/src/savorylift/backends/registry.py
@@ -74,6 +74,15 @@
         del self._known[server_id]
         return True
 
+    def mark_leaving(self, server_id: str) -> bool:
+        """Notes what a server itself says; says whether this is news."""
+        known = self._known.get(server_id)
+        if known is None or known.entry.is_leaving:
+            return False
+        entry = known.entry._replace(is_leaving=True)
+        self._known[server_id] = known._replace(entry=entry)
+        return True
+
     def keep_only(self, server_ids: Iterable[str], now_s: float) -> bool:
         """Removes every other server; says whether one was dropped."""
         kept = set(server_ids)
--- a/src/savorylift/exchange/engine_queue.py
+++ b/src/savorylift/exchange/engine_queue.py
@@ -30,7 +30,6 @@
     token_bytes=0.0,
     link_bytes_per_s=0.0,
     can_move=False,
-    can_back_up=False,
     tokens_per_event=1,
 )
 
--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -79,6 +79,16 @@
         self._queue = EngineQueue(pool)
         self._runs: set[Run] = set()
 
+    @property
+    def engines(self) -> list[Known]:
+        """The engines that have runs of this node, each once."""
+        servers = {
+            run.server.entry.server_id: run.server
+            for run in self._runs
+            if run.server is not None
+        }
+        return list(servers.values())
+
     def on_change(self) -> None:
         """Reacts to news of servers, nodes or loads."""
         for run in list(self._runs):
--- a/src/savorylift/fleet/follower.py
+++ b/src/savorylift/fleet/follower.py
@@ -68,11 +68,18 @@
 
     def should_read(self) -> bool:
         """Whether to read: as a reader, or since the others' news is old."""
-        if self._is_reader():
-            return True
-        age_s = self._others_age_s()
+        return self._is_reader() or self.is_stale(None)
+
+    def is_stale(self, own_age_s: float | None) -> bool:
+        """Whether neither this node nor another has a fresh reading.
+
+        Args:
+            own_age_s: Age of this node's own reading; None to look at the
+                others alone.
+        """
+        ages = [a for a in (own_age_s, self._others_age_s()) if a is not None]
         stale_s = STALE_S + STALE_INTERVALS * self._interval_s()
-        return age_s is None or age_s > stale_s
+        return min(ages, default=stale_s + 1) > stale_s
 
 
 class Follower:
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -15,6 +15,7 @@
 from savorylift.account.counts import RefusalCounts
 from savorylift.account.writer import AccountWriter
 from savorylift.exchange.budget import BudgetOptions, RetryBudget
+from savorylift.exchange.engine_watch import EngineWatch
 from savorylift.exchange.generation import Generations
 from savorylift.exchange.mover import Mover
 from savorylift.exchange.plain_call import PlainCalls
@@ -150,6 +151,12 @@
             self._on_store_change,
         )
         self._servers.returned = self._knowledge.registry.expect_lapses
+        self._watch = EngineWatch(
+            self._knowledge.registry,
+            lambda: turn.is_stale(self._own_age_s(time.monotonic())),
+            lambda: self._generations.engines,
+            self._generations.on_change,
+        )
         self._peering = Peering(
             cfg.peer_port,
             self._membership,
@@ -194,6 +201,7 @@
         self._tasks.spawn(self._keep_up())
         self._tasks.spawn(self._register())
         self._tasks.spawn(self._account.run())
+        self._tasks.spawn(self._watch.run())
         await self._stopped.wait()
         await self._life.wait_until_served()
         await self._account.save()
--- a/src/savorylift/platform/configuration.py
+++ b/src/savorylift/platform/configuration.py
@@ -58,7 +58,6 @@
     kv_token_bytes: float = 0.0
     link_mbps: float = 0.0
     moves: bool = False
-    backups: bool = False
     # Tokens in one event.
     stride: int = 1
 
@@ -158,7 +157,6 @@
             token_bytes=item.engine.kv_token_bytes,
             link_bytes_per_s=item.engine.link_mbps * MEGABIT_BYTES,
             can_move=item.engine.moves,
-            can_back_up=item.engine.backups,
             tokens_per_event=max(item.engine.stride, 1),
         )
     return Service(item.name, item.cold_per_s, engine)
--- a/src/savorylift/platform/engine.py
+++ b/src/savorylift/platform/engine.py
@@ -114,3 +114,19 @@
     except (OSError, BrokenAnswerError):
         return False
     return answer.status < 300
+
+
+async def asks_to_leave(address: tuple[str, int], *, timeout_s: float) -> bool:
+    """Whether an engine reports that it is leaving; False if it is silent."""
+    try:
+        answer = await fetch(
+            address,
+            "GET",
+            "/report",
+            timeout_s=timeout_s,
+            connect_s=timeout_s,
+        )
+        report = msgspec.json.decode(answer.body, type=dict)
+    except (OSError, BrokenAnswerError, msgspec.DecodeError):
+        return False
+    return report.get("state") == "draining"
--- a/src/savorylift/routing/configuration.py
+++ b/src/savorylift/routing/configuration.py
@@ -78,7 +78,6 @@
         token_bytes: Size of one token's memory.
         link_bytes_per_s: Rate at which memory is copied to another engine.
         can_move: Whether runs can be moved to another engine.
-        can_back_up: Whether runs can be copied as they grow.
         tokens_per_event: Tokens in one event of a stream.
     """
 
@@ -87,7 +86,6 @@
     token_bytes: float
     link_bytes_per_s: float
     can_move: bool
-    can_back_up: bool
     tokens_per_event: int
 
 
--- a/tests/backends/test_registry.py
+++ b/tests/backends/test_registry.py
@@ -85,3 +85,14 @@
     registry.put(entry(), 0.0)
     registry.expect_lapses(10.0)
     assert registry.remove("i-1", 10.0 + RETURN_S)
+
+
+def test_server_that_says_itself_that_it_leaves_is_believed() -> None:
+    registry = Registry()
+    registry.put(entry(), 0.0)
+    assert registry.mark_leaving("i-1")
+    assert not registry.mark_leaving("i-1")
+    assert not registry.mark_leaving("i-2")
+    assert registry.known["i-1"].entry.is_leaving
+    assert registry.put(entry()._replace(sequence=2), 1.0)
+    assert not registry.known["i-1"].entry.is_leaving
--- a/tests/exchange/fakes.py
+++ b/tests/exchange/fakes.py
@@ -36,7 +36,6 @@
     token_bytes=35_000.0,
     link_bytes_per_s=637_500_000.0,
     can_move=True,
-    can_back_up=False,
     tokens_per_event=4,
 )
 
--- a/tests/front/test_node.py
+++ b/tests/front/test_node.py
@@ -357,3 +357,25 @@
         assert other.runs == []
 
     play(scene())
+
+
+def test_run_goes_on_when_its_engine_leaves_while_the_store_is_away() -> None:
+    async def scene() -> None:
+        stage = Stage()
+        await stage.start()
+        for server in stage.pool:
+            server.events = 500
+        stage.store.is_silent = True
+        await asyncio.sleep(1.0)
+        call = await stage.open("/stream/x", "s1", COUNTS)
+        head = await call.read_head()
+        (leaving,) = [s for s in stage.pool if "s1" in s.runs]
+        leaving.is_leaving = True
+        while "s1" not in leaving.stopped:
+            await asyncio.sleep(0.05)
+        for server in stage.pool:
+            server.events = 1
+        call.close()
+        assert head.status == 200
+
+    play(scene())
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -61,7 +61,6 @@
     assert (engine.slots, engine.memory_tokens) == (64, 34415)
     assert engine.link_bytes_per_s == 637_500_000
     assert engine.can_move
-    assert not engine.can_back_up
 
 
 @pytest.mark.parametrize(
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -43,6 +43,7 @@
         events: Events of a stream.
         streams: Attempts that stream now, with their events so far.
         answers_as: Attempt that its answers name instead of the real one.
+        is_leaving: Whether it reports that it is leaving.
         loses_copies: Whether no run can go on here.
         stopped: Attempts that were told to stop.
         peers: Engines by port, to which runs are copied.
@@ -62,6 +63,7 @@
         self.breaks_after: int | None = None
         self.answers_as: str | None = None
         self.loses_copies = False
+        self.is_leaving = False
         self.events = 10
         self.streams: dict[str, int] = {}
         self.stopped: set[str] = set()
@@ -92,7 +94,10 @@
         if not isinstance(req, Request):
             return
         headers = dict(req.headers)
-        if req.target == "/kv-move":
+        if req.target == "/report":
+            state = "draining" if self.is_leaving else "ready"
+            conn.respond(200, (), json.dumps({"state": state}).encode())
+        elif req.target == "/kv-move":
             self._move(conn, json.loads(req.body))
         elif req.target.startswith("/kv-handle/"):
             self.handles.pop(req.target.rpartition("/")[2], None)
