--- a/src/savorylift/calls/http_form.py
+++ b/src/savorylift/calls/http_form.py
@@ -5,24 +5,11 @@
 from urllib3 import HTTPHeaderDict
 
 from savorylift.calls.request import CallRequest, Headers
+from savorylift.wire.message import SINGLE_HOP
 
 REQUEST_ID_HEADER = "X-Request-Id"
 KEY_HEADER = "Idempotency-Key"
-DROPPED_HEADERS = frozenset(
-    {
-        "connection",
-        "content-length",
-        "host",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
+DROPPED_HEADERS = SINGLE_HOP | {"content-length", "host"}
 SET_HEADERS = frozenset({REQUEST_ID_HEADER.lower(), KEY_HEADER.lower()})
 
 
