Name the front's metrics apart from the earlier program's

Found by the whole suite: both programs registered savorylift_refusals, so their tests could not be collected in one process. The front's metrics begin with savorylift_front_.

--- a/src/savorylift/exchange/counters.py
+++ b/src/savorylift/exchange/counters.py
@@ -6,33 +6,39 @@
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0, 40.0
 )  # fmt: skip
 
-ANSWERS = Counter("savorylift_answers", "Final answers by status.", ["status"])
+ANSWERS = Counter(
+    "savorylift_front_answers", "Final answers by status.", ["status"]
+)
 REFUSALS = Counter(
-    "savorylift_refusals", "Own final answers by reason.", ["reason"]
+    "savorylift_front_refusals", "Own final answers by reason.", ["reason"]
 )
 RETRIES = Counter(
-    "savorylift_retries", "Requests sent once more by reason.", ["reason"]
+    "savorylift_front_retries", "Requests sent once more by reason.", ["reason"]
 )
 RETRIES_DENIED = Counter(
-    "savorylift_retries_denied", "Retries that the budget kept.", ["service"]
+    "savorylift_front_retries_denied",
+    "Retries that the budget kept.",
+    ["service"],
+)
+CALLERS_GONE = Counter(
+    "savorylift_front_callers_gone", "Requests whose caller left."
 )
-CALLERS_GONE = Counter("savorylift_callers_gone", "Requests whose caller left.")
 MOVES = Counter(
-    "savorylift_moves", "Runs continued at another engine.", ["outcome"]
+    "savorylift_front_moves", "Runs continued at another engine.", ["outcome"]
 )
 BROKEN_STREAMS = Counter(
-    "savorylift_broken_streams", "Streams that ended early.", ["reason"]
+    "savorylift_front_broken_streams", "Streams that ended early.", ["reason"]
 )
 ANSWER_TIME = Histogram(
-    "savorylift_answer_seconds",
+    "savorylift_front_answer_seconds",
     "Time to a whole answer, or to a stream's first event.",
     ["kind"],
     buckets=LATENCY_BUCKETS_S,
 )
 EVENT_GAP = Histogram(
-    "savorylift_event_gap_seconds",
+    "savorylift_front_event_gap_seconds",
     "Longest pause between a stream's events.",
     buckets=LATENCY_BUCKETS_S,
 )
-OPEN_REQUESTS = Gauge("savorylift_open_requests", "Requests under way.")
-WAITING = Gauge("savorylift_waiting", "Generations that wait for room.")
+OPEN_REQUESTS = Gauge("savorylift_front_open_requests", "Requests under way.")
+WAITING = Gauge("savorylift_front_waiting", "Generations that wait for room.")
--- a/tests/front/test_node.py
+++ b/tests/front/test_node.py
@@ -271,7 +271,10 @@
         }
         await stage.call("/nowhere/")
         metrics = await stage.get(9, "/metrics")
-        assert b'savorylift_refusals_total{reason="not_found"}' in metrics.body
+        assert (
+            b'savorylift_front_refusals_total{reason="not_found"}'
+            in metrics.body
+        )
 
     play(scene())
 
