Search longer for the fault of the naive permit rules

What Hypothesis draws depends on names and constants of the whole package, and 300 examples no longer hit the fault. The safe rules' test is as before.

--- a/tests/permits/test_safety.py
+++ b/tests/permits/test_safety.py
@@ -28,6 +28,9 @@
 LAG_S = 0.5
 CFG = PermitOptions(load_lag_s=LAG_S, cancel_after_s=1.0, query_after_s=1.0)
 MAX_JOINS = 8
+# The search ends with the first fault. What it draws also depends on names
+# and constants all over the package, so that a few hundred may miss it.
+MOST_EXAMPLES_UNTIL_CAUGHT = 5_000
 pick = st.integers(0, 10_000)
 
 
@@ -249,4 +252,4 @@
 @pytest.mark.parametrize("policies", [STATIC_SPLIT, TIME_BASED])
 def test_naive_rules_are_caught(policies: Policies) -> None:
     with pytest.raises(AssertionError, match=r"while cold|at once"):
-        run(policies, 300)
+        run(policies, MOST_EXAMPLES_UNTIL_CAUGHT)
