Keep requests in the regions of their route and team

Candidates now pass the regions of route and team, both binding; a failure domain of unknown region gets no bound request. The directory names nodes of a home region to callers that have none near.

Beside it, found while reading the same places: a service that names a rate of 0 for cold servers ended every request to one with a division by zero (test fails without the change); a stream whose head was sent and whose last engine answered with a failure was written on a started response and not counted as broken (test fails without the change); removed servers and ended incarnations of nodes were remembered for ever; an exception in a move was not logged.

A run whose engine does not answer the last copy goes on from the earlier copy, and a copy that finds no room is tried again within the notice (both tests fail without the change).

--- a/src/savorylift/backends/cold_start.py
+++ b/src/savorylift/backends/cold_start.py
@@ -6,6 +6,8 @@
 # A little below the share: nodes don't count at the same moments.
 SAFETY = 0.9
 WINDOW_S = 1.0
+# A server that reports a cold start though its service names no rate.
+LEAST_PER_S = 1.0
 
 
 class ColdStart:
@@ -27,7 +29,7 @@
         """
         if rate_per_s is None:
             return True
-        share = rate_per_s * SAFETY / nodes
+        share = max(rate_per_s, LEAST_PER_S) * SAFETY / nodes
         # A share below one request a second is kept as a longer interval.
         window_s = WINDOW_S if share >= 1 else WINDOW_S / share
         return self._count(server_id, window_s) < max(int(share), 1)
--- a/src/savorylift/backends/registry.py
+++ b/src/savorylift/backends/registry.py
@@ -7,6 +7,8 @@
 
 # Servers that the store lost while it was away write again within this time.
 RETURN_S = 2.2
+# Late entries of a removed server arrive within seconds.
+REMEMBERED_S = 60.0
 
 
 class Known(NamedTuple):
@@ -33,7 +35,7 @@
     def __init__(self) -> None:
         """Starts empty."""
         self._known: dict[str, Known] = {}
-        self._last: dict[str, ServerEntry] = {}
+        self._last: dict[str, tuple[ServerEntry, float]] = {}
         self._lapse_until_s = 0.0
 
     @property
@@ -52,9 +54,9 @@
     def put(self, entry: ServerEntry, now_s: float) -> bool:
         """Takes over an entry; says whether it changes what is believed."""
         last = self._last.get(entry.server_id)
-        if last is not None and entry.is_older_than(last):
+        if last is not None and entry.is_older_than(last[0]):
             return False
-        self._last[entry.server_id] = entry
+        self._last[entry.server_id] = entry, now_s
         known = self._known.get(entry.server_id)
         cold_until_s = now_s + entry.cold_s if entry.cold_s > 0 else 0.0
         self._known[entry.server_id] = Known(entry, cold_until_s)
@@ -99,4 +101,14 @@
         ]
         for server_id in lapsed:
             del self._known[server_id]
+        self._forget_removed(now_s - REMEMBERED_S)
         return lapsed
+
+    def _forget_removed(self, before_s: float) -> None:
+        old = [
+            server_id
+            for server_id, (_, put_s) in self._last.items()
+            if put_s < before_s and server_id not in self._known
+        ]
+        for server_id in old:
+            del self._last[server_id]
--- a/src/savorylift/exchange/admission.py
+++ b/src/savorylift/exchange/admission.py
@@ -41,6 +41,17 @@
     priority: int
     deadline_s: float
 
+    @property
+    def regions(self) -> frozenset[str] | None:
+        """Regions whose servers may run it; None for any."""
+        bounds = [self.route.regions]
+        if self.team is not None:
+            bounds.append(self.team.regions)
+        set_bounds = [regions for regions in bounds if regions]
+        if not set_bounds:
+            return None
+        return frozenset.intersection(*set_bounds)
+
 
 def admit(
     req: CallerRequest, cfg: Configuration | None, default_timeout_s: float
--- a/src/savorylift/exchange/engine_queue.py
+++ b/src/savorylift/exchange/engine_queue.py
@@ -80,7 +80,7 @@
         return Patience(
             min(until_s, adm.deadline_s),
             adm.deadline_s,
-            lambda: self._pool.has_room(adm.service, options, tried),
+            lambda: self._pool.has_room(adm, options, tried),
         )
 
     def note_first_event(self, run: Run) -> None:
--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -24,6 +24,7 @@
     log_broken,
     log_complete,
     log_first_event,
+    log_move_failure,
     log_sent,
 )
 from savorylift.exchange.send import Patience, Resumption, Sender, Started
@@ -146,9 +147,10 @@
             has_arrived = True
             may_have_run += 1
             if not adm.route.is_idempotent or is_last:
-                if isinstance(ended, Answered):
+                if isinstance(ended, Answered) and not sink.is_started:
                     return ended
-                return self._end(run, sink, ended, may_have_run)
+                broken = _as_broken(ended)
+                return self._end(run, sink, broken, may_have_run)
             if isinstance(ended, Answered):
                 reason = Reason.BACKEND_ERROR
             else:
@@ -307,6 +309,7 @@
             return
         loop = asyncio.get_running_loop()
         run.move = loop.create_task(self._mover.move(run))
+        run.move.add_done_callback(log_move_failure)
 
     def _put_at(self, run: Run, server: Known) -> None:
         """Counts a run at the engine that it moved to."""
--- a/src/savorylift/exchange/mover.py
+++ b/src/savorylift/exchange/mover.py
@@ -30,6 +30,8 @@
 NOTICE_S = 2.5
 # A run that has not begun can't be copied yet.
 BEGIN_RETRY_S = 0.08
+# Runs that end elsewhere free memory for a copy within this time.
+NO_ROOM_RETRY_S = 0.15
 # A copy that takes this much longer than the links need shares them with
 # others; then the run goes on while its last part becomes small.
 CONTENDED = 1.3
@@ -58,31 +60,47 @@
         """Returns where the stopped run goes on; None if it stays."""
         source = run.server
         assert source is not None
-        planned = PlannedMove(
-            source.entry.server_id, run.memory_tokens, run.attempt_id
+        until_s = time.monotonic() + NOTICE_S
+        while True:
+            planned = PlannedMove(
+                source.entry.server_id, run.memory_tokens, run.attempt_id
+            )
+            async with self._pool.move_queue.turn(planned):
+                result = await self._move_in_turn(run, source, until_s)
+            if isinstance(result, NextPart):
+                counters.MOVES.labels("moved").inc()
+                return result
+            if result is not MoveFault.NO_ROOM:
+                break
+            if time.monotonic() + NO_ROOM_RETRY_S > until_s:
+                break
+            await asyncio.sleep(NO_ROOM_RETRY_S)
+        counters.MOVES.labels("failed").inc()
+        _log.warning(
+            "move_failed",
+            request=run.attempt_id,
+            server=source.entry.server_id,
+            fault=result.value,
         )
-        async with self._pool.move_queue.turn(planned):
-            return await self._move_in_turn(run, source)
+        return None
 
-    async def _move_in_turn(self, run: Run, source: Known) -> NextPart | None:
-        until_s = time.monotonic() + NOTICE_S
+    async def _move_in_turn(
+        self, run: Run, source: Known, until_s: float
+    ) -> NextPart | MoveFault:
         tried = {source.entry.server_id}
+        fault = MoveFault.NO_ROOM
         for _ in range(DESTINATIONS):
             destination = self._choose(run, tried)
             if destination is None:
                 break
             tried.add(destination.entry.server_id)
-            part = await self._move_to(run, source, destination, until_s)
-            if part is not None:
-                counters.MOVES.labels("moved").inc()
-                return part
+            result = await self._move_to(run, source, destination, until_s)
+            if isinstance(result, NextPart):
+                return result
+            fault = result
             if time.monotonic() > until_s:
                 break
-        counters.MOVES.labels("failed").inc()
-        _log.warning(
-            "move_failed", request=run.attempt_id, server=source.entry.server_id
-        )
-        return None
+        return fault
 
     def drop(self, part: NextPart) -> None:
         """Frees the copy of a run that doesn't go on.
@@ -111,58 +129,51 @@
         )
         # Copies from several engines to one would share its link.
         taken = tried | self._pool.move_queue.destinations()
-        service = run.adm.service
         return self._pool.pick_copy(
-            service, options, taken
-        ) or self._pool.pick_refuge(service, options, tried)
+            run.adm, options, taken
+        ) or self._pool.pick_refuge(run.adm, options, tried)
 
     async def _move_to(
         self, run: Run, source: Known, destination: Known, until_s: float
-    ) -> NextPart | None:
+    ) -> NextPart | MoveFault:
         name = f"{run.attempt_id}/copy"
         server_id = destination.entry.server_id
         self._pool.move_queue.set_destination(run.attempt_id, server_id)
         self._pool.work.begin(server_id, name, run.tokens)
-        handle: str | None = None
+        part: NextPart | None = None
         is_done = False
         try:
             began_s = time.monotonic()
             copied = await self._copy_begun(run, source, destination, until_s)
-            if copied is None:
-                return None
-            handle = copied.handle
+            if isinstance(copied, MoveError):
+                return copied.fault
+            part = _part(source, destination, copied.handle)
             took_s = time.monotonic() - began_s
             if is_contended(run, source, destination, took_s):
                 await self._copy_until_short(run, source, destination, until_s)
             last = await self._copy(
                 run, source, destination, until_s, stops_run=True
             )
-            if isinstance(last, Copied):
-                is_done = True
-                return self._part(run, source, destination, last.handle)
-            if last.handle is not None:
-                # The run stopped without a copy: it goes on where it was.
-                is_done = True
-                return self._part(run, source, source, last.handle)
-            return None
+            part = _after_last_copy(last, part)
+            is_done = True
+            self._log_moved(run, part)
+            return part
         finally:
             self._pool.work.end(server_id, name)
-            if handle is not None and not is_done:
-                copy = Continuation(source.entry.address, handle)
-                self.drop(NextPart(destination, source, copy))
+            if part is not None and not is_done:
+                self.drop(part)
 
     async def _copy_begun(
         self, run: Run, source: Known, destination: Known, until_s: float
-    ) -> Copied | None:
+    ) -> Copied | MoveError:
         """Makes the first copy, as soon as the run has begun."""
         while True:
             copied = await self._copy(run, source, destination, until_s)
             if isinstance(copied, Copied):
                 return copied
-            if copied.fault is not MoveFault.NO_SUCH_RUN:
-                return None
-            if time.monotonic() > until_s:
-                return None
+            is_over = time.monotonic() > until_s
+            if copied.fault is not MoveFault.NO_SUCH_RUN or is_over:
+                return copied
             await asyncio.sleep(BEGIN_RETRY_S)
 
     async def _copy_until_short(
@@ -208,17 +219,32 @@
         )
         return copied
 
-    def _part(
-        self, run: Run, source: Known, destination: Known, handle: str
-    ) -> NextPart:
+    def _log_moved(self, run: Run, part: NextPart) -> None:
         _log.info(
             "moved",
             request=run.attempt_id,
-            source=source.entry.server_id,
-            destination=destination.entry.server_id,
+            source=part.source.entry.server_id,
+            destination=part.server.entry.server_id,
         )
-        copy = Continuation(source.entry.address, handle)
-        return NextPart(destination, source, copy)
+
+
+def _part(source: Known, server: Known, handle: str) -> NextPart:
+    copy = Continuation(source.entry.address, handle)
+    return NextPart(server, source, copy)
+
+
+def _after_last_copy(last: Copied | MoveError, earlier: NextPart) -> NextPart:
+    """Returns where a run goes on after the copy that should stop it.
+
+    An engine that does not answer may be gone: then the run goes on from the
+    earlier copy, and its new engine reads what that lacks.
+    """
+    if isinstance(last, Copied):
+        return _part(earlier.source, earlier.server, last.handle)
+    if last.handle is not None:
+        # The run stopped without a copy: it goes on where it was.
+        return _part(earlier.source, earlier.source, last.handle)
+    return earlier
 
 
 def is_contended(
--- a/src/savorylift/exchange/plain_call.py
+++ b/src/savorylift/exchange/plain_call.py
@@ -93,7 +93,7 @@
         return Patience(
             min(until_s, adm.deadline_s),
             adm.deadline_s,
-            lambda: self._pool.has_server(adm.service, tried),
+            lambda: self._pool.has_server(adm, tried),
         )
 
     def _judge(self, server_id: str, ending: SendEnding) -> None:
--- a/src/savorylift/exchange/pool.py
+++ b/src/savorylift/exchange/pool.py
@@ -19,7 +19,6 @@
     choose_refuge,
 )
 from savorylift.placement.plain import choose_plain
-from savorylift.routing.configuration import Service
 
 
 class Pool:
@@ -33,6 +32,7 @@
         rng: random.Random,
         announce: Callable[[], None],
         interval_s: Callable[[], float],
+        region_of: Mapping[str, str],
     ) -> None:
         """Reads `knowledge` and `membership` at each choice.
 
@@ -43,6 +43,7 @@
             rng: Breaks ties.
             announce: Tells the other nodes of a change soon.
             interval_s: Interval of the nodes' messages.
+            region_of: Region of each failure domain.
         """
         self._knowledge = knowledge
         self._membership = membership
@@ -50,6 +51,7 @@
         self._rng = rng
         self._cold_start = ColdStart()
         self._announce = announce
+        self._region_of = region_of
         self.work = Work()
         self.move_queue = MoveQueue(
             lambda: membership.moves(time.monotonic()), announce, interval_s
@@ -58,7 +60,7 @@
     def pick_plain(self, adm: Admitted, tried: Collection[str]) -> Known | None:
         """Returns a server for a plain call and counts the call there."""
         found = choose_plain(
-            self._sendable(adm.service, tried),
+            self._sendable(adm, tried),
             self._loads(),
             time.monotonic(),
             self._rng,
@@ -72,7 +74,7 @@
     ) -> Known | None:
         """Returns an engine with room and counts the generation there."""
         found = choose_engine(
-            self._sendable(adm.service, tried),
+            self._sendable(adm, tried),
             self._loads(),
             options,
             self._rng,
@@ -84,32 +86,32 @@
         return found
 
     def pick_copy(
-        self, service: Service, options: EngineOptions, taken: Collection[str]
+        self, adm: Admitted, options: EngineOptions, taken: Collection[str]
     ) -> Known | None:
         """Returns an engine with room for a copy of a run."""
-        candidates = self._sendable(service, taken)
+        candidates = self._sendable(adm, taken)
         return choose_engine(candidates, self._loads(), options, self._rng)
 
     def has_room(
-        self, service: Service, options: EngineOptions, tried: Collection[str]
+        self, adm: Admitted, options: EngineOptions, tried: Collection[str]
     ) -> bool:
         """Whether an engine that was not tried has room."""
-        return self.pick_copy(service, options, tried) is not None
+        return self.pick_copy(adm, options, tried) is not None
 
     def unread(self, server: Known) -> int:
         """Returns the prompt tokens that an engine has not read yet."""
         return self._loads().get(server.entry.server_id, Load()).unread
 
-    def has_server(self, service: Service, tried: Collection[str]) -> bool:
+    def has_server(self, adm: Admitted, tried: Collection[str]) -> bool:
         """Whether there is a server that was not tried."""
-        return any(True for _ in self._sendable(service, tried))
+        return any(True for _ in self._sendable(adm, tried))
 
     def pick_refuge(
-        self, service: Service, options: EngineOptions, tried: Collection[str]
+        self, adm: Admitted, options: EngineOptions, tried: Collection[str]
     ) -> Known | None:
         """Returns the engine with most room, even if it may be too little."""
         return choose_refuge(
-            self._sendable(service, tried), self._loads(), options, self._rng
+            self._sendable(adm, tried), self._loads(), options, self._rng
         )
 
     def is_usable(self, server: Known) -> bool:
@@ -145,15 +147,19 @@
         return add_up([*self.work.loads(), *others])
 
     def _sendable(
-        self, service: Service, tried: Collection[str]
+        self, adm: Admitted, tried: Collection[str]
     ) -> Iterator[Known]:
         now_s = time.monotonic()
         nodes = self._membership.count_sharing(now_s)
+        service, regions = adm.service, adm.regions
         candidates = usable(
             self._knowledge.registry.known,
             service.name,
             self._knowledge.evacuated,
             tried,
+            lambda domain: (
+                regions is None or self._region_of.get(domain) in regions
+            ),
         )
         for server in candidates:
             if not server.is_cold(now_s) or self._cold_start.may_send(
--- a/src/savorylift/exchange/run_log.py
+++ b/src/savorylift/exchange/run_log.py
@@ -1,5 +1,6 @@
 """Log lines and figures of generations."""
 
+import asyncio
 import time
 
 import structlog
@@ -7,7 +8,7 @@
 from savorylift.backends.registry import Known
 from savorylift.exchange import counters
 from savorylift.exchange.ending import Broken, NotRun, Unsure
-from savorylift.exchange.run import Run
+from savorylift.exchange.run import NextPart, Run
 from savorylift.exchange.send import Started
 
 _log = structlog.get_logger()
@@ -67,3 +68,12 @@
         detail=ending.detail,
         last_event=run.last_event,
     )
+
+
+def log_move_failure(move: "asyncio.Task[NextPart | None]") -> None:
+    """Logs a fault of our own in moving a run."""
+    if move.cancelled():
+        return
+    exc = move.exception()
+    if exc is not None:
+        _log.error("task_failed", task="move", exc_info=exc)
--- a/src/savorylift/fleet/membership.py
+++ b/src/savorylift/fleet/membership.py
@@ -1,6 +1,7 @@
 """Which nodes are there, who reads the store, and where callers connect."""
 
-from collections.abc import Iterable, Iterator
+import collections
+from collections.abc import Collection, Iterable, Iterator
 from typing import NamedTuple
 
 from savorylift.fleet.state import NodeState, ServerLoad
@@ -15,6 +16,8 @@
 COUNTED_S = 30.0
 FORGET_S = 60.0
 READERS = 2
+# Earlier incarnations of a node whose late messages are dropped.
+RETIRED = 8
 READERS_KEY = "store"
 
 
@@ -43,7 +46,7 @@
         self._ip = ip
         self._heard: dict[str, Heard] = {}
         self._addresses = {seed: 0.0 for seed in seeds if seed != ip}
-        self._retired: set[tuple[str, int]] = set()
+        self._retired: dict[str, collections.deque[int]] = {}
 
     @property
     def addresses(self) -> tuple[str, ...]:
@@ -60,11 +63,12 @@
         if state.ip == self._ip:
             return False
         last = self._heard.get(state.ip)
-        if (state.ip, state.incarnation) in self._retired:
+        retired = self._retired.get(state.ip, ())
+        if state.incarnation in retired:
             return False
         is_new = last is None or last.state.incarnation != state.incarnation
         if last is not None and is_new:
-            self._retired.add((state.ip, last.state.incarnation))
+            self._retire(last.state)
         if not is_new and last and state.sequence <= last.state.sequence:
             return False
         self._heard[state.ip] = Heard(state, now_s)
@@ -79,6 +83,7 @@
             if since_s and now_s - since_s > FORGET_S:
                 del self._addresses[ip]
                 self._heard.pop(ip, None)
+                self._retired.pop(ip, None)
 
     def live(self, now_s: float) -> Iterator[Heard]:
         """Yields the nodes heard lately."""
@@ -102,18 +107,24 @@
             yield from heard.state.moves
 
     def callers_addresses(
-        self, me: NodeState, region: str | None, now_s: float
+        self,
+        me: NodeState,
+        region: str | None,
+        homes: Collection[str],
+        now_s: float,
     ) -> list[str]:
         """Returns where callers may connect, never empty.
 
-        Nodes in the caller's region go before others.
+        Nodes in the caller's region go before those in `homes`, the regions
+        that its requests may be bound to, and these before others.
         """
         states = [me, *(heard.state for heard in self.live(now_s))]
         serving = [s for s in states if s.is_ready and not s.is_leaving]
         staying = [s for s in states if not s.is_leaving]
         found = serving or staying or states
         near = [s for s in found if region in (None, s.region)]
-        return [state.caller_address for state in near or found]
+        home = [s for s in found if s.region in homes]
+        return [state.caller_address for state in near or home or found]
 
     def is_reader(self, me: NodeState, now_s: float) -> bool:
         """Whether this node is one of those that follow the store."""
@@ -142,6 +153,12 @@
         ]
         return min(ages, default=None)
 
+    def _retire(self, state: NodeState) -> None:
+        retired = self._retired.setdefault(
+            state.ip, collections.deque(maxlen=RETIRED)
+        )
+        retired.append(state.incarnation)
+
     def _heard_within(self, age_s: float, now_s: float) -> Iterator[Heard]:
         for heard in self._heard.values():
             if now_s - heard.heard_s <= age_s:
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -31,7 +31,7 @@
 from savorylift.front.peering import Peering
 from savorylift.front.settings import FrontSettings
 from savorylift.front.tasks import Tasks
-from savorylift.platform.backend_servers import decode_server, parse_address
+from savorylift.platform.backend_servers import decode_server
 from savorylift.platform.configuration import (
     CONFIGURATION_KEY,
     EVACUATION_PREFIX,
@@ -51,7 +51,9 @@
     Record,
     StoreClient,
 )
+from savorylift.routing.configuration import home_regions
 from savorylift.settings_file import SettingsFault
+from savorylift.wire.address import parse_address, split_address
 from savorylift.wire.listener import Listener, answering
 from savorylift.wire.message import Request, Response
 from savorylift.wire.server_connection import InputLimits
@@ -82,7 +84,7 @@
         """
         self._cfg = cfg
         self._read = read
-        self._ip, _ = _address(cfg.caller_listen)
+        self._ip, _ = split_address(cfg.caller_listen)
         self._incarnation = random.getrandbits(INCARNATION_BITS)
         self._sequence = 0
         self._stopped = asyncio.Event()
@@ -97,7 +99,7 @@
                 EVACUATION_PREFIX,
             )
         )
-        seeds = [_address(seed)[0] for seed in cfg.seeds]
+        seeds = [split_address(seed)[0] for seed in cfg.seeds]
         self._membership = Membership(self._ip, seeds)
         budget = RetryBudget(
             BudgetOptions(cfg.retry_ratio, cfg.retry_window_s, cfg.retry_slack)
@@ -109,6 +111,7 @@
             rng,
             lambda: self._peering.link.send_soon(),
             lambda: self._peering.link.interval_s,
+            cfg.regions,
         )
         codec = PlatformCodec()
         sender = Sender(codec, self._pool.is_usable)
@@ -126,7 +129,7 @@
             self._life,
             cfg.request_timeout_s,
         )
-        self._store = StoreClient(_address(cfg.store))
+        self._store = StoreClient(split_address(cfg.store))
         self._account = AccountWriter(self._store, counts)
         turn = Turn(
             self._is_reader,
@@ -220,12 +223,14 @@
         await self._serve_short(self._cfg.readiness_listen, readiness)
         metrics = f"{self._ip}:{self._cfg.metrics_port}"
         await self._serve_short(metrics, _answer_metrics)
-        await self._door.start(*_address(self._cfg.caller_listen))
+        await self._door.start(*split_address(self._cfg.caller_listen))
 
     async def _serve_short(
         self, address: str, handle: Callable[[Request], Awaitable[Response]]
     ) -> None:
-        await Listener(answering(handle), InputLimits).start(*_address(address))
+        await Listener(answering(handle), InputLimits).start(
+            *split_address(address)
+        )
 
     @property
     def _is_ready(self) -> bool:
@@ -238,10 +243,17 @@
 
     def _resolve(self, lookup: Lookup) -> Addresses:
         found = self._membership.callers_addresses(
-            self._state(), lookup.region, time.monotonic()
+            self._state(),
+            lookup.region,
+            self._homes(lookup.host),
+            time.monotonic(),
         )
         return Addresses(found, min(ENTRY_TTL_S, self._cfg.entry_ttl_max_s))
 
+    def _homes(self, host: str) -> frozenset[str]:
+        cfg = self._knowledge.configuration
+        return frozenset() if cfg is None else home_regions(cfg, host)
+
     def _state(self, *, has_peers: bool = False) -> NodeState:
         """Returns the next message to the other nodes."""
         self._sequence += 1
@@ -337,7 +349,7 @@
         changed = sorted(key for key in new if new[key] != old[key])
         now_s = time.monotonic()
         for seed in cfg.seeds:
-            self._membership.add_address(_address(seed)[0], now_s)
+            self._membership.add_address(split_address(seed)[0], now_s)
         self._cfg = cfg
         _log.info("reload", changed=changed)
 
@@ -347,8 +359,3 @@
         return Response(404, ())
     headers = (("content-type", "text/plain; version=0.0.4"),)
     return Response(200, headers, generate_latest())
-
-
-def _address(text: str) -> tuple[str, int]:
-    host, _, port = text.rpartition(":")
-    return host, int(port)
--- a/src/savorylift/front/refusals_command.py
+++ b/src/savorylift/front/refusals_command.py
@@ -11,8 +11,8 @@
 from returns.pipeline import is_successful
 
 from savorylift.account.report import Report, report
-from savorylift.platform.backend_servers import parse_address
 from savorylift.platform.store import REFUSALS, StoreClient
+from savorylift.wire.address import parse_address
 
 
 def main(words: list[str]) -> int:
--- a/src/savorylift/front/settings.py
+++ b/src/savorylift/front/settings.py
@@ -1,5 +1,7 @@
 """Settings of one front node."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import NamedTuple
 
 from savorylift.settings import Address, Count, Name, Seconds
@@ -20,6 +22,7 @@
         store: Address of the platform's store.
         seeds: Addresses of other VMs, whatever the port; may be stale.
         grace_period_s: Time from SIGTERM to SIGKILL.
+        regions: Region of each failure domain.
         retry_ratio: Repeats for each request, of all nodes together.
         retry_window_s: Sliding window of that ratio.
         retry_slack: Repeats in a window beyond the ratio.
@@ -43,5 +46,6 @@
     retry_window_s: Seconds
     retry_slack: float
     entry_ttl_max_s: Seconds
+    regions: Mapping[Name, Name] = MappingProxyType({})
     request_timeout_s: Seconds = 60.0
     log_lines_per_s: Count = 200
--- a/src/savorylift/placement/candidates.py
+++ b/src/savorylift/placement/candidates.py
@@ -1,6 +1,6 @@
 """Backend servers that may get a request now."""
 
-from collections.abc import Collection, Iterator, Mapping
+from collections.abc import Callable, Collection, Iterator, Mapping
 
 from savorylift.backends.registry import Known
 
@@ -10,6 +10,7 @@
     service: str,
     evacuated: Collection[str],
     tried: Collection[str] = (),
+    is_allowed: Callable[[str], bool] = lambda _: True,
 ) -> Iterator[Known]:
     """Yields servers of a service that take new work.
 
@@ -18,6 +19,7 @@
         service: Service that the request is for.
         evacuated: Failure domains that get nothing new.
         tried: Servers that already failed this request.
+        is_allowed: Whether the request may run in a failure domain.
     """
     for server_id, server in known.items():
         entry = server.entry
@@ -25,4 +27,5 @@
             continue
         if entry.failure_domain in evacuated or server_id in tried:
             continue
-        yield server
+        if is_allowed(entry.failure_domain):
+            yield server
--- a/src/savorylift/platform/backend_servers.py
+++ b/src/savorylift/platform/backend_servers.py
@@ -1,11 +1,10 @@
 """Decodes the entries that backend servers write about themselves."""
 
-import ipaddress
-
 import msgspec
 from returns.result import Failure, Result, Success
 
 from savorylift.backends.server import ServerEntry
+from savorylift.wire.address import parse_address
 
 STATES = {"ready": False, "draining": True}
 
@@ -50,15 +49,3 @@
             sequence=entry.sequence,
         )
     )
-
-
-def parse_address(text: str) -> tuple[str, int] | None:
-    """Returns the parts of IP:PORT, or None if it is something else."""
-    host, _, port = text.rpartition(":")
-    try:
-        ipaddress.IPv4Address(host)
-    except ValueError:
-        return None
-    if not port.isascii() or not port.isdigit() or not 0 < int(port) < 65_536:
-        return None
-    return host, int(port)
--- a/src/savorylift/routing/configuration.py
+++ b/src/savorylift/routing/configuration.py
@@ -136,6 +136,12 @@
     limits: InputLimits
 
 
+def home_regions(cfg: Configuration, host: str) -> frozenset[str]:
+    """Returns the regions that some route of a host is bound to."""
+    homes = [route.regions for route in cfg.routes.get(host.lower(), ())]
+    return frozenset().union(*homes)
+
+
 def find_route(cfg: Configuration, host: str, path: str) -> Route | None:
     """Returns the route with the longest prefix of `path` on `host`."""
     for route in cfg.routes.get(host, ()):
--- a/src/savorylift/wire/channel.py
+++ b/src/savorylift/wire/channel.py
@@ -81,11 +81,6 @@
         """Lets writers go on."""
         self._drained.set()
 
-    @property
-    def has_input(self) -> bool:
-        """Whether bytes wait to be read."""
-        return bool(self._arrived)
-
     async def read(self) -> bytes:
         """Returns what arrived, waiting for some; empty at the end.
 
--- a/tests/backends/test_registry.py
+++ b/tests/backends/test_registry.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from savorylift.backends.registry import RETURN_S, Registry
+from savorylift.backends.registry import REMEMBERED_S, RETURN_S, Registry
 from tests.exchange.fakes import entry
 
 
@@ -96,3 +96,13 @@
     assert registry.known["i-1"].entry.is_leaving
     assert registry.put(entry()._replace(sequence=2), 1.0)
     assert not registry.known["i-1"].entry.is_leaving
+
+
+def test_removed_servers_are_forgotten_in_time() -> None:
+    registry = Registry()
+    for number in range(50):
+        registry.put(entry(f"i-{number}"), 0.0)
+        registry.remove(f"i-{number}", 1.0)
+    registry.put(entry("kept"), 0.0)
+    registry.drop_lapsed(REMEMBERED_S + 2)
+    assert list(registry._last) == ["kept"]
--- a/tests/exchange/fakes.py
+++ b/tests/exchange/fakes.py
@@ -168,6 +168,7 @@
     beliefs: Knowledge,
     membership: Membership | None = None,
     slack: float = 50.0,
+    region_of: dict[str, str] | None = None,
 ) -> Pool:
     """Returns a pool over what is believed, for one node."""
     return Pool(
@@ -177,4 +178,5 @@
         random.Random(1),
         lambda: None,
         lambda: 0.2,
+        region_of or {},
     )
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -94,13 +94,13 @@
     me: NodeState, others: list[NodeState], expected: set[str]
 ) -> None:
     found = membership(*others)
-    assert set(found.callers_addresses(me, "r", 0.1)) == expected
+    assert set(found.callers_addresses(me, "r", (), 0.1)) == expected
 
 
 def test_killed_node_leaves_the_answers() -> None:
     found = membership(state(2))
-    assert len(found.callers_addresses(state(1), "r", 0.5)) == 2
-    assert found.callers_addresses(state(1), "r", 1.5) == ["10.0.0.1:80"]
+    assert len(found.callers_addresses(state(1), "r", (), 0.5)) == 2
+    assert found.callers_addresses(state(1), "r", (), 1.5) == ["10.0.0.1:80"]
 
 
 def readers(states: list[NodeState]) -> list[NodeState]:
@@ -141,3 +141,25 @@
     )
     assert found.reading_age_s(0.5) == pytest.approx(0.6)
     assert found.reading_age_s(LIVE_S + 1) is None
+
+
+def test_callers_far_from_every_node_are_sent_to_a_home_region() -> None:
+    states = [state(n)._replace(region=f"r{n}") for n in (2, 3)]
+    found = membership(*states)
+    me = state(1)._replace(region="r1")
+
+    def named(region: str, homes: set[str]) -> set[str]:
+        return set(found.callers_addresses(me, region, homes, 0.1))
+
+    assert named("r2", {"r3"}) == {"10.0.0.2:80"}
+    assert named("elsewhere", {"r3"}) == {"10.0.0.3:80"}
+    assert len(named("elsewhere", set())) == 3
+
+
+def test_remembers_only_the_last_incarnations_of_a_node() -> None:
+    found = membership()
+    for incarnation in range(100):
+        found.hear(state(2)._replace(incarnation=incarnation), 0.0)
+    assert len(found._retired["10.0.0.2"]) <= 8
+    found.forget_silent(FORGET_S + 1)
+    assert not found._retired
--- a/tests/front/test_node.py
+++ b/tests/front/test_node.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+from prometheus_client import REGISTRY
 
 from savorylift.front.refusals_command import main
 from savorylift.platform.store import OPERATORS, REFUSALS, SERVERS
@@ -382,3 +383,64 @@
         assert head.status == 200
 
     play(scene())
+
+
+async def move_away(stage: Stage, **faults: object) -> tuple[bytes, list[str]]:
+    """Streams 120 events from an engine that leaves with faults.
+
+    Returns the body and the attempts that any engine ran.
+    """
+    for server in stage.pool:
+        server.events = 120
+    call = await stage.open("/stream/x", "s1", COUNTS)
+    head = await call.read_head()
+    first = await call.read_part()
+    assert first is not None
+    (leaving,) = [s for s in stage.pool if "s1" in s.runs]
+    for name, value in faults.items():
+        setattr(leaving, name, value)
+    stage.put(leaving, "pool", "draining")
+    answer = await call.read_rest(head)
+    runs = [run for server in stage.pool for run in server.runs]
+    return first + answer.body, runs
+
+
+@pytest.mark.parametrize(
+    "faults", [{"dies_at_last_copy": True}, {"copies_rejected": 2}]
+)
+def test_run_goes_on_although_a_copy_fails(faults: dict[str, object]) -> None:
+    async def scene() -> None:
+        stage = Stage()
+        await stage.start()
+        body, runs = await move_away(stage, **faults)
+        assert event_numbers(body) == list(range(1, 121))
+        assert runs == ["s1"]
+        assert stage.pool[0].streams["s1"] != stage.pool[1].streams["s1"]
+
+    play(scene())
+
+
+def test_stream_whose_last_engine_fails_is_counted_as_broken() -> None:
+    labels = {"reason": "backend_error"}
+    name = "savorylift_front_broken_streams_total"
+
+    async def scene() -> None:
+        stage = Stage()
+        await stage.start()
+        before = REGISTRY.get_sample_value(name, labels) or 0.0
+        first, other = stage.pool
+        stage.put(other, "pool", "draining")
+        await asyncio.sleep(0.5)
+        first.events, first.breaks_after = 100, 80
+        other.status = 500
+        call = await stage.open("/resumable/x", "s1", COUNTS)
+        head = await call.read_head()
+        back = other.entry("pool", "z1") | {"sequence": 2}
+        stage.store.add(SERVERS, other.server_id, back)
+        with pytest.raises(BrokenAnswerError):
+            await call.read_rest(head)
+        assert other.runs == ["s1"]
+        after = REGISTRY.get_sample_value(name, labels)
+        assert after == before + 1
+
+    play(scene())
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -46,6 +46,8 @@
         is_leaving: Whether it reports that it is leaving.
         loses_copies: Whether no run can go on here.
         stopped: Attempts that were told to stop.
+        copies_rejected: Copies that it rejects for want of room.
+        dies_at_last_copy: Whether it is gone once a run has to stop.
         peers: Engines by port, to which runs are copied.
         handles: Copies of runs that may go on here, by name.
     """
@@ -67,6 +69,8 @@
         self.events = 10
         self.streams: dict[str, int] = {}
         self.stopped: set[str] = set()
+        self.copies_rejected = 0
+        self.dies_at_last_copy = False
         self.handles: dict[str, Handle] = {}
         self.peers: dict[int, PlatformServer] = {}
 
@@ -75,7 +79,9 @@
         self.port = port
         await Listener(self._serve, InputLimits).start("127.0.0.1", port)
 
-    def entry(self, service: str, zone: str, state: str = "ready") -> object:
+    def entry(
+        self, service: str, zone: str, state: str = "ready"
+    ) -> dict[str, object]:
         """Returns its entry for the store."""
         return {
             "service": service,
@@ -122,7 +128,8 @@
         if "kv-from" not in headers:
             self.runs.append(attempt)
         await asyncio.sleep(self.delay_s)
-        if "x-savorylift-token-counts" in headers:
+        is_stream = "x-savorylift-token-counts" in headers
+        if is_stream and self.status == 200:
             await self._stream(conn, attempt, headers, marks)
             return
         body = b"answer of " + attempt.encode()
@@ -165,8 +172,14 @@
         if attempt not in self.streams:
             conn.respond(404, (), b"")
             return
+        if self.copies_rejected:
+            self.copies_rejected -= 1
+            conn.respond(503, (), b"")
+            return
         if order.get("last"):
             self.stopped.add(attempt)
+            if self.dies_at_last_copy:
+                return
         name = f"h-{attempt}"
         made = self.streams[attempt]
         port = int(str(order["to"]).rpartition(":")[2])
