--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -159,7 +159,7 @@
 def test_remembers_only_the_last_incarnations_of_a_node() -> None:
     found = membership()
     for incarnation in range(100):
-        found.hear(state(2)._replace(incarnation=incarnation), 0.0)
+        found.hear(state(2)._replace(incarnation=incarnation), 1.0)
     assert len(found._retired["10.0.0.2"]) <= 8
-    found.forget_silent(FORGET_S + 1)
+    found.forget_silent(FORGET_S + 2)
     assert not found._retired
