Put every form of requests, answers and streams behind one codec

Cause: the core decoded callers' requests by calling the platform's folder directly and wrote refusals and streams in one form, so a second interface could only stand beside it. Codec now covers requests, sendings, answer heads, events, sinks, withdrawals and refusals; the platform's is the first.

With it come what rules files say and the platform's configuration doesn't: methods that may repeat, services and open requests a team may have, servers named by the configuration with bounds on what they bear at once, the model's version, and the rule behind a refusal.

--- a/src/savorylift/backends/registry.py
+++ b/src/savorylift/backends/registry.py
@@ -1,5 +1,6 @@
 """The backend servers that are known, by what they wrote last."""
 
+import math
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
@@ -36,6 +37,7 @@
         """Starts empty."""
         self._known: dict[str, Known] = {}
         self._last: dict[str, tuple[ServerEntry, float]] = {}
+        self._fixed: dict[str, ServerEntry] = {}
         self._lapse_until_s = 0.0
 
     @property
@@ -76,6 +78,29 @@
         del self._known[server_id]
         return True
 
+    def set_fixed(self, entries: Iterable[ServerEntry]) -> None:
+        """Takes over the servers that the configuration itself names.
+
+        An entry that a server wrote under the same name goes before. Until
+        a server says that it is warm, it is taken as cold.
+        """
+        fixed = {entry.server_id: entry for entry in entries}
+        for server_id in self._fixed.keys() - fixed.keys():
+            if server_id not in self._last:
+                self._known.pop(server_id, None)
+        for server_id, entry in fixed.items():
+            is_same = self._fixed.get(server_id) == entry
+            if server_id not in self._last and not is_same:
+                self._known[server_id] = Known(entry, math.inf)
+        self._fixed = fixed
+
+    def note_cold(self, server_id: str, *, is_cold: bool) -> None:
+        """Notes what a server that writes no entries says in an answer."""
+        known = self._known.get(server_id)
+        if known is not None and server_id not in self._last:
+            cold_until_s = math.inf if is_cold else 0.0
+            self._known[server_id] = known._replace(cold_until_s=cold_until_s)
+
     def mark_leaving(self, server_id: str) -> bool:
         """Notes what a server itself says; says whether this is news."""
         known = self._known.get(server_id)
@@ -88,6 +113,7 @@
     def keep_only(self, server_ids: Iterable[str], now_s: float) -> bool:
         """Removes every other server; says whether one was dropped."""
         kept = set(server_ids)
+        kept |= self._fixed.keys() - self._last.keys()
         absent = [name for name in self._known if name not in kept]
         dropped = [self.remove(name, now_s) for name in absent]
         return any(dropped)
--- a/src/savorylift/backends/server.py
+++ b/src/savorylift/backends/server.py
@@ -16,6 +16,8 @@
         cold_s: How much longer it was cold when it wrote.
         started_ms: Unix time of its start in milliseconds; 0 if unknown.
         sequence: Number of the entry since that start.
+        most_cold: Requests that it bears at once while it is cold; None if
+            only their rate counts, and `slots` is no bound.
     """
 
     server_id: str
@@ -27,6 +29,13 @@
     cold_s: float
     started_ms: int
     sequence: int
+    most_cold: int | None = None
+
+    def bears(self, requests: int, *, is_cold: bool) -> bool:
+        """Whether it may get one more request beside `requests`."""
+        if self.most_cold is None:
+            return True
+        return requests < (self.most_cold if is_cold else self.slots)
 
     def says_more_than(self, other: "ServerEntry") -> bool:
         """Whether it differs from `other` in more than a sign of life."""
--- a/src/savorylift/exchange/admission.py
+++ b/src/savorylift/exchange/admission.py
@@ -41,6 +41,13 @@
     priority: int
     deadline_s: float
 
+    @property
+    def is_idempotent(self) -> bool:
+        """Whether it may run more than once."""
+        if self.req.method in self.route.repeatable_methods:
+            return True
+        return self.route.is_idempotent
+
     @property
     def regions(self) -> frozenset[str] | None:
         """Regions whose servers may run it; None for any."""
@@ -68,20 +75,28 @@
         )
     route = find_route(cfg, req.host, req.path)
     if route is None:
-        return Failure(Refused(404, Reason.NOT_FOUND, "No route matches."))
+        return Failure(Refused(404, req.if_no_route, "No route matches."))
     team = None
     if cfg.teams_by_key is not None and not route.is_public:
         team = cfg.teams_by_key.get(req.api_key or "")
         if team is None:
             message = "The API key is missing or unknown."
             return Failure(Refused(401, Reason.UNKNOWN_TEAM, message))
-    service = cfg.services.get(_pick_target(route, req.attempt_id) or "")
+    name = _pick_target(route, req.attempt_id) or ""
+    if team is not None and not _may_use(team, name):
+        message = f"Team {team.name} may not use {route.name}."
+        return Failure(
+            refused_by_rule(team, 403, Reason.MODEL_NOT_ALLOWED, message)
+        )
+    service = cfg.services.get(name)
     if service is None:
         message = "The route's service is not defined."
         return Failure(Refused(503, Reason.UNKNOWN_SERVICE, message, 1.0))
     rank = route.priority
     if team is not None and team.priority is not None:
         rank = team.priority
+    if req.priority is not None:
+        rank = req.priority
     limits = [default_timeout_s]
     limits += [] if route.timeout_s is None else [route.timeout_s]
     limits += [] if req.time_left_s is None else [req.time_left_s]
@@ -97,6 +112,26 @@
     )
 
 
+def refused_by_rule(
+    team: Team,
+    status: int,
+    reason: Reason,
+    message: str,
+    retry_after_s: float | None = None,
+) -> Refused:
+    """Returns a refusal that names the rule of a team."""
+    source = team.source
+    if source is None:
+        return Refused(status, reason, message, retry_after_s)
+    return Refused(
+        status, reason, message, retry_after_s, source.rule, source.asked_by
+    )
+
+
+def _may_use(team: Team, service: str) -> bool:
+    return team.services is None or service in team.services
+
+
 def _pick_target(route: Route, attempt_id: str) -> str | None:
     """Returns the service of the attempt's share of the split."""
     total = sum(target.weight for target in route.targets)
--- a/src/savorylift/exchange/ending.py
+++ b/src/savorylift/exchange/ending.py
@@ -3,7 +3,10 @@
 from typing import NamedTuple
 
 from savorylift.exchange.request import AnswerHead
-from savorylift.outcomes import Reason
+from savorylift.outcomes import Ending, Reason
+
+# Statuses that don't say whether the request ran.
+UNSURE_STATUSES = frozenset({500, 502, 504})
 
 
 class Answered(NamedTuple):
@@ -64,12 +67,23 @@
         reason: Stable code for counters and logs.
         message: One plain sentence for the caller.
         retry_after_s: When to come back, if that may help.
+        rule: The rule that caused it, if one did.
+        asked_by: Who asked for that rule.
     """
 
     status: int
     reason: Reason
     message: str
     retry_after_s: float | None = None
+    rule: str | None = None
+    asked_by: str | None = None
+
+    @property
+    def ending(self) -> Ending:
+        """What is known of the request's effect."""
+        if self.status in UNSURE_STATUSES:
+            return Ending.UNKNOWN
+        return Ending.NOT_RUN
 
 
 SendEnding = Answered | NotRun | Unsure
--- a/src/savorylift/exchange/engine_queue.py
+++ b/src/savorylift/exchange/engine_queue.py
@@ -75,7 +75,7 @@
         adm = run.adm
         options = self._options(run)
         until_s = adm.deadline_s
-        if not is_last and adm.route.is_idempotent:
+        if not is_last and adm.is_idempotent:
             until_s = time.monotonic() + PATIENCE * _objective(adm)
         return Patience(
             min(until_s, adm.deadline_s),
--- a/src/savorylift/exchange/events.py
+++ b/src/savorylift/exchange/events.py
@@ -25,9 +25,8 @@
         """Starts at the beginning of a stream."""
         self._rest = bytearray()
 
-    @property
-    def rest(self) -> bytes:
-        """Bytes after the last whole event."""
+    def end(self) -> bytes:
+        """Returns the bytes after the last whole event."""
         return bytes(self._rest)
 
     def feed(self, data: bytes) -> list[Event]:
--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import random
-from typing import Protocol
 
 from savorylift.backends.registry import Known
 from savorylift.exchange import counters
 from savorylift.exchange.admission import Admitted
+from savorylift.exchange.codec import Codec, EventSink
 from savorylift.exchange.ending import (
     Answered,
     Broken,
@@ -15,10 +15,10 @@
     Unsure,
 )
 from savorylift.exchange.engine_queue import EngineQueue
-from savorylift.exchange.events import Event, EventSplitter
+from savorylift.exchange.events import Event
 from savorylift.exchange.mover import Mover
 from savorylift.exchange.pool import Pool
-from savorylift.exchange.request import AnswerHead, Generation
+from savorylift.exchange.request import Generation
 from savorylift.exchange.run import NextPart, Run
 from savorylift.exchange.run_log import (
     log_broken,
@@ -41,39 +41,20 @@
 SWITCH_S = 1.0
 
 
-class EventSink(Protocol):
-    """The caller's end of a stream."""
-
-    @property
-    def is_started(self) -> bool:
-        """Whether the head was sent."""
-        ...
-
-    def start(self, head: AnswerHead) -> None:
-        """Sends the head."""
-        ...
-
-    async def send(self, data: bytes) -> None:
-        """Sends a part of the body."""
-        ...
-
-    def finish(self) -> None:
-        """Ends the stream as complete."""
-        ...
-
-    def abort(self) -> None:
-        """Ends the connection, so that the stream can't look complete."""
-        ...
-
-
 class Generations:
     """Finds engines for generations and keeps their streams going."""
 
     def __init__(
-        self, pool: Pool, sender: Sender, mover: Mover, rng: random.Random
+        self,
+        pool: Pool,
+        codec: Codec,
+        sender: Sender,
+        mover: Mover,
+        rng: random.Random,
     ) -> None:
-        """Takes what it chooses, sends and moves with."""
+        """Takes what it chooses, reads, sends and moves with."""
         self._pool = pool
+        self._codec = codec
         self._sender = sender
         self._mover = mover
         self._rng = rng
@@ -82,11 +63,11 @@
 
     @property
     def engines(self) -> list[Known]:
-        """The engines that have runs of this node, each once."""
+        """The engines with runs of this node that can be moved, each once."""
         servers = {
             run.server.entry.server_id: run.server
             for run in self._runs
-            if run.server is not None
+            if run.server is not None and run.can_move
         }
         return list(servers.values())
 
@@ -146,7 +127,7 @@
                 continue
             has_arrived = True
             may_have_run += 1
-            if not adm.route.is_idempotent or is_last:
+            if not adm.is_idempotent or is_last:
                 if isinstance(ended, Answered) and not sink.is_started:
                     return ended
                 broken = _as_broken(ended)
@@ -174,9 +155,9 @@
             if not isinstance(started, Started):
                 return started
             run.call = started.call
+            run.run_id = started.run_id
             ended = await self._relay(run, started, sink)
-            started.call.close()
-            run.call = None
+            self._end_call(run, is_complete=ended is None)
             if ended is None:
                 self._pool.work.judge(server.entry.server_id, is_success=True)
                 return None
@@ -240,20 +221,21 @@
         self, run: Run, started: Started, sink: EventSink
     ) -> Broken | None:
         """Passes on whole events; None once the stream is complete."""
-        splitter = EventSplitter()
+        reader = self._codec.events(started.run_id, run.resume_after)
         try:
             while True:
                 part = await started.call.read_part()
                 if part is None:
                     break
-                for event in splitter.feed(part):
+                for event in reader.feed(part):
                     await self._pass_on(run, started, sink, event)
+            rest = reader.end()
         except BrokenAnswerError as exc:
             return Broken(Reason.ANSWER_LOST, str(exc))
         if not sink.is_started:
             sink.start(started.head)
-        if splitter.rest:
-            await sink.send(splitter.rest)
+        if rest:
+            await sink.send(rest)
         sink.finish()
         log_complete(run)
         return None
@@ -302,8 +284,7 @@
         """Starts to move a run whose engine is leaving."""
         if run.move is not None or run.server is None or run.call is None:
             return
-        engine = run.adm.service.engine
-        if engine is None or not engine.can_move:
+        if not run.can_move:
             return
         if run.first_event_s is None or self._pool.is_staying(run.server):
             return
@@ -322,9 +303,7 @@
 
     def _release(self, run: Run) -> None:
         """Ends what a run holds at engines."""
-        if run.call is not None:
-            run.call.close()
-            run.call = None
+        self._end_call(run, is_complete=False)
         if run.move is not None:
             self._stop_move(run.move)
             run.move = None
@@ -332,6 +311,15 @@
         run.server = None
         self._queue.offer_room()
 
+    def _end_call(self, run: Run, *, is_complete: bool) -> None:
+        """Ends the call to an engine, and the run there if it goes on."""
+        if run.call is None:
+            return
+        run.call.close()
+        run.call = None
+        if not is_complete and run.server is not None:
+            self._sender.withdraw(run.server, run.run_id)
+
     def _stop_move(self, move: "asyncio.Task[NextPart | None]") -> None:
         if not move.done():
             move.cancel()
@@ -364,12 +352,13 @@
     ) -> Refused | None:
         """Ends a request that may have run."""
         log_broken(run, ending)
-        if sink.is_started:
-            sink.abort()
-            return None
         status = 504 if ending.reason is Reason.DEADLINE else 502
         message = "The engine gave no whole answer; the request may have run."
-        return Refused(status, ending.reason, message)
+        refused = Refused(status, ending.reason, message)
+        if not sink.is_started:
+            return refused
+        sink.fail(refused)
+        return None
 
 
 def _as_broken(ending: NotRun | Answered | Broken) -> Broken:
--- a/src/savorylift/exchange/plain_call.py
+++ b/src/savorylift/exchange/plain_call.py
@@ -79,7 +79,7 @@
                 return last
             if may_have_run >= adm.route.max_servers:
                 return _final(last)
-            if not adm.route.is_idempotent:
+            if not adm.is_idempotent:
                 return _final(last)
 
     def _patience(
@@ -87,7 +87,7 @@
     ) -> Patience:
         """Returns how long one server may keep a call."""
         until_s = adm.deadline_s
-        if not is_last and adm.route.is_idempotent:
+        if not is_last and adm.is_idempotent:
             objective_s = adm.route.objective_s or DEFAULT_OBJECTIVE_S
             until_s = time.monotonic() + PATIENCE * objective_s
         return Patience(
--- a/src/savorylift/exchange/pool.py
+++ b/src/savorylift/exchange/pool.py
@@ -125,6 +125,12 @@
             and entry.failure_domain not in self._knowledge.evacuated
         )
 
+    def note_cold(self, server: Known, *, is_cold: bool) -> None:
+        """Notes what a server said about its warmth."""
+        self._knowledge.registry.note_cold(
+            server.entry.server_id, is_cold=is_cold
+        )
+
     def is_staying(self, server: Known) -> bool:
         """Whether a server with work is neither leaving nor gone."""
         known = self._knowledge.registry.known.get(server.entry.server_id)
@@ -161,8 +167,13 @@
                 regions is None or self._region_of.get(domain) in regions
             ),
         )
+        loads = self._loads()
         for server in candidates:
-            if not server.is_cold(now_s) or self._cold_start.may_send(
+            load = loads.get(server.entry.server_id, Load())
+            is_cold = server.is_cold(now_s)
+            if not server.entry.bears(load.requests, is_cold=is_cold):
+                continue
+            if not is_cold or self._cold_start.may_send(
                 server.entry.server_id, service.cold_requests_per_s, nodes
             ):
                 yield server
--- a/src/savorylift/exchange/request.py
+++ b/src/savorylift/exchange/request.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from savorylift.outcomes import Reason
 from savorylift.wire.message import Headers
 
 
@@ -38,6 +39,10 @@
         generation: Size of a generation, if the request is for one.
         headers: Headers to pass on as they are.
         body: The body to pass on.
+        priority: Rank that the caller asks for, 0 first; None for its
+            team's or route's.
+        wants_whole: Whether a generation is answered whole, not streamed.
+        if_no_route: What it means that no route matches.
     """
 
     attempt_id: str
@@ -52,6 +57,9 @@
     generation: Generation | None
     headers: Headers
     body: bytes
+    priority: int | None = None
+    wants_whole: bool = False
+    if_no_route: Reason = Reason.NOT_FOUND
 
 
 class Continuation(NamedTuple):
@@ -76,6 +84,7 @@
         priority: Rank, 0 first, up to 9; None for the usual one.
         resume_after: Event after which a stream goes on.
         continuation: Memory from which a run goes on.
+        model_version: Version of the model that must answer, if one must.
     """
 
     server_id: str
@@ -84,6 +93,7 @@
     priority: int | None = None
     resume_after: str | None = None
     continuation: Continuation | None = None
+    model_version: str | None = None
 
 
 class AnswerHead(NamedTuple):
@@ -95,6 +105,8 @@
         is_ours: Whether it answers the request that was sent.
         is_not_run: Whether the server declares that it didn't run it.
         is_signed: Whether it carries the server's mark.
+        is_cold: Whether the server says that it is cold; None if it does
+            not speak of that.
     """
 
     status: int
@@ -102,6 +114,7 @@
     is_ours: bool
     is_not_run: bool
     is_signed: bool
+    is_cold: bool | None = None
 
     @property
     def is_success(self) -> bool:
--- a/src/savorylift/exchange/run.py
+++ b/src/savorylift/exchange/run.py
@@ -32,6 +32,7 @@
         tokens: Tokens that it is expected to reach.
         server: Engine that has it; None while it waits.
         call: Call to that engine; None before it and between engines.
+        run_id: The engine's name for the run.
         last_event: Number of the newest event passed on; None before one.
         move: Task that moves it to another engine, if one does.
         sent_s: Steady time at which it was given to its first engine.
@@ -50,6 +51,7 @@
         self.tokens = tokens
         self.server: Known | None = None
         self.call: ClientCall | None = None
+        self.run_id = ""
         self.last_event: int | None = None
         self.move: asyncio.Task[NextPart | None] | None = None
         self.sent_s = 0.0
@@ -66,6 +68,12 @@
         """The caller's name for the request."""
         return self.adm.req.attempt_id
 
+    @property
+    def can_move(self) -> bool:
+        """Whether its memory can be copied to another engine."""
+        engine = self.adm.service.engine
+        return engine is not None and engine.can_move
+
     @property
     def memory_tokens(self) -> int:
         """Tokens that it holds at its engine by now."""
--- a/src/savorylift/exchange/send.py
+++ b/src/savorylift/exchange/send.py
@@ -5,41 +5,36 @@
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
+import structlog
+
 from savorylift.backends.registry import Known
 from savorylift.exchange.admission import Admitted
+from savorylift.exchange.codec import Codec, Outgoing
 from savorylift.exchange.ending import Answered, NotRun, SendEnding, Unsure
 from savorylift.exchange.request import (
     AnswerHead,
-    CallerRequest,
     Continuation,
     Forwarding,
 )
 from savorylift.outcomes import Reason
 from savorylift.wire.channel import connect
-from savorylift.wire.client_call import BrokenAnswerError, ClientCall
-from savorylift.wire.message import Headers, ResponseHead
+from savorylift.wire.client_call import BrokenAnswerError, ClientCall, fetch
+from savorylift.wire.message import ResponseHead
 
 # Many round trips: a server that is there accepts within a few milliseconds.
 CONNECT_S = 0.2
 # How often another server is looked for once patience has ended.
 LOOK_AGAIN_S = 0.1
+WITHDRAW_S = 1.0
 
+_log = structlog.get_logger()
 
-class Codec(Protocol):
-    """How requests and answers look to callers and backend servers."""
-
-    def forwarded(self, req: CallerRequest, how: Forwarding) -> Headers:
-        """Returns the headers for a backend server."""
-        ...
 
-    def answer_head(self, head: ResponseHead, attempt_id: str) -> AnswerHead:
-        """Returns what the head of an answer says."""
-        ...
+class NoteCold(Protocol):
+    """Takes what a backend server says about its warmth."""
 
-    def refusal(
-        self, message: str, retry_after_s: float | None
-    ) -> tuple[Headers, bytes]:
-        """Returns headers and body of the system's own answer."""
+    def __call__(self, server: Known, *, is_cold: bool) -> None:
+        """Notes it."""
         ...
 
 
@@ -76,21 +71,34 @@
     Attributes:
         call: The call; its body is still to be read.
         head: The answer's head.
+        run_id: The server's name for the run.
     """
 
     call: ClientCall
     head: AnswerHead
+    run_id: str
 
 
 class Sender:
     """Makes calls to backend servers."""
 
     def __init__(
-        self, codec: Codec, is_usable: Callable[[Known], bool]
+        self,
+        codec: Codec,
+        is_usable: Callable[[Known], bool],
+        note_cold: NoteCold,
     ) -> None:
-        """Asks `is_usable` again when a connection is there."""
+        """Takes what it needs of the node.
+
+        Args:
+            codec: How requests and answers look.
+            is_usable: Asked again when a connection is there.
+            note_cold: Told what servers say about their warmth.
+        """
         self._codec = codec
         self._is_usable = is_usable
+        self._note_cold = note_cold
+        self._withdrawals: set[asyncio.Task[None]] = set()
 
     async def start(
         self,
@@ -119,11 +127,15 @@
             detail = "it began to leave"
             return NotRun(Reason.OUT_OF_SERVICE, detail, has_arrived=False)
         call = ClientCall(channel)
+        out = self._codec.outgoing(adm.req, _how(server, adm, resumption))
+        result: Started | NotRun | Unsure | None = None
         try:
-            return await self._exchange(call, server, adm, resumption, patience)
-        except BaseException:
-            call.close()
-            raise
+            result = await self._exchange(call, server, adm, out, patience)
+        finally:
+            if not isinstance(result, Started):
+                call.close()
+                self.withdraw(server, out.run_id)
+        return result
 
     async def send(
         self, server: Known, adm: Admitted, patience: Patience
@@ -153,39 +165,70 @@
             started.call.close()
         return Answered(head, answer.body)
 
+    def withdraw(self, server: Known, run_id: str) -> None:
+        """Ends a run that goes on without its connection, if need be."""
+        wanted = self._codec.withdrawal(run_id)
+        if wanted is None:
+            return
+        task = asyncio.get_running_loop().create_task(
+            _withdraw(server, *wanted)
+        )
+        self._withdrawals.add(task)
+        task.add_done_callback(self._withdrawals.discard)
+
     async def _exchange(
         self,
         call: ClientCall,
         server: Known,
         adm: Admitted,
-        resumption: Resumption,
+        out: Outgoing,
         patience: Patience,
     ) -> Started | Unsure:
-        req = adm.req
-        how = Forwarding(
-            server_id=server.entry.server_id,
-            time_left_s=adm.deadline_s - time.monotonic(),
-            team=None if adm.team is None else adm.team.name,
-            priority=adm.priority if req.generation is not None else None,
-            resume_after=resumption.after,
-            continuation=resumption.continuation,
-        )
-        headers = self._codec.forwarded(req, how)
-        call.send(req.method, req.target, headers, req.body)
+        call.send(out.method, out.target, out.headers, out.body)
         try:
             raw = await _read_head(call, patience)
         except TimeoutError:
-            call.close()
             return Unsure(Reason.DEADLINE, "no answer in time")
         except BrokenAnswerError as exc:
-            call.close()
             return Unsure(Reason.ANSWER_LOST, str(exc))
-        head = self._codec.answer_head(raw, req.attempt_id)
+        head = self._codec.answer_head(raw, adm.req)
         fault = _find_fault(head)
         if fault is not None:
-            call.close()
             return Unsure(Reason.ANSWER_LOST, fault)
-        return Started(call, head)
+        if head.is_cold is not None:
+            self._note_cold(server, is_cold=head.is_cold)
+        return Started(call, head, out.run_id)
+
+
+def _how(server: Known, adm: Admitted, resumption: Resumption) -> Forwarding:
+    is_generation = adm.req.generation is not None
+    return Forwarding(
+        server_id=server.entry.server_id,
+        time_left_s=adm.deadline_s - time.monotonic(),
+        team=None if adm.team is None else adm.team.name,
+        priority=adm.priority if is_generation else None,
+        resume_after=resumption.after,
+        continuation=resumption.continuation,
+        model_version=adm.service.model_version,
+    )
+
+
+async def _withdraw(server: Known, method: str, target: str) -> None:
+    try:
+        await fetch(
+            server.entry.address,
+            method,
+            target,
+            timeout_s=WITHDRAW_S,
+            connect_s=CONNECT_S,
+        )
+    except (OSError, BrokenAnswerError) as exc:
+        _log.info(
+            "not_withdrawn",
+            server=server.entry.server_id,
+            target=target,
+            detail=f"{type(exc).__name__}: {exc}",
+        )
 
 
 async def _read_head(call: ClientCall, patience: Patience) -> ResponseHead:
--- a/src/savorylift/fleet/knowledge.py
+++ b/src/savorylift/fleet/knowledge.py
@@ -236,5 +236,6 @@
             return
         self._operators[self._decoders.configuration_key] = value
         self.configuration = cfg
+        self.registry.set_fixed(cfg.servers)
         self.is_configured.set()
         _log.info("configuration", version=cfg.version)
--- a/src/savorylift/front/caller_door.py
+++ b/src/savorylift/front/caller_door.py
@@ -10,18 +10,17 @@
 from savorylift.account.counts import RefusalCounts
 from savorylift.exchange import counters
 from savorylift.exchange.admission import Admitted, admit
+from savorylift.exchange.codec import Codec
 from savorylift.exchange.ending import Answered, Refused
 from savorylift.exchange.generation import Generations
 from savorylift.exchange.plain_call import PlainCalls, within_deadline
 from savorylift.exchange.pool import Pool
 from savorylift.exchange.request import AnswerHead, CallerRequest
-from savorylift.exchange.send import Codec
 from savorylift.fleet.knowledge import Knowledge
 from savorylift.front.life import Life
 from savorylift.outcomes import Reason
-from savorylift.platform.ingress import decode_request
 from savorylift.routing.configuration import Kind
-from savorylift.wire.message import Request
+from savorylift.wire.message import Headers, Request
 from savorylift.wire.server_connection import (
     BadRequest,
     Closing,
@@ -47,11 +46,20 @@
         self.is_started = False
         self.is_aborted = False
 
+    @property
+    def is_gone(self) -> bool:
+        """Whether the caller has left."""
+        return self._conn.channel.is_ended
+
     def start(self, head: AnswerHead) -> None:
         """Sends the head."""
         self.is_started = True
         self._conn.start_response(head.status, head.headers)
 
+    def write(self, data: bytes) -> None:
+        """Sends a part of the body without waiting for the caller."""
+        self._conn.send_body(data)
+
     async def send(self, data: bytes) -> None:
         """Sends a part of the body, at the caller's pace."""
         self._conn.send_body(data)
@@ -61,7 +69,12 @@
         """Ends the stream as complete."""
         self._conn.end_response()
 
-    def abort(self) -> None:
+    def respond(self, status: int, headers: Headers, body: bytes) -> None:
+        """Sends a whole answer in place of a stream."""
+        self.is_started = True
+        self._conn.respond(status, headers, body)
+
+    def fail(self, refused: Refused) -> None:  # noqa: ARG002
         """Ends the connection without the end of the body."""
         self.is_aborted = True
         self._conn.is_closing = True
@@ -112,10 +125,9 @@
         await conn.channel.close_gently()
 
     async def _exchange(self, conn: ServerConnection, req: Request) -> None:
-        decoded = decode_request(req)
+        decoded = self._codec.request(req)
         if not is_successful(decoded):
-            refused = Refused(400, Reason.BAD_REQUEST, decoded.failure())
-            self._answer(conn, None, refused)
+            self._answer(conn, None, decoded.failure())
             return
         asked = decoded.unwrap()
         self._life.begin()
@@ -168,10 +180,11 @@
             self._answer(conn, asked, refused)
             return
         if adm.route.kind is Kind.STREAM:
-            sink = CallerSink(conn)
+            caller = CallerSink(conn)
+            sink = self._codec.sink(asked, caller)
             answer = await self._generations.serve(adm, sink)
             if answer is None:
-                self._log_stream(adm, sink)
+                self._log_stream(adm, caller)
                 return
         else:
             answer = await within_deadline(adm, self._calls)
@@ -210,9 +223,7 @@
             reason = "answered"
         else:
             status = answer.status
-            headers, body = self._codec.refusal(
-                answer.message, answer.retry_after_s
-            )
+            headers, body = self._codec.refusal(asked, answer)
             conn.respond(status, headers, body)
             reason = answer.reason.value
             self._account_for(asked, answer.reason, status)
@@ -258,7 +269,8 @@
 
     def _refuse_unread(self, conn: ServerConnection, req: BadRequest) -> None:
         conn.is_closing = True
-        headers, body = self._codec.refusal(req.message, None)
+        refused = Refused(req.status, Reason.BAD_REQUEST, req.message)
+        headers, body = self._codec.refusal(None, refused)
         conn.respond(req.status, headers, body)
         counters.ANSWERS.labels(str(req.status)).inc()
         self._account_for(None, Reason.BAD_REQUEST, req.status)
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -114,9 +114,9 @@
             cfg.regions,
         )
         codec = PlatformCodec()
-        sender = Sender(codec, self._pool.is_usable)
+        sender = Sender(codec, self._pool.is_usable, self._pool.note_cold)
         self._generations = Generations(
-            self._pool, sender, Mover(self._pool), rng
+            self._pool, codec, sender, Mover(self._pool), rng
         )
         counts = RefusalCounts(cfg.vm, self._incarnation)
         door = CallerDoor(
--- a/src/savorylift/platform/ingress.py
+++ b/src/savorylift/platform/ingress.py
@@ -5,6 +5,9 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from savorylift.exchange.codec import CallerStream, Outgoing
+from savorylift.exchange.ending import Refused
+from savorylift.exchange.events import EventSplitter
 from savorylift.exchange.request import (
     AnswerHead,
     CallerRequest,
@@ -12,6 +15,7 @@
     Forwarding,
     Generation,
 )
+from savorylift.outcomes import Reason
 from savorylift.platform import headers as names
 from savorylift.wire.message import (
     Headers,
@@ -25,21 +29,52 @@
 
 
 class PlatformCodec:
-    """The platform's form of requests and answers."""
+    """The platform's form of requests, answers and streams."""
 
-    def forwarded(self, req: CallerRequest, how: Forwarding) -> Headers:
-        """Returns the headers for a backend server."""
-        return encode_forwarded(req, how)
+    def request(self, req: Request) -> Result[CallerRequest, Refused]:
+        """Returns what a caller asks for, or why that can't be told."""
+        return decode_request(req).alt(
+            lambda fault: Refused(400, Reason.BAD_REQUEST, fault)
+        )
+
+    def outgoing(self, req: CallerRequest, how: Forwarding) -> Outgoing:
+        """Returns the request for a backend server, under the caller's id."""
+        headers = encode_forwarded(req, how)
+        return Outgoing(
+            req.attempt_id, req.method, req.target, headers, req.body
+        )
+
+    def withdrawal(self, run_id: str) -> None:  # noqa: ARG002
+        """Returns None: servers drop a run whose connection is closed."""
+        return
 
-    def answer_head(self, head: ResponseHead, attempt_id: str) -> AnswerHead:
+    def answer_head(self, head: ResponseHead, req: CallerRequest) -> AnswerHead:
         """Returns what the head of an answer says."""
-        return decode_answer_head(head, attempt_id)
+        return decode_answer_head(head, req.attempt_id)
+
+    def events(
+        self,
+        run_id: str,  # noqa: ARG002
+        resume_after: str | None,  # noqa: ARG002
+    ) -> EventSplitter:
+        """Returns a reader; servers themselves go on after an event."""
+        return EventSplitter()
+
+    def sink(
+        self,
+        req: CallerRequest,  # noqa: ARG002
+        caller: CallerStream,
+    ) -> CallerStream:
+        """Returns the caller's connection: events pass unchanged."""
+        return caller
 
     def refusal(
-        self, message: str, retry_after_s: float | None
+        self,
+        req: CallerRequest | None,  # noqa: ARG002
+        refused: Refused,
     ) -> tuple[Headers, bytes]:
         """Returns headers and body of the system's own answer."""
-        return encode_refusal(message, retry_after_s)
+        return encode_refusal(refused.message, refused.retry_after_s)
 
 
 def decode_request(req: Request) -> Result[CallerRequest, str]:
--- a/src/savorylift/routing/configuration.py
+++ b/src/savorylift/routing/configuration.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from savorylift.backends.server import ServerEntry
 from savorylift.wire.server_connection import InputLimits
 
 
@@ -45,6 +46,8 @@
         can_resume: Whether a stream may go on at another server.
         gap_objective_s: Longest pause between events that is on time.
         regions: Regions that the request must stay in; empty for any.
+        repeatable_methods: Methods whose requests may run more than once,
+            whatever the kind.
     """
 
     name: str
@@ -60,6 +63,7 @@
     can_resume: bool
     gap_objective_s: float | None
     regions: frozenset[str] = frozenset()
+    repeatable_methods: frozenset[str] = frozenset()
 
     @property
     def is_idempotent(self) -> bool:
@@ -97,25 +101,46 @@
         cold_requests_per_s: Requests a second that a server bears while it
             is cold; None without a limit.
         engine: Traits of its model engines; None for a plain service.
+        model_version: Version of the model that must answer, if one must.
     """
 
     name: str
     cold_requests_per_s: float | None
     engine: EngineTraits | None
+    model_version: str | None = None
+
+
+class Source(NamedTuple):
+    """A rule, and who asked for it.
+
+    Attributes:
+        rule: Its text.
+        asked_by: Who asked for it.
+    """
+
+    rule: str
+    asked_by: str
 
 
 class Team(NamedTuple):
-    """A team and its rank.
+    """A team, its rank and its limits.
 
     Attributes:
         name: Name of the team.
         priority: Rank that goes before the route's; None without one.
         regions: Regions that its requests must stay in; empty for any.
+        services: Services that it may use; None for all.
+        most_open: Requests that it may have open on one node; None for any
+            number.
+        source: The rule that names it, if one does.
     """
 
     name: str
     priority: int | None
     regions: frozenset[str] = frozenset()
+    services: frozenset[str] | None = None
+    most_open: int | None = None
+    source: Source | None = None
 
 
 class Configuration(NamedTuple):
@@ -127,6 +152,7 @@
         services: Services by name.
         teams_by_key: Teams by API key; None where no key is asked for.
         limits: What callers may send.
+        servers: Backend servers that the configuration itself names.
     """
 
     version: int
@@ -134,6 +160,7 @@
     services: Mapping[str, Service]
     teams_by_key: Mapping[str, Team] | None
     limits: InputLimits
+    servers: tuple[ServerEntry, ...] = ()
 
 
 def home_regions(cfg: Configuration, host: str) -> frozenset[str]:
--- a/tests/exchange/test_events.py
+++ b/tests/exchange/test_events.py
@@ -16,7 +16,7 @@
     for start in range(0, len(STREAM), step):
         events += splitter.feed(STREAM[start : start + step])
     assert [event.number for event in events] == [1, 2, None]
-    assert splitter.rest == b"id: 3"
+    assert splitter.end() == b"id: 3"
 
 
 @given(st.lists(st.binary(max_size=8), max_size=20))
@@ -25,5 +25,5 @@
     passed = b"".join(
         event.data for part in parts for event in splitter.feed(part)
     )
-    assert passed + splitter.rest == b"".join(parts)
+    assert passed + splitter.end() == b"".join(parts)
     assert passed == b"" or passed.endswith(b"\n\n")
