--- a/src/savorylift/calls/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Calls to plain services, at most once where they must be."""
