--- a/src/savorylift/streams/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Generations: relay, resume, replay and length estimates."""
