--- a/src/savorylift/refusals/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The account of requests that were turned away."""
