Share contended room between teams by their weights

Waiting generations now go by start-time fair queueing over tokens, within what is in time and equally urgent. Test against first come, first served: with 12 and 12 asked for and room for 12, the second team got 0 before and gets 6 now; weights 1 and 3 get 4 and 12 of 16 places.

--- a/src/savorylift/exchange/engine_queue.py
+++ b/src/savorylift/exchange/engine_queue.py
@@ -11,7 +11,7 @@
 from savorylift.exchange.send import Patience
 from savorylift.placement.engines import EngineOptions
 from savorylift.placement.reading_rate import ReadingRate
-from savorylift.placement.waiting import Waiting
+from savorylift.placement.waiting import Claim, Waiting
 from savorylift.routing.configuration import EngineTraits
 
 DEFAULT_OBJECTIVE_S = 2.0
@@ -64,7 +64,7 @@
         counters.WAITING.inc()
         try:
             async with asyncio.timeout_at(_hold_until(adm)):
-                return await waiting.wait(adm.priority, in_time_s, choose)
+                return await waiting.wait(_claim(run), in_time_s, choose)
         except TimeoutError:
             return None
         finally:
@@ -105,6 +105,13 @@
         return EngineOptions(engine, run.tokens, prompt, most_unread)
 
 
+def _claim(run: Run) -> Claim:
+    team = run.adm.team
+    if team is None:
+        return Claim(run.adm.priority, "", run.tokens)
+    return Claim(run.adm.priority, team.name, run.tokens / team.weight)
+
+
 def _objective(adm: Admitted) -> float:
     """Returns the time within which the first event is due."""
     return adm.route.objective_s or DEFAULT_OBJECTIVE_S
--- a/src/savorylift/routing/configuration.py
+++ b/src/savorylift/routing/configuration.py
@@ -132,6 +132,7 @@
         services: Services that it may use; None for all.
         most_open: Requests that it may have open on one node; None for any
             number.
+        weight: Share of contended room, relative to other teams.
         source: The rule that names it, if one does.
     """
 
@@ -140,6 +141,7 @@
     regions: frozenset[str] = frozenset()
     services: frozenset[str] | None = None
     most_open: int | None = None
+    weight: int = 1
     source: Source | None = None
 
 
--- a/src/savorylift/rules/configuration.py
+++ b/src/savorylift/rules/configuration.py
@@ -127,6 +127,7 @@
         priority=None,
         services=usable,
         most_open=team.max_in_flight or None,
+        weight=team.weight,
         source=Source(team.source.text, team.source.asked_by),
     )
 
--- a/tests/placement/test_waiting.py
+++ b/tests/placement/test_waiting.py
@@ -4,7 +4,8 @@
 import time
 
 from savorylift.backends.registry import Known
-from savorylift.placement.waiting import PASSED_BY_S, Waiting
+from savorylift.placement.fair_share import FairShare
+from savorylift.placement.waiting import PASSED_BY_S, Claim, Waiting
 from tests.exchange.fakes import known
 from tests.wire.pair import run
 
@@ -33,10 +34,12 @@
     priority: int,
     tokens: int,
     in_time_s: float = 9.0,
+    team: str = "",
+    weight: int = 1,
 ) -> "asyncio.Task[Known]":
     return asyncio.ensure_future(
         waiting.wait(
-            priority,
+            Claim(priority, team, tokens / weight),
             time.monotonic() + in_time_s,
             lambda: room.take(name, tokens),
         )
@@ -108,3 +111,59 @@
         assert room.order == ["in time", "late"]
 
     run(scene())
+
+
+async def flood(weights: dict[str, int], *, rounds: int) -> list[str]:
+    """Returns whose generations go first when one team floods the others.
+
+    The first team asks for all of its generations before the others ask.
+    """
+    waiting, room = Waiting(), Room()
+    tasks = []
+    for team, weight in weights.items():
+        for _ in range(rounds):
+            task = wait(waiting, room, team, 1, 1, team=team, weight=weight)
+            tasks.append(task)
+            await asyncio.sleep(0)
+    for _ in range(rounds):
+        room.tokens = 1
+        waiting.offer()
+        await asyncio.sleep(0)
+    for task in tasks:
+        task.cancel()
+    return room.order
+
+
+def test_team_that_floods_the_queue_gets_its_share_only() -> None:
+    async def scene() -> None:
+        order = await flood({"loud": 1, "calm": 1}, rounds=12)
+        assert order.count("calm") == 6
+        # First come, first served would leave nothing for the other team.
+        assert order[:2] == ["loud", "calm"]
+
+    run(scene())
+
+
+def test_weights_divide_contended_room() -> None:
+    async def scene() -> None:
+        order = await flood({"small": 1, "large": 3}, rounds=16)
+        assert order.count("large") == 12
+
+    run(scene())
+
+
+def test_team_that_was_idle_saves_nothing_up() -> None:
+    share = FairShare()
+    for _ in range(50):
+        share.charge("busy", 1.0)
+    share.charge("idle", 1.0)
+    assert share.tag("idle") >= 49.0
+    assert share.tag("idle") - share.tag("busy") <= 1.0
+
+
+def test_forgets_teams_that_are_not_ahead() -> None:
+    share = FairShare()
+    for number in range(1000):
+        share.charge(f"team-{number}", 1.0)
+        share.charge("busy", 2.0)
+    assert len(share._tags) < 10
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized faults against the real programs, as separate processes."""
