Keep a reload that is asked for while a node starts

Cause: SIGHUP ended a process whose imports weren't done, as it had no handler yet. The handler is now set before anything else is imported, and a reload that came meanwhile is made once the node runs.

--- a/src/savorylift/cli.py
+++ b/src/savorylift/cli.py
@@ -9,6 +9,7 @@
 from returns.pipeline import is_successful
 
 from savorylift.account.printing import Format
+from savorylift.front.early_reload import hold_reloads
 from savorylift.front.process import run_node
 from savorylift.front.settings import FrontSettings
 from savorylift.operators import (
@@ -47,7 +48,7 @@
 
     def run(self) -> int:
         """Serves until a signal."""
-        return run_node(self.settings)
+        return run_node(self.settings, hold_reloads())
 
 
 @cappa.command(name="check")
--- a/src/savorylift/front/__main__.py
+++ b/src/savorylift/front/__main__.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from savorylift.front.process import run_node
+from savorylift.front.early_reload import hold_reloads
 
 
 def main() -> int:
@@ -10,7 +10,11 @@
     if len(sys.argv) != 2:
         print("usage: python -m savorylift.front SETTINGS", file=sys.stderr)
         return 2
-    return run_node(sys.argv[1])
+    early = hold_reloads()
+    # Imports take most of a start.
+    from savorylift.front.process import run_node
+
+    return run_node(sys.argv[1], early)
 
 
 if __name__ == "__main__":
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -28,6 +28,7 @@
 from savorylift.fleet.seal import Seal
 from savorylift.fleet.state import Delta, NodeState, Topic
 from savorylift.front.caller_door import CallerDoor, DoorOptions
+from savorylift.front.early_reload import EarlyReload
 from savorylift.front.interface import choose_interface
 from savorylift.front.life import Life
 from savorylift.front.peering import Peering
@@ -181,12 +182,18 @@
             self._peering.tell(None)
         self._stopped.set()
 
-    async def run(self) -> None:
-        """Runs until a signal has ended the node."""
+    async def run(self, early: EarlyReload | None = None) -> None:
+        """Runs until a signal has ended the node.
+
+        Args:
+            early: Notes a reload that was asked for before.
+        """
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.leave)
         loop.add_signal_handler(signal.SIGINT, self.leave)
         loop.add_signal_handler(signal.SIGHUP, self.reload)
+        if early is not None and early.is_asked:
+            self.reload()
         await self._listen()
         _log.info(
             "start",
--- a/tests/front/test_program.py
+++ b/tests/front/test_program.py
@@ -1,5 +1,6 @@
 """Tests of the program as a process: settings, signals, start-up."""
 
+import importlib
 import json
 import os
 import pathlib
@@ -10,9 +11,11 @@
 
 import pytest
 
+from savorylift.front.early_reload import EarlyReload
 from tests.harness.ports import free_addresses
 
 START_S = 15.0
+NODE_WORDS = ["node", "--settings", "s.json"]
 
 pytestmark = pytest.mark.processes
 
@@ -106,3 +109,27 @@
     finally:
         process.kill()
         process.communicate()
+
+
+@pytest.mark.parametrize("module", ["savorylift.front", "savorylift"])
+def test_reload_that_is_asked_for_during_the_start_is_kept(
+    module: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    asked: list[bool] = []
+
+    def run_node(_path: str, early: EarlyReload) -> int:
+        os.kill(os.getpid(), signal.SIGHUP)
+        asked.append(early.is_asked)
+        return 0
+
+    before = signal.getsignal(signal.SIGHUP)
+    monkeypatch.setattr("savorylift.front.process.run_node", run_node)
+    monkeypatch.setattr("savorylift.cli.run_node", run_node)
+    words = ["s.json"] if module != "savorylift" else NODE_WORDS
+    monkeypatch.setattr(sys, "argv", [module, *words])
+    try:
+        with pytest.raises(SystemExit, match="0"):
+            sys.exit(importlib.import_module(f"{module}.__main__").main())
+    finally:
+        signal.signal(signal.SIGHUP, before)
+    assert asked == [True]
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -13,7 +13,8 @@
 FOR_S = 6.0
 
 
-@pytest.mark.parametrize("seed", [1, 2])
+# 102: a SIGHUP during the start ended the process.
+@pytest.mark.parametrize("seed", [1, 102])
 def test_promises_are_kept(seed: int, tmp_path: pathlib.Path) -> None:
     outcome = play(seed, tmp_path, FOR_S)
     assert not outcome.faults, "\n".join([*outcome.faults, *outcome.troubles])
