Split the relay, final answers, registration and status from large files

Traced: the order back was refused, truthfully, as the store was silent at that moment, and the soak didn't give it again; it does now.

--- a/src/savorylift/account/counts.py
+++ b/src/savorylift/account/counts.py
@@ -51,29 +51,16 @@
         return hashlib.blake2b(identity, digest_size=KEY_BYTES).hexdigest()
 
     def encode(self) -> bytes:
-        """Returns the record's value."""
-        return msgspec.json.encode(self._asdict())
-
-
-class _Document(msgspec.Struct):
-    minute_s: int
-    team: str
-    reason: Reason
-    status: int
-    node: str
-    incarnation: int
-    rule: str
-    asked_by: str
-    requests: int
+        """Returns the record's value: the fields in order."""
+        return msgspec.json.encode(self)
 
 
 def decode_count(value: bytes) -> Result[Count, str]:
     """Returns the count in a record, or what is wrong with it."""
     try:
-        found = msgspec.json.decode(value, type=_Document)
+        return Success(msgspec.json.decode(value, type=Count))
     except (msgspec.DecodeError, UnicodeDecodeError) as exc:
         return Failure(str(exc))
-    return Success(Count(**msgspec.structs.asdict(found)))
 
 
 class RefusalCounts:
--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -15,32 +15,21 @@
     Unsure,
 )
 from savorylift.exchange.engine_queue import EngineQueue
-from savorylift.exchange.events import Event
 from savorylift.exchange.mover import Mover
 from savorylift.exchange.pool import Pool
+from savorylift.exchange.relay import Relay
 from savorylift.exchange.request import Generation
 from savorylift.exchange.run import NextPart, Run
-from savorylift.exchange.run_log import (
-    log_broken,
-    log_complete,
-    log_first_event,
-    log_move_failure,
-    log_sent,
-)
+from savorylift.exchange.run_log import log_move_failure, log_sent
 from savorylift.exchange.send import Patience, Resumption, Sender, Started
+from savorylift.exchange.unserved import as_broken, give_up, refuse
 from savorylift.outcomes import Reason
 from savorylift.placement.engines import expected_tokens
-from savorylift.wire.client_call import BrokenAnswerError
 
-# Engines that are full free some memory within about a second.
-FULL_RETRY_S = 1.0
-FULL_RETRY_SPREAD_S = 0.5
 # A connection may fail once on a link that loses packets.
 RESUME_TRIES = 2
 # A source that was told to stop ends its stream within this time.
 SWITCH_S = 1.0
-# A connection may fall silent for good; engines pause for less.
-STALL_S = 1.0
 
 
 class Generations:
@@ -56,11 +45,13 @@
     ) -> None:
         """Takes what it chooses, reads, sends and moves with."""
         self._pool = pool
-        self._codec = codec
         self._sender = sender
         self._mover = mover
         self._rng = rng
         self._queue = EngineQueue(pool)
+        self._relay = Relay(
+            codec, self._queue.note_first_event, self._consider_move
+        )
         self._runs: set[Run] = set()
 
     @property
@@ -90,7 +81,7 @@
                 return await self._serve(run, sink)
         except TimeoutError:
             detail = "the time for the request is over"
-            return self._give_up(run, sink, Broken(Reason.DEADLINE, detail))
+            return give_up(run, sink, Broken(Reason.DEADLINE, detail))
         finally:
             self._runs.discard(run)
             self._release(run)
@@ -132,13 +123,20 @@
             if not adm.is_idempotent or is_last:
                 if isinstance(ended, Answered) and not sink.is_started:
                     return ended
-                broken = _as_broken(ended)
-                return self._end(run, sink, broken, may_have_run)
+                return give_up(run, sink, as_broken(ended))
             if isinstance(ended, Answered):
                 reason = Reason.BACKEND_ERROR
             else:
                 reason = ended.reason
 
+    def _end(
+        self, run: Run, sink: EventSink, ending: Broken, may_have_run: int
+    ) -> Refused | None:
+        """Ends a request that no further engine takes."""
+        if may_have_run:
+            return give_up(run, sink, ending)
+        return refuse(sink, ending.reason, self._rng)
+
     async def _run_at(
         self,
         run: Run,
@@ -158,7 +156,7 @@
                 return started
             run.call = started.call
             run.withdrawal = started.withdrawal
-            ended = await self._relay(run, started, sink, patience)
+            ended = await self._relay.run(run, started, sink, patience)
             self._end_call(run, is_complete=ended is None)
             if ended is None:
                 self._pool.work.judge(server.entry.server_id, is_success=True)
@@ -169,7 +167,7 @@
             run.moves += 1
             resumed = await self._go_on(run, part)
             if not isinstance(resumed, Started):
-                return _as_broken(resumed)
+                return as_broken(resumed)
             assert run.server is not None
             server = run.server
             started = resumed
@@ -219,50 +217,6 @@
             return await self._read_failure(run, started)
         return started
 
-    async def _relay(
-        self, run: Run, started: Started, sink: EventSink, patience: Patience
-    ) -> Broken | None:
-        """Passes on whole events; None once the stream is complete."""
-        reader = self._codec.events(started.run_id, run.resume_after)
-        try:
-            while True:
-                part = await _read_part(started, patience)
-                if part is None:
-                    break
-                for event in reader.feed(part):
-                    await self._pass_on(run, started, sink, event)
-            rest = reader.end()
-        except BrokenAnswerError as exc:
-            return Broken(Reason.ANSWER_LOST, str(exc))
-        if not sink.is_started:
-            sink.start(started.head)
-        if rest:
-            await sink.send(rest)
-        sink.finish()
-        log_complete(run)
-        return None
-
-    async def _pass_on(
-        self, run: Run, started: Started, sink: EventSink, event: Event
-    ) -> None:
-        data, number = event
-        if number is not None and run.last_event is not None:
-            if number <= run.last_event:
-                return
-            if number > run.last_event + 1:
-                raise BrokenAnswerError(
-                    f"event {number} came after {run.last_event}"
-                )
-        if not sink.is_started:
-            sink.start(started.head)
-            log_first_event(run)
-        if run.awaits_first_event:
-            run.awaits_first_event = False
-            self._queue.note_first_event(run)
-        run.note_event(number)
-        await sink.send(data)
-        self._consider_move(run)
-
     async def _next_part(self, run: Run) -> NextPart | None:
         """Returns where a stopped run goes on, if it was moved."""
         if run.move is None:
@@ -334,60 +288,3 @@
     def _end_work(self, run: Run) -> None:
         if run.server is not None:
             self._pool.work.end(run.server.entry.server_id, run.attempt_id)
-
-    def _end(
-        self,
-        run: Run,
-        sink: EventSink,
-        ending: Broken,
-        may_have_run: int,
-    ) -> Refused | None:
-        """Ends a request that no engine can serve."""
-        if may_have_run:
-            return self._give_up(run, sink, ending)
-        message = "No engine has room for the request; it did not run."
-        retry_s = FULL_RETRY_S + self._rng.uniform(0, FULL_RETRY_SPREAD_S)
-        refused = Refused(503, ending.reason, message, retry_s)
-        if not sink.is_started:
-            return refused
-        sink.fail(refused)
-        return None
-
-    def _give_up(
-        self, run: Run, sink: EventSink, ending: Broken
-    ) -> Refused | None:
-        """Ends a request that may have run."""
-        log_broken(run, ending)
-        status = 504 if ending.reason is Reason.DEADLINE else 502
-        message = "The engine gave no whole answer; the request may have run."
-        refused = Refused(status, ending.reason, message)
-        if not sink.is_started:
-            return refused
-        sink.fail(refused)
-        return None
-
-
-async def _read_part(started: Started, patience: Patience) -> bytes | None:
-    """Returns the next part of a stream, None after the last one.
-
-    Raises:
-        BrokenAnswerError: The rest won't come, or not while another engine
-            could make it again.
-    """
-    while True:
-        try:
-            async with asyncio.timeout(STALL_S):
-                return await started.call.read_part()
-        except TimeoutError:
-            if patience.may_give_up and patience.has_alternative():
-                raise BrokenAnswerError("the stream stalled") from None
-
-
-def _as_broken(ending: NotRun | Answered | Broken) -> Broken:
-    """Returns how a run that has begun ended, when it could not go on."""
-    if isinstance(ending, Broken):
-        return ending
-    if isinstance(ending, NotRun):
-        return Broken(ending.reason, f"could not go on: {ending.detail}")
-    detail = f"could not go on: {ending.head.status}"
-    return Broken(Reason.BACKEND_ERROR, detail)
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -5,10 +5,9 @@
 import random
 import signal
 import time
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable
 
 import structlog
-from prometheus_client import generate_latest
 from returns.pipeline import is_successful
 from returns.result import Result
 
@@ -25,15 +24,17 @@
 from savorylift.fleet.knowledge import Knowledge
 from savorylift.fleet.link import snapshot_handler
 from savorylift.fleet.membership import Membership
+from savorylift.fleet.registration import Registration
 from savorylift.fleet.seal import Seal
 from savorylift.fleet.state import Delta, NodeState, Topic
 from savorylift.front.caller_door import CallerDoor, DoorOptions
 from savorylift.front.early_reload import EarlyReload
 from savorylift.front.interface import choose_interface
 from savorylift.front.life import Life
+from savorylift.front.operator_handler import operator_handler
 from savorylift.front.peering import Peering
 from savorylift.front.settings import FrontSettings
-from savorylift.front.status import STATUS_PATH, Status, encode_status
+from savorylift.front.status import Status
 from savorylift.front.tasks import Tasks
 from savorylift.platform.directory import (
     Addresses,
@@ -42,7 +43,6 @@
     readiness_handler,
 )
 from savorylift.platform.store import (
-    NODES,
     SERVERS,
     Record,
     StoreClient,
@@ -50,7 +50,7 @@
 from savorylift.routing.configuration import home_regions
 from savorylift.settings_file import SettingsFault
 from savorylift.tls import server_context
-from savorylift.wire.address import parse_address, split_address
+from savorylift.wire.address import split_address
 from savorylift.wire.listener import Listener, answering
 from savorylift.wire.message import Request, Response
 from savorylift.wire.server_connection import InputLimits
@@ -61,9 +61,6 @@
 # changes of the fleet within seconds.
 ENTRY_TTL_S = 1.5
 UPKEEP_S = 0.2
-# A node without peers asks the store where others may be.
-LONELY_S = 3.0
-METRICS_PATH = "/metrics"
 INCARNATION_BITS = 48
 
 _log = structlog.get_logger()
@@ -165,6 +162,12 @@
             learned=self._on_learned,
             heard=self._on_heard,
         )
+        self._registration = Registration(
+            self._store,
+            self._membership,
+            Record(self._ip, cfg.caller_listen.encode()),
+            lambda: self._peering.link.send(to_silent=True),
+        )
         self._door = Listener(door.serve, self._limits)
         self._tls = server_context(cfg.caller_tls)
 
@@ -205,7 +208,7 @@
         self._tasks.spawn(self._operators.run())
         self._tasks.spawn(self._servers.run())
         self._tasks.spawn(self._keep_up())
-        self._tasks.spawn(self._register())
+        self._tasks.spawn(self._registration.run())
         self._tasks.spawn(self._account.run())
         self._tasks.spawn(self._watch.run())
         if self._loads is not None:
@@ -226,7 +229,7 @@
         readiness = readiness_handler(lambda: self._is_ready)
         await self._serve_short(self._cfg.readiness_listen, readiness)
         metrics = f"{self._ip}:{self._cfg.metrics_port}"
-        await self._serve_short(metrics, self._answer_operator)
+        await self._serve_short(metrics, operator_handler(self._status))
         await self._door.start(
             *split_address(self._cfg.caller_listen), self._tls
         )
@@ -333,36 +336,6 @@
             else:
                 self._generations.on_change()
 
-    async def _register(self) -> None:
-        """Makes this node known in the store, and finds others there."""
-        me = Record(self._ip, self._cfg.caller_listen.encode())
-        is_added = False
-        while True:
-            if not is_added:
-                is_added = is_successful(await self._store.append(NODES, [me]))
-            found = await self._store.list_newest(NODES)
-            self._add_addresses(found.map(lambda b: b.records).value_or(()))
-            await asyncio.sleep(LONELY_S)
-            if is_added and any(self._membership.live(time.monotonic())):
-                return
-
-    def _add_addresses(self, records: Iterable[Record]) -> None:
-        now_s = time.monotonic()
-        for record in records:
-            if parse_address(f"{record.key}:1") is not None:
-                self._membership.add_address(record.key, now_s)
-        self._peering.link.send(to_silent=True)
-
-    async def _answer_operator(self, req: Request) -> Response:
-        path = req.target.partition("?")[0]
-        if path == METRICS_PATH:
-            headers = (("content-type", "text/plain; version=0.0.4"),)
-            return Response(200, headers, generate_latest())
-        if path == STATUS_PATH:
-            headers = (("content-type", "application/json"),)
-            return Response(200, headers, encode_status(self._status()))
-        return Response(404, ())
-
     def _status(self) -> Status:
         now_s = time.monotonic()
         servers = self._knowledge.registry.known.values()
--- /dev/null
+++ b/src/savorylift/front/operator_handler.py
@@ -0,0 +1,28 @@
+"""What operators and their tools ask a node."""
+
+from collections.abc import Awaitable, Callable
+
+from prometheus_client import generate_latest
+
+from savorylift.front.status import STATUS_PATH, Status, encode_status
+from savorylift.wire.message import Request, Response
+
+METRICS_PATH = "/metrics"
+METRICS_TYPE = ("content-type", "text/plain; version=0.0.4")
+JSON_TYPE = ("content-type", "application/json")
+
+
+def operator_handler(
+    status: Callable[[], Status],
+) -> Callable[[Request], Awaitable[Response]]:
+    """Returns the handler of the metrics port."""
+
+    async def handle(req: Request) -> Response:
+        path = req.target.partition("?")[0]
+        if path == METRICS_PATH:
+            return Response(200, (METRICS_TYPE,), generate_latest())
+        if path == STATUS_PATH:
+            return Response(200, (JSON_TYPE,), encode_status(status()))
+        return Response(404, ())
+
+    return handle
--- a/src/savorylift/front/status.py
+++ b/src/savorylift/front/status.py
@@ -1,14 +1,13 @@
 """What a node tells operators of itself."""
 
 from collections.abc import Iterable
-from typing import NamedTuple
 
 import msgspec
 
 STATUS_PATH = "/status"
 
 
-class Status(NamedTuple):
+class Status(msgspec.Struct, frozen=True):
     """One node's own view.
 
     Attributes:
@@ -42,37 +41,17 @@
     peers: tuple[str, ...]
 
 
-class _Document(msgspec.Struct):
-    vm: str
-    ip: str
-    failure_domain: str
-    incarnation: int
-    is_ready: bool
-    is_leaving: bool
-    configuration_version: int | None
-    operators_version: int
-    reading_age_s: float | None
-    open_requests: int
-    out_of_service: list[str]
-    backend_servers: list[str]
-    peers: list[str]
-
-
 def encode_status(status: Status) -> bytes:
     """Returns the JSON form."""
-    return msgspec.json.encode(status._asdict())
+    return msgspec.json.encode(status)
 
 
 def decode_status(data: bytes) -> Status | None:
     """Returns a status, or None if `data` is something else."""
     try:
-        found = msgspec.json.decode(data, type=_Document)
+        return msgspec.json.decode(data, type=Status)
     except msgspec.DecodeError:
         return None
-    fields = msgspec.structs.asdict(found)
-    for name in ("out_of_service", "backend_servers", "peers"):
-        fields[name] = tuple(fields[name])
-    return Status(**fields)
 
 
 def missing(offset: int, statuses: Iterable[Status]) -> list[str]:
--- a/src/savorylift/operators/log_commands.py
+++ b/src/savorylift/operators/log_commands.py
@@ -1,13 +1,14 @@
 """Commands that ask nodes or read their logs."""
 
 import asyncio
-import json
 import pathlib
 import sys
 from collections.abc import Iterable, Iterator
 
+import msgspec
+
 from savorylift.front.settings import FrontSettings
-from savorylift.front.status import Status
+from savorylift.front.status import Status, encode_status
 from savorylift.operators.explanation import explain as explain_lines
 from savorylift.operators.nodes import read_statuses
 from savorylift.operators.output import Exit, fail, say, say_all
@@ -33,7 +34,7 @@
     for ip, found in statuses.items():
         say(f"{ip}: no answer" if found is None else _line(found))
         if is_full and found is not None:
-            say(json.dumps(found._asdict(), indent=2))
+            say(msgspec.json.format(encode_status(found)).decode())
     return Exit.DONE if any(statuses.values()) else Exit.FAILED
 
 
--- a/src/savorylift/rules/configuration.py
+++ b/src/savorylift/rules/configuration.py
@@ -62,29 +62,25 @@
 
 
 def _model_route(model: rules.Model) -> Route:
-    return Route(
-        name=model.name,
-        host=HOST,
-        path_prefix=model_path(model.name),
-        kind=Kind.STREAM,
-        targets=(Target(_model_name(model.name), 1.0),),
-        timeout_s=None,
-        objective_s=OBJECTIVE_S,
-        max_servers=GENERATION_TRIES,
-        priority=ORDINARY_PRIORITY,
-        is_public=False,
-        can_resume=True,
-        gap_objective_s=None,
+    route = _route(model.name, model_path(model.name), _model_name(model.name))
+    return route._replace(
+        kind=Kind.STREAM, max_servers=GENERATION_TRIES, can_resume=True
     )
 
 
 def _service_route(service: rules.Service) -> Route:
+    name = service.name
+    route = _route(name, service_path(name), _service_name(name))
+    return route._replace(repeatable_methods=service.repeatable)
+
+
+def _route(name: str, path: str, service: str) -> Route:
     return Route(
-        name=service.name,
+        name=name,
         host=HOST,
-        path_prefix=service_path(service.name),
+        path_prefix=path,
         kind=Kind.ONCE,
-        targets=(Target(_service_name(service.name), 1.0),),
+        targets=(Target(service, 1.0),),
         timeout_s=None,
         objective_s=OBJECTIVE_S,
         max_servers=CALL_TRIES,
@@ -92,7 +88,6 @@
         is_public=False,
         can_resume=False,
         gap_objective_s=None,
-        repeatable_methods=service.repeatable,
     )
 
 
--- a/src/savorylift/rules/publication.py
+++ b/src/savorylift/rules/publication.py
@@ -51,15 +51,7 @@
 
     def encode(self) -> bytes:
         """Returns the record's value: compressed, as records are bounded."""
-        return zlib.compress(msgspec.json.encode(self._asdict()))
-
-
-class _Document(msgspec.Struct):
-    version: int
-    author: str
-    text: str
-    publication_id: str
-    time_s: float
+        return zlib.compress(msgspec.json.encode(self))
 
 
 class Stored(NamedTuple):
@@ -137,10 +129,9 @@
     """Returns the version in a record, or what is wrong with it."""
     try:
         data = zlib.decompress(value)
-        found = msgspec.json.decode(data, type=_Document)
+        return Success(msgspec.json.decode(data, type=Publication))
     except (zlib.error, msgspec.DecodeError, UnicodeDecodeError) as exc:
         return Failure(str(exc))
-    return Success(Publication(**msgspec.structs.asdict(found)))
 
 
 def decode_configuration(value: bytes) -> Result[Configuration, str]:
--- a/tests/completions/stage.py
+++ b/tests/completions/stage.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections.abc import Mapping
+from collections.abc import Callable, Coroutine, Mapping
 from typing import Any
 
 from returns.result import Success
@@ -17,6 +17,7 @@
 from savorylift.wire.listener import Listener, answering
 from savorylift.wire.message import Request, Response
 from savorylift.wire.server_connection import InputLimits
+from tests.front.stage import play
 from tests.harness.ports import free_addresses
 from tests.standins.engine import Engine
 from tests.standins.engine_settings import EngineSettings
@@ -215,6 +216,17 @@
         return sum(len(state.record.generations) for state in self.engines)
 
 
+def on_stage(scene: Callable[[Stage], Coroutine[Any, Any, None]]) -> None:
+    """Runs a scene on a stage that has started."""
+
+    async def started() -> None:
+        stage = Stage()
+        await stage.start()
+        await scene(stage)
+
+    play(started())
+
+
 def completion(prompt: str, **more: object) -> bytes:
     """Returns the body of a request for a generation."""
     body = {"model": MODEL, "prompt": prompt, "seed": 7, **more}
--- a/tests/completions/test_bad_input.py
+++ b/tests/completions/test_bad_input.py
@@ -5,8 +5,7 @@
 from savorylift.wire.address import split_address
 from savorylift.wire.channel import connect
 from savorylift.wire.message import Response
-from tests.completions.stage import Stage, error_of
-from tests.front.stage import play
+from tests.completions.stage import Stage, error_of, on_stage
 
 ANSWER_S = 2.0
 COMPLETIONS = "POST /v1/completions"
@@ -72,12 +71,10 @@
 
 
 def test_bad_input_gets_its_code() -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         for raw, status, code in CASES:
             answer = await send(stage, raw)
             assert (answer.status, error_of(answer)["code"]) == (status, code)
             assert error_of(answer)["ending"] == "not_run"
 
-    play(scene())
+    on_stage(scene)
--- a/tests/completions/test_interface.py
+++ b/tests/completions/test_interface.py
@@ -11,6 +11,7 @@
     error_of,
     events,
     expected,
+    on_stage,
     text_of,
 )
 from tests.front.stage import play
@@ -20,9 +21,7 @@
 
 
 def test_whole_and_streamed_answers_are_the_model_s() -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         whole = await stage.complete(PROMPT, {"x-request-id": "r1"})
         assert whole.status == 200
         assert expected(PROMPT) in whole.body.decode()
@@ -33,13 +32,11 @@
         assert indices == list(range(31))
         assert stage.cancelled == []
 
-    play(scene())
+    on_stage(scene)
 
 
 def test_stream_goes_on_after_the_last_event_that_the_caller_has() -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         stream = await stage.complete(
             PROMPT, {"last-event-id": "9"}, stream=True
         )
@@ -47,7 +44,7 @@
         whole = expected(PROMPT)
         assert whole.endswith(text_of(stream))
 
-    play(scene())
+    on_stage(scene)
 
 
 @pytest.mark.parametrize(
@@ -62,9 +59,7 @@
 def test_generation_is_made_again_when_its_engine_fails(
     fault: dict[str, object],
 ) -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         prompt = "report len=60"
         body = completion(prompt, stream=True)
         call = await stage.open("POST", COMPLETIONS, body)
@@ -82,28 +77,24 @@
         assert stage.started == 2
         del asking
 
-    play(scene())
+    on_stage(scene)
 
 
 @pytest.mark.parametrize("fault", ["wrong_ids", "lose_answers"])
 def test_answers_that_are_lost_or_of_another_are_made_again(
     fault: str,
 ) -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         for state in stage.engines:
             setattr(state.cfg, fault, 1)
         whole = await stage.complete(PROMPT)
         assert expected(PROMPT) in whole.body.decode()
 
-    play(scene())
+    on_stage(scene)
 
 
 def test_engines_that_all_fail_end_the_stream_with_an_error() -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         body = completion("report len=200", stream=True)
         call = await stage.open("POST", COMPLETIONS, body)
         head = await call.read_head()
@@ -116,13 +107,11 @@
         error = events(rest)[-1]["error"]
         assert error["ending"] == "failed"
 
-    play(scene())
+    on_stage(scene)
 
 
 def test_generation_of_a_caller_that_left_is_cancelled() -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         body = completion("report len=2000", stream=True)
         call = await stage.open("POST", COMPLETIONS, body)
         await call.read_head()
@@ -131,13 +120,11 @@
             while not stage.cancelled:
                 await asyncio.sleep(0.02)
 
-    play(scene())
+    on_stage(scene)
 
 
 def test_call_reaches_its_service_as_it_was_written() -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         target = "/a%20b/%2F?c=%26&c=d"
         headers = {"idempotency-key": "k", "x-request-id": "r1"}
         answer = await stage.ask(
@@ -150,7 +137,7 @@
         assert got.values("x-team") == []
         assert got.body == b"body"
 
-    play(scene())
+    on_stage(scene)
 
 
 @pytest.mark.parametrize(
@@ -160,9 +147,7 @@
 def test_only_repeatable_calls_run_again(
     method: str, runs: int, ending: str
 ) -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         for crew in stage.crew:
             crew.drops = True
         answer = await stage.ask(method, "/v1/services/crew/x")
@@ -171,13 +156,11 @@
         assert (error["code"], error["ending"]) == ("answer_lost", ending)
         assert sum(len(crew.requests) for crew in stage.crew) == runs
 
-    play(scene())
+    on_stage(scene)
 
 
 def test_team_limit_names_its_rule() -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         for crew in stage.crew:
             crew.gate.clear()
         small = {"x-team": "small"}
@@ -195,13 +178,11 @@
         third = await stage.ask("GET", "/v1/services/crew/x", b"", small)
         assert third.status == 200
 
-    play(scene())
+    on_stage(scene)
 
 
 def test_out_of_service_servers_get_nothing() -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         stage.store.add("keyed.rules", "out/runner-0", {"author": "ada"})
         await asyncio.sleep(0.5)
         for _ in range(4):
@@ -212,7 +193,7 @@
         answer = await stage.ask("GET", "/v1/services/crew/x")
         assert error_of(answer)["code"] == "no_backend_server"
 
-    play(scene())
+    on_stage(scene)
 
 
 def test_cold_engine_gets_no_more_than_it_bears() -> None:
@@ -228,22 +209,18 @@
 
 
 def test_entries_are_told() -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         answer = await stage.ask("GET", "/v1/entry?team=desk")
         assert stage.addresses[1].encode() in answer.body
 
-    play(scene())
+    on_stage(scene)
 
 
 def test_cut_upload_leaves_no_request() -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         call = await stage.open("POST", COMPLETIONS, completion("p"))
         call.close()
         with pytest.raises(BrokenAnswerError):
             await call.read_head()
 
-    play(scene())
+    on_stage(scene)
--- a/tests/front/stage.py
+++ b/tests/front/stage.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
 from returns.result import Success
@@ -207,6 +207,17 @@
     return asyncio.run(bounded())
 
 
+def on_stage(scene: Callable[[Stage], Coroutine[Any, Any, T]]) -> T:
+    """Runs a scene on a stage that has started."""
+
+    async def started() -> T:
+        stage = Stage()
+        await stage.start()
+        return await scene(stage)
+
+    return play(started())
+
+
 def event_numbers(body: bytes) -> list[int]:
     """Returns the numbers of the events in a stream."""
     lines = body.decode().splitlines()
--- a/tests/front/test_node.py
+++ b/tests/front/test_node.py
@@ -8,15 +8,20 @@
 from savorylift.operators.account_commands import ReportRequest, refusals
 from savorylift.platform.store import OPERATORS, REFUSALS, SERVERS
 from savorylift.wire.client_call import BrokenAnswerError
-from tests.front.stage import Stage, as_json, configuration, event_numbers, play
+from tests.front.stage import (
+    Stage,
+    as_json,
+    configuration,
+    event_numbers,
+    on_stage,
+    play,
+)
 
 COUNTS = (("x-savorylift-token-counts", "100,50"),)
 
 
 def test_serves_each_kind_of_request() -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         for path in ("/safe/x?q=1", "/once/x"):
             answer = await stage.call(path)
             assert (answer.status, answer.body) == (200, b"answer of a1")
@@ -24,13 +29,11 @@
         stream = await stage.call("/stream/x", "s1", COUNTS)
         assert event_numbers(stream.body) == list(range(1, 11))
 
-    play(scene())
+    on_stage(scene)
 
 
 def test_passes_on_what_the_platform_asks_for() -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         extra = (("x-savorylift-tenant", "forged"), ("x-other", "kept"))
         await stage.call("/once/x", headers=extra)
         (server,) = [s for s in stage.app if s.runs]
@@ -41,7 +44,7 @@
         left = int(server.headers["x-savorylift-deadline-remaining"])
         assert 0 < left <= 2000
 
-    play(scene())
+    on_stage(scene)
 
 
 @pytest.mark.parametrize(
@@ -55,13 +58,11 @@
 def test_refuses_what_the_configuration_does_not_allow(
     path: str, headers: tuple[tuple[str, str], ...], status: int
 ) -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         assert (await stage.call(path, headers=headers)).status == status
         assert not any(server.runs for server in stage.app)
 
-    play(scene())
+    on_stage(scene)
 
 
 @pytest.mark.parametrize(
@@ -82,9 +83,7 @@
 def test_tells_the_truth_about_what_ran(
     path: str, fault: dict[str, object], status: int, runs: int
 ) -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         for server in stage.app:
             for name, value in fault.items():
                 setattr(server, name, value)
@@ -96,25 +95,21 @@
         assert (answer.value("retry-after") is not None) is (status == 503)
         assert took_s < 2.5
 
-    play(scene())
+    on_stage(scene)
 
 
 def test_second_server_helps_an_idempotent_call() -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         stage.app[0].breaks_after = 2
         for number in range(4):
             answer = await stage.call("/safe/", f"a{number}")
             assert answer.status == 200
 
-    play(scene())
+    on_stage(scene)
 
 
 def test_caller_that_leaves_ends_its_run() -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         for server in stage.pool:
             server.events = 1000
         call = await stage.open("/stream/x", "s1", COUNTS)
@@ -125,13 +120,11 @@
         await asyncio.sleep(0.3)
         assert made == [server.streams.get("s1", 0) for server in stage.pool]
 
-    play(scene())
+    on_stage(scene)
 
 
 def test_run_goes_on_when_its_engine_leaves() -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         for server in stage.pool:
             server.events = 60
         call = await stage.open("/stream/x", "s1", COUNTS)
@@ -145,13 +138,11 @@
         assert "s1" in leaving.stopped
         assert sum(len(server.runs) for server in stage.pool) == 1
 
-    play(scene())
+    on_stage(scene)
 
 
 def test_broken_stream_does_not_look_complete() -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         for server in stage.pool:
             server.breaks_after = 4
         call = await stage.open("/stream/x", "s1", COUNTS)
@@ -160,13 +151,11 @@
             await call.read_rest(head)
         assert sum(len(server.runs) for server in stage.pool) == 1
 
-    play(scene())
+    on_stage(scene)
 
 
 def test_evacuated_and_leaving_servers_get_nothing() -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         stage.store.add(OPERATORS, "evacuate/z0", {})
         await asyncio.sleep(0.5)
         for number in range(6):
@@ -178,27 +167,23 @@
         assert answer.status == 503
         assert answer.value("retry-after")
 
-    play(scene())
+    on_stage(scene)
 
 
 def test_follows_the_configuration_through_a_trimmed_history() -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         stage.store.add(OPERATORS, "config", configuration(5))
         await stage.wait_version(5)
         stage.store.add(OPERATORS, "config", configuration(9))
         stage.store.topic(OPERATORS).trim()
         await stage.wait_version(9)
 
-    play(scene())
+    on_stage(scene)
 
 
 @pytest.mark.parametrize("fault", ["silent", "busy"])
 def test_serves_while_the_store_is_away(fault: str) -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         stage.store.is_silent = fault == "silent"
         stage.store.status = 503 if fault == "busy" else None
         await asyncio.sleep(2.5)
@@ -208,7 +193,7 @@
         stage.store.add(OPERATORS, "config", configuration(5))
         await stage.wait_version(5)
 
-    play(scene())
+    on_stage(scene)
 
 
 def test_node_without_a_configuration_says_when_to_come_back() -> None:
@@ -227,22 +212,18 @@
 
 
 def test_calls_to_the_store_are_few() -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         await asyncio.sleep(1.0)
         before = len(stage.store.calls)
         await asyncio.sleep(3.0)
         # Two topics, each asked once a second while nothing changes.
         assert len(stage.store.calls) - before <= 8
 
-    play(scene())
+    on_stage(scene)
 
 
 def test_stopped_node_serves_what_is_open() -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         for server in stage.app:
             server.delay_s = 0.6
         call = await stage.open("/once/")
@@ -258,13 +239,11 @@
         assert refused.status == 503
         await asyncio.wait_for(stage.node, 3.0)
 
-    play(scene())
+    on_stage(scene)
 
 
 def test_directory_and_metrics_answer() -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         found = await stage.get(6, "/resolution?name=h.example&region=r&zone=z")
         assert as_json(found) == {
             "addresses": [stage.settings().caller_listen],
@@ -277,15 +256,13 @@
             in metrics.body
         )
 
-    play(scene())
+    on_stage(scene)
 
 
 def test_refusals_are_accounted_for_in_the_store(
     capsys: pytest.CaptureFixture[str],
 ) -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         await stage.call("/nowhere/")
         await stage.call("/nowhere/", "a2")
         async with asyncio.timeout(9.0):
@@ -295,23 +272,21 @@
         ran = asyncio.to_thread(refusals, stage.settings(), wanted)
         assert await ran == 0
 
-    play(scene())
+    on_stage(scene)
     printed = capsys.readouterr().out.splitlines()
     (line,) = [line.split() for line in printed if line.startswith("team ")][1:]
     assert line == ["team", "not_run", "not_found", "404", "-", "-", "2"]
 
 
 def test_foreign_entries_leave_the_others() -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         stage.store.topic(SERVERS).add("bad", b"\xff\xfe")
         stage.store.add(SERVERS, "worse", {"service": 3})
         stage.store.add(SERVERS, "empty", None)
         await asyncio.sleep(0.5)
         assert (await stage.call("/safe/")).status == 200
 
-    play(scene())
+    on_stage(scene)
 
 
 @pytest.mark.parametrize("path", ["/stream/", "/resumable/"])
@@ -320,9 +295,7 @@
 ) -> None:
     """Only a stream that may be resumed may run a second time."""
 
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         for server in stage.pool:
             server.events = 60
         call = await stage.open(path, "s1", COUNTS)
@@ -341,13 +314,11 @@
             assert event_numbers(answer.body)[-1] == 60
             assert other.runs == ["s1"]
 
-    play(scene())
+    on_stage(scene)
 
 
 def test_run_goes_on_at_its_source_when_the_destination_rejects_it() -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         for server in stage.pool:
             server.events = 60
         call = await stage.open("/stream/x", "s1", COUNTS)
@@ -360,13 +331,11 @@
         assert event_numbers(answer.body) == list(range(1, 61))
         assert other.runs == []
 
-    play(scene())
+    on_stage(scene)
 
 
 def test_run_goes_on_when_its_engine_leaves_while_the_store_is_away() -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         for server in stage.pool:
             server.events = 500
         stage.store.is_silent = True
@@ -382,7 +351,7 @@
         call.close()
         assert head.status == 200
 
-    play(scene())
+    on_stage(scene)
 
 
 async def move_away(stage: Stage, **faults: object) -> tuple[bytes, list[str]]:
@@ -409,24 +378,20 @@
     "faults", [{"dies_at_last_copy": True}, {"copies_rejected": 2}]
 )
 def test_run_goes_on_although_a_copy_fails(faults: dict[str, object]) -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         body, runs = await move_away(stage, **faults)
         assert event_numbers(body) == list(range(1, 121))
         assert runs == ["s1"]
         assert stage.pool[0].streams["s1"] != stage.pool[1].streams["s1"]
 
-    play(scene())
+    on_stage(scene)
 
 
 def test_stream_whose_last_engine_fails_is_counted_as_broken() -> None:
     labels = {"reason": "backend_error"}
     name = "savorylift_front_broken_streams_total"
 
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         before = REGISTRY.get_sample_value(name, labels) or 0.0
         first, other = stage.pool
         stage.put(other, "pool", "draining")
@@ -443,4 +408,4 @@
         after = REGISTRY.get_sample_value(name, labels)
         assert after == before + 1
 
-    play(scene())
+    on_stage(scene)
--- a/tests/rules/test_publication.py
+++ b/tests/rules/test_publication.py
@@ -1,7 +1,7 @@
 """Publishing versions of the rules file, one writer among others."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any, TypeVar
 
 import pytest
@@ -48,18 +48,18 @@
         await self.store.start(int(self.address.rpartition(":")[2]))
 
 
-def play(scene: Coroutine[Any, Any, T]) -> T:
+def on_stage(scene: Callable[[Stage], Coroutine[Any, Any, T]]) -> T:
     async def bounded() -> T:
         async with asyncio.timeout(SCENE_S):
-            return await scene
+            stage = Stage()
+            await stage.start()
+            return await scene(stage)
 
     return asyncio.run(bounded())
 
 
 def test_versions_follow_each_other() -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         first = await publish(stage.client, FIRST, "ada", None)
         assert isinstance(first, Published)
         assert (first.version, first.changed) == (1, ("+1: " + FIRST[:-1],))
@@ -71,13 +71,11 @@
         assert stored.newest is not None
         assert (stored.newest.author, stored.newest.text) == ("noor", SECOND)
 
-    play(scene())
+    on_stage(scene)
 
 
 def test_one_of_two_that_start_from_the_same_version_wins() -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         await publish(stage.client, FIRST, "ada", None)
         outcomes = await asyncio.gather(
             publish(stage.client, SECOND, "noor", None),
@@ -89,25 +87,21 @@
         assert isinstance(late, RaceLost)
         assert late.winner.version == 2
 
-    play(scene())
+    on_stage(scene)
 
 
 def test_lost_answer_is_found_in_the_store() -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         stage.store.loses_answers = 1
         outcome = await publish(stage.client, FIRST, "ada", None)
         assert isinstance(outcome, Published)
         assert stage.store.topic(RULES).end == 1
 
-    play(scene())
+    on_stage(scene)
 
 
 def test_orders_between_reading_and_writing_are_no_race() -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         await publish(stage.client, FIRST, "ada", None)
         order = Order("a", True, "ada", "storm")
         published, given = await asyncio.gather(
@@ -117,7 +111,7 @@
         assert isinstance(published, Published)
         assert isinstance(given, OrderAccepted)
 
-    play(scene())
+    on_stage(scene)
 
 
 @pytest.mark.parametrize(
@@ -126,42 +120,36 @@
 def test_store_that_turns_away_has_nothing_written(
     status: int, expected: type[object]
 ) -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         stage.store.status = status
         outcome = await publish(stage.client, FIRST, "ada", None)
         assert isinstance(outcome, expected)
 
-    play(scene())
+    on_stage(scene)
 
 
 def test_store_that_goes_silent_after_a_write_leaves_it_unknown(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         monkeypatch.setattr(publication, "TRIES", 2)
         stage.store.loses_answers = 9
         stage.store.forgets_appends = True
         outcome = await publish(stage.client, FIRST, "ada", None)
         assert isinstance(outcome, Unknown)
 
-    play(scene())
+    on_stage(scene)
 
 
 def test_unknown_targets_are_named() -> None:
-    async def scene() -> None:
-        stage = Stage()
-        await stage.start()
+    async def scene(stage: Stage) -> None:
         await publish(stage.client, FIRST, "ada", None)
         order = Order("b", True, "ada", "storm")
         assert await give_order(stage.client, order) == UnknownTarget(
             "b", ("a",)
         )
 
-    play(scene())
+    on_stage(scene)
 
 
 @pytest.mark.parametrize("value", [b"", b"{}", b"x\x9c\xff", b"\x00" * 9])
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -16,6 +16,9 @@
 SHORT_S = (0.2, 1.0)
 LONG_S = (0.5, 3.0)
 DELAY_S = 0.15
+ORDERED_S = 20.0
+# Done, or done with nodes that have not confirmed.
+WRITTEN = (0, 3)
 WHO = ("--author", "soak", "--cause", "soak")
 
 Fault = Callable[[], str]
@@ -203,9 +206,7 @@
     def _order(self) -> str:
         domain = self._rng.choice(self._deployment.plan.failure_domains)
         self._command("domain", "out", domain, *WHO)
-        self._later(
-            lambda: self._command("domain", "back", domain, *WHO), LONG_S
-        )
+        self._later(lambda: self._bring_domain_back(domain), LONG_S)
         return f"{domain} out of service"
 
     def _publish(self) -> str:
@@ -217,6 +218,14 @@
         self._command("rules", "publish", str(changed), "--author", "soak")
         return f"rules published ({number})"
 
-    def _command(self, *words: str) -> None:
+    def _bring_domain_back(self, domain: str) -> None:
+        """Orders until the store has taken it, as an operator would."""
+        until_s = time.monotonic() + ORDERED_S
+        while time.monotonic() < until_s:
+            if self._command("domain", "back", domain, *WHO) in WRITTEN:
+                return
+
+    def _command(self, *words: str) -> int:
         settings = next(iter(self._deployment.nodes.values())).settings_path
-        self._deployment.command(*words, "--settings", str(settings))
+        ran = self._deployment.command(*words, "--settings", str(settings))
+        return ran.returncode
