--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -74,6 +74,7 @@
         calls: Calls by path.
         status: Status of every answer instead of the real one.
         is_silent: Whether calls get no answer.
+        delay_s: Time before each answer.
         page_items: Items on a page of newest records.
         loses_answers: Appends whose answers are lost.
         forgets_appends: Whether these take no effect either.
@@ -85,6 +86,7 @@
         self.calls: list[str] = []
         self.status: int | None = None
         self.is_silent = False
+        self.delay_s = 0.0
         self.page_items = 500
         self.loses_answers = 0
         self.forgets_appends = False
@@ -121,6 +123,7 @@
         self.calls.append(path)
         if self.is_silent:
             await asyncio.sleep(60)
+        await asyncio.sleep(self.delay_s)
         if self.status is not None:
             return Response(self.status, ())
         topic = self.topic(fields["topic"])
