--- a/src/savorylift/cli.py
+++ b/src/savorylift/cli.py
@@ -249,6 +249,27 @@
         return log_commands.explain(self.request_id, self.logs)
 
 
+@cappa.command(name="emulate")
+@dataclass
+class EmulateCommand:
+    """Play a load file on the placement policy, in virtual time."""
+
+    load: str
+    out: Annotated[
+        str, cappa.Arg(long="--out", help="Folder for table and plots.")
+    ]
+    rules: Annotated[
+        str, cappa.Arg(long="--rules", help="Rules file with other weights.")
+    ] = ""
+
+    def run(self) -> int:
+        """Prints and writes the report."""
+        # Plots are only imported where they are drawn.
+        from savorylift.operators.emulate_command import emulate
+
+        return emulate(self.load, self.out, self.rules)
+
+
 @dataclass
 class Savorylift:
     """Serves generations of unknown length on crowded engines."""
@@ -261,6 +282,7 @@
         | StatusCommand
         | RefusalsCommand
         | ExplainCommand
+        | EmulateCommand
     ]
 
 
--- /dev/null
+++ b/src/savorylift/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Plays a load on the placement policy in virtual time."""
