Tell refused callers to come back when room should have become free

Cause: a refusal for want of room named one to one and a half seconds whatever the load, so callers came back together and too early or too late. Test: of callers refused together each comes back when its room is there; a fixed second leaves even the first without.

--- a/src/savorylift/exchange/engine_queue.py
+++ b/src/savorylift/exchange/engine_queue.py
@@ -83,6 +83,10 @@
             lambda: self._pool.has_room(adm, options, tried),
         )
 
+    def waiting(self, adm: Admitted) -> int:
+        """Returns how many generations wait for the same engines."""
+        return len(self._waiting.get(adm.service.name, ()))
+
     def note_first_event(self, run: Run) -> None:
         """Learns from a run's first event at an engine."""
         if run.server is not None:
--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -25,11 +25,14 @@
 from savorylift.exchange.unserved import as_broken, give_up, refuse
 from savorylift.outcomes import Reason
 from savorylift.placement.engines import expected_tokens
+from savorylift.placement.room_rate import RoomRate
 
 # A connection may fail once on a link that loses packets.
 RESUME_TRIES = 2
 # A source that was told to stop ends its stream within this time.
 SWITCH_S = 1.0
+# Callers who are refused together should not come back together.
+RETRY_SPREAD = 0.3
 
 
 class Generations:
@@ -49,6 +52,7 @@
         self._mover = mover
         self._rng = rng
         self._queue = EngineQueue(pool)
+        self._room = RoomRate()
         self._relay = Relay(
             codec, self._queue.note_first_event, self._consider_move
         )
@@ -135,7 +139,10 @@
         """Ends a request that no further engine takes."""
         if may_have_run:
             return give_up(run, sink, ending)
-        return refuse(sink, ending.reason, self._rng)
+        wanted = run.tokens * (1 + self._queue.waiting(run.adm))
+        wait_s = self._room.wait_s(wanted)
+        retry_s = wait_s * (1 + self._rng.uniform(0, RETRY_SPREAD))
+        return refuse(sink, ending.reason, retry_s)
 
     async def _run_at(
         self,
@@ -263,6 +270,8 @@
         if run.move is not None:
             self._stop_move(run.move)
             run.move = None
+        if run.server is not None:
+            self._room.note_freed(run.tokens)
         self._end_work(run)
         run.server = None
         self._queue.offer_room()
--- a/src/savorylift/exchange/unserved.py
+++ b/src/savorylift/exchange/unserved.py
@@ -1,24 +1,15 @@
 """Final answers of generations that no engine has served whole."""
 
-import random
-
 from savorylift.exchange.codec import EventSink
 from savorylift.exchange.ending import Answered, Broken, NotRun, Refused
 from savorylift.exchange.run import Run
 from savorylift.exchange.run_log import log_broken
 from savorylift.outcomes import Reason
 
-# Engines that are full free some memory within about a second.
-FULL_RETRY_S = 1.0
-FULL_RETRY_SPREAD_S = 0.5
-
 
-def refuse(
-    sink: EventSink, reason: Reason, rng: random.Random
-) -> Refused | None:
+def refuse(sink: EventSink, reason: Reason, retry_s: float) -> Refused | None:
     """Ends a request that has not run; returns what is yet to be sent."""
     message = "No engine has room for the request; it did not run."
-    retry_s = FULL_RETRY_S + rng.uniform(0, FULL_RETRY_SPREAD_S)
     return _tell(sink, Refused(503, reason, message, retry_s))
 
 
