--- a/tests/harness/deployment.py
+++ b/tests/harness/deployment.py
@@ -162,14 +162,21 @@
         )
 
     def _describe_nodes(self, relay: Relay) -> None:
-        free = free_addresses(len(Ports._fields))
+        numbered = enumerate(self.plan.node_names(), start=1)
+        hosts = {
+            name: f"{NODE_NETWORK}.{FIRST_HOST + number}"
+            for number, name in numbered
+        }
+        # Other deployments' nodes have these addresses as well.
+        on = ("127.0.0.1", *hosts.values())
+        free = free_addresses(len(Ports._fields), on)
         ports = Ports(*(split_address(address)[1] for address in free))
         places = [
             NodePlace(
                 name,
                 self.plan.region,
                 self.plan.domain_of(number),
-                f"{NODE_NETWORK}.{FIRST_HOST + number}",
+                hosts[name],
                 ports,
             )
             for number, name in enumerate(self.plan.node_names(), start=1)
