Say once what stood twice in the core

Loads of all nodes were added up twice for each choice of a server, on the way of every request: once is enough.

--- a/src/savorylift/client/client.py
+++ b/src/savorylift/client/client.py
@@ -22,7 +22,6 @@
 from savorylift.identity import new_id
 from savorylift.outcomes import Ending
 
-HTTP_OK = 200
 MIN_PAUSE_S = 0.05
 SEED_BITS = 31
 REPEATABLE = frozenset({"GET", "HEAD"})
--- a/src/savorylift/completions/caller_request.py
+++ b/src/savorylift/completions/caller_request.py
@@ -31,7 +31,7 @@
 LAST_EVENT_ID = "last-event-id"
 REQUEST_ID_FORM = re.compile(r"[A-Za-z0-9._:-]{1,64}")
 # Concern the way to this node only.
-CONSUMED = frozenset({"host", TEAM, DEADLINE, PRIORITY, "content-length"})
+CONSUMED = frozenset({"host", TEAM, DEADLINE, PRIORITY})
 
 
 class CompletionBody(msgspec.Struct):
--- a/src/savorylift/completions/engine_call.py
+++ b/src/savorylift/completions/engine_call.py
@@ -19,7 +19,6 @@
 from savorylift.wire.message import ResponseHead, end_to_end
 
 GENERATIONS_PATH = "/v1/generations/"
-IDEMPOTENCY_KEY = "idempotency-key"
 # The engine's statuses that say that nothing was started: full or leaving,
 # and another model or a generation that it has.
 NOT_RUN_STATUSES = frozenset({409, 503})
@@ -95,11 +94,7 @@
     )
     return AnswerHead(
         status=head.status,
-        headers=tuple(
-            item
-            for item in end_to_end(head.headers)
-            if item[0] != "content-length"
-        ),
+        headers=end_to_end(head.headers),
         is_ours=is_generation or echoed == req.attempt_id,
         is_not_run=is_not_run,
         is_signed=True,
--- a/src/savorylift/emulator/world.py
+++ b/src/savorylift/emulator/world.py
@@ -17,6 +17,7 @@
 from savorylift.emulator.job import Ending, Job, Sample
 from savorylift.emulator.load_file import Arrivals, Load, Loss
 from savorylift.emulator.policies import Policy
+from savorylift.exchange.engine_queue import HOLD, READING
 from savorylift.placement.engines import EngineOptions
 from savorylift.placement.fair_share import FairShare
 from savorylift.placement.move_order import PlannedMove, copy_time_s, is_next
@@ -25,9 +26,6 @@
 
 MEGABIT_BYTES = 125_000.0
 SAMPLE_S = 0.5
-# As the nodes do: a late answer is still worth something for a while.
-HOLD = 2.0
-READING = 0.6
 SERVICE = "engines"
 
 
--- a/src/savorylift/exchange/engine_queue.py
+++ b/src/savorylift/exchange/engine_queue.py
@@ -21,9 +21,6 @@
 # the objective, and a refusal must leave them time to come back.
 HOLD = 2.0
 HOLD_SHARE = 0.4
-# Share of the objective after which an engine without a first event is given
-# up, where the run may be repeated.
-PATIENCE = 0.6
 PLAIN_ENGINE = EngineTraits(
     slots=1,
     memory_tokens=1,
@@ -74,13 +71,11 @@
         """Returns how long an engine may take until its first event."""
         adm = run.adm
         options = self._options(run)
-        until_s = adm.deadline_s
-        if not is_last and adm.is_idempotent:
-            until_s = time.monotonic() + PATIENCE * _objective(adm)
-        return Patience(
-            min(until_s, adm.deadline_s),
-            adm.deadline_s,
+        return Patience.of(
+            adm,
+            _objective(adm),
             lambda: self._pool.has_room(adm, options, tried),
+            is_last=is_last,
         )
 
     def waiting(self, adm: Admitted) -> int:
--- a/src/savorylift/exchange/mover.py
+++ b/src/savorylift/exchange/mover.py
@@ -129,7 +129,7 @@
         )
         # Copies from several engines to one would share its link.
         taken = tried | self._pool.move_queue.destinations()
-        return self._pool.pick_copy(
+        return self._pool.find_engine(
             run.adm, options, taken
         ) or self._pool.pick_refuge(run.adm, options, tried)
 
--- a/src/savorylift/exchange/plain_call.py
+++ b/src/savorylift/exchange/plain_call.py
@@ -1,7 +1,6 @@
 """Serves calls to plain services: whole answers, repeated where allowed."""
 
 import asyncio
-import time
 
 import structlog
 
@@ -21,9 +20,6 @@
 # Room at a plain service appears within a few service times.
 BUSY_RETRY_S = 0.2
 GONE_RETRY_S = 0.5
-# Share of the objective after which a silent server is given up, so that a
-# second one can still answer in time.
-PATIENCE = 0.6
 DEFAULT_OBJECTIVE_S = 1.0
 # Faults of a server; other statuses are answers to the caller.
 FIRST_SERVER_FAULT = 500
@@ -86,14 +82,11 @@
         self, adm: Admitted, tried: set[str], *, is_last: bool
     ) -> Patience:
         """Returns how long one server may keep a call."""
-        until_s = adm.deadline_s
-        if not is_last and adm.is_idempotent:
-            objective_s = adm.route.objective_s or DEFAULT_OBJECTIVE_S
-            until_s = time.monotonic() + PATIENCE * objective_s
-        return Patience(
-            min(until_s, adm.deadline_s),
-            adm.deadline_s,
+        return Patience.of(
+            adm,
+            adm.route.objective_s or DEFAULT_OBJECTIVE_S,
             lambda: self._pool.has_server(adm, tried),
+            is_last=is_last,
         )
 
     def _judge(self, server_id: str, ending: SendEnding) -> None:
--- a/src/savorylift/exchange/pool.py
+++ b/src/savorylift/exchange/pool.py
@@ -60,12 +60,9 @@
 
     def pick_plain(self, adm: Admitted, tried: Collection[str]) -> Known | None:
         """Returns a server for a plain call and counts the call there."""
-        found = choose_plain(
-            self._sendable(adm, tried),
-            self._loads(),
-            time.monotonic(),
-            self._rng,
-        )
+        loads = self._loads()
+        candidates = self._sendable(adm, tried, loads)
+        found = choose_plain(candidates, loads, time.monotonic(), self._rng)
         if found is not None:
             self._begin(found, adm, 0, 0)
         return found
@@ -74,30 +71,26 @@
         self, adm: Admitted, options: EngineOptions, tried: Collection[str]
     ) -> Known | None:
         """Returns an engine with room and counts the generation there."""
-        found = choose_engine(
-            self._sendable(adm, tried),
-            self._loads(),
-            options,
-            self._rng,
-        )
+        found = self.find_engine(adm, options, tried)
         if found is not None:
             generation = adm.req.generation
             unread = generation.prompt_tokens if generation else 0
             self._begin(found, adm, options.tokens, unread)
         return found
 
-    def pick_copy(
+    def find_engine(
         self, adm: Admitted, options: EngineOptions, taken: Collection[str]
     ) -> Known | None:
-        """Returns an engine with room for a copy of a run."""
-        candidates = self._sendable(adm, taken)
-        return choose_engine(candidates, self._loads(), options, self._rng)
+        """Returns an engine with room; nothing is counted there yet."""
+        loads = self._loads()
+        candidates = self._sendable(adm, taken, loads)
+        return choose_engine(candidates, loads, options, self._rng)
 
     def has_room(
         self, adm: Admitted, options: EngineOptions, tried: Collection[str]
     ) -> bool:
         """Whether an engine that was not tried has room."""
-        return self.pick_copy(adm, options, tried) is not None
+        return self.find_engine(adm, options, tried) is not None
 
     def unread(self, server: Known) -> int:
         """Returns the prompt tokens that an engine has not read yet."""
@@ -105,15 +98,15 @@
 
     def has_server(self, adm: Admitted, tried: Collection[str]) -> bool:
         """Whether there is a server that was not tried."""
-        return any(True for _ in self._sendable(adm, tried))
+        return any(True for _ in self._sendable(adm, tried, self._loads()))
 
     def pick_refuge(
         self, adm: Admitted, options: EngineOptions, tried: Collection[str]
     ) -> Known | None:
         """Returns the engine with most room, even if it may be too little."""
-        return choose_refuge(
-            self._sendable(adm, tried), self._loads(), options, self._rng
-        )
+        loads = self._loads()
+        candidates = self._sendable(adm, tried, loads)
+        return choose_refuge(candidates, loads, options, self._rng)
 
     def is_usable(self, server: Known) -> bool:
         """Whether a server may still get what was chosen for it."""
@@ -150,7 +143,10 @@
         return add_up([*self.work.loads(), *others])
 
     def _sendable(
-        self, adm: Admitted, tried: Collection[str]
+        self,
+        adm: Admitted,
+        tried: Collection[str],
+        loads: Mapping[str, Load],
     ) -> Iterator[Known]:
         now_s = time.monotonic()
         nodes = self._membership.count_sharing(now_s)
@@ -164,7 +160,6 @@
                 regions is None or self._region_of.get(domain) in regions
             ),
         )
-        loads = self._loads()
         for server in candidates:
             load = loads.get(server.entry.server_id, Load())
             if server.is_cold(now_s):
--- a/src/savorylift/exchange/send.py
+++ b/src/savorylift/exchange/send.py
@@ -26,6 +26,9 @@
 # How often another server is looked for once patience has ended.
 LOOK_AGAIN_S = 0.1
 WITHDRAW_S = 1.0
+# Share of the objective after which a silent server is given up, where the
+# request may be repeated: a second one can still answer in time.
+PATIENCE = 0.6
 
 _log = structlog.get_logger()
 
@@ -56,6 +59,30 @@
     deadline_s: float
     has_alternative: Callable[[], bool]
 
+    @classmethod
+    def of(
+        cls,
+        adm: Admitted,
+        objective_s: float,
+        has_alternative: Callable[[], bool],
+        *,
+        is_last: bool,
+    ) -> "Patience":
+        """Returns the patience with one server.
+
+        Args:
+            adm: The request.
+            objective_s: Time within which an answer is due.
+            has_alternative: As the attribute.
+            is_last: Whether no other server may run the request.
+        """
+        until_s = adm.deadline_s
+        if not is_last and adm.is_idempotent:
+            until_s = time.monotonic() + PATIENCE * objective_s
+        return cls(
+            min(until_s, adm.deadline_s), adm.deadline_s, has_alternative
+        )
+
     @property
     def may_give_up(self) -> bool:
         """Whether another server may be tried before the deadline."""
--- a/src/savorylift/front/caller_door.py
+++ b/src/savorylift/front/caller_door.py
@@ -223,16 +223,21 @@
         if isinstance(answer, Answered):
             status = answer.head.status
             conn.respond(status, answer.head.headers, answer.body)
-            reason = "answered"
+            reason = detail = "answered"
         else:
             status = answer.status
             headers, body = self._codec.refusal(asked, answer)
             conn.respond(status, headers, body)
-            reason = answer.reason.value
+            reason, detail = answer.reason.value, answer.message
             self._account_for(asked, answer)
         counters.ANSWERS.labels(str(status)).inc()
         if asked is None:
-            _log.info("request_unreadable", peer=conn.channel.peer)
+            _log.info(
+                "request_unreadable",
+                peer=conn.channel.peer,
+                status=status,
+                detail=detail,
+            )
             return
         age_ms = _age_ms(asked)
         counters.ANSWER_TIME.labels("whole").observe(age_ms / 1000)
@@ -275,16 +280,7 @@
         conn.is_closing = True
         reason = UNREAD.get(req.status, Reason.BAD_REQUEST)
         refused = Refused(req.status, reason, req.message)
-        headers, body = self._codec.refusal(None, refused)
-        conn.respond(req.status, headers, body)
-        counters.ANSWERS.labels(str(req.status)).inc()
-        self._account_for(None, refused)
-        _log.info(
-            "request_unreadable",
-            peer=conn.channel.peer,
-            status=req.status,
-            detail=req.message,
-        )
+        self._answer(conn, None, refused)
 
 
 def _over_limit(adm: Admitted) -> Refused:
--- a/src/savorylift/operators/rules_commands.py
+++ b/src/savorylift/operators/rules_commands.py
@@ -17,22 +17,18 @@
 
 def check(path: str) -> Exit:
     """Prints every fault of a rules file."""
-    text = _read(path)
-    if text is None:
+    if _read_checked(path) is None:
         return Exit.BAD_INPUT
-    checked = check_rules(text, path)
-    if not is_successful(checked):
-        return _report_faults(checked.failure())
     say(f"{path}: no faults")
     return Exit.DONE
 
 
 def show(cfg: FrontSettings) -> Exit:
     """Prints the newest rules file in the store."""
-    read = asyncio.run(publication.read_rules(_store(cfg)))
-    if not is_successful(read):
-        return fail(f"can't read the store: {read.failure().detail}")
-    say_all(read.unwrap().lines)
+    stored = _read_stored(cfg)
+    if stored is None:
+        return Exit.FAILED
+    say_all(stored.lines)
     return Exit.DONE
 
 
@@ -44,11 +40,12 @@
     lines = split_lines(text)
     faults = tuple(byte_faults(lines, path))
     if faults:
-        return _report_faults(faults)
-    read = asyncio.run(publication.read_rules(_store(cfg)))
-    if not is_successful(read):
-        return fail(f"can't read the store: {read.failure().detail}")
-    say_all(render_diff(read.unwrap().lines, lines))
+        _report_faults(faults)
+        return Exit.BAD_INPUT
+    stored = _read_stored(cfg)
+    if stored is None:
+        return Exit.FAILED
+    say_all(render_diff(stored.lines, lines))
     return Exit.DONE
 
 
@@ -56,12 +53,9 @@
     cfg: FrontSettings, path: str, author: str, base: int | None
 ) -> Exit:
     """Publishes a file and waits until it is in force."""
-    text = _read(path)
+    text = _read_checked(path)
     if text is None:
         return Exit.BAD_INPUT
-    checked = check_rules(text, path)
-    if not is_successful(checked):
-        return _report_faults(checked.failure())
     return asyncio.run(_publish(cfg, text, author, base))
 
 
@@ -112,6 +106,27 @@
     return StoreClient(split_address(cfg.store))
 
 
+def _read_stored(cfg: FrontSettings) -> publication.Stored | None:
+    """Returns what the store has, or None once it has said why not."""
+    read = asyncio.run(publication.read_rules(_store(cfg)))
+    if is_successful(read):
+        return read.unwrap()
+    report(f"can't read the store: {read.failure().detail}")
+    return None
+
+
+def _read_checked(path: str) -> str | None:
+    """Returns a file without faults, or None once it has named them."""
+    text = _read(path)
+    if text is None:
+        return None
+    checked = check_rules(text, path)
+    if is_successful(checked):
+        return text
+    _report_faults(checked.failure())
+    return None
+
+
 def _read(path: str) -> str | None:
     """Returns a file whose bytes that aren't UTF-8 can still be named."""
     try:
@@ -122,7 +137,6 @@
     return data.decode("utf-8", "surrogateescape")
 
 
-def _report_faults(faults: tuple[object, ...]) -> Exit:
+def _report_faults(faults: tuple[object, ...]) -> None:
     for fault in faults:
         report(str(fault))
-    return Exit.BAD_INPUT
--- a/src/savorylift/platform/ingress.py
+++ b/src/savorylift/platform/ingress.py
@@ -103,7 +103,6 @@
                 item
                 for item in end_to_end(req.headers)
                 if item[0] not in names.SET_BY_SYSTEM
-                and item[0] != "content-length"
             ),
             body=req.body,
         )
@@ -129,11 +128,7 @@
     """Returns what the head of a backend server's answer says."""
     return AnswerHead(
         status=head.status,
-        headers=tuple(
-            item
-            for item in end_to_end(head.headers)
-            if item[0] != "content-length"
-        ),
+        headers=end_to_end(head.headers),
         is_ours=head.value(names.ATTEMPT_ID) == attempt_id,
         is_not_run=head.status == 421 or head.value(names.NOT_RUN) is not None,
         is_signed=head.value(names.SEAL) is not None,
--- a/src/savorylift/wire/message.py
+++ b/src/savorylift/wire/message.py
@@ -4,9 +4,11 @@
 
 Headers = tuple[tuple[str, str], ...]
 
+# The length is framing: whoever sends the message on writes its own.
 SINGLE_HOP = frozenset(
     {
         "connection",
+        "content-length",
         "expect",
         "keep-alive",
         "proxy-authenticate",
