Log what tells the late configurations' hypotheses apart

CONFIG: the logs showed when each node had a version, but not how it came there nor what it cost. Added: bytes and time of each state loaded from a peer, bytes of each configuration, deltas that are too large to send or that have another base, when and why a node begins or stops reading the store, and an event loop that runs late; counters and histograms for the same. No decision changes.

--- /dev/null
+++ b/src/savorylift/fleet/metrics.py
@@ -0,0 +1,25 @@
+"""Prometheus metrics of the exchange of state between nodes."""
+
+from prometheus_client import Counter, Histogram
+
+LATENCY_BUCKETS_S = (0.01, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 4.0)
+
+SNAPSHOTS_SENT = Counter(
+    "savorylift_fleet_snapshots_sent", "Snapshots sent to other nodes."
+)
+SNAPSHOT_BYTES_SENT = Counter(
+    "savorylift_fleet_snapshot_bytes_sent", "Bytes of those snapshots."
+)
+SNAPSHOT_TIME = Histogram(
+    "savorylift_fleet_snapshot_seconds",
+    "Time to fetch a snapshot from another node.",
+    buckets=LATENCY_BUCKETS_S,
+)
+DELTAS = Counter(
+    "savorylift_fleet_deltas", "Deltas sent or received.", ["outcome"]
+)
+LOOP_DELAY = Histogram(
+    "savorylift_fleet_loop_delay_seconds",
+    "How late the event loop runs a periodic task.",
+    buckets=LATENCY_BUCKETS_S,
+)
--- a/src/savorylift/fleet/peer_transport.py
+++ b/src/savorylift/fleet/peer_transport.py
@@ -3,12 +3,13 @@
 import asyncio
 import time
 from collections.abc import Callable
-from typing import Protocol, cast
+from typing import NamedTuple, Protocol, cast
 
 import structlog
 from returns.pipeline import is_successful
 from returns.result import Failure, Result
 
+from savorylift.fleet import metrics
 from savorylift.fleet.codec import Message, decode, encode
 from savorylift.fleet.message_auth import MessageAuthenticator
 from savorylift.fleet.state import Delta, NodeState, Snapshot
@@ -37,6 +38,20 @@
 _log = structlog.get_logger()
 
 
+class FetchedSnapshot(NamedTuple):
+    """A snapshot from another node.
+
+    Attributes:
+        snapshot: The snapshot.
+        size: Number of bytes received.
+        took_s: Time that the request took.
+    """
+
+    snapshot: Snapshot
+    size: int
+    took_s: float
+
+
 class StateBuilder(Protocol):
     """Builds this node's next state message."""
 
@@ -128,8 +143,12 @@
     def send_delta(self, delta: Delta) -> None:
         """Sends a delta to the live nodes, unless it is too large."""
         data = encode(delta)
-        if len(data) <= MAX_DELTA_BYTES:
-            self._send_all(data, self._peer_addresses(include_silent=False))
+        if len(data) > MAX_DELTA_BYTES:
+            metrics.DELTAS.labels("too_large").inc()
+            _log.info("delta_too_large", topic=delta.topic, bytes=len(data))
+            return
+        metrics.DELTAS.labels("sent").inc()
+        self._send_all(data, self._peer_addresses(include_silent=False))
 
     def _send_all(self, data: bytes, ips: tuple[str, ...]) -> None:
         if self._transport is None or self._transport.is_closing():
@@ -173,7 +192,10 @@
             return Response(400, ())
         operators, offset, changes = map(int, versions)
         snapshot = make_snapshot(operators, (offset, changes))
-        return Response(200, (), authenticator.sign(encode(snapshot)))
+        data = authenticator.sign(encode(snapshot))
+        metrics.SNAPSHOTS_SENT.inc()
+        metrics.SNAPSHOT_BYTES_SENT.inc(len(data))
+        return Response(200, (), data)
 
     return cast("Callable[[Request], asyncio.Future[Response]]", handle)
 
@@ -184,7 +206,7 @@
     operators_version: int,
     servers_version: tuple[int, int],
     authenticator: MessageAuthenticator,
-) -> Snapshot | None:
+) -> FetchedSnapshot | None:
     """Requests what another node has beyond this node's versions.
 
     Returns:
@@ -192,6 +214,7 @@
     """
     offset, changes = servers_version
     versions = f"{operators_version}.{offset}.{changes}"
+    started_s = time.monotonic()
     try:
         response = await fetch(
             (ip, port),
@@ -210,7 +233,11 @@
         _log.warning("peer_state_unreadable", peer=ip, detail=detail)
         return None
     snapshot = decoded.unwrap()
-    return snapshot if isinstance(snapshot, Snapshot) else None
+    if not isinstance(snapshot, Snapshot):
+        return None
+    took_s = time.monotonic() - started_s
+    metrics.SNAPSHOT_TIME.observe(took_s)
+    return FetchedSnapshot(snapshot, len(response.body), took_s)
 
 
 def _verify_and_decode(
--- a/src/savorylift/fleet/store_view.py
+++ b/src/savorylift/fleet/store_view.py
@@ -258,5 +258,8 @@
         self.registry.set_static_entries(cfg.servers)
         self.configuration_loaded.set()
         _log.info(
-            "configuration", version=cfg.version, unread_lines=cfg.unread_lines
+            "configuration",
+            version=cfg.version,
+            bytes=len(value),
+            unread_lines=cfg.unread_lines,
         )
--- a/src/savorylift/fleet/topic_consumer.py
+++ b/src/savorylift/fleet/topic_consumer.py
@@ -79,6 +79,15 @@
         """Whether this node is a reader or other nodes' readings are stale."""
         return self._is_reader() or self.is_stale(None)
 
+    def log_decision(self, topic_name: str, *, should_read: bool) -> None:
+        """Logs that this node begins or stops reading, and why."""
+        _log.info(
+            "reading" if should_read else "not_reading",
+            topic=topic_name,
+            is_reader=self._is_reader(),
+            peers_reading_age_s=self._peers_reading_age_s(),
+        )
+
     def is_stale(self, own_age_s: float | None) -> bool:
         """Whether neither this node nor another has a recent reading.
 
@@ -146,8 +155,15 @@
 
     async def run(self) -> None:
         """Polls the topic forever, whenever this node should read."""
+        is_reading = False
         while True:
-            if not self._read_policy.should_read():
+            should_read = self._read_policy.should_read()
+            if should_read != is_reading:
+                is_reading = should_read
+                self._read_policy.log_decision(
+                    self._topic_name, should_read=should_read
+                )
+            if not should_read:
                 await asyncio.sleep(POLL_PAUSE_S)
                 continue
             wait_s = await self._read()
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -18,6 +18,7 @@
 from savorylift.exchange.retry_budget import RetryBudget, RetryBudgetOptions
 from savorylift.exchange.send import Sender
 from savorylift.exchange.server_pool import ServerPool
+from savorylift.fleet import metrics as fleet_metrics
 from savorylift.fleet.membership import Membership
 from savorylift.fleet.message_auth import MessageAuthenticator
 from savorylift.fleet.peer_transport import snapshot_handler
@@ -62,6 +63,8 @@
 # seconds.
 ENTRY_TTL_S = 1.5
 MAINTENANCE_INTERVAL_S = 0.2
+# Delay of the event loop that is logged.
+LATE_LOOP_S = 0.2
 INCARNATION_BITS = 48
 
 _log = structlog.get_logger()
@@ -360,13 +363,20 @@
     async def _run_maintenance(self) -> None:
         """Periodically drops silent peers and expired backend servers."""
         while True:
+            due_s = time.monotonic() + MAINTENANCE_INTERVAL_S
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
+            self._record_loop_delay(time.monotonic() - due_s)
             self._membership.forget_silent(time.monotonic())
             if self._store_view.drop_expired():
                 self._on_store_change(None)
             else:
                 self._generations.on_change()
 
+    def _record_loop_delay(self, delay_s: float) -> None:
+        fleet_metrics.LOOP_DELAY.observe(delay_s)
+        if delay_s > LATE_LOOP_S:
+            _log.warning("event_loop_late", delay_ms=round(delay_s * 1000))
+
     def _status(self) -> Status:
         now_s = time.monotonic()
         servers = self._store_view.registry.servers.values()
--- a/src/savorylift/front/peer_sync.py
+++ b/src/savorylift/front/peer_sync.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from savorylift.fleet import metrics
 from savorylift.fleet.membership import Membership
 from savorylift.fleet.message_auth import MessageAuthenticator
 from savorylift.fleet.peer_transport import (
@@ -90,7 +91,10 @@
         if isinstance(message, NodeState):
             self._receive_state(message)
         elif self._store_view.apply_delta(message):
+            metrics.DELTAS.labels("applied").inc()
             self._on_update()
+        else:
+            metrics.DELTAS.labels("other_base").inc()
 
     def _receive_state(self, state: NodeState) -> None:
         is_new = self._membership.update_peer(state, time.monotonic())
@@ -124,7 +128,7 @@
             await asyncio.sleep(DELTA_WAIT_S)
             if not self._is_behind(state):
                 return
-            snapshot = await fetch_snapshot(
+            fetched = await fetch_snapshot(
                 state.ip,
                 self._port,
                 self._store_view.operators_version,
@@ -133,12 +137,17 @@
             )
         finally:
             self._fetching_from.discard(state.ip)
-        if snapshot is None or not self._store_view.apply_snapshot(snapshot):
+        if fetched is None:
+            return
+        snapshot = fetched.snapshot
+        if not self._store_view.apply_snapshot(snapshot):
             return
         _log.info(
             "state_from_peer",
             peer=state.node,
             operators_version=snapshot.operators_version,
             servers_version=snapshot.servers_version,
+            bytes=fetched.size,
+            took_ms=round(fetched.took_s * 1000),
         )
         self._on_update()
