Keep changes of the store off the links of single nodes

Cause: a star. The reader's link was full for a second and more, so its own polls of the store timed out, its messages were lost, 50 nodes took its readings for stale and read by themselves, and the nodes that took over fell the same way. The class: fan-out that grows with the fleet through one link.

Bytes through any link no longer grow with the fleet.

--- a/src/savorylift/fleet/codec.py
+++ b/src/savorylift/fleet/codec.py
@@ -1,4 +1,7 @@
-"""CBOR encoding of the messages between nodes."""
+"""Encoding of the messages between nodes: CBOR, compressed if large."""
+
+import enum
+import zlib
 
 import cbor2
 import msgspec
@@ -6,8 +9,24 @@
 
 from savorylift.fleet.state import Delta, NodeState, Snapshot
 
-# Messages with another version are dropped.
-LAYOUT_VERSION = 2
+# First byte of a message. Messages with another version are dropped.
+LAYOUT_VERSION = 3
+# The layout version and the packing come before the fields.
+HEADER_BYTES = 2
+MAX_MESSAGE_BYTES = 33_554_432
+# Compression of the short periodic messages costs more time than it saves.
+MIN_COMPRESSED_BYTES = 1024
+# Smaller than the defaults, whose working memory is 256 KB.
+WINDOW_BITS = 13
+COMPRESSION_MEMORY_LEVEL = 6
+
+
+class Packing(enum.IntEnum):
+    """Second byte of a message: how its fields are packed."""
+
+    PLAIN = 0
+    DEFLATE = 1
+
 
 Message = NodeState | Delta | Snapshot
 MESSAGE_TYPES: dict[str, type[Message]] = {
@@ -22,17 +41,29 @@
     kind = next(
         name for name, cls in MESSAGE_TYPES.items() if type(message) is cls
     )
-    return cbor2.dumps([LAYOUT_VERSION, kind, msgspec.to_builtins(message)])
+    fields = cbor2.dumps([kind, msgspec.to_builtins(message)])
+    if len(fields) < MIN_COMPRESSED_BYTES:
+        return bytes([LAYOUT_VERSION, Packing.PLAIN]) + fields
+    deflate = zlib.compressobj(
+        wbits=-WINDOW_BITS, memLevel=COMPRESSION_MEMORY_LEVEL
+    )
+    packed = deflate.compress(fields) + deflate.flush()
+    return bytes([LAYOUT_VERSION, Packing.DEFLATE]) + packed
 
 
 def decode(data: bytes) -> Result[Message, str]:
     """Decodes a message, or returns why the data is invalid."""
+    if len(data) < HEADER_BYTES or data[0] != LAYOUT_VERSION:
+        return Failure(f"unsupported message layout {data[:1].hex()!r}")
+    fields = data[HEADER_BYTES:]
     try:
-        layout, kind, fields = cbor2.loads(data)
-        if layout != LAYOUT_VERSION:
-            return Failure(f"unsupported message layout version {layout!r}")
-        return Success(msgspec.convert(fields, type=MESSAGE_TYPES[kind]))
+        if data[1] == Packing.DEFLATE:
+            inflate = zlib.decompressobj(-zlib.MAX_WBITS)
+            fields = inflate.decompress(fields, MAX_MESSAGE_BYTES)
+        kind, values = cbor2.loads(fields)
+        return Success(msgspec.convert(values, type=MESSAGE_TYPES[kind]))
     except (
+        zlib.error,
         cbor2.CBORError,
         msgspec.ValidationError,
         KeyError,
--- a/src/savorylift/fleet/metrics.py
+++ b/src/savorylift/fleet/metrics.py
@@ -7,6 +7,10 @@
 SNAPSHOTS_SENT = Counter(
     "savorylift_fleet_snapshots_sent", "Snapshots sent to other nodes."
 )
+SNAPSHOTS_REFERRED = Counter(
+    "savorylift_fleet_snapshots_referred",
+    "Snapshot requests that were referred to other nodes.",
+)
 SNAPSHOT_BYTES_SENT = Counter(
     "savorylift_fleet_snapshot_bytes_sent", "Bytes of those snapshots."
 )
--- a/src/savorylift/fleet/peer_transport.py
+++ b/src/savorylift/fleet/peer_transport.py
@@ -1,9 +1,11 @@
-"""Datagrams and snapshot requests between nodes."""
+"""Datagrams between nodes."""
 
 import asyncio
+import math
+import random
 import time
 from collections.abc import Callable
-from typing import NamedTuple, Protocol, cast
+from typing import Protocol, cast
 
 import structlog
 from returns.pipeline import is_successful
@@ -13,8 +15,6 @@
 from savorylift.fleet.codec import Message, decode, encode
 from savorylift.fleet.message_auth import MessageAuthenticator
 from savorylift.fleet.state import Delta, NodeState, Snapshot
-from savorylift.wire.client_call import BrokenAnswerError, fetch
-from savorylift.wire.message import Request, Response
 
 BASE_INTERVAL_S = 0.2
 # With more nodes than this the interval grows in proportion, so that the
@@ -25,33 +25,16 @@
 INTERVALS_PER_SILENT_SEND = 5
 # Larger deltas are not sent; the other nodes fetch a snapshot instead.
 MAX_DELTA_BYTES = 16_384
+# Up to this many nodes, a delta is sent to each of them. A larger fleet is
+# divided into about as many groups as a group has nodes, and one node of each
+# group forwards the delta, so that no link carries it to the whole fleet.
+MAX_DIRECT_NODES = 16
 # Delay that lets changes made at the same time share one message.
 COALESCE_DELAY_S = 0.01
-FETCH_TIMEOUT_S = 2.0
-FETCH_CONNECT_TIMEOUT_S = 0.5
-STATE_PATH = "/state"
-# Parts of the query of a snapshot request, which gives the requester's
-# versions: the store offset of its operators' records, that of its server
-# entries, and the number of changes since the latter that are not records.
-VERSION_PARTS = 3
 
 _log = structlog.get_logger()
 
 
-class FetchedSnapshot(NamedTuple):
-    """A snapshot from another node.
-
-    Attributes:
-        snapshot: The snapshot.
-        size: Number of bytes received.
-        took_s: Time that the request took.
-    """
-
-    snapshot: Snapshot
-    size: int
-    took_s: float
-
-
 class StateBuilder(Protocol):
     """Builds this node's next state message."""
 
@@ -75,7 +58,7 @@
         self,
         port: int,
         make_state: StateBuilder,
-        on_message: Callable[[NodeState | Delta], None],
+        on_message: Callable[[NodeState | Delta, str], None],
         peer_addresses: PeerAddresses,
         authenticator: MessageAuthenticator,
     ) -> None:
@@ -84,7 +67,8 @@
         Args:
             port: Port of datagrams and snapshot requests, on every node.
             make_state: Builds the state message to send.
-            on_message: Called with each message received.
+            on_message: Called with each message received and the address
+                that it came from.
             peer_addresses: Returns the addresses to send to.
             authenticator: Signs and verifies the messages.
         """
@@ -140,15 +124,26 @@
             encode(state), self._peer_addresses(include_silent=include_silent)
         )
 
-    def send_delta(self, delta: Delta) -> None:
-        """Sends a delta to the live nodes, unless it is too large."""
-        data = encode(delta)
-        if len(data) > MAX_DELTA_BYTES:
+    def send_delta(self, delta: Delta) -> bool:
+        """Sends a delta to the live nodes; returns False if it is too large."""
+        size = len(encode(delta))
+        if size > MAX_DELTA_BYTES:
             metrics.DELTAS.labels("too_large").inc()
-            _log.info("delta_too_large", topic=delta.topic, bytes=len(data))
-            return
+            _log.info("delta_too_large", topic=delta.topic, bytes=size)
+            return False
         metrics.DELTAS.labels("sent").inc()
-        self._send_all(data, self._peer_addresses(include_silent=False))
+        ips = list(self._peer_addresses(include_silent=False))
+        for first, *others in _relay_groups(ips):
+            data = encode(delta._replace(relay_to=tuple(others)))
+            self._send_all(data, (first,))
+        return True
+
+    def relay_delta(self, delta: Delta) -> None:
+        """Forwards a received delta to the nodes that its sender chose."""
+        known = self._peer_addresses(include_silent=True)
+        ips = tuple(ip for ip in delta.relay_to if ip in known)
+        if ips:
+            self._send_all(encode(delta._replace(relay_to=())), ips)
 
     def _send_all(self, data: bytes, ips: tuple[str, ...]) -> None:
         if self._transport is None or self._transport.is_closing():
@@ -170,74 +165,24 @@
             return
         message = decoded.unwrap()
         if not isinstance(message, Snapshot):
-            self._on_message(message)
+            self._on_message(message, addr[0])
 
     def error_received(self, exc: Exception) -> None:
         """Logs a socket error; later messages may still be delivered."""
         _log.info("peer_message_lost", detail=str(exc))
 
 
-def snapshot_handler(
-    make_snapshot: Callable[[int, tuple[int, int]], Snapshot],
-    authenticator: MessageAuthenticator,
-) -> Callable[[Request], "asyncio.Future[Response]"]:
-    """Returns the handler of snapshot requests."""
-
-    async def handle(req: Request) -> Response:
-        path, _, query = req.target.partition("?")
-        versions = query.split(".")
-        if path != STATE_PATH or len(versions) != VERSION_PARTS:
-            return Response(404, ())
-        if not all(part.isdigit() for part in versions):
-            return Response(400, ())
-        operators, offset, changes = map(int, versions)
-        snapshot = make_snapshot(operators, (offset, changes))
-        data = authenticator.sign(encode(snapshot))
-        metrics.SNAPSHOTS_SENT.inc()
-        metrics.SNAPSHOT_BYTES_SENT.inc(len(data))
-        return Response(200, (), data)
-
-    return cast("Callable[[Request], asyncio.Future[Response]]", handle)
-
-
-async def fetch_snapshot(
-    ip: str,
-    port: int,
-    operators_version: int,
-    servers_version: tuple[int, int],
-    authenticator: MessageAuthenticator,
-) -> FetchedSnapshot | None:
-    """Requests what another node has beyond this node's versions.
-
-    Returns:
-        The snapshot; None after a failure, which is logged.
+def _relay_groups(ips: list[str]) -> list[list[str]]:
+    """Divides nodes into groups, each of which starts with the node to send to.
+
+    The groups differ between calls, so that a node that loses messages is not
+    always the one that others depend on.
     """
-    offset, changes = servers_version
-    versions = f"{operators_version}.{offset}.{changes}"
-    started_s = time.monotonic()
-    try:
-        response = await fetch(
-            (ip, port),
-            "GET",
-            f"{STATE_PATH}?{versions}",
-            timeout_s=FETCH_TIMEOUT_S,
-            connect_timeout_s=FETCH_CONNECT_TIMEOUT_S,
-        )
-    except (OSError, BrokenAnswerError) as exc:
-        detail = f"{type(exc).__name__}: {exc}"
-        _log.info("peer_state_failed", peer=ip, detail=detail)
-        return None
-    decoded = _verify_and_decode(response.body, authenticator)
-    if not is_successful(decoded):
-        detail = decoded.failure()
-        _log.warning("peer_state_unreadable", peer=ip, detail=detail)
-        return None
-    snapshot = decoded.unwrap()
-    if not isinstance(snapshot, Snapshot):
-        return None
-    took_s = time.monotonic() - started_s
-    metrics.SNAPSHOT_TIME.observe(took_s)
-    return FetchedSnapshot(snapshot, len(response.body), took_s)
+    if len(ips) <= MAX_DIRECT_NODES:
+        return [[ip] for ip in ips]
+    random.shuffle(ips)
+    count = math.isqrt(len(ips))
+    return [ips[start::count] for start in range(count)]
 
 
 def _verify_and_decode(
--- a/src/savorylift/fleet/state.py
+++ b/src/savorylift/fleet/state.py
@@ -90,6 +90,34 @@
     value: bytes | None
 
 
+class Segment(NamedTuple):
+    """A part of a new value: either copied from the old one, or literal.
+
+    Attributes:
+        first_part: Index of the first part to copy.
+        part_count: Number of parts to copy; 0 for a literal.
+        literal: Bytes that the old value does not have.
+    """
+
+    first_part: int
+    part_count: int
+    literal: bytes
+
+
+class Patch(NamedTuple):
+    """The new value of a record, as its difference from the old one.
+
+    Attributes:
+        key: The key.
+        base_checksum: CRC-32 of the old value.
+        segments: The new value.
+    """
+
+    key: str
+    base_checksum: int
+    segments: tuple[Segment, ...]
+
+
 class Delta(NamedTuple):
     """New records of a topic, for nodes that have its previous version.
 
@@ -98,12 +126,17 @@
         base_version: Version that the delta applies to.
         new_version: Version after the delta.
         changes: Records in order.
+        patches: Records whose value is sent as a difference; they come after
+            `changes`.
+        relay_to: Addresses of the nodes that the receiver forwards it to.
     """
 
     topic: Topic
     base_version: tuple[int, int]
     new_version: tuple[int, int]
     changes: tuple[Change, ...]
+    patches: tuple[Patch, ...] = ()
+    relay_to: tuple[str, ...] = ()
 
 
 class Snapshot(NamedTuple):
--- a/src/savorylift/fleet/store_view.py
+++ b/src/savorylift/fleet/store_view.py
@@ -11,9 +11,13 @@
 
 from savorylift.backends.registry import Registry
 from savorylift.backends.server import ServerEntry
+from savorylift.fleet.patch import apply_patch, make_patch
 from savorylift.fleet.state import Change, Delta, Snapshot, Topic
 from savorylift.routing.configuration import Configuration
 
+# Larger values are sent to the other nodes as differences.
+MIN_PATCHED_BYTES = 512
+
 _log = structlog.get_logger()
 
 
@@ -89,19 +93,53 @@
             return self.servers_version
         return self.operators_version, 0
 
+    def make_operators_delta(
+        self, records: Iterable[Change], offset: int
+    ) -> Delta:
+        """Returns the delta for records that are about to be applied.
+
+        Of several records with one key it has the last. Large values are sent
+        as the difference from the value that the view still has.
+        """
+        changes, patches = [], []
+        for key, value in {c.key: c.value for c in records}.items():
+            old = self._operators.get(key)
+            if value and old and len(value) > MIN_PATCHED_BYTES:
+                patches.append(make_patch(key, old, value))
+            else:
+                changes.append(Change(key, value))
+        return Delta(
+            Topic.OPERATORS,
+            self.version(Topic.OPERATORS),
+            (offset, 0),
+            tuple(changes),
+            tuple(patches),
+        )
+
     def apply_delta(self, delta: Delta) -> bool:
         """Applies another node's delta; returns whether it was applied.
 
-        A delta with another base version is dropped. The node fetches a
-        snapshot when it receives the sender's newer version.
+        A delta for another version or value than this node's is dropped. The
+        node then fetches a snapshot.
         """
         if self.version(delta.topic) != delta.base_version:
             return False
         if delta.topic is Topic.SERVERS:
             self.apply_server_records(delta.changes, delta.new_version[0])
             self.servers_version = delta.new_version
-        else:
-            self.apply_operator_records(delta.changes, delta.new_version[0])
+            return True
+        patched = [
+            Change(patch.key, apply_patch(patch, self._operators[patch.key]))
+            for patch in delta.patches
+            if patch.key in self._operators
+        ]
+        if len(patched) < len(delta.patches) or any(
+            change.value is None for change in patched
+        ):
+            return False
+        self.apply_operator_records(
+            (*delta.changes, *patched), delta.new_version[0]
+        )
         return True
 
     def apply_snapshot(self, snapshot: Snapshot) -> bool:
--- a/src/savorylift/fleet/topic_consumer.py
+++ b/src/savorylift/fleet/topic_consumer.py
@@ -195,17 +195,16 @@
         self._on_change(None)
 
     def _apply(self, changes: tuple[Change, ...], offset: int) -> None:
-        base_version = self._store_view.version(self._topic)
-        if self._topic is Topic.SERVERS:
-            is_changed = self._store_view.apply_server_records(changes, offset)
-        else:
-            is_changed = self._store_view.apply_operator_records(
-                changes, offset
-            )
-        if is_changed:
-            new_version = self._store_view.version(self._topic)
+        if self._topic is Topic.OPERATORS:
+            delta = self._store_view.make_operators_delta(changes, offset)
+            if self._store_view.apply_operator_records(changes, offset):
+                self._on_change(delta)
+            return
+        base_version = self._store_view.servers_version
+        if self._store_view.apply_server_records(changes, offset):
+            new_version = self._store_view.servers_version
             self._on_change(
-                Delta(self._topic, base_version, new_version, changes)
+                Delta(Topic.SERVERS, base_version, new_version, changes)
             )
 
     async def _call(self) -> Result[Batch, StoreError]:
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -21,7 +21,6 @@
 from savorylift.fleet import metrics as fleet_metrics
 from savorylift.fleet.membership import Membership
 from savorylift.fleet.message_auth import MessageAuthenticator
-from savorylift.fleet.peer_transport import snapshot_handler
 from savorylift.fleet.registration import Registration
 from savorylift.fleet.state import Delta, NodeState, Topic
 from savorylift.fleet.store_view import StoreView
@@ -169,6 +168,7 @@
             self._store_view.registry, self._generations.on_change
         )
         self._peer_sync = PeerSync(
+            self._ip,
             settings.peer_port,
             self._membership,
             self._store_view,
@@ -241,10 +241,8 @@
 
     async def _listen(self) -> None:
         await self._peer_sync.transport.start(self._ip)
-        handler = snapshot_handler(
-            self._store_view.snapshot, self._peer_sync.authenticator
-        )
-        peer_listener = Listener(connection_handler(handler), InputLimits)
+        handler = connection_handler(self._peer_sync.snapshot_server.handle)
+        peer_listener = Listener(handler, InputLimits)
         await peer_listener.start(self._ip, self._settings.peer_port)
         directory = directory_handler(self._resolve)
         await self._listen_http(self._settings.directory_listen, directory)
--- a/src/savorylift/front/peer_sync.py
+++ b/src/savorylift/front/peer_sync.py
@@ -1,6 +1,5 @@
 """Exchanges state with the other nodes and learns store changes from them."""
 
-import asyncio
 import time
 from collections.abc import Callable
 
@@ -9,22 +8,13 @@
 from savorylift.fleet import metrics
 from savorylift.fleet.membership import Membership
 from savorylift.fleet.message_auth import MessageAuthenticator
-from savorylift.fleet.peer_transport import (
-    PeerTransport,
-    StateBuilder,
-    fetch_snapshot,
-)
-from savorylift.fleet.state import Delta, NodeState
-from savorylift.fleet.store_view import StoreView
+from savorylift.fleet.peer_transport import PeerTransport, StateBuilder
+from savorylift.fleet.snapshot_fetcher import SnapshotFetcher
+from savorylift.fleet.snapshot_server import SnapshotServer
+from savorylift.fleet.state import Delta, NodeState, Topic
+from savorylift.fleet.store_view import StoreView, Version
 from savorylift.front.tasks import BackgroundTasks
 
-# A state message that announces a new version may arrive before the delta with
-# the change itself; a node waits this long for the delta before it fetches a
-# snapshot.
-DELTA_WAIT_S = 0.03
-# Most snapshots that are fetched at the same time.
-MAX_CONCURRENT_FETCHES = 2
-
 _log = structlog.get_logger()
 
 
@@ -33,6 +23,7 @@
 
     def __init__(
         self,
+        ip: str,
         port: int,
         membership: Membership,
         store_view: StoreView,
@@ -46,6 +37,7 @@
         """Creates the transport; opens no socket yet.
 
         Args:
+            ip: This node's own address.
             port: Port for messages between nodes, the same on all of them.
             membership: The other nodes; updated with each state message.
             store_view: View of the store; updated with deltas and snapshots.
@@ -55,14 +47,22 @@
             on_update: Called after store changes were learned from a peer.
             on_state: Called after each state message from a peer.
         """
-        self._port = port
         self._membership = membership
         self._store_view = store_view
         self._tasks = tasks
         self._on_update = on_update
         self._on_state = on_state
-        self._fetching_from: set[str] = set()
-        self.authenticator = authenticator
+        self._fetcher = SnapshotFetcher(
+            ip,
+            port,
+            store_view,
+            authenticator,
+            lambda: len(self._target_addresses(include_silent=False)),
+            on_update,
+        )
+        self.snapshot_server = SnapshotServer(
+            store_view.snapshot, authenticator
+        )
         self.transport = PeerTransport(
             port,
             make_state,
@@ -72,14 +72,15 @@
         )
 
     def announce(self, delta: Delta | None) -> None:
-        """Sends the new state to live peers, and the change if it is given.
+        """Tells live peers of a change of this node's state or store view.
 
         Args:
-            delta: The change; None if peers must fetch a snapshot instead.
+            delta: The change of the store view, if that has changed. Peers
+                learn it from the delta alone; without one, or if it is too
+                large, they fetch a snapshot.
         """
-        if delta is not None:
-            self.transport.send_delta(delta)
-        self.transport.send(include_silent=False)
+        if delta is None or not self.transport.send_delta(delta):
+            self.transport.send(include_silent=False)
 
     def _target_addresses(self, *, include_silent: bool) -> tuple[str, ...]:
         if include_silent:
@@ -87,14 +88,11 @@
         live = self._membership.live_peers(time.monotonic())
         return tuple(peer.state.ip for peer in live)
 
-    def _receive(self, message: NodeState | Delta) -> None:
+    def _receive(self, message: NodeState | Delta, ip: str) -> None:
         if isinstance(message, NodeState):
             self._receive_state(message)
-        elif self._store_view.apply_delta(message):
-            metrics.DELTAS.labels("applied").inc()
-            self._on_update()
         else:
-            metrics.DELTAS.labels("other_base").inc()
+            self._receive_delta(message, ip)
 
     def _receive_state(self, state: NodeState) -> None:
         is_new = self._membership.update_peer(state, time.monotonic())
@@ -103,51 +101,29 @@
                 "peer_heard", peer=state.node, incarnation=state.incarnation
             )
             self.transport.send_soon()
-        if self._is_behind(state):
-            self._start_fetch(state)
+        self._catch_up(state.ip, state.operators_version, state.servers_version)
         self._on_state()
 
-    def _is_behind(self, state: NodeState) -> bool:
-        """Whether a peer knows newer store records than this node."""
-        return (
-            state.operators_version > self._store_view.operators_version
-            or state.servers_version > self._store_view.servers_version
-        )
+    def _receive_delta(self, delta: Delta, ip: str) -> None:
+        self.transport.relay_delta(delta)
+        if self._store_view.apply_delta(delta):
+            metrics.DELTAS.labels("applied").inc()
+            self._on_update()
+            return
+        metrics.DELTAS.labels("other_base").inc()
+        if delta.topic is Topic.OPERATORS:
+            self._catch_up(ip, delta.new_version[0], (0, 0))
+        else:
+            self._catch_up(ip, 0, delta.new_version)
 
-    def _start_fetch(self, state: NodeState) -> None:
+    def _catch_up(
+        self, ip: str, operators_version: int, servers_version: Version
+    ) -> None:
+        """Fetches a snapshot if a peer knows newer store records."""
         if (
-            state.ip not in self._fetching_from
-            and len(self._fetching_from) < MAX_CONCURRENT_FETCHES
+            operators_version <= self._store_view.operators_version
+            and servers_version <= self._store_view.servers_version
         ):
-            self._fetching_from.add(state.ip)
-            self._tasks.spawn(self._fetch_snapshot(state))
-
-    async def _fetch_snapshot(self, state: NodeState) -> None:
-        """Fetches a peer's snapshot unless its deltas arrive first."""
-        try:
-            await asyncio.sleep(DELTA_WAIT_S)
-            if not self._is_behind(state):
-                return
-            fetched = await fetch_snapshot(
-                state.ip,
-                self._port,
-                self._store_view.operators_version,
-                self._store_view.servers_version,
-                self.authenticator,
-            )
-        finally:
-            self._fetching_from.discard(state.ip)
-        if fetched is None:
             return
-        snapshot = fetched.snapshot
-        if not self._store_view.apply_snapshot(snapshot):
-            return
-        _log.info(
-            "state_from_peer",
-            peer=state.node,
-            operators_version=snapshot.operators_version,
-            servers_version=snapshot.servers_version,
-            bytes=fetched.size,
-            took_ms=round(fetched.took_s * 1000),
-        )
-        self._on_update()
+        if self._fetcher.add_source(ip, operators_version, servers_version):
+            self._tasks.spawn(self._fetcher.run())
