Log engines that crash on requests, with the prompts they had begun

A node now connects once to an engine that broke off a response before its fourth event; if the connection is refused it logs engine_crashed with the parts of the prompt but the last. No request is treated differently.

--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -7,6 +7,7 @@
 from savorylift.exchange import metrics
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.codec import Codec, EventSink
+from savorylift.exchange.crash_probe import CrashProbe
 from savorylift.exchange.engine_queue import EngineQueue
 from savorylift.exchange.failed_generation import (
     fail_generation,
@@ -71,6 +72,7 @@
         self._mover = mover
         self._rng = rng
         self._queue = EngineQueue(pool)
+        self._crash_probe = CrashProbe(lambda *_: None)
         self._release_rate = MemoryReleaseRate()
         self._relay = Relay(
             codec, self._queue.record_first_event, self._start_move_if_draining
@@ -146,6 +148,7 @@
             result = await self._run_on_engine(
                 run, server, sink, tried, is_last=is_last
             )
+            self._probe_for_crash(run, result)
             self._release(run)
             if result is None:
                 return None
@@ -167,6 +170,17 @@
             else:
                 reason = result.reason
 
+    def _probe_for_crash(
+        self, run: Run, result: NotRun | Answered | Broken | None
+    ) -> None:
+        """Probes an engine that broke off a response at its beginning."""
+        if not isinstance(result, Broken) or run.server is None:
+            return
+        if result.reason is Reason.ANSWER_LOST and not run.has_survived_start:
+            self._crash_probe.start(
+                run.server, run.attempt_id, run.prompt_prefix
+            )
+
     def _end_unserved(
         self,
         run: Run,
--- a/src/savorylift/exchange/metrics.py
+++ b/src/savorylift/exchange/metrics.py
@@ -23,6 +23,10 @@
 CALLERS_GONE = Counter(
     "savorylift_front_callers_gone", "Requests whose caller left."
 )
+ENGINE_CRASHES = Counter(
+    "savorylift_front_engine_crashes",
+    "Requests whose engine crashed before it had answered them.",
+)
 MOVES = Counter(
     "savorylift_front_moves", "Runs continued at another engine.", ["outcome"]
 )
--- a/src/savorylift/exchange/run.py
+++ b/src/savorylift/exchange/run.py
@@ -10,6 +10,9 @@
 from savorylift.exchange.request import KvCopy
 from savorylift.wire.client_call import ClientCall
 
+# An engine that crashes on a request may still deliver a first event or two.
+EVENTS_TO_SURVIVE = 4
+
 
 class ResumeTarget(NamedTuple):
     """Where to resume a run that was stopped to move it.
@@ -41,6 +44,7 @@
         assigned_s: Monotonic time at which the queue last assigned an engine
             to the run, just before the request is sent.
         awaits_first_event: Whether that engine has not sent an event yet.
+        relayed_events: Number of events relayed from all engines.
         prefill_tokens_at_start: Prompt tokens that the engine had to prefill
             at `assigned_s`, including those of earlier runs.
         first_event_s: Monotonic time of the first relayed event.
@@ -61,6 +65,7 @@
         self.move_task: asyncio.Task[ResumeTarget | None] | None = None
         self.assigned_s = 0.0
         self.awaits_first_event = True
+        self.relayed_events = 0
         self.prefill_tokens_at_start = 0
         self.first_event_s: float | None = None
         self.last_event_s: float | None = None
@@ -73,6 +78,18 @@
         """The caller's ID for the request."""
         return self.admitted.req.attempt_id
 
+    @property
+    def prompt_prefix(self) -> tuple[str, ...]:
+        """IDs of the parts of the prompt that other requests may share."""
+        generation = self.admitted.req.generation
+        parts = generation.prompt_parts if generation is not None else ()
+        return tuple(part for part, _ in parts[:-1])
+
+    @property
+    def has_survived_start(self) -> bool:
+        """Whether an engine has got past the beginning of the response."""
+        return self.relayed_events >= EVENTS_TO_SURVIVE
+
     @property
     def can_move(self) -> bool:
         """Whether the KV cache can be copied to another engine."""
@@ -111,6 +128,7 @@
     def record_event(self, number: int | None) -> None:
         """Updates times and numbers when an event is relayed."""
         now_s = time.monotonic()
+        self.relayed_events += 1
         if self.last_event_s is None:
             self.first_event_s = now_s
         else:
