Quarantine the parts of prompts that crash engines

Cause: nothing linked the crashes. Each node judged engines by the failures it saw and never asked what the requests behind them had in common, so a request that crashes its engine (query of death, poison pill) was sent on as long as engines lived. The class: a failure that belongs to the request is booked on the server.

Fix: nodes share which prompts an engine had not answered when it crashed, and which suspected parts engines have begun to answer since. Parts that three crashes at different moments have in common, and that were not answered since, are refused at once with when to come back, and stopped at engines that have not begun. Parts that only occur together are refused together, so that sound requests with some of them pass and narrow the suspicion. Bounded, forgotten, tried again by one node at growing intervals.

Why it works: what is refused has, by the evidence, crashed each engine it reached; what is sound proves itself with each answer.

--- a/src/savorylift/exchange/failed_generation.py
+++ b/src/savorylift/exchange/failed_generation.py
@@ -12,9 +12,7 @@
 ) -> Refused | None:
     """Ends a request that did not run; returns the response yet to send."""
     message = "No engine has room for the request; it did not run."
-    return _fail_stream_or_return(
-        sink, Refused(503, reason, message, retry_after_s)
-    )
+    return end_with_refusal(sink, Refused(503, reason, message, retry_after_s))
 
 
 def fail_generation(
@@ -24,9 +22,7 @@
     log_broken(run, failure)
     status = 504 if failure.reason is Reason.DEADLINE else 502
     message = "The engine gave no whole answer; the request may have run."
-    return _fail_stream_or_return(
-        sink, Refused(status, failure.reason, message)
-    )
+    return end_with_refusal(sink, Refused(status, failure.reason, message))
 
 
 def to_broken(result: NotRun | Answered | Broken) -> Broken:
@@ -39,7 +35,7 @@
     return Broken(Reason.BACKEND_ERROR, detail)
 
 
-def _fail_stream_or_return(sink: EventSink, refused: Refused) -> Refused | None:
+def end_with_refusal(sink: EventSink, refused: Refused) -> Refused | None:
     """Fails the stream if it has started, else returns the refusal."""
     if not sink.is_started:
         return refused
--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -2,14 +2,17 @@
 
 import asyncio
 import random
+from collections.abc import Collection
 
+from savorylift.backends.prompt_quarantine import Parts
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange import metrics
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.codec import Codec, EventSink
-from savorylift.exchange.crash_probe import CrashProbe
+from savorylift.exchange.crash_guard import CrashGuard
 from savorylift.exchange.engine_queue import EngineQueue
 from savorylift.exchange.failed_generation import (
+    end_with_refusal,
     fail_generation,
     refuse_generation,
     to_broken,
@@ -56,6 +59,7 @@
         codec: Codec,
         sender: Sender,
         mover: Mover,
+        crash_guard: CrashGuard,
         rng: random.Random,
     ) -> None:
         """Creates a dispatcher without any runs.
@@ -65,6 +69,7 @@
             codec: Decodes the streams of engines.
             sender: Sends runs to engines.
             mover: Moves runs off draining engines.
+            crash_guard: Stops requests that crash engines.
             rng: Source of the jitter on retry delays.
         """
         self._pool = pool
@@ -72,10 +77,11 @@
         self._mover = mover
         self._rng = rng
         self._queue = EngineQueue(pool)
-        self._crash_probe = CrashProbe(lambda *_: None)
+        self._crash_guard = crash_guard
+        crash_guard.on_quarantine = self._stop_quarantined
         self._release_rate = MemoryReleaseRate()
         self._relay = Relay(
-            codec, self._queue.record_first_event, self._start_move_if_draining
+            codec, self._queue.record_first_event, self._on_event
         )
         self._runs: set[Run] = set()
 
@@ -109,9 +115,13 @@
         )
         self._runs.add(run)
         try:
-            async with asyncio.timeout_at(admitted.deadline_s):
+            async with asyncio.timeout_at(
+                admitted.deadline_s
+            ) as run.time_limit:
                 return await self._serve(run, sink)
         except TimeoutError:
+            if run.refusal is not None:
+                return self._end_quarantined(run, sink, run.refusal)
             detail = "the deadline of the request passed"
             return fail_generation(run, sink, Broken(Reason.DEADLINE, detail))
         finally:
@@ -123,32 +133,32 @@
     ) -> Answered | Refused | None:
         admitted = run.admitted
         tried: set[str] = set()
-        possibly_run_attempts = 0
         reached_server = False
         reason = Reason.QUEUE_FULL
         while True:
+            run.refusal = self._crash_guard.refuse(run)
+            if run.refusal is not None:
+                return self._end_quarantined(run, sink, run.refusal)
             if reached_server and not self._pool.take_retry(
                 admitted.service.name
             ):
                 metrics.RETRIES_DENIED.labels(admitted.service.name).inc()
                 failure = Broken(reason, "the retry budget is used up")
-                return self._end_unserved(
-                    run, sink, failure, possibly_run_attempts
-                )
+                return self._end_unserved(run, sink, failure)
             server = await self._queue.acquire(run, tried)
             if server is None:
                 failure = Broken(reason, "no engine has room")
-                return self._end_unserved(
-                    run, sink, failure, possibly_run_attempts
-                )
+                return self._end_unserved(run, sink, failure)
             if reached_server:
                 metrics.RETRIES.labels(reason.value).inc()
-            is_last = possibly_run_attempts + 1 >= admitted.route.max_attempts
+            is_last = (
+                run.possibly_run_attempts + 1 >= admitted.route.max_attempts
+            )
             tried.add(server.entry.server_id)
             result = await self._run_on_engine(
                 run, server, sink, tried, is_last=is_last
             )
-            self._probe_for_crash(run, result)
+            self._crash_guard.record_result(run, result)
             self._release(run)
             if result is None:
                 return None
@@ -160,7 +170,7 @@
                 reason = result.reason
                 continue
             reached_server = True
-            possibly_run_attempts += 1
+            run.possibly_run_attempts += 1
             if not admitted.is_idempotent or is_last:
                 if isinstance(result, Answered) and not sink.is_started:
                     return result
@@ -170,26 +180,29 @@
             else:
                 reason = result.reason
 
-    def _probe_for_crash(
-        self, run: Run, result: NotRun | Answered | Broken | None
-    ) -> None:
-        """Probes an engine that broke off a response at its beginning."""
-        if not isinstance(result, Broken) or run.server is None:
-            return
-        if result.reason is Reason.ANSWER_LOST and not run.has_survived_start:
-            self._crash_probe.start(
-                run.server, run.attempt_id, run.prompt_prefix
-            )
+    def _stop_quarantined(self, begun: Collection[Parts]) -> None:
+        """Stops the requests that no engine has begun to answer yet."""
+        for run in list(self._runs):
+            is_meant = any(parts.issubset(run.prompt_prefix) for parts in begun)
+            if is_meant and not run.has_survived_start:
+                run.stop(self._crash_guard.refuse(run))
+
+    def _end_quarantined(
+        self, run: Run, sink: EventSink, refusal: Refused
+    ) -> Refused | None:
+        if not run.may_have_run:
+            return end_with_refusal(sink, refusal)
+        failure = Broken(refusal.reason, "such requests crash engines")
+        return fail_generation(run, sink, failure)
 
     def _end_unserved(
         self,
         run: Run,
         sink: EventSink,
         failure: Broken,
-        possibly_run_attempts: int,
     ) -> Refused | None:
         """Ends a request that can't be sent to another engine."""
-        if possibly_run_attempts:
+        if run.possibly_run_attempts:
             return fail_generation(run, sink, failure)
         wanted_tokens = run.expected_tokens * (
             1 + self._queue.waiting_count(run.admitted)
@@ -215,6 +228,7 @@
         failover_policy = self._queue.failover_policy(
             run, tried, is_last=is_last
         )
+        run.is_at_engine = True
         started = await self._send(
             run, server, ResumePoint(run.resume_after), failover_policy
         )
@@ -312,6 +326,10 @@
             return Broken(result.reason, result.detail)
         return result
 
+    def _on_event(self, run: Run) -> None:
+        self._crash_guard.record_event(run)
+        self._start_move_if_draining(run)
+
     def _start_move_if_draining(self, run: Run) -> None:
         """Starts to move a run if its engine is draining."""
         if run.move_task is not None or run.server is None or run.call is None:
@@ -343,6 +361,7 @@
             self._release_rate.record_release(run.expected_tokens)
         self._remove_from_load(run)
         run.server = None
+        run.is_at_engine = False
         self._queue.dispatch_waiting()
 
     def _end_call(self, run: Run, *, is_complete: bool) -> None:
--- a/src/savorylift/exchange/metrics.py
+++ b/src/savorylift/exchange/metrics.py
@@ -27,6 +27,10 @@
     "savorylift_front_engine_crashes",
     "Requests whose engine crashed before it had answered them.",
 )
+QUARANTINES = Counter(
+    "savorylift_front_quarantines",
+    "Parts of prompts that this node stopped sending to engines.",
+)
 MOVES = Counter(
     "savorylift_front_moves", "Runs continued at another engine.", ["outcome"]
 )
--- a/src/savorylift/exchange/run.py
+++ b/src/savorylift/exchange/run.py
@@ -8,6 +8,7 @@
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.codec import CancelRequest
 from savorylift.exchange.request import KvCopy
+from savorylift.exchange.results import Refused
 from savorylift.wire.client_call import ClientCall
 
 # An engine that crashes on a request may still deliver a first event or two.
@@ -45,6 +46,11 @@
             to the run, just before the request is sent.
         awaits_first_event: Whether that engine has not sent an event yet.
         relayed_events: Number of events relayed from all engines.
+        possibly_run_attempts: Number of engines that may have run the request
+            before the current one.
+        is_at_engine: Whether it is being sent to an engine or was sent.
+        time_limit: Ends the serving of the request; None before it begins.
+        refusal: Why the request must not be sent to engines, if so.
         prefill_tokens_at_start: Prompt tokens that the engine had to prefill
             at `assigned_s`, including those of earlier runs.
         first_event_s: Monotonic time of the first relayed event.
@@ -66,6 +72,10 @@
         self.assigned_s = 0.0
         self.awaits_first_event = True
         self.relayed_events = 0
+        self.possibly_run_attempts = 0
+        self.is_at_engine = False
+        self.time_limit: asyncio.Timeout | None = None
+        self.refusal: Refused | None = None
         self.prefill_tokens_at_start = 0
         self.first_event_s: float | None = None
         self.last_event_s: float | None = None
@@ -115,6 +125,20 @@
             return self.admitted.req.resume_after
         return None
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether an engine may have run the request."""
+        return self.is_at_engine or self.possibly_run_attempts > 0
+
+    def stop(self, refusal: Refused | None) -> None:
+        """Ends the serving of the request now, if there is a refusal."""
+        if refusal is None or self.time_limit is None:
+            return
+        if self.time_limit.expired():
+            return
+        self.refusal = refusal
+        self.time_limit.reschedule(asyncio.get_running_loop().time())
+
     def mark_assigned(self, prefill_tokens: int) -> None:
         """Records that the queue assigned an engine to the run.
 
--- a/src/savorylift/fleet/state.py
+++ b/src/savorylift/fleet/state.py
@@ -27,6 +27,61 @@
     failed: int
 
 
+class CrashReport(NamedTuple):
+    """A crash of an engine, as seen by one node.
+
+    Attributes:
+        server_id: Identifier of the engine.
+        age_s: Time since the crash.
+        prefixes: Prompts of the requests that it had not answered yet, each
+            as the IDs of its parts without the last.
+    """
+
+    server_id: str
+    age_s: float
+    prefixes: tuple[tuple[str, ...], ...]
+
+
+class SoundPart(NamedTuple):
+    """A part of prompts that an engine began to answer without crashing.
+
+    Attributes:
+        part: ID of the part.
+        age_s: Time since an engine last did so.
+    """
+
+    part: str
+    age_s: float
+
+
+class QuarantinedParts(NamedTuple):
+    """Parts of prompts; requests that have all of them go to no engine.
+
+    Attributes:
+        parts: IDs of the parts.
+        age_s: Time since the quarantine began.
+        remaining_s: Time until it ends.
+    """
+
+    parts: tuple[str, ...]
+    age_s: float
+    remaining_s: float
+
+
+class QuarantineNews(NamedTuple):
+    """What a node knows of requests that crash engines.
+
+    Attributes:
+        crash_reports: Crashes that the node has seen lately.
+        sound_parts: Suspected parts that engines have begun to answer.
+        quarantined: Requests that the node does not send to engines.
+    """
+
+    crash_reports: tuple[CrashReport, ...] = ()
+    sound_parts: tuple[SoundPart, ...] = ()
+    quarantined: tuple[QuarantinedParts, ...] = ()
+
+
 class NodeState(NamedTuple):
     """State message that a node sends periodically and after changes.
 
@@ -50,6 +105,7 @@
         moves: Runs that the node plans to move off draining engines.
         interval_s: Time until the next message if nothing changes.
         peers: Addresses of its live peers; empty in most messages.
+        quarantine_news: What it knows of requests that crash engines.
     """
 
     node: str
@@ -69,6 +125,7 @@
     moves: tuple[PlannedMove, ...]
     interval_s: float
     peers: tuple[str, ...]
+    quarantine_news: QuarantineNews = QuarantineNews()
 
 
 class Topic(enum.StrEnum):
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -11,6 +11,8 @@
 from returns.pipeline import is_successful
 from returns.result import Result
 
+from savorylift.backends.prompt_quarantine import PromptQuarantine
+from savorylift.exchange.crash_guard import CrashGuard
 from savorylift.exchange.drain_poller import DrainPoller
 from savorylift.exchange.generation import GenerationDispatcher
 from savorylift.exchange.mover import Mover
@@ -112,10 +114,15 @@
             lambda: self._peer_sync.transport.message_interval_s,
             settings.regions,
         )
+        self._crash_guard = CrashGuard(
+            PromptQuarantine(self._ip),
+            self._membership,
+            lambda: self._peer_sync.transport.send_soon(),
+        )
         codec = interface.codec
         sender = Sender(codec, self._pool.is_usable)
         self._generations = GenerationDispatcher(
-            self._pool, codec, sender, Mover(self._pool), rng
+            self._pool, codec, sender, Mover(self._pool), self._crash_guard, rng
         )
         refusal_counts = RefusalCounts(settings.vm, self._incarnation)
         caller_handler = CallerHandler(
@@ -328,6 +335,7 @@
             moves=self._pool.move_queue.planned,
             interval_s=self._peer_sync.transport.own_interval_s,
             peers=tuple(peer.state.ip for peer in peers),
+            quarantine_news=self._crash_guard.news(),
         )
 
     def _own_reading_age_s(self, now_s: float) -> float | None:
@@ -358,7 +366,8 @@
         self._servers_consumer.skip_to(self._store_view.servers_version[0])
         self._generations.on_change()
 
-    def _on_peer_state(self) -> None:
+    def _on_peer_state(self, state: NodeState) -> None:
+        self._crash_guard.merge(state.quarantine_news)
         self._pool.move_queue.on_change()
         self._generations.on_change()
 
@@ -373,6 +382,7 @@
             await asyncio.sleep(MAINTENANCE_INTERVAL_S)
             self._record_loop_delay(time.monotonic() - due_s)
             self._membership.forget_silent(time.monotonic())
+            self._crash_guard.update()
             if self._store_view.drop_expired():
                 self._on_store_change(None)
             else:
--- a/src/savorylift/front/peer_sync.py
+++ b/src/savorylift/front/peer_sync.py
@@ -33,7 +33,7 @@
         is_reader: Callable[[], bool],
         *,
         on_update: Callable[[], None],
-        on_state: Callable[[], None],
+        on_state: Callable[[NodeState], None],
     ) -> None:
         """Creates the transport; opens no socket yet.
 
@@ -105,7 +105,7 @@
             )
             self.transport.send_soon()
         self._catch_up(state.ip, state.operators_version, state.servers_version)
-        self._on_state()
+        self._on_state(state)
 
     def _receive_delta(self, delta: Delta, ip: str) -> None:
         self.transport.relay_delta(delta)
--- a/src/savorylift/outcomes.py
+++ b/src/savorylift/outcomes.py
@@ -39,6 +39,7 @@
     NO_BACKEND_SERVER = "no_backend_server"
     OUT_OF_SERVICE = "out_of_service"
     QUEUE_FULL = "queue_full"
+    QUARANTINED = "quarantined"
     DEADLINE = "deadline"
     TEAM_LIMIT = "team_limit"
     ANSWER_LOST = "answer_lost"
--- a/tests/front/environment.py
+++ b/tests/front/environment.py
@@ -130,7 +130,7 @@
         self, server: PlatformServer, service: str, state: str = "ready"
     ) -> None:
         """Writes a server's entry to the store."""
-        number = server.server_id[-1]
+        number = server.server_id.partition(".")[0][-1]
         entry = server.entry(service, f"z{number}", state)
         self.store.add(SERVERS_TOPIC, server.server_id, entry)
 
--- a/tests/front/test_peer_sync.py
+++ b/tests/front/test_peer_sync.py
@@ -49,7 +49,7 @@
             MessageAuthenticator(),
             lambda: False,
             on_update=lambda: None,
-            on_state=lambda: None,
+            on_state=lambda _: None,
         )
 
     async def start(self) -> None:
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 from typing import NamedTuple
 
 from savorylift.wire.listener import Listener
@@ -17,6 +18,8 @@
 RESPONSE_SIGNATURE_HEADER = ("x-savorylift-response-seal", "seal")
 NOT_EXECUTED_HEADER = ("x-savorylift-not-executed", "1")
 EVENT_INTERVAL_S = 0.01
+# How long a server is down after a crash.
+RESTART_S = 0.2
 
 
 class KvCopy(NamedTuple):
@@ -58,6 +61,11 @@
             for lack of room.
         drops_final_copy: Whether it stops the run at the final KV cache copy,
             but then closes the connection without copying or responding.
+        deadly_part: ID of a part of prompts on which it crashes as it begins
+            to answer; None for no part.
+        crashes: Number of its crashes.
+        on_restart: Called with its earlier ID after it restarted from a crash
+            with a new one.
         peers: Engines that runs can be copied to, by port.
         kv_copies: Copies from which runs can continue here, by handle.
     """
@@ -83,11 +91,30 @@
         self.drops_final_copy = False
         self.kv_copies: dict[str, KvCopy] = {}
         self.peers: dict[int, PlatformServer] = {}
+        self.deadly_part: str | None = None
+        self.crashes = 0
+        self.on_restart: Callable[[str], None] = lambda _: None
+        self._listener: Listener | None = None
+        self._conns: set[ServerConnection] = set()
 
     async def start(self, port: int) -> None:
         """Starts to listen on the loopback interface."""
         self.port = port
-        await Listener(self._serve, InputLimits).start("127.0.0.1", port)
+        self._listener = Listener(self._serve, InputLimits)
+        await self._listener.start("127.0.0.1", port)
+
+    async def _crash(self) -> None:
+        """Breaks all connections, and restarts under another ID."""
+        self.crashes += 1
+        assert self._listener is not None
+        self._listener.stop_accepting()
+        for conn in self._conns:
+            conn.channel.abort()
+        await asyncio.sleep(RESTART_S)
+        earlier_id = self.server_id
+        self.server_id = f"{earlier_id.partition('.')[0]}.{self.crashes}"
+        await self.start(self.port)
+        self.on_restart(earlier_id)
 
     def entry(
         self, service: str, zone: str, state: str = "ready"
@@ -106,6 +133,13 @@
         }
 
     async def _serve(self, conn: ServerConnection) -> None:
+        self._conns.add(conn)
+        try:
+            await self._serve_request(conn)
+        finally:
+            self._conns.discard(conn)
+
+    async def _serve_request(self, conn: ServerConnection) -> None:
         req = await conn.next_request()
         if not isinstance(req, Request):
             return
@@ -141,6 +175,13 @@
         if "kv-from" not in headers:
             self.runs.append(attempt)
         await asyncio.sleep(self.delay_s)
+        prompt = headers.get("x-savorylift-prompt-prefix", "")
+        if self.deadly_part is not None and self.deadly_part in prompt:
+            if conn.channel.is_peer_closed:
+                return
+            conn.start_response(self.status, response_headers)
+            await self._crash()
+            return
         is_stream = "x-savorylift-token-counts" in headers
         if is_stream and self.status == 200:
             await self._stream(conn, attempt, headers, response_headers)
