Tell streams that end within an event from whole ones

Cause: what was left after the last event was sent on and the stream finished; only chunked framing or a length told that something was missing. The class: the end of a connection taken for the end of a message.

Fix: a stream that ends with bytes of an unfinished event is broken.

A stream that breaks exactly between two events and has neither length nor chunks still can't be told from a whole one (docs/PROMISES.md).

--- a/src/savorylift/completions/engine_call.py
+++ b/src/savorylift/completions/engine_call.py
@@ -154,19 +154,18 @@
                 if token.token_index > self._last_delivered:
                     encoded = msgspec.json.encode(token)
                     events.append(Event(encoded, token.token_index))
-        if len(self._splitter.end()) > MAX_EVENT_BYTES:
+        if len(self._splitter.unfinished) > MAX_EVENT_BYTES:
             raise BrokenAnswerError("an event of the engine is too large")
         return events
 
-    def end(self) -> bytes:
-        """Checks that the stream is complete; returns no trailing bytes.
+    def end(self) -> None:
+        """Checks that the stream is complete.
 
         Raises:
             BrokenAnswerError: The stream ended without its end marker.
         """
         if not self._is_complete:
             raise BrokenAnswerError("the stream ended without its end marker")
-        return b""
 
     def _decode_event(self, text: bytes) -> Token:
         try:
--- a/src/savorylift/exchange/codec.py
+++ b/src/savorylift/exchange/codec.py
@@ -62,8 +62,8 @@
         """
         ...
 
-    def end(self) -> bytes:
-        """Returns the bytes after the last event, at the end of the response.
+    def end(self) -> None:
+        """Checks that the response is complete at its end.
 
         Raises:
             BrokenAnswerError: The stream ended before its last event.
--- a/src/savorylift/exchange/events.py
+++ b/src/savorylift/exchange/events.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from savorylift.wire.client_call import BrokenAnswerError
+
 EVENT_DELIMITER = b"\n\n"
 ID_FIELD = b"id:"
 DATA_FIELD = b"data:"
@@ -28,10 +30,20 @@
         """Creates a splitter for a new stream."""
         self._buffer = bytearray()
 
-    def end(self) -> bytes:
-        """Returns the buffered bytes after the last complete event."""
+    @property
+    def unfinished(self) -> bytes:
+        """The buffered bytes after the last complete event."""
         return bytes(self._buffer)
 
+    def end(self) -> None:
+        """Checks that the stream did not end within an event.
+
+        Raises:
+            BrokenAnswerError: It did.
+        """
+        if self._buffer.strip():
+            raise BrokenAnswerError("the stream ended within an event")
+
     def feed(self, data: bytes) -> list[Event]:
         """Returns the events that `data` completes."""
         search_from = max(len(self._buffer) - 1, 0)
--- a/src/savorylift/exchange/relay.py
+++ b/src/savorylift/exchange/relay.py
@@ -57,13 +57,11 @@
                     break
                 for event in reader.feed(chunk):
                     await self._forward_event(run, started, sink, event)
-            rest = reader.end()
+            reader.end()
         except BrokenAnswerError as exc:
             return Broken(Reason.ANSWER_LOST, str(exc))
         if not sink.is_started:
             sink.start(started.head)
-        if rest:
-            await sink.send(rest)
         sink.finish()
         log_complete(run)
         return None
--- a/tests/exchange/test_events.py
+++ b/tests/exchange/test_events.py
@@ -5,6 +5,7 @@
 from hypothesis import strategies as st
 
 from savorylift.exchange.events import EventSplitter
+from savorylift.wire.client_call import BrokenAnswerError
 
 STREAM = b"id: 1\ndata: a\n\nx-version: 2\nid: 2\ndata: b\n\n: note\n\nid: 3"
 
@@ -16,7 +17,9 @@
     for start in range(0, len(STREAM), step):
         events += splitter.feed(STREAM[start : start + step])
     assert [event.number for event in events] == [1, 2, None]
-    assert splitter.end() == b"id: 3"
+    assert splitter.unfinished == b"id: 3"
+    with pytest.raises(BrokenAnswerError):
+        splitter.end()
 
 
 @given(st.lists(st.binary(max_size=8), max_size=20))
@@ -25,5 +28,11 @@
     event_bytes = b"".join(
         event.data for part in parts for event in splitter.feed(part)
     )
-    assert event_bytes + splitter.end() == b"".join(parts)
+    assert event_bytes + splitter.unfinished == b"".join(parts)
     assert event_bytes == b"" or event_bytes.endswith(b"\n\n")
+
+
+def test_stream_that_ends_after_an_event_is_complete() -> None:
+    splitter = EventSplitter()
+    splitter.feed(b"id: 1\ndata: a\n\n")
+    splitter.end()
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -103,6 +103,11 @@
         self._listener = Listener(self._serve, InputLimits)
         await self._listener.start("127.0.0.1", port)
 
+    def stop(self) -> None:
+        """Stops to listen, so that another program can use the port."""
+        assert self._listener is not None
+        self._listener.stop_accepting()
+
     async def _crash(self) -> None:
         """Breaks all connections, and restarts under another ID."""
         self.crashes += 1
