Bound what a server that sends without end can use of a node

A stream without an event's end was buffered until the request's deadline, a body up to 33 MB, several at once past a VM's 128 MB, so that the node is killed with all its requests; endless informational responses kept the request until its deadline.

Cause: bounds missing or far above a node's memory, and none over all responses together.

Fix: an event is at most 256 KB, a body 4 MB, all bodies being read 16 MB, informational responses 8; past that the connection is closed and the request ends or is retried as after a lost answer. The completions interface uses the same bound on events.

--- a/src/savorylift/client/stream.py
+++ b/src/savorylift/client/stream.py
@@ -18,6 +18,7 @@
 )
 from savorylift.exchange.events import DONE_SENTINEL, EventSplitter, event_data
 from savorylift.outcomes import Ending
+from savorylift.wire.client_call import BrokenAnswerError
 
 MIN_RETRY_DELAY_S = 0.05
 MIN_RESUME_READ_TIMEOUT_S = 1.0
@@ -205,7 +206,7 @@
                         yield from self._decode_event(text)
                 if self._is_finished:
                     return
-        except (urllib3.exceptions.HTTPError, OSError):
+        except (urllib3.exceptions.HTTPError, OSError, BrokenAnswerError):
             self._nodes.note_failed(url)
         finally:
             response.close()
--- a/src/savorylift/completions/engine_call.py
+++ b/src/savorylift/completions/engine_call.py
@@ -34,8 +34,6 @@
 NOT_RUN_STATUSES = frozenset({409, 503})
 # Any other finish reason, such as `cancelled`, means an incomplete answer.
 NORMAL_FINISH_REASONS = frozenset({"stop", "length"})
-# An event holds one token, so a larger one means a faulty engine.
-MAX_EVENT_BYTES = 65_536
 
 
 class Token(NamedTuple):
@@ -154,8 +152,6 @@
                 if token.token_index > self._last_delivered:
                     encoded = msgspec.json.encode(token)
                     events.append(Event(encoded, token.token_index))
-        if len(self._splitter.unfinished) > MAX_EVENT_BYTES:
-            raise BrokenAnswerError("an event of the engine is too large")
         return events
 
     def end(self) -> None:
--- a/src/savorylift/exchange/events.py
+++ b/src/savorylift/exchange/events.py
@@ -9,6 +9,8 @@
 DATA_FIELD = b"data:"
 # Data of the event that marks the end of a complete completions stream.
 DONE_SENTINEL = b"[DONE]"
+# An engine in trouble may send without end.
+MAX_EVENT_BYTES = 262_144
 
 
 class Event(NamedTuple):
@@ -45,7 +47,11 @@
             raise BrokenAnswerError("the stream ended within an event")
 
     def feed(self, data: bytes) -> list[Event]:
-        """Returns the events that `data` completes."""
+        """Returns the events that `data` completes.
+
+        Raises:
+            BrokenAnswerError: An event is too large.
+        """
         search_from = max(len(self._buffer) - 1, 0)
         self._buffer += data
         events = []
@@ -54,6 +60,8 @@
             del self._buffer[: len(whole)]
             events.append(Event(whole, _parse_event_id(whole)))
             search_from = 0
+        if len(self._buffer) > MAX_EVENT_BYTES:
+            raise BrokenAnswerError("an event is too large")
         return events
 
 
--- a/src/savorylift/wire/client_call.py
+++ b/src/savorylift/wire/client_call.py
@@ -8,10 +8,16 @@
 
 import h11
 
+from savorylift.wire.buffer_budget import BufferBudget
 from savorylift.wire.channel import Channel, connect
 from savorylift.wire.message import Headers, Response, ResponseHead
 
-MAX_RESPONSE_BYTES = 33_554_432
+# A server in trouble may send without end. Bodies are read whole, so one
+# response and all of them together are bounded, well below a node's memory.
+MAX_RESPONSE_BYTES = 4_194_304
+_buffers = BufferBudget(16_777_216)
+# Informational responses before the final one.
+MAX_INFORMATIONAL = 8
 
 
 class BrokenAnswerError(Exception):
@@ -55,7 +61,7 @@
             BrokenAnswerError: The connection ended first, or the response is
                 not valid HTTP.
         """
-        while True:
+        for _ in range(MAX_INFORMATIONAL + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
                 headers = tuple(
@@ -65,6 +71,7 @@
                 return ResponseHead(event.status_code, headers)
             if not isinstance(event, h11.InformationalResponse):
                 raise BrokenAnswerError("expected a response head")
+        raise BrokenAnswerError("too many informational responses")
 
     async def read_body_chunk(self) -> bytes | None:
         """Returns the next chunk of the body, or None at its end.
@@ -95,11 +102,14 @@
             BrokenAnswerError: It is incomplete, invalid or too large.
         """
         body = bytearray()
-        while (chunk := await self.read_body_chunk()) is not None:
-            body += chunk
-            if len(body) > MAX_RESPONSE_BYTES:
-                raise BrokenAnswerError("the response body is too large")
-        return Response(head.status, head.headers, bytes(body))
+        with _buffers.lease() as lease:
+            while (chunk := await self.read_body_chunk()) is not None:
+                if len(body) + len(chunk) > MAX_RESPONSE_BYTES:
+                    raise BrokenAnswerError("the response body is too large")
+                if not lease.take(len(chunk)):
+                    raise BrokenAnswerError("too much of responses is buffered")
+                body += chunk
+            return Response(head.status, head.headers, bytes(body))
 
     def close(self) -> None:
         """Closes the connection immediately."""
--- a/tests/exchange/test_events.py
+++ b/tests/exchange/test_events.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from savorylift.exchange.events import EventSplitter
+from savorylift.exchange.events import MAX_EVENT_BYTES, EventSplitter
 from savorylift.wire.client_call import BrokenAnswerError
 
 STREAM = b"id: 1\ndata: a\n\nx-version: 2\nid: 2\ndata: b\n\n: note\n\nid: 3"
@@ -32,6 +32,14 @@
     assert event_bytes == b"" or event_bytes.endswith(b"\n\n")
 
 
+def test_event_without_end_is_not_buffered_without_bound() -> None:
+    splitter = EventSplitter()
+    for _ in range(MAX_EVENT_BYTES):
+        splitter.feed(b"x")
+    with pytest.raises(BrokenAnswerError):
+        splitter.feed(b"x")
+
+
 def test_stream_that_ends_after_an_event_is_complete() -> None:
     splitter = EventSplitter()
     splitter.feed(b"id: 1\ndata: a\n\n")
