Bound the search for quarantines, and read the store in one place

Reading the change again: the loop that derives quarantines from crashes could alternate between two parts once 32 quarantines are in force, and a quarantine learned from a peer was reported with parts that had been cleared meanwhile.

--- a/src/savorylift/backends/prompt_quarantine.py
+++ b/src/savorylift/backends/prompt_quarantine.py
@@ -136,7 +136,10 @@
             return begun
         now_s = time.monotonic()
         self._has_new_crash = self._crashes.has_unsettled(now_s)
-        while (parts := self._find_culprit(now_s)) is not None:
+        while len(begun) < MAX_QUARANTINES:
+            parts = self._find_culprit(now_s)
+            if parts is None:
+                break
             self._begin(parts, now_s)
             begun.add(parts)
         return begun
@@ -170,15 +173,13 @@
         for sound in news.sound_parts:
             self._set_sound(sound.part, now_s - sound.age_s)
         self._drop_sound_parts()
-        begun = {
-            frozenset(item.parts)
-            for item in news.quarantined
-            if self._merge_quarantine(item, now_s)
-        }
+        merged = [
+            self._merge_quarantine(item, now_s) for item in news.quarantined
+        ]
         for report in news.crash_reports:
             if self._crashes.add(report, now_s):
                 self._has_new_crash = True
-        return begun
+        return {parts for parts in merged if parts is not None}
 
     def news(self) -> QuarantineNews:
         """Returns what the other nodes should know."""
@@ -254,12 +255,14 @@
             parts, now_s, now_s + QUARANTINE_S, now_s + FIRST_TRIAL_S
         )
 
-    def _merge_quarantine(self, item: QuarantinedParts, now_s: float) -> bool:
-        """Applies another node's quarantine; returns whether it is new."""
+    def _merge_quarantine(
+        self, item: QuarantinedParts, now_s: float
+    ) -> Parts | None:
+        """Applies another node's quarantine; returns its parts if it is new."""
         since_s, until_s = now_s - item.age_s, now_s + item.remaining_s
         parts = self._without_sound(item.parts, since_s)
         if not parts or until_s <= now_s:
-            return False
+            return None
         is_new = parts not in self._quarantines
         if is_new:
             self._begin(parts, now_s)
@@ -268,7 +271,7 @@
             since_s=min(known.since_s, since_s),
             until_s=until_s if is_new else max(known.until_s, until_s),
         )
-        return is_new
+        return parts if is_new else None
 
     def _drop_sound_parts(self) -> None:
         """Narrows quarantines to the parts that no engine answered since."""
--- /dev/null
+++ b/src/savorylift/fleet/store_reader.py
@@ -0,0 +1,80 @@
+"""Reads both topics of the store for a node."""
+
+import asyncio
+from collections.abc import Callable
+
+from savorylift.fleet.state import Delta, Topic
+from savorylift.fleet.store_view import StoreView
+from savorylift.fleet.topic_consumer import ReadPolicy, TopicConsumer
+from savorylift.platform.store import SERVERS_TOPIC, StoreClient
+
+
+class StoreReader:
+    """Keeps a store view up to date, whenever this node should read."""
+
+    def __init__(
+        self,
+        store: StoreClient,
+        operators_topic: str,
+        store_view: StoreView,
+        read_policy: ReadPolicy,
+        on_change: Callable[[Delta | None], None],
+        on_fault: Callable[[], None],
+    ) -> None:
+        """Reads nothing until `run` is called.
+
+        Args:
+            store: The store.
+            operators_topic: Name of the topic of operators' records.
+            store_view: The view that records are applied to.
+            read_policy: Decides when to read, and how soon to retry.
+            on_change: Called after each change, with the delta to send to the
+                other nodes; None after a full listing.
+            on_fault: Called after the first of several calls that failed.
+        """
+        self._store_view = store_view
+        self._operators = TopicConsumer(
+            store,
+            operators_topic,
+            Topic.OPERATORS,
+            store_view,
+            read_policy,
+            on_change,
+        )
+        self._servers = TopicConsumer(
+            store,
+            SERVERS_TOPIC,
+            Topic.SERVERS,
+            store_view,
+            read_policy,
+            on_change,
+        )
+        self._servers.on_recovery = store_view.registry.start_grace_period
+        self._operators.on_fault = on_fault
+        self._servers.on_fault = on_fault
+
+    async def run(self) -> None:
+        """Reads both topics forever."""
+        await asyncio.gather(self._operators.run(), self._servers.run())
+
+    def skip_known(self) -> None:
+        """Skips the records that the view has learned from other nodes."""
+        self._operators.skip_to(self._store_view.operators_version)
+        self._servers.skip_to(self._store_view.servers_version[0])
+
+    def has_fault(self, now_s: float) -> bool:
+        """Whether a call to the store failed recently."""
+        return self._operators.has_fault(now_s) or self._servers.has_fault(
+            now_s
+        )
+
+    def reading_age_s(self, now_s: float) -> float | None:
+        """Returns how long ago this node last read both topics.
+
+        None if it has not read them yet.
+        """
+        operators_s = self._operators.last_read_s
+        servers_s = self._servers.last_read_s
+        if operators_s is None or servers_s is None:
+            return None
+        return now_s - min(operators_s, servers_s)
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -24,9 +24,10 @@
 from savorylift.fleet.membership import Membership
 from savorylift.fleet.message_auth import MessageAuthenticator
 from savorylift.fleet.registration import Registration
-from savorylift.fleet.state import Delta, NodeState, Topic
+from savorylift.fleet.state import Delta, NodeState
+from savorylift.fleet.store_reader import StoreReader
 from savorylift.fleet.store_view import StoreView
-from savorylift.fleet.topic_consumer import ReadPolicy, TopicConsumer
+from savorylift.fleet.topic_consumer import ReadPolicy
 from savorylift.front.caller_handler import CallerHandler, CallerHandlerOptions
 from savorylift.front.interface import choose_interface
 from savorylift.front.lifecycle import Lifecycle
@@ -42,11 +43,7 @@
     directory_handler,
     readiness_handler,
 )
-from savorylift.platform.store import (
-    SERVERS_TOPIC,
-    Record,
-    StoreClient,
-)
+from savorylift.platform.store import Record, StoreClient
 from savorylift.refusals.counts import RefusalCounts
 from savorylift.refusals.writer import RefusalWriter
 from savorylift.routing.configuration import home_regions
@@ -146,31 +143,18 @@
             lambda: self._store_view.configuration is None,
             lambda: self._peer_sync.transport.reader_interval_s,
         )
-        self._operators_consumer = TopicConsumer(
+        self._store_reader = StoreReader(
             self._store,
             interface.topic,
-            Topic.OPERATORS,
             self._store_view,
             read_policy,
             self._on_store_change,
+            lambda: self._peer_sync.transport.send_soon(),
         )
-        self._servers_consumer = TopicConsumer(
-            self._store,
-            SERVERS_TOPIC,
-            Topic.SERVERS,
-            self._store_view,
-            read_policy,
-            self._on_store_change,
-        )
-        self._servers_consumer.on_recovery = (
-            self._store_view.registry.start_grace_period
-        )
-        for consumer in (self._operators_consumer, self._servers_consumer):
-            consumer.on_fault = lambda: self._peer_sync.transport.send_soon()
         self._drain_poller = DrainPoller(
             self._store_view.registry,
             lambda: read_policy.is_stale(
-                self._own_reading_age_s(time.monotonic())
+                self._store_reader.reading_age_s(time.monotonic())
             ),
             lambda: self._generations.engines_with_movable_runs,
             self._generations.on_change,
@@ -235,8 +219,7 @@
             settings=self._settings.redacted(),
         )
         self._tasks.spawn(self._peer_sync.transport.run())
-        self._tasks.spawn(self._operators_consumer.run())
-        self._tasks.spawn(self._servers_consumer.run())
+        self._tasks.spawn(self._store_reader.run())
         self._tasks.spawn(self._run_maintenance())
         self._tasks.spawn(self._registration.run())
         self._tasks.spawn(self._refusal_writer.run())
@@ -314,7 +297,6 @@
         self._sequence += 1
         now_s = time.monotonic()
         peers = self._membership.live_peers(now_s) if include_peers else ()
-        consumers = (self._operators_consumer, self._servers_consumer)
         return NodeState(
             node=self._settings.vm,
             ip=self._ip,
@@ -327,10 +309,8 @@
             is_leaving=self._lifecycle.is_leaving,
             operators_version=self._store_view.operators_version,
             servers_version=self._store_view.servers_version,
-            reading_age_s=self._own_reading_age_s(now_s),
-            has_store_fault=any(
-                consumer.has_fault(now_s) for consumer in consumers
-            ),
+            reading_age_s=self._store_reader.reading_age_s(now_s),
+            has_store_fault=self._store_reader.has_fault(now_s),
             loads=self._pool.load_tracker.loads(),
             moves=self._pool.move_queue.planned,
             interval_s=self._peer_sync.transport.own_interval_s,
@@ -338,19 +318,6 @@
             quarantine_news=self._crash_guard.news(),
         )
 
-    def _own_reading_age_s(self, now_s: float) -> float | None:
-        """Returns how long ago this node last read both store topics.
-
-        None if it has not read them yet.
-        """
-        read_times_s = (
-            self._operators_consumer.last_read_s,
-            self._servers_consumer.last_read_s,
-        )
-        if read_times_s[0] is None or read_times_s[1] is None:
-            return None
-        return now_s - min(read_times_s[0], read_times_s[1])
-
     def _is_reader(self) -> bool:
         self._was_reader = self._membership.is_reader(
             self._next_state(), time.monotonic()
@@ -362,8 +329,7 @@
 
     def _on_peer_update(self) -> None:
         """Continues reading the store after the records learned from a peer."""
-        self._operators_consumer.skip_to(self._store_view.operators_version)
-        self._servers_consumer.skip_to(self._store_view.servers_version[0])
+        self._store_reader.skip_known()
         self._generations.on_change()
 
     def _on_peer_state(self, state: NodeState) -> None:
@@ -405,7 +371,7 @@
             is_leaving=self._lifecycle.is_leaving,
             configuration_version=self.configuration_version,
             operators_version=self._store_view.operators_version,
-            reading_age_s=self._own_reading_age_s(now_s),
+            reading_age_s=self._store_reader.reading_age_s(now_s),
             open_requests=self._lifecycle.open_requests,
             out_of_service=tuple(sorted(self._store_view.evacuated)),
             backend_servers=tuple(
