Follow a store that comes back from an older copy

Nodes went on reading from the old offset and missed what was written at reused ones, and took the lower offsets of a new listing for older than what they had: changes were not in force, or not everywhere.

Cause: offsets taken for versions that only grow.

A read in another era lists the topic again and gives servers that the copy lacks the grace period of an outage.

Tests: tests/platform/test_store.py, tests/front/test_fleet.py with a stand-in that restores a copy.

--- a/src/savorylift/fleet/topic_consumer.py
+++ b/src/savorylift/fleet/topic_consumer.py
@@ -232,6 +232,14 @@
             _log.warning("store_trimmed", topic=self._topic_name)
             self._offset = None
             return 0.0
+        if error.fault is StoreFault.RESTORED:
+            _log.warning(
+                "store_restored", topic=self._topic_name, detail=error.detail
+            )
+            self._offset = None
+            # Entries written since the copy are missing until written again.
+            self.on_recovery(now_s)
+            return 0.0
         if self._failing_since_s is None:
             self._failing_since_s = self._last_read_s or now_s
             _log.warning(
--- a/src/savorylift/platform/store.py
+++ b/src/savorylift/platform/store.py
@@ -19,10 +19,18 @@
 REFUSALS_TOPIC = "keyed.refusals"
 RULES_TOPIC = "keyed.rules"
 
+# Number of times that the store has come back from an older copy. Offsets go
+# back then and are given out again.
+ERA_HEADER = "store-era"
+# Positions of records grow with each era, so that later ones are always
+# larger. No topic holds as many records.
+OFFSETS_PER_ERA = 1 << 40
+
 CONNECT_TIMEOUT_S = 0.5
 # Slower responses aren't waited for: a retry uses a new connection.
 RESPONSE_TIMEOUT_S = 0.8
 MAX_READ_KB = 1024
+GONE_STATUS = 410
 _LENGTH = struct.Struct(">I")
 _READ_HEADER = struct.Struct(">QQ")
 
@@ -33,6 +41,7 @@
     UNREACHABLE = "unreachable"
     REFUSED = "refused"
     TRIMMED = "trimmed"
+    RESTORED = "restored"
     CONFLICT = "outrun"
     UNREADABLE = "unreadable"
 
@@ -66,7 +75,8 @@
 
     Attributes:
         records: Records in the order in which the store returned them.
-        next_offset: Offset at which the next read should start.
+        next_offset: Position at which the next read should start: the offset,
+            and OFFSETS_PER_ERA for each era of the store.
     """
 
     records: tuple[Record, ...]
@@ -114,7 +124,11 @@
                 records += [_decode_item(item) for item in page.items]
             except (msgspec.DecodeError, ValueError) as exc:
                 return Failure(StoreError(StoreFault.UNREADABLE, str(exc)))
-            start = page.end if start is None else start
+            era = _decode_era(response)
+            if start is None:
+                start = _position(era, page.end)
+            elif start // OFFSETS_PER_ERA != era:
+                return Failure(_restored(era))
             if not page.has_more or not page.items:
                 return Success(Batch(tuple(records), start))
             after = page.items[-1].key
@@ -122,17 +136,27 @@
     async def read(
         self, topic: str, offset: int, wait_s: float
     ) -> Result[Batch, StoreError]:
-        """Returns records from `offset` on, waiting up to `wait_s` for one."""
+        """Returns records from a position on, waiting up to `wait_s` for one.
+
+        Fails with the fault `RESTORED` if the store has come back from a copy
+        since the position was returned.
+        """
+        known_era, raw_offset = divmod(offset, OFFSETS_PER_ERA)
         query = {
             "topic": topic,
             "part": "0",
-            "from": str(offset),
+            "from": str(raw_offset),
             "maxKb": str(MAX_READ_KB),
             "waitMs": str(round(wait_s * 1000)),
         }
         response = await self._call("GET", "/log-read", query, wait_s=wait_s)
         if isinstance(response, StoreError):
             return Failure(response)
+        era = _decode_era(response)
+        if era != known_era:
+            return Failure(_restored(era))
+        if response.status == GONE_STATUS:
+            return Failure(StoreError(StoreFault.TRIMMED, "410"))
         records = _decode_records(response.body)
         if records is None:
             return Failure(
@@ -152,20 +176,21 @@
         records: Sequence[Record],
         expected_offset: int | None = None,
     ) -> Result[int, StoreError]:
-        """Appends records atomically; returns the offset of the first.
+        """Appends records atomically; returns the position of the first.
 
         With `expected_offset`, the call fails with the fault `CONFLICT` unless
-        the topic ends at this offset.
+        the topic ends at this position.
         """
         body = b"".join(_encode_record(record) for record in records)
         query = {"topic": topic, "part": "0"}
         if expected_offset is not None:
-            query["at"] = str(expected_offset)
+            query["at"] = str(expected_offset % OFFSETS_PER_ERA)
         response = await self._call("POST", "/log-append", query, body=body)
         if isinstance(response, StoreError):
             return Failure(response)
         try:
-            return Success(int(msgspec.json.decode(response.body)["offset"]))
+            offset = int(msgspec.json.decode(response.body)["offset"])
+            return Success(_position(_decode_era(response), offset))
         except (msgspec.DecodeError, KeyError, TypeError, ValueError) as exc:
             return Failure(StoreError(StoreFault.UNREADABLE, str(exc)))
 
@@ -192,15 +217,26 @@
             return StoreError(
                 StoreFault.UNREACHABLE, f"{type(exc).__name__}: {exc}"
             )
-        if response.status == 410:
-            return StoreError(StoreFault.TRIMMED, "410")
         if response.status == 412:
             return StoreError(StoreFault.CONFLICT, "412")
-        if response.status != 200:
+        if response.status not in (200, GONE_STATUS):
             return StoreError(StoreFault.REFUSED, str(response.status))
         return response
 
 
+def _decode_era(response: Response) -> int:
+    text = response.header(ERA_HEADER) or ""
+    return int(text) if text.isascii() and text.isdigit() else 0
+
+
+def _position(era: int, offset: int) -> int:
+    return era * OFFSETS_PER_ERA + offset
+
+
+def _restored(era: int) -> StoreError:
+    return StoreError(StoreFault.RESTORED, f"the store is in era {era} now")
+
+
 def _encode_record(record: Record) -> bytes:
     """Encodes a record as its length, key length (one byte), key and value."""
     name = record.key.encode()
--- a/tests/front/test_fleet.py
+++ b/tests/front/test_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import pytest
 from returns.result import Success
 
 from savorylift.front.node import FrontNode
@@ -101,3 +102,39 @@
         await nodes.wait_for_addresses({second})
 
     run_with_timeout(scenario())
+
+
+@pytest.mark.parametrize("written_again", [1, 4])
+def test_changes_after_the_store_came_back_from_a_copy_are_in_force(
+    written_again: int,
+) -> None:
+    async def scenario() -> None:
+        nodes = TwoNodes()
+        await nodes.start()
+        store = nodes.env.store
+        older = store.copy()
+        for version in (2, 3):
+            store.add(OPERATORS_TOPIC, "config", configuration(version))
+        await nodes.wait_for_version(3)
+        store.restore(older)
+        for version in range(4, 4 + written_again):
+            store.add(OPERATORS_TOPIC, "config", configuration(version))
+        await nodes.env.wait_for_version(3 + written_again)
+        await nodes.wait_for_version(3 + written_again)
+
+    run_with_timeout(scenario())
+
+
+def test_servers_that_the_copy_lacks_stay_until_they_write_again() -> None:
+    async def scenario() -> None:
+        nodes = TwoNodes()
+        older = nodes.env.store.copy()
+        await nodes.start()
+        config = configuration(2)
+        nodes.env.store.restore(older)
+        nodes.env.store.add(OPERATORS_TOPIC, "config", config)
+        await nodes.env.wait_for_version(2)
+        response = await nodes.env.call("/safe/x")
+        assert response.status == 200
+
+    run_with_timeout(scenario())
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -106,3 +106,45 @@
         assert result.failure().fault is StoreFault.UNREACHABLE
 
     run_with_timeout(scenario())
+
+
+def test_positions_grow_although_offsets_go_back_to_those_of_a_copy() -> None:
+    async def scenario() -> None:
+        store, client = await start_store()
+        store.add("t", "a", 1)
+        older = store.copy()
+        for _ in range(3):
+            store.add("t", "a", 2)
+        before = (await client.list_newest("t")).unwrap().next_offset
+        store.restore(older)
+        store.add("t", "a", 3)
+        listed = (await client.list_newest("t")).unwrap()
+        assert listed.records == (Record("a", b"3"),)
+        assert listed.next_offset > before
+        appended = await client.append(
+            "t", [Record("a", b"4")], listed.next_offset
+        )
+        assert appended.unwrap() == listed.next_offset
+        batch = (await client.read("t", listed.next_offset, 0.1)).unwrap()
+        assert batch.records == (Record("a", b"4"),)
+
+    run_with_timeout(scenario())
+
+
+@pytest.mark.parametrize("written_again", [0, 1, 3, 9])
+def test_read_after_a_restore_fails_whatever_was_written_again(
+    written_again: int,
+) -> None:
+    async def scenario() -> None:
+        store, client = await start_store()
+        older = store.copy()
+        for _ in range(3):
+            store.add("t", "a", 2)
+        position = (await client.list_newest("t")).unwrap().next_offset
+        store.restore(older)
+        for _ in range(written_again):
+            store.add("t", "a", 3)
+        error = (await client.read("t", position, 0.1)).failure()
+        assert error.fault is StoreFault.RESTORED
+
+    run_with_timeout(scenario())
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -9,6 +9,7 @@
 import asyncio
 import base64
 import collections
+import copy
 import json
 import struct
 import sys
@@ -88,6 +89,7 @@
         discards_unanswered: Whether these appends also take no effect; their
             number then does not decrease.
         port: Port that the store listens on.
+        era: Number of times that it has come back from a copy.
     """
 
     def __init__(self) -> None:
@@ -101,14 +103,24 @@
         self.unanswered_appends = 0
         self.discards_unanswered = False
         self.port = 0
+        self.era = 0
         self._appended = asyncio.Event()
 
+    def copy(self) -> dict[str, Topic]:
+        """Returns a copy of the topics as they are now."""
+        return copy.deepcopy(self.topics)
+
+    def restore(self, topics: dict[str, Topic]) -> None:
+        """Comes back from a copy; all that was added since is lost."""
+        self.topics = topics
+        self.era += 1
+        self._wake_readers()
+
     async def start(self, port: int) -> None:
         """Starts to listen on the loopback interface."""
         self.port = port
-        await Listener(
-            connection_handler(self._handle_request), InputLimits
-        ).start("127.0.0.1", port)
+        handler = connection_handler(self._respond)
+        await Listener(handler, InputLimits).start("127.0.0.1", port)
 
     def topic(self, name: str) -> Topic:
         """Returns a topic, which is created on first use."""
@@ -125,6 +137,11 @@
         self._appended.set()
         self._appended = asyncio.Event()
 
+    async def _respond(self, req: Request) -> Response:
+        response = await self._handle_request(req)
+        era = ("store-era", str(self.era))
+        return response._replace(headers=(*response.headers, era))
+
     async def _handle_request(self, req: Request) -> Response:
         path, _, query = req.target.partition("?")
         if path == "/control":
@@ -199,7 +216,7 @@
         self, topic: Topic, query_fields: dict[str, str]
     ) -> Response:
         start = int(query_fields["from"])
-        if start < topic.first_offset:
+        if not topic.first_offset <= start <= topic.end_offset:
             body = json.dumps({"first": topic.first_offset}).encode()
             return Response(410, (), body)
         wait_s = int(query_fields.get("waitMs", "0")) / 1000
@@ -207,6 +224,7 @@
             async with asyncio.timeout(wait_s):
                 while start >= topic.end_offset:
                     await self._appended.wait()
+                    topic = self.topic(query_fields["topic"])
         except TimeoutError:
             pass
         body = READ_HEADER.pack(topic.end_offset, topic.first_offset)
