--- a/tests/front/test_peer_sync.py
+++ b/tests/front/test_peer_sync.py
@@ -10,8 +10,7 @@
 
 from savorylift.fleet.membership import Membership
 from savorylift.fleet.message_auth import MessageAuthenticator
-from savorylift.fleet.state import Change, Delta, NodeState
-from savorylift.fleet.store_view import StoreView
+from savorylift.fleet.state import Change, NodeState
 from savorylift.front.peer_sync import PeerSync
 from savorylift.front.tasks import BackgroundTasks
 from savorylift.wire.listener import Listener, connection_handler
@@ -153,17 +152,11 @@
 def read_from_store(node: Node, value: bytes, offset: int) -> None:
     """Lets a node find a new record in the store, and announce it."""
     changes = (Change("config", value),)
-    delta = make_delta(node.view, changes, offset)
+    delta = node.view.make_operators_delta(changes, offset)
     node.view.apply_operator_records(changes, offset)
     node.sync.announce(delta)
 
 
-def make_delta(
-    view: StoreView, changes: tuple[Change, ...], offset: int
-) -> Delta:
-    return view.make_operators_delta(changes, offset)
-
-
 def has_version(node: Node, version: int) -> bool:
     cfg = node.view.configuration
     return cfg is not None and cfg.version >= version
