Log the limits that backend servers name

Cause: nothing decoded the header, so logs could not tell which nodes had been told of a limit, or whether they held it.

Values that are no finite decimal number (a sign, an exponent, nan, 5,000 digits) are told apart from no value.

--- a/src/savorylift/exchange/request.py
+++ b/src/savorylift/exchange/request.py
@@ -100,6 +100,17 @@
     model_version: str | None = None
 
 
+class NamedLimit(NamedTuple):
+    """A limit on its requests that a backend server names in a response.
+
+    Attributes:
+        requests_per_s: Requests per second that it takes from all nodes
+            together; None if the value can't be read.
+    """
+
+    requests_per_s: float | None
+
+
 class AnswerHead(NamedTuple):
     """Decoded head of a backend server's response.
 
@@ -111,6 +122,7 @@
             request.
         is_signed: Whether it has the signature of a backend server; True if
             the protocol has no signatures.
+        named_limit: Limit on its requests that the server names, if any.
     """
 
     status: int
@@ -118,6 +130,7 @@
     matches_request: bool
     is_not_run: bool
     is_signed: bool
+    named_limit: NamedLimit | None = None
 
     @property
     def is_success(self) -> bool:
--- a/src/savorylift/exchange/send.py
+++ b/src/savorylift/exchange/send.py
@@ -163,7 +163,7 @@
         result: Started | NotRun | Unsure | None = None
         try:
             result = await self._send_and_read_head(
-                call, admitted, outgoing, failover_policy
+                server, call, admitted, outgoing, failover_policy
             )
         finally:
             if not isinstance(result, Started):
@@ -220,6 +220,7 @@
 
     async def _send_and_read_head(
         self,
+        server: BackendServer,
         call: ClientCall,
         admitted: AdmittedRequest,
         outgoing: OutgoingRequest,
@@ -235,6 +236,13 @@
         except BrokenAnswerError as exc:
             return Unsure(Reason.ANSWER_LOST, str(exc))
         head = self._codec.decode_answer_head(raw_head, admitted.req)
+        if head.named_limit is not None:
+            _log.info(
+                "limit_named",
+                request=admitted.req.attempt_id,
+                server=server.entry.server_id,
+                requests_per_s=head.named_limit.requests_per_s,
+            )
         error = _find_head_error(head)
         if error is not None:
             return Unsure(Reason.ANSWER_LOST, error)
--- a/src/savorylift/platform/codec.py
+++ b/src/savorylift/platform/codec.py
@@ -1,5 +1,7 @@
 """Codec of the platform interface: requests, responses and streams."""
 
+import math
+import re
 import urllib.parse
 
 import msgspec
@@ -13,6 +15,7 @@
     ForwardingOptions,
     Generation,
     KvCopy,
+    NamedLimit,
 )
 from savorylift.exchange.results import Refused
 from savorylift.outcomes import Reason
@@ -25,6 +28,8 @@
 )
 
 MAX_ATTEMPT_ID_CHARS = 200
+# A decimal number of requests per second, without sign or exponent.
+LIMIT_PATTERN = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
 JSON_CONTENT_TYPE = ("content-type", "application/json")
 
 
@@ -156,9 +161,22 @@
         is_not_run=head.status == 421
         or head.header(header_names.NOT_EXECUTED) is not None,
         is_signed=head.header(header_names.RESPONSE_SIGNATURE) is not None,
+        named_limit=_decode_limit(head),
     )
 
 
+def _decode_limit(head: ResponseHead) -> NamedLimit | None:
+    """Returns the lowest limit that a response names; None if it names none."""
+    values = head.header_values(header_names.SERVER_LIMIT)
+    if not values:
+        return None
+    limits = [
+        float(value) for value in values if LIMIT_PATTERN.fullmatch(value)
+    ]
+    finite = [limit for limit in limits if math.isfinite(limit)]
+    return NamedLimit(min(finite, default=None))
+
+
 def encode_refusal(
     message: str, retry_after_s: float | None
 ) -> tuple[Headers, bytes]:
--- a/src/savorylift/platform/headers.py
+++ b/src/savorylift/platform/headers.py
@@ -12,6 +12,8 @@
 # Opaque signature of a backend server's response.
 RESPONSE_SIGNATURE = "x-savorylift-response-seal"
 RETRY_AFTER = "retry-after"
+# Requests per second that a server in need takes from all nodes together.
+SERVER_LIMIT = "server-limit"
 MODEL = "x-savorylift-model"
 # Number of prompt tokens and maximum of output tokens, comma-separated.
 TOKEN_COUNTS = "x-savorylift-token-counts"
--- a/src/savorylift/wire/message.py
+++ b/src/savorylift/wire/message.py
@@ -56,6 +56,10 @@
     status: int
     headers: Headers
 
+    def header_values(self, name: str) -> list[str]:
+        """Returns all values of a header; `name` must be in lower case."""
+        return [value for key, value in self.headers if key == name]
+
     def header(self, name: str) -> str | None:
         """Returns the first value of a header; `name` in lower case."""
         return next((text for key, text in self.headers if key == name), None)
--- a/tests/platform/test_codec.py
+++ b/tests/platform/test_codec.py
@@ -3,7 +3,11 @@
 import pytest
 from returns.pipeline import is_successful
 
-from savorylift.exchange.request import ForwardingOptions, KvCopy
+from savorylift.exchange.request import (
+    ForwardingOptions,
+    KvCopy,
+    NamedLimit,
+)
 from savorylift.platform.codec import (
     decode_answer_head,
     decode_request,
@@ -136,6 +140,36 @@
     assert not decode_answer_head(ResponseHead(200, ()), "a1").matches_request
 
 
+@pytest.mark.parametrize(
+    ("values", "requests_per_s"),
+    [
+        (("1.8",), 1.8),
+        (("0",), 0.0),
+        ((".5",), 0.5),
+        (("2.90000000000000000000000000000000000000000000000000",), 2.9),
+        (("3", "2"), 2.0),
+        (("3", "soon"), 3.0),
+        (("soon",), None),
+        (("",), None),
+        (("-1",), None),
+        (("nan",), None),
+        (("inf",), None),
+        (("1e3",), None),
+        (("9" * 5000,), None),
+    ],
+)
+def test_named_limit_is_decoded(
+    values: tuple[str, ...], requests_per_s: float | None
+) -> None:
+    headers = tuple(("server-limit", value) for value in values)
+    head = decode_answer_head(ResponseHead(200, headers), "a1")
+    assert head.named_limit == NamedLimit(requests_per_s)
+
+
+def test_response_without_limit_names_none() -> None:
+    assert decode_answer_head(ResponseHead(200, ()), "a1").named_limit is None
+
+
 def test_refusal_has_retry_after_only_if_known() -> None:
     headers, body = encode_refusal("full", 0.25)
     assert ("retry-after", "0.250") in headers
