Add a failing test of the limits that servers name

A fleet of nodes in one process, stand-ins of the store and of servers, 30 requests a second, one server that names its limit from 3 s to 18 s.

--- /dev/null
+++ b/tests/front/limited_fleet.py
@@ -0,0 +1,203 @@
+"""A fleet of front nodes in this process, with callers and limited servers."""
+
+import asyncio
+import contextlib
+import random
+import time
+from collections.abc import AsyncIterator
+from typing import NamedTuple
+
+from returns.result import Success
+
+from savorylift.front.node import FrontNode
+from savorylift.front.settings import FrontSettings
+from savorylift.platform.store import OPERATORS_TOPIC, SERVERS_TOPIC
+from savorylift.wire.channel import connect
+from savorylift.wire.client_call import BrokenAnswerError, ClientCall
+from savorylift.wire.message import Headers
+from tests.front.environment import configuration
+from tests.harness.ports import free_addresses
+from tests.standins.platform_server import PlatformServer
+from tests.standins.platform_store import PlatformStore
+
+START_TIMEOUT_S = 30.0
+CALL_TIMEOUT_S = 6.0
+RUN_S = 0.03
+# Limits are judged over this time, with these tolerances.
+WINDOW_S = 4.0
+TOLERANCE_FACTOR = 1.5
+TOLERANCE_REQUESTS = 5
+# A limit must be held from this time on after it was first named.
+REACTION_S = 3.0
+TOKEN_COUNTS = (("x-savorylift-token-counts", "100,50"),)
+
+
+class Ending(NamedTuple):
+    """How a caller's request ended.
+
+    Attributes:
+        started_s: Monotonic time at which it was sent.
+        took_s: Time until it ended.
+        status: Status of the response; 0 if it was incomplete.
+        retry_after_s: When the caller was told to return, if so.
+    """
+
+    started_s: float
+    took_s: float
+    status: int
+    retry_after_s: float | None
+
+
+class LimitedFleet:
+    """Nodes, a store, and the servers of a plain and an engine service.
+
+    Attributes:
+        nodes: The nodes.
+        app: Servers of the plain service.
+        pool: Model engines.
+        endings: Ended requests of the callers.
+    """
+
+    def __init__(self, nodes: int, servers: int) -> None:
+        addresses = free_addresses(6 + 2 * servers)
+        ports = [int(address.partition(":")[2]) for address in addresses]
+        self._node_ports, self._server_ports = ports[:6], ports[6:]
+        self._ips = [f"127.4.0.{number + 1}" for number in range(nodes)]
+        self._rng = random.Random(nodes)
+        self._store = PlatformStore()
+        self._cut: set[str] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.app = [PlatformServer(f"app-{n}") for n in range(servers)]
+        self.pool = [PlatformServer(f"pool-{n}") for n in range(servers)]
+        self.nodes = [self._make_node(ip) for ip in self._ips]
+        self.endings: list[Ending] = []
+
+    @contextlib.asynccontextmanager
+    async def running(self) -> AsyncIterator[None]:
+        """Starts everything and waits until all nodes are ready."""
+        await self._store.start(self._node_ports[0])
+        self._store.add(OPERATORS_TOPIC, "config", configuration())
+        for service, servers in (("app", self.app), ("pool", self.pool)):
+            for server in servers:
+                await server.start(self._server_ports.pop())
+                server.delay_s = RUN_S
+                server.peers = {other.port: other for other in servers}
+                self.publish_entry(server, service)
+        for node in self.nodes:
+            self._tasks.add(asyncio.ensure_future(node.run()))
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while any(n.configuration_version is None for n in self.nodes):
+                await asyncio.sleep(0.05)
+        await asyncio.sleep(2.0)
+        try:
+            yield
+        finally:
+            tasks = asyncio.all_tasks() - {asyncio.current_task()}
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    def publish_entry(
+        self, server: PlatformServer, service: str, state: str = "ready"
+    ) -> None:
+        """Writes a server's entry to the store."""
+        self._store.add(
+            SERVERS_TOPIC, server.server_id, server.entry(service, "z0", state)
+        )
+
+    def cut_off(self, index: int) -> None:
+        """Cuts a node off from all other nodes, but not from the servers."""
+        self._cut.add(self._ips[index])
+
+    async def call_for(
+        self, path: str, duration_s: float, per_s: float = 30.0
+    ) -> None:
+        """Sends requests to nodes drawn at random; returns after the last."""
+        until_s = time.monotonic() + duration_s
+        while time.monotonic() < until_s:
+            ip = self._rng.choice(self._ips)
+            number = len(self._tasks)
+            task = asyncio.ensure_future(self.call(ip, path, f"a{number}"))
+            self._tasks.add(task)
+            await asyncio.sleep(1 / per_s)
+
+    async def call(self, ip: str, path: str, attempt: str) -> None:
+        """Sends a request to a node and records how it ended."""
+        headers: Headers = (
+            ("host", "h.example"),
+            ("x-savorylift-attempt-id", attempt),
+            ("x-savorylift-deadline-remaining", "4000"),
+            ("x-api-key", "key"),
+        )
+        if "stream" in path or "resumable" in path:
+            headers += TOKEN_COUNTS
+        started_s = time.monotonic()
+        status, retry_after = 0, None
+        with contextlib.suppress(BrokenAnswerError, OSError):
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                channel = await connect(ip, self._node_ports[1], 1.0)
+                call = ClientCall(channel)
+                call.send("POST", path, headers, b"question")
+                response = await call.read_response()
+                call.close()
+            status = response.status
+            retry_after = response.header("retry-after")
+        took_s = time.monotonic() - started_s
+        self.endings.append(
+            Ending(
+                started_s,
+                took_s,
+                status,
+                None if retry_after is None else float(retry_after),
+            )
+        )
+
+    def endings_since(self, since_s: float) -> list[Ending]:
+        """Returns the requests that were sent after a moment."""
+        return [e for e in self.endings if e.started_s >= since_s]
+
+    def _make_node(self, ip: str) -> FrontNode:
+        cfg = self._settings(ip)
+        node = FrontNode(cfg, lambda: Success(cfg))
+        transport = node._peer_sync.transport
+        send_all = transport._send_all
+
+        def send_unless_cut(data: bytes, ips: tuple[str, ...]) -> None:
+            if ip not in self._cut:
+                send_all(data, tuple(i for i in ips if i not in self._cut))
+
+        transport._send_all = send_unless_cut  # type: ignore[method-assign]
+        return node
+
+    def _settings(self, ip: str) -> FrontSettings:
+        store, caller, directory, ready, peer, metrics = self._node_ports
+        return FrontSettings(
+            vm=f"vm-{ip}",
+            region="r",
+            failure_domain="z0",
+            caller_listen=f"{ip}:{caller}",
+            directory_listen=f"{ip}:{directory}",
+            readiness_listen=f"{ip}:{ready}",
+            peer_port=peer,
+            metrics_port=metrics,
+            store=f"127.0.0.1:{store}",
+            seeds=tuple(f"{seed}:1" for seed in self._ips[:3]),
+            grace_period_s=2.0,
+            retry_ratio=0.2,
+            retry_window_s=10.0,
+            retry_slack=20.0,
+            entry_ttl_max_s=5.0,
+        )
+
+
+def most_in_window(times_s: list[float], since_s: float) -> int:
+    """Returns the most requests within `WINDOW_S`, from a moment on."""
+    later = sorted(t for t in times_s if t >= since_s)
+    return max(
+        (sum(t <= u < t + WINDOW_S for u in later) for t in later), default=0
+    )
+
+
+def most_allowed(per_s: float) -> float:
+    """Returns how many requests a limit allows within `WINDOW_S`."""
+    return TOLERANCE_FACTOR * per_s * WINDOW_S + TOLERANCE_REQUESTS
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import json
+import time
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -66,6 +67,11 @@
         crashes: Number of its crashes.
         on_restart: Called with its earlier ID after it restarted from a crash
             with a new one.
+        named_limit: Limit on its requests that it names in its responses;
+            None to name none.
+        arrivals: Monotonic times of all requests, also of those that it
+            rejects and of calls that are no run.
+        connections: Monotonic times at which connections were opened.
         peers: Engines that runs can be copied to, by port.
         kv_copies: Copies from which runs can continue here, by handle.
     """
@@ -93,6 +99,9 @@
         self.peers: dict[int, PlatformServer] = {}
         self.deadly_part: str | None = None
         self.crashes = 0
+        self.named_limit: str | None = None
+        self.arrivals: list[float] = []
+        self.connections: list[float] = []
         self.on_restart: Callable[[str], None] = lambda _: None
         self._listener: Listener | None = None
         self._conns: set[ServerConnection] = set()
@@ -139,6 +148,7 @@
 
     async def _serve(self, conn: ServerConnection) -> None:
         self._conns.add(conn)
+        self.connections.append(time.monotonic())
         try:
             await self._serve_request(conn)
         finally:
@@ -148,6 +158,7 @@
         req = await conn.next_request()
         if not isinstance(req, Request):
             return
+        self.arrivals.append(time.monotonic())
         headers = dict(req.headers)
         if req.target == "/report":
             state = "draining" if self.is_leaving else "ready"
@@ -158,9 +169,10 @@
             self.kv_copies.pop(req.target.rpartition("/")[2], None)
             conn.respond(200, (), b"")
         elif headers["x-savorylift-expected-instance"] != self.server_id:
-            conn.respond(421, (), b"")
+            conn.respond(421, self._limit_headers(), b"")
         elif self.rejects_all:
-            conn.respond(503, (NOT_EXECUTED_HEADER,), b"")
+            headers_503 = (NOT_EXECUTED_HEADER, *self._limit_headers())
+            conn.respond(503, headers_503, b"")
         else:
             self.headers = headers
             self.body = req.body
@@ -168,18 +180,24 @@
         await conn.channel.drain()
         conn.channel.close()
 
+    def _limit_headers(self) -> Headers:
+        if self.named_limit is None:
+            return ()
+        return (("server-limit", self.named_limit),)
+
     async def _run(
         self, conn: ServerConnection, headers: dict[str, str]
     ) -> None:
         attempt = headers["x-savorylift-attempt-id"]
         reported_attempt = self.reported_attempt_id or attempt
+        if "kv-from" not in headers:
+            self.runs.append(attempt)
+        await asyncio.sleep(self.delay_s)
         response_headers: Headers = (
             ("x-savorylift-attempt-id", reported_attempt),
             RESPONSE_SIGNATURE_HEADER,
+            *self._limit_headers(),
         )
-        if "kv-from" not in headers:
-            self.runs.append(attempt)
-        await asyncio.sleep(self.delay_s)
         prompt = headers.get("x-savorylift-prompt-prefix", "")
         if self.deadly_part is not None and self.deadly_part in prompt:
             if conn.channel.is_peer_closed:
