Hear messages of newer builds that have unknown fields

What callers would see: while a fleet is upgraded, the nodes of the older build hear none of the newer ones as soon as a message has a field more. Each side then holds shared limits for itself, reads the store by itself and leaves the other side out of its directory.

Cause: messages are lists of fields, and the decoder refuses a list that is longer than the type. Class: a reader that is stricter than the roll of builds allows.

Fix: a message that doesn't fit is read again without what lies behind the fields that this build knows, in records within records, too. Messages that fit cost nothing more. The rule for new fields stands at the top of state.py.

--- a/src/savorylift/fleet/codec.py
+++ b/src/savorylift/fleet/codec.py
@@ -7,6 +7,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from savorylift.fleet.known_fields import keep_known_fields
 from savorylift.fleet.state import (
     Delta,
     LimitNews,
@@ -70,8 +71,8 @@
         if data[1] == Packing.DEFLATE:
             inflate = zlib.decompressobj(-zlib.MAX_WBITS)
             fields = inflate.decompress(fields, MAX_MESSAGE_BYTES)
-        kind, values = cbor2.loads(fields)
-        return Success(msgspec.convert(values, type=MESSAGE_TYPES[kind]))
+        kind, values, *_ = cbor2.loads(fields)
+        return Success(_convert(values, MESSAGE_TYPES[kind]))
     except (
         zlib.error,
         cbor2.CBORError,
@@ -81,3 +82,12 @@
         ValueError,
     ) as exc:
         return Failure(f"{type(exc).__name__}: {exc}")
+
+
+def _convert(values: object, cls: type[Message]) -> Message:
+    try:
+        return msgspec.convert(values, type=cls)
+    except msgspec.ValidationError:
+        # Trying this first would cost time with each message.
+        known = keep_known_fields(values, cls)
+        return msgspec.convert(known, type=cls)
--- a/src/savorylift/fleet/state.py
+++ b/src/savorylift/fleet/state.py
@@ -1,4 +1,8 @@
-"""Messages that nodes send each other."""
+"""Messages that nodes send each other.
+
+Builds run side by side while a fleet is upgraded: fields are only added, at
+the end and with a default; new kinds of messages are ignored by older builds.
+"""
 
 import enum
 from typing import NamedTuple
--- /dev/null
+++ b/tests/fleet/test_codec.py
@@ -0,0 +1,99 @@
+"""Tests of messages between nodes of different builds."""
+
+import cbor2
+import msgspec
+import pytest
+from returns.pipeline import is_successful
+
+from savorylift.fleet.codec import (
+    HEADER_BYTES,
+    LAYOUT_VERSION,
+    Message,
+    Packing,
+    decode,
+    encode,
+)
+from savorylift.fleet.state import (
+    Change,
+    CrashReport,
+    Delta,
+    LimitNews,
+    LimitReport,
+    PermitReply,
+    PermitRequest,
+    QuarantineNews,
+    ServerLoad,
+    Snapshot,
+    SoundPart,
+    Topic,
+)
+from savorylift.placement.move_order import PlannedMove
+from tests.fleet.test_membership import state
+
+REPORT = LimitReport("i-1", 1, 1.8, 0.5)
+MESSAGES: list[Message] = [
+    state(2)._replace(
+        loads=(ServerLoad("i-1", 1, 2, 3, 4, 5),),
+        moves=(PlannedMove("i-1", 7, "a1"),),
+        reading_age_s=0.5,
+        quarantine_news=QuarantineNews(
+            (CrashReport("i-1", 1.0, (("p", "q"),)),), (SoundPart("p", 2.0),)
+        ),
+    ),
+    Delta(Topic.SERVERS, (1, 2), (3, 4), (Change("k", b"v"),)),
+    Snapshot(1, (2, 3), {"k": b"v"}, {}),
+    LimitNews((REPORT,)),
+    PermitRequest(7, REPORT, 0.5, True),
+    PermitReply(7, True, 0.1),
+]
+
+
+def type_name(message: object) -> str:
+    return type(message).__name__
+
+
+def repack(fields: object) -> bytes:
+    return bytes([LAYOUT_VERSION, Packing.PLAIN]) + cbor2.dumps(fields)
+
+
+def add_fields(value: object) -> object:
+    """Returns a message with an unknown field at the end of each record."""
+    if not isinstance(value, tuple):
+        return value
+    fields = [add_fields(item) for item in value]
+    return [*fields, {"unknown": [1]}] if hasattr(value, "_fields") else fields
+
+
+@pytest.mark.parametrize("message", MESSAGES, ids=type_name)
+def test_message_is_decoded_as_sent(message: Message) -> None:
+    assert decode(encode(message)).unwrap() == message
+
+
+@pytest.mark.parametrize("message", MESSAGES, ids=type_name)
+def test_unknown_field_of_a_newer_build_is_ignored(message: Message) -> None:
+    kind, _ = cbor2.loads(encode(message)[HEADER_BYTES:])
+    data = repack([kind, add_fields(message)])
+    assert decode(data).unwrap() == message
+
+
+def test_unknown_part_of_a_newer_build_is_ignored() -> None:
+    fields = msgspec.to_builtins(MESSAGES[0])
+    data = repack(["state", fields, "unknown"])
+    assert decode(data).unwrap() == MESSAGES[0]
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        ["unknown", [1, 2]],
+        ["state", []],
+        ["state", [1, 2, 3]],
+        ["state"],
+        [],
+        7,
+        {"state": 1},
+        [["state"], [1]],
+    ],
+)
+def test_message_that_can_not_be_read_is_a_failure(fields: object) -> None:
+    assert not is_successful(decode(repack(fields)))
