Forget limits that no response has confirmed for a minute

If the issuer of a limited server doesn't reply, as a node of an older build in a roll, no request reaches the server, so no response could end its limit: the server would have been left out for ten minutes. After a minute without a response the limit is forgotten; the next response names it again if it still holds. Requests come every five seconds at least while an issuer replies, so a limit in use is never forgotten.

--- a/src/savorylift/backends/named_limits.py
+++ b/src/savorylift/backends/named_limits.py
@@ -14,7 +14,7 @@
 
 # A limit that no response has confirmed for this long is forgotten, and so is
 # the end of one.
-RETENTION_S = 600.0
+RETENTION_S = 60.0
 # An ended limit is reported to other nodes for this long.
 ENDED_REPORT_S = 10.0
 # Bounds the size of a message.
