Never say of a call that may have run that it did not

What callers saw: an idempotent call ran at one server, whose answer was lost; the repeat was rejected by another server, and the caller got 503 with "it did not run".

Cause: the result of the last attempt decided the final answer, also after an attempt that may have run. Fix: a rejected attempt decides only if none before it may have run.

Evidence: tests/front/test_node.py:: test_call_that_may_have_run_is_not_refused_as_not_run gave 503 instead of 502 before.

--- a/src/savorylift/exchange/plain_call.py
+++ b/src/savorylift/exchange/plain_call.py
@@ -7,6 +7,7 @@
 
 import structlog
 
+from savorylift.backends.registry import BackendServer
 from savorylift.exchange import metrics
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.results import (
@@ -50,6 +51,7 @@
         tried: set[str] = set()
         reached_server = False
         possibly_run_attempts = 0
+        # That of the last attempt that may have run, if there was one.
         last_result: SendResult | None = None
         while True:
             if reached_server and not self._pool.take_retry(
@@ -63,41 +65,47 @@
             if last_result is not None:
                 metrics.RETRIES.labels(_retry_reason(last_result).value).inc()
             is_last = possibly_run_attempts + 1 >= admitted.route.max_attempts
-            server_id = server.entry.server_id
-            tried.add(server_id)
-            failover_policy = self._failover_policy(
-                admitted, tried, is_last=is_last
-            )
-            try:
-                last_result = await self._sender.send(
-                    server, admitted, failover_policy
-                )
-            finally:
-                self._pool.load_tracker.remove_request(
-                    server_id, admitted.req.attempt_id
-                )
-            self._record_result(server_id, last_result)
-            _log.info(
-                "sent",
-                request=admitted.req.attempt_id,
-                server=server_id,
-                ending=type(last_result).__name__,
-                detail=_log_detail(last_result),
-            )
-            if isinstance(last_result, NotRun):
-                reached_server = reached_server or last_result.reached_server
+            tried.add(server.entry.server_id)
+            policy = self._failover_policy(admitted, tried, is_last=is_last)
+            result = await self._send(server, admitted, policy)
+            if isinstance(result, NotRun):
+                reached_server = reached_server or result.reached_server
+                if not possibly_run_attempts:
+                    last_result = result
                 continue
+            last_result = result
             reached_server = True
             possibly_run_attempts += 1
-            if isinstance(last_result, Answered) and not _is_server_error(
-                last_result
-            ):
-                return last_result
+            if isinstance(result, Answered) and not _is_server_error(result):
+                return result
             if possibly_run_attempts >= admitted.route.max_attempts:
                 return _final_answer(last_result)
             if not admitted.is_idempotent:
                 return _final_answer(last_result)
 
+    async def _send(
+        self,
+        server: BackendServer,
+        admitted: AdmittedRequest,
+        policy: FailoverPolicy,
+    ) -> SendResult:
+        """Sends a call to the server that was reserved for it."""
+        server_id = server.entry.server_id
+        attempt_id = admitted.req.attempt_id
+        try:
+            result = await self._sender.send(server, admitted, policy)
+        finally:
+            self._pool.load_tracker.remove_request(server_id, attempt_id)
+        self._record_result(server_id, result)
+        _log.info(
+            "sent",
+            request=attempt_id,
+            server=server_id,
+            ending=type(result).__name__,
+            detail=_log_detail(result),
+        )
+        return result
+
     def _end_unserved(
         self, admitted: AdmittedRequest, last_result: SendResult | None
     ) -> Answered | Refused:
@@ -154,7 +162,7 @@
 
 
 def _final_answer(last_result: SendResult | None) -> Answered | Refused:
-    """Returns the final response, given the result of the last attempt."""
+    """Returns the final response, given the result that decides it."""
     if isinstance(last_result, Answered):
         return last_result
     if isinstance(last_result, Unsure):
--- a/tests/front/test_node.py
+++ b/tests/front/test_node.py
@@ -102,6 +102,18 @@
     run_in_environment(scenario)
 
 
+def test_call_that_may_have_run_is_not_refused_as_not_run() -> None:
+    async def scenario(env: NodeEnvironment) -> None:
+        env.app[0].closes_after = 3
+        env.app[1].rejects_all = True
+        for number in range(8):
+            response = await env.call("/safe/", f"a{number}")
+            has_run = f"a{number}" in env.app[0].runs
+            assert response.status == (502 if has_run else 503)
+
+    run_in_environment(scenario)
+
+
 def test_idempotent_call_is_retried_at_another_server() -> None:
     async def scenario(env: NodeEnvironment) -> None:
         env.app[0].closes_after = 2
