Bound what an issuer of permits is asked, and what a denied request costs

Found while measuring the permits for the size to come, and on reading them:

- 350 nodes that are denied 1.8 permits a second would ask their issuer 636 times a second; each decision took 1.1 ms, since the issuer was chosen anew.
The issuer now tells them to ask less often the more it denies (test: within 16 KB/s at 350 nodes), and works its choice out ten times a second (6 us).
- A request that waited for its permit had less time left to connect and to fail over; that time now begins with the permit.
A wait ends before half of the caller's time is used.
- A limited server counted as a place to fail over to, so that a silent stream could be given up for a server without a permit.
- A generation that was denied a permit counted as memory released, and each try was announced to all nodes.

Also a test with nine processes of which three are paused, three killed and one is stopped: within the limit, and a third of it or more is used.

--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -162,13 +162,15 @@
                 run, server, sink, tried, is_last=is_last
             )
             self._crash_guard.record_result(run, result)
-            self._release(run)
+            is_over_limit = (
+                isinstance(result, NotRun)
+                and result.reason is Reason.SERVER_LIMIT
+            )
+            self._release(run, was_sent=not is_over_limit)
             if result is None:
                 return None
-            if isinstance(result, NotRun) and (
-                result.reason is Reason.SERVER_LIMIT
-            ):
-                reason = result.reason
+            if is_over_limit:
+                reason = Reason.SERVER_LIMIT
                 tried.discard(server.entry.server_id)
                 continue
             self._pool.load_tracker.record_result(
@@ -365,13 +367,18 @@
         )
         self._queue.dispatch_waiting()
 
-    def _release(self, run: Run) -> None:
-        """Releases everything that a run holds on engines."""
+    def _release(self, run: Run, *, was_sent: bool = True) -> None:
+        """Releases everything that a run holds on engines.
+
+        Args:
+            run: The run.
+            was_sent: Whether its engine may have assigned memory to it.
+        """
         self._end_call(run, is_complete=False)
         if run.move_task is not None:
             self._cancel_move(run.move_task)
             run.move_task = None
-        if run.server is not None:
+        if run.server is not None and was_sent:
             self._release_rate.record_release(run.expected_tokens)
         self._remove_from_load(run)
         run.server = None
--- a/src/savorylift/exchange/limit_gate.py
+++ b/src/savorylift/exchange/limit_gate.py
@@ -30,9 +30,12 @@
 # A server for which there is no permit gets no requests for at least the first
 # and at most the second time. Then it is worth asking again.
 MIN_CLOSED_S = 0.02
-MAX_CLOSED_S = 1.0
+MAX_CLOSED_S = 5.0
+# The same if the issuer doesn't reply: its message may have been lost.
+NO_REPLY_CLOSED_S = 0.3
 # Interval at which the issuer repeats the limits, in case a message was lost.
-NEWS_INTERVAL_S = 1.0
+# Shorter than the time for which a new issuer waits.
+UPDATE_INTERVAL_S = 1.0
 # Bounds the time until a refused caller returns.
 MAX_RETURN_S = 8.0
 NUMBER_BITS = 48
@@ -87,7 +90,7 @@
         self._closed_until_s: dict[str, float] = {}
         # Monotonic time at which the last refused caller was told to return.
         self._return_s: dict[str, float] = {}
-        self._next_news_s = 0.0
+        self._next_update_s = 0.0
 
     def is_limited(self, entry: ServerEntry) -> bool:
         """Whether a server names a limit."""
@@ -141,8 +144,10 @@
         )
         if decision is None or not decision.is_granted:
             if not is_probe:
-                wait_s = MAX_CLOSED_S if decision is None else decision.wait_s
-                self._close(entry.server_id, wait_s - max_wait_s)
+                wait_s = NO_REPLY_CLOSED_S
+                if decision is not None:
+                    wait_s = decision.wait_s - max_wait_s
+                self._close(entry.server_id, wait_s)
             return None
         permit = Permit(boot_time_s() + decision.wait_s + PERMIT_VALIDITY_S)
         await asyncio.sleep(decision.wait_s)
@@ -224,16 +229,17 @@
     def update(self) -> None:
         """Does what is due; to be called periodically."""
         now_s = time.monotonic()
+        if now_s < self._next_update_s:
+            return
+        self._next_update_s = now_s + UPDATE_INTERVAL_S
         self._limits.forget_old()
         limited = self._limits.limited_ids()
         self._issuer.update(limited)
         metrics.LIMITED_SERVERS.set(len(limited))
-        for known in (self._closed_until_s, self._return_s):
-            for server_id in [key for key, at in known.items() if at < now_s]:
-                del known[server_id]
-        if now_s >= self._next_news_s:
-            self._next_news_s = now_s + NEWS_INTERVAL_S
-            self._repeat_news()
+        for times_s in (self._closed_until_s, self._return_s):
+            for server_id in [k for k, at_s in times_s.items() if at_s < now_s]:
+                del times_s[server_id]
+        self._repeat_news()
 
     def _repeat_news(self) -> None:
         reports = tuple(
--- a/src/savorylift/exchange/send.py
+++ b/src/savorylift/exchange/send.py
@@ -90,7 +90,8 @@
             failover_at_s = time.monotonic() + FAILOVER_SHARE * objective_s
         permit_wait_s = 0.0
         if not has_alternative():
-            permit_wait_s = PERMIT_WAIT_SHARE * objective_s
+            time_left_s = admitted.deadline_s - time.monotonic()
+            permit_wait_s = PERMIT_WAIT_SHARE * min(objective_s, time_left_s)
         return cls(
             min(failover_at_s, admitted.deadline_s),
             admitted.deadline_s,
@@ -98,6 +99,11 @@
             permit_wait_s,
         )
 
+    def delayed(self, delay_s: float) -> "FailoverPolicy":
+        """Returns the policy for a request that is sent later."""
+        failover_at_s = min(self.failover_at_s + delay_s, self.deadline_s)
+        return self._replace(failover_at_s=failover_at_s)
+
     @property
     def allows_failover(self) -> bool:
         """Whether another server may be tried before the deadline."""
@@ -158,11 +164,13 @@
             resume_point: Where to resume the stream.
             failover_policy: How long to wait for the head.
         """
+        asked_s = time.monotonic()
         permit = await self._limit_gate.acquire(
             server, admitted.req.attempt_id, failover_policy.permit_wait_s
         )
         if permit is None:
             return _over_limit("the limit of the server is used up")
+        failover_policy = failover_policy.delayed(time.monotonic() - asked_s)
         host, port = server.entry.address
         connect_timeout_s = min(
             CONNECT_TIMEOUT_S, failover_policy.failover_at_s - time.monotonic()
--- a/src/savorylift/exchange/server_pool.py
+++ b/src/savorylift/exchange/server_pool.py
@@ -115,8 +115,9 @@
         options: EngineOptions,
         tried: Collection[str],
     ) -> bool:
-        """Returns whether an untried engine has room."""
-        return self.find_engine(admitted, options, tried) is not None
+        """Returns whether an untried engine without a limit has room."""
+        excluded = self.limited_ids().union(tried)
+        return self.find_engine(admitted, options, excluded) is not None
 
     def pending_prefill_tokens(self, server: BackendServer) -> int:
         """Returns how many prompt tokens an engine has yet to prefill."""
@@ -125,9 +126,11 @@
     def has_untried_server(
         self, admitted: AdmittedRequest, tried: Collection[str]
     ) -> bool:
-        """Returns whether an untried server can take a request."""
+        """Returns whether an untried server without a limit has room."""
+        excluded = self.limited_ids().union(tried)
         return any(
-            True for _ in self._eligible_servers(admitted, tried, self._loads())
+            True
+            for _ in self._eligible_servers(admitted, excluded, self._loads())
         )
 
     def find_least_loaded_engine(
@@ -261,7 +264,8 @@
         self.load_tracker.add_request(
             server_id, admitted.req.attempt_id, tokens, prefill_tokens
         )
-        if prefill_tokens:
+        # A request to a limited server may still be denied a permit.
+        if prefill_tokens and not self._limit_gate.is_limited(server.entry):
             self._announce()
         if server.is_cold(time.monotonic()):
             self._cold_start.record_request(server_id)
--- a/src/savorylift/fleet/permit_issuer.py
+++ b/src/savorylift/fleet/permit_issuer.py
@@ -5,6 +5,7 @@
 nodes.
 """
 
+import collections
 import random
 import time
 from collections.abc import Callable, Iterable
@@ -28,6 +29,14 @@
 # Only responses tell that a limit has ended. So a server gets a request at
 # least this often, even if its limit is lower.
 MAX_INTERVAL_S = 5.0
+# Denied permit requests that a server's issuer takes each second. If there are
+# more, it tells the nodes to ask again later.
+DENIALS_PER_S = 20
+DENIAL_WINDOW_S = 1.0
+MAX_DENIALS = 1000
+# For how long the choice of an issuer, and the share of the fleet that this
+# node hears, are used before they are worked out again.
+CACHE_S = 0.1
 
 
 class PermitDecision(NamedTuple):
@@ -57,6 +66,9 @@
         self._hold_until_s = hold_until_s
         self._phase = phase
         self._next_s = hold_until_s
+        self._denied_s: collections.deque[float] = collections.deque(
+            maxlen=MAX_DENIALS
+        )
 
     def take(
         self, per_s: float, max_wait_s: float, *, is_probe: bool
@@ -77,10 +89,19 @@
         if is_probe and now_s - self._next_s < interval_s:
             return PermitDecision(is_granted=False, wait_s=wait_s + interval_s)
         if wait_s > min(max_wait_s, MAX_WAIT_S):
-            return PermitDecision(is_granted=False, wait_s=wait_s)
+            ask_after_s = max(wait_s, self._count_denial() / DENIALS_PER_S)
+            return PermitDecision(is_granted=False, wait_s=ask_after_s)
         self._next_s = max(self._next_s, now_s - BURST_S) + interval_s
         return PermitDecision(is_granted=True, wait_s=wait_s)
 
+    def _count_denial(self) -> int:
+        """Returns how many permit requests were denied lately."""
+        now_s = time.monotonic()
+        self._denied_s.append(now_s)
+        while self._denied_s[0] < now_s - DENIAL_WINDOW_S:
+            self._denied_s.popleft()
+        return len(self._denied_s)
+
 
 class PermitIssuer:
     """Decides on permits for the servers that this node is the issuer of."""
@@ -107,6 +128,9 @@
         self._rng = rng
         self._started_s = time.monotonic()
         self._buckets: dict[str, PermitBucket] = {}
+        self._issuers: dict[str, str] = {}
+        self._live_share = 1.0
+        self._cached_until_s = 0.0
 
     def is_own_ip(self, ip: str) -> bool:
         """Whether an address is that of this node."""
@@ -114,11 +138,10 @@
 
     def find_issuer(self, server_id: str) -> str:
         """Returns the address of a server's issuer."""
-        peers = self._membership.live_peers(time.monotonic())
-        ips = [p.state.ip for p in peers if not p.state.is_leaving]
-        if not self._is_leaving() or not ips:
-            ips.append(self._ip)
-        return rank(server_id, ips)[0]
+        self._refresh_cache()
+        if server_id not in self._issuers:
+            self._issuers[server_id] = self._choose_issuer(server_id)
+        return self._issuers[server_id]
 
     def decide(
         self,
@@ -155,13 +178,28 @@
         for server_id in self._buckets.keys() - limited:
             del self._buckets[server_id]
 
+    def _choose_issuer(self, server_id: str) -> str:
+        peers = self._membership.live_peers(time.monotonic())
+        ips = [p.state.ip for p in peers if not p.state.is_leaving]
+        if not self._is_leaving() or not ips:
+            ips.append(self._ip)
+        return rank(server_id, ips)[0]
+
     def _own_rate(self, requests_per_s: float) -> float:
         """Returns the rate that the nodes which this one hears may use.
 
         The rest is for nodes that it is cut off from.
         """
-        rate = max(requests_per_s, 1 / MAX_INTERVAL_S)
-        return rate * self._membership.live_share(time.monotonic())
+        self._refresh_cache()
+        return max(requests_per_s, 1 / MAX_INTERVAL_S) * self._live_share
+
+    def _refresh_cache(self) -> None:
+        now_s = time.monotonic()
+        if now_s < self._cached_until_s:
+            return
+        self._cached_until_s = now_s + CACHE_S
+        self._issuers.clear()
+        self._live_share = self._membership.live_share(now_s)
 
     def _update_bucket(self, server_id: str) -> PermitBucket | None:
         """Returns the bucket of a server; None if another node issues."""
--- a/tests/fleet/test_permit_issuer.py
+++ b/tests/fleet/test_permit_issuer.py
@@ -8,6 +8,7 @@
 from freezegun import freeze_time
 from freezegun.api import FrozenDateTimeFactory
 
+from savorylift.fleet.codec import encode
 from savorylift.fleet.membership import Membership
 from savorylift.fleet.permit_issuer import (
     HANDOVER_HOLD_S,
@@ -16,6 +17,7 @@
     PermitBucket,
     PermitIssuer,
 )
+from savorylift.fleet.state import LimitReport, PermitReply, PermitRequest
 from tests.fleet.test_membership import state
 
 # The users judge limits over this time, with these tolerances.
@@ -23,6 +25,11 @@
 TOLERANCE_FACTOR = 1.5
 TOLERANCE_REQUESTS = 5
 STEP_S = 0.1
+# The size that the fleet is to have.
+NODES_TO_COME = 350
+# What a node may send for control.
+CONTROL_BYTES_PER_S = 16_000
+UDP_HEADER_BYTES = 28
 LIMIT_PER_S = 1.8
 SERVER_ID = "i-1"
 
@@ -230,3 +237,37 @@
         decision = issuer.decide(SERVER_ID, per_s, 0.0, is_probe=False)
         granted += decision.is_granted
     assert 40 / MAX_INTERVAL_S - 3 <= granted <= 40 / MAX_INTERVAL_S
+
+
+def test_issuer_is_not_asked_for_more_than_it_may_send(
+    clock: FrozenDateTimeFactory,
+) -> None:
+    bucket = PermitBucket(time.monotonic(), 0.0)
+    ask_at_s = [time.monotonic()] * NODES_TO_COME
+    asked_s: list[float] = []
+    for _ in range(200):
+        clock.tick(0.1)
+        now_s = time.monotonic()
+        for node, at_s in enumerate(ask_at_s):
+            if at_s <= now_s:
+                decision = bucket.take(LIMIT_PER_S, 0.0, is_probe=False)
+                ask_at_s[node] = now_s + decision.wait_s
+                asked_s.append(now_s)
+    asked_per_s = sum(at_s > now_s - 10.0 for at_s in asked_s) / 10.0
+    assert asked_per_s * bytes_of_exchange() <= CONTROL_BYTES_PER_S
+
+
+def bytes_of_exchange() -> int:
+    report = LimitReport("i-c368fed930", 1_796_387_731_465, 1.8, 0.5123)
+    request = PermitRequest(2**47, report, 0.2, is_probe=False)
+    reply = PermitReply(2**47, is_granted=True, wait_s=0.1234)
+    return len(encode(request)) + len(encode(reply)) + 2 * UDP_HEADER_BYTES
+
+
+def test_few_nodes_ask_again_as_soon_as_there_is_a_permit(
+    clock: FrozenDateTimeFactory,
+) -> None:
+    bucket = PermitBucket(time.monotonic(), 0.0)
+    for _ in range(3):
+        decision = bucket.take(LIMIT_PER_S, 0.0, is_probe=False)
+        assert decision.wait_s <= 1 / LIMIT_PER_S + 0.001
--- a/tests/front/limited_fleet.py
+++ b/tests/front/limited_fleet.py
@@ -53,15 +53,15 @@
     """Nodes, a store, and the servers of a plain and an engine service.
 
     Attributes:
-        nodes: The nodes.
+        ips: Addresses of the nodes.
         app: Servers of the plain service.
         pool: Model engines.
         endings: Ended requests of the callers.
     """
 
     def __init__(self, nodes: int, servers: int) -> None:
-        self._ips = [f"127.4.0.{number + 1}" for number in range(nodes)]
-        hosts = ["127.0.0.1", *self._ips]
+        self.ips = [f"127.4.0.{number + 1}" for number in range(nodes)]
+        hosts = ["127.0.0.1", *self.ips]
         addresses = free_addresses(6 + 2 * servers, hosts)
         ports = [int(address.partition(":")[2]) for address in addresses]
         self._node_ports, self._server_ports = ports[:6], ports[6:]
@@ -71,7 +71,6 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self.app = [PlatformServer(f"app-{n}") for n in range(servers)]
         self.pool = [PlatformServer(f"pool-{n}") for n in range(servers)]
-        self.nodes = [self._make_node(ip) for ip in self._ips]
         self.endings: list[Ending] = []
 
     @contextlib.asynccontextmanager
@@ -85,20 +84,29 @@
                 server.delay_s = RUN_S
                 server.peers = {other.port: other for other in servers}
                 self.publish_entry(server, service)
-        for node in self.nodes:
-            self._tasks.add(asyncio.ensure_future(node.run()))
-        async with asyncio.timeout(START_TIMEOUT_S):
-            while any(n.configuration_version is None for n in self.nodes):
-                await asyncio.sleep(0.05)
+        await self._start_nodes()
         await asyncio.sleep(2.0)
         try:
             yield
         finally:
+            self._stop_nodes()
             tasks = asyncio.all_tasks() - {asyncio.current_task()}
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
 
+    async def _start_nodes(self) -> None:
+        """Starts all nodes and waits until they are ready."""
+        nodes = [self._make_node(ip) for ip in self.ips]
+        for node in nodes:
+            self._tasks.add(asyncio.ensure_future(node.run()))
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while any(node.configuration_version is None for node in nodes):
+                await asyncio.sleep(0.05)
+
+    def _stop_nodes(self) -> None:
+        """Ends what the tasks of the event loop don't hold."""
+
     def publish_entry(
         self, server: PlatformServer, service: str, state: str = "ready"
     ) -> None:
@@ -122,7 +130,7 @@
 
     def cut_off(self, index: int) -> None:
         """Cuts a node off from all other nodes, but not from the servers."""
-        self._cut.add(self._ips[index])
+        self._cut.add(self.ips[index])
 
     async def call_for(
         self, path: str, duration_s: float, per_s: float = 30.0
@@ -130,7 +138,7 @@
         """Sends requests to nodes drawn at random; returns after the last."""
         until_s = time.monotonic() + duration_s
         while time.monotonic() < until_s:
-            ip = self._rng.choice(self._ips)
+            ip = self._rng.choice(self.ips)
             number = len(self._tasks)
             task = asyncio.ensure_future(self.call(ip, path, f"a{number}"))
             self._tasks.add(task)
@@ -196,7 +204,7 @@
             peer_port=peer,
             metrics_port=metrics,
             store=f"127.0.0.1:{store}",
-            seeds=tuple(f"{seed}:1" for seed in self._ips[:3]),
+            seeds=tuple(f"{seed}:1" for seed in self.ips[:3]),
             grace_period_s=2.0,
             retry_ratio=0.2,
             retry_window_s=10.0,
--- /dev/null
+++ b/tests/front/process_fleet.py
@@ -0,0 +1,61 @@
+"""A fleet whose nodes are processes, which tests may pause or kill."""
+
+import asyncio
+import pathlib
+
+import msgspec
+
+from savorylift.wire.client_call import BrokenAnswerError, fetch
+from tests.front.limited_fleet import START_TIMEOUT_S, LimitedFleet
+from tests.harness.process import Process
+
+
+class ProcessFleet(LimitedFleet):
+    """A limited fleet with a process for each node.
+
+    Attributes:
+        processes: The processes, by the address of their node.
+    """
+
+    def __init__(
+        self, nodes: int, servers: int, directory: pathlib.Path
+    ) -> None:
+        super().__init__(nodes, servers)
+        self._directory = directory
+        self.processes = {
+            ip: Process(f"node-{ip}", directory) for ip in self.ips
+        }
+
+    def start_node(self, ip: str) -> None:
+        """Starts the process of a node that is not running."""
+        path = self._directory / f"{ip}.json"
+        settings = self._settings(ip)._asdict()
+        settings["regions"] = dict(settings["regions"])
+        path.write_bytes(msgspec.json.encode(settings))
+        self.processes[ip].start("-m", "savorylift.front", str(path))
+
+    async def _start_nodes(self) -> None:
+        for ip in self.ips:
+            self.start_node(ip)
+        async with asyncio.timeout(START_TIMEOUT_S):
+            for ip in self.ips:
+                while not await self._is_ready(ip):
+                    await asyncio.sleep(0.05)
+
+    def _stop_nodes(self) -> None:
+        for process in self.processes.values():
+            process.kill()
+
+    async def _is_ready(self, ip: str) -> bool:
+        port = self._settings(ip).readiness_listen.rpartition(":")[2]
+        try:
+            response = await fetch(
+                (ip, int(port)),
+                "GET",
+                "/readiness",
+                timeout_s=1.0,
+                connect_timeout_s=1.0,
+            )
+        except (OSError, BrokenAnswerError):
+            return False
+        return response.status == 200
--- a/tests/front/test_named_limits.py
+++ b/tests/front/test_named_limits.py
@@ -1,22 +1,27 @@
 """Tests of fleets whose backend servers name limits on their requests."""
 
+import pathlib
 import time
 from collections.abc import Callable
 
 import pytest
 
+from tests.front.environment import run_with_timeout
 from tests.front.limited_fleet import (
     REACTION_S,
     LimitedFleet,
     most_allowed,
     most_in_window,
 )
+from tests.front.process_fleet import ProcessFleet
 from tests.harness.virtual_time import run_in_virtual_time
 from tests.standins.platform_server import PlatformServer
 
 LIMITED_S = 15.0
 # A server must get its part again within this time after its limit ended.
 RECOVERY_S = 3.0
+# A request without a server is refused within this time.
+AT_ONCE_S = 0.3
 
 
 @pytest.mark.parametrize(
@@ -78,20 +83,28 @@
     return since_s
 
 
-@pytest.mark.parametrize("path", ["/once/x", "/stream/x"])
-def test_rest_is_refused_at_once_if_there_is_no_other_server(
-    path: str, monkeypatch: pytest.MonkeyPatch
+@pytest.mark.parametrize(
+    ("servers", "path"), [(1, "/once/x"), (1, "/stream/x"), (3, "/safe/x")]
+)
+def test_rest_is_refused_at_once_if_all_servers_name_limits(
+    servers: int, path: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     async def scenario() -> None:
-        fleet = LimitedFleet(6, 1)
+        fleet = LimitedFleet(6, servers)
         async with fleet.running():
+            for server in fleet.service(path):
+                server.named_limit = "1.8"
             since_s = await limit_and_call(fleet, path, 1.8, 10.0)
+        for server in fleet.service(path):
+            arrivals = server.arrivals
+            assert most_in_window(arrivals, since_s) <= most_allowed(1.8)
+            assert sum(t >= since_s for t in arrivals) >= 1.8 * 7.0 / 2
         endings = fleet.endings_since(since_s)
         refused = [ending for ending in endings if ending.status != 200]
         assert refused
         for ending in refused:
             assert ending.status == 503
-            assert ending.took_s < 0.3
+            assert ending.took_s < AT_ONCE_S
             assert ending.retry_after_s is not None
             assert 0 < ending.retry_after_s <= 8.0
 
@@ -204,3 +217,32 @@
         assert sum(t >= since_s for t in server.arrivals) >= 30
 
     run_in_virtual_time(monkeypatch, scenario)
+
+
+@pytest.mark.processes
+def test_limit_holds_while_nodes_freeze_and_restart(
+    tmp_path: pathlib.Path,
+) -> None:
+    async def scenario() -> None:
+        fleet = ProcessFleet(9, 2, tmp_path)
+        server = fleet.app[0]
+        async with fleet.running():
+            processes = [fleet.processes[ip] for ip in fleet.ips]
+            since_s = await limit_and_call(fleet, "/safe/x", 1.8, 6.0)
+            for process in processes[:3]:
+                process.pause()
+            await fleet.call_for("/safe/x", 3.0)
+            for process in processes[:3]:
+                process.resume()
+            await fleet.call_for("/safe/x", 2.0)
+            for index in (2, 5, 7):
+                processes[index].kill()
+                fleet.start_node(fleet.ips[index])
+                await fleet.call_for("/safe/x", 1.0)
+            processes[4].terminate()
+            await fleet.call_for("/safe/x", 6.0)
+        assert most_in_window(server.arrivals, since_s) <= most_allowed(1.8)
+        used = sum(t >= since_s for t in server.arrivals)
+        assert used >= 1.8 * 17.0 / 3
+
+    run_with_timeout(scenario())
