--- a/src/savorylift/exchange/engine_queue.py
+++ b/src/savorylift/exchange/engine_queue.py
@@ -6,8 +6,8 @@
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange import metrics
 from savorylift.exchange.admission import AdmittedRequest
+from savorylift.exchange.failover import FailoverPolicy
 from savorylift.exchange.run import Run
-from savorylift.exchange.send import FailoverPolicy
 from savorylift.exchange.server_pool import ServerPool
 from savorylift.placement.engines import EngineOptions
 from savorylift.placement.prefill_rate import PrefillRate
--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -17,6 +17,7 @@
     refuse_generation,
     to_broken,
 )
+from savorylift.exchange.failover import FailoverPolicy
 from savorylift.exchange.mover import Mover
 from savorylift.exchange.relay import Relay
 from savorylift.exchange.request import Generation
@@ -30,7 +31,6 @@
 from savorylift.exchange.run import ResumeTarget, Run
 from savorylift.exchange.run_log import log_move_failure, log_sent
 from savorylift.exchange.send import (
-    FailoverPolicy,
     ResumePoint,
     Sender,
     Started,
--- a/src/savorylift/exchange/plain_call.py
+++ b/src/savorylift/exchange/plain_call.py
@@ -10,6 +10,7 @@
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange import metrics
 from savorylift.exchange.admission import AdmittedRequest
+from savorylift.exchange.failover import FailoverPolicy
 from savorylift.exchange.results import (
     Answered,
     NotRun,
@@ -17,7 +18,7 @@
     SendResult,
     Unsure,
 )
-from savorylift.exchange.send import FailoverPolicy, Sender
+from savorylift.exchange.send import Sender
 from savorylift.exchange.server_pool import ServerPool
 from savorylift.outcomes import Reason
 
--- a/src/savorylift/exchange/relay.py
+++ b/src/savorylift/exchange/relay.py
@@ -8,10 +8,11 @@
 
 from savorylift.exchange.codec import Codec, EventSink
 from savorylift.exchange.events import Event
+from savorylift.exchange.failover import FailoverPolicy
 from savorylift.exchange.results import Broken
 from savorylift.exchange.run import Run
 from savorylift.exchange.run_log import log_complete, record_first_event_time
-from savorylift.exchange.send import FailoverPolicy, Started
+from savorylift.exchange.send import Started
 from savorylift.outcomes import Reason
 from savorylift.wire.client_call import BrokenAnswerError
 
--- a/src/savorylift/exchange/send.py
+++ b/src/savorylift/exchange/send.py
@@ -10,6 +10,7 @@
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.codec import CancelRequest, Codec, OutgoingRequest
+from savorylift.exchange.failover import FailoverPolicy
 from savorylift.exchange.limit_gate import LimitGate
 from savorylift.exchange.request import (
     AnswerHead,
@@ -27,13 +28,6 @@
 # Interval at which to look for another server after `failover_at_s`.
 ALTERNATIVE_POLL_S = 0.1
 CANCEL_TIMEOUT_S = 1.0
-# Share of the objective after which to fail over from a server that has not
-# responded, if the request may be retried. Another server can then still
-# respond in time.
-FAILOVER_SHARE = 0.6
-# Share of the objective for which to wait until a limited server takes a
-# request that no other server can take.
-PERMIT_WAIT_SHARE = 0.5
 
 _log = structlog.get_logger()
 
@@ -51,65 +45,6 @@
     kv_copy: KvCopy | None = None
 
 
-class FailoverPolicy(NamedTuple):
-    """How long to wait for a server before failing over to another.
-
-    Attributes:
-        failover_at_s: Monotonic time from which failover is considered.
-        deadline_s: Monotonic time after which a response is of no use.
-        has_alternative: Returns whether another server could take over now.
-            While none could, the wait continues until the deadline.
-        permit_wait_s: Longest wait for a permit, if the server names a limit.
-    """
-
-    failover_at_s: float
-    deadline_s: float
-    has_alternative: Callable[[], bool]
-    permit_wait_s: float = 0.0
-
-    @classmethod
-    def for_request(
-        cls,
-        admitted: AdmittedRequest,
-        objective_s: float,
-        has_alternative: Callable[[], bool],
-        *,
-        is_last: bool,
-    ) -> "FailoverPolicy":
-        """Returns the policy for sending a request to one server.
-
-        Args:
-            admitted: The request.
-            objective_s: Time within which the response should arrive.
-            has_alternative: Same as the attribute.
-            is_last: Whether no other server may run the request after this
-                one.
-        """
-        failover_at_s = admitted.deadline_s
-        if not is_last and admitted.is_idempotent:
-            failover_at_s = time.monotonic() + FAILOVER_SHARE * objective_s
-        permit_wait_s = 0.0
-        if not has_alternative():
-            time_left_s = admitted.deadline_s - time.monotonic()
-            permit_wait_s = PERMIT_WAIT_SHARE * min(objective_s, time_left_s)
-        return cls(
-            min(failover_at_s, admitted.deadline_s),
-            admitted.deadline_s,
-            has_alternative,
-            permit_wait_s,
-        )
-
-    def delayed(self, delay_s: float) -> "FailoverPolicy":
-        """Returns the policy for a request that is sent later."""
-        failover_at_s = min(self.failover_at_s + delay_s, self.deadline_s)
-        return self._replace(failover_at_s=failover_at_s)
-
-    @property
-    def allows_failover(self) -> bool:
-        """Whether another server may be tried before the deadline."""
-        return self.failover_at_s < self.deadline_s
-
-
 class Started(NamedTuple):
     """A request whose response has started.
 
