Give the callers' directory a module of its own

The bound on the time to keep them is read at the start, as OPERATIONS says of all settings but seeds.

--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -30,6 +30,7 @@
 from savorylift.fleet.store_reader import StoreReader
 from savorylift.fleet.store_view import StoreView
 from savorylift.fleet.topic_consumer import ReadPolicy
+from savorylift.front.caller_directory import MAX_ENTRY_TTL_S, CallerDirectory
 from savorylift.front.caller_handler import CallerHandler, CallerHandlerOptions
 from savorylift.front.interface import choose_interface
 from savorylift.front.lifecycle import Lifecycle
@@ -40,15 +41,12 @@
 from savorylift.front.status import Status
 from savorylift.front.tasks import BackgroundTasks
 from savorylift.platform.directory import (
-    Addresses,
-    Lookup,
     directory_handler,
     readiness_handler,
 )
 from savorylift.platform.store import Record, StoreClient
 from savorylift.refusals.counts import RefusalCounts
 from savorylift.refusals.writer import RefusalWriter
-from savorylift.routing.configuration import home_regions
 from savorylift.settings_file import SettingsFault
 from savorylift.tls import server_context
 from savorylift.wire.address import split_address
@@ -58,10 +56,6 @@
 
 SettingsReader = Callable[[], Result[FrontSettings, tuple[SettingsFault, ...]]]
 
-# TTL of the node addresses given to callers, who keep them for up to three
-# times as long. A short TTL lets them follow changes of the fleet within
-# seconds.
-ENTRY_TTL_S = 1.5
 MAINTENANCE_INTERVAL_S = 0.2
 # Delay of the event loop that is logged.
 LATE_LOOP_S = 0.2
@@ -93,10 +87,14 @@
         self._tasks = BackgroundTasks(self.leave)
         rng = random.Random(self._incarnation)
         self._lifecycle = Lifecycle(settings.grace_period_s)
-        interface = choose_interface(settings, self._entry_ttl_s)
+        entry_ttl_s = min(MAX_ENTRY_TTL_S, settings.entry_ttl_max_s)
+        interface = choose_interface(settings, entry_ttl_s)
         self._store_view = StoreView(interface.decoders)
         seeds = [split_address(seed)[0] for seed in settings.seeds]
         self._membership = Membership(self._ip, seeds)
+        self._caller_directory = CallerDirectory(
+            self._membership, self._store_view, self._next_state, entry_ttl_s
+        )
         budget = RetryBudget(
             RetryBudgetOptions(
                 settings.retry_ratio,
@@ -150,7 +148,9 @@
             CallerHandlerOptions(
                 settings.request_timeout_s, settings.most_open
             ),
-            lambda req: interface.answer_locally(req, self._caller_addresses),
+            lambda req: interface.answer_locally(
+                req, self._caller_directory.all_addresses
+            ),
         )
         self._store = StoreClient(split_address(settings.store))
         self._refusal_writer = RefusalWriter(self._store, refusal_counts)
@@ -259,7 +259,7 @@
         handler = connection_handler(self._peer_sync.snapshot_server.handle)
         peer_listener = Listener(handler, InputLimits)
         await peer_listener.start(self._ip, self._settings.peer_port)
-        directory = directory_handler(self._resolve)
+        directory = directory_handler(self._caller_directory.resolve)
         await self._listen_http(self._settings.directory_listen, directory)
         readiness = readiness_handler(lambda: self._is_ready)
         await self._listen_http(self._settings.readiness_listen, readiness)
@@ -285,29 +285,6 @@
         cfg = self._store_view.configuration
         return InputLimits() if cfg is None else cfg.limits
 
-    def _resolve(self, lookup: Lookup) -> Addresses:
-        found = self._membership.caller_addresses(
-            self._next_state(),
-            lookup.region,
-            self._home_regions(lookup.host),
-            time.monotonic(),
-        )
-        return Addresses(found, self._entry_ttl_s)
-
-    def _caller_addresses(self) -> list[str]:
-        """Returns the addresses for callers that name no region."""
-        return self._membership.caller_addresses(
-            self._next_state(), None, (), time.monotonic()
-        )
-
-    @property
-    def _entry_ttl_s(self) -> float:
-        return min(ENTRY_TTL_S, self._settings.entry_ttl_max_s)
-
-    def _home_regions(self, host: str) -> frozenset[str]:
-        cfg = self._store_view.configuration
-        return frozenset() if cfg is None else home_regions(cfg, host)
-
     def _next_state(self, *, include_peers: bool = False) -> NodeState:
         """Returns this node's state with a new sequence number.
 
