Look for another server only where a limited one would be waited for

Each request worked out twice which servers could take it, once for the wait for a permit that only limited servers need; at 81 nodes that sums the loads of all nodes a second time. A changed value is no longer sent to the node itself.

--- a/src/savorylift/exchange/failover.py
+++ b/src/savorylift/exchange/failover.py
@@ -23,13 +23,14 @@
         deadline_s: Monotonic time after which a response is of no use.
         has_alternative: Returns whether another server could take over now.
             While none could, the wait continues until the deadline.
-        permit_wait_s: Longest wait for a permit, if the server names a limit.
+        max_permit_wait_s: Longest wait for a permit, if the server names a
+            limit and no other server could take over.
     """
 
     failover_at_s: float
     deadline_s: float
     has_alternative: Callable[[], bool]
-    permit_wait_s: float = 0.0
+    max_permit_wait_s: float = 0.0
 
     @classmethod
     def for_request(
@@ -52,17 +53,19 @@
         failover_at_s = admitted.deadline_s
         if not is_last and admitted.is_idempotent:
             failover_at_s = time.monotonic() + FAILOVER_SHARE * objective_s
-        permit_wait_s = 0.0
-        if not has_alternative():
-            time_left_s = admitted.deadline_s - time.monotonic()
-            permit_wait_s = PERMIT_WAIT_SHARE * min(objective_s, time_left_s)
+        time_left_s = max(admitted.deadline_s - time.monotonic(), 0.0)
         return cls(
             min(failover_at_s, admitted.deadline_s),
             admitted.deadline_s,
             has_alternative,
-            permit_wait_s,
+            PERMIT_WAIT_SHARE * min(objective_s, time_left_s),
         )
 
+    @property
+    def permit_wait_s(self) -> float:
+        """How long to wait for a permit now."""
+        return 0.0 if self.has_alternative() else self.max_permit_wait_s
+
     def delayed(self, delay_s: float) -> "FailoverPolicy":
         """Returns the policy for a request that is sent later."""
         failover_at_s = min(self.failover_at_s + delay_s, self.deadline_s)
--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -211,7 +211,7 @@
         if run.possibly_run_attempts:
             return fail_generation(run, sink, failure)
         if self._pool.is_closed_by_limits(run.admitted, ()):
-            return_after_s = self._pool.return_after_s(run.admitted)
+            return_after_s = self._pool.assign_return_s(run.admitted)
             return refuse_generation(sink, Reason.SERVER_LIMIT, return_after_s)
         wanted_tokens = run.expected_tokens * (
             1 + self._queue.waiting_count(run.admitted)
--- a/src/savorylift/exchange/limit_gate.py
+++ b/src/savorylift/exchange/limit_gate.py
@@ -139,11 +139,11 @@
             return boot_time_s() < permit.expires_s
         return not self.is_limited(server.entry)
 
-    def return_after_s(self, entries: Collection[ServerEntry]) -> float | None:
-        """Returns when a caller refused by limits may return.
+    def assign_return_s(self, entries: Collection[ServerEntry]) -> float | None:
+        """Returns after what time a caller refused by limits may return.
 
-        Callers that are refused one after another are told different times,
-        so that no more return than the servers take. None if no server is
+        Callers that are refused one after another get different times, so
+        that no more return than the servers take. None if no server is
         limited.
         """
         limits = {
@@ -187,7 +187,8 @@
             return
         # A value may change with every response, so only the issuer is told.
         issuer_ip = self._issuer.find_issuer(entry.server_id)
-        self._send(news, issuer_ip)
+        if not self._issuer.is_own_ip(issuer_ip):
+            self._send(news, issuer_ip)
 
     def receive(self, message: LimitMessage, ip: str) -> None:
         """Handles a message from another node."""
--- a/src/savorylift/exchange/plain_call.py
+++ b/src/savorylift/exchange/plain_call.py
@@ -112,7 +112,7 @@
     ) -> Answered | Refused:
         """Returns the final response if no server is left to try."""
         if last_result is None or _is_over_limit(last_result):
-            return_after_s = self._pool.return_after_s(admitted)
+            return_after_s = self._pool.assign_return_s(admitted)
             if return_after_s is not None:
                 message = "The backend servers take no more; it did not run."
                 return Refused(
--- a/src/savorylift/exchange/send.py
+++ b/src/savorylift/exchange/send.py
@@ -11,7 +11,7 @@
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.codec import CancelRequest, Codec, OutgoingRequest
 from savorylift.exchange.failover import FailoverPolicy
-from savorylift.exchange.limit_gate import LimitGate
+from savorylift.exchange.limit_gate import LimitGate, Permit
 from savorylift.exchange.request import (
     AnswerHead,
     ForwardingOptions,
@@ -100,9 +100,7 @@
             failover_policy: How long to wait for the head.
         """
         asked_s = time.monotonic()
-        permit = await self._limit_gate.acquire(
-            server, admitted.req.attempt_id, failover_policy.permit_wait_s
-        )
+        permit = await self._acquire_permit(server, admitted, failover_policy)
         if permit is None:
             return _over_limit("the limit of the server is used up")
         failover_policy = failover_policy.delayed(time.monotonic() - asked_s)
@@ -184,6 +182,19 @@
         self._cancel_tasks.add(task)
         task.add_done_callback(self._cancel_tasks.discard)
 
+    async def _acquire_permit(
+        self,
+        server: BackendServer,
+        admitted: AdmittedRequest,
+        failover_policy: FailoverPolicy,
+    ) -> Permit | None:
+        max_wait_s = 0.0
+        if self._limit_gate.is_limited(server.entry):
+            max_wait_s = failover_policy.permit_wait_s
+        return await self._limit_gate.acquire(
+            server, admitted.req.attempt_id, max_wait_s
+        )
+
     async def _send_and_read_head(
         self,
         server: BackendServer,
--- a/src/savorylift/exchange/server_pool.py
+++ b/src/savorylift/exchange/server_pool.py
@@ -178,13 +178,13 @@
         entries = [s.entry for s in self._allowed_servers(admitted, tried)]
         return bool(entries) and not any(map(self._limit_gate.is_open, entries))
 
-    def return_after_s(self, admitted: AdmittedRequest) -> float | None:
-        """Returns when a caller may return whom limits kept from a server.
+    def assign_return_s(self, admitted: AdmittedRequest) -> float | None:
+        """Returns after what time a caller refused by limits may return.
 
         None if no server that may run the request names a limit.
         """
         entries = [s.entry for s in self._allowed_servers(admitted, ())]
-        return self._limit_gate.return_after_s(entries)
+        return self._limit_gate.assign_return_s(entries)
 
     def count_request(self, service: str) -> None:
         """Adds a caller's request to the retry budget."""
--- a/tests/exchange/test_limit_gate.py
+++ b/tests/exchange/test_limit_gate.py
@@ -244,9 +244,9 @@
 ) -> None:
     async def scenario() -> None:
         node = Node()
-        assert node.gate.return_after_s([SERVER.entry]) is None
+        assert node.gate.assign_return_s([SERVER.entry]) is None
         node.name_limit(2.0)
-        waits_s = [node.gate.return_after_s([SERVER.entry]) for _ in range(40)]
+        waits_s = [node.gate.assign_return_s([SERVER.entry]) for _ in range(40)]
         assert waits_s[:3] == pytest.approx([0.5, 1.0, 1.5])
         assert waits_s[-1] == MAX_RETURN_S
 
