Repeat the news of limits no more often than the nodes' other messages

Once a second to each of 350 nodes is 28 KB/s a limit, headers included, of the 16 KB/s that a node may spend for control. At the interval of the periodic messages, which grows with the fleet, it is 6.4 KB/s.

--- a/src/savorylift/exchange/limit_gate.py
+++ b/src/savorylift/exchange/limit_gate.py
@@ -36,7 +36,6 @@
 MAX_CLOSED_S = 5.0
 # The same if the issuer doesn't reply: its message may have been lost.
 NO_REPLY_CLOSED_S = 0.3
-# Interval at which the issuer repeats the limits, in case a message was lost.
 # Shorter than the time for which a new issuer waits.
 UPDATE_INTERVAL_S = 1.0
 # Bounds the time until a refused caller returns.
@@ -65,6 +64,7 @@
         issuer: PermitIssuer,
         send: SendLimitMessage,
         count_nodes: Callable[[], int],
+        get_message_interval_s: Callable[[], float],
         rng: random.Random,
     ) -> None:
         """Creates a gate that knows no limits.
@@ -73,17 +73,21 @@
             issuer: Decides on permits for the servers of this node.
             send: Sends messages to other nodes.
             count_nodes: Returns how many nodes share a limit.
+            get_message_interval_s: Returns the interval between the nodes'
+                messages, which grows with their number.
             rng: Chooses the first number of permit requests.
         """
         self._issuer = issuer
         self._send = send
         self._count_nodes = count_nodes
+        self._get_message_interval_s = get_message_interval_s
         self._limits = NamedLimits()
         self._client = PermitClient(send, rng)
         self._closed_until_s: dict[str, float] = {}
         # Monotonic time at which the last refused caller was told to return.
         self._return_s: dict[str, float] = {}
         self._next_update_s = 0.0
+        self._next_news_s = 0.0
 
     def is_limited(self, entry: ServerEntry) -> bool:
         """Whether a server names a limit."""
@@ -220,9 +224,15 @@
         for times_s in (self._closed_until_s, self._return_s):
             for server_id in [k for k, at_s in times_s.items() if at_s < now_s]:
                 del times_s[server_id]
-        self._repeat_news()
+        if now_s >= self._next_news_s:
+            self._next_news_s = now_s + self._get_message_interval_s()
+            self._repeat_news()
 
     def _repeat_news(self) -> None:
+        """Tells all nodes the limits of this issuer's servers once more.
+
+        The message in which they were told may have been lost.
+        """
         reports = tuple(
             report
             for report in self._limits.reports()
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -113,6 +113,7 @@
                 message, ip
             ),
             lambda: self._membership.count_sharing_nodes(time.monotonic()),
+            lambda: self._peer_sync.transport.message_interval_s,
             rng,
         )
         self._pool = ServerPool(
--- a/tests/exchange/factories.py
+++ b/tests/exchange/factories.py
@@ -175,7 +175,9 @@
     """Returns the limit gate of a node that sends no messages."""
     rng = random.Random(1)
     issuer = PermitIssuer("127.0.0.1", membership, lambda: False, rng)
-    return LimitGate(issuer, lambda _message, _ip: None, lambda: 1, rng)
+    return LimitGate(
+        issuer, lambda _message, _ip: None, lambda: 1, lambda: 0.2, rng
+    )
 
 
 def make_pool(
--- a/tests/exchange/test_limit_gate.py
+++ b/tests/exchange/test_limit_gate.py
@@ -69,7 +69,7 @@
         rng = random.Random(1)
         issuer = PermitIssuer(OWN_IP, members, lambda: False, rng)
         self.sent: list[tuple[LimitMessage, str | None]] = []
-        self.gate = LimitGate(issuer, self._send, lambda: 1, rng)
+        self.gate = LimitGate(issuer, self._send, lambda: 1, lambda: 0.2, rng)
 
     def name_limit(self, per_s: float | None) -> None:
         self.gate.record_head(SERVER, "r1", make_head(per_s))
