Give each test process its own addresses for fleets of nodes

test_rest_is_refused_at_once_if_all_servers_name_limits[1-/stream/x] failed once while seven test processes ran side by side: no configuration within 30 s of virtual time. The same was seen in a trial whose log had the cause: two processes chose the same free ports on the same loopback addresses, and the nodes of one did not start. Each process now has a network of its own, and a node that fails to start fails the test with its error.

--- a/tests/front/limited_fleet.py
+++ b/tests/front/limited_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import os
 import random
 import time
 from collections.abc import AsyncIterator
@@ -20,6 +21,8 @@
 from tests.standins.platform_server import PlatformServer
 from tests.standins.platform_store import PlatformStore
 
+# Test processes that run at the same time bind the same ports otherwise.
+NETWORK = f"127.{16 + os.getpid() % 200}.0"
 START_TIMEOUT_S = 30.0
 CALL_TIMEOUT_S = 6.0
 RUN_S = 0.03
@@ -60,7 +63,7 @@
     """
 
     def __init__(self, nodes: int, servers: int) -> None:
-        self.ips = [f"127.4.0.{number + 1}" for number in range(nodes)]
+        self.ips = [f"{NETWORK}.{number + 1}" for number in range(nodes)]
         hosts = ["127.0.0.1", *self.ips]
         addresses = free_addresses(6 + 2 * servers, hosts)
         ports = [int(address.partition(":")[2]) for address in addresses]
@@ -98,11 +101,14 @@
     async def _start_nodes(self) -> None:
         """Starts all nodes and waits until they are ready."""
         nodes = [self._make_node(ip) for ip in self.ips]
-        for node in nodes:
-            self._tasks.add(asyncio.ensure_future(node.run()))
+        tasks = [asyncio.ensure_future(node.run()) for node in nodes]
+        self._tasks.update(tasks)
         async with asyncio.timeout(START_TIMEOUT_S):
             while any(node.configuration_version is None for node in nodes):
                 await asyncio.sleep(0.05)
+                for task in tasks:
+                    if task.done():
+                        task.result()
 
     def _stop_nodes(self) -> None:
         """Ends what the tasks of the event loop don't hold."""
