Use a limit at once that begins in a calm fleet

What callers would see: all servers of a service begin to name limits that suffice for all requests, and for one and a half seconds every request is refused.

Cause: an issuer waited after it had learned of a limit, as if another one had issued permits before. That is so only if the live nodes have changed lately. It now waits from the last change of the nodes that it hears. A node that has just started waits 2.5 s instead of 5, the time in which it hears of all others (seeds and the store name them at once). The spread of first permits applies only to nodes that are cut off from others.

Evidence: test_no_request_is_refused_when_all_servers_name_what_suffices and test_limit_that_begins_in_a_calm_fleet_is_used_at_once failed before.

--- a/src/savorylift/fleet/permit_issuer.py
+++ b/src/savorylift/fleet/permit_issuer.py
@@ -15,9 +15,9 @@
 from savorylift.rendezvous import rank
 
 # A node that has just started doesn't know all others yet.
-START_HOLD_S = 5.0
-# A new issuer waits until the one before it has heard of it, or was missed by
-# all nodes.
+START_HOLD_S = 2.5
+# After a change of the live nodes an issuer waits until the one before it has
+# heard of it, or was missed by all nodes.
 HANDOVER_HOLD_S = 1.5
 # A node that was asked by mistake is asked again after this time at the
 # earliest.
@@ -127,6 +127,9 @@
         self._is_leaving = is_leaving
         self._rng = rng
         self._started_s = time.monotonic()
+        self._candidates: frozenset[str] = frozenset()
+        # Monotonic time at which the candidates last changed.
+        self._changed_s = self._started_s
         self._buckets: dict[str, PermitBucket] = {}
         self._issuers: dict[str, str] = {}
         self._live_share = 1.0
@@ -172,6 +175,7 @@
 
     def update(self, server_ids: Iterable[str]) -> None:
         """Notices of which limited servers this node is the issuer."""
+        self._refresh_cache()
         limited = set(server_ids)
         for server_id in limited:
             self._update_bucket(server_id)
@@ -179,11 +183,15 @@
             del self._buckets[server_id]
 
     def _choose_issuer(self, server_id: str) -> str:
-        peers = self._membership.live_peers(time.monotonic())
-        ips = [p.state.ip for p in peers if not p.state.is_leaving]
+        return rank(server_id, self._candidates)[0]
+
+    def _find_candidates(self, now_s: float) -> frozenset[str]:
+        """Returns the addresses of the nodes that may issue permits."""
+        peers = self._membership.live_peers(now_s)
+        ips = {p.state.ip for p in peers if not p.state.is_leaving}
         if not self._is_leaving() or not ips:
-            ips.append(self._ip)
-        return rank(server_id, ips)[0]
+            ips.add(self._ip)
+        return frozenset(ips)
 
     def _own_rate(self, requests_per_s: float) -> float:
         """Returns the rate that the nodes which this one hears may use.
@@ -200,6 +208,10 @@
         self._cached_until_s = now_s + CACHE_S
         self._issuers.clear()
         self._live_share = self._membership.live_share(now_s)
+        candidates = self._find_candidates(now_s)
+        if candidates != self._candidates:
+            self._candidates = candidates
+            self._changed_s = now_s
 
     def _update_bucket(self, server_id: str) -> PermitBucket | None:
         """Returns the bucket of a server; None if another node issues."""
@@ -208,9 +220,11 @@
             return None
         if server_id not in self._buckets:
             hold_until_s = max(
-                time.monotonic() + HANDOVER_HOLD_S,
+                self._changed_s + HANDOVER_HOLD_S,
                 self._started_s + START_HOLD_S,
+                time.monotonic(),
             )
-            bucket = PermitBucket(hold_until_s, self._rng.random())
-            self._buckets[server_id] = bucket
+            # Nodes that are cut off from each other begin at different times.
+            phase = self._rng.random() * (1 - self._live_share)
+            self._buckets[server_id] = PermitBucket(hold_until_s, phase)
         return self._buckets[server_id]
--- a/tests/fleet/test_permit_issuer.py
+++ b/tests/fleet/test_permit_issuer.py
@@ -43,8 +43,14 @@
         granted_s: Times of all permits.
     """
 
-    def __init__(self, clock: FrozenDateTimeFactory, nodes: int) -> None:
+    def __init__(
+        self,
+        clock: FrozenDateTimeFactory,
+        nodes: int,
+        limited_from_s: float = 0.0,
+    ) -> None:
         self._clock = clock
+        self._limited_from_s = time.monotonic() + limited_from_s
         self._sequence = 0
         self.ips = [f"10.0.0.{number}" for number in range(1, nodes + 1)]
         self.silent: set[str] = set()
@@ -59,6 +65,10 @@
         connected = next(ip for ip in self.ips if ip not in self.silent)
         return self._issuers[connected].find_issuer(SERVER_ID)
 
+    @property
+    def _is_limited(self) -> bool:
+        return time.monotonic() >= self._limited_from_s - STEP_S / 2
+
     def restart(self, ip: str) -> None:
         """Replaces a node by one that has heard no other node."""
         self._members[ip] = Membership(ip, ())
@@ -69,7 +79,7 @@
         for _ in range(round(duration_s / STEP_S)):
             self._clock.tick(STEP_S)
             self._exchange_states()
-            for ip in self.ips:
+            for ip in self.ips if self._is_limited else ():
                 self._ask(ip)
 
     def permits_since(self, since_s: float) -> int:
@@ -98,7 +108,8 @@
                 self._members[ip].update_peer(message, now_s)
         for ip in self.ips:
             self._members[ip].forget_silent(now_s)
-            self._issuers[ip].update([SERVER_ID])
+            limited = [SERVER_ID] if self._is_limited else []
+            self._issuers[ip].update(limited)
 
     def _ask(self, ip: str) -> None:
         asked = self._issuers[ip].find_issuer(SERVER_ID)
@@ -271,3 +282,13 @@
     for _ in range(3):
         decision = bucket.take(LIMIT_PER_S, 0.0, is_probe=False)
         assert decision.wait_s <= 1 / LIMIT_PER_S + 0.001
+
+
+def test_limit_that_begins_in_a_calm_fleet_is_used_at_once(
+    clock: FrozenDateTimeFactory,
+) -> None:
+    fleet = IssuerFleet(clock, 9, limited_from_s=20.0)
+    fleet.run(20.0)
+    since_s = time.monotonic()
+    fleet.run(1.0)
+    assert fleet.permits_since(since_s) >= 1
--- a/tests/front/test_named_limits.py
+++ b/tests/front/test_named_limits.py
@@ -249,3 +249,18 @@
         assert used >= 1.8 * 17.0 / 3
 
     run_with_timeout(scenario())
+
+
+def test_no_request_is_refused_when_all_servers_name_what_suffices(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        fleet = LimitedFleet(6, 3)
+        async with fleet.running():
+            await fleet.call_for("/safe/x", 2.0)
+            for server in fleet.app:
+                server.named_limit = "30"
+            await fleet.call_for("/safe/x", 5.0)
+        assert {ending.status for ending in fleet.endings} == {200}
+
+    run_in_virtual_time(monkeypatch, scenario)
