Ask once more for a permit when a datagram is lost

On links that lose 3 in 100 packets, six in a hundred permit requests had no reply, and a request whose only server is limited was refused. The request is sent again after 60 ms under the same number (test_lost_permit_request_is_sent_again). An issuer that heard both counts two permits: less than the limit is used then, never more.

--- a/src/savorylift/exchange/permit_client.py
+++ b/src/savorylift/exchange/permit_client.py
@@ -13,8 +13,9 @@
     PermitRequest,
 )
 
-# Many round trips between nodes.
-ASK_TIMEOUT_S = 0.15
+# How long to wait for a reply to each try: many round trips between nodes. A
+# try that was heard, but whose reply was lost, leaves its permit unused.
+ASK_TIMEOUTS_S = (0.06, 0.09)
 # A reply that was read later than this is of no use: this VM stood still.
 MAX_REPLY_AGE_S = 0.3
 NUMBER_BITS = 48
@@ -60,20 +61,31 @@
         self._replies[number] = fut
         asked_s = boot_time_s()
         message = PermitRequest(number, report, max_wait_s, is_probe)
-        self._send(message, issuer_ip)
         try:
-            async with asyncio.timeout(ASK_TIMEOUT_S):
-                reply = await fut
-        except TimeoutError:
-            return None
+            reply = await self._send_until_reply(message, issuer_ip, fut)
         finally:
             del self._replies[number]
+        if reply is None:
+            return None
         if boot_time_s() - asked_s > MAX_REPLY_AGE_S:
             return None
         if reply.is_granted and reply.wait_s > max_wait_s:
             return None
         return PermitDecision(reply.is_granted, reply.wait_s)
 
+    async def _send_until_reply(
+        self,
+        message: PermitRequest,
+        issuer_ip: str,
+        fut: asyncio.Future[PermitReply],
+    ) -> PermitReply | None:
+        for timeout_s in ASK_TIMEOUTS_S:
+            self._send(message, issuer_ip)
+            await asyncio.wait((fut,), timeout=timeout_s)
+            if fut.done():
+                return fut.result()
+        return None
+
     def receive(self, reply: PermitReply) -> None:
         """Passes a reply on, unless it is late or a duplicate."""
         fut = self._replies.get(reply.number)
--- a/tests/exchange/test_limit_gate.py
+++ b/tests/exchange/test_limit_gate.py
@@ -185,6 +185,24 @@
     run_in_virtual_time(monkeypatch, scenario)
 
 
+def test_lost_permit_request_is_sent_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        node = Node(hears_issuer=True)
+        node.name_limit(1.8)
+        task = asyncio.ensure_future(node.gate.acquire(SERVER, "r1", 0.0))
+        await asyncio.sleep(0.1)
+        first, second = (
+            m for m, _ in node.sent if isinstance(m, PermitRequest)
+        )
+        assert first == second
+        node.gate.receive(PermitReply(second.number, True, 0.0), ISSUER_IP)
+        assert await task is not None
+
+    run_in_virtual_time(monkeypatch, scenario)
+
+
 def test_request_is_not_sent_without_a_reply(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
