Let a test of limits hear its issuer at the present time

Cause: the test let its node hear the issuer at second 1000 of the machine's clock, with an interval that keeps it live for 4000 s. On a machine that has been up for longer than 5000 s the issuer was silent, and the node its own issuer. Seen again by running it with the clock 6000 s ahead: 1 failed of 28, now 28 passed. The node hears the issuer at the present time now; the checks stay.

--- a/tests/exchange/test_limit_gate.py
+++ b/tests/exchange/test_limit_gate.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 
 import pytest
 
@@ -65,7 +66,7 @@
         if hears_issuer:
             number = int(ISSUER_IP.rpartition(".")[2])
             message = state(number)._replace(interval_s=1000.0)
-            members.update_peer(message, 1000.0)
+            members.update_peer(message, time.monotonic())
         rng = random.Random(1)
         issuer = PermitIssuer(OWN_IP, members, lambda: False, rng)
         self.sent: list[tuple[LimitMessage, str | None]] = []
