Let nodes take turns at a cold server whose rate they outnumber

What callers would see: a server that has just started gets more requests than it can take, and answers late.

Cause: a share below one request a second was enforced as one request in a longer time, and each node's first request came at once: 81 in the first second for a rate of 24, and again after each pause; 41 are allowed.

Fix: such nodes have turns of half a second, at moments that each draws for itself, and send one request in a turn. A turn that goes by unused is not made up for, so that the nodes never all send at once.

--- a/src/savorylift/backends/cold_start.py
+++ b/src/savorylift/backends/cold_start.py
@@ -1,6 +1,7 @@
 """Limits this node's requests to backend servers that are still cold."""
 
 import collections
+import random
 import time
 
 # Stays a little below the node's share of the rate, because the counting
@@ -10,6 +11,10 @@
 # Lower bound for a server that reports a cold start although its service
 # configures no rate.
 MIN_RATE_PER_S = 1.0
+# Nodes with a share below one request per second take turns of this length.
+# If all have waited for theirs, one and a half times the rate is sent in a
+# second.
+TURN_S = 0.5
 
 
 class ColdStartLimiter:
@@ -19,9 +24,14 @@
     an equal share of it.
     """
 
-    def __init__(self) -> None:
-        """Creates a limiter that has counted no requests."""
+    def __init__(self, rng: random.Random) -> None:
+        """Creates a limiter that has counted no requests.
+
+        Args:
+            rng: Chooses when this node has its turns.
+        """
         self._sent: dict[str, collections.deque[float]] = {}
+        self._phase = rng.random()
 
     def may_send(
         self, server_id: str, rate_per_s: float | None, nodes: int
@@ -37,16 +47,27 @@
         if rate_per_s is None:
             return True
         share = max(rate_per_s, MIN_RATE_PER_S) * SHARE_MARGIN / nodes
-        # A share below one request per second is enforced as one request in a
-        # longer window.
-        window_s = WINDOW_S if share >= 1 else WINDOW_S / share
-        return self._count_sent(server_id, window_s) < max(int(share), 1)
+        if share < 1:
+            return self._may_send_in_turn(server_id, WINDOW_S / share)
+        return self._count_sent(server_id, WINDOW_S) < int(share)
 
     def record_request(self, server_id: str) -> None:
         """Records a request that is sent to a cold server now."""
         times = self._sent.setdefault(server_id, collections.deque(maxlen=256))
         times.append(time.monotonic())
 
+    def _may_send_in_turn(self, server_id: str, period_s: float) -> bool:
+        """Returns whether it is this node's turn, and its request is unsent.
+
+        Args:
+            server_id: Identifier of the cold server.
+            period_s: Time in which each node has one turn.
+        """
+        since_turn_s = (time.monotonic() + self._phase * period_s) % period_s
+        if since_turn_s >= TURN_S:
+            return False
+        return not self._count_sent(server_id, period_s - TURN_S)
+
     def _count_sent(self, server_id: str, window_s: float) -> int:
         oldest_s = time.monotonic() - window_s
         return sum(
--- a/src/savorylift/exchange/server_pool.py
+++ b/src/savorylift/exchange/server_pool.py
@@ -55,7 +55,7 @@
         self._membership = membership
         self._budget = budget
         self._rng = rng
-        self._cold_start = ColdStartLimiter()
+        self._cold_start = ColdStartLimiter(rng)
         self._announce = announce
         self._region_by_domain = region_by_domain
         self._limit_gate = limit_gate
