Hold a limit until an answer no longer names it, also after a quiet minute

What callers would see: nothing; a server in need gets all requests at once. Found on reading the code again: a limit was forgotten when no answer had come for a minute, although the server had not ended it. After a quiet time a slow server then got what its limit no longer held back, until its first answer.

Cause: the minute was there for issuers that never reply, such as nodes of a build before permits, which no request could have got past.

--- a/src/savorylift/backends/cold_start.py
+++ b/src/savorylift/backends/cold_start.py
@@ -4,6 +4,8 @@
 import random
 import time
 
+from savorylift.backends.turns import Turns
+
 # Stays a little below the node's share of the rate, because the counting
 # windows of the nodes don't begin at the same moment.
 SHARE_MARGIN = 0.9
@@ -11,10 +13,6 @@
 # Lower bound for a server that reports a cold start although its service
 # configures no rate.
 MIN_RATE_PER_S = 1.0
-# Nodes with a share below one request per second take turns of this length.
-# If all have waited for theirs, one and a half times the rate is sent in a
-# second.
-TURN_S = 0.5
 
 
 class ColdStartLimiter:
@@ -31,7 +29,7 @@
             rng: Chooses when this node has its turns.
         """
         self._sent: dict[str, collections.deque[float]] = {}
-        self._phase = rng.random()
+        self._turns = Turns(rng)
 
     def may_send(
         self, server_id: str, rate_per_s: float | None, nodes: int
@@ -48,7 +46,9 @@
             return True
         share = max(rate_per_s, MIN_RATE_PER_S) * SHARE_MARGIN / nodes
         if share < 1:
-            return self._may_send_in_turn(server_id, WINDOW_S / share)
+            # Each node's first request would come at once otherwise.
+            last_sent_s = next(reversed(self._sent.get(server_id, ())), None)
+            return self._turns.may_send(WINDOW_S / share, last_sent_s)
         return self._count_sent(server_id, WINDOW_S) < int(share)
 
     def record_request(self, server_id: str) -> None:
@@ -56,18 +56,6 @@
         times = self._sent.setdefault(server_id, collections.deque(maxlen=256))
         times.append(time.monotonic())
 
-    def _may_send_in_turn(self, server_id: str, period_s: float) -> bool:
-        """Returns whether it is this node's turn, and its request is unsent.
-
-        Args:
-            server_id: Identifier of the cold server.
-            period_s: Time in which each node has one turn.
-        """
-        since_turn_s = (time.monotonic() + self._phase * period_s) % period_s
-        if since_turn_s >= TURN_S:
-            return False
-        return not self._count_sent(server_id, period_s - TURN_S)
-
     def _count_sent(self, server_id: str, window_s: float) -> int:
         oldest_s = time.monotonic() - window_s
         return sum(
--- a/src/savorylift/backends/named_limits.py
+++ b/src/savorylift/backends/named_limits.py
@@ -2,18 +2,19 @@
 
 A server that is in need names how many requests a second it takes from all
 nodes together. The limit ends when its responses no longer name it, and when
-it restarts.
+it restarts; not because none of its responses has come for some time.
 """
 
 import time
+from collections.abc import Callable
 from typing import NamedTuple
 
 from savorylift.backends.server import ServerEntry
 from savorylift.exchange.request import NamedLimit
 from savorylift.fleet.state import LimitReport
 
-# A limit that no response has confirmed for this long is forgotten, and so is
-# the end of one.
+# The end of a limit is forgotten after this time, and so is the limit of a
+# server that is no longer registered.
 RETENTION_S = 60.0
 # An ended limit is reported to other nodes for this long.
 ENDED_REPORT_S = 10.0
@@ -113,13 +114,20 @@
         relevant.sort(key=lambda report: report.age_s)
         return tuple(relevant[:MAX_REPORTS])
 
-    def forget_old(self) -> None:
-        """Forgets servers whose responses nobody has heard for long."""
+    def forget_old(self, is_registered: Callable[[str], bool]) -> None:
+        """Forgets limits that have ended, and servers that are gone.
+
+        A registered server may be as much in need as when it last responded.
+
+        Args:
+            is_registered: Whether a server is registered.
+        """
         oldest_s = time.monotonic() - RETENTION_S
         self._beliefs = {
             server_id: belief
             for server_id, belief in self._beliefs.items()
             if belief.heard_s > oldest_s
+            or (belief.requests_per_s is not None and is_registered(server_id))
         }
 
 
--- a/src/savorylift/exchange/limit_gate.py
+++ b/src/savorylift/exchange/limit_gate.py
@@ -11,6 +11,7 @@
 from savorylift.backends.named_limits import NamedLimits
 from savorylift.backends.registry import BackendServer
 from savorylift.backends.server import ServerEntry
+from savorylift.backends.turns import Turns
 from savorylift.boot_clock import boot_time_s
 from savorylift.exchange import metrics
 from savorylift.exchange.permit_client import (
@@ -18,8 +19,13 @@
     SendLimitMessage,
 )
 from savorylift.exchange.request import AnswerHead
+from savorylift.exchange.return_times import ReturnTimes
 from savorylift.fleet.limit_check import is_sound
-from savorylift.fleet.permit_issuer import PermitDecision, PermitIssuer
+from savorylift.fleet.permit_issuer import (
+    MAX_INTERVAL_S,
+    PermitDecision,
+    PermitIssuer,
+)
 from savorylift.fleet.state import (
     LimitMessage,
     LimitNews,
@@ -38,8 +44,6 @@
 NO_REPLY_CLOSED_S = 0.3
 # Shorter than the time for which a new issuer waits.
 UPDATE_INTERVAL_S = 1.0
-# Bounds the time until a refused caller returns.
-MAX_RETURN_S = 8.0
 MISDIRECTED_STATUS = 421
 
 _log = structlog.get_logger()
@@ -65,6 +69,7 @@
         send: SendLimitMessage,
         count_nodes: Callable[[], int],
         get_message_interval_s: Callable[[], float],
+        is_registered: Callable[[str], bool],
         rng: random.Random,
     ) -> None:
         """Creates a gate that knows no limits.
@@ -75,17 +80,22 @@
             count_nodes: Returns how many nodes share a limit.
             get_message_interval_s: Returns the interval between the nodes'
                 messages, which grows with their number.
-            rng: Chooses the first number of permit requests.
+            is_registered: Whether a server is registered, by its ID.
+            rng: Chooses the first number of permit requests, and the moments
+                of this node's turns.
         """
         self._issuer = issuer
         self._send = send
         self._count_nodes = count_nodes
         self._get_message_interval_s = get_message_interval_s
+        self._is_registered = is_registered
         self._limits = NamedLimits()
         self._client = PermitClient(send, rng)
+        self._turns = Turns(rng)
+        # Monotonic time of the last request without a permit.
+        self._turn_used_s: dict[str, float] = {}
         self._closed_until_s: dict[str, float] = {}
-        # Monotonic time at which the last refused caller was told to return.
-        self._return_s: dict[str, float] = {}
+        self._return_times = ReturnTimes()
         self._next_update_s = 0.0
         self._next_news_s = 0.0
 
@@ -128,7 +138,11 @@
             issuer_ip, report, limit, max_wait_s, is_probe=is_probe
         )
         took_s = boot_time_s() - asked_s
-        _log_decision(request, issuer_ip, report, decision, took_s)
+        outcome = _outcome(decision)
+        if decision is None and not is_probe:
+            decision = self._take_turn(entry.server_id, limit)
+            outcome = "own_turn" if decision else outcome
+        _log_decision(request, issuer_ip, report, outcome, decision, took_s)
         if decision is None or not decision.is_granted:
             if not is_probe:
                 self._close(entry.server_id, decision, max_wait_s)
@@ -146,9 +160,7 @@
     def assign_return_s(self, entries: Collection[ServerEntry]) -> float | None:
         """Returns after what time a caller refused by limits may return.
 
-        Callers that are refused one after another get different times, so
-        that no more return than the servers take. None if no server is
-        limited.
+        None if no server is limited.
         """
         limits = {
             entry.server_id: limit
@@ -157,17 +169,7 @@
         }
         if not limits:
             return None
-        now_s = time.monotonic()
-        earliest = min(
-            limits, key=lambda server_id: self._return_s.get(server_id, 0.0)
-        )
-        interval_s = self._count_nodes() / max(
-            limits[earliest], 1 / MAX_RETURN_S
-        )
-        return_s = max(self._return_s.get(earliest, 0.0), now_s) + interval_s
-        return_s = min(return_s, now_s + MAX_RETURN_S)
-        self._return_s[earliest] = return_s
-        return return_s - now_s
+        return self._return_times.assign_s(limits, self._count_nodes())
 
     def record_head(
         self, server: BackendServer, request: str, head: AnswerHead
@@ -217,13 +219,18 @@
         if now_s < self._next_update_s:
             return
         self._next_update_s = now_s + UPDATE_INTERVAL_S
-        self._limits.forget_old()
+        self._limits.forget_old(self._is_registered)
         limited = self._limits.limited_ids()
         self._issuer.update(limited)
         metrics.LIMITED_SERVERS.set(len(limited))
-        for times_s in (self._closed_until_s, self._return_s):
-            for server_id in [k for k, at_s in times_s.items() if at_s < now_s]:
-                del times_s[server_id]
+        self._return_times.forget_passed()
+        self._closed_until_s = {
+            server_id: until_s
+            for server_id, until_s in self._closed_until_s.items()
+            if until_s >= now_s
+        }
+        for server_id in self._turn_used_s.keys() - set(limited):
+            del self._turn_used_s[server_id]
         if now_s >= self._next_news_s:
             self._next_news_s = now_s + self._get_message_interval_s()
             self._repeat_news()
@@ -259,6 +266,19 @@
             issuer_ip, report, max_wait_s, is_probe=is_probe
         )
 
+    def _take_turn(self, server_id: str, limit: float) -> PermitDecision | None:
+        """Uses this node's share of a limit whose issuer doesn't reply.
+
+        The issuer may be of a build that knows no permits, and only responses
+        tell whether the limit still holds.
+        """
+        period_s = self._count_nodes() / max(limit, 1 / MAX_INTERVAL_S)
+        used_s = self._turn_used_s.get(server_id)
+        if not self._turns.may_send(period_s, used_s):
+            return None
+        self._turn_used_s[server_id] = time.monotonic()
+        return PermitDecision(is_granted=True, wait_s=0.0)
+
     def _reply(self, message: PermitRequest, ip: str) -> None:
         """Decides on the request of another node, which is already limited."""
         self._merge((message.limit,), ip)
@@ -310,16 +330,20 @@
         )
 
 
+def _outcome(decision: PermitDecision | None) -> str:
+    if decision is None:
+        return "no_reply"
+    return "granted" if decision.is_granted else "denied"
+
+
 def _log_decision(
     request: str,
     issuer_ip: str,
     report: LimitReport,
+    outcome: str,
     decision: PermitDecision | None,
     took_s: float,
 ) -> None:
-    outcome = "no_reply"
-    if decision is not None:
-        outcome = "granted" if decision.is_granted else "denied"
     metrics.PERMITS.labels(outcome).inc()
     _log.info(
         "permit",
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -114,6 +114,7 @@
             ),
             lambda: self._membership.count_sharing_nodes(time.monotonic()),
             lambda: self._peer_sync.transport.message_interval_s,
+            lambda server_id: server_id in self._store_view.registry.servers,
             rng,
         )
         self._pool = ServerPool(
--- a/tests/backends/test_named_limits.py
+++ b/tests/backends/test_named_limits.py
@@ -99,10 +99,21 @@
     clock.tick(ENDED_REPORT_S + 0.1)
     assert limits.reports() == ()
     clock.tick(RETENTION_S)
-    limits.forget_old()
+    limits.forget_old(lambda _: True)
     assert limits.report("i-1") is None
 
 
+@pytest.mark.parametrize("is_registered", [True, False])
+def test_limit_is_kept_for_as_long_as_its_server_is_registered(
+    clock: FrozenDateTimeFactory, *, is_registered: bool
+) -> None:
+    limits = NamedLimits()
+    limits.record_response(ENTRY, NamedLimit(1.8))
+    clock.tick(10 * RETENTION_S)
+    limits.forget_old(lambda _: is_registered)
+    assert limits.find(ENTRY) == (1.8 if is_registered else None)
+
+
 def test_age_is_that_of_the_response(clock: FrozenDateTimeFactory) -> None:
     limits = NamedLimits()
     limits.merge(LimitReport(ENTRY.server_id, 1, 1.8, 0.5))
--- a/tests/exchange/factories.py
+++ b/tests/exchange/factories.py
@@ -176,7 +176,12 @@
     rng = random.Random(1)
     issuer = PermitIssuer("127.0.0.1", membership, lambda: False, rng)
     return LimitGate(
-        issuer, lambda _message, _ip: None, lambda: 1, lambda: 0.2, rng
+        issuer,
+        lambda _message, _ip: None,
+        lambda: 1,
+        lambda: 0.2,
+        lambda _server_id: True,
+        rng,
     )
 
 
--- a/tests/exchange/test_limit_gate.py
+++ b/tests/exchange/test_limit_gate.py
@@ -6,11 +6,9 @@
 
 import pytest
 
-from savorylift.exchange.limit_gate import (
-    MAX_RETURN_S,
-    LimitGate,
-)
+from savorylift.exchange.limit_gate import LimitGate
 from savorylift.exchange.request import AnswerHead, NamedLimit
+from savorylift.exchange.return_times import MAX_RETURN_S
 from savorylift.fleet.membership import Membership
 from savorylift.fleet.permit_issuer import START_HOLD_S, PermitIssuer
 from savorylift.fleet.state import (
@@ -61,7 +59,7 @@
         sent: Messages that the gate sent, with their destination.
     """
 
-    def __init__(self, *, hears_issuer: bool = False) -> None:
+    def __init__(self, *, hears_issuer: bool = False, nodes: int = 1) -> None:
         members = Membership(OWN_IP, ())
         if hears_issuer:
             number = int(ISSUER_IP.rpartition(".")[2])
@@ -70,7 +68,14 @@
         rng = random.Random(1)
         issuer = PermitIssuer(OWN_IP, members, lambda: False, rng)
         self.sent: list[tuple[LimitMessage, str | None]] = []
-        self.gate = LimitGate(issuer, self._send, lambda: 1, lambda: 0.2, rng)
+        self.gate = LimitGate(
+            issuer,
+            self._send,
+            lambda: nodes,
+            lambda: 0.2,
+            lambda _: True,
+            rng,
+        )
 
     def name_limit(self, per_s: float | None) -> None:
         self.gate.record_head(SERVER, "r1", make_head(per_s))
@@ -208,7 +213,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def scenario() -> None:
-        node = Node(hears_issuer=True)
+        node = Node(hears_issuer=True, nodes=81)
         node.name_limit(1.8)
         assert await node.gate.acquire(SERVER, "r1", 0.0) is None
         late, _ = next(
@@ -220,6 +225,28 @@
     run_in_virtual_time(monkeypatch, scenario)
 
 
+@pytest.mark.parametrize("is_probe", [True, False])
+def test_node_keeps_to_its_share_while_the_issuer_does_not_reply(
+    monkeypatch: pytest.MonkeyPatch, *, is_probe: bool
+) -> None:
+    async def scenario() -> None:
+        node = Node(hears_issuer=True, nodes=9)
+        node.name_limit(1.8)
+        until_s = time.monotonic() + 100.0
+        permits = 0
+        while time.monotonic() < until_s:
+            permit = await node.gate.acquire(
+                SERVER, "r1", 0.0, is_probe=is_probe
+            )
+            permits += permit is not None
+            await asyncio.sleep(0.1)
+        share = 1.8 / 9 * 100.0
+        assert permits <= share
+        assert permits >= (0 if is_probe else 0.9 * share)
+
+    run_in_virtual_time(monkeypatch, scenario)
+
+
 def test_issuer_learns_the_limit_from_the_node_that_asks() -> None:
     node = Node()
     report = LimitReport(SERVER_ID, 1, 1.8, 0.1)
--- a/tests/front/test_named_limits.py
+++ b/tests/front/test_named_limits.py
@@ -1,5 +1,6 @@
 """Tests of fleets whose backend servers name limits on their requests."""
 
+import asyncio
 import pathlib
 import time
 from collections.abc import Callable
@@ -23,6 +24,9 @@
 # Time over which its part is counted. Nodes of a large fleet learn of each
 # other's requests once a second, so that its part varies from one to the next.
 RECOVERED_S = 9.0
+# No responses come for this long, and then only after this time.
+QUIET_S = 150.0
+SLOW_S = 2.0
 # A request without a server is refused within this time.
 AT_ONCE_S = 0.3
 
@@ -132,6 +136,26 @@
     run_in_virtual_time(monkeypatch, scenario)
 
 
+def test_limit_holds_after_a_time_without_requests(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        fleet = LimitedFleet(9, 2)
+        server = fleet.app[0]
+        async with fleet.running():
+            await limit_and_call(fleet, "/once/x", 1.8, 6.0)
+            await asyncio.sleep(QUIET_S)
+            for slow in fleet.app:
+                slow.delay_s = SLOW_S
+            since_s = time.monotonic()
+            await fleet.call_for("/once/x", 6.0)
+        assert most_in_window(server.arrivals, since_s) <= most_allowed(1.8)
+        used = sum(t >= since_s for t in server.arrivals)
+        assert used >= 1.8 * 6.0 / 2
+
+    run_in_virtual_time(monkeypatch, scenario)
+
+
 @pytest.mark.parametrize("value", ["soon", "-1", "nan", ""])
 def test_limit_that_can_not_be_read_changes_nothing(
     value: str, monkeypatch: pytest.MonkeyPatch
