--- a/tests/front/limited_fleet.py
+++ b/tests/front/limited_fleet.py
@@ -114,12 +114,16 @@
         """Ends what the tasks of the event loop don't hold."""
 
     def publish_entry(
-        self, server: PlatformServer, service: str, state: str = "ready"
+        self,
+        server: PlatformServer,
+        service: str,
+        state: str = "ready",
+        cold_ms: float = 0.0,
     ) -> None:
         """Writes a server's entry to the store."""
-        self._store.add(
-            SERVERS_TOPIC, server.server_id, server.entry(service, "z0", state)
-        )
+        entry = server.entry(service, "z0", state)
+        entry["coldRemainingMs"] = cold_ms
+        self._store.add(SERVERS_TOPIC, server.server_id, entry)
 
     def restart_under_other_id(
         self, server: PlatformServer, service: str
--- a/tests/front/test_named_limits.py
+++ b/tests/front/test_named_limits.py
@@ -27,6 +27,9 @@
 # No responses come for this long, and then only after this time.
 QUIET_S = 150.0
 SLOW_S = 2.0
+# A changed limit must be held after this time; then it is counted for longer.
+CHANGE_S = 3.0
+CHANGED_S = 6.0
 # A request without a server is refused within this time.
 AT_ONCE_S = 0.3
 
@@ -288,3 +291,43 @@
         assert {ending.status for ending in fleet.endings} == {200}
 
     run_in_virtual_time(monkeypatch, scenario)
+
+
+def test_each_value_of_a_changing_limit_is_held(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        fleet = LimitedFleet(9, 2)
+        server = fleet.app[0]
+        async with fleet.running():
+            for per_s in (4.0, 0.5, 0.0, 6.0):
+                server.named_limit = str(per_s)
+                since_s = time.monotonic() + CHANGE_S
+                await fleet.call_for("/safe/x", CHANGE_S + CHANGED_S)
+                later = [t for t in server.arrivals if t >= since_s]
+                assert most_in_window(later, since_s) <= most_allowed(per_s)
+                assert len(later) >= per_s * CHANGED_S / 2
+        assert {ending.status for ending in fleet.endings} == {200}
+
+    run_in_virtual_time(monkeypatch, scenario)
+
+
+@pytest.mark.parametrize("path", ["/safe/x", "/resumable/x"])
+@pytest.mark.parametrize(
+    ("state", "cold_ms"), [("ready", 20_000.0), ("draining", 0.0)]
+)
+def test_limit_of_a_cold_or_draining_server_is_held(
+    state: str, cold_ms: float, path: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario() -> None:
+        fleet = LimitedFleet(9, 3)
+        server = fleet.service(path)[0]
+        service = "pool" if server in fleet.pool else "app"
+        async with fleet.running():
+            since_s = await limit_and_call(fleet, path, 1.8, 6.0)
+            fleet.publish_entry(server, service, state, cold_ms)
+            await fleet.call_for(path, 8.0)
+        assert most_in_window(server.arrivals, since_s) <= most_allowed(1.8)
+        assert {ending.status for ending in fleet.endings} == {200}
+
+    run_in_virtual_time(monkeypatch, scenario)
