Take turns at a cold server only where nodes outnumber its rate

A single node whose service configures no rate held its first request back until its turn: test_cold_server_of_service_without_rate_gets_one_request failed in one run of two.

--- a/src/savorylift/backends/cold_start.py
+++ b/src/savorylift/backends/cold_start.py
@@ -44,12 +44,16 @@
         """
         if rate_per_s is None:
             return True
-        share = max(rate_per_s, MIN_RATE_PER_S) * SHARE_MARGIN / nodes
-        if share < 1:
-            # Each node's first request would come at once otherwise.
+        rate_per_s = max(rate_per_s, MIN_RATE_PER_S)
+        share = rate_per_s * SHARE_MARGIN / nodes
+        # A share below one request per second is enforced as one request in a
+        # longer window.
+        window_s = max(WINDOW_S, WINDOW_S / share)
+        if nodes > rate_per_s:
+            # The first requests of all nodes would come at once otherwise.
             last_sent_s = next(reversed(self._sent.get(server_id, ())), None)
-            return self._turns.may_send(WINDOW_S / share, last_sent_s)
-        return self._count_sent(server_id, WINDOW_S) < int(share)
+            return self._turns.may_send(window_s, last_sent_s)
+        return self._count_sent(server_id, window_s) < max(int(share), 1)
 
     def record_request(self, server_id: str) -> None:
         """Records a request that is sent to a cold server now."""
