Split the sharing of limits between nodes off the permits

A permit's time now begins when it is asked for, so that a pause between the decision and its receipt counts.

--- a/src/savorylift/exchange/limit_gate.py
+++ b/src/savorylift/exchange/limit_gate.py
@@ -3,17 +3,17 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection
 from typing import NamedTuple
 
 import structlog
 
-from savorylift.backends.named_limits import NamedLimits
 from savorylift.backends.registry import BackendServer
 from savorylift.backends.server import ServerEntry
 from savorylift.backends.turns import Turns
 from savorylift.boot_clock import boot_time_s
 from savorylift.exchange import metrics
+from savorylift.exchange.limit_sync import LimitSync
 from savorylift.exchange.permit_client import (
     PermitClient,
     SendLimitMessage,
@@ -44,7 +44,6 @@
 NO_REPLY_CLOSED_S = 0.3
 # Shorter than the time for which a new issuer waits.
 UPDATE_INTERVAL_S = 1.0
-MISDIRECTED_STATUS = 421
 
 _log = structlog.get_logger()
 
@@ -87,9 +86,14 @@
         self._issuer = issuer
         self._send = send
         self._count_nodes = count_nodes
-        self._get_message_interval_s = get_message_interval_s
-        self._is_registered = is_registered
-        self._limits = NamedLimits()
+        self._sync = LimitSync(
+            issuer,
+            send,
+            get_message_interval_s,
+            is_registered,
+            on_change=self._reopen,
+        )
+        self._limits = self._sync.limits
         self._client = PermitClient(send, rng)
         self._turns = Turns(rng)
         # Monotonic time of the last request without a permit.
@@ -97,7 +101,6 @@
         self._closed_until_s: dict[str, float] = {}
         self._return_times = ReturnTimes()
         self._next_update_s = 0.0
-        self._next_news_s = 0.0
 
     def is_limited(self, entry: ServerEntry) -> bool:
         """Whether a server names a limit."""
@@ -147,7 +150,7 @@
             if not is_probe:
                 self._close(entry.server_id, decision, max_wait_s)
             return None
-        permit = Permit(boot_time_s() + decision.wait_s + PERMIT_VALIDITY_S)
+        permit = Permit(asked_s + decision.wait_s + PERMIT_VALIDITY_S)
         await asyncio.sleep(decision.wait_s)
         return permit
 
@@ -175,53 +178,32 @@
         self, server: BackendServer, request: str, head: AnswerHead
     ) -> None:
         """Records whether the head of a response names a limit."""
-        if head.status == MISDIRECTED_STATUS:
-            return
-        is_sound = head.matches_request and not head.is_not_run
-        if head.named_limit is None and not is_sound:
-            return
-        entry = server.entry
-        was_limited = self.is_limited(entry)
-        if not self._limits.record_response(entry, head.named_limit):
-            return
-        self._log_change(entry.server_id, request=request)
-        report = self._limits.report(entry.server_id)
-        assert report is not None
-        news = LimitNews((report,))
-        if self.is_limited(entry) != was_limited:
-            self._send(news, None)
-            return
-        # A value may change with every response, so only the issuer is told.
-        issuer_ip = self._issuer.find_issuer(entry.server_id)
-        if not self._issuer.is_own_ip(issuer_ip):
-            self._send(news, issuer_ip)
+        self._sync.record_head(server, request, head)
+
+    def greet(self, ip: str) -> None:
+        """Tells a node that has just been heard for the first time."""
+        self._sync.greet(ip)
 
     def receive(self, message: LimitMessage, ip: str) -> None:
         """Handles a message from another node."""
         if not is_sound(message):
             _log.warning("limit_message_unsound", peer=ip)
         elif isinstance(message, LimitNews):
-            self._merge(message.reports, ip)
+            self._sync.merge(message.reports, ip)
         elif isinstance(message, PermitRequest):
             self._reply(message, ip)
         else:
             self._client.receive(message)
 
-    def greet(self, ip: str) -> None:
-        """Tells a node that has just been heard for the first time."""
-        reports = self._limits.reports()
-        if reports:
-            self._send(LimitNews(reports), ip)
-
     def update(self) -> None:
         """Does what is due; to be called periodically."""
         now_s = time.monotonic()
         if now_s < self._next_update_s:
             return
         self._next_update_s = now_s + UPDATE_INTERVAL_S
-        self._limits.forget_old(self._is_registered)
         limited = self._limits.limited_ids()
         self._issuer.update(limited)
+        self._sync.update()
         metrics.LIMITED_SERVERS.set(len(limited))
         self._return_times.forget_passed()
         self._closed_until_s = {
@@ -231,22 +213,6 @@
         }
         for server_id in self._turn_used_s.keys() - set(limited):
             del self._turn_used_s[server_id]
-        if now_s >= self._next_news_s:
-            self._next_news_s = now_s + self._get_message_interval_s()
-            self._repeat_news()
-
-    def _repeat_news(self) -> None:
-        """Tells all nodes the limits of this issuer's servers once more.
-
-        The message in which they were told may have been lost.
-        """
-        reports = tuple(
-            report
-            for report in self._limits.reports()
-            if report.server_id in self._issuer.issued_ids
-        )
-        if reports:
-            self._send(LimitNews(reports), None)
 
     async def _ask(
         self,
@@ -281,7 +247,7 @@
 
     def _reply(self, message: PermitRequest, ip: str) -> None:
         """Decides on the request of another node, which is already limited."""
-        self._merge((message.limit,), ip)
+        self._sync.merge((message.limit,), ip)
         server_id = message.limit.server_id
         known = self._limits.report(server_id)
         limit = None if known is None else known.requests_per_s
@@ -298,10 +264,9 @@
         )
         self._send(reply, ip)
 
-    def _merge(self, reports: Iterable[LimitReport], ip: str) -> None:
-        for report in reports:
-            if self._limits.merge(report):
-                self._log_change(report.server_id, peer=ip)
+    def _reopen(self, server_id: str) -> None:
+        """Makes it worth asking again, as a limit has changed."""
+        self._closed_until_s.pop(server_id, None)
 
     def _close(
         self,
@@ -316,19 +281,6 @@
         closed_s = min(max(wait_s, MIN_CLOSED_S), MAX_CLOSED_S)
         self._closed_until_s[server_id] = time.monotonic() + closed_s
 
-    def _log_change(self, server_id: str, **source: str) -> None:
-        """Logs a changed limit, which makes it worth asking again."""
-        self._closed_until_s.pop(server_id, None)
-        report = self._limits.report(server_id)
-        assert report is not None
-        _log.info(
-            "server_limit",
-            server=server_id,
-            requests_per_s=report.requests_per_s,
-            age_s=round(report.age_s, 3),
-            **source,
-        )
-
 
 def _outcome(decision: PermitDecision | None) -> str:
     if decision is None:
--- /dev/null
+++ b/src/savorylift/exchange/limit_sync.py
@@ -0,0 +1,122 @@
+"""Shares between the nodes what backend servers name as their limits."""
+
+import time
+from collections.abc import Callable, Iterable
+
+import structlog
+
+from savorylift.backends.named_limits import NamedLimits
+from savorylift.backends.registry import BackendServer
+from savorylift.exchange.permit_client import SendLimitMessage
+from savorylift.exchange.request import AnswerHead
+from savorylift.fleet.permit_issuer import PermitIssuer
+from savorylift.fleet.state import LimitNews, LimitReport
+
+MISDIRECTED_STATUS = 421
+
+_log = structlog.get_logger()
+
+
+class LimitSync:
+    """Limits from this node's responses and from the news of other nodes.
+
+    Attributes:
+        limits: The limits.
+    """
+
+    def __init__(
+        self,
+        issuer: PermitIssuer,
+        send: SendLimitMessage,
+        get_message_interval_s: Callable[[], float],
+        is_registered: Callable[[str], bool],
+        on_change: Callable[[str], None],
+    ) -> None:
+        """Starts without limits.
+
+        Args:
+            issuer: Knows the issuers of servers, which must be told changes.
+            send: Sends messages to other nodes.
+            get_message_interval_s: Returns the interval between the nodes'
+                messages, which grows with their number.
+            is_registered: Whether a server is registered, by its ID.
+            on_change: Called with the ID of a server whose limit changed.
+        """
+        self._issuer = issuer
+        self._send = send
+        self._get_message_interval_s = get_message_interval_s
+        self._is_registered = is_registered
+        self._on_change = on_change
+        self._next_news_s = 0.0
+        self.limits = NamedLimits()
+
+    def record_head(
+        self, server: BackendServer, request: str, head: AnswerHead
+    ) -> None:
+        """Records whether the head of a response names a limit."""
+        if head.status == MISDIRECTED_STATUS:
+            return
+        is_sound = head.matches_request and not head.is_not_run
+        if head.named_limit is None and not is_sound:
+            return
+        entry = server.entry
+        was_limited = self.limits.find(entry) is not None
+        if not self.limits.record_response(entry, head.named_limit):
+            return
+        self._apply_change(entry.server_id, request=request)
+        report = self.limits.report(entry.server_id)
+        assert report is not None
+        news = LimitNews((report,))
+        is_limited = self.limits.find(entry) is not None
+        if is_limited != was_limited:
+            self._send(news, None)
+            return
+        # A value may change with every response, so only the issuer is told.
+        issuer_ip = self._issuer.find_issuer(entry.server_id)
+        if not self._issuer.is_own_ip(issuer_ip):
+            self._send(news, issuer_ip)
+
+    def merge(self, reports: Iterable[LimitReport], ip: str) -> None:
+        """Applies what another node heard."""
+        for report in reports:
+            if self.limits.merge(report):
+                self._apply_change(report.server_id, peer=ip)
+
+    def greet(self, ip: str) -> None:
+        """Tells a node that has just been heard for the first time."""
+        reports = self.limits.reports()
+        if reports:
+            self._send(LimitNews(reports), ip)
+
+    def update(self) -> None:
+        """Forgets old limits and repeats news; to be called periodically."""
+        self.limits.forget_old(self._is_registered)
+        now_s = time.monotonic()
+        if now_s >= self._next_news_s:
+            self._next_news_s = now_s + self._get_message_interval_s()
+            self._repeat_news()
+
+    def _repeat_news(self) -> None:
+        """Tells all nodes the limits of this issuer's servers once more.
+
+        The message in which they were told may have been lost.
+        """
+        reports = tuple(
+            report
+            for report in self.limits.reports()
+            if report.server_id in self._issuer.issued_ids
+        )
+        if reports:
+            self._send(LimitNews(reports), None)
+
+    def _apply_change(self, server_id: str, **source: str) -> None:
+        self._on_change(server_id)
+        report = self.limits.report(server_id)
+        assert report is not None
+        _log.info(
+            "server_limit",
+            server=server_id,
+            requests_per_s=report.requests_per_s,
+            age_s=round(report.age_s, 3),
+            **source,
+        )
