Use no retry of the budget for a request that got no permit

What callers saw: a request that one server had rejected and for which a limited one had no permit was refused, since the budget was asked twice, although another server had room. Cause: each pass of the loop after a server had got the request took a retry, also when nothing was sent in the pass before. Which sends are retries, and what was denied by a limit, stood in both dispatchers; each is in one place now.

--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -20,6 +20,7 @@
 from savorylift.exchange.mover import Mover
 from savorylift.exchange.relay import Relay
 from savorylift.exchange.request import Generation
+from savorylift.exchange.request_retries import RequestRetries, is_over_limit
 from savorylift.exchange.results import (
     Answered,
     Broken,
@@ -131,23 +132,20 @@
     ) -> Answered | Refused | None:
         admitted = run.admitted
         tried: set[str] = set()
-        reached_server = False
+        retries = RequestRetries(self._pool, admitted.service.name)
         reason = Reason.QUEUE_FULL
         while True:
             run.refusal = self._crash_guard.refuse(run)
             if run.refusal is not None:
                 return self._end_quarantined(run, sink, run.refusal)
-            if reached_server and not self._pool.take_retry(
-                admitted.service.name
-            ):
-                metrics.RETRIES_DENIED.labels(admitted.service.name).inc()
+            if not retries.take():
                 failure = Broken(reason, "the retry budget is used up")
                 return self._end_unserved(run, sink, failure)
             server = await self._queue.acquire(run, tried)
             if server is None:
                 failure = Broken(reason, "no engine has room")
                 return self._end_unserved(run, sink, failure)
-            if reached_server:
+            if retries.is_retry:
                 metrics.RETRIES.labels(reason.value).inc()
             is_last = (
                 run.possibly_run_attempts + 1 >= admitted.route.max_attempts
@@ -157,14 +155,11 @@
                 run, server, sink, tried, is_last=is_last
             )
             self._crash_guard.record_result(run, result)
-            is_over_limit = (
-                isinstance(result, NotRun)
-                and result.reason is Reason.SERVER_LIMIT
-            )
-            self._release(run, was_sent=not is_over_limit)
+            self._release(run, was_sent=not is_over_limit(result))
             if result is None:
                 return None
-            if is_over_limit:
+            retries.record_result(result)
+            if is_over_limit(result):
                 reason = Reason.SERVER_LIMIT
                 tried.discard(server.entry.server_id)
                 continue
@@ -172,10 +167,8 @@
                 server.entry.server_id, is_success=False
             )
             if isinstance(result, NotRun):
-                reached_server = reached_server or result.reached_server
                 reason = result.reason
                 continue
-            reached_server = True
             run.possibly_run_attempts += 1
             if not admitted.is_idempotent or is_last:
                 if isinstance(result, Answered) and not sink.is_started:
--- a/src/savorylift/exchange/plain_call.py
+++ b/src/savorylift/exchange/plain_call.py
@@ -11,6 +11,7 @@
 from savorylift.exchange import metrics
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.failover import FailoverPolicy
+from savorylift.exchange.request_retries import RequestRetries, is_over_limit
 from savorylift.exchange.results import (
     Answered,
     NotRun,
@@ -50,15 +51,12 @@
     async def serve(self, admitted: AdmittedRequest) -> Answered | Refused:
         """Serves a call and returns the final response."""
         tried: set[str] = set()
-        reached_server = False
+        retries = RequestRetries(self._pool, admitted.service.name)
         possibly_run_attempts = 0
         # That of the last attempt that may have run, if there was one.
         last_result: SendResult | None = None
         while True:
-            if reached_server and not self._pool.take_retry(
-                admitted.service.name
-            ):
-                metrics.RETRIES_DENIED.labels(admitted.service.name).inc()
+            if not retries.take():
                 return _final_answer(last_result)
             server = self._pool.reserve_plain_server(admitted, tried)
             if server is None:
@@ -69,13 +67,12 @@
             tried.add(server.entry.server_id)
             policy = self._failover_policy(admitted, tried, is_last=is_last)
             result = await self._send(server, admitted, policy)
+            retries.record_result(result)
             if isinstance(result, NotRun):
-                reached_server = reached_server or result.reached_server
                 if not possibly_run_attempts:
                     last_result = result
                 continue
             last_result = result
-            reached_server = True
             possibly_run_attempts += 1
             if isinstance(result, Answered) and not _is_server_error(result):
                 return result
@@ -111,7 +108,7 @@
         self, admitted: AdmittedRequest, last_result: SendResult | None
     ) -> Answered | Refused:
         """Returns the final response if no server is left to try."""
-        if last_result is None or _is_over_limit(last_result):
+        if last_result is None or is_over_limit(last_result):
             return_after_s = self._pool.assign_return_s(admitted)
             if return_after_s is not None:
                 message = "The backend servers take no more; it did not run."
@@ -132,7 +129,7 @@
         )
 
     def _record_result(self, server_id: str, result: SendResult) -> None:
-        if _is_over_limit(result):
+        if is_over_limit(result):
             return
         is_failure = not isinstance(result, Answered) or _is_server_error(
             result
@@ -142,10 +139,6 @@
         )
 
 
-def _is_over_limit(result: SendResult) -> bool:
-    return isinstance(result, NotRun) and result.reason is Reason.SERVER_LIMIT
-
-
 def _is_server_error(answered: Answered) -> bool:
     return answered.head.status >= FIRST_SERVER_ERROR_STATUS
 
