Answer each request that a stopping node has accepted

What callers saw: requests that a node had just accepted during a planned stop were cut off without an answer, up to the moment its process was gone.

Cause: a node took new requests until draining ended, and then closed all connections with whatever was open on them; while the counts of refusals were saved it still took new ones. Connections that the kernel had accepted were reset with the listening socket.

Fix: requests of the last half second of draining are refused at once (503, not run). When it ends, requests that aren't finished are answered with 502 (may have run), connections that wait to be accepted are accepted, and the process ends once all have their answer, 0.3 s later at the latest. Counts are saved after that.

It was found by tracing the calls without an answer in a roll of builds: 6 of 6 went to a node that was being replaced, four of them to one whose process was still there.

--- a/src/savorylift/front/caller_handler.py
+++ b/src/savorylift/front/caller_handler.py
@@ -154,17 +154,18 @@
     async def _serve_until_disconnect(
         self, conn: ServerConnection, caller_req: CallerRequest
     ) -> None:
-        """Serves a request; cancels it when its caller disconnects."""
+        """Serves a request until its caller disconnects or the node ends."""
         serve_task = asyncio.ensure_future(
             self._serve_request(conn, caller_req)
         )
         disconnect_task = asyncio.ensure_future(conn.channel.peer_closed.wait())
         try:
             await asyncio.wait(
-                (serve_task, disconnect_task),
+                (serve_task, disconnect_task, self._lifecycle.ended),
                 return_when=asyncio.FIRST_COMPLETED,
             )
-            if not serve_task.done():
+            is_caller_gone = disconnect_task.done() and not serve_task.done()
+            if is_caller_gone:
                 metrics.CALLERS_GONE.inc()
                 _log.info(
                     "caller_gone",
@@ -178,6 +179,10 @@
                 await asyncio.wait((serve_task,))
         if not serve_task.cancelled():
             serve_task.result()
+        elif not is_caller_gone and conn.awaits_response:
+            message = "This node stops; the request may have run."
+            refused = Refused(502, Reason.NODE_DRAINING, message)
+            self._respond(conn, caller_req, refused)
 
     async def _serve_request(
         self, conn: ServerConnection, caller_req: CallerRequest
@@ -194,8 +199,7 @@
         admitted = admission.unwrap()
         self._pool.count_request(admitted.service.name)
         refused = (
-            self._refuse_stream_while_draining(admitted)
-            or self._refuse_overload()
+            self._refuse_while_draining(admitted) or self._refuse_overload()
         )
         if refused is not None:
             self._respond(conn, caller_req, refused)
@@ -231,14 +235,14 @@
             async with asyncio.timeout(max_wait_s):
                 await self._store_view.configuration_loaded.wait()
 
-    def _refuse_stream_while_draining(
+    def _refuse_while_draining(
         self, admitted: AdmittedRequest
     ) -> Refused | None:
-        """Refuses a new stream on a draining node, which it could outlive."""
-        if (
-            admitted.route.kind is not RouteKind.STREAM
-            or not self._lifecycle.is_leaving
-        ):
+        """Refuses what a draining node may not be able to finish."""
+        if not self._lifecycle.is_leaving:
+            return None
+        is_stream = admitted.route.kind is RouteKind.STREAM
+        if not is_stream and not self._lifecycle.is_refusing:
             return None
         return Refused(
             503,
--- a/src/savorylift/front/lifecycle.py
+++ b/src/savorylift/front/lifecycle.py
@@ -9,6 +9,9 @@
 # Callers may keep addresses from the directory for three times their TTL, so a
 # node without requests still waits this long for late ones.
 MIN_DRAINING_S = 5.0
+# Requests that arrive this late before draining ends are refused: they might
+# not be finished.
+REFUSING_S = 0.5
 POLL_INTERVAL_S = 0.1
 
 
@@ -28,6 +31,7 @@
         """
         self._grace_period_s = grace_period_s
         self._open_requests = 0
+        self._ended: asyncio.Future[None] | None = None
         self.is_leaving = False
         self.leaving_since_s = 0.0
 
@@ -52,11 +56,34 @@
         self.leaving_since_s = time.monotonic()
         return True
 
+    @property
+    def is_refusing(self) -> bool:
+        """Whether it is too late to begin a request."""
+        if not self.is_leaving:
+            return False
+        if self.ended.done():
+            return True
+        return time.monotonic() >= self._latest_end_s - REFUSING_S
+
+    @property
+    def ended(self) -> asyncio.Future[None]:
+        """Done once open requests must be answered, finished or not."""
+        if self._ended is None:
+            self._ended = asyncio.get_running_loop().create_future()
+        return self._ended
+
+    def end(self) -> None:
+        """Ends draining: from now on each request is answered at once."""
+        if not self.ended.done():
+            self.ended.set_result(None)
+
+    @property
+    def _latest_end_s(self) -> float:
+        return self.leaving_since_s + self._grace_period_s - SHUTDOWN_RESERVE_S
+
     async def wait_until_drained(self) -> None:
         """Waits until no request is open or the grace period is nearly over."""
-        latest_end_s = (
-            self.leaving_since_s + self._grace_period_s - SHUTDOWN_RESERVE_S
-        )
+        latest_end_s = self._latest_end_s
         earliest_end_s = min(
             self.leaving_since_s + MIN_DRAINING_S, latest_end_s
         )
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -60,6 +60,8 @@
 # Delay of the event loop that is logged.
 LATE_LOOP_S = 0.2
 INCARNATION_BITS = 48
+# Time for the last responses before the process ends.
+CLOSING_TIMEOUT_S = 0.3
 
 _log = structlog.get_logger()
 
@@ -250,11 +252,12 @@
             self._tasks.spawn(self._load_poller.run())
         await self._stop_requested.wait()
         await self._lifecycle.wait_until_drained()
+        self._lifecycle.end()
+        await self._caller_listener.close_when_served(CLOSING_TIMEOUT_S)
         await self._refusal_writer.save()
         _log.info(
             "stop", after_s=time.monotonic() - self._lifecycle.leaving_since_s
         )
-        self._caller_listener.close()
 
     async def _listen(self) -> None:
         await self._peer_sync.transport.start(self._ip)
--- a/src/savorylift/wire/listener.py
+++ b/src/savorylift/wire/listener.py
@@ -1,6 +1,8 @@
 """A TCP or TLS listener that serves each connection in a task."""
 
 import asyncio
+import contextlib
+import socket
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
@@ -40,6 +42,8 @@
         self._serve = serve
         self._get_limits = get_limits
         self._server: asyncio.Server | None = None
+        self._socket: socket.socket | None = None
+        self._tls: ssl.SSLContext | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._conns: set[ServerConnection] = set()
 
@@ -48,10 +52,12 @@
     ) -> None:
         """Starts to accept connections; uses TLS if a context is given."""
         loop = asyncio.get_running_loop()
+        self._tls = tls
+        self._socket = socket.create_server((host, port), backlog=BACKLOG)
+        self._socket.setblocking(False)
         self._server = await loop.create_server(
             lambda: Channel(self._accept),
-            host,
-            port,
+            sock=self._socket,
             backlog=BACKLOG,
             ssl=tls,
         )
@@ -66,12 +72,43 @@
         for conn in self._conns:
             conn.is_closing = True
 
+    async def close_when_served(self, timeout_s: float) -> None:
+        """Stops accepting, and closes connections once they are served.
+
+        Args:
+            timeout_s: Time after which the others are closed, too.
+        """
+        pending = self._accept_pending()
+        self.stop_accepting()
+        await asyncio.gather(*map(self._open_channel, pending))
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=timeout_s)
+        self.close()
+
     def close(self) -> None:
         """Stops accepting and closes all connections."""
         self.stop_accepting()
         for task in list(self._tasks):
             task.cancel()
 
+    def _accept_pending(self) -> list[socket.socket]:
+        """Accepts connections that would be reset with the listening socket."""
+        accepted: list[socket.socket] = []
+        if self._socket is None:
+            return accepted
+        with contextlib.suppress(OSError):
+            while len(accepted) < BACKLOG:
+                conn, _ = self._socket.accept()
+                accepted.append(conn)
+        return accepted
+
+    async def _open_channel(self, conn: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        with contextlib.suppress(OSError):
+            await loop.connect_accepted_socket(
+                lambda: Channel(self._accept), conn, ssl=self._tls
+            )
+
     def _accept(self, channel: Channel) -> None:
         conn = ServerConnection(channel, self._get_limits)
         task = asyncio.get_running_loop().create_task(
--- a/src/savorylift/wire/server_connection.py
+++ b/src/savorylift/wire/server_connection.py
@@ -80,6 +80,11 @@
         """The underlying connection."""
         return self._channel
 
+    @property
+    def awaits_response(self) -> bool:
+        """Whether a request was read whose response has not started."""
+        return self._h11.our_state is h11.SEND_RESPONSE
+
     async def next_request(self) -> Request | BadRequest | CloseReason:
         """Returns the next request, or why there is none that can be served."""
         limits = self._get_limits()
--- a/tests/front/limited_fleet.py
+++ b/tests/front/limited_fleet.py
@@ -76,6 +76,11 @@
         self.pool = [PlatformServer(f"pool-{n}") for n in range(servers)]
         self.endings: list[Ending] = []
 
+    @property
+    def caller_port(self) -> int:
+        """Port for callers at each node."""
+        return self._node_ports[1]
+
     @contextlib.asynccontextmanager
     async def running(self) -> AsyncIterator[None]:
         """Starts everything and waits until all nodes are ready."""
@@ -168,7 +173,7 @@
         status, retry_after = 0, None
         with contextlib.suppress(BrokenAnswerError, OSError):
             async with asyncio.timeout(CALL_TIMEOUT_S):
-                channel = await connect(ip, self._node_ports[1], 1.0)
+                channel = await connect(ip, self.caller_port, 1.0)
                 call = ClientCall(channel)
                 call.send("POST", path, headers, b"question")
                 response = await call.read_response()
--- /dev/null
+++ b/tests/front/test_planned_stop.py
@@ -0,0 +1,124 @@
+"""Tests of planned stops of nodes, under load until they are gone."""
+
+import asyncio
+import contextlib
+import pathlib
+from typing import NamedTuple
+
+import pytest
+
+from savorylift.wire.channel import Channel, connect
+from savorylift.wire.client_call import BrokenAnswerError, ClientCall
+from savorylift.wire.message import Headers
+from tests.front.environment import (
+    CALL_TIMEOUT_S,
+    HOST,
+    NodeEnvironment,
+    run_in_environment,
+    run_with_timeout,
+)
+from tests.front.process_fleet import ProcessFleet
+
+INTERVAL_S = 0.01
+HEADERS: Headers = (
+    ("host", "h.example"),
+    ("x-savorylift-deadline-remaining", "4000"),
+    ("x-api-key", "key"),
+)
+
+
+class Ending(NamedTuple):
+    """How a request ended that was sent while the node was stopping.
+
+    Attributes:
+        status: Status of the response; 0 if it was cut off.
+        retry_after: When the caller was told to return, if so.
+    """
+
+    status: int
+    retry_after: str | None
+
+
+class Callers:
+    """Callers that use a node until it accepts no connection any more.
+
+    Attributes:
+        endings: How the requests ended that the node accepted.
+    """
+
+    def __init__(self, host: str, port: int, path: str) -> None:
+        self._host = host
+        self._port = port
+        self._path = path
+        self._tasks: list[asyncio.Task[None]] = []
+        self.endings: list[Ending] = []
+
+    async def run(self) -> None:
+        """Sends requests on new connections until one is refused."""
+        while True:
+            try:
+                channel = await connect(self._host, self._port, 1.0)
+            except OSError:
+                break
+            self._tasks.append(asyncio.ensure_future(self._call(channel)))
+            await asyncio.sleep(INTERVAL_S)
+        await asyncio.gather(*self._tasks)
+
+    async def _call(self, channel: Channel) -> None:
+        number = len(self._tasks)
+        call = ClientCall(channel)
+        headers = (*HEADERS, ("x-savorylift-attempt-id", f"a{number}"))
+        call.send("POST", self._path, headers, b"question")
+        ending = Ending(0, None)
+        with contextlib.suppress(BrokenAnswerError, OSError):
+            async with asyncio.timeout(CALL_TIMEOUT_S):
+                response = await call.read_response()
+            ending = Ending(response.status, response.header("retry-after"))
+        self.endings.append(ending)
+
+
+@pytest.mark.parametrize("path", ["/safe/x", "/once/x"])
+@pytest.mark.parametrize("service_s", [0.02, 0.3, 1.5])
+def test_request_accepted_while_stopping_is_answered(
+    path: str, service_s: float
+) -> None:
+    async def scenario(env: NodeEnvironment) -> None:
+        for server in env.app:
+            server.delay_s = service_s
+        callers = Callers(HOST, env.ports[5], path)
+        running = asyncio.ensure_future(callers.run())
+        await asyncio.sleep(0.2)
+        assert env.node is not None
+        assert env.node_task is not None
+        env.node.leave()
+        await env.node_task
+        await running
+        statuses = [ending.status for ending in callers.endings]
+        assert len(statuses) >= 50
+        assert 0 not in statuses
+        assert all(e.retry_after for e in callers.endings if e.status == 503)
+
+    run_in_environment(scenario)
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("service_s", [0.02, 1.5])
+def test_process_that_is_terminated_answers_until_it_is_gone(
+    service_s: float, tmp_path: pathlib.Path
+) -> None:
+    async def scenario() -> None:
+        fleet = ProcessFleet(2, 2, tmp_path)
+        ip = fleet.ips[0]
+        async with fleet.running():
+            for server in fleet.app:
+                server.delay_s = service_s
+            callers = Callers(ip, fleet.caller_port, "/once/x")
+            running = asyncio.ensure_future(callers.run())
+            await asyncio.sleep(0.2)
+            fleet.processes[ip].terminate()
+            await running
+        statuses = [ending.status for ending in callers.endings]
+        assert len(statuses) >= 50
+        assert 0 not in statuses
+
+    run_with_timeout(scenario())
