Let callers of the soak stay with a node until its process is gone

Each node now has a caller of its own, and a call that is cut off between the SIGTERM and the end of the process is a violation.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -14,12 +14,14 @@
 from savorylift.client.outcomes import decode_error
 from savorylift.outcomes import Ending
 from tests.harness.deployment import Deployment
+from tests.harness.node import Node
 from tests.standins.tokens import GeneratedText
 
 CALLER_COUNT = 6
 GENERATION_TIMEOUT_S = 6.0
 CALL_TIMEOUT_S = 3.0
 PAUSE_BETWEEN_REQUESTS_S = 0.02
+STEADY_PAUSE_S = 0.005
 UNUSED_LENGTH_BOUNDS = (8, 256)  # prompts set their output length
 OUTPUT_LENGTHS_TOKENS = (5, 30, 80, 160)
 # Errors that are raised before a request is sent, so it cannot have run.
@@ -41,6 +43,8 @@
         code: Code of the error, or name of the exception that a service call
             raised; empty for a complete response.
         violation: Violated guarantee; empty if there is none.
+        vm: Name of the node's VM that was called; empty for generations, which
+            several nodes may serve.
     """
 
     kind: str
@@ -49,6 +53,7 @@
     ending: Ending | None
     code: str
     violation: str
+    vm: str = ""
 
 
 class LoadGenerator:
@@ -71,6 +76,13 @@
             )
             for number in range(CALLER_COUNT)
         ]
+        self._threads += [
+            threading.Thread(
+                target=self._run_steady_caller,
+                args=(random.Random(f"{seed}/{vm}"), vm),
+            )
+            for vm in deployment.nodes
+        ]
 
     def start(self) -> None:
         """Starts the callers."""
@@ -94,8 +106,8 @@
         return [
             self._request_generation(client, rng, is_stream=True),
             self._request_generation(client, rng, is_stream=False),
-            self._call_service(rng, "GET"),
-            self._call_service(rng, "POST"),
+            self._call_service(self._random_vm(rng), "GET"),
+            self._call_service(self._random_vm(rng), "POST"),
         ]
 
     def _run_caller(self, rng: random.Random) -> None:
@@ -103,13 +115,22 @@
         while not self._stop_requested.wait(PAUSE_BETWEEN_REQUESTS_S):
             kind = rng.choice(("stream", "stream", "whole", "GET", "POST"))
             if kind in ("GET", "POST"):
-                self.results.append(self._call_service(rng, kind))
+                self.results.append(
+                    self._call_service(self._random_vm(rng), kind)
+                )
             else:
                 is_stream = kind == "stream"
                 self.results.append(
                     self._request_generation(client, rng, is_stream=is_stream)
                 )
 
+    def _run_steady_caller(self, rng: random.Random, vm: str) -> None:
+        """Calls one node, whether it is in the directory or not."""
+        while not self._stop_requested.wait(STEADY_PAUSE_S):
+            self.results.append(
+                self._call_service(vm, rng.choice(("GET", "POST")))
+            )
+
     def _create_client(self, rng: random.Random) -> Client:
         nodes = self._deployment.nodes.values()
         seeds = tuple(node.caller_url for node in nodes)
@@ -141,9 +162,15 @@
             return _create_result("whole", "", sent_at_s, None, violation)
         return _create_result("whole", "", sent_at_s, outcome.failure(), "")
 
-    def _call_service(self, rng: random.Random, method: str) -> RequestResult:
-        """Calls the plain service through a random node, without retries."""
-        node = rng.choice(list(self._deployment.nodes.values()))
+    def _random_vm(self, rng: random.Random) -> str:
+        return rng.choice(list(self._deployment.nodes))
+
+    def _call_service(self, vm: str, method: str) -> RequestResult:
+        """Calls the plain service through a node, without retries."""
+        result = self._call_service_at(self._deployment.nodes[vm], method)
+        return result._replace(vm=vm)
+
+    def _call_service_at(self, node: Node, method: str) -> RequestResult:
         service = self._deployment.plan.service
         request_id = f"call-{uuid.uuid4().hex}"
         path = f"/{next(self._request_numbers)}"
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -6,6 +6,7 @@
 import threading
 import time
 from collections.abc import Callable, Iterator
+from typing import NamedTuple
 
 from tests.harness.deployment import Deployment
 from tests.harness.link import Direction, Link
@@ -26,11 +27,26 @@
 FaultAction = Callable[[], str]
 
 
+class PlannedStop(NamedTuple):
+    """Time in which a node was stopped on purpose, by SIGTERM.
+
+    Attributes:
+        vm: Name of its VM.
+        began_s: Wall-clock time of the signal.
+        ended_s: Wall-clock time at which its process was seen to be gone.
+    """
+
+    vm: str
+    began_s: float
+    ended_s: float
+
+
 class FaultInjector:
     """Injects random faults into a deployment and undoes them.
 
     Attributes:
         injected: Descriptions of the faults injected so far.
+        planned_stops: Planned stops that have ended.
     """
 
     def __init__(self, deployment: Deployment, seed: int) -> None:
@@ -42,6 +58,7 @@
         self._rules_versions = itertools.count(2)
         self._nodes_down: set[str] = set()
         self.injected: list[str] = []
+        self.planned_stops: list[PlannedStop] = []
 
     def run(self, duration_s: float) -> None:
         """Injects faults for `duration_s`, then undoes those that remain."""
@@ -114,10 +131,13 @@
         node = self._random_node()
         if not self._mark_down(node):
             return "nothing"
+        began_s = time.time()
         node.process.terminate()
 
         def undo() -> None:
             node.process.wait(15.0)
+            stop = PlannedStop(node.location.vm, began_s, time.time())
+            self.planned_stops.append(stop)
             self._restart_node(node)
 
         self._undo_later(undo, SHORT_FAULT_RANGE_S)
--- a/tests/soak/scenario.py
+++ b/tests/soak/scenario.py
@@ -15,7 +15,7 @@
 from tests.harness.deployment import Deployment, DeploymentOptions
 from tests.harness.plans import AJLOUN, Plan
 from tests.soak.callers import LoadGenerator, RequestResult
-from tests.soak.faults import FaultInjector
+from tests.soak.faults import FaultInjector, PlannedStop
 
 PLAN = AJLOUN._replace(nodes=3, runners=3, instances=2)
 ENGINE_SETTINGS = {
@@ -30,6 +30,8 @@
 POLL_INTERVAL_S = 0.1
 # Log events that a node writes only for errors in its own code.
 INTERNAL_ERROR_EVENTS = frozenset({"task_failed"})
+# Errors of connections that end without a whole answer.
+CUT_OFF_CODES = frozenset({"ProtocolError", "IncompleteRead"})
 
 
 class SeedResult(NamedTuple):
@@ -72,6 +74,7 @@
             *version_monitor.stop(),
         ]
         violations += _request_violations(deployment, results)
+        violations += _stop_violations(injector.planned_stops, results)
         violations += _node_violations(deployment)
     counts = Counter(f"{item.kind} {item.code or 'whole'}" for item in results)
     return SeedResult(injector.injected, counts, violations)
@@ -161,6 +164,23 @@
             yield f"{item.request_id} ran, but {item.code} means not run"
 
 
+def _stop_violations(
+    stops: list[PlannedStop], results: list[RequestResult]
+) -> Iterator[str]:
+    """Yields calls that a node cut off while it was stopped on purpose."""
+    for item in results:
+        if item.code not in CUT_OFF_CODES:
+            continue
+        for stop in stops:
+            is_then = stop.began_s <= item.sent_at_s <= stop.ended_s
+            if item.vm == stop.vm and is_then:
+                after_s = item.sent_at_s - stop.began_s
+                yield (
+                    f"{item.request_id} was cut off by {stop.vm}, sent"
+                    f" {after_s:.3f} s after its SIGTERM: {item.code}"
+                )
+
+
 def _node_violations(deployment: Deployment) -> Iterator[str]:
     """Yields nodes that exited or reported an internal error."""
     for vm, node in deployment.nodes.items():
