Give up a stalled stream also if it sends bytes now and then

What callers saw: a stream whose engine had stalled, but sent a byte or a comment now and then, went on without an event until its deadline, although another engine had room.

Cause: a stream counted as silent if no bytes came for a second; any byte began the second anew. Fix: what counts is the last event that has an ID or data. Slow streams are not cut by it: only one that may be repeated and could go on at once elsewhere is given up, as before.

--- a/src/savorylift/exchange/events.py
+++ b/src/savorylift/exchange/events.py
@@ -24,6 +24,11 @@
     data: bytes
     number: int | None
 
+    @property
+    def is_comment(self) -> bool:
+        """Whether it has neither an ID nor data."""
+        return self.number is None and not event_data(self.data)
+
 
 class EventSplitter:
     """Buffers received bytes and returns complete events."""
--- a/src/savorylift/exchange/relay.py
+++ b/src/savorylift/exchange/relay.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import time
 from collections.abc import Callable
 
 from savorylift.exchange.codec import Codec, EventSink
@@ -16,8 +17,9 @@
 from savorylift.outcomes import Reason
 from savorylift.wire.client_call import BrokenAnswerError
 
-# A connection may stop delivering data without an error. Pauses of a working
-# engine are shorter than this.
+# A stream may stop without an error, or go on with bytes that make no event or
+# with comments.
+# Pauses between the events of a working engine are shorter than this.
 STALL_TIMEOUT_S = 1.0
 
 
@@ -51,13 +53,18 @@
     ) -> Broken | None:
         """Relays a response; returns None if its stream is complete."""
         reader = self._codec.make_event_reader(started.run_id, run.resume_after)
+        last_event_s = time.monotonic()
         try:
             while True:
-                chunk = await _read_chunk(started, failover_policy)
+                chunk = await _read_chunk(
+                    started, failover_policy, last_event_s
+                )
                 if chunk is None:
                     break
                 for event in reader.feed(chunk):
                     await self._forward_event(run, started, sink, event)
+                    if not event.is_comment:
+                        last_event_s = time.monotonic()
             reader.end()
         except BrokenAnswerError as exc:
             return Broken(Reason.ANSWER_LOST, str(exc))
@@ -90,21 +97,30 @@
 
 
 async def _read_chunk(
-    started: Started, failover_policy: FailoverPolicy
+    started: Started, failover_policy: FailoverPolicy, last_event_s: float
 ) -> bytes | None:
     """Returns the next chunk of a stream; None at its end.
 
+    Args:
+        started: The response.
+        failover_policy: Whether another engine could take over.
+        last_event_s: Monotonic time of the last event that is no comment, or of
+            the head if there was none.
+
     Raises:
         BrokenAnswerError: The connection failed, or the stream stalled while
             another engine could take over.
     """
     while True:
+        is_stalled = time.monotonic() - last_event_s >= STALL_TIMEOUT_S
+        if (
+            is_stalled
+            and failover_policy.allows_failover
+            and failover_policy.has_alternative()
+        ):
+            raise BrokenAnswerError("the stream stalled")
         try:
             async with asyncio.timeout(STALL_TIMEOUT_S):
                 return await started.call.read_body_chunk()
         except TimeoutError:
-            if (
-                failover_policy.allows_failover
-                and failover_policy.has_alternative()
-            ):
-                raise BrokenAnswerError("the stream stalled") from None
+            continue
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -18,7 +18,7 @@
 
 RESPONSE_SIGNATURE_HEADER = ("x-savorylift-response-seal", "seal")
 NOT_EXECUTED_HEADER = ("x-savorylift-not-executed", "1")
-EVENT_INTERVAL_S = 0.01
+TRICKLE_INTERVAL_S = 0.2
 # How long a server is down after a crash.
 RESTART_S = 0.2
 
@@ -51,6 +51,11 @@
         closes_after: Closes the connection early: after this number of body
             bytes, or within the stream event of this number; None for never.
         events_per_stream: Number of events of each stream.
+        event_interval_s: Pause before each event of a stream.
+        trickles_after: Number of the event after which a stream that begins
+            with the first event stalls, but for `trickle` now and then; None
+            for no event.
+        trickle: What a stalled stream sends.
         streamed_events: Number of events sent so far, by attempt id.
         reported_attempt_id: Attempt id that its responses carry instead of the
             real one; None for the real one.
@@ -91,6 +96,9 @@
         self.loses_copies = False
         self.is_leaving = False
         self.events_per_stream = 10
+        self.event_interval_s = 0.01
+        self.trickles_after: int | None = None
+        self.trickle = b":"
         self.streamed_events: dict[str, int] = {}
         self.stopped: set[str] = set()
         self.copies_to_reject = 0
@@ -233,7 +241,7 @@
         start = int(headers.get("last-event-id", "0"))
         conn.start_response(200, response_headers)
         for number in range(start + 1, self.events_per_stream + 1):
-            await asyncio.sleep(EVENT_INTERVAL_S)
+            await asyncio.sleep(self.event_interval_s)
             is_stopped = attempt in self.stopped and "kv-from" not in headers
             if is_stopped or conn.channel.is_peer_closed:
                 return
@@ -242,8 +250,17 @@
                 return
             conn.send_body(b"id: %d\ndata: x\n\n" % number)
             self.streamed_events[attempt] = number
+            if number == self.trickles_after and not start:
+                await self._trickle(conn)
+                return
         conn.end_response()
 
+    async def _trickle(self, conn: ServerConnection) -> None:
+        """Sends the same bytes now and then, as long as anyone listens."""
+        while not conn.channel.is_peer_closed:
+            conn.send_body(self.trickle)
+            await asyncio.sleep(TRICKLE_INTERVAL_S)
+
     def _copy_kv(
         self, conn: ServerConnection, copy_request: dict[str, object]
     ) -> None:
