Serve connections that a closing listener has just accepted

What callers saw: at the end of a planned stop, requests on connections that had been accepted a moment before were still cut off.

Cause: between asyncio's accept and the task of the connection lie some passes of the event loop. A listener that was closed within them waited for no task, and asyncio drops such connections once their server is closed.

Fix: it stops accepting, waits 50 ms for those that are being opened, takes what the kernel has accepted since, and only then closes the listening socket.

--- a/src/savorylift/wire/listener.py
+++ b/src/savorylift/wire/listener.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+import time
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
@@ -21,6 +22,8 @@
     import ssl
 
 BACKLOG = 1024
+# Connections that asyncio has accepted are open after this time.
+ACCEPT_S = 0.05
 
 _log = structlog.get_logger()
 
@@ -78,11 +81,18 @@
         Args:
             timeout_s: Time after which the others are closed, too.
         """
+        if self._socket is not None:
+            # Connections that asyncio has accepted are lost if its server is
+            # closed before they are open.
+            asyncio.get_running_loop().remove_reader(self._socket)
+            await asyncio.sleep(ACCEPT_S)
         pending = self._accept_pending()
         self.stop_accepting()
         await asyncio.gather(*map(self._open_channel, pending))
-        if self._tasks:
-            await asyncio.wait(self._tasks, timeout=timeout_s)
+        end_s = time.monotonic() + timeout_s
+        while self._tasks and time.monotonic() < end_s:
+            wait_s = max(end_s - time.monotonic(), 0.0)
+            await asyncio.wait(self._tasks, timeout=wait_s)
         self.close()
 
     def close(self) -> None:
@@ -105,9 +115,10 @@
     async def _open_channel(self, conn: socket.socket) -> None:
         loop = asyncio.get_running_loop()
         with contextlib.suppress(OSError):
-            await loop.connect_accepted_socket(
-                lambda: Channel(self._accept), conn, ssl=self._tls
-            )
+            async with asyncio.timeout(ACCEPT_S):
+                await loop.connect_accepted_socket(
+                    lambda: Channel(self._accept), conn, ssl=self._tls
+                )
 
     def _accept(self, channel: Channel) -> None:
         conn = ServerConnection(channel, self._get_limits)
