Log which answers end with their connection

Cause: no line said how a server framed an answer, so that a log couldn't tell a stream whose end is known from one that ended with a close.

Changed: `sent` has `is_close_delimited`, for streams and plain calls. The hypotheses of the unframed answers can be told apart with it and the lines `stream_complete` and `stream_broken` of the same request. No logic changes.

--- a/src/savorylift/exchange/plain_call.py
+++ b/src/savorylift/exchange/plain_call.py
@@ -101,6 +101,9 @@
             server=server_id,
             ending=type(result).__name__,
             detail=_log_detail(result),
+            is_close_delimited=(
+                isinstance(result, Answered) and result.is_close_delimited
+            ),
         )
         return result
 
--- a/src/savorylift/exchange/run_log.py
+++ b/src/savorylift/exchange/run_log.py
@@ -28,6 +28,9 @@
         server=server.entry.server_id,
         ending=type(started).__name__,
         detail=detail,
+        is_close_delimited=(
+            isinstance(started, Started) and started.call.is_close_delimited
+        ),
         resumed_after=run.resume_after,
         tokens=run.expected_tokens,
     )
--- a/src/savorylift/exchange/send.py
+++ b/src/savorylift/exchange/send.py
@@ -168,7 +168,7 @@
             return Unsure(Reason.ANSWER_LOST, str(exc))
         finally:
             started.call.close()
-        return Answered(head, answer.body)
+        return Answered(head, answer.body, started.call.is_close_delimited)
 
     def cancel_run(
         self, server: BackendServer, cancel_request: CancelRequest | None
--- a/src/savorylift/wire/client_call.py
+++ b/src/savorylift/wire/client_call.py
@@ -18,6 +18,7 @@
 _buffers = BufferBudget(16_777_216)
 # Informational responses before the final one.
 MAX_INFORMATIONAL = 8
+STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
 class BrokenAnswerError(Exception):
@@ -31,6 +32,17 @@
         """Uses `channel` from now on; `close` closes it."""
         self._channel = channel
         self._h11 = h11.Connection(h11.CLIENT)
+        self._method = ""
+        self._is_close_delimited = False
+
+    @property
+    def is_close_delimited(self) -> bool:
+        """Whether the body has no length and ends with its connection.
+
+        The end of such a body can't be told from a close in the middle of it
+        (RFC 9112, 8). Known once the head was read.
+        """
+        return self._is_close_delimited
 
     @property
     def channel(self) -> Channel:
@@ -41,6 +53,7 @@
         self, method: str, target: str, headers: Headers, body: bytes
     ) -> None:
         """Writes the request; sets a content length if it has a body."""
+        self._method = method
         if body or method not in ("GET", "HEAD", "DELETE"):
             headers = (*headers, ("content-length", str(len(body))))
         head = h11.Request(
@@ -68,7 +81,11 @@
                     (key.decode("ascii"), value.decode("latin-1"))
                     for key, value in event.headers
                 )
-                return ResponseHead(event.status_code, headers)
+                head = ResponseHead(event.status_code, headers)
+                self._is_close_delimited = _is_close_delimited(
+                    head, self._method
+                )
+                return head
             if not isinstance(event, h11.InformationalResponse):
                 raise BrokenAnswerError("expected a response head")
         raise BrokenAnswerError("too many informational responses")
@@ -128,6 +145,15 @@
                 raise BrokenAnswerError(f"connection reset: {exc}") from exc
 
 
+def _is_close_delimited(head: ResponseHead, method: str) -> bool:
+    if method == "HEAD" or head.status in STATUSES_WITHOUT_BODY:
+        return False
+    return (
+        head.header("content-length") is None
+        and head.header("transfer-encoding") is None
+    )
+
+
 async def fetch(
     address: tuple[str, int],
     method: str,
