Claim no more of an answer's end than its server did

Cause: a body without length or chunks ends with its connection, and a close in the middle looks the same. The node put its own framing around it and so vouched for an end that nobody had told it. A close by which a move ends the stream at its source was taken for the end of the answer, too.

Fix: such an answer goes on without framing, and the connection to the caller is reset by any close but that of a regular end, also when the node is killed (SO_LINGER). At its end the node connects to the server once; if it is gone, the answer is broken: what may be repeated or resumed goes on elsewhere, the rest ends with 502 or a reset. Nothing is judged by a server that drains, is full, restarts or can't be reached: its answer goes on within 0.1 s.

--- a/src/savorylift/completions/engine_call.py
+++ b/src/savorylift/completions/engine_call.py
@@ -114,6 +114,8 @@
         matches_request=is_generation or echoed_id == req.attempt_id,
         is_not_run=is_not_run,
         is_signed=True,
+        # An event marks the end of a generation.
+        is_close_delimited=head.is_close_delimited and not is_generation,
     )
 
 
--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -31,10 +31,12 @@
 from savorylift.exchange.run_log import log_move_failure
 from savorylift.exchange.run_sender import RunSender
 from savorylift.exchange.send import (
+    SERVER_GONE,
     ResumePoint,
     Sender,
     Started,
 )
+from savorylift.exchange.server_check import ServerCheck
 from savorylift.exchange.server_pool import ServerPool
 from savorylift.outcomes import Reason
 from savorylift.placement.engines import expected_tokens
@@ -56,6 +58,7 @@
         pool: ServerPool,
         codec: Codec,
         sender: Sender,
+        server_check: ServerCheck,
         mover: Mover,
         crash_guard: CrashGuard,
         rng: random.Random,
@@ -66,12 +69,15 @@
             pool: Engines to choose from.
             codec: Decodes the streams of engines.
             sender: Sends runs to engines.
+            server_check: Finds out whether an engine that has closed a
+                connection is gone.
             mover: Moves runs off draining engines.
             crash_guard: Stops requests that crash engines.
             rng: Source of the jitter on retry delays.
         """
         self._pool = pool
         self._sender = sender
+        self._server_check = server_check
         self._mover = mover
         self._rng = rng
         self._queue = EngineQueue(pool)
@@ -239,18 +245,25 @@
                 return started
             run.call = started.call
             run.cancel_request = started.cancel_request
+            run.is_close_delimited = started.head.is_close_delimited
             result = await self._relay.forward(
                 run, started, sink, failover_policy
             )
             self._end_call(run, is_complete=result is None)
-            if result is None:
+            target = None
+            if result is not None or run.was_stopped_without_end:
+                target = await self._finish_move(run)
+            if target is None and result is None:
+                result = await self._check_end(run, server)
+            if target is None and result is None:
+                self._relay.finish(run, started, sink)
                 self._pool.load_tracker.record_result(
                     server.entry.server_id, is_success=True
                 )
                 return None
-            target = await self._finish_move(run)
             if target is None:
                 return result
+            run.is_stopping = False
             run.moves += 1
             resumed = await self._run_sender.resume(run, target)
             if not isinstance(resumed, Started):
@@ -259,6 +272,18 @@
             server = run.server
             started = resumed
 
+    async def _check_end(
+        self, run: Run, server: BackendServer
+    ) -> Broken | None:
+        """Returns why the end of a stream is none, if that shows."""
+        if run.is_close_delimited and await self._server_check.is_gone(
+            server, run.attempt_id
+        ):
+            return Broken(Reason.ANSWER_LOST, SERVER_GONE)
+        if run.is_close_delimited and run.is_framed_for_caller:
+            return Broken(Reason.ANSWER_LOST, "nothing marks the stream's end")
+        return None
+
     async def _finish_move(self, run: Run) -> ResumeTarget | None:
         """Waits for a run's move, if any; returns where to resume the run."""
         if run.move_task is None:
--- a/src/savorylift/exchange/metrics.py
+++ b/src/savorylift/exchange/metrics.py
@@ -31,6 +31,11 @@
     "savorylift_front_quarantines",
     "Parts of prompts that this node stopped sending to engines.",
 )
+SERVER_CHECKS = Counter(
+    "savorylift_front_server_checks",
+    "Connections to servers whose answer ended with nothing but a close.",
+    ["outcome"],
+)
 PERMITS = Counter(
     "savorylift_front_permits",
     "Requests for which a limited backend server needed a permit.",
--- a/src/savorylift/exchange/mover.py
+++ b/src/savorylift/exchange/mover.py
@@ -185,9 +185,12 @@
                 await self._copy_until_short(
                     run, source, destination, deadline_s
                 )
+            run.is_stopping = True
             final = await self._copy(
                 run, source, destination, deadline_s, stops_run=True
             )
+            if _has_ended_by_itself(run, final):
+                return CopyFault.NO_SUCH_RUN
             target = _target_after_final_copy(final, target)
             is_moved = True
             self._log_moved(run, target)
@@ -297,6 +300,15 @@
     return earlier
 
 
+def _has_ended_by_itself(run: Run, final: CopyResult | CopyError) -> bool:
+    """Whether a stream without an end marker ended before it was stopped."""
+    return (
+        run.is_close_delimited
+        and isinstance(final, CopyError)
+        and final.fault is CopyFault.NO_SUCH_RUN
+    )
+
+
 def is_contended(
     run: Run, source: BackendServer, destination: BackendServer, took_s: float
 ) -> bool:
--- a/src/savorylift/exchange/plain_call.py
+++ b/src/savorylift/exchange/plain_call.py
@@ -102,7 +102,7 @@
             ending=type(result).__name__,
             detail=_log_detail(result),
             is_close_delimited=(
-                isinstance(result, Answered) and result.is_close_delimited
+                isinstance(result, Answered) and result.head.is_close_delimited
             ),
         )
         return result
--- a/src/savorylift/exchange/relay.py
+++ b/src/savorylift/exchange/relay.py
@@ -51,7 +51,10 @@
         sink: EventSink,
         failover_policy: FailoverPolicy,
     ) -> Broken | None:
-        """Relays a response; returns None if its stream is complete."""
+        """Relays a response; returns None if its stream has ended.
+
+        The stream of the caller remains open; `finish` ends it.
+        """
         reader = self._codec.make_event_reader(started.run_id, run.resume_after)
         last_event_s = time.monotonic()
         try:
@@ -68,11 +71,14 @@
             reader.end()
         except BrokenAnswerError as exc:
             return Broken(Reason.ANSWER_LOST, str(exc))
+        return None
+
+    def finish(self, run: Run, started: Started, sink: EventSink) -> None:
+        """Ends a stream as far as its engine has said that it is complete."""
         if not sink.is_started:
-            sink.start(started.head)
+            _start_sink(run, started, sink)
         sink.finish()
         log_complete(run)
-        return None
 
     async def _forward_event(
         self, run: Run, started: Started, sink: EventSink, event: Event
@@ -86,7 +92,7 @@
                     f"event {number} followed event {run.last_event}"
                 )
         if not sink.is_started:
-            sink.start(started.head)
+            _start_sink(run, started, sink)
             record_first_event_time(run)
         if run.awaits_first_event:
             run.awaits_first_event = False
@@ -96,6 +102,11 @@
         self._on_event(run)
 
 
+def _start_sink(run: Run, started: Started, sink: EventSink) -> None:
+    run.is_framed_for_caller = not started.head.is_close_delimited
+    sink.start(started.head)
+
+
 async def _read_chunk(
     started: Started, failover_policy: FailoverPolicy, last_event_s: float
 ) -> bytes | None:
--- a/src/savorylift/exchange/request.py
+++ b/src/savorylift/exchange/request.py
@@ -123,6 +123,8 @@
         is_signed: Whether it has the signature of a backend server; True if
             the protocol has no signatures.
         named_limit: Limit on its requests that the server names, if any.
+        is_close_delimited: Whether nothing but the close of the connection
+            marks the end of the body, so that it may be incomplete.
     """
 
     status: int
@@ -131,6 +133,7 @@
     is_not_run: bool
     is_signed: bool
     named_limit: NamedLimit | None = None
+    is_close_delimited: bool = False
 
     @property
     def is_success(self) -> bool:
--- a/src/savorylift/exchange/results.py
+++ b/src/savorylift/exchange/results.py
@@ -26,13 +26,10 @@
     Attributes:
         head: Head of the response.
         body: Body of the response.
-        is_close_delimited: Whether only the end of the connection marked the
-            end of the body, so that it can't be told from an incomplete one.
     """
 
     head: AnswerHead
     body: bytes
-    is_close_delimited: bool = False
 
 
 class NotRun(NamedTuple):
--- a/src/savorylift/exchange/run.py
+++ b/src/savorylift/exchange/run.py
@@ -58,6 +58,11 @@
         longest_gap_s: Longest pause between events so far.
         gap_event: Number of the event that ended this pause.
         moves: Number of times that the run was stopped to resume elsewhere.
+        is_close_delimited: Whether only the close of its connection marks the
+            end of its stream, at the current engine.
+        is_framed_for_caller: Whether the caller's stream was begun in a framing
+            that marks its end as complete.
+        is_stopping: Whether its engine was told to stop it, for a move.
     """
 
     def __init__(self, admitted: AdmittedRequest, expected_tokens: int) -> None:
@@ -82,6 +87,9 @@
         self.longest_gap_s = 0.0
         self.gap_event: int | None = None
         self.moves = 0
+        self.is_close_delimited = False
+        self.is_framed_for_caller = False
+        self.is_stopping = False
 
     @property
     def attempt_id(self) -> str:
@@ -125,6 +133,11 @@
             return self.admitted.req.resume_after
         return None
 
+    @property
+    def was_stopped_without_end(self) -> bool:
+        """Whether the end of its stream may be due to a move."""
+        return self.is_close_delimited and self.is_stopping
+
     @property
     def may_have_run(self) -> bool:
         """Whether an engine may have run the request."""
--- a/src/savorylift/exchange/run_log.py
+++ b/src/savorylift/exchange/run_log.py
@@ -29,7 +29,7 @@
         ending=type(started).__name__,
         detail=detail,
         is_close_delimited=(
-            isinstance(started, Started) and started.call.is_close_delimited
+            isinstance(started, Started) and started.head.is_close_delimited
         ),
         resumed_after=run.resume_after,
         tokens=run.expected_tokens,
--- a/src/savorylift/exchange/run_sender.py
+++ b/src/savorylift/exchange/run_sender.py
@@ -53,7 +53,7 @@
         if isinstance(started, Unsure):
             return Broken(started.reason, started.detail)
         if isinstance(started, Started) and not started.head.is_success:
-            return await self._read_failure(run, started)
+            return await self._read_failure(run, server, started)
         return started
 
     async def resume(
@@ -89,9 +89,11 @@
         return result
 
     async def _read_failure(
-        self, run: Run, started: Started
+        self, run: Run, server: BackendServer, started: Started
     ) -> NotRun | Answered | Broken:
-        result = await self._sender.finish(started, run.admitted.deadline_s)
+        result = await self._sender.finish(
+            server, run.attempt_id, started, run.admitted.deadline_s
+        )
         if isinstance(result, Unsure):
             return Broken(result.reason, result.detail)
         return result
--- a/src/savorylift/exchange/send.py
+++ b/src/savorylift/exchange/send.py
@@ -18,6 +18,7 @@
     KvCopy,
 )
 from savorylift.exchange.results import Answered, NotRun, SendResult, Unsure
+from savorylift.exchange.server_check import ServerCheck
 from savorylift.outcomes import Reason
 from savorylift.wire.channel import connect
 from savorylift.wire.client_call import BrokenAnswerError, ClientCall, fetch
@@ -28,6 +29,8 @@
 # Interval at which to look for another server after `failover_at_s`.
 ALTERNATIVE_POLL_S = 0.1
 CANCEL_TIMEOUT_S = 1.0
+# Detail of an answer that ended with the connection of a server that is gone.
+SERVER_GONE = "the server closed the connection and is gone"
 
 _log = structlog.get_logger()
 
@@ -69,6 +72,7 @@
         self,
         codec: Codec,
         limit_gate: LimitGate,
+        server_check: ServerCheck,
         is_usable: Callable[[BackendServer], bool],
     ) -> None:
         """Creates a sender.
@@ -76,11 +80,14 @@
         Args:
             codec: Encodes requests and decodes response heads.
             limit_gate: Holds the limits that servers name.
+            server_check: Finds out whether a server that has closed a
+                connection is gone.
             is_usable: Returns whether a server may still be used; checked
                 again once the connection is open.
         """
         self._codec = codec
         self._limit_gate = limit_gate
+        self._server_check = server_check
         self._is_usable = is_usable
         self._cancel_tasks: set[asyncio.Task[None]] = set()
 
@@ -120,6 +127,7 @@
         if not self._limit_gate.may_send(server, permit):
             channel.abort()
             return _over_limit("the permit expired, or a limit has begun")
+        self._server_check.add_channel(server, channel)
         call = ClientCall(channel)
         outgoing = self._codec.encode_request(
             admitted.req, _forwarding_options(server, admitted, resume_point)
@@ -147,9 +155,20 @@
         )
         if not isinstance(started, Started):
             return started
-        return await self.finish(started, failover_policy.deadline_s)
+        return await self.finish(
+            server,
+            admitted.req.attempt_id,
+            started,
+            failover_policy.deadline_s,
+        )
 
-    async def finish(self, started: Started, deadline_s: float) -> SendResult:
+    async def finish(
+        self,
+        server: BackendServer,
+        request: str,
+        started: Started,
+        deadline_s: float,
+    ) -> SendResult:
         """Reads the body of a response that is not a stream."""
         head = started.head
         if head.is_not_run:
@@ -168,7 +187,11 @@
             return Unsure(Reason.ANSWER_LOST, str(exc))
         finally:
             started.call.close()
-        return Answered(head, answer.body, started.call.is_close_delimited)
+        if head.is_close_delimited and await self._server_check.is_gone(
+            server, request
+        ):
+            return Unsure(Reason.ANSWER_LOST, SERVER_GONE)
+        return Answered(head, answer.body)
 
     def cancel_run(
         self, server: BackendServer, cancel_request: CancelRequest | None
--- a/src/savorylift/front/caller_handler.py
+++ b/src/savorylift/front/caller_handler.py
@@ -124,7 +124,7 @@
             if self._lifecycle.is_leaving:
                 conn.is_closing = True
             await self._handle(conn, req)
-            await conn.channel.drain()
+            await conn.flush()
             if not conn.prepare_next_request():
                 break
         await conn.channel.close_gracefully()
@@ -266,7 +266,10 @@
     ) -> None:
         if isinstance(answer, Answered):
             status = answer.head.status
-            conn.respond(status, answer.head.headers, answer.body)
+            respond = conn.respond
+            if answer.head.is_close_delimited:
+                respond = conn.respond_unframed
+            respond(status, answer.head.headers, answer.body)
             reason = detail = "answered"
         else:
             status = answer.status
--- a/src/savorylift/front/caller_sink.py
+++ b/src/savorylift/front/caller_sink.py
@@ -28,7 +28,11 @@
     def start(self, head: AnswerHead) -> None:
         """Sends status and headers."""
         self.is_started = True
-        self._conn.start_response(head.status, head.headers)
+        self._conn.start_response(
+            head.status,
+            head.headers,
+            is_close_delimited=head.is_close_delimited,
+        )
 
     def write(self, data: bytes) -> None:
         """Queues a chunk of the body without waiting for the caller to read."""
@@ -49,7 +53,10 @@
         self._conn.respond(status, headers, body)
 
     def fail(self, refused: Refused) -> None:  # noqa: ARG002
-        """Closes the connection so that the body is seen as incomplete."""
+        """Closes the connection so that the body is seen as incomplete.
+
+        Without framing, the close resets it.
+        """
         self.is_aborted = True
         self._conn.is_closing = True
         self._conn.channel.close()
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -20,6 +20,7 @@
 from savorylift.exchange.plain_call import PlainCallDispatcher
 from savorylift.exchange.retry_budget import RetryBudget, RetryBudgetOptions
 from savorylift.exchange.send import Sender
+from savorylift.exchange.server_check import ServerCheck
 from savorylift.exchange.server_pool import ServerPool
 from savorylift.fleet import metrics as fleet_metrics
 from savorylift.fleet.membership import Membership
@@ -136,9 +137,18 @@
             lambda: self._peer_sync.transport.send_soon(),
         )
         codec = interface.codec
-        sender = Sender(codec, self._limit_gate, self._pool.is_usable)
+        server_check = ServerCheck(self._limit_gate, self._pool.is_in_service)
+        sender = Sender(
+            codec, self._limit_gate, server_check, self._pool.is_usable
+        )
         self._generations = GenerationDispatcher(
-            self._pool, codec, sender, Mover(self._pool), self._crash_guard, rng
+            self._pool,
+            codec,
+            sender,
+            server_check,
+            Mover(self._pool),
+            self._crash_guard,
+            rng,
         )
         refusal_counts = RefusalCounts(settings.vm, self._incarnation)
         caller_handler = CallerHandler(
--- a/src/savorylift/platform/codec.py
+++ b/src/savorylift/platform/codec.py
@@ -162,6 +162,7 @@
         or head.header(header_names.NOT_EXECUTED) is not None,
         is_signed=head.header(header_names.RESPONSE_SIGNATURE) is not None,
         named_limit=_decode_limit(head),
+        is_close_delimited=head.is_close_delimited,
     )
 
 
--- a/src/savorylift/wire/channel.py
+++ b/src/savorylift/wire/channel.py
@@ -3,11 +3,15 @@
 import asyncio
 import contextlib
 import socket
+import struct
 from collections.abc import Callable
 from typing import cast
 
 MAX_READ_BUFFER_BYTES = 262_144
 LINGER_TIMEOUT_S = 1.0
+# Values of SO_LINGER: on with a time of 0, by which a close sends RST; and off.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+NO_LINGER = struct.pack("ii", 0, 0)
 
 
 class Channel(asyncio.Protocol):
@@ -31,6 +35,7 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._is_discarding = False
+        self._resets_on_close = False
         self.is_peer_closed = False
         self.connection_error: Exception | None = None
         self.peer_closed = asyncio.Event()
@@ -116,14 +121,35 @@
         """Waits until the send buffer is below its low-water mark."""
         await self._writable.wait()
 
+    def reset_on_close(self) -> None:
+        """Makes any close reset the connection until `allow_close`.
+
+        This holds also if the process is killed.
+        """
+        self._resets_on_close = True
+        self._set_linger(RESET_ON_CLOSE)
+
+    async def allow_close(self) -> None:
+        """Ends `reset_on_close` once all queued bytes are with the system."""
+        self.transport.set_write_buffer_limits(high=0)
+        await self.drain()
+        if not self.transport.is_closing():
+            self._set_linger(NO_LINGER)
+            self._resets_on_close = False
+
     def abort(self) -> None:
         """Closes the connection immediately; queued bytes are dropped."""
         if self._transport is not None:
             self._transport.abort()
 
     def close(self) -> None:
-        """Closes the connection after sending the queued bytes."""
-        if self._transport is not None:
+        """Closes the connection after sending the queued bytes.
+
+        After `reset_on_close`, it is reset instead.
+        """
+        if self._resets_on_close:
+            self.abort()
+        elif self._transport is not None:
             self._transport.close()
 
     async def close_gracefully(self) -> None:
@@ -132,6 +158,9 @@
         Closing with unread input would reset the connection, and the peer
         could lose the response just sent.
         """
+        if self._resets_on_close:
+            self.abort()
+            return
         self._is_discarding = True
         self._read_buffer.clear()
         if not self.is_peer_closed:
@@ -144,6 +173,11 @@
                 )
         self.close()
 
+    def _set_linger(self, value: bytes) -> None:
+        sock = self.transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
--- a/src/savorylift/wire/client_call.py
+++ b/src/savorylift/wire/client_call.py
@@ -33,16 +33,6 @@
         self._channel = channel
         self._h11 = h11.Connection(h11.CLIENT)
         self._method = ""
-        self._is_close_delimited = False
-
-    @property
-    def is_close_delimited(self) -> bool:
-        """Whether the body has no length and ends with its connection.
-
-        The end of such a body can't be told from a close in the middle of it
-        (RFC 9112, 8). Known once the head was read.
-        """
-        return self._is_close_delimited
 
     @property
     def channel(self) -> Channel:
@@ -82,10 +72,8 @@
                     for key, value in event.headers
                 )
                 head = ResponseHead(event.status_code, headers)
-                self._is_close_delimited = _is_close_delimited(
-                    head, self._method
-                )
-                return head
+                is_close_delimited = _is_close_delimited(head, self._method)
+                return head._replace(is_close_delimited=is_close_delimited)
             if not isinstance(event, h11.InformationalResponse):
                 raise BrokenAnswerError("expected a response head")
         raise BrokenAnswerError("too many informational responses")
--- a/src/savorylift/wire/listener.py
+++ b/src/savorylift/wire/listener.py
@@ -161,7 +161,7 @@
                 return
             response = await handle_request(req)
             conn.respond(response.status, response.headers, response.body)
-            await conn.channel.drain()
+            await conn.flush()
             if not conn.prepare_next_request():
                 return
 
--- a/src/savorylift/wire/message.py
+++ b/src/savorylift/wire/message.py
@@ -51,10 +51,14 @@
     Attributes:
         status: Status code.
         headers: Lower-case names with values, in order.
+        is_close_delimited: Whether the body has neither a length nor chunks
+            and ends with its connection, so that its end can't be told from
+            a close in the middle of it (RFC 9112, section 8).
     """
 
     status: int
     headers: Headers
+    is_close_delimited: bool = False
 
     def header_values(self, name: str) -> list[str]:
         """Returns all values of a header; `name` must be in lower case."""
--- a/src/savorylift/wire/server_connection.py
+++ b/src/savorylift/wire/server_connection.py
@@ -73,6 +73,8 @@
         )
         self._unparsed = bytearray()
         self._request_started_s = 0.0
+        self._is_close_delimited = False
+        self._is_response_ended = False
         self.is_closing = False
 
     @property
@@ -126,8 +128,38 @@
             self.send_body(body)
         self.end_response()
 
-    def start_response(self, status: int, headers: Headers) -> None:
-        """Writes a response head; without a length, the body is chunked."""
+    def respond_unframed(
+        self, status: int, headers: Headers, body: bytes
+    ) -> None:
+        """Writes a response whose body may be incomplete.
+
+        Nothing but the close of the connection marks its end.
+        """
+        self.start_response(status, headers, is_close_delimited=True)
+        if body:
+            self.send_body(body)
+        self.end_response()
+
+    def start_response(
+        self,
+        status: int,
+        headers: Headers,
+        *,
+        is_close_delimited: bool = False,
+    ) -> None:
+        """Writes a response head; without a length, the body is chunked.
+
+        Args:
+            status: Status code.
+            headers: Headers with lower-case names.
+            is_close_delimited: Whether nothing but the close of the connection
+                marks the end of the body. Until `end_response`, any close
+                resets the connection.
+        """
+        if is_close_delimited:
+            self.is_closing = True
+            # To such callers, h11 sends bodies without any framing.
+            self._h11.their_http_version = b"1.0"
         if self.is_closing:
             headers = (*headers, ("connection", "close"))
         reason = (
@@ -140,6 +172,10 @@
             headers=_encode_headers(headers),
             reason=reason.encode(),
         )
+        has_length = any(key == "content-length" for key, _ in headers)
+        if self._h11.their_http_version == b"1.0" and not has_length:
+            self._is_close_delimited = True
+            self._channel.reset_on_close()
         self._write(head)
 
     def send_body(self, data: bytes) -> None:
@@ -149,6 +185,16 @@
     def end_response(self) -> None:
         """Marks the response as complete."""
         self._write(h11.EndOfMessage())
+        self._is_response_ended = True
+
+    async def flush(self) -> None:
+        """Waits until the response may be followed by another one, or closed.
+
+        A body without framing is handed to the system first.
+        """
+        if self._is_close_delimited and self._is_response_ended:
+            await self._channel.allow_close()
+        await self._channel.drain()
 
     def prepare_next_request(self) -> bool:
         """Resets the parser; says whether the connection can be reused."""
--- a/tests/front/test_unframed_answers.py
+++ b/tests/front/test_unframed_answers.py
@@ -2,19 +2,30 @@
 
 import asyncio
 import enum
+import time
 from collections.abc import Callable
 
 import pytest
 
+from savorylift.exchange import server_check
+from savorylift.platform.store import SERVERS_TOPIC
 from savorylift.wire.client_call import BrokenAnswerError
 from savorylift.wire.message import Headers
-from tests.front.environment import NodeEnvironment, run_in_environment
+from tests.front.environment import (
+    NodeEnvironment,
+    event_numbers,
+    run_in_environment,
+)
 from tests.standins.platform_server import RESPONSE_SIGNATURE_HEADER
 
 TOKEN_COUNTS: Headers = (("x-savorylift-token-counts", "100,50"),)
 EVENTS = [b"id: %d\ndata: x\n\n" % number for number in range(1, 11)]
 PARTS = [b"part%d " % number for number in range(10)]
 SENT_WHEN_BROKEN = 4
+# Time after which a change in the store has reached the node.
+REGISTRY_S = 0.3
+# A wait that callers would not feel.
+PROMPT_S = 0.1
 STREAM_PATHS = ("/stream/", "/resumable/")
 PATHS = (*STREAM_PATHS, "/safe/", "/once/")
 FRAMINGS = ("", "Connection: close\r\n")
@@ -34,17 +45,30 @@
 
     Attributes:
         requests: Number of requests that it got.
+        connections: Number of connections that it accepted.
+        closed_s: Monotonic time at which it last closed a connection.
         is_gone: Whether it stops listening before it closes.
+        restarts: Whether it then listens again at once.
+        hangs: Whether it answers no request.
+        may_end: Set to let it close its connections.
     """
 
     def __init__(self, framing: str, pieces: list[bytes]) -> None:
         self.requests = 0
+        self.connections = 0
+        self.closed_s = 0.0
         self.is_gone = False
+        self.restarts = False
+        self.hangs = False
+        self.may_end = asyncio.Event()
+        self.may_end.set()
+        self._port = 0
         self._framing = framing
         self._pieces = pieces
         self._server: asyncio.Server | None = None
 
     async def start(self, port: int) -> None:
+        self._port = port
         self._server = await asyncio.start_server(
             self._serve, "127.0.0.1", port
         )
@@ -52,12 +76,16 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self.connections += 1
         try:
             request = await reader.readuntil(b"\r\n\r\n")
         except asyncio.IncompleteReadError:
             writer.close()
             return
         self.requests += 1
+        if self.hangs:
+            await reader.read()
+            return
         seal = ": ".join(RESPONSE_SIGNATURE_HEADER)
         attempt = _header(request, b"x-savorylift-attempt-id")
         writer.write(
@@ -67,8 +95,12 @@
         for piece in self._pieces:
             writer.write(piece)
             await asyncio.sleep(0.005)
+        await self.may_end.wait()
         if self.is_gone and self._server is not None:
             self._server.close()
+        if self.restarts:
+            await self.start(self._port)
+        self.closed_s = time.monotonic()
         writer.close()
 
 
@@ -154,3 +186,212 @@
         assert status == 502 or view is CallerView.BROKEN
 
     run_in_environment(scenario)
+
+
+async def replace_by_one(
+    env: NodeEnvironment, path: str, pieces: list[bytes]
+) -> RawServer:
+    """Leaves one server for a path, which sends the pieces without framing."""
+    replaced = env.pool if path in STREAM_PATHS else env.app
+    env.store.add(SERVERS_TOPIC, replaced[1].server_id, None)
+    await asyncio.sleep(REGISTRY_S)
+    servers = await replace_servers(env, path, lambda: RawServer("", pieces))
+    return servers[0]
+
+
+async def check_whole(
+    env: NodeEnvironment, path: str, server: RawServer, max_wait_s: float
+) -> None:
+    """Checks that a whole answer reaches its caller soon after its end."""
+    status, body, view = await call(env, path)
+    assert (status, body) == (200, b"".join(pieces_of(path)))
+    assert view is CallerView.UNFRAMED
+    assert time.monotonic() - server.closed_s < max_wait_s
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_whole_answer_is_passed_on_without_a_wait(path: str) -> None:
+    async def scenario(env: NodeEnvironment) -> None:
+        server = await replace_by_one(env, path, pieces_of(path))
+        await check_whole(env, path, server, PROMPT_S)
+
+    run_in_environment(scenario)
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_whole_answer_of_a_server_that_restarts_is_passed_on(path: str) -> None:
+    async def scenario(env: NodeEnvironment) -> None:
+        server = await replace_by_one(env, path, pieces_of(path))
+        server.is_gone = server.restarts = True
+        await check_whole(env, path, server, PROMPT_S)
+
+    run_in_environment(scenario)
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_last_answer_of_a_draining_server_is_passed_on(path: str) -> None:
+    async def scenario(env: NodeEnvironment) -> None:
+        server = await replace_by_one(env, path, pieces_of(path))
+        server.is_gone = True
+        server.may_end.clear()
+        checking = asyncio.ensure_future(
+            check_whole(env, path, server, PROMPT_S)
+        )
+        await asyncio.sleep(REGISTRY_S)
+        service = "pool" if path in STREAM_PATHS else "app"
+        draining = (env.pool if path in STREAM_PATHS else env.app)[0]
+        env.publish_entry(draining, service, "draining")
+        await asyncio.sleep(REGISTRY_S)
+        server.may_end.set()
+        await checking
+
+    run_in_environment(scenario)
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_whole_answer_of_a_full_server_is_passed_on(path: str) -> None:
+    async def scenario(env: NodeEnvironment) -> None:
+        server = await replace_by_one(env, path, pieces_of(path))
+        server.hangs = True
+        headers = TOKEN_COUNTS if path in STREAM_PATHS else ()
+        other = await env.open_call(path, "other", headers)
+        await asyncio.sleep(REGISTRY_S)
+        server.hangs = False
+        server.is_gone = True
+        await check_whole(env, path, server, PROMPT_S)
+        other.close()
+
+    run_in_environment(scenario)
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_whole_answer_waits_little_for_a_server_that_is_cut_off(
+    path: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def never_connect(_host: str, _port: int, timeout_s: float) -> None:
+        async with asyncio.timeout(timeout_s):
+            await asyncio.Event().wait()
+
+    async def scenario(env: NodeEnvironment) -> None:
+        server = await replace_by_one(env, path, pieces_of(path))
+        monkeypatch.setattr(server_check, "connect", never_connect)
+        await check_whole(
+            env, path, server, server_check.CHECK_TIMEOUT_S + PROMPT_S
+        )
+
+    run_in_environment(scenario)
+
+
+@pytest.mark.parametrize("path", ["/resumable/", "/safe/"])
+def test_request_goes_on_elsewhere_when_its_server_is_gone(path: str) -> None:
+    async def scenario(env: NodeEnvironment) -> None:
+        replaced = env.pool if path in STREAM_PATHS else env.app
+        replaced[0].stop()
+        gone = RawServer("", pieces_of(path)[:SENT_WHEN_BROKEN])
+        gone.is_gone = True
+        await gone.start(replaced[0].port)
+        for number in range(8):
+            status, body, view = await call(env, path, f"a{number}")
+            assert status == 200
+            assert view is not CallerView.BROKEN
+            if path in STREAM_PATHS:
+                assert event_numbers(body) == list(range(1, 11))
+            else:
+                assert body == f"answer of a{number}".encode()
+        assert gone.requests
+
+    run_in_environment(scenario)
+
+
+def test_answers_that_end_together_share_a_connection() -> None:
+    async def scenario(env: NodeEnvironment) -> None:
+        server = await replace_by_one(env, "/stream/", EVENTS)
+        server.may_end.clear()
+        calls = [
+            asyncio.ensure_future(call(env, "/stream/", f"a{number}"))
+            for number in range(6)
+        ]
+        await asyncio.sleep(REGISTRY_S)
+        server.may_end.set()
+        views = [view for _, _, view in await asyncio.gather(*calls)]
+        assert views == [CallerView.UNFRAMED] * 6
+        assert server.connections <= server.requests + 2
+
+    run_in_environment(scenario)
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_answer_without_a_body_is_passed_on(path: str) -> None:
+    async def scenario(env: NodeEnvironment) -> None:
+        await replace_by_one(env, path, [])
+        status, body, view = await call(env, path)
+        assert (status, body, view) == (200, b"", CallerView.UNFRAMED)
+
+    run_in_environment(scenario)
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_answer_that_ends_within_its_head_is_none(path: str) -> None:
+    async def scenario(env: NodeEnvironment) -> None:
+        await replace_servers(env, path, lambda: RawServer("X: y", []))
+        status, _, _ = await call(env, path)
+        assert status == 502
+
+    run_in_environment(scenario)
+
+
+@pytest.mark.parametrize("is_framed_after_move", [False, True])
+def test_stream_that_its_move_closed_goes_on(
+    is_framed_after_move: bool,  # noqa: FBT001
+) -> None:
+    async def scenario(env: NodeEnvironment) -> None:
+        for engine in env.pool:
+            engine.events_per_stream = 60
+            engine.has_unframed_streams = True
+        calling = asyncio.ensure_future(call(env, "/stream/"))
+        await asyncio.sleep(REGISTRY_S)
+        (source,) = [s for s in env.pool if s.runs]
+        (other,) = [s for s in env.pool if not s.runs]
+        other.has_unframed_streams = not is_framed_after_move
+        env.publish_entry(source, "pool", "draining")
+        _, body, view = await calling
+        assert "a1" in source.stopped
+        assert event_numbers(body) == list(range(1, 61))
+        assert view is CallerView.UNFRAMED
+
+    run_in_environment(scenario)
+
+
+def test_framed_stream_that_ends_unframed_elsewhere_does_not_look_whole() -> (
+    None
+):
+    async def scenario(env: NodeEnvironment) -> None:
+        for engine in env.pool:
+            engine.events_per_stream = 60
+        calling = asyncio.ensure_future(call(env, "/stream/"))
+        await asyncio.sleep(REGISTRY_S)
+        (source,) = [s for s in env.pool if s.runs]
+        (other,) = [s for s in env.pool if not s.runs]
+        other.has_unframed_streams = True
+        env.publish_entry(source, "pool", "draining")
+        _, body, view = await calling
+        assert event_numbers(body) == list(range(1, 61))
+        assert view is CallerView.BROKEN
+
+    run_in_environment(scenario)
+
+
+def test_unframed_stream_at_the_end_of_a_node_does_not_look_whole() -> None:
+    async def scenario(env: NodeEnvironment) -> None:
+        for engine in env.pool:
+            engine.events_per_stream = 1000
+            engine.has_unframed_streams = True
+        calling = asyncio.ensure_future(call(env, "/stream/"))
+        await asyncio.sleep(REGISTRY_S)
+        assert env.node is not None
+        env.node.leave()
+        _, body, view = await calling
+        assert event_numbers(body)
+        assert view is CallerView.BROKEN
+
+    run_in_environment(scenario)
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -50,6 +50,8 @@
         rejects_all: Whether it rejects every run as not executed, with 503.
         closes_after: Closes the connection early: after this number of body
             bytes, or within the stream event of this number; None for never.
+        has_unframed_streams: Whether its streams have no chunks and end with
+            their connection.
         events_per_stream: Number of events of each stream.
         event_interval_s: Pause before each event of a stream.
         trickles_after: Number of the event after which a stream that begins
@@ -95,6 +97,7 @@
         self.reported_attempt_id: str | None = None
         self.loses_copies = False
         self.is_leaving = False
+        self.has_unframed_streams = False
         self.events_per_stream = 10
         self.event_interval_s = 0.01
         self.trickles_after: int | None = None
@@ -239,11 +242,16 @@
                 conn.respond(503, (NOT_EXECUTED_HEADER,), b"")
                 return
         start = int(headers.get("last-event-id", "0"))
-        conn.start_response(200, response_headers)
+        conn.start_response(
+            200,
+            response_headers,
+            is_close_delimited=self.has_unframed_streams,
+        )
         for number in range(start + 1, self.events_per_stream + 1):
             await asyncio.sleep(self.event_interval_s)
             is_stopped = attempt in self.stopped and "kv-from" not in headers
             if is_stopped or conn.channel.is_peer_closed:
+                await conn.channel.allow_close()
                 return
             if self.closes_after == number:
                 conn.send_body(b"id: %d\ndata: cut" % number)
@@ -254,6 +262,7 @@
                 await self._trickle(conn)
                 return
         conn.end_response()
+        await conn.flush()
 
     async def _trickle(self, conn: ServerConnection) -> None:
         """Sends the same bytes now and then, as long as anyone listens."""
--- a/tests/wire/test_server_connection.py
+++ b/tests/wire/test_server_connection.py
@@ -1,14 +1,20 @@
 """Tests of reading requests and writing responses on a connection."""
 
 import asyncio
+import multiprocessing
+import multiprocessing.connection
+import socket
 
 import pytest
 
+from savorylift.wire.channel import Channel, connect
+from savorylift.wire.listener import Listener
 from savorylift.wire.message import Request
 from savorylift.wire.server_connection import (
     BadRequest,
     CloseReason,
     InputLimits,
+    ServerConnection,
 )
 from tests.wire.loopback import open_connection_pair, run_with_timeout
 
@@ -149,3 +155,124 @@
         await closing
 
     run_with_timeout(scenario())
+
+
+async def start_unframed(conn: ServerConnection, body: bytes) -> None:
+    """Begins a response that nothing but the close of `conn` ends."""
+    assert isinstance(await conn.next_request(), Request)
+    conn.start_response(200, (), is_close_delimited=True)
+    conn.send_body(body)
+
+
+async def read_to_end(caller: Channel) -> bytes:
+    """Returns all input.
+
+    Raises:
+        ConnectionError: The connection was reset.
+    """
+    data = b""
+    while part := await caller.read():
+        data += part
+    return data
+
+
+@pytest.mark.parametrize("is_ended", [True, False])
+def test_unframed_response_ends_with_a_close_only_if_it_is_ended(
+    is_ended: bool,  # noqa: FBT001
+) -> None:
+    async def scenario() -> None:
+        conn, caller = await open_connection_pair()
+        caller.write(HEAD_START + b"\r\n")
+        await start_unframed(conn, b"part")
+        assert not conn.prepare_next_request()
+        if is_ended:
+            conn.end_response()
+            await conn.flush()
+        closing = asyncio.ensure_future(conn.channel.close_gracefully())
+        if is_ended:
+            data = await read_to_end(caller)
+            assert data.endswith(b"\r\n\r\npart")
+            assert b"chunked" not in data
+        else:
+            with pytest.raises(ConnectionError):
+                await read_to_end(caller)
+        caller.abort()
+        await closing
+
+    run_with_timeout(scenario())
+
+
+def test_slow_caller_gets_the_whole_of_an_unframed_response() -> None:
+    async def scenario() -> None:
+        conn, caller = await open_connection_pair()
+        caller.write(HEAD_START + b"\r\n")
+        caller.transport.pause_reading()
+        body = b"x" * 8_000_000
+        await start_unframed(conn, body)
+        conn.end_response()
+        flushing = asyncio.ensure_future(conn.flush())
+        await asyncio.sleep(0.1)
+        assert not flushing.done()
+        caller.transport.resume_reading()
+        reading = asyncio.ensure_future(read_to_end(caller))
+        await flushing
+        await conn.channel.close_gracefully()
+        assert (await reading).endswith(body)
+
+    run_with_timeout(scenario())
+
+
+def test_http_1_0_caller_can_tell_a_stream_that_was_cut() -> None:
+    async def scenario() -> None:
+        conn, caller = await open_connection_pair()
+        caller.write(HEAD_START.replace(b"1.1", b"1.0") + b"\r\n")
+        assert isinstance(await conn.next_request(), Request)
+        conn.start_response(200, ())
+        conn.send_body(b"part")
+        await conn.channel.close_gracefully()
+        with pytest.raises(ConnectionError):
+            await read_to_end(caller)
+
+    run_with_timeout(scenario())
+
+
+def serve_until_killed(
+    port_sender: multiprocessing.connection.Connection,
+) -> None:
+    """Begins an unframed response to one caller, in a process of its own."""
+
+    async def serve(conn: ServerConnection) -> None:
+        await start_unframed(conn, b"part")
+        await asyncio.Event().wait()
+
+    async def run() -> None:
+        sock = socket.create_server(("127.0.0.1", 0))
+        port = sock.getsockname()[1]
+        sock.close()
+        await Listener(serve, InputLimits).start("127.0.0.1", port)
+        port_sender.send(port)
+        await asyncio.Event().wait()
+
+    asyncio.run(run())
+
+
+def test_unframed_response_of_a_killed_process_is_reset() -> None:
+    async def scenario(port: int) -> None:
+        caller = await connect("127.0.0.1", port, 2.0)
+        caller.write(HEAD_START + b"\r\n")
+        data = b""
+        while not data.endswith(b"part"):
+            data += await caller.read()
+        process.kill()
+        with pytest.raises(ConnectionError):
+            await read_to_end(caller)
+
+    context = multiprocessing.get_context("spawn")
+    receiver, sender = context.Pipe(duplex=False)
+    process = context.Process(target=serve_until_killed, args=(sender,))
+    process.start()
+    try:
+        run_with_timeout(scenario(receiver.recv()))
+    finally:
+        process.kill()
+        process.join()
