--- a/src/savorylift/backends/prompt_quarantine.py
+++ b/src/savorylift/backends/request_quarantine.py
@@ -71,7 +71,7 @@
         return self._replace(next_trial_s=next_trial_s, trials=trials)
 
 
-class PromptQuarantine:
+class RequestQuarantine:
     """Decides which requests may not be sent to engines."""
 
     def __init__(self, node_ip: str) -> None:
--- a/src/savorylift/exchange/crash_guard.py
+++ b/src/savorylift/exchange/crash_guard.py
@@ -5,7 +5,7 @@
 
 import structlog
 
-from savorylift.backends.prompt_quarantine import Parts, PromptQuarantine
+from savorylift.backends.request_quarantine import Parts, RequestQuarantine
 from savorylift.exchange import metrics
 from savorylift.exchange.crash_probe import CrashProbe
 from savorylift.exchange.limit_gate import LimitGate
@@ -28,7 +28,7 @@
 
     def __init__(
         self,
-        quarantine: PromptQuarantine,
+        quarantine: RequestQuarantine,
         membership: Membership,
         limit_gate: LimitGate,
         announce: Callable[[], None],
--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -4,8 +4,8 @@
 import random
 from collections.abc import Collection
 
-from savorylift.backends.prompt_quarantine import Parts
 from savorylift.backends.registry import BackendServer
+from savorylift.backends.request_quarantine import Parts
 from savorylift.exchange import metrics
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.codec import Codec, EventSink
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -11,7 +11,7 @@
 from returns.pipeline import is_successful
 from returns.result import Result
 
-from savorylift.backends.prompt_quarantine import PromptQuarantine
+from savorylift.backends.request_quarantine import RequestQuarantine
 from savorylift.exchange.crash_guard import CrashGuard
 from savorylift.exchange.drain_poller import DrainPoller
 from savorylift.exchange.generation import GenerationDispatcher
@@ -131,7 +131,7 @@
             self._limit_gate,
         )
         self._crash_guard = CrashGuard(
-            PromptQuarantine(self._ip),
+            RequestQuarantine(self._ip),
             self._membership,
             self._limit_gate,
             lambda: self._peer_sync.transport.send_soon(),
--- a/tests/backends/test_prompt_quarantine.py
+++ b/tests/backends/test_request_quarantine.py
@@ -9,12 +9,12 @@
 import pytest
 from freezegun.api import FrozenDateTimeFactory
 
-from savorylift.backends.prompt_quarantine import (
+from savorylift.backends.request_quarantine import (
     FIRST_TRIAL_S,
     MAX_QUARANTINE_S,
     MAX_QUARANTINES,
     QUARANTINE_S,
-    PromptQuarantine,
+    RequestQuarantine,
 )
 from savorylift.fleet.state import QuarantineNews
 
@@ -35,7 +35,7 @@
 
 
 def crash(
-    quarantine: PromptQuarantine,
+    quarantine: RequestQuarantine,
     clock: FrozenDateTimeFactory,
     prefix: tuple[str, ...] = DEADLY,
     count: int = 3,
@@ -53,13 +53,13 @@
 
 
 def is_refused(
-    quarantine: PromptQuarantine, prefix: tuple[str, ...] = DEADLY
+    quarantine: RequestQuarantine, prefix: tuple[str, ...] = DEADLY
 ) -> bool:
     return quarantine.find(prefix, ["10.0.0.2"]) is not None
 
 
 def test_third_crash_quarantines_the_part(clock: FrozenDateTimeFactory) -> None:
-    quarantine = PromptQuarantine(ME)
+    quarantine = RequestQuarantine(ME)
     quarantine.record_start(SOUND)
     crash(quarantine, clock, count=2)
     assert not is_refused(quarantine)
@@ -72,7 +72,7 @@
 def test_parts_that_only_occur_together_are_refused_together(
     clock: FrozenDateTimeFactory,
 ) -> None:
-    quarantine = PromptQuarantine(ME)
+    quarantine = RequestQuarantine(ME)
     crash(quarantine, clock)
     assert is_refused(quarantine)
     assert not is_refused(quarantine, SOUND)
@@ -85,7 +85,7 @@
 def test_parts_of_bystanders_on_crashed_engines_are_not_quarantined(
     clock: FrozenDateTimeFactory,
 ) -> None:
-    quarantine = PromptQuarantine(ME)
+    quarantine = RequestQuarantine(ME)
     for number in range(5):
         quarantine.record_crash(f"e{number}", ("system", f"desk-{number}"))
         clock.tick(0.02)
@@ -101,7 +101,7 @@
 def test_engines_that_crash_at_once_are_no_evidence(
     clock: FrozenDateTimeFactory,
 ) -> None:
-    quarantine = PromptQuarantine(ME)
+    quarantine = RequestQuarantine(ME)
     for number in range(20):
         quarantine.record_crash(f"e{number}", SOUND)
         clock.tick(0.004)
@@ -113,7 +113,7 @@
 def test_crashes_before_a_sound_answer_do_not_count(
     clock: FrozenDateTimeFactory,
 ) -> None:
-    quarantine = PromptQuarantine(ME)
+    quarantine = RequestQuarantine(ME)
     for _ in range(10):
         crash(quarantine, clock, SOUND, count=1)
         clock.tick(0.1)
@@ -124,7 +124,7 @@
 def test_part_that_was_sound_before_is_quarantined_by_the_fifth_crash(
     clock: FrozenDateTimeFactory,
 ) -> None:
-    quarantine = PromptQuarantine(ME)
+    quarantine = RequestQuarantine(ME)
     quarantine.record_start(DEADLY)
     crash(quarantine, clock, count=4)
     assert not is_refused(quarantine)
@@ -133,7 +133,7 @@
 
 
 def test_two_deadly_parts_are_told_apart(clock: FrozenDateTimeFactory) -> None:
-    quarantine = PromptQuarantine(ME)
+    quarantine = RequestQuarantine(ME)
     quarantine.record_start(SOUND)
     for _ in range(3):
         crash(quarantine, clock, ("system", "dead-1"), count=1)
@@ -146,7 +146,7 @@
 def test_quarantine_ends_once_a_trial_is_answered(
     clock: FrozenDateTimeFactory,
 ) -> None:
-    quarantine = PromptQuarantine(ME)
+    quarantine = RequestQuarantine(ME)
     crash(quarantine, clock)
     clock.tick(FIRST_TRIAL_S + 1)
     refused = [quarantine.find(DEADLY, ()) is not None for _ in range(5)]
@@ -159,7 +159,7 @@
     clock: FrozenDateTimeFactory,
 ) -> None:
     ips = [f"10.0.0.{number}" for number in range(1, 82)]
-    nodes = {ip: PromptQuarantine(ip) for ip in ips}
+    nodes = {ip: RequestQuarantine(ip) for ip in ips}
     crash(nodes[ips[0]], clock)
     for node in nodes.values():
         node.merge(nodes[ips[0]].news())
@@ -174,7 +174,7 @@
 def test_quarantine_is_forgotten_after_the_last_request(
     clock: FrozenDateTimeFactory,
 ) -> None:
-    quarantine = PromptQuarantine(ME)
+    quarantine = RequestQuarantine(ME)
     crash(quarantine, clock)
     clock.tick(QUARANTINE_S + 1)
     assert not is_refused(quarantine)
@@ -184,7 +184,7 @@
 def test_quarantine_ends_at_last_however_many_requests_come(
     clock: FrozenDateTimeFactory,
 ) -> None:
-    quarantine = PromptQuarantine(ME)
+    quarantine = RequestQuarantine(ME)
     crash(quarantine, clock)
     for _ in range(int(MAX_QUARANTINE_S)):
         quarantine.find(DEADLY, ["10.0.0.2"])
@@ -195,7 +195,7 @@
 def test_what_is_remembered_and_sent_is_bounded(
     clock: FrozenDateTimeFactory,
 ) -> None:
-    quarantine = PromptQuarantine(ME)
+    quarantine = RequestQuarantine(ME)
     for number in range(2000):
         quarantine.record_start((f"sound-{number}",))
         crash(quarantine, clock, (f"dead-{number}",) * 20, count=3)
@@ -216,7 +216,7 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._count = itertools.count()
         ips = [f"10.0.{n // 250}.{n % 250}" for n in range(nodes)]
-        self.nodes = {ip: PromptQuarantine(ip) for ip in ips}
+        self.nodes = {ip: RequestQuarantine(ip) for ip in ips}
         self._up_s = [0.0] * engines
         # Requests at each engine that it has not answered yet, by node.
         self._waiting: list[set[tuple[str, tuple[str, ...], int]]] = [
