Log crashes of servers under plain calls, and which requests are repeats

Cause: no line told a plain call that ended its server from one that lost its connection, nor repeats of a request from others, so that the hypotheses of the deadly request couldn't be told apart.

Changed: a node connects once to a server that broke off a plain call, or a stream past its beginning, as it did for streams at their beginning; calls lost at the same time share the connection. Nothing is decided by it yet.

--- a/src/savorylift/backends/request_quarantine.py
+++ b/src/savorylift/backends/request_quarantine.py
@@ -39,6 +39,9 @@
 MAX_SOUND_PARTS = 1024
 MAX_SOUND_PARTS_SENT = 16
 
+# Begins the IDs that stand for whole requests. IDs of parts have no colon.
+REQUEST_PREFIX = "request:"
+
 Parts = frozenset[str]
 
 
--- a/src/savorylift/exchange/crash_guard.py
+++ b/src/savorylift/exchange/crash_guard.py
@@ -5,11 +5,20 @@
 
 import structlog
 
+from savorylift.backends.registry import BackendServer
 from savorylift.backends.request_quarantine import Parts, RequestQuarantine
 from savorylift.exchange import metrics
-from savorylift.exchange.crash_probe import CrashProbe
+from savorylift.exchange.crash_probe import CrashProbe, LostAnswer
 from savorylift.exchange.limit_gate import LimitGate
-from savorylift.exchange.results import Answered, Broken, NotRun, Refused
+from savorylift.exchange.request_traits import RequestTraits
+from savorylift.exchange.results import (
+    Answered,
+    Broken,
+    NotRun,
+    Refused,
+    SendResult,
+    Unsure,
+)
 from savorylift.exchange.run import EVENTS_TO_SURVIVE, Run
 from savorylift.fleet.membership import Membership
 from savorylift.fleet.state import QuarantineNews
@@ -53,7 +62,7 @@
         now_s = time.monotonic()
         live = self._membership.live_peers(now_s)
         found = self._quarantine.find(
-            run.prompt_prefix, (peer.state.ip for peer in live)
+            run.traits.prompt_parts, (peer.state.ip for peer in live)
         )
         if found is None:
             return None
@@ -81,9 +90,33 @@
             isinstance(result, Broken)
             and result.reason is Reason.ANSWER_LOST
             and run.server is not None
-            and not run.has_survived_start
         ):
-            self._probe.start(run.server, run.attempt_id, run.prompt_prefix)
+            lost = LostAnswer(
+                run.traits,
+                run.assigned_s,
+                time.monotonic(),
+                had_begun=run.has_survived_start,
+            )
+            self._probe.start(run.server, lost)
+
+    def record_call(
+        self,
+        server: BackendServer,
+        traits: RequestTraits,
+        sent_s: float,
+        result: SendResult,
+    ) -> None:
+        """Records how sending a plain call to a server ended.
+
+        Args:
+            server: The server.
+            traits: Traits of the call.
+            sent_s: Monotonic time at which it was sent.
+            result: How it ended.
+        """
+        if isinstance(result, Unsure) and result.reason is Reason.ANSWER_LOST:
+            lost = LostAnswer(traits, sent_s, time.monotonic())
+            self._probe.start(server, lost)
 
     def update(self) -> None:
         """Stops requests that the crashes known by now suffice to suspect."""
@@ -101,11 +134,13 @@
         return self._quarantine.news()
 
     def _record_start(self, run: Run) -> None:
-        if self._quarantine.record_start(run.prompt_prefix):
+        if self._quarantine.record_start(run.traits.prompt_parts):
             self._announce()
 
-    def _record_crash(self, server_id: str, prefix: tuple[str, ...]) -> None:
-        self._quarantine.record_crash(server_id, prefix)
+    def _record_crash(self, server_id: str, lost: LostAnswer) -> None:
+        if lost.had_begun:
+            return
+        self._quarantine.record_crash(server_id, lost.traits.prompt_parts)
         self._announce()
 
     def _apply(self, begun: Collection[Parts], source: str) -> None:
--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -188,7 +188,9 @@
     def _stop_quarantined(self, begun: Collection[Parts]) -> None:
         """Stops the requests that no engine has begun to answer yet."""
         for run in list(self._runs):
-            is_meant = any(parts.issubset(run.prompt_prefix) for parts in begun)
+            is_meant = any(
+                parts.issubset(run.traits.prompt_parts) for parts in begun
+            )
             if is_meant and not run.has_survived_start:
                 run.stop(self._crash_guard.refuse(run))
 
--- a/src/savorylift/exchange/plain_call.py
+++ b/src/savorylift/exchange/plain_call.py
@@ -4,14 +4,17 @@
 """
 
 import asyncio
+import time
 
 import structlog
 
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange import metrics
 from savorylift.exchange.admission import AdmittedRequest
+from savorylift.exchange.crash_guard import CrashGuard
 from savorylift.exchange.failover import FailoverPolicy
 from savorylift.exchange.request_retries import RequestRetries, is_over_limit
+from savorylift.exchange.request_traits import find_traits
 from savorylift.exchange.results import (
     Answered,
     NotRun,
@@ -38,18 +41,23 @@
 class PlainCallDispatcher:
     """Reserves a server for each call, and retries or gives up on failures."""
 
-    def __init__(self, pool: ServerPool, sender: Sender) -> None:
+    def __init__(
+        self, pool: ServerPool, sender: Sender, crash_guard: CrashGuard
+    ) -> None:
         """Creates a dispatcher.
 
         Args:
             pool: Servers to choose from.
             sender: Sends calls to servers.
+            crash_guard: Observes which calls crash servers.
         """
         self._pool = pool
         self._sender = sender
+        self._crash_guard = crash_guard
 
     async def serve(self, admitted: AdmittedRequest) -> Answered | Refused:
         """Serves a call and returns the final response."""
+        traits = find_traits(admitted)
         tried: set[str] = set()
         retries = RequestRetries(self._pool, admitted.service.name)
         possibly_run_attempts = 0
@@ -66,7 +74,9 @@
             is_last = possibly_run_attempts + 1 >= admitted.route.max_attempts
             tried.add(server.entry.server_id)
             policy = self._failover_policy(admitted, tried, is_last=is_last)
+            sent_s = time.monotonic()
             result = await self._send(server, admitted, policy)
+            self._crash_guard.record_call(server, traits, sent_s, result)
             retries.record_result(result)
             if isinstance(result, NotRun):
                 if not possibly_run_attempts:
--- a/src/savorylift/exchange/run.py
+++ b/src/savorylift/exchange/run.py
@@ -8,6 +8,7 @@
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.codec import CancelRequest
 from savorylift.exchange.request import KvCopy
+from savorylift.exchange.request_traits import find_traits
 from savorylift.exchange.results import Refused
 from savorylift.wire.client_call import ClientCall
 
@@ -34,6 +35,7 @@
 
     Attributes:
         admitted: The admitted request.
+        traits: What it can be recognized by if it crashes its engine.
         expected_tokens: Number of tokens, prompt included, that the run is
             expected to reach.
         server: Engine that the run is assigned to; None while it is queued.
@@ -68,6 +70,7 @@
     def __init__(self, admitted: AdmittedRequest, expected_tokens: int) -> None:
         """Creates a run without an engine."""
         self.admitted = admitted
+        self.traits = find_traits(admitted)
         self.expected_tokens = expected_tokens
         self.server: BackendServer | None = None
         self.call: ClientCall | None = None
@@ -96,13 +99,6 @@
         """The caller's ID for the request."""
         return self.admitted.req.attempt_id
 
-    @property
-    def prompt_prefix(self) -> tuple[str, ...]:
-        """IDs of the parts of the prompt that other requests may share."""
-        generation = self.admitted.req.generation
-        parts = generation.prompt_parts if generation is not None else ()
-        return tuple(part for part, _ in parts[:-1])
-
     @property
     def has_survived_start(self) -> bool:
         """Whether an engine has got past the beginning of the response."""
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -155,7 +155,7 @@
             refusal_counts,
             self._store_view,
             self._pool,
-            PlainCallDispatcher(self._pool, sender),
+            PlainCallDispatcher(self._pool, sender, self._crash_guard),
             self._generations,
             codec,
             self._lifecycle,
--- a/tests/exchange/factories.py
+++ b/tests/exchange/factories.py
@@ -5,8 +5,10 @@
 import time
 
 from savorylift.backends.registry import BackendServer
+from savorylift.backends.request_quarantine import RequestQuarantine
 from savorylift.backends.server import ServerEntry
 from savorylift.exchange.admission import AdmittedRequest
+from savorylift.exchange.crash_guard import CrashGuard
 from savorylift.exchange.limit_gate import LimitGate
 from savorylift.exchange.request import CallerRequest, Generation
 from savorylift.exchange.retry_budget import RetryBudget, RetryBudgetOptions
@@ -185,6 +187,13 @@
     )
 
 
+def make_crash_guard(membership: Membership | None = None) -> CrashGuard:
+    """Returns the crash guard of a single node."""
+    known = membership or Membership("127.0.0.1", ())
+    quarantine = RequestQuarantine("127.0.0.1")
+    return CrashGuard(quarantine, known, make_limit_gate(known), lambda: None)
+
+
 def make_pool(
     store_view: StoreView,
     membership: Membership | None = None,
--- a/tests/exchange/test_plain_call.py
+++ b/tests/exchange/test_plain_call.py
@@ -15,6 +15,7 @@
 from savorylift.outcomes import Reason
 from tests.exchange.factories import (
     make_admitted_request,
+    make_crash_guard,
     make_pool,
     make_store_view,
 )
@@ -61,6 +62,8 @@
     results: list[SendResult], *, is_served: bool
 ) -> None:
     pool = make_pool(make_store_view(a=9, b=9, c=9, d=9), slack=RETRY_SLACK)
-    dispatcher = PlainCallDispatcher(pool, ScriptedSender(results))
+    dispatcher = PlainCallDispatcher(
+        pool, ScriptedSender(results), make_crash_guard()
+    )
     result = asyncio.run(dispatcher.serve(make_admitted_request()))
     assert isinstance(result, Answered) is is_served
