Add failing tests of a request that crashes each server that runs it

The stand-ins of servers can crash on a body now, a while after they began, and stay down for longer.

--- a/tests/front/limited_fleet.py
+++ b/tests/front/limited_fleet.py
@@ -40,12 +40,14 @@
     """How a caller's request ended.
 
     Attributes:
+        body: Body of the request.
         started_s: Monotonic time at which it was sent.
         took_s: Time until it ended.
         status: Status of the response; 0 if it was incomplete.
         retry_after_s: When the caller was told to return, if so.
     """
 
+    body: bytes
     started_s: float
     took_s: float
     status: int
@@ -138,6 +140,13 @@
         server.server_id += ".1"
         self.publish_entry(server, service)
 
+    def replace_entry(
+        self, earlier_id: str, server: PlatformServer, service: str
+    ) -> None:
+        """Writes a server's entry in place of that under its earlier ID."""
+        self._store.add(SERVERS_TOPIC, earlier_id, None)
+        self.publish_entry(server, service)
+
     def service(self, path: str) -> list[PlatformServer]:
         """Returns the servers that requests for a path go to."""
         is_generation = path.startswith(GENERATION_PATHS)
@@ -148,20 +157,53 @@
         self._cut.add(self.ips[index])
 
     async def call_for(
-        self, path: str, duration_s: float, per_s: float = 30.0
+        self,
+        path: str,
+        duration_s: float,
+        per_s: float = 30.0,
+        extra_headers: Headers = (),
     ) -> None:
         """Sends requests to nodes drawn at random; returns after the last."""
         until_s = time.monotonic() + duration_s
         while time.monotonic() < until_s:
             ip = self._rng.choice(self.ips)
-            number = len(self._tasks)
-            task = asyncio.ensure_future(self.call(ip, path, f"a{number}"))
-            self._tasks.add(task)
+            self.start_call(ip, path, extra_headers)
             await asyncio.sleep(1 / per_s)
 
-    async def call(self, ip: str, path: str, attempt: str) -> None:
+    def start_call(
+        self,
+        ip: str,
+        path: str,
+        extra_headers: Headers = (),
+        body: bytes | None = None,
+    ) -> None:
+        """Sends a request to a node in the background.
+
+        Args:
+            ip: Address of the node.
+            path: Path of the request.
+            extra_headers: Headers beside the usual ones.
+            body: The body; None for one that no other request has.
+        """
+        attempt = f"a{len(self._tasks)}"
+        if body is None:
+            body = f"question {attempt}".encode()
+        task = asyncio.ensure_future(
+            self.call(ip, path, attempt, extra_headers, body)
+        )
+        self._tasks.add(task)
+
+    async def call(
+        self,
+        ip: str,
+        path: str,
+        attempt: str,
+        extra_headers: Headers = (),
+        body: bytes = b"question",
+    ) -> None:
         """Sends a request to a node and records how it ended."""
         headers: Headers = (
+            *extra_headers,
             ("host", "h.example"),
             ("x-savorylift-attempt-id", attempt),
             ("x-savorylift-deadline-remaining", "4000"),
@@ -175,7 +217,7 @@
             async with asyncio.timeout(CALL_TIMEOUT_S):
                 channel = await connect(ip, self.caller_port, 1.0)
                 call = ClientCall(channel)
-                call.send("POST", path, headers, b"question")
+                call.send("POST", path, headers, body)
                 response = await call.read_response()
                 call.close()
             status = response.status
@@ -183,6 +225,7 @@
         took_s = time.monotonic() - started_s
         self.endings.append(
             Ending(
+                body,
                 started_s,
                 took_s,
                 status,
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -71,7 +71,13 @@
             but then closes the connection without copying or responding.
         deadly_part: ID of a part of prompts on which it crashes as it begins
             to answer; None for no part.
-        crashes: Number of its crashes.
+        deadly_body: Body of requests on which it crashes; None for no body.
+        deadly_arrivals: Monotonic times of the requests with that body.
+        crash_delay_s: Time from the beginning of a deadly request to the
+            crash.
+        crashes_before_head: Whether it crashes before the head of the answer.
+        restart_s: How long it is down after a crash.
+        crashes_s: Monotonic times of its crashes.
         on_restart: Called with its earlier ID after it restarted from a crash
             with a new one.
         named_limit: Limit on its requests that it names in its responses;
@@ -109,7 +115,12 @@
         self.kv_copies: dict[str, KvCopy] = {}
         self.peers: dict[int, PlatformServer] = {}
         self.deadly_part: str | None = None
-        self.crashes = 0
+        self.deadly_body: bytes | None = None
+        self.deadly_arrivals: list[float] = []
+        self.crash_delay_s = 0.0
+        self.crashes_before_head = False
+        self.restart_s = RESTART_S
+        self.crashes_s: list[float] = []
         self.named_limit: str | None = None
         self.arrivals: list[float] = []
         self.connections: list[float] = []
@@ -123,6 +134,11 @@
         self._listener = Listener(self._serve, InputLimits)
         await self._listener.start("127.0.0.1", port)
 
+    @property
+    def crashes(self) -> int:
+        """Number of its crashes."""
+        return len(self.crashes_s)
+
     def stop(self) -> None:
         """Stops to listen, so that another program can use the port."""
         assert self._listener is not None
@@ -130,12 +146,12 @@
 
     async def _crash(self) -> None:
         """Breaks all connections, and restarts under another ID."""
-        self.crashes += 1
+        self.crashes_s.append(time.monotonic())
         assert self._listener is not None
         self._listener.stop_accepting()
         for conn in self._conns:
             conn.channel.abort()
-        await asyncio.sleep(RESTART_S)
+        await asyncio.sleep(self.restart_s)
         earlier_id = self.server_id
         self.server_id = f"{earlier_id.partition('.')[0]}.{self.crashes}"
         await self.start(self.port)
@@ -187,7 +203,9 @@
         else:
             self.headers = headers
             self.body = req.body
-            await self._run(conn, headers)
+            if self.deadly_body is not None and req.body == self.deadly_body:
+                self.deadly_arrivals.append(time.monotonic())
+            await self._run(conn, headers, req.body)
         await conn.channel.drain()
         conn.channel.close()
 
@@ -197,7 +215,7 @@
         return (("server-limit", self.named_limit),)
 
     async def _run(
-        self, conn: ServerConnection, headers: dict[str, str]
+        self, conn: ServerConnection, headers: dict[str, str], body: bytes
     ) -> None:
         attempt = headers["x-savorylift-attempt-id"]
         reported_attempt = self.reported_attempt_id or attempt
@@ -209,25 +227,31 @@
             RESPONSE_SIGNATURE_HEADER,
             *self._limit_headers(),
         )
-        prompt = headers.get("x-savorylift-prompt-prefix", "")
-        if self.deadly_part is not None and self.deadly_part in prompt:
+        if self._is_deadly(headers, body):
+            await asyncio.sleep(self.crash_delay_s)
             if conn.channel.is_peer_closed:
                 return
-            conn.start_response(self.status, response_headers)
+            if not self.crashes_before_head:
+                conn.start_response(self.status, response_headers)
             await self._crash()
             return
         is_stream = "x-savorylift-token-counts" in headers
         if is_stream and self.status == 200:
             await self._stream(conn, attempt, headers, response_headers)
             return
-        body = b"answer of " + attempt.encode()
+        answer = b"answer of " + attempt.encode()
         if self.closes_after is None:
-            conn.respond(self.status, response_headers, body)
+            conn.respond(self.status, response_headers, answer)
             return
-        conn.start_response(
-            self.status, (*response_headers, ("content-length", str(len(body))))
-        )
-        conn.send_body(body[: self.closes_after])
+        length = ("content-length", str(len(answer)))
+        conn.start_response(self.status, (*response_headers, length))
+        conn.send_body(answer[: self.closes_after])
+
+    def _is_deadly(self, headers: dict[str, str], body: bytes) -> bool:
+        if self.deadly_body is not None and body == self.deadly_body:
+            return True
+        prompt = headers.get("x-savorylift-prompt-prefix", "")
+        return self.deadly_part is not None and self.deadly_part in prompt
 
     async def _stream(
         self,
