Quarantine a request that crashes each server that runs it

What callers saw: one request, with the same path, caller and body, came again and again, and each server that began to run it crashed; sound calls to the same service failed or were refused meanwhile, and sound streams that shared its first parts were quarantined in its place (BUDGET).

Cause: evidence was about parts of prompts only. Plain calls weren't watched, a request as a whole was no suspect, and a request and its retry, whose crashes come within 0.1 s, counted as one accident.

Fix: requests have traits: a digest of caller, path and body, one of all they consist of, and the parts of their prompts. Nodes share which requests crashed servers had not answered, with when they were sent, and quarantine the request that three crashes have in common, before any part. A retry that was sent after the first crash is no coincidence. A request that is in two crashes isn't sent again within its attempt, and one at a server is stopped. Messages have one field more, at the end, which older builds pass over.

--- a/src/savorylift/backends/request_quarantine.py
+++ b/src/savorylift/backends/request_quarantine.py
@@ -1,17 +1,20 @@
-"""Quarantines the combinations of prompt parts that crash engines.
+"""Quarantines requests that crash servers.
 
-A request whose processing crashes its engine is known as a query of death or
-poison pill. One crash can't tell it from the other requests on its engine.
-Over several crashes, the parts of prompts that all of them have in common, and
-that no engine has begun to answer since, are what crashes engines.
+A request whose processing crashes its server is known as a query of death or
+poison pill. One crash can't tell it from the other requests on its server.
+Over several crashes, what all of them have in common, and no server has
+survived since, is what crashes servers: a request that comes again, or parts
+of prompts.
 """
 
-import collections
 import time
-from collections.abc import Iterable
-from typing import NamedTuple
+from collections.abc import Iterable, Sequence
 
-from savorylift.backends.crash_log import CrashLog, Prefix, count_by_part
+from savorylift.backends.crash_log import UNKNOWN_SENT_S, Crash, CrashLog
+from savorylift.backends.culprit import find_culprit
+from savorylift.backends.quarantine import Quarantine, QuarantinedTraits
+from savorylift.backends.sound_traits import SoundTraits
+from savorylift.backends.traits import Traits, is_request
 from savorylift.fleet.state import (
     QuarantinedParts,
     QuarantineNews,
@@ -19,63 +22,23 @@
 )
 from savorylift.rendezvous import rank
 
-# Crashes that a part must explain before it is quarantined.
-CRASHES_TO_QUARANTINE = 3
-# As above for a part that engines have answered before: sound requests of the
-# same team share such parts with those that crash.
-CRASHES_TO_QUARANTINE_KNOWN = 5
-# As above for a part that was quarantined before.
-CRASHES_TO_QUARANTINE_AGAIN = 2
-# Parts stay quarantined for this long after the last request with them, but no
-# longer than the maximum in all.
-QUARANTINE_S = 120.0
-MAX_QUARANTINE_S = 600.0
-# After this time one request with the parts is tried. If its engine crashes,
-# the next one follows after twice the time.
-FIRST_TRIAL_S = 40.0
+# Crashes after which a request is not sent again within the same attempt.
+CRASHES_TO_STOP_REPEATS = 2
+# While evidence arrives, it is judged no more often than this.
+UPDATE_INTERVAL_S = 0.02
+# Quarantines that begin are told at once, again and again for this long.
+NEWS_S = 10.0
+# Quarantines that begin at once; the search for others goes on later.
+MAX_BEGUN_AT_ONCE = 4
 # Bounds on what is remembered and sent.
-MAX_QUARANTINES = 32
-MAX_PAST_PARTS = 64
-MAX_SOUND_PARTS = 1024
-MAX_SOUND_PARTS_SENT = 16
-
-# Begins the IDs that stand for whole requests. IDs of parts have no colon.
-REQUEST_PREFIX = "request:"
-
-Parts = frozenset[str]
-
-
-class Quarantine(NamedTuple):
-    """A quarantine of the requests that have all of some parts.
-
-    Attributes:
-        parts: IDs of the parts.
-        since_s: Monotonic time at which it began.
-        until_s: Monotonic time at which it ends.
-        next_trial_s: Monotonic time from which one request may be tried.
-        trials: Number of trials so far.
-    """
-
-    parts: Parts
-    since_s: float
-    until_s: float
-    next_trial_s: float
-    trials: int = 0
-
-    def extend(self, now_s: float) -> "Quarantine":
-        """Returns the quarantine after another request with the parts."""
-        until_s = min(now_s + QUARANTINE_S, self.since_s + MAX_QUARANTINE_S)
-        return self._replace(until_s=max(self.until_s, until_s))
-
-    def begin_trial(self, now_s: float) -> "Quarantine":
-        """Returns the quarantine after a request was let through."""
-        trials = self.trials + 1
-        next_trial_s = now_s + FIRST_TRIAL_S * 2**trials
-        return self._replace(next_trial_s=next_trial_s, trials=trials)
+MAX_QUARANTINES = 256
+MAX_QUARANTINES_SENT = 32
+MAX_PAST_TRAITS = 512
+MAX_SOUND_TRAITS_SENT = 16
 
 
 class RequestQuarantine:
-    """Decides which requests may not be sent to engines."""
+    """Decides which requests may not be sent to servers."""
 
     def __init__(self, node_ip: str) -> None:
         """Creates a decision without any evidence.
@@ -87,84 +50,132 @@
         self._crashes = CrashLog()
         # Whether a crash was recorded that no quarantine was derived from yet.
         self._has_new_crash = False
-        # Monotonic time at which an engine last began to answer a request
-        # with the part; the part set last is at the end.
-        self._sound_s: dict[str, float] = {}
-        self._quarantines: dict[Parts, Quarantine] = {}
-        self._past_parts: collections.deque[str] = collections.deque(
-            maxlen=MAX_PAST_PARTS
-        )
+        self._next_update_s = 0.0
+        self._sound = SoundTraits()
+        self._quarantines: dict[QuarantinedTraits, Quarantine] = {}
+        # All traits of the quarantines.
+        self._quarantined_traits: frozenset[str] = frozenset()
+        # Traits for which less evidence suffices; the latest is at the end.
+        self._past_traits: dict[str, None] = {}
+        # Number of older quarantines that were sent, so that all have a turn.
+        self._sent_count = 0
 
     def find(
-        self, prefix: Prefix, live_ips: Iterable[str]
+        self, traits: Traits, live_ips: Iterable[str]
     ) -> Quarantine | None:
         """Returns the quarantine that a request falls under, if any.
 
         The request prolongs it. Once in a while one of the nodes lets a
-        request through, to learn whether the parts are sound by now.
+        request through, to learn whether servers survive it by now.
 
         Args:
-            prefix: IDs of the parts of its prompt without the last.
+            traits: Traits of the request.
             live_ips: Addresses of the other nodes.
         """
+        if self._quarantined_traits.isdisjoint(traits):
+            return None
         now_s = time.monotonic()
-        self._drop_expired(now_s)
-        for parts, found in self._quarantines.items():
-            if not parts.issubset(prefix):
+        for quarantined, found in self._quarantines.items():
+            if not quarantined.issubset(traits) or now_s >= found.until_s:
                 continue
             if now_s >= found.next_trial_s and self._runs_trials(
-                parts, live_ips
+                quarantined, live_ips
             ):
-                self._quarantines[parts] = found.begin_trial(now_s)
+                self._quarantines[quarantined] = found.begin_trial(now_s)
                 return None
-            self._quarantines[parts] = found.extend(now_s)
-            return self._quarantines[parts]
+            self._quarantines[quarantined] = found.extend(now_s)
+            return self._quarantines[quarantined]
         return None
 
-    def record_crash(self, server_id: str, prefix: Prefix) -> None:
-        """Records that an engine crashed before it had answered a request."""
-        if prefix and self._crashes.add_own(
-            server_id, prefix, time.monotonic()
+    def record_crash(
+        self,
+        server_id: str,
+        traits: Traits,
+        sent_s: float | None = None,
+        crashed_s: float | None = None,
+    ) -> None:
+        """Records that a server crashed before it had answered a request.
+
+        Args:
+            server_id: Identifier of the server.
+            traits: Traits of the request.
+            sent_s: Monotonic time at which it was sent; None if unknown.
+            crashed_s: Monotonic time of the crash; None for now.
+        """
+        now_s = time.monotonic()
+        if traits and self._crashes.add_own(
+            server_id,
+            traits,
+            UNKNOWN_SENT_S if sent_s is None else sent_s,
+            now_s if crashed_s is None else crashed_s,
         ):
             self._has_new_crash = True
 
-    def update(self) -> set[Parts]:
-        """Quarantines the parts that explain enough crashes.
+    def may_repeat(self, traits: Traits) -> bool:
+        """Whether a request may be sent again after it has failed.
+
+        Not if it is in several crashes by now, as far as anyone knows: it may
+        crash the next server while their cause is still being judged.
+        """
+        return not any(
+            self._crashes.count_known(trait, self._sound.time_s(trait))
+            >= CRASHES_TO_STOP_REPEATS
+            for trait in traits
+            if is_request(trait)
+        )
+
+    def update(self) -> set[QuarantinedTraits]:
+        """Quarantines the traits that explain enough crashes.
 
         Returns:
             The quarantines that begin.
         """
-        begun: set[Parts] = set()
-        if not self._has_new_crash:
-            return begun
+        begun: set[QuarantinedTraits] = set()
         now_s = time.monotonic()
+        if not self._has_new_crash or now_s < self._next_update_s:
+            return begun
+        self._next_update_s = now_s + UPDATE_INTERVAL_S
         self._has_new_crash = self._crashes.has_unsettled(now_s)
-        while len(begun) < MAX_QUARANTINES:
-            parts = self._find_culprit(now_s)
-            if parts is None:
+        while True:
+            if len(begun) == MAX_BEGUN_AT_ONCE:
+                self._has_new_crash = True
+                break
+            culprit = find_culprit(
+                self._unexplained_crashes(now_s),
+                self._sound,
+                self._past_traits,
+                now_s,
+            )
+            if culprit is None:
                 break
-            self._begin(parts, now_s)
-            begun.add(parts)
+            self._remember(culprit.suspects)
+            self._begin(culprit.traits, now_s)
+            begun.add(culprit.traits)
         return begun
 
-    def record_start(self, prefix: Prefix) -> bool:
-        """Records that an engine got past the beginning of a response.
+    def record_sound(self, traits: Iterable[str]) -> bool:
+        """Records that a server has survived requests with these traits.
 
         Returns:
-            Whether it clears a part of a suspicion, so that the other nodes
+            Whether it clears one of a suspicion, so that the other nodes
             should hear of it at once.
         """
         now_s = time.monotonic()
+        survived = tuple(traits)
+        suspects = self._crashes.suspects(now_s)
         is_news = any(
-            part in prefix and crash_s > self._sound_s.get(part, 0.0)
-            for crash_s, part in self._crashes.suspected_parts(now_s)
+            is_suspect(trait, suspects.get(trait, ()))
+            and max(suspects[trait]) > self._sound.time_s(trait)
+            for trait in survived
         )
-        for part in prefix:
-            self._set_sound(part, now_s)
-        self._drop_sound_parts()
+        for trait in survived:
+            self._sound.add(trait, now_s)
+            self._past_traits.pop(trait, None)
+        if not self._quarantined_traits.isdisjoint(survived):
+            self._drop_sound()
         return is_news
 
-    def merge(self, news: QuarantineNews) -> set[Parts]:
+    def merge(self, news: QuarantineNews) -> set[QuarantinedTraits]:
         """Applies what another node has reported.
 
         Returns:
@@ -174,15 +185,15 @@
             return set()
         now_s = time.monotonic()
         for sound in news.sound_parts:
-            self._set_sound(sound.part, now_s - sound.age_s)
-        self._drop_sound_parts()
+            self._sound.add(sound.part, now_s - sound.age_s)
+        self._drop_sound()
         merged = [
             self._merge_quarantine(item, now_s) for item in news.quarantined
         ]
         for report in news.crash_reports:
             if self._crashes.add(report, now_s):
                 self._has_new_crash = True
-        return {parts for parts in merged if parts is not None}
+        return {traits for traits in merged if traits is not None}
 
     def news(self) -> QuarantineNews:
         """Returns what the other nodes should know."""
@@ -190,129 +201,131 @@
         self._drop_expired(now_s)
         return QuarantineNews(
             self._crashes.own_reports(now_s),
-            self._sound_parts(now_s),
+            self._sound_traits(now_s),
             tuple(
                 QuarantinedParts(
-                    tuple(sorted(item.parts)),
+                    tuple(sorted(item.traits)),
                     now_s - item.since_s,
                     item.until_s - now_s,
                 )
-                for item in self._quarantines.values()
+                for item in self._quarantines_to_send(now_s)
             ),
         )
 
-    def _find_culprit(self, now_s: float) -> Parts | None:
-        """Returns the parts that best explain the unexplained crashes.
-
-        A part that was never sound comes first, then the one in most crashes,
-        then the one furthest back in prompts, which fewest requests share.
-        Parts that only occur together can't be told apart, and are returned
-        together: only requests that have all of them are suspected.
-        """
-        prefixes = self._unexplained_prefixes(now_s)
-        counts = {
-            part: count
-            for part, count in count_by_part(prefixes, self._sound_s).items()
-            if count >= self._crashes_needed(part)
-        }
-        if not counts:
-            return None
-
-        def rank_part(part: str) -> tuple[bool, int, int, str]:
-            depth = max(p.index(part) for _, p in prefixes if part in p)
-            return part not in self._sound_s, counts[part], depth, part
-
-        first = max(counts, key=rank_part)
-        is_known = first in self._sound_s
-        common = {p for p in counts if (p in self._sound_s) is is_known}
-        for _, prefix in prefixes:
-            if first in prefix:
-                common.intersection_update(prefix)
-        return frozenset(common)
-
-    def _unexplained_prefixes(self, now_s: float) -> list[tuple[float, Prefix]]:
-        """Returns the prompts of crashes that no quarantine explains."""
+    def _quarantines_to_send(self, now_s: float) -> list[Quarantine]:
+        """Returns the newest quarantines, and some of the others in turn."""
+        known = self._quarantines.values()
+        new = [item for item in known if now_s - item.since_s < NEWS_S]
+        old = [item for item in known if now_s - item.since_s >= NEWS_S]
+        room = MAX_QUARANTINES_SENT - len(new)
+        if room <= 0 or len(old) <= room:
+            return [*new[-MAX_QUARANTINES_SENT:], *old[: max(room, 0)]]
+        start = self._sent_count % len(old)
+        self._sent_count += room
+        return [*new, *(old[start:] + old[:start])[:room]]
+
+    def _unexplained_crashes(self, now_s: float) -> list[Crash]:
+        """Returns the crashes that no quarantine explains."""
         return [
-            (crash.time_s, prefix)
+            crash
             for crash in self._crashes.settled(now_s)
-            if not any(map(self._is_quarantined, crash.prefixes))
-            for prefix in crash.prefixes
+            if not any(map(self._is_quarantined, crash.requests))
         ]
 
-    def _is_quarantined(self, prefix: Prefix) -> bool:
-        return any(parts.issubset(prefix) for parts in self._quarantines)
-
-    def _crashes_needed(self, part: str) -> int:
-        if part in self._past_parts:
-            return CRASHES_TO_QUARANTINE_AGAIN
-        if part in self._sound_s:
-            return CRASHES_TO_QUARANTINE_KNOWN
-        return CRASHES_TO_QUARANTINE
+    def _is_quarantined(self, traits: Traits) -> bool:
+        return any(
+            quarantined.issubset(traits) for quarantined in self._quarantines
+        )
 
-    def _begin(self, parts: Parts, now_s: float) -> None:
+    def _begin(self, traits: QuarantinedTraits, now_s: float) -> None:
         if len(self._quarantines) >= MAX_QUARANTINES:
             oldest = min(self._quarantines.values(), key=lambda q: q.until_s)
-            del self._quarantines[oldest.parts]
-        self._past_parts.extend(parts.difference(self._past_parts))
-        self._quarantines[parts] = Quarantine(
-            parts, now_s, now_s + QUARANTINE_S, now_s + FIRST_TRIAL_S
-        )
+            del self._quarantines[oldest.traits]
+        self._remember(traits)
+        self._quarantines[traits] = Quarantine.begin(traits, now_s)
+        self._index()
+
+    def _remember(self, traits: Iterable[str]) -> None:
+        """Makes less evidence suffice for traits from now on."""
+        for trait in traits:
+            self._past_traits.pop(trait, None)
+            self._past_traits[trait] = None
+        while len(self._past_traits) > MAX_PAST_TRAITS:
+            del self._past_traits[next(iter(self._past_traits))]
 
     def _merge_quarantine(
         self, item: QuarantinedParts, now_s: float
-    ) -> Parts | None:
-        """Applies another node's quarantine; returns its parts if it is new."""
+    ) -> QuarantinedTraits | None:
+        """Applies another node's quarantine; returns its traits if new."""
         since_s, until_s = now_s - item.age_s, now_s + item.remaining_s
-        parts = self._without_sound(item.parts, since_s)
-        if not parts or until_s <= now_s:
+        traits = self._without_sound(item.parts, since_s)
+        if not traits or until_s <= now_s:
             return None
-        is_new = parts not in self._quarantines
+        is_new = traits not in self._quarantines
         if is_new:
-            self._begin(parts, now_s)
-        known = self._quarantines[parts]
-        self._quarantines[parts] = known._replace(
+            self._begin(traits, now_s)
+        known = self._quarantines[traits]
+        self._quarantines[traits] = known._replace(
             since_s=min(known.since_s, since_s),
             until_s=until_s if is_new else max(known.until_s, until_s),
         )
-        return parts if is_new else None
+        return traits if is_new else None
 
-    def _drop_sound_parts(self) -> None:
-        """Narrows quarantines to the parts that no engine answered since."""
-        for parts, item in list(self._quarantines.items()):
-            left = self._without_sound(parts, item.since_s)
-            if left == parts:
+    def _drop_sound(self) -> None:
+        """Narrows quarantines to the traits that no server survived since."""
+        for traits, item in list(self._quarantines.items()):
+            left = self._without_sound(traits, item.since_s)
+            if left == traits:
                 continue
-            del self._quarantines[parts]
+            del self._quarantines[traits]
             if left:
-                self._quarantines[left] = item._replace(parts=left)
-            for part in parts - left:
-                if part in self._past_parts:
-                    self._past_parts.remove(part)
-
-    def _without_sound(self, parts: Iterable[str], since_s: float) -> Parts:
+                self._quarantines[left] = item._replace(traits=left)
+            for trait in traits - left:
+                self._past_traits.pop(trait, None)
+        self._index()
+
+    def _without_sound(
+        self, traits: Iterable[str], since_s: float
+    ) -> QuarantinedTraits:
         return frozenset(
-            part for part in parts if self._sound_s.get(part, 0.0) <= since_s
+            trait for trait in traits if self._sound.time_s(trait) <= since_s
         )
 
-    def _set_sound(self, part: str, time_s: float) -> None:
-        self._sound_s[part] = max(time_s, self._sound_s.pop(part, 0.0))
-        if len(self._sound_s) > MAX_SOUND_PARTS:
-            del self._sound_s[next(iter(self._sound_s))]
-
-    def _sound_parts(self, now_s: float) -> tuple[SoundPart, ...]:
-        """Returns when engines last began to answer the suspected parts."""
-        suspected = {part for _, part in self._crashes.suspected_parts(now_s)}
-        known = sorted(suspected & self._sound_s.keys())
+    def _sound_traits(self, now_s: float) -> tuple[SoundPart, ...]:
+        """Returns when servers last survived the suspected traits."""
+        known = [
+            trait
+            for trait, crashes_s in self._crashes.suspects(now_s).items()
+            if trait in self._sound and is_suspect(trait, crashes_s)
+        ]
+        known.sort(key=lambda trait: (is_request(trait), trait))
         return tuple(
-            SoundPart(part, now_s - self._sound_s[part])
-            for part in known[:MAX_SOUND_PARTS_SENT]
+            SoundPart(trait, now_s - self._sound.time_s(trait))
+            for trait in known[:MAX_SOUND_TRAITS_SENT]
         )
 
-    def _runs_trials(self, parts: Parts, live_ips: Iterable[str]) -> bool:
-        key = " ".join(sorted(parts))
+    def _runs_trials(
+        self, traits: QuarantinedTraits, live_ips: Iterable[str]
+    ) -> bool:
+        key = " ".join(sorted(traits))
         return rank(key, [self._node_ip, *live_ips])[0] == self._node_ip
 
     def _drop_expired(self, now_s: float) -> None:
-        for parts, item in list(self._quarantines.items()):
-            if now_s >= item.until_s:
-                del self._quarantines[parts]
+        expired = [
+            t for t, q in self._quarantines.items() if now_s >= q.until_s
+        ]
+        for traits in expired:
+            del self._quarantines[traits]
+        if expired:
+            self._index()
+
+    def _index(self) -> None:
+        self._quarantined_traits = frozenset().union(*self._quarantines)
+
+
+def is_suspect(trait: str, crashes_s: Sequence[float]) -> bool:
+    """Whether the other nodes should hear that a trait is sound.
+
+    Each crash has its own requests; only one that is in several stands out.
+    """
+    return len(crashes_s) > (1 if is_request(trait) else 0)
--- a/src/savorylift/exchange/crash_guard.py
+++ b/src/savorylift/exchange/crash_guard.py
@@ -1,12 +1,13 @@
-"""Keeps requests that crash engines away from them."""
+"""Keeps requests that crash servers away from them."""
 
 import time
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterator
 
 import structlog
 
+from savorylift.backends.quarantine import QuarantinedTraits
 from savorylift.backends.registry import BackendServer
-from savorylift.backends.request_quarantine import Parts, RequestQuarantine
+from savorylift.backends.request_quarantine import RequestQuarantine
 from savorylift.exchange import metrics
 from savorylift.exchange.crash_probe import CrashProbe, LostAnswer
 from savorylift.exchange.limit_gate import LimitGate
@@ -24,15 +25,17 @@
 from savorylift.fleet.state import QuarantineNews
 from savorylift.outcomes import Reason
 
+OnQuarantine = Callable[[Collection[QuarantinedTraits]], None]
+
 _log = structlog.get_logger()
 
 
 class CrashGuard:
-    """Observes how engines fare with requests, and stops those that crash them.
+    """Observes how servers fare with requests, and stops those that crash them.
 
     Attributes:
-        on_quarantine: Called with the parts of prompts that a new quarantine
-            is for; requests in progress that have all of one must be stopped.
+        on_quarantine: Each is called with the traits that new quarantines are
+            for; requests in progress that have all of one must be stopped.
     """
 
     def __init__(
@@ -47,45 +50,51 @@
         Args:
             quarantine: Decides which requests are stopped.
             membership: The other nodes.
-            limit_gate: Holds the limits that engines name.
+            limit_gate: Holds the limits that servers name.
             announce: Schedules a message to the other nodes.
         """
         self._quarantine = quarantine
         self._membership = membership
         self._announce = announce
         self._probe = CrashProbe(limit_gate, self._record_crash)
-        self.on_quarantine: Callable[[Collection[Parts]], None] = _ignore
+        self.on_quarantine: list[OnQuarantine] = []
 
-    def refuse(self, run: Run) -> Refused | None:
+    def refuse(self, traits: RequestTraits) -> Refused | None:
         """Returns the refusal of a request that must not be sent, if so."""
         self.update()
-        now_s = time.monotonic()
-        live = self._membership.live_peers(now_s)
-        found = self._quarantine.find(
-            run.traits.prompt_parts, (peer.state.ip for peer in live)
-        )
+        found = self._quarantine.find(traits.all, self._live_ips())
         if found is None:
             return None
+        now_s = time.monotonic()
         _log.info(
             "request_quarantined",
-            request=run.attempt_id,
-            parts=sorted(found.parts),
+            request=traits.attempt_id,
+            traits=sorted(found.traits),
             quarantine_age_s=round(now_s - found.since_s, 3),
         )
-        message = "Requests with this prompt crash engines; it did not run."
+        message = "Requests like this one crash servers; it did not run."
         return Refused(503, Reason.QUARANTINED, message, found.until_s - now_s)
 
+    def may_repeat(self, traits: RequestTraits) -> bool:
+        """Whether a request may be sent again after it has failed."""
+        is_allowed = self._quarantine.may_repeat(traits.all)
+        if not is_allowed:
+            _log.info("not_repeated", request=traits.attempt_id)
+        return is_allowed
+
     def record_event(self, run: Run) -> None:
         """Records that an event of a run was relayed."""
         if run.relayed_events == EVENTS_TO_SURVIVE:
-            self._record_start(run)
+            self._record_sound(run.traits.prompt_parts)
 
     def record_result(
         self, run: Run, result: NotRun | Answered | Broken | None
     ) -> None:
         """Records how sending a run to an engine ended; None for complete."""
         if result is None and not run.has_survived_start:
-            self._record_start(run)
+            self._record_sound(run.traits.prompt_parts)
+        if result is None or isinstance(result, Answered):
+            self._record_sound(run.traits.ids)
         if (
             isinstance(result, Broken)
             and result.reason is Reason.ANSWER_LOST
@@ -114,6 +123,8 @@
             sent_s: Monotonic time at which it was sent.
             result: How it ended.
         """
+        if isinstance(result, Answered):
+            self._record_sound(traits.ids)
         if isinstance(result, Unsure) and result.reason is Reason.ANSWER_LOST:
             lost = LostAnswer(traits, sent_s, time.monotonic())
             self._probe.start(server, lost)
@@ -133,24 +144,35 @@
         """Returns what the other nodes should know."""
         return self._quarantine.news()
 
-    def _record_start(self, run: Run) -> None:
-        if self._quarantine.record_start(run.traits.prompt_parts):
+    def _live_ips(self) -> Iterator[str]:
+        """Yields the addresses of the other nodes; found only when asked."""
+        for peer in self._membership.live_peers(time.monotonic()):
+            yield peer.state.ip
+
+    def _record_sound(self, traits: tuple[str, ...]) -> None:
+        if self._quarantine.record_sound(traits):
             self._announce()
 
     def _record_crash(self, server_id: str, lost: LostAnswer) -> None:
-        if lost.had_begun:
-            return
-        self._quarantine.record_crash(server_id, lost.traits.prompt_parts)
+        # A part of a prompt that crashes engines does so at the beginning.
+        traits = lost.traits.ids if lost.had_begun else lost.traits.all
+        self._quarantine.record_crash(
+            server_id, traits, lost.sent_s, lost.lost_s
+        )
         self._announce()
 
-    def _apply(self, begun: Collection[Parts], source: str) -> None:
+    def _apply(self, begun: Collection[QuarantinedTraits], source: str) -> None:
         if not begun:
             return
-        for parts in begun:
+        for traits in begun:
             metrics.QUARANTINES.inc()
-            _log.warning("quarantine", parts=sorted(parts), source=source)
-        self.on_quarantine(begun)
+            _log.warning("quarantine", traits=sorted(traits), source=source)
+        for listener in self.on_quarantine:
+            listener(begun)
 
 
-def _ignore(_begun: Collection[Parts]) -> None:
-    """Default callback for new quarantines."""
+def is_quarantined(
+    traits: RequestTraits, begun: Collection[QuarantinedTraits]
+) -> bool:
+    """Whether a request has all traits of one of the quarantines."""
+    return any(quarantined.issubset(traits.all) for quarantined in begun)
--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -4,12 +4,12 @@
 import random
 from collections.abc import Collection
 
+from savorylift.backends.quarantine import QuarantinedTraits
 from savorylift.backends.registry import BackendServer
-from savorylift.backends.request_quarantine import Parts
 from savorylift.exchange import metrics
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.codec import Codec, EventSink
-from savorylift.exchange.crash_guard import CrashGuard
+from savorylift.exchange.crash_guard import CrashGuard, is_quarantined
 from savorylift.exchange.engine_queue import EngineQueue
 from savorylift.exchange.failed_generation import (
     end_with_refusal,
@@ -83,7 +83,7 @@
         self._queue = EngineQueue(pool)
         self._run_sender = RunSender(pool, sender, self._queue.dispatch_waiting)
         self._crash_guard = crash_guard
-        crash_guard.on_quarantine = self._stop_quarantined
+        crash_guard.on_quarantine.append(self._stop_quarantined)
         self._release_rate = MemoryReleaseRate()
         self._relay = Relay(
             codec, self._queue.record_first_event, self._on_event
@@ -141,7 +141,7 @@
         retries = RequestRetries(self._pool, admitted.service.name)
         reason = Reason.QUEUE_FULL
         while True:
-            run.refusal = self._crash_guard.refuse(run)
+            run.refusal = self._crash_guard.refuse(run.traits)
             if run.refusal is not None:
                 return self._end_quarantined(run, sink, run.refusal)
             if not retries.take():
@@ -176,7 +176,10 @@
                 reason = result.reason
                 continue
             run.possibly_run_attempts += 1
-            if not admitted.is_idempotent or is_last:
+            may_repeat = admitted.is_idempotent and not is_last
+            if may_repeat:
+                may_repeat = self._crash_guard.may_repeat(run.traits)
+            if not may_repeat:
                 if isinstance(result, Answered) and not sink.is_started:
                     return result
                 return fail_generation(run, sink, to_broken(result))
@@ -185,21 +188,20 @@
             else:
                 reason = result.reason
 
-    def _stop_quarantined(self, begun: Collection[Parts]) -> None:
+    def _stop_quarantined(self, begun: Collection[QuarantinedTraits]) -> None:
         """Stops the requests that no engine has begun to answer yet."""
         for run in list(self._runs):
-            is_meant = any(
-                parts.issubset(run.traits.prompt_parts) for parts in begun
-            )
-            if is_meant and not run.has_survived_start:
-                run.stop(self._crash_guard.refuse(run))
+            if run.has_survived_start:
+                continue
+            if is_quarantined(run.traits, begun):
+                run.stop(self._crash_guard.refuse(run.traits))
 
     def _end_quarantined(
         self, run: Run, sink: EventSink, refusal: Refused
     ) -> Refused | None:
         if not run.may_have_run:
             return end_with_refusal(sink, refusal)
-        failure = Broken(refusal.reason, "such requests crash engines")
+        failure = Broken(refusal.reason, "such requests crash servers")
         return fail_generation(run, sink, failure)
 
     def _end_unserved(
--- a/src/savorylift/exchange/plain_call.py
+++ b/src/savorylift/exchange/plain_call.py
@@ -5,13 +5,15 @@
 
 import asyncio
 import time
+from collections.abc import Collection
 
 import structlog
 
+from savorylift.backends.quarantine import QuarantinedTraits
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange import metrics
 from savorylift.exchange.admission import AdmittedRequest
-from savorylift.exchange.crash_guard import CrashGuard
+from savorylift.exchange.crash_guard import CrashGuard, is_quarantined
 from savorylift.exchange.failover import FailoverPolicy
 from savorylift.exchange.request_retries import RequestRetries, is_over_limit
 from savorylift.exchange.request_traits import find_traits
@@ -38,6 +40,44 @@
 _log = structlog.get_logger()
 
 
+class OpenCall:
+    """State of one plain call at this node.
+
+    Attributes:
+        admitted: The admitted request.
+        traits: What it can be recognized by if it crashes its server.
+        is_at_server: Whether it is being sent to a server or was sent.
+        has_run: Whether an earlier server may have run it.
+        time_limit: Ends the serving of the call; None before it begins.
+        refusal: Why the call was stopped, if it was.
+    """
+
+    def __init__(self, admitted: AdmittedRequest) -> None:
+        """Creates a call that was not sent yet."""
+        self.admitted = admitted
+        self.traits = find_traits(admitted)
+        self.is_at_server = False
+        self.has_run = False
+        self.time_limit: asyncio.Timeout | None = None
+        self.refusal: Refused | None = None
+
+    def end_quarantined(self, refusal: Refused) -> Refused:
+        """Returns the final response, given the refusal of a call."""
+        if not self.is_at_server and not self.has_run:
+            return refusal
+        message = "Requests like this one crash servers; it may have run."
+        return Refused(502, refusal.reason, message)
+
+    def stop(self, refusal: Refused | None) -> None:
+        """Ends the serving of the call now, if there is a refusal."""
+        if refusal is None or self.time_limit is None:
+            return
+        if self.time_limit.expired():
+            return
+        self.refusal = self.end_quarantined(refusal)
+        self.time_limit.reschedule(asyncio.get_running_loop().time())
+
+
 class PlainCallDispatcher:
     """Reserves a server for each call, and retries or gives up on failures."""
 
@@ -54,16 +94,33 @@
         self._pool = pool
         self._sender = sender
         self._crash_guard = crash_guard
+        crash_guard.on_quarantine.append(self._stop_quarantined)
+        self._calls: set[OpenCall] = set()
 
     async def serve(self, admitted: AdmittedRequest) -> Answered | Refused:
         """Serves a call and returns the final response."""
-        traits = find_traits(admitted)
+        call = OpenCall(admitted)
+        self._calls.add(call)
+        try:
+            async with asyncio.timeout(None) as call.time_limit:
+                return await self._serve(call)
+        except TimeoutError:
+            assert call.refusal is not None
+            return call.refusal
+        finally:
+            self._calls.discard(call)
+
+    async def _serve(self, call: OpenCall) -> Answered | Refused:
+        admitted = call.admitted
         tried: set[str] = set()
         retries = RequestRetries(self._pool, admitted.service.name)
         possibly_run_attempts = 0
         # That of the last attempt that may have run, if there was one.
         last_result: SendResult | None = None
         while True:
+            refusal = self._crash_guard.refuse(call.traits)
+            if refusal is not None:
+                return call.end_quarantined(refusal)
             if not retries.take():
                 return _final_answer(last_result)
             server = self._pool.reserve_plain_server(admitted, tried)
@@ -75,8 +132,10 @@
             tried.add(server.entry.server_id)
             policy = self._failover_policy(admitted, tried, is_last=is_last)
             sent_s = time.monotonic()
+            call.is_at_server = True
             result = await self._send(server, admitted, policy)
-            self._crash_guard.record_call(server, traits, sent_s, result)
+            call.is_at_server = False
+            self._crash_guard.record_call(server, call.traits, sent_s, result)
             retries.record_result(result)
             if isinstance(result, NotRun):
                 if not possibly_run_attempts:
@@ -84,12 +143,21 @@
                 continue
             last_result = result
             possibly_run_attempts += 1
+            call.has_run = True
             if isinstance(result, Answered) and not _is_server_error(result):
                 return result
             if possibly_run_attempts >= admitted.route.max_attempts:
                 return _final_answer(last_result)
             if not admitted.is_idempotent:
                 return _final_answer(last_result)
+            if not self._crash_guard.may_repeat(call.traits):
+                return _final_answer(last_result)
+
+    def _stop_quarantined(self, begun: Collection[QuarantinedTraits]) -> None:
+        """Stops the calls that no server has answered yet."""
+        for call in list(self._calls):
+            if is_quarantined(call.traits, begun):
+                call.stop(self._crash_guard.refuse(call.traits))
 
     async def _send(
         self,
--- a/src/savorylift/exchange/request_traits.py
+++ b/src/savorylift/exchange/request_traits.py
@@ -3,7 +3,7 @@
 import hashlib
 from typing import NamedTuple
 
-from savorylift.backends.request_quarantine import REQUEST_PREFIX
+from savorylift.backends.traits import REQUEST_PREFIX, Traits
 from savorylift.exchange.admission import AdmittedRequest
 
 # Enough that digests of different requests don't coincide.
@@ -35,7 +35,7 @@
         return self.repeat_id, self.exact_id
 
     @property
-    def all(self) -> tuple[str, ...]:
+    def all(self) -> Traits:
         """All traits, from the most general to the most special one."""
         return self.prompt_parts + self.ids
 
--- a/src/savorylift/fleet/state.py
+++ b/src/savorylift/fleet/state.py
@@ -37,21 +37,25 @@
     Attributes:
         server_id: Identifier of the engine.
         age_s: Time since the crash.
-        prefixes: Prompts of the requests that it had not answered yet, each
-            as the IDs of its parts without the last.
+        prefixes: Traits of the requests that it had not answered yet: the IDs
+            of the parts of their prompts without the last, and those of the
+            requests themselves.
+        sent_ages_s: Time since each of them was sent, in the same order;
+            empty from builds that don't say.
     """
 
     server_id: str
     age_s: float
     prefixes: tuple[tuple[str, ...], ...]
+    sent_ages_s: tuple[float, ...] = ()
 
 
 class SoundPart(NamedTuple):
-    """A part of prompts that an engine began to answer without crashing.
+    """A trait of requests that a server survived.
 
     Attributes:
-        part: ID of the part.
-        age_s: Time since an engine last did so.
+        part: ID of a part of prompts, or of a request.
+        age_s: Time since a server last did so.
     """
 
     part: str
@@ -59,10 +63,10 @@
 
 
 class QuarantinedParts(NamedTuple):
-    """Parts of prompts; requests that have all of them go to no engine.
+    """Traits; requests that have all of them go to no server.
 
     Attributes:
-        parts: IDs of the parts.
+        parts: IDs of parts of prompts, or of a request.
         age_s: Time since the quarantine began.
         remaining_s: Time until it ends.
     """
--- a/tests/backends/test_request_quarantine.py
+++ b/tests/backends/test_request_quarantine.py
@@ -9,11 +9,13 @@
 import pytest
 from freezegun.api import FrozenDateTimeFactory
 
+from savorylift.backends.quarantine import (
+    FIRST_PART_TRIAL_S,
+    MAX_PART_QUARANTINE_S,
+    PART_QUARANTINE_S,
+)
 from savorylift.backends.request_quarantine import (
-    FIRST_TRIAL_S,
-    MAX_QUARANTINE_S,
-    MAX_QUARANTINES,
-    QUARANTINE_S,
+    MAX_QUARANTINES_SENT,
     RequestQuarantine,
 )
 from savorylift.fleet.state import QuarantineNews
@@ -60,7 +62,7 @@
 
 def test_third_crash_quarantines_the_part(clock: FrozenDateTimeFactory) -> None:
     quarantine = RequestQuarantine(ME)
-    quarantine.record_start(SOUND)
+    quarantine.record_sound(SOUND)
     crash(quarantine, clock, count=2)
     assert not is_refused(quarantine)
     crash(quarantine, clock, count=1)
@@ -117,7 +119,7 @@
     for _ in range(10):
         crash(quarantine, clock, SOUND, count=1)
         clock.tick(0.1)
-        assert quarantine.record_start(SOUND)
+        assert quarantine.record_sound(SOUND)
     assert not is_refused(quarantine, SOUND)
 
 
@@ -125,7 +127,7 @@
     clock: FrozenDateTimeFactory,
 ) -> None:
     quarantine = RequestQuarantine(ME)
-    quarantine.record_start(DEADLY)
+    quarantine.record_sound(DEADLY)
     crash(quarantine, clock, count=4)
     assert not is_refused(quarantine)
     crash(quarantine, clock, count=1)
@@ -134,7 +136,7 @@
 
 def test_two_deadly_parts_are_told_apart(clock: FrozenDateTimeFactory) -> None:
     quarantine = RequestQuarantine(ME)
-    quarantine.record_start(SOUND)
+    quarantine.record_sound(SOUND)
     for _ in range(3):
         crash(quarantine, clock, ("system", "dead-1"), count=1)
         crash(quarantine, clock, ("system", "dead-2"), count=1)
@@ -148,10 +150,10 @@
 ) -> None:
     quarantine = RequestQuarantine(ME)
     crash(quarantine, clock)
-    clock.tick(FIRST_TRIAL_S + 1)
+    clock.tick(FIRST_PART_TRIAL_S + 1)
     refused = [quarantine.find(DEADLY, ()) is not None for _ in range(5)]
     assert refused == [False, True, True, True, True]
-    quarantine.record_start(DEADLY)
+    quarantine.record_sound(DEADLY)
     assert not is_refused(quarantine)
 
 
@@ -163,7 +165,7 @@
     crash(nodes[ips[0]], clock)
     for node in nodes.values():
         node.merge(nodes[ips[0]].news())
-    clock.tick(FIRST_TRIAL_S + 1)
+    clock.tick(FIRST_PART_TRIAL_S + 1)
     refused = [
         node.find(DEADLY, [other for other in ips if other != ip]) is not None
         for ip, node in nodes.items()
@@ -176,7 +178,7 @@
 ) -> None:
     quarantine = RequestQuarantine(ME)
     crash(quarantine, clock)
-    clock.tick(QUARANTINE_S + 1)
+    clock.tick(PART_QUARANTINE_S + 1)
     assert not is_refused(quarantine)
     assert quarantine.news() == QuarantineNews()
 
@@ -186,7 +188,7 @@
 ) -> None:
     quarantine = RequestQuarantine(ME)
     crash(quarantine, clock)
-    for _ in range(int(MAX_QUARANTINE_S)):
+    for _ in range(int(MAX_PART_QUARANTINE_S)):
         quarantine.find(DEADLY, ["10.0.0.2"])
         clock.tick(1.0)
     assert not is_refused(quarantine)
@@ -197,10 +199,10 @@
 ) -> None:
     quarantine = RequestQuarantine(ME)
     for number in range(2000):
-        quarantine.record_start((f"sound-{number}",))
+        quarantine.record_sound((f"sound-{number}",))
         crash(quarantine, clock, (f"dead-{number}",) * 20, count=3)
     news = quarantine.news()
-    assert len(news.quarantined) <= MAX_QUARANTINES
+    assert len(news.quarantined) <= MAX_QUARANTINES_SENT
     assert len(news.crash_reports) <= 8
 
 
@@ -264,7 +266,7 @@
                 self._crash(engine)
                 return
             self._waiting[engine].discard(request)
-            if self.nodes[ip].record_start(prefix):
+            if self.nodes[ip].record_sound(prefix):
                 self._send_news(ip)
 
         self.after(self._rng.uniform(0.05, 0.8), begin)
--- a/tests/front/environment.py
+++ b/tests/front/environment.py
@@ -179,7 +179,11 @@
                 await asyncio.sleep(0.02)
 
     async def open_call(
-        self, path: str, attempt: str = "a1", headers: Headers = ()
+        self,
+        path: str,
+        attempt: str = "a1",
+        headers: Headers = (),
+        body: bytes = b"question",
     ) -> ClientCall:
         """Sends a request as a caller does; does not read the response."""
         call = ClientCall(await connect(HOST, self.ports[5], 1.0))
@@ -189,7 +193,7 @@
             "x-savorylift-deadline-remaining": "4000",
             "x-api-key": "key",
         } | dict(headers)
-        call.send("POST", path, tuple(all_headers.items()), b"question")
+        call.send("POST", path, tuple(all_headers.items()), body)
         return call
 
     async def call(
--- a/tests/front/test_deadly_requests.py
+++ b/tests/front/test_deadly_requests.py
@@ -5,7 +5,9 @@
 
 import pytest
 
-from savorylift.wire.message import Headers
+from savorylift.platform.store import SERVERS_TOPIC
+from savorylift.wire.message import Headers, Response
+from tests.front.environment import NodeEnvironment, run_in_environment
 from tests.front.limited_fleet import LimitedFleet
 from tests.harness.virtual_time import run_in_virtual_time
 from tests.standins.platform_server import PlatformServer
@@ -21,6 +23,8 @@
 # and this often later.
 REACTION_S = 3.0
 MAX_LATE_REQUESTS = 3
+# Time in which a server of a single node's test is back, and known.
+PAUSE_S = 0.6
 SOUND_PREFIX: Headers = (
     ("x-savorylift-prompt-prefix", "system:50,desk:20,own:30"),
 )
@@ -90,6 +94,12 @@
         await asyncio.sleep(DEADLY_INTERVAL_S)
 
 
+def late_requests(servers: list[PlatformServer]) -> int:
+    """Returns how many deadly requests came too long after the third crash."""
+    late_s = third_crash_s(servers) + REACTION_S
+    return sum(s > late_s for server in servers for s in server.deadly_arrivals)
+
+
 def third_crash_s(servers: list[PlatformServer]) -> float:
     """Returns the monotonic time of the third crash."""
     return sorted(s for server in servers for s in server.crashes_s)[2]
@@ -114,13 +124,7 @@
             )
             await deadly
             late_s = third_crash_s(servers) + REACTION_S
-            late = [
-                s
-                for server in servers
-                for s in server.deadly_arrivals
-                if s > late_s
-            ]
-            assert len(late) <= MAX_LATE_REQUESTS
+            assert late_requests(servers) <= MAX_LATE_REQUESTS
             sound = [
                 ending.status
                 for ending in fleet.endings_since(late_s + RESTART_S)
@@ -141,3 +145,67 @@
             )
 
     run_in_virtual_time(monkeypatch, scenario)
+
+
+@pytest.mark.parametrize("path", ["/safe/x", "/once/x"])
+def test_node_that_hears_no_other_stops_the_request_by_itself(
+    path: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario() -> None:
+        fleet = LimitedFleet(4, 6)
+        servers = fleet.service(path)
+        make_deadly(fleet, Shape(4, 6, path, is_before_head=True))
+        async with fleet.running():
+            fleet.cut_off(0)
+            await call_deadly(fleet, path)
+            assert late_requests(servers) <= MAX_LATE_REQUESTS
+
+    run_in_virtual_time(monkeypatch, scenario)
+
+
+def make_app_deadly(env: NodeEnvironment) -> None:
+    """Lets the plain servers crash on the deadly body."""
+
+    def make_on_restart(server: PlatformServer) -> None:
+        def on_restart(earlier_id: str) -> None:
+            env.store.add(SERVERS_TOPIC, earlier_id, None)
+            env.publish_entry(server, "app")
+
+        server.on_restart = on_restart
+
+    for server in env.app:
+        server.deadly_body = DEADLY_BODY
+        make_on_restart(server)
+
+
+async def call_node(
+    env: NodeEnvironment, attempt: str, body: bytes
+) -> Response:
+    """Sends a plain call with a body to the node of an environment."""
+    call = await env.open_call("/once/x", attempt, body=body)
+    return await call.read_response()
+
+
+def test_call_at_a_server_is_stopped_before_it_crashes_it() -> None:
+    async def scenario(env: NodeEnvironment) -> None:
+        make_app_deadly(env)
+        for number in range(2):
+            await call_node(env, f"a{number}", DEADLY_BODY)
+            await asyncio.sleep(PAUSE_S)
+        calls = []
+        for delay_s in (1.0, 0.0):
+            for server in env.app:
+                server.crash_delay_s = delay_s
+            call = call_node(env, f"b{delay_s}", DEADLY_BODY)
+            calls.append(asyncio.ensure_future(call))
+            await asyncio.sleep(0.05)
+        responses = await asyncio.gather(*calls)
+        assert [response.status for response in responses] == [502, 502]
+        await asyncio.sleep(1.0)
+        assert sum(server.crashes for server in env.app) == 3
+        refused = await call_node(env, "c", DEADLY_BODY)
+        assert refused.status == 503
+        assert refused.header("retry-after")
+        assert (await call_node(env, "d", b"")).status == 200
+
+    run_in_environment(scenario)
