Don't lose the cancellation of a task that waits to send

What was seen: three tests of unframed answers didn't end (timeout after 120 s, in a run of all tests): the node's event loop waited for a task that it had cancelled. A node that is stopped at such a moment would not end before SIGKILL.

Cause: `asyncio.wait_for` (Python 3.11) returns the result of what it waits for if that comes at the same moment as a cancellation, which is then lost. The messages to other nodes wait like that, and a crash that is being announced comes with the end of the test.

Fix: `asyncio.timeout`, which doesn't swallow cancellations; the only other use of `wait_for`, at the graceful close of connections, likewise.

--- a/src/savorylift/fleet/peer_transport.py
+++ b/src/savorylift/fleet/peer_transport.py
@@ -118,7 +118,9 @@
         while True:
             wait_s = max(next_s - time.monotonic(), 0.0)
             try:
-                await asyncio.wait_for(self._send_requested.wait(), wait_s)
+                # `wait_for` may lose a cancellation that comes with a request.
+                async with asyncio.timeout(wait_s):
+                    await self._send_requested.wait()
                 await asyncio.sleep(COALESCE_DELAY_S)
                 self.send(include_silent=False)
             except TimeoutError:
--- a/src/savorylift/wire/channel.py
+++ b/src/savorylift/wire/channel.py
@@ -168,9 +168,8 @@
             if self.transport.can_write_eof():
                 self.transport.write_eof()
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(
-                    self.peer_closed.wait(), LINGER_TIMEOUT_S
-                )
+                async with asyncio.timeout(LINGER_TIMEOUT_S):
+                    await self.peer_closed.wait()
         self.close()
 
     def _set_linger(self, value: bytes) -> None:
