Free the copies of runs that a stopping node gives up

What was seen: warnings in tests that the coroutine of `drop_copy` was never awaited; the copy of a run that was being moved stays at its engines then, until they drop it by themselves.

Cause: requests to free copies are started as runs end; a node that stopped ended its event loop without waiting for them. The harness of tests cancelled the tasks that it knew of, not those that these started as they ended.

--- a/src/savorylift/exchange/mover.py
+++ b/src/savorylift/exchange/mover.py
@@ -129,6 +129,11 @@
             self._drop_tasks.add(task)
             task.add_done_callback(self._drop_tasks.discard)
 
+    async def finish(self) -> None:
+        """Waits until the copies that are discarded have been freed."""
+        if self._drop_tasks:
+            await asyncio.wait(self._drop_tasks, timeout=DROP_TIMEOUT_S)
+
     def _choose_destination(
         self, run: Run, tried: set[str]
     ) -> BackendServer | None:
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -137,6 +137,7 @@
             lambda: self._peer_sync.transport.send_soon(),
         )
         codec = interface.codec
+        self._mover = Mover(self._pool)
         server_check = ServerCheck(self._limit_gate, self._pool.is_in_service)
         sender = Sender(
             codec, self._limit_gate, server_check, self._pool.is_usable
@@ -146,7 +147,7 @@
             codec,
             sender,
             server_check,
-            Mover(self._pool),
+            self._mover,
             self._crash_guard,
             rng,
         )
@@ -264,7 +265,7 @@
         await self._lifecycle.wait_until_drained()
         self._lifecycle.end()
         await self._caller_listener.close_when_served(CLOSING_TIMEOUT_S)
-        await self._refusal_writer.save()
+        await asyncio.gather(self._refusal_writer.save(), self._mover.finish())
         _log.info(
             "stop", after_s=time.monotonic() - self._lifecycle.leaving_since_s
         )
--- a/tests/front/environment.py
+++ b/tests/front/environment.py
@@ -212,12 +212,23 @@
                 await asyncio.sleep(0.02)
 
 
+async def end_other_tasks() -> None:
+    """Cancels all other tasks, and those that they start as they end."""
+    while tasks := asyncio.all_tasks() - {asyncio.current_task()}:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
 def run_with_timeout(scenario: Coroutine[Any, Any, T]) -> T:
     """Runs a test's coroutine with a timeout."""
 
     async def run_bounded() -> T:
-        async with asyncio.timeout(SCENARIO_TIMEOUT_S):
-            return await scenario
+        try:
+            async with asyncio.timeout(SCENARIO_TIMEOUT_S):
+                return await scenario
+        finally:
+            await end_other_tasks()
 
     return asyncio.run(run_bounded())
 
--- a/tests/front/limited_fleet.py
+++ b/tests/front/limited_fleet.py
@@ -16,7 +16,7 @@
 from savorylift.wire.channel import connect
 from savorylift.wire.client_call import BrokenAnswerError, ClientCall
 from savorylift.wire.message import Headers
-from tests.front.environment import configuration
+from tests.front.environment import configuration, end_other_tasks
 from tests.harness.ports import free_addresses
 from tests.standins.platform_server import PlatformServer
 from tests.standins.platform_store import PlatformStore
@@ -100,10 +100,7 @@
             yield
         finally:
             self._stop_nodes()
-            tasks = asyncio.all_tasks() - {asyncio.current_task()}
-            for task in tasks:
-                task.cancel()
-            await asyncio.gather(*tasks, return_exceptions=True)
+            await end_other_tasks()
 
     async def _start_nodes(self) -> None:
         """Starts all nodes and waits until they are ready."""
