Forget the requests to cold servers that are gone

Fix: a server without requests for half an hour is forgotten, several times the longest window in which a node takes its turn.

Evidence: test_servers_without_later_requests_are_forgotten: 1000 servers were remembered before, 101 at most now.

--- a/src/savorylift/backends/cold_start.py
+++ b/src/savorylift/backends/cold_start.py
@@ -13,6 +13,10 @@
 # Lower bound for a server that reports a cold start although its service
 # configures no rate.
 MIN_RATE_PER_S = 1.0
+# Requests that are remembered of a server, and for how long: several times the
+# longest window of a node among hundreds.
+MAX_REQUESTS = 256
+RETENTION_S = 1800.0
 
 
 class ColdStartLimiter:
@@ -28,6 +32,8 @@
         Args:
             rng: Chooses when this node has its turns.
         """
+        # Times of the last requests; the server that got one last is at the
+        # end.
         self._sent: dict[str, collections.deque[float]] = {}
         self._turns = Turns(rng)
 
@@ -57,8 +63,21 @@
 
     def record_request(self, server_id: str) -> None:
         """Records a request that is sent to a cold server now."""
-        times = self._sent.setdefault(server_id, collections.deque(maxlen=256))
-        times.append(time.monotonic())
+        now_s = time.monotonic()
+        times = self._sent.pop(server_id, None)
+        if times is None:
+            times = collections.deque(maxlen=MAX_REQUESTS)
+        times.append(now_s)
+        self._sent[server_id] = times
+        self._forget_old(now_s - RETENTION_S)
+
+    def _forget_old(self, oldest_s: float) -> None:
+        """Forgets servers without later requests; they are in that order."""
+        while True:
+            server_id, times = next(iter(self._sent.items()))
+            if times[-1] >= oldest_s:
+                return
+            del self._sent[server_id]
 
     def _count_sent(self, server_id: str, window_s: float) -> int:
         oldest_s = time.monotonic() - window_s
--- a/tests/backends/test_cold_start.py
+++ b/tests/backends/test_cold_start.py
@@ -8,7 +8,11 @@
 from freezegun import freeze_time
 from freezegun.api import FrozenDateTimeFactory
 
-from savorylift.backends.cold_start import WINDOW_S, ColdStartLimiter
+from savorylift.backends.cold_start import (
+    RETENTION_S,
+    WINDOW_S,
+    ColdStartLimiter,
+)
 
 # The users judge a cold server's requests in a second with these tolerances.
 TOLERANCE_FACTOR = 1.5
@@ -76,3 +80,13 @@
 def test_cold_server_without_a_rate_is_not_limited() -> None:
     limiter = ColdStartLimiter(random.Random(1))
     assert all(limiter.may_send("i", None, 9) for _ in range(100))
+
+
+def test_servers_without_later_requests_are_forgotten(
+    clock: FrozenDateTimeFactory,
+) -> None:
+    limiter = ColdStartLimiter(random.Random(1))
+    for number in range(1000):
+        limiter.record_request(f"i-{number}")
+        clock.tick(RETENTION_S / 100)
+    assert len(limiter._sent) <= 101
