Tell of a limit that comes and goes at a bounded rate

Fix: all nodes are told at once no more than once a second and server; of other changes its issuer is told, which repeats the limit to all at each interval.

--- a/src/savorylift/exchange/limit_sync.py
+++ b/src/savorylift/exchange/limit_sync.py
@@ -13,6 +13,8 @@
 from savorylift.fleet.state import LimitNews, LimitReport
 
 MISDIRECTED_STATUS = 421
+# All nodes are told of changes of a server at once no more often than this.
+MIN_NEWS_INTERVAL_S = 1.0
 
 _log = structlog.get_logger()
 
@@ -48,6 +50,8 @@
         self._is_registered = is_registered
         self._on_change = on_change
         self._next_news_s = 0.0
+        # Monotonic time at which all nodes were last told of a server.
+        self._told_s: dict[str, float] = {}
         self.limits = NamedLimits()
 
     def record_head(
@@ -68,18 +72,29 @@
         assert report is not None
         news = LimitNews((report,))
         is_limited = self.limits.find(entry) is not None
-        if is_limited != was_limited:
+        if is_limited != was_limited and self._may_tell_all(entry.server_id):
             self._send(news, None)
             return
-        # A value may change with every response, so only the issuer is told.
+        # A limit may change, or come and go, with every response. So only the
+        # issuer is told, which repeats it to all.
         issuer_ip = self._issuer.find_issuer(entry.server_id)
         if not self._issuer.is_own_ip(issuer_ip):
             self._send(news, issuer_ip)
 
+    def _may_tell_all(self, server_id: str) -> bool:
+        """Whether no node has told all others of a server for a while."""
+        now_s = time.monotonic()
+        told_s = self._told_s.get(server_id)
+        if told_s is not None and now_s - told_s < MIN_NEWS_INTERVAL_S:
+            return False
+        self._told_s[server_id] = now_s
+        return True
+
     def merge(self, reports: Iterable[LimitReport], ip: str) -> None:
         """Applies what another node heard."""
         for report in reports:
             if self.limits.merge(report):
+                self._told_s[report.server_id] = time.monotonic()
                 self._apply_change(report.server_id, peer=ip)
 
     def greet(self, ip: str) -> None:
@@ -92,6 +107,11 @@
         """Forgets old limits and repeats news; to be called periodically."""
         self.limits.forget_old(self._is_registered)
         now_s = time.monotonic()
+        self._told_s = {
+            server_id: told_s
+            for server_id, told_s in self._told_s.items()
+            if now_s - told_s < MIN_NEWS_INTERVAL_S
+        }
         if now_s >= self._next_news_s:
             self._next_news_s = now_s + self._get_message_interval_s()
             self._repeat_news()
