Judge crashes faster beside many quarantines, and name the fleet of tests

Cause: each search compared every request of every crash with every quarantine, and each message from another node compared the quarantines with what is sound, also if the message said nothing of that.

Changed: requests without any quarantined trait are passed over first; no decision changes. The fleet of the tests is used for more than limits by now and is named NodeFleet.

--- a/src/savorylift/backends/request_quarantine.py
+++ b/src/savorylift/backends/request_quarantine.py
@@ -186,7 +186,8 @@
         now_s = time.monotonic()
         for sound in news.sound_parts:
             self._sound.add(sound.part, now_s - sound.age_s)
-        self._drop_sound()
+        if news.sound_parts:
+            self._drop_sound()
         merged = [
             self._merge_quarantine(item, now_s) for item in news.quarantined
         ]
@@ -233,6 +234,8 @@
         ]
 
     def _is_quarantined(self, traits: Traits) -> bool:
+        if self._quarantined_traits.isdisjoint(traits):
+            return False
         return any(
             quarantined.issubset(traits) for quarantined in self._quarantines
         )
--- a/tests/front/limited_fleet.py
+++ b/tests/front/node_fleet.py
@@ -1,4 +1,4 @@
-"""A fleet of front nodes in this process, with callers and limited servers."""
+"""A fleet of front nodes in this process, with callers and backend servers."""
 
 import asyncio
 import contextlib
@@ -54,7 +54,7 @@
     retry_after_s: float | None
 
 
-class LimitedFleet:
+class NodeFleet:
     """Nodes, a store, and the servers of a plain and an engine service.
 
     Attributes:
--- a/tests/front/process_fleet.py
+++ b/tests/front/process_fleet.py
@@ -6,11 +6,11 @@
 import msgspec
 
 from savorylift.wire.client_call import BrokenAnswerError, fetch
-from tests.front.limited_fleet import START_TIMEOUT_S, LimitedFleet
+from tests.front.node_fleet import START_TIMEOUT_S, NodeFleet
 from tests.harness.process import Process
 
 
-class ProcessFleet(LimitedFleet):
+class ProcessFleet(NodeFleet):
     """A limited fleet with a process for each node.
 
     Attributes:
--- a/tests/front/test_deadly_requests.py
+++ b/tests/front/test_deadly_requests.py
@@ -8,7 +8,7 @@
 from savorylift.platform.store import SERVERS_TOPIC
 from savorylift.wire.message import Headers, Response
 from tests.front.environment import NodeEnvironment, run_in_environment
-from tests.front.limited_fleet import LimitedFleet
+from tests.front.node_fleet import NodeFleet
 from tests.harness.virtual_time import run_in_virtual_time
 from tests.standins.platform_server import PlatformServer
 
@@ -67,7 +67,7 @@
     return f"{kind}-{shape.nodes}-{shape.servers}-{moment}"
 
 
-def make_deadly(fleet: LimitedFleet, shape: Shape) -> None:
+def make_deadly(fleet: NodeFleet, shape: Shape) -> None:
     """Lets all servers of a service crash on the deadly body."""
     service = "pool" if fleet.service(shape.path) is fleet.pool else "app"
 
@@ -85,7 +85,7 @@
         make_on_restart(server)
 
 
-async def call_deadly(fleet: LimitedFleet, path: str) -> None:
+async def call_deadly(fleet: NodeFleet, path: str) -> None:
     """Sends the deadly request to each node in turn."""
     for number in range(int(LASTS_S / DEADLY_INTERVAL_S)):
         ip = fleet.ips[number % len(fleet.ips)]
@@ -110,7 +110,7 @@
     shape: Shape, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     async def scenario() -> None:
-        fleet = LimitedFleet(shape.nodes, shape.servers)
+        fleet = NodeFleet(shape.nodes, shape.servers)
         servers = fleet.service(shape.path)
         make_deadly(fleet, shape)
         is_stream = servers is fleet.pool
@@ -152,7 +152,7 @@
     path: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     async def scenario() -> None:
-        fleet = LimitedFleet(4, 6)
+        fleet = NodeFleet(4, 6)
         servers = fleet.service(path)
         make_deadly(fleet, Shape(4, 6, path, is_before_head=True))
         async with fleet.running():
--- a/tests/front/test_named_limits.py
+++ b/tests/front/test_named_limits.py
@@ -8,9 +8,9 @@
 import pytest
 
 from tests.front.environment import run_with_timeout
-from tests.front.limited_fleet import (
+from tests.front.node_fleet import (
     REACTION_S,
-    LimitedFleet,
+    NodeFleet,
     most_allowed,
     most_in_window,
 )
@@ -53,7 +53,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def scenario() -> None:
-        fleet = LimitedFleet(nodes, servers)
+        fleet = NodeFleet(nodes, servers)
         server = fleet.service(path)[0]
         async with fleet.running():
             await fleet.call_for(path, 3.0)
@@ -78,7 +78,7 @@
 
 
 async def limit_and_call(
-    fleet: LimitedFleet, path: str, per_s: float, duration_s: float
+    fleet: NodeFleet, path: str, per_s: float, duration_s: float
 ) -> float:
     """Sends requests while the first server names a limit.
 
@@ -100,7 +100,7 @@
     servers: int, path: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     async def scenario() -> None:
-        fleet = LimitedFleet(6, servers)
+        fleet = NodeFleet(6, servers)
         async with fleet.running():
             for server in fleet.service(path):
                 server.named_limit = "1.8"
@@ -125,7 +125,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def scenario() -> None:
-        fleet = LimitedFleet(9, 2)
+        fleet = NodeFleet(9, 2)
         server = fleet.app[0]
         async with fleet.running():
             since_s = await limit_and_call(fleet, "/safe/x", 1.8, 6.0)
@@ -143,7 +143,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def scenario() -> None:
-        fleet = LimitedFleet(9, 2)
+        fleet = NodeFleet(9, 2)
         server = fleet.app[0]
         async with fleet.running():
             await limit_and_call(fleet, "/once/x", 1.8, 6.0)
@@ -164,7 +164,7 @@
     value: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     async def scenario() -> None:
-        fleet = LimitedFleet(2, 2)
+        fleet = NodeFleet(2, 2)
         async with fleet.running():
             fleet.app[0].named_limit = value
             await fleet.call_for("/safe/x", 4.0)
@@ -194,7 +194,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def scenario() -> None:
-        fleet = LimitedFleet(4, 2)
+        fleet = NodeFleet(4, 2)
         servers = fleet.service(path)
         async with fleet.running():
             for server in servers:
@@ -214,7 +214,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def scenario() -> None:
-        fleet = LimitedFleet(4, 3)
+        fleet = NodeFleet(4, 3)
         draining, limited, other = fleet.pool
         for engine in fleet.pool:
             engine.events_per_stream = 60
@@ -235,7 +235,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def scenario() -> None:
-        fleet = LimitedFleet(4, 2)
+        fleet = NodeFleet(4, 2)
         server = fleet.app[0]
         async with fleet.running():
             await limit_and_call(fleet, "/safe/x", 0.5, 6.0)
@@ -282,7 +282,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def scenario() -> None:
-        fleet = LimitedFleet(6, 3)
+        fleet = NodeFleet(6, 3)
         async with fleet.running():
             await fleet.call_for("/safe/x", 2.0)
             for server in fleet.app:
@@ -297,7 +297,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def scenario() -> None:
-        fleet = LimitedFleet(9, 2)
+        fleet = NodeFleet(9, 2)
         server = fleet.app[0]
         async with fleet.running():
             for per_s in (4.0, 0.5, 0.0, 6.0):
@@ -320,7 +320,7 @@
     state: str, cold_ms: float, path: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     async def scenario() -> None:
-        fleet = LimitedFleet(9, 3)
+        fleet = NodeFleet(9, 3)
         server = fleet.service(path)[0]
         service = "pool" if server in fleet.pool else "app"
         async with fleet.running():
