--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -14,7 +14,9 @@
 
 
 # Seed 102: a SIGHUP during start-up terminated the process.
-@pytest.mark.parametrize("seed", [1, 102])
+# Seed 3525774462: a planned stop closed a connection after a response that
+# didn't say so, as its next request came.
+@pytest.mark.parametrize("seed", [1, 102, 3525774462])
 def test_guarantees_hold_under_faults(
     seed: int, tmp_path: pathlib.Path
 ) -> None:
--- a/tests/wire/test_server_connection.py
+++ b/tests/wire/test_server_connection.py
@@ -276,3 +276,18 @@
     finally:
         process.kill()
         process.join()
+
+
+def test_connection_is_not_closed_after_a_response_that_did_not_say_so() -> (
+    None
+):
+    async def scenario() -> None:
+        conn, caller = await open_connection_pair()
+        caller.write(HEAD_START + b"\r\n")
+        assert isinstance(await conn.next_request(), Request)
+        conn.respond(200, (), b"x")
+        # A planned stop begins before the next request is waited for.
+        conn.is_closing = True
+        assert conn.prepare_next_request()
+
+    run_with_timeout(scenario())
