Keep a connection open whose response did not say that it closes

Cause: a planned stop marks each connection as closing. Whether a connection can be reused now follows from what its response said.

--- a/src/savorylift/wire/server_connection.py
+++ b/src/savorylift/wire/server_connection.py
@@ -197,8 +197,12 @@
         await self._channel.drain()
 
     def prepare_next_request(self) -> bool:
-        """Resets the parser; says whether the connection can be reused."""
-        if self.is_closing or self._channel.is_peer_closed:
+        """Resets the parser; says whether the connection can be reused.
+
+        A connection stays open if its response did not say that it closes,
+        even if it is to close since: the next response says so.
+        """
+        if self._channel.is_peer_closed:
             return False
         if self._h11.our_state is not h11.DONE:
             return False
