Find the quarantines of a request without comparing it with each

A quarantine is filed under one of its traits, and only those filed under a trait of the request are compared with it.

--- a/src/savorylift/backends/request_quarantine.py
+++ b/src/savorylift/backends/request_quarantine.py
@@ -13,6 +13,7 @@
 from savorylift.backends.crash_log import UNKNOWN_SENT_S, Crash, CrashLog
 from savorylift.backends.culprit import find_culprit
 from savorylift.backends.quarantine import Quarantine, QuarantinedTraits
+from savorylift.backends.quarantine_set import QuarantineSet
 from savorylift.backends.sound_traits import SoundTraits
 from savorylift.backends.traits import Traits, is_request
 from savorylift.fleet.state import (
@@ -52,9 +53,7 @@
         self._has_new_crash = False
         self._next_update_s = 0.0
         self._sound = SoundTraits()
-        self._quarantines: dict[QuarantinedTraits, Quarantine] = {}
-        # All traits of the quarantines.
-        self._quarantined_traits: frozenset[str] = frozenset()
+        self._quarantines = QuarantineSet()
         # Traits for which less evidence suffices; the latest is at the end.
         self._past_traits: dict[str, None] = {}
         # Number of older quarantines that were sent, so that all have a turn.
@@ -72,20 +71,19 @@
             traits: Traits of the request.
             live_ips: Addresses of the other nodes.
         """
-        if self._quarantined_traits.isdisjoint(traits):
-            return None
         now_s = time.monotonic()
-        for quarantined, found in self._quarantines.items():
-            if not quarantined.issubset(traits) or now_s >= found.until_s:
-                continue
-            if now_s >= found.next_trial_s and self._runs_trials(
-                quarantined, live_ips
-            ):
-                self._quarantines[quarantined] = found.begin_trial(now_s)
-                return None
-            self._quarantines[quarantined] = found.extend(now_s)
-            return self._quarantines[quarantined]
-        return None
+        matching = self._quarantines.matching(traits)
+        found = next((q for q in matching if now_s < q.until_s), None)
+        if found is None:
+            return None
+        if now_s >= found.next_trial_s and self._runs_trials(
+            found.traits, live_ips
+        ):
+            self._quarantines.put(found.begin_trial(now_s))
+            return None
+        extended = found.extend(now_s)
+        self._quarantines.put(extended)
+        return extended
 
     def record_crash(
         self,
@@ -149,7 +147,7 @@
             if culprit is None:
                 break
             self._remember(culprit.suspects)
-            self._begin(culprit.traits, now_s)
+            self._add(Quarantine.begin(culprit.traits, now_s))
             begun.add(culprit.traits)
         return begun
 
@@ -171,7 +169,7 @@
         for trait in survived:
             self._sound.add(trait, now_s)
             self._past_traits.pop(trait, None)
-        if not self._quarantined_traits.isdisjoint(survived):
+        if self._quarantines.has_any_trait(survived):
             self._drop_sound()
         return is_news
 
@@ -215,7 +213,7 @@
 
     def _quarantines_to_send(self, now_s: float) -> list[Quarantine]:
         """Returns the newest quarantines, and some of the others in turn."""
-        known = self._quarantines.values()
+        known = self._quarantines
         new = [item for item in known if now_s - item.since_s < NEWS_S]
         old = [item for item in known if now_s - item.since_s >= NEWS_S]
         room = MAX_QUARANTINES_SENT - len(new)
@@ -234,19 +232,14 @@
         ]
 
     def _is_quarantined(self, traits: Traits) -> bool:
-        if self._quarantined_traits.isdisjoint(traits):
-            return False
-        return any(
-            quarantined.issubset(traits) for quarantined in self._quarantines
-        )
+        return any(True for _ in self._quarantines.matching(traits))
 
-    def _begin(self, traits: QuarantinedTraits, now_s: float) -> None:
+    def _add(self, quarantine: Quarantine) -> None:
         if len(self._quarantines) >= MAX_QUARANTINES:
-            oldest = min(self._quarantines.values(), key=lambda q: q.until_s)
-            del self._quarantines[oldest.traits]
-        self._remember(traits)
-        self._quarantines[traits] = Quarantine.begin(traits, now_s)
-        self._index()
+            oldest = min(self._quarantines, key=lambda q: q.until_s)
+            self._quarantines.remove(oldest.traits)
+        self._remember(quarantine.traits)
+        self._quarantines.put(quarantine)
 
     def _remember(self, traits: Iterable[str]) -> None:
         """Makes less evidence suffice for traits from now on."""
@@ -264,28 +257,29 @@
         traits = self._without_sound(item.parts, since_s)
         if not traits or until_s <= now_s:
             return None
-        is_new = traits not in self._quarantines
-        if is_new:
-            self._begin(traits, now_s)
-        known = self._quarantines[traits]
-        self._quarantines[traits] = known._replace(
-            since_s=min(known.since_s, since_s),
-            until_s=until_s if is_new else max(known.until_s, until_s),
-        )
-        return traits if is_new else None
+        known = self._quarantines.get(traits)
+        if known is not None:
+            until_s = max(known.until_s, until_s)
+            since_s = min(known.since_s, since_s)
+            self._quarantines.put(
+                known._replace(since_s=since_s, until_s=until_s)
+            )
+            return None
+        begun = Quarantine.begin(traits, now_s)
+        self._add(begun._replace(since_s=since_s, until_s=until_s))
+        return traits
 
     def _drop_sound(self) -> None:
         """Narrows quarantines to the traits that no server survived since."""
-        for traits, item in list(self._quarantines.items()):
-            left = self._without_sound(traits, item.since_s)
-            if left == traits:
+        for item in self._quarantines:
+            left = self._without_sound(item.traits, item.since_s)
+            if left == item.traits:
                 continue
-            del self._quarantines[traits]
+            self._quarantines.remove(item.traits)
             if left:
-                self._quarantines[left] = item._replace(traits=left)
-            for trait in traits - left:
+                self._quarantines.put(item._replace(traits=left))
+            for trait in item.traits - left:
                 self._past_traits.pop(trait, None)
-        self._index()
 
     def _without_sound(
         self, traits: Iterable[str], since_s: float
@@ -314,16 +308,9 @@
         return rank(key, [self._node_ip, *live_ips])[0] == self._node_ip
 
     def _drop_expired(self, now_s: float) -> None:
-        expired = [
-            t for t, q in self._quarantines.items() if now_s >= q.until_s
-        ]
-        for traits in expired:
-            del self._quarantines[traits]
-        if expired:
-            self._index()
-
-    def _index(self) -> None:
-        self._quarantined_traits = frozenset().union(*self._quarantines)
+        for quarantine in self._quarantines:
+            if now_s >= quarantine.until_s:
+                self._quarantines.remove(quarantine.traits)
 
 
 def is_suspect(trait: str, crashes_s: Sequence[float]) -> bool:
