Believe refusals and answers only if they belong to the request

From the operators' reports: a server wrote an earlier refusal once more. A refusal was believed whatever request it named, so that a call that ran was refused as not run, or sent to a second server. A 503 or 429 of a server that did not declare that it had not run the request was passed on as a promise.

Now an answer that names another request, or none, is skipped (four at most) up to the one asked for; without that one the request counts as possibly run. Bytes that arrive before the request was sent end the connection, and nothing is sent. A status that promises more than its server declares becomes 502.

--- a/src/savorylift/completions/engine_call.py
+++ b/src/savorylift/completions/engine_call.py
@@ -100,8 +100,8 @@
 def decode_answer_head(head: ResponseHead, req: CallerRequest) -> AnswerHead:
     """Decodes status and headers of an engine's or a service's response.
 
-    A service echoes the request id in a header. An engine puts the generation
-    id into each event instead, where `TokenReader` checks it.
+    A service echoes the request id in a header. An engine may leave it out: it
+    puts the generation id into each event, where `TokenReader` checks it.
     """
     echoed_id = head.header(REQUEST_ID_HEADER)
     is_generation = req.generation is not None
@@ -111,7 +111,8 @@
     return AnswerHead(
         status=head.status,
         headers=end_to_end_headers(head.headers),
-        matches_request=is_generation or echoed_id == req.attempt_id,
+        matches_request=echoed_id == req.attempt_id
+        or (is_generation and echoed_id is None),
         is_not_run=is_not_run,
         is_signed=True,
         # An event marks the end of a generation.
--- a/src/savorylift/exchange/request.py
+++ b/src/savorylift/exchange/request.py
@@ -5,6 +5,8 @@
 from savorylift.outcomes import Reason
 from savorylift.wire.message import Headers
 
+EVENT_STREAM_TYPE = "text/event-stream"
+
 
 class Generation(NamedTuple):
     """Size of a generation, as far as the request tells.
@@ -125,6 +127,8 @@
         named_limit: Limit on its requests that the server names, if any.
         is_close_delimited: Whether nothing but the close of the connection
             marks the end of the body, so that it may be incomplete.
+        promises_not_run: Whether its status tells callers that the request
+            did not run.
     """
 
     status: int
@@ -134,6 +138,13 @@
     is_signed: bool
     named_limit: NamedLimit | None = None
     is_close_delimited: bool = False
+    promises_not_run: bool = False
+
+    @property
+    def is_event_stream(self) -> bool:
+        """Whether its content type is that of a stream of events."""
+        types = [text for name, text in self.headers if name == "content-type"]
+        return any(text.startswith(EVENT_STREAM_TYPE) for text in types)
 
     @property
     def is_success(self) -> bool:
--- a/src/savorylift/exchange/send.py
+++ b/src/savorylift/exchange/send.py
@@ -28,6 +28,10 @@
 CONNECT_TIMEOUT_S = 0.2
 # Interval at which to look for another server after `failover_at_s`.
 ALTERNATIVE_POLL_S = 0.1
+# A server in trouble may send answers to other requests before the one asked
+# for.
+MAX_STRAY_ANSWERS = 4
+STRAY_BODY_TIMEOUT_S = 0.2
 CANCEL_TIMEOUT_S = 1.0
 # Detail of an answer that ended with the connection of a server that is gone.
 SERVER_GONE = "the server closed the connection and is gone"
@@ -127,6 +131,10 @@
         if not self._limit_gate.may_send(server, permit):
             channel.abort()
             return _over_limit("the permit expired, or a limit has begun")
+        if channel.has_input:
+            channel.abort()
+            detail = "the server sent bytes before the request"
+            return NotRun(Reason.BACKEND_LOST, detail, reached_server=False)
         self._server_check.add_channel(server, channel)
         call = ClientCall(channel)
         outgoing = self._codec.encode_request(
@@ -230,18 +238,49 @@
             outgoing.method, outgoing.target, outgoing.headers, outgoing.body
         )
         try:
-            raw_head = await _read_head(call, failover_policy)
+            head = await self._read_own_head(
+                server, call, admitted, failover_policy
+            )
         except TimeoutError:
             return Unsure(Reason.DEADLINE, "no response in time")
         except BrokenAnswerError as exc:
             return Unsure(Reason.ANSWER_LOST, str(exc))
-        head = self._codec.decode_answer_head(raw_head, admitted.req)
-        self._limit_gate.record_head(server, admitted.req.attempt_id, head)
         error = _find_head_error(head)
         if error is not None:
             return Unsure(Reason.ANSWER_LOST, error)
         return Started(call, head, outgoing.run_id, outgoing.cancel_request)
 
+    async def _read_own_head(
+        self,
+        server: BackendServer,
+        call: ClientCall,
+        admitted: AdmittedRequest,
+        failover_policy: FailoverPolicy,
+    ) -> AnswerHead:
+        """Waits for the head of the response to the request that was sent.
+
+        Raises:
+            TimeoutError: It did not arrive before failover or the deadline.
+            BrokenAnswerError: The connection failed, or there were too many
+                responses to other requests or invalid ones.
+        """
+        attempt_id = admitted.req.attempt_id
+        for _ in range(MAX_STRAY_ANSWERS + 1):
+            raw_head = await _read_head(call, failover_policy)
+            head = self._codec.decode_answer_head(raw_head, admitted.req)
+            self._limit_gate.record_head(server, attempt_id, head)
+            if head.matches_request:
+                return head
+            _log.info(
+                "stray_answer",
+                request=attempt_id,
+                server=server.entry.server_id,
+                status=head.status,
+                is_not_run=head.is_not_run,
+            )
+            await _skip_response(call)
+        raise BrokenAnswerError("too many responses to other requests")
+
 
 def _over_limit(detail: str) -> NotRun:
     return NotRun(Reason.SERVER_LIMIT, detail, reached_server=False)
@@ -310,12 +349,26 @@
             )
 
 
+async def _skip_response(call: ClientCall) -> None:
+    """Skips the body of a response to another request.
+
+    Raises:
+        BrokenAnswerError: It is invalid, or doesn't end soon.
+    """
+    try:
+        async with asyncio.timeout(STRAY_BODY_TIMEOUT_S):
+            await call.skip_response()
+    except TimeoutError as exc:
+        detail = "a response to another request does not end"
+        raise BrokenAnswerError(detail) from exc
+
+
 def _find_head_error(head: AnswerHead) -> str | None:
     """Returns why a response can't be forwarded, or None if it can."""
     if head.is_not_run:
         return None
-    if not head.matches_request:
-        return "the response is for another request"
+    if head.promises_not_run:
+        return "a status that promises more than its server declares"
     if head.is_success and not head.is_signed:
         return "a successful response without the server's signature"
     if any(name == "content-encoding" for name, _ in head.headers):
--- a/src/savorylift/platform/codec.py
+++ b/src/savorylift/platform/codec.py
@@ -28,6 +28,8 @@
 )
 
 MAX_ATTEMPT_ID_CHARS = 200
+# Statuses by which callers are told that their request did not run.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # A decimal number of requests per second, without sign or exponent.
 LIMIT_PATTERN = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
 JSON_CONTENT_TYPE = ("content-type", "application/json")
@@ -163,6 +165,7 @@
         is_signed=head.header(header_names.RESPONSE_SIGNATURE) is not None,
         named_limit=_decode_limit(head),
         is_close_delimited=head.is_close_delimited,
+        promises_not_run=head.status in NOT_RUN_STATUSES,
     )
 
 
--- a/src/savorylift/wire/channel.py
+++ b/src/savorylift/wire/channel.py
@@ -52,6 +52,11 @@
         name = self.transport.get_extra_info("peername")
         return f"{name[0]}:{name[1]}" if name else ""
 
+    @property
+    def has_input(self) -> bool:
+        """Whether bytes have arrived that were not read yet."""
+        return bool(self._read_buffer)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keeps the transport and disables Nagle's algorithm."""
         self._transport = cast("asyncio.Transport", transport)
--- a/src/savorylift/wire/client_call.py
+++ b/src/savorylift/wire/client_call.py
@@ -18,6 +18,8 @@
 _buffers = BufferBudget(16_777_216)
 # Informational responses before the final one.
 MAX_INFORMATIONAL = 8
+# Host of a request from which only its method matters.
+ANY_HOST = [("host", "any")]
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
@@ -116,6 +118,24 @@
                 body += chunk
             return Response(head.status, head.headers, bytes(body))
 
+    async def skip_response(self) -> None:
+        """Reads the rest of a response, and expects another one after it.
+
+        A server in trouble may send responses that belong to other requests
+        before the one to this request.
+
+        Raises:
+            BrokenAnswerError: The body is incomplete or invalid.
+        """
+        while await self.read_body_chunk() is not None:
+            pass
+        rest, is_ended = self._h11.trailing_data
+        self._h11 = _make_parser(self._method)
+        if rest:
+            self._h11.receive_data(rest)
+        if is_ended:
+            self._h11.receive_data(b"")
+
     def close(self) -> None:
         """Closes the connection immediately."""
         self._channel.abort()
@@ -133,6 +153,14 @@
                 raise BrokenAnswerError(f"connection reset: {exc}") from exc
 
 
+def _make_parser(method: str) -> h11.Connection:
+    """Returns a parser of the response to a request that was sent before."""
+    parser = h11.Connection(h11.CLIENT)
+    parser.send(h11.Request(method=method, target="/", headers=ANY_HOST))
+    parser.send(h11.EndOfMessage())
+    return parser
+
+
 def _is_close_delimited(head: ResponseHead, method: str) -> bool:
     if method == "HEAD" or head.status in STATUSES_WITHOUT_BODY:
         return False
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -18,6 +18,7 @@
 
 RESPONSE_SIGNATURE_HEADER = ("x-savorylift-response-seal", "seal")
 NOT_EXECUTED_HEADER = ("x-savorylift-not-executed", "1")
+STREAM_TYPE_HEADER = ("content-type", "text/event-stream")
 TRICKLE_INTERVAL_S = 0.2
 # How long a server is down after a crash.
 RESTART_S = 0.2
@@ -196,10 +197,9 @@
             self.kv_copies.pop(req.target.rpartition("/")[2], None)
             conn.respond(200, (), b"")
         elif headers["x-savorylift-expected-instance"] != self.server_id:
-            conn.respond(421, self._limit_headers(), b"")
+            conn.respond(421, self._refusal_headers(headers), b"")
         elif self.rejects_all:
-            headers_503 = (NOT_EXECUTED_HEADER, *self._limit_headers())
-            conn.respond(503, headers_503, b"")
+            conn.respond(503, self._refusal_headers(headers), b"")
         else:
             self.headers = headers
             self.body = req.body
@@ -209,6 +209,14 @@
         await conn.channel.drain()
         conn.channel.close()
 
+    def _refusal_headers(self, headers: dict[str, str]) -> Headers:
+        attempt = headers["x-savorylift-attempt-id"]
+        return (
+            ("x-savorylift-attempt-id", attempt),
+            NOT_EXECUTED_HEADER,
+            *self._limit_headers(),
+        )
+
     def _limit_headers(self) -> Headers:
         if self.named_limit is None:
             return ()
@@ -260,15 +268,16 @@
         headers: dict[str, str],
         response_headers: Headers,
     ) -> None:
+        stream_headers = (*response_headers, STREAM_TYPE_HEADER)
         if "kv-from" in headers:
             handle = headers["kv-from"].rpartition("/")[2]
             if self.kv_copies.pop(handle, None) is None or self.loses_copies:
-                conn.respond(503, (NOT_EXECUTED_HEADER,), b"")
+                conn.respond(503, self._refusal_headers(headers), b"")
                 return
         start = int(headers.get("last-event-id", "0"))
         conn.start_response(
             200,
-            response_headers,
+            stream_headers,
             is_close_delimited=self.has_unframed_streams,
         )
         for number in range(start + 1, self.events_per_stream + 1):
