Keep errors of servers out of streams that have begun

From the operators' reports: a stream broke off, and the next server answered with an error. A complete error response never reached the stream. But text, the head of a response or an event of an error that stood in the body of a 200 was relayed as an event, and a 204 or a 200 of another type ended the stream as complete.

Now each block of a stream must consist of fields of events, must have a number once others had one, and the rest of a stream must come as a stream of events. All else breaks the answer off.

--- a/src/savorylift/exchange/codec.py
+++ b/src/savorylift/exchange/codec.py
@@ -4,6 +4,7 @@
 servers; sinks and readers do so for the events of a stream.
 """
 
+from collections.abc import Iterable
 from typing import NamedTuple, Protocol
 
 from returns.result import Result
@@ -54,7 +55,7 @@
 class EventReader(Protocol):
     """Incremental parser for the events of one response."""
 
-    def feed(self, data: bytes) -> list[Event]:
+    def feed(self, data: bytes) -> Iterable[Event]:
         """Returns the events that `data` completes.
 
         Raises:
--- a/src/savorylift/exchange/events.py
+++ b/src/savorylift/exchange/events.py
@@ -1,5 +1,7 @@
 """Splits a stream of server-sent events into complete events."""
 
+import re
+from collections.abc import Iterator
 from typing import NamedTuple
 
 from savorylift.wire.client_call import BrokenAnswerError
@@ -9,6 +11,9 @@
 DATA_FIELD = b"data:"
 # Data of the event that marks the end of a complete completions stream.
 DONE_SENTINEL = b"[DONE]"
+# A field of an event, or a comment.
+EVENT_LINE = re.compile(rb"[A-Za-z-]*:|\r?$")
+COMMENT_LINE = b":"
 # An engine in trouble may send without end.
 MAX_EVENT_BYTES = 262_144
 
@@ -70,6 +75,55 @@
         return events
 
 
+class NumberedEventReader:
+    """Reads a stream whose events are numbered, and nothing else.
+
+    A server in trouble may write an error into the body of a stream.
+    """
+
+    def __init__(self, resume_after: str | None) -> None:
+        """Creates a reader for a new response.
+
+        Args:
+            resume_after: ID of the event after which the stream resumes; None
+                if it begins.
+        """
+        self._splitter = EventSplitter()
+        self._is_numbered = resume_after is not None
+
+    def feed(self, data: bytes) -> Iterator[Event]:
+        """Yields the events that `data` completes.
+
+        Raises:
+            BrokenAnswerError: An event is too large, is none at all, or has no
+                number although those before it have one.
+        """
+        for event in self._splitter.feed(data):
+            self._check(event)
+            yield event
+
+    def end(self) -> None:
+        """Checks that the stream did not end within an event.
+
+        Raises:
+            BrokenAnswerError: It did.
+        """
+        self._splitter.end()
+
+    def _check(self, event: Event) -> None:
+        lines = event.data.rstrip(b"\r\n").split(b"\n")
+        if not all(map(EVENT_LINE.match, lines)):
+            raise BrokenAnswerError("the stream has bytes that are no event")
+        if event.number is not None:
+            self._is_numbered = True
+            return
+        is_comment = all(
+            not line or line.startswith(COMMENT_LINE) for line in lines
+        )
+        if self._is_numbered and not is_comment:
+            raise BrokenAnswerError("an event has no number")
+
+
 def event_data(event: bytes) -> bytes:
     """Returns the `data` fields of an event, joined by newlines."""
     parts = [
--- a/src/savorylift/exchange/run_sender.py
+++ b/src/savorylift/exchange/run_sender.py
@@ -54,6 +54,15 @@
             return Broken(started.reason, started.detail)
         if isinstance(started, Started) and not started.head.is_success:
             return await self._read_failure(run, server, started)
+        if (
+            isinstance(started, Started)
+            and run.last_event is not None
+            and not started.head.is_event_stream
+        ):
+            started.call.close()
+            self._sender.cancel_run(server, started.cancel_request)
+            detail = "the rest of a stream was answered with none"
+            return Broken(Reason.ANSWER_LOST, detail)
         return started
 
     async def resume(
--- a/src/savorylift/platform/codec.py
+++ b/src/savorylift/platform/codec.py
@@ -8,7 +8,7 @@
 from returns.result import Failure, Result, Success
 
 from savorylift.exchange.codec import CallerStream, OutgoingRequest
-from savorylift.exchange.events import EventSplitter
+from savorylift.exchange.events import NumberedEventReader
 from savorylift.exchange.request import (
     AnswerHead,
     CallerRequest,
@@ -65,14 +65,14 @@
     def make_event_reader(
         self,
         run_id: str,  # noqa: ARG002
-        resume_after: str | None,  # noqa: ARG002
-    ) -> EventSplitter:
+        resume_after: str | None,
+    ) -> NumberedEventReader:
         """Returns a reader of event streams.
 
         It skips no events: on this interface, the servers themselves resume a
         stream after the event that the request names.
         """
-        return EventSplitter()
+        return NumberedEventReader(resume_after)
 
     def make_event_sink(
         self,
