Take no response of a node for whole that stops within its head

Our client did: `http.client` takes the end of the input for the end of the headers, so that a call got a 200, or a service's 503, with an empty body.

Now each line of a head must end before the input does.

--- a/src/savorylift/client/client.py
+++ b/src/savorylift/client/client.py
@@ -9,6 +9,7 @@
 import urllib3
 from returns.result import Failure, Result, Success
 
+from savorylift.client.connection_pool import make_pool
 from savorylift.client.node_addresses import NodeAddresses
 from savorylift.client.outcomes import (
     Answer,
@@ -56,9 +57,7 @@
     def __init__(self, cfg: ClientOptions) -> None:
         """Initializes the client; connections are opened on first use."""
         self._cfg = cfg
-        self._pool = urllib3.PoolManager(
-            maxsize=1, block=False, ca_certs=cfg.authorities
-        )
+        self._pool = make_pool(cfg.authorities)
         self._nodes = NodeAddresses(cfg.seeds, cfg.team, self._pool)
 
     def stream(
--- /dev/null
+++ b/src/savorylift/client/connection_pool.py
@@ -0,0 +1,76 @@
+"""Connections on which a response counts only with its whole head."""
+
+import http.client
+import io
+from typing import cast
+
+import urllib3
+from urllib3.connection import HTTPConnection, HTTPSConnection
+
+LINE_END = b"\n"
+
+
+class _HeadReader:
+    """Reads the lines of a head; the end of the input is none of the head.
+
+    `http.client` takes it for the blank line that ends the headers. A node
+    that stops within a head would seem to have answered without a body.
+    """
+
+    def __init__(self, source: io.BufferedReader) -> None:
+        self._source = source
+
+    def readline(self, limit: int = -1) -> bytes:
+        """Returns the next line, with its end.
+
+        Raises:
+            http.client.RemoteDisconnected: The input ends before.
+        """
+        line = self._source.readline(limit)
+        if not line.endswith(LINE_END):
+            raise http.client.RemoteDisconnected("the response head is cut off")
+        return line
+
+    def close(self) -> None:
+        """Closes the source."""
+        self._source.close()
+
+
+class _Response(http.client.HTTPResponse):
+    def begin(self) -> None:
+        """Reads the head; fails if the connection ends within it."""
+        source = self.fp
+        self.fp = cast("io.BufferedReader", _HeadReader(source))
+        try:
+            super().begin()
+        finally:
+            if self.fp is not None:
+                self.fp = source
+
+
+class _HttpConnection(HTTPConnection):
+    response_class = _Response
+
+
+class _HttpsConnection(HTTPSConnection):
+    response_class = _Response
+
+
+class _HttpPool(urllib3.HTTPConnectionPool):
+    ConnectionCls = _HttpConnection
+
+
+class _HttpsPool(urllib3.HTTPSConnectionPool):
+    ConnectionCls = _HttpsConnection
+
+
+def make_pool(authorities: str | None) -> urllib3.PoolManager:
+    """Returns a pool of connections to nodes.
+
+    Args:
+        authorities: Path of a PEM file with the CA certificates for TLS; None
+            for the system's.
+    """
+    pool = urllib3.PoolManager(maxsize=1, block=False, ca_certs=authorities)
+    pool.pool_classes_by_scheme = {"http": _HttpPool, "https": _HttpsPool}
+    return pool
