Split reading answers' heads and cancelling runs off the sending

No change in behaviour.

Measured: tests of exchange, stray answers, errors in streams, slow streams and the completion interface pass.

--- a/src/savorylift/exchange/send.py
+++ b/src/savorylift/exchange/send.py
@@ -5,10 +5,9 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-import structlog
-
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange.admission import AdmittedRequest
+from savorylift.exchange.answer_head_reader import AnswerHeadReader
 from savorylift.exchange.codec import CancelRequest, Codec, OutgoingRequest
 from savorylift.exchange.failover import FailoverPolicy
 from savorylift.exchange.limit_gate import LimitGate, Permit
@@ -18,26 +17,18 @@
     KvCopy,
 )
 from savorylift.exchange.results import Answered, NotRun, SendResult, Unsure
+from savorylift.exchange.run_canceller import RunCanceller
 from savorylift.exchange.server_check import ServerCheck
 from savorylift.outcomes import Reason
 from savorylift.wire.channel import connect
-from savorylift.wire.client_call import BrokenAnswerError, ClientCall, fetch
+from savorylift.wire.client_call import BrokenAnswerError, ClientCall
 from savorylift.wire.message import ResponseHead
 
 # Many round trips: a reachable server accepts within a few milliseconds.
 CONNECT_TIMEOUT_S = 0.2
-# Interval at which to look for another server after `failover_at_s`.
-ALTERNATIVE_POLL_S = 0.1
-# A server in trouble may send answers to other requests before the one asked
-# for.
-MAX_STRAY_ANSWERS = 4
-STRAY_BODY_TIMEOUT_S = 0.2
-CANCEL_TIMEOUT_S = 1.0
 # Detail of an answer that ended with the connection of a server that is gone.
 SERVER_GONE = "the server closed the connection and is gone"
 
-_log = structlog.get_logger()
-
 
 class ResumePoint(NamedTuple):
     """Where to resume a stream.
@@ -93,7 +84,8 @@
         self._limit_gate = limit_gate
         self._server_check = server_check
         self._is_usable = is_usable
-        self._cancel_tasks: set[asyncio.Task[None]] = set()
+        self._head_reader = AnswerHeadReader(codec, limit_gate)
+        self._canceller = RunCanceller()
 
     async def start(
         self,
@@ -205,13 +197,7 @@
         self, server: BackendServer, cancel_request: CancelRequest | None
     ) -> None:
         """Cancels a run that would continue without its connection."""
-        if cancel_request is None:
-            return
-        task = asyncio.get_running_loop().create_task(
-            _send_cancel_request(server, cancel_request)
-        )
-        self._cancel_tasks.add(task)
-        task.add_done_callback(self._cancel_tasks.discard)
+        self._canceller.cancel(server, cancel_request)
 
     async def _acquire_permit(
         self,
@@ -237,50 +223,13 @@
         call.send(
             outgoing.method, outgoing.target, outgoing.headers, outgoing.body
         )
-        try:
-            head = await self._read_own_head(
-                server, call, admitted, failover_policy
-            )
-        except TimeoutError:
-            return Unsure(Reason.DEADLINE, "no response in time")
-        except BrokenAnswerError as exc:
-            return Unsure(Reason.ANSWER_LOST, str(exc))
-        error = _find_head_error(head)
-        if error is not None:
-            return Unsure(Reason.ANSWER_LOST, error)
+        head = await self._head_reader.read(
+            server, call, admitted.req, failover_policy
+        )
+        if isinstance(head, Unsure):
+            return head
         return Started(call, head, outgoing.run_id, outgoing.cancel_request)
 
-    async def _read_own_head(
-        self,
-        server: BackendServer,
-        call: ClientCall,
-        admitted: AdmittedRequest,
-        failover_policy: FailoverPolicy,
-    ) -> AnswerHead:
-        """Waits for the head of the response to the request that was sent.
-
-        Raises:
-            TimeoutError: It did not arrive before failover or the deadline.
-            BrokenAnswerError: The connection failed, or there were too many
-                responses to other requests or invalid ones.
-        """
-        attempt_id = admitted.req.attempt_id
-        for _ in range(MAX_STRAY_ANSWERS + 1):
-            raw_head = await _read_head(call, failover_policy)
-            head = self._codec.decode_answer_head(raw_head, admitted.req)
-            self._limit_gate.record_head(server, attempt_id, head)
-            if head.matches_request:
-                return head
-            _log.info(
-                "stray_answer",
-                request=attempt_id,
-                server=server.entry.server_id,
-                status=head.status,
-                is_not_run=head.is_not_run,
-            )
-            await _skip_response(call)
-        raise BrokenAnswerError("too many responses to other requests")
-
 
 def _over_limit(detail: str) -> NotRun:
     return NotRun(Reason.SERVER_LIMIT, detail, reached_server=False)
@@ -299,78 +248,3 @@
         kv_copy=resume_point.kv_copy,
         model_version=admitted.service.model_version,
     )
-
-
-async def _send_cancel_request(
-    server: BackendServer, cancel_request: CancelRequest
-) -> None:
-    try:
-        await fetch(
-            server.entry.address,
-            cancel_request.method,
-            cancel_request.target,
-            timeout_s=CANCEL_TIMEOUT_S,
-            connect_timeout_s=CONNECT_TIMEOUT_S,
-        )
-    except (OSError, BrokenAnswerError) as exc:
-        _log.info(
-            "not_withdrawn",
-            server=server.entry.server_id,
-            target=cancel_request.target,
-            detail=f"{type(exc).__name__}: {exc}",
-        )
-
-
-async def _read_head(
-    call: ClientCall, failover_policy: FailoverPolicy
-) -> ResponseHead:
-    """Waits for the head of a response.
-
-    Raises:
-        TimeoutError: No head arrived before failover or the deadline.
-        BrokenAnswerError: The connection failed or the response is invalid.
-    """
-    wait_until_s = min(
-        failover_policy.failover_at_s, failover_policy.deadline_s
-    )
-    while True:
-        try:
-            async with asyncio.timeout_at(wait_until_s):
-                return await call.read_head()
-        except TimeoutError:
-            now_s = time.monotonic()
-            if (
-                now_s >= failover_policy.deadline_s
-                or failover_policy.has_alternative()
-            ):
-                raise
-            wait_until_s = min(
-                now_s + ALTERNATIVE_POLL_S, failover_policy.deadline_s
-            )
-
-
-async def _skip_response(call: ClientCall) -> None:
-    """Skips the body of a response to another request.
-
-    Raises:
-        BrokenAnswerError: It is invalid, or doesn't end soon.
-    """
-    try:
-        async with asyncio.timeout(STRAY_BODY_TIMEOUT_S):
-            await call.skip_response()
-    except TimeoutError as exc:
-        detail = "a response to another request does not end"
-        raise BrokenAnswerError(detail) from exc
-
-
-def _find_head_error(head: AnswerHead) -> str | None:
-    """Returns why a response can't be forwarded, or None if it can."""
-    if head.is_not_run:
-        return None
-    if head.promises_not_run:
-        return "a status that promises more than its server declares"
-    if head.is_success and not head.is_signed:
-        return "a successful response without the server's signature"
-    if any(name == "content-encoding" for name, _ in head.headers):
-        return "a content encoding that was not requested"
-    return None
