--- a/src/savorylift/emulator/simulation.py
+++ b/src/savorylift/emulator/simulation.py
@@ -11,71 +11,20 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
-from savorylift.backends.load import Load as EngineLoad
 from savorylift.backends.registry import BackendServer
-from savorylift.backends.server import ServerEntry
+from savorylift.emulator.engine import Engine
 from savorylift.emulator.job import FleetSample, Job, Outcome
 from savorylift.emulator.load_file import Arrivals, Loss, Workload
 from savorylift.emulator.policies import Policy
 from savorylift.exchange.engine_queue import PREFILL_SHARE, QUEUE_WAIT_FACTOR
 from savorylift.placement.engines import EngineOptions
 from savorylift.placement.fair_share import FairShare
-from savorylift.placement.move_order import PlannedMove, copy_time_s, is_next
+from savorylift.placement.move_order import copy_time_s, is_next
 from savorylift.placement.wait_queue import QueueEntry
 from savorylift.routing.configuration import EngineTraits
 
 BYTES_PER_MEGABIT = 125_000.0
 SAMPLE_INTERVAL_S = 0.5
-SERVICE = "engines"
-
-
-class Engine:
-    """A simulated engine, which may be down for a while after a loss.
-
-    Attributes:
-        server: The engine as policies see it.
-        jobs: Its generations by number.
-        is_running: Whether it is up.
-        is_leaving: Whether it is draining or down, so that it takes no new
-            generations.
-        prefill_until_s: Virtual time at which the prompts of all its
-            generations will be prefilled.
-    """
-
-    def __init__(self, number: int, domain: str, slots: int) -> None:
-        """Creates a running engine without generations."""
-        entry = ServerEntry(
-            server_id=f"engine-{number}",
-            service=SERVICE,
-            address=("127.0.0.1", 1 + number),
-            failure_domain=domain,
-            slots=slots,
-            is_leaving=False,
-            cold_s=0.0,
-            started_ms=0,
-            sequence=0,
-        )
-        self.server = BackendServer(entry, 0.0)
-        self.jobs: dict[int, Job] = {}
-        self.is_running = True
-        self.is_leaving = False
-        self.prefill_until_s = 0.0
-
-    @property
-    def server_id(self) -> str:
-        """Identifier of the engine."""
-        return self.server.entry.server_id
-
-    def load(self) -> EngineLoad:
-        """Returns its load as policies see it."""
-        in_prefill = (
-            j for j in self.jobs.values() if j.first_token_at_s is None
-        )
-        return EngineLoad(
-            requests=len(self.jobs),
-            tokens=sum(job.tokens for job in self.jobs.values()),
-            prefill_tokens=sum(job.kind.prompt_tokens for job in in_prefill),
-        )
 
 
 class SimulationResult(NamedTuple):
@@ -243,7 +192,10 @@
         engine.jobs[job.number] = job
         prefill_per_s = self._workload.engines.read_tokens_per_ms * 1000
         start_s = max(engine.prefill_until_s, self._now_s)
-        start_s = max(start_s, self._room_at_s(engine, job))
+        start_s = max(
+            start_s,
+            engine.room_at_s(job, self._traits.memory_tokens, self._now_s),
+        )
         engine.prefill_until_s = (
             start_s + job.kind.prompt_tokens / prefill_per_s
         )
@@ -251,27 +203,6 @@
             engine.prefill_until_s, self._on_first_token, job, engine
         )
 
-    def _room_at_s(self, engine: Engine, job: Job) -> float:
-        """Returns when an engine has room for a generation assigned to it.
-
-        Policies without a queue may give an engine more generations than its
-        KV cache holds. The latest one then waits until others have ended.
-        """
-        expected = sum(other.tokens for other in engine.jobs.values())
-        excess = expected - self._traits.memory_tokens
-        ends = sorted(
-            (other.ends_s, other.tokens)
-            for other in engine.jobs.values()
-            if other is not job and other.first_token_at_s is not None
-        )
-        for ends_s, tokens in ends:
-            if excess <= 0:
-                break
-            excess -= tokens
-            if excess <= 0:
-                return ends_s
-        return self._now_s
-
     def _on_first_token(self, job: Job, engine: Engine) -> None:
         if engine.jobs.get(job.number) is not job:
             return
@@ -306,15 +237,7 @@
 
     def _start_next_move(self, engine: Engine, lost_s: float) -> None:
         """Starts the next copy off an engine, in the order that nodes use."""
-        moves = [
-            PlannedMove(
-                engine.server_id,
-                job.memory_tokens(self._now_s),
-                job.attempt_id,
-            )
-            for job in engine.jobs.values()
-            if job.first_token_at_s is not None
-        ]
+        moves = engine.planned_moves(self._now_s)
         next_move = next((move for move in moves if is_next(move, moves)), None)
         if next_move is None:
             return
