Decode and log software versions and the attempt that a caller resumes

Cause: no log line told which software version a run was at, nor that a caller took a stream up, so the hypotheses on mixed streams couldn't be told apart.

Change: entries' versions and the header Resumes are decoded into types; sent, moved and server_changed log them. Nothing is decided by them yet.

--- a/src/savorylift/backends/server.py
+++ b/src/savorylift/backends/server.py
@@ -20,6 +20,8 @@
         max_cold_requests: Number of requests that it takes concurrently while
             it is cold. None if its cold start is limited by a request rate
             instead; then `slots` isn't enforced either.
+        software_version: Version of its software; empty if it names none. A
+            stream can't be continued by another version.
     """
 
     server_id: str
@@ -32,6 +34,7 @@
     started_ms: int
     sequence: int
     max_cold_requests: int | None = None
+    software_version: str = ""
 
     def has_capacity(self, requests: int) -> bool:
         """Returns whether it may get another request once it is warm.
--- a/src/savorylift/completions/caller_request.py
+++ b/src/savorylift/completions/caller_request.py
@@ -121,6 +121,7 @@
         completion = msgspec.json.decode(req.body, type=CompletionBody)
     except msgspec.MsgspecError as exc:
         return _refuse(400, Reason.BAD_REQUEST, f"bad body: {exc}")
+    resume_after = _first_value(req, LAST_EVENT_ID_HEADER)
     if completion.seed is None:
         # Derived from the request id, so that another node generates the
         # same answer for a resent request.
@@ -135,7 +136,7 @@
             api_key=common.team,
             arrived_s=req.arrived_s,
             time_left_s=common.time_left_s,
-            resume_after=_first_value(req, LAST_EVENT_ID_HEADER),
+            resume_after=resume_after,
             generation=Generation(
                 len(completion.prompt.split()), completion.max_tokens
             ),
@@ -144,6 +145,8 @@
             priority=common.priority,
             wants_single_response=not completion.stream,
             no_route_reason=Reason.UNKNOWN_MODEL,
+            # All attempts at a generation have the same ID.
+            resumes=None if resume_after is None else common.request_id,
         )
     )
 
--- a/src/savorylift/exchange/mover.py
+++ b/src/savorylift/exchange/mover.py
@@ -278,6 +278,8 @@
             request=run.attempt_id,
             source=target.source.entry.server_id,
             destination=target.server.entry.server_id,
+            source_version=target.source.entry.software_version,
+            destination_version=target.server.entry.software_version,
         )
 
 
--- a/src/savorylift/exchange/request.py
+++ b/src/savorylift/exchange/request.py
@@ -48,6 +48,8 @@
         wants_single_response: Whether a generation is returned in a single
             response instead of a stream.
         no_route_reason: Reason of the refusal if no route matches.
+        resumes: ID of the attempt that brought the first event of the stream
+            that it resumes; None if it names none.
     """
 
     attempt_id: str
@@ -65,6 +67,7 @@
     priority: int | None = None
     wants_single_response: bool = False
     no_route_reason: Reason = Reason.NOT_FOUND
+    resumes: str | None = None
 
 
 class KvCopy(NamedTuple):
--- a/src/savorylift/exchange/run_log.py
+++ b/src/savorylift/exchange/run_log.py
@@ -26,6 +26,8 @@
         "sent",
         request=run.attempt_id,
         server=server.entry.server_id,
+        software_version=server.entry.software_version,
+        resumes=run.admitted.req.resumes,
         ending=type(started).__name__,
         detail=detail,
         is_close_delimited=(
--- a/src/savorylift/fleet/store_view.py
+++ b/src/savorylift/fleet/store_view.py
@@ -252,6 +252,7 @@
                 "server_changed",
                 server=server_id,
                 service=entry.service,
+                software_version=entry.software_version,
                 is_leaving=entry.is_leaving,
                 cold_s=entry.cold_s,
                 sequence=entry.sequence,
--- a/src/savorylift/platform/backend_servers.py
+++ b/src/savorylift/platform/backend_servers.py
@@ -19,6 +19,8 @@
     # Number of the entry, counted from the server's start.
     sequence: int
     cold_remaining_ms: float = 0.0
+    # Version of the server's software, not of its weights.
+    version: str = ""
     # Unix time of the server's start in milliseconds; 0 if unknown.
     born: int = 0
 
@@ -47,5 +49,6 @@
             cold_s=max(entry.cold_remaining_ms, 0.0) / 1000,
             started_ms=entry.born,
             sequence=entry.sequence,
+            software_version=entry.version,
         )
     )
--- a/src/savorylift/platform/codec.py
+++ b/src/savorylift/platform/codec.py
@@ -123,10 +123,21 @@
                 if item[0] not in header_names.RESERVED
             ),
             body=req.body,
+            resumes=_decode_resumes(req),
         )
     )
 
 
+def _decode_resumes(req: Request) -> str | None:
+    """Returns the attempt that a request resumes; "" if that is unclear."""
+    values = set(req.header_values(header_names.RESUMES))
+    if not values:
+        return None
+    value = values.pop()
+    is_clear = not values and len(value) <= MAX_ATTEMPT_ID_CHARS
+    return value if is_clear else ""
+
+
 def encode_forwarded_headers(
     req: CallerRequest, forwarding: ForwardingOptions
 ) -> Headers:
--- a/src/savorylift/platform/headers.py
+++ b/src/savorylift/platform/headers.py
@@ -23,6 +23,8 @@
 LENGTH_HINT = "x-savorylift-length-hint"
 PRIORITY = "x-savorylift-request-priority"
 LAST_EVENT_ID = "last-event-id"
+# Attempt that brought the first event of the stream that a caller resumes.
+RESUMES = "resumes"
 # The next four are never sent by a node, only removed.
 HOLD = "x-savorylift-hold"
 PIN_DURATION = "x-savorylift-pin-duration"
--- a/tests/platform/test_backend_servers.py
+++ b/tests/platform/test_backend_servers.py
@@ -27,6 +27,7 @@
     assert entry.cold_s == 1.5
     assert not entry.is_leaving
     assert (entry.started_ms, entry.sequence) == (99, 3)
+    assert entry.software_version == "v1"
 
 
 def test_draining_state_marks_server_as_leaving() -> None:
@@ -48,6 +49,7 @@
         {"slots": 0},
         {"sequence": 1.5},
         {"zone": []},
+        {"version": 1},
     ],
 )
 def test_entry_with_invalid_field_is_rejected(change: dict[str, Any]) -> None:
--- a/tests/platform/test_codec.py
+++ b/tests/platform/test_codec.py
@@ -26,6 +26,23 @@
     return Request("POST", "/a/b?c", BASE_HEADERS + headers, b"body", 5.0)
 
 
+@pytest.mark.parametrize(
+    ("values", "expected"),
+    [
+        ((), None),
+        (("a0",), "a0"),
+        (("a0", "a0"), "a0"),
+        (("a0", "b0"), ""),
+        (("a" * 201,), ""),
+    ],
+)
+def test_attempt_that_a_request_resumes_is_decoded(
+    values: tuple[str, ...], expected: str | None
+) -> None:
+    headers = [("resumes", value) for value in values]
+    assert decode_request(request(*headers)).unwrap().resumes == expected
+
+
 def test_generation_headers_are_decoded() -> None:
     decoded = decode_request(
         request(
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -77,6 +77,10 @@
         crash_delay_s: Time from the beginning of a deadly request to the
             crash.
         crashes_before_head: Whether it crashes before the head of the answer.
+        software_version: Version of its software, as its entry says.
+        says_version: Whether each event of a stream says that version.
+        resets_after: Resets the connection after the stream event of this
+            number, in streams that begin here; None for never.
         restart_s: How long it is down after a crash.
         crashes_s: Monotonic times of its crashes.
         on_restart: Called with its earlier ID after it restarted from a crash
@@ -121,6 +125,9 @@
         self.crash_delay_s = 0.0
         self.crashes_before_head = False
         self.restart_s = RESTART_S
+        self.software_version = "v1"
+        self.says_version = False
+        self.resets_after: int | None = None
         self.crashes_s: list[float] = []
         self.named_limit: str | None = None
         self.arrivals: list[float] = []
@@ -166,7 +173,7 @@
             "service": service,
             "address": f"127.0.0.1:{self.port}",
             "zone": zone,
-            "version": "v1",
+            "version": self.software_version,
             "slots": 6,
             "state": state,
             "coldRemainingMs": 0,
@@ -275,6 +282,7 @@
                 conn.respond(503, self._refusal_headers(headers), b"")
                 return
         start = int(headers.get("last-event-id", "0"))
+        data = self.software_version.encode() if self.says_version else b"x"
         conn.start_response(
             200,
             stream_headers,
@@ -289,8 +297,12 @@
             if self.closes_after == number:
                 conn.send_body(b"id: %d\ndata: cut" % number)
                 return
-            conn.send_body(b"id: %d\ndata: x\n\n" % number)
+            conn.send_body(b"id: %d\ndata: %s\n\n" % (number, data))
             self.streamed_events[attempt] = number
+            if number == self.resets_after and not start:
+                await conn.flush()
+                conn.channel.abort()
+                return
             if number == self.trickles_after and not start:
                 await self._trickle(conn)
                 return
