Show that streams go on at another software version, as known red

Cause: suspected: no node knows which software version began a stream.

Change: tests with two engines of each of two versions: broken, moved, taken up at another node, twice, after nodes were lost, with their version gone, unknown. The stand-in says its version in each event.

--- /dev/null
+++ b/tests/front/test_software_versions.py
@@ -0,0 +1,298 @@
+"""Tests of streams while servers of several software versions serve.
+
+Every event says the version of the server that wrote it.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import Callable, Coroutine
+from typing import Any, NamedTuple
+
+import pytest
+
+from savorylift.wire.channel import connect
+from savorylift.wire.client_call import BrokenAnswerError, ClientCall
+from savorylift.wire.message import Headers
+from tests.front.node_fleet import TOKEN_COUNTS, NodeFleet
+
+STREAMS = 16
+EVENTS = 12
+BREAK_AFTER = 4
+STREAM_TIMEOUT_S = 8.0
+# A refusal that rests on what is known comes within this time.
+AT_ONCE_S = 0.6
+PATH = "/resumable/x"
+
+
+class Part(NamedTuple):
+    """What a caller got in one attempt.
+
+    Attributes:
+        status: Status of the response; 0 if there was none.
+        versions: Software version of each event.
+        is_whole: Whether the stream ended as complete.
+        took_s: Time until the response ended.
+        retry_after: When to return, if the response said so.
+    """
+
+    status: int
+    versions: list[str]
+    is_whole: bool
+    took_s: float
+    retry_after: str | None = None
+
+
+class VersionFleet(NodeFleet):
+    """Two engines of each of two versions; streams break off once."""
+
+    def __init__(self, nodes: int = 2) -> None:
+        super().__init__(nodes, 4)
+        self.set_versions("v1", "v1", "v2", "v2")
+        for server in self.pool:
+            server.says_version = True
+            server.events_per_stream = EVENTS
+            server.resets_after = BREAK_AFTER
+
+    def set_versions(self, *versions: str) -> None:
+        """Sets the software version of each engine."""
+        for server, version in zip(self.pool, versions, strict=True):
+            server.software_version = version
+
+    async def stream(
+        self, node: int, attempt: str, extra: Headers = (), path: str = PATH
+    ) -> Part:
+        """Sends a request for a stream and reads it to its end."""
+        headers: Headers = (
+            ("host", "h.example"),
+            ("x-savorylift-attempt-id", attempt),
+            ("x-savorylift-deadline-remaining", "6000"),
+            ("x-api-key", "key"),
+            *TOKEN_COUNTS,
+            *extra,
+        )
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        status, retry_after, data, is_whole = 0, None, b"", False
+        with contextlib.suppress(BrokenAnswerError, OSError, TimeoutError):
+            async with asyncio.timeout(STREAM_TIMEOUT_S):
+                ip = self.ips[node]
+                call = ClientCall(await connect(ip, self.caller_port, 1.0))
+                call.send(
+                    "POST", path, headers, b"question " + attempt.encode()
+                )
+                head = await call.read_head()
+                status, retry_after = head.status, head.header("retry-after")
+                while (chunk := await call.read_body_chunk()) is not None:
+                    data += chunk
+                is_whole = True
+        took_s = loop.time() - began_s
+        return Part(status, versions(data), is_whole, took_s, retry_after)
+
+    async def take_up(
+        self, node: int, attempt: str, part: Part, first: str
+    ) -> Part:
+        """Takes a stream up that the attempt `first` began."""
+        extra = (("last-event-id", str(len(part.versions))), ("resumes", first))
+        return await self.stream(node, attempt, extra)
+
+    async def broken_streams(self, count: int, node: int = 0) -> list[Part]:
+        """Returns streams that broke off and did not go on."""
+        for server in self.pool:
+            server.rejects_resumed = True
+        names = [f"s{number}" for number in range(count)]
+        parts = await asyncio.gather(*(self.stream(node, n) for n in names))
+        for server in self.pool:
+            server.rejects_resumed = False
+        assert all(len(part.versions) == BREAK_AFTER for part in parts)
+        assert not any(part.is_whole for part in parts)
+        return list(parts)
+
+
+def versions(data: bytes) -> list[str]:
+    lines = data.decode().splitlines()
+    return [
+        line.removeprefix("data: ") for line in lines if line.startswith("data")
+    ]
+
+
+def mixed(*streams: list[str]) -> list[list[str]]:
+    return [events for events in streams if len(set(events)) > 1]
+
+
+def test_broken_stream_goes_on_at_the_version_that_began_it() -> None:
+    async def scenario(fleet: VersionFleet) -> None:
+        parts = await asyncio.gather(
+            *(fleet.stream(n % 2, f"s{n}") for n in range(STREAMS))
+        )
+        assert mixed(*(part.versions for part in parts)) == []
+        assert all(part.is_whole for part in parts)
+
+    run_in_fleet(scenario)
+
+
+def test_moved_stream_goes_on_at_the_version_that_began_it() -> None:
+    async def scenario(fleet: VersionFleet) -> None:
+        for server in fleet.pool:
+            server.resets_after = None
+            server.events_per_stream = 150
+        streams = [
+            asyncio.ensure_future(fleet.stream(n % 2, f"s{n}"))
+            for n in range(STREAMS)
+        ]
+        await asyncio.sleep(0.4)
+        fleet.publish_entry(fleet.pool[0], "pool", "draining")
+        parts = await asyncio.gather(*streams)
+        assert fleet.pool[0].stopped
+        assert mixed(*(part.versions for part in parts)) == []
+        assert all(part.is_whole for part in parts)
+
+    run_in_fleet(scenario)
+
+
+def test_stream_whose_version_is_gone_breaks_off() -> None:
+    async def scenario(fleet: VersionFleet) -> None:
+        for server in fleet.pool[:2]:
+            server.events_per_stream = 150
+            server.resets_after = None
+        streams = [
+            asyncio.ensure_future(fleet.stream(n % 2, f"s{n}"))
+            for n in range(STREAMS)
+        ]
+        await asyncio.sleep(0.4)
+        for server in fleet.pool[:2]:
+            server.stop()
+            server.abort_all()
+        parts = await asyncio.gather(*streams)
+        old = [part for part in parts if "v1" in part.versions]
+        assert old
+        assert mixed(*(part.versions for part in parts)) == []
+        assert not any(part.is_whole for part in old)
+
+    run_in_fleet(scenario)
+
+
+def test_stream_taken_up_elsewhere_goes_on_at_its_version() -> None:
+    async def scenario(fleet: VersionFleet) -> None:
+        parts = await fleet.broken_streams(STREAMS)
+        rests = await asyncio.gather(
+            *(
+                fleet.take_up(1, f"t{n}", part, f"s{n}")
+                for n, part in enumerate(parts)
+            )
+        )
+        joined = [
+            part.versions + rest.versions
+            for part, rest in zip(parts, rests, strict=True)
+        ]
+        assert mixed(*joined) == []
+        assert [len(events) for events in joined] == [EVENTS] * STREAMS
+
+    run_in_fleet(scenario)
+
+
+def test_stream_taken_up_twice_goes_on_at_its_version() -> None:
+    async def scenario(fleet: VersionFleet) -> None:
+        (part,) = await fleet.broken_streams(1)
+        for server in fleet.pool:
+            server.resets_all_after = BREAK_AFTER + 2
+        second = await fleet.take_up(1, "t0", part, "s0")
+        for server in fleet.pool:
+            server.resets_all_after = None
+        events = part.versions + second.versions
+        assert not second.is_whole
+        third = await fleet.take_up(
+            0, "u0", Part(200, events, is_whole=False, took_s=0.0), "s0"
+        )
+        events += third.versions
+        assert mixed(events) == []
+        assert len(events) == EVENTS
+
+    run_in_fleet(scenario)
+
+
+def test_taken_up_stream_is_refused_at_once_when_its_version_is_gone() -> None:
+    async def scenario(fleet: VersionFleet) -> None:
+        parts = await fleet.broken_streams(STREAMS)
+        begun = {part.versions[0] for part in parts}
+        assert begun == {"v1", "v2"}
+        for server in fleet.pool[:2]:
+            fleet.publish_entry(server, "pool", "draining")
+        await asyncio.sleep(0.5)
+        for number, part in enumerate(parts):
+            if part.versions[0] == "v2":
+                continue
+            rest = await fleet.take_up(1, f"t{number}", part, f"s{number}")
+            assert rest.status == 503
+            assert rest.took_s < AT_ONCE_S
+            assert float(rest.retry_after or "0") > 0
+
+    run_in_fleet(scenario)
+
+
+def test_take_up_of_an_unknown_stream_is_refused_while_versions_differ() -> (
+    None
+):
+    async def scenario(fleet: VersionFleet) -> None:
+        part = Part(200, ["v1"] * 4, is_whole=False, took_s=0.0)
+        rest = await fleet.take_up(1, "t0", part, "nobody-knows")
+        assert rest.status == 503
+        assert rest.took_s < AT_ONCE_S
+        assert float(rest.retry_after or "0") > 0
+        assert all("t0" not in server.runs for server in fleet.pool)
+
+    run_in_fleet(scenario)
+
+
+def test_take_up_of_an_unknown_stream_goes_on_while_one_version_serves() -> (
+    None
+):
+    async def scenario(fleet: VersionFleet) -> None:
+        part = Part(200, ["v1"] * 4, is_whole=False, took_s=0.0)
+        rest = await fleet.take_up(1, "t0", part, "nobody-knows")
+        assert rest.is_whole
+        assert len(rest.versions) == EVENTS - 4
+
+    run_in_fleet(scenario, "v1", "v1", "v1", "v1")
+
+
+@pytest.mark.parametrize("lost_home", [2, 3, 4])
+def test_stream_is_taken_up_at_its_version_after_nodes_were_cut_off(
+    lost_home: int,
+) -> None:
+    async def scenario(fleet: VersionFleet) -> None:
+        parts = await fleet.broken_streams(STREAMS)
+        await asyncio.sleep(0.3)
+        fleet.cut_off(0)
+        fleet.cut_off(lost_home)
+        await asyncio.sleep(1.5)
+        rests = await asyncio.gather(
+            *(
+                fleet.take_up(1, f"t{n}", part, f"s{n}")
+                for n, part in enumerate(parts)
+            )
+        )
+        joined = [
+            part.versions + rest.versions
+            for part, rest in zip(parts, rests, strict=True)
+        ]
+        assert mixed(*joined) == []
+        assert [rest.is_whole for rest in rests] == [True] * STREAMS
+
+    run_in_fleet(scenario, nodes=6)
+
+
+def run_in_fleet(
+    scenario: Callable[[VersionFleet], Coroutine[Any, Any, None]],
+    *engine_versions: str,
+    nodes: int = 2,
+) -> None:
+    """Runs a scenario with two engines of each version, or those given."""
+
+    async def main() -> None:
+        fleet = VersionFleet(nodes)
+        if engine_versions:
+            fleet.set_versions(*engine_versions)
+        async with fleet.running():
+            await scenario(fleet)
+
+    asyncio.run(main())
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -81,6 +81,9 @@
         says_version: Whether each event of a stream says that version.
         resets_after: Resets the connection after the stream event of this
             number, in streams that begin here; None for never.
+        resets_all_after: The same for all streams.
+        rejects_resumed: Whether it rejects every run that does not begin with
+            the first event.
         restart_s: How long it is down after a crash.
         crashes_s: Monotonic times of its crashes.
         on_restart: Called with its earlier ID after it restarted from a crash
@@ -128,6 +131,8 @@
         self.software_version = "v1"
         self.says_version = False
         self.resets_after: int | None = None
+        self.resets_all_after: int | None = None
+        self.rejects_resumed = False
         self.crashes_s: list[float] = []
         self.named_limit: str | None = None
         self.arrivals: list[float] = []
@@ -152,13 +157,17 @@
         assert self._listener is not None
         self._listener.stop_accepting()
 
+    def abort_all(self) -> None:
+        """Breaks all connections."""
+        for conn in self._conns:
+            conn.channel.abort()
+
     async def _crash(self) -> None:
         """Breaks all connections, and restarts under another ID."""
         self.crashes_s.append(time.monotonic())
         assert self._listener is not None
         self._listener.stop_accepting()
-        for conn in self._conns:
-            conn.channel.abort()
+        self.abort_all()
         await asyncio.sleep(self.restart_s)
         earlier_id = self.server_id
         self.server_id = f"{earlier_id.partition('.')[0]}.{self.crashes}"
@@ -205,7 +214,9 @@
             conn.respond(200, (), b"")
         elif headers["x-savorylift-expected-instance"] != self.server_id:
             conn.respond(421, self._refusal_headers(headers), b"")
-        elif self.rejects_all:
+        elif self.rejects_all or (
+            self.rejects_resumed and "last-event-id" in headers
+        ):
             conn.respond(503, self._refusal_headers(headers), b"")
         else:
             self.headers = headers
@@ -299,8 +310,8 @@
                 return
             conn.send_body(b"id: %d\ndata: %s\n\n" % (number, data))
             self.streamed_events[attempt] = number
-            if number == self.resets_after and not start:
-                await conn.flush()
+            if self._resets_after(number, is_resumed=bool(start)):
+                await conn.channel.drain()
                 conn.channel.abort()
                 return
             if number == self.trickles_after and not start:
@@ -309,6 +320,11 @@
         conn.end_response()
         await conn.flush()
 
+    def _resets_after(self, number: int, *, is_resumed: bool) -> bool:
+        if number == self.resets_all_after:
+            return True
+        return number == self.resets_after and not is_resumed
+
     async def _trickle(self, conn: ServerConnection) -> None:
         """Sends the same bytes now and then, as long as anyone listens."""
         while not conn.channel.is_peer_closed:
