Keep every stream at the software version that began it

What callers saw: streams held events of two software versions, in one answer and over a caller's tries.

Cause: no node knew a server's software version. A run that was moved, or sent again after a break, went to whichever engine had room, most often to one of the new version; a caller that took its stream up came to a node that knew nothing of it. Class: a choice made anew that a part already delivered binds.

Change: the first event binds a run to its server's version; queue, choice, move and failover see only servers of that version. If none knows, the stream goes on only if one version has served for a minute, which nodes tell each other. All else is refused at once with 503. A stream in the queue is refused once its version is gone.

--- a/src/savorylift/exchange/admission.py
+++ b/src/savorylift/exchange/admission.py
@@ -36,6 +36,8 @@
         priority: Scheduling priority; 0 is served first.
         deadline_s: Monotonic time after which a response is of no use to the
             caller.
+        software_version: Version of the servers that may run the request,
+            since the stream began at it; None for any.
     """
 
     req: CallerRequest
@@ -44,6 +46,7 @@
     team: Team | None
     priority: int
     deadline_s: float
+    software_version: str | None = None
 
     @property
     def is_idempotent(self) -> bool:
@@ -96,7 +99,7 @@
         if team is None:
             message = "The API key is missing or unknown."
             return Failure(Refused(401, Reason.UNKNOWN_TEAM, message))
-    service_name = _pick_target(route, req.attempt_id) or ""
+    service_name = _pick_target(route, req.resumes or req.attempt_id) or ""
     if team is not None and not _may_use(team, service_name):
         message = f"Team {team.name} may not use {route.name}."
         return Failure(
--- a/src/savorylift/exchange/engine_queue.py
+++ b/src/savorylift/exchange/engine_queue.py
@@ -75,6 +75,8 @@
                 return found
         if self._pool.is_closed_by_limits(admitted, tried):
             return None
+        if run.has_begun and not self._pool.has_server(admitted, tried):
+            return None
         prefill_s = options.prompt_tokens / self._prefill_rate.tokens_per_s
         latest_start_s = (
             admitted.req.arrived_s
@@ -96,12 +98,16 @@
         self, run: Run, tried: set[str], *, is_last: bool
     ) -> FailoverPolicy:
         """Returns how long to wait for an engine before trying another."""
-        admitted = run.admitted
         options = self._engine_options(run)
+
+        def has_alternative() -> bool:
+            # Once the stream has begun, fewer engines may continue it.
+            return self._pool.has_engine_with_room(run.admitted, options, tried)
+
         return FailoverPolicy.for_request(
-            admitted,
-            _first_event_objective_s(admitted),
-            lambda: self._pool.has_engine_with_room(admitted, options, tried),
+            run.admitted,
+            _first_event_objective_s(run.admitted),
+            has_alternative,
             is_last=is_last,
         )
 
--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -4,6 +4,8 @@
 import random
 from collections.abc import Collection
 
+from returns.pipeline import is_successful
+
 from savorylift.backends.quarantine import QuarantinedTraits
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange import metrics
@@ -38,6 +40,10 @@
 )
 from savorylift.exchange.server_check import ServerCheck
 from savorylift.exchange.server_pool import ServerPool
+from savorylift.exchange.stream_resumption import (
+    StreamResumption,
+    version_gone,
+)
 from savorylift.outcomes import Reason
 from savorylift.placement.engines import expected_tokens
 from savorylift.placement.memory_release_rate import MemoryReleaseRate
@@ -61,6 +67,7 @@
         server_check: ServerCheck,
         mover: Mover,
         crash_guard: CrashGuard,
+        resumption: StreamResumption,
         rng: random.Random,
     ) -> None:
         """Creates a dispatcher without any runs.
@@ -73,6 +80,7 @@
                 connection is gone.
             mover: Moves runs off draining engines.
             crash_guard: Stops requests that crash engines.
+            resumption: Keeps streams at the version that began them.
             rng: Source of the jitter on retry delays.
         """
         self._pool = pool
@@ -85,9 +93,8 @@
         self._crash_guard = crash_guard
         crash_guard.on_quarantine.append(self._stop_quarantined)
         self._release_rate = MemoryReleaseRate()
-        self._relay = Relay(
-            codec, self._queue.record_first_event, self._on_event
-        )
+        self._resumption = resumption
+        self._relay = Relay(codec, self._on_first_event, self._on_event)
         self._runs: set[Run] = set()
 
     @property
@@ -104,6 +111,8 @@
         """Reacts to a change of servers, nodes or loads."""
         for run in list(self._runs):
             self._start_move_if_draining(run)
+            if not run.is_at_engine and self._resumption.is_version_gone(run):
+                run.stop(version_gone())
         self._queue.dispatch_waiting()
 
     async def serve(
@@ -126,7 +135,7 @@
                 return await self._serve(run, sink)
         except TimeoutError:
             if run.refusal is not None:
-                return self._end_quarantined(run, sink, run.refusal)
+                return self._end_refused(run, sink, run.refusal)
             detail = "the deadline of the request passed"
             return fail_generation(run, sink, Broken(Reason.DEADLINE, detail))
         finally:
@@ -136,14 +145,17 @@
     async def _serve(
         self, run: Run, sink: EventSink
     ) -> Answered | Refused | None:
-        admitted = run.admitted
+        bound = await self._resumption.bind(run.admitted)
+        if not is_successful(bound):
+            return end_with_refusal(sink, bound.failure())
+        admitted = run.admitted = bound.unwrap()
         tried: set[str] = set()
         retries = RequestRetries(self._pool, admitted.service.name)
         reason = Reason.QUEUE_FULL
         while True:
             run.refusal = self._crash_guard.refuse(run.traits)
             if run.refusal is not None:
-                return self._end_quarantined(run, sink, run.refusal)
+                return self._end_refused(run, sink, run.refusal)
             if not retries.take():
                 failure = Broken(reason, "the retry budget is used up")
                 return self._end_unserved(run, sink, failure)
@@ -196,12 +208,12 @@
             if is_quarantined(run.traits, begun):
                 run.stop(self._crash_guard.refuse(run.traits))
 
-    def _end_quarantined(
+    def _end_refused(
         self, run: Run, sink: EventSink, refusal: Refused
     ) -> Refused | None:
         if not run.may_have_run:
             return end_with_refusal(sink, refusal)
-        failure = Broken(refusal.reason, "such requests crash servers")
+        failure = Broken(refusal.reason, refusal.message)
         return fail_generation(run, sink, failure)
 
     def _end_unserved(
@@ -213,6 +225,8 @@
         """Ends a request that can't be sent to another engine."""
         if run.possibly_run_attempts:
             return fail_generation(run, sink, failure)
+        if self._resumption.is_version_gone(run):
+            return end_with_refusal(sink, version_gone())
         if self._pool.is_closed_by_limits(run.admitted, ()):
             return_after_s = self._pool.assign_return_s(run.admitted)
             return refuse_generation(sink, Reason.SERVER_LIMIT, return_after_s)
@@ -261,6 +275,7 @@
                 result = await self._check_end(run, server)
             if target is None and result is None:
                 self._relay.finish(run, started, sink)
+                self._resumption.record_complete(run)
                 self._pool.load_tracker.record_result(
                     server.entry.server_id, is_success=True
                 )
@@ -299,6 +314,10 @@
         except TimeoutError:
             return None
 
+    def _on_first_event(self, run: Run) -> None:
+        self._queue.record_first_event(run)
+        self._resumption.record_begin(run)
+
     def _on_event(self, run: Run) -> None:
         self._crash_guard.record_event(run)
         self._start_move_if_draining(run)
--- a/src/savorylift/exchange/metrics.py
+++ b/src/savorylift/exchange/metrics.py
@@ -45,6 +45,11 @@
     "savorylift_front_limited_servers",
     "Backend servers that name a limit on their requests.",
 )
+STREAM_ORIGINS = Counter(
+    "savorylift_front_stream_origins",
+    "Resumed streams, by how this node knows where they began.",
+    ["outcome"],
+)
 MOVES = Counter(
     "savorylift_front_moves", "Runs continued at another engine.", ["outcome"]
 )
--- a/src/savorylift/exchange/relay.py
+++ b/src/savorylift/exchange/relay.py
@@ -36,8 +36,8 @@
 
         Args:
             codec: Decodes the streams of engines.
-            on_first_event: Called on a run's first event from the engine
-                that it started on.
+            on_first_event: Called before a run's first event from the
+                engine that it started on is relayed.
             on_event: Called after each relayed event.
         """
         self._codec = codec
--- a/src/savorylift/exchange/run.py
+++ b/src/savorylift/exchange/run.py
@@ -99,6 +99,16 @@
         """The caller's ID for the request."""
         return self.admitted.req.attempt_id
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether only servers of one software version may continue it."""
+        return self.admitted.software_version is not None
+
+    def bind_version(self, server: BackendServer) -> None:
+        """Lets only servers of the same software version continue it."""
+        version = server.entry.software_version
+        self.admitted = self.admitted._replace(software_version=version)
+
     @property
     def has_survived_start(self) -> bool:
         """Whether an engine has got past the beginning of the response."""
--- a/src/savorylift/exchange/server_pool.py
+++ b/src/savorylift/exchange/server_pool.py
@@ -145,6 +145,12 @@
         candidates = self._eligible_servers(admitted, tried, loads)
         return choose_least_loaded_engine(candidates, loads, options, self._rng)
 
+    def has_server(
+        self, admitted: AdmittedRequest, tried: Collection[str]
+    ) -> bool:
+        """Returns whether an untried server may run it, full or not."""
+        return any(True for _ in self._allowed_servers(admitted, tried))
+
     def is_usable(self, server: BackendServer) -> bool:
         """Returns whether a server that was chosen may still be used."""
         entry = server.entry
@@ -152,6 +158,7 @@
         return (
             known is not None
             and known.entry.address == entry.address
+            and known.entry.software_version == entry.software_version
             and not known.entry.is_leaving
             and self._store_view.evacuated.isdisjoint(
                 (entry.failure_domain, entry.server_id)
@@ -214,7 +221,7 @@
     ) -> Iterator[BackendServer]:
         """Yields the servers that may run a request, full ones included."""
         regions = admitted.regions
-        return eligible_servers(
+        found = eligible_servers(
             self._store_view.registry.servers,
             admitted.service.name,
             self._store_view.evacuated,
@@ -223,6 +230,10 @@
                 regions is None or self._region_by_domain.get(domain) in regions
             ),
         )
+        version = admitted.software_version
+        for server in found:
+            if version in (None, server.entry.software_version):
+                yield server
 
     def _eligible_servers(
         self,
--- /dev/null
+++ b/src/savorylift/exchange/stream_resumption.py
@@ -0,0 +1,149 @@
+"""Keeps each stream at the software version that began it.
+
+What two versions write doesn't fit together, and servers don't check who wrote
+the events that a caller has.
+"""
+
+import time
+from collections.abc import Callable
+
+import structlog
+from returns.result import Failure, Result, Success
+
+from savorylift.exchange.admission import AdmittedRequest
+from savorylift.exchange.results import Refused
+from savorylift.exchange.run import Run
+from savorylift.exchange.server_pool import ServerPool
+from savorylift.exchange.stream_origins import StreamOrigins
+from savorylift.fleet.state import StreamOrigin
+from savorylift.fleet.version_history import VersionHistory
+from savorylift.outcomes import Reason
+from savorylift.routing.configuration import Service
+
+# Nodes that did not reply, or that were lost with what they held, may be back.
+UNKNOWN_RETRY_S = 1.0
+# A server that crashed is back within seconds, with the version that it had.
+VERSION_GONE_RETRY_S = 2.0
+# Callers may be a little late.
+RESUME_SLACK_S = 5.0
+
+_log = structlog.get_logger()
+
+
+class StreamResumption:
+    """Finds out at which version a resumed stream began, and records it."""
+
+    def __init__(
+        self,
+        origins: StreamOrigins,
+        history: VersionHistory,
+        pool: ServerPool,
+        find_service: Callable[[str], Service | None],
+    ) -> None:
+        """Creates it without any stream.
+
+        Args:
+            origins: Where streams began.
+            history: Software versions that have served lately.
+            pool: The servers.
+            find_service: Returns a configured service by its name.
+        """
+        self._origins = origins
+        self._history = history
+        self._pool = pool
+        self._find_service = find_service
+
+    async def bind(
+        self, admitted: AdmittedRequest
+    ) -> Result[AdmittedRequest, Refused]:
+        """Binds a request that resumes a stream to the version that began it.
+
+        Returns:
+            The request, unchanged if it begins a stream; the refusal if the
+            version isn't known or has no server.
+        """
+        req = admitted.req
+        if not admitted.route.can_resume or (
+            req.resumes is None and req.resume_after is None
+        ):
+            return Success(admitted)
+        origin = await self._origins.find(req.resumes) if req.resumes else None
+        bound = self._bind(admitted, origin)
+        is_known = bound.software_version is not None
+        has_server = is_known and self._pool.has_server(bound, ())
+        _log.info(
+            "stream_taken_up",
+            request=req.attempt_id,
+            resumes=req.resumes,
+            after=req.resume_after,
+            service=bound.service.name,
+            software_version=bound.software_version,
+            is_origin_known=origin is not None,
+            has_server=has_server,
+        )
+        if not is_known:
+            return Failure(
+                Refused(
+                    503,
+                    Reason.STREAM_UNKNOWN,
+                    "It isn't known which software version began this stream;"
+                    " the request did not run.",
+                    UNKNOWN_RETRY_S,
+                )
+            )
+        return Success(bound) if has_server else Failure(version_gone())
+
+    def record_begin(self, run: Run) -> None:
+        """Records the version of a stream whose first event is passed on."""
+        assert run.server is not None
+        if not run.has_begun:
+            run.bind_version(run.server)
+        admitted = run.admitted
+        req = admitted.req
+        if not admitted.route.can_resume or req.wants_single_response:
+            return
+        deadline_s = admitted.deadline_s
+        if req.time_left_s is not None:
+            deadline_s = max(deadline_s, req.arrived_s + req.time_left_s)
+        for attempt_id in {req.attempt_id, req.resumes or req.attempt_id}:
+            self._origins.record(
+                StreamOrigin(
+                    attempt_id,
+                    admitted.service.name,
+                    admitted.software_version or "",
+                    deadline_s - time.monotonic() + RESUME_SLACK_S,
+                )
+            )
+
+    def record_complete(self, run: Run) -> None:
+        """Records that a caller has a whole stream."""
+        self._origins.forget(run.attempt_id)
+        if run.admitted.req.resumes:
+            self._origins.forget(run.admitted.req.resumes)
+
+    def is_version_gone(self, run: Run) -> bool:
+        """Whether no server may continue a stream that has begun."""
+        return run.has_begun and not self._pool.has_server(run.admitted, ())
+
+    def _bind(
+        self, admitted: AdmittedRequest, origin: StreamOrigin | None
+    ) -> AdmittedRequest:
+        if origin is None:
+            version = self._history.only_version(admitted.service.name)
+            return admitted._replace(software_version=version)
+        targets = {target.service for target in admitted.route.targets}
+        service = self._find_service(origin.service)
+        if service is None or origin.service not in targets:
+            return admitted
+        return admitted._replace(
+            service=service, software_version=origin.software_version
+        )
+
+
+def version_gone() -> Refused:
+    """Returns the refusal of a stream whose version has no server."""
+    message = (
+        "No server of the software version that began this stream is left;"
+        " the request did not run."
+    )
+    return Refused(503, Reason.VERSION_GONE, message, VERSION_GONE_RETRY_S)
--- a/src/savorylift/fleet/codec.py
+++ b/src/savorylift/fleet/codec.py
@@ -10,8 +10,14 @@
 from savorylift.fleet.known_fields import keep_known_fields
 from savorylift.fleet.state import (
     Delta,
+    LimitMessage,
     LimitNews,
     NodeState,
+    OriginAck,
+    OriginMessage,
+    OriginNews,
+    OriginQuery,
+    OriginReply,
     PermitReply,
     PermitRequest,
     Snapshot,
@@ -36,7 +42,7 @@
     DEFLATE = 1
 
 
-Message = NodeState | Delta | Snapshot | LimitNews | PermitRequest | PermitReply
+Message = NodeState | Delta | Snapshot | LimitMessage | OriginMessage
 MESSAGE_TYPES: dict[str, type[Message]] = {
     "state": NodeState,
     "delta": Delta,
@@ -44,6 +50,10 @@
     "limits": LimitNews,
     "permit_request": PermitRequest,
     "permit_reply": PermitReply,
+    "origins": OriginNews,
+    "origin_ack": OriginAck,
+    "origin_query": OriginQuery,
+    "origin_reply": OriginReply,
 }
 
 
--- a/src/savorylift/fleet/known_fields.py
+++ b/src/savorylift/fleet/known_fields.py
@@ -5,6 +5,7 @@
 """
 
 import functools
+import types
 import typing
 
 
@@ -13,11 +14,15 @@
 
     Args:
         values: Lists, dictionaries and scalars, as decoded.
-        cls: Type of the values: a `NamedTuple`, a tuple of any length of
-            them, or any other type, whose values are returned as they are.
+        cls: Type of the values: a `NamedTuple`, one or None, a tuple of any
+            length of them, or any other type, whose values are returned as
+            they are.
     """
     if not isinstance(values, list):
         return values
+    if isinstance(cls, types.UnionType):
+        # The other member is None, which is no list.
+        cls = typing.get_args(cls)[0]
     if typing.get_origin(cls) is tuple:
         item_cls, *rest = typing.get_args(cls)
         if rest != [...]:
--- a/src/savorylift/fleet/state.py
+++ b/src/savorylift/fleet/state.py
@@ -151,6 +151,83 @@
 LimitMessage = LimitNews | PermitRequest | PermitReply
 
 
+class StreamOrigin(NamedTuple):
+    """Where a stream began that its caller may resume.
+
+    Attributes:
+        attempt_id: ID of the attempt that brought its first event.
+        service: Service that ran it.
+        software_version: Software version of the server that sent that event.
+        ttl_s: Time for which the caller may still resume it.
+    """
+
+    attempt_id: str
+    service: str
+    software_version: str
+    ttl_s: float
+
+
+class OriginNews(NamedTuple):
+    """Origins that the receiver is to hold.
+
+    Attributes:
+        origins: The origins.
+    """
+
+    origins: tuple[StreamOrigin, ...]
+
+
+class OriginAck(NamedTuple):
+    """Confirms origins that the sender now holds.
+
+    Attributes:
+        attempt_ids: Their attempts.
+    """
+
+    attempt_ids: tuple[str, ...]
+
+
+class OriginQuery(NamedTuple):
+    """Asks where a stream began.
+
+    Attributes:
+        number: Number of the query, for the reply.
+        attempt_id: ID of the attempt that brought its first event.
+    """
+
+    number: int
+    attempt_id: str
+
+
+class OriginReply(NamedTuple):
+    """The answer to a query.
+
+    Attributes:
+        number: Number of the query.
+        origin: The origin; None if the sender doesn't hold it.
+    """
+
+    number: int
+    origin: StreamOrigin | None
+
+
+OriginMessage = OriginNews | OriginAck | OriginQuery | OriginReply
+
+
+class VersionSighting(NamedTuple):
+    """A software version that had a server until lately.
+
+    Attributes:
+        service: Service of the server.
+        software_version: The version.
+        age_s: Time since the version last had a server.
+    """
+
+    service: str
+    software_version: str
+    age_s: float
+
+
 class NodeState(NamedTuple):
     """State message that a node sends periodically and after changes.
 
@@ -175,6 +252,7 @@
         interval_s: Time until the next message if nothing changes.
         peers: Addresses of its live peers; empty in most messages.
         quarantine_news: What it knows of requests that crash engines.
+        version_sightings: Software versions that no server has any more.
     """
 
     node: str
@@ -195,6 +273,7 @@
     interval_s: float
     peers: tuple[str, ...]
     quarantine_news: QuarantineNews = QuarantineNews()
+    version_sightings: tuple[VersionSighting, ...] = ()
 
 
 class Topic(enum.StrEnum):
--- /dev/null
+++ b/src/savorylift/fleet/version_history.py
@@ -0,0 +1,72 @@
+"""Which software versions the servers of each service have had lately."""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from savorylift.backends.server import ServerEntry
+from savorylift.fleet.state import VersionSighting
+
+# Callers may resume a stream for this long after its first event.
+RETENTION_S = 60.0
+# Most versions without a server that are kept and told to other nodes.
+MAX_SIGHTINGS = 64
+
+
+class _Version(NamedTuple):
+    service: str
+    software_version: str
+
+
+class VersionHistory:
+    """Versions that serve, and those that did until lately."""
+
+    def __init__(self) -> None:
+        """Starts without any version."""
+        self._serving: frozenset[_Version] = frozenset()
+        # Monotonic time at which each version without a server last had one.
+        self._gone_s: dict[_Version, float] = {}
+
+    def observe(self, entries: Iterable[ServerEntry], now_s: float) -> None:
+        """Records the versions of the servers that are known now."""
+        serving = frozenset(
+            _Version(entry.service, entry.software_version) for entry in entries
+        )
+        for version in self._serving - serving:
+            self._gone_s[version] = now_s
+        self._serving = serving
+        self._gone_s = {
+            version: seen_s
+            for version, seen_s in self._gone_s.items()
+            if now_s - seen_s < RETENTION_S and version not in serving
+        }
+
+    def sightings(self, now_s: float) -> tuple[VersionSighting, ...]:
+        """Returns the versions that have no server any more."""
+        newest = sorted(self._gone_s.items(), key=lambda item: -item[1])
+        return tuple(
+            VersionSighting(*version, now_s - seen_s)
+            for version, seen_s in newest[:MAX_SIGHTINGS]
+        )
+
+    def merge(self, sightings: Iterable[VersionSighting], now_s: float) -> None:
+        """Adds what another node has seen."""
+        for service, software_version, age_s in sightings:
+            version = _Version(service, software_version)
+            if version in self._serving or not 0 <= age_s < RETENTION_S:
+                continue
+            if len(self._gone_s) >= MAX_SIGHTINGS:
+                return
+            seen_s = max(self._gone_s.get(version, 0.0), now_s - age_s)
+            self._gone_s[version] = seen_s
+
+    def only_version(self, service: str) -> str | None:
+        """Returns the version that all streams of a service began at.
+
+        None if there was no server lately, or servers of several versions.
+        """
+        found = {
+            version.software_version
+            for version in (*self._serving, *self._gone_s)
+            if version.service == service
+        }
+        return found.pop() if len(found) == 1 else None
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -22,7 +22,10 @@
 from savorylift.exchange.send import Sender
 from savorylift.exchange.server_check import ServerCheck
 from savorylift.exchange.server_pool import ServerPool
+from savorylift.exchange.stream_origins import StreamOrigins
+from savorylift.exchange.stream_resumption import StreamResumption
 from savorylift.fleet import metrics as fleet_metrics
+from savorylift.fleet.home_ring import Home
 from savorylift.fleet.membership import Membership
 from savorylift.fleet.message_auth import MessageAuthenticator
 from savorylift.fleet.permit_issuer import PermitIssuer
@@ -31,6 +34,7 @@
 from savorylift.fleet.store_reader import StoreReader
 from savorylift.fleet.store_view import StoreView
 from savorylift.fleet.topic_consumer import ReadPolicy
+from savorylift.fleet.version_history import VersionHistory
 from savorylift.front.caller_directory import MAX_ENTRY_TTL_S, CallerDirectory
 from savorylift.front.caller_handler import CallerHandler, CallerHandlerOptions
 from savorylift.front.interface import choose_interface
@@ -48,6 +52,7 @@
 from savorylift.platform.store import Record, StoreClient
 from savorylift.refusals.counts import RefusalCounts
 from savorylift.refusals.writer import RefusalWriter
+from savorylift.routing.configuration import Service
 from savorylift.settings_file import SettingsFault
 from savorylift.tls import server_context
 from savorylift.wire.address import split_address
@@ -142,6 +147,14 @@
         sender = Sender(
             codec, self._limit_gate, server_check, self._pool.is_usable
         )
+        self._origins = StreamOrigins(
+            self._ip,
+            lambda message, ip: self._peer_sync.transport.send_message(
+                message, ip
+            ),
+            rng,
+        )
+        self._version_history = VersionHistory()
         self._generations = GenerationDispatcher(
             self._pool,
             codec,
@@ -149,6 +162,12 @@
             server_check,
             self._mover,
             self._crash_guard,
+            StreamResumption(
+                self._origins,
+                self._version_history,
+                self._pool,
+                self._find_service,
+            ),
             rng,
         )
         refusal_counts = RefusalCounts(settings.vm, self._incarnation)
@@ -208,6 +227,7 @@
             on_state=self._on_peer_state,
             on_new_peer=self._limit_gate.greet,
             on_limit_message=self._limit_gate.receive,
+            on_origin_message=self._origins.receive,
         )
         self._registration = Registration(
             self._store,
@@ -232,6 +252,8 @@
             _log.info("leaving")
             self._caller_listener.close_after_response()
             self._peer_sync.announce(None)
+            self._update_homes()
+            self._origins.hand_over()
         self._stop_requested.set()
 
     async def run(self, reload_signal: ReloadSignal | None = None) -> None:
@@ -329,6 +351,7 @@
             interval_s=self._peer_sync.transport.own_interval_s,
             peers=tuple(peer.state.ip for peer in peers),
             quarantine_news=self._crash_guard.news(),
+            version_sightings=self._version_history.sightings(now_s),
         )
 
     def _is_reader(self) -> bool:
@@ -347,6 +370,7 @@
 
     def _on_peer_state(self, state: NodeState) -> None:
         self._crash_guard.merge(state.quarantine_news)
+        self._version_history.merge(state.version_sightings, time.monotonic())
         self._pool.move_queue.on_change()
         self._generations.on_change()
 
@@ -363,11 +387,34 @@
             self._membership.forget_silent(time.monotonic())
             self._crash_guard.update()
             self._limit_gate.update()
+            self._update_homes()
+            self._observe_versions()
             if self._store_view.drop_expired():
                 self._on_store_change(None)
             else:
                 self._generations.on_change()
 
+    def _find_service(self, name: str) -> Service | None:
+        cfg = self._store_view.configuration
+        return None if cfg is None else cfg.services.get(name)
+
+    def _observe_versions(self) -> None:
+        servers = self._store_view.registry.servers.values()
+        entries = [server.entry for server in servers]
+        self._version_history.observe(entries, time.monotonic())
+
+    def _update_homes(self) -> None:
+        """Tells which nodes may hold the origins of streams."""
+        staying: list[Home] = []
+        leaving: list[Home] = []
+        own = Home(self._ip, self._settings.failure_domain)
+        (leaving if self._lifecycle.is_leaving else staying).append(own)
+        for peer in self._membership.live_peers(time.monotonic()):
+            state = peer.state
+            homes = leaving if state.is_leaving else staying
+            homes.append(Home(state.ip, state.failure_domain))
+        self._origins.update(staying, leaving)
+
     def _record_loop_delay(self, delay_s: float) -> None:
         fleet_metrics.LOOP_DELAY.observe(delay_s)
         if delay_s > LATE_LOOP_S:
--- a/src/savorylift/front/peer_sync.py
+++ b/src/savorylift/front/peer_sync.py
@@ -16,7 +16,7 @@
     Delta,
     LimitMessage,
     NodeState,
-    Snapshot,
+    OriginMessage,
     Topic,
 )
 from savorylift.fleet.store_view import StoreView, Version
@@ -45,6 +45,9 @@
         on_limit_message: Callable[[LimitMessage, str], None] = (
             lambda _message, _ip: None
         ),
+        on_origin_message: Callable[[OriginMessage, str], None] = (
+            lambda _message, _ip: None
+        ),
     ) -> None:
         """Creates the transport; opens no socket yet.
 
@@ -63,6 +66,7 @@
                 restarted.
             on_limit_message: Called with each message about the limits of
                 backend servers and the address that it came from.
+            on_origin_message: The same for the origins of streams.
         """
         self._membership = membership
         self._store_view = store_view
@@ -71,6 +75,7 @@
         self._on_state = on_state
         self._on_new_peer = on_new_peer
         self._on_limit_message = on_limit_message
+        self._on_origin_message = on_origin_message
         self._fetcher = SnapshotFetcher(
             ip,
             port,
@@ -113,8 +118,10 @@
             self._receive_state(message)
         elif isinstance(message, Delta):
             self._receive_delta(message, ip)
-        elif not isinstance(message, Snapshot):
+        elif isinstance(message, LimitMessage):
             self._on_limit_message(message, ip)
+        elif isinstance(message, OriginMessage):
+            self._on_origin_message(message, ip)
 
     def _receive_state(self, state: NodeState) -> None:
         is_new = self._membership.update_peer(state, time.monotonic())
--- a/src/savorylift/outcomes.py
+++ b/src/savorylift/outcomes.py
@@ -43,6 +43,8 @@
     DEADLINE = "deadline"
     TEAM_LIMIT = "team_limit"
     SERVER_LIMIT = "server_limit"
+    STREAM_UNKNOWN = "stream_unknown"
+    VERSION_GONE = "version_gone"
     ANSWER_LOST = "answer_lost"
     BACKEND_ERROR = "backend_error"
     BACKEND_LOST = "backend_lost"
--- /dev/null
+++ b/tests/exchange/test_origin_table.py
@@ -0,0 +1,56 @@
+"""Tests of the table of streams' origins."""
+
+import pytest
+
+from savorylift.exchange.origin_table import MAX_ORIGINS, OriginTable
+from savorylift.fleet.state import StreamOrigin
+
+ORIGIN = StreamOrigin("a1", "s", "v1", 30.0)
+
+
+def test_origin_is_found_for_its_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    now_s = 100.0
+    monkeypatch.setattr("time.monotonic", lambda: now_s)
+    table = OriginTable()
+    assert table.put(ORIGIN)
+    now_s = 110.0
+    assert table.find("a1") == ORIGIN._replace(ttl_s=20.0)
+    now_s = 130.0
+    assert table.find("a1") is None
+    table.drop_expired()
+    assert list(table) == []
+
+
+def test_stream_begins_once() -> None:
+    table = OriginTable()
+    table.put(ORIGIN)
+    table.put(ORIGIN._replace(software_version="v2"))
+    found = table.find("a1")
+    assert found is not None
+    assert found.software_version == "v1"
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"ttl_s": 0.0},
+        {"ttl_s": float("nan")},
+        {"ttl_s": float("inf")},
+        {"ttl_s": 1e9},
+        {"attempt_id": ""},
+        {"attempt_id": "a" * 201},
+        {"software_version": "v" * 201},
+    ],
+)
+def test_unsound_origin_is_not_kept(change: dict[str, object]) -> None:
+    table = OriginTable()
+    values = ORIGIN._asdict() | change
+    assert not table.put(StreamOrigin(**values))
+
+
+def test_oldest_origins_yield() -> None:
+    table = OriginTable()
+    for number in range(MAX_ORIGINS + 5):
+        table.put(ORIGIN._replace(attempt_id=f"a{number}"))
+    assert len(list(table)) == MAX_ORIGINS
+    assert table.find("a0") is None
--- a/tests/fleet/test_codec.py
+++ b/tests/fleet/test_codec.py
@@ -19,23 +19,31 @@
     Delta,
     LimitNews,
     LimitReport,
+    OriginAck,
+    OriginNews,
+    OriginQuery,
+    OriginReply,
     PermitReply,
     PermitRequest,
     QuarantineNews,
     ServerLoad,
     Snapshot,
     SoundPart,
+    StreamOrigin,
     Topic,
+    VersionSighting,
 )
 from savorylift.placement.move_order import PlannedMove
 from tests.fleet.test_membership import state
 
 REPORT = LimitReport("i-1", 1, 1.8, 0.5)
+ORIGIN = StreamOrigin("a1", "s", "v1", 30.0)
 MESSAGES: list[Message] = [
     state(2)._replace(
         loads=(ServerLoad("i-1", 1, 2, 3, 4, 5),),
         moves=(PlannedMove("i-1", 7, "a1"),),
         reading_age_s=0.5,
+        version_sightings=(VersionSighting("s", "v1", 2.0),),
         quarantine_news=QuarantineNews(
             (CrashReport("i-1", 1.0, (("p", "q"),)),), (SoundPart("p", 2.0),)
         ),
@@ -45,6 +53,11 @@
     LimitNews((REPORT,)),
     PermitRequest(7, REPORT, 0.5, True),
     PermitReply(7, True, 0.1),
+    OriginNews((ORIGIN,)),
+    OriginAck(("a1",)),
+    OriginQuery(7, "a1"),
+    OriginReply(7, ORIGIN),
+    OriginReply(7, None),
 ]
 
 
--- /dev/null
+++ b/tests/fleet/test_version_history.py
@@ -0,0 +1,59 @@
+"""Tests of the software versions that have served lately."""
+
+from savorylift.fleet.state import VersionSighting
+from savorylift.fleet.version_history import (
+    MAX_SIGHTINGS,
+    RETENTION_S,
+    VersionHistory,
+)
+from tests.exchange.factories import make_server_entry
+
+V1 = make_server_entry("i-1")._replace(software_version="v1")
+V2 = make_server_entry("i-2")._replace(software_version="v2")
+
+
+def test_version_is_certain_while_only_one_serves() -> None:
+    history = VersionHistory()
+    history.observe([V1], 0.0)
+    assert history.only_version("s") == "v1"
+    history.observe([V1, V2], 1.0)
+    assert history.only_version("s") is None
+
+
+def test_replaced_version_counts_until_no_caller_may_resume() -> None:
+    history = VersionHistory()
+    history.observe([V1], 0.0)
+    history.observe([V2], 1.0)
+    assert history.only_version("s") is None
+    history.observe([V2], 1.0 + RETENTION_S)
+    assert history.only_version("s") == "v2"
+
+
+def test_node_that_has_just_started_learns_of_a_replaced_version() -> None:
+    older, newer = VersionHistory(), VersionHistory()
+    older.observe([V1], 0.0)
+    older.observe([V2], 1.0)
+    newer.observe([V2], 5.0)
+    newer.merge(older.sightings(5.0), 5.0)
+    assert newer.only_version("s") is None
+    newer.observe([V2], 1.0 + RETENTION_S)
+    assert newer.only_version("s") == "v2"
+
+
+def test_versions_of_other_services_do_not_count() -> None:
+    history = VersionHistory()
+    history.observe([V1, V2._replace(service="t")], 0.0)
+    assert history.only_version("s") == "v1"
+    assert history.only_version("u") is None
+
+
+def test_sightings_are_bounded_and_checked() -> None:
+    history = VersionHistory()
+    history.merge(
+        [VersionSighting("s", f"v{n}", 1.0) for n in range(1000)], 10.0
+    )
+    assert len(history.sightings(10.0)) == MAX_SIGHTINGS
+    history = VersionHistory()
+    ages_s = (-1.0, RETENTION_S, float("nan"), float("inf"))
+    history.merge([VersionSighting("s", "v", age) for age in ages_s], 10.0)
+    assert history.sightings(10.0) == ()
--- a/tests/front/node_fleet.py
+++ b/tests/front/node_fleet.py
@@ -92,8 +92,9 @@
             for server in servers:
                 await server.start(self._server_ports.pop())
                 server.delay_s = RUN_S
-                server.peers = {other.port: other for other in servers}
                 self.publish_entry(server, service)
+            for server in servers:
+                server.peers = {other.port: other for other in servers}
         await self._start_nodes()
         await asyncio.sleep(2.0)
         try:
--- a/tests/front/test_software_versions.py
+++ b/tests/front/test_software_versions.py
@@ -13,7 +13,7 @@
 from savorylift.wire.channel import connect
 from savorylift.wire.client_call import BrokenAnswerError, ClientCall
 from savorylift.wire.message import Headers
-from tests.front.node_fleet import TOKEN_COUNTS, NodeFleet
+from tests.front.node_fleet import NodeFleet
 
 STREAMS = 16
 EVENTS = 12
@@ -59,7 +59,11 @@
             server.software_version = version
 
     async def stream(
-        self, node: int, attempt: str, extra: Headers = (), path: str = PATH
+        self,
+        node: int,
+        attempt: str,
+        extra: Headers = (),
+        counts: str = "100,50",
     ) -> Part:
         """Sends a request for a stream and reads it to its end."""
         headers: Headers = (
@@ -67,7 +71,7 @@
             ("x-savorylift-attempt-id", attempt),
             ("x-savorylift-deadline-remaining", "6000"),
             ("x-api-key", "key"),
-            *TOKEN_COUNTS,
+            ("x-savorylift-token-counts", counts),
             *extra,
         )
         loop = asyncio.get_running_loop()
@@ -78,7 +82,7 @@
                 ip = self.ips[node]
                 call = ClientCall(await connect(ip, self.caller_port, 1.0))
                 call.send(
-                    "POST", path, headers, b"question " + attempt.encode()
+                    "POST", PATH, headers, b"question " + attempt.encode()
                 )
                 head = await call.read_head()
                 status, retry_after = head.status, head.header("retry-after")
@@ -134,7 +138,7 @@
     async def scenario(fleet: VersionFleet) -> None:
         for server in fleet.pool:
             server.resets_after = None
-            server.events_per_stream = 150
+            server.events_per_stream = 100
         streams = [
             asyncio.ensure_future(fleet.stream(n % 2, f"s{n}"))
             for n in range(STREAMS)
@@ -152,7 +156,7 @@
 def test_stream_whose_version_is_gone_breaks_off() -> None:
     async def scenario(fleet: VersionFleet) -> None:
         for server in fleet.pool[:2]:
-            server.events_per_stream = 150
+            server.events_per_stream = 100
             server.resets_after = None
         streams = [
             asyncio.ensure_future(fleet.stream(n % 2, f"s{n}"))
@@ -194,10 +198,10 @@
     async def scenario(fleet: VersionFleet) -> None:
         (part,) = await fleet.broken_streams(1)
         for server in fleet.pool:
-            server.resets_all_after = BREAK_AFTER + 2
+            server.resets_from = BREAK_AFTER + 2
         second = await fleet.take_up(1, "t0", part, "s0")
         for server in fleet.pool:
-            server.resets_all_after = None
+            server.resets_from = None
         events = part.versions + second.versions
         assert not second.is_whole
         third = await fleet.take_up(
@@ -255,6 +259,51 @@
     run_in_fleet(scenario, "v1", "v1", "v1", "v1")
 
 
+def test_server_that_restarts_at_another_version_continues_no_stream() -> None:
+    async def scenario(fleet: VersionFleet) -> None:
+        parts = await fleet.broken_streams(STREAMS)
+        for server in fleet.pool[:2]:
+            server.software_version = "v3"
+            fleet.publish_entry(server, "pool")
+        await asyncio.sleep(0.5)
+        rests = await asyncio.gather(
+            *(
+                fleet.take_up(1, f"t{n}", part, f"s{n}")
+                for n, part in enumerate(parts)
+            )
+        )
+        for part, rest in zip(parts, rests, strict=True):
+            assert mixed(part.versions + rest.versions) == []
+            assert rest.status == (503 if part.versions[0] == "v1" else 200)
+
+    run_in_fleet(scenario)
+
+
+def test_queued_stream_is_refused_once_its_version_is_gone() -> None:
+    async def scenario(fleet: VersionFleet) -> None:
+        (part,) = await fleet.broken_streams(1)
+        for server in fleet.pool:
+            server.resets_after = None
+            server.events_per_stream = 150
+        full = [
+            asyncio.ensure_future(fleet.stream(0, f"o{n}", counts="9400,900"))
+            for n in range(len(fleet.pool))
+        ]
+        await asyncio.sleep(0.3)
+        waiting = asyncio.ensure_future(fleet.take_up(1, "t0", part, "s0"))
+        await asyncio.sleep(0.3)
+        assert not waiting.done()
+        for server in fleet.pool:
+            if server.software_version == part.versions[0]:
+                fleet.publish_entry(server, "pool", "draining")
+        rest = await waiting
+        assert rest.status == 503
+        assert rest.took_s < 0.3 + AT_ONCE_S
+        await asyncio.gather(*full)
+
+    run_in_fleet(scenario)
+
+
 @pytest.mark.parametrize("lost_home", [2, 3, 4])
 def test_stream_is_taken_up_at_its_version_after_nodes_were_cut_off(
     lost_home: int,
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -81,7 +81,8 @@
         says_version: Whether each event of a stream says that version.
         resets_after: Resets the connection after the stream event of this
             number, in streams that begin here; None for never.
-        resets_all_after: The same for all streams.
+        resets_from: Resets the connection after any event of at least this
+            number; None for never.
         rejects_resumed: Whether it rejects every run that does not begin with
             the first event.
         restart_s: How long it is down after a crash.
@@ -131,7 +132,7 @@
         self.software_version = "v1"
         self.says_version = False
         self.resets_after: int | None = None
-        self.resets_all_after: int | None = None
+        self.resets_from: int | None = None
         self.rejects_resumed = False
         self.crashes_s: list[float] = []
         self.named_limit: str | None = None
@@ -321,7 +322,7 @@
         await conn.flush()
 
     def _resets_after(self, number: int, *, is_resumed: bool) -> bool:
-        if number == self.resets_all_after:
+        if self.resets_from is not None and number >= self.resets_from:
             return True
         return number == self.resets_after and not is_resumed
 
