--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -208,6 +208,9 @@
         if req.target == "/report":
             state = "draining" if self.is_leaving else "ready"
             conn.respond(200, (), json.dumps({"state": state}).encode())
+        elif req.target == "/health":
+            await asyncio.sleep(self.delay_s)
+            conn.respond(200, (), b"")
         elif req.target == "/kv-move":
             self._copy_kv(conn, json.loads(req.body))
         elif req.target.startswith("/kv-handle/"):
