Hand requests over to nodes that reach the servers while this one doesn't

What callers saw: nodes that had lost their links to all servers refused, or answered 502 or 504, while the others served.

Cause: a node had one way to a server, its own. It took each failure for one of that server alone, tried all servers with each request, and then refused; the directory went on to name it. Class: a local view taken for that of the fleet.

Change: a node that gets no byte from two servers of a service (or its only one), and from no other of them for a second, probes up to six; if none answers it holds itself cut off from that service, tells the nodes so, and probes two servers each half second until one answers. An answer counts only on a connection opened after the failure. Meanwhile its requests go to a node that reaches the service: as they came, with the time that is left, over the port between nodes, once only, so that they are admitted and counted there; a request that may have run is never handed on again unless it may run twice. Callers are named such nodes last, if half of the nodes remain. A service that no node reaches is refused at once.

--- a/src/savorylift/completions/codec.py
+++ b/src/savorylift/completions/codec.py
@@ -5,7 +5,10 @@
 import msgspec
 from returns.result import Result
 
-from savorylift.completions.caller_request import decode_request
+from savorylift.completions.caller_request import (
+    DEADLINE_HEADER,
+    decode_request,
+)
 from savorylift.completions.engine_call import (
     TokenReader,
     decode_answer_head,
@@ -61,6 +64,10 @@
             return BufferingSink(req, caller)
         return StreamSink(req, caller)
 
+    def encode_time_left(self, time_left_s: float) -> tuple[str, str]:
+        """Encodes how long a caller still waits, as a header of a request."""
+        return DEADLINE_HEADER, str(max(int(time_left_s * 1000), 1))
+
     def encode_refusal(
         self, req: CallerRequest | None, refused: Refused
     ) -> tuple[Headers, bytes]:
--- a/src/savorylift/exchange/codec.py
+++ b/src/savorylift/exchange/codec.py
@@ -150,6 +150,10 @@
         """Returns the sink that delivers a generation's events."""
         ...
 
+    def encode_time_left(self, time_left_s: float) -> tuple[str, str]:
+        """Encodes how long a caller still waits, as a header of a request."""
+        ...
+
     def encode_refusal(
         self, req: CallerRequest | None, refused: Refused
     ) -> tuple[Headers, bytes]:
--- a/src/savorylift/exchange/metrics.py
+++ b/src/savorylift/exchange/metrics.py
@@ -50,6 +50,15 @@
     "Resumed streams, by how this node knows where they began.",
     ["outcome"],
 )
+UNREACHED_SERVICES = Gauge(
+    "savorylift_front_unreached_services",
+    "Services of which this node reaches no backend server.",
+)
+RELAYED = Counter(
+    "savorylift_front_relayed",
+    "Requests handed over to other nodes.",
+    ["outcome"],
+)
 MOVES = Counter(
     "savorylift_front_moves", "Runs continued at another engine.", ["outcome"]
 )
--- /dev/null
+++ b/src/savorylift/exchange/reach_probe.py
@@ -0,0 +1,61 @@
+"""Asks a backend server for a sign of life."""
+
+import asyncio
+
+from savorylift.backends.registry import BackendServer
+from savorylift.exchange.limit_gate import LimitGate
+from savorylift.wire.channel import connect
+from savorylift.wire.client_call import BrokenAnswerError, ClientCall
+
+CONNECT_TIMEOUT_S = 0.5
+# A sound server may be silent for about a second.
+ANSWER_TIMEOUT_S = 1.2
+# A connection that stays open for this long shows that the server is reached,
+# if it has no health check.
+OPEN_S = 0.05
+REQUEST_NAME = "reach"
+
+
+class ReachProbe:
+    """Opens a connection and asks for the server's health.
+
+    Any answer will do: it came from the server.
+    """
+
+    def __init__(self, limit_gate: LimitGate) -> None:
+        """Creates a probe.
+
+        Args:
+            limit_gate: Holds the limits that servers name.
+        """
+        self._limit_gate = limit_gate
+
+    async def ask(
+        self, server: BackendServer, health_path: str | None
+    ) -> bool | None:
+        """Returns whether a server answers; None if it must not be asked."""
+        permit = await self._limit_gate.acquire(
+            server, REQUEST_NAME, 0.0, is_probe=True
+        )
+        if permit is None:
+            return None
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S + ANSWER_TIMEOUT_S):
+                return await _answers(server, health_path)
+        except (OSError, BrokenAnswerError):
+            return False
+
+
+async def _answers(server: BackendServer, health_path: str | None) -> bool:
+    host, port = server.entry.address
+    channel = await connect(host, port, CONNECT_TIMEOUT_S)
+    try:
+        if health_path is None:
+            await asyncio.sleep(OPEN_S)
+            return not channel.is_peer_closed
+        call = ClientCall(channel)
+        call.send("GET", health_path, (("host", f"{host}:{port}"),), b"")
+        await call.read_head()
+        return True
+    finally:
+        channel.abort()
--- a/src/savorylift/exchange/send.py
+++ b/src/savorylift/exchange/send.py
@@ -19,6 +19,7 @@
 from savorylift.exchange.results import Answered, NotRun, SendResult, Unsure
 from savorylift.exchange.run_canceller import RunCanceller
 from savorylift.exchange.server_check import ServerCheck
+from savorylift.exchange.server_reach import ServerReach
 from savorylift.outcomes import Reason
 from savorylift.wire.channel import connect
 from savorylift.wire.client_call import BrokenAnswerError, ClientCall
@@ -68,6 +69,7 @@
         codec: Codec,
         limit_gate: LimitGate,
         server_check: ServerCheck,
+        reach: ServerReach,
         is_usable: Callable[[BackendServer], bool],
     ) -> None:
         """Creates a sender.
@@ -77,12 +79,14 @@
             limit_gate: Holds the limits that servers name.
             server_check: Finds out whether a server that has closed a
                 connection is gone.
+            reach: Told which connections to servers bring answers.
             is_usable: Returns whether a server may still be used; checked
                 again once the connection is open.
         """
         self._codec = codec
         self._limit_gate = limit_gate
         self._server_check = server_check
+        self._reach = reach
         self._is_usable = is_usable
         self._head_reader = AnswerHeadReader(codec, limit_gate)
         self._canceller = RunCanceller()
@@ -114,6 +118,8 @@
         try:
             channel = await connect(host, port, max(connect_timeout_s, 0.0))
         except OSError as exc:
+            if connect_timeout_s >= CONNECT_TIMEOUT_S:
+                self._reach.record_failure(server)
             detail = f"{type(exc).__name__}: {exc}"
             return NotRun(Reason.BACKEND_LOST, detail, reached_server=False)
         if resume_point.kv_copy is None and not self._is_usable(server):
@@ -220,12 +226,17 @@
         outgoing: OutgoingRequest,
         failover_policy: FailoverPolicy,
     ) -> Started | Unsure:
+        wait = self._reach.begin_wait(server)
         call.send(
             outgoing.method, outgoing.target, outgoing.headers, outgoing.body
         )
-        head = await self._head_reader.read(
-            server, call, admitted.req, failover_policy
-        )
+        try:
+            head = await self._head_reader.read(
+                server, call, admitted.req, failover_policy
+            )
+        finally:
+            has_answer = call.channel.has_received
+            self._reach.end_wait(wait, has_answer=has_answer)
         if isinstance(head, Unsure):
             return head
         return Started(call, head, outgoing.run_id, outgoing.cancel_request)
--- a/src/savorylift/exchange/server_pool.py
+++ b/src/savorylift/exchange/server_pool.py
@@ -165,6 +165,16 @@
             )
         )
 
+    def servers_in_service(self, service: str) -> list[BackendServer]:
+        """Returns the servers of a service that may get requests."""
+        return list(
+            eligible_servers(
+                self._store_view.registry.servers,
+                service,
+                self._store_view.evacuated,
+            )
+        )
+
     def is_in_service(self, server: BackendServer) -> bool:
         """Returns whether a server is still registered and not draining."""
         known = self._store_view.registry.servers.get(server.entry.server_id)
--- a/src/savorylift/fleet/membership.py
+++ b/src/savorylift/fleet/membership.py
@@ -22,6 +22,9 @@
 # cut off from them.
 MINORITY_FORGET_TIMEOUT_S = 600.0
 READER_COUNT = 2
+# Callers are kept from nodes that don't reach the servers as long as at least
+# this share of the nodes remains for them.
+MIN_REACHING_SHARE = 0.5
 # Another node takes over from a reader that is silent for this many intervals
 # and this long. A node too many that reads does no harm.
 READER_TIMEOUT_INTERVALS = 2
@@ -166,6 +169,20 @@
         for peer in self.live_peers(now_s):
             yield from peer.state.moves
 
+    def find_reaching(self, service: str, now_s: float) -> list[str]:
+        """Returns the addresses of nodes that may serve a service's requests.
+
+        They are ready, stay, and reach its servers as far as they have said.
+        """
+        states = (peer.state for peer in self.live_peers(now_s))
+        return [
+            state.ip
+            for state in states
+            if state.is_ready
+            and not state.is_leaving
+            and service not in state.unreached_services
+        ]
+
     def caller_addresses(
         self,
         own_state: NodeState,
@@ -176,7 +193,8 @@
         """Returns the addresses of the nodes that callers may connect to.
 
         The list is never empty. Nodes in the caller's region are preferred,
-        then those in `home_regions`, then any others.
+        then those in `home_regions`, then any others. Nodes that don't reach
+        the servers are left out unless too few remain.
 
         Args:
             own_state: State of this node.
@@ -188,6 +206,9 @@
         serving = [s for s in states if s.is_ready and not s.is_leaving]
         staying = [s for s in states if not s.is_leaving]
         usable = serving or staying or states
+        reaching = [s for s in usable if not s.unreached_services]
+        if len(reaching) >= MIN_REACHING_SHARE * len(usable):
+            usable = reaching
         in_region = [s for s in usable if region in (None, s.region)]
         in_home_regions = [s for s in usable if s.region in home_regions]
         return [
--- a/src/savorylift/fleet/state.py
+++ b/src/savorylift/fleet/state.py
@@ -253,6 +253,7 @@
         peers: Addresses of its live peers; empty in most messages.
         quarantine_news: What it knows of requests that crash engines.
         version_sightings: Software versions that no server has any more.
+        unreached_services: Services of which the node reaches no server.
     """
 
     node: str
@@ -274,6 +275,7 @@
     peers: tuple[str, ...]
     quarantine_news: QuarantineNews = QuarantineNews()
     version_sightings: tuple[VersionSighting, ...] = ()
+    unreached_services: tuple[str, ...] = ()
 
 
 class Topic(enum.StrEnum):
--- a/src/savorylift/front/caller_handler.py
+++ b/src/savorylift/front/caller_handler.py
@@ -28,7 +28,8 @@
 from savorylift.fleet.store_view import StoreView
 from savorylift.front.caller_sink import CallerSink
 from savorylift.front.lifecycle import Lifecycle
-from savorylift.outcomes import Reason
+from savorylift.front.node_relay import RELAY_REFUSED, NodeRelay
+from savorylift.outcomes import Ending, Reason
 from savorylift.refusals.counts import RefusalCounts
 from savorylift.routing.configuration import RouteKind
 from savorylift.wire.message import Request, Response
@@ -48,6 +49,21 @@
 # Largest share of a request's remaining time that this wait may take.
 STARTING_WAIT_SHARE = 0.2
 
+# Refusals by a node that may have been cut off from the servers meanwhile.
+UNREACHED_REASONS = frozenset(
+    {Reason.BACKEND_LOST, Reason.NO_BACKEND_SERVER, Reason.QUEUE_FULL}
+)
+# Refusals that another node might not give.
+NODE_REASONS = frozenset(
+    {
+        Reason.BACKEND_LOST,
+        Reason.NO_BACKEND_SERVER,
+        Reason.NODE_BUSY,
+        Reason.NODE_STARTING,
+        Reason.NODE_DRAINING,
+    }
+)
+
 REASON_BY_STATUS = {
     408: Reason.SLOW_REQUEST,
     413: Reason.BODY_TOO_LARGE,
@@ -82,6 +98,7 @@
         generations: GenerationDispatcher,
         codec: Codec,
         lifecycle: Lifecycle,
+        relay: NodeRelay,
         options: CallerHandlerOptions,
         answer_locally: Callable[[Request], Response | None],
     ) -> None:
@@ -95,6 +112,7 @@
             generations: Serves streamed generations.
             codec: Decodes requests and encodes refusals.
             lifecycle: Counts open requests; says whether the node is draining.
+            relay: Hands requests over to nodes that reach the servers.
             options: Limits for requests.
             answer_locally: Answers requests that are for the node itself;
                 returns None for all others.
@@ -106,6 +124,7 @@
         self._generations = generations
         self._codec = codec
         self._lifecycle = lifecycle
+        self._relay = relay
         self._options = options
         self._answer_locally = answer_locally
         self._team_limits = TeamLimits()
@@ -129,6 +148,13 @@
                 break
         await conn.channel.close_gracefully()
 
+    async def serve_relayed(self, conn: ServerConnection, req: Request) -> None:
+        """Serves a request that another node hands over, and no other one."""
+        conn.is_closing = True
+        await self._handle(conn, req)
+        await conn.flush()
+        await conn.channel.close_gracefully()
+
     async def _handle(self, conn: ServerConnection, req: Request) -> None:
         local_response = self._answer_locally(req)
         if local_response is not None:
@@ -146,17 +172,17 @@
         self._lifecycle.begin_request()
         metrics.OPEN_REQUESTS.inc()
         try:
-            await self._serve_until_disconnect(conn, caller_req)
+            await self._serve_until_disconnect(conn, req, caller_req)
         finally:
             metrics.OPEN_REQUESTS.dec()
             self._lifecycle.end_request()
 
     async def _serve_until_disconnect(
-        self, conn: ServerConnection, caller_req: CallerRequest
+        self, conn: ServerConnection, req: Request, caller_req: CallerRequest
     ) -> None:
         """Serves a request until its caller disconnects or the node ends."""
         serve_task = asyncio.ensure_future(
-            self._serve_request(conn, caller_req)
+            self._serve_request(conn, req, caller_req)
         )
         disconnect_task = asyncio.ensure_future(conn.channel.peer_closed.wait())
         try:
@@ -185,7 +211,7 @@
             self._respond(conn, caller_req, refused)
 
     async def _serve_request(
-        self, conn: ServerConnection, caller_req: CallerRequest
+        self, conn: ServerConnection, req: Request, caller_req: CallerRequest
     ) -> None:
         await self._wait_for_configuration(caller_req)
         admission = admit(
@@ -197,7 +223,8 @@
             self._respond(conn, caller_req, admission.failure())
             return
         admitted = admission.unwrap()
-        self._pool.count_request(admitted.service.name)
+        if not self._is_for_other_node(conn, admitted):
+            self._pool.count_request(admitted.service.name)
         refused = (
             self._refuse_while_draining(admitted) or self._refuse_overload()
         )
@@ -206,24 +233,46 @@
             return
         with self._team_limits.track_request(admitted.team) as is_within_limit:
             if is_within_limit:
-                await self._serve_admitted(conn, admitted)
+                await self._serve_admitted(conn, req, admitted)
             else:
                 self._respond(conn, caller_req, _team_limit_refusal(admitted))
 
     async def _serve_admitted(
-        self, conn: ServerConnection, admitted: AdmittedRequest
+        self, conn: ServerConnection, req: Request, admitted: AdmittedRequest
     ) -> None:
-        caller_req = admitted.req
-        if admitted.route.kind is RouteKind.STREAM:
-            caller_sink = CallerSink(conn)
-            event_sink = self._codec.make_event_sink(caller_req, caller_sink)
-            answer = await self._generations.serve(admitted, event_sink)
-            if answer is None:
-                self._log_stream(admitted, caller_sink)
+        answer: Answered | Refused | None = None
+        if not self._is_for_other_node(conn, admitted):
+            answer = await self._serve_here(conn, admitted)
+            if not _is_unreached(answer) or not self._is_for_other_node(
+                conn, admitted
+            ):
+                if answer is not None:
+                    self._respond(conn, admitted.req, answer)
                 return
-        else:
-            answer = await serve_within_deadline(admitted, self._plain_calls)
-        self._respond(conn, caller_req, answer)
+        answer = await self._relay.serve(conn, req, admitted)
+        if answer is not None:
+            self._respond(conn, admitted.req, answer)
+
+    async def _serve_here(
+        self, conn: ServerConnection, admitted: AdmittedRequest
+    ) -> Answered | Refused | None:
+        """Serves a request at the servers; returns the answer yet to send."""
+        if admitted.route.kind is not RouteKind.STREAM:
+            return await serve_within_deadline(admitted, self._plain_calls)
+        caller_sink = CallerSink(conn)
+        event_sink = self._codec.make_event_sink(admitted.req, caller_sink)
+        answer = await self._generations.serve(admitted, event_sink)
+        if answer is None:
+            self._log_stream(admitted, caller_sink)
+        return answer
+
+    def _is_for_other_node(
+        self, conn: ServerConnection, admitted: AdmittedRequest
+    ) -> bool:
+        """Whether another node must serve a request that came from none."""
+        if conn.added_headers:
+            return False
+        return self._relay.is_needed(admitted.service.name)
 
     async def _wait_for_configuration(self, caller_req: CallerRequest) -> None:
         """Waits briefly for the first configuration on a starting node."""
@@ -273,6 +322,8 @@
             reason = detail = "answered"
         else:
             status = answer.status
+            if conn.added_headers and _is_up_to_node(answer):
+                conn.added_headers = RELAY_REFUSED
             headers, body = self._codec.encode_refusal(caller_req, answer)
             conn.respond(status, headers, body)
             reason, detail = answer.reason.value, answer.message
@@ -336,6 +387,20 @@
         self._respond(conn, None, refused)
 
 
+def _is_up_to_node(refused: Refused) -> bool:
+    """Whether another node may take a request that did not run."""
+    return refused.ending is Ending.NOT_RUN and refused.reason in NODE_REASONS
+
+
+def _is_unreached(answer: Answered | Refused | None) -> bool:
+    """Whether a request did not run since no server took it."""
+    return (
+        isinstance(answer, Refused)
+        and answer.ending is Ending.NOT_RUN
+        and answer.reason in UNREACHED_REASONS
+    )
+
+
 def _team_limit_refusal(admitted: AdmittedRequest) -> Refused:
     assert admitted.team is not None
     message = f"Team {admitted.team.name} has too many open requests."
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -11,6 +11,7 @@
 from returns.pipeline import is_successful
 from returns.result import Result
 
+from savorylift.backends.registry import BackendServer
 from savorylift.backends.request_quarantine import RequestQuarantine
 from savorylift.exchange.crash_guard import CrashGuard
 from savorylift.exchange.drain_poller import DrainPoller
@@ -18,10 +19,12 @@
 from savorylift.exchange.limit_gate import LimitGate
 from savorylift.exchange.mover import Mover
 from savorylift.exchange.plain_call import PlainCallDispatcher
+from savorylift.exchange.reach_probe import ReachProbe
 from savorylift.exchange.retry_budget import RetryBudget, RetryBudgetOptions
 from savorylift.exchange.send import Sender
 from savorylift.exchange.server_check import ServerCheck
 from savorylift.exchange.server_pool import ServerPool
+from savorylift.exchange.server_reach import ServerReach
 from savorylift.exchange.stream_origins import StreamOrigins
 from savorylift.exchange.stream_resumption import StreamResumption
 from savorylift.fleet import metrics as fleet_metrics
@@ -39,6 +42,7 @@
 from savorylift.front.caller_handler import CallerHandler, CallerHandlerOptions
 from savorylift.front.interface import choose_interface
 from savorylift.front.lifecycle import Lifecycle
+from savorylift.front.node_relay import NodeRelay, peer_connection_handler
 from savorylift.front.operator_handler import operator_handler
 from savorylift.front.peer_sync import PeerSync
 from savorylift.front.reload_signal import ReloadSignal
@@ -144,8 +148,19 @@
         codec = interface.codec
         self._mover = Mover(self._pool)
         server_check = ServerCheck(self._limit_gate, self._pool.is_in_service)
+        self._reach_probe = ReachProbe(self._limit_gate)
+        self._reach = ServerReach(
+            self._pool.servers_in_service,
+            self._probe_server,
+            lambda: self._peer_sync.transport.send_soon(),
+            rng,
+        )
         sender = Sender(
-            codec, self._limit_gate, server_check, self._pool.is_usable
+            codec,
+            self._limit_gate,
+            server_check,
+            self._reach,
+            self._pool.is_usable,
         )
         self._origins = StreamOrigins(
             self._ip,
@@ -171,7 +186,7 @@
             rng,
         )
         refusal_counts = RefusalCounts(settings.vm, self._incarnation)
-        caller_handler = CallerHandler(
+        self._caller_handler = CallerHandler(
             refusal_counts,
             self._store_view,
             self._pool,
@@ -179,6 +194,9 @@
             self._generations,
             codec,
             self._lifecycle,
+            NodeRelay(
+                settings.peer_port, self._membership, self._reach, codec, rng
+            ),
             CallerHandlerOptions(
                 settings.request_timeout_s, settings.most_open
             ),
@@ -236,7 +254,7 @@
             lambda: self._peer_sync.transport.send(include_silent=True),
         )
         self._caller_listener = Listener(
-            caller_handler.serve, self._input_limits
+            self._caller_handler.serve, self._input_limits
         )
         self._caller_tls = server_context(settings.caller_tls)
 
@@ -294,7 +312,10 @@
 
     async def _listen(self) -> None:
         await self._peer_sync.transport.start(self._ip)
-        handler = connection_handler(self._peer_sync.snapshot_server.handle)
+        handler = peer_connection_handler(
+            self._peer_sync.snapshot_server.handle,
+            self._caller_handler.serve_relayed,
+        )
         peer_listener = Listener(handler, InputLimits)
         await peer_listener.start(self._ip, self._settings.peer_port)
         directory = directory_handler(self._caller_directory.resolve)
@@ -352,6 +373,7 @@
             peers=tuple(peer.state.ip for peer in peers),
             quarantine_news=self._crash_guard.news(),
             version_sightings=self._version_history.sightings(now_s),
+            unreached_services=self._reach.cut_off,
         )
 
     def _is_reader(self) -> bool:
@@ -389,6 +411,7 @@
             self._limit_gate.update()
             self._update_homes()
             self._observe_versions()
+            self._reach.update()
             if self._store_view.drop_expired():
                 self._on_store_change(None)
             else:
@@ -398,6 +421,11 @@
         cfg = self._store_view.configuration
         return None if cfg is None else cfg.services.get(name)
 
+    async def _probe_server(self, server: BackendServer) -> bool | None:
+        service = self._find_service(server.entry.service)
+        health_path = None if service is None else service.health_path
+        return await self._reach_probe.ask(server, health_path)
+
     def _observe_versions(self) -> None:
         servers = self._store_view.registry.servers.values()
         entries = [server.entry for server in servers]
--- a/src/savorylift/platform/codec.py
+++ b/src/savorylift/platform/codec.py
@@ -82,6 +82,10 @@
         """Returns the caller's connection; events are forwarded unchanged."""
         return caller
 
+    def encode_time_left(self, time_left_s: float) -> tuple[str, str]:
+        """Encodes how long a caller still waits, as a header of a request."""
+        return _encode_time_left(time_left_s)
+
     def encode_refusal(
         self,
         req: CallerRequest | None,  # noqa: ARG002
@@ -143,12 +147,7 @@
 ) -> Headers:
     """Returns the headers of a request that is forwarded to a server."""
     added = [(header_names.EXPECTED_INSTANCE, forwarding.server_id)]
-    added.append(
-        (
-            header_names.TIME_LEFT_MS,
-            str(max(int(forwarding.time_left_s * 1000), 1)),
-        )
-    )
+    added.append(_encode_time_left(forwarding.time_left_s))
     if forwarding.team is not None:
         added.append((header_names.TEAM, forwarding.team))
     if forwarding.priority is not None:
@@ -165,6 +164,10 @@
     return req.headers + tuple(added)
 
 
+def _encode_time_left(time_left_s: float) -> tuple[str, str]:
+    return header_names.TIME_LEFT_MS, str(max(int(time_left_s * 1000), 1))
+
+
 def decode_answer_head(head: ResponseHead, attempt_id: str) -> AnswerHead:
     """Decodes status and headers of a backend server's response."""
     return AnswerHead(
--- a/src/savorylift/platform/configuration.py
+++ b/src/savorylift/platform/configuration.py
@@ -70,6 +70,7 @@
     # Maximum request rate of a server during its cold start.
     cold_per_s: float | None = None
     engine: _Engine | None = None
+    health_path: str | None = None
 
 
 class _Tenant(msgspec.Struct, rename="camel"):
@@ -165,7 +166,9 @@
             can_move=item.engine.moves,
             tokens_per_event=max(item.engine.stride, 1),
         )
-    return Service(item.name, item.cold_per_s, engine)
+    return Service(
+        item.name, item.cold_per_s, engine, health_path=item.health_path
+    )
 
 
 def _teams_by_key(
--- a/src/savorylift/routing/configuration.py
+++ b/src/savorylift/routing/configuration.py
@@ -110,12 +110,14 @@
             start; None for no limit.
         engine: Traits of the model engines; None for a plain service.
         model_version: Required version of the model; None for any.
+        health_path: Path of the health check of its servers, if they have one.
     """
 
     name: str
     cold_requests_per_s: float | None
     engine: EngineTraits | None
     model_version: str | None = None
+    health_path: str | None = None
 
 
 class RuleOrigin(NamedTuple):
--- a/src/savorylift/wire/channel.py
+++ b/src/savorylift/wire/channel.py
@@ -21,6 +21,7 @@
         is_peer_closed: Whether the peer has closed its end, or the connection
             is lost.
         connection_error: Why the connection was lost; None if it was closed.
+        has_received: Whether any byte has arrived.
         peer_closed: Set together with `is_peer_closed`, for waiters.
     """
 
@@ -37,6 +38,7 @@
         self._is_discarding = False
         self._resets_on_close = False
         self.is_peer_closed = False
+        self.has_received = False
         self.connection_error: Exception | None = None
         self.peer_closed = asyncio.Event()
 
@@ -68,6 +70,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Buffers input; pauses reading when the buffer is full."""
+        self.has_received = True
         if self._is_discarding:
             return
         self._read_buffer += data
--- a/src/savorylift/wire/server_connection.py
+++ b/src/savorylift/wire/server_connection.py
@@ -60,6 +60,7 @@
     Attributes:
         is_closing: Whether to close after the next response, which then says
             so in its `Connection` header.
+        added_headers: Headers of every response.
     """
 
     def __init__(
@@ -76,6 +77,7 @@
         self._is_close_delimited = False
         self._is_response_ended = False
         self.is_closing = False
+        self.added_headers: Headers = ()
 
     @property
     def channel(self) -> Channel:
@@ -160,6 +162,7 @@
             self.is_closing = True
             # To such callers, h11 sends bodies without any framing.
             self._h11.their_http_version = b"1.0"
+        headers += self.added_headers
         if self.is_closing:
             headers = (*headers, ("connection", "close"))
         reason = (
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -236,3 +236,25 @@
 def test_node_that_never_heard_the_others_counts_their_addresses() -> None:
     members = Membership(ME, ("10.0.0.2", "10.0.0.3"))
     assert members.live_share(100.0) == pytest.approx(1 / 3)
+
+
+def test_nodes_without_servers_are_kept_from_callers_unless_too_many() -> None:
+    membership = Membership("10.0.0.1", ())
+    for number in (2, 3, 4):
+        cut = state(number)._replace(unreached_services=("s",))
+        membership.update_peer(cut if number > 2 else state(number), 1.0)
+    own = state(1)
+    found = membership.caller_addresses(own, None, (), 1.0)
+    assert len(found) == 2
+    cut = own._replace(unreached_services=("s",))
+    assert len(membership.caller_addresses(cut, None, (), 1.0)) == 4
+
+
+def test_requests_are_handed_to_nodes_that_reach_the_service() -> None:
+    membership = Membership("10.0.0.1", ())
+    membership.update_peer(state(2), 1.0)
+    membership.update_peer(state(3)._replace(unreached_services=("s",)), 1.0)
+    membership.update_peer(state(4)._replace(is_leaving=True), 1.0)
+    membership.update_peer(state(5)._replace(is_ready=False), 1.0)
+    assert membership.find_reaching("s", 1.0) == [state(2).ip]
+    assert len(membership.find_reaching("t", 1.0)) == 2
