Let no odd entry end a node

What operators saw: an odd entry among the servers', deeply nested or with a huge number, ended the nodes that read the list again and again.

Cause: the JSON decoder raises RecursionError on deep nesting, ValueError on some numbers, not its own error; the store reader's task ended, and the node with it. Class: the errors of a library taken to be all that it raises.

Change: one function decodes what others wrote, and returns each failure; it is used for entries, configurations, engines' reports, events, bodies and records. Numbers of an entry beyond 63 bits make it unreadable.

--- a/src/savorylift/completions/caller_request.py
+++ b/src/savorylift/completions/caller_request.py
@@ -5,12 +5,14 @@
 from typing import Annotated, NamedTuple
 
 import msgspec
+from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from savorylift.completions.errors import REQUEST_ID_HEADER
 from savorylift.exchange.request import CallerRequest, Generation
 from savorylift.exchange.results import Refused
 from savorylift.identity import new_id
+from savorylift.json_input import decode_json
 from savorylift.outcomes import Reason
 from savorylift.wire.message import Headers, Request, end_to_end_headers
 
@@ -117,10 +119,11 @@
 def _decode_generation(
     req: Request, common: _CommonHeaders
 ) -> Result[CallerRequest, Refused]:
-    try:
-        completion = msgspec.json.decode(req.body, type=CompletionBody)
-    except msgspec.MsgspecError as exc:
-        return _refuse(400, Reason.BAD_REQUEST, f"bad body: {exc}")
+    decoded = decode_json(req.body, CompletionBody)
+    if not is_successful(decoded):
+        message = f"bad body: {decoded.failure()}"
+        return _refuse(400, Reason.BAD_REQUEST, message)
+    completion = decoded.unwrap()
     resume_after = _first_value(req, LAST_EVENT_ID_HEADER)
     if completion.seed is None:
         # Derived from the request id, so that another node generates the
--- a/src/savorylift/completions/engine_call.py
+++ b/src/savorylift/completions/engine_call.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 import msgspec
+from returns.pipeline import is_successful
 
 from savorylift.completions.caller_request import (
     COMPLETIONS_PATH,
@@ -24,6 +25,7 @@
     CallerRequest,
     ForwardingOptions,
 )
+from savorylift.json_input import decode_json
 from savorylift.wire.client_call import BrokenAnswerError
 from savorylift.wire.message import ResponseHead, end_to_end_headers
 
@@ -167,10 +169,10 @@
             raise BrokenAnswerError("the stream ended without its end marker")
 
     def _decode_event(self, text: bytes) -> Token:
-        try:
-            event = msgspec.json.decode(text, type=_EngineEvent)
-        except msgspec.MsgspecError as exc:
-            raise BrokenAnswerError(f"bad engine event: {exc}") from exc
+        decoded = decode_json(text, _EngineEvent)
+        if not is_successful(decoded):
+            raise BrokenAnswerError(f"bad engine event: {decoded.failure()}")
+        event = decoded.unwrap()
         if event.id != self._run_id:
             raise BrokenAnswerError(
                 f"got an event of another generation: {event.id}"
--- a/src/savorylift/completions/load_poller.py
+++ b/src/savorylift/completions/load_poller.py
@@ -9,9 +9,11 @@
 
 import msgspec
 import structlog
+from returns.pipeline import is_successful
 
 from savorylift.backends.registry import Registry
 from savorylift.backends.server import ServerEntry
+from savorylift.json_input import decode_json
 from savorylift.wire.client_call import BrokenAnswerError, fetch
 
 LOAD_PATH = "/v1/load"
@@ -58,11 +60,16 @@
                 timeout_s=POLL_TIMEOUT_S,
                 connect_timeout_s=POLL_TIMEOUT_S,
             )
-            report = msgspec.json.decode(response.body, type=_LoadReport)
-        except (OSError, BrokenAnswerError, msgspec.MsgspecError) as exc:
+        except (OSError, BrokenAnswerError) as exc:
             detail = f"{type(exc).__name__}: {exc}"
             _log.info("load_unknown", server=entry.server_id, detail=detail)
             return
+        decoded = decode_json(response.body, _LoadReport)
+        if not is_successful(decoded):
+            detail = decoded.failure()
+            _log.info("load_unknown", server=entry.server_id, detail=detail)
+            return
+        report = decoded.unwrap()
         is_changed = self._registry.update_static_status(
             entry.server_id, is_cold=report.cold, is_leaving=report.leaving
         )
--- a/src/savorylift/front/status.py
+++ b/src/savorylift/front/status.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from savorylift.json_input import decode_json
+
 STATUS_PATH = "/status"
 
 
@@ -52,10 +54,7 @@
 
 def decode_status(data: bytes) -> Status | None:
     """Returns the status in `data`, or None if it can't be decoded."""
-    try:
-        return msgspec.json.decode(data, type=Status)
-    except msgspec.DecodeError:
-        return None
+    return decode_json(data, Status).value_or(None)
 
 
 def nodes_behind(offset: int, statuses: Iterable[Status]) -> list[str]:
--- a/src/savorylift/platform/backend_servers.py
+++ b/src/savorylift/platform/backend_servers.py
@@ -1,12 +1,16 @@
 """Decodes the entries that backend servers write to the store."""
 
 import msgspec
+from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from savorylift.backends.server import ServerEntry
+from savorylift.json_input import decode_json
 from savorylift.wire.address import parse_address
 
 IS_DRAINING_BY_STATE = {"ready": False, "draining": True}
+# Numbers of an entry must be smaller; no server counts so far.
+MAX_NUMBER = 1 << 63
 
 
 class _Entry(msgspec.Struct, rename="camel"):
@@ -27,10 +31,12 @@
 
 def decode_server(server_id: str, value: bytes) -> Result[ServerEntry, str]:
     """Decodes a server's entry; returns an error message if it is invalid."""
-    try:
-        entry = msgspec.json.decode(value, type=_Entry)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        return Failure(str(exc))
+    decoded = decode_json(value, _Entry)
+    if not is_successful(decoded):
+        return Failure(decoded.failure())
+    entry = decoded.unwrap()
+    if not all(map(_is_sound, (entry.slots, entry.sequence, entry.born))):
+        return Failure("a number is too large")
     if entry.state not in IS_DRAINING_BY_STATE:
         return Failure(f"unknown state {entry.state!r}")
     address = parse_address(entry.address)
@@ -52,3 +58,7 @@
             software_version=entry.version,
         )
     )
+
+
+def _is_sound(number: int) -> bool:
+    return abs(number) < MAX_NUMBER
--- a/src/savorylift/platform/configuration.py
+++ b/src/savorylift/platform/configuration.py
@@ -3,8 +3,10 @@
 from collections.abc import Mapping
 
 import msgspec
+from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
+from savorylift.json_input import decode_json
 from savorylift.routing.configuration import (
     Configuration,
     EngineTraits,
@@ -97,10 +99,10 @@
 
 def decode_configuration(value: bytes) -> Result[Configuration, str]:
     """Decodes a configuration; returns an error message if it is invalid."""
-    try:
-        cfg = msgspec.json.decode(value, type=_Configuration)
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        return Failure(str(exc))
+    decoded = decode_json(value, _Configuration)
+    if not is_successful(decoded):
+        return Failure(decoded.failure())
+    cfg = decoded.unwrap()
     unknown = [
         route.kind for route in cfg.routes if route.kind not in KIND_BY_NAME
     ]
--- a/src/savorylift/platform/engine_client.py
+++ b/src/savorylift/platform/engine_client.py
@@ -6,6 +6,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from savorylift.json_input import decode_json
 from savorylift.wire.client_call import BrokenAnswerError, fetch
 
 
@@ -86,10 +87,7 @@
         )
     except (OSError, BrokenAnswerError):
         return Failure(CopyError(CopyFault.UNREACHABLE))
-    try:
-        body = msgspec.json.decode(response.body or b"{}", type=dict)
-    except msgspec.DecodeError:
-        body = {}
+    body = decode_json(response.body or b"{}", dict).value_or({})
     handle = body.get("handle")
     handle = None if handle is None else str(handle)
     if response.status != 200:
@@ -131,7 +129,7 @@
             timeout_s=timeout_s,
             connect_timeout_s=timeout_s,
         )
-        report = msgspec.json.decode(response.body, type=dict)
-    except (OSError, BrokenAnswerError, msgspec.DecodeError):
+    except (OSError, BrokenAnswerError):
         return False
+    report = decode_json(response.body, dict).value_or({})
     return report.get("state") == "draining"
--- a/src/savorylift/platform/store.py
+++ b/src/savorylift/platform/store.py
@@ -8,8 +8,10 @@
 from typing import NamedTuple
 
 import msgspec
+from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
+from savorylift.json_input import decode_json
 from savorylift.wire.client_call import BrokenAnswerError, fetch
 from savorylift.wire.message import Response
 
@@ -89,6 +91,10 @@
     offset: int
 
 
+class _Appended(msgspec.Struct):
+    offset: int
+
+
 class _Page(msgspec.Struct, rename="camel"):
     items: list[_Item]
     end: int
@@ -119,11 +125,14 @@
             response = await self._call("GET", "/log-newest", query)
             if isinstance(response, StoreError):
                 return Failure(response)
+            decoded = decode_json(response.body, _Page)
+            if not is_successful(decoded):
+                return Failure(_unreadable(decoded.failure()))
+            page = decoded.unwrap()
             try:
-                page = msgspec.json.decode(response.body, type=_Page)
                 records += [_decode_item(item) for item in page.items]
-            except (msgspec.DecodeError, ValueError) as exc:
-                return Failure(StoreError(StoreFault.UNREADABLE, str(exc)))
+            except ValueError as exc:
+                return Failure(_unreadable(str(exc)))
             era = _decode_era(response)
             if start is None:
                 start = _position(era, page.end)
@@ -188,11 +197,11 @@
         response = await self._call("POST", "/log-append", query, body=body)
         if isinstance(response, StoreError):
             return Failure(response)
-        try:
-            offset = int(msgspec.json.decode(response.body)["offset"])
-            return Success(_position(_decode_era(response), offset))
-        except (msgspec.DecodeError, KeyError, TypeError, ValueError) as exc:
-            return Failure(StoreError(StoreFault.UNREADABLE, str(exc)))
+        return (
+            decode_json(response.body, _Appended)
+            .map(lambda found: _position(_decode_era(response), found.offset))
+            .alt(_unreadable)
+        )
 
     async def _call(
         self,
@@ -233,6 +242,10 @@
     return era * OFFSETS_PER_ERA + offset
 
 
+def _unreadable(detail: str) -> StoreError:
+    return StoreError(StoreFault.UNREADABLE, detail)
+
+
 def _restored(era: int) -> StoreError:
     return StoreError(StoreFault.RESTORED, f"the store is in era {era} now")
 
--- a/src/savorylift/refusals/counts.py
+++ b/src/savorylift/refusals/counts.py
@@ -10,9 +10,10 @@
 from typing import NamedTuple
 
 import msgspec
-from returns.result import Failure, Result, Success
+from returns.result import Result
 
 from savorylift.exchange.results import Refused
+from savorylift.json_input import decode_json
 from savorylift.outcomes import Reason
 
 MINUTE_S = 60
@@ -61,10 +62,7 @@
 
 def decode_count(value: bytes) -> Result[RefusalCount, str]:
     """Decodes the value of a record, or returns why it is invalid."""
-    try:
-        return Success(msgspec.json.decode(value, type=RefusalCount))
-    except (msgspec.DecodeError, UnicodeDecodeError) as exc:
-        return Failure(str(exc))
+    return decode_json(value, RefusalCount)
 
 
 class RefusalCounts:
--- a/src/savorylift/rules/publication.py
+++ b/src/savorylift/rules/publication.py
@@ -14,6 +14,7 @@
 from returns.result import Failure, Result, Success
 
 from savorylift.identity import new_id
+from savorylift.json_input import decode_json
 from savorylift.platform.store import (
     RULES_TOPIC,
     Batch,
@@ -139,9 +140,9 @@
     """Decodes a record's value, or returns an error message."""
     try:
         data = zlib.decompress(value)
-        return Success(msgspec.json.decode(data, type=RulesVersion))
-    except (zlib.error, msgspec.DecodeError, UnicodeDecodeError) as exc:
+    except zlib.error as exc:
         return Failure(str(exc))
+    return decode_json(data, RulesVersion)
 
 
 def decode_configuration(value: bytes) -> Result[Configuration, str]:
--- a/tests/front/test_node.py
+++ b/tests/front/test_node.py
@@ -438,3 +438,22 @@
         assert after == before + 1
 
     run_in_environment(scenario)
+
+
+def test_node_follows_the_servers_past_odd_entries() -> None:
+    async def scenario(env: NodeEnvironment) -> None:
+        odd = [b"[" * 100_000, b'{"a":' * 50_000, b'{"slots":' + b"9" * 9999]
+        topic = env.store.topic(SERVERS_TOPIC)
+        for number, value in enumerate(odd):
+            topic.add(f"odd-{number}", value)
+        for server in env.app:
+            env.publish_entry(server, "app", "draining")
+        env.app[0].server_id = "app-9"
+        env.publish_entry(env.app[0], "app")
+        await asyncio.sleep(0.5)
+        assert (await env.call("/safe/x")).status == 200
+        assert env.node_task is not None
+        assert not env.node_task.done()
+        assert await env.is_ready()
+
+    run_in_environment(scenario)
--- a/tests/platform/test_backend_servers.py
+++ b/tests/platform/test_backend_servers.py
@@ -30,6 +30,33 @@
     assert entry.software_version == "v1"
 
 
+DEEP = 100_000
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"[" * DEEP,
+        b"[" * DEEP + b"]" * DEEP,
+        b'{"a":' * DEEP + b"1" + b"}" * DEEP,
+        b'{"service":' + b"[" * DEEP + b"]" * DEEP + b"}",
+        b'{"x":' + b'{"y":' * DEEP + b"1" + b"}" * (DEEP + 1),
+        json.dumps(ENTRY)[:-1].encode() + b',"x":' + b"[" * DEEP,
+    ],
+)
+def test_deeply_nested_entry_is_rejected(value: bytes) -> None:
+    assert not is_successful(decode_server("i", value))
+
+
+@pytest.mark.parametrize("field", ["slots", "sequence", "born"])
+@pytest.mark.parametrize("number", ["9" * 30, "9" * 400, "9" * 9999, "1e999"])
+def test_entry_with_a_number_too_large_is_rejected(
+    field: str, number: str
+) -> None:
+    entry = json.dumps(ENTRY | {field: 7777}).replace("7777", number)
+    assert not is_successful(decode_server("i", entry.encode()))
+
+
 def test_draining_state_marks_server_as_leaving() -> None:
     value = json.dumps(ENTRY | {"state": "draining"}).encode()
     assert decode_server("i", value).unwrap().is_leaving
