Let a node that stops take no call that it can't end

What operators saw: in a planned stop, requests that came late in the grace period were passed on and cut at its end, among them some that may not be repeated.

Cause: requests were refused only in the last half second of draining, however long they take; those taken before got 502 when the node ended.

--- a/src/savorylift/front/caller_handler.py
+++ b/src/savorylift/front/caller_handler.py
@@ -26,6 +26,7 @@
 from savorylift.exchange.server_pool import ServerPool
 from savorylift.exchange.team_limits import TeamLimits
 from savorylift.fleet.store_view import StoreView
+from savorylift.front.call_durations import CallDurations
 from savorylift.front.caller_sink import CallerSink
 from savorylift.front.lifecycle import Lifecycle
 from savorylift.front.node_relay import RELAY_REFUSED, NodeRelay
@@ -43,6 +44,8 @@
 # once.
 DRAINING_RETRY_S = 0.02
 BUSY_RETRY_S = 1.0
+# A call may take longer than those before it, by this factor.
+DURATION_FACTOR = 1.3
 # A starting node gets its configuration within this time if the store or a peer
 # answers. After that the request is refused and the caller may retry.
 MAX_STARTING_WAIT_S = 0.8
@@ -128,6 +131,7 @@
         self._options = options
         self._answer_locally = answer_locally
         self._team_limits = TeamLimits()
+        self._durations = CallDurations()
 
     async def serve(self, conn: ServerConnection) -> None:
         """Serves the requests of a connection until it is closed."""
@@ -258,7 +262,8 @@
     ) -> Answered | Refused | None:
         """Serves a request at the servers; returns the answer yet to send."""
         if admitted.route.kind is not RouteKind.STREAM:
-            return await serve_within_deadline(admitted, self._plain_calls)
+            with self._durations.measure(admitted.service.name):
+                return await serve_within_deadline(admitted, self._plain_calls)
         caller_sink = CallerSink(conn)
         event_sink = self._codec.make_event_sink(admitted.req, caller_sink)
         answer = await self._generations.serve(admitted, event_sink)
@@ -291,7 +296,11 @@
         if not self._lifecycle.is_leaving:
             return None
         is_stream = admitted.route.kind is RouteKind.STREAM
-        if not is_stream and not self._lifecycle.is_refusing:
+        time_left_s = admitted.deadline_s - time.monotonic()
+        longest_s = self._durations.longest_s(admitted.service.name)
+        if longest_s is not None:
+            time_left_s = min(time_left_s, DURATION_FACTOR * longest_s)
+        if not is_stream and self._lifecycle.may_begin(time_left_s):
             return None
         return Refused(
             503,
--- a/src/savorylift/front/lifecycle.py
+++ b/src/savorylift/front/lifecycle.py
@@ -9,8 +9,7 @@
 # Callers may keep addresses from the directory for three times their TTL, so a
 # node without requests still waits this long for late ones.
 MIN_DRAINING_S = 5.0
-# Requests that arrive this late before draining ends are refused: they might
-# not be finished.
+# Requests that may not have ended this long before draining ends are refused.
 REFUSING_S = 0.5
 POLL_INTERVAL_S = 0.1
 
@@ -56,14 +55,14 @@
         self.leaving_since_s = time.monotonic()
         return True
 
-    @property
-    def is_refusing(self) -> bool:
-        """Whether it is too late to begin a request."""
+    def may_begin(self, duration_s: float) -> bool:
+        """Whether a request that may take so long can be served to its end."""
         if not self.is_leaving:
-            return False
-        if self.ended.done():
             return True
-        return time.monotonic() >= self._latest_end_s - REFUSING_S
+        if self.ended.done():
+            return False
+        end_s = time.monotonic() + duration_s
+        return end_s < self._latest_end_s - REFUSING_S
 
     @property
     def ended(self) -> asyncio.Future[None]:
--- a/tests/front/environment.py
+++ b/tests/front/environment.py
@@ -91,6 +91,7 @@
             for callers, directory, readiness, peers and metrics.
         node_task: Task that runs the node; None before `start`.
         node: The node; None before `start`.
+        grace_period_s: Time that the node has to stop.
     """
 
     def __init__(self) -> None:
@@ -103,6 +104,7 @@
         ]
         self.node_task: asyncio.Task[None] | None = None
         self.node: FrontNode | None = None
+        self.grace_period_s = 2.0
 
     async def start(self, *, has_configuration: bool = True) -> None:
         """Starts the store, the servers and the node.
@@ -148,7 +150,7 @@
             metrics_port=metrics,
             store=f"{HOST}:{self.ports[0]}",
             seeds=(),
-            grace_period_s=2.0,
+            grace_period_s=self.grace_period_s,
             retry_ratio=0.2,
             retry_window_s=10.0,
             retry_slack=20.0,
@@ -235,11 +237,13 @@
 
 def run_in_environment(
     scenario: Callable[[NodeEnvironment], Coroutine[Any, Any, T]],
+    grace_period_s: float = 2.0,
 ) -> T:
     """Runs a test's coroutine in an environment that has been started."""
 
     async def start_and_run() -> T:
         env = NodeEnvironment()
+        env.grace_period_s = grace_period_s
         await env.start()
         return await scenario(env)
 
--- a/tests/front/test_planned_stop.py
+++ b/tests/front/test_planned_stop.py
@@ -44,13 +44,14 @@
 
     Attributes:
         endings: How the requests ended that the node accepted.
+        tasks: The requests.
     """
 
     def __init__(self, host: str, port: int, path: str) -> None:
         self._host = host
         self._port = port
         self._path = path
-        self._tasks: list[asyncio.Task[None]] = []
+        self.tasks: list[asyncio.Task[None]] = []
         self.endings: list[Ending] = []
 
     async def run(self) -> None:
@@ -60,12 +61,12 @@
                 channel = await connect(self._host, self._port, 1.0)
             except OSError:
                 break
-            self._tasks.append(asyncio.ensure_future(self._call(channel)))
+            self.tasks.append(asyncio.ensure_future(self._call(channel)))
             await asyncio.sleep(INTERVAL_S)
-        await asyncio.gather(*self._tasks)
+        await asyncio.gather(*self.tasks)
 
     async def _call(self, channel: Channel) -> None:
-        number = len(self._tasks)
+        number = len(self.tasks)
         call = ClientCall(channel)
         headers = (*HEADERS, ("x-savorylift-attempt-id", f"a{number}"))
         call.send("POST", self._path, headers, b"question")
@@ -101,6 +102,39 @@
     run_in_environment(scenario)
 
 
+@pytest.mark.parametrize("path", ["/safe/x", "/once/x"])
+@pytest.mark.parametrize("warm_s", [0.0, 2.5])
+@pytest.mark.parametrize("service_s", [0.02, 0.6, 1.5])
+def test_node_that_stops_takes_no_call_that_it_cannot_end(
+    service_s: float, warm_s: float, path: str
+) -> None:
+    async def scenario(env: NodeEnvironment) -> None:
+        for server in env.app:
+            server.delay_s = service_s
+        if warm_s:
+            before = Callers(HOST, env.ports[5], path)
+            running = asyncio.ensure_future(before.run())
+            await asyncio.sleep(warm_s)
+            running.cancel()
+            await asyncio.gather(running, *before.tasks, return_exceptions=True)
+        assert env.node is not None
+        assert env.node_task is not None
+        env.node.leave()
+        callers = Callers(HOST, env.ports[5], path)
+        running = asyncio.ensure_future(callers.run())
+        await env.node_task
+        await running
+        statuses = {ending.status for ending in callers.endings}
+        # Slow calls that may be repeated end with 504 at any time, if the
+        # retry budget is used up.
+        assert statuses <= {200, 503} | ({504} if path == "/safe/x" else set())
+        assert all(e.retry_after for e in callers.endings if e.status == 503)
+        if warm_s:
+            assert 200 in statuses
+
+    run_in_environment(scenario, grace_period_s=4.0)
+
+
 @pytest.mark.processes
 @pytest.mark.parametrize("service_s", [0.02, 1.5])
 def test_process_that_is_terminated_answers_until_it_is_gone(
