Send brittle servers no more than they run at once

What the users said: servers may say in all answers that they are brittle; one that rejects more than so many requests in a second falls over, and its share then goes to the others.

Cause: each node counts by itself what it has at a server, and finds out that it is full by a rejection. Class: a bound for all nodes that each node tests alone.

Change: once a server says so, and until none has for 4 s, all nodes (they tell each other) keep to their own share of each server's places; a call waits up to half of its objective for a place, in order, and is refused then.

At hundreds of nodes a share is 0 or 1: open.

--- a/src/savorylift/exchange/answer_head_reader.py
+++ b/src/savorylift/exchange/answer_head_reader.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+from collections.abc import Callable
 
 import structlog
 
@@ -28,15 +29,22 @@
 class AnswerHeadReader:
     """Reads the head of the answer to a request, and no other one."""
 
-    def __init__(self, codec: Codec, limit_gate: LimitGate) -> None:
+    def __init__(
+        self,
+        codec: Codec,
+        limit_gate: LimitGate,
+        on_brittle: Callable[[BackendServer], None],
+    ) -> None:
         """Creates a reader.
 
         Args:
             codec: Decodes heads.
             limit_gate: Told of the limits that heads name.
+            on_brittle: Called with each server that says that it is brittle.
         """
         self._codec = codec
         self._limit_gate = limit_gate
+        self._on_brittle = on_brittle
 
     async def read(
         self,
@@ -75,6 +83,8 @@
             raw_head = await _read_head(call, failover_policy)
             head = self._codec.decode_answer_head(raw_head, req)
             self._limit_gate.record_head(server, req.attempt_id, head)
+            if head.is_from_brittle:
+                self._on_brittle(server)
             if head.matches_request:
                 return head
             _log.info(
--- a/src/savorylift/exchange/plain_call.py
+++ b/src/savorylift/exchange/plain_call.py
@@ -15,6 +15,7 @@
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.crash_guard import CrashGuard, is_quarantined
 from savorylift.exchange.failover import FailoverPolicy
+from savorylift.exchange.place_queue import PlaceQueue
 from savorylift.exchange.request_retries import RequestRetries, is_over_limit
 from savorylift.exchange.request_traits import find_traits
 from savorylift.exchange.results import (
@@ -31,6 +32,8 @@
 # A plain service has room again within a few service times.
 BUSY_RETRY_AFTER_S = 0.2
 NO_SERVER_RETRY_AFTER_S = 0.5
+# Share of the objective for which a call waits for a place at brittle servers.
+PLACE_WAIT_SHARE = 0.5
 # Response time objective of routes that define none.
 DEFAULT_OBJECTIVE_S = 1.0
 # Statuses from here on are failures of the server; lower ones are passed to the
@@ -96,6 +99,7 @@
         self._crash_guard = crash_guard
         crash_guard.on_quarantine.append(self._stop_quarantined)
         self._calls: set[OpenCall] = set()
+        self._places = PlaceQueue()
 
     async def serve(self, admitted: AdmittedRequest) -> Answered | Refused:
         """Serves a call and returns the final response."""
@@ -123,7 +127,7 @@
                 return call.end_quarantined(refusal)
             if not retries.take():
                 return _final_answer(last_result)
-            server = self._pool.reserve_plain_server(admitted, tried)
+            server = await self._reserve(admitted, tried)
             if server is None:
                 return self._end_unserved(admitted, last_result)
             if last_result is not None:
@@ -153,6 +157,24 @@
             if not self._crash_guard.may_repeat(call.traits):
                 return _final_answer(last_result)
 
+    async def _reserve(
+        self, admitted: AdmittedRequest, tried: Collection[str]
+    ) -> BackendServer | None:
+        """Reserves a server, waiting for a place if the service is brittle."""
+        objective_s = admitted.route.objective_s or DEFAULT_OBJECTIVE_S
+        now_s = time.monotonic()
+        until_s = now_s + PLACE_WAIT_SHARE * min(
+            objective_s, admitted.deadline_s - now_s
+        )
+        service = admitted.service.name
+        while True:
+            server = self._pool.reserve_plain_server(admitted, tried)
+            if server is not None or not self._pool.brittle.is_brittle(service):
+                return server
+            wait_s = until_s - time.monotonic()
+            if not await self._places.wait(service, wait_s):
+                return None
+
     def _stop_quarantined(self, begun: Collection[QuarantinedTraits]) -> None:
         """Stops the calls that no server has answered yet."""
         for call in list(self._calls):
@@ -172,6 +194,7 @@
             result = await self._sender.send(server, admitted, policy)
         finally:
             self._pool.load_tracker.remove_request(server_id, attempt_id)
+            self._places.wake(admitted.service.name)
         self._record_result(server_id, result)
         _log.info(
             "sent",
--- a/src/savorylift/exchange/request.py
+++ b/src/savorylift/exchange/request.py
@@ -132,6 +132,8 @@
             marks the end of the body, so that it may be incomplete.
         promises_not_run: Whether its status tells callers that the request
             did not run.
+        is_from_brittle: Whether the server says that it falls over if it has
+            to reject much.
     """
 
     status: int
@@ -142,6 +144,7 @@
     named_limit: NamedLimit | None = None
     is_close_delimited: bool = False
     promises_not_run: bool = False
+    is_from_brittle: bool = False
 
     @property
     def is_event_stream(self) -> bool:
--- a/src/savorylift/exchange/server_pool.py
+++ b/src/savorylift/exchange/server_pool.py
@@ -4,6 +4,9 @@
 import time
 from collections.abc import Callable, Collection, Iterator, Mapping
 
+import structlog
+
+from savorylift.backends.brittle_services import BrittleServices
 from savorylift.backends.cold_start import ColdStartLimiter
 from savorylift.backends.load import Load, LoadTracker, sum_loads
 from savorylift.backends.registry import BackendServer
@@ -23,6 +26,8 @@
 from savorylift.placement.plain_servers import choose_plain_server
 from savorylift.routing.configuration import Service
 
+_log = structlog.get_logger()
+
 
 class ServerPool:
     """Chooses backend servers and accounts for the requests sent to them."""
@@ -60,6 +65,7 @@
         self._region_by_domain = region_by_domain
         self._limit_gate = limit_gate
         self.load_tracker = LoadTracker()
+        self.brittle = BrittleServices()
         self.move_queue = MoveQueue(
             lambda: membership.moves(time.monotonic()),
             announce,
@@ -264,9 +270,31 @@
                 )
             else:
                 has_capacity = server.entry.has_capacity(load.requests)
+            if has_capacity and self.brittle.is_brittle(service.name):
+                has_capacity = self._has_own_place(server, now_s)
             if has_capacity:
                 yield server
 
+    def _has_own_place(self, server: BackendServer, now_s: float) -> bool:
+        """Whether this node's share of a brittle server's places has room.
+
+        All nodes together then send no more than it runs at once.
+        """
+        server_id, slots = server.entry.server_id, server.entry.slots
+        share = self._membership.own_share(server_id, slots, now_s)
+        return self.load_tracker.open_requests(server_id) < share
+
+    def record_brittle(self, server: BackendServer) -> None:
+        """Records that a server says that it falls over if it rejects much."""
+        service = server.entry.service
+        if self.brittle.record(service):
+            _log.warning(
+                "service_brittle",
+                service=service,
+                server=server.entry.server_id,
+            )
+            self._announce()
+
     def _cold_server_has_capacity(
         self, server: BackendServer, service: Service, nodes: int, now_s: float
     ) -> bool:
--- a/src/savorylift/fleet/state.py
+++ b/src/savorylift/fleet/state.py
@@ -228,6 +228,18 @@
     age_s: float
 
 
+class BrittleNews(NamedTuple):
+    """A service whose servers say that they fall over if they reject much.
+
+    Attributes:
+        service: Name of the service.
+        age_s: Time since a server last said so.
+    """
+
+    service: str
+    age_s: float
+
+
 class NodeState(NamedTuple):
     """State message that a node sends periodically and after changes.
 
@@ -254,6 +266,7 @@
         quarantine_news: What it knows of requests that crash engines.
         version_sightings: Software versions that no server has any more.
         unreached_services: Services of which the node reaches no server.
+        brittle_services: Services whose servers said that they are brittle.
     """
 
     node: str
@@ -276,6 +289,7 @@
     quarantine_news: QuarantineNews = QuarantineNews()
     version_sightings: tuple[VersionSighting, ...] = ()
     unreached_services: tuple[str, ...] = ()
+    brittle_services: tuple[BrittleNews, ...] = ()
 
 
 class Topic(enum.StrEnum):
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -161,6 +161,7 @@
             server_check,
             self._reach,
             self._pool.is_usable,
+            self._pool.record_brittle,
         )
         self._origins = StreamOrigins(
             self._ip,
@@ -374,6 +375,7 @@
             quarantine_news=self._crash_guard.news(),
             version_sightings=self._version_history.sightings(now_s),
             unreached_services=self._reach.cut_off,
+            brittle_services=self._pool.brittle.news(),
         )
 
     def _is_reader(self) -> bool:
@@ -393,6 +395,7 @@
     def _on_peer_state(self, state: NodeState) -> None:
         self._crash_guard.merge(state.quarantine_news)
         self._version_history.merge(state.version_sightings, time.monotonic())
+        self._pool.brittle.merge(state.brittle_services)
         self._pool.move_queue.on_change()
         self._generations.on_change()
 
--- a/src/savorylift/platform/codec.py
+++ b/src/savorylift/platform/codec.py
@@ -180,6 +180,7 @@
         named_limit=_decode_limit(head),
         is_close_delimited=head.is_close_delimited,
         promises_not_run=head.status in NOT_RUN_STATUSES,
+        is_from_brittle=head.header(header_names.SERVER_BRITTLE) is not None,
     )
 
 
--- a/src/savorylift/platform/headers.py
+++ b/src/savorylift/platform/headers.py
@@ -14,6 +14,8 @@
 RETRY_AFTER = "retry-after"
 # Requests per second that a server in need takes from all nodes together.
 SERVER_LIMIT = "server-limit"
+# Rejections a second beyond which a server falls over.
+SERVER_BRITTLE = "server-brittle"
 MODEL = "x-savorylift-model"
 # Number of prompt tokens and maximum of output tokens, comma-separated.
 TOKEN_COUNTS = "x-savorylift-token-counts"
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -91,6 +91,9 @@
             with a new one.
         named_limit: Limit on its requests that it names in its responses;
             None to name none.
+        brittle_at: Number of rejections in a second beyond which it falls
+            over, as it says in all its answers; None if it is sound.
+        places: Number of runs at once; more are rejected; None for any.
         arrivals: Monotonic times of all requests, also of those that it
             rejects and of calls that are no run.
         connections: Monotonic times at which connections were opened.
@@ -136,6 +139,11 @@
         self.rejects_resumed = False
         self.crashes_s: list[float] = []
         self.named_limit: str | None = None
+        self.brittle_at: int | None = None
+        self.places: int | None = None
+        self._running = 0
+        self._rejected_s: list[float] = []
+        self._is_falling = False
         self.arrivals: list[float] = []
         self.connections: list[float] = []
         self.on_restart: Callable[[str], None] = lambda _: None
@@ -227,7 +235,14 @@
             self.body = req.body
             if self.deadly_body is not None and req.body == self.deadly_body:
                 self.deadly_arrivals.append(time.monotonic())
-            await self._run(conn, headers, req.body)
+            if self.places is not None and self._running >= self.places:
+                await self._reject(conn, headers)
+                return
+            self._running += 1
+            try:
+                await self._run(conn, headers, req.body)
+            finally:
+                self._running -= 1
         await conn.channel.drain()
         conn.channel.close()
 
@@ -240,9 +255,29 @@
         )
 
     def _limit_headers(self) -> Headers:
-        if self.named_limit is None:
-            return ()
-        return (("server-limit", self.named_limit),)
+        """Returns what all answers say of this server's limits."""
+        headers: Headers = ()
+        if self.named_limit is not None:
+            headers += (("server-limit", self.named_limit),)
+        if self.brittle_at is not None:
+            headers += (("server-brittle", str(self.brittle_at)),)
+        return headers
+
+    async def _reject(
+        self, conn: ServerConnection, headers: dict[str, str]
+    ) -> None:
+        """Rejects a run for want of room; a brittle server may fall over."""
+        conn.respond(503, self._refusal_headers(headers), b"")
+        now_s = time.monotonic()
+        self._rejected_s.append(now_s)
+        lately = sum(now_s - t < 1.0 for t in self._rejected_s)
+        if self.brittle_at is None or lately <= self.brittle_at:
+            return
+        if not self._is_falling:
+            self._is_falling = True
+            await self._crash()
+            self._rejected_s.clear()
+            self._is_falling = False
 
     async def _run(
         self, conn: ServerConnection, headers: dict[str, str], body: bytes
