Hear what servers say in their answers: that they leave, or want less

What the users said: a server that leaves says so in all its answers; one that rejects may name a time for which it wants nothing.

Cause: neither header was read; engines were asked only once all readings of the store were older than 1.5 s.

Change: a server that says that it leaves gets no new request, its runs are moved, other nodes are told (16 servers a message), until it starts again, whatever its entry says. If all servers are on hold, callers are refused at once with the shortest hold. Engines with runs of this node are asked once the newest reading is older than 0.3 s and the readers' interval, each 0.25 s.

The registry's test held that the next entry ends such a mark; the users now say that it lasts until the server starts again, so it checks that instead.

--- a/src/savorylift/backends/registry.py
+++ b/src/savorylift/backends/registry.py
@@ -45,6 +45,8 @@
         self._latest: dict[str, tuple[ServerEntry, float]] = {}
         self._static: dict[str, ServerEntry] = {}
         self._grace_until_s = 0.0
+        # Start of the incarnations that said that they were draining.
+        self._said_leaving: dict[str, int] = {}
 
     @property
     def servers(self) -> Mapping[str, BackendServer]:
@@ -73,6 +75,8 @@
             return False
         self._latest[entry.server_id] = entry, now_s
         server = self._servers.get(entry.server_id)
+        if self._said_leaving.get(entry.server_id) == entry.started_ms:
+            entry = entry._replace(is_leaving=True)
         cold_until_s = now_s + entry.cold_s if entry.cold_s > 0 else 0.0
         self._servers[entry.server_id] = BackendServer(entry, cold_until_s)
         return server is None or entry.is_significant_change(server.entry)
@@ -140,19 +144,33 @@
         self._servers[server_id] = updated
         return updated != server
 
-    def mark_leaving(self, server_id: str) -> bool:
-        """Marks a server that reports itself as draining.
+    def mark_leaving(self, server_id: str, started_ms: int) -> bool:
+        """Marks a server that says itself that it is draining.
+
+        Its entries may not say so yet. It holds until it starts again.
+
+        Args:
+            server_id: Identifier of the server.
+            started_ms: Start of the incarnation that says so.
 
         Returns:
             Whether this changed anything.
         """
         server = self._servers.get(server_id)
-        if server is None or server.entry.is_leaving:
+        if server is None or server.entry.started_ms != started_ms:
+            return False
+        self._said_leaving[server_id] = started_ms
+        if server.entry.is_leaving:
             return False
         entry = server.entry._replace(is_leaving=True)
         self._servers[server_id] = server._replace(entry=entry)
         return True
 
+    @property
+    def said_leaving(self) -> Mapping[str, int]:
+        """Start of each server that said itself that it is draining."""
+        return self._said_leaving
+
     def keep_only(self, server_ids: Iterable[str], now_s: float) -> bool:
         """Removes all other servers except the static ones.
 
@@ -191,3 +209,4 @@
         ]
         for server_id in old:
             del self._latest[server_id]
+            self._said_leaving.pop(server_id, None)
--- a/src/savorylift/exchange/answer_head_reader.py
+++ b/src/savorylift/exchange/answer_head_reader.py
@@ -33,18 +33,18 @@
         self,
         codec: Codec,
         limit_gate: LimitGate,
-        on_brittle: Callable[[BackendServer], None],
+        on_head: Callable[[BackendServer, AnswerHead], None],
     ) -> None:
         """Creates a reader.
 
         Args:
             codec: Decodes heads.
             limit_gate: Told of the limits that heads name.
-            on_brittle: Called with each server that says that it is brittle.
+            on_head: Called with each head and its server.
         """
         self._codec = codec
         self._limit_gate = limit_gate
-        self._on_brittle = on_brittle
+        self._on_head = on_head
 
     async def read(
         self,
@@ -83,8 +83,7 @@
             raw_head = await _read_head(call, failover_policy)
             head = self._codec.decode_answer_head(raw_head, req)
             self._limit_gate.record_head(server, req.attempt_id, head)
-            if head.is_from_brittle:
-                self._on_brittle(server)
+            self._on_head(server, head)
             if head.matches_request:
                 return head
             _log.info(
--- a/src/savorylift/exchange/drain_poller.py
+++ b/src/savorylift/exchange/drain_poller.py
@@ -1,4 +1,4 @@
-"""Polls engines for draining while the store is unavailable.
+"""Polls engines for draining while the store may not tell of it.
 
 Engines may start to drain while the store can't report it. Only engines that
 have runs of this node are polled, which keeps the number of calls low.
@@ -15,7 +15,7 @@
 
 # An engine gives about 1.5 s of notice before it stops, and copying a run takes
 # up to 0.5 s.
-POLL_INTERVAL_S = 0.4
+POLL_INTERVAL_S = 0.25
 REPORT_TIMEOUT_S = 0.4
 
 _log = structlog.get_logger()
@@ -28,6 +28,7 @@
         self,
         registry: Registry,
         limit_gate: LimitGate,
+        is_held: Callable[[str], bool],
         is_store_unavailable: Callable[[], bool],
         get_engines: Callable[[], Iterable[BackendServer]],
         on_change: Callable[[], None],
@@ -37,12 +38,15 @@
         Args:
             registry: Registry in which draining engines are marked.
             limit_gate: Holds the limits that engines name.
+            is_held: Returns whether an engine, given by its ID, wants no
+                requests.
             is_store_unavailable: Returns whether the store sends no updates.
             get_engines: Returns the engines that have runs of this node.
             on_change: Called after an engine was marked as draining.
         """
         self._registry = registry
         self._limit_gate = limit_gate
+        self._is_held = is_held
         self._is_store_unavailable = is_store_unavailable
         self._get_engines = get_engines
         self._on_change = on_change
@@ -64,6 +68,8 @@
         ]
 
     async def _poll(self, server: BackendServer) -> None:
+        if self._is_held(server.entry.server_id):
+            return
         permit = await self._limit_gate.acquire(
             server, "drain_poll", 0.0, is_probe=True
         )
@@ -73,11 +79,12 @@
             server.entry.address, timeout_s=REPORT_TIMEOUT_S
         ):
             return
-        if self._registry.mark_leaving(server.entry.server_id):
+        entry = server.entry
+        if self._registry.mark_leaving(entry.server_id, entry.started_ms):
             _log.info(
                 "server_changed",
-                server=server.entry.server_id,
-                service=server.entry.service,
+                server=entry.server_id,
+                service=entry.service,
                 is_leaving=True,
                 source="engine",
             )
--- a/src/savorylift/exchange/engine_queue.py
+++ b/src/savorylift/exchange/engine_queue.py
@@ -75,6 +75,8 @@
                 return found
         if self._pool.is_closed_by_limits(admitted, tried):
             return None
+        if self._pool.shortest_hold_s(admitted, tried) is not None:
+            return None
         if run.has_begun and not self._pool.has_server(admitted, tried):
             return None
         prefill_s = options.prompt_tokens / self._prefill_rate.tokens_per_s
--- a/src/savorylift/exchange/failed_generation.py
+++ b/src/savorylift/exchange/failed_generation.py
@@ -12,7 +12,7 @@
 ) -> Refused | None:
     """Ends a request that did not run; returns the response yet to send."""
     message = "No engine has room for the request; it did not run."
-    if reason is Reason.SERVER_LIMIT:
+    if reason in (Reason.SERVER_LIMIT, Reason.SERVER_HOLD):
         message = "The engines take no more requests now; it did not run."
     return end_with_refusal(sink, Refused(503, reason, message, retry_after_s))
 
--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -230,6 +230,9 @@
         if self._pool.is_closed_by_limits(run.admitted, ()):
             return_after_s = self._pool.assign_return_s(run.admitted)
             return refuse_generation(sink, Reason.SERVER_LIMIT, return_after_s)
+        hold_s = self._pool.shortest_hold_s(run.admitted)
+        if hold_s is not None:
+            return refuse_generation(sink, Reason.SERVER_HOLD, hold_s)
         wanted_tokens = run.expected_tokens * (
             1 + self._queue.waiting_count(run.admitted)
         )
--- a/src/savorylift/exchange/plain_call.py
+++ b/src/savorylift/exchange/plain_call.py
@@ -171,6 +171,8 @@
             server = self._pool.reserve_plain_server(admitted, tried)
             if server is not None or not self._pool.brittle.is_brittle(service):
                 return server
+            if self._pool.shortest_hold_s(admitted, tried) is not None:
+                return None
             wait_s = until_s - time.monotonic()
             if not await self._places.wait(service, wait_s):
                 return None
@@ -219,6 +221,11 @@
                 return Refused(
                     503, Reason.SERVER_LIMIT, message, return_after_s
                 )
+        if last_result is None or isinstance(last_result, NotRun):
+            hold_s = self._pool.shortest_hold_s(admitted)
+            if hold_s is not None:
+                message = "The backend servers want nothing; it did not run."
+                return Refused(503, Reason.SERVER_HOLD, message, hold_s)
         return _final_answer(last_result)
 
     def _failover_policy(
--- a/src/savorylift/exchange/request.py
+++ b/src/savorylift/exchange/request.py
@@ -134,6 +134,9 @@
             did not run.
         is_from_brittle: Whether the server says that it falls over if it has
             to reject much.
+        is_from_leaving: Whether the server says that it is draining.
+        hold_s: For how long the server wants no requests of this node; None
+            if it doesn't say.
     """
 
     status: int
@@ -145,6 +148,8 @@
     is_close_delimited: bool = False
     promises_not_run: bool = False
     is_from_brittle: bool = False
+    is_from_leaving: bool = False
+    hold_s: float | None = None
 
     @property
     def is_event_stream(self) -> bool:
--- a/src/savorylift/exchange/send.py
+++ b/src/savorylift/exchange/send.py
@@ -71,7 +71,7 @@
         server_check: ServerCheck,
         reach: ServerReach,
         is_usable: Callable[[BackendServer], bool],
-        on_brittle: Callable[[BackendServer], None],
+        on_head: Callable[[BackendServer, AnswerHead], None],
     ) -> None:
         """Creates a sender.
 
@@ -83,14 +83,14 @@
             reach: Told which connections to servers bring answers.
             is_usable: Returns whether a server may still be used; checked
                 again once the connection is open.
-            on_brittle: Called with each server that says that it is brittle.
+            on_head: Called with each head of an answer and its server.
         """
         self._codec = codec
         self._limit_gate = limit_gate
         self._server_check = server_check
         self._reach = reach
         self._is_usable = is_usable
-        self._head_reader = AnswerHeadReader(codec, limit_gate, on_brittle)
+        self._head_reader = AnswerHeadReader(codec, limit_gate, on_head)
         self._canceller = RunCanceller()
 
     async def start(
--- a/src/savorylift/exchange/server_pool.py
+++ b/src/savorylift/exchange/server_pool.py
@@ -12,9 +12,12 @@
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.limit_gate import LimitGate
+from savorylift.exchange.limit_sync import MISDIRECTED_STATUS
 from savorylift.exchange.move_queue import MoveQueue
+from savorylift.exchange.request import AnswerHead
 from savorylift.exchange.retry_budget import RetryBudget
 from savorylift.exchange.run import Run
+from savorylift.exchange.server_holds import ServerHolds
 from savorylift.fleet.membership import Membership
 from savorylift.fleet.store_view import StoreView
 from savorylift.placement.candidates import eligible_servers
@@ -66,6 +69,7 @@
         self._limit_gate = limit_gate
         self.load_tracker = LoadTracker()
         self.brittle = BrittleServices()
+        self.holds = ServerHolds(rng)
         self.move_queue = MoveQueue(
             lambda: membership.moves(time.monotonic()),
             announce,
@@ -166,6 +170,7 @@
             and known.entry.address == entry.address
             and known.entry.software_version == entry.software_version
             and not known.entry.is_leaving
+            and not self.holds.is_held(entry.server_id)
             and self._store_view.evacuated.isdisjoint(
                 (entry.failure_domain, entry.server_id)
             )
@@ -263,6 +268,8 @@
         for server in self._allowed_servers(admitted, tried):
             if not self._limit_gate.is_open(server.entry):
                 continue
+            if self.holds.is_held(server.entry.server_id):
+                continue
             load = loads.get(server.entry.server_id, Load())
             if server.is_cold(now_s):
                 has_capacity = self._cold_server_has_capacity(
@@ -284,16 +291,39 @@
         share = self._membership.own_share(server_id, slots, now_s)
         return self.load_tracker.open_requests(server_id) < share
 
-    def record_brittle(self, server: BackendServer) -> None:
-        """Records that a server says that it falls over if it rejects much."""
-        service = server.entry.service
-        if self.brittle.record(service):
-            _log.warning(
-                "service_brittle",
-                service=service,
-                server=server.entry.server_id,
-            )
+    def record_head(self, server: BackendServer, head: AnswerHead) -> bool:
+        """Records what a server says of itself in the head of an answer.
+
+        Returns:
+            Whether it is news that the server is draining.
+        """
+        if head.status == MISDIRECTED_STATUS:
+            return False
+        service, server_id = server.entry.service, server.entry.server_id
+        if head.hold_s is not None:
+            self.holds.record(server_id, head.hold_s)
+        if head.is_from_brittle and self.brittle.record(service):
+            _log.warning("service_brittle", service=service, server=server_id)
             self._announce()
+        if not head.is_from_leaving:
+            return False
+        is_news = self._store_view.registry.mark_leaving(
+            server_id, server.entry.started_ms
+        )
+        if is_news:
+            _log.info("server_leaves", server=server_id, source="answer")
+            self._announce()
+        return is_news
+
+    def shortest_hold_s(
+        self, admitted: AdmittedRequest, tried: Collection[str] = ()
+    ) -> float | None:
+        """Returns the time until a server may get a request again.
+
+        None if one may now.
+        """
+        found = self._allowed_servers(admitted, tried)
+        return self.holds.shortest_s([s.entry.server_id for s in found])
 
     def _cold_server_has_capacity(
         self, server: BackendServer, service: Service, nodes: int, now_s: float
--- a/src/savorylift/fleet/state.py
+++ b/src/savorylift/fleet/state.py
@@ -240,6 +240,18 @@
     age_s: float
 
 
+class LeavingServer(NamedTuple):
+    """A server that said itself that it is draining.
+
+    Attributes:
+        server_id: Identifier of the server.
+        started_ms: Start of the incarnation that said so.
+    """
+
+    server_id: str
+    started_ms: int
+
+
 class NodeState(NamedTuple):
     """State message that a node sends periodically and after changes.
 
@@ -267,6 +279,7 @@
         version_sightings: Software versions that no server has any more.
         unreached_services: Services of which the node reaches no server.
         brittle_services: Services whose servers said that they are brittle.
+        leaving_servers: Servers that said themselves that they are draining.
     """
 
     node: str
@@ -290,6 +303,7 @@
     version_sightings: tuple[VersionSighting, ...] = ()
     unreached_services: tuple[str, ...] = ()
     brittle_services: tuple[BrittleNews, ...] = ()
+    leaving_servers: tuple[LeavingServer, ...] = ()
 
 
 class Topic(enum.StrEnum):
--- a/src/savorylift/fleet/topic_consumer.py
+++ b/src/savorylift/fleet/topic_consumer.py
@@ -39,6 +39,9 @@
 # intervals at which readers announce the age of their readings.
 STALE_S = 1.1
 STALE_INTERVALS = 2
+# Readings that are older than this, and the interval of readers, may miss a
+# notice: servers write several times a second, and give about 1.5 s of notice.
+NOTICE_AGE_S = 0.3
 
 _log = structlog.get_logger()
 
@@ -95,11 +98,24 @@
             own_age_s: Age of this node's own reading; None to consider only
                 those of the other nodes.
         """
+        stale_s = STALE_S + STALE_INTERVALS * self._get_reader_interval_s()
+        return self._is_older(own_age_s, stale_s)
+
+    def may_miss_notices(self, own_age_s: float | None) -> bool:
+        """Whether a server may have given a notice that nobody has read.
+
+        Args:
+            own_age_s: Age of this node's own reading.
+        """
+        return self._is_older(
+            own_age_s, NOTICE_AGE_S + self._get_reader_interval_s()
+        )
+
+    def _is_older(self, own_age_s: float | None, max_age_s: float) -> bool:
         ages = [
             a for a in (own_age_s, self._peers_reading_age_s()) if a is not None
         ]
-        stale_s = STALE_S + STALE_INTERVALS * self._get_reader_interval_s()
-        return min(ages, default=stale_s + 1) > stale_s
+        return min(ages, default=max_age_s + 1) > max_age_s
 
 
 class TopicConsumer:
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -20,6 +20,7 @@
 from savorylift.exchange.mover import Mover
 from savorylift.exchange.plain_call import PlainCallDispatcher
 from savorylift.exchange.reach_probe import ReachProbe
+from savorylift.exchange.request import AnswerHead
 from savorylift.exchange.retry_budget import RetryBudget, RetryBudgetOptions
 from savorylift.exchange.send import Sender
 from savorylift.exchange.server_check import ServerCheck
@@ -33,7 +34,7 @@
 from savorylift.fleet.message_auth import MessageAuthenticator
 from savorylift.fleet.permit_issuer import PermitIssuer
 from savorylift.fleet.registration import Registration
-from savorylift.fleet.state import Delta, NodeState
+from savorylift.fleet.state import Delta, LeavingServer, NodeState
 from savorylift.fleet.store_reader import StoreReader
 from savorylift.fleet.store_view import StoreView
 from savorylift.fleet.topic_consumer import ReadPolicy
@@ -70,6 +71,8 @@
 # Delay of the event loop that is logged.
 LATE_LOOP_S = 0.2
 INCARNATION_BITS = 48
+# Servers that said that they drain, in one state message.
+MAX_LEAVING_TOLD = 16
 # Time for the last responses before the process ends.
 CLOSING_TIMEOUT_S = 0.3
 
@@ -161,7 +164,7 @@
             server_check,
             self._reach,
             self._pool.is_usable,
-            self._pool.record_brittle,
+            self._record_head,
         )
         self._origins = StreamOrigins(
             self._ip,
@@ -224,7 +227,8 @@
         self._drain_poller = DrainPoller(
             self._store_view.registry,
             self._limit_gate,
-            lambda: read_policy.is_stale(
+            self._pool.holds.is_held,
+            lambda: read_policy.may_miss_notices(
                 self._store_reader.reading_age_s(time.monotonic())
             ),
             lambda: self._generations.engines_with_movable_runs,
@@ -376,6 +380,7 @@
             version_sightings=self._version_history.sightings(now_s),
             unreached_services=self._reach.cut_off,
             brittle_services=self._pool.brittle.news(),
+            leaving_servers=self._leaving_servers(),
         )
 
     def _is_reader(self) -> bool:
@@ -396,6 +401,8 @@
         self._crash_guard.merge(state.quarantine_news)
         self._version_history.merge(state.version_sightings, time.monotonic())
         self._pool.brittle.merge(state.brittle_services)
+        for server_id, started_ms in state.leaving_servers:
+            self._store_view.registry.mark_leaving(server_id, started_ms)
         self._pool.move_queue.on_change()
         self._generations.on_change()
 
@@ -415,6 +422,7 @@
             self._update_homes()
             self._observe_versions()
             self._reach.update()
+            self._pool.holds.forget_ended()
             if self._store_view.drop_expired():
                 self._on_store_change(None)
             else:
@@ -425,10 +433,26 @@
         return None if cfg is None else cfg.services.get(name)
 
     async def _probe_server(self, server: BackendServer) -> bool | None:
+        if self._pool.holds.is_held(server.entry.server_id):
+            return None
         service = self._find_service(server.entry.service)
         health_path = None if service is None else service.health_path
         return await self._reach_probe.ask(server, health_path)
 
+    def _record_head(self, server: BackendServer, head: AnswerHead) -> None:
+        if self._pool.record_head(server, head):
+            self._generations.on_change()
+
+    def _leaving_servers(self) -> tuple[LeavingServer, ...]:
+        """Returns what other nodes may not have heard from the store."""
+        registry = self._store_view.registry
+        found = [
+            LeavingServer(server_id, started_ms)
+            for server_id, started_ms in registry.said_leaving.items()
+            if server_id in registry.servers
+        ]
+        return tuple(found[-MAX_LEAVING_TOLD:])
+
     def _observe_versions(self) -> None:
         servers = self._store_view.registry.servers.values()
         entries = [server.entry for server in servers]
--- a/src/savorylift/outcomes.py
+++ b/src/savorylift/outcomes.py
@@ -43,6 +43,7 @@
     DEADLINE = "deadline"
     TEAM_LIMIT = "team_limit"
     SERVER_LIMIT = "server_limit"
+    SERVER_HOLD = "server_hold"
     STREAM_UNKNOWN = "stream_unknown"
     VERSION_GONE = "version_gone"
     ANSWER_LOST = "answer_lost"
--- a/src/savorylift/platform/codec.py
+++ b/src/savorylift/platform/codec.py
@@ -26,10 +26,12 @@
     ResponseHead,
     end_to_end_headers,
 )
+from savorylift.wire.retry_after import parse_retry_after
 
 MAX_ATTEMPT_ID_CHARS = 200
 # Statuses by which callers are told that their request did not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+UNAVAILABLE_STATUS = 503
 # A decimal number of requests per second, without sign or exponent.
 LIMIT_PATTERN = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
 JSON_CONTENT_TYPE = ("content-type", "application/json")
@@ -181,6 +183,17 @@
         is_close_delimited=head.is_close_delimited,
         promises_not_run=head.status in NOT_RUN_STATUSES,
         is_from_brittle=head.header(header_names.SERVER_BRITTLE) is not None,
+        is_from_leaving=head.header(header_names.SERVER_LEAVING) is not None,
+        hold_s=_decode_hold(head),
+    )
+
+
+def _decode_hold(head: ResponseHead) -> float | None:
+    """Returns for how long the server wants no requests of this node."""
+    if head.status != UNAVAILABLE_STATUS:
+        return None
+    return parse_retry_after(
+        head.header_values(header_names.RETRY_AFTER), head.header("date")
     )
 
 
--- a/src/savorylift/platform/engine_client.py
+++ b/src/savorylift/platform/engine_client.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from savorylift.json_input import decode_json
+from savorylift.platform.headers import SERVER_LEAVING
 from savorylift.wire.client_call import BrokenAnswerError, fetch
 
 
@@ -131,5 +132,7 @@
         )
     except (OSError, BrokenAnswerError):
         return False
+    if response.header(SERVER_LEAVING) is not None:
+        return True
     report = decode_json(response.body, dict).value_or({})
     return report.get("state") == "draining"
--- a/src/savorylift/platform/headers.py
+++ b/src/savorylift/platform/headers.py
@@ -16,6 +16,8 @@
 SERVER_LIMIT = "server-limit"
 # Rejections a second beyond which a server falls over.
 SERVER_BRITTLE = "server-brittle"
+# Set by a server that leaves, in all its answers.
+SERVER_LEAVING = "server-leaving"
 MODEL = "x-savorylift-model"
 # Number of prompt tokens and maximum of output tokens, comma-separated.
 TOKEN_COUNTS = "x-savorylift-token-counts"
--- a/tests/backends/test_registry.py
+++ b/tests/backends/test_registry.py
@@ -97,14 +97,19 @@
     assert registry.remove("i-1", 10.0 + GRACE_PERIOD_S)
 
 
-def test_server_that_reports_draining_is_marked_until_its_next_entry() -> None:
+def test_server_that_reports_draining_is_marked_until_it_starts_again() -> None:
     registry = Registry()
     registry.put(make_server_entry(), 0.0)
-    assert registry.mark_leaving("i-1")
-    assert not registry.mark_leaving("i-1")
-    assert not registry.mark_leaving("i-2")
+    assert not registry.mark_leaving("i-1", 2)
+    assert registry.mark_leaving("i-1", 1)
+    assert not registry.mark_leaving("i-1", 1)
+    assert not registry.mark_leaving("i-2", 1)
     assert registry.servers["i-1"].entry.is_leaving
-    assert registry.put(make_server_entry()._replace(sequence=2), 1.0)
+    assert not registry.put(make_server_entry()._replace(sequence=2), 1.0)
+    assert registry.servers["i-1"].entry.is_leaving
+    assert registry.said_leaving == {"i-1": 1}
+    restarted = make_server_entry()._replace(started_ms=2)
+    assert registry.put(restarted, 2.0)
     assert not registry.servers["i-1"].entry.is_leaving
 
 
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -93,6 +93,9 @@
             None to name none.
         brittle_at: Number of rejections in a second beyond which it falls
             over, as it says in all its answers; None if it is sound.
+        says_leaving: Whether it says in all its answers that it leaves.
+        hold: For how long it wants nothing more, as its rejections say; None
+            not to say.
         places: Number of runs at once; more are rejected; None for any.
         arrivals: Monotonic times of all requests, also of those that it
             rejects and of calls that are no run.
@@ -141,6 +144,8 @@
         self.named_limit: str | None = None
         self.brittle_at: int | None = None
         self.places: int | None = None
+        self.says_leaving = False
+        self.hold: str | None = None
         self._running = 0
         self._rejected_s: list[float] = []
         self._is_falling = False
@@ -252,6 +257,7 @@
             ("x-savorylift-attempt-id", attempt),
             NOT_EXECUTED_HEADER,
             *self._limit_headers(),
+            *(() if self.hold is None else (("retry-after", self.hold),)),
         )
 
     def _limit_headers(self) -> Headers:
@@ -261,6 +267,8 @@
             headers += (("server-limit", self.named_limit),)
         if self.brittle_at is not None:
             headers += (("server-brittle", str(self.brittle_at)),)
+        if self.says_leaving:
+            headers += (("server-leaving", "1"),)
         return headers
 
     async def _reject(
