Split answering and news of servers off two large files

Cause: the composition root had grown to 517 lines and the caller handler to 413.

Change: front/responder.py writes, counts and logs answers; front/server_news.py builds and merges what nodes tell each other of servers. status and explain name services that are not reached or brittle, and servers on hold. The check of wall clocks names the file that the reading of it moved to.

--- a/src/savorylift/exchange/server_holds.py
+++ b/src/savorylift/exchange/server_holds.py
@@ -49,6 +49,11 @@
         until_s = self._until_s.get(server_id)
         return until_s is not None and time.monotonic() < until_s
 
+    @property
+    def held_ids(self) -> tuple[str, ...]:
+        """IDs of the servers that must get no request now."""
+        return tuple(sorted(filter(self.is_held, self._until_s)))
+
     def shortest_s(self, server_ids: Collection[str]) -> float | None:
         """Returns the time until the first hold ends.
 
--- a/src/savorylift/front/caller_handler.py
+++ b/src/savorylift/front/caller_handler.py
@@ -29,9 +29,9 @@
 from savorylift.front.call_durations import CallDurations
 from savorylift.front.caller_sink import CallerSink
 from savorylift.front.lifecycle import Lifecycle
-from savorylift.front.node_relay import RELAY_REFUSED, NodeRelay
+from savorylift.front.node_relay import NodeRelay
+from savorylift.front.responder import Responder, age_ms
 from savorylift.outcomes import Ending, Reason
-from savorylift.refusals.counts import RefusalCounts
 from savorylift.routing.configuration import RouteKind
 from savorylift.wire.message import Request, Response
 from savorylift.wire.server_connection import (
@@ -56,17 +56,6 @@
 UNREACHED_REASONS = frozenset(
     {Reason.BACKEND_LOST, Reason.NO_BACKEND_SERVER, Reason.QUEUE_FULL}
 )
-# Refusals that another node might not give.
-NODE_REASONS = frozenset(
-    {
-        Reason.BACKEND_LOST,
-        Reason.NO_BACKEND_SERVER,
-        Reason.NODE_BUSY,
-        Reason.NODE_STARTING,
-        Reason.NODE_DRAINING,
-    }
-)
-
 REASON_BY_STATUS = {
     408: Reason.SLOW_REQUEST,
     413: Reason.BODY_TOO_LARGE,
@@ -94,7 +83,7 @@
 
     def __init__(
         self,
-        refusal_counts: RefusalCounts,
+        responder: Responder,
         store_view: StoreView,
         pool: ServerPool,
         plain_calls: PlainCallDispatcher,
@@ -108,19 +97,19 @@
         """Connects the parts that serve requests.
 
         Args:
-            refusal_counts: Counts refused requests, to be saved in the store.
+            responder: Writes, counts and logs answers.
             store_view: The configuration in use.
             pool: Backend servers and the retry budget.
             plain_calls: Serves requests to plain services.
             generations: Serves streamed generations.
-            codec: Decodes requests and encodes refusals.
+            codec: Decodes requests.
             lifecycle: Counts open requests; says whether the node is draining.
             relay: Hands requests over to nodes that reach the servers.
             options: Limits for requests.
             answer_locally: Answers requests that are for the node itself;
                 returns None for all others.
         """
-        self._refusal_counts = refusal_counts
+        self._responder = responder
         self._store_view = store_view
         self._pool = pool
         self._plain_calls = plain_calls
@@ -170,7 +159,7 @@
             return
         decoded = self._codec.decode_request(req)
         if not is_successful(decoded):
-            self._respond(conn, None, decoded.failure())
+            self._responder.respond(conn, None, decoded.failure())
             return
         caller_req = decoded.unwrap()
         self._lifecycle.begin_request()
@@ -200,7 +189,7 @@
                 _log.info(
                     "caller_gone",
                     request=caller_req.attempt_id,
-                    after_ms=_age_ms(caller_req),
+                    after_ms=age_ms(caller_req),
                 )
         finally:
             disconnect_task.cancel()
@@ -212,7 +201,7 @@
         elif not is_caller_gone and conn.awaits_response:
             message = "This node stops; the request may have run."
             refused = Refused(502, Reason.NODE_DRAINING, message)
-            self._respond(conn, caller_req, refused)
+            self._responder.respond(conn, caller_req, refused)
 
     async def _serve_request(
         self, conn: ServerConnection, req: Request, caller_req: CallerRequest
@@ -224,7 +213,7 @@
             self._options.default_timeout_s,
         )
         if not is_successful(admission):
-            self._respond(conn, caller_req, admission.failure())
+            self._responder.respond(conn, caller_req, admission.failure())
             return
         admitted = admission.unwrap()
         if not self._is_for_other_node(conn, admitted):
@@ -233,13 +222,15 @@
             self._refuse_while_draining(admitted) or self._refuse_overload()
         )
         if refused is not None:
-            self._respond(conn, caller_req, refused)
+            self._responder.respond(conn, caller_req, refused)
             return
         with self._team_limits.track_request(admitted.team) as is_within_limit:
             if is_within_limit:
                 await self._serve_admitted(conn, req, admitted)
             else:
-                self._respond(conn, caller_req, _team_limit_refusal(admitted))
+                self._responder.respond(
+                    conn, caller_req, _team_limit_refusal(admitted)
+                )
 
     async def _serve_admitted(
         self, conn: ServerConnection, req: Request, admitted: AdmittedRequest
@@ -251,11 +242,11 @@
                 conn, admitted
             ):
                 if answer is not None:
-                    self._respond(conn, admitted.req, answer)
+                    self._responder.respond(conn, admitted.req, answer)
                 return
         answer = await self._relay.serve(conn, req, admitted)
         if answer is not None:
-            self._respond(conn, admitted.req, answer)
+            self._responder.respond(conn, admitted.req, answer)
 
     async def _serve_here(
         self, conn: ServerConnection, admitted: AdmittedRequest
@@ -268,7 +259,7 @@
         event_sink = self._codec.make_event_sink(admitted.req, caller_sink)
         answer = await self._generations.serve(admitted, event_sink)
         if answer is None:
-            self._log_stream(admitted, caller_sink)
+            self._responder.record_stream(admitted, caller_sink)
         return answer
 
     def _is_for_other_node(
@@ -316,89 +307,13 @@
         message = "This node serves as many requests as it can."
         return Refused(503, Reason.NODE_BUSY, message, BUSY_RETRY_S)
 
-    def _respond(
-        self,
-        conn: ServerConnection,
-        caller_req: CallerRequest | None,
-        answer: Answered | Refused,
-    ) -> None:
-        if isinstance(answer, Answered):
-            status = answer.head.status
-            respond = conn.respond
-            if answer.head.is_close_delimited:
-                respond = conn.respond_unframed
-            respond(status, answer.head.headers, answer.body)
-            reason = detail = "answered"
-        else:
-            status = answer.status
-            if conn.added_headers and _is_up_to_node(answer):
-                conn.added_headers = RELAY_REFUSED
-            headers, body = self._codec.encode_refusal(caller_req, answer)
-            conn.respond(status, headers, body)
-            reason, detail = answer.reason.value, answer.message
-            self._count_refusal(caller_req, answer)
-        metrics.ANSWERS.labels(str(status)).inc()
-        if caller_req is None:
-            _log.info(
-                "request_unreadable",
-                peer=conn.channel.peer,
-                status=status,
-                detail=detail,
-            )
-            return
-        age_ms = _age_ms(caller_req)
-        metrics.ANSWER_TIME.labels("whole").observe(age_ms / 1000)
-        cfg = self._store_view.configuration
-        _log.info(
-            "answer",
-            request=caller_req.attempt_id,
-            status=status,
-            reason=reason,
-            took_ms=age_ms,
-            path=caller_req.path,
-            configuration=cfg and cfg.version,
-        )
-
-    def _count_refusal(
-        self, caller_req: CallerRequest | None, refused: Refused
-    ) -> None:
-        """Counts a refusal in the metrics and for the refusal report."""
-        metrics.REFUSALS.labels(refused.reason.value).inc()
-        cfg = self._store_view.configuration
-        teams_by_key = {} if cfg is None else cfg.teams_by_key or {}
-        team = (
-            teams_by_key.get(caller_req.api_key or "")
-            if caller_req is not None
-            else None
-        )
-        name = "" if team is None else team.name
-        self._refusal_counts.add(time.time(), name, refused)
-
-    def _log_stream(self, admitted: AdmittedRequest, sink: CallerSink) -> None:
-        metrics.ANSWERS.labels("200").inc()
-        if sink.is_aborted:
-            aborted = Refused(200, Reason.ANSWER_LOST, "The stream was cut.")
-            self._count_refusal(admitted.req, aborted)
-        _log.info(
-            "stream",
-            request=admitted.req.attempt_id,
-            route=admitted.route.name,
-            took_ms=_age_ms(admitted.req),
-            is_aborted=sink.is_aborted,
-        )
-
     def _refuse_unreadable(
         self, conn: ServerConnection, req: BadRequest
     ) -> None:
         conn.is_closing = True
         reason = REASON_BY_STATUS.get(req.status, Reason.BAD_REQUEST)
         refused = Refused(req.status, reason, req.message)
-        self._respond(conn, None, refused)
-
-
-def _is_up_to_node(refused: Refused) -> bool:
-    """Whether another node may take a request that did not run."""
-    return refused.ending is Ending.NOT_RUN and refused.reason in NODE_REASONS
+        self._responder.respond(conn, None, refused)
 
 
 def _is_unreached(answer: Answered | Refused | None) -> bool:
@@ -416,7 +331,3 @@
     return refusal_for_team(
         admitted.team, 429, Reason.TEAM_LIMIT, message, BUSY_RETRY_S
     )
-
-
-def _age_ms(caller_req: CallerRequest) -> int:
-    return round((time.monotonic() - caller_req.arrived_s) * 1000)
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -34,7 +34,7 @@
 from savorylift.fleet.message_auth import MessageAuthenticator
 from savorylift.fleet.permit_issuer import PermitIssuer
 from savorylift.fleet.registration import Registration
-from savorylift.fleet.state import Delta, LeavingServer, NodeState
+from savorylift.fleet.state import Delta, NodeState
 from savorylift.fleet.store_reader import StoreReader
 from savorylift.fleet.store_view import StoreView
 from savorylift.fleet.topic_consumer import ReadPolicy
@@ -47,6 +47,8 @@
 from savorylift.front.operator_handler import operator_handler
 from savorylift.front.peer_sync import PeerSync
 from savorylift.front.reload_signal import ReloadSignal
+from savorylift.front.responder import Responder
+from savorylift.front.server_news import ServerNews
 from savorylift.front.settings import FrontSettings
 from savorylift.front.status import Status
 from savorylift.front.tasks import BackgroundTasks
@@ -71,8 +73,6 @@
 # Delay of the event loop that is logged.
 LATE_LOOP_S = 0.2
 INCARNATION_BITS = 48
-# Servers that said that they drain, in one state message.
-MAX_LEAVING_TOLD = 16
 # Time for the last responses before the process ends.
 CLOSING_TIMEOUT_S = 0.3
 
@@ -166,14 +166,23 @@
             self._pool.is_usable,
             self._record_head,
         )
-        self._origins = StreamOrigins(
+        origins = StreamOrigins(
             self._ip,
             lambda message, ip: self._peer_sync.transport.send_message(
                 message, ip
             ),
             rng,
         )
-        self._version_history = VersionHistory()
+        version_history = VersionHistory()
+        self._server_news = ServerNews(
+            Home(self._ip, settings.failure_domain),
+            self._membership,
+            self._store_view.registry,
+            self._pool,
+            self._reach,
+            origins,
+            version_history,
+        )
         self._generations = GenerationDispatcher(
             self._pool,
             codec,
@@ -182,8 +191,8 @@
             self._mover,
             self._crash_guard,
             StreamResumption(
-                self._origins,
-                self._version_history,
+                origins,
+                version_history,
                 self._pool,
                 self._find_service,
             ),
@@ -191,7 +200,7 @@
         )
         refusal_counts = RefusalCounts(settings.vm, self._incarnation)
         self._caller_handler = CallerHandler(
-            refusal_counts,
+            Responder(refusal_counts, self._store_view, codec),
             self._store_view,
             self._pool,
             PlainCallDispatcher(self._pool, sender, self._crash_guard),
@@ -250,7 +259,7 @@
             on_state=self._on_peer_state,
             on_new_peer=self._limit_gate.greet,
             on_limit_message=self._limit_gate.receive,
-            on_origin_message=self._origins.receive,
+            on_origin_message=origins.receive,
         )
         self._registration = Registration(
             self._store,
@@ -275,8 +284,7 @@
             _log.info("leaving")
             self._caller_listener.close_after_response()
             self._peer_sync.announce(None)
-            self._update_homes()
-            self._origins.hand_over()
+            self._server_news.hand_over()
         self._stop_requested.set()
 
     async def run(self, reload_signal: ReloadSignal | None = None) -> None:
@@ -358,7 +366,7 @@
         self._sequence += 1
         now_s = time.monotonic()
         peers = self._membership.live_peers(now_s) if include_peers else ()
-        return NodeState(
+        state = NodeState(
             node=self._settings.vm,
             ip=self._ip,
             region=self._settings.region,
@@ -377,11 +385,8 @@
             interval_s=self._peer_sync.transport.own_interval_s,
             peers=tuple(peer.state.ip for peer in peers),
             quarantine_news=self._crash_guard.news(),
-            version_sightings=self._version_history.sightings(now_s),
-            unreached_services=self._reach.cut_off,
-            brittle_services=self._pool.brittle.news(),
-            leaving_servers=self._leaving_servers(),
         )
+        return self._server_news.add_to(state)
 
     def _is_reader(self) -> bool:
         self._was_reader = self._membership.is_reader(
@@ -399,10 +404,7 @@
 
     def _on_peer_state(self, state: NodeState) -> None:
         self._crash_guard.merge(state.quarantine_news)
-        self._version_history.merge(state.version_sightings, time.monotonic())
-        self._pool.brittle.merge(state.brittle_services)
-        for server_id, started_ms in state.leaving_servers:
-            self._store_view.registry.mark_leaving(server_id, started_ms)
+        self._server_news.merge(state)
         self._pool.move_queue.on_change()
         self._generations.on_change()
 
@@ -419,10 +421,7 @@
             self._membership.forget_silent(time.monotonic())
             self._crash_guard.update()
             self._limit_gate.update()
-            self._update_homes()
-            self._observe_versions()
-            self._reach.update()
-            self._pool.holds.forget_ended()
+            self._server_news.update(is_leaving=self._lifecycle.is_leaving)
             if self._store_view.drop_expired():
                 self._on_store_change(None)
             else:
@@ -443,33 +442,6 @@
         if self._pool.record_head(server, head):
             self._generations.on_change()
 
-    def _leaving_servers(self) -> tuple[LeavingServer, ...]:
-        """Returns what other nodes may not have heard from the store."""
-        registry = self._store_view.registry
-        found = [
-            LeavingServer(server_id, started_ms)
-            for server_id, started_ms in registry.said_leaving.items()
-            if server_id in registry.servers
-        ]
-        return tuple(found[-MAX_LEAVING_TOLD:])
-
-    def _observe_versions(self) -> None:
-        servers = self._store_view.registry.servers.values()
-        entries = [server.entry for server in servers]
-        self._version_history.observe(entries, time.monotonic())
-
-    def _update_homes(self) -> None:
-        """Tells which nodes may hold the origins of streams."""
-        staying: list[Home] = []
-        leaving: list[Home] = []
-        own = Home(self._ip, self._settings.failure_domain)
-        (leaving if self._lifecycle.is_leaving else staying).append(own)
-        for peer in self._membership.live_peers(time.monotonic()):
-            state = peer.state
-            homes = leaving if state.is_leaving else staying
-            homes.append(Home(state.ip, state.failure_domain))
-        self._origins.update(staying, leaving)
-
     def _record_loop_delay(self, delay_s: float) -> None:
         fleet_metrics.LOOP_DELAY.observe(delay_s)
         if delay_s > LATE_LOOP_S:
@@ -498,6 +470,11 @@
             peers=tuple(
                 peer.state.ip for peer in self._membership.live_peers(now_s)
             ),
+            unreached_services=self._reach.cut_off,
+            brittle_services=tuple(
+                news.service for news in self._pool.brittle.news()
+            ),
+            held_servers=self._pool.holds.held_ids,
         )
 
     def reload(self) -> None:
--- /dev/null
+++ b/src/savorylift/front/server_news.py
@@ -0,0 +1,104 @@
+"""What nodes tell each other of servers, beside the store's entries."""
+
+import time
+
+from savorylift.backends.registry import Registry
+from savorylift.exchange.server_pool import ServerPool
+from savorylift.exchange.server_reach import ServerReach
+from savorylift.exchange.stream_origins import StreamOrigins
+from savorylift.fleet.home_ring import Home
+from savorylift.fleet.membership import Membership
+from savorylift.fleet.state import LeavingServer, NodeState
+from savorylift.fleet.version_history import VersionHistory
+
+# Servers that said that they drain, in one state message.
+MAX_LEAVING_TOLD = 16
+
+
+class ServerNews:
+    """Adds to this node's messages, and learns from those of others."""
+
+    def __init__(
+        self,
+        own_home: Home,
+        membership: Membership,
+        registry: Registry,
+        pool: ServerPool,
+        reach: ServerReach,
+        origins: StreamOrigins,
+        version_history: VersionHistory,
+    ) -> None:
+        """Connects the parts that know of servers.
+
+        Args:
+            own_home: This node, as one that may hold origins of streams.
+            membership: The other nodes.
+            registry: Backend servers, and which of them said that they leave.
+            pool: Which services are brittle, and which servers are on hold.
+            reach: Which services this node doesn't reach.
+            origins: Where streams began.
+            version_history: Software versions that have served lately.
+        """
+        self._own_home = own_home
+        self._membership = membership
+        self._registry = registry
+        self._pool = pool
+        self._reach = reach
+        self._origins = origins
+        self._version_history = version_history
+
+    def add_to(self, state: NodeState) -> NodeState:
+        """Returns a state message of this node with the news."""
+        now_s = time.monotonic()
+        return state._replace(
+            version_sightings=self._version_history.sightings(now_s),
+            unreached_services=self._reach.cut_off,
+            brittle_services=self._pool.brittle.news(),
+            leaving_servers=self._leaving_servers(),
+        )
+
+    def merge(self, state: NodeState) -> None:
+        """Learns from the state message of another node."""
+        now_s = time.monotonic()
+        self._version_history.merge(state.version_sightings, now_s)
+        self._pool.brittle.merge(state.brittle_services)
+        for server_id, started_ms in state.leaving_servers:
+            self._registry.mark_leaving(server_id, started_ms)
+
+    def update(self, *, is_leaving: bool) -> None:
+        """Does what is due; to be called periodically.
+
+        Args:
+            is_leaving: Whether this node is draining.
+        """
+        self._update_homes(is_leaving=is_leaving)
+        servers = self._registry.servers.values()
+        entries = [server.entry for server in servers]
+        self._version_history.observe(entries, time.monotonic())
+        self._reach.update()
+        self._pool.holds.forget_ended()
+
+    def hand_over(self) -> None:
+        """Tells other nodes what only this one knows, before it stops."""
+        self._update_homes(is_leaving=True)
+        self._origins.hand_over()
+
+    def _leaving_servers(self) -> tuple[LeavingServer, ...]:
+        """Returns what other nodes may not have heard from the store."""
+        found = [
+            LeavingServer(server_id, started_ms)
+            for server_id, started_ms in self._registry.said_leaving.items()
+            if server_id in self._registry.servers
+        ]
+        return tuple(found[-MAX_LEAVING_TOLD:])
+
+    def _update_homes(self, *, is_leaving: bool) -> None:
+        """Tells which nodes may hold the origins of streams."""
+        staying: list[Home] = []
+        leaving: list[Home] = []
+        (leaving if is_leaving else staying).append(self._own_home)
+        for peer in self._membership.live_peers(time.monotonic()):
+            state = peer.state
+            homes = leaving if state.is_leaving else staying
+            homes.append(Home(state.ip, state.failure_domain))
+        self._origins.update(staying, leaving)
--- a/src/savorylift/front/status.py
+++ b/src/savorylift/front/status.py
@@ -30,6 +30,10 @@
         out_of_service: Failure domains and servers that get no new work.
         backend_servers: Backend servers that are not draining.
         peers: Addresses of the nodes from which it receives messages.
+        unreached_services: Services whose requests other nodes serve for it,
+            as it reaches none of their servers.
+        brittle_services: Services whose servers fall over if they reject much.
+        held_servers: Servers that want nothing from it for a while.
     """
 
     vm: str
@@ -45,6 +49,9 @@
     out_of_service: tuple[str, ...]
     backend_servers: tuple[str, ...]
     peers: tuple[str, ...]
+    unreached_services: tuple[str, ...] = ()
+    brittle_services: tuple[str, ...] = ()
+    held_servers: tuple[str, ...] = ()
 
 
 def encode_status(status: Status) -> bytes:
--- a/src/savorylift/operators/explanation.py
+++ b/src/savorylift/operators/explanation.py
@@ -9,7 +9,16 @@
 OMITTED_FIELDS = frozenset({*LEADING_FIELDS, "request", "level"})
 # Entries about a backend server or a node also explain the requests that were
 # sent to that server or handled by that node.
-SERVER_EVENTS = frozenset({"server_changed", "server_removed", "server_lapsed"})
+SERVER_EVENTS = frozenset(
+    {
+        "server_changed",
+        "server_removed",
+        "server_lapsed",
+        "server_leaves",
+        "server_hold",
+        "server_hold_ended",
+    }
+)
 NODE_EVENTS = frozenset(
     {
         "start",
@@ -20,6 +29,9 @@
         "store_trimmed",
         "configuration",
         "evacuation",
+        "servers_unreached",
+        "servers_reached",
+        "service_brittle",
         "task_failed",
     }
 )
--- a/tests/front/test_server_notices.py
+++ b/tests/front/test_server_notices.py
@@ -5,7 +5,12 @@
 
 import pytest
 
-from tests.front.environment import NodeEnvironment, run_in_environment
+from savorylift.front.status import STATUS_PATH
+from tests.front.environment import (
+    NodeEnvironment,
+    decode_body,
+    run_in_environment,
+)
 from tests.front.node_fleet import NodeFleet
 
 TOKEN_COUNTS = (("x-savorylift-token-counts", "100,50"),)
@@ -128,3 +133,18 @@
         assert now_reached == reached
 
     run_in_environment(scenario)
+
+
+def test_status_names_servers_on_hold_and_brittle_services() -> None:
+    async def scenario(env: NodeEnvironment) -> None:
+        for server in env.app:
+            server.rejects_all = True
+            server.hold = str(HOLD_S)
+            server.brittle_at = 2
+        await env.call("/once/x")
+        status = decode_body(await env.get(9, STATUS_PATH))
+        assert status["held_servers"] == ["app-0", "app-1"]
+        assert status["brittle_services"] == ["app"]
+        assert status["unreached_services"] == []
+
+    run_in_environment(scenario)
--- a/tests/test_clocks.py
+++ b/tests/test_clocks.py
@@ -9,7 +9,7 @@
 ROOT = pathlib.Path(savorylift.__file__).parent
 # These modules write dates for people or count refusals by minute.
 WALL_CLOCK_MODULES = {
-    "front/caller_handler.py",
+    "front/responder.py",
     "operators/refusals_command.py",
     "rules/orders.py",
     "rules/publication.py",
