--- a/src/savorylift/exchange/drain_poller.py
+++ b/src/savorylift/exchange/drain_poller.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import time
 from collections.abc import Callable, Iterable
 
 import structlog
@@ -15,7 +16,9 @@
 
 # An engine gives about 1.5 s of notice before it stops, and copying a run takes
 # up to 0.5 s.
-POLL_INTERVAL_S = 0.25
+POLL_INTERVAL_S = 0.4
+# How often to look whether the store is still heard.
+CHECK_INTERVAL_S = 0.1
 REPORT_TIMEOUT_S = 0.4
 
 _log = structlog.get_logger()
@@ -54,9 +57,12 @@
     async def run(self) -> None:
         """Polls periodically while the store is unavailable; never returns."""
         while True:
-            await asyncio.sleep(POLL_INTERVAL_S)
+            await asyncio.sleep(CHECK_INTERVAL_S)
             if self._is_store_unavailable():
+                polled_s = time.monotonic()
                 await asyncio.gather(*map(self._poll, self._engines_to_poll()))
+                next_s = polled_s + POLL_INTERVAL_S - CHECK_INTERVAL_S
+                await asyncio.sleep(max(next_s - time.monotonic(), 0.0))
 
     def _engines_to_poll(self) -> list[BackendServer]:
         known = self._registry.servers
--- a/src/savorylift/fleet/topic_consumer.py
+++ b/src/savorylift/fleet/topic_consumer.py
@@ -41,7 +41,7 @@
 STALE_INTERVALS = 2
 # Readings that are older than this, and the interval of readers, may miss a
 # notice: servers write several times a second, and give about 1.5 s of notice.
-NOTICE_AGE_S = 0.3
+NOTICE_AGE_S = 0.5
 
 _log = structlog.get_logger()
 
