Judge by the servers' entries alone whether a notice may be missed

Cause: the age of a reading is that of the older of two topics; the operators' one is quiet for a second at a time, so engines were polled though the store answered.

Change: nodes tell the age of the servers' entries apart; these are polled with a wait of 0.4 s in place of 1 s, so that an answer shows that the store would tell.

--- a/src/savorylift/fleet/membership.py
+++ b/src/savorylift/fleet/membership.py
@@ -248,6 +248,20 @@
         ]
         return min(ages, default=None)
 
+    def servers_reading_age_s(self, now_s: float) -> float | None:
+        """Returns the same for the servers' entries alone.
+
+        The reading of builds that don't tell them apart counts as a whole.
+        """
+        ages = []
+        for peer in self.live_peers(now_s):
+            age_s = peer.state.servers_reading_age_s
+            if age_s is None:
+                age_s = peer.state.reading_age_s
+            if age_s is not None:
+                ages.append(age_s + now_s - peer.received_s)
+        return min(ages, default=None)
+
     def _is_minority(self, now_s: float) -> bool:
         """Whether no more nodes are live than are silent."""
         live = 1 + sum(1 for _ in self.live_peers(now_s))
--- a/src/savorylift/fleet/state.py
+++ b/src/savorylift/fleet/state.py
@@ -280,6 +280,8 @@
         unreached_services: Services of which the node reaches no server.
         brittle_services: Services whose servers said that they are brittle.
         leaving_servers: Servers that said themselves that they are draining.
+        servers_reading_age_s: Age of its last reading of the servers' entries;
+            None before the first, and from builds that don't say.
     """
 
     node: str
@@ -304,6 +306,7 @@
     unreached_services: tuple[str, ...] = ()
     brittle_services: tuple[BrittleNews, ...] = ()
     leaving_servers: tuple[LeavingServer, ...] = ()
+    servers_reading_age_s: float | None = None
 
 
 class Topic(enum.StrEnum):
--- a/src/savorylift/fleet/store_reader.py
+++ b/src/savorylift/fleet/store_reader.py
@@ -8,6 +8,10 @@
 from savorylift.fleet.topic_consumer import ReadPolicy, TopicConsumer
 from savorylift.platform.store import SERVERS_TOPIC, StoreClient
 
+# Shorter than for the operators' records: a server that leaves gives about
+# 1.5 s of notice, and only an answer shows that the store would tell of it.
+SERVERS_LONG_POLL_S = 0.4
+
 
 class StoreReader:
     """Keeps a store view up to date, whenever this node should read."""
@@ -48,6 +52,7 @@
             store_view,
             read_policy,
             on_change,
+            SERVERS_LONG_POLL_S,
         )
         self._servers.on_recovery = store_view.registry.start_grace_period
         self._operators.on_fault = on_fault
@@ -78,3 +83,8 @@
         if operators_s is None or servers_s is None:
             return None
         return now_s - min(operators_s, servers_s)
+
+    def servers_reading_age_s(self, now_s: float) -> float | None:
+        """Returns how long ago this node last read the servers' entries."""
+        read_s = self._servers.last_read_s
+        return None if read_s is None else now_s - read_s
--- a/src/savorylift/fleet/topic_consumer.py
+++ b/src/savorylift/fleet/topic_consumer.py
@@ -99,23 +99,20 @@
                 those of the other nodes.
         """
         stale_s = STALE_S + STALE_INTERVALS * self._get_reader_interval_s()
-        return self._is_older(own_age_s, stale_s)
+        ages = [
+            a for a in (own_age_s, self._peers_reading_age_s()) if a is not None
+        ]
+        return min(ages, default=stale_s + 1) > stale_s
 
-    def may_miss_notices(self, own_age_s: float | None) -> bool:
+    def may_miss_notices(self, servers_age_s: float | None) -> bool:
         """Whether a server may have given a notice that nobody has read.
 
         Args:
-            own_age_s: Age of this node's own reading.
+            servers_age_s: Age of the newest reading of the servers' entries,
+                by any node.
         """
-        return self._is_older(
-            own_age_s, NOTICE_AGE_S + self._get_reader_interval_s()
-        )
-
-    def _is_older(self, own_age_s: float | None, max_age_s: float) -> bool:
-        ages = [
-            a for a in (own_age_s, self._peers_reading_age_s()) if a is not None
-        ]
-        return min(ages, default=max_age_s + 1) > max_age_s
+        max_age_s = NOTICE_AGE_S + self._get_reader_interval_s()
+        return servers_age_s is None or servers_age_s > max_age_s
 
 
 class TopicConsumer:
@@ -129,6 +126,7 @@
         store_view: StoreView,
         read_policy: ReadPolicy,
         on_change: Callable[[Delta | None], None],
+        long_poll_s: float = LONG_POLL_S,
     ) -> None:
         """Reads nothing until `run` is called.
 
@@ -140,8 +138,10 @@
             read_policy: Decides when to read, and how soon to retry.
             on_change: Called after each change, with the delta to send to the
                 other nodes; None after a full listing.
+            long_poll_s: How long the store may hold a poll open.
         """
         self._store = store
+        self._long_poll_s = long_poll_s
         self._topic_name = topic_name
         self._topic = topic
         self._store_view = store_view
@@ -228,7 +228,7 @@
         if self._offset is None:
             return await self._store.list_newest(self._topic_name)
         return await self._store.read(
-            self._topic_name, self._offset, LONG_POLL_S
+            self._topic_name, self._offset, self._long_poll_s
         )
 
     def _handle_success(self) -> None:
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -238,7 +238,7 @@
             self._limit_gate,
             self._pool.holds.is_held,
             lambda: read_policy.may_miss_notices(
-                self._store_reader.reading_age_s(time.monotonic())
+                self._newest_servers_reading_s()
             ),
             lambda: self._generations.engines_with_movable_runs,
             self._generations.on_change,
@@ -379,6 +379,9 @@
             operators_version=self._store_view.operators_version,
             servers_version=self._store_view.servers_version,
             reading_age_s=self._store_reader.reading_age_s(now_s),
+            servers_reading_age_s=self._store_reader.servers_reading_age_s(
+                now_s
+            ),
             has_store_fault=self._store_reader.has_fault(now_s),
             loads=self._pool.load_tracker.loads(),
             moves=self._pool.move_queue.planned,
@@ -397,6 +400,15 @@
     def _peers_reading_age_s(self) -> float | None:
         return self._membership.reading_age_s(time.monotonic())
 
+    def _newest_servers_reading_s(self) -> float | None:
+        """Returns the age of the newest reading of the servers' entries."""
+        now_s = time.monotonic()
+        ages = (
+            self._store_reader.servers_reading_age_s(now_s),
+            self._membership.servers_reading_age_s(now_s),
+        )
+        return min((a for a in ages if a is not None), default=None)
+
     def _on_peer_update(self) -> None:
         """Continues reading the store after the records learned from a peer."""
         self._store_reader.skip_known()
