--- a/tests/front/test_software_versions.py
+++ b/tests/front/test_software_versions.py
@@ -99,6 +99,15 @@
         extra = (("last-event-id", str(len(part.versions))), ("resumes", first))
         return await self.stream(node, attempt, extra)
 
+    async def take_up_all(self, node: int, parts: list[Part]) -> list[Part]:
+        """Takes up all streams that `broken_streams` returned."""
+        return await asyncio.gather(
+            *(
+                self.take_up(node, f"t{number}", part, f"s{number}")
+                for number, part in enumerate(parts)
+            )
+        )
+
     async def broken_streams(self, count: int, node: int = 0) -> list[Part]:
         """Returns streams that broke off and did not go on."""
         for server in self.pool:
@@ -119,6 +128,14 @@
     ]
 
 
+def join(parts: list[Part], rests: list[Part]) -> list[list[str]]:
+    """Returns the versions that each caller got in two attempts."""
+    return [
+        part.versions + rest.versions
+        for part, rest in zip(parts, rests, strict=True)
+    ]
+
+
 def mixed(*streams: list[str]) -> list[list[str]]:
     return [events for events in streams if len(set(events)) > 1]
 
@@ -178,16 +195,8 @@
 def test_stream_taken_up_elsewhere_goes_on_at_its_version() -> None:
     async def scenario(fleet: VersionFleet) -> None:
         parts = await fleet.broken_streams(STREAMS)
-        rests = await asyncio.gather(
-            *(
-                fleet.take_up(1, f"t{n}", part, f"s{n}")
-                for n, part in enumerate(parts)
-            )
-        )
-        joined = [
-            part.versions + rest.versions
-            for part, rest in zip(parts, rests, strict=True)
-        ]
+        rests = await fleet.take_up_all(1, parts)
+        joined = join(parts, rests)
         assert mixed(*joined) == []
         assert [len(events) for events in joined] == [EVENTS] * STREAMS
 
@@ -266,12 +275,7 @@
             server.software_version = "v3"
             fleet.publish_entry(server, "pool")
         await asyncio.sleep(0.5)
-        rests = await asyncio.gather(
-            *(
-                fleet.take_up(1, f"t{n}", part, f"s{n}")
-                for n, part in enumerate(parts)
-            )
-        )
+        rests = await fleet.take_up_all(1, parts)
         for part, rest in zip(parts, rests, strict=True):
             assert mixed(part.versions + rest.versions) == []
             assert rest.status == (503 if part.versions[0] == "v1" else 200)
@@ -314,16 +318,8 @@
         fleet.cut_off(0)
         fleet.cut_off(lost_home)
         await asyncio.sleep(1.5)
-        rests = await asyncio.gather(
-            *(
-                fleet.take_up(1, f"t{n}", part, f"s{n}")
-                for n, part in enumerate(parts)
-            )
-        )
-        joined = [
-            part.versions + rest.versions
-            for part, rest in zip(parts, rests, strict=True)
-        ]
+        rests = await fleet.take_up_all(1, parts)
+        joined = join(parts, rests)
         assert mixed(*joined) == []
         assert [rest.is_whole for rest in rests] == [True] * STREAMS
 
