Forget the origins of streams that nobody may resume any more

Cause: a node kept the id of each of its streams that broke off until another node came or went: state that grows with time.

Change: what the table drops as expired is forgotten by the node that tells it.

Measured: a test of 50 such streams failed before, passes now.

--- a/src/savorylift/exchange/origin_table.py
+++ b/src/savorylift/exchange/origin_table.py
@@ -56,8 +56,12 @@
             if origin is not None:
                 yield origin
 
-    def drop_expired(self) -> None:
-        """Forgets the streams that no caller may resume any more."""
+    def drop_expired(self) -> list[str]:
+        """Forgets the streams that no caller may resume any more.
+
+        Returns:
+            The attempts that began them.
+        """
         now_s = time.monotonic()
         expired = [
             attempt_id
@@ -66,6 +70,7 @@
         ]
         for attempt_id in expired:
             del self._known[attempt_id]
+        return expired
 
 
 def _is_sound(origin: StreamOrigin) -> bool:
--- a/src/savorylift/exchange/stream_origins.py
+++ b/src/savorylift/exchange/stream_origins.py
@@ -144,7 +144,8 @@
             live: Nodes that stay, this one included unless it leaves.
             leaving: Nodes that are live but drain.
         """
-        self._table.drop_expired()
+        for attempt_id in self._table.drop_expired():
+            self.forget(attempt_id)
         staying = tuple(live)
         self._ring.update((*staying, *leaving))
         if self._staying.update(staying):
@@ -172,10 +173,7 @@
 
     def _tell_new_homes(self) -> None:
         for attempt_id in list(self._own):
-            if self._table.find(attempt_id) is None:
-                self.forget(attempt_id)
-            else:
-                self._tell(attempt_id, self._homes(attempt_id))
+            self._tell(attempt_id, self._homes(attempt_id))
 
     def _tell(
         self, attempt_id: str, homes: frozenset[str], sends: int = 0
--- a/tests/exchange/test_stream_origins.py
+++ b/tests/exchange/test_stream_origins.py
@@ -165,3 +165,20 @@
     network.lost = {"10.0.0.1"}
     network.update()
     assert network.messages == 0
+
+
+def test_streams_that_nobody_may_resume_are_forgotten(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    now_s = 100.0
+    monkeypatch.setattr("time.monotonic", lambda: now_s)
+    network = Network(3)
+    network.update()
+    for number in range(50):
+        network.node(0).record(origin(f"a{number}"))
+    now_s += 31.0
+    network.update()
+    for node in network.nodes.values():
+        assert list(node._table) == []
+        assert not node._own
+        assert not node._telling
