Show that streams go on at another version after all nodes were killed

Tried as a script: twelve streams begin at v1, a release replaces it by v2, all nodes are killed and started.

--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Runs the case; exits with 1 if the rule was broken, 0 if it held, 2 if the
+# case couldn't run. TROUBLE=0 runs it without the disruption.
+cd "$(dirname "$0")/../.." || exit 2
+PYTHONPATH=target/deps:. exec python3 -m review.2.case
