--- a/review/2/case.py
+++ b/review/2/case.py
@@ -31,7 +31,8 @@
 STREAMS = 12
 # The longest stream that the sheet allows would take longer.
 DEADLINE_S = 39.0
-TRIES = 6
+# Shortest waits before further tries; an answer may ask for longer ones.
+WAITS_S = (0.2, 0.2, 0.2, 0.2, 0.2)
 NODES = 3
 SETTLE_S = 2.5
 # Streams run for this long before the release begins.
@@ -85,7 +86,7 @@
     addresses = [deployment.address(node) for node in deployment.nodes]
     clients = [
         StreamClient(
-            addresses, "/draft/1", DEADLINE_S, TRIES, deployment.record
+            addresses, "/draft/1", DEADLINE_S, WAITS_S, deployment.record
         )
         for _ in range(STREAMS)
     ]
--- a/review/rig/client.py
+++ b/review/rig/client.py
@@ -5,7 +5,7 @@
 import random
 import secrets
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 from review.rig import http
@@ -53,6 +53,7 @@
     record: Record,
     headers: dict[str, str] | None = None,
     body: bytes = b"",
+    on_connect: Callable[[asyncio.StreamWriter], None] = lambda _: None,
 ) -> Attempt:
     """Sends one attempt to a node and reads its answer until the deadline."""
     attempt = f"{secrets.token_hex(6)}{next(_numbers):04x}"
@@ -70,6 +71,7 @@
     try:
         async with asyncio.timeout(deadline_s):
             reader, writer = await http.connect(address)
+            on_connect(writer)
             writer.write(http.encode_request(method, path, all_headers, body))
             head = await http.read_head(reader)
             status = head.status
@@ -116,10 +118,25 @@
     return events
 
 
+class TakeUp(NamedTuple):
+    """A try that takes a stream up again.
+
+    Attributes:
+        sent_s: Monotonic time at which it was sent.
+        status: Status of the answer; 0 if there was none.
+        goes_on: Whether it brought further pieces.
+    """
+
+    sent_s: float
+    status: int
+    goes_on: bool
+
+
 class StreamClient:
     """Reads one resumable stream, with a few tries.
 
     Attributes:
+        take_ups: The tries that took the stream up again.
         events: All pieces that it has, over its tries.
         is_whole: Whether the last piece has come and the stream has ended.
     """
@@ -129,19 +146,34 @@
         addresses: Sequence[str],
         path: str,
         deadline_s: float,
-        tries: int,
+        waits_s: Sequence[float],
         record: Record,
     ) -> None:
-        """Creates a client that has sent nothing yet."""
+        """Creates a client that has sent nothing yet.
+
+        Args:
+            addresses: Addresses of the nodes.
+            path: Path of the stream.
+            deadline_s: How long it waits for the whole stream.
+            waits_s: Shortest wait before each try after the first.
+            record: Where to write what happens.
+        """
         self._addresses = list(addresses)
         self._path = path
         self._until_s = time.monotonic() + deadline_s
-        self._tries = tries
+        self._waits_s = waits_s
+        self._writer: asyncio.StreamWriter | None = None
         self._record = record
         self._first: str | None = None
         self.events: list[Event] = []
+        self.take_ups: list[TakeUp] = []
         self.is_whole = False
 
+    def cut(self) -> None:
+        """Loses the connection of the try under way."""
+        if self._writer is not None:
+            self._writer.transport.abort()
+
     @property
     def _left_s(self) -> float:
         return self._until_s - time.monotonic()
@@ -149,7 +181,7 @@
     async def run(self) -> None:
         """Sends tries, each on a new connection, until the stream is whole."""
         failed: set[str] = set()
-        for _ in range(self._tries):
+        for least_wait_s in (*self._waits_s, 0.0):
             if self._left_s <= 0:
                 return
             usable = [a for a in self._addresses if a not in failed]
@@ -160,7 +192,7 @@
                 return
             if attempt.status == 0:
                 failed.add(address)
-            wait_s = attempt.retry_after_s or 0.2
+            wait_s = max(attempt.retry_after_s or 0.0, least_wait_s)
             await asyncio.sleep(min(wait_s, max(self._left_s, 0.0) / 3))
 
     async def _send(self, address: str) -> Attempt:
@@ -172,6 +204,7 @@
         if self.events:
             headers["Last-Event-Id"] = str(self.events[-1].number)
             headers["Resumes"] = self._first or ""
+        sent_s = time.monotonic()
         attempt = await send(
             address,
             "POST",
@@ -180,8 +213,15 @@
             self._record,
             headers,
             b"question",
+            self._keep_writer,
         )
+        if self.events:
+            goes_on = bool(attempt.events)
+            self.take_ups.append(TakeUp(sent_s, attempt.status, goes_on))
         if attempt.events and self._first is None:
             self._first = attempt.attempt_id
         self.events += attempt.events
         return attempt
+
+    def _keep_writer(self, writer: asyncio.StreamWriter) -> None:
+        self._writer = writer
--- a/review/rig/deployment.py
+++ b/review/rig/deployment.py
@@ -262,6 +262,6 @@
     """
     try:
         return asyncio.run(case)  # type: ignore[arg-type]
-    except (OSError, TimeoutError, AssertionError) as exc:
+    except Exception as exc:
         print(f"could not run: {type(exc).__name__}: {exc}", file=sys.stderr)
         return 2
