Share the event loop between connections that send without end

Cause: each empty line passed for an event with a write of its own, and nothing bounded comments without an event; and input was handled as long as there was any, since reading doesn't wait while some is buffered. One connection kept the loop, so that deadlines and leaving callers were not noticed either.

Why this works: comments that follow each other are one event, bounded in bytes; a reader gets at most 16 KB at once and gives way after 16 steps, in requests, answers (those of the store and other nodes too) and between events.

--- a/src/savorylift/exchange/events.py
+++ b/src/savorylift/exchange/events.py
@@ -14,7 +14,9 @@
 # A field of an event, or a comment.
 EVENT_LINE = re.compile(rb"[A-Za-z-]*:|\r?$")
 COMMENT_LINE = b":"
-# An engine in trouble may send without end.
+# Lines without any field of an event: empty ones, and comments before them.
+COMMENTS = re.compile(rb"(?:(?::[^\n]*+\n)*+\r?\n)++")
+# An engine in trouble may send without end, an event or comments.
 MAX_EVENT_BYTES = 262_144
 
 
@@ -41,6 +43,7 @@
     def __init__(self) -> None:
         """Creates a splitter for a new stream."""
         self._buffer = bytearray()
+        self._comment_bytes = 0
 
     @property
     def unfinished(self) -> bytes:
@@ -59,21 +62,43 @@
     def feed(self, data: bytes) -> list[Event]:
         """Returns the events that `data` completes.
 
+        Comments that follow each other are returned as one event.
+
         Raises:
-            BrokenAnswerError: An event is too large.
+            BrokenAnswerError: An event, or what comes before it, is too large.
         """
         search_from = max(len(self._buffer) - 1, 0)
         self._buffer += data
         events = []
         while (end := self._buffer.find(EVENT_DELIMITER, search_from)) >= 0:
+            comments_end = self._find_comments_end()
+            end = max(end, comments_end)
             whole = bytes(self._buffer[: end + len(EVENT_DELIMITER)])
             del self._buffer[: len(whole)]
+            self._count(whole, is_comment=comments_end >= 0)
             events.append(Event(whole, _parse_event_id(whole)))
             search_from = 0
         if len(self._buffer) > MAX_EVENT_BYTES:
             raise BrokenAnswerError("an event is too large")
         return events
 
+    def _find_comments_end(self) -> int:
+        """Returns where the last comment ends, if the buffer begins with one.
+
+        -1 if it doesn't.
+        """
+        comments = COMMENTS.match(self._buffer)
+        if comments is None:
+            return -1
+        return self._buffer.rfind(EVENT_DELIMITER, 0, comments.end())
+
+    def _count(self, whole: bytes, *, is_comment: bool) -> None:
+        self._comment_bytes += len(whole)
+        if not is_comment:
+            self._comment_bytes = 0
+        if self._comment_bytes > MAX_EVENT_BYTES:
+            raise BrokenAnswerError("comments take the place of events")
+
 
 class NumberedEventReader:
     """Reads a stream whose events are numbered, and nothing else.
--- a/src/savorylift/exchange/relay.py
+++ b/src/savorylift/exchange/relay.py
@@ -16,6 +16,7 @@
 from savorylift.exchange.send import Started
 from savorylift.outcomes import Reason
 from savorylift.wire.client_call import BrokenAnswerError
+from savorylift.wire.coop_budget import CoopBudget
 
 # A stream may stop without an error, or go on with bytes that make no event or
 # with comments.
@@ -57,6 +58,7 @@
         """
         reader = self._codec.make_event_reader(started.run_id, run.resume_after)
         last_event_s = time.monotonic()
+        coop_budget = CoopBudget()
         try:
             while True:
                 chunk = await _read_chunk(
@@ -68,6 +70,7 @@
                     await self._forward_event(run, started, sink, event)
                     if not event.is_comment:
                         last_event_s = time.monotonic()
+                    await coop_budget.spend()
             reader.end()
         except BrokenAnswerError as exc:
             return Broken(Reason.ANSWER_LOST, str(exc))
--- a/src/savorylift/wire/channel.py
+++ b/src/savorylift/wire/channel.py
@@ -8,6 +8,8 @@
 from typing import cast
 
 MAX_READ_BUFFER_BYTES = 262_144
+# Most that a reader gets, and handles, at once.
+MAX_READ_BYTES = 16_384
 LINGER_TIMEOUT_S = 1.0
 # Values of SO_LINGER: on with a time of 0, by which a close sends RST; and off.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -102,7 +104,7 @@
         self._writable.set()
 
     async def read(self) -> bytes:
-        """Returns buffered input, waiting for some; empty at the end of input.
+        """Returns some buffered input, waiting for it; empty at its end.
 
         Raises:
             ConnectionError: The connection was reset.
@@ -114,9 +116,10 @@
             if self.connection_error is not None:
                 raise ConnectionError(str(self.connection_error))
             return b""
-        data = bytes(self._read_buffer)
-        self._read_buffer.clear()
-        if not self.is_peer_closed:
+        data = bytes(self._read_buffer[:MAX_READ_BYTES])
+        del self._read_buffer[:MAX_READ_BYTES]
+        is_below_limit = len(self._read_buffer) < MAX_READ_BUFFER_BYTES
+        if is_below_limit and not self.is_peer_closed:
             self.transport.resume_reading()
         return data
 
--- a/src/savorylift/wire/client_call.py
+++ b/src/savorylift/wire/client_call.py
@@ -10,6 +10,7 @@
 
 from savorylift.wire.buffer_budget import BufferBudget
 from savorylift.wire.channel import Channel, connect
+from savorylift.wire.coop_budget import CoopBudget
 from savorylift.wire.message import Headers, Response, ResponseHead
 
 # A server in trouble may send without end. Bodies are read whole, so one
@@ -35,6 +36,7 @@
         self._channel = channel
         self._h11 = h11.Connection(h11.CLIENT)
         self._method = ""
+        self._coop_budget = CoopBudget()
 
     @property
     def channel(self) -> Channel:
@@ -145,8 +147,11 @@
             try:
                 event = self._h11.next_event()
                 if event is not h11.NEED_DATA:
+                    await self._coop_budget.spend()
                     return event
-                self._h11.receive_data(await self._channel.read())
+                data = await self._channel.read()
+                await self._coop_budget.spend(len(data))
+                self._h11.receive_data(data)
             except h11.RemoteProtocolError as exc:
                 raise BrokenAnswerError(str(exc)) from exc
             except ConnectionError as exc:
--- a/src/savorylift/wire/server_connection.py
+++ b/src/savorylift/wire/server_connection.py
@@ -10,6 +10,7 @@
 import h11
 
 from savorylift.wire.channel import Channel
+from savorylift.wire.coop_budget import CoopBudget
 from savorylift.wire.head_check import HEAD_END, find_head_error
 from savorylift.wire.message import Headers, Request
 
@@ -76,6 +77,7 @@
         self._request_started_s = 0.0
         self._is_close_delimited = False
         self._is_response_ended = False
+        self._coop_budget = CoopBudget()
         self.is_closing = False
         self.added_headers: Headers = ()
 
@@ -91,6 +93,8 @@
 
     async def next_request(self) -> Request | BadRequest | CloseReason:
         """Returns the next request, or why there is none that can be served."""
+        # A caller may send many requests at once.
+        await self._coop_budget.spend()
         limits = self._get_limits()
         if not await self._wait_for_input(limits.idle_timeout_s):
             return (
@@ -250,6 +254,7 @@
                 return CloseReason.ENDED
             if not data:
                 return CloseReason.ENDED
+            await self._coop_budget.spend(len(data))
             self._unparsed += data
 
     async def _read_body(
@@ -265,6 +270,7 @@
             self._h11.receive_data(bytes(self._unparsed))
             self._unparsed.clear()
         while True:
+            await self._coop_budget.spend()
             event = self._h11.next_event()
             if isinstance(event, h11.EndOfMessage):
                 return _build_request(
@@ -279,6 +285,7 @@
                     data = await self._channel.read()
                 if not data:
                     return CloseReason.ENDED
+                await self._coop_budget.spend(len(data))
                 self._h11.receive_data(data)
             else:
                 return BadRequest(400, "malformed body")
--- a/tests/exchange/test_events.py
+++ b/tests/exchange/test_events.py
@@ -44,3 +44,25 @@
     splitter = EventSplitter()
     splitter.feed(b"id: 1\ndata: a\n\n")
     splitter.end()
+
+
+def test_comments_that_follow_each_other_are_one_event() -> None:
+    splitter = EventSplitter()
+    comments = b"\n\n\n: a\n: b\n\n:\n\n"
+    events = splitter.feed(comments + b"id: 1\ndata: a\n\n: c\n\nid: 2\n\n")
+    assert [event.data for event in events] == [
+        comments,
+        b"id: 1\ndata: a\n\n",
+        b": c\n\n",
+        b"id: 2\n\n",
+    ]
+
+
+def test_comments_do_not_take_the_place_of_events_without_bound() -> None:
+    splitter = EventSplitter()
+    for _ in range(MAX_EVENT_BYTES // 4):
+        splitter.feed(b": \n\n")
+    splitter.feed(b"id: 1\n\n")
+    splitter.feed(b"\n" * MAX_EVENT_BYTES)
+    with pytest.raises(BrokenAnswerError):
+        splitter.feed(b"\n\n")
