Read each of several requests on a connection once

What callers saw: of three requests sent behind one another, the second ran 7 and the third 15 times within 1.5 s; a caller that sends without pause let the node's memory grow without bound (5.8 GB in 14 s). Found by a case of the tests of input without end.

Cause: unread input was taken out of the parser to be read again, and the parser, which was used again, kept it too.

Why this works: each request has a parser of its own.

Evidence: the new test in tests/wire failed before (the second request was read again after the fourth); the new case in tests/front ended with no memory left.

--- a/src/savorylift/wire/server_connection.py
+++ b/src/savorylift/wire/server_connection.py
@@ -70,9 +70,7 @@
         """Calls `get_limits` for each request, so that changes apply."""
         self._channel = channel
         self._get_limits = get_limits
-        self._h11 = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=H11_MAX_EVENT_BYTES
-        )
+        self._h11 = _make_parser()
         self._unparsed = bytearray()
         self._request_started_s = 0.0
         self._is_close_delimited = False
@@ -217,7 +215,8 @@
             return False
         rest, _ = self._h11.trailing_data
         self._unparsed += rest
-        self._h11.start_next_cycle()
+        # A parser that is used again would keep what it returned, too.
+        self._h11 = _make_parser()
         return True
 
     async def _wait_for_input(self, idle_timeout_s: float) -> bool:
@@ -296,6 +295,12 @@
             self._channel.write(data)
 
 
+def _make_parser() -> h11.Connection:
+    return h11.Connection(
+        h11.SERVER, max_incomplete_event_size=H11_MAX_EVENT_BYTES
+    )
+
+
 def _build_request(head: h11.Request, body: bytes, arrived_s: float) -> Request:
     headers = tuple(
         (key.decode("ascii"), value.decode("latin-1"))
--- a/tests/front/test_fair_input.py
+++ b/tests/front/test_fair_input.py
@@ -204,6 +204,11 @@
             chunks(b"x"),
             id="chunks",
         ),
+        pytest.param(
+            b"",
+            b"GET /none/ HTTP/1.1\r\nHost: h.example\r\n\r\n",
+            id="requests",
+        ),
         pytest.param(b"", b"\r\n", id="line ends"),
     ],
 )
--- a/tests/wire/test_server_connection.py
+++ b/tests/wire/test_server_connection.py
@@ -111,6 +111,26 @@
     run_with_timeout(scenario())
 
 
+def test_pipelined_requests_are_each_read_once() -> None:
+    """Requests sent behind one another were read, and ran, again and again."""
+
+    async def scenario() -> None:
+        conn, caller = await open_connection_pair(TIGHT_LIMITS)
+        sent = [b"1", b"2", b"3", b"4"]
+        for body in sent:
+            caller.write(HEAD_START + b"Content-Length: 1\r\n\r\n" + body)
+        bodies = []
+        while isinstance(req := await conn.next_request(), Request):
+            bodies.append(req.body)
+            conn.respond(200, (), b"ok")
+            assert conn.prepare_next_request()
+            if len(bodies) > len(sent):
+                break
+        assert bodies == sent
+
+    run_with_timeout(scenario())
+
+
 def test_closing_connection_sends_connection_close() -> None:
     async def scenario() -> None:
         conn, caller = await open_connection_pair()
