Keep in the store which versions streams may have begun at

Cause: a stream whose origin no node knows goes on if one version alone has served for a minute; a node that starts took the one that serves for that. An empty memory counted as knowledge. The same held for a node that starts cut off from the others.

Why this works: the versions of each service lie in the store, a record a change, written by the readers of the store; a node that starts reads them once and counts them for a minute, and refuses what nobody knows until it has, or until a node that knows has told it. Written again if the store comes back from an older copy. Older builds neither write nor read the topic; the new field of the state message is at its end.

--- a/src/savorylift/exchange/stream_resumption.py
+++ b/src/savorylift/exchange/stream_resumption.py
@@ -79,6 +79,7 @@
             service=bound.service.name,
             software_version=bound.software_version,
             is_origin_known=origin is not None,
+            is_history_complete=self._history.is_complete,
             has_server=has_server,
         )
         if not is_known:
@@ -125,11 +126,17 @@
         """Whether no server may continue a stream that has begun."""
         return run.has_begun and not self._pool.has_server(run.admitted, ())
 
+    def _only_version(self, service: str) -> str | None:
+        """Returns the version that began all streams of a service, if known."""
+        if not self._history.is_complete:
+            return None
+        return self._history.only_version(service)
+
     def _bind(
         self, admitted: AdmittedRequest, origin: StreamOrigin | None
     ) -> AdmittedRequest:
         if origin is None:
-            version = self._history.only_version(admitted.service.name)
+            version = self._only_version(admitted.service.name)
             return admitted._replace(software_version=version)
         targets = {target.service for target in admitted.route.targets}
         service = self._find_service(origin.service)
--- a/src/savorylift/fleet/state.py
+++ b/src/savorylift/fleet/state.py
@@ -282,6 +282,9 @@
         leaving_servers: Servers that said themselves that they are draining.
         servers_reading_age_s: Age of its last reading of the servers' entries;
             None before the first, and from builds that don't say.
+        has_version_history: Whether `version_sightings` has all versions that
+            served before the node started, too; builds that don't say don't
+            know.
     """
 
     node: str
@@ -307,6 +310,7 @@
     brittle_services: tuple[BrittleNews, ...] = ()
     leaving_servers: tuple[LeavingServer, ...] = ()
     servers_reading_age_s: float | None = None
+    has_version_history: bool = False
 
 
 class Topic(enum.StrEnum):
--- a/src/savorylift/fleet/version_history.py
+++ b/src/savorylift/fleet/version_history.py
@@ -18,10 +18,16 @@
 
 
 class VersionHistory:
-    """Versions that serve, and those that did until lately."""
+    """Versions that serve, and those that did until lately.
+
+    Attributes:
+        is_complete: Whether it is known which versions served before this node
+            started.
+    """
 
     def __init__(self) -> None:
         """Starts without any version."""
+        self.is_complete = False
         self._serving: frozenset[_Version] = frozenset()
         # Monotonic time at which each version without a server last had one.
         self._gone_s: dict[_Version, float] = {}
@@ -59,14 +65,29 @@
             seen_s = max(self._gone_s.get(version, 0.0), now_s - age_s)
             self._gone_s[version] = seen_s
 
+    def restore(
+        self, service: str, versions: Iterable[str], now_s: float
+    ) -> None:
+        """Adds versions that served at some time before this node started.
+
+        How long ago isn't known: they count as if it was just now.
+        """
+        for software_version in versions:
+            version = _Version(service, software_version)
+            if version not in self._serving:
+                self._gone_s[version] = now_s
+
+    def known_versions(self) -> dict[str, frozenset[str]]:
+        """Returns the versions that streams may have begun at, by service."""
+        known: dict[str, set[str]] = {}
+        for service, software_version in (*self._serving, *self._gone_s):
+            known.setdefault(service, set()).add(software_version)
+        return {service: frozenset(found) for service, found in known.items()}
+
     def only_version(self, service: str) -> str | None:
         """Returns the version that all streams of a service began at.
 
         None if there was no server lately, or servers of several versions.
         """
-        found = {
-            version.software_version
-            for version in (*self._serving, *self._gone_s)
-            if version.service == service
-        }
-        return found.pop() if len(found) == 1 else None
+        found = self.known_versions().get(service, frozenset())
+        return next(iter(found)) if len(found) == 1 else None
--- /dev/null
+++ b/src/savorylift/fleet/version_recorder.py
@@ -0,0 +1,153 @@
+"""Keeps in the store which software versions streams may have begun at.
+
+A fleet whose nodes are all lost at once would take the versions that serve when
+it starts again for the only ones.
+"""
+
+import asyncio
+import time
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+import cbor2
+import msgspec
+import structlog
+from returns.pipeline import is_successful
+from returns.result import Failure, Result, Success
+
+from savorylift.fleet.known_fields import keep_known_fields
+from savorylift.fleet.version_history import VersionHistory
+from savorylift.platform.store import (
+    MAX_KEY_BYTES,
+    VERSIONS_TOPIC,
+    Record,
+    StoreClient,
+)
+
+CHECK_INTERVAL_S = 0.2
+RETRY_INTERVAL_S = 1.0
+# By then a node that starts has heard the others, which may be of a build that
+# keeps no records.
+START_DELAY_S = 2.0
+
+_log = structlog.get_logger()
+
+
+class VersionRecord(NamedTuple):
+    """What the store holds of a service, under its name.
+
+    Attributes:
+        versions: Software versions that streams may have begun at.
+    """
+
+    versions: tuple[str, ...]
+
+
+class VersionRecorder:
+    """Reads the records once, and writes those that change."""
+
+    def __init__(
+        self,
+        store: StoreClient,
+        history: VersionHistory,
+        is_writer: Callable[[], bool],
+        get_era: Callable[[], int],
+    ) -> None:
+        """Makes no call until `run` is called.
+
+        Args:
+            store: The store.
+            history: Gets what the store holds, and says what it should hold.
+            is_writer: Whether this node writes what changes.
+            get_era: Returns how often the store has come back from a copy,
+                and lost what was written since.
+        """
+        self._store = store
+        self._history = history
+        self._is_writer = is_writer
+        self._get_era = get_era
+        self._era = 0
+        self._saved: dict[str, frozenset[str]] = {}
+
+    async def run(self) -> None:
+        """Reads the records, and then writes changes forever."""
+        started_s = time.monotonic()
+        while not await self._load():
+            await asyncio.sleep(CHECK_INTERVAL_S)
+        wait_s = started_s + START_DELAY_S - time.monotonic()
+        await asyncio.sleep(max(wait_s, 0.0))
+        self._history.is_complete = True
+        while True:
+            is_saved = not self._is_writer() or await self.save()
+            await asyncio.sleep(
+                CHECK_INTERVAL_S if is_saved else RETRY_INTERVAL_S
+            )
+
+    async def save(self) -> bool:
+        """Writes what has changed; returns whether that succeeded."""
+        era = self._get_era()
+        if era != self._era:
+            self._saved.clear()
+            self._era = era
+        changed = {
+            service: versions
+            for service, versions in self._history.known_versions().items()
+            if versions != self._saved.get(service)
+            and len(service.encode()) <= MAX_KEY_BYTES
+        }
+        if not changed:
+            return True
+        records = [
+            Record(service, _encode(versions))
+            for service, versions in changed.items()
+        ]
+        written = await self._store.append(VERSIONS_TOPIC, records)
+        _log.info(
+            "versions_saved",
+            versions={s: sorted(found) for s, found in changed.items()},
+            era=era,
+            is_saved=is_successful(written),
+        )
+        if is_successful(written):
+            self._saved.update(changed)
+        return is_successful(written)
+
+    async def _load(self) -> bool:
+        """Reads all records; returns whether that succeeded."""
+        listed = await self._store.list_newest(VERSIONS_TOPIC)
+        if not is_successful(listed):
+            return False
+        records = listed.unwrap().records
+        for record in records:
+            decoded = _decode(record.value or b"")
+            if not is_successful(decoded):
+                _log.warning(
+                    "version_record_unsound",
+                    service=record.key,
+                    detail=decoded.failure(),
+                )
+                continue
+            versions = decoded.unwrap().versions
+            self._saved[record.key] = frozenset(versions)
+            self._history.restore(record.key, versions, time.monotonic())
+        if records:
+            self._history.is_complete = True
+        _log.info(
+            "versions_loaded",
+            versions={s: sorted(found) for s, found in self._saved.items()},
+        )
+        return True
+
+
+def _encode(versions: Iterable[str]) -> bytes:
+    record = VersionRecord(tuple(sorted(versions)))
+    return cbor2.dumps(msgspec.to_builtins(record))
+
+
+def _decode(data: bytes) -> Result[VersionRecord, str]:
+    """Decodes a record, of a later build too; returns why it is invalid."""
+    try:
+        values = keep_known_fields(cbor2.loads(data), VersionRecord)
+        return Success(msgspec.convert(values, type=VersionRecord))
+    except (cbor2.CBORError, msgspec.ValidationError, ValueError) as exc:
+        return Failure(f"{type(exc).__name__}: {exc}")
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -39,6 +39,7 @@
 from savorylift.fleet.store_view import StoreView
 from savorylift.fleet.topic_consumer import ReadPolicy
 from savorylift.fleet.version_history import VersionHistory
+from savorylift.fleet.version_recorder import VersionRecorder
 from savorylift.front.caller_directory import MAX_ENTRY_TTL_S, CallerDirectory
 from savorylift.front.caller_handler import CallerHandler, CallerHandlerOptions
 from savorylift.front.interface import choose_interface
@@ -56,7 +57,7 @@
     directory_handler,
     readiness_handler,
 )
-from savorylift.platform.store import Record, StoreClient
+from savorylift.platform.store import Record, StoreClient, era_of
 from savorylift.refusals.counts import RefusalCounts
 from savorylift.refusals.writer import RefusalWriter
 from savorylift.routing.configuration import Service
@@ -222,6 +223,12 @@
         )
         self._store = StoreClient(split_address(settings.store))
         self._refusal_writer = RefusalWriter(self._store, refusal_counts)
+        self._version_recorder = VersionRecorder(
+            self._store,
+            version_history,
+            lambda: self._was_reader,
+            lambda: era_of(self._store_view.servers_version[0]),
+        )
         read_policy = ReadPolicy(
             self._is_reader,
             self._peers_reading_age_s,
@@ -314,6 +321,7 @@
         self._tasks.spawn(self._run_maintenance())
         self._tasks.spawn(self._registration.run())
         self._tasks.spawn(self._refusal_writer.run())
+        self._tasks.spawn(self._version_recorder.run())
         self._tasks.spawn(self._drain_poller.run())
         if self._load_poller is not None:
             self._tasks.spawn(self._load_poller.run())
--- a/src/savorylift/front/server_news.py
+++ b/src/savorylift/front/server_news.py
@@ -55,12 +55,15 @@
             unreached_services=self._reach.cut_off,
             brittle_services=self._pool.brittle.news(),
             leaving_servers=self._leaving_servers(),
+            has_version_history=self._version_history.is_complete,
         )
 
     def merge(self, state: NodeState) -> None:
         """Learns from the state message of another node."""
         now_s = time.monotonic()
         self._version_history.merge(state.version_sightings, now_s)
+        if state.has_version_history:
+            self._version_history.is_complete = True
         self._pool.brittle.merge(state.brittle_services)
         for server_id, started_ms in state.leaving_servers:
             self._registry.mark_leaving(server_id, started_ms)
--- a/src/savorylift/platform/store.py
+++ b/src/savorylift/platform/store.py
@@ -20,6 +20,7 @@
 NODES_TOPIC = "keyed.nodes"
 REFUSALS_TOPIC = "keyed.refusals"
 RULES_TOPIC = "keyed.rules"
+VERSIONS_TOPIC = "keyed.versions"
 
 # Number of times that the store has come back from an older copy. Offsets go
 # back then and are given out again.
@@ -32,6 +33,8 @@
 # Slower responses aren't waited for: a retry uses a new connection.
 RESPONSE_TIMEOUT_S = 0.8
 MAX_READ_KB = 1024
+# The length of a key is one byte.
+MAX_KEY_BYTES = 255
 GONE_STATUS = 410
 _LENGTH = struct.Struct(">I")
 _READ_HEADER = struct.Struct(">QQ")
@@ -233,6 +236,11 @@
         return response
 
 
+def era_of(position: int) -> int:
+    """Returns how often the store had come back from a copy by then."""
+    return position // OFFSETS_PER_ERA
+
+
 def _decode_era(response: Response) -> int:
     text = response.header(ERA_HEADER) or ""
     return int(text) if text.isascii() and text.isdigit() else 0
--- /dev/null
+++ b/tests/fleet/test_version_recorder.py
@@ -0,0 +1,171 @@
+"""Tests of the store's records of software versions."""
+
+import asyncio
+
+import cbor2
+import pytest
+
+from savorylift.backends.server import ServerEntry
+from savorylift.fleet.version_history import RETENTION_S, VersionHistory
+from savorylift.fleet.version_recorder import START_DELAY_S, VersionRecorder
+from savorylift.platform.store import VERSIONS_TOPIC, Record, StoreClient
+from tests.exchange.factories import make_server_entry
+from tests.harness.ports import free_addresses
+from tests.standins.platform_store import PlatformStore
+from tests.wire.loopback import run_with_timeout
+
+V1 = make_server_entry("i-1")._replace(software_version="v1")
+V2 = make_server_entry("i-2")._replace(software_version="v2")
+
+
+class Fleet:
+    """A store, and nodes that keep their records there."""
+
+    def __init__(self) -> None:
+        port = int(free_addresses(1)[0].rpartition(":")[2])
+        self.store = PlatformStore()
+        self.client = StoreClient(("127.0.0.1", port))
+        self._tasks: list[asyncio.Task[None]] = []
+        self.is_writer = True
+
+    async def start_node(self, *entries: ServerEntry) -> VersionHistory:
+        """Starts a node that sees these servers."""
+        if not self.store.port:
+            await self.store.start(int(self.client._address[1]))
+        history = VersionHistory()
+        history.observe(entries, 0.0)
+        recorder = VersionRecorder(
+            self.client, history, lambda: self.is_writer, lambda: self.store.era
+        )
+        self._tasks.append(asyncio.ensure_future(recorder.run()))
+        return history
+
+    def kill_nodes(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+
+    @property
+    def appends(self) -> int:
+        return self.store.called_paths.count("/log-append")
+
+
+async def wait_until_written(fleet: Fleet, appends: int) -> None:
+    async with asyncio.timeout(START_DELAY_S + 2.0):
+        while fleet.appends < appends:
+            await asyncio.sleep(0.02)
+    await asyncio.sleep(0.05)
+
+
+def test_node_that_starts_alone_knows_which_version_served_before() -> None:
+    """Nodes that were all killed took the only version left for the first."""
+
+    async def scenario() -> None:
+        fleet = Fleet()
+        await fleet.start_node(V1)
+        await wait_until_written(fleet, 1)
+        fleet.kill_nodes()
+        history = await fleet.start_node(V2)
+        await asyncio.sleep(0.2)
+        assert history.is_complete
+        assert history.only_version("s") is None
+
+    run_with_timeout(scenario())
+
+
+def test_a_change_is_written_once_and_again_when_a_version_is_forgotten() -> (
+    None
+):
+    async def scenario() -> None:
+        fleet = Fleet()
+        history = await fleet.start_node(V1)
+        await wait_until_written(fleet, 1)
+        history.observe([V1, V2], 1.0)
+        await wait_until_written(fleet, 2)
+        history.observe([V2], 2.0)
+        await asyncio.sleep(0.5)
+        assert fleet.appends == 2
+        history.observe([V2], 2.0 + RETENTION_S)
+        await wait_until_written(fleet, 3)
+        fleet.kill_nodes()
+        later = await fleet.start_node(V2)
+        await asyncio.sleep(0.2)
+        assert later.only_version("s") == "v2"
+
+    run_with_timeout(scenario())
+
+
+def test_nothing_is_known_while_the_store_is_away() -> None:
+    async def scenario() -> None:
+        fleet = Fleet()
+        fleet.store.status = 503
+        history = await fleet.start_node(V2)
+        await asyncio.sleep(START_DELAY_S + 0.5)
+        assert not history.is_complete
+        fleet.store.add(VERSIONS_TOPIC, "t", None)
+        fleet.store.status = None
+        await asyncio.sleep(0.5)
+        assert history.is_complete
+
+    run_with_timeout(scenario())
+
+
+def test_store_that_comes_back_from_a_copy_gets_the_versions_again() -> None:
+    async def scenario() -> None:
+        fleet = Fleet()
+        await fleet.start_node(V1)
+        copy = fleet.store.copy()
+        await wait_until_written(fleet, 1)
+        fleet.store.restore(copy)
+        await wait_until_written(fleet, 2)
+        fleet.kill_nodes()
+        history = await fleet.start_node(V2)
+        await asyncio.sleep(0.2)
+        assert history.only_version("s") is None
+
+    run_with_timeout(scenario())
+
+
+def test_service_name_that_makes_no_key_is_left_out() -> None:
+    async def scenario() -> None:
+        fleet = Fleet()
+        await fleet.start_node(V1, V2._replace(service="s" * 256))
+        await wait_until_written(fleet, 1)
+        listed = await fleet.client.list_newest(VERSIONS_TOPIC)
+        assert [record.key for record in listed.unwrap().records] == ["s"]
+
+    run_with_timeout(scenario())
+
+
+def test_only_the_writer_writes() -> None:
+    async def scenario() -> None:
+        fleet = Fleet()
+        fleet.is_writer = False
+        await fleet.start_node(V1)
+        await asyncio.sleep(START_DELAY_S + 0.5)
+        assert fleet.appends == 0
+
+    run_with_timeout(scenario())
+
+
+@pytest.mark.parametrize(
+    ("value", "is_read"),
+    [
+        pytest.param(cbor2.dumps([["v1"]]), True, id="this build"),
+        pytest.param(cbor2.dumps([["v1"], "new"]), True, id="later build"),
+        pytest.param(cbor2.dumps("v1"), False, id="other type"),
+        pytest.param(b"\xff", False, id="no record"),
+    ],
+)
+def test_records_of_other_writers_are_checked(
+    value: bytes, *, is_read: bool
+) -> None:
+    async def scenario() -> None:
+        fleet = Fleet()
+        history = await fleet.start_node(V2)
+        await fleet.client.append(VERSIONS_TOPIC, [Record("s", value)])
+        fleet.kill_nodes()
+        history = await fleet.start_node(V2)
+        await asyncio.sleep(0.2)
+        assert (history.only_version("s") is None) == is_read
+
+    run_with_timeout(scenario())
--- a/tests/front/test_software_versions.py
+++ b/tests/front/test_software_versions.py
@@ -4,140 +4,23 @@
 """
 
 import asyncio
-import contextlib
 from collections.abc import Callable, Coroutine
-from typing import Any, NamedTuple
+from typing import Any
 
 import pytest
 
-from savorylift.wire.channel import connect
-from savorylift.wire.client_call import BrokenAnswerError, ClientCall
-from savorylift.wire.message import Headers
-from tests.front.node_fleet import NodeFleet
+from tests.front.version_fleet import (
+    BREAK_AFTER,
+    EVENTS,
+    Part,
+    VersionFleet,
+    join,
+    mixed,
+)
 
 STREAMS = 16
-EVENTS = 12
-BREAK_AFTER = 4
-STREAM_TIMEOUT_S = 8.0
 # A refusal that rests on what is known comes within this time.
 AT_ONCE_S = 0.6
-PATH = "/resumable/x"
-
-
-class Part(NamedTuple):
-    """What a caller got in one attempt.
-
-    Attributes:
-        status: Status of the response; 0 if there was none.
-        versions: Software version of each event.
-        is_whole: Whether the stream ended as complete.
-        took_s: Time until the response ended.
-        retry_after: When to return, if the response said so.
-    """
-
-    status: int
-    versions: list[str]
-    is_whole: bool
-    took_s: float
-    retry_after: str | None = None
-
-
-class VersionFleet(NodeFleet):
-    """Two engines of each of two versions; streams break off once."""
-
-    def __init__(self, nodes: int = 2) -> None:
-        super().__init__(nodes, 4)
-        self.set_versions("v1", "v1", "v2", "v2")
-        for server in self.pool:
-            server.says_version = True
-            server.events_per_stream = EVENTS
-            server.resets_after = BREAK_AFTER
-
-    def set_versions(self, *versions: str) -> None:
-        """Sets the software version of each engine."""
-        for server, version in zip(self.pool, versions, strict=True):
-            server.software_version = version
-
-    async def stream(
-        self,
-        node: int,
-        attempt: str,
-        extra: Headers = (),
-        counts: str = "100,50",
-    ) -> Part:
-        """Sends a request for a stream and reads it to its end."""
-        headers: Headers = (
-            ("host", "h.example"),
-            ("x-savorylift-attempt-id", attempt),
-            ("x-savorylift-deadline-remaining", "6000"),
-            ("x-api-key", "key"),
-            ("x-savorylift-token-counts", counts),
-            *extra,
-        )
-        loop = asyncio.get_running_loop()
-        began_s = loop.time()
-        status, retry_after, data, is_whole = 0, None, b"", False
-        with contextlib.suppress(BrokenAnswerError, OSError, TimeoutError):
-            async with asyncio.timeout(STREAM_TIMEOUT_S):
-                ip = self.ips[node]
-                call = ClientCall(await connect(ip, self.caller_port, 1.0))
-                call.send(
-                    "POST", PATH, headers, b"question " + attempt.encode()
-                )
-                head = await call.read_head()
-                status, retry_after = head.status, head.header("retry-after")
-                while (chunk := await call.read_body_chunk()) is not None:
-                    data += chunk
-                is_whole = True
-        took_s = loop.time() - began_s
-        return Part(status, versions(data), is_whole, took_s, retry_after)
-
-    async def take_up(
-        self, node: int, attempt: str, part: Part, first: str
-    ) -> Part:
-        """Takes a stream up that the attempt `first` began."""
-        extra = (("last-event-id", str(len(part.versions))), ("resumes", first))
-        return await self.stream(node, attempt, extra)
-
-    async def take_up_all(self, node: int, parts: list[Part]) -> list[Part]:
-        """Takes up all streams that `broken_streams` returned."""
-        return await asyncio.gather(
-            *(
-                self.take_up(node, f"t{number}", part, f"s{number}")
-                for number, part in enumerate(parts)
-            )
-        )
-
-    async def broken_streams(self, count: int, node: int = 0) -> list[Part]:
-        """Returns streams that broke off and did not go on."""
-        for server in self.pool:
-            server.rejects_resumed = True
-        names = [f"s{number}" for number in range(count)]
-        parts = await asyncio.gather(*(self.stream(node, n) for n in names))
-        for server in self.pool:
-            server.rejects_resumed = False
-        assert all(len(part.versions) == BREAK_AFTER for part in parts)
-        assert not any(part.is_whole for part in parts)
-        return list(parts)
-
-
-def versions(data: bytes) -> list[str]:
-    lines = data.decode().splitlines()
-    return [
-        line.removeprefix("data: ") for line in lines if line.startswith("data")
-    ]
-
-
-def join(parts: list[Part], rests: list[Part]) -> list[list[str]]:
-    """Returns the versions that each caller got in two attempts."""
-    return [
-        part.versions + rest.versions
-        for part, rest in zip(parts, rests, strict=True)
-    ]
-
-
-def mixed(*streams: list[str]) -> list[list[str]]:
-    return [events for events in streams if len(set(events)) > 1]
 
 
 def test_broken_stream_goes_on_at_the_version_that_began_it() -> None:
