Keep in the store where streams began while versions differ

Cause: the origins of streams lay in the memory of three nodes each; a fleet that was lost whole refused what it no longer knew.

Why this works: while several versions of a service count, nodes append the origins of their unfinished streams to a topic whose records expire, those that run already when a second version appears, too; at most once a second and node, 20 a second of all nodes together. A node reads it only for a take-up that no node knows, twice a second at most, and the request waits 0.25 s at most.

Evidence: the new test with three nodes killed failed before (4 of 12 events each; with two it passed), both pass after.

--- a/src/savorylift/exchange/stream_origins.py
+++ b/src/savorylift/exchange/stream_origins.py
@@ -8,7 +8,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Iterator
 from typing import NamedTuple
 
 import structlog
@@ -109,6 +109,22 @@
         self._own.discard(attempt_id)
         self._telling.pop(attempt_id, None)
 
+    def own(self) -> Iterator[StreamOrigin]:
+        """Yields the origins of this node's streams that are not complete."""
+        for attempt_id in self._own:
+            origin = self._table.find(attempt_id)
+            if origin is not None:
+                yield origin
+
+    def keep_saved(self, origins: Iterable[StreamOrigin]) -> None:
+        """Keeps origins that nodes have written to the store."""
+        for origin in origins:
+            self._table.put(origin)
+
+    def find_held(self, attempt_id: str) -> StreamOrigin | None:
+        """Returns where a stream began, if this node holds it."""
+        return self._table.find(attempt_id)
+
     async def find(self, attempt_id: str) -> StreamOrigin | None:
         """Returns where a stream began; None if no node that is asked knows."""
         origin = self._table.find(attempt_id)
--- a/src/savorylift/exchange/stream_resumption.py
+++ b/src/savorylift/exchange/stream_resumption.py
@@ -11,6 +11,7 @@
 from returns.result import Failure, Result, Success
 
 from savorylift.exchange.admission import AdmittedRequest
+from savorylift.exchange.origin_log import OriginLog
 from savorylift.exchange.results import Refused
 from savorylift.exchange.run import Run
 from savorylift.exchange.server_pool import ServerPool
@@ -36,6 +37,7 @@
     def __init__(
         self,
         origins: StreamOrigins,
+        origin_log: OriginLog,
         history: VersionHistory,
         pool: ServerPool,
         find_service: Callable[[str], Service | None],
@@ -43,12 +45,14 @@
         """Creates it without any stream.
 
         Args:
-            origins: Where streams began.
+            origins: Where streams began, as far as nodes know.
+            origin_log: The same, as far as the store knows.
             history: Software versions that have served lately.
             pool: The servers.
             find_service: Returns a configured service by its name.
         """
         self._origins = origins
+        self._origin_log = origin_log
         self._history = history
         self._pool = pool
         self._find_service = find_service
@@ -67,7 +71,7 @@
             req.resumes is None and req.resume_after is None
         ):
             return Success(admitted)
-        origin = await self._origins.find(req.resumes) if req.resumes else None
+        origin = await self._find_origin(admitted)
         bound = self._bind(admitted, origin)
         is_known = bound.software_version is not None
         has_server = is_known and self._pool.has_server(bound, ())
@@ -126,6 +130,18 @@
         """Whether no server may continue a stream that has begun."""
         return run.has_begun and not self._pool.has_server(run.admitted, ())
 
+    async def _find_origin(
+        self, admitted: AdmittedRequest
+    ) -> StreamOrigin | None:
+        """Returns where a resumed stream began; None if nobody knows."""
+        attempt_id = admitted.req.resumes
+        if not attempt_id:
+            return None
+        origin = await self._origins.find(attempt_id)
+        if origin is None and self._only_version(admitted.service.name) is None:
+            origin = await self._origin_log.find(attempt_id)
+        return origin
+
     def _only_version(self, service: str) -> str | None:
         """Returns the version that began all streams of a service, if known."""
         if not self._history.is_complete:
--- a/src/savorylift/fleet/version_history.py
+++ b/src/savorylift/fleet/version_history.py
@@ -84,6 +84,14 @@
             known.setdefault(service, set()).add(software_version)
         return {service: frozenset(found) for service, found in known.items()}
 
+    def mixed_services(self) -> frozenset[str]:
+        """Returns the services whose streams began at several versions."""
+        return frozenset(
+            service
+            for service, versions in self.known_versions().items()
+            if len(versions) > 1
+        )
+
     def only_version(self, service: str) -> str | None:
         """Returns the version that all streams of a service began at.
 
--- a/src/savorylift/fleet/version_recorder.py
+++ b/src/savorylift/fleet/version_recorder.py
@@ -6,16 +6,13 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import NamedTuple
 
-import cbor2
-import msgspec
 import structlog
 from returns.pipeline import is_successful
-from returns.result import Failure, Result, Success
 
-from savorylift.fleet.known_fields import keep_known_fields
+from savorylift.fleet.record_codec import decode_record, encode_record
 from savorylift.fleet.version_history import VersionHistory
 from savorylift.platform.store import (
     MAX_KEY_BYTES,
@@ -98,7 +95,9 @@
         if not changed:
             return True
         records = [
-            Record(service, _encode(versions))
+            Record(
+                service, encode_record(VersionRecord(tuple(sorted(versions))))
+            )
             for service, versions in changed.items()
         ]
         written = await self._store.append(VERSIONS_TOPIC, records)
@@ -119,7 +118,7 @@
             return False
         records = listed.unwrap().records
         for record in records:
-            decoded = _decode(record.value or b"")
+            decoded = decode_record(record.value or b"", VersionRecord)
             if not is_successful(decoded):
                 _log.warning(
                     "version_record_unsound",
@@ -137,17 +136,3 @@
             versions={s: sorted(found) for s, found in self._saved.items()},
         )
         return True
-
-
-def _encode(versions: Iterable[str]) -> bytes:
-    record = VersionRecord(tuple(sorted(versions)))
-    return cbor2.dumps(msgspec.to_builtins(record))
-
-
-def _decode(data: bytes) -> Result[VersionRecord, str]:
-    """Decodes a record, of a later build too; returns why it is invalid."""
-    try:
-        values = keep_known_fields(cbor2.loads(data), VersionRecord)
-        return Success(msgspec.convert(values, type=VersionRecord))
-    except (cbor2.CBORError, msgspec.ValidationError, ValueError) as exc:
-        return Failure(f"{type(exc).__name__}: {exc}")
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -5,7 +5,7 @@
 import random
 import signal
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 import structlog
 from returns.pipeline import is_successful
@@ -18,6 +18,7 @@
 from savorylift.exchange.generation import GenerationDispatcher
 from savorylift.exchange.limit_gate import LimitGate
 from savorylift.exchange.mover import Mover
+from savorylift.exchange.origin_log import OriginLog
 from savorylift.exchange.plain_call import PlainCallDispatcher
 from savorylift.exchange.reach_probe import ReachProbe
 from savorylift.exchange.request import AnswerHead
@@ -30,7 +31,7 @@
 from savorylift.exchange.stream_resumption import StreamResumption
 from savorylift.fleet import metrics as fleet_metrics
 from savorylift.fleet.home_ring import Home
-from savorylift.fleet.membership import Membership
+from savorylift.fleet.membership import Membership, Peer
 from savorylift.fleet.message_auth import MessageAuthenticator
 from savorylift.fleet.permit_issuer import PermitIssuer
 from savorylift.fleet.registration import Registration
@@ -178,6 +179,15 @@
             rng,
         )
         version_history = VersionHistory()
+        self._store = StoreClient(split_address(settings.store))
+        self._origin_log = OriginLog(
+            settings.vm,
+            self._store,
+            origins,
+            version_history,
+            lambda: 1 + sum(1 for _ in self._live_peers()),
+            self._store_era,
+        )
         self._server_news = ServerNews(
             Home(self._ip, settings.failure_domain),
             self._membership,
@@ -196,6 +206,7 @@
             self._crash_guard,
             StreamResumption(
                 origins,
+                self._origin_log,
                 version_history,
                 self._pool,
                 self._find_service,
@@ -221,13 +232,12 @@
                 req, self._caller_directory.all_addresses
             ),
         )
-        self._store = StoreClient(split_address(settings.store))
         self._refusal_writer = RefusalWriter(self._store, refusal_counts)
         self._version_recorder = VersionRecorder(
             self._store,
             version_history,
             lambda: self._was_reader,
-            lambda: era_of(self._store_view.servers_version[0]),
+            self._store_era,
         )
         read_policy = ReadPolicy(
             self._is_reader,
@@ -322,6 +332,7 @@
         self._tasks.spawn(self._registration.run())
         self._tasks.spawn(self._refusal_writer.run())
         self._tasks.spawn(self._version_recorder.run())
+        self._tasks.spawn(self._origin_log.run())
         self._tasks.spawn(self._drain_poller.run())
         if self._load_poller is not None:
             self._tasks.spawn(self._load_poller.run())
@@ -329,7 +340,11 @@
         await self._lifecycle.wait_until_drained()
         self._lifecycle.end()
         await self._caller_listener.close_when_served(CLOSING_TIMEOUT_S)
-        await asyncio.gather(self._refusal_writer.save(), self._mover.finish())
+        await asyncio.gather(
+            self._refusal_writer.save(),
+            self._origin_log.save(),
+            self._mover.finish(),
+        )
         _log.info(
             "stop", after_s=time.monotonic() - self._lifecycle.leaving_since_s
         )
@@ -456,6 +471,12 @@
             else:
                 self._generations.on_change()
 
+    def _live_peers(self) -> Iterator[Peer]:
+        return self._membership.live_peers(time.monotonic())
+
+    def _store_era(self) -> int:
+        return era_of(self._store_view.servers_version[0])
+
     def _find_service(self, name: str) -> Service | None:
         cfg = self._store_view.configuration
         return None if cfg is None else cfg.services.get(name)
--- a/src/savorylift/platform/store.py
+++ b/src/savorylift/platform/store.py
@@ -21,6 +21,8 @@
 REFUSALS_TOPIC = "keyed.refusals"
 RULES_TOPIC = "keyed.rules"
 VERSIONS_TOPIC = "keyed.versions"
+# Its records expire by themselves.
+ORIGINS_TOPIC = "origins"
 
 # Number of times that the store has come back from an older copy. Offsets go
 # back then and are given out again.
@@ -36,6 +38,8 @@
 # The length of a key is one byte.
 MAX_KEY_BYTES = 255
 GONE_STATUS = 410
+# A store may come back from a copy, and its first record be expired.
+MAX_REPOSITIONS = 3
 _LENGTH = struct.Struct(">I")
 _READ_HEADER = struct.Struct(">QQ")
 
@@ -57,10 +61,13 @@
     Attributes:
         fault: Reason of the failure.
         detail: HTTP status or error text, for logs.
+        start: Position of the oldest record, if a read failed since its own
+            position is not there any more.
     """
 
     fault: StoreFault
     detail: str
+    start: int | None = None
 
 
 class Record(NamedTuple):
@@ -94,6 +101,10 @@
     offset: int
 
 
+class _Trimmed(msgspec.Struct):
+    first: int
+
+
 class _Appended(msgspec.Struct):
     offset: int
 
@@ -168,7 +179,11 @@
         if era != known_era:
             return Failure(_restored(era))
         if response.status == GONE_STATUS:
-            return Failure(StoreError(StoreFault.TRIMMED, "410"))
+            trimmed = decode_json(response.body, _Trimmed)
+            start = trimmed.map(lambda t: _position(era, t.first)).value_or(
+                None
+            )
+            return Failure(StoreError(StoreFault.TRIMMED, "410", start))
         records = _decode_records(response.body)
         if records is None:
             return Failure(
@@ -182,6 +197,26 @@
         keyed = tuple(record for record in records if record is not None)
         return Success(Batch(keyed, offset + len(records)))
 
+    async def read_retained(
+        self, topic: str, position: int | None
+    ) -> Result[Batch, StoreError]:
+        """Returns records from a position on, without waiting for one.
+
+        Those from the oldest one on if that position is None, has expired, or
+        is of an earlier era of the store.
+        """
+        if position is None:
+            position = 0
+        batch = await self.read(topic, position, 0.0)
+        for _ in range(MAX_REPOSITIONS):
+            if is_successful(batch):
+                break
+            start = batch.failure().start
+            if start is None:
+                break
+            batch = await self.read(topic, start, 0.0)
+        return batch
+
     async def append(
         self,
         topic: str,
@@ -255,7 +290,8 @@
 
 
 def _restored(era: int) -> StoreError:
-    return StoreError(StoreFault.RESTORED, f"the store is in era {era} now")
+    detail = f"the store is in era {era} now"
+    return StoreError(StoreFault.RESTORED, detail, _position(era, 0))
 
 
 def _encode_record(record: Record) -> bytes:
--- a/tests/front/test_lost_fleets.py
+++ b/tests/front/test_lost_fleets.py
@@ -6,6 +6,7 @@
 import pytest
 
 from tests.front.version_fleet import (
+    EVENTS,
     VersionProcessFleet,
     join,
     mixed,
@@ -15,6 +16,8 @@
 STREAMS = 8
 # More than a node takes to notice a new entry, and to write what follows.
 NOTICE_S = 1.0
+# Origins of streams are written within a second.
+WRITTEN_S = 1.3
 
 pytestmark = pytest.mark.processes
 
@@ -42,3 +45,25 @@
             assert {rest.status for rest in rests} == {503}
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("killed", [2, NODES])
+def test_streams_go_on_at_their_version_after_kills(
+    killed: int, tmp_path: pathlib.Path
+) -> None:
+    """Nodes that were all killed refused each stream while versions differ."""
+
+    async def scenario() -> None:
+        fleet = VersionProcessFleet(NODES, tmp_path)
+        async with fleet.running():
+            parts = await fleet.broken_streams(STREAMS)
+            await asyncio.sleep(WRITTEN_S)
+            fleet.kill(killed)
+            await fleet.start_again(killed)
+            await asyncio.sleep(NOTICE_S)
+            rests = await fleet.take_up_all(1, parts)
+            joined = join(parts, rests)
+            assert mixed(*joined) == []
+            assert [len(events) for events in joined] == [EVENTS] * STREAMS
+
+    asyncio.run(scenario())
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -148,3 +148,36 @@
         assert error.fault is StoreFault.RESTORED
 
     run_with_timeout(scenario())
+
+
+def test_retained_records_are_read_from_the_oldest_on() -> None:
+    async def scenario() -> None:
+        store, client = await start_store()
+        store.era = 2
+        store.add("t", "a", "1")
+        first = (await client.read_retained("t", None)).unwrap()
+        assert first.records == (Record("a", b'"1"'),)
+        store.add("t", "b", "2")
+        store.topic("t").trim()
+        store.add("t", "c", "3")
+        for position in (None, first.next_offset):
+            batch = (await client.read_retained("t", position)).unwrap()
+            assert batch.records == (Record("c", b'"3"'),)
+        store.restore({})
+        store.add("t", "d", "4")
+        again = (await client.read_retained("t", batch.next_offset)).unwrap()
+        assert again.records == (Record("d", b'"4"'),)
+        rest = (await client.read_retained("t", again.next_offset)).unwrap()
+        assert rest.records == ()
+
+    run_with_timeout(scenario())
+
+
+def test_reading_of_retained_records_fails_while_the_store_is_away() -> None:
+    async def scenario() -> None:
+        store, client = await start_store()
+        store.status = 503
+        failed = await client.read_retained("t", None)
+        assert failed.failure().fault is StoreFault.REFUSED
+
+    run_with_timeout(scenario())
