Ask servers when they started before streams go on there

Reproduced with processes: a server starts again under its ID at another version and serves before its new entry is read; streams hold two versions.

Cause: a node knows a server's version by its entry, and took the new process for the old one: in take-ups, retries and moves to it, and of streams that it begins.

Why this works: before a stream goes on at a server, once the connection is open, and beside the begin of each stream, the server is asked when it started; with another start than the entry's nothing goes on there, and a stream of such a process has no version that could continue it. The connection came first, so it leads to the process that was asked or to none.

Servers that name no version count as of one, whatever the history.

--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -159,6 +159,7 @@
             if not retries.take():
                 failure = Broken(reason, "the retry budget is used up")
                 return self._end_unserved(run, sink, failure)
+            await self._resumption.settle(run)
             server = await self._queue.acquire(run, tried)
             if server is None:
                 failure = Broken(reason, "no engine has room")
@@ -329,7 +330,7 @@
         """Starts to move a run if its engine is draining."""
         if run.move_task is not None or run.server is None or run.call is None:
             return
-        if not run.can_move:
+        if not run.can_move or not run.is_version_certain:
             return
         if run.first_event_s is None or self._pool.is_in_service(run.server):
             return
--- a/src/savorylift/exchange/metrics.py
+++ b/src/savorylift/exchange/metrics.py
@@ -50,6 +50,11 @@
     "Resumed streams, by how this node knows where they began.",
     ["outcome"],
 )
+SERVER_LIVES = Counter(
+    "savorylift_front_server_lives",
+    "Checks whether a server has started again since its entry was read.",
+    ["outcome"],
+)
 UNREACHED_SERVICES = Gauge(
     "savorylift_front_unreached_services",
     "Services of which this node reaches no backend server.",
--- a/src/savorylift/exchange/run.py
+++ b/src/savorylift/exchange/run.py
@@ -65,6 +65,8 @@
         is_framed_for_caller: Whether the caller's stream was begun in a framing
             that marks its end as complete.
         is_stopping: Whether its engine was told to stop it, for a move.
+        life_check: Finds out whether the engine that began its stream is of
+            the version that its entry says; None before the stream begins.
     """
 
     def __init__(self, admitted: AdmittedRequest, expected_tokens: int) -> None:
@@ -93,6 +95,7 @@
         self.is_close_delimited = False
         self.is_framed_for_caller = False
         self.is_stopping = False
+        self.life_check: asyncio.Task[None] | None = None
 
     @property
     def attempt_id(self) -> str:
@@ -104,11 +107,15 @@
         """Whether only servers of one software version may continue it."""
         return self.admitted.software_version is not None
 
-    def bind_version(self, server: BackendServer) -> None:
-        """Lets only servers of the same software version continue it."""
-        version = server.entry.software_version
+    def bind_version(self, version: str) -> None:
+        """Lets only servers of a software version continue it."""
         self.admitted = self.admitted._replace(software_version=version)
 
+    @property
+    def is_version_certain(self) -> bool:
+        """Whether it is known which software version began its stream."""
+        return self.life_check is None or self.life_check.done()
+
     @property
     def has_survived_start(self) -> bool:
         """Whether an engine has got past the beginning of the response."""
--- a/src/savorylift/exchange/send.py
+++ b/src/savorylift/exchange/send.py
@@ -19,6 +19,7 @@
 from savorylift.exchange.results import Answered, NotRun, SendResult, Unsure
 from savorylift.exchange.run_canceller import RunCanceller
 from savorylift.exchange.server_check import ServerCheck
+from savorylift.exchange.server_life import Life, ServerLife
 from savorylift.exchange.server_reach import ServerReach
 from savorylift.outcomes import Reason
 from savorylift.wire.channel import connect
@@ -69,6 +70,7 @@
         codec: Codec,
         limit_gate: LimitGate,
         server_check: ServerCheck,
+        server_life: ServerLife,
         reach: ServerReach,
         is_usable: Callable[[BackendServer], bool],
         on_head: Callable[[BackendServer, AnswerHead], None],
@@ -80,6 +82,7 @@
             limit_gate: Holds the limits that servers name.
             server_check: Finds out whether a server that has closed a
                 connection is gone.
+            server_life: Finds out whether a server has started again.
             reach: Told which connections to servers bring answers.
             is_usable: Returns whether a server may still be used; checked
                 again once the connection is open.
@@ -88,6 +91,7 @@
         self._codec = codec
         self._limit_gate = limit_gate
         self._server_check = server_check
+        self._server_life = server_life
         self._reach = reach
         self._is_usable = is_usable
         self._head_reader = AnswerHeadReader(codec, limit_gate, on_head)
@@ -128,6 +132,10 @@
             channel.abort()
             detail = "the server stopped taking new requests"
             return NotRun(Reason.OUT_OF_SERVICE, detail, reached_server=False)
+        if not await self._may_continue(server, admitted):
+            channel.abort()
+            detail = "the server isn't known to be of the stream's version"
+            return NotRun(Reason.OUT_OF_SERVICE, detail, reached_server=False)
         if not self._limit_gate.may_send(server, permit):
             channel.abort()
             return _over_limit("the permit expired, or a limit has begun")
@@ -207,6 +215,18 @@
         """Cancels a run that would continue without its connection."""
         self._canceller.cancel(server, cancel_request)
 
+    async def _may_continue(
+        self, server: BackendServer, admitted: AdmittedRequest
+    ) -> bool:
+        """Whether a server may get the request, once a connection is open.
+
+        A stream that has begun is continued by its software version only.
+        """
+        if admitted.software_version is None:
+            return True
+        life = await self._server_life.check(server, admitted.req.attempt_id)
+        return life in (Life.SAME, Life.UNSAID)
+
     async def _acquire_permit(
         self,
         server: BackendServer,
--- a/src/savorylift/exchange/server_check.py
+++ b/src/savorylift/exchange/server_check.py
@@ -11,6 +11,7 @@
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange import metrics
 from savorylift.exchange.limit_gate import LimitGate
+from savorylift.exchange.shared_checks import SharedChecks
 from savorylift.wire.channel import Channel, connect
 
 # A caller waits for its answer meanwhile.
@@ -63,9 +64,7 @@
         self._channels: weakref.WeakKeyDictionary[Channel, str] = (
             weakref.WeakKeyDictionary()
         )
-        # Checks by server: the one in progress and the one that follows it.
-        self._running: dict[str, asyncio.Task[bool]] = {}
-        self._waiting: dict[str, asyncio.Task[bool]] = {}
+        self._checks: SharedChecks[bool] = SharedChecks()
 
     def add_channel(self, server: BackendServer, channel: Channel) -> None:
         """Adds a connection for a request to a server."""
@@ -80,24 +79,9 @@
         if not self._is_in_service(server):
             return False
         server_id = server.entry.server_id
-        task = self._waiting.get(server_id)
-        if task is None:
-            task = asyncio.get_running_loop().create_task(
-                self._check_next(server, request)
-            )
-            self._waiting[server_id] = task
-        return await asyncio.shield(task)
-
-    async def _check_next(self, server: BackendServer, request: str) -> bool:
-        """Checks a server once the check in progress has ended."""
-        server_id = server.entry.server_id
-        if server_id in self._running:
-            await asyncio.wait((self._running[server_id],))
-        self._running[server_id] = self._waiting.pop(server_id)
-        try:
-            return await self._check(server, request)
-        finally:
-            del self._running[server_id]
+        return await self._checks.run(
+            server_id, lambda: self._check(server, request)
+        )
 
     async def _check(self, server: BackendServer, request: str) -> bool:
         began_s = time.monotonic()
--- a/src/savorylift/exchange/stream_resumption.py
+++ b/src/savorylift/exchange/stream_resumption.py
@@ -4,16 +4,19 @@
 the events that a caller has.
 """
 
+import asyncio
 import time
 from collections.abc import Callable
 
 import structlog
 from returns.result import Failure, Result, Success
 
+from savorylift.backends.registry import BackendServer
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.origin_log import OriginLog
 from savorylift.exchange.results import Refused
 from savorylift.exchange.run import Run
+from savorylift.exchange.server_life import Life, ServerLife
 from savorylift.exchange.server_pool import ServerPool
 from savorylift.exchange.stream_origins import StreamOrigins
 from savorylift.fleet.state import StreamOrigin
@@ -25,6 +28,12 @@
 UNKNOWN_RETRY_S = 1.0
 # A server that crashed is back within seconds, with the version that it had.
 VERSION_GONE_RETRY_S = 2.0
+# Binds a stream that no server may continue: no server has this version.
+UNKNOWN_VERSION = "\0"
+# Servers that name no version are all of one.
+UNNAMED_VERSION = ""
+# Sound servers fall silent for a second or so.
+MAX_LIFE_CHECKS = 3
 # Callers may be a little late.
 RESUME_SLACK_S = 5.0
 
@@ -39,6 +48,7 @@
         origins: StreamOrigins,
         origin_log: OriginLog,
         history: VersionHistory,
+        server_life: ServerLife,
         pool: ServerPool,
         find_service: Callable[[str], Service | None],
     ) -> None:
@@ -48,12 +58,14 @@
             origins: Where streams began, as far as nodes know.
             origin_log: The same, as far as the store knows.
             history: Software versions that have served lately.
+            server_life: Finds out whether a server has started again.
             pool: The servers.
             find_service: Returns a configured service by its name.
         """
         self._origins = origins
         self._origin_log = origin_log
         self._history = history
+        self._server_life = server_life
         self._pool = pool
         self._find_service = find_service
 
@@ -101,8 +113,35 @@
     def record_begin(self, run: Run) -> None:
         """Records the version of a stream whose first event is passed on."""
         assert run.server is not None
-        if not run.has_begun:
-            run.bind_version(run.server)
+        if run.has_begun:
+            self._record_origin(run)
+            return
+        run.bind_version(run.server.entry.software_version)
+        run.life_check = asyncio.get_running_loop().create_task(
+            self._verify(run, run.server)
+        )
+
+    async def settle(self, run: Run) -> None:
+        """Waits until it is known which version began a stream, or is not."""
+        if run.life_check is not None:
+            await asyncio.wait((run.life_check,))
+
+    async def _verify(self, run: Run, server: BackendServer) -> None:
+        """Records the origin of a stream if the entry of its server holds.
+
+        Otherwise no server may continue it: nobody knows its version.
+        """
+        life = Life.SILENT
+        for _ in range(MAX_LIFE_CHECKS):
+            life = await self._server_life.check(server, run.attempt_id)
+            if life is not Life.SILENT:
+                break
+        if life in (Life.SAME, Life.UNSAID):
+            self._record_origin(run)
+        else:
+            run.bind_version(UNKNOWN_VERSION)
+
+    def _record_origin(self, run: Run) -> None:
         admitted = run.admitted
         req = admitted.req
         if not admitted.route.can_resume or req.wants_single_response:
@@ -122,6 +161,8 @@
 
     def record_complete(self, run: Run) -> None:
         """Records that a caller has a whole stream."""
+        if run.life_check is not None:
+            run.life_check.cancel()
         self._origins.forget(run.attempt_id)
         if run.admitted.req.resumes:
             self._origins.forget(run.admitted.req.resumes)
@@ -144,9 +185,10 @@
 
     def _only_version(self, service: str) -> str | None:
         """Returns the version that began all streams of a service, if known."""
-        if not self._history.is_complete:
-            return None
-        return self._history.only_version(service)
+        version = self._history.only_version(service)
+        if version == UNNAMED_VERSION or self._history.is_complete:
+            return version
+        return None
 
     def _bind(
         self, admitted: AdmittedRequest, origin: StreamOrigin | None
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -25,6 +25,7 @@
 from savorylift.exchange.retry_budget import RetryBudget, RetryBudgetOptions
 from savorylift.exchange.send import Sender
 from savorylift.exchange.server_check import ServerCheck
+from savorylift.exchange.server_life import ServerLife
 from savorylift.exchange.server_pool import ServerPool
 from savorylift.exchange.server_reach import ServerReach
 from savorylift.exchange.stream_origins import StreamOrigins
@@ -58,6 +59,7 @@
     directory_handler,
     readiness_handler,
 )
+from savorylift.platform.engine_client import read_start
 from savorylift.platform.store import Record, StoreClient, era_of
 from savorylift.refusals.counts import RefusalCounts
 from savorylift.refusals.writer import RefusalWriter
@@ -163,10 +165,14 @@
             self._pool.load_tracker.remove_request,
             rng,
         )
+        server_life = ServerLife(
+            self._limit_gate, self._pool.holds.is_held, read_start
+        )
         sender = Sender(
             codec,
             self._limit_gate,
             server_check,
+            server_life,
             self._reach,
             self._pool.is_usable,
             self._record_head,
@@ -208,6 +214,7 @@
                 origins,
                 self._origin_log,
                 version_history,
+                server_life,
                 self._pool,
                 self._find_service,
             ),
--- a/src/savorylift/platform/engine_client.py
+++ b/src/savorylift/platform/engine_client.py
@@ -118,6 +118,27 @@
     return response.status < 300
 
 
+async def read_start(address: tuple[str, int], timeout_s: float) -> int | None:
+    """Returns when the server at an address started, as its report says.
+
+    That is a Unix time in milliseconds; 0 if it doesn't say, and None if it
+    doesn't answer.
+    """
+    try:
+        response = await fetch(
+            address,
+            "GET",
+            "/report",
+            timeout_s=timeout_s,
+            connect_timeout_s=timeout_s,
+        )
+    except (OSError, BrokenAnswerError):
+        return None
+    report = decode_json(response.body, dict).value_or({})
+    born = report.get("born")
+    return born if isinstance(born, int) else 0
+
+
 async def is_engine_draining(
     address: tuple[str, int], *, timeout_s: float
 ) -> bool:
--- a/tests/exchange/test_server_check.py
+++ b/tests/exchange/test_server_check.py
@@ -122,7 +122,7 @@
         for number in range(50):
             server = server_at(rng.randrange(1, 100), f"s{number}")
             await check.is_gone(server, f"a{number}")
-        assert not check._running
-        assert not check._waiting
+        assert not check._checks._running
+        assert not check._checks._waiting
 
     run_with_timeout(scenario())
--- /dev/null
+++ b/tests/exchange/test_server_life.py
@@ -0,0 +1,111 @@
+"""Tests of finding out whether a server has started again."""
+
+import asyncio
+
+import pytest
+
+from savorylift.backends.registry import BackendServer
+from savorylift.exchange.limit_gate import Permit
+from savorylift.exchange.server_life import UNSAID, Life, ServerLife
+from savorylift.exchange.shared_checks import SharedChecks
+from tests.exchange.factories import make_server_entry
+
+
+class Gate:
+    """Grants permits, or none."""
+
+    def __init__(self, *, grants: bool) -> None:
+        self._grants = grants
+
+    async def acquire(self, *_: object, **__: object) -> Permit | None:
+        return Permit(None) if self._grants else None
+
+
+class Servers:
+    """Answers with a start, after a moment."""
+
+    def __init__(self, started_ms: int | None) -> None:
+        self.started_ms = started_ms
+        self.asked = 0
+
+    async def read_start(self, _: tuple[str, int], __: float) -> int | None:
+        self.asked += 1
+        await asyncio.sleep(0.01)
+        return self.started_ms
+
+
+def make_server(started_ms: int) -> BackendServer:
+    entry = make_server_entry("i-1")._replace(started_ms=started_ms)
+    return BackendServer(entry, 0.0)
+
+
+def make_life(
+    servers: Servers, *, grants: bool = True, is_held: bool = False
+) -> ServerLife:
+    gate = Gate(grants=grants)
+    return ServerLife(gate, lambda _: is_held, servers.read_start)  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(
+    ("known_ms", "started_ms", "life"),
+    [
+        (5, 5, Life.SAME),
+        (5, 6, Life.OTHER),
+        (6, 5, Life.OTHER),
+        (5, None, Life.SILENT),
+        (5, UNSAID, Life.UNSAID),
+        (UNSAID, 5, Life.UNSAID),
+    ],
+)
+def test_life_by_what_the_entry_and_the_server_say(
+    known_ms: int, started_ms: int | None, life: Life
+) -> None:
+    checker = make_life(Servers(started_ms))
+    found = asyncio.run(checker.check(make_server(known_ms), "a1"))
+    assert found is life
+
+
+@pytest.mark.parametrize(
+    ("grants", "is_held"), [(False, False), (True, True), (False, True)]
+)
+def test_server_that_wants_no_requests_is_not_asked(
+    *, grants: bool, is_held: bool
+) -> None:
+    servers = Servers(6)
+    life = make_life(servers, grants=grants, is_held=is_held)
+    assert asyncio.run(life.check(make_server(5), "a1")) is Life.UNSAID
+    assert servers.asked == 0
+
+
+def test_streams_that_begin_together_share_a_check() -> None:
+    async def scenario() -> None:
+        servers = Servers(5)
+        life = make_life(servers)
+        server = make_server(5)
+        await asyncio.gather(*(life.check(server, f"a{n}") for n in range(50)))
+        assert servers.asked == 1
+
+    asyncio.run(scenario())
+
+
+def test_check_that_began_earlier_does_not_count() -> None:
+    async def scenario() -> None:
+        checks: SharedChecks[int] = SharedChecks()
+        begun = 0
+
+        async def check() -> int:
+            nonlocal begun
+            begun += 1
+            own = begun
+            await asyncio.sleep(0.02)
+            return own
+
+        first = asyncio.ensure_future(checks.run("i-1", check))
+        await asyncio.sleep(0.01)
+        later = [
+            asyncio.ensure_future(checks.run("i-1", check)) for _ in range(3)
+        ]
+        assert await first == 1
+        assert await asyncio.gather(*later) == [2, 2, 2]
+
+    asyncio.run(scenario())
--- /dev/null
+++ b/tests/front/test_reborn_servers.py
@@ -0,0 +1,116 @@
+"""Tests of servers that start again under their ID at another version.
+
+Until their new entry is in the store, nodes take them for what they were.
+"""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+import pytest
+
+from tests.front.version_fleet import (
+    EVENTS,
+    VersionFleet,
+    join,
+    mixed,
+)
+from tests.standins.platform_server import PlatformServer
+
+STREAMS = 12
+# As long as a stream whose version is gone may keep its caller waiting.
+ENTRY_DELAY_S = 0.5
+
+
+def reborn(server: PlatformServer, version: str) -> None:
+    """Lets a server be a new process of another version, without an entry."""
+    server.software_version = version
+    server.born += 1
+
+
+def test_reborn_server_continues_no_stream_before_its_entry_is_read() -> None:
+    """Streams went on at a server that had restarted at another version."""
+
+    async def scenario(fleet: VersionFleet) -> None:
+        parts = await fleet.broken_streams(STREAMS)
+        for server in fleet.pool[:2]:
+            reborn(server, "v2")
+        rests = await fleet.take_up_all(1, parts)
+        assert {part.versions[0] for part in parts} == {"v1", "v2"}
+        assert mixed(*join(parts, rests)) == []
+
+    run_in_fleet(scenario)
+
+
+def test_stream_that_a_reborn_server_begins_goes_on_at_no_other_version() -> (
+    None
+):
+    """A stream was taken for one of the version that its server had before."""
+
+    async def scenario(fleet: VersionFleet) -> None:
+        reborn(fleet.pool[0], "v2")
+        parts = await asyncio.gather(
+            *(fleet.stream(n % 2, f"s{n}") for n in range(STREAMS))
+        )
+        assert mixed(*(part.versions for part in parts)) == []
+        broken = [part for part in parts if not part.is_whole]
+        assert broken
+        rests = [
+            await fleet.take_up(1, f"t{n}", part, f"s{n}")
+            for n, part in enumerate(parts)
+            if not part.is_whole
+        ]
+        assert mixed(*join(broken, rests)) == []
+
+    run_in_fleet(scenario)
+
+
+def test_run_is_not_moved_to_a_reborn_server_of_another_version() -> None:
+    """Runs were moved to a server that had restarted at another version."""
+
+    async def scenario(fleet: VersionFleet) -> None:
+        for server in fleet.pool:
+            server.resets_after = None
+            server.events_per_stream = 100
+        streams = [
+            asyncio.ensure_future(fleet.stream(n % 2, f"s{n}"))
+            for n in range(STREAMS)
+        ]
+        await asyncio.sleep(0.4)
+        reborn(fleet.pool[1], "v2")
+        fleet.publish_entry(fleet.pool[0], "pool", "draining")
+        parts = await asyncio.gather(*streams)
+        assert fleet.pool[0].stopped
+        assert mixed(*(part.versions for part in parts)) == []
+
+    run_in_fleet(scenario)
+
+
+@pytest.mark.parametrize("delay_s", [0.0, ENTRY_DELAY_S])
+def test_streams_go_on_once_the_entry_of_a_reborn_server_is_read(
+    delay_s: float,
+) -> None:
+    async def scenario(fleet: VersionFleet) -> None:
+        parts = await fleet.broken_streams(STREAMS)
+        for server in fleet.pool:
+            server.born += 1
+        await asyncio.sleep(delay_s)
+        for server in fleet.pool:
+            fleet.publish_entry(server, "pool")
+        await asyncio.sleep(0.5)
+        joined = join(parts, await fleet.take_up_all(1, parts))
+        assert mixed(*joined) == []
+        assert [len(events) for events in joined] == [EVENTS] * STREAMS
+
+    run_in_fleet(scenario)
+
+
+def run_in_fleet(
+    scenario: Callable[[VersionFleet], Coroutine[Any, Any, None]],
+) -> None:
+    async def main() -> None:
+        fleet = VersionFleet()
+        async with fleet.running():
+            await scenario(fleet)
+
+    asyncio.run(main())
--- a/tests/front/version_fleet.py
+++ b/tests/front/version_fleet.py
@@ -30,6 +30,7 @@
         is_whole: Whether the stream ended as complete.
         took_s: Time until the response ended.
         retry_after: When to return, if the response said so.
+        numbers: Number of each event.
     """
 
     status: int
@@ -37,6 +38,7 @@
     is_whole: bool
     took_s: float
     retry_after: str | None = None
+    numbers: tuple[int, ...] = ()
 
 
 class VersionFleet(NodeFleet):
@@ -90,7 +92,14 @@
                     data += chunk
                 is_whole = True
         took_s = loop.time() - began_s
-        return Part(status, versions(data), is_whole, took_s, retry_after)
+        return Part(
+            status,
+            versions(data),
+            is_whole,
+            took_s,
+            retry_after,
+            numbers(data),
+        )
 
     async def take_up(
         self, node: int, attempt: str, part: Part, first: str
@@ -144,10 +153,20 @@
 
 
 def versions(data: bytes) -> list[str]:
-    lines = data.decode().splitlines()
-    return [
-        line.removeprefix("data: ") for line in lines if line.startswith("data")
-    ]
+    """Returns the software version of each event."""
+    return fields(data, "data: ")
+
+
+def numbers(data: bytes) -> tuple[int, ...]:
+    """Returns the number of each event."""
+    return tuple(int(text) for text in fields(data, "id: "))
+
+
+def fields(data: bytes, name: str) -> list[str]:
+    """Returns the values of a field of all complete events."""
+    complete, _, _ = data.rpartition(b"\n\n")
+    lines = complete.decode().splitlines()
+    return [line.removeprefix(name) for line in lines if line.startswith(name)]
 
 
 def join(parts: list[Part], rests: list[Part]) -> list[list[str]]:
--- /dev/null
+++ b/tests/soak/test_version_soak.py
@@ -0,0 +1,21 @@
+"""Soak test of streams and software versions, with a fixed set of seeds."""
+
+import pathlib
+
+import pytest
+
+from tests.soak.version_scenario import run_version_seed
+
+pytestmark = pytest.mark.processes
+DURATION_S = 8.0
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_streams_keep_their_version_under_faults(
+    seed: int, tmp_path: pathlib.Path
+) -> None:
+    result = run_version_seed(seed, tmp_path, DURATION_S)
+    assert not result.violations, "\n".join(
+        [*result.violations, *result.faults]
+    )
+    assert any(stream.is_whole for stream in result.streams)
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -78,6 +78,8 @@
             crash.
         crashes_before_head: Whether it crashes before the head of the answer.
         software_version: Version of its software, as its entry says.
+        born: Unix time in milliseconds of its start, as its entry and its
+            reports say.
         says_version: Whether each event of a stream says that version.
         resets_after: Resets the connection after the stream event of this
             number, in streams that begin here; None for never.
@@ -136,6 +138,7 @@
         self.crashes_before_head = False
         self.restart_s = RESTART_S
         self.software_version = "v1"
+        self.born = 1
         self.says_version = False
         self.resets_after: int | None = None
         self.resets_from: int | None = None
@@ -201,7 +204,7 @@
             "state": state,
             "coldRemainingMs": 0,
             "sequence": 1,
-            "born": 1,
+            "born": self.born,
         }
 
     async def _serve(self, conn: ServerConnection) -> None:
@@ -220,7 +223,8 @@
         headers = dict(req.headers)
         if req.target == "/report":
             state = "draining" if self.is_leaving else "ready"
-            conn.respond(200, (), json.dumps({"state": state}).encode())
+            report = {"state": state, "born": self.born}
+            conn.respond(200, (), json.dumps(report).encode())
         elif req.target == "/health":
             await asyncio.sleep(self.delay_s)
             conn.respond(200, (), b"")
--- a/tests/standins/scripted_server.py
+++ b/tests/standins/scripted_server.py
@@ -9,6 +9,9 @@
 from savorylift.wire.message import Request
 from savorylift.wire.server_connection import InputLimits, ServerConnection
 
+# What a server says of itself: when it started, as its entry does.
+REPORT = b'{"born": 1}'
+
 
 class End(enum.Enum):
     """What a server does after its bytes."""
@@ -45,7 +48,7 @@
 
 
 class ScriptedServer:
-    """Answers each request with the script for it.
+    """Answers each request but for reports with the script for it.
 
     Attributes:
         requests: Requests that it got.
@@ -85,6 +88,10 @@
         req = await conn.next_request()
         if not isinstance(req, Request):
             return
+        if req.target == "/report":
+            conn.respond(200, (), REPORT)
+            await conn.channel.close_gracefully()
+            return
         scripted = ScriptedRequest(req.target, dict(req.headers), req.body)
         self.requests.append(scripted)
         script = self._get_script(scripted)
