Check the first event of a resumed stream against the caller's last

What callers saw: a number that went back, or one that was missing, if a server goes on with a stream at another event than the next.

Cause: numbers were compared with the last event that this attempt had relayed; in a take-up there is none yet, though its Last-Event-Id tells.

Why this works: the comparison begins with the last event that the caller has.

--- a/src/savorylift/exchange/relay.py
+++ b/src/savorylift/exchange/relay.py
@@ -87,12 +87,13 @@
         self, run: Run, started: Started, sink: EventSink, event: Event
     ) -> None:
         data, number = event
-        if number is not None and run.last_event is not None:
-            if number <= run.last_event:
+        last_event = run.last_event_of_caller
+        if number is not None and last_event is not None:
+            if number <= last_event:
                 return
-            if number > run.last_event + 1:
+            if number > last_event + 1:
                 raise BrokenAnswerError(
-                    f"event {number} followed event {run.last_event}"
+                    f"event {number} followed event {last_event}"
                 )
         if not sink.is_started:
             _start_sink(run, started, sink)
--- a/src/savorylift/exchange/run.py
+++ b/src/savorylift/exchange/run.py
@@ -14,6 +14,8 @@
 
 # An engine that crashes on a request may still deliver a first event or two.
 EVENTS_TO_SURVIVE = 4
+# No stream has as many events.
+MAX_NUMBER_DIGITS = 18
 
 
 class ResumeTarget(NamedTuple):
@@ -146,6 +148,14 @@
             return self.admitted.req.resume_after
         return None
 
+    @property
+    def last_event_of_caller(self) -> int | None:
+        """Number of the last event that the caller has, if that is known."""
+        after = self.resume_after
+        if after is None or len(after) > MAX_NUMBER_DIGITS:
+            return None
+        return int(after) if after.isdecimal() else None
+
     @property
     def was_stopped_without_end(self) -> bool:
         """Whether the end of its stream may be due to a move."""
--- /dev/null
+++ b/tests/front/test_resumed_streams.py
@@ -0,0 +1,62 @@
+"""Tests of what goes on after the last event that a caller has."""
+
+import asyncio
+
+import pytest
+
+from savorylift.fleet.version_recorder import START_DELAY_S
+from savorylift.wire.message import Headers
+from tests.front.environment import NodeEnvironment, run_in_environment
+from tests.front.scripted_answers import (
+    ATTEMPT_ID,
+    CHUNKED,
+    SEAL,
+    STREAM_TYPE,
+    Reply,
+    View,
+    call,
+    chunk,
+    head,
+    replace_servers,
+)
+from tests.standins.scripted_server import Script, ScriptedRequest
+
+RESUMED: Headers = (("last-event-id", "4"), ("resumes", "a0"))
+LAST = 7
+
+
+def events(*numbers: int) -> bytes:
+    return b"".join(b"id: %d\ndata: x\n\n" % number for number in numbers)
+
+
+@pytest.mark.parametrize(
+    ("numbers", "passed_on", "view"),
+    [
+        pytest.param((5, 6, 7), (5, 6, 7), View.WHOLE, id="next"),
+        pytest.param((3, 4, 5, 6, 7), (5, 6, 7), View.WHOLE, id="earlier"),
+        pytest.param((6, 7), (), View.BROKEN, id="later"),
+        pytest.param((5, 7), (5,), View.BROKEN, id="gap"),
+    ],
+)
+def test_resumed_stream_goes_on_with_the_event_after_the_last(
+    numbers: tuple[int, ...], passed_on: tuple[int, ...], view: View
+) -> None:
+    """A server's first event was passed on, whatever its number was."""
+
+    async def scenario(env: NodeEnvironment) -> None:
+        def get_script(req: ScriptedRequest) -> Script:
+            fields = SEAL + STREAM_TYPE + CHUNKED
+            answer = head(200, req.headers[ATTEMPT_ID], fields)
+            return Script(answer + chunk(events(*numbers)) + chunk(b""))
+
+        await replace_servers(env, "/resumable/", get_script)
+        # By then a node knows that no other version has served.
+        await asyncio.sleep(START_DELAY_S + 0.3)
+        reply = await call(env, "/resumable/", RESUMED)
+        if passed_on:
+            assert reply == Reply(200, events(*passed_on), view)
+        else:
+            assert reply.view is view or reply.status == 502
+            assert b"id:" not in reply.body
+
+    run_in_environment(scenario)
