Receive and keep less of what one connection sends

What callers saw (another operator's report): a faulty server sent bytes without end, and the node that had called it ran out of memory.

Cause: one such answer is cut off, but each connection could hold half a megabyte that was not read yet; 400 calls to such servers let a node grow to 194 MB, of 150.

Why this works: a connection receives at most 64 KB at once, into a shared buffer, and pauses at 64 KB.

--- a/src/savorylift/wire/channel.py
+++ b/src/savorylift/wire/channel.py
@@ -7,7 +7,9 @@
 from collections.abc import Callable
 from typing import cast
 
-MAX_READ_BUFFER_BYTES = 262_144
+MAX_READ_BUFFER_BYTES = 65_536
+# Most that is received at once.
+MAX_RECEIVE_BYTES = 65_536
 # Most that a reader gets, and handles, at once.
 MAX_READ_BYTES = 16_384
 LINGER_TIMEOUT_S = 1.0
@@ -16,7 +18,11 @@
 NO_LINGER = struct.pack("ii", 0, 0)
 
 
-class Channel(asyncio.Protocol):
+# Shared by all connections: what arrives is copied at once.
+_received = memoryview(bytearray(MAX_RECEIVE_BYTES))
+
+
+class Channel(asyncio.BufferedProtocol):
     """Reads and writes bytes on one connection.
 
     Attributes:
@@ -70,12 +76,16 @@
         if self._on_connect is not None:
             self._on_connect(self)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:  # noqa: ARG002
+        """Returns where to put what arrives."""
+        return _received
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Buffers input; pauses reading when the buffer is full."""
         self.has_received = True
         if self._is_discarding:
             return
-        self._read_buffer += data
+        self._read_buffer += _received[:nbytes]
         if len(self._read_buffer) >= MAX_READ_BUFFER_BYTES:
             self.transport.pause_reading()
         self._wake()
--- a/tests/front/test_fair_input.py
+++ b/tests/front/test_fair_input.py
@@ -47,7 +47,7 @@
         super().__init__(daemon=True)
         self._port = port
         self._head = head
-        self._block = block * (BLOCK_BYTES // len(block))
+        self._block = block * max(BLOCK_BYTES // len(block), 1)
         self._loop = asyncio.new_event_loop()
         self._is_listening = threading.Event()
         self.connections = 0
