--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -6,9 +6,11 @@
 import random
 import sys
 import tempfile
+from collections import Counter
 
 from tests.harness.plans import HARMATTAN
 from tests.soak.scenario import PLAN, SeedResult, run_seed
+from tests.soak.version_scenario import run_version_seed
 
 DEFAULT_JOBS = 3
 SEED_BITS = 32
@@ -25,6 +27,7 @@
     parser.add_argument("--seconds", type=float, default=12.0)
     parser.add_argument("--jobs", type=int, default=DEFAULT_JOBS)
     parser.add_argument("--keep", type=pathlib.Path, default=None)
+    parser.add_argument("--versions", action="store_true")
     cfg = parser.parse_args()
     first = cfg.first
     if first is None:
@@ -33,7 +36,7 @@
     log_directory = cfg.keep or pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
     with concurrent.futures.ProcessPoolExecutor(cfg.jobs) as pool:
         results = pool.map(
-            _run_seed,
+            _run_version_seed if cfg.versions else _run_seed,
             seeds,
             [log_directory] * cfg.seeds,
             [cfg.seconds] * cfg.seeds,
@@ -55,6 +58,24 @@
     return run_seed(seed, directory, duration_s, plan)
 
 
+def _run_version_seed(
+    seed: int, log_directory: pathlib.Path, duration_s: float
+) -> SeedResult:
+    """Runs streams of engines that change their software versions."""
+    directory = log_directory / str(seed)
+    directory.mkdir(parents=True)
+    result = run_version_seed(seed, directory, duration_s)
+    counts = Counter(
+        {
+            "streams": len(result.streams),
+            "whole": sum(stream.is_whole for stream in result.streams),
+            "take-ups": sum(stream.take_ups for stream in result.streams),
+            "gone on": sum(stream.gone_on for stream in result.streams),
+        }
+    )
+    return SeedResult(result.faults, counts, result.violations)
+
+
 def _report(seed: int, result: SeedResult) -> bool:
     counts = ", ".join(
         f"{n} {kind}" for kind, n in result.result_counts.most_common()
