--- a/src/savorylift/wire/coop_budget.py
+++ b/src/savorylift/wire/coop_budget.py
@@ -2,8 +2,7 @@
 
 import asyncio
 
-# Steps between two turns of the other tasks. A step takes some tens of
-# microseconds.
+# Steps between two turns of the other tasks.
 STEPS_PER_TURN = 16
 # Input that costs as much as a step of its own.
 BYTES_PER_STEP = 1024
