Bound the records of versions, and ask for them once a second

Cause: each name of a service that an entry ever had, of other writers too, left a key in the store for ever; and a node that starts while the store refuses asked for the records five times a second, each call priced, without a log line.

Change: only configured services get a record, and it is removed once none of their versions counts any more; one call a second, logged when it fails.

Measured: the new test of names fails without the filter and the removal; the test with the store away now counts the calls (4 at most in 2.5 s) and waits for the longer retry. Tests of records, origins, lost fleets and reborn servers pass.

--- a/src/savorylift/fleet/version_recorder.py
+++ b/src/savorylift/fleet/version_recorder.py
@@ -47,6 +47,7 @@
         self,
         store: StoreClient,
         history: VersionHistory,
+        is_service: Callable[[str], bool],
         is_writer: Callable[[], bool],
         get_era: Callable[[], int],
     ) -> None:
@@ -55,12 +56,15 @@
         Args:
             store: The store.
             history: Gets what the store holds, and says what it should hold.
+            is_service: Returns whether a service is configured. Others have
+                entries, too, under any name.
             is_writer: Whether this node writes what changes.
             get_era: Returns how often the store has come back from a copy,
                 and lost what was written since.
         """
         self._store = store
         self._history = history
+        self._is_service = is_service
         self._is_writer = is_writer
         self._get_era = get_era
         self._era = 0
@@ -70,7 +74,7 @@
         """Reads the records, and then writes changes forever."""
         started_s = time.monotonic()
         while not await self._load():
-            await asyncio.sleep(CHECK_INTERVAL_S)
+            await asyncio.sleep(RETRY_INTERVAL_S)
         wait_s = started_s + START_DELAY_S - time.monotonic()
         await asyncio.sleep(max(wait_s, 0.0))
         self._history.is_complete = True
@@ -86,20 +90,10 @@
         if era != self._era:
             self._saved.clear()
             self._era = era
-        changed = {
-            service: versions
-            for service, versions in self._history.known_versions().items()
-            if versions != self._saved.get(service)
-            and len(service.encode()) <= MAX_KEY_BYTES
-        }
+        changed = self._find_changed()
         if not changed:
             return True
-        records = [
-            Record(
-                service, encode_record(VersionRecord(tuple(sorted(versions))))
-            )
-            for service, versions in changed.items()
-        ]
+        records = [_make_record(*item) for item in changed.items()]
         written = await self._store.append(VERSIONS_TOPIC, records)
         _log.info(
             "versions_saved",
@@ -108,13 +102,30 @@
             is_saved=is_successful(written),
         )
         if is_successful(written):
-            self._saved.update(changed)
+            self._saved |= changed
+            self._saved = {
+                s: found for s, found in self._saved.items() if found
+            }
         return is_successful(written)
 
+    def _find_changed(self) -> dict[str, frozenset[str]]:
+        """Returns what the store should hold; nothing for a gone service."""
+        known = self._history.known_versions()
+        changed = {
+            service: versions
+            for service, versions in known.items()
+            if versions != self._saved.get(service)
+            and self._is_service(service)
+            and len(service.encode()) <= MAX_KEY_BYTES
+        }
+        gone = self._saved.keys() - known.keys()
+        return changed | dict.fromkeys(gone, frozenset())
+
     async def _load(self) -> bool:
         """Reads all records; returns whether that succeeded."""
         listed = await self._store.list_newest(VERSIONS_TOPIC)
         if not is_successful(listed):
+            _log.warning("versions_not_loaded", detail=listed.failure().detail)
             return False
         records = listed.unwrap().records
         for record in records:
@@ -136,3 +147,12 @@
             versions={s: sorted(found) for s, found in self._saved.items()},
         )
         return True
+
+
+def _make_record(service: str, versions: frozenset[str]) -> Record:
+    """Returns the record of a service; it removes the key if there is none."""
+    if not versions:
+        return Record(service, None)
+    return Record(
+        service, encode_record(VersionRecord(tuple(sorted(versions))))
+    )
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -243,6 +243,7 @@
         self._version_recorder = VersionRecorder(
             self._store,
             version_history,
+            lambda name: self._find_service(name) is not None,
             lambda: self._was_reader,
             self._store_era,
         )
--- a/tests/fleet/test_version_recorder.py
+++ b/tests/fleet/test_version_recorder.py
@@ -7,7 +7,11 @@
 
 from savorylift.backends.server import ServerEntry
 from savorylift.fleet.version_history import RETENTION_S, VersionHistory
-from savorylift.fleet.version_recorder import START_DELAY_S, VersionRecorder
+from savorylift.fleet.version_recorder import (
+    RETRY_INTERVAL_S,
+    START_DELAY_S,
+    VersionRecorder,
+)
 from savorylift.platform.store import VERSIONS_TOPIC, Record, StoreClient
 from tests.exchange.factories import make_server_entry
 from tests.harness.ports import free_addresses
@@ -27,6 +31,7 @@
         self.client = StoreClient(("127.0.0.1", port))
         self._tasks: list[asyncio.Task[None]] = []
         self.is_writer = True
+        self.services = {"s", "s" * 256}
 
     async def start_node(self, *entries: ServerEntry) -> VersionHistory:
         """Starts a node that sees these servers."""
@@ -35,7 +40,11 @@
         history = VersionHistory()
         history.observe(entries, 0.0)
         recorder = VersionRecorder(
-            self.client, history, lambda: self.is_writer, lambda: self.store.era
+            self.client,
+            history,
+            lambda name: name in self.services,
+            lambda: self.is_writer,
+            lambda: self.store.era,
         )
         self._tasks.append(asyncio.ensure_future(recorder.run()))
         return history
@@ -101,9 +110,9 @@
         history = await fleet.start_node(V2)
         await asyncio.sleep(START_DELAY_S + 0.5)
         assert not history.is_complete
-        fleet.store.add(VERSIONS_TOPIC, "t", None)
+        assert len(fleet.store.called_paths) <= 1 + START_DELAY_S + 1
         fleet.store.status = None
-        await asyncio.sleep(0.5)
+        await asyncio.sleep(RETRY_INTERVAL_S + 0.3)
         assert history.is_complete
 
     run_with_timeout(scenario())
@@ -136,6 +145,24 @@
     run_with_timeout(scenario())
 
 
+def test_the_records_do_not_grow_with_the_names_of_services() -> None:
+    """Each name that an entry ever had would have left a key for ever."""
+
+    async def scenario() -> None:
+        fleet = Fleet()
+        history = await fleet.start_node(V1, V2._replace(service="stray"))
+        await wait_until_written(fleet, 1)
+        listed = await fleet.client.list_newest(VERSIONS_TOPIC)
+        assert [record.key for record in listed.unwrap().records] == ["s"]
+        history.observe([], 1.0)
+        history.observe([], 1.0 + RETENTION_S)
+        await wait_until_written(fleet, 2)
+        listed = await fleet.client.list_newest(VERSIONS_TOPIC)
+        assert listed.unwrap().records == ()
+
+    run_with_timeout(scenario())
+
+
 def test_only_the_writer_writes() -> None:
     async def scenario() -> None:
         fleet = Fleet()
