Ask for a server's report in one place, and name things once

Change: one function fetches reports; a start that isn't named is NO_START, apart from the outcome UNSAID; a stream that the store knows counts as stored, and one that it doesn't know is no longer counted twice.

--- a/src/savorylift/exchange/origin_log.py
+++ b/src/savorylift/exchange/origin_log.py
@@ -107,8 +107,8 @@
         if self._reading is not None:
             await asyncio.wait((self._reading,), timeout=READ_TIMEOUT_S)
         origin = self._origins.find_held(attempt_id)
-        outcome = "unsaved" if origin is None else "saved"
-        metrics.STREAM_ORIGINS.labels(outcome).inc()
+        if origin is not None:
+            metrics.STREAM_ORIGINS.labels("stored").inc()
         return origin
 
     @property
--- a/src/savorylift/exchange/server_life.py
+++ b/src/savorylift/exchange/server_life.py
@@ -16,13 +16,14 @@
 
 # A caller waits for the rest of its stream meanwhile.
 REPORT_TIMEOUT_S = 0.4
-# What a server says if it doesn't say when it started.
-UNSAID = 0
+# What stands in place of a start that isn't named.
+NO_START = 0
 
 _log = structlog.get_logger()
 
 # Returns the Unix time in milliseconds at which the server at an address
-# started, given a timeout in seconds; `UNSAID`, and None if it doesn't answer.
+# started, given a timeout in seconds; `NO_START` if it doesn't say, and None if
+# it doesn't answer.
 StartReader = Callable[[tuple[str, int], float], Awaitable[int | None]]
 
 
@@ -71,8 +72,8 @@
         to that process, or to none.
         """
         entry = server.entry
-        started_ms: int | None = UNSAID
-        if entry.started_ms != UNSAID:
+        started_ms: int | None = NO_START
+        if entry.started_ms != NO_START:
             started_ms = await self._checks.run(
                 entry.server_id, lambda: self._ask(server)
             )
@@ -91,18 +92,18 @@
 
     async def _ask(self, server: BackendServer) -> int | None:
         if self._is_held(server.entry.server_id):
-            return UNSAID
+            return NO_START
         permit = await self._limit_gate.acquire(
             server, "server_life", 0.0, is_probe=True
         )
         if permit is None:
-            return UNSAID
+            return NO_START
         return await self._read_start(server.entry.address, REPORT_TIMEOUT_S)
 
 
 def _compare(known_ms: int, started_ms: int | None) -> Life:
     if started_ms is None:
         return Life.SILENT
-    if started_ms == UNSAID:
+    if started_ms == NO_START:
         return Life.UNSAID
     return Life.SAME if started_ms == known_ms else Life.OTHER
--- a/src/savorylift/platform/engine_client.py
+++ b/src/savorylift/platform/engine_client.py
@@ -9,6 +9,7 @@
 from savorylift.json_input import decode_json
 from savorylift.platform.headers import SERVER_LEAVING
 from savorylift.wire.client_call import BrokenAnswerError, fetch
+from savorylift.wire.message import Response
 
 
 class CopyFault(enum.Enum):
@@ -124,15 +125,8 @@
     That is a Unix time in milliseconds; 0 if it doesn't say, and None if it
     doesn't answer.
     """
-    try:
-        response = await fetch(
-            address,
-            "GET",
-            "/report",
-            timeout_s=timeout_s,
-            connect_timeout_s=timeout_s,
-        )
-    except (OSError, BrokenAnswerError):
+    response = await _fetch_report(address, timeout_s)
+    if response is None:
         return None
     report = decode_json(response.body, dict).value_or({})
     born = report.get("born")
@@ -143,8 +137,21 @@
     address: tuple[str, int], *, timeout_s: float
 ) -> bool:
     """Returns whether an engine reports that it drains; False on errors."""
+    response = await _fetch_report(address, timeout_s)
+    if response is None:
+        return False
+    if response.header(SERVER_LEAVING) is not None:
+        return True
+    report = decode_json(response.body, dict).value_or({})
+    return report.get("state") == "draining"
+
+
+async def _fetch_report(
+    address: tuple[str, int], timeout_s: float
+) -> Response | None:
+    """Returns a server's report of itself; None if it doesn't answer."""
     try:
-        response = await fetch(
+        return await fetch(
             address,
             "GET",
             "/report",
@@ -152,8 +159,4 @@
             connect_timeout_s=timeout_s,
         )
     except (OSError, BrokenAnswerError):
-        return False
-    if response.header(SERVER_LEAVING) is not None:
-        return True
-    report = decode_json(response.body, dict).value_or({})
-    return report.get("state") == "draining"
+        return None
--- a/tests/exchange/test_server_life.py
+++ b/tests/exchange/test_server_life.py
@@ -6,7 +6,7 @@
 
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange.limit_gate import Permit
-from savorylift.exchange.server_life import UNSAID, Life, ServerLife
+from savorylift.exchange.server_life import NO_START, Life, ServerLife
 from savorylift.exchange.shared_checks import SharedChecks
 from tests.exchange.factories import make_server_entry
 
@@ -53,8 +53,8 @@
         (5, 6, Life.OTHER),
         (6, 5, Life.OTHER),
         (5, None, Life.SILENT),
-        (5, UNSAID, Life.UNSAID),
-        (UNSAID, 5, Life.UNSAID),
+        (5, NO_START, Life.UNSAID),
+        (NO_START, 5, Life.UNSAID),
     ],
 )
 def test_life_by_what_the_entry_and_the_server_say(
