Log responses that the end of their node cuts off

Cause: the log of a node held nothing of a stream between its beginning and the end of the process, so that the hypotheses of the incident couldn't be told apart.

Change: response_cut names the request and says whether the close of its connection marks it as complete; a counter for each outcome.

--- a/src/savorylift/exchange/metrics.py
+++ b/src/savorylift/exchange/metrics.py
@@ -32,6 +32,11 @@
     "savorylift_front_answers_cut",
     "Answers cut since callers read too slowly for the memory left.",
 )
+RESPONSES_CUT = Counter(
+    "savorylift_front_responses_cut",
+    "Responses cut off by the end of the node, by whether they look whole.",
+    ["looks_whole"],
+)
 CALLERS_GONE = Counter(
     "savorylift_front_callers_gone", "Requests whose caller left."
 )
--- a/src/savorylift/front/caller_handler.py
+++ b/src/savorylift/front/caller_handler.py
@@ -202,10 +202,14 @@
                 await asyncio.wait((serve_task,))
         if not serve_task.cancelled():
             serve_task.result()
-        elif not is_caller_gone and conn.awaits_response:
+        elif is_caller_gone:
+            return
+        elif conn.awaits_response:
             message = "This node stops; the request may have run."
             refused = Refused(502, Reason.NODE_DRAINING, message)
             self._responder.respond(conn, caller_req, refused)
+        else:
+            self._responder.record_cut(conn, caller_req)
 
     async def _serve_request(
         self, conn: ServerConnection, req: Request, caller_req: CallerRequest
--- a/src/savorylift/front/responder.py
+++ b/src/savorylift/front/responder.py
@@ -132,6 +132,19 @@
             is_aborted=sink.is_aborted,
         )
 
+    def record_cut(
+        self, conn: ServerConnection, caller_req: CallerRequest
+    ) -> None:
+        """Counts and logs a response that the end of this node cuts off."""
+        looks_whole = conn.ends_on_close
+        metrics.RESPONSES_CUT.labels(str(looks_whole).lower()).inc()
+        _log.warning(
+            "response_cut",
+            request=caller_req.attempt_id,
+            took_ms=age_ms(caller_req),
+            looks_whole=looks_whole,
+        )
+
 
 def _is_up_to_node(refused: Refused) -> bool:
     """Whether another node may take a request that did not run."""
--- a/src/savorylift/wire/server_connection.py
+++ b/src/savorylift/wire/server_connection.py
@@ -149,6 +149,11 @@
         """Whether a request was read whose response has not started."""
         return self._h11.our_state is h11.SEND_RESPONSE
 
+    @property
+    def ends_on_close(self) -> bool:
+        """Whether a close now marks the response as complete."""
+        return self._is_close_delimited and self._is_response_ended
+
     async def next_request(self) -> Request | BadRequest | CloseReason:
         """Returns the next request, or why there is none that can be served.
 
@@ -300,7 +305,7 @@
 
         A body without framing is handed to the system first.
         """
-        if self._is_close_delimited and self._is_response_ended:
+        if self.ends_on_close:
             await self._channel.allow_close()
         await self._channel.drain()
         self._release_answer()
