Keep the state of a response with the response, not with its connection

What callers saw: status 200, part of the events and an orderly close, as of a whole stream, if the stream was not the first request on its connection, ended with the connection, and was cut off by the end of its node (ORDER).

Cause: whether a response has ended was a flag of the connection, set by the first response and never unset; flush took the next one, cut off, for ended.

Change: a ServerResponse for each request holds its framing, its end, its added headers and its unread bytes. It is made together with the parser of its request.

On the code before, test_earlier_responses_do_not_end_one_that_is_cut_off fails in 4 of 4 cases.

--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -69,10 +69,11 @@
 from savorylift.settings_file import SettingsFault
 from savorylift.tls import server_context
 from savorylift.wire.address import split_address
+from savorylift.wire.body_admission import BodyAdmission
 from savorylift.wire.body_budget import BodyBudget
 from savorylift.wire.listener import Listener, connection_handler
 from savorylift.wire.message import Request, Response
-from savorylift.wire.server_connection import BodyAdmission, InputLimits
+from savorylift.wire.server_connection import InputLimits
 
 SettingsReader = Callable[[], Result[FrontSettings, tuple[SettingsFault, ...]]]
 
--- a/src/savorylift/front/node_relay.py
+++ b/src/savorylift/front/node_relay.py
@@ -266,14 +266,14 @@
         req = await conn.next_request()
         if isinstance(req, BadRequest) and req.retry_after_s is not None:
             # Without an answer, it would count as run.
-            conn.added_headers = RELAYED
+            conn.add_headers(RELAYED)
             refuse_unreadable(conn, req)
             await conn.channel.close_gracefully()
             return
         if not isinstance(req, Request):
             return
         if req.header_values(RELAY_HEADER):
-            conn.added_headers = RELAYED
+            conn.add_headers(RELAYED)
             await serve_relayed(conn, without_mark(req))
             return
         conn.is_closing = True
--- a/src/savorylift/front/responder.py
+++ b/src/savorylift/front/responder.py
@@ -74,7 +74,7 @@
         else:
             status = answer.status
             if conn.added_headers and _is_up_to_node(answer):
-                conn.added_headers = RELAY_REFUSED
+                conn.add_headers(RELAY_REFUSED)
             headers, body = self._codec.encode_refusal(caller_req, answer)
             conn.respond(status, headers, body)
             reason, detail = answer.reason.value, answer.message
--- a/src/savorylift/wire/listener.py
+++ b/src/savorylift/wire/listener.py
@@ -9,12 +9,11 @@
 
 import structlog
 
+from savorylift.wire.body_admission import UNBOUNDED, BodyAdmission
 from savorylift.wire.channel import Channel
 from savorylift.wire.message import Headers, Request, Response
 from savorylift.wire.server_connection import (
-    UNBOUNDED,
     BadRequest,
-    BodyAdmission,
     CloseReason,
     InputLimits,
     ServerConnection,
--- a/src/savorylift/wire/server_connection.py
+++ b/src/savorylift/wire/server_connection.py
@@ -2,9 +2,7 @@
 
 import asyncio
 import enum
-import http
 import io
-import sys
 import time
 from collections.abc import Callable
 from typing import NamedTuple
@@ -12,15 +10,13 @@
 import h11
 import structlog
 
-from savorylift.wire.body_budget import (
-    SMALL_BODY_BYTES,
-    BodyBudget,
-    BodyLease,
-)
+from savorylift.wire.body_admission import UNBOUNDED, BodyAdmission
+from savorylift.wire.body_budget import SMALL_BODY_BYTES, BodyLease
 from savorylift.wire.channel import MAX_READ_BUFFER_BYTES, Channel
 from savorylift.wire.coop_budget import CoopBudget
 from savorylift.wire.head_check import HEAD_END, find_head_error
 from savorylift.wire.message import Headers, Request
+from savorylift.wire.server_response import ServerResponse
 
 # Limit of h11 for an incomplete head; that of `InputLimits` is normally lower
 # and applies first.
@@ -78,23 +74,6 @@
     retry_after_s: float | None = None
 
 
-class BodyAdmission(NamedTuple):
-    """What decides when a body may be read, and which answers are cut.
-
-    Attributes:
-        budget: Memory of all bodies.
-        decode_time_left: Returns for how many seconds the caller of a request
-            waits, given its headers; None if they don't tell.
-        on_cut: Called for each answer that is cut since its caller reads too
-            slowly.
-    """
-
-    budget: BodyBudget
-    decode_time_left: Callable[[Headers], float | None]
-    on_cut: Callable[[], None] = lambda: None
-
-
-UNBOUNDED = BodyAdmission(BodyBudget(sys.maxsize), lambda _headers: None)
 NO_MEMORY = BadRequest(
     503,
     "This node holds as many bodies as it can; the request did not run.",
@@ -108,7 +87,6 @@
     Attributes:
         is_closing: Whether to close after the next response, which then says
             so in its `Connection` header.
-        added_headers: Headers of every response.
     """
 
     def __init__(
@@ -127,17 +105,14 @@
         channel.limit_input(MAX_HEAD_BUFFER_BYTES)
         self._admission = admission
         self._body_lease = BodyLease()
-        self._answer_lease = BodyLease()
         self._channel = channel
         self._get_limits = get_limits
         self._h11 = _make_parser()
+        self._response = ServerResponse(channel, self._h11, admission)
         self._unparsed = bytearray()
         self._request_started_s = 0.0
-        self._is_close_delimited = False
-        self._is_response_ended = False
         self._coop_budget = CoopBudget()
         self.is_closing = False
-        self.added_headers: Headers = ()
 
     @property
     def channel(self) -> Channel:
@@ -147,12 +122,21 @@
     @property
     def awaits_response(self) -> bool:
         """Whether a request was read whose response has not started."""
-        return self._h11.our_state is h11.SEND_RESPONSE
+        return self._response.is_awaited
 
     @property
     def ends_on_close(self) -> bool:
-        """Whether a close now marks the response as complete."""
-        return self._is_close_delimited and self._is_response_ended
+        """Whether a close now marks the last response as complete."""
+        return self._response.ends_on_close
+
+    @property
+    def added_headers(self) -> Headers:
+        """Headers that the next response has beside its own."""
+        return self._response.added_headers
+
+    def add_headers(self, headers: Headers) -> None:
+        """Sets the headers that the next response has beside its own."""
+        self._response.added_headers = headers
 
     async def next_request(self) -> Request | BadRequest | CloseReason:
         """Returns the next request, or why there is none that can be served.
@@ -177,21 +161,7 @@
     def release_all(self) -> None:
         """Declares that the connection has ended."""
         self.release_body()
-        self._release_answer()
-
-    def _release_answer(self) -> None:
-        if self._answer_lease.is_used:
-            self._admission.budget.release(self._answer_lease)
-
-    def _cut_answer(self) -> None:
-        """Ends the connection: its caller reads too slowly."""
-        self._admission.on_cut()
-        _log.warning(
-            "answer_cut",
-            peer=self._channel.peer,
-            unread=self._channel.unsent_bytes,
-        )
-        self._channel.abort()
+        self._response.release()
 
     async def _read_request(self) -> Request | BadRequest | CloseReason:
         # A caller may send many requests at once.
@@ -265,53 +235,30 @@
         """
         if is_close_delimited:
             self.is_closing = True
-            # To such callers, h11 sends bodies without any framing.
-            self._h11.their_http_version = b"1.0"
-        headers += self.added_headers
-        if self.is_closing:
-            headers = (*headers, ("connection", "close"))
-        reason = (
-            http.HTTPStatus(status).phrase
-            if _is_standard_status(status)
-            else ""
+        self._response.start(
+            status,
+            headers,
+            is_close_delimited=is_close_delimited,
+            is_last=self.is_closing,
         )
-        head = h11.Response(
-            status_code=status,
-            headers=_encode_headers(headers),
-            reason=reason.encode(),
-        )
-        has_length = any(key == "content-length" for key, _ in headers)
-        if self._h11.their_http_version == b"1.0" and not has_length:
-            self._is_close_delimited = True
-            self._channel.reset_on_close()
-        self._write(head)
 
     def send_body(self, data: bytes) -> None:
         """Writes a chunk of the body."""
-        self._write(h11.Data(data=data))
+        self._response.send_body(data)
 
     def end_response(self) -> None:
         """Marks the response as complete."""
-        self._write(h11.EndOfMessage())
-        self._is_response_ended = True
-        unread = self._channel.unsent_bytes
-        if unread > SMALL_BODY_BYTES:
-            self._admission.budget.add_unread(
-                self._answer_lease, unread, self._cut_answer
-            )
+        self._response.end()
 
     async def flush(self) -> None:
         """Waits until the response may be followed by another one, or closed.
 
         A body without framing is handed to the system first.
         """
-        if self.ends_on_close:
-            await self._channel.allow_close()
-        await self._channel.drain()
-        self._release_answer()
+        await self._response.flush()
 
     def prepare_next_request(self) -> bool:
-        """Resets the parser; says whether the connection can be reused.
+        """Begins a new exchange; says whether the connection can be reused.
 
         A connection stays open if its response did not say that it closes,
         even if it is to close since: the next response says so.
@@ -326,6 +273,9 @@
         self._unparsed += rest
         # A parser that is used again would keep what it returned, too.
         self._h11 = _make_parser()
+        self._response = ServerResponse(
+            self._channel, self._h11, self._admission
+        )
         return True
 
     async def _wait_for_input(self, idle_timeout_s: float) -> bool:
@@ -381,7 +331,7 @@
         ):
             return NO_MEMORY
         if self._h11.they_are_waiting_for_100_continue:
-            self._write(h11.InformationalResponse(status_code=100, headers=[]))
+            self._send_continue()
         if length is not None and length <= SMALL_BODY_BYTES:
             body = await self._receive_body(length, headers, limits)
         else:
@@ -469,12 +419,9 @@
         )
         return is_taken
 
-    def _write(self, event: h11.Event) -> None:
-        data = self._h11.send(event)
-        if data and len(data) > SMALL_BODY_BYTES:
-            self._channel.write_large(data)
-        elif data:
-            self._channel.write(data)
+    def _send_continue(self) -> None:
+        event = h11.InformationalResponse(status_code=100, headers=[])
+        self._channel.write(self._h11.send(event) or b"")
 
 
 def _make_parser() -> h11.Connection:
@@ -510,13 +457,3 @@
         body,
         arrived_s,
     )
-
-
-def _is_standard_status(status: int) -> bool:
-    return status in http.HTTPStatus._value2member_map_
-
-
-def _encode_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
-    return [
-        (key.encode("ascii"), value.encode("latin-1")) for key, value in headers
-    ]
--- a/tests/wire/loopback.py
+++ b/tests/wire/loopback.py
@@ -4,10 +4,9 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any, TypeVar
 
+from savorylift.wire.body_admission import UNBOUNDED, BodyAdmission
 from savorylift.wire.channel import Channel, connect
 from savorylift.wire.server_connection import (
-    UNBOUNDED,
-    BodyAdmission,
     InputLimits,
     ServerConnection,
 )
--- a/tests/wire/test_body_budget.py
+++ b/tests/wire/test_body_budget.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from savorylift.wire.body_admission import BodyAdmission
 from savorylift.wire.body_budget import (
     SMALL_BODY_BYTES,
     BodyBudget,
@@ -16,7 +17,6 @@
 from savorylift.wire.message import Request, decode_milliseconds
 from savorylift.wire.server_connection import (
     BadRequest,
-    BodyAdmission,
     CloseReason,
     InputLimits,
     ServerConnection,
--- a/tests/wire/test_server_connection.py
+++ b/tests/wire/test_server_connection.py
@@ -238,6 +238,45 @@
     run_with_timeout(scenario())
 
 
+@pytest.mark.parametrize("earlier", [1, 2])
+@pytest.mark.parametrize("is_pipelined", [False, True])
+def test_earlier_responses_do_not_end_one_that_is_cut_off(
+    earlier: int,
+    is_pipelined: bool,  # noqa: FBT001
+) -> None:
+    async def scenario() -> None:
+        conn, caller = await open_connection_pair()
+        for _ in range(earlier):
+            caller.write(HEAD_START + b"\r\n")
+            assert isinstance(await conn.next_request(), Request)
+            conn.respond(200, (), b"whole")
+            await conn.flush()
+            assert conn.prepare_next_request()
+        caller.write((HEAD_START + b"\r\n") * (1 + is_pipelined))
+        await start_unframed(conn, b"part")
+        await conn.flush()
+        assert not conn.prepare_next_request()
+        await conn.channel.close_gracefully()
+        with pytest.raises(ConnectionError):
+            await read_to_end(caller)
+
+    run_with_timeout(scenario())
+
+
+def test_added_headers_are_those_of_one_response() -> None:
+    async def scenario() -> None:
+        conn, caller = await open_connection_pair()
+        for added in ((("x-added", "1"),), ()):
+            caller.write(HEAD_START + b"\r\n")
+            assert isinstance(await conn.next_request(), Request)
+            conn.add_headers(added or conn.added_headers)
+            conn.respond(200, (), b"")
+            assert (b"x-added" in await caller.read()) == bool(added)
+            assert conn.prepare_next_request()
+
+    run_with_timeout(scenario())
+
+
 def test_slow_caller_gets_the_whole_of_an_unframed_response() -> None:
     async def scenario() -> None:
         conn, caller = await open_connection_pair()
