Split what a connection keeps from what one request has

Change: body_reader.py (the body of one request and its memory), connection_input.py (what was received and not used yet), request_input.py (limits, and why nothing can be read). An exchange's objects are made in one place. No change of behaviour.

--- a/src/savorylift/front/caller_handler.py
+++ b/src/savorylift/front/caller_handler.py
@@ -34,11 +34,8 @@
 from savorylift.outcomes import Ending, Reason
 from savorylift.routing.configuration import RouteKind
 from savorylift.wire.message import Request, Response
-from savorylift.wire.server_connection import (
-    BadRequest,
-    CloseReason,
-    ServerConnection,
-)
+from savorylift.wire.request_input import BadRequest, CloseReason
+from savorylift.wire.server_connection import ServerConnection
 
 # Retry-After of a stream that a draining node refuses: other nodes accept it at
 # once.
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -73,7 +73,7 @@
 from savorylift.wire.body_budget import BodyBudget
 from savorylift.wire.listener import Listener, connection_handler
 from savorylift.wire.message import Request, Response
-from savorylift.wire.server_connection import InputLimits
+from savorylift.wire.request_input import InputLimits
 
 SettingsReader = Callable[[], Result[FrontSettings, tuple[SettingsFault, ...]]]
 
--- a/src/savorylift/front/node_relay.py
+++ b/src/savorylift/front/node_relay.py
@@ -26,7 +26,8 @@
     Response,
     end_to_end_headers,
 )
-from savorylift.wire.server_connection import BadRequest, ServerConnection
+from savorylift.wire.request_input import BadRequest
+from savorylift.wire.server_connection import ServerConnection
 
 # Marks requests between nodes, and the responses of nodes that understand it.
 RELAY_HEADER = "savorylift-relay"
--- a/src/savorylift/platform/configuration.py
+++ b/src/savorylift/platform/configuration.py
@@ -16,7 +16,7 @@
     Target,
     Team,
 )
-from savorylift.wire.server_connection import InputLimits
+from savorylift.wire.request_input import InputLimits
 
 CONFIGURATION_KEY = "config"
 EVACUATION_PREFIX = "evacuate/"
--- a/src/savorylift/routing/configuration.py
+++ b/src/savorylift/routing/configuration.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from savorylift.backends.server import ServerEntry
-from savorylift.wire.server_connection import InputLimits
+from savorylift.wire.request_input import InputLimits
 
 
 class RouteKind(enum.Enum):
--- a/src/savorylift/rules/configuration.py
+++ b/src/savorylift/rules/configuration.py
@@ -17,7 +17,7 @@
 from savorylift.rules import rule_types
 from savorylift.rules.rule_types import ANY_MODEL, RuleSet
 from savorylift.wire.address import parse_address
-from savorylift.wire.server_connection import InputLimits
+from savorylift.wire.request_input import InputLimits
 
 # Requests for models and plain services are routed by path, not by host.
 NO_HOST = ""
--- /dev/null
+++ b/src/savorylift/wire/body_reader.py
@@ -0,0 +1,193 @@
+"""Reads the body of one request."""
+
+import asyncio
+import io
+import time
+
+import h11
+import structlog
+
+from savorylift.wire.body_admission import BodyAdmission
+from savorylift.wire.body_budget import SMALL_BODY_BYTES, BodyLease
+from savorylift.wire.channel import MAX_READ_BUFFER_BYTES
+from savorylift.wire.connection_input import (
+    MAX_HEAD_BUFFER_BYTES,
+    ConnectionInput,
+)
+from savorylift.wire.message import Headers
+from savorylift.wire.request_input import BadRequest, CloseReason, InputLimits
+
+# How long a body waits until there is memory for it, and the share of the time
+# that its caller has left which this may take.
+MAX_BODY_WAIT_S = 0.7
+BODY_WAIT_SHARE = 0.2
+# When to come back if there is none. The wait has shown that bodies are served
+# more slowly than they come.
+BODY_RETRY_S = 0.5
+# Longest time for a body that holds much memory if its caller names none.
+MAX_LARGE_BODY_S = 60.0
+NO_MEMORY = BadRequest(
+    503,
+    "This node holds as many bodies as it can; the request did not run.",
+    BODY_RETRY_S,
+)
+
+_log = structlog.get_logger()
+
+
+class BodyReader:
+    """Reads one body, and holds the memory that it takes."""
+
+    def __init__(
+        self,
+        source: ConnectionInput,
+        parser: h11.Connection,
+        admission: BodyAdmission,
+    ) -> None:
+        """Creates a reader that holds no memory.
+
+        Args:
+            source: Where the body comes from.
+            parser: Parses the request.
+            admission: Decides when the body may be read.
+        """
+        self._source = source
+        self._parser = parser
+        self._admission = admission
+        self._lease = BodyLease()
+
+    def release(self) -> None:
+        """Declares that nothing refers to the body."""
+        if self._lease.is_used:
+            self._admission.budget.release(self._lease)
+
+    async def read(
+        self, head: h11.Request, headers: Headers, limits: InputLimits
+    ) -> bytes | BadRequest | CloseReason:
+        """Returns the body, or why it can't be read.
+
+        Args:
+            head: Head of the request.
+            headers: Its headers, decoded.
+            limits: Limits for the request.
+
+        Raises:
+            ConnectionError: The connection was reset.
+            TimeoutError: The body took too long.
+            h11.RemoteProtocolError: The body is malformed.
+        """
+        length = _body_length(head)
+        if length is not None and length > limits.max_body_bytes:
+            return BadRequest(413, "the request body is too large")
+        # A body in chunks takes more once it turns out to be large.
+        size = SMALL_BODY_BYTES if length is None else length
+        if (
+            size
+            and not self._admission.budget.take_now(self._lease, size)
+            and not await self._wait_for_memory(size, headers)
+        ):
+            return NO_MEMORY
+        if self._parser.they_are_waiting_for_100_continue:
+            self._send_continue()
+        if length is not None and length <= SMALL_BODY_BYTES:
+            return await self._receive(length, headers, limits)
+        return await self._receive_large(length, headers, limits)
+
+    async def _receive_large(
+        self, length: int | None, headers: Headers, limits: InputLimits
+    ) -> bytes | BadRequest | CloseReason:
+        """Reads a body that may be large, for as long as its caller waits."""
+        time_left_s = self._admission.decode_time_left(headers)
+        if time_left_s is None:
+            time_left_s = MAX_LARGE_BODY_S
+        self._source.channel.limit_input(MAX_READ_BUFFER_BYTES)
+        try:
+            async with asyncio.timeout(time_left_s):
+                return await self._receive(length, headers, limits)
+        finally:
+            self._source.channel.limit_input(MAX_HEAD_BUFFER_BYTES)
+
+    async def _receive(
+        self, length: int | None, headers: Headers, limits: InputLimits
+    ) -> bytes | BadRequest | CloseReason:
+        body = _buffer_for(length)
+        unparsed = self._source.take()
+        if unparsed:
+            self._parser.receive_data(unparsed)
+        is_reserved = length is not None
+        while True:
+            await self._source.coop_budget.spend()
+            event = self._parser.next_event()
+            if isinstance(event, h11.EndOfMessage):
+                if length is None:
+                    self._admission.budget.shrink(self._lease, body.tell())
+                return body.getvalue()
+            if isinstance(event, h11.Data):
+                total = body.tell() + len(event.data)
+                if total > limits.max_body_bytes:
+                    return BadRequest(413, "the request body is too large")
+                if not is_reserved and total > SMALL_BODY_BYTES:
+                    is_reserved = True
+                    rest = limits.max_body_bytes
+                    if not await self._wait_for_memory(rest, headers):
+                        return NO_MEMORY
+                body.write(event.data)
+            elif event is h11.NEED_DATA:
+                async with asyncio.timeout(limits.idle_timeout_s):
+                    data = await self._source.channel.read()
+                if not data:
+                    return CloseReason.ENDED
+                await self._source.coop_budget.spend(len(data))
+                self._parser.receive_data(data)
+            else:
+                return BadRequest(400, "malformed body")
+
+    async def _wait_for_memory(self, size: int, headers: Headers) -> bool:
+        """Takes memory for a body; returns whether there was so much.
+
+        Meanwhile nothing more of it is received: its caller is held by TCP.
+        """
+        budget = self._admission.budget
+        if budget.take_now(self._lease, size):
+            return True
+        time_left_s = self._admission.decode_time_left(headers)
+        max_wait_s = MAX_BODY_WAIT_S
+        if time_left_s is not None:
+            max_wait_s = min(max_wait_s, BODY_WAIT_SHARE * time_left_s)
+        began_s = time.monotonic()
+        is_taken = await budget.take(self._lease, size, max_wait_s)
+        _log.info(
+            "body_waited",
+            peer=self._source.channel.peer,
+            size=size,
+            waited_ms=round((time.monotonic() - began_s) * 1000),
+            is_read=is_taken,
+            held=budget.held_bytes,
+        )
+        return is_taken
+
+    def _send_continue(self) -> None:
+        event = h11.InformationalResponse(status_code=100, headers=[])
+        self._source.channel.write(self._parser.send(event) or b"")
+
+
+def _buffer_for(length: int | None) -> io.BytesIO:
+    """Returns an empty buffer for a body of `length` bytes, if it is known."""
+    # Unlike a bytearray, it returns its content without a copy.
+    body = io.BytesIO()
+    if length is not None and length > SMALL_BODY_BYTES:
+        # All at once: pieces of memory that grow would leave gaps.
+        body.seek(length - 1)
+        body.write(b"\0")
+        body.seek(0)
+    return body
+
+
+def _body_length(head: h11.Request) -> int | None:
+    """Returns the length of a body; None if it comes in chunks."""
+    for name, value in head.headers:
+        if name == b"content-length":
+            return int(value)
+        if name == b"transfer-encoding":
+            return None
+    return 0
--- a/src/savorylift/wire/listener.py
+++ b/src/savorylift/wire/listener.py
@@ -12,12 +12,8 @@
 from savorylift.wire.body_admission import UNBOUNDED, BodyAdmission
 from savorylift.wire.channel import Channel
 from savorylift.wire.message import Headers, Request, Response
-from savorylift.wire.server_connection import (
-    BadRequest,
-    CloseReason,
-    InputLimits,
-    ServerConnection,
-)
+from savorylift.wire.request_input import BadRequest, CloseReason, InputLimits
+from savorylift.wire.server_connection import ServerConnection
 
 if TYPE_CHECKING:
     import ssl
--- a/src/savorylift/wire/server_connection.py
+++ b/src/savorylift/wire/server_connection.py
@@ -1,84 +1,23 @@
 """Server side of an HTTP/1.1 connection."""
 
 import asyncio
-import enum
-import io
 import time
 from collections.abc import Callable
-from typing import NamedTuple
 
 import h11
-import structlog
 
 from savorylift.wire.body_admission import UNBOUNDED, BodyAdmission
-from savorylift.wire.body_budget import SMALL_BODY_BYTES, BodyLease
-from savorylift.wire.channel import MAX_READ_BUFFER_BYTES, Channel
-from savorylift.wire.coop_budget import CoopBudget
-from savorylift.wire.head_check import HEAD_END, find_head_error
+from savorylift.wire.body_reader import BodyReader
+from savorylift.wire.channel import Channel
+from savorylift.wire.connection_input import ConnectionInput
+from savorylift.wire.head_check import find_head_error
 from savorylift.wire.message import Headers, Request
+from savorylift.wire.request_input import BadRequest, CloseReason, InputLimits
 from savorylift.wire.server_response import ServerResponse
 
 # Limit of h11 for an incomplete head; that of `InputLimits` is normally lower
 # and applies first.
 H11_MAX_EVENT_BYTES = 1_048_576
-# Input that a connection buffers while no large body is being read.
-MAX_HEAD_BUFFER_BYTES = 16_384
-# How long a body waits until there is memory for it, and the share of the time
-# that its caller has left which this may take.
-MAX_BODY_WAIT_S = 0.7
-BODY_WAIT_SHARE = 0.2
-# When to come back if there is none. The wait has shown that bodies are served
-# more slowly than they come.
-BODY_RETRY_S = 0.5
-# Longest time for a body that holds much memory if its caller names none.
-MAX_LARGE_BODY_S = 60.0
-
-_log = structlog.get_logger()
-
-
-class InputLimits(NamedTuple):
-    """Size limits and timeouts for requests on a connection.
-
-    Attributes:
-        max_head_bytes: Largest request head.
-        max_body_bytes: Largest body.
-        head_timeout_s: Longest time from the first byte of a head to its end.
-        idle_timeout_s: Longest pause between requests, and between two reads
-            of a body.
-    """
-
-    max_head_bytes: int = 65_536
-    max_body_bytes: int = 4_194_304
-    head_timeout_s: float = 10.0
-    idle_timeout_s: float = 60.0
-
-
-class CloseReason(enum.Enum):
-    """Why no further request can be read from a connection."""
-
-    ENDED = "ended"
-    IDLE = "idle"
-
-
-class BadRequest(NamedTuple):
-    """A request that can't be read whole: it has not run.
-
-    Attributes:
-        status: Status code of the response.
-        message: What is wrong, in one line.
-        retry_after_s: When to come back; None if that makes no difference.
-    """
-
-    status: int
-    message: str
-    retry_after_s: float | None = None
-
-
-NO_MEMORY = BadRequest(
-    503,
-    "This node holds as many bodies as it can; the request did not run.",
-    BODY_RETRY_S,
-)
 
 
 class ServerConnection:
@@ -102,18 +41,26 @@
             get_limits: Called for each request, so that changes apply.
             admission: Decides when a body may be read.
         """
-        channel.limit_input(MAX_HEAD_BUFFER_BYTES)
-        self._admission = admission
-        self._body_lease = BodyLease()
         self._channel = channel
         self._get_limits = get_limits
-        self._h11 = _make_parser()
-        self._response = ServerResponse(channel, self._h11, admission)
-        self._unparsed = bytearray()
-        self._request_started_s = 0.0
-        self._coop_budget = CoopBudget()
+        self._admission = admission
+        self._input = ConnectionInput(channel)
+        self._begin_exchange()
         self.is_closing = False
 
+    def _begin_exchange(self) -> None:
+        """Replaces all that belongs to one request and its response."""
+        # A parser that is used again would keep what it returned, too.
+        self._parser = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=H11_MAX_EVENT_BYTES
+        )
+        self._body_reader = BodyReader(
+            self._input, self._parser, self._admission
+        )
+        self._response = ServerResponse(
+            self._channel, self._parser, self._admission
+        )
+
     @property
     def channel(self) -> Channel:
         """The underlying connection."""
@@ -155,28 +102,27 @@
 
     def release_body(self) -> None:
         """Declares that nothing refers to the body of the last request."""
-        if self._body_lease.is_used:
-            self._admission.budget.release(self._body_lease)
+        self._body_reader.release()
 
     def release_all(self) -> None:
-        """Declares that the connection has ended."""
+        """Declares that the last request and its response have ended."""
         self.release_body()
         self._response.release()
 
     async def _read_request(self) -> Request | BadRequest | CloseReason:
         # A caller may send many requests at once.
-        await self._coop_budget.spend()
+        await self._input.coop_budget.spend()
         limits = self._get_limits()
-        if not await self._wait_for_input(limits.idle_timeout_s):
+        if not await self._input.wait(limits.idle_timeout_s):
             return (
                 CloseReason.ENDED
                 if self._channel.is_peer_closed
                 else CloseReason.IDLE
             )
-        self._request_started_s = time.monotonic()
+        arrived_s = time.monotonic()
         try:
             async with asyncio.timeout(limits.head_timeout_s):
-                head = await self._read_head(limits.max_head_bytes)
+                head = await self._input.read_head(limits.max_head_bytes)
         except TimeoutError:
             return BadRequest(408, "the request head took too long")
         if not isinstance(head, bytes):
@@ -185,11 +131,7 @@
         if head_error is not None:
             return BadRequest(400, head_error)
         try:
-            self._h11.receive_data(head)
-            event = self._h11.next_event()
-            if not isinstance(event, h11.Request):
-                return BadRequest(400, "malformed request")
-            return await self._read_body(event, limits)
+            return await self._parse(head, limits, arrived_s)
         except h11.RemoteProtocolError as exc:
             return BadRequest(exc.error_status_hint, str(exc).lower())
         except TimeoutError:
@@ -197,6 +139,26 @@
         except ConnectionError:
             return CloseReason.ENDED
 
+    async def _parse(
+        self, head: bytes, limits: InputLimits, arrived_s: float
+    ) -> Request | BadRequest | CloseReason:
+        """Parses a head and reads the body that follows it."""
+        self._parser.receive_data(head)
+        event = self._parser.next_event()
+        if not isinstance(event, h11.Request):
+            return BadRequest(400, "malformed request")
+        headers = _decode_headers(event)
+        body = await self._body_reader.read(event, headers, limits)
+        if not isinstance(body, bytes):
+            return body
+        return Request(
+            event.method.decode("ascii"),
+            event.target.decode("ascii"),
+            headers,
+            body,
+            arrived_s,
+        )
+
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Writes a complete response."""
         length = (("content-length", str(len(body))),)
@@ -265,195 +227,19 @@
         """
         if self._channel.is_peer_closed:
             return False
-        if self._h11.our_state is not h11.DONE:
+        if self._parser.our_state is not h11.DONE:
             return False
-        if self._h11.their_state is not h11.DONE:
+        if self._parser.their_state is not h11.DONE:
             return False
-        rest, _ = self._h11.trailing_data
-        self._unparsed += rest
-        # A parser that is used again would keep what it returned, too.
-        self._h11 = _make_parser()
-        self._response = ServerResponse(
-            self._channel, self._h11, self._admission
-        )
+        rest, _ = self._parser.trailing_data
+        self._input.put_back(rest)
+        self.release_all()
+        self._begin_exchange()
         return True
 
-    async def _wait_for_input(self, idle_timeout_s: float) -> bool:
-        if self._unparsed:
-            return True
-        try:
-            async with asyncio.timeout(idle_timeout_s):
-                self._unparsed += await self._channel.read()
-        except (TimeoutError, ConnectionError):
-            return False
-        return bool(self._unparsed)
-
-    async def _read_head(
-        self, max_bytes: int
-    ) -> bytes | BadRequest | CloseReason:
-        searched = 0
-        while True:
-            # Empty lines before the request line are ignored (RFC 9112, 2.2).
-            while self._unparsed.startswith(b"\r\n"):
-                del self._unparsed[:2]
-                searched = 0
-            # The first bytes of `HEAD_END` may have been read before.
-            end = self._unparsed.find(HEAD_END, max(searched - 3, 0))
-            searched = len(self._unparsed)
-            if end > max_bytes or (end < 0 and searched > max_bytes):
-                return BadRequest(431, "the request head is too large")
-            if end >= 0:
-                head = bytes(self._unparsed[: end + len(HEAD_END)])
-                del self._unparsed[: len(head)]
-                return head
-            try:
-                data = await self._channel.read()
-            except ConnectionError:
-                return CloseReason.ENDED
-            if not data:
-                return CloseReason.ENDED
-            await self._coop_budget.spend(len(data))
-            self._unparsed += data
-
-    async def _read_body(
-        self, head: h11.Request, limits: InputLimits
-    ) -> Request | BadRequest | CloseReason:
-        length = _body_length(head)
-        if length is not None and length > limits.max_body_bytes:
-            return BadRequest(413, "the request body is too large")
-        headers = _decode_headers(head)
-        # A body in chunks takes more once it turns out to be large.
-        size = SMALL_BODY_BYTES if length is None else length
-        if (
-            size
-            and not self._admission.budget.take_now(self._body_lease, size)
-            and not await self._wait_for_memory(size, headers)
-        ):
-            return NO_MEMORY
-        if self._h11.they_are_waiting_for_100_continue:
-            self._send_continue()
-        if length is not None and length <= SMALL_BODY_BYTES:
-            body = await self._receive_body(length, headers, limits)
-        else:
-            body = await self._receive_large_body(length, headers, limits)
-        if not isinstance(body, bytes):
-            return body
-        return _build_request(head, headers, body, self._request_started_s)
-
-    async def _receive_large_body(
-        self, length: int | None, headers: Headers, limits: InputLimits
-    ) -> bytes | BadRequest | CloseReason:
-        """Reads a body that may be large, for as long as its caller waits."""
-        time_left_s = self._admission.decode_time_left(headers)
-        if time_left_s is None:
-            time_left_s = MAX_LARGE_BODY_S
-        self._channel.limit_input(MAX_READ_BUFFER_BYTES)
-        try:
-            async with asyncio.timeout(time_left_s):
-                return await self._receive_body(length, headers, limits)
-        finally:
-            self._channel.limit_input(MAX_HEAD_BUFFER_BYTES)
-
-    async def _receive_body(
-        self, length: int | None, headers: Headers, limits: InputLimits
-    ) -> bytes | BadRequest | CloseReason:
-        # Unlike a bytearray, it returns its content without a copy.
-        body = io.BytesIO()
-        if length is not None and length > SMALL_BODY_BYTES:
-            # All at once: pieces of memory that grow would leave gaps.
-            body.seek(length - 1)
-            body.write(b"\0")
-            body.seek(0)
-        if self._unparsed:
-            self._h11.receive_data(bytes(self._unparsed))
-            self._unparsed.clear()
-        is_reserved = length is not None
-        while True:
-            await self._coop_budget.spend()
-            event = self._h11.next_event()
-            if isinstance(event, h11.EndOfMessage):
-                if length is None:
-                    self._admission.budget.shrink(self._body_lease, body.tell())
-                return body.getvalue()
-            if isinstance(event, h11.Data):
-                total = body.tell() + len(event.data)
-                if total > limits.max_body_bytes:
-                    return BadRequest(413, "the request body is too large")
-                if not is_reserved and total > SMALL_BODY_BYTES:
-                    is_reserved = True
-                    rest = limits.max_body_bytes
-                    if not await self._wait_for_memory(rest, headers):
-                        return NO_MEMORY
-                body.write(event.data)
-            elif event is h11.NEED_DATA:
-                async with asyncio.timeout(limits.idle_timeout_s):
-                    data = await self._channel.read()
-                if not data:
-                    return CloseReason.ENDED
-                await self._coop_budget.spend(len(data))
-                self._h11.receive_data(data)
-            else:
-                return BadRequest(400, "malformed body")
-
-    async def _wait_for_memory(self, size: int, headers: Headers) -> bool:
-        """Takes memory for a body; returns whether there was so much.
-
-        Meanwhile nothing more of it is received: its caller is held by TCP.
-        """
-        budget = self._admission.budget
-        if budget.take_now(self._body_lease, size):
-            return True
-        time_left_s = self._admission.decode_time_left(headers)
-        max_wait_s = MAX_BODY_WAIT_S
-        if time_left_s is not None:
-            max_wait_s = min(max_wait_s, BODY_WAIT_SHARE * time_left_s)
-        began_s = time.monotonic()
-        is_taken = await budget.take(self._body_lease, size, max_wait_s)
-        _log.info(
-            "body_waited",
-            peer=self._channel.peer,
-            size=size,
-            waited_ms=round((time.monotonic() - began_s) * 1000),
-            is_read=is_taken,
-            held=budget.held_bytes,
-        )
-        return is_taken
-
-    def _send_continue(self) -> None:
-        event = h11.InformationalResponse(status_code=100, headers=[])
-        self._channel.write(self._h11.send(event) or b"")
-
-
-def _make_parser() -> h11.Connection:
-    return h11.Connection(
-        h11.SERVER, max_incomplete_event_size=H11_MAX_EVENT_BYTES
-    )
-
-
-def _body_length(head: h11.Request) -> int | None:
-    """Returns the length of a body; None if it comes in chunks."""
-    for name, value in head.headers:
-        if name == b"content-length":
-            return int(value)
-        if name == b"transfer-encoding":
-            return None
-    return 0
-
 
 def _decode_headers(head: h11.Request) -> Headers:
     return tuple(
         (key.decode("ascii"), value.decode("latin-1"))
         for key, value in head.headers
     )
-
-
-def _build_request(
-    head: h11.Request, headers: Headers, body: bytes, arrived_s: float
-) -> Request:
-    return Request(
-        head.method.decode("ascii"),
-        head.target.decode("ascii"),
-        headers,
-        body,
-        arrived_s,
-    )
--- a/tests/completions/environment.py
+++ b/tests/completions/environment.py
@@ -16,7 +16,7 @@
 from savorylift.wire.client_call import ClientCall
 from savorylift.wire.listener import Listener, connection_handler
 from savorylift.wire.message import Request, Response
-from savorylift.wire.server_connection import InputLimits
+from savorylift.wire.request_input import InputLimits
 from tests.front.environment import run_with_timeout
 from tests.harness.ports import free_addresses
 from tests.standins.engine import Engine
--- a/tests/exchange/factories.py
+++ b/tests/exchange/factories.py
@@ -32,7 +32,7 @@
     Target,
     Team,
 )
-from savorylift.wire.server_connection import InputLimits
+from savorylift.wire.request_input import InputLimits
 
 PEER_NUMBERS = (2, 3)  # of the nodes besides the tested one
 COLD_PLACES = 6  # two for each of three nodes
--- a/tests/front/cut_links.py
+++ b/tests/front/cut_links.py
@@ -11,7 +11,8 @@
 from savorylift.wire import channel
 from savorylift.wire.channel import Channel
 from savorylift.wire.listener import Listener
-from savorylift.wire.server_connection import InputLimits, ServerConnection
+from savorylift.wire.request_input import InputLimits
+from savorylift.wire.server_connection import ServerConnection
 
 # Address of the node that the current task belongs to; empty for a test.
 current_node: contextvars.ContextVar[str] = contextvars.ContextVar(
--- a/tests/front/test_node_relay.py
+++ b/tests/front/test_node_relay.py
@@ -21,7 +21,8 @@
 from savorylift.wire.client_call import BrokenAnswerError, ClientCall
 from savorylift.wire.listener import Listener
 from savorylift.wire.message import Request, Response
-from savorylift.wire.server_connection import InputLimits, ServerConnection
+from savorylift.wire.request_input import InputLimits
+from savorylift.wire.server_connection import ServerConnection
 from tests.exchange.factories import (
     make_admitted_request,
     make_caller_request,
--- a/tests/front/test_peer_sync.py
+++ b/tests/front/test_peer_sync.py
@@ -15,7 +15,7 @@
 from savorylift.front.tasks import BackgroundTasks
 from savorylift.wire.listener import Listener, connection_handler
 from savorylift.wire.message import Request, Response
-from savorylift.wire.server_connection import InputLimits
+from savorylift.wire.request_input import InputLimits
 from tests.exchange.factories import make_store_view
 from tests.harness.ports import free_addresses
 from tests.harness.virtual_time import run_in_virtual_time
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -11,10 +11,8 @@
 
 from savorylift.wire.listener import Listener
 from savorylift.wire.message import Headers, Request
-from savorylift.wire.server_connection import (
-    InputLimits,
-    ServerConnection,
-)
+from savorylift.wire.request_input import InputLimits
+from savorylift.wire.server_connection import ServerConnection
 
 RESPONSE_SIGNATURE_HEADER = ("x-savorylift-response-seal", "seal")
 NOT_EXECUTED_HEADER = ("x-savorylift-not-executed", "1")
--- a/tests/standins/platform_store.py
+++ b/tests/standins/platform_store.py
@@ -17,7 +17,7 @@
 
 from savorylift.wire.listener import Listener, connection_handler
 from savorylift.wire.message import Request, Response
-from savorylift.wire.server_connection import InputLimits
+from savorylift.wire.request_input import InputLimits
 from tests.standins import control
 
 RECORD_LENGTH = struct.Struct(">I")  # precedes each record
--- a/tests/standins/scripted_server.py
+++ b/tests/standins/scripted_server.py
@@ -7,7 +7,8 @@
 from savorylift.wire.channel import Channel
 from savorylift.wire.listener import Listener
 from savorylift.wire.message import Request
-from savorylift.wire.server_connection import InputLimits, ServerConnection
+from savorylift.wire.request_input import InputLimits
+from savorylift.wire.server_connection import ServerConnection
 
 # What a server says of itself: when it started, as its entry does.
 REPORT = b'{"born": 1}'
--- a/tests/wire/loopback.py
+++ b/tests/wire/loopback.py
@@ -6,10 +6,8 @@
 
 from savorylift.wire.body_admission import UNBOUNDED, BodyAdmission
 from savorylift.wire.channel import Channel, connect
-from savorylift.wire.server_connection import (
-    InputLimits,
-    ServerConnection,
-)
+from savorylift.wire.request_input import InputLimits
+from savorylift.wire.server_connection import ServerConnection
 
 T = TypeVar("T")
 
--- a/tests/wire/test_body_budget.py
+++ b/tests/wire/test_body_budget.py
@@ -15,12 +15,8 @@
 )
 from savorylift.wire.channel import Channel
 from savorylift.wire.message import Request, decode_milliseconds
-from savorylift.wire.server_connection import (
-    BadRequest,
-    CloseReason,
-    InputLimits,
-    ServerConnection,
-)
+from savorylift.wire.request_input import BadRequest, CloseReason, InputLimits
+from savorylift.wire.server_connection import ServerConnection
 from tests.wire.loopback import open_connection_pair, run_with_timeout
 
 # Of which large bodies may take seven eighths.
--- a/tests/wire/test_listener.py
+++ b/tests/wire/test_listener.py
@@ -7,7 +7,7 @@
 
 from savorylift.wire.listener import Listener, connection_handler
 from savorylift.wire.message import Request, Response
-from savorylift.wire.server_connection import InputLimits
+from savorylift.wire.request_input import InputLimits
 from tests.harness.ports import free_addresses
 
 CONNECTIONS = 20
--- a/tests/wire/test_server_connection.py
+++ b/tests/wire/test_server_connection.py
@@ -10,12 +10,8 @@
 from savorylift.wire.channel import Channel, connect
 from savorylift.wire.listener import Listener
 from savorylift.wire.message import Request
-from savorylift.wire.server_connection import (
-    BadRequest,
-    CloseReason,
-    InputLimits,
-    ServerConnection,
-)
+from savorylift.wire.request_input import BadRequest, CloseReason, InputLimits
+from savorylift.wire.server_connection import ServerConnection
 from tests.wire.loopback import open_connection_pair, run_with_timeout
 
 HEAD_START = b"POST /a/ HTTP/1.1\r\nHost: h\r\n"
--- a/tests/wire/test_tls.py
+++ b/tests/wire/test_tls.py
@@ -15,7 +15,7 @@
 from savorylift.tls import server_context
 from savorylift.wire.listener import Listener, connection_handler
 from savorylift.wire.message import Request, Response
-from savorylift.wire.server_connection import InputLimits
+from savorylift.wire.request_input import InputLimits
 from tests.harness.ports import free_addresses
 from tests.wire.loopback import run_with_timeout
 
