Take the reports of a node's state out of the composition root

Change: front/state_reporter.py puts together state messages and the status. No change of behaviour.

--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -55,7 +55,7 @@
 from savorylift.front.responder import Responder
 from savorylift.front.server_news import ServerNews
 from savorylift.front.settings import FrontSettings
-from savorylift.front.status import Status
+from savorylift.front.state_reporter import NodeIdentity, StateReporter
 from savorylift.front.tasks import BackgroundTasks
 from savorylift.platform.directory import (
     directory_handler,
@@ -110,9 +110,6 @@
         self._read_settings = read_settings
         self._ip, _ = split_address(settings.caller_listen)
         self._incarnation = random.getrandbits(INCARNATION_BITS)
-        self._sequence = 0
-        # Whether this node was one of the store's readers when last asked.
-        self._was_reader = False
         self._stop_requested = asyncio.Event()
         self._tasks = BackgroundTasks(self.leave)
         rng = random.Random(self._incarnation)
@@ -123,7 +120,10 @@
         seeds = [split_address(seed)[0] for seed in settings.seeds]
         self._membership = Membership(self._ip, seeds)
         self._caller_directory = CallerDirectory(
-            self._membership, self._store_view, self._next_state, entry_ttl_s
+            self._membership,
+            self._store_view,
+            self._next_state,
+            entry_ttl_s,
         )
         budget = RetryBudget(
             RetryBudgetOptions(
@@ -278,11 +278,11 @@
             self._store,
             version_history,
             lambda name: self._find_service(name) is not None,
-            lambda: self._was_reader,
+            lambda: self._reporter.was_reader,
             self._store_era,
         )
         read_policy = ReadPolicy(
-            self._is_reader,
+            lambda: self._reporter.is_reader(),
             self._peers_reading_age_s,
             lambda: self._store_view.configuration is None,
             lambda: self._peer_sync.transport.reader_interval_s,
@@ -316,13 +316,32 @@
             self._next_state,
             self._tasks,
             MessageAuthenticator(settings.peer_keys),
-            lambda: self._was_reader,
+            lambda: self._reporter.was_reader,
             on_update=self._on_peer_update,
             on_state=self._on_peer_state,
             on_new_peer=self._limit_gate.greet,
             on_limit_message=self._limit_gate.receive,
             on_origin_message=origins.receive,
         )
+        self._reporter: StateReporter = StateReporter(
+            NodeIdentity(
+                settings.vm,
+                self._ip,
+                settings.region,
+                settings.failure_domain,
+                settings.caller_listen,
+                self._incarnation,
+            ),
+            self._lifecycle,
+            self._membership,
+            self._store_view,
+            self._store_reader,
+            self._pool,
+            self._reach,
+            self._crash_guard,
+            self._server_news,
+            self._peer_sync.transport,
+        )
         self._registration = Registration(
             self._store,
             self._membership,
@@ -402,10 +421,12 @@
         await peer_listener.start(self._ip, self._settings.peer_port)
         directory = directory_handler(self._caller_directory.resolve)
         await self._listen_http(self._settings.directory_listen, directory)
-        readiness = readiness_handler(lambda: self._is_ready)
+        readiness = readiness_handler(lambda: self._reporter.is_ready)
         await self._listen_http(self._settings.readiness_listen, readiness)
         metrics_address = f"{self._ip}:{self._settings.metrics_port}"
-        await self._listen_http(metrics_address, operator_handler(self._status))
+        await self._listen_http(
+            metrics_address, operator_handler(self._reporter.status)
+        )
         await self._caller_listener.start(
             *split_address(self._settings.caller_listen), self._caller_tls
         )
@@ -417,11 +438,6 @@
         listener = Listener(handler, InputLimits, self._admission)
         await listener.start(*split_address(address))
 
-    @property
-    def _is_ready(self) -> bool:
-        has_configuration = self._store_view.configuration is not None
-        return has_configuration and not self._lifecycle.is_leaving
-
     def _input_limits(self) -> InputLimits:
         cfg = self._store_view.configuration
         return InputLimits() if cfg is None else cfg.limits
@@ -433,44 +449,7 @@
         return limits._replace(max_head_bytes=max_head_bytes)
 
     def _next_state(self, *, include_peers: bool = False) -> NodeState:
-        """Returns this node's state with a new sequence number.
-
-        Args:
-            include_peers: Whether to include the addresses of live peers.
-        """
-        self._sequence += 1
-        now_s = time.monotonic()
-        peers = self._membership.live_peers(now_s) if include_peers else ()
-        state = NodeState(
-            node=self._settings.vm,
-            ip=self._ip,
-            region=self._settings.region,
-            failure_domain=self._settings.failure_domain,
-            caller_address=self._settings.caller_listen,
-            incarnation=self._incarnation,
-            sequence=self._sequence,
-            is_ready=self._is_ready,
-            is_leaving=self._lifecycle.is_leaving,
-            operators_version=self._store_view.operators_version,
-            servers_version=self._store_view.servers_version,
-            reading_age_s=self._store_reader.reading_age_s(now_s),
-            servers_reading_age_s=self._store_reader.servers_reading_age_s(
-                now_s
-            ),
-            has_store_fault=self._store_reader.has_fault(now_s),
-            loads=self._pool.load_tracker.loads(),
-            moves=self._pool.move_queue.planned,
-            interval_s=self._peer_sync.transport.own_interval_s,
-            peers=tuple(peer.state.ip for peer in peers),
-            quarantine_news=self._crash_guard.news(),
-        )
-        return self._server_news.add_to(state)
-
-    def _is_reader(self) -> bool:
-        self._was_reader = self._membership.is_reader(
-            self._next_state(), time.monotonic()
-        )
-        return self._was_reader
+        return self._reporter.next_state(include_peers=include_peers)
 
     def _peers_reading_age_s(self) -> float | None:
         return self._membership.reading_age_s(time.monotonic())
@@ -540,36 +519,6 @@
         if delay_s > LATE_LOOP_S:
             _log.warning("event_loop_late", delay_ms=round(delay_s * 1000))
 
-    def _status(self) -> Status:
-        now_s = time.monotonic()
-        servers = self._store_view.registry.servers.values()
-        return Status(
-            vm=self._settings.vm,
-            ip=self._ip,
-            failure_domain=self._settings.failure_domain,
-            incarnation=self._incarnation,
-            is_ready=self._is_ready,
-            is_leaving=self._lifecycle.is_leaving,
-            configuration_version=self.configuration_version,
-            operators_version=self._store_view.operators_version,
-            reading_age_s=self._store_reader.reading_age_s(now_s),
-            open_requests=self._lifecycle.open_requests,
-            out_of_service=tuple(sorted(self._store_view.evacuated)),
-            backend_servers=tuple(
-                known.entry.server_id
-                for known in servers
-                if not known.entry.is_leaving
-            ),
-            peers=tuple(
-                peer.state.ip for peer in self._membership.live_peers(now_s)
-            ),
-            unreached_services=self._reach.cut_off,
-            brittle_services=tuple(
-                news.service for news in self._pool.brittle.news()
-            ),
-            held_servers=self._pool.holds.held_ids,
-        )
-
     def reload(self) -> None:
         """Reads the settings again; only new seeds apply without a restart."""
         result = self._read_settings()
