Count no full connection as one to a process that still serves

Cause: a process that refuses connections counts as full, not as gone, if another connection to it is open. A connection whose input is full is not read, so that its end does not show: it spoke for a process that had ended, and with it for all answers that ended with that process.

Change: such a connection counts as open no more, nor does one that this node has closed; Channel.is_open says so already.

Evidence: on the code before, both new tests fail (outcome=full, the stream is passed on as complete after 30 of its events). With the change both pass.

--- a/src/savorylift/exchange/server_check.py
+++ b/src/savorylift/exchange/server_check.py
@@ -282,6 +282,6 @@
         """Whether a connection is open, which a process that ended closes."""
         server_id = server.entry.server_id
         return any(
-            opened.server_id == server_id and not channel.is_peer_closed
+            opened.server_id == server_id and channel.is_open
             for channel, opened in self._channels.items()
         )
--- a/tests/exchange/test_server_check.py
+++ b/tests/exchange/test_server_check.py
@@ -14,7 +14,11 @@
     ServerCheck,
 )
 from savorylift.platform.engine_client import read_start_on
-from savorylift.wire.channel import Channel, connect
+from savorylift.wire.channel import (
+    MAX_READ_BUFFER_BYTES,
+    Channel,
+    connect,
+)
 from tests.exchange.factories import make_server
 from tests.harness.ports import free_addresses
 from tests.wire.loopback import run_with_timeout, serve_bytes
@@ -166,6 +170,29 @@
     run_with_timeout(scenario())
 
 
+def test_connection_whose_end_does_not_show_speaks_for_no_process() -> None:
+    """A full connection to a process that had ended passed for an open one."""
+
+    async def scenario() -> None:
+        async def fill(channel: Channel) -> None:
+            channel.write(b"x" * 2 * MAX_READ_BUFFER_BYTES)
+            await channel.drain()
+            channel.close()
+
+        listener, port = await serve_bytes(fill)
+        server = server_at(port)
+        check, _ = make_check()
+        unread = await connect("127.0.0.1", port, 1.0)
+        check.add_channel(server, unread)
+        await asyncio.sleep(0.1)
+        listener.close()
+        assert not unread.is_peer_closed
+        assert await check.is_gone(server, Channel(), "a1")
+        unread.abort()
+
+    run_with_timeout(scenario())
+
+
 def test_later_answer_is_not_judged_by_an_earlier_connection() -> None:
     async def scenario() -> None:
         check, gate = make_check()
--- a/tests/front/test_unframed_answers.py
+++ b/tests/front/test_unframed_answers.py
@@ -36,6 +36,9 @@
 FAILED_COPY_S = 3.0
 # A wait that callers would not feel.
 PROMPT_S = 0.1
+# Fills all buffers on the way to a caller that doesn't read.
+LARGE = b"x" * 200_000
+UNREAD_S = 1.2
 # When the servers that are replaced started, as their entries say.
 ENTRY_BORN = 1
 STREAM_PATHS = ("/stream/", "/resumable/")
@@ -334,6 +337,25 @@
     run_in_environment(scenario)
 
 
+def test_slow_reader_of_a_server_that_is_gone_makes_no_other_answer_whole() -> (
+    None
+):
+    async def scenario(env: NodeEnvironment) -> None:
+        large = [b"id: %d\ndata: %b\n\n" % (n, LARGE) for n in range(1, 31)]
+        server = await replace_by_one(env, "/stream/", large)
+        server.is_gone = True
+        server.may_end.clear()
+        unread = await env.open_call("/stream/", "unread", TOKEN_COUNTS)
+        calling = asyncio.ensure_future(call(env, "/stream/", "read"))
+        await asyncio.sleep(UNREAD_S)
+        server.may_end.set()
+        status, _, view = await calling
+        assert (status, view) == (200, CallerView.BROKEN)
+        unread.close()
+
+    run_in_environment(scenario)
+
+
 @pytest.mark.parametrize("path", PATHS)
 def test_whole_answer_waits_little_for_a_server_that_is_cut_off(
     path: str, monkeypatch: pytest.MonkeyPatch
