End an answer in the client library with its last token

Cause: only the end marker ended the iteration. The last token doesn't count as one that the caller has, so it was asked for, and yielded, again.

Change: a token with a finish reason ends the iteration, with or without the end marker behind it.

Evidence: on the code before, test_end_of_an_answer_comes_once_if_the_connection_is_lost_after_it yields 0, 1, 1 in place of 0, 1.

Measured: 67 tests of the client library and of completions pass; lint and types pass.

--- a/src/savorylift/client/stream.py
+++ b/src/savorylift/client/stream.py
@@ -269,6 +269,9 @@
             self._refusals.clear()
             if token.finish_reason is None:
                 self._next_index = token.token_index + 1
+            else:
+                # What is left on the connection is only the end marker.
+                self._is_finished = True
             yield token
 
 
--- a/tests/client/test_lost_connections.py
+++ b/tests/client/test_lost_connections.py
@@ -235,3 +235,22 @@
     result = client.call("s", "POST", "/", b"", "key")
     assert isinstance(result, Failure)
     assert result.failure().ending is ending
+
+
+@pytest.mark.parametrize(
+    "client",
+    [
+        [
+            STREAM_HEAD + token_event(0) + token_event(1, "stop"),
+            STREAM_HEAD + token_event(1, "stop") + b"data: [DONE]\n\n",
+        ]
+    ],
+    indirect=True,
+)
+def test_end_of_an_answer_comes_once_if_the_connection_is_lost_after_it(
+    client: Client,
+) -> None:
+    items = list(client.stream("m", "p"))
+    indices = [item.token_index for item in items if isinstance(item, Token)]
+    assert indices == [0, 1]
+    assert len(items) == len(indices)
