Begin no stream again whose events have no numbers

What callers saw: the first events of one run, then all of another, in one response that ended as whole, if the engine of a stream that may be resumed broke off and its events had no numbers (ORDER).

Cause: the run keeps the number of its last event over all engines. Without numbers it stays unset, which stood for a caller that has no event yet: the next engine was asked for the whole stream.

Change: a run whose events have no numbers is neither repeated nor moved; its caller sees that it was cut off. Comments don't count as events.

--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -193,6 +193,7 @@
                 continue
             run.possibly_run_attempts += 1
             may_repeat = admitted.is_idempotent and not is_last
+            may_repeat = may_repeat and run.is_position_known
             if may_repeat:
                 may_repeat = self._crash_guard.may_repeat(run.traits)
             if not may_repeat:
@@ -320,7 +321,8 @@
         if run.is_framed_for_caller:
             return Broken(Reason.ANSWER_LOST, "nothing marks the stream's end")
         # Another engine can tell whether anything is missing.
-        can_go_on = policy.allows_failover and policy.has_alternative()
+        can_go_on = run.is_position_known and policy.allows_failover
+        can_go_on = can_go_on and policy.has_alternative()
         if can_go_on and await self._server_check.has_left(*ended):
             return Broken(Reason.OUT_OF_SERVICE, SERVER_LEFT)
         return None
@@ -350,6 +352,8 @@
             return
         if not run.can_move or not run.is_version_certain:
             return
+        if not run.is_position_known:
+            return
         if run.first_event_s is None or self._pool.is_in_service(run.server):
             return
         loop = asyncio.get_running_loop()
--- a/src/savorylift/exchange/relay.py
+++ b/src/savorylift/exchange/relay.py
@@ -63,7 +63,7 @@
         try:
             while True:
                 chunk = await _read_chunk(
-                    started, failover_policy, last_event_s
+                    run, started, failover_policy, last_event_s
                 )
                 if chunk is None:
                     break
@@ -107,7 +107,7 @@
         if run.awaits_first_event:
             run.awaits_first_event = False
             self._on_first_event(run)
-        run.record_event(number)
+        run.record_event(event)
         await sink.send(data)
         self._on_event(run)
 
@@ -130,11 +130,15 @@
 
 
 async def _read_chunk(
-    started: Started, failover_policy: FailoverPolicy, last_event_s: float
+    run: Run,
+    started: Started,
+    failover_policy: FailoverPolicy,
+    last_event_s: float,
 ) -> bytes | None:
     """Returns the next chunk of a stream; None at its end.
 
     Args:
+        run: The run.
         started: The response.
         failover_policy: Whether another engine could take over.
         last_event_s: Monotonic time of the last event that took the response
@@ -148,6 +152,7 @@
         is_stalled = time.monotonic() - last_event_s >= STALL_TIMEOUT_S
         if (
             is_stalled
+            and run.is_position_known
             and failover_policy.allows_failover
             and failover_policy.has_alternative()
         ):
--- a/src/savorylift/exchange/run.py
+++ b/src/savorylift/exchange/run.py
@@ -7,6 +7,7 @@
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.codec import CancelRequest
+from savorylift.exchange.events import Event
 from savorylift.exchange.request import KvCopy
 from savorylift.exchange.request_traits import find_traits
 from savorylift.exchange.results import Refused
@@ -52,6 +53,7 @@
             to the run, just before the request is sent.
         awaits_first_event: Whether that engine has not sent an event yet.
         relayed_events: Number of events relayed from all engines.
+        has_unnumbered_events: Whether some of these had no number.
         possibly_run_attempts: Number of engines that may have run the request
             before the current one.
         is_at_engine: Whether it is being sent to an engine or was sent.
@@ -87,6 +89,7 @@
         self.assigned_s = 0.0
         self.awaits_first_event = True
         self.relayed_events = 0
+        self.has_unnumbered_events = False
         self.possibly_run_attempts = 0
         self.is_at_engine = False
         self.time_limit: asyncio.Timeout | None = None
@@ -159,6 +162,11 @@
             return None
         return int(after) if after.isdecimal() else None
 
+    @property
+    def is_position_known(self) -> bool:
+        """Whether another engine can be told where to go on."""
+        return self.last_event is not None or not self.has_unnumbered_events
+
     @property
     def was_stopped_without_end(self) -> bool:
         """Whether the end of its stream may be due to a move."""
@@ -188,8 +196,9 @@
         self.awaits_first_event = True
         self.prefill_tokens_at_start = prefill_tokens
 
-    def record_event(self, number: int | None) -> None:
+    def record_event(self, event: Event) -> None:
         """Updates times and numbers when an event is relayed."""
+        number = event.number
         now_s = time.monotonic()
         self.relayed_events += 1
         if self.last_event_s is None:
@@ -202,3 +211,5 @@
         self.last_event_s = now_s
         if number is not None:
             self.last_event = number
+        elif not event.is_comment:
+            self.has_unnumbered_events = True
