Play callers that keep their connections through ends of nodes in the soak

Change: shapes whose callers keep connections, ask for something else on them before, pipeline calls or speak HTTP/1.0; with TLS, 9 and 12 nodes, moves, take-ups at two nodes at once, and releases of the nodes beside another build. Faults: a node gets SIGTERM and then other signals, several at once; all nodes start again with the other build.

--- a/tests/front/version_fleet.py
+++ b/tests/front/version_fleet.py
@@ -4,16 +4,16 @@
 """
 
 import asyncio
-import contextlib
 import pathlib
 from typing import NamedTuple
 
-from savorylift.wire.channel import connect
-from savorylift.wire.client_call import BrokenAnswerError, ClientCall
+from savorylift.front.settings import FrontSettings
+from savorylift.settings import TlsSettings
 from savorylift.wire.message import Headers
 from tests.front.cut_node import CUT_SIGNAL, HEAL_SIGNAL
 from tests.front.node_fleet import START_TIMEOUT_S, NodeFleet
 from tests.front.process_fleet import ProcessFleet
+from tests.front.stream_callers import Call, FreshCaller, StreamCaller
 from tests.standins.platform_store import PlatformStore
 
 ENGINES = 4
@@ -22,6 +22,7 @@
 STREAM_TIMEOUT_S = 8.0
 PATH = "/resumable/x"
 POLL_INTERVAL_S = 0.05
+SOURCE_VARIABLE = "PYTHONPATH"
 
 
 class Part(NamedTuple):
@@ -34,6 +35,7 @@
         took_s: Time until the response ended.
         retry_after: When to return, if the response said so.
         numbers: Number of each event.
+        build: Build of the node that was asked.
     """
 
     status: int
@@ -42,13 +44,19 @@
     took_s: float
     retry_after: str | None = None
     numbers: tuple[int, ...] = ()
+    build: str = ""
 
 
 class VersionFleet(NodeFleet):
-    """Two engines of each of two versions; streams break off once."""
+    """Two engines of each of two versions; streams break off once.
+
+    Attributes:
+        caller: Sends the requests.
+    """
 
     def __init__(self, nodes: int = 2) -> None:
         super().__init__(nodes, ENGINES)
+        self.caller: StreamCaller = FreshCaller()
         self._set_up_engines()
 
     def _set_up_engines(self) -> None:
@@ -79,31 +87,31 @@
             ("x-savorylift-token-counts", counts),
             *extra,
         )
+        ip = self.ips[node]
+        build = self._build(ip)
         loop = asyncio.get_running_loop()
         began_s = loop.time()
-        status, retry_after, data, is_whole = 0, None, b"", False
-        with contextlib.suppress(BrokenAnswerError, OSError, TimeoutError):
-            async with asyncio.timeout(STREAM_TIMEOUT_S):
-                ip = self.ips[node]
-                call = ClientCall(await connect(ip, self.caller_port, 1.0))
-                call.send(
-                    "POST", PATH, headers, b"question " + attempt.encode()
-                )
-                head = await call.read_head()
-                status, retry_after = head.status, head.header("retry-after")
-                while (chunk := await call.read_body_chunk()) is not None:
-                    data += chunk
-                is_whole = True
-        took_s = loop.time() - began_s
+        answer = await self.caller.ask(
+            ip,
+            self.caller_port,
+            Call(
+                PATH, headers, b"question " + attempt.encode(), STREAM_TIMEOUT_S
+            ),
+        )
         return Part(
-            status,
-            versions(data),
-            is_whole,
-            took_s,
-            retry_after,
-            numbers(data),
+            answer.status,
+            versions(answer.data),
+            answer.is_whole,
+            loop.time() - began_s,
+            answer.headers.get("retry-after"),
+            numbers(answer.data),
+            build,
         )
 
+    def _build(self, ip: str) -> str:
+        """Returns the build that a node runs; empty for this one."""
+        return ""
+
     async def take_up(
         self, node: int, attempt: str, part: Part, first: str
     ) -> Part:
@@ -138,12 +146,19 @@
 
 
 class VersionProcessFleet(VersionFleet, ProcessFleet):
-    """The same, with a process for each node, which can be cut off."""
+    """The same, with a process for each node, which can be cut off.
+
+    Attributes:
+        caller_tls: TLS files of the nodes; None for plain connections.
+    """
 
     program = "tests.front.cut_node"
 
     def __init__(self, nodes: int, directory: pathlib.Path) -> None:
         ProcessFleet.__init__(self, nodes, ENGINES, directory)
+        self.caller = FreshCaller()
+        self.caller_tls: TlsSettings | None = None
+        self._other_source: pathlib.Path | None = None
         self._set_up_engines()
 
     @property
@@ -153,8 +168,23 @@
 
     def use_source(self, nodes: int, source: pathlib.Path) -> None:
         """Lets the last nodes run the program of another source tree."""
+        self._other_source = source
         for ip in self.ips[len(self.ips) - nodes :]:
-            self.processes[ip].environment["PYTHONPATH"] = str(source)
+            self.switch_build(ip)
+
+    def switch_build(self, ip: str) -> None:
+        """Lets a node start with the other source tree from now on, or back."""
+        environment = self.processes[ip].environment
+        if self._build(ip):
+            del environment[SOURCE_VARIABLE]
+        elif self._other_source is not None:
+            environment[SOURCE_VARIABLE] = str(self._other_source)
+
+    def _build(self, ip: str) -> str:
+        return self.processes[ip].environment.get(SOURCE_VARIABLE, "")
+
+    def _settings(self, ip: str) -> FrontSettings:
+        return super()._settings(ip)._replace(caller_tls=self.caller_tls)
 
     def kill(self, nodes: int) -> None:
         """Kills the first nodes at the same moment."""
@@ -169,16 +199,23 @@
             for ip in self.ips[:nodes]:
                 await self._ready(ip)
 
-    async def roll(self) -> None:
+    async def roll(self, *, switches_build: bool = False) -> None:
         """Ends each node with SIGTERM and starts it again, one by one."""
         for ip in self.ips:
-            process = self.processes[ip]
-            process.terminate()
-            async with asyncio.timeout(START_TIMEOUT_S):
-                while process.is_running:
-                    await asyncio.sleep(POLL_INTERVAL_S)
-                self.start_node(ip)
-                await self._ready(ip)
+            self.processes[ip].terminate()
+            await self.start_when_ended(ip, switches_build=switches_build)
+
+    async def start_when_ended(
+        self, ip: str, *, switches_build: bool = False
+    ) -> None:
+        """Waits for the end of a node and starts it again."""
+        async with asyncio.timeout(START_TIMEOUT_S):
+            while self.processes[ip].is_running:
+                await asyncio.sleep(POLL_INTERVAL_S)
+            if switches_build:
+                self.switch_build(ip)
+            self.start_node(ip)
+            await self._ready(ip)
 
     def cut_off_nodes(self, ips: list[str]) -> None:
         """Cuts nodes off from all other nodes; servers and store are heard."""
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -65,6 +65,12 @@
         default=None,
         help="source tree of the nodes that run another build",
     )
+    parser.add_argument(
+        "--other-nodes",
+        type=int,
+        default=None,
+        help="number of these nodes, if not that of the shape",
+    )
     return parser.parse_args()
 
 
@@ -83,6 +89,7 @@
         itertools.repeat(log_directory),
         itertools.repeat(cfg.seconds),
         itertools.repeat(cfg.other_source),
+        itertools.repeat(cfg.other_nodes),
     )
     failed = 0
     totals = {shape: Counter[str]() for shape in shapes}
@@ -109,12 +116,13 @@
     log_directory: pathlib.Path,
     duration_s: float,
     other_source: pathlib.Path | None,
+    other_nodes: int | None,
 ) -> SeedResult:
     """Runs streams of engines that change their software versions."""
     directory = log_directory / shape / str(seed)
     directory.mkdir(parents=True)
     result = run_version_seed(
-        seed, directory, duration_s, SHAPES[shape], other_source
+        seed, directory, duration_s, SHAPES[shape], other_source, other_nodes
     )
     return SeedResult(
         result.faults, _counts(result), [*map(str, result.violations)]
@@ -122,13 +130,19 @@
 
 
 def _counts(result: VersionResult) -> Counter[str]:
-    kinds = Counter(violation.kind.value for violation in result.violations)
+    kinds = Counter(
+        violation.kind.value + (" at another build" if violation.builds else "")
+        for violation in result.violations
+    )
     return kinds + Counter(
         {
             "streams": len(result.streams),
             "whole": sum(stream.is_whole for stream in result.streams),
             "take-ups": sum(stream.take_ups for stream in result.streams),
             "gone on": sum(stream.gone_on for stream in result.streams),
+            "on kept connections": result.kept,
+            "pipelined": result.pipelined,
+            "cut by the end of a node": result.events["response_cut"],
         }
     )
 
--- a/tests/soak/test_version_soak.py
+++ b/tests/soak/test_version_soak.py
@@ -31,3 +31,16 @@
         [*map(str, result.violations), *result.faults]
     )
     assert any(stream.is_whole for stream in result.streams)
+
+
+@pytest.mark.parametrize(("shape", "seed"), [("kept", 1)])
+def test_streams_on_kept_connections_look_whole_only_with_all_events(
+    shape: str, seed: int, tmp_path: pathlib.Path
+) -> None:
+    result = run_version_seed(seed, tmp_path, DURATION_S, SHAPES[shape])
+    assert not result.violations, "\n".join(
+        [*map(str, result.violations), *result.faults]
+    )
+    assert any(stream.is_whole for stream in result.streams)
+    assert result.kept
+    assert result.events["response_cut"]
--- a/tests/soak/version_callers.py
+++ b/tests/soak/version_callers.py
@@ -38,14 +38,19 @@
     Attributes:
         kind: Which one.
         detail: The stream, in short.
+        builds: Builds of the nodes that served it, as far as it came from
+            another one than this.
     """
 
     kind: Kind
     detail: str
+    builds: frozenset[str] = frozenset()
+    last_build: str = ""
 
     def __str__(self) -> str:
         """Returns one line."""
-        return f"{self.kind}: {self.detail}"
+        builds = "".join(f" [{build}]" for build in sorted(self.builds))
+        return f"{self.kind}: {self.detail}{builds}"
 
 
 class StreamResult(NamedTuple):
@@ -58,6 +63,8 @@
         is_whole: Whether the stream ended as complete.
         take_ups: Attempts that were to go on with the stream.
         gone_on: Those of them that did.
+        builds: Other builds than this one of the nodes that sent events.
+        last_build: Build of the node that was asked last; empty for this one.
     """
 
     first: str
@@ -66,17 +73,21 @@
     is_whole: bool
     take_ups: int
     gone_on: int
+    builds: frozenset[str] = frozenset()
+    last_build: str = ""
 
     def violation(self, events: int) -> Violation | None:
         """Returns what is wrong with the stream, which has `events` events."""
         if mixed(self.versions):
-            return Violation(Kind.MIXED, f"{self.first} {runs(self.versions)}")
+            detail = f"{self.first} {runs(self.versions)}"
+            return Violation(Kind.MIXED, detail, self.builds)
         if self.numbers != list(range(1, len(self.numbers) + 1)):
             detail = f"{self.first} {ranges(self.numbers)}"
-            return Violation(Kind.UNORDERED, detail)
+            return Violation(Kind.UNORDERED, detail, self.builds)
         if self.is_whole and len(self.numbers) != events:
             detail = f"{self.first} ended after {len(self.numbers)} events"
-            return Violation(Kind.EARLY, detail)
+            last = frozenset({self.last_build} if self.last_build else ())
+            return Violation(Kind.EARLY, detail, last)
         return None
 
 
@@ -167,7 +178,14 @@
 
 def _begin(first: str, part: Part) -> StreamResult:
     return StreamResult(
-        first, part.versions, [*part.numbers], _is_end(part), 0, 0
+        first,
+        part.versions,
+        [*part.numbers],
+        _is_end(part),
+        0,
+        0,
+        _builds(part),
+        part.build,
     )
 
 
@@ -179,9 +197,15 @@
         _is_end(part),
         stream.take_ups + 1,
         stream.gone_on + bool(part.versions),
+        stream.builds | _builds(part),
+        part.build,
     )
 
 
+def _builds(part: Part) -> frozenset[str]:
+    return frozenset({part.build} if part.build and part.versions else ())
+
+
 def _is_end(part: Part) -> bool:
     """Whether a stream has ended, and not a refusal."""
     return part.is_whole and part.status == 200
--- a/tests/soak/version_scenario.py
+++ b/tests/soak/version_scenario.py
@@ -6,10 +6,13 @@
 import asyncio
 import pathlib
 import random
+import ssl
 from collections import Counter
 from typing import NamedTuple
 
+from tests.front.stream_callers import KeepingCaller
 from tests.front.version_fleet import VersionProcessFleet
+from tests.harness.certificates import client_context, write_certificate
 from tests.soak.fault_context import FaultContext
 from tests.soak.version_callers import (
     Kind,
@@ -35,12 +38,16 @@
         streams: Streams during the faults.
         violations: Violated guarantees; empty if all held.
         events: Number of log lines of all nodes, by their event.
+        kept: Number of requests on connections that had been used before.
+        pipelined: Number of pipelined calls that were answered.
     """
 
     faults: list[str]
     streams: list[StreamResult]
     violations: list[Violation]
     events: Counter[str]
+    kept: int = 0
+    pipelined: int = 0
 
 
 def run_version_seed(
@@ -49,6 +56,7 @@
     duration_s: float,
     shape: Shape = PLAIN,
     other_source: pathlib.Path | None = None,
+    other_nodes: int | None = None,
 ) -> VersionResult:
     """Plays streams and faults, and checks what callers got.
 
@@ -58,7 +66,10 @@
         duration_s: For how long faults begin.
         shape: What the engines are like, and their faults.
         other_source: Source tree of the nodes that run another build.
+        other_nodes: Number of these nodes; None for that of the shape.
     """
+    if other_nodes is not None:
+        shape = shape._replace(other_nodes=other_nodes)
     scenario = _Scenario(seed, directory, shape)
     if other_source is not None:
         scenario.use_source(other_source)
@@ -79,6 +90,7 @@
         self._fleet = VersionProcessFleet(shape.nodes, directory)
         self._context = FaultContext(self._fleet, shape, rng)
         self._callers = VersionCallers(self._fleet, rng, shape.twin_share)
+        self._keeping = _make_caller(self._fleet, shape, directory, rng)
 
     def use_source(self, source: pathlib.Path) -> None:
         self._fleet.use_source(self._shape.other_nodes, source)
@@ -102,20 +114,26 @@
             _broken(stream) for stream in after if not stream.is_whole
         ]
         return VersionResult(
-            self._context.injected, results, violations, Counter()
+            self._context.injected,
+            results,
+            violations,
+            Counter(),
+            0 if self._keeping is None else self._keeping.kept,
+            0 if self._keeping is None else self._keeping.pipelined,
         )
 
     def _set_up_engines(self) -> None:
         shape = self._shape
         self._fleet.set_versions(*shape.versions)
-        for server in self._fleet.pool:
+        for number, server in enumerate(self._fleet.pool):
             server.resets_after = shape.resets_after
             server.events_per_stream = shape.events
             server.event_interval_s = EVENT_INTERVAL_S
             server.named_limit = shape.named_limit
             server.says_born = shape.says_born
             server.copy_delay_s = shape.copy_delay_s
-            server.has_unframed_streams = shape.is_unframed
+            is_framed = shape.is_half_framed and number % 2 == 1
+            server.has_unframed_streams = shape.is_unframed and not is_framed
 
     async def _streams_after(self) -> list[StreamResult]:
         streams = []
@@ -130,6 +148,24 @@
         return [violation for violation in found if violation is not None]
 
 
+def _make_caller(
+    fleet: VersionProcessFleet,
+    shape: Shape,
+    directory: pathlib.Path,
+    rng: random.Random,
+) -> KeepingCaller | None:
+    """Lets callers of a fleet keep their connections, if the shape says so."""
+    if shape.habits is None:
+        return None
+    tls: ssl.SSLContext | None = None
+    if shape.has_tls:
+        fleet.caller_tls = write_certificate(directory)
+        tls = client_context()
+    caller = KeepingCaller(random.Random(rng.random()), shape.habits, tls)
+    fleet.caller = caller
+    return caller
+
+
 def _broken(stream: StreamResult) -> Violation:
     detail = f"{stream.first} got {len(stream.numbers)} events"
     return Violation(Kind.BROKEN, detail)
--- a/tests/soak/version_shapes.py
+++ b/tests/soak/version_shapes.py
@@ -6,10 +6,16 @@
 import enum
 from typing import NamedTuple
 
+from tests.front.stream_callers import Habits
+
 EVENTS = 90
 SHORT_EVENTS = 6
 NODES = 3
 MANY_NODES = 9
+MORE_NODES = 12
+# Streams of so many events take longer than a node serves after SIGTERM.
+LONG_EVENTS = 220
+LONG_STREAM_INTERVAL_S = 0.25
 COPY_S = 0.05
 BREAK_AFTER_EVENTS = 3
 RESTART_S = 0.3
@@ -40,6 +46,9 @@
         FREEZE: Some nodes stop for some seconds.
         CUT: Some nodes hear no other node for some seconds.
         ROLL: All nodes are ended and started again, one by one.
+        RELEASE: The same; each node starts again with the other build.
+        END: A node gets SIGTERM, and other signals before it ends; then it
+            starts again. Several nodes may do so at once.
         STORE_AWAY: The store refuses or hangs for some seconds.
         STORE_BACK: The store comes back from a copy.
     """
@@ -55,6 +64,8 @@
     FREEZE = "freeze"
     CUT = "cut"
     ROLL = "roll"
+    RELEASE = "release"
+    END = "end"
     STORE_AWAY = "store away"
     STORE_BACK = "store back"
 
@@ -80,6 +91,7 @@
         named_limit: Limit on requests a second that all answers name.
         says_born: Whether reports say when the engine started.
         is_unframed: Whether streams end with their connection.
+        is_half_framed: Whether those of every other engine don't all the same.
         after_interval_s: Time between the streams that must end whole after
             the last fault.
         copy_delay_s: How long an engine takes to copy a run.
@@ -87,6 +99,9 @@
             nodes at once.
         nodes: Number of nodes.
         other_nodes: Number of nodes that run another build, if one is given.
+        habits: What callers do who keep their connections; None for callers
+            who use each for one request.
+        has_tls: Whether callers use TLS.
     """
 
     versions: tuple[str, ...] = ("v1", "v1", "v2", "v2")
@@ -101,11 +116,14 @@
     named_limit: str | None = None
     says_born: bool = True
     is_unframed: bool = False
+    is_half_framed: bool = False
     after_interval_s: float = 0.0
     copy_delay_s: float = 0.0
     twin_share: float = 0.0
     nodes: int = NODES
     other_nodes: int = 0
+    habits: Habits | None = None
+    has_tls: bool = False
 
 
 PLAIN = Shape()
@@ -116,6 +134,19 @@
 )
 LATE_SWAPS = Shape(entry_delays_s=LATE_ENTRY_DELAYS_S)
 ENGINE_FAULTS = (Fault.RESTART, Fault.RESTART, Fault.DRAIN)
+# Callers keep their connections, engines replaced late, and nodes ended beside.
+KEPT = LATE_SWAPS._replace(
+    habits=Habits(),
+    is_unframed=True,
+    faults=(Fault.END, Fault.END, Fault.END, Fault.RESTART),
+    fault_interval_s=(0.3, 0.9),
+    events=LONG_EVENTS,
+    stream_interval_s=LONG_STREAM_INTERVAL_S,
+)
+# The same, with every other fault of nodes.
+KEPT_HARD = KEPT._replace(
+    faults=(*KEPT.faults, Fault.END, Fault.KILL, Fault.FREEZE, Fault.CUT)
+)
 SHAPES = {
     "plain": PLAIN,
     "limited": Shape(
@@ -168,4 +199,38 @@
     "two-builds-2": LATE_SWAPS._replace(other_nodes=2),
     "release-two-builds-1": RELEASE._replace(other_nodes=1),
     "release-two-builds-2": RELEASE._replace(other_nodes=2),
+    "kept": KEPT,
+    "kept-half": KEPT._replace(is_half_framed=True),
+    "kept-hard": KEPT_HARD,
+    "kept-hard-half": KEPT_HARD._replace(is_half_framed=True),
+    "kept-many": KEPT_HARD._replace(nodes=MANY_NODES),
+    "kept-more": KEPT_HARD._replace(nodes=MORE_NODES, is_half_framed=True),
+    "kept-pipelined": KEPT_HARD._replace(
+        habits=Habits(pipelined_share=0.5), is_half_framed=True
+    ),
+    "kept-old-http": KEPT_HARD._replace(
+        habits=Habits(old_share=0.5), is_half_framed=True
+    ),
+    "kept-tls": KEPT_HARD._replace(has_tls=True),
+    "kept-tls-half": KEPT_HARD._replace(has_tls=True, is_half_framed=True),
+    "kept-moves": KEPT._replace(
+        versions=("v1",) * 4,
+        releases=("v1",),
+        faults=(Fault.MOVE,) * 16 + (Fault.END,) * 3,
+        fault_interval_s=(0.08, 0.18),
+        is_half_framed=True,
+    ),
+    "kept-twins": KEPT_HARD._replace(
+        twin_share=0.5,
+        resets_after=BREAK_AFTER_EVENTS,
+        is_half_framed=True,
+    ),
+    "kept-release": KEPT._replace(
+        faults=(*ENGINE_FAULTS, Fault.RELEASE),
+        is_half_framed=True,
+        other_nodes=1,
+    ),
+    "kept-release-unframed": KEPT._replace(
+        faults=(*ENGINE_FAULTS, Fault.RELEASE), other_nodes=1
+    ),
 }
--- a/tests/wire/test_tls.py
+++ b/tests/wire/test_tls.py
@@ -1,55 +1,21 @@
 """Tests of a listener with TLS."""
 
 import asyncio
-import datetime as dt
-import ipaddress
 import pathlib
 import ssl
 
 import pytest
-from cryptography import x509
-from cryptography.hazmat.primitives import hashes, serialization
-from cryptography.hazmat.primitives.asymmetric import ec
 
 from savorylift.settings import TlsSettings
 from savorylift.tls import server_context
 from savorylift.wire.listener import Listener, connection_handler
 from savorylift.wire.message import Request, Response
 from savorylift.wire.request_input import InputLimits
+from tests.harness.certificates import write_certificate
 from tests.harness.ports import free_addresses
 from tests.wire.loopback import run_with_timeout
 
 
-def write_certificate(folder: pathlib.Path) -> TlsSettings:
-    """Writes a self-signed certificate for loopback."""
-    key = ec.generate_private_key(ec.SECP256R1())
-    name = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, "node")])
-    now = dt.datetime.now(dt.UTC)
-    address = x509.IPAddress(ipaddress.ip_address("127.0.0.1"))
-    certificate = (
-        x509.CertificateBuilder()
-        .subject_name(name)
-        .issuer_name(name)
-        .public_key(key.public_key())
-        .serial_number(x509.random_serial_number())
-        .not_valid_before(now - dt.timedelta(minutes=1))
-        .not_valid_after(now + dt.timedelta(hours=1))
-        .add_extension(x509.SubjectAlternativeName([address]), critical=False)
-        .sign(key, hashes.SHA256())
-    )
-    pem = serialization.Encoding.PEM
-    files = TlsSettings(str(folder / "cert.pem"), str(folder / "key.pem"))
-    pathlib.Path(files.certificate).write_bytes(certificate.public_bytes(pem))
-    pathlib.Path(files.private_key).write_bytes(
-        key.private_bytes(
-            pem,
-            serialization.PrivateFormat.PKCS8,
-            serialization.NoEncryption(),
-        )
-    )
-    return files
-
-
 async def _echo_target(req: Request) -> Response:
     return Response(200, (), req.target.encode())
 
