Send the signals of cuts only to nodes that have started

Cause: a soak run that also ends nodes may signal a cut to a node that starts again.

Change: a cut takes its nodes, as ends and kills do, and heals only these.

--- a/tests/front/version_fleet.py
+++ b/tests/front/version_fleet.py
@@ -222,10 +222,10 @@
         for ip in ips:
             self.processes[ip].send_signal(CUT_SIGNAL)
 
-    def heal_nodes(self) -> None:
-        """Ends all cuts between nodes."""
-        for process in self.processes.values():
-            process.send_signal(HEAL_SIGNAL)
+    def heal_nodes(self, ips: list[str] | None = None) -> None:
+        """Ends the cuts of nodes, or of all; each must have started."""
+        for ip in self.ips if ips is None else ips:
+            self.processes[ip].send_signal(HEAL_SIGNAL)
 
     async def _ready(self, ip: str) -> None:
         while not await self._is_ready(ip):
--- a/tests/soak/node_faults.py
+++ b/tests/soak/node_faults.py
@@ -73,12 +73,15 @@
             return
         ips = self._draw_nodes()
         cut_s = self._rng.uniform(*CUT_S)
-        self._context.describe(
-            f"{len(ips)} nodes hear no other node for {cut_s:.1f} s"
-        )
-        self._fleet.cut_off_nodes(ips)
-        await asyncio.sleep(cut_s)
-        self._fleet.heal_nodes()
+        # The signals would end a node that has yet to start.
+        if self._context.take(*ips):
+            self._context.describe(
+                f"{len(ips)} nodes hear no other node for {cut_s:.1f} s"
+            )
+            self._fleet.cut_off_nodes(ips)
+            await asyncio.sleep(cut_s)
+            self._fleet.heal_nodes(ips)
+            self._context.release(*ips)
         self._context.release(NODES)
 
     async def _roll(self) -> None:
