End unframed responses over TLS with the notice of TLS

What callers saw: over TLS, no response ended whose end is its connection's: all events came, then nothing until the caller gave up.

Cause: before a close, the write buffer's limit is set to 0 and its drain awaited. The transport of asyncio for TLS pauses its protocol at that limit even if it is empty, and nothing resumes it. Had it not, the linger option would have been unset while the process still held bytes: a slow caller would have got part of the response and an orderly close from a node that ends.

Change: over TLS, the close sends its notice at once, and the connection stays one that is reset until the peer has answered the notice.

Evidence: test_unframed_response_over_tls_ends_with_a_notice_at_once fails before, for small and large responses.

Not mended: a blocking socket of Python's ssl module takes a reset over TLS for an end in order (http.client returned the part without an error); asyncio and a caller that reads the socket itself saw the reset.

--- a/src/savorylift/wire/channel.py
+++ b/src/savorylift/wire/channel.py
@@ -55,6 +55,7 @@
         self._is_sending_paused = False
         self._is_discarding = False
         self._resets_on_close = False
+        self._is_end_marked_by_close = False
         self.is_peer_closed = False
         self.has_received = False
         self.connection_error: Exception | None = None
@@ -202,10 +203,18 @@
         This holds also if the process is killed.
         """
         self._resets_on_close = True
+        self._is_end_marked_by_close = True
         self._set_linger(RESET_ON_CLOSE)
 
     async def allow_close(self) -> None:
-        """Ends `reset_on_close` once all queued bytes are with the system."""
+        """Ends `reset_on_close` once all queued bytes are with the system.
+
+        Over TLS, it can't be seen when they are. The notice of TLS then marks
+        the end, and the connection is reset unless the peer has seen that.
+        """
+        if self._has_tls:
+            self._resets_on_close = False
+            return
         self.transport.set_write_buffer_limits(high=0)
         await self.drain()
         if not self.transport.is_closing():
@@ -242,13 +251,24 @@
         self._read_buffer.clear()
         if not self.is_peer_closed:
             self.transport.resume_reading()
-            if self.transport.can_write_eof():
-                self.transport.write_eof()
+            self._show_end()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(LINGER_TIMEOUT_S):
                     await self.peer_closed.wait()
         self.close()
 
+    @property
+    def _has_tls(self) -> bool:
+        return self.transport.get_extra_info("sslcontext") is not None
+
+    def _show_end(self) -> None:
+        """Shows the peer that nothing more follows, if that can matter."""
+        if self.transport.can_write_eof():
+            self.transport.write_eof()
+        elif self._is_end_marked_by_close:
+            # With TLS, a notice can't go out without a close.
+            self.transport.close()
+
     def _queue(self, piece: memoryview) -> None:
         if not self.transport.is_closing():
             self._unsent.append(piece)
--- a/tests/wire/test_tls.py
+++ b/tests/wire/test_tls.py
@@ -1,8 +1,12 @@
 """Tests of a listener with TLS."""
 
 import asyncio
+import contextlib
+import multiprocessing.connection
 import pathlib
 import ssl
+import time
+from collections.abc import Iterator
 
 import pytest
 
@@ -11,10 +15,23 @@
 from savorylift.wire.listener import Listener, connection_handler
 from savorylift.wire.message import Request, Response
 from savorylift.wire.request_input import InputLimits
+from savorylift.wire.server_connection import ServerConnection
 from tests.harness.certificates import write_certificate
 from tests.harness.ports import free_addresses
+from tests.harness.tls_caller import End, TlsCaller
 from tests.wire.loopback import run_with_timeout
 
+HOST = "127.0.0.1"
+REQUEST = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+END_MARK = b"end"
+# More than the system and the process buffer of one connection.
+LARGE_BYTES = 16_000_000
+SMALL_BYTES = 10
+# The process that serves ends so long after it has written its response.
+SERVING_S = 0.6
+# A caller is not kept waiting for an end that is there.
+AT_ONCE_S = 0.5
+
 
 async def _echo_target(req: Request) -> Response:
     return Response(200, (), req.target.encode())
@@ -51,3 +68,102 @@
     missing = str(tmp_path / "none.pem")
     with pytest.raises(OSError, match="No such file"):
         server_context(TlsSettings(missing, missing))
+
+
+def serve_unframed(
+    port_sender: multiprocessing.connection.Connection,
+    files: TlsSettings,
+    size: int,
+    is_ended: bool,  # noqa: FBT001
+    serving_s: float,
+) -> None:
+    """Answers over TLS, in a process of its own that ends after a time."""
+    has_written = asyncio.Event()
+
+    async def serve(conn: ServerConnection) -> None:
+        if not isinstance(await conn.next_request(), Request):
+            return
+        conn.start_response(200, (), is_close_delimited=True)
+        conn.send_body(b"x" * size + END_MARK)
+        has_written.set()
+        if is_ended:
+            conn.end_response()
+            await conn.flush()
+            await conn.channel.close_gracefully()
+        else:
+            await asyncio.Event().wait()
+
+    async def run() -> None:
+        (address,) = free_addresses(1)
+        port = int(address.rpartition(":")[2])
+        listener = Listener(serve, InputLimits)
+        await listener.start(HOST, port, server_context(files))
+        port_sender.send(port)
+        await has_written.wait()
+        await asyncio.sleep(serving_s)
+        await listener.close_when_served(0.1)
+
+    asyncio.run(run())
+
+
+@contextlib.contextmanager
+def serving(
+    files: TlsSettings, size: int, serving_s: float, *, is_ended: bool
+) -> Iterator[tuple[int, multiprocessing.context.SpawnProcess]]:
+    context = multiprocessing.get_context("spawn")
+    receiver, sender = context.Pipe(duplex=False)
+    args = sender, files, size, is_ended, serving_s
+    process = context.Process(target=serve_unframed, args=args)
+    process.start()
+    try:
+        yield receiver.recv(), process
+    finally:
+        process.kill()
+        process.join()
+
+
+@pytest.mark.parametrize("size", [SMALL_BYTES, LARGE_BYTES])
+def test_unframed_response_over_tls_ends_with_a_notice_at_once(
+    size: int, tmp_path: pathlib.Path
+) -> None:
+    files = write_certificate(tmp_path)
+    with serving(files, size, 20.0, is_ended=True) as (port, _):
+        caller = TlsCaller(HOST, port)
+        caller.send(REQUEST)
+        if size == LARGE_BYTES:
+            time.sleep(SERVING_S)
+        began_s = time.monotonic()
+        data, end = caller.read_to_end()
+    assert end is End.NOTICE
+    assert data.endswith(b"\r\n\r\n" + b"x" * size + END_MARK)
+    if size == SMALL_BYTES:
+        assert time.monotonic() - began_s < AT_ONCE_S
+
+
+@pytest.mark.parametrize("is_killed", [False, True])
+@pytest.mark.parametrize(
+    ("size", "is_ended"),
+    [(SMALL_BYTES, False), (LARGE_BYTES, False), (LARGE_BYTES, True)],
+)
+def test_unframed_response_over_tls_that_is_cut_off_is_reset(
+    size: int,
+    is_ended: bool,  # noqa: FBT001
+    is_killed: bool,  # noqa: FBT001
+    tmp_path: pathlib.Path,
+) -> None:
+    files = write_certificate(tmp_path)
+    serving_s = 20.0 if is_killed else SERVING_S
+    with serving(files, size, serving_s, is_ended=is_ended) as (port, process):
+        caller = TlsCaller(HOST, port)
+        caller.send(REQUEST)
+        if size == SMALL_BYTES:
+            caller.read_until(b"x" * size + END_MARK)
+        else:
+            time.sleep(SERVING_S)
+        if is_killed:
+            process.kill()
+        process.join()
+        data, end = caller.read_to_end()
+    assert end is End.RESET
+    if size == LARGE_BYTES:
+        assert not data.endswith(END_MARK)
