Take no text for a number that can't be converted

What callers saw: a connection that was reset, if a header had digits that are no ASCII ones or some thousands of them; and a stream that was cut off though another engine could have gone on, if its engine sent such an ID.

Cause: isdigit says of superscripts that they are digits, and int refuses more than 4300 digits: the ValueError ended the connection.

Change: counts of tokens, IDs of events and the last event that a caller names are numbers only within the lengths that were named already.

--- a/src/savorylift/completions/engine_call.py
+++ b/src/savorylift/completions/engine_call.py
@@ -16,6 +16,7 @@
 from savorylift.exchange.codec import CancelRequest, OutgoingRequest
 from savorylift.exchange.events import (
     DONE_SENTINEL,
+    MAX_NUMBER_DIGITS,
     Event,
     EventSplitter,
     event_data,
@@ -102,8 +103,9 @@
     req: CallerRequest, run_id: str, resume_after: str | None
 ) -> OutgoingRequest:
     """Encodes the request for the rest of a run that goes on."""
-    is_numbered = resume_after is not None and resume_after.isdecimal()
-    start = int(resume_after) + 1 if resume_after and is_numbered else 0
+    after = resume_after or ""
+    is_numbered = after.isdecimal() and len(after) <= MAX_NUMBER_DIGITS
+    start = int(after) + 1 if is_numbered else 0
     target = f"{GENERATIONS_PATH}{run_id}/events?from={start}"
     headers = (("host", "engine"), (REQUEST_ID_HEADER, req.attempt_id))
     return OutgoingRequest(
--- a/src/savorylift/exchange/events.py
+++ b/src/savorylift/exchange/events.py
@@ -18,6 +18,8 @@
 COMMENTS = re.compile(rb"(?:(?::[^\n]*+\n)*+\r?\n)++")
 # An engine in trouble may send without end, an event or comments.
 MAX_EVENT_BYTES = 262_144
+# No stream has as many events.
+MAX_NUMBER_DIGITS = 18
 
 
 class Event(NamedTuple):
@@ -163,5 +165,6 @@
     for line in event.split(b"\n"):
         if line.startswith(ID_FIELD):
             text = line.removeprefix(ID_FIELD).strip()
-            return int(text) if text.isdigit() else None
+            is_number = text.isdigit() and len(text) <= MAX_NUMBER_DIGITS
+            return int(text) if is_number else None
     return None
--- a/src/savorylift/exchange/run.py
+++ b/src/savorylift/exchange/run.py
@@ -7,7 +7,7 @@
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.codec import CancelRequest
-from savorylift.exchange.events import Event
+from savorylift.exchange.events import MAX_NUMBER_DIGITS, Event
 from savorylift.exchange.request import KvCopy
 from savorylift.exchange.request_traits import find_traits
 from savorylift.exchange.results import Refused
@@ -16,8 +16,6 @@
 
 # An engine that crashes on a request may still deliver a first event or two.
 EVENTS_TO_SURVIVE = 4
-# No stream has as many events.
-MAX_NUMBER_DIGITS = 18
 
 
 class ResumeTarget(NamedTuple):
--- a/src/savorylift/platform/codec.py
+++ b/src/savorylift/platform/codec.py
@@ -233,13 +233,13 @@
     if not counts:
         return None
     prompt, _, output = counts[0].partition(",")
-    if not prompt.isdigit() or not output.isdigit():
+    if not _is_number(prompt) or not _is_number(output):
         return None
     hints = req.header_values(header_names.LENGTH_HINT)
     return Generation(
         prompt_tokens=int(prompt),
         max_output_tokens=int(output),
-        output_hint=int(hints[0]) if hints and hints[0].isdigit() else None,
+        output_hint=int(hints[0]) if hints and _is_number(hints[0]) else None,
         prompt_parts=tuple(
             _decode_prompt_parts(req.header_values(header_names.PROMPT_PREFIX))
         ),
@@ -250,7 +250,7 @@
     parts = []
     for entry in ",".join(values).split(","):
         part_id, _, tokens = entry.strip().partition(":")
-        if part_id and tokens.isdigit():
+        if part_id and _is_number(tokens):
             parts.append((part_id, int(tokens)))
     return parts
 
--- a/tests/exchange/test_events.py
+++ b/tests/exchange/test_events.py
@@ -66,3 +66,9 @@
     splitter.feed(b"\n" * MAX_EVENT_BYTES)
     with pytest.raises(BrokenAnswerError):
         splitter.feed(b"\n\n")
+
+
+def test_number_that_no_stream_has_is_none() -> None:
+    """The conversion of a long one failed, and with it the request."""
+    (event,) = EventSplitter().feed(b"id: %b\ndata: x\n\n" % (b"1" * 5000))
+    assert event.number is None
--- a/tests/platform/test_codec.py
+++ b/tests/platform/test_codec.py
@@ -67,6 +67,22 @@
     assert decoded.generation.prompt_parts == (("5c", 800), ("91", 410))
 
 
+@pytest.mark.parametrize("number", ["\xb2", "1" * 5000])
+def test_number_that_cannot_be_converted_is_none(number: str) -> None:
+    """The connection of its caller was reset."""
+    unsized = request(("x-savorylift-token-counts", f"{number},80"))
+    assert decode_request(unsized).unwrap().generation is None
+    sized = request(
+        ("x-savorylift-token-counts", "1460,80"),
+        ("x-savorylift-prompt-prefix", f"5c:{number},91:410"),
+        ("x-savorylift-length-hint", number),
+    )
+    generation = decode_request(sized).unwrap().generation
+    assert generation is not None
+    assert generation.output_hint is None
+    assert generation.prompt_parts == (("91", 410),)
+
+
 @pytest.mark.parametrize(
     "name",
     [
