Confirm the version of a stream's origin only if it was told

A stream whose version became known after its first event could be refused with 503 once its node was lost, though one of its homes was left.

Cause: a confirmation names attempts only. A late one for the origin without its version counted for the one with it, which was then not sent again if its message was lost: what one message left behind spoke for the next one.

Change: homes list the origins whose version they weren't told in a field of their own, at the end of the message. They confirm nothing once the version is known. Earlier builds ignore it and send the origin again.

Evidence: on the code before, test_late_confirmation_of_an_uncertain_origin_confirms_no_version fails.

Measured: 211 tests of tests/fleet, origins, software versions and servers that start again pass; lint and types pass.

--- a/src/savorylift/exchange/stream_origins.py
+++ b/src/savorylift/exchange/stream_origins.py
@@ -151,8 +151,7 @@
         if isinstance(message, OriginNews):
             self._keep(message.origins, ip)
         elif isinstance(message, OriginAck):
-            for attempt_id in message.attempt_ids:
-                self._confirm(attempt_id, ip)
+            self._receive_ack(message, ip)
         elif isinstance(message, OriginQuery):
             origin = self._table.find(message.attempt_id)
             self._send(OriginReply(message.number, origin), ip)
@@ -212,6 +211,15 @@
         next_s = time.monotonic() + RESEND_INTERVAL_S
         self._telling[attempt_id] = _Telling(homes, sends + 1, next_s)
 
+    def _receive_ack(self, ack: OriginAck, ip: str) -> None:
+        for attempt_id in ack.attempt_ids:
+            self._confirm(attempt_id, ip)
+        for attempt_id in ack.uncertain_ids:
+            origin = self._table.find(attempt_id)
+            # Otherwise it confirms what was told before the version.
+            if origin is not None and not origin.is_certain:
+                self._confirm(attempt_id, ip)
+
     def _confirm(self, attempt_id: str, ip: str) -> None:
         telling = self._telling.get(attempt_id)
         if telling is None:
@@ -223,9 +231,11 @@
             del self._telling[attempt_id]
 
     def _keep(self, origins: Iterable[StreamOrigin], ip: str) -> None:
-        kept = [o.attempt_id for o in origins if self._table.put(o)]
+        kept = [origin for origin in origins if self._table.put(origin)]
+        certain = [o.attempt_id for o in kept if o.is_certain]
+        uncertain = [o.attempt_id for o in kept if not o.is_certain]
         if kept:
-            self._send(OriginAck(tuple(kept)), ip)
+            self._send(OriginAck(tuple(certain), tuple(uncertain)), ip)
         else:
             _log.warning("origin_message_unsound", peer=ip)
 
--- a/src/savorylift/fleet/state.py
+++ b/src/savorylift/fleet/state.py
@@ -192,9 +192,12 @@
 
     Attributes:
         attempt_ids: Their attempts.
+        uncertain_ids: Attempts whose version was not known yet; builds that
+            don't have this field list them with the others.
     """
 
     attempt_ids: tuple[str, ...]
+    uncertain_ids: tuple[str, ...] = ()
 
 
 class OriginQuery(NamedTuple):
--- a/tests/exchange/test_stream_origins.py
+++ b/tests/exchange/test_stream_origins.py
@@ -9,7 +9,11 @@
 
 from savorylift.exchange.stream_origins import StreamOrigins
 from savorylift.fleet.home_ring import Home
-from savorylift.fleet.state import OriginMessage, StreamOrigin
+from savorylift.fleet.state import (
+    UNKNOWN_VERSION,
+    OriginMessage,
+    StreamOrigin,
+)
 
 DOMAINS = 4
 
@@ -156,6 +160,30 @@
     assert any(o.attempt_id == "a1" for o in network.node(2)._table)
 
 
+def test_late_confirmation_of_an_uncertain_origin_confirms_no_version(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A home that had lost the version was taken for one that held it."""
+    now_s = 100.0
+    monkeypatch.setattr("time.monotonic", lambda: now_s)
+    network = Network(2)
+    network.update()
+    late: list[OriginMessage] = []
+    node, home = network.node(0), network.node(1)
+    home._send = lambda message, _: late.append(message)
+    node.record(origin()._replace(software_version=UNKNOWN_VERSION))
+    network.lost = {"10.0.0.1"}
+    node.record(origin())
+    network.lost = set()
+    for message in late:
+        node.receive(message, "10.0.0.1")
+    now_s += 0.3
+    network.update()
+    held = home.find_held("a1")
+    assert held is not None
+    assert held.software_version == "v1"
+
+
 def test_complete_stream_is_not_told_any_more() -> None:
     network = Network(3)
     network.update()
--- a/tests/fleet/test_codec.py
+++ b/tests/fleet/test_codec.py
@@ -55,6 +55,7 @@
     PermitReply(7, True, 0.1),
     OriginNews((ORIGIN,)),
     OriginAck(("a1",)),
+    OriginAck((), ("a1",)),
     OriginQuery(7, "a1"),
     OriginReply(7, ORIGIN),
     OriginReply(7, None),
