Continue no stream at another version of its model

Cause: the origin of a stream names the software version of its server, which these servers don't have. The configuration in force when the caller came back spoke for the stream that it had begun before.

Change: origins hold the version of the model, too, at the end of their fields; earlier builds ignore it. A stream whose model has another version by now is refused, without a time to return.

Remains: a stream whose origin is lost with its node and both homes goes on at the version in force.

--- a/src/savorylift/exchange/origin_table.py
+++ b/src/savorylift/exchange/origin_table.py
@@ -75,7 +75,12 @@
 
 
 def _is_sound(origin: StreamOrigin) -> bool:
-    names = (origin.attempt_id, origin.service, origin.software_version)
+    names = (
+        origin.attempt_id,
+        origin.service,
+        origin.software_version,
+        origin.model_version,
+    )
     return (
         0 < origin.ttl_s <= MAX_TTL_S
         and bool(origin.attempt_id)
--- a/src/savorylift/exchange/stream_resumption.py
+++ b/src/savorylift/exchange/stream_resumption.py
@@ -129,6 +129,8 @@
                     UNKNOWN_RETRY_S,
                 )
             )
+        if origin is not None and _has_other_model(bound, origin):
+            return Failure(_model_gone())
         return Success(bound) if has_server else Failure(version_gone())
 
     def record_begin(self, run: Run) -> None:
@@ -219,6 +221,7 @@
                     admitted.service.name,
                     admitted.software_version or "",
                     deadline_s - time.monotonic() + RESUME_SLACK_S,
+                    admitted.service.model_version or "",
                 )
             )
 
@@ -293,6 +296,21 @@
         )
 
 
+def _has_other_model(admitted: AdmittedRequest, origin: StreamOrigin) -> bool:
+    """Whether the model has another version than when a stream began."""
+    if not origin.model_version:
+        return False
+    return origin.model_version != admitted.service.model_version
+
+
+def _model_gone() -> Refused:
+    message = (
+        "The model has another version than when this stream began;"
+        " the request did not run."
+    )
+    return Refused(503, Reason.VERSION_GONE, message)
+
+
 def version_gone() -> Refused:
     """Returns the refusal of a stream whose version has no server."""
     message = (
--- a/src/savorylift/fleet/state.py
+++ b/src/savorylift/fleet/state.py
@@ -164,12 +164,15 @@
         software_version: Software version of the server that sent that event;
             `UNKNOWN_VERSION` if that isn't known yet.
         ttl_s: Time for which the caller may still resume it.
+        model_version: Version of the model that the service required; empty
+            for any.
     """
 
     attempt_id: str
     service: str
     software_version: str
     ttl_s: float
+    model_version: str = ""
 
     @property
     def is_certain(self) -> bool:
