Judge a server that is gone by the connections to its address only

Part of an answer without framing could look whole if its server had ended and a process under the same ID already served at another address (ORDER, MIXED).

Cause: checks, and the connections that show that a server is only full, were kept by the ID of a server, which outlives its process: the new one spoke for the earlier one. ServerLife tells addresses apart already.

Change: both are kept by ID and address.

Evidence: on the code before, both cases of test_process_at_another_address_does_not_speak_for_one_that_is_gone fail.

Measured: 321 tests of tests/exchange, unframed answers and servers that start again or end pass; lint and types pass.

--- a/src/savorylift/exchange/server_check.py
+++ b/src/savorylift/exchange/server_check.py
@@ -77,10 +77,12 @@
 
     Attributes:
         server_id: Its server.
+        address: The address that the server had.
         starts_ms: Starts of the server that were known when it was opened.
     """
 
     server_id: str
+    address: tuple[str, int]
     starts_ms: tuple[int, ...]
 
 
@@ -127,7 +129,9 @@
         server_id = server.entry.server_id
         starts_ms = {server.entry.started_ms, self._said_ms.get(server_id)}
         self._channels[channel] = _Opened(
-            server_id, tuple(start for start in starts_ms if start is not None)
+            server_id,
+            server.entry.address,
+            tuple(start for start in starts_ms if start is not None),
         )
 
     async def is_gone(
@@ -179,8 +183,10 @@
         return self._is_replaced(channel, found.started_ms, request)
 
     async def _find(self, server: BackendServer, request: str) -> _Finding:
+        host, port = server.entry.address
         return await self._checks.run(
-            server.entry.server_id, lambda: self._check(server, request)
+            f"{server.entry.server_id}@{host}:{port}",
+            lambda: self._check(server, request),
         )
 
     def _is_replaced(
@@ -280,8 +286,8 @@
 
     def _has_open_channel(self, server: BackendServer) -> bool:
         """Whether a connection is open, which a process that ended closes."""
-        server_id = server.entry.server_id
+        place = server.entry.server_id, server.entry.address
         return any(
-            opened.server_id == server_id and channel.is_open
+            (opened.server_id, opened.address) == place and channel.is_open
             for channel, opened in self._channels.items()
         )
--- a/tests/exchange/test_server_check.py
+++ b/tests/exchange/test_server_check.py
@@ -193,6 +193,32 @@
     run_with_timeout(scenario())
 
 
+@pytest.mark.parametrize("is_checked_together", [False, True])
+def test_process_at_another_address_does_not_speak_for_one_that_is_gone(
+    is_checked_together: bool,  # noqa: FBT001
+) -> None:
+    """A server that moved kept the answers of its earlier process whole."""
+
+    async def scenario() -> None:
+        _, port = await serve_bytes(discard)
+        moved = server_at(port)
+        gone_port = int(free_addresses(1)[0].rpartition(":")[2])
+        check, _ = make_check()
+        checks = []
+        channel = await connect("127.0.0.1", port, 1.0)
+        if is_checked_together:
+            checks.append(check.is_gone(moved, Channel(), "a0"))
+        else:
+            check.add_channel(moved, channel)
+        checks.append(check.is_gone(server_at(gone_port), Channel(), "a1"))
+        found = await asyncio.gather(*checks)
+        assert found[-1]
+        assert not any(found[:-1])
+        channel.abort()
+
+    run_with_timeout(scenario())
+
+
 def test_later_answer_is_not_judged_by_an_earlier_connection() -> None:
     async def scenario() -> None:
         check, gate = make_check()
