Wait for a process that ends to close the last of its connections

Cause: a process that ends closes its connections one after the other. The check of a server that refuses connections took it for full, and its answer for whole, if any other connection of the node to it was open at that moment.

Change: the check waits 50 ms for the connections that were open to be closed; if all are, it asks once more, and a server that goes on refusing is gone. One of which a connection stays open is full, as before: its answers go on 50 ms later.

The shapes orderly and kept-orderly play it by hand; no shape had engines whose ends close connections in order and leave nothing listening.

--- a/src/savorylift/exchange/server_check.py
+++ b/src/savorylift/exchange/server_check.py
@@ -25,6 +25,9 @@
 # Longest wait for a permit if the server names a limit: callers abandon a
 # stream after a pause of two seconds.
 PERMIT_WAIT_S = 1.0
+# A process that ends closes its connections one after the other, within this
+# time.
+CLOSING_S = 0.05
 # A process that is ending may accept a connection that it then resets.
 MAX_CONNECTIONS = 2
 # What stands in place of a start that isn't known.
@@ -43,7 +46,7 @@
 
     Attributes:
         GONE: Connections are refused, and none of this node's is open.
-        FULL: Connections are refused, but another one is still open.
+        FULL: Connections are refused, but another one stays open.
         ACCEPTED: The server accepts connections, and says when it started if
             it was asked.
         SILENT: The server accepts connections, but doesn't answer.
@@ -59,6 +62,9 @@
     NO_PERMIT = "no_permit"
 
 
+ACCEPTING = frozenset({CheckOutcome.ACCEPTED, CheckOutcome.SILENT})
+
+
 class _Finding(NamedTuple):
     """What a check has found.
 
@@ -211,10 +217,8 @@
     async def _check(self, server: BackendServer, request: str) -> _Finding:
         began_s = time.monotonic()
         found = await self._ask(server, request)
-        if found.outcome is CheckOutcome.GONE and self._has_open_channel(
-            server
-        ):
-            found = _Finding(CheckOutcome.FULL)
+        if found.outcome is CheckOutcome.GONE:
+            found = await self._find_refusing(server, request, found)
         self._record_said(server, found.started_ms)
         metrics.SERVER_CHECKS.labels(found.outcome.value).inc()
         _log.info(
@@ -227,6 +231,26 @@
         )
         return found
 
+    async def _find_refusing(
+        self, server: BackendServer, request: str, refused: _Finding
+    ) -> _Finding:
+        """Tells a server that is full from one whose process has ended.
+
+        Args:
+            server: The server.
+            request: Identifies the request in logs.
+            refused: What was found as it refused a connection.
+        """
+        others = self._open_channels(server)
+        if not others:
+            return refused
+        if not await _are_closed_soon(others):
+            return _Finding(CheckOutcome.FULL)
+        # The answers on these may have ended as well.
+        found = await self._ask(server, request)
+        is_accepting = found.outcome in ACCEPTING
+        return found if is_accepting else refused
+
     def _record_said(self, server: BackendServer, started_ms: int) -> None:
         """Keeps a start that the entry of a server doesn't say yet."""
         if started_ms == server.entry.started_ms:
@@ -284,10 +308,23 @@
             )
         return permit is not None
 
-    def _has_open_channel(self, server: BackendServer) -> bool:
-        """Whether a connection is open, which a process that ended closes."""
+    def _open_channels(self, server: BackendServer) -> list[Channel]:
+        """Returns the connections of which it is known that they are open."""
         place = server.entry.server_id, server.entry.address
-        return any(
-            (opened.server_id, opened.address) == place and channel.is_open
+        return [
+            channel
             for channel, opened in self._channels.items()
-        )
+            if (opened.server_id, opened.address) == place and channel.is_open
+        ]
+
+
+async def _are_closed_soon(channels: list[Channel]) -> bool:
+    """Waits until connections are closed; returns whether all are in time."""
+    closing = [
+        asyncio.ensure_future(channel.peer_closed.wait())
+        for channel in channels
+    ]
+    _, still_open = await asyncio.wait(closing, timeout=CLOSING_S)
+    for task in still_open:
+        task.cancel()
+    return not still_open
--- a/tests/exchange/test_server_check.py
+++ b/tests/exchange/test_server_check.py
@@ -9,6 +9,7 @@
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange.limit_gate import LimitGate, Permit
 from savorylift.exchange.server_check import (
+    CLOSING_S,
     NO_START,
     PERMIT_WAIT_S,
     ServerCheck,
@@ -98,8 +99,8 @@
         self.port = 0
         self._listener: asyncio.Server | None = None
 
-    async def start(self) -> None:
-        self._listener, self.port = await serve_bytes(self._serve)
+    async def start(self, port: int = 0) -> None:
+        self._listener, self.port = await serve_bytes(self._serve, port)
 
     def stop(self) -> None:
         assert self._listener is not None
@@ -193,6 +194,21 @@
     run_with_timeout(scenario())
 
 
+def test_process_that_closes_connections_one_after_the_other_is_gone() -> None:
+    async def scenario() -> None:
+        listener, port = await serve_bytes(discard)
+        server = server_at(port)
+        check, _ = make_check()
+        for _ in range(3):
+            channel = await connect("127.0.0.1", port, 1.0)
+            check.add_channel(server, channel)
+            asyncio.get_running_loop().call_later(CLOSING_S / 2, channel.abort)
+        listener.close()
+        assert await check.is_gone(server, Channel(), "a1")
+
+    run_with_timeout(scenario())
+
+
 @pytest.mark.parametrize("is_checked_together", [False, True])
 def test_process_at_another_address_does_not_speak_for_one_that_is_gone(
     is_checked_together: bool,  # noqa: FBT001
@@ -219,6 +235,27 @@
     run_with_timeout(scenario())
 
 
+@pytest.mark.parametrize("born", [5, 6])
+def test_server_that_listens_again_is_judged_by_its_start(born: int) -> None:
+    async def scenario() -> None:
+        reporter = Reporter(report_of(b'{"born": %d}' % born))
+        await reporter.start()
+        server = server_at(reporter.port, started_ms=5)
+        check, _ = make_check()
+        answered = await open_channel(check, server)
+        other = await connect("127.0.0.1", reporter.port, 1.0)
+        check.add_channel(server, other)
+        reporter.stop()
+        checking = asyncio.ensure_future(check.is_gone(server, answered, "a1"))
+        await asyncio.sleep(CLOSING_S / 3)
+        assert not checking.done()
+        await reporter.start(reporter.port)
+        other.abort()
+        assert await checking is (born == 6)
+
+    run_with_timeout(scenario())
+
+
 def test_later_answer_is_not_judged_by_an_earlier_connection() -> None:
     async def scenario() -> None:
         check, gate = make_check()
--- a/tests/front/test_ended_servers.py
+++ b/tests/front/test_ended_servers.py
@@ -17,6 +17,9 @@
 ENTRY_DELAY_S = 0.3
 # Time in which an entry is read and told.
 READ_S = 0.7
+STREAMS = 6
+ENDLESS_EVENTS = 400
+CLOSE_INTERVAL_S = 0.003
 TAKE_UP_INTERVAL_S = 0.01
 TAKE_UPS = 60
 SEEN = Part(200, ["v2"] * 4, is_whole=False, took_s=0.0)
@@ -107,6 +110,28 @@
     run_in_fleet(scenario, ("v1",) * 4)
 
 
+def test_streams_of_a_process_that_closes_them_in_turn_do_not_look_whole() -> (
+    None
+):
+    async def scenario(fleet: VersionFleet) -> None:
+        for other in fleet.pool[1:]:
+            fleet.publish_entry(other, "pool", "draining")
+        await asyncio.sleep(READ_S)
+        server = fleet.pool[0]
+        server.has_unframed_streams = True
+        server.resets_after = None
+        server.events_per_stream = ENDLESS_EVENTS
+        streams = asyncio.ensure_future(fleet.streams(STREAMS))
+        await asyncio.sleep(READ_S)
+        server.stop()
+        await server.end_all(CLOSE_INTERVAL_S)
+        parts = await streams
+        assert all(part.versions for part in parts)
+        assert not [part for part in parts if part.is_whole]
+
+    run_in_fleet(scenario, ("v1",) * 4)
+
+
 def run_in_fleet(scenario: Scenario, versions: tuple[str, ...]) -> None:
     async def main() -> None:
         fleet = VersionFleet()
--- a/tests/soak/engine_faults.py
+++ b/tests/soak/engine_faults.py
@@ -163,7 +163,12 @@
     async def _end(self, server: PlatformServer, version: str) -> None:
         """Ends an engine; its next process has no memory of the last."""
         server.stop()
-        server.close_all() if self._shape.is_unframed else server.abort_all()
+        if self._shape.ends_in_order:
+            await server.end_all()
+        elif self._shape.is_unframed:
+            server.close_all()
+        else:
+            server.abort_all()
         server.forget_runs()
         server.software_version = version
         server.born += 1
--- a/tests/soak/version_shapes.py
+++ b/tests/soak/version_shapes.py
@@ -91,6 +91,8 @@
         named_limit: Limit on requests a second that all answers name.
         says_born: Whether reports say when the engine started.
         is_unframed: Whether streams end with their connection.
+        ends_in_order: Whether engines that end close their connections in
+            order, so that answers that are cut off end as whole ones do.
         is_half_framed: Whether those of every other engine don't all the same.
         after_interval_s: Time between the streams that must end whole after
             the last fault.
@@ -116,6 +118,7 @@
     named_limit: str | None = None
     says_born: bool = True
     is_unframed: bool = False
+    ends_in_order: bool = False
     is_half_framed: bool = False
     after_interval_s: float = 0.0
     copy_delay_s: float = 0.0
@@ -199,7 +202,14 @@
     "two-builds-2": LATE_SWAPS._replace(other_nodes=2),
     "release-two-builds-1": RELEASE._replace(other_nodes=1),
     "release-two-builds-2": RELEASE._replace(other_nodes=2),
+    "orderly": KEPT._replace(
+        faults=(Fault.RESTART,),
+        ends_in_order=True,
+        events=EVENTS,
+        stream_interval_s=STREAM_INTERVAL_S,
+    ),
     "kept": KEPT,
+    "kept-orderly": KEPT_HARD._replace(ends_in_order=True),
     "kept-half": KEPT._replace(is_half_framed=True),
     "kept-hard": KEPT_HARD,
     "kept-hard-half": KEPT_HARD._replace(is_half_framed=True),
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -211,14 +211,19 @@
         self.streamed_events.clear()
         self.stopped.clear()
 
-    async def end_all(self) -> None:
+    async def end_all(self, interval_s: float = 0.0) -> None:
         """Closes all connections after what was sent, as a process that ends.
 
         Answers without a length or chunks then look whole.
+
+        Args:
+            interval_s: Time from one to the next.
         """
         for conn in list(self._conns):
             await conn.channel.allow_close()
             conn.channel.close()
+            if interval_s:
+                await asyncio.sleep(interval_s)
 
     async def crash(self) -> None:
         """Breaks all connections, and restarts under another ID."""
--- a/tests/wire/loopback.py
+++ b/tests/wire/loopback.py
@@ -27,9 +27,14 @@
 
 
 async def serve_bytes(
-    handle: Callable[[Channel], Awaitable[None]],
+    handle: Callable[[Channel], Awaitable[None]], port: int = 0
 ) -> tuple[asyncio.Server, int]:
-    """Listens on loopback and runs `handle` for each connection."""
+    """Listens on loopback and runs `handle` for each connection.
+
+    Args:
+        handle: Handles a connection.
+        port: Port to listen on; 0 for any.
+    """
     loop = asyncio.get_running_loop()
     tasks = set()
 
@@ -39,7 +44,7 @@
         task.add_done_callback(tasks.discard)
 
     server = await loop.create_server(
-        lambda: Channel(on_connect), "127.0.0.1", 0
+        lambda: Channel(on_connect), "127.0.0.1", port
     )
     return server, server.sockets[0].getsockname()[1]
 
