Report the real durations of tests that pause the clock

Cause: freezegun replaces time functions in all modules, those that pytest measures durations with too. A phase that begins on the real clock and ends on a paused one, or the other way round, was reported as 1.8e9 s, so that `--durations` listed nothing else.

Change: freezegun leaves pytest's own clock alone.

Evidence: tests/harness/test_durations.py fails before the change and passes after it.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,8 +1,9 @@
-"""Hypothesis settings, and the known failures of KNOWN-RED.txt."""
+"""Hypothesis settings, real durations, and the failures of KNOWN-RED.txt."""
 
 import pathlib
 from collections.abc import Iterator
 
+import freezegun
 import hypothesis
 import pytest
 
@@ -13,6 +14,8 @@
     "repeatable", derandomize=True, deadline=None, print_blob=True
 )
 hypothesis.settings.load_profile("repeatable")
+# Tests that pause the clock would report the time between two clocks.
+freezegun.configure(extend_ignore_list=["_pytest.timing"])
 
 
 def known_failures() -> Iterator[str]:
