Ask engines that take nothing new for the rest of runs that they hold

Cause: callers of streams whose node was killed waited until all that they had was made again (3 s and more) if the engine's failure domain was out of service, or if the engine drained, although the run went on there. Whether a server may get a request was judged, at the choice and again when the connection was open, by whether it takes new work. An order that takes a domain out says that running streams finish. If no other engine was in service, the stream was refused as if its version were gone.

Change: the engine of the run that the caller names is asked if it is still registered at the same address with the same software version, of the same service, in an allowed region and not held; drains and orders don't count (ServerPool._find_known_engine, may_send). An engine that doesn't know the run answers so, and the stream is made again elsewhere as before; it gets no new run. `sent` logs whether it was for a known run.

--- a/src/savorylift/exchange/request.py
+++ b/src/savorylift/exchange/request.py
@@ -84,6 +84,12 @@
     resumes: str | None = None
     known_run: KnownRun | None = None
 
+    def has_run_at(self, server_id: str) -> bool:
+        """Whether the caller names a run at this server."""
+        return self.known_run is not None and (
+            self.known_run.server_id == server_id
+        )
+
 
 class KvCopy(NamedTuple):
     """Copy of a run's KV cache, from which another engine can resume it.
--- a/src/savorylift/exchange/run_log.py
+++ b/src/savorylift/exchange/run_log.py
@@ -34,6 +34,7 @@
             isinstance(started, Started) and started.head.is_close_delimited
         ),
         resumed_after=run.resume_after,
+        is_known_run=run.admitted.req.has_run_at(server.entry.server_id),
         tokens=run.expected_tokens,
     )
 
--- a/src/savorylift/exchange/server_opener.py
+++ b/src/savorylift/exchange/server_opener.py
@@ -8,7 +8,7 @@
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.failover import FailoverPolicy
 from savorylift.exchange.limit_gate import LimitGate, Permit
-from savorylift.exchange.request import KvCopy
+from savorylift.exchange.request import CallerRequest, KvCopy
 from savorylift.exchange.results import NotRun
 from savorylift.exchange.server_life import Life, ServerLife
 from savorylift.exchange.server_reach import ServerReach
@@ -53,7 +53,7 @@
         limit_gate: LimitGate,
         server_life: ServerLife,
         reach: ServerReach,
-        is_usable: Callable[[BackendServer], bool],
+        may_send: Callable[[BackendServer, CallerRequest], bool],
     ) -> None:
         """Creates it without any connection.
 
@@ -61,13 +61,13 @@
             limit_gate: Holds the limits that servers name.
             server_life: Finds out whether a server has started again.
             reach: Told which servers can't be connected to.
-            is_usable: Returns whether a server may still be used; checked
-                again once the connection is open.
+            may_send: Returns whether a request may still go to a server;
+                checked again once the connection is open.
         """
         self._limit_gate = limit_gate
         self._server_life = server_life
         self._reach = reach
-        self._is_usable = is_usable
+        self._may_send = may_send
 
     async def open(
         self,
@@ -89,7 +89,9 @@
         channel = await self._connect(server, failover_policy)
         if isinstance(channel, NotRun):
             return channel
-        obstacle = self._find_obstacle(server, resume_point, channel, permit)
+        obstacle = self._find_obstacle(
+            server, admitted, resume_point, channel, permit
+        )
         if obstacle is not None:
             channel.abort()
             return obstacle
@@ -120,7 +122,7 @@
             if isinstance(permit, NotRun):
                 return permit
             obstacle = self._find_obstacle(
-                server, resume_point, channel, permit
+                server, admitted, resume_point, channel, permit
             )
             is_open = obstacle is None
         finally:
@@ -187,12 +189,14 @@
     def _find_obstacle(
         self,
         server: BackendServer,
+        admitted: AdmittedRequest,
         resume_point: ResumePoint,
         channel: Channel,
         permit: Permit,
     ) -> NotRun | None:
         """Returns why a request must not be sent after all."""
-        if resume_point.kv_copy is None and not self._is_usable(server):
+        is_moved = resume_point.kv_copy is not None
+        if not is_moved and not self._may_send(server, admitted.req):
             detail = "the server stopped taking new requests"
             return NotRun(Reason.OUT_OF_SERVICE, detail, reached_server=False)
         if not self._limit_gate.may_send(server, permit):
--- a/src/savorylift/exchange/server_pool.py
+++ b/src/savorylift/exchange/server_pool.py
@@ -16,7 +16,7 @@
 from savorylift.exchange.limit_gate import LimitGate
 from savorylift.exchange.limit_sync import MISDIRECTED_STATUS
 from savorylift.exchange.move_queue import MoveQueue
-from savorylift.exchange.request import AnswerHead
+from savorylift.exchange.request import AnswerHead, CallerRequest
 from savorylift.exchange.retry_budget import RetryBudget
 from savorylift.exchange.run import Run
 from savorylift.exchange.server_holds import ServerHolds
@@ -121,14 +121,10 @@
 
         The run has its place there already.
         """
-        known = admitted.req.known_run
-        if known is None or self.holds.is_held(known.server_id):
-            return None
-        for server in self._allowed_servers(admitted, tried):
-            if server.entry.server_id == known.server_id:
-                self._record_start(server, admitted, options.tokens, 0)
-                return server
-        return None
+        server = self._find_known_engine(admitted, tried)
+        if server is not None:
+            self._record_start(server, admitted, options.tokens, 0)
+        return server
 
     def find_engine(
         self,
@@ -180,6 +176,8 @@
         self, admitted: AdmittedRequest, tried: Collection[str]
     ) -> bool:
         """Returns whether an untried server may run it, full or not."""
+        if self._find_known_engine(admitted, tried) is not None:
+            return True
         return any(True for _ in self._allowed_servers(admitted, tried))
 
     def has_place_elsewhere(
@@ -205,19 +203,25 @@
             and self._limit_gate.is_open(server.entry)
         )
 
-    def is_usable(self, server: BackendServer) -> bool:
-        """Returns whether a server that was chosen may still be used."""
+    def may_send(self, server: BackendServer, req: CallerRequest) -> bool:
+        """Returns whether a request may still go to the server chosen for it.
+
+        One that drains or is out of service gets nothing new, but the run that
+        the caller names goes on there.
+        """
         entry = server.entry
-        known = self._store_view.registry.servers.get(entry.server_id)
-        return (
-            known is not None
-            and known.entry.address == entry.address
-            and known.entry.software_version == entry.software_version
-            and not known.entry.is_leaving
-            and not self.holds.is_held(entry.server_id)
-            and self._store_view.evacuated.isdisjoint(
-                (entry.failure_domain, entry.server_id)
-            )
+        known = self.find_entry(entry.server_id)
+        if known is None or self.holds.is_held(entry.server_id):
+            return False
+        if (known.address, known.software_version) != (
+            entry.address,
+            entry.software_version,
+        ):
+            return False
+        if req.has_run_at(entry.server_id):
+            return True
+        return not known.is_leaving and self._store_view.evacuated.isdisjoint(
+            (entry.failure_domain, entry.server_id)
         )
 
     def servers_in_service(self, service: str) -> list[BackendServer]:
@@ -290,19 +294,45 @@
         others = self._membership.loads(time.monotonic())
         return sum_loads([*self.load_tracker.loads(), *others])
 
+    def _find_known_engine(
+        self, admitted: AdmittedRequest, tried: Collection[str]
+    ) -> BackendServer | None:
+        """Returns the engine of the run that the caller names, if any.
+
+        It may drain or be out of service: its runs finish.
+        """
+        known = admitted.req.known_run
+        if known is None or known.server_id in tried:
+            return None
+        server = self._store_view.registry.servers.get(known.server_id)
+        if server is None or self.holds.is_held(known.server_id):
+            return None
+        entry = server.entry
+        if entry.service != admitted.service.name:
+            return None
+        if not self._is_allowed_domain(admitted, entry.failure_domain):
+            return None
+        if admitted.software_version not in (None, entry.software_version):
+            return None
+        return server
+
+    def _is_allowed_domain(
+        self, admitted: AdmittedRequest, domain: str
+    ) -> bool:
+        """Whether a request may run in the region of a failure domain."""
+        regions = admitted.regions
+        return regions is None or self._region_by_domain.get(domain) in regions
+
     def _allowed_servers(
         self, admitted: AdmittedRequest, tried: Collection[str]
     ) -> Iterator[BackendServer]:
         """Yields the servers that may run a request, full ones included."""
-        regions = admitted.regions
         found = eligible_servers(
             self._store_view.registry.servers,
             admitted.service.name,
             self._store_view.evacuated,
             tried,
-            lambda domain: (
-                regions is None or self._region_by_domain.get(domain) in regions
-            ),
+            lambda domain: self._is_allowed_domain(admitted, domain),
         )
         version = admitted.software_version
         for server in found:
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -194,7 +194,7 @@
                 self._limit_gate,
                 server_life,
                 self._reach,
-                self._pool.is_usable,
+                self._pool.may_send,
             ),
             self._reach,
             self._record_head,
--- a/tests/client/test_take_up.py
+++ b/tests/client/test_take_up.py
@@ -4,7 +4,7 @@
 import pathlib
 import statistics
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import pytest
 
@@ -19,10 +19,13 @@
 STREAM_COUNT = 6
 TOKENS = 500
 TOKEN_INTERVAL_S = 0.01
+BEGIN_S = 0.5  # all streams have begun
 DISTURB_AFTER_S = 3.5
 TIMEOUT_S = 30.0
 # Clients resume their streams after 0.75 s; the node wakes up before the end.
 PAUSE_S = 1.2
+# Most engines are there; the others have room for all streams.
+MOST_DOMAINS = AJLOUN.failure_domains[1:]
 # Stated goals, from the kill to the first new event.
 MEDIAN_S = 1.5
 P99_S = 3.0
@@ -39,10 +42,28 @@
     return request_stream(client, AJLOUN.teams[0].name, prompt)
 
 
+def take_out(deployment: Deployment, domain: str) -> None:
+    """Takes a failure domain out of service."""
+    settings = deployment.directory / f"{AJLOUN.node_names()[-1]}.json"
+    completed = deployment.run_command(
+        *("domain", "out", domain, "--settings", str(settings)),
+        *("--author", "test", "--cause", "test"),
+    )
+    assert completed.returncode == 0, completed.stderr
+
+
 def run_streams(
-    directory: pathlib.Path, disturb: Callable[[Process], None]
+    directory: pathlib.Path,
+    disturb: Callable[[Process], None],
+    domains_out: Collection[str] = (),
 ) -> list[RequestResult]:
-    """Returns the results of streams whose node is disturbed."""
+    """Returns the results of streams whose node is disturbed.
+
+    Args:
+        directory: Directory of the deployment's files.
+        disturb: Disturbs the node.
+        domains_out: Failure domains that are taken out of service before.
+    """
     options = DeploymentOptions(engine_settings=ENGINE_SETTINGS)
     with (
         Deployment(AJLOUN, directory, options) as deployment,
@@ -56,7 +77,11 @@
             pool.submit(run_stream, client, number)
             for number in range(STREAM_COUNT)
         ]
-        time.sleep(DISTURB_AFTER_S)
+        disturb_at_s = time.monotonic() + DISTURB_AFTER_S
+        time.sleep(BEGIN_S)
+        for domain in domains_out:
+            take_out(deployment, domain)
+        time.sleep(max(0.0, disturb_at_s - time.monotonic()))
         disturb(deployment.nodes[AJLOUN.node_names()[0]].process)
         results = [stream.result() for stream in streams]
     assert [result.outcome for result in results] == ["whole"] * STREAM_COUNT
@@ -66,10 +91,11 @@
     return resumed
 
 
+@pytest.mark.parametrize("domains_out", [(), MOST_DOMAINS])
 def test_streams_of_a_killed_node_go_on_in_time(
-    tmp_path: pathlib.Path,
+    tmp_path: pathlib.Path, domains_out: Collection[str]
 ) -> None:
-    resumed = run_streams(tmp_path, Process.kill)
+    resumed = run_streams(tmp_path, Process.kill, domains_out)
     pauses_s = [result.pause_s for result in resumed]
     assert statistics.median(pauses_s) < MEDIAN_S, pauses_s
     assert max(pauses_s) < P99_S, pauses_s
--- a/tests/completions/test_interface.py
+++ b/tests/completions/test_interface.py
@@ -3,10 +3,12 @@
 import asyncio
 import time
 
+import msgspec
 import pytest
 
 from savorylift.wire.client_call import BrokenAnswerError
 from tests.completions.environment import (
+    LOAD_POLL_WAIT_S,
     MODEL,
     VERSION,
     NodeEnvironment,
@@ -65,12 +67,26 @@
     state.batch.submit(state.create_generation(request))
 
 
-def test_run_of_a_lost_node_goes_on_at_its_engine() -> None:
+async def take_away(environment: NodeEnvironment, order: str) -> None:
+    """Lets the second engine drain, or writes an order; waits until known."""
+    if order == "drain":
+        state = environment.engines[1]
+        state.cfg = msgspec.structs.replace(state.cfg, leaving=True)
+        await asyncio.sleep(LOAD_POLL_WAIT_S)
+        return
+    environment.store.add("keyed.rules", order, {"author": "ada"})
+    await asyncio.sleep(0.5)
+
+
+@pytest.mark.parametrize("order", [None, "out/runner-1", "out/z", "drain"])
+def test_run_of_a_lost_node_goes_on_at_its_engine(order: str | None) -> None:
     async def scenario(environment: NodeEnvironment) -> None:
         prompt = "report len=250"  # 2.5 s
         run_id = "r1.0123456789abcdef.runner-1"
         begin_run(environment.engines[1], run_id, prompt)
-        await asyncio.sleep(2.0)
+        if order is not None:
+            await take_away(environment, order)
+        await asyncio.sleep(1.5)
         started_s = time.monotonic()
         stream = await environment.complete(
             prompt,
@@ -116,6 +132,26 @@
     run_in_environment(scenario)
 
 
+@pytest.mark.parametrize("order", ["out/runner-1", "drain"])
+def test_run_that_its_engine_lost_is_not_begun_where_nothing_may_begin(
+    order: str,
+) -> None:
+    async def scenario(environment: NodeEnvironment) -> None:
+        await take_away(environment, order)
+        run_id = "r1.0123456789abcdef.runner-1"
+        stream = await environment.complete(
+            PROMPT,
+            {"x-request-id": "r1", "last-event-id": "9", "x-run": run_id},
+            stream=True,
+        )
+        assert expected(PROMPT).endswith(text_of(stream))
+        assert events(stream)[0]["run"] != run_id
+        assert not environment.engines[1].record.dispatches
+        assert environment.generation_count == 1
+
+    run_in_environment(scenario)
+
+
 def test_long_stream_is_taken_up_with_one_generation() -> None:
     async def scenario(environment: NodeEnvironment) -> None:
         prompt = "report len=250"  # 2.5 s, longer than a stall
--- a/tests/exchange/test_server_pool.py
+++ b/tests/exchange/test_server_pool.py
@@ -1,20 +1,26 @@
 """Tests of the servers that a request may be sent to."""
 
 import time
+from typing import Any
 
 import pytest
 
 from savorylift.exchange.admission import AdmittedRequest
+from savorylift.exchange.request import KnownRun
+from savorylift.placement.engines import EngineOptions
 from savorylift.routing.configuration import Service, Team
 from tests.exchange.factories import (
+    ENGINE,
     make_admitted_request,
     make_full_pool,
+    make_generation_request,
     make_pool,
     make_route,
     make_store_view,
 )
 
 FAILURE_DOMAIN = "z1"  # of all servers that the factories make
+OPTIONS = EngineOptions(ENGINE, 100)
 
 
 def make_restricted_request(
@@ -103,3 +109,48 @@
     admitted = make_admitted_request()
     assert server_pool.has_place_elsewhere(admitted, ()) is is_found
     assert not server_pool.has_place_elsewhere(admitted, ("a",))
+
+
+def make_taken_up_request(server_id: str) -> AdmittedRequest:
+    """Returns a request for the rest of a run that it names."""
+    req = make_generation_request()._replace(
+        known_run=KnownRun("run-1", server_id)
+    )
+    return make_admitted_request(req, engine=ENGINE)
+
+
+@pytest.mark.parametrize(
+    ("change", "is_asked"),
+    [
+        ({}, True),
+        ({"is_leaving": True}, True),
+        ({"failure_domain": "out"}, True),
+        ({"service": "other"}, False),
+        ({"failure_domain": "elsewhere"}, False),
+        ({"software_version": "v2"}, False),
+    ],
+)
+def test_known_run_goes_on_where_nothing_new_may_begin(
+    change: dict[str, Any], *, is_asked: bool
+) -> None:
+    store_view = make_store_view(a=9, b=10)
+    entry = store_view.registry.servers["a"].entry
+    entry = entry._replace(sequence=2, **{"software_version": "v1", **change})
+    store_view.registry.put(entry, time.monotonic())
+    store_view.evacuated = frozenset({"out"})
+    server_pool = make_pool(
+        store_view, region_by_domain={FAILURE_DOMAIN: "here", "out": "here"}
+    )
+    admitted = make_taken_up_request("a")._replace(
+        route=make_route()._replace(regions=frozenset({"here"})),
+        software_version="v1",
+    )
+    found = server_pool.reserve_known_engine(admitted, OPTIONS, ())
+    assert (found is not None) is is_asked
+    assert server_pool.has_server(admitted, ("b",)) is is_asked
+    assert server_pool.reserve_known_engine(admitted, OPTIONS, ("a",)) is None
+    if found is not None:
+        assert server_pool.may_send(found, admitted.req)
+        server_pool.holds.record("a", 1.0)
+        assert not server_pool.may_send(found, admitted.req)
+        assert server_pool.reserve_known_engine(admitted, OPTIONS, ()) is None
