Let make demo take a seed

Change: `make demo SEED=N`.

Evidence: `make -n demo` and `make -n demo SEED=7` show the commands, without and with `--seed 7`; the command itself is unchanged.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	touch $(STAMP)
 
 demo: $(STAMP)
-	$(BIN)/python -m tests.demo
+	$(BIN)/python -m tests.demo $(if $(SEED),--seed $(SEED))
 
 test: $(STAMP)
 	$(BIN)/python -m pytest -n $(TEST_WORKERS) --dist loadgroup $(PYTEST_ARGS)
