Count the events by which a run survives its start by engine

What callers saw: nothing traced.

Cause: the events that were relayed were counted over all engines of a run. What engines left behind that crashed one after another added up to an engine that had got past the beginning.

Change: they are counted from the moment at which the queue assigns an engine. A run that has survived the start at one engine still counts so.

--- a/src/savorylift/exchange/crash_guard.py
+++ b/src/savorylift/exchange/crash_guard.py
@@ -84,7 +84,7 @@
 
     def record_event(self, run: Run) -> None:
         """Records that an event of a run was relayed."""
-        if run.relayed_events == EVENTS_TO_SURVIVE:
+        if run.engine_events == EVENTS_TO_SURVIVE:
             self._record_sound(run.traits.prompt_parts)
 
     def record_result(
--- a/src/savorylift/exchange/run.py
+++ b/src/savorylift/exchange/run.py
@@ -50,7 +50,10 @@
         assigned_s: Monotonic time at which the queue last assigned an engine
             to the run, just before the request is sent.
         awaits_first_event: Whether that engine has not sent an event yet.
-        relayed_events: Number of events relayed from all engines.
+        engine_events: Number of events relayed from the engine that the queue
+            assigned last, or that it was moved to from there.
+        has_survived_start: Whether an engine has got past the beginning of the
+            response.
         has_unnumbered_events: Whether some of these had no number.
         possibly_run_attempts: Number of engines that may have run the request
             before the current one.
@@ -86,7 +89,8 @@
         self.move_task: asyncio.Task[ResumeTarget | None] | None = None
         self.assigned_s = 0.0
         self.awaits_first_event = True
-        self.relayed_events = 0
+        self.engine_events = 0
+        self.has_survived_start = False
         self.has_unnumbered_events = False
         self.possibly_run_attempts = 0
         self.is_at_engine = False
@@ -122,11 +126,6 @@
         """Whether it is known which software version began its stream."""
         return self.life_check is None or self.life_check.done()
 
-    @property
-    def has_survived_start(self) -> bool:
-        """Whether an engine has got past the beginning of the response."""
-        return self.relayed_events >= EVENTS_TO_SURVIVE
-
     @property
     def can_move(self) -> bool:
         """Whether the KV cache can be copied to another engine."""
@@ -192,13 +191,16 @@
         """
         self.assigned_s = time.monotonic()
         self.awaits_first_event = True
+        self.engine_events = 0
         self.prefill_tokens_at_start = prefill_tokens
 
     def record_event(self, event: Event) -> None:
         """Updates times and numbers when an event is relayed."""
         number = event.number
         now_s = time.monotonic()
-        self.relayed_events += 1
+        self.engine_events += 1
+        if self.engine_events >= EVENTS_TO_SURVIVE:
+            self.has_survived_start = True
         if self.last_event_s is None:
             self.first_event_s = now_s
         else:
