--- a/tests/front/cut_node.py
+++ b/tests/front/cut_node.py
@@ -1,7 +1,7 @@
 """Runs a node that signals cut off from all other nodes, and heal.
 
 Servers and the store are reached meanwhile: they listen on `SERVER_HOST`, as
-no node does.
+no node does. Another signal lets these refuse connections instead.
 
 Run as `python -m tests.front.cut_node SETTINGS`.
 """
@@ -17,6 +17,7 @@
 
 CUT_SIGNAL = signal.SIGUSR1
 HEAL_SIGNAL = signal.SIGUSR2
+SERVER_CUT_SIGNAL = signal.SIGRTMIN
 SERVER_HOST = "127.0.0.1"
 
 
@@ -25,22 +26,28 @@
 
     Attributes:
         is_cut: Whether it is cut off.
+        is_refused: Whether servers and the store refuse connections.
     """
 
     def __init__(self) -> None:
         """Starts in touch; signals change that."""
         self.is_cut = False
+        self.is_refused = False
 
     def install(self) -> None:
         """Sets the handlers, and stands before sockets of this process."""
         signal.signal(CUT_SIGNAL, self._on_signal)
         signal.signal(HEAL_SIGNAL, self._on_signal)
+        signal.signal(SERVER_CUT_SIGNAL, self._on_server_cut)
         self._stand_before_datagrams()
         self._stand_before_connections()
 
     def _on_signal(self, number: int, _: FrameType | None) -> None:
         self.is_cut = number == CUT_SIGNAL
 
+    def _on_server_cut(self, _number: int, _: FrameType | None) -> None:
+        self.is_refused = True
+
     def _stand_before_datagrams(self) -> None:
         transport_class: Any = PeerTransport
         send_all = transport_class._send_all
@@ -70,6 +77,8 @@
         ) -> object:
             if self.is_cut and host != SERVER_HOST:
                 await asyncio.Event().wait()
+            if self.is_refused and host == SERVER_HOST:
+                raise ConnectionRefusedError
             return await create_connection(loop, factory, host, *args)
 
         loop_class.create_connection = connect
--- a/tests/front/version_fleet.py
+++ b/tests/front/version_fleet.py
@@ -10,7 +10,7 @@
 from savorylift.front.settings import FrontSettings
 from savorylift.settings import TlsSettings
 from savorylift.wire.message import Headers
-from tests.front.cut_node import CUT_SIGNAL, HEAL_SIGNAL
+from tests.front.cut_node import CUT_SIGNAL, HEAL_SIGNAL, SERVER_CUT_SIGNAL
 from tests.front.node_fleet import START_TIMEOUT_S, NodeFleet
 from tests.front.process_fleet import ProcessFleet
 from tests.front.stream_callers import Call, FreshCaller, StreamCaller
@@ -222,6 +222,10 @@
         for ip in ips:
             self.processes[ip].send_signal(CUT_SIGNAL)
 
+    def cut_off_servers(self, ip: str) -> None:
+        """Lets a node reach neither servers nor the store any more."""
+        self.processes[ip].send_signal(SERVER_CUT_SIGNAL)
+
     def heal_nodes(self, ips: list[str] | None = None) -> None:
         """Ends the cuts of nodes, or of all; each must have started."""
         for ip in self.ips if ips is None else ips:
