--- a/tests/wire/test_tls.py
+++ b/tests/wire/test_tls.py
@@ -1,12 +1,9 @@
 """Tests of a listener with TLS."""
 
 import asyncio
-import contextlib
-import multiprocessing.connection
 import pathlib
 import ssl
 import time
-from collections.abc import Iterator
 
 import pytest
 
@@ -15,15 +12,13 @@
 from savorylift.wire.listener import Listener, connection_handler
 from savorylift.wire.message import Request, Response
 from savorylift.wire.request_input import InputLimits
-from savorylift.wire.server_connection import ServerConnection
 from tests.harness.certificates import write_certificate
 from tests.harness.ports import free_addresses
 from tests.harness.tls_caller import End, TlsCaller
 from tests.wire.loopback import run_with_timeout
+from tests.wire.serving_process import END_MARK, HOST, serving
 
-HOST = "127.0.0.1"
 REQUEST = b"GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
-END_MARK = b"end"
 # More than the system and the process buffer of one connection.
 LARGE_BYTES = 16_000_000
 SMALL_BYTES = 10
@@ -70,58 +65,6 @@
         server_context(TlsSettings(missing, missing))
 
 
-def serve_unframed(
-    port_sender: multiprocessing.connection.Connection,
-    files: TlsSettings,
-    size: int,
-    is_ended: bool,  # noqa: FBT001
-    serving_s: float,
-) -> None:
-    """Answers over TLS, in a process of its own that ends after a time."""
-    has_written = asyncio.Event()
-
-    async def serve(conn: ServerConnection) -> None:
-        if not isinstance(await conn.next_request(), Request):
-            return
-        conn.start_response(200, (), is_close_delimited=True)
-        conn.send_body(b"x" * size + END_MARK)
-        has_written.set()
-        if is_ended:
-            conn.end_response()
-            await conn.flush()
-            await conn.channel.close_gracefully()
-        else:
-            await asyncio.Event().wait()
-
-    async def run() -> None:
-        (address,) = free_addresses(1)
-        port = int(address.rpartition(":")[2])
-        listener = Listener(serve, InputLimits)
-        await listener.start(HOST, port, server_context(files))
-        port_sender.send(port)
-        await has_written.wait()
-        await asyncio.sleep(serving_s)
-        await listener.close_when_served(0.1)
-
-    asyncio.run(run())
-
-
-@contextlib.contextmanager
-def serving(
-    files: TlsSettings, size: int, serving_s: float, *, is_ended: bool
-) -> Iterator[tuple[int, multiprocessing.context.SpawnProcess]]:
-    context = multiprocessing.get_context("spawn")
-    receiver, sender = context.Pipe(duplex=False)
-    args = sender, files, size, is_ended, serving_s
-    process = context.Process(target=serve_unframed, args=args)
-    process.start()
-    try:
-        yield receiver.recv(), process
-    finally:
-        process.kill()
-        process.join()
-
-
 @pytest.mark.parametrize("size", [SMALL_BYTES, LARGE_BYTES])
 def test_unframed_response_over_tls_ends_with_a_notice_at_once(
     size: int, tmp_path: pathlib.Path
