--- a/tests/wire/test_slow_callers.py
+++ b/tests/wire/test_slow_callers.py
@@ -54,6 +54,7 @@
         caller.settimeout(TIMEOUT_S)
         caller.connect((HOST, port))
         caller.sendall(REQUEST)
+        caller.recv(1, socket.MSG_PEEK)
         time.sleep(SERVING_S)
         if is_killed:
             process.kill()
