Look at what has arrived before a server is taken for silent

Cause: an event loop that is late finds a timer due in the same pass as the input that came in time, and the timer wins: it cancels the waiting task before that goes on. A connection takes four passes to be noticed, so with passes of 50 ms and more it took over 0.2 s although the system had opened it at once.

Ruled out: unfair turns (each connection handles seven or eight requests a pass, then the next one goes on).

Change: InputTimeout lets the loop make a few more passes once its time is up. The same cause elsewhere: connections, heads of answers, streams that stall, probes of servers, questions to engines and fetches use it.

--- a/src/savorylift/exchange/answer_head_reader.py
+++ b/src/savorylift/exchange/answer_head_reader.py
@@ -14,6 +14,7 @@
 from savorylift.exchange.results import Unsure
 from savorylift.outcomes import Reason
 from savorylift.wire.client_call import BrokenAnswerError, ClientCall
+from savorylift.wire.input_timeout import InputTimeout
 from savorylift.wire.message import ResponseHead
 
 # Interval at which to look for another server after `failover_at_s`.
@@ -111,7 +112,7 @@
     )
     while True:
         try:
-            async with asyncio.timeout_at(wait_until_s):
+            async with InputTimeout(wait_until_s - time.monotonic()):
                 return await call.read_head()
         except TimeoutError:
             now_s = time.monotonic()
--- a/src/savorylift/exchange/reach_probe.py
+++ b/src/savorylift/exchange/reach_probe.py
@@ -6,6 +6,7 @@
 from savorylift.exchange.limit_gate import LimitGate
 from savorylift.wire.channel import connect
 from savorylift.wire.client_call import BrokenAnswerError, ClientCall
+from savorylift.wire.input_timeout import InputTimeout
 
 CONNECT_TIMEOUT_S = 0.5
 # A sound server may be silent for about a second.
@@ -40,7 +41,7 @@
         if permit is None:
             return None
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S + ANSWER_TIMEOUT_S):
+            async with InputTimeout(CONNECT_TIMEOUT_S + ANSWER_TIMEOUT_S):
                 return await _answers(server, health_path)
         except (OSError, BrokenAnswerError):
             return False
--- a/src/savorylift/exchange/relay.py
+++ b/src/savorylift/exchange/relay.py
@@ -3,7 +3,6 @@
 Each event is delivered once, in order, and all events come from the same run.
 """
 
-import asyncio
 import time
 from collections.abc import Callable
 
@@ -17,6 +16,7 @@
 from savorylift.outcomes import Reason
 from savorylift.wire.client_call import BrokenAnswerError
 from savorylift.wire.coop_budget import CoopBudget
+from savorylift.wire.input_timeout import InputTimeout
 
 # A stream may stop without an error, or go on with bytes that make no event or
 # with comments.
@@ -158,7 +158,7 @@
         ):
             raise BrokenAnswerError("the stream stalled")
         try:
-            async with asyncio.timeout(STALL_TIMEOUT_S):
+            async with InputTimeout(STALL_TIMEOUT_S):
                 return await started.call.read_body_chunk()
         except TimeoutError:
             continue
--- a/src/savorylift/platform/engine_client.py
+++ b/src/savorylift/platform/engine_client.py
@@ -1,6 +1,5 @@
 """Calls to model engines that copy the KV cache of a run between them."""
 
-import asyncio
 import enum
 from typing import NamedTuple
 
@@ -11,6 +10,7 @@
 from savorylift.platform.headers import SERVER_LEAVING
 from savorylift.wire.channel import Channel
 from savorylift.wire.client_call import BrokenAnswerError, fetch, fetch_on
+from savorylift.wire.input_timeout import InputTimeout
 from savorylift.wire.message import Response
 
 # What a server says of itself.
@@ -141,7 +141,7 @@
     """
     headers = (("host", channel.peer),)
     try:
-        async with asyncio.timeout(timeout_s):
+        async with InputTimeout(timeout_s):
             response = await fetch_on(channel, "GET", REPORT, headers, b"")
     except (OSError, BrokenAnswerError):
         return None
--- a/src/savorylift/wire/channel.py
+++ b/src/savorylift/wire/channel.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from typing import cast
 
+from savorylift.wire.input_timeout import InputTimeout
+
 MAX_READ_BUFFER_BYTES = 65_536
 # Most that is received at once.
 MAX_RECEIVE_BYTES = 65_536
@@ -303,6 +305,6 @@
         OSError: It was refused or reset, or timed out.
     """
     loop = asyncio.get_running_loop()
-    async with asyncio.timeout(timeout_s):
+    async with InputTimeout(timeout_s):
         _, channel = await loop.create_connection(Channel, host, port)
     return channel
--- a/src/savorylift/wire/client_call.py
+++ b/src/savorylift/wire/client_call.py
@@ -4,7 +4,6 @@
 notice, and late bytes of one response could be read as part of the next one.
 """
 
-import asyncio
 import io
 
 import h11
@@ -12,6 +11,7 @@
 from savorylift.wire.buffer_budget import BufferBudget
 from savorylift.wire.channel import MAX_WRITE_BYTES, Channel, connect
 from savorylift.wire.coop_budget import CoopBudget
+from savorylift.wire.input_timeout import InputTimeout
 from savorylift.wire.message import Headers, Response, ResponseHead
 
 # A server in trouble may send without end. Bodies are read whole, so one
@@ -198,7 +198,7 @@
         BrokenAnswerError: The response is incomplete, invalid or too large.
     """
     host, port = address
-    async with asyncio.timeout(timeout_s):
+    async with InputTimeout(timeout_s):
         channel = await connect(host, port, connect_timeout_s)
         all_headers = (("host", f"{host}:{port}"), *headers)
         return await fetch_on(channel, method, target, all_headers, body)
