Log and count what became of streams that callers took up

Change: `stream_take_up_ended` and a counter name the outcome of each take-up: why the version of the stream isn't known, whether the process of the last server tried wasn't (no permit or a hold, silence, another one, no start), whether no permit was left for the stream itself, or the refusal's own reason. The soak counts them, streams that begin, reports that engines are asked for, and engines that got more calls than they named; it has four shapes of one software version whose engines name limits of 4 and 8, with nodes that freeze or are killed, whose callers leave after a pause of two seconds.

Measured: tests of the exchange, of reborn and ended servers and of software versions pass.

--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -31,7 +31,7 @@
     Refused,
 )
 from savorylift.exchange.run import ResumeTarget, Run
-from savorylift.exchange.run_log import log_move_failure
+from savorylift.exchange.run_log import log_move_failure, log_take_up
 from savorylift.exchange.run_sender import RunSender
 from savorylift.exchange.send import (
     SERVER_GONE,
@@ -131,9 +131,16 @@
             expected_tokens(admitted.req.generation or Generation(0, 0)),
         )
         self._runs.add(run)
+        result = await self._serve_in_time(run, sink)
+        log_take_up(run, result)
+        return result
+
+    async def _serve_in_time(
+        self, run: Run, sink: EventSink
+    ) -> Answered | Refused | None:
         try:
             async with asyncio.timeout_at(
-                admitted.deadline_s
+                run.admitted.deadline_s
             ) as run.time_limit:
                 return await self._serve(run, sink)
         except TimeoutError:
@@ -183,6 +190,9 @@
             if result is None:
                 return None
             retries.record_result(result)
+            run.obstacle = (
+                result.obstacle if isinstance(result, NotRun) else None
+            )
             if is_over_limit(result):
                 reason = Reason.SERVER_LIMIT
                 tried.discard(server.entry.server_id)
--- a/src/savorylift/exchange/metrics.py
+++ b/src/savorylift/exchange/metrics.py
@@ -72,6 +72,11 @@
     "Resumed streams, by how this node knows where they began.",
     ["outcome"],
 )
+STREAM_TAKE_UPS = Counter(
+    "savorylift_front_stream_take_ups",
+    "Streams that callers took up, by what became of them.",
+    ["outcome"],
+)
 SERVER_LIVES = Counter(
     "savorylift_front_server_lives",
     "Checks whether a server has started again since its entry was read.",
--- a/src/savorylift/exchange/results.py
+++ b/src/savorylift/exchange/results.py
@@ -1,5 +1,6 @@
 """Possible results of a request, at one backend server and for the caller."""
 
+import enum
 from typing import NamedTuple
 
 from savorylift.exchange.request import AnswerHead
@@ -32,6 +33,48 @@
     body: bytes
 
 
+class Obstacle(enum.StrEnum):
+    """What kept a stream from going on at a backend server.
+
+    Attributes:
+        NO_PERMIT: The limit of the server left none for the stream.
+        NOT_ASKED: Its process isn't known: a limit or a hold left no question.
+        SILENT: Its process isn't known: it didn't answer.
+        OTHER: It is another process than that of its entry.
+        UNNAMED: Its process isn't known: it, or its entry, names no start.
+    """
+
+    NO_PERMIT = "no_permit"
+    NOT_ASKED = "process_not_asked"
+    SILENT = "process_silent"
+    OTHER = "process_other"
+    UNNAMED = "process_unnamed"
+
+
+class Doubt(enum.StrEnum):
+    """Why it isn't known which software version began a stream.
+
+    Attributes:
+        UNKNOWN: No node knows where it began, and versions differ.
+        UNCERTAIN: Not known yet which process began it.
+        STARTED: No node knows, and this one has just started.
+        RESTARTED: No node knows, and a server has started again lately.
+        NOT_ASKED: No node knows, and a server couldn't be asked.
+        SILENT: No node knows, and a server didn't answer.
+        OTHER: No node knows, and a server is another process than its entry's.
+        READ: No node knows, and an entry of another version has been read.
+    """
+
+    UNKNOWN = "origin_unknown"
+    UNCERTAIN = "origin_uncertain"
+    STARTED = "node_started"
+    RESTARTED = "server_restarted"
+    NOT_ASKED = "server_not_asked"
+    SILENT = "server_silent"
+    OTHER = "server_other"
+    READ = "version_read"
+
+
 class NotRun(NamedTuple):
     """The backend server certainly did not run the request.
 
@@ -40,11 +83,14 @@
         detail: Explanation for logs.
         reached_server: Whether the server received the request and rejected
             it.
+        obstacle: What kept a stream from going on there; None if it wasn't
+            to go on, or for another reason.
     """
 
     reason: Reason
     detail: str
     reached_server: bool
+    obstacle: Obstacle | None = None
 
 
 class Unsure(NamedTuple):
@@ -81,6 +127,7 @@
         retry_after_s: Delay before a retry; None if a retry would not help.
         rule: Operator rule that caused the refusal, if any.
         asked_by: Who requested that rule.
+        doubt: Why the software version of a stream isn't known, if so.
     """
 
     status: int
@@ -89,6 +136,7 @@
     retry_after_s: float | None = None
     rule: str | None = None
     asked_by: str | None = None
+    doubt: Doubt | None = None
 
     @property
     def ending(self) -> Ending:
--- a/src/savorylift/exchange/run.py
+++ b/src/savorylift/exchange/run.py
@@ -10,7 +10,7 @@
 from savorylift.exchange.events import MAX_NUMBER_DIGITS, Event
 from savorylift.exchange.request import KvCopy
 from savorylift.exchange.request_traits import find_traits
-from savorylift.exchange.results import Refused
+from savorylift.exchange.results import Obstacle, Refused
 from savorylift.wire.channel import Channel
 from savorylift.wire.client_call import ClientCall
 
@@ -72,6 +72,8 @@
         is_framed_for_caller: Whether the caller's stream was begun in a framing
             that marks its end as complete.
         is_stopping: Whether its engine was told to stop it, for a move.
+        obstacle: What kept it from going on at the latest engine tried, if it
+            had begun; None if that was something else.
         life_check: Finds out whether the engine that began its stream is of
             the version that its entry says; None before the stream begins.
     """
@@ -105,6 +107,7 @@
         self.is_close_delimited = False
         self.is_framed_for_caller = False
         self.is_stopping = False
+        self.obstacle: Obstacle | None = None
         self.life_check: asyncio.Task[None] | None = None
 
     @property
@@ -112,6 +115,13 @@
         """The caller's ID for the request."""
         return self.admitted.req.attempt_id
 
+    @property
+    def is_take_up(self) -> bool:
+        """Whether its caller is to get the rest of a stream."""
+        req = self.admitted.req
+        is_resumed = req.resumes is not None or req.resume_after is not None
+        return self.admitted.route.can_resume and is_resumed
+
     @property
     def has_begun(self) -> bool:
         """Whether only servers of one software version may continue it."""
--- a/src/savorylift/exchange/run_log.py
+++ b/src/savorylift/exchange/run_log.py
@@ -7,7 +7,14 @@
 
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange import metrics
-from savorylift.exchange.results import Broken, NotRun, Unsure
+from savorylift.exchange.results import (
+    Answered,
+    Broken,
+    Doubt,
+    NotRun,
+    Refused,
+    Unsure,
+)
 from savorylift.exchange.run import ResumeTarget, Run
 from savorylift.exchange.send import Started
 
@@ -63,6 +70,39 @@
     )
 
 
+def log_take_up(run: Run, result: Answered | Refused | None) -> None:
+    """Logs what became of a stream that its caller took up."""
+    if not run.is_take_up:
+        return
+    doubt = result.doubt if isinstance(result, Refused) else None
+    outcome = _take_up_outcome(run, result, doubt)
+    metrics.STREAM_TAKE_UPS.labels(outcome).inc()
+    _log.info(
+        "stream_take_up_ended",
+        request=run.attempt_id,
+        resumes=run.admitted.req.resumes,
+        outcome=outcome,
+        refusal=result.reason.value if isinstance(result, Refused) else None,
+        obstacle=run.obstacle and run.obstacle.value,
+        doubt=doubt and doubt.value,
+        events=run.engine_events,
+    )
+
+
+def _take_up_outcome(
+    run: Run, result: Answered | Refused | None, doubt: Doubt | None
+) -> str:
+    if run.first_event_s is not None:
+        return "gone_on"
+    if doubt is not None:
+        return doubt.value
+    if run.obstacle is not None:
+        return run.obstacle.value
+    if isinstance(result, Refused):
+        return result.reason.value
+    return "answered" if isinstance(result, Answered) else "broken"
+
+
 def log_broken(run: Run, failure: Broken) -> None:
     """Logs a run that ended without a complete response."""
     metrics.BROKEN_STREAMS.labels(failure.reason.value).inc()
--- a/src/savorylift/exchange/server_opener.py
+++ b/src/savorylift/exchange/server_opener.py
@@ -9,7 +9,7 @@
 from savorylift.exchange.failover import FailoverPolicy
 from savorylift.exchange.limit_gate import LimitGate, Permit
 from savorylift.exchange.request import CallerRequest, KvCopy
-from savorylift.exchange.results import NotRun
+from savorylift.exchange.results import NotRun, Obstacle
 from savorylift.exchange.server_life import Life, ServerLife
 from savorylift.exchange.server_reach import ServerReach
 from savorylift.outcomes import Reason
@@ -17,6 +17,11 @@
 
 # Many round trips: a reachable server accepts within a few milliseconds.
 CONNECT_TIMEOUT_S = 0.2
+OBSTACLES = {
+    Life.OTHER: Obstacle.OTHER,
+    Life.SILENT: Obstacle.SILENT,
+    Life.UNNAMED: Obstacle.UNNAMED,
+}
 
 
 class ResumePoint(NamedTuple):
@@ -160,12 +165,21 @@
             is_probe=False,
         )
         if life.life is Life.NOT_ASKED:
-            return _over_limit("the server can't be asked when it started")
+            return _over_limit(
+                "the server can't be asked when it started", Obstacle.NOT_ASKED
+            )
         if not self._server_life.is_of_entry(server, life.life):
             detail = "the server isn't known to be of the stream's version"
-            return NotRun(Reason.OUT_OF_SERVICE, detail, reached_server=False)
+            return NotRun(
+                Reason.OUT_OF_SERVICE,
+                detail,
+                reached_server=False,
+                obstacle=OBSTACLES[life.life],
+            )
         permit = await self._acquire_permit(server, admitted, failover_policy)
-        return permit or _over_limit("the limit of the server is used up")
+        return permit or _over_limit(
+            "the limit of the server is used up", Obstacle.NO_PERMIT
+        )
 
     async def _acquire_permit(
         self,
@@ -221,5 +235,7 @@
     return kv_copy is None or kv_copy.source != server.entry.address
 
 
-def _over_limit(detail: str) -> NotRun:
-    return NotRun(Reason.SERVER_LIMIT, detail, reached_server=False)
+def _over_limit(detail: str, obstacle: Obstacle | None = None) -> NotRun:
+    return NotRun(
+        Reason.SERVER_LIMIT, detail, reached_server=False, obstacle=obstacle
+    )
--- a/src/savorylift/exchange/stream_resumption.py
+++ b/src/savorylift/exchange/stream_resumption.py
@@ -16,7 +16,7 @@
 from savorylift.backends.server import ServerEntry
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.origin_log import OriginLog
-from savorylift.exchange.results import Refused
+from savorylift.exchange.results import Doubt, Refused
 from savorylift.exchange.run import Run
 from savorylift.exchange.server_life import Life, ServerLife
 from savorylift.exchange.server_pool import ServerPool
@@ -50,6 +50,11 @@
 MAX_SERVERS_ASKED = 32
 # Callers may be a little late.
 RESUME_SLACK_S = 5.0
+DOUBTS = {
+    Life.OTHER: Doubt.OTHER,
+    Life.SILENT: Doubt.SILENT,
+    Life.NOT_ASKED: Doubt.NOT_ASKED,
+}
 
 _log = structlog.get_logger()
 
@@ -103,10 +108,10 @@
             return Success(admitted)
         origin = await self._find_origin(admitted)
         bound = self._bind(admitted, origin)
-        if origin is None and await self._may_be_unread(bound):
+        doubt = await self._find_doubt(bound, origin)
+        if doubt is not None and origin is None:
             bound = bound._replace(software_version=None)
-        is_known = bound.software_version not in (None, UNKNOWN_VERSION)
-        has_server = is_known and self._pool.has_server(bound, ())
+        has_server = doubt is None and self._pool.has_server(bound, ())
         _log.info(
             "stream_taken_up",
             request=req.attempt_id,
@@ -118,17 +123,10 @@
             is_origin_certain=origin is not None and origin.is_certain,
             is_history_complete=self._history.is_complete,
             has_server=has_server,
+            doubt=doubt and doubt.value,
         )
-        if not is_known:
-            return Failure(
-                Refused(
-                    503,
-                    Reason.STREAM_UNKNOWN,
-                    "It isn't known which software version began this stream;"
-                    " the request did not run.",
-                    UNKNOWN_RETRY_S,
-                )
-            )
+        if doubt is not None:
+            return Failure(_stream_unknown(doubt))
         if origin is not None and _has_other_model(bound, origin):
             return Failure(_model_gone())
         return Success(bound) if has_server else Failure(version_gone())
@@ -251,21 +249,31 @@
             return origin
         return await self._origin_log.find(attempt_id) or origin
 
-    async def _may_be_unread(self, admitted: AdmittedRequest) -> bool:
-        """Whether a process may have begun a stream without its entry read.
+    async def _find_doubt(
+        self, admitted: AdmittedRequest, origin: StreamOrigin | None
+    ) -> Doubt | None:
+        """Returns why the version that began a stream isn't known, if so."""
+        if admitted.software_version == UNKNOWN_VERSION:
+            return Doubt.UNCERTAIN
+        if admitted.software_version is None:
+            return Doubt.UNKNOWN
+        return await self._find_unread(admitted) if origin is None else None
+
+    async def _find_unread(self, admitted: AdmittedRequest) -> Doubt | None:
+        """Returns why a process without a read entry may have begun a stream.
 
         Either it still serves, or another one has taken its place meanwhile.
         A node that has just started can't ask those that may know.
         """
-        if admitted.software_version in (None, UNNAMED_VERSION):
-            return False
+        if admitted.software_version == UNNAMED_VERSION:
+            return None
         now_s = time.monotonic()
         if now_s - self._created_s < MIN_UPTIME_S:
-            return True
+            return Doubt.STARTED
         service = admitted.service.name
         max_age_s = (admitted.route.timeout_s or RETENTION_S) + RESUME_SLACK_S
         if self._history.has_restarted(service, now_s - max_age_s):
-            return True
+            return Doubt.RESTARTED
         servers = self._pool.servers_in_service(service)
         asked = self._rng.sample(servers, min(len(servers), MAX_SERVERS_ASKED))
         request = admitted.req.attempt_id
@@ -277,9 +285,10 @@
             server.entry.software_version
             for server in (*servers, *self._pool.servers_in_service(service))
         }
-        return versions != {admitted.software_version} or any(
-            report.life not in (Life.SAME, Life.UNNAMED) for report in reports
-        )
+        if versions != {admitted.software_version}:
+            return Doubt.READ
+        doubts = [DOUBTS[r.life] for r in reports if r.life in DOUBTS]
+        return doubts[0] if doubts else None
 
     def _bind(
         self, admitted: AdmittedRequest, origin: StreamOrigin | None
@@ -311,6 +320,16 @@
     return Refused(503, Reason.VERSION_GONE, message)
 
 
+def _stream_unknown(doubt: Doubt) -> Refused:
+    message = (
+        "It isn't known which software version began this stream;"
+        " the request did not run."
+    )
+    return Refused(
+        503, Reason.STREAM_UNKNOWN, message, UNKNOWN_RETRY_S, doubt=doubt
+    )
+
+
 def version_gone() -> Refused:
     """Returns the refusal of a stream whose version has no server."""
     message = (
--- a/tests/front/kept_connection.py
+++ b/tests/front/kept_connection.py
@@ -57,13 +57,15 @@
         head = "\r\n".join([*lines, "", ""])
         self._channel.write(head.encode("latin-1") + body)
 
-    async def read(self, timeout_s: float) -> Answer:
+    async def read(
+        self, timeout_s: float, max_pause_s: float | None = None
+    ) -> Answer:
         """Reads the next response; closes the connection if it is the last."""
         reader = _AnswerReader()
         is_whole = False
         try:
             async with asyncio.timeout(timeout_s):
-                await reader.read(self._channel, self._rest)
+                await reader.read(self._channel, self._rest, max_pause_s)
             is_whole = True
         except (h11.RemoteProtocolError, OSError):
             self._is_last = True
@@ -107,19 +109,24 @@
         """Whether no other response may follow."""
         return self._h11.their_state is not h11.DONE
 
-    async def read(self, channel: Channel, begun: bytes) -> None:
+    async def read(
+        self, channel: Channel, begun: bytes, max_pause_s: float | None
+    ) -> None:
         """Reads to the end of the response, which may have begun before.
 
         Raises:
             h11.RemoteProtocolError: It is incomplete.
             ConnectionError: The connection was reset.
+            TimeoutError: Nothing came for longer than `max_pause_s`.
         """
         if begun:
             self._h11.receive_data(begun)
         while True:
             event = self._h11.next_event()
             if event is h11.NEED_DATA:
-                self._h11.receive_data(await channel.read())
+                async with asyncio.timeout(max_pause_s):
+                    data = await channel.read()
+                self._h11.receive_data(data)
             elif isinstance(event, h11.Response):
                 self.status = event.status_code
                 self.headers = {
--- a/tests/front/stream_callers.py
+++ b/tests/front/stream_callers.py
@@ -23,12 +23,15 @@
         headers: Its headers.
         body: Its body.
         timeout_s: For how long its caller waits.
+        max_pause_s: Pause after which its caller abandons the response; None
+            for none.
     """
 
     path: str
     headers: Headers
     body: bytes
     timeout_s: float
+    max_pause_s: float | None = None
 
 
 class StreamCaller(Protocol):
@@ -49,7 +52,7 @@
         except OSError:
             return NO_ANSWER
         conn.send(call.path, call.headers, call.body)
-        return await conn.read(call.timeout_s)
+        return await conn.read(call.timeout_s, call.max_pause_s)
 
 
 class Habits(NamedTuple):
@@ -111,7 +114,7 @@
         is_pipelined = self._rng.random() < self._habits.pipelined_share
         if is_pipelined:
             self._send_other(conn, call)
-        answer = await conn.read(call.timeout_s)
+        answer = await conn.read(call.timeout_s, call.max_pause_s)
         if is_pipelined and conn.is_usable:
             self.pipelined += (await conn.read(call.timeout_s)).is_whole
         if conn.is_usable:
--- a/tests/front/version_fleet.py
+++ b/tests/front/version_fleet.py
@@ -52,8 +52,11 @@
 
     Attributes:
         caller: Sends the requests.
+        max_pause_s: Pause after which callers abandon a stream; None for none.
     """
 
+    max_pause_s: float | None = None
+
     def __init__(self, nodes: int = 2) -> None:
         super().__init__(nodes, ENGINES)
         self.caller: StreamCaller = FreshCaller()
@@ -95,7 +98,11 @@
             ip,
             self.caller_port,
             Call(
-                PATH, headers, b"question " + attempt.encode(), STREAM_TIMEOUT_S
+                PATH,
+                headers,
+                b"question " + attempt.encode(),
+                STREAM_TIMEOUT_S,
+                self.max_pause_s,
             ),
         )
         return Part(
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -134,15 +134,20 @@
         violation.kind.value + (" at another build" if violation.builds else "")
         for violation in result.violations
     )
+    outcomes = {f"({name})": n for name, n in result.outcomes.items()}
     return kinds + Counter(
         {
+            **outcomes,
             "streams": len(result.streams),
+            "begun": sum(bool(stream.versions) for stream in result.streams),
             "whole": sum(stream.is_whole for stream in result.streams),
             "take-ups": sum(stream.take_ups for stream in result.streams),
             "gone on": sum(stream.gone_on for stream in result.streams),
             "on kept connections": result.kept,
             "pipelined": result.pipelined,
             "cut by the end of a node": result.events["response_cut"],
+            "questions": result.reports,
+            "engines over their limit": result.over_limit,
         }
     )
 
--- a/tests/soak/version_logs.py
+++ b/tests/soak/version_logs.py
@@ -42,6 +42,15 @@
     return Counter(str(line["event"]) for line in lines(directory))
 
 
+def count_take_ups(directory: pathlib.Path) -> Counter[str]:
+    """Counts what became of streams that were taken up, by its name."""
+    return Counter(
+        str(line["outcome"])
+        for line in lines(directory)
+        if line["event"] == "stream_take_up_ended"
+    )
+
+
 def bad_events(counts: Counter[str]) -> list[str]:
     """Returns the events that no run may hold, with their numbers."""
     bad = UNREADABLE_EVENTS | INTERNAL_ERROR_EVENTS
--- a/tests/soak/version_scenario.py
+++ b/tests/soak/version_scenario.py
@@ -7,9 +7,15 @@
 import pathlib
 import random
 import ssl
+import time
 from collections import Counter
 from typing import NamedTuple
 
+from tests.front.node_fleet import (
+    REACTION_S,
+    most_allowed,
+    most_in_window,
+)
 from tests.front.stream_callers import KeepingCaller
 from tests.front.version_fleet import VersionProcessFleet
 from tests.harness.certificates import client_context, write_certificate
@@ -21,7 +27,11 @@
     Violation,
 )
 from tests.soak.version_faults import VersionFaults
-from tests.soak.version_logs import bad_events, count_events
+from tests.soak.version_logs import (
+    bad_events,
+    count_events,
+    count_take_ups,
+)
 from tests.soak.version_shapes import PLAIN, Shape
 
 EVENT_INTERVAL_S = 1 / 60
@@ -40,14 +50,20 @@
         events: Number of log lines of all nodes, by their event.
         kept: Number of requests on connections that had been used before.
         pipelined: Number of pipelined calls that were answered.
+        reports: Number of reports that engines were asked for.
+        over_limit: Number of engines that got more calls than they named.
+        outcomes: What became of streams that were taken up, as nodes say.
     """
 
     faults: list[str]
     streams: list[StreamResult]
     violations: list[Violation]
     events: Counter[str]
-    kept: int = 0
-    pipelined: int = 0
+    kept: int
+    pipelined: int
+    reports: int
+    over_limit: int
+    outcomes: Counter[str]
 
 
 def run_version_seed(
@@ -77,7 +93,9 @@
     events = count_events(directory)
     logged = [Violation(Kind.LOGGED, event) for event in bad_events(events)]
     return result._replace(
-        violations=[*result.violations, *logged], events=events
+        violations=[*result.violations, *logged],
+        events=events,
+        outcomes=count_take_ups(directory),
     )
 
 
@@ -98,6 +116,7 @@
     async def run(self, duration_s: float) -> VersionResult:
         self._set_up_engines()
         async with self._fleet.running():
+            began_s = time.monotonic()
             faults = asyncio.ensure_future(
                 VersionFaults(self._context).run(duration_s)
             )
@@ -120,11 +139,26 @@
             Counter(),
             0 if self._keeping is None else self._keeping.kept,
             0 if self._keeping is None else self._keeping.pipelined,
+            sum(server.reports for server in self._fleet.pool),
+            self._count_over_limit(began_s),
+            Counter(),
+        )
+
+    def _count_over_limit(self, began_s: float) -> int:
+        """Returns how many engines got more calls than they named."""
+        if self._shape.named_limit is None:
+            return 0
+        allowed = most_allowed(float(self._shape.named_limit))
+        since_s = began_s + REACTION_S
+        return sum(
+            most_in_window(server.arrivals, since_s) > allowed
+            for server in self._fleet.pool
         )
 
     def _set_up_engines(self) -> None:
         shape = self._shape
         self._fleet.set_versions(*shape.versions)
+        self._fleet.max_pause_s = shape.max_pause_s
         for number, server in enumerate(self._fleet.pool):
             server.resets_after = shape.resets_after
             server.events_per_stream = shape.events
--- a/tests/soak/version_shapes.py
+++ b/tests/soak/version_shapes.py
@@ -27,6 +27,7 @@
 LATE_ENTRY_DELAYS_S = (0.5,)
 # Under limits, streams after the last fault begin one after the other.
 SPACED_STREAMS_S = 0.5
+MAX_PAUSE_S = 2.0
 
 
 class Fault(enum.StrEnum):
@@ -99,6 +100,7 @@
         copy_delay_s: How long an engine takes to copy a run.
         twin_share: Share of the attempts to take a stream up that go to two
             nodes at once.
+        max_pause_s: Pause after which callers abandon a stream; None for none.
         nodes: Number of nodes.
         other_nodes: Number of nodes that run another build, if one is given.
         habits: What callers do who keep their connections; None for callers
@@ -123,6 +125,7 @@
     after_interval_s: float = 0.0
     copy_delay_s: float = 0.0
     twin_share: float = 0.0
+    max_pause_s: float | None = None
     nodes: int = NODES
     other_nodes: int = 0
     habits: Habits | None = None
@@ -136,6 +139,14 @@
     resets_after=BREAK_AFTER_EVENTS,
 )
 LATE_SWAPS = Shape(entry_delays_s=LATE_ENTRY_DELAYS_S)
+# One software version, whose engines all name a limit.
+LIMITED = Shape(
+    versions=("v1",) * 4,
+    releases=("v1",),
+    named_limit="4",
+    after_interval_s=SPACED_STREAMS_S,
+    max_pause_s=MAX_PAUSE_S,
+)
 ENGINE_FAULTS = (Fault.RESTART, Fault.RESTART, Fault.DRAIN)
 # Callers keep their connections, engines replaced late, and nodes ended beside.
 KEPT = LATE_SWAPS._replace(
@@ -157,6 +168,12 @@
         entry_delays_s=LATE_ENTRY_DELAYS_S,
         after_interval_s=SPACED_STREAMS_S,
     ),
+    "limit-4-freezes": LIMITED._replace(faults=(Fault.FREEZE,)),
+    "limit-8-freezes": LIMITED._replace(
+        faults=(Fault.FREEZE,), named_limit="8"
+    ),
+    "limit-4-kills": LIMITED._replace(faults=(Fault.KILL,)),
+    "limit-8-kills": LIMITED._replace(faults=(Fault.KILL,), named_limit="8"),
     "unsaid": Shape(says_born=False, entry_delays_s=LATE_ENTRY_DELAYS_S),
     "held": Shape(
         faults=(*BASE_FAULTS, Fault.HOLD, Fault.HOLD),
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -112,6 +112,7 @@
         places: Number of runs at once; more are rejected; None for any.
         arrivals: Monotonic times of all requests, also of those that it
             rejects and of calls that are no run.
+        reports: Number of reports that it was asked for.
         connections: Monotonic times at which connections were opened.
         peers: Engines that runs can be copied to, by port.
         kv_copies: Copies from which runs can continue here, by handle.
@@ -173,6 +174,7 @@
         self._rejected_s: list[float] = []
         self._is_falling = False
         self.arrivals: list[float] = []
+        self.reports = 0
         self.connections: list[float] = []
         self.on_event: Callable[[int], None] = lambda _: None
         self.on_restart: Callable[[str], None] = lambda _: None
@@ -268,6 +270,7 @@
         self.arrivals.append(time.monotonic())
         headers = dict(req.headers)
         if req.target == "/report":
+            self.reports += 1
             await asyncio.sleep(self.report_delay_s)
             state = "draining" if self.is_leaving else "ready"
             report: dict[str, object] = {"state": state}
