Take starts of servers that are no whole number for none, with a log line

Cause: a report that named `true` as the server's start counted as one that had started at 1 ms; a negative start counted as any other. Nothing was logged of either, nor of a start of another type.

Change: only a whole number from 0 on is a start; `report_unsound` logs all else.

--- a/src/savorylift/platform/engine_client.py
+++ b/src/savorylift/platform/engine_client.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 import msgspec
+import structlog
 from returns.result import Failure, Result, Success
 
 from savorylift.json_input import decode_json
@@ -15,6 +16,9 @@
 
 # What a server says of itself.
 REPORT = "/report"
+MAX_LOGGED_CHARACTERS = 100
+
+_log = structlog.get_logger()
 
 
 class CopyFault(enum.Enum):
@@ -150,8 +154,11 @@
 
 def _start_in(response: Response) -> int:
     report = decode_json(response.body, dict).value_or({})
-    born = report.get("born")
-    return born if isinstance(born, int) else 0
+    born = report.get("born", 0)
+    if type(born) is int and born >= 0:
+        return born
+    _log.warning("report_unsound", born=repr(born)[:MAX_LOGGED_CHARACTERS])
+    return 0
 
 
 async def is_engine_draining(
