Ask a limited server once for all nodes which process it is

Each stream asked for itself, a question took a permit like a request, and each server that then had none left for the stream had used one up for nothing.

Change: knowledge of a process belongs to the process. - The issuer of a server's permits asks it for all nodes (process_desk.py), with a quarter of its limit, or once a second up to half of it. An answer holds for all that was there before the question was sent: streams that had begun, connections that were open. Nodes ask the issuer with a permit request that has a new last field; one of an earlier build grants a permit instead, with which the node asks itself. Ages pass between nodes, never clocks, and an age can only be too short. - Nodes keep the newest answer of each server themselves, too. - While the question is open, homes hold the process of the entry (new last field of an origin, and the stream's age): a take-up needs an answer of it since then, whoever asked. Once another process has answered, that goes before it. - That another process than the entry's began a stream is still concluded from an own question only: only then has this node heard the end of the stream's connection. - A stream that goes on waits 1.2 s for the question and 1 s for its permit, at one server; a server that can't be asked isn't tried again, and the caller is told when to return.

Evidence: test_streams_of_limited_servers_go_on (three nodes, 12 streams, limit 4) fails on the code before (2 of 2), passes 3 of 3.

--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -28,6 +28,7 @@
     Answered,
     Broken,
     NotRun,
+    Obstacle,
     Refused,
 )
 from savorylift.exchange.run import ResumeTarget, Run
@@ -195,7 +196,8 @@
             )
             if is_over_limit(result):
                 reason = Reason.SERVER_LIMIT
-                tried.discard(server.entry.server_id)
+                if run.obstacle is not Obstacle.NOT_ASKED:
+                    tried.discard(server.entry.server_id)
                 continue
             self._pool.load_tracker.record_result(
                 server.entry.server_id, is_success=False
@@ -250,6 +252,9 @@
         hold_s = self._pool.shortest_hold_s(run.admitted)
         if hold_s is not None:
             return refuse_generation(sink, Reason.SERVER_HOLD, hold_s)
+        if run.obstacle is Obstacle.NOT_ASKED:
+            return_after_s = self._pool.assign_return_s(run.admitted)
+            return refuse_generation(sink, Reason.SERVER_LIMIT, return_after_s)
         wanted_tokens = run.expected_tokens * (
             1 + self._queue.waiting_count(run.admitted)
         )
--- a/src/savorylift/exchange/limit_gate.py
+++ b/src/savorylift/exchange/limit_gate.py
@@ -18,6 +18,7 @@
     PermitClient,
     SendLimitMessage,
 )
+from savorylift.exchange.process_desk import ProcessDesk
 from savorylift.exchange.request import AnswerHead
 from savorylift.exchange.return_times import ReturnTimes
 from savorylift.fleet.limit_check import is_sound
@@ -69,6 +70,7 @@
         count_nodes: Callable[[], int],
         get_message_interval_s: Callable[[], float],
         is_registered: Callable[[str], bool],
+        desk: ProcessDesk,
         rng: random.Random,
     ) -> None:
         """Creates a gate that knows no limits.
@@ -80,6 +82,7 @@
             get_message_interval_s: Returns the interval between the nodes'
                 messages, which grows with their number.
             is_registered: Whether a server is registered, by its ID.
+            desk: Asks the servers of this node's permits when they started.
             rng: Chooses the first number of permit requests, and the moments
                 of this node's turns.
         """
@@ -94,6 +97,7 @@
             on_change=self._reopen,
         )
         self._limits = self._sync.limits
+        self._desk = desk
         self._client = PermitClient(send, rng)
         self._turns = Turns(rng)
         # Monotonic time of the last request without a permit.
@@ -154,6 +158,87 @@
         await asyncio.sleep(decision.wait_s)
         return permit
 
+    async def find_start(
+        self,
+        server: BackendServer,
+        request: str,
+        since_s: float,
+        max_wait_s: float,
+        *,
+        is_probe: bool,
+    ) -> int | Permit | None:
+        """Returns when the process of a server started that has answered.
+
+        The issuer of its permits asks it, for all nodes.
+
+        Args:
+            server: The server.
+            request: Identifies the request in logs.
+            since_s: Boot time since when it must have answered.
+            max_wait_s: Longest time to wait for an answer.
+            is_probe: Whether to use only permits that other requests leave.
+
+        Returns:
+            The start; a permit to ask the server, if its issuer can't; None if
+            it can't be asked now.
+        """
+        until_s = time.monotonic() + max_wait_s
+        while True:
+            limit = self._limits.find(server.entry)
+            if limit is None:
+                return Permit(None)
+            reply = await self._ask_start(
+                server, limit, since_s, is_probe=is_probe
+            )
+            if reply is None or reply.is_silent:
+                return await self.acquire(
+                    server, request, 0.0, is_probe=is_probe
+                )
+            if reply.started_ms is not None:
+                return reply.started_ms
+            if reply.is_granted:
+                return Permit(boot_time_s() + PERMIT_VALIDITY_S)
+            wait_s = max(reply.wait_s, MIN_CLOSED_S)
+            if time.monotonic() + wait_s > until_s:
+                return None
+            await asyncio.sleep(wait_s)
+
+    async def _ask_start(
+        self,
+        server: BackendServer,
+        limit: float,
+        since_s: float,
+        *,
+        is_probe: bool,
+    ) -> PermitReply | None:
+        """Returns what the issuer knows; None if it doesn't reply."""
+        server_id = server.entry.server_id
+        issuer_ip = self._issuer.find_issuer(server_id)
+        if self._issuer.is_own_ip(issuer_ip):
+            return self._find_start(server_id, limit, since_s, is_probe, 0)
+        report = self._limits.report(server_id)
+        assert report is not None
+        return await self._client.ask_start(
+            issuer_ip, report, since_s, is_probe=is_probe
+        )
+
+    def _find_start(
+        self,
+        server_id: str,
+        limit: float,
+        since_s: float,
+        is_probe: bool,  # noqa: FBT001
+        number: int,
+    ) -> PermitReply:
+        answer = self._desk.find(server_id, limit, since_s, is_probe=is_probe)
+        return PermitReply(
+            number,
+            is_granted=False,
+            wait_s=answer.wait_s,
+            started_ms=answer.started_ms,
+            is_silent=answer.is_silent,
+        )
+
     def may_send(self, server: BackendServer, permit: Permit) -> bool:
         """Whether a permit still holds; to be checked just before sending."""
         if permit.expires_s is not None:
@@ -203,6 +288,7 @@
         self._next_update_s = now_s + UPDATE_INTERVAL_S
         limited = self._limits.limited_ids()
         self._issuer.update(limited)
+        self._desk.forget(limited)
         self._sync.update()
         metrics.LIMITED_SERVERS.set(len(limited))
         self._return_times.forget_passed()
@@ -256,6 +342,13 @@
             assert known is not None
             self._send(LimitNews((known,)), ip)
             limit = message.limit.requests_per_s or 0.0
+        if message.start_age_s is not None:
+            since_s = boot_time_s() - message.start_age_s
+            reply = self._find_start(
+                server_id, limit, since_s, message.is_probe, message.number
+            )
+            self._send(reply, ip)
+            return
         decision = self._issuer.decide(
             server_id, limit, message.max_wait_s, is_probe=message.is_probe
         )
--- a/src/savorylift/exchange/metrics.py
+++ b/src/savorylift/exchange/metrics.py
@@ -77,6 +77,10 @@
     "Streams that callers took up, by what became of them.",
     ["outcome"],
 )
+PROCESS_QUESTIONS = Counter(
+    "savorylift_front_process_questions",
+    "Limited servers that this node asked for all when they started.",
+)
 SERVER_LIVES = Counter(
     "savorylift_front_server_lives",
     "Checks whether a server has started again since its entry was read.",
--- a/src/savorylift/exchange/origin_table.py
+++ b/src/savorylift/exchange/origin_table.py
@@ -14,7 +14,17 @@
 
 class _Known(NamedTuple):
     origin: StreamOrigin
-    expires_s: float
+    put_s: float
+
+    def at(self, now_s: float) -> StreamOrigin:
+        """Returns the origin with its times as of a moment."""
+        held_s = now_s - self.put_s
+        process = self.origin.process
+        if process is not None:
+            process = process._replace(age_s=process.age_s + held_s)
+        return self.origin._replace(
+            ttl_s=self.origin.ttl_s - held_s, process=process
+        )
 
 
 class OriginTable:
@@ -28,18 +38,19 @@
         """Stores an origin; returns False if it is unsound.
 
         The first one of an attempt that names its version stays: a stream
-        begins once.
+        begins once. Before, one stays that names no process: another one than
+        that of the entry has answered.
         """
         if not _is_sound(origin):
             return False
         now_s = time.monotonic()
         known = self.find(origin.attempt_id)
-        if known is not None and (known.is_certain or not origin.is_certain):
+        if known is not None and known.certainty >= origin.certainty:
             return True
         self._known.pop(origin.attempt_id, None)
         while len(self._known) >= MAX_ORIGINS:
             del self._known[next(iter(self._known))]
-        self._known[origin.attempt_id] = _Known(origin, now_s + origin.ttl_s)
+        self._known[origin.attempt_id] = _Known(origin, now_s)
         return True
 
     def find(self, attempt_id: str) -> StreamOrigin | None:
@@ -47,8 +58,8 @@
         known = self._known.get(attempt_id)
         if known is None:
             return None
-        ttl_s = known.expires_s - time.monotonic()
-        return known.origin._replace(ttl_s=ttl_s) if ttl_s > 0 else None
+        origin = known.at(time.monotonic())
+        return origin if origin.ttl_s > 0 else None
 
     def __iter__(self) -> Iterator[StreamOrigin]:
         """Yields all origins that still hold."""
@@ -67,7 +78,7 @@
         expired = [
             attempt_id
             for attempt_id, known in self._known.items()
-            if known.expires_s <= now_s
+            if known.at(now_s).ttl_s <= 0
         ]
         for attempt_id in expired:
             del self._known[attempt_id]
@@ -75,12 +86,16 @@
 
 
 def _is_sound(origin: StreamOrigin) -> bool:
-    names = (
+    names = [
         origin.attempt_id,
         origin.service,
         origin.software_version,
         origin.model_version,
-    )
+    ]
+    if origin.process is not None:
+        names += [origin.process.server_id, origin.process.software_version]
+        if not 0 <= origin.process.age_s <= MAX_TTL_S:
+            return False
     return (
         0 < origin.ttl_s <= MAX_TTL_S
         and bool(origin.attempt_id)
--- a/src/savorylift/exchange/permit_client.py
+++ b/src/savorylift/exchange/permit_client.py
@@ -53,6 +53,39 @@
         is_probe: bool,
     ) -> PermitDecision | None:
         """Returns the decision of another node; None if it doesn't reply."""
+        message = PermitRequest(0, report, max_wait_s, is_probe)
+        reply = await self._exchange(issuer_ip, message)
+        if reply is None:
+            return None
+        return PermitDecision(reply.is_granted, reply.wait_s)
+
+    async def ask_start(
+        self,
+        issuer_ip: str,
+        report: LimitReport,
+        since_s: float,
+        *,
+        is_probe: bool,
+    ) -> PermitReply | None:
+        """Returns which process a server is, as far as its issuer knows.
+
+        An issuer of an earlier build may grant a permit instead. None if it
+        doesn't reply.
+
+        Args:
+            issuer_ip: Address of the issuer.
+            report: Limit of the server.
+            since_s: Boot time since when the server must have answered.
+            is_probe: Whether to use only what requests leave.
+        """
+        age_s = max(boot_time_s() - since_s, 0.0)
+        message = PermitRequest(0, report, 0.0, is_probe, age_s)
+        return await self._exchange(issuer_ip, message)
+
+    async def _exchange(
+        self, issuer_ip: str, message: PermitRequest
+    ) -> PermitReply | None:
+        """Returns the reply to a message, unless it is of no use."""
         self._next_number += 1
         number = self._next_number
         fut: asyncio.Future[PermitReply] = (
@@ -60,18 +93,17 @@
         )
         self._replies[number] = fut
         asked_s = boot_time_s()
-        message = PermitRequest(number, report, max_wait_s, is_probe)
         try:
-            reply = await self._send_until_reply(message, issuer_ip, fut)
+            reply = await self._send_until_reply(
+                message._replace(number=number), issuer_ip, fut
+            )
         finally:
             del self._replies[number]
-        if reply is None:
+        if reply is None or boot_time_s() - asked_s > MAX_REPLY_AGE_S:
             return None
-        if boot_time_s() - asked_s > MAX_REPLY_AGE_S:
+        if reply.is_granted and reply.wait_s > message.max_wait_s:
             return None
-        if reply.is_granted and reply.wait_s > max_wait_s:
-            return None
-        return PermitDecision(reply.is_granted, reply.wait_s)
+        return reply
 
     async def _send_until_reply(
         self,
--- a/src/savorylift/exchange/server_life.py
+++ b/src/savorylift/exchange/server_life.py
@@ -5,29 +5,26 @@
 """
 
 import enum
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import NamedTuple
 
 import structlog
 
 from savorylift.backends.registry import BackendServer
+from savorylift.boot_clock import boot_time_s
 from savorylift.exchange import metrics
-from savorylift.exchange.limit_gate import LimitGate
+from savorylift.exchange.limit_gate import LimitGate, Permit
+from savorylift.exchange.process_desk import REPORT_TIMEOUT_S, StartReader
 from savorylift.exchange.shared_checks import SharedChecks
 from savorylift.fleet.version_history import UNNAMED_VERSION
 
-# A caller waits for the rest of its stream meanwhile.
-REPORT_TIMEOUT_S = 0.4
+# Bounds the memory that answers take.
+MAX_HEARD = 10_000
 # What stands in place of a start that isn't named.
 NO_START = 0
 
 _log = structlog.get_logger()
 
-# Returns the Unix time in milliseconds at which the server at an address
-# started, given a timeout in seconds; `NO_START` if it doesn't say, and None if
-# it doesn't answer.
-StartReader = Callable[[tuple[str, int], float], Awaitable[int | None]]
-
 
 class Life(enum.StrEnum):
     """Which process of a server answers.
@@ -60,6 +57,18 @@
     started_ms: int | None = None
 
 
+class _Heard(NamedTuple):
+    """An answer of a server.
+
+    Attributes:
+        started_ms: The start that it named; `NO_START` if none.
+        asked_s: Boot time before the question was sent.
+    """
+
+    started_ms: int
+    asked_s: float
+
+
 class ServerLife:
     """Asks servers when they started."""
 
@@ -85,7 +94,8 @@
         self._read_start = read_start
         self._sole_version = sole_version
         self._checks: SharedChecks[LifeReport] = SharedChecks()
-        self._probes: SharedChecks[LifeReport] = SharedChecks()
+        # The newest answer of each server, by its ID and address.
+        self._heard: dict[str, _Heard] = {}
 
     def is_of_entry(self, server: BackendServer, life: Life) -> bool:
         """Whether the process that answers has the version of the entry."""
@@ -103,26 +113,37 @@
         max_wait_s: float = 0.0,
         *,
         is_probe: bool = True,
+        since_s: float | None = None,
+        must_ask: bool = False,
     ) -> LifeReport:
         """Returns which process answers.
 
-        What is sent later on a connection that was open before the call goes
-        to that process, or to none.
+        What is sent later on a connection that was open at a moment goes to
+        the process that answered a question sent since then, or to none.
 
         Args:
             server: The server.
             request: Identifies the request in logs.
-            max_wait_s: Longest wait for a permit, if the server names a limit.
+            max_wait_s: Longest wait for an answer, if the server names a limit.
             is_probe: Whether to use only permits that other requests leave.
+            since_s: Boot time after which the question must have been
+                sent; None for now.
+            must_ask: Whether this node must ask the server itself, now: only
+                then has it heard all that an earlier process sent.
         """
         entry = server.entry
+        if since_s is None:
+            since_s = boot_time_s()
         report = LifeReport(Life.UNNAMED)
-        if entry.started_ms != NO_START:
-            host, port = entry.address
-            checks = self._probes if is_probe else self._checks
-            report = await checks.run(
-                f"{entry.server_id}@{host}:{port}",
-                lambda: self._ask(server, max_wait_s, is_probe=is_probe),
+        if entry.started_ms != NO_START and must_ask:
+            report = await self._ask_with_permit(
+                server, request, max_wait_s, is_probe=is_probe
+            )
+        elif entry.started_ms != NO_START:
+            report = self._find_heard(
+                server, since_s
+            ) or await self._find_process(
+                server, request, since_s, max_wait_s, is_probe=is_probe
             )
         report = _compare(server, report)
         metrics.SERVER_LIVES.labels(report.life.value).inc()
@@ -137,27 +158,91 @@
             )
         return report
 
-    async def _ask(
-        self, server: BackendServer, max_wait_s: float, *, is_probe: bool
+    def _find_heard(
+        self, server: BackendServer, since_s: float
+    ) -> LifeReport | None:
+        """Returns what a question has found that was sent since a moment."""
+        heard = self._heard.get(_key(server))
+        if heard is None or heard.asked_s < since_s:
+            return None
+        return self._judge(heard.started_ms)
+
+    async def _find_process(
+        self,
+        server: BackendServer,
+        request: str,
+        since_s: float,
+        max_wait_s: float,
+        *,
+        is_probe: bool,
+    ) -> LifeReport:
+        """Asks a server, or the node that asks it for all."""
+        if self._is_held(server.entry.server_id):
+            return LifeReport(Life.NOT_ASKED)
+        if not self._limit_gate.is_limited(server.entry):
+            return await self._checks.run(
+                _key(server), lambda: self._ask(server)
+            )
+        found = await self._limit_gate.find_start(
+            server, request, since_s, max_wait_s, is_probe=is_probe
+        )
+        if found is None:
+            return LifeReport(Life.NOT_ASKED)
+        if isinstance(found, Permit):
+            return await self._ask(server)
+        self._record(server, _Heard(found, since_s))
+        return self._judge(found)
+
+    async def _ask_with_permit(
+        self,
+        server: BackendServer,
+        request: str,
+        max_wait_s: float,
+        *,
+        is_probe: bool,
     ) -> LifeReport:
-        """Asks a server; a process that answers counts as the same one."""
         if self._is_held(server.entry.server_id):
             return LifeReport(Life.NOT_ASKED)
         permit = await self._limit_gate.acquire(
-            server, "server_life", max_wait_s, is_probe=is_probe
+            server, request, max_wait_s, is_probe=is_probe
         )
         if permit is None:
             return LifeReport(Life.NOT_ASKED)
+        return await self._ask(server)
+
+    async def _ask(self, server: BackendServer) -> LifeReport:
+        """Asks a server; a process that answers counts as the same one."""
+        asked_s = boot_time_s()
         started_ms = await self._read_start(
             server.entry.address, REPORT_TIMEOUT_S
         )
         if started_ms is None:
             return LifeReport(Life.SILENT)
+        self._record(server, _Heard(started_ms, asked_s))
+        return self._judge(started_ms)
+
+    def _record(self, server: BackendServer, heard: _Heard) -> None:
+        """Keeps the newest answer of a server."""
+        key = _key(server)
+        known = self._heard.pop(key, None)
+        if known is not None:
+            heard = max(known, heard, key=lambda answer: answer.asked_s)
+        while len(self._heard) >= MAX_HEARD:
+            del self._heard[next(iter(self._heard))]
+        self._heard[key] = heard
+
+    def _judge(self, started_ms: int) -> LifeReport:
+        """Returns what a start says; a process that answers counts as same."""
         if started_ms == NO_START:
             return LifeReport(Life.UNNAMED)
         return LifeReport(Life.SAME, started_ms)
 
 
+def _key(server: BackendServer) -> str:
+    host, port = server.entry.address
+    return f"{server.entry.server_id}@{host}:{port}"
+
+
 def _compare(server: BackendServer, report: LifeReport) -> LifeReport:
     """Compares the start that a server names with that of its entry."""
     is_other = report.started_ms not in (None, server.entry.started_ms)
--- a/src/savorylift/exchange/server_opener.py
+++ b/src/savorylift/exchange/server_opener.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from savorylift.backends.registry import BackendServer
+from savorylift.boot_clock import boot_time_s
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.failover import FailoverPolicy
 from savorylift.exchange.limit_gate import LimitGate, Permit
@@ -17,6 +18,11 @@
 
 # Many round trips: a reachable server accepts within a few milliseconds.
 CONNECT_TIMEOUT_S = 0.2
+# How long a stream that goes on waits until the process of a limited server is
+# known: callers abandon it after a pause of two seconds.
+MAX_QUESTION_WAIT_S = 1.2
+# The same, then, for its permit: longer than streams that begin wait.
+MAX_PERMIT_WAIT_S = 1.0
 OBSTACLES = {
     Life.OTHER: Obstacle.OTHER,
     Life.SILENT: Obstacle.SILENT,
@@ -117,13 +123,12 @@
         channel = await self._connect(server, failover_policy)
         if isinstance(channel, NotRun):
             return channel
+        connected_s = boot_time_s()
         asked_s = time.monotonic()
         obstacle: NotRun | None = None
         is_open = False
         try:
-            permit = await self._check_process(
-                server, admitted, failover_policy
-            )
+            permit = await self._check_process(server, admitted, connected_s)
             if isinstance(permit, NotRun):
                 return permit
             obstacle = self._find_obstacle(
@@ -155,14 +160,15 @@
         self,
         server: BackendServer,
         admitted: AdmittedRequest,
-        failover_policy: FailoverPolicy,
+        connected_s: float,
     ) -> Permit | NotRun:
         """Returns a permit if the process is of the version of its entry."""
         life = await self._server_life.check(
             server,
             admitted.req.attempt_id,
-            self._permit_wait_s(server, failover_policy),
+            min(MAX_QUESTION_WAIT_S, admitted.deadline_s - time.monotonic()),
             is_probe=False,
+            since_s=connected_s,
         )
         if life.life is Life.NOT_ASKED:
             return _over_limit(
@@ -176,7 +182,12 @@
                 reached_server=False,
                 obstacle=OBSTACLES[life.life],
             )
-        permit = await self._acquire_permit(server, admitted, failover_policy)
+        # Another server would have to be asked which process it is, too.
+        permit = await self._limit_gate.acquire(
+            server,
+            admitted.req.attempt_id,
+            min(MAX_PERMIT_WAIT_S, admitted.deadline_s - time.monotonic()),
+        )
         return permit or _over_limit(
             "the limit of the server is used up", Obstacle.NO_PERMIT
         )
--- a/src/savorylift/exchange/server_pool.py
+++ b/src/savorylift/exchange/server_pool.py
@@ -234,6 +234,10 @@
             )
         )
 
+    def find_server(self, server_id: str) -> BackendServer | None:
+        """Returns a server that is registered."""
+        return self._store_view.registry.servers.get(server_id)
+
     def find_entry(self, server_id: str) -> ServerEntry | None:
         """Returns the newest entry of a server that is known."""
         server = self._store_view.registry.servers.get(server_id)
--- a/src/savorylift/exchange/stream_origins.py
+++ b/src/savorylift/exchange/stream_origins.py
@@ -70,7 +70,11 @@
         if origin is not None and origin.is_certain:
             self.fut.set_result(origin)
             return
-        self.uncertain = origin or self.uncertain
+        known = self.uncertain
+        if origin is not None and (
+            known is None or origin.certainty > known.certainty
+        ):
+            self.uncertain = origin
         if not self.waiting:
             self.fut.set_result(self.uncertain)
 
--- a/src/savorylift/exchange/stream_resumption.py
+++ b/src/savorylift/exchange/stream_resumption.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import functools
 import random
 import time
 from collections.abc import Callable
@@ -14,6 +15,7 @@
 
 from savorylift.backends.registry import BackendServer
 from savorylift.backends.server import ServerEntry
+from savorylift.boot_clock import boot_time_s
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.origin_log import OriginLog
 from savorylift.exchange.results import Doubt, Refused
@@ -21,7 +23,7 @@
 from savorylift.exchange.server_life import Life, ServerLife
 from savorylift.exchange.server_pool import ServerPool
 from savorylift.exchange.stream_origins import StreamOrigins
-from savorylift.fleet.state import UNKNOWN_VERSION, StreamOrigin
+from savorylift.fleet.state import UNKNOWN_VERSION, ServerProcess, StreamOrigin
 from savorylift.fleet.version_history import (
     RETENTION_S,
     UNNAMED_VERSION,
@@ -37,7 +39,9 @@
 VERSION_GONE_RETRY_S = 2.0
 # When a server that is silent, or wants no more requests now, is asked again.
 ASK_AGAIN_S = 0.25
+MAX_ASK_AGAIN_S = 2.0
 MAX_PERMIT_WAIT_S = 0.5
+MAX_PROOF_WAIT_S = 1.2
 MAX_ASKING_S = 10.0
 # Callers abandon a stream after a pause of two seconds.
 SETTLE_TIMEOUT_S = 1.0
@@ -168,20 +172,27 @@
         A process that has answered has begun the streams whose connections
         are still open.
         """
+        begun_s = boot_time_s()
         until_s = time.monotonic() + MAX_ASKING_S
+        pause_s = ASK_AGAIN_S
         while True:
             # While the stream is sound, what other requests to a limited server
             # leave is enough.
-            report = await self._server_life.check(
+            ask = functools.partial(
+                self._server_life.check,
                 server,
                 run.attempt_id,
                 0.0 if channel.is_open else MAX_PERMIT_WAIT_S,
                 is_probe=channel.is_open,
             )
+            report = await ask(since_s=begun_s)
+            if report.life is Life.OTHER:
+                report = await ask(must_ask=True)
             if self._server_life.is_of_entry(server, report.life):
                 return server.entry
             # Others must not take it for a stream of a version that they know.
-            self._record_origin(run)
+            is_other = report.started_ms is not None
+            self._record_origin(run, None if is_other else server.entry)
             if report.started_ms is not None:
                 # What else arrived with the answer is handled first.
                 await asyncio.sleep(0)
@@ -190,6 +201,14 @@
                 return await self._read_entry(server, report.started_ms)
             if report.life is Life.UNNAMED or time.monotonic() >= until_s:
                 return None
+            await self._wait_for_break(channel, pause_s)
+            pause_s = min(2 * pause_s, MAX_ASK_AGAIN_S)
+
+    async def _wait_for_break(self, channel: Channel, pause_s: float) -> None:
+        """Waits before a server is asked again; less if its stream breaks."""
+        until_s = time.monotonic() + pause_s
+        await asyncio.sleep(ASK_AGAIN_S)
+        while channel.is_open and time.monotonic() < until_s:
             await asyncio.sleep(ASK_AGAIN_S)
 
     async def _read_entry(
@@ -204,7 +223,16 @@
             await asyncio.sleep(ENTRY_POLL_S)
         return None
 
-    def _record_origin(self, run: Run) -> None:
+    def _record_origin(
+        self, run: Run, entry: ServerEntry | None = None
+    ) -> None:
+        """Tells other nodes where a stream began.
+
+        Args:
+            run: The run.
+            entry: If its version isn't known yet, the entry that was known as
+                it began.
+        """
         admitted = run.admitted
         req = admitted.req
         if not admitted.route.can_resume or req.wants_single_response:
@@ -220,6 +248,7 @@
                     admitted.software_version or "",
                     deadline_s - time.monotonic() + RESUME_SLACK_S,
                     admitted.service.model_version or "",
+                    entry and _process(entry),
                 )
             )
 
@@ -243,12 +272,39 @@
         if not attempt_id:
             return None
         origin = await self._origins.find(attempt_id)
+        if origin is not None and not origin.is_certain:
+            origin = await self._prove(admitted, origin)
         if origin is not None and origin.is_certain:
             return origin
         if self._history.sole_version(admitted.service.name) is not None:
             return origin
         return await self._origin_log.find(attempt_id) or origin
 
+    async def _prove(
+        self, admitted: AdmittedRequest, origin: StreamOrigin
+    ) -> StreamOrigin:
+        """Returns the origin of a stream, with its version if that shows.
+
+        If the process whose entry was known as the stream began still answers,
+        no other one can have begun it.
+        """
+        process = origin.process
+        if process is None:
+            return origin
+        server = self._pool.find_server(process.server_id)
+        if server is None or _process(server.entry, process.age_s) != process:
+            return origin
+        report = await self._server_life.check(
+            server,
+            admitted.req.attempt_id,
+            MAX_PROOF_WAIT_S,
+            is_probe=False,
+            since_s=boot_time_s() - process.age_s,
+        )
+        if report.life is not Life.SAME:
+            return origin
+        return origin._replace(software_version=server.entry.software_version)
+
     async def _find_doubt(
         self, admitted: AdmittedRequest, origin: StreamOrigin | None
     ) -> Doubt | None:
@@ -278,7 +334,12 @@
         asked = self._rng.sample(servers, min(len(servers), MAX_SERVERS_ASKED))
         request = admitted.req.attempt_id
         reports = await asyncio.gather(
-            *(self._server_life.check(server, request) for server in asked)
+            *(
+                self._server_life.check(
+                    server, request, MAX_PROOF_WAIT_S, is_probe=False
+                )
+                for server in asked
+            )
         )
         # Entries may be newer than the history, and read meanwhile.
         versions = {
@@ -320,6 +381,12 @@
     return Refused(503, Reason.VERSION_GONE, message)
 
 
+def _process(entry: ServerEntry, age_s: float = 0.0) -> ServerProcess:
+    return ServerProcess(
+        entry.server_id, entry.started_ms, entry.software_version, age_s
+    )
+
+
 def _stream_unknown(doubt: Doubt) -> Refused:
     message = (
         "It isn't known which software version began this stream;"
--- a/src/savorylift/fleet/limit_check.py
+++ b/src/savorylift/fleet/limit_check.py
@@ -15,8 +15,11 @@
     if isinstance(message, LimitNews):
         return all(map(_is_sound_report, message.reports))
     if isinstance(message, PermitRequest):
-        return _is_sound_report(message.limit) and _is_sound_number(
-            message.max_wait_s
+        age_s = message.start_age_s
+        return (
+            _is_sound_report(message.limit)
+            and _is_sound_number(message.max_wait_s)
+            and (age_s is None or _is_sound_number(age_s))
         )
     return _is_sound_number(message.wait_s)
 
--- a/src/savorylift/fleet/state.py
+++ b/src/savorylift/fleet/state.py
@@ -129,12 +129,16 @@
         limit: The limit that the sender knows.
         max_wait_s: Longest time that the request can wait to be sent.
         is_probe: Whether it may only use what requests leave.
+        start_age_s: If the sender wants to know which process the server is,
+            time since when it must have answered; None to want a permit. The
+            issuer asks the server; one of an earlier build grants a permit.
     """
 
     number: int
     limit: LimitReport
     max_wait_s: float
     is_probe: bool
+    start_age_s: float | None = None
 
 
 class PermitReply(NamedTuple):
@@ -145,16 +149,37 @@
         is_granted: Whether the request may be sent.
         wait_s: Time until it may be sent; without a permit, the time until
             it is worth asking again.
+        started_ms: Start that the server named; None if it wasn't to be asked,
+            or hasn't answered yet.
+        is_silent: Whether the server doesn't answer the issuer.
     """
 
     number: int
     is_granted: bool
     wait_s: float
+    started_ms: int | None = None
+    is_silent: bool = False
 
 
 LimitMessage = LimitNews | PermitRequest | PermitReply
 
 
+class ServerProcess(NamedTuple):
+    """A process of a server, as its entry says.
+
+    Attributes:
+        server_id: Identifier of the server.
+        started_ms: Unix time in milliseconds at which the process started.
+        software_version: Its software version.
+        age_s: Time since a moment at which the stream had begun.
+    """
+
+    server_id: str
+    started_ms: int
+    software_version: str
+    age_s: float = 0.0
+
+
 class StreamOrigin(NamedTuple):
     """Where a stream began that its caller may resume.
 
@@ -166,6 +191,8 @@
         ttl_s: Time for which the caller may still resume it.
         model_version: Version of the model that the service required; empty
             for any.
+        process: The server and the process of its entry that began the stream
+            if that process still answers; None if none is known.
     """
 
     attempt_id: str
@@ -173,12 +200,20 @@
     software_version: str
     ttl_s: float
     model_version: str = ""
+    process: ServerProcess | None = None
 
     @property
     def is_certain(self) -> bool:
         """Whether it is known which version began the stream."""
         return self.software_version != UNKNOWN_VERSION
 
+    @property
+    def certainty(self) -> int:
+        """Which of two origins of a stream goes before the other."""
+        if self.is_certain:
+            return 2
+        return 1 if self.process is None else 0
+
 
 class OriginNews(NamedTuple):
     """Origins that the receiver is to hold.
--- a/tests/exchange/factories.py
+++ b/tests/exchange/factories.py
@@ -10,6 +10,7 @@
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.crash_guard import CrashGuard
 from savorylift.exchange.limit_gate import LimitGate
+from savorylift.exchange.process_desk import ProcessDesk
 from savorylift.exchange.request import CallerRequest, Generation
 from savorylift.exchange.retry_budget import RetryBudget, RetryBudgetOptions
 from savorylift.exchange.server_pool import ServerPool
@@ -23,6 +24,7 @@
     EVACUATION_PREFIX,
     decode_configuration,
 )
+from savorylift.platform.engine_client import read_start
 from savorylift.routing.configuration import (
     Configuration,
     EngineTraits,
@@ -185,10 +187,16 @@
         lambda: 1,
         lambda: 0.2,
         lambda _server_id: True,
+        make_process_desk(issuer),
         rng,
     )
 
 
+def make_process_desk(issuer: PermitIssuer) -> ProcessDesk:
+    """Returns a desk that knows no server."""
+    return ProcessDesk(issuer, lambda _: None, lambda _: False, read_start)
+
+
 def make_crash_guard(membership: Membership | None = None) -> CrashGuard:
     """Returns the crash guard of a single node."""
     known = membership or Membership("127.0.0.1", ())
--- /dev/null
+++ b/tests/exchange/test_process_desk.py
@@ -0,0 +1,155 @@
+"""Tests of the node that asks a limited server when it started, for all."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from savorylift.boot_clock import boot_time_s
+from savorylift.exchange.process_desk import (
+    ANSWER_S,
+    QUESTION_SHARE,
+    ProcessAnswer,
+    ProcessDesk,
+)
+from savorylift.fleet.membership import Membership
+from savorylift.fleet.permit_issuer import START_HOLD_S, PermitIssuer
+from tests.exchange.factories import make_server_entry
+from tests.harness.virtual_time import run_in_virtual_time
+
+IP = "127.0.0.1"
+LIMIT_PER_S = 4.0
+NODES = 24
+RUN_S = 20.0
+POLL_S = 0.1
+
+
+class Desk:
+    """A desk and its only server, which answers after a moment."""
+
+    def __init__(self, *, is_held: bool = False) -> None:
+        self.started_ms: int | None = 5
+        self.asked_s: list[float] = []
+        self.issuer = PermitIssuer(
+            IP, Membership(IP, ()), lambda: False, random.Random(1)
+        )
+        self.desk = ProcessDesk(
+            self.issuer,
+            make_server_entry,
+            lambda _: is_held,
+            self._read_start,
+        )
+
+    def find(self, since_s: float, *, is_probe: bool = False) -> ProcessAnswer:
+        return self.desk.find("i-1", LIMIT_PER_S, since_s, is_probe=is_probe)
+
+    async def wait(self, since_s: float) -> ProcessAnswer:
+        """Returns the answer to a question sent since a moment."""
+        while True:
+            found = self.find(since_s)
+            if found.started_ms is not None or found.is_silent:
+                return found
+            await asyncio.sleep(found.wait_s)
+
+    async def _read_start(self, _: tuple[str, int], __: float) -> int | None:
+        self.asked_s.append(boot_time_s())
+        await asyncio.sleep(ANSWER_S / 2)
+        return self.started_ms
+
+
+Scenario = Callable[[Desk], Awaitable[None]]
+
+
+def run(
+    monkeypatch: pytest.MonkeyPatch, scenario: Scenario, **options: bool
+) -> None:
+    async def main() -> None:
+        desk = Desk(**options)
+        await asyncio.sleep(START_HOLD_S)
+        await scenario(desk)
+
+    run_in_virtual_time(monkeypatch, main)
+
+
+def test_answer_holds_for_all_that_waited_before_the_question(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario(desk: Desk) -> None:
+        now_s = boot_time_s()
+        found = await asyncio.gather(
+            *(desk.wait(now_s - n) for n in range(NODES))
+        )
+        assert {answer.started_ms for answer in found} == {5}
+        assert len(desk.asked_s) == 1
+
+    run(monkeypatch, scenario)
+
+
+def test_answer_to_an_earlier_question_shows_no_process(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The process may have been replaced since the question."""
+
+    async def scenario(desk: Desk) -> None:
+        desk.find(boot_time_s())
+        await asyncio.sleep(ANSWER_S / 4)
+        during_s = boot_time_s()
+        await asyncio.sleep(ANSWER_S)
+        assert desk.find(during_s).started_ms is None
+        desk.started_ms = 6
+        assert (await desk.wait(during_s)).started_ms == 6
+
+    run(monkeypatch, scenario)
+
+
+def test_questions_of_all_nodes_take_a_part_of_the_limit(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario(desk: Desk) -> None:
+        until_s = boot_time_s() + RUN_S
+        while boot_time_s() < until_s:
+            for _ in range(NODES):
+                desk.find(boot_time_s())
+            await asyncio.sleep(POLL_S)
+        most = RUN_S * LIMIT_PER_S * QUESTION_SHARE + 2
+        assert most / 2 <= len(desk.asked_s) <= most
+
+    run(monkeypatch, scenario)
+
+
+def test_question_of_a_sound_stream_takes_what_requests_leave(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario(desk: Desk) -> None:
+        desk.issuer.decide("i-1", LIMIT_PER_S, 0.0, is_probe=False)
+        while desk.issuer.decide(
+            "i-1", LIMIT_PER_S, 0.0, is_probe=False
+        ).is_granted:
+            pass
+        desk.find(boot_time_s(), is_probe=True)
+        await asyncio.sleep(ANSWER_S)
+        assert desk.asked_s == []
+        assert (await desk.wait(boot_time_s())).started_ms == 5
+
+    run(monkeypatch, scenario)
+
+
+def test_server_on_hold_is_not_asked(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario(desk: Desk) -> None:
+        for _ in range(NODES):
+            desk.find(boot_time_s())
+            await asyncio.sleep(POLL_S)
+        assert desk.asked_s == []
+
+    run(monkeypatch, scenario, is_held=True)
+
+
+def test_silent_server_is_told_from_one_that_was_not_asked(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario(desk: Desk) -> None:
+        desk.started_ms = None
+        assert (await desk.wait(boot_time_s())).is_silent
+
+    run(monkeypatch, scenario)
--- a/tests/exchange/test_server_life.py
+++ b/tests/exchange/test_server_life.py
@@ -5,6 +5,7 @@
 import pytest
 
 from savorylift.backends.registry import BackendServer
+from savorylift.boot_clock import boot_time_s
 from savorylift.exchange.limit_gate import Permit
 from savorylift.exchange.server_life import NO_START, Life, ServerLife
 from savorylift.exchange.shared_checks import SharedChecks
@@ -17,6 +18,12 @@
     def __init__(self, *, grants: bool) -> None:
         self._grants = grants
 
+    def is_limited(self, _: object) -> bool:
+        return not self._grants
+
+    async def find_start(self, *_: object, **__: object) -> Permit | None:
+        return Permit(None) if self._grants else None
+
     async def acquire(self, *_: object, **__: object) -> Permit | None:
         return Permit(None) if self._grants else None
 
@@ -74,6 +81,21 @@
     assert found.life is life
 
 
+def test_answer_counts_for_what_was_there_before_the_question() -> None:
+    async def scenario() -> None:
+        servers = Servers(5)
+        life = make_life(servers)
+        begun_s = boot_time_s()
+        await life.check(make_server(5), "a1")
+        await life.check(make_server(5), "a2", since_s=begun_s)
+        assert servers.asked == 1
+        await life.check(make_server(5), "a3", since_s=boot_time_s())
+        await life.check(make_server(5), "a4", since_s=begun_s, must_ask=True)
+        assert servers.asked == 3
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize(
     ("life", "sole_version", "is_of_entry"),
     [
--- a/tests/fleet/test_codec.py
+++ b/tests/fleet/test_codec.py
@@ -27,6 +27,7 @@
     PermitRequest,
     QuarantineNews,
     ServerLoad,
+    ServerProcess,
     Snapshot,
     SoundPart,
     StreamOrigin,
@@ -37,7 +38,8 @@
 from tests.fleet.test_membership import state
 
 REPORT = LimitReport("i-1", 1, 1.8, 0.5)
-ORIGIN = StreamOrigin("a1", "s", "v1", 30.0, "m1")
+PROCESS = ServerProcess("i-1", 5, "v1", 0.5)
+ORIGIN = StreamOrigin("a1", "s", "v1", 30.0, "m1", PROCESS)
 MESSAGES: list[Message] = [
     state(2)._replace(
         loads=(ServerLoad("i-1", 1, 2, 3, 4, 5),),
--- a/tests/front/test_reborn_servers.py
+++ b/tests/front/test_reborn_servers.py
@@ -20,6 +20,8 @@
 from tests.standins.platform_server import PlatformServer
 
 STREAMS = 12
+# Enough that callers of several nodes wait for the same servers.
+NODES = 3
 # As long as a stream whose version is gone may keep its caller waiting.
 ENTRY_DELAY_S = 0.5
 # More than enough for six streams at two engines that each take four requests
@@ -135,6 +137,30 @@
     run_in_fleet(scenario)
 
 
+def test_streams_of_limited_servers_go_on() -> None:
+    """Each take-up asked servers for itself, which used their limits up."""
+
+    async def scenario(fleet: VersionFleet) -> None:
+        parts = await fleet.broken_streams(STREAMS)
+        for server in fleet.pool:
+            server.named_limit = "4"
+        await asyncio.gather(*(fleet.stream(1, f"l{n}") for n in range(8)))
+        asked = reports(fleet)
+        tries = await asyncio.gather(
+            *(
+                tries_until_whole(fleet, part, n, n % NODES)
+                for n, part in enumerate(parts)
+            )
+        )
+        assert mixed(*(events for events, _ in tries)) == []
+        assert {len(events) for events, _ in tries} == {EVENTS}
+        # The users' bound is that half as many go on as begin.
+        assert sum(count for _, count in tries) <= 2 * STREAMS
+        assert reports(fleet) - asked <= STREAMS
+
+    run_in_fleet(scenario, nodes=NODES)
+
+
 def test_server_that_says_no_start_continues_no_stream_of_mixed_service() -> (
     None
 ):
@@ -237,24 +263,37 @@
     fleet: VersionFleet, part: Part, number: int
 ) -> list[str]:
     """Takes a stream up again and again, when its caller is told to return."""
-    events = part.versions
-    for attempt in range(TAKE_UPS):
-        if len(events) == EVENTS:
-            break
+    events, _ = await tries_until_whole(fleet, part, number)
+    return events
+
+
+async def tries_until_whole(
+    fleet: VersionFleet, part: Part, number: int, node: int = 1
+) -> tuple[list[str], int]:
+    """Returns the same, and how often the stream was taken up."""
+    events, attempt = part.versions, 0
+    while len(events) < EVENTS and attempt < TAKE_UPS:
         seen = part._replace(versions=events)
         name = f"t{number}-{attempt}"
-        rest = await fleet.take_up(1, name, seen, f"s{number}")
+        rest = await fleet.take_up(node, name, seen, f"s{number}")
+        attempt += 1
         events = events + rest.versions
         await asyncio.sleep(float(rest.retry_after or 0))
-    return events
+    return events, attempt
+
+
+def reports(fleet: VersionFleet) -> int:
+    """Returns how many reports engines were asked for."""
+    return sum(server.reports for server in fleet.pool)
 
 
 def run_in_fleet(
     scenario: Callable[[VersionFleet], Coroutine[Any, Any, None]],
     versions: tuple[str, ...] = ("v1", "v1", "v2", "v2"),
+    nodes: int = 2,
 ) -> None:
     async def main() -> None:
-        fleet = VersionFleet()
+        fleet = VersionFleet(nodes)
         fleet.set_versions(*versions)
         async with fleet.running():
             await scenario(fleet)
