Take no process for the one of an entry whose start goes back

Cause: a server that named a later start than its entry, and then that of the entry again, counted as the process of the entry; only the newest answer was compared.

Change: a node keeps the latest start that a server has named. An earlier one means that nothing is known (`unsound`), with a log line; neither a stream that begins there is bound nor one goes on there.

Evidence: test_start_that_goes_back_is_not_the_same_process fails on the code before (the same process), and passes. Left: a start that changes while the connections of the earlier process stay open.

--- a/src/savorylift/exchange/server_life.py
+++ b/src/savorylift/exchange/server_life.py
@@ -35,6 +35,7 @@
         SILENT: None.
         NOT_ASKED: Not known: the server wants no more requests now.
         UNNAMED: Not known: the entry or the server names no start.
+        UNSOUND: Not known: the server names an earlier start than before.
     """
 
     SAME = "same"
@@ -42,6 +43,7 @@
     SILENT = "silent"
     NOT_ASKED = "not_asked"
     UNNAMED = "unnamed"
+    UNSOUND = "unsound"
 
 
 class LifeReport(NamedTuple):
@@ -63,10 +65,12 @@
     Attributes:
         started_ms: The start that it named; `NO_START` if none.
         asked_s: Boot time before the question was sent.
+        latest_ms: The latest start that the server has named.
     """
 
     started_ms: int
     asked_s: float
+    latest_ms: int = NO_START
 
 
 class ServerLife:
@@ -165,7 +169,7 @@
         heard = self._heard.get(_key(server))
         if heard is None or heard.asked_s < since_s:
             return None
-        return self._judge(heard.started_ms)
+        return self._judge(server, heard.started_ms)
 
     async def _find_process(
         self,
@@ -191,7 +195,7 @@
         if isinstance(found, Permit):
             return await self._ask(server)
         self._record(server, _Heard(found, since_s))
-        return self._judge(found)
+        return self._judge(server, found)
 
     async def _ask_with_permit(
         self,
@@ -219,22 +223,34 @@
         if started_ms is None:
             return LifeReport(Life.SILENT)
         self._record(server, _Heard(started_ms, asked_s))
-        return self._judge(started_ms)
+        return self._judge(server, started_ms)
 
     def _record(self, server: BackendServer, heard: _Heard) -> None:
         """Keeps the newest answer of a server."""
         key = _key(server)
         known = self._heard.pop(key, None)
+        latest_ms = heard.started_ms
         if known is not None:
+            latest_ms = max(latest_ms, known.latest_ms)
             heard = max(known, heard, key=lambda answer: answer.asked_s)
+        heard = heard._replace(latest_ms=latest_ms)
         while len(self._heard) >= MAX_HEARD:
             del self._heard[next(iter(self._heard))]
         self._heard[key] = heard
 
-    def _judge(self, started_ms: int) -> LifeReport:
+    def _judge(self, server: BackendServer, started_ms: int) -> LifeReport:
         """Returns what a start says; a process that answers counts as same."""
         if started_ms == NO_START:
             return LifeReport(Life.UNNAMED)
+        latest_ms = self._heard[_key(server)].latest_ms
+        if started_ms < latest_ms:
+            _log.warning(
+                "server_start_unsound",
+                server=server.entry.server_id,
+                start_ms=started_ms,
+                latest_start_ms=latest_ms,
+            )
+            return LifeReport(Life.UNSOUND)
         return LifeReport(Life.SAME, started_ms)
 
 
--- a/src/savorylift/exchange/server_opener.py
+++ b/src/savorylift/exchange/server_opener.py
@@ -27,6 +27,7 @@
     Life.OTHER: Obstacle.OTHER,
     Life.SILENT: Obstacle.SILENT,
     Life.UNNAMED: Obstacle.UNNAMED,
+    Life.UNSOUND: Obstacle.UNNAMED,
 }
 
 
--- a/src/savorylift/exchange/stream_resumption.py
+++ b/src/savorylift/exchange/stream_resumption.py
@@ -58,6 +58,7 @@
     Life.OTHER: Doubt.OTHER,
     Life.SILENT: Doubt.SILENT,
     Life.NOT_ASKED: Doubt.NOT_ASKED,
+    Life.UNSOUND: Doubt.OTHER,
 }
 
 _log = structlog.get_logger()
--- a/tests/exchange/test_server_life.py
+++ b/tests/exchange/test_server_life.py
@@ -81,6 +81,22 @@
     assert found.life is life
 
 
+def test_start_that_goes_back_is_not_the_same_process() -> None:
+    async def scenario() -> None:
+        servers = Servers(6)
+        life = make_life(servers)
+        server = make_server(5)
+        assert (await life.check(server, "a1")).life is Life.OTHER
+        servers.started_ms = 5
+        found = await life.check(server, "a2")
+        assert found.life is Life.UNSOUND
+        assert not life.is_of_entry(server, found.life)
+        servers.started_ms = 7
+        assert (await life.check(server, "a3")).life is Life.OTHER
+
+    asyncio.run(scenario())
+
+
 def test_answer_counts_for_what_was_there_before_the_question() -> None:
     async def scenario() -> None:
         servers = Servers(5)
