Let take-ups at a node that has just started wait until it hears who knows the stream

Change: within its first two seconds it asks again each 0.25 s, for a second at most.

Evidence: test_node_that_just_started_waits_until_it_hears_who_knows fails on the code before in one of three cases (heard after 0.6 s), and passes.

--- a/src/savorylift/exchange/stream_resumption.py
+++ b/src/savorylift/exchange/stream_resumption.py
@@ -50,6 +50,9 @@
 ENTRY_POLL_S = 0.1
 # By then a node hears the others.
 MIN_UPTIME_S = 2.0
+# How long a take-up waits for that.
+MAX_START_WAIT_S = 1.0
+START_POLL_S = 0.25
 # Bounds what a take-up of unknown origin costs in a large service.
 MAX_SERVERS_ASKED = 32
 # Callers may be a little late.
@@ -111,7 +114,7 @@
             req.resumes is None and req.resume_after is None
         ):
             return Success(admitted)
-        origin = await self._find_origin(admitted)
+        origin = await self._find_origin_of_start(admitted)
         bound = self._bind(admitted, origin)
         doubt = await self._find_doubt(bound, origin)
         if doubt is not None and origin is None:
@@ -265,6 +268,29 @@
         """Whether no server may continue a stream that has begun."""
         return run.has_begun and not self._pool.has_server(run.admitted, ())
 
+    async def _find_origin_of_start(
+        self, admitted: AdmittedRequest
+    ) -> StreamOrigin | None:
+        """Returns the same as `_find_origin`; waits if the node just started.
+
+        It hears the nodes that may know one after the other.
+        """
+        until_s = time.monotonic() + MAX_START_WAIT_S
+        while True:
+            origin = await self._find_origin(admitted)
+            now_s = time.monotonic()
+            is_started = now_s - self._created_s >= MIN_UPTIME_S
+            if origin is not None or is_started or now_s >= until_s:
+                return origin
+            if not admitted.req.resumes or self._is_unnamed(admitted):
+                return None
+            await asyncio.sleep(START_POLL_S)
+
+    def _is_unnamed(self, admitted: AdmittedRequest) -> bool:
+        """Whether the servers of a service name no versions."""
+        version = self._history.sole_version(admitted.service.name)
+        return version == UNNAMED_VERSION
+
     async def _find_origin(
         self, admitted: AdmittedRequest
     ) -> StreamOrigin | None:
--- /dev/null
+++ b/tests/exchange/test_stream_resumption.py
@@ -0,0 +1,91 @@
+"""Tests of finding out at which software version a stream began."""
+
+import asyncio
+import random
+from typing import Any
+
+import pytest
+from returns.pipeline import is_successful
+
+from savorylift.exchange.admission import AdmittedRequest
+from savorylift.exchange.results import Doubt
+from savorylift.exchange.stream_resumption import (
+    MAX_START_WAIT_S,
+    StreamResumption,
+)
+from savorylift.fleet.state import StreamOrigin
+from savorylift.fleet.version_history import VersionHistory
+from savorylift.routing.configuration import Service
+from tests.exchange.factories import (
+    make_admitted_request,
+    make_caller_request,
+    make_route,
+)
+from tests.harness.virtual_time import run_in_virtual_time
+
+ORIGIN = StreamOrigin("s1", "s", "v1", 30.0)
+
+
+class Origins:
+    """The nodes that know where a stream began, heard after a time."""
+
+    def __init__(self, heard_after_s: float) -> None:
+        self._heard_after_s = heard_after_s
+        self._began_s = asyncio.get_running_loop().time()
+
+    async def find(self, _: str) -> StreamOrigin | None:
+        waited_s = asyncio.get_running_loop().time() - self._began_s
+        return ORIGIN if waited_s >= self._heard_after_s else None
+
+
+class Nothing:
+    """A store that knows no stream."""
+
+    async def find(self, _: str) -> None:
+        return None
+
+
+class Pool:
+    """A pool with a server of each version."""
+
+    def has_server(self, *_: object) -> bool:
+        return True
+
+
+def take_up() -> AdmittedRequest:
+    req = make_caller_request()._replace(resumes="s1", resume_after="4")
+    return make_admitted_request(req, make_route()._replace(can_resume=True))
+
+
+@pytest.mark.parametrize(
+    ("heard_after_s", "is_found"),
+    [(0.0, True), (0.6, True), (MAX_START_WAIT_S + 0.5, False)],
+)
+def test_node_that_just_started_waits_until_it_hears_who_knows(
+    heard_after_s: float, *, is_found: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario() -> None:
+        origins: Any = Origins(heard_after_s)
+        log: Any = Nothing()
+        life: Any = None
+        pool: Any = Pool()
+        resumption = StreamResumption(
+            origins,
+            log,
+            VersionHistory(),
+            life,
+            pool,
+            lambda name: Service(name, 40.0, None),
+            random.Random(1),
+        )
+        began_s = asyncio.get_running_loop().time()
+        bound = await resumption.bind(take_up())
+        waited_s = asyncio.get_running_loop().time() - began_s
+        assert is_successful(bound) is is_found
+        assert waited_s <= MAX_START_WAIT_S + 0.3
+        if is_found:
+            assert bound.unwrap().software_version == "v1"
+        else:
+            assert bound.failure().doubt is Doubt.UNKNOWN
+
+    run_in_virtual_time(monkeypatch, scenario)
