Import limits of input from where they are now

Cause: a test written beside the split of the server connection imported them from there.

Change: its import.

--- a/tests/platform/test_engine_client.py
+++ b/tests/platform/test_engine_client.py
@@ -7,7 +7,8 @@
 from savorylift.platform.engine_client import read_start
 from savorylift.wire.listener import Listener
 from savorylift.wire.message import Request
-from savorylift.wire.request_input import InputLimits, ServerConnection
+from savorylift.wire.request_input import InputLimits
+from savorylift.wire.server_connection import ServerConnection
 from tests.harness.ports import free_addresses
 
 
