Judge the stop of a node in virtual time

Cause of a 504 in test_node_that_stops_takes_no_call_that_it_cannot_end: node and servers share the test's event loop and processor. If the process stands still for 0.7 s, calls of 1.5 s miss their route's limit of 2 s and get 504 (reason deadline, took_ms 2298), whatever the node does about its stop. The test judged its own event loop.

Change: the test runs in virtual time, as the fleets of limits and of deadly requests do: the same callers, servers, durations and bounds, but processor time doesn't count.

The product's part: an answer that comes in time while the node itself stands still is refused at its deadline. That is left as it is.

--- a/tests/front/environment.py
+++ b/tests/front/environment.py
@@ -222,17 +222,29 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
+async def run_bounded(scenario: Coroutine[Any, Any, T]) -> T:
+    """Runs a test's coroutine with a timeout, and ends all other tasks."""
+    try:
+        async with asyncio.timeout(SCENARIO_TIMEOUT_S):
+            return await scenario
+    finally:
+        await end_other_tasks()
+
+
 def run_with_timeout(scenario: Coroutine[Any, Any, T]) -> T:
     """Runs a test's coroutine with a timeout."""
+    return asyncio.run(run_bounded(scenario))
 
-    async def run_bounded() -> T:
-        try:
-            async with asyncio.timeout(SCENARIO_TIMEOUT_S):
-                return await scenario
-        finally:
-            await end_other_tasks()
 
-    return asyncio.run(run_bounded())
+async def start_and_run(
+    scenario: Callable[[NodeEnvironment], Coroutine[Any, Any, T]],
+    grace_period_s: float = 2.0,
+) -> T:
+    """Starts an environment and runs a test's coroutine in it."""
+    env = NodeEnvironment()
+    env.grace_period_s = grace_period_s
+    await env.start()
+    return await scenario(env)
 
 
 def run_in_environment(
@@ -240,14 +252,7 @@
     grace_period_s: float = 2.0,
 ) -> T:
     """Runs a test's coroutine in an environment that has been started."""
-
-    async def start_and_run() -> T:
-        env = NodeEnvironment()
-        env.grace_period_s = grace_period_s
-        await env.start()
-        return await scenario(env)
-
-    return run_with_timeout(start_and_run())
+    return run_with_timeout(start_and_run(scenario, grace_period_s))
 
 
 def event_numbers(body: bytes) -> list[int]:
--- a/tests/front/test_planned_stop.py
+++ b/tests/front/test_planned_stop.py
@@ -14,10 +14,13 @@
     CALL_TIMEOUT_S,
     HOST,
     NodeEnvironment,
+    run_bounded,
     run_in_environment,
     run_with_timeout,
+    start_and_run,
 )
 from tests.front.process_fleet import ProcessFleet
+from tests.harness.virtual_time import run_in_virtual_time
 
 INTERVAL_S = 0.01
 HEADERS: Headers = (
@@ -106,7 +109,7 @@
 @pytest.mark.parametrize("warm_s", [0.0, 2.5])
 @pytest.mark.parametrize("service_s", [0.02, 0.6, 1.5])
 def test_node_that_stops_takes_no_call_that_it_cannot_end(
-    service_s: float, warm_s: float, path: str
+    service_s: float, warm_s: float, path: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     async def scenario(env: NodeEnvironment) -> None:
         for server in env.app:
@@ -132,7 +135,9 @@
         if warm_s:
             assert 200 in statuses
 
-    run_in_environment(scenario, grace_period_s=4.0)
+    run_in_virtual_time(
+        monkeypatch, lambda: run_bounded(start_and_run(scenario, 4.0))
+    )
 
 
 @pytest.mark.processes
