Let sound streams wait for a question too, once a server has said nothing for a second

Change: without an answer for a second, or for as long as a quarter of the limit takes, the issuer's question for sound streams waits for a permit like a request.

Evidence: test_questions_of_sound_streams_are_asked_beside_requests fails on the code before (0 questions in 20 s), and passes.

--- a/src/savorylift/exchange/process_desk.py
+++ b/src/savorylift/exchange/process_desk.py
@@ -25,6 +25,9 @@
 LONG_WAIT_S = 1.0
 # Time between two questions while all streams are sound.
 PROBE_INTERVAL_S = 0.5
+# After this time without an answer, sound streams wait for a permit too: their
+# server may crash, and then nothing shows which process began them.
+DUE_S = 1.0
 # Longest wait of a question for its permit.
 MAX_PERMIT_WAIT_S = 1.0
 # Time that a question takes, from its permit to the answer.
@@ -89,6 +92,8 @@
         self._is_held = is_held
         self._read_start = read_start
         self._known: dict[str, _Known] = {}
+        # Boot time at which a sound stream first wanted an answer, by server.
+        self._wanted_s: dict[str, float] = {}
         self._asking: dict[str, asyncio.Task[None]] = {}
         # Boot time before which no question is sent, by server. One that was
         # not asked before may be asked twice.
@@ -103,7 +108,7 @@
             server_id: The server.
             limit: Limit that it named.
             since_s: Boot time after which the question must be sent.
-            is_probe: Whether to use only what requests leave.
+            is_probe: Whether to use what requests leave, at first.
         """
         known = self._known.get(server_id)
         if known is not None and known.asked_s >= since_s:
@@ -118,11 +123,12 @@
         if self._is_held(server_id):
             return ProcessAnswer(None, wait_s=HELD_WAIT_S)
         per_s = max(limit, 1 / MAX_INTERVAL_S)
+        takes_rest = is_probe and not self._is_due(server_id, per_s)
         decision = self._issuer.decide(
             server_id,
             per_s,
-            0.0 if is_probe else MAX_PERMIT_WAIT_S,
-            is_probe=is_probe,
+            0.0 if takes_rest else MAX_PERMIT_WAIT_S,
+            is_probe=takes_rest,
         )
         if not decision.is_granted:
             return ProcessAnswer(None, wait_s=decision.wait_s)
@@ -136,9 +142,18 @@
         )
         return ProcessAnswer(None, wait_s=decision.wait_s + ANSWER_S)
 
+    def _is_due(self, server_id: str, per_s: float) -> bool:
+        """Whether sound streams have waited long for what requests leave."""
+        now_s = boot_time_s()
+        known = self._known.get(server_id)
+        asked_s = self._wanted_s.setdefault(server_id, now_s)
+        if known is not None:
+            asked_s = max(asked_s, known.asked_s)
+        return now_s - asked_s >= max(DUE_S, 1 / (per_s * QUESTION_SHARE))
+
     def forget(self, limited_ids: Collection[str]) -> None:
         """Forgets the servers that name no limit any more."""
-        for found in (self._known, self._next_s):
+        for found in (self._known, self._next_s, self._wanted_s):
             for server_id in found.keys() - set(limited_ids):
                 del found[server_id]
 
--- a/tests/exchange/test_process_desk.py
+++ b/tests/exchange/test_process_desk.py
@@ -135,6 +135,23 @@
     run(monkeypatch, scenario)
 
 
+def test_questions_of_sound_streams_are_asked_beside_requests(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Streams broke off before anything showed which process began them."""
+
+    async def scenario(desk: Desk) -> None:
+        until_s = boot_time_s() + RUN_S
+        while boot_time_s() < until_s:
+            desk.issuer.decide("i-1", LIMIT_PER_S, 0.0, is_probe=False)
+            desk.find(boot_time_s(), is_probe=True)
+            await asyncio.sleep(POLL_S)
+        most = RUN_S * LIMIT_PER_S * QUESTION_SHARE + 1
+        assert most / 2 <= len(desk.asked_s) <= most
+
+    run(monkeypatch, scenario)
+
+
 def test_server_on_hold_is_not_asked(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scenario(desk: Desk) -> None:
         for _ in range(NODES):
