Hold take-ups at limited servers against streams that begin, in the soak

Change: a test of the soak (limit-4-freezes, seed 1, 12 s) takes the users' bound: half of the share of streams that begin, with no engine above its limit.

--- a/tests/soak/node_faults.py
+++ b/tests/soak/node_faults.py
@@ -35,6 +35,7 @@
         """Returns what brings each fault about and waits for its end."""
         return {
             Fault.KILL: self._kill,
+            Fault.KILL_ONE: self._kill_one,
             Fault.FREEZE: self._freeze,
             Fault.CUT: self._cut,
             Fault.ROLL: self._roll,
@@ -55,6 +56,16 @@
             self._context.release(*ips)
         self._context.release(NODES)
 
+    async def _kill_one(self) -> None:
+        """Any node: which servers' permits it issues varies from run to run."""
+        if not self._context.take(NODES):
+            return
+        ip = self._rng.choice(self._fleet.ips)
+        self._context.describe(f"{ip} is killed")
+        self._fleet.kill_nodes([ip])
+        await self._fleet.start_nodes_again([ip])
+        self._context.release(NODES)
+
     async def _freeze(self) -> None:
         if not self._context.take(NODES):
             return
--- a/tests/soak/test_version_soak.py
+++ b/tests/soak/test_version_soak.py
@@ -4,11 +4,14 @@
 
 import pytest
 
-from tests.soak.version_scenario import run_version_seed
+from tests.soak.version_scenario import go_on_share, run_version_seed
 from tests.soak.version_shapes import SHAPES
 
 pytestmark = pytest.mark.processes
 DURATION_S = 8.0
+# The users' bound is that at least half as many streams go on as begin.
+MIN_GO_ON_SHARE = 0.5
+LIMITED_S = 12.0
 
 
 @pytest.mark.parametrize("seed", [1, 2, 3])
@@ -44,3 +47,15 @@
     assert any(stream.is_whole for stream in result.streams)
     assert result.kept
     assert result.events["response_cut"]
+
+
+@pytest.mark.parametrize(("shape", "seed"), [("limit-4-freezes", 1)])
+def test_streams_go_on_where_servers_name_limits(
+    shape: str, seed: int, tmp_path: pathlib.Path
+) -> None:
+    result = run_version_seed(seed, tmp_path, LIMITED_S, SHAPES[shape])
+    assert not result.violations, "\n".join(
+        [*map(str, result.violations), *result.faults]
+    )
+    assert go_on_share(result.streams) >= MIN_GO_ON_SHARE
+    assert result.over_limit == 0
--- a/tests/soak/version_scenario.py
+++ b/tests/soak/version_scenario.py
@@ -40,6 +40,17 @@
 STREAMS_AFTER = 12
 
 
+def go_on_share(streams: list[StreamResult]) -> float:
+    """Returns which share of the attempts to go on with a stream did.
+
+    Relative to the share of new streams that begin.
+    """
+    begin = sum(bool(s.versions) for s in streams) / len(streams)
+    take_ups = sum(stream.take_ups for stream in streams)
+    go_on = sum(stream.gone_on for stream in streams) / take_ups
+    return go_on / begin
+
+
 class VersionResult(NamedTuple):
     """Result of one seed.
 
