Call what asks for servers' starts a lookup

Cause: a reading as a newcomer: a desk is a metaphor.

Change: process_lookup.py and ProcessLookup; names only.

Measured: 37 tests of it and of the limit gate pass, lint and types too.

--- a/src/savorylift/exchange/limit_gate.py
+++ b/src/savorylift/exchange/limit_gate.py
@@ -18,7 +18,7 @@
     PermitClient,
     SendLimitMessage,
 )
-from savorylift.exchange.process_desk import ProcessDesk
+from savorylift.exchange.process_lookup import ProcessLookup
 from savorylift.exchange.request import AnswerHead
 from savorylift.exchange.return_times import ReturnTimes
 from savorylift.fleet.limit_check import is_sound
@@ -70,7 +70,7 @@
         count_nodes: Callable[[], int],
         get_message_interval_s: Callable[[], float],
         is_registered: Callable[[str], bool],
-        desk: ProcessDesk,
+        processes: ProcessLookup,
         rng: random.Random,
     ) -> None:
         """Creates a gate that knows no limits.
@@ -82,7 +82,8 @@
             get_message_interval_s: Returns the interval between the nodes'
                 messages, which grows with their number.
             is_registered: Whether a server is registered, by its ID.
-            desk: Asks the servers of this node's permits when they started.
+            processes: Asks the servers whose permits this node issues when they
+                started.
             rng: Chooses the first number of permit requests, and the moments
                 of this node's turns.
         """
@@ -97,7 +98,7 @@
             on_change=self._reopen,
         )
         self._limits = self._sync.limits
-        self._desk = desk
+        self._processes = processes
         self._client = PermitClient(send, rng)
         self._turns = Turns(rng)
         # Monotonic time of the last request without a permit.
@@ -230,7 +231,9 @@
         is_probe: bool,  # noqa: FBT001
         number: int,
     ) -> PermitReply:
-        answer = self._desk.find(server_id, limit, since_s, is_probe=is_probe)
+        answer = self._processes.find(
+            server_id, limit, since_s, is_probe=is_probe
+        )
         return PermitReply(
             number,
             is_granted=False,
@@ -288,7 +291,7 @@
         self._next_update_s = now_s + UPDATE_INTERVAL_S
         limited = self._limits.limited_ids()
         self._issuer.update(limited)
-        self._desk.forget(limited)
+        self._processes.forget(limited)
         self._sync.update()
         metrics.LIMITED_SERVERS.set(len(limited))
         self._return_times.forget_passed()
--- a/src/savorylift/exchange/process_desk.py
+++ b/src/savorylift/exchange/process_lookup.py
@@ -69,7 +69,7 @@
     asked_s: float
 
 
-class ProcessDesk:
+class ProcessLookup:
     """Asks the servers whose permits this node issues."""
 
     def __init__(
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -21,7 +21,7 @@
 from savorylift.exchange.mover import Mover
 from savorylift.exchange.origin_log import OriginLog
 from savorylift.exchange.plain_call import PlainCallDispatcher
-from savorylift.exchange.process_desk import ProcessDesk
+from savorylift.exchange.process_lookup import ProcessLookup
 from savorylift.exchange.reach_probe import ReachProbe
 from savorylift.exchange.request import AnswerHead
 from savorylift.exchange.retry_budget import RetryBudget, RetryBudgetOptions
@@ -147,7 +147,7 @@
             lambda: self._membership.count_sharing_nodes(time.monotonic()),
             lambda: self._peer_sync.transport.message_interval_s,
             lambda server_id: server_id in self._store_view.registry.servers,
-            ProcessDesk(
+            ProcessLookup(
                 issuer,
                 lambda server_id: self._pool.find_entry(server_id),
                 lambda server_id: self._pool.holds.is_held(server_id),
--- a/tests/exchange/factories.py
+++ b/tests/exchange/factories.py
@@ -10,7 +10,7 @@
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.crash_guard import CrashGuard
 from savorylift.exchange.limit_gate import LimitGate
-from savorylift.exchange.process_desk import ProcessDesk
+from savorylift.exchange.process_lookup import ProcessLookup
 from savorylift.exchange.request import CallerRequest, Generation
 from savorylift.exchange.retry_budget import RetryBudget, RetryBudgetOptions
 from savorylift.exchange.server_pool import ServerPool
@@ -187,14 +187,14 @@
         lambda: 1,
         lambda: 0.2,
         lambda _server_id: True,
-        make_process_desk(issuer),
+        make_process_lookup(issuer),
         rng,
     )
 
 
-def make_process_desk(issuer: PermitIssuer) -> ProcessDesk:
-    """Returns a desk that knows no server."""
-    return ProcessDesk(issuer, lambda _: None, lambda _: False, read_start)
+def make_process_lookup(issuer: PermitIssuer) -> ProcessLookup:
+    """Returns a lookup that knows no server."""
+    return ProcessLookup(issuer, lambda _: None, lambda _: False, read_start)
 
 
 def make_crash_guard(membership: Membership | None = None) -> CrashGuard:
--- a/tests/exchange/test_limit_gate.py
+++ b/tests/exchange/test_limit_gate.py
@@ -19,7 +19,7 @@
     PermitRequest,
 )
 from savorylift.rendezvous import rank
-from tests.exchange.factories import make_process_desk, make_server
+from tests.exchange.factories import make_process_lookup, make_server
 from tests.fleet.test_membership import state
 from tests.harness.virtual_time import run_in_virtual_time
 
@@ -74,7 +74,7 @@
             lambda: nodes,
             lambda: 0.2,
             lambda _: True,
-            make_process_desk(issuer),
+            make_process_lookup(issuer),
             rng,
         )
 
--- a/tests/exchange/test_process_desk.py
+++ b/tests/exchange/test_process_lookup.py
@@ -7,11 +7,11 @@
 import pytest
 
 from savorylift.boot_clock import boot_time_s
-from savorylift.exchange.process_desk import (
+from savorylift.exchange.process_lookup import (
     ANSWER_S,
     QUESTION_SHARE,
     ProcessAnswer,
-    ProcessDesk,
+    ProcessLookup,
 )
 from savorylift.fleet.membership import Membership
 from savorylift.fleet.permit_issuer import START_HOLD_S, PermitIssuer
@@ -25,8 +25,8 @@
 POLL_S = 0.1
 
 
-class Desk:
-    """A desk and its only server, which answers after a moment."""
+class Lookup:
+    """A lookup and its only server, which answers after a moment."""
 
     def __init__(self, *, is_held: bool = False) -> None:
         self.started_ms: int | None = 5
@@ -34,7 +34,7 @@
         self.issuer = PermitIssuer(
             IP, Membership(IP, ()), lambda: False, random.Random(1)
         )
-        self.desk = ProcessDesk(
+        self.lookup = ProcessLookup(
             self.issuer,
             make_server_entry,
             lambda _: is_held,
@@ -42,7 +42,7 @@
         )
 
     def find(self, since_s: float, *, is_probe: bool = False) -> ProcessAnswer:
-        return self.desk.find("i-1", LIMIT_PER_S, since_s, is_probe=is_probe)
+        return self.lookup.find("i-1", LIMIT_PER_S, since_s, is_probe=is_probe)
 
     async def wait(self, since_s: float) -> ProcessAnswer:
         """Returns the answer to a question sent since a moment."""
@@ -58,16 +58,16 @@
         return self.started_ms
 
 
-Scenario = Callable[[Desk], Awaitable[None]]
+Scenario = Callable[[Lookup], Awaitable[None]]
 
 
 def run(
     monkeypatch: pytest.MonkeyPatch, scenario: Scenario, **options: bool
 ) -> None:
     async def main() -> None:
-        desk = Desk(**options)
+        lookup = Lookup(**options)
         await asyncio.sleep(START_HOLD_S)
-        await scenario(desk)
+        await scenario(lookup)
 
     run_in_virtual_time(monkeypatch, main)
 
@@ -75,13 +75,13 @@
 def test_answer_holds_for_all_that_waited_before_the_question(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    async def scenario(desk: Desk) -> None:
+    async def scenario(lookup: Lookup) -> None:
         now_s = boot_time_s()
         found = await asyncio.gather(
-            *(desk.wait(now_s - n) for n in range(NODES))
+            *(lookup.wait(now_s - n) for n in range(NODES))
         )
         assert {answer.started_ms for answer in found} == {5}
-        assert len(desk.asked_s) == 1
+        assert len(lookup.asked_s) == 1
 
     run(monkeypatch, scenario)
 
@@ -91,14 +91,14 @@
 ) -> None:
     """The process may have been replaced since the question."""
 
-    async def scenario(desk: Desk) -> None:
-        desk.find(boot_time_s())
+    async def scenario(lookup: Lookup) -> None:
+        lookup.find(boot_time_s())
         await asyncio.sleep(ANSWER_S / 4)
         during_s = boot_time_s()
         await asyncio.sleep(ANSWER_S)
-        assert desk.find(during_s).started_ms is None
-        desk.started_ms = 6
-        assert (await desk.wait(during_s)).started_ms == 6
+        assert lookup.find(during_s).started_ms is None
+        lookup.started_ms = 6
+        assert (await lookup.wait(during_s)).started_ms == 6
 
     run(monkeypatch, scenario)
 
@@ -106,14 +106,14 @@
 def test_questions_of_all_nodes_take_a_part_of_the_limit(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    async def scenario(desk: Desk) -> None:
+    async def scenario(lookup: Lookup) -> None:
         until_s = boot_time_s() + RUN_S
         while boot_time_s() < until_s:
             for _ in range(NODES):
-                desk.find(boot_time_s())
+                lookup.find(boot_time_s())
             await asyncio.sleep(POLL_S)
         most = RUN_S * LIMIT_PER_S * QUESTION_SHARE + 2
-        assert most / 2 <= len(desk.asked_s) <= most
+        assert most / 2 <= len(lookup.asked_s) <= most
 
     run(monkeypatch, scenario)
 
@@ -121,16 +121,16 @@
 def test_question_of_a_sound_stream_takes_what_requests_leave(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    async def scenario(desk: Desk) -> None:
-        desk.issuer.decide("i-1", LIMIT_PER_S, 0.0, is_probe=False)
-        while desk.issuer.decide(
+    async def scenario(lookup: Lookup) -> None:
+        lookup.issuer.decide("i-1", LIMIT_PER_S, 0.0, is_probe=False)
+        while lookup.issuer.decide(
             "i-1", LIMIT_PER_S, 0.0, is_probe=False
         ).is_granted:
             pass
-        desk.find(boot_time_s(), is_probe=True)
+        lookup.find(boot_time_s(), is_probe=True)
         await asyncio.sleep(ANSWER_S)
-        assert desk.asked_s == []
-        assert (await desk.wait(boot_time_s())).started_ms == 5
+        assert lookup.asked_s == []
+        assert (await lookup.wait(boot_time_s())).started_ms == 5
 
     run(monkeypatch, scenario)
 
@@ -140,24 +140,24 @@
 ) -> None:
     """Streams broke off before anything showed which process began them."""
 
-    async def scenario(desk: Desk) -> None:
+    async def scenario(lookup: Lookup) -> None:
         until_s = boot_time_s() + RUN_S
         while boot_time_s() < until_s:
-            desk.issuer.decide("i-1", LIMIT_PER_S, 0.0, is_probe=False)
-            desk.find(boot_time_s(), is_probe=True)
+            lookup.issuer.decide("i-1", LIMIT_PER_S, 0.0, is_probe=False)
+            lookup.find(boot_time_s(), is_probe=True)
             await asyncio.sleep(POLL_S)
         most = RUN_S * LIMIT_PER_S * QUESTION_SHARE + 1
-        assert most / 2 <= len(desk.asked_s) <= most
+        assert most / 2 <= len(lookup.asked_s) <= most
 
     run(monkeypatch, scenario)
 
 
 def test_server_on_hold_is_not_asked(monkeypatch: pytest.MonkeyPatch) -> None:
-    async def scenario(desk: Desk) -> None:
+    async def scenario(lookup: Lookup) -> None:
         for _ in range(NODES):
-            desk.find(boot_time_s())
+            lookup.find(boot_time_s())
             await asyncio.sleep(POLL_S)
-        assert desk.asked_s == []
+        assert lookup.asked_s == []
 
     run(monkeypatch, scenario, is_held=True)
 
@@ -165,8 +165,8 @@
 def test_silent_server_is_told_from_one_that_was_not_asked(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    async def scenario(desk: Desk) -> None:
-        desk.started_ms = None
-        assert (await desk.wait(boot_time_s())).is_silent
+    async def scenario(lookup: Lookup) -> None:
+        lookup.started_ms = None
+        assert (await lookup.wait(boot_time_s())).is_silent
 
     run(monkeypatch, scenario)
