--- a/src/savorylift/exchange/process_lookup.py
+++ b/src/savorylift/exchange/process_lookup.py
@@ -38,8 +38,8 @@
 _log = structlog.get_logger()
 
 # Returns the Unix time in milliseconds at which the server at an address
-# started, given a timeout in seconds; `NO_START` if it doesn't say, and None if
-# it doesn't answer.
+# started, given a timeout in seconds; `NO_START` if it doesn't say, `NO_REPORT`
+# if it has no report, and None if it doesn't answer.
 StartReader = Callable[[tuple[str, int], float], Awaitable[int | None]]
 
 
@@ -47,7 +47,8 @@
     """What is known of a server's process.
 
     Attributes:
-        started_ms: When it started; None if that isn't known yet.
+        started_ms: When it started, as a `StartReader` says; None if that isn't
+            known yet.
         is_silent: Whether the server didn't answer this node.
         wait_s: Time after which to ask again, if it isn't known.
     """
