Show streams of killed engines that look whole

All rigs so far play their engines inside themselves, and their answers without framing reset the connection on any close, as a node's do. Here each engine is a process of its own whose connections the kernel closes in order when it gets SIGKILL; the next process, started beside it, listens at once.

--- a/tests/front/version_fleet.py
+++ b/tests/front/version_fleet.py
@@ -52,9 +52,11 @@
 
     Attributes:
         caller: Sends the requests.
+        path: Path of the requests.
         max_pause_s: Pause after which callers abandon a stream; None for none.
     """
 
+    path = PATH
     max_pause_s: float | None = None
 
     def __init__(self, nodes: int = 2) -> None:
@@ -98,7 +100,7 @@
             ip,
             self.caller_port,
             Call(
-                PATH,
+                self.path,
                 headers,
                 b"question " + attempt.encode(),
                 STREAM_TIMEOUT_S,
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -51,6 +51,8 @@
             bytes, or within the stream event of this number; None for never.
         has_unframed_streams: Whether its streams have no chunks and end with
             their connection.
+        ends_in_order: Whether an end of its process closes connections in
+            order, also those of streams without chunks.
         events_per_stream: Number of events of each stream.
         event_interval_s: Pause before each event of a stream.
         trickles_after: Number of the event after which a stream that begins
@@ -134,6 +136,7 @@
         self.loses_copies = False
         self.is_leaving = False
         self.has_unframed_streams = False
+        self.ends_in_order = False
         self.events_per_stream = 10
         self.event_interval_s = 0.01
         self.trickles_after: int | None = None
@@ -410,6 +413,8 @@
             stream_headers,
             is_close_delimited=self.has_unframed_streams,
         )
+        if self.ends_in_order:
+            await conn.channel.allow_close()
         for number in range(start + 1, self.events_per_stream + 1):
             await asyncio.sleep(self.event_interval_s)
             is_stopped = attempt in self.stopped and "kv-from" not in headers
