Log what is known of the process of each answer without framing

`server_check` names one request, though the answers that end together share a check, and doesn't say whether its outcome speaks of the process at all. So logs couldn't tell a check that found out nothing from one that another process answered. `answer_end` has a line for each answer, with a counter.

--- a/src/savorylift/exchange/metrics.py
+++ b/src/savorylift/exchange/metrics.py
@@ -53,6 +53,12 @@
     "Connections to servers whose answer ended with nothing but a close.",
     ["outcome"],
 )
+ANSWER_ENDS = Counter(
+    "savorylift_front_answer_ends",
+    "Answers that ended with nothing but a close, by whether the process of"
+    " their server has ended as well.",
+    ["verdict"],
+)
 REPLACED_SERVERS = Counter(
     "savorylift_front_replaced_servers",
     "Answers that ended with nothing but a close while another process had"
--- a/src/savorylift/exchange/server_check.py
+++ b/src/savorylift/exchange/server_check.py
@@ -186,9 +186,23 @@
         self, server: BackendServer, channel: Channel, request: str
     ) -> bool:
         found = await self._find(server, request)
-        if found.outcome is CheckOutcome.GONE:
-            return True
-        return self._is_replaced(channel, found.started_ms, request)
+        has_ended = found.outcome is CheckOutcome.GONE or self._is_replaced(
+            channel, found.started_ms, request
+        )
+        is_known = has_ended or found.started_ms != NO_START
+        metrics.ANSWER_ENDS.labels(
+            "ended" if has_ended else "lives" if is_known else "unknown"
+        ).inc()
+        _log.info(
+            "answer_end",
+            request=request,
+            server=server.entry.server_id,
+            outcome=found.outcome.value,
+            start_ms=found.started_ms,
+            has_ended=has_ended,
+            is_known=is_known,
+        )
+        return has_ended
 
     async def _find(self, server: BackendServer, request: str) -> _Finding:
         host, port = server.entry.address
