Take no answer for whole whose process isn't known to live

Cause: the check at the end of such an answer took it for broken only on a refusal or another start. No permit, no reply, a reset, a silent server and one that names no start let it pass: what isn't known counted as whole. The check needed a permit, which is missing just where engines of a limited service die.

Change: three verdicts, and only a process that is known to live makes an answer whole. What tells without a request, so without a permit: the end of a process closes all its connections, so another one to the same process that stays open shows that it lives. Connections belong to a process if they overlap; one with unread input shows nothing. The node keeps one idle connection to a server while an answer without framing is under way there. Only what that leaves open is asked with a permit. Mover and plain calls use the same verdict; a server that drains and ends with its answer has cut it off for all that is known.

Tests that were changed: stand-ins whose process ends now close all its connections, as a process does (they left open what no request was on). The table of ServerCheck said that a check that finds out nothing makes an answer whole: it now expects "unknown" there, and "ended" where connections are refused though there is no permit. A server that drains isn't asked, as before.

--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -19,7 +19,6 @@
     refuse_generation,
     to_broken,
 )
-from savorylift.exchange.failover import FailoverPolicy
 from savorylift.exchange.mover import Mover
 from savorylift.exchange.relay import Relay
 from savorylift.exchange.request import Generation
@@ -34,13 +33,8 @@
 from savorylift.exchange.run import ResumeTarget, Run
 from savorylift.exchange.run_log import log_move_failure, log_take_up
 from savorylift.exchange.run_sender import RunSender
-from savorylift.exchange.send import (
-    SERVER_GONE,
-    SERVER_LEFT,
-    Sender,
-    Started,
-)
-from savorylift.exchange.server_check import ServerCheck
+from savorylift.exchange.send import END_FAILURES, Sender, Started
+from savorylift.exchange.server_check import ProcessEnd, ServerCheck
 from savorylift.exchange.server_opener import ResumePoint
 from savorylift.exchange.server_pool import ServerPool
 from savorylift.exchange.stream_resumption import (
@@ -299,9 +293,7 @@
             if result is not None or run.was_stopped_without_end:
                 target = await self._finish_move(run)
             if target is None and result is None:
-                result = await self._check_end(
-                    run, server, started, failover_policy
-                )
+                result = await self._check_end(run, server, started)
             if target is None and result is None:
                 self._relay.finish(run, started, sink)
                 self._resumption.record_complete(run)
@@ -325,23 +317,20 @@
         run: Run,
         server: BackendServer,
         started: Started,
-        policy: FailoverPolicy,
     ) -> Broken | None:
-        """Returns why the end of a stream is none, if that shows."""
+        """Returns why a stream isn't known to have ended; None if it is."""
         if run.was_stopped_without_end:
             return Broken(Reason.ANSWER_LOST, "a move that failed stopped it")
         if not run.is_close_delimited:
             return None
-        ended = server, started.call.channel, run.attempt_id
-        if await self._server_check.is_gone(*ended):
-            return Broken(Reason.ANSWER_LOST, SERVER_GONE)
+        end = await self._server_check.find_end(
+            server, started.call.channel, run.attempt_id
+        )
+        if end is not ProcessEnd.LIVES:
+            failure = END_FAILURES[end]
+            return Broken(failure.reason, failure.detail)
         if run.is_framed_for_caller:
             return Broken(Reason.ANSWER_LOST, "nothing marks the stream's end")
-        # Another engine can tell whether anything is missing.
-        can_go_on = run.is_position_known and policy.allows_failover
-        can_go_on = can_go_on and policy.has_alternative()
-        if can_go_on and await self._server_check.has_left(*ended):
-            return Broken(Reason.OUT_OF_SERVICE, SERVER_LEFT)
         return None
 
     async def _finish_move(self, run: Run) -> ResumeTarget | None:
--- a/src/savorylift/exchange/metrics.py
+++ b/src/savorylift/exchange/metrics.py
@@ -55,10 +55,15 @@
 )
 ANSWER_ENDS = Counter(
     "savorylift_front_answer_ends",
-    "Answers that ended with nothing but a close, by whether the process of"
-    " their server has ended as well.",
+    "Answers that ended with nothing but a close, by what is known of the"
+    " process of their server.",
     ["verdict"],
 )
+IDLE_CONNECTIONS = Counter(
+    "savorylift_front_idle_connections",
+    "Connections without a request, to servers that answer without framing.",
+    ["outcome"],
+)
 REPLACED_SERVERS = Counter(
     "savorylift_front_replaced_servers",
     "Answers that ended with nothing but a close while another process had"
--- a/src/savorylift/exchange/mover.py
+++ b/src/savorylift/exchange/mover.py
@@ -15,7 +15,7 @@
 from savorylift.exchange import metrics
 from savorylift.exchange.request import KvCopy
 from savorylift.exchange.run import ResumeTarget, Run
-from savorylift.exchange.server_check import ServerCheck
+from savorylift.exchange.server_check import ProcessEnd, ServerCheck
 from savorylift.exchange.server_pool import ServerPool
 from savorylift.placement.engines import EngineOptions
 from savorylift.placement.move_order import PlannedMove, copy_time_s
@@ -283,15 +283,17 @@
     ) -> bool:
         """Whether a stream without an end marker ended before it was stopped.
 
-        A process that has taken the place of the source's knows no run.
+        A process that has taken the place of the source's knows no run, and
+        where that isn't known, another engine can tell what is missing.
         """
         if not run.is_close_delimited or isinstance(final, CopyResult):
             return False
         if final.fault is not CopyFault.NO_SUCH_RUN or run.channel is None:
             return False
-        return not await self._server_check.is_replaced(
+        end = await self._server_check.find_end(
             source, run.channel, run.attempt_id
         )
+        return end is ProcessEnd.LIVES
 
     def _log_moved(self, run: Run, target: ResumeTarget) -> None:
         _log.info(
--- a/src/savorylift/exchange/send.py
+++ b/src/savorylift/exchange/send.py
@@ -17,16 +17,25 @@
 )
 from savorylift.exchange.results import Answered, NotRun, SendResult, Unsure
 from savorylift.exchange.run_canceller import RunCanceller
-from savorylift.exchange.server_check import ServerCheck
+from savorylift.exchange.server_check import ProcessEnd, ServerCheck
 from savorylift.exchange.server_opener import ResumePoint, ServerOpener
 from savorylift.exchange.server_reach import ServerReach
 from savorylift.outcomes import Reason
 from savorylift.wire.client_call import BrokenAnswerError, ClientCall
 from savorylift.wire.message import ResponseHead
 
-# Detail of an answer that ended with the connection of a server that is gone.
-SERVER_GONE = "the server closed the connection and is gone"
-SERVER_LEFT = "the server closed the connection and has left"
+# Why an answer that ended with nothing but a close doesn't count as whole.
+END_FAILURES = {
+    ProcessEnd.ENDED: Unsure(
+        Reason.ANSWER_LOST, "the server closed the connection and is gone"
+    ),
+    ProcessEnd.LEFT: Unsure(
+        Reason.OUT_OF_SERVICE, "the server closed the connection and has left"
+    ),
+    ProcessEnd.UNKNOWN: Unsure(
+        Reason.ANSWER_LOST, "the server closed the connection and may be gone"
+    ),
+}
 
 
 class Started(NamedTuple):
@@ -157,10 +166,12 @@
             return Unsure(Reason.ANSWER_LOST, str(exc))
         finally:
             started.call.close()
-        if head.is_close_delimited and await self._server_check.is_gone(
-            server, started.call.channel, request
-        ):
-            return Unsure(Reason.ANSWER_LOST, SERVER_GONE)
+        if head.is_close_delimited:
+            end = await self._server_check.find_end(
+                server, started.call.channel, request
+            )
+            if end is not ProcessEnd.LIVES:
+                return END_FAILURES[end]
         return Answered(head, answer.body)
 
     def cancel_run(
@@ -190,6 +201,9 @@
             self._reach.end_wait(wait, has_answer=has_answer)
         if isinstance(head, Unsure):
             return head
+        self._server_check.record_head(
+            server, call.channel, is_close_delimited=head.is_close_delimited
+        )
         return Started(call, head, outgoing.run_id, outgoing.cancel_request)
 
 
--- a/src/savorylift/wire/channel.py
+++ b/src/savorylift/wire/channel.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import select
 import socket
 import struct
 from collections import deque
@@ -81,10 +82,27 @@
 
         While its input is full, the end of a connection doesn't show.
         """
+        if self._transport is None:
+            return False
         is_full = len(self._read_buffer) >= self._max_input_bytes
-        is_closed = self.is_peer_closed or self.transport.is_closing()
+        is_closed = self.is_peer_closed or self._transport.is_closing()
         return not is_closed and not is_full
 
+    @property
+    def is_known_open(self) -> bool:
+        """Whether neither side has closed it, as the system knows just now.
+
+        Not while input is unread: an end that follows it doesn't show.
+        """
+        if self._read_buffer or not self.is_open:
+            return False
+        sock = self.transport.get_extra_info("socket")
+        if sock is None or sock.fileno() == CLOSED_SOCKET:
+            return False
+        poll = select.poll()
+        poll.register(sock.fileno(), select.POLLIN | select.POLLRDHUP)
+        return not poll.poll(0)
+
     @property
     def has_input(self) -> bool:
         """Whether bytes have arrived that were not read yet."""
--- a/tests/exchange/test_server_check.py
+++ b/tests/exchange/test_server_check.py
@@ -8,12 +8,15 @@
 import pytest
 
 from savorylift.backends.registry import BackendServer
+from savorylift.backends.server import ServerEntry
 from savorylift.backends.server_start import NO_START
+from savorylift.exchange import server_contact
 from savorylift.exchange.limit_gate import LimitGate, Permit
+from savorylift.exchange.process_connections import CLOSING_S
 from savorylift.exchange.server_check import (
     CHECK_TIMEOUT_S,
-    CLOSING_S,
     PERMIT_WAIT_S,
+    ProcessEnd,
     ServerCheck,
 )
 from savorylift.platform.engine_client import read_start_on
@@ -35,12 +38,16 @@
         leaves_none: Whether requests leave nothing for probes.
     """
 
-    def __init__(self, *, grants: bool) -> None:
+    def __init__(self, *, grants: bool, has_limit: bool) -> None:
         self._grants = grants
+        self._has_limit = has_limit
         self._was_probe_denied = False
         self.asked = 0
         self.leaves_none = False
 
+    def is_limited(self, _entry: ServerEntry) -> bool:
+        return self._has_limit
+
     async def acquire(
         self,
         _server: BackendServer,
@@ -61,9 +68,13 @@
 
 
 def make_check(
-    *, grants: bool = True, in_service: bool = True, is_held: bool = False
+    *,
+    grants: bool = True,
+    has_limit: bool = False,
+    in_service: bool = True,
+    is_held: bool = False,
 ) -> tuple[ServerCheck, FakeGate]:
-    gate = FakeGate(grants=grants)
+    gate = FakeGate(grants=grants, has_limit=has_limit or not grants)
     check = ServerCheck(
         cast("LimitGate", gate),
         lambda _: in_service,
@@ -122,53 +133,74 @@
     )
 
 
-async def open_channel(check: ServerCheck, server: BackendServer) -> Channel:
+async def begin(check: ServerCheck, server: BackendServer) -> Channel:
     """Opens a connection for a request."""
     channel = await connect(*server.entry.address, 1.0)
     check.add_channel(server, channel)
+    return channel
+
+
+async def open_channel(check: ServerCheck, server: BackendServer) -> Channel:
+    """Opens a connection for a request, and closes it."""
+    channel = await begin(check, server)
     channel.abort()
     return channel
 
 
 @pytest.mark.parametrize(
-    ("is_listening", "grants", "in_service", "is_gone"),
+    ("is_listening", "grants", "in_service", "end"),
     [
-        (False, True, True, True),
-        (True, True, True, False),
-        (False, False, True, False),
-        (False, True, False, False),
+        (False, True, True, ProcessEnd.ENDED),
+        (True, True, True, ProcessEnd.UNKNOWN),
+        (False, False, True, ProcessEnd.ENDED),
+        (True, False, True, ProcessEnd.UNKNOWN),
+        (False, True, False, ProcessEnd.LEFT),
+        (True, True, False, ProcessEnd.LEFT),
+    ],
+    ids=[
+        "gone",
+        "accepts",
+        "gone, no permit",
+        "accepts, no permit",
+        "draining, gone",
+        "draining, accepts",
     ],
-    ids=["gone", "accepts", "no permit", "draining"],
 )
-def test_server_is_gone_only_if_it_refuses_connections_unexpectedly(
+def test_server_without_other_connections_is_not_known_to_live(
     is_listening: bool,  # noqa: FBT001
     grants: bool,  # noqa: FBT001
     in_service: bool,  # noqa: FBT001
-    is_gone: bool,  # noqa: FBT001
+    end: ProcessEnd,
 ) -> None:
     async def scenario() -> None:
         port = int(free_addresses(1)[0].rpartition(":")[2])
         if is_listening:
             _, port = await serve_bytes(discard)
         check, _ = make_check(grants=grants, in_service=in_service)
-        found = await check.is_gone(server_at(port), Channel(), "a1")
-        assert found is is_gone
+        assert await check.find_end(server_at(port), Channel(), "a1") is end
 
     run_with_timeout(scenario())
 
 
-def test_server_with_an_open_connection_is_not_gone() -> None:
+@pytest.mark.parametrize("grants", [True, False])
+def test_server_with_an_open_connection_is_not_gone(
+    grants: bool,  # noqa: FBT001
+) -> None:
     async def scenario() -> None:
         listener, port = await serve_bytes(discard)
         server = server_at(port)
-        check, _ = make_check()
-        channel = await connect("127.0.0.1", port, 1.0)
-        check.add_channel(server, channel)
+        check, gate = make_check(grants=grants)
+        answered = await begin(check, server)
+        channel = await begin(check, server)
+        answered.abort()
         listener.close()
-        assert not await check.is_gone(server, Channel(), "a1")
+        end = await check.find_end(server, answered, "a1")
+        assert end is ProcessEnd.LIVES
         channel.abort()
         await asyncio.sleep(0.01)
-        assert await check.is_gone(server, Channel(), "a2")
+        end = await check.find_end(server, answered, "a2")
+        assert end is ProcessEnd.ENDED
+        assert gate.asked == 0
 
     run_with_timeout(scenario())
 
@@ -185,12 +217,14 @@
         listener, port = await serve_bytes(fill)
         server = server_at(port)
         check, _ = make_check()
-        unread = await connect("127.0.0.1", port, 1.0)
-        check.add_channel(server, unread)
+        answered = await begin(check, server)
+        unread = await begin(check, server)
         await asyncio.sleep(0.1)
+        answered.abort()
         listener.close()
         assert not unread.is_peer_closed
-        assert await check.is_gone(server, Channel(), "a1")
+        end = await check.find_end(server, answered, "a1")
+        assert end is ProcessEnd.ENDED
         unread.abort()
 
     run_with_timeout(scenario())
@@ -203,13 +237,15 @@
         listener, port = await serve_bytes(discard)
         server = server_at(port)
         check, _ = make_check()
+        answered = await begin(check, server)
         loop = asyncio.get_running_loop()
         for number in range(6):
-            channel = await connect("127.0.0.1", port, 1.0)
-            check.add_channel(server, channel)
+            channel = await begin(check, server)
             loop.call_later(number * CLOSING_S / 2, channel.abort)
+        answered.abort()
         listener.close()
-        assert await check.is_gone(server, Channel(), "a1")
+        end = await check.find_end(server, answered, "a1")
+        assert end is ProcessEnd.ENDED
 
     run_with_timeout(scenario())
 
@@ -222,13 +258,15 @@
         listener, port = await serve_bytes(discard)
         server = server_at(port)
         check, _ = make_check()
+        answered = await begin(check, server)
         for _ in range(3):
-            channel = await connect("127.0.0.1", port, 1.0)
-            check.add_channel(server, channel)
+            channel = await begin(check, server)
             asyncio.get_running_loop().call_later(CLOSING_S / 2, channel.abort)
+        answered.abort()
         listener.close()
         asyncio.get_running_loop().call_later(CLOSING_S / 4, time.sleep, late_s)
-        assert await check.is_gone(server, Channel(), "a1")
+        end = await check.find_end(server, answered, "a1")
+        assert end is ProcessEnd.ENDED
 
     run_with_timeout(scenario())
 
@@ -240,20 +278,22 @@
     """A server that moved kept the answers of its earlier process whole."""
 
     async def scenario() -> None:
+        listener, gone_port = await serve_bytes(discard)
         _, port = await serve_bytes(discard)
-        moved = server_at(port)
-        gone_port = int(free_addresses(1)[0].rpartition(":")[2])
         check, _ = make_check()
+        gone = await open_channel(check, server_at(gone_port))
+        listener.close()
+        moved = server_at(port)
+        answered = await begin(check, moved)
+        channel = await begin(check, moved)
         checks = []
-        channel = await connect("127.0.0.1", port, 1.0)
         if is_checked_together:
-            checks.append(check.is_gone(moved, Channel(), "a0"))
-        else:
-            check.add_channel(moved, channel)
-        checks.append(check.is_gone(server_at(gone_port), Channel(), "a1"))
+            answered.abort()
+            checks.append(check.find_end(moved, answered, "a0"))
+        checks.append(check.find_end(server_at(gone_port), gone, "a1"))
         found = await asyncio.gather(*checks)
-        assert found[-1]
-        assert not any(found[:-1])
+        assert found[-1] is ProcessEnd.ENDED
+        assert all(end is ProcessEnd.LIVES for end in found[:-1])
         channel.abort()
 
     run_with_timeout(scenario())
@@ -266,66 +306,93 @@
         await reporter.start()
         server = server_at(reporter.port, started_ms=5)
         check, _ = make_check()
-        answered = await open_channel(check, server)
-        other = await connect("127.0.0.1", reporter.port, 1.0)
-        check.add_channel(server, other)
+        answered = await begin(check, server)
+        other = await begin(check, server)
+        answered.abort()
         reporter.stop()
-        checking = asyncio.ensure_future(check.is_gone(server, answered, "a1"))
+        checking = asyncio.ensure_future(check.find_end(server, answered, "a1"))
         await asyncio.sleep(CLOSING_S / 3)
         assert not checking.done()
         await reporter.start(reporter.port)
         other.abort()
-        assert await checking is (born == 6)
+        expected = ProcessEnd.LIVES if born == 5 else ProcessEnd.ENDED
+        assert await checking is expected
 
     run_with_timeout(scenario())
 
 
-def test_later_answer_is_not_judged_by_an_earlier_connection() -> None:
+def test_later_answer_is_not_judged_by_an_earlier_connection(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    connects: list[str] = []
+
+    async def count(host: str, port: int, timeout_s: float) -> Channel:
+        connects.append(host)
+        return await connect(host, port, timeout_s)
+
     async def scenario() -> None:
-        check, gate = make_check()
-        listener, port = await serve_bytes(discard)
+        monkeypatch.setattr(server_contact, "connect", count)
+        check, _ = make_check()
+        accepted = asyncio.Event()
+
+        async def accept(channel: Channel) -> None:
+            accepted.set()
+            await channel.read()
+
+        listener, port = await serve_bytes(accept)
         server = server_at(port)
-        first = asyncio.ensure_future(check.is_gone(server, Channel(), "a0"))
-        await asyncio.sleep(0)
-        await asyncio.sleep(0)
+        first = asyncio.ensure_future(check.find_end(server, Channel(), "a0"))
+        await accepted.wait()
         listener.close()
         later = [
             asyncio.ensure_future(
-                check.is_gone(server, Channel(), f"a{number}")
+                check.find_end(server, Channel(), f"a{number}")
             )
             for number in range(1, 9)
         ]
-        assert not await first
-        assert await asyncio.gather(*later) == [True] * 8
-        assert gate.asked == 2
+        assert await first is ProcessEnd.UNKNOWN
+        assert await asyncio.gather(*later) == [ProcessEnd.ENDED] * 8
+        assert len(connects) == 2
 
     run_with_timeout(scenario())
 
 
+@pytest.mark.parametrize("has_other", [False, True])
 @pytest.mark.parametrize(
-    ("report", "is_gone"),
+    ("report", "end"),
     [
-        (report_of(b'{"born": 5}'), False),
-        (report_of(b'{"born": 6}'), True),
-        (report_of(b'{"born": 4}'), True),
-        (report_of(b"{}"), False),
-        (report_of(b"x"), False),
-        (b"HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n", False),
-        (b"", False),
+        (report_of(b'{"born": 5}'), ProcessEnd.LIVES),
+        (report_of(b'{"born": 6}'), ProcessEnd.ENDED),
+        (report_of(b'{"born": 4}'), ProcessEnd.ENDED),
+        (report_of(b"{}"), ProcessEnd.UNKNOWN),
+        (report_of(b"x"), ProcessEnd.UNKNOWN),
+        (
+            b"HTTP/1.1 404 X\r\nContent-Length: 0\r\n\r\n",
+            ProcessEnd.UNKNOWN,
+        ),
+        (b"", ProcessEnd.UNKNOWN),
     ],
     ids=["same", "later", "earlier", "no start", "unreadable", "404", "closes"],
 )
 def test_server_in_whose_place_another_process_listens_is_gone(
     report: bytes,
-    is_gone: bool,  # noqa: FBT001
+    end: ProcessEnd,
+    has_other: bool,  # noqa: FBT001
 ) -> None:
     async def scenario() -> None:
         reporter = Reporter(report)
         await reporter.start()
         check, _ = make_check()
         server = server_at(reporter.port, started_ms=5)
-        channel = await open_channel(check, server)
-        assert await check.is_gone(server, channel, "a1") is is_gone
+        channel = await begin(check, server)
+        other = await begin(check, server)
+        channel.abort()
+        if not has_other:
+            other.abort()
+        found = await check.find_end(server, channel, "a1")
+        is_told = has_other and end is ProcessEnd.UNKNOWN
+        assert found is (ProcessEnd.LIVES if is_told else end)
+        other.abort()
 
     run_with_timeout(scenario())
 
@@ -348,7 +415,8 @@
         )
         server = server_at(reporter.port, started_ms=5)
         channel = await open_channel(check, server)
-        assert not await check.is_gone(server, channel, "a1")
+        found = await check.find_end(server, channel, "a1")
+        assert found is (ProcessEnd.UNKNOWN if in_service else ProcessEnd.LEFT)
         assert reporter.asked == 0
 
     run_with_timeout(scenario())
@@ -358,11 +426,12 @@
     async def scenario() -> None:
         reporter = Reporter(report_of(b'{"born": 6}'))
         await reporter.start()
-        check, gate = make_check()
+        check, gate = make_check(has_limit=True)
         gate.leaves_none = True
         server = server_at(reporter.port, started_ms=5)
         channel = await open_channel(check, server)
-        assert await check.is_gone(server, channel, "a1")
+        end = await check.find_end(server, channel, "a1")
+        assert end is ProcessEnd.ENDED
         assert reporter.asked == 1
 
     run_with_timeout(scenario())
@@ -375,12 +444,18 @@
         check, _ = make_check()
         server = server_at(reporter.port, started_ms=5)
         first = await open_channel(check, server)
-        assert await check.is_gone(server, first, "a1")
+        ends = [await check.find_end(server, first, "a1")]
         later = await open_channel(check, server)
-        assert not await check.is_gone(server, later, "a2")
-        assert await check.is_gone(server, first, "a1")
+        ends.append(await check.find_end(server, later, "a2"))
+        ends.append(await check.find_end(server, first, "a1"))
         reporter.report = report_of(b'{"born": 7}')
-        assert await check.is_gone(server, later, "a2")
+        ends.append(await check.find_end(server, later, "a2"))
+        assert ends == [
+            ProcessEnd.ENDED,
+            ProcessEnd.LIVES,
+            ProcessEnd.ENDED,
+            ProcessEnd.ENDED,
+        ]
 
     run_with_timeout(scenario())
 
@@ -389,15 +464,15 @@
     async def scenario() -> None:
         reporter = Reporter(b"")
         await reporter.start()
-        check, gate = make_check()
+        check, _ = make_check()
         server = server_at(reporter.port, started_ms=5)
         channel = await open_channel(check, server)
-        checking = asyncio.ensure_future(check.is_gone(server, channel, "a1"))
+        checking = asyncio.ensure_future(check.find_end(server, channel, "a1"))
         while not reporter.asked:
             await asyncio.sleep(0)
         reporter.stop()
-        assert await checking
-        assert gate.asked == 2
+        assert await checking is ProcessEnd.ENDED
+        assert reporter.asked == 1
 
     run_with_timeout(scenario())
 
@@ -411,11 +486,11 @@
         channels = [await open_channel(check, server) for server in known]
         found = await asyncio.gather(
             *(
-                check.is_gone(server, channel, "a1")
+                check.find_end(server, channel, "a1")
                 for server, channel in zip(known, channels, strict=True)
             )
         )
-        assert found == [True, False] * 10
+        assert found == [ProcessEnd.ENDED, ProcessEnd.LIVES] * 10
         assert reporter.asked == 1
 
     run_with_timeout(scenario())
@@ -427,7 +502,7 @@
         rng = random.Random(1)
         for number in range(50):
             server = server_at(rng.randrange(1, 100), f"s{number}")
-            await check.is_gone(server, Channel(), f"a{number}")
+            await check.find_end(server, Channel(), f"a{number}")
         assert not check._checks._running
         assert not check._checks._waiting
 
@@ -440,11 +515,11 @@
         port = int(free_addresses(1)[0].rpartition(":")[2])
         check, _ = make_check()
         checking = asyncio.ensure_future(
-            check.is_gone(server_at(port), Channel(), "a1")
+            check.find_end(server_at(port), Channel(), "a1")
         )
         for _ in range(steps):
             await asyncio.sleep(0)
         time.sleep(2 * CHECK_TIMEOUT_S)
-        assert await checking
+        assert await checking is ProcessEnd.ENDED
 
     run_with_timeout(scenario())
--- a/tests/front/test_unframed_answers.py
+++ b/tests/front/test_unframed_answers.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from savorylift.exchange import server_check
+from savorylift.exchange import server_check, server_contact
+from savorylift.exchange.limit_gate import LimitGate
 from savorylift.fleet.permit_issuer import START_HOLD_S
 from savorylift.platform.store import SERVERS_TOPIC
 from savorylift.wire.client_call import BrokenAnswerError
@@ -65,6 +66,8 @@
         closed_s: Monotonic time at which it last closed a connection.
         is_gone: Whether it stops listening before it closes.
         restarts: Whether it then listens again at once.
+        ends: Whether it closes all its connections with the first one, as a
+            process that ends does.
         hangs: Whether it answers no request.
         born: Unix time in milliseconds of its start, as its reports say, and
             as its entry does at first; None if they don't.
@@ -79,6 +82,7 @@
         self.closed_s = 0.0
         self.is_gone = False
         self.restarts = False
+        self.ends = False
         self.hangs = False
         self.born: int | None = ENTRY_BORN
         self.next_born: int | None = None
@@ -90,6 +94,7 @@
         self._framing = framing
         self._pieces = pieces
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self, port: int) -> None:
         self._port = port
@@ -101,6 +106,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
+        self._writers.add(writer)
         try:
             request = await reader.readuntil(b"\r\n\r\n")
         except asyncio.IncompleteReadError:
@@ -136,6 +142,9 @@
             await self.start(self._port)
         self.closed_s = time.monotonic()
         writer.close()
+        if self.ends:
+            for other in self._writers:
+                other.close()
 
 
 def _report(born: int | None) -> bytes:
@@ -302,7 +311,7 @@
         server = await replace_by_one(env, "/resumable/", EVENTS[:sent])
         other = PlatformServer("pool-1")
         await other.start(env.ports[10])
-        server.is_gone = True
+        server.is_gone = server.ends = True
         if is_reborn:
             replace_at_end(server)
         server.may_end.clear()
@@ -366,7 +375,7 @@
 
     async def scenario(env: NodeEnvironment) -> None:
         server = await replace_by_one(env, path, pieces_of(path))
-        monkeypatch.setattr(server_check, "connect", never_connect)
+        monkeypatch.setattr(server_contact, "connect", never_connect)
         await check_whole(
             env, path, server, server_check.CHECK_TIMEOUT_S + PROMPT_S
         )
@@ -376,7 +385,7 @@
 
 def replace_at_end(server: RawServer) -> None:
     """Lets another process take a server's place as its answer ends."""
-    server.is_gone = server.restarts = True
+    server.is_gone = server.restarts = server.ends = True
     server.born = server.born or 1
     server.next_born = server.born + 1
 
@@ -436,6 +445,116 @@
     run_in_environment(scenario)
 
 
+async def end_without_permits(
+    env: NodeEnvironment,
+    path: str,
+    server: RawServer,
+    monkeypatch: pytest.MonkeyPatch,
+) -> CallerView:
+    """Returns how an answer ends once no permit for its server is left."""
+
+    async def deny(*_: object, **_options: object) -> None:
+        return None
+
+    server.may_end.clear()
+    calling = asyncio.ensure_future(call(env, path))
+    await asyncio.sleep(BEGUN_S)
+    monkeypatch.setattr(LimitGate, "acquire", deny)
+    server.may_end.set()
+    status, _, view = await calling
+    return CallerView.BROKEN if status == 502 else view
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_answer_cut_off_where_no_permit_is_left_does_not_look_whole(
+    path: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A check without a permit found out nothing, which counted as whole."""
+
+    async def scenario(env: NodeEnvironment) -> None:
+        sent = pieces_of(path)[:SENT_WHEN_BROKEN]
+        server = await replace_by_one(env, path, sent, "Server-Limit: 4\r\n")
+        replace_at_end(server)
+        view = await end_without_permits(env, path, server, monkeypatch)
+        assert view is CallerView.BROKEN
+
+    run_in_environment(scenario)
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_whole_answer_where_no_permit_is_left_is_passed_on(
+    path: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario(env: NodeEnvironment) -> None:
+        server = await replace_by_one(
+            env, path, pieces_of(path), "Server-Limit: 4\r\n"
+        )
+        view = await end_without_permits(env, path, server, monkeypatch)
+        assert view is CallerView.UNFRAMED
+
+    run_in_environment(scenario)
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_answer_that_a_server_without_a_start_cut_off_does_not_look_whole(
+    path: str,
+) -> None:
+    """A process that names no start counted as the one before it."""
+
+    async def scenario(env: NodeEnvironment) -> None:
+        sent = pieces_of(path)[:SENT_WHEN_BROKEN]
+        server = await replace_by_one(env, path, sent)
+        server.is_gone = server.restarts = server.ends = True
+        status, _, view = await call(env, path)
+        assert status == 502 or view is CallerView.BROKEN
+
+    run_in_environment(scenario)
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_answer_that_the_end_of_a_draining_server_cut_off_is_not_whole(
+    path: str,
+) -> None:
+    """It counted as whole unless it could go on elsewhere."""
+
+    async def scenario(env: NodeEnvironment) -> None:
+        sent = pieces_of(path)[:SENT_WHEN_BROKEN]
+        server = await replace_by_one(env, path, sent)
+        server.is_gone = server.ends = True
+        server.may_end.clear()
+        calling = asyncio.ensure_future(call(env, path))
+        await asyncio.sleep(BEGUN_S)
+        service = "pool" if path in STREAM_PATHS else "app"
+        draining = (env.pool if path in STREAM_PATHS else env.app)[0]
+        env.publish_entry(draining, service, "draining")
+        await asyncio.sleep(REGISTRY_S)
+        server.may_end.set()
+        status, _, view = await calling
+        assert status == 502 or view is CallerView.BROKEN
+
+    run_in_environment(scenario)
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_answer_cut_off_while_its_server_is_unreachable_is_not_whole(
+    path: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A connection that was reset or timed out counted as a good sign."""
+
+    async def reset(_host: str, _port: int, _timeout_s: float) -> None:
+        raise ConnectionResetError
+
+    async def scenario(env: NodeEnvironment) -> None:
+        sent = pieces_of(path)[:SENT_WHEN_BROKEN]
+        server = await replace_by_one(env, path, sent)
+        server.is_gone = server.ends = True
+        monkeypatch.setattr(server_contact, "connect", reset)
+        status, _, view = await call(env, path)
+        assert status == 502 or view is CallerView.BROKEN
+
+    run_in_environment(scenario)
+
+
 @pytest.mark.parametrize("path", ["/resumable/", "/safe/"])
 def test_request_goes_on_elsewhere_when_its_server_was_replaced(
     path: str,
@@ -472,7 +591,7 @@
         server = await replace_by_one(env, path, pieces_of(path))
         replace_at_end(server)
         await call(env, path, "last-of-1")
-        server.is_gone = server.restarts = False
+        server.is_gone = server.restarts = server.ends = False
         await check_whole(env, path, server, PROMPT_S)
 
     run_in_environment(scenario)
--- a/tests/soak/killed_engines.py
+++ b/tests/soak/killed_engines.py
@@ -96,6 +96,14 @@
             and part.numbers != tuple(range(1, EVENTS + 1))
         ]
 
+    @property
+    def cut_late(self) -> int:
+        """Number of attempts that have all events and look incomplete."""
+        return sum(
+            len(part.numbers) == EVENTS and not part.is_whole
+            for part in self.parts.values()
+        )
+
     @property
     def whole(self) -> int:
         """Number of attempts that ended as complete, with all events."""
@@ -224,7 +232,8 @@
     print(
         f"seed {cfg.seed}, {trouble}: {len(outcome.deaths)} deaths;"
         f" {len(outcome.parts)} streams, {outcome.whole} whole,"
-        f" {len(outcome.early)} too early; logs in {directory}"
+        f" {len(outcome.early)} too early, {outcome.cut_late} cut off after"
+        f" the last event; logs in {directory}"
     )
     for early in outcome.early:
         print(f"  TOO EARLY: {early}")
