Look for crashes without permits, and past a reset

What callers saw: nothing yet; found while looking for the cause of answers that are cut off and look whole elsewhere. Where a server names a limit that is used up, or its ending process resets the connection that it had just accepted, the probe found out nothing and took the server for sound. So a request that crashes servers wasn't counted where limits bind, and went on to the next one.

--- a/src/savorylift/exchange/crash_guard.py
+++ b/src/savorylift/exchange/crash_guard.py
@@ -10,7 +10,6 @@
 from savorylift.backends.request_quarantine import RequestQuarantine
 from savorylift.exchange import metrics
 from savorylift.exchange.crash_probe import CrashProbe, LostAnswer
-from savorylift.exchange.limit_gate import LimitGate
 from savorylift.exchange.request_traits import RequestTraits
 from savorylift.exchange.results import (
     Answered,
@@ -42,7 +41,6 @@
         self,
         quarantine: RequestQuarantine,
         membership: Membership,
-        limit_gate: LimitGate,
         announce: Callable[[], None],
     ) -> None:
         """Creates a guard.
@@ -50,13 +48,12 @@
         Args:
             quarantine: Decides which requests are stopped.
             membership: The other nodes.
-            limit_gate: Holds the limits that servers name.
             announce: Schedules a message to the other nodes.
         """
         self._quarantine = quarantine
         self._membership = membership
         self._announce = announce
-        self._probe = CrashProbe(limit_gate, self._record_crash)
+        self._probe = CrashProbe(self._record_crash)
         self.on_quarantine: list[OnQuarantine] = []
 
     def refuse(self, traits: RequestTraits) -> Refused | None:
--- a/src/savorylift/exchange/crash_probe.py
+++ b/src/savorylift/exchange/crash_probe.py
@@ -10,14 +10,11 @@
 
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange import metrics
-from savorylift.exchange.limit_gate import LimitGate
 from savorylift.exchange.request_traits import RequestTraits
-from savorylift.wire.channel import connect
+from savorylift.exchange.server_contact import is_accepting
 
 CONNECT_TIMEOUT_S = 0.2
-# Longest wait for a permit if the server names a limit.
-PERMIT_WAIT_S = 0.5
-# A lost packet must not hide a crash.
+# Neither a lost packet nor a reset must hide a crash.
 ATTEMPTS = 2
 # A server is watched for this long after a request was given up there, since it
 # may still be running it.
@@ -52,21 +49,16 @@
 
     The process of a server that has crashed is gone for some seconds, and its
     connections are refused. One that has reset a single connection accepts.
+    A connection without a request takes no part of a limit.
     """
 
-    def __init__(
-        self,
-        limit_gate: LimitGate,
-        on_crash: Callable[[str, LostAnswer], None],
-    ) -> None:
+    def __init__(self, on_crash: Callable[[str, LostAnswer], None]) -> None:
         """Creates a probe.
 
         Args:
-            limit_gate: Holds the limits that servers name.
             on_crash: Called with the ID of a server that has crashed, for
                 each request that it had not answered.
         """
-        self._limit_gate = limit_gate
         self._on_crash = on_crash
         # Requests by the server that is being probed for them.
         self._lost: dict[str, list[LostAnswer]] = {}
@@ -104,8 +96,7 @@
     async def _probe(self, server: BackendServer) -> None:
         server_id = server.entry.server_id
         try:
-            first = self._lost[server_id][0].traits.attempt_id
-            is_gone = await self._refuses_connections(server, first)
+            is_gone = await _refuses_connections(server)
         finally:
             lost_answers = self._lost.pop(server_id)
         if is_gone:
@@ -119,11 +110,7 @@
             while given_up:
                 await asyncio.sleep(WATCH_INTERVAL_S)
                 asked_s = time.monotonic()
-                latest = given_up[-1].traits.attempt_id
-                is_gone = await self._refuses_connections(
-                    server, latest, is_watch=True
-                )
-                if is_gone:
+                if await _refuses_connections(server):
                     break
                 alive_s = asked_s
                 while given_up and asked_s - given_up[0].lost_s >= WATCH_S:
@@ -155,25 +142,10 @@
         )
         self._on_crash(server_id, lost)
 
-    async def _refuses_connections(
-        self, server: BackendServer, attempt_id: str, *, is_watch: bool = False
-    ) -> bool:
-        host, port = server.entry.address
-        for _ in range(ATTEMPTS):
-            permit = await self._limit_gate.acquire(
-                server,
-                attempt_id,
-                0.0 if is_watch else PERMIT_WAIT_S,
-                is_probe=is_watch,
-            )
-            if permit is None:
-                return False
-            try:
-                channel = await connect(host, port, CONNECT_TIMEOUT_S)
-            except ConnectionRefusedError:
-                return True
-            except OSError:
-                continue
-            channel.abort()
-            return False
-        return False
+
+async def _refuses_connections(server: BackendServer) -> bool:
+    for _ in range(ATTEMPTS):
+        accepts = await is_accepting(server.entry.address, CONNECT_TIMEOUT_S)
+        if accepts is not None:
+            return not accepts
+    return False
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -168,7 +168,6 @@
         self._crash_guard = CrashGuard(
             RequestQuarantine(self._ip),
             self._membership,
-            self._limit_gate,
             lambda: self._peer_sync.transport.send_soon(),
         )
         codec = interface.codec
