Split the composition root by duty

Cause: front/node.py (544 lines) created all parts in one constructor of 262 lines, with 25 lambdas, many of which only deferred names of later parts, and held the listeners, the maintenance loop and the reload besides.

Change: each duty has a module that creates its parts from those before it: shared_parts (what all have in common), server_parts, stream_parts, store_parts, caller_parts; listeners, maintenance and settings_reload have a class each. node.py composes them. The peer sync is made before the parts that send through it, so that these get bound methods; what it receives goes to methods of the node. ServerPool gets its holds, and Registry answers is_registered and find_entry, so that the limit gate can be made before the pool. Membership.count_live_nodes replaces two sums.

One difference: a SIGHUP between the first reading of the settings and the opening of sockets no longer changes the addresses that are opened (the port of messages between nodes was already kept); only seeds apply, as documented.

Run: make lint.

--- a/src/savorylift/backends/registry.py
+++ b/src/savorylift/backends/registry.py
@@ -53,6 +53,15 @@
         """All known servers by identifier, including draining ones."""
         return self._servers
 
+    def is_registered(self, server_id: str) -> bool:
+        """Returns whether a server is known."""
+        return server_id in self._servers
+
+    def find_entry(self, server_id: str) -> ServerEntry | None:
+        """Returns the newest entry of a server that is known."""
+        server = self._servers.get(server_id)
+        return None if server is None else server.entry
+
     def start_grace_period(self, returned_s: float) -> None:
         """Starts the grace period after an outage of the store.
 
--- a/src/savorylift/exchange/server_pool.py
+++ b/src/savorylift/exchange/server_pool.py
@@ -47,6 +47,7 @@
         get_message_interval_s: Callable[[], float],
         region_by_domain: Mapping[str, str],
         limit_gate: LimitGate,
+        holds: ServerHolds,
     ) -> None:
         """Creates a pool that reads the store view and members at each choice.
 
@@ -60,6 +61,7 @@
                 messages.
             region_by_domain: Region of each failure domain.
             limit_gate: Holds the limits that servers name.
+            holds: Which servers want nothing for a while.
         """
         self._store_view = store_view
         self._membership = membership
@@ -71,7 +73,7 @@
         self._limit_gate = limit_gate
         self.load_tracker = LoadTracker()
         self.brittle = BrittleServices()
-        self.holds = ServerHolds(rng)
+        self.holds = holds
         self.move_queue = MoveQueue(
             lambda: membership.moves(time.monotonic()),
             announce,
@@ -190,7 +192,7 @@
         """
         now_s = time.monotonic()
         nodes = self._membership.count_sharing_nodes(now_s)
-        live = 1 + sum(1 for _ in self._membership.live_peers(now_s))
+        live = self._membership.count_live_nodes(now_s)
         silent = max(nodes - live, 0)
         loads = self._loads()
         return any(
@@ -240,8 +242,7 @@
 
     def find_entry(self, server_id: str) -> ServerEntry | None:
         """Returns the newest entry of a server that is known."""
-        server = self._store_view.registry.servers.get(server_id)
-        return None if server is None else server.entry
+        return self._store_view.registry.find_entry(server_id)
 
     def is_in_service(self, server: BackendServer) -> bool:
         """Returns whether a server is still registered and not draining."""
--- a/src/savorylift/fleet/membership.py
+++ b/src/savorylift/fleet/membership.py
@@ -121,6 +121,10 @@
             if now_s - peer.received_s <= max(LIVENESS_TIMEOUT_S, timeout_s):
                 yield peer
 
+    def count_live_nodes(self, now_s: float) -> int:
+        """Returns how many nodes, including this one, are live."""
+        return 1 + sum(1 for _ in self.live_peers(now_s))
+
     def count_sharing_nodes(self, now_s: float) -> int:
         """Returns how many nodes, including this one, share a limit."""
         return 1 + sum(
@@ -133,7 +137,7 @@
         It counts itself. Silent nodes that were not leaving may be alive, and
         just cut off from this node.
         """
-        live = 1 + sum(1 for _ in self.live_peers(now_s))
+        live = self.count_live_nodes(now_s)
         silent = self._silent_peers(now_s)
         if not self._is_minority(now_s):
             oldest_s = now_s - SHARING_TIMEOUT_S
--- /dev/null
+++ b/src/savorylift/front/caller_parts.py
@@ -0,0 +1,108 @@
+"""The parts of a node that serve callers."""
+
+from typing import NamedTuple
+
+from savorylift.exchange import metrics
+from savorylift.exchange.generation import GenerationDispatcher
+from savorylift.exchange.plain_call import PlainCallDispatcher
+from savorylift.fleet.peer_transport import StateBuilder
+from savorylift.front.caller_directory import CallerDirectory
+from savorylift.front.caller_handler import CallerHandler, CallerHandlerOptions
+from savorylift.front.node_relay import NodeRelay
+from savorylift.front.responder import Responder
+from savorylift.front.server_parts import ServerParts
+from savorylift.front.shared_parts import SharedParts
+from savorylift.refusals.counts import RefusalCounts
+from savorylift.refusals.writer import RefusalWriter
+from savorylift.wire.body_admission import BodyAdmission
+from savorylift.wire.body_budget import BodyBudget
+
+# The bodies of requests take at most the VM's memory divided by this. Other
+# shares: the program itself, answers, what connections buffer, and gaps between
+# pieces of memory.
+BODY_MEMORY_DIVISOR = 3
+BYTES_PER_MB = 1_000_000
+
+
+class CallerParts(NamedTuple):
+    """What answers callers.
+
+    Attributes:
+        directory: Tells callers where to connect.
+        admission: Decides when a body may be read.
+        handler: Serves their connections.
+        refusal_writer: Writes counts of refusals to the store.
+    """
+
+    directory: CallerDirectory
+    admission: BodyAdmission
+    handler: CallerHandler
+    refusal_writer: RefusalWriter
+
+
+def make_caller_parts(
+    shared: SharedParts,
+    servers: ServerParts,
+    generations: GenerationDispatcher,
+    make_state: StateBuilder,
+) -> CallerParts:
+    """Creates the parts; opens no socket.
+
+    Args:
+        shared: What all parts have in common.
+        servers: The parts that decide on servers.
+        generations: Serves streams.
+        make_state: Builds the state of this node.
+    """
+    directory = CallerDirectory(
+        shared.membership, shared.store_view, make_state, shared.entry_ttl_s
+    )
+    admission = _make_admission(shared)
+    metrics.BODY_BYTES.set_function(lambda: admission.budget.held_bytes)
+    counts = RefusalCounts(shared.identity.vm, shared.identity.incarnation)
+    handler = _make_handler(shared, servers, generations, directory, counts)
+    refusal_writer = RefusalWriter(shared.store, counts)
+    return CallerParts(directory, admission, handler, refusal_writer)
+
+
+def _make_admission(shared: SharedParts) -> BodyAdmission:
+    memory_bytes = shared.settings.memory_mb * BYTES_PER_MB
+    budget = BodyBudget(
+        memory_bytes // BODY_MEMORY_DIVISOR,
+        copies=shared.interface.body_copies,
+        on_held=metrics.BODIES_HELD.inc,
+    )
+    return BodyAdmission(
+        budget,
+        shared.interface.codec.decode_time_left,
+        metrics.ANSWERS_CUT.inc,
+    )
+
+
+def _make_handler(
+    shared: SharedParts,
+    servers: ServerParts,
+    generations: GenerationDispatcher,
+    directory: CallerDirectory,
+    counts: RefusalCounts,
+) -> CallerHandler:
+    settings, interface = shared.settings, shared.interface
+    relay = NodeRelay(
+        settings.peer_port,
+        shared.membership,
+        servers.reach,
+        interface.codec,
+        shared.rng,
+    )
+    return CallerHandler(
+        Responder(counts, shared.store_view, interface.codec),
+        shared.store_view,
+        servers.pool,
+        PlainCallDispatcher(servers.pool, servers.sender, servers.crash_guard),
+        generations,
+        interface.codec,
+        shared.lifecycle,
+        relay,
+        CallerHandlerOptions(settings.request_timeout_s, settings.most_open),
+        lambda req: interface.answer_locally(req, directory.all_addresses),
+    )
--- /dev/null
+++ b/src/savorylift/front/listeners.py
@@ -0,0 +1,106 @@
+"""The addresses on which a node accepts connections."""
+
+from collections.abc import Awaitable, Callable
+
+from savorylift.front.caller_parts import CallerParts
+from savorylift.front.node_relay import peer_connection_handler
+from savorylift.front.operator_handler import operator_handler
+from savorylift.front.shared_parts import SharedParts
+from savorylift.front.state_reporter import StateReporter
+from savorylift.platform.directory import directory_handler, readiness_handler
+from savorylift.tls import server_context
+from savorylift.wire.address import split_address
+from savorylift.wire.listener import Listener, connection_handler
+from savorylift.wire.message import Request, Response
+from savorylift.wire.request_input import InputLimits
+
+# Added to the head of a request that another node hands over.
+RELAY_HEAD_BYTES = 1024
+# Time for the last responses before the process ends.
+CLOSING_TIMEOUT_S = 0.3
+
+HttpHandler = Callable[[Request], Awaitable[Response]]
+
+
+class Listeners:
+    """Accepts connections of callers, nodes, operators and the platform."""
+
+    def __init__(
+        self,
+        shared: SharedParts,
+        callers: CallerParts,
+        reporter: StateReporter,
+        serve_snapshots: HttpHandler,
+    ) -> None:
+        """Opens no socket yet.
+
+        Args:
+            shared: What all parts have in common.
+            callers: Serves callers.
+            reporter: Has the node's status.
+            serve_snapshots: Serves other nodes' requests for snapshots.
+
+        Raises:
+            OSError: A TLS file can't be read.
+        """
+        self._settings = shared.settings
+        self._ip = shared.identity.ip
+        self._store_view = shared.store_view
+        self._callers = callers
+        self._reporter = reporter
+        self._serve_snapshots = serve_snapshots
+        self._caller_listener = Listener(
+            callers.handler.serve, self._input_limits, callers.admission
+        )
+        self._caller_tls = server_context(self._settings.caller_tls)
+
+    async def start(self) -> None:
+        """Opens all sockets, that of callers last.
+
+        Raises:
+            OSError: An address is in use.
+        """
+        await self._listen_to_nodes()
+        directory = directory_handler(self._callers.directory.resolve)
+        await self._listen_http(self._settings.directory_listen, directory)
+        readiness = readiness_handler(lambda: self._reporter.is_ready)
+        await self._listen_http(self._settings.readiness_listen, readiness)
+        metrics_address = f"{self._ip}:{self._settings.metrics_port}"
+        await self._listen_http(
+            metrics_address, operator_handler(self._reporter.status)
+        )
+        await self._caller_listener.start(
+            *split_address(self._settings.caller_listen), self._caller_tls
+        )
+
+    def close_after_response(self) -> None:
+        """Makes callers' connections close after their next response."""
+        self._caller_listener.close_after_response()
+
+    async def close_when_served(self) -> None:
+        """Closes callers' connections once they are served."""
+        await self._caller_listener.close_when_served(CLOSING_TIMEOUT_S)
+
+    async def _listen_to_nodes(self) -> None:
+        handler = peer_connection_handler(
+            self._serve_snapshots,
+            self._callers.handler.serve_relayed,
+            self._callers.handler.refuse_unreadable,
+        )
+        listener = Listener(handler, self._peer_limits, self._callers.admission)
+        await listener.start(self._ip, self._settings.peer_port)
+
+    async def _listen_http(self, address: str, handle: HttpHandler) -> None:
+        handler = connection_handler(handle)
+        listener = Listener(handler, InputLimits, self._callers.admission)
+        await listener.start(*split_address(address))
+
+    def _input_limits(self) -> InputLimits:
+        cfg = self._store_view.configuration
+        return InputLimits() if cfg is None else cfg.limits
+
+    def _peer_limits(self) -> InputLimits:
+        """Returns the limits of requests that other nodes hand over."""
+        limits = self._input_limits()
+        max_head_bytes = limits.max_head_bytes + RELAY_HEAD_BYTES
+        return limits._replace(max_head_bytes=max_head_bytes)
--- /dev/null
+++ b/src/savorylift/front/maintenance.py
@@ -0,0 +1,67 @@
+"""What a node does periodically."""
+
+import asyncio
+import time
+from collections.abc import Callable
+
+import structlog
+
+from savorylift.fleet import metrics
+from savorylift.front.server_parts import ServerParts
+from savorylift.front.shared_parts import SharedParts
+from savorylift.front.stream_parts import StreamParts
+
+MAINTENANCE_INTERVAL_S = 0.2
+# Delay of the event loop that is logged.
+LATE_LOOP_S = 0.2
+
+_log = structlog.get_logger()
+
+
+class Maintenance:
+    """Periodically drops what is out of date, and serves what waits."""
+
+    def __init__(
+        self,
+        shared: SharedParts,
+        servers: ServerParts,
+        streams: StreamParts,
+        on_expired: Callable[[], None],
+    ) -> None:
+        """Does nothing until `run` is called.
+
+        Args:
+            shared: What all parts have in common.
+            servers: The parts that decide on servers.
+            streams: The parts that serve streams.
+            on_expired: Called after entries of servers have expired.
+        """
+        self._shared = shared
+        self._servers = servers
+        self._streams = streams
+        self._on_expired = on_expired
+
+    async def run(self) -> None:
+        """Repeats until cancelled."""
+        while True:
+            due_s = time.monotonic() + MAINTENANCE_INTERVAL_S
+            await asyncio.sleep(MAINTENANCE_INTERVAL_S)
+            _record_loop_delay(time.monotonic() - due_s)
+            self._update()
+
+    def _update(self) -> None:
+        shared = self._shared
+        shared.membership.forget_silent(time.monotonic())
+        self._servers.crash_guard.update()
+        self._servers.limit_gate.update()
+        self._streams.server_news.update(is_leaving=shared.lifecycle.is_leaving)
+        if shared.store_view.drop_expired():
+            self._on_expired()
+        else:
+            self._streams.generations.on_change()
+
+
+def _record_loop_delay(delay_s: float) -> None:
+    metrics.LOOP_DELAY.observe(delay_s)
+    if delay_s > LATE_LOOP_S:
+        _log.warning("event_loop_late", delay_ms=round(delay_s * 1000))
--- /dev/null
+++ b/src/savorylift/front/store_parts.py
@@ -0,0 +1,138 @@
+"""The parts of a node that follow the store and write to it."""
+
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+from savorylift.exchange.drain_poller import DrainPoller
+from savorylift.exchange.generation import GenerationDispatcher
+from savorylift.fleet.peer_transport import PeerTransport
+from savorylift.fleet.registration import Registration
+from savorylift.fleet.state import Delta
+from savorylift.fleet.store_reader import StoreReader
+from savorylift.fleet.topic_consumer import ReadPolicy
+from savorylift.fleet.version_recorder import VersionRecorder
+from savorylift.front.interface import LoadPoller
+from savorylift.front.server_parts import ServerParts
+from savorylift.front.shared_parts import SharedParts
+from savorylift.platform.store import Record
+
+
+class StoreParts(NamedTuple):
+    """What reads the store, or servers in its place, and writes to it.
+
+    Attributes:
+        reader: Reads the topics.
+        drain_poller: Asks engines while the store is away.
+        load_poller: Asks servers that write no entries; None if there are
+            none.
+        version_recorder: Writes which software versions have served.
+        registration: Writes this node's address, and finds other nodes.
+    """
+
+    reader: StoreReader
+    drain_poller: DrainPoller
+    load_poller: LoadPoller | None
+    version_recorder: VersionRecorder
+    registration: Registration
+
+
+class ReaderRole(NamedTuple):
+    """Whether this node is one of the store's readers.
+
+    Attributes:
+        is_reader: Finds out whether it is one.
+        was_reader: Returns whether it was one when last asked.
+    """
+
+    is_reader: Callable[[], bool]
+    was_reader: Callable[[], bool]
+
+
+def make_store_parts(
+    shared: SharedParts,
+    servers: ServerParts,
+    generations: GenerationDispatcher,
+    transport: PeerTransport,
+    role: ReaderRole,
+    on_change: Callable[[Delta | None], None],
+) -> StoreParts:
+    """Creates the parts; opens no connection.
+
+    Args:
+        shared: What all parts have in common.
+        servers: The parts that decide on servers.
+        generations: Told when servers may have changed.
+        transport: Carries messages to the other nodes.
+        role: Whether this node reads the store.
+        on_change: Called after each change of the store, with the delta to
+            send to the other nodes; None after a full listing.
+    """
+    policy = _make_read_policy(shared, transport, role)
+    reader = StoreReader(
+        shared.store,
+        shared.interface.topic,
+        shared.store_view,
+        policy,
+        on_change,
+        transport.send_soon,
+    )
+    drain_poller = _make_drain_poller(
+        shared, servers, generations, policy, reader
+    )
+    load_poller = shared.interface.make_load_poller(
+        shared.store_view.registry, generations.on_change
+    )
+    version_recorder = VersionRecorder(
+        shared.store,
+        servers.version_history,
+        lambda name: shared.find_service(name) is not None,
+        role.was_reader,
+        shared.store_era,
+    )
+    registration = Registration(
+        shared.store,
+        shared.membership,
+        Record(shared.identity.ip, shared.identity.caller_address.encode()),
+        lambda: transport.send(include_silent=True),
+    )
+    return StoreParts(
+        reader, drain_poller, load_poller, version_recorder, registration
+    )
+
+
+def _make_read_policy(
+    shared: SharedParts, transport: PeerTransport, role: ReaderRole
+) -> ReadPolicy:
+    return ReadPolicy(
+        role.is_reader,
+        lambda: shared.membership.reading_age_s(time.monotonic()),
+        lambda: shared.store_view.configuration is None,
+        lambda: transport.reader_interval_s,
+    )
+
+
+def _make_drain_poller(
+    shared: SharedParts,
+    servers: ServerParts,
+    generations: GenerationDispatcher,
+    policy: ReadPolicy,
+    reader: StoreReader,
+) -> DrainPoller:
+    def newest_reading_s() -> float | None:
+        """Returns the age of the newest reading of the servers' entries."""
+        now_s = time.monotonic()
+        ages = (
+            reader.servers_reading_age_s(now_s),
+            shared.membership.servers_reading_age_s(now_s),
+        )
+        return min((a for a in ages if a is not None), default=None)
+
+    return DrainPoller(
+        shared.store_view.registry,
+        servers.limit_gate,
+        servers.pool.holds.is_held,
+        lambda: policy.may_miss_notices(newest_reading_s()),
+        lambda: generations.engines_with_movable_runs,
+        generations.on_change,
+    )
--- /dev/null
+++ b/src/savorylift/front/stream_parts.py
@@ -0,0 +1,79 @@
+"""The parts of a node that serve streams and keep them at their version."""
+
+import time
+from typing import NamedTuple
+
+from savorylift.exchange.generation import GenerationDispatcher
+from savorylift.exchange.mover import Mover
+from savorylift.exchange.origin_log import OriginLog
+from savorylift.exchange.stream_origins import StreamOrigins
+from savorylift.exchange.stream_resumption import StreamResumption
+from savorylift.fleet.home_ring import Home
+from savorylift.fleet.peer_transport import PeerTransport
+from savorylift.front.server_news import ServerNews
+from savorylift.front.server_parts import ServerParts
+from savorylift.front.shared_parts import SharedParts
+
+
+class StreamParts(NamedTuple):
+    """What serves streams.
+
+    Attributes:
+        origins: Where streams began, as far as nodes know.
+        origin_log: The same, as far as the store knows.
+        server_news: What nodes tell each other of servers.
+        mover: Moves runs off draining engines.
+        generations: Serves the streams.
+    """
+
+    origins: StreamOrigins
+    origin_log: OriginLog
+    server_news: ServerNews
+    mover: Mover
+    generations: GenerationDispatcher
+
+
+def make_stream_parts(
+    shared: SharedParts, servers: ServerParts, transport: PeerTransport
+) -> StreamParts:
+    """Creates the parts; opens no connection."""
+    membership, identity = shared.membership, shared.identity
+    origins = StreamOrigins(identity.ip, transport.send_message, shared.rng)
+    origin_log = OriginLog(
+        identity.vm,
+        shared.store,
+        origins,
+        servers.version_history,
+        lambda: membership.count_live_nodes(time.monotonic()),
+        shared.store_era,
+    )
+    server_news = ServerNews(
+        Home(identity.ip, identity.failure_domain),
+        membership,
+        shared.store_view.registry,
+        servers.pool,
+        servers.reach,
+        origins,
+        servers.version_history,
+    )
+    resumption = StreamResumption(
+        origins,
+        origin_log,
+        servers.version_history,
+        servers.life,
+        servers.pool,
+        shared.find_service,
+        shared.rng,
+    )
+    mover = Mover(servers.pool, servers.check)
+    generations = GenerationDispatcher(
+        servers.pool,
+        shared.interface.codec,
+        servers.sender,
+        servers.check,
+        mover,
+        servers.crash_guard,
+        resumption,
+        shared.rng,
+    )
+    return StreamParts(origins, origin_log, server_news, mover, generations)
--- a/tests/exchange/factories.py
+++ b/tests/exchange/factories.py
@@ -13,6 +13,7 @@
 from savorylift.exchange.process_lookup import ProcessLookup
 from savorylift.exchange.request import CallerRequest, Generation
 from savorylift.exchange.retry_budget import RetryBudget, RetryBudgetOptions
+from savorylift.exchange.server_holds import ServerHolds
 from savorylift.exchange.server_pool import ServerPool
 from savorylift.fleet.membership import LIVENESS_TIMEOUT_S, Membership
 from savorylift.fleet.permit_issuer import PermitIssuer
@@ -212,15 +213,17 @@
 ) -> ServerPool:
     """Returns the server pool of a single node."""
     known = membership or Membership("127.0.0.1", ())
+    rng = random.Random(1)
     return ServerPool(
         store_view,
         known,
         RetryBudget(RetryBudgetOptions(0.2, 10.0, slack)),
-        random.Random(1),
+        rng,
         lambda: None,
         lambda: 0.2,
         region_by_domain or {},
         make_limit_gate(known),
+        ServerHolds(rng),
     )
 
 
