Serve connections accepted at the end of a late node

A stopping node accepts what waits at its listening socket, and opens each connection within 50 ms. That time ran on while the process stood still. If it stood still after the first connections had begun to open, these were closed unread, and the others were served.

The timeout now lets the loop see what has happened before it ends.

--- a/src/savorylift/wire/listener.py
+++ b/src/savorylift/wire/listener.py
@@ -11,6 +11,7 @@
 
 from savorylift.wire.body_admission import UNBOUNDED, BodyAdmission
 from savorylift.wire.channel import Channel
+from savorylift.wire.input_timeout import InputTimeout
 from savorylift.wire.message import Headers, Request, Response
 from savorylift.wire.request_input import BadRequest, CloseReason, InputLimits
 from savorylift.wire.server_connection import ServerConnection
@@ -115,7 +116,7 @@
     async def _open_channel(self, conn: socket.socket) -> None:
         loop = asyncio.get_running_loop()
         with contextlib.suppress(OSError):
-            async with asyncio.timeout(ACCEPT_S):
+            async with InputTimeout(ACCEPT_S):
                 await loop.connect_accepted_socket(
                     lambda: Channel(self._accept), conn, ssl=self._tls
                 )
