Keep idle connections only as long as an answer needs them

Change: one is opened with the head of an answer without framing and closed once that answer is judged; only at servers that name a limit, where a question costs a permit, it is kept for the answers to come. It joins the process of an answer at the first moment at which nothing of that answer is unread (0.2 s at most). A run that its engine, which lives, doesn't know any more has ended: it isn't judged twice.

Changed tests: the endless server counts requests in place of connections (what it guards against is a second try); a server that is replaced at its final copy closes its connections, as an ended process does.

--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -274,7 +274,7 @@
             run, tried, is_last=is_last
         )
         run.is_at_engine = True
-        run.is_stopping = False
+        run.is_stopping = run.is_end_known = False
         started = await self._run_sender.send(
             run, server, ResumePoint(run.resume_after), failover_policy
         )
@@ -303,7 +303,7 @@
                 return None
             if target is None:
                 return result
-            run.is_stopping = False
+            run.is_stopping = run.is_end_known = False
             run.moves += 1
             resumed = await self._run_sender.resume(run, target)
             if not isinstance(resumed, Started):
@@ -323,9 +323,13 @@
             return Broken(Reason.ANSWER_LOST, "a move that failed stopped it")
         if not run.is_close_delimited:
             return None
-        end = await self._server_check.find_end(
-            server, started.call.channel, run.attempt_id
-        )
+        channel = started.call.channel
+        end = ProcessEnd.LIVES
+        if not run.is_end_known:
+            end = await self._server_check.find_end(
+                server, channel, run.attempt_id
+            )
+        self._server_check.end_unframed(channel)
         if end is not ProcessEnd.LIVES:
             failure = END_FAILURES[end]
             return Broken(failure.reason, failure.detail)
--- a/src/savorylift/exchange/idle_connections.py
+++ b/src/savorylift/exchange/idle_connections.py
@@ -1,12 +1,12 @@
-"""Keeps an idle connection to each server that answers without framing.
+"""Keeps idle connections to servers that answer without framing.
 
-It stays open as long as the process does, whatever becomes of the answers.
+One stays open as long as its process does, whatever becomes of the answers.
 """
 
 import asyncio
-import contextlib
 import time
 import weakref
+from collections.abc import Callable
 
 from savorylift.exchange import metrics
 from savorylift.exchange.process_connections import (
@@ -16,13 +16,12 @@
 from savorylift.wire.channel import Channel, connect
 
 CONNECT_TIMEOUT_S = 0.2
-# For how long a connection is kept after the latest need of it, and a service
-# counts as one that answers without framing.
+# For how long a connection is kept for answers to come, and a service counts as
+# one that answers without framing.
 KEEP_S = 10.0
-# Well below that: an answer that has just ended needs it for a moment.
-LOOK_INTERVAL_S = 3.0
-# A server that closes it earlier is asked for another one with the next answer
-# only.
+# How often to look for answers whose requests were given up.
+LOOK_INTERVAL_S = 1.0
+# A server that closes it earlier gets another one with the next answer only.
 MIN_LIFE_S = 0.5
 # Bounds the memory of services that are gone.
 MAX_SERVICES = 1000
@@ -38,13 +37,9 @@
             connections: Where the connections are added.
         """
         self._connections = connections
-        self._tasks: dict[ProcessPlace, asyncio.Task[None]] = {}
-        # Connections of answers without framing.
-        self._under_way: dict[ProcessPlace, weakref.WeakSet[Channel]] = {}
-        self._needed_s: dict[ProcessPlace, float] = {}
-        # Monotonic time of the latest answer without framing, by service; None
-        # if all answers had one.
-        self._unframed_s: dict[str, float | None] = {}
+        self._keepers: dict[ProcessPlace, _Keeper] = {}
+        # Monotonic time of the latest answer without framing, by service.
+        self._unframed_s: dict[str, float] = {}
 
     def prepare(self, place: ProcessPlace, service: str) -> None:
         """Opens a connection if the answer to a request may need it.
@@ -53,74 +48,123 @@
             place: Where the request goes.
             service: The service of that server.
         """
-        if self._may_be_unframed(service):
-            self._need(place)
-
-    def record_head(self, service: str, *, is_close_delimited: bool) -> None:
-        """Records how a service frames an answer."""
-        if service not in self._unframed_s:
-            while len(self._unframed_s) >= MAX_SERVICES:
-                del self._unframed_s[next(iter(self._unframed_s))]
-            self._unframed_s[service] = None
-        if is_close_delimited:
-            self._unframed_s[service] = time.monotonic()
-
-    def begin(self, place: ProcessPlace, channel: Channel) -> None:
-        """Holds a connection until that of an answer without framing closes."""
-        self._under_way.setdefault(place, weakref.WeakSet()).add(channel)
-        self._need(place)
-
-    def _may_be_unframed(self, service: str) -> bool:
-        if service not in self._unframed_s:
-            return True
-        unframed_s = self._unframed_s[service]
-        return unframed_s is not None and time.monotonic() - unframed_s < KEEP_S
-
-    def _need(self, place: ProcessPlace) -> None:
-        self._needed_s[place] = time.monotonic()
-        if place in self._tasks:
-            return
-        task = asyncio.get_running_loop().create_task(self._keep(place))
-        self._tasks[place] = task
-
-    async def _keep(self, place: ProcessPlace) -> None:
-        """Keeps a connection open for as long as it is needed."""
-        try:
-            while self._is_needed(place):
-                if not await self._hold_one(place):
-                    return
-        finally:
-            del self._tasks[place]
-            del self._needed_s[place]
-            self._under_way.pop(place, None)
+        unframed_s = self._unframed_s.get(service)
+        if unframed_s is not None and time.monotonic() - unframed_s < KEEP_S:
+            self._keeper(place).keep_until(time.monotonic() + KEEP_S)
+
+    def begin(
+        self, place: ProcessPlace, service: str, channel: Channel
+    ) -> None:
+        """Keeps a connection while an answer without framing is under way.
 
-    async def _hold_one(self, place: ProcessPlace) -> bool:
+        Args:
+            place: Where the request went.
+            service: The service of that server.
+            channel: Connection of the answer.
+        """
+        self._unframed_s.pop(service, None)
+        while len(self._unframed_s) >= MAX_SERVICES:
+            del self._unframed_s[next(iter(self._unframed_s))]
+        self._unframed_s[service] = time.monotonic()
+        self._keeper(place).begin(channel)
+
+    def end(self, place: ProcessPlace, channel: Channel) -> None:
+        """Ends `begin`, once it is known whether the process lives."""
+        keeper = self._keepers.get(place)
+        if keeper is not None:
+            keeper.end(channel)
+
+    def _keeper(self, place: ProcessPlace) -> "_Keeper":
+        keeper = self._keepers.get(place)
+        if keeper is None:
+            keeper = self._keepers[place] = _Keeper(place, self._connections)
+            keeper.start(lambda: self._keepers.pop(place))
+        return keeper
+
+
+class _Keeper:
+    """Keeps a connection to one process for as long as it is needed."""
+
+    def __init__(
+        self, place: ProcessPlace, connections: ProcessConnections
+    ) -> None:
+        self._place = place
+        self._connections = connections
+        self._answers: weakref.WeakSet[Channel] = weakref.WeakSet()
+        # Those that were closed at the latest look.
+        self._closed: weakref.WeakSet[Channel] = weakref.WeakSet()
+        self._until_s = float("-inf")
+        self._look = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self, on_end: Callable[[], object]) -> None:
+        """Opens the connection soon; calls `on_end` when none is needed."""
+        self._task = asyncio.get_running_loop().create_task(self._run())
+        self._task.add_done_callback(lambda _: on_end())
+
+    def keep_until(self, until_s: float) -> None:
+        """Keeps the connection until a monotonic time, at least."""
+        self._until_s = max(self._until_s, until_s)
+
+    def begin(self, channel: Channel) -> None:
+        """Keeps the connection until the end of an answer."""
+        self._answers.add(channel)
+
+    def end(self, channel: Channel) -> None:
+        """Ends `begin`."""
+        self._answers.discard(channel)
+        if not self._answers:
+            self._look.set()
+
+    async def _run(self) -> None:
+        while self._is_needed():
+            if not await self._hold_one():
+                return
+
+    async def _hold_one(self) -> bool:
         """Holds one connection; returns whether another one may follow."""
         try:
-            channel = await connect(*place.address, CONNECT_TIMEOUT_S)
+            channel = await connect(*self._place.address, CONNECT_TIMEOUT_S)
         except OSError:
             metrics.IDLE_CONNECTIONS.labels("failed").inc()
             return False
         metrics.IDLE_CONNECTIONS.labels("opened").inc()
         opened_s = time.monotonic()
-        self._connections.add(place, channel, is_idle=True)
         try:
-            await self._wait_while_needed(place, channel)
+            await self._connections.add_idle(
+                self._place, channel, self._answers
+            )
+            while self._is_needed() and channel.is_open:
+                await self._wait(channel)
         finally:
             channel.abort()
         return time.monotonic() - opened_s >= MIN_LIFE_S
 
-    async def _wait_while_needed(
-        self, place: ProcessPlace, channel: Channel
-    ) -> None:
-        while self._is_needed(place) and channel.is_open:
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(LOOK_INTERVAL_S):
-                    await channel.peer_closed.wait()
-
-    def _is_needed(self, place: ProcessPlace) -> bool:
-        now_s = time.monotonic()
-        channels = self._under_way.get(place, ())
-        if any(not channel.transport.is_closing() for channel in channels):
-            self._needed_s[place] = now_s
-        return now_s - self._needed_s[place] < KEEP_S
+    async def _wait(self, channel: Channel) -> None:
+        """Waits until there may be a reason to close the connection."""
+        self._look.clear()
+        self._forget_closed()
+        waits = [
+            asyncio.ensure_future(self._look.wait()),
+            asyncio.ensure_future(channel.peer_closed.wait()),
+        ]
+        try:
+            await asyncio.wait(
+                waits,
+                timeout=LOOK_INTERVAL_S,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            for wait in waits:
+                wait.cancel()
+
+    def _forget_closed(self) -> None:
+        """Forgets answers that were closed for a while without an end."""
+        closed = [c for c in self._answers if c.transport.is_closing()]
+        for channel in closed:
+            if channel in self._closed:
+                self._answers.discard(channel)
+        self._closed = weakref.WeakSet(closed)
+
+    def _is_needed(self) -> bool:
+        return bool(self._answers) or time.monotonic() < self._until_s
--- a/src/savorylift/exchange/mover.py
+++ b/src/savorylift/exchange/mover.py
@@ -293,7 +293,8 @@
         end = await self._server_check.find_end(
             source, run.channel, run.attempt_id
         )
-        return end is ProcessEnd.LIVES
+        run.is_end_known = end is ProcessEnd.LIVES
+        return run.is_end_known
 
     def _log_moved(self, run: Run, target: ResumeTarget) -> None:
         _log.info(
--- a/src/savorylift/exchange/process_connections.py
+++ b/src/savorylift/exchange/process_connections.py
@@ -7,6 +7,7 @@
 import asyncio
 import time
 import weakref
+from collections.abc import Collection
 from typing import NamedTuple
 
 from savorylift.backends.registry import BackendServer
@@ -16,6 +17,10 @@
 # the first time, and all within the second one.
 CLOSING_S = 0.05
 MAX_CLOSING_S = 0.3
+# How long to wait for a moment at which nothing of an answer is unread, and how
+# often to look.
+JOIN_S = 0.2
+JOIN_INTERVAL_S = 0.002
 # Connections that are watched at a time.
 MAX_WATCHED = 50
 
@@ -62,10 +67,8 @@
         )
         self._idle: weakref.WeakSet[Channel] = weakref.WeakSet()
 
-    def add(
-        self, place: ProcessPlace, channel: Channel, *, is_idle: bool = False
-    ) -> None:
-        """Adds a connection that has just been opened.
+    def add(self, place: ProcessPlace, channel: Channel) -> None:
+        """Adds a connection for a request, which has just been opened.
 
         It leads to the same process as an earlier one that is open still: the
         process that had accepted that one can't have ended before.
@@ -73,7 +76,6 @@
         Args:
             place: Where the process listens.
             channel: The connection.
-            is_idle: Whether no request is sent on it.
         """
         process = self._newest.get(place)
         is_same = (
@@ -85,8 +87,52 @@
             process = self._newest[place] = _Process()
         process.channels.add(channel)
         self._processes[channel] = process
-        if is_idle:
-            self._idle.add(channel)
+
+    async def add_idle(
+        self,
+        place: ProcessPlace,
+        channel: Channel,
+        answers: Collection[Channel],
+    ) -> None:
+        """Adds a connection without a request, which has just been opened.
+
+        Args:
+            place: Where the process listens.
+            channel: The connection.
+            answers: Connections of answers, which lead to the same process if
+                any of them is open still, and known to be at some moment.
+        """
+        self._idle.add(channel)
+        until_s = time.monotonic() + JOIN_S
+        while not self._join(channel, answers):
+            if time.monotonic() >= until_s or not channel.is_open:
+                self.add(place, channel)
+                return
+            await asyncio.sleep(JOIN_INTERVAL_S)
+
+    def _join(self, channel: Channel, answers: Collection[Channel]) -> bool:
+        """Adds a connection to the process of others, if they are open now."""
+        if not channel.is_known_open:
+            return False
+        found = [
+            self._processes[answer]
+            for answer in answers
+            if answer in self._processes and answer.is_known_open
+        ]
+        if not found:
+            return False
+        process = found[0]
+        process.channels.add(channel)
+        self._processes[channel] = process
+        for other in found[1:]:
+            self._merge(other, process)
+        return True
+
+    def _merge(self, other: _Process, process: _Process) -> None:
+        """Takes two processes that live at the same place now for one."""
+        for channel in list(other.channels):
+            process.channels.add(channel)
+            self._processes[channel] = process
 
     def others(
         self, channel: Channel, *, counts_idle: bool = True
--- a/src/savorylift/exchange/run.py
+++ b/src/savorylift/exchange/run.py
@@ -72,6 +72,7 @@
         is_framed_for_caller: Whether the caller's stream was begun in a framing
             that marks its end as complete.
         is_stopping: Whether its engine was told to stop it, for a move.
+        is_end_known: Whether its engine, which lives, has ended its stream.
         obstacle: What kept it from going on at the latest engine tried, if it
             had begun; None if that was something else.
         life_check: Finds out whether the engine that began its stream is of
@@ -107,6 +108,7 @@
         self.is_close_delimited = False
         self.is_framed_for_caller = False
         self.is_stopping = False
+        self.is_end_known = False
         self.obstacle: Obstacle | None = None
         self.life_check: asyncio.Task[None] | None = None
 
--- a/src/savorylift/exchange/send.py
+++ b/src/savorylift/exchange/send.py
@@ -167,9 +167,9 @@
         finally:
             started.call.close()
         if head.is_close_delimited:
-            end = await self._server_check.find_end(
-                server, started.call.channel, request
-            )
+            channel = started.call.channel
+            end = await self._server_check.find_end(server, channel, request)
+            self._server_check.end_unframed(channel)
             if end is not ProcessEnd.LIVES:
                 return END_FAILURES[end]
         return Answered(head, answer.body)
@@ -201,9 +201,8 @@
             self._reach.end_wait(wait, has_answer=has_answer)
         if isinstance(head, Unsure):
             return head
-        self._server_check.record_head(
-            server, call.channel, is_close_delimited=head.is_close_delimited
-        )
+        if head.is_close_delimited:
+            self._server_check.begin_unframed(server, call.channel)
         return Started(call, head, outgoing.run_id, outgoing.cancel_request)
 
 
--- a/src/savorylift/exchange/server_check.py
+++ b/src/savorylift/exchange/server_check.py
@@ -143,21 +143,24 @@
         place = known_place(server, said_ms)
         self._places[channel] = place
         self._connections.add(place, channel)
-        self._idle.prepare(place, server.entry.service)
+        # A question takes a part of the limit, and short answers end before
+        # a connection that is opened with them.
+        if self._limit_gate.is_limited(server.entry):
+            self._idle.prepare(place, server.entry.service)
 
-    def record_head(
-        self,
-        server: BackendServer,
-        channel: Channel,
-        *,
-        is_close_delimited: bool,
-    ) -> None:
-        """Records how the answer on a connection of `add_channel` ends."""
-        self._idle.record_head(
-            server.entry.service, is_close_delimited=is_close_delimited
-        )
-        if is_close_delimited:
-            self._idle.begin(self._places[channel], channel)
+    def begin_unframed(self, server: BackendServer, channel: Channel) -> None:
+        """Records that nothing but a close will end an answer.
+
+        Args:
+            server: The server.
+            channel: Connection of the answer, added before.
+        """
+        place = self._places[channel]
+        self._idle.begin(place, server.entry.service, channel)
+
+    def end_unframed(self, channel: Channel) -> None:
+        """Ends `begin_unframed`, once no `find_end` follows."""
+        self._idle.end(self._places[channel], channel)
 
     async def find_end(
         self, server: BackendServer, channel: Channel, request: str
@@ -170,12 +173,7 @@
             request: Identifies the request in logs.
         """
         began_s = time.monotonic()
-        found = await self._find(server, request)
-        end = self._judge(channel, found, request)
-        if end is ProcessEnd.UNKNOWN:
-            found, end = await self._find_by_others(
-                server, channel, request, found
-            )
+        found, end = await self._find_out(server, channel, request)
         if end is not ProcessEnd.LIVES and not self._is_in_service(server):
             end = ProcessEnd.LEFT
         metrics.ANSWER_ENDS.labels(end.value).inc()
@@ -190,6 +188,15 @@
         )
         return end
 
+    async def _find_out(
+        self, server: BackendServer, channel: Channel, request: str
+    ) -> tuple[_Finding, ProcessEnd]:
+        found = await self._find(server, request)
+        end = self._judge(channel, found, request)
+        if end is not ProcessEnd.UNKNOWN:
+            return found, end
+        return await self._find_by_others(server, channel, request, found)
+
     async def _find_by_others(
         self,
         server: BackendServer,
--- a/tests/exchange/test_process_connections.py
+++ b/tests/exchange/test_process_connections.py
@@ -48,14 +48,17 @@
     return ProcessPlace("i-1", ("127.0.0.1", port), frozenset({start_ms}))
 
 
-async def add(
-    connections: ProcessConnections,
-    place: ProcessPlace,
-    *,
-    is_idle: bool = False,
+async def add(connections: ProcessConnections, place: ProcessPlace) -> Channel:
+    channel = await connect(*place.address, 1.0)
+    connections.add(place, channel)
+    return channel
+
+
+async def add_idle(
+    connections: ProcessConnections, place: ProcessPlace, *answers: Channel
 ) -> Channel:
     channel = await connect(*place.address, 1.0)
-    connections.add(place, channel, is_idle=is_idle)
+    await connections.add_idle(place, channel, answers)
     return channel
 
 
@@ -160,7 +163,7 @@
         connections = ProcessConnections()
         place = place_of(process.port)
         answered = await add(connections, place)
-        idle = await add(connections, place, is_idle=True)
+        idle = await add_idle(connections, place, answered)
         assert connections.others(answered) == [idle]
         assert not connections.others(answered, counts_idle=False)
         await process.end()
@@ -168,6 +171,71 @@
     run_with_timeout(scenario())
 
 
+def test_idle_connection_joins_an_answer_whose_events_come_quickly() -> None:
+    """It was taken for one to another process if an event was unread."""
+
+    async def scenario() -> None:
+        process = ListeningProcess()
+        await process.start()
+        connections = ProcessConnections()
+        place = place_of(process.port)
+        answered = await add(connections, place)
+        await asyncio.sleep(SEEN_S)
+        process._channels[0].write(b"event")
+        await asyncio.sleep(SEEN_S)
+        assert answered.has_input
+        loop = asyncio.get_running_loop()
+        reading = loop.create_task(asyncio.sleep(SEEN_S))
+        reading.add_done_callback(lambda _: loop.create_task(answered.read()))
+        idle = await add_idle(connections, place, answered)
+        assert connections.others(answered) == [idle]
+        await process.end()
+
+    run_with_timeout(scenario())
+
+
+def test_idle_connection_to_the_next_process_joins_no_answer_of_the_last() -> (
+    None
+):
+    async def scenario() -> None:
+        first = ListeningProcess()
+        await first.start()
+        connections = ProcessConnections()
+        place = place_of(first.port)
+        answered = await add(connections, place)
+        await asyncio.sleep(SEEN_S)
+        first._channels[0].write(b"event")
+        await first.end()
+        second = ListeningProcess()
+        await second.start(first.port)
+        await add_idle(connections, place, answered)
+        assert not connections.others(answered)
+        await second.end()
+
+    run_with_timeout(scenario())
+
+
+def test_answers_of_one_process_share_an_idle_connection() -> None:
+    async def scenario() -> None:
+        process = ListeningProcess()
+        await process.start()
+        connections = ProcessConnections()
+        place = place_of(process.port)
+        first = await add(connections, place)
+        await asyncio.sleep(SEEN_S)
+        process._channels[0].write(b"event")
+        await asyncio.sleep(SEEN_S)
+        second = await add(connections, place)
+        assert not connections.others(first)
+        await first.read()
+        idle = await add_idle(connections, place, first, second)
+        assert idle in connections.others(first)
+        assert idle in connections.others(second)
+        await process.end()
+
+    run_with_timeout(scenario())
+
+
 def test_process_that_closes_connections_slowly_is_watched_to_its_end() -> None:
     async def scenario() -> None:
         process = ListeningProcess()
--- a/tests/front/test_endless_bytes.py
+++ b/tests/front/test_endless_bytes.py
@@ -27,7 +27,7 @@
     def __init__(self, beginning: bytes, block: bytes) -> None:
         self._beginning = beginning
         self._block = block
-        self.connections = 0
+        self.requests = 0
         self.bytes_sent = 0
         self.is_closed = asyncio.Event()
 
@@ -42,8 +42,12 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        self.connections += 1
-        await reader.readuntil(b"\r\n\r\n")
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+        except asyncio.IncompleteReadError:
+            writer.close()
+            return
+        self.requests += 1
         try:
             for part in self._parts():
                 writer.write(part)
@@ -96,7 +100,7 @@
     async def scenario(env: NodeEnvironment) -> None:
         server = EndlessServer(beginning, block)
         assert await call_endless(env, path, server) == 502
-        assert server.connections == 1
+        assert server.requests == 1
         assert server.bytes_sent < MAX_BYTES_SENT
 
     run_in_environment(scenario)
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -77,7 +77,7 @@
         ends_before_final_copy: Whether a run ends by itself before its final
             KV cache copy, which then finds none.
         is_replaced_at_final_copy: Whether another process takes its place at
-            the final KV cache copy, which closes its streams.
+            the final KV cache copy, which closes all its connections.
         deadly_part: ID of a part of prompts on which it crashes as it begins
             to answer; None for no part.
         deadly_body: Body of requests on which it crashes; None for no body.
@@ -471,6 +471,7 @@
             if self.is_replaced_at_final_copy:
                 self.born += 1
                 conn.respond(404, (), b"")
+                await self.end_all()
                 return
             if self.drops_final_copy:
                 return
