Split the messages between nodes by topic

Importers changed here name the topic's module. Tests changed: imports only; test_codec.py is as it was.

--- a/src/savorylift/backends/brittle_services.py
+++ b/src/savorylift/backends/brittle_services.py
@@ -3,7 +3,7 @@
 import time
 from collections.abc import Iterable
 
-from savorylift.fleet.state import BrittleNews
+from savorylift.fleet.server_sightings import BrittleNews
 
 # Brittle servers say so in all their answers; after this time without one they
 # count as sound.
--- a/src/savorylift/backends/crash_log.py
+++ b/src/savorylift/backends/crash_log.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 
 from savorylift.backends.traits import Traits
-from savorylift.fleet.state import CrashReport
+from savorylift.fleet.quarantine_news import CrashReport
 
 # Reports of one server within this time are about the same crash.
 SAME_CRASH_S = 2.0
--- a/src/savorylift/backends/named_limits.py
+++ b/src/savorylift/backends/named_limits.py
@@ -11,7 +11,7 @@
 
 from savorylift.backends.server import ServerEntry
 from savorylift.exchange.request import NamedLimit
-from savorylift.fleet.state import LimitReport
+from savorylift.fleet.limit_messages import LimitReport
 
 # The end of a limit is forgotten after this time, and so is the limit of a
 # server that is no longer registered.
--- a/src/savorylift/backends/request_quarantine.py
+++ b/src/savorylift/backends/request_quarantine.py
@@ -16,7 +16,7 @@
 from savorylift.backends.quarantine_set import QuarantineSet
 from savorylift.backends.sound_traits import SoundTraits
 from savorylift.backends.traits import Traits, is_request
-from savorylift.fleet.state import (
+from savorylift.fleet.quarantine_news import (
     QuarantinedParts,
     QuarantineNews,
     SoundPart,
--- a/src/savorylift/exchange/crash_guard.py
+++ b/src/savorylift/exchange/crash_guard.py
@@ -21,7 +21,7 @@
 )
 from savorylift.exchange.run import EVENTS_TO_SURVIVE, Run
 from savorylift.fleet.membership import Membership
-from savorylift.fleet.state import QuarantineNews
+from savorylift.fleet.quarantine_news import QuarantineNews
 from savorylift.outcomes import Reason
 
 OnQuarantine = Callable[[Collection[QuarantinedTraits]], None]
--- a/src/savorylift/exchange/origin_table.py
+++ b/src/savorylift/exchange/origin_table.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 from typing import NamedTuple
 
-from savorylift.fleet.state import StreamOrigin
+from savorylift.fleet.origin_messages import StreamOrigin
 
 # Most streams that a node knows the beginning of; the oldest yields.
 MAX_ORIGINS = 20_000
--- a/src/savorylift/exchange/permit_client.py
+++ b/src/savorylift/exchange/permit_client.py
@@ -5,13 +5,13 @@
 from typing import Protocol
 
 from savorylift.boot_clock import boot_time_s
-from savorylift.fleet.permit_issuer import PermitDecision
-from savorylift.fleet.state import (
+from savorylift.fleet.limit_messages import (
     LimitMessage,
     LimitReport,
     PermitReply,
     PermitRequest,
 )
+from savorylift.fleet.permit_issuer import PermitDecision
 
 # How long to wait for a reply to each try: many round trips between nodes. A
 # try that was heard, but whose reply was lost, leaves its permit unused.
--- a/src/savorylift/fleet/codec.py
+++ b/src/savorylift/fleet/codec.py
@@ -8,20 +8,21 @@
 from returns.result import Failure, Result, Success
 
 from savorylift.fleet.known_fields import keep_known_fields
-from savorylift.fleet.state import (
-    Delta,
+from savorylift.fleet.limit_messages import (
     LimitMessage,
     LimitNews,
-    NodeState,
+    PermitReply,
+    PermitRequest,
+)
+from savorylift.fleet.origin_messages import (
     OriginAck,
     OriginMessage,
     OriginNews,
     OriginQuery,
     OriginReply,
-    PermitReply,
-    PermitRequest,
-    Snapshot,
 )
+from savorylift.fleet.state import NodeState
+from savorylift.fleet.store_records import Delta, Snapshot
 
 # First byte of a message. Messages with another version are dropped.
 LAYOUT_VERSION = 3
--- a/src/savorylift/fleet/limit_check.py
+++ b/src/savorylift/fleet/limit_check.py
@@ -2,7 +2,7 @@
 
 import math
 
-from savorylift.fleet.state import (
+from savorylift.fleet.limit_messages import (
     LimitMessage,
     LimitNews,
     LimitReport,
--- a/src/savorylift/fleet/patch.py
+++ b/src/savorylift/fleet/patch.py
@@ -3,7 +3,7 @@
 import re
 import zlib
 
-from savorylift.fleet.state import Patch, Segment
+from savorylift.fleet.store_records import Patch, Segment
 
 # Values are compared by parts that end with this byte, which in JSON ends an
 # object: a small change then changes few parts.
--- a/src/savorylift/fleet/peer_transport.py
+++ b/src/savorylift/fleet/peer_transport.py
@@ -14,7 +14,8 @@
 from savorylift.fleet import metrics
 from savorylift.fleet.codec import Message, decode, encode
 from savorylift.fleet.message_auth import MessageAuthenticator
-from savorylift.fleet.state import Delta, NodeState
+from savorylift.fleet.state import NodeState
+from savorylift.fleet.store_records import Delta
 
 BASE_INTERVAL_S = 0.2
 # With more nodes than this the interval grows in proportion, so that the
--- /dev/null
+++ b/src/savorylift/fleet/server_sightings.py
@@ -0,0 +1,41 @@
+"""What nodes tell each other of servers, beside the store's entries."""
+
+from typing import NamedTuple
+
+
+class VersionSighting(NamedTuple):
+    """A software version that had a server until lately.
+
+    Attributes:
+        service: Service of the server.
+        software_version: The version.
+        age_s: Time since the version last had a server.
+    """
+
+    service: str
+    software_version: str
+    age_s: float
+
+
+class BrittleNews(NamedTuple):
+    """A service whose servers say that they fall over if they reject much.
+
+    Attributes:
+        service: Name of the service.
+        age_s: Time since a server last said so.
+    """
+
+    service: str
+    age_s: float
+
+
+class LeavingServer(NamedTuple):
+    """A server that said itself that it is draining.
+
+    Attributes:
+        server_id: Identifier of the server.
+        started_ms: Start of the incarnation that said so.
+    """
+
+    server_id: str
+    started_ms: int
--- a/src/savorylift/fleet/snapshot_server.py
+++ b/src/savorylift/fleet/snapshot_server.py
@@ -7,7 +7,7 @@
 from savorylift.fleet import metrics
 from savorylift.fleet.codec import encode
 from savorylift.fleet.message_auth import MessageAuthenticator
-from savorylift.fleet.state import Snapshot
+from savorylift.fleet.store_records import Snapshot
 from savorylift.wire.message import Request, Response
 
 SNAPSHOT_PATH = "/state"
--- a/src/savorylift/fleet/store_reader.py
+++ b/src/savorylift/fleet/store_reader.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable
 
-from savorylift.fleet.state import Delta, Topic
+from savorylift.fleet.store_records import Delta, Topic
 from savorylift.fleet.store_view import StoreView
 from savorylift.fleet.topic_consumer import ReadPolicy, TopicConsumer
 from savorylift.platform.store import SERVERS_TOPIC, StoreClient
--- a/src/savorylift/fleet/store_view.py
+++ b/src/savorylift/fleet/store_view.py
@@ -12,7 +12,7 @@
 from savorylift.backends.registry import Registry
 from savorylift.backends.server import ServerEntry
 from savorylift.fleet.patch import apply_patch, make_patch
-from savorylift.fleet.state import Change, Delta, Snapshot, Topic
+from savorylift.fleet.store_records import Change, Delta, Snapshot, Topic
 from savorylift.routing.configuration import Configuration
 
 # Larger values are sent to the other nodes as differences.
--- a/src/savorylift/fleet/topic_consumer.py
+++ b/src/savorylift/fleet/topic_consumer.py
@@ -8,7 +8,7 @@
 from returns.pipeline import is_successful
 from returns.result import Result
 
-from savorylift.fleet.state import Change, Delta, Topic
+from savorylift.fleet.store_records import Change, Delta, Topic
 from savorylift.fleet.store_view import StoreView
 from savorylift.platform.store import (
     Batch,
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -10,13 +10,11 @@
 
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange.request import AnswerHead
+from savorylift.fleet.limit_messages import LimitMessage
 from savorylift.fleet.message_auth import MessageAuthenticator
-from savorylift.fleet.state import (
-    Delta,
-    LimitMessage,
-    NodeState,
-    OriginMessage,
-)
+from savorylift.fleet.origin_messages import OriginMessage
+from savorylift.fleet.state import NodeState
+from savorylift.fleet.store_records import Delta
 from savorylift.front.caller_parts import make_caller_parts
 from savorylift.front.listeners import Listeners
 from savorylift.front.maintenance import Maintenance
--- a/src/savorylift/front/peer_sync.py
+++ b/src/savorylift/front/peer_sync.py
@@ -7,18 +7,15 @@
 
 from savorylift.fleet import metrics
 from savorylift.fleet.codec import Message
+from savorylift.fleet.limit_messages import LimitMessage
 from savorylift.fleet.membership import Membership
 from savorylift.fleet.message_auth import MessageAuthenticator
+from savorylift.fleet.origin_messages import OriginMessage
 from savorylift.fleet.peer_transport import PeerTransport, StateBuilder
 from savorylift.fleet.snapshot_fetcher import SnapshotFetcher
 from savorylift.fleet.snapshot_server import SnapshotServer
-from savorylift.fleet.state import (
-    Delta,
-    LimitMessage,
-    NodeState,
-    OriginMessage,
-    Topic,
-)
+from savorylift.fleet.state import NodeState
+from savorylift.fleet.store_records import Delta, Topic
 from savorylift.fleet.store_view import StoreView, Version
 from savorylift.front.tasks import BackgroundTasks
 
--- a/src/savorylift/front/server_news.py
+++ b/src/savorylift/front/server_news.py
@@ -8,7 +8,8 @@
 from savorylift.exchange.stream_origins import StreamOrigins
 from savorylift.fleet.home_ring import Home
 from savorylift.fleet.membership import Membership
-from savorylift.fleet.state import LeavingServer, NodeState
+from savorylift.fleet.server_sightings import LeavingServer
+from savorylift.fleet.state import NodeState
 from savorylift.fleet.version_history import VersionHistory
 
 # Servers that said that they drain, in one state message.
--- a/src/savorylift/front/store_parts.py
+++ b/src/savorylift/front/store_parts.py
@@ -8,8 +8,8 @@
 from savorylift.exchange.generation import GenerationDispatcher
 from savorylift.fleet.peer_transport import PeerTransport
 from savorylift.fleet.registration import Registration
-from savorylift.fleet.state import Delta
 from savorylift.fleet.store_reader import StoreReader
+from savorylift.fleet.store_records import Delta
 from savorylift.fleet.topic_consumer import ReadPolicy
 from savorylift.fleet.version_recorder import VersionRecorder
 from savorylift.front.interface import LoadPoller
--- a/tests/backends/test_brittle_services.py
+++ b/tests/backends/test_brittle_services.py
@@ -3,7 +3,7 @@
 import pytest
 
 from savorylift.backends.brittle_services import EXPIRY_S, BrittleServices
-from savorylift.fleet.state import BrittleNews
+from savorylift.fleet.server_sightings import BrittleNews
 
 
 @pytest.fixture
--- a/tests/backends/test_deadly_requests.py
+++ b/tests/backends/test_deadly_requests.py
@@ -15,7 +15,7 @@
     RequestQuarantine,
 )
 from savorylift.backends.traits import REQUEST_PREFIX, Traits
-from savorylift.fleet.state import QuarantineNews
+from savorylift.fleet.quarantine_news import QuarantineNews
 
 ME = "10.0.0.1"
 PEERS = ("10.0.0.2", "10.0.0.3")
--- a/tests/backends/test_named_limits.py
+++ b/tests/backends/test_named_limits.py
@@ -13,7 +13,7 @@
     NamedLimits,
 )
 from savorylift.exchange.request import NamedLimit
-from savorylift.fleet.state import LimitReport
+from savorylift.fleet.limit_messages import LimitReport
 from tests.exchange.factories import make_server_entry
 
 ENTRY = make_server_entry()
--- a/tests/backends/test_quarantine_set.py
+++ b/tests/backends/test_quarantine_set.py
@@ -16,7 +16,7 @@
     MAX_QUARANTINES,
     RequestQuarantine,
 )
-from savorylift.fleet.state import QuarantinedParts, QuarantineNews
+from savorylift.fleet.quarantine_news import QuarantinedParts, QuarantineNews
 
 BYSTANDERS_PER_CRASH = 3
 # A judgement of crashes may take some milliseconds, at half a microsecond and
--- a/tests/backends/test_request_quarantine.py
+++ b/tests/backends/test_request_quarantine.py
@@ -18,7 +18,7 @@
     MAX_QUARANTINES_SENT,
     RequestQuarantine,
 )
-from savorylift.fleet.state import QuarantineNews
+from savorylift.fleet.quarantine_news import QuarantineNews
 
 ME = "10.0.0.1"
 DEADLY = ("system", "dead")
--- a/tests/exchange/factories.py
+++ b/tests/exchange/factories.py
@@ -17,7 +17,8 @@
 from savorylift.exchange.server_pool import ServerPool
 from savorylift.fleet.membership import LIVENESS_TIMEOUT_S, Membership
 from savorylift.fleet.permit_issuer import PermitIssuer
-from savorylift.fleet.state import Change, NodeState, ServerLoad
+from savorylift.fleet.state import NodeState, ServerLoad
+from savorylift.fleet.store_records import Change
 from savorylift.fleet.store_view import Decoders, StoreView
 from savorylift.platform.backend_servers import decode_server
 from savorylift.platform.configuration import (
--- a/tests/exchange/test_limit_sync.py
+++ b/tests/exchange/test_limit_sync.py
@@ -8,8 +8,8 @@
 from freezegun.api import FrozenDateTimeFactory
 
 from savorylift.exchange.limit_sync import MIN_NEWS_INTERVAL_S, LimitSync
+from savorylift.fleet.limit_messages import LimitMessage, LimitNews
 from savorylift.fleet.permit_issuer import PermitIssuer
-from savorylift.fleet.state import LimitMessage, LimitNews
 from tests.exchange.factories import make_server
 from tests.exchange.test_limit_gate import make_head
 
--- a/tests/exchange/test_origin_table.py
+++ b/tests/exchange/test_origin_table.py
@@ -5,7 +5,11 @@
 import pytest
 
 from savorylift.exchange.origin_table import MAX_ORIGINS, OriginTable
-from savorylift.fleet.state import UNKNOWN_VERSION, ServerProcess, StreamOrigin
+from savorylift.fleet.origin_messages import (
+    UNKNOWN_VERSION,
+    ServerProcess,
+    StreamOrigin,
+)
 
 ORIGIN = StreamOrigin("a1", "s", "v1", 30.0)
 PROCESS = ServerProcess("i-1", 5, "v1")
--- a/tests/fleet/test_permit_issuer.py
+++ b/tests/fleet/test_permit_issuer.py
@@ -9,6 +9,11 @@
 from freezegun.api import FrozenDateTimeFactory
 
 from savorylift.fleet.codec import encode
+from savorylift.fleet.limit_messages import (
+    LimitReport,
+    PermitReply,
+    PermitRequest,
+)
 from savorylift.fleet.membership import Membership
 from savorylift.fleet.permit_issuer import (
     HANDOVER_HOLD_S,
@@ -17,7 +22,6 @@
     PermitBucket,
     PermitIssuer,
 )
-from savorylift.fleet.state import LimitReport, PermitReply, PermitRequest
 from tests.fleet.test_membership import state
 
 # The users judge limits over this time, with these tolerances.
--- a/tests/fleet/test_snapshot_server.py
+++ b/tests/fleet/test_snapshot_server.py
@@ -7,7 +7,7 @@
 
 from savorylift.fleet.message_auth import MessageAuthenticator
 from savorylift.fleet.snapshot_server import MAX_SEND_RATE, SnapshotServer
-from savorylift.fleet.state import Snapshot
+from savorylift.fleet.store_records import Snapshot
 from savorylift.wire.message import Request, Response
 
 SNAPSHOT = Snapshot(5, (7, 0), {"config": bytes(range(256)) * 400}, {})
--- a/tests/fleet/test_store_view.py
+++ b/tests/fleet/test_store_view.py
@@ -8,7 +8,7 @@
 
 from savorylift.backends.registry import GRACE_PERIOD_S
 from savorylift.fleet.codec import decode, encode
-from savorylift.fleet.state import Change, Delta, Snapshot, Topic
+from savorylift.fleet.store_records import Change, Delta, Snapshot, Topic
 from savorylift.fleet.store_view import StoreView
 from tests.exchange.factories import encode_server_entry, make_store_view
 
--- a/tests/fleet/test_topic_consumer.py
+++ b/tests/fleet/test_topic_consumer.py
@@ -8,7 +8,7 @@
 from returns.result import Failure, Result
 
 from savorylift.fleet.peer_transport import MAX_READER_INTERVAL_S
-from savorylift.fleet.state import Topic
+from savorylift.fleet.store_records import Topic
 from savorylift.fleet.topic_consumer import ReadPolicy, TopicConsumer
 from savorylift.platform.store import (
     Batch,
--- a/tests/front/test_peer_sync.py
+++ b/tests/front/test_peer_sync.py
@@ -10,7 +10,8 @@
 
 from savorylift.fleet.membership import Membership
 from savorylift.fleet.message_auth import MessageAuthenticator
-from savorylift.fleet.state import Change, NodeState
+from savorylift.fleet.state import NodeState
+from savorylift.fleet.store_records import Change
 from savorylift.front.peer_sync import PeerSync
 from savorylift.front.tasks import BackgroundTasks
 from savorylift.wire.listener import Listener, connection_handler
