Split the server pool by job

Change: allowed_servers (by service, region, software version and state), server_places (this node's share of what cold and brittle servers take), node_retries (its share of the retries) and server_notices (what servers say of themselves in heads) have a class each; the pool chooses, reserves and accounts. Its methods that only passed on to the budget are gone: callers use pool.retries. A choice still counts the nodes once. The sharing code of cold and brittle servers, written twice, is one method.

No test changed.

--- /dev/null
+++ b/src/savorylift/exchange/allowed_servers.py
@@ -0,0 +1,117 @@
+"""Which backend servers may run a request, full ones included."""
+
+from collections.abc import Collection, Iterator, Mapping
+
+from savorylift.backends.registry import BackendServer
+from savorylift.exchange.admission import AdmittedRequest
+from savorylift.exchange.request import CallerRequest
+from savorylift.exchange.server_holds import ServerHolds
+from savorylift.fleet.store_view import StoreView
+from savorylift.placement.candidates import eligible_servers
+
+
+class AllowedServers:
+    """Tells servers apart by service, region, software version and state."""
+
+    def __init__(
+        self,
+        store_view: StoreView,
+        region_by_domain: Mapping[str, str],
+        holds: ServerHolds,
+    ) -> None:
+        """Reads the store view and the holds at each choice.
+
+        Args:
+            store_view: Servers and evacuations, as recorded in the store.
+            region_by_domain: Region of each failure domain.
+            holds: Which servers want nothing for a while.
+        """
+        self._store_view = store_view
+        self._region_by_domain = region_by_domain
+        self._holds = holds
+
+    def find(
+        self, admitted: AdmittedRequest, tried: Collection[str]
+    ) -> Iterator[BackendServer]:
+        """Yields the servers that may run a request.
+
+        Args:
+            admitted: The request.
+            tried: IDs of the servers to leave out.
+        """
+        found = eligible_servers(
+            self._store_view.registry.servers,
+            admitted.service.name,
+            self._store_view.evacuated,
+            tried,
+            lambda domain: self._is_allowed_domain(admitted, domain),
+        )
+        version = admitted.software_version
+        for server in found:
+            if version in (None, server.entry.software_version):
+                yield server
+
+    def find_known_engine(
+        self, admitted: AdmittedRequest, tried: Collection[str]
+    ) -> BackendServer | None:
+        """Returns the engine of the run that the caller names, if any.
+
+        It may drain or be out of service: its runs finish.
+        """
+        known = admitted.req.known_run
+        if known is None or known.server_id in tried:
+            return None
+        server = self._store_view.registry.servers.get(known.server_id)
+        if server is None or self._holds.is_held(known.server_id):
+            return None
+        entry = server.entry
+        if entry.service != admitted.service.name:
+            return None
+        if not self._is_allowed_domain(admitted, entry.failure_domain):
+            return None
+        if admitted.software_version not in (None, entry.software_version):
+            return None
+        return server
+
+    def may_send(self, server: BackendServer, req: CallerRequest) -> bool:
+        """Returns whether a request may still go to the server chosen for it.
+
+        One that drains or is out of service gets nothing new, but the run that
+        the caller names goes on there.
+        """
+        entry = server.entry
+        known = self._store_view.registry.find_entry(entry.server_id)
+        if known is None or self._holds.is_held(entry.server_id):
+            return False
+        if (known.address, known.software_version) != (
+            entry.address,
+            entry.software_version,
+        ):
+            return False
+        if req.has_run_at(entry.server_id):
+            return True
+        return not known.is_leaving and self._store_view.evacuated.isdisjoint(
+            (entry.failure_domain, entry.server_id)
+        )
+
+    def servers_in_service(self, service: str) -> list[BackendServer]:
+        """Returns the servers of a service that may get requests."""
+        return list(
+            eligible_servers(
+                self._store_view.registry.servers,
+                service,
+                self._store_view.evacuated,
+            )
+        )
+
+    def is_in_service(self, server: BackendServer) -> bool:
+        """Returns whether a server is still registered and not draining."""
+        known = self._store_view.registry.find_entry(server.entry.server_id)
+        return known is not None and not known.is_leaving
+
+    def _is_allowed_domain(
+        self, admitted: AdmittedRequest, domain: str
+    ) -> bool:
+        """Whether a request may run in the region of a failure domain."""
+        regions = admitted.regions
+        return regions is None or self._region_by_domain.get(domain) in regions
--- a/src/savorylift/exchange/engine_queue.py
+++ b/src/savorylift/exchange/engine_queue.py
@@ -114,7 +114,7 @@
 
         def has_alternative() -> bool:
             # Once the stream has begun, fewer engines may continue it.
-            return self._pool.may_retry(
+            return self._pool.retries.may_retry(
                 run.admitted.service.name
             ) and self._pool.has_engine_with_room(run.admitted, options, tried)
 
--- a/src/savorylift/exchange/plain_call.py
+++ b/src/savorylift/exchange/plain_call.py
@@ -240,7 +240,7 @@
             admitted,
             admitted.route.objective_s or DEFAULT_OBJECTIVE_S,
             lambda: (
-                self._pool.may_retry(admitted.service.name)
+                self._pool.retries.may_retry(admitted.service.name)
                 and self._pool.has_untried_server(admitted, tried)
             ),
             is_last=is_last,
--- a/src/savorylift/exchange/request_retries.py
+++ b/src/savorylift/exchange/request_retries.py
@@ -31,7 +31,7 @@
         """Takes a retry if the next send is one; returns whether it may be."""
         if not self._reached_server or self._is_taken:
             return True
-        self._is_taken = self._pool.take_retry(self._service)
+        self._is_taken = self._pool.retries.take_retry(self._service)
         if not self._is_taken:
             metrics.RETRIES_DENIED.labels(self._service).inc()
         return self._is_taken
--- a/src/savorylift/front/caller_handler.py
+++ b/src/savorylift/front/caller_handler.py
@@ -222,7 +222,7 @@
             return
         admitted = admission.unwrap()
         if not self._is_for_other_node(conn, admitted):
-            self._pool.count_request(admitted.service.name)
+            self._pool.retries.count_request(admitted.service.name)
         refused = (
             self._refuse_while_draining(admitted) or self._refuse_overload()
         )
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -236,5 +236,5 @@
         self._streams.generations.on_change()
 
     def _on_head(self, server: BackendServer, head: AnswerHead) -> None:
-        if self._servers.pool.record_head(server, head):
+        if self._servers.notices.record_head(server, head):
             self._streams.generations.on_change()
--- a/src/savorylift/front/server_parts.py
+++ b/src/savorylift/front/server_parts.py
@@ -16,6 +16,7 @@
 from savorylift.exchange.server_check import ServerCheck
 from savorylift.exchange.server_holds import ServerHolds
 from savorylift.exchange.server_life import ServerLife
+from savorylift.exchange.server_notices import ServerNotices
 from savorylift.exchange.server_opener import ServerOpener
 from savorylift.exchange.server_pool import ServerPool
 from savorylift.exchange.server_reach import Probe, ServerReach
@@ -35,6 +36,7 @@
     Attributes:
         limit_gate: Holds the limits that servers name.
         pool: Servers to choose from, and the retry budget.
+        notices: Records what servers say of themselves.
         crash_guard: Stops requests that crash servers.
         check: Finds out whether a server is gone.
         reach: Which services this node doesn't reach.
@@ -45,6 +47,7 @@
 
     limit_gate: LimitGate
     pool: ServerPool
+    notices: ServerNotices
     crash_guard: CrashGuard
     check: ServerCheck
     reach: ServerReach
@@ -88,6 +91,9 @@
         reach,
         on_head,
     )
+    notices = ServerNotices(
+        shared.store_view.registry, holds, pool.brittle, transport.send_soon
+    )
     crash_guard = CrashGuard(
         RequestQuarantine(shared.identity.ip),
         shared.membership,
@@ -96,6 +102,7 @@
     return ServerParts(
         limit_gate,
         pool,
+        notices,
         crash_guard,
         check,
         reach,
