--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -18,6 +18,11 @@
 NOT_EXECUTED_HEADER = ("x-savorylift-not-executed", "1")
 STREAM_TYPE_HEADER = ("content-type", "text/event-stream")
 TRICKLE_INTERVAL_S = 0.2
+# Where engines send copies of runs to each other.
+COPY_TARGET = "/kv-copy"
+# By so many bytes, in the circle of all sizes, events differ from the last.
+SIZE_STEP = 7919
+FIRST_EVENT = 1
 # How long a server is down after a crash.
 RESTART_S = 0.2
 
@@ -53,6 +58,11 @@
             their connection.
         ends_in_order: Whether an end of its process closes connections in
             order, also those of streams without chunks.
+        close_interval_s: Time from one connection to the next that it closes,
+            as its process ends in order.
+        answers_in_parts: Whether plain answers hold the same as streams, and
+            come in as many parts.
+        event_bytes: Most bytes that an event is filled up with.
         events_per_stream: Number of events of each stream.
         event_interval_s: Pause before each event of a stream.
         trickles_after: Number of the event after which a stream that begins
@@ -109,6 +119,7 @@
             None to name none.
         brittle_at: Number of rejections in a second beyond which it falls
             over, as it says in all its answers; None if it is sound.
+        retry_after: When to return, as all its answers say; None not to say.
         says_leaving: Whether it says in all its answers that it leaves.
         hold: For how long it wants nothing more, as its rejections say; None
             not to say.
@@ -137,6 +148,9 @@
         self.is_leaving = False
         self.has_unframed_streams = False
         self.ends_in_order = False
+        self.close_interval_s = 0.0
+        self.answers_in_parts = False
+        self.event_bytes = 0
         self.events_per_stream = 10
         self.event_interval_s = 0.01
         self.trickles_after: int | None = None
@@ -172,6 +186,7 @@
         self.crashes_s: list[float] = []
         self.named_limit: str | None = None
         self.brittle_at: int | None = None
+        self.retry_after: str | None = None
         self.places: int | None = None
         self.says_leaving = False
         self.hold: str | None = None
@@ -272,10 +287,13 @@
         req = await conn.next_request()
         if not isinstance(req, Request):
             return
-        self.arrivals.append(time.monotonic())
+        if req.target == COPY_TARGET:
+            self._keep_copy(conn, json.loads(req.body))
+            return
+        self._record_arrival()
         headers = dict(req.headers)
         if req.target == "/report":
-            self.reports += 1
+            self._record_report()
             await asyncio.sleep(self.report_delay_s)
             if not self.has_report:
                 conn.respond(404, (), b"")
@@ -316,6 +334,12 @@
         await conn.channel.drain()
         conn.channel.close()
 
+    def _record_arrival(self) -> None:
+        self.arrivals.append(time.monotonic())
+
+    def _record_report(self) -> None:
+        self.reports += 1
+
     def _refusal_headers(self, headers: dict[str, str]) -> Headers:
         attempt = headers["x-savorylift-attempt-id"]
         return (
@@ -332,6 +356,8 @@
             headers += (("server-limit", self.named_limit),)
         if self.brittle_at is not None:
             headers += (("server-brittle", str(self.brittle_at)),)
+        if self.retry_after is not None:
+            headers += (("retry-after", self.retry_after),)
         if self.says_leaving:
             headers += (("server-leaving", "1"),)
         return headers
@@ -375,6 +401,8 @@
             return
         is_stream = "x-savorylift-token-counts" in headers
         if is_stream and self.status == 200:
+            response_headers += (STREAM_TYPE_HEADER,)
+        if (is_stream or self.answers_in_parts) and self.status == 200:
             await self._stream(conn, attempt, headers, response_headers)
             return
         answer = b"answer of " + attempt.encode()
@@ -398,7 +426,6 @@
         headers: dict[str, str],
         response_headers: Headers,
     ) -> None:
-        stream_headers = (*response_headers, STREAM_TYPE_HEADER)
         if "kv-from" in headers:
             handle = headers["kv-from"].rpartition("/")[2]
             if self.kv_copies.pop(handle, None) is None or self.loses_copies:
@@ -410,7 +437,7 @@
         data = self.software_version.encode() if self.says_version else b"x"
         conn.start_response(
             200,
-            stream_headers,
+            response_headers,
             is_close_delimited=self.has_unframed_streams,
         )
         if self.ends_in_order:
@@ -424,7 +451,8 @@
             if self.closes_after == number:
                 conn.send_body(b"id: %d\ndata: cut" % number)
                 return
-            conn.send_body(b"id: %d\ndata: %s\n\n" % (number, data))
+            filling = self._filling(number)
+            conn.send_body(b"id: %d\n%sdata: %s\n\n" % (number, filling, data))
             self.streamed_events[attempt] = number
             self.on_event(number)
             if self._resets_after(number, is_resumed=bool(start)):
@@ -439,6 +467,12 @@
         self._ended.add(attempt)
         self.ended_s = time.monotonic()
 
+    def _filling(self, number: int) -> bytes:
+        """Returns a comment by which events differ in size."""
+        if not self.event_bytes:
+            return b""
+        return b":%s\n" % (b"." * (number * SIZE_STEP % self.event_bytes))
+
     def _resets_after(self, number: int, *, is_resumed: bool) -> bool:
         if self.resets_from is not None and number >= self.resets_from:
             return True
@@ -479,7 +513,23 @@
         handle = f"h-{attempt}"
         event_count = self.streamed_events[attempt]
         port = int(str(copy_request["to"]).rpartition(":")[2])
-        self.peers[port].kv_copies[handle] = KvCopy(attempt, event_count)
-        self.kv_copies[handle] = KvCopy(attempt, event_count)
+        copy = KvCopy(attempt, event_count)
+        if not await self._send_copy(port, handle, copy):
+            conn.respond(503, (), b"")
+            return
+        self.kv_copies[handle] = copy
         response_body = {"handle": handle, "createdRev": event_count}
         conn.respond(200, (), json.dumps(response_body).encode())
+
+    async def _send_copy(self, port: int, handle: str, copy: KvCopy) -> bool:
+        """Gives a copy to another engine; returns whether it has it."""
+        self.peers[port].kv_copies[handle] = copy
+        return True
+
+    def _keep_copy(
+        self, conn: ServerConnection, sent: dict[str, object]
+    ) -> None:
+        """Keeps a copy that another engine sends."""
+        copy = KvCopy(str(sent["attempt_id"]), int(str(sent["event_count"])))
+        self.kv_copies[str(sent["handle"])] = copy
+        conn.respond(200, (), b"")
