Let the version soak play engines that are processes

Cause: its engines lived in the test process and broke connections off; a stream without framing that the end of a real process cuts off ends in order, which the soak never played.

Change: the servers of the service that requests go to are EngineProcesses; engines end by SIGKILL, SIGTERM or both. Shapes that reset connections still do: a killed process resets what its sockets say. New shapes play what was seen of killed engines: limits, stopped and ended nodes, late returns, removed entries, kept connections, slow readers, plain answers in parts, drains beside deaths. What a shape consists of is in shape.py now.

--- a/tests/front/engine_process.py
+++ b/tests/front/engine_process.py
@@ -43,7 +43,7 @@
         self._next: _Process | None = None
         self._ending: set[_Process] = set()
         self._followers: set[asyncio.Task[None]] = set()
-        self._last_born = 0
+        self._last_born = self.born
         self._earlier_reports = 0
 
     def __setattr__(self, name: str, value: object) -> None:
@@ -68,10 +68,10 @@
         process = self._next or self._launch()
         self._next = None
         _send(process, self._scalars())
+        self._child = process
         lines = await _open_output(process)
         first = await lines.readline()
         assert decode_record(first).kind is RecordKind.LISTENING
-        self._child = process
         follower = asyncio.ensure_future(self._follow(process, lines))
         self._followers.add(follower)
         self._next = self._launch()
--- a/tests/front/node_fleet.py
+++ b/tests/front/node_fleet.py
@@ -130,6 +130,10 @@
         entry["coldRemainingMs"] = cold_ms
         self._store.add(SERVERS_TOPIC, server.server_id, entry)
 
+    def remove_entry(self, server: PlatformServer) -> None:
+        """Removes a server's entry from the store."""
+        self._store.add(SERVERS_TOPIC, server.server_id, None)
+
     def restart_under_other_id(
         self, server: PlatformServer, service: str
     ) -> None:
--- a/tests/front/stream_callers.py
+++ b/tests/front/stream_callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import socket
 import ssl
 from typing import NamedTuple, Protocol
 
@@ -10,6 +11,9 @@
 from tests.front.kept_connection import Answer, KeptConnection
 
 CONNECT_TIMEOUT_S = 1.0
+# A slow caller reads at most so much at a time, and so often.
+SLOW_BUFFER_BYTES = 16_384
+SLOW_READ_INTERVAL_S = 0.05
 NO_ANSWER = Answer(0, {}, b"", is_whole=False)
 # What callers ask for beside streams: a path without a route, and a plain call.
 OTHER_PATHS = ("/unknown/x", "/once/x")
@@ -48,12 +52,45 @@
     async def ask(self, ip: str, port: int, call: Call) -> Answer:
         """Sends a request on a new connection and reads the response."""
         try:
-            conn = KeptConnection(await connect(ip, port, CONNECT_TIMEOUT_S))
+            conn = KeptConnection(await self._connect(ip, port))
         except OSError:
             return NO_ANSWER
         conn.send(call.path, call.headers, call.body)
         return await conn.read(call.timeout_s, call.max_pause_s)
 
+    async def _connect(self, ip: str, port: int) -> Channel:
+        return await connect(ip, port, CONNECT_TIMEOUT_S)
+
+
+class _SlowChannel(Channel):
+    """A connection that is read a little at a time, with pauses."""
+
+    async def read(self) -> bytes:
+        await asyncio.sleep(SLOW_READ_INTERVAL_S)
+        return await super().read()
+
+
+class SlowCaller(FreshCaller):
+    """Reads some responses more slowly than they come."""
+
+    def __init__(self, rng: random.Random, share: float) -> None:
+        """Draws which responses, so that they are this share of all."""
+        self._rng = rng
+        self._share = share
+
+    async def _connect(self, ip: str, port: int) -> Channel:
+        if self._rng.random() >= self._share:
+            return await super()._connect(ip, port)
+        loop = asyncio.get_running_loop()
+        async with asyncio.timeout(CONNECT_TIMEOUT_S):
+            transport, channel = await loop.create_connection(
+                _SlowChannel, ip, port
+            )
+        channel.limit_input(SLOW_BUFFER_BYTES)
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SLOW_BUFFER_BYTES)
+        return channel
+
 
 class Habits(NamedTuple):
     """What callers do with their connections.
--- a/tests/front/version_fleet.py
+++ b/tests/front/version_fleet.py
@@ -11,7 +11,11 @@
 from savorylift.settings import TlsSettings
 from savorylift.wire.message import Headers
 from tests.front.cut_node import CUT_SIGNAL, HEAL_SIGNAL, SERVER_CUT_SIGNAL
-from tests.front.node_fleet import START_TIMEOUT_S, NodeFleet
+from tests.front.node_fleet import (
+    GENERATION_PATHS,
+    START_TIMEOUT_S,
+    NodeFleet,
+)
 from tests.front.process_fleet import ProcessFleet
 from tests.front.stream_callers import Call, FreshCaller, StreamCaller
 from tests.standins.platform_store import PlatformStore
@@ -89,9 +93,10 @@
             ("x-savorylift-attempt-id", attempt),
             ("x-savorylift-deadline-remaining", "6000"),
             ("x-api-key", "key"),
-            ("x-savorylift-token-counts", counts),
             *extra,
         )
+        if self.path.startswith(GENERATION_PATHS):
+            headers += (("x-savorylift-token-counts", counts),)
         ip = self.ips[node]
         build = self._build(ip)
         loop = asyncio.get_running_loop()
--- a/tests/soak/engine_faults.py
+++ b/tests/soak/engine_faults.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
+from tests.front.engine_process import EngineProcess
 from tests.soak.fault_context import FaultAction, FaultContext
-from tests.soak.version_shapes import Fault
-from tests.standins.platform_server import PlatformServer
+from tests.soak.shape import Ending, Fault
 
 HOLD_S = 0.3
 # What engines say that they want nothing for, in seconds.
@@ -18,7 +18,14 @@
 CROSSING_S = (0.2, 0.8)
 # How long to wait for a stream that begins at an engine.
 BEGIN_TIMEOUT_S = 2.0
-SERVICE = "pool"
+# How long an engine that was asked to end is given, if it isn't to end at once.
+CUT_TERM_S = (0.0, 0.1)
+# Restarts in a series, and how long an engine serves in between.
+SERIES = (2, 3)
+SERIES_S = (0.05, 0.5)
+# A node is stopped so long before an engine ends, and for so long.
+STOP_BEFORE_S = 0.1
+STOP_S = (0.6, 2.0)
 
 
 class EngineFaults:
@@ -35,6 +42,8 @@
         """Returns what brings each fault about and waits for its end."""
         return {
             Fault.RESTART: self._restart,
+            Fault.SERIES: self._restart_in_series,
+            Fault.STOP: self._restart_beside_stopped_node,
             Fault.UNREAD: self._serve_unread,
             Fault.BEGIN: self._crash_at_begin,
             Fault.HOLD: self._hold,
@@ -44,7 +53,7 @@
         }
 
     async def _restart(self) -> None:
-        server = self._rng.choice(self._fleet.pool)
+        server = self._rng.choice(self._fleet.engines)
         if not self._context.take(server.server_id):
             return
         delay_s, version = self._draw_release()
@@ -55,8 +64,42 @@
         await self._start_again(server, version, delay_s)
         self._context.release(server.server_id)
 
+    async def _restart_in_series(self) -> None:
+        server = self._rng.choice(self._fleet.engines)
+        if not self._context.take(server.server_id):
+            return
+        count = self._rng.choice(SERIES)
+        for _ in range(count):
+            serve_s = self._rng.uniform(*SERIES_S)
+            _, version = self._draw_release()
+            self._context.describe(
+                f"{server.server_id} starts again at {version}, and ends after"
+                f" {serve_s:.1f} s without an entry"
+            )
+            await self._end(server, version)
+            await server.start(server.port)
+            await asyncio.sleep(serve_s)
+        delay_s, version = self._draw_release()
+        await self._start_again(server, version, delay_s)
+        self._context.release(server.server_id)
+
+    async def _restart_beside_stopped_node(self) -> None:
+        ip = self._rng.choice(self._fleet.ips)
+        if not self._context.take(ip):
+            return
+        stop_s = self._rng.uniform(*STOP_S)
+        self._context.describe(f"{ip} is stopped for {stop_s:.1f} s")
+        process = self._fleet.processes[ip]
+        process.pause()
+        await asyncio.sleep(STOP_BEFORE_S)
+        restart = asyncio.ensure_future(self._restart())
+        await asyncio.sleep(stop_s - STOP_BEFORE_S)
+        process.resume()
+        self._context.release(ip)
+        await restart
+
     async def _serve_unread(self) -> None:
-        server = self._rng.choice(self._fleet.pool)
+        server = self._rng.choice(self._fleet.engines)
         if not self._context.take(server.server_id):
             return
         serve_s = self._rng.uniform(*UNREAD_S)
@@ -74,7 +117,7 @@
         self._context.release(server.server_id)
 
     async def _crash_at_begin(self) -> None:
-        server = self._rng.choice(self._fleet.pool)
+        server = self._rng.choice(self._fleet.engines)
         if not self._context.take(server.server_id):
             return
         delay_s, _ = self._draw_release()
@@ -88,7 +131,7 @@
         self._context.release(server.server_id)
 
     async def _drain(self) -> None:
-        server = self._rng.choice(self._fleet.pool)
+        server = self._rng.choice(self._fleet.engines)
         if not self._context.take(server.server_id):
             return
         self._begin_drain(server)
@@ -97,14 +140,14 @@
 
     async def _move(self) -> None:
         """An engine drains, and takes requests again; it doesn't end."""
-        server = self._rng.choice(self._fleet.pool)
+        server = self._rng.choice(self._fleet.engines)
         if not self._context.take(server.server_id):
             return
         self._context.describe(f"{server.server_id} drains for a while")
         self._begin_drain(server)
         await asyncio.sleep(MOVE_DRAIN_S)
         server.is_leaving = False
-        self._fleet.publish_entry(server, SERVICE)
+        self._fleet.publish_entry(server, self._fleet.engine_service)
         self._context.release(server.server_id)
 
     async def _cross(self) -> None:
@@ -113,10 +156,10 @@
         The first one drains and takes requests again as the second begins to
         drain, so that copies are on their way in both directions.
         """
-        first = self._rng.choice(self._fleet.pool)
+        first = self._rng.choice(self._fleet.engines)
         others = [
             server
-            for server in self._fleet.pool
+            for server in self._fleet.engines
             if server.software_version == first.software_version
             and server is not first
         ]
@@ -130,7 +173,7 @@
         self._begin_drain(first)
         await asyncio.sleep(self._rng.uniform(*CROSSING_S))
         first.is_leaving = False
-        self._fleet.publish_entry(first, SERVICE)
+        self._fleet.publish_entry(first, self._fleet.engine_service)
         self._begin_drain(second)
         await asyncio.gather(
             self._end_drain(first, self._rng.uniform(*CROSSING_S)),
@@ -139,13 +182,13 @@
         self._context.release(*ids)
 
     async def _hold(self) -> None:
-        server = self._rng.choice(self._fleet.pool)
+        server = self._rng.choice(self._fleet.engines)
         self._context.describe(f"{server.server_id} holds")
         server.rejects_all, server.hold = True, HOLD_HEADER
         await asyncio.sleep(HOLD_S)
         server.rejects_all, server.hold = False, None
 
-    async def _end_drain(self, server: PlatformServer, drain_s: float) -> None:
+    async def _end_drain(self, server: EngineProcess, drain_s: float) -> None:
         """An engine that drains ends after a time, and starts again."""
         delay_s, version = self._draw_release()
         self._context.describe(
@@ -156,35 +199,42 @@
         server.is_leaving = False
         await self._start_again(server, version, delay_s)
 
-    def _begin_drain(self, server: PlatformServer) -> None:
+    def _begin_drain(self, server: EngineProcess) -> None:
         server.is_leaving = True
-        self._fleet.publish_entry(server, SERVICE, "draining")
-
-    async def _end(self, server: PlatformServer, version: str) -> None:
-        """Ends an engine; its next process has no memory of the last."""
-        server.stop()
-        if self._shape.ends_in_order:
-            await server.end_all()
-        elif self._shape.is_unframed:
-            server.close_all()
-        else:
-            server.abort_all()
-        server.forget_runs()
+        self._fleet.publish_entry(
+            server, self._fleet.engine_service, "draining"
+        )
+
+    async def _end(self, server: EngineProcess, version: str) -> None:
+        """Ends an engine, whose next process is of a version."""
+        await self._end_process(server)
+        if self._shape.removes_entries:
+            self._fleet.remove_entry(server)
         server.software_version = version
-        server.born += 1
-        await asyncio.sleep(self._shape.restart_s)
+        await asyncio.sleep(self._context.draw_between(*self._shape.restart_s))
+        server.draw_born()
+
+    async def _end_process(self, server: EngineProcess) -> None:
+        ending = self._context.draw(self._shape.endings)
+        self._context.describe(f"{server.server_id} gets {ending}")
+        if ending is Ending.KILL:
+            server.kill()
+        elif ending is Ending.TERM:
+            await server.terminate()
+        else:
+            await server.terminate(self._rng.uniform(*CUT_TERM_S))
 
     async def _start_again(
-        self, server: PlatformServer, version: str, delay_s: float
+        self, server: EngineProcess, version: str, delay_s: float
     ) -> None:
         await self._end(server, version)
         if delay_s < 0:
-            self._fleet.publish_entry(server, SERVICE)
+            self._fleet.publish_entry(server, self._fleet.engine_service)
             await asyncio.sleep(-delay_s)
         await server.start(server.port)
         if delay_s >= 0:
             await asyncio.sleep(delay_s)
-            self._fleet.publish_entry(server, SERVICE)
+            self._fleet.publish_entry(server, self._fleet.engine_service)
 
     def _draw_release(self) -> tuple[float, str]:
         """Returns when an entry follows, and the next version."""
@@ -192,7 +242,7 @@
         return delay_s, self._rng.choice(self._shape.releases)
 
 
-async def _begins_stream(server: PlatformServer) -> bool:
+async def _begins_stream(server: EngineProcess) -> bool:
     """Waits for the first event of any stream; returns whether one came."""
     has_begun = asyncio.Event()
     server.on_event = lambda number: has_begun.set() if number == 1 else None
--- a/tests/soak/fault_context.py
+++ b/tests/soak/fault_context.py
@@ -2,10 +2,13 @@
 
 import datetime as dt
 import random
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
+from typing import TypeVar
 
-from tests.front.version_fleet import VersionProcessFleet
-from tests.soak.version_shapes import Shape
+from tests.front.engine_fleet import EngineProcessFleet
+from tests.soak.shape import Shape
+
+T = TypeVar("T")
 
 FaultAction = Callable[[], Awaitable[None]]
 
@@ -23,7 +26,7 @@
     """
 
     def __init__(
-        self, fleet: VersionProcessFleet, shape: Shape, rng: random.Random
+        self, fleet: EngineProcessFleet, shape: Shape, rng: random.Random
     ) -> None:
         """Begins without any fault."""
         self.fleet = fleet
@@ -37,6 +40,14 @@
         now = dt.datetime.now(dt.UTC)
         self.injected.append(f"{now:%H:%M:%S.%f} {fault}")
 
+    def draw(self, options: Sequence[T]) -> T:
+        """Returns one of the options; draws nothing if there is one."""
+        return options[0] if len(options) == 1 else self.rng.choice(options)
+
+    def draw_between(self, low: float, high: float) -> float:
+        """Returns a number of a range; draws nothing if it holds just one."""
+        return low if low == high else self.rng.uniform(low, high)
+
     def take(self, *names: str) -> bool:
         """Marks names as busy; returns False if one of them was already."""
         if self.busy & set(names):
--- a/tests/soak/node_faults.py
+++ b/tests/soak/node_faults.py
@@ -4,7 +4,7 @@
 import signal
 
 from tests.soak.fault_context import FaultAction, FaultContext
-from tests.soak.version_shapes import Fault
+from tests.soak.shape import Fault
 
 FREEZE_S = (0.5, 6.0)
 CUT_S = (1.0, 5.0)
--- a/tests/soak/store_faults.py
+++ b/tests/soak/store_faults.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from tests.soak.fault_context import FaultAction, FaultContext
-from tests.soak.version_shapes import Fault
+from tests.soak.shape import Fault
 
 AWAY_S = (1.0, 6.0)
 COPY_AGE_S = (0.5, 3.0)
@@ -55,7 +55,8 @@
         self._context.describe(f"the store is set back by {age_s:.1f} s")
         self._store.restore(topics)
         await asyncio.sleep(ENTRIES_BACK_S)
-        for server in self._fleet.pool:
+        service = self._fleet.engine_service
+        for server in self._fleet.engines:
             if server.server_id not in self._context.busy:
-                self._fleet.publish_entry(server, "pool")
+                self._fleet.publish_entry(server, service)
         self._context.release(STORE)
--- a/tests/soak/version_callers.py
+++ b/tests/soak/version_callers.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from tests.front.version_fleet import Part, VersionProcessFleet, mixed
+from tests.soak.shape import RESUMABLE_PATH
 
 MAX_TAKE_UPS = 5
 MAX_RETURN_S = 2.0
@@ -117,6 +118,8 @@
         self._rng = rng
         self._twin_share = twin_share
         self._attempts = 0
+        is_resumable = fleet.path == RESUMABLE_PATH
+        self._max_take_ups = MAX_TAKE_UPS if is_resumable else 0
         self.twins: list[StreamResult] = []
 
     async def stream(self) -> StreamResult:
@@ -125,7 +128,7 @@
         part = await self._fleet.stream(self._node(), first)
         stream = _begin(first, part)
         while stream.versions and not stream.is_whole:
-            if stream.take_ups == MAX_TAKE_UPS:
+            if stream.take_ups == self._max_take_ups:
                 break
             await asyncio.sleep(_return_s(part))
             part = await self._take_up(stream)
--- a/tests/soak/version_scenario.py
+++ b/tests/soak/version_scenario.py
@@ -11,15 +11,16 @@
 from collections import Counter
 from typing import NamedTuple
 
+from tests.front.engine_fleet import EngineProcessFleet
 from tests.front.node_fleet import (
     REACTION_S,
     most_allowed,
     most_in_window,
 )
-from tests.front.stream_callers import KeepingCaller
-from tests.front.version_fleet import VersionProcessFleet
+from tests.front.stream_callers import KeepingCaller, SlowCaller
 from tests.harness.certificates import client_context, write_certificate
 from tests.soak.fault_context import FaultContext
+from tests.soak.shape import Shape
 from tests.soak.version_callers import (
     Kind,
     StreamResult,
@@ -32,7 +33,7 @@
     count_events,
     count_take_ups,
 )
-from tests.soak.version_shapes import PLAIN, Shape
+from tests.soak.version_shapes import PLAIN
 
 EVENT_INTERVAL_S = 1 / 60
 # From then on after the last fault, streams must end whole again.
@@ -116,10 +117,14 @@
     ) -> None:
         rng = random.Random(seed)
         self._shape = shape
-        self._fleet = VersionProcessFleet(shape.nodes, directory)
+        self._fleet = EngineProcessFleet(shape.nodes, directory, shape.path)
         self._context = FaultContext(self._fleet, shape, rng)
         self._callers = VersionCallers(self._fleet, rng, shape.twin_share)
         self._keeping = _make_caller(self._fleet, shape, directory, rng)
+        if shape.slow_share:
+            self._fleet.caller = SlowCaller(
+                random.Random(rng.random()), shape.slow_share
+            )
 
     def use_source(self, source: pathlib.Path) -> None:
         self._fleet.use_source(self._shape.other_nodes, source)
@@ -150,7 +155,7 @@
             Counter(),
             0 if self._keeping is None else self._keeping.kept,
             0 if self._keeping is None else self._keeping.pipelined,
-            sum(server.reports for server in self._fleet.pool),
+            sum(server.reports for server in self._fleet.engines),
             self._count_over_limit(began_s),
             Counter(),
         )
@@ -163,14 +168,20 @@
         since_s = began_s + REACTION_S
         return sum(
             most_in_window(server.arrivals, since_s) > allowed
-            for server in self._fleet.pool
+            for server in self._fleet.engines
         )
 
     def _set_up_engines(self) -> None:
         shape = self._shape
-        self._fleet.set_versions(*shape.versions)
         self._fleet.max_pause_s = shape.max_pause_s
-        for number, server in enumerate(self._fleet.pool):
+        versions = zip(self._fleet.engines, shape.versions, strict=True)
+        for number, (server, version) in enumerate(versions):
+            server.software_version = version
+            server.ends_in_order = shape.ends_in_order
+            server.close_interval_s = shape.close_interval_s
+            server.brittle_at = shape.brittle_at
+            server.retry_after = shape.retry_after
+            server.event_bytes = shape.event_bytes
             server.resets_after = shape.resets_after
             server.events_per_stream = shape.events
             server.event_interval_s = EVENT_INTERVAL_S
@@ -194,7 +205,7 @@
 
 
 def _make_caller(
-    fleet: VersionProcessFleet,
+    fleet: EngineProcessFleet,
     shape: Shape,
     directory: pathlib.Path,
     rng: random.Random,
