Play the soak of killed engines in the shapes of the version soak

Cause: two rigs played engines that are processes, each with a part of the faults; the test of killed engines had neither take-ups nor a recovery.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -2,6 +2,7 @@
 
 import argparse
 import concurrent.futures
+import fnmatch
 import itertools
 import pathlib
 import random
@@ -55,9 +56,8 @@
     parser.add_argument("--versions", action="store_true")
     parser.add_argument(
         "--shape",
-        choices=[*SHAPES, ALL_SHAPES],
         default="plain",
-        help="with --versions",
+        help="with --versions: a name, a pattern such as 'killed*', or all",
     )
     parser.add_argument(
         "--other-source",
@@ -71,7 +71,17 @@
         default=None,
         help="number of these nodes, if not that of the shape",
     )
-    return parser.parse_args()
+    cfg = parser.parse_args()
+    if not _chosen_shapes(cfg.shape):
+        parser.error(f"no such shape; there are {', '.join(SHAPES)}")
+    return cfg
+
+
+def _chosen_shapes(pattern: str) -> list[str]:
+    """Returns the names that are meant by the argument."""
+    if pattern == ALL_SHAPES:
+        return list(SHAPES)
+    return fnmatch.filter(SHAPES, pattern)
 
 
 def _run_shapes(
@@ -81,7 +91,7 @@
     log_directory: pathlib.Path,
 ) -> int:
     """Runs the seeds of the chosen shapes; returns how many failed."""
-    shapes = list(SHAPES) if cfg.shape == ALL_SHAPES else [cfg.shape]
+    shapes = _chosen_shapes(cfg.shape)
     runs = list(itertools.product(shapes, seeds))
     results = pool.map(
         _run_version_seed,
@@ -125,11 +135,13 @@
         seed, directory, duration_s, SHAPES[shape], other_source, other_nodes
     )
     return SeedResult(
-        result.faults, _counts(result), [*map(str, result.violations)]
+        result.faults,
+        _counts(result, SHAPES[shape].events),
+        [*map(str, result.violations)],
     )
 
 
-def _counts(result: VersionResult) -> Counter[str]:
+def _counts(result: VersionResult, events: int) -> Counter[str]:
     kinds = Counter(
         violation.kind.value + (" at another build" if violation.builds else "")
         for violation in result.violations
@@ -141,6 +153,10 @@
             "streams": len(result.streams),
             "begun": sum(bool(stream.versions) for stream in result.streams),
             "whole": sum(stream.is_whole for stream in result.streams),
+            "cut off after the last event": sum(
+                len(stream.numbers) == events and not stream.is_whole
+                for stream in result.streams
+            ),
             "take-ups": sum(stream.take_ups for stream in result.streams),
             "gone on": sum(stream.gone_on for stream in result.streams),
             "on kept connections": result.kept,
--- a/tests/soak/engine_faults.py
+++ b/tests/soak/engine_faults.py
@@ -37,6 +37,7 @@
         self._fleet = context.fleet
         self._shape = context.shape
         self._rng = context.rng
+        self._removals: set[asyncio.Future[None]] = set()
 
     def actions(self) -> dict[Fault, FaultAction]:
         """Returns what brings each fault about and waits for its end."""
@@ -208,12 +209,19 @@
     async def _end(self, server: EngineProcess, version: str) -> None:
         """Ends an engine, whose next process is of a version."""
         await self._end_process(server)
-        if self._shape.removes_entries:
-            self._fleet.remove_entry(server)
+        if self._shape.removal_s is not None:
+            removal = self._remove_entry(server, self._shape.removal_s)
+            self._removals.add(asyncio.ensure_future(removal))
         server.software_version = version
         await asyncio.sleep(self._context.draw_between(*self._shape.restart_s))
         server.draw_born()
 
+    async def _remove_entry(
+        self, server: EngineProcess, removal_s: float
+    ) -> None:
+        await asyncio.sleep(removal_s)
+        self._fleet.remove_entry(server)
+
     async def _end_process(self, server: EngineProcess) -> None:
         ending = self._context.draw(self._shape.endings)
         self._context.describe(f"{server.server_id} gets {ending}")
--- a/tests/soak/killed_engines.py
+++ b/tests/soak/killed_engines.py
@@ -15,9 +15,8 @@
 from collections.abc import Sequence
 from typing import NamedTuple
 
-from tests.front.engine_process import EngineProcess
-from tests.front.version_fleet import Part, VersionProcessFleet
-from tests.standins.platform_server import PlatformServer
+from tests.front.engine_fleet import EngineProcessFleet
+from tests.front.version_fleet import Part
 
 EVENTS = 60
 EVENT_INTERVAL_S = 1 / 60
@@ -57,23 +56,6 @@
     return_s: tuple[float, float] = RETURN_S
 
 
-class EngineProcessFleet(VersionProcessFleet):
-    """A fleet whose engines are processes."""
-
-    def __init__(self, nodes: int, directory: pathlib.Path) -> None:
-        super().__init__(nodes, directory)
-        self.engines = [
-            EngineProcess(server.server_id, directory) for server in self.pool
-        ]
-        self.pool: list[PlatformServer] = [*self.engines]
-        self.set_versions(*["v1"] * len(self.pool))
-
-    def _stop_nodes(self) -> None:
-        super()._stop_nodes()
-        for engine in self.engines:
-            engine.close()
-
-
 class Outcome(NamedTuple):
     """What callers got.
 
--- a/tests/soak/killed_shapes.py
+++ b/tests/soak/killed_shapes.py
@@ -14,6 +14,8 @@
 RETURN_S = (0.02, 0.3)
 LATE_RETURN_S = (3.0, 3.0)
 ENTRY_DELAY_S = 0.5
+# From the end of an engine to the removal of its entry.
+REMOVAL_S = 0.2
 CLOSE_INTERVAL_S = 0.01
 EVENT_BYTES = 20_000
 SPACED_STREAMS_S = 0.5
@@ -59,7 +61,8 @@
 
 KILLED_SHAPES = {
     "killed": KILLED,
-    "killed-gone": KILLED._replace(removes_entries=True),
+    "killed-gone": KILLED._replace(removal_s=REMOVAL_S),
+    "killed-gone-at-once": KILLED._replace(removal_s=0.0),
     "killed-late": KILLED._replace(restart_s=LATE_RETURN_S),
     "killed-limit-2": _limited(KILLED, "2"),
     "killed-limit-4": LIMITED,
@@ -118,6 +121,9 @@
     ),
     "killed-mixed": MIXED,
     "killed-mixed-limit-4": _limited(MIXED, "4"),
+    "killed-mixed-versions": MIXED._replace(
+        versions=VERSIONS.versions, releases=VERSIONS.releases
+    ),
     "killed-mixed-nodes": MIXED._replace(
         faults=(*MIXED.faults, Fault.END, Fault.FREEZE, Fault.KILL_ONE)
     ),
--- a/tests/soak/shape.py
+++ b/tests/soak/shape.py
@@ -90,7 +90,8 @@
         faults: Faults that come about, each as often as it is named.
         entry_delays_s: When the entry of an engine that starts again is
             written, after it began to serve.
-        removes_entries: Whether the entry of an engine that ends is removed.
+        removal_s: Time from the end of an engine until its entry is removed;
+            None to leave it.
         restart_s: Range of the times that an engine which ends is down for.
         endings: How engines end, each as often as it is named.
         close_interval_s: Time from one connection to the next that an engine
@@ -130,7 +131,7 @@
     releases: tuple[str, ...] = ("v1", "v2")
     faults: tuple[Fault, ...] = BASE_FAULTS
     entry_delays_s: tuple[float, ...] = ENTRY_DELAYS_S
-    removes_entries: bool = False
+    removal_s: float | None = None
     restart_s: tuple[float, float] = RESTART_S
     endings: tuple[Ending, ...] = (Ending.KILL,)
     close_interval_s: float = 0.0
