Judge each answer by an idle connection that was open beside it

Change: no connection of a request speaks for a process, but where a server refuses (it may be full). An answer is judged by the idle connection opened with its head, matched to it at a moment at which both are known to be open, and matched anew if the server closes that one; a connection that fails is tried again. What was heard of a process's start while the connection of a stream was open counts for that connection. Of a server whose entry names no start, acceptance is all that can be known, as before.

--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -91,6 +91,7 @@
         crash_guard.on_quarantine.append(self._stop_quarantined)
         self._release_rate = MemoryReleaseRate()
         self._resumption = resumption
+        resumption.on_start.append(server_check.record_start)
         self._relay = Relay(codec, self._on_first_event, self._on_event)
         self._runs: set[Run] = set()
 
--- a/src/savorylift/exchange/idle_connections.py
+++ b/src/savorylift/exchange/idle_connections.py
@@ -1,43 +1,60 @@
 """Keeps idle connections to servers that answer without framing.
 
-One stays open as long as its process does, whatever becomes of the answers.
+The end of a process closes all its connections. So one without a request that
+stays open shows that the process lives, whatever becomes of its answers.
 """
 
 import asyncio
+import contextlib
 import time
 import weakref
 from collections.abc import Callable
+from typing import NamedTuple
 
 from savorylift.exchange import metrics
-from savorylift.exchange.process_connections import (
-    ProcessConnections,
-    ProcessPlace,
-)
 from savorylift.wire.channel import Channel, connect
 
 CONNECT_TIMEOUT_S = 0.2
 # For how long a connection is kept for answers to come, and a service counts as
 # one that answers without framing.
 KEEP_S = 10.0
-# How often to look for answers whose requests were given up.
+# For how long one is kept after its answer, which may be judged meanwhile.
+JUDGE_S = 3.0
 LOOK_INTERVAL_S = 1.0
-# A server that closes it earlier gets another one with the next answer only.
-MIN_LIFE_S = 0.5
+# How often to look for a moment at which nothing of an answer is unread.
+MATCH_INTERVAL_S = 0.01
+# When to connect again to a server that refused, or closed the connection.
+RETRY_S = 0.5
 # Bounds the memory of services that are gone.
 MAX_SERVICES = 1000
 
 
+class ProcessPlace(NamedTuple):
+    """Where a process listens.
+
+    Attributes:
+        server_id: ID of its server.
+        address: Host and port.
+        starts_ms: Starts of the server that are known, as Unix times in
+            milliseconds.
+    """
+
+    server_id: str
+    address: tuple[str, int]
+    starts_ms: frozenset[int]
+
+
+# The latest idle connection that was open at the same time as an answer's.
+_Matches = weakref.WeakKeyDictionary[Channel, Channel]
+
+
 class IdleConnections:
     """At most one connection without a request to each process."""
 
-    def __init__(self, connections: ProcessConnections) -> None:
-        """Opens no connection yet.
-
-        Args:
-            connections: Where the connections are added.
-        """
-        self._connections = connections
+    def __init__(self) -> None:
+        """Opens no connection yet."""
         self._keepers: dict[ProcessPlace, _Keeper] = {}
+        self._matches: _Matches = weakref.WeakKeyDictionary()
         # Monotonic time of the latest answer without framing, by service.
         self._unframed_s: dict[str, float] = {}
 
@@ -74,10 +91,25 @@
         if keeper is not None:
             keeper.end(channel)
 
+    async def stays_open(self, channel: Channel, silence_s: float) -> bool:
+        """Whether the process of an answer that has ended lives.
+
+        Args:
+            channel: Connection of the answer.
+            silence_s: How long the idle connection must stay open.
+        """
+        idle = self._matches.get(channel)
+        if idle is None:
+            return False
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(silence_s):
+                await idle.peer_closed.wait()
+        return idle.is_known_open
+
     def _keeper(self, place: ProcessPlace) -> "_Keeper":
         keeper = self._keepers.get(place)
         if keeper is None:
-            keeper = self._keepers[place] = _Keeper(place, self._connections)
+            keeper = self._keepers[place] = _Keeper(place, self._matches)
             keeper.start(lambda: self._keepers.pop(place))
         return keeper
 
@@ -85,14 +117,14 @@
 class _Keeper:
     """Keeps a connection to one process for as long as it is needed."""
 
-    def __init__(
-        self, place: ProcessPlace, connections: ProcessConnections
-    ) -> None:
+    def __init__(self, place: ProcessPlace, matches: _Matches) -> None:
         self._place = place
-        self._connections = connections
-        self._answers: weakref.WeakSet[Channel] = weakref.WeakSet()
-        # Those that were closed at the latest look.
-        self._closed: weakref.WeakSet[Channel] = weakref.WeakSet()
+        self._matches = matches
+        # Monotonic time at which an answer's connection was first seen closed;
+        # None as long as it is open.
+        self._answers: weakref.WeakKeyDictionary[Channel, float | None] = (
+            weakref.WeakKeyDictionary()
+        )
         self._until_s = float("-inf")
         self._look = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
@@ -108,63 +140,78 @@
 
     def begin(self, channel: Channel) -> None:
         """Keeps the connection until the end of an answer."""
-        self._answers.add(channel)
+        self._answers[channel] = None
+        self._look.set()
 
     def end(self, channel: Channel) -> None:
         """Ends `begin`."""
-        self._answers.discard(channel)
-        if not self._answers:
-            self._look.set()
+        self._answers.pop(channel, None)
+        self._look.set()
 
     async def _run(self) -> None:
         while self._is_needed():
-            if not await self._hold_one():
-                return
+            await self._hold_one()
+            if self._is_needed():
+                await asyncio.sleep(RETRY_S)
 
-    async def _hold_one(self) -> bool:
-        """Holds one connection; returns whether another one may follow."""
+    async def _hold_one(self) -> None:
         try:
-            channel = await connect(*self._place.address, CONNECT_TIMEOUT_S)
+            idle = await connect(*self._place.address, CONNECT_TIMEOUT_S)
         except OSError:
             metrics.IDLE_CONNECTIONS.labels("failed").inc()
-            return False
+            return
         metrics.IDLE_CONNECTIONS.labels("opened").inc()
-        opened_s = time.monotonic()
         try:
-            await self._connections.add_idle(
-                self._place, channel, self._answers
-            )
-            while self._is_needed() and channel.is_open:
-                await self._wait(channel)
+            while self._is_needed() and idle.is_open:
+                has_all = self._match(idle)
+                await self._wait(
+                    idle, LOOK_INTERVAL_S if has_all else MATCH_INTERVAL_S
+                )
         finally:
-            channel.abort()
-        return time.monotonic() - opened_s >= MIN_LIFE_S
+            idle.abort()
 
-    async def _wait(self, channel: Channel) -> None:
-        """Waits until there may be a reason to close the connection."""
+    def _match(self, idle: Channel) -> bool:
+        """Matches answers to a connection; returns whether all are.
+
+        A process that has accepted a connection can't have ended before. So
+        two that are open at a moment lead to the same one.
+        """
+        if not idle.is_known_open:
+            return False
+        open_answers = [
+            channel
+            for channel in self._answers
+            if channel.is_open and self._matches.get(channel) is not idle
+        ]
+        for channel in open_answers:
+            if channel.is_known_open:
+                self._matches[channel] = idle
+        return all(self._matches.get(c) is idle for c in open_answers)
+
+    async def _wait(self, idle: Channel, timeout_s: float) -> None:
+        """Waits until there may be a reason to look again."""
         self._look.clear()
-        self._forget_closed()
         waits = [
             asyncio.ensure_future(self._look.wait()),
-            asyncio.ensure_future(channel.peer_closed.wait()),
+            asyncio.ensure_future(idle.peer_closed.wait()),
         ]
         try:
             await asyncio.wait(
                 waits,
-                timeout=LOOK_INTERVAL_S,
+                timeout=timeout_s,
                 return_when=asyncio.FIRST_COMPLETED,
             )
         finally:
             for wait in waits:
                 wait.cancel()
 
-    def _forget_closed(self) -> None:
-        """Forgets answers that were closed for a while without an end."""
-        closed = [c for c in self._answers if c.transport.is_closing()]
-        for channel in closed:
-            if channel in self._closed:
-                self._answers.discard(channel)
-        self._closed = weakref.WeakSet(closed)
-
     def _is_needed(self) -> bool:
-        return bool(self._answers) or time.monotonic() < self._until_s
+        now_s = time.monotonic()
+        for channel, closed_s in list(self._answers.items()):
+            if not channel.transport.is_closing():
+                continue
+            if closed_s is None:
+                self._answers[channel] = now_s
+            elif now_s - closed_s >= JUDGE_S:
+                del self._answers[channel]
+        return bool(self._answers) or now_s < self._until_s
--- a/src/savorylift/exchange/stream_resumption.py
+++ b/src/savorylift/exchange/stream_resumption.py
@@ -68,7 +68,13 @@
 
 
 class StreamResumption:
-    """Finds out at which version a resumed stream began, and records it."""
+    """Finds out at which version a resumed stream began, and records it.
+
+    Attributes:
+        on_start: Each is called with the connection of a stream and the start
+            of the process that began it, in Unix milliseconds, if that isn't
+            the start that was known.
+    """
 
     def __init__(
         self,
@@ -99,6 +105,7 @@
         self._find_service = find_service
         self._rng = rng
         self._created_s = time.monotonic()
+        self.on_start: list[Callable[[Channel, int], None]] = []
 
     async def bind(
         self, admitted: AdmittedRequest
@@ -202,6 +209,8 @@
                 await asyncio.sleep(0)
                 if not channel.is_open:
                     return None
+                for listener in self.on_start:
+                    listener(channel, report.started_ms)
                 return await self._read_entry(server, report.started_ms)
             if report.life is Life.UNNAMED or time.monotonic() >= until_s:
                 return None
