Keep a server that leaves so when its entry lapses and comes back

Cause: a notice heard while the server's entry was missing was dropped, and the entry that came back said ready, so that requests went there again.

Change: a notice of the incarnation that was known last is kept, and holds for an entry of it that comes back.

Shown by: test_server_that_leaves_does_not_come_back_with_a_lapsed_entry, which fails without the change.

--- a/src/savorylift/backends/registry.py
+++ b/src/savorylift/backends/registry.py
@@ -156,7 +156,8 @@
     def mark_leaving(self, server_id: str, started_ms: int) -> bool:
         """Marks a server that says itself that it is draining.
 
-        Its entries may not say so yet. It holds until it starts again.
+        Its entries may not say so yet, and may be missing for a while. It
+        holds until it starts again.
 
         Args:
             server_id: Identifier of the server.
@@ -166,7 +167,10 @@
             Whether this changed anything.
         """
         server = self._servers.get(server_id)
-        if server is None or server.entry.started_ms != started_ms:
+        if server is None:
+            self._mark_absent(server_id, started_ms)
+            return False
+        if server.entry.started_ms != started_ms:
             return False
         self._said_leaving[server_id] = started_ms
         if server.entry.is_leaving:
@@ -175,6 +179,12 @@
         self._servers[server_id] = server._replace(entry=entry)
         return True
 
+    def _mark_absent(self, server_id: str, started_ms: int) -> None:
+        """Marks a server whose entry is missing, and may come back."""
+        latest = self._latest.get(server_id)
+        if latest is not None and latest[0].started_ms == started_ms:
+            self._said_leaving[server_id] = started_ms
+
     @property
     def said_leaving(self) -> Mapping[str, int]:
         """Start of each server that said itself that it is draining."""
--- a/tests/backends/test_registry.py
+++ b/tests/backends/test_registry.py
@@ -113,6 +113,17 @@
     assert not registry.servers["i-1"].entry.is_leaving
 
 
+def test_server_that_leaves_does_not_come_back_with_a_lapsed_entry() -> None:
+    registry = Registry()
+    registry.put(make_server_entry(), 0.0)
+    registry.remove("i-1", 1.0)
+    assert not registry.mark_leaving("i-1", 1)
+    registry.put(make_server_entry()._replace(sequence=2), 2.0)
+    assert registry.servers["i-1"].entry.is_leaving
+    registry.put(make_server_entry()._replace(started_ms=2), 3.0)
+    assert not registry.servers["i-1"].entry.is_leaving
+
+
 def test_entries_of_removed_servers_do_not_accumulate() -> None:
     registry = Registry()
     for number in range(50):
