Tell the other nodes of all servers that leave, also when many do

Cause: a state message names 16 servers that said that they leave, always the last ones; of a domain that is stopped the others weren't told.

Change: if there are more, messages take turns. A message's size stays bounded.

Shown by: test_all_servers_that_leave_at_once_are_told_by_and_by (47 servers), which fails without the change.

--- a/src/savorylift/front/server_news.py
+++ b/src/savorylift/front/server_news.py
@@ -48,6 +48,7 @@
         self._origins = origins
         self._version_history = version_history
 
+        self._next_told = 0
     def add_to(self, state: NodeState) -> NodeState:
         """Returns a state message of this node with the news."""
         now_s = time.monotonic()
@@ -88,13 +89,20 @@
         self._origins.hand_over()
 
     def _leaving_servers(self) -> tuple[LeavingServer, ...]:
-        """Returns what other nodes may not have heard from the store."""
+        """Returns what other nodes may not have heard from the store.
+
+        Messages take turns with the servers if they are many.
+        """
         found = [
             LeavingServer(server_id, started_ms)
             for server_id, started_ms in self._registry.said_leaving.items()
             if server_id in self._registry.servers
         ]
-        return tuple(found[-MAX_LEAVING_TOLD:])
+        if len(found) <= MAX_LEAVING_TOLD:
+            return tuple(found)
+        first = self._next_told % len(found)
+        self._next_told = first + MAX_LEAVING_TOLD
+        return tuple((found[first:] + found[:first])[:MAX_LEAVING_TOLD])
 
     def _update_homes(self, *, is_leaving: bool) -> None:
         """Tells which nodes may hold the origins of streams."""
