Hear what servers say of their plans in every answer to a node

Cause: only answers to callers' requests were read for Server-Leaving and Retry-After. What a server said in an answer to a health check, a report that says when it started, or a poll during a store outage (Retry-After) was lost; on the completion interface neither was read at all.

Change: a notice is decoded in one place for each interface and recorded in one (exchange/notice_recorder.py), whoever asked; a report's notice holds for the process that the report names. What another node told is logged and counted like what this one heard. The stand-ins say both headers in all their answers, and turn health checks away as they do requests.

--- a/src/savorylift/completions/codec.py
+++ b/src/savorylift/completions/codec.py
@@ -16,6 +16,7 @@
     encode_service_call,
 )
 from savorylift.completions.errors import error_body, error_headers
+from savorylift.completions.notices import decode_notice
 from savorylift.completions.sinks import BufferingSink, StreamSink
 from savorylift.exchange.codec import CallerStream, EventSink, OutgoingRequest
 from savorylift.exchange.request import (
@@ -24,6 +25,7 @@
     ForwardingOptions,
 )
 from savorylift.exchange.results import Refused
+from savorylift.exchange.server_notice import ServerNotice
 from savorylift.wire.message import (
     Headers,
     Request,
@@ -56,6 +58,10 @@
         """Decodes status and headers of a backend server's response."""
         return decode_answer_head(head, req)
 
+    def decode_notice(self, head: ResponseHead) -> ServerNotice:
+        """Decodes what a backend server says of its plans in any answer."""
+        return decode_notice(head)
+
     def make_event_reader(
         self,
         run_id: str,
--- a/src/savorylift/completions/engine_call.py
+++ b/src/savorylift/completions/engine_call.py
@@ -13,6 +13,7 @@
     make_run_id,
 )
 from savorylift.completions.errors import REQUEST_ID_HEADER
+from savorylift.completions.notices import decode_notice
 from savorylift.exchange.codec import CancelRequest, OutgoingRequest
 from savorylift.exchange.events import (
     DONE_SENTINEL,
@@ -150,6 +151,7 @@
         is_signed=True,
         # An event marks the end of a generation.
         is_close_delimited=head.is_close_delimited and not is_generation,
+        notice=decode_notice(head),
     )
 
 
--- a/src/savorylift/completions/load_poller.py
+++ b/src/savorylift/completions/load_poller.py
@@ -13,8 +13,10 @@
 
 from savorylift.backends.registry import Registry
 from savorylift.backends.server import ServerEntry
+from savorylift.completions.notices import decode_notice
 from savorylift.json_input import decode_json
 from savorylift.wire.client_call import BrokenAnswerError, fetch
+from savorylift.wire.message import ResponseHead
 
 LOAD_PATH = "/v1/load"
 POLL_INTERVAL_S = 0.5
@@ -70,15 +72,17 @@
             _log.info("load_unknown", server=entry.server_id, detail=detail)
             return
         report = decoded.unwrap()
+        notice = decode_notice(ResponseHead(response.status, response.headers))
+        is_leaving = report.leaving or notice.is_leaving
         is_changed = self._registry.update_static_status(
-            entry.server_id, is_cold=report.cold, is_leaving=report.leaving
+            entry.server_id, is_cold=report.cold, is_leaving=is_leaving
         )
         if is_changed:
             _log.info(
                 "server_changed",
                 server=entry.server_id,
                 service=entry.service,
-                is_leaving=report.leaving,
+                is_leaving=is_leaving,
                 is_cold=report.cold,
             )
             self._on_change()
--- a/src/savorylift/exchange/codec.py
+++ b/src/savorylift/exchange/codec.py
@@ -16,6 +16,7 @@
     ForwardingOptions,
 )
 from savorylift.exchange.results import Refused
+from savorylift.exchange.server_notice import ServerNotice
 from savorylift.wire.message import Headers, Request, ResponseHead
 
 
@@ -137,6 +138,10 @@
         """Decodes the head of a backend server's response."""
         ...
 
+    def decode_notice(self, head: ResponseHead) -> ServerNotice:
+        """Decodes what a backend server says of its plans in any answer."""
+        ...
+
     def make_event_reader(
         self, run_id: str, resume_after: str | None
     ) -> EventReader:
--- a/src/savorylift/exchange/drain_poller.py
+++ b/src/savorylift/exchange/drain_poller.py
@@ -8,11 +8,10 @@
 import time
 from collections.abc import Callable, Iterable
 
-import structlog
-
 from savorylift.backends.registry import BackendServer, Registry
 from savorylift.exchange.limit_gate import LimitGate
-from savorylift.platform.engine_client import is_engine_draining
+from savorylift.exchange.notice_recorder import NoticeRecorder, NoticeSource
+from savorylift.platform.engine_client import read_notice
 
 # An engine gives about 1.5 s of notice before it stops, and copying a run takes
 # up to 0.5 s.
@@ -21,8 +20,6 @@
 CHECK_INTERVAL_S = 0.1
 REPORT_TIMEOUT_S = 0.4
 
-_log = structlog.get_logger()
-
 
 class DrainPoller:
     """Polls the engines of this node's runs during an outage of the store."""
@@ -31,6 +28,7 @@
         self,
         registry: Registry,
         limit_gate: LimitGate,
+        notices: NoticeRecorder,
         is_held: Callable[[str], bool],
         is_store_unavailable: Callable[[], bool],
         get_engines: Callable[[], Iterable[BackendServer]],
@@ -39,8 +37,9 @@
         """Creates a poller; `run` starts it.
 
         Args:
-            registry: Registry in which draining engines are marked.
+            registry: The known servers.
             limit_gate: Holds the limits that engines name.
+            notices: Told what engines say of their plans.
             is_held: Returns whether an engine, given by its ID, wants no
                 requests.
             is_store_unavailable: Returns whether the store sends no updates.
@@ -49,6 +48,7 @@
         """
         self._registry = registry
         self._limit_gate = limit_gate
+        self._notices = notices
         self._is_held = is_held
         self._is_store_unavailable = is_store_unavailable
         self._get_engines = get_engines
@@ -81,17 +81,8 @@
         )
         if permit is None:
             return
-        if not await is_engine_draining(
+        notice = await read_notice(
             server.entry.address, timeout_s=REPORT_TIMEOUT_S
-        ):
-            return
-        entry = server.entry
-        if self._registry.mark_leaving(entry.server_id, entry.started_ms):
-            _log.info(
-                "server_changed",
-                server=entry.server_id,
-                service=entry.service,
-                is_leaving=True,
-                source="engine",
-            )
+        )
+        if self._notices.record(server, notice, NoticeSource.CHECK):
             self._on_change()
--- a/src/savorylift/exchange/metrics.py
+++ b/src/savorylift/exchange/metrics.py
@@ -97,6 +97,11 @@
     "Checks whether a server has started again since its entry was read.",
     ["outcome"],
 )
+LEAVING_NOTICES = Counter(
+    "savorylift_front_leaving_notices",
+    "Servers that said that they leave, by where this node heard it.",
+    ["source"],
+)
 UNREACHED_SERVICES = Gauge(
     "savorylift_front_unreached_services",
     "Services of which this node reaches no backend server.",
--- a/src/savorylift/exchange/reach_probe.py
+++ b/src/savorylift/exchange/reach_probe.py
@@ -1,12 +1,14 @@
 """Asks a backend server for a sign of life."""
 
 import asyncio
+from collections.abc import Callable
 
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange.limit_gate import LimitGate
 from savorylift.wire.channel import connect
 from savorylift.wire.client_call import BrokenAnswerError, ClientCall
 from savorylift.wire.input_timeout import InputTimeout
+from savorylift.wire.message import ResponseHead
 
 CONNECT_TIMEOUT_S = 0.5
 # A sound server may be silent for about a second.
@@ -23,13 +25,19 @@
     Any answer will do: it came from the server.
     """
 
-    def __init__(self, limit_gate: LimitGate) -> None:
+    def __init__(
+        self,
+        limit_gate: LimitGate,
+        on_head: Callable[[BackendServer, ResponseHead], None],
+    ) -> None:
         """Creates a probe.
 
         Args:
             limit_gate: Holds the limits that servers name.
+            on_head: Called with the head of each answer.
         """
         self._limit_gate = limit_gate
+        self._on_head = on_head
 
     async def ask(
         self, server: BackendServer, health_path: str | None
@@ -42,21 +50,22 @@
             return None
         try:
             async with InputTimeout(CONNECT_TIMEOUT_S + ANSWER_TIMEOUT_S):
-                return await _answers(server, health_path)
+                return await self._answers(server, health_path)
         except (OSError, BrokenAnswerError):
             return False
 
-
-async def _answers(server: BackendServer, health_path: str | None) -> bool:
-    host, port = server.entry.address
-    channel = await connect(host, port, CONNECT_TIMEOUT_S)
-    try:
-        if health_path is None:
-            await asyncio.sleep(OPEN_S)
-            return not channel.is_peer_closed
-        call = ClientCall(channel)
-        call.send("GET", health_path, (("host", f"{host}:{port}"),), b"")
-        await call.read_head()
-        return True
-    finally:
-        channel.abort()
+    async def _answers(
+        self, server: BackendServer, health_path: str | None
+    ) -> bool:
+        host, port = server.entry.address
+        channel = await connect(host, port, CONNECT_TIMEOUT_S)
+        try:
+            if health_path is None:
+                await asyncio.sleep(OPEN_S)
+                return not channel.is_peer_closed
+            call = ClientCall(channel)
+            call.send("GET", health_path, (("host", f"{host}:{port}"),), b"")
+            self._on_head(server, await call.read_head())
+            return True
+        finally:
+            channel.abort()
--- a/src/savorylift/exchange/request.py
+++ b/src/savorylift/exchange/request.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from savorylift.exchange.server_notice import NO_NOTICE, ServerNotice
 from savorylift.outcomes import Reason
 from savorylift.wire.message import Headers
 
@@ -155,9 +156,7 @@
             did not run.
         is_from_brittle: Whether the server says that it falls over if it has
             to reject much.
-        is_from_leaving: Whether the server says that it is draining.
-        hold_s: For how long the server wants no requests of this node; None
-            if it doesn't say.
+        notice: What the server says of its plans.
     """
 
     status: int
@@ -169,8 +168,7 @@
     is_close_delimited: bool = False
     promises_not_run: bool = False
     is_from_brittle: bool = False
-    is_from_leaving: bool = False
-    hold_s: float | None = None
+    notice: ServerNotice = NO_NOTICE
 
     @property
     def is_event_stream(self) -> bool:
--- a/src/savorylift/front/server_news.py
+++ b/src/savorylift/front/server_news.py
@@ -3,6 +3,7 @@
 import time
 
 from savorylift.backends.registry import Registry
+from savorylift.exchange.notice_recorder import NoticeRecorder, NoticeSource
 from savorylift.exchange.server_pool import ServerPool
 from savorylift.exchange.server_reach import ServerReach
 from savorylift.exchange.stream_origins import StreamOrigins
@@ -24,6 +25,7 @@
         own_home: Home,
         membership: Membership,
         registry: Registry,
+        notices: NoticeRecorder,
         pool: ServerPool,
         reach: ServerReach,
         origins: StreamOrigins,
@@ -35,6 +37,7 @@
             own_home: This node, as one that may hold origins of streams.
             membership: The other nodes.
             registry: Backend servers, and which of them said that they leave.
+            notices: Told which servers leave.
             pool: Which services are brittle, and which servers are on hold.
             reach: Which services this node doesn't reach.
             origins: Where streams began.
@@ -43,12 +46,13 @@
         self._own_home = own_home
         self._membership = membership
         self._registry = registry
+        self._notices = notices
         self._pool = pool
         self._reach = reach
         self._origins = origins
         self._version_history = version_history
-
         self._next_told = 0
+
     def add_to(self, state: NodeState) -> NodeState:
         """Returns a state message of this node with the news."""
         now_s = time.monotonic()
@@ -68,7 +72,7 @@
             self._version_history.is_complete = True
         self._pool.brittle.merge(state.brittle_services)
         for server_id, started_ms in state.leaving_servers:
-            self._registry.mark_leaving(server_id, started_ms)
+            self._notices.mark_leaving(server_id, started_ms, NoticeSource.NODE)
 
     def update(self, *, is_leaving: bool) -> None:
         """Does what is due; to be called periodically.
--- a/src/savorylift/front/server_parts.py
+++ b/src/savorylift/front/server_parts.py
@@ -2,13 +2,15 @@
 
 import time
 from collections.abc import Callable
+from functools import partial
 from typing import NamedTuple
 
 from savorylift.backends.registry import BackendServer
 from savorylift.backends.request_quarantine import RequestQuarantine
 from savorylift.exchange.crash_guard import CrashGuard
 from savorylift.exchange.limit_gate import LimitGate
-from savorylift.exchange.process_lookup import ProcessLookup
+from savorylift.exchange.notice_recorder import NoticeRecorder, NoticeSource
+from savorylift.exchange.process_lookup import ProcessLookup, StartReader
 from savorylift.exchange.reach_probe import ReachProbe
 from savorylift.exchange.request import AnswerHead
 from savorylift.exchange.retry_budget import RetryBudget, RetryBudgetOptions
@@ -26,6 +28,7 @@
 from savorylift.front.settings import FrontSettings
 from savorylift.front.shared_parts import SharedParts
 from savorylift.platform.engine_client import read_start, read_start_on
+from savorylift.wire.message import ResponseHead
 
 OnHead = Callable[[BackendServer, AnswerHead], None]
 
@@ -36,7 +39,8 @@
     Attributes:
         limit_gate: Holds the limits that servers name.
         pool: Servers to choose from, and the retry budget.
-        notices: Records what servers say of themselves.
+        recorder: Records which servers leave, or want a pause.
+        notices: Records what servers say of themselves in answers.
         crash_guard: Stops requests that crash servers.
         check: Finds out whether a server is gone.
         reach: Which services this node doesn't reach.
@@ -47,6 +51,7 @@
 
     limit_gate: LimitGate
     pool: ServerPool
+    recorder: NoticeRecorder
     notices: ServerNotices
     crash_guard: CrashGuard
     check: ServerCheck
@@ -67,21 +72,28 @@
         on_head: Called with each head of an answer and its server.
     """
     holds = ServerHolds(shared.rng)
-    limit_gate = _make_limit_gate(shared, transport, holds)
+    recorder = NoticeRecorder(
+        shared.store_view.registry, holds, transport.send_soon
+    )
+    ask_start = partial(read_start, on_notice=recorder.record_at)
+    limit_gate = _make_limit_gate(shared, transport, holds, ask_start)
     pool = _make_pool(shared, transport, holds, limit_gate)
     reach = ServerReach(
         pool.servers_in_service,
-        _make_reach_probe(shared, holds, limit_gate),
+        _make_reach_probe(shared, holds, limit_gate, recorder),
         transport.send_soon,
         pool.load_tracker.remove_request,
         shared.rng,
     )
     check = ServerCheck(
-        limit_gate, pool.is_in_service, holds.is_held, read_start_on
+        limit_gate,
+        pool.is_in_service,
+        holds.is_held,
+        partial(read_start_on, on_notice=recorder.record_at),
     )
     version_history = VersionHistory()
     life = ServerLife(
-        limit_gate, holds.is_held, read_start, version_history.sole_version
+        limit_gate, holds.is_held, ask_start, version_history.sole_version
     )
     sender = Sender(
         shared.interface.codec,
@@ -91,9 +103,7 @@
         reach,
         on_head,
     )
-    notices = ServerNotices(
-        shared.store_view.registry, holds, pool.brittle, transport.send_soon
-    )
+    notices = ServerNotices(recorder, pool.brittle, transport.send_soon)
     crash_guard = CrashGuard(
         RequestQuarantine(shared.identity.ip),
         shared.membership,
@@ -102,6 +112,7 @@
     return ServerParts(
         limit_gate,
         pool,
+        recorder,
         notices,
         crash_guard,
         check,
@@ -113,7 +124,10 @@
 
 
 def _make_limit_gate(
-    shared: SharedParts, transport: PeerTransport, holds: ServerHolds
+    shared: SharedParts,
+    transport: PeerTransport,
+    holds: ServerHolds,
+    ask_start: StartReader,
 ) -> LimitGate:
     membership, registry = shared.membership, shared.store_view.registry
     issuer = PermitIssuer(
@@ -123,7 +137,7 @@
         shared.rng,
     )
     processes = ProcessLookup(
-        issuer, registry.find_entry, holds.is_held, read_start
+        issuer, registry.find_entry, holds.is_held, ask_start
     )
     return LimitGate(
         issuer,
@@ -166,10 +180,19 @@
 
 
 def _make_reach_probe(
-    shared: SharedParts, holds: ServerHolds, limit_gate: LimitGate
+    shared: SharedParts,
+    holds: ServerHolds,
+    limit_gate: LimitGate,
+    recorder: NoticeRecorder,
 ) -> Probe:
     """Returns what asks a server for a sign of life, unless it is on hold."""
-    probe = ReachProbe(limit_gate)
+    codec = shared.interface.codec
+
+    def record_head(server: BackendServer, head: ResponseHead) -> None:
+        notice = codec.decode_notice(head)
+        recorder.record(server, notice, NoticeSource.CHECK)
+
+    probe = ReachProbe(limit_gate, record_head)
 
     async def ask(server: BackendServer) -> bool | None:
         if holds.is_held(server.entry.server_id):
--- a/src/savorylift/front/store_parts.py
+++ b/src/savorylift/front/store_parts.py
@@ -131,6 +131,7 @@
     return DrainPoller(
         shared.store_view.registry,
         servers.limit_gate,
+        servers.recorder,
         servers.pool.holds.is_held,
         lambda: policy.may_miss_notices(newest_reading_s()),
         lambda: generations.engines_with_movable_runs,
--- a/src/savorylift/front/stream_parts.py
+++ b/src/savorylift/front/stream_parts.py
@@ -51,6 +51,7 @@
         Home(identity.ip, identity.failure_domain),
         membership,
         shared.store_view.registry,
+        servers.recorder,
         servers.pool,
         servers.reach,
         origins,
--- a/src/savorylift/platform/codec.py
+++ b/src/savorylift/platform/codec.py
@@ -18,8 +18,10 @@
     NamedLimit,
 )
 from savorylift.exchange.results import Refused
+from savorylift.exchange.server_notice import ServerNotice
 from savorylift.outcomes import Reason
 from savorylift.platform import headers as header_names
+from savorylift.platform.notices import decode_notice
 from savorylift.wire.message import (
     Headers,
     Request,
@@ -27,12 +29,10 @@
     decode_milliseconds,
     end_to_end_headers,
 )
-from savorylift.wire.retry_after import parse_retry_after
 
 MAX_ATTEMPT_ID_CHARS = 200
 # Statuses by which callers are told that their request did not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-UNAVAILABLE_STATUS = 503
 # A decimal number of requests per second, without sign or exponent.
 LIMIT_PATTERN = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
 JSON_CONTENT_TYPE = ("content-type", "application/json")
@@ -69,6 +69,10 @@
         """Decodes status and headers of a backend server's response."""
         return decode_answer_head(head, req.attempt_id)
 
+    def decode_notice(self, head: ResponseHead) -> ServerNotice:
+        """Decodes what a backend server says of its plans in any answer."""
+        return decode_notice(head)
+
     def make_event_reader(
         self,
         run_id: str,  # noqa: ARG002
@@ -188,17 +192,7 @@
         is_close_delimited=head.is_close_delimited,
         promises_not_run=head.status in NOT_RUN_STATUSES,
         is_from_brittle=head.header(header_names.SERVER_BRITTLE) is not None,
-        is_from_leaving=head.header(header_names.SERVER_LEAVING) is not None,
-        hold_s=_decode_hold(head),
-    )
-
-
-def _decode_hold(head: ResponseHead) -> float | None:
-    """Returns for how long the server wants no requests of this node."""
-    if head.status != UNAVAILABLE_STATUS:
-        return None
-    return parse_retry_after(
-        head.header_values(header_names.RETRY_AFTER), head.header("date")
+        notice=decode_notice(head),
     )
 
 
--- a/src/savorylift/platform/engine_client.py
+++ b/src/savorylift/platform/engine_client.py
@@ -1,6 +1,7 @@
-"""Calls to model engines that copy the KV cache of a run between them."""
+"""Calls to model engines: copies of KV caches, and reports."""
 
 import enum
+from collections.abc import Callable
 from typing import NamedTuple
 
 import msgspec
@@ -8,12 +9,17 @@
 from returns.result import Failure, Result, Success
 
 from savorylift.backends.server_start import NO_REPORT, NO_START
+from savorylift.exchange.server_notice import NO_NOTICE, ServerNotice
 from savorylift.json_input import decode_json
-from savorylift.platform.headers import SERVER_LEAVING
+from savorylift.platform.notices import decode_notice
+from savorylift.wire.address import split_address
 from savorylift.wire.channel import Channel
 from savorylift.wire.client_call import BrokenAnswerError, fetch, fetch_on
 from savorylift.wire.input_timeout import InputTimeout
-from savorylift.wire.message import Response
+from savorylift.wire.message import Response, ResponseHead
+
+# Takes the address of a server, its start if it says so, and its notice.
+NoticeHandler = Callable[[tuple[str, int], int | None, ServerNotice], None]
 
 # What a server says of itself.
 REPORT = "/report"
@@ -131,33 +137,70 @@
     return response.status < 300
 
 
-async def read_start(address: tuple[str, int], timeout_s: float) -> int | None:
+def _ignore_notice(
+    address: tuple[str, int], started_ms: int | None, notice: ServerNotice
+) -> None:
+    """Does nothing with what a server says of its plans."""
+
+
+async def read_start(
+    address: tuple[str, int],
+    timeout_s: float,
+    on_notice: NoticeHandler = _ignore_notice,
+) -> int | None:
     """Returns when the server at an address started, as its report says.
 
     That is a Unix time in milliseconds; `NO_START` if it doesn't say,
     `NO_REPORT` if it has no report, and None if it doesn't answer.
+
+    Args:
+        address: Address of the server.
+        timeout_s: Timeout of the whole call.
+        on_notice: Called with what the answer says of the server's plans.
     """
     response = await _fetch_report(address, timeout_s)
     if response is None:
         return None
     if response.status in NO_REPORT_STATUSES:
+        on_notice(address, None, decode_notice(_head_of(response)))
         return NO_REPORT
-    return _start_in(response)
+    return _start_with_notice(response, address, on_notice)
 
 
-async def read_start_on(channel: Channel, timeout_s: float) -> int | None:
+async def read_start_on(
+    channel: Channel,
+    timeout_s: float,
+    on_notice: NoticeHandler = _ignore_notice,
+) -> int | None:
     """Returns the start that a server names on an open connection.
 
     That is a Unix time in milliseconds; `NO_START` if it doesn't say, and None
     if it doesn't answer. Closes the connection.
+
+    Args:
+        channel: The connection.
+        timeout_s: Timeout of the call.
+        on_notice: Called with what the answer says of the server's plans.
     """
-    headers = (("host", channel.peer),)
+    peer = channel.peer
     try:
         async with InputTimeout(timeout_s):
-            response = await fetch_on(channel, "GET", REPORT, headers, b"")
+            response = await fetch_on(
+                channel, "GET", REPORT, (("host", peer),), b""
+            )
     except (OSError, BrokenAnswerError):
         return None
-    return _start_in(response)
+    return _start_with_notice(response, split_address(peer), on_notice)
+
+
+def _start_with_notice(
+    response: Response, address: tuple[str, int], on_notice: NoticeHandler
+) -> int:
+    """Returns the start in a report, and passes on the server's notice."""
+    start_ms = _start_in(response)
+    said_ms = None if start_ms == NO_START else start_ms
+    on_notice(address, said_ms, decode_notice(_head_of(response)))
+    return start_ms
 
 
 def _start_in(response: Response) -> int:
@@ -169,17 +212,22 @@
     return NO_START
 
 
-async def is_engine_draining(
+async def read_notice(
     address: tuple[str, int], *, timeout_s: float
-) -> bool:
-    """Returns whether an engine reports that it drains; False on errors."""
+) -> ServerNotice:
+    """Returns what an engine says of its plans; nothing on errors."""
     response = await _fetch_report(address, timeout_s)
     if response is None:
-        return False
-    if response.header(SERVER_LEAVING) is not None:
-        return True
+        return NO_NOTICE
+    notice = decode_notice(_head_of(response))
     report = decode_json(response.body, dict).value_or({})
-    return report.get("state") == "draining"
+    if report.get("state") == "draining":
+        return notice._replace(is_leaving=True)
+    return notice
+
+
+def _head_of(response: Response) -> ResponseHead:
+    return ResponseHead(response.status, response.headers)
 
 
 async def _fetch_report(
--- a/tests/completions/environment.py
+++ b/tests/completions/environment.py
@@ -15,7 +15,7 @@
 from savorylift.wire.channel import connect
 from savorylift.wire.client_call import ClientCall
 from savorylift.wire.listener import Listener, connection_handler
-from savorylift.wire.message import Request, Response
+from savorylift.wire.message import Headers, Request, Response
 from savorylift.wire.request_input import InputLimits
 from tests.front.environment import run_with_timeout
 from tests.harness.ports import free_addresses
@@ -41,6 +41,7 @@
     Attributes:
         requests: Calls that it received.
         status: Status of its responses.
+        headers: Headers that its responses bear besides.
         drops_connections: Whether it records a call and then closes the
             connection instead of responding.
         may_respond: Responses are held back while this event is not set.
@@ -50,6 +51,7 @@
         """Initializes a service that responds at once."""
         self.requests: list[Request] = []
         self.status = 200
+        self.headers: Headers = ()
         self.drops_connections = False
         self.may_respond = asyncio.Event()
         self.may_respond.set()
@@ -62,14 +64,15 @@
     async def _respond(self, req: Request) -> Response:
         if req.target == "/v1/load":
             body = json.dumps({"cold": False, "leaving": False}).encode()
-            return Response(200, (), body)
+            return Response(200, self.headers, body)
         self.requests.append(req)
         await self.may_respond.wait()
         if self.drops_connections:
             raise ConnectionResetError("connection dropped by the test")
         request_id = req.header_values("x-request-id")[0]
         body = f"{req.method} {req.target}".encode()
-        return Response(self.status, (("x-request-id", request_id),), body)
+        headers = (("x-request-id", request_id), *self.headers)
+        return Response(self.status, headers, body)
 
 
 class NodeEnvironment:
--- a/tests/front/test_server_news.py
+++ b/tests/front/test_server_news.py
@@ -4,6 +4,8 @@
 
 from savorylift.backends.registry import Registry
 from savorylift.backends.server import ServerEntry
+from savorylift.exchange.notice_recorder import NoticeRecorder
+from savorylift.exchange.server_holds import ServerHolds
 from savorylift.exchange.server_reach import ServerReach
 from savorylift.exchange.stream_origins import StreamOrigins
 from savorylift.fleet.home_ring import Home
@@ -36,6 +38,7 @@
         Home(IP, "z1"),
         Membership(IP, ()),
         store_view.registry,
+        NoticeRecorder(store_view.registry, ServerHolds(rng), lambda: None),
         make_pool(store_view),
         ServerReach(
             lambda _: [], probe, lambda: None, lambda _a, _b: None, rng
--- a/tests/standins/engine_settings.py
+++ b/tests/standins/engine_settings.py
@@ -45,6 +45,10 @@
         hides_cold: Whether the engine reports itself as warm while cold.
         leaving: Whether the engine drains: it refuses new generations with
             503 `leaving`.
+        says_leaving: Whether the engine says in all its answers that it
+            leaves.
+        retry_after: For how long it wants nothing, as its 503 answers say; None
+            not to say.
         die_s: One-shot: crashes the engine for this long, after which a new
             incarnation answers; a negative value means until `revive`.
         revive: One-shot: ends the downtime of a crash.
@@ -88,6 +92,8 @@
     turn_cold: bool = False
     hides_cold: bool = False
     leaving: bool = False
+    says_leaving: bool = False
+    retry_after: str | None = None
     die_s: float = 0.0
     revive: bool = False
     hang_when_dead: bool = False
--- a/tests/standins/h11_server.py
+++ b/tests/standins/h11_server.py
@@ -26,6 +26,8 @@
 
     Attributes:
         is_silent: Whether the connection ignores input and discards output.
+        notice: Headers that all its responses bear besides.
+        retry_after: Header that its 503 responses bear; None for none.
     """
 
     def __init__(
@@ -40,6 +42,8 @@
             connections: Set of the server's open connections.
         """
         self.is_silent = False
+        self.notice: Mapping[str, str] = {}
+        self.retry_after: str | None = None
         self._handler = handler
         self._connections = connections
         self._h11_conn = h11.Connection(h11.SERVER)
@@ -84,7 +88,10 @@
             "Content-Type": "application/json",
             "Content-Length": str(len(content)),
             **headers,
+            **self.notice,
         }
+        if status == http.HTTPStatus.SERVICE_UNAVAILABLE and self.retry_after:
+            fields["Retry-After"] = self.retry_after
         self._send(_response(status, fields))
         self._send(h11.Data(data=content))
         self.finish()
@@ -95,6 +102,7 @@
             "Content-Type": "text/event-stream",
             "Transfer-Encoding": "chunked",
             **headers,
+            **self.notice,
         }
         self._send(_response(200, fields))
 
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -123,6 +123,9 @@
         says_leaving: Whether it says in all its answers that it leaves.
         hold: For how long it wants nothing more, as its rejections say; None
             not to say.
+        more_holds: Further values of the same header.
+        date: The `Date` of its rejections; None for none.
+        omits_proof: Whether its rejections don't say that nothing has run.
         places: Number of runs at once; more are rejected; None for any.
         arrivals: Monotonic times of all requests, also of those that it
             rejects and of calls that are no run.
@@ -190,6 +193,9 @@
         self.places: int | None = None
         self.says_leaving = False
         self.hold: str | None = None
+        self.more_holds: tuple[str, ...] = ()
+        self.omits_proof = False
+        self.date: str | None = None
         self._running = 0
         self._rejected_s: list[float] = []
         self._is_falling = False
@@ -212,6 +218,11 @@
         """Number of its crashes."""
         return len(self.crashes_s)
 
+    @property
+    def open_connections(self) -> int:
+        """Number of connections that are open."""
+        return len(self._conns)
+
     def stop(self) -> None:
         """Stops to listen, so that another program can use the port."""
         assert self._listener is not None
@@ -296,22 +307,25 @@
             self._record_report()
             await asyncio.sleep(self.report_delay_s)
             if not self.has_report:
-                conn.respond(404, (), b"")
+                conn.respond(404, self._limit_headers(), b"")
                 return
             state = "draining" if self.is_leaving else "ready"
             report: dict[str, object] = {"state": state}
             if self.says_born:
                 report["born"] = self.born
-            conn.respond(200, (), json.dumps(report).encode())
+            conn.respond(
+                200, self._limit_headers(), json.dumps(report).encode()
+            )
         elif req.target == "/health":
             await asyncio.sleep(self.delay_s)
-            conn.respond(200, (), b"")
+            status = 503 if self.rejects_all or self.says_leaving else 200
+            conn.respond(status, self._notice_headers(), b"")
         elif req.target == "/kv-move":
             await asyncio.sleep(self.copy_delay_s)
             await self._copy_kv(conn, json.loads(req.body))
         elif req.target.startswith("/kv-handle/"):
             self.kv_copies.pop(req.target.rpartition("/")[2], None)
-            conn.respond(200, (), b"")
+            conn.respond(200, self._limit_headers(), b"")
         elif headers["x-savorylift-expected-instance"] != self.server_id:
             conn.respond(421, self._refusal_headers(headers), b"")
         elif self.rejects_all or (
@@ -342,13 +356,22 @@
 
     def _refusal_headers(self, headers: dict[str, str]) -> Headers:
         attempt = headers["x-savorylift-attempt-id"]
+        proof = () if self.omits_proof else (NOT_EXECUTED_HEADER,)
         return (
             ("x-savorylift-attempt-id", attempt),
-            NOT_EXECUTED_HEADER,
-            *self._limit_headers(),
-            *(() if self.hold is None else (("retry-after", self.hold),)),
+            *proof,
+            *self._notice_headers(),
         )
 
+    def _notice_headers(self) -> Headers:
+        """Returns what its rejections say of its plans."""
+        headers = self._limit_headers()
+        if self.hold is not None:
+            headers += (("retry-after", self.hold),)
+        if self.date is not None:
+            headers += (("date", self.date),)
+        return headers + tuple(("retry-after", v) for v in self.more_holds)
+
     def _limit_headers(self) -> Headers:
         """Returns what all answers say of this server's limits."""
         headers: Headers = ()
@@ -489,22 +512,22 @@
     ) -> None:
         attempt = str(copy_request["id"])
         if attempt not in self.streamed_events or attempt in self._ended:
-            conn.respond(404, (), b"")
+            conn.respond(404, self._limit_headers(), b"")
             return
         if self.copies_to_reject:
             self.copies_to_reject -= 1
-            conn.respond(503, (), b"")
+            conn.respond(503, self._limit_headers(), b"")
             return
         if copy_request.get("last"):
             if self.ends_before_final_copy:
                 while attempt not in self._ended:
                     await asyncio.sleep(self.event_interval_s)
-                conn.respond(404, (), b"")
+                conn.respond(404, self._limit_headers(), b"")
                 return
             self.stopped.add(attempt)
             if self.is_replaced_at_final_copy:
                 self.born += 1
-                conn.respond(404, (), b"")
+                conn.respond(404, self._limit_headers(), b"")
                 await self.end_all()
                 return
             if self.drops_final_copy:
@@ -515,11 +538,13 @@
         port = int(str(copy_request["to"]).rpartition(":")[2])
         copy = KvCopy(attempt, event_count)
         if not await self._send_copy(port, handle, copy):
-            conn.respond(503, (), b"")
+            conn.respond(503, self._limit_headers(), b"")
             return
         self.kv_copies[handle] = copy
         response_body = {"handle": handle, "createdRev": event_count}
-        conn.respond(200, (), json.dumps(response_body).encode())
+        conn.respond(
+            200, self._limit_headers(), json.dumps(response_body).encode()
+        )
 
     async def _send_copy(self, port: int, handle: str, copy: KvCopy) -> bool:
         """Gives a copy to another engine; returns whether it has it."""
@@ -532,4 +557,4 @@
         """Keeps a copy that another engine sends."""
         copy = KvCopy(str(sent["attempt_id"]), int(str(sent["event_count"])))
         self.kv_copies[str(sent["handle"])] = copy
-        conn.respond(200, (), b"")
+        conn.respond(200, self._limit_headers(), b"")
