Decide in one place whether a server may get a request, and say why not

Cause: leaving, out of service, holds, named limits, cold starts, places and brittle services were judged in three modules, each with conditions of its own, and nothing said what stood in a request's way.

Change: exchange/server_gate.py names the reason for each server, without a network. The status has `blocked_servers`, `savorylift status` counts them by reason; a request that no server takes logs `servers_blocked`, from which `explain` finds the lines of those servers; counters for leaving notices, holds and blocked servers by reason. Quarantine is of requests, not of servers: it is judged before a server is chosen, as before.

placement/candidates.py is gone: its rule stood twice. Its test, with one case more, is test_server_pool.py::test_ineligible_servers_are_skipped.

Shown by: tests/exchange/test_server_gate.py, a test for each reason; tests/front/test_held_servers.py (every kind of request, with and without proof, forms of the header, health checks, second tries, answers on their way, status and metrics); tests/operators/test_explanation.py.

--- a/src/savorylift/exchange/allowed_servers.py
+++ b/src/savorylift/exchange/allowed_servers.py
@@ -3,11 +3,12 @@
 from collections.abc import Collection, Iterator, Mapping
 
 from savorylift.backends.registry import BackendServer
+from savorylift.backends.server import ServerEntry
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.request import CallerRequest
+from savorylift.exchange.server_block import Block
 from savorylift.exchange.server_holds import ServerHolds
 from savorylift.fleet.store_view import StoreView
-from savorylift.placement.candidates import eligible_servers
 
 
 class AllowedServers:
@@ -39,18 +40,36 @@
             admitted: The request.
             tried: IDs of the servers to leave out.
         """
-        found = eligible_servers(
-            self._store_view.registry.servers,
-            admitted.service.name,
-            self._store_view.evacuated,
-            tried,
-            lambda domain: self._is_allowed_domain(admitted, domain),
-        )
+        for server in self.find_matching(admitted, tried):
+            if self.find_service_block(server.entry) is None:
+                yield server
+
+    def find_matching(
+        self, admitted: AdmittedRequest, tried: Collection[str] = ()
+    ) -> Iterator[BackendServer]:
+        """Yields the servers that a request is for, in service or not."""
+        service = admitted.service.name
         version = admitted.software_version
-        for server in found:
-            if version in (None, server.entry.software_version):
+        for server_id, server in self._store_view.registry.servers.items():
+            entry = server.entry
+            if entry.service != service or server_id in tried:
+                continue
+            if version not in (None, entry.software_version):
+                continue
+            if self._is_allowed_domain(admitted, entry.failure_domain):
                 yield server
 
+    def find_service_block(self, entry: ServerEntry) -> Block | None:
+        """Returns why a server is not in service, full or not."""
+        if entry.is_leaving:
+            return Block.LEAVING
+        out_of_service = self._store_view.evacuated
+        if entry.failure_domain in out_of_service:
+            return Block.OUT_OF_SERVICE
+        if entry.server_id in out_of_service:
+            return Block.OUT_OF_SERVICE
+        return None
+
     def find_known_engine(
         self, admitted: AdmittedRequest, tried: Collection[str]
     ) -> BackendServer | None:
@@ -90,19 +109,16 @@
             return False
         if req.has_run_at(entry.server_id):
             return True
-        return not known.is_leaving and self._store_view.evacuated.isdisjoint(
-            (entry.failure_domain, entry.server_id)
-        )
+        return self.find_service_block(known) is None
 
     def servers_in_service(self, service: str) -> list[BackendServer]:
         """Returns the servers of a service that may get requests."""
-        return list(
-            eligible_servers(
-                self._store_view.registry.servers,
-                service,
-                self._store_view.evacuated,
-            )
-        )
+        return [
+            server
+            for server in self._store_view.registry.servers.values()
+            if server.entry.service == service
+            and self.find_service_block(server.entry) is None
+        ]
 
     def is_in_service(self, server: BackendServer) -> bool:
         """Returns whether a server is still registered and not draining."""
--- a/src/savorylift/exchange/engine_queue.py
+++ b/src/savorylift/exchange/engine_queue.py
@@ -61,6 +61,12 @@
             that its caller brings here does not wait while another node has
             room for it.
         """
+        server = await self._acquire(run, tried)
+        if server is None:
+            self._pool.blocks.record_unserved(run.admitted)
+        return server
+
+    async def _acquire(self, run: Run, tried: set[str]) -> BackendServer | None:
         admitted = run.admitted
         options = self._engine_options(run)
 
--- a/src/savorylift/exchange/metrics.py
+++ b/src/savorylift/exchange/metrics.py
@@ -102,6 +102,15 @@
     "Servers that said that they leave, by where this node heard it.",
     ["source"],
 )
+SERVER_HOLDS = Counter(
+    "savorylift_front_server_holds",
+    "Servers that began to want nothing from this node for a while.",
+)
+SERVERS_BLOCKED = Counter(
+    "savorylift_front_servers_blocked",
+    "Servers that requests found closed when none took them, by why.",
+    ["reason"],
+)
 UNREACHED_SERVICES = Gauge(
     "savorylift_front_unreached_services",
     "Services of which this node reaches no backend server.",
--- a/src/savorylift/exchange/plain_call.py
+++ b/src/savorylift/exchange/plain_call.py
@@ -218,6 +218,7 @@
         self, admitted: AdmittedRequest, last_result: SendResult | None
     ) -> Answered | Refused:
         """Returns the final response if no server is left to try."""
+        self._pool.blocks.record_unserved(admitted)
         if last_result is None or is_over_limit(last_result):
             return_after_s = self._pool.assign_return_s(admitted)
             if return_after_s is not None:
--- a/src/savorylift/exchange/server_holds.py
+++ b/src/savorylift/exchange/server_holds.py
@@ -6,6 +6,8 @@
 
 import structlog
 
+from savorylift.exchange import metrics
+
 # A server that asks for longer is asked again after this time.
 MAX_HOLD_S = 60.0
 # Added at random, as a share of the hold, so that the requests of all nodes
@@ -36,6 +38,7 @@
         if until_s <= self._until_s.get(server_id, now_s):
             return
         if not self.is_held(server_id):
+            metrics.SERVER_HOLDS.inc()
             _log.info(
                 "server_hold",
                 server=server_id,
--- a/src/savorylift/exchange/server_places.py
+++ b/src/savorylift/exchange/server_places.py
@@ -4,15 +4,33 @@
 import random
 import time
 from collections.abc import Iterable, Iterator, Mapping
+from typing import NamedTuple
 
 from savorylift.backends.brittle_services import BrittleServices
 from savorylift.backends.cold_start import ColdStartLimiter
 from savorylift.backends.load import Load, LoadTracker
 from savorylift.backends.registry import BackendServer
+from savorylift.exchange.server_block import Block
 from savorylift.fleet.membership import Membership
 from savorylift.routing.configuration import Service
 
 
+class Demand(NamedTuple):
+    """What a choice of servers is made for.
+
+    Attributes:
+        service: The service.
+        is_brittle: Whether its servers fall over if they reject much.
+        nodes: Number of nodes that share its servers.
+        now_s: Monotonic time.
+    """
+
+    service: Service
+    is_brittle: bool
+    nodes: int
+    now_s: float
+
+
 class ServerPlaces:
     """Keeps to this node's share of what cold and brittle servers take."""
 
@@ -36,33 +54,35 @@
         self._brittle = brittle
         self._cold_start = ColdStartLimiter(rng)
 
-    def find(
-        self,
-        servers: Iterable[BackendServer],
-        service: Service,
-        loads: Mapping[str, Load],
-    ) -> Iterator[BackendServer]:
-        """Yields the servers that have a place for a request of this node.
+    def demand(self, service: Service) -> Demand:
+        """Returns what a choice of a service's servers is made for, now."""
+        now_s = time.monotonic()
+        return Demand(
+            service,
+            self._brittle.is_brittle(service.name),
+            self._membership.count_sharing_nodes(now_s),
+            now_s,
+        )
+
+    def find_block(
+        self, server: BackendServer, demand: Demand, requests: int
+    ) -> Block | None:
+        """Returns why a server has no place for a request of this node.
 
         Args:
-            servers: Servers to choose from.
-            service: Their service.
-            loads: What all nodes together have at each server.
+            server: The server.
+            demand: What the choice is made for.
+            requests: Requests of all nodes that the server has.
         """
-        now_s = time.monotonic()
-        nodes = self._membership.count_sharing_nodes(now_s)
-        is_brittle = self._brittle.is_brittle(service.name)
-        for server in servers:
-            if server.is_cold(now_s):
-                has_place = self._has_cold_place(server, service, nodes, now_s)
-            else:
-                load = loads.get(server.entry.server_id, Load())
-                has_place = server.entry.has_capacity(load.requests)
-            if has_place and is_brittle:
-                slots = server.entry.slots
-                has_place = self._has_own_place(server, slots, now_s)
-            if has_place:
-                yield server
+        if server.is_cold(demand.now_s):
+            if not self._has_cold_place(server, demand):
+                return Block.COLD
+        elif not server.entry.has_capacity(requests):
+            return Block.FULL
+        slots, now_s = server.entry.slots, demand.now_s
+        if demand.is_brittle and not self._has_own_place(server, slots, now_s):
+            return Block.BRITTLE
+        return None
 
     def find_elsewhere(
         self, servers: Iterable[BackendServer], loads: Mapping[str, Load]
@@ -91,15 +111,15 @@
         if server.is_cold(time.monotonic()):
             self._cold_start.record_request(server.entry.server_id)
 
-    def _has_cold_place(
-        self, server: BackendServer, service: Service, nodes: int, now_s: float
-    ) -> bool:
+    def _has_cold_place(self, server: BackendServer, demand: Demand) -> bool:
         """Whether this node's share of a cold server has room."""
         max_cold = server.entry.max_cold_requests
         if max_cold is not None:
-            return self._has_own_place(server, max_cold, now_s)
+            return self._has_own_place(server, max_cold, demand.now_s)
         return self._cold_start.may_send(
-            server.entry.server_id, service.cold_requests_per_s, nodes
+            server.entry.server_id,
+            demand.service.cold_requests_per_s,
+            demand.nodes,
         )
 
     def _has_own_place(
--- a/src/savorylift/exchange/server_pool.py
+++ b/src/savorylift/exchange/server_pool.py
@@ -16,6 +16,8 @@
 from savorylift.exchange.request import CallerRequest
 from savorylift.exchange.retry_budget import RetryBudget
 from savorylift.exchange.run import Run
+from savorylift.exchange.server_blocks import ServerBlocks
+from savorylift.exchange.server_gate import ServerGate
 from savorylift.exchange.server_holds import ServerHolds
 from savorylift.exchange.server_places import ServerPlaces
 from savorylift.fleet.membership import Membership
@@ -36,6 +38,7 @@
         brittle: Services whose servers fall over if they reject much.
         holds: Which servers want nothing for a while.
         move_queue: Which run may be copied next.
+        blocks: Why servers get no requests.
         retries: This node's share of the retry budget.
     """
 
@@ -77,6 +80,16 @@
         self._places = ServerPlaces(
             membership, self.load_tracker, self.brittle, rng
         )
+        self._gate = ServerGate(
+            self._allowed, holds, limit_gate.is_open, self._places
+        )
+        self.blocks = ServerBlocks(
+            self._registry,
+            self._allowed,
+            self._gate,
+            self._places,
+            self._loads,
+        )
         self.retries = NodeRetries(budget, membership)
         self.move_queue = MoveQueue(
             lambda: membership.moves(time.monotonic()),
@@ -191,7 +204,7 @@
         """
         allowed = self._allowed.find(admitted, tried)
         return any(
-            self._takes_requests(server)
+            self._gate.find_pause(server.entry) is None
             for server in self._places.find_elsewhere(allowed, self._loads())
         )
 
@@ -274,15 +287,12 @@
         loads: Mapping[str, Load],
     ) -> Iterator[BackendServer]:
         """Yields the servers that may run a request and have room for it."""
-        allowed = self._allowed.find(admitted, tried)
-        ready = filter(self._takes_requests, allowed)
-        return self._places.find(ready, admitted.service, loads)
-
-    def _takes_requests(self, server: BackendServer) -> bool:
-        """Whether neither a limit nor a hold keeps requests from a server."""
-        if not self._limit_gate.is_open(server.entry):
-            return False
-        return not self.holds.is_held(server.entry.server_id)
+        demand = self._places.demand(admitted.service)
+        for server in self._allowed.find_matching(admitted, tried):
+            load = loads.get(server.entry.server_id, Load())
+            block = self._gate.find_block(server, demand, load.requests)
+            if block is None:
+                yield server
 
     def _record_start(
         self,
--- a/src/savorylift/front/state_reporter.py
+++ b/src/savorylift/front/state_reporter.py
@@ -14,6 +14,7 @@
 from savorylift.front.lifecycle import Lifecycle
 from savorylift.front.server_news import ServerNews
 from savorylift.front.status import Status
+from savorylift.routing.configuration import Configuration
 
 
 class NodeIdentity(NamedTuple):
@@ -161,4 +162,9 @@
                 news.service for news in self._pool.brittle.news()
             ),
             held_servers=self._pool.holds.held_ids,
+            blocked_servers={} if cfg is None else self._blocked_servers(cfg),
         )
+
+    def _blocked_servers(self, cfg: Configuration) -> dict[str, str]:
+        blocks = self._pool.blocks.find_all(cfg.services.values())
+        return {server_id: block.value for server_id, block in blocks.items()}
--- a/src/savorylift/front/status.py
+++ b/src/savorylift/front/status.py
@@ -34,6 +34,7 @@
             as it reaches none of their servers.
         brittle_services: Services whose servers fall over if they reject much.
         held_servers: Servers that want nothing from it for a while.
+        blocked_servers: Servers that get no request of it now, with why.
     """
 
     vm: str
@@ -52,6 +53,7 @@
     unreached_services: tuple[str, ...] = ()
     brittle_services: tuple[str, ...] = ()
     held_servers: tuple[str, ...] = ()
+    blocked_servers: dict[str, str] = msgspec.field(default_factory=dict)
 
 
 def encode_status(status: Status) -> bytes:
--- a/src/savorylift/operators/explanation.py
+++ b/src/savorylift/operators/explanation.py
@@ -36,6 +36,8 @@
     }
 )
 SERVER_FIELDS = ("server", "source", "destination")
+# Fields whose values are objects by server.
+SERVER_MAP_FIELDS = ("servers",)
 
 LogEntry = Mapping[str, Any]
 
@@ -66,6 +68,13 @@
     servers = {
         entry.get(field) for entry in request_entries for field in SERVER_FIELDS
     }
+    servers |= {
+        server
+        for entry in request_entries
+        for field in SERVER_MAP_FIELDS
+        if isinstance(entry.get(field), dict)
+        for server in entry[field]
+    }
     relevant_entries = [
         entry
         for entry in entries
--- a/src/savorylift/operators/node_commands.py
+++ b/src/savorylift/operators/node_commands.py
@@ -3,6 +3,7 @@
 import asyncio
 import pathlib
 import sys
+from collections import Counter
 from collections.abc import Iterable, Iterator
 
 import msgspec
@@ -52,12 +53,14 @@
         phase = "leaving"
     else:
         phase = "ready" if node_status.is_ready else "starting"
+    reasons = Counter(node_status.blocked_servers.values())
+    blocked = "".join(f", {n} blocked ({why})" for why, n in reasons.items())
     return (
         f"{node_status.vm}: {phase}, configuration "
         f"{node_status.configuration_version} "
         f"(offset {node_status.operators_version}), "
         f"{node_status.open_requests} open requests, "
-        f"{len(node_status.backend_servers)} backend servers, "
+        f"{len(node_status.backend_servers)} backend servers{blocked}, "
         f"hears from {len(node_status.peers)} other nodes"
     )
 
--- a/tests/exchange/test_server_holds.py
+++ b/tests/exchange/test_server_holds.py
@@ -3,6 +3,7 @@
 import random
 
 import pytest
+from structlog.testing import capture_logs
 
 from savorylift.exchange.server_holds import (
     MAX_HOLD_S,
@@ -64,6 +65,21 @@
     assert holds.shortest_s([]) is None
 
 
+def test_begin_and_end_of_a_hold_are_logged(clock: list[float]) -> None:
+    with capture_logs() as logged:
+        holds = make_holds()
+        holds.record("i-1", 86_400.0)
+        holds.record("i-1", 5.0)
+        clock[0] += MAX_HOLD_S * (1 + MAX_SPREAD) + 0.1
+        holds.forget_ended()
+        holds.forget_ended()
+    begin, end = logged
+    assert begin["event"] == "server_hold"
+    assert begin["asked_s"] == 86_400.0
+    assert begin["kept_s"] <= MAX_HOLD_S * (1 + MAX_SPREAD)
+    assert (end["event"], end["server"]) == ("server_hold_ended", "i-1")
+
+
 def test_holds_of_several_nodes_end_at_different_times(
     clock: list[float],
 ) -> None:
--- a/tests/exchange/test_server_pool.py
+++ b/tests/exchange/test_server_pool.py
@@ -16,6 +16,7 @@
     make_generation_request,
     make_pool,
     make_route,
+    make_server_entry,
     make_store_view,
 )
 
@@ -56,6 +57,32 @@
     assert server_pool.has_untried_server(admitted, ()) is is_found
 
 
+@pytest.mark.parametrize(
+    ("changes", "is_eligible"),
+    [
+        ({}, True),
+        ({"is_leaving": True}, False),
+        ({"service": "other"}, False),
+        ({"failure_domain": "out"}, False),
+        ({"server_id": "tried"}, False),
+        ({"server_id": "out-of-service"}, False),
+    ],
+)
+def test_ineligible_servers_are_skipped(
+    changes: dict[str, Any], *, is_eligible: bool
+) -> None:
+    store_view = make_store_view()
+    store_view.evacuated = frozenset({"out", "out-of-service"})
+    entry = make_server_entry()._replace(**changes)
+    store_view.registry.put(entry, time.monotonic())
+    server_pool = make_pool(store_view)
+    admitted = make_admitted_request()
+    assert server_pool.has_server(admitted, {"tried"}) is is_eligible
+    assert server_pool.has_untried_server(admitted, {"tried"}) is is_eligible
+    found = server_pool.reserve_plain_server(admitted, {"tried"})
+    assert bool(found) is is_eligible
+
+
 def test_server_in_unknown_region_gets_no_restricted_request() -> None:
     server_pool = make_pool(make_store_view(a=9))
     assert (
--- a/tests/front/node_fleet.py
+++ b/tests/front/node_fleet.py
@@ -73,7 +73,7 @@
         self._rng = random.Random(nodes)
         self._store = PlatformStore()
         self._cut: set[str] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks: set[asyncio.Task[Ending | None]] = set()
         self.app = [PlatformServer(f"app-{n}") for n in range(servers)]
         self.pool = [PlatformServer(f"pool-{n}") for n in range(servers)]
         self.endings: list[Ending] = []
@@ -206,8 +206,8 @@
         extra_headers: Headers = (),
         body: bytes = b"question",
         patience_s: float | None = None,
-    ) -> None:
-        """Sends a request to a node and records how it ended."""
+    ) -> Ending:
+        """Sends a request to a node; records and returns how it ended."""
         headers: Headers = (
             *extra_headers,
             ("host", "h.example"),
@@ -231,15 +231,15 @@
             status = response.status
             retry_after = response.header("retry-after")
         took_s = time.monotonic() - started_s
-        self.endings.append(
-            Ending(
-                body,
-                started_s,
-                took_s,
-                status,
-                None if retry_after is None else float(retry_after),
-            )
+        ending = Ending(
+            body,
+            started_s,
+            took_s,
+            status,
+            None if retry_after is None else float(retry_after),
         )
+        self.endings.append(ending)
+        return ending
 
     def endings_since(self, since_s: float) -> list[Ending]:
         """Returns the requests that were sent after a moment."""
--- a/tests/operators/test_explanation.py
+++ b/tests/operators/test_explanation.py
@@ -38,5 +38,17 @@
     ]
 
 
+def test_explanation_of_a_refusal_includes_the_servers_in_its_way() -> None:
+    lines = [
+        log_line(1, "server_hold", server="i-1", asked_s=5.0),
+        log_line(1, "server_leaves", server="i-2"),
+        log_line(1, "server_hold", server="i-3", asked_s=5.0),
+        log_line(2, "servers_blocked", request="r1", servers={"i-1": "hold"}),
+        log_line(3, "answer", request="r1", status=503),
+    ]
+    events = [text.split()[2] for text in explain_request(lines, "r1")]
+    assert events == ["server_hold", "servers_blocked", "answer"]
+
+
 def test_unknown_request_has_no_explanation() -> None:
     assert explain_request(LOG_LINES, "r9") == []
--- a/tests/placement/test_choices.py
+++ b/tests/placement/test_choices.py
@@ -7,7 +7,6 @@
 from savorylift.backends.load import Load
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange.request import Generation
-from savorylift.placement.candidates import eligible_servers
 from savorylift.placement.engines import (
     EngineOptions,
     choose_engine,
@@ -107,25 +106,6 @@
     assert choose_plain_server_id({}) is None
 
 
-@pytest.mark.parametrize(
-    ("changes", "is_eligible"),
-    [
-        ({}, True),
-        ({"is_leaving": True}, False),
-        ({"service": "other"}, False),
-        ({"failure_domain": "out"}, False),
-        ({"server_id": "tried"}, False),
-    ],
-)
-def test_ineligible_servers_are_skipped(
-    changes: dict[str, object], *, is_eligible: bool
-) -> None:
-    server = BackendServer(make_server_entry()._replace(**changes), 0.0)  # type: ignore[arg-type]
-    servers = {server.entry.server_id: server}
-    found = list(eligible_servers(servers, "s", {"out"}, {"tried"}))
-    assert bool(found) is is_eligible
-
-
 @pytest.mark.parametrize(
     ("loads", "expected"),
     [
