Spread the returns of callers that were refused as all servers are on hold

Cause: all callers that a node refused were told the exact end of the shortest hold, and came back at one moment.

Change: each is told to wait up to a fifth longer, at random.

--- a/src/savorylift/exchange/server_holds.py
+++ b/src/savorylift/exchange/server_holds.py
@@ -13,6 +13,8 @@
 # Added at random, as a share of the hold, so that the requests of all nodes
 # don't come back at once.
 MAX_SPREAD = 0.2
+# Added at random to the time after which callers may return, as a share of it.
+MAX_RETURN_SPREAD = 0.2
 
 _log = structlog.get_logger()
 
@@ -67,6 +69,16 @@
         shortest_s = min(left_s, default=0.0)
         return shortest_s if shortest_s > 0 else None
 
+    def assign_return_s(self, server_ids: Collection[str]) -> float | None:
+        """Returns after what time a caller may return, a little spread.
+
+        None if a server isn't held, or there is none.
+        """
+        shortest_s = self.shortest_s(server_ids)
+        if shortest_s is None:
+            return None
+        return shortest_s * (1 + self._rng.uniform(0.0, MAX_RETURN_SPREAD))
+
     def forget_ended(self) -> None:
         """Drops the holds that have ended."""
         now_s = time.monotonic()
--- a/src/savorylift/exchange/server_pool.py
+++ b/src/savorylift/exchange/server_pool.py
@@ -266,12 +266,12 @@
     def shortest_hold_s(
         self, admitted: AdmittedRequest, tried: Collection[str] = ()
     ) -> float | None:
-        """Returns the time until a server may get a request again.
+        """Returns after what time a server may get a request again.
 
-        None if one may now.
+        It is spread a little over the callers. None if one may now.
         """
         found = self._allowed.find(admitted, tried)
-        return self.holds.shortest_s([s.entry.server_id for s in found])
+        return self.holds.assign_return_s([s.entry.server_id for s in found])
 
     def remove_run(self, run: Run) -> None:
         """Removes a run from the load of its engine, if it has one."""
--- a/tests/exchange/test_server_holds.py
+++ b/tests/exchange/test_server_holds.py
@@ -7,6 +7,7 @@
 
 from savorylift.exchange.server_holds import (
     MAX_HOLD_S,
+    MAX_RETURN_SPREAD,
     MAX_SPREAD,
     ServerHolds,
 )
@@ -80,6 +81,21 @@
     assert (end["event"], end["server"]) == ("server_hold_ended", "i-1")
 
 
+def test_callers_may_return_at_different_times_after_the_hold(
+    clock: list[float],
+) -> None:
+    holds = make_holds()
+    holds.record("i-1", 5.0)
+    left_s = holds.shortest_s(["i-1"])
+    assert left_s is not None
+    returns = [holds.assign_return_s(["i-1"]) for _ in range(20)]
+    assert len(set(returns)) == 20
+    for return_s in returns:
+        assert return_s is not None
+        assert left_s <= return_s <= left_s * (1 + MAX_RETURN_SPREAD)
+    assert holds.assign_return_s(["i-1", "i-2"]) is None
+
+
 def test_holds_of_several_nodes_end_at_different_times(
     clock: list[float],
 ) -> None:
--- a/tests/front/test_held_servers.py
+++ b/tests/front/test_held_servers.py
@@ -16,11 +16,14 @@
     event_numbers,
     run_in_environment,
 )
+from tests.front.node_fleet import NodeFleet
 from tests.standins.platform_server import PlatformServer
 
 TOKEN_COUNTS = (("x-savorylift-token-counts", "100,50"),)
 PATHS = ["/safe/x", "/once/x", "/stream/x", "/resumable/x"]
 HOLD_S = 1.0
+CALLERS = 60
+BURST_S = 0.1
 
 
 def known(env: NodeEnvironment, server: PlatformServer) -> BackendServer:
@@ -189,6 +192,68 @@
     run_in_environment(scenario)
 
 
+@pytest.mark.parametrize("path", PATHS)
+def test_callers_refused_by_holds_return_at_different_times(path: str) -> None:
+    async def scenario(env: NodeEnvironment) -> None:
+        servers = env.app if path in PATHS[:2] else env.pool
+        for server, hold_s in zip(servers, (5, 2), strict=True):
+            server.rejects_all, server.hold = True, str(hold_s)
+        headers = TOKEN_COUNTS if path in PATHS[2:] else ()
+        for number in range(4):
+            await env.call(path, f"a{number}", headers)
+        returns = []
+        for number in range(6):
+            sent_s = time.monotonic()
+            refused = await env.call(path, f"b{number}", headers)
+            assert refused.status == 503
+            assert time.monotonic() - sent_s < 0.3
+            after_s = float(refused.header("retry-after") or 0)
+            # From the shorter hold, and not before its end.
+            left_s = min(hold_left_s(env, s) or 0 for s in servers)
+            assert left_s <= after_s <= 1.3 * 2 * (1 + MAX_SPREAD)
+            returns.append(sent_s + after_s)
+        returns.sort()
+        assert returns[-1] - returns[0] > 0.05
+
+    run_in_environment(scenario)
+
+
+def test_callers_of_all_nodes_do_not_come_back_at_once() -> None:
+    async def scenario() -> None:
+        fleet = NodeFleet(6, 1)
+        async with fleet.running():
+            (holding,) = fleet.app
+            holding.rejects_all, holding.hold = True, str(2 * HOLD_S)
+            for ip in fleet.ips:
+                await fleet.call(ip, "/safe/x", "a1")
+            holding.rejects_all = False
+            arrived = len(holding.arrivals)
+            await asyncio.gather(
+                *(
+                    call_again(fleet, fleet.ips[n % 6], f"b{n}")
+                    for n in range(CALLERS)
+                )
+            )
+        later = sorted(holding.arrivals[arrived:])
+        assert len(later) == CALLERS
+        most = max(
+            sum(t <= other < t + BURST_S for other in later) for t in later
+        )
+        assert most <= CALLERS / 2
+
+    asyncio.run(scenario())
+
+
+async def call_again(fleet: NodeFleet, ip: str, attempt: str) -> None:
+    """Sends a request until it is served, as often as it is told."""
+    while True:
+        ending = await fleet.call(ip, "/safe/x", attempt)
+        if ending.status != 503:
+            return
+        assert ending.retry_after_s is not None
+        await asyncio.sleep(ending.retry_after_s)
+
+
 def test_status_and_metrics_say_why_servers_get_nothing() -> None:
     async def scenario(env: NodeEnvironment) -> None:
         for server in env.app:
