Show that states of older builds are read without their later fields

The other direction, a field more than a build knows, was shown; brittle services and servers that leave are in the messages of these tests now.

--- a/tests/fleet/test_codec.py
+++ b/tests/fleet/test_codec.py
@@ -14,11 +14,14 @@
     encode,
 )
 from savorylift.fleet.state import (
+    BrittleNews,
     Change,
     CrashReport,
     Delta,
+    LeavingServer,
     LimitNews,
     LimitReport,
+    NodeState,
     OriginAck,
     OriginNews,
     OriginQuery,
@@ -49,6 +52,8 @@
         quarantine_news=QuarantineNews(
             (CrashReport("i-1", 1.0, (("p", "q"),)),), (SoundPart("p", 2.0),)
         ),
+        brittle_services=(BrittleNews("s", 1.0),),
+        leaving_servers=(LeavingServer("i-1", 5),),
     ),
     Delta(Topic.SERVERS, (1, 2), (3, 4), (Change("k", b"v"),)),
     Snapshot(1, (2, 3), {"k": b"v"}, {}),
@@ -92,6 +97,17 @@
     assert decode(data).unwrap() == message
 
 
+def test_state_of_an_older_build_lacks_only_its_later_fields() -> None:
+    message = MESSAGES[0]
+    fields = list(msgspec.to_builtins(message))
+    for missing in range(1, len(NodeState._field_defaults) + 1):
+        decoded = decode(repack(["state", fields[:-missing]])).unwrap()
+        later = NodeState._fields[-missing:]
+        defaults = {n: NodeState._field_defaults[n] for n in later}
+        assert isinstance(message, NodeState)
+        assert decoded == message._replace(**defaults)
+
+
 def test_unknown_part_of_a_newer_build_is_ignored() -> None:
     fields = msgspec.to_builtins(MESSAGES[0])
     data = repack(["state", fields, "unknown"])
