--- a/tests/soak/fault_context.py
+++ b/tests/soak/fault_context.py
@@ -7,6 +7,7 @@
 
 from tests.front.engine_fleet import EngineProcessFleet
 from tests.soak.shape import Shape
+from tests.soak.version_callers import Violation
 
 T = TypeVar("T")
 
@@ -23,6 +24,7 @@
         busy: What is at a fault and must be left alone: IDs of engines, or
             names of parts of the fleet.
         injected: Descriptions of the faults so far, in order.
+        violations: What engines found violated.
     """
 
     def __init__(
@@ -34,6 +36,7 @@
         self.rng = rng
         self.busy: set[str] = set()
         self.injected: list[str] = []
+        self.violations: list[Violation] = []
 
     def describe(self, fault: str) -> None:
         """Records a fault, with the time of day that logs carry."""
--- a/tests/soak/shape.py
+++ b/tests/soak/shape.py
@@ -31,6 +31,9 @@
         BEGIN: An engine crashes as a stream begins, and starts again at another
             version.
         HOLD: An engine rejects everything and says for how long.
+        LEAVE: An engine says in its answers that it leaves; its entry doesn't.
+        PAUSE: An engine rejects everything and says for how long; who heeds it
+            is judged.
         DRAIN: An engine drains, ends, and starts again under its ID.
         MOVE: An engine drains and takes requests again, without an end.
         CROSS: Two engines move runs to each other and start again meanwhile.
@@ -52,6 +55,8 @@
     UNREAD = "unread"
     BEGIN = "begin"
     HOLD = "hold"
+    LEAVE = "leave"
+    PAUSE = "pause"
     DRAIN = "drain"
     MOVE = "move"
     CROSS = "cross"
--- a/tests/soak/version_callers.py
+++ b/tests/soak/version_callers.py
@@ -24,6 +24,8 @@
         EARLY: A stream ended as complete before its last event.
         BROKEN: A stream was not completed after the last fault.
         LOGGED: A node logged what no run may hold.
+        LATE: Runs reached an engine long after it said that it leaves.
+        IN_PAUSE: Requests reached an engine that wanted a pause.
     """
 
     MIXED = "mixed"
@@ -31,6 +33,8 @@
     EARLY = "too early"
     BROKEN = "broken after the faults"
     LOGGED = "logged"
+    LATE = "after leaving"
+    IN_PAUSE = "in a pause"
 
 
 class Violation(NamedTuple):
--- a/tests/soak/version_scenario.py
+++ b/tests/soak/version_scenario.py
@@ -145,6 +145,7 @@
             await asyncio.sleep(RECOVERY_S)
             after = await self._streams_after()
         violations = self._violations([*results, *self._callers.twins, *after])
+        violations += self._context.violations
         violations += [
             _broken(stream) for stream in after if not stream.is_whole
         ]
--- a/tests/soak/version_shapes.py
+++ b/tests/soak/version_shapes.py
@@ -47,6 +47,12 @@
 LIMITED_KILLS = LIMITED._replace(
     faults=(Fault.KILL,), fault_interval_s=RARE_FAULT_INTERVAL_S
 )
+# Engines that say in their answers that they leave, or want a pause.
+NOTICES = Shape(
+    versions=("v1",) * 4,
+    releases=("v1",),
+    faults=(Fault.LEAVE, Fault.PAUSE),
+)
 ENGINE_FAULTS = (Fault.RESTART, Fault.RESTART, Fault.DRAIN)
 # Callers keep their connections, engines replaced late, and nodes ended beside.
 KEPT = LATE_SWAPS._replace(
@@ -92,6 +98,11 @@
         faults=(*BASE_FAULTS, Fault.HOLD, Fault.HOLD),
         entry_delays_s=LATE_ENTRY_DELAYS_S,
     ),
+    "notices": NOTICES,
+    "notices-store": NOTICES._replace(
+        faults=(*NOTICES.faults, Fault.STORE_AWAY)
+    ),
+    "notices-two-builds": NOTICES._replace(other_nodes=1),
     "release": RELEASE,
     "drains": Shape(faults=(*BASE_FAULTS, Fault.DRAIN, Fault.DRAIN)),
     "short": Shape(events=SHORT_EVENTS, resets_after=BREAK_AFTER_EVENTS),
