Let generations wait no longer when the last engine leaves meanwhile

Cause: those that waited in the queue as the last engine of their service left waited until their share of the caller's time was used up.

Change: the queue ends their wait once no engine of the service is in service and all of theirs leave; they are refused as new ones are. The engines are looked through once a service and dispatch.

Shown by: test_generation_does_not_wait_on_when_all_engines_leave, which fails without the change.

--- a/src/savorylift/exchange/engine_queue.py
+++ b/src/savorylift/exchange/engine_queue.py
@@ -46,6 +46,7 @@
         """
         self._pool = pool
         self._queues: dict[str, WaitQueue] = {}
+        self._waits: dict[Run, asyncio.Timeout] = {}
         self._prefill_rate = PrefillRate()
 
     async def acquire(self, run: Run, tried: set[str]) -> BackendServer | None:
@@ -105,13 +106,15 @@
         )
         metrics.WAITING.inc()
         try:
-            async with asyncio.timeout_at(_queue_deadline_s(admitted)):
+            async with asyncio.timeout_at(_queue_deadline_s(admitted)) as limit:
+                self._waits[run] = limit
                 return await queue.wait(
                     _scheduling_parameters(run), latest_start_s, reserve
                 )
         except TimeoutError:
             return None
         finally:
+            self._waits.pop(run, None)
             metrics.WAITING.dec()
 
     def failover_policy(
@@ -146,10 +149,22 @@
         self._prefill_rate.update(run.prefill_tokens_at_start, delay_s)
 
     def dispatch_waiting(self) -> None:
-        """Lets queued generations try again to get an engine."""
-        for queue in self._queues.values():
+        """Lets queued generations try again to get an engine.
+
+        Those whose engines all leave wait no longer.
+        """
+        for service, queue in self._queues.items():
             if queue:
                 queue.dispatch()
+            if queue and not self._pool.servers_in_service(service):
+                self._end_waits(service)
+
+    def _end_waits(self, service: str) -> None:
+        for run, limit in self._waits.items():
+            if run.admitted.service.name != service:
+                continue
+            if not limit.expired() and self._pool.are_all_leaving(run.admitted):
+                limit.reschedule(time.monotonic())
 
     def _engine_options(self, run: Run) -> EngineOptions:
         engine = run.admitted.service.engine or DEFAULT_ENGINE_TRAITS
--- a/tests/exchange/test_engine_queue.py
+++ b/tests/exchange/test_engine_queue.py
@@ -1,6 +1,7 @@
 """Tests of generations that wait for room on an engine."""
 
 import asyncio
+import time
 
 import pytest
 
@@ -11,6 +12,8 @@
     make_admitted_request,
     make_full_pool,
     make_generation_request,
+    make_pool,
+    make_store_view,
 )
 
 # Shorter than any wait in the queue, and than the callers' timeout.
@@ -40,3 +43,26 @@
         task.cancel()
 
     asyncio.run(scenario())
+
+
+def test_generation_does_not_wait_on_when_all_engines_leave() -> None:
+    async def scenario() -> None:
+        req = make_generation_request()
+        run = Run(make_admitted_request(req, engine=ENGINE), 100)
+        store_view = make_store_view(a=9)
+        entry = store_view.registry.servers["a"].entry._replace(
+            sequence=2, cold_s=60.0, max_cold_requests=0
+        )
+        store_view.registry.put(entry, time.monotonic())
+        queue = EngineQueue(make_pool(store_view))
+        task = asyncio.ensure_future(queue.acquire(run, set()))
+        await asyncio.sleep(WATCH_S)
+        queue.dispatch_waiting()
+        await asyncio.sleep(0)
+        assert not task.done()
+        store_view.registry.mark_leaving("a", entry.started_ms)
+        queue.dispatch_waiting()
+        async with asyncio.timeout(WATCH_S):
+            assert await task is None
+
+    asyncio.run(scenario())
