--- a/tests/front/test_leaving_servers.py
+++ b/tests/front/test_leaving_servers.py
@@ -12,6 +12,7 @@
 from tests.front.environment import (
     NodeEnvironment,
     decode_body,
+    event_numbers,
     run_in_environment,
 )
 from tests.front.node_fleet import NodeFleet
@@ -215,6 +216,26 @@
     run_in_environment(scenario)
 
 
+def test_leaving_is_heard_as_a_run_is_resumed() -> None:
+    async def scenario(env: NodeEnvironment) -> None:
+        await env.call("/resumable/x", "r0", TOKEN_COUNTS)
+        leaving = env.pool[0]
+        leaving.says_leaving = True
+        resumed = (*TOKEN_COUNTS, ("last-event-id", "4"), ("resumes", "r0"))
+        number = 0
+        while not known(env, leaving).entry.is_leaving:
+            number += 1
+            answer = await env.call("/resumable/x", f"r{number}", resumed)
+            assert event_numbers(answer.body) == [*range(5, 11)]
+        leaving.arrivals.clear()
+        for more in range(6):
+            answer = await env.call("/resumable/x", f"s{more}", resumed)
+            assert event_numbers(answer.body) == [*range(5, 11)]
+        assert leaving.arrivals == []
+
+    run_in_environment(scenario)
+
+
 def test_leaving_is_heard_in_the_answer_to_a_moved_run() -> None:
     async def scenario(env: NodeEnvironment) -> None:
         for server in env.pool:
