--- a/src/savorylift/exchange/notice_recorder.py
+++ b/src/savorylift/exchange/notice_recorder.py
@@ -9,7 +9,7 @@
 from savorylift.backends.server import ServerEntry
 from savorylift.exchange import metrics
 from savorylift.exchange.server_holds import ServerHolds
-from savorylift.exchange.server_notice import ServerNotice
+from savorylift.exchange.server_notice import NO_NOTICE, ServerNotice
 
 _log = structlog.get_logger()
 
@@ -80,6 +80,8 @@
                 say.
             notice: What it said.
         """
+        if notice == NO_NOTICE:
+            return
         for server in list(self._registry.servers.values()):
             entry = server.entry
             if entry.address == address and _may_be(entry, started_ms):
