Let callers of the soak come back until their streams begin

Where servers name limits, callers of the soak tried once to begin a stream, so that less was asked of the servers than they take. In the shapes pressed-* they come back up to eight times, as the users' do; the share that begins is that of tries, and the command line prints their number. The other shapes are unchanged: there a stream has one try.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -153,6 +153,7 @@
             "streams": len(result.streams),
             "begun": sum(bool(stream.versions) for stream in result.streams),
             "whole": sum(stream.is_whole for stream in result.streams),
+            "tries to begin": sum(s.begin_tries for s in result.streams),
             "cut off after the last event": sum(
                 len(stream.numbers) == events and not stream.is_whole
                 for stream in result.streams
--- a/tests/soak/shape.py
+++ b/tests/soak/shape.py
@@ -121,6 +121,7 @@
         copy_delay_s: How long an engine takes to copy a run.
         twin_share: Share of the attempts to take a stream up that go to two
             nodes at once.
+        begin_tries: Attempts to begin a stream, if none begins it.
         max_pause_s: Pause after which callers abandon a stream; None for none.
         nodes: Number of nodes.
         other_nodes: Number of nodes that run another build, if one is given.
@@ -155,6 +156,7 @@
     after_interval_s: float = 0.0
     copy_delay_s: float = 0.0
     twin_share: float = 0.0
+    begin_tries: int = 1
     max_pause_s: float | None = None
     nodes: int = NODES
     other_nodes: int = 0
--- a/tests/soak/version_callers.py
+++ b/tests/soak/version_callers.py
@@ -66,6 +66,7 @@
         versions: Software version of each event.
         numbers: Number of each event.
         is_whole: Whether the stream ended as complete.
+        begin_tries: Attempts that were to begin the stream.
         take_ups: Attempts that were to go on with the stream.
         gone_on: Those of them that did.
         builds: Other builds than this one of the nodes that sent events.
@@ -80,6 +81,7 @@
     gone_on: int
     builds: frozenset[str] = frozenset()
     last_build: str = ""
+    begin_tries: int = 1
 
     def violation(self, events: int) -> Violation | None:
         """Returns what is wrong with the stream, which has `events` events."""
@@ -109,6 +111,7 @@
         fleet: VersionProcessFleet,
         rng: random.Random,
         twin_share: float = 0.0,
+        max_begin_tries: int = 1,
     ) -> None:
         """Begins nothing yet.
 
@@ -117,7 +120,9 @@
             rng: Source of all choices.
             twin_share: Share of the attempts to take a stream up that go to
                 two nodes at once.
+            max_begin_tries: Attempts to begin a stream, if none begins it.
         """
+        self._max_begin_tries = max_begin_tries
         self._fleet = fleet
         self._rng = rng
         self._twin_share = twin_share
@@ -128,9 +133,8 @@
 
     async def stream(self) -> StreamResult:
         """Begins a stream, and takes it up wherever it breaks off."""
-        first = self._next_attempt()
-        part = await self._fleet.stream(self._node(), first)
-        stream = _begin(first, part)
+        first, part, tries = await self._begin()
+        stream = _begin(first, part)._replace(begin_tries=tries)
         while stream.versions and not stream.is_whole:
             if stream.take_ups == self._max_take_ups:
                 break
@@ -139,6 +143,17 @@
             stream = _go_on(stream, part)
         return stream
 
+    async def _begin(self) -> tuple[str, Part, int]:
+        """Tries to begin a stream; returns the last try, and their number."""
+        tries = 0
+        while True:
+            tries += 1
+            first = self._next_attempt()
+            part = await self._fleet.stream(self._node(), first)
+            if part.versions or tries == self._max_begin_tries:
+                return first, part, tries
+            await asyncio.sleep(_return_s(part))
+
     async def _take_up(self, stream: StreamResult) -> Part:
         if not self._twin_share or self._rng.random() >= self._twin_share:
             return await self._take_up_at(self._node(), stream)
@@ -206,6 +221,7 @@
         stream.gone_on + bool(part.versions),
         stream.builds | _builds(part),
         part.build,
+        stream.begin_tries,
     )
 
 
--- a/tests/soak/version_scenario.py
+++ b/tests/soak/version_scenario.py
@@ -46,7 +46,8 @@
 
     Relative to the share of new streams that begin.
     """
-    begin = sum(bool(s.versions) for s in streams) / len(streams)
+    begun = sum(bool(stream.versions) for stream in streams)
+    begin = begun / sum(stream.begin_tries for stream in streams)
     take_ups = sum(stream.take_ups for stream in streams)
     go_on = sum(stream.gone_on for stream in streams) / take_ups
     return go_on / begin
@@ -119,7 +120,9 @@
         self._shape = shape
         self._fleet = EngineProcessFleet(shape.nodes, directory, shape.path)
         self._context = FaultContext(self._fleet, shape, rng)
-        self._callers = VersionCallers(self._fleet, rng, shape.twin_share)
+        self._callers = VersionCallers(
+            self._fleet, rng, shape.twin_share, shape.begin_tries
+        )
         self._keeping = _make_caller(self._fleet, shape, directory, rng)
         if shape.slow_share:
             self._fleet.caller = SlowCaller(
--- a/tests/soak/version_shapes.py
+++ b/tests/soak/version_shapes.py
@@ -17,6 +17,7 @@
 SHORT_EVENTS = 6
 MANY_NODES = 9
 MORE_NODES = 12
+MOST_NODES = 24
 # Streams of so many events take longer than a node serves after SIGTERM.
 LONG_EVENTS = 220
 LONG_STREAM_INTERVAL_S = 0.25
@@ -28,6 +29,8 @@
 SPACED_STREAMS_S = 0.5
 MAX_PAUSE_S = 2.0
 LATE_ENTRY_DELAYS_S = (0.5,)
+BEGIN_TRIES = 8
+PRESSED_EVENTS = 60
 
 PLAIN = Shape()
 RELEASE = Shape(
@@ -53,6 +56,11 @@
     releases=("v1",),
     faults=(Fault.LEAVE, Fault.PAUSE),
 )
+# Callers come back until their streams begin: more than the limits let through.
+PRESSED = LIMITED._replace(begin_tries=BEGIN_TRIES, events=PRESSED_EVENTS)
+PRESSED_KILLS = PRESSED._replace(
+    faults=(Fault.KILL,), fault_interval_s=RARE_FAULT_INTERVAL_S
+)
 ENGINE_FAULTS = (Fault.RESTART, Fault.RESTART, Fault.DRAIN)
 # Callers keep their connections, engines replaced late, and nodes ended beside.
 KEPT = LATE_SWAPS._replace(
@@ -85,6 +93,14 @@
         faults=(Fault.KILL_ONE,), named_limit="8"
     ),
     "limit-4-rolls": LIMITED_KILLS._replace(faults=(Fault.ROLL,)),
+    "pressed-4-freezes": PRESSED._replace(faults=(Fault.FREEZE,)),
+    "pressed-8-kills": PRESSED_KILLS._replace(named_limit="8"),
+    "pressed-8-freezes": PRESSED._replace(
+        faults=(Fault.FREEZE,), named_limit="8"
+    ),
+    "pressed-4-freezes-24": PRESSED._replace(
+        faults=(Fault.FREEZE,), nodes=MOST_NODES
+    ),
     "limit-4-swaps": Shape(
         faults=ENGINE_FAULTS,
         named_limit="4",
