Know by open connections which process a limited server is

Cause: streams that begin, and take-ups, need to know which process their server is.

Change: a process lives as long as connections to it overlap, from the one that was open when it was asked to the one on which something arrived last. So it isn't asked again while they do: a node looks at its own connections, and the issuer of the server's permits asks the last three nodes that got one whether theirs show it (life_query, life_reply), at most twice a second without success. The system says when bytes arrived and whether the connection has ended (TCP_INFO), so that a node that stood still, or hasn't read its input, takes no ended process for one that lives.

Not covered: a server whose process serves its streams to the end while another one accepts connections in its place, and says that it drains in no way.

--- a/src/savorylift/exchange/server_opener.py
+++ b/src/savorylift/exchange/server_opener.py
@@ -150,12 +150,14 @@
             CONNECT_TIMEOUT_S, failover_policy.failover_at_s - time.monotonic()
         )
         try:
-            return await connect(host, port, max(timeout_s, 0.0))
+            channel = await connect(host, port, max(timeout_s, 0.0))
         except OSError as exc:
             if timeout_s >= CONNECT_TIMEOUT_S:
                 self._reach.record_failure(server)
             detail = f"{type(exc).__name__}: {exc}"
             return NotRun(Reason.BACKEND_LOST, detail, reached_server=False)
+        self._server_life.add_connection(server, channel)
+        return channel
 
     async def _check_process(
         self,
--- a/src/savorylift/fleet/state.py
+++ b/src/savorylift/fleet/state.py
@@ -8,6 +8,8 @@
 from typing import NamedTuple
 
 from savorylift.fleet.limit_messages import (
+    LifeQuery,
+    LifeReply,
     LimitMessage,
     LimitNews,
     LimitReport,
@@ -53,6 +55,8 @@
     "CrashReport",
     "Delta",
     "LeavingServer",
+    "LifeQuery",
+    "LifeReply",
     "LimitMessage",
     "LimitNews",
     "LimitReport",
--- a/src/savorylift/wire/channel.py
+++ b/src/savorylift/wire/channel.py
@@ -10,6 +10,7 @@
 from typing import cast
 
 from savorylift.wire.input_timeout import InputTimeout
+from savorylift.wire.tcp_state import TcpState
 
 MAX_READ_BUFFER_BYTES = 65_536
 # Most that is received at once.
@@ -48,6 +49,7 @@
         """Calls `on_connect`, if given, once the connection is open."""
         self._on_connect = on_connect
         self._transport: asyncio.Transport | None = None
+        self._tcp_state: TcpState | None = None
         self._read_buffer = bytearray()
         self._waiter: asyncio.Future[None] | None = None
         self._writable = asyncio.Event()
@@ -103,6 +105,21 @@
         poll.register(sock.fileno(), select.POLLIN | select.POLLRDHUP)
         return not poll.poll(0)
 
+    @property
+    def opened_s(self) -> float | None:
+        """Boot time at which it was open; None if it never was."""
+        return None if self._tcp_state is None else self._tcp_state.opened_s
+
+    def heard_s(self) -> float | None:
+        """Returns the boot time at which the peer last sent anything.
+
+        None if either side has closed the connection. The system is asked:
+        what has arrived counts before it is read.
+        """
+        if self._tcp_state is None or self.transport.is_closing():
+            return None
+        return self._tcp_state.heard_s()
+
     @property
     def has_input(self) -> bool:
         """Whether bytes have arrived that were not read yet."""
@@ -114,6 +131,7 @@
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self._tcp_state = TcpState(sock)
         if self._on_connect is not None:
             self._on_connect(self)
 
