Take as a part of a limit what its issuer may let through

Cause: questions to a limited server come once in four intervals of its limit.

Change: the interval is that of the rate which the issuer may use.

The test asks for a quarter of the permits at a third of the limit, and fails without the change.

--- a/src/savorylift/exchange/process_lookup.py
+++ b/src/savorylift/exchange/process_lookup.py
@@ -20,7 +20,7 @@
     server_name,
 )
 from savorylift.exchange.process_witnesses import ProcessWitnesses
-from savorylift.fleet.permit_issuer import MAX_INTERVAL_S, PermitIssuer
+from savorylift.fleet.permit_issuer import PermitIssuer
 
 # A caller waits for the rest of its stream meanwhile.
 REPORT_TIMEOUT_S = 0.4
@@ -151,11 +151,12 @@
             return ProcessAnswer(None, wait_s=max(wait_s, 0.0) + ANSWER_S)
         if self._is_held(server_id):
             return ProcessAnswer(None, wait_s=HELD_WAIT_S)
-        per_s = max(limit, 1 / MAX_INTERVAL_S)
+        # Less than the limit while nodes are cut off from this one.
+        per_s = self._issuer.own_rate(limit)
         takes_rest = is_probe and not self._is_due(server_id, per_s)
         decision = self._issuer.decide(
             server_id,
-            per_s,
+            limit,
             0.0 if takes_rest else MAX_PERMIT_WAIT_S,
             is_probe=takes_rest,
         )
--- a/src/savorylift/fleet/permit_issuer.py
+++ b/src/savorylift/fleet/permit_issuer.py
@@ -162,7 +162,7 @@
             max_wait_s: Longest time that the request can wait to be sent.
             is_probe: Whether it may only use what requests leave.
         """
-        per_s = self._own_rate(requests_per_s)
+        per_s = self.own_rate(requests_per_s)
         bucket = self._update_bucket(server_id)
         if bucket is None:
             return PermitDecision(is_granted=False, wait_s=NOT_ISSUER_WAIT_S)
@@ -193,7 +193,7 @@
             ips.add(self._ip)
         return frozenset(ips)
 
-    def _own_rate(self, requests_per_s: float) -> float:
+    def own_rate(self, requests_per_s: float) -> float:
         """Returns the rate that the nodes which this one hears may use.
 
         The rest is for nodes that it is cut off from.
--- a/tests/exchange/test_process_lookup.py
+++ b/tests/exchange/test_process_lookup.py
@@ -24,6 +24,7 @@
 
 IP = "127.0.0.1"
 OTHER_IP = "127.0.0.2"
+SILENT_IPS = ("127.0.0.3", "127.0.0.4")
 LIMIT_PER_S = 4.0
 NODES = 24
 RUN_S = 20.0
@@ -38,7 +39,7 @@
         self.asked_s: list[float] = []
         self.issuer = PermitIssuer(
             IP,
-            Membership(IP, ()),
+            Membership(IP, SILENT_IPS[:silent_nodes]),
             lambda: False,
             random.Random(1),
         )
@@ -93,9 +94,10 @@
     scenario: Scenario,
     *,
     is_held: bool = False,
+    silent_nodes: int = 0,
 ) -> None:
     async def main() -> None:
-        lookup = Lookup(is_held=is_held)
+        lookup = Lookup(is_held=is_held, silent_nodes=silent_nodes)
         await asyncio.sleep(START_HOLD_S)
         await scenario(lookup)
 
@@ -264,3 +266,21 @@
         assert len(lookup.queries) <= RUN_S / WITNESS_INTERVAL_S + 1
 
     run(monkeypatch, scenario)
+
+
+def test_questions_take_a_part_of_what_a_cut_off_issuer_lets_through(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Every second permit was for a question while other nodes were silent."""
+
+    async def scenario(lookup: Lookup) -> None:
+        until_s = boot_time_s() + RUN_S
+        while boot_time_s() < until_s:
+            lookup.issuer.decide("i-1", LIMIT_PER_S, 0.0, is_probe=False)
+            lookup.find(boot_time_s(), is_probe=True)
+            await asyncio.sleep(POLL_S)
+        own_per_s = LIMIT_PER_S / (1 + len(SILENT_IPS))
+        most = RUN_S * own_per_s * QUESTION_SHARE + 1
+        assert most / 2 <= len(lookup.asked_s) <= most
+
+    run(monkeypatch, scenario, silent_nodes=len(SILENT_IPS))
