--- a/src/savorylift/exchange/known_processes.py
+++ b/src/savorylift/exchange/known_processes.py
@@ -97,18 +97,24 @@
             return None
         return known.started_ms
 
-    def record_span(self, server: str, opened_s: float, alive_s: float) -> None:
+    def record_span(self, server: str, opened_s: float, alive_s: float) -> bool:
         """Records that a process that accepted a connection lived later.
 
         Args:
             server: The server.
             opened_s: Boot time at which the connection was open.
             alive_s: Boot time at which the process lived.
+
+        Returns:
+            Whether it is the process that is known.
         """
         known = self._processes.get(server)
-        if known is not None and opened_s <= known.alive_s < alive_s:
-            self._processes[server] = known._replace(alive_s=alive_s)
-            self._extend(server)
+        if known is None or opened_s > known.alive_s:
+            return False
+        alive_s = max(known.alive_s, alive_s)
+        self._processes[server] = known._replace(alive_s=alive_s)
+        self._extend(server)
+        return True
 
     def find_opened(self, server: str, since_s: float) -> float | None:
         """Returns from when on one process has lived that did at a moment.
--- a/src/savorylift/exchange/process_witnesses.py
+++ b/src/savorylift/exchange/process_witnesses.py
@@ -6,8 +6,10 @@
 """
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Collection
+from typing import NamedTuple
 
 from savorylift.boot_clock import boot_time_s
 from savorylift.exchange.known_processes import KnownProcesses
@@ -28,6 +30,20 @@
 NUMBER_BITS = 48
 
 
+class _Query(NamedTuple):
+    """A question to other nodes.
+
+    Attributes:
+        server: Name of the server.
+        asked_s: Boot time before it was sent.
+        is_shown: Set once a node has shown that the known process lives.
+    """
+
+    server: str
+    asked_s: float
+    is_shown: asyncio.Event
+
+
 class ProcessWitnesses:
     """Asks the nodes that last got permits, and answers such questions."""
 
@@ -50,8 +66,7 @@
         self._processes = processes
         # The nodes that got permits, the last one at the end, by server ID.
         self._nodes: dict[str, dict[str, None]] = {}
-        # When the connection was opened that shows a process, by query.
-        self._queries: dict[int, asyncio.Future[float]] = {}
+        self._queries: dict[int, _Query] = {}
         self._answering: set[asyncio.Task[None]] = set()
         self._next_number = rng.getrandbits(NUMBER_BITS)
 
@@ -82,17 +97,16 @@
         asked = list(self._nodes.get(server_id, ()))[-MAX_ASKED:]
         self._next_number += 1
         message = LifeQuery(self._next_number, server)
-        fut: asyncio.Future[float] = asyncio.get_running_loop().create_future()
-        self._queries[message.number] = fut
-        asked_s = boot_time_s()
+        query = _Query(server, boot_time_s(), asyncio.Event())
+        self._queries[message.number] = query
         try:
             for ip in asked:
                 self._send(message, ip)
-            await asyncio.wait((fut,), timeout=REPLY_TIMEOUT_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(REPLY_TIMEOUT_S):
+                    await query.is_shown.wait()
         finally:
             del self._queries[message.number]
-        if fut.done():
-            self._processes.record_span(server, fut.result(), asked_s)
 
     def receive(self, message: LifeQuery | LifeReply, ip: str) -> None:
         """Handles a message from another node."""
@@ -106,10 +120,16 @@
             task.add_done_callback(self._answering.discard)
 
     def _receive_reply(self, reply: LifeReply) -> None:
-        """Takes the first reply: its connection was opened no later."""
-        fut = self._queries.get(reply.number)
-        if fut is not None and not fut.done():
-            fut.set_result(boot_time_s() - reply.open_age_s)
+        """Ends a query if the reply is of the process that is known.
+
+        Its connection was opened no later than its age says now.
+        """
+        query = self._queries.get(reply.number)
+        if query is None:
+            return
+        opened_s = boot_time_s() - reply.open_age_s
+        if self._processes.record_span(query.server, opened_s, query.asked_s):
+            query.is_shown.set()
 
     async def _answer(self, query: LifeQuery, ip: str) -> None:
         """Replies once something has arrived that shows a process."""
--- a/tests/exchange/test_process_witnesses.py
+++ b/tests/exchange/test_process_witnesses.py
@@ -40,10 +40,10 @@
 
     def __init__(self) -> None:
         self.sent: list[tuple[LimitMessage, str | None]] = []
-        self.connections = KnownProcesses()
+        self.processes = KnownProcesses()
         self.witnesses = ProcessWitnesses(
             lambda message, ip: self.sent.append((message, ip)),
-            self.connections,
+            self.processes,
             random.Random(1),
         )
 
@@ -63,7 +63,7 @@
         node = Node()
         connection = Connection(boot_time_s() - OPEN_S, interval_s)
         connection.is_closed = is_closed
-        node.connections.add(SERVER, connection)
+        node.processes.add(SERVER, connection)
         node.witnesses.receive(LifeQuery(7, SERVER), IP)
         assert node.sent == []
         await asyncio.sleep(2 * WAIT_S)
@@ -100,7 +100,7 @@
     async def scenario() -> None:
         node = Node()
         node.witnesses.add("i-1", IP)
-        node.connections.record(SERVER, 5, boot_time_s())
+        node.processes.record(SERVER, 5, boot_time_s())
         await node.witnesses.ask("i-1", SERVER)
         ((query, _),) = node.sent
         assert isinstance(query, LifeQuery)
@@ -109,6 +109,29 @@
         await asyncio.sleep(0)
         node.witnesses.receive(LifeReply(query.number, OPEN_S), IP)
         await asking
-        assert node.connections.find(SERVER, since_s) is None
+        assert node.processes.find(SERVER, since_s) is None
+
+    run_in_virtual_time(monkeypatch, scenario)
+
+
+def test_node_with_the_oldest_connection_counts_whoever_replies_first(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The node of the stream that has just begun replied first."""
+
+    async def scenario() -> None:
+        node = Node()
+        node.witnesses.add("i-1", IP)
+        node.processes.record(SERVER, 5, boot_time_s())
+        await asyncio.sleep(1.0)
+        since_s = boot_time_s()
+        asking = asyncio.ensure_future(node.witnesses.ask("i-1", SERVER))
+        await asyncio.sleep(0)
+        ((query, _),) = node.sent
+        assert isinstance(query, LifeQuery)
+        for open_s in (0.5, OPEN_S):
+            node.witnesses.receive(LifeReply(query.number, open_s), IP)
+        await asking
+        assert node.processes.find(SERVER, since_s) == 5
 
     run_in_virtual_time(monkeypatch, scenario)
