Take no process for alive by what it had queued before its end

Found by reading: a process that ends leaves what it has queued to its system, which sends it as the peer reads. So bytes that arrive on a connection that this node was behind with don't show that the process lives, and streams could have gone on at the one that took its place.

The soak gets shapes for further limits, numbers of nodes, SIGTERM and engines that start again.

--- a/src/savorylift/wire/tcp_state.py
+++ b/src/savorylift/wire/tcp_state.py
@@ -1,7 +1,10 @@
 """Reads from the system whether the peer of a connection lives on."""
 
+import array
+import fcntl
 import socket
 import struct
+import termios
 import time
 from typing import Final, cast
 
@@ -18,7 +21,7 @@
 
 
 class TcpState:
-    """The state of a connection, whether or not the node has read all of it.
+    """The state of a connection.
 
     Attributes:
         opened_s: Boot time at which the connection was open.
@@ -33,8 +36,9 @@
     def heard_s(self) -> float | None:
         """Returns the boot time at which the peer last sent anything.
 
-        None if the connection has ended, or that can't be known. The system
-        doesn't count the time for which this VM was suspended.
+        None if the connection has ended, or that can't be known: while there
+        is something to read, the peer may have sent the last of it long ago.
+        The system doesn't count the time for which this VM was suspended.
         """
         if abs(_suspended_s() - self._suspended_s) > _ROUNDING_S:
             return None
@@ -43,7 +47,11 @@
             info = self._sock.getsockopt(
                 socket.IPPROTO_TCP, socket.TCP_INFO, _INFO.size
             )
-        except OSError:
+            unread = array.array("i", [0])
+            fcntl.ioctl(self._sock.fileno(), termios.FIONREAD, unread)
+        except (OSError, ValueError):
+            return None
+        if unread[0]:
             return None
         if len(info) < _INFO.size:
             return None
--- a/tests/soak/version_shapes.py
+++ b/tests/soak/version_shapes.py
@@ -98,6 +98,21 @@
     "pressed-8-freezes": PRESSED._replace(
         faults=(Fault.FREEZE,), named_limit="8"
     ),
+    "pressed-2-freezes": PRESSED._replace(
+        faults=(Fault.FREEZE,), named_limit="2"
+    ),
+    "pressed-16-freezes": PRESSED._replace(
+        faults=(Fault.FREEZE,), named_limit="16"
+    ),
+    "pressed-8-ends": PRESSED_KILLS._replace(
+        faults=(Fault.END,), named_limit="8"
+    ),
+    "pressed-8-restarts": PRESSED._replace(
+        faults=ENGINE_FAULTS, named_limit="8"
+    ),
+    "pressed-4-freezes-9": PRESSED._replace(
+        faults=(Fault.FREEZE,), nodes=MANY_NODES
+    ),
     "pressed-4-freezes-24": PRESSED._replace(
         faults=(Fault.FREEZE,), nodes=MOST_NODES
     ),
