--- a/tests/soak/version_callers.py
+++ b/tests/soak/version_callers.py
@@ -12,6 +12,8 @@
 
 MAX_TAKE_UPS = 5
 MAX_RETURN_S = 2.0
+# Callers who come back earlier than they are told all come at once.
+MAX_BEGIN_RETURN_S = 10.0
 DEFAULT_RETURN_S = 0.2
 
 
@@ -152,7 +154,7 @@
             part = await self._fleet.stream(self._node(), first)
             if part.versions or tries == self._max_begin_tries:
                 return first, part, tries
-            await asyncio.sleep(_return_s(part))
+            await asyncio.sleep(_return_s(part, MAX_BEGIN_RETURN_S))
 
     async def _take_up(self, stream: StreamResult) -> Part:
         if not self._twin_share or self._rng.random() >= self._twin_share:
@@ -234,5 +236,5 @@
     return part.is_whole and part.status == 200
 
 
-def _return_s(part: Part) -> float:
-    return min(float(part.retry_after or DEFAULT_RETURN_S), MAX_RETURN_S)
+def _return_s(part: Part, max_s: float = MAX_RETURN_S) -> float:
+    return min(float(part.retry_after or DEFAULT_RETURN_S), max_s)
