--- a/tests/front/test_leaving_servers.py
+++ b/tests/front/test_leaving_servers.py
@@ -79,7 +79,9 @@
 ) -> None:
     assert env.node is not None
     channel = await connect(*known(env, server).entry.address, 1.0)
-    await env.node._servers.check._inquiry._read_start(channel, REPORT_TIMEOUT_S)
+    await env.node._servers.check._inquiry._read_start(
+        channel, REPORT_TIMEOUT_S
+    )
 
 
 @pytest.mark.parametrize(
