Give the ends of engines in the soak a module of their own

Change: EngineRestarts in engine_restarts.py ends engines and starts them again; engine_faults.py says when. The shape terminated-at-once closes without pauses beside terminated, which closes a connection each 10 ms.

--- a/tests/soak/engine_faults.py
+++ b/tests/soak/engine_faults.py
@@ -3,8 +3,9 @@
 import asyncio
 
 from tests.front.engine_process import EngineProcess
+from tests.soak.engine_restarts import EngineRestarts
 from tests.soak.fault_context import FaultAction, FaultContext
-from tests.soak.shape import Ending, Fault
+from tests.soak.shape import Fault
 
 HOLD_S = 0.3
 # What engines say that they want nothing for, in seconds.
@@ -18,8 +19,6 @@
 CROSSING_S = (0.2, 0.8)
 # How long to wait for a stream that begins at an engine.
 BEGIN_TIMEOUT_S = 2.0
-# How long an engine that was asked to end is given, if it isn't to end at once.
-CUT_TERM_S = (0.0, 0.1)
 # Restarts in a series, and how long an engine serves in between.
 SERIES = (2, 3)
 SERIES_S = (0.05, 0.5)
@@ -37,7 +36,7 @@
         self._fleet = context.fleet
         self._shape = context.shape
         self._rng = context.rng
-        self._removals: set[asyncio.Future[None]] = set()
+        self._restarts = EngineRestarts(context)
 
     def actions(self) -> dict[Fault, FaultAction]:
         """Returns what brings each fault about and waits for its end."""
@@ -57,12 +56,12 @@
         server = self._rng.choice(self._fleet.engines)
         if not self._context.take(server.server_id):
             return
-        delay_s, version = self._draw_release()
+        delay_s, version = self._restarts.draw_release()
         self._context.describe(
             f"{server.server_id} starts again at {version},"
             f" its entry follows after {delay_s} s"
         )
-        await self._start_again(server, version, delay_s)
+        await self._restarts.start_again(server, version, delay_s)
         self._context.release(server.server_id)
 
     async def _restart_in_series(self) -> None:
@@ -72,16 +71,16 @@
         count = self._rng.choice(SERIES)
         for _ in range(count):
             serve_s = self._rng.uniform(*SERIES_S)
-            _, version = self._draw_release()
+            _, version = self._restarts.draw_release()
             self._context.describe(
                 f"{server.server_id} starts again at {version}, and ends after"
                 f" {serve_s:.1f} s without an entry"
             )
-            await self._end(server, version)
+            await self._restarts.end(server, version)
             await server.start(server.port)
             await asyncio.sleep(serve_s)
-        delay_s, version = self._draw_release()
-        await self._start_again(server, version, delay_s)
+        delay_s, version = self._restarts.draw_release()
+        await self._restarts.start_again(server, version, delay_s)
         self._context.release(server.server_id)
 
     async def _restart_beside_stopped_node(self) -> None:
@@ -111,24 +110,24 @@
             f" {serve_s:.1f} s without an entry, starts again at {version},"
             f" its entry follows after {delay_s} s"
         )
-        await self._end(server, UNREAD_VERSION)
+        await self._restarts.end(server, UNREAD_VERSION)
         await server.start(server.port)
         await asyncio.sleep(serve_s)
-        await self._start_again(server, version, delay_s)
+        await self._restarts.start_again(server, version, delay_s)
         self._context.release(server.server_id)
 
     async def _crash_at_begin(self) -> None:
         server = self._rng.choice(self._fleet.engines)
         if not self._context.take(server.server_id):
             return
-        delay_s, _ = self._draw_release()
+        delay_s, _ = self._restarts.draw_release()
         version = "v1" if server.software_version == "v2" else "v2"
         if await _begins_stream(server):
             self._context.describe(
                 f"{server.server_id} ends as a stream begins, starts again at"
                 f" {version}, its entry follows after {delay_s} s"
             )
-            await self._start_again(server, version, delay_s)
+            await self._restarts.start_again(server, version, delay_s)
         self._context.release(server.server_id)
 
     async def _drain(self) -> None:
@@ -191,14 +190,14 @@
 
     async def _end_drain(self, server: EngineProcess, drain_s: float) -> None:
         """An engine that drains ends after a time, and starts again."""
-        delay_s, version = self._draw_release()
+        delay_s, version = self._restarts.draw_release()
         self._context.describe(
             f"{server.server_id} drains for {drain_s:.1f} s, starts again at"
             f" {version}, its entry follows after {delay_s} s"
         )
         await asyncio.sleep(drain_s)
         server.is_leaving = False
-        await self._start_again(server, version, delay_s)
+        await self._restarts.start_again(server, version, delay_s)
 
     def _begin_drain(self, server: EngineProcess) -> None:
         server.is_leaving = True
@@ -206,49 +205,6 @@
             server, self._fleet.engine_service, "draining"
         )
 
-    async def _end(self, server: EngineProcess, version: str) -> None:
-        """Ends an engine, whose next process is of a version."""
-        await self._end_process(server)
-        if self._shape.removal_s is not None:
-            removal = self._remove_entry(server, self._shape.removal_s)
-            self._removals.add(asyncio.ensure_future(removal))
-        server.software_version = version
-        await asyncio.sleep(self._context.draw_between(*self._shape.restart_s))
-        server.draw_born()
-
-    async def _remove_entry(
-        self, server: EngineProcess, removal_s: float
-    ) -> None:
-        await asyncio.sleep(removal_s)
-        self._fleet.remove_entry(server)
-
-    async def _end_process(self, server: EngineProcess) -> None:
-        ending = self._context.draw(self._shape.endings)
-        self._context.describe(f"{server.server_id} gets {ending}")
-        if ending is Ending.KILL:
-            server.kill()
-        elif ending is Ending.TERM:
-            await server.terminate()
-        else:
-            await server.terminate(self._rng.uniform(*CUT_TERM_S))
-
-    async def _start_again(
-        self, server: EngineProcess, version: str, delay_s: float
-    ) -> None:
-        await self._end(server, version)
-        if delay_s < 0:
-            self._fleet.publish_entry(server, self._fleet.engine_service)
-            await asyncio.sleep(-delay_s)
-        await server.start(server.port)
-        if delay_s >= 0:
-            await asyncio.sleep(delay_s)
-            self._fleet.publish_entry(server, self._fleet.engine_service)
-
-    def _draw_release(self) -> tuple[float, str]:
-        """Returns when an entry follows, and the next version."""
-        delay_s = self._rng.choice(self._shape.entry_delays_s)
-        return delay_s, self._rng.choice(self._shape.releases)
-
 
 async def _begins_stream(server: EngineProcess) -> bool:
     """Waits for the first event of any stream; returns whether one came."""
--- a/tests/soak/killed_shapes.py
+++ b/tests/soak/killed_shapes.py
@@ -106,6 +106,7 @@
     "killed-plain": PLAIN,
     "killed-plain-limit-4": _limited(PLAIN, "4"),
     "killed-plain-stop": PLAIN._replace(faults=(Fault.STOP,)),
+    "terminated-at-once": KILLED._replace(endings=(Ending.TERM,)),
     "terminated": KILLED._replace(
         endings=(Ending.TERM,), close_interval_s=CLOSE_INTERVAL_S
     ),
