Judge the silence of other nodes by the time this one runs

A node counted the time in which it did not run as silence of the others, took all of them for dead as it went on, before it had read what they had sent, and so had none to hand requests to. The same look at the others decides who issues permits and who reads the store.

Silence is now measured on a clock that counts at most 0.5 s between two ticks of the periodic task, which are 0.2 s apart. A node that runs notices a dead one as soon as before.

--- a/src/savorylift/fleet/membership.py
+++ b/src/savorylift/fleet/membership.py
@@ -4,6 +4,7 @@
 from collections.abc import Collection, Iterable, Iterator
 from typing import NamedTuple
 
+from savorylift.fleet.running_clock import RunningClock
 from savorylift.fleet.state import NodeState, ServerLoad
 from savorylift.placement.move_order import PlannedMove
 from savorylift.rendezvous import rank
@@ -41,10 +42,13 @@
     Attributes:
         state: The message.
         received_s: Monotonic time at which it was received.
+        running_s: The same on the clock that stands still while this process
+            does.
     """
 
     state: NodeState
     received_s: float
+    running_s: float
 
 
 class Membership:
@@ -63,12 +67,20 @@
         # 0 for a seed that was never heard from, which is not dropped.
         self._addresses = {seed: 0.0 for seed in seeds if seed != ip}
         self._retired: dict[str, collections.deque[int]] = {}
+        self._clock = RunningClock()
 
     @property
     def addresses(self) -> tuple[str, ...]:
         """Addresses of all known nodes, live or silent."""
         return tuple(self._addresses)
 
+    def note_running(self, now_s: float) -> None:
+        """Records that this process runs; to be called periodically.
+
+        Others aren't silent while it doesn't.
+        """
+        self._clock.tick(now_s)
+
     def add_address(self, ip: str, now_s: float) -> None:
         """Adds the address of a node that may exist."""
         if ip != self._ip:
@@ -91,7 +103,7 @@
             self._retire(last.state)
         if not is_new and last and state.sequence <= last.state.sequence:
             return False
-        self._peers[state.ip] = Peer(state, now_s)
+        self._peers[state.ip] = Peer(state, now_s, self._clock.read(now_s))
         self._addresses[state.ip] = now_s
         for ip in state.peers:
             self.add_address(ip, now_s)
@@ -116,9 +128,11 @@
 
     def live_peers(self, now_s: float) -> Iterator[Peer]:
         """Yields the nodes whose last message is recent."""
+        running_s = self._clock.read(now_s)
         for peer in self._peers.values():
             timeout_s = LIVENESS_TIMEOUT_INTERVALS * peer.state.interval_s
-            if now_s - peer.received_s <= max(LIVENESS_TIMEOUT_S, timeout_s):
+            silent_s = running_s - peer.running_s
+            if silent_s <= max(LIVENESS_TIMEOUT_S, timeout_s):
                 yield peer
 
     def count_live_nodes(self, now_s: float) -> int:
--- a/src/savorylift/front/maintenance.py
+++ b/src/savorylift/front/maintenance.py
@@ -51,6 +51,7 @@
 
     def _update(self) -> None:
         shared = self._shared
+        shared.membership.note_running(time.monotonic())
         shared.membership.forget_silent(time.monotonic())
         self._servers.crash_guard.update()
         self._servers.limit_gate.update()
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -9,6 +9,7 @@
 )
 from savorylift.fleet.peer_transport import MAX_READER_INTERVAL_S
 from savorylift.fleet.state import NodeState
+from savorylift.front.maintenance import MAINTENANCE_INTERVAL_S
 
 ME = "10.0.0.1"
 # A configuration must be in force on all nodes this long after the store has
@@ -49,6 +50,41 @@
     return [peer.state.node for peer in members.live_peers(now_s)]
 
 
+def run(members: Membership, from_s: float, to_s: float) -> None:
+    """Lets the process of a node run for a while."""
+    now_s = from_s
+    while now_s <= to_s:
+        members.note_running(now_s)
+        now_s += MAINTENANCE_INTERVAL_S
+
+
+def test_node_that_stood_still_takes_no_other_for_dead() -> None:
+    members = membership()
+    run(members, 0.0, 0.8)
+    members.update_peer(state(2), 0.9)
+    standstill_s = 5 * LIVENESS_TIMEOUT_S
+    assert live(members, 0.9 + standstill_s) == ["n2"]
+    members.note_running(0.9 + standstill_s)
+    assert live(members, 1.0 + standstill_s) == ["n2"]
+
+
+def test_node_that_died_in_a_standstill_is_silent_soon_after_it() -> None:
+    members = membership()
+    run(members, 0.0, 0.8)
+    members.update_peer(state(2), 0.9)
+    run(members, 10.0, 10.0 + LIVENESS_TIMEOUT_S)
+    assert live(members, 10.0 + LIVENESS_TIMEOUT_S) == []
+
+
+def test_node_is_silent_as_soon_beside_one_that_runs() -> None:
+    members = membership()
+    run(members, 0.0, 0.8)
+    members.update_peer(state(2), 0.9)
+    run(members, 1.0, 1.9)
+    assert live(members, 0.8 + LIVENESS_TIMEOUT_S) == ["n2"]
+    assert live(members, 1.0 + LIVENESS_TIMEOUT_S) == []
+
+
 def test_silent_nodes_are_not_live() -> None:
     members = membership(state(2))
     assert live(members, LIVENESS_TIMEOUT_S) == ["n2"]
--- a/tests/front/test_cut_off_nodes.py
+++ b/tests/front/test_cut_off_nodes.py
@@ -20,6 +20,10 @@
 # First tries at nodes that are cut off must be served this often, compared
 # with the others.
 MIN_SERVED_RATIO = 2 / 3
+# Standstills last longer than a node is silent until it counts as dead.
+STANDSTILLS = 6
+STANDSTILL_S = 1.3
+RUNNING_S = 0.3
 PATHS = ["/safe/x", "/once/x", "/stream/x", "/resumable/x"]
 
 
@@ -113,6 +117,29 @@
     run_in_fleet(monkeypatch, 6, scenario)
 
 
+@pytest.mark.parametrize("path", ["/safe/x", "/stream/x"])
+def test_callers_of_nodes_cut_off_are_served_after_standstills(
+    monkeypatch: pytest.MonkeyPatch, path: str
+) -> None:
+    """Nodes took all others for dead, and handed requests to none."""
+
+    async def scenario(fleet: CutFleet) -> None:
+        fleet.cut_from_servers(5, Cut.REFUSED)
+        await fleet.call_each(path, REACTION_S)
+        since_s = time.monotonic()
+        for _ in range(STANDSTILLS):
+            await fleet.call_each(path, RUNNING_S)
+            time.sleep(STANDSTILL_S)
+        await fleet.call_each(path, RUNNING_S)
+        await asyncio.sleep(0.5)
+        at_cut = fleet.endings_at(fleet.ips[:5], since_s)
+        assert len(at_cut) >= 20
+        assert served(at_cut) >= MIN_SERVED_RATIO
+        assert sum(e.status != 200 for e in at_cut) <= 10 + len(at_cut) / 50
+
+    run_in_fleet(monkeypatch, 6, scenario)
+
+
 def test_requests_are_handed_over_without_delay(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
