Let a fleet that is lost know which servers have started again

A stream of unknown origin goes on at the only version that is known, unless a server of its service has started again lately: a process whose entry was never read may have served in between. Each node knew of such restarts only what it had seen itself, so that a node that had just started took the entries that it found for all there ever were.

Nodes now tell each other of restarts, and the store holds for each service, beside its versions, the newest start of each server, and for a minute that one has started again. A node that starts compares the starts with the entries that it finds. In messages and records a restart is a version that no server has, by which earlier builds refuse such streams. Where a restart counts, nodes write the origins of their streams to the store, and look there, as they do while versions differ: sound streams go on although all nodes were killed.

test_stream_of_a_process_without_an_entry_goes_on_nowhere_after_kills fails in both cases without the change; test_streams_go_on_after_kills_where_a_server_has_started_again fails without the origins in the store. The case of a later build's record in test_records_of_other_writers_are_checked had a string where this build now has the starts; it has one field more, and a case of this build's and one of an unsound field were added.

--- a/src/savorylift/exchange/origin_log.py
+++ b/src/savorylift/exchange/origin_log.py
@@ -1,7 +1,8 @@
 """Keeps in the store where streams began, while that may be needed.
 
 Nodes that are all lost at once have forgotten it. It matters only where streams
-of a service may have begun at several software versions.
+of a service may have begun at several software versions, or at a process that
+served before its entry was read.
 """
 
 import asyncio
@@ -51,7 +52,7 @@
             vm: Name of this node's VM.
             store: The store.
             origins: The origins that this node holds.
-            history: Of which services several versions have served lately.
+            history: Of which services the streams may be of several versions.
             count_nodes: Returns the number of nodes that share the store.
             get_era: Returns how often the store has come back from a copy,
                 and lost what was written since.
@@ -121,7 +122,7 @@
         if era != self._era:
             self._saved.clear()
             self._era = era
-        services = self._history.mixed_services()
+        services = self._history.uncertain_services(time.monotonic())
         own = [
             origin
             for origin in self._origins.own()
--- a/src/savorylift/exchange/stream_resumption.py
+++ b/src/savorylift/exchange/stream_resumption.py
@@ -315,7 +315,10 @@
             origin = await self._prove(admitted, origin)
         if origin is not None and origin.is_certain:
             return origin
-        if self._history.sole_version(admitted.service.name) is not None:
+        if self._is_unnamed(admitted):
+            return origin
+        is_sole = self._history.sole_version(admitted.service.name) is not None
+        if is_sole and not self._has_restarted(admitted):
             return origin
         return await self._origin_log.find(attempt_id) or origin
 
@@ -365,10 +368,9 @@
         now_s = time.monotonic()
         if now_s - self._created_s < MIN_UPTIME_S:
             return Doubt.STARTED
-        service = admitted.service.name
-        max_age_s = (admitted.route.timeout_s or RETENTION_S) + RESUME_SLACK_S
-        if self._history.has_restarted(service, now_s - max_age_s):
+        if self._has_restarted(admitted):
             return Doubt.RESTARTED
+        service = admitted.service.name
         servers = self._pool.servers_in_service(service)
         asked = self._rng.sample(servers, min(len(servers), MAX_SERVERS_ASKED))
         request = admitted.req.attempt_id
@@ -390,6 +392,13 @@
         doubts = [DOUBTS[r.life] for r in reports if r.life in DOUBTS]
         return doubts[0] if doubts else None
 
+    def _has_restarted(self, admitted: AdmittedRequest) -> bool:
+        """Whether a server has started again since a stream could begin."""
+        service = admitted.service.name
+        now_s = time.monotonic()
+        max_age_s = (admitted.route.timeout_s or RETENTION_S) + RESUME_SLACK_S
+        return self._history.has_restarted(service, now_s - max_age_s)
+
     def _bind(
         self, admitted: AdmittedRequest, origin: StreamOrigin | None
     ) -> AdmittedRequest:
--- a/src/savorylift/fleet/version_history.py
+++ b/src/savorylift/fleet/version_history.py
@@ -1,11 +1,11 @@
 """Which software versions the servers of each service have had lately."""
 
 import math
-from collections.abc import Collection, Iterable
+from collections.abc import Iterable
 from typing import NamedTuple
 
 from savorylift.backends.server import ServerEntry
-from savorylift.fleet.state import VersionSighting
+from savorylift.fleet.state import UNKNOWN_VERSION, VersionSighting
 
 # Callers may resume a stream for this long after its first event.
 RETENTION_S = 60.0
@@ -13,6 +13,21 @@
 MAX_SIGHTINGS = 64
 # Servers that name no version are all of one.
 UNNAMED_VERSION = ""
+# What nodes tell each other of a restart changes its time by theirs: it counts
+# as a later one only if it is later by more.
+RESTART_SLACK_S = 2.0
+
+
+class ServerStart(NamedTuple):
+    """The newest process of a server.
+
+    Attributes:
+        server_id: Identifier of the server.
+        started_ms: Unix time in milliseconds at which the process started.
+    """
+
+    server_id: str
+    started_ms: int
 
 
 class _Version(NamedTuple):
@@ -21,6 +36,7 @@
 
 
 class _Process(NamedTuple):
+    service: str
     started_ms: int
     seen_s: float
 
@@ -47,7 +63,12 @@
     def observe(self, entries: Iterable[ServerEntry], now_s: float) -> None:
         """Records the versions of the servers that are known now."""
         entries = tuple(entries)
-        self._observe_starts(entries, now_s)
+        self.note_starts(entries, now_s)
+        self._processes = {
+            server_id: process
+            for server_id, process in self._processes.items()
+            if now_s - process.seen_s < RETENTION_S
+        }
         serving = frozenset(
             _Version(entry.service, entry.software_version) for entry in entries
         )
@@ -60,19 +81,15 @@
             if now_s - seen_s < RETENTION_S and version not in serving
         }
 
-    def _observe_starts(
-        self, entries: Collection[ServerEntry], now_s: float
-    ) -> None:
+    def note_starts(self, entries: Iterable[ServerEntry], now_s: float) -> None:
+        """Records which processes serve, and which servers started again."""
         for entry in entries:
             known = self._processes.get(entry.server_id)
             if known is not None and known.started_ms != entry.started_ms:
                 self._restarted_s[entry.service] = now_s
-            self._processes[entry.server_id] = _Process(entry.started_ms, now_s)
-        self._processes = {
-            server_id: process
-            for server_id, process in self._processes.items()
-            if now_s - process.seen_s < RETENTION_S
-        }
+            self._processes[entry.server_id] = _Process(
+                entry.service, entry.started_ms, now_s
+            )
 
     def has_restarted(self, service: str, since_s: float) -> bool:
         """Whether a server has started again under its ID since a moment.
@@ -83,8 +100,15 @@
         return self._restarted_s.get(service, -math.inf) >= since_s
 
     def sightings(self, now_s: float) -> tuple[VersionSighting, ...]:
-        """Returns the versions that have no server any more."""
-        newest = sorted(self._gone_s.items(), key=lambda item: -item[1])
+        """Returns the versions that have no server any more.
+
+        A version that nobody knows stands for a server that has started again.
+        """
+        seen_s = self._gone_s | {
+            _Version(service, UNKNOWN_VERSION): self._restarted_s[service]
+            for service in self.restarted_services(now_s)
+        }
+        newest = sorted(seen_s.items(), key=lambda item: -item[1])
         return tuple(
             VersionSighting(*version, now_s - seen_s)
             for version, seen_s in newest[:MAX_SIGHTINGS]
@@ -96,22 +120,65 @@
             version = _Version(service, software_version)
             if version in self._serving or not 0 <= age_s < RETENTION_S:
                 continue
+            if software_version == UNKNOWN_VERSION:
+                self._merge_restart(service, now_s - age_s)
+                continue
             if len(self._gone_s) >= MAX_SIGHTINGS:
                 return
             seen_s = max(self._gone_s.get(version, 0.0), now_s - age_s)
             self._gone_s[version] = seen_s
 
+    def _merge_restart(self, service: str, restarted_s: float) -> None:
+        known_s = self._restarted_s.get(service)
+        if known_s is None and len(self._restarted_s) >= MAX_SIGHTINGS:
+            return
+        if known_s is None or restarted_s > known_s + RESTART_SLACK_S:
+            self._restarted_s[service] = restarted_s
+
     def restore(
-        self, service: str, versions: Iterable[str], now_s: float
+        self,
+        service: str,
+        versions: Iterable[str],
+        starts: Iterable[ServerStart],
+        now_s: float,
     ) -> None:
-        """Adds versions that served at some time before this node started.
+        """Adds what was known at some time before this node started.
 
-        How long ago isn't known: they count as if it was just now.
+        How long ago a version served, or a server started again, isn't known:
+        it counts as if it was just now.
         """
         for software_version in versions:
             version = _Version(service, software_version)
-            if version not in self._serving:
+            if software_version == UNKNOWN_VERSION:
+                self._restarted_s[service] = now_s
+            elif version not in self._serving:
                 self._gone_s[version] = now_s
+        for server_id, started_ms in starts:
+            known = self._processes.setdefault(
+                server_id, _Process(service, started_ms, now_s)
+            )
+            if known.started_ms != started_ms:
+                self._restarted_s[service] = now_s
+
+    def starts(self) -> dict[str, tuple[ServerStart, ...]]:
+        """Returns the newest processes of the servers, by service."""
+        found: dict[str, list[ServerStart]] = {}
+        for server_id, process in sorted(self._processes.items()):
+            start = ServerStart(server_id, process.started_ms)
+            found.setdefault(process.service, []).append(start)
+        return {service: tuple(starts) for service, starts in found.items()}
+
+    def restarted_services(self, now_s: float) -> frozenset[str]:
+        """Returns the services of which a server has started again lately.
+
+        Those are left out whose servers name no versions.
+        """
+        return frozenset(
+            service
+            for service, restarted_s in self._restarted_s.items()
+            if now_s - restarted_s < RETENTION_S
+            and self.only_version(service) != UNNAMED_VERSION
+        )
 
     def known_versions(self) -> dict[str, frozenset[str]]:
         """Returns the versions that streams may have begun at, by service."""
@@ -128,6 +195,13 @@
             if len(versions) > 1
         )
 
+    def uncertain_services(self, now_s: float) -> frozenset[str]:
+        """Returns the services whose streams may have begun at any version.
+
+        Streams of unknown origin don't go on there.
+        """
+        return self.mixed_services() | self.restarted_services(now_s)
+
     def sole_version(self, service: str) -> str | None:
         """Returns the version that all streams of a service began at.
 
--- a/src/savorylift/fleet/version_recorder.py
+++ b/src/savorylift/fleet/version_recorder.py
@@ -13,7 +13,8 @@
 from returns.pipeline import is_successful
 
 from savorylift.fleet.record_codec import decode_record, encode_record
-from savorylift.fleet.version_history import VersionHistory
+from savorylift.fleet.state import UNKNOWN_VERSION
+from savorylift.fleet.version_history import ServerStart, VersionHistory
 from savorylift.platform.store import (
     MAX_KEY_BYTES,
     VERSIONS_TOPIC,
@@ -26,6 +27,8 @@
 # By then a node that starts has heard the others, which may be of a build that
 # keeps no records.
 START_DELAY_S = 2.0
+# So many starts fit into a record of the store, whatever their servers' names.
+MAX_STARTS = 900
 
 _log = structlog.get_logger()
 
@@ -34,10 +37,16 @@
     """What the store holds of a service, under its name.
 
     Attributes:
-        versions: Software versions that streams may have begun at.
+        versions: Software versions that streams may have begun at;
+            `UNKNOWN_VERSION` among them if a server has started again lately.
+        starts: The newest processes of the servers.
     """
 
     versions: tuple[str, ...]
+    starts: tuple[ServerStart, ...] = ()
+
+
+NO_VERSIONS = VersionRecord(())
 
 
 class VersionRecorder:
@@ -68,7 +77,7 @@
         self._is_writer = is_writer
         self._get_era = get_era
         self._era = 0
-        self._saved: dict[str, frozenset[str]] = {}
+        self._saved: dict[str, VersionRecord] = {}
 
     async def run(self) -> None:
         """Reads the records, and then writes changes forever."""
@@ -93,33 +102,48 @@
         changed = self._find_changed()
         if not changed:
             return True
-        records = [_make_record(*item) for item in changed.items()]
+        records = [_encode(*item) for item in changed.items()]
         written = await self._store.append(VERSIONS_TOPIC, records)
         _log.info(
             "versions_saved",
-            versions={s: sorted(found) for s, found in changed.items()},
+            versions={s: record.versions for s, record in changed.items()},
             era=era,
             is_saved=is_successful(written),
         )
         if is_successful(written):
             self._saved |= changed
             self._saved = {
-                s: found for s, found in self._saved.items() if found
+                service: record
+                for service, record in self._saved.items()
+                if record.versions
             }
         return is_successful(written)
 
-    def _find_changed(self) -> dict[str, frozenset[str]]:
+    def _find_changed(self) -> dict[str, VersionRecord]:
         """Returns what the store should hold; nothing for a gone service."""
-        known = self._history.known_versions()
+        known = self._make_records()
         changed = {
-            service: versions
-            for service, versions in known.items()
-            if versions != self._saved.get(service)
+            service: record
+            for service, record in known.items()
+            if record != self._saved.get(service)
             and self._is_service(service)
             and len(service.encode()) <= MAX_KEY_BYTES
         }
         gone = self._saved.keys() - known.keys()
-        return changed | dict.fromkeys(gone, frozenset())
+        return changed | dict.fromkeys(gone, NO_VERSIONS)
+
+    def _make_records(self) -> dict[str, VersionRecord]:
+        """Returns what is known of each service."""
+        starts = self._history.starts()
+        restarted = self._history.restarted_services(time.monotonic())
+        records = {}
+        for service, versions in self._history.known_versions().items():
+            if service in restarted:
+                versions |= {UNKNOWN_VERSION}
+            records[service] = VersionRecord(
+                tuple(sorted(versions)), starts.get(service, ())[:MAX_STARTS]
+            )
+        return records
 
     async def _load(self) -> bool:
         """Reads all records; returns whether that succeeded."""
@@ -137,22 +161,20 @@
                     detail=decoded.failure(),
                 )
                 continue
-            versions = decoded.unwrap().versions
-            self._saved[record.key] = frozenset(versions)
-            self._history.restore(record.key, versions, time.monotonic())
+            found = decoded.unwrap()
+            self._saved[record.key] = found
+            self._history.restore(record.key, *found, time.monotonic())
         if records:
             self._history.is_complete = True
         _log.info(
             "versions_loaded",
-            versions={s: sorted(found) for s, found in self._saved.items()},
+            versions={s: found.versions for s, found in self._saved.items()},
         )
         return True
 
 
-def _make_record(service: str, versions: frozenset[str]) -> Record:
-    """Returns the record of a service; it removes the key if there is none."""
-    if not versions:
+def _encode(service: str, record: VersionRecord) -> Record:
+    """Returns a record for the store; it removes the key if it is empty."""
+    if not record.versions:
         return Record(service, None)
-    return Record(
-        service, encode_record(VersionRecord(tuple(sorted(versions))))
-    )
+    return Record(service, encode_record(record))
--- a/tests/fleet/test_version_history.py
+++ b/tests/fleet/test_version_history.py
@@ -60,6 +60,43 @@
     assert not history.has_restarted("s", 0.0)
 
 
+def test_node_that_has_just_started_learns_of_a_restart() -> None:
+    older, newer = VersionHistory(), VersionHistory()
+    older.observe([V1._replace(started_ms=1)], 0.0)
+    older.observe([V1._replace(started_ms=2)], 10.0)
+    newer.observe([V1._replace(started_ms=2)], 12.0)
+    newer.merge(older.sightings(12.0), 12.0)
+    assert newer.has_restarted("s", 10.0)
+    assert not newer.has_restarted("s", 10.1)
+    assert newer.sole_version("s") == older.sole_version("s")
+    assert newer.only_version("s") == "v1"
+    assert older.sightings(10.0 + RETENTION_S) == ()
+
+
+def test_restart_does_not_get_later_on_its_way_between_nodes() -> None:
+    first, second = VersionHistory(), VersionHistory()
+    first.observe([V1._replace(started_ms=1)], 0.0)
+    first.observe([V1._replace(started_ms=2)], 1.0)
+    second.observe([V1._replace(started_ms=2)], 1.0)
+    now_s = 1.0
+    while now_s < RETENTION_S:
+        for sender, receiver in ((first, second), (second, first)):
+            told = sender.sightings(now_s)
+            now_s += 0.5
+            receiver.merge(told, now_s)
+    assert not first.has_restarted("s", 2.0)
+    assert not second.has_restarted("s", 2.0)
+
+
+def test_restart_of_servers_without_versions_is_told_to_nobody() -> None:
+    history = VersionHistory()
+    entry = make_server_entry("i-1")
+    history.observe([entry._replace(started_ms=1)], 0.0)
+    history.observe([entry._replace(started_ms=2)], 1.0)
+    assert history.sightings(1.0) == ()
+    assert history.restarted_services(1.0) == frozenset()
+
+
 def test_versions_of_other_services_do_not_count() -> None:
     history = VersionHistory()
     history.observe([V1, V2._replace(service="t")], 0.0)
--- a/tests/fleet/test_version_recorder.py
+++ b/tests/fleet/test_version_recorder.py
@@ -1,6 +1,7 @@
 """Tests of the store's records of software versions."""
 
 import asyncio
+import time
 
 import cbor2
 import pytest
@@ -177,8 +178,16 @@
 @pytest.mark.parametrize(
     ("value", "is_read"),
     [
-        pytest.param(cbor2.dumps([["v1"]]), True, id="this build"),
-        pytest.param(cbor2.dumps([["v1"], "new"]), True, id="later build"),
+        pytest.param(cbor2.dumps([["v1"]]), True, id="earlier build"),
+        pytest.param(
+            cbor2.dumps([["v1"], [["i-1", 1]]]), True, id="this build"
+        ),
+        pytest.param(
+            cbor2.dumps([["v1"], [["i-1", 1, "new"]], "new"]),
+            True,
+            id="later build",
+        ),
+        pytest.param(cbor2.dumps([["v1"], "x"]), False, id="other field"),
         pytest.param(cbor2.dumps("v1"), False, id="other type"),
         pytest.param(b"\xff", False, id="no record"),
     ],
@@ -196,3 +205,43 @@
         assert (history.only_version("s") is None) == is_read
 
     run_with_timeout(scenario())
+
+
+def test_fleet_that_is_lost_knows_that_a_server_has_started_again() -> None:
+    """The process that served between the two entries was known to nobody."""
+
+    async def scenario() -> None:
+        fleet = Fleet()
+        first = V1._replace(started_ms=1)
+        await fleet.start_node(first, V2)
+        await wait_until_written(fleet, 1)
+        fleet.kill_nodes()
+        since_s = time.monotonic()
+        calm = await fleet.start_node(first, V2)
+        await asyncio.sleep(0.2)
+        assert not calm.has_restarted("s", since_s)
+        again = await fleet.start_node(first._replace(started_ms=3), V2)
+        await asyncio.sleep(0.2)
+        assert again.has_restarted("s", since_s)
+        await wait_until_written(fleet, 2)
+        fleet.kill_nodes()
+        later = await fleet.start_node(first._replace(started_ms=3), V2)
+        await asyncio.sleep(0.2)
+        assert later.has_restarted("s", since_s)
+        assert later.known_versions() == {"s": {"v1", "v2"}}
+
+    run_with_timeout(scenario())
+
+
+def test_earlier_builds_read_a_restart_as_a_version_that_nobody_has() -> None:
+    async def scenario() -> None:
+        fleet = Fleet()
+        history = await fleet.start_node(V1._replace(started_ms=1))
+        history.note_starts([V1._replace(started_ms=2)], time.monotonic())
+        await wait_until_written(fleet, 1)
+        listed = await fleet.client.list_newest(VERSIONS_TOPIC)
+        value = listed.unwrap().records[0].value
+        assert value is not None
+        assert cbor2.loads(value) == [["\0", "v1"], [["i-1", 2]]]
+
+    run_with_timeout(scenario())
--- a/tests/front/test_lost_fleets.py
+++ b/tests/front/test_lost_fleets.py
@@ -5,6 +5,9 @@
 
 import pytest
 
+from savorylift.exchange.stream_resumption import MIN_UPTIME_S
+from savorylift.fleet.version_recorder import START_DELAY_S
+from tests.front.test_ended_servers import start_again
 from tests.front.version_fleet import (
     EVENTS,
     VersionProcessFleet,
@@ -67,3 +70,82 @@
             assert [len(events) for events in joined] == [EVENTS] * STREAMS
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("is_noticed", [False, True])
+def test_stream_of_a_process_without_an_entry_goes_on_nowhere_after_kills(
+    *, is_noticed: bool, tmp_path: pathlib.Path
+) -> None:
+    """Nodes that start take the entries they find for all there ever were."""
+
+    async def scenario() -> None:
+        fleet = VersionProcessFleet(NODES, tmp_path)
+        fleet.set_versions("v1", "v1", "v1", "v1")
+        server = fleet.pool[0]
+        async with fleet.running():
+            await asyncio.sleep(START_DELAY_S + NOTICE_S)
+            for other in fleet.pool[1:]:
+                other.rejects_all = True
+            await start_again(server, "v2")
+            parts = [p for p in await fleet.streams(STREAMS) if p.versions]
+            await start_again(server, "v1")
+            for other in fleet.pool[1:]:
+                other.rejects_all = False
+            if is_noticed:
+                fleet.publish_entry(server, "pool")
+                await asyncio.sleep(NOTICE_S)
+            fleet.kill(NODES)
+            fleet.publish_entry(server, "pool")
+            await fleet.start_again(NODES)
+            await asyncio.sleep(MIN_UPTIME_S)
+            rests = await fleet.take_up_all(0, parts)
+            assert {version for p in parts for version in p.versions} == {"v2"}
+            assert not any(part.is_whole for part in parts)
+            assert mixed(*join(parts, rests)) == []
+            assert {rest.status for rest in rests} == {503}
+
+    asyncio.run(scenario())
+
+
+def test_streams_of_unknown_origin_go_on_after_kills_where_no_server_ended(
+    tmp_path: pathlib.Path,
+) -> None:
+    """The other side of the same: nothing but the nodes has started again."""
+
+    async def scenario() -> None:
+        fleet = VersionProcessFleet(NODES, tmp_path)
+        fleet.set_versions("v1", "v1", "v1", "v1")
+        async with fleet.running():
+            await asyncio.sleep(START_DELAY_S + NOTICE_S)
+            parts = await fleet.broken_streams(STREAMS)
+            fleet.kill(NODES)
+            await fleet.start_again(NODES)
+            await asyncio.sleep(MIN_UPTIME_S)
+            joined = join(parts, await fleet.take_up_all(0, parts))
+            assert [len(events) for events in joined] == [EVENTS] * STREAMS
+
+    asyncio.run(scenario())
+
+
+def test_streams_go_on_after_kills_where_a_server_has_started_again(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Once a restart counts, what nodes know must outlive them."""
+
+    async def scenario() -> None:
+        fleet = VersionProcessFleet(NODES, tmp_path)
+        fleet.set_versions("v1", "v1", "v1", "v1")
+        async with fleet.running():
+            await asyncio.sleep(START_DELAY_S + NOTICE_S)
+            await start_again(fleet.pool[0], "v1")
+            fleet.publish_entry(fleet.pool[0], "pool")
+            await asyncio.sleep(NOTICE_S)
+            parts = await fleet.broken_streams(STREAMS)
+            await asyncio.sleep(WRITTEN_S)
+            fleet.kill(NODES)
+            await fleet.start_again(NODES)
+            await asyncio.sleep(MIN_UPTIME_S)
+            joined = join(parts, await fleet.take_up_all(0, parts))
+            assert [len(events) for events in joined] == [EVENTS] * STREAMS
+
+    asyncio.run(scenario())
