Let the soak play shapes in which nothing ends

Cause: streams that were cut off after their last event were counted only where engines die, so that no run showed what an undisturbed fleet cuts off.

Change: a shape may have no faults; quiet, quiet-limit-2 and quiet-limit-8.

--- a/tests/soak/killed_shapes.py
+++ b/tests/soak/killed_shapes.py
@@ -46,6 +46,8 @@
 LIMITED = _limited(KILLED, "4")
 STOPPED_LIMITED = _limited(STOPPED, "4")
 RESUMABLE = KILLED._replace(path="/resumable/x")
+# Whole streams must not be cut off, either, where nothing ends.
+QUIET = KILLED._replace(faults=())
 PLAIN = KILLED._replace(path="/once/x")
 VERSIONS = RESUMABLE._replace(
     versions=("v1", "v1", "v2", "v2"), releases=("v1", "v2")
@@ -60,6 +62,9 @@
 )
 
 KILLED_SHAPES = {
+    "quiet": QUIET,
+    "quiet-limit-2": _limited(QUIET, "2"),
+    "quiet-limit-8": _limited(QUIET, "8"),
     "killed": KILLED,
     "killed-gone": KILLED._replace(removal_s=REMOVAL_S),
     "killed-gone-at-once": KILLED._replace(removal_s=0.0),
--- a/tests/soak/shape.py
+++ b/tests/soak/shape.py
@@ -92,7 +92,8 @@
     Attributes:
         versions: Software version of each engine at the start.
         releases: Versions that engines start again at.
-        faults: Faults that come about, each as often as it is named.
+        faults: Faults that come about, each as often as it is named; empty
+            for none.
         entry_delays_s: When the entry of an engine that starts again is
             written, after it began to serve.
         removal_s: Time from the end of an engine until its entry is removed;
--- a/tests/soak/version_faults.py
+++ b/tests/soak/version_faults.py
@@ -30,6 +30,7 @@
         running = []
         while loop.time() < until_s:
             await asyncio.sleep(rng.uniform(*shape.fault_interval_s))
-            action = self._actions[rng.choice(shape.faults)]
-            running.append(asyncio.ensure_future(action()))
+            if shape.faults:
+                action = self._actions[rng.choice(shape.faults)]
+                running.append(asyncio.ensure_future(action()))
         await asyncio.gather(*running)
