Take a server that refuses connections for ended, not for full

Cause: a refusal while another request stayed open for 50 ms counted as that of a server that is full. Connections of other nodes are closed in between, so that a node's own gap grows with the nodes. The users' page says that a full server resets what lies beyond its connections; nowhere that it refuses.

Change: a refusal means that the process has ended, unless it says its known start a moment later. A server that resets, or accepts and doesn't answer, and holds other requests, is full.

--- a/src/savorylift/exchange/request_connections.py
+++ b/src/savorylift/exchange/request_connections.py
@@ -18,7 +18,7 @@
 
 
 class RequestConnections:
-    """Tells whether a server that refuses connections holds requests."""
+    """Tells whether a server that takes no connection holds requests."""
 
     def __init__(self) -> None:
         """Starts without any connection."""
@@ -26,6 +26,9 @@
         self._channels: dict[
             tuple[str, tuple[str, int]], weakref.WeakSet[Channel]
         ] = {}
+        self._places: weakref.WeakKeyDictionary[Channel, ProcessPlace] = (
+            weakref.WeakKeyDictionary()
+        )
 
     def add(self, place: ProcessPlace, channel: Channel) -> None:
         """Adds a connection that has just been opened."""
@@ -35,32 +38,33 @@
             del self._channels[next(iter(self._channels))]
         self._channels[server] = known
         known.add(channel)
+        self._places[channel] = place
 
-    def has_other(self, place: ProcessPlace, channel: Channel) -> bool:
-        """Whether other connections than one are open.
+    def has_other(self, channel: Channel) -> bool:
+        """Whether a server holds other requests that are known to be open.
 
-        For the arguments see `any_stays_open`.
+        Args:
+            channel: Connection of the request that has ended.
         """
-        return bool(self._others(place, channel))
+        return bool(self._others(channel))
 
-    async def any_stays_open(
-        self, place: ProcessPlace, channel: Channel
-    ) -> bool:
-        """Whether a server holds other requests than one that has ended.
+    async def any_stays_open(self, channel: Channel) -> bool:
+        """Whether a server goes on to hold other requests.
 
-        Args:
-            place: The server.
-            channel: Connection of the request that has ended.
+        For the arguments see `has_other`.
         """
         until_s = time.monotonic() + MAX_CLOSING_S
-        while others := self._others(place, channel):
+        while others := self._others(channel):
             if time.monotonic() >= until_s:
                 return True
             if not await _is_one_closed(others[:MAX_WATCHED]):
-                return bool(self._others(place, channel))
+                return bool(self._others(channel))
         return False
 
-    def _others(self, place: ProcessPlace, channel: Channel) -> list[Channel]:
+    def _others(self, channel: Channel) -> list[Channel]:
+        place = self._places.get(channel)
+        if place is None:
+            return []
         server = place.server_id, place.address
         return [
             other
--- a/src/savorylift/exchange/server_check.py
+++ b/src/savorylift/exchange/server_check.py
@@ -30,6 +30,8 @@
 )
 from savorylift.wire.channel import Channel
 
+# A server that is full resets what lies beyond its number of connections.
+NOT_SERVING = frozenset({CheckOutcome.UNREACHABLE, CheckOutcome.SILENT})
 # Bounds the memory of servers that are gone.
 MAX_SAID = 10_000
 
@@ -174,15 +176,18 @@
         found: Finding,
     ) -> tuple[Finding, ProcessEnd]:
         """Judges by other connections, then by a further question."""
-        in_service = self._is_in_service(server)
-        place = self._places.get(channel)
-        if found.outcome is CheckOutcome.GONE and in_service:
-            # A server that is full refuses, too, but holds requests.
-            if place is None or not self._requests.has_other(place, channel):
+        has_others = self._requests.has_other(channel)
+        was_refused = found.outcome is CheckOutcome.GONE
+        if was_refused and self._is_in_service(server):
+            if not has_others:
                 return found, ProcessEnd.ENDED
-            lives = await self._requests.any_stays_open(place, channel)
-        else:
-            lives = await self._idle.stays_open(channel, CLOSING_S)
+            # One that only stopped to listen for a moment is back by then.
+            await self._requests.any_stays_open(channel)
+            return await self._ask_again(server, channel, request, found)
+        lives = False
+        if has_others and found.outcome in NOT_SERVING:
+            lives = await self._requests.any_stays_open(channel)
+        lives = lives or await self._idle.stays_open(channel, CLOSING_S)
         is_accepting = found.outcome is CheckOutcome.ACCEPTED
         if lives or (is_accepting and server.entry.started_ms == NO_START):
             # Of a server without starts, nothing else can be known.
