Give settings, states and restarts of tests one place each

Change: tests/front/node_settings.py makes the settings; the states of other nodes derive from `state` of tests/fleet/test_membership.py; NodeEnvironment.republish_on_restart lets a server come back. The rest of a stream of test_lost_connections.py is one constant. No assertion changed.

--- a/tests/client/test_lost_connections.py
+++ b/tests/client/test_lost_connections.py
@@ -27,6 +27,11 @@
     return b"data: " + json.dumps(data).encode() + b"\n\n"
 
 
+STREAM_REST = (
+    STREAM_HEAD + token_event(1) + token_event(2, "stop") + b"data: [DONE]\n\n"
+)
+
+
 def refusal_response(code: str) -> bytes:
     error = {"ending": "not_run", "code": code, "message": "no"}
     body = json.dumps({"error": error}).encode()
@@ -87,10 +92,7 @@
     [
         [
             STREAM_HEAD + token_event(0),
-            STREAM_HEAD
-            + token_event(1)
-            + token_event(2, "stop")
-            + b"data: [DONE]\n\n",
+            STREAM_REST,
         ]
     ],
     indirect=True,
@@ -126,10 +128,7 @@
         [
             STREAM_HEAD + token_event(0),
             STREAM_HEAD + refusal_event(),
-            STREAM_HEAD
-            + token_event(1)
-            + token_event(2, "stop")
-            + b"data: [DONE]\n\n",
+            STREAM_REST,
         ]
     ],
     indirect=True,
@@ -143,9 +142,6 @@
     ]
 
 
-STREAM_REST = (
-    STREAM_HEAD + token_event(1) + token_event(2, "stop") + b"data: [DONE]\n\n"
-)
 REFUSAL = STREAM_HEAD + refusal_event(LONG_RETRY_S)
 
 
--- a/tests/completions/environment.py
+++ b/tests/completions/environment.py
@@ -18,6 +18,7 @@
 from savorylift.wire.message import Headers, Request, Response
 from savorylift.wire.request_input import InputLimits
 from tests.front.environment import run_with_timeout
+from tests.front.node_settings import make_node_settings
 from tests.harness.ports import free_addresses
 from tests.standins.engine import Engine
 from tests.standins.engine_settings import EngineSettings
@@ -173,24 +174,13 @@
     def settings(self) -> FrontSettings:
         """Returns the settings of the node."""
         caller, directory, ready, peer, metrics = self.addresses[1:6]
-        return FrontSettings(
-            vm="vm-1",
-            region="r",
-            failure_domain="z",
-            caller_listen=caller,
-            directory_listen=directory,
-            readiness_listen=ready,
-            peer_port=split_address(peer)[1],
-            metrics_port=split_address(metrics)[1],
-            store=self.addresses[0],
-            seeds=(),
-            grace_period_s=2.0,
-            retry_ratio=0.2,
-            retry_window_s=10.0,
-            retry_slack=20.0,
-            entry_ttl_max_s=5.0,
-            interface="completions",
-        )
+        return make_node_settings(
+            "vm-1",
+            self.addresses[0],
+            (caller, directory, ready),
+            split_address(peer)[1],
+            split_address(metrics)[1],
+        )._replace(failure_domain="z", interface="completions")
 
     async def send_request(
         self,
--- a/tests/exchange/factories.py
+++ b/tests/exchange/factories.py
@@ -39,6 +39,7 @@
     Team,
 )
 from savorylift.wire.request_input import InputLimits
+from tests.fleet.test_membership import state
 
 PEER_NUMBERS = (2, 3)  # of the nodes besides the tested one
 COLD_PLACES = 6  # two for each of three nodes
@@ -242,24 +243,11 @@
 
 def make_peer_state(number: int, requests: int) -> NodeState:
     """Returns the state of another node with requests at server `a`."""
-    return NodeState(
-        node=f"n{number}",
+    return state(number)._replace(
         ip=f"127.0.0.{number}",
-        region="r",
         failure_domain=f"z{number}",
         caller_address=f"127.0.0.{number}:80",
-        incarnation=number,
-        sequence=1,
-        is_ready=True,
-        is_leaving=False,
-        operators_version=0,
-        servers_version=(0, 0),
-        reading_age_s=None,
-        has_store_fault=False,
         loads=(ServerLoad("a", requests, 0, 0, 0, 0),),
-        moves=(),
-        interval_s=0.2,
-        peers=(),
     )
 
 
--- a/tests/front/environment.py
+++ b/tests/front/environment.py
@@ -13,6 +13,7 @@
 from savorylift.wire.channel import connect
 from savorylift.wire.client_call import ClientCall, fetch
 from savorylift.wire.message import Headers, Response
+from tests.front.node_settings import make_node_settings
 from tests.harness.ports import free_addresses
 from tests.standins.platform_server import PlatformServer
 from tests.standins.platform_store import PlatformStore
@@ -136,26 +137,27 @@
         entry = server.entry(service, f"z{number}", state)
         self.store.add(SERVERS_TOPIC, server.server_id, entry)
 
+    def republish_on_restart(
+        self, server: PlatformServer, service: str
+    ) -> None:
+        """Lets a server that has crashed come back under another ID."""
+
+        def on_restart(earlier_id: str) -> None:
+            self.store.add(SERVERS_TOPIC, earlier_id, None)
+            self.publish_entry(server, service)
+
+        server.on_restart = on_restart
+
     def settings(self) -> FrontSettings:
         """Returns the node's settings."""
         caller, directory, ready, peer, metrics = self.ports[5:10]
-        return FrontSettings(
-            vm="vm-1",
-            region="r",
-            failure_domain="z0",
-            caller_listen=f"{HOST}:{caller}",
-            directory_listen=f"{HOST}:{directory}",
-            readiness_listen=f"{HOST}:{ready}",
-            peer_port=peer,
-            metrics_port=metrics,
-            store=f"{HOST}:{self.ports[0]}",
-            seeds=(),
-            grace_period_s=self.grace_period_s,
-            retry_ratio=0.2,
-            retry_window_s=10.0,
-            retry_slack=20.0,
-            entry_ttl_max_s=5.0,
-        )
+        return make_node_settings(
+            "vm-1",
+            f"{HOST}:{self.ports[0]}",
+            (f"{HOST}:{caller}", f"{HOST}:{directory}", f"{HOST}:{ready}"),
+            peer,
+            metrics,
+        )._replace(grace_period_s=self.grace_period_s)
 
     async def get(self, port_index: int, target: str) -> Response:
         """Sends GET to the node's directory, readiness or metrics port."""
--- a/tests/front/node_fleet.py
+++ b/tests/front/node_fleet.py
@@ -17,6 +17,7 @@
 from savorylift.wire.client_call import BrokenAnswerError, ClientCall
 from savorylift.wire.message import Headers
 from tests.front.environment import configuration, end_other_tasks
+from tests.front.node_settings import make_node_settings
 from tests.harness.ports import free_addresses
 from tests.standins.platform_server import PlatformServer
 from tests.standins.platform_store import PlatformStore
@@ -260,23 +261,14 @@
 
     def _settings(self, ip: str) -> FrontSettings:
         store, caller, directory, ready, peer, metrics = self._node_ports
-        return FrontSettings(
-            vm=f"vm-{ip}",
-            region="r",
-            failure_domain="z0",
-            caller_listen=f"{ip}:{caller}",
-            directory_listen=f"{ip}:{directory}",
-            readiness_listen=f"{ip}:{ready}",
-            peer_port=peer,
-            metrics_port=metrics,
-            store=f"127.0.0.1:{store}",
-            seeds=tuple(f"{seed}:1" for seed in self.ips[:3]),
-            grace_period_s=2.0,
-            retry_ratio=0.2,
-            retry_window_s=10.0,
-            retry_slack=20.0,
-            entry_ttl_max_s=5.0,
-        )
+        seeds = tuple(f"{seed}:1" for seed in self.ips[:3])
+        return make_node_settings(
+            f"vm-{ip}",
+            f"127.0.0.1:{store}",
+            (f"{ip}:{caller}", f"{ip}:{directory}", f"{ip}:{ready}"),
+            peer,
+            metrics,
+        )._replace(seeds=seeds)
 
 
 def most_in_window(times_s: list[float], since_s: float) -> int:
--- a/tests/front/test_crashing_requests.py
+++ b/tests/front/test_crashing_requests.py
@@ -2,10 +2,9 @@
 
 import asyncio
 
-from savorylift.platform.store import SERVERS_TOPIC
 from savorylift.wire.message import Headers, Response
 from tests.front.environment import NodeEnvironment, run_in_environment
-from tests.standins.platform_server import RESTART_S, PlatformServer
+from tests.standins.platform_server import RESTART_S
 
 # Crashes after which no more than a few requests may reach engines.
 MAX_CRASHES = 5
@@ -21,17 +20,9 @@
 
 def crash_on(env: NodeEnvironment, part: str) -> None:
     """Makes the engines crash on a part, and come back under other IDs."""
-
-    def make_on_restart(server: PlatformServer) -> None:
-        def on_restart(earlier_id: str) -> None:
-            env.store.add(SERVERS_TOPIC, earlier_id, None)
-            env.publish_entry(server, "pool")
-
-        server.on_restart = on_restart
-
     for server in env.pool:
         server.deadly_part = part
-        make_on_restart(server)
+        env.republish_on_restart(server, "pool")
 
 
 async def call_deadly(env: NodeEnvironment, number: int) -> Response:
--- a/tests/front/test_deadly_requests.py
+++ b/tests/front/test_deadly_requests.py
@@ -5,7 +5,6 @@
 
 import pytest
 
-from savorylift.platform.store import SERVERS_TOPIC
 from savorylift.wire.message import Headers, Response
 from tests.front.environment import NodeEnvironment, run_in_environment
 from tests.front.node_fleet import NodeFleet
@@ -251,17 +250,9 @@
 
 def make_app_deadly(env: NodeEnvironment) -> None:
     """Lets the plain servers crash on the deadly body."""
-
-    def make_on_restart(server: PlatformServer) -> None:
-        def on_restart(earlier_id: str) -> None:
-            env.store.add(SERVERS_TOPIC, earlier_id, None)
-            env.publish_entry(server, "app")
-
-        server.on_restart = on_restart
-
     for server in env.app:
         server.deadly_body = DEADLY_BODY
-        make_on_restart(server)
+        env.republish_on_restart(server, "app")
 
 
 async def call_node(
--- a/tests/front/test_peer_sync.py
+++ b/tests/front/test_peer_sync.py
@@ -18,6 +18,7 @@
 from savorylift.wire.message import Request, Response
 from savorylift.wire.request_input import InputLimits
 from tests.exchange.factories import make_store_view
+from tests.fleet.test_membership import state
 from tests.harness.ports import free_addresses
 from tests.harness.virtual_time import run_in_virtual_time
 
@@ -80,24 +81,15 @@
 
     def _make_state(self, *, include_peers: bool) -> NodeState:
         self._sequence += 1
-        return NodeState(
+        return state()._replace(
             node=self.ip,
             ip=self.ip,
-            region="r",
             failure_domain="z",
             caller_address=f"{self.ip}:1",
-            incarnation=1,
             sequence=self._sequence,
-            is_ready=True,
-            is_leaving=False,
             operators_version=self.view.operators_version,
             servers_version=self.view.servers_version,
-            reading_age_s=None,
-            has_store_fault=False,
-            loads=(),
-            moves=(),
             interval_s=30.0,
-            peers=(),
         )
 
 
