Take what is sent and what is past out of the quarantine

Change: quarantine_reports chooses what goes into the next message, past_traits holds the traits for which less evidence suffices. Judgements look up past traits as before, without a call each. Two tests import MAX_QUARANTINES_SENT from its new module; nothing else of them changed.

--- a/src/savorylift/backends/request_quarantine.py
+++ b/src/savorylift/backends/request_quarantine.py
@@ -12,7 +12,9 @@
 
 from savorylift.backends.crash_log import UNKNOWN_SENT_S, Crash, CrashLog
 from savorylift.backends.culprit import find_culprit
+from savorylift.backends.past_traits import PastTraits
 from savorylift.backends.quarantine import Quarantine, QuarantinedTraits
+from savorylift.backends.quarantine_reports import QuarantineReports
 from savorylift.backends.quarantine_set import QuarantineSet
 from savorylift.backends.sound_traits import SoundTraits
 from savorylift.backends.traits import Traits, is_request
@@ -27,14 +29,10 @@
 CRASHES_TO_STOP_REPEATS = 2
 # While evidence arrives, it is judged no more often than this.
 UPDATE_INTERVAL_S = 0.02
-# Quarantines that begin are told at once, again and again for this long.
-NEWS_S = 10.0
 # Quarantines that begin at once; the search for others goes on later.
 MAX_BEGUN_AT_ONCE = 4
 # Bounds on what is remembered and sent.
 MAX_QUARANTINES = 256
-MAX_QUARANTINES_SENT = 32
-MAX_PAST_TRAITS = 512
 MAX_SOUND_TRAITS_SENT = 16
 
 
@@ -54,10 +52,8 @@
         self._next_update_s = 0.0
         self._sound = SoundTraits()
         self._quarantines = QuarantineSet()
-        # Traits for which less evidence suffices; the latest is at the end.
-        self._past_traits: dict[str, None] = {}
-        # Number of older quarantines that were sent, so that all have a turn.
-        self._sent_count = 0
+        self._past_traits = PastTraits()
+        self._reports = QuarantineReports()
 
     def find(
         self, traits: Traits, live_ips: Iterable[str]
@@ -141,12 +137,12 @@
             culprit = find_culprit(
                 self._unexplained_crashes(now_s),
                 self._sound,
-                self._past_traits,
+                self._past_traits.known,
                 now_s,
             )
             if culprit is None:
                 break
-            self._remember(culprit.suspects)
+            self._past_traits.add(culprit.suspects)
             self._add(Quarantine.begin(culprit.traits, now_s))
             begun.add(culprit.traits)
         return begun
@@ -168,7 +164,7 @@
         )
         for trait in survived:
             self._sound.add(trait, now_s)
-            self._past_traits.pop(trait, None)
+        self._past_traits.remove(survived)
         if self._quarantines.has_any_trait(survived):
             self._drop_sound()
         return is_news
@@ -201,28 +197,9 @@
         return QuarantineNews(
             self._crashes.own_reports(now_s),
             self._sound_traits(now_s),
-            tuple(
-                QuarantinedParts(
-                    tuple(sorted(item.traits)),
-                    now_s - item.since_s,
-                    item.until_s - now_s,
-                )
-                for item in self._quarantines_to_send(now_s)
-            ),
+            self._reports.next_reports(tuple(self._quarantines), now_s),
         )
 
-    def _quarantines_to_send(self, now_s: float) -> list[Quarantine]:
-        """Returns the newest quarantines, and some of the others in turn."""
-        known = self._quarantines
-        new = [item for item in known if now_s - item.since_s < NEWS_S]
-        old = [item for item in known if now_s - item.since_s >= NEWS_S]
-        room = MAX_QUARANTINES_SENT - len(new)
-        if room <= 0 or len(old) <= room:
-            return [*new[-MAX_QUARANTINES_SENT:], *old[: max(room, 0)]]
-        start = self._sent_count % len(old)
-        self._sent_count += room
-        return [*new, *(old[start:] + old[:start])[:room]]
-
     def _unexplained_crashes(self, now_s: float) -> list[Crash]:
         """Returns the crashes that no quarantine explains."""
         return [
@@ -238,17 +215,9 @@
         if len(self._quarantines) >= MAX_QUARANTINES:
             oldest = min(self._quarantines, key=lambda q: q.until_s)
             self._quarantines.remove(oldest.traits)
-        self._remember(quarantine.traits)
+        self._past_traits.add(quarantine.traits)
         self._quarantines.put(quarantine)
 
-    def _remember(self, traits: Iterable[str]) -> None:
-        """Makes less evidence suffice for traits from now on."""
-        for trait in traits:
-            self._past_traits.pop(trait, None)
-            self._past_traits[trait] = None
-        while len(self._past_traits) > MAX_PAST_TRAITS:
-            del self._past_traits[next(iter(self._past_traits))]
-
     def _merge_quarantine(
         self, item: QuarantinedParts, now_s: float
     ) -> QuarantinedTraits | None:
@@ -278,8 +247,7 @@
             self._quarantines.remove(item.traits)
             if left:
                 self._quarantines.put(item._replace(traits=left))
-            for trait in item.traits - left:
-                self._past_traits.pop(trait, None)
+            self._past_traits.remove(item.traits - left)
 
     def _without_sound(
         self, traits: Iterable[str], since_s: float
--- a/tests/backends/test_deadly_requests.py
+++ b/tests/backends/test_deadly_requests.py
@@ -9,9 +9,9 @@
 from freezegun.api import FrozenDateTimeFactory
 
 from savorylift.backends.quarantine import FIRST_REQUEST_TRIAL_S
+from savorylift.backends.quarantine_reports import MAX_QUARANTINES_SENT
 from savorylift.backends.request_quarantine import (
     MAX_QUARANTINES,
-    MAX_QUARANTINES_SENT,
     RequestQuarantine,
 )
 from savorylift.backends.traits import REQUEST_PREFIX, Traits
--- a/tests/backends/test_request_quarantine.py
+++ b/tests/backends/test_request_quarantine.py
@@ -14,8 +14,8 @@
     MAX_PART_QUARANTINE_S,
     PART_QUARANTINE_S,
 )
+from savorylift.backends.quarantine_reports import MAX_QUARANTINES_SENT
 from savorylift.backends.request_quarantine import (
-    MAX_QUARANTINES_SENT,
     RequestQuarantine,
 )
 from savorylift.fleet.quarantine_news import QuarantineNews
