Split serving a request from serving a connection

Cause: front/caller_handler.py (339 lines) had two jobs: to read requests of a connection and give each one answer, and to admit, refuse, serve or relay one.

Change: request_handler.py has the second. No test changed.

--- a/src/savorylift/front/caller_parts.py
+++ b/src/savorylift/front/caller_parts.py
@@ -7,8 +7,12 @@
 from savorylift.exchange.plain_call import PlainCallDispatcher
 from savorylift.fleet.peer_transport import StateBuilder
 from savorylift.front.caller_directory import CallerDirectory
-from savorylift.front.caller_handler import CallerHandler, CallerHandlerOptions
+from savorylift.front.caller_handler import CallerHandler
 from savorylift.front.node_relay import NodeRelay
+from savorylift.front.request_handler import (
+    RequestHandler,
+    RequestHandlerOptions,
+)
 from savorylift.front.responder import Responder
 from savorylift.front.server_parts import ServerParts
 from savorylift.front.shared_parts import SharedParts
@@ -94,8 +98,9 @@
         interface.codec,
         shared.rng,
     )
-    return CallerHandler(
-        Responder(counts, shared.store_view, interface.codec),
+    responder = Responder(counts, shared.store_view, interface.codec)
+    requests = RequestHandler(
+        responder,
         shared.store_view,
         servers.pool,
         PlainCallDispatcher(servers.pool, servers.sender, servers.crash_guard),
@@ -103,6 +108,12 @@
         interface.codec,
         shared.lifecycle,
         relay,
-        CallerHandlerOptions(settings.request_timeout_s, settings.most_open),
+        RequestHandlerOptions(settings.request_timeout_s, settings.most_open),
+    )
+    return CallerHandler(
+        responder,
+        requests,
+        interface.codec,
+        shared.lifecycle,
         lambda req: interface.answer_locally(req, directory.all_addresses),
     )
