Split the relay by what it does

Change: relayed_answer.py passes answers on and says what came of them, relay_headers.py has the headers, peer_handler.py serves connections from nodes; node_relay.py chooses and sends. Two tests import the headers from their new module; nothing else of them changed.

Run: make lint.

--- a/src/savorylift/front/listeners.py
+++ b/src/savorylift/front/listeners.py
@@ -3,8 +3,8 @@
 from collections.abc import Awaitable, Callable
 
 from savorylift.front.caller_parts import CallerParts
-from savorylift.front.node_relay import peer_connection_handler
 from savorylift.front.operator_handler import operator_handler
+from savorylift.front.peer_handler import peer_connection_handler
 from savorylift.front.shared_parts import SharedParts
 from savorylift.front.state_reporter import StateReporter
 from savorylift.platform.directory import directory_handler, readiness_handler
--- a/src/savorylift/front/node_relay.py
+++ b/src/savorylift/front/node_relay.py
@@ -7,16 +7,22 @@
 import asyncio
 import random
 import time
-from collections.abc import Awaitable, Callable
-from typing import NamedTuple, Protocol
+from typing import Protocol
 
-import structlog
-
-from savorylift.exchange import metrics
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.results import Refused
 from savorylift.exchange.server_reach import ServerReach
 from savorylift.fleet.membership import Membership
+from savorylift.front.relay_headers import RELAYED
+from savorylift.front.relayed_answer import (
+    Lost,
+    NotTaken,
+    Passed,
+    log_outcome,
+    lost_refusal,
+    pass_on,
+    pass_whole,
+)
 from savorylift.outcomes import Reason
 from savorylift.wire.channel import connect
 from savorylift.wire.client_call import BrokenAnswerError, ClientCall
@@ -26,14 +32,8 @@
     Response,
     end_to_end_headers,
 )
-from savorylift.wire.request_input import BadRequest
 from savorylift.wire.server_connection import ServerConnection
 
-# Marks requests between nodes, and the responses of nodes that understand it.
-RELAY_HEADER = "savorylift-relay"
-RELAYED: Headers = ((RELAY_HEADER, "1"),)
-# The response is a refusal of that node, and the request did not run.
-RELAY_REFUSED: Headers = ((RELAY_HEADER, "refused"),)
 MAX_NODES = 3
 CONNECT_TIMEOUT_S = 0.25
 # The other node answers at the deadline; its answer has yet to arrive.
@@ -42,8 +42,6 @@
 # For how long the nodes that reach a service are not looked up again.
 CACHE_S = 0.1
 
-_log = structlog.get_logger()
-
 
 class TimeLeftEncoder(Protocol):
     """Encodes how long a caller still waits, as a header."""
@@ -53,31 +51,6 @@
         ...
 
 
-class _Passed(NamedTuple):
-    """An answer that was passed on to the caller, whole or not."""
-
-    status: int
-
-
-class _NotTaken(NamedTuple):
-    """Another node did not serve the request, so that a third one may.
-
-    Attributes:
-        detail: Why, for logs.
-        refusal: Its response, if it sent one.
-    """
-
-    detail: str
-    refusal: Response | None = None
-
-
-class _Lost(NamedTuple):
-    """There was no whole answer; the request may have run."""
-
-    reason: Reason
-    detail: str
-
-
 class NodeRelay:
     """Chooses the nodes to hand requests over to, and passes answers on."""
 
@@ -124,7 +97,7 @@
             The refusal if no node serves it; None if the caller has an answer.
         """
         tried: set[str] = set()
-        lost: _Lost | None = None
+        lost: Lost | None = None
         refusal: Response | None = None
         may_repeat = admitted.is_idempotent and admitted.route.max_attempts > 1
         for _ in range(MAX_NODES):
@@ -133,10 +106,10 @@
                 break
             tried.add(ip)
             outcome = await self._serve_at(ip, conn, req, admitted)
-            _log_outcome(admitted, ip, outcome)
-            if isinstance(outcome, _Passed):
+            log_outcome(admitted, ip, outcome)
+            if isinstance(outcome, Passed):
                 return None
-            if isinstance(outcome, _NotTaken):
+            if isinstance(outcome, NotTaken):
                 refusal = outcome.refusal or refusal
                 continue
             lost = outcome
@@ -149,9 +122,9 @@
                 break
             may_repeat = False
         if lost is not None:
-            return _lost_refusal(lost)
+            return lost_refusal(lost)
         if refusal is not None:
-            _pass_whole(conn, refusal)
+            pass_whole(conn, refusal)
             return None
         message = "This node reaches no backend server; it did not run."
         reason = Reason.NO_BACKEND_SERVER
@@ -183,11 +156,11 @@
         conn: ServerConnection,
         req: Request,
         admitted: AdmittedRequest,
-    ) -> _Passed | _NotTaken | _Lost:
+    ) -> Passed | NotTaken | Lost:
         try:
             channel = await connect(ip, self._peer_port, CONNECT_TIMEOUT_S)
         except OSError as exc:
-            return _NotTaken(f"{type(exc).__name__}: {exc}")
+            return NotTaken(f"{type(exc).__name__}: {exc}")
         call = ClientCall(channel)
         self._open[ip] = self._open.get(ip, 0) + 1
         try:
@@ -199,11 +172,11 @@
                     self._headers(req, admitted),
                     req.body,
                 )
-                return await _pass_on(call, conn)
+                return await pass_on(call, conn)
         except TimeoutError:
-            return _Lost(Reason.DEADLINE, "no whole answer in time")
+            return Lost(Reason.DEADLINE, "no whole answer in time")
         except BrokenAnswerError as exc:
-            return _Lost(Reason.ANSWER_LOST, str(exc))
+            return Lost(Reason.ANSWER_LOST, str(exc))
         finally:
             call.close()
             self._open[ip] -= 1
@@ -217,111 +190,3 @@
             item for item in end_to_end_headers(req.headers) if item[0] != name
         )
         return (*kept, (name, value), *RELAYED)
-
-
-async def _pass_on(
-    call: ClientCall, conn: ServerConnection
-) -> _Passed | _NotTaken:
-    """Passes a node's answer on as it comes.
-
-    Raises:
-        BrokenAnswerError: It is incomplete, or there is none.
-    """
-    head = await call.read_head()
-    relayed = head.header(RELAY_HEADER)
-    if relayed is None:
-        # A build that serves no other nodes' requests.
-        return _NotTaken("the node knows no such requests")
-    has_length = head.header("content-length") is not None
-    if relayed == RELAY_REFUSED[0][1]:
-        return _NotTaken("the node refused", await call.read_rest(head))
-    if has_length:
-        _pass_whole(conn, await call.read_rest(head))
-        return _Passed(head.status)
-    conn.start_response(
-        head.status,
-        _passed_headers(head.headers),
-        is_close_delimited=head.is_close_delimited,
-    )
-    while (chunk := await call.read_body_chunk()) is not None:
-        conn.send_body(chunk)
-        await conn.channel.drain()
-    conn.end_response()
-    return _Passed(head.status)
-
-
-def peer_connection_handler(
-    handle_request: Callable[[Request], Awaitable[Response]],
-    serve_relayed: Callable[[ServerConnection, Request], Awaitable[None]],
-    refuse_unreadable: Callable[[ServerConnection, BadRequest], None],
-) -> Callable[[ServerConnection], Awaitable[None]]:
-    """Returns a handler of connections from other nodes.
-
-    Args:
-        handle_request: Answers what concerns only the nodes.
-        serve_relayed: Serves a caller's request that a node hands over.
-        refuse_unreadable: Refuses a request that wasn't read whole.
-    """
-
-    async def serve(conn: ServerConnection) -> None:
-        req = await conn.next_request()
-        if isinstance(req, BadRequest) and req.retry_after_s is not None:
-            # Without an answer, it would count as run.
-            conn.add_headers(RELAYED)
-            refuse_unreadable(conn, req)
-            await conn.channel.close_gracefully()
-            return
-        if not isinstance(req, Request):
-            return
-        if req.header_values(RELAY_HEADER):
-            conn.add_headers(RELAYED)
-            await serve_relayed(conn, without_mark(req))
-            return
-        conn.is_closing = True
-        response = await handle_request(req)
-        conn.respond(response.status, response.headers, response.body)
-        await conn.flush()
-        await conn.channel.close_gracefully()
-
-    return serve
-
-
-def without_mark(req: Request) -> Request:
-    """Returns a request as its caller sent it to the first node."""
-    headers = tuple(item for item in req.headers if item[0] != RELAY_HEADER)
-    return req._replace(headers=headers)
-
-
-def _pass_whole(conn: ServerConnection, response: Response) -> None:
-    headers = _passed_headers(response.headers)
-    conn.respond(response.status, headers, response.body)
-
-
-def _passed_headers(headers: Headers) -> Headers:
-    return tuple(
-        item for item in end_to_end_headers(headers) if item[0] != RELAY_HEADER
-    )
-
-
-def _lost_refusal(lost: _Lost) -> Refused:
-    status = 504 if lost.reason is Reason.DEADLINE else 502
-    message = "Another node gave no whole answer; the request may have run."
-    return Refused(status, lost.reason, message)
-
-
-def _log_outcome(
-    admitted: AdmittedRequest, ip: str, outcome: _Passed | _NotTaken | _Lost
-) -> None:
-    metrics.RELAYED.labels(type(outcome).__name__.strip("_").lower()).inc()
-    _log.info(
-        "relayed",
-        request=admitted.req.attempt_id,
-        service=admitted.service.name,
-        node=ip,
-        ending=type(outcome).__name__.strip("_"),
-        detail=(
-            str(outcome.status)
-            if isinstance(outcome, _Passed)
-            else outcome.detail
-        ),
-    )
--- a/src/savorylift/front/responder.py
+++ b/src/savorylift/front/responder.py
@@ -11,7 +11,7 @@
 from savorylift.exchange.results import Answered, Refused
 from savorylift.fleet.store_view import StoreView
 from savorylift.front.caller_sink import CallerSink
-from savorylift.front.node_relay import RELAY_REFUSED
+from savorylift.front.relay_headers import RELAY_REFUSED
 from savorylift.outcomes import Ending, Reason
 from savorylift.refusals.counts import RefusalCounts
 from savorylift.wire.server_connection import ServerConnection
--- a/tests/front/test_full_node.py
+++ b/tests/front/test_full_node.py
@@ -5,7 +5,7 @@
 import pytest
 
 from savorylift.front.node import FrontNode
-from savorylift.front.node_relay import RELAY_REFUSED, RELAYED
+from savorylift.front.relay_headers import RELAY_REFUSED, RELAYED
 from savorylift.wire.body_budget import SMALL_BODY_BYTES, BodyLease
 from savorylift.wire.channel import connect
 from savorylift.wire.client_call import ClientCall
--- a/tests/front/test_node_relay.py
+++ b/tests/front/test_node_relay.py
@@ -9,11 +9,11 @@
 from savorylift.exchange.results import Refused
 from savorylift.exchange.server_reach import ServerReach
 from savorylift.fleet.membership import Membership
-from savorylift.front.node_relay import (
+from savorylift.front.node_relay import NodeRelay
+from savorylift.front.relay_headers import (
     RELAY_HEADER,
     RELAY_REFUSED,
     RELAYED,
-    NodeRelay,
 )
 from savorylift.platform.codec import PlatformCodec
 from savorylift.routing.configuration import RouteKind
