--- a/src/savorylift/backends/crash_log.py
+++ b/src/savorylift/backends/crash_log.py
@@ -100,7 +100,7 @@
         )
         self._suspects_until_s = UNKNOWN_SENT_S
         # A node of an older build doesn't say when they were sent.
-        requests = itertools.zip_longest(report.prefixes, report.sent_ages_s)
+        requests = itertools.zip_longest(report.requests, report.sent_ages_s)
         has_new = False
         for traits, sent_age_s in requests:
             if traits is None:
--- a/src/savorylift/fleet/quarantine_news.py
+++ b/src/savorylift/fleet/quarantine_news.py
@@ -4,12 +4,12 @@
 
 
 class CrashReport(NamedTuple):
-    """A crash of an engine, as seen by one node.
+    """A crash of a server, as seen by one node.
 
     Attributes:
-        server_id: Identifier of the engine.
+        server_id: Identifier of the server.
         age_s: Time since the crash.
-        prefixes: Traits of the requests that it had not answered yet: the IDs
+        requests: Traits of the requests that it had not answered yet: the IDs
             of the parts of their prompts without the last, and those of the
             requests themselves.
         sent_ages_s: Time since each of them was sent, in the same order;
@@ -18,7 +18,7 @@
 
     server_id: str
     age_s: float
-    prefixes: tuple[tuple[str, ...], ...]
+    requests: tuple[tuple[str, ...], ...]
     sent_ages_s: tuple[float, ...] = ()
 
 
@@ -49,12 +49,12 @@
 
 
 class QuarantineNews(NamedTuple):
-    """What a node knows of requests that crash engines.
+    """What a node knows of requests that crash servers.
 
     Attributes:
         crash_reports: Crashes that the node has seen lately.
-        sound_parts: Suspected parts that engines have begun to answer.
-        quarantined: Requests that the node does not send to engines.
+        sound_parts: Suspected traits that servers have survived.
+        quarantined: Traits of requests that the node sends to no server.
     """
 
     crash_reports: tuple[CrashReport, ...] = ()
