Ask limited servers which process they are, whatever connections are open

Cause: connections that overlap were taken for ones to the same process. Where another process listens at the address beside the one before, a new connection leads to it while those of the one before are open: streams that began there got the version of the one before, and went on at servers of that version.

The rate that questions take of a cut-off issuer and the second question after 50 ms stay.

--- a/src/savorylift/exchange/limit_gate.py
+++ b/src/savorylift/exchange/limit_gate.py
@@ -280,10 +280,8 @@
             self._sync.merge(message.reports, ip)
         elif isinstance(message, PermitRequest):
             self._reply(message, ip)
-        elif isinstance(message, PermitReply):
-            self._client.receive(message)
         else:
-            self._processes.witnesses.receive(message, ip)
+            self._client.receive(message)
 
     def update(self) -> None:
         """Does what is due; to be called periodically."""
@@ -357,8 +355,6 @@
         decision = self._issuer.decide(
             server_id, limit, message.max_wait_s, is_probe=message.is_probe
         )
-        if decision.is_granted and message.can_show:
-            self._processes.witnesses.add(server_id, ip)
         reply = PermitReply(
             message.number, decision.is_granted, decision.wait_s
         )
--- a/src/savorylift/exchange/metrics.py
+++ b/src/savorylift/exchange/metrics.py
@@ -92,16 +92,6 @@
     "savorylift_front_process_questions",
     "Limited servers that this node asked for all when they started.",
 )
-PROCESSES_BY_CONNECTION = Counter(
-    "savorylift_front_processes_by_connection",
-    "Checks of limited servers that needed no question, as other connections"
-    " showed that the process lives on.",
-)
-WITNESS_QUESTIONS = Counter(
-    "savorylift_front_witness_questions",
-    "Questions to nodes whether processes of limited servers live on.",
-    ["outcome"],
-)
 SERVER_LIVES = Counter(
     "savorylift_front_server_lives",
     "Checks whether a server has started again since its entry was read.",
--- a/src/savorylift/exchange/permit_client.py
+++ b/src/savorylift/exchange/permit_client.py
@@ -53,7 +53,7 @@
         is_probe: bool,
     ) -> PermitDecision | None:
         """Returns the decision of another node; None if it doesn't reply."""
-        message = PermitRequest(0, report, max_wait_s, is_probe, can_show=True)
+        message = PermitRequest(0, report, max_wait_s, is_probe)
         reply = await self._exchange(issuer_ip, message)
         if reply is None:
             return None
@@ -79,7 +79,7 @@
             is_probe: Whether to use only what requests leave.
         """
         age_s = max(boot_time_s() - since_s, 0.0)
-        message = PermitRequest(0, report, 0.0, is_probe, age_s, can_show=True)
+        message = PermitRequest(0, report, 0.0, is_probe, age_s)
         return await self._exchange(issuer_ip, message)
 
     async def _exchange(
--- a/src/savorylift/exchange/process_lookup.py
+++ b/src/savorylift/exchange/process_lookup.py
@@ -6,20 +6,14 @@
 """
 
 import asyncio
-from collections.abc import Awaitable, Callable, Collection, Coroutine
+from collections.abc import Awaitable, Callable, Collection
 from typing import NamedTuple
 
 import structlog
 
 from savorylift.backends.server import ServerEntry
-from savorylift.backends.server_start import NO_START
 from savorylift.boot_clock import boot_time_s
 from savorylift.exchange import metrics
-from savorylift.exchange.known_processes import (
-    KnownProcesses,
-    server_name,
-)
-from savorylift.exchange.process_witnesses import ProcessWitnesses
 from savorylift.fleet.permit_issuer import PermitIssuer
 
 # A caller waits for the rest of its stream meanwhile.
@@ -38,8 +32,6 @@
 MAX_PERMIT_WAIT_S = 1.0
 # Time that a question takes, from its permit to the answer.
 ANSWER_S = 0.03
-# When other nodes are asked again that didn't know.
-WITNESS_INTERVAL_S = 0.5
 # When a server that wants no requests is worth asking for again.
 HELD_WAIT_S = 0.3
 
@@ -79,11 +71,7 @@
 
 
 class ProcessLookup:
-    """Asks the servers whose permits this node issues.
-
-    Attributes:
-        witnesses: Asks other nodes before.
-    """
+    """Asks the servers whose permits this node issues."""
 
     def __init__(
         self,
@@ -91,8 +79,6 @@
         find_entry: Callable[[str], ServerEntry | None],
         is_held: Callable[[str], bool],
         read_start: StartReader,
-        processes: KnownProcesses,
-        witnesses: ProcessWitnesses,
     ) -> None:
         """Asks nobody yet.
 
@@ -101,25 +87,18 @@
             find_entry: Returns the entry of a server by its ID.
             is_held: Returns whether a server wants no requests.
             read_start: Asks a server.
-            processes: The processes whose lives connections show.
-            witnesses: Asks other nodes whether theirs do.
         """
         self._issuer = issuer
         self._find_entry = find_entry
         self._is_held = is_held
         self._read_start = read_start
-        self._processes = processes
-        self.witnesses = witnesses
         self._known: dict[str, _Known] = {}
         # Boot time at which a sound stream first wanted an answer, by server.
         self._wanted_s: dict[str, float] = {}
         self._asking: dict[str, asyncio.Task[None]] = {}
-        self._asking_nodes: dict[str, asyncio.Task[None]] = {}
         # Boot time before which no question is sent, by server. One that was
         # not asked before may be asked twice.
         self._next_s: dict[str, float] = {}
-        # The same for questions to other nodes.
-        self._next_witness_s: dict[str, float] = {}
 
     def find(
         self, server_id: str, limit: float, since_s: float, *, is_probe: bool
@@ -136,13 +115,6 @@
         if known is not None and known.asked_s >= since_s:
             is_silent = known.started_ms is None
             return ProcessAnswer(known.started_ms, is_silent)
-        entry = self._find_entry(server_id)
-        if entry is not None and self._is_shown(entry, since_s):
-            return ProcessAnswer(entry.started_ms)
-        if entry is not None and self._may_be_shown(entry):
-            self._start(self._asking_nodes, server_id, self._ask_nodes(entry))
-        if server_id in self._asking_nodes:
-            return ProcessAnswer(None, wait_s=ANSWER_S)
         next_s = self._next_s.get(server_id, 0.0)
         if is_probe and known is not None:
             next_s = max(next_s, known.asked_s + PROBE_INTERVAL_S)
@@ -167,58 +139,10 @@
             self._next_s.get(server_id, 0.0), boot_time_s() - interval_s
         )
         self._next_s[server_id] = next_s + interval_s
-        question = self._ask(server_id, decision.wait_s)
-        self._start(self._asking, server_id, question)
-        return ProcessAnswer(None, wait_s=decision.wait_s + ANSWER_S)
-
-    def _start(
-        self,
-        asking: dict[str, asyncio.Task[None]],
-        server_id: str,
-        question: Coroutine[None, None, None],
-    ) -> None:
-        task = asyncio.get_running_loop().create_task(question)
-        asking[server_id] = task
-        task.add_done_callback(lambda _: asking.pop(server_id))
-
-    def _is_shown(self, entry: ServerEntry, since_s: float) -> bool:
-        """Whether connections show that the process of an entry lives on.
-
-        While it leaves, another one may have taken its place.
-        """
-        if entry.is_leaving:
-            return False
-        started_ms = self._processes.find(server_name(entry), since_s)
-        return started_ms is not None and started_ms == entry.started_ms
-
-    def _may_be_shown(self, entry: ServerEntry) -> bool:
-        """Whether to ask the nodes that have connections first."""
-        server_id = entry.server_id
-        if entry.is_leaving or server_id in self._asking_nodes:
-            return False
-        if server_id in self._asking:
-            return False
-        if boot_time_s() < self._next_witness_s.get(server_id, 0.0):
-            return False
-        started_ms = self._processes.find(server_name(entry), 0.0)
-        is_known = started_ms is not None and started_ms == entry.started_ms
-        return is_known and self.witnesses.has_nodes(server_id)
-
-    async def _ask_nodes(self, entry: ServerEntry) -> None:
-        asked_s = boot_time_s()
-        await self.witnesses.ask(entry.server_id, server_name(entry))
-        is_shown = self._is_shown(entry, asked_s)
-        if not is_shown:
-            next_s = boot_time_s() + WITNESS_INTERVAL_S
-            self._next_witness_s[entry.server_id] = next_s
-        metrics.WITNESS_QUESTIONS.labels("shown" if is_shown else "open").inc()
-        _log.info(
-            "process_shown",
-            server=entry.server_id,
-            start_ms=entry.started_ms,
-            is_shown=is_shown,
-            took_ms=round((boot_time_s() - asked_s) * 1000),
+        self._asking[server_id] = asyncio.get_running_loop().create_task(
+            self._ask(server_id, decision.wait_s)
         )
+        return ProcessAnswer(None, wait_s=decision.wait_s + ANSWER_S)
 
     def _is_due(self, server_id: str, per_s: float) -> bool:
         """Whether sound streams have waited long for what requests leave."""
@@ -231,34 +155,29 @@
 
     def forget(self, limited_ids: Collection[str]) -> None:
         """Forgets the servers that name no limit any more."""
-        for found in (
-            self._known,
-            self._next_s,
-            self._wanted_s,
-            self._next_witness_s,
-        ):
+        for found in (self._known, self._next_s, self._wanted_s):
             for server_id in found.keys() - set(limited_ids):
                 del found[server_id]
-        self.witnesses.forget(limited_ids)
 
     async def _ask(self, server_id: str, wait_s: float) -> None:
-        await asyncio.sleep(wait_s)
-        entry = self._find_entry(server_id)
-        if entry is None:
-            return
-        asked_s = boot_time_s()
-        started_ms = await self._read_start(entry.address, REPORT_TIMEOUT_S)
-        self._known[server_id] = _Known(started_ms, asked_s)
-        if started_ms is not None and started_ms > NO_START:
-            self._processes.record(server_name(entry), started_ms, asked_s)
-        metrics.PROCESS_QUESTIONS.inc()
-        _log.info(
-            "process_asked",
-            server=server_id,
-            known_start_ms=entry.started_ms,
-            start_ms=started_ms,
-            took_ms=round((boot_time_s() - asked_s) * 1000),
-        )
+        try:
+            await asyncio.sleep(wait_s)
+            entry = self._find_entry(server_id)
+            if entry is None:
+                return
+            asked_s = boot_time_s()
+            started_ms = await self._read_start(entry.address, REPORT_TIMEOUT_S)
+            self._known[server_id] = _Known(started_ms, asked_s)
+            metrics.PROCESS_QUESTIONS.inc()
+            _log.info(
+                "process_asked",
+                server=server_id,
+                known_start_ms=entry.started_ms,
+                start_ms=started_ms,
+                took_ms=round((boot_time_s() - asked_s) * 1000),
+            )
+        finally:
+            del self._asking[server_id]
 
 
 def _interval_s(per_s: float) -> float:
--- a/src/savorylift/exchange/server_life.py
+++ b/src/savorylift/exchange/server_life.py
@@ -4,9 +4,7 @@
 version, and serve before its new entry is read.
 """
 
-import asyncio
 import enum
-import time
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -16,11 +14,6 @@
 from savorylift.backends.server_start import NO_REPORT, NO_START
 from savorylift.boot_clock import boot_time_s
 from savorylift.exchange import metrics
-from savorylift.exchange.known_processes import (
-    KnownProcesses,
-    OpenConnection,
-    server_name,
-)
 from savorylift.exchange.limit_gate import LimitGate, Permit
 from savorylift.exchange.process_lookup import REPORT_TIMEOUT_S, StartReader
 from savorylift.exchange.shared_checks import SharedChecks
@@ -28,10 +21,6 @@
 
 # Bounds the memory that answers take.
 MAX_HEARD = 10_000
-# How long to wait for what other connections to the process bring: several
-# times the interval between tokens.
-CONNECTION_WAIT_S = 0.1
-CONNECTION_POLL_S = 0.01
 
 _log = structlog.get_logger()
 
@@ -95,7 +84,6 @@
         is_held: Callable[[str], bool],
         read_start: StartReader,
         sole_version: Callable[[str], str | None],
-        processes: KnownProcesses,
     ) -> None:
         """Asks nobody yet.
 
@@ -106,7 +94,6 @@
             read_start: Asks a server.
             sole_version: Returns the software version that began all streams
                 of a service; None if there may be several.
-            processes: The processes whose lives connections show.
         """
         self._limit_gate = limit_gate
         self._is_held = is_held
@@ -115,13 +102,6 @@
         self._checks: SharedChecks[LifeReport] = SharedChecks()
         # The newest answer of each server, by its ID and address.
         self._heard: dict[str, _Heard] = {}
-        self._processes = processes
-
-    def add_connection(
-        self, server: BackendServer, connection: OpenConnection
-    ) -> None:
-        """Adds a connection that may show that a server's process lives on."""
-        self._processes.add(_key(server), connection)
 
     def is_of_entry(self, server: BackendServer, life: Life) -> bool:
         """Whether the process that answers has the version of the entry."""
@@ -166,12 +146,10 @@
                 server, request, max_wait_s, is_probe=is_probe
             )
         elif entry.started_ms != NO_START:
-            report = (
-                self._find_heard(server, since_s)
-                or await self._find_connected(server, since_s)
-                or await self._find_process(
-                    server, request, since_s, max_wait_s, is_probe=is_probe
-                )
+            report = self._find_heard(
+                server, since_s
+            ) or await self._find_process(
+                server, request, since_s, max_wait_s, is_probe=is_probe
             )
         report = _compare(server, report)
         metrics.SERVER_LIVES.labels(report.life.value).inc()
@@ -195,32 +173,6 @@
             return None
         return self._judge(server, heard.started_ms)
 
-    async def _find_connected(
-        self, server: BackendServer, since_s: float
-    ) -> LifeReport | None:
-        """Returns that the process of the entry lives on, if that shows.
-
-        It needs no question then. A server without a limit is asked, and one
-        that leaves: another process may take its place before it has ended.
-        """
-        entry = server.entry
-        if entry.is_leaving or not self._limit_gate.is_limited(entry):
-            return None
-        key = _key(server)
-        until_s = time.monotonic() + CONNECTION_WAIT_S
-        while True:
-            started_ms = self._processes.find(key, since_s)
-            if started_ms is not None:
-                break
-            is_late = time.monotonic() >= until_s
-            if is_late or not self._processes.has_open(key):
-                return None
-            await asyncio.sleep(CONNECTION_POLL_S)
-        if started_ms != entry.started_ms:
-            return None
-        metrics.PROCESSES_BY_CONNECTION.inc()
-        return LifeReport(Life.SAME, started_ms)
-
     async def _find_process(
         self,
         server: BackendServer,
@@ -284,10 +236,6 @@
             latest_ms = max(latest_ms, known.latest_ms)
             heard = max(known, heard, key=lambda answer: answer.asked_s)
         heard = heard._replace(latest_ms=latest_ms)
-        if heard.started_ms == latest_ms and latest_ms > NO_START:
-            self._processes.record(key, latest_ms, heard.asked_s)
-        else:
-            self._processes.forget(key)
         while len(self._heard) >= MAX_HEARD:
             del self._heard[next(iter(self._heard))]
         self._heard[key] = heard
@@ -312,7 +260,8 @@
 
 
 def _key(server: BackendServer) -> str:
-    return server_name(server.entry)
+    host, port = server.entry.address
+    return f"{server.entry.server_id}@{host}:{port}"
 
 
 def _compare(server: BackendServer, report: LifeReport) -> LifeReport:
--- a/src/savorylift/exchange/server_opener.py
+++ b/src/savorylift/exchange/server_opener.py
@@ -150,14 +150,12 @@
             CONNECT_TIMEOUT_S, failover_policy.failover_at_s - time.monotonic()
         )
         try:
-            channel = await connect(host, port, max(timeout_s, 0.0))
+            return await connect(host, port, max(timeout_s, 0.0))
         except OSError as exc:
             if timeout_s >= CONNECT_TIMEOUT_S:
                 self._reach.record_failure(server)
             detail = f"{type(exc).__name__}: {exc}"
             return NotRun(Reason.BACKEND_LOST, detail, reached_server=False)
-        self._server_life.add_connection(server, channel)
-        return channel
 
     async def _check_process(
         self,
--- a/src/savorylift/exchange/stream_resumption.py
+++ b/src/savorylift/exchange/stream_resumption.py
@@ -185,7 +185,7 @@
         A process that has answered has begun the streams whose connections
         are still open.
         """
-        begun_s = channel.opened_s or boot_time_s()
+        begun_s = boot_time_s()
         until_s = time.monotonic() + MAX_ASKING_S
         pause_s = ASK_SOON_S
         while True:
--- a/src/savorylift/fleet/codec.py
+++ b/src/savorylift/fleet/codec.py
@@ -9,8 +9,6 @@
 
 from savorylift.fleet.known_fields import keep_known_fields
 from savorylift.fleet.limit_messages import (
-    LifeQuery,
-    LifeReply,
     LimitMessage,
     LimitNews,
     PermitReply,
@@ -53,8 +51,6 @@
     "limits": LimitNews,
     "permit_request": PermitRequest,
     "permit_reply": PermitReply,
-    "life_query": LifeQuery,
-    "life_reply": LifeReply,
     "origins": OriginNews,
     "origin_ack": OriginAck,
     "origin_query": OriginQuery,
--- a/src/savorylift/fleet/limit_check.py
+++ b/src/savorylift/fleet/limit_check.py
@@ -3,8 +3,6 @@
 import math
 
 from savorylift.fleet.limit_messages import (
-    LifeQuery,
-    LifeReply,
     LimitMessage,
     LimitNews,
     LimitReport,
@@ -23,10 +21,6 @@
             and _is_sound_number(message.max_wait_s)
             and (age_s is None or _is_sound_number(age_s))
         )
-    if isinstance(message, LifeQuery):
-        return True
-    if isinstance(message, LifeReply):
-        return _is_sound_number(message.open_age_s)
     return _is_sound_number(message.wait_s)
 
 
--- a/src/savorylift/fleet/limit_messages.py
+++ b/src/savorylift/fleet/limit_messages.py
@@ -41,7 +41,6 @@
         start_age_s: If the sender wants to know which process the server is,
             time since when it must have answered; None to want a permit. The
             issuer asks the server; one of an earlier build grants a permit.
-        can_show: Whether the sender answers `LifeQuery`.
     """
 
     number: int
@@ -49,7 +48,6 @@
     max_wait_s: float
     is_probe: bool
     start_age_s: float | None = None
-    can_show: bool = False
 
 
 class PermitReply(NamedTuple):
@@ -72,28 +70,4 @@
     is_silent: bool = False
 
 
-class LifeQuery(NamedTuple):
-    """Asks whether a connection shows that a process lives now.
-
-    Attributes:
-        number: Number of the query, for the reply.
-        server: ID and address of the server.
-    """
-
-    number: int
-    server: str
-
-
-class LifeReply(NamedTuple):
-    """Says that one process has lived until now; there is no other reply.
-
-    Attributes:
-        number: Number of the query.
-        open_age_s: Time since the process was connected to.
-    """
-
-    number: int
-    open_age_s: float
-
-
-LimitMessage = LimitNews | PermitRequest | PermitReply | LifeQuery | LifeReply
+LimitMessage = LimitNews | PermitRequest | PermitReply
--- a/src/savorylift/fleet/state.py
+++ b/src/savorylift/fleet/state.py
@@ -8,8 +8,6 @@
 from typing import NamedTuple
 
 from savorylift.fleet.limit_messages import (
-    LifeQuery,
-    LifeReply,
     LimitMessage,
     LimitNews,
     LimitReport,
@@ -55,8 +53,6 @@
     "CrashReport",
     "Delta",
     "LeavingServer",
-    "LifeQuery",
-    "LifeReply",
     "LimitMessage",
     "LimitNews",
     "LimitReport",
--- a/src/savorylift/front/server_parts.py
+++ b/src/savorylift/front/server_parts.py
@@ -8,11 +8,9 @@
 from savorylift.backends.registry import BackendServer
 from savorylift.backends.request_quarantine import RequestQuarantine
 from savorylift.exchange.crash_guard import CrashGuard
-from savorylift.exchange.known_processes import KnownProcesses
 from savorylift.exchange.limit_gate import LimitGate
 from savorylift.exchange.notice_recorder import NoticeRecorder, NoticeSource
 from savorylift.exchange.process_lookup import ProcessLookup, StartReader
-from savorylift.exchange.process_witnesses import ProcessWitnesses
 from savorylift.exchange.reach_probe import ReachProbe
 from savorylift.exchange.request import AnswerHead
 from savorylift.exchange.retry_budget import RetryBudget, RetryBudgetOptions
@@ -78,8 +76,7 @@
         shared.store_view.registry, holds, transport.send_soon
     )
     ask_start = partial(read_start, on_notice=recorder.record_at)
-    known = KnownProcesses()
-    limit_gate = _make_limit_gate(shared, transport, holds, ask_start, known)
+    limit_gate = _make_limit_gate(shared, transport, holds, ask_start)
     pool = _make_pool(shared, transport, holds, limit_gate)
     reach = ServerReach(
         pool.servers_in_service,
@@ -96,11 +93,7 @@
     )
     version_history = VersionHistory()
     life = ServerLife(
-        limit_gate,
-        holds.is_held,
-        ask_start,
-        version_history.sole_version,
-        known,
+        limit_gate, holds.is_held, ask_start, version_history.sole_version
     )
     sender = Sender(
         shared.interface.codec,
@@ -135,7 +128,6 @@
     transport: PeerTransport,
     holds: ServerHolds,
     ask_start: StartReader,
-    known: KnownProcesses,
 ) -> LimitGate:
     membership, registry = shared.membership, shared.store_view.registry
     issuer = PermitIssuer(
@@ -145,12 +137,7 @@
         shared.rng,
     )
     processes = ProcessLookup(
-        issuer,
-        registry.find_entry,
-        holds.is_held,
-        ask_start,
-        known,
-        ProcessWitnesses(transport.send_message, known, shared.rng),
+        issuer, registry.find_entry, holds.is_held, ask_start
     )
     return LimitGate(
         issuer,
--- a/src/savorylift/wire/channel.py
+++ b/src/savorylift/wire/channel.py
@@ -10,14 +10,10 @@
 from typing import cast
 
 from savorylift.wire.input_timeout import InputTimeout
-from savorylift.wire.tcp_state import TcpState
 
 MAX_READ_BUFFER_BYTES = 65_536
 # Most that is received at once.
 MAX_RECEIVE_BYTES = 65_536
-# If more has arrived at once, the peer may have more to send than the system
-# takes: far below what it takes before that.
-MAX_CURRENT_BYTES = 16_384
 # Most that a reader gets, and handles, at once.
 MAX_READ_BYTES = 16_384
 # Shared data is handed to the transport in pieces of this size: it would copy
@@ -52,8 +48,6 @@
         """Calls `on_connect`, if given, once the connection is open."""
         self._on_connect = on_connect
         self._transport: asyncio.Transport | None = None
-        self._tcp_state: TcpState | None = None
-        self._was_behind = False
         self._read_buffer = bytearray()
         self._waiter: asyncio.Future[None] | None = None
         self._writable = asyncio.Event()
@@ -109,23 +103,6 @@
         poll.register(sock.fileno(), select.POLLIN | select.POLLRDHUP)
         return not poll.poll(0)
 
-    @property
-    def opened_s(self) -> float | None:
-        """Boot time at which it was open; None if it never was."""
-        return None if self._tcp_state is None else self._tcp_state.opened_s
-
-    def heard_s(self) -> float | None:
-        """Returns the boot time at which the peer last sent anything.
-
-        None if either side has closed the connection, and once this node was
-        behind with reading: what a peer has queued then arrives after its end.
-        """
-        if self._tcp_state is None or self.transport.is_closing():
-            return None
-        if self._was_behind or self.is_peer_closed:
-            return None
-        return self._tcp_state.heard_s()
-
     @property
     def has_input(self) -> bool:
         """Whether bytes have arrived that were not read yet."""
@@ -137,7 +114,6 @@
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self._tcp_state = TcpState(sock)
         if self._on_connect is not None:
             self._on_connect(self)
 
@@ -150,13 +126,10 @@
     def buffer_updated(self, nbytes: int) -> None:
         """Buffers input; pauses reading when the buffer is full."""
         self.has_received = True
-        if nbytes > MAX_CURRENT_BYTES:
-            self._was_behind = True
         if self._is_discarding:
             return
         self._read_buffer += _received[:nbytes]
         if len(self._read_buffer) >= self._max_input_bytes:
-            self._was_behind = True
             self.transport.pause_reading()
         self._wake()
 
--- a/tests/exchange/factories.py
+++ b/tests/exchange/factories.py
@@ -9,10 +9,8 @@
 from savorylift.backends.server import ServerEntry
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.crash_guard import CrashGuard
-from savorylift.exchange.known_processes import KnownProcesses
 from savorylift.exchange.limit_gate import LimitGate
 from savorylift.exchange.process_lookup import ProcessLookup
-from savorylift.exchange.process_witnesses import ProcessWitnesses
 from savorylift.exchange.request import CallerRequest, Generation
 from savorylift.exchange.retry_budget import RetryBudget, RetryBudgetOptions
 from savorylift.exchange.server_holds import ServerHolds
@@ -199,17 +197,7 @@
 
 def make_process_lookup(issuer: PermitIssuer) -> ProcessLookup:
     """Returns a lookup that knows no server."""
-    connections = KnownProcesses()
-    return ProcessLookup(
-        issuer,
-        lambda _: None,
-        lambda _: False,
-        read_start,
-        connections,
-        ProcessWitnesses(
-            lambda _message, _ip: None, connections, random.Random(1)
-        ),
-    )
+    return ProcessLookup(issuer, lambda _: None, lambda _: False, read_start)
 
 
 def make_crash_guard(membership: Membership | None = None) -> CrashGuard:
--- a/tests/exchange/test_limit_gate.py
+++ b/tests/exchange/test_limit_gate.py
@@ -12,7 +12,6 @@
 from savorylift.fleet.membership import Membership
 from savorylift.fleet.permit_issuer import START_HOLD_S, PermitIssuer
 from savorylift.fleet.state import (
-    LifeReply,
     LimitMessage,
     LimitNews,
     LimitReport,
@@ -314,8 +313,6 @@
             7, LimitReport(SERVER_ID, 1, 1.8, 0.0), float("nan"), False
         ),
         PermitReply(7, True, float("nan")),
-        LifeReply(7, float("nan")),
-        LifeReply(7, -1.0),
     ],
 )
 def test_message_with_an_unsound_number_changes_nothing(
--- a/tests/exchange/test_process_lookup.py
+++ b/tests/exchange/test_process_lookup.py
@@ -7,23 +7,18 @@
 import pytest
 
 from savorylift.boot_clock import boot_time_s
-from savorylift.exchange.known_processes import KnownProcesses
 from savorylift.exchange.process_lookup import (
     ANSWER_S,
     QUESTION_SHARE,
-    WITNESS_INTERVAL_S,
     ProcessAnswer,
     ProcessLookup,
 )
-from savorylift.exchange.process_witnesses import ProcessWitnesses
-from savorylift.fleet.limit_messages import LifeQuery, LifeReply, LimitMessage
 from savorylift.fleet.membership import Membership
 from savorylift.fleet.permit_issuer import START_HOLD_S, PermitIssuer
 from tests.exchange.factories import make_server_entry
 from tests.harness.virtual_time import run_in_virtual_time
 
 IP = "127.0.0.1"
-OTHER_IP = "127.0.0.2"
 SILENT_IPS = ("127.0.0.3", "127.0.0.4")
 LIMIT_PER_S = 4.0
 NODES = 24
@@ -43,22 +38,11 @@
             lambda: False,
             random.Random(1),
         )
-        self.connections = KnownProcesses()
-        self.queries: list[LifeQuery] = []
-        # For how long another node has had a connection that brings events.
-        self.open_s: float | None = None
-        self.witnesses = ProcessWitnesses(
-            self._send, self.connections, random.Random(1)
-        )
         self.lookup = ProcessLookup(
             self.issuer,
-            lambda server_id: make_server_entry(server_id)._replace(
-                started_ms=5
-            ),
+            make_server_entry,
             lambda _: is_held,
             self._read_start,
-            self.connections,
-            self.witnesses,
         )
 
     def find(self, since_s: float, *, is_probe: bool = False) -> ProcessAnswer:
@@ -72,14 +56,6 @@
                 return found
             await asyncio.sleep(found.wait_s)
 
-    def _send(self, message: LimitMessage, ip: str | None) -> None:
-        assert isinstance(message, LifeQuery)
-        assert ip == OTHER_IP
-        self.queries.append(message)
-        if self.open_s is not None:
-            reply = LifeReply(message.number, self.open_s)
-            self.witnesses.receive(reply, OTHER_IP)
-
     async def _read_start(self, _: tuple[str, int], __: float) -> int | None:
         self.asked_s.append(boot_time_s())
         await asyncio.sleep(ANSWER_S / 2)
@@ -204,70 +180,6 @@
     run(monkeypatch, scenario)
 
 
-def test_streams_of_one_process_take_no_question_each(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    """A quarter of a limit went into questions which process it still is."""
-
-    async def scenario(lookup: Lookup) -> None:
-        lookup.witnesses.add("i-1", OTHER_IP)
-        assert (await lookup.wait(boot_time_s())).started_ms == 5
-        began_s = boot_time_s()
-        while boot_time_s() < began_s + RUN_S:
-            lookup.open_s = boot_time_s() - began_s + 1.0
-            assert (await lookup.wait(boot_time_s())).started_ms == 5
-            await asyncio.sleep(POLL_S)
-        assert len(lookup.asked_s) == 1
-
-    run(monkeypatch, scenario)
-
-
-@pytest.mark.parametrize("open_s", [None, 0.5])
-def test_connection_that_was_opened_later_shows_no_process(
-    monkeypatch: pytest.MonkeyPatch, open_s: float | None
-) -> None:
-    """It may lead to a process that started since the last answer."""
-
-    async def scenario(lookup: Lookup) -> None:
-        lookup.witnesses.add("i-1", OTHER_IP)
-        await lookup.wait(boot_time_s())
-        await asyncio.sleep(1.0)
-        lookup.open_s, lookup.started_ms = open_s, 6
-        assert (await lookup.wait(boot_time_s())).started_ms == 6
-        assert lookup.queries
-
-    run(monkeypatch, scenario)
-
-
-def test_connections_show_no_process_of_another_entry(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    async def scenario(lookup: Lookup) -> None:
-        lookup.witnesses.add("i-1", OTHER_IP)
-        lookup.open_s, lookup.started_ms = RUN_S, 6
-        await lookup.wait(boot_time_s())
-        assert (await lookup.wait(boot_time_s())).started_ms == 6
-        assert len(lookup.asked_s) == 2
-
-    run(monkeypatch, scenario)
-
-
-def test_other_nodes_that_know_nothing_are_asked_now_and_then(
-    monkeypatch: pytest.MonkeyPatch,
-) -> None:
-    async def scenario(lookup: Lookup) -> None:
-        lookup.witnesses.add("i-1", OTHER_IP)
-        await lookup.wait(boot_time_s())
-        until_s = boot_time_s() + RUN_S
-        while boot_time_s() < until_s:
-            for _ in range(NODES):
-                lookup.find(boot_time_s())
-            await asyncio.sleep(POLL_S)
-        assert len(lookup.queries) <= RUN_S / WITNESS_INTERVAL_S + 1
-
-    run(monkeypatch, scenario)
-
-
 def test_questions_take_a_part_of_what_a_cut_off_issuer_lets_through(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/exchange/test_server_life.py
+++ b/tests/exchange/test_server_life.py
@@ -7,7 +7,6 @@
 from savorylift.backends.registry import BackendServer
 from savorylift.backends.server_start import NO_REPORT, NO_START
 from savorylift.boot_clock import boot_time_s
-from savorylift.exchange.known_processes import KnownProcesses, server_name
 from savorylift.exchange.limit_gate import Permit
 from savorylift.exchange.server_life import Life, ServerLife
 from savorylift.exchange.shared_checks import SharedChecks
@@ -54,7 +53,6 @@
     grants: bool = True,
     is_held: bool = False,
     sole_version: str | None = None,
-    processes: KnownProcesses | None = None,
 ) -> ServerLife:
     gate = Gate(grants=grants)
     return ServerLife(
@@ -62,7 +60,6 @@
         lambda _: is_held,
         servers.read_start,
         lambda _: sole_version,
-        KnownProcesses() if processes is None else processes,
     )
 
 
@@ -232,75 +229,3 @@
         assert checker.is_of_entry(server, found.life) is counts
 
     asyncio.run(scenario())
-
-
-class Connection:
-    """A connection that has brought something until now; or never."""
-
-    def __init__(self, *, is_silent: bool) -> None:
-        self.opened_s: float | None = boot_time_s()
-        self._is_silent = is_silent
-
-    def heard_s(self) -> float | None:
-        return self.opened_s if self._is_silent else boot_time_s()
-
-
-@pytest.mark.parametrize(
-    ("started_ms", "is_leaving", "is_silent", "life"),
-    [
-        (5, False, False, Life.SAME),
-        (5, False, True, Life.NOT_ASKED),
-        (5, True, False, Life.NOT_ASKED),
-        (6, False, False, Life.NOT_ASKED),
-    ],
-)
-def test_process_is_known_by_a_connection_where_no_permit_is_left(
-    started_ms: int, *, is_leaving: bool, is_silent: bool, life: Life
-) -> None:
-    """Streams took permits for questions which process a server still is."""
-
-    async def scenario() -> None:
-        server = make_server(5)
-        server = server._replace(
-            entry=server.entry._replace(is_leaving=is_leaving)
-        )
-        processes = KnownProcesses()
-        checker = make_life(Servers(5), grants=False, processes=processes)
-        connection = Connection(is_silent=is_silent)
-        checker.add_connection(server, connection)
-        processes.record(server_name(server.entry), started_ms, boot_time_s())
-        found = await checker.check(server, "a1", since_s=boot_time_s())
-        assert found.life is life
-
-    asyncio.run(scenario())
-
-
-def test_server_without_a_limit_is_asked_beside_open_connections() -> None:
-    async def scenario() -> None:
-        servers, server = Servers(6), make_server(5)
-        processes = KnownProcesses()
-        checker = make_life(servers, processes=processes)
-        connection = Connection(is_silent=False)
-        checker.add_connection(server, connection)
-        processes.record(server_name(server.entry), 5, boot_time_s())
-        found = await checker.check(server, "a1", since_s=boot_time_s())
-        assert found.life is Life.OTHER
-
-    asyncio.run(scenario())
-
-
-def test_connections_show_no_process_while_a_server_is_another_one() -> None:
-    """Its earlier process may serve its last streams for a while."""
-
-    async def scenario() -> None:
-        servers, server = Servers(6), make_server(5)
-        processes = KnownProcesses()
-        checker = make_life(servers, processes=processes)
-        connection = Connection(is_silent=False)
-        checker.add_connection(server, connection)
-        processes.record(server_name(server.entry), 5, boot_time_s())
-        await checker.check(server, "a1")
-        since_s = boot_time_s()
-        assert processes.find(server_name(server.entry), since_s) is None
-
-    asyncio.run(scenario())
--- a/tests/front/test_reborn_servers.py
+++ b/tests/front/test_reborn_servers.py
@@ -29,6 +29,7 @@
 TAKE_UPS = 5
 # Streams then break off after a process was asked, on a busy machine too.
 SLOW_EVENT_INTERVAL_S = 0.15
+LONG_EVENTS = 250
 ONE_VERSION = ("v1", "v1", "v1", "v1")
 
 
@@ -137,6 +138,35 @@
     run_in_fleet(scenario)
 
 
+def test_streams_at_a_process_beside_the_one_before_stay_at_its_version() -> (
+    None
+):
+    """Open connections to the process before passed for the next one."""
+
+    async def scenario(fleet: VersionFleet) -> None:
+        for server in fleet.pool:
+            server.named_limit = "8"
+            server.resets_after, server.events_per_stream = None, LONG_EVENTS
+        before = []
+        for number in range(16):
+            stream = fleet.stream(0, f"b{number}")
+            before.append(asyncio.ensure_future(stream))
+            await asyncio.sleep(0.1)
+        reborn(fleet.pool[0], "v2")
+        for server in fleet.pool:
+            server.resets_after, server.events_per_stream = 4, EVENTS
+        after = []
+        for number in range(2 * STREAMS):
+            stream = fleet.stream(0, f"s{number}")
+            after.append(asyncio.ensure_future(stream))
+            await asyncio.sleep(0.06)
+        parts = await asyncio.gather(*after)
+        assert mixed(*(part.versions for part in parts)) == []
+        await asyncio.gather(*before)
+
+    run_in_fleet(scenario, nodes=1)
+
+
 def test_streams_of_limited_servers_go_on() -> None:
     """Each take-up asked servers for itself, which used their limits up."""
 
