Give a new answer a new keeper of its idle connection

Found on a last reading: an answer that began as the task that kept the idle connection had just ended was given to that task, and got none; whole, it then counted as not known at a limited server. And while an answer had unread input, as with a slow caller, the task looked a hundred times a second.

Change: a keeper that is done is replaced, and looks for a moment without unread input come less and less often, each 0.2 s at last.

--- a/src/savorylift/exchange/idle_connections.py
+++ b/src/savorylift/exchange/idle_connections.py
@@ -21,8 +21,10 @@
 # For how long one is kept after its answer, which may be judged meanwhile.
 JUDGE_S = 3.0
 LOOK_INTERVAL_S = 1.0
-# How often to look for a moment at which nothing of an answer is unread.
+# How soon to look for a moment at which nothing of an answer is unread, and the
+# longest time until the next look.
 MATCH_INTERVAL_S = 0.01
+MAX_MATCH_INTERVAL_S = 0.2
 # When to connect again to a server that refused, or closed the connection.
 RETRY_S = 0.5
 # Bounds the memory of services that are gone.
@@ -108,11 +110,16 @@
 
     def _keeper(self, place: ProcessPlace) -> "_Keeper":
         keeper = self._keepers.get(place)
-        if keeper is None:
+        if keeper is None or keeper.is_done:
             keeper = self._keepers[place] = _Keeper(place, self._matches)
-            keeper.start(lambda: self._keepers.pop(place))
+            keeper.start(lambda: self._forget(place))
         return keeper
 
+    def _forget(self, place: ProcessPlace) -> None:
+        """Forgets a keeper that is done, unless another one has begun."""
+        if self._keepers[place].is_done:
+            del self._keepers[place]
+
 
 class _Keeper:
     """Keeps a connection to one process for as long as it is needed."""
@@ -127,6 +134,7 @@
         )
         self._until_s = float("-inf")
         self._look = asyncio.Event()
+        self._match_interval_s = MATCH_INTERVAL_S
         self._task: asyncio.Task[None] | None = None
 
     def start(self, on_end: Callable[[], object]) -> None:
@@ -134,6 +142,11 @@
         self._task = asyncio.get_running_loop().create_task(self._run())
         self._task.add_done_callback(lambda _: on_end())
 
+    @property
+    def is_done(self) -> bool:
+        """Whether it keeps no connection any more."""
+        return self._task is not None and self._task.done()
+
     def keep_until(self, until_s: float) -> None:
         """Keeps the connection until a monotonic time, at least."""
         self._until_s = max(self._until_s, until_s)
@@ -141,6 +154,7 @@
     def begin(self, channel: Channel) -> None:
         """Keeps the connection until the end of an answer."""
         self._answers[channel] = None
+        self._match_interval_s = MATCH_INTERVAL_S
         self._look.set()
 
     def end(self, channel: Channel) -> None:
@@ -165,11 +179,17 @@
             while self._is_needed() and idle.is_open:
                 has_all = self._match(idle)
                 await self._wait(
-                    idle, LOOK_INTERVAL_S if has_all else MATCH_INTERVAL_S
+                    idle, LOOK_INTERVAL_S if has_all else self._next_match_s()
                 )
         finally:
             idle.abort()
 
+    def _next_match_s(self) -> float:
+        """Returns the time until the next look, which grows."""
+        interval_s = self._match_interval_s
+        self._match_interval_s = min(2 * interval_s, MAX_MATCH_INTERVAL_S)
+        return interval_s
+
     def _match(self, idle: Channel) -> bool:
         """Matches answers to a connection; returns whether all are.
 
--- a/tests/exchange/test_idle_connections.py
+++ b/tests/exchange/test_idle_connections.py
@@ -264,7 +264,7 @@
         await asyncio.sleep(OPENED_S)
         assert not await idle.stays_open(channel, SILENCE_S)
         await channel.read()
-        await asyncio.sleep(OPENED_S)
+        await asyncio.sleep(2 * idle_connections.MAX_MATCH_INTERVAL_S)
         assert await idle.stays_open(channel, SILENCE_S)
         channel.abort()
 
@@ -291,6 +291,27 @@
     run_with_timeout(scenario())
 
 
+def test_answer_that_begins_as_the_last_one_is_done_gets_a_connection() -> None:
+    """It was given to a task that had just ended."""
+
+    async def scenario() -> None:
+        server = Acceptor()
+        await server.start()
+        idle = IdleConnections()
+        channel = await answer(idle, server)
+        keeper = idle._keepers[server.place]
+        channel.abort()
+        idle.end(server.place, channel)
+        while not keeper.is_done:
+            await asyncio.sleep(0)
+        later = await answer(idle, server)
+        await asyncio.sleep(OPENED_S)
+        assert await idle.stays_open(later, SILENCE_S)
+        later.abort()
+
+    run_with_timeout(scenario())
+
+
 def test_services_that_are_gone_take_a_bounded_memory(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
