--- a/tests/exchange/test_idle_connections.py
+++ b/tests/exchange/test_idle_connections.py
@@ -300,11 +300,14 @@
         idle = IdleConnections()
         channel = await answer(idle, server)
         keeper = idle._keepers[server.place]
+        await asyncio.sleep(OPENED_S)
         channel.abort()
+        assert keeper._task is not None
+        later = await connect(*server.place.address, 1.0)
         idle.end(server.place, channel)
-        while not keeper.is_done:
+        while not keeper._task.done():
             await asyncio.sleep(0)
-        later = await answer(idle, server)
+        idle.begin(server.place, SERVICE, later)
         await asyncio.sleep(OPENED_S)
         assert await idle.stays_open(later, SILENCE_S)
         later.abort()
