Name the notice of engines of our own interface ourselves

The completion interface read the header that the users' platform names, whose names stay in platform/. Tests of completions/ and of the stand-ins pass.

--- a/src/savorylift/completions/notices.py
+++ b/src/savorylift/completions/notices.py
@@ -4,7 +4,7 @@
 from savorylift.wire.message import ResponseHead
 from savorylift.wire.retry_after import parse_retry_after
 
-LEAVING_HEADER = "server-leaving"
+DRAINING_HEADER = "savorylift-draining"
 UNAVAILABLE_STATUS = 503
 
 
@@ -15,4 +15,4 @@
         hold_s = parse_retry_after(
             head.header_values("retry-after"), head.header("date")
         )
-    return ServerNotice(head.header(LEAVING_HEADER) is not None, hold_s)
+    return ServerNotice(head.header(DRAINING_HEADER) is not None, hold_s)
--- a/tests/completions/test_notices.py
+++ b/tests/completions/test_notices.py
@@ -9,7 +9,7 @@
 from savorylift.wire.message import Response
 from tests.completions.environment import NodeEnvironment, run_in_environment
 
-LEAVING = (("server-leaving", "1"),)
+LEAVING = (("savorylift-draining", "1"),)
 HOLD = (("retry-after", "5"),)
 CALLS = 12
 AT_ONCE_S = 0.3
--- a/tests/standins/engine.py
+++ b/tests/standins/engine.py
@@ -29,7 +29,9 @@
         """Handles one request."""
         state = self._state
         parts = req.path.strip("/").split("/")
-        conn.notice = {"Server-Leaving": "1"} if state.cfg.says_leaving else {}
+        conn.notice = (
+            {"Savorylift-Draining": "1"} if state.cfg.says_leaving else {}
+        )
         conn.retry_after = state.cfg.retry_after
         if state.is_dead and parts != ["control"]:
             if not state.cfg.hang_when_dead:
