Forget restarts of services that are gone, and hear of others again

A restart that another node tells makes a node refuse streams that may have begun at a process nobody knows. A node keeps 64 of them by service, and kept each forever: once 64 services had restarted, gone ones included, it dropped every further one that it was told, and could have continued a stream at another version. Seen in the code only, at no site.

It is kept as long as there are servers, whatever its age: routes choose how long a stream may be resumed, and some choose more than a minute.

--- a/src/savorylift/fleet/version_history.py
+++ b/src/savorylift/fleet/version_history.py
@@ -9,6 +9,9 @@
 
 # Callers may resume a stream for this long after its first event.
 RETENTION_S = 60.0
+# The restart of a server counts for as long as its service has servers, since
+# routes choose how long their streams last, and for this long without any.
+RESTART_RETENTION_S = 3600.0
 # Most versions without a server that are kept and told to other nodes.
 MAX_SIGHTINGS = 64
 # Servers that name no version are all of one.
@@ -80,6 +83,7 @@
             for version, seen_s in self._gone_s.items()
             if now_s - seen_s < RETENTION_S and version not in serving
         }
+        self._forget_restarts(now_s)
 
     def note_starts(self, entries: Iterable[ServerEntry], now_s: float) -> None:
         """Records which processes serve, and which servers started again."""
@@ -135,6 +139,15 @@
         if known_s is None or restarted_s > known_s + RESTART_SLACK_S:
             self._restarted_s[service] = restarted_s
 
+    def _forget_restarts(self, now_s: float) -> None:
+        """Forgets restarts of services that are gone."""
+        present = {process.service for process in self._processes.values()}
+        self._restarted_s = {
+            service: restarted_s
+            for service, restarted_s in self._restarted_s.items()
+            if service in present or now_s - restarted_s < RESTART_RETENTION_S
+        }
+
     def restore(
         self,
         service: str,
--- a/tests/fleet/test_version_history.py
+++ b/tests/fleet/test_version_history.py
@@ -1,8 +1,9 @@
 """Tests of the software versions that have served lately."""
 
-from savorylift.fleet.state import VersionSighting
+from savorylift.fleet.state import UNKNOWN_VERSION, VersionSighting
 from savorylift.fleet.version_history import (
     MAX_SIGHTINGS,
+    RESTART_RETENTION_S,
     RETENTION_S,
     VersionHistory,
 )
@@ -97,6 +98,31 @@
     assert history.restarted_services(1.0) == frozenset()
 
 
+def test_restart_is_heard_after_many_services_have_come_and_gone() -> None:
+    history = VersionHistory()
+    history.merge(
+        [
+            VersionSighting(f"gone-{n}", UNKNOWN_VERSION, 0.0)
+            for n in range(MAX_SIGHTINGS)
+        ],
+        0.0,
+    )
+    assert history.has_restarted("gone-0", 0.0)
+    now_s = RESTART_RETENTION_S
+    history.observe([V1], now_s)
+    assert not history.has_restarted("gone-0", 0.0)
+    history.merge([VersionSighting("s", UNKNOWN_VERSION, 0.0)], now_s)
+    assert history.has_restarted("s", now_s)
+
+
+def test_restart_counts_for_the_longest_streams_of_a_service() -> None:
+    history = VersionHistory()
+    history.observe([V1._replace(started_ms=1)], 0.0)
+    history.observe([V1._replace(started_ms=2)], 1.0)
+    history.observe([V1._replace(started_ms=2)], 2 * RESTART_RETENTION_S)
+    assert history.has_restarted("s", 1.0)
+
+
 def test_versions_of_other_services_do_not_count() -> None:
     history = VersionHistory()
     history.observe([V1, V2._replace(service="t")], 0.0)
