Split questions to issuers and closed servers off the limit gate

No change of behaviour: messages, log lines and times are the same. Tests of the limit gate, its sync, the lookup of processes and their users pass unchanged.

--- a/src/savorylift/exchange/limit_gate.py
+++ b/src/savorylift/exchange/limit_gate.py
@@ -13,11 +13,10 @@
 from savorylift.backends.turns import Turns
 from savorylift.boot_clock import boot_time_s
 from savorylift.exchange import metrics
+from savorylift.exchange.closed_limits import MIN_CLOSED_S, ClosedLimits
 from savorylift.exchange.limit_sync import LimitSync
-from savorylift.exchange.permit_client import (
-    PermitClient,
-    SendLimitMessage,
-)
+from savorylift.exchange.permit_client import SendLimitMessage
+from savorylift.exchange.permit_exchange import PermitExchange
 from savorylift.exchange.process_lookup import ProcessLookup
 from savorylift.exchange.request import AnswerHead
 from savorylift.exchange.return_times import ReturnTimes
@@ -31,18 +30,11 @@
     LimitMessage,
     LimitNews,
     LimitReport,
-    PermitReply,
     PermitRequest,
 )
 
 # A permit must be used within this time.
 PERMIT_VALIDITY_S = 0.5
-# A server for which there is no permit gets no requests for at least the first
-# and at most the second time. Then it is worth asking again.
-MIN_CLOSED_S = 0.02
-MAX_CLOSED_S = 5.0
-# The same if the issuer doesn't reply: its message may have been lost.
-NO_REPLY_CLOSED_S = 0.3
 # Shorter than the time for which a new issuer waits.
 UPDATE_INTERVAL_S = 1.0
 
@@ -88,22 +80,23 @@
                 of this node's turns.
         """
         self._issuer = issuer
-        self._send = send
         self._count_nodes = count_nodes
+        self._closed = ClosedLimits()
         self._sync = LimitSync(
             issuer,
             send,
             get_message_interval_s,
             is_registered,
-            on_change=self._reopen,
+            on_change=self._closed.reopen,
         )
         self._limits = self._sync.limits
         self._processes = processes
-        self._client = PermitClient(send, rng)
+        self._permits = PermitExchange(
+            issuer, processes, self._limits, send, rng
+        )
         self._turns = Turns(rng)
         # Monotonic time of the last request without a permit.
         self._turn_used_s: dict[str, float] = {}
-        self._closed_until_s: dict[str, float] = {}
         self._return_times = ReturnTimes()
         self._next_update_s = 0.0
 
@@ -113,10 +106,9 @@
 
     def is_open(self, entry: ServerEntry) -> bool:
         """Whether it is worth asking for a permit, if one is needed."""
-        if not self.is_limited(entry):
-            return True
-        closed_until_s = self._closed_until_s.get(entry.server_id, 0.0)
-        return time.monotonic() >= closed_until_s
+        return not self.is_limited(entry) or self._closed.is_open(
+            entry.server_id
+        )
 
     async def acquire(
         self,
@@ -142,7 +134,7 @@
         assert report is not None
         asked_s = boot_time_s()
         issuer_ip = self._issuer.find_issuer(entry.server_id)
-        decision = await self._ask(
+        decision = await self._permits.ask(
             issuer_ip, report, limit, max_wait_s, is_probe=is_probe
         )
         took_s = boot_time_s() - asked_s
@@ -153,7 +145,7 @@
         _log_decision(request, issuer_ip, report, outcome, decision, took_s)
         if decision is None or not decision.is_granted:
             if not is_probe:
-                self._close(entry.server_id, decision, max_wait_s)
+                self._closed.close(entry.server_id, decision, max_wait_s)
             return None
         permit = Permit(asked_s + decision.wait_s + PERMIT_VALIDITY_S)
         await asyncio.sleep(decision.wait_s)
@@ -188,8 +180,8 @@
             limit = self._limits.find(server.entry)
             if limit is None:
                 return Permit(None)
-            reply = await self._ask_start(
-                server, limit, since_s, is_probe=is_probe
+            reply = await self._permits.ask_start(
+                server.entry.server_id, limit, since_s, is_probe=is_probe
             )
             if reply is None or reply.is_silent:
                 return await self.acquire(
@@ -204,44 +196,6 @@
                 return None
             await asyncio.sleep(wait_s)
 
-    async def _ask_start(
-        self,
-        server: BackendServer,
-        limit: float,
-        since_s: float,
-        *,
-        is_probe: bool,
-    ) -> PermitReply | None:
-        """Returns what the issuer knows; None if it doesn't reply."""
-        server_id = server.entry.server_id
-        issuer_ip = self._issuer.find_issuer(server_id)
-        if self._issuer.is_own_ip(issuer_ip):
-            return self._find_start(server_id, limit, since_s, is_probe, 0)
-        report = self._limits.report(server_id)
-        assert report is not None
-        return await self._client.ask_start(
-            issuer_ip, report, since_s, is_probe=is_probe
-        )
-
-    def _find_start(
-        self,
-        server_id: str,
-        limit: float,
-        since_s: float,
-        is_probe: bool,  # noqa: FBT001
-        number: int,
-    ) -> PermitReply:
-        answer = self._processes.find(
-            server_id, limit, since_s, is_probe=is_probe
-        )
-        return PermitReply(
-            number,
-            is_granted=False,
-            wait_s=answer.wait_s,
-            started_ms=answer.started_ms,
-            is_silent=answer.is_silent,
-        )
-
     def may_send(self, server: BackendServer, permit: Permit) -> bool:
         """Whether a permit still holds; to be checked just before sending."""
         if permit.expires_s is not None:
@@ -279,9 +233,10 @@
         elif isinstance(message, LimitNews):
             self._sync.merge(message.reports, ip)
         elif isinstance(message, PermitRequest):
-            self._reply(message, ip)
+            self._sync.merge((message.limit,), ip)
+            self._permits.answer(message, ip)
         else:
-            self._client.receive(message)
+            self._permits.receive(message)
 
     def update(self) -> None:
         """Does what is due; to be called periodically."""
@@ -295,32 +250,10 @@
         self._sync.update()
         metrics.LIMITED_SERVERS.set(len(limited))
         self._return_times.forget_passed()
-        self._closed_until_s = {
-            server_id: until_s
-            for server_id, until_s in self._closed_until_s.items()
-            if until_s >= now_s
-        }
+        self._closed.forget_passed()
         for server_id in self._turn_used_s.keys() - set(limited):
             del self._turn_used_s[server_id]
 
-    async def _ask(
-        self,
-        issuer_ip: str,
-        report: LimitReport,
-        limit: float,
-        max_wait_s: float,
-        *,
-        is_probe: bool,
-    ) -> PermitDecision | None:
-        """Returns the issuer's decision; None if it doesn't reply."""
-        if self._issuer.is_own_ip(issuer_ip):
-            return self._issuer.decide(
-                report.server_id, limit, max_wait_s, is_probe=is_probe
-            )
-        return await self._client.ask(
-            issuer_ip, report, max_wait_s, is_probe=is_probe
-        )
-
     def _take_turn(self, server_id: str, limit: float) -> PermitDecision | None:
         """Uses this node's share of a limit whose issuer doesn't reply.
 
@@ -334,49 +267,6 @@
         self._turn_used_s[server_id] = time.monotonic()
         return PermitDecision(is_granted=True, wait_s=0.0)
 
-    def _reply(self, message: PermitRequest, ip: str) -> None:
-        """Decides on the request of another node, which is already limited."""
-        self._sync.merge((message.limit,), ip)
-        server_id = message.limit.server_id
-        known = self._limits.report(server_id)
-        limit = None if known is None else known.requests_per_s
-        if limit is None:
-            # The limit has ended: the other node will hear of it.
-            assert known is not None
-            self._send(LimitNews((known,)), ip)
-            limit = message.limit.requests_per_s or 0.0
-        if message.start_age_s is not None:
-            since_s = boot_time_s() - message.start_age_s
-            reply = self._find_start(
-                server_id, limit, since_s, message.is_probe, message.number
-            )
-            self._send(reply, ip)
-            return
-        decision = self._issuer.decide(
-            server_id, limit, message.max_wait_s, is_probe=message.is_probe
-        )
-        reply = PermitReply(
-            message.number, decision.is_granted, decision.wait_s
-        )
-        self._send(reply, ip)
-
-    def _reopen(self, server_id: str) -> None:
-        """Makes it worth asking again, as a limit has changed."""
-        self._closed_until_s.pop(server_id, None)
-
-    def _close(
-        self,
-        server_id: str,
-        decision: PermitDecision | None,
-        max_wait_s: float,
-    ) -> None:
-        """Sends a server no requests until it is worth asking again."""
-        wait_s = NO_REPLY_CLOSED_S
-        if decision is not None:
-            wait_s = decision.wait_s - max_wait_s
-        closed_s = min(max(wait_s, MIN_CLOSED_S), MAX_CLOSED_S)
-        self._closed_until_s[server_id] = time.monotonic() + closed_s
-
 
 def _outcome(decision: PermitDecision | None) -> str:
     if decision is None:
