--- a/src/savorylift/exchange/mover.py
+++ b/src/savorylift/exchange/mover.py
@@ -9,46 +9,29 @@
 import time
 
 import structlog
-from returns.pipeline import is_successful
 
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange import metrics
+from savorylift.exchange.move_destination import choose_destination
 from savorylift.exchange.request import KvCopy
 from savorylift.exchange.run import ResumeTarget, Run
+from savorylift.exchange.run_copier import RunCopier
 from savorylift.exchange.server_check import ProcessEnd, ServerCheck
 from savorylift.exchange.server_pool import ServerPool
-from savorylift.placement.engines import EngineOptions
-from savorylift.placement.move_order import PlannedMove, copy_time_s
+from savorylift.placement.move_order import PlannedMove
 from savorylift.platform.engine_client import (
     CopyError,
     CopyFault,
     CopyResult,
-    copy_run,
     drop_copy,
 )
 
 # An engine stops about two seconds after it gives notice.
 MOVE_TIMEOUT_S = 2.5
-# Retry interval for the copy of a run that has not started yet.
-NOT_STARTED_RETRY_S = 0.08
 # Runs that end on other engines free memory for a copy within this time.
 NO_ROOM_RETRY_S = 0.15
-# A copy that takes longer than its links alone need, by this factor and slack,
-# shares them with other copies. The run then continues while further copies
-# reduce what is left for the final one.
-CONTENTION_FACTOR = 1.3
-CONTENTION_SLACK_S = 0.03
-# A copy that takes less than this is short enough to stop the run for.
-SHORT_COPY_S = 0.1
-MAX_EXTRA_COPIES = 3
 MAX_DESTINATIONS = 3
 DROP_TIMEOUT_S = 0.5
-# Random spread of the choice, so that nodes that move runs off one engine don't
-# all choose the same destination.
-DESTINATION_JITTER = 0.1
-# Cost of a destination in another failure domain, as a share of an engine's
-# memory. Copies across failure domains take twice as long.
-CROSS_DOMAIN_COST = 0.3
 
 _log = structlog.get_logger()
 
@@ -107,7 +90,7 @@
         tried = {source.entry.server_id}
         fault = CopyFault.NO_ROOM
         for _ in range(MAX_DESTINATIONS):
-            destination = self._choose_destination(run, tried)
+            destination = choose_destination(self._pool, run, tried)
             if destination is None:
                 break
             tried.add(destination.entry.server_id)
@@ -139,34 +122,6 @@
         if self._drop_tasks:
             await asyncio.wait(self._drop_tasks, timeout=DROP_TIMEOUT_S)
 
-    def _choose_destination(
-        self, run: Run, tried: set[str]
-    ) -> BackendServer | None:
-        engine = run.admitted.service.engine
-        assert engine is not None
-        assert run.server is not None
-        options = EngineOptions(
-            engine,
-            run.expected_tokens,
-            preferred_domain=run.server.entry.failure_domain,
-            cross_domain_cost=CROSS_DOMAIN_COST,
-            jitter=DESTINATION_JITTER,
-        )
-        # Copies from several engines to the same one would share its link.
-        busy = self._pool.move_queue.destinations()
-        # A run may have to wait for a permit before a limited engine takes it.
-        limited = self._pool.limited_ids()
-        return (
-            self._pool.find_engine(
-                run.admitted, options, tried | busy | limited
-            )
-            or self._pool.find_least_loaded_engine(
-                run.admitted, options, tried | limited
-            )
-            or self._pool.find_engine(run.admitted, options, tried | busy)
-            or self._pool.find_least_loaded_engine(run.admitted, options, tried)
-        )
-
     async def _move_to(
         self,
         run: Run,
@@ -180,25 +135,20 @@
         self._pool.load_tracker.add_request(
             server_id, copy_id, run.expected_tokens
         )
+        copier = RunCopier(run, source, destination, deadline_s)
         target: ResumeTarget | None = None
         is_moved = False
         try:
             began_s = time.monotonic()
-            copied = await self._copy_when_started(
-                run, source, destination, deadline_s
-            )
+            copied = await copier.copy_when_started()
             if isinstance(copied, CopyError):
                 return copied.fault
             target = _resume_target(source, destination, copied.handle)
             took_s = time.monotonic() - began_s
-            if is_contended(run, source, destination, took_s):
-                await self._copy_until_short(
-                    run, source, destination, deadline_s
-                )
+            if copier.is_contended(took_s):
+                await copier.copy_until_short()
             run.is_stopping = True
-            final = await self._copy(
-                run, source, destination, deadline_s, stops_run=True
-            )
+            final = await copier.copy_and_stop()
             if await self._has_ended_by_itself(run, source, final):
                 run.is_stopping = False
                 return CopyFault.NO_SUCH_RUN
@@ -211,73 +161,6 @@
             if target is not None and not is_moved:
                 self.discard_copy(target)
 
-    async def _copy_when_started(
-        self,
-        run: Run,
-        source: BackendServer,
-        destination: BackendServer,
-        deadline_s: float,
-    ) -> CopyResult | CopyError:
-        """Makes the first copy as soon as the run has started."""
-        while True:
-            copied = await self._copy(run, source, destination, deadline_s)
-            if isinstance(copied, CopyResult):
-                return copied
-            is_timed_out = time.monotonic() > deadline_s
-            if copied.fault is not CopyFault.NO_SUCH_RUN or is_timed_out:
-                return copied
-            await asyncio.sleep(NOT_STARTED_RETRY_S)
-
-    async def _copy_until_short(
-        self,
-        run: Run,
-        source: BackendServer,
-        destination: BackendServer,
-        deadline_s: float,
-    ) -> None:
-        """Repeats incremental copies until one takes less than `SHORT_COPY_S`.
-
-        Gives up after `MAX_EXTRA_COPIES`.
-        """
-        for _ in range(MAX_EXTRA_COPIES):
-            began_s = time.monotonic()
-            await self._copy(run, source, destination, deadline_s)
-            if time.monotonic() - began_s < SHORT_COPY_S:
-                return
-
-    async def _copy(
-        self,
-        run: Run,
-        source: BackendServer,
-        destination: BackendServer,
-        deadline_s: float,
-        *,
-        stops_run: bool = False,
-    ) -> CopyResult | CopyError:
-        began_s = time.monotonic()
-        result = await copy_run(
-            source.entry.address,
-            destination.entry.address,
-            run.attempt_id,
-            stops_run=stops_run,
-            timeout_s=max(deadline_s - began_s, 0.01),
-        )
-        copied = result.unwrap() if is_successful(result) else result.failure()
-        _log.info(
-            "copied",
-            request=run.attempt_id,
-            source=source.entry.server_id,
-            destination=destination.entry.server_id,
-            stops_run=stops_run,
-            outcome=(
-                "ok" if isinstance(copied, CopyResult) else copied.fault.value
-            ),
-            events=copied.events if isinstance(copied, CopyResult) else None,
-            last_event=run.last_event,
-            took_ms=round((time.monotonic() - began_s) * 1000),
-        )
-        return copied
-
     async def _has_ended_by_itself(
         self, run: Run, source: BackendServer, final: CopyResult | CopyError
     ) -> bool:
@@ -329,19 +212,3 @@
         # The run stopped but was not copied, so it resumes on the source.
         return _resume_target(earlier.source, earlier.source, final.handle)
     return earlier
-
-
-def is_contended(
-    run: Run, source: BackendServer, destination: BackendServer, took_s: float
-) -> bool:
-    """Returns whether a first copy had to share its links with others."""
-    engine = run.admitted.service.engine
-    if engine is None or engine.link_bytes_per_s <= 0:
-        return False
-    is_cross_domain = (
-        source.entry.failure_domain != destination.entry.failure_domain
-    )
-    copy_s = copy_time_s(
-        run.kv_cache_tokens, engine, is_cross_domain=is_cross_domain
-    )
-    return took_s > CONTENTION_FACTOR * copy_s + CONTENTION_SLACK_S
