--- a/src/savorylift/exchange/origin_log.py
+++ b/src/savorylift/exchange/origin_log.py
@@ -17,7 +17,8 @@
 from savorylift.fleet.record_codec import decode_record, encode_record
 from savorylift.fleet.state import StreamOrigin
 from savorylift.fleet.version_history import VersionHistory
-from savorylift.platform.store import ORIGINS_TOPIC, Record, StoreClient
+from savorylift.platform.store import ORIGINS_TOPIC, StoreClient
+from savorylift.platform.store_record import Record
 
 CHECK_INTERVAL_S = 0.2
 # A node that is lost loses the origins of at most this time.
--- a/src/savorylift/fleet/registration.py
+++ b/src/savorylift/fleet/registration.py
@@ -7,7 +7,8 @@
 from returns.pipeline import is_successful
 
 from savorylift.fleet.membership import Membership
-from savorylift.platform.store import NODES_TOPIC, Record, StoreClient
+from savorylift.platform.store import NODES_TOPIC, StoreClient
+from savorylift.platform.store_record import Record
 from savorylift.wire.address import parse_address
 
 # Interval at which a node without live peers reads the addresses of other
--- a/src/savorylift/fleet/version_recorder.py
+++ b/src/savorylift/fleet/version_recorder.py
@@ -15,12 +15,8 @@
 from savorylift.fleet.record_codec import decode_record, encode_record
 from savorylift.fleet.state import UNKNOWN_VERSION
 from savorylift.fleet.version_history import ServerStart, VersionHistory
-from savorylift.platform.store import (
-    MAX_KEY_BYTES,
-    VERSIONS_TOPIC,
-    Record,
-    StoreClient,
-)
+from savorylift.platform.store import VERSIONS_TOPIC, StoreClient
+from savorylift.platform.store_record import MAX_KEY_BYTES, Record
 
 CHECK_INTERVAL_S = 0.2
 RETRY_INTERVAL_S = 1.0
--- a/src/savorylift/front/store_parts.py
+++ b/src/savorylift/front/store_parts.py
@@ -15,7 +15,7 @@
 from savorylift.front.interface import LoadPoller
 from savorylift.front.server_parts import ServerParts
 from savorylift.front.shared_parts import SharedParts
-from savorylift.platform.store import Record
+from savorylift.platform.store_record import Record
 
 
 class StoreParts(NamedTuple):
--- a/src/savorylift/platform/store.py
+++ b/src/savorylift/platform/store.py
@@ -2,7 +2,6 @@
 
 import base64
 import enum
-import struct
 import urllib.parse
 from collections.abc import Sequence
 from typing import NamedTuple
@@ -12,6 +11,11 @@
 from returns.result import Failure, Result, Success
 
 from savorylift.json_input import decode_json
+from savorylift.platform.store_record import (
+    Record,
+    decode_records,
+    encode_record,
+)
 from savorylift.wire.client_call import BrokenAnswerError, fetch
 from savorylift.wire.message import Response
 
@@ -35,13 +39,9 @@
 # Slower responses aren't waited for: a retry uses a new connection.
 RESPONSE_TIMEOUT_S = 0.8
 MAX_READ_KB = 1024
-# The length of a key is one byte.
-MAX_KEY_BYTES = 255
 GONE_STATUS = 410
 # A store may come back from a copy, and its first record be expired.
 MAX_REPOSITIONS = 3
-_LENGTH = struct.Struct(">I")
-_READ_HEADER = struct.Struct(">QQ")
 
 
 class StoreFault(enum.Enum):
@@ -70,18 +70,6 @@
     start: int | None = None
 
 
-class Record(NamedTuple):
-    """A record of a topic.
-
-    Attributes:
-        key: Key of the record, without the topic.
-        value: Value of the record; None if the record removes the key.
-    """
-
-    key: str
-    value: bytes | None
-
-
 class Batch(NamedTuple):
     """Records returned by one call.
 
@@ -184,7 +172,7 @@
                 None
             )
             return Failure(StoreError(StoreFault.TRIMMED, "410", start))
-        records = _decode_records(response.body)
+        records = decode_records(response.body)
         if records is None:
             return Failure(
                 StoreError(
@@ -228,7 +216,7 @@
         With `expected_offset`, the call fails with the fault `CONFLICT` unless
         the topic ends at this position.
         """
-        body = b"".join(_encode_record(record) for record in records)
+        body = b"".join(encode_record(record) for record in records)
         query = {"topic": topic, "part": "0"}
         if expected_offset is not None:
             query["at"] = str(expected_offset % OFFSETS_PER_ERA)
@@ -294,42 +282,5 @@
     return StoreError(StoreFault.RESTORED, detail, _position(era, 0))
 
 
-def _encode_record(record: Record) -> bytes:
-    """Encodes a record as its length, key length (one byte), key and value."""
-    name = record.key.encode()
-    content = bytes([len(name)]) + name + (record.value or b"")
-    return _LENGTH.pack(len(content)) + content
-
-
 def _decode_item(item: _Item) -> Record:
     return Record(item.key, base64.b64decode(item.value))
-
-
-def _decode_records(data: bytes) -> list[Record | None] | None:
-    """Decodes complete records; None in place of an unreadable one.
-
-    Returns None if `data` has no complete header.
-    """
-    if len(data) < _READ_HEADER.size:
-        return None
-    position = _READ_HEADER.size
-    records: list[Record | None] = []
-    while position + _LENGTH.size <= len(data):
-        (length,) = _LENGTH.unpack_from(data, position)
-        start = position + _LENGTH.size
-        if start + length > len(data):
-            break
-        records.append(_decode_record(data[start : start + length]))
-        position = start + length
-    return records
-
-
-def _decode_record(record: bytes) -> Record | None:
-    if not record or len(record) < 1 + record[0]:
-        return None
-    key = record[1 : 1 + record[0]]
-    value = record[1 + record[0] :]
-    try:
-        return Record(key.decode(), value or None)
-    except UnicodeDecodeError:
-        return None
--- a/src/savorylift/refusals/writer.py
+++ b/src/savorylift/refusals/writer.py
@@ -5,7 +5,8 @@
 import structlog
 from returns.pipeline import is_successful
 
-from savorylift.platform.store import REFUSALS_TOPIC, Record, StoreClient
+from savorylift.platform.store import REFUSALS_TOPIC, StoreClient
+from savorylift.platform.store_record import Record
 from savorylift.refusals.counts import RefusalCounts
 
 # Each write is charged for. A killed node loses the counts of at most this
--- a/src/savorylift/rules/orders.py
+++ b/src/savorylift/rules/orders.py
@@ -6,12 +6,8 @@
 import msgspec
 from returns.pipeline import is_successful
 
-from savorylift.platform.store import (
-    RULES_TOPIC,
-    Record,
-    StoreClient,
-    StoreFault,
-)
+from savorylift.platform.store import RULES_TOPIC, StoreClient, StoreFault
+from savorylift.platform.store_record import Record
 from savorylift.rules.check import check_rules
 from savorylift.rules.publication import (
     OUT_OF_SERVICE_PREFIX,
--- a/src/savorylift/rules/publication.py
+++ b/src/savorylift/rules/publication.py
@@ -18,11 +18,11 @@
 from savorylift.platform.store import (
     RULES_TOPIC,
     Batch,
-    Record,
     StoreClient,
     StoreError,
     StoreFault,
 )
+from savorylift.platform.store_record import Record
 from savorylift.routing.configuration import Configuration
 from savorylift.rules.check import parse_rules_leniently, split_lines
 from savorylift.rules.configuration import build_configuration
--- a/tests/exchange/test_origin_log.py
+++ b/tests/exchange/test_origin_log.py
@@ -9,7 +9,8 @@
 from savorylift.exchange.stream_origins import StreamOrigins
 from savorylift.fleet.state import UNKNOWN_VERSION, StreamOrigin
 from savorylift.fleet.version_history import VersionHistory
-from savorylift.platform.store import ORIGINS_TOPIC, Record, StoreClient
+from savorylift.platform.store import ORIGINS_TOPIC, StoreClient
+from savorylift.platform.store_record import Record
 from tests.exchange.factories import make_server_entry
 from tests.harness.ports import free_addresses
 from tests.standins.platform_store import PlatformStore
--- a/tests/fleet/test_version_recorder.py
+++ b/tests/fleet/test_version_recorder.py
@@ -13,7 +13,8 @@
     START_DELAY_S,
     VersionRecorder,
 )
-from savorylift.platform.store import VERSIONS_TOPIC, Record, StoreClient
+from savorylift.platform.store import VERSIONS_TOPIC, StoreClient
+from savorylift.platform.store_record import Record
 from tests.exchange.factories import make_server_entry
 from tests.harness.ports import free_addresses
 from tests.standins.platform_store import PlatformStore
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -3,7 +3,8 @@
 import pytest
 from returns.pipeline import is_successful
 
-from savorylift.platform.store import Record, StoreClient, StoreFault
+from savorylift.platform.store import StoreClient, StoreFault
+from savorylift.platform.store_record import Record
 from tests.harness.ports import free_addresses
 from tests.standins.platform_store import PlatformStore
 from tests.wire.loopback import run_with_timeout
