--- a/src/savorylift/fleet/membership.py
+++ b/src/savorylift/fleet/membership.py
@@ -1,4 +1,4 @@
-"""Tracks live nodes and chooses store readers and callers' addresses."""
+"""Tracks live nodes, their shares of limits and callers' addresses."""
 
 import collections
 from collections.abc import Collection, Iterable, Iterator
@@ -22,18 +22,11 @@
 # A node that hears no majority counts the silent ones for this long: it may be
 # cut off from them.
 MINORITY_FORGET_TIMEOUT_S = 600.0
-READER_COUNT = 2
 # Callers are kept from nodes that don't reach the servers as long as at least
 # this share of the nodes remains for them.
 MIN_REACHING_SHARE = 0.5
-# Another node takes over from a reader that is silent for this many intervals
-# and this long. A node too many that reads does no harm.
-READER_TIMEOUT_INTERVALS = 2
-READER_TIMEOUT_MARGIN_S = 0.3
 # Earlier incarnations kept for each node, to drop their late messages.
 MAX_RETIRED_INCARNATIONS = 8
-# Rendezvous hashing key for the choice of the store readers.
-READERS_KEY = "store"
 
 
 class Peer(NamedTuple):
@@ -240,52 +233,6 @@
             found = reaching
         return [state.caller_address for state in found]
 
-    def is_reader(self, own_state: NodeState, now_s: float) -> bool:
-        """Whether this node is one of those that read the store.
-
-        Readers are in different failure domains where possible. Nodes that
-        are draining or whose calls to the store failed recently are avoided.
-        """
-        states = {own_state.node: own_state}
-        for peer in self.live_peers(now_s):
-            if _is_heard_as_reader(peer, now_s):
-                states[peer.state.node] = peer.state
-        staying = {n: s for n, s in states.items() if not s.is_leaving}
-        healthy = {n: s for n, s in staying.items() if not s.has_store_fault}
-        order = rank(READERS_KEY, healthy or staying or states)
-        readers = order[:1]
-        domains = {states[name].failure_domain for name in readers}
-        for name in order[1:]:
-            if states[name].failure_domain not in domains:
-                readers.append(name)
-                break
-        else:
-            readers = order[:READER_COUNT]
-        return own_state.node in readers
-
-    def reading_age_s(self, now_s: float) -> float | None:
-        """Returns the age of the newest reading of the store by a live peer."""
-        ages = [
-            peer.state.reading_age_s + now_s - peer.received_s
-            for peer in self.live_peers(now_s)
-            if peer.state.reading_age_s is not None
-        ]
-        return min(ages, default=None)
-
-    def servers_reading_age_s(self, now_s: float) -> float | None:
-        """Returns the same for the servers' entries alone.
-
-        The reading of builds that don't tell them apart counts as a whole.
-        """
-        ages = []
-        for peer in self.live_peers(now_s):
-            age_s = peer.state.servers_reading_age_s
-            if age_s is None:
-                age_s = peer.state.reading_age_s
-            if age_s is not None:
-                ages.append(age_s + now_s - peer.received_s)
-        return min(ages, default=None)
-
     def _is_minority(self, now_s: float) -> bool:
         """Whether no more nodes are live than are silent."""
         live = 1 + sum(1 for _ in self.live_peers(now_s))
@@ -309,9 +256,3 @@
         for peer in self._peers.values():
             if now_s - peer.received_s <= age_s:
                 yield peer
-
-
-def _is_heard_as_reader(peer: Peer, now_s: float) -> bool:
-    """Whether a node is heard often enough to rely on its reading."""
-    timeout_s = READER_TIMEOUT_INTERVALS * peer.state.interval_s
-    return now_s - peer.received_s <= timeout_s + READER_TIMEOUT_MARGIN_S
--- a/src/savorylift/front/state_reporter.py
+++ b/src/savorylift/front/state_reporter.py
@@ -8,6 +8,7 @@
 from savorylift.exchange.server_reach import ServerReach
 from savorylift.fleet.membership import Membership
 from savorylift.fleet.peer_transport import PeerTransport
+from savorylift.fleet.reader_choice import is_reader
 from savorylift.fleet.state import NodeState
 from savorylift.fleet.store_reader import StoreReader
 from savorylift.fleet.store_view import StoreView
@@ -93,8 +94,8 @@
 
     def is_reader(self) -> bool:
         """Whether this node is to read the store, among those it hears."""
-        self.was_reader = self._membership.is_reader(
-            self.next_state(), time.monotonic()
+        self.was_reader = is_reader(
+            self._membership, self.next_state(), time.monotonic()
         )
         return self.was_reader
 
--- a/src/savorylift/front/store_parts.py
+++ b/src/savorylift/front/store_parts.py
@@ -7,6 +7,10 @@
 from savorylift.exchange.drain_poller import DrainPoller
 from savorylift.exchange.generation import GenerationDispatcher
 from savorylift.fleet.peer_transport import PeerTransport
+from savorylift.fleet.reader_choice import (
+    reading_age_s,
+    servers_reading_age_s,
+)
 from savorylift.fleet.registration import Registration
 from savorylift.fleet.store_reader import StoreReader
 from savorylift.fleet.store_records import Delta
@@ -106,7 +110,7 @@
 ) -> ReadPolicy:
     return ReadPolicy(
         role.is_reader,
-        lambda: shared.membership.reading_age_s(time.monotonic()),
+        lambda: reading_age_s(shared.membership, time.monotonic()),
         lambda: shared.store_view.configuration is None,
         lambda: transport.reader_interval_s,
     )
@@ -124,7 +128,7 @@
         now_s = time.monotonic()
         ages = (
             reader.servers_reading_age_s(now_s),
-            shared.membership.servers_reading_age_s(now_s),
+            servers_reading_age_s(shared.membership, now_s),
         )
         return min((a for a in ages if a is not None), default=None)
 
