--- a/src/savorylift/wire/channel.py
+++ b/src/savorylift/wire/channel.py
@@ -2,29 +2,25 @@
 
 import asyncio
 import contextlib
-import select
-import socket
-import struct
-from collections import deque
 from collections.abc import Callable
 from typing import cast
 
+from savorylift.wire.connection_socket import (
+    NO_LINGER,
+    RESET_ON_CLOSE,
+    is_open_now,
+    send_at_once,
+    set_linger,
+)
 from savorylift.wire.input_timeout import InputTimeout
+from savorylift.wire.send_queue import SendQueue
 
 MAX_READ_BUFFER_BYTES = 65_536
 # Most that is received at once.
 MAX_RECEIVE_BYTES = 65_536
 # Most that a reader gets, and handles, at once.
 MAX_READ_BYTES = 16_384
-# Shared data is handed to the transport in pieces of this size: it would copy
-# all that the system doesn't take at once.
-MAX_WRITE_BYTES = 65_536
 LINGER_TIMEOUT_S = 1.0
-# Values of SO_LINGER: on with a time of 0, by which a close sends RST; and off.
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-NO_LINGER = struct.pack("ii", 0, 0)
-# Descriptor of a socket that was closed, as its connection was lost.
-CLOSED_SOCKET = -1
 
 
 # Shared by all connections: what arrives is copied at once.
@@ -48,14 +44,12 @@
         """Calls `on_connect`, if given, once the connection is open."""
         self._on_connect = on_connect
         self._transport: asyncio.Transport | None = None
+        self._send_queue: SendQueue | None = None
         self._read_buffer = bytearray()
         self._waiter: asyncio.Future[None] | None = None
         self._writable = asyncio.Event()
         self._writable.set()
         self._max_input_bytes = MAX_READ_BUFFER_BYTES
-        # Pieces that the transport has yet to get, while it sends others.
-        self._unsent: deque[memoryview] = deque()
-        self._is_sending_paused = False
         self._is_discarding = False
         self._resets_on_close = False
         self._is_end_marked_by_close = False
@@ -96,12 +90,7 @@
         """
         if self._read_buffer or not self.is_open:
             return False
-        sock = self.transport.get_extra_info("socket")
-        if sock is None or sock.fileno() == CLOSED_SOCKET:
-            return False
-        poll = select.poll()
-        poll.register(sock.fileno(), select.POLLIN | select.POLLRDHUP)
-        return not poll.poll(0)
+        return is_open_now(self.transport)
 
     @property
     def has_input(self) -> bool:
@@ -111,9 +100,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keeps the transport and disables Nagle's algorithm."""
         self._transport = cast("asyncio.Transport", transport)
-        sock = transport.get_extra_info("socket")
-        if sock is not None:
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._send_queue = SendQueue(self._transport)
+        send_at_once(transport)
         if self._on_connect is not None:
             self._on_connect(self)
 
@@ -144,21 +132,20 @@
         """Records the end of the connection; `exc` is set if it was reset."""
         self.is_peer_closed = True
         self.connection_error = exc
-        self._unsent.clear()
+        self._output.clear()
         self.peer_closed.set()
         self._writable.set()
         self._wake()
 
     def pause_writing(self) -> None:
         """Makes `drain` wait: the peer reads too slowly."""
-        self._is_sending_paused = True
+        self._output.pause()
         self._writable.clear()
 
     def resume_writing(self) -> None:
         """Sends what has yet to be sent; then lets `drain` return."""
-        self._is_sending_paused = False
-        self._send_pieces()
-        if not self._is_sending_paused:
+        self._output.resume()
+        if not self._output.is_paused:
             self._writable.set()
 
     def limit_input(self, max_bytes: int) -> None:
@@ -187,31 +174,20 @@
 
     def write(self, data: bytes) -> None:
         """Queues bytes to send; drops them if the connection is closing."""
-        if data and not self.transport.is_closing():
-            if self._unsent:
-                self._queue(memoryview(data))
-            else:
-                self.transport.write(data)
+        self._output.write(data)
 
     def write_large(self, data: bytes) -> None:
         """Queues bytes to send; frees their memory piece by piece."""
-        view = memoryview(data)
-        for start in range(0, len(data), MAX_WRITE_BYTES):
-            self._queue(
-                memoryview(bytes(view[start : start + MAX_WRITE_BYTES]))
-            )
+        self._output.write_large(data)
+
+    def write_shared(self, data: bytes) -> None:
+        """Queues bytes that others refer to as well, without a copy."""
+        self._output.write_shared(data)
 
     @property
     def unsent_bytes(self) -> int:
         """Number of bytes queued that the system has yet to take."""
-        queued = sum(map(len, self._unsent))
-        return queued + self.transport.get_write_buffer_size()
-
-    def write_shared(self, data: bytes) -> None:
-        """Queues bytes that others refer to as well, without a copy."""
-        view = memoryview(data)
-        for start in range(0, len(data), MAX_WRITE_BYTES):
-            self._queue(view[start : start + MAX_WRITE_BYTES])
+        return self._output.unsent_bytes
 
     async def drain(self) -> None:
         """Waits until the send buffer is below its low-water mark."""
@@ -224,7 +200,7 @@
         """
         self._resets_on_close = True
         self._is_end_marked_by_close = True
-        self._set_linger(RESET_ON_CLOSE)
+        set_linger(self.transport, RESET_ON_CLOSE)
 
     async def allow_close(self) -> None:
         """Ends `reset_on_close` once all queued bytes are with the system.
@@ -238,7 +214,7 @@
         self.transport.set_write_buffer_limits(high=0)
         await self.drain()
         if not self.transport.is_closing():
-            self._set_linger(NO_LINGER)
+            set_linger(self.transport, NO_LINGER)
             self._resets_on_close = False
 
     def abort(self) -> None:
@@ -254,7 +230,7 @@
         if self._resets_on_close:
             self.abort()
         elif self._transport is not None:
-            self._send_rest()
+            self._output.flush()
             self._transport.close()
 
     async def close_gracefully(self) -> None:
@@ -266,7 +242,7 @@
         if self._resets_on_close:
             self.abort()
             return
-        self._send_rest()
+        self._output.flush()
         self._is_discarding = True
         self._read_buffer.clear()
         if not self.is_peer_closed:
@@ -277,6 +253,11 @@
                     await self.peer_closed.wait()
         self.close()
 
+    @property
+    def _output(self) -> SendQueue:
+        assert self._send_queue is not None
+        return self._send_queue
+
     @property
     def _has_tls(self) -> bool:
         return self.transport.get_extra_info("sslcontext") is not None
@@ -289,27 +270,6 @@
             # With TLS, a notice can't go out without a close.
             self.transport.close()
 
-    def _queue(self, piece: memoryview) -> None:
-        if not self.transport.is_closing():
-            self._unsent.append(piece)
-            self._send_pieces()
-
-    def _send_pieces(self) -> None:
-        """Hands pieces to the transport until it has enough."""
-        while self._unsent and not self._is_sending_paused:
-            self.transport.write(self._unsent.popleft())
-
-    def _send_rest(self) -> None:
-        """Hands all pieces to the transport."""
-        while self._unsent and not self.transport.is_closing():
-            self.transport.write(self._unsent.popleft())
-
-    def _set_linger(self, value: bytes) -> None:
-        """Sets how a close ends the connection, if it is still open."""
-        sock = self.transport.get_extra_info("socket")
-        if sock is not None and sock.fileno() != CLOSED_SOCKET:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
-
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
--- a/src/savorylift/wire/client_call.py
+++ b/src/savorylift/wire/client_call.py
@@ -9,10 +9,11 @@
 import h11
 
 from savorylift.wire.buffer_budget import BufferBudget
-from savorylift.wire.channel import MAX_WRITE_BYTES, Channel, connect
+from savorylift.wire.channel import Channel, connect
 from savorylift.wire.coop_budget import CoopBudget
 from savorylift.wire.input_timeout import InputTimeout
 from savorylift.wire.message import Headers, Response, ResponseHead
+from savorylift.wire.send_queue import MAX_WRITE_BYTES
 
 # A server in trouble may send without end. Bodies are read whole, so one
 # response and all of them together are bounded, well below a node's memory.
