--- a/tests/front/engine_process.py
+++ b/tests/front/engine_process.py
@@ -10,6 +10,7 @@
 
 from tests.harness.process import REPOSITORY_ROOT
 from tests.standins.engine_record import (
+    EngineCall,
     EngineRecord,
     RecordKind,
     decode_record,
@@ -32,6 +33,9 @@
     Scalar attributes hold there as soon as the process has read them. The
     next process waits for its start beside the one that runs, so that it
     listens at once.
+
+    Attributes:
+        calls: Calls that were meant for this engine.
     """
 
     def __init__(self, server_id: str, directory: pathlib.Path) -> None:
@@ -45,6 +49,7 @@
         self._followers: set[asyncio.Task[None]] = set()
         self._last_born = self.born
         self._earlier_reports = 0
+        self.calls: list[EngineCall] = []
 
     def __setattr__(self, name: str, value: object) -> None:
         """Passes a changed attribute on to the process, if one runs."""
@@ -125,6 +130,8 @@
             self.reports = self._earlier_reports + int(record.value)
         elif record.kind is RecordKind.FIRST_EVENT:
             self.on_event(int(record.value))
+        elif record.call is not None:
+            self.calls.append(record.call)
 
     async def _start_after_crash(self) -> None:
         """Starts again under another ID, as the process ended by itself."""
--- a/tests/standins/platform_engine.py
+++ b/tests/standins/platform_engine.py
@@ -13,9 +13,11 @@
 import os
 import signal
 import sys
+import time
 
 from savorylift.wire.client_call import BrokenAnswerError, fetch
 from tests.standins.engine_record import (
+    EngineCall,
     EngineRecord,
     RecordKind,
     encode_record,
@@ -80,6 +82,12 @@
         super()._record_report()
         _write(RecordKind.REPORT, self.reports)
 
+    def _record_call(self, attempt_id: str) -> None:
+        call = EngineCall(
+            attempt_id, self.born, self.says_leaving, time.monotonic()
+        )
+        _write(RecordKind.CALL, call=call)
+
     async def _send_copy(self, port: int, handle: str, copy: KvCopy) -> bool:
         """Sends a copy of a run to the process of another engine."""
         body = json.dumps({"handle": handle, **copy._asdict()}).encode()
@@ -115,8 +123,10 @@
         _write(RecordKind.FIRST_EVENT, number)
 
 
-def _write(kind: RecordKind, value: float = 0.0) -> None:
-    sys.stdout.buffer.write(encode_record(EngineRecord(kind, value)))
+def _write(
+    kind: RecordKind, value: float = 0.0, call: EngineCall | None = None
+) -> None:
+    sys.stdout.buffer.write(encode_record(EngineRecord(kind, value, call)))
     sys.stdout.buffer.flush()
 
 
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -328,9 +328,7 @@
             conn.respond(200, self._limit_headers(), b"")
         elif headers["x-savorylift-expected-instance"] != self.server_id:
             conn.respond(421, self._refusal_headers(headers), b"")
-        elif self.rejects_all or (
-            self.rejects_resumed and "last-event-id" in headers
-        ):
+        elif self._rejects(headers):
             conn.respond(503, self._refusal_headers(headers), b"")
         else:
             self.headers = headers
@@ -348,12 +346,21 @@
         await conn.channel.drain()
         conn.channel.close()
 
+    def _record_call(self, attempt_id: str) -> None:
+        """Does nothing with a call that was meant for this server."""
+
     def _record_arrival(self) -> None:
         self.arrivals.append(time.monotonic())
 
     def _record_report(self) -> None:
         self.reports += 1
 
+    def _rejects(self, headers: dict[str, str]) -> bool:
+        """Whether it rejects a call that was meant for it."""
+        self._record_call(headers["x-savorylift-attempt-id"])
+        is_resumed = "last-event-id" in headers
+        return self.rejects_all or (self.rejects_resumed and is_resumed)
+
     def _refusal_headers(self, headers: dict[str, str]) -> Headers:
         attempt = headers["x-savorylift-attempt-id"]
         proof = () if self.omits_proof else (NOT_EXECUTED_HEADER,)
