Log which start a notice marks, and who named it

The lines server_leaves, server_hold and server_limit didn't say which process of a server they are about, nor whether that is known or taken from the entry: a notice kept under another process's name looked like one that wasn't heard. Added to the lines, and start_ms to server_changed; notice_unplaced and a counter tell notices of processes that aren't those of the entries, which were dropped without a trace. No decision changes.

--- a/src/savorylift/exchange/limit_sync.py
+++ b/src/savorylift/exchange/limit_sync.py
@@ -136,6 +136,7 @@
         _log.info(
             "server_limit",
             server=server_id,
+            start_ms=report.started_ms,
             requests_per_s=report.requests_per_s,
             age_s=round(report.age_s, 3),
             **source,
--- a/src/savorylift/exchange/metrics.py
+++ b/src/savorylift/exchange/metrics.py
@@ -102,6 +102,10 @@
     "Servers that said that they leave, by where this node heard it.",
     ["source"],
 )
+UNPLACED_NOTICES = Counter(
+    "savorylift_front_unplaced_notices",
+    "Notices of processes that are not those of the entries known then.",
+)
 SERVER_HOLDS = Counter(
     "savorylift_front_server_holds",
     "Servers that began to want nothing from this node for a while.",
--- a/src/savorylift/exchange/notice_recorder.py
+++ b/src/savorylift/exchange/notice_recorder.py
@@ -53,18 +53,37 @@
         server: BackendServer,
         notice: ServerNotice,
         source: NoticeSource = NoticeSource.ANSWER,
+        *,
+        is_start_known: bool = False,
     ) -> bool:
         """Records what a server has said.
 
+        Args:
+            server: The server.
+            notice: What it said.
+            source: Where this node heard it.
+            is_start_known: Whether the process that said it named the start
+                that the entry of the server has.
+
         Returns:
             Whether it is news that the server is draining.
         """
         entry = server.entry
         if notice.hold_s is not None:
-            self._holds.record(entry.server_id, notice.hold_s)
+            self._holds.record(
+                entry.server_id,
+                notice.hold_s,
+                start_ms=entry.started_ms,
+                is_start_known=is_start_known,
+            )
         if not notice.is_leaving:
             return False
-        return self.mark_leaving(entry.server_id, entry.started_ms, source)
+        return self.mark_leaving(
+            entry.server_id,
+            entry.started_ms,
+            source,
+            is_start_known=is_start_known,
+        )
 
     def record_at(
         self,
@@ -84,25 +103,72 @@
             return
         for server in list(self._registry.servers.values()):
             entry = server.entry
-            if entry.address == address and _may_be(entry, started_ms):
-                self.record(server, notice, NoticeSource.CHECK)
+            if entry.address != address:
+                continue
+            if _may_be(entry, started_ms):
+                self.record(
+                    server,
+                    notice,
+                    NoticeSource.CHECK,
+                    is_start_known=started_ms is not None,
+                )
+            else:
+                self._log_unplaced(entry, started_ms, notice)
 
     def mark_leaving(
-        self, server_id: str, started_ms: int, source: NoticeSource
+        self,
+        server_id: str,
+        started_ms: int,
+        source: NoticeSource,
+        *,
+        is_start_known: bool = False,
     ) -> bool:
         """Marks a server that leaves, and tells the other nodes.
 
+        Args:
+            server_id: Its ID.
+            started_ms: Start of the process that said it.
+            source: Where this node heard it.
+            is_start_known: Whether that process named its start itself; else
+                it is the start that the entry of the server had.
+
         Returns:
             Whether that is news.
         """
+        entry = self._registry.find_entry(server_id)
         if not self._registry.mark_leaving(server_id, started_ms):
+            is_own = source is not NoticeSource.NODE
+            if is_own and entry is not None and entry.started_ms != started_ms:
+                notice = ServerNotice(is_leaving=True)
+                self._log_unplaced(entry, started_ms, notice)
             return False
         metrics.LEAVING_NOTICES.labels(source).inc()
-        _log.info("server_leaves", server=server_id, source=source)
+        _log.info(
+            "server_leaves",
+            server=server_id,
+            source=source,
+            start_ms=started_ms,
+            is_start_known=is_start_known,
+            entry_start_ms=None if entry is None else entry.started_ms,
+        )
         if source is not NoticeSource.NODE:
             self._announce()
         return True
 
+    def _log_unplaced(
+        self, entry: ServerEntry, started_ms: int | None, notice: ServerNotice
+    ) -> None:
+        """Logs a notice of a process that isn't that of the entry."""
+        metrics.UNPLACED_NOTICES.inc()
+        _log.info(
+            "notice_unplaced",
+            server=entry.server_id,
+            start_ms=started_ms,
+            entry_start_ms=entry.started_ms,
+            is_leaving=notice.is_leaving,
+            hold_s=notice.hold_s,
+        )
+
 
 def _may_be(entry: ServerEntry, started_ms: int | None) -> bool:
     """Whether an entry may be that of a process that started then."""
--- a/src/savorylift/exchange/server_holds.py
+++ b/src/savorylift/exchange/server_holds.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from savorylift.backends.server_start import NO_START
 from savorylift.exchange import metrics
 
 # A server that asks for longer is asked again after this time.
@@ -31,8 +32,22 @@
         self._rng = rng
         self._until_s: dict[str, float] = {}
 
-    def record(self, server_id: str, hold_s: float) -> None:
-        """Begins a hold, or prolongs it; a shorter one changes nothing."""
+    def record(
+        self,
+        server_id: str,
+        hold_s: float,
+        *,
+        start_ms: int = NO_START,
+        is_start_known: bool = False,
+    ) -> None:
+        """Begins a hold, or prolongs it; a shorter one changes nothing.
+
+        Args:
+            server_id: The server that wants it.
+            hold_s: For how long.
+            start_ms: Start that its entry names.
+            is_start_known: Whether the process that wants it named that start.
+        """
         now_s = time.monotonic()
         kept_s = min(hold_s, MAX_HOLD_S)
         spread_s = self._rng.uniform(0.0, MAX_SPREAD) * kept_s
@@ -46,6 +61,8 @@
                 server=server_id,
                 asked_s=round(hold_s, 3),
                 kept_s=round(kept_s + spread_s, 3),
+                start_ms=start_ms,
+                is_start_known=is_start_known,
             )
         self._until_s[server_id] = until_s
 
--- a/src/savorylift/fleet/store_view.py
+++ b/src/savorylift/fleet/store_view.py
@@ -253,6 +253,7 @@
                 server=server_id,
                 service=entry.service,
                 software_version=entry.software_version,
+                start_ms=entry.started_ms,
                 is_leaving=entry.is_leaving,
                 cold_s=entry.cold_s,
                 sequence=entry.sequence,
