--- a/tests/front/test_leaving_servers.py
+++ b/tests/front/test_leaving_servers.py
@@ -276,3 +276,32 @@
         assert all(ending.status == 200 for ending in fleet.endings)
 
     asyncio.run(scenario())
+
+
+def calls_at(server: PlatformServer) -> int:
+    """Returns how many requests reached a server, without reports."""
+    return len(server.arrivals) - server.reports
+
+
+@pytest.mark.parametrize("path", PATHS)
+def test_notice_given_before_the_entry_of_its_process_is_kept_after_it(
+    path: str,
+) -> None:
+    async def scenario(env: NodeEnvironment) -> None:
+        servers = env.app if path in PATHS[:2] else env.pool
+        leaving, service = servers[0], "app" if servers is env.app else "pool"
+        leaving.born += 1
+        leaving.says_leaving = True
+        number = 0
+        while not calls_at(leaving):
+            number += 1
+            await call(env, path, f"a{number}")
+        await asyncio.sleep(0.2)
+        heard = calls_at(leaving)
+        env.publish_entry(leaving, service)
+        await asyncio.sleep(0.2)
+        for number in range(8):
+            assert await call(env, path, f"b{number}") == 200
+        assert calls_at(leaving) == heard
+
+    run_in_environment(scenario)
--- a/tests/soak/leaving_servers.py
+++ b/tests/soak/leaving_servers.py
@@ -57,6 +57,9 @@
         nodes: Number of nodes.
         calls_per_s: Requests of all callers.
         ways: How servers leave, each as often as it is named.
+        interval_s: Range of the times between the beginnings of leavings.
+        entry_delay_s: Range of the times from the start of a process that
+            leaves to its entry.
         limit: Limit on requests a second that all answers name.
         has_report: Whether servers have reports.
         says_born: Whether reports say when a server started.
@@ -68,6 +71,8 @@
     nodes: int = 3
     calls_per_s: float = CALLS_PER_S
     ways: tuple[How, ...] = (How.BEFORE_ENTRY,)
+    interval_s: tuple[float, float] = LEAVING_INTERVAL_S
+    entry_delay_s: tuple[float, float] = ENTRY_DELAY_S
     limit: str | None = None
     has_report: bool = True
     says_born: bool = True
@@ -180,7 +185,7 @@
         leavings = []
         while time.monotonic() < until_s:
             leavings.append(asyncio.ensure_future(self._leave()))
-            await asyncio.sleep(self._rng.uniform(*LEAVING_INTERVAL_S))
+            await asyncio.sleep(self._rng.uniform(*self._trouble.interval_s))
         await asyncio.gather(*leavings)
         await asyncio.sleep(RECOVERY_S)
         for other in others:
@@ -199,7 +204,8 @@
         self._leavings += 1
         how = self._rng.choice(self._trouble.ways)
         if how is How.BEFORE_ENTRY:
-            await self._restart(server, ENTRY_DELAY_S, says_leaving=True)
+            delay_s = self._trouble.entry_delay_s
+            await self._restart(server, delay_s, says_leaving=True)
         else:
             server.says_leaving = True
             self._describe(f"{server.server_id} says that it leaves")
@@ -305,12 +311,12 @@
         cfg.nodes,
         cfg.per_s,
         tuple(How) if cfg.mixed else (How.BEFORE_ENTRY,),
-        cfg.limit,
-        not cfg.no_report,
-        not cfg.no_born,
-        cfg.stops_nodes,
-        cfg.kills_nodes,
-        cfg.store_away,
+        limit=cfg.limit,
+        has_report=not cfg.no_report,
+        says_born=not cfg.no_born,
+        stops_nodes=cfg.stops_nodes,
+        kills_nodes=cfg.kills_nodes,
+        has_store_away=cfg.store_away,
     )
     outcome = run_leaving_servers(
         cfg.seed, directory, cfg.seconds, trouble, cfg.source, cfg.other_nodes
