Count and rank the nodes that share limits when they change, not per request

Each choice of a server counted the nodes that share limits by looking at every one, and ranked all of them for each cold or brittle server of the service: work on the path of a request that grows with the fleet. sharing_nodes.py keeps nodes in the order in which they were last heard, so that silent ones are found first, and this node's place in a server's ranking until the nodes change; 4096 servers at most. Shares and counts are the same.

--- a/src/savorylift/fleet/membership.py
+++ b/src/savorylift/fleet/membership.py
@@ -5,18 +5,15 @@
 from typing import NamedTuple
 
 from savorylift.fleet.running_clock import RunningClock
+from savorylift.fleet.sharing_nodes import SHARING_TIMEOUT_S, SharingNodes
 from savorylift.fleet.state import NodeState, ServerLoad
 from savorylift.placement.move_order import PlannedMove
-from savorylift.rendezvous import rank
 
 # A node is live for this long after its last message: five messages in a row
 # are missing by then.
 LIVENESS_TIMEOUT_S = 1.0
 # A node with a longer message interval is live for this many intervals.
 LIVENESS_TIMEOUT_INTERVALS = 4
-# A silent node still counts towards shared limits for this long: it may come
-# back, or be cut off from just this node.
-SHARING_TIMEOUT_S = 30.0
 # The address of a silent node is dropped after this time.
 FORGET_TIMEOUT_S = 60.0
 # A node that hears no majority counts the silent ones for this long: it may be
@@ -61,6 +58,7 @@
         self._addresses = {seed: 0.0 for seed in seeds if seed != ip}
         self._retired: dict[str, collections.deque[int]] = {}
         self._clock = RunningClock()
+        self._sharing = SharingNodes(ip)
 
     @property
     def addresses(self) -> tuple[str, ...]:
@@ -98,6 +96,7 @@
             return False
         self._peers[state.ip] = Peer(state, now_s, self._clock.read(now_s))
         self._addresses[state.ip] = now_s
+        self._sharing.hear(state.ip, now_s)
         for ip in state.peers:
             self.add_address(ip, now_s)
         return is_new
@@ -134,9 +133,7 @@
 
     def count_sharing_nodes(self, now_s: float) -> int:
         """Returns how many nodes, including this one, share a limit."""
-        return 1 + sum(
-            1 for _ in self._received_within(SHARING_TIMEOUT_S, now_s)
-        )
+        return self._sharing.count(now_s)
 
     def live_share(self, now_s: float) -> float:
         """Returns the share of the fleet's nodes that this node hears.
@@ -165,10 +162,7 @@
             slots: Requests that the server accepts from all nodes.
             now_s: Monotonic time.
         """
-        peers = self._received_within(SHARING_TIMEOUT_S, now_s)
-        order = rank(server_id, [self._ip, *(p.state.ip for p in peers)])
-        quotient, remainder = divmod(slots, len(order))
-        return quotient + (order.index(self._ip) < remainder)
+        return self._sharing.own_share(server_id, slots, now_s)
 
     def loads(self, now_s: float) -> Iterator[ServerLoad]:
         """Yields the other nodes' load on backend servers."""
@@ -251,8 +245,3 @@
             state.ip, collections.deque(maxlen=MAX_RETIRED_INCARNATIONS)
         )
         retired.append(state.incarnation)
-
-    def _received_within(self, age_s: float, now_s: float) -> Iterator[Peer]:
-        for peer in self._peers.values():
-            if now_s - peer.received_s <= age_s:
-                yield peer
