--- a/tests/client/test_lost_connections.py
+++ b/tests/client/test_lost_connections.py
@@ -4,13 +4,14 @@
 import socket
 import threading
 import time
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from contextlib import ExitStack
 
 import pytest
 from returns.result import Failure
 
 from savorylift.client import Client, ClientError, ClientOptions, Token
+from savorylift.client.stream import StreamItem
 from savorylift.outcomes import Ending
 
 STREAM_HEAD = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
@@ -87,6 +88,22 @@
         yield Client(options)
 
 
+def read_stream(
+    responses: Sequence[list[bytes | None]],
+) -> tuple[list[StreamItem], float]:
+    """Returns a stream of scripted nodes, and how long it took."""
+    with ExitStack() as stack:
+        nodes = [ScriptedNode(script) for script in responses]
+        for node in nodes:
+            stack.callback(node.close)
+        urls = tuple(node.url for node in nodes)
+        client = Client(ClientOptions(urls, "t", 6.0, silence_s=SILENCE_S))
+        start_s = time.monotonic()
+        items = list(client.stream("m", "p"))
+        took_s = time.monotonic() - start_s
+    return items, took_s
+
+
 @pytest.mark.parametrize(
     "client",
     [
@@ -163,15 +180,7 @@
 def test_refused_rest_of_a_stream_is_asked_of_the_other_nodes_first(
     responses: tuple[list[bytes | None], ...], max_s: float
 ) -> None:
-    with ExitStack() as stack:
-        nodes = [ScriptedNode(script) for script in responses]
-        for node in nodes:
-            stack.callback(node.close)
-        urls = tuple(node.url for node in nodes)
-        client = Client(ClientOptions(urls, "t", 6.0, silence_s=SILENCE_S))
-        start_s = time.monotonic()
-        items = list(client.stream("m", "p"))
-        took_s = time.monotonic() - start_s
+    items, took_s = read_stream(responses)
     indices = [item.token_index for item in items if isinstance(item, Token)]
     assert indices == [0, 1, 2]
     assert took_s < max_s
@@ -184,15 +193,7 @@
         [STREAM_HEAD + token_event(0), refusal, STREAM_REST],
         [refusal],
     )
-    with ExitStack() as stack:
-        nodes = [ScriptedNode(script) for script in responses]
-        for node in nodes:
-            stack.callback(node.close)
-        urls = tuple(node.url for node in nodes)
-        client = Client(ClientOptions(urls, "t", 6.0, silence_s=SILENCE_S))
-        start_s = time.monotonic()
-        items = list(client.stream("m", "p"))
-        took_s = time.monotonic() - start_s
+    items, took_s = read_stream(responses)
     assert isinstance(items[-1], Token)
     assert took_s >= retry_after_s
 
--- a/tests/exchange/test_process_lookup.py
+++ b/tests/exchange/test_process_lookup.py
@@ -56,6 +56,14 @@
                 return found
             await asyncio.sleep(found.wait_s)
 
+    async def ask_beside_requests(self) -> None:
+        """Asks for sound streams while requests take all permits."""
+        until_s = boot_time_s() + RUN_S
+        while boot_time_s() < until_s:
+            self.issuer.decide("i-1", LIMIT_PER_S, 0.0, is_probe=False)
+            self.find(boot_time_s(), is_probe=True)
+            await asyncio.sleep(POLL_S)
+
     async def _read_start(self, _: tuple[str, int], __: float) -> int | None:
         self.asked_s.append(boot_time_s())
         await asyncio.sleep(ANSWER_S / 2)
@@ -149,11 +157,7 @@
     """Streams broke off before anything showed which process began them."""
 
     async def scenario(lookup: Lookup) -> None:
-        until_s = boot_time_s() + RUN_S
-        while boot_time_s() < until_s:
-            lookup.issuer.decide("i-1", LIMIT_PER_S, 0.0, is_probe=False)
-            lookup.find(boot_time_s(), is_probe=True)
-            await asyncio.sleep(POLL_S)
+        await lookup.ask_beside_requests()
         most = RUN_S * LIMIT_PER_S * QUESTION_SHARE + 1
         assert most / 2 <= len(lookup.asked_s) <= most
 
@@ -186,11 +190,7 @@
     """Every second permit was for a question while other nodes were silent."""
 
     async def scenario(lookup: Lookup) -> None:
-        until_s = boot_time_s() + RUN_S
-        while boot_time_s() < until_s:
-            lookup.issuer.decide("i-1", LIMIT_PER_S, 0.0, is_probe=False)
-            lookup.find(boot_time_s(), is_probe=True)
-            await asyncio.sleep(POLL_S)
+        await lookup.ask_beside_requests()
         own_per_s = LIMIT_PER_S / (1 + len(SILENT_IPS))
         most = RUN_S * own_per_s * QUESTION_SHARE + 1
         assert most / 2 <= len(lookup.asked_s) <= most
