Keep sums of the other nodes' loads, and don't add them up per request

Each choice of a server added up what every live node says of every server: on the path of a request, and of each look at the queue. peer_loads.py adds a node's message to the sums and takes its last one off; what a silent node said leaves the sums when it stops to be live, by the same clock as before.

A message with the same loads as the last adds nothing.

--- a/src/savorylift/backends/load.py
+++ b/src/savorylift/backends/load.py
@@ -2,7 +2,7 @@
 
 import collections
 import time
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from savorylift.fleet.state import ServerLoad
@@ -126,9 +126,11 @@
                 del self._results[server_id]
 
 
-def sum_loads(parts: Iterable[ServerLoad]) -> dict[str, Load]:
-    """Returns the total load of each server from the loads of all nodes."""
-    totals: dict[str, Load] = {}
+def add_loads(
+    known: Mapping[str, Load], parts: Iterable[ServerLoad]
+) -> dict[str, Load]:
+    """Returns the load of each server with that of one more node."""
+    totals = dict(known)
     for part in parts:
         total = totals.get(part.server_id, Load())
         totals[part.server_id] = Load(
--- a/src/savorylift/exchange/server_pool.py
+++ b/src/savorylift/exchange/server_pool.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Collection, Iterator, Mapping
 
 from savorylift.backends.brittle_services import BrittleServices
-from savorylift.backends.load import Load, LoadTracker, sum_loads
+from savorylift.backends.load import Load, LoadTracker, add_loads
 from savorylift.backends.registry import BackendServer
 from savorylift.backends.server import ServerEntry
 from savorylift.exchange.admission import AdmittedRequest
@@ -282,7 +282,7 @@
 
     def _loads(self) -> Mapping[str, Load]:
         others = self._membership.loads(time.monotonic())
-        return sum_loads([*self.load_tracker.loads(), *others])
+        return add_loads(others, self.load_tracker.loads())
 
     def _eligible_servers(
         self,
--- a/src/savorylift/fleet/membership.py
+++ b/src/savorylift/fleet/membership.py
@@ -1,12 +1,14 @@
 """Tracks live nodes, their shares of limits and callers' addresses."""
 
 import collections
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator, Mapping
 from typing import NamedTuple
 
+from savorylift.backends.load import Load
+from savorylift.fleet.peer_loads import PeerLoads
 from savorylift.fleet.running_clock import RunningClock
 from savorylift.fleet.sharing_nodes import SHARING_TIMEOUT_S, SharingNodes
-from savorylift.fleet.state import NodeState, ServerLoad
+from savorylift.fleet.state import NodeState
 from savorylift.placement.move_order import PlannedMove
 
 # A node is live for this long after its last message: five messages in a row
@@ -40,6 +42,12 @@
     received_s: float
     running_s: float
 
+    @property
+    def live_until_s(self) -> float:
+        """Time on that clock until which the node counts as live."""
+        timeout_s = LIVENESS_TIMEOUT_INTERVALS * self.state.interval_s
+        return self.running_s + max(LIVENESS_TIMEOUT_S, timeout_s)
+
 
 class Membership:
     """The other nodes, from the messages that this node receives."""
@@ -59,6 +67,7 @@
         self._retired: dict[str, collections.deque[int]] = {}
         self._clock = RunningClock()
         self._sharing = SharingNodes(ip)
+        self._loads = PeerLoads()
 
     @property
     def addresses(self) -> tuple[str, ...]:
@@ -94,7 +103,9 @@
             self._retire(last.state)
         if not is_new and last and state.sequence <= last.state.sequence:
             return False
-        self._peers[state.ip] = Peer(state, now_s, self._clock.read(now_s))
+        peer = Peer(state, now_s, self._clock.read(now_s))
+        self._peers[state.ip] = peer
+        self._loads.hear(state.ip, state.loads, peer.live_until_s)
         self._addresses[state.ip] = now_s
         self._sharing.hear(state.ip, now_s)
         for ip in state.peers:
@@ -117,14 +128,13 @@
         for ip, peer in list(self._peers.items()):
             if now_s - peer.received_s > timeout_s:
                 del self._peers[ip]
+                self._loads.forget(ip)
 
     def live_peers(self, now_s: float) -> Iterator[Peer]:
         """Yields the nodes whose last message is recent."""
         running_s = self._clock.read(now_s)
         for peer in self._peers.values():
-            timeout_s = LIVENESS_TIMEOUT_INTERVALS * peer.state.interval_s
-            silent_s = running_s - peer.running_s
-            if silent_s <= max(LIVENESS_TIMEOUT_S, timeout_s):
+            if running_s <= peer.live_until_s:
                 yield peer
 
     def count_live_nodes(self, now_s: float) -> int:
@@ -164,10 +174,9 @@
         """
         return self._sharing.own_share(server_id, slots, now_s)
 
-    def loads(self, now_s: float) -> Iterator[ServerLoad]:
-        """Yields the other nodes' load on backend servers."""
-        for peer in self.live_peers(now_s):
-            yield from peer.state.loads
+    def loads(self, now_s: float) -> Mapping[str, Load]:
+        """Returns the other nodes' load on each backend server."""
+        return self._loads.totals(self._clock.read(now_s))
 
     def moves(self, now_s: float) -> Iterator[PlannedMove]:
         """Yields runs that other nodes plan to move off draining engines."""
--- /dev/null
+++ b/src/savorylift/fleet/peer_loads.py
@@ -0,0 +1,90 @@
+"""What the other nodes together have at each backend server.
+
+Requests ask for it, so that the sums are kept up to date by the messages, and
+no answer takes time for each node.
+"""
+
+import heapq
+from collections.abc import Mapping
+from typing import NamedTuple
+
+from savorylift.backends.load import Load
+from savorylift.fleet.state import ServerLoad
+
+# Ends that no longer hold are swept out when there are this many for each node.
+MAX_ENDS_PER_NODE = 8
+MIN_SWEPT_ENDS = 64
+
+
+class _Heard(NamedTuple):
+    """What a node said last.
+
+    Attributes:
+        loads: Its load on servers.
+        until_s: Time until which that counts.
+    """
+
+    loads: tuple[ServerLoad, ...]
+    until_s: float
+
+
+class PeerLoads:
+    """Sums of what live nodes say of their loads; times must not go back."""
+
+    def __init__(self) -> None:
+        """Starts without any node."""
+        self._heard: dict[str, _Heard] = {}
+        self._totals: dict[str, Load] = {}
+        # When what a node said ends, earliest first; some hold no longer.
+        self._ends: list[tuple[float, str]] = []
+
+    def hear(
+        self, ip: str, loads: tuple[ServerLoad, ...], until_s: float
+    ) -> None:
+        """Replaces what a node has said.
+
+        Args:
+            ip: Address of the node.
+            loads: Its load on servers.
+            until_s: Time until which that counts.
+        """
+        heard = self._heard.get(ip)
+        if heard is None or heard.loads != loads:
+            self.forget(ip)
+            for part in loads:
+                self._add(part, 1)
+        self._heard[ip] = _Heard(loads, until_s)
+        heapq.heappush(self._ends, (until_s, ip))
+        most = max(MAX_ENDS_PER_NODE * len(self._heard), MIN_SWEPT_ENDS)
+        if len(self._ends) > most:
+            self._ends = [(h.until_s, ip) for ip, h in self._heard.items()]
+            heapq.heapify(self._ends)
+
+    def forget(self, ip: str) -> None:
+        """Forgets what a node has said."""
+        heard = self._heard.pop(ip, None)
+        for part in heard.loads if heard is not None else ():
+            self._add(part, -1)
+
+    def totals(self, now_s: float) -> Mapping[str, Load]:
+        """Returns the load on each server; valid until the next message."""
+        while self._ends and self._ends[0][0] < now_s:
+            until_s, ip = heapq.heappop(self._ends)
+            heard = self._heard.get(ip)
+            if heard is not None and heard.until_s <= until_s:
+                self.forget(ip)
+        return self._totals
+
+    def _add(self, part: ServerLoad, sign: int) -> None:
+        known = self._totals.get(part.server_id, Load())
+        total = Load(
+            known.requests + sign * part.requests,
+            known.tokens + sign * part.tokens,
+            known.prefill_tokens + sign * part.prefill_tokens,
+            known.succeeded + sign * part.succeeded,
+            known.failed + sign * part.failed,
+        )
+        if total == Load():
+            self._totals.pop(part.server_id, None)
+        else:
+            self._totals[part.server_id] = total
--- a/tests/backends/test_load.py
+++ b/tests/backends/test_load.py
@@ -7,7 +7,7 @@
     RESULT_WINDOW_S,
     Load,
     LoadTracker,
-    sum_loads,
+    add_loads,
 )
 from savorylift.fleet.state import ServerLoad
 
@@ -38,7 +38,11 @@
 
 def test_loads_of_nodes_are_summed() -> None:
     parts = [ServerLoad("i", 1, 10, 4, 3, 1), ServerLoad("i", 2, 20, 5, 0, 2)]
-    assert sum_loads(parts) == {"i": Load(3, 30, 9, 3, 3)}
+    assert add_loads({}, parts) == {"i": Load(3, 30, 9, 3, 3)}
+    known = {"i": Load(1, 1, 1, 1, 1), "j": Load(5)}
+    total = add_loads(known, parts)
+    assert total == {"i": Load(4, 31, 10, 4, 4), "j": Load(5)}
+    assert known["i"] == Load(1, 1, 1, 1, 1)
 
 
 @pytest.mark.parametrize(
