Count the live nodes by the sums of their loads

Whether another node has a place at a cold server was asked by counting all live nodes. The sums of the loads hold what each live node said, and so their number.

One call at 350 nodes, three runs before and after on a busy machine: 67 to 91 us, now 0.22 to 0.24 us. The test that compares the sums compares the count.

--- a/src/savorylift/fleet/membership.py
+++ b/src/savorylift/fleet/membership.py
@@ -139,7 +139,7 @@
 
     def count_live_nodes(self, now_s: float) -> int:
         """Returns how many nodes, including this one, are live."""
-        return 1 + sum(1 for _ in self.live_peers(now_s))
+        return 1 + self._loads.count_nodes(self._clock.read(now_s))
 
     def count_sharing_nodes(self, now_s: float) -> int:
         """Returns how many nodes, including this one, share a limit."""
@@ -238,7 +238,7 @@
 
     def _is_minority(self, now_s: float) -> bool:
         """Whether no more nodes are live than are silent."""
-        live = 1 + sum(1 for _ in self.live_peers(now_s))
+        live = self.count_live_nodes(now_s)
         return len(self._silent_peers(now_s)) >= live
 
     def _silent_peers(self, now_s: float) -> list[Peer]:
--- a/src/savorylift/fleet/peer_loads.py
+++ b/src/savorylift/fleet/peer_loads.py
@@ -68,12 +68,20 @@
 
     def totals(self, now_s: float) -> Mapping[str, Load]:
         """Returns the load on each server; valid until the next message."""
+        self._forget_silent(now_s)
+        return self._totals
+
+    def count_nodes(self, now_s: float) -> int:
+        """Returns how many other nodes are live."""
+        self._forget_silent(now_s)
+        return len(self._heard)
+
+    def _forget_silent(self, now_s: float) -> None:
         while self._ends and self._ends[0][0] < now_s:
             until_s, ip = heapq.heappop(self._ends)
             heard = self._heard.get(ip)
             if heard is not None and heard.until_s <= until_s:
                 self.forget(ip)
-        return self._totals
 
     def _add(self, part: ServerLoad, sign: int) -> None:
         known = self._totals.get(part.server_id, Load())
--- a/tests/fleet/test_peer_loads.py
+++ b/tests/fleet/test_peer_loads.py
@@ -60,6 +60,8 @@
             if load != Load()
         }
         assert members.loads(now_s) == expected
+        live = sum(1 for _ in members.live_peers(now_s))
+        assert members.count_live_nodes(now_s) == 1 + live
 
 
 def test_memory_does_not_grow_with_the_messages() -> None:
