--- a/src/savorylift/fleet/membership.py
+++ b/src/savorylift/fleet/membership.py
@@ -1,22 +1,21 @@
 """Tracks live nodes, their shares of limits and callers' addresses."""
 
 import collections
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Collection, Iterable, Iterator, Mapping
 from typing import NamedTuple
 
+from savorylift.backends.load import Load
+from savorylift.fleet.peer_loads import PeerLoads
 from savorylift.fleet.running_clock import RunningClock
-from savorylift.fleet.state import NodeState, ServerLoad
+from savorylift.fleet.sharing_nodes import SHARING_TIMEOUT_S, SharingNodes
+from savorylift.fleet.state import NodeState
 from savorylift.placement.move_order import PlannedMove
-from savorylift.rendezvous import rank
 
 # A node is live for this long after its last message: five messages in a row
 # are missing by then.
 LIVENESS_TIMEOUT_S = 1.0
 # A node with a longer message interval is live for this many intervals.
 LIVENESS_TIMEOUT_INTERVALS = 4
-# A silent node still counts towards shared limits for this long: it may come
-# back, or be cut off from just this node.
-SHARING_TIMEOUT_S = 30.0
 # The address of a silent node is dropped after this time.
 FORGET_TIMEOUT_S = 60.0
 # A node that hears no majority counts the silent ones for this long: it may be
@@ -43,6 +42,12 @@
     received_s: float
     running_s: float
 
+    @property
+    def live_until_s(self) -> float:
+        """Time on that clock until which the node counts as live."""
+        timeout_s = LIVENESS_TIMEOUT_INTERVALS * self.state.interval_s
+        return self.running_s + max(LIVENESS_TIMEOUT_S, timeout_s)
+
 
 class Membership:
     """The other nodes, from the messages that this node receives."""
@@ -61,6 +66,8 @@
         self._addresses = {seed: 0.0 for seed in seeds if seed != ip}
         self._retired: dict[str, collections.deque[int]] = {}
         self._clock = RunningClock()
+        self._sharing = SharingNodes(ip)
+        self._loads = PeerLoads()
 
     @property
     def addresses(self) -> tuple[str, ...]:
@@ -96,8 +103,11 @@
             self._retire(last.state)
         if not is_new and last and state.sequence <= last.state.sequence:
             return False
-        self._peers[state.ip] = Peer(state, now_s, self._clock.read(now_s))
+        peer = Peer(state, now_s, self._clock.read(now_s))
+        self._peers[state.ip] = peer
+        self._loads.hear(state.ip, state.loads, peer.live_until_s)
         self._addresses[state.ip] = now_s
+        self._sharing.hear(state.ip, now_s)
         for ip in state.peers:
             self.add_address(ip, now_s)
         return is_new
@@ -118,25 +128,22 @@
         for ip, peer in list(self._peers.items()):
             if now_s - peer.received_s > timeout_s:
                 del self._peers[ip]
+                self._loads.forget(ip)
 
     def live_peers(self, now_s: float) -> Iterator[Peer]:
         """Yields the nodes whose last message is recent."""
         running_s = self._clock.read(now_s)
         for peer in self._peers.values():
-            timeout_s = LIVENESS_TIMEOUT_INTERVALS * peer.state.interval_s
-            silent_s = running_s - peer.running_s
-            if silent_s <= max(LIVENESS_TIMEOUT_S, timeout_s):
+            if running_s <= peer.live_until_s:
                 yield peer
 
     def count_live_nodes(self, now_s: float) -> int:
         """Returns how many nodes, including this one, are live."""
-        return 1 + sum(1 for _ in self.live_peers(now_s))
+        return 1 + self._loads.count_nodes(self._clock.read(now_s))
 
     def count_sharing_nodes(self, now_s: float) -> int:
         """Returns how many nodes, including this one, share a limit."""
-        return 1 + sum(
-            1 for _ in self._received_within(SHARING_TIMEOUT_S, now_s)
-        )
+        return self._sharing.count(now_s)
 
     def live_share(self, now_s: float) -> float:
         """Returns the share of the fleet's nodes that this node hears.
@@ -165,15 +172,11 @@
             slots: Requests that the server accepts from all nodes.
             now_s: Monotonic time.
         """
-        peers = self._received_within(SHARING_TIMEOUT_S, now_s)
-        order = rank(server_id, [self._ip, *(p.state.ip for p in peers)])
-        quotient, remainder = divmod(slots, len(order))
-        return quotient + (order.index(self._ip) < remainder)
+        return self._sharing.own_share(server_id, slots, now_s)
 
-    def loads(self, now_s: float) -> Iterator[ServerLoad]:
-        """Yields the other nodes' load on backend servers."""
-        for peer in self.live_peers(now_s):
-            yield from peer.state.loads
+    def loads(self, now_s: float) -> Mapping[str, Load]:
+        """Returns the other nodes' load on each backend server."""
+        return self._loads.totals(self._clock.read(now_s))
 
     def moves(self, now_s: float) -> Iterator[PlannedMove]:
         """Yields runs that other nodes plan to move off draining engines."""
@@ -235,7 +238,7 @@
 
     def _is_minority(self, now_s: float) -> bool:
         """Whether no more nodes are live than are silent."""
-        live = 1 + sum(1 for _ in self.live_peers(now_s))
+        live = self.count_live_nodes(now_s)
         return len(self._silent_peers(now_s)) >= live
 
     def _silent_peers(self, now_s: float) -> list[Peer]:
@@ -251,8 +254,3 @@
             state.ip, collections.deque(maxlen=MAX_RETIRED_INCARNATIONS)
         )
         retired.append(state.incarnation)
-
-    def _received_within(self, age_s: float, now_s: float) -> Iterator[Peer]:
-        for peer in self._peers.values():
-            if now_s - peer.received_s <= age_s:
-                yield peer
