Keep a notice for the process that gave it, also before its entry

Callers saw: requests reached servers over 2 s after they had said that they leave, once for each node and restart.

Cause: a process that starts again under its ID serves before its entry is read. Its Server-Leaving was kept under the start of the entry, that of the process before, and dropped when its own entry came. Notices with a later start (a report, another node) and those of answers that came after the entry were dropped at once.

Evidence: in the logs of each late call of the rig, server_leaves twice for one process and server_changed between them; the report names the later start 20 ms after the first notice.

Change: a mark names the process that gave it, or the entry by which it was asked. Marks with a later start than the entry's hold for the entry, too. When an entry with another start follows a mark whose process isn't proven, the server stays closed until it has answered one question: it says so again (its start is marked), or it doesn't (it opens). Silent, on hold, without a permit or with an earlier start, it is asked again for 10 s.

Why it works: a server that leaves says so in all its answers, so the first answer after the entry tells the two processes apart, with a start or without.

Changed lines of tests, each for a rule that the fix reverses. A mark with a later start than the entry's was ignored (registry, recorder, news of nodes): now it holds; that an earlier start is ignored is tested in its place.

--- a/src/savorylift/backends/registry.py
+++ b/src/savorylift/backends/registry.py
@@ -4,6 +4,11 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
+from savorylift.backends.leaving_marks import (
+    LeavingMark,
+    LeavingMarks,
+    Standing,
+)
 from savorylift.backends.server import ServerEntry
 
 # Servers whose entries the store lost during an outage write them again
@@ -45,8 +50,8 @@
         self._latest: dict[str, tuple[ServerEntry, float]] = {}
         self._static: dict[str, ServerEntry] = {}
         self._grace_until_s = 0.0
-        # Start of the incarnations that said that they were draining.
-        self._said_leaving: dict[str, int] = {}
+        # Which processes said that they were draining.
+        self._marks = LeavingMarks()
 
     @property
     def servers(self) -> Mapping[str, BackendServer]:
@@ -84,7 +89,8 @@
             return False
         self._latest[entry.server_id] = entry, now_s
         server = self._servers.get(entry.server_id)
-        if self._said_leaving.get(entry.server_id) == entry.started_ms:
+        self._marks.drop_outdated(entry)
+        if self._marks.judge(entry) is not Standing.STAYS:
             entry = entry._replace(is_leaving=True)
         cold_until_s = now_s + entry.cold_s if entry.cold_s > 0 else 0.0
         self._servers[entry.server_id] = BackendServer(entry, cold_until_s)
@@ -122,6 +128,7 @@
         for server_id in self._static.keys() - static.keys():
             if server_id not in self._latest:
                 self._servers.pop(server_id, None)
+                self._marks.forget(server_id)
         for server_id, entry in static.items():
             is_same = self._static.get(server_id) == entry
             if server_id not in self._latest and not is_same:
@@ -153,42 +160,78 @@
         self._servers[server_id] = updated
         return updated != server
 
-    def mark_leaving(self, server_id: str, started_ms: int) -> bool:
+    def mark_leaving(
+        self, server_id: str, started_ms: int, *, is_start_known: bool = False
+    ) -> bool:
         """Marks a server that says itself that it is draining.
 
         Its entries may not say so yet, and may be missing for a while. It
-        holds until it starts again.
+        holds until a later process is known to serve in its place. An entry
+        with a later start leaves that open if the process didn't name its own.
 
         Args:
             server_id: Identifier of the server.
-            started_ms: Start of the incarnation that says so.
+            started_ms: Start of the process that says so; if it isn't known,
+                that of the entry by which the process was asked.
+            is_start_known: Whether the process named its start itself.
 
         Returns:
-            Whether this changed anything.
+            Whether it is news that the server is draining.
         """
-        server = self._servers.get(server_id)
-        if server is None:
-            self._mark_absent(server_id, started_ms)
+        entry = self._find_newest(server_id)
+        if entry is None:
             return False
-        if server.entry.started_ms != started_ms:
+        before = self._marks.judge(entry)
+        known_ms = min(started_ms, entry.started_ms)
+        self._marks.add(
+            server_id,
+            LeavingMark(started_ms, known_ms, entry.address, is_start_known),
+        )
+        standing = self._marks.judge(entry)
+        server = self._servers.get(server_id)
+        if server is None or standing is Standing.STAYS:
             return False
-        self._said_leaving[server_id] = started_ms
-        if server.entry.is_leaving:
+        leaving = server.entry._replace(is_leaving=True)
+        self._servers[server_id] = server._replace(entry=leaving)
+        if standing is Standing.IN_DOUBT:
             return False
-        entry = server.entry._replace(is_leaving=True)
+        return before is Standing.IN_DOUBT or not server.entry.is_leaving
+
+    def _find_newest(self, server_id: str) -> ServerEntry | None:
+        """Returns the newest entry of a server, also of a missing one."""
+        latest = self._latest.get(server_id)
+        return self.find_entry(server_id) if latest is None else latest[0]
+
+    @property
+    def has_marks(self) -> bool:
+        """Whether any server has said that it is draining."""
+        return bool(self._marks.starts)
+
+    def clear_leaving(self, server_id: str) -> None:
+        """Drops the doubt whether a server is draining: it isn't."""
+        latest = self._latest.get(server_id)
+        if latest is None or not self.is_in_doubt(server_id):
+            return
+        self._marks.clear(latest[0])
+        server = self._servers[server_id]
+        entry = server.entry._replace(is_leaving=latest[0].is_leaving)
         self._servers[server_id] = server._replace(entry=entry)
-        return True
 
-    def _mark_absent(self, server_id: str, started_ms: int) -> None:
-        """Marks a server whose entry is missing, and may come back."""
+    def is_in_doubt(self, server_id: str) -> bool:
+        """Whether a notice may be that of an earlier process of a server."""
         latest = self._latest.get(server_id)
-        if latest is not None and latest[0].started_ms == started_ms:
-            self._said_leaving[server_id] = started_ms
+        if latest is None or server_id not in self._servers:
+            return False
+        return self._marks.judge(latest[0]) is Standing.IN_DOUBT
+
+    def ids_in_doubt(self) -> list[str]:
+        """Returns the identifiers of the servers that are in doubt."""
+        return [s for s in self._marks.starts if self.is_in_doubt(s)]
 
     @property
     def said_leaving(self) -> Mapping[str, int]:
         """Start of each server that said itself that it is draining."""
-        return self._said_leaving
+        return self._marks.starts
 
     def keep_only(self, server_ids: Iterable[str], now_s: float) -> bool:
         """Removes all other servers except the static ones.
@@ -228,4 +271,4 @@
         ]
         for server_id in old:
             del self._latest[server_id]
-            self._said_leaving.pop(server_id, None)
+            self._marks.forget(server_id)
--- a/src/savorylift/exchange/metrics.py
+++ b/src/savorylift/exchange/metrics.py
@@ -104,7 +104,12 @@
 )
 UNPLACED_NOTICES = Counter(
     "savorylift_front_unplaced_notices",
-    "Notices of processes that are not those of the entries known then.",
+    "Notices of earlier processes than those of the entries known then.",
+)
+SUCCESSOR_CHECKS = Counter(
+    "savorylift_front_successor_checks",
+    "Servers that started again after a notice, by what their process said.",
+    ["outcome"],
 )
 SERVER_HOLDS = Counter(
     "savorylift_front_server_holds",
--- a/src/savorylift/exchange/notice_recorder.py
+++ b/src/savorylift/exchange/notice_recorder.py
@@ -54,35 +54,34 @@
         notice: ServerNotice,
         source: NoticeSource = NoticeSource.ANSWER,
         *,
-        is_start_known: bool = False,
+        start_ms: int | None = None,
     ) -> bool:
         """Records what a server has said.
 
         Args:
-            server: The server.
+            server: The server, as known when it was asked.
             notice: What it said.
             source: Where this node heard it.
-            is_start_known: Whether the process that said it named the start
-                that the entry of the server has.
+            start_ms: Start of the process that said it; None if it didn't say.
 
         Returns:
             Whether it is news that the server is draining.
         """
         entry = server.entry
+        is_start_known = start_ms is not None
+        if start_ms is None:
+            start_ms = entry.started_ms
         if notice.hold_s is not None:
             self._holds.record(
                 entry.server_id,
                 notice.hold_s,
-                start_ms=entry.started_ms,
+                start_ms=start_ms,
                 is_start_known=is_start_known,
             )
         if not notice.is_leaving:
             return False
         return self.mark_leaving(
-            entry.server_id,
-            entry.started_ms,
-            source,
-            is_start_known=is_start_known,
+            entry.server_id, start_ms, source, is_start_known=is_start_known
         )
 
     def record_at(
@@ -99,21 +98,18 @@
                 say.
             notice: What it said.
         """
-        if notice == NO_NOTICE:
+        if notice == NO_NOTICE and not self._registry.has_marks:
             return
         for server in list(self._registry.servers.values()):
             entry = server.entry
             if entry.address != address:
                 continue
-            if _may_be(entry, started_ms):
-                self.record(
-                    server,
-                    notice,
-                    NoticeSource.CHECK,
-                    is_start_known=started_ms is not None,
-                )
-            else:
+            if not _may_be_newest(entry, started_ms):
                 self._log_unplaced(entry, started_ms, notice)
+                continue
+            if not notice.is_leaving:
+                self._registry.clear_leaving(entry.server_id)
+            self.record(server, notice, NoticeSource.CHECK, start_ms=started_ms)
 
     def mark_leaving(
         self,
@@ -130,17 +126,18 @@
             started_ms: Start of the process that said it.
             source: Where this node heard it.
             is_start_known: Whether that process named its start itself; else
-                it is the start that the entry of the server had.
+                it is the start of the entry by which it was asked.
 
         Returns:
             Whether that is news.
         """
         entry = self._registry.find_entry(server_id)
-        if not self._registry.mark_leaving(server_id, started_ms):
-            is_own = source is not NoticeSource.NODE
-            if is_own and entry is not None and entry.started_ms != started_ms:
-                notice = ServerNotice(is_leaving=True)
-                self._log_unplaced(entry, started_ms, notice)
+        is_own = source is not NoticeSource.NODE
+        if entry is not None and started_ms < entry.started_ms and not is_own:
+            return False
+        if not self._registry.mark_leaving(
+            server_id, started_ms, is_start_known=is_start_known
+        ):
             return False
         metrics.LEAVING_NOTICES.labels(source).inc()
         _log.info(
@@ -151,14 +148,16 @@
             is_start_known=is_start_known,
             entry_start_ms=None if entry is None else entry.started_ms,
         )
-        if source is not NoticeSource.NODE:
+        if is_own:
             self._announce()
         return True
 
     def _log_unplaced(
         self, entry: ServerEntry, started_ms: int | None, notice: ServerNotice
     ) -> None:
-        """Logs a notice of a process that isn't that of the entry."""
+        """Logs a notice of an earlier process than that of the entry."""
+        if notice == NO_NOTICE:
+            return
         metrics.UNPLACED_NOTICES.inc()
         _log.info(
             "notice_unplaced",
@@ -170,6 +169,6 @@
         )
 
 
-def _may_be(entry: ServerEntry, started_ms: int | None) -> bool:
-    """Whether an entry may be that of a process that started then."""
-    return started_ms is None or entry.started_ms == started_ms
+def _may_be_newest(entry: ServerEntry, started_ms: int | None) -> bool:
+    """Whether a start may be that of an entry's process, or of a later one."""
+    return started_ms is None or entry.started_ms <= started_ms
--- a/src/savorylift/front/maintenance.py
+++ b/src/savorylift/front/maintenance.py
@@ -6,6 +6,7 @@
 
 import structlog
 
+from savorylift.exchange.successor_check import SuccessorCheck
 from savorylift.fleet import metrics
 from savorylift.front.server_parts import ServerParts
 from savorylift.front.shared_parts import SharedParts
@@ -26,6 +27,7 @@
         shared: SharedParts,
         servers: ServerParts,
         streams: StreamParts,
+        successors: SuccessorCheck,
         on_expired: Callable[[], None],
     ) -> None:
         """Does nothing until `run` is called.
@@ -34,11 +36,13 @@
             shared: What all parts have in common.
             servers: The parts that decide on servers.
             streams: The parts that serve streams.
+            successors: Asks servers that started again whether they leave.
             on_expired: Called after entries of servers have expired.
         """
         self._shared = shared
         self._servers = servers
         self._streams = streams
+        self._successors = successors
         self._on_expired = on_expired
 
     async def run(self) -> None:
@@ -56,6 +60,7 @@
         self._servers.crash_guard.update()
         self._servers.limit_gate.update()
         self._streams.server_news.update(is_leaving=shared.lifecycle.is_leaving)
+        self._successors.update()
         if shared.store_view.drop_expired():
             self._on_expired()
         else:
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -10,6 +10,7 @@
 
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange.request import AnswerHead
+from savorylift.exchange.successor_check import SuccessorCheck
 from savorylift.fleet.limit_messages import LimitMessage
 from savorylift.fleet.message_auth import MessageAuthenticator
 from savorylift.fleet.origin_messages import OriginMessage
@@ -63,6 +64,13 @@
         self._streams = make_stream_parts(
             self._shared, self._servers, transport
         )
+        self._successors = SuccessorCheck(
+            self._shared.store_view.registry,
+            self._servers.life,
+            self._servers.pool.holds.is_held,
+            self._tasks.spawn,
+            self._streams.generations.on_change,
+        )
         self._store = make_store_parts(
             self._shared,
             self._servers,
@@ -100,6 +108,7 @@
             self._shared,
             self._servers,
             self._streams,
+            self._successors,
             lambda: self._on_store_change(None),
         )
 
@@ -223,6 +232,7 @@
     def _on_peer_update(self) -> None:
         """Continues reading the store after the records learned from a peer."""
         self._store.reader.skip_known()
+        self._successors.update()
         self._streams.generations.on_change()
 
     def _on_peer_state(self, state: NodeState) -> None:
@@ -233,6 +243,7 @@
 
     def _on_store_change(self, delta: Delta | None) -> None:
         self._peer_sync.announce(delta)
+        self._successors.update()
         self._streams.generations.on_change()
 
     def _on_head(self, server: BackendServer, head: AnswerHead) -> None:
--- a/tests/front/test_leaving_servers.py
+++ b/tests/front/test_leaving_servers.py
@@ -305,3 +305,77 @@
         assert calls_at(leaving) == heard
 
     run_in_environment(scenario)
+
+
+async def hear_notice(env: NodeEnvironment, server: PlatformServer) -> None:
+    """Lets a node hear a notice that its process isn't proven to have given."""
+    server.says_leaving = True
+    while not known(env, server).entry.is_leaving:
+        await call(env, "/safe/x", f"n{time.monotonic()}")
+
+
+@pytest.mark.parametrize("answers", ["born", "no born", "no report"])
+def test_sound_successor_of_a_server_that_left_serves_at_once(
+    answers: str,
+) -> None:
+    async def scenario(env: NodeEnvironment) -> None:
+        server = env.app[0]
+        server.says_born = answers == "born"
+        server.has_report = answers != "no report"
+        await hear_notice(env, server)
+        server.says_leaving = False
+        server.born += 1
+        heard, reports = calls_at(server), server.reports
+        env.publish_entry(server, "app")
+        async with asyncio.timeout(AT_ONCE_S):
+            while known(env, server).entry.is_leaving:
+                await asyncio.sleep(0.002)
+        for number in range(12):
+            assert await call(env, "/once/x", f"b{number}") == 200
+        assert calls_at(server) > heard
+        assert server.reports - reports == 1
+
+    run_in_environment(scenario)
+
+
+@pytest.mark.parametrize("answers", ["born", "no born", "no report"])
+def test_successor_that_leaves_itself_gets_one_question_and_no_request(
+    answers: str,
+) -> None:
+    async def scenario(env: NodeEnvironment) -> None:
+        server = env.app[0]
+        server.says_born = answers == "born"
+        server.has_report = answers != "no report"
+        await hear_notice(env, server)
+        server.born += 1
+        heard, reports = calls_at(server), server.reports
+        env.publish_entry(server, "app")
+        await asyncio.sleep(AT_ONCE_S)
+        for number in range(12):
+            assert await call(env, "/once/x", f"b{number}") == 200
+        assert calls_at(server) == heard
+        assert server.reports - reports == 1
+
+    run_in_environment(scenario)
+
+
+def test_notice_that_comes_after_the_entry_of_its_process_is_kept() -> None:
+    async def scenario(env: NodeEnvironment) -> None:
+        server, other = env.app
+        server.born += 1
+        server.says_leaving = True
+        server.delay_s = 0.4
+        other.rejects_all = True
+        first = asyncio.ensure_future(call(env, "/once/x", "a1"))
+        while not server.runs:
+            await asyncio.sleep(0.01)
+        env.publish_entry(server, "app")
+        assert await first == 200
+        other.rejects_all = False
+        await asyncio.sleep(AT_ONCE_S)
+        heard = calls_at(server)
+        for number in range(12):
+            assert await call(env, "/once/x", f"b{number}") == 200
+        assert calls_at(server) == heard
+
+    run_in_environment(scenario)
--- a/tests/front/test_server_news.py
+++ b/tests/front/test_server_news.py
@@ -55,12 +55,22 @@
 
 def test_server_that_left_counts_as_such_when_another_node_says_so() -> None:
     news, registry = make_news([make_server_entry()])
-    news.merge(leaving_state(LeavingServer("i-1", 7)))
+    news.merge(leaving_state(LeavingServer("i-1", 0)))
     assert not registry.servers["i-1"].entry.is_leaving
+    assert registry.said_leaving == {}
     news.merge(leaving_state(LeavingServer("i-1", 1)))
     assert registry.servers["i-1"].entry.is_leaving
 
 
+def test_process_is_marked_whose_entry_only_another_node_has_read() -> None:
+    news, registry = make_news([make_server_entry()])
+    news.merge(leaving_state(LeavingServer("i-1", 7)))
+    assert registry.servers["i-1"].entry.is_leaving
+    registry.put(make_server_entry()._replace(started_ms=7), 1.0)
+    assert registry.servers["i-1"].entry.is_leaving
+    assert registry.ids_in_doubt() == []
+
+
 def test_all_servers_that_leave_at_once_are_told_by_and_by() -> None:
     entries = [make_server_entry(f"i-{n}") for n in range(SERVERS)]
     news, registry = make_news(entries)
