Drop the notice of a static server that reports otherwise

Callers would see: a server of a rules file that said once that it leaves, and starts again soundly, is closed again and again.

Such servers name no start, so a notice never ended: each report that they stay cleared the state, not the mark, which nodes went on to tell each other, each closing the server for the others until their next report.

Change: such a report drops the mark, and news of other nodes changes nothing of servers that each node asks itself twice a second.

--- a/src/savorylift/backends/registry.py
+++ b/src/savorylift/backends/registry.py
@@ -142,6 +142,10 @@
             e for e in self._static.values() if e.server_id not in self._latest
         ]
 
+    def is_static(self, server_id: str) -> bool:
+        """Returns whether a server is static, and writes no entries."""
+        return server_id in self._static and server_id not in self._latest
+
     def update_static_status(
         self, server_id: str, *, is_cold: bool, is_leaving: bool
     ) -> bool:
@@ -153,6 +157,8 @@
         server = self._servers.get(server_id)
         if server is None or server_id in self._latest:
             return False
+        if not is_leaving:
+            self._marks.forget(server_id)
         updated = BackendServer(
             server.entry._replace(is_leaving=is_leaving),
             math.inf if is_cold else 0.0,
--- a/src/savorylift/exchange/notice_recorder.py
+++ b/src/savorylift/exchange/notice_recorder.py
@@ -133,8 +133,10 @@
         """
         entry = self._registry.find_entry(server_id)
         is_own = source is not NoticeSource.NODE
-        if entry is not None and started_ms < entry.started_ms and not is_own:
-            return False
+        if entry is not None and not is_own:
+            is_earlier = started_ms < entry.started_ms
+            if is_earlier or self._registry.is_static(server_id):
+                return False
         if not self._registry.mark_leaving(
             server_id, started_ms, is_start_known=is_start_known
         ):
--- a/tests/backends/test_registry.py
+++ b/tests/backends/test_registry.py
@@ -223,3 +223,13 @@
     registry.put(make_server_entry("kept"), 0.0)
     registry.drop_expired(REMOVED_RETENTION_S + 2)
     assert list(registry._latest) == ["kept"]
+
+
+def test_notice_of_a_static_server_ends_when_it_reports_otherwise() -> None:
+    registry = Registry()
+    registry.set_static_entries([make_server_entry()._replace(started_ms=0)])
+    assert registry.mark_leaving("i-1", 0)
+    assert registry.said_leaving == {"i-1": 0}
+    assert registry.update_static_status("i-1", is_cold=False, is_leaving=False)
+    assert registry.said_leaving == {}
+    assert not is_leaving(registry)
--- a/tests/front/test_server_news.py
+++ b/tests/front/test_server_news.py
@@ -71,6 +71,13 @@
     assert registry.ids_in_doubt() == []
 
 
+def test_other_nodes_close_no_static_server_that_this_one_asks_itself() -> None:
+    news, registry = make_news([])
+    registry.set_static_entries([make_server_entry()._replace(started_ms=0)])
+    news.merge(leaving_state(LeavingServer("i-1", 0)))
+    assert not registry.servers["i-1"].entry.is_leaving
+
+
 def test_all_servers_that_leave_at_once_are_told_by_and_by() -> None:
     entries = [make_server_entry(f"i-{n}") for n in range(SERVERS)]
     news, registry = make_news(entries)
