Log what was known of a server whose entry comes or goes

A removed server that gets requests again couldn't be traced: the line server_changed didn't say what was known before, and a server that a listing lacks, or that is kept for a while, left no line.

server_changed names the last start and sequence known, also before a removal; server_removed names both and whether a listing lacked the entry; server_missing is new.

--- a/src/savorylift/backends/registry.py
+++ b/src/savorylift/backends/registry.py
@@ -62,6 +62,11 @@
         server = self._servers.get(server_id)
         return None if server is None else server.entry
 
+    def find_last_entry(self, server_id: str) -> ServerEntry | None:
+        """Returns the last entry of a server, also of one removed lately."""
+        latest = self._latest.get(server_id)
+        return None if latest is None else latest[0]
+
     def start_grace_period(self, returned_s: float) -> None:
         """Starts the grace period after an outage of the store.
 
--- a/src/savorylift/fleet/store_view.py
+++ b/src/savorylift/fleet/store_view.py
@@ -198,10 +198,7 @@
         is_changed = False
         for change in changes:
             if change.value is None:
-                has_effect = self.registry.remove(change.key, now_s)
-                if has_effect:
-                    self._servers.pop(change.key, None)
-                    _log.info("server_removed", server=change.key)
+                has_effect = self._remove_server(change.key, now_s)
             else:
                 has_effect = self._put_server(change.key, change.value, now_s)
             is_changed = is_changed or has_effect
@@ -224,9 +221,25 @@
             self.servers_version = (offset, changes + 1)
         return bool(expired)
 
+    def _remove_server(self, server_id: str, now_s: float) -> bool:
+        entry = self.registry.find_entry(server_id)
+        has_effect = self.registry.remove(server_id, now_s)
+        if has_effect:
+            self._servers.pop(server_id, None)
+        if entry is not None:
+            _log_removal(entry, has_effect=has_effect, is_listed=False)
+        return has_effect
+
     def _replace_server_values(self, values: Mapping[str, bytes]) -> bool:
         now_s = time.monotonic()
+        before = dict(self.registry.servers)
         has_removed = self.registry.keep_only(values, now_s)
+        for server_id, server in before.items():
+            if server_id not in values and server_id in self._servers:
+                has_effect = not self.registry.is_registered(server_id)
+                _log_removal(
+                    server.entry, has_effect=has_effect, is_listed=True
+                )
         put = [self._put_server(*item, now_s) for item in values.items()]
         self._servers = {
             key: value
@@ -246,6 +259,7 @@
             return False
         self._servers[server_id] = value
         entry = decoded.unwrap()
+        last = self.registry.find_last_entry(server_id)
         is_changed = self.registry.put(entry, now_s)
         if is_changed:
             _log.info(
@@ -257,6 +271,8 @@
                 is_leaving=entry.is_leaving,
                 cold_s=entry.cold_s,
                 sequence=entry.sequence,
+                last_start_ms=None if last is None else last.started_ms,
+                last_sequence=None if last is None else last.sequence,
             )
         return is_changed
 
@@ -303,3 +319,23 @@
             bytes=len(value),
             unread_lines=cfg.unread_lines,
         )
+
+
+def _log_removal(
+    entry: ServerEntry, *, has_effect: bool, is_listed: bool
+) -> None:
+    """Logs that a server's entry is gone.
+
+    Args:
+        entry: The entry.
+        has_effect: Whether the server goes at once; else it is kept for a
+            while, since its entry may have lapsed.
+        is_listed: Whether the entry is missing from a listing.
+    """
+    _log.info(
+        "server_removed" if has_effect else "server_missing",
+        server=entry.server_id,
+        start_ms=entry.started_ms,
+        sequence=entry.sequence,
+        is_listed=is_listed,
+    )
