Take no entry from a copy of the store for news of a removed server

Callers' requests reached servers that had been removed from the store, by all nodes and for as long as these served on: the store came back from a copy of 1 to 4 s before that still had the entry, and nobody wrote the removal again.

Cause: a removed entry was accepted again unless it was older than the last one known. That of the copy is mostly the last one itself.

A removed server is back only with an entry that is later than its last one. A server that lapsed and lives writes such a one with its next heartbeat. A delta with a removal carries the last entry before it, which builds before this read as a heartbeat.

Servers of the tests number their entries, as those of the platform do.

--- a/src/savorylift/backends/registry.py
+++ b/src/savorylift/backends/registry.py
@@ -79,13 +79,12 @@
         self._grace_until_s = returned_s + GRACE_PERIOD_S
 
     def put(self, entry: ServerEntry, now_s: float) -> bool:
-        """Stores an entry unless a newer one is known.
+        """Stores an entry unless it is outdated.
 
         Returns:
             Whether the entry changes more than a heartbeat does.
         """
-        latest = self._latest.get(entry.server_id)
-        if latest is not None and entry.is_older_than(latest[0]):
+        if self.is_outdated(entry):
             return False
         self._latest[entry.server_id] = entry, now_s
         server = self._servers.get(entry.server_id)
@@ -95,6 +94,19 @@
         self._servers[entry.server_id] = BackendServer(entry, cold_until_s)
         return server is None or entry.is_significant_change(server.entry)
 
+    def is_outdated(self, entry: ServerEntry) -> bool:
+        """Whether an entry is no news of its server.
+
+        The last entry of a removed server is none: a server that lives writes
+        a later one, while that one comes back with a copy of the store.
+        """
+        last = self.find_last_entry(entry.server_id)
+        if last is None:
+            return False
+        if entry.server_id in self._servers:
+            return entry.is_older_than(last)
+        return not last.is_older_than(entry)
+
     def remove(self, server_id: str, now_s: float) -> bool:
         """Removes a server whose entry was deleted from the store.
 
--- a/src/savorylift/fleet/store_view.py
+++ b/src/savorylift/fleet/store_view.py
@@ -116,6 +116,27 @@
             tuple(patches),
         )
 
+    def make_servers_delta(
+        self, records: Iterable[Change], offset: int
+    ) -> Delta:
+        """Returns the delta for entries that are about to be applied.
+
+        Before a removal it has the last entry, since other nodes hear of no
+        heartbeats: it may come back with a copy of the store.
+        """
+        changes: list[Change] = []
+        written: set[str] = set()
+        for change in records:
+            last = self._servers.get(change.key)
+            if change.value is not None:
+                written.add(change.key)
+            elif last is not None and change.key not in written:
+                changes.append(Change(change.key, last))
+            changes.append(change)
+        return Delta(
+            Topic.SERVERS, self.servers_version, (offset, 0), tuple(changes)
+        )
+
     def apply_delta(self, delta: Delta) -> bool:
         """Applies another node's delta; returns whether it was applied.
 
@@ -243,8 +264,8 @@
         put = [self._put_server(*item, now_s) for item in values.items()]
         self._servers = {
             key: value
-            for key, value in (self._servers | dict(values)).items()
-            if key in values or key in self.registry.servers
+            for key, value in self._servers.items()
+            if key in self.registry.servers
         }
         return has_removed or any(put)
 
@@ -257,9 +278,12 @@
                 detail=decoded.failure(),
             )
             return False
-        self._servers[server_id] = value
         entry = decoded.unwrap()
         last = self.registry.find_last_entry(server_id)
+        if self.registry.is_outdated(entry):
+            _log_outdated(entry, last)
+            return False
+        self._servers[server_id] = value
         is_changed = self.registry.put(entry, now_s)
         if is_changed:
             _log.info(
@@ -321,6 +345,18 @@
         )
 
 
+def _log_outdated(entry: ServerEntry, last: ServerEntry | None) -> None:
+    """Logs an entry that is no news of its server."""
+    _log.info(
+        "server_entry_outdated",
+        server=entry.server_id,
+        start_ms=entry.started_ms,
+        sequence=entry.sequence,
+        last_start_ms=None if last is None else last.started_ms,
+        last_sequence=None if last is None else last.sequence,
+    )
+
+
 def _log_removal(
     entry: ServerEntry, *, has_effect: bool, is_listed: bool
 ) -> None:
--- a/src/savorylift/fleet/topic_consumer.py
+++ b/src/savorylift/fleet/topic_consumer.py
@@ -214,12 +214,9 @@
             if self._store_view.apply_operator_records(changes, offset):
                 self._on_change(delta)
             return
-        base_version = self._store_view.servers_version
+        delta = self._store_view.make_servers_delta(changes, offset)
         if self._store_view.apply_server_records(changes, offset):
-            new_version = self._store_view.servers_version
-            self._on_change(
-                Delta(Topic.SERVERS, base_version, new_version, changes)
-            )
+            self._on_change(delta)
 
     async def _call(self) -> Result[Batch, StoreError]:
         if self._offset is None:
--- a/tests/backends/test_registry.py
+++ b/tests/backends/test_registry.py
@@ -7,6 +7,7 @@
     REMOVED_RETENTION_S,
     Registry,
 )
+from savorylift.backends.server import ServerEntry
 from tests.exchange.factories import make_server_entry
 
 
@@ -41,6 +42,44 @@
     assert "i-1" not in registry.servers
 
 
+def test_entry_from_a_copy_of_the_store_does_not_restore_a_removed_server() -> (
+    None
+):
+    registry = Registry()
+    entry = make_server_entry()._replace(sequence=5)
+    registry.put(entry, 0.0)
+    assert registry.remove("i-1", 1.0)
+    assert not registry.put(entry, 1.1)
+    assert "i-1" not in registry.servers
+
+
+@pytest.mark.parametrize(
+    "written_again",
+    [
+        make_server_entry()._replace(sequence=6),
+        make_server_entry()._replace(sequence=1, started_ms=2),
+    ],
+)
+def test_removed_server_that_lives_is_back_with_its_next_entry(
+    written_again: ServerEntry,
+) -> None:
+    registry = Registry()
+    registry.put(make_server_entry()._replace(sequence=5), 0.0)
+    registry.remove("i-1", 1.0)
+    assert registry.put(written_again, 1.1)
+    assert "i-1" in registry.servers
+
+
+def test_entry_is_written_again_as_it_was_while_its_server_is_known() -> None:
+    registry = Registry()
+    entry = make_server_entry()._replace(sequence=5)
+    registry.put(entry, 0.0)
+    registry.start_grace_period(1.0)
+    assert not registry.remove("i-1", 1.1)
+    assert not registry.put(entry, 1.2)
+    assert registry.drop_expired(1.0 + GRACE_PERIOD_S) == []
+
+
 def test_restart_under_the_same_identifier_replaces_the_entry() -> None:
     registry = Registry()
     registry.put(
--- a/tests/exchange/factories.py
+++ b/tests/exchange/factories.py
@@ -149,14 +149,16 @@
     return BackendServer(make_server_entry(server_id), 0.0)
 
 
-def encode_server_entry(port: int = 9, sequence: int = 1) -> bytes:
+def encode_server_entry(
+    port: int = 9, sequence: int = 1, state: str = "ready"
+) -> bytes:
     """Returns a server's entry as encoded in the store."""
     values = {
         "service": "s",
         "address": f"127.0.0.1:{port}",
         "zone": "z1",
         "slots": 6,
-        "state": "ready",
+        "state": state,
         "sequence": sequence,
         "born": 1,
     }
--- a/tests/fleet/test_store_view.py
+++ b/tests/fleet/test_store_view.py
@@ -119,6 +119,46 @@
         assert set(view.snapshot().servers) == {"one"}
 
 
+def test_server_removed_before_a_copy_of_the_store_was_made_stays_away() -> (
+    None
+):
+    view = make_store_view(one=1, two=2)
+    entry = Change("one", encode_server_entry(1))
+    view.apply_server_records([Change("one", None)], 9)
+    listing = [entry, Change("two", encode_server_entry(2))]
+    view.replace_server_records(listing, 20)
+    assert set(view.registry.servers) == {"two"}
+    assert set(view.snapshot().servers) == {"two"}
+    view.apply_server_records([Change("one", encode_server_entry(1, 2))], 21)
+    assert set(view.registry.servers) == {"one", "two"}
+    assert set(view.snapshot().servers) == {"one", "two"}
+
+
+def test_copy_of_the_store_does_not_change_what_a_snapshot_says() -> None:
+    view = make_store_view(one=1)
+    draining = encode_server_entry(1, 2, state="draining")
+    view.apply_server_records([Change("one", draining)], 9)
+    listing = [Change("one", encode_server_entry(1))]
+    view.replace_server_records(listing, 20)
+    assert view.snapshot().servers == {"one": draining}
+
+
+def test_node_that_heard_no_heartbeats_knows_what_a_copy_of_the_store_has() -> (
+    None
+):
+    reader, view = make_store_view(one=1), make_store_view(one=1)
+    heartbeat = Change("one", encode_server_entry(1, 7))
+    assert not reader.apply_server_records([heartbeat], 8)
+    removal = [Change("one", None)]
+    delta = reader.make_servers_delta(removal, 9)
+    assert reader.apply_server_records(removal, 9)
+    assert view.apply_delta(delta)
+    assert view.servers_version == reader.servers_version
+    assert not view.registry.servers
+    view.replace_server_records([heartbeat], 20)
+    assert not view.registry.servers
+
+
 @pytest.mark.parametrize("data", [b"", b"\xff", b"\x82\x01\x02", b"\x00"])
 def test_invalid_bytes_are_rejected(data: bytes) -> None:
     assert decode(data).failure()
--- a/tests/front/node_fleet.py
+++ b/tests/front/node_fleet.py
@@ -20,7 +20,7 @@
 from tests.front.node_settings import make_node_settings
 from tests.harness.ports import free_addresses
 from tests.standins.platform_server import PlatformServer
-from tests.standins.platform_store import PlatformStore
+from tests.standins.platform_store import PlatformStore, Topic
 
 # Test processes that run at the same time bind the same ports otherwise.
 NETWORK = f"127.{16 + os.getpid() % 200}.0"
@@ -135,6 +135,14 @@
         """Removes a server's entry from the store."""
         self._store.add(SERVERS_TOPIC, server.server_id, None)
 
+    def copy_store(self) -> dict[str, Topic]:
+        """Returns a copy of what the store holds now."""
+        return self._store.copy()
+
+    def restore_store(self, topics: dict[str, Topic]) -> None:
+        """Lets the store come back from a copy."""
+        self._store.restore(topics)
+
     def restart_under_other_id(
         self, server: PlatformServer, service: str
     ) -> None:
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -100,6 +100,7 @@
         software_version: Version of its software, as its entry says.
         born: Unix time in milliseconds of its start, as its entry and its
             reports say.
+        sequence: Number of entries that it has written.
         says_born: Whether its reports say when it started.
         has_report: Whether it has reports.
         report_delay_s: How long a report takes.
@@ -179,6 +180,7 @@
         self.restart_s = RESTART_S
         self.software_version = "v1"
         self.born = 1
+        self.sequence = 0
         self.says_born = True
         self.has_report = True
         self.report_delay_s = 0.0
@@ -273,7 +275,8 @@
     def entry(
         self, service: str, zone: str, state: str = "ready"
     ) -> dict[str, object]:
-        """Returns this server's entry in the store."""
+        """Returns this server's next entry in the store."""
+        self.sequence += 1
         return {
             "service": service,
             "address": f"127.0.0.1:{self.port}",
@@ -282,7 +285,7 @@
             "slots": 6,
             "state": state,
             "coldRemainingMs": 0,
-            "sequence": 1,
+            "sequence": self.sequence,
             "born": self.born,
         }
 
