Keep what is known of a removed server for a minute from its removal

What a node knows of a removed server, its last entry and its own notice that it leaves, is to keep late entries of that server out for a minute.

Cause: the minute began with the last entry, not with the removal. Nodes that don't read the store hear of no heartbeats: to them the last entry is that of the last change, and what they know was dropped with the removal. A server that had said that it leaves, lapsed and came back would get requests of such a node until another one told it again.

Evidence: from the code and the tests, which failed before (3 of 3).

The minute begins with the removal, or when the server has lapsed.

--- a/src/savorylift/backends/registry.py
+++ b/src/savorylift/backends/registry.py
@@ -42,6 +42,7 @@
     def __init__(self) -> None:
         """Creates an empty registry."""
         self._servers: dict[str, BackendServer] = {}
+        # Last entry of each, and when it came or its server went.
         self._latest: dict[str, tuple[ServerEntry, float]] = {}
         self._static: dict[str, ServerEntry] = {}
         self._grace_until_s = 0.0
@@ -125,9 +126,15 @@
                     expires_at_s=self._grace_until_s
                 )
             return False
-        del self._servers[server_id]
+        self._drop(server_id, now_s)
         return True
 
+    def _drop(self, server_id: str, now_s: float) -> None:
+        del self._servers[server_id]
+        latest = self._latest.get(server_id)
+        if latest is not None:
+            self._latest[server_id] = latest[0], now_s
+
     def set_static_entries(self, entries: Iterable[ServerEntry]) -> None:
         """Replaces the static servers, which the configuration names.
 
@@ -233,15 +240,15 @@
             if server.expires_at_s is not None and now_s >= server.expires_at_s
         ]
         for server_id in expired:
-            del self._servers[server_id]
+            self._drop(server_id, now_s)
         self._forget_removed(now_s - REMOVED_RETENTION_S)
         return expired
 
     def _forget_removed(self, before_s: float) -> None:
         old = [
             server_id
-            for server_id, (_, put_s) in self._latest.items()
-            if put_s < before_s and server_id not in self._servers
+            for server_id, (_, changed_s) in self._latest.items()
+            if changed_s < before_s and server_id not in self._servers
         ]
         for server_id in old:
             del self._latest[server_id]
--- a/tests/backends/test_registry.py
+++ b/tests/backends/test_registry.py
@@ -163,6 +163,39 @@
     assert not registry.servers["i-1"].entry.is_leaving
 
 
+def test_last_entry_of_a_server_is_kept_for_a_while_after_its_removal() -> None:
+    registry = Registry()
+    entry = make_server_entry()
+    registry.put(entry, 0.0)
+    removed_s = 2 * REMOVED_RETENTION_S
+    assert registry.remove("i-1", removed_s)
+    registry.drop_expired(removed_s + REMOVED_RETENTION_S - 1)
+    assert not registry.put(entry, removed_s + REMOVED_RETENTION_S - 0.5)
+
+
+def test_last_entry_of_a_server_is_kept_for_a_while_after_it_lapsed() -> None:
+    registry = Registry()
+    entry = make_server_entry()
+    registry.put(entry, 0.0)
+    lapsed_s = 2 * REMOVED_RETENTION_S
+    registry.start_grace_period(lapsed_s - GRACE_PERIOD_S)
+    registry.remove("i-1", lapsed_s - 1)
+    assert registry.drop_expired(lapsed_s) == ["i-1"]
+    registry.drop_expired(lapsed_s + REMOVED_RETENTION_S - 1)
+    assert not registry.put(entry, lapsed_s + REMOVED_RETENTION_S - 0.5)
+
+
+def test_notice_of_a_server_that_lapsed_long_after_its_entry_is_kept() -> None:
+    registry = Registry()
+    registry.put(make_server_entry(), 0.0)
+    lapsed_s = 2 * REMOVED_RETENTION_S
+    assert registry.mark_leaving("i-1", 1)
+    registry.remove("i-1", lapsed_s)
+    registry.drop_expired(lapsed_s + 0.2)
+    registry.put(make_server_entry()._replace(sequence=2), lapsed_s + 1.0)
+    assert registry.servers["i-1"].entry.is_leaving
+
+
 def test_entries_of_removed_servers_do_not_accumulate() -> None:
     registry = Registry()
     for number in range(50):
