Tell other nodes only of server entries that had an effect

A reader that has just heard the store again keeps servers whose entries lapsed for 2.2 s. If another entry changed in the same batch, it passed the whole batch on, removals too: the other nodes dropped those servers, and weren't told when they wrote again, since that changes nothing at the reader.

A delta holds what had an effect at its sender, and the last entry before a removal.

--- a/src/savorylift/fleet/store_view.py
+++ b/src/savorylift/fleet/store_view.py
@@ -116,27 +116,6 @@
             tuple(patches),
         )
 
-    def make_servers_delta(
-        self, records: Iterable[Change], offset: int
-    ) -> Delta:
-        """Returns the delta for entries that are about to be applied.
-
-        Before a removal it has the last entry, since other nodes hear of no
-        heartbeats: it may come back with a copy of the store.
-        """
-        changes: list[Change] = []
-        written: set[str] = set()
-        for change in records:
-            last = self._servers.get(change.key)
-            if change.value is not None:
-                written.add(change.key)
-            elif last is not None and change.key not in written:
-                changes.append(Change(change.key, last))
-            changes.append(change)
-        return Delta(
-            Topic.SERVERS, self.servers_version, (offset, 0), tuple(changes)
-        )
-
     def apply_delta(self, delta: Delta) -> bool:
         """Applies another node's delta; returns whether it was applied.
 
@@ -213,19 +192,24 @@
 
     def apply_server_records(
         self, changes: Iterable[Change], offset: int
-    ) -> bool:
-        """Applies records in order; returns whether anything changed."""
+    ) -> tuple[Change, ...]:
+        """Applies records in order.
+
+        Returns:
+            The changes to tell other nodes; none without an effect here. Since
+            they hear of no heartbeats, a removal comes after the last entry,
+            which a copy of the store may bring back.
+        """
         now_s = time.monotonic()
-        is_changed = False
+        told: list[Change] = []
         for change in changes:
             if change.value is None:
-                has_effect = self._remove_server(change.key, now_s)
-            else:
-                has_effect = self._put_server(change.key, change.value, now_s)
-            is_changed = is_changed or has_effect
-        if is_changed:
+                told += self._remove_server(change.key, now_s)
+            elif self._put_server(change.key, change.value, now_s):
+                told.append(change)
+        if told:
             self.servers_version = (offset, 0)
-        return is_changed
+        return tuple(told)
 
     def drop_expired(self) -> bool:
         """Drops servers that did not write again after an outage of the store.
@@ -242,14 +226,21 @@
             self.servers_version = (offset, changes + 1)
         return bool(expired)
 
-    def _remove_server(self, server_id: str, now_s: float) -> bool:
+    def _remove_server(
+        self, server_id: str, now_s: float
+    ) -> tuple[Change, ...]:
+        """Removes a server; returns the changes to tell other nodes."""
         entry = self.registry.find_entry(server_id)
         has_effect = self.registry.remove(server_id, now_s)
-        if has_effect:
-            self._servers.pop(server_id, None)
         if entry is not None:
             _log_removal(entry, has_effect=has_effect, is_listed=False)
-        return has_effect
+        if not has_effect:
+            return ()
+        last = self._servers.pop(server_id, None)
+        removal = Change(server_id, None)
+        return (
+            (removal,) if last is None else (Change(server_id, last), removal)
+        )
 
     def _replace_server_values(self, values: Mapping[str, bytes]) -> bool:
         now_s = time.monotonic()
--- a/src/savorylift/fleet/topic_consumer.py
+++ b/src/savorylift/fleet/topic_consumer.py
@@ -214,9 +214,13 @@
             if self._store_view.apply_operator_records(changes, offset):
                 self._on_change(delta)
             return
-        delta = self._store_view.make_servers_delta(changes, offset)
-        if self._store_view.apply_server_records(changes, offset):
-            self._on_change(delta)
+        base_version = self._store_view.servers_version
+        told = self._store_view.apply_server_records(changes, offset)
+        if told:
+            new_version = self._store_view.servers_version
+            self._on_change(
+                Delta(Topic.SERVERS, base_version, new_version, told)
+            )
 
     async def _call(self) -> Result[Batch, StoreError]:
         if self._offset is None:
--- a/tests/fleet/test_store_view.py
+++ b/tests/fleet/test_store_view.py
@@ -149,16 +149,33 @@
     reader, view = make_store_view(one=1), make_store_view(one=1)
     heartbeat = Change("one", encode_server_entry(1, 7))
     assert not reader.apply_server_records([heartbeat], 8)
-    removal = [Change("one", None)]
-    delta = reader.make_servers_delta(removal, 9)
-    assert reader.apply_server_records(removal, 9)
-    assert view.apply_delta(delta)
+    base = reader.servers_version
+    told = reader.apply_server_records([Change("one", None)], 9)
+    assert view.apply_delta(Delta(Topic.SERVERS, base, (9, 0), told))
     assert view.servers_version == reader.servers_version
     assert not view.registry.servers
     view.replace_server_records([heartbeat], 20)
     assert not view.registry.servers
 
 
+def test_server_that_one_node_keeps_as_lapsed_is_not_taken_from_others() -> (
+    None
+):
+    reader, view = make_store_view(one=1, two=2), make_store_view(one=1, two=2)
+    reader.registry.start_grace_period(time.monotonic())
+    base = reader.servers_version
+    draining = encode_server_entry(2, 2, state="draining")
+    told = reader.apply_server_records(
+        [Change("one", None), Change("two", draining)], 9
+    )
+    assert view.apply_delta(Delta(Topic.SERVERS, base, (9, 0), told))
+    assert set(reader.registry.servers) == {"one", "two"}
+    assert set(view.registry.servers) == {"one", "two"}
+    # Its next heartbeat is no change: nobody would be told of it.
+    heartbeat = [Change("one", encode_server_entry(1, 2))]
+    assert not reader.apply_server_records(heartbeat, 10)
+
+
 @pytest.mark.parametrize("data", [b"", b"\xff", b"\x82\x01\x02", b"\x00"])
 def test_invalid_bytes_are_rejected(data: bytes) -> None:
     assert decode(data).failure()
--- a/tests/front/node_fleet.py
+++ b/tests/front/node_fleet.py
@@ -143,6 +143,10 @@
         """Lets the store come back from a copy."""
         self._store.restore(topics)
 
+    def set_store_status(self, status: int | None) -> None:
+        """Lets the store answer all calls with a status; None for its own."""
+        self._store.status = status
+
     def restart_under_other_id(
         self, server: PlatformServer, service: str
     ) -> None:
