--- a/tests/fleet/test_topic_consumer.py
+++ b/tests/fleet/test_topic_consumer.py
@@ -5,11 +5,15 @@
 
 import freezegun
 import pytest
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from savorylift.fleet.peer_transport import MAX_READER_INTERVAL_S
 from savorylift.fleet.store_records import Topic
-from savorylift.fleet.topic_consumer import ReadPolicy, TopicConsumer
+from savorylift.fleet.topic_consumer import (
+    FALLBACK_RETRY_S,
+    ReadPolicy,
+    TopicConsumer,
+)
 from savorylift.platform.store import (
     Batch,
     StoreClient,
@@ -78,3 +82,48 @@
         asyncio.run(read_for(0.01))
         asyncio.run(read_for(0.01))
     assert len(announced) == 1
+
+
+class ChangingStore:
+    """A store that refuses every call or holds nothing."""
+
+    is_away = True
+
+    async def list_newest(self, topic: str) -> Result[Batch, StoreError]:
+        if self.is_away:
+            return Failure(StoreError(StoreFault.REFUSED, topic))
+        return Success(Batch((), 0))
+
+
+def test_outage_that_other_nodes_saw_the_end_of_is_over_for_all() -> None:
+    async def scenario() -> None:
+        store, peers_age_s = ChangingStore(), [10.0]
+        policy = ReadPolicy(
+            lambda: False, lambda: peers_age_s[0], lambda: False, lambda: 0.2
+        )
+        consumer = TopicConsumer(
+            cast("StoreClient", store),
+            "keyed.servers",
+            Topic.SERVERS,
+            make_store_view(),
+            policy,
+            lambda _: None,
+        )
+        recoveries: list[float] = []
+        consumer.on_recovery = recoveries.append
+        reading = asyncio.ensure_future(consumer.run())
+        await asyncio.sleep(0.1)
+        # Another node reads again, long before this one has to.
+        store.is_away, peers_age_s[0] = False, 0.0
+        await asyncio.sleep(FALLBACK_RETRY_S + 0.3)
+        readings = [consumer.last_read_s]
+        ended_s = list(recoveries)
+        peers_age_s[0] = 10.0
+        await asyncio.sleep(0.5)
+        reading.cancel()
+        readings.append(consumer.last_read_s)
+        assert [read_s is not None for read_s in readings] == [False, True]
+        assert len(ended_s) == 1
+        assert recoveries == ended_s
+
+    asyncio.run(scenario())
