Send callers to no node that has been silent for five seconds

Above 120 nodes, the directory named nodes that had been killed over 6 s before: a node counts as live for four of its intervals, and these grow with the fleet, to 3.75 s at 300 nodes, so that a killed node was named for 15 s.

The class: a time that callers feel was left to one that grows with the fleet.

The directory leaves out nodes that have been silent for 5 s, which is more than any interval up to 400 nodes. A node whose message is lost is named again with its next one.

--- a/src/savorylift/fleet/membership.py
+++ b/src/savorylift/fleet/membership.py
@@ -14,6 +14,9 @@
 LIVENESS_TIMEOUT_S = 1.0
 # A node with a longer message interval is live for this many intervals.
 LIVENESS_TIMEOUT_INTERVALS = 4
+# Callers are sent to no node that has been silent for longer, whatever its
+# interval: it may have ended.
+CALLERS_TIMEOUT_S = 5.0
 # A silent node still counts towards shared limits for this long: it may come
 # back, or be cut off from just this node.
 SHARING_TIMEOUT_S = 30.0
@@ -220,7 +223,8 @@
 
         The list is never empty. Nodes in the caller's region are preferred,
         then those in `home_regions`, then any others. Nodes that don't reach
-        the servers are left out unless too few remain.
+        the servers are left out unless too few remain; those that have been
+        silent for CALLERS_TIMEOUT_S always.
 
         Args:
             own_state: State of this node.
@@ -228,7 +232,10 @@
             home_regions: Regions that the caller's requests may be bound to.
             now_s: Monotonic time.
         """
-        states = [own_state, *(peer.state for peer in self.live_peers(now_s))]
+        oldest_s = self._clock.read(now_s) - CALLERS_TIMEOUT_S
+        live = self.live_peers(now_s)
+        heard = (p.state for p in live if p.running_s >= oldest_s)
+        states = [own_state, *heard]
         serving = [s for s in states if s.is_ready and not s.is_leaving]
         staying = [s for s in states if not s.is_leaving]
         usable = serving or staying or states
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -7,7 +7,11 @@
     LIVENESS_TIMEOUT_S,
     Membership,
 )
-from savorylift.fleet.peer_transport import MAX_READER_INTERVAL_S
+from savorylift.fleet.peer_transport import (
+    BASE_INTERVAL_S,
+    MAX_READER_INTERVAL_S,
+    NODES_AT_BASE_INTERVAL,
+)
 from savorylift.fleet.state import NodeState
 from savorylift.front.maintenance import MAINTENANCE_INTERVAL_S
 
@@ -15,6 +19,8 @@
 # A configuration must be in force on all nodes this long after the store has
 # acknowledged it.
 CONFIGURATION_APPLY_S = 3.0
+# No caller may be sent to a node this long after its end.
+LATEST_NAMED_S = 6.0
 
 
 def state(number: int = 1) -> NodeState:
@@ -158,6 +164,26 @@
     return chosen
 
 
+@pytest.mark.parametrize("nodes", [9, 24, 60, 128, 300])
+def test_callers_are_not_sent_to_a_node_that_ended_in_a_large_fleet(
+    nodes: int,
+) -> None:
+    interval_s = BASE_INTERVAL_S * max(1.0, nodes / NODES_AT_BASE_INTERVAL)
+    members = membership(state(2)._replace(interval_s=interval_s))
+    run(members, 0.0, LATEST_NAMED_S)
+    found = members.caller_addresses(state(1), "r", (), LATEST_NAMED_S)
+    assert found == ["10.0.0.1:80"]
+
+
+@pytest.mark.parametrize("nodes", [9, 24, 60, 128, 300])
+def test_callers_are_sent_to_a_node_between_its_messages(nodes: int) -> None:
+    interval_s = BASE_INTERVAL_S * max(1.0, nodes / NODES_AT_BASE_INTERVAL)
+    members = membership(state(2)._replace(interval_s=interval_s))
+    run(members, 0.0, interval_s)
+    found = members.caller_addresses(state(1), "r", (), interval_s)
+    assert set(found) == {"10.0.0.1:80", "10.0.0.2:80"}
+
+
 def test_readers_are_in_two_failure_domains() -> None:
     chosen = readers([state(n) for n in range(1, 10)])
     assert len(chosen) == 2
