Guard the notice of a server in answers to copies of runs

Answers to copies of runs aren't read for notices. A server that says that it leaves only from its move on is still heard: each stream that begins asks for its start, and that answer is read.

The rig plays servers that leave while requests wait for permits or room, and nodes of another build.

--- a/tests/front/test_leaving_servers.py
+++ b/tests/front/test_leaving_servers.py
@@ -258,6 +258,30 @@
     run_in_environment(scenario)
 
 
+def test_leaving_is_heard_in_the_answer_to_a_copy_of_a_run() -> None:
+    async def scenario(env: NodeEnvironment) -> None:
+        for server in env.pool:
+            server.events_per_stream = 200
+        moved = await env.open_call("/stream/x", "s1", TOKEN_COUNTS)
+        await moved.read_head()
+        (source,) = [server for server in env.pool if "s1" in server.runs]
+        source.says_leaving = True
+        env.publish_entry(source, "pool", "draining")
+        async with asyncio.timeout(2.0):
+            while "s1" not in source.stopped:
+                await asyncio.sleep(0.02)
+        moved.close()
+        for server in env.pool:
+            server.events_per_stream = 1
+        env.publish_entry(source, "pool")
+        await asyncio.sleep(0.3)
+        for number in range(6):
+            assert await call(env, "/stream/x", f"b{number}") == 200
+        assert source.runs == ["s1"]
+
+    run_in_environment(scenario)
+
+
 @pytest.mark.parametrize("nodes", [2, 6])
 def test_other_nodes_learn_which_server_leaves(nodes: int) -> None:
     async def scenario() -> None:
--- a/tests/soak/leaving_figures.py
+++ b/tests/soak/leaving_figures.py
@@ -35,6 +35,7 @@
 AGED_S = 65.0
 CALL_TIMEOUT_S = 6.0
 RUN_S = 0.03
+SLOW_S = 1.2
 GENERATION_PREFIXES = ("/stream/", "/resumable/")
 PLAIN_PATHS = ("/safe/x", "/once/x")
 STREAM_PATHS = ("/stream/x", "/resumable/x")
@@ -220,6 +221,22 @@
     await rig.hear(engine)
 
 
+async def say_limited(rig: Rig, engine: EngineProcess) -> None:
+    """Says so while requests wait for permits."""
+    for server in rig.fleet.engines:
+        server.named_limit = "5"
+    await asyncio.sleep(WARM_UP_S)
+    await rig.hear(engine)
+
+
+async def say_slow(rig: Rig, engine: EngineProcess) -> None:
+    """Says so while requests wait for a server with room."""
+    for server in rig.fleet.engines:
+        server.delay_s = SLOW_S
+    await asyncio.sleep(WARM_UP_S)
+    await rig.hear(engine)
+
+
 async def say_lapse(rig: Rig, engine: EngineProcess) -> None:
     """Says so; its entry lapses for a while and comes back."""
     await rig.hear(engine)
@@ -362,6 +379,8 @@
     for shape in (
         say,
         refuse,
+        say_limited,
+        say_slow,
         say_lapse,
         say_lapse_aged,
         say_foreign,
@@ -388,7 +407,7 @@
         engine.says_version = False
         engine.software_version = "v1"
     if cfg.source is not None:
-        fleet.use_source(cfg.nodes, cfg.source)
+        fleet.use_source(cfg.other_nodes or cfg.nodes, cfg.source)
     rig = Rig(fleet, cfg.seed)
     shape = SHAPES[cfg.shape]
     total = 0
@@ -423,6 +442,7 @@
     parser.add_argument("--per-s", type=float, default=25.0)
     parser.add_argument("--path", default="/safe/x")
     parser.add_argument("--source", type=pathlib.Path, default=None)
+    parser.add_argument("--other-nodes", type=int, default=0)
     parser.add_argument("--keep", type=pathlib.Path, default=None)
     cfg = parser.parse_args()
     if cfg.keep is not None:
