--- a/src/savorylift/backends/registry.py
+++ b/src/savorylift/backends/registry.py
@@ -47,6 +47,7 @@
     def __init__(self) -> None:
         """Creates an empty registry."""
         self._servers: dict[str, BackendServer] = {}
+        # Last entry of each, and when it came or its server went.
         self._latest: dict[str, tuple[ServerEntry, float]] = {}
         self._static: dict[str, ServerEntry] = {}
         self._grace_until_s = 0.0
@@ -67,6 +68,11 @@
         server = self._servers.get(server_id)
         return None if server is None else server.entry
 
+    def find_last_entry(self, server_id: str) -> ServerEntry | None:
+        """Returns the last entry of a server, also of one removed lately."""
+        latest = self._latest.get(server_id)
+        return None if latest is None else latest[0]
+
     def start_grace_period(self, returned_s: float) -> None:
         """Starts the grace period after an outage of the store.
 
@@ -79,13 +85,12 @@
         self._grace_until_s = returned_s + GRACE_PERIOD_S
 
     def put(self, entry: ServerEntry, now_s: float) -> bool:
-        """Stores an entry unless a newer one is known.
+        """Stores an entry unless it is outdated.
 
         Returns:
             Whether the entry changes more than a heartbeat does.
         """
-        latest = self._latest.get(entry.server_id)
-        if latest is not None and entry.is_older_than(latest[0]):
+        if self.is_outdated(entry):
             return False
         self._latest[entry.server_id] = entry, now_s
         server = self._servers.get(entry.server_id)
@@ -96,6 +101,19 @@
         self._servers[entry.server_id] = BackendServer(entry, cold_until_s)
         return server is None or entry.is_significant_change(server.entry)
 
+    def is_outdated(self, entry: ServerEntry) -> bool:
+        """Whether an entry is no news of its server.
+
+        The last entry of a removed server is none: a server that lives writes
+        a later one, while that one comes back with a copy of the store.
+        """
+        last = self.find_last_entry(entry.server_id)
+        if last is None:
+            return False
+        if entry.server_id in self._servers:
+            return entry.is_older_than(last)
+        return not last.is_older_than(entry)
+
     def remove(self, server_id: str, now_s: float) -> bool:
         """Removes a server whose entry was deleted from the store.
 
@@ -114,9 +132,15 @@
                     expires_at_s=self._grace_until_s
                 )
             return False
-        del self._servers[server_id]
+        self._drop(server_id, now_s)
         return True
 
+    def _drop(self, server_id: str, now_s: float) -> None:
+        del self._servers[server_id]
+        latest = self._latest.get(server_id)
+        if latest is not None:
+            self._latest[server_id] = latest[0], now_s
+
     def set_static_entries(self, entries: Iterable[ServerEntry]) -> None:
         """Replaces the static servers, which the configuration names.
 
@@ -265,15 +289,15 @@
             if server.expires_at_s is not None and now_s >= server.expires_at_s
         ]
         for server_id in expired:
-            del self._servers[server_id]
+            self._drop(server_id, now_s)
         self._forget_removed(now_s - REMOVED_RETENTION_S)
         return expired
 
     def _forget_removed(self, before_s: float) -> None:
         old = [
             server_id
-            for server_id, (_, put_s) in self._latest.items()
-            if put_s < before_s and server_id not in self._servers
+            for server_id, (_, changed_s) in self._latest.items()
+            if changed_s < before_s and server_id not in self._servers
         ]
         for server_id in old:
             del self._latest[server_id]
--- a/src/savorylift/fleet/store_view.py
+++ b/src/savorylift/fleet/store_view.py
@@ -192,22 +192,24 @@
 
     def apply_server_records(
         self, changes: Iterable[Change], offset: int
-    ) -> bool:
-        """Applies records in order; returns whether anything changed."""
+    ) -> tuple[Change, ...]:
+        """Applies records in order.
+
+        Returns:
+            The changes to tell other nodes; none without an effect here. Since
+            they hear of no heartbeats, a removal comes after the last entry,
+            which a copy of the store may bring back.
+        """
         now_s = time.monotonic()
-        is_changed = False
+        told: list[Change] = []
         for change in changes:
             if change.value is None:
-                has_effect = self.registry.remove(change.key, now_s)
-                if has_effect:
-                    self._servers.pop(change.key, None)
-                    _log.info("server_removed", server=change.key)
-            else:
-                has_effect = self._put_server(change.key, change.value, now_s)
-            is_changed = is_changed or has_effect
-        if is_changed:
+                told += self._remove_server(change.key, now_s)
+            elif self._put_server(change.key, change.value, now_s):
+                told.append(change)
+        if told:
             self.servers_version = (offset, 0)
-        return is_changed
+        return tuple(told)
 
     def drop_expired(self) -> bool:
         """Drops servers that did not write again after an outage of the store.
@@ -224,14 +226,37 @@
             self.servers_version = (offset, changes + 1)
         return bool(expired)
 
+    def _remove_server(
+        self, server_id: str, now_s: float
+    ) -> tuple[Change, ...]:
+        """Removes a server; returns the changes to tell other nodes."""
+        entry = self.registry.find_entry(server_id)
+        has_effect = self.registry.remove(server_id, now_s)
+        if entry is not None:
+            _log_removal(entry, has_effect=has_effect, is_listed=False)
+        if not has_effect:
+            return ()
+        last = self._servers.pop(server_id, None)
+        removal = Change(server_id, None)
+        return (
+            (removal,) if last is None else (Change(server_id, last), removal)
+        )
+
     def _replace_server_values(self, values: Mapping[str, bytes]) -> bool:
         now_s = time.monotonic()
+        before = dict(self.registry.servers)
         has_removed = self.registry.keep_only(values, now_s)
+        for server_id, server in before.items():
+            if server_id not in values and server_id in self._servers:
+                has_effect = not self.registry.is_registered(server_id)
+                _log_removal(
+                    server.entry, has_effect=has_effect, is_listed=True
+                )
         put = [self._put_server(*item, now_s) for item in values.items()]
         self._servers = {
             key: value
-            for key, value in (self._servers | dict(values)).items()
-            if key in values or key in self.registry.servers
+            for key, value in self._servers.items()
+            if key in self.registry.servers
         }
         return has_removed or any(put)
 
@@ -244,8 +269,12 @@
                 detail=decoded.failure(),
             )
             return False
-        self._servers[server_id] = value
         entry = decoded.unwrap()
+        last = self.registry.find_last_entry(server_id)
+        if self.registry.is_outdated(entry):
+            _log_outdated(entry, last)
+            return False
+        self._servers[server_id] = value
         is_changed = self.registry.put(entry, now_s)
         if is_changed:
             _log.info(
@@ -257,6 +286,8 @@
                 is_leaving=entry.is_leaving,
                 cold_s=entry.cold_s,
                 sequence=entry.sequence,
+                last_start_ms=None if last is None else last.started_ms,
+                last_sequence=None if last is None else last.sequence,
             )
         return is_changed
 
@@ -303,3 +334,35 @@
             bytes=len(value),
             unread_lines=cfg.unread_lines,
         )
+
+
+def _log_outdated(entry: ServerEntry, last: ServerEntry | None) -> None:
+    """Logs an entry that is no news of its server."""
+    _log.info(
+        "server_entry_outdated",
+        server=entry.server_id,
+        start_ms=entry.started_ms,
+        sequence=entry.sequence,
+        last_start_ms=None if last is None else last.started_ms,
+        last_sequence=None if last is None else last.sequence,
+    )
+
+
+def _log_removal(
+    entry: ServerEntry, *, has_effect: bool, is_listed: bool
+) -> None:
+    """Logs that a server's entry is gone.
+
+    Args:
+        entry: The entry.
+        has_effect: Whether the server goes at once; else it is kept for a
+            while, since its entry may have lapsed.
+        is_listed: Whether the entry is missing from a listing.
+    """
+    _log.info(
+        "server_removed" if has_effect else "server_missing",
+        server=entry.server_id,
+        start_ms=entry.started_ms,
+        sequence=entry.sequence,
+        is_listed=is_listed,
+    )
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -7,10 +7,16 @@
     LIVENESS_TIMEOUT_S,
     Membership,
 )
+from savorylift.fleet.peer_transport import (
+    BASE_INTERVAL_S,
+    NODES_AT_BASE_INTERVAL,
+)
 from savorylift.fleet.state import NodeState
 from savorylift.front.maintenance import MAINTENANCE_INTERVAL_S
 
 ME = "10.0.0.1"
+# No caller may be sent to a node this long after its end.
+LATEST_NAMED_S = 6.0
 
 
 def state(number: int = 1) -> NodeState:
@@ -143,6 +149,26 @@
     assert members.caller_addresses(state(1), "r", (), 1.5) == ["10.0.0.1:80"]
 
 
+@pytest.mark.parametrize("nodes", [9, 24, 60, 128, 300])
+def test_callers_are_not_sent_to_a_node_that_ended_in_a_large_fleet(
+    nodes: int,
+) -> None:
+    interval_s = BASE_INTERVAL_S * max(1.0, nodes / NODES_AT_BASE_INTERVAL)
+    members = membership(state(2)._replace(interval_s=interval_s))
+    run(members, 0.0, LATEST_NAMED_S)
+    found = members.caller_addresses(state(1), "r", (), LATEST_NAMED_S)
+    assert found == ["10.0.0.1:80"]
+
+
+@pytest.mark.parametrize("nodes", [9, 24, 60, 128, 300])
+def test_callers_are_sent_to_a_node_between_its_messages(nodes: int) -> None:
+    interval_s = BASE_INTERVAL_S * max(1.0, nodes / NODES_AT_BASE_INTERVAL)
+    members = membership(state(2)._replace(interval_s=interval_s))
+    run(members, 0.0, interval_s)
+    found = members.caller_addresses(state(1), "r", (), interval_s)
+    assert set(found) == {"10.0.0.1:80", "10.0.0.2:80"}
+
+
 def test_callers_in_a_region_without_nodes_get_a_home_region() -> None:
     states = [state(n)._replace(region=f"r{n}") for n in (2, 3)]
     members = membership(*states)
