Judge a run that goes on at its engine by the engine's own pace

A process that gets too little processor time makes tokens more slowly, and the test waits for 151 of them.

The test runs in virtual time now, where the engine keeps its pace and the bound of 1.5 s is the caller's alone; all other checks stay.

--- a/tests/completions/environment.py
+++ b/tests/completions/environment.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Coroutine, Mapping
 from typing import Any
 
+import pytest
 from returns.result import Success
 
 from savorylift.front.node import FrontNode
@@ -17,9 +18,10 @@
 from savorylift.wire.listener import Listener, connection_handler
 from savorylift.wire.message import Headers, Request, Response
 from savorylift.wire.request_input import InputLimits
-from tests.front.environment import run_with_timeout
+from tests.front.environment import run_bounded, run_with_timeout
 from tests.front.node_settings import make_node_settings
 from tests.harness.ports import free_addresses
+from tests.harness.virtual_time import run_in_virtual_time
 from tests.standins.engine import Engine
 from tests.standins.engine_settings import EngineSettings
 from tests.standins.engine_state import EngineState
@@ -233,13 +235,25 @@
     scenario: Callable[[NodeEnvironment], Coroutine[Any, Any, None]],
 ) -> None:
     """Runs a test scenario against a started node."""
+    run_with_timeout(_start_and_run(scenario))
 
-    async def start_and_run() -> None:
-        environment = NodeEnvironment()
-        await environment.start()
-        await scenario(environment)
 
-    run_with_timeout(start_and_run())
+def run_in_paced_environment(
+    monkeypatch: pytest.MonkeyPatch,
+    scenario: Callable[[NodeEnvironment], Coroutine[Any, Any, None]],
+) -> None:
+    """Does the same in virtual time, in which engines keep their pace."""
+    run_in_virtual_time(
+        monkeypatch, lambda: run_bounded(_start_and_run(scenario))
+    )
+
+
+async def _start_and_run(
+    scenario: Callable[[NodeEnvironment], Coroutine[Any, Any, None]],
+) -> None:
+    environment = NodeEnvironment()
+    await environment.start()
+    await scenario(environment)
 
 
 def completion(prompt: str, **fields: object) -> bytes:
--- a/tests/completions/test_interface.py
+++ b/tests/completions/test_interface.py
@@ -17,6 +17,7 @@
     events,
     expected,
     run_in_environment,
+    run_in_paced_environment,
     text_of,
 )
 from tests.front.environment import run_with_timeout
@@ -79,7 +80,9 @@
 
 
 @pytest.mark.parametrize("order", [None, "out/runner-1", "out/z", "drain"])
-def test_run_of_a_lost_node_goes_on_at_its_engine(order: str | None) -> None:
+def test_run_of_a_lost_node_goes_on_at_its_engine(
+    order: str | None, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async def scenario(environment: NodeEnvironment) -> None:
         prompt = "report len=250"  # 2.5 s
         run_id = "r1.0123456789abcdef.runner-1"
@@ -100,7 +103,7 @@
         assert environment.generation_count == 1
         assert environment.cancelled_generations == []
 
-    run_in_environment(scenario)
+    run_in_paced_environment(monkeypatch, scenario)
 
 
 @pytest.mark.parametrize(
