Log each retry that the budget denied

A call that ended since its node's share of the retry budget was used up left no line that said so: the list of known failures traced a 504 by elimination. The counter has no request. `retry_denied` names the request and the service.

--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -159,7 +159,7 @@
             return end_with_refusal(sink, bound.failure())
         admitted = run.admitted = bound.unwrap()
         tried: set[str] = set()
-        retries = RequestRetries(self._pool, admitted.service.name)
+        retries = RequestRetries(self._pool, admitted)
         reason = Reason.QUEUE_FULL
         while True:
             run.refusal = self._crash_guard.refuse(run.traits)
--- a/src/savorylift/exchange/plain_call.py
+++ b/src/savorylift/exchange/plain_call.py
@@ -117,7 +117,7 @@
     async def _serve(self, call: OpenCall) -> Answered | Refused:
         admitted = call.admitted
         tried: set[str] = set()
-        retries = RequestRetries(self._pool, admitted.service.name)
+        retries = RequestRetries(self._pool, admitted)
         possibly_run_attempts = 0
         # That of the last attempt that may have run, if there was one.
         last_result: SendResult | None = None
--- a/src/savorylift/exchange/request_retries.py
+++ b/src/savorylift/exchange/request_retries.py
@@ -1,23 +1,29 @@
 """The retries of one request, which the budget of all nodes bounds."""
 
+import structlog
+
 from savorylift.exchange import metrics
+from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.results import Answered, Broken, NotRun, Unsure
 from savorylift.exchange.server_pool import ServerPool
 from savorylift.outcomes import Reason
 
+_log = structlog.get_logger()
+
 
 class RequestRetries:
     """Takes a retry for each send after a server got the request."""
 
-    def __init__(self, pool: ServerPool, service: str) -> None:
+    def __init__(self, pool: ServerPool, admitted: AdmittedRequest) -> None:
         """Creates the retries of a request that was not sent yet.
 
         Args:
             pool: Holds this node's share of the retry budget.
-            service: Service that the request is for.
+            admitted: The request.
         """
         self._pool = pool
-        self._service = service
+        self._request = admitted.req.attempt_id
+        self._service = admitted.service.name
         self._reached_server = False
         # Whether the next send was taken from the budget already.
         self._is_taken = False
@@ -34,6 +40,9 @@
         self._is_taken = self._pool.retries.take_retry(self._service)
         if not self._is_taken:
             metrics.RETRIES_DENIED.labels(self._service).inc()
+            _log.info(
+                "retry_denied", request=self._request, service=self._service
+            )
         return self._is_taken
 
     def record_result(
