Keep a retry that no server received for the next send

Cause: the budget bounds what arrives at servers, but a send whose connection was refused used up the retry that had been taken for it, and the next send needed another one, which the node's share didn't have. A send without a permit was spared this, others that reach no server were not.

Now a retry stays taken until a server has received a request. The budget is kept: each arrival beyond the first still takes one.

--- a/src/savorylift/exchange/request_retries.py
+++ b/src/savorylift/exchange/request_retries.py
@@ -48,12 +48,11 @@
     def record_result(
         self, result: Answered | Broken | NotRun | Unsure
     ) -> None:
-        """Records what came of a send; one without a permit uses no retry."""
-        if is_over_limit(result):
+        """Records what came of a send; only one that arrived uses a retry."""
+        if isinstance(result, NotRun) and not result.reached_server:
             return
         self._is_taken = False
-        if not isinstance(result, NotRun) or result.reached_server:
-            self._reached_server = True
+        self._reached_server = True
 
 
 def is_over_limit(result: object) -> bool:
