--- a/tests/soak/killed_shapes.py
+++ b/tests/soak/killed_shapes.py
@@ -20,6 +20,8 @@
 EVENT_BYTES = 20_000
 SPACED_STREAMS_S = 0.5
 DENSE_FAULT_INTERVAL_S = (0.1, 0.4)
+BREAK_AFTER_EVENTS = 3
+LATE_ENTRY_DELAYS_S = (0.5, 2.0, 4.0)
 MOVING = (Fault.MOVE,) * 8
 ALL_ENDINGS = (Ending.KILL, Ending.KILL, Ending.TERM, Ending.CUT_TERM)
 
@@ -61,6 +63,16 @@
     close_interval_s=CLOSE_INTERVAL_S,
 )
 
+# Servers without reports, in the first release of a version and later.
+UNREPORTED = VERSIONS._replace(
+    is_unframed=False,
+    no_report_status=404,
+    resets_after=BREAK_AFTER_EVENTS,
+)
+UNREPORTED_RELEASE = UNREPORTED._replace(
+    versions=("v1",) * 4, entry_delays_s=LATE_ENTRY_DELAYS_S
+)
+
 KILLED_SHAPES = {
     "quiet": QUIET,
     "quiet-limit-2": _limited(QUIET, "2"),
@@ -125,6 +137,15 @@
         faults=(*MOVING, Fault.RESTART, Fault.DRAIN),
         fault_interval_s=DENSE_FAULT_INTERVAL_S,
     ),
+    "unreported": UNREPORTED,
+    "unreported-release": UNREPORTED_RELEASE,
+    "unreported-400": UNREPORTED._replace(no_report_status=400),
+    "unreported-501": UNREPORTED._replace(no_report_status=501),
+    "unreported-unframed": UNREPORTED._replace(is_unframed=True),
+    "unreported-moves": UNREPORTED_RELEASE._replace(
+        faults=(*MOVING, Fault.RESTART, Fault.DRAIN),
+        fault_interval_s=DENSE_FAULT_INTERVAL_S,
+    ),
     "killed-mixed": MIXED,
     "killed-mixed-limit-4": _limited(MIXED, "4"),
     "killed-mixed-versions": MIXED._replace(
--- a/tests/soak/shape.py
+++ b/tests/soak/shape.py
@@ -112,6 +112,8 @@
         retry_after: When to return, as all answers say; None not to say.
         event_bytes: Most bytes that an event is filled up with.
         says_born: Whether reports say when the engine started.
+        no_report_status: What engines answer that have no reports; None if
+            they have.
         is_unframed: Whether streams end with their connection.
         ends_in_order: Whether the connections of engines that end are closed
             in order, so that answers that are cut off end as whole ones do;
@@ -151,6 +153,7 @@
     retry_after: str | None = None
     event_bytes: int = 0
     says_born: bool = True
+    no_report_status: int | None = None
     is_unframed: bool = False
     ends_in_order: bool = False
     is_half_framed: bool = False
--- a/tests/soak/version_scenario.py
+++ b/tests/soak/version_scenario.py
@@ -191,6 +191,8 @@
             server.event_interval_s = EVENT_INTERVAL_S
             server.named_limit = shape.named_limit
             server.says_born = shape.says_born
+            server.has_report = shape.no_report_status is None
+            server.no_report_status = shape.no_report_status or 0
             server.copy_delay_s = shape.copy_delay_s
             is_framed = shape.is_half_framed and number % 2 == 1
             server.has_unframed_streams = shape.is_unframed and not is_framed
--- a/tests/standins/platform_server.py
+++ b/tests/standins/platform_server.py
@@ -102,6 +102,7 @@
             reports say.
         says_born: Whether its reports say when it started.
         has_report: Whether it has reports.
+        no_report_status: What it answers if it has none.
         report_delay_s: How long a report takes.
         says_version: Whether each event of a stream says that version.
         resets_after: Resets the connection after the stream event of this
@@ -181,6 +182,7 @@
         self.born = 1
         self.says_born = True
         self.has_report = True
+        self.no_report_status = 404
         self.report_delay_s = 0.0
         self.says_version = False
         self.resets_after: int | None = None
@@ -307,7 +309,7 @@
             self._record_report()
             await asyncio.sleep(self.report_delay_s)
             if not self.has_report:
-                conn.respond(404, self._limit_headers(), b"")
+                conn.respond(self.no_report_status, self._limit_headers(), b"")
                 return
             state = "draining" if self.is_leaving else "ready"
             report: dict[str, object] = {"state": state}
