--- a/tests/front/engine_fleet.py
+++ b/tests/front/engine_fleet.py
@@ -1,5 +1,6 @@
 """Fleets whose nodes are processes, and the servers of one service too."""
 
+import asyncio
 import pathlib
 
 from tests.front.engine_process import EngineProcess
@@ -26,6 +27,8 @@
             directory: Where the logs go.
             path: Path of the requests, which says what the service is.
         """
+        # Start of the process that wrote the newest entry, by server.
+        self._written: dict[str, int] = {}
         super().__init__(nodes, directory)
         self.path = path
         self.engines = [
@@ -41,6 +44,32 @@
             engine.says_version = True
             engine.answers_in_parts = True
 
+    def publish_entry(
+        self,
+        server: PlatformServer,
+        service: str,
+        state: str = "ready",
+        cold_ms: float = 0.0,
+    ) -> None:
+        """Writes a server's entry; its sequence begins anew at each start."""
+        is_new = self._written.get(server.server_id) != server.born
+        server.sequence = 1 if is_new else server.sequence + 1
+        self._written[server.server_id] = server.born
+        super().publish_entry(server, service, state, cold_ms)
+
+    async def beat(self, interval_s: float) -> None:
+        """Writes the entries of all servers again and again.
+
+        Only a process that runs, and whose entry was written, does so.
+        """
+        while True:
+            await asyncio.sleep(interval_s)
+            for engine in self.engines:
+                is_written = self._written.get(engine.server_id) == engine.born
+                if engine.is_running and is_written:
+                    state = "draining" if engine.is_leaving else "ready"
+                    self.publish_entry(engine, self.engine_service, state)
+
     def _stop_nodes(self) -> None:
         super()._stop_nodes()
         for engine in self.engines:
--- a/tests/soak/shape.py
+++ b/tests/soak/shape.py
@@ -114,6 +114,8 @@
         says_born: Whether reports say when the engine started.
         no_report_status: What engines answer that have no reports; None if
             they have.
+        heartbeat_s: Time between two entries of an engine; None for an entry
+            at each start only.
         is_unframed: Whether streams end with their connection.
         ends_in_order: Whether the connections of engines that end are closed
             in order, so that answers that are cut off end as whole ones do;
@@ -154,6 +156,7 @@
     event_bytes: int = 0
     says_born: bool = True
     no_report_status: int | None = None
+    heartbeat_s: float | None = None
     is_unframed: bool = False
     ends_in_order: bool = False
     is_half_framed: bool = False
--- a/tests/soak/version_scenario.py
+++ b/tests/soak/version_scenario.py
@@ -136,6 +136,7 @@
         self._set_up_engines()
         async with self._fleet.running():
             began_s = time.monotonic()
+            beats = self._begin_beats()
             faults = asyncio.ensure_future(
                 VersionFaults(self._context).run(duration_s)
             )
@@ -147,6 +148,7 @@
             results = await asyncio.gather(*streams)
             await asyncio.sleep(RECOVERY_S)
             after = await self._streams_after()
+            beats.cancel()
         violations = self._violations([*results, *self._callers.twins, *after])
         violations += self._context.violations
         violations += [
@@ -164,6 +166,13 @@
             Counter(),
         )
 
+    def _begin_beats(self) -> asyncio.Future[None]:
+        """Lets engines write their entries again and again, if they do."""
+        interval_s = self._shape.heartbeat_s
+        if interval_s is None:
+            return asyncio.get_running_loop().create_future()
+        return asyncio.ensure_future(self._fleet.beat(interval_s))
+
     def _count_over_limit(self, began_s: float) -> int:
         """Returns how many engines got more calls than they named."""
         if self._shape.named_limit is None:
