Continue no stream at a server that can't say which process it is, unless shown

What callers saw: streams with events of two software versions. A server without reports (400, 404, 405, 501), or whose report names no start, starts again under its ID at another version, and its entry still names the process before.

Cause: such a server counted as the process of its entry, whoever answered; one that names no start did while one version alone was known. What isn't known passed for a statement, as in the incident of two versions.

Change: a node keeps one connection without a request to each such server that its streams went to in the last minute. The end of a process closes it, so a process that has accepted it lives as long as it is open. It is the process of an entry that is written at least a second after that, with a new start or as a heartbeat, of the entry that stays the only one for ten seconds, or of the one that another node has shown and still holds a connection to. The first connection counts as one to the process of the entry only while no server of the service has started again lately and no node has seen that process end. A stream belongs to the process if both connections were open at one moment, or if the kept one was opened over a second before the stream's input was read. Nodes tell each other in a new last field of the state message; builds that don't know it leave it out.

Why it works: no request and no answer of the server are needed, and what was open at one moment leads to one process.

--- a/src/savorylift/exchange/metrics.py
+++ b/src/savorylift/exchange/metrics.py
@@ -64,6 +64,11 @@
     "Connections without a request, to servers that answer without framing.",
     ["outcome"],
 )
+PROCESS_WITNESSES = Counter(
+    "savorylift_front_process_witnesses",
+    "What connections to servers without reports show of their processes.",
+    ["outcome"],
+)
 REPLACED_SERVERS = Counter(
     "savorylift_front_replaced_servers",
     "Answers that ended with nothing but a close while another process had"
--- a/src/savorylift/exchange/server_life.py
+++ b/src/savorylift/exchange/server_life.py
@@ -16,8 +16,10 @@
 from savorylift.exchange import metrics
 from savorylift.exchange.limit_gate import LimitGate, Permit
 from savorylift.exchange.process_lookup import REPORT_TIMEOUT_S, StartReader
+from savorylift.exchange.process_witness import ProcessWitness
 from savorylift.exchange.shared_checks import SharedChecks
 from savorylift.fleet.version_history import UNNAMED_VERSION
+from savorylift.wire.channel import Channel
 
 # Bounds the memory that answers take.
 MAX_HEARD = 10_000
@@ -36,6 +38,8 @@
         UNNAMED: Not known: the entry or the server names no start.
         NO_REPORT: Not known: the server has no report. Its entry is all that
             it says of itself, and counts.
+        UNSHOWN: The same, or it names no start, and the process of its entry
+            may have ended.
         UNSOUND: Not known: the server names an earlier start than before.
     """
 
@@ -45,9 +49,14 @@
     NOT_ASKED = "not_asked"
     UNNAMED = "unnamed"
     NO_REPORT = "no_report"
+    UNSHOWN = "unshown"
     UNSOUND = "unsound"
 
 
+# Their answers don't say whether another process has taken their place.
+SHOWN_BY_WITNESS = frozenset({Life.NO_REPORT, Life.UNNAMED})
+
+
 class LifeReport(NamedTuple):
     """What a check has found.
 
@@ -84,6 +93,7 @@
         is_held: Callable[[str], bool],
         read_start: StartReader,
         sole_version: Callable[[str], str | None],
+        witness: ProcessWitness,
     ) -> None:
         """Asks nobody yet.
 
@@ -94,11 +104,13 @@
             read_start: Asks a server.
             sole_version: Returns the software version that began all streams
                 of a service; None if there may be several.
+            witness: Shows whether processes live that can't say who they are.
         """
         self._limit_gate = limit_gate
         self._is_held = is_held
         self._read_start = read_start
         self._sole_version = sole_version
+        self._witness = witness
         self._checks: SharedChecks[LifeReport] = SharedChecks()
         # The newest answer of each server, by its ID and address.
         self._heard: dict[str, _Heard] = {}
@@ -121,6 +133,7 @@
         is_probe: bool = True,
         since_s: float | None = None,
         must_ask: bool = False,
+        channel: Channel | None = None,
     ) -> LifeReport:
         """Returns which process answers.
 
@@ -136,10 +149,13 @@
                 sent; None for now.
             must_ask: Whether this node must ask the server itself, now: only
                 then has it heard all that an earlier process sent.
+            channel: Connection whose process is in question, if one is.
         """
         entry = server.entry
         if since_s is None:
             since_s = boot_time_s()
+        if channel is not None:
+            self._witness.note(server, channel)
         report = LifeReport(Life.UNNAMED)
         if entry.started_ms != NO_START and must_ask:
             report = await self._ask_with_permit(
@@ -152,6 +168,16 @@
                 server, request, since_s, max_wait_s, is_probe=is_probe
             )
         report = _compare(server, report)
+        if report.life in SHOWN_BY_WITNESS and entry.started_ms != NO_START:
+            is_shown = (
+                await self._witness.shows(server, max_wait_s)
+                if channel is None
+                else await self._witness.holds(
+                    server, channel, since_s, max_wait_s
+                )
+            )
+            if not is_shown:
+                report = LifeReport(Life.UNSHOWN)
         metrics.SERVER_LIVES.labels(report.life.value).inc()
         if report.life is not Life.SAME and entry.started_ms != NO_START:
             _log.info(
--- a/src/savorylift/exchange/server_opener.py
+++ b/src/savorylift/exchange/server_opener.py
@@ -28,6 +28,7 @@
     Life.SILENT: Obstacle.SILENT,
     Life.UNNAMED: Obstacle.UNNAMED,
     Life.UNSOUND: Obstacle.UNNAMED,
+    Life.UNSHOWN: Obstacle.UNNAMED,
 }
 
 
@@ -129,7 +130,9 @@
         obstacle: NotRun | None = None
         is_open = False
         try:
-            permit = await self._check_process(server, admitted, connected_s)
+            permit = await self._check_process(
+                server, admitted, channel, connected_s
+            )
             if isinstance(permit, NotRun):
                 return permit
             obstacle = self._find_obstacle(
@@ -161,6 +164,7 @@
         self,
         server: BackendServer,
         admitted: AdmittedRequest,
+        channel: Channel,
         connected_s: float,
     ) -> Permit | NotRun:
         """Returns a permit if the process is of the version of its entry."""
@@ -170,6 +174,7 @@
             min(MAX_QUESTION_WAIT_S, admitted.deadline_s - time.monotonic()),
             is_probe=False,
             since_s=connected_s,
+            channel=channel,
         )
         if life.life is Life.NOT_ASKED:
             return _over_limit(
--- a/src/savorylift/exchange/stream_resumption.py
+++ b/src/savorylift/exchange/stream_resumption.py
@@ -64,6 +64,7 @@
     Life.SILENT: Doubt.SILENT,
     Life.NOT_ASKED: Doubt.NOT_ASKED,
     Life.UNSOUND: Doubt.OTHER,
+    Life.UNSHOWN: Doubt.OTHER,
 }
 
 _log = structlog.get_logger()
@@ -197,6 +198,7 @@
                 run.attempt_id,
                 0.0 if channel.is_open else MAX_PERMIT_WAIT_S,
                 is_probe=channel.is_open,
+                channel=channel,
             )
             report = await ask(since_s=begun_s)
             if report.life is Life.OTHER:
@@ -214,12 +216,21 @@
                 for listener in self.on_start:
                     listener(channel, report.started_ms)
                 return await self._read_entry(server, report.started_ms)
+            if report.life is Life.UNSHOWN:
+                server = self._find_newer(server)
             if report.life is Life.UNNAMED or time.monotonic() >= until_s:
                 return None
             await self._wait_for_break(channel, pause_s)
             pause_s = max(2 * pause_s, ASK_AGAIN_S)
             pause_s = min(pause_s, MAX_ASK_AGAIN_S)
 
+    def _find_newer(self, server: BackendServer) -> BackendServer:
+        """Returns the newest entry of a server at its address."""
+        newest = self._pool.find_server(server.entry.server_id)
+        if newest is None or newest.entry.address != server.entry.address:
+            return server
+        return newest
+
     async def _wait_for_break(self, channel: Channel, pause_s: float) -> None:
         """Waits before a server is asked again; less if its stream breaks."""
         until_s = time.monotonic() + pause_s
--- a/src/savorylift/fleet/server_sightings.py
+++ b/src/savorylift/fleet/server_sightings.py
@@ -39,3 +39,17 @@
 
     server_id: str
     started_ms: int
+
+
+class WitnessedProcess(NamedTuple):
+    """A process of a server, as a connection to it shows.
+
+    Attributes:
+        server_id: Identifier of the server.
+        started_ms: Unix time in milliseconds at which the process started.
+        lives: Whether it lives as this is sent; otherwise it may have ended.
+    """
+
+    server_id: str
+    started_ms: int
+    lives: bool
--- a/src/savorylift/fleet/state.py
+++ b/src/savorylift/fleet/state.py
@@ -34,6 +34,7 @@
     BrittleNews,
     LeavingServer,
     VersionSighting,
+    WitnessedProcess,
 )
 from savorylift.fleet.store_records import (
     Change,
@@ -75,6 +76,7 @@
     "StreamOrigin",
     "Topic",
     "VersionSighting",
+    "WitnessedProcess",
 ]
 
 
@@ -132,6 +134,8 @@
         has_version_history: Whether `version_sightings` has all versions that
             served before the node started, too; builds that don't say don't
             know.
+        witnessed_processes: Processes to which the node keeps connections, or
+            did until lately.
     """
 
     node: str
@@ -158,3 +162,4 @@
     leaving_servers: tuple[LeavingServer, ...] = ()
     servers_reading_age_s: float | None = None
     has_version_history: bool = False
+    witnessed_processes: tuple[WitnessedProcess, ...] = ()
--- a/src/savorylift/front/server_news.py
+++ b/src/savorylift/front/server_news.py
@@ -4,6 +4,7 @@
 
 from savorylift.backends.registry import Registry
 from savorylift.exchange.notice_recorder import NoticeRecorder, NoticeSource
+from savorylift.exchange.process_witness import ProcessWitness
 from savorylift.exchange.server_pool import ServerPool
 from savorylift.exchange.server_reach import ServerReach
 from savorylift.exchange.stream_origins import StreamOrigins
@@ -30,6 +31,7 @@
         reach: ServerReach,
         origins: StreamOrigins,
         version_history: VersionHistory,
+        witness: ProcessWitness,
     ) -> None:
         """Connects the parts that know of servers.
 
@@ -42,6 +44,7 @@
             reach: Which services this node doesn't reach.
             origins: Where streams began.
             version_history: Software versions that have served lately.
+            witness: Which processes live of servers that don't say it.
         """
         self._own_home = own_home
         self._membership = membership
@@ -51,6 +54,7 @@
         self._reach = reach
         self._origins = origins
         self._version_history = version_history
+        self._witness = witness
         self._next_told = 0
 
     def add_to(self, state: NodeState) -> NodeState:
@@ -61,6 +65,7 @@
             unreached_services=self._reach.cut_off,
             brittle_services=self._pool.brittle.news(),
             leaving_servers=self._leaving_servers(),
+            witnessed_processes=self._witness.news(),
             has_version_history=self._version_history.is_complete,
         )
 
@@ -70,6 +75,7 @@
         self._version_history.merge(state.version_sightings, now_s)
         if state.has_version_history:
             self._version_history.is_complete = True
+        self._witness.merge(state.witnessed_processes)
         self._pool.brittle.merge(state.brittle_services)
         for server_id, started_ms in state.leaving_servers:
             self._notices.mark_leaving(server_id, started_ms, NoticeSource.NODE)
--- a/src/savorylift/front/server_parts.py
+++ b/src/savorylift/front/server_parts.py
@@ -11,6 +11,7 @@
 from savorylift.exchange.limit_gate import LimitGate
 from savorylift.exchange.notice_recorder import NoticeRecorder, NoticeSource
 from savorylift.exchange.process_lookup import ProcessLookup, StartReader
+from savorylift.exchange.process_witness import ProcessWitness
 from savorylift.exchange.reach_probe import ReachProbe
 from savorylift.exchange.request import AnswerHead
 from savorylift.exchange.retry_budget import RetryBudget, RetryBudgetOptions
@@ -45,6 +46,7 @@
         check: Finds out whether a server is gone.
         reach: Which services this node doesn't reach.
         version_history: Software versions that have served lately.
+        witness: Shows which processes live of servers that don't say it.
         life: Finds out whether a server has started again.
         sender: Sends requests to servers.
     """
@@ -57,6 +59,7 @@
     check: ServerCheck
     reach: ServerReach
     version_history: VersionHistory
+    witness: ProcessWitness
     life: ServerLife
     sender: Sender
 
@@ -92,8 +95,19 @@
         partial(read_start_on, on_notice=recorder.record_at),
     )
     version_history = VersionHistory()
+    witness = ProcessWitness(
+        shared.store_view.registry.find_entry,
+        lambda service: (
+            service in version_history.restarted_services(time.monotonic())
+        ),
+        transport.send_soon,
+    )
     life = ServerLife(
-        limit_gate, holds.is_held, ask_start, version_history.sole_version
+        limit_gate,
+        holds.is_held,
+        ask_start,
+        version_history.sole_version,
+        witness,
     )
     sender = Sender(
         shared.interface.codec,
@@ -118,6 +132,7 @@
         check,
         reach,
         version_history,
+        witness,
         life,
         sender,
     )
--- a/src/savorylift/front/stream_parts.py
+++ b/src/savorylift/front/stream_parts.py
@@ -56,6 +56,7 @@
         servers.reach,
         origins,
         servers.version_history,
+        servers.witness,
     )
     resumption = StreamResumption(
         origins,
--- a/tests/exchange/test_server_life.py
+++ b/tests/exchange/test_server_life.py
@@ -47,12 +47,29 @@
     return BackendServer(entry, 0.0)
 
 
+class Witness:
+    """Shows that each process lives, or none."""
+
+    def __init__(self, *, shows: bool) -> None:
+        self._shows = shows
+
+    def note(self, *_: object) -> None:
+        pass
+
+    async def holds(self, *_: object) -> bool:
+        return self._shows
+
+    async def shows(self, *_: object) -> bool:
+        return self._shows
+
+
 def make_life(
     servers: Servers,
     *,
     grants: bool = True,
     is_held: bool = False,
     sole_version: str | None = None,
+    shows: bool = True,
 ) -> ServerLife:
     gate = Gate(grants=grants)
     return ServerLife(
@@ -60,6 +77,7 @@
         lambda _: is_held,
         servers.read_start,
         lambda _: sole_version,
+        Witness(shows=shows),  # type: ignore[arg-type]
     )
 
 
--- a/tests/front/test_server_news.py
+++ b/tests/front/test_server_news.py
@@ -5,6 +5,7 @@
 from savorylift.backends.registry import Registry
 from savorylift.backends.server import ServerEntry
 from savorylift.exchange.notice_recorder import NoticeRecorder
+from savorylift.exchange.process_witness import ProcessWitness
 from savorylift.exchange.server_holds import ServerHolds
 from savorylift.exchange.server_reach import ServerReach
 from savorylift.exchange.stream_origins import StreamOrigins
@@ -45,6 +46,9 @@
         ),
         StreamOrigins(IP, lambda _a, _b: None, rng),
         VersionHistory(),
+        ProcessWitness(
+            store_view.registry.find_entry, lambda _: False, lambda: None
+        ),
     )
     return news, store_view.registry
 
