--- a/tests/soak/killed_shapes.py
+++ b/tests/soak/killed_shapes.py
@@ -153,6 +153,23 @@
     "unsaid-killed-release": UNREPORTED_RELEASE._replace(
         no_report_status=None, says_born=False
     ),
+    "unreported-nodes": UNREPORTED._replace(
+        faults=(
+            *(Fault.RESTART,) * 4,
+            Fault.KILL_ONE,
+            Fault.FREEZE,
+            Fault.CUT,
+            Fault.END,
+        ),
+    ),
+    "unreported-lost": UNREPORTED._replace(
+        faults=(Fault.RESTART, Fault.RESTART, Fault.KILL)
+    ),
+    "unreported-9": UNREPORTED._replace(nodes=9),
+    "unreported-limit-8": _limited(UNREPORTED, "8"),
+    "unreported-store": UNREPORTED._replace(
+        faults=(*(Fault.RESTART,) * 4, Fault.STORE_AWAY, Fault.STORE_BACK)
+    ),
     "unreported-moves": UNREPORTED_RELEASE._replace(
         faults=(*MOVING, Fault.RESTART, Fault.DRAIN),
         fault_interval_s=DENSE_FAULT_INTERVAL_S,
