--- a/tests/soak/killed_shapes.py
+++ b/tests/soak/killed_shapes.py
@@ -20,6 +20,9 @@
 EVENT_BYTES = 20_000
 SPACED_STREAMS_S = 0.5
 DENSE_FAULT_INTERVAL_S = (0.1, 0.4)
+BREAK_AFTER_EVENTS = 3
+HEARTBEAT_S = 0.5
+LATE_ENTRY_DELAYS_S = (0.5, 2.0, 4.0)
 MOVING = (Fault.MOVE,) * 8
 ALL_ENDINGS = (Ending.KILL, Ending.KILL, Ending.TERM, Ending.CUT_TERM)
 
@@ -61,6 +64,17 @@
     close_interval_s=CLOSE_INTERVAL_S,
 )
 
+# Servers without reports, in the first release of a version and later.
+UNREPORTED = VERSIONS._replace(
+    is_unframed=False,
+    no_report_status=404,
+    heartbeat_s=HEARTBEAT_S,
+    resets_after=BREAK_AFTER_EVENTS,
+)
+UNREPORTED_RELEASE = UNREPORTED._replace(
+    versions=("v1",) * 4, entry_delays_s=LATE_ENTRY_DELAYS_S
+)
+
 KILLED_SHAPES = {
     "quiet": QUIET,
     "quiet-limit-2": _limited(QUIET, "2"),
@@ -125,6 +139,41 @@
         faults=(*MOVING, Fault.RESTART, Fault.DRAIN),
         fault_interval_s=DENSE_FAULT_INTERVAL_S,
     ),
+    "unreported": UNREPORTED,
+    "unreported-release": UNREPORTED_RELEASE,
+    "unreported-400": UNREPORTED._replace(no_report_status=400),
+    "unreported-501": UNREPORTED._replace(no_report_status=501),
+    "unreported-silent-store": UNREPORTED._replace(heartbeat_s=None),
+    "unreported-unframed": UNREPORTED._replace(
+        is_unframed=True, resets_after=None
+    ),
+    "unsaid-killed": UNREPORTED._replace(
+        no_report_status=None, says_born=False
+    ),
+    "unsaid-killed-release": UNREPORTED_RELEASE._replace(
+        no_report_status=None, says_born=False
+    ),
+    "unreported-nodes": UNREPORTED._replace(
+        faults=(
+            *(Fault.RESTART,) * 4,
+            Fault.KILL_ONE,
+            Fault.FREEZE,
+            Fault.CUT,
+            Fault.END,
+        ),
+    ),
+    "unreported-lost": UNREPORTED._replace(
+        faults=(Fault.RESTART, Fault.RESTART, Fault.KILL)
+    ),
+    "unreported-9": UNREPORTED._replace(nodes=9),
+    "unreported-limit-8": _limited(UNREPORTED, "8"),
+    "unreported-store": UNREPORTED._replace(
+        faults=(*(Fault.RESTART,) * 4, Fault.STORE_AWAY, Fault.STORE_BACK)
+    ),
+    "unreported-moves": UNREPORTED_RELEASE._replace(
+        faults=(*MOVING, Fault.RESTART, Fault.DRAIN),
+        fault_interval_s=DENSE_FAULT_INTERVAL_S,
+    ),
     "killed-mixed": MIXED,
     "killed-mixed-limit-4": _limited(MIXED, "4"),
     "killed-mixed-versions": MIXED._replace(
