--- a/tests/exchange/test_successor_check.py
+++ b/tests/exchange/test_successor_check.py
@@ -14,7 +14,7 @@
 from savorylift.exchange.server_notice import NO_NOTICE, ServerNotice
 from savorylift.exchange.successor_check import MAX_CLOSED_S, SuccessorCheck
 from tests.exchange.factories import make_server_entry
-from tests.exchange.test_server_life import Gate
+from tests.exchange.test_server_life import Gate, Witness
 from tests.harness.virtual_time import run_in_virtual_time
 
 LEAVES = ServerNotice(is_leaving=True)
@@ -51,6 +51,7 @@
             lambda _: self.held,
             self._read_start,
             lambda _: None,
+            Witness(shows=True),  # type: ignore[arg-type]
         )
         self._tasks: set[asyncio.Future[None]] = set()
         self.check = SuccessorCheck(
