--- a/src/savorylift/fleet/topic_consumer.py
+++ b/src/savorylift/fleet/topic_consumer.py
@@ -178,8 +178,6 @@
                     self._topic_name, should_read=should_read
                 )
             if not should_read:
-                # Another node hears the store.
-                self._end_outage(time.monotonic())
                 await asyncio.sleep(POLL_PAUSE_S)
                 continue
             wait_s = await self._read()
@@ -233,16 +231,14 @@
 
     def _handle_success(self) -> None:
         now_s = time.monotonic()
-        if self._failing_since_s is not None:
+        since_s = self._failing_since_s
+        if since_s is not None:
             _log.info("store_regained", topic=self._topic_name)
-        self._end_outage(now_s)
+            if now_s - since_s > OUTAGE_S:
+                self.on_recovery(now_s)
+        self._failing_since_s = None
         self._last_read_s = now_s
 
-    def _end_outage(self, now_s: float) -> None:
-        since_s, self._failing_since_s = self._failing_since_s, None
-        if since_s is not None and now_s - since_s > OUTAGE_S:
-            self.on_recovery(now_s)
-
     def _handle_error(self, error: StoreError) -> float:
         """Returns the delay before the next call."""
         now_s = time.monotonic()
