Let streams go on at servers whose entries show which process lives

Cause: a server that has a report without a start was asked nothing else.

Change: an entry that shows the process at a kept connection counts for such a server too; the first connection, which is only believed, doesn't. Nodes tell each other which of the two it is. A stream that begins there is asked about until its process is shown.

The new test failed before.

The test of streams that go on once an entry is written failed 1 of some 8 times: a stream that broke off within 40 ms, before its connection could be compared with the kept one, goes on nowhere. Its streams now take 0.4 s to break off; its assertions are unchanged.

--- a/src/savorylift/exchange/process_connection.py
+++ b/src/savorylift/exchange/process_connection.py
@@ -63,6 +63,8 @@
         self._earlier: ServerEntry | None = None
         # Start of the process that accepted the connection, once it's known.
         self._started_ms: int | None = None
+        # Whether an entry has shown it, which was only believed otherwise.
+        self._is_shown = False
         # Connections that were open at the same time as the current one.
         self._matches: weakref.WeakSet[Channel] = weakref.WeakSet()
         # Age at which the last one ended, and at which the server closes idle
@@ -102,11 +104,23 @@
         """Whether its connection leads to an address."""
         return self._entry.address == address
 
-    def hear(self, started_ms: int) -> None:
-        """Records that another node has had a connection to a process."""
+    @property
+    def is_shown(self) -> bool:
+        """Whether an entry has shown which process lives."""
+        return self._is_shown
+
+    def hear(self, started_ms: int, *, is_shown: bool) -> None:
+        """Records that another node has had a connection to a process.
+
+        Args:
+            started_ms: Start of the process.
+            is_shown: Whether an entry has shown that node which one it is.
+        """
         age_s = time.monotonic() - self.opened_s
-        if self.is_open and self._started_ms is None and age_s >= NEWS_DELAY_S:
-            self._started_ms = started_ms
+        if not self.is_open or self._is_shown or age_s < NEWS_DELAY_S:
+            return
+        if is_shown or self._started_ms is None:
+            self._started_ms, self._is_shown = started_ms, is_shown
             self._record("told")
 
     def match(self, channel: Channel) -> None:
@@ -158,6 +172,7 @@
         """Opens a connection; nothing is known of its process yet."""
         self._matches.clear()
         self._earlier = self._started_ms = None
+        self._is_shown = False
         self._idle = await self._connect()
         self.opened_s = time.monotonic()
         if self._idle is not None and self._trusts_entry:
@@ -213,12 +228,12 @@
         if newest is None or newest.address != self._entry.address:
             return
         age_s = time.monotonic() - self.opened_s
-        if age_s < DELIVERY_S or self._started_ms == newest.started_ms:
+        if age_s < DELIVERY_S or self._is_shown:
             return
         if self._earlier is None:
             self._earlier = newest
         if self._earlier.is_older_than(newest) or age_s >= MAX_ENTRY_DELAY_S:
-            self._started_ms = newest.started_ms
+            self._started_ms, self._is_shown = newest.started_ms, True
             self._record("shown")
 
     def _record(self, outcome: str) -> None:
--- a/src/savorylift/exchange/process_witness.py
+++ b/src/savorylift/exchange/process_witness.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import enum
 import time
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
@@ -28,6 +29,20 @@
 MAX_TOLD = 16
 
 
+class Proof(enum.Enum):
+    """What is known of the process of an entry.
+
+    Attributes:
+        NONE: Nothing.
+        BELIEVED: It lives, if it did as the connection was opened.
+        SHOWN: It lives.
+    """
+
+    NONE = "none"
+    BELIEVED = "believed"
+    SHOWN = "shown"
+
+
 class ProcessWitness:
     """Keeps one connection to each server that can't say which process it is.
 
@@ -73,8 +88,8 @@
         channel: Channel,
         since_s: float,
         max_wait_s: float,
-    ) -> bool:
-        """Whether a connection leads to the process of a server's entry.
+    ) -> Proof:
+        """Returns whether a connection leads to the process of an entry.
 
         Args:
             server: The server.
@@ -87,18 +102,18 @@
         await keeper.has_tried.wait()
         since_s += time.monotonic() - boot_time_s()
         if not keeper.holds(channel, since_s):
-            return False
-        is_shown = await self._is_shown(keeper, server.entry, max_wait_s)
-        return is_shown and keeper.holds(channel, since_s)
+            return Proof.NONE
+        proof = await self._find_proof(keeper, server.entry, max_wait_s)
+        return proof if keeper.holds(channel, since_s) else Proof.NONE
 
-    async def shows(self, server: BackendServer, max_wait_s: float) -> bool:
-        """Whether the process of a server's entry is known to live.
+    async def shows(self, server: BackendServer, max_wait_s: float) -> Proof:
+        """Returns whether the process of a server's entry is known to live.
 
         For the arguments see `holds`.
         """
         keeper = self._keeper(server.entry)
         await keeper.has_tried.wait()
-        return await self._is_shown(keeper, server.entry, max_wait_s)
+        return await self._find_proof(keeper, server.entry, max_wait_s)
 
     def news(self) -> tuple[WitnessedProcess, ...]:
         """Returns what other nodes may not know."""
@@ -118,8 +133,14 @@
                 del self._keepers[server_id]
             started_ms = keeper.live_start_ms
             if started_ms is not None:
-                found = WitnessedProcess(server_id, started_ms, lives=True)
-                told.append(found)
+                told.append(
+                    WitnessedProcess(
+                        server_id,
+                        started_ms,
+                        lives=True,
+                        is_shown=keeper.is_shown,
+                    )
+                )
         if len(told) <= MAX_TOLD:
             return tuple(told)
         first = self._next_told % len(told)
@@ -128,24 +149,24 @@
 
     def merge(self, news: Iterable[WitnessedProcess]) -> None:
         """Learns what another node knew as it sent this."""
-        for server_id, started_ms, lives in news:
+        for server_id, started_ms, lives, is_shown in news:
             keeper = self._keepers.get(server_id)
             if lives and keeper is not None:
-                keeper.hear(started_ms)
+                keeper.hear(started_ms, is_shown=is_shown)
             elif not lives:
                 self._record_end(server_id, started_ms, is_own=False)
 
-    async def _is_shown(
+    async def _find_proof(
         self, keeper: ProcessConnection, entry: ServerEntry, max_wait_s: float
-    ) -> bool:
+    ) -> Proof:
         until_s = min(
             time.monotonic() + max_wait_s, keeper.opened_s + MAX_NEWS_WAIT_S
         )
         while not keeper.shows(entry.started_ms):
             if time.monotonic() >= until_s or not keeper.is_open:
-                return False
+                return Proof.NONE
             await asyncio.sleep(POLL_S)
-        return True
+        return Proof.SHOWN if keeper.is_shown else Proof.BELIEVED
 
     def _keeper(self, entry: ServerEntry) -> ProcessConnection:
         keeper = self._keepers.get(entry.server_id)
--- a/src/savorylift/exchange/server_life.py
+++ b/src/savorylift/exchange/server_life.py
@@ -16,7 +16,7 @@
 from savorylift.exchange import metrics
 from savorylift.exchange.limit_gate import LimitGate, Permit
 from savorylift.exchange.process_lookup import REPORT_TIMEOUT_S, StartReader
-from savorylift.exchange.process_witness import ProcessWitness
+from savorylift.exchange.process_witness import ProcessWitness, Proof
 from savorylift.exchange.shared_checks import SharedChecks
 from savorylift.fleet.version_history import UNNAMED_VERSION
 from savorylift.wire.channel import Channel
@@ -38,8 +38,9 @@
         UNNAMED: Not known: the entry or the server names no start.
         NO_REPORT: Not known: the server has no report. Its entry is all that
             it says of itself, and counts.
-        UNSHOWN: The same, or it names no start, and the process of its entry
-            may have ended.
+        SHOWN: That of the entry, although it doesn't say so itself.
+        UNSHOWN: Not known: it has no report or names no start, and the process
+            of its entry may have ended.
         UNSOUND: Not known: the server names an earlier start than before.
     """
 
@@ -49,6 +50,7 @@
     NOT_ASKED = "not_asked"
     UNNAMED = "unnamed"
     NO_REPORT = "no_report"
+    SHOWN = "shown"
     UNSHOWN = "unshown"
     UNSOUND = "unsound"
 
@@ -70,6 +72,13 @@
     started_ms: int | None = None
 
 
+# What takes the place of such an answer.
+LIFE_REPORTS = {
+    Proof.NONE: LifeReport(Life.UNSHOWN),
+    Proof.SHOWN: LifeReport(Life.SHOWN),
+}
+
+
 class _Heard(NamedTuple):
     """An answer of a server.
 
@@ -118,7 +127,7 @@
     def is_of_entry(self, server: BackendServer, life: Life) -> bool:
         """Whether the process that answers has the version of the entry."""
         if life is not Life.UNNAMED:
-            return life in (Life.SAME, Life.NO_REPORT)
+            return life in (Life.SAME, Life.SHOWN, Life.NO_REPORT)
         version = server.entry.software_version
         if version == UNNAMED_VERSION:
             return True
@@ -169,15 +178,14 @@
             )
         report = _compare(server, report)
         if report.life in SHOWN_BY_WITNESS and entry.started_ms != NO_START:
-            is_shown = (
+            proof = (
                 await self._witness.shows(server, max_wait_s)
                 if channel is None
                 else await self._witness.holds(
                     server, channel, since_s, max_wait_s
                 )
             )
-            if not is_shown:
-                report = LifeReport(Life.UNSHOWN)
+            report = LIFE_REPORTS.get(proof, report)
         metrics.SERVER_LIVES.labels(report.life.value).inc()
         if report.life is not Life.SAME and entry.started_ms != NO_START:
             _log.info(
--- a/src/savorylift/exchange/stream_resumption.py
+++ b/src/savorylift/exchange/stream_resumption.py
@@ -15,6 +15,7 @@
 
 from savorylift.backends.registry import BackendServer
 from savorylift.backends.server import ServerEntry
+from savorylift.backends.server_start import NO_START
 from savorylift.boot_clock import boot_time_s
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.origin_log import OriginLog
@@ -218,7 +219,8 @@
                 return await self._read_entry(server, report.started_ms)
             if report.life is Life.UNSHOWN:
                 server = self._find_newer(server)
-            if report.life is Life.UNNAMED or time.monotonic() >= until_s:
+            has_start = server.entry.started_ms != NO_START
+            if not has_start or time.monotonic() >= until_s:
                 return None
             await self._wait_for_break(channel, pause_s)
             pause_s = max(2 * pause_s, ASK_AGAIN_S)
--- a/src/savorylift/fleet/server_sightings.py
+++ b/src/savorylift/fleet/server_sightings.py
@@ -48,8 +48,11 @@
         server_id: Identifier of the server.
         started_ms: Unix time in milliseconds at which the process started.
         lives: Whether it lives as this is sent; otherwise it may have ended.
+        is_shown: Whether an entry shows that it is that process, which was only
+            believed otherwise.
     """
 
     server_id: str
     started_ms: int
     lives: bool
+    is_shown: bool = False
--- a/tests/exchange/test_process_witness.py
+++ b/tests/exchange/test_process_witness.py
@@ -9,7 +9,7 @@
 from savorylift.backends.server import ServerEntry
 from savorylift.boot_clock import boot_time_s
 from savorylift.exchange import process_connection
-from savorylift.exchange.process_witness import ProcessWitness
+from savorylift.exchange.process_witness import ProcessWitness, Proof
 from savorylift.fleet.server_sightings import WitnessedProcess
 from savorylift.wire.channel import Channel, connect
 from tests.exchange.factories import make_server_entry
@@ -63,11 +63,12 @@
     async def holds(self, channel: Channel, age_s: float = 0.0) -> bool:
         server = BackendServer(self.entry, 0.0)
         since_s = boot_time_s() - age_s
-        return await self.witness.holds(server, channel, since_s, 0.0)
+        found = await self.witness.holds(server, channel, since_s, 0.0)
+        return found is not Proof.NONE
 
     async def shows(self, entry: ServerEntry | None = None) -> bool:
         server = BackendServer(entry or self.entry, 0.0)
-        return await self.witness.shows(server, 0.0)
+        return await self.witness.shows(server, 0.0) is not Proof.NONE
 
 
 def run(
@@ -250,3 +251,21 @@
         assert not await place.holds(channel, 2 * MAX_READ_DELAY_S)
 
     run(scenario, monkeypatch)
+
+
+def test_process_that_is_only_believed_is_shown_by_its_next_entry(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario(place: Place) -> None:
+        server = BackendServer(place.entry, 0.0)
+        assert await place.witness.shows(server, 0.0) is Proof.BELIEVED
+        told = WitnessedProcess("i-1", 1, lives=True)
+        assert place.witness.news() == (told,)
+        await asyncio.sleep(2 * DELIVERY_S)
+        assert await place.witness.shows(server, 0.0) is Proof.BELIEVED
+        place.entry = place.entry._replace(sequence=2)
+        assert await place.witness.shows(server, 0.0) is Proof.SHOWN
+        shown = told._replace(is_shown=True)
+        assert place.witness.news() == (shown,)
+
+    run(scenario, monkeypatch)
--- a/tests/exchange/test_server_life.py
+++ b/tests/exchange/test_server_life.py
@@ -8,6 +8,7 @@
 from savorylift.backends.server_start import NO_REPORT, NO_START
 from savorylift.boot_clock import boot_time_s
 from savorylift.exchange.limit_gate import Permit
+from savorylift.exchange.process_witness import Proof
 from savorylift.exchange.server_life import Life, ServerLife
 from savorylift.exchange.shared_checks import SharedChecks
 from tests.exchange.factories import make_server_entry
@@ -48,19 +49,19 @@
 
 
 class Witness:
-    """Shows that each process lives, or none."""
+    """Knows the same of each process."""
 
-    def __init__(self, *, shows: bool) -> None:
-        self._shows = shows
+    def __init__(self, proof: Proof) -> None:
+        self._proof = proof
 
     def note(self, *_: object) -> None:
         pass
 
-    async def holds(self, *_: object) -> bool:
-        return self._shows
+    async def holds(self, *_: object) -> Proof:
+        return self._proof
 
-    async def shows(self, *_: object) -> bool:
-        return self._shows
+    async def shows(self, *_: object) -> Proof:
+        return self._proof
 
 
 def make_life(
@@ -69,7 +70,7 @@
     grants: bool = True,
     is_held: bool = False,
     sole_version: str | None = None,
-    shows: bool = True,
+    proof: Proof = Proof.BELIEVED,
 ) -> ServerLife:
     gate = Gate(grants=grants)
     return ServerLife(
@@ -77,7 +78,7 @@
         lambda _: is_held,
         servers.read_start,
         lambda _: sole_version,
-        Witness(shows=shows),  # type: ignore[arg-type]
+        Witness(proof),  # type: ignore[arg-type]
     )
 
 
@@ -247,3 +248,20 @@
         assert checker.is_of_entry(server, found.life) is counts
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("started_ms", [NO_REPORT, NO_START])
+@pytest.mark.parametrize(
+    ("proof", "life"),
+    [(Proof.NONE, Life.UNSHOWN), (Proof.SHOWN, Life.SHOWN)],
+)
+def test_process_that_names_no_start_is_known_by_its_connection(
+    proof: Proof, life: Life, started_ms: int
+) -> None:
+    checker = make_life(Servers(started_ms), sole_version="v1", proof=proof)
+    server = make_server(5)
+    entry = server.entry._replace(software_version="v1")
+    server = server._replace(entry=entry)
+    found = asyncio.run(checker.check(server, "a1"))
+    assert found.life is life
+    assert checker.is_of_entry(server, life) is (proof is Proof.SHOWN)
--- a/tests/front/test_unreported_servers.py
+++ b/tests/front/test_unreported_servers.py
@@ -13,6 +13,8 @@
 STREAMS = 24
 NODES = 2
 READ_S = 0.7
+EVENT_INTERVAL_S = 0.01
+SLOW_EVENT_INTERVAL_S = 0.1
 # Callers come back so soon, and so often.
 RETURN_S = 0.5
 TAKE_UPS = 8
@@ -49,10 +51,12 @@
     async def scenario(fleet: VersionFleet) -> None:
         set_up(fleet, 404)
         await broken_streams(fleet, "b")
+        set_pace(fleet, SLOW_EVENT_INTERVAL_S)
         server = fleet.pool[0]
         await start_again(server, "v2")
         await asyncio.sleep(READ_S)
         parts = await broken_streams(fleet, "a")
+        set_pace(fleet, EVENT_INTERVAL_S)
         await asyncio.sleep(DELIVERY_S)
         fleet.publish_entry(server, "pool")
         await asyncio.sleep(READ_S)
@@ -72,6 +76,28 @@
     run_in_fleet(scenario, ("v1", "v1", "v2", "v2"))
 
 
+def test_streams_of_servers_that_name_no_start_go_on_at_their_version() -> None:
+    """None went on, although their entries showed which processes lived."""
+
+    async def scenario(fleet: VersionFleet) -> None:
+        set_up(fleet, 200)
+        await broken_streams(fleet, "w")
+        await asyncio.sleep(2 * DELIVERY_S)
+        set_pace(fleet, SLOW_EVENT_INTERVAL_S)
+        parts = await broken_streams(fleet, "b")
+        set_pace(fleet, EVENT_INTERVAL_S)
+        await asyncio.sleep(2 * DELIVERY_S)
+        for server in fleet.pool:
+            server.sequence += 1
+            fleet.publish_entry(server, "pool")
+        await asyncio.sleep(READ_S)
+        joined = await take_up_all(fleet, 0, "b", parts)
+        assert mixed(*joined) == []
+        assert [len(events) for events in joined] == [EVENTS] * STREAMS
+
+    run_in_fleet(scenario, ("v1", "v1", "v2", "v2"))
+
+
 async def broken_streams(fleet: VersionFleet, name: str) -> list[Part]:
     """Returns streams of several nodes that broke off and did not go on."""
     for server in fleet.pool:
@@ -98,6 +124,15 @@
     return join(parts, rests)
 
 
+def set_pace(fleet: VersionFleet, event_interval_s: float) -> None:
+    """Sets how fast events come.
+
+    Slow streams break off after their process could be looked at.
+    """
+    for server in fleet.pool:
+        server.event_interval_s = event_interval_s
+
+
 def set_up(fleet: VersionFleet, status: int) -> None:
     """Lets servers answer a question for their report with a status."""
     for server in fleet.pool:
--- a/tests/soak/killed_shapes.py
+++ b/tests/soak/killed_shapes.py
@@ -139,6 +139,7 @@
         faults=(*MOVING, Fault.RESTART, Fault.DRAIN),
         fault_interval_s=DENSE_FAULT_INTERVAL_S,
     ),
+    "reported": UNREPORTED._replace(no_report_status=None),
     "unreported": UNREPORTED,
     "unreported-release": UNREPORTED_RELEASE,
     "unreported-400": UNREPORTED._replace(no_report_status=400),
