--- a/tests/exchange/test_successor_check.py
+++ b/tests/exchange/test_successor_check.py
@@ -9,6 +9,7 @@
 from savorylift.backends.registry import Registry
 from savorylift.backends.server_start import NO_REPORT, NO_START
 from savorylift.exchange.notice_recorder import NoticeRecorder
+from savorylift.exchange.process_witness import Proof
 from savorylift.exchange.server_holds import ServerHolds
 from savorylift.exchange.server_life import ServerLife
 from savorylift.exchange.server_notice import NO_NOTICE, ServerNotice
@@ -51,7 +52,7 @@
             lambda _: self.held,
             self._read_start,
             lambda _: None,
-            Witness(shows=True),  # type: ignore[arg-type]
+            Witness(Proof.SHOWN),  # type: ignore[arg-type]
         )
         self._tasks: set[asyncio.Future[None]] = set()
         self.check = SuccessorCheck(
