Let the second server of a test start later than the removed one of its ID

Cause: test_resumable_stream_of_a_draining_server_that_exits_is_whole removes a server and registers another process under its ID with the same start and sequence, which no process has. Since such an entry is that of a copy of the store: the server stayed closed, and the stream had nowhere to go on. Change: the other process names a later start; all assertions stay.

--- a/tests/front/test_unframed_answers.py
+++ b/tests/front/test_unframed_answers.py
@@ -319,6 +319,7 @@
     async def scenario(env: NodeEnvironment) -> None:
         server = await replace_by_one(env, "/resumable/", EVENTS[:sent])
         other = PlatformServer("pool-1")
+        other.born += 1
         await other.start(env.ports[10])
         server.is_gone = server.ends = True
         if is_reborn:
