--- a/src/savorylift/backends/registry.py
+++ b/src/savorylift/backends/registry.py
@@ -114,6 +114,14 @@
             return entry.is_older_than(last)
         return not last.is_older_than(entry)
 
+    def is_still_missing(self, entry: ServerEntry) -> bool:
+        """Whether a server is to expire, and an entry doesn't change that."""
+        server = self._servers.get(entry.server_id)
+        if server is None or server.expires_at_s is None:
+            return False
+        last = self.find_last_entry(entry.server_id)
+        return last is not None and not last.is_older_than(entry)
+
     def remove(self, server_id: str, now_s: float) -> bool:
         """Removes a server whose entry was deleted from the store.
 
--- a/src/savorylift/fleet/store_view.py
+++ b/src/savorylift/fleet/store_view.py
@@ -152,7 +152,7 @@
             )
             is_changed = True
         if snapshot.servers_version > self.servers_version:
-            self._replace_server_values(snapshot.servers)
+            self._replace_server_values(snapshot.servers, is_from_store=False)
             self.servers_version = snapshot.servers_version
             is_changed = True
         return is_changed
@@ -242,7 +242,19 @@
             (removal,) if last is None else (Change(server_id, last), removal)
         )
 
-    def _replace_server_values(self, values: Mapping[str, bytes]) -> bool:
+    def _replace_server_values(
+        self, values: Mapping[str, bytes], *, is_from_store: bool = True
+    ) -> bool:
+        """Replaces all server entries.
+
+        Args:
+            values: The entries.
+            is_from_store: Whether the store has them now; otherwise another
+                node has, which may keep servers that are missing.
+
+        Returns:
+            Whether anything changed.
+        """
         now_s = time.monotonic()
         before = dict(self.registry.servers)
         has_removed = self.registry.keep_only(values, now_s)
@@ -252,7 +264,10 @@
                 _log_removal(
                     server.entry, has_effect=has_effect, is_listed=True
                 )
-        put = [self._put_server(*item, now_s) for item in values.items()]
+        put = [
+            self._put_server(*item, now_s, is_from_store=is_from_store)
+            for item in values.items()
+        ]
         self._servers = {
             key: value
             for key, value in self._servers.items()
@@ -260,7 +275,14 @@
         }
         return has_removed or any(put)
 
-    def _put_server(self, server_id: str, value: bytes, now_s: float) -> bool:
+    def _put_server(
+        self,
+        server_id: str,
+        value: bytes,
+        now_s: float,
+        *,
+        is_from_store: bool = True,
+    ) -> bool:
         decoded = self._decoders.server(server_id, value)
         if not is_successful(decoded):
             _log.warning(
@@ -274,6 +296,8 @@
         if self.registry.is_outdated(entry):
             _log_outdated(entry, last)
             return False
+        if not is_from_store and self.registry.is_still_missing(entry):
+            return False
         self._servers[server_id] = value
         is_changed = self.registry.put(entry, now_s)
         if is_changed:
--- a/tests/fleet/test_store_view.py
+++ b/tests/fleet/test_store_view.py
@@ -176,6 +176,37 @@
     assert not reader.apply_server_records(heartbeat, 10)
 
 
+def test_snapshot_without_news_of_a_missing_server_does_not_keep_it() -> None:
+    with freezegun.freeze_time("2026-01-01") as clock:
+        view, other = make_store_view(one=1, two=2), make_store_view(one=1)
+        view.registry.start_grace_period(time.monotonic())
+        listing = [Change("two", encode_server_entry(2, 2))]
+        view.replace_server_records(listing, 9)
+        other.apply_server_records(
+            [Change("three", encode_server_entry(3))], 10
+        )
+        assert view.apply_snapshot(other.snapshot())
+        clock.tick(GRACE_PERIOD_S + 0.1)
+        view.drop_expired()
+        assert "one" not in view.registry.servers
+
+
+def test_snapshot_with_a_later_entry_keeps_a_missing_server() -> None:
+    with freezegun.freeze_time("2026-01-01") as clock:
+        view, other = make_store_view(one=1), make_store_view(one=1)
+        view.registry.start_grace_period(time.monotonic())
+        view.replace_server_records([], 9)
+        changes = [
+            Change("one", encode_server_entry(1, 2)),
+            Change("three", encode_server_entry(3)),
+        ]
+        other.apply_server_records(changes, 10)
+        assert view.apply_snapshot(other.snapshot())
+        clock.tick(GRACE_PERIOD_S + 0.1)
+        view.drop_expired()
+        assert "one" in view.registry.servers
+
+
 @pytest.mark.parametrize("data", [b"", b"\xff", b"\x82\x01\x02", b"\x00"])
 def test_invalid_bytes_are_rejected(data: bytes) -> None:
     assert decode(data).failure()
