List first streams at replaced servers without reports, which mix versions

Callers got events of two versions in one stream: a server that can't say which process it is started again with another version before its entry was written, and no node kept a connection to it. The first stream opened one, which counted as one to the process of the entry.

The class: what isn't known counts as good news. ProcessWitness trusts the first connection unless a restart in the service is known, and this restart is the one that isn't yet.

The tests before opened streams first, so that connections were kept as the servers ended. Not mended: without that trust each first stream waits for a heartbeat, and take-ups are refused until then.

--- a/tests/front/test_unreported_servers.py
+++ b/tests/front/test_unreported_servers.py
@@ -43,6 +43,27 @@
     run_in_fleet(scenario, versions)
 
 
+@pytest.mark.parametrize("versions", [("v1",) * 4, ("v1", "v1", "v2", "v2")])
+def test_first_stream_of_a_replaced_server_without_reports_keeps_its_version(
+    versions: tuple[str, ...],
+) -> None:
+    """Its first connection counted as one to the process of the entry."""
+
+    async def scenario(fleet: VersionFleet) -> None:
+        set_up(fleet, 404)
+        for server in (fleet.pool[0], fleet.pool[2]):
+            other = "v1" if server.software_version == "v2" else "v2"
+            await start_again(server, other)
+        await asyncio.sleep(READ_S)
+        parts = await broken_streams(fleet, "a")
+        joined = await take_up_all(fleet, 1, "a", parts)
+        begun = {part.versions[0] for part in parts if part.versions}
+        assert begun == {"v1", "v2"}
+        assert mixed(*joined) == []
+
+    run_in_fleet(scenario, versions)
+
+
 def test_streams_go_on_once_a_server_without_reports_writes_its_entry() -> None:
     """A stream was refused for good whose server had started again before."""
 
