--- a/src/savorylift/exchange/allowed_servers.py
+++ b/src/savorylift/exchange/allowed_servers.py
@@ -9,6 +9,8 @@
 from savorylift.exchange.server_block import Block
 from savorylift.exchange.server_holds import ServerHolds
 from savorylift.fleet.store_view import StoreView
+from savorylift.rollouts.board import RolloutBoard
+from savorylift.rollouts.version_rules import VersionRule
 
 
 class AllowedServers:
@@ -19,6 +21,7 @@
         store_view: StoreView,
         region_by_domain: Mapping[str, str],
         holds: ServerHolds,
+        rollouts: RolloutBoard | None = None,
     ) -> None:
         """Reads the store view and the holds at each choice.
 
@@ -26,10 +29,13 @@
             store_view: Servers and evacuations, as recorded in the store.
             region_by_domain: Region of each failure domain.
             holds: Which servers want nothing for a while.
+            rollouts: Which software versions a request may go to; None if that
+                is left to chance.
         """
         self._store_view = store_view
         self._region_by_domain = region_by_domain
         self._holds = holds
+        self._rollouts = rollouts
 
     def find(
         self, admitted: AdmittedRequest, tried: Collection[str]
@@ -50,15 +56,31 @@
         """Yields the servers that a request is for, in service or not."""
         service = admitted.service.name
         version = admitted.software_version
+        rule = self.find_version_rule(admitted, tried)
         for server_id, server in self._store_view.registry.servers.items():
             entry = server.entry
             if entry.service != service or server_id in tried:
                 continue
             if version not in (None, entry.software_version):
                 continue
+            if rule is not None and not rule.allows(entry):
+                continue
             if self._is_allowed_domain(admitted, entry.failure_domain):
                 yield server
 
+    def find_version_rule(
+        self, admitted: AdmittedRequest, tried: Collection[str]
+    ) -> VersionRule | None:
+        """Returns which versions a request may go to; None for any."""
+        if self._rollouts is None:
+            return None
+        return self._rollouts.find_rule(
+            admitted.service.name,
+            admitted.req.attempt_id,
+            is_repeat=bool(tried),
+            is_bound=admitted.software_version is not None,
+        )
+
     def are_all_leaving(self, admitted: AdmittedRequest) -> bool:
         """Whether a request has servers, and all of them are draining."""
         entries = [server.entry for server in self.find_matching(admitted)]
@@ -107,6 +129,8 @@
         known = self._store_view.registry.find_entry(entry.server_id)
         if known is None or self._holds.is_held(entry.server_id):
             return False
+        if self._rollouts is not None and self._rollouts.is_banned(known):
+            return False
         if (known.address, known.software_version) != (
             entry.address,
             entry.software_version,
--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 from collections.abc import Collection
 
 from returns.pipeline import is_successful
@@ -10,6 +11,7 @@
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange import metrics
 from savorylift.exchange.admission import AdmittedRequest
+from savorylift.exchange.answer_outcome import find_outcome
 from savorylift.exchange.codec import Codec, EventSink
 from savorylift.exchange.crash_guard import CrashGuard, is_quarantined
 from savorylift.exchange.engine_queue import EngineQueue
@@ -45,6 +47,7 @@
 from savorylift.outcomes import Reason
 from savorylift.placement.engines import expected_tokens
 from savorylift.placement.memory_release_rate import MemoryReleaseRate
+from savorylift.rollouts.answer_log import Outcome
 
 # How long to wait for a move to complete after the run's stream has ended. An
 # engine that is told to stop a run ends its stream within this time.
@@ -53,6 +56,9 @@
 # refused together don't retry together.
 RETRY_AFTER_JITTER = 0.3
 
+# Events after which the pace of a stream is known.
+PACE_EVENTS = 6
+
 
 class GenerationDispatcher:
     """Serves generations, with retries on other engines and live moves."""
@@ -147,6 +153,7 @@
             return fail_generation(run, sink, Broken(Reason.DEADLINE, detail))
         finally:
             self._runs.discard(run)
+            self._pool.answers.finish(run.attempt_id, Outcome.ENDED)
             if run.is_at_engine:
                 self._crash_guard.record_given_up(run)
             self._release(run)
@@ -183,6 +190,7 @@
                 run, server, sink, tried, is_last=is_last
             )
             self._crash_guard.record_result(run, result)
+            self._pool.answers.finish(run.attempt_id, find_outcome(result))
             self._release(run, was_sent=not is_over_limit(result))
             if result is None:
                 return None
@@ -354,10 +362,14 @@
 
     def _on_first_event(self, run: Run) -> None:
         self._queue.record_first_event(run)
+        self._pool.answers.note_answer(run.attempt_id)
         self._resumption.record_begin(run)
 
     def _on_event(self, run: Run) -> None:
         self._crash_guard.record_event(run)
+        if run.engine_events == PACE_EVENTS and run.first_event_s is not None:
+            pause_s = (time.monotonic() - run.first_event_s) / PACE_EVENTS
+            self._pool.answers.note_pause(run.attempt_id, pause_s)
         self._start_move_if_draining(run)
 
     def _start_move_if_draining(self, run: Run) -> None:
--- a/src/savorylift/exchange/plain_call.py
+++ b/src/savorylift/exchange/plain_call.py
@@ -13,6 +13,7 @@
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange import metrics
 from savorylift.exchange.admission import AdmittedRequest
+from savorylift.exchange.answer_outcome import find_outcome
 from savorylift.exchange.crash_guard import CrashGuard, is_quarantined
 from savorylift.exchange.failover import FailoverPolicy
 from savorylift.exchange.place_queue import PlaceQueue
@@ -29,6 +30,7 @@
 from savorylift.exchange.send import Sender
 from savorylift.exchange.server_pool import ServerPool
 from savorylift.outcomes import Reason
+from savorylift.rollouts.answer_log import Outcome
 
 # A plain service has room again within a few service times.
 BUSY_RETRY_AFTER_S = 0.2
@@ -195,6 +197,7 @@
             result = await self._sender.send(server, admitted, policy)
         except asyncio.CancelledError:
             self._crash_guard.record_call_given_up(server, call.traits, sent_s)
+            self._pool.answers.finish(attempt_id, Outcome.ENDED)
             raise
         finally:
             self._pool.load_tracker.remove_request(server_id, attempt_id)
@@ -202,6 +205,7 @@
         call.is_at_server = False
         self._crash_guard.record_call(server, call.traits, sent_s, result)
         self._record_result(server_id, result)
+        self._pool.answers.finish(attempt_id, find_outcome(result))
         _log.info(
             "sent",
             request=attempt_id,
--- a/src/savorylift/exchange/server_pool.py
+++ b/src/savorylift/exchange/server_pool.py
@@ -28,6 +28,8 @@
     choose_least_loaded_engine,
 )
 from savorylift.placement.plain_servers import choose_plain_server
+from savorylift.rollouts.answers import AnswerObserver
+from savorylift.rollouts.board import RolloutBoard
 
 
 class ServerPool:
@@ -40,6 +42,7 @@
         move_queue: Which run may be copied next.
         blocks: Why servers get no requests.
         retries: This node's share of the retry budget.
+        answers: Follows the requests to services that are rolled out.
     """
 
     def __init__(
@@ -53,6 +56,8 @@
         region_by_domain: Mapping[str, str],
         limit_gate: LimitGate,
         holds: ServerHolds,
+        rollouts: RolloutBoard | None = None,
+        answers: AnswerObserver | None = None,
     ) -> None:
         """Creates a pool that reads the store view and members at each choice.
 
@@ -67,13 +72,18 @@
             region_by_domain: Region of each failure domain.
             limit_gate: Holds the limits that servers name.
             holds: Which servers want nothing for a while.
+            rollouts: Which software versions a request may go to.
+            answers: Follows the requests to services that are rolled out.
         """
         self._registry = store_view.registry
         self._membership = membership
         self._rng = rng
         self._announce = announce
         self._limit_gate = limit_gate
-        self._allowed = AllowedServers(store_view, region_by_domain, holds)
+        self._allowed = AllowedServers(
+            store_view, region_by_domain, holds, rollouts
+        )
+        self.answers = answers or AnswerObserver()
         self.load_tracker = LoadTracker()
         self.brittle = BrittleServices()
         self.holds = holds
@@ -290,7 +300,21 @@
         tried: Collection[str],
         loads: Mapping[str, Load],
     ) -> Iterator[BackendServer]:
-        """Yields the servers that may run a request and have room for it."""
+        """Returns the servers that may run a request and have room for it."""
+        found = self._find_eligible(admitted, tried, loads)
+        rule = self._allowed.find_version_rule(admitted, tried)
+        if rule is None:
+            return found
+        servers = list(found)
+        preferred = [s for s in servers if rule.prefers(s.entry)]
+        return iter(preferred or servers)
+
+    def _find_eligible(
+        self,
+        admitted: AdmittedRequest,
+        tried: Collection[str],
+        loads: Mapping[str, Load],
+    ) -> Iterator[BackendServer]:
         demand = self._places.demand(admitted.service)
         for server in self._allowed.find_matching(admitted, tried):
             load = loads.get(server.entry.server_id, Load())
@@ -315,3 +339,9 @@
         if prefill_tokens and not self._limit_gate.is_limited(server.entry):
             self._announce()
         self._places.record_start(server)
+        self.answers.begin(
+            server.entry,
+            admitted.route.name,
+            admitted.req.attempt_id,
+            is_cold=server.is_cold(time.monotonic()),
+        )
--- a/src/savorylift/fleet/codec.py
+++ b/src/savorylift/fleet/codec.py
@@ -21,6 +21,11 @@
     OriginQuery,
     OriginReply,
 )
+from savorylift.fleet.rollout_messages import (
+    AnswerReport,
+    RolloutMessage,
+    StageNews,
+)
 from savorylift.fleet.state import NodeState
 from savorylift.fleet.store_records import Delta, Snapshot
 
@@ -43,7 +48,9 @@
     DEFLATE = 1
 
 
-Message = NodeState | Delta | Snapshot | LimitMessage | OriginMessage
+Message = (
+    NodeState | Delta | Snapshot | LimitMessage | OriginMessage | RolloutMessage
+)
 MESSAGE_TYPES: dict[str, type[Message]] = {
     "state": NodeState,
     "delta": Delta,
@@ -55,6 +62,8 @@
     "origin_ack": OriginAck,
     "origin_query": OriginQuery,
     "origin_reply": OriginReply,
+    "stages": StageNews,
+    "answers": AnswerReport,
 }
 
 
--- /dev/null
+++ b/src/savorylift/fleet/rollout_messages.py
@@ -0,0 +1,115 @@
+"""Messages about roll-outs: their stages, and how versions answer."""
+
+import enum
+from typing import NamedTuple
+
+
+class Phase(enum.StrEnum):
+    """How far a roll-out has come.
+
+    Attributes:
+        WATCH: Both versions get requests and are compared.
+        SHIFT: Only the new version gets new requests.
+        COMPLETED: The old servers may stop.
+        ROLLED_BACK: The new version gets no more requests.
+    """
+
+    WATCH = "watch"
+    SHIFT = "shift"
+    COMPLETED = "completed"
+    ROLLED_BACK = "rolled_back"
+
+    @property
+    def is_final(self) -> bool:
+        """Whether no other phase follows."""
+        return self in (Phase.COMPLETED, Phase.ROLLED_BACK)
+
+
+class Stage(NamedTuple):
+    """Where a roll-out stands; also its record in the store.
+
+    Attributes:
+        service: Name of the service.
+        order_id: The order; empty if it was withdrawn.
+        version: The new version.
+        duration_s: Time from the order to its deadline.
+        phase: How far it has come.
+        step: Number of the step, which never goes down.
+        share: Share of the requests that may go to the new version.
+        epoch: Number of times that a node has taken over roll-outs of this
+            service.
+        elapsed_s: Time since the order, when this was written or sent.
+        written_s: Unix time at which it was written.
+        banned: Versions that were rolled back earlier.
+        reason: Why the last step was taken.
+        is_recorded: Whether the store holds it.
+    """
+
+    service: str
+    order_id: str
+    version: str
+    duration_s: float
+    phase: Phase
+    step: int
+    share: float
+    epoch: int
+    elapsed_s: float
+    written_s: float
+    banned: tuple[str, ...] = ()
+    reason: str = ""
+    is_recorded: bool = True
+
+
+class StageNews(NamedTuple):
+    """Tells nodes where roll-outs stand.
+
+    Attributes:
+        stages: The stages, as of now.
+    """
+
+    stages: tuple[Stage, ...]
+
+
+class AnswerCell(NamedTuple):
+    """Answers of one server to requests on one route, in a slice of time.
+
+    Attributes:
+        slice_number: Number of the slice since the order.
+        is_new: Whether the server is of the new version.
+        server_id: Identifier of the server.
+        series: Name of the route, or of what else is measured there.
+        succeeded: Answers that are no failures.
+        failed: Answers that are failures of the server.
+        lost: Requests that ended without a whole answer.
+        times: Pairs of a class of durations and the number in it.
+        cut: The same for durations that went on for longer, or still do.
+    """
+
+    slice_number: int
+    is_new: bool
+    server_id: str
+    series: str
+    succeeded: int
+    failed: int
+    lost: int
+    times: tuple[tuple[int, int], ...]
+    cut: tuple[tuple[int, int], ...] = ()
+
+
+class AnswerReport(NamedTuple):
+    """Tells the deciding node how a service's servers have answered.
+
+    Attributes:
+        order_id: The order.
+        service: Name of the service.
+        source: Random number of the process that counted.
+        cells: What it has counted, in full for each cell.
+    """
+
+    order_id: str
+    service: str
+    source: int
+    cells: tuple[AnswerCell, ...]
+
+
+RolloutMessage = StageNews | AnswerReport
--- a/src/savorylift/fleet/state.py
+++ b/src/savorylift/fleet/state.py
@@ -30,6 +30,14 @@
     QuarantineNews,
     SoundPart,
 )
+from savorylift.fleet.rollout_messages import (
+    AnswerCell,
+    AnswerReport,
+    Phase,
+    RolloutMessage,
+    Stage,
+    StageNews,
+)
 from savorylift.fleet.server_sightings import (
     BrittleNews,
     LeavingServer,
@@ -49,6 +57,8 @@
 # The other messages are imported from here, too.
 __all__ = [
     "UNKNOWN_VERSION",
+    "AnswerCell",
+    "AnswerReport",
     "BrittleNews",
     "Change",
     "CrashReport",
@@ -66,13 +76,17 @@
     "Patch",
     "PermitReply",
     "PermitRequest",
+    "Phase",
     "QuarantineNews",
     "QuarantinedParts",
+    "RolloutMessage",
     "Segment",
     "ServerLoad",
     "ServerProcess",
     "Snapshot",
     "SoundPart",
+    "Stage",
+    "StageNews",
     "StreamOrigin",
     "Topic",
     "VersionSighting",
@@ -136,6 +150,8 @@
             know.
         witnessed_processes: Processes to which the node keeps connections, or
             did until lately.
+        knows_rollouts: Whether the node heeds the stages of roll-outs; builds
+            that don't say send requests to servers of any version.
     """
 
     node: str
@@ -163,3 +179,4 @@
     servers_reading_age_s: float | None = None
     has_version_history: bool = False
     witnessed_processes: tuple[WitnessedProcess, ...] = ()
+    knows_rollouts: bool = False
--- a/src/savorylift/fleet/store_view.py
+++ b/src/savorylift/fleet/store_view.py
@@ -70,6 +70,11 @@
         self.operators_version = 0
         self.servers_version: Version = (0, 0)
 
+    @property
+    def operator_records(self) -> Mapping[str, bytes]:
+        """The operators' records by key, as stored."""
+        return self._operators
+
     def snapshot(
         self, operators_version: int = -1, servers_version: Version = (-1, 0)
     ) -> Snapshot:
--- a/src/savorylift/front/interface.py
+++ b/src/savorylift/front/interface.py
@@ -4,14 +4,17 @@
 save memory.
 """
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import NamedTuple, Protocol
 
 from savorylift.backends.registry import Registry
 from savorylift.exchange.codec import Codec
+from savorylift.fleet.rollout_messages import Stage
 from savorylift.fleet.store_view import Decoders
 from savorylift.front.settings import FrontSettings
 from savorylift.platform.backend_servers import decode_server
+from savorylift.platform.store_record import Record
+from savorylift.rollouts.order import RolloutOrder
 from savorylift.wire.message import Request, Response
 
 
@@ -26,6 +29,21 @@
 # A prompt is in the request as it came, as it is kept, and as it is sent.
 COMPLETION_COPIES = 3
 
+OrderDecoder = Callable[[Mapping[str, bytes]], list[RolloutOrder]]
+
+
+class RolloutCodec(NamedTuple):
+    """Translates what operators write and read of roll-outs.
+
+    Attributes:
+        decode_orders: Returns the orders among the operators' records.
+        encode_status: Returns the record of the status of a stage.
+    """
+
+    decode_orders: OrderDecoder
+    encode_status: Callable[[Stage], Record | None]
+
+
 AddressProvider = Callable[[], Sequence[str]]
 
 
@@ -42,6 +60,7 @@
             None for all others.
         make_load_poller: Creates the poller for backend servers that write no
             entries to the store; returns None if it is not needed.
+        rollouts: Translates orders of roll-outs; None if there are none.
     """
 
     body_copies: int
@@ -52,6 +71,7 @@
     make_load_poller: Callable[
         [Registry, Callable[[], None]], LoadPoller | None
     ]
+    rollouts: RolloutCodec | None = None
 
 
 def choose_interface(settings: FrontSettings, ttl_s: float) -> Interface:
@@ -67,7 +87,7 @@
 
 
 def _platform() -> Interface:
-    from savorylift.platform import configuration
+    from savorylift.platform import configuration, rollouts
     from savorylift.platform.codec import PlatformCodec
     from savorylift.platform.store import OPERATORS_TOPIC
 
@@ -84,6 +104,7 @@
         decoders,
         lambda _req, _get_addresses: None,
         lambda _registry, _on_change: None,
+        RolloutCodec(rollouts.decode_orders, rollouts.encode_status),
     )
 
 
--- a/src/savorylift/front/maintenance.py
+++ b/src/savorylift/front/maintenance.py
@@ -11,6 +11,7 @@
 from savorylift.front.server_parts import ServerParts
 from savorylift.front.shared_parts import SharedParts
 from savorylift.front.stream_parts import StreamParts
+from savorylift.rollouts.agent import RolloutAgent
 
 MAINTENANCE_INTERVAL_S = 0.2
 # Delay of the event loop that is logged.
@@ -29,6 +30,7 @@
         streams: StreamParts,
         successors: SuccessorCheck,
         on_expired: Callable[[], None],
+        rollouts: RolloutAgent | None = None,
     ) -> None:
         """Does nothing until `run` is called.
 
@@ -38,12 +40,14 @@
             streams: The parts that serve streams.
             successors: Asks servers that started again whether they leave.
             on_expired: Called after entries of servers have expired.
+            rollouts: This node's part in roll-outs, if there are any.
         """
         self._shared = shared
         self._servers = servers
         self._streams = streams
         self._successors = successors
         self._on_expired = on_expired
+        self._rollouts = rollouts
 
     async def run(self) -> None:
         """Repeats until cancelled."""
@@ -61,6 +65,8 @@
         self._servers.limit_gate.update()
         self._streams.server_news.update(is_leaving=shared.lifecycle.is_leaving)
         self._successors.update()
+        if self._rollouts is not None:
+            self._rollouts.update()
         if shared.store_view.drop_expired():
             self._on_expired()
         else:
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -14,6 +14,7 @@
 from savorylift.fleet.limit_messages import LimitMessage
 from savorylift.fleet.message_auth import MessageAuthenticator
 from savorylift.fleet.origin_messages import OriginMessage
+from savorylift.fleet.rollout_messages import RolloutMessage
 from savorylift.fleet.state import NodeState
 from savorylift.fleet.store_records import Delta
 from savorylift.front.caller_parts import make_caller_parts
@@ -21,6 +22,7 @@
 from savorylift.front.maintenance import Maintenance
 from savorylift.front.peer_sync import PeerSync
 from savorylift.front.reload_signal import ReloadSignal
+from savorylift.front.rollout_parts import make_rollout_agent
 from savorylift.front.server_parts import make_server_parts
 from savorylift.front.settings import FrontSettings
 from savorylift.front.settings_reload import SettingsReader, SettingsReload
@@ -90,6 +92,13 @@
             self._servers.crash_guard,
             self._streams.server_news,
             transport,
+            self._servers.rollouts.board,
+        )
+        self._rollouts = make_rollout_agent(
+            self._shared,
+            self._servers,
+            transport,
+            lambda: self._store.reader.has_fault(time.monotonic()),
         )
         self._callers = make_caller_parts(
             self._shared,
@@ -110,6 +119,7 @@
             self._streams,
             self._successors,
             lambda: self._on_store_change(None),
+            self._rollouts,
         )
 
     def _make_peer_sync(self) -> PeerSync:
@@ -132,6 +142,7 @@
             on_new_peer=self._on_new_peer,
             on_limit_message=self._on_limit_message,
             on_origin_message=self._on_origin_message,
+            on_rollout_message=self._on_rollout_message,
         )
 
     @property
@@ -196,6 +207,8 @@
         yield self._store.version_recorder.run
         yield self._streams.origin_log.run
         yield self._store.drain_poller.run
+        if self._rollouts is not None:
+            yield self._rollouts.run
         if self._store.load_poller is not None:
             yield self._store.load_poller.run
 
@@ -222,6 +235,8 @@
 
     def _on_new_peer(self, ip: str) -> None:
         self._servers.limit_gate.greet(ip)
+        if self._rollouts is not None:
+            self._rollouts.greet(ip)
 
     def _on_limit_message(self, message: LimitMessage, ip: str) -> None:
         self._servers.limit_gate.receive(message, ip)
@@ -229,6 +244,10 @@
     def _on_origin_message(self, message: OriginMessage, ip: str) -> None:
         self._streams.origins.receive(message, ip)
 
+    def _on_rollout_message(self, message: RolloutMessage) -> None:
+        if self._rollouts is not None:
+            self._rollouts.receive(message)
+
     def _on_peer_update(self) -> None:
         """Continues reading the store after the records learned from a peer."""
         self._store.reader.skip_known()
--- a/src/savorylift/front/server_parts.py
+++ b/src/savorylift/front/server_parts.py
@@ -26,6 +26,7 @@
 from savorylift.fleet.peer_transport import PeerTransport
 from savorylift.fleet.permit_issuer import PermitIssuer
 from savorylift.fleet.version_history import VersionHistory
+from savorylift.front.rollout_rules import RolloutRules, make_rollout_rules
 from savorylift.front.settings import FrontSettings
 from savorylift.front.shared_parts import SharedParts
 from savorylift.platform.engine_client import read_start, read_start_on
@@ -49,6 +50,7 @@
         witness: Shows which processes live of servers that don't say it.
         life: Finds out whether a server has started again.
         sender: Sends requests to servers.
+        rollouts: Which software versions requests may go to.
     """
 
     limit_gate: LimitGate
@@ -62,6 +64,7 @@
     witness: ProcessWitness
     life: ServerLife
     sender: Sender
+    rollouts: RolloutRules
 
 
 def make_server_parts(
@@ -80,7 +83,8 @@
     )
     ask_start = partial(read_start, on_notice=recorder.record_at)
     limit_gate = _make_limit_gate(shared, transport, holds, ask_start)
-    pool = _make_pool(shared, transport, holds, limit_gate)
+    rollouts = make_rollout_rules(shared.settings)
+    pool = _make_pool(shared, transport, holds, limit_gate, rollouts)
     reach = ServerReach(
         pool.servers_in_service,
         _make_reach_probe(shared, holds, limit_gate, recorder),
@@ -135,6 +139,7 @@
         witness,
         life,
         sender,
+        rollouts,
     )
 
 
@@ -170,6 +175,7 @@
     transport: PeerTransport,
     holds: ServerHolds,
     limit_gate: LimitGate,
+    rollouts: RolloutRules,
 ) -> ServerPool:
     return ServerPool(
         shared.store_view,
@@ -181,6 +187,8 @@
         shared.settings.regions,
         limit_gate,
         holds,
+        rollouts.board,
+        rollouts.answers,
     )
 
 
--- a/src/savorylift/front/settings.py
+++ b/src/savorylift/front/settings.py
@@ -36,6 +36,12 @@
         retry_window_s: Sliding window to which the ratio applies.
         retry_slack: Retries allowed in a window on top of the ratio.
         entry_ttl_max_s: Upper bound on the TTL of addresses that callers get.
+        rollout_share: Share of a service's requests that a new software version
+            may get before it is known to be sound; None to let operators order
+            no roll-outs.
+        rollout_slack: Requests that it may get on top of that share.
+        rollback_ms: Time in milliseconds within which a bad version must get
+            no more requests.
         interface: Protocol for callers and backend servers: the platform's
             own, or completions by model with a rules file.
         caller_tls: TLS files of the callers' listener; None for plain HTTP.
@@ -67,6 +73,9 @@
     retry_slack: float
     entry_ttl_max_s: Seconds
     regions: Mapping[Name, Name] = MappingProxyType({})
+    rollout_share: float | None = None
+    rollout_slack: float = 0.0
+    rollback_ms: float = 5000.0
     interface: Literal["platform", "completions"] = "platform"
     caller_tls: TlsSettings | None = None
     peer_keys: tuple[Secret, ...] = ()
--- a/src/savorylift/front/state_reporter.py
+++ b/src/savorylift/front/state_reporter.py
@@ -15,6 +15,7 @@
 from savorylift.front.lifecycle import Lifecycle
 from savorylift.front.server_news import ServerNews
 from savorylift.front.status import Status
+from savorylift.rollouts.board import RolloutBoard
 from savorylift.routing.configuration import Configuration
 
 
@@ -58,6 +59,7 @@
         crash_guard: CrashGuard,
         server_news: ServerNews,
         transport: PeerTransport,
+        rollouts: RolloutBoard | None = None,
     ) -> None:
         """Connects the parts that the state is read from.
 
@@ -72,6 +74,7 @@
             crash_guard: Which requests crash servers.
             server_news: What servers said.
             transport: How often messages go.
+            rollouts: Where roll-outs stand; None if there are to be none.
         """
         self._identity = identity
         self._lifecycle = lifecycle
@@ -83,6 +86,8 @@
         self._crash_guard = crash_guard
         self._server_news = server_news
         self._transport = transport
+        self._knows_rollouts = rollouts is not None
+        self._rollouts = rollouts
         self._sequence = 0
         self.was_reader = False
 
@@ -130,6 +135,7 @@
             interval_s=self._transport.own_interval_s,
             peers=tuple(peer.state.ip for peer in peers),
             quarantine_news=self._crash_guard.news(),
+            knows_rollouts=self._knows_rollouts,
         )
         return self._server_news.add_to(state)
 
@@ -163,9 +169,13 @@
                 news.service for news in self._pool.brittle.news()
             ),
             held_servers=self._pool.holds.held_ids,
+            rollouts=self._rollout_stages(),
             blocked_servers={} if cfg is None else self._blocked_servers(cfg),
         )
 
+    def _rollout_stages(self) -> dict[str, str]:
+        return {} if self._rollouts is None else self._rollouts.describe()
+
     def _blocked_servers(self, cfg: Configuration) -> dict[str, str]:
         blocks = self._pool.blocks.find_all(cfg.services.values())
         return {server_id: block.value for server_id, block in blocks.items()}
--- a/src/savorylift/front/status.py
+++ b/src/savorylift/front/status.py
@@ -35,6 +35,7 @@
         brittle_services: Services whose servers fall over if they reject much.
         held_servers: Servers that want nothing from it for a while.
         blocked_servers: Servers that get no request of it now, with why.
+        rollouts: Where the roll-out of each service stands, as it knows.
     """
 
     vm: str
@@ -54,6 +55,7 @@
     brittle_services: tuple[str, ...] = ()
     held_servers: tuple[str, ...] = ()
     blocked_servers: dict[str, str] = msgspec.field(default_factory=dict)
+    rollouts: dict[str, str] = msgspec.field(default_factory=dict)
 
 
 def encode_status(status: Status) -> bytes:
--- a/src/savorylift/operators/node_commands.py
+++ b/src/savorylift/operators/node_commands.py
@@ -55,6 +55,10 @@
         phase = "ready" if node_status.is_ready else "starting"
     reasons = Counter(node_status.blocked_servers.values())
     blocked = "".join(f", {n} blocked ({why})" for why, n in reasons.items())
+    rollouts = "".join(
+        f", roll-out of {service} {stage}"
+        for service, stage in node_status.rollouts.items()
+    )
     return (
         f"{node_status.vm}: {phase}, configuration "
         f"{node_status.configuration_version} "
@@ -62,6 +66,7 @@
         f"{node_status.open_requests} open requests, "
         f"{len(node_status.backend_servers)} backend servers{blocked}, "
         f"hears from {len(node_status.peers)} other nodes"
+        f"{rollouts}"
     )
 
 
--- a/src/savorylift/platform/store.py
+++ b/src/savorylift/platform/store.py
@@ -25,6 +25,8 @@
 REFUSALS_TOPIC = "keyed.refusals"
 RULES_TOPIC = "keyed.rules"
 VERSIONS_TOPIC = "keyed.versions"
+ROLLOUTS_TOPIC = "keyed.rollouts"
+STATUS_TOPIC = "keyed.status"
 # Its records expire by themselves.
 ORIGINS_TOPIC = "origins"
 
--- /dev/null
+++ b/src/savorylift/rollouts/agent.py
@@ -0,0 +1,173 @@
+"""A node's part in roll-outs.
+
+One node at a time decides for a service. All count what they see, follow the
+stages that they hear of, and stop by themselves if need be.
+"""
+
+import asyncio
+import time
+
+import structlog
+
+from savorylift.fleet.rollout_messages import (
+    Phase,
+    RolloutMessage,
+    Stage,
+    StageNews,
+)
+from savorylift.rollouts import metrics
+from savorylift.rollouts.announcer import Announcer
+from savorylift.rollouts.answers import AnswerObserver
+from savorylift.rollouts.board import RolloutBoard
+from savorylift.rollouts.counting import Counting, CountingBook
+from savorylift.rollouts.decider import roll_back
+from savorylift.rollouts.deciding import Deciding, is_order_open
+from savorylift.rollouts.evidence import FleetEvidence
+from savorylift.rollouts.judging import EvidenceBook
+from savorylift.rollouts.order import RolloutLimits
+from savorylift.rollouts.recorder import StageRecorder
+from savorylift.rollouts.surroundings import Surroundings
+from savorylift.rollouts.verdict import Opinion, judge
+
+DECIDE_INTERVAL_S = 0.2
+RETRY_INTERVAL_S = 0.5
+# Answers of the new version on which a node may stop by itself.
+MIN_OWN_ANSWERS = 8
+# A node that stood still for longer asks the store before it goes on.
+STANDSTILL_S = 1.0
+
+_log = structlog.get_logger()
+
+
+class RolloutAgent:
+    """This node's part in the roll-outs of all services."""
+
+    def __init__(
+        self,
+        limits: RolloutLimits,
+        board: RolloutBoard,
+        answers: AnswerObserver,
+        recorder: StageRecorder,
+        around: Surroundings,
+        source: int,
+    ) -> None:
+        """Knows no order yet.
+
+        Args:
+            limits: What a bad version may get.
+            board: What is known of roll-outs.
+            answers: Follows the requests.
+            recorder: Keeps the stages in the store.
+            around: The rest of the node.
+            source: Random number of this process.
+        """
+        self._board = board
+        self._around = around
+        self._book = CountingBook(answers, source)
+        self._evidence = EvidenceBook()
+        self._announcer = Announcer(board, around)
+        self._deciding = Deciding(
+            limits, board, self._evidence, recorder, self._announcer, around
+        )
+        self._updated_s = time.monotonic()
+        self._has_services = asyncio.Event()
+
+    def receive(self, message: RolloutMessage) -> None:
+        """Handles a message of another node."""
+        if isinstance(message, StageNews):
+            for stage in message.stages:
+                self._announcer.hear(stage)
+            return
+        order = self._board.orders.get(message.service)
+        if order is not None and order.order_id == message.order_id:
+            evidence = self._evidence.find(order)
+            evidence.merge(message.source, message.cells)
+
+    def greet(self, ip: str) -> None:
+        """Tells a node that has just started where roll-outs stand."""
+        self._announcer.greet(ip)
+
+    def update(self) -> None:
+        """Does what is due and needs no store; to be called periodically."""
+        now_s = time.monotonic()
+        if now_s - self._updated_s > STANDSTILL_S:
+            self._deciding.give_up()
+        self._updated_s = now_s
+        orders = self._around.read_orders()
+        if orders is not None:
+            self._board.set_orders(orders)
+        for service in self._board.services:
+            self._update_service(service)
+        if self._board.services:
+            self._has_services.set()
+
+    async def run(self) -> None:
+        """Decides and writes to the store, forever."""
+        while True:
+            await self._has_services.wait()
+            is_done = True
+            for service in self._board.services:
+                if self._around.view_fleet(service).is_decider:
+                    is_done = await self._deciding.decide(service) and is_done
+                else:
+                    self._deciding.give_up(service)
+            await asyncio.sleep(
+                DECIDE_INTERVAL_S if is_done else RETRY_INTERVAL_S
+            )
+
+    def _update_service(self, service: str) -> None:
+        board = self._board
+        board.note_servers(service, self._around.find_servers(service))
+        stage, order = board.find_stage(service), board.orders.get(service)
+        view = self._around.view_fleet(service)
+        if order is None or not is_order_open(order, stage):
+            self._book.end(service)
+            self._evidence.forget(service)
+        else:
+            elapsed_s = board.elapsed_s(order.order_id)
+            counting = self._book.begin(order, elapsed_s)
+            if view.is_decider:
+                counting.add_to(self._evidence.find(order))
+                self._stop_bad(stage)
+            elif counting.report(view.decider_ip, self._around.send):
+                self._stop_by_itself(service, counting)
+        if stage is not None and view.is_decider:
+            self._tell_again(service)
+
+    def _tell_again(self, service: str) -> None:
+        """Tells a stage again that this node answers for."""
+        stage = self._board.find_stage(service)
+        if stage is None:
+            return
+        if self._deciding.is_own(stage) or stage.phase is Phase.ROLLED_BACK:
+            self._announcer.tell_again(stage)
+
+    def _stop_bad(self, stage: Stage | None) -> None:
+        """Rolls back without waiting for the store."""
+        if stage is None:
+            return
+        judgement = self._evidence.judge(stage.service)
+        if judgement.opinion is not Opinion.BAD:
+            return
+        assert judgement.finding is not None
+        reason = judgement.finding.describe()
+        end = roll_back(stage, reason)._replace(is_recorded=False)
+        if self._board.accept(end):
+            self._announcer.publish(end, judgement)
+
+    def _stop_by_itself(self, service: str, counting: Counting) -> None:
+        """Stops sending to a version that is bad as far as this node sees."""
+        if self._board.share(service) <= 0:
+            return
+        own = FleetEvidence()
+        counting.add_to(own)
+        judgement = judge(own)
+        if judgement.opinion is not Opinion.BAD:
+            return
+        if judgement.new_answers < MIN_OWN_ANSWERS:
+            return
+        assert judgement.finding is not None
+        metrics.STOPS.inc()
+        self._board.stop(service)
+        reason = judgement.finding.describe()
+        _log.info("rollout_stopped_here", service=service, reason=reason)
--- /dev/null
+++ b/src/savorylift/rollouts/board.py
@@ -0,0 +1,274 @@
+"""What a node knows of the roll-outs of each service."""
+
+import math
+import time
+from collections.abc import Iterable
+
+from savorylift.backends.server import ServerEntry
+from savorylift.fleet.rollout_messages import Phase, Stage
+from savorylift.rendezvous import rank
+from savorylift.rollouts import version_rules
+from savorylift.rollouts.decider import first_share
+from savorylift.rollouts.order import RolloutLimits, RolloutOrder
+from savorylift.rollouts.stage import banned_versions, replaces
+from savorylift.rollouts.version_rules import VersionRule
+
+# While the share is smaller than this, it goes to few of the new servers, so
+# that each has about as much to do as it would have with all requests.
+FULL_SPREAD_SHARE = 0.25
+SPREAD_FACTOR = 2.0
+MIN_SPREAD_SERVERS = 2
+# The store's answers may be some seconds old: an order that is missing counts
+# as withdrawn after this time.
+WITHDRAWAL_S = 6.0
+# Services whose stages are kept at the same time.
+MAX_SERVICES = 256
+
+
+class _Versions:
+    """Which servers of a service are in service, by whether they are new."""
+
+    def __init__(self, new_ids: tuple[str, ...], *, has_old: bool) -> None:
+        self.new_ids = new_ids
+        self.has_old = has_old
+
+
+class RolloutBoard:
+    """Orders, stages, and what they mean for a request.
+
+    Attributes:
+        orders: The orders that stand, by service.
+        stages: The newest stage of each service, of any order.
+    """
+
+    def __init__(self, limits: RolloutLimits) -> None:
+        """Starts without orders."""
+        self._limits = limits
+        self.orders: dict[str, RolloutOrder] = {}
+        self.stages: dict[str, Stage] = {}
+        # Monotonic times: when each order was first seen, less what the
+        # stages say; and when each stage was last heard, and first.
+        self._ordered_s: dict[str, float] = {}
+        self._heard_s: dict[str, float] = {}
+        self._begun_s: dict[str, float] = {}
+        # When the order of a service was first found missing.
+        self._missing_s: dict[str, float] = {}
+        self._versions: dict[str, _Versions] = {}
+        # Servers among which a share is spread, by service and share.
+        self._spread: dict[tuple[str, float], frozenset[str]] = {}
+        self._stopped: set[str] = set()
+
+    @property
+    def services(self) -> tuple[str, ...]:
+        """Services with an order or a stage."""
+        return tuple(self.orders.keys() | self.stages.keys())
+
+    def set_orders(self, orders: Iterable[RolloutOrder]) -> None:
+        """Replaces the orders by those that the store has now."""
+        now_s = time.monotonic()
+        found = {order.service: order for order in orders}
+        for service, order in found.items():
+            known = self.orders.get(service)
+            if known is None or known.order_id != order.order_id:
+                self._ordered_s[order.order_id] = now_s
+                self._stopped.discard(service)
+        for service in self.orders.keys() - found.keys():
+            self._missing_s.setdefault(service, now_s)
+        for service in found:
+            self._missing_s.pop(service, None)
+        self.orders = found
+        live = {order.order_id for order in found.values()}
+        live |= {stage.order_id for stage in self.stages.values()}
+        self._ordered_s = {
+            order_id: seen_s
+            for order_id, seen_s in self._ordered_s.items()
+            if order_id in live
+        }
+        for service, order in found.items():
+            stage = self.stages.get(service)
+            if stage is not None and stage.order_id == order.order_id:
+                self._note_elapsed(stage)
+
+    def accept(self, stage: Stage) -> bool:
+        """Takes a stage that was heard or decided; returns if it is new."""
+        known = self.stages.get(stage.service)
+        now_s = time.monotonic()
+        if not replaces(stage, known):
+            if known is not None and _is_same(stage, known):
+                self._heard_s[stage.service] = now_s
+            return False
+        if known is None and len(self.stages) >= MAX_SERVICES:
+            return False
+        self.stages[stage.service] = stage
+        self._heard_s[stage.service] = self._begun_s[stage.service] = now_s
+        self._note_elapsed(stage)
+        return True
+
+    def elapsed_s(self, order_id: str) -> float:
+        """Returns the time since an order."""
+        now_s = time.monotonic()
+        return now_s - self._ordered_s.get(order_id, now_s)
+
+    def stage_age_s(self, service: str) -> float:
+        """Returns for how long the stage of a service has been known."""
+        return time.monotonic() - self._begun_s.get(service, -math.inf)
+
+    def describe(self) -> dict[str, str]:
+        """Returns where the roll-out of each service stands, for operators."""
+        described = {}
+        for service in sorted(self.services):
+            stage = self.find_stage(service)
+            if stage is None:
+                version = self.orders[service].version
+                described[service] = f"to {version}: ordered, stage unknown"
+                continue
+            described[service] = (
+                f"to {stage.version}: {stage.phase.value}, "
+                f"share {self.share(service):.3f}, {stage.reason}"
+            )
+        return described
+
+    def is_withdrawn(self, service: str) -> bool:
+        """Whether a service has no order, and that isn't an old listing."""
+        if service in self.orders:
+            return False
+        missing_s = self._missing_s.get(service)
+        now_s = time.monotonic()
+        if missing_s is None:
+            missing_s = self._missing_s[service] = now_s
+        return now_s - missing_s >= WITHDRAWAL_S
+
+    def stop(self, service: str) -> None:
+        """Lets this node send nothing more to the new version."""
+        self._stopped.add(service)
+
+    def find_stage(self, service: str) -> Stage | None:
+        """Returns the stage of the order that stands, if it is known."""
+        stage, order = self.stages.get(service), self.orders.get(service)
+        if stage is None or order is None:
+            return stage
+        return stage if stage.order_id == order.order_id else None
+
+    def note_servers(
+        self, service: str, entries: Iterable[ServerEntry]
+    ) -> None:
+        """Records the servers of a service that are in service now."""
+        version = self._version(service)
+        new_ids, has_old = [], False
+        for entry in entries:
+            if entry.software_version == version:
+                new_ids.append(entry.server_id)
+            else:
+                has_old = True
+        self._versions[service] = _Versions(tuple(new_ids), has_old=has_old)
+        self._spread.clear()
+
+    def has_new(self, service: str) -> bool:
+        """Whether a server of the new version is in service."""
+        known = self._versions.get(service)
+        return known is not None and bool(known.new_ids)
+
+    def has_old(self, service: str) -> bool:
+        """Whether a server of another version is in service."""
+        known = self._versions.get(service)
+        return known is None or known.has_old
+
+    def is_banned(self, entry: ServerEntry) -> bool:
+        """Whether a server gets nothing, since its version was rolled back."""
+        stage = self.stages.get(entry.service)
+        if stage is None:
+            return False
+        return entry.software_version in banned_versions(stage)
+
+    def share(self, service: str) -> float:
+        """Returns the share that this node sends to the new version."""
+        stage = self.find_stage(service)
+        if stage is None or service in self._stopped:
+            return 0.0
+        age_s = time.monotonic() - self._heard_s[service]
+        return version_rules.held_share(stage, age_s, first_share(self._limits))
+
+    def find_rule(
+        self,
+        service: str,
+        attempt_id: str,
+        *,
+        is_repeat: bool,
+        is_bound: bool = False,
+    ) -> VersionRule | None:
+        """Returns the rule for a request; None if it may go anywhere.
+
+        Args:
+            service: The service.
+            attempt_id: ID of the request.
+            is_repeat: Whether another server has been tried.
+            is_bound: Whether it goes on at the version that began it.
+        """
+        order, stage = self.orders.get(service), self.stages.get(service)
+        if order is None and stage is None:
+            return None
+        if is_bound:
+            return None if stage is None else self._rule_of_banned(stage)
+        current = self.find_stage(service)
+        if current is not None and current.phase is Phase.COMPLETED:
+            is_over = self.stage_age_s(service) > version_rules.COMPLETED_S
+            if is_over:
+                return self._rule_of_banned(current)
+        version = order.version if order is not None else ""
+        if current is not None:
+            version = current.version
+        share = self.share(service)
+        rule = version_rules.make_rule(
+            version,
+            current,
+            share,
+            attempt_id,
+            self._spread_ids(service, share),
+            is_repeat=is_repeat,
+            has_old=self.has_old(service),
+            has_new=self.has_new(service),
+        )
+        if current is None and stage is not None:
+            banned = banned_versions(stage) - {version}
+            return rule._replace(banned=banned)
+        return rule
+
+    def _rule_of_banned(self, stage: Stage) -> VersionRule | None:
+        banned = banned_versions(stage)
+        if not banned:
+            return None
+        return VersionRule(None, False, True, banned)
+
+    def _spread_ids(self, service: str, share: float) -> frozenset[str] | None:
+        known = self._versions.get(service)
+        if known is None or share >= FULL_SPREAD_SHARE:
+            return None
+        spread = self._spread.get((service, share))
+        if spread is None:
+            wanted = math.ceil(SPREAD_FACTOR * share * len(known.new_ids))
+            count = max(wanted, MIN_SPREAD_SERVERS)
+            spread = frozenset(rank(service, known.new_ids)[:count])
+            self._spread[service, share] = spread
+        return spread
+
+    def _version(self, service: str) -> str | None:
+        stage = self.find_stage(service)
+        if stage is not None:
+            return stage.version
+        order = self.orders.get(service)
+        return None if order is None else order.version
+
+    def _note_elapsed(self, stage: Stage) -> None:
+        """Takes the time since an order from a stage if that says longer."""
+        ordered_s = time.monotonic() - stage.elapsed_s
+        known_s = self._ordered_s.get(stage.order_id, ordered_s)
+        self._ordered_s[stage.order_id] = min(known_s, ordered_s)
+
+
+def _is_same(stage: Stage, known: Stage) -> bool:
+    return (stage.order_id, stage.epoch, stage.step, stage.phase) == (
+        known.order_id,
+        known.epoch,
+        known.step,
+        known.phase,
+    )
--- /dev/null
+++ b/src/savorylift/rollouts/deciding.py
@@ -0,0 +1,207 @@
+"""Takes the steps of a roll-out, each in the store before it counts."""
+
+import time
+
+from savorylift.fleet.rollout_messages import Phase, Stage
+from savorylift.rollouts.announcer import Announcer
+from savorylift.rollouts.board import RolloutBoard
+from savorylift.rollouts.decider import Situation, find_next
+from savorylift.rollouts.judging import EvidenceBook
+from savorylift.rollouts.order import RolloutLimits, RolloutOrder
+from savorylift.rollouts.recorder import StageRecorder
+from savorylift.rollouts.stage import WITHDRAWN_ID, begin
+from savorylift.rollouts.surroundings import Surroundings
+
+
+class Deciding:
+    """Decides for the services that are this node's to decide on.
+
+    A node that takes over writes a new epoch first. Every write depends on
+    the one before it: once another node has taken over, those of this one
+    fail, however long it stood still in between.
+    """
+
+    def __init__(
+        self,
+        limits: RolloutLimits,
+        board: RolloutBoard,
+        evidence: EvidenceBook,
+        recorder: StageRecorder,
+        announcer: Announcer,
+        around: Surroundings,
+    ) -> None:
+        """Decides on nothing yet.
+
+        Args:
+            limits: What a bad version may get.
+            board: What is known of roll-outs.
+            evidence: How the versions answer.
+            recorder: Keeps the stages in the store.
+            announcer: Tells the other nodes.
+            around: The rest of the node.
+        """
+        self._limits = limits
+        self._board = board
+        self._evidence = evidence
+        self._recorder = recorder
+        self._announcer = announcer
+        self._around = around
+        # Epoch of each service that this node has taken over.
+        self._epochs: dict[str, int] = {}
+        self._unwritten_status: set[str] = set()
+
+    def is_own(self, stage: Stage) -> bool:
+        """Whether a stage is one that this node answers for."""
+        return self._epochs.get(stage.service) == stage.epoch
+
+    def give_up(self, service: str | None = None) -> None:
+        """Takes a service over anew before it is decided on; all without one.
+
+        What this node knows of the store may be out of date.
+        """
+        if service is None:
+            self._epochs.clear()
+        else:
+            self._epochs.pop(service, None)
+
+    async def decide(self, service: str) -> bool:
+        """Takes the next step of a service; returns if the store took it."""
+        if not await self._take_over(service):
+            return False
+        stage = self._recorder.find(service)
+        if stage is None:
+            return True
+        following = self._find_following(stage)
+        if following is not None and not await self._write(following):
+            return False
+        return await self._write_status(service)
+
+    def _find_following(self, stage: Stage) -> Stage | None:
+        if stage.phase.is_final:
+            return self._withdraw(stage)
+        known = self._board.find_stage(stage.service)
+        if known is None or not _is_unwritten_end(known, stage):
+            return find_next(stage, self._situation(stage), self._limits)
+        return stage._replace(
+            phase=known.phase,
+            step=max(known.step, stage.step + 1),
+            share=known.share,
+            reason=known.reason,
+        )
+
+    async def _take_over(self, service: str) -> bool:
+        """Makes this node the one whose stages count; returns if it is."""
+        if not self._recorder.is_loaded and not await self._recorder.load():
+            return False
+        last = self._recorder.find(service)
+        order = self._board.orders.get(service)
+        is_current = last is not None and (
+            order is None or last.order_id == order.order_id
+        )
+        if last is not None and is_current:
+            return await self._continue(last)
+        if order is None:
+            return True
+        elapsed_s = self._board.elapsed_s(order.order_id)
+        return await self._write_epoch(begin(order, last, elapsed_s))
+
+    async def _continue(self, last: Stage) -> bool:
+        """Goes on where the store says that a roll-out stands."""
+        if self.is_own(last):
+            return True
+        self._announcer.hear(_aged(last))
+        if not last.phase.is_final:
+            return await self._write_epoch(last)
+        self._epochs[last.service] = last.epoch
+        if last.order_id != WITHDRAWN_ID:
+            self._unwritten_status.add(last.service)
+        return True
+
+    async def _write_epoch(self, stage: Stage) -> bool:
+        heard = self._board.stages.get(stage.service)
+        epoch = max(stage.epoch, 0 if heard is None else heard.epoch) + 1
+        if not await self._write(stage._replace(epoch=epoch)):
+            return False
+        self._epochs[stage.service] = epoch
+        return True
+
+    async def _write(self, stage: Stage) -> bool:
+        """Writes a stage, and then lets it count."""
+        elapsed_s = self._board.elapsed_s(stage.order_id)
+        stage = stage._replace(elapsed_s=elapsed_s)
+        recorded = await self._recorder.write(stage)
+        if recorded is None:
+            return False
+        if stage.order_id == WITHDRAWN_ID:
+            self._unwritten_status.discard(stage.service)
+        else:
+            self._unwritten_status.add(stage.service)
+        self._board.accept(recorded)
+        judgement = self._evidence.judge(stage.service)
+        self._announcer.publish(recorded, judgement)
+        return True
+
+    async def _write_status(self, service: str) -> bool:
+        stage = self._recorder.find(service)
+        if stage is None or service not in self._unwritten_status:
+            return True
+        if not await self._recorder.write_status(stage):
+            return False
+        self._unwritten_status.discard(service)
+        return True
+
+    def _situation(self, stage: Stage) -> Situation:
+        service, board = stage.service, self._board
+        view = self._around.view_fleet(service)
+        return Situation(
+            elapsed_s=board.elapsed_s(stage.order_id),
+            step_age_s=board.stage_age_s(service),
+            judgement=self._evidence.judge(service),
+            has_new=board.has_new(service),
+            has_old=board.has_old(service),
+            has_engines=self._around.has_engines(service),
+            hears_most=view.hears_most,
+            other_builds=view.other_builds,
+            is_ordered=not self._is_withdrawn(stage),
+        )
+
+    def _withdraw(self, stage: Stage) -> Stage | None:
+        """Returns the stage of a service whose last order is withdrawn.
+
+        The same order may come again after that.
+        """
+        if stage.order_id == WITHDRAWN_ID or not self._is_withdrawn(stage):
+            return None
+        epoch = self._epochs[stage.service] = stage.epoch + 1
+        return stage._replace(
+            order_id=WITHDRAWN_ID, epoch=epoch, reason="withdrawn"
+        )
+
+    def _is_withdrawn(self, stage: Stage) -> bool:
+        is_known = self._around.is_known()
+        return is_known and self._board.is_withdrawn(stage.service)
+
+
+def is_order_open(order: RolloutOrder | None, stage: Stage | None) -> bool:
+    """Whether the answers to a service's requests still matter."""
+    if order is None:
+        return False
+    return stage is None or not stage.phase.is_final
+
+
+def _is_unwritten_end(known: Stage, recorded: Stage) -> bool:
+    """Whether a roll-back was told that the store doesn't have yet."""
+    return (
+        known.phase is Phase.ROLLED_BACK
+        and not known.is_recorded
+        and known.order_id == recorded.order_id
+    )
+
+
+def _aged(stage: Stage) -> Stage:
+    """Returns a stage from the store, with the time that has passed since.
+
+    Times of day may be wrong: they only add to what is known.
+    """
+    passed_s = max(time.time() - stage.written_s, 0.0)
+    return stage._replace(elapsed_s=stage.elapsed_s + passed_s)
--- /dev/null
+++ b/src/savorylift/rollouts/stage.py
@@ -0,0 +1,71 @@
+"""Which stage of a roll-out replaces which."""
+
+from savorylift.fleet.rollout_messages import Phase, Stage
+from savorylift.rollouts.order import RolloutOrder
+
+# Versions that stay banned after later orders.
+MAX_BANNED = 8
+WITHDRAWN_ID = ""
+
+
+def replaces(found: Stage, known: Stage | None) -> bool:
+    """Whether a stage that was heard replaces the known one.
+
+    A final stage in the store stands. A roll-back needs no store to count.
+    """
+    if known is None:
+        return True
+    if found.order_id != known.order_id:
+        return found.epoch > known.epoch
+    if known.phase.is_final and known.is_recorded:
+        return False
+    if found.phase.is_final:
+        return found.is_recorded or found.phase is Phase.ROLLED_BACK
+    if known.phase.is_final:
+        return False
+    return (found.epoch, found.step) > (known.epoch, known.step)
+
+
+def begin(order: RolloutOrder, last: Stage | None, elapsed_s: float) -> Stage:
+    """Returns the first stage of an order, without any share.
+
+    Args:
+        order: The order.
+        last: The newest stage of the service, of any order.
+        elapsed_s: Time since the order.
+    """
+    return Stage(
+        service=order.service,
+        order_id=order.order_id,
+        version=order.version,
+        duration_s=order.duration_s,
+        phase=Phase.WATCH,
+        step=0,
+        share=0.0,
+        epoch=0 if last is None else last.epoch,
+        elapsed_s=elapsed_s,
+        written_s=0.0,
+        banned=_banned_before(order, last),
+        reason="ordered",
+    )
+
+
+def banned_versions(stage: Stage) -> frozenset[str]:
+    """Returns the versions that must get no requests."""
+    if stage.phase is Phase.ROLLED_BACK:
+        return frozenset((*stage.banned, stage.version))
+    return frozenset(stage.banned)
+
+
+def _banned_before(order: RolloutOrder, last: Stage | None) -> tuple[str, ...]:
+    """Returns the versions that an order doesn't allow again.
+
+    One that was still being judged when a newer order came stays out, too.
+    """
+    if last is None:
+        return ()
+    banned = [*last.banned]
+    if last.phase is not Phase.COMPLETED:
+        banned.append(last.version)
+    kept = [version for version in banned if version != order.version]
+    return tuple(dict.fromkeys(kept))[-MAX_BANNED:]
--- /dev/null
+++ b/src/savorylift/rollouts/version_rules.py
@@ -0,0 +1,118 @@
+"""Which software versions a request may go to while a service is rolled out.
+
+The share of the requests that go to a new version is kept without counting:
+the hash of a request's ID decides, alike on all nodes.
+"""
+
+import hashlib
+from collections.abc import Collection
+from typing import NamedTuple
+
+from savorylift.backends.server import ServerEntry
+from savorylift.fleet.rollout_messages import Phase, Stage
+from savorylift.rollouts.stage import banned_versions
+
+HASH_BYTES = 8
+HASH_RANGE = 1 << 8 * HASH_BYTES
+# Tells the hash apart from others of the same ID.
+HASH_PERSON = b"rollout"
+# Nodes that have heard nothing for this long hold the smallest share, and
+# after that for longer none.
+LEASE_S = 3.0
+SILENCE_S = 9.0
+# The old servers stop as soon as a roll-out is completed. By then their entries
+# are gone, too.
+COMPLETED_S = 30.0
+
+
+class VersionRule(NamedTuple):
+    """Which servers of a service a request may go to.
+
+    Attributes:
+        version: The new version; None if none is being rolled out.
+        may_use_new: Whether the request may go to it.
+        may_use_old: Whether it may go to other versions.
+        banned: Versions that get nothing.
+        new_ids: Servers of the new version that may get it; None for all.
+    """
+
+    version: str | None
+    may_use_new: bool
+    may_use_old: bool
+    banned: frozenset[str] = frozenset()
+    new_ids: Collection[str] | None = None
+
+    def allows(self, entry: ServerEntry) -> bool:
+        """Whether the request may go to a server."""
+        if entry.software_version in self.banned:
+            return False
+        if entry.software_version != self.version:
+            return self.may_use_old
+        if not self.may_use_new:
+            return False
+        return self.new_ids is None or entry.server_id in self.new_ids
+
+    def prefers(self, entry: ServerEntry) -> bool:
+        """Whether the request should rather go to a server than to others."""
+        return self.may_use_new and entry.software_version == self.version
+
+
+def position(attempt_id: str) -> float:
+    """Returns where a request lies among all, from 0 to below 1."""
+    digest = hashlib.blake2b(
+        attempt_id.encode(), digest_size=HASH_BYTES, person=HASH_PERSON
+    ).digest()
+    return int.from_bytes(digest) / HASH_RANGE
+
+
+def held_share(stage: Stage, news_age_s: float, smallest: float) -> float:
+    """Returns the share that a node holds, given the age of its last news.
+
+    Args:
+        stage: The stage that it knows.
+        news_age_s: Time since it heard that this still is the stage.
+        smallest: Share that holds without news.
+    """
+    if news_age_s > SILENCE_S:
+        return 0.0
+    if news_age_s > LEASE_S:
+        return min(stage.share, smallest)
+    return stage.share
+
+
+def make_rule(
+    version: str,
+    stage: Stage | None,
+    share: float,
+    attempt_id: str,
+    new_ids: Collection[str] | None,
+    *,
+    is_repeat: bool,
+    has_old: bool,
+    has_new: bool,
+) -> VersionRule:
+    """Returns the rule for a request.
+
+    Args:
+        version: The version that is ordered.
+        stage: Where its roll-out stands; None if that isn't known.
+        share: Share of the requests that may go to it.
+        attempt_id: ID of the request.
+        new_ids: Servers that get it while the share is small; None for all.
+        is_repeat: Whether another server has been tried.
+        has_old: Whether a server of another version is registered.
+        has_new: Whether a server of the new version is in service.
+    """
+    banned = frozenset() if stage is None else banned_versions(stage)
+    if stage is not None and stage.phase is Phase.ROLLED_BACK:
+        return VersionRule(None, False, True, banned)
+    if stage is not None and stage.phase is Phase.COMPLETED:
+        return VersionRule(version, True, not has_new, banned)
+    if not has_old:
+        # Somebody has to serve; without another version nothing is moved.
+        return VersionRule(version, True, True, banned)
+    if share >= 1.0:
+        return VersionRule(version, True, not has_new, banned)
+    if is_repeat or position(attempt_id) >= share:
+        return VersionRule(version, False, True, banned)
+    return VersionRule(version, True, True, banned, new_ids)
