--- a/src/savorylift/rollouts/board.py
+++ b/src/savorylift/rollouts/board.py
@@ -8,9 +8,12 @@
 from savorylift.fleet.rollout_messages import Phase, Stage
 from savorylift.rendezvous import rank
 from savorylift.rollouts import version_rules
-from savorylift.rollouts.decider import first_share
 from savorylift.rollouts.order import RolloutLimits, RolloutOrder
-from savorylift.rollouts.stage import banned_versions, replaces
+from savorylift.rollouts.stage import (
+    banned_versions,
+    replaces,
+    versions_to_ban,
+)
 from savorylift.rollouts.version_rules import VersionRule
 
 # While the share is smaller than this, it goes to few of the new servers, so
@@ -186,7 +189,7 @@
         if stage is None or service in self._stopped:
             return 0.0
         age_s = time.monotonic() - self._heard_s[service]
-        return version_rules.held_share(stage, age_s, first_share(self._limits))
+        return version_rules.held_share(stage, age_s, self._limits)
 
     def find_rule(
         self,
@@ -229,7 +232,7 @@
             has_new=self.has_new(service),
         )
         if current is None and stage is not None:
-            banned = banned_versions(stage) - {version}
+            banned = versions_to_ban(stage) - {version}
             return rule._replace(banned=banned)
         return rule
 
--- a/src/savorylift/rollouts/stage.py
+++ b/src/savorylift/rollouts/stage.py
@@ -57,15 +57,18 @@
     return frozenset(stage.banned)
 
 
-def _banned_before(order: RolloutOrder, last: Stage | None) -> tuple[str, ...]:
-    """Returns the versions that an order doesn't allow again.
+def versions_to_ban(stage: Stage) -> frozenset[str]:
+    """Returns the versions that a later order doesn't allow again.
 
-    One that was still being judged when a newer order came stays out, too.
+    One that was still being judged when that came stays out, too.
     """
+    if stage.phase is Phase.COMPLETED:
+        return frozenset(stage.banned)
+    return frozenset((*stage.banned, stage.version))
+
+
+def _banned_before(order: RolloutOrder, last: Stage | None) -> tuple[str, ...]:
     if last is None:
         return ()
-    banned = [*last.banned]
-    if last.phase is not Phase.COMPLETED:
-        banned.append(last.version)
-    kept = [version for version in banned if version != order.version]
-    return tuple(dict.fromkeys(kept))[-MAX_BANNED:]
+    banned = versions_to_ban(last) - {order.version}
+    return tuple(sorted(banned))[-MAX_BANNED:]
--- a/src/savorylift/rollouts/version_rules.py
+++ b/src/savorylift/rollouts/version_rules.py
@@ -10,16 +10,16 @@
 
 from savorylift.backends.server import ServerEntry
 from savorylift.fleet.rollout_messages import Phase, Stage
+from savorylift.rollouts.decider import first_share
+from savorylift.rollouts.order import RolloutLimits
 from savorylift.rollouts.stage import banned_versions
 
 HASH_BYTES = 8
 HASH_RANGE = 1 << 8 * HASH_BYTES
 # Tells the hash apart from others of the same ID.
 HASH_PERSON = b"rollout"
-# Nodes that have heard nothing for this long hold the smallest share, and
-# after that for longer none.
+# Nodes that have heard nothing for this long hold the smallest share.
 LEASE_S = 3.0
-SILENCE_S = 9.0
 # The old servers stop as soon as a roll-out is completed. By then their entries
 # are gone, too.
 COMPLETED_S = 30.0
@@ -65,18 +65,21 @@
     return int.from_bytes(digest) / HASH_RANGE
 
 
-def held_share(stage: Stage, news_age_s: float, smallest: float) -> float:
+def held_share(stage: Stage, news_age_s: float, limits: RolloutLimits) -> float:
     """Returns the share that a node holds, given the age of its last news.
 
+    Without news for as long as a roll-back may take, it holds none: the
+    version may have been rolled back.
+
     Args:
         stage: The stage that it knows.
         news_age_s: Time since it heard that this still is the stage.
-        smallest: Share that holds without news.
+        limits: What a bad version may get.
     """
-    if news_age_s > SILENCE_S:
+    if news_age_s > max(limits.rollback_s, LEASE_S):
         return 0.0
     if news_age_s > LEASE_S:
-        return min(stage.share, smallest)
+        return min(stage.share, first_share(limits))
     return stage.share
 
 
--- a/tests/fleet/test_codec.py
+++ b/tests/fleet/test_codec.py
@@ -14,6 +14,8 @@
     encode,
 )
 from savorylift.fleet.state import (
+    AnswerCell,
+    AnswerReport,
     BrittleNews,
     Change,
     CrashReport,
@@ -28,11 +30,14 @@
     OriginReply,
     PermitReply,
     PermitRequest,
+    Phase,
     QuarantineNews,
     ServerLoad,
     ServerProcess,
     Snapshot,
     SoundPart,
+    Stage,
+    StageNews,
     StreamOrigin,
     Topic,
     VersionSighting,
@@ -43,6 +48,7 @@
 REPORT = LimitReport("i-1", 1, 1.8, 0.5)
 PROCESS = ServerProcess("i-1", 5, "v1", 0.5)
 ORIGIN = StreamOrigin("a1", "s", "v1", 30.0, "m1", PROCESS)
+STAGE = Stage("s", "o1", "v2", 12.0, Phase.WATCH, 2, 0.1, 1, 3.0, 4.0, ("v0",))
 MESSAGES: list[Message] = [
     state(2)._replace(
         loads=(ServerLoad("i-1", 1, 2, 3, 4, 5),),
@@ -66,6 +72,10 @@
     OriginQuery(7, "a1"),
     OriginReply(7, ORIGIN),
     OriginReply(7, None),
+    StageNews((STAGE,)),
+    AnswerReport(
+        "o1", "s", 7, (AnswerCell(0, True, "i-1", "r", 1, 2, 3, ((4, 5),)),)
+    ),
 ]
 
 
--- /dev/null
+++ b/tests/rollouts/play.py
@@ -0,0 +1,396 @@
+"""Plays roll-outs over a fleet of nodes without a network, in virtual time."""
+
+import asyncio
+import heapq
+import itertools
+import json
+import random
+import time
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+from savorylift.backends.server import ServerEntry
+from savorylift.exchange.answer_outcome import FIRST_SERVER_ERROR_STATUS
+from savorylift.fleet.rollout_messages import RolloutMessage
+from savorylift.platform.rollouts import encode_status
+from savorylift.platform.store import STATUS_TOPIC
+from savorylift.rendezvous import rank
+from savorylift.rollouts.agent import RolloutAgent
+from savorylift.rollouts.answer_log import Outcome
+from savorylift.rollouts.answers import AnswerObserver
+from savorylift.rollouts.board import RolloutBoard
+from savorylift.rollouts.order import RolloutLimits, RolloutOrder
+from savorylift.rollouts.recorder import StageRecorder
+from savorylift.rollouts.surroundings import FleetView
+from tests.exchange.factories import make_server_entry
+from tests.rollouts.memory_store import MemoryStore, MemoryStoreClient
+
+LIMITS = RolloutLimits(share=0.1, slack=50.0, rollback_s=5.0)
+SERVICE = "s"
+OLD, NEW = "v1", "v2"
+ROUTES = ("draft", "summary")
+STEP_S = 0.05
+UPDATE_S = 0.2
+LOSS = 0.02  # of the messages between nodes
+SILENT_S = 4.0  # after which a node counts as gone
+BAD_ANSWERS = 50  # from which on a roll-back is due
+ORDERED_S = 3.0  # after the beginning
+AFTER_S = 4.0  # that a play goes on after the deadline
+FAILED = FIRST_SERVER_ERROR_STATUS
+
+
+class Answer(NamedTuple):
+    """How a server answers one request."""
+
+    status: int
+    took_s: float
+    is_bad: bool
+
+
+class Asked(NamedTuple):
+    """What a server knows as it is asked.
+
+    Attributes:
+        progress: Time since the order, as a part of that to its deadline.
+        new_share: Share of the last requests that went to the new version.
+        route: Name of the route.
+        rng: Source of randomness.
+    """
+
+    progress: float
+    new_share: float
+    route: str
+    rng: random.Random
+
+
+Behaviour = Callable[[Asked], Answer]
+
+
+def sound(asked: Asked) -> Answer:
+    """Answers as the old version does."""
+    took_s = asked.rng.lognormvariate(-2.5, 0.5)
+    is_failure = asked.rng.random() < 0.02
+    return Answer(FAILED if is_failure else 200, took_s, is_bad=False)
+
+
+def failing(portion: float) -> Behaviour:
+    """Returns a behaviour that fails a portion of the requests."""
+
+    def answer(asked: Asked) -> Answer:
+        found = sound(asked)
+        if asked.rng.random() < portion:
+            return Answer(FAILED, found.took_s, is_bad=True)
+        return found
+
+    return answer
+
+
+def slow(portion: float, factor: float) -> Behaviour:
+    """Returns a behaviour that takes several times as long at times."""
+
+    def answer(asked: Asked) -> Answer:
+        found = sound(asked)
+        if asked.rng.random() < portion:
+            return Answer(found.status, found.took_s * factor, is_bad=True)
+        return found
+
+    return answer
+
+
+def when(is_bad: Callable[[Asked], bool], bad: Behaviour) -> Behaviour:
+    """Returns a behaviour that is bad under a condition."""
+    return lambda asked: bad(asked) if is_bad(asked) else sound(asked)
+
+
+class PlayNode:
+    """One node: its part in roll-outs, and what it sees of the fleet.
+
+    Attributes:
+        ip: Its address.
+        board: What it knows.
+        answers: Follows its requests.
+        agent: Its part in roll-outs.
+        store: Its client of the store.
+        is_running: Whether it runs; frozen and killed nodes don't.
+        is_cut: Whether it is cut off from the other nodes.
+        inbox: Messages that came while it was frozen.
+        heard_s: When it last heard each other node.
+    """
+
+    def __init__(self, play: "Play", ip: str, source: int) -> None:
+        self._play = play
+        self.ip = ip
+        self.board = RolloutBoard(LIMITS)
+        self.answers = AnswerObserver()
+        self.store = MemoryStoreClient(play.store)
+        self.agent = RolloutAgent(
+            LIMITS,
+            self.board,
+            self.answers,
+            StageRecorder(self.store, encode_status),
+            self,
+            source,
+        )
+        self.is_running = True
+        self.is_cut = False
+        self.inbox: list[RolloutMessage] = []
+        self.heard_s: dict[str, float] = {}
+        self._orders: list[RolloutOrder] = []
+        self.task = asyncio.ensure_future(self._run())
+
+    async def _run(self) -> None:
+        await self.agent.run()
+
+    def read_orders(self) -> list[RolloutOrder] | None:
+        if self._orders == self._play.orders:
+            return None
+        self._orders = list(self._play.orders)
+        return self._orders
+
+    def is_known(self) -> bool:
+        return True
+
+    def find_servers(self, service: str) -> Iterable[ServerEntry]:
+        return self._play.servers
+
+    def has_engines(self, service: str) -> bool:
+        return True
+
+    def view_fleet(self, service: str) -> FleetView:
+        now_s = time.monotonic()
+        live = [ip for ip, s in self.heard_s.items() if now_s - s < SILENT_S]
+        able = [ip for ip in live if ip not in self._play.faulty]
+        if self.ip not in self._play.faulty or not able:
+            able.append(self.ip)
+        decider = rank(service, able)[0]
+        return FleetView(
+            decider,
+            decider == self.ip,
+            (1 + len(live)) / len(self._play.nodes) > 0.5,
+            self._play.other_builds,
+        )
+
+    def send(self, message: RolloutMessage, ip: str | None) -> None:
+        self._play.deliver(self, message, ip)
+
+    def choose(self, attempt_id: str) -> ServerEntry | None:
+        """Returns the server that this node sends a request to."""
+        rule = self.board.find_rule(SERVICE, attempt_id, is_repeat=False)
+        servers = self._play.servers
+        if rule is not None:
+            servers = [entry for entry in servers if rule.allows(entry)]
+            servers = [e for e in servers if rule.prefers(e)] or servers
+        return self._play.rng.choice(servers) if servers else None
+
+
+class Play:
+    """A fleet, its servers and its callers.
+
+    Attributes:
+        nodes: The nodes by address.
+        servers: Entries of the servers that are there.
+        orders: Orders that stand.
+        store: The store.
+        faulty: Addresses of nodes that say that they miss the store.
+        other_builds: Share of the nodes of other builds.
+        exposed: Requests to the new version until the deadline.
+        requests: All requests between the order and the deadline.
+        unserved: Requests without a server.
+        last_exposed_s: When the new version last got a request.
+        stop_due_s: When a roll-back was due, if it was.
+    """
+
+    def __init__(
+        self,
+        behaviour: Behaviour,
+        *,
+        seed: int,
+        nodes: int = 20,
+        per_s: float = 34.0,
+        duration_s: float = 12.0,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.store = MemoryStore()
+        self.orders: list[RolloutOrder] = []
+        self.faulty: set[str] = set()
+        self.other_builds = 0.0
+        self._behaviour = behaviour
+        self._per_s = per_s
+        self.duration_s = duration_s
+        self._numbers = itertools.count()
+        self._ends: list[tuple[float, int, PlayNode, str, Answer, bool]] = []
+        self._last_new = [False] * 40
+        self._bad_answers = 0
+        self.exposed = self.requests = self.unserved = 0
+        self.last_exposed_s = 0.0
+        self.stop_due_s: float | None = None
+        self.ordered_s = 0.0
+        self._old = [_entry(f"o{n}", OLD) for n in range(14)]
+        self._new = [_entry(f"n{n}", NEW) for n in range(14)]
+        self.servers = list(self._old)
+        ips = [f"10.0.0.{number}" for number in range(nodes)]
+        self.nodes = {
+            ip: PlayNode(self, ip, self.rng.getrandbits(48)) for ip in ips
+        }
+
+    @property
+    def statuses(self) -> list[str]:
+        """What the status said, in order."""
+        values = self.store.values(STATUS_TOPIC, f"rollout/{SERVICE}")
+        return [json.loads(value)["state"] for value in values if value]
+
+    @property
+    def decider(self) -> PlayNode:
+        """The node that decides, as most see it."""
+        running = [n for n in self.nodes.values() if n.is_running]
+        ips = [node.view_fleet(SERVICE).decider_ip for node in running]
+        return self.nodes[max(ips, key=ips.count)]
+
+    @property
+    def bound(self) -> float:
+        """Most requests that a bad version may get."""
+        return LIMITS.share * self.requests + LIMITS.slack
+
+    async def run(
+        self, script: Iterable[tuple[float, Callable[["Play"], None]]] = ()
+    ) -> None:
+        """Plays an order to some time after its deadline.
+
+        Args:
+            script: What is done at which time, as a part of the order's.
+        """
+        begun_s = time.monotonic()
+        self.ordered_s = begun_s + ORDERED_S
+        due = sorted(script, key=lambda item: item[0])
+        deadline_s = self.ordered_s + self.duration_s
+        next_update_s = begun_s
+        while (now_s := time.monotonic()) < deadline_s + AFTER_S:
+            if (
+                not self.orders
+                and now_s >= self.ordered_s
+                and len(self.servers) == len(self._old)
+            ):
+                self.order()
+            while due and self._progress(now_s) >= due[0][0]:
+                due.pop(0)[1](self)
+            if now_s >= next_update_s:
+                next_update_s += UPDATE_S
+                self._update()
+            self._ask_all(now_s)
+            self._end_all(now_s)
+            if self.statuses[-1:] == ["completed"]:
+                self.servers = list(self._new)
+            await asyncio.sleep(STEP_S)
+        for node in self.nodes.values():
+            node.task.cancel()
+
+    def order(self) -> None:
+        """Writes the order, and starts the new servers."""
+        self.orders = [RolloutOrder("o1", SERVICE, NEW, self.duration_s)]
+        self.servers = [*self._old, *self._new]
+
+    def freeze(self, node: PlayNode) -> None:
+        """Lets a node stand still."""
+        node.is_running = False
+        node.store.held.clear()
+
+    def wake(self, node: PlayNode) -> None:
+        """Lets a node go on."""
+        node.is_running = True
+        node.store.held.set()
+        for message in node.inbox:
+            node.agent.receive(message)
+        node.inbox.clear()
+
+    def kill(self, node: PlayNode) -> None:
+        """Ends a node for good."""
+        node.is_running = False
+        node.task.cancel()
+
+    def restart(self, node: PlayNode) -> None:
+        """Starts a node anew, with nothing that it knew."""
+        node.task.cancel()
+        fresh = PlayNode(self, node.ip, self.rng.getrandbits(48))
+        self.nodes[node.ip] = fresh
+
+    def deliver(
+        self, sender: PlayNode, message: RolloutMessage, ip: str | None
+    ) -> None:
+        """Carries a message, unless it is lost."""
+        targets = [self.nodes[ip]] if ip else list(self.nodes.values())
+        for node in targets:
+            if node is sender or node.is_cut or sender.is_cut:
+                continue
+            if self.rng.random() < LOSS:
+                continue
+            if node.is_running:
+                node.agent.receive(message)
+            else:
+                node.inbox.append(message)
+
+    def _update(self) -> None:
+        now_s = time.monotonic()
+        running = [n for n in self.nodes.values() if n.is_running]
+        for node in running:
+            for other in running:
+                if other is node or node.is_cut or other.is_cut:
+                    continue
+                if other.ip not in node.heard_s or self.rng.random() > LOSS:
+                    node.heard_s[other.ip] = now_s
+                    continue
+            node.agent.update()
+
+    def _ask_all(self, now_s: float) -> None:
+        expected = self._per_s * STEP_S
+        count = int(expected) + (self.rng.random() < expected % 1)
+        running = [n for n in self.nodes.values() if n.is_running]
+        for _ in range(count):
+            self._ask(self.rng.choice(running), now_s)
+
+    def _ask(self, node: PlayNode, now_s: float) -> None:
+        attempt_id = f"{self.rng.getrandbits(64):016x}"
+        entry = node.choose(attempt_id)
+        progress = self._progress(now_s)
+        is_counted = 0 <= progress <= 1
+        self.requests += is_counted
+        if entry is None:
+            self.unserved += 1
+            return
+        is_new = entry.software_version == NEW
+        self._last_new = [*self._last_new[1:], is_new]
+        if is_new:
+            self.exposed += is_counted
+            self.last_exposed_s = now_s
+        route = self.rng.choice(ROUTES)
+        asked = Asked(progress, sum(self._last_new) / 40, route, self.rng)
+        answer = (self._behaviour if is_new else sound)(asked)
+        node.answers.begin(entry, route, attempt_id, is_cold=False)
+        heapq.heappush(
+            self._ends,
+            (
+                now_s + answer.took_s,
+                next(self._numbers),
+                node,
+                attempt_id,
+                answer,
+                is_new,
+            ),
+        )
+
+    def _end_all(self, now_s: float) -> None:
+        while self._ends and self._ends[0][0] <= now_s:
+            _, _, node, attempt_id, answer, is_new = heapq.heappop(self._ends)
+            is_failure = answer.status >= FAILED
+            if is_new and answer.is_bad:
+                self._bad_answers += 1
+                if self._bad_answers == BAD_ANSWERS:
+                    self.stop_due_s = now_s + LIMITS.rollback_s
+            outcome = Outcome.FAILED if is_failure else Outcome.SUCCEEDED
+            node.answers.finish(attempt_id, outcome)
+
+    def _progress(self, now_s: float) -> float:
+        return (now_s - self.ordered_s) / self.duration_s
+
+
+def _entry(server_id: str, version: str) -> ServerEntry:
+    return make_server_entry(server_id)._replace(software_version=version)
--- /dev/null
+++ b/tests/rollouts/test_decider.py
@@ -0,0 +1,126 @@
+"""Tests of the steps of a roll-out."""
+
+import pytest
+
+from savorylift.fleet.rollout_messages import Phase, Stage
+from savorylift.rollouts.decider import (
+    LOAD_STEP,
+    SHIFT_STEP,
+    WATCH_STEP,
+    Situation,
+    find_next,
+    make_timetable,
+)
+from savorylift.rollouts.order import RolloutLimits
+from savorylift.rollouts.verdict import Finding, Judgement, Opinion, Sample
+from tests.rollouts.test_version_rules import STAGE
+
+LIMITS = RolloutLimits(0.1, 50.0, 5.0)
+DURATION_S = 20.0
+FINDING = Finding("failed", "r", Sample(5, 9), Sample(0, 90), 1e-5)
+TIMES = make_timetable(DURATION_S, has_engines=True)
+WATCH = STAGE._replace(duration_s=DURATION_S, step=WATCH_STEP, share=0.09)
+FIRST = WATCH._replace(step=1, share=0.03)
+BEGUN = WATCH._replace(step=0, share=0.0)
+LOAD = WATCH._replace(step=LOAD_STEP, share=0.3)
+SHIFT = WATCH._replace(step=SHIFT_STEP, share=1.0, phase=Phase.SHIFT)
+
+
+def situation(
+    elapsed_s: float, opinion: Opinion = Opinion.SOUND, **changes: object
+) -> Situation:
+    finding = FINDING if opinion is Opinion.BAD else None
+    return Situation(
+        elapsed_s=elapsed_s,
+        step_age_s=2.0,
+        judgement=Judgement(opinion, finding, 20, 200),
+        has_new=True,
+        has_old=True,
+        has_engines=True,
+        hears_most=True,
+        other_builds=0.0,
+    )._replace(**changes)  # type: ignore[arg-type]
+
+
+@pytest.mark.parametrize(
+    ("stage", "now", "expected"),
+    [
+        # The first share goes out as soon as there are servers for it.
+        (BEGUN, situation(0.1), (Phase.WATCH, 0.03)),
+        (BEGUN, situation(0.1, has_new=False), None),
+        (BEGUN, situation(0.1, hears_most=False), None),
+        (FIRST, situation(1.0), (Phase.WATCH, 0.09)),
+        (FIRST, situation(1.0, Opinion.SUSPECT), None),
+        (WATCH, situation(TIMES.load_s - 0.1), None),
+        (WATCH, situation(TIMES.load_s), (Phase.WATCH, 0.3)),
+        (WATCH, situation(TIMES.load_s, Opinion.UNKNOWN), None),
+        (WATCH, situation(TIMES.load_s, Opinion.SUSPECT), None),
+        (LOAD, situation(TIMES.load_s + 2.0), (Phase.SHIFT, 1.0)),
+        (LOAD, situation(TIMES.load_s + 0.1, step_age_s=0.1), None),
+        (LOAD, situation(9.0, Opinion.SUSPECT), None),
+        (
+            LOAD,
+            situation(9.0, Opinion.SUSPECT, step_age_s=6.0),
+            (Phase.ROLLED_BACK, 0.0),
+        ),
+        (SHIFT, situation(TIMES.complete_s - 0.1), None),
+        (SHIFT, situation(TIMES.complete_s), (Phase.COMPLETED, 1.0)),
+        # Whatever has been decided, a bad version is rolled back.
+        (FIRST, situation(1.0, Opinion.BAD), (Phase.ROLLED_BACK, 0.0)),
+        (SHIFT, situation(19.0, Opinion.BAD), (Phase.ROLLED_BACK, 0.0)),
+        (
+            WATCH,
+            situation(1.0, Opinion.BAD, hears_most=False),
+            (Phase.ROLLED_BACK, 0.0),
+        ),
+        # So is one that nobody can vouch for in time, or wants any more.
+        (
+            WATCH,
+            situation(TIMES.latest_load_s + 0.1, Opinion.UNKNOWN),
+            (Phase.ROLLED_BACK, 0.0),
+        ),
+        (
+            BEGUN,
+            situation(TIMES.latest_load_s + 0.1, has_new=False),
+            (Phase.ROLLED_BACK, 0.0),
+        ),
+        (
+            SHIFT,
+            situation(DURATION_S + 0.1, hears_most=False),
+            (Phase.ROLLED_BACK, 0.0),
+        ),
+        (WATCH, situation(1.0, is_ordered=False), (Phase.ROLLED_BACK, 0.0)),
+        # Nodes of other builds send to any version.
+        (BEGUN, situation(0.1, other_builds=0.02), (Phase.WATCH, 0.01)),
+        (BEGUN, situation(0.1, other_builds=0.5), (Phase.WATCH, 0.0)),
+        (FIRST, situation(1.0, other_builds=0.05), (Phase.WATCH, 0.04)),
+        # Where there is no other version, nothing is compared.
+        (WATCH, situation(1.0, has_old=False), (Phase.SHIFT, 1.0)),
+        (WATCH._replace(phase=Phase.COMPLETED), situation(1.0), None),
+        (
+            WATCH._replace(phase=Phase.ROLLED_BACK),
+            situation(1.0, Opinion.BAD),
+            None,
+        ),
+    ],
+)
+def test_stages_follow_each_other(
+    stage: Stage, now: Situation, expected: tuple[Phase, float] | None
+) -> None:
+    found = find_next(stage, now, LIMITS)
+    if expected is None:
+        assert found is None
+        return
+    assert found is not None
+    assert (found.phase, found.share) == pytest.approx(expected)
+    assert found.step > stage.step
+
+
+@pytest.mark.parametrize("has_engines", [True, False])
+@pytest.mark.parametrize("duration_s", [8.0, 12.0, 60.0, 600.0])
+def test_a_timetable_ends_before_the_deadline(
+    duration_s: float, *, has_engines: bool
+) -> None:
+    times = make_timetable(duration_s, has_engines=has_engines)
+    assert 0 < times.load_s <= times.latest_load_s < times.complete_s
+    assert times.complete_s <= duration_s - 1.0
--- /dev/null
+++ b/tests/rollouts/test_plays.py
@@ -0,0 +1,186 @@
+"""Plays of good and bad versions, while nodes and the store fail."""
+
+from collections.abc import Callable, Iterable
+
+import pytest
+
+from savorylift.fleet.rollout_messages import Phase
+from tests.harness.virtual_time import run_in_virtual_time
+from tests.rollouts.play import (
+    SERVICE,
+    Behaviour,
+    Play,
+    PlayNode,
+    failing,
+    slow,
+    sound,
+    when,
+)
+
+Script = Iterable[tuple[float, Callable[[Play], None]]]
+
+BAD_VERSIONS = {
+    "failures": failing(0.4),
+    "slow": slow(0.5, 5.0),
+    "all_fail": failing(1.0),
+    "later": when(lambda asked: asked.progress > 0.3, failing(0.4)),
+    "later_slow": when(lambda asked: asked.progress > 0.3, slow(0.5, 6.0)),
+    "under_load": when(lambda asked: asked.new_share > 0.2, failing(0.5)),
+    "one_route": when(lambda asked: asked.route == "draft", failing(0.5)),
+}
+
+
+def kill_decider(play: Play) -> None:
+    play.kill(play.decider)
+
+
+def restart_all(play: Play) -> None:
+    for node in list(play.nodes.values()):
+        play.restart(node)
+
+
+class Frozen:
+    """Freezes the deciding node, and wakes it up later."""
+
+    def __init__(self) -> None:
+        self.node: PlayNode | None = None
+
+    def freeze(self, play: Play) -> None:
+        self.node = play.decider
+        play.freeze(self.node)
+
+    def wake(self, play: Play) -> None:
+        assert self.node is not None
+        play.wake(self.node)
+
+
+class CutOff:
+    """Cuts the deciding node off, from the others or from the store."""
+
+    def __init__(self, *, from_store: bool) -> None:
+        self._from_store = from_store
+        self.node: PlayNode | None = None
+
+    def begin(self, play: Play) -> None:
+        self.node = play.decider
+        if self._from_store:
+            self.node.store.is_cut = True
+            play.faulty.add(self.node.ip)
+        else:
+            self.node.is_cut = True
+
+    def end(self, play: Play) -> None:
+        assert self.node is not None
+        self.node.store.is_cut = self.node.is_cut = False
+        play.faulty.discard(self.node.ip)
+
+
+def take_store_away(play: Play) -> None:
+    play.store.is_away = True
+
+
+def bring_store_back(play: Play) -> None:
+    play.store.is_away = False
+
+
+def disruption(name: str) -> Script:
+    """Returns the script of a disruption."""
+    frozen = Frozen()
+    from_nodes, from_store = CutOff(from_store=False), CutOff(from_store=True)
+    scripts: dict[str, Script] = {
+        "none": (),
+        "killed": [(0.2, kill_decider)],
+        "killed_late": [(0.8, kill_decider)],
+        "frozen": [(0.15, frozen.freeze), (0.6, frozen.wake)],
+        "frozen_late": [(0.75, frozen.freeze), (1.1, frozen.wake)],
+        "cut_from_nodes": [(0.15, from_nodes.begin), (0.5, from_nodes.end)],
+        "cut_from_store": [(0.15, from_store.begin), (0.5, from_store.end)],
+        "store_away": [(0.15, take_store_away), (0.4, bring_store_back)],
+        "restarted": [(0.3, restart_all)],
+    }
+    return scripts[name]
+
+
+DISRUPTIONS = (
+    "none",
+    "killed",
+    "killed_late",
+    "frozen",
+    "frozen_late",
+    "cut_from_nodes",
+    "cut_from_store",
+    "store_away",
+    "restarted",
+)
+
+
+def run_play(
+    monkeypatch: pytest.MonkeyPatch,
+    behaviour: Behaviour,
+    script: Script,
+    seed: int,
+    duration_s: float = 20.0,
+) -> Play:
+    """Returns a play after its end."""
+    plays: list[Play] = []
+
+    async def scenario() -> None:
+        play = Play(behaviour, seed=seed, duration_s=duration_s)
+        plays.append(play)
+        await play.run(script)
+
+    run_in_virtual_time(monkeypatch, scenario)
+    return plays[0]
+
+
+@pytest.mark.parametrize("name", DISRUPTIONS)
+@pytest.mark.parametrize("bad", BAD_VERSIONS)
+def test_bad_versions_get_no_more_than_their_share(
+    monkeypatch: pytest.MonkeyPatch, bad: str, name: str
+) -> None:
+    play = run_play(monkeypatch, BAD_VERSIONS[bad], disruption(name), seed=1)
+    assert play.statuses[-1:] == ["rolled_back"]
+    assert "completed" not in play.statuses
+    assert play.exposed <= play.bound
+    if play.stop_due_s is not None:
+        assert play.last_exposed_s <= play.stop_due_s
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("name", DISRUPTIONS)
+def test_good_versions_are_completed_in_time(
+    monkeypatch: pytest.MonkeyPatch, name: str, seed: int
+) -> None:
+    play = run_play(monkeypatch, sound, disruption(name), seed)
+    assert play.statuses == ["running", "completed"]
+    assert not play.unserved
+    for node in play.nodes.values():
+        if node.is_running:
+            assert node.board.stages[SERVICE].phase is Phase.COMPLETED
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize("bad", BAD_VERSIONS)
+def test_bad_versions_are_rolled_back_in_a_short_time(
+    monkeypatch: pytest.MonkeyPatch, bad: str, seed: int
+) -> None:
+    play = run_play(monkeypatch, BAD_VERSIONS[bad], (), seed, duration_s=12.0)
+    assert play.statuses == ["running", "rolled_back"]
+    assert play.exposed <= play.bound
+
+
+def test_short_orders_of_good_versions_are_completed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    play = run_play(monkeypatch, sound, (), seed=4, duration_s=12.0)
+    assert play.statuses == ["running", "completed"]
+
+
+def test_withdrawn_orders_are_rolled_back(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def withdraw(play: Play) -> None:
+        play.orders = []
+
+    play = run_play(monkeypatch, sound, [(0.3, withdraw)], seed=5)
+    assert play.statuses == ["running", "rolled_back"]
