--- a/tests/rollouts/test_plays.py
+++ b/tests/rollouts/test_plays.py
@@ -5,7 +5,7 @@
 import pytest
 
 from savorylift.fleet.rollout_messages import Phase
-from tests.harness.virtual_time import run_in_virtual_time
+from tests.harness import virtual_time
 from tests.rollouts.play import (
     SERVICE,
     Behaviour,
@@ -129,7 +129,9 @@
         plays.append(play)
         await play.run(script)
 
-    run_in_virtual_time(monkeypatch, scenario)
+    # Nothing arrives from a socket.
+    monkeypatch.setattr(virtual_time, "LOOPBACK_S", 0.0)
+    virtual_time.run_in_virtual_time(monkeypatch, scenario)
     return plays[0]
 
 
