--- a/tests/rollouts/test_plays.py
+++ b/tests/rollouts/test_plays.py
@@ -7,6 +7,7 @@
 from savorylift.fleet.rollout_messages import Phase
 from tests.harness import virtual_time
 from tests.rollouts.play import (
+    LIMITS,
     SERVICE,
     Behaviour,
     Play,
@@ -171,6 +172,18 @@
     assert play.exposed <= play.bound
 
 
+def test_a_bad_version_is_stopped_while_the_store_is_away(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    turns_bad = 0.3
+    behaviour = when(lambda asked: asked.progress > turns_bad, failing(0.6))
+    away = [(turns_bad, take_store_away), (0.9, bring_store_back)]
+    play = run_play(monkeypatch, behaviour, away, seed=6)
+    took_s = play.last_exposed_s - play.ordered_s - turns_bad * play.duration_s
+    assert took_s < LIMITS.rollback_s
+    assert play.statuses == ["running", "rolled_back"]
+
+
 def test_short_orders_of_good_versions_are_completed(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
