Order waiting generations in one place, and refuse at once what would only wait

While room was short, a generation whose turn could not come in time waited until its time was over, and its caller learned it only then. The order of turns is now one module, which the emulator uses too; of what is behind in that order, a forecast from the memory released lately, and from what arrives before its turn, refuses what can't be served in time, and spreads the times to come back. Nothing of any priority starves: a turn in eight goes to the one that has waited longest.

--- a/src/savorylift/emulator/simulation.py
+++ b/src/savorylift/emulator/simulation.py
@@ -18,9 +18,8 @@
 from savorylift.emulator.policies import Policy
 from savorylift.exchange.engine_queue import PREFILL_SHARE, QUEUE_WAIT_FACTOR
 from savorylift.placement.engines import EngineOptions
-from savorylift.placement.fair_share import FairShare
 from savorylift.placement.move_order import copy_time_s, is_next
-from savorylift.placement.wait_queue import QueueEntry
+from savorylift.placement.turn_order import Ticket, TurnOrder
 from savorylift.routing.configuration import EngineTraits
 
 BYTES_PER_MEGABIT = 125_000.0
@@ -67,8 +66,8 @@
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._event_numbers = itertools.count()
         self._jobs: list[Job] = []
-        self._waiting: dict[int, tuple[QueueEntry, Job]] = {}
-        self._fair_share = FairShare()
+        self._waiting: dict[int, tuple[Ticket, Job]] = {}
+        self._order = TurnOrder()
         self._samples: list[FleetSample] = []
 
     def run(self) -> SimulationResult:
@@ -127,20 +126,19 @@
         job = Job(len(self._jobs), kind, self._now_s, output_tokens, hint)
         self._jobs.append(job)
         weight = self._workload.teams.get(kind.team, 1)
-        entry = QueueEntry(
+        leave_s = self._now_s + QUEUE_WAIT_FACTOR * kind.objective_s
+        ticket = Ticket(
             kind.priority,
             kind.team,
             job.tokens / weight,
+            job.tokens,
             self._now_s,
             self._now_s + kind.objective_s,
+            leave_s,
             job.number,
         )
-        self._waiting[job.number] = entry, job
-        self._schedule(
-            self._now_s + QUEUE_WAIT_FACTOR * kind.objective_s,
-            self._on_wait_timeout,
-            job.number,
-        )
+        self._waiting[job.number] = ticket, job
+        self._schedule(leave_s, self._on_wait_timeout, job.number)
         self._dispatch()
 
     def _on_wait_timeout(self, number: int) -> None:
@@ -150,18 +148,13 @@
 
     def _dispatch(self) -> None:
         """Assigns engines to waiting generations in the nodes' queue order."""
-        remaining = list(self._waiting.values())
-        while remaining:
-            waiting = min(
-                remaining,
-                key=lambda w: w[0].sort_key(self._now_s, self._fair_share),
-            )
-            remaining.remove(waiting)
-            entry, job = waiting
+        tickets = [ticket for ticket, _ in self._waiting.values()]
+        for ticket in self._order.sort(tickets, self._now_s):
+            _, job = self._waiting[ticket.number]
             engine = self._choose_engine(job)
             if engine is not None:
                 del self._waiting[job.number]
-                self._fair_share.charge(entry.team, entry.cost)
+                self._order.record_turn(ticket)
                 self._start_job(job, engine)
 
     def _choose_engine(self, job: Job) -> Engine | None:
--- a/src/savorylift/placement/engines.py
+++ b/src/savorylift/placement/engines.py
@@ -119,5 +119,9 @@
         > options.max_prefill_tokens
     ):
         return False
-    limit = options.traits.memory_tokens * MAX_MEMORY_SHARE
-    return load.tokens + options.tokens <= limit
+    return options.tokens <= free_tokens(load, options.traits)
+
+
+def free_tokens(load: Load, traits: EngineTraits) -> float:
+    """Returns the memory of an engine that generations may be assigned."""
+    return traits.memory_tokens * MAX_MEMORY_SHARE - load.tokens
--- a/src/savorylift/placement/memory_release_rate.py
+++ b/src/savorylift/placement/memory_release_rate.py
@@ -14,6 +14,9 @@
 MIN_WAIT_S = 0.5
 # Bounds the wait if far more memory is needed than is released.
 MAX_WAIT_S = 8.0
+# With fewer releases within the window, the rate is too uncertain to refuse
+# anyone because of it.
+MIN_RELEASES = 8
 
 
 class MemoryReleaseRate:
@@ -38,6 +41,14 @@
             return DEFAULT_WAIT_S
         return min(max(tokens / released * WINDOW_S, MIN_WAIT_S), MAX_WAIT_S)
 
+    @property
+    def tokens_per_s(self) -> float | None:
+        """Tokens released each second; None if too few runs have ended."""
+        self._drop_old()
+        if len(self._releases) < MIN_RELEASES:
+            return None
+        return sum(freed for _, freed in self._releases) / WINDOW_S
+
     def _drop_old(self) -> None:
         oldest_s = time.monotonic() - WINDOW_S
         while self._releases and self._releases[0][0] < oldest_s:
--- /dev/null
+++ b/src/savorylift/placement/turn_order.py
@@ -0,0 +1,83 @@
+"""Whose turn it is while more generations wait than engines hold.
+
+Those that can still meet their objective go before those that can't: room
+that a late one takes may make another one late. Among them, priority decides,
+then fair queueing between teams, then the order of arrival. So that nothing
+waits without a bound, some turns go to the one that has waited longest.
+"""
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from savorylift.placement.fair_share import FairShare
+
+# One turn in this many goes to the generation that has waited longest, if it
+# has waited for OLDEST_WAIT_S.
+TURNS_PER_OLDEST = 8
+OLDEST_WAIT_S = 2.0
+
+
+class Ticket(NamedTuple):
+    """A generation that waits for room.
+
+    Attributes:
+        priority: Priority; 0 goes first.
+        team: Team of the caller; empty if unknown.
+        cost: Expected tokens, divided by the team's weight.
+        tokens: Tokens that it is expected to reach.
+        enqueued_s: Monotonic time at which it began to wait.
+        latest_start_s: Monotonic time until which it can start and still meet
+            its objective.
+        leave_s: Monotonic time after which it waits no longer.
+        number: Sequence number in the order of arrival.
+    """
+
+    priority: int
+    team: str
+    cost: float
+    tokens: int
+    enqueued_s: float
+    latest_start_s: float
+    leave_s: float
+    number: int
+
+    def rank(self, now_s: float) -> tuple[bool, int]:
+        """Returns what decides before the shares of teams; lowest first."""
+        return now_s > self.latest_start_s, self.priority
+
+
+class TurnOrder:
+    """Orders the generations that wait for the same engines."""
+
+    def __init__(self) -> None:
+        """Starts without any turns taken."""
+        self._share = FairShare()
+        self._turns = 0
+
+    def record_turn(self, ticket: Ticket) -> None:
+        """Records that a generation has got room."""
+        self._turns += 1
+        self._share.charge(ticket.team, ticket.cost)
+
+    def sort(self, tickets: Iterable[Ticket], now_s: float) -> list[Ticket]:
+        """Returns the tickets in the order of their turns."""
+        # Each ticket of a team comes as much later as those before it cost.
+        start_tags: dict[str, float] = {}
+        keyed = []
+        for ticket in sorted(tickets, key=lambda t: (t.rank(now_s), t.number)):
+            team = ticket.team
+            tag = start_tags.get(team, self._share.start_tag(team))
+            start_tags[team] = tag + ticket.cost
+            keyed.append((ticket.rank(now_s), tag, ticket.number, ticket))
+        keyed.sort(key=lambda item: item[:3])
+        ordered = [item[3] for item in keyed]
+        if self._turns % TURNS_PER_OLDEST == TURNS_PER_OLDEST - 1:
+            _put_oldest_first(ordered, now_s)
+        return ordered
+
+
+def _put_oldest_first(ordered: list[Ticket], now_s: float) -> None:
+    oldest = min(ordered, key=lambda t: t.enqueued_s, default=None)
+    if oldest is not None and now_s - oldest.enqueued_s > OLDEST_WAIT_S:
+        ordered.remove(oldest)
+        ordered.insert(0, oldest)
--- a/src/savorylift/placement/wait_queue.py
+++ b/src/savorylift/placement/wait_queue.py
@@ -1,24 +1,28 @@
 """Priority queue of generations that wait for room on an engine.
 
-While more generations arrive than the engines' memory holds, those that can
-still meet their objective go before those that are already late. Among them,
-priority decides, then fair queueing between teams, then the order of arrival.
-
 A generation that doesn't fit lets smaller ones overtake it for a limited time
-only, so that large generations aren't starved.
+only, so that large generations aren't starved. One whose turn would come too
+late is refused at once.
 """
 
 import asyncio
+import math
 import time
 from collections.abc import Callable
 from typing import NamedTuple
 
 from savorylift.backends.registry import BackendServer
-from savorylift.placement.fair_share import FairShare
+from savorylift.placement.turn_away import (
+    NoRoomInTimeError,
+    Room,
+    find_hopeless,
+)
+from savorylift.placement.turn_order import Ticket, TurnOrder
 
 # How long smaller generations may overtake one that doesn't fit. After that
 # it blocks those behind it.
 BYPASS_LIMIT_S = 0.5
+UNKNOWN_ROOM = Room(0, None)
 
 
 class SchedulingParameters(NamedTuple):
@@ -28,50 +32,31 @@
         priority: Priority; 0 goes first.
         team: Team of the caller; empty if unknown.
         cost: Expected tokens, divided by the team's weight.
+        tokens: Tokens that it is expected to reach.
     """
 
     priority: int
     team: str
     cost: float
-
-
-class QueueEntry(NamedTuple):
-    """A generation in the queue.
-
-    Attributes:
-        priority: Priority; 0 goes first.
-        team: Team of the caller; empty if unknown.
-        cost: Expected tokens, divided by the team's weight.
-        enqueued_s: Monotonic time at which it began to wait.
-        latest_start_s: Monotonic time until which it can start and still meet
-            its objective.
-        number: Sequence number in the order of arrival.
-    """
-
-    priority: int
-    team: str
-    cost: float
-    enqueued_s: float
-    latest_start_s: float
-    number: int
-
-    def sort_key(
-        self, now_s: float, share: FairShare
-    ) -> tuple[bool, int, float, int]:
-        """Returns the sort key; the lowest goes first."""
-        is_late = now_s > self.latest_start_s
-        return is_late, self.priority, share.start_tag(self.team), self.number
+    tokens: int = 0
 
 
 class WaitQueue:
     """Queue of the generations that wait at this node for one service."""
 
-    def __init__(self) -> None:
-        """Creates an empty queue."""
+    def __init__(
+        self, get_room: Callable[[], Room] = lambda: UNKNOWN_ROOM
+    ) -> None:
+        """Creates an empty queue.
+
+        Args:
+            get_room: Returns the room of the service's engines.
+        """
+        self._get_room = get_room
         self._last_number = 0
-        self._share = FairShare()
+        self._order = TurnOrder()
         self._entries: dict[
-            QueueEntry,
+            Ticket,
             tuple[
                 asyncio.Future[BackendServer],
                 Callable[[], BackendServer | None],
@@ -87,6 +72,7 @@
         parameters: SchedulingParameters,
         latest_start_s: float,
         choose: Callable[[], BackendServer | None],
+        leave_s: float = math.inf,
     ) -> BackendServer:
         """Waits until it is the generation's turn and an engine has room.
 
@@ -96,39 +82,53 @@
                 meet its objective.
             choose: Returns an engine with room, or None. It must add the
                 generation to the load of the engine that it returns.
+            leave_s: Monotonic time after which it waits no longer.
 
         Returns:
             The engine that `choose` returned.
+
+        Raises:
+            NoRoomInTimeError: Its turn would come too late.
         """
         self._last_number += 1
-        entry = QueueEntry(
-            *parameters, time.monotonic(), latest_start_s, self._last_number
+        ticket = Ticket(
+            *parameters,
+            time.monotonic(),
+            latest_start_s,
+            leave_s,
+            self._last_number,
         )
         fut: asyncio.Future[BackendServer] = (
             asyncio.get_running_loop().create_future()
         )
-        self._entries[entry] = (fut, choose)
+        self._entries[ticket] = (fut, choose)
         try:
             self.dispatch()
             return await fut
         finally:
-            self._entries.pop(entry, None)
+            self._entries.pop(ticket, None)
 
     def dispatch(self) -> None:
         """Assigns engines to waiting generations while there is room."""
         now_s = time.monotonic()
-        remaining = [
-            entry for entry, (fut, _) in self._entries.items() if not fut.done()
-        ]
-        while remaining:
-            entry = min(
-                remaining, key=lambda entry: entry.sort_key(now_s, self._share)
-            )
-            remaining.remove(entry)
-            fut, choose = self._entries[entry]
+        waiting = [t for t, (fut, _) in self._entries.items() if not fut.done()]
+        ordered = self._order.sort(waiting, now_s)
+        for ticket in ordered:
+            fut, choose = self._entries[ticket]
             server = choose()
             if server is not None:
-                self._share.charge(entry.team, entry.cost)
+                self._order.record_turn(ticket)
                 fut.set_result(server)
-            elif now_s - entry.enqueued_s > BYPASS_LIMIT_S:
-                return
+            elif now_s - ticket.enqueued_s > BYPASS_LIMIT_S:
+                break
+        self._turn_away(ordered, now_s)
+
+    def _turn_away(self, ordered: list[Ticket], now_s: float) -> None:
+        waiting = [t for t in ordered if not self._entries[t][0].done()]
+        if not waiting:
+            return
+        for ticket, return_in_s in find_hopeless(
+            waiting, self._get_room(), now_s
+        ):
+            fut, _ = self._entries[ticket]
+            fut.set_exception(NoRoomInTimeError(return_in_s))
