--- a/src/savorylift/exchange/engine_queue.py
+++ b/src/savorylift/exchange/engine_queue.py
@@ -7,12 +7,23 @@
 from savorylift.exchange import metrics
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.failover import FailoverPolicy
+from savorylift.exchange.room_placement import (
+    RoomPlacement,
+    RoomResult,
+    Wish,
+)
 from savorylift.exchange.run import Run
 from savorylift.exchange.server_pool import ServerPool
 from savorylift.placement.engines import EngineOptions
+from savorylift.placement.memory_release_rate import MemoryReleaseRate
 from savorylift.placement.prefill_rate import PrefillRate
-from savorylift.placement.wait_queue import SchedulingParameters, WaitQueue
-from savorylift.routing.configuration import EngineTraits
+from savorylift.placement.turn_away import NoRoomInTimeError, Room
+from savorylift.placement.wait_queue import (
+    UNKNOWN_ROOM,
+    SchedulingParameters,
+    WaitQueue,
+)
+from savorylift.routing.configuration import EngineTraits, Service
 
 # First-event objective of routes that define none.
 DEFAULT_OBJECTIVE_S = 2.0
@@ -38,14 +49,20 @@
 class EngineQueue:
     """Queues this node's generations for each service."""
 
-    def __init__(self, pool: ServerPool) -> None:
+    def __init__(
+        self, pool: ServerPool, rooms: RoomPlacement | None = None
+    ) -> None:
         """Creates an empty queue.
 
         Args:
             pool: Engines to choose from.
+            rooms: Asks the keepers of engines' room; None without keepers.
         """
+        self._rooms = rooms
         self._pool = pool
         self._queues: dict[str, WaitQueue] = {}
+        self._traits: dict[str, EngineTraits | None] = {}
+        self._release_rates: dict[str, MemoryReleaseRate] = {}
         self._waits: dict[Run, asyncio.Timeout] = {}
         self._prefill_rate = PrefillRate()
 
@@ -69,6 +86,7 @@
 
     async def _acquire(self, run: Run, tried: set[str]) -> BackendServer | None:
         admitted = run.admitted
+        run.return_in_s = None
         options = self._engine_options(run)
 
         def reserve() -> BackendServer | None:
@@ -81,42 +99,96 @@
         if run.server is not None:
             run.mark_assigned(0)
             return run.server
-        queue = self._queues.setdefault(admitted.service.name, WaitQueue())
+        wish = self._make_wish(run, options)
+        if self._rooms is not None and self._may_wait(run, tried):
+            result = await self._ask_keeper(self._rooms, run, wish, tried)
+            if result is not None:
+                run.server, run.return_in_s = result
+                if run.server is not None:
+                    pending = self._pool.pending_prefill_tokens(run.server)
+                    run.mark_assigned(pending)
+                return run.server
+        queue = self._find_queue(admitted.service)
         if not queue:
             found = reserve()
             if found is not None:
                 return found
-        if self._pool.is_closed_by_limits(admitted, tried):
-            return None
-        if self._pool.shortest_hold_s(admitted, tried) is not None:
-            return None
-        if run.has_begun and not self._pool.has_server(admitted, tried):
-            return None
-        if self._pool.are_all_leaving(admitted):
+        if not self._may_wait(run, tried):
             return None
-        if _is_taken_up(run) and self._pool.has_place_elsewhere(
-            admitted, tried
-        ):
-            return None
-        prefill_s = options.prompt_tokens / self._prefill_rate.tokens_per_s
-        latest_start_s = (
-            admitted.req.arrived_s
-            + _first_event_objective_s(admitted)
-            - prefill_s
-        )
         metrics.WAITING.inc()
         try:
-            async with asyncio.timeout_at(_queue_deadline_s(admitted)) as limit:
+            async with asyncio.timeout_at(wish.leave_s) as limit:
                 self._waits[run] = limit
                 return await queue.wait(
-                    _scheduling_parameters(run), latest_start_s, reserve
+                    wish.parameters,
+                    wish.latest_start_s,
+                    reserve,
+                    wish.leave_s,
                 )
         except TimeoutError:
             return None
+        except NoRoomInTimeError as exc:
+            run.return_in_s = exc.return_in_s
+            return None
+        finally:
+            self._waits.pop(run, None)
+            metrics.WAITING.dec()
+
+    async def _ask_keeper(
+        self, rooms: RoomPlacement, run: Run, wish: Wish, tried: set[str]
+    ) -> RoomResult | None:
+        """Returns what the keeper of the engines' room says, if any."""
+        metrics.WAITING.inc()
+        try:
+            async with asyncio.timeout_at(wish.leave_s) as limit:
+                self._waits[run] = limit
+                return await rooms.find(run, wish, tried)
+        except TimeoutError:
+            return RoomResult(None)
         finally:
             self._waits.pop(run, None)
             metrics.WAITING.dec()
 
+    def _may_wait(self, run: Run, tried: set[str]) -> bool:
+        """Whether engines that have no room now may have some soon."""
+        admitted, pool = run.admitted, self._pool
+        if pool.is_closed_by_limits(admitted, tried):
+            return False
+        if pool.shortest_hold_s(admitted, tried) is not None:
+            return False
+        if run.has_begun and not pool.has_server(admitted, tried):
+            return False
+        if pool.are_all_leaving(admitted):
+            return False
+        return not (
+            _is_taken_up(run) and pool.has_place_elsewhere(admitted, tried)
+        )
+
+    def _make_wish(self, run: Run, options: EngineOptions) -> Wish:
+        admitted = run.admitted
+        prefill_s = options.prompt_tokens / self._prefill_rate.tokens_per_s
+        latest_start_s = (
+            admitted.req.arrived_s
+            + _first_event_objective_s(admitted)
+            - prefill_s
+        )
+        return Wish(
+            options,
+            _scheduling_parameters(run),
+            latest_start_s,
+            _queue_deadline_s(admitted),
+        )
+
+    @property
+    def prefill_per_s(self) -> float:
+        """Prompt tokens that an engine prefills each second."""
+        return self._prefill_rate.tokens_per_s
+
+    def give_back(self, run: Run) -> None:
+        """Gives back the place of a run, if a keeper granted one."""
+        if self._rooms is not None:
+            self._rooms.end(run)
+
     def failover_policy(
         self, run: Run, tried: set[str], *, is_last: bool
     ) -> FailoverPolicy:
@@ -136,9 +208,17 @@
             is_last=is_last,
         )
 
-    def waiting_count(self, admitted: AdmittedRequest) -> int:
-        """Returns how many generations wait for the same service."""
-        return len(self._queues.get(admitted.service.name, ()))
+    def estimate_return_s(self, run: Run) -> float:
+        """Returns after what time there should be room for a refused run."""
+        service = run.admitted.service.name
+        waiting = len(self._queues.get(service, ()))
+        rate = self._release_rate(service)
+        return rate.wait_s(run.expected_tokens * (1 + waiting))
+
+    def record_release(self, run: Run) -> None:
+        """Records that an engine has its memory back from a run."""
+        rate = self._release_rate(run.admitted.service.name)
+        rate.record_release(run.expected_tokens)
 
     def record_first_event(self, run: Run) -> None:
         """Ends the prefill of a run and updates the estimated prefill rate."""
@@ -159,6 +239,23 @@
             if queue and not self._pool.servers_in_service(service):
                 self._end_waits(service)
 
+    def _find_queue(self, service: Service) -> WaitQueue:
+        name = service.name
+        self._traits[name] = service.engine
+        if name not in self._queues:
+            self._queues[name] = WaitQueue(lambda: self._find_room(name))
+        return self._queues[name]
+
+    def _find_room(self, service: str) -> Room:
+        traits = self._traits[service]
+        if traits is None:
+            return UNKNOWN_ROOM
+        free_tokens = self._pool.count_free_tokens(service, traits)
+        return Room(free_tokens, self._release_rate(service).tokens_per_s)
+
+    def _release_rate(self, service: str) -> MemoryReleaseRate:
+        return self._release_rates.setdefault(service, MemoryReleaseRate())
+
     def _end_waits(self, service: str) -> None:
         for run, limit in self._waits.items():
             if run.admitted.service.name != service:
@@ -186,10 +283,13 @@
     team = run.admitted.team
     if team is None:
         return SchedulingParameters(
-            run.admitted.priority, "", run.expected_tokens
+            run.admitted.priority, "", run.expected_tokens, run.expected_tokens
         )
     return SchedulingParameters(
-        run.admitted.priority, team.name, run.expected_tokens / team.weight
+        run.admitted.priority,
+        team.name,
+        run.expected_tokens / team.weight,
+        run.expected_tokens,
     )
 
 
--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -31,6 +31,7 @@
     Obstacle,
     Refused,
 )
+from savorylift.exchange.room_placement import RoomPlacement
 from savorylift.exchange.run import ResumeTarget, Run
 from savorylift.exchange.run_log import log_move_failure, log_take_up
 from savorylift.exchange.run_sender import RunSender
@@ -44,7 +45,6 @@
 )
 from savorylift.outcomes import Reason
 from savorylift.placement.engines import expected_tokens
-from savorylift.placement.memory_release_rate import MemoryReleaseRate
 
 # How long to wait for a move to complete after the run's stream has ended. An
 # engine that is told to stop a run ends its stream within this time.
@@ -67,6 +67,7 @@
         crash_guard: CrashGuard,
         resumption: StreamResumption,
         rng: random.Random,
+        rooms: RoomPlacement | None = None,
     ) -> None:
         """Creates a dispatcher without any runs.
 
@@ -80,22 +81,27 @@
             crash_guard: Stops requests that crash engines.
             resumption: Keeps streams at the version that began them.
             rng: Source of the jitter on retry delays.
+            rooms: Asks the keepers of engines' room; None without keepers.
         """
         self._pool = pool
         self._sender = sender
         self._server_check = server_check
         self._mover = mover
         self._rng = rng
-        self._queue = EngineQueue(pool)
+        self._queue = EngineQueue(pool, rooms)
         self._run_sender = RunSender(pool, sender, self._queue.dispatch_waiting)
         self._crash_guard = crash_guard
         crash_guard.on_quarantine.append(self._stop_quarantined)
-        self._release_rate = MemoryReleaseRate()
         self._resumption = resumption
         resumption.on_start.append(server_check.record_start)
         self._relay = Relay(codec, self._on_first_event, self._on_event)
         self._runs: set[Run] = set()
 
+    @property
+    def prefill_per_s(self) -> float:
+        """Prompt tokens that an engine prefills each second."""
+        return self._queue.prefill_per_s
+
     @property
     def engines_with_movable_runs(self) -> list[BackendServer]:
         """The engines that have movable runs of this node, each once."""
@@ -253,10 +259,10 @@
         if run.obstacle is Obstacle.NOT_ASKED:
             return_after_s = self._pool.assign_return_s(run.admitted)
             return refuse_generation(sink, Reason.SERVER_LIMIT, return_after_s)
-        wanted_tokens = run.expected_tokens * (
-            1 + self._queue.waiting_count(run.admitted)
-        )
-        wait_s = self._release_rate.wait_s(wanted_tokens)
+        if run.return_in_s is not None:
+            # These are spread in the order of the turns already.
+            return refuse_generation(sink, failure.reason, run.return_in_s)
+        wait_s = self._queue.estimate_return_s(run)
         retry_after_s = wait_s * (1 + self._rng.uniform(0, RETRY_AFTER_JITTER))
         return refuse_generation(sink, failure.reason, retry_after_s)
 
@@ -386,8 +392,9 @@
             self._cancel_move(run.move_task)
             run.move_task = None
         if run.server is not None and was_sent:
-            self._release_rate.record_release(run.expected_tokens)
+            self._queue.record_release(run)
         self._pool.remove_run(run)
+        self._queue.give_back(run)
         run.server = None
         run.is_at_engine = False
         self._queue.dispatch_waiting()
--- a/src/savorylift/exchange/metrics.py
+++ b/src/savorylift/exchange/metrics.py
@@ -134,6 +134,11 @@
     "Requests handed over to other nodes.",
     ["outcome"],
 )
+ROOMS = Counter(
+    "savorylift_front_rooms",
+    "Generations of this node by what the keeper of their engines' room said.",
+    ["outcome"],
+)
 MOVES = Counter(
     "savorylift_front_moves", "Runs continued at another engine.", ["outcome"]
 )
--- /dev/null
+++ b/src/savorylift/exchange/room_placement.py
@@ -0,0 +1,179 @@
+"""Places generations as the keeper of their engines' room directs."""
+
+import time
+from typing import NamedTuple
+
+import structlog
+
+from savorylift.backends.registry import BackendServer
+from savorylift.exchange import metrics
+from savorylift.exchange.run import Run
+from savorylift.exchange.server_pool import ServerPool
+from savorylift.fleet.room_messages import RoomOutcome, RoomReply, RoomRequest
+from savorylift.placement.engines import EngineOptions
+from savorylift.placement.wait_queue import SchedulingParameters
+from savorylift.rooms.client import RoomClient
+from savorylift.rooms.keeper import MAX_LEASE_S
+
+_log = structlog.get_logger()
+
+
+class RoomResult(NamedTuple):
+    """What became of a generation at the keeper of its engines' room.
+
+    Attributes:
+        server: Engine that is reserved for it; None if it has none in time.
+        return_in_s: Time until there should be room, if it was refused.
+    """
+
+    server: BackendServer | None
+    return_in_s: float | None = None
+
+
+class Wish(NamedTuple):
+    """What a generation wants of an engine, and when.
+
+    Attributes:
+        options: What the choice of an engine depends on.
+        parameters: What the order of turns depends on.
+        latest_start_s: Monotonic time until which it can start and still meet
+            its objective.
+        leave_s: Monotonic time until which it can wait.
+    """
+
+    options: EngineOptions
+    parameters: SchedulingParameters
+    latest_start_s: float
+    leave_s: float
+
+
+class RoomPlacement:
+    """Asks the keeper of a generation's engines, and follows what it says."""
+
+    def __init__(self, pool: ServerPool, client: RoomClient) -> None:
+        """Places generations at the engines of a pool.
+
+        Args:
+            pool: Engines to choose from.
+            client: Asks the keepers.
+        """
+        self._pool = pool
+        self._client = client
+
+    async def find(
+        self, run: Run, wish: Wish, tried: set[str]
+    ) -> RoomResult | None:
+        """Returns the result; None if the node is to place it by itself."""
+        admitted = run.admitted
+        if not self._pool.kept.is_kept(admitted.service):
+            return None
+        keeper_ip = self._client.find_keeper(admitted.service.name)
+        if keeper_ip is None:
+            return None
+        begun_s = time.monotonic()
+        cold: list[BackendServer] = []
+
+        def has_cold_place() -> bool:
+            # Their places are shared by the nodes, not granted.
+            server = self._pool.reserve_cold_engine(
+                admitted, wish.options, tried
+            )
+            if server is not None:
+                cold.append(server)
+            return server is not None
+
+        reply = await self._client.ask(
+            keeper_ip,
+            run.attempt_id,
+            lambda: _make_request(run, wish, tried, begun_s),
+            has_cold_place,
+            wish.leave_s,
+        )
+        if cold:
+            result: RoomResult | None = RoomResult(cold[0])
+        else:
+            result = self._follow(run, wish, tried, reply)
+        _log_result(run, keeper_ip, reply, result, begun_s)
+        return result
+
+    def end(self, run: Run) -> None:
+        """Gives back the place of a run, if a keeper granted one."""
+        self._client.end(run.attempt_id)
+
+    def _follow(
+        self, run: Run, wish: Wish, tried: set[str], reply: RoomReply | None
+    ) -> RoomResult | None:
+        if reply is None:
+            return None
+        if reply.outcome == RoomOutcome.REFUSED:
+            return RoomResult(None, reply.return_in_s)
+        if reply.server_id is None:
+            return RoomResult(None)
+        server = self._pool.reserve_granted_engine(
+            run.admitted, wish.options, tried, reply.server_id
+        )
+        if server is None:
+            # This node knows better: the engine leaves, or wants a pause.
+            self.end(run)
+            return None
+        return RoomResult(server)
+
+
+def _make_request(
+    run: Run, wish: Wish, tried: set[str], begun_s: float
+) -> RoomRequest:
+    admitted, options = run.admitted, wish.options
+    parameters, regions = wish.parameters, admitted.regions
+    now_s = time.monotonic()
+    lease_s = min(max(admitted.deadline_s - now_s, 0.0), MAX_LEASE_S)
+    return RoomRequest(
+        number=0,
+        attempt_id=run.attempt_id,
+        service=admitted.service.name,
+        priority=parameters.priority,
+        team=parameters.team,
+        weight=admitted.team.weight if admitted.team else 1,
+        tokens=options.tokens,
+        prompt_tokens=options.prompt_tokens,
+        max_prefill_tokens=options.max_prefill_tokens,
+        start_in_s=wish.latest_start_s - now_s,
+        leave_in_s=wish.leave_s - now_s,
+        age_s=now_s - begun_s,
+        lease_s=lease_s,
+        excluded=tuple(sorted(tried)),
+        software_version=admitted.software_version,
+        regions=None if regions is None else tuple(sorted(regions)),
+    )
+
+
+def _log_result(
+    run: Run,
+    keeper_ip: str,
+    reply: RoomReply | None,
+    result: RoomResult | None,
+    begun_s: float,
+) -> None:
+    outcome = _outcome(reply, result)
+    metrics.ROOMS.labels(outcome).inc()
+    _log.info(
+        "room",
+        request=run.attempt_id,
+        keeper=keeper_ip,
+        outcome=outcome,
+        server=reply and reply.server_id,
+        waited_ms=round((time.monotonic() - begun_s) * 1000),
+        return_in_s=result and result.return_in_s,
+        waiting=reply and reply.waiting,
+        knowledge_age_s=reply and reply.knowledge_age_s,
+        tokens=run.expected_tokens,
+        priority=run.admitted.priority,
+    )
+
+
+def _outcome(reply: RoomReply | None, result: RoomResult | None) -> str:
+    if result is None:
+        return "alone" if reply is None else "not_followed"
+    if result.server is not None:
+        is_granted = reply is not None and reply.server_id is not None
+        return "granted" if is_granted else "cold"
+    return "refused" if result.return_in_s is not None else "waited_in_vain"
--- a/src/savorylift/exchange/run.py
+++ b/src/savorylift/exchange/run.py
@@ -75,6 +75,8 @@
         is_end_known: Whether its engine, which lives, has ended its stream.
         obstacle: What kept it from going on at the latest engine tried, if it
             had begun; None if that was something else.
+        return_in_s: After what time there should be room for it, if it is
+            refused since its turn would come too late; None otherwise.
         life_check: Finds out whether the engine that began its stream is of
             the version that its entry says; None before the stream begins.
     """
@@ -110,6 +112,7 @@
         self.is_stopping = False
         self.is_end_known = False
         self.obstacle: Obstacle | None = None
+        self.return_in_s: float | None = None
         self.life_check: asyncio.Task[None] | None = None
 
     @property
--- a/src/savorylift/exchange/server_pool.py
+++ b/src/savorylift/exchange/server_pool.py
@@ -10,6 +10,7 @@
 from savorylift.backends.server import ServerEntry
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.allowed_servers import AllowedServers
+from savorylift.exchange.kept_engines import KeptEngines
 from savorylift.exchange.limit_gate import LimitGate
 from savorylift.exchange.move_queue import MoveQueue
 from savorylift.exchange.node_retries import NodeRetries
@@ -26,8 +27,10 @@
     EngineOptions,
     choose_engine,
     choose_least_loaded_engine,
+    free_tokens,
 )
 from savorylift.placement.plain_servers import choose_plain_server
+from savorylift.routing.configuration import EngineTraits
 
 
 class ServerPool:
@@ -40,6 +43,7 @@
         move_queue: Which run may be copied next.
         blocks: Why servers get no requests.
         retries: This node's share of the retry budget.
+        kept: Engines whose room one node may keep for all.
     """
 
     def __init__(
@@ -83,6 +87,9 @@
         self._gate = ServerGate(
             self._allowed, holds, limit_gate.is_open, self._places
         )
+        self.kept = KeptEngines(
+            self._allowed, self._gate, self.brittle, limit_gate.is_limited
+        )
         self.blocks = ServerBlocks(
             self._registry,
             self._allowed,
@@ -130,6 +137,42 @@
             self._record_start(found, admitted, options.tokens, prefill_tokens)
         return found
 
+    def reserve_granted_engine(
+        self,
+        admitted: AdmittedRequest,
+        options: EngineOptions,
+        tried: Collection[str],
+        server_id: str,
+    ) -> BackendServer | None:
+        """Reserves the engine that the keeper of its room granted.
+
+        The keeper knows, so that the other nodes needn't be told.
+        """
+        server = self.kept.find_granted(admitted, tried, server_id)
+        if server is not None:
+            self._record_start(
+                server,
+                admitted,
+                options.tokens,
+                options.prompt_tokens,
+                is_granted=True,
+            )
+        return server
+
+    def reserve_cold_engine(
+        self,
+        admitted: AdmittedRequest,
+        options: EngineOptions,
+        tried: Collection[str],
+    ) -> BackendServer | None:
+        """Reserves this node's share of a cold engine, if one has room."""
+        cold = {s.entry.server_id for s in self.kept.find_cold(admitted, tried)}
+        if not cold:
+            return None
+        servers = self._allowed.find(admitted, tried)
+        warm = {s.entry.server_id for s in servers} - cold
+        return self.reserve_engine(admitted, options, warm.union(tried))
+
     def reserve_known_engine(
         self,
         admitted: AdmittedRequest,
@@ -240,6 +283,15 @@
         """Returns how many prompt tokens an engine has yet to prefill."""
         return self._loads().get(server.entry.server_id, Load()).prefill_tokens
 
+    def count_free_tokens(self, service: str, traits: EngineTraits) -> int:
+        """Returns the memory that is free at a service's engines together."""
+        loads = self._loads()
+        found = (
+            loads.get(server.entry.server_id, Load())
+            for server in self.servers_in_service(service)
+        )
+        return sum(max(int(free_tokens(load, traits)), 0) for load in found)
+
     def limited_ids(self) -> set[str]:
         """Returns the IDs of the servers that name a limit."""
         return {
@@ -304,6 +356,8 @@
         admitted: AdmittedRequest,
         tokens: int,
         prefill_tokens: int,
+        *,
+        is_granted: bool = False,
     ) -> None:
         self.load_tracker.add_request(
             server.entry.server_id,
@@ -312,6 +366,7 @@
             prefill_tokens,
         )
         # A request to a limited server may still be denied a permit.
-        if prefill_tokens and not self._limit_gate.is_limited(server.entry):
+        is_limited = self._limit_gate.is_limited(server.entry)
+        if prefill_tokens and not is_granted and not is_limited:
             self._announce()
         self._places.record_start(server)
--- a/src/savorylift/fleet/codec.py
+++ b/src/savorylift/fleet/codec.py
@@ -21,6 +21,12 @@
     OriginQuery,
     OriginReply,
 )
+from savorylift.fleet.room_messages import (
+    RoomEnds,
+    RoomMessage,
+    RoomReply,
+    RoomRequest,
+)
 from savorylift.fleet.state import NodeState
 from savorylift.fleet.store_records import Delta, Snapshot
 
@@ -43,7 +49,9 @@
     DEFLATE = 1
 
 
-Message = NodeState | Delta | Snapshot | LimitMessage | OriginMessage
+Message = (
+    NodeState | Delta | Snapshot | LimitMessage | OriginMessage | RoomMessage
+)
 MESSAGE_TYPES: dict[str, type[Message]] = {
     "state": NodeState,
     "delta": Delta,
@@ -55,6 +63,9 @@
     "origin_ack": OriginAck,
     "origin_query": OriginQuery,
     "origin_reply": OriginReply,
+    "room_request": RoomRequest,
+    "room_reply": RoomReply,
+    "room_ends": RoomEnds,
 }
 
 
--- a/src/savorylift/front/maintenance.py
+++ b/src/savorylift/front/maintenance.py
@@ -60,6 +60,7 @@
         self._servers.crash_guard.update()
         self._servers.limit_gate.update()
         self._streams.server_news.update(is_leaving=shared.lifecycle.is_leaving)
+        self._streams.rooms.keeper.update()
         self._successors.update()
         if shared.store_view.drop_expired():
             self._on_expired()
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -14,6 +14,7 @@
 from savorylift.fleet.limit_messages import LimitMessage
 from savorylift.fleet.message_auth import MessageAuthenticator
 from savorylift.fleet.origin_messages import OriginMessage
+from savorylift.fleet.room_messages import RoomMessage
 from savorylift.fleet.state import NodeState
 from savorylift.fleet.store_records import Delta
 from savorylift.front.caller_parts import make_caller_parts
@@ -132,6 +133,7 @@
             on_new_peer=self._on_new_peer,
             on_limit_message=self._on_limit_message,
             on_origin_message=self._on_origin_message,
+            on_room_message=self._on_room_message,
         )
 
     @property
@@ -229,6 +231,9 @@
     def _on_origin_message(self, message: OriginMessage, ip: str) -> None:
         self._streams.origins.receive(message, ip)
 
+    def _on_room_message(self, message: RoomMessage, ip: str) -> None:
+        self._streams.rooms.receive(message, ip)
+
     def _on_peer_update(self) -> None:
         """Continues reading the store after the records learned from a peer."""
         self._store.reader.skip_known()
@@ -238,6 +243,7 @@
     def _on_peer_state(self, state: NodeState) -> None:
         self._servers.crash_guard.merge(state.quarantine_news)
         self._streams.server_news.merge(state)
+        self._streams.rooms.keeper.hear(state.ip, state.loads)
         self._servers.pool.move_queue.on_change()
         self._streams.generations.on_change()
 
--- a/src/savorylift/front/peer_sync.py
+++ b/src/savorylift/front/peer_sync.py
@@ -12,6 +12,7 @@
 from savorylift.fleet.message_auth import MessageAuthenticator
 from savorylift.fleet.origin_messages import OriginMessage
 from savorylift.fleet.peer_transport import PeerTransport, StateBuilder
+from savorylift.fleet.room_messages import RoomMessage
 from savorylift.fleet.snapshot_fetcher import SnapshotFetcher
 from savorylift.fleet.snapshot_server import SnapshotServer
 from savorylift.fleet.state import NodeState
@@ -45,6 +46,9 @@
         on_origin_message: Callable[[OriginMessage, str], None] = (
             lambda _message, _ip: None
         ),
+        on_room_message: Callable[[RoomMessage, str], None] = (
+            lambda _message, _ip: None
+        ),
     ) -> None:
         """Creates the transport; opens no socket yet.
 
@@ -64,6 +68,7 @@
             on_limit_message: Called with each message about the limits of
                 backend servers and the address that it came from.
             on_origin_message: The same for the origins of streams.
+            on_room_message: The same for room at engines.
         """
         self._membership = membership
         self._store_view = store_view
@@ -73,6 +78,7 @@
         self._on_new_peer = on_new_peer
         self._on_limit_message = on_limit_message
         self._on_origin_message = on_origin_message
+        self._on_room_message = on_room_message
         self._fetcher = SnapshotFetcher(
             ip,
             port,
@@ -119,6 +125,8 @@
             self._on_limit_message(message, ip)
         elif isinstance(message, OriginMessage):
             self._on_origin_message(message, ip)
+        elif isinstance(message, RoomMessage):
+            self._on_room_message(message, ip)
 
     def _receive_state(self, state: NodeState) -> None:
         is_new = self._membership.update_peer(state, time.monotonic())
--- /dev/null
+++ b/src/savorylift/front/room_parts.py
@@ -0,0 +1,93 @@
+"""The parts of a node that keep the room of engines, or ask its keepers."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+from savorylift.fleet.peer_transport import PeerTransport
+from savorylift.fleet.room_messages import RoomMessage, RoomReply
+from savorylift.front.server_parts import ServerParts
+from savorylift.front.shared_parts import SharedParts
+from savorylift.rooms.client import RoomClient
+from savorylift.rooms.keeper import RoomKeeper
+from savorylift.rooms.keeper_choice import KeeperChoice
+from savorylift.rooms.service_room import Engines
+
+
+class RoomParts(NamedTuple):
+    """What keeps the room of engines, and asks for it.
+
+    Attributes:
+        keeper: Answers the nodes, where this one is the keeper.
+        client: Asks the keepers.
+    """
+
+    keeper: RoomKeeper
+    client: RoomClient
+
+    def receive(self, message: RoomMessage, ip: str) -> None:
+        """Handles a message from a node, which may be this one."""
+        if isinstance(message, RoomReply):
+            self.client.receive(message, ip)
+        else:
+            self.keeper.receive(message, ip)
+
+
+def make_room_parts(
+    shared: SharedParts,
+    servers: ServerParts,
+    transport: PeerTransport,
+    get_prefill_per_s: Callable[[], float],
+) -> RoomParts:
+    """Creates the parts.
+
+    Args:
+        shared: What all parts have in common.
+        servers: The parts that decide on servers.
+        transport: Carries messages to the other nodes.
+        get_prefill_per_s: Returns the prompt tokens that an engine prefills
+            each second.
+    """
+    membership, pool, own_ip = (
+        shared.membership,
+        servers.pool,
+        shared.identity.ip,
+    )
+    choice = KeeperChoice(
+        own_ip,
+        membership,
+        lambda: shared.lifecycle.is_leaving,
+        is_enabled=shared.settings.room_keeper,
+    )
+
+    def find_engines(name: str) -> Engines | None:
+        service = shared.find_service(name)
+        if service is None or service.engine is None:
+            return None
+        return Engines(
+            pool.kept.find(name),
+            service.engine,
+            membership.loads(time.monotonic()),
+            shared.settings.regions,
+            get_prefill_per_s(),
+        )
+
+    def send(message: RoomMessage, ip: str) -> None:
+        if ip == own_ip:
+            loop = asyncio.get_running_loop()
+            loop.call_soon(parts.receive, message, ip)
+        else:
+            transport.send_message(message, ip)
+
+    keeper = RoomKeeper(
+        choice,
+        membership,
+        find_engines,
+        pool.load_tracker.loads,
+        lambda: transport.message_interval_s,
+        send,
+        shared.rng,
+    )
+    parts = RoomParts(keeper, RoomClient(choice, send, shared.rng))
+    return parts
--- a/src/savorylift/front/settings.py
+++ b/src/savorylift/front/settings.py
@@ -47,6 +47,8 @@
             bodies of requests take together.
         request_timeout_s: Timeout of requests for which neither route nor
             caller sets a shorter one.
+        room_keeper: Whether, in a large fleet, one node keeps the room of
+            a service's engines for all.
         log_lines_per_s: Log lines of one event per second; further ones are
             dropped and counted.
     """
@@ -74,6 +76,7 @@
     memory_mb: PositiveInt = 150
     request_timeout_s: Seconds = 60.0
     log_lines_per_s: PositiveInt = 200
+    room_keeper: bool = True
 
     def redacted(self) -> dict[str, object]:
         """Returns the settings for logs, with the number of secrets only."""
--- a/src/savorylift/front/stream_parts.py
+++ b/src/savorylift/front/stream_parts.py
@@ -6,10 +6,12 @@
 from savorylift.exchange.generation import GenerationDispatcher
 from savorylift.exchange.mover import Mover
 from savorylift.exchange.origin_log import OriginLog
+from savorylift.exchange.room_placement import RoomPlacement
 from savorylift.exchange.stream_origins import StreamOrigins
 from savorylift.exchange.stream_resumption import StreamResumption
 from savorylift.fleet.home_ring import Home
 from savorylift.fleet.peer_transport import PeerTransport
+from savorylift.front.room_parts import RoomParts, make_room_parts
 from savorylift.front.server_news import ServerNews
 from savorylift.front.server_parts import ServerParts
 from savorylift.front.shared_parts import SharedParts
@@ -24,6 +26,7 @@
         server_news: What nodes tell each other of servers.
         mover: Moves runs off draining engines.
         generations: Serves the streams.
+        rooms: Keeps the room of engines, or asks its keepers.
     """
 
     origins: StreamOrigins
@@ -31,6 +34,7 @@
     server_news: ServerNews
     mover: Mover
     generations: GenerationDispatcher
+    rooms: RoomParts
 
 
 def make_stream_parts(
@@ -68,6 +72,9 @@
         shared.rng,
     )
     mover = Mover(servers.pool, servers.check)
+    rooms = make_room_parts(
+        shared, servers, transport, lambda: generations.prefill_per_s
+    )
     generations = GenerationDispatcher(
         servers.pool,
         shared.interface.codec,
@@ -77,5 +84,8 @@
         servers.crash_guard,
         resumption,
         shared.rng,
+        RoomPlacement(servers.pool, rooms.client),
+    )
+    return StreamParts(
+        origins, origin_log, server_news, mover, generations, rooms
     )
-    return StreamParts(origins, origin_log, server_news, mover, generations)
--- /dev/null
+++ b/src/savorylift/rooms/client.py
@@ -0,0 +1,203 @@
+"""Asks the keepers of engines' room for places."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+from typing import NamedTuple
+
+from savorylift.fleet.room_messages import (
+    RoomEnds,
+    RoomOutcome,
+    RoomReply,
+    RoomRequest,
+)
+from savorylift.rooms.keeper import SendRoomMessage
+from savorylift.rooms.keeper_choice import KeeperChoice
+
+# How long to wait for a reply to each try: many round trips between nodes.
+ASK_TIMEOUTS_S = (0.04, 0.06)
+# A keeper that didn't reply is not asked again for this time: it may be of an
+# earlier build, cut off, or stand still.
+SILENT_KEEPER_S = 1.0
+# A node that waits for its turn asks again after this time, which shows that
+# it still waits, and whether the keeper still lives.
+ASK_AGAIN_S = 0.4
+MAX_UNANSWERED = 2
+# Ends that come within this time share a message.
+END_DELAY_S = 0.02
+NUMBER_BITS = 48
+
+
+class _Place(NamedTuple):
+    ip: str
+    number: int
+
+
+class _Exchange:
+    """A request and the replies to it."""
+
+    def __init__(self, ip: str, number: int) -> None:
+        self.place = _Place(ip, number)
+        self.reply: RoomReply | None = None
+        self.changed = asyncio.Event()
+
+
+class RoomClient:
+    """Sends requests for places, matches replies and tells of ends."""
+
+    def __init__(
+        self, choice: KeeperChoice, send: SendRoomMessage, rng: random.Random
+    ) -> None:
+        """Creates a client without requests.
+
+        Args:
+            choice: Which node keeps which service.
+            send: Sends messages to nodes, this one included.
+            rng: Chooses the first number, so that replies to an earlier
+                process of this node match no request.
+        """
+        self._choice = choice
+        self._send = send
+        self._next_number = rng.getrandbits(NUMBER_BITS)
+        self._exchanges: dict[int, _Exchange] = {}
+        self._places: dict[str, _Place] = {}
+        self._silent_until_s: dict[str, float] = {}
+        self._ends: dict[str, list[int]] = {}
+
+    def find_keeper(self, service: str) -> str | None:
+        """Returns the keeper to ask; None to place without one."""
+        ip = self._choice.find(service)
+        if ip is None:
+            return None
+        if time.monotonic() < self._silent_until_s.get(ip, 0.0):
+            return None
+        return ip
+
+    async def ask(
+        self,
+        ip: str,
+        attempt_id: str,
+        make_request: Callable[[], RoomRequest],
+        has_other_place: Callable[[], bool],
+        leave_s: float,
+    ) -> RoomReply | None:
+        """Returns the keeper's decision; None to place without it.
+
+        The place, if granted, is to be given back by `end`.
+
+        Args:
+            ip: The keeper.
+            attempt_id: The caller's ID for the generation.
+            make_request: Returns the request as of now.
+            has_other_place: Whether it found a place meanwhile that needs no
+                grant; asked from time to time while there is none.
+            leave_s: Monotonic time until which the generation can wait.
+        """
+        self._next_number += 1
+        exchange = _Exchange(ip, self._next_number)
+        self._exchanges[self._next_number] = exchange
+        is_granted = False
+        try:
+            reply = await self._ask_first(exchange, make_request)
+            if reply is not None and reply.outcome == RoomOutcome.QUEUED:
+                reply = await self._wait(
+                    exchange, make_request, has_other_place, leave_s
+                )
+            is_granted = reply is not None and _is_grant(reply)
+        finally:
+            del self._exchanges[exchange.place.number]
+            if not is_granted:
+                self._tell_end(exchange.place)
+        if reply is None or reply.outcome == RoomOutcome.ALONE:
+            return None
+        if is_granted:
+            self.end(attempt_id)
+            self._places[attempt_id] = exchange.place
+        return reply
+
+    def end(self, attempt_id: str) -> None:
+        """Gives back the place of a generation, if it has one."""
+        place = self._places.pop(attempt_id, None)
+        if place is not None:
+            self._tell_end(place)
+
+    def receive(self, reply: RoomReply, ip: str) -> None:
+        """Passes a reply on; a place that nobody waits for is given back."""
+        exchange = self._exchanges.get(reply.number)
+        if exchange is not None and exchange.place.ip == ip:
+            exchange.reply = reply
+            exchange.changed.set()
+            return
+        place = _Place(ip, reply.number)
+        if _is_grant(reply) and place not in self._places.values():
+            self._tell_end(place)
+
+    async def _ask_first(
+        self, exchange: _Exchange, make_request: Callable[[], RoomRequest]
+    ) -> RoomReply | None:
+        for timeout_s in ASK_TIMEOUTS_S:
+            self._send_request(exchange, make_request)
+            if await _is_changed(exchange, timeout_s):
+                return exchange.reply
+        ip = exchange.place.ip
+        self._silent_until_s[ip] = time.monotonic() + SILENT_KEEPER_S
+        return None
+
+    async def _wait(
+        self,
+        exchange: _Exchange,
+        make_request: Callable[[], RoomRequest],
+        has_other_place: Callable[[], bool],
+        leave_s: float,
+    ) -> RoomReply | None:
+        """Returns the reply to a generation that waits for its turn."""
+        unanswered = 0
+        while unanswered <= MAX_UNANSWERED:
+            left_s = leave_s - time.monotonic()
+            if left_s <= 0 or has_other_place():
+                return exchange.reply
+            if not await _is_changed(exchange, min(ASK_AGAIN_S, left_s)):
+                unanswered += 1
+            else:
+                unanswered = 0
+                reply = exchange.reply
+                if reply is None or reply.outcome != RoomOutcome.QUEUED:
+                    return reply
+                continue
+            self._send_request(exchange, make_request)
+        return None
+
+    def _send_request(
+        self, exchange: _Exchange, make_request: Callable[[], RoomRequest]
+    ) -> None:
+        ip, number = exchange.place
+        ends = tuple(self._ends.pop(ip, ()))
+        self._send(make_request()._replace(number=number, ends=ends), ip)
+
+    def _tell_end(self, place: _Place) -> None:
+        if place.ip not in self._ends:
+            asyncio.get_running_loop().call_later(
+                END_DELAY_S, self._send_ends, place.ip
+            )
+        self._ends.setdefault(place.ip, []).append(place.number)
+
+    def _send_ends(self, ip: str) -> None:
+        numbers = tuple(self._ends.pop(ip, ()))
+        if numbers:
+            self._send(RoomEnds(numbers), ip)
+
+
+async def _is_changed(exchange: _Exchange, timeout_s: float) -> bool:
+    """Whether a reply comes within a time; the next call awaits another."""
+    try:
+        async with asyncio.timeout(timeout_s):
+            await exchange.changed.wait()
+    except TimeoutError:
+        return False
+    exchange.changed.clear()
+    return True
+
+
+def _is_grant(reply: RoomReply) -> bool:
+    return reply.outcome == RoomOutcome.GRANTED and reply.server_id is not None
--- /dev/null
+++ b/src/savorylift/rooms/keeper.py
@@ -0,0 +1,239 @@
+"""Keeps the room of the services that this node was chosen for.
+
+A node that has just become the keeper, or that stood still, grants nothing
+until it has heard the others: until then each node places by itself. What it
+says only directs requests; the engines' own replies decide.
+"""
+
+import asyncio
+import math
+import random
+import time
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+from savorylift.boot_clock import boot_time_s
+from savorylift.fleet.membership import Membership
+from savorylift.fleet.room_messages import (
+    RoomEnds,
+    RoomMessage,
+    RoomOutcome,
+    RoomReply,
+    RoomRequest,
+)
+from savorylift.fleet.state import ServerLoad
+from savorylift.rooms import metrics
+from savorylift.rooms.book import PlaceKey
+from savorylift.rooms.keeper_choice import KeeperChoice
+from savorylift.rooms.service_room import Engines, ServiceRoom
+
+# A node that has just started doesn't know all others yet.
+START_HOLD_S = 2.5
+# After a change of the live nodes, or after it stood still, a keeper waits
+# until others have told what they have: at least this time.
+HANDOVER_HOLD_S = 1.5
+# The same, as a multiple of the interval between the nodes' messages.
+HANDOVER_INTERVALS = 1.5
+# A process that didn't run for this long may have missed much.
+STOOD_STILL_S = 0.7
+# Requests and ends that come within this time share a look at the queue.
+DISPATCH_DELAY_S = 0.005
+MAX_LEASE_S = 120.0
+# A keeper that hears less of the fleet leaves the choice to the nodes.
+MIN_LIVE_SHARE = 0.5
+
+
+class SendRoomMessage(Protocol):
+    """Sends a message to a node."""
+
+    def __call__(self, message: RoomMessage, ip: str) -> None:
+        """Sends it."""
+        ...
+
+
+class RoomKeeper:
+    """Answers the requests for places of the services that it keeps."""
+
+    def __init__(
+        self,
+        choice: KeeperChoice,
+        membership: Membership,
+        find_engines: Callable[[str], Engines | None],
+        own_loads: Callable[[], Iterable[ServerLoad]],
+        get_message_interval_s: Callable[[], float],
+        send: SendRoomMessage,
+        rng: random.Random,
+    ) -> None:
+        """Creates a keeper without services.
+
+        Args:
+            choice: Which node keeps which service.
+            membership: The other nodes.
+            find_engines: Returns the engines of a service by its name.
+            own_loads: Returns what this node has at engines.
+            get_message_interval_s: Returns the interval between the nodes'
+                messages.
+            send: Sends replies.
+            rng: Spreads choices over nearly equal engines.
+        """
+        self._choice = choice
+        self._membership = membership
+        self._find_engines = find_engines
+        self._own_loads = own_loads
+        self._get_message_interval_s = get_message_interval_s
+        self._send = send
+        self._rng = rng
+        self._rooms: dict[str, ServiceRoom] = {}
+        # Monotonic time from which each kept service's places are granted.
+        self._ready_s: dict[str, float] = {}
+        self._start_ready_s = time.monotonic() + START_HOLD_S
+        self._ran_s = boot_time_s()
+        self._knowledge_age_s = 0.0
+        self._due: dict[str, asyncio.TimerHandle] = {}
+
+    def receive(self, message: RoomRequest | RoomEnds, ip: str) -> None:
+        """Handles a message from a node."""
+        self._note_running()
+        if isinstance(message, RoomEnds):
+            self._end(message.numbers, ip)
+            return
+        if not _is_sound(message):
+            return
+        self._end(message.ends, ip)
+        if not self._may_decide(message.service):
+            reply = RoomReply(message.number, RoomOutcome.ALONE)
+            self._reply(reply, ip)
+            return
+        self._ask(PlaceKey(ip, message.number), message)
+
+    def hear(self, ip: str, loads: Iterable[ServerLoad]) -> None:
+        """Notes what a node says that it has at engines."""
+        for service, room in self._rooms.items():
+            room.hear(ip, loads)
+            self._dispatch_soon(service)
+
+    def update(self) -> None:
+        """Drops what is over; to be called periodically."""
+        self._note_running()
+        self._choice.refresh()
+        for service in list(self._ready_s):
+            if not self._choice.is_keeper(service):
+                self._leave(service)
+        if not self._rooms:
+            return
+        now_s = time.monotonic()
+        peers = list(self._membership.live_peers(now_s))
+        oldest_s = min((peer.received_s for peer in peers), default=now_s)
+        self._knowledge_age_s = now_s - oldest_s
+        live = {peer.state.ip for peer in peers} | {self._choice.own_ip}
+        for service, room in self._rooms.items():
+            room.drop_old(live)
+            self._dispatch_soon(service)
+
+    def _note_running(self) -> None:
+        """Begins anew if this process stood still."""
+        now_s, self._ran_s = self._ran_s, boot_time_s()
+        if self._ran_s - now_s < STOOD_STILL_S:
+            return
+        for service in list(self._rooms):
+            self._leave(service)
+        hold_s = time.monotonic() + self._handover_hold_s()
+        self._start_ready_s = max(self._start_ready_s, hold_s)
+
+    def _handover_hold_s(self) -> float:
+        interval_s = self._get_message_interval_s()
+        return max(HANDOVER_HOLD_S, HANDOVER_INTERVALS * interval_s)
+
+    def _may_decide(self, service: str) -> bool:
+        """Whether this node may grant places of a service now."""
+        if not self._choice.is_keeper(service):
+            self._leave(service)
+            return False
+        now_s = time.monotonic()
+        if service not in self._ready_s:
+            changed_s = self._choice.changed_s + self._handover_hold_s()
+            self._ready_s[service] = max(changed_s, self._start_ready_s)
+        if now_s < self._ready_s[service]:
+            return False
+        if service not in self._rooms:
+            self._begin(service, now_s)
+        return True
+
+    def _begin(self, service: str, now_s: float) -> None:
+        """Starts to keep a service with what the nodes have said."""
+        if self._membership.live_share(now_s) < MIN_LIVE_SHARE:
+            return
+        room = self._rooms[service] = ServiceRoom(self._rng)
+        for peer in self._membership.live_peers(now_s):
+            room.hear(peer.state.ip, peer.state.loads)
+
+    def _leave(self, service: str) -> None:
+        """Leaves a service; the nodes that wait ask its next keeper."""
+        self._ready_s.pop(service, None)
+        self._rooms.pop(service, None)
+
+    def _ask(self, key: PlaceKey, req: RoomRequest) -> None:
+        room = self._rooms.get(req.service)
+        if room is None or room.has_ended(key) or room.is_full:
+            self._reply(RoomReply(req.number, RoomOutcome.ALONE), key.ip)
+            return
+        server_id = room.find_engine(key)
+        if server_id is not None:
+            reply = RoomReply(req.number, RoomOutcome.GRANTED, server_id)
+            self._reply(reply, key.ip)
+            return
+        was_empty = len(room) == 0
+        room.add(key, req)
+        if was_empty:
+            self._dispatch(req.service)
+        else:
+            self._dispatch_soon(req.service)
+        if room.is_waiting(key):
+            outcome = RoomOutcome.QUEUED
+            reply = RoomReply(req.number, outcome, waiting=len(room))
+            self._reply(reply, key.ip)
+
+    def _end(self, numbers: Iterable[int], ip: str) -> None:
+        keys = [PlaceKey(ip, number) for number in numbers]
+        if not keys:
+            return
+        for service, room in self._rooms.items():
+            for key in keys:
+                room.end(key)
+            self._dispatch_soon(service)
+
+    def _dispatch_soon(self, service: str) -> None:
+        if service not in self._due and len(self._rooms[service]):
+            self._due[service] = asyncio.get_running_loop().call_later(
+                DISPATCH_DELAY_S, self._dispatch, service
+            )
+
+    def _dispatch(self, service: str) -> None:
+        timer = self._due.pop(service, None)
+        if timer is not None:
+            timer.cancel()
+        room = self._rooms.get(service)
+        engines = self._find_engines(service)
+        if room is None or engines is None:
+            return
+        room.hear(self._choice.own_ip, self._own_loads())
+        for decision in room.dispatch(engines):
+            self._reply(decision.reply, decision.key.ip)
+        metrics.ROOM_WAITING.set(sum(map(len, self._rooms.values())))
+
+    def _reply(self, reply: RoomReply, ip: str) -> None:
+        metrics.ROOM_REPLIES.labels(str(reply.outcome)).inc()
+        aged = reply._replace(knowledge_age_s=round(self._knowledge_age_s, 3))
+        self._send(aged, ip)
+
+
+def _is_sound(req: RoomRequest) -> bool:
+    """Whether the values of a request make sense."""
+    times_s = (req.start_in_s, req.leave_in_s, req.age_s, req.lease_s)
+    return (
+        all(map(math.isfinite, times_s))
+        and 0 <= req.lease_s <= MAX_LEASE_S
+        and req.weight > 0
+        and req.tokens >= 0
+        and req.prompt_tokens >= 0
+    )
--- /dev/null
+++ b/src/savorylift/rooms/metrics.py
@@ -0,0 +1,13 @@
+"""Prometheus metrics of the keeper of engines' room."""
+
+from prometheus_client import Counter, Gauge
+
+ROOM_REPLIES = Counter(
+    "savorylift_front_room_replies",
+    "Replies of this node as the keeper of engines' room.",
+    ["outcome"],
+)
+ROOM_WAITING = Gauge(
+    "savorylift_front_room_waiting",
+    "Generations of all nodes that wait at this node as the keeper of room.",
+)
--- /dev/null
+++ b/src/savorylift/rooms/service_room.py
@@ -0,0 +1,284 @@
+"""The generations of all nodes that wait for the engines of one service.
+
+It answers more load than the engines hold, brought by many nodes of which
+each has only a few generations: all of them wait in one order. One that fits
+nowhere for a while keeps an engine for itself, so that large generations
+aren't starved, and the other engines serve on.
+"""
+
+import random
+import time
+from collections.abc import Collection, Iterable, Iterator, Mapping, Sequence
+from typing import NamedTuple
+
+from savorylift.backends.load import Load
+from savorylift.backends.registry import BackendServer
+from savorylift.fleet.room_messages import RoomOutcome, RoomReply, RoomRequest
+from savorylift.fleet.state import ServerLoad
+from savorylift.placement.arrival_rate import ArrivalRate
+from savorylift.placement.engines import (
+    EngineOptions,
+    choose_engine,
+    choose_least_loaded_engine,
+    free_tokens,
+)
+from savorylift.placement.memory_release_rate import MemoryReleaseRate
+from savorylift.placement.turn_away import Room, find_hopeless
+from savorylift.placement.turn_order import Ticket, TurnOrder
+from savorylift.placement.wait_queue import BYPASS_LIMIT_S
+from savorylift.rooms.book import PlaceKey, RoomBook
+from savorylift.routing.configuration import EngineTraits
+
+# A generation is dropped if its node hasn't asked for this time.
+MAX_SILENCE_S = 1.5
+MAX_WAITING = 1000
+
+
+class Engines(NamedTuple):
+    """The engines of a service that may get generations.
+
+    Attributes:
+        servers: The engines.
+        traits: Their capabilities.
+        known: Their loads as the nodes' messages say.
+        region_by_domain: Region of each failure domain.
+        prefill_per_s: Prompt tokens that each prefills in a second.
+    """
+
+    servers: Sequence[BackendServer]
+    traits: EngineTraits
+    known: Mapping[str, Load]
+    region_by_domain: Mapping[str, str]
+    prefill_per_s: float
+
+
+class Decision(NamedTuple):
+    """What to say to a request.
+
+    Attributes:
+        key: The request.
+        reply: The reply.
+    """
+
+    key: PlaceKey
+    reply: RoomReply
+
+
+class _Waiting(NamedTuple):
+    key: PlaceKey
+    req: RoomRequest
+    ticket: Ticket
+    heard_s: float
+
+
+class ServiceRoom:
+    """Decides whose generation gets which engine of a service."""
+
+    def __init__(self, rng: random.Random) -> None:
+        """Starts without places and waiting generations.
+
+        Args:
+            rng: Spreads choices over nearly equal engines.
+        """
+        self._book = RoomBook()
+        self._rng = rng
+        self._order = TurnOrder()
+        self._release_rate = MemoryReleaseRate()
+        self._arrivals = ArrivalRate()
+        self._waiting: dict[PlaceKey, _Waiting] = {}
+        self._last_number = 0
+
+    def __len__(self) -> int:
+        """Returns the number of waiting generations."""
+        return len(self._waiting)
+
+    @property
+    def is_full(self) -> bool:
+        """Whether no more generations may wait."""
+        return len(self._waiting) >= MAX_WAITING
+
+    def is_waiting(self, key: PlaceKey) -> bool:
+        """Whether the generation of a request waits."""
+        return key in self._waiting
+
+    def add(self, key: PlaceKey, req: RoomRequest) -> None:
+        """Adds a generation, or notes that its node still asks for it."""
+        now_s = time.monotonic()
+        known = self._waiting.get(key)
+        if known is not None:
+            self._waiting[key] = known._replace(heard_s=now_s)
+            return
+        self._arrivals.record(req.priority, req.tokens)
+        self._last_number += 1
+        ticket = Ticket(
+            req.priority,
+            req.team,
+            req.tokens / req.weight,
+            req.tokens,
+            now_s - req.age_s,
+            now_s + req.start_in_s,
+            now_s + req.leave_in_s,
+            self._last_number,
+        )
+        self._waiting[key] = _Waiting(key, req, ticket, now_s)
+
+    def find_engine(self, key: PlaceKey) -> str | None:
+        """Returns the ID of the engine at which a request has a place."""
+        grant = self._book.find(key)
+        return None if grant is None else grant.server_id
+
+    def has_ended(self, key: PlaceKey) -> bool:
+        """Whether a request is known to need no place any more."""
+        return self._book.has_ended(key)
+
+    def end(self, key: PlaceKey) -> None:
+        """Ends a request, whether it waits or has a place."""
+        self._waiting.pop(key, None)
+        self._record_release(self._book.end(key))
+
+    def hear(self, ip: str, loads: Iterable[ServerLoad]) -> None:
+        """Takes over what a node says that it has at engines."""
+        self._record_release(self._book.hear(ip, loads))
+
+    def drop_old(self, live: Collection[str]) -> None:
+        """Ends places whose time is over, and those of nodes not in `live`."""
+        self._record_release(self._book.forget_nodes(live))
+        self._record_release(self._book.drop_expired())
+
+    def _record_release(self, tokens: int) -> None:
+        if tokens:
+            self._release_rate.record_release(tokens)
+
+    def dispatch(self, engines: Engines) -> Iterator[Decision]:
+        """Yields the decisions that can be made now."""
+        now_s = time.monotonic()
+        self._drop_silent(now_s)
+        if not self._waiting:
+            return
+        by_number = {w.ticket.number: w for w in self._waiting.values()}
+        tickets = [w.ticket for w in by_number.values()]
+        loads = {
+            server.entry.server_id: self._book.load(
+                server.entry.server_id, engines.known, engines.prefill_per_s
+            )
+            for server in engines.servers
+        }
+        left = []
+        kept: set[str] = set()
+        for ticket in self._order.sort(tickets, now_s):
+            waiting = by_number[ticket.number]
+            server = self._choose(waiting.req, engines, loads, kept)
+            if server is not None:
+                yield self._grant(waiting, server, engines, loads)
+                continue
+            left.append(ticket)
+            if now_s - ticket.enqueued_s > BYPASS_LIMIT_S:
+                kept.update(
+                    self._keep_engine(waiting.req, engines, loads, kept)
+                )
+        yield from self._turn_away(left, by_number, engines, loads)
+
+    def _drop_silent(self, now_s: float) -> None:
+        for key, waiting in list(self._waiting.items()):
+            is_silent = now_s - waiting.heard_s > MAX_SILENCE_S
+            if is_silent or now_s > waiting.ticket.leave_s:
+                del self._waiting[key]
+
+    def _choose(
+        self,
+        req: RoomRequest,
+        engines: Engines,
+        loads: Mapping[str, Load],
+        kept: set[str],
+    ) -> BackendServer | None:
+        return choose_engine(
+            _find_allowed(req, engines, kept),
+            loads,
+            _engine_options(req, engines),
+            self._rng,
+        )
+
+    def _keep_engine(
+        self,
+        req: RoomRequest,
+        engines: Engines,
+        loads: Mapping[str, Load],
+        kept: set[str],
+    ) -> Iterator[str]:
+        """Yields the engine on which a generation should fit first."""
+        server = choose_least_loaded_engine(
+            _find_allowed(req, engines, kept),
+            loads,
+            _engine_options(req, engines),
+            self._rng,
+        )
+        if server is not None:
+            yield server.entry.server_id
+
+    def _grant(
+        self,
+        waiting: _Waiting,
+        server: BackendServer,
+        engines: Engines,
+        loads: dict[str, Load],
+    ) -> Decision:
+        key, req = waiting.key, waiting.req
+        server_id = server.entry.server_id
+        prefill_s = req.prompt_tokens / engines.prefill_per_s
+        self._book.grant(key, server_id, req.tokens, req.lease_s, prefill_s)
+        loads[server_id] = self._book.load(
+            server_id, engines.known, engines.prefill_per_s
+        )
+        self._order.record_turn(waiting.ticket)
+        del self._waiting[key]
+        reply = RoomReply(
+            req.number, RoomOutcome.GRANTED, server_id, 0.0, len(self._waiting)
+        )
+        return Decision(key, reply)
+
+    def _turn_away(
+        self,
+        left: Sequence[Ticket],
+        by_number: Mapping[int, _Waiting],
+        engines: Engines,
+        loads: Mapping[str, Load],
+    ) -> Iterator[Decision]:
+        free = sum(
+            max(int(free_tokens(load, engines.traits)), 0)
+            for load in loads.values()
+        )
+        room = Room(
+            free, self._release_rate.tokens_per_s, self._arrivals.per_s()
+        )
+        for ticket, return_in_s in find_hopeless(left, room, time.monotonic()):
+            waiting = by_number[ticket.number]
+            del self._waiting[waiting.key]
+            reply = RoomReply(
+                waiting.req.number,
+                RoomOutcome.REFUSED,
+                None,
+                return_in_s,
+                len(self._waiting),
+            )
+            yield Decision(waiting.key, reply)
+
+
+def _find_allowed(
+    req: RoomRequest, engines: Engines, kept: set[str]
+) -> Iterator[BackendServer]:
+    """Yields the engines that may run a generation, full ones included."""
+    for server in engines.servers:
+        entry = server.entry
+        if entry.server_id in kept or entry.server_id in req.excluded:
+            continue
+        if req.software_version not in (None, entry.software_version):
+            continue
+        region = engines.region_by_domain.get(entry.failure_domain)
+        if req.regions is None or region in req.regions:
+            yield server
+
+
+def _engine_options(req: RoomRequest, engines: Engines) -> EngineOptions:
+    return EngineOptions(
+        engines.traits, req.tokens, req.prompt_tokens, req.max_prefill_tokens
+    )
--- a/tests/front/node_fleet.py
+++ b/tests/front/node_fleet.py
@@ -62,6 +62,8 @@
         ips: Addresses of the nodes.
         app: Servers of the plain service.
         pool: Model engines.
+        nodes: The nodes, in the order of their addresses; empty before the
+            start.
         endings: Ended requests of the callers.
     """
 
@@ -77,6 +79,7 @@
         self._tasks: set[asyncio.Task[Ending | None]] = set()
         self.app = [PlatformServer(f"app-{n}") for n in range(servers)]
         self.pool = [PlatformServer(f"pool-{n}") for n in range(servers)]
+        self.nodes: list[FrontNode] = []
         self.endings: list[Ending] = []
 
     @property
@@ -106,7 +109,7 @@
 
     async def _start_nodes(self) -> None:
         """Starts all nodes and waits until they are ready."""
-        nodes = [self._make_node(ip) for ip in self.ips]
+        nodes = self.nodes = [self._make_node(ip) for ip in self.ips]
         tasks = [asyncio.ensure_future(node.run()) for node in nodes]
         self._tasks.update(tasks)
         async with asyncio.timeout(START_TIMEOUT_S):
--- /dev/null
+++ b/tests/rooms/test_keeper.py
@@ -0,0 +1,325 @@
+"""Tests of keepers of engines' room, and of the nodes that ask them."""
+
+import asyncio
+import random
+import time
+from collections.abc import Iterator
+
+import freezegun
+import pytest
+
+from savorylift.fleet.room_messages import (
+    RoomEnds,
+    RoomMessage,
+    RoomOutcome,
+    RoomReply,
+    RoomRequest,
+)
+from savorylift.fleet.state import ServerLoad
+from savorylift.rooms import client as client_module
+from savorylift.rooms import keeper as keeper_module
+from savorylift.rooms.client import RoomClient
+from savorylift.rooms.keeper import (
+    HANDOVER_HOLD_S,
+    START_HOLD_S,
+    RoomKeeper,
+)
+from savorylift.rooms.keeper_choice import CACHE_S, MIN_NODES, KeeperChoice
+from tests.fleet.test_membership import state
+from tests.rooms.factories import (
+    NODES,
+    SERVICE,
+    ip_of,
+    make_engines,
+    make_load,
+    make_membership,
+    make_request,
+)
+from tests.wire.loopback import run_with_timeout
+
+WAIT_S = 3.0
+
+
+class Node:
+    """A node with its own knowledge of the others."""
+
+    def __init__(self, number: int, fleet: "Fleet", count: int = NODES) -> None:
+        """Creates a node that knows the others."""
+        self.ip = ip_of(number)
+        self.members = make_membership(number, count)
+        self.is_leaving = False
+        self.loads: tuple[ServerLoad, ...] = ()
+        self.choice = KeeperChoice(
+            self.ip, self.members, lambda: self.is_leaving, is_enabled=True
+        )
+        rng = random.Random(number)
+
+        def send(message: RoomMessage, ip: str) -> None:
+            fleet.send(message, self.ip, ip)
+
+        self.keeper = RoomKeeper(
+            self.choice,
+            self.members,
+            lambda _: fleet.engines,
+            lambda: self.loads,
+            lambda: 0.2,
+            send,
+            rng,
+        )
+        self.client = RoomClient(self.choice, send, rng)
+
+    def receive(self, message: RoomMessage, ip: str) -> None:
+        """Handles a message."""
+        if isinstance(message, RoomReply):
+            self.client.receive(message, ip)
+        else:
+            self.keeper.receive(message, ip)
+
+    async def ask(self, request: RoomRequest) -> RoomReply | None:
+        """Asks the keeper for a place."""
+        keeper_ip = self.client.find_keeper(SERVICE)
+        if keeper_ip is None:
+            return None
+        return await self.client.ask(
+            keeper_ip,
+            request.attempt_id,
+            lambda: request,
+            lambda: False,
+            time.monotonic() + WAIT_S,
+        )
+
+
+class Fleet:
+    """Nodes whose messages may be lost or doubled."""
+
+    def __init__(self) -> None:
+        """Creates nodes and two engines."""
+        self.engines = make_engines("a", "b")
+        self.sent: list[tuple[RoomMessage, str]] = []
+        self.nodes: dict[str, Node] = {}
+        self.silent: set[str] = set()
+        self.copies: Iterator[int] = iter(())
+        for number in range(1, NODES + 1):
+            self.nodes[ip_of(number)] = Node(number, self)
+
+    def send(self, message: RoomMessage, source: str, ip: str) -> None:
+        """Delivers a message as often as the next of `copies` says."""
+        self.sent.append((message, ip))
+        if ip in self.silent or source in self.silent:
+            return
+        loop = asyncio.get_running_loop()
+        for _ in range(next(self.copies, 1)):
+            loop.call_soon(self.nodes[ip].receive, message, source)
+
+    @property
+    def keeper(self) -> Node:
+        """The node that all choose."""
+        found = {n.choice.find(SERVICE) or "" for n in self.nodes.values()}
+        (ip,) = found
+        return self.nodes[ip]
+
+    @property
+    def other(self) -> Node:
+        """A node that isn't the keeper."""
+        return next(n for n in self.nodes.values() if n is not self.keeper)
+
+
+@pytest.fixture
+def fleet(monkeypatch: pytest.MonkeyPatch) -> Fleet:
+    """A fleet whose keeper has heard all others."""
+    monkeypatch.setattr(keeper_module, "START_HOLD_S", 0.0)
+    monkeypatch.setattr(keeper_module, "HANDOVER_HOLD_S", 0.0)
+    monkeypatch.setattr(keeper_module, "HANDOVER_INTERVALS", 0.0)
+    return Fleet()
+
+
+def test_all_nodes_get_places_within_the_engines_room(fleet: Fleet) -> None:
+    async def scenario() -> None:
+        nodes = list(fleet.nodes.values())
+        tasks = [
+            asyncio.ensure_future(node.ask(make_request(1, 4000)))
+            for node in nodes
+        ]
+        served = 0
+        while served < len(nodes):
+            done, _ = await asyncio.wait([t for t in tasks if t], timeout=0.1)
+            replies = [task.result() for task in done]
+            assert all(r and r.server_id for r in replies)
+            assert len(replies) - served <= 4
+            served = len(replies)
+            for node, task in zip(nodes, tasks, strict=True):
+                if task.done():
+                    node.client.end("a1")
+
+    run_with_timeout(scenario())
+
+
+@pytest.mark.parametrize("copies", [(0, 1), (1, 0, 1), (2, 2, 2), (2, 0, 2, 1)])
+def test_lost_and_doubled_messages_grant_one_place(
+    fleet: Fleet, copies: tuple[int, ...]
+) -> None:
+    async def scenario() -> None:
+        fleet.copies = iter(copies)
+        node = fleet.other
+        reply = await node.ask(make_request(1, 4000))
+        assert reply is not None
+        assert reply.outcome == RoomOutcome.GRANTED
+        room = fleet.keeper.keeper._rooms[SERVICE]
+        assert len(room._book) == 1
+        node.client.end("a1")
+        await asyncio.sleep(client_module.END_DELAY_S * 2)
+        assert len(room._book) == 0
+
+    run_with_timeout(scenario())
+
+
+def test_keeper_that_does_not_reply_costs_little_and_is_left_alone(
+    fleet: Fleet,
+) -> None:
+    """It was killed, is cut off one way, or is of an earlier build."""
+
+    async def scenario() -> None:
+        node, keeper = fleet.other, fleet.keeper
+        fleet.silent.add(keeper.ip)
+        begun_s = time.monotonic()
+        assert await node.ask(make_request(1)) is None
+        took_s = time.monotonic() - begun_s
+        assert took_s < 2 * sum(client_module.ASK_TIMEOUTS_S)
+        sent = len(fleet.sent)
+        assert await node.ask(make_request(2)) is None
+        asked = [m for m, _ in fleet.sent[sent:] if isinstance(m, RoomRequest)]
+        assert asked == []
+
+    run_with_timeout(scenario())
+
+
+def test_late_grant_is_given_back(fleet: Fleet) -> None:
+    async def scenario() -> None:
+        node, keeper = fleet.other, fleet.keeper
+        late = RoomReply(77, RoomOutcome.GRANTED, "a")
+        node.client.receive(late, keeper.ip)
+        await asyncio.sleep(client_module.END_DELAY_S * 2)
+        assert (RoomEnds((77,)), keeper.ip) in fleet.sent
+
+    run_with_timeout(scenario())
+
+
+def test_node_that_waits_notices_that_its_keeper_is_gone(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(client_module, "ASK_AGAIN_S", 0.05)
+
+    async def scenario() -> None:
+        node, keeper = fleet.other, fleet.keeper
+        fleet.engines = make_engines()
+        task = asyncio.ensure_future(node.ask(make_request()))
+        await asyncio.sleep(0.12)
+        assert not task.done()
+        fleet.silent.add(keeper.ip)
+        async with asyncio.timeout(WAIT_S / 2):
+            assert await task is None
+
+    run_with_timeout(scenario())
+
+
+def test_caller_that_leaves_takes_no_room(fleet: Fleet) -> None:
+    async def scenario() -> None:
+        fleet.engines = make_engines()
+        task = asyncio.ensure_future(fleet.other.ask(make_request()))
+        await asyncio.sleep(0.02)
+        room = fleet.keeper.keeper._rooms[SERVICE]
+        assert len(room) == 1
+        task.cancel()
+        await asyncio.sleep(client_module.END_DELAY_S * 2)
+        assert len(room) == 0
+
+    run_with_timeout(scenario())
+
+
+class LoneKeeper:
+    """The keeper of a fleet in paused time, whose replies are kept."""
+
+    def __init__(self) -> None:
+        """Creates the node that all choose as the keeper."""
+        self.replies: list[RoomReply] = []
+        self.engines = make_engines("a", "b")
+        nodes = (Node(n, self) for n in range(1, NODES + 1))  # type: ignore[arg-type]
+        self.node = next(n for n in nodes if n.choice.is_keeper(SERVICE))
+
+    def send(self, message: RoomMessage, _source: str, _ip: str) -> None:
+        """Keeps a reply."""
+        assert isinstance(message, RoomReply)
+        self.replies.append(message)
+
+    def ask(self, number: int) -> str:
+        """Returns the outcome of a request of another node."""
+        other = ip_of(1 if self.node.ip != ip_of(1) else 2)
+        self.node.keeper.receive(make_request(number, 4000), other)
+        return self.replies[-1].outcome
+
+
+def test_successor_grants_nothing_before_it_has_heard_the_others() -> None:
+    with freezegun.freeze_time("2026-01-01") as clock:
+        lone = LoneKeeper()
+        assert lone.ask(1) == RoomOutcome.ALONE
+        clock.tick(START_HOLD_S - 0.1)
+        assert lone.ask(2) == RoomOutcome.ALONE
+        # Two of its engines' four places are taken by what it hears.
+        peer = state(3 if lone.node.ip != ip_of(3) else 4)._replace(
+            interval_s=100.0,
+            sequence=2,
+            loads=(make_load("a", 2, 8000),),
+        )
+        lone.node.members.update_peer(peer, time.monotonic())
+        clock.tick(0.2)
+        lone.ask(3)
+        assert lone.replies[-1].server_id == "b"
+
+
+def test_two_keepers_never_grant_in_the_same_hand_over() -> None:
+    """One that is no longer chosen stops; the next waits."""
+    with freezegun.freeze_time("2026-01-01") as clock:
+        lone = LoneKeeper()
+        clock.tick(START_HOLD_S + 0.1)
+        assert lone.ask(1) == RoomOutcome.GRANTED
+        lone.node.is_leaving = True
+        clock.tick(CACHE_S)
+        assert lone.ask(2) == RoomOutcome.ALONE
+        lone.node.is_leaving = False
+        clock.tick(CACHE_S)
+        lone.node.keeper.update()
+        clock.tick(HANDOVER_HOLD_S - 0.2)
+        assert lone.ask(3) == RoomOutcome.ALONE
+        clock.tick(0.3)
+        assert lone.ask(4) == RoomOutcome.GRANTED
+
+
+def test_keeper_that_stood_still_grants_nothing_on_what_it_knew(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    boot_s = 100.0
+    monkeypatch.setattr(keeper_module, "boot_time_s", lambda: boot_s)
+    with freezegun.freeze_time("2026-01-01") as clock:
+        lone = LoneKeeper()
+        clock.tick(START_HOLD_S + 0.1)
+        assert lone.ask(1) == RoomOutcome.GRANTED
+        boot_s += 5.0
+        assert lone.ask(2) == RoomOutcome.ALONE
+        clock.tick(HANDOVER_HOLD_S + 0.1)
+        assert lone.ask(3) == RoomOutcome.GRANTED
+
+
+def test_small_fleet_and_unsound_requests_use_no_keeper() -> None:
+    with freezegun.freeze_time("2026-01-01") as clock:
+        members = make_membership(1, MIN_NODES - 1)
+        choice = KeeperChoice(ip_of(1), members, lambda: False, is_enabled=True)
+        assert choice.find(SERVICE) is None
+        off = KeeperChoice(
+            ip_of(1), make_membership(1), lambda: False, is_enabled=False
+        )
+        assert off.find(SERVICE) is None
+        lone = LoneKeeper()
+        clock.tick(START_HOLD_S + 0.1)
+        bad = make_request()._replace(weight=0.0, leave_in_s=float("nan"))
+        lone.node.keeper.receive(bad, ip_of(2))
+        assert lone.replies == []
--- /dev/null
+++ b/tests/rooms/test_service_room.py
@@ -0,0 +1,169 @@
+"""Tests of which waiting generation gets which engine."""
+
+import random
+
+import freezegun
+import hypothesis
+import hypothesis.strategies as st
+import pytest
+
+from savorylift.fleet.room_messages import RoomOutcome, RoomRequest
+from savorylift.placement.engines import MAX_MEMORY_SHARE
+from savorylift.placement.memory_release_rate import MIN_RELEASES
+from savorylift.placement.turn_away import MAX_RETURN_S
+from savorylift.placement.wait_queue import BYPASS_LIMIT_S
+from savorylift.rooms.book import PlaceKey
+from savorylift.rooms.service_room import MAX_SILENCE_S, Engines, ServiceRoom
+from tests.rooms.factories import TRAITS, ip_of, make_engines, make_request
+
+
+def make_room() -> ServiceRoom:
+    return ServiceRoom(random.Random(1))
+
+
+def key(number: int, node: int = 1) -> PlaceKey:
+    return PlaceKey(ip_of(node), number)
+
+
+def granted(room: ServiceRoom, engines: Engines) -> list[int]:
+    """Returns the numbers of the requests that get a place now, in order."""
+    return [
+        decision.key.number
+        for decision in room.dispatch(engines)
+        if decision.reply.outcome == RoomOutcome.GRANTED
+    ]
+
+
+def fill(room: ServiceRoom, engines: Engines, tokens: int) -> PlaceKey:
+    """Takes memory of an engine; returns the key of the place."""
+    place = key(9999)
+    room.add(place, make_request(9999, tokens))
+    assert granted(room, engines) == [9999]
+    return place
+
+
+def test_order_spans_the_nodes() -> None:
+    room, engines = make_room(), make_engines("e")
+    place = fill(room, engines, 9000)
+    room.add(key(1, node=2), make_request(1)._replace(priority=2))
+    room.add(key(2, node=3), make_request(2)._replace(start_in_s=-0.1))
+    room.add(key(3, node=4), make_request(3)._replace(priority=0))
+    assert granted(room, engines) == []
+    room.end(place)
+    assert granted(room, engines) == [3, 1, 2]
+
+
+@pytest.mark.parametrize(
+    ("changes", "engine"),
+    [
+        ({"excluded": ("a",)}, "b"),
+        ({"regions": ("r",)}, "a"),
+        ({"regions": ("other",)}, None),
+        ({"regions": ()}, None),
+        ({"software_version": "none"}, None),
+    ],
+)
+def test_only_allowed_engines_are_granted(
+    changes: dict[str, object], engine: str | None
+) -> None:
+    room = make_room()
+    engines = make_engines("a", "b") if engine == "b" else make_engines("a")
+    room.add(key(1), make_request()._replace(**changes))  # type: ignore[arg-type]
+    list(room.dispatch(engines))
+    assert room.find_engine(key(1)) == engine
+
+
+def test_large_generation_keeps_one_engine_and_not_the_others() -> None:
+    with freezegun.freeze_time("2026-01-01") as clock:
+        room, one = make_room(), make_engines("a")
+        place = fill(room, one, 5000)
+        room.add(key(1), make_request(1, 8000))
+        assert granted(room, one) == []
+        clock.tick(BYPASS_LIMIT_S + 0.1)
+        room.add(key(2), make_request(2, 1000))
+        assert granted(room, one) == []
+        both = make_engines("a", "b")
+        room.add(key(3), make_request(3, 1000))
+        # The second engine takes the large one, the first one the others.
+        assert granted(room, both) == [1, 2, 3]
+        room.end(place)
+
+
+def test_generations_of_silent_nodes_are_dropped() -> None:
+    with freezegun.freeze_time("2026-01-01") as clock:
+        room, engines = make_room(), make_engines("a")
+        place = fill(room, engines, 9000)
+        room.add(key(1), make_request(1))
+        room.add(key(2), make_request(2))
+        clock.tick(MAX_SILENCE_S - 0.1)
+        room.add(key(2), make_request(2))
+        clock.tick(0.2)
+        room.end(place)
+        assert granted(room, engines) == [2]
+
+
+def test_those_without_a_turn_in_time_are_refused_at_once() -> None:
+    room, engines = make_room(), make_engines("a", "b", "c")
+    for number in range(MIN_RELEASES):
+        place = key(number, node=2)
+        room.add(place, make_request(number, 500))
+        list(room.dispatch(engines))
+        room.end(place)
+    for number in (101, 102, 103):
+        room.add(key(number), make_request(number, 9500))
+    assert len(granted(room, engines)) == 3
+    room.add(key(1), make_request(1, 3000)._replace(priority=0))
+    room.add(key(2), make_request(2, 3000)._replace(priority=2))
+    (decision,) = room.dispatch(engines)
+    assert decision.key == key(2)
+    assert decision.reply.outcome == RoomOutcome.REFUSED
+    # Of what becomes free, others that arrive take most before it.
+    assert decision.reply.return_in_s == MAX_RETURN_S
+    assert len(room) == 1
+
+
+def request_of(number: int, tokens: int) -> RoomRequest:
+    return make_request(number, tokens)
+
+
+@hypothesis.given(
+    st.lists(
+        st.one_of(
+            st.tuples(st.just("ask"), st.integers(0, 12), st.integers(1, 9000)),
+            st.tuples(st.just("end"), st.integers(0, 12), st.just(0)),
+            st.tuples(st.just("tick"), st.integers(1, 12), st.just(0)),
+        ),
+        max_size=60,
+    )
+)
+def test_no_place_is_granted_twice_beyond_the_engines_bounds(
+    steps: list[tuple[str, int, int]],
+) -> None:
+    """Whatever is asked for twice, lost, or told late."""
+    with freezegun.freeze_time("2026-01-01") as clock:
+        room, engines = make_room(), make_engines("a", "b")
+        held: dict[PlaceKey, tuple[str, int]] = {}
+        wanted: dict[PlaceKey, int] = {}
+        for kind, number, tokens in steps:
+            place = key(number, node=number % 3 + 1)
+            if kind == "ask" and place not in held:
+                wanted.setdefault(place, tokens)
+                room.add(place, request_of(number, wanted[place]))
+            elif kind == "end":
+                room.end(place)
+                held.pop(place, None)
+                wanted.pop(place, None)
+            elif kind == "tick":
+                clock.tick(number / 10)
+            for decision in room.dispatch(engines):
+                server_id = decision.reply.server_id
+                assert decision.key not in held
+                if server_id is not None:
+                    held[decision.key] = server_id, wanted[decision.key]
+            for server in engines.servers:
+                mine = [
+                    t for s, t in held.values() if s == server.entry.server_id
+                ]
+                assert len(mine) <= TRAITS.slots
+                limit = TRAITS.memory_tokens * MAX_MEMORY_SHARE
+                assert sum(mine) <= limit or len(mine) == 1
