--- a/src/savorylift/exchange/engine_queue.py
+++ b/src/savorylift/exchange/engine_queue.py
@@ -5,36 +5,23 @@
 
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange import metrics
-from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.failover import FailoverPolicy
-from savorylift.exchange.room_placement import (
-    RoomPlacement,
-    RoomResult,
-    Wish,
-)
+from savorylift.exchange.room_placement import RoomPlacement, RoomResult
 from savorylift.exchange.run import Run
 from savorylift.exchange.server_pool import ServerPool
+from savorylift.exchange.wish import Wish, first_event_objective_s, make_wish
 from savorylift.placement.engines import EngineOptions
 from savorylift.placement.memory_release_rate import MemoryReleaseRate
 from savorylift.placement.prefill_rate import PrefillRate
 from savorylift.placement.turn_away import NoRoomInTimeError, Room
 from savorylift.placement.wait_queue import (
     UNKNOWN_ROOM,
-    SchedulingParameters,
     WaitQueue,
 )
 from savorylift.routing.configuration import EngineTraits, Service
 
-# First-event objective of routes that define none.
-DEFAULT_OBJECTIVE_S = 2.0
 # Share of the objective that prefill of pending prompts may take at an engine.
 PREFILL_SHARE = 0.6
-# Longest wait in the queue, as a multiple of the objective. A late response
-# still has some value, but callers leave after about four times the objective,
-# and a refusal must leave them time to retry.
-QUEUE_WAIT_FACTOR = 2.0
-# Longest wait in the queue, as a share of the caller's timeout.
-QUEUE_WAIT_SHARE = 0.4
 # Used for services that define no engine traits.
 DEFAULT_ENGINE_TRAITS = EngineTraits(
     slots=1,
@@ -99,7 +86,7 @@
         if run.server is not None:
             run.mark_assigned(0)
             return run.server
-        wish = self._make_wish(run, options)
+        wish = make_wish(run, options, self.prefill_per_s)
         if self._rooms is not None and self._may_wait(run, tried):
             result = await self._ask_keeper(self._rooms, run, wish, tried)
             if result is not None:
@@ -164,21 +151,6 @@
             _is_taken_up(run) and pool.has_place_elsewhere(admitted, tried)
         )
 
-    def _make_wish(self, run: Run, options: EngineOptions) -> Wish:
-        admitted = run.admitted
-        prefill_s = options.prompt_tokens / self._prefill_rate.tokens_per_s
-        latest_start_s = (
-            admitted.req.arrived_s
-            + _first_event_objective_s(admitted)
-            - prefill_s
-        )
-        return Wish(
-            options,
-            _scheduling_parameters(run),
-            latest_start_s,
-            _queue_deadline_s(admitted),
-        )
-
     @property
     def prefill_per_s(self) -> float:
         """Prompt tokens that an engine prefills each second."""
@@ -203,7 +175,7 @@
 
         return FailoverPolicy.for_request(
             run.admitted,
-            _first_event_objective_s(run.admitted),
+            first_event_objective_s(run.admitted),
             has_alternative,
             is_last=is_last,
         )
@@ -271,7 +243,7 @@
         )
         max_pending_prefill = (
             PREFILL_SHARE
-            * _first_event_objective_s(run.admitted)
+            * first_event_objective_s(run.admitted)
             * self._prefill_rate.tokens_per_s
         )
         return EngineOptions(
@@ -279,35 +251,6 @@
         )
 
 
-def _scheduling_parameters(run: Run) -> SchedulingParameters:
-    team = run.admitted.team
-    if team is None:
-        return SchedulingParameters(
-            run.admitted.priority, "", run.expected_tokens, run.expected_tokens
-        )
-    return SchedulingParameters(
-        run.admitted.priority,
-        team.name,
-        run.expected_tokens / team.weight,
-        run.expected_tokens,
-    )
-
-
 def _is_taken_up(run: Run) -> bool:
     """Whether the caller resumes a stream, and gets its rest from here."""
     return run.admitted.req.resume_after is not None and run.last_event is None
-
-
-def _first_event_objective_s(admitted: AdmittedRequest) -> float:
-    """Returns the time within which the first event should arrive."""
-    return admitted.route.objective_s or DEFAULT_OBJECTIVE_S
-
-
-def _queue_deadline_s(admitted: AdmittedRequest) -> float:
-    """Returns the monotonic time until which a request may be queued."""
-    max_wait_s = QUEUE_WAIT_FACTOR * _first_event_objective_s(admitted)
-    if admitted.req.time_left_s is not None:
-        max_wait_s = min(
-            max_wait_s, QUEUE_WAIT_SHARE * admitted.req.time_left_s
-        )
-    return min(admitted.req.arrived_s + max_wait_s, admitted.deadline_s)
--- a/src/savorylift/exchange/room_placement.py
+++ b/src/savorylift/exchange/room_placement.py
@@ -9,9 +9,8 @@
 from savorylift.exchange import metrics
 from savorylift.exchange.run import Run
 from savorylift.exchange.server_pool import ServerPool
+from savorylift.exchange.wish import Wish
 from savorylift.fleet.room_messages import RoomOutcome, RoomReply, RoomRequest
-from savorylift.placement.engines import EngineOptions
-from savorylift.placement.wait_queue import SchedulingParameters
 from savorylift.rooms.client import RoomClient
 from savorylift.rooms.keeper import MAX_LEASE_S
 
@@ -30,23 +29,6 @@
     return_in_s: float | None = None
 
 
-class Wish(NamedTuple):
-    """What a generation wants of an engine, and when.
-
-    Attributes:
-        options: What the choice of an engine depends on.
-        parameters: What the order of turns depends on.
-        latest_start_s: Monotonic time until which it can start and still meet
-            its objective.
-        leave_s: Monotonic time until which it can wait.
-    """
-
-    options: EngineOptions
-    parameters: SchedulingParameters
-    latest_start_s: float
-    leave_s: float
-
-
 class RoomPlacement:
     """Asks the keeper of a generation's engines, and follows what it says."""
 
--- /dev/null
+++ b/src/savorylift/exchange/wish.py
@@ -0,0 +1,83 @@
+"""What a generation wants of an engine, and for how long it can wait."""
+
+from typing import NamedTuple
+
+from savorylift.exchange.admission import AdmittedRequest
+from savorylift.exchange.run import Run
+from savorylift.placement.engines import EngineOptions
+from savorylift.placement.wait_queue import SchedulingParameters
+
+# First-event objective of routes that define none.
+DEFAULT_OBJECTIVE_S = 2.0
+# Longest wait in the queue, as a multiple of the objective. A late response
+# still has some value, but callers leave after about four times the objective,
+# and a refusal must leave them time to retry.
+QUEUE_WAIT_FACTOR = 2.0
+# Longest wait in the queue, as a share of the caller's timeout.
+QUEUE_WAIT_SHARE = 0.4
+
+
+class Wish(NamedTuple):
+    """What a generation wants of an engine, and when.
+
+    Attributes:
+        options: What the choice of an engine depends on.
+        parameters: What the order of turns depends on.
+        latest_start_s: Monotonic time until which it can start and still meet
+            its objective.
+        leave_s: Monotonic time until which it can wait.
+    """
+
+    options: EngineOptions
+    parameters: SchedulingParameters
+    latest_start_s: float
+    leave_s: float
+
+
+def make_wish(run: Run, options: EngineOptions, prefill_per_s: float) -> Wish:
+    """Returns the wish of a run.
+
+    Args:
+        run: The run.
+        options: What the choice of its engine depends on.
+        prefill_per_s: Prompt tokens that an engine prefills each second.
+    """
+    admitted = run.admitted
+    prefill_s = options.prompt_tokens / prefill_per_s
+    objective_s = first_event_objective_s(admitted)
+    latest_start_s = admitted.req.arrived_s + objective_s - prefill_s
+    return Wish(
+        options,
+        _scheduling_parameters(run),
+        latest_start_s,
+        _queue_deadline_s(admitted),
+    )
+
+
+def first_event_objective_s(admitted: AdmittedRequest) -> float:
+    """Returns the time within which the first event should arrive."""
+    return admitted.route.objective_s or DEFAULT_OBJECTIVE_S
+
+
+def _queue_deadline_s(admitted: AdmittedRequest) -> float:
+    """Returns the monotonic time until which a request may be queued."""
+    max_wait_s = QUEUE_WAIT_FACTOR * first_event_objective_s(admitted)
+    if admitted.req.time_left_s is not None:
+        max_wait_s = min(
+            max_wait_s, QUEUE_WAIT_SHARE * admitted.req.time_left_s
+        )
+    return min(admitted.req.arrived_s + max_wait_s, admitted.deadline_s)
+
+
+def _scheduling_parameters(run: Run) -> SchedulingParameters:
+    team = run.admitted.team
+    if team is None:
+        return SchedulingParameters(
+            run.admitted.priority, "", run.expected_tokens, run.expected_tokens
+        )
+    return SchedulingParameters(
+        run.admitted.priority,
+        team.name,
+        run.expected_tokens / team.weight,
+        run.expected_tokens,
+    )
--- a/tests/demo/scenario.py
+++ b/tests/demo/scenario.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from savorylift.client import Client, ClientOptions
-from savorylift.exchange.engine_queue import (
+from savorylift.exchange.wish import (
     DEFAULT_OBJECTIVE_S,
     QUEUE_WAIT_FACTOR,
 )
