Let a stream that lost its engine wait for another

The time that a generation may be queued counts from its arrival. A stream that had run for longer when its engine went away found it over, and was broken off at once if no engine had room at that moment. It now waits for twice its objective from then on, within its deadline, and goes before those that have yet to begin: what its caller has would be lost. tests/exchange/test_engine_queue.py fails without the change.

--- a/src/savorylift/exchange/engine_queue.py
+++ b/src/savorylift/exchange/engine_queue.py
@@ -87,7 +87,8 @@
             run.mark_assigned(0)
             return run.server
         wish = make_wish(run, options, self.prefill_per_s)
-        if self._rooms is not None and self._may_wait(run, tried):
+        can_wait = time.monotonic() < wish.leave_s
+        if self._rooms and can_wait and self._may_wait(run, tried):
             result = await self._ask_keeper(self._rooms, run, wish, tried)
             if result is not None:
                 run.server, run.return_in_s = result
--- a/src/savorylift/exchange/wish.py
+++ b/src/savorylift/exchange/wish.py
@@ -1,5 +1,6 @@
 """What a generation wants of an engine, and for how long it can wait."""
 
+import time
 from typing import NamedTuple
 
 from savorylift.exchange.admission import AdmittedRequest
@@ -15,6 +16,8 @@
 QUEUE_WAIT_FACTOR = 2.0
 # Longest wait in the queue, as a share of the caller's timeout.
 QUEUE_WAIT_SHARE = 0.4
+# Goes before all priorities of callers: what has been streamed would be lost.
+STREAM_PRIORITY = -1
 
 
 class Wish(NamedTuple):
@@ -45,13 +48,16 @@
     admitted = run.admitted
     prefill_s = options.prompt_tokens / prefill_per_s
     objective_s = first_event_objective_s(admitted)
+    parameters = _scheduling_parameters(run)
+    if run.last_event is not None:
+        # Its caller has a part: a pause costs less than the end of the stream.
+        leave_s = time.monotonic() + QUEUE_WAIT_FACTOR * objective_s
+        leave_s = min(leave_s, admitted.deadline_s)
+        first = parameters._replace(priority=STREAM_PRIORITY)
+        return Wish(options, first, leave_s, leave_s)
     latest_start_s = admitted.req.arrived_s + objective_s - prefill_s
-    return Wish(
-        options,
-        _scheduling_parameters(run),
-        latest_start_s,
-        _queue_deadline_s(admitted),
-    )
+    leave_s = _queue_deadline_s(admitted)
+    return Wish(options, parameters, latest_start_s, leave_s)
 
 
 def first_event_objective_s(admitted: AdmittedRequest) -> float:
--- a/tests/exchange/test_engine_queue.py
+++ b/tests/exchange/test_engine_queue.py
@@ -45,6 +45,27 @@
     asyncio.run(scenario())
 
 
+@pytest.mark.parametrize(("last_event", "waits"), [(5, True), (None, False)])
+def test_stream_that_lost_its_engine_late_still_waits_for_another(
+    last_event: int | None, *, waits: bool
+) -> None:
+    """What its caller has would be lost if it ended at once."""
+
+    async def scenario() -> None:
+        req = make_generation_request()._replace(
+            arrived_s=time.monotonic() - 9.0, time_left_s=30.0
+        )
+        run = Run(make_admitted_request(req, engine=ENGINE), 100)
+        run.last_event = last_event
+        queue = EngineQueue(make_full_pool((2, 2)))
+        task = asyncio.ensure_future(queue.acquire(run, set()))
+        done, _ = await asyncio.wait((task,), timeout=WATCH_S)
+        assert bool(done) is not waits
+        task.cancel()
+
+    asyncio.run(scenario())
+
+
 def test_generation_does_not_wait_on_when_all_engines_leave() -> None:
     async def scenario() -> None:
         req = make_generation_request()
