--- a/src/savorylift/rooms/keeper.py
+++ b/src/savorylift/rooms/keeper.py
@@ -37,7 +37,7 @@
 # A process that didn't run for this long may have missed much.
 STOOD_STILL_S = 0.7
 # Requests and ends that come within this time share a look at the queue.
-DISPATCH_DELAY_S = 0.005
+DISPATCH_DELAY_S = 0.01
 MAX_LEASE_S = 120.0
 # A keeper that hears less of the fleet leaves the choice to the nodes.
 MIN_LIVE_SHARE = 0.5
--- a/src/savorylift/rooms/service_room.py
+++ b/src/savorylift/rooms/service_room.py
@@ -6,6 +6,7 @@
 aren't starved, and the other engines serve on.
 """
 
+import math
 import random
 import time
 from collections.abc import Collection, Iterable, Iterator, Mapping, Sequence
@@ -18,9 +19,9 @@
 from savorylift.placement.arrival_rate import ArrivalRate
 from savorylift.placement.engines import (
     EngineOptions,
-    choose_engine,
     choose_least_loaded_engine,
     free_tokens,
+    has_room,
 )
 from savorylift.placement.memory_release_rate import MemoryReleaseRate
 from savorylift.placement.turn_away import Room, find_hopeless
@@ -164,18 +165,22 @@
             for server in engines.servers
         }
         left = []
-        kept: set[str] = set()
+        most_tokens = _find_most_room(engines, loads)
         for ticket in self._order.sort(tickets, now_s):
             waiting = by_number[ticket.number]
-            server = self._choose(waiting.req, engines, loads, kept)
+            req, server = waiting.req, None
+            if req.tokens <= most_tokens:
+                server = _choose(req, engines, loads, self._rng)
             if server is not None:
-                yield self._grant(waiting, server, engines, loads)
+                yield self._grant(
+                    by_number[ticket.number], server, engines, loads
+                )
+                most_tokens = _find_most_room(engines, loads)
                 continue
             left.append(ticket)
-            if now_s - ticket.enqueued_s > BYPASS_LIMIT_S:
-                kept.update(
-                    self._keep_engine(waiting.req, engines, loads, kept)
-                )
+            if engines.servers and now_s - ticket.enqueued_s > BYPASS_LIMIT_S:
+                engines = _keep_engine(req, engines, loads, self._rng)
+                most_tokens = _find_most_room(engines, loads)
         yield from self._turn_away(left, by_number, engines, loads)
 
     def _drop_silent(self, now_s: float) -> None:
@@ -184,37 +189,6 @@
             if is_silent or now_s > waiting.ticket.leave_s:
                 del self._waiting[key]
 
-    def _choose(
-        self,
-        req: RoomRequest,
-        engines: Engines,
-        loads: Mapping[str, Load],
-        kept: set[str],
-    ) -> BackendServer | None:
-        return choose_engine(
-            _find_allowed(req, engines, kept),
-            loads,
-            _engine_options(req, engines),
-            self._rng,
-        )
-
-    def _keep_engine(
-        self,
-        req: RoomRequest,
-        engines: Engines,
-        loads: Mapping[str, Load],
-        kept: set[str],
-    ) -> Iterator[str]:
-        """Yields the engine on which a generation should fit first."""
-        server = choose_least_loaded_engine(
-            _find_allowed(req, engines, kept),
-            loads,
-            _engine_options(req, engines),
-            self._rng,
-        )
-        if server is not None:
-            yield server.entry.server_id
-
     def _grant(
         self,
         waiting: _Waiting,
@@ -263,17 +237,60 @@
             yield Decision(waiting.key, reply)
 
 
+def _find_most_room(engines: Engines, loads: Mapping[str, Load]) -> float:
+    """Returns the most tokens that a generation may have to fit anywhere."""
+    found = [loads[server.entry.server_id] for server in engines.servers]
+    if any(load.requests == 0 for load in found):
+        return math.inf
+    return max((free_tokens(load, engines.traits) for load in found), default=0)
+
+
+def _choose(
+    req: RoomRequest,
+    engines: Engines,
+    loads: Mapping[str, Load],
+    rng: random.Random,
+) -> BackendServer | None:
+    """Returns an engine with room, or None."""
+    options = _engine_options(req, engines)
+    with_room = [
+        server
+        for server in engines.servers
+        if has_room(loads[server.entry.server_id], options)
+    ]
+    if not with_room:
+        return None
+    allowed = _find_allowed(req, with_room, engines.region_by_domain)
+    return choose_least_loaded_engine(allowed, loads, options, rng)
+
+
+def _keep_engine(
+    req: RoomRequest,
+    engines: Engines,
+    loads: Mapping[str, Load],
+    rng: random.Random,
+) -> Engines:
+    """Returns the engines without the one where a generation fits first."""
+    allowed = _find_allowed(req, engines.servers, engines.region_by_domain)
+    options = _engine_options(req, engines)
+    kept = choose_least_loaded_engine(allowed, loads, options, rng)
+    others = [server for server in engines.servers if server is not kept]
+    return engines._replace(servers=others)
+
+
 def _find_allowed(
-    req: RoomRequest, engines: Engines, kept: set[str]
+    req: RoomRequest,
+    servers: Iterable[BackendServer],
+    region_by_domain: Mapping[str, str],
 ) -> Iterator[BackendServer]:
     """Yields the engines that may run a generation, full ones included."""
-    for server in engines.servers:
+    for server in servers:
         entry = server.entry
-        if entry.server_id in kept or entry.server_id in req.excluded:
+        if entry.server_id in req.excluded:
             continue
         if req.software_version not in (None, entry.software_version):
             continue
-        region = engines.region_by_domain.get(entry.failure_domain)
+        region = region_by_domain.get(entry.failure_domain)
         if req.regions is None or region in req.regions:
             yield server
 
--- a/tests/rooms/test_keeper.py
+++ b/tests/rooms/test_keeper.py
@@ -97,7 +97,9 @@
         self.engines = make_engines("a", "b")
         self.sent: list[tuple[RoomMessage, str]] = []
         self.nodes: dict[str, Node] = {}
-        self.silent: set[str] = set()
+        # Nodes whose messages are lost, and those that others' don't reach.
+        self.mute: set[str] = set()
+        self.deaf: set[str] = set()
         self.copies: Iterator[int] = iter(())
         for number in range(1, NODES + 1):
             self.nodes[ip_of(number)] = Node(number, self)
@@ -105,7 +107,7 @@
     def send(self, message: RoomMessage, source: str, ip: str) -> None:
         """Delivers a message as often as the next of `copies` says."""
         self.sent.append((message, ip))
-        if ip in self.silent or source in self.silent:
+        if source in self.mute or ip in self.deaf:
             return
         loop = asyncio.get_running_loop()
         for _ in range(next(self.copies, 1)):
@@ -173,14 +175,15 @@
     run_with_timeout(scenario())
 
 
+@pytest.mark.parametrize("fault", ["mute", "deaf"])
 def test_keeper_that_does_not_reply_costs_little_and_is_left_alone(
-    fleet: Fleet,
+    fleet: Fleet, fault: str
 ) -> None:
     """It was killed, is cut off one way, or is of an earlier build."""
 
     async def scenario() -> None:
         node, keeper = fleet.other, fleet.keeper
-        fleet.silent.add(keeper.ip)
+        getattr(fleet, fault).add(keeper.ip)
         begun_s = time.monotonic()
         assert await node.ask(make_request(1)) is None
         took_s = time.monotonic() - begun_s
@@ -189,6 +192,10 @@
         assert await node.ask(make_request(2)) is None
         asked = [m for m, _ in fleet.sent[sent:] if isinstance(m, RoomRequest)]
         assert asked == []
+        # A place that it granted meanwhile is given back.
+        await asyncio.sleep(client_module.END_DELAY_S * 2)
+        rooms = keeper.keeper._rooms.values()
+        assert sum(len(room._book) for room in rooms) == 0
 
     run_with_timeout(scenario())
 
@@ -215,7 +222,7 @@
         task = asyncio.ensure_future(node.ask(make_request()))
         await asyncio.sleep(0.12)
         assert not task.done()
-        fleet.silent.add(keeper.ip)
+        fleet.mute.add(keeper.ip)
         async with asyncio.timeout(WAIT_S / 2):
             assert await task is None
 
