--- a/src/savorylift/fleet/codec.py
+++ b/src/savorylift/fleet/codec.py
@@ -26,6 +26,12 @@
     RolloutMessage,
     StageNews,
 )
+from savorylift.fleet.room_messages import (
+    RoomEnds,
+    RoomMessage,
+    RoomReply,
+    RoomRequest,
+)
 from savorylift.fleet.state import NodeState
 from savorylift.fleet.store_records import Delta, Snapshot
 
@@ -49,7 +55,13 @@
 
 
 Message = (
-    NodeState | Delta | Snapshot | LimitMessage | OriginMessage | RolloutMessage
+    NodeState
+    | Delta
+    | Snapshot
+    | LimitMessage
+    | OriginMessage
+    | RolloutMessage
+    | RoomMessage
 )
 MESSAGE_TYPES: dict[str, type[Message]] = {
     "state": NodeState,
@@ -64,6 +76,9 @@
     "origin_reply": OriginReply,
     "stages": StageNews,
     "answers": AnswerReport,
+    "room_request": RoomRequest,
+    "room_reply": RoomReply,
+    "room_ends": RoomEnds,
 }
 
 
--- a/src/savorylift/front/peer_sync.py
+++ b/src/savorylift/front/peer_sync.py
@@ -13,6 +13,7 @@
 from savorylift.fleet.origin_messages import OriginMessage
 from savorylift.fleet.peer_transport import PeerTransport, StateBuilder
 from savorylift.fleet.rollout_messages import RolloutMessage
+from savorylift.fleet.room_messages import RoomMessage
 from savorylift.fleet.snapshot_fetcher import SnapshotFetcher
 from savorylift.fleet.snapshot_server import SnapshotServer
 from savorylift.fleet.state import NodeState
@@ -49,6 +50,9 @@
         on_rollout_message: Callable[[RolloutMessage], None] = (
             lambda _message: None
         ),
+        on_room_message: Callable[[RoomMessage, str], None] = (
+            lambda _message, _ip: None
+        ),
     ) -> None:
         """Creates the transport; opens no socket yet.
 
@@ -69,6 +73,7 @@
                 backend servers and the address that it came from.
             on_origin_message: The same for the origins of streams.
             on_rollout_message: Called with each message about roll-outs.
+            on_room_message: The same for room at engines.
         """
         self._membership = membership
         self._store_view = store_view
@@ -79,6 +84,7 @@
         self._on_limit_message = on_limit_message
         self._on_origin_message = on_origin_message
         self._on_rollout_message = on_rollout_message
+        self._on_room_message = on_room_message
         self._fetcher = SnapshotFetcher(
             ip,
             port,
@@ -127,6 +133,8 @@
             self._on_origin_message(message, ip)
         elif isinstance(message, RolloutMessage):
             self._on_rollout_message(message)
+        elif isinstance(message, RoomMessage):
+            self._on_room_message(message, ip)
 
     def _receive_state(self, state: NodeState) -> None:
         is_new = self._membership.update_peer(state, time.monotonic())
