--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -15,6 +15,7 @@
 from savorylift.fleet.message_auth import MessageAuthenticator
 from savorylift.fleet.origin_messages import OriginMessage
 from savorylift.fleet.rollout_messages import RolloutMessage
+from savorylift.fleet.room_messages import RoomMessage
 from savorylift.fleet.state import NodeState
 from savorylift.fleet.store_records import Delta
 from savorylift.front.caller_parts import make_caller_parts
@@ -143,6 +144,7 @@
             on_limit_message=self._on_limit_message,
             on_origin_message=self._on_origin_message,
             on_rollout_message=self._on_rollout_message,
+            on_room_message=self._on_room_message,
         )
 
     @property
@@ -248,6 +250,9 @@
         if self._rollouts is not None:
             self._rollouts.receive(message)
 
+    def _on_room_message(self, message: RoomMessage, ip: str) -> None:
+        self._streams.rooms.receive(message, ip)
+
     def _on_peer_update(self) -> None:
         """Continues reading the store after the records learned from a peer."""
         self._store.reader.skip_known()
@@ -257,6 +262,7 @@
     def _on_peer_state(self, state: NodeState) -> None:
         self._servers.crash_guard.merge(state.quarantine_news)
         self._streams.server_news.merge(state)
+        self._streams.rooms.keeper.hear(state.ip, state.loads)
         self._servers.pool.move_queue.on_change()
         self._streams.generations.on_change()
 
