Let the keeper of engines' room heed roll-outs

The keeper of a large fleet places generations without knowing of roll-outs: it granted engines of either version, and nodes didn't follow where the rule of their request forbade it.

--- a/src/savorylift/exchange/kept_engines.py
+++ b/src/savorylift/exchange/kept_engines.py
@@ -11,6 +11,9 @@
 from savorylift.exchange.server_gate import ServerGate
 from savorylift.routing.configuration import Service
 
+# Engines that a request to a keeper names at most.
+MAX_EXCLUDED = 64
+
 
 class KeptEngines:
     """Tells which engines a keeper grants, and which grants to follow.
@@ -51,6 +54,31 @@
         servers = self._allowed.servers_in_service(service)
         return [server for server in servers if self._is_open(server)]
 
+    def find_excluded(
+        self, admitted: AdmittedRequest, tried: Collection[str]
+    ) -> frozenset[str] | None:
+        """Returns the engines that a keeper must not grant to a request.
+
+        While a service is rolled out, they are those of the version that the
+        request isn't for. None if they are too many to name.
+
+        Args:
+            admitted: The request.
+            tried: IDs of the engines that have failed it.
+        """
+        rule = self._allowed.find_version_rule(admitted, tried)
+        if rule is None:
+            return frozenset(tried)
+        servers = self._allowed.servers_in_service(admitted.service.name)
+        allowed = [s for s in servers if rule.allows(s.entry)]
+        preferred = [
+            s for s in allowed if rule.prefers(s.entry) and self._is_open(s)
+        ]
+        wanted = {s.entry.server_id for s in preferred or allowed}
+        others = {s.entry.server_id for s in servers} - wanted
+        excluded = others.union(tried)
+        return None if len(excluded) > MAX_EXCLUDED else frozenset(excluded)
+
     def find_granted(
         self,
         admitted: AdmittedRequest,
--- a/src/savorylift/exchange/room_placement.py
+++ b/src/savorylift/exchange/room_placement.py
@@ -1,6 +1,7 @@
 """Places generations as the keeper of their engines' room directs."""
 
 import time
+from collections.abc import Collection
 from typing import NamedTuple
 
 import structlog
@@ -50,7 +51,8 @@
         if not self._pool.kept.is_kept(admitted.service):
             return None
         keeper_ip = self._client.find_keeper(admitted.service.name)
-        if keeper_ip is None:
+        kept = self._pool.kept
+        if keeper_ip is None or kept.find_excluded(admitted, tried) is None:
             return None
         begun_s = time.monotonic()
         cold: list[BackendServer] = []
@@ -67,7 +69,12 @@
         reply = await self._client.ask(
             keeper_ip,
             run.attempt_id,
-            lambda: _make_request(run, wish, tried, begun_s),
+            lambda: _make_request(
+                run,
+                wish,
+                kept.find_excluded(admitted, tried) or frozenset(tried),
+                begun_s,
+            ),
             has_cold_place,
             wish.leave_s,
         )
@@ -102,7 +109,7 @@
 
 
 def _make_request(
-    run: Run, wish: Wish, tried: set[str], begun_s: float
+    run: Run, wish: Wish, excluded: Collection[str], begun_s: float
 ) -> RoomRequest:
     admitted, options = run.admitted, wish.options
     parameters, regions = wish.parameters, admitted.regions
@@ -122,7 +129,7 @@
         leave_in_s=wish.leave_s - now_s,
         age_s=now_s - begun_s,
         lease_s=lease_s,
-        excluded=tuple(sorted(tried)),
+        excluded=tuple(sorted(excluded)),
         software_version=admitted.software_version,
         regions=None if regions is None else tuple(sorted(regions)),
     )
--- a/tests/exchange/factories.py
+++ b/tests/exchange/factories.py
@@ -27,6 +27,7 @@
     decode_configuration,
 )
 from savorylift.platform.engine_client import read_start
+from savorylift.rollouts.board import RolloutBoard
 from savorylift.routing.configuration import (
     Configuration,
     EngineTraits,
@@ -214,6 +215,7 @@
     membership: Membership | None = None,
     slack: float = 50.0,
     region_by_domain: dict[str, str] | None = None,
+    rollouts: RolloutBoard | None = None,
 ) -> ServerPool:
     """Returns the server pool of a single node."""
     known = membership or Membership("127.0.0.1", ())
@@ -228,6 +230,7 @@
         region_by_domain or {},
         make_limit_gate(known),
         ServerHolds(rng),
+        rollouts,
     )
 
 
