--- a/tests/front/test_rollouts.py
+++ b/tests/front/test_rollouts.py
@@ -27,6 +27,9 @@
 
     def __init__(self) -> None:
         super().__init__(NODES, SERVERS)
+        self._set_up_servers()
+
+    def _set_up_servers(self) -> None:
         self.old, self.new = self.app[:2], self.app[2:]
         self._has_new = False
         for server in self.old:
@@ -51,12 +54,12 @@
         if self._has_new or server not in self.new:
             super().publish_entry(server, service, state, cold_ms)
 
-    def order(self) -> None:
+    def order(self, duration_s: float = DURATION_S) -> None:
         """Writes an order, and starts the servers of the new version."""
         self._store.add(
             OPERATORS_TOPIC,
             KEY,
-            {"service": "app", "to": "v2", "durationS": DURATION_S},
+            {"service": "app", "to": "v2", "durationS": duration_s},
         )
         self._has_new = True
         for server in self.new:
