--- a/src/savorylift/fleet/rollout_messages.py
+++ b/src/savorylift/fleet/rollout_messages.py
@@ -71,12 +71,13 @@
 
 
 class AnswerCell(NamedTuple):
-    """Answers of one server to requests on one route, in a slice of time.
+    """Answers of one version to requests on one route, in a slice of time.
 
     Attributes:
         slice_number: Number of the slice since the order.
         is_new: Whether the server is of the new version.
-        server_id: Identifier of the server.
+        server_id: Identifier of the server whose answers were lost; empty for
+            those that weren't.
         series: Name of the route, or of what else is measured there.
         succeeded: Answers that are no failures.
         failed: Answers that are failures of the server.
--- a/src/savorylift/front/rollout_parts.py
+++ b/src/savorylift/front/rollout_parts.py
@@ -19,8 +19,9 @@
 
 # For how long the choice of the deciding node is used.
 VIEW_S = 0.2
-# A node decides only if it hears so much of the fleet.
-MOST_OF_FLEET = 0.5
+# A node decides only if it hears so much of the fleet: with less, it may be cut
+# off with its failure domain, or have just started.
+SHARE_TO_DECIDE = 0.3
 # Rendezvous hashing key for the choice of the deciding node.
 DECIDER_KEY = "rollout"
 
@@ -137,7 +138,7 @@
         return FleetView(
             decider_ip,
             decider_ip == own_ip,
-            shared.membership.live_share(now_s) > MOST_OF_FLEET,
+            shared.membership.live_share(now_s) > SHARE_TO_DECIDE,
             unaware / (1 + len(peers)),
         )
 
--- a/src/savorylift/rollouts/agent.py
+++ b/src/savorylift/rollouts/agent.py
@@ -107,7 +107,8 @@
             await self._has_services.wait()
             is_done = True
             for service in self._board.services:
-                if self._around.view_fleet(service).is_decider:
+                view = self._around.view_fleet(service)
+                if view.is_decider and view.hears_enough:
                     is_done = await self._deciding.decide(service) and is_done
                 else:
                     self._deciding.give_up(service)
--- a/src/savorylift/rollouts/answer_log.py
+++ b/src/savorylift/rollouts/answer_log.py
@@ -1,4 +1,7 @@
-"""What this node has seen of the answers of a service that is rolled out."""
+"""What this node has seen of the answers of a service that is rolled out.
+
+Only what was lost is counted by server: it may be due to one that crashed.
+"""
 
 import collections
 import enum
@@ -56,6 +59,7 @@
 
 class _Open(NamedTuple):
     key: _Key
+    server_id: str
     began_s: float
     is_timed: bool
 
@@ -95,8 +99,10 @@
         if len(self._open) >= MAX_OPEN:
             return
         number = int((now_s - self._ordered_s) / self._slice_s)
-        key = _Key(max(number, 0), self.is_new(entry), entry.server_id, route)
-        self._open[attempt_id] = _Open(key, now_s, is_timed=False)
+        key = _Key(max(number, 0), self.is_new(entry), "", route)
+        self._open[attempt_id] = _Open(
+            key, entry.server_id, now_s, is_timed=False
+        )
 
     def note_answer(self, attempt_id: str) -> None:
         """Records that the answer of a request has begun."""
@@ -125,7 +131,9 @@
         counts = self._count(found.key)
         counts.succeeded += outcome is Outcome.SUCCEEDED
         counts.failed += outcome is Outcome.FAILED
-        counts.lost += outcome is Outcome.LOST
+        if outcome is Outcome.LOST:
+            lost_key = found.key._replace(server_id=found.server_id)
+            self._count(lost_key).lost += 1
         if not found.is_timed and outcome is not Outcome.FAILED:
             took_s = time.monotonic() - found.began_s
             counts.cut[duration_class(took_s)] += 1
@@ -159,7 +167,7 @@
         """Returns how long requests are open that have no answer yet."""
         now_s = time.monotonic()
         found: dict[_Key, list[int]] = {}
-        for key, began_s, is_timed in self._open.values():
+        for key, _, began_s, is_timed in self._open.values():
             if not is_timed and now_s - began_s >= MIN_TOLD_AGE_S:
                 ages = found.setdefault(key, [])
                 ages.append(duration_class(now_s - began_s))
--- a/src/savorylift/rollouts/counting.py
+++ b/src/savorylift/rollouts/counting.py
@@ -11,7 +11,7 @@
 
 # Slices of an order's time.
 MIN_SLICE_S = 1.0
-MAX_SLICES = 60
+MAX_SLICES = 40
 REPORT_INTERVAL_S = 0.5
 # Cells in one report; the rest comes with the next.
 MAX_REPORTED_CELLS = 20
--- a/src/savorylift/rollouts/decider.py
+++ b/src/savorylift/rollouts/decider.py
@@ -49,7 +49,7 @@
         has_new: Whether a server of the new version is in service.
         has_old: Whether one of another version is registered.
         has_engines: Whether the service has engines, whose streams last.
-        hears_most: Whether the deciding node hears most of the fleet.
+        hears_enough: Whether the deciding node hears enough of the fleet.
         other_builds: Share of the nodes that know nothing of roll-outs.
         is_ordered: Whether the order still stands.
     """
@@ -60,7 +60,7 @@
     has_new: bool
     has_old: bool
     has_engines: bool
-    hears_most: bool
+    hears_enough: bool
     other_builds: float
     is_ordered: bool = True
 
@@ -118,7 +118,7 @@
         return roll_back(stage, judgement.finding.describe())
     if not situation.is_ordered:
         return roll_back(stage, "the order was withdrawn")
-    if not situation.hears_most:
+    if not situation.hears_enough:
         return _end_late(stage, situation)
     if stage.step >= SHIFT_STEP:
         return _end_shift(stage, situation)
--- a/src/savorylift/rollouts/deciding.py
+++ b/src/savorylift/rollouts/deciding.py
@@ -160,7 +160,7 @@
             has_new=board.has_new(service),
             has_old=board.has_old(service),
             has_engines=self._around.has_engines(service),
-            hears_most=view.hears_most,
+            hears_enough=view.hears_enough,
             other_builds=view.other_builds,
             is_ordered=not self._is_withdrawn(stage),
         )
--- a/src/savorylift/rollouts/evidence.py
+++ b/src/savorylift/rollouts/evidence.py
@@ -6,7 +6,7 @@
 from savorylift.fleet.rollout_messages import AnswerCell
 
 # Most cells of all nodes together; further ones are not counted.
-MAX_CELLS = 100_000
+MAX_CELLS = 30_000
 
 # The number of the process that counted, and the first fields of a cell.
 CellKey = tuple[int, int, bool, str, str]
--- a/src/savorylift/rollouts/surroundings.py
+++ b/src/savorylift/rollouts/surroundings.py
@@ -14,13 +14,13 @@
     Attributes:
         decider_ip: Address of the node that decides.
         is_decider: Whether this is the node.
-        hears_most: Whether this node hears most of the fleet.
+        hears_enough: Whether this node hears enough of the fleet to decide.
         other_builds: Share of the nodes that know nothing of roll-outs.
     """
 
     decider_ip: str
     is_decider: bool
-    hears_most: bool
+    hears_enough: bool
     other_builds: float
 
 
