End the wait at a keeper when all engines leave

A generation that waited at the keeper of its engines' room waited on when all engines began to leave: waits were looked through only for services with an own queue that isn't empty. Now all waits are looked through, wherever they are.

Measured: the test of the own queue, now also played with a keeper, fails without the change.

--- a/src/savorylift/exchange/engine_queue.py
+++ b/src/savorylift/exchange/engine_queue.py
@@ -206,10 +206,11 @@
 
         Those whose engines all leave wait no longer.
         """
-        for service, queue in self._queues.items():
+        for queue in self._queues.values():
             if queue:
                 queue.dispatch()
-            if queue and not self._pool.servers_in_service(service):
+        for service in {run.admitted.service.name for run in self._waits}:
+            if not self._pool.servers_in_service(service):
                 self._end_waits(service)
 
     def _find_queue(self, service: Service) -> WaitQueue:
--- a/tests/exchange/test_engine_queue.py
+++ b/tests/exchange/test_engine_queue.py
@@ -6,7 +6,9 @@
 import pytest
 
 from savorylift.exchange.engine_queue import EngineQueue
+from savorylift.exchange.room_placement import RoomPlacement, RoomResult
 from savorylift.exchange.run import Run
+from savorylift.exchange.wish import Wish
 from tests.exchange.factories import (
     ENGINE,
     make_admitted_request,
@@ -66,7 +68,23 @@
     asyncio.run(scenario())
 
 
-def test_generation_does_not_wait_on_when_all_engines_leave() -> None:
+class SlowRooms:
+    """Stands for a keeper of engines' room at which generations wait."""
+
+    async def find(
+        self, _run: Run, _wish: Wish, _tried: set[str]
+    ) -> RoomResult | None:
+        """Waits."""
+        await asyncio.Event().wait()
+        return None
+
+
+@pytest.mark.parametrize("rooms", [None, SlowRooms()])
+def test_generation_does_not_wait_on_when_all_engines_leave(
+    rooms: RoomPlacement | None,
+) -> None:
+    """Wherever it waits: in the own queue, or at the keeper of the room."""
+
     async def scenario() -> None:
         req = make_generation_request()
         run = Run(make_admitted_request(req, engine=ENGINE), 100)
@@ -75,7 +93,7 @@
             sequence=2, cold_s=60.0, max_cold_requests=0
         )
         store_view.registry.put(entry, time.monotonic())
-        queue = EngineQueue(make_pool(store_view))
+        queue = EngineQueue(make_pool(store_view), rooms)
         task = asyncio.ensure_future(queue.acquire(run, set()))
         await asyncio.sleep(WATCH_S)
         queue.dispatch_waiting()
