Ask a keeper that doesn't reply less and less often

A node that is cut off from the keeper paid 0.1 s for nearly each generation, until it missed it. The pause doubles, up to eight seconds. The choice of an engine moves to its own module.

--- a/src/savorylift/front/room_parts.py
+++ b/src/savorylift/front/room_parts.py
@@ -10,9 +10,9 @@
 from savorylift.front.server_parts import ServerParts
 from savorylift.front.shared_parts import SharedParts
 from savorylift.rooms.client import RoomClient
+from savorylift.rooms.engines import Engines
 from savorylift.rooms.keeper import RoomKeeper
 from savorylift.rooms.keeper_choice import KeeperChoice
-from savorylift.rooms.service_room import Engines
 
 
 class RoomParts(NamedTuple):
--- a/src/savorylift/rooms/client.py
+++ b/src/savorylift/rooms/client.py
@@ -17,9 +17,11 @@
 
 # How long to wait for a reply to each try: many round trips between nodes.
 ASK_TIMEOUTS_S = (0.04, 0.06)
-# A keeper that didn't reply is not asked again for this time: it may be of an
-# earlier build, cut off, or stand still.
+# A keeper that didn't reply is not asked again for this time, and for twice as
+# long after each further try: it may be of an earlier build, cut off, or stand
+# still.
 SILENT_KEEPER_S = 1.0
+MAX_SILENT_KEEPER_S = 8.0
 # A node that waits for its turn asks again after this time, which shows that
 # it still waits, and whether the keeper still lives.
 ASK_AGAIN_S = 0.4
@@ -34,6 +36,11 @@
     number: int
 
 
+class _Silence(NamedTuple):
+    until_s: float
+    pause_s: float
+
+
 class _Exchange:
     """A request and the replies to it."""
 
@@ -62,7 +69,8 @@
         self._next_number = rng.getrandbits(NUMBER_BITS)
         self._exchanges: dict[int, _Exchange] = {}
         self._places: dict[str, _Place] = {}
-        self._silent_until_s: dict[str, float] = {}
+        # Keepers that didn't reply lately.
+        self._silences: dict[str, _Silence] = {}
         self._ends: dict[str, list[int]] = {}
 
     def find_keeper(self, service: str) -> str | None:
@@ -70,7 +78,8 @@
         ip = self._choice.find(service)
         if ip is None:
             return None
-        if time.monotonic() < self._silent_until_s.get(ip, 0.0):
+        silence = self._silences.get(ip)
+        if silence is not None and time.monotonic() < silence.until_s:
             return None
         return ip
 
@@ -139,11 +148,24 @@
         for timeout_s in ASK_TIMEOUTS_S:
             self._send_request(exchange, make_request)
             if await _is_changed(exchange, timeout_s):
+                self._silences.pop(exchange.place.ip, None)
                 return exchange.reply
-        ip = exchange.place.ip
-        self._silent_until_s[ip] = time.monotonic() + SILENT_KEEPER_S
+        self._record_silence(exchange.place.ip)
         return None
 
+    def _record_silence(self, ip: str) -> None:
+        now_s = time.monotonic()
+        oldest_s = now_s - MAX_SILENT_KEEPER_S
+        self._silences = {
+            known_ip: silence
+            for known_ip, silence in self._silences.items()
+            if silence.until_s > oldest_s
+        }
+        pause_s = SILENT_KEEPER_S
+        if ip in self._silences:
+            pause_s = min(2 * self._silences[ip].pause_s, MAX_SILENT_KEEPER_S)
+        self._silences[ip] = _Silence(now_s + pause_s, pause_s)
+
     async def _wait(
         self,
         exchange: _Exchange,
--- a/src/savorylift/rooms/keeper.py
+++ b/src/savorylift/rooms/keeper.py
@@ -24,8 +24,9 @@
 from savorylift.fleet.state import ServerLoad
 from savorylift.rooms import metrics
 from savorylift.rooms.book import PlaceKey
+from savorylift.rooms.engines import Engines
 from savorylift.rooms.keeper_choice import KeeperChoice
-from savorylift.rooms.service_room import Engines, ServiceRoom
+from savorylift.rooms.service_room import ServiceRoom
 
 # A node that has just started doesn't know all others yet.
 START_HOLD_S = 2.5
--- a/src/savorylift/rooms/service_room.py
+++ b/src/savorylift/rooms/service_room.py
@@ -6,7 +6,6 @@
 aren't starved, and the other engines serve on.
 """
 
-import math
 import random
 import time
 from collections.abc import Collection, Iterable, Iterator, Mapping, Sequence
@@ -17,42 +16,24 @@
 from savorylift.fleet.room_messages import RoomOutcome, RoomReply, RoomRequest
 from savorylift.fleet.state import ServerLoad
 from savorylift.placement.arrival_rate import ArrivalRate
-from savorylift.placement.engines import (
-    EngineOptions,
-    choose_least_loaded_engine,
-    free_tokens,
-    has_room,
-)
+from savorylift.placement.engines import free_tokens
 from savorylift.placement.memory_release_rate import MemoryReleaseRate
 from savorylift.placement.turn_away import Room, find_hopeless
 from savorylift.placement.turn_order import Ticket, TurnOrder
 from savorylift.placement.wait_queue import BYPASS_LIMIT_S
 from savorylift.rooms.book import PlaceKey, RoomBook
-from savorylift.routing.configuration import EngineTraits
+from savorylift.rooms.engines import (
+    Engines,
+    choose_allowed,
+    find_most_room,
+    keep_engine,
+)
 
 # A generation is dropped if its node hasn't asked for this time.
 MAX_SILENCE_S = 1.5
 MAX_WAITING = 1000
 
 
-class Engines(NamedTuple):
-    """The engines of a service that may get generations.
-
-    Attributes:
-        servers: The engines.
-        traits: Their capabilities.
-        known: Their loads as the nodes' messages say.
-        region_by_domain: Region of each failure domain.
-        prefill_per_s: Prompt tokens that each prefills in a second.
-    """
-
-    servers: Sequence[BackendServer]
-    traits: EngineTraits
-    known: Mapping[str, Load]
-    region_by_domain: Mapping[str, str]
-    prefill_per_s: float
-
-
 class Decision(NamedTuple):
     """What to say to a request.
 
@@ -165,22 +146,22 @@
             for server in engines.servers
         }
         left = []
-        most_tokens = _find_most_room(engines, loads)
+        most_tokens = find_most_room(engines, loads)
         for ticket in self._order.sort(tickets, now_s):
             waiting = by_number[ticket.number]
             req, server = waiting.req, None
             if req.tokens <= most_tokens:
-                server = _choose(req, engines, loads, self._rng)
+                server = choose_allowed(req, engines, loads, self._rng)
             if server is not None:
                 yield self._grant(
                     by_number[ticket.number], server, engines, loads
                 )
-                most_tokens = _find_most_room(engines, loads)
+                most_tokens = find_most_room(engines, loads)
                 continue
             left.append(ticket)
             if engines.servers and now_s - ticket.enqueued_s > BYPASS_LIMIT_S:
-                engines = _keep_engine(req, engines, loads, self._rng)
-                most_tokens = _find_most_room(engines, loads)
+                engines = keep_engine(req, engines, loads, self._rng)
+                most_tokens = find_most_room(engines, loads)
         yield from self._turn_away(left, by_number, engines, loads)
 
     def _drop_silent(self, now_s: float) -> None:
@@ -235,67 +216,3 @@
                 len(self._waiting),
             )
             yield Decision(waiting.key, reply)
-
-
-def _find_most_room(engines: Engines, loads: Mapping[str, Load]) -> float:
-    """Returns the most tokens that a generation may have to fit anywhere."""
-    found = [loads[server.entry.server_id] for server in engines.servers]
-    if any(load.requests == 0 for load in found):
-        return math.inf
-    return max((free_tokens(load, engines.traits) for load in found), default=0)
-
-
-def _choose(
-    req: RoomRequest,
-    engines: Engines,
-    loads: Mapping[str, Load],
-    rng: random.Random,
-) -> BackendServer | None:
-    """Returns an engine with room, or None."""
-    options = _engine_options(req, engines)
-    with_room = [
-        server
-        for server in engines.servers
-        if has_room(loads[server.entry.server_id], options)
-    ]
-    if not with_room:
-        return None
-    allowed = _find_allowed(req, with_room, engines.region_by_domain)
-    return choose_least_loaded_engine(allowed, loads, options, rng)
-
-
-def _keep_engine(
-    req: RoomRequest,
-    engines: Engines,
-    loads: Mapping[str, Load],
-    rng: random.Random,
-) -> Engines:
-    """Returns the engines without the one where a generation fits first."""
-    allowed = _find_allowed(req, engines.servers, engines.region_by_domain)
-    options = _engine_options(req, engines)
-    kept = choose_least_loaded_engine(allowed, loads, options, rng)
-    others = [server for server in engines.servers if server is not kept]
-    return engines._replace(servers=others)
-
-
-def _find_allowed(
-    req: RoomRequest,
-    servers: Iterable[BackendServer],
-    region_by_domain: Mapping[str, str],
-) -> Iterator[BackendServer]:
-    """Yields the engines that may run a generation, full ones included."""
-    for server in servers:
-        entry = server.entry
-        if entry.server_id in req.excluded:
-            continue
-        if req.software_version not in (None, entry.software_version):
-            continue
-        region = region_by_domain.get(entry.failure_domain)
-        if req.regions is None or region in req.regions:
-            yield server
-
-
-def _engine_options(req: RoomRequest, engines: Engines) -> EngineOptions:
-    return EngineOptions(
-        engines.traits, req.tokens, req.prompt_tokens, req.max_prefill_tokens
-    )
--- a/tests/rooms/factories.py
+++ b/tests/rooms/factories.py
@@ -6,7 +6,7 @@
 from savorylift.fleet.membership import Membership
 from savorylift.fleet.room_messages import RoomRequest
 from savorylift.fleet.state import ServerLoad
-from savorylift.rooms.service_room import Engines
+from savorylift.rooms.engines import Engines
 from savorylift.routing.configuration import EngineTraits
 from tests.exchange.factories import make_server
 from tests.fleet.test_membership import state
--- a/tests/rooms/test_keeper.py
+++ b/tests/rooms/test_keeper.py
@@ -192,6 +192,10 @@
         assert await node.ask(make_request(2)) is None
         asked = [m for m, _ in fleet.sent[sent:] if isinstance(m, RoomRequest)]
         assert asked == []
+        # It is asked less and less often.
+        node.client._record_silence(keeper.ip)
+        pause_s = node.client._silences[keeper.ip].pause_s
+        assert pause_s == 2 * client_module.SILENT_KEEPER_S
         # A place that it granted meanwhile is given back.
         await asyncio.sleep(client_module.END_DELAY_S * 2)
         rooms = keeper.keeper._rooms.values()
--- a/tests/rooms/test_service_room.py
+++ b/tests/rooms/test_service_room.py
@@ -13,7 +13,8 @@
 from savorylift.placement.turn_away import MAX_RETURN_S
 from savorylift.placement.wait_queue import BYPASS_LIMIT_S
 from savorylift.rooms.book import PlaceKey
-from savorylift.rooms.service_room import MAX_SILENCE_S, Engines, ServiceRoom
+from savorylift.rooms.engines import Engines
+from savorylift.rooms.service_room import MAX_SILENCE_S, ServiceRoom
 from tests.rooms.factories import TRAITS, ip_of, make_engines, make_request
 
 
