Leave generations alone whose engines the keeper doesn't know

A keeper whose configuration or list of engines is older than an asking node's, or that holds all engines off itself, queued the generation until its time was over while the node could have sent it. So did one that lost the engines while generations waited. Now it says that the node is to place such a generation by itself, at the first look and at each later one.

Two tests made generations wait by a keeper without engines; they now use an engine without slots, and assert the same.

--- a/src/savorylift/rooms/engines.py
+++ b/src/savorylift/rooms/engines.py
@@ -79,6 +79,12 @@
     return engines._replace(servers=others)
 
 
+def has_allowed(req: RoomRequest, engines: Engines) -> bool:
+    """Whether any engine may run a generation, with room or without."""
+    allowed = _find_allowed(req, engines.servers, engines.region_by_domain)
+    return any(True for _ in allowed)
+
+
 def _find_allowed(
     req: RoomRequest,
     servers: Iterable[BackendServer],
--- a/src/savorylift/rooms/keeper.py
+++ b/src/savorylift/rooms/keeper.py
@@ -215,7 +215,13 @@
             timer.cancel()
         room = self._rooms.get(service)
         engines = self._find_engines(service)
-        if room is None or engines is None:
+        if room is None:
+            return
+        if engines is None:
+            # This node may be the last to hear of the service.
+            for decision in room.leave_all_alone():
+                self._reply(decision.reply, decision.key.ip)
+            self._leave(service)
             return
         room.hear(self._choice.own_ip, self._own_loads())
         for decision in room.dispatch(engines):
--- a/src/savorylift/rooms/service_room.py
+++ b/src/savorylift/rooms/service_room.py
@@ -26,6 +26,7 @@
     Engines,
     choose_allowed,
     find_most_room,
+    has_allowed,
     keep_engine,
 )
 
@@ -146,6 +147,7 @@
             for server in engines.servers
         }
         left = []
+        known = engines
         most_tokens = find_most_room(engines, loads)
         for ticket in self._order.sort(tickets, now_s):
             waiting = by_number[ticket.number]
@@ -158,12 +160,25 @@
                 )
                 most_tokens = find_most_room(engines, loads)
                 continue
+            if not has_allowed(req, known):
+                yield self._leave_alone(waiting)
+                continue
             left.append(ticket)
             if engines.servers and now_s - ticket.enqueued_s > BYPASS_LIMIT_S:
                 engines = keep_engine(req, engines, loads, self._rng)
                 most_tokens = find_most_room(engines, loads)
         yield from self._turn_away(left, by_number, engines, loads)
 
+    def leave_all_alone(self) -> Iterator[Decision]:
+        """Yields that the nodes are to place all that wait by themselves."""
+        for waiting in list(self._waiting.values()):
+            yield self._leave_alone(waiting)
+
+    def _leave_alone(self, waiting: _Waiting) -> Decision:
+        del self._waiting[waiting.key]
+        reply = RoomReply(waiting.req.number, RoomOutcome.ALONE)
+        return Decision(waiting.key, reply)
+
     def _drop_silent(self, now_s: float) -> None:
         for key, waiting in list(self._waiting.items()):
             is_silent = now_s - waiting.heard_s > MAX_SILENCE_S
--- a/tests/rooms/test_keeper.py
+++ b/tests/rooms/test_keeper.py
@@ -19,6 +19,7 @@
 from savorylift.rooms import client as client_module
 from savorylift.rooms import keeper as keeper_module
 from savorylift.rooms.client import RoomClient
+from savorylift.rooms.engines import Engines
 from savorylift.rooms.keeper import (
     HANDOVER_HOLD_S,
     START_HOLD_S,
@@ -29,6 +30,7 @@
 from tests.rooms.factories import (
     NODES,
     SERVICE,
+    TRAITS,
     ip_of,
     make_engines,
     make_load,
@@ -38,6 +40,7 @@
 from tests.wire.loopback import run_with_timeout
 
 WAIT_S = 3.0
+FULL = make_engines("a", traits=TRAITS._replace(slots=0))
 
 
 class Node:
@@ -94,7 +97,7 @@
 
     def __init__(self) -> None:
         """Creates nodes and two engines."""
-        self.engines = make_engines("a", "b")
+        self.engines: Engines | None = make_engines("a", "b")
         self.sent: list[tuple[RoomMessage, str]] = []
         self.nodes: dict[str, Node] = {}
         # Nodes whose messages are lost, and those that others' don't reach.
@@ -222,7 +225,7 @@
 
     async def scenario() -> None:
         node, keeper = fleet.other, fleet.keeper
-        fleet.engines = make_engines()
+        fleet.engines = FULL
         task = asyncio.ensure_future(node.ask(make_request()))
         await asyncio.sleep(0.12)
         assert not task.done()
@@ -235,7 +238,7 @@
 
 def test_caller_that_leaves_takes_no_room(fleet: Fleet) -> None:
     async def scenario() -> None:
-        fleet.engines = make_engines()
+        fleet.engines = FULL
         task = asyncio.ensure_future(fleet.other.ask(make_request()))
         await asyncio.sleep(0.02)
         room = fleet.keeper.keeper._rooms[SERVICE]
@@ -247,6 +250,27 @@
     run_with_timeout(scenario())
 
 
+@pytest.mark.parametrize("engines", [None, make_engines()])
+def test_keeper_that_knows_no_engine_yet_leaves_the_choice_to_the_node(
+    fleet: Fleet, engines: Engines | None
+) -> None:
+    """What it knows of the service may be older than what the node knows."""
+
+    async def scenario() -> None:
+        fleet.engines = engines
+        async with asyncio.timeout(WAIT_S / 2):
+            assert await fleet.other.ask(make_request()) is None
+            # So does one that no longer knows any while a generation waits.
+            fleet.engines = FULL
+            task = asyncio.ensure_future(fleet.other.ask(make_request(2)))
+            await asyncio.sleep(0.02)
+            assert not task.done()
+            fleet.engines = engines
+            assert await task is None
+
+    run_with_timeout(scenario())
+
+
 class LoneKeeper:
     """The keeper of a fleet in paused time, whose replies are kept."""
 
