Look for a place at cold engines before a generation is refused

Cold engines are shared by the nodes, so that a keeper forecasts without them. A node looked at its own share of them only while a generation waited, not when the keeper refused it at once: the caller was sent away while a cold engine had a place for it.

Measured: the new test (refused at once, with a free place at a cold engine) fails without the change. The other rows of the new file pass before, too: what is done with replies had no test.

--- a/src/savorylift/exchange/room_placement.py
+++ b/src/savorylift/exchange/room_placement.py
@@ -71,6 +71,8 @@
             has_cold_place,
             wish.leave_s,
         )
+        if reply is not None and reply.outcome == RoomOutcome.REFUSED:
+            has_cold_place()
         if cold:
             result: RoomResult | None = RoomResult(cold[0])
         else:
--- /dev/null
+++ b/tests/exchange/test_room_placement.py
@@ -0,0 +1,115 @@
+"""Tests of what a node makes of the replies of a keeper of engines' room."""
+
+import time
+from collections.abc import Callable
+
+import pytest
+
+from savorylift.exchange.engine_queue import EngineQueue
+from savorylift.exchange.room_placement import RoomPlacement
+from savorylift.exchange.run import Run
+from savorylift.exchange.server_pool import ServerPool
+from savorylift.fleet.room_messages import RoomOutcome, RoomReply, RoomRequest
+from tests.exchange.factories import (
+    ENGINE,
+    make_admitted_request,
+    make_generation_request,
+    make_pool,
+    make_store_view,
+)
+from tests.wire.loopback import run_with_timeout
+
+QUEUED = RoomReply(1, RoomOutcome.QUEUED)
+REFUSED = RoomReply(1, RoomOutcome.REFUSED, None, 3.0)
+
+
+class FakeClient:
+    """Gives the same reply to each request for a place."""
+
+    def __init__(self, reply: RoomReply | None) -> None:
+        """Creates a client with its reply."""
+        self.reply = reply
+        self.requests: list[RoomRequest] = []
+        self.ended: list[str] = []
+
+    def find_keeper(self, _service: str) -> str:
+        """Returns a keeper."""
+        return "10.0.0.9"
+
+    async def ask(
+        self,
+        _ip: str,
+        _attempt_id: str,
+        make_request: Callable[[], RoomRequest],
+        has_other_place: Callable[[], bool],
+        _leave_s: float,
+    ) -> RoomReply | None:
+        """Replies; one that is queued looks for other places."""
+        self.requests.append(make_request())
+        if self.reply is QUEUED:
+            has_other_place()
+        return self.reply
+
+    def end(self, attempt_id: str) -> None:
+        """Notes the end of a place."""
+        self.ended.append(attempt_id)
+
+
+def make_pool_with_cold_engine() -> ServerPool:
+    """Returns a pool with a warm engine, `a`, and a cold one, `b`."""
+    store_view = make_store_view(a=9, b=9)
+    entry = store_view.registry.servers["b"].entry
+    cold = entry._replace(sequence=2, cold_s=60.0, max_cold_requests=2)
+    store_view.registry.put(cold, time.monotonic())
+    return make_pool(store_view)
+
+
+@pytest.mark.parametrize("reply", [QUEUED, REFUSED])
+def test_place_at_a_cold_engine_is_taken_whatever_the_keeper_says(
+    reply: RoomReply,
+) -> None:
+    """The keeper knows nothing of the room of cold engines."""
+
+    async def scenario() -> None:
+        pool = make_pool_with_cold_engine()
+        queue = EngineQueue(pool, RoomPlacement(pool, FakeClient(reply)))  # type: ignore[arg-type]
+        run = Run(
+            make_admitted_request(make_generation_request(), engine=ENGINE), 100
+        )
+        server = await queue.acquire(run, set())
+        assert server is not None
+        assert server.entry.server_id == "b"
+        assert run.server is server
+        assert run.return_in_s is None
+
+    run_with_timeout(scenario())
+
+
+@pytest.mark.parametrize("reason", ["leaving", "evacuated", "held", "tried"])
+def test_grant_of_an_engine_that_may_get_nothing_is_given_back(
+    reason: str,
+) -> None:
+    async def scenario() -> None:
+        store_view = make_store_view(a=9, b=9)
+        pool = make_pool(store_view)
+        tried = set()
+        if reason == "leaving":
+            store_view.registry.mark_leaving("b", 1)
+        elif reason == "evacuated":
+            store_view.evacuated = frozenset({"b"})
+        elif reason == "held":
+            pool.holds.record("b", 5.0)
+        else:
+            tried.add("b")
+        client = FakeClient(RoomReply(1, RoomOutcome.GRANTED, "b"))
+        queue = EngineQueue(pool, RoomPlacement(pool, client))  # type: ignore[arg-type]
+        run = Run(
+            make_admitted_request(make_generation_request(), engine=ENGINE), 100
+        )
+        server = await queue.acquire(run, tried)
+        assert client.requests
+        assert client.ended == [run.attempt_id]
+        assert server is not None
+        assert server.entry.server_id == "a"
+
+    run_with_timeout(scenario())
