Count questions asked at once as one silence of a keeper

Each unanswered question doubled the time for which a keeper isn't asked, so that five asked within the same tenth of a second ended in the longest pause, eight seconds, after a keeper was away for a moment.

The test of one that doesn't reply called the recording of a silence twice in a row; it now ends the pause and asks again, and asserts the same.

Measured: the new test fails without the change.

--- a/src/savorylift/rooms/client.py
+++ b/src/savorylift/rooms/client.py
@@ -161,9 +161,13 @@
             for known_ip, silence in self._silences.items()
             if silence.until_s > oldest_s
         }
+        known = self._silences.get(ip)
+        if known is not None and now_s < known.until_s:
+            # Another question that was asked before the pause began.
+            return
         pause_s = SILENT_KEEPER_S
-        if ip in self._silences:
-            pause_s = min(2 * self._silences[ip].pause_s, MAX_SILENT_KEEPER_S)
+        if known is not None:
+            pause_s = min(2 * known.pause_s, MAX_SILENT_KEEPER_S)
         self._silences[ip] = _Silence(now_s + pause_s, pause_s)
 
     async def _wait(
