Start a node with less, and call the store less often for it

Cause: a fleet that is started again as a whole paid for what few nodes need. prometheus_client, which brings an HTTP server, was imported by all and used by those whose metrics are read; collections looked at what imports had made; each node wrote its address, listed the others and read the versions that had served; two readers of the store polled alike, and both went on while it was away.

Change: metrics are numbers of our own (metric.py), which front/metrics_page.py converts when somebody asks. The first reader registers all nodes that it hears; only writers load the versions, others hear of them; the second reader stands by; one topic shows whether the store is back; fallback readings and writes of refusals are paced by the number of nodes. Which process began a stream of a few events is asked after half a second, unless it is whole by then; its homes know that at once.

Calls to the store and questions weren't measured yet.

Tests: test_node reads the counter itself in place of the library's registry, test_topic_consumer imports what moved, test_stream_resumption passes the moment at which the stream had begun.

--- a/src/savorylift/exchange/metrics.py
+++ b/src/savorylift/exchange/metrics.py
@@ -1,6 +1,6 @@
 """Prometheus metrics of requests."""
 
-from prometheus_client import Counter, Gauge, Histogram
+from savorylift.metric import Counter, Gauge, Histogram
 
 LATENCY_BUCKETS_S = (
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 15.0, 40.0
--- a/src/savorylift/exchange/stream_resumption.py
+++ b/src/savorylift/exchange/stream_resumption.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import functools
 import random
 import time
@@ -23,6 +24,7 @@
 from savorylift.exchange.run import Run
 from savorylift.exchange.server_life import Life, ServerLife
 from savorylift.exchange.server_pool import ServerPool
+from savorylift.exchange.short_streams import ASK_LATE_S, is_short
 from savorylift.exchange.stream_origins import StreamOrigins
 from savorylift.fleet.state import UNKNOWN_VERSION, ServerProcess, StreamOrigin
 from savorylift.fleet.version_history import (
@@ -172,22 +174,32 @@
     ) -> None:
         """Binds a stream to the version of its server, once that is known.
 
-        Until then no server may continue it.
+        Until then no server may continue it. A short stream mostly needs no
+        question: it is whole by then.
         """
-        entry = await self._find_entry(run, server, channel)
+        begun_s = boot_time_s()
+        if is_short(run):
+            self._record_origin(run, server.entry)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(ASK_LATE_S):
+                    await channel.peer_closed.wait()
+        entry = await self._find_entry(run, server, channel, begun_s)
         if entry is not None:
             run.bind_version(entry.software_version)
             self._record_origin(run)
 
     async def _find_entry(
-        self, run: Run, server: BackendServer, channel: Channel
+        self,
+        run: Run,
+        server: BackendServer,
+        channel: Channel,
+        begun_s: float,
     ) -> ServerEntry | None:
         """Returns the entry of the process that began a stream, if it's known.
 
         A process that has answered has begun the streams whose connections
-        are still open.
+        are still open. `begun_s` is the boot time at which this one had begun.
         """
-        begun_s = boot_time_s()
         until_s = time.monotonic() + MAX_ASKING_S
         pause_s = ASK_SOON_S
         while True:
--- a/src/savorylift/fleet/metrics.py
+++ b/src/savorylift/fleet/metrics.py
@@ -1,6 +1,6 @@
 """Prometheus metrics of the exchange of state between nodes."""
 
-from prometheus_client import Counter, Histogram
+from savorylift.metric import Counter, Histogram
 
 LATENCY_BUCKETS_S = (0.01, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 4.0)
 
--- a/src/savorylift/fleet/reader_choice.py
+++ b/src/savorylift/fleet/reader_choice.py
@@ -1,7 +1,8 @@
 """Which nodes read the store, and how old their readings are."""
 
+from typing import NamedTuple, Protocol
+
 from savorylift.fleet.membership import Membership, Peer
-from savorylift.fleet.state import NodeState
 from savorylift.rendezvous import rank
 
 READER_COUNT = 2
@@ -13,13 +14,53 @@
 READERS_KEY = "store"
 
 
-def is_reader(members: Membership, own_state: NodeState, now_s: float) -> bool:
-    """Whether this node is one of those that read the store.
+class Candidate(Protocol):
+    """What the choice of the readers depends on; a `NodeState` has it."""
+
+    @property
+    def node(self) -> str:
+        """Name of the node's VM."""
+
+    @property
+    def failure_domain(self) -> str:
+        """Failure domain of the node."""
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the node is draining."""
+
+    @property
+    def has_store_fault(self) -> bool:
+        """Whether a call to the store failed recently."""
+
+
+class OwnCandidate(NamedTuple):
+    """The same of this node; see `Candidate`."""
+
+    node: str
+    failure_domain: str
+    is_leaving: bool
+    has_store_fault: bool
+
+
+def is_reader(members: Membership, own_state: Candidate, now_s: float) -> bool:
+    """Whether this node is one of those that read the store."""
+    return reader_rank(members, own_state, now_s) is not None
+
+
+def reader_rank(
+    members: Membership, own_state: Candidate, now_s: float
+) -> int | None:
+    """Returns which of the store's readers this node is.
 
     Readers are in different failure domains where possible. Nodes that
     are draining or whose calls to the store failed recently are avoided.
+
+    Returns:
+        0 for the first reader, 1 for the one that stands by, None for all
+        other nodes.
     """
-    states = {own_state.node: own_state}
+    states: dict[str, Candidate] = {own_state.node: own_state}
     for peer in members.live_peers(now_s):
         if _is_heard_as_reader(peer, now_s):
             states[peer.state.node] = peer.state
@@ -34,7 +75,8 @@
             break
     else:
         readers = order[:READER_COUNT]
-    return own_state.node in readers
+    node = own_state.node
+    return readers.index(node) if node in readers else None
 
 
 def reading_age_s(members: Membership, now_s: float) -> float | None:
--- a/src/savorylift/fleet/store_reader.py
+++ b/src/savorylift/fleet/store_reader.py
@@ -3,9 +3,10 @@
 import asyncio
 from collections.abc import Callable
 
+from savorylift.fleet.read_policy import ReadPolicy
 from savorylift.fleet.store_records import Delta, Topic
 from savorylift.fleet.store_view import StoreView
-from savorylift.fleet.topic_consumer import ReadPolicy, TopicConsumer
+from savorylift.fleet.topic_consumer import TopicConsumer
 from savorylift.platform.store import SERVERS_TOPIC, StoreClient
 
 
@@ -50,6 +51,8 @@
             on_change,
         )
         self._servers.on_recovery = store_view.registry.start_grace_period
+        # One call shows whether the store is back.
+        self._operators.may_call = lambda: not self._servers.is_store_away
         self._operators.on_fault = on_fault
         self._servers.on_fault = on_fault
 
--- a/src/savorylift/fleet/topic_consumer.py
+++ b/src/savorylift/fleet/topic_consumer.py
@@ -8,6 +8,7 @@
 from returns.pipeline import is_successful
 from returns.result import Result
 
+from savorylift.fleet.read_policy import POLL_PAUSE_S, ReadPolicy
 from savorylift.fleet.store_records import Change, Delta, Topic
 from savorylift.fleet.store_view import StoreView
 from savorylift.platform.store import (
@@ -20,103 +21,26 @@
 # How long the store may hold a poll open. A dead connection to the store is
 # detected after this time plus the timeout of the call.
 LONG_POLL_S = 1.0
-# Pause after a poll that returned records: all servers together write several
-# times a second, and each answered poll is charged for. Also the interval at
-# which a node that should not read checks whether it should.
-POLL_PAUSE_S = 0.2
-# Delay of a reader before the next call after a failed one.
-READER_RETRY_S = 0.5
-# Shorter, since a node without a configuration can't serve any request.
-STARTING_RETRY_S = 0.1
-# For nodes that are not readers and poll because the readings of the other
-# nodes are stale.
-FALLBACK_RETRY_S = 2.0
 # Entries in the store may expire during an outage that is longer than this.
 OUTAGE_S = 1.0
 # How long a fault of the store is reported to the other nodes.
 FAULT_REPORTED_S = 10.0
-# A reading is stale when it is older than this plus STALE_INTERVALS of the
-# intervals at which readers announce the age of their readings.
-STALE_S = 1.1
-STALE_INTERVALS = 2
-# Readings that are older than this, and the interval of readers, may miss a
-# notice: servers write several times a second, and give about 1.5 s of notice.
-NOTICE_AGE_S = 0.5
 
-_log = structlog.get_logger()
-
-
-class ReadPolicy:
-    """Decides whether this node should read the store now."""
-
-    def __init__(
-        self,
-        is_reader: Callable[[], bool],
-        peers_reading_age_s: Callable[[], float | None],
-        is_starting: Callable[[], bool],
-        get_reader_interval_s: Callable[[], float],
-    ) -> None:
-        """Sets the functions that return the current state of the node.
-
-        Args:
-            is_reader: Whether this node is one of the readers.
-            peers_reading_age_s: Age of the newest reading by a live peer; None
-                without one.
-            is_starting: Whether this node has no configuration yet.
-            get_reader_interval_s: Returns the interval between the messages of
-                a reader.
-        """
-        self._is_reader = is_reader
-        self._peers_reading_age_s = peers_reading_age_s
-        self._is_starting = is_starting
-        self._get_reader_interval_s = get_reader_interval_s
-
-    @property
-    def retry_s(self) -> float:
-        """Delay before the next call after one that failed."""
-        if self._is_starting():
-            return STARTING_RETRY_S
-        return READER_RETRY_S if self._is_reader() else FALLBACK_RETRY_S
+# Faults that other calls would meet as well.
+AWAY_FAULTS = frozenset({StoreFault.UNREACHABLE, StoreFault.REFUSED})
 
-    def should_read(self) -> bool:
-        """Whether this node is a reader or other nodes' readings are stale."""
-        return self._is_reader() or self.is_stale(None)
-
-    def log_decision(self, topic_name: str, *, should_read: bool) -> None:
-        """Logs that this node begins or stops reading, and why."""
-        _log.info(
-            "reading" if should_read else "not_reading",
-            topic=topic_name,
-            is_reader=self._is_reader(),
-            peers_reading_age_s=self._peers_reading_age_s(),
-        )
-
-    def is_stale(self, own_age_s: float | None) -> bool:
-        """Whether neither this node nor another has a recent reading.
-
-        Args:
-            own_age_s: Age of this node's own reading; None to consider only
-                those of the other nodes.
-        """
-        stale_s = STALE_S + STALE_INTERVALS * self._get_reader_interval_s()
-        ages = [
-            a for a in (own_age_s, self._peers_reading_age_s()) if a is not None
-        ]
-        return min(ages, default=stale_s + 1) > stale_s
-
-    def may_miss_notices(self, servers_age_s: float | None) -> bool:
-        """Whether a server may have given a notice that nobody has read.
-
-        Args:
-            servers_age_s: Age of the newest reading of the servers' entries,
-                by any node.
-        """
-        max_age_s = NOTICE_AGE_S + self._get_reader_interval_s()
-        return servers_age_s is None or servers_age_s > max_age_s
+_log = structlog.get_logger()
 
 
 class TopicConsumer:
-    """Reads one topic of the store and applies its records to the view."""
+    """Reads one topic of the store and applies its records to the view.
+
+    Attributes:
+        is_store_away: Whether the store didn't serve the last call.
+        may_call: Returns whether the store may be called now.
+        on_recovery: Called with the time at which an outage ended.
+        on_fault: Called after the first of several calls that failed.
+    """
 
     def __init__(
         self,
@@ -148,6 +72,8 @@
         self._last_read_s: float | None = None
         self._last_fault_s: float | None = None
         self._failing_since_s: float | None = None
+        self.is_store_away = False
+        self.may_call: Callable[[], bool] = lambda: True
         self.on_recovery: Callable[[float], None] = _ignore_recovery
         self.on_fault: Callable[[], None] = _ignore_fault
 
@@ -177,7 +103,7 @@
                 self._read_policy.log_decision(
                     self._topic_name, should_read=should_read
                 )
-            if not should_read:
+            if not should_read or not self.may_call():
                 await asyncio.sleep(POLL_PAUSE_S)
                 continue
             wait_s = await self._read()
@@ -199,7 +125,7 @@
             self._replace(changes, batch.next_offset)
         else:
             self._apply(changes, batch.next_offset)
-        return POLL_PAUSE_S if batch.records else 0.0
+        return self._read_policy.pause_s if batch.records else 0.0
 
     def _replace(self, changes: tuple[Change, ...], offset: int) -> None:
         if self._topic is Topic.SERVERS:
@@ -231,6 +157,7 @@
 
     def _handle_success(self) -> None:
         now_s = time.monotonic()
+        self.is_store_away = False
         since_s = self._failing_since_s
         if since_s is not None:
             _log.info("store_regained", topic=self._topic_name)
@@ -254,6 +181,7 @@
             # Entries written since the copy are missing until written again.
             self.on_recovery(now_s)
             return 0.0
+        self.is_store_away = error.fault in AWAY_FAULTS
         if self._failing_since_s is None:
             self._failing_since_s = self._last_read_s or now_s
             _log.warning(
--- a/src/savorylift/fleet/version_recorder.py
+++ b/src/savorylift/fleet/version_recorder.py
@@ -23,6 +23,10 @@
 # By then a node that starts has heard the others, which may be of a build that
 # keeps no records.
 START_DELAY_S = 2.0
+# Time between two writes that only add starts of servers.
+STARTS_INTERVAL_S = 2.0
+# For how long a node waits until others tell what the store holds.
+MAX_HEARING_S = 5.0
 # So many starts fit into a record of the store, whatever their servers' names.
 MAX_STARTS = 900
 
@@ -55,6 +59,8 @@
         is_service: Callable[[str], bool],
         is_writer: Callable[[], bool],
         get_era: Callable[[], int],
+        hearing_s: float = 0.0,
+        is_first_writer: Callable[[], bool] | None = None,
     ) -> None:
         """Makes no call until `run` is called.
 
@@ -66,7 +72,15 @@
             is_writer: Whether this node writes what changes.
             get_era: Returns how often the store has come back from a copy,
                 and lost what was written since.
+            hearing_s: For how long this node waits for the messages of others:
+                only those that write read what is in the store, and tell the
+                others.
+            is_first_writer: Whether it is the one that writes new starts of
+                servers; `is_writer` by default.
         """
+        self._hearing_s = hearing_s
+        self._is_first_writer = is_first_writer or is_writer
+        self._next_starts_s = 0.0
         self._store = store
         self._history = history
         self._is_service = is_service
@@ -74,21 +88,40 @@
         self._get_era = get_era
         self._era = 0
         self._saved: dict[str, VersionRecord] = {}
+        self._has_loaded = False
 
     async def run(self) -> None:
         """Reads the records, and then writes changes forever."""
         started_s = time.monotonic()
-        while not await self._load():
-            await asyncio.sleep(RETRY_INTERVAL_S)
+        await self._load_in_turn()
         wait_s = started_s + START_DELAY_S - time.monotonic()
         await asyncio.sleep(max(wait_s, 0.0))
         self._history.is_complete = True
         while True:
-            is_saved = not self._is_writer() or await self.save()
+            is_saved = await self._save_in_turn()
             await asyncio.sleep(
                 CHECK_INTERVAL_S if is_saved else RETRY_INTERVAL_S
             )
 
+    async def _load_in_turn(self) -> None:
+        """Reads the records unless another node tells what they say."""
+        await asyncio.sleep(self._hearing_s)
+        until_s = time.monotonic() + MAX_HEARING_S
+        while not self._history.is_complete:
+            if not self._is_writer() and time.monotonic() < until_s:
+                await asyncio.sleep(CHECK_INTERVAL_S)
+            elif await self._load():
+                return
+            else:
+                await asyncio.sleep(RETRY_INTERVAL_S)
+
+    async def _save_in_turn(self) -> bool:
+        """Writes what has changed if this node is a writer."""
+        if not self._is_writer():
+            return True
+        has_loaded = self._has_loaded or await self._load()
+        return has_loaded and await self.save()
+
     async def save(self) -> bool:
         """Writes what has changed; returns whether that succeeded."""
         era = self._get_era()
@@ -96,8 +129,9 @@
             self._saved.clear()
             self._era = era
         changed = self._find_changed()
-        if not changed:
+        if not changed or not self._is_due(changed):
             return True
+        self._next_starts_s = time.monotonic() + STARTS_INTERVAL_S
         records = [_encode(*item) for item in changed.items()]
         written = await self._store.append(VERSIONS_TOPIC, records)
         _log.info(
@@ -115,6 +149,19 @@
             }
         return is_successful(written)
 
+    def _is_due(self, changed: dict[str, VersionRecord]) -> bool:
+        """Whether changes must be written now.
+
+        That a start is missing is on the safe side: the server counts as
+        started again.
+        """
+        for service, record in changed.items():
+            saved = self._saved.get(service, NO_VERSIONS)
+            if record.versions != saved.versions:
+                return True
+        is_late = time.monotonic() >= self._next_starts_s
+        return is_late and self._is_first_writer()
+
     def _find_changed(self) -> dict[str, VersionRecord]:
         """Returns what the store should hold; nothing for a gone service."""
         known = self._make_records()
@@ -142,7 +189,10 @@
         return records
 
     async def _load(self) -> bool:
-        """Reads all records; returns whether that succeeded."""
+        """Reads all records; returns whether that succeeded.
+
+        What other nodes have told before is newer than the records.
+        """
         listed = await self._store.list_newest(VERSIONS_TOPIC)
         if not is_successful(listed):
             _log.warning("versions_not_loaded", detail=listed.failure().detail)
@@ -159,7 +209,9 @@
                 continue
             found = decoded.unwrap()
             self._saved[record.key] = found
-            self._history.restore(record.key, *found, time.monotonic())
+            if not self._history.is_complete:
+                self._history.restore(record.key, *found, time.monotonic())
+        self._has_loaded = True
         if records:
             self._history.is_complete = True
         _log.info(
--- a/src/savorylift/front/caller_parts.py
+++ b/src/savorylift/front/caller_parts.py
@@ -1,5 +1,6 @@
 """The parts of a node that serve callers."""
 
+import time
 from typing import NamedTuple
 
 from savorylift.exchange import metrics
@@ -65,7 +66,11 @@
     metrics.BODY_BYTES.set_function(lambda: admission.budget.held_bytes)
     counts = RefusalCounts(shared.identity.vm, shared.identity.incarnation)
     handler = _make_handler(shared, servers, generations, directory, counts)
-    refusal_writer = RefusalWriter(shared.store, counts)
+    refusal_writer = RefusalWriter(
+        shared.store,
+        counts,
+        lambda: shared.membership.count_live_nodes(time.monotonic()),
+    )
     return CallerParts(directory, admission, handler, refusal_writer)
 
 
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -76,7 +76,7 @@
             self._servers,
             self._streams.generations,
             transport,
-            ReaderRole(self._is_reader, self._was_reader),
+            ReaderRole(self._is_reader, self._was_reader, self._was_first),
             self._on_store_change,
         )
         self._reporter = StateReporter(
@@ -220,6 +220,9 @@
     def _was_reader(self) -> bool:
         return self._reporter.was_reader
 
+    def _was_first(self) -> bool:
+        return self._reporter.was_first_reader
+
     def _on_new_peer(self, ip: str) -> None:
         self._servers.limit_gate.greet(ip)
 
--- a/src/savorylift/front/operator_handler.py
+++ b/src/savorylift/front/operator_handler.py
@@ -2,8 +2,6 @@
 
 from collections.abc import Awaitable, Callable
 
-from prometheus_client import generate_latest
-
 from savorylift.front.status import STATUS_PATH, Status, encode_status
 from savorylift.wire.message import Request, Response
 
@@ -20,7 +18,10 @@
     async def handle(req: Request) -> Response:
         path = req.target.partition("?")[0]
         if path == METRICS_PATH:
-            return Response(200, (METRICS_TYPE,), generate_latest())
+            # Imported late: few nodes are ever asked, and all must start.
+            from savorylift.front.metrics_page import render_metrics
+
+            return Response(200, (METRICS_TYPE,), render_metrics())
         if path == STATUS_PATH:
             return Response(200, (JSON_TYPE,), encode_status(status()))
         return Response(404, ())
--- a/src/savorylift/front/state_reporter.py
+++ b/src/savorylift/front/state_reporter.py
@@ -8,7 +8,7 @@
 from savorylift.exchange.server_reach import ServerReach
 from savorylift.fleet.membership import Membership
 from savorylift.fleet.peer_transport import PeerTransport
-from savorylift.fleet.reader_choice import is_reader
+from savorylift.fleet.reader_choice import OwnCandidate, reader_rank
 from savorylift.fleet.state import NodeState
 from savorylift.fleet.store_reader import StoreReader
 from savorylift.fleet.store_view import StoreView
@@ -44,6 +44,7 @@
     Attributes:
         was_reader: Whether this node was one of the store's readers when last
             asked.
+        was_first_reader: Whether it was the first of them.
     """
 
     def __init__(
@@ -84,7 +85,7 @@
         self._server_news = server_news
         self._transport = transport
         self._sequence = 0
-        self.was_reader = False
+        self.was_reader = self.was_first_reader = False
 
     @property
     def is_ready(self) -> bool:
@@ -94,9 +95,16 @@
 
     def is_reader(self) -> bool:
         """Whether this node is to read the store, among those it hears."""
-        self.was_reader = is_reader(
-            self._membership, self.next_state(), time.monotonic()
+        now_s = time.monotonic()
+        candidate = OwnCandidate(
+            self._identity.vm,
+            self._identity.failure_domain,
+            self._lifecycle.is_leaving,
+            self._store_reader.has_fault(now_s),
         )
+        rank = reader_rank(self._membership, candidate, now_s)
+        self.was_reader = rank is not None
+        self.was_first_reader = rank == 0
         return self.was_reader
 
     def next_state(self, *, include_peers: bool = False) -> NodeState:
--- a/src/savorylift/front/store_parts.py
+++ b/src/savorylift/front/store_parts.py
@@ -7,6 +7,7 @@
 from savorylift.exchange.drain_poller import DrainPoller
 from savorylift.exchange.generation import GenerationDispatcher
 from savorylift.fleet.peer_transport import PeerTransport
+from savorylift.fleet.read_policy import ReadPolicy
 from savorylift.fleet.reader_choice import (
     reading_age_s,
     servers_reading_age_s,
@@ -14,13 +15,15 @@
 from savorylift.fleet.registration import Registration
 from savorylift.fleet.store_reader import StoreReader
 from savorylift.fleet.store_records import Delta
-from savorylift.fleet.topic_consumer import ReadPolicy
 from savorylift.fleet.version_recorder import VersionRecorder
 from savorylift.front.interface import LoadPoller
 from savorylift.front.server_parts import ServerParts
 from savorylift.front.shared_parts import SharedParts
 from savorylift.platform.store_record import Record
 
+# By then a node that starts hears others, if one of its seeds is live.
+HEARING_S = 1.0
+
 
 class StoreParts(NamedTuple):
     """What reads the store, or servers in its place, and writes to it.
@@ -47,10 +50,12 @@
     Attributes:
         is_reader: Finds out whether it is one.
         was_reader: Returns whether it was one when last asked.
+        was_first: Returns whether it was the first of them then.
     """
 
     is_reader: Callable[[], bool]
     was_reader: Callable[[], bool]
+    was_first: Callable[[], bool]
 
 
 def make_store_parts(
@@ -93,11 +98,14 @@
         lambda name: shared.find_service(name) is not None,
         role.was_reader,
         shared.store_era,
+        HEARING_S if shared.membership.addresses else 0.0,
+        role.was_first,
     )
     registration = Registration(
         shared.store,
         shared.membership,
         Record(shared.identity.ip, shared.identity.caller_address.encode()),
+        role.was_first,
         lambda: transport.send(include_silent=True),
     )
     return StoreParts(
@@ -113,6 +121,13 @@
         lambda: reading_age_s(shared.membership, time.monotonic()),
         lambda: shared.store_view.configuration is None,
         lambda: transport.reader_interval_s,
+        is_standby=lambda: role.was_reader() and not role.was_first(),
+        peers_servers_age_s=lambda: servers_reading_age_s(
+            shared.membership, time.monotonic()
+        ),
+        count_nodes=lambda: shared.membership.count_live_nodes(
+            time.monotonic()
+        ),
     )
 
 
--- a/src/savorylift/platform/store.py
+++ b/src/savorylift/platform/store.py
@@ -11,6 +11,7 @@
 from returns.result import Failure, Result, Success
 
 from savorylift.json_input import decode_json
+from savorylift.metric import Counter
 from savorylift.platform.store_record import (
     Record,
     decode_records,
@@ -35,6 +36,10 @@
 # larger. No topic holds as many records.
 OFFSETS_PER_ERA = 1 << 40
 
+CALLS = Counter(
+    "savorylift_store_calls", "Calls to the store by what they are.", ["call"]
+)
+
 CONNECT_TIMEOUT_S = 0.5
 # Slower responses aren't waited for: a retry uses a new connection.
 RESPONSE_TIMEOUT_S = 0.8
@@ -238,6 +243,7 @@
         body: bytes = b"",
         wait_s: float = 0.0,
     ) -> Response | StoreError:
+        CALLS.labels(f"{path[1:]} {query['topic']}").inc()
         target = f"{path}?{urllib.parse.urlencode(query)}"
         try:
             response = await fetch(
--- a/src/savorylift/refusals/writer.py
+++ b/src/savorylift/refusals/writer.py
@@ -1,6 +1,7 @@
 """Writes a node's counts of refused requests to the platform's store."""
 
 import asyncio
+from collections.abc import Callable
 
 import structlog
 from returns.pipeline import is_successful
@@ -12,6 +13,10 @@
 # Each write is charged for. A killed node loses the counts of at most this
 # time, or more if writes failed.
 WRITE_INTERVAL_S = 5.0
+# Beyond this number of nodes the interval grows in proportion, up to the other
+# one: counts are by minute.
+NODES_AT_WRITE_INTERVAL = 16
+MAX_WRITE_INTERVAL_S = 60.0
 # Added to the interval after a failed write.
 RETRY_DELAY_S = 5.0
 # Maximum number of records in a call; the rest is written by later calls.
@@ -23,18 +28,35 @@
 class RefusalWriter:
     """Periodically saves the counts that changed, in batches."""
 
-    def __init__(self, store: StoreClient, counts: RefusalCounts) -> None:
-        """Saves nothing until `run` or `save` is called."""
+    def __init__(
+        self,
+        store: StoreClient,
+        counts: RefusalCounts,
+        count_nodes: Callable[[], int] = lambda: 1,
+    ) -> None:
+        """Saves nothing until `run` or `save` is called.
+
+        Args:
+            store: The store.
+            counts: The counts of this node.
+            count_nodes: Returns the number of live nodes.
+        """
         self._store = store
         self._counts = counts
+        self._count_nodes = count_nodes
 
     async def run(self) -> None:
         """Saves changed counts forever."""
         while True:
-            await asyncio.sleep(WRITE_INTERVAL_S)
+            await asyncio.sleep(self._interval_s)
             if not await self.save():
                 await asyncio.sleep(RETRY_DELAY_S)
 
+    @property
+    def _interval_s(self) -> float:
+        nodes = self._count_nodes() / NODES_AT_WRITE_INTERVAL
+        return min(WRITE_INTERVAL_S * max(1.0, nodes), MAX_WRITE_INTERVAL_S)
+
     async def save(self) -> bool:
         """Saves a batch of changed counts; returns whether that succeeded."""
         batch = self._counts.unsaved()[:MAX_BATCH_RECORDS]
--- a/src/savorylift/rendezvous.py
+++ b/src/savorylift/rendezvous.py
@@ -1,8 +1,12 @@
 """Rendezvous hashing, which ranks names alike on every node."""
 
+import functools
 import hashlib
 from collections.abc import Iterable
 
+# Scores that are kept: those of some keys that are ranked many times a second.
+MAX_SCORES = 4096
+
 
 def rank(key: str, names: Iterable[str]) -> list[str]:
     """Returns `names` in descending order of their score for `key`.
@@ -12,6 +16,7 @@
     return sorted(names, key=lambda name: _score(key, name), reverse=True)
 
 
+@functools.lru_cache(maxsize=MAX_SCORES)
 def _score(key: str, name: str) -> bytes:
     data = f"{key}\0{name}".encode()
     return hashlib.blake2b(data, digest_size=8).digest()
--- a/src/savorylift/wire/retry_after.py
+++ b/src/savorylift/wire/retry_after.py
@@ -1,7 +1,6 @@
 """Parses the `Retry-After` header of responses (RFC 9110, 10.2.3)."""
 
 import datetime as dt
-import email.utils
 import re
 from collections.abc import Iterable
 
@@ -33,6 +32,9 @@
 
 
 def _parse_date(value: str) -> dt.datetime | None:
+    # Imported late: servers name seconds, and nodes start sooner without it.
+    import email.utils
+
     try:
         date = email.utils.parsedate_to_datetime(value)
     except (TypeError, ValueError, OverflowError):
--- a/tests/exchange/test_stream_resumption.py
+++ b/tests/exchange/test_stream_resumption.py
@@ -8,6 +8,7 @@
 import pytest
 from returns.pipeline import is_successful
 
+from savorylift.boot_clock import boot_time_s
 from savorylift.exchange import server_life
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.results import Doubt
@@ -134,7 +135,9 @@
         run.admitted = run.admitted._replace(route=make_route())
         channel: Any = SimpleNamespace(opened_s=None, is_open=True)
         began_s = asyncio.get_running_loop().time()
-        entry = await resumption._find_entry(run, make_server(), channel)
+        entry = await resumption._find_entry(
+            run, make_server(), channel, boot_time_s()
+        )
         assert entry is not None
         took_s = asyncio.get_running_loop().time() - began_s
         assert took_s <= 2 * WITNESS_REPLY_S
--- a/tests/fleet/test_topic_consumer.py
+++ b/tests/fleet/test_topic_consumer.py
@@ -1,6 +1,8 @@
 """Tests of when a node reads the store."""
 
 import asyncio
+import collections
+import time
 from typing import cast
 
 import freezegun
@@ -8,12 +10,16 @@
 from returns.result import Failure, Result, Success
 
 from savorylift.fleet.peer_transport import MAX_READER_INTERVAL_S
-from savorylift.fleet.store_records import Topic
-from savorylift.fleet.topic_consumer import (
+from savorylift.fleet.read_policy import (
     FALLBACK_RETRY_S,
+    POLL_PAUSE_S,
+    READER_RETRY_S,
+    STANDBY_PAUSE_S,
     ReadPolicy,
-    TopicConsumer,
 )
+from savorylift.fleet.store_reader import StoreReader
+from savorylift.fleet.store_records import Topic
+from savorylift.fleet.topic_consumer import TopicConsumer
 from savorylift.platform.store import (
     Batch,
     StoreClient,
@@ -126,3 +132,83 @@
         assert recoveries == ended_s
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize(
+    ("is_standby", "first_age_s", "pause_s"),
+    [
+        pytest.param(False, 0.1, POLL_PAUSE_S, id="first"),
+        pytest.param(True, 0.1, STANDBY_PAUSE_S, id="first reads"),
+        pytest.param(True, 1.5, POLL_PAUSE_S, id="first stalls"),
+        pytest.param(True, None, POLL_PAUSE_S, id="first is lost"),
+    ],
+)
+def test_standby_reads_seldom_while_the_first_reader_reads(
+    *, is_standby: bool, first_age_s: float | None, pause_s: float
+) -> None:
+    """Two readers that read alike make twice the calls for the same news."""
+    policy = ReadPolicy(
+        lambda: True,
+        lambda: first_age_s,
+        lambda: False,
+        lambda: 0.5,
+        is_standby=lambda: is_standby,
+        peers_servers_age_s=lambda: first_age_s,
+    )
+    assert policy.pause_s == pause_s
+
+
+@pytest.mark.parametrize("nodes", [1, 16, 88, 350])
+def test_store_in_need_gets_no_more_calls_from_a_larger_fleet(
+    nodes: int,
+) -> None:
+    policy = ReadPolicy(
+        lambda: False,
+        lambda: 10.0,
+        lambda: False,
+        lambda: 0.5,
+        count_nodes=lambda: nodes,
+    )
+    assert nodes / policy.retry_s <= 16 / FALLBACK_RETRY_S
+
+
+def test_one_topic_shows_whether_the_store_is_back() -> None:
+    async def scenario() -> None:
+        store = CountingStore()
+        policy = ReadPolicy(
+            lambda: True, lambda: 10.0, lambda: False, lambda: 0.2
+        )
+        reader = StoreReader(
+            cast("StoreClient", store),
+            "keyed.op",
+            make_store_view(),
+            policy,
+            lambda _: None,
+            lambda: None,
+        )
+        reading = asyncio.ensure_future(reader.run())
+        await asyncio.sleep(2.2 * READER_RETRY_S)
+        assert store.calls["keyed.op"] <= 1 < store.calls["keyed.servers"]
+        store.is_away = False
+        await asyncio.sleep(1.5 * READER_RETRY_S)
+        reading.cancel()
+        assert reader.reading_age_s(time.monotonic()) is not None
+
+    asyncio.run(scenario())
+
+
+class CountingStore(ChangingStore):
+    """The same, and counts the calls by topic."""
+
+    def __init__(self) -> None:
+        self.calls: collections.Counter[str] = collections.Counter()
+
+    async def list_newest(self, topic: str) -> Result[Batch, StoreError]:
+        self.calls[topic] += 1
+        return await super().list_newest(topic)
+
+    async def read(
+        self, topic: str, offset: int, wait_s: float
+    ) -> Result[Batch, StoreError]:
+        await asyncio.sleep(wait_s)
+        return Success(Batch((), offset))
--- a/tests/fleet/test_version_recorder.py
+++ b/tests/fleet/test_version_recorder.py
@@ -9,8 +9,11 @@
 from savorylift.backends.server import ServerEntry
 from savorylift.fleet.version_history import RETENTION_S, VersionHistory
 from savorylift.fleet.version_recorder import (
+    CHECK_INTERVAL_S,
+    MAX_HEARING_S,
     RETRY_INTERVAL_S,
     START_DELAY_S,
+    STARTS_INTERVAL_S,
     VersionRecorder,
 )
 from savorylift.platform.store import VERSIONS_TOPIC, StoreClient
@@ -246,3 +249,54 @@
         assert cbor2.loads(value) == [["\0", "v1"], [["i-1", 2]]]
 
     run_with_timeout(scenario())
+
+
+def test_node_that_starts_leaves_the_records_to_the_writers() -> None:
+    """All nodes of a fleet that was started again read them."""
+
+    async def scenario() -> None:
+        fleet = Fleet()
+        fleet.is_writer = False
+        history = await fleet.start_node(V1)
+        await asyncio.sleep(0.3)
+        # As other nodes tell it.
+        history.is_complete = True
+        await asyncio.sleep(START_DELAY_S)
+        assert fleet.store.called_paths == []
+        fleet.is_writer = True
+        await wait_until_written(fleet, 1)
+        assert fleet.store.called_paths == ["/log-newest", "/log-append"]
+
+    run_with_timeout(scenario())
+
+
+def test_node_whose_peers_do_not_tell_reads_the_records_itself() -> None:
+    async def scenario() -> None:
+        fleet = Fleet()
+        await fleet.start_node(V1)
+        await wait_until_written(fleet, 1)
+        fleet.kill_nodes()
+        fleet.is_writer = False
+        history = await fleet.start_node(V2)
+        await asyncio.sleep(MAX_HEARING_S + 0.3)
+        assert history.only_version("s") is None
+        assert history.is_complete
+
+    run_with_timeout(scenario())
+
+
+def test_starts_of_servers_are_written_together() -> None:
+    async def scenario() -> None:
+        fleet = Fleet()
+        history = await fleet.start_node(V1)
+        await wait_until_written(fleet, 1)
+        for started_ms in range(5):
+            again = V1._replace(started_ms=V1.started_ms + 1 + started_ms)
+            history.observe([again], time.monotonic())
+            await asyncio.sleep(CHECK_INTERVAL_S)
+        # The service counts as one whose server has started again, at once.
+        assert fleet.appends == 2
+        await asyncio.sleep(STARTS_INTERVAL_S)
+        assert fleet.appends == 3
+
+    run_with_timeout(scenario())
--- a/tests/front/test_node.py
+++ b/tests/front/test_node.py
@@ -3,8 +3,8 @@
 import asyncio
 
 import pytest
-from prometheus_client import REGISTRY
 
+from savorylift.exchange import metrics
 from savorylift.operators.refusals_command import RefusalsArguments, refusals
 from savorylift.platform.store import (
     OPERATORS_TOPIC,
@@ -417,11 +417,10 @@
 
 
 def test_stream_that_fails_at_its_last_engine_is_counted_as_broken() -> None:
-    labels = {"reason": "backend_error"}
-    name = "savorylift_front_broken_streams_total"
+    broken = metrics.BROKEN_STREAMS.labels("backend_error")
 
     async def scenario(env: NodeEnvironment) -> None:
-        before = REGISTRY.get_sample_value(name, labels) or 0.0
+        before = broken.value
         first, other = env.pool
         env.publish_entry(other, "pool", "draining")
         await asyncio.sleep(0.5)
@@ -434,8 +433,7 @@
         with pytest.raises(BrokenAnswerError):
             await call.read_rest(head)
         assert other.runs == ["s1"]
-        after = REGISTRY.get_sample_value(name, labels)
-        assert after == before + 1
+        assert broken.value == before + 1
 
     run_in_environment(scenario)
 
