--- a/src/savorylift/rollouts/decider.py
+++ b/src/savorylift/rollouts/decider.py
@@ -10,6 +10,9 @@
 # parts of what a bad one may get.
 FIRST_PART = 0.3
 WATCH_PART = 0.9
+# Part of the requests that a bad version may get, its slack included, that the
+# watch may use up.
+WATCH_BUDGET_PART = 0.6
 # Share with which it is tried under load, before it gets all requests.
 LOAD_SHARE = 0.3
 # Steps of a roll-out.
@@ -32,9 +35,9 @@
 MIN_MARGIN_S = 1.5
 # Time for old servers to end what they run: of engines, whose streams last,
 # and of others.
-ENGINE_SHIFT_PART = 0.35
+ENGINE_SHIFT_PART = 0.2
 PLAIN_SHIFT_PART = 0.1
-MIN_SHIFT_S = 1.2
+MIN_SHIFT_S = 2.0
 # The least that the shift may take if the version was found sound late.
 SHORTEST_SHIFT_S = 0.6
 
@@ -161,10 +164,32 @@
     has_answers = situation.judgement.new_answers >= FIRST_ANSWERS
     if not is_due and not has_answers:
         return None
-    share = max(WATCH_PART * limits.share - situation.other_builds, 0.0)
+    watched = _watch_share(stage, situation, limits)
+    share = max(watched - situation.other_builds, 0.0)
     return _advance(stage, WATCH_STEP, share, "sound so far")
 
 
+def _watch_share(
+    stage: Stage, situation: Situation, limits: RolloutLimits
+) -> float:
+    """Returns the share with which a version is watched.
+
+    The slack of a service with few requests is worth more than its share.
+    """
+    judgement = situation.judgement
+    answers = judgement.new_answers + judgement.old_answers
+    least = WATCH_PART * limits.share
+    if not answers or situation.elapsed_s <= 0:
+        return least
+    requests = answers * stage.duration_s / situation.elapsed_s
+    timetable = make_timetable(
+        stage.duration_s, has_engines=situation.has_engines
+    )
+    watched = requests * timetable.load_s / stage.duration_s
+    budget = WATCH_BUDGET_PART * (limits.share * requests + limits.slack)
+    return min(max(budget / max(watched, 1.0), least), LOAD_SHARE)
+
+
 def _begin_load(stage: Stage, situation: Situation) -> Stage | None:
     timetable = make_timetable(
         stage.duration_s, has_engines=situation.has_engines
--- a/src/savorylift/rollouts/verdict.py
+++ b/src/savorylift/rollouts/verdict.py
@@ -21,13 +21,13 @@
 # Durations are slow beyond the class that this share of the old ones reaches,
 # and so many further classes: about one and a half times as long.
 USUAL_SHARE = 0.9
-SLOW_MARGIN_CLASSES = 2
+SLOW_MARGIN_CLASSES = 1
 # Chance at which a sound version looks as bad in one comparison, and how much
 # worse it must be. The first pair stops a roll-out, the second lets it wait.
 BAD_CHANCE = 0.001
 BAD_EXCESS = 0.1
 MIN_BAD = 3
-SUSPECT_CHANCE = 0.01
+SUSPECT_CHANCE = 0.02
 SUSPECT_EXCESS = 0.08
 MIN_SUSPECT = 2
 # Lost answers of a single server tell of the server, not of its version.
