Count roll-outs and rooms with the metrics of the other packages

Cause: two packages came with prometheus_client, which a start no longer imports. Change: they use savorylift.metric; a test reads its value. Measured: tests/front/test_start.py failed before.

--- a/src/savorylift/rollouts/metrics.py
+++ b/src/savorylift/rollouts/metrics.py
@@ -1,6 +1,6 @@
 """Prometheus metrics of roll-outs."""
 
-from prometheus_client import Counter
+from savorylift.metric import Counter
 
 STAGES = Counter(
     "savorylift_rollout_stages",
--- a/src/savorylift/rooms/metrics.py
+++ b/src/savorylift/rooms/metrics.py
@@ -1,6 +1,6 @@
 """Prometheus metrics of the keeper of engines' room."""
 
-from prometheus_client import Counter, Gauge
+from savorylift.metric import Counter, Gauge
 
 ROOM_REPLIES = Counter(
     "savorylift_front_room_replies",
--- a/tests/front/test_room_keeper.py
+++ b/tests/front/test_room_keeper.py
@@ -17,7 +17,7 @@
 
 def count(outcome: str) -> float:
     """Returns how many generations had an outcome so far."""
-    return float(metrics.ROOMS.labels(outcome)._value.get())
+    return metrics.ROOMS.labels(outcome).value
 
 
 def find_keeper(fleet: NodeFleet) -> int:
