Let a stage of a roll-out count whose write was done without an answer

The deciding node read such a stage back as its own, went on from it, and told neither itself nor the others: with each answer lost it wrote completed within a second, for versions that fail all requests, too, and no status. It now takes up what the store has. A stage that comes back after a roll-back has been told isn't told any more.

--- a/src/savorylift/rollouts/deciding.py
+++ b/src/savorylift/rollouts/deciding.py
@@ -9,7 +9,7 @@
 from savorylift.rollouts.judging import EvidenceBook
 from savorylift.rollouts.order import RolloutLimits, RolloutOrder
 from savorylift.rollouts.recorder import StageRecorder
-from savorylift.rollouts.stage import WITHDRAWN_ID, begin
+from savorylift.rollouts.stage import WITHDRAWN_ID, begin, replaces
 from savorylift.rollouts.surroundings import Surroundings
 
 
@@ -108,6 +108,7 @@
     async def _continue(self, last: Stage) -> bool:
         """Goes on where the store says that a roll-out stands."""
         if self.is_own(last):
+            self._take_up(last)
             return True
         self._announcer.hear(_aged(last))
         if not last.phase.is_final:
@@ -117,6 +118,13 @@
             self._unwritten_status.add(last.service)
         return True
 
+    def _take_up(self, last: Stage) -> None:
+        """Lets a stage count whose write got no answer, but was done."""
+        known = self._board.stages.get(last.service)
+        if not replaces(last, known):
+            return
+        self._publish(last)
+
     async def _write_epoch(self, stage: Stage) -> bool:
         heard = self._board.stages.get(stage.service)
         epoch = max(stage.epoch, 0 if heard is None else heard.epoch) + 1
@@ -132,15 +140,21 @@
         recorded = await self._recorder.write(stage)
         if recorded is None:
             return False
-        if stage.order_id == WITHDRAWN_ID:
-            self._unwritten_status.discard(stage.service)
-        else:
-            self._unwritten_status.add(stage.service)
-        self._board.accept(recorded)
-        judgement = self._evidence.judge(stage.service)
-        self._announcer.publish(recorded, judgement)
+        self._publish(recorded)
         return True
 
+    def _publish(self, recorded: Stage) -> None:
+        """Lets a stage count that the store has."""
+        service = recorded.service
+        if recorded.order_id == WITHDRAWN_ID:
+            self._unwritten_status.discard(service)
+        else:
+            self._unwritten_status.add(service)
+        # A roll-back that was told during the write stands.
+        if self._board.accept(recorded):
+            judgement = self._evidence.judge(service)
+            self._announcer.publish(recorded, judgement)
+
     async def _write_status(self, service: str) -> bool:
         stage = self._recorder.find(service)
         if stage is None or service not in self._unwritten_status:
--- a/tests/rollouts/memory_store.py
+++ b/tests/rollouts/memory_store.py
@@ -53,13 +53,14 @@
 
     Attributes:
         is_cut: Whether all calls of this node fail.
+        loses_answers: Whether its writes are done, and their answers lost.
         held: Set while calls may be answered; a node that stands still gets
             its answers later.
     """
 
     def __init__(self, store: MemoryStore) -> None:
         self._store = store
-        self.is_cut = False
+        self.is_cut = self.loses_answers = False
         self.held = asyncio.Event()
         self.held.set()
 
@@ -85,7 +86,7 @@
         offset = len(log)
         log.extend(records)
         await self.held.wait()
-        return Success(offset)
+        return Failure(AWAY) if self.loses_answers else Success(offset)
 
     async def _begin(self) -> bool:
         self._store.calls += 1
--- a/tests/rollouts/test_plays.py
+++ b/tests/rollouts/test_plays.py
@@ -75,6 +75,11 @@
         play.faulty.discard(self.node.ip)
 
 
+def lose_answers(play: Play) -> None:
+    for node in play.nodes.values():
+        node.store.loses_answers = True
+
+
 def take_store_away(play: Play) -> None:
     play.store.is_away = True
 
@@ -97,6 +102,7 @@
         "cut_from_store": [(0.15, from_store.begin), (0.5, from_store.end)],
         "store_away": [(0.15, take_store_away), (0.4, bring_store_back)],
         "restarted": [(0.3, restart_all)],
+        "answers_lost": [(0.1, lose_answers)],
     }
     return scripts[name]
 
@@ -111,6 +117,7 @@
     "cut_from_store",
     "store_away",
     "restarted",
+    "answers_lost",
 )
 
 
