Let the deciding node hold the share that it tells the others

It heard no news of its own stage, so its share fell to the smallest after 3 s and to none after 5 s: with three nodes a third of the requests went to the old servers until they stopped.

--- a/src/savorylift/rollouts/agent.py
+++ b/src/savorylift/rollouts/agent.py
@@ -132,14 +132,18 @@
             elif counting.report(view.decider_ip, self._around.send):
                 self._stop_by_itself(service, counting)
         if stage is not None and view.is_decider:
-            self._tell_again(service)
+            self._tell_again(service, is_heard=view.hears_most)
 
-    def _tell_again(self, service: str) -> None:
+    def _tell_again(self, service: str, *, is_heard: bool) -> None:
         """Tells a stage again that this node answers for."""
         stage = self._board.find_stage(service)
         if stage is None:
             return
-        if self._deciding.is_own(stage) or stage.phase is Phase.ROLLED_BACK:
+        is_own = self._deciding.is_own(stage)
+        if is_own and is_heard:
+            # This node gets no news of it from others.
+            self._board.accept(stage)
+        if is_own or stage.phase is Phase.ROLLED_BACK:
             self._announcer.tell_again(stage)
 
     def _stop_bad(self, stage: Stage | None) -> None:
--- a/tests/rollouts/test_plays.py
+++ b/tests/rollouts/test_plays.py
@@ -185,6 +185,18 @@
     assert play.statuses == ["running", "completed"]
 
 
+def test_all_nodes_hold_the_share_that_stands(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    held: set[float] = set()
+
+    def note_shares(play: Play) -> None:
+        held.update(n.board.share(SERVICE) for n in play.nodes.values())
+
+    run_play(monkeypatch, sound, [(0.44, note_shares)], seed=6)
+    assert held == {pytest.approx(0.09)}
+
+
 def test_withdrawn_orders_are_rolled_back(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
