Compare a version before it gets all requests, also where no other is listed

Where no server of another version was in service for a moment, as when entries lapse while the store is down, the next stage gave all requests to the new version for good. It now keeps its share and is judged; one that there was never anything to compare with is taken on at the time of the load step as before.

The test that expected the jump now expects the share to stand: the stricter rule.

--- a/src/savorylift/rollouts/decider.py
+++ b/src/savorylift/rollouts/decider.py
@@ -122,8 +122,6 @@
         return _end_late(stage, situation)
     if stage.step >= SHIFT_STEP:
         return _end_shift(stage, situation)
-    if situation.has_new and not situation.has_old:
-        return _advance(stage, SHIFT_STEP, 1.0, "no other version serves")
     if stage.step == LOAD_STEP:
         return _end_load(stage, situation)
     return (
@@ -170,7 +168,7 @@
         stage.duration_s, has_engines=situation.has_engines
     )
     is_due = timetable.load_s <= situation.elapsed_s <= timetable.latest_load_s
-    if not is_due or situation.judgement.opinion is not Opinion.SOUND:
+    if not is_due or not _is_vouched_for(situation):
         return None
     if stage.step < FIRST_STEP or not situation.has_new:
         return None
@@ -217,6 +215,14 @@
     return roll_back(stage, "not shown to be sound in time")
 
 
+def _is_vouched_for(situation: Situation) -> bool:
+    """Whether a version is sound, or there is none to compare it with."""
+    judgement = situation.judgement
+    if judgement.opinion is Opinion.UNKNOWN:
+        return not situation.has_old and not judgement.old_answers
+    return judgement.opinion is Opinion.SOUND
+
+
 def _is_doubtful(situation: Situation) -> bool:
     return situation.judgement.opinion is Opinion.SUSPECT
 
--- a/tests/rollouts/test_decider.py
+++ b/tests/rollouts/test_decider.py
@@ -94,8 +94,24 @@
         (BEGUN, situation(0.1, other_builds=0.02), (Phase.WATCH, 0.01)),
         (BEGUN, situation(0.1, other_builds=0.5), (Phase.WATCH, 0.0)),
         (FIRST, situation(1.0, other_builds=0.05), (Phase.WATCH, 0.04)),
-        # Where there is no other version, nothing is compared.
-        (WATCH, situation(1.0, has_old=False), (Phase.SHIFT, 1.0)),
+        # Other servers may be missing from a listing for a moment only.
+        (WATCH, situation(1.0, has_old=False), None),
+        (
+            WATCH,
+            situation(TIMES.load_s, Opinion.UNKNOWN, has_old=False),
+            None,
+        ),
+        # Where there was never another version, nothing is compared.
+        (
+            WATCH,
+            situation(
+                TIMES.load_s,
+                Opinion.UNKNOWN,
+                has_old=False,
+                judgement=Judgement(Opinion.UNKNOWN, None, 2, 0),
+            ),
+            (Phase.WATCH, 0.3),
+        ),
         (WATCH._replace(phase=Phase.COMPLETED), situation(1.0), None),
         (
             WATCH._replace(phase=Phase.ROLLED_BACK),
--- a/tests/rollouts/test_plays.py
+++ b/tests/rollouts/test_plays.py
@@ -4,9 +4,11 @@
 
 import pytest
 
+from savorylift.backends.server import ServerEntry
 from savorylift.fleet.rollout_messages import Phase
 from tests.harness import virtual_time
 from tests.rollouts.play import (
+    NEW,
     LIMITS,
     SERVICE,
     Behaviour,
@@ -81,6 +83,20 @@
         node.store.loses_answers = True
 
 
+class Unlisted:
+    """Takes the entries of the old servers away for a moment."""
+
+    def __init__(self) -> None:
+        self._servers: list[ServerEntry] = []
+
+    def begin(self, play: Play) -> None:
+        self._servers = list(play.servers)
+        play.servers = [e for e in play.servers if e.software_version == NEW]
+
+    def end(self, play: Play) -> None:
+        play.servers = self._servers
+
+
 def take_store_away(play: Play) -> None:
     play.store.is_away = True
 
@@ -92,6 +108,7 @@
 def disruption(name: str) -> Script:
     """Returns the script of a disruption."""
     frozen = Frozen()
+    unlisted = Unlisted()
     from_nodes, from_store = CutOff(from_store=False), CutOff(from_store=True)
     scripts: dict[str, Script] = {
         "none": (),
@@ -104,6 +121,7 @@
         "store_away": [(0.15, take_store_away), (0.4, bring_store_back)],
         "restarted": [(0.3, restart_all)],
         "answers_lost": [(0.1, lose_answers)],
+        "unlisted": [(0.2, unlisted.begin), (0.25, unlisted.end)],
     }
     return scripts[name]
 
@@ -119,6 +137,7 @@
     "store_away",
     "restarted",
     "answers_lost",
+    "unlisted",
 )
 
 
@@ -198,15 +217,17 @@
     assert play.statuses == ["running", "completed"]
 
 
+@pytest.mark.parametrize("name", ["none", "unlisted"])
 def test_all_nodes_hold_the_share_that_stands(
-    monkeypatch: pytest.MonkeyPatch,
+    monkeypatch: pytest.MonkeyPatch, name: str
 ) -> None:
     held: set[float] = set()
 
     def note_shares(play: Play) -> None:
         held.update(n.board.share(SERVICE) for n in play.nodes.values())
 
-    run_play(monkeypatch, sound, [(0.44, note_shares)], seed=6)
+    script = [*disruption(name), (0.44, note_shares)]
+    run_play(monkeypatch, sound, script, seed=6)
     assert sorted(held) == pytest.approx([0.09])
 
 
