Complete no roll-out whose new servers are all gone

The old servers stop at completed: with the new ones crashed or out of service the service had none. It waits for them until the deadline, and is rolled back then.

--- a/src/savorylift/rollouts/decider.py
+++ b/src/savorylift/rollouts/decider.py
@@ -197,6 +197,9 @@
         return None
     if situation.step_age_s < SHORTEST_SHIFT_S:
         return None
+    if not situation.has_new:
+        # The old servers would stop at once, and leave none.
+        return _end_late(stage, situation)
     return stage._replace(
         phase=Phase.COMPLETED, step=stage.step + 1, reason="sound to the end"
     )
--- a/tests/rollouts/test_decider.py
+++ b/tests/rollouts/test_decider.py
@@ -65,6 +65,12 @@
         ),
         (SHIFT, situation(TIMES.complete_s - 0.1), None),
         (SHIFT, situation(TIMES.complete_s), (Phase.COMPLETED, 1.0)),
+        (SHIFT, situation(TIMES.complete_s, has_new=False), None),
+        (
+            SHIFT,
+            situation(DURATION_S + 0.1, has_new=False),
+            (Phase.ROLLED_BACK, 0.0),
+        ),
         # Whatever has been decided, a bad version is rolled back.
         (FIRST, situation(1.0, Opinion.BAD), (Phase.ROLLED_BACK, 0.0)),
         (SHIFT, situation(19.0, Opinion.BAD), (Phase.ROLLED_BACK, 0.0)),
