Let the old version serve when an order goes back to it in mid-course

An order back to the version before, while a later one was still being judged, left no server but for the first share of the requests: the later version was banned, and still counted as the one that serves the rest.

--- a/src/savorylift/rollouts/board.py
+++ b/src/savorylift/rollouts/board.py
@@ -156,12 +156,12 @@
         self, service: str, entries: Iterable[ServerEntry]
     ) -> None:
         """Records the servers of a service that are in service now."""
-        version = self._version(service)
+        version, banned = self._version(service), self._banned(service)
         new_ids, has_old = [], False
         for entry in entries:
             if entry.software_version == version:
                 new_ids.append(entry.server_id)
-            else:
+            elif entry.software_version not in banned:
                 has_old = True
         self._versions[service] = _Versions(tuple(new_ids), has_old=has_old)
         self._spread.clear()
@@ -231,9 +231,8 @@
             has_old=self.has_old(service),
             has_new=self.has_new(service),
         )
-        if current is None and stage is not None:
-            banned = versions_to_ban(stage) - {version}
-            return rule._replace(banned=banned)
+        if current is None:
+            return rule._replace(banned=self._banned(service))
         return rule
 
     def _rule_of_banned(self, stage: Stage) -> VersionRule | None:
@@ -261,6 +260,15 @@
         order = self.orders.get(service)
         return None if order is None else order.version
 
+    def _banned(self, service: str) -> frozenset[str]:
+        """Returns the versions that get nothing, whatever is ordered."""
+        stage = self.stages.get(service)
+        if stage is None:
+            return frozenset()
+        if self.find_stage(service) is not None:
+            return banned_versions(stage)
+        return versions_to_ban(stage) - {self._version(service)}
+
     def _note_elapsed(self, stage: Stage) -> None:
         """Takes the time since an order from a stage if that says longer."""
         ordered_s = time.monotonic() - stage.elapsed_s
--- a/tests/rollouts/test_version_rules.py
+++ b/tests/rollouts/test_version_rules.py
@@ -10,6 +10,7 @@
 from savorylift.rollouts.board import RolloutBoard
 from savorylift.rollouts.decider import LOAD_SHARE
 from savorylift.rollouts.order import RolloutLimits, RolloutOrder
+from savorylift.rollouts.stage import begin
 from savorylift.rollouts.version_rules import LEASE_S, position
 from tests.exchange.factories import make_server_entry
 
@@ -120,6 +121,17 @@
     assert share_of(board, NEWER) == pytest.approx(0.09, abs=0.03)
 
 
+def test_an_order_back_to_the_old_version_leaves_it_serving() -> None:
+    back = RolloutOrder("o2", "s", "v1", 12.0)
+    board = make_board(back, STAGE, servers=(OLD, NEW))
+    assert share_of(board, OLD) == 1.0
+    assert share_of(board, NEW) == 0.0
+    assert board.accept(begin(back, STAGE, 0.0)._replace(epoch=2))
+    board.note_servers("s", (OLD, NEW))
+    assert share_of(board, OLD) == 1.0
+    assert share_of(board, NEW) == 0.0
+
+
 def test_without_another_version_the_new_one_serves() -> None:
     for stage in (None, STAGE, STAGE._replace(phase=Phase.COMPLETED)):
         board = make_board(stage=stage, servers=(NEW,))
