Count late answers of a roll-out however many there were before

The evidence stopped at 100,000 cells: 97 MB, more than the smallest VMs have, and then a version that turned bad wasn't seen. It keeps 30,000, and lets the oldest slices stand as they have been counted.

--- a/src/savorylift/rollouts/evidence.py
+++ b/src/savorylift/rollouts/evidence.py
@@ -5,8 +5,9 @@
 
 from savorylift.fleet.rollout_messages import AnswerCell
 
-# Most cells of all nodes together; further ones are not counted.
-MAX_CELLS = 100_000
+# Most cells of all nodes together. Beyond that, the oldest slices stay as they
+# have been counted so far.
+MAX_CELLS = 30_000
 
 # The number of the process that counted, and the first fields of a cell.
 CellKey = tuple[int, int, bool, str, str]
@@ -85,6 +86,7 @@
         self.changes = 0
         self._cells: dict[CellKey, AnswerCell] = {}
         self._sums: dict[SumKey, Comparison] = {}
+        self._first_open_slice = 0
 
     def merge(self, source: int, cells: Iterable[AnswerCell]) -> None:
         """Replaces cells by what their node has counted by now.
@@ -94,17 +96,19 @@
             cells: Its cells; those that it doesn't name stay.
         """
         for cell in cells:
+            if cell.slice_number < self._first_open_slice:
+                continue
             key = (source, *cell[:4])
             last = self._cells.get(key)
             if last == cell:
                 continue
-            if last is None and len(self._cells) >= MAX_CELLS:
-                continue
             self._cells[key] = cell
             self.changes += 1
             if last is not None:
                 self._find_answers(last).add_cell(last, -1)
             self._find_answers(cell).add_cell(cell)
+            if len(self._cells) > MAX_CELLS:
+                self._close_oldest_slice()
 
     @property
     def last_slice(self) -> int:
@@ -123,6 +127,13 @@
                 found.setdefault(series, Comparison()).add(comparison)
         return found
 
+    def _close_oldest_slice(self) -> None:
+        oldest = min(key[1] for key in self._cells)
+        self._first_open_slice = oldest + 1
+        self._cells = {
+            key: cell for key, cell in self._cells.items() if key[1] > oldest
+        }
+
     def _find_answers(self, cell: AnswerCell) -> Answers:
         key = (cell.slice_number, cell.series)
         comparison = self._sums.get(key)
--- a/tests/rollouts/test_plays.py
+++ b/tests/rollouts/test_plays.py
@@ -8,8 +8,8 @@
 from savorylift.fleet.rollout_messages import Phase
 from tests.harness import virtual_time
 from tests.rollouts.play import (
-    NEW,
     LIMITS,
+    NEW,
     SERVICE,
     Behaviour,
     Play,
--- a/tests/rollouts/test_verdict.py
+++ b/tests/rollouts/test_verdict.py
@@ -188,3 +188,18 @@
             cell = cell._replace(succeeded=0, failed=1, times=())
         evidence.merge(number, [cell])
     return evidence
+
+
+def test_late_answers_count_however_many_there_were_before(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr("savorylift.rollouts.evidence.MAX_CELLS", 3 * SLICES)
+    found = FleetEvidence()
+    for source in range(20):
+        found.merge(source, old_cells())
+    assert judge(found).old_answers > 0
+    late = make_cell(
+        is_new=True, succeeded=20, failed=20, slice_number=SLICES + 1
+    )
+    found.merge(1, [late])
+    assert judge(found).opinion is Opinion.BAD
