--- a/src/savorylift/rollouts/agent.py
+++ b/src/savorylift/rollouts/agent.py
@@ -107,7 +107,8 @@
             await self._has_services.wait()
             is_done = True
             for service in self._board.services:
-                if self._around.view_fleet(service).is_decider:
+                view = self._around.view_fleet(service)
+                if view.is_decider and view.hears_enough:
                     is_done = await self._deciding.decide(service) and is_done
                 else:
                     self._deciding.give_up(service)
@@ -132,7 +133,7 @@
             elif counting.report(view.decider_ip, self._around.send):
                 self._stop_by_itself(service, counting)
         if stage is not None and view.is_decider:
-            self._tell_again(service, is_heard=view.hears_most)
+            self._tell_again(service, is_heard=view.hears_enough)
 
     def _tell_again(self, service: str, *, is_heard: bool) -> None:
         """Tells a stage again that this node answers for."""
--- a/src/savorylift/rooms/keeper.py
+++ b/src/savorylift/rooms/keeper.py
@@ -24,8 +24,9 @@
 from savorylift.fleet.state import ServerLoad
 from savorylift.rooms import metrics
 from savorylift.rooms.book import PlaceKey
+from savorylift.rooms.engines import Engines
 from savorylift.rooms.keeper_choice import KeeperChoice
-from savorylift.rooms.service_room import Engines, ServiceRoom
+from savorylift.rooms.service_room import ServiceRoom
 
 # A node that has just started doesn't know all others yet.
 START_HOLD_S = 2.5
@@ -214,7 +215,13 @@
             timer.cancel()
         room = self._rooms.get(service)
         engines = self._find_engines(service)
-        if room is None or engines is None:
+        if room is None:
+            return
+        if engines is None:
+            # This node may be the last to hear of the service.
+            for decision in room.leave_all_alone():
+                self._reply(decision.reply, decision.key.ip)
+            self._leave(service)
             return
         room.hear(self._choice.own_ip, self._own_loads())
         for decision in room.dispatch(engines):
--- a/tests/rollouts/test_counting.py
+++ b/tests/rollouts/test_counting.py
@@ -9,7 +9,7 @@
 from tests.rollouts.test_version_rules import NEW, OLD, ORDER
 
 PER_S = 60
-SERVERS = 14  # of each version
+ROUTES = 30
 TIME_S = 8
 
 
@@ -22,10 +22,9 @@
     with freezegun.freeze_time() as clock:
         counting = Counting(ORDER, 0.0, 1)
         for number in range(PER_S * TIME_S):
-            entry = (NEW if number % 2 else OLD)._replace(
-                server_id=f"i-{number % (2 * SERVERS)}"
-            )
-            counting.log.begin(entry, f"r{number % 3}", str(number))
+            entry = NEW if number % 2 else OLD
+            route = f"r{number // 2 % ROUTES}"
+            counting.log.begin(entry, route, str(number))
             clock.tick(1 / PER_S)
             counting.log.finish(str(number), Outcome.FAILED)
             counting.report("10.0.0.1", send)
