--- a/tests/rollouts/test_plays.py
+++ b/tests/rollouts/test_plays.py
@@ -4,10 +4,12 @@
 
 import pytest
 
+from savorylift.backends.server import ServerEntry
 from savorylift.fleet.rollout_messages import Phase
 from tests.harness import virtual_time
 from tests.rollouts.play import (
     LIMITS,
+    NEW,
     SERVICE,
     Behaviour,
     Play,
@@ -76,6 +78,25 @@
         play.faulty.discard(self.node.ip)
 
 
+def lose_answers(play: Play) -> None:
+    for node in play.nodes.values():
+        node.store.loses_answers = True
+
+
+class Unlisted:
+    """Takes the entries of the old servers away for a moment."""
+
+    def __init__(self) -> None:
+        self._servers: list[ServerEntry] = []
+
+    def begin(self, play: Play) -> None:
+        self._servers = list(play.servers)
+        play.servers = [e for e in play.servers if e.software_version == NEW]
+
+    def end(self, play: Play) -> None:
+        play.servers = self._servers
+
+
 def take_store_away(play: Play) -> None:
     play.store.is_away = True
 
@@ -87,6 +108,7 @@
 def disruption(name: str) -> Script:
     """Returns the script of a disruption."""
     frozen = Frozen()
+    unlisted = Unlisted()
     from_nodes, from_store = CutOff(from_store=False), CutOff(from_store=True)
     scripts: dict[str, Script] = {
         "none": (),
@@ -98,6 +120,8 @@
         "cut_from_store": [(0.15, from_store.begin), (0.5, from_store.end)],
         "store_away": [(0.15, take_store_away), (0.4, bring_store_back)],
         "restarted": [(0.3, restart_all)],
+        "answers_lost": [(0.1, lose_answers)],
+        "unlisted": [(0.2, unlisted.begin), (0.25, unlisted.end)],
     }
     return scripts[name]
 
@@ -112,6 +136,8 @@
     "cut_from_store",
     "store_away",
     "restarted",
+    "answers_lost",
+    "unlisted",
 )
 
 
@@ -191,6 +217,20 @@
     assert play.statuses == ["running", "completed"]
 
 
+@pytest.mark.parametrize("name", ["none", "unlisted"])
+def test_all_nodes_hold_the_share_that_stands(
+    monkeypatch: pytest.MonkeyPatch, name: str
+) -> None:
+    held: set[float] = set()
+
+    def note_shares(play: Play) -> None:
+        held.update(n.board.share(SERVICE) for n in play.nodes.values())
+
+    script = [*disruption(name), (0.44, note_shares)]
+    run_play(monkeypatch, sound, script, seed=6)
+    assert sorted(held) == pytest.approx([0.09])
+
+
 def test_withdrawn_orders_are_rolled_back(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
