Keep the same engine for a large generation until it fits

The engine that is kept for a generation that fits nowhere was chosen with the jitter that spreads new generations: of two nearly equal engines another one was kept at each look, and smaller generations took on each in turn what had become free. The emptiest one is now kept, without chance. A look doesn't rank engines by cost any more for each generation that keeps one.

--- a/src/savorylift/rooms/engines.py
+++ b/src/savorylift/rooms/engines.py
@@ -66,15 +66,19 @@
 
 
 def keep_engine(
-    req: RoomRequest,
-    engines: Engines,
-    loads: Mapping[str, Load],
-    rng: random.Random,
+    req: RoomRequest, engines: Engines, loads: Mapping[str, Load]
 ) -> Engines:
-    """Returns the engines without the one where a generation fits first."""
+    """Returns the engines without the emptiest one that may run a generation.
+
+    Nothing in the choice is random: the same one is kept until it fits there.
+    """
+
+    def fullness(server: BackendServer) -> tuple[bool, int]:
+        load = loads[server.entry.server_id]
+        return load.is_unhealthy, load.tokens
+
     allowed = _find_allowed(req, engines.servers, engines.region_by_domain)
-    options = _engine_options(req, engines)
-    kept = choose_least_loaded_engine(allowed, loads, options, rng)
+    kept = min(allowed, key=fullness, default=None)
     others = [server for server in engines.servers if server is not kept]
     return engines._replace(servers=others)
 
--- a/src/savorylift/rooms/service_room.py
+++ b/src/savorylift/rooms/service_room.py
@@ -165,7 +165,7 @@
                 continue
             left.append(ticket)
             if engines.servers and now_s - ticket.enqueued_s > BYPASS_LIMIT_S:
-                engines = keep_engine(req, engines, loads, self._rng)
+                engines = keep_engine(req, engines, loads)
                 most_tokens = find_most_room(engines, loads)
         yield from self._turn_away(left, by_number, engines, loads)
 
--- a/tests/rooms/test_service_room.py
+++ b/tests/rooms/test_service_room.py
@@ -90,6 +90,27 @@
         room.end(place)
 
 
+def test_large_generation_keeps_the_same_engine_until_it_fits() -> None:
+    with freezegun.freeze_time("2026-01-01") as clock:
+        room, engines = make_room(), make_engines("a", "b")
+        place = fill(room, make_engines("a"), 5000)
+        other = key(9998)
+        room.add(other, make_request(9998, 5010))
+        assert granted(room, make_engines("b")) == [9998]
+        large = make_request(1, 8000)._replace(start_in_s=60.0, leave_in_s=60.0)
+        room.add(key(1), large)
+        for number in range(2, 42):
+            clock.tick(BYPASS_LIMIT_S + 0.1)
+            room.add(key(1), large)
+            room.add(key(number), make_request(number))
+            assert granted(room, engines) == [number]
+            assert room.find_engine(key(number)) == "b"
+            room.end(key(number))
+        room.end(place)
+        assert granted(room, engines) == [1]
+        assert room.find_engine(key(1)) == "a"
+
+
 def test_generations_of_silent_nodes_are_dropped() -> None:
     with freezegun.freeze_time("2026-01-01") as clock:
         room, engines = make_room(), make_engines("a")
