Leave a slow keeper time for its own callers while many wait

While generations wait, each node's message made the keeper look at all of them again, up to a hundred times a second. A look at 80 that wait for 30 engines took 2 to 4 ms on the busy build machine, and takes a multiple on a small VM: it would have done little else. A look is now followed by a pause of nine times what it took, 0.1 s at most.

Measured: the new test fails without the change.

--- a/src/savorylift/rooms/keeper.py
+++ b/src/savorylift/rooms/keeper.py
@@ -39,6 +39,10 @@
 STOOD_STILL_S = 0.7
 # Requests and ends that come within this time share a look at the queue.
 DISPATCH_DELAY_S = 0.01
+# A look that takes long is followed by a pause of this multiple of its time,
+# so that a small VM also serves its own callers while many wait.
+PAUSE_PER_LOOK = 9
+MAX_DISPATCH_DELAY_S = 0.1
 MAX_LEASE_S = 120.0
 # A keeper that hears less of the fleet leaves the choice to the nodes.
 MIN_LIVE_SHARE = 0.5
@@ -91,6 +95,8 @@
         self._ran_s = boot_time_s()
         self._knowledge_age_s = 0.0
         self._due: dict[str, asyncio.TimerHandle] = {}
+        # How long the latest look at the waiting generations took.
+        self._look_s = 0.0
 
     def receive(self, message: RoomRequest | RoomEnds, ip: str) -> None:
         """Handles a message from a node."""
@@ -204,19 +210,22 @@
             self._dispatch_soon(service)
 
     def _dispatch_soon(self, service: str) -> None:
-        if service not in self._due and len(self._rooms[service]):
-            self._due[service] = asyncio.get_running_loop().call_later(
-                DISPATCH_DELAY_S, self._dispatch, service
-            )
+        if service in self._due or not len(self._rooms[service]):
+            return
+        pause_s = min(PAUSE_PER_LOOK * self._look_s, MAX_DISPATCH_DELAY_S)
+        self._due[service] = asyncio.get_running_loop().call_later(
+            max(pause_s, DISPATCH_DELAY_S), self._dispatch, service
+        )
 
     def _dispatch(self, service: str) -> None:
         timer = self._due.pop(service, None)
         if timer is not None:
             timer.cancel()
         room = self._rooms.get(service)
-        engines = self._find_engines(service)
         if room is None:
             return
+        begun_s = time.monotonic()
+        engines = self._find_engines(service)
         if engines is None:
             # This node may be the last to hear of the service.
             for decision in room.leave_all_alone():
@@ -227,6 +236,7 @@
         for decision in room.dispatch(engines):
             self._reply(decision.reply, decision.key.ip)
         metrics.ROOM_WAITING.set(sum(map(len, self._rooms.values())))
+        self._look_s = time.monotonic() - begun_s
 
     def _reply(self, reply: RoomReply, ip: str) -> None:
         metrics.ROOM_REPLIES.labels(str(reply.outcome)).inc()
--- a/tests/rooms/test_keeper.py
+++ b/tests/rooms/test_keeper.py
@@ -289,6 +289,35 @@
     run_with_timeout(scenario())
 
 
+def test_looks_leave_a_slow_keeper_time_for_its_own_callers(
+    fleet: Fleet,
+) -> None:
+    """While many wait, each node's message makes it look at them again."""
+
+    async def scenario() -> None:
+        fleet.engines = FULL
+        keeper, look_s, looks = fleet.keeper.keeper, 0.005, 0
+        waiting = asyncio.ensure_future(fleet.other.ask(make_request()))
+        await asyncio.sleep(0.02)
+
+        def look(_service: str) -> Engines:
+            nonlocal looks
+            looks += 1
+            time.sleep(look_s)
+            return FULL
+
+        keeper._find_engines = look
+        begun_s = time.monotonic()
+        while (took_s := time.monotonic() - begun_s) < 0.5:
+            keeper.hear(ip_of(5), ())
+            await asyncio.sleep(0.001)
+        waiting.cancel()
+        assert looks > 1
+        assert looks * look_s < 0.2 * took_s
+
+    run_with_timeout(scenario())
+
+
 class LoneKeeper:
     """The keeper of a fleet in paused time, whose replies are kept."""
 
