Tell the keeper which engines want nothing from the asking node

A pause that an engine asks for is known to the node that it told alone. The keeper granted such an engine, often, since it is the emptiest; the node didn't follow, and placed the generation outside of the order of turns.

Measured: the new test fails without the change.

--- a/src/savorylift/exchange/room_placement.py
+++ b/src/savorylift/exchange/room_placement.py
@@ -67,7 +67,9 @@
         reply = await self._client.ask(
             keeper_ip,
             run.attempt_id,
-            lambda: _make_request(run, wish, tried, begun_s),
+            lambda: _make_request(
+                run, wish, tried.union(self._pool.holds.held_ids), begun_s
+            ),
             has_cold_place,
             wish.leave_s,
         )
@@ -104,7 +106,7 @@
 
 
 def _make_request(
-    run: Run, wish: Wish, tried: set[str], begun_s: float
+    run: Run, wish: Wish, excluded: set[str], begun_s: float
 ) -> RoomRequest:
     admitted, options = run.admitted, wish.options
     parameters, regions = wish.parameters, admitted.regions
@@ -124,7 +126,7 @@
         leave_in_s=wish.leave_s - now_s,
         age_s=now_s - begun_s,
         lease_s=lease_s,
-        excluded=tuple(sorted(tried)),
+        excluded=tuple(sorted(excluded)),
         software_version=admitted.software_version,
         regions=None if regions is None else tuple(sorted(regions)),
     )
--- a/tests/exchange/test_room_placement.py
+++ b/tests/exchange/test_room_placement.py
@@ -113,3 +113,21 @@
         assert server.entry.server_id == "a"
 
     run_with_timeout(scenario())
+
+
+def test_keeper_is_told_which_engines_want_nothing_from_this_node() -> None:
+    """It knows only of those that want nothing from itself."""
+
+    async def scenario() -> None:
+        pool = make_pool(make_store_view(a=9, b=9, c=9))
+        pool.holds.record("b", 5.0)
+        client = FakeClient(RoomReply(1, RoomOutcome.GRANTED, "a"))
+        queue = EngineQueue(pool, RoomPlacement(pool, client))  # type: ignore[arg-type]
+        run = Run(
+            make_admitted_request(make_generation_request(), engine=ENGINE), 100
+        )
+        server = await queue.acquire(run, {"c"})
+        assert server is not None
+        assert client.requests[0].excluded == ("b", "c")
+
+    run_with_timeout(scenario())
