Place a generation alone after a reply of a kind that isn't known

A reply of a later build with an outcome that this one doesn't know ended the generation with a refusal, as if it had waited in vain; so did a grant without an engine.

Measured: two of the new test's four rows fail without the change (an unknown outcome, a grant without an engine).

--- a/src/savorylift/exchange/room_placement.py
+++ b/src/savorylift/exchange/room_placement.py
@@ -93,8 +93,11 @@
             return None
         if reply.outcome == RoomOutcome.REFUSED:
             return RoomResult(None, reply.return_in_s)
-        if reply.server_id is None:
+        if reply.outcome == RoomOutcome.QUEUED:
             return RoomResult(None)
+        if reply.outcome != RoomOutcome.GRANTED or reply.server_id is None:
+            # A later build may say what this one doesn't know.
+            return None
         server = self._pool.reserve_granted_engine(
             run.admitted, wish.options, tried, reply.server_id
         )
--- a/tests/exchange/test_room_placement.py
+++ b/tests/exchange/test_room_placement.py
@@ -131,3 +131,28 @@
         assert client.requests[0].excluded == ("b", "c")
 
     run_with_timeout(scenario())
+
+
+@pytest.mark.parametrize(
+    "reply",
+    [
+        RoomReply(1, "split"),
+        RoomReply(1, "split", "b"),
+        RoomReply(1, RoomOutcome.GRANTED),
+        RoomReply(1, RoomOutcome.GRANTED, "gone"),
+    ],
+)
+def test_node_places_by_itself_after_a_reply_that_says_nothing_to_it(
+    reply: RoomReply,
+) -> None:
+    async def scenario() -> None:
+        pool = make_pool(make_store_view(a=9))
+        queue = EngineQueue(pool, RoomPlacement(pool, FakeClient(reply)))  # type: ignore[arg-type]
+        run = Run(
+            make_admitted_request(make_generation_request(), engine=ENGINE), 100
+        )
+        server = await queue.acquire(run, set())
+        assert server is not None
+        assert server.entry.server_id == "a"
+
+    run_with_timeout(scenario())
