--- a/src/savorylift/exchange/room_placement.py
+++ b/src/savorylift/exchange/room_placement.py
@@ -67,10 +67,14 @@
         reply = await self._client.ask(
             keeper_ip,
             run.attempt_id,
-            lambda: _make_request(run, wish, tried, begun_s),
+            lambda: _make_request(
+                run, wish, tried.union(self._pool.holds.held_ids), begun_s
+            ),
             has_cold_place,
             wish.leave_s,
         )
+        if reply is not None and reply.outcome == RoomOutcome.REFUSED:
+            has_cold_place()
         if cold:
             result: RoomResult | None = RoomResult(cold[0])
         else:
@@ -89,8 +93,11 @@
             return None
         if reply.outcome == RoomOutcome.REFUSED:
             return RoomResult(None, reply.return_in_s)
-        if reply.server_id is None:
+        if reply.outcome == RoomOutcome.QUEUED:
             return RoomResult(None)
+        if reply.outcome != RoomOutcome.GRANTED or reply.server_id is None:
+            # A later build may say what this one doesn't know.
+            return None
         server = self._pool.reserve_granted_engine(
             run.admitted, wish.options, tried, reply.server_id
         )
@@ -102,7 +109,7 @@
 
 
 def _make_request(
-    run: Run, wish: Wish, tried: set[str], begun_s: float
+    run: Run, wish: Wish, excluded: set[str], begun_s: float
 ) -> RoomRequest:
     admitted, options = run.admitted, wish.options
     parameters, regions = wish.parameters, admitted.regions
@@ -122,7 +129,7 @@
         leave_in_s=wish.leave_s - now_s,
         age_s=now_s - begun_s,
         lease_s=lease_s,
-        excluded=tuple(sorted(tried)),
+        excluded=tuple(sorted(excluded)),
         software_version=admitted.software_version,
         regions=None if regions is None else tuple(sorted(regions)),
     )
