--- a/src/savorylift/exchange/room_placement.py
+++ b/src/savorylift/exchange/room_placement.py
@@ -8,6 +8,7 @@
 
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange import metrics
+from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.run import Run
 from savorylift.exchange.server_pool import ServerPool
 from savorylift.exchange.wish import Wish
@@ -70,10 +71,7 @@
             keeper_ip,
             run.attempt_id,
             lambda: _make_request(
-                run,
-                wish,
-                kept.find_excluded(admitted, tried) or frozenset(tried),
-                begun_s,
+                run, wish, self._find_excluded(admitted, tried), begun_s
             ),
             has_cold_place,
             wish.leave_s,
@@ -91,6 +89,13 @@
         """Gives back the place of a run, if a keeper granted one."""
         self._client.end(run.attempt_id)
 
+    def _find_excluded(
+        self, admitted: AdmittedRequest, tried: Collection[str]
+    ) -> frozenset[str]:
+        """Returns the engines that failed it, aren't for it or want a pause."""
+        excluded = self._pool.kept.find_excluded(admitted, tried)
+        return (excluded or frozenset(tried)).union(self._pool.holds.held_ids)
+
     def _follow(
         self, run: Run, wish: Wish, tried: set[str], reply: RoomReply | None
     ) -> RoomResult | None:
@@ -98,8 +103,11 @@
             return None
         if reply.outcome == RoomOutcome.REFUSED:
             return RoomResult(None, reply.return_in_s)
-        if reply.server_id is None:
+        if reply.outcome == RoomOutcome.QUEUED:
             return RoomResult(None)
+        if reply.outcome != RoomOutcome.GRANTED or reply.server_id is None:
+            # A later build may say what this one doesn't know.
+            return None
         server = self._pool.reserve_granted_engine(
             run.admitted, wish.options, tried, reply.server_id
         )
