Take an answer for lost whose head is none of HTTP/1

Cause: h11 takes statuses up to 999, any version, and a length beside chunks. Callers got 600 and 999, plain and streamed, framed or not, at the first send and at a take-up, and from relaying nodes; a server that said "not executed" with such a status was believed, and the store's 600 counted as its refusal.

Change: the one reader of all answers counts and logs such a head and raises what it raises for a broken answer, so that the request may have run.

--- a/src/savorylift/wire/client_call.py
+++ b/src/savorylift/wire/client_call.py
@@ -7,7 +7,10 @@
 import io
 
 import h11
+import structlog
 
+from savorylift.wire import metrics
+from savorylift.wire.answer_head_check import find_answer_fault
 from savorylift.wire.buffer_budget import BufferBudget
 from savorylift.wire.channel import Channel, connect
 from savorylift.wire.coop_budget import CoopBudget
@@ -23,8 +26,11 @@
 MAX_INFORMATIONAL = 8
 # Host of a request from which only its method matters.
 ANY_HOST = [("host", "any")]
+MAX_LOGGED_CHARACTERS = 100
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
+_log = structlog.get_logger()
+
 
 class BrokenAnswerError(Exception):
     """The response ended early, was reset, or is not valid HTTP."""
@@ -77,17 +83,30 @@
         for _ in range(MAX_INFORMATIONAL + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
-                headers = tuple(
-                    (key.decode("ascii"), value.decode("latin-1"))
-                    for key, value in event.headers
-                )
-                head = ResponseHead(event.status_code, headers)
-                is_close_delimited = _is_close_delimited(head, self._method)
-                return head._replace(is_close_delimited=is_close_delimited)
+                return self._decode_head(event)
             if not isinstance(event, h11.InformationalResponse):
                 raise BrokenAnswerError("expected a response head")
         raise BrokenAnswerError("too many informational responses")
 
+    def _decode_head(self, event: h11.Response) -> ResponseHead:
+        """Returns a head that has been read.
+
+        Raises:
+            BrokenAnswerError: It is not one of HTTP/1.
+        """
+        fault = find_answer_fault(event)
+        if fault is not None:
+            version = event.http_version.decode("ascii")
+            self._record_fault(fault, f"{version} {event.status_code}")
+            raise BrokenAnswerError(f"a response head with a wrong {fault}")
+        headers = tuple(
+            (key.decode("ascii"), value.decode("latin-1"))
+            for key, value in event.headers
+        )
+        head = ResponseHead(event.status_code, headers)
+        is_close_delimited = _is_close_delimited(head, self._method)
+        return head._replace(is_close_delimited=is_close_delimited)
+
     async def read_body_chunk(self) -> bytes | None:
         """Returns the next chunk of the body, or None at its end.
 
@@ -149,7 +168,18 @@
         """Closes the connection immediately."""
         self._channel.abort()
 
+    def _record_fault(self, fault: str, detail: str) -> None:
+        """Counts and logs an answer that is none."""
+        metrics.ANSWERS_UNREADABLE.labels(fault).inc()
+        _log.warning(
+            "answer_unreadable",
+            peer=self._channel.peer,
+            fault=fault,
+            detail=detail[:MAX_LOGGED_CHARACTERS],
+        )
+
     async def _next_event(self) -> object:
+        is_ended = False
         while True:
             try:
                 event = self._h11.next_event()
@@ -157,9 +187,12 @@
                     await self._coop_budget.spend()
                     return event
                 data = await self._channel.read()
+                is_ended = not data
                 await self._coop_budget.spend(len(data))
                 self._h11.receive_data(data)
             except h11.RemoteProtocolError as exc:
+                if not is_ended:
+                    self._record_fault("syntax", str(exc))
                 raise BrokenAnswerError(str(exc)) from exc
             except ConnectionError as exc:
                 raise BrokenAnswerError(f"connection reset: {exc}") from exc
--- a/tests/front/test_node_relay.py
+++ b/tests/front/test_node_relay.py
@@ -60,6 +60,14 @@
     conn.respond(404, (), b"")
 
 
+async def answers_with_no_status(conn: ServerConnection, req: Request) -> None:
+    conn.respond(600, RELAYED, b"no answer")
+
+
+async def refuses_with_no_status(conn: ServerConnection, req: Request) -> None:
+    conn.respond(999, RELAY_REFUSED, b"no answer")
+
+
 async def breaks_before_head(conn: ServerConnection, req: Request) -> None:
     conn.channel.abort()
 
@@ -186,8 +194,15 @@
     assert response.header("retry-after") == "0.5"
 
 
-def test_request_that_may_have_run_is_not_handed_on_again() -> None:
-    fleet = Fleet(breaks_before_head, breaks_before_head)
+@pytest.mark.parametrize(
+    "loses",
+    [breaks_before_head, answers_with_no_status, refuses_with_no_status],
+)
+def test_request_that_may_have_run_is_not_handed_on_again(
+    loses: Behaviour,
+) -> None:
+    """A status that there is none of was passed on, or taken for a refusal."""
+    fleet = Fleet(loses, loses)
     response = asyncio.run(fleet.call(RouteKind.ONCE))
     assert isinstance(response, Refused)
     assert response.status == 502
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -75,6 +75,8 @@
         (503, StoreFault.REFUSED),
         (429, StoreFault.REFUSED),
         (410, StoreFault.TRIMMED),
+        (600, StoreFault.UNREACHABLE),
+        (999, StoreFault.UNREACHABLE),
     ],
 )
 def test_error_status_is_mapped_to_fault(
--- a/tests/wire/test_client_call.py
+++ b/tests/wire/test_client_call.py
@@ -65,6 +65,34 @@
         run_with_timeout(fetch_raw(answer))
 
 
+@pytest.mark.parametrize(
+    "status",
+    ["000", "099", "199", "600", "999", "20", "2000", "+20", " 200", ""],
+)
+def test_answer_with_no_status_of_the_protocol_is_none(status: str) -> None:
+    """Answers of 600 and 999 were passed on to callers."""
+    answer = f"HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n"
+    with pytest.raises(BrokenAnswerError):
+        run_with_timeout(fetch_raw(answer.encode()))
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"HTTP/0.9 200 OK\r\n",
+        b"HTTP/2.0 200 OK\r\n",
+        OK + b"Content-Length: 1\r\nContent-Length: 2\r\n",
+        OK + b"Content-Length: 6\r\nTransfer-Encoding: chunked\r\n",
+        OK + b"Transfer-Encoding: chunked, gzip\r\n",
+    ],
+)
+def test_answer_whose_head_contradicts_itself_is_none(head: bytes) -> None:
+    """Answers with a length and chunks, or of other versions, were taken."""
+    body = b"1\r\na\r\n0\r\n\r\n"
+    with pytest.raises(BrokenAnswerError):
+        run_with_timeout(fetch_raw(head + b"\r\n" + body))
+
+
 def test_reset_is_not_taken_for_end_of_body_without_length() -> None:
     async def serve(channel: Channel) -> None:
         # With a linger time of 0, the close sends RST instead of FIN.
