Let the client library take no head for an answer that is none

http.client takes 199, 600, 999, +200, 2_00, blanks before the status and HTTP/0.9 for answers. The status line is now judged as it came, and a head with two lengths is refused.

--- a/src/savorylift/client/connection_pool.py
+++ b/src/savorylift/client/connection_pool.py
@@ -2,33 +2,44 @@
 
 import http.client
 import io
+import re
 from typing import cast
 
 import urllib3
 from urllib3.connection import HTTPConnection, HTTPSConnection
 
 LINE_END = b"\n"
+# Informational but for 100, which is skipped, nodes send none.
+STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] (100|[2-5][0-9]{2})( [^\r\n]*)?\r?\n")
+MAX_SHOWN_BYTES = 40
 
 
 class _HeadReader:
     """Reads the lines of a head; the end of the input is none of the head.
 
     `http.client` takes it for the blank line that ends the headers. A node
-    that stops within a head would seem to have answered without a body.
+    that stops within a head would seem to have answered without a body. Nor
+    does it refuse all statuses and versions that there are none of.
     """
 
     def __init__(self, source: io.BufferedReader) -> None:
         self._source = source
+        self._is_in_head = False
 
     def readline(self, limit: int = -1) -> bytes:
         """Returns the next line, with its end.
 
         Raises:
             http.client.RemoteDisconnected: The input ends before.
+            http.client.BadStatusLine: The status line is none of HTTP/1.
         """
         line = self._source.readline(limit)
         if not line.endswith(LINE_END):
             raise http.client.RemoteDisconnected("the response head is cut off")
+        if not self._is_in_head and not STATUS_LINE.fullmatch(line):
+            raise http.client.BadStatusLine(repr(line[:MAX_SHOWN_BYTES]))
+        # Another status line follows an informational head.
+        self._is_in_head = line.strip() != b""
         return line
 
     def close(self) -> None:
@@ -38,7 +49,12 @@
 
 class _Response(http.client.HTTPResponse):
     def begin(self) -> None:
-        """Reads the head; fails if the connection ends within it."""
+        """Reads the head; fails if the connection ends within it.
+
+        Raises:
+            http.client.HTTPException: The head is none of HTTP/1, or names two
+                lengths of the body.
+        """
         source = self.fp
         self.fp = cast("io.BufferedReader", _HeadReader(source))
         try:
@@ -46,6 +62,9 @@
         finally:
             if self.fp is not None:
                 self.fp = source
+        lengths = self.headers.get_all("content-length", [])
+        if len(lengths) + ("transfer-encoding" in self.headers) > 1:
+            raise http.client.HTTPException("the response has two lengths")
 
 
 class _HttpConnection(HTTPConnection):
--- a/tests/client/test_cut_heads.py
+++ b/tests/client/test_cut_heads.py
@@ -1,4 +1,4 @@
-"""Tests of responses of nodes that stop within their head."""
+"""Tests of responses of nodes whose head is cut off, or none of HTTP/1."""
 
 import json
 import socket
@@ -104,3 +104,40 @@
     items = list(client_of(node).stream("m", "p"))
     tokens = [item.token_index for item in items if isinstance(item, Token)]
     assert tokens == [0, 1]
+
+
+@pytest.mark.parametrize(
+    "status",
+    ["000", "099", "199", "600", "999", "20", "2000", "+200", "2_00", " 200"],
+)
+def test_response_with_no_status_of_the_protocol_is_none(
+    node: CuttingNode, status: str
+) -> None:
+    """The client took 199, 600, 999, +200 and 2_00 for answers."""
+    answer = HEAD.replace(b"200", status.encode(), 1) + ANSWER
+    node.responses = [answer]
+    result = client_of(node).call("crew", "POST", "/book", b"x", timeout_s=0.2)
+    assert isinstance(result, Failure)
+    assert result.failure().ending is Ending.UNKNOWN
+    stream = STREAM_HEAD.replace(b"200", status.encode(), 1)
+    node.responses = [stream + EVENTS, STREAM_HEAD + EVENTS]
+    items = list(client_of(node).stream("m", "p"))
+    assert [i.token_index for i in items if isinstance(i, Token)] == [0, 1]
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        HEAD.replace(b"HTTP/1.1", b"HTTP/0.9"),
+        HEAD.replace(b"Content-Length", b"Content-Length: 1\r\nContent-Length"),
+        HEAD.replace(b"\r\n\r\n", b"\r\nTransfer-Encoding: chunked\r\n\r\n"),
+    ],
+    ids=["version", "two lengths", "length and chunks"],
+)
+def test_response_whose_head_contradicts_itself_is_none(
+    node: CuttingNode, head: bytes
+) -> None:
+    node.responses = [head + ANSWER]
+    result = client_of(node).call("crew", "POST", "/book", b"x", timeout_s=0.2)
+    assert isinstance(result, Failure)
+    assert result.failure().ending is Ending.UNKNOWN
