Count the words of a prompt without a list of them

A list of words of two letters takes 25 times the prompt: 12 callers with prompts of 4 MiB took a node to 148 MB.

--- a/src/savorylift/completions/caller_request.py
+++ b/src/savorylift/completions/caller_request.py
@@ -20,6 +20,8 @@
 COMPLETIONS_PATH = "/v1/completions"
 SERVICES_PATH = "/v1/services/"
 DEFAULT_MAX_TOKENS = 1024
+# Words of a prompt are counted in pieces of it.
+PIECE_CHARACTERS = 65_536
 MAX_TOKENS = 131_072
 SEED_BITS = 31
 # Only the caller of a run can name it.
@@ -148,7 +150,7 @@
             time_left_s=common.time_left_s,
             resume_after=resume_after,
             generation=Generation(
-                len(completion.prompt.split()), completion.max_tokens
+                count_words(completion.prompt), completion.max_tokens
             ),
             headers=(),
             body=msgspec.json.encode(completion),
@@ -166,6 +168,20 @@
     )
 
 
+def count_words(text: str) -> int:
+    """Returns the number of words, without a list of them all.
+
+    Such a list of many short words takes a multiple of the text.
+    """
+    count = 0
+    is_in_word = False
+    for start in range(0, len(text), PIECE_CHARACTERS):
+        piece = text[start : start + PIECE_CHARACTERS]
+        count += len(piece.split()) - (is_in_word and not piece[0].isspace())
+        is_in_word = not piece[-1].isspace()
+    return count
+
+
 def make_run_id(request_id: str, server_id: str) -> str:
     """Returns a new ID for a run of a request at a server."""
     return f"{request_id}.{secrets.token_hex(RUN_ID_BYTES)}.{server_id}"
