Bound what callers' connections take, and close those that behave worst first

Cause: a listener took each connection, up to all descriptors, so that neither servers nor the store could be reached; asyncio accepted 1,024 at once. Uploads that stop or trickle held the memory for bodies until a time-out between two bytes. Many short fields take 20 times their bytes once decoded, and chunk extensions and trailers a megabyte a connection; none of it was counted. An answer that nobody read kept its connection for good. With TLS, asyncio fills 256 KiB a connection at once.

Change: each listener has a part of the descriptors and of the memory. When it is full, connections that are behind are closed (most held for least progress), then idle ones, by a module without a network; never one whose request is served and whose caller waits for answers. Memory of heads counts like that of bodies, and what waits for memory takes it from uploads that are behind. Lines between chunks are bounded like a head, each body in time, an unread answer by the idle time-out.

--- a/src/savorylift/front/caller_parts.py
+++ b/src/savorylift/front/caller_parts.py
@@ -18,6 +18,7 @@
 from savorylift.front.shared_parts import SharedParts
 from savorylift.refusals.counts import RefusalCounts
 from savorylift.refusals.writer import RefusalWriter
+from savorylift.wire import metrics as wire_metrics
 from savorylift.wire.body_admission import BodyAdmission
 from savorylift.wire.body_budget import BodyBudget
 
@@ -75,6 +76,7 @@
         memory_bytes // BODY_MEMORY_DIVISOR,
         copies=shared.interface.body_copies,
         on_held=metrics.BODIES_HELD.inc,
+        on_closed=wire_metrics.UPLOADS_CLOSED.inc,
     )
     return BodyAdmission(
         budget,
--- a/src/savorylift/front/caller_sink.py
+++ b/src/savorylift/front/caller_sink.py
@@ -41,7 +41,7 @@
     async def send(self, data: bytes) -> None:
         """Sends a chunk of the body; waits if the caller reads too slowly."""
         self._conn.send_body(data)
-        await self._conn.channel.drain()
+        await self._conn.drain()
 
     def finish(self) -> None:
         """Marks the stream as complete."""
--- a/src/savorylift/front/listeners.py
+++ b/src/savorylift/front/listeners.py
@@ -2,14 +2,20 @@
 
 from collections.abc import Awaitable, Callable
 
-from savorylift.front.caller_parts import CallerParts
+from savorylift.front.caller_parts import BYTES_PER_MB, CallerParts
+from savorylift.front.connection_shares import (
+    most_descriptors,
+    share_connections,
+)
 from savorylift.front.operator_handler import operator_handler
 from savorylift.front.peer_handler import peer_connection_handler
 from savorylift.front.shared_parts import SharedParts
 from savorylift.front.state_reporter import StateReporter
 from savorylift.platform.directory import directory_handler, readiness_handler
 from savorylift.tls import server_context
+from savorylift.wire import metrics
 from savorylift.wire.address import split_address
+from savorylift.wire.connection_limit import ConnectionLimit
 from savorylift.wire.listener import Listener, connection_handler
 from savorylift.wire.message import Request, Response
 from savorylift.wire.request_input import InputLimits
@@ -49,8 +55,16 @@
         self._callers = callers
         self._reporter = reporter
         self._serve_snapshots = serve_snapshots
+        self._shares = share_connections(
+            most_descriptors(self._settings.descriptors),
+            self._settings.memory_mb * BYTES_PER_MB,
+            has_tls=self._settings.caller_tls is not None,
+        )
         self._caller_listener = Listener(
-            callers.handler.serve, self._input_limits, callers.admission
+            callers.handler.serve,
+            self._input_limits,
+            callers.admission,
+            _limit("callers", self._shares.callers),
         )
         self._caller_tls = server_context(self._settings.caller_tls)
 
@@ -62,12 +76,22 @@
         """
         await self._listen_to_nodes()
         directory = directory_handler(self._callers.directory.resolve)
-        await self._listen_http(self._settings.directory_listen, directory)
+        await self._listen_http(
+            self._settings.directory_listen,
+            directory,
+            _limit("directory", self._shares.directory),
+        )
         readiness = readiness_handler(lambda: self._reporter.is_ready)
-        await self._listen_http(self._settings.readiness_listen, readiness)
+        await self._listen_http(
+            self._settings.readiness_listen,
+            readiness,
+            _limit("readiness", self._shares.readiness),
+        )
         metrics_address = f"{self._ip}:{self._settings.metrics_port}"
         await self._listen_http(
-            metrics_address, operator_handler(self._reporter.status)
+            metrics_address,
+            operator_handler(self._reporter.status),
+            _limit("metrics", self._shares.metrics),
         )
         await self._caller_listener.start(
             *split_address(self._settings.caller_listen), self._caller_tls
@@ -87,12 +111,21 @@
             self._callers.handler.serve_relayed,
             self._callers.handler.refuse_unreadable,
         )
-        listener = Listener(handler, self._peer_limits, self._callers.admission)
+        listener = Listener(
+            handler,
+            self._peer_limits,
+            self._callers.admission,
+            _limit("nodes", self._shares.nodes),
+        )
         await listener.start(self._ip, self._settings.peer_port)
 
-    async def _listen_http(self, address: str, handle: HttpHandler) -> None:
+    async def _listen_http(
+        self, address: str, handle: HttpHandler, limit: ConnectionLimit
+    ) -> None:
         handler = connection_handler(handle)
-        listener = Listener(handler, InputLimits, self._callers.admission)
+        listener = Listener(
+            handler, InputLimits, self._callers.admission, limit
+        )
         await listener.start(*split_address(address))
 
     def _input_limits(self) -> InputLimits:
@@ -104,3 +137,12 @@
         limits = self._input_limits()
         max_head_bytes = limits.max_head_bytes + RELAY_HEAD_BYTES
         return limits._replace(max_head_bytes=max_head_bytes)
+
+
+def _limit(listener: str, max_open: int) -> ConnectionLimit:
+    """Returns the limit of a listener, which counts what it closes."""
+
+    def count(reason: str) -> None:
+        metrics.CONNECTIONS_CLOSED.labels(listener, reason).inc()
+
+    return ConnectionLimit(max_open, count)
--- a/src/savorylift/front/relayed_answer.py
+++ b/src/savorylift/front/relayed_answer.py
@@ -80,7 +80,7 @@
     )
     while (chunk := await call.read_body_chunk()) is not None:
         conn.send_body(chunk)
-        await conn.channel.drain()
+        await conn.drain()
     conn.end_response()
     return Passed(head.status)
 
--- a/src/savorylift/wire/body_budget.py
+++ b/src/savorylift/wire/body_budget.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from savorylift.wire.progress import Progress, behind_first
+
 # Bodies up to this size have a part of the budget for themselves, so that they
 # never wait for large ones.
 SMALL_BODY_BYTES = 65_536
@@ -17,6 +19,8 @@
 # Most that the buffers of a connection hold of a body that waits: the system's
 # and those of `Channel`.
 WAITING_BODY_BYTES = 262_144
+# That of connections that are never closed for others.
+NEVER_BEHIND = Progress()
 
 
 class BodyLease:
@@ -25,14 +29,32 @@
     Attributes:
         small: Bytes of the part for small bodies.
         large: Bytes of the rest.
+        progress: How far the connection has come.
+        abort: Closes it.
     """
 
-    __slots__ = ("large", "small")
+    __slots__ = ("abort", "large", "progress", "small")
+
+    def __init__(
+        self,
+        progress: Progress = NEVER_BEHIND,
+        abort: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Creates a lease without bytes.
 
-    def __init__(self) -> None:
-        """Creates a lease without bytes."""
+        Args:
+            progress: How far the connection has come.
+            abort: Closes it.
+        """
         self.small = 0
         self.large = 0
+        self.progress = progress
+        self.abort = abort
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that it has."""
+        return self.small + self.large
 
     @property
     def is_used(self) -> bool:
@@ -67,6 +89,7 @@
         *,
         copies: int = 1,
         on_held: Callable[[], None] = lambda: None,
+        on_closed: Callable[[], None] = lambda: None,
     ) -> None:
         """Creates a budget of which nothing is in use.
 
@@ -74,10 +97,15 @@
             max_bytes: Size of the budget.
             copies: How often each body is in memory while it is served.
             on_held: Called for each body that waits.
+            on_closed: Called for each connection that is closed as its caller
+                sends too slowly.
         """
         reserve = max_bytes // RESERVE_DIVISOR
         self._copies = copies
         self._on_held = on_held
+        self._on_closed = on_closed
+        # Leases with bytes, of connections that may be closed for others.
+        self._held: set[BodyLease] = set()
         self._max_large = max_bytes - reserve
         self._large = 0
         self._max_small = reserve
@@ -107,6 +135,9 @@
             size: Size of the body, or of the rest of it.
             max_wait_s: How long to wait for them.
         """
+        if self.take_now(lease, size):
+            return True
+        self._reclaim(size * self._copies)
         if self.take_now(lease, size):
             return True
         buffered = min(size, WAITING_BODY_BYTES)
@@ -129,13 +160,21 @@
                 self._admit_waiting()
         return granted.done() and not granted.cancelled()
 
+    def _reclaim(self, wanted: int) -> None:
+        """Closes connections that are behind, until so much becomes free."""
+        for lease in behind_first(self._held):
+            if wanted <= 0:
+                return
+            wanted -= lease.held_bytes
+            self._held.discard(lease)
+            self._on_closed()
+            lease.abort()
+
     def take_now(self, lease: BodyLease, size: int) -> bool:
         """Takes bytes that are free; returns whether so many were."""
         needed = size * self._copies
         is_small = size <= SMALL_BODY_BYTES
-        if is_small and self._small + needed <= self._max_small:
-            self._small += needed
-            lease.small += needed
+        if is_small and self._take_small(lease, needed):
             return True
         return not self._queue and self._take_large(lease, needed)
 
@@ -147,6 +186,7 @@
 
     def release(self, lease: BodyLease) -> None:
         """Frees all that a lease has."""
+        self._held.discard(lease)
         if self._unread.pop(lease, None) is not None:
             self._unread_bytes -= lease.large
         self._free(lease, 0, 0)
@@ -179,8 +219,10 @@
 
     def _free(self, lease: BodyLease, small: int, large: int) -> None:
         """Frees what a lease has above two amounts."""
-        self._small -= lease.small - small
-        lease.small = small
+        if lease.small != small:
+            self._small -= lease.small - small
+            lease.small = small
+            self._admit_waiting_small()
         if lease.large != large:
             self._large -= lease.large - large
             lease.large = large
@@ -192,8 +234,27 @@
             return False
         self._large += taken
         lease.large += taken
+        self._held.add(lease)
         return True
 
+    def _take_small(self, lease: BodyLease, size: int) -> bool:
+        if self._small + size > self._max_small:
+            return False
+        self._small += size
+        lease.small += size
+        self._held.add(lease)
+        return True
+
+    def _admit_waiting_small(self) -> None:
+        """Admits small bodies; they don't wait for large ones before them."""
+        for waiter in self._queue:
+            is_small = waiter.size <= SMALL_BODY_BYTES * self._copies
+            if not is_small or waiter.granted.done():
+                continue
+            if not self._take_small(waiter.lease, waiter.size):
+                return
+            waiter.granted.set_result(None)
+
     def _admit_waiting(self) -> None:
         while self._queue:
             waiter = self._queue[0]
--- a/src/savorylift/wire/body_reader.py
+++ b/src/savorylift/wire/body_reader.py
@@ -15,22 +15,24 @@
     ConnectionInput,
 )
 from savorylift.wire.message import Headers
-from savorylift.wire.request_input import BadRequest, CloseReason, InputLimits
+from savorylift.wire.progress import MIN_BYTES_PER_S, Phase, Progress
+from savorylift.wire.request_input import (
+    NO_MEMORY,
+    BadRequest,
+    CloseReason,
+    InputLimits,
+)
 
 # How long a body waits until there is memory for it, and the share of the time
 # that its caller has left which this may take.
 MAX_BODY_WAIT_S = 0.7
 BODY_WAIT_SHARE = 0.2
-# When to come back if there is none. The wait has shown that bodies are served
-# more slowly than they come.
-BODY_RETRY_S = 0.5
-# Longest time for a body that holds much memory if its caller names none.
-MAX_LARGE_BODY_S = 60.0
-NO_MEMORY = BadRequest(
-    503,
-    "This node holds as many bodies as it can; the request did not run.",
-    BODY_RETRY_S,
-)
+# Longest time for a body, beside what it takes at the lowest rate.
+MAX_BODY_S = 60.0
+# Heads that take more memory than this wait for it, like bodies.
+SMALL_HEAD_BYTES = 16_384
+# What a field of a head takes at most beside its bytes.
+FIELD_BYTES = 400
 
 _log = structlog.get_logger()
 
@@ -43,6 +45,7 @@
         source: ConnectionInput,
         parser: h11.Connection,
         admission: BodyAdmission,
+        progress: Progress,
     ) -> None:
         """Creates a reader that holds no memory.
 
@@ -50,24 +53,48 @@
             source: Where the body comes from.
             parser: Parses the request.
             admission: Decides when the body may be read.
+            progress: Told how far the body has come.
         """
         self._source = source
         self._parser = parser
         self._admission = admission
-        self._lease = BodyLease()
+        self._progress = progress
+        self._lease = BodyLease(progress, source.channel.abort)
+        self._head_bytes = 0
 
     def release(self) -> None:
-        """Declares that nothing refers to the body."""
+        """Declares that nothing refers to the request."""
         if self._lease.is_used:
             self._admission.budget.release(self._lease)
 
+    def take_for_head_now(self, size: int) -> bool:
+        """Takes memory for a head; returns whether so much is free."""
+        if not self._admission.budget.take_now(self._lease, size):
+            return False
+        self._head_bytes = size
+        return True
+
+    async def take_for_head(self, head: bytes) -> bool:
+        """Takes what a head holds once it is decoded; waits for it briefly.
+
+        Returns whether there is so much: many short fields take much more than
+        their bytes.
+        """
+        size = len(head) + FIELD_BYTES * head.count(b"\r\n")
+        wanted = size - self._head_bytes
+        if size <= SMALL_HEAD_BYTES or wanted <= 0:
+            return True
+        self._head_bytes = size
+        budget = self._admission.budget
+        return await budget.take(self._lease, wanted, MAX_BODY_WAIT_S)
+
     async def read(
-        self, head: h11.Request, headers: Headers, limits: InputLimits
+        self, length: int | None, headers: Headers, limits: InputLimits
     ) -> bytes | BadRequest | CloseReason:
         """Returns the body, or why it can't be read.
 
         Args:
-            head: Head of the request.
+            length: Length of the body; None if it comes in chunks.
             headers: Its headers, decoded.
             limits: Limits for the request.
 
@@ -76,19 +103,19 @@
             TimeoutError: The body took too long.
             h11.RemoteProtocolError: The body is malformed.
         """
-        length = _body_length(head)
+        if not length and length is not None:
+            return await self._receive(0, headers, limits)
         if length is not None and length > limits.max_body_bytes:
             return BadRequest(413, "the request body is too large")
         # A body in chunks takes more once it turns out to be large.
         size = SMALL_BODY_BYTES if length is None else length
-        if (
-            size
-            and not self._admission.budget.take_now(self._lease, size)
-            and not await self._wait_for_memory(size, headers)
-        ):
+        if not self._admission.budget.take_now(
+            self._lease, size
+        ) and not await self._wait_for_memory(size, headers):
             return NO_MEMORY
         if self._parser.they_are_waiting_for_100_continue:
             self._send_continue()
+        self._progress.enter(Phase.BODY)
         if length is not None and length <= SMALL_BODY_BYTES:
             return await self._receive(length, headers, limits)
         return await self._receive_large(length, headers, limits)
@@ -96,17 +123,24 @@
     async def _receive_large(
         self, length: int | None, headers: Headers, limits: InputLimits
     ) -> bytes | BadRequest | CloseReason:
-        """Reads a body that may be large, for as long as its caller waits."""
-        time_left_s = self._admission.decode_time_left(headers)
-        if time_left_s is None:
-            time_left_s = MAX_LARGE_BODY_S
+        """Reads a body that may be large, with a larger buffer."""
         self._source.channel.limit_input(MAX_READ_BUFFER_BYTES)
         try:
-            async with asyncio.timeout(time_left_s):
-                return await self._receive(length, headers, limits)
+            return await self._receive(length, headers, limits)
         finally:
             self._source.channel.limit_input(MAX_HEAD_BUFFER_BYTES)
 
+    def _latest_end_s(
+        self, length: int | None, headers: Headers, limits: InputLimits
+    ) -> float:
+        """Returns until when a body may be read, as a monotonic time."""
+        size = limits.max_body_bytes if length is None else length
+        longest_s = MAX_BODY_S + size / MIN_BYTES_PER_S
+        time_left_s = self._admission.decode_time_left(headers)
+        if time_left_s is not None:
+            longest_s = min(longest_s, time_left_s)
+        return time.monotonic() + longest_s
+
     async def _receive(
         self, length: int | None, headers: Headers, limits: InputLimits
     ) -> bytes | BadRequest | CloseReason:
@@ -115,12 +149,15 @@
         if unparsed:
             self._parser.receive_data(unparsed)
         is_reserved = length is not None
+        end_s: float | None = None
         while True:
             await self._source.coop_budget.spend()
             event = self._parser.next_event()
             if isinstance(event, h11.EndOfMessage):
                 if length is None:
-                    self._admission.budget.shrink(self._lease, body.tell())
+                    self._admission.budget.shrink(
+                        self._lease, self._head_bytes + body.tell()
+                    )
                 return body.getvalue()
             if isinstance(event, h11.Data):
                 total = body.tell() + len(event.data)
@@ -133,10 +170,14 @@
                         return NO_MEMORY
                 body.write(event.data)
             elif event is h11.NEED_DATA:
-                async with asyncio.timeout(limits.idle_timeout_s):
+                if end_s is None:
+                    end_s = self._latest_end_s(length, headers, limits)
+                wait_s = min(limits.idle_timeout_s, end_s - time.monotonic())
+                async with asyncio.timeout(wait_s):
                     data = await self._source.channel.read()
                 if not data:
                     return CloseReason.ENDED
+                self._progress.moved_bytes += len(data)
                 await self._source.coop_budget.spend(len(data))
                 self._parser.receive_data(data)
             else:
@@ -181,13 +222,3 @@
         body.write(b"\0")
         body.seek(0)
     return body
-
-
-def _body_length(head: h11.Request) -> int | None:
-    """Returns the length of a body; None if it comes in chunks."""
-    for name, value in head.headers:
-        if name == b"content-length":
-            return int(value)
-        if name == b"transfer-encoding":
-            return None
-    return 0
--- a/src/savorylift/wire/channel.py
+++ b/src/savorylift/wire/channel.py
@@ -97,6 +97,11 @@
         """Whether bytes have arrived that were not read yet."""
         return bool(self._read_buffer)
 
+    @property
+    def unread_bytes(self) -> int:
+        """Number of bytes that have arrived and were not read yet."""
+        return len(self._read_buffer)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keeps the transport and disables Nagle's algorithm."""
         self._transport = cast("asyncio.Transport", transport)
@@ -189,6 +194,11 @@
         """Number of bytes queued that the system has yet to take."""
         return self._output.unsent_bytes
 
+    @property
+    def is_writable(self) -> bool:
+        """Whether the send buffer is below its high-water mark."""
+        return self._writable.is_set()
+
     async def drain(self) -> None:
         """Waits until the send buffer is below its low-water mark."""
         await self._writable.wait()
--- a/src/savorylift/wire/connection_input.py
+++ b/src/savorylift/wire/connection_input.py
@@ -1,11 +1,12 @@
 """What a connection has received and no request has used yet."""
 
 import asyncio
+from collections.abc import Callable
 
 from savorylift.wire.channel import Channel
 from savorylift.wire.coop_budget import CoopBudget
 from savorylift.wire.head_check import HEAD_END
-from savorylift.wire.request_input import BadRequest, CloseReason
+from savorylift.wire.request_input import NO_MEMORY, BadRequest, CloseReason
 
 # Input that a connection buffers while no large body is being read.
 MAX_HEAD_BUFFER_BYTES = 16_384
@@ -26,6 +27,11 @@
         self.coop_budget = CoopBudget()
         self._unparsed = bytearray()
 
+    @property
+    def size(self) -> int:
+        """Bytes that were received and no request has used."""
+        return len(self._unparsed) + self.channel.unread_bytes
+
     async def wait(self, timeout_s: float) -> bool:
         """Waits for input; returns whether there is any."""
         if self._unparsed:
@@ -38,10 +44,16 @@
         return bool(self._unparsed)
 
     async def read_head(
-        self, max_bytes: int
+        self, max_bytes: int, reserve: Callable[[int], bool]
     ) -> bytes | BadRequest | CloseReason:
-        """Returns the next request head, or why there is none."""
+        """Returns the next request head, or why there is none.
+
+        Args:
+            max_bytes: Size of the largest head.
+            reserve: Takes memory for a large one; returns whether it is free.
+        """
         searched = 0
+        is_reserved = False
         while True:
             # Empty lines before the request line are ignored (RFC 9112, 2.2).
             while self._unparsed.startswith(b"\r\n"):
@@ -56,6 +68,10 @@
                 head = bytes(self._unparsed[: end + len(HEAD_END)])
                 del self._unparsed[: len(head)]
                 return head
+            if not is_reserved and searched > MAX_HEAD_BUFFER_BYTES:
+                is_reserved = True
+                if not reserve(max_bytes):
+                    return NO_MEMORY
             try:
                 data = await self.read_more()
             except ConnectionError:
--- /dev/null
+++ b/src/savorylift/wire/connection_limit.py
@@ -0,0 +1,119 @@
+"""Bounds the connections of one listener, and chooses which are closed.
+
+Answers crowds of connections: a process without descriptors reaches neither
+servers nor the store, and each connection takes memory.
+"""
+
+import collections
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+from savorylift.wire.progress import Phase, Progress, behind_first
+
+# Connections are closed in batches, and looked through only so often.
+VICTIMS_DIVISOR = 16
+MIN_SEARCH_INTERVAL_S = 0.1
+
+
+class LimitedConnection(Protocol):
+    """A connection that can be closed for the sake of others."""
+
+    @property
+    def progress(self) -> Progress:
+        """How far it has come."""
+        ...
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that it holds."""
+        ...
+
+    @property
+    def address(self) -> str:
+        """Address of the host that has opened it."""
+        ...
+
+    def abort(self) -> None:
+        """Closes it at once."""
+        ...
+
+
+class ConnectionLimit:
+    """Most connections of a listener.
+
+    Connections whose caller is behind are closed first, then those that were
+    without a request for a while; among these, those of the address with the
+    most, and the oldest. No other one is closed: a new one is refused instead.
+    """
+
+    def __init__(
+        self,
+        max_open: int,
+        count: Callable[[str], None] = lambda _reason: None,
+    ) -> None:
+        """Creates a limit without connections.
+
+        Args:
+            max_open: Most connections.
+            count: Called for each that is closed or refused, with why.
+        """
+        self._max_open = max_open
+        self._count = count
+        self._opening = 0
+        self._open: set[LimitedConnection] = set()
+        self._search_at_s = 0.0
+
+    @property
+    def size(self) -> int:
+        """Number of connections that are open or being opened."""
+        return self._opening + len(self._open)
+
+    def begin(self) -> bool:
+        """Counts a connection that is being opened, if there is room for it."""
+        if self.size >= self._max_open:
+            self._make_room()
+        if self.size >= self._max_open:
+            self._count("refused")
+            return False
+        self._opening += 1
+        return True
+
+    def fail(self) -> None:
+        """Declares that a connection was not opened."""
+        self._opening -= 1
+
+    def add(self, conn: LimitedConnection) -> None:
+        """Counts a connection as open that was being opened."""
+        self._opening -= 1
+        self._open.add(conn)
+
+    def remove(self, conn: LimitedConnection) -> None:
+        """Counts a connection no more."""
+        self._open.discard(conn)
+
+    def _make_room(self) -> None:
+        now_s = time.monotonic()
+        if now_s < self._search_at_s:
+            return
+        self._search_at_s = now_s + MIN_SEARCH_INTERVAL_S
+        wanted = self._max_open // VICTIMS_DIVISOR + 1
+        behind = list(behind_first(self._open))[:wanted]
+        idle = self._idle_first(now_s)[: wanted - len(behind)]
+        for conn in behind:
+            self._close(conn, conn.progress.phase.name.lower())
+        for conn in idle:
+            self._close(conn, Phase.IDLE.name.lower())
+
+    def _idle_first(self, now_s: float) -> list[LimitedConnection]:
+        """Returns those without a request, of the address with most first."""
+        counts = collections.Counter(conn.address for conn in self._open)
+        idle = [c for c in self._open if c.progress.is_idle(now_s)]
+        return sorted(
+            idle, key=lambda c: (-counts[c.address], c.progress.since_s)
+        )
+
+    def _close(self, conn: LimitedConnection, reason: str) -> None:
+        self._count(reason)
+        self._open.discard(conn)
+        conn.abort()
--- a/src/savorylift/wire/listener.py
+++ b/src/savorylift/wire/listener.py
@@ -3,14 +3,17 @@
 import asyncio
 import contextlib
 import socket
+import sys
 import time
 from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
 import structlog
 
+from savorylift.wire.acceptor import Acceptor
 from savorylift.wire.body_admission import UNBOUNDED, BodyAdmission
 from savorylift.wire.channel import Channel
+from savorylift.wire.connection_limit import ConnectionLimit
 from savorylift.wire.input_timeout import InputTimeout
 from savorylift.wire.message import Headers, Request, Response
 from savorylift.wire.request_input import BadRequest, CloseReason, InputLimits
@@ -19,9 +22,8 @@
 if TYPE_CHECKING:
     import ssl
 
-BACKLOG = 1024
-# Connections that asyncio has accepted are open after this time.
-ACCEPT_S = 0.05
+# For how long connections are accepted at the end, and then opened.
+LAST_ACCEPT_S = 0.05
 
 _log = structlog.get_logger()
 
@@ -34,6 +36,7 @@
         serve: Callable[[ServerConnection], Awaitable[None]],
         get_limits: Callable[[], InputLimits],
         admission: BodyAdmission = UNBOUNDED,
+        limit: ConnectionLimit | None = None,
     ) -> None:
         """Runs `serve` in a task for each connection.
 
@@ -41,35 +44,32 @@
             serve: Serves one connection until it ends.
             get_limits: Returns the current limits, for each request.
             admission: Decides when a body may be read.
+            limit: Bounds the connections; None for no bound.
         """
         self._admission = admission
         self._serve = serve
         self._get_limits = get_limits
-        self._server: asyncio.Server | None = None
-        self._socket: socket.socket | None = None
+        self._limit = limit or ConnectionLimit(sys.maxsize)
+        self._acceptor = Acceptor(self._open)
         self._tls: ssl.SSLContext | None = None
+        self._opening: set[asyncio.Task[None]] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._conns: set[ServerConnection] = set()
 
     async def start(
         self, host: str, port: int, tls: "ssl.SSLContext | None" = None
     ) -> None:
-        """Starts to accept connections; uses TLS if a context is given."""
-        loop = asyncio.get_running_loop()
+        """Starts to accept connections; uses TLS if a context is given.
+
+        Raises:
+            OSError: The address is in use.
+        """
         self._tls = tls
-        self._socket = socket.create_server((host, port), backlog=BACKLOG)
-        self._socket.setblocking(False)
-        self._server = await loop.create_server(
-            lambda: Channel(self._accept),
-            sock=self._socket,
-            backlog=BACKLOG,
-            ssl=tls,
-        )
+        self._acceptor.start(host, port)
 
     def stop_accepting(self) -> None:
         """Closes the listening socket; open connections stay open."""
-        if self._server is not None:
-            self._server.close()
+        self._acceptor.stop()
 
     def close_after_response(self) -> None:
         """Makes each open connection close after its next response."""
@@ -82,14 +82,12 @@
         Args:
             timeout_s: Time after which the others are closed, too.
         """
-        if self._socket is not None:
-            # Connections that asyncio has accepted are lost if its server is
-            # closed before they are open.
-            asyncio.get_running_loop().remove_reader(self._socket)
-            await asyncio.sleep(ACCEPT_S)
-        pending = self._accept_pending()
+        await asyncio.sleep(LAST_ACCEPT_S)
         self.stop_accepting()
-        await asyncio.gather(*map(self._open_channel, pending))
+        if self._opening:
+            with contextlib.suppress(TimeoutError):
+                async with InputTimeout(LAST_ACCEPT_S):
+                    await asyncio.wait(self._opening)
         end_s = time.monotonic() + timeout_s
         while self._tasks and time.monotonic() < end_s:
             wait_s = max(end_s - time.monotonic(), 0.0)
@@ -99,35 +97,41 @@
     def close(self) -> None:
         """Stops accepting and closes all connections."""
         self.stop_accepting()
-        for task in list(self._tasks):
+        for task in [*self._opening, *self._tasks]:
             task.cancel()
 
-    def _accept_pending(self) -> list[socket.socket]:
-        """Accepts connections that would be reset with the listening socket."""
-        accepted: list[socket.socket] = []
-        if self._socket is None:
-            return accepted
-        with contextlib.suppress(OSError):
-            while len(accepted) < BACKLOG:
-                conn, _ = self._socket.accept()
-                accepted.append(conn)
-        return accepted
-
-    async def _open_channel(self, conn: socket.socket) -> None:
+    def _open(self, sock: socket.socket) -> None:
+        """Serves a connection that was accepted, if there may be one more."""
+        if not self._limit.begin():
+            sock.close()
+            return
+        task = asyncio.get_running_loop().create_task(self._open_channel(sock))
+        self._opening.add(task)
+        task.add_done_callback(self._opening.discard)
+
+    async def _open_channel(self, sock: socket.socket) -> None:
         loop = asyncio.get_running_loop()
-        with contextlib.suppress(OSError):
-            async with InputTimeout(ACCEPT_S):
-                await loop.connect_accepted_socket(
-                    lambda: Channel(self._accept), conn, ssl=self._tls
+        timeout_s = self._get_limits().head_timeout_s if self._tls else None
+        channel: Channel | None = None
+        try:
+            with contextlib.suppress(OSError):
+                _, channel = await loop.connect_accepted_socket(
+                    Channel,
+                    sock,
+                    ssl=self._tls,
+                    ssl_handshake_timeout=timeout_s,
                 )
-
-    def _accept(self, channel: Channel) -> None:
+        finally:
+            if channel is None:
+                self._limit.fail()
+                sock.close()
+        if channel is None:
+            return
         conn = ServerConnection(channel, self._get_limits, self._admission)
-        task = asyncio.get_running_loop().create_task(
-            self._serve_connection(conn)
-        )
-        self._tasks.add(task)
+        self._limit.add(conn)
         self._conns.add(conn)
+        task = loop.create_task(self._serve_connection(conn))
+        self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def _serve_connection(self, conn: ServerConnection) -> None:
@@ -138,6 +142,7 @@
             conn.channel.abort()
         finally:
             self._conns.discard(conn)
+            self._limit.remove(conn)
             conn.release_all()
             conn.channel.close()
 
--- a/src/savorylift/wire/metrics.py
+++ b/src/savorylift/wire/metrics.py
@@ -8,3 +8,21 @@
     " wrong with it.",
     ["fault"],
 )
+ACCEPTS_PAUSED = Counter(
+    "savorylift_wire_accepts_paused",
+    "Times that no connection was accepted, as there was no descriptor.",
+)
+CONNECTIONS_CLOSED = Counter(
+    "savorylift_wire_connections_closed",
+    "Connections closed or refused for the sake of others, by listener and by"
+    " what they waited for.",
+    ["listener", "reason"],
+)
+UPLOADS_CLOSED = Counter(
+    "savorylift_wire_uploads_closed",
+    "Connections closed since their body came too slowly for the memory left.",
+)
+ANSWERS_UNREAD = Counter(
+    "savorylift_wire_answers_unread",
+    "Connections closed since nothing of an answer was read for the idle time.",
+)
--- a/src/savorylift/wire/request_input.py
+++ b/src/savorylift/wire/request_input.py
@@ -40,3 +40,13 @@
     status: int
     message: str
     retry_after_s: float | None = None
+
+
+# When to come back to a node without memory. The wait before has shown that
+# bodies are served more slowly than they come.
+MEMORY_RETRY_S = 0.5
+NO_MEMORY = BadRequest(
+    503,
+    "This node holds as many bodies as it can; the request did not run.",
+    MEMORY_RETRY_S,
+)
--- a/src/savorylift/wire/server_connection.py
+++ b/src/savorylift/wire/server_connection.py
@@ -6,19 +6,23 @@
 
 import h11
 
+from savorylift.wire import metrics
 from savorylift.wire.body_admission import UNBOUNDED, BodyAdmission
 from savorylift.wire.body_reader import BodyReader
 from savorylift.wire.channel import Channel
 from savorylift.wire.connection_input import ConnectionInput
 from savorylift.wire.head_check import find_head_error
 from savorylift.wire.message import Headers, Request
-from savorylift.wire.request_input import BadRequest, CloseReason, InputLimits
+from savorylift.wire.progress import Phase, Progress
+from savorylift.wire.request_head import body_length, decode_headers
+from savorylift.wire.request_input import (
+    NO_MEMORY,
+    BadRequest,
+    CloseReason,
+    InputLimits,
+)
 from savorylift.wire.server_response import ServerResponse
 
-# Limit of h11 for an incomplete head; that of `InputLimits` is normally lower
-# and applies first.
-H11_MAX_EVENT_BYTES = 1_048_576
-
 
 class ServerConnection:
     """Reads requests one at a time and writes their responses.
@@ -45,17 +49,22 @@
         self._get_limits = get_limits
         self._admission = admission
         self._input = ConnectionInput(channel)
+        self._progress = Progress()
+        self._unsent_bytes = 0
         self._begin_exchange()
         self.is_closing = False
 
     def _begin_exchange(self) -> None:
         """Replaces all that belongs to one request and its response."""
         # A parser that is used again would keep what it returned, too.
+        # Heads are whole when it gets them: this bounds what stands between
+        # chunks and after them.
         self._parser = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=H11_MAX_EVENT_BYTES
+            h11.SERVER,
+            max_incomplete_event_size=self._get_limits().max_head_bytes,
         )
         self._body_reader = BodyReader(
-            self._input, self._parser, self._admission
+            self._input, self._parser, self._admission, self._progress
         )
         self._response = ServerResponse(
             self._channel, self._parser, self._admission
@@ -66,6 +75,28 @@
         """The underlying connection."""
         return self._channel
 
+    @property
+    def address(self) -> str:
+        """Address of the host that has opened the connection."""
+        return self._channel.peer.rpartition(":")[0]
+
+    @property
+    def held_bytes(self) -> int:
+        """Bytes that came and no request has used, or that are yet unread."""
+        return self._input.size + self._channel.unsent_bytes
+
+    @property
+    def progress(self) -> Progress:
+        """How far the exchange has come."""
+        if self._progress.phase is Phase.ANSWER:
+            unsent = self._channel.unsent_bytes
+            self._progress.moved_bytes = self._unsent_bytes - unsent
+        return self._progress
+
+    def abort(self) -> None:
+        """Closes the connection at once."""
+        self._channel.abort()
+
     @property
     def awaits_response(self) -> bool:
         """Whether a request was read whose response has not started."""
@@ -86,11 +117,9 @@
         self._response.added_headers = headers
 
     async def next_request(self) -> Request | BadRequest | CloseReason:
-        """Returns the next request, or why there is none that can be served.
-
-        Its body counts as held until `release_body`.
-        """
+        """Returns the next request, held until `release_body`, or why not."""
         self.release_body()
+        self._progress.enter(Phase.IDLE)
         is_read = False
         try:
             req = await self._read_request()
@@ -98,6 +127,7 @@
         finally:
             if not is_read:
                 self.release_body()
+        self._progress.enter(Phase.SERVED)
         return req
 
     def release_body(self) -> None:
@@ -105,7 +135,7 @@
         self._body_reader.release()
 
     def release_all(self) -> None:
-        """Declares that the last request and its response have ended."""
+        """Declares that a request and its response have ended."""
         self.release_body()
         self._response.release()
 
@@ -120,13 +150,19 @@
                 else CloseReason.IDLE
             )
         arrived_s = time.monotonic()
+        self._progress.enter(Phase.HEAD)
+        reader = self._body_reader
         try:
             async with asyncio.timeout(limits.head_timeout_s):
-                head = await self._input.read_head(limits.max_head_bytes)
+                head = await self._input.read_head(
+                    limits.max_head_bytes, reader.take_for_head_now
+                )
         except TimeoutError:
             return BadRequest(408, "the request head took too long")
         if not isinstance(head, bytes):
             return head
+        if not await reader.take_for_head(head):
+            return NO_MEMORY
         head_error = find_head_error(head)
         if head_error is not None:
             return BadRequest(400, head_error)
@@ -147,17 +183,18 @@
         event = self._parser.next_event()
         if not isinstance(event, h11.Request):
             return BadRequest(400, "malformed request")
-        headers = _decode_headers(event)
-        body = await self._body_reader.read(event, headers, limits)
-        if not isinstance(body, bytes):
-            return body
-        return Request(
+        method, target = (
             event.method.decode("ascii"),
             event.target.decode("ascii"),
-            headers,
-            body,
-            arrived_s,
         )
+        headers = decode_headers(event)
+        length = body_length(event)
+        # What h11 has made of many short fields takes more than the fields.
+        del event
+        body = await self._body_reader.read(length, headers, limits)
+        if not isinstance(body, bytes):
+            return body
+        return Request(method, target, headers, body, arrived_s)
 
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Writes a complete response."""
@@ -212,12 +249,33 @@
         """Marks the response as complete."""
         self._response.end()
 
+    async def drain(self) -> None:
+        """Waits while the caller has much of the response yet to read."""
+        if not self._channel.is_writable:
+            self._begin_answer()
+            await self._channel.drain()
+            self._progress.enter(Phase.SERVED)
+
     async def flush(self) -> None:
         """Waits until the response may be followed by another one, or closed.
 
-        A body without framing is handed to the system first.
+        A body without framing is handed to the system first. A connection is
+        closed if its caller has read nothing for the longest pause.
         """
-        await self._response.flush()
+        while unsent := self._channel.unsent_bytes:
+            self._begin_answer()
+            try:
+                async with asyncio.timeout(self._get_limits().idle_timeout_s):
+                    return await self._response.flush()
+            except TimeoutError:
+                if self._channel.unsent_bytes >= unsent:
+                    metrics.ANSWERS_UNREAD.inc()
+                    self._channel.abort()
+        return await self._response.flush()
+
+    def _begin_answer(self) -> None:
+        self._unsent_bytes = self._channel.unsent_bytes
+        self._progress.enter(Phase.ANSWER)
 
     def prepare_next_request(self) -> bool:
         """Begins a new exchange; says whether the connection can be reused.
@@ -233,13 +291,8 @@
             return False
         rest, _ = self._parser.trailing_data
         self._input.put_back(rest)
+        # Nobody can have read the response that was just written.
+        self._progress.count_ahead(is_ahead=bool(self._input.size))
         self.release_all()
         self._begin_exchange()
         return True
-
-
-def _decode_headers(head: h11.Request) -> Headers:
-    return tuple(
-        (key.decode("ascii"), value.decode("latin-1"))
-        for key, value in head.headers
-    )
--- a/src/savorylift/wire/server_response.py
+++ b/src/savorylift/wire/server_response.py
@@ -10,6 +10,9 @@
 from savorylift.wire.channel import Channel
 from savorylift.wire.message import Headers
 
+# Less than this isn't counted of an answer that its caller has yet to read.
+MIN_UNREAD_BYTES = 4096
+
 _log = structlog.get_logger()
 
 
@@ -92,7 +95,7 @@
         self._write(h11.EndOfMessage())
         self._is_ended = True
         unread = self._channel.unsent_bytes
-        if unread > SMALL_BODY_BYTES:
+        if unread > MIN_UNREAD_BYTES:
             self._admission.budget.add_unread(
                 self._unread_lease, unread, self._cut
             )
--- a/tests/wire/test_body_budget.py
+++ b/tests/wire/test_body_budget.py
@@ -15,6 +15,7 @@
 )
 from savorylift.wire.channel import Channel
 from savorylift.wire.message import Request, decode_milliseconds
+from savorylift.wire.progress import Phase, Progress
 from savorylift.wire.request_input import BadRequest, CloseReason, InputLimits
 from savorylift.wire.server_connection import ServerConnection
 from tests.wire.loopback import open_connection_pair, run_with_timeout
@@ -297,3 +298,61 @@
         assert budget.held_bytes == 0
 
     run_with_timeout(scenario())
+
+
+def slow_lease(budget: BodyBudget, moved: int) -> BodyLease:
+    """Returns a lease of a body that began long ago."""
+    progress = Progress()
+    progress.enter(Phase.BODY)
+    progress.since_s -= 100.0
+    progress.moved_bytes = moved
+    lease = BodyLease(progress, lambda: budget.release(lease))
+    return lease
+
+
+@pytest.mark.parametrize(("moved", "is_closed"), [(0, True), (1 << 30, False)])
+@pytest.mark.parametrize("size", [SMALL_BODY_BYTES, LARGE_BYTES])
+def test_body_that_stops_gives_its_memory_to_others(
+    moved: int,
+    size: int,
+    is_closed: bool,  # noqa: FBT001
+) -> None:
+    """Those that stopped short of their end held it until a time-out."""
+
+    async def scenario() -> None:
+        closed: list[None] = []
+        budget = BodyBudget(BUDGET_BYTES, on_closed=lambda: closed.append(None))
+        lease = slow_lease(budget, moved)
+        while budget.take_now(lease, size):
+            pass
+        if size == SMALL_BODY_BYTES:
+            assert budget.held_bytes > 0.9 * BUDGET_BYTES
+        is_taken = await budget.take(BodyLease(), size, 0.05)
+        assert is_taken is is_closed
+        assert bool(closed) is is_closed
+
+    run_with_timeout(scenario())
+
+
+def test_small_body_that_waits_gets_memory_of_small_bodies() -> None:
+    """It waited behind large ones, which get no such memory."""
+
+    async def scenario() -> None:
+        budget = BodyBudget(BUDGET_BYTES)
+        large, small = BodyLease(), BodyLease()
+        assert budget.take_now(large, BUDGET_BYTES)
+        while budget.take_now(small, SMALL_BODY_BYTES):
+            pass
+        waiting_large = asyncio.ensure_future(
+            budget.take(BodyLease(), LARGE_BYTES, 0.2)
+        )
+        await asyncio.sleep(0)
+        waiting = asyncio.ensure_future(
+            budget.take(BodyLease(), SMALL_BODY_BYTES, 0.2)
+        )
+        await asyncio.sleep(0)
+        budget.release(small)
+        assert await waiting
+        assert not await waiting_large
+
+    run_with_timeout(scenario())
--- a/tests/wire/test_server_connection.py
+++ b/tests/wire/test_server_connection.py
@@ -15,6 +15,7 @@
 from tests.wire.loopback import open_connection_pair, run_with_timeout
 
 HEAD_START = b"POST /a/ HTTP/1.1\r\nHost: h\r\n"
+CHUNKED = HEAD_START + b"Transfer-Encoding: chunked\r\n\r\n"
 TIGHT_LIMITS = InputLimits(
     max_head_bytes=200,
     max_body_bytes=10,
@@ -362,3 +363,77 @@
         assert conn.prepare_next_request()
 
     run_with_timeout(scenario())
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        pytest.param(b"1;" + b"a" * 300, id="chunk extension"),
+        pytest.param(b"0\r\n" + b"a:b\r\n" * 60, id="trailers"),
+    ],
+)
+def test_lines_between_chunks_are_bounded_like_a_head(line: bytes) -> None:
+    """A megabyte of them was kept for each connection."""
+
+    async def scenario() -> None:
+        conn, caller = await open_connection_pair(TIGHT_LIMITS)
+        reading = asyncio.ensure_future(conn.next_request())
+        caller.write(CHUNKED + line)
+        refused = await reading
+        assert isinstance(refused, BadRequest)
+        assert refused.status == 431
+
+    run_with_timeout(scenario())
+
+
+def test_connection_whose_caller_reads_nothing_is_closed() -> None:
+    """It stayed open for as long as its caller did."""
+
+    async def scenario() -> None:
+        conn, caller = await open_connection_pair(TIGHT_LIMITS)
+        caller.transport.pause_reading()
+        caller.write(HEAD_START + b"\r\n")
+        assert isinstance(await conn.next_request(), Request)
+        conn.respond(200, (), bytes(20_000_000))
+        await conn.flush()
+        assert conn.channel.transport.is_closing()
+
+    run_with_timeout(scenario())
+
+
+def test_slow_caller_that_goes_on_reading_gets_all() -> None:
+    async def scenario() -> None:
+        conn, caller = await open_connection_pair(TIGHT_LIMITS)
+        caller.write(HEAD_START + b"\r\n")
+        assert isinstance(await conn.next_request(), Request)
+        conn.respond(200, (), bytes(20_000_000))
+        flushing = asyncio.ensure_future(conn.flush())
+        received = 0
+        while received < 20_000_000:
+            # Longer than the time-out in all.
+            if received % 4_000_000 < 16_384:
+                await asyncio.sleep(TIGHT_LIMITS.idle_timeout_s / 4)
+            received += len(await caller.read())
+        await flushing
+
+    run_with_timeout(scenario())
+
+
+def test_body_of_single_bytes_has_an_end(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A small body could go on for as long as each byte came in time."""
+    monkeypatch.setattr("savorylift.wire.body_reader.MAX_BODY_S", 0.5)
+
+    async def scenario() -> None:
+        conn, caller = await open_connection_pair(TIGHT_LIMITS)
+        reading = asyncio.ensure_future(conn.next_request())
+        caller.write(HEAD_START + b"Content-Length: 10\r\n\r\n")
+        for _ in range(9):
+            await asyncio.sleep(0.1)
+            caller.write(b"x")
+        refused = await reading
+        assert isinstance(refused, BadRequest)
+        assert refused.status == 408
+
+    run_with_timeout(scenario())
