--- a/src/savorylift/front/metrics_page.py
+++ b/src/savorylift/front/metrics_page.py
@@ -32,7 +32,7 @@
                 yield _convert_counter(family)
             elif isinstance(family, metric.Gauge):
                 yield GaugeMetricFamily(
-                    family.name, family.documentation, family.children[""].value
+                    family.name, family.documentation, family.children[()].value
                 )
 
 
@@ -40,8 +40,8 @@
     converted = CounterMetricFamily(
         family.name, family.documentation, labels=family.label_names
     )
-    for label, number in family.children.items():
-        converted.add_metric([label], number.value)
+    for values, number in family.children.items():
+        converted.add_metric(values, number.value)
     return converted
 
 
@@ -49,12 +49,12 @@
     converted = HistogramMetricFamily(
         family.name, family.documentation, labels=family.label_names
     )
-    for label, distribution in family.children.items():
+    for values, distribution in family.children.items():
         buckets = [
             ("+Inf" if math.isinf(bound) else str(bound), float(count))
             for bound, count in distribution.cumulative_counts
         ]
-        converted.add_metric([label], buckets, distribution.total)
+        converted.add_metric(values, buckets, distribution.total)
     return converted
 
 
