Let the reader that stands by read twice a second

Entries are taken to arrive within a second of their writing (process_connection.DELIVERY_S); a pause of 0.8 s left too little of it on a busy node.

--- a/src/savorylift/fleet/read_policy.py
+++ b/src/savorylift/fleet/read_policy.py
@@ -9,8 +9,9 @@
 # which a node that should not read checks whether it should.
 POLL_PAUSE_S = 0.2
 # The same for the reader that stands by, as long as the first one is heard to
-# read: a change is late by this much more if that one is lost just then.
-STANDBY_PAUSE_S = 0.8
+# read: a change is late by this much more if that one is lost just then. Well
+# below the time in which entries are taken to arrive (`process_connection`).
+STANDBY_PAUSE_S = 0.5
 # Delay of a reader before the next call after a failed one.
 READER_RETRY_S = 0.5
 # Shorter, since a node without a configuration can't serve any request.
