Choose servers by what they take, not by their load alone

Cause: servers of a service differ in speed, and an idle slow one was taken as readily as an idle quick one.

Change: speeds/ compares what a plain call took, or some events of a stream, with the median of the service's servers at that load, tells other nodes of it in turns (four servers a message at most), fades it with a half-life of 20 s, and forgets it when the process starts again. The choice of a plain server, an engine and a destination multiplies the load by it. One call in fifty ignores it.

--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 from collections.abc import Collection
 
 from returns.pipeline import is_successful
@@ -45,6 +46,7 @@
 from savorylift.outcomes import Reason
 from savorylift.placement.engines import expected_tokens
 from savorylift.placement.memory_release_rate import MemoryReleaseRate
+from savorylift.speeds.stream_pace import count_event
 
 # How long to wait for a move to complete after the run's stream has ended. An
 # engine that is told to stop a run ends its stream within this time.
@@ -52,6 +54,8 @@
 # Added to the retry delay at random, as a share of it, so that callers that are
 # refused together don't retry together.
 RETRY_AFTER_JITTER = 0.3
+# Kind of work of which engines' speeds are told.
+STREAM = ""
 
 
 class GenerationDispatcher:
@@ -358,8 +362,21 @@
 
     def _on_event(self, run: Run) -> None:
         self._crash_guard.record_event(run)
+        self._record_pace(run)
         self._start_move_if_draining(run)
 
+    def _record_pace(self, run: Run) -> None:
+        """Records the time between events, some of them at a time."""
+        engine = run.admitted.service.engine
+        if run.server is None or engine is None:
+            return
+        now_s = time.monotonic()
+        server_id = run.server.entry.server_id
+        pace = run.pace = count_event(run.pace, server_id, now_s)
+        if pace.is_whole:
+            gap_s = (now_s - pace.began_s) / pace.events
+            self._pool.record_time(run.server, STREAM, engine.slots, gap_s)
+
     def _start_move_if_draining(self, run: Run) -> None:
         """Starts to move a run if its engine is draining."""
         if run.move_task is not None or run.server is None or run.call is None:
--- a/src/savorylift/exchange/plain_call.py
+++ b/src/savorylift/exchange/plain_call.py
@@ -200,6 +200,13 @@
             self._pool.load_tracker.remove_request(server_id, attempt_id)
             self._places.wake(admitted.service.name)
         call.is_at_server = False
+        if isinstance(result, Answered) and not _is_server_error(result):
+            self._pool.record_time(
+                server,
+                admitted.route.name,
+                server.entry.slots,
+                time.monotonic() - sent_s,
+            )
         self._crash_guard.record_call(server, call.traits, sent_s, result)
         self._record_result(server_id, result)
         _log.info(
--- a/src/savorylift/exchange/run.py
+++ b/src/savorylift/exchange/run.py
@@ -11,6 +11,7 @@
 from savorylift.exchange.request import KvCopy
 from savorylift.exchange.request_traits import find_traits
 from savorylift.exchange.results import Obstacle, Refused
+from savorylift.speeds.stream_pace import StreamPace
 from savorylift.wire.channel import Channel
 from savorylift.wire.client_call import ClientCall
 
@@ -77,6 +78,7 @@
             had begun; None if that was something else.
         life_check: Finds out whether the engine that began its stream is of
             the version that its entry says; None before the stream begins.
+        pace: How fast its engine sends it; None before the first event.
     """
 
     def __init__(self, admitted: AdmittedRequest, expected_tokens: int) -> None:
@@ -111,6 +113,7 @@
         self.is_end_known = False
         self.obstacle: Obstacle | None = None
         self.life_check: asyncio.Task[None] | None = None
+        self.pace: StreamPace | None = None
 
     @property
     def attempt_id(self) -> str:
--- a/src/savorylift/exchange/server_pool.py
+++ b/src/savorylift/exchange/server_pool.py
@@ -28,6 +28,8 @@
     choose_least_loaded_engine,
 )
 from savorylift.placement.plain_servers import choose_plain_server
+from savorylift.speeds.speed_book import SpeedBook
+from savorylift.speeds.usual_times import Work
 
 
 class ServerPool:
@@ -40,6 +42,7 @@
         move_queue: Which run may be copied next.
         blocks: Why servers get no requests.
         retries: This node's share of the retry budget.
+        speeds: How fast each server is.
     """
 
     def __init__(
@@ -75,6 +78,7 @@
         self._limit_gate = limit_gate
         self._allowed = AllowedServers(store_view, region_by_domain, holds)
         self.load_tracker = LoadTracker()
+        self.speeds = SpeedBook(self._registry.find_entry)
         self.brittle = BrittleServices()
         self.holds = holds
         self._places = ServerPlaces(
@@ -107,7 +111,11 @@
         loads = self._loads()
         candidates = self._eligible_servers(admitted, tried, loads)
         found = choose_plain_server(
-            candidates, loads, time.monotonic(), self._rng
+            candidates,
+            loads,
+            time.monotonic(),
+            self._rng,
+            self.speeds.slowdown,
         )
         if found is not None:
             self._record_start(found, admitted, 0, 0)
@@ -154,6 +162,7 @@
         """Returns an engine with room, without adding to its load."""
         loads = self._loads()
         candidates = self._eligible_servers(admitted, excluded, loads)
+        options = options._replace(slowdown=self.speeds.slowdown)
         return choose_engine(candidates, loads, options, self._rng)
 
     def find_least_loaded_engine(
@@ -165,6 +174,7 @@
         """Returns the engine with the most room, even if it is not enough."""
         loads = self._loads()
         candidates = self._eligible_servers(admitted, tried, loads)
+        options = options._replace(slowdown=self.speeds.slowdown)
         return choose_least_loaded_engine(candidates, loads, options, self._rng)
 
     def has_engine_with_room(
@@ -273,6 +283,26 @@
         found = self._allowed.find(admitted, tried)
         return self.holds.assign_return_s([s.entry.server_id for s in found])
 
+    def record_time(
+        self, server: BackendServer, kind: str, slots: int, took_s: float
+    ) -> None:
+        """Records how long a server took for work that is comparable.
+
+        Args:
+            server: The server.
+            kind: Which work of its service.
+            slots: Requests that it runs at once.
+            took_s: The time.
+        """
+        now_s = time.monotonic()
+        if server.is_cold(now_s):
+            return
+        entry = server.entry
+        others = self._membership.loads(now_s).get(entry.server_id, Load())
+        own = self.load_tracker.open_requests(entry.server_id)
+        load_share = (others.requests + own) / max(slots, 1)
+        self.speeds.record(entry, Work(entry.service, kind, load_share), took_s)
+
     def remove_run(self, run: Run) -> None:
         """Removes a run from the load of its engine, if it has one."""
         if run.server is not None:
--- a/src/savorylift/fleet/server_sightings.py
+++ b/src/savorylift/fleet/server_sightings.py
@@ -56,3 +56,20 @@
     started_ms: int
     lives: bool
     is_shown: bool = False
+
+
+class ServerSpeed(NamedTuple):
+    """How long a server took, as one node saw it.
+
+    Attributes:
+        server_id: Identifier of the server.
+        start_mark: Start of its process, in milliseconds modulo 2**16.
+        samples_x10: Number of samples as far as they still count, times 10.
+        mean_x100: Mean of the binary logarithms of time by usual time, times
+            100.
+    """
+
+    server_id: str
+    start_mark: int
+    samples_x10: int
+    mean_x100: int
--- a/src/savorylift/fleet/state.py
+++ b/src/savorylift/fleet/state.py
@@ -33,6 +33,7 @@
 from savorylift.fleet.server_sightings import (
     BrittleNews,
     LeavingServer,
+    ServerSpeed,
     VersionSighting,
     WitnessedProcess,
 )
@@ -71,6 +72,7 @@
     "Segment",
     "ServerLoad",
     "ServerProcess",
+    "ServerSpeed",
     "Snapshot",
     "SoundPart",
     "StreamOrigin",
@@ -136,6 +138,7 @@
             know.
         witnessed_processes: Processes to which the node keeps connections, or
             did until lately.
+        server_speeds: Servers that took longer or less long than usual.
     """
 
     node: str
@@ -163,3 +166,4 @@
     servers_reading_age_s: float | None = None
     has_version_history: bool = False
     witnessed_processes: tuple[WitnessedProcess, ...] = ()
+    server_speeds: tuple[ServerSpeed, ...] = ()
--- a/src/savorylift/front/server_news.py
+++ b/src/savorylift/front/server_news.py
@@ -67,6 +67,7 @@
             leaving_servers=self._leaving_servers(),
             witnessed_processes=self._witness.news(),
             has_version_history=self._version_history.is_complete,
+            server_speeds=self._pool.speeds.news(),
         )
 
     def merge(self, state: NodeState) -> None:
@@ -76,6 +77,7 @@
         if state.has_version_history:
             self._version_history.is_complete = True
         self._witness.merge(state.witnessed_processes)
+        self._pool.speeds.merge(state.ip, state.server_speeds)
         self._pool.brittle.merge(state.brittle_services)
         for server_id, started_ms in state.leaving_servers:
             self._notices.mark_leaving(server_id, started_ms, NoticeSource.NODE)
@@ -92,6 +94,7 @@
         self._version_history.observe(entries, time.monotonic())
         self._reach.update()
         self._pool.holds.forget_ended()
+        self._pool.speeds.update()
 
     def hand_over(self) -> None:
         """Tells other nodes what only this one knows, before it stops."""
--- a/src/savorylift/placement/engines.py
+++ b/src/savorylift/placement/engines.py
@@ -7,12 +7,13 @@
 
 import math
 import random
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
 from savorylift.backends.load import Load
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange.request import Generation
+from savorylift.placement.server_speed import usual_speed
 from savorylift.routing.configuration import EngineTraits
 
 # Largest share of an engine's memory that is assigned to runs. The rest is
@@ -24,6 +25,9 @@
 # Expected output as a share of the output limit, if the caller sends no
 # estimate.
 DEFAULT_OUTPUT_RATIO = 0.4
+# Cost of an idle engine, as a share of an engine's memory: one that takes twice
+# as long is chosen before a usual one that has so much more.
+IDLE_COST = 0.3
 # Spreads nearly equal choices over engines, as a share of an engine's memory.
 JITTER = 0.03
 
@@ -42,6 +46,7 @@
             share of an engine's memory.
         jitter: Largest random cost, which spreads nearly equal choices, as a
             share of an engine's memory.
+        slowdown: Returns how much longer than usual an engine takes, by its ID.
     """
 
     traits: EngineTraits
@@ -51,6 +56,7 @@
     preferred_domain: str | None = None
     cross_domain_cost: float = 0.0
     jitter: float = JITTER
+    slowdown: Callable[[str], float] = usual_speed
 
 
 def expected_tokens(generation: Generation) -> int:
@@ -98,6 +104,8 @@
         )
         if options.preferred_domain not in (None, server.entry.failure_domain):
             total_cost += options.cross_domain_cost
+        slowdown = options.slowdown(server.entry.server_id)
+        total_cost = slowdown * (IDLE_COST + total_cost)
         return load.is_unhealthy, total_cost + rng.uniform(0, options.jitter)
 
     return min(candidates, key=cost, default=None)
--- /dev/null
+++ b/src/savorylift/speeds/__init__.py
@@ -0,0 +1,1 @@
+"""How fast each backend server is, from what it does."""
--- /dev/null
+++ b/tests/speeds/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of membership, replication and messages between nodes."""
