Let two nodes poll an engine for draining in place of all that use it

Change: the two nodes that rendezvous hashing chooses among those heard poll an engine, the second half as often. Nodes that don't reach the servers are passed over; one that hears nobody polls all.

Measured only by its test, 20 nodes and 30 engines without a network: at most 1.5 polls an interval and engine; none is left for over a second, with the first of the nodes lost, or nodes cut into groups of five.

--- a/src/savorylift/exchange/drain_poller.py
+++ b/src/savorylift/exchange/drain_poller.py
@@ -1,7 +1,8 @@
 """Polls engines for draining while the store may not tell of it.
 
-Engines may start to drain while the store can't report it. Only engines that
-have runs of this node are polled, which keeps the number of calls low.
+Engines may start to drain while the store can't report it. Two nodes poll each
+engine, whatever runs it has, and tell the others what it says: a poll by each
+node with runs there would be many polls for one answer.
 """
 
 import asyncio
@@ -12,6 +13,7 @@
 from savorylift.exchange.limit_gate import LimitGate
 from savorylift.exchange.notice_recorder import NoticeRecorder, NoticeSource
 from savorylift.platform.engine_client import read_notice
+from savorylift.rendezvous import rank
 
 # An engine gives about 1.5 s of notice before it stops, and copying a run takes
 # up to 0.5 s.
@@ -19,6 +21,9 @@
 # How often to look whether the store is still heard.
 CHECK_INTERVAL_S = 0.1
 REPORT_TIMEOUT_S = 0.4
+# Nodes that poll an engine. The second does so half as often, in case the
+# first is lost.
+POLLERS = 2
 
 
 class DrainPoller:
@@ -32,6 +37,8 @@
         is_held: Callable[[str], bool],
         is_store_unavailable: Callable[[], bool],
         get_engines: Callable[[], Iterable[BackendServer]],
+        get_nodes: Callable[[], Iterable[str]],
+        own_node: str,
         on_change: Callable[[], None],
     ) -> None:
         """Creates a poller; `run` starts it.
@@ -43,7 +50,9 @@
             is_held: Returns whether an engine, given by its ID, wants no
                 requests.
             is_store_unavailable: Returns whether the store sends no updates.
-            get_engines: Returns the engines that have runs of this node.
+            get_engines: Returns the engines whose runs can move.
+            get_nodes: Returns the addresses of the other live nodes.
+            own_node: Address of this node.
             on_change: Called after an engine was marked as draining.
         """
         self._registry = registry
@@ -52,7 +61,10 @@
         self._is_held = is_held
         self._is_store_unavailable = is_store_unavailable
         self._get_engines = get_engines
+        self._get_nodes = get_nodes
+        self._own_node = own_node
         self._on_change = on_change
+        self._round = 0
 
     async def run(self) -> None:
         """Polls periodically while the store is unavailable; never returns."""
@@ -65,14 +77,28 @@
                 await asyncio.sleep(max(next_s - time.monotonic(), 0.0))
 
     def _engines_to_poll(self) -> list[BackendServer]:
+        """Returns the engines whose turn it is at this node."""
+        self._round += 1
+        nodes = [self._own_node, *self._get_nodes()]
         known = self._registry.servers
-        ids = [server.entry.server_id for server in self._get_engines()]
+        engines = [
+            known[server.entry.server_id]
+            for server in self._get_engines()
+            if server.entry.server_id in known
+        ]
         return [
-            known[server_id]
-            for server_id in ids
-            if server_id in known and not known[server_id].entry.is_leaving
+            engine
+            for engine in engines
+            if not engine.entry.is_leaving
+            and self._has_turn(engine.entry.server_id, nodes)
         ]
 
+    def _has_turn(self, server_id: str, nodes: Iterable[str]) -> bool:
+        pollers = rank(server_id, nodes)[:POLLERS]
+        if self._own_node not in pollers:
+            return False
+        return self._round % (1 + pollers.index(self._own_node)) == 0
+
     async def _poll(self, server: BackendServer) -> None:
         if self._is_held(server.entry.server_id):
             return
--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -100,16 +100,6 @@
         self._relay = Relay(codec, self._on_first_event, self._on_event)
         self._runs: set[Run] = set()
 
-    @property
-    def engines_with_movable_runs(self) -> list[BackendServer]:
-        """The engines that have movable runs of this node, each once."""
-        servers = {
-            run.server.entry.server_id: run.server
-            for run in self._runs
-            if run.server is not None and run.can_move
-        }
-        return list(servers.values())
-
     def on_change(self) -> None:
         """Reacts to a change of servers, nodes or loads."""
         for run in list(self._runs):
--- a/src/savorylift/front/store_parts.py
+++ b/src/savorylift/front/store_parts.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from savorylift.backends.registry import BackendServer
 from savorylift.exchange.drain_poller import DrainPoller
 from savorylift.exchange.generation import GenerationDispatcher
 from savorylift.fleet.peer_transport import PeerTransport
@@ -153,6 +154,28 @@
         servers.recorder,
         servers.pool.holds.is_held,
         lambda: policy.may_miss_notices(newest_reading_s()),
-        lambda: generations.engines_with_movable_runs,
+        lambda: _engines_that_move_runs(shared),
+        lambda: [
+            peer.state.ip
+            for peer in shared.membership.live_peers(time.monotonic())
+            if not peer.state.unreached_services
+        ],
+        shared.identity.ip,
         generations.on_change,
     )
+
+
+def _engines_that_move_runs(shared: SharedParts) -> list[BackendServer]:
+    """Returns the engines whose runs can go on elsewhere."""
+    cfg = shared.store_view.configuration
+    services = {} if cfg is None else cfg.services
+    movable = {
+        name
+        for name, service in services.items()
+        if service.engine is not None and service.engine.can_move
+    }
+    return [
+        server
+        for server in shared.store_view.registry.servers.values()
+        if server.entry.service in movable
+    ]
--- /dev/null
+++ b/tests/exchange/test_drain_poller.py
@@ -0,0 +1,99 @@
+"""Tests of which nodes poll engines for draining while the store is away."""
+
+import asyncio
+import itertools
+from typing import Any
+
+import pytest
+
+from savorylift.exchange import drain_poller
+from savorylift.exchange.drain_poller import POLL_INTERVAL_S, DrainPoller
+from savorylift.exchange.server_notice import NO_NOTICE, ServerNotice
+from tests.exchange.factories import make_server
+from tests.harness.virtual_time import run_in_virtual_time
+
+NODES = [f"10.0.0.{number}" for number in range(1, 21)]
+ENGINES = {f"i-{n}": make_server(f"i-{n}") for n in range(30)}
+OUTAGE_S = 4.0
+# Engines give 1.5 s of notice, and copies of runs take half a second.
+MAX_PAUSE_S = 1.0
+
+
+class Rig:
+    """Nodes that hear each other, or only those of their group."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        # Times at which each engine was polled.
+        self.polls_s: dict[str, list[float]] = {s: [] for s in ENGINES}
+        self.lost: set[str] = set()
+        self.tasks: list[asyncio.Task[None]] = []
+        monkeypatch.setattr(drain_poller, "read_notice", self._read_notice)
+
+    async def _read_notice(self, address: str, **_: object) -> ServerNotice:
+        now_s = asyncio.get_running_loop().time()
+        self.polls_s[address].append(now_s)
+        return NO_NOTICE
+
+    def start(self, node: str, others: list[str]) -> None:
+        servers = {
+            server_id: server._replace(
+                entry=server.entry._replace(address=server_id)  # type: ignore
+            )
+            for server_id, server in ENGINES.items()
+        }
+        registry: Any = type("Registry", (), {"servers": servers})
+        gate: Any = type("Gate", (), {"acquire": staticmethod(_permit)})
+        notices: Any = type("Notices", (), {"record": lambda *_: False})()
+        poller = DrainPoller(
+            registry,
+            gate,
+            notices,
+            lambda _: False,
+            lambda: True,
+            lambda: servers.values(),
+            lambda: others,
+            node,
+            lambda: None,
+        )
+        if node not in self.lost:
+            self.tasks.append(asyncio.ensure_future(poller.run()))
+
+
+async def _permit(*_: object, **__: object) -> object:
+    return object()
+
+
+@pytest.mark.parametrize(
+    "group_size",
+    [pytest.param(20, id="all hear all"), pytest.param(5, id="cut in groups")],
+)
+@pytest.mark.parametrize("are_first_lost", [False, True])
+def test_two_nodes_that_hear_each_other_poll_an_engine(
+    group_size: int,
+    *,
+    are_first_lost: bool,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Each node with runs there polled it."""
+
+    async def scenario() -> None:
+        rig = Rig(monkeypatch)
+        groups = [
+            NODES[start : start + group_size]
+            for start in range(0, len(NODES), group_size)
+        ]
+        if are_first_lost:
+            rig.lost = {group[0] for group in groups}
+        for group in groups:
+            for node in group:
+                rig.start(node, [n for n in group if n != node])
+        began_s = asyncio.get_running_loop().time()
+        await asyncio.sleep(OUTAGE_S)
+        most = 1.5 * len(groups) * (OUTAGE_S / POLL_INTERVAL_S + 1)
+        for polls_s in rig.polls_s.values():
+            assert len(polls_s) <= most
+            times_s = [began_s, *polls_s, began_s + OUTAGE_S]
+            pauses_s = [b - a for a, b in itertools.pairwise(times_s)]
+            assert max(pauses_s) <= MAX_PAUSE_S
+
+    run_in_virtual_time(monkeypatch, scenario)
