--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -48,6 +48,7 @@
 from savorylift.outcomes import Reason
 from savorylift.placement.engines import expected_tokens
 from savorylift.rollouts.answer_log import Outcome
+from savorylift.speeds.stream_pace import count_event
 
 # How long to wait for a move to complete after the run's stream has ended. An
 # engine that is told to stop a run ends its stream within this time.
@@ -55,6 +56,8 @@
 # Added to the retry delay at random, as a share of it, so that callers that are
 # refused together don't retry together.
 RETRY_AFTER_JITTER = 0.3
+# Kind of work of which engines' speeds are told.
+STREAM = ""
 
 # Events after which the pace of a stream is known.
 PACE_EVENTS = 6
@@ -108,16 +111,6 @@
         """Prompt tokens that an engine prefills each second."""
         return self._queue.prefill_per_s
 
-    @property
-    def engines_with_movable_runs(self) -> list[BackendServer]:
-        """The engines that have movable runs of this node, each once."""
-        servers = {
-            run.server.entry.server_id: run.server
-            for run in self._runs
-            if run.server is not None and run.can_move
-        }
-        return list(servers.values())
-
     def on_change(self) -> None:
         """Reacts to a change of servers, nodes or loads."""
         for run in list(self._runs):
@@ -376,8 +369,21 @@
         if run.engine_events == PACE_EVENTS and run.first_event_s is not None:
             pause_s = (time.monotonic() - run.first_event_s) / PACE_EVENTS
             self._pool.answers.note_pause(run.attempt_id, pause_s)
+        self._record_pace(run)
         self._start_move_if_draining(run)
 
+    def _record_pace(self, run: Run) -> None:
+        """Records the time between events, some of them at a time."""
+        engine = run.admitted.service.engine
+        if run.server is None or engine is None:
+            return
+        now_s = time.monotonic()
+        server_id = run.server.entry.server_id
+        pace = run.pace = count_event(run.pace, server_id, now_s)
+        if pace.is_whole:
+            gap_s = (now_s - pace.began_s) / pace.events
+            self._pool.record_time(run.server, STREAM, engine.slots, gap_s)
+
     def _start_move_if_draining(self, run: Run) -> None:
         """Starts to move a run if its engine is draining."""
         if run.move_task is not None or run.server is None or run.call is None:
--- a/src/savorylift/rooms/engines.py
+++ b/src/savorylift/rooms/engines.py
@@ -5,7 +5,7 @@
 
 import math
 import random
-from collections.abc import Iterable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from typing import NamedTuple
 
 from savorylift.backends.load import Load
@@ -17,6 +17,7 @@
     free_tokens,
     has_room,
 )
+from savorylift.placement.server_speed import usual_speed
 from savorylift.routing.configuration import EngineTraits
 
 
@@ -29,6 +30,7 @@
         known: Their loads as the nodes' messages say.
         region_by_domain: Region of each failure domain.
         prefill_per_s: Prompt tokens that each prefills in a second.
+        slowdown: Returns how much longer than usual an engine takes, by its ID.
     """
 
     servers: Sequence[BackendServer]
@@ -36,6 +38,7 @@
     known: Mapping[str, Load]
     region_by_domain: Mapping[str, str]
     prefill_per_s: float
+    slowdown: Callable[[str], float] = usual_speed
 
 
 def find_most_room(engines: Engines, loads: Mapping[str, Load]) -> float:
@@ -108,5 +111,9 @@
 
 def _engine_options(req: RoomRequest, engines: Engines) -> EngineOptions:
     return EngineOptions(
-        engines.traits, req.tokens, req.prompt_tokens, req.max_prefill_tokens
+        engines.traits,
+        req.tokens,
+        req.prompt_tokens,
+        req.max_prefill_tokens,
+        slowdown=engines.slowdown,
     )
--- a/tests/rooms/test_service_room.py
+++ b/tests/rooms/test_service_room.py
@@ -189,3 +189,13 @@
                 assert len(mine) <= TRAITS.slots
                 limit = TRAITS.memory_tokens * MAX_MEMORY_SHARE
                 assert sum(mine) <= limit or len(mine) == 1
+
+
+def test_slow_engine_is_granted_after_usual_ones() -> None:
+    room = make_room()
+    engines = make_engines("slow", "usual")._replace(
+        slowdown=lambda server_id: 2.0 if server_id == "slow" else 1.0
+    )
+    room.add(key(1), make_request(1))
+    assert granted(room, engines) == [1]
+    assert room.find_engine(key(1)) == "usual"
