Let less urgent prompts fill engines no further than urgent ones bear

Each now keeps to the strictest bound of what is more urgent. The keeper also tells how many prompt tokens are ahead at the engine: nodes that aren't told of others' starts any more took the wait behind them for slow prefill, and set too strict bounds.

--- a/src/savorylift/exchange/engine_queue.py
+++ b/src/savorylift/exchange/engine_queue.py
@@ -91,10 +91,9 @@
         if self._rooms and can_wait and self._may_wait(run, tried):
             result = await self._ask_keeper(self._rooms, run, wish, tried)
             if result is not None:
-                run.server, run.return_in_s = result
+                run.server, run.return_in_s = result[:2]
                 if run.server is not None:
-                    pending = self._pool.pending_prefill_tokens(run.server)
-                    run.mark_assigned(pending)
+                    run.mark_assigned(result.prefill_tokens)
                 return run.server
         queue = self._find_queue(admitted.service)
         if not queue:
--- a/src/savorylift/exchange/room_placement.py
+++ b/src/savorylift/exchange/room_placement.py
@@ -23,10 +23,13 @@
     Attributes:
         server: Engine that is reserved for it; None if it has none in time.
         return_in_s: Time until there should be room, if it was refused.
+        prefill_tokens: Prompt tokens that the engine has yet to prefill, with
+            those of the generation.
     """
 
     server: BackendServer | None
     return_in_s: float | None = None
+    prefill_tokens: int = 0
 
 
 class RoomPlacement:
@@ -76,7 +79,10 @@
         if reply is not None and reply.outcome == RoomOutcome.REFUSED:
             has_cold_place()
         if cold:
-            result: RoomResult | None = RoomResult(cold[0])
+            prefill_tokens = self._pool.pending_prefill_tokens(cold[0])
+            result: RoomResult | None = RoomResult(
+                cold[0], prefill_tokens=prefill_tokens
+            )
         else:
             result = self._follow(run, wish, tried, reply)
         _log_result(run, keeper_ip, reply, result, begun_s)
@@ -105,7 +111,7 @@
             # This node knows better: the engine leaves, or wants a pause.
             self.end(run)
             return None
-        return RoomResult(server)
+        return RoomResult(server, prefill_tokens=reply.prefill_tokens)
 
 
 def _make_request(
@@ -154,6 +160,7 @@
         return_in_s=result and result.return_in_s,
         waiting=reply and reply.waiting,
         knowledge_age_s=reply and reply.knowledge_age_s,
+        prefill_tokens=result and result.prefill_tokens,
         tokens=run.expected_tokens,
         priority=run.admitted.priority,
     )
--- a/src/savorylift/fleet/room_messages.py
+++ b/src/savorylift/fleet/room_messages.py
@@ -76,6 +76,8 @@
         return_in_s: Time until there should be room, if it is refused.
         waiting: Generations that wait at the keeper.
         knowledge_age_s: Age of the oldest of what the keeper knows of nodes.
+        prefill_tokens: Prompt tokens that the engine has yet to prefill, with
+            those of the generation; 0 if the keeper doesn't say.
     """
 
     number: int
@@ -84,6 +86,7 @@
     return_in_s: float = 0.0
     waiting: int = 0
     knowledge_age_s: float = 0.0
+    prefill_tokens: int = 0
 
 
 class RoomEnds(NamedTuple):
--- a/src/savorylift/rooms/service_room.py
+++ b/src/savorylift/rooms/service_room.py
@@ -29,6 +29,7 @@
     has_allowed,
     keep_engine,
 )
+from savorylift.rooms.prefill_bounds import PrefillBounds
 
 # A generation is dropped if its node hasn't asked for this time.
 MAX_SILENCE_S = 1.5
@@ -68,6 +69,7 @@
         self._order = TurnOrder()
         self._release_rate = MemoryReleaseRate()
         self._arrivals = ArrivalRate()
+        self._prefill_bounds = PrefillBounds()
         self._waiting: dict[PlaceKey, _Waiting] = {}
         self._last_number = 0
 
@@ -92,6 +94,7 @@
             self._waiting[key] = known._replace(heard_s=now_s)
             return
         self._arrivals.record(req.priority, req.tokens)
+        self._prefill_bounds.record(req.priority, req.max_prefill_tokens)
         self._last_number += 1
         ticket = Ticket(
             req.priority,
@@ -151,7 +154,7 @@
         most_tokens = find_most_room(engines, loads)
         for ticket in self._order.sort(tickets, now_s):
             waiting = by_number[ticket.number]
-            req, server = waiting.req, None
+            req, server = self._with_bound(waiting.req), None
             if req.tokens <= most_tokens:
                 server = choose_allowed(req, engines, loads, self._rng)
             if server is not None:
@@ -169,6 +172,12 @@
                 most_tokens = find_most_room(engines, loads)
         yield from self._turn_away(left, by_number, engines, loads)
 
+    def _with_bound(self, req: RoomRequest) -> RoomRequest:
+        max_tokens = self._prefill_bounds.find(
+            req.priority, req.max_prefill_tokens
+        )
+        return req._replace(max_prefill_tokens=max_tokens)
+
     def leave_all_alone(self) -> Iterator[Decision]:
         """Yields that the nodes are to place all that wait by themselves."""
         for waiting in list(self._waiting.values()):
@@ -202,7 +211,11 @@
         self._order.record_turn(waiting.ticket)
         del self._waiting[key]
         reply = RoomReply(
-            req.number, RoomOutcome.GRANTED, server_id, 0.0, len(self._waiting)
+            req.number,
+            RoomOutcome.GRANTED,
+            server_id,
+            waiting=len(self._waiting),
+            prefill_tokens=loads[server_id].prefill_tokens,
         )
         return Decision(key, reply)
 
--- a/tests/rooms/test_service_room.py
+++ b/tests/rooms/test_service_room.py
@@ -111,6 +111,18 @@
         assert room.find_engine(key(1)) == "a"
 
 
+def test_less_urgent_ones_fill_no_engine_beyond_what_urgent_ones_bear() -> None:
+    """Else these would find none, however early their turn is."""
+    room, engines = make_room(), make_engines("a")
+    urgent = make_request(1)._replace(priority=0, max_prefill_tokens=1000.0)
+    room.add(key(1), urgent)
+    assert granted(room, engines) == [1]
+    room.add(key(2), make_request(2, 2000))
+    assert granted(room, engines) == []
+    room.add(key(3), urgent._replace(number=3))
+    assert granted(room, engines) == [3]
+
+
 def test_generations_of_silent_nodes_are_dropped() -> None:
     with freezegun.freeze_time("2026-01-01") as clock:
         room, engines = make_room(), make_engines("a")
