Keep to what urgent prompts bear by most nodes, not by the strictest one

Less urgent prompts kept to the smallest bound that any urgent generation of the last 5 s named. Bounds rest on each node's own estimate of the prefill rate, which may be off by a factor of ten (1,000 to 200,000 tokens a second): in a fleet of many nodes one that is far off held up the less urgent generations of all. Now the bound at a quarter of the latest 32 counts. It is worked out once a look, not for each generation that waits.

--- a/src/savorylift/rooms/prefill_bounds.py
+++ b/src/savorylift/rooms/prefill_bounds.py
@@ -5,38 +5,44 @@
 engine, however early their turn is. So it keeps to what they bear.
 """
 
+import collections
 import time
 
 # Bounds of generations that arrived longer ago than this don't count.
 WINDOW_S = 5.0
+# Generations of each priority whose bounds are remembered.
+MAX_BOUNDS = 32
+# Each node's bounds rest on its own estimate of the prefill rate. Of the
+# bounds in order, the one at this share counts: a single node whose estimate
+# is far off doesn't hold up the less urgent generations of all.
+STRICT_SHARE = 0.25
 
 
 class PrefillBounds:
-    """Remembers the strictest bound of the generations of each priority."""
+    """Remembers the bounds of the latest generations of each priority."""
 
     def __init__(self) -> None:
         """Starts without generations."""
-        # Bound and monotonic time of its last generation, by priority.
-        self._bounds: dict[int, tuple[float, float]] = {}
+        # Bounds and when they came, oldest first, by priority.
+        self._bounds: dict[int, collections.deque[tuple[float, float]]] = {}
 
     def record(self, priority: int, max_tokens: float) -> None:
         """Records the bound of a generation that has arrived."""
-        now_s = time.monotonic()
-        known, heard_s = self._bounds.get(priority, (max_tokens, now_s))
-        if max_tokens <= known or now_s - heard_s > WINDOW_S:
-            self._bounds[priority] = max_tokens, now_s
-
-    def find(self, priority: int, max_tokens: float) -> float:
-        """Returns the bound to keep to for a generation.
-
-        Args:
-            priority: Its priority.
-            max_tokens: Its own bound.
-        """
+        known = self._bounds.setdefault(
+            priority, collections.deque(maxlen=MAX_BOUNDS)
+        )
+        known.append((time.monotonic(), max_tokens))
+
+    def by_priority(self) -> dict[int, float]:
+        """Returns the bound of the generations of each priority."""
         oldest_s = time.monotonic() - WINDOW_S
-        stricter = [
-            bound
-            for other, (bound, heard_s) in self._bounds.items()
-            if other < priority and heard_s >= oldest_s
-        ]
-        return min([max_tokens, *stricter])
+        found = {}
+        for priority, known in list(self._bounds.items()):
+            while known and known[0][0] < oldest_s:
+                known.popleft()
+            if not known:
+                del self._bounds[priority]
+                continue
+            ordered = sorted(max_tokens for _, max_tokens in known)
+            found[priority] = ordered[int(STRICT_SHARE * len(ordered))]
+        return found
--- a/src/savorylift/rooms/service_room.py
+++ b/src/savorylift/rooms/service_room.py
@@ -151,11 +151,13 @@
         }
         left = []
         known = engines
+        bounds = self._prefill_bounds.by_priority()
         most_tokens = find_most_room(engines, loads)
         for ticket in self._order.sort(tickets, now_s):
             waiting = by_number[ticket.number]
-            req, server = self._with_bound(waiting.req), None
+            req, server = waiting.req, None
             if req.tokens <= most_tokens:
+                req = _with_bound(req, bounds)
                 server = choose_allowed(req, engines, loads, self._rng)
             if server is not None:
                 yield self._grant(
@@ -172,12 +174,6 @@
                 most_tokens = find_most_room(engines, loads)
         yield from self._turn_away(left, by_number, engines, loads)
 
-    def _with_bound(self, req: RoomRequest) -> RoomRequest:
-        max_tokens = self._prefill_bounds.find(
-            req.priority, req.max_prefill_tokens
-        )
-        return req._replace(max_prefill_tokens=max_tokens)
-
     def leave_all_alone(self) -> Iterator[Decision]:
         """Yields that the nodes are to place all that wait by themselves."""
         for waiting in list(self._waiting.values()):
@@ -244,3 +240,11 @@
                 len(self._waiting),
             )
             yield Decision(waiting.key, reply)
+
+
+def _with_bound(req: RoomRequest, bounds: Mapping[int, float]) -> RoomRequest:
+    """Returns a request that keeps to what more urgent ones bear."""
+    stricter = [bound for p, bound in bounds.items() if p < req.priority]
+    return req._replace(
+        max_prefill_tokens=min([req.max_prefill_tokens, *stricter])
+    )
--- a/tests/rooms/test_service_room.py
+++ b/tests/rooms/test_service_room.py
@@ -123,6 +123,22 @@
     assert granted(room, engines) == [3]
 
 
+def test_bound_of_one_node_that_is_far_off_holds_up_nobody() -> None:
+    """Each node estimates by itself how fast engines prefill."""
+    room, engines = make_room(), make_engines("a")
+    for number in range(20):
+        max_tokens = 600.0 if number == 10 else 9000.0
+        urgent = make_request(number, 10)._replace(
+            priority=0, max_prefill_tokens=max_tokens
+        )
+        room.add(key(number), urgent)
+        assert granted(room, engines) == [number]
+        room.end(key(number))
+    room.add(key(100), make_request(100, 1000))
+    room.add(key(101), make_request(101, 2000))
+    assert granted(room, engines) == [100, 101]
+
+
 def test_generations_of_silent_nodes_are_dropped() -> None:
     with freezegun.freeze_time("2026-01-01") as clock:
         room, engines = make_room(), make_engines("a")
