--- a/src/savorylift/fleet/state.py
+++ b/src/savorylift/fleet/state.py
@@ -41,6 +41,7 @@
 from savorylift.fleet.server_sightings import (
     BrittleNews,
     LeavingServer,
+    ServerSpeed,
     VersionSighting,
     WitnessedProcess,
 )
@@ -83,6 +84,7 @@
     "Segment",
     "ServerLoad",
     "ServerProcess",
+    "ServerSpeed",
     "Snapshot",
     "SoundPart",
     "Stage",
@@ -152,6 +154,7 @@
             did until lately.
         knows_rollouts: Whether the node heeds the stages of roll-outs; builds
             that don't say send requests to servers of any version.
+        server_speeds: Servers that took longer or less long than usual.
     """
 
     node: str
@@ -180,3 +183,4 @@
     has_version_history: bool = False
     witnessed_processes: tuple[WitnessedProcess, ...] = ()
     knows_rollouts: bool = False
+    server_speeds: tuple[ServerSpeed, ...] = ()
--- a/src/savorylift/metric.py
+++ b/src/savorylift/metric.py
@@ -70,13 +70,13 @@
 
 
 class Family(Generic[ChildT]):
-    """A metric, which has a child for each value of its label.
+    """A metric, which has a child for each value of its labels.
 
     Attributes:
         name: Name of the metric.
         documentation: What it shows, as a sentence.
-        label_names: Name of the label; empty without one.
-        children: By value of the label; by an empty string without one.
+        label_names: Names of the labels; empty without any.
+        children: By values of the labels.
     """
 
     def __init__(
@@ -91,16 +91,16 @@
         self.documentation = documentation
         self.label_names = tuple(label_names)
         self._make_child: Callable[[], ChildT] = make_child
-        self.children: dict[str, ChildT] = {}
+        self.children: dict[tuple[str, ...], ChildT] = {}
         if not label_names:
-            self.children[""] = make_child()
+            self.children[()] = make_child()
         FAMILIES.append(self)
 
-    def labels(self, value: str) -> ChildT:
-        """Returns the child of a value of the label."""
-        child = self.children.get(value)
+    def labels(self, *values: str) -> ChildT:
+        """Returns the child of a value of each label."""
+        child = self.children.get(values)
         if child is None:
-            child = self.children[value] = self._make_child()
+            child = self.children[values] = self._make_child()
         return child
 
 
@@ -119,7 +119,7 @@
 
     def inc(self, amount: float = 1.0) -> None:
         """Counts, if the metric has no label."""
-        self.children[""].inc(amount)
+        self.children[()].inc(amount)
 
 
 class Gauge(Family[Number]):
@@ -128,7 +128,7 @@
     def __init__(self, name: str, documentation: str) -> None:
         """Starts at zero."""
         super().__init__(name, documentation, (), Number)
-        number = self.children[""]
+        number = self.children[()]
         self.inc = number.inc
         self.dec = number.dec
         self.set = number.set
@@ -153,4 +153,4 @@
 
     def observe(self, value: float) -> None:
         """Adds an observation, if the metric has no label."""
-        self.children[""].observe(value)
+        self.children[()].observe(value)
--- a/src/savorylift/rooms/service_room.py
+++ b/src/savorylift/rooms/service_room.py
@@ -29,6 +29,7 @@
     has_allowed,
     keep_engine,
 )
+from savorylift.rooms.prefill_bounds import PrefillBounds
 
 # A generation is dropped if its node hasn't asked for this time.
 MAX_SILENCE_S = 1.5
@@ -68,6 +69,7 @@
         self._order = TurnOrder()
         self._release_rate = MemoryReleaseRate()
         self._arrivals = ArrivalRate()
+        self._prefill_bounds = PrefillBounds()
         self._waiting: dict[PlaceKey, _Waiting] = {}
         self._last_number = 0
 
@@ -92,6 +94,7 @@
             self._waiting[key] = known._replace(heard_s=now_s)
             return
         self._arrivals.record(req.priority, req.tokens)
+        self._prefill_bounds.record(req.priority, req.max_prefill_tokens)
         self._last_number += 1
         ticket = Ticket(
             req.priority,
@@ -148,11 +151,13 @@
         }
         left = []
         known = engines
+        bounds = self._prefill_bounds.by_priority()
         most_tokens = find_most_room(engines, loads)
         for ticket in self._order.sort(tickets, now_s):
             waiting = by_number[ticket.number]
             req, server = waiting.req, None
             if req.tokens <= most_tokens:
+                req = _with_bound(req, bounds)
                 server = choose_allowed(req, engines, loads, self._rng)
             if server is not None:
                 yield self._grant(
@@ -165,7 +170,7 @@
                 continue
             left.append(ticket)
             if engines.servers and now_s - ticket.enqueued_s > BYPASS_LIMIT_S:
-                engines = keep_engine(req, engines, loads, self._rng)
+                engines = keep_engine(req, engines, loads)
                 most_tokens = find_most_room(engines, loads)
         yield from self._turn_away(left, by_number, engines, loads)
 
@@ -202,7 +207,11 @@
         self._order.record_turn(waiting.ticket)
         del self._waiting[key]
         reply = RoomReply(
-            req.number, RoomOutcome.GRANTED, server_id, 0.0, len(self._waiting)
+            req.number,
+            RoomOutcome.GRANTED,
+            server_id,
+            waiting=len(self._waiting),
+            prefill_tokens=loads[server_id].prefill_tokens,
         )
         return Decision(key, reply)
 
@@ -231,3 +240,11 @@
                 len(self._waiting),
             )
             yield Decision(waiting.key, reply)
+
+
+def _with_bound(req: RoomRequest, bounds: Mapping[int, float]) -> RoomRequest:
+    """Returns a request that keeps to what more urgent ones bear."""
+    stricter = [bound for p, bound in bounds.items() if p < req.priority]
+    return req._replace(
+        max_prefill_tokens=min([req.max_prefill_tokens, *stricter])
+    )
--- a/tests/rooms/test_keeper.py
+++ b/tests/rooms/test_keeper.py
@@ -27,6 +27,7 @@
 )
 from savorylift.rooms.keeper_choice import CACHE_S, MIN_NODES, KeeperChoice
 from tests.fleet.test_membership import state
+from tests.harness.virtual_time import run_in_virtual_time
 from tests.rooms.factories import (
     NODES,
     SERVICE,
@@ -130,11 +131,16 @@
 
 
 @pytest.fixture
-def fleet(monkeypatch: pytest.MonkeyPatch) -> Fleet:
-    """A fleet whose keeper has heard all others."""
+def no_holds(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Keepers have heard all others when they are created."""
     monkeypatch.setattr(keeper_module, "START_HOLD_S", 0.0)
     monkeypatch.setattr(keeper_module, "HANDOVER_HOLD_S", 0.0)
     monkeypatch.setattr(keeper_module, "HANDOVER_INTERVALS", 0.0)
+
+
+@pytest.fixture
+def fleet(no_holds: None) -> Fleet:
+    """A fleet whose keeper has heard all others."""
     return Fleet()
 
 
@@ -180,11 +186,12 @@
 
 @pytest.mark.parametrize("fault", ["mute", "deaf"])
 def test_keeper_that_does_not_reply_costs_little_and_is_left_alone(
-    fleet: Fleet, fault: str
+    no_holds: None, monkeypatch: pytest.MonkeyPatch, fault: str
 ) -> None:
     """It was killed, is cut off one way, or is of an earlier build."""
 
     async def scenario() -> None:
+        fleet = Fleet()
         node, keeper = fleet.other, fleet.keeper
         getattr(fleet, fault).add(keeper.ip)
         begun_s = time.monotonic()
@@ -208,7 +215,7 @@
         rooms = keeper.keeper._rooms.values()
         assert sum(len(room._book) for room in rooms) == 0
 
-    run_with_timeout(scenario())
+    run_in_virtual_time(monkeypatch, scenario)
 
 
 def test_questions_asked_at_once_count_as_one_silence(fleet: Fleet) -> None:
@@ -225,6 +232,26 @@
     run_with_timeout(scenario())
 
 
+def test_reply_that_a_busy_node_finds_when_its_time_is_over_counts(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario() -> None:
+        node, send = fleet.other, fleet.send
+        fleet.copies = iter((0,))
+
+        def send_while_busy(message: RoomMessage, source: str, ip: str) -> None:
+            send(message, source, ip)
+            if isinstance(message, RoomReply):
+                time.sleep(2 * max(client_module.ASK_TIMEOUTS_S))
+
+        monkeypatch.setattr(fleet, "send", send_while_busy)
+        reply = await node.ask(make_request())
+        assert reply is not None
+        assert reply.outcome == RoomOutcome.GRANTED
+
+    run_with_timeout(scenario())
+
+
 def test_late_grant_is_given_back(fleet: Fleet) -> None:
     async def scenario() -> None:
         node, keeper = fleet.other, fleet.keeper
@@ -289,6 +316,35 @@
     run_with_timeout(scenario())
 
 
+def test_looks_leave_a_slow_keeper_time_for_its_own_callers(
+    fleet: Fleet,
+) -> None:
+    """While many wait, each node's message makes it look at them again."""
+
+    async def scenario() -> None:
+        fleet.engines = FULL
+        keeper, look_s, looks = fleet.keeper.keeper, 0.005, 0
+        waiting = asyncio.ensure_future(fleet.other.ask(make_request()))
+        await asyncio.sleep(0.02)
+
+        def look(_service: str) -> Engines:
+            nonlocal looks
+            looks += 1
+            time.sleep(look_s)
+            return FULL
+
+        keeper._find_engines = look
+        begun_s = time.monotonic()
+        while (took_s := time.monotonic() - begun_s) < 0.5:
+            keeper.hear(ip_of(5), ())
+            await asyncio.sleep(0.001)
+        waiting.cancel()
+        assert looks > 1
+        assert looks * look_s < 0.2 * took_s
+
+    run_with_timeout(scenario())
+
+
 class LoneKeeper:
     """The keeper of a fleet in paused time, whose replies are kept."""
 
