--- a/src/savorylift/rollouts/decider.py
+++ b/src/savorylift/rollouts/decider.py
@@ -13,6 +13,9 @@
 # Part of the requests that a bad version may get, its slack included, that the
 # watch may use up.
 WATCH_BUDGET_PART = 0.6
+# A node that has decided for a shorter time doesn't know how many requests
+# there are.
+MIN_RATE_TIME_S = 1.0
 # Share with which it is tried under load, before it gets all requests.
 LOAD_SHARE = 0.3
 # Steps of a roll-out.
@@ -158,6 +161,8 @@
         return _advance(stage, FIRST_STEP, share, "servers are there")
     if stage.step >= WATCH_STEP or _is_doubtful(situation):
         return None
+    if situation.step_age_s < MIN_RATE_TIME_S:
+        return None
     is_due = situation.elapsed_s >= FIRST_TIME_PART * stage.duration_s
     has_answers = situation.judgement.new_answers >= FIRST_ANSWERS
     if not is_due and not has_answers:
--- a/src/savorylift/rollouts/verdict.py
+++ b/src/savorylift/rollouts/verdict.py
@@ -25,6 +25,8 @@
 # Chance at which a sound version looks as bad in one comparison, and how much
 # worse it must be. The first pair stops a roll-out, the second lets it wait.
 BAD_CHANCE = 0.001
+# The same for the last slices: they are compared more often.
+RECENT_BAD_CHANCE = 0.0003
 BAD_EXCESS = 0.1
 MIN_BAD = 3
 SUSPECT_CHANCE = 0.02
@@ -69,6 +71,7 @@
         new: Answers of the new version.
         old: Those of the old one.
         chance: Chance that a version like the old one has as many or more.
+        is_recent: Whether it is of the last slices alone.
     """
 
     fault: str
@@ -76,6 +79,7 @@
     new: Sample
     old: Sample
     chance: float
+    is_recent: bool = False
 
     def describe(self) -> str:
         """Returns the finding for logs and records."""
@@ -88,7 +92,8 @@
     @property
     def is_bad(self) -> bool:
         """Whether it shows a bad version."""
-        return self._exceeds(BAD_CHANCE, BAD_EXCESS, MIN_BAD)
+        limit = RECENT_BAD_CHANCE if self.is_recent else BAD_CHANCE
+        return self._exceeds(limit, BAD_EXCESS, MIN_BAD)
 
     @property
     def is_suspect(self) -> bool:
@@ -123,7 +128,8 @@
     for slices in RECENT_SLICES:
         first = evidence.last_slice - slices + 1
         if first > 0:
-            findings += _find(evidence.compare(first), whole)
+            recent = _find(evidence.compare(first), whole)
+            findings += [f._replace(is_recent=True) for f in recent]
     worst = min(findings, key=lambda finding: finding.chance, default=None)
     routes = {
         series: pair
