Spend slack on a version whose service gets few requests

The share with which it is watched now grows where the usual one would give too few answers, within half of the slack. 3 plays of 3 are completed, and 3 of failing versions stay within their bound.

--- a/src/savorylift/rollouts/decider.py
+++ b/src/savorylift/rollouts/decider.py
@@ -10,6 +10,13 @@
 # parts of what a bad one may get.
 FIRST_PART = 0.3
 WATCH_PART = 0.9
+# Answers of the version that are wanted while it is watched, and the part of
+# the slack that may be spent on them.
+WANTED_ANSWERS = 12
+SLACK_PART = 0.5
+# A node that has decided for a shorter time doesn't know how many requests
+# there are.
+MIN_RATE_TIME_S = 1.0
 # Share with which it is tried under load, before it gets all requests.
 LOAD_SHARE = 0.3
 # Steps of a roll-out.
@@ -159,10 +166,34 @@
     has_answers = situation.judgement.new_answers >= FIRST_ANSWERS
     if not is_due and not has_answers:
         return None
-    share = max(WATCH_PART * limits.share - situation.other_builds, 0.0)
+    share = _watch_share(stage, situation, limits)
+    share = max(share - situation.other_builds, 0.0)
     return _advance(stage, WATCH_STEP, share, "sound so far")
 
 
+def _watch_share(
+    stage: Stage, situation: Situation, limits: RolloutLimits
+) -> float:
+    """Returns the share with which a version is watched.
+
+    Where requests are few, part of the slack goes into it, so that there are
+    answers enough to judge by.
+    """
+    usual = WATCH_PART * limits.share
+    judgement = situation.judgement
+    answers = judgement.new_answers + judgement.old_answers
+    if not answers or situation.step_age_s < MIN_RATE_TIME_S:
+        return usual
+    per_s = answers / situation.elapsed_s
+    slack_share = SLACK_PART * limits.slack / (per_s * stage.duration_s)
+    most = min(WATCH_PART * (limits.share + slack_share), LOAD_SHARE)
+    timetable = make_timetable(
+        stage.duration_s, has_engines=situation.has_engines
+    )
+    watch_s = max(timetable.load_s - situation.elapsed_s, MIN_RATE_TIME_S)
+    return max(usual, min(WANTED_ANSWERS / (per_s * watch_s), most))
+
+
 def _begin_load(stage: Stage, situation: Situation) -> Stage | None:
     timetable = make_timetable(
         stage.duration_s, has_engines=situation.has_engines
--- a/tests/rollouts/test_plays.py
+++ b/tests/rollouts/test_plays.py
@@ -147,12 +147,13 @@
     script: Script,
     seed: int,
     duration_s: float = 20.0,
+    per_s: float = 34.0,
 ) -> Play:
     """Returns a play after its end."""
     plays: list[Play] = []
 
     async def scenario() -> None:
-        play = Play(behaviour, seed=seed, duration_s=duration_s)
+        play = Play(behaviour, seed=seed, duration_s=duration_s, per_s=per_s)
         plays.append(play)
         await play.run(script)
 
@@ -231,6 +232,19 @@
     assert sorted(held) == pytest.approx([0.09])
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_versions_with_few_requests_are_judged(
+    monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    good = run_play(monkeypatch, sound, (), seed, duration_s=12.0, per_s=8.0)
+    assert good.statuses == ["running", "completed"]
+    bad = run_play(
+        monkeypatch, failing(0.5), (), seed, duration_s=12.0, per_s=8.0
+    )
+    assert bad.statuses == ["running", "rolled_back"]
+    assert bad.exposed <= bad.bound
+
+
 def test_withdrawn_orders_are_rolled_back(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
