Shift engines' requests later in a roll-out

Cause: all requests went to a new version for the last third of an order's time, so that one that turned bad after 0.6 of it got more than its share. Change: the last fifth; streams that old engines then still serve are broken off if they are longer than that.

--- a/src/savorylift/rollouts/decider.py
+++ b/src/savorylift/rollouts/decider.py
@@ -39,7 +39,7 @@
 MIN_MARGIN_S = 1.5
 # Time for old servers to end what they run: of engines, whose streams last,
 # and of others.
-ENGINE_SHIFT_PART = 0.35
+ENGINE_SHIFT_PART = 0.2
 PLAIN_SHIFT_PART = 0.1
 MIN_SHIFT_S = 1.2
 # The least that the shift may take if the version was found sound late.
