Let requests of a roll-out's share go to the old version while the new is full

Requests of the share prefer the new version; a node that places by itself sends them to the old one if the new has no room. At the keeper all old engines were excluded, so that they waited, or were refused, while old engines had room. The request to the keeper now names these as spare.

--- a/src/savorylift/exchange/kept_engines.py
+++ b/src/savorylift/exchange/kept_engines.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable, Collection, Iterator
+from typing import NamedTuple
 
 from savorylift.backends.brittle_services import BrittleServices
 from savorylift.backends.registry import BackendServer
@@ -15,6 +16,18 @@
 MAX_EXCLUDED = 64
 
 
+class Barred(NamedTuple):
+    """Engines that a request doesn't go to, or only if others have no room.
+
+    Attributes:
+        excluded: IDs of those that it may not go to.
+        spare: IDs of those that it goes to only if no other has room.
+    """
+
+    excluded: frozenset[str]
+    spare: frozenset[str] = frozenset()
+
+
 class KeptEngines:
     """Tells which engines a keeper grants, and which grants to follow.
 
@@ -54,9 +67,9 @@
         servers = self._allowed.servers_in_service(service)
         return [server for server in servers if self._is_open(server)]
 
-    def find_excluded(
+    def find_barred(
         self, admitted: AdmittedRequest, tried: Collection[str]
-    ) -> frozenset[str] | None:
+    ) -> Barred | None:
         """Returns the engines that a keeper must not grant to a request.
 
         While a service is rolled out, they are those of the version that the
@@ -68,16 +81,21 @@
         """
         rule = self._allowed.find_version_rule(admitted, tried)
         if rule is None:
-            return frozenset(tried)
+            return Barred(frozenset(tried))
         servers = self._allowed.servers_in_service(admitted.service.name)
+        ids = {server.entry.server_id for server in servers}
         allowed = [s for s in servers if rule.allows(s.entry)]
-        preferred = [
-            s for s in allowed if rule.prefers(s.entry) and self._is_open(s)
-        ]
-        wanted = {s.entry.server_id for s in preferred or allowed}
-        others = {s.entry.server_id for s in servers} - wanted
-        excluded = others.union(tried)
-        return None if len(excluded) > MAX_EXCLUDED else frozenset(excluded)
+        allowed_ids = {server.entry.server_id for server in allowed}
+        preferred_ids = {
+            server.entry.server_id
+            for server in allowed
+            if rule.prefers(server.entry) and self._is_open(server)
+        }
+        excluded = (ids - allowed_ids).union(tried)
+        spare = allowed_ids - preferred_ids if preferred_ids else set()
+        if len(excluded) + len(spare) > MAX_EXCLUDED:
+            return None
+        return Barred(frozenset(excluded), frozenset(spare))
 
     def find_granted(
         self,
--- a/src/savorylift/exchange/room_placement.py
+++ b/src/savorylift/exchange/room_placement.py
@@ -9,6 +9,7 @@
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange import metrics
 from savorylift.exchange.admission import AdmittedRequest
+from savorylift.exchange.kept_engines import Barred
 from savorylift.exchange.run import Run
 from savorylift.exchange.server_pool import ServerPool
 from savorylift.exchange.wish import Wish
@@ -56,7 +57,7 @@
             return None
         keeper_ip = self._client.find_keeper(admitted.service.name)
         kept = self._pool.kept
-        if keeper_ip is None or kept.find_excluded(admitted, tried) is None:
+        if keeper_ip is None or kept.find_barred(admitted, tried) is None:
             return None
         begun_s = time.monotonic()
         cold: list[BackendServer] = []
@@ -74,7 +75,7 @@
             keeper_ip,
             run.attempt_id,
             lambda: _make_request(
-                run, wish, self._find_excluded(admitted, tried), begun_s
+                run, wish, self._find_barred(admitted, tried), begun_s
             ),
             has_cold_place,
             wish.leave_s,
@@ -95,12 +96,14 @@
         """Gives back the place of a run, if a keeper granted one."""
         self._client.end(run.attempt_id)
 
-    def _find_excluded(
+    def _find_barred(
         self, admitted: AdmittedRequest, tried: Collection[str]
-    ) -> frozenset[str]:
+    ) -> Barred:
         """Returns the engines that failed it, aren't for it or want a pause."""
-        excluded = self._pool.kept.find_excluded(admitted, tried)
-        return (excluded or frozenset(tried)).union(self._pool.holds.held_ids)
+        found = self._pool.kept.find_barred(admitted, tried)
+        barred = found or Barred(frozenset(tried))
+        held_ids = self._pool.holds.held_ids
+        return barred._replace(excluded=barred.excluded.union(held_ids))
 
     def _follow(
         self, run: Run, wish: Wish, tried: set[str], reply: RoomReply | None
@@ -125,7 +128,7 @@
 
 
 def _make_request(
-    run: Run, wish: Wish, excluded: Collection[str], begun_s: float
+    run: Run, wish: Wish, barred: Barred, begun_s: float
 ) -> RoomRequest:
     admitted, options = run.admitted, wish.options
     parameters, regions = wish.parameters, admitted.regions
@@ -145,9 +148,10 @@
         leave_in_s=wish.leave_s - now_s,
         age_s=now_s - begun_s,
         lease_s=lease_s,
-        excluded=tuple(sorted(excluded)),
+        excluded=tuple(sorted(barred.excluded)),
         software_version=admitted.software_version,
         regions=None if regions is None else tuple(sorted(regions)),
+        spare=tuple(sorted(barred.spare)),
     )
 
 
--- a/src/savorylift/fleet/room_messages.py
+++ b/src/savorylift/fleet/room_messages.py
@@ -45,6 +45,7 @@
         software_version: Version of the engines that may run it; None for any.
         regions: Regions whose engines may run it; None for any.
         ends: Numbers of earlier requests of the sender that need no place now.
+        spare: IDs of the engines that may run it only if no other has room.
     """
 
     number: int
@@ -64,6 +65,7 @@
     software_version: str | None = None
     regions: tuple[str, ...] | None = None
     ends: tuple[int, ...] = ()
+    spare: tuple[str, ...] = ()
 
 
 class RoomReply(NamedTuple):
--- a/src/savorylift/rooms/engines.py
+++ b/src/savorylift/rooms/engines.py
@@ -64,8 +64,10 @@
     ]
     if not with_room:
         return None
-    allowed = _find_allowed(req, with_room, engines.region_by_domain)
-    return choose_least_loaded_engine(allowed, loads, options, rng)
+    allowed = list(_find_allowed(req, with_room, engines.region_by_domain))
+    preferred = [s for s in allowed if s.entry.server_id not in req.spare]
+    found = preferred or allowed
+    return choose_least_loaded_engine(found, loads, options, rng)
 
 
 def keep_engine(
--- a/tests/rooms/test_service_room.py
+++ b/tests/rooms/test_service_room.py
@@ -74,6 +74,16 @@
     assert room.find_engine(key(1)) == engine
 
 
+def test_spare_engines_are_granted_only_while_no_other_has_room() -> None:
+    room, engines = make_room(), make_engines("a", "b")
+    for number in (1, 2):
+        large = make_request(number, 8000)._replace(spare=("a",))
+        room.add(key(number), large)
+        assert granted(room, engines) == [number]
+    assert room.find_engine(key(1)) == "b"
+    assert room.find_engine(key(2)) == "a"
+
+
 def test_large_generation_keeps_one_engine_and_not_the_others() -> None:
     with freezegun.freeze_time("2026-01-01") as clock:
         room, one = make_room(), make_engines("a")
