Wake the periodic tasks of a process together

Each periodic task of an idle node woke its process by itself, and each wake-up costs more than what most of them do. They now wait for a common beat, whose phase differs between processes. Engines are looked at for notices only while this node has runs there, and whether to read the store is decided once for both topics.

--- a/src/savorylift/exchange/drain_poller.py
+++ b/src/savorylift/exchange/drain_poller.py
@@ -6,9 +6,10 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection
 
 from savorylift.backends.registry import BackendServer, Registry
+from savorylift.beat import wait_for_beat
 from savorylift.exchange.limit_gate import LimitGate
 from savorylift.exchange.notice_recorder import NoticeRecorder, NoticeSource
 from savorylift.platform.engine_client import read_notice
@@ -31,7 +32,7 @@
         notices: NoticeRecorder,
         is_held: Callable[[str], bool],
         is_store_unavailable: Callable[[], bool],
-        get_engines: Callable[[], Iterable[BackendServer]],
+        get_engines: Callable[[], Collection[BackendServer]],
         on_change: Callable[[], None],
     ) -> None:
         """Creates a poller; `run` starts it.
@@ -57,8 +58,12 @@
     async def run(self) -> None:
         """Polls periodically while the store is unavailable; never returns."""
         while True:
-            await asyncio.sleep(CHECK_INTERVAL_S)
-            if self._is_store_unavailable():
+            has_runs = bool(self._get_engines())
+            # Another run may begin at an engine as late after its last poll.
+            await wait_for_beat(
+                CHECK_INTERVAL_S if has_runs else POLL_INTERVAL_S
+            )
+            if self._get_engines() and self._is_store_unavailable():
                 polled_s = time.monotonic()
                 await asyncio.gather(*map(self._poll, self._engines_to_poll()))
                 next_s = polled_s + POLL_INTERVAL_S - CHECK_INTERVAL_S
--- a/src/savorylift/exchange/origin_log.py
+++ b/src/savorylift/exchange/origin_log.py
@@ -12,6 +12,7 @@
 import structlog
 from returns.pipeline import is_successful
 
+from savorylift.beat import wait_for_beat
 from savorylift.exchange import metrics
 from savorylift.exchange.stream_origins import StreamOrigins
 from savorylift.fleet.record_codec import decode_record, encode_record
@@ -73,13 +74,13 @@
     async def run(self) -> None:
         """Writes new origins forever, in batches."""
         while True:
-            wait_s = CHECK_INTERVAL_S
-            if self._unsaved():
-                is_saved = await self.save()
-                wait_s = (
-                    self._write_interval_s if is_saved else RETRY_INTERVAL_S
-                )
-            await asyncio.sleep(wait_s)
+            if not self._unsaved():
+                await wait_for_beat(CHECK_INTERVAL_S)
+                continue
+            is_saved = await self.save()
+            await asyncio.sleep(
+                self._write_interval_s if is_saved else RETRY_INTERVAL_S
+            )
 
     async def save(self) -> bool:
         """Writes a batch of origins; returns whether that succeeded."""
@@ -123,12 +124,13 @@
         if era != self._era:
             self._saved.clear()
             self._era = era
-        services = self._history.uncertain_services(time.monotonic())
-        own = [
-            origin
-            for origin in self._origins.own()
-            if origin.service in services and origin.is_certain
-        ]
+        certain = [o for o in self._origins.own() if o.is_certain]
+        services = (
+            self._history.uncertain_services(time.monotonic())
+            if certain
+            else ()
+        )
+        own = [origin for origin in certain if origin.service in services]
         self._saved.intersection_update(origin.attempt_id for origin in own)
         return [o for o in own if o.attempt_id not in self._saved]
 
--- a/src/savorylift/fleet/topic_consumer.py
+++ b/src/savorylift/fleet/topic_consumer.py
@@ -8,6 +8,7 @@
 from returns.pipeline import is_successful
 from returns.result import Result
 
+from savorylift.beat import wait_for_beat
 from savorylift.fleet.store_records import Change, Delta, Topic
 from savorylift.fleet.store_view import StoreView
 from savorylift.platform.store import (
@@ -42,6 +43,8 @@
 # Readings that are older than this, and the interval of readers, may miss a
 # notice: servers write several times a second, and give about 1.5 s of notice.
 NOTICE_AGE_S = 0.5
+# For how long a decision whether to read holds, for both topics.
+DECISION_S = 0.1
 
 _log = structlog.get_logger()
 
@@ -70,6 +73,8 @@
         self._peers_reading_age_s = peers_reading_age_s
         self._is_starting = is_starting
         self._get_reader_interval_s = get_reader_interval_s
+        self._should_read = False
+        self._decided_until_s = 0.0
 
     @property
     def retry_s(self) -> float:
@@ -80,7 +85,11 @@
 
     def should_read(self) -> bool:
         """Whether this node is a reader or other nodes' readings are stale."""
-        return self._is_reader() or self.is_stale(None)
+        now_s = time.monotonic()
+        if now_s >= self._decided_until_s:
+            self._decided_until_s = now_s + DECISION_S
+            self._should_read = self._is_reader() or self.is_stale(None)
+        return self._should_read
 
     def log_decision(self, topic_name: str, *, should_read: bool) -> None:
         """Logs that this node begins or stops reading, and why."""
@@ -178,7 +187,7 @@
                     self._topic_name, should_read=should_read
                 )
             if not should_read:
-                await asyncio.sleep(POLL_PAUSE_S)
+                await wait_for_beat(POLL_PAUSE_S)
                 continue
             wait_s = await self._read()
             await asyncio.sleep(wait_s)
--- a/src/savorylift/fleet/version_recorder.py
+++ b/src/savorylift/fleet/version_recorder.py
@@ -12,6 +12,7 @@
 import structlog
 from returns.pipeline import is_successful
 
+from savorylift.beat import wait_for_beat
 from savorylift.fleet.record_codec import decode_record, encode_record
 from savorylift.fleet.state import UNKNOWN_VERSION
 from savorylift.fleet.version_history import ServerStart, VersionHistory
@@ -84,10 +85,10 @@
         await asyncio.sleep(max(wait_s, 0.0))
         self._history.is_complete = True
         while True:
-            is_saved = not self._is_writer() or await self.save()
-            await asyncio.sleep(
-                CHECK_INTERVAL_S if is_saved else RETRY_INTERVAL_S
-            )
+            if not self._is_writer() or await self.save():
+                await wait_for_beat(CHECK_INTERVAL_S)
+            else:
+                await asyncio.sleep(RETRY_INTERVAL_S)
 
     async def save(self) -> bool:
         """Writes what has changed; returns whether that succeeded."""
