--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 from collections.abc import Collection
 
 from returns.pipeline import is_successful
@@ -10,6 +11,7 @@
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange import metrics
 from savorylift.exchange.admission import AdmittedRequest
+from savorylift.exchange.answer_outcome import find_outcome
 from savorylift.exchange.codec import Codec, EventSink
 from savorylift.exchange.crash_guard import CrashGuard, is_quarantined
 from savorylift.exchange.engine_queue import EngineQueue
@@ -31,6 +33,7 @@
     Obstacle,
     Refused,
 )
+from savorylift.exchange.room_placement import RoomPlacement
 from savorylift.exchange.run import ResumeTarget, Run
 from savorylift.exchange.run_log import log_move_failure, log_take_up
 from savorylift.exchange.run_sender import RunSender
@@ -44,7 +47,8 @@
 )
 from savorylift.outcomes import Reason
 from savorylift.placement.engines import expected_tokens
-from savorylift.placement.memory_release_rate import MemoryReleaseRate
+from savorylift.rollouts.answer_log import Outcome
+from savorylift.speeds.stream_pace import count_event
 
 # How long to wait for a move to complete after the run's stream has ended. An
 # engine that is told to stop a run ends its stream within this time.
@@ -52,6 +56,11 @@
 # Added to the retry delay at random, as a share of it, so that callers that are
 # refused together don't retry together.
 RETRY_AFTER_JITTER = 0.3
+# Kind of work of which engines' speeds are told.
+STREAM = ""
+
+# Events after which the pace of a stream is known.
+PACE_EVENTS = 6
 
 
 class GenerationDispatcher:
@@ -67,6 +76,7 @@
         crash_guard: CrashGuard,
         resumption: StreamResumption,
         rng: random.Random,
+        rooms: RoomPlacement | None = None,
     ) -> None:
         """Creates a dispatcher without any runs.
 
@@ -80,31 +90,26 @@
             crash_guard: Stops requests that crash engines.
             resumption: Keeps streams at the version that began them.
             rng: Source of the jitter on retry delays.
+            rooms: Asks the keepers of engines' room; None without keepers.
         """
         self._pool = pool
         self._sender = sender
         self._server_check = server_check
         self._mover = mover
         self._rng = rng
-        self._queue = EngineQueue(pool)
+        self._queue = EngineQueue(pool, rooms)
         self._run_sender = RunSender(pool, sender, self._queue.dispatch_waiting)
         self._crash_guard = crash_guard
         crash_guard.on_quarantine.append(self._stop_quarantined)
-        self._release_rate = MemoryReleaseRate()
         self._resumption = resumption
         resumption.on_start.append(server_check.record_start)
         self._relay = Relay(codec, self._on_first_event, self._on_event)
         self._runs: set[Run] = set()
 
     @property
-    def engines_with_movable_runs(self) -> list[BackendServer]:
-        """The engines that have movable runs of this node, each once."""
-        servers = {
-            run.server.entry.server_id: run.server
-            for run in self._runs
-            if run.server is not None and run.can_move
-        }
-        return list(servers.values())
+    def prefill_per_s(self) -> float:
+        """Prompt tokens that an engine prefills each second."""
+        return self._queue.prefill_per_s
 
     @property
     def has_waiting(self) -> bool:
@@ -152,6 +157,7 @@
             return fail_generation(run, sink, Broken(Reason.DEADLINE, detail))
         finally:
             self._runs.discard(run)
+            self._pool.answers.finish(run.attempt_id, Outcome.ENDED)
             if run.is_at_engine:
                 self._crash_guard.record_given_up(run)
             self._release(run)
@@ -188,6 +194,7 @@
                 run, server, sink, tried, is_last=is_last
             )
             self._crash_guard.record_result(run, result)
+            self._pool.answers.finish(run.attempt_id, find_outcome(result))
             self._release(run, was_sent=not is_over_limit(result))
             if result is None:
                 return None
@@ -258,10 +265,10 @@
         if run.obstacle is Obstacle.NOT_ASKED:
             return_after_s = self._pool.assign_return_s(run.admitted)
             return refuse_generation(sink, Reason.SERVER_LIMIT, return_after_s)
-        wanted_tokens = run.expected_tokens * (
-            1 + self._queue.waiting_count(run.admitted)
-        )
-        wait_s = self._release_rate.wait_s(wanted_tokens)
+        if run.return_in_s is not None:
+            # These are spread in the order of the turns already.
+            return refuse_generation(sink, failure.reason, run.return_in_s)
+        wait_s = self._queue.estimate_return_s(run)
         retry_after_s = wait_s * (1 + self._rng.uniform(0, RETRY_AFTER_JITTER))
         return refuse_generation(sink, failure.reason, retry_after_s)
 
@@ -359,12 +366,29 @@
 
     def _on_first_event(self, run: Run) -> None:
         self._queue.record_first_event(run)
+        self._pool.answers.note_answer(run.attempt_id)
         self._resumption.record_begin(run)
 
     def _on_event(self, run: Run) -> None:
         self._crash_guard.record_event(run)
+        if run.engine_events == PACE_EVENTS and run.first_event_s is not None:
+            pause_s = (time.monotonic() - run.first_event_s) / PACE_EVENTS
+            self._pool.answers.note_pause(run.attempt_id, pause_s)
+        self._record_pace(run)
         self._start_move_if_draining(run)
 
+    def _record_pace(self, run: Run) -> None:
+        """Records the time between events, some of them at a time."""
+        engine = run.admitted.service.engine
+        if run.server is None or engine is None:
+            return
+        now_s = time.monotonic()
+        server_id = run.server.entry.server_id
+        pace = run.pace = count_event(run.pace, server_id, now_s)
+        if pace.is_whole:
+            gap_s = (now_s - pace.began_s) / pace.events
+            self._pool.record_time(run.server, STREAM, engine.slots, gap_s)
+
     def _start_move_if_draining(self, run: Run) -> None:
         """Starts to move a run if its engine is draining."""
         if run.move_task is not None or run.server is None or run.call is None:
@@ -391,8 +415,9 @@
             self._cancel_move(run.move_task)
             run.move_task = None
         if run.server is not None and was_sent:
-            self._release_rate.record_release(run.expected_tokens)
+            self._queue.record_release(run)
         self._pool.remove_run(run)
+        self._queue.give_back(run)
         run.server = None
         run.is_at_engine = False
         self._queue.dispatch_waiting()
--- a/src/savorylift/exchange/run.py
+++ b/src/savorylift/exchange/run.py
@@ -11,6 +11,7 @@
 from savorylift.exchange.request import KvCopy
 from savorylift.exchange.request_traits import find_traits
 from savorylift.exchange.results import Obstacle, Refused
+from savorylift.speeds.stream_pace import StreamPace
 from savorylift.wire.channel import Channel
 from savorylift.wire.client_call import ClientCall
 
@@ -75,8 +76,11 @@
         is_end_known: Whether its engine, which lives, has ended its stream.
         obstacle: What kept it from going on at the latest engine tried, if it
             had begun; None if that was something else.
+        return_in_s: After what time there should be room for it, if it is
+            refused since its turn would come too late; None otherwise.
         life_check: Finds out whether the engine that began its stream is of
             the version that its entry says; None before the stream begins.
+        pace: How fast its engine sends it; None before the first event.
     """
 
     def __init__(self, admitted: AdmittedRequest, expected_tokens: int) -> None:
@@ -110,7 +114,9 @@
         self.is_stopping = False
         self.is_end_known = False
         self.obstacle: Obstacle | None = None
+        self.return_in_s: float | None = None
         self.life_check: asyncio.Task[None] | None = None
+        self.pace: StreamPace | None = None
 
     @property
     def attempt_id(self) -> str:
--- a/src/savorylift/exchange/server_pool.py
+++ b/src/savorylift/exchange/server_pool.py
@@ -10,6 +10,7 @@
 from savorylift.backends.server import ServerEntry
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.allowed_servers import AllowedServers
+from savorylift.exchange.kept_engines import KeptEngines
 from savorylift.exchange.limit_gate import LimitGate
 from savorylift.exchange.move_queue import MoveQueue
 from savorylift.exchange.node_retries import NodeRetries
@@ -26,8 +27,14 @@
     EngineOptions,
     choose_engine,
     choose_least_loaded_engine,
+    free_tokens,
 )
 from savorylift.placement.plain_servers import choose_plain_server
+from savorylift.rollouts.answers import AnswerObserver
+from savorylift.rollouts.board import RolloutBoard
+from savorylift.routing.configuration import EngineTraits
+from savorylift.speeds.speed_book import SpeedBook
+from savorylift.speeds.usual_times import Work
 
 
 class ServerPool:
@@ -40,6 +47,9 @@
         move_queue: Which run may be copied next.
         blocks: Why servers get no requests.
         retries: This node's share of the retry budget.
+        answers: Follows the requests to services that are rolled out.
+        kept: Engines whose room one node may keep for all.
+        speeds: How fast each server is.
     """
 
     def __init__(
@@ -53,6 +63,8 @@
         region_by_domain: Mapping[str, str],
         limit_gate: LimitGate,
         holds: ServerHolds,
+        rollouts: RolloutBoard | None = None,
+        answers: AnswerObserver | None = None,
         announce_load: Callable[[], None] | None = None,
     ) -> None:
         """Creates a pool that reads the store view and members at each choice.
@@ -68,6 +80,8 @@
             region_by_domain: Region of each failure domain.
             limit_gate: Holds the limits that servers name.
             holds: Which servers want nothing for a while.
+            rollouts: Which software versions a request may go to.
+            answers: Follows the requests to services that are rolled out.
             announce_load: Schedules one that others need at their next choice;
                 None for `announce`.
         """
@@ -76,8 +90,12 @@
         self._rng = rng
         self._announce_load = announce_load or announce
         self._limit_gate = limit_gate
-        self._allowed = AllowedServers(store_view, region_by_domain, holds)
+        self._allowed = AllowedServers(
+            store_view, region_by_domain, holds, rollouts
+        )
+        self.answers = answers or AnswerObserver()
         self.load_tracker = LoadTracker()
+        self.speeds = SpeedBook(self._registry.find_entry)
         self.brittle = BrittleServices()
         self.holds = holds
         self._places = ServerPlaces(
@@ -86,6 +104,9 @@
         self._gate = ServerGate(
             self._allowed, holds, limit_gate.is_open, self._places
         )
+        self.kept = KeptEngines(
+            self._allowed, self._gate, self.brittle, limit_gate.is_limited
+        )
         self.blocks = ServerBlocks(
             self._registry,
             self._allowed,
@@ -110,7 +131,11 @@
         loads = self._loads()
         candidates = self._eligible_servers(admitted, tried, loads)
         found = choose_plain_server(
-            candidates, loads, time.monotonic(), self._rng
+            candidates,
+            loads,
+            time.monotonic(),
+            self._rng,
+            self.speeds.slowdown,
         )
         if found is not None:
             self._record_start(found, admitted, 0, 0)
@@ -133,6 +158,42 @@
             self._record_start(found, admitted, options.tokens, prefill_tokens)
         return found
 
+    def reserve_granted_engine(
+        self,
+        admitted: AdmittedRequest,
+        options: EngineOptions,
+        tried: Collection[str],
+        server_id: str,
+    ) -> BackendServer | None:
+        """Reserves the engine that the keeper of its room granted.
+
+        The keeper knows, so that the other nodes needn't be told.
+        """
+        server = self.kept.find_granted(admitted, tried, server_id)
+        if server is not None:
+            self._record_start(
+                server,
+                admitted,
+                options.tokens,
+                options.prompt_tokens,
+                is_granted=True,
+            )
+        return server
+
+    def reserve_cold_engine(
+        self,
+        admitted: AdmittedRequest,
+        options: EngineOptions,
+        tried: Collection[str],
+    ) -> BackendServer | None:
+        """Reserves this node's share of a cold engine, if one has room."""
+        cold = {s.entry.server_id for s in self.kept.find_cold(admitted, tried)}
+        if not cold:
+            return None
+        servers = self._allowed.find(admitted, tried)
+        warm = {s.entry.server_id for s in servers} - cold
+        return self.reserve_engine(admitted, options, warm.union(tried))
+
     def reserve_known_engine(
         self,
         admitted: AdmittedRequest,
@@ -157,6 +218,7 @@
         """Returns an engine with room, without adding to its load."""
         loads = self._loads()
         candidates = self._eligible_servers(admitted, excluded, loads)
+        options = options._replace(slowdown=self.speeds.slowdown)
         return choose_engine(candidates, loads, options, self._rng)
 
     def find_least_loaded_engine(
@@ -168,6 +230,7 @@
         """Returns the engine with the most room, even if it is not enough."""
         loads = self._loads()
         candidates = self._eligible_servers(admitted, tried, loads)
+        options = options._replace(slowdown=self.speeds.slowdown)
         return choose_least_loaded_engine(candidates, loads, options, self._rng)
 
     def has_engine_with_room(
@@ -243,6 +306,15 @@
         """Returns how many prompt tokens an engine has yet to prefill."""
         return self._loads().get(server.entry.server_id, Load()).prefill_tokens
 
+    def count_free_tokens(self, service: str, traits: EngineTraits) -> int:
+        """Returns the memory that is free at a service's engines together."""
+        loads = self._loads()
+        found = (
+            loads.get(server.entry.server_id, Load())
+            for server in self.servers_in_service(service)
+        )
+        return sum(max(int(free_tokens(load, traits)), 0) for load in found)
+
     def limited_ids(self) -> set[str]:
         """Returns the IDs of the servers that name a limit."""
         return {
@@ -276,6 +348,26 @@
         found = self._allowed.find(admitted, tried)
         return self.holds.assign_return_s([s.entry.server_id for s in found])
 
+    def record_time(
+        self, server: BackendServer, kind: str, slots: int, took_s: float
+    ) -> None:
+        """Records how long a server took for work that is comparable.
+
+        Args:
+            server: The server.
+            kind: Which work of its service.
+            slots: Requests that it runs at once.
+            took_s: The time.
+        """
+        now_s = time.monotonic()
+        if server.is_cold(now_s):
+            return
+        entry = server.entry
+        others = self._membership.loads(now_s).get(entry.server_id, Load())
+        own = self.load_tracker.open_requests(entry.server_id)
+        load_share = (others.requests + own) / max(slots, 1)
+        self.speeds.record(entry, Work(entry.service, kind, load_share), took_s)
+
     def remove_run(self, run: Run) -> None:
         """Removes a run from the load of its engine, if it has one."""
         if run.server is not None:
@@ -293,7 +385,21 @@
         tried: Collection[str],
         loads: Mapping[str, Load],
     ) -> Iterator[BackendServer]:
-        """Yields the servers that may run a request and have room for it."""
+        """Returns the servers that may run a request and have room for it."""
+        found = self._find_eligible(admitted, tried, loads)
+        rule = self._allowed.find_version_rule(admitted, tried)
+        if rule is None:
+            return found
+        servers = list(found)
+        preferred = [s for s in servers if rule.prefers(s.entry)]
+        return iter(preferred or servers)
+
+    def _find_eligible(
+        self,
+        admitted: AdmittedRequest,
+        tried: Collection[str],
+        loads: Mapping[str, Load],
+    ) -> Iterator[BackendServer]:
         demand = self._places.demand(admitted.service)
         for server in self._allowed.find_matching(admitted, tried):
             load = loads.get(server.entry.server_id, Load())
@@ -307,6 +413,8 @@
         admitted: AdmittedRequest,
         tokens: int,
         prefill_tokens: int,
+        *,
+        is_granted: bool = False,
     ) -> None:
         self.load_tracker.add_request(
             server.entry.server_id,
@@ -315,6 +423,13 @@
             prefill_tokens,
         )
         # A request to a limited server may still be denied a permit.
-        if prefill_tokens and not self._limit_gate.is_limited(server.entry):
+        is_limited = self._limit_gate.is_limited(server.entry)
+        if prefill_tokens and not is_granted and not is_limited:
             self._announce_load()
         self._places.record_start(server)
+        self.answers.begin(
+            server.entry,
+            admitted.route.name,
+            admitted.req.attempt_id,
+            is_cold=server.is_cold(time.monotonic()),
+        )
--- a/src/savorylift/fleet/codec.py
+++ b/src/savorylift/fleet/codec.py
@@ -28,6 +28,17 @@
     StatePatch,
     StateQuery,
 )
+from savorylift.fleet.rollout_messages import (
+    AnswerReport,
+    RolloutMessage,
+    StageNews,
+)
+from savorylift.fleet.room_messages import (
+    RoomEnds,
+    RoomMessage,
+    RoomReply,
+    RoomRequest,
+)
 from savorylift.fleet.state import NodeState
 from savorylift.fleet.store_records import Delta, Snapshot
 
@@ -51,7 +62,14 @@
 
 
 Message = (
-    NodeState | Delta | Snapshot | LimitMessage | OriginMessage | PulseMessage
+    NodeState
+    | Delta
+    | Snapshot
+    | LimitMessage
+    | OriginMessage
+    | RolloutMessage
+    | RoomMessage
+    | PulseMessage
 )
 MESSAGE_TYPES: dict[str, type[Message]] = {
     "state": NodeState,
@@ -64,6 +82,11 @@
     "origin_ack": OriginAck,
     "origin_query": OriginQuery,
     "origin_reply": OriginReply,
+    "stages": StageNews,
+    "answers": AnswerReport,
+    "room_request": RoomRequest,
+    "room_reply": RoomReply,
+    "room_ends": RoomEnds,
     "patch": StatePatch,
     "state_query": StateQuery,
     "pulse": Pulse,
--- a/src/savorylift/fleet/reader_choice.py
+++ b/src/savorylift/fleet/reader_choice.py
@@ -1,11 +1,9 @@
 """Which nodes read the store, and how old their readings are."""
 
-import functools
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 from savorylift.fleet.membership import Membership, Peer
-from savorylift.fleet.state import NodeState
-from savorylift.rendezvous import score
+from savorylift.rendezvous import rank
 
 READER_COUNT = 2
 # Another node takes over from a reader that is silent for this many intervals
@@ -14,19 +12,30 @@
 READER_TIMEOUT_MARGIN_S = 0.3
 # Rendezvous hashing key for the choice of the store readers.
 READERS_KEY = "store"
-# Names whose scores are kept; more than a fleet has.
-MAX_SCORES = 1024
 
 
-class ReaderCandidate(NamedTuple):
-    """What the choice of the readers depends on; part of a node's state.
+class Candidate(Protocol):
+    """What the choice of the readers depends on; a `NodeState` has it."""
 
-    Attributes:
-        node: Name of the node's VM.
-        failure_domain: Failure domain of the node.
-        is_leaving: Whether the node is draining before it stops.
-        has_store_fault: Whether a call to the store failed recently.
-    """
+    @property
+    def node(self) -> str:
+        """Name of the node's VM."""
+
+    @property
+    def failure_domain(self) -> str:
+        """Failure domain of the node."""
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the node is draining."""
+
+    @property
+    def has_store_fault(self) -> bool:
+        """Whether a call to the store failed recently."""
+
+
+class OwnCandidate(NamedTuple):
+    """The same of this node; see `Candidate`."""
 
     node: str
     failure_domain: str
@@ -34,22 +43,30 @@
     has_store_fault: bool
 
 
-def is_reader(
-    members: Membership, own_state: NodeState | ReaderCandidate, now_s: float
-) -> bool:
-    """Whether this node is one of those that read the store.
+def is_reader(members: Membership, own_state: Candidate, now_s: float) -> bool:
+    """Whether this node is one of those that read the store."""
+    return reader_rank(members, own_state, now_s) is not None
+
+
+def reader_rank(
+    members: Membership, own_state: Candidate, now_s: float
+) -> int | None:
+    """Returns which of the store's readers this node is.
 
     Readers are in different failure domains where possible. Nodes that
     are draining or whose calls to the store failed recently are avoided.
+
+    Returns:
+        0 for the first reader, 1 for the one that stands by, None for all
+        other nodes.
     """
-    states: dict[str, NodeState | ReaderCandidate]
-    states = {own_state.node: own_state}
+    states: dict[str, Candidate] = {own_state.node: own_state}
     for peer in members.live_peers(now_s):
         if _is_heard_as_reader(peer, now_s):
             states[peer.state.node] = peer.state
     staying = {n: s for n, s in states.items() if not s.is_leaving}
     healthy = {n: s for n, s in staying.items() if not s.has_store_fault}
-    order = sorted(healthy or staying or states, key=_score, reverse=True)
+    order = rank(READERS_KEY, healthy or staying or states)
     readers = order[:1]
     domains = {states[name].failure_domain for name in readers}
     for name in order[1:]:
@@ -58,7 +75,8 @@
             break
     else:
         readers = order[:READER_COUNT]
-    return own_state.node in readers
+    node = own_state.node
+    return readers.index(node) if node in readers else None
 
 
 def reading_age_s(members: Membership, now_s: float) -> float | None:
@@ -86,11 +104,6 @@
     return min(ages, default=None)
 
 
-@functools.lru_cache(MAX_SCORES)
-def _score(name: str) -> bytes:
-    return score(READERS_KEY, name)
-
-
 def _is_heard_as_reader(peer: Peer, now_s: float) -> bool:
     """Whether a node is heard often enough to rely on its reading."""
     timeout_s = READER_TIMEOUT_INTERVALS * peer.state.interval_s
--- a/src/savorylift/fleet/state.py
+++ b/src/savorylift/fleet/state.py
@@ -30,9 +30,18 @@
     QuarantineNews,
     SoundPart,
 )
+from savorylift.fleet.rollout_messages import (
+    AnswerCell,
+    AnswerReport,
+    Phase,
+    RolloutMessage,
+    Stage,
+    StageNews,
+)
 from savorylift.fleet.server_sightings import (
     BrittleNews,
     LeavingServer,
+    ServerSpeed,
     VersionSighting,
     WitnessedProcess,
 )
@@ -49,6 +58,8 @@
 # The other messages are imported from here, too.
 __all__ = [
     "UNKNOWN_VERSION",
+    "AnswerCell",
+    "AnswerReport",
     "BrittleNews",
     "Change",
     "CrashReport",
@@ -66,13 +77,18 @@
     "Patch",
     "PermitReply",
     "PermitRequest",
+    "Phase",
     "QuarantineNews",
     "QuarantinedParts",
+    "RolloutMessage",
     "Segment",
     "ServerLoad",
     "ServerProcess",
+    "ServerSpeed",
     "Snapshot",
     "SoundPart",
+    "Stage",
+    "StageNews",
     "StreamOrigin",
     "Topic",
     "VersionSighting",
@@ -136,6 +152,9 @@
             know.
         witnessed_processes: Processes to which the node keeps connections, or
             did until lately.
+        knows_rollouts: Whether the node heeds the stages of roll-outs; builds
+            that don't say send requests to servers of any version.
+        server_speeds: Servers that took longer or less long than usual.
         message_level: Kinds of messages that the node knows beside those of
             the first builds: 1 for those of `pulse_messages`.
         bulk_port: UDP port for messages that may wait; 0 for the usual one.
@@ -166,5 +185,7 @@
     servers_reading_age_s: float | None = None
     has_version_history: bool = False
     witnessed_processes: tuple[WitnessedProcess, ...] = ()
+    knows_rollouts: bool = False
+    server_speeds: tuple[ServerSpeed, ...] = ()
     message_level: int = 0
     bulk_port: int = 0
--- a/src/savorylift/fleet/watchers.py
+++ b/src/savorylift/fleet/watchers.py
@@ -3,7 +3,6 @@
 The node itself chooses, so that its watchers need to agree on nothing.
 """
 
-import functools
 from collections.abc import Iterable
 from typing import NamedTuple
 
@@ -15,8 +14,6 @@
 # Pulses in which a former watcher is told that no more come: all of them would
 # have to be lost for it to take this node for silent.
 FAREWELLS = 3
-# Scores that are kept; more than a fleet has nodes.
-MAX_SCORES = 1024
 
 
 class Pulses(NamedTuple):
@@ -58,7 +55,7 @@
             candidates,
             key=lambda state: (
                 state.failure_domain != own_domain,
-                _score(self._ip, state.ip),
+                score(self._ip, state.ip),
             ),
             reverse=True,
         )
@@ -79,8 +76,3 @@
             ip: left - 1 for ip, left in self._farewells.items() if left > 1
         }
         return Pulses(self._chosen, ending)
-
-
-@functools.lru_cache(MAX_SCORES)
-def _score(key: str, ip: str) -> bytes:
-    return score(key, ip)
--- a/src/savorylift/front/caller_parts.py
+++ b/src/savorylift/front/caller_parts.py
@@ -1,5 +1,6 @@
 """The parts of a node that serve callers."""
 
+import time
 from typing import NamedTuple
 
 from savorylift.exchange import metrics
@@ -18,6 +19,7 @@
 from savorylift.front.shared_parts import SharedParts
 from savorylift.refusals.counts import RefusalCounts
 from savorylift.refusals.writer import RefusalWriter
+from savorylift.wire import metrics as wire_metrics
 from savorylift.wire.body_admission import BodyAdmission
 from savorylift.wire.body_budget import BodyBudget
 
@@ -65,7 +67,11 @@
     metrics.BODY_BYTES.set_function(lambda: admission.budget.held_bytes)
     counts = RefusalCounts(shared.identity.vm, shared.identity.incarnation)
     handler = _make_handler(shared, servers, generations, directory, counts)
-    refusal_writer = RefusalWriter(shared.store, counts)
+    refusal_writer = RefusalWriter(
+        shared.store,
+        counts,
+        lambda: shared.membership.count_live_nodes(time.monotonic()),
+    )
     return CallerParts(directory, admission, handler, refusal_writer)
 
 
@@ -75,6 +81,7 @@
         memory_bytes // BODY_MEMORY_DIVISOR,
         copies=shared.interface.body_copies,
         on_held=metrics.BODIES_HELD.inc,
+        on_closed=wire_metrics.UPLOADS_CLOSED.inc,
     )
     return BodyAdmission(
         budget,
--- a/src/savorylift/front/maintenance.py
+++ b/src/savorylift/front/maintenance.py
@@ -11,6 +11,7 @@
 from savorylift.front.server_parts import ServerParts
 from savorylift.front.shared_parts import SharedParts
 from savorylift.front.stream_parts import StreamParts
+from savorylift.rollouts.agent import RolloutAgent
 
 MAINTENANCE_INTERVAL_S = 0.2
 # How often nodes are dropped that were silent for long.
@@ -32,6 +33,7 @@
         successors: SuccessorCheck,
         on_expired: Callable[[], None],
         watch_peers: Callable[[], None],
+        rollouts: RolloutAgent | None = None,
     ) -> None:
         """Does nothing until `run` is called.
 
@@ -42,6 +44,7 @@
             successors: Asks servers that started again whether they leave.
             on_expired: Called after entries of servers have expired.
             watch_peers: Tells nodes that this one lives, and which doesn't.
+            rollouts: This node's part in roll-outs, if there are any.
         """
         self._shared = shared
         self._servers = servers
@@ -50,6 +53,7 @@
         self._on_expired = on_expired
         self._watch_peers = watch_peers
         self._next_forget_s = 0.0
+        self._rollouts = rollouts
 
     async def run(self) -> None:
         """Repeats until cancelled."""
@@ -68,7 +72,10 @@
         self._servers.crash_guard.update()
         self._servers.limit_gate.update()
         self._streams.server_news.update(is_leaving=shared.lifecycle.is_leaving)
+        self._streams.rooms.keeper.update()
         self._successors.update()
+        if self._rollouts is not None:
+            self._rollouts.update()
         if shared.store_view.drop_expired():
             self._on_expired()
         else:
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -14,6 +14,8 @@
 from savorylift.fleet.limit_messages import LimitMessage
 from savorylift.fleet.message_auth import MessageAuthenticator
 from savorylift.fleet.origin_messages import OriginMessage
+from savorylift.fleet.rollout_messages import RolloutMessage
+from savorylift.fleet.room_messages import RoomMessage
 from savorylift.fleet.state import NodeState
 from savorylift.fleet.store_records import Delta
 from savorylift.front.caller_parts import make_caller_parts
@@ -21,6 +23,7 @@
 from savorylift.front.maintenance import Maintenance
 from savorylift.front.peer_sync import PeerSync
 from savorylift.front.reload_signal import ReloadSignal
+from savorylift.front.rollout_parts import make_rollout_agent
 from savorylift.front.server_parts import make_server_parts
 from savorylift.front.settings import FrontSettings
 from savorylift.front.settings_reload import SettingsReader, SettingsReload
@@ -76,7 +79,7 @@
             self._servers,
             self._streams.generations,
             transport,
-            ReaderRole(self._is_reader, self._was_reader),
+            ReaderRole(self._is_reader, self._was_reader, self._was_first),
             self._on_store_change,
         )
         self._reporter = StateReporter(
@@ -90,6 +93,13 @@
             self._servers.crash_guard,
             self._streams.server_news,
             transport,
+            self._servers.rollouts.board,
+        )
+        self._rollouts = make_rollout_agent(
+            self._shared,
+            self._servers,
+            transport,
+            lambda: self._store.reader.has_fault(time.monotonic()),
         )
         self._callers = make_caller_parts(
             self._shared,
@@ -111,6 +121,7 @@
             self._successors,
             lambda: self._on_store_change(None),
             self._watch_peers,
+            self._rollouts,
         )
 
     def _make_peer_sync(self) -> PeerSync:
@@ -134,6 +145,8 @@
             on_new_peer=self._on_new_peer,
             on_limit_message=self._on_limit_message,
             on_origin_message=self._on_origin_message,
+            on_rollout_message=self._on_rollout_message,
+            on_room_message=self._on_room_message,
             own_level=self._shared.identity.message_level,
             has_waiting=self._has_waiting,
         )
@@ -201,6 +214,8 @@
         yield self._store.version_recorder.run
         yield self._streams.origin_log.run
         yield self._store.drain_poller.run
+        if self._rollouts is not None:
+            yield self._rollouts.run
         if self._store.load_poller is not None:
             yield self._store.load_poller.run
 
@@ -233,8 +248,13 @@
     def _was_reader(self) -> bool:
         return self._reporter.was_reader
 
+    def _was_first(self) -> bool:
+        return self._reporter.was_first_reader
+
     def _on_new_peer(self, ip: str) -> None:
         self._servers.limit_gate.greet(ip)
+        if self._rollouts is not None:
+            self._rollouts.greet(ip)
 
     def _on_limit_message(self, message: LimitMessage, ip: str) -> None:
         self._servers.limit_gate.receive(message, ip)
@@ -242,6 +262,13 @@
     def _on_origin_message(self, message: OriginMessage, ip: str) -> None:
         self._streams.origins.receive(message, ip)
 
+    def _on_rollout_message(self, message: RolloutMessage) -> None:
+        if self._rollouts is not None:
+            self._rollouts.receive(message)
+
+    def _on_room_message(self, message: RoomMessage, ip: str) -> None:
+        self._streams.rooms.receive(message, ip)
+
     def _on_peer_update(self) -> None:
         """Continues reading the store after the records learned from a peer."""
         self._store.reader.skip_known()
@@ -251,6 +278,7 @@
     def _on_peer_state(self, state: NodeState) -> None:
         self._servers.crash_guard.merge(state.quarantine_news)
         self._streams.server_news.merge(state)
+        self._streams.rooms.keeper.hear(state.ip, state.loads)
 
     def _on_peer_news(self) -> None:
         self._servers.pool.move_queue.on_change()
--- a/src/savorylift/front/peer_sync.py
+++ b/src/savorylift/front/peer_sync.py
@@ -25,6 +25,8 @@
     StatePatch,
     StateQuery,
 )
+from savorylift.fleet.rollout_messages import RolloutMessage
+from savorylift.fleet.room_messages import RoomMessage
 from savorylift.fleet.snapshot_fetcher import SnapshotFetcher
 from savorylift.fleet.snapshot_server import SnapshotServer
 from savorylift.fleet.state import NodeState
@@ -66,6 +68,12 @@
         on_origin_message: Callable[[OriginMessage, str], None] = (
             lambda _message, _ip: None
         ),
+        on_rollout_message: Callable[[RolloutMessage], None] = (
+            lambda _message: None
+        ),
+        on_room_message: Callable[[RoomMessage, str], None] = (
+            lambda _message, _ip: None
+        ),
         own_level: int = PULSE_LEVEL,
         has_waiting: Callable[[], bool] = lambda: False,
     ) -> None:
@@ -88,6 +96,8 @@
             on_limit_message: Called with each message about the limits of
                 backend servers and the address that it came from.
             on_origin_message: The same for the origins of streams.
+            on_rollout_message: Called with each message about roll-outs.
+            on_room_message: The same for room at engines.
             own_level: Which messages this node sends and takes, as its states
                 say.
             has_waiting: Returns whether requests wait for what others say.
@@ -99,6 +109,8 @@
         self._on_new_peer = on_new_peer
         self._on_limit_message = on_limit_message
         self._on_origin_message = on_origin_message
+        self._on_rollout_message = on_rollout_message
+        self._on_room_message = on_room_message
         self._fetcher = SnapshotFetcher(
             ip,
             port,
@@ -195,6 +207,10 @@
             self._on_limit_message(message, ip)
         elif isinstance(message, OriginMessage):
             self._on_origin_message(message, ip)
+        elif isinstance(message, RolloutMessage):
+            self._on_rollout_message(message)
+        elif isinstance(message, RoomMessage):
+            self._on_room_message(message, ip)
 
     def _receive_state(self, state: NodeState) -> None:
         last = self._membership.find(state.ip)
--- a/src/savorylift/front/server_news.py
+++ b/src/savorylift/front/server_news.py
@@ -68,6 +68,7 @@
             leaving_servers=self._leaving_servers(),
             witnessed_processes=self._witness.news(),
             has_version_history=self._version_history.is_complete,
+            server_speeds=self._pool.speeds.news(),
         )
 
     def merge(self, state: NodeState) -> None:
@@ -77,6 +78,7 @@
         if state.has_version_history:
             self._version_history.is_complete = True
         self._witness.merge(state.witnessed_processes)
+        self._pool.speeds.merge(state.ip, state.server_speeds)
         self._pool.brittle.merge(state.brittle_services)
         self._merge_leaving(state.leaving_servers)
 
@@ -105,6 +107,7 @@
         self._version_history.observe(entries, time.monotonic())
         self._reach.update()
         self._pool.holds.forget_ended()
+        self._pool.speeds.update()
 
     def hand_over(self) -> None:
         """Tells other nodes what only this one knows, before it stops."""
--- a/src/savorylift/front/settings.py
+++ b/src/savorylift/front/settings.py
@@ -38,6 +38,12 @@
         retry_window_s: Sliding window to which the ratio applies.
         retry_slack: Retries allowed in a window on top of the ratio.
         entry_ttl_max_s: Upper bound on the TTL of addresses that callers get.
+        rollout_share: Share of a service's requests that a new software version
+            may get before it is known to be sound; None to let operators order
+            no roll-outs.
+        rollout_slack: Requests that it may get on top of that share.
+        rollback_ms: Time in milliseconds within which a bad version must get
+            no more requests.
         interface: Protocol for callers and backend servers: the platform's
             own, or completions by model with a rules file.
         caller_tls: TLS files of the callers' listener; None for plain HTTP.
@@ -49,8 +55,12 @@
             bodies of requests take together.
         request_timeout_s: Timeout of requests for which neither route nor
             caller sets a shorter one.
+        room_keeper: Whether, in a large fleet, one node keeps the room of
+            a service's engines for all.
         log_lines_per_s: Log lines of one event per second; further ones are
             dropped and counted.
+        descriptors: Most descriptors that the process may have open, of which
+            its listeners get parts; None for what the system allows it.
         peer_pulses: Whether large fleets send patches of states, and pulses to
             watchers.
         bulk_port: UDP port on this node for messages from others that may wait
@@ -73,6 +83,9 @@
     retry_slack: float
     entry_ttl_max_s: Seconds
     regions: Mapping[Name, Name] = MappingProxyType({})
+    rollout_share: float | None = None
+    rollout_slack: float = 0.0
+    rollback_ms: float = 5000.0
     interface: Literal["platform", "completions"] = "platform"
     caller_tls: TlsSettings | None = None
     peer_keys: tuple[Secret, ...] = ()
@@ -80,6 +93,8 @@
     memory_mb: PositiveInt = 150
     request_timeout_s: Seconds = 60.0
     log_lines_per_s: PositiveInt = 200
+    room_keeper: bool = True
+    descriptors: PositiveInt | None = None
     peer_pulses: bool = True
     bulk_port: Annotated[int, msgspec.Meta(ge=0)] = 0
 
--- a/src/savorylift/front/state_reporter.py
+++ b/src/savorylift/front/state_reporter.py
@@ -9,13 +9,14 @@
 from savorylift.fleet.membership import Membership
 from savorylift.fleet.peer_transport import PeerTransport
 from savorylift.fleet.pulse_messages import PULSE_LEVEL, Pulse
-from savorylift.fleet.reader_choice import ReaderCandidate, is_reader
+from savorylift.fleet.reader_choice import OwnCandidate, reader_rank
 from savorylift.fleet.state import NodeState
 from savorylift.fleet.store_reader import StoreReader
 from savorylift.fleet.store_view import StoreView
 from savorylift.front.lifecycle import Lifecycle
 from savorylift.front.server_news import ServerNews
 from savorylift.front.status import Status
+from savorylift.rollouts.board import RolloutBoard
 from savorylift.routing.configuration import Configuration
 
 # For how long the choice of the readers is used before it is made again.
@@ -52,6 +53,7 @@
     Attributes:
         was_reader: Whether this node was one of the store's readers when last
             asked.
+        was_first_reader: Whether it was the first of them.
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         crash_guard: CrashGuard,
         server_news: ServerNews,
         transport: PeerTransport,
+        rollouts: RolloutBoard | None = None,
     ) -> None:
         """Connects the parts that the state is read from.
 
@@ -80,6 +83,7 @@
             crash_guard: Which requests crash servers.
             server_news: What servers said.
             transport: How often messages go.
+            rollouts: Where roll-outs stand; None if there are to be none.
         """
         self._identity = identity
         self._lifecycle = lifecycle
@@ -91,9 +95,11 @@
         self._crash_guard = crash_guard
         self._server_news = server_news
         self._transport = transport
+        self._knows_rollouts = rollouts is not None
+        self._rollouts = rollouts
         self._sequence = 0
         self._reader_until_s = 0.0
-        self.was_reader = False
+        self.was_reader = self.was_first_reader = False
 
     @property
     def is_ready(self) -> bool:
@@ -104,15 +110,18 @@
     def is_reader(self) -> bool:
         """Whether this node is to read the store, among those it hears."""
         now_s = time.monotonic()
-        if now_s >= self._reader_until_s:
-            self._reader_until_s = now_s + READER_CHOICE_S
-            candidate = ReaderCandidate(
-                self._identity.vm,
-                self._identity.failure_domain,
-                self._lifecycle.is_leaving,
-                self._store_reader.has_fault(now_s),
-            )
-            self.was_reader = is_reader(self._membership, candidate, now_s)
+        if now_s < self._reader_until_s:
+            return self.was_reader
+        self._reader_until_s = now_s + READER_CHOICE_S
+        candidate = OwnCandidate(
+            self._identity.vm,
+            self._identity.failure_domain,
+            self._lifecycle.is_leaving,
+            self._store_reader.has_fault(now_s),
+        )
+        rank = reader_rank(self._membership, candidate, now_s)
+        self.was_reader = rank is not None
+        self.was_first_reader = rank == 0
         return self.was_reader
 
     def next_pulse(self) -> Pulse:
@@ -151,6 +160,7 @@
             interval_s=self._transport.own_interval_s,
             peers=tuple(peer.state.ip for peer in peers),
             quarantine_news=self._crash_guard.news(),
+            knows_rollouts=self._knows_rollouts,
             message_level=self._identity.message_level,
             bulk_port=self._identity.bulk_port,
         )
@@ -186,9 +196,13 @@
                 news.service for news in self._pool.brittle.news()
             ),
             held_servers=self._pool.holds.held_ids,
+            rollouts=self._rollout_stages(),
             blocked_servers={} if cfg is None else self._blocked_servers(cfg),
         )
 
+    def _rollout_stages(self) -> dict[str, str]:
+        return {} if self._rollouts is None else self._rollouts.describe()
+
     def _blocked_servers(self, cfg: Configuration) -> dict[str, str]:
         blocks = self._pool.blocks.find_all(cfg.services.values())
         return {server_id: block.value for server_id, block in blocks.items()}
--- a/tests/exchange/test_engine_queue.py
+++ b/tests/exchange/test_engine_queue.py
@@ -6,7 +6,9 @@
 import pytest
 
 from savorylift.exchange.engine_queue import EngineQueue
+from savorylift.exchange.room_placement import RoomPlacement, RoomResult
 from savorylift.exchange.run import Run
+from savorylift.exchange.wish import Wish
 from tests.exchange.factories import (
     ENGINE,
     make_admitted_request,
@@ -45,7 +47,44 @@
     asyncio.run(scenario())
 
 
-def test_generation_does_not_wait_on_when_all_engines_leave() -> None:
+@pytest.mark.parametrize(("last_event", "waits"), [(5, True), (None, False)])
+def test_stream_that_lost_its_engine_late_still_waits_for_another(
+    last_event: int | None, *, waits: bool
+) -> None:
+    """What its caller has would be lost if it ended at once."""
+
+    async def scenario() -> None:
+        req = make_generation_request()._replace(
+            arrived_s=time.monotonic() - 9.0, time_left_s=30.0
+        )
+        run = Run(make_admitted_request(req, engine=ENGINE), 100)
+        run.last_event = last_event
+        queue = EngineQueue(make_full_pool((2, 2)))
+        task = asyncio.ensure_future(queue.acquire(run, set()))
+        done, _ = await asyncio.wait((task,), timeout=WATCH_S)
+        assert bool(done) is not waits
+        task.cancel()
+
+    asyncio.run(scenario())
+
+
+class SlowRooms:
+    """Stands for a keeper of engines' room at which generations wait."""
+
+    async def find(
+        self, _run: Run, _wish: Wish, _tried: set[str]
+    ) -> RoomResult | None:
+        """Waits."""
+        await asyncio.Event().wait()
+        return None
+
+
+@pytest.mark.parametrize("rooms", [None, SlowRooms()])
+def test_generation_does_not_wait_on_when_all_engines_leave(
+    rooms: RoomPlacement | None,
+) -> None:
+    """Wherever it waits: in the own queue, or at the keeper of the room."""
+
     async def scenario() -> None:
         req = make_generation_request()
         run = Run(make_admitted_request(req, engine=ENGINE), 100)
@@ -54,7 +93,7 @@
             sequence=2, cold_s=60.0, max_cold_requests=0
         )
         store_view.registry.put(entry, time.monotonic())
-        queue = EngineQueue(make_pool(store_view))
+        queue = EngineQueue(make_pool(store_view), rooms)
         task = asyncio.ensure_future(queue.acquire(run, set()))
         await asyncio.sleep(WATCH_S)
         queue.dispatch_waiting()
