Merge patches of states, watchers, and timers that wake together

Cause: each of 88 nodes got 80 whole states a second and woke for each; a dead node was missed after 4.4 s; periodic tasks each woke the process. Change: from 17 nodes up patches go between nodes that know them, watchers notice dead nodes, what may wait is read when it is needed; one beat for periodic tasks.

--- a/src/savorylift/exchange/drain_poller.py
+++ b/src/savorylift/exchange/drain_poller.py
@@ -7,9 +7,10 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from savorylift.backends.registry import BackendServer, Registry
+from savorylift.beat import wait_for_beat
 from savorylift.exchange.limit_gate import LimitGate
 from savorylift.exchange.notice_recorder import NoticeRecorder, NoticeSource
 from savorylift.platform.engine_client import read_notice
@@ -36,7 +37,7 @@
         notices: NoticeRecorder,
         is_held: Callable[[str], bool],
         is_store_unavailable: Callable[[], bool],
-        get_engines: Callable[[], Iterable[BackendServer]],
+        get_engines: Callable[[], Collection[BackendServer]],
         get_nodes: Callable[[], Iterable[str]],
         own_node: str,
         on_change: Callable[[], None],
@@ -69,8 +70,12 @@
     async def run(self) -> None:
         """Polls periodically while the store is unavailable; never returns."""
         while True:
-            await asyncio.sleep(CHECK_INTERVAL_S)
-            if self._is_store_unavailable():
+            has_runs = bool(self._get_engines())
+            # Another run may begin at an engine as late after its last poll.
+            await wait_for_beat(
+                CHECK_INTERVAL_S if has_runs else POLL_INTERVAL_S
+            )
+            if self._get_engines() and self._is_store_unavailable():
                 polled_s = time.monotonic()
                 await asyncio.gather(*map(self._poll, self._engines_to_poll()))
                 next_s = polled_s + POLL_INTERVAL_S - CHECK_INTERVAL_S
--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -111,6 +111,11 @@
         """Prompt tokens that an engine prefills each second."""
         return self._queue.prefill_per_s
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether generations wait for an engine."""
+        return self._queue.has_waiting
+
     def on_change(self) -> None:
         """Reacts to a change of servers, nodes or loads."""
         for run in list(self._runs):
--- a/src/savorylift/exchange/server_pool.py
+++ b/src/savorylift/exchange/server_pool.py
@@ -65,6 +65,7 @@
         holds: ServerHolds,
         rollouts: RolloutBoard | None = None,
         answers: AnswerObserver | None = None,
+        announce_load: Callable[[], None] | None = None,
     ) -> None:
         """Creates a pool that reads the store view and members at each choice.
 
@@ -81,11 +82,13 @@
             holds: Which servers want nothing for a while.
             rollouts: Which software versions a request may go to.
             answers: Follows the requests to services that are rolled out.
+            announce_load: Schedules one that others need at their next choice;
+                None for `announce`.
         """
         self._registry = store_view.registry
         self._membership = membership
         self._rng = rng
-        self._announce = announce
+        self._announce_load = announce_load or announce
         self._limit_gate = limit_gate
         self._allowed = AllowedServers(
             store_view, region_by_domain, holds, rollouts
@@ -422,7 +425,7 @@
         # A request to a limited server may still be denied a permit.
         is_limited = self._limit_gate.is_limited(server.entry)
         if prefill_tokens and not is_granted and not is_limited:
-            self._announce()
+            self._announce_load()
         self._places.record_start(server)
         self.answers.begin(
             server.entry,
--- a/src/savorylift/fleet/codec.py
+++ b/src/savorylift/fleet/codec.py
@@ -21,6 +21,13 @@
     OriginQuery,
     OriginReply,
 )
+from savorylift.fleet.pulse_messages import (
+    Pulse,
+    PulseMessage,
+    SilenceNews,
+    StatePatch,
+    StateQuery,
+)
 from savorylift.fleet.rollout_messages import (
     AnswerReport,
     RolloutMessage,
@@ -62,6 +69,7 @@
     | OriginMessage
     | RolloutMessage
     | RoomMessage
+    | PulseMessage
 )
 MESSAGE_TYPES: dict[str, type[Message]] = {
     "state": NodeState,
@@ -79,6 +87,10 @@
     "room_request": RoomRequest,
     "room_reply": RoomReply,
     "room_ends": RoomEnds,
+    "patch": StatePatch,
+    "state_query": StateQuery,
+    "pulse": Pulse,
+    "silence": SilenceNews,
 }
 
 
--- a/src/savorylift/fleet/reader_choice.py
+++ b/src/savorylift/fleet/reader_choice.py
@@ -107,4 +107,4 @@
 def _is_heard_as_reader(peer: Peer, now_s: float) -> bool:
     """Whether a node is heard often enough to rely on its reading."""
     timeout_s = READER_TIMEOUT_INTERVALS * peer.state.interval_s
-    return now_s - peer.received_s <= timeout_s + READER_TIMEOUT_MARGIN_S
+    return now_s - peer.heard_s <= timeout_s + READER_TIMEOUT_MARGIN_S
--- a/src/savorylift/fleet/state.py
+++ b/src/savorylift/fleet/state.py
@@ -155,6 +155,9 @@
         knows_rollouts: Whether the node heeds the stages of roll-outs; builds
             that don't say send requests to servers of any version.
         server_speeds: Servers that took longer or less long than usual.
+        message_level: Kinds of messages that the node knows beside those of
+            the first builds: 1 for those of `pulse_messages`.
+        bulk_port: UDP port for messages that may wait; 0 for the usual one.
     """
 
     node: str
@@ -184,3 +187,5 @@
     witnessed_processes: tuple[WitnessedProcess, ...] = ()
     knows_rollouts: bool = False
     server_speeds: tuple[ServerSpeed, ...] = ()
+    message_level: int = 0
+    bulk_port: int = 0
--- a/src/savorylift/front/server_parts.py
+++ b/src/savorylift/front/server_parts.py
@@ -189,6 +189,7 @@
         holds,
         rollouts.board,
         rollouts.answers,
+        transport.send_load_soon,
     )
 
 
--- a/src/savorylift/front/state_reporter.py
+++ b/src/savorylift/front/state_reporter.py
@@ -8,6 +8,7 @@
 from savorylift.exchange.server_reach import ServerReach
 from savorylift.fleet.membership import Membership
 from savorylift.fleet.peer_transport import PeerTransport
+from savorylift.fleet.pulse_messages import PULSE_LEVEL, Pulse
 from savorylift.fleet.reader_choice import OwnCandidate, reader_rank
 from savorylift.fleet.state import NodeState
 from savorylift.fleet.store_reader import StoreReader
@@ -18,6 +19,9 @@
 from savorylift.rollouts.board import RolloutBoard
 from savorylift.routing.configuration import Configuration
 
+# For how long the choice of the readers is used before it is made again.
+READER_CHOICE_S = 0.1
+
 
 class NodeIdentity(NamedTuple):
     """What stays the same while a process runs.
@@ -29,6 +33,8 @@
         failure_domain: Failure domain of the VM.
         caller_address: Where callers connect.
         incarnation: Random number that identifies the process.
+        message_level: Which messages it knows, as its states say.
+        bulk_port: Port for messages that may wait; 0 for the usual one.
     """
 
     vm: str
@@ -37,6 +43,8 @@
     failure_domain: str
     caller_address: str
     incarnation: int
+    message_level: int = PULSE_LEVEL
+    bulk_port: int = 0
 
 
 class StateReporter:
@@ -90,6 +98,7 @@
         self._knows_rollouts = rollouts is not None
         self._rollouts = rollouts
         self._sequence = 0
+        self._reader_until_s = 0.0
         self.was_reader = self.was_first_reader = False
 
     @property
@@ -101,6 +110,9 @@
     def is_reader(self) -> bool:
         """Whether this node is to read the store, among those it hears."""
         now_s = time.monotonic()
+        if now_s < self._reader_until_s:
+            return self.was_reader
+        self._reader_until_s = now_s + READER_CHOICE_S
         candidate = OwnCandidate(
             self._identity.vm,
             self._identity.failure_domain,
@@ -112,6 +124,11 @@
         self.was_first_reader = rank == 0
         return self.was_reader
 
+    def next_pulse(self) -> Pulse:
+        """Returns a pulse of this node with a new sequence number."""
+        self._sequence += 1
+        return Pulse(self._identity.incarnation, self._sequence, goes_on=True)
+
     def next_state(self, *, include_peers: bool = False) -> NodeState:
         """Returns this node's state with a new sequence number.
 
@@ -144,6 +161,8 @@
             peers=tuple(peer.state.ip for peer in peers),
             quarantine_news=self._crash_guard.news(),
             knows_rollouts=self._knows_rollouts,
+            message_level=self._identity.message_level,
+            bulk_port=self._identity.bulk_port,
         )
         return self._server_news.add_to(state)
 
