--- a/src/savorylift/exchange/server_pool.py
+++ b/src/savorylift/exchange/server_pool.py
@@ -56,6 +56,8 @@
         region_by_domain: Mapping[str, str],
         limit_gate: LimitGate,
         holds: ServerHolds,
+        *,
+        uses_speeds: bool = True,
     ) -> None:
         """Creates a pool that reads the store view and members at each choice.
 
@@ -70,6 +72,8 @@
             region_by_domain: Region of each failure domain.
             limit_gate: Holds the limits that servers name.
             holds: Which servers want nothing for a while.
+            uses_speeds: Whether the choice of servers depends on how fast they
+                are.
         """
         self._registry = store_view.registry
         self._membership = membership
@@ -78,7 +82,7 @@
         self._limit_gate = limit_gate
         self._allowed = AllowedServers(store_view, region_by_domain, holds)
         self.load_tracker = LoadTracker()
-        self.speeds = SpeedBook(self._registry.find_entry)
+        self.speeds = SpeedBook(self._registry.find_entry, is_used=uses_speeds)
         self.brittle = BrittleServices()
         self.holds = holds
         self._places = ServerPlaces(
--- a/src/savorylift/front/server_parts.py
+++ b/src/savorylift/front/server_parts.py
@@ -181,6 +181,7 @@
         shared.settings.regions,
         limit_gate,
         holds,
+        uses_speeds=shared.settings.uses_server_speeds,
     )
 
 
--- a/src/savorylift/front/settings.py
+++ b/src/savorylift/front/settings.py
@@ -49,6 +49,8 @@
             caller sets a shorter one.
         log_lines_per_s: Log lines of one event per second; further ones are
             dropped and counted.
+        uses_server_speeds: Whether the choice of a server depends on how fast
+            it has been, besides its load.
     """
 
     vm: Name
@@ -74,6 +76,7 @@
     memory_mb: PositiveInt = 150
     request_timeout_s: Seconds = 60.0
     log_lines_per_s: PositiveInt = 200
+    uses_server_speeds: bool = True
 
     def redacted(self) -> dict[str, object]:
         """Returns the settings for logs, with the number of secrets only."""
--- a/src/savorylift/speeds/speed_book.py
+++ b/src/savorylift/speeds/speed_book.py
@@ -69,12 +69,19 @@
 class SpeedBook:
     """Estimates how much longer than usual each server takes."""
 
-    def __init__(self, find_entry: Callable[[str], ServerEntry | None]) -> None:
+    def __init__(
+        self,
+        find_entry: Callable[[str], ServerEntry | None],
+        *,
+        is_used: bool = True,
+    ) -> None:
         """Knows nothing of any server yet.
 
         Args:
             find_entry: Returns the newest entry of a server by its ID.
+            is_used: Whether servers may count as slower or quicker than usual.
         """
+        self._is_used = is_used
         self._find_entry = find_entry
         self._usual = UsualTimes()
         self._known: dict[str, _Known] = {}
@@ -150,7 +157,8 @@
                 del self._known[server_id]
                 continue
             total = known.all.fade(now_s)
-            if not MIN_SPEEDUP < total.slowdown < MIN_SLOWDOWN:
+            is_usual = MIN_SPEEDUP < total.slowdown < MIN_SLOWDOWN
+            if self._is_used and not is_usual:
                 self._slowdowns[server_id] = total.slowdown
                 if server_id not in before:
                     _log_speed(server_id, known, total)
--- a/tests/speeds/test_speed_book.py
+++ b/tests/speeds/test_speed_book.py
@@ -195,3 +195,13 @@
     assert pace.began_s == 0.0
     moved = count_event(pace._replace(events=5), "b", 9.0)
     assert (moved.began_s, moved.events) == (9.0, 0)
+
+
+def test_speeds_may_be_left_out_of_account() -> None:
+    book = SpeedBook(lambda s: make_server(s).entry, is_used=False)
+    for number in range(200):
+        server_id = IDS[number % len(IDS)]
+        factor = SLOWDOWN if server_id == SLOW else 1.0
+        book.record(make_server(server_id).entry, IDLE, factor * USUAL_S)
+    book.update()
+    assert book.slowdown(SLOW) == 1.0
