--- a/src/savorylift/fleet/read_policy.py
+++ b/src/savorylift/fleet/read_policy.py
@@ -1,5 +1,6 @@
 """Decides when a node reads the store."""
 
+import time
 from collections.abc import Callable
 
 import structlog
@@ -30,6 +31,9 @@
 # notice: servers write several times a second, and give about 1.5 s of notice.
 NOTICE_AGE_S = 0.5
 
+# For how long a decision whether to read holds.
+DECISION_S = 0.02
+
 _log = structlog.get_logger()
 
 
@@ -68,6 +72,8 @@
         self._peers_reading_age_s = peers_reading_age_s
         self._is_starting = is_starting
         self._get_reader_interval_s = get_reader_interval_s
+        self._decided_s = float("-inf")
+        self._decision = False
 
     @property
     def retry_s(self) -> float:
@@ -88,8 +94,15 @@
         return POLL_PAUSE_S
 
     def should_read(self) -> bool:
-        """Whether this node is a reader or other nodes' readings are stale."""
-        return self._is_reader() or self.is_stale(None)
+        """Whether this node is a reader or other nodes' readings are stale.
+
+        Both topics ask at about the same time; one answer holds for both.
+        """
+        now_s = time.monotonic()
+        if now_s - self._decided_s > DECISION_S:
+            self._decided_s = now_s
+            self._decision = self._is_reader() or self.is_stale(None)
+        return self._decision
 
     def log_decision(self, topic_name: str, *, should_read: bool) -> None:
         """Logs that this node begins or stops reading, and why."""
