--- a/src/savorylift/exchange/server_pool.py
+++ b/src/savorylift/exchange/server_pool.py
@@ -66,6 +66,8 @@
         rollouts: RolloutBoard | None = None,
         answers: AnswerObserver | None = None,
         announce_load: Callable[[], None] | None = None,
+        *,
+        uses_speeds: bool = True,
     ) -> None:
         """Creates a pool that reads the store view and members at each choice.
 
@@ -84,6 +86,8 @@
             answers: Follows the requests to services that are rolled out.
             announce_load: Schedules one that others need at their next choice;
                 None for `announce`.
+            uses_speeds: Whether the choice of servers depends on how fast they
+                are.
         """
         self._registry = store_view.registry
         self._membership = membership
@@ -95,7 +99,7 @@
         )
         self.answers = answers or AnswerObserver()
         self.load_tracker = LoadTracker()
-        self.speeds = SpeedBook(self._registry.find_entry)
+        self.speeds = SpeedBook(self._registry.find_entry, is_used=uses_speeds)
         self.brittle = BrittleServices()
         self.holds = holds
         self._places = ServerPlaces(
--- a/src/savorylift/front/server_parts.py
+++ b/src/savorylift/front/server_parts.py
@@ -190,6 +190,7 @@
         rollouts.board,
         rollouts.answers,
         transport.send_load_soon,
+        uses_speeds=shared.settings.uses_server_speeds,
     )
 
 
--- a/src/savorylift/front/settings.py
+++ b/src/savorylift/front/settings.py
@@ -65,6 +65,8 @@
             watchers.
         bulk_port: UDP port on this node for messages from others that may wait
             until they are needed; 0 for `peer_port`.
+        uses_server_speeds: Whether the choice of a server depends on how fast
+            it has been, besides its load.
     """
 
     vm: Name
@@ -97,6 +99,7 @@
     descriptors: PositiveInt | None = None
     peer_pulses: bool = True
     bulk_port: Annotated[int, msgspec.Meta(ge=0)] = 0
+    uses_server_speeds: bool = True
 
     def redacted(self) -> dict[str, object]:
         """Returns the settings for logs, with the number of secrets only."""
