Count in the slices of the order also at nodes that have just started

A node that started during a roll-out counted from its own start: its answers fell into earlier slices than those of the others, and out of the last ones, by which a version is found that turns bad later.

--- a/src/savorylift/rollouts/agent.py
+++ b/src/savorylift/rollouts/agent.py
@@ -124,7 +124,9 @@
         if order is None or not is_order_open(order, stage):
             self._book.end(service)
             self._evidence.forget(service)
-        else:
+        elif stage is not None:
+            # A stage tells how long ago the order was, also to a node that has
+            # just started.
             elapsed_s = board.elapsed_s(order.order_id)
             counting = self._book.begin(order, elapsed_s)
             if view.is_decider:
--- a/tests/rollouts/test_plays.py
+++ b/tests/rollouts/test_plays.py
@@ -245,6 +245,21 @@
     assert bad.exposed <= bad.bound
 
 
+def test_restarted_nodes_count_in_the_slices_of_the_order(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    slices: list[int] = []
+
+    def note_slice(play: Play) -> None:
+        evidence = play.decider.agent._evidence._known[SERVICE].evidence
+        slices.append(evidence.last_slice)
+
+    script = [(0.3, restart_all), (0.6, note_slice)]
+    run_play(monkeypatch, sound, script, seed=7)
+    # More than half of the order's time has passed, in slices of a second.
+    assert slices[0] >= 10
+
+
 def test_withdrawn_orders_are_rolled_back(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
