--- a/src/savorylift/exchange/room_placement.py
+++ b/src/savorylift/exchange/room_placement.py
@@ -8,6 +8,7 @@
 
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange import metrics
+from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.run import Run
 from savorylift.exchange.server_pool import ServerPool
 from savorylift.exchange.wish import Wish
@@ -24,10 +25,13 @@
     Attributes:
         server: Engine that is reserved for it; None if it has none in time.
         return_in_s: Time until there should be room, if it was refused.
+        prefill_tokens: Prompt tokens that the engine has yet to prefill, with
+            those of the generation.
     """
 
     server: BackendServer | None
     return_in_s: float | None = None
+    prefill_tokens: int = 0
 
 
 class RoomPlacement:
@@ -70,10 +74,7 @@
             keeper_ip,
             run.attempt_id,
             lambda: _make_request(
-                run,
-                wish,
-                kept.find_excluded(admitted, tried) or frozenset(tried),
-                begun_s,
+                run, wish, self._find_excluded(admitted, tried), begun_s
             ),
             has_cold_place,
             wish.leave_s,
@@ -81,7 +82,10 @@
         if reply is not None and reply.outcome == RoomOutcome.REFUSED:
             has_cold_place()
         if cold:
-            result: RoomResult | None = RoomResult(cold[0])
+            prefill_tokens = self._pool.pending_prefill_tokens(cold[0])
+            result: RoomResult | None = RoomResult(
+                cold[0], prefill_tokens=prefill_tokens
+            )
         else:
             result = self._follow(run, wish, tried, reply)
         _log_result(run, keeper_ip, reply, result, begun_s)
@@ -91,6 +95,13 @@
         """Gives back the place of a run, if a keeper granted one."""
         self._client.end(run.attempt_id)
 
+    def _find_excluded(
+        self, admitted: AdmittedRequest, tried: Collection[str]
+    ) -> frozenset[str]:
+        """Returns the engines that failed it, aren't for it or want a pause."""
+        excluded = self._pool.kept.find_excluded(admitted, tried)
+        return (excluded or frozenset(tried)).union(self._pool.holds.held_ids)
+
     def _follow(
         self, run: Run, wish: Wish, tried: set[str], reply: RoomReply | None
     ) -> RoomResult | None:
@@ -98,8 +109,11 @@
             return None
         if reply.outcome == RoomOutcome.REFUSED:
             return RoomResult(None, reply.return_in_s)
-        if reply.server_id is None:
+        if reply.outcome == RoomOutcome.QUEUED:
             return RoomResult(None)
+        if reply.outcome != RoomOutcome.GRANTED or reply.server_id is None:
+            # A later build may say what this one doesn't know.
+            return None
         server = self._pool.reserve_granted_engine(
             run.admitted, wish.options, tried, reply.server_id
         )
@@ -107,7 +121,7 @@
             # This node knows better: the engine leaves, or wants a pause.
             self.end(run)
             return None
-        return RoomResult(server)
+        return RoomResult(server, prefill_tokens=reply.prefill_tokens)
 
 
 def _make_request(
@@ -156,6 +170,7 @@
         return_in_s=result and result.return_in_s,
         waiting=reply and reply.waiting,
         knowledge_age_s=reply and reply.knowledge_age_s,
+        prefill_tokens=result and result.prefill_tokens,
         tokens=run.expected_tokens,
         priority=run.admitted.priority,
     )
--- a/src/savorylift/front/room_parts.py
+++ b/src/savorylift/front/room_parts.py
@@ -71,6 +71,7 @@
             membership.loads(time.monotonic()),
             shared.settings.regions,
             get_prefill_per_s(),
+            pool.speeds.slowdown,
         )
 
     def send(message: RoomMessage, ip: str) -> None:
--- a/src/savorylift/front/settings.py
+++ b/src/savorylift/front/settings.py
@@ -57,6 +57,8 @@
             a service's engines for all.
         log_lines_per_s: Log lines of one event per second; further ones are
             dropped and counted.
+        descriptors: Most descriptors that the process may have open, of which
+            its listeners get parts; None for what the system allows it.
     """
 
     vm: Name
@@ -86,6 +88,7 @@
     request_timeout_s: Seconds = 60.0
     log_lines_per_s: PositiveInt = 200
     room_keeper: bool = True
+    descriptors: PositiveInt | None = None
 
     def redacted(self) -> dict[str, object]:
         """Returns the settings for logs, with the number of secrets only."""
--- a/src/savorylift/rooms/engines.py
+++ b/src/savorylift/rooms/engines.py
@@ -5,7 +5,7 @@
 
 import math
 import random
-from collections.abc import Iterable, Iterator, Mapping, Sequence
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 from typing import NamedTuple
 
 from savorylift.backends.load import Load
@@ -17,6 +17,7 @@
     free_tokens,
     has_room,
 )
+from savorylift.placement.server_speed import usual_speed
 from savorylift.routing.configuration import EngineTraits
 
 
@@ -29,6 +30,7 @@
         known: Their loads as the nodes' messages say.
         region_by_domain: Region of each failure domain.
         prefill_per_s: Prompt tokens that each prefills in a second.
+        slowdown: Returns how much longer than usual an engine takes, by its ID.
     """
 
     servers: Sequence[BackendServer]
@@ -36,6 +38,7 @@
     known: Mapping[str, Load]
     region_by_domain: Mapping[str, str]
     prefill_per_s: float
+    slowdown: Callable[[str], float] = usual_speed
 
 
 def find_most_room(engines: Engines, loads: Mapping[str, Load]) -> float:
@@ -66,15 +69,19 @@
 
 
 def keep_engine(
-    req: RoomRequest,
-    engines: Engines,
-    loads: Mapping[str, Load],
-    rng: random.Random,
+    req: RoomRequest, engines: Engines, loads: Mapping[str, Load]
 ) -> Engines:
-    """Returns the engines without the one where a generation fits first."""
+    """Returns the engines without the emptiest one that may run a generation.
+
+    Nothing in the choice is random: the same one is kept until it fits there.
+    """
+
+    def fullness(server: BackendServer) -> tuple[bool, int]:
+        load = loads[server.entry.server_id]
+        return load.is_unhealthy, load.tokens
+
     allowed = _find_allowed(req, engines.servers, engines.region_by_domain)
-    options = _engine_options(req, engines)
-    kept = choose_least_loaded_engine(allowed, loads, options, rng)
+    kept = min(allowed, key=fullness, default=None)
     others = [server for server in engines.servers if server is not kept]
     return engines._replace(servers=others)
 
@@ -104,5 +111,9 @@
 
 def _engine_options(req: RoomRequest, engines: Engines) -> EngineOptions:
     return EngineOptions(
-        engines.traits, req.tokens, req.prompt_tokens, req.max_prefill_tokens
+        engines.traits,
+        req.tokens,
+        req.prompt_tokens,
+        req.max_prefill_tokens,
+        slowdown=engines.slowdown,
     )
