--- a/src/savorylift/rollouts/decider.py
+++ b/src/savorylift/rollouts/decider.py
@@ -10,12 +10,11 @@
 # parts of what a bad one may get.
 FIRST_PART = 0.3
 WATCH_PART = 0.9
-# Answers of the version that are wanted while it is watched, and the part of
-# the slack that may be spent on them.
-WANTED_ANSWERS = 12
-SLACK_PART = 0.5
-# A node that has decided for a shorter time doesn't know how many requests
-# there are.
+# Part of the requests that a bad version may get, its slack included, that the
+# watch may use up.
+WATCH_BUDGET_PART = 0.6
+# A node that has decided for a shorter time may not have all answers yet, by
+# which it knows how many requests there are.
 MIN_RATE_TIME_S = 1.0
 # Share with which it is tried under load, before it gets all requests.
 LOAD_SHARE = 0.3
@@ -41,7 +40,7 @@
 # and of others.
 ENGINE_SHIFT_PART = 0.2
 PLAIN_SHIFT_PART = 0.1
-MIN_SHIFT_S = 1.2
+MIN_SHIFT_S = 2.0
 # The least that the shift may take if the version was found sound late.
 SHORTEST_SHIFT_S = 0.6
 
@@ -166,8 +165,8 @@
     has_answers = situation.judgement.new_answers >= FIRST_ANSWERS
     if not is_due and not has_answers:
         return None
-    share = _watch_share(stage, situation, limits)
-    share = max(share - situation.other_builds, 0.0)
+    watched = _watch_share(stage, situation, limits)
+    share = max(watched - situation.other_builds, 0.0)
     return _advance(stage, WATCH_STEP, share, "sound so far")
 
 
@@ -176,22 +175,20 @@
 ) -> float:
     """Returns the share with which a version is watched.
 
-    Where requests are few, part of the slack goes into it, so that there are
-    answers enough to judge by.
+    The slack of a service with few requests is worth more than its share.
     """
-    usual = WATCH_PART * limits.share
     judgement = situation.judgement
     answers = judgement.new_answers + judgement.old_answers
+    least = WATCH_PART * limits.share
     if not answers or situation.step_age_s < MIN_RATE_TIME_S:
-        return usual
-    per_s = answers / situation.elapsed_s
-    slack_share = SLACK_PART * limits.slack / (per_s * stage.duration_s)
-    most = min(WATCH_PART * (limits.share + slack_share), LOAD_SHARE)
+        return least
+    requests = answers * stage.duration_s / situation.elapsed_s
     timetable = make_timetable(
         stage.duration_s, has_engines=situation.has_engines
     )
-    watch_s = max(timetable.load_s - situation.elapsed_s, MIN_RATE_TIME_S)
-    return max(usual, min(WANTED_ANSWERS / (per_s * watch_s), most))
+    watched = requests * timetable.load_s / stage.duration_s
+    budget = WATCH_BUDGET_PART * (limits.share * requests + limits.slack)
+    return min(max(budget / max(watched, 1.0), least), LOAD_SHARE)
 
 
 def _begin_load(stage: Stage, situation: Situation) -> Stage | None:
