--- a/src/savorylift/exchange/engine_queue.py
+++ b/src/savorylift/exchange/engine_queue.py
@@ -180,6 +180,11 @@
             is_last=is_last,
         )
 
+    @property
+    def has_waiting(self) -> bool:
+        """Whether generations wait for an engine."""
+        return any(self._queues.values())
+
     def estimate_return_s(self, run: Run) -> float:
         """Returns after what time there should be room for a refused run."""
         service = run.admitted.service.name
--- a/src/savorylift/exchange/server_pool.py
+++ b/src/savorylift/exchange/server_pool.py
@@ -65,6 +65,9 @@
         holds: ServerHolds,
         rollouts: RolloutBoard | None = None,
         answers: AnswerObserver | None = None,
+        announce_load: Callable[[], None] | None = None,
+        *,
+        uses_speeds: bool = True,
     ) -> None:
         """Creates a pool that reads the store view and members at each choice.
 
@@ -81,18 +84,22 @@
             holds: Which servers want nothing for a while.
             rollouts: Which software versions a request may go to.
             answers: Follows the requests to services that are rolled out.
+            announce_load: Schedules one that others need at their next choice;
+                None for `announce`.
+            uses_speeds: Whether the choice of servers depends on how fast they
+                are.
         """
         self._registry = store_view.registry
         self._membership = membership
         self._rng = rng
-        self._announce = announce
+        self._announce_load = announce_load or announce
         self._limit_gate = limit_gate
         self._allowed = AllowedServers(
             store_view, region_by_domain, holds, rollouts
         )
         self.answers = answers or AnswerObserver()
         self.load_tracker = LoadTracker()
-        self.speeds = SpeedBook(self._registry.find_entry)
+        self.speeds = SpeedBook(self._registry.find_entry, is_used=uses_speeds)
         self.brittle = BrittleServices()
         self.holds = holds
         self._places = ServerPlaces(
@@ -422,7 +429,7 @@
         # A request to a limited server may still be denied a permit.
         is_limited = self._limit_gate.is_limited(server.entry)
         if prefill_tokens and not is_granted and not is_limited:
-            self._announce()
+            self._announce_load()
         self._places.record_start(server)
         self.answers.begin(
             server.entry,
--- a/src/savorylift/fleet/topic_consumer.py
+++ b/src/savorylift/fleet/topic_consumer.py
@@ -8,6 +8,7 @@
 from returns.pipeline import is_successful
 from returns.result import Result
 
+from savorylift.beat import wait_for_beat
 from savorylift.fleet.read_policy import POLL_PAUSE_S, ReadPolicy
 from savorylift.fleet.store_records import Change, Delta, Topic
 from savorylift.fleet.store_view import StoreView
@@ -104,7 +105,7 @@
                     self._topic_name, should_read=should_read
                 )
             if not should_read or not self.may_call():
-                await asyncio.sleep(POLL_PAUSE_S)
+                await wait_for_beat(POLL_PAUSE_S)
                 continue
             wait_s = await self._read()
             await asyncio.sleep(wait_s)
--- a/src/savorylift/fleet/version_recorder.py
+++ b/src/savorylift/fleet/version_recorder.py
@@ -12,6 +12,7 @@
 import structlog
 from returns.pipeline import is_successful
 
+from savorylift.beat import wait_for_beat
 from savorylift.fleet.record_codec import decode_record, encode_record
 from savorylift.fleet.state import UNKNOWN_VERSION
 from savorylift.fleet.version_history import ServerStart, VersionHistory
@@ -98,10 +99,10 @@
         await asyncio.sleep(max(wait_s, 0.0))
         self._history.is_complete = True
         while True:
-            is_saved = await self._save_in_turn()
-            await asyncio.sleep(
-                CHECK_INTERVAL_S if is_saved else RETRY_INTERVAL_S
-            )
+            if await self._save_in_turn():
+                await wait_for_beat(CHECK_INTERVAL_S)
+            else:
+                await asyncio.sleep(RETRY_INTERVAL_S)
 
     async def _load_in_turn(self) -> None:
         """Reads the records unless another node tells what they say."""
--- a/src/savorylift/front/server_parts.py
+++ b/src/savorylift/front/server_parts.py
@@ -189,6 +189,8 @@
         holds,
         rollouts.board,
         rollouts.answers,
+        transport.send_load_soon,
+        uses_speeds=shared.settings.uses_server_speeds,
     )
 
 
--- a/src/savorylift/front/settings.py
+++ b/src/savorylift/front/settings.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Mapping
 from types import MappingProxyType
-from typing import Literal, NamedTuple
+from typing import Annotated, Literal, NamedTuple
+
+import msgspec
 
 from savorylift.settings import (
     Address,
@@ -59,6 +61,12 @@
             dropped and counted.
         descriptors: Most descriptors that the process may have open, of which
             its listeners get parts; None for what the system allows it.
+        peer_pulses: Whether large fleets send patches of states, and pulses to
+            watchers.
+        bulk_port: UDP port on this node for messages from others that may wait
+            until they are needed; 0 for `peer_port`.
+        uses_server_speeds: Whether the choice of a server depends on how fast
+            it has been, besides its load.
     """
 
     vm: Name
@@ -89,6 +97,9 @@
     log_lines_per_s: PositiveInt = 200
     room_keeper: bool = True
     descriptors: PositiveInt | None = None
+    peer_pulses: bool = True
+    bulk_port: Annotated[int, msgspec.Meta(ge=0)] = 0
+    uses_server_speeds: bool = True
 
     def redacted(self) -> dict[str, object]:
         """Returns the settings for logs, with the number of secrets only."""
--- a/src/savorylift/rooms/keeper.py
+++ b/src/savorylift/rooms/keeper.py
@@ -130,7 +130,7 @@
             return
         now_s = time.monotonic()
         peers = list(self._membership.live_peers(now_s))
-        oldest_s = min((peer.received_s for peer in peers), default=now_s)
+        oldest_s = min((peer.heard_s for peer in peers), default=now_s)
         self._knowledge_age_s = now_s - oldest_s
         live = {peer.state.ip for peer in peers} | {self._choice.own_ip}
         for service, room in self._rooms.items():
--- a/tests/rollouts/test_plays.py
+++ b/tests/rollouts/test_plays.py
@@ -148,12 +148,13 @@
     script: Script,
     seed: int,
     duration_s: float = 20.0,
+    per_s: float = 34.0,
 ) -> Play:
     """Returns a play after its end."""
     plays: list[Play] = []
 
     async def scenario() -> None:
-        play = Play(behaviour, seed=seed, duration_s=duration_s)
+        play = Play(behaviour, seed=seed, duration_s=duration_s, per_s=per_s)
         plays.append(play)
         await play.run(script)
 
@@ -237,6 +238,38 @@
     assert 0.09 <= min(held) < LOAD_SHARE
 
 
+def test_versions_with_few_requests_are_judged(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def play(behaviour: Behaviour, seed: int) -> Play:
+        return run_play(
+            monkeypatch, behaviour, (), seed, duration_s=12.0, per_s=8.0
+        )
+
+    good = [play(sound, seed) for seed in range(6)]
+    completed = [p.statuses == ["running", "completed"] for p in good]
+    # Chance may speak against a sound version once.
+    assert sum(completed) >= len(good) - 1
+    bad = play(failing(0.5), 0)
+    assert bad.statuses == ["running", "rolled_back"]
+    assert bad.exposed <= bad.bound
+
+
+def test_restarted_nodes_count_in_the_slices_of_the_order(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    slices: list[int] = []
+
+    def note_slice(play: Play) -> None:
+        evidence = play.decider.agent._evidence._known[SERVICE].evidence
+        slices.append(evidence.last_slice)
+
+    script = [(0.3, restart_all), (0.6, note_slice)]
+    run_play(monkeypatch, sound, script, seed=7)
+    # More than half of the order's time has passed, in slices of a second.
+    assert slices[0] >= 10
+
+
 def test_withdrawn_orders_are_rolled_back(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
