Let a keeper of room read what other nodes say as it comes, and go by its own hearing

What others say of their loads waits in a port of its own until the node needs it. A keeper of room decides on it for others, so it reads it at once, as nodes do whose generations wait. Reports of silence would have let a new keeper begin some 1.3 s before the former one, cut off with its failure domain, stops; keepers are chosen again by what a node hears itself.

--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -232,7 +232,9 @@
         _log.info("stop", after_s=time.monotonic() - lifecycle.leaving_since_s)
 
     def _has_waiting(self) -> bool:
-        return self._streams.generations.has_waiting
+        """Whether requests of this node or of others wait for room here."""
+        is_keeping = self._streams.rooms.keeper.is_keeping
+        return is_keeping or self._streams.generations.has_waiting
 
     def _watch_peers(self) -> None:
         self._peer_sync.read_waiting()
--- a/src/savorylift/rooms/keeper.py
+++ b/src/savorylift/rooms/keeper.py
@@ -113,6 +113,11 @@
             return
         self._ask(PlaceKey(ip, message.number), message)
 
+    @property
+    def is_keeping(self) -> bool:
+        """Whether this node keeps the room of any service now."""
+        return bool(self._rooms)
+
     def hear(self, ip: str, loads: Iterable[ServerLoad]) -> None:
         """Notes what a node says that it has at engines."""
         for service, room in self._rooms.items():
@@ -129,7 +134,7 @@
         if not self._rooms:
             return
         now_s = time.monotonic()
-        peers = list(self._membership.live_peers(now_s))
+        peers = list(self._membership.heard_peers(now_s))
         oldest_s = min((peer.heard_s for peer in peers), default=now_s)
         self._knowledge_age_s = now_s - oldest_s
         live = {peer.state.ip for peer in peers} | {self._choice.own_ip}
@@ -171,7 +176,7 @@
         if self._membership.live_share(now_s) < MIN_LIVE_SHARE:
             return
         room = self._rooms[service] = ServiceRoom(self._rng)
-        for peer in self._membership.live_peers(now_s):
+        for peer in self._membership.heard_peers(now_s):
             room.hear(peer.state.ip, peer.state.loads)
 
     def _leave(self, service: str) -> None:
--- a/src/savorylift/rooms/keeper_choice.py
+++ b/src/savorylift/rooms/keeper_choice.py
@@ -71,7 +71,7 @@
         if now_s < self._cached_until_s:
             return
         self._cached_until_s = now_s + CACHE_S
-        states = [p.state for p in self._membership.live_peers(now_s)]
+        states = [p.state for p in self._membership.heard_peers(now_s)]
         ips = {s.ip for s in states if s.is_ready and not s.is_leaving}
         if not self._is_leaving():
             ips.add(self._ip)
--- a/tests/rooms/test_keeper.py
+++ b/tests/rooms/test_keeper.py
@@ -371,6 +371,7 @@
     with freezegun.freeze_time("2026-01-01") as clock:
         lone = LoneKeeper()
         assert lone.ask(1) == RoomOutcome.ALONE
+        assert not lone.node.keeper.is_keeping
         clock.tick(START_HOLD_S - 0.1)
         assert lone.ask(2) == RoomOutcome.ALONE
         # Two of its engines' four places are taken by what it hears.
@@ -383,6 +384,7 @@
         clock.tick(0.2)
         lone.ask(3)
         assert lone.replies[-1].server_id == "b"
+        assert lone.node.keeper.is_keeping
 
 
 def test_two_keepers_never_grant_in_the_same_hand_over() -> None:
