Let the end of a roll-out stand when the store comes back from an older copy

A node that took over went on from the stage that the copy had: a completed roll-out, whose old servers were gone, was rolled back. Nodes know the end.

--- a/src/savorylift/rollouts/deciding.py
+++ b/src/savorylift/rollouts/deciding.py
@@ -2,7 +2,7 @@
 
 import time
 
-from savorylift.fleet.rollout_messages import Phase, Stage
+from savorylift.fleet.rollout_messages import Stage
 from savorylift.rollouts.announcer import Announcer
 from savorylift.rollouts.board import RolloutBoard
 from savorylift.rollouts.decider import Situation, find_next
@@ -80,8 +80,9 @@
         if stage.phase.is_final:
             return self._withdraw(stage)
         known = self._board.find_stage(stage.service)
-        if known is None or not _is_unwritten_end(known, stage):
+        if known is None or not _is_end(known, stage):
             return find_next(stage, self._situation(stage), self._limits)
+        # An end that the store doesn't have yet, or has lost, stands.
         return stage._replace(
             phase=known.phase,
             step=max(known.step, stage.step + 1),
@@ -203,13 +204,9 @@
     return stage is None or not stage.phase.is_final
 
 
-def _is_unwritten_end(known: Stage, recorded: Stage) -> bool:
-    """Whether a roll-back was told that the store doesn't have yet."""
-    return (
-        known.phase is Phase.ROLLED_BACK
-        and not known.is_recorded
-        and known.order_id == recorded.order_id
-    )
+def _is_end(known: Stage, recorded: Stage) -> bool:
+    """Whether a stage ends the roll-out that the store says goes on."""
+    return known.phase.is_final and known.order_id == recorded.order_id
 
 
 def _aged(stage: Stage) -> Stage:
--- a/tests/rollouts/memory_store.py
+++ b/tests/rollouts/memory_store.py
@@ -32,6 +32,11 @@
         self.is_away = False
         self.calls = 0
 
+    def restore(self, count: int) -> None:
+        """Goes back to an older copy, with so many records a topic."""
+        for records in self.topics.values():
+            del records[count:]
+
     def newest(self, topic: str) -> dict[str, bytes]:
         """Returns the newest value of each key."""
         found: dict[str, bytes] = {}
--- a/tests/rollouts/test_plays.py
+++ b/tests/rollouts/test_plays.py
@@ -251,6 +251,23 @@
     assert bad.exposed <= bad.bound
 
 
+@pytest.mark.parametrize(
+    ("behaviour", "end"), [(sound, "completed"), (failing(0.6), "rolled_back")]
+)
+def test_an_end_stands_when_the_store_comes_back_from_an_older_copy(
+    monkeypatch: pytest.MonkeyPatch, behaviour: Behaviour, end: str
+) -> None:
+    def restore(play: Play) -> None:
+        play.store.restore(1)
+        play.kill(play.decider)
+
+    script = [(0.95, restore)]
+    play = run_play(monkeypatch, behaviour, script, seed=8)
+    assert play.statuses[-1] == end
+    board = play.decider.board
+    assert board.stages[SERVICE].phase.value == end
+
+
 def test_restarted_nodes_count_in_the_slices_of_the_order(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
