Tell the speeds of servers anew each eight seconds only

Cause: what a node tells of speeds changed each second, as servers took turns. Patches of states had it each time, a node that missed one asked for the whole state, and each message was merged again.

Change: the twelve servers with most samples are told, the same for eight seconds; a receiver merges what has changed.

--- a/src/savorylift/speeds/speed_book.py
+++ b/src/savorylift/speeds/speed_book.py
@@ -5,8 +5,9 @@
 its service usually take at that load, and tells the others.
 """
 
+import heapq
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import structlog
 
@@ -19,10 +20,10 @@
 MIN_SLOWDOWN = 1.25
 MIN_SPEEDUP = 0.8
 UPDATE_INTERVAL_S = 0.5
-# Servers in one message, and turns in which a node tells of all.
-MAX_TOLD = 4
-TURNS = 8
-TURN_S = 1.0
+# Servers in one message, those with most samples, and for how long a node tells
+# the same of them: messages without news are small.
+MAX_TOLD = 12
+TOLD_S = 8.0
 # Samples from which on a node tells its own, and the most that it may tell.
 MIN_TOLD_SAMPLES = 0.5
 MAX_TOLD_SAMPLES = 100.0
@@ -87,6 +88,10 @@
         self._known: dict[str, _Known] = {}
         self._slowdowns: dict[str, float] = {}
         self._next_update_s = 0.0
+        self._news: tuple[ServerSpeed, ...] = ()
+        self._next_news_s = 0.0
+        # What each node has told last, by its address.
+        self._merged: dict[str, tuple[ServerSpeed, ...]] = {}
 
     def slowdown(self, server_id: str) -> float:
         """Returns how much longer a server takes; 1.0 is usual."""
@@ -106,33 +111,42 @@
             known.add(ratio, time.monotonic())
 
     def news(self) -> tuple[ServerSpeed, ...]:
-        """Returns what this node saw of some servers, which take turns."""
+        """Returns what this node saw lately; the same for a while."""
         now_s = time.monotonic()
-        turn = int(now_s / TURN_S) % TURNS
-        told: list[ServerSpeed] = []
-        for number, (server_id, known) in enumerate(self._known.items()):
-            if number % TURNS != turn or len(told) >= MAX_TOLD:
-                continue
-            own = known.own.fade(now_s)
-            if own.samples < MIN_TOLD_SAMPLES:
-                continue
-            told.append(
-                ServerSpeed(
-                    server_id,
-                    known.started_ms % START_MARKS,
-                    round(10 * own.samples),
-                    round(100 * own.total / own.samples),
-                )
+        if now_s >= self._next_news_s:
+            self._next_news_s = now_s + TOLD_S
+            self._news = self._make_news(now_s)
+        return self._news
+
+    def _make_news(self, now_s: float) -> tuple[ServerSpeed, ...]:
+        own = [
+            (known.own.fade(now_s), server_id, known.started_ms)
+            for server_id, known in self._known.items()
+        ]
+        return tuple(
+            ServerSpeed(
+                server_id,
+                started_ms % START_MARKS,
+                round(10 * seen.samples),
+                round(100 * seen.total / seen.samples),
             )
-        return tuple(told)
+            for seen, server_id, started_ms in heapq.nlargest(MAX_TOLD, own)
+            if seen.samples >= MIN_TOLD_SAMPLES
+        )
 
-    def merge(self, ip: str, news: Iterable[ServerSpeed]) -> None:
-        """Learns what another node saw.
+    def merge(self, ip: str, news: tuple[ServerSpeed, ...]) -> None:
+        """Learns what another node saw, unless it has told that before.
 
         Args:
             ip: Address of the node.
             news: What it told.
         """
+        if self._merged.get(ip, ()) == news:
+            return
+        self._merged.pop(ip, None)
+        while len(self._merged) >= MAX_NODES:
+            del self._merged[next(iter(self._merged))]
+        self._merged[ip] = news
         now_s = time.monotonic()
         for server_id, start_mark, samples_x10, mean_x100 in news:
             entry = self._find_entry(server_id)
