--- a/src/savorylift/rollouts/decider.py
+++ b/src/savorylift/rollouts/decider.py
@@ -13,8 +13,8 @@
 # Part of the requests that a bad version may get, its slack included, that the
 # watch may use up.
 WATCH_BUDGET_PART = 0.6
-# A node that has decided for a shorter time may not have all answers yet, by
-# which it knows how many requests there are.
+# A node that has decided for a shorter time doesn't know how many requests
+# there are.
 MIN_RATE_TIME_S = 1.0
 # Share with which it is tried under load, before it gets all requests.
 LOAD_SHARE = 0.3
@@ -161,6 +161,8 @@
         return _advance(stage, FIRST_STEP, share, "servers are there")
     if stage.step >= WATCH_STEP or _is_doubtful(situation):
         return None
+    if situation.step_age_s < MIN_RATE_TIME_S:
+        return None
     is_due = situation.elapsed_s >= FIRST_TIME_PART * stage.duration_s
     has_answers = situation.judgement.new_answers >= FIRST_ANSWERS
     if not is_due and not has_answers:
@@ -180,7 +182,7 @@
     judgement = situation.judgement
     answers = judgement.new_answers + judgement.old_answers
     least = WATCH_PART * limits.share
-    if not answers or situation.step_age_s < MIN_RATE_TIME_S:
+    if not answers or situation.elapsed_s <= 0:
         return least
     requests = answers * stage.duration_s / situation.elapsed_s
     timetable = make_timetable(
