Mend names and texts that would stop a newcomer

Cause: a reading of the roll-outs, rooms, speeds and placing by someone new to them met comments that don't parse, docstrings that say something else than the code (`Judgement.finding`, `has_old`, `SpeedEstimate`'s prior samples, `_eligible_servers`, `Room.rate_for`), names that mislead (`now_s` for an earlier time, `has_cold_place` for a reservation, `known` for all engines), slices of records by number, and the same lines in two places.

Change: texts, names, keywords in place of positional booleans, fields in place of `known[:8]` and `cell[:4]`, and one function each for the timetable of a stage and for the free memory of engines. `RoomBook.clear`, which nothing called, and a check for a stage that its one caller had made are gone. No behaviour is meant to change, and no test is touched.

Not run: the other tests, among them those of `exchange` and of the recorder, the evidence and the verdict of roll-outs, whose code was touched too.

--- a/src/savorylift/exchange/allowed_servers.py
+++ b/src/savorylift/exchange/allowed_servers.py
@@ -29,8 +29,7 @@
             store_view: Servers and evacuations, as recorded in the store.
             region_by_domain: Region of each failure domain.
             holds: Which servers want nothing for a while.
-            rollouts: Which software versions a request may go to; None if that
-                is left to chance.
+            rollouts: Which software versions a request may go to; None for any.
         """
         self._store_view = store_view
         self._region_by_domain = region_by_domain
--- a/src/savorylift/exchange/engine_queue.py
+++ b/src/savorylift/exchange/engine_queue.py
@@ -91,7 +91,8 @@
         if self._rooms and can_wait and self._may_wait(run, tried):
             result = await self._ask_keeper(self._rooms, run, wish, tried)
             if result is not None:
-                run.server, run.return_in_s = result[:2]
+                run.server = result.server
+                run.return_in_s = result.return_in_s
                 if run.server is not None:
                     run.mark_assigned(result.prefill_tokens)
                 return run.server
--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -56,11 +56,11 @@
 # Added to the retry delay at random, as a share of it, so that callers that are
 # refused together don't retry together.
 RETRY_AFTER_JITTER = 0.3
-# Kind of work of which engines' speeds are told.
-STREAM = ""
-
-# Events after which the pace of a stream is known.
-PACE_EVENTS = 6
+# Kind of work by which engines' speeds are compared: the times between events.
+# Plain services have one for each route, by its name.
+STREAM_KIND = ""
+# Events after which the mean pause of a stream is noted for roll-outs.
+PAUSE_EVENTS = 6
 
 
 class GenerationDispatcher:
@@ -371,14 +371,14 @@
 
     def _on_event(self, run: Run) -> None:
         self._crash_guard.record_event(run)
-        if run.engine_events == PACE_EVENTS and run.first_event_s is not None:
-            pause_s = (time.monotonic() - run.first_event_s) / PACE_EVENTS
+        if run.engine_events == PAUSE_EVENTS and run.first_event_s is not None:
+            pause_s = (time.monotonic() - run.first_event_s) / PAUSE_EVENTS
             self._pool.answers.note_pause(run.attempt_id, pause_s)
         self._record_pace(run)
         self._start_move_if_draining(run)
 
     def _record_pace(self, run: Run) -> None:
-        """Records the time between events, some of them at a time."""
+        """Records the mean time between events, once for several of them."""
         engine = run.admitted.service.engine
         if run.server is None or engine is None:
             return
@@ -387,7 +387,7 @@
         pace = run.pace = count_event(run.pace, server_id, now_s)
         if pace.is_whole:
             gap_s = (now_s - pace.began_s) / pace.events
-            self._pool.record_time(run.server, STREAM, engine.slots, gap_s)
+            self._pool.record_time(run.server, STREAM_KIND, engine.slots, gap_s)
 
     def _start_move_if_draining(self, run: Run) -> None:
         """Starts to move a run if its engine is draining."""
--- a/src/savorylift/exchange/kept_engines.py
+++ b/src/savorylift/exchange/kept_engines.py
@@ -12,8 +12,8 @@
 from savorylift.exchange.server_gate import ServerGate
 from savorylift.routing.configuration import Service
 
-# Engines that a request to a keeper names at most.
-MAX_EXCLUDED = 64
+# Most engines that a request to a keeper names, excluded and spare ones.
+MAX_BARRED = 64
 
 
 class Barred(NamedTuple):
@@ -93,7 +93,7 @@
         }
         excluded = (ids - allowed_ids).union(tried)
         spare = allowed_ids - preferred_ids if preferred_ids else set()
-        if len(excluded) + len(spare) > MAX_EXCLUDED:
+        if len(excluded) + len(spare) > MAX_BARRED:
             return None
         return Barred(frozenset(excluded), frozenset(spare))
 
--- a/src/savorylift/exchange/room_placement.py
+++ b/src/savorylift/exchange/room_placement.py
@@ -52,17 +52,16 @@
         self, run: Run, wish: Wish, tried: set[str]
     ) -> RoomResult | None:
         """Returns the result; None if the node is to place it by itself."""
-        admitted = run.admitted
-        if not self._pool.kept.is_kept(admitted.service):
+        admitted, kept = run.admitted, self._pool.kept
+        if not kept.is_kept(admitted.service):
             return None
         keeper_ip = self._client.find_keeper(admitted.service.name)
-        kept = self._pool.kept
         if keeper_ip is None or kept.find_barred(admitted, tried) is None:
             return None
         begun_s = time.monotonic()
         cold: list[BackendServer] = []
 
-        def has_cold_place() -> bool:
+        def reserve_cold_place() -> bool:
             # Their places are shared by the nodes, not granted.
             server = self._pool.reserve_cold_engine(
                 admitted, wish.options, tried
@@ -77,11 +76,11 @@
             lambda: _make_request(
                 run, wish, self._find_barred(admitted, tried), begun_s
             ),
-            has_cold_place,
+            reserve_cold_place,
             wish.leave_s,
         )
         if reply is not None and reply.outcome == RoomOutcome.REFUSED:
-            has_cold_place()
+            reserve_cold_place()
         if cold:
             prefill_tokens = self._pool.pending_prefill_tokens(cold[0])
             result: RoomResult | None = RoomResult(
--- a/src/savorylift/exchange/server_pool.py
+++ b/src/savorylift/exchange/server_pool.py
@@ -27,7 +27,7 @@
     EngineOptions,
     choose_engine,
     choose_least_loaded_engine,
-    free_tokens,
+    count_free_tokens,
 )
 from savorylift.placement.plain_servers import choose_plain_server
 from savorylift.rollouts.answers import AnswerObserver
@@ -84,8 +84,8 @@
             holds: Which servers want nothing for a while.
             rollouts: Which software versions a request may go to.
             answers: Follows the requests to services that are rolled out.
-            announce_load: Schedules one that others need at their next choice;
-                None for `announce`.
+            announce_load: Schedules a message about load that others need at
+                their next choice; None for `announce`.
             uses_speeds: Whether the choice of servers depends on how fast they
                 are.
         """
@@ -171,7 +171,7 @@
     ) -> BackendServer | None:
         """Reserves the engine that the keeper of its room granted.
 
-        The keeper knows, so that the other nodes needn't be told.
+        The keeper knows of it, so the other nodes needn't be told.
         """
         server = self.kept.find_granted(admitted, tried, server_id)
         if server is not None:
@@ -317,7 +317,7 @@
             loads.get(server.entry.server_id, Load())
             for server in self.servers_in_service(service)
         )
-        return sum(max(int(free_tokens(load, traits)), 0) for load in found)
+        return count_free_tokens(found, traits)
 
     def limited_ids(self) -> set[str]:
         """Returns the IDs of the servers that name a limit."""
@@ -389,8 +389,12 @@
         tried: Collection[str],
         loads: Mapping[str, Load],
     ) -> Iterator[BackendServer]:
-        """Returns the servers that may run a request and have room for it."""
-        found = self._find_eligible(admitted, tried, loads)
+        """Returns the servers from which a request's server is chosen.
+
+        They may run it and have room for it. While its service is rolled out,
+        they are those of the version that it is for, if there are any.
+        """
+        found = self._find_with_room(admitted, tried, loads)
         rule = self._allowed.find_version_rule(admitted, tried)
         if rule is None:
             return found
@@ -398,12 +402,13 @@
         preferred = [s for s in servers if rule.prefers(s.entry)]
         return iter(preferred or servers)
 
-    def _find_eligible(
+    def _find_with_room(
         self,
         admitted: AdmittedRequest,
         tried: Collection[str],
         loads: Mapping[str, Load],
     ) -> Iterator[BackendServer]:
+        """Yields the servers that may run a request and have room for it."""
         demand = self._places.demand(admitted.service)
         for server in self._allowed.find_matching(admitted, tried):
             load = loads.get(server.entry.server_id, Load())
--- a/src/savorylift/exchange/short_streams.py
+++ b/src/savorylift/exchange/short_streams.py
@@ -4,7 +4,7 @@
 
 # A stream of so many events at most ends within moments.
 SHORT_EVENTS = 8
-# After this time it is asked all the same.
+# After this time its process is looked for all the same.
 ASK_LATE_S = 0.5
 
 
--- a/src/savorylift/exchange/stream_resumption.py
+++ b/src/savorylift/exchange/stream_resumption.py
@@ -174,8 +174,8 @@
     ) -> None:
         """Binds a stream to the version of its server, once that is known.
 
-        Until then no server may continue it. A short stream mostly needs no
-        question: it is whole by then.
+        Until then no server may continue it. For a short stream the server is
+        asked later, since most have ended by then.
         """
         begun_s = boot_time_s()
         if is_short(run):
--- a/src/savorylift/placement/engines.py
+++ b/src/savorylift/placement/engines.py
@@ -133,3 +133,8 @@
 def free_tokens(load: Load, traits: EngineTraits) -> float:
     """Returns the memory of an engine that generations may be assigned."""
     return traits.memory_tokens * MAX_MEMORY_SHARE - load.tokens
+
+
+def count_free_tokens(loads: Iterable[Load], traits: EngineTraits) -> int:
+    """Returns the memory that generations may be assigned at all engines."""
+    return sum(max(int(free_tokens(load, traits)), 0) for load in loads)
--- a/src/savorylift/placement/turn_away.py
+++ b/src/savorylift/placement/turn_away.py
@@ -2,8 +2,8 @@
 
 A generation that would only wait until its time is over is refused at once,
 so that its caller can go elsewhere or return when there should be room. The
-last in the order of turns give way first: a less urgent one before a more
-urgent one is refused.
+last in the order of turns give way first, so a less urgent one is refused
+before a more urgent one.
 """
 
 import math
@@ -13,9 +13,9 @@
 
 from savorylift.placement.turn_order import TURNS_PER_OLDEST, Ticket
 
-# What a forecast may be off by, as small generations overtake large ones that
-# don't fit: a generation is refused if its turn should
-# come only after this multiple of the time that it can wait.
+# A generation is refused if its turn is forecast only after this multiple of
+# the time that it can wait. A forecast may be that far off, since small
+# generations overtake large ones that don't fit.
 FORECAST_MARGIN = 3.0
 MIN_RETURN_S = 0.5
 # Bounds the time to come back if far more memory is needed than is released.
@@ -52,8 +52,8 @@
     def rate_for(self, ticket: Ticket, now_s: float) -> float:
         """Returns the rate at which memory is left to a generation.
 
-        Those that arrive before its turn take theirs first, but for the turns
-        that go to the one that has waited longest.
+        Those that arrive and go before it take theirs first, except for the
+        turns that go to the one that has waited longest.
         """
         if self.tokens_per_s is None:
             return math.inf
--- a/src/savorylift/placement/wait_queue.py
+++ b/src/savorylift/placement/wait_queue.py
@@ -22,6 +22,7 @@
 # How long smaller generations may overtake one that doesn't fit. After that
 # it blocks those behind it.
 BYPASS_LIMIT_S = 0.5
+# Without a known rate nobody is turned away.
 UNKNOWN_ROOM = Room(0, None)
 
 
--- a/src/savorylift/rollouts/agent.py
+++ b/src/savorylift/rollouts/agent.py
@@ -131,28 +131,26 @@
             counting = self._book.begin(order, elapsed_s)
             if view.is_decider:
                 counting.add_to(self._evidence.find(order))
-                self._stop_bad(stage)
+                self._roll_back_if_bad(stage)
             elif counting.report(view.decider_ip, self._around.send):
                 self._stop_by_itself(service, counting)
         if stage is not None and view.is_decider:
-            self._tell_again(service, is_heard=view.hears_enough)
+            self._tell_again(service, hears_enough=view.hears_enough)
 
-    def _tell_again(self, service: str, *, is_heard: bool) -> None:
+    def _tell_again(self, service: str, *, hears_enough: bool) -> None:
         """Tells a stage again that this node answers for."""
         stage = self._board.find_stage(service)
         if stage is None:
             return
         is_own = self._deciding.is_own(stage)
-        if is_own and is_heard:
-            # This node gets no news of it from others.
+        if is_own and hears_enough:
+            # No other node tells this one that the stage still stands.
             self._board.accept(stage)
         if is_own or stage.phase is Phase.ROLLED_BACK:
             self._announcer.tell_again(stage)
 
-    def _stop_bad(self, stage: Stage | None) -> None:
-        """Rolls back without waiting for the store."""
-        if stage is None:
-            return
+    def _roll_back_if_bad(self, stage: Stage) -> None:
+        """Rolls a bad version back without waiting for the store."""
         judgement = self._evidence.judge(stage.service)
         if judgement.opinion is not Opinion.BAD:
             return
--- a/src/savorylift/rollouts/answer_log.py
+++ b/src/savorylift/rollouts/answer_log.py
@@ -30,7 +30,7 @@
         SUCCEEDED: With a whole answer that is no failure of the server.
         FAILED: With an answer that is one.
         LOST: Without a whole answer.
-        ENDED: By this node or the caller, which tells nothing.
+        ENDED: By this node or the caller, or not run: it tells nothing.
     """
 
     SUCCEEDED = "succeeded"
@@ -47,7 +47,7 @@
 
 
 class _Counts:
-    """Counts of one cell; `cut` are durations that went on for longer."""
+    """Counts of one cell; `cut` has durations up to a request's early end."""
 
     def __init__(self) -> None:
         self.succeeded = 0
@@ -111,7 +111,7 @@
             return
         self._open[attempt_id] = found._replace(is_timed=True)
         took_s = time.monotonic() - found.began_s
-        self._count(found.key).times[duration_class(took_s)] += 1
+        self._change(found.key).times[duration_class(took_s)] += 1
 
     def note_pause(self, attempt_id: str, pause_s: float) -> None:
         """Records the mean pause between the first events of a stream."""
@@ -119,21 +119,22 @@
         if found is None:
             return
         key = found.key._replace(series=found.key.series + PAUSE_SUFFIX)
-        self._count(key).times[duration_class(pause_s)] += 1
+        self._change(key).times[duration_class(pause_s)] += 1
 
     def finish(self, attempt_id: str, outcome: Outcome) -> None:
         """Records how a request ended; only the first time counts."""
         if outcome is Outcome.SUCCEEDED:
+            # The answers of plain services are only noted as they end.
             self.note_answer(attempt_id)
         found = self._open.pop(attempt_id, None)
         if found is None:
             return
-        counts = self._count(found.key)
+        counts = self._change(found.key)
         counts.succeeded += outcome is Outcome.SUCCEEDED
         counts.failed += outcome is Outcome.FAILED
         if outcome is Outcome.LOST:
             lost_key = found.key._replace(server_id=found.server_id)
-            self._count(lost_key).lost += 1
+            self._change(lost_key).lost += 1
         if not found.is_timed and outcome is not Outcome.FAILED:
             took_s = time.monotonic() - found.began_s
             counts.cut[duration_class(took_s)] += 1
@@ -187,7 +188,8 @@
             tuple(sorted(cut.items())),
         )
 
-    def _count(self, key: _Key) -> _Counts:
+    def _change(self, key: _Key) -> _Counts:
+        """Returns the counts of a cell that is about to change."""
         self._changed.add(key)
         counts = self._counts.get(key)
         if counts is None:
--- a/src/savorylift/rollouts/board.py
+++ b/src/savorylift/rollouts/board.py
@@ -49,16 +49,18 @@
         self._limits = limits
         self.orders: dict[str, RolloutOrder] = {}
         self.stages: dict[str, Stage] = {}
-        # Monotonic times: when each order was first seen, less what the
-        # stages say; and when each stage was last heard, and first.
+        # Monotonic time of each order, by its ID: when it was first seen, or
+        # earlier if a stage says so.
         self._ordered_s: dict[str, float] = {}
+        # Monotonic times at which the stage of a service was last heard, at
+        # which it was first, and at which its order was first found missing.
         self._heard_s: dict[str, float] = {}
         self._begun_s: dict[str, float] = {}
-        # When the order of a service was first found missing.
         self._missing_s: dict[str, float] = {}
         self._versions: dict[str, _Versions] = {}
         # Servers among which a share is spread, by service and share.
         self._spread: dict[tuple[str, float], frozenset[str]] = {}
+        # Services whose new version gets nothing more from this node.
         self._stopped: set[str] = set()
 
     @property
@@ -93,7 +95,7 @@
                 self._note_elapsed(stage)
 
     def accept(self, stage: Stage) -> bool:
-        """Takes a stage that was heard or decided; returns if it is new."""
+        """Takes a stage that was heard or decided; returns if it was new."""
         known = self.stages.get(stage.service)
         now_s = time.monotonic()
         if not replaces(stage, known):
@@ -113,7 +115,7 @@
         return now_s - self._ordered_s.get(order_id, now_s)
 
     def stage_age_s(self, service: str) -> float:
-        """Returns for how long the stage of a service has been known."""
+        """Returns for how long a stage has been known; inf without any."""
         return time.monotonic() - self._begun_s.get(service, -math.inf)
 
     def describe(self) -> dict[str, str]:
@@ -132,7 +134,7 @@
         return described
 
     def is_withdrawn(self, service: str) -> bool:
-        """Whether a service has no order, and that isn't an old listing."""
+        """Whether a service's order is missing for longer than listings lag."""
         if service in self.orders:
             return False
         missing_s = self._missing_s.get(service)
@@ -156,7 +158,7 @@
         self, service: str, entries: Iterable[ServerEntry]
     ) -> None:
         """Records the servers of a service that are in service now."""
-        version, banned = self._version(service), self._banned(service)
+        version, banned = self._new_version(service), self._banned(service)
         new_ids, has_old = [], False
         for entry in entries:
             if entry.software_version == version:
@@ -211,12 +213,12 @@
         if order is None and stage is None:
             return None
         if is_bound:
-            return None if stage is None else self._rule_of_banned(stage)
+            return None if stage is None else self._make_ban_rule(stage)
         current = self.find_stage(service)
         if current is not None and current.phase is Phase.COMPLETED:
-            is_over = self.stage_age_s(service) > version_rules.COMPLETED_S
+            is_over = self.stage_age_s(service) > version_rules.COMPLETED_RULE_S
             if is_over:
-                return self._rule_of_banned(current)
+                return self._make_ban_rule(current)
         version = order.version if order is not None else ""
         if current is not None:
             version = current.version
@@ -235,11 +237,14 @@
             return rule._replace(banned=self._banned(service))
         return rule
 
-    def _rule_of_banned(self, stage: Stage) -> VersionRule | None:
+    def _make_ban_rule(self, stage: Stage) -> VersionRule | None:
+        """Returns a rule against banned versions alone; None without any."""
         banned = banned_versions(stage)
         if not banned:
             return None
-        return VersionRule(None, False, True, banned)
+        return VersionRule(
+            None, may_use_new=False, may_use_old=True, banned=banned
+        )
 
     def _spread_ids(self, service: str, share: float) -> frozenset[str] | None:
         known = self._versions.get(service)
@@ -253,7 +258,7 @@
             self._spread[service, share] = spread
         return spread
 
-    def _version(self, service: str) -> str | None:
+    def _new_version(self, service: str) -> str | None:
         stage = self.find_stage(service)
         if stage is not None:
             return stage.version
@@ -267,7 +272,7 @@
             return frozenset()
         if self.find_stage(service) is not None:
             return banned_versions(stage)
-        return versions_to_ban(stage) - {self._version(service)}
+        return versions_to_ban(stage) - {self._new_version(service)}
 
     def _note_elapsed(self, stage: Stage) -> None:
         """Takes the time since an order from a stage if that says longer."""
--- a/src/savorylift/rollouts/counting.py
+++ b/src/savorylift/rollouts/counting.py
@@ -9,7 +9,8 @@
 from savorylift.rollouts.evidence import FleetEvidence
 from savorylift.rollouts.order import RolloutOrder
 
-# Slices of an order's time.
+# The time since an order is cut into slices: each at least so long, and at
+# most so many until its deadline.
 MIN_SLICE_S = 1.0
 MAX_SLICES = 40
 REPORT_INTERVAL_S = 0.5
@@ -39,7 +40,7 @@
         self._source = source
         slice_s = max(MIN_SLICE_S, order.duration_s / MAX_SLICES)
         self.log = AnswerLog(order.version, slice_s, elapsed_s)
-        self._told: str | None = None
+        self._told_ip: str | None = None
         self._next_report_s = 0.0
         self._next_repeat_s = 0.0
 
@@ -56,9 +57,9 @@
             Whether there was something to tell.
         """
         now_s = time.monotonic()
-        if ip != self._told:
+        if ip != self._told_ip:
             self.log.mark_all_changed()
-            self._told = ip
+            self._told_ip = ip
         elif now_s >= self._next_repeat_s:
             self.log.repeat_taken()
             self._next_repeat_s = now_s + REPEAT_S
--- a/src/savorylift/rollouts/decider.py
+++ b/src/savorylift/rollouts/decider.py
@@ -1,4 +1,7 @@
-"""Decides on the next stage of a roll-out, from what is known of it."""
+"""Decides on the next stage of a roll-out, from what is known of it.
+
+These functions keep no state; `deciding.py` calls them and takes the steps.
+"""
 
 from typing import NamedTuple
 
@@ -29,9 +32,9 @@
 # How long the load is tried, as a part of the time.
 LOAD_TIME_PART = 0.07
 MIN_LOAD_S = 0.8
-# A version that is doubtful under load for so many times as long is rolled
+# A version that is still doubtful after this multiple of that time is rolled
 # back.
-MAX_DOUBTS = 3
+MAX_LOAD_FACTOR = 3
 # What lies between the last decision and the deadline: operators' records and
 # the status both take a moment.
 MARGIN_PART = 0.08
@@ -53,7 +56,7 @@
         step_age_s: Time since the last stage began.
         judgement: How the new version answers.
         has_new: Whether a server of the new version is in service.
-        has_old: Whether one of another version is registered.
+        has_old: Whether one of another version is in service.
         has_engines: Whether the service has engines, whose streams last.
         hears_enough: Whether the deciding node hears enough of the fleet.
         other_builds: Share of the nodes that know nothing of roll-outs.
@@ -76,7 +79,7 @@
 
     Attributes:
         load_s: When the version is tried under load.
-        latest_load_s: When it is too late for that.
+        latest_load_s: After what time it is too late for that.
         complete_s: When the roll-out is completed.
     """
 
@@ -167,8 +170,8 @@
     has_answers = situation.judgement.new_answers >= FIRST_ANSWERS
     if not is_due and not has_answers:
         return None
-    watched = _watch_share(stage, situation, limits)
-    share = max(watched - situation.other_builds, 0.0)
+    watch_share = _watch_share(stage, situation, limits)
+    share = max(watch_share - situation.other_builds, 0.0)
     return _advance(stage, WATCH_STEP, share, "sound so far")
 
 
@@ -177,26 +180,24 @@
 ) -> float:
     """Returns the share with which a version is watched.
 
-    The slack of a service with few requests is worth more than its share.
+    It makes use of the slack, too, which allows a service with few requests
+    far more than the share does.
     """
     judgement = situation.judgement
     answers = judgement.new_answers + judgement.old_answers
     least = WATCH_PART * limits.share
     if not answers or situation.elapsed_s <= 0:
         return least
+    # Expected between order and deadline, and until the watch ends.
     requests = answers * stage.duration_s / situation.elapsed_s
-    timetable = make_timetable(
-        stage.duration_s, has_engines=situation.has_engines
-    )
-    watched = requests * timetable.load_s / stage.duration_s
+    load_s = _find_timetable(stage, situation).load_s
+    watched_requests = requests * load_s / stage.duration_s
     budget = WATCH_BUDGET_PART * (limits.share * requests + limits.slack)
-    return min(max(budget / max(watched, 1.0), least), LOAD_SHARE)
+    return min(max(budget / max(watched_requests, 1.0), least), LOAD_SHARE)
 
 
 def _begin_load(stage: Stage, situation: Situation) -> Stage | None:
-    timetable = make_timetable(
-        stage.duration_s, has_engines=situation.has_engines
-    )
+    timetable = _find_timetable(stage, situation)
     is_due = timetable.load_s <= situation.elapsed_s <= timetable.latest_load_s
     if not is_due or not _is_vouched_for(situation):
         return None
@@ -214,15 +215,13 @@
         return late
     if not _is_doubtful(situation):
         return _advance(stage, SHIFT_STEP, 1.0, "sound under load")
-    if situation.step_age_s < MAX_DOUBTS * load_time_s:
+    if situation.step_age_s < MAX_LOAD_FACTOR * load_time_s:
         return None
     return roll_back(stage, "doubtful under load")
 
 
 def _end_shift(stage: Stage, situation: Situation) -> Stage | None:
-    timetable = make_timetable(
-        stage.duration_s, has_engines=situation.has_engines
-    )
+    timetable = _find_timetable(stage, situation)
     if situation.elapsed_s < timetable.complete_s:
         return None
     if situation.step_age_s < SHORTEST_SHIFT_S:
@@ -237,9 +236,7 @@
 
 def _end_late(stage: Stage, situation: Situation) -> Stage | None:
     """Rolls back what can't be completed before the deadline any more."""
-    timetable = make_timetable(
-        stage.duration_s, has_engines=situation.has_engines
-    )
+    timetable = _find_timetable(stage, situation)
     latest_s = timetable.latest_load_s
     if stage.step >= LOAD_STEP:
         latest_s = stage.duration_s
@@ -249,13 +246,17 @@
 
 
 def _is_vouched_for(situation: Situation) -> bool:
-    """Whether a version is sound, or there is none to compare it with."""
+    """Whether a version is sound, or has no old one to be compared with."""
     judgement = situation.judgement
     if judgement.opinion is Opinion.UNKNOWN:
         return not situation.has_old and not judgement.old_answers
     return judgement.opinion is Opinion.SOUND
 
 
+def _find_timetable(stage: Stage, situation: Situation) -> Timetable:
+    return make_timetable(stage.duration_s, has_engines=situation.has_engines)
+
+
 def _is_doubtful(situation: Situation) -> bool:
     return situation.judgement.opinion is Opinion.SUSPECT
 
--- a/src/savorylift/rollouts/deciding.py
+++ b/src/savorylift/rollouts/deciding.py
@@ -55,9 +55,12 @@
         return self._epochs.get(stage.service) == stage.epoch
 
     def give_up(self, service: str | None = None) -> None:
-        """Takes a service over anew before it is decided on; all without one.
+        """Makes this node take a service over anew before it decides again.
 
-        What this node knows of the store may be out of date.
+        What it knows of the store may be out of date.
+
+        Args:
+            service: Name of the service; None for all.
         """
         if service is None:
             self._epochs.clear()
@@ -65,7 +68,7 @@
             self._epochs.pop(service, None)
 
     async def decide(self, service: str) -> bool:
-        """Takes the next step of a service; returns if the store took it."""
+        """Takes the next step of a service; returns whether nothing failed."""
         if not await self._take_over(service):
             return False
         stage = self._recorder.find(service)
@@ -91,7 +94,7 @@
         )
 
     async def _take_over(self, service: str) -> bool:
-        """Makes this node the one whose stages count; returns if it is."""
+        """Makes this node the one whose stages count; returns whether it is."""
         if not self._recorder.is_loaded and not await self._recorder.load():
             return False
         last = self._recorder.find(service)
@@ -120,7 +123,7 @@
         return True
 
     def _take_up(self, last: Stage) -> None:
-        """Lets a stage count whose write got no answer, but was done."""
+        """Lets a stage count that was written though the answer was lost."""
         known = self._board.stages.get(last.service)
         if not replaces(last, known):
             return
@@ -212,7 +215,7 @@
 def _aged(stage: Stage) -> Stage:
     """Returns a stage from the store, with the time that has passed since.
 
-    Times of day may be wrong: they only add to what is known.
+    A wrong clock can make the order seem older, but no younger.
     """
     passed_s = max(time.time() - stage.written_s, 0.0)
     return stage._replace(elapsed_s=stage.elapsed_s + passed_s)
--- a/src/savorylift/rollouts/evidence.py
+++ b/src/savorylift/rollouts/evidence.py
@@ -9,7 +9,8 @@
 # have been counted so far.
 MAX_CELLS = 30_000
 
-# The number of the process that counted, and the first fields of a cell.
+# Random number of the process that counted, number of the slice, whether the
+# server is new, its ID and the name of the series.
 CellKey = tuple[int, int, bool, str, str]
 # Number of a slice, and the name of a series.
 SumKey = tuple[int, str]
@@ -98,7 +99,13 @@
         for cell in cells:
             if cell.slice_number < self._first_open_slice:
                 continue
-            key = (source, *cell[:4])
+            key = (
+                source,
+                cell.slice_number,
+                cell.is_new,
+                cell.server_id,
+                cell.series,
+            )
             last = self._cells.get(key)
             if last == cell:
                 continue
@@ -113,7 +120,7 @@
     @property
     def last_slice(self) -> int:
         """Number of the newest slice."""
-        return max((key[0] for key in self._sums), default=0)
+        return max((number for number, _ in self._sums), default=0)
 
     def compare(self, first_slice: int = 0) -> Mapping[str, Comparison]:
         """Returns the answers of both versions by series.
@@ -128,10 +135,13 @@
         return found
 
     def _close_oldest_slice(self) -> None:
-        oldest = min(key[1] for key in self._cells)
+        """Forgets the cells of a slice; their sums stay as they are."""
+        oldest = min(cell.slice_number for cell in self._cells.values())
         self._first_open_slice = oldest + 1
         self._cells = {
-            key: cell for key, cell in self._cells.items() if key[1] > oldest
+            key: cell
+            for key, cell in self._cells.items()
+            if cell.slice_number > oldest
         }
 
     def _find_answers(self, cell: AnswerCell) -> Answers:
--- a/src/savorylift/rollouts/recorder.py
+++ b/src/savorylift/rollouts/recorder.py
@@ -121,7 +121,7 @@
         if not await self.load():
             return False
         known = self._stages.get(stage.service)
-        if known is None or known[:8] != stage[:8]:
+        if known is None or not _is_same_step(known, stage):
             return True
         written = await self._store.append(
             STATUS_TOPIC, [record], batch.next_offset
@@ -133,3 +133,26 @@
             is_saved=is_successful(written),
         )
         return is_successful(written)
+
+
+def _is_same_step(known: Stage, stage: Stage) -> bool:
+    """Whether two stages differ at most in when and why they were written."""
+    return (
+        known.service,
+        known.order_id,
+        known.version,
+        known.duration_s,
+        known.phase,
+        known.step,
+        known.share,
+        known.epoch,
+    ) == (
+        stage.service,
+        stage.order_id,
+        stage.version,
+        stage.duration_s,
+        stage.phase,
+        stage.step,
+        stage.share,
+        stage.epoch,
+    )
--- a/src/savorylift/rollouts/surroundings.py
+++ b/src/savorylift/rollouts/surroundings.py
@@ -13,7 +13,7 @@
 
     Attributes:
         decider_ip: Address of the node that decides.
-        is_decider: Whether this is the node.
+        is_decider: Whether this node is that one.
         hears_enough: Whether this node hears enough of the fleet to decide.
         other_builds: Share of the nodes that know nothing of roll-outs.
     """
--- a/src/savorylift/rollouts/verdict.py
+++ b/src/savorylift/rollouts/verdict.py
@@ -18,19 +18,22 @@
 RECENT_SLICES = (4, 2)
 # Old answers that a window needs to be compared with its own time.
 MIN_OLD_ANSWERS = 20
-# Durations are slow beyond the class that this share of the old ones reaches,
-# and so many further classes: about one and a half times as long.
+# A duration is slow if it is more than so many classes above the class that
+# this share of the old ones reaches: that is 1.25 to 1.56 times as long.
 USUAL_SHARE = 0.9
 SLOW_MARGIN_CLASSES = 1
-# Callers don't notice less, and a busy VM takes that long at any time.
-LEAST_SLOW_CLASS = duration_class(0.05)
-# Chance at which a sound version looks as bad in one comparison, and how much
-# worse it must be. The first pair stops a roll-out, the second lets it wait.
+# Durations up to this class are never slow: callers don't notice them, and a
+# busy VM takes that long at any time.
+NEVER_SLOW_CLASS = duration_class(0.05)
+# A finding ends a roll-out if the chance that a sound version looks as bad is
+# smaller than this, its share of bad answers exceeds that of the old version by
+# at least so much, and at least so many of its answers are bad.
 BAD_CHANCE = 0.001
-# The same for the last slices: they are compared more often.
-RECENT_BAD_CHANCE = 0.0003
 BAD_EXCESS = 0.1
 MIN_BAD = 3
+# The chance for the last slices: they are compared more often.
+RECENT_BAD_CHANCE = 0.0003
+# The same for a finding that only lets the roll-out wait.
 SUSPECT_CHANCE = 0.02
 SUSPECT_EXCESS = 0.08
 MIN_SUSPECT = 2
@@ -108,11 +111,12 @@
 
 
 class Judgement(NamedTuple):
-    """What the answers say of a version, and the finding that says most.
+    """What the answers say of a version, and a finding that shows it.
 
     Attributes:
         opinion: The opinion.
-        finding: The least likely finding; None without any.
+        finding: One that is bad or suspect, as the opinion is; otherwise the
+            least likely one, or None without any.
         new_answers: Number of answers of the new version.
         old_answers: Number of answers of the old one.
     """
@@ -126,11 +130,11 @@
 def judge(evidence: FleetEvidence) -> Judgement:
     """Judges a version by all answers so far, and by the last ones."""
     whole = evidence.compare()
-    findings = list(_find(whole, whole))
+    findings = list(_compare(whole, whole))
     for slices in RECENT_SLICES:
         first = evidence.last_slice - slices + 1
         if first > 0:
-            recent = _find(evidence.compare(first), whole)
+            recent = _compare(evidence.compare(first), whole)
             findings += [f._replace(is_recent=True) for f in recent]
     worst = min(findings, key=lambda finding: finding.chance, default=None)
     routes = {
@@ -182,7 +186,7 @@
     )
 
 
-def _find(
+def _compare(
     window: Mapping[str, Comparison], whole: Mapping[str, Comparison]
 ) -> Iterator[Finding]:
     """Yields the findings of a window.
@@ -234,7 +238,7 @@
     for number in range(CLASS_COUNT):
         count += old.times[number]
         if count >= wanted:
-            return max(number + SLOW_MARGIN_CLASSES, LEAST_SLOW_CLASS)
+            return max(number + SLOW_MARGIN_CLASSES, NEVER_SLOW_CLASS)
     return CLASS_COUNT
 
 
--- a/src/savorylift/rollouts/version_rules.py
+++ b/src/savorylift/rollouts/version_rules.py
@@ -20,9 +20,9 @@
 HASH_PERSON = b"rollout"
 # Nodes that have heard nothing for this long hold the smallest share.
 LEASE_S = 3.0
-# The old servers stop as soon as a roll-out is completed. By then their entries
-# are gone, too.
-COMPLETED_S = 30.0
+# How long a completed roll-out still directs requests: the old servers stop as
+# soon as it is completed, and after this time their entries are gone, too.
+COMPLETED_RULE_S = 30.0
 
 
 class VersionRule(NamedTuple):
@@ -33,7 +33,8 @@
         may_use_new: Whether the request may go to it.
         may_use_old: Whether it may go to other versions.
         banned: Versions that get nothing.
-        new_ids: Servers of the new version that may get it; None for all.
+        new_ids: Servers of the new version that may get the request; None for
+            all.
     """
 
     version: str | None
@@ -103,19 +104,35 @@
         attempt_id: ID of the request.
         new_ids: Servers that get it while the share is small; None for all.
         is_repeat: Whether another server has been tried.
-        has_old: Whether a server of another version is registered.
+        has_old: Whether a server of another version is in service.
         has_new: Whether a server of the new version is in service.
     """
     banned = frozenset() if stage is None else banned_versions(stage)
     if stage is not None and stage.phase is Phase.ROLLED_BACK:
-        return VersionRule(None, False, True, banned)
+        return VersionRule(
+            None, may_use_new=False, may_use_old=True, banned=banned
+        )
     if stage is not None and stage.phase is Phase.COMPLETED:
-        return VersionRule(version, True, not has_new, banned)
+        return VersionRule(
+            version, may_use_new=True, may_use_old=not has_new, banned=banned
+        )
     if not has_old:
         # Somebody has to serve; without another version nothing is moved.
-        return VersionRule(version, True, True, banned)
+        return VersionRule(
+            version, may_use_new=True, may_use_old=True, banned=banned
+        )
     if share >= 1.0:
-        return VersionRule(version, True, not has_new, banned)
+        return VersionRule(
+            version, may_use_new=True, may_use_old=not has_new, banned=banned
+        )
     if is_repeat or position(attempt_id) >= share:
-        return VersionRule(version, False, True, banned)
-    return VersionRule(version, True, True, banned, new_ids)
+        return VersionRule(
+            version, may_use_new=False, may_use_old=True, banned=banned
+        )
+    return VersionRule(
+        version,
+        may_use_new=True,
+        may_use_old=True,
+        banned=banned,
+        new_ids=new_ids,
+    )
--- a/src/savorylift/rooms/book.py
+++ b/src/savorylift/rooms/book.py
@@ -1,10 +1,10 @@
 """What the keeper of a service's room knows of the load on engines.
 
-It answers the load of a large fleet, in which what nodes say of their loads
-is older than a short generation takes: places that the keeper grants count
-from then on, and until their nodes say that they have ended. What nodes have
-at engines besides is taken from their messages, which also correct what was
-lost on the way. The time of each step doesn't depend on the number of nodes.
+In a large fleet, what nodes say of their loads may be older than a short
+generation lasts. So a place counts from the moment at which the keeper grants
+it until its node says that it has ended. What else nodes have at engines is
+taken from their messages, which also make up for lost ends of places. The time
+of each step doesn't depend on the number of nodes.
 """
 
 import collections
@@ -15,11 +15,12 @@
 from savorylift.backends.load import Load
 from savorylift.fleet.state import ServerLoad
 
-# A node that was granted a place shows it in the messages that it sends after
-# this time.
+# A node's messages count a place at the latest this long after its grant: if
+# they don't by then, it has ended.
 SETTLE_S = 0.5
-# A message that comes later than this after a grant shows it already.
-SHOWN_S = 0.05
+# From this time after its grant on they may count it already: it is taken off
+# what they say, so that it doesn't count twice.
+MIN_SHOWN_S = 0.05
 # Places that have ended are remembered, so that a late duplicate of their
 # request gets none.
 MAX_ENDED = 1024
@@ -92,10 +93,6 @@
         """Returns the number of places that are granted."""
         return len(self._grants)
 
-    def clear(self) -> None:
-        """Forgets everything."""
-        self.__init__()  # type: ignore[misc]
-
     def find(self, key: PlaceKey) -> Grant | None:
         """Returns the place that a request has."""
         return self._grants.get(key)
@@ -216,7 +213,7 @@
 
     def _find_other(self, ip: str, load: ServerLoad) -> _Sum:
         """Returns what a node has at an engine besides the places granted."""
-        shown_s = time.monotonic() - SHOWN_S
+        shown_s = time.monotonic() - MIN_SHOWN_S
         places = self._places.get(ip, {}).get(load.server_id, {})
         granted = [g for g in places.values() if g.granted_s < shown_s]
         requests = load.requests - len(granted)
--- a/src/savorylift/rooms/client.py
+++ b/src/savorylift/rooms/client.py
@@ -23,7 +23,8 @@
 SILENT_KEEPER_S = 1.0
 MAX_SILENT_KEEPER_S = 8.0
 # A node that waits for its turn asks again after this time, which shows that
-# it still waits, and whether the keeper still lives.
+# it still waits, and whether the keeper still lives. After more than so many
+# questions in a row without a reply, it places without the keeper.
 ASK_AGAIN_S = 0.4
 MAX_UNANSWERED = 2
 # Ends that come within this time share a message.
@@ -47,7 +48,7 @@
     def __init__(self, ip: str, number: int) -> None:
         self.place = _Place(ip, number)
         self.reply: RoomReply | None = None
-        self.changed = asyncio.Event()
+        self.has_news = asyncio.Event()
 
 
 class RoomClient:
@@ -136,7 +137,7 @@
         exchange = self._exchanges.get(reply.number)
         if exchange is not None and exchange.place.ip == ip:
             exchange.reply = reply
-            exchange.changed.set()
+            exchange.has_news.set()
             return
         place = _Place(ip, reply.number)
         if _is_grant(reply) and place not in self._places.values():
@@ -147,7 +148,7 @@
     ) -> RoomReply | None:
         for timeout_s in ASK_TIMEOUTS_S:
             self._send_request(exchange, make_request)
-            if await _is_changed(exchange, timeout_s):
+            if await _await_reply(exchange, timeout_s):
                 self._silences.pop(exchange.place.ip, None)
                 return exchange.reply
         self._record_silence(exchange.place.ip)
@@ -183,15 +184,14 @@
             left_s = leave_s - time.monotonic()
             if left_s <= 0 or has_other_place():
                 return exchange.reply
-            if not await _is_changed(exchange, min(ASK_AGAIN_S, left_s)):
-                unanswered += 1
-            else:
+            if await _await_reply(exchange, min(ASK_AGAIN_S, left_s)):
                 unanswered = 0
                 reply = exchange.reply
                 if reply is None or reply.outcome != RoomOutcome.QUEUED:
                     return reply
-                continue
-            self._send_request(exchange, make_request)
+            else:
+                unanswered += 1
+                self._send_request(exchange, make_request)
         return None
 
     def _send_request(
@@ -214,16 +214,16 @@
             self._send(RoomEnds(numbers), ip)
 
 
-async def _is_changed(exchange: _Exchange, timeout_s: float) -> bool:
-    """Whether a reply comes within a time; the next call awaits another."""
+async def _await_reply(exchange: _Exchange, timeout_s: float) -> bool:
+    """Returns whether another reply came within a time."""
     try:
         async with asyncio.timeout(timeout_s):
-            await exchange.changed.wait()
+            await exchange.has_news.wait()
     except TimeoutError:
         # A loop that was busy finds the reply and the end of the time at once.
-        if not exchange.changed.is_set():
+        if not exchange.has_news.is_set():
             return False
-    exchange.changed.clear()
+    exchange.has_news.clear()
     return True
 
 
--- a/src/savorylift/rooms/engines.py
+++ b/src/savorylift/rooms/engines.py
@@ -42,8 +42,9 @@
 
 
 def find_most_room(engines: Engines, loads: Mapping[str, Load]) -> float:
-    """Returns the most tokens that a generation may have to fit anywhere."""
+    """Returns the most tokens with which a generation fits at any engine."""
     found = [loads[server.entry.server_id] for server in engines.servers]
+    # As in `has_room`, an idle engine takes any generation.
     if any(load.requests == 0 for load in found):
         return math.inf
     return max((free_tokens(load, engines.traits) for load in found), default=0)
@@ -70,12 +71,13 @@
     return choose_least_loaded_engine(found, loads, options, rng)
 
 
-def keep_engine(
+def without_kept_engine(
     req: RoomRequest, engines: Engines, loads: Mapping[str, Load]
 ) -> Engines:
-    """Returns the engines without the emptiest one that may run a generation.
+    """Returns the engines but the one that is kept free for a generation.
 
-    Nothing in the choice is random: the same one is kept until it fits there.
+    That is the emptiest of those that may run it. Nothing in the choice is
+    random: the same one is kept until the generation fits there.
     """
 
     def fullness(server: BackendServer) -> tuple[bool, int]:
--- a/src/savorylift/rooms/keeper.py
+++ b/src/savorylift/rooms/keeper.py
@@ -37,11 +37,11 @@
 HANDOVER_INTERVALS = 1.5
 # A process that didn't run for this long may have missed much.
 STOOD_STILL_S = 0.7
-# Requests and ends that come within this time share a look at the queue.
+# Requests and ends that come within this time share a dispatch.
 DISPATCH_DELAY_S = 0.01
-# A look that takes long is followed by a pause of this multiple of its time,
-# so that a small VM also serves its own callers while many wait.
-PAUSE_PER_LOOK = 9
+# A dispatch that takes long is followed by a pause of this multiple of its
+# time, so that a small VM also serves its own callers while many wait.
+PAUSE_PER_DISPATCH = 9
 MAX_DISPATCH_DELAY_S = 0.1
 MAX_LEASE_S = 120.0
 # A keeper that hears less of the fleet leaves the choice to the nodes.
@@ -92,11 +92,12 @@
         # Monotonic time from which each kept service's places are granted.
         self._ready_s: dict[str, float] = {}
         self._start_ready_s = time.monotonic() + START_HOLD_S
+        # Boot time at which this process was last seen to run.
         self._ran_s = boot_time_s()
         self._knowledge_age_s = 0.0
         self._due: dict[str, asyncio.TimerHandle] = {}
-        # How long the latest look at the waiting generations took.
-        self._look_s = 0.0
+        # How long the latest dispatch took.
+        self._dispatch_took_s = 0.0
 
     def receive(self, message: RoomRequest | RoomEnds, ip: str) -> None:
         """Handles a message from a node."""
@@ -144,13 +145,13 @@
 
     def _note_running(self) -> None:
         """Begins anew if this process stood still."""
-        now_s, self._ran_s = self._ran_s, boot_time_s()
-        if self._ran_s - now_s < STOOD_STILL_S:
+        last_s, self._ran_s = self._ran_s, boot_time_s()
+        if self._ran_s - last_s < STOOD_STILL_S:
             return
         for service in list(self._rooms):
             self._leave(service)
-        hold_s = time.monotonic() + self._handover_hold_s()
-        self._start_ready_s = max(self._start_ready_s, hold_s)
+        ready_s = time.monotonic() + self._handover_hold_s()
+        self._start_ready_s = max(self._start_ready_s, ready_s)
 
     def _handover_hold_s(self) -> float:
         interval_s = self._get_message_interval_s()
@@ -217,7 +218,9 @@
     def _dispatch_soon(self, service: str) -> None:
         if service in self._due or not len(self._rooms[service]):
             return
-        pause_s = min(PAUSE_PER_LOOK * self._look_s, MAX_DISPATCH_DELAY_S)
+        pause_s = min(
+            PAUSE_PER_DISPATCH * self._dispatch_took_s, MAX_DISPATCH_DELAY_S
+        )
         self._due[service] = asyncio.get_running_loop().call_later(
             max(pause_s, DISPATCH_DELAY_S), self._dispatch, service
         )
@@ -241,7 +244,7 @@
         for decision in room.dispatch(engines):
             self._reply(decision.reply, decision.key.ip)
         metrics.ROOM_WAITING.set(sum(map(len, self._rooms.values())))
-        self._look_s = time.monotonic() - begun_s
+        self._dispatch_took_s = time.monotonic() - begun_s
 
     def _reply(self, reply: RoomReply, ip: str) -> None:
         metrics.ROOM_REPLIES.labels(str(reply.outcome)).inc()
--- a/src/savorylift/rooms/service_room.py
+++ b/src/savorylift/rooms/service_room.py
@@ -1,8 +1,8 @@
 """The generations of all nodes that wait for the engines of one service.
 
-It answers more load than the engines hold, brought by many nodes of which
-each has only a few generations: all of them wait in one order. One that fits
-nowhere for a while keeps an engine for itself, so that large generations
+It is for times at which many nodes, each with only a few generations, together
+bring more than the engines hold: all of them wait in one order. For one that
+fits nowhere for a while an engine is kept free, so that large generations
 aren't starved, and the other engines serve on.
 """
 
@@ -16,7 +16,7 @@
 from savorylift.fleet.room_messages import RoomOutcome, RoomReply, RoomRequest
 from savorylift.fleet.state import ServerLoad
 from savorylift.placement.arrival_rate import ArrivalRate
-from savorylift.placement.engines import free_tokens
+from savorylift.placement.engines import count_free_tokens
 from savorylift.placement.memory_release_rate import MemoryReleaseRate
 from savorylift.placement.turn_away import Room, find_hopeless
 from savorylift.placement.turn_order import Ticket, TurnOrder
@@ -27,7 +27,7 @@
     choose_allowed,
     find_most_room,
     has_allowed,
-    keep_engine,
+    without_kept_engine,
 )
 from savorylift.rooms.prefill_bounds import PrefillBounds
 
@@ -150,7 +150,7 @@
             for server in engines.servers
         }
         left = []
-        known = engines
+        all_engines = engines
         bounds = self._prefill_bounds.by_priority()
         most_tokens = find_most_room(engines, loads)
         for ticket in self._order.sort(tickets, now_s):
@@ -160,17 +160,15 @@
                 req = _with_bound(req, bounds)
                 server = choose_allowed(req, engines, loads, self._rng)
             if server is not None:
-                yield self._grant(
-                    by_number[ticket.number], server, engines, loads
-                )
+                yield self._grant(waiting, server, engines, loads)
                 most_tokens = find_most_room(engines, loads)
                 continue
-            if not has_allowed(req, known):
+            if not has_allowed(req, all_engines):
                 yield self._leave_alone(waiting)
                 continue
             left.append(ticket)
             if engines.servers and now_s - ticket.enqueued_s > BYPASS_LIMIT_S:
-                engines = keep_engine(req, engines, loads)
+                engines = without_kept_engine(req, engines, loads)
                 most_tokens = find_most_room(engines, loads)
         yield from self._turn_away(left, by_number, engines, loads)
 
@@ -222,10 +220,7 @@
         engines: Engines,
         loads: Mapping[str, Load],
     ) -> Iterator[Decision]:
-        free = sum(
-            max(int(free_tokens(load, engines.traits)), 0)
-            for load in loads.values()
-        )
+        free = count_free_tokens(loads.values(), engines.traits)
         room = Room(
             free, self._release_rate.tokens_per_s, self._arrivals.per_s()
         )
--- a/src/savorylift/speeds/estimate.py
+++ b/src/savorylift/speeds/estimate.py
@@ -5,8 +5,8 @@
 
 # After this time without news, half of what is known counts.
 HALF_LIFE_S = 20.0
-# What is known counts like this many samples less: a few that agree by chance
-# are no slow server.
+# Samples of the usual speed that are assumed beside those seen: a few slow ones
+# by chance don't make a slow server.
 PRIOR_SAMPLES = 8.0
 # One sample says no more than that a server is so many times slower or faster.
 MAX_RATIO = 4.0
--- a/src/savorylift/speeds/speed_book.py
+++ b/src/savorylift/speeds/speed_book.py
@@ -24,11 +24,12 @@
 # the same of them: messages without news are small.
 MAX_TOLD = 12
 TOLD_S = 8.0
-# Samples from which on a node tells its own, and the most that it may tell.
+# Fewest samples of which a node tells, and the most that others take from it.
 MIN_TOLD_SAMPLES = 0.5
 MAX_TOLD_SAMPLES = 100.0
-# Largest mean that a node may tell.
+# Largest mean of binary logarithms that a node may tell, up or down.
 MAX_MEAN = 4.0
+# Messages tell a process by its start in milliseconds modulo this.
 START_MARKS = 1 << 16
 # Bounds the memory of servers and nodes that are gone.
 MAX_SERVERS = 2000
