Let speeds that many calls show be heard, and pauses count at one engine

Cause: a node told more samples of a server than others take, so that what it knew best was dropped; a stream that went on elsewhere had its whole earlier life counted as pauses of the new engine. Change: the samples told are cut at what others take; the mean pause begins at the present engine's first event, and five pauses lie between six events.

--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -371,8 +371,8 @@
 
     def _on_event(self, run: Run) -> None:
         self._crash_guard.record_event(run)
-        if run.engine_events == PAUSE_EVENTS and run.first_event_s is not None:
-            pause_s = (time.monotonic() - run.first_event_s) / PAUSE_EVENTS
+        pause_s = run.mean_pause_s()
+        if run.engine_events == PAUSE_EVENTS and pause_s is not None:
             self._pool.answers.note_pause(run.attempt_id, pause_s)
         self._record_pace(run)
         self._start_move_if_draining(run)
--- a/src/savorylift/exchange/run.py
+++ b/src/savorylift/exchange/run.py
@@ -53,6 +53,8 @@
         awaits_first_event: Whether that engine has not sent an event yet.
         engine_events: Number of events relayed from the engine that the queue
             assigned last, or that it was moved to from there.
+        engine_first_event_s: Monotonic time of the first of these; None before
+            it.
         has_survived_start: Whether an engine has got past the beginning of the
             response.
         has_unnumbered_events: Whether some of these had no number.
@@ -97,6 +99,7 @@
         self.assigned_s = 0.0
         self.awaits_first_event = True
         self.engine_events = 0
+        self.engine_first_event_s: float | None = None
         self.has_survived_start = False
         self.has_unnumbered_events = False
         self.possibly_run_attempts = 0
@@ -210,13 +213,26 @@
         self.assigned_s = time.monotonic()
         self.awaits_first_event = True
         self.engine_events = 0
+        self.engine_first_event_s = None
         self.prefill_tokens_at_start = prefill_tokens
 
+    def mean_pause_s(self) -> float | None:
+        """Returns the mean pause between the events of the present engine.
+
+        None before its second event.
+        """
+        if self.engine_first_event_s is None or self.engine_events < 2:
+            return None
+        span_s = time.monotonic() - self.engine_first_event_s
+        return span_s / (self.engine_events - 1)
+
     def record_event(self, event: Event) -> None:
         """Updates times and numbers when an event is relayed."""
         number = event.number
         now_s = time.monotonic()
         self.engine_events += 1
+        if self.engine_first_event_s is None:
+            self.engine_first_event_s = now_s
         if self.engine_events >= EVENTS_TO_SURVIVE:
             self.has_survived_start = True
         if self.last_event_s is None:
--- a/src/savorylift/speeds/speed_book.py
+++ b/src/savorylift/speeds/speed_book.py
@@ -128,7 +128,7 @@
             ServerSpeed(
                 server_id,
                 started_ms % START_MARKS,
-                round(10 * seen.samples),
+                round(10 * min(seen.samples, MAX_TOLD_SAMPLES)),
                 round(100 * seen.total / seen.samples),
             )
             for seen, server_id, started_ms in heapq.nlargest(MAX_TOLD, own)
--- a/tests/exchange/test_run.py
+++ b/tests/exchange/test_run.py
@@ -1,5 +1,6 @@
 """Tests of the state of a generation."""
 
+import freezegun
 import pytest
 
 from savorylift.exchange.events import Event
@@ -28,3 +29,15 @@
             number += 1
             run.record_event(Event(b"id: %d\n\n" % number, number))
     assert run.has_survived_start is has_survived
+
+
+def test_pause_between_events_is_that_of_the_present_engine() -> None:
+    run = Run(make_admitted_request(), 100)
+    with freezegun.freeze_time() as clock:
+        for pause_s in (5.0, 0.5):
+            run.mark_assigned(0)
+            assert run.mean_pause_s() is None
+            for number in range(6):
+                clock.tick(pause_s)
+                run.record_event(Event(b"id: %d\n\n" % number, number))
+            assert run.mean_pause_s() == pytest.approx(pause_s)
--- a/tests/speeds/test_speed_book.py
+++ b/tests/speeds/test_speed_book.py
@@ -205,3 +205,18 @@
         book.record(make_server(server_id).entry, IDLE, factor * USUAL_S)
     book.update()
     assert book.slowdown(SLOW) == 1.0
+
+
+def test_speed_that_many_calls_show_is_told_to_others() -> None:
+    """A node that had seen more than others take was not heard at all."""
+    with freezegun.freeze_time() as clock:
+        fleet = Fleet(2, clock.tick)
+        seer, hearer = fleet.books
+        for number in range(20 * CALLS):
+            server_id = IDS[number % len(IDS)]
+            factor = SLOWDOWN if server_id == SLOW else 1.0
+            entry = fleet.servers[server_id].entry
+            seer.record(entry, IDLE, factor * USUAL_S)
+        hearer.merge("10.0.0.1", seer.news())
+        hearer.update()
+        assert hearer.slowdown(SLOW) > 2.0
