Make the control and connection code readable to newcomers

Change: such names, comments and docstrings in fleet, front, wire and client. LimitedConnection extends Holder in place of repeating it; StateReporter holds no second copy of whether there are roll-outs; the constant for hearing others before versions are read has a name of its own, since registration has another value under the same name. Help texts of the wire metrics are reworded; names of metrics, log events and messages stay. No behaviour is changed.

--- a/src/savorylift/beat.py
+++ b/src/savorylift/beat.py
@@ -1,11 +1,12 @@
 """Wakes the periodic tasks of a process together, so that it wakes less often.
 
-Nodes wake at different moments, also those that share a machine.
+The moment differs between processes, so that nodes don't wake all at once.
 """
 
 import asyncio
 import random
 
+# Share of each interval by which the beats of this process are shifted.
 _PHASE = random.random()
 # Less than this share of an interval isn't worth a wake-up of its own.
 MIN_SHARE = 0.5
@@ -18,7 +19,7 @@
         interval_s: Time between beats. Tasks with the same one wake together.
 
     Returns:
-        How late it has ended, in seconds.
+        By how many seconds the sleep ended late.
     """
     loop = asyncio.get_running_loop()
     began_s = loop.time()
--- a/src/savorylift/client/connection_pool.py
+++ b/src/savorylift/client/connection_pool.py
@@ -9,7 +9,7 @@
 from urllib3.connection import HTTPConnection, HTTPSConnection
 
 LINE_END = b"\n"
-# Informational but for 100, which is skipped, nodes send none.
+# Of informational statuses nodes send 100 only, which is skipped.
 STATUS_LINE = re.compile(rb"HTTP/1\.[0-9] (100|[2-5][0-9]{2})( [^\r\n]*)?\r?\n")
 MAX_SHOWN_BYTES = 40
 
@@ -18,8 +18,8 @@
     """Reads the lines of a head; the end of the input is none of the head.
 
     `http.client` takes it for the blank line that ends the headers. A node
-    that stops within a head would seem to have answered without a body. Nor
-    does it refuse all statuses and versions that there are none of.
+    that stops within a head would seem to have answered without a body. It
+    also accepts statuses and versions that don't exist.
     """
 
     def __init__(self, source: io.BufferedReader) -> None:
@@ -31,7 +31,7 @@
 
         Raises:
             http.client.RemoteDisconnected: The input ends before.
-            http.client.BadStatusLine: The status line is none of HTTP/1.
+            http.client.BadStatusLine: The status line isn't valid HTTP/1.
         """
         line = self._source.readline(limit)
         if not line.endswith(LINE_END):
@@ -52,8 +52,8 @@
         """Reads the head; fails if the connection ends within it.
 
         Raises:
-            http.client.HTTPException: The head is none of HTTP/1, or names two
-                lengths of the body.
+            http.client.HTTPException: The head isn't valid HTTP/1, or names
+                two lengths of the body.
         """
         source = self.fp
         self.fp = cast("io.BufferedReader", _HeadReader(source))
--- a/src/savorylift/fleet/bulk_socket.py
+++ b/src/savorylift/fleet/bulk_socket.py
@@ -14,10 +14,10 @@
 import structlog
 
 MAX_DATAGRAM_BYTES = 65_536
-# Datagrams that are read at once; the others wait for the next time.
-MAX_READ = 1000
+# Datagrams that one call reads; the others wait for the next call.
+MAX_DATAGRAMS_PER_READ = 1000
 # While decisions are frequent, the socket is read no more often than this.
-MIN_INTERVAL_S = 0.005
+MIN_READ_INTERVAL_S = 0.005
 
 _log = structlog.get_logger()
 
@@ -73,16 +73,16 @@
             loop.remove_reader(self._socket)
 
     def read_if_due(self) -> bool:
-        """Reads what has come, unless it was just done; returns whether."""
+        """Reads what has come; returns False if that was just done."""
         now_s = time.monotonic()
         if self._socket is None or now_s < self._next_s:
             return False
-        self._next_s = now_s + MIN_INTERVAL_S
+        self._next_s = now_s + MIN_READ_INTERVAL_S
         self.read()
         return True
 
     def read(self) -> None:
-        """Reads and passes on what has come; not again while it does."""
+        """Passes on what has come; does nothing while it already does."""
         if self._socket is None or self.is_reading:
             return
         self.is_reading = True
@@ -95,6 +95,6 @@
             self.is_reading = False
 
     def _read_all(self, source: socket.socket) -> None:
-        for _ in range(MAX_READ):
+        for _ in range(MAX_DATAGRAMS_PER_READ):
             size, addr = source.recvfrom_into(self._buffer)
             self._on_datagram(bytes(self._buffer[:size]), addr)
--- a/src/savorylift/fleet/membership.py
+++ b/src/savorylift/fleet/membership.py
@@ -48,7 +48,7 @@
         self._clock = RunningClock()
         self._sharing = SharingNodes(ip)
         self._loads = PeerLoads()
-        # Called before what may have changed is read.
+        # Called before peers' states are used, to apply messages that waited.
         self.on_read: Callable[[], None] = lambda: None
 
     @property
@@ -57,7 +57,7 @@
         return tuple(self._addresses)
 
     def note_running(self, now_s: float) -> None:
-        """Records that this process runs; others are silent only then."""
+        """Records that this process runs: peers are silent only while it does."""
         self._clock.tick(now_s)
 
     def add_address(self, ip: str, now_s: float) -> None:
@@ -113,15 +113,15 @@
             return PatchOutcome(None, patch.incarnation not in retired)
         if patch.sequence <= peer.sequence:
             return PatchOutcome(None, must_ask=False)
-        is_known = patch.changed_sequence <= peer.state.sequence
+        has_state = patch.changed_sequence <= peer.state.sequence
         running_s = self._clock.read(now_s)
-        if not is_known and patch.base_sequence == peer.base.sequence:
+        if not has_state and patch.base_sequence == peer.base.sequence:
             state = apply_patch(peer.base, patch, now_s - peer.base_s)
             if state is not None:
                 self._keep(ip, peer.with_patch(state, now_s, running_s))
                 return PatchOutcome(state, must_ask=False)
         self._keep(ip, peer.touched(patch.sequence, now_s, running_s))
-        return PatchOutcome(None, must_ask=not is_known)
+        return PatchOutcome(None, must_ask=not has_state)
 
     def hear_pulse(self, ip: str, pulse: Pulse, now_s: float) -> bool:
         """Records that a node lives; returns whether it is known."""
@@ -134,7 +134,7 @@
         return True
 
     def silence(self, ip: str) -> None:
-        """Takes a node for silent until it is heard again."""
+        """Counts a node as silent until it is heard again."""
         peer = self._peers.get(ip)
         if peer is not None:
             self._peers[ip] = peer._replace(is_silenced=True)
@@ -166,7 +166,7 @@
                 self._loads.forget(ip)
 
     def live_peers(self, now_s: float) -> Iterator[Peer]:
-        """Yields the nodes that others hear, too, as far as they say."""
+        """Yields the heard nodes that no watchers have reported silent."""
         for peer in self.heard_peers(now_s):
             if not peer.is_silenced:
                 yield peer
@@ -174,8 +174,8 @@
     def heard_peers(self, now_s: float) -> Iterator[Peer]:
         """Yields the nodes whose last message to this one is recent.
 
-        What nodes that are cut off from each other must not both decide rests
-        on this: no other node's word makes a node silent here.
+        No report of others makes a node silent here. So decisions that both
+        sides of a network partition must not take go by this.
         """
         running_s = self._clock.read(now_s)
         for peer in self._peers.values():
--- a/src/savorylift/fleet/peer_transport.py
+++ b/src/savorylift/fleet/peer_transport.py
@@ -82,8 +82,8 @@
             authenticator: Signs and verifies the messages.
             knows_patches: Returns whether the node at an address takes patches
                 of states.
-            find_bulk_port: Returns the port of the node at an address for what
-                may wait; 0 for the usual one.
+            find_bulk_port: Returns the port on which the node at an address
+                takes messages that may wait; 0 if it has none.
         """
         self._authenticator = authenticator
         self._port = port
@@ -105,7 +105,7 @@
         self._based: frozenset[str] = frozenset()
 
     async def start(self, host: str, bulk_port: int = 0) -> None:
-        """Opens the socket, and one for what may wait unless its port is 0."""
+        """Opens the socket, and one for bulk messages if it has a port."""
         if bulk_port:
             self.bulk.open(host, bulk_port)
         loop = asyncio.get_running_loop()
@@ -159,7 +159,7 @@
         self._send_requested.set()
 
     def send_load_soon(self) -> None:
-        """Sends the state as soon, but it may wait there until it is needed."""
+        """Sends it as `send_soon` does, but receivers may read it later."""
         self._send_requested.set()
 
     def send(self, *, include_silent: bool, may_wait: bool = False) -> None:
@@ -183,14 +183,14 @@
             )
             self._patches.begin(state, time.monotonic())
             self._based = frozenset(ips)
-            self._send_state(encode(state), ips, may_wait=may_wait)
+            self._send_by_urgency(encode(state), ips, may_wait=may_wait)
             return
         patched = self._find_patched(live)
         patch = self._patches.make(state, time.monotonic()) if patched else None
         if patch is None:
             self._send_all(encode(state), live)
             return
-        self._send_state(encode(patch), tuple(patched), may_wait=may_wait)
+        self._send_by_urgency(encode(patch), tuple(patched), may_wait=may_wait)
         others = tuple(ip for ip in live if ip not in patched)
         if others:
             self._send_all(encode(state), others)
@@ -208,7 +208,7 @@
         self.send_message(self._make_state(include_peers=names_peers), ip)
 
     def forget_base(self, ip: str) -> None:
-        """Sends whole states to a node that has just started, for a while."""
+        """Sends a restarted node whole states until the next base."""
         self._based -= {ip}
 
     def send_message(self, message: Message, ip: str | None) -> None:
@@ -220,7 +220,7 @@
         """Sends a message to some nodes, perhaps none; a pulse may wait."""
         may_wait = isinstance(message, Pulse)
         if ips:
-            self._send_state(encode(message), ips, may_wait=may_wait)
+            self._send_by_urgency(encode(message), ips, may_wait=may_wait)
 
     def send_delta(self, delta: Delta) -> bool:
         """Sends a delta to the live nodes; returns False if it is too large."""
@@ -243,19 +243,20 @@
         if ips:
             self._send_all(encode(delta._replace(relay_to=())), ips)
 
-    def _send_state(
+    def _send_by_urgency(
         self, data: bytes, ips: tuple[str, ...], *, may_wait: bool
     ) -> None:
-        """Sends to the ports for what may wait where nodes have them."""
-        waiting: dict[str, int] = {}
+        """Sends what may wait to the bulk ports of the nodes that have one."""
+        bulk_ports: dict[str, int] = {}
         if may_wait and self._nodes >= NODES_AT_BASE_INTERVAL:
             ports = {ip: self._find_bulk_port(ip) for ip in ips}
-            waiting = {ip: port for ip, port in ports.items() if port}
-        if len(waiting) < len(ips):
-            self._send_all(data, tuple(ip for ip in ips if ip not in waiting))
-        if waiting and self._transport is not None:
+            bulk_ports = {ip: port for ip, port in ports.items() if port}
+        usual = tuple(ip for ip in ips if ip not in bulk_ports)
+        if usual:
+            self._send_all(data, usual)
+        if bulk_ports and self._transport is not None:
             signed = self._authenticator.sign(data)
-            for address in waiting.items():
+            for address in bulk_ports.items():
                 self._transport.sendto(signed, address)
 
     def _send_all(self, data: bytes, ips: tuple[str, ...]) -> None:
--- a/src/savorylift/fleet/peer_watch.py
+++ b/src/savorylift/fleet/peer_watch.py
@@ -13,8 +13,8 @@
 
 # Watchers are chosen anew after this time.
 CHOICE_INTERVAL_S = 1.0
-# A node whose messages have been missing for so many intervals is asked: they
-# may have been lost, and one interval later it would count as silent.
+# A node is asked for its state after this many intervals without a message:
+# some may have been lost, and one interval later it would count as silent.
 DOUBT_INTERVALS = LIVENESS_TIMEOUT_INTERVALS - 1
 
 
@@ -73,7 +73,7 @@
             self._ask_doubtful(now_s)
 
     def hear_pulse(self, pulse: Pulse, ip: str) -> None:
-        """Records a pulse, whose sender is to be watched from then on."""
+        """Records a pulse; watches its sender for as long as it says."""
         if self._members.hear_pulse(ip, pulse, time.monotonic()):
             self._silence.watch(ip, goes_on=pulse.goes_on)
 
--- a/src/savorylift/fleet/pulse_messages.py
+++ b/src/savorylift/fleet/pulse_messages.py
@@ -1,4 +1,4 @@
-"""Short messages that say that a node lives, or doesn't.
+"""Messages that show in large fleets which nodes live, and in which state.
 
 Only nodes that say so in their state (`NodeState.message_level`) get them.
 """
@@ -46,8 +46,8 @@
     Attributes:
         incarnation: Incarnation of the sender.
         sequence: Number of this message in the incarnation.
-        goes_on: Whether the next pulses come, too; the watcher has to watch no
-            longer otherwise.
+        goes_on: Whether more pulses follow; if not, the receiver is to stop
+            watching the sender.
     """
 
     incarnation: int
--- a/src/savorylift/fleet/reader_choice.py
+++ b/src/savorylift/fleet/reader_choice.py
@@ -35,7 +35,7 @@
 
 
 class OwnCandidate(NamedTuple):
-    """The same of this node; see `Candidate`."""
+    """This node as a `Candidate`, without the cost of a whole state."""
 
     node: str
     failure_domain: str
--- a/src/savorylift/fleet/registration.py
+++ b/src/savorylift/fleet/registration.py
@@ -19,17 +19,17 @@
 # Interval at which a node without live peers reads the addresses of other
 # nodes from the store, and at which the first reader looks for new ones.
 DISCOVERY_INTERVAL_S = 3.0
-# By then a node has heard others if one of its seeds is live.
+# By then a node that starts has heard others if one of its seeds is live.
 HEARING_S = 0.5
 # By then nodes that started together have heard each other, so that one of them
 # writes for all.
 SETTLING_S = 1.5
-# Bounds the memory of nodes that are gone.
-MAX_WRITTEN = 4096
+# Bounds the memory that the records of nodes that are gone take.
+MAX_WRITTEN_RECORDS = 4096
 
 
 class Registration:
-    """Keeps the records of the nodes complete, and reads those of others."""
+    """Writes missing records of nodes, and reads those of others."""
 
     def __init__(
         self,
@@ -57,7 +57,7 @@
         self._written: dict[str, Record] = {}
 
     async def run(self) -> None:
-        """Repeats forever."""
+        """Writes and reads what is due forever."""
         await asyncio.sleep(HEARING_S)
         if len(self._live_records()) > 1:
             await asyncio.sleep(SETTLING_S)
@@ -78,8 +78,8 @@
             added = await self._store.append(NODES_TOPIC, missing)
             if not is_successful(added):
                 return
-            known = self._written if len(self._written) < MAX_WRITTEN else {}
-            self._written = known | live
+            is_full = len(self._written) >= MAX_WRITTEN_RECORDS
+            self._written = live if is_full else self._written | live
         if missing or len(live) == 1:
             listed = await self._store.list_newest(NODES_TOPIC)
             self._add_addresses(
--- a/src/savorylift/fleet/rollout_messages.py
+++ b/src/savorylift/fleet/rollout_messages.py
@@ -82,8 +82,9 @@
         succeeded: Answers that are no failures.
         failed: Answers that are failures of the server.
         lost: Requests that ended without a whole answer.
-        times: Pairs of a class of durations and the number in it.
-        cut: The same for durations that went on for longer, or still do.
+        times: Histogram of durations: pairs of a duration class and its count.
+        cut: The same for those known only to be longer (censored): the request
+            ended early, or is still open.
     """
 
     slice_number: int
--- a/src/savorylift/fleet/server_sightings.py
+++ b/src/savorylift/fleet/server_sightings.py
@@ -65,8 +65,7 @@
         server_id: Identifier of the server.
         start_mark: Start of its process, in milliseconds modulo 2**16.
         samples_x10: Number of samples as far as they still count, times 10.
-        mean_x100: Mean of the binary logarithms of time by usual time, times
-            100.
+        mean_x100: Mean of log2(time / usual time), times 100.
     """
 
     server_id: str
--- a/src/savorylift/fleet/silence_watch.py
+++ b/src/savorylift/fleet/silence_watch.py
@@ -1,8 +1,8 @@
 """Notices dead nodes sooner than the states that all nodes send each other.
 
-Each node sends pulses to a few watchers. Those who miss them tell all nodes,
-which take a node for silent if several watchers do, and if they have heard
-nothing later of it themselves.
+Each node sends pulses to a few watchers. A watcher that misses them tells all
+nodes. They count the node as silent once several watchers miss it, unless they
+have heard a later message of it themselves.
 """
 
 from collections.abc import Iterable
@@ -15,9 +15,9 @@
 
 # Pulses go at each beat of maintenance, so that five in a row are missing.
 PULSE_TIMEOUT_S = 1.0
-# A silent node is reported for this long, in case that reports are lost.
+# A silent node is reported for this long, in case reports are lost.
 REPORTED_S = 0.5
-# Watchers that must miss a node: one may be cut off from it, or stand still.
+# So many watchers must miss a node: one may be cut off from it, or stand still.
 WITNESS_COUNT = 2
 # Reports of different watchers count together within this time.
 REPORT_VALIDITY_S = 2.0
@@ -74,7 +74,7 @@
     def hear(
         self, reports: Iterable[SilenceReport], witness: str, now_s: float
     ) -> None:
-        """Takes a node for silent if enough watchers report it.
+        """Counts a node as silent if enough watchers report it.
 
         Args:
             reports: What a watcher reports.
@@ -89,7 +89,7 @@
                 continue
             known = self._reports.setdefault(report.ip, {})
             known[witness] = (report.sequence, now_s)
-            # Whoever has got a later message knows better.
+            # A watcher whose last message is older than ours proves nothing.
             agreeing = [
                 ip
                 for ip, (sequence, _) in known.items()
--- a/src/savorylift/fleet/state.py
+++ b/src/savorylift/fleet/state.py
@@ -154,10 +154,10 @@
             did until lately.
         knows_rollouts: Whether the node heeds the stages of roll-outs; builds
             that don't say send requests to servers of any version.
-        server_speeds: Servers that took longer or less long than usual.
+        server_speeds: How quick servers were, for those with most samples.
         message_level: Kinds of messages that the node knows beside those of
             the first builds: 1 for those of `pulse_messages`.
-        bulk_port: UDP port for messages that may wait; 0 for the usual one.
+        bulk_port: UDP port for messages that may wait; 0 if it has none.
     """
 
     node: str
--- a/src/savorylift/fleet/state_patches.py
+++ b/src/savorylift/fleet/state_patches.py
@@ -15,16 +15,16 @@
 
 _TYPES = tuple(typing.get_type_hints(NodeState).values())
 _POSITIONS = {name: n for n, name in enumerate(NodeState._fields)}
-# They stay out of patches: each message has its own, or they name the node.
+# Not in patches: they name the node, or each message has values of its own.
 _OMITTED = frozenset(
     _POSITIONS[name]
     for name in ("node", "ip", "incarnation", "sequence", "peers")
 )
-# They grow by themselves.
+# They grow with time, so a receiver works them out.
 _AGES = frozenset(
     _POSITIONS[name] for name in ("reading_age_s", "servers_reading_age_s")
 )
-# Two ages at different times are of one reading if they fit up to this.
+# Ages told at two times are of the same reading if they fit within this.
 AGE_SLACK_S = 0.005
 
 
--- a/src/savorylift/fleet/store_reader.py
+++ b/src/savorylift/fleet/store_reader.py
@@ -51,7 +51,7 @@
             on_change,
         )
         self._servers.on_recovery = store_view.registry.start_grace_period
-        # One call shows whether the store is back.
+        # While the store is away, calls for one topic show when it is back.
         self._operators.may_call = lambda: not self._servers.is_store_away
         self._operators.on_fault = on_fault
         self._servers.on_fault = on_fault
--- a/src/savorylift/fleet/topic_consumer.py
+++ b/src/savorylift/fleet/topic_consumer.py
@@ -27,7 +27,7 @@
 # How long a fault of the store is reported to the other nodes.
 FAULT_REPORTED_S = 10.0
 
-# Faults that other calls would meet as well.
+# Faults that a call for another topic would meet as well.
 AWAY_FAULTS = frozenset({StoreFault.UNREACHABLE, StoreFault.REFUSED})
 
 _log = structlog.get_logger()
@@ -37,7 +37,7 @@
     """Reads one topic of the store and applies its records to the view.
 
     Attributes:
-        is_store_away: Whether the store didn't serve the last call.
+        is_store_away: Whether the last call met one of `AWAY_FAULTS`.
         may_call: Returns whether the store may be called now.
         on_recovery: Called with the time at which an outage ended.
         on_fault: Called after the first of several calls that failed.
--- a/src/savorylift/fleet/version_recorder.py
+++ b/src/savorylift/fleet/version_recorder.py
@@ -73,9 +73,9 @@
             is_writer: Whether this node writes what changes.
             get_era: Returns how often the store has come back from a copy,
                 and lost what was written since.
-            hearing_s: For how long this node waits for the messages of others:
-                only those that write read what is in the store, and tell the
-                others.
+            hearing_s: For how long this node first waits for the messages of
+                others: only the writers read the records from the store, and
+                tell what they say.
             is_first_writer: Whether it is the one that writes new starts of
                 servers; `is_writer` by default.
         """
@@ -105,7 +105,10 @@
                 await asyncio.sleep(RETRY_INTERVAL_S)
 
     async def _load_in_turn(self) -> None:
-        """Reads the records unless another node tells what they say."""
+        """Reads the records unless another node tells what they say.
+
+        A node that isn't a writer gives the others `MAX_HEARING_S` for that.
+        """
         await asyncio.sleep(self._hearing_s)
         until_s = time.monotonic() + MAX_HEARING_S
         while not self._history.is_complete:
@@ -153,8 +156,8 @@
     def _is_due(self, changed: dict[str, VersionRecord]) -> bool:
         """Whether changes must be written now.
 
-        That a start is missing is on the safe side: the server counts as
-        started again.
+        New starts of servers may wait: a server whose start isn't recorded
+        counts as started again, which is the safe side.
         """
         for service, record in changed.items():
             saved = self._saved.get(service, NO_VERSIONS)
--- a/src/savorylift/fleet/watchers.py
+++ b/src/savorylift/fleet/watchers.py
@@ -13,7 +13,7 @@
 WATCHER_COUNT = 3
 # Pulses in which a former watcher is told that no more come: all of them would
 # have to be lost for it to take this node for silent.
-FAREWELLS = 3
+FAREWELL_PULSES = 3
 
 
 class Pulses(NamedTuple):
@@ -64,7 +64,7 @@
         others = [s.ip for s in order if best[s.failure_domain] != s.ip]
         chosen = tuple((firsts + others)[:WATCHER_COUNT])
         for ip in set(self._chosen) - set(chosen):
-            self._farewells[ip] = FAREWELLS
+            self._farewells[ip] = FAREWELL_PULSES
         for ip in chosen:
             self._farewells.pop(ip, None)
         self._chosen = chosen
--- a/src/savorylift/front/connection_shares.py
+++ b/src/savorylift/front/connection_shares.py
@@ -1,13 +1,13 @@
 """How many connections each listener of a node may have.
 
-Answers crowds of callers: what a node keeps back for servers, the store and
-other nodes is not theirs to take, and no listener takes that of another one.
+Protects a node from crowds of callers: they can't take the descriptors that it
+needs for servers, the store and other nodes, and no listener those of another.
 """
 
 import resource
 from typing import NamedTuple
 
-# The platform reserves these for files, where there are so many.
+# Descriptors that the platform reserves for files; at most half of all.
 FILE_DESCRIPTORS = 200
 # Bound for systems that allow more than a node can use.
 MAX_DESCRIPTORS = 4096
@@ -15,18 +15,19 @@
 # opens itself.
 CALLERS_SHARE = 0.45
 NODES_SHARE = 0.1
+# That of the directory, the readiness checks and the metrics, each.
 PLATFORM_SHARE = 1 / 32
 MIN_CONNECTIONS = 8
-# Callers' connections take at most a quarter of the memory, if each has so much
-# in its buffers.
+# Callers' connections may take a quarter of the memory, if each has so much in
+# its buffers.
 MEMORY_DIVISOR = 4
 CONNECTION_BYTES = 32_768
-# What TLS adds to it.
+# What TLS adds to a connection's buffers.
 TLS_BYTES = 65_536
 
 
 class ConnectionShares(NamedTuple):
-    """Most connections of each listener.
+    """How many connections each listener may have.
 
     Attributes:
         callers: Those of callers.
@@ -46,7 +47,7 @@
 def share_connections(
     descriptors: int, memory_bytes: int, *, has_tls: bool
 ) -> ConnectionShares:
-    """Returns the shares of a process.
+    """Returns the shares of a process's listeners.
 
     Args:
         descriptors: Most descriptors that it may have open.
--- a/src/savorylift/front/listeners.py
+++ b/src/savorylift/front/listeners.py
@@ -64,7 +64,7 @@
             callers.handler.serve,
             self._input_limits,
             callers.admission,
-            _limit("callers", self._shares.callers),
+            _make_limit("callers", self._shares.callers),
         )
         self._caller_tls = server_context(self._settings.caller_tls)
 
@@ -79,19 +79,19 @@
         await self._listen_http(
             self._settings.directory_listen,
             directory,
-            _limit("directory", self._shares.directory),
+            _make_limit("directory", self._shares.directory),
         )
         readiness = readiness_handler(lambda: self._reporter.is_ready)
         await self._listen_http(
             self._settings.readiness_listen,
             readiness,
-            _limit("readiness", self._shares.readiness),
+            _make_limit("readiness", self._shares.readiness),
         )
         metrics_address = f"{self._ip}:{self._settings.metrics_port}"
         await self._listen_http(
             metrics_address,
             operator_handler(self._reporter.status),
-            _limit("metrics", self._shares.metrics),
+            _make_limit("metrics", self._shares.metrics),
         )
         await self._caller_listener.start(
             *split_address(self._settings.caller_listen), self._caller_tls
@@ -115,7 +115,7 @@
             handler,
             self._peer_limits,
             self._callers.admission,
-            _limit("nodes", self._shares.nodes),
+            _make_limit("nodes", self._shares.nodes),
         )
         await listener.start(self._ip, self._settings.peer_port)
 
@@ -139,7 +139,7 @@
         return limits._replace(max_head_bytes=max_head_bytes)
 
 
-def _limit(listener: str, max_open: int) -> ConnectionLimit:
+def _make_limit(listener: str, max_open: int) -> ConnectionLimit:
     """Returns the limit of a listener, which counts what it closes."""
 
     def count(reason: str) -> None:
--- a/src/savorylift/front/maintenance.py
+++ b/src/savorylift/front/maintenance.py
@@ -14,7 +14,7 @@
 from savorylift.rollouts.agent import RolloutAgent
 
 MAINTENANCE_INTERVAL_S = 0.2
-# How often nodes are dropped that were silent for long.
+# How often nodes that were silent for long are dropped.
 FORGET_INTERVAL_S = 1.0
 # Delay of the event loop that is logged.
 LATE_LOOP_S = 0.2
@@ -43,7 +43,7 @@
             streams: The parts that serve streams.
             successors: Asks servers that started again whether they leave.
             on_expired: Called after entries of servers have expired.
-            watch_peers: Tells nodes that this one lives, and which doesn't.
+            watch_peers: Tells nodes that this one lives, and which don't.
             rollouts: This node's part in roll-outs, if there are any.
         """
         self._shared = shared
--- a/src/savorylift/front/peer_sync.py
+++ b/src/savorylift/front/peer_sync.py
@@ -37,8 +37,9 @@
 
 # A node is asked for its state no more often than this.
 MIN_ASK_INTERVAL_S = 0.2
-MAX_ASKED = 1024
-# Nodes that one which starts asks for all others.
+# Bounds the memory of when each node was asked.
+MAX_ASKED_PEERS = 1024
+# A node that starts asks so many others for the addresses of all.
 ASKED_FOR_PEERS = 3
 
 _log = structlog.get_logger()
@@ -90,7 +91,7 @@
             is_reader: Whether this node is one of those that read the store.
             on_update: Called after store changes were learned from a peer.
             on_state: Called after each state message from a peer.
-            on_news: Called after one that says something else than the last.
+            on_news: Called after states that differ in what requests wait for.
             on_new_peer: Called with the address of a peer that is new or was
                 restarted.
             on_limit_message: Called with each message about the limits of
@@ -158,16 +159,16 @@
         return 0 if peer is None else peer.state.bulk_port
 
     def read_waiting(self) -> None:
-        """Reads what has come and may have waited; to be called periodically.
+        """Reads messages that may have waited; to be called periodically.
 
-        It doesn't wait while requests do.
+        While requests wait, further ones are read as they come.
         """
         self.transport.bulk.read()
         self._set_eagerness()
 
     def _read_for_decision(self) -> None:
         if self.transport.bulk.read_if_due():
-            # What follows may have to wait.
+            # The decision may leave a request waiting: look after it.
             asyncio.get_running_loop().call_soon(self._set_eagerness)
 
     def _set_eagerness(self) -> None:
@@ -246,7 +247,7 @@
     def _receive_patch(self, patch: StatePatch, ip: str) -> None:
         last = self._membership.find(ip)
         if last is None or last.base.sequence != patch.base_sequence:
-            # What it was made against may have come, and wait.
+            # The base of the patch may wait in the socket.
             self.transport.bulk.read()
             last = self._membership.find(ip)
         outcome = self._membership.hear_patch(ip, patch, time.monotonic())
@@ -262,7 +263,7 @@
         now_s = time.monotonic()
         if now_s - self._asked_s.get(ip, 0.0) < MIN_ASK_INTERVAL_S:
             return
-        if len(self._asked_s) >= MAX_ASKED:
+        if len(self._asked_s) >= MAX_ASKED_PEERS:
             self._asked_s.clear()
         self._asked_s[ip] = now_s
         self.transport.send_message(StateQuery(incarnation), ip)
--- a/src/savorylift/front/rollout_rules.py
+++ b/src/savorylift/front/rollout_rules.py
@@ -21,7 +21,7 @@
 
 
 def make_rollout_rules(settings: FrontSettings) -> RolloutRules:
-    """Creates the rules; they hold nobody back without settings."""
+    """Creates the rules; without settings, requests go to any version."""
     limits = find_limits(settings)
     board = None if limits is None else RolloutBoard(limits)
     return RolloutRules(board, AnswerObserver())
--- a/src/savorylift/front/state_reactions.py
+++ b/src/savorylift/front/state_reactions.py
@@ -8,7 +8,7 @@
 from savorylift.fleet.state import NodeState
 from savorylift.fleet.store_view import Version
 
-# What may let a request that waits go on, or must stop one.
+# The fields whose change may let a waiting request go on, or stop one.
 _news = operator.attrgetter(
     "incarnation",
     "is_ready",
@@ -46,7 +46,7 @@
             catch_up: Called with the address of a node and the versions of the
                 store that it knows.
             on_state: Called with each state.
-            on_news: Called after states that say something else than before.
+            on_news: Called after states whose `_news` fields have changed.
             is_deferred: Returns whether the parts are to be called later, once
                 for all that is heard meanwhile. What is read for a decision
                 must not set off others while it is made.
--- a/src/savorylift/front/state_reporter.py
+++ b/src/savorylift/front/state_reporter.py
@@ -33,8 +33,8 @@
         failure_domain: Failure domain of the VM.
         caller_address: Where callers connect.
         incarnation: Random number that identifies the process.
-        message_level: Which messages it knows, as its states say.
-        bulk_port: Port for messages that may wait; 0 for the usual one.
+        message_level: Kinds of messages that it knows, as in `NodeState`.
+        bulk_port: UDP port for messages that may wait; 0 if it has none.
     """
 
     vm: str
@@ -95,7 +95,6 @@
         self._crash_guard = crash_guard
         self._server_news = server_news
         self._transport = transport
-        self._knows_rollouts = rollouts is not None
         self._rollouts = rollouts
         self._sequence = 0
         self._reader_until_s = 0.0
@@ -160,7 +159,7 @@
             interval_s=self._transport.own_interval_s,
             peers=tuple(peer.state.ip for peer in peers),
             quarantine_news=self._crash_guard.news(),
-            knows_rollouts=self._knows_rollouts,
+            knows_rollouts=self._rollouts is not None,
             message_level=self._identity.message_level,
             bulk_port=self._identity.bulk_port,
         )
--- a/src/savorylift/front/store_parts.py
+++ b/src/savorylift/front/store_parts.py
@@ -22,8 +22,9 @@
 from savorylift.front.shared_parts import SharedParts
 from savorylift.platform.store_record import Record
 
-# By then a node that starts hears others, if one of its seeds is live.
-HEARING_S = 1.0
+# A node that starts waits so long for others before it reads the records of
+# software versions: by then it hears the writers if one of its seeds is live.
+VERSIONS_HEARING_S = 1.0
 
 
 class StoreParts(NamedTuple):
@@ -99,7 +100,7 @@
         lambda name: shared.find_service(name) is not None,
         role.was_reader,
         shared.store_era,
-        HEARING_S if shared.membership.addresses else 0.0,
+        VERSIONS_HEARING_S if shared.membership.addresses else 0.0,
         role.was_first,
     )
     registration = Registration(
--- a/src/savorylift/refusals/writer.py
+++ b/src/savorylift/refusals/writer.py
@@ -13,8 +13,8 @@
 # Each write is charged for. A killed node loses the counts of at most this
 # time, or more if writes failed.
 WRITE_INTERVAL_S = 5.0
-# Beyond this number of nodes the interval grows in proportion, up to the other
-# one: counts are by minute.
+# Beyond this number of nodes the interval grows in proportion, up to
+# MAX_WRITE_INTERVAL_S: counts are by minute.
 NODES_AT_WRITE_INTERVAL = 16
 MAX_WRITE_INTERVAL_S = 60.0
 # Added to the interval after a failed write.
--- a/src/savorylift/rendezvous.py
+++ b/src/savorylift/rendezvous.py
@@ -4,7 +4,7 @@
 import hashlib
 from collections.abc import Iterable
 
-# Scores that are kept: those of some keys that are ranked many times a second.
+# Scores in the cache: some keys are ranked many times a second.
 MAX_SCORES = 4096
 
 
--- a/src/savorylift/wire/acceptor.py
+++ b/src/savorylift/wire/acceptor.py
@@ -9,11 +9,11 @@
 from savorylift.wire import metrics
 
 BACKLOG = 1024
-# Accepted before other tasks run: each needs a descriptor, also one that is
-# closed at once.
-BATCH = 16
-# Without a descriptor, all that arrive wait for so long.
-PAUSE_S = 0.1
+# Connections accepted before other tasks run: each takes a descriptor, even if
+# it is closed at once.
+MAX_ACCEPTS_PER_TURN = 16
+# Pause of accepting when the process has no descriptor left.
+NO_DESCRIPTOR_PAUSE_S = 0.1
 
 _log = structlog.get_logger()
 
@@ -66,17 +66,17 @@
 
     def _accept(self) -> None:
         """Accepts some connections; pauses if there is no descriptor."""
-        error = self._accept_up_to(BATCH)
+        error = self._accept_up_to(MAX_ACCEPTS_PER_TURN)
         if error is None:
             return
         metrics.ACCEPTS_PAUSED.inc()
         _log.warning("accept_paused", detail=str(error))
         self._suspend()
         loop = asyncio.get_running_loop()
-        self._pause = loop.call_later(PAUSE_S, self._resume)
+        self._pause = loop.call_later(NO_DESCRIPTOR_PAUSE_S, self._resume)
 
     def _accept_up_to(self, count: int) -> OSError | None:
-        """Accepts connections; returns why no more can be, if that is so."""
+        """Accepts connections; returns the error if one can't be accepted."""
         assert self._socket is not None
         for _ in range(count):
             try:
--- a/src/savorylift/wire/answer_head_check.py
+++ b/src/savorylift/wire/answer_head_check.py
@@ -2,7 +2,7 @@
 
 import h11
 
-# The first digit of a final status is that of one of the protocol's classes.
+# HTTP has no other classes of final statuses (RFC 9110, 15).
 FINAL_STATUSES = range(200, 600)
 KNOWN_MAJOR_VERSION = b"1."
 
--- a/src/savorylift/wire/body_budget.py
+++ b/src/savorylift/wire/body_budget.py
@@ -19,7 +19,7 @@
 # Most that the buffers of a connection hold of a body that waits: the system's
 # and those of `Channel`.
 WAITING_BODY_BYTES = 262_144
-# That of connections that are never closed for others.
+# Progress for leases whose connections are never closed for others.
 NEVER_BEHIND = Progress()
 
 
@@ -30,7 +30,7 @@
         small: Bytes of the part for small bodies.
         large: Bytes of the rest.
         progress: How far the connection has come.
-        abort: Closes it.
+        abort: Closes the connection.
     """
 
     __slots__ = ("abort", "large", "progress", "small")
@@ -44,7 +44,7 @@
 
         Args:
             progress: How far the connection has come.
-            abort: Closes it.
+            abort: Closes the connection.
         """
         self.small = 0
         self.large = 0
@@ -161,7 +161,7 @@
         return granted.done() and not granted.cancelled()
 
     def _reclaim(self, wanted: int) -> None:
-        """Closes connections that are behind, until so much becomes free."""
+        """Closes connections that are behind until enough becomes free."""
         for lease in behind_first(self._held):
             if wanted <= 0:
                 return
--- a/src/savorylift/wire/body_reader.py
+++ b/src/savorylift/wire/body_reader.py
@@ -27,11 +27,11 @@
 # that its caller has left which this may take.
 MAX_BODY_WAIT_S = 0.7
 BODY_WAIT_SHARE = 0.2
-# Longest time for a body, beside what it takes at the lowest rate.
+# Longest time for a body, on top of what it takes at the lowest rate.
 MAX_BODY_S = 60.0
 # Heads that take more memory than this wait for it, like bodies.
 SMALL_HEAD_BYTES = 16_384
-# What a field of a head takes at most beside its bytes.
+# What a decoded header field takes at most on top of its bytes.
 FIELD_BYTES = 400
 
 _log = structlog.get_logger()
@@ -75,10 +75,12 @@
         return True
 
     async def take_for_head(self, head: bytes) -> bool:
-        """Takes what a head holds once it is decoded; waits for it briefly.
+        """Takes the memory that a decoded head needs; waits for it briefly.
 
-        Returns whether there is so much: many short fields take much more than
-        their bytes.
+        Many short fields take much more than their bytes.
+
+        Returns:
+            Whether there is so much.
         """
         size = len(head) + FIELD_BYTES * head.count(b"\r\n")
         wanted = size - self._head_bytes
@@ -103,7 +105,7 @@
             TimeoutError: The body took too long.
             h11.RemoteProtocolError: The body is malformed.
         """
-        if not length and length is not None:
+        if length == 0:
             return await self._receive(0, headers, limits)
         if length is not None and length > limits.max_body_bytes:
             return BadRequest(413, "the request body is too large")
--- a/src/savorylift/wire/client_call.py
+++ b/src/savorylift/wire/client_call.py
@@ -92,7 +92,7 @@
         """Returns a head that has been read.
 
         Raises:
-            BrokenAnswerError: It is not one of HTTP/1.
+            BrokenAnswerError: It isn't valid HTTP/1.
         """
         fault = find_answer_fault(event)
         if fault is not None:
@@ -169,7 +169,7 @@
         self._channel.abort()
 
     def _record_fault(self, fault: str, detail: str) -> None:
-        """Counts and logs an answer that is none."""
+        """Counts and logs an answer that isn't valid HTTP/1."""
         metrics.ANSWERS_UNREADABLE.labels(fault).inc()
         _log.warning(
             "answer_unreadable",
--- a/src/savorylift/wire/connection_limit.py
+++ b/src/savorylift/wire/connection_limit.py
@@ -1,7 +1,7 @@
 """Bounds the connections of one listener, and chooses which are closed.
 
-Answers crowds of connections: a process without descriptors reaches neither
-servers nor the store, and each connection takes memory.
+Protects a node from crowds of connections: without descriptors it reaches
+neither servers nor the store, and each connection takes memory.
 """
 
 import collections
@@ -9,26 +9,17 @@
 from collections.abc import Callable
 from typing import Protocol
 
-from savorylift.wire.progress import Phase, Progress, behind_first
+from savorylift.wire.progress import Holder, Phase, behind_first
 
-# Connections are closed in batches, and looked through only so often.
+# A full listener closes up to this part of its connections at once, plus one.
 VICTIMS_DIVISOR = 16
+# It looks for them no more often than this, as it goes through all connections.
 MIN_SEARCH_INTERVAL_S = 0.1
 
 
-class LimitedConnection(Protocol):
+class LimitedConnection(Holder, Protocol):
     """A connection that can be closed for the sake of others."""
 
-    @property
-    def progress(self) -> Progress:
-        """How far it has come."""
-        ...
-
-    @property
-    def held_bytes(self) -> int:
-        """Bytes that it holds."""
-        ...
-
     @property
     def address(self) -> str:
         """Address of the host that has opened it."""
@@ -40,7 +31,7 @@
 
 
 class ConnectionLimit:
-    """Most connections of a listener.
+    """Keeps the connections of a listener within a number.
 
     Connections whose caller is behind are closed first, then those that were
     without a request for a while; among these, those of the address with the
@@ -56,7 +47,8 @@
 
         Args:
             max_open: Most connections.
-            count: Called for each that is closed or refused, with why.
+            count: Called with the reason for each connection that is closed
+                or refused.
         """
         self._max_open = max_open
         self._count = count
--- a/src/savorylift/wire/listener.py
+++ b/src/savorylift/wire/listener.py
@@ -22,7 +22,8 @@
 if TYPE_CHECKING:
     import ssl
 
-# For how long connections are accepted at the end, and then opened.
+# At the end, connections are still accepted for this long, and then opened for
+# as long again.
 LAST_ACCEPT_S = 0.05
 
 _log = structlog.get_logger()
--- a/src/savorylift/wire/metrics.py
+++ b/src/savorylift/wire/metrics.py
@@ -4,13 +4,12 @@
 
 ANSWERS_UNREADABLE = Counter(
     "savorylift_wire_answers_unreadable",
-    "Answers that are none, as their head is not one of HTTP/1, by what is"
-    " wrong with it.",
+    "Answers that are not valid HTTP/1, by what is wrong with them.",
     ["fault"],
 )
 ACCEPTS_PAUSED = Counter(
     "savorylift_wire_accepts_paused",
-    "Times that no connection was accepted, as there was no descriptor.",
+    "Times that accepting paused, as the process had no descriptor left.",
 )
 CONNECTIONS_CLOSED = Counter(
     "savorylift_wire_connections_closed",
@@ -20,9 +19,10 @@
 )
 UPLOADS_CLOSED = Counter(
     "savorylift_wire_uploads_closed",
-    "Connections closed since their body came too slowly for the memory left.",
+    "Connections closed as their body came too slowly for the memory left.",
 )
 ANSWERS_UNREAD = Counter(
     "savorylift_wire_answers_unread",
-    "Connections closed since nothing of an answer was read for the idle time.",
+    "Connections closed as nothing of an answer was read for the idle"
+    " time-out.",
 )
--- a/src/savorylift/wire/progress.py
+++ b/src/savorylift/wire/progress.py
@@ -1,8 +1,8 @@
 """How far the exchange on a connection has come, and whether it behaves.
 
-Answers the load of callers that send or read very slowly, or stop half-way:
-only such connections are closed for the sake of others, and those that hold
-most for the least progress first.
+Protects a node from callers that send or read very slowly, or stop half-way:
+only such connections are closed for the sake of others, first those that hold
+most for the least progress.
 """
 
 import enum
@@ -59,7 +59,7 @@
     def is_behind(self, now_s: float) -> bool:
         """Whether its caller is slower than any that behaves.
 
-        Also one that sends requests without end and waits for no answer.
+        So is one that sends requests without end and waits for no answer.
 
         Args:
             now_s: Monotonic time.
@@ -98,7 +98,7 @@
 
 
 def behind_first(holders: Iterable[HolderT]) -> Sequence[HolderT]:
-    """Returns those that are behind; those with most for least come first."""
+    """Returns those that are behind; most held for least progress first."""
     now_s = time.monotonic()
     found = [h for h in holders if h.progress.is_behind(now_s)]
     return sorted(
--- a/src/savorylift/wire/retry_after.py
+++ b/src/savorylift/wire/retry_after.py
@@ -32,7 +32,7 @@
 
 
 def _parse_date(value: str) -> dt.datetime | None:
-    # Imported late: servers name seconds, and nodes start sooner without it.
+    # Imported late, for a faster start: servers mostly name seconds.
     import email.utils
 
     try:
--- a/src/savorylift/wire/server_connection.py
+++ b/src/savorylift/wire/server_connection.py
@@ -50,17 +50,16 @@
         self._admission = admission
         self._input = ConnectionInput(channel)
         self._progress = Progress()
-        self._unsent_bytes = 0
+        self._unsent_at_start = 0
         self._begin_exchange()
         self.is_closing = False
 
     def _begin_exchange(self) -> None:
         """Replaces all that belongs to one request and its response."""
         # A parser that is used again would keep what it returned, too.
-        # Heads are whole when it gets them: this bounds what stands between
-        # chunks and after them.
         self._parser = h11.Connection(
             h11.SERVER,
+            # It gets heads whole: this bounds lines between and after chunks.
             max_incomplete_event_size=self._get_limits().max_head_bytes,
         )
         self._body_reader = BodyReader(
@@ -82,7 +81,7 @@
 
     @property
     def held_bytes(self) -> int:
-        """Bytes that came and no request has used, or that are yet unread."""
+        """Input that no request has used, and output that is yet unsent."""
         return self._input.size + self._channel.unsent_bytes
 
     @property
@@ -90,7 +89,7 @@
         """How far the exchange has come."""
         if self._progress.phase is Phase.ANSWER:
             unsent = self._channel.unsent_bytes
-            self._progress.moved_bytes = self._unsent_bytes - unsent
+            self._progress.moved_bytes = self._unsent_at_start - unsent
         return self._progress
 
     def abort(self) -> None:
@@ -117,7 +116,7 @@
         self._response.added_headers = headers
 
     async def next_request(self) -> Request | BadRequest | CloseReason:
-        """Returns the next request, held until `release_body`, or why not."""
+        """Returns the next request, or why none; held until `release_body`."""
         self.release_body()
         self._progress.enter(Phase.IDLE)
         is_read = False
@@ -135,7 +134,7 @@
         self._body_reader.release()
 
     def release_all(self) -> None:
-        """Declares that a request and its response have ended."""
+        """Declares that the last request and its response have ended."""
         self.release_body()
         self._response.release()
 
@@ -189,7 +188,7 @@
         )
         headers = decode_headers(event)
         length = body_length(event)
-        # What h11 has made of many short fields takes more than the fields.
+        # Not kept while the body comes: it takes more than the headers.
         del event
         body = await self._body_reader.read(length, headers, limits)
         if not isinstance(body, bytes):
@@ -274,7 +273,7 @@
         return await self._response.flush()
 
     def _begin_answer(self) -> None:
-        self._unsent_bytes = self._channel.unsent_bytes
+        self._unsent_at_start = self._channel.unsent_bytes
         self._progress.enter(Phase.ANSWER)
 
     def prepare_next_request(self) -> bool:
