--- a/src/savorylift/fleet/membership.py
+++ b/src/savorylift/fleet/membership.py
@@ -57,7 +57,7 @@
         return tuple(self._addresses)
 
     def note_running(self, now_s: float) -> None:
-        """Records that this process runs: peers are silent only while it does."""
+        """Records that this process runs: only then are peers silent."""
         self._clock.tick(now_s)
 
     def add_address(self, ip: str, now_s: float) -> None:
