Look at the store's readings ten times a second again while engines move runs

Cause: looking five times a second found engines that leave 0.1 to 0.2 s later, of a notice of 1.5 to 2.1 s.

--- a/src/savorylift/exchange/drain_poller.py
+++ b/src/savorylift/exchange/drain_poller.py
@@ -20,7 +20,7 @@
 # up to 0.5 s.
 POLL_INTERVAL_S = 0.4
 # How often to look whether the store is still heard.
-CHECK_INTERVAL_S = 0.2
+CHECK_INTERVAL_S = 0.1
 REPORT_TIMEOUT_S = 0.4
 # Nodes that poll an engine. The second does so half as often, in case the
 # first is lost.
@@ -70,8 +70,12 @@
     async def run(self) -> None:
         """Polls periodically while the store is unavailable; never returns."""
         while True:
-            await wait_for_beat(CHECK_INTERVAL_S)
-            if self._is_store_unavailable():
+            has_runs = bool(self._get_engines())
+            # Another run may begin at an engine as late after its last poll.
+            await wait_for_beat(
+                CHECK_INTERVAL_S if has_runs else POLL_INTERVAL_S
+            )
+            if self._get_engines() and self._is_store_unavailable():
                 polled_s = time.monotonic()
                 await asyncio.gather(*map(self._poll, self._engines_to_poll()))
                 next_s = polled_s + POLL_INTERVAL_S - CHECK_INTERVAL_S
