Read no wall clock for the time of a roll-out

Change: the order's time goes on from the last stage written; after a restart of all nodes a roll-out is late by what has passed since.

--- a/src/savorylift/fleet/rollout_messages.py
+++ b/src/savorylift/fleet/rollout_messages.py
@@ -39,7 +39,6 @@
         epoch: Number of times that a node has taken over roll-outs of this
             service.
         elapsed_s: Time since the order, when this was written or sent.
-        written_s: Unix time at which it was written.
         banned: Versions that were rolled back earlier.
         reason: Why the last step was taken.
         is_recorded: Whether the store holds it.
@@ -54,7 +53,6 @@
     share: float
     epoch: int
     elapsed_s: float
-    written_s: float
     banned: tuple[str, ...] = ()
     reason: str = ""
     is_recorded: bool = True
--- a/src/savorylift/rollouts/deciding.py
+++ b/src/savorylift/rollouts/deciding.py
@@ -1,7 +1,5 @@
 """Takes the steps of a roll-out, each in the store before it counts."""
 
-import time
-
 from savorylift.fleet.rollout_messages import Stage
 from savorylift.rollouts.announcer import Announcer
 from savorylift.rollouts.board import RolloutBoard
@@ -114,7 +112,7 @@
         if self.is_own(last):
             self._take_up(last)
             return True
-        self._announcer.hear(_aged(last))
+        self._announcer.hear(last)
         if not last.phase.is_final:
             return await self._write_epoch(last)
         self._epochs[last.service] = last.epoch
@@ -210,12 +208,3 @@
 def _is_end(known: Stage, recorded: Stage) -> bool:
     """Whether a stage ends the roll-out that the store says goes on."""
     return known.phase.is_final and known.order_id == recorded.order_id
-
-
-def _aged(stage: Stage) -> Stage:
-    """Returns a stage from the store, with the time that has passed since.
-
-    A wrong clock can make the order seem older, but no younger.
-    """
-    passed_s = max(time.time() - stage.written_s, 0.0)
-    return stage._replace(elapsed_s=stage.elapsed_s + passed_s)
--- a/src/savorylift/rollouts/recorder.py
+++ b/src/savorylift/rollouts/recorder.py
@@ -4,7 +4,6 @@
 taken over from can't undo what they decided.
 """
 
-import time
 from collections.abc import Callable
 
 import structlog
@@ -83,7 +82,7 @@
         """
         if self._end is None or len(stage.service.encode()) > MAX_KEY_BYTES:
             return None
-        recorded = stage._replace(is_recorded=True, written_s=time.time())
+        recorded = stage._replace(is_recorded=True)
         record = Record(stage.service, encode_record(recorded))
         written = await self._store.append(ROLLOUTS_TOPIC, [record], self._end)
         is_written = is_successful(written)
--- a/src/savorylift/rollouts/stage.py
+++ b/src/savorylift/rollouts/stage.py
@@ -44,7 +44,6 @@
         share=0.0,
         epoch=0 if last is None else last.epoch,
         elapsed_s=elapsed_s,
-        written_s=0.0,
         banned=_banned_before(order, last),
         reason="ordered",
     )
--- a/tests/rollouts/test_version_rules.py
+++ b/tests/rollouts/test_version_rules.py
@@ -27,7 +27,6 @@
     share=0.09,
     epoch=1,
     elapsed_s=1.0,
-    written_s=0.0,
 )
 OLD, NEW, NEWER = (
     make_server_entry(f"i-{version}")._replace(software_version=version)
