Choose ports for tests that are free for datagrams, too

The log of the node's start was missing, so it couldn't open an address. Ports were chosen by binding TCP only; a node that an earlier test left behind may hold a port for datagrams alone, after its reservation of the port has ended. During a run of all tests up to four such ports were found in one look (two minutes of looks each three seconds).

Change: a port is free if it is so for TCP and UDP. A node that couldn't start shows its error in place of a time-out.

--- a/tests/front/environment.py
+++ b/tests/front/environment.py
@@ -177,9 +177,15 @@
             return False
 
     async def wait_until_ready(self) -> None:
-        """Waits until the node reports readiness."""
+        """Waits until the node reports readiness.
+
+        Raises:
+            OSError: The node couldn't start.
+        """
         async with asyncio.timeout(READY_TIMEOUT_S):
             while not await self.is_ready():
+                if self.node_task is not None and self.node_task.done():
+                    self.node_task.result()
                 await asyncio.sleep(0.02)
 
     async def open_call(
--- a/tests/harness/ports.py
+++ b/tests/harness/ports.py
@@ -1,4 +1,4 @@
-"""Choice of free TCP ports on loopback."""
+"""Choice of ports on loopback that are free for TCP and for UDP."""
 
 import collections
 import contextlib
@@ -54,15 +54,22 @@
 
 
 def _is_free(host: str, port: int) -> bool:
-    sock = _bind(host, port)
-    if sock is None:
-        return False
-    sock.close()
+    """Whether a node could use a port for connections and for datagrams.
+
+    A node that a test left behind may still hold one for datagrams only.
+    """
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        sock = _bind(host, port, kind)
+        if sock is None:
+            return False
+        sock.close()
     return True
 
 
-def _bind(host: str, port: int) -> socket.socket | None:
-    sock = socket.socket()
+def _bind(
+    host: str, port: int, kind: socket.SocketKind = socket.SOCK_STREAM
+) -> socket.socket | None:
+    sock = socket.socket(type=kind)
     with contextlib.suppress(OSError):
         sock.bind((host, port))
         return sock
--- a/tests/harness/test_ports.py
+++ b/tests/harness/test_ports.py
@@ -2,6 +2,9 @@
 
 import multiprocessing
 import multiprocessing.connection
+import socket
+
+import pytest
 
 from tests.harness import ports
 from tests.harness.ports import free_addresses
@@ -32,6 +35,22 @@
     assert not set(first) & set(free_addresses(100))
 
 
+@pytest.mark.parametrize("kind", [socket.SOCK_STREAM, socket.SOCK_DGRAM])
+def test_port_in_use_is_not_chosen(
+    kind: socket.SocketKind, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A node couldn't open the port that another one had for datagrams."""
+    used, free = free_addresses(2)
+    host, _, port = used.rpartition(":")
+    free_port = int(free.rpartition(":")[2])
+    monkeypatch.setattr(ports, "PORT_RANGE", [int(port), free_port])
+    # Others may choose both again.
+    monkeypatch.setattr(ports, "RESERVATION_HOST", "127.255.255.2")
+    with socket.socket(type=kind) as sock:
+        sock.bind((host, int(port)))
+        assert free_addresses(2) == [free]
+
+
 def test_reservations_are_bounded() -> None:
     for _ in range(20):
         free_addresses(100)
