Move limits and permits to their own package

exchange/ held a third of the package. Limits that servers name, permits and their issuer move to limits/, their tests to tests/limits/; the issuer came from fleet/, the look-up of limited servers' starts with them. Only names of modules and imports change. No test was run.

--- a/src/savorylift/exchange/answer_head_reader.py
+++ b/src/savorylift/exchange/answer_head_reader.py
@@ -9,9 +9,9 @@
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange.codec import Codec
 from savorylift.exchange.failover import FailoverPolicy
-from savorylift.exchange.limit_gate import LimitGate
 from savorylift.exchange.request import AnswerHead, CallerRequest
 from savorylift.exchange.results import Unsure
+from savorylift.limits.limit_gate import LimitGate
 from savorylift.outcomes import Reason
 from savorylift.wire.client_call import BrokenAnswerError, ClientCall
 from savorylift.wire.input_timeout import InputTimeout
--- a/src/savorylift/exchange/drain_poller.py
+++ b/src/savorylift/exchange/drain_poller.py
@@ -11,8 +11,8 @@
 
 from savorylift.backends.registry import BackendServer, Registry
 from savorylift.beat import wait_for_beat
-from savorylift.exchange.limit_gate import LimitGate
 from savorylift.exchange.notice_recorder import NoticeRecorder, NoticeSource
+from savorylift.limits.limit_gate import LimitGate
 from savorylift.platform.engine_client import read_notice
 from savorylift.rendezvous import rank
 
--- a/src/savorylift/exchange/reach_probe.py
+++ b/src/savorylift/exchange/reach_probe.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 
 from savorylift.backends.registry import BackendServer
-from savorylift.exchange.limit_gate import LimitGate
+from savorylift.limits.limit_gate import LimitGate
 from savorylift.wire.channel import connect
 from savorylift.wire.client_call import BrokenAnswerError, ClientCall
 from savorylift.wire.input_timeout import InputTimeout
--- a/src/savorylift/exchange/send.py
+++ b/src/savorylift/exchange/send.py
@@ -10,7 +10,6 @@
 from savorylift.exchange.answer_head_reader import AnswerHeadReader
 from savorylift.exchange.codec import CancelRequest, Codec, OutgoingRequest
 from savorylift.exchange.failover import FailoverPolicy
-from savorylift.exchange.limit_gate import LimitGate
 from savorylift.exchange.request import (
     AnswerHead,
     ForwardingOptions,
@@ -20,6 +19,7 @@
 from savorylift.exchange.server_check import ProcessEnd, ServerCheck
 from savorylift.exchange.server_opener import ResumePoint, ServerOpener
 from savorylift.exchange.server_reach import ServerReach
+from savorylift.limits.limit_gate import LimitGate
 from savorylift.outcomes import Reason
 from savorylift.wire.client_call import BrokenAnswerError, ClientCall
 from savorylift.wire.message import ResponseHead
--- a/src/savorylift/exchange/server_check.py
+++ b/src/savorylift/exchange/server_check.py
@@ -17,7 +17,6 @@
     IdleConnections,
     ProcessPlace,
 )
-from savorylift.exchange.limit_gate import LimitGate
 from savorylift.exchange.request_connections import (
     CLOSING_S,
     RequestConnections,
@@ -28,6 +27,7 @@
     Finding,
     ServerInquiry,
 )
+from savorylift.limits.limit_gate import LimitGate
 from savorylift.wire.channel import Channel
 
 # A server that is full resets what lies beyond its number of connections.
--- a/src/savorylift/exchange/server_notices.py
+++ b/src/savorylift/exchange/server_notices.py
@@ -6,9 +6,9 @@
 
 from savorylift.backends.brittle_services import BrittleServices
 from savorylift.backends.registry import BackendServer
-from savorylift.exchange.limit_sync import MISDIRECTED_STATUS
 from savorylift.exchange.notice_recorder import NoticeRecorder
 from savorylift.exchange.request import AnswerHead
+from savorylift.limits.limit_sync import MISDIRECTED_STATUS
 
 _log = structlog.get_logger()
 
--- a/src/savorylift/exchange/server_opener.py
+++ b/src/savorylift/exchange/server_opener.py
@@ -8,11 +8,11 @@
 from savorylift.boot_clock import boot_time_s
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.failover import FailoverPolicy
-from savorylift.exchange.limit_gate import LimitGate, Permit
 from savorylift.exchange.request import CallerRequest, KvCopy
 from savorylift.exchange.results import NotRun, Obstacle
 from savorylift.exchange.server_life import Life, ServerLife
 from savorylift.exchange.server_reach import ServerReach
+from savorylift.limits.limit_gate import LimitGate, Permit
 from savorylift.outcomes import Reason
 from savorylift.wire.channel import Channel, connect
 
--- a/src/savorylift/exchange/server_pool.py
+++ b/src/savorylift/exchange/server_pool.py
@@ -11,7 +11,6 @@
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.allowed_servers import AllowedServers
 from savorylift.exchange.kept_engines import KeptEngines
-from savorylift.exchange.limit_gate import LimitGate
 from savorylift.exchange.move_queue import MoveQueue
 from savorylift.exchange.node_retries import NodeRetries
 from savorylift.exchange.request import CallerRequest
@@ -23,6 +22,7 @@
 from savorylift.exchange.server_places import ServerPlaces
 from savorylift.fleet.membership import Membership
 from savorylift.fleet.store_view import StoreView
+from savorylift.limits.limit_gate import LimitGate
 from savorylift.placement.engines import (
     EngineOptions,
     choose_engine,
--- a/src/savorylift/front/server_parts.py
+++ b/src/savorylift/front/server_parts.py
@@ -8,9 +8,7 @@
 from savorylift.backends.registry import BackendServer
 from savorylift.backends.request_quarantine import RequestQuarantine
 from savorylift.exchange.crash_guard import CrashGuard
-from savorylift.exchange.limit_gate import LimitGate
 from savorylift.exchange.notice_recorder import NoticeRecorder, NoticeSource
-from savorylift.exchange.process_lookup import ProcessLookup, StartReader
 from savorylift.exchange.process_witness import ProcessWitness
 from savorylift.exchange.reach_probe import ReachProbe
 from savorylift.exchange.request import AnswerHead
@@ -24,11 +22,13 @@
 from savorylift.exchange.server_pool import ServerPool
 from savorylift.exchange.server_reach import Probe, ServerReach
 from savorylift.fleet.peer_transport import PeerTransport
-from savorylift.fleet.permit_issuer import PermitIssuer
 from savorylift.fleet.version_history import VersionHistory
 from savorylift.front.rollout_rules import RolloutRules, make_rollout_rules
 from savorylift.front.settings import FrontSettings
 from savorylift.front.shared_parts import SharedParts
+from savorylift.limits.limit_gate import LimitGate
+from savorylift.limits.permit_issuer import PermitIssuer
+from savorylift.limits.process_lookup import ProcessLookup, StartReader
 from savorylift.platform.engine_client import read_start, read_start_on
 from savorylift.wire.message import ResponseHead
 
--- a/src/savorylift/exchange/closed_limits.py
+++ b/src/savorylift/limits/closed_limits.py
@@ -2,7 +2,7 @@
 
 import time
 
-from savorylift.fleet.permit_issuer import PermitDecision
+from savorylift.limits.permit_issuer import PermitDecision
 
 # A server for which there is no permit gets no requests for at least the first
 # and at most the second time. Then it is worth asking again.
--- a/src/savorylift/exchange/limit_gate.py
+++ b/src/savorylift/limits/limit_gate.py
@@ -13,25 +13,25 @@
 from savorylift.backends.turns import Turns
 from savorylift.boot_clock import boot_time_s
 from savorylift.exchange import metrics
-from savorylift.exchange.closed_limits import MIN_CLOSED_S, ClosedLimits
-from savorylift.exchange.limit_sync import LimitSync
-from savorylift.exchange.permit_client import SendLimitMessage
-from savorylift.exchange.permit_exchange import PermitExchange
-from savorylift.exchange.process_lookup import ProcessLookup
 from savorylift.exchange.request import AnswerHead
 from savorylift.exchange.return_times import ReturnTimes
 from savorylift.fleet.limit_check import is_sound
-from savorylift.fleet.permit_issuer import (
-    MAX_INTERVAL_S,
-    PermitDecision,
-    PermitIssuer,
-)
 from savorylift.fleet.state import (
     LimitMessage,
     LimitNews,
     LimitReport,
     PermitRequest,
 )
+from savorylift.limits.closed_limits import MIN_CLOSED_S, ClosedLimits
+from savorylift.limits.limit_sync import LimitSync
+from savorylift.limits.permit_client import SendLimitMessage
+from savorylift.limits.permit_exchange import PermitExchange
+from savorylift.limits.permit_issuer import (
+    MAX_INTERVAL_S,
+    PermitDecision,
+    PermitIssuer,
+)
+from savorylift.limits.process_lookup import ProcessLookup
 
 # A permit must be used within this time.
 PERMIT_VALIDITY_S = 0.5
--- a/src/savorylift/exchange/limit_sync.py
+++ b/src/savorylift/limits/limit_sync.py
@@ -7,10 +7,10 @@
 
 from savorylift.backends.named_limits import NamedLimits
 from savorylift.backends.registry import BackendServer
-from savorylift.exchange.permit_client import SendLimitMessage
 from savorylift.exchange.request import AnswerHead
 from savorylift.fleet.limit_messages import LimitNews, LimitReport
-from savorylift.fleet.permit_issuer import PermitIssuer
+from savorylift.limits.permit_client import SendLimitMessage
+from savorylift.limits.permit_issuer import PermitIssuer
 
 MISDIRECTED_STATUS = 421
 # All nodes are told of changes of a server at once no more often than this.
--- a/src/savorylift/exchange/permit_client.py
+++ b/src/savorylift/limits/permit_client.py
@@ -11,7 +11,7 @@
     PermitReply,
     PermitRequest,
 )
-from savorylift.fleet.permit_issuer import PermitDecision
+from savorylift.limits.permit_issuer import PermitDecision
 
 # How long to wait for a reply to each try: many round trips between nodes. A
 # try that was heard, but whose reply was lost, leaves its permit unused.
--- a/src/savorylift/exchange/permit_exchange.py
+++ b/src/savorylift/limits/permit_exchange.py
@@ -4,15 +4,15 @@
 
 from savorylift.backends.named_limits import NamedLimits
 from savorylift.boot_clock import boot_time_s
-from savorylift.exchange.permit_client import PermitClient, SendLimitMessage
-from savorylift.exchange.process_lookup import ProcessLookup
-from savorylift.fleet.permit_issuer import PermitDecision, PermitIssuer
 from savorylift.fleet.state import (
     LimitNews,
     LimitReport,
     PermitReply,
     PermitRequest,
 )
+from savorylift.limits.permit_client import PermitClient, SendLimitMessage
+from savorylift.limits.permit_issuer import PermitDecision, PermitIssuer
+from savorylift.limits.process_lookup import ProcessLookup
 
 
 class PermitExchange:
--- a/src/savorylift/exchange/process_lookup.py
+++ b/src/savorylift/limits/process_lookup.py
@@ -14,7 +14,7 @@
 from savorylift.backends.server import ServerEntry
 from savorylift.boot_clock import boot_time_s
 from savorylift.exchange import metrics
-from savorylift.fleet.permit_issuer import PermitIssuer
+from savorylift.limits.permit_issuer import PermitIssuer
 
 # A caller waits for the rest of its stream meanwhile.
 REPORT_TIMEOUT_S = 0.4
--- a/tests/exchange/factories.py
+++ b/tests/exchange/factories.py
@@ -9,17 +9,17 @@
 from savorylift.backends.server import ServerEntry
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.crash_guard import CrashGuard
-from savorylift.exchange.limit_gate import LimitGate
-from savorylift.exchange.process_lookup import ProcessLookup
 from savorylift.exchange.request import CallerRequest, Generation
 from savorylift.exchange.retry_budget import RetryBudget, RetryBudgetOptions
 from savorylift.exchange.server_holds import ServerHolds
 from savorylift.exchange.server_pool import ServerPool
 from savorylift.fleet.membership import LIVENESS_TIMEOUT_S, Membership
-from savorylift.fleet.permit_issuer import PermitIssuer
 from savorylift.fleet.state import NodeState, ServerLoad
 from savorylift.fleet.store_records import Change
 from savorylift.fleet.store_view import Decoders, StoreView
+from savorylift.limits.limit_gate import LimitGate
+from savorylift.limits.permit_issuer import PermitIssuer
+from savorylift.limits.process_lookup import ProcessLookup
 from savorylift.platform.backend_servers import decode_server
 from savorylift.platform.configuration import (
     CONFIGURATION_KEY,
--- a/tests/front/test_unframed_answers.py
+++ b/tests/front/test_unframed_answers.py
@@ -12,8 +12,8 @@
     server_contact,
     server_inquiry,
 )
-from savorylift.exchange.limit_gate import LimitGate
-from savorylift.fleet.permit_issuer import START_HOLD_S
+from savorylift.limits.limit_gate import LimitGate
+from savorylift.limits.permit_issuer import START_HOLD_S
 from savorylift.platform.store import SERVERS_TOPIC
 from savorylift.wire.client_call import BrokenAnswerError
 from savorylift.wire.message import Headers
--- /dev/null
+++ b/tests/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of limits that servers name."""
--- a/tests/exchange/test_limit_gate.py
+++ b/tests/limits/test_limit_gate.py
@@ -6,11 +6,9 @@
 
 import pytest
 
-from savorylift.exchange.limit_gate import LimitGate
 from savorylift.exchange.request import AnswerHead, NamedLimit
 from savorylift.exchange.return_times import MAX_RETURN_S
 from savorylift.fleet.membership import Membership
-from savorylift.fleet.permit_issuer import START_HOLD_S, PermitIssuer
 from savorylift.fleet.state import (
     LimitMessage,
     LimitNews,
@@ -18,6 +16,8 @@
     PermitReply,
     PermitRequest,
 )
+from savorylift.limits.limit_gate import LimitGate
+from savorylift.limits.permit_issuer import START_HOLD_S, PermitIssuer
 from savorylift.rendezvous import rank
 from tests.exchange.factories import make_process_lookup, make_server
 from tests.fleet.test_membership import state
--- a/tests/exchange/test_limit_sync.py
+++ b/tests/limits/test_limit_sync.py
@@ -7,11 +7,11 @@
 import pytest
 from freezegun.api import FrozenDateTimeFactory
 
-from savorylift.exchange.limit_sync import MIN_NEWS_INTERVAL_S, LimitSync
 from savorylift.fleet.limit_messages import LimitMessage, LimitNews
-from savorylift.fleet.permit_issuer import PermitIssuer
+from savorylift.limits.limit_sync import MIN_NEWS_INTERVAL_S, LimitSync
+from savorylift.limits.permit_issuer import PermitIssuer
 from tests.exchange.factories import make_server
-from tests.exchange.test_limit_gate import make_head
+from tests.limits.test_limit_gate import make_head
 
 SERVER = make_server()
 ISSUER_IP = "10.0.0.0"
--- a/tests/fleet/test_permit_issuer.py
+++ b/tests/limits/test_permit_issuer.py
@@ -15,7 +15,7 @@
     PermitRequest,
 )
 from savorylift.fleet.membership import Membership
-from savorylift.fleet.permit_issuer import (
+from savorylift.limits.permit_issuer import (
     HANDOVER_HOLD_S,
     MAX_INTERVAL_S,
     START_HOLD_S,
--- a/tests/exchange/test_process_lookup.py
+++ b/tests/limits/test_process_lookup.py
@@ -7,14 +7,14 @@
 import pytest
 
 from savorylift.boot_clock import boot_time_s
-from savorylift.exchange.process_lookup import (
+from savorylift.fleet.membership import Membership
+from savorylift.limits.permit_issuer import START_HOLD_S, PermitIssuer
+from savorylift.limits.process_lookup import (
     ANSWER_S,
     QUESTION_SHARE,
     ProcessAnswer,
     ProcessLookup,
 )
-from savorylift.fleet.membership import Membership
-from savorylift.fleet.permit_issuer import START_HOLD_S, PermitIssuer
 from tests.exchange.factories import make_server_entry
 from tests.harness.virtual_time import run_in_virtual_time
 
