Move what is known of servers' processes to its own package

What shows which process lives behind a server's address (kept connections, reports of starts, checks) moves to processes/, its tests to tests/processes/. Only names of modules and imports change. No test was run.

--- a/src/savorylift/exchange/crash_probe.py
+++ b/src/savorylift/exchange/crash_probe.py
@@ -11,7 +11,7 @@
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange import metrics
 from savorylift.exchange.request_traits import RequestTraits
-from savorylift.exchange.server_contact import is_accepting
+from savorylift.processes.server_contact import is_accepting
 
 CONNECT_TIMEOUT_S = 0.2
 # Neither a lost packet nor a reset must hide a crash.
--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -38,7 +38,6 @@
 from savorylift.exchange.run_log import log_move_failure, log_take_up
 from savorylift.exchange.run_sender import RunSender
 from savorylift.exchange.send import END_FAILURES, Sender, Started
-from savorylift.exchange.server_check import ProcessEnd, ServerCheck
 from savorylift.exchange.server_opener import ResumePoint
 from savorylift.exchange.server_pool import ServerPool
 from savorylift.exchange.stream_resumption import (
@@ -47,6 +46,7 @@
 )
 from savorylift.outcomes import Reason
 from savorylift.placement.engines import expected_tokens
+from savorylift.processes.server_check import ProcessEnd, ServerCheck
 from savorylift.rollouts.answer_log import Outcome
 from savorylift.speeds.stream_pace import count_event
 
--- a/src/savorylift/exchange/mover.py
+++ b/src/savorylift/exchange/mover.py
@@ -16,7 +16,6 @@
 from savorylift.exchange.request import KvCopy
 from savorylift.exchange.run import ResumeTarget, Run
 from savorylift.exchange.run_copier import RunCopier
-from savorylift.exchange.server_check import ProcessEnd, ServerCheck
 from savorylift.exchange.server_pool import ServerPool
 from savorylift.placement.move_order import PlannedMove
 from savorylift.platform.engine_client import (
@@ -25,6 +24,7 @@
     CopyResult,
     drop_copy,
 )
+from savorylift.processes.server_check import ProcessEnd, ServerCheck
 
 # An engine stops about two seconds after it gives notice.
 MOVE_TIMEOUT_S = 2.5
--- a/src/savorylift/exchange/send.py
+++ b/src/savorylift/exchange/send.py
@@ -16,11 +16,11 @@
 )
 from savorylift.exchange.results import Answered, NotRun, SendResult, Unsure
 from savorylift.exchange.run_canceller import RunCanceller
-from savorylift.exchange.server_check import ProcessEnd, ServerCheck
 from savorylift.exchange.server_opener import ResumePoint, ServerOpener
 from savorylift.exchange.server_reach import ServerReach
 from savorylift.limits.limit_gate import LimitGate
 from savorylift.outcomes import Reason
+from savorylift.processes.server_check import ProcessEnd, ServerCheck
 from savorylift.wire.client_call import BrokenAnswerError, ClientCall
 from savorylift.wire.message import ResponseHead
 
--- a/src/savorylift/exchange/server_opener.py
+++ b/src/savorylift/exchange/server_opener.py
@@ -10,10 +10,10 @@
 from savorylift.exchange.failover import FailoverPolicy
 from savorylift.exchange.request import CallerRequest, KvCopy
 from savorylift.exchange.results import NotRun, Obstacle
-from savorylift.exchange.server_life import Life, ServerLife
 from savorylift.exchange.server_reach import ServerReach
 from savorylift.limits.limit_gate import LimitGate, Permit
 from savorylift.outcomes import Reason
+from savorylift.processes.server_life import Life, ServerLife
 from savorylift.wire.channel import Channel, connect
 
 # Many round trips: a reachable server accepts within a few milliseconds.
--- a/src/savorylift/exchange/stream_resumption.py
+++ b/src/savorylift/exchange/stream_resumption.py
@@ -22,7 +22,6 @@
 from savorylift.exchange.origin_log import OriginLog
 from savorylift.exchange.results import Doubt, Refused
 from savorylift.exchange.run import Run
-from savorylift.exchange.server_life import Life, ServerLife
 from savorylift.exchange.server_pool import ServerPool
 from savorylift.exchange.short_streams import ASK_LATE_S, is_short
 from savorylift.exchange.stream_origins import StreamOrigins
@@ -33,6 +32,7 @@
     VersionHistory,
 )
 from savorylift.outcomes import Reason
+from savorylift.processes.server_life import Life, ServerLife
 from savorylift.routing.configuration import Service
 from savorylift.wire.channel import Channel
 
--- a/src/savorylift/front/maintenance.py
+++ b/src/savorylift/front/maintenance.py
@@ -6,11 +6,11 @@
 import structlog
 
 from savorylift.beat import wait_for_beat
-from savorylift.exchange.successor_check import SuccessorCheck
 from savorylift.fleet import metrics
 from savorylift.front.server_parts import ServerParts
 from savorylift.front.shared_parts import SharedParts
 from savorylift.front.stream_parts import StreamParts
+from savorylift.processes.successor_check import SuccessorCheck
 from savorylift.rollouts.agent import RolloutAgent
 
 MAINTENANCE_INTERVAL_S = 0.2
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -10,7 +10,6 @@
 
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange.request import AnswerHead
-from savorylift.exchange.successor_check import SuccessorCheck
 from savorylift.fleet.limit_messages import LimitMessage
 from savorylift.fleet.message_auth import MessageAuthenticator
 from savorylift.fleet.origin_messages import OriginMessage
@@ -32,6 +31,7 @@
 from savorylift.front.store_parts import ReaderRole, make_store_parts
 from savorylift.front.stream_parts import make_stream_parts
 from savorylift.front.tasks import BackgroundTasks
+from savorylift.processes.successor_check import SuccessorCheck
 
 _log = structlog.get_logger()
 
--- a/src/savorylift/front/server_news.py
+++ b/src/savorylift/front/server_news.py
@@ -5,7 +5,6 @@
 
 from savorylift.backends.registry import Registry
 from savorylift.exchange.notice_recorder import NoticeRecorder, NoticeSource
-from savorylift.exchange.process_witness import ProcessWitness
 from savorylift.exchange.server_pool import ServerPool
 from savorylift.exchange.server_reach import ServerReach
 from savorylift.exchange.stream_origins import StreamOrigins
@@ -14,6 +13,7 @@
 from savorylift.fleet.server_sightings import LeavingServer
 from savorylift.fleet.state import NodeState
 from savorylift.fleet.version_history import VersionHistory
+from savorylift.processes.process_witness import ProcessWitness
 
 # Servers that said that they drain, in one state message.
 MAX_LEAVING_TOLD = 16
--- a/src/savorylift/front/server_parts.py
+++ b/src/savorylift/front/server_parts.py
@@ -9,14 +9,11 @@
 from savorylift.backends.request_quarantine import RequestQuarantine
 from savorylift.exchange.crash_guard import CrashGuard
 from savorylift.exchange.notice_recorder import NoticeRecorder, NoticeSource
-from savorylift.exchange.process_witness import ProcessWitness
 from savorylift.exchange.reach_probe import ReachProbe
 from savorylift.exchange.request import AnswerHead
 from savorylift.exchange.retry_budget import RetryBudget, RetryBudgetOptions
 from savorylift.exchange.send import Sender
-from savorylift.exchange.server_check import ServerCheck
 from savorylift.exchange.server_holds import ServerHolds
-from savorylift.exchange.server_life import ServerLife
 from savorylift.exchange.server_notices import ServerNotices
 from savorylift.exchange.server_opener import ServerOpener
 from savorylift.exchange.server_pool import ServerPool
@@ -30,6 +27,9 @@
 from savorylift.limits.permit_issuer import PermitIssuer
 from savorylift.limits.process_lookup import ProcessLookup, StartReader
 from savorylift.platform.engine_client import read_start, read_start_on
+from savorylift.processes.process_witness import ProcessWitness
+from savorylift.processes.server_check import ServerCheck
+from savorylift.processes.server_life import ServerLife
 from savorylift.wire.message import ResponseHead
 
 OnHead = Callable[[BackendServer, AnswerHead], None]
--- a/src/savorylift/exchange/process_witness.py
+++ b/src/savorylift/processes/process_witness.py
@@ -14,8 +14,8 @@
 from savorylift.backends.registry import BackendServer
 from savorylift.backends.server import ServerEntry
 from savorylift.boot_clock import boot_time_s
-from savorylift.exchange.process_connection import KEEP_S, ProcessConnection
 from savorylift.fleet.server_sightings import WitnessedProcess
+from savorylift.processes.process_connection import KEEP_S, ProcessConnection
 from savorylift.wire.channel import Channel
 
 # Bounds the connections that are kept.
--- a/src/savorylift/exchange/request_connections.py
+++ b/src/savorylift/processes/request_connections.py
@@ -4,7 +4,7 @@
 import time
 import weakref
 
-from savorylift.exchange.idle_connections import ProcessPlace
+from savorylift.processes.idle_connections import ProcessPlace
 from savorylift.wire.channel import Channel
 
 # A process that ends closes its connections one after the other, each within
--- a/src/savorylift/exchange/server_check.py
+++ b/src/savorylift/processes/server_check.py
@@ -13,21 +13,21 @@
 from savorylift.backends.registry import BackendServer
 from savorylift.backends.server_start import NO_START
 from savorylift.exchange import metrics
-from savorylift.exchange.idle_connections import (
+from savorylift.limits.limit_gate import LimitGate
+from savorylift.processes.idle_connections import (
     IdleConnections,
     ProcessPlace,
 )
-from savorylift.exchange.request_connections import (
+from savorylift.processes.request_connections import (
     CLOSING_S,
     RequestConnections,
 )
-from savorylift.exchange.server_inquiry import (
+from savorylift.processes.server_inquiry import (
     ChannelStartReader,
     CheckOutcome,
     Finding,
     ServerInquiry,
 )
-from savorylift.limits.limit_gate import LimitGate
 from savorylift.wire.channel import Channel
 
 # A server that is full resets what lies beyond its number of connections.
--- a/src/savorylift/exchange/server_inquiry.py
+++ b/src/savorylift/processes/server_inquiry.py
@@ -11,13 +11,13 @@
 from savorylift.backends.registry import BackendServer
 from savorylift.backends.server_start import NO_START
 from savorylift.exchange import metrics
-from savorylift.exchange.server_contact import (
+from savorylift.limits.limit_gate import LimitGate
+from savorylift.processes.server_contact import (
     NoContact,
     is_accepting,
     open_contact,
 )
-from savorylift.exchange.shared_checks import SharedChecks
-from savorylift.limits.limit_gate import LimitGate
+from savorylift.processes.shared_checks import SharedChecks
 from savorylift.wire.channel import Channel
 
 # A caller waits for its answer meanwhile.
--- a/src/savorylift/exchange/server_life.py
+++ b/src/savorylift/processes/server_life.py
@@ -14,11 +14,11 @@
 from savorylift.backends.server_start import NO_REPORT, NO_START
 from savorylift.boot_clock import boot_time_s
 from savorylift.exchange import metrics
-from savorylift.exchange.process_witness import ProcessWitness, Proof
-from savorylift.exchange.shared_checks import SharedChecks
 from savorylift.fleet.version_history import UNNAMED_VERSION
 from savorylift.limits.limit_gate import LimitGate, Permit
 from savorylift.limits.process_lookup import REPORT_TIMEOUT_S, StartReader
+from savorylift.processes.process_witness import ProcessWitness, Proof
+from savorylift.processes.shared_checks import SharedChecks
 from savorylift.wire.channel import Channel
 
 # Bounds the memory that answers take.
--- a/src/savorylift/exchange/successor_check.py
+++ b/src/savorylift/processes/successor_check.py
@@ -13,7 +13,7 @@
 
 from savorylift.backends.registry import Registry
 from savorylift.exchange import metrics
-from savorylift.exchange.server_life import ServerLife
+from savorylift.processes.server_life import ServerLife
 
 # A server that says nothing, or can't be asked, opens after this time.
 MAX_CLOSED_S = 10.0
--- a/tests/exchange/test_stream_resumption.py
+++ b/tests/exchange/test_stream_resumption.py
@@ -9,16 +9,16 @@
 from returns.pipeline import is_successful
 
 from savorylift.boot_clock import boot_time_s
-from savorylift.exchange import server_life
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.results import Doubt
-from savorylift.exchange.server_life import LifeReport
 from savorylift.exchange.stream_resumption import (
     MAX_START_WAIT_S,
     StreamResumption,
 )
 from savorylift.fleet.state import StreamOrigin
 from savorylift.fleet.version_history import VersionHistory
+from savorylift.processes import server_life
+from savorylift.processes.server_life import LifeReport
 from savorylift.routing.configuration import Service
 from tests.exchange.factories import (
     make_admitted_request,
--- a/tests/front/cut_links.py
+++ b/tests/front/cut_links.py
@@ -21,8 +21,8 @@
 # Modules that open connections.
 CONNECTING_MODULES = (
     "savorylift.exchange.server_opener",
-    "savorylift.exchange.server_contact",
-    "savorylift.exchange.idle_connections",
+    "savorylift.processes.server_contact",
+    "savorylift.processes.idle_connections",
     "savorylift.exchange.reach_probe",
     "savorylift.wire.client_call",
 )
--- a/tests/front/test_server_news.py
+++ b/tests/front/test_server_news.py
@@ -5,7 +5,6 @@
 from savorylift.backends.registry import Registry
 from savorylift.backends.server import ServerEntry
 from savorylift.exchange.notice_recorder import NoticeRecorder
-from savorylift.exchange.process_witness import ProcessWitness
 from savorylift.exchange.server_holds import ServerHolds
 from savorylift.exchange.server_reach import ServerReach
 from savorylift.exchange.stream_origins import StreamOrigins
@@ -14,6 +13,7 @@
 from savorylift.fleet.state import LeavingServer, NodeState
 from savorylift.fleet.version_history import VersionHistory
 from savorylift.front.server_news import MAX_LEAVING_TOLD, ServerNews
+from savorylift.processes.process_witness import ProcessWitness
 from tests.exchange.factories import (
     make_peer_state,
     make_pool,
--- a/tests/front/test_unframed_answers.py
+++ b/tests/front/test_unframed_answers.py
@@ -7,14 +7,14 @@
 
 import pytest
 
-from savorylift.exchange import (
+from savorylift.limits.limit_gate import LimitGate
+from savorylift.limits.permit_issuer import START_HOLD_S
+from savorylift.platform.store import SERVERS_TOPIC
+from savorylift.processes import (
     idle_connections,
     server_contact,
     server_inquiry,
 )
-from savorylift.limits.limit_gate import LimitGate
-from savorylift.limits.permit_issuer import START_HOLD_S
-from savorylift.platform.store import SERVERS_TOPIC
 from savorylift.wire.client_call import BrokenAnswerError
 from savorylift.wire.message import Headers
 from tests.front.environment import (
--- a/tests/front/test_unreported_servers.py
+++ b/tests/front/test_unreported_servers.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from savorylift.exchange.process_connection import DELIVERY_S
+from savorylift.processes.process_connection import DELIVERY_S
 from tests.front.test_ended_servers import start_again
 from tests.front.version_fleet import EVENTS, Part, VersionFleet, join, mixed
 
--- /dev/null
+++ b/tests/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what is known of servers' processes."""
--- a/tests/exchange/test_idle_connections.py
+++ b/tests/processes/test_idle_connections.py
@@ -5,8 +5,8 @@
 
 import pytest
 
-from savorylift.exchange import idle_connections
-from savorylift.exchange.idle_connections import (
+from savorylift.processes import idle_connections
+from savorylift.processes.idle_connections import (
     IdleConnections,
     ProcessPlace,
 )
--- a/tests/exchange/test_process_witness.py
+++ b/tests/processes/test_process_witness.py
@@ -8,9 +8,9 @@
 from savorylift.backends.registry import BackendServer
 from savorylift.backends.server import ServerEntry
 from savorylift.boot_clock import boot_time_s
-from savorylift.exchange import process_connection
-from savorylift.exchange.process_witness import ProcessWitness, Proof
 from savorylift.fleet.server_sightings import WitnessedProcess
+from savorylift.processes import process_connection
+from savorylift.processes.process_witness import ProcessWitness, Proof
 from savorylift.wire.channel import Channel, connect
 from tests.exchange.factories import make_server_entry
 
--- a/tests/exchange/test_server_check.py
+++ b/tests/processes/test_server_check.py
@@ -10,15 +10,15 @@
 from savorylift.backends.registry import BackendServer
 from savorylift.backends.server import ServerEntry
 from savorylift.backends.server_start import NO_START
-from savorylift.exchange import server_contact
-from savorylift.exchange.request_connections import CLOSING_S
-from savorylift.exchange.server_check import ProcessEnd, ServerCheck
-from savorylift.exchange.server_inquiry import (
+from savorylift.limits.limit_gate import LimitGate, Permit
+from savorylift.platform.engine_client import read_start_on
+from savorylift.processes import server_contact
+from savorylift.processes.request_connections import CLOSING_S
+from savorylift.processes.server_check import ProcessEnd, ServerCheck
+from savorylift.processes.server_inquiry import (
     CHECK_TIMEOUT_S,
     PERMIT_WAIT_S,
 )
-from savorylift.limits.limit_gate import LimitGate, Permit
-from savorylift.platform.engine_client import read_start_on
 from savorylift.wire.channel import (
     MAX_READ_BUFFER_BYTES,
     Channel,
--- a/tests/exchange/test_server_life.py
+++ b/tests/processes/test_server_life.py
@@ -7,10 +7,10 @@
 from savorylift.backends.registry import BackendServer
 from savorylift.backends.server_start import NO_REPORT, NO_START
 from savorylift.boot_clock import boot_time_s
-from savorylift.exchange.process_witness import Proof
-from savorylift.exchange.server_life import Life, ServerLife
-from savorylift.exchange.shared_checks import SharedChecks
 from savorylift.limits.limit_gate import Permit
+from savorylift.processes.process_witness import Proof
+from savorylift.processes.server_life import Life, ServerLife
+from savorylift.processes.shared_checks import SharedChecks
 from tests.exchange.factories import make_server_entry
 
 
--- a/tests/exchange/test_successor_check.py
+++ b/tests/processes/test_successor_check.py
@@ -9,14 +9,14 @@
 from savorylift.backends.registry import Registry
 from savorylift.backends.server_start import NO_REPORT, NO_START
 from savorylift.exchange.notice_recorder import NoticeRecorder
-from savorylift.exchange.process_witness import Proof
 from savorylift.exchange.server_holds import ServerHolds
-from savorylift.exchange.server_life import ServerLife
 from savorylift.exchange.server_notice import NO_NOTICE, ServerNotice
-from savorylift.exchange.successor_check import MAX_CLOSED_S, SuccessorCheck
+from savorylift.processes.process_witness import Proof
+from savorylift.processes.server_life import ServerLife
+from savorylift.processes.successor_check import MAX_CLOSED_S, SuccessorCheck
 from tests.exchange.factories import make_server_entry
-from tests.exchange.test_server_life import Gate, Witness
 from tests.harness.virtual_time import run_in_virtual_time
+from tests.processes.test_server_life import Gate, Witness
 
 LEAVES = ServerNotice(is_leaving=True)
 EARLIER = make_server_entry()._replace(started_ms=2)
