--- a/src/savorylift/emulator/engine.py
+++ b/src/savorylift/emulator/engine.py
@@ -4,7 +4,7 @@
 from savorylift.backends.registry import BackendServer
 from savorylift.backends.server import ServerEntry
 from savorylift.emulator.job import Job
-from savorylift.placement.move_order import PlannedMove
+from savorylift.moves.move_order import PlannedMove
 
 SERVICE = "engines"
 
--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -22,7 +22,6 @@
     refuse_without_engine,
     to_broken,
 )
-from savorylift.exchange.mover import Mover
 from savorylift.exchange.relay import Relay
 from savorylift.exchange.request import Generation
 from savorylift.exchange.request_retries import RequestRetries, is_over_limit
@@ -45,6 +44,7 @@
     StreamResumption,
     version_gone,
 )
+from savorylift.moves.mover import Mover
 from savorylift.outcomes import Reason
 from savorylift.placement.engines import expected_tokens
 from savorylift.rollouts.answer_log import Outcome
--- a/src/savorylift/exchange/server_pool.py
+++ b/src/savorylift/exchange/server_pool.py
@@ -12,7 +12,6 @@
 from savorylift.exchange.allowed_servers import AllowedServers
 from savorylift.exchange.kept_engines import KeptEngines
 from savorylift.exchange.limit_gate import LimitGate
-from savorylift.exchange.move_queue import MoveQueue
 from savorylift.exchange.node_retries import NodeRetries
 from savorylift.exchange.request import CallerRequest
 from savorylift.exchange.retry_budget import RetryBudget
@@ -23,6 +22,7 @@
 from savorylift.exchange.server_places import ServerPlaces
 from savorylift.fleet.membership import Membership
 from savorylift.fleet.store_view import StoreView
+from savorylift.moves.move_queue import MoveQueue
 from savorylift.placement.engines import (
     EngineOptions,
     choose_engine,
--- a/src/savorylift/fleet/membership.py
+++ b/src/savorylift/fleet/membership.py
@@ -12,7 +12,7 @@
 from savorylift.fleet.sharing_nodes import SHARING_TIMEOUT_S, SharingNodes
 from savorylift.fleet.state import NodeState
 from savorylift.fleet.state_patches import apply_patch
-from savorylift.placement.move_order import PlannedMove
+from savorylift.moves.move_order import PlannedMove
 
 # Callers are sent to no node that has been silent for longer, whatever its
 # interval: it may have ended.
--- a/src/savorylift/fleet/state.py
+++ b/src/savorylift/fleet/state.py
@@ -53,7 +53,7 @@
     Snapshot,
     Topic,
 )
-from savorylift.placement.move_order import PlannedMove
+from savorylift.moves.move_order import PlannedMove
 
 # The other messages are imported from here, too.
 __all__ = [
--- a/src/savorylift/front/stream_parts.py
+++ b/src/savorylift/front/stream_parts.py
@@ -4,7 +4,6 @@
 from typing import NamedTuple
 
 from savorylift.exchange.generation import GenerationDispatcher
-from savorylift.exchange.mover import Mover
 from savorylift.exchange.origin_log import OriginLog
 from savorylift.exchange.room_placement import RoomPlacement
 from savorylift.exchange.stream_origins import StreamOrigins
@@ -15,6 +14,7 @@
 from savorylift.front.server_news import ServerNews
 from savorylift.front.server_parts import ServerParts
 from savorylift.front.shared_parts import SharedParts
+from savorylift.moves.mover import Mover
 
 
 class StreamParts(NamedTuple):
--- /dev/null
+++ b/src/savorylift/moves/__init__.py
@@ -0,0 +1,1 @@
+"""Moves of runs off engines that are draining."""
--- a/src/savorylift/exchange/move_queue.py
+++ b/src/savorylift/moves/move_queue.py
@@ -4,7 +4,7 @@
 import contextlib
 from collections.abc import AsyncIterator, Callable, Iterable
 
-from savorylift.placement.move_order import PlannedMove, is_next
+from savorylift.moves.move_order import PlannedMove, is_next
 
 # Wait for the moves that other nodes announce, as a share of the interval
 # between the nodes' messages: both grow with the number of nodes.
--- a/src/savorylift/exchange/mover.py
+++ b/src/savorylift/moves/mover.py
@@ -12,13 +12,13 @@
 
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange import metrics
-from savorylift.exchange.move_destination import choose_destination
 from savorylift.exchange.request import KvCopy
 from savorylift.exchange.run import ResumeTarget, Run
-from savorylift.exchange.run_copier import RunCopier
 from savorylift.exchange.server_check import ProcessEnd, ServerCheck
 from savorylift.exchange.server_pool import ServerPool
-from savorylift.placement.move_order import PlannedMove
+from savorylift.moves.move_destination import choose_destination
+from savorylift.moves.move_order import PlannedMove
+from savorylift.moves.run_copier import RunCopier
 from savorylift.platform.engine_client import (
     CopyError,
     CopyFault,
--- a/src/savorylift/exchange/run_copier.py
+++ b/src/savorylift/moves/run_copier.py
@@ -8,7 +8,7 @@
 
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange.run import Run
-from savorylift.placement.move_order import copy_time_s
+from savorylift.moves.move_order import copy_time_s
 from savorylift.platform.engine_client import (
     CopyError,
     CopyFault,
--- a/tests/fleet/test_codec.py
+++ b/tests/fleet/test_codec.py
@@ -42,7 +42,7 @@
     Topic,
     VersionSighting,
 )
-from savorylift.placement.move_order import PlannedMove
+from savorylift.moves.move_order import PlannedMove
 from tests.fleet.test_membership import state
 
 REPORT = LimitReport("i-1", 1, 1.8, 0.5)
--- /dev/null
+++ b/tests/moves/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of moves of runs."""
--- a/tests/exchange/test_move_queue.py
+++ b/tests/moves/test_move_queue.py
@@ -2,8 +2,8 @@
 
 import asyncio
 
-from savorylift.exchange.move_queue import MoveQueue
-from savorylift.placement.move_order import PlannedMove
+from savorylift.moves.move_order import PlannedMove
+from savorylift.moves.move_queue import MoveQueue
 from tests.wire.loopback import run_with_timeout
 
 
--- a/tests/exchange/test_run_copier.py
+++ b/tests/moves/test_run_copier.py
@@ -4,12 +4,12 @@
 
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange.run import Run
-from savorylift.exchange.run_copier import (
+from savorylift.moves.move_order import copy_time_s
+from savorylift.moves.run_copier import (
     CONTENTION_FACTOR,
     CONTENTION_SLACK_S,
     RunCopier,
 )
-from savorylift.placement.move_order import copy_time_s
 from tests.exchange.factories import (
     ENGINE,
     make_admitted_request,
