Say in one place how times grow with the fleet

The interval of nodes' messages, the pause of nodes that poll a store in need and that of the counts of refusals each had the same formula and the same number of nodes. They take it from fleet/size_scaling.py now; no time changes. The tests of membership name the constant by its new place.

--- a/src/savorylift/fleet/peer_transport.py
+++ b/src/savorylift/fleet/peer_transport.py
@@ -16,14 +16,14 @@
 from savorylift.fleet.message_auth import MessageAuthenticator
 from savorylift.fleet.pulse_messages import Pulse
 from savorylift.fleet.relay_groups import relay_groups
+from savorylift.fleet.size_scaling import SMALL_FLEET_NODES, scale_with_nodes
 from savorylift.fleet.state import NodeState
 from savorylift.fleet.state_patches import PatchMaker
 from savorylift.fleet.store_records import Delta
 
+# It grows with the fleet: the traffic on a node's network link stays about the
+# same.
 BASE_INTERVAL_S = 0.2
-# With more nodes than this the interval grows in proportion, so that the
-# traffic on a node's network link stays about the same.
-NODES_AT_BASE_INTERVAL = 16
 # Interval of the readers of the store. The others must notice the loss of both
 # and take over well within the time in which a change must be in force.
 MAX_READER_INTERVAL_S = 0.5
@@ -116,7 +116,7 @@
     @property
     def message_interval_s(self) -> float:
         """Interval of the periodic messages of most nodes."""
-        return BASE_INTERVAL_S * max(1.0, self._nodes / NODES_AT_BASE_INTERVAL)
+        return scale_with_nodes(BASE_INTERVAL_S, self._nodes)
 
     @property
     def reader_interval_s(self) -> float:
@@ -197,7 +197,7 @@
 
     def _find_patched(self, live: tuple[str, ...]) -> set[str]:
         """Returns which of the live nodes get patches."""
-        if len(live) < NODES_AT_BASE_INTERVAL:
+        if len(live) < SMALL_FLEET_NODES:
             return set()
         return {
             ip for ip in live if ip in self._based and self._knows_patches(ip)
@@ -248,7 +248,7 @@
     ) -> None:
         """Sends what may wait to the bulk ports of the nodes that have one."""
         bulk_ports: dict[str, int] = {}
-        if may_wait and self._nodes >= NODES_AT_BASE_INTERVAL:
+        if may_wait and self._nodes >= SMALL_FLEET_NODES:
             ports = {ip: self._find_bulk_port(ip) for ip in ips}
             bulk_ports = {ip: port for ip, port in ports.items() if port}
         usual = tuple(ip for ip in ips if ip not in bulk_ports)
--- a/src/savorylift/fleet/read_policy.py
+++ b/src/savorylift/fleet/read_policy.py
@@ -5,6 +5,8 @@
 
 import structlog
 
+from savorylift.fleet.size_scaling import scale_with_nodes
+
 # Pause after a poll that returned records: all servers together write several
 # times a second, and each answered poll is charged for. Also the interval at
 # which a node that should not read checks whether it should.
@@ -18,11 +20,9 @@
 # Shorter, since a node without a configuration can't serve any request.
 STARTING_RETRY_S = 0.1
 # For nodes that are not readers and poll because the readings of the other
-# nodes are stale.
+# nodes are stale. It grows with the fleet: a store in need gets no more calls
+# from a larger one.
 FALLBACK_RETRY_S = 2.0
-# Beyond this number of nodes their delay grows in proportion, so that a store
-# in need gets no more calls from a larger fleet.
-NODES_AT_FALLBACK_RETRY = 16
 # A reading is stale when it is older than this plus STALE_INTERVALS of the
 # intervals at which readers announce the age of their readings.
 STALE_S = 1.1
@@ -82,8 +82,7 @@
             return STARTING_RETRY_S
         if self._is_reader():
             return READER_RETRY_S
-        nodes = self._count_nodes() / NODES_AT_FALLBACK_RETRY
-        return FALLBACK_RETRY_S * max(1.0, nodes)
+        return scale_with_nodes(FALLBACK_RETRY_S, self._count_nodes())
 
     @property
     def pause_s(self) -> float:
--- a/src/savorylift/front/peer_sync.py
+++ b/src/savorylift/front/peer_sync.py
@@ -12,11 +12,7 @@
 from savorylift.fleet.membership import Membership
 from savorylift.fleet.message_auth import MessageAuthenticator
 from savorylift.fleet.origin_messages import OriginMessage
-from savorylift.fleet.peer_transport import (
-    NODES_AT_BASE_INTERVAL,
-    PeerTransport,
-    StateBuilder,
-)
+from savorylift.fleet.peer_transport import PeerTransport, StateBuilder
 from savorylift.fleet.peer_watch import PeerWatch
 from savorylift.fleet.pulse_messages import (
     PULSE_LEVEL,
@@ -27,6 +23,7 @@
 )
 from savorylift.fleet.rollout_messages import RolloutMessage
 from savorylift.fleet.room_messages import RoomMessage
+from savorylift.fleet.size_scaling import SMALL_FLEET_NODES
 from savorylift.fleet.snapshot_fetcher import SnapshotFetcher
 from savorylift.fleet.snapshot_server import SnapshotServer
 from savorylift.fleet.state import NodeState
@@ -147,7 +144,7 @@
             self.transport.send_to,
             self._can_pulse,
             self._ask,
-            NODES_AT_BASE_INTERVAL,
+            SMALL_FLEET_NODES,
         )
 
     def _knows_patches(self, ip: str) -> bool:
--- a/src/savorylift/refusals/writer.py
+++ b/src/savorylift/refusals/writer.py
@@ -6,6 +6,7 @@
 import structlog
 from returns.pipeline import is_successful
 
+from savorylift.fleet.size_scaling import scale_with_nodes
 from savorylift.platform.store import REFUSALS_TOPIC, StoreClient
 from savorylift.platform.store_record import Record
 from savorylift.refusals.counts import RefusalCounts
@@ -13,9 +14,7 @@
 # Each write is charged for. A killed node loses the counts of at most this
 # time, or more if writes failed.
 WRITE_INTERVAL_S = 5.0
-# Beyond this number of nodes the interval grows in proportion, up to
-# MAX_WRITE_INTERVAL_S: counts are by minute.
-NODES_AT_WRITE_INTERVAL = 16
+# Bounds the interval in large fleets: counts are by minute.
 MAX_WRITE_INTERVAL_S = 60.0
 # Added to the interval after a failed write.
 RETRY_DELAY_S = 5.0
@@ -54,8 +53,8 @@
 
     @property
     def _interval_s(self) -> float:
-        nodes = self._count_nodes() / NODES_AT_WRITE_INTERVAL
-        return min(WRITE_INTERVAL_S * max(1.0, nodes), MAX_WRITE_INTERVAL_S)
+        interval_s = scale_with_nodes(WRITE_INTERVAL_S, self._count_nodes())
+        return min(interval_s, MAX_WRITE_INTERVAL_S)
 
     async def save(self) -> bool:
         """Saves a batch of changed counts; returns whether that succeeded."""
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -7,10 +7,8 @@
     LIVENESS_TIMEOUT_S,
     Membership,
 )
-from savorylift.fleet.peer_transport import (
-    BASE_INTERVAL_S,
-    NODES_AT_BASE_INTERVAL,
-)
+from savorylift.fleet.peer_transport import BASE_INTERVAL_S
+from savorylift.fleet.size_scaling import SMALL_FLEET_NODES
 from savorylift.fleet.state import NodeState
 from savorylift.front.maintenance import MAINTENANCE_INTERVAL_S
 
@@ -153,7 +151,7 @@
 def test_callers_are_not_sent_to_a_node_that_ended_in_a_large_fleet(
     nodes: int,
 ) -> None:
-    interval_s = BASE_INTERVAL_S * max(1.0, nodes / NODES_AT_BASE_INTERVAL)
+    interval_s = BASE_INTERVAL_S * max(1.0, nodes / SMALL_FLEET_NODES)
     members = membership(state(2)._replace(interval_s=interval_s))
     run(members, 0.0, LATEST_NAMED_S)
     found = members.caller_addresses(state(1), "r", (), LATEST_NAMED_S)
@@ -162,7 +160,7 @@
 
 @pytest.mark.parametrize("nodes", [9, 24, 60, 128, 300])
 def test_callers_are_sent_to_a_node_between_its_messages(nodes: int) -> None:
-    interval_s = BASE_INTERVAL_S * max(1.0, nodes / NODES_AT_BASE_INTERVAL)
+    interval_s = BASE_INTERVAL_S * max(1.0, nodes / SMALL_FLEET_NODES)
     members = membership(state(2)._replace(interval_s=interval_s))
     run(members, 0.0, interval_s)
     found = members.caller_addresses(state(1), "r", (), interval_s)
