Serve small fleets from their own queues as before, and spread who returns

A node's own queue refused by a forecast and gave late generations some turns before others in fleets of any size: it could act at 1.6 ends of runs a second and node, which small fleets reach in bursts. Both now hold only where the fleet has keepers of room (from 17 nodes, with room_keeper on).

Refusals by a forecast had lost their spread: each look at the queue began anew, so all that were refused within a second were told the same time, and all beyond 8 s exactly 8 s. Each now gets a slot of its own as long as its memory takes to become free, by priority (placement/return_schedule.py); those beyond 8 s come spread over the last 2.4 s of it.

--- a/src/savorylift/exchange/engine_queue.py
+++ b/src/savorylift/exchange/engine_queue.py
@@ -1,6 +1,7 @@
 """Assigns engines to generations and queues those that no engine can take."""
 
 import asyncio
+import random
 import time
 
 from savorylift.backends.registry import BackendServer
@@ -37,15 +38,20 @@
     """Queues this node's generations for each service."""
 
     def __init__(
-        self, pool: ServerPool, rooms: RoomPlacement | None = None
+        self,
+        pool: ServerPool,
+        rooms: RoomPlacement | None = None,
+        rng: random.Random | None = None,
     ) -> None:
         """Creates an empty queue.
 
         Args:
             pool: Engines to choose from.
             rooms: Asks the keepers of engines' room; None without keepers.
+            rng: Spreads the times at which refused generations return.
         """
         self._rooms = rooms
+        self._rng = rng or random.Random()
         self._pool = pool
         self._queues: dict[str, WaitQueue] = {}
         self._traits: dict[str, EngineTraits | None] = {}
@@ -222,9 +228,16 @@
         name = service.name
         self._traits[name] = service.engine
         if name not in self._queues:
-            self._queues[name] = WaitQueue(lambda: self._find_room(name))
+            self._queues[name] = WaitQueue(
+                lambda: self._find_room(name),
+                lambda: self._is_fleet_large(name),
+                self._rng,
+            )
         return self._queues[name]
 
+    def _is_fleet_large(self, service: str) -> bool:
+        return self._rooms is not None and self._rooms.has_keeper(service)
+
     def _find_room(self, service: str) -> Room:
         traits = self._traits[service]
         if traits is None:
--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -75,7 +75,7 @@
             rooms: Asks the keepers of engines' room; None without keepers.
         """
         self._pool = pool
-        self._queue = EngineQueue(pool, rooms)
+        self._queue = EngineQueue(pool, rooms, rng)
         self._engine_runs = EngineRuns(
             pool,
             self._queue,
--- a/src/savorylift/exchange/room_placement.py
+++ b/src/savorylift/exchange/room_placement.py
@@ -91,6 +91,10 @@
         _log_result(run, keeper_ip, reply, result, begun_s)
         return result
 
+    def has_keeper(self, service: str) -> bool:
+        """Whether a node is chosen to keep the room of a service's engines."""
+        return self._client.has_keeper(service)
+
     def end(self, run: Run) -> None:
         """Gives back the place of a run, if a keeper granted one."""
         self._client.end(run.attempt_id)
--- a/src/savorylift/placement/turn_order.py
+++ b/src/savorylift/placement/turn_order.py
@@ -30,6 +30,7 @@
             its objective.
         leave_s: Monotonic time after which it waits no longer.
         number: Sequence number in the order of arrival.
+        caller: Which of the team's callers it is for; empty if unknown.
     """
 
     priority: int
@@ -40,27 +41,58 @@
     latest_start_s: float
     leave_s: float
     number: int
+    caller: str = ""
 
     def rank(self, now_s: float) -> tuple[bool, int]:
         """Returns what decides before the shares of teams; lowest first."""
         return now_s > self.latest_start_s, self.priority
 
 
+class Turns:
+    """Counts turns, some of which go to the one that has waited longest."""
+
+    def __init__(self) -> None:
+        """Starts without any turns taken."""
+        self._taken = 0
+
+    def record(self) -> None:
+        """Records a turn that was taken."""
+        self._taken += 1
+
+    @property
+    def is_oldest_next(self) -> bool:
+        """Whether the next turn goes to the one that has waited longest."""
+        return self._taken % TURNS_PER_OLDEST == TURNS_PER_OLDEST - 1
+
+
 class TurnOrder:
     """Orders the generations that wait for the same engines."""
 
     def __init__(self) -> None:
         """Starts without any turns taken."""
         self._share = FairShare()
-        self._turns = 0
+        self._turns = Turns()
 
     def record_turn(self, ticket: Ticket) -> None:
         """Records that a generation has got room."""
-        self._turns += 1
+        self._turns.record()
         self._share.charge(ticket.team, ticket.cost)
 
-    def sort(self, tickets: Iterable[Ticket], now_s: float) -> list[Ticket]:
-        """Returns the tickets in the order of their turns."""
+    def sort(
+        self,
+        tickets: Iterable[Ticket],
+        now_s: float,
+        *,
+        serves_oldest: bool = True,
+    ) -> list[Ticket]:
+        """Returns the tickets in the order of their turns.
+
+        Args:
+            tickets: Generations that wait.
+            now_s: Monotonic time.
+            serves_oldest: Whether some turns go to the one that has waited
+                longest.
+        """
         # Each ticket of a team comes as much later as those before it cost.
         start_tags: dict[str, float] = {}
         keyed = []
@@ -71,12 +103,13 @@
             keyed.append((ticket.rank(now_s), tag, ticket.number, ticket))
         keyed.sort(key=lambda item: item[:3])
         ordered = [item[3] for item in keyed]
-        if self._turns % TURNS_PER_OLDEST == TURNS_PER_OLDEST - 1:
-            _put_oldest_first(ordered, now_s)
+        if serves_oldest and self._turns.is_oldest_next:
+            put_oldest_first(ordered, now_s)
         return ordered
 
 
-def _put_oldest_first(ordered: list[Ticket], now_s: float) -> None:
+def put_oldest_first(ordered: list[Ticket], now_s: float) -> None:
+    """Puts the one that has waited longest first, if that is long."""
     oldest = min(ordered, key=lambda t: t.enqueued_s, default=None)
     if oldest is not None and now_s - oldest.enqueued_s > OLDEST_WAIT_S:
         ordered.remove(oldest)
--- a/src/savorylift/placement/wait_queue.py
+++ b/src/savorylift/placement/wait_queue.py
@@ -1,17 +1,19 @@
 """Priority queue of generations that wait for room on an engine.
 
 A generation that doesn't fit lets smaller ones overtake it for a limited time
-only, so that large generations aren't starved. One whose turn would come too
-late is refused at once.
+only, so that large generations aren't starved. Where many nodes share the
+engines, one whose turn would come too late is refused at once.
 """
 
 import asyncio
 import math
+import random
 import time
 from collections.abc import Callable
 from typing import NamedTuple
 
 from savorylift.backends.registry import BackendServer
+from savorylift.placement.return_schedule import ReturnSchedule
 from savorylift.placement.turn_away import (
     NoRoomInTimeError,
     Room,
@@ -46,14 +48,23 @@
     """Queue of the generations that wait at this node for one service."""
 
     def __init__(
-        self, get_room: Callable[[], Room] = lambda: UNKNOWN_ROOM
+        self,
+        get_room: Callable[[], Room] = lambda: UNKNOWN_ROOM,
+        is_fleet_large: Callable[[], bool] = lambda: True,
+        rng: random.Random | None = None,
     ) -> None:
         """Creates an empty queue.
 
         Args:
             get_room: Returns the room of the service's engines.
+            is_fleet_large: Whether many nodes share the engines, so that one
+                keeper may have their room. In small fleets nobody is refused
+                by a forecast, and late generations get no turns before others.
+            rng: Spreads the times at which refused generations return.
         """
         self._get_room = get_room
+        self._is_fleet_large = is_fleet_large
+        self._returns = ReturnSchedule(rng or random.Random())
         self._last_number = 0
         self._order = TurnOrder()
         self._entries: dict[
@@ -113,7 +124,8 @@
         """Assigns engines to waiting generations while there is room."""
         now_s = time.monotonic()
         waiting = [t for t, (fut, _) in self._entries.items() if not fut.done()]
-        ordered = self._order.sort(waiting, now_s)
+        is_fleet_large = self._is_fleet_large()
+        ordered = self._order.sort(waiting, now_s, serves_oldest=is_fleet_large)
         for ticket in ordered:
             fut, choose = self._entries[ticket]
             server = choose()
@@ -122,14 +134,16 @@
                 fut.set_result(server)
             elif now_s - ticket.enqueued_s > BYPASS_LIMIT_S:
                 break
-        self._turn_away(ordered, now_s)
+        if is_fleet_large:
+            self._turn_away(ordered, now_s)
 
     def _turn_away(self, ordered: list[Ticket], now_s: float) -> None:
         waiting = [t for t in ordered if not self._entries[t][0].done()]
         if not waiting:
             return
-        for ticket, return_in_s in find_hopeless(
-            waiting, self._get_room(), now_s
-        ):
-            fut, _ = self._entries[ticket]
+        room = self._get_room()
+        for away in find_hopeless(waiting, room, now_s):
+            fut, _ = self._entries[away.ticket]
+            tokens_per_s = room.rate_for(away.ticket, now_s)
+            return_in_s = self._returns.assign_s(away, tokens_per_s)
             fut.set_exception(NoRoomInTimeError(return_in_s))
--- a/src/savorylift/rooms/client.py
+++ b/src/savorylift/rooms/client.py
@@ -74,6 +74,10 @@
         self._silences: dict[str, _Silence] = {}
         self._ends: dict[str, list[int]] = {}
 
+    def has_keeper(self, service: str) -> bool:
+        """Whether a service has a keeper, which may be silent."""
+        return self._choice.find(service) is not None
+
     def find_keeper(self, service: str) -> str | None:
         """Returns the keeper to ask; None to place without one."""
         ip = self._choice.find(service)
--- a/tests/exchange/test_engine_queue.py
+++ b/tests/exchange/test_engine_queue.py
@@ -9,6 +9,7 @@
 from savorylift.exchange.room_placement import RoomPlacement, RoomResult
 from savorylift.exchange.run import Run
 from savorylift.exchange.wish import Wish
+from savorylift.placement.memory_release_rate import MIN_RELEASES
 from tests.exchange.factories import (
     ENGINE,
     make_admitted_request,
@@ -68,6 +69,54 @@
     asyncio.run(scenario())
 
 
+class SilentRooms:
+    """Stands for a fleet whose keeper of engines' room doesn't reply."""
+
+    def __init__(self, *, is_fleet_large: bool) -> None:
+        """Creates a fleet that has a keeper if it is large."""
+        self._is_fleet_large = is_fleet_large
+
+    def has_keeper(self, _service: str) -> bool:
+        """Whether the fleet is large."""
+        return self._is_fleet_large
+
+    async def find(
+        self, _run: Run, _wish: Wish, _tried: set[str]
+    ) -> RoomResult | None:
+        """Leaves the choice to the node."""
+        return None
+
+    def end(self, _run: Run) -> None:
+        """Has no place to give back."""
+
+
+@pytest.mark.parametrize(
+    ("is_fleet_large", "refused"), [(False, False), (True, True), (None, False)]
+)
+def test_only_nodes_of_large_fleets_refuse_by_a_forecast(
+    *, is_fleet_large: bool | None, refused: bool
+) -> None:
+    """In a small one others' engines may have room sooner than it knows."""
+
+    async def scenario() -> None:
+        rooms = None
+        if is_fleet_large is not None:
+            rooms = SilentRooms(is_fleet_large=is_fleet_large)
+        queue = EngineQueue(make_full_pool((2, 2)), rooms)  # type: ignore[arg-type]
+        req = make_generation_request()
+        for _ in range(MIN_RELEASES):
+            ended = Run(make_admitted_request(req, engine=ENGINE), 1)
+            queue.record_release(ended)
+        run = Run(make_admitted_request(req, engine=ENGINE), 10**9)
+        task = asyncio.ensure_future(queue.acquire(run, set()))
+        done, _ = await asyncio.wait((task,), timeout=WATCH_S)
+        assert bool(done) is refused
+        assert (run.return_in_s is not None) is refused
+        task.cancel()
+
+    asyncio.run(scenario())
+
+
 class SlowRooms:
     """Stands for a keeper of engines' room at which generations wait."""
 
--- a/tests/placement/test_turn_away.py
+++ b/tests/placement/test_turn_away.py
@@ -58,6 +58,18 @@
     assert turns < TURNS_PER_OLDEST
 
 
+def test_small_fleets_give_late_ones_no_turns_before_others() -> None:
+    """As long as one queue is as good as a keeper, urgency decides alone."""
+    order = TurnOrder()
+    old = ticket(1, priority=9, latest_start_s=-9.0)
+    urgent = ticket(2, priority=0, enqueued_s=OLDEST_WAIT_S, latest_start_s=9.0)
+    now_s = OLDEST_WAIT_S + 0.1
+    for _ in range(2 * TURNS_PER_OLDEST):
+        ordered = order.sort([old, urgent], now_s, serves_oldest=False)
+        assert ordered[0] is urgent
+        order.record_turn(urgent)
+
+
 @pytest.mark.parametrize(
     ("room", "refused"),
     [
