Share engines' room by what teams hold, and let the refused keep their place

The keeper gave turns to teams by the tokens that it had granted them. A team that returned shared each free place with those that held all others, and one of long runs got more than one of short ones. Turns now go by what teams, and in a team its callers, hold for their weight (placement/shared_turns.py, held_room.py, docs/design/demand.md); "room_shares": false turns it off.

A refused request that returns when it was told to no longer stands behind those that came meanwhile (rooms/returning.py). The keeper logs when its role changes and whom it refuses, and counts why it left requests to nodes, returns and tokens by team. Names of services that no configuration has are no longer kept.

--- a/src/savorylift/exchange/room_placement.py
+++ b/src/savorylift/exchange/room_placement.py
@@ -1,5 +1,6 @@
 """Places generations as the keeper of their engines' room directs."""
 
+import hashlib
 import time
 from collections.abc import Collection
 from typing import NamedTuple
@@ -17,6 +18,10 @@
 from savorylift.rooms.client import RoomClient
 from savorylift.rooms.keeper import MAX_LEASE_S
 
+# Few enough that the message stays small, and no key can be told from it.
+CALLER_DIGEST_BYTES = 4
+REPEAT_ID_CHARS = 12
+
 _log = structlog.get_logger()
 
 
@@ -155,9 +160,22 @@
         software_version=admitted.software_version,
         regions=None if regions is None else tuple(sorted(regions)),
         spare=tuple(sorted(barred.spare)),
+        caller=_digest_caller(admitted),
+        repeat_id=run.traits.exact_id[-REPEAT_ID_CHARS:],
     )
 
 
+def _digest_caller(admitted: AdmittedRequest) -> str:
+    """Returns what tells the keys of a team apart without giving them away."""
+    if admitted.team is None or admitted.req.api_key is None:
+        return ""
+    return hashlib.blake2b(
+        admitted.req.api_key.encode(),
+        digest_size=CALLER_DIGEST_BYTES,
+        salt=admitted.team.name.encode()[: hashlib.blake2b.SALT_SIZE],
+    ).hexdigest()
+
+
 def _log_result(
     run: Run,
     keeper_ip: str,
--- a/src/savorylift/fleet/room_messages.py
+++ b/src/savorylift/fleet/room_messages.py
@@ -46,6 +46,9 @@
         regions: Regions whose engines may run it; None for any.
         ends: Numbers of earlier requests of the sender that need no place now.
         spare: IDs of the engines that may run it only if no other has room.
+        caller: Digest of the caller within its team; empty if unknown.
+        repeat_id: Digest of what it asks for, in which repeats of the request
+            agree; empty if unknown.
     """
 
     number: int
@@ -66,6 +69,8 @@
     regions: tuple[str, ...] | None = None
     ends: tuple[int, ...] = ()
     spare: tuple[str, ...] = ()
+    caller: str = ""
+    repeat_id: str = ""
 
 
 class RoomReply(NamedTuple):
--- a/src/savorylift/front/room_parts.py
+++ b/src/savorylift/front/room_parts.py
@@ -89,6 +89,7 @@
         lambda: transport.message_interval_s,
         send,
         shared.rng,
+        shares_by_held_room=shared.settings.room_shares,
     )
     parts = RoomParts(keeper, RoomClient(choice, send, shared.rng))
     return parts
--- a/src/savorylift/front/settings.py
+++ b/src/savorylift/front/settings.py
@@ -57,6 +57,8 @@
             caller sets a shorter one.
         room_keeper: Whether, in a large fleet, one node keeps the room of
             a service's engines for all.
+        room_shares: Whether that node gives teams and callers turns by what
+            they hold of the room; else by what teams were granted.
         log_lines_per_s: Log lines of one event per second; further ones are
             dropped and counted.
         descriptors: Most descriptors that the process may have open, of which
@@ -96,6 +98,7 @@
     request_timeout_s: Seconds = 60.0
     log_lines_per_s: PositiveInt = 200
     room_keeper: bool = True
+    room_shares: bool = True
     descriptors: PositiveInt | None = None
     peer_pulses: bool = True
     bulk_port: Annotated[int, msgspec.Meta(ge=0)] = 0
--- a/src/savorylift/rooms/book.py
+++ b/src/savorylift/rooms/book.py
@@ -14,6 +14,7 @@
 
 from savorylift.backends.load import Load
 from savorylift.fleet.state import ServerLoad
+from savorylift.placement.held_room import HeldRoom, Holder
 
 # A node's messages count a place at the latest this long after its grant: if
 # they don't by then, it has ended.
@@ -24,6 +25,7 @@
 # Places that have ended are remembered, so that a late duplicate of their
 # request gets none.
 MAX_ENDED = 1024
+NOBODY = Holder("", "", 0.0)
 
 
 class PlaceKey(NamedTuple):
@@ -46,12 +48,14 @@
         tokens: Tokens that the generation is expected to reach.
         granted_s: Monotonic time of the grant.
         until_s: Monotonic time at which it ends, whatever is heard.
+        holder: For whom it was granted.
     """
 
     server_id: str
     tokens: int
     granted_s: float
     until_s: float
+    holder: Holder
 
 
 class _Sum(NamedTuple):
@@ -72,10 +76,15 @@
 
 
 class RoomBook:
-    """Places granted at engines, and what else nodes have there."""
+    """Places granted at engines, and what else nodes have there.
+
+    Attributes:
+        held: What teams and their callers hold of what was granted.
+    """
 
     def __init__(self) -> None:
         """Starts without any places."""
+        self.held = HeldRoom()
         self._grants: dict[PlaceKey, Grant] = {}
         # Grants by node and engine, oldest first.
         self._places: dict[str, dict[str, dict[PlaceKey, Grant]]] = {}
@@ -108,6 +117,7 @@
         tokens: int,
         lease_s: float,
         prefill_s: float,
+        holder: Holder = NOBODY,
     ) -> None:
         """Records a place; its request must not have one.
 
@@ -117,13 +127,15 @@
             tokens: Tokens that the generation is expected to reach.
             lease_s: Time after which the place is free, whatever is heard.
             prefill_s: Time that the engine takes to prefill its prompt.
+            holder: For whom it is granted.
         """
         now_s = time.monotonic()
-        grant = Grant(server_id, tokens, now_s, now_s + lease_s)
+        grant = Grant(server_id, tokens, now_s, now_s + lease_s, holder)
         self._grants[key] = grant
         places = self._places.setdefault(key.ip, {})
         places.setdefault(server_id, {})[key] = grant
         self._add_granted(grant, 1)
+        self.held.add(holder)
         begins_s = max(self._prefilled_s.get(server_id, 0.0), now_s)
         self._prefilled_s[server_id] = begins_s + prefill_s
 
@@ -142,6 +154,7 @@
         if not places:
             del self._places[key.ip]
         self._add_granted(grant, -1)
+        self.held.remove(grant.holder)
         return grant.tokens
 
     def hear(self, ip: str, loads: Iterable[ServerLoad]) -> int:
--- a/src/savorylift/rooms/keeper.py
+++ b/src/savorylift/rooms/keeper.py
@@ -24,6 +24,7 @@
 from savorylift.fleet.state import ServerLoad
 from savorylift.rooms import metrics
 from savorylift.rooms.book import PlaceKey
+from savorylift.rooms.decision_log import AloneReason, RoleChange, log_role
 from savorylift.rooms.engines import Engines
 from savorylift.rooms.keeper_choice import KeeperChoice
 from savorylift.rooms.service_room import ServiceRoom
@@ -68,6 +69,8 @@
         get_message_interval_s: Callable[[], float],
         send: SendRoomMessage,
         rng: random.Random,
+        *,
+        shares_by_held_room: bool = True,
     ) -> None:
         """Creates a keeper without services.
 
@@ -80,6 +83,8 @@
                 messages.
             send: Sends replies.
             rng: Spreads choices over nearly equal engines.
+            shares_by_held_room: Whether turns go by what teams and callers
+                hold; else by what teams were granted.
         """
         self._choice = choice
         self._membership = membership
@@ -88,6 +93,7 @@
         self._get_message_interval_s = get_message_interval_s
         self._send = send
         self._rng = rng
+        self._shares_by_held_room = shares_by_held_room
         self._rooms: dict[str, ServiceRoom] = {}
         # Monotonic time from which each kept service's places are granted.
         self._ready_s: dict[str, float] = {}
@@ -108,9 +114,9 @@
         if not _is_sound(message):
             return
         self._end(message.ends, ip)
-        if not self._may_decide(message.service):
-            reply = RoomReply(message.number, RoomOutcome.ALONE)
-            self._reply(reply, ip)
+        reason = self._find_obstacle(message.service)
+        if reason is not None:
+            self._leave_alone(message, ip, reason)
             return
         self._ask(PlaceKey(ip, message.number), message)
 
@@ -131,7 +137,7 @@
         self._choice.refresh()
         for service in list(self._ready_s):
             if not self._choice.is_keeper(service):
-                self._leave(service)
+                self._leave(service, RoleChange.NOT_CHOSEN)
         if not self._rooms:
             return
         now_s = time.monotonic()
@@ -148,8 +154,8 @@
         last_s, self._ran_s = self._ran_s, boot_time_s()
         if self._ran_s - last_s < STOOD_STILL_S:
             return
-        for service in list(self._rooms):
-            self._leave(service)
+        for service in list(self._ready_s):
+            self._leave(service, RoleChange.STOOD_STILL)
         ready_s = time.monotonic() + self._handover_hold_s()
         self._start_ready_s = max(self._start_ready_s, ready_s)
 
@@ -157,38 +163,61 @@
         interval_s = self._get_message_interval_s()
         return max(HANDOVER_HOLD_S, HANDOVER_INTERVALS * interval_s)
 
-    def _may_decide(self, service: str) -> bool:
-        """Whether this node may grant places of a service now."""
+    def _find_obstacle(self, service: str) -> AloneReason | None:
+        """Returns why this node may grant no places of a service now."""
+        is_known = service in self._ready_s
+        if not is_known and self._find_engines(service) is None:
+            # Names in messages aren't kept if the configuration has none such.
+            return AloneReason.UNKNOWN_SERVICE
         if not self._choice.is_keeper(service):
-            self._leave(service)
-            return False
+            self._leave(service, RoleChange.NOT_CHOSEN)
+            return AloneReason.NOT_CHOSEN
         now_s = time.monotonic()
-        if service not in self._ready_s:
+        if not is_known:
             changed_s = self._choice.changed_s + self._handover_hold_s()
             self._ready_s[service] = max(changed_s, self._start_ready_s)
         if now_s < self._ready_s[service]:
-            return False
+            return AloneReason.NOT_READY
         if service not in self._rooms:
             self._begin(service, now_s)
-        return True
+        return None if service in self._rooms else AloneReason.NOT_READY
 
     def _begin(self, service: str, now_s: float) -> None:
         """Starts to keep a service with what the nodes have said."""
         if self._membership.live_share(now_s) < MIN_LIVE_SHARE:
             return
-        room = self._rooms[service] = ServiceRoom(self._rng)
+        room = self._rooms[service] = ServiceRoom(
+            self._rng, shares_by_held_room=self._shares_by_held_room
+        )
         for peer in self._membership.heard_peers(now_s):
             room.hear(peer.state.ip, peer.state.loads)
+        self._note_role(service, RoleChange.BEGUN, 0)
 
-    def _leave(self, service: str) -> None:
+    def _leave(self, service: str, change: RoleChange) -> None:
         """Leaves a service; the nodes that wait ask its next keeper."""
         self._ready_s.pop(service, None)
-        self._rooms.pop(service, None)
+        room = self._rooms.pop(service, None)
+        if room is not None:
+            self._note_role(service, change, len(room))
+
+    def _note_role(
+        self, service: str, change: RoleChange, waiting: int
+    ) -> None:
+        metrics.ROOM_SERVICES.set(len(self._rooms))
+        log_role(service, change, waiting)
+
+    def _leave_alone(
+        self, req: RoomRequest, ip: str, reason: AloneReason
+    ) -> None:
+        metrics.ROOM_ALONE.labels(reason.value).inc()
+        self._reply(RoomReply(req.number, RoomOutcome.ALONE), ip)
 
     def _ask(self, key: PlaceKey, req: RoomRequest) -> None:
-        room = self._rooms.get(req.service)
-        if room is None or room.has_ended(key) or room.is_full:
-            self._reply(RoomReply(req.number, RoomOutcome.ALONE), key.ip)
+        room = self._rooms[req.service]
+        if room.has_ended(key) or room.is_full:
+            is_over = room.has_ended(key)
+            reason = AloneReason.ENDED if is_over else AloneReason.TOO_MANY
+            self._leave_alone(req, key.ip, reason)
             return
         server_id = room.find_engine(key)
         if server_id is not None:
@@ -238,7 +267,7 @@
             # This node may be the last to hear of the service.
             for decision in room.leave_all_alone():
                 self._reply(decision.reply, decision.key.ip)
-            self._leave(service)
+            self._leave(service, RoleChange.UNKNOWN_SERVICE)
             return
         room.hear(self._choice.own_ip, self._own_loads())
         for decision in room.dispatch(engines):
--- a/src/savorylift/rooms/service_room.py
+++ b/src/savorylift/rooms/service_room.py
@@ -17,10 +17,14 @@
 from savorylift.fleet.state import ServerLoad
 from savorylift.placement.arrival_rate import ArrivalRate
 from savorylift.placement.engines import count_free_tokens
+from savorylift.placement.held_room import Holder
 from savorylift.placement.memory_release_rate import MemoryReleaseRate
+from savorylift.placement.return_schedule import ReturnSchedule
+from savorylift.placement.shared_turns import SharedTurns
 from savorylift.placement.turn_away import Room, find_hopeless
 from savorylift.placement.turn_order import Ticket, TurnOrder
 from savorylift.placement.wait_queue import BYPASS_LIMIT_S
+from savorylift.rooms import decision_log, metrics
 from savorylift.rooms.book import PlaceKey, RoomBook
 from savorylift.rooms.engines import (
     Engines,
@@ -30,6 +34,7 @@
     without_kept_engine,
 )
 from savorylift.rooms.prefill_bounds import PrefillBounds
+from savorylift.rooms.returning import FirstVisit, ReturningRequests
 
 # A generation is dropped if its node hasn't asked for this time.
 MAX_SILENCE_S = 1.5
@@ -52,21 +57,31 @@
     key: PlaceKey
     req: RoomRequest
     ticket: Ticket
+    asked_s: float
     heard_s: float
 
 
 class ServiceRoom:
     """Decides whose generation gets which engine of a service."""
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(
+        self, rng: random.Random, *, shares_by_held_room: bool = True
+    ) -> None:
         """Starts without places and waiting generations.
 
         Args:
-            rng: Spreads choices over nearly equal engines.
+            rng: Spreads choices over nearly equal engines, and the returns of
+                refused requests.
+            shares_by_held_room: Whether turns go by what teams and callers
+                hold; else by what teams were granted.
         """
         self._book = RoomBook()
         self._rng = rng
-        self._order = TurnOrder()
+        self._order: SharedTurns | TurnOrder = TurnOrder()
+        if shares_by_held_room:
+            self._order = SharedTurns(self._book.held)
+        self._returns = ReturnSchedule(rng)
+        self._returning = ReturningRequests()
         self._release_rate = MemoryReleaseRate()
         self._arrivals = ArrivalRate()
         self._prefill_bounds = PrefillBounds()
@@ -95,18 +110,23 @@
             return
         self._arrivals.record(req.priority, req.tokens)
         self._prefill_bounds.record(req.priority, req.max_prefill_tokens)
-        self._last_number += 1
+        first = self._returning.claim(req.repeat_id)
+        if first is None:
+            self._last_number += 1
+            first = FirstVisit(self._last_number, now_s - req.age_s)
         ticket = Ticket(
             req.priority,
             req.team,
             req.tokens / req.weight,
             req.tokens,
-            now_s - req.age_s,
+            first.arrived_s,
             now_s + req.start_in_s,
             now_s + req.leave_in_s,
-            self._last_number,
+            first.number,
+            req.caller,
         )
-        self._waiting[key] = _Waiting(key, req, ticket, now_s)
+        asked_s = now_s - req.age_s
+        self._waiting[key] = _Waiting(key, req, ticket, asked_s, now_s)
 
     def find_engine(self, key: PlaceKey) -> str | None:
         """Returns the ID of the engine at which a request has a place."""
@@ -167,7 +187,7 @@
                 yield self._leave_alone(waiting)
                 continue
             left.append(ticket)
-            if engines.servers and now_s - ticket.enqueued_s > BYPASS_LIMIT_S:
+            if engines.servers and now_s - waiting.asked_s > BYPASS_LIMIT_S:
                 engines = without_kept_engine(req, engines, loads)
                 most_tokens = find_most_room(engines, loads)
         yield from self._turn_away(left, by_number, engines, loads)
@@ -179,6 +199,7 @@
 
     def _leave_alone(self, waiting: _Waiting) -> Decision:
         del self._waiting[waiting.key]
+        metrics.ROOM_ALONE.labels(decision_log.AloneReason.NO_ENGINE).inc()
         reply = RoomReply(waiting.req.number, RoomOutcome.ALONE)
         return Decision(waiting.key, reply)
 
@@ -187,6 +208,7 @@
             is_silent = now_s - waiting.heard_s > MAX_SILENCE_S
             if is_silent or now_s > waiting.ticket.leave_s:
                 del self._waiting[key]
+                metrics.ROOM_DROPPED.inc()
 
     def _grant(
         self,
@@ -198,7 +220,11 @@
         key, req = waiting.key, waiting.req
         server_id = server.entry.server_id
         prefill_s = req.prompt_tokens / engines.prefill_per_s
-        self._book.grant(key, server_id, req.tokens, req.lease_s, prefill_s)
+        holder = Holder(req.team, req.caller, waiting.ticket.cost)
+        self._book.grant(
+            key, server_id, req.tokens, req.lease_s, prefill_s, holder
+        )
+        decision_log.count_granted(req)
         loads[server_id] = self._book.load(
             server_id, engines.known, engines.prefill_per_s
         )
@@ -224,17 +250,21 @@
         room = Room(
             free, self._release_rate.tokens_per_s, self._arrivals.per_s()
         )
-        for ticket, return_in_s in find_hopeless(left, room, time.monotonic()):
-            waiting = by_number[ticket.number]
-            del self._waiting[waiting.key]
+        now_s = time.monotonic()
+        for away in find_hopeless(left, room, now_s):
+            ticket = away.ticket
+            key, req, *_ = by_number[ticket.number]
+            del self._waiting[key]
+            return_in_s = self._returns.assign_s(
+                away, room.rate_for(ticket, now_s)
+            )
+            self._returning.record(req.repeat_id, ticket, return_in_s)
+            waiting = len(self._waiting)
+            decision_log.log_refused(req, room, waiting, return_in_s)
             reply = RoomReply(
-                waiting.req.number,
-                RoomOutcome.REFUSED,
-                None,
-                return_in_s,
-                len(self._waiting),
+                req.number, RoomOutcome.REFUSED, None, return_in_s, waiting
             )
-            yield Decision(waiting.key, reply)
+            yield Decision(key, reply)
 
 
 def _with_bound(req: RoomRequest, bounds: Mapping[int, float]) -> RoomRequest:
