Divide services with many engines among several keepers

One keeper decides on all generations of a service: nearly half a core at 1,000 a second. From 48 engines up a service has 2 groups, from 96 on 4, at most 16, each with a keeper; a request that one refuses asks that of a second group. Services of fewer engines keep one keeper and their messages' meaning.

--- a/src/savorylift/exchange/allowed_servers.py
+++ b/src/savorylift/exchange/allowed_servers.py
@@ -148,6 +148,11 @@
             and self.find_service_block(server.entry) is None
         ]
 
+    def count_servers(self, service: str) -> int:
+        """Returns the number of a service's servers, draining ones included."""
+        servers = self._store_view.registry.servers.values()
+        return sum(server.entry.service == service for server in servers)
+
     def is_in_service(self, server: BackendServer) -> bool:
         """Returns whether a server is still registered and not draining."""
         known = self._store_view.registry.find_entry(server.entry.server_id)
--- a/src/savorylift/exchange/kept_engines.py
+++ b/src/savorylift/exchange/kept_engines.py
@@ -62,6 +62,10 @@
         servers = self._allowed.servers_in_service(service.name)
         return not any(self._is_limited(server.entry) for server in servers)
 
+    def count(self, service: str) -> int:
+        """Returns the number of a service's engines, whatever they get now."""
+        return self._allowed.count_servers(service)
+
     def find(self, service: str) -> list[BackendServer]:
         """Returns the engines that a keeper may grant, full ones included."""
         servers = self._allowed.servers_in_service(service)
--- a/src/savorylift/exchange/room_placement.py
+++ b/src/savorylift/exchange/room_placement.py
@@ -16,7 +16,8 @@
 from savorylift.exchange.wish import Wish
 from savorylift.fleet.room_messages import RoomOutcome, RoomReply, RoomRequest
 from savorylift.rooms.client import RoomClient
-from savorylift.rooms.keeper import MAX_LEASE_S
+from savorylift.rooms.engine_groups import EngineGroups, RoomId, find_rooms
+from savorylift.rooms.request_check import MAX_LEASE_S
 
 # Few enough that the message stays small, and no key can be told from it.
 CALLER_DIGEST_BYTES = 4
@@ -43,24 +44,52 @@
 class RoomPlacement:
     """Asks the keeper of a generation's engines, and follows what it says."""
 
-    def __init__(self, pool: ServerPool, client: RoomClient) -> None:
+    def __init__(
+        self,
+        pool: ServerPool,
+        client: RoomClient,
+        groups: EngineGroups | None = None,
+    ) -> None:
         """Places generations at the engines of a pool.
 
         Args:
             pool: Engines to choose from.
             client: Asks the keepers.
+            groups: How services' engines are divided; None to count them here.
         """
         self._pool = pool
         self._client = client
+        self._groups = groups or EngineGroups(pool.kept.count)
 
     async def find(
         self, run: Run, wish: Wish, tried: set[str]
     ) -> RoomResult | None:
-        """Returns the result; None if the node is to place it by itself."""
-        admitted, kept = run.admitted, self._pool.kept
-        if not kept.is_kept(admitted.service):
+        """Returns the result; None if the node is to place it by itself.
+
+        A generation that the keeper of one group of engines refuses asks that
+        of a second one.
+        """
+        service = run.admitted.service
+        if not self._pool.kept.is_kept(service):
             return None
-        keeper_ip = self._client.find_keeper(admitted.service.name)
+        groups = self._groups.count(service.name)
+        result = None
+        for room in find_rooms(service.name, groups, _repeat_id(run)):
+            found = await self._find_in(room, run, wish, tried)
+            if found is None:
+                return result
+            is_refused = found.server is None and found.return_in_s is not None
+            if not is_refused:
+                return found
+            result = _sooner(result, found)
+        return result
+
+    async def _find_in(
+        self, room: RoomId, run: Run, wish: Wish, tried: set[str]
+    ) -> RoomResult | None:
+        """Returns what the keeper of one room says."""
+        admitted, kept = run.admitted, self._pool.kept
+        keeper_ip = self._client.find_keeper(room.name)
         if keeper_ip is None or kept.find_barred(admitted, tried) is None:
             return None
         begun_s = time.monotonic()
@@ -79,7 +108,7 @@
             keeper_ip,
             run.attempt_id,
             lambda: _make_request(
-                run, wish, self._find_barred(admitted, tried), begun_s
+                room, run, wish, self._find_barred(admitted, tried), begun_s
             ),
             reserve_cold_place,
             wish.leave_s,
@@ -135,8 +164,19 @@
         return RoomResult(server, prefill_tokens=reply.prefill_tokens)
 
 
+def _sooner(one: RoomResult | None, other: RoomResult) -> RoomResult:
+    """Returns the refusal after which there should be room first."""
+    if one is None or one.return_in_s is None or other.return_in_s is None:
+        return other
+    return one if one.return_in_s < other.return_in_s else other
+
+
+def _repeat_id(run: Run) -> str:
+    return run.traits.exact_id[-REPEAT_ID_CHARS:]
+
+
 def _make_request(
-    run: Run, wish: Wish, barred: Barred, begun_s: float
+    room: RoomId, run: Run, wish: Wish, barred: Barred, begun_s: float
 ) -> RoomRequest:
     admitted, options = run.admitted, wish.options
     parameters, regions = wish.parameters, admitted.regions
@@ -161,7 +201,9 @@
         regions=None if regions is None else tuple(sorted(regions)),
         spare=tuple(sorted(barred.spare)),
         caller=_digest_caller(admitted),
-        repeat_id=run.traits.exact_id[-REPEAT_ID_CHARS:],
+        repeat_id=_repeat_id(run),
+        group=room.group,
+        groups=room.groups,
     )
 
 
--- a/src/savorylift/fleet/room_messages.py
+++ b/src/savorylift/fleet/room_messages.py
@@ -49,6 +49,8 @@
         caller: Digest of the caller within its team; empty if unknown.
         repeat_id: Digest of what it asks for, in which repeats of the request
             agree; empty if unknown.
+        group: Number of the group of the service's engines that is asked.
+        groups: Number of these groups.
     """
 
     number: int
@@ -71,6 +73,8 @@
     spare: tuple[str, ...] = ()
     caller: str = ""
     repeat_id: str = ""
+    group: int = 0
+    groups: int = 1
 
 
 class RoomReply(NamedTuple):
--- a/src/savorylift/front/room_parts.py
+++ b/src/savorylift/front/room_parts.py
@@ -10,6 +10,7 @@
 from savorylift.front.server_parts import ServerParts
 from savorylift.front.shared_parts import SharedParts
 from savorylift.rooms.client import RoomClient
+from savorylift.rooms.engine_groups import EngineGroups
 from savorylift.rooms.engines import Engines
 from savorylift.rooms.keeper import RoomKeeper
 from savorylift.rooms.keeper_choice import KeeperChoice
@@ -21,10 +22,12 @@
     Attributes:
         keeper: Answers the nodes, where this one is the keeper.
         client: Asks the keepers.
+        groups: How services' engines are divided among keepers.
     """
 
     keeper: RoomKeeper
     client: RoomClient
+    groups: EngineGroups
 
     def receive(self, message: RoomMessage, ip: str) -> None:
         """Handles a message from a node, which may be this one."""
@@ -81,6 +84,7 @@
         else:
             transport.send_message(message, ip)
 
+    groups = EngineGroups(pool.kept.count)
     keeper = RoomKeeper(
         choice,
         membership,
@@ -89,7 +93,8 @@
         lambda: transport.message_interval_s,
         send,
         shared.rng,
+        groups,
         shares_by_held_room=shared.settings.room_shares,
     )
-    parts = RoomParts(keeper, RoomClient(choice, send, shared.rng))
+    parts = RoomParts(keeper, RoomClient(choice, send, shared.rng), groups)
     return parts
--- a/src/savorylift/front/stream_parts.py
+++ b/src/savorylift/front/stream_parts.py
@@ -84,7 +84,7 @@
         servers.crash_guard,
         resumption,
         shared.rng,
-        RoomPlacement(servers.pool, rooms.client),
+        RoomPlacement(servers.pool, rooms.client, rooms.groups),
     )
     return StreamParts(
         origins, origin_log, server_news, mover, generations, rooms
--- a/src/savorylift/rooms/client.py
+++ b/src/savorylift/rooms/client.py
@@ -78,9 +78,13 @@
         """Whether a service has a keeper, which may be silent."""
         return self._choice.find(service) is not None
 
-    def find_keeper(self, service: str) -> str | None:
-        """Returns the keeper to ask; None to place without one."""
-        ip = self._choice.find(service)
+    def find_keeper(self, room: str) -> str | None:
+        """Returns the keeper to ask; None to place without one.
+
+        Args:
+            room: Service, or name of a group of its engines (`RoomId.name`).
+        """
+        ip = self._choice.find(room)
         if ip is None:
             return None
         silence = self._silences.get(ip)
--- a/src/savorylift/rooms/decision_log.py
+++ b/src/savorylift/rooms/decision_log.py
@@ -11,6 +11,7 @@
 from savorylift.fleet.room_messages import RoomOutcome, RoomRequest
 from savorylift.placement.turn_away import Room
 from savorylift.rooms import metrics
+from savorylift.rooms.engine_groups import RoomId
 
 _log = structlog.get_logger()
 
@@ -21,12 +22,14 @@
     Attributes:
         BEGUN: It was chosen, and has heard what the nodes have.
         NOT_CHOSEN: Another node is chosen now.
+        REGROUPED: The service's engines are divided otherwise now.
         STOOD_STILL: It may have missed ends and grants.
         UNKNOWN_SERVICE: Its configuration has no such engines.
     """
 
     BEGUN = "begun"
     NOT_CHOSEN = "not_chosen"
+    REGROUPED = "regrouped"
     STOOD_STILL = "stood_still"
     UNKNOWN_SERVICE = "unknown_service"
 
@@ -37,6 +40,7 @@
     Attributes:
         NOT_CHOSEN: It isn't the keeper.
         NOT_READY: It hasn't heard the others yet.
+        OTHER_GROUPS: Its node divides the service's engines otherwise.
         UNKNOWN_SERVICE: Its configuration has no such engines.
         TOO_MANY: More generations wait than it keeps.
         ENDED: The request is known to need no place any more.
@@ -45,17 +49,23 @@
 
     NOT_CHOSEN = "not_chosen"
     NOT_READY = "not_ready"
+    OTHER_GROUPS = "other_groups"
     UNKNOWN_SERVICE = "unknown_service"
     TOO_MANY = "too_many"
     ENDED = "ended"
     NO_ENGINE = "no_engine"
 
 
-def log_role(service: str, change: RoleChange, waiting: int) -> None:
-    """Logs that this node begins or ceases to keep a service's room."""
+def log_role(room: RoomId, change: RoleChange, waiting: int) -> None:
+    """Logs that this node begins or ceases to keep a room."""
     metrics.ROOM_ROLES.labels(change.value).inc()
     _log.info(
-        "room_role", service=service, change=change.value, waiting=waiting
+        "room_role",
+        service=room.service,
+        group=room.group,
+        groups=room.groups,
+        change=change.value,
+        waiting=waiting,
     )
 
 
--- /dev/null
+++ b/src/savorylift/rooms/engine_groups.py
@@ -0,0 +1,130 @@
+"""Groups of a service's engines, each with a keeper of its own.
+
+One keeper decides on all generations of a service, which takes more of a node
+the more there are. A service with many engines is divided: each engine belongs
+to one group, each request asks the keeper of one group, and that of a second
+one before it is refused. What is given up is one order over all that wait.
+"""
+
+import time
+import zlib
+from collections.abc import Callable, Iterator
+from typing import NamedTuple
+
+from savorylift.rooms.engines import Engines
+
+# With fewer engines a group, requests that fit nowhere in theirs are too many.
+MIN_ENGINES_PER_GROUP = 24
+MAX_GROUPS = 16
+# Keepers that a request asks.
+GROUPS_PER_REQUEST = 2
+# For how long a count is used before the engines are counted again.
+CACHE_S = 0.5
+MAX_SERVICES = 200
+
+
+class RoomId(NamedTuple):
+    """What one keeper keeps.
+
+    Attributes:
+        service: The service.
+        group: Number of the group of its engines, from 0.
+        groups: Number of groups.
+    """
+
+    service: str
+    group: int = 0
+    groups: int = 1
+
+    @property
+    def name(self) -> str:
+        """What the keeper is chosen by."""
+        if self.groups == 1:
+            return self.service
+        return f"{self.service}#{self.group}/{self.groups}"
+
+    def has_engine(self, server_id: str) -> bool:
+        """Whether an engine belongs to it."""
+        return _hash(server_id) % self.groups == self.group
+
+
+def count_groups(engines: int) -> int:
+    """Returns into how many groups a number of engines is divided.
+
+    It is a power of two, so that it seldom changes.
+    """
+    groups = 1
+    while groups < MAX_GROUPS and engines >= 2 * groups * MIN_ENGINES_PER_GROUP:
+        groups *= 2
+    return groups
+
+
+def find_rooms(service: str, groups: int, request_id: str) -> Iterator[RoomId]:
+    """Yields the rooms that a request asks for a place, the first one first.
+
+    Args:
+        service: Service of the request.
+        groups: Number of groups of the service's engines.
+        request_id: What the request and its repeats agree in, so that the
+            keeper knows those that return.
+    """
+    first = _hash(request_id)
+    yield RoomId(service, first % groups, groups)
+    if groups > 1:
+        step = 1 + first // groups % (groups - 1)
+        yield RoomId(service, (first + step) % groups, groups)
+
+
+def keep_group(engines: Engines, room: RoomId) -> Engines:
+    """Returns the engines that belong to a room."""
+    if room.groups == 1:
+        return engines
+    servers = [s for s in engines.servers if room.has_engine(s.entry.server_id)]
+    return engines._replace(servers=servers)
+
+
+class _Count(NamedTuple):
+    groups: int
+    changed_s: float
+    until_s: float
+
+
+class EngineGroups:
+    """Counts the groups of each service's engines."""
+
+    def __init__(self, count_engines: Callable[[str], int]) -> None:
+        """Creates it without counts.
+
+        Args:
+            count_engines: Returns the number of a service's engines, with
+                those that get nothing now.
+        """
+        self._count_engines = count_engines
+        self._counts: dict[str, _Count] = {}
+
+    def count(self, service: str) -> int:
+        """Returns the number of groups of a service's engines."""
+        return self._refresh(service).groups
+
+    def changed_s(self, service: str) -> float:
+        """Returns the monotonic time at which the number last changed."""
+        return self._refresh(service).changed_s
+
+    def _refresh(self, service: str) -> _Count:
+        now_s = time.monotonic()
+        known = self._counts.get(service)
+        if known is not None and now_s < known.until_s:
+            return known
+        groups = count_groups(self._count_engines(service))
+        changed_s = float("-inf")
+        if known is not None:
+            changed_s = known.changed_s if known.groups == groups else now_s
+        count = _Count(groups, changed_s, now_s + CACHE_S)
+        if known is None and len(self._counts) >= MAX_SERVICES:
+            self._counts.clear()
+        self._counts[service] = count
+        return count
+
+
+def _hash(text: str) -> int:
+    return zlib.crc32(text.encode())
--- a/src/savorylift/rooms/keeper.py
+++ b/src/savorylift/rooms/keeper.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import math
 import random
 import time
 from collections.abc import Callable, Iterable
@@ -25,8 +24,10 @@
 from savorylift.rooms import metrics
 from savorylift.rooms.book import PlaceKey
 from savorylift.rooms.decision_log import AloneReason, RoleChange, log_role
+from savorylift.rooms.engine_groups import EngineGroups, RoomId, keep_group
 from savorylift.rooms.engines import Engines
 from savorylift.rooms.keeper_choice import KeeperChoice
+from savorylift.rooms.request_check import is_sound
 from savorylift.rooms.service_room import ServiceRoom
 
 # A node that has just started doesn't know all others yet.
@@ -44,7 +45,6 @@
 # time, so that a small VM also serves its own callers while many wait.
 PAUSE_PER_DISPATCH = 9
 MAX_DISPATCH_DELAY_S = 0.1
-MAX_LEASE_S = 120.0
 # A keeper that hears less of the fleet leaves the choice to the nodes.
 MIN_LIVE_SHARE = 0.5
 
@@ -69,6 +69,7 @@
         get_message_interval_s: Callable[[], float],
         send: SendRoomMessage,
         rng: random.Random,
+        groups: EngineGroups | None = None,
         *,
         shares_by_held_room: bool = True,
     ) -> None:
@@ -83,6 +84,7 @@
                 messages.
             send: Sends replies.
             rng: Spreads choices over nearly equal engines.
+            groups: How services' engines are divided; None for one group each.
             shares_by_held_room: Whether turns go by what teams and callers
                 hold; else by what teams were granted.
         """
@@ -93,15 +95,16 @@
         self._get_message_interval_s = get_message_interval_s
         self._send = send
         self._rng = rng
+        self._groups = groups or EngineGroups(lambda _: 0)
         self._shares_by_held_room = shares_by_held_room
-        self._rooms: dict[str, ServiceRoom] = {}
-        # Monotonic time from which each kept service's places are granted.
-        self._ready_s: dict[str, float] = {}
+        self._rooms: dict[RoomId, ServiceRoom] = {}
+        # Monotonic time from which each kept room's places are granted.
+        self._ready_s: dict[RoomId, float] = {}
         self._start_ready_s = time.monotonic() + START_HOLD_S
         # Boot time at which this process was last seen to run.
         self._ran_s = boot_time_s()
         self._knowledge_age_s = 0.0
-        self._due: dict[str, asyncio.TimerHandle] = {}
+        self._due: dict[RoomId, asyncio.TimerHandle] = {}
         # How long the latest dispatch took.
         self._dispatch_took_s = 0.0
 
@@ -111,14 +114,15 @@
         if isinstance(message, RoomEnds):
             self._end(message.numbers, ip)
             return
-        if not _is_sound(message):
+        if not is_sound(message):
             return
         self._end(message.ends, ip)
-        reason = self._find_obstacle(message.service)
+        room_id = RoomId(message.service, message.group, message.groups)
+        reason = self._find_obstacle(room_id)
         if reason is not None:
             self._leave_alone(message, ip, reason)
             return
-        self._ask(PlaceKey(ip, message.number), message)
+        self._ask(room_id, PlaceKey(ip, message.number), message)
 
     @property
     def is_keeping(self) -> bool:
@@ -127,17 +131,16 @@
 
     def hear(self, ip: str, loads: Iterable[ServerLoad]) -> None:
         """Notes what a node says that it has at engines."""
-        for service, room in self._rooms.items():
+        for room_id, room in self._rooms.items():
             room.hear(ip, loads)
-            self._dispatch_soon(service)
+            self._dispatch_soon(room_id)
 
     def update(self) -> None:
         """Drops what is over; to be called periodically."""
         self._note_running()
         self._choice.refresh()
-        for service in list(self._ready_s):
-            if not self._choice.is_keeper(service):
-                self._leave(service, RoleChange.NOT_CHOSEN)
+        for room_id in list(self._ready_s):
+            self._leave_if_over(room_id)
         if not self._rooms:
             return
         now_s = time.monotonic()
@@ -145,17 +148,17 @@
         oldest_s = min((peer.heard_s for peer in peers), default=now_s)
         self._knowledge_age_s = now_s - oldest_s
         live = {peer.state.ip for peer in peers} | {self._choice.own_ip}
-        for service, room in self._rooms.items():
+        for room_id, room in self._rooms.items():
             room.drop_old(live)
-            self._dispatch_soon(service)
+            self._dispatch_soon(room_id)
 
     def _note_running(self) -> None:
         """Begins anew if this process stood still."""
         last_s, self._ran_s = self._ran_s, boot_time_s()
         if self._ran_s - last_s < STOOD_STILL_S:
             return
-        for service in list(self._ready_s):
-            self._leave(service, RoleChange.STOOD_STILL)
+        for room_id in list(self._ready_s):
+            self._leave(room_id, RoleChange.STOOD_STILL)
         ready_s = time.monotonic() + self._handover_hold_s()
         self._start_ready_s = max(self._start_ready_s, ready_s)
 
@@ -163,48 +166,60 @@
         interval_s = self._get_message_interval_s()
         return max(HANDOVER_HOLD_S, HANDOVER_INTERVALS * interval_s)
 
-    def _find_obstacle(self, service: str) -> AloneReason | None:
-        """Returns why this node may grant no places of a service now."""
-        is_known = service in self._ready_s
-        if not is_known and self._find_engines(service) is None:
+    def _find_obstacle(self, room_id: RoomId) -> AloneReason | None:
+        """Returns why this node may grant no places of a room now."""
+        is_known = room_id in self._ready_s
+        if not is_known and self._find_engines(room_id.service) is None:
             # Names in messages aren't kept if the configuration has none such.
             return AloneReason.UNKNOWN_SERVICE
-        if not self._choice.is_keeper(service):
-            self._leave(service, RoleChange.NOT_CHOSEN)
-            return AloneReason.NOT_CHOSEN
+        reason = self._leave_if_over(room_id)
+        if reason is not None:
+            return reason
         now_s = time.monotonic()
         if not is_known:
-            changed_s = self._choice.changed_s + self._handover_hold_s()
-            self._ready_s[service] = max(changed_s, self._start_ready_s)
-        if now_s < self._ready_s[service]:
+            regrouped_s = self._groups.changed_s(room_id.service)
+            changed_s = max(self._choice.changed_s, regrouped_s)
+            ready_s = changed_s + self._handover_hold_s()
+            self._ready_s[room_id] = max(ready_s, self._start_ready_s)
+        if now_s < self._ready_s[room_id]:
             return AloneReason.NOT_READY
-        if service not in self._rooms:
-            self._begin(service, now_s)
-        return None if service in self._rooms else AloneReason.NOT_READY
+        if room_id not in self._rooms:
+            self._begin(room_id, now_s)
+        return None if room_id in self._rooms else AloneReason.NOT_READY
+
+    def _leave_if_over(self, room_id: RoomId) -> AloneReason | None:
+        """Leaves a room that this node isn't to keep; returns why."""
+        if self._groups.count(room_id.service) != room_id.groups:
+            self._leave(room_id, RoleChange.REGROUPED)
+            return AloneReason.OTHER_GROUPS
+        if not self._choice.is_keeper(room_id.name):
+            self._leave(room_id, RoleChange.NOT_CHOSEN)
+            return AloneReason.NOT_CHOSEN
+        return None
 
-    def _begin(self, service: str, now_s: float) -> None:
-        """Starts to keep a service with what the nodes have said."""
+    def _begin(self, room_id: RoomId, now_s: float) -> None:
+        """Starts to keep a room with what the nodes have said."""
         if self._membership.live_share(now_s) < MIN_LIVE_SHARE:
             return
-        room = self._rooms[service] = ServiceRoom(
+        room = self._rooms[room_id] = ServiceRoom(
             self._rng, shares_by_held_room=self._shares_by_held_room
         )
         for peer in self._membership.heard_peers(now_s):
             room.hear(peer.state.ip, peer.state.loads)
-        self._note_role(service, RoleChange.BEGUN, 0)
+        self._note_role(room_id, RoleChange.BEGUN, 0)
 
-    def _leave(self, service: str, change: RoleChange) -> None:
-        """Leaves a service; the nodes that wait ask its next keeper."""
-        self._ready_s.pop(service, None)
-        room = self._rooms.pop(service, None)
+    def _leave(self, room_id: RoomId, change: RoleChange) -> None:
+        """Leaves a room; the nodes that wait ask its next keeper."""
+        self._ready_s.pop(room_id, None)
+        room = self._rooms.pop(room_id, None)
         if room is not None:
-            self._note_role(service, change, len(room))
+            self._note_role(room_id, change, len(room))
 
     def _note_role(
-        self, service: str, change: RoleChange, waiting: int
+        self, room_id: RoomId, change: RoleChange, waiting: int
     ) -> None:
         metrics.ROOM_SERVICES.set(len(self._rooms))
-        log_role(service, change, waiting)
+        log_role(room_id, change, waiting)
 
     def _leave_alone(
         self, req: RoomRequest, ip: str, reason: AloneReason
@@ -212,8 +227,8 @@
         metrics.ROOM_ALONE.labels(reason.value).inc()
         self._reply(RoomReply(req.number, RoomOutcome.ALONE), ip)
 
-    def _ask(self, key: PlaceKey, req: RoomRequest) -> None:
-        room = self._rooms[req.service]
+    def _ask(self, room_id: RoomId, key: PlaceKey, req: RoomRequest) -> None:
+        room = self._rooms[room_id]
         if room.has_ended(key) or room.is_full:
             is_over = room.has_ended(key)
             reason = AloneReason.ENDED if is_over else AloneReason.TOO_MANY
@@ -227,9 +242,9 @@
         was_empty = len(room) == 0
         room.add(key, req)
         if was_empty:
-            self._dispatch(req.service)
+            self._dispatch(room_id)
         else:
-            self._dispatch_soon(req.service)
+            self._dispatch_soon(room_id)
         if room.is_waiting(key):
             outcome = RoomOutcome.QUEUED
             reply = RoomReply(req.number, outcome, waiting=len(room))
@@ -239,38 +254,38 @@
         keys = [PlaceKey(ip, number) for number in numbers]
         if not keys:
             return
-        for service, room in self._rooms.items():
+        for room_id, room in self._rooms.items():
             for key in keys:
                 room.end(key)
-            self._dispatch_soon(service)
+            self._dispatch_soon(room_id)
 
-    def _dispatch_soon(self, service: str) -> None:
-        if service in self._due or not len(self._rooms[service]):
+    def _dispatch_soon(self, room_id: RoomId) -> None:
+        if room_id in self._due or not len(self._rooms[room_id]):
             return
         pause_s = min(
             PAUSE_PER_DISPATCH * self._dispatch_took_s, MAX_DISPATCH_DELAY_S
         )
-        self._due[service] = asyncio.get_running_loop().call_later(
-            max(pause_s, DISPATCH_DELAY_S), self._dispatch, service
+        self._due[room_id] = asyncio.get_running_loop().call_later(
+            max(pause_s, DISPATCH_DELAY_S), self._dispatch, room_id
         )
 
-    def _dispatch(self, service: str) -> None:
-        timer = self._due.pop(service, None)
+    def _dispatch(self, room_id: RoomId) -> None:
+        timer = self._due.pop(room_id, None)
         if timer is not None:
             timer.cancel()
-        room = self._rooms.get(service)
+        room = self._rooms.get(room_id)
         if room is None:
             return
         begun_s = time.monotonic()
-        engines = self._find_engines(service)
+        engines = self._find_engines(room_id.service)
         if engines is None:
             # This node may be the last to hear of the service.
             for decision in room.leave_all_alone():
                 self._reply(decision.reply, decision.key.ip)
-            self._leave(service, RoleChange.UNKNOWN_SERVICE)
+            self._leave(room_id, RoleChange.UNKNOWN_SERVICE)
             return
         room.hear(self._choice.own_ip, self._own_loads())
-        for decision in room.dispatch(engines):
+        for decision in room.dispatch(keep_group(engines, room_id)):
             self._reply(decision.reply, decision.key.ip)
         metrics.ROOM_WAITING.set(sum(map(len, self._rooms.values())))
         self._dispatch_took_s = time.monotonic() - begun_s
@@ -279,15 +294,3 @@
         metrics.ROOM_REPLIES.labels(str(reply.outcome)).inc()
         aged = reply._replace(knowledge_age_s=round(self._knowledge_age_s, 3))
         self._send(aged, ip)
-
-
-def _is_sound(req: RoomRequest) -> bool:
-    """Whether the values of a request make sense."""
-    times_s = (req.start_in_s, req.leave_in_s, req.age_s, req.lease_s)
-    return (
-        all(map(math.isfinite, times_s))
-        and 0 <= req.lease_s <= MAX_LEASE_S
-        and req.weight > 0
-        and req.tokens >= 0
-        and req.prompt_tokens >= 0
-    )
--- a/tests/exchange/test_room_placement.py
+++ b/tests/exchange/test_room_placement.py
@@ -10,6 +10,7 @@
 from savorylift.exchange.run import Run
 from savorylift.exchange.server_pool import ServerPool
 from savorylift.fleet.room_messages import RoomOutcome, RoomReply, RoomRequest
+from savorylift.rooms.engine_groups import EngineGroups
 from tests.exchange.factories import (
     ENGINE,
     make_admitted_request,
@@ -55,6 +56,65 @@
         self.ended.append(attempt_id)
 
 
+class GroupClient(FakeClient):
+    """Stands for the keepers of two groups of engines."""
+
+    def __init__(self, *replies: RoomReply | None) -> None:
+        """Creates a client with the replies to come."""
+        super().__init__(None)
+        self._replies = iter(replies)
+
+    async def ask(
+        self,
+        ip: str,
+        attempt_id: str,
+        make_request: Callable[[], RoomRequest],
+        has_other_place: Callable[[], bool],
+        leave_s: float,
+    ) -> RoomReply | None:
+        """Gives the next reply."""
+        self.reply = next(self._replies)
+        return await super().ask(
+            ip, attempt_id, make_request, has_other_place, leave_s
+        )
+
+
+@pytest.mark.parametrize(
+    ("engines", "replies", "server_id", "return_in_s"),
+    [
+        # One keeper of all engines is asked once.
+        (47, (REFUSED,), None, 3.0),
+        (48, (RoomReply(1, RoomOutcome.GRANTED, "a"),), "a", None),
+        (48, (REFUSED, RoomReply(1, RoomOutcome.GRANTED, "a")), "a", None),
+        (48, (REFUSED, REFUSED._replace(return_in_s=2.0)), None, 2.0),
+        (48, (REFUSED, REFUSED._replace(return_in_s=4.0)), None, 3.0),
+        (48, (REFUSED, None), None, 3.0),
+        (48, (REFUSED, QUEUED), None, None),
+    ],
+)
+def test_second_keeper_is_asked_before_a_generation_is_refused(
+    engines: int,
+    replies: tuple[RoomReply | None, ...],
+    server_id: str | None,
+    return_in_s: float | None,
+) -> None:
+    async def scenario() -> None:
+        pool, client = make_pool(make_store_view(a=9)), GroupClient(*replies)
+        groups = EngineGroups(lambda _: engines)
+        rooms = RoomPlacement(pool, client, groups)  # type: ignore[arg-type]
+        run = Run(
+            make_admitted_request(make_generation_request(), engine=ENGINE), 100
+        )
+        server = await EngineQueue(pool, rooms).acquire(run, set())
+        assert (server and server.entry.server_id) == server_id
+        assert run.return_in_s == return_in_s
+        assert len(client.requests) == len(replies)
+        asked = {req.group for req in client.requests}
+        assert len(asked) == len(client.requests)
+
+    run_with_timeout(scenario())
+
+
 def make_pool_with_cold_engine() -> ServerPool:
     """Returns a pool with a warm engine, `a`, and a cold one, `b`."""
     store_view = make_store_view(a=9, b=9)
--- a/tests/rooms/test_keeper.py
+++ b/tests/rooms/test_keeper.py
@@ -19,8 +19,10 @@
 from savorylift.fleet.state import ServerLoad
 from savorylift.placement.memory_release_rate import MIN_RELEASES
 from savorylift.rooms import client as client_module
+from savorylift.rooms import engine_groups as groups_module
 from savorylift.rooms import keeper as keeper_module
 from savorylift.rooms.client import RoomClient
+from savorylift.rooms.engine_groups import EngineGroups, RoomId
 from savorylift.rooms.engines import Engines
 from savorylift.rooms.keeper import (
     HANDOVER_HOLD_S,
@@ -177,7 +179,7 @@
         reply = await node.ask(make_request(1, 4000))
         assert reply is not None
         assert reply.outcome == RoomOutcome.GRANTED
-        room = fleet.keeper.keeper._rooms[SERVICE]
+        room = fleet.keeper.keeper._rooms[RoomId(SERVICE)]
         assert len(room._book) == 1
         node.client.end("a1")
         await asyncio.sleep(client_module.END_DELAY_S * 2)
@@ -288,7 +290,7 @@
         fleet.engines = FULL
         task = asyncio.ensure_future(fleet.other.ask(make_request()))
         await asyncio.sleep(0.02)
-        room = fleet.keeper.keeper._rooms[SERVICE]
+        room = fleet.keeper.keeper._rooms[RoomId(SERVICE)]
         assert len(room) == 1
         task.cancel()
         await asyncio.sleep(client_module.END_DELAY_S * 2)
@@ -459,7 +461,6 @@
         lone.ask(51)
         hopeless = make_request(52, 9000)._replace(leave_in_s=0.01)
         lone.node.keeper.receive(hopeless, lone.other_ip)
-        lone.node.keeper._dispatch(SERVICE)
         lone.node.is_leaving = True
         clock.tick(CACHE_S)
         lone.node.keeper.update()
@@ -470,6 +471,31 @@
     assert refused["tokens_per_s"] > 0
 
 
+def test_keeper_grants_nothing_while_engines_are_divided_anew() -> None:
+    """Another node may keep the same engines until it has heard of it."""
+    with freezegun.freeze_time("2026-01-01") as clock:
+        lone, engines = LoneKeeper(), 47
+        keeper = lone.node.keeper
+        keeper._groups = EngineGroups(lambda _: engines)
+        clock.tick(START_HOLD_S + 0.1)
+        assert lone.ask(1) == RoomOutcome.GRANTED
+        engines = 48
+        clock.tick(groups_module.CACHE_S)
+        assert lone.ask(2) == RoomOutcome.ALONE
+        assert not keeper.is_keeping
+        found = [RoomId(SERVICE, group, 2) for group in range(2)]
+        lone.node.choice._keepers = {room.name: lone.node.ip for room in found}
+        half = make_request(3)._replace(group=1, groups=2)
+        keeper.receive(half, lone.other_ip)
+        assert lone.replies[-1].outcome == RoomOutcome.ALONE
+        clock.tick(HANDOVER_HOLD_S + 0.1)
+        for number, room in enumerate(found):
+            asked = half._replace(number=10 + number, group=room.group)
+            keeper.receive(asked, lone.other_ip)
+            server_id = lone.replies[-1].server_id
+            assert server_id is None or room.has_engine(server_id)
+
+
 def test_small_fleet_and_unsound_requests_use_no_keeper() -> None:
     with freezegun.freeze_time("2026-01-01") as clock:
         members = make_membership(1, MIN_NODES - 1)
