--- a/src/savorylift/exchange/server_opener.py
+++ b/src/savorylift/exchange/server_opener.py
@@ -13,7 +13,8 @@
 from savorylift.exchange.server_reach import ServerReach
 from savorylift.limits.limit_gate import LimitGate, Permit
 from savorylift.outcomes import Reason
-from savorylift.processes.server_life import Life, ServerLife
+from savorylift.processes.life_report import Life
+from savorylift.processes.server_life import ServerLife
 from savorylift.wire.channel import Channel, connect
 
 # Many round trips: a reachable server accepts within a few milliseconds.
--- a/src/savorylift/exchange/stream_resumption.py
+++ b/src/savorylift/exchange/stream_resumption.py
@@ -32,7 +32,8 @@
     VersionHistory,
 )
 from savorylift.outcomes import Reason
-from savorylift.processes.server_life import Life, ServerLife
+from savorylift.processes.life_report import Life
+from savorylift.processes.server_life import ServerLife
 from savorylift.routing.configuration import Service
 from savorylift.wire.channel import Channel
 
--- a/tests/exchange/test_short_streams.py
+++ b/tests/exchange/test_short_streams.py
@@ -13,7 +13,7 @@
 from savorylift.exchange.stream_resumption import StreamResumption
 from savorylift.fleet.state import UNKNOWN_VERSION, StreamOrigin
 from savorylift.fleet.version_history import VersionHistory
-from savorylift.processes.server_life import Life, LifeReport
+from savorylift.processes.life_report import Life, LifeReport
 from savorylift.routing.configuration import Service
 from tests.exchange.factories import (
     ENGINE,
--- a/tests/exchange/test_stream_resumption.py
+++ b/tests/exchange/test_stream_resumption.py
@@ -17,8 +17,8 @@
 )
 from savorylift.fleet.state import StreamOrigin
 from savorylift.fleet.version_history import VersionHistory
-from savorylift.processes import server_life
-from savorylift.processes.server_life import LifeReport
+from savorylift.processes import life_report
+from savorylift.processes.life_report import LifeReport
 from savorylift.routing.configuration import Service
 from tests.exchange.factories import (
     make_admitted_request,
@@ -28,7 +28,7 @@
 )
 from tests.harness.virtual_time import run_in_virtual_time
 
-NOT_ASKED = server_life.Life.NOT_ASKED
+NOT_ASKED = life_report.Life.NOT_ASKED
 # Several intervals of tokens, and a round trip between nodes.
 WITNESS_REPLY_S = 0.04
 ORIGIN = StreamOrigin("s1", "s", "v1", 30.0)
@@ -108,10 +108,10 @@
 
     async def check(self, *_: object, **__: object) -> LifeReport:
         is_known = asyncio.get_running_loop().time() >= self._known_s
-        return LifeReport(server_life.Life.SAME if is_known else NOT_ASKED)
+        return LifeReport(life_report.Life.SAME if is_known else NOT_ASKED)
 
-    def is_of_entry(self, _: object, life: server_life.Life) -> bool:
-        return life is server_life.Life.SAME
+    def is_of_entry(self, _: object, life: life_report.Life) -> bool:
+        return life is life_report.Life.SAME
 
 
 def test_process_that_other_nodes_know_is_known_before_a_stream_breaks(
--- a/tests/processes/test_server_life.py
+++ b/tests/processes/test_server_life.py
@@ -8,8 +8,9 @@
 from savorylift.backends.server_start import NO_REPORT, NO_START
 from savorylift.boot_clock import boot_time_s
 from savorylift.limits.limit_gate import Permit
+from savorylift.processes.life_report import Life
 from savorylift.processes.process_witness import Proof
-from savorylift.processes.server_life import Life, ServerLife
+from savorylift.processes.server_life import ServerLife
 from savorylift.processes.shared_checks import SharedChecks
 from tests.exchange.factories import make_server_entry
 
