--- a/src/savorylift/backends/registry.py
+++ b/src/savorylift/backends/registry.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
+from savorylift.backends.latest_entries import LatestEntries
 from savorylift.backends.leaving_marks import (
     LeavingMark,
     LeavingMarks,
@@ -14,8 +15,6 @@
 # Servers whose entries the store lost during an outage write them again
 # within this time.
 GRACE_PERIOD_S = 2.2
-# Delayed entries of a removed server arrive within seconds of its removal.
-REMOVED_RETENTION_S = 60.0
 
 
 class BackendServer(NamedTuple):
@@ -47,8 +46,7 @@
     def __init__(self) -> None:
         """Creates an empty registry."""
         self._servers: dict[str, BackendServer] = {}
-        # Last entry of each, and when it came or its server went.
-        self._latest: dict[str, tuple[ServerEntry, float]] = {}
+        self._latest = LatestEntries()
         self._static: dict[str, ServerEntry] = {}
         self._grace_until_s = 0.0
         # Which processes said that they were draining.
@@ -70,8 +68,7 @@
 
     def find_last_entry(self, server_id: str) -> ServerEntry | None:
         """Returns the last entry of a server, also of one removed lately."""
-        latest = self._latest.get(server_id)
-        return None if latest is None else latest[0]
+        return self._latest.find(server_id)
 
     def start_grace_period(self, returned_s: float) -> None:
         """Starts the grace period after an outage of the store.
@@ -92,7 +89,7 @@
         """
         if self.is_outdated(entry):
             return False
-        self._latest[entry.server_id] = entry, now_s
+        self._latest.put(entry, now_s)
         server = self._servers.get(entry.server_id)
         self._marks.drop_outdated(entry)
         if self._marks.judge(entry) is not Standing.STAYS:
@@ -145,9 +142,7 @@
 
     def _drop(self, server_id: str, now_s: float) -> None:
         del self._servers[server_id]
-        latest = self._latest.get(server_id)
-        if latest is not None:
-            self._latest[server_id] = latest[0], now_s
+        self._latest.note_removal(server_id, now_s)
 
     def set_static_entries(self, entries: Iterable[ServerEntry]) -> None:
         """Replaces the static servers, which the configuration names.
@@ -237,8 +232,8 @@
 
     def _find_newest(self, server_id: str) -> ServerEntry | None:
         """Returns the newest entry of a server, also of a missing one."""
-        latest = self._latest.get(server_id)
-        return self.find_entry(server_id) if latest is None else latest[0]
+        latest = self._latest.find(server_id)
+        return self.find_entry(server_id) if latest is None else latest
 
     @property
     def has_marks(self) -> bool:
@@ -247,20 +242,20 @@
 
     def clear_leaving(self, server_id: str) -> None:
         """Drops the doubt whether a server is draining: it isn't."""
-        latest = self._latest.get(server_id)
+        latest = self._latest.find(server_id)
         if latest is None or not self.is_in_doubt(server_id):
             return
-        self._marks.clear(latest[0])
+        self._marks.clear(latest)
         server = self._servers[server_id]
-        entry = server.entry._replace(is_leaving=latest[0].is_leaving)
+        entry = server.entry._replace(is_leaving=latest.is_leaving)
         self._servers[server_id] = server._replace(entry=entry)
 
     def is_in_doubt(self, server_id: str) -> bool:
         """Whether a notice may be that of an earlier process of a server."""
-        latest = self._latest.get(server_id)
+        latest = self._latest.find(server_id)
         if latest is None or server_id not in self._servers:
             return False
-        return self._marks.judge(latest[0]) is Standing.IN_DOUBT
+        return self._marks.judge(latest) is Standing.IN_DOUBT
 
     def ids_in_doubt(self) -> list[str]:
         """Returns the identifiers of the servers that are in doubt."""
@@ -278,7 +273,7 @@
             Whether a server was removed.
         """
         kept = set(server_ids)
-        kept |= self._static.keys() - self._latest.keys()
+        kept |= self._static.keys() - self._latest.server_ids
         absent = [
             server_id for server_id in self._servers if server_id not in kept
         ]
@@ -298,15 +293,6 @@
         ]
         for server_id in expired:
             self._drop(server_id, now_s)
-        self._forget_removed(now_s - REMOVED_RETENTION_S)
-        return expired
-
-    def _forget_removed(self, before_s: float) -> None:
-        old = [
-            server_id
-            for server_id, (_, changed_s) in self._latest.items()
-            if changed_s < before_s and server_id not in self._servers
-        ]
-        for server_id in old:
-            del self._latest[server_id]
+        for server_id in self._latest.forget_removed(now_s, self._servers):
             self._marks.forget(server_id)
+        return expired
--- a/tests/backends/test_registry.py
+++ b/tests/backends/test_registry.py
@@ -2,9 +2,9 @@
 
 import pytest
 
+from savorylift.backends.latest_entries import REMOVED_RETENTION_S
 from savorylift.backends.registry import (
     GRACE_PERIOD_S,
-    REMOVED_RETENTION_S,
     Registry,
 )
 from savorylift.backends.server import ServerEntry
@@ -294,7 +294,7 @@
         registry.remove(f"i-{number}", 1.0)
     registry.put(make_server_entry("kept"), 0.0)
     registry.drop_expired(REMOVED_RETENTION_S + 2)
-    assert list(registry._latest) == ["kept"]
+    assert registry._latest.server_ids == {"kept"}
 
 
 def test_notice_of_a_static_server_ends_when_it_reports_otherwise() -> None:
