--- a/src/savorylift/fleet/snapshot_fetcher.py
+++ b/src/savorylift/fleet/snapshot_fetcher.py
@@ -13,8 +13,8 @@
 from savorylift.fleet.codec import decode
 from savorylift.fleet.message_auth import MessageAuthenticator
 from savorylift.fleet.snapshot_server import BUSY_STATUS, SNAPSHOT_PATH
-from savorylift.fleet.store_records import Snapshot
-from savorylift.fleet.store_view import StoreView, Version
+from savorylift.fleet.store_records import Snapshot, Version
+from savorylift.fleet.store_view import StoreView
 from savorylift.wire.client_call import BrokenAnswerError, fetch
 from savorylift.wire.message import Response
 
--- a/src/savorylift/fleet/store_records.py
+++ b/src/savorylift/fleet/store_records.py
@@ -3,6 +3,10 @@
 import enum
 from typing import NamedTuple
 
+# Offset in the store, and the number of changes since then that are not
+# records.
+Version = tuple[int, int]
+
 
 class Topic(enum.StrEnum):
     """What the records of a store topic describe."""
@@ -65,8 +69,8 @@
     """
 
     topic: Topic
-    base_version: tuple[int, int]
-    new_version: tuple[int, int]
+    base_version: Version
+    new_version: Version
     changes: tuple[Change, ...]
     patches: tuple[Patch, ...] = ()
     relay_to: tuple[str, ...] = ()
@@ -84,6 +88,6 @@
     """
 
     operators_version: int
-    servers_version: tuple[int, int]
+    servers_version: Version
     operators: dict[str, bytes]
     servers: dict[str, bytes]
--- a/src/savorylift/fleet/store_view.py
+++ b/src/savorylift/fleet/store_view.py
@@ -1,7 +1,6 @@
 """A node's view of the store's records, read from it or sent by a peer."""
 
 import asyncio
-import time
 from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
@@ -12,7 +11,14 @@
 from savorylift.backends.registry import Registry
 from savorylift.backends.server import ServerEntry
 from savorylift.fleet.patch import apply_patch, make_patch
-from savorylift.fleet.store_records import Change, Delta, Snapshot, Topic
+from savorylift.fleet.server_records import ServerRecords
+from savorylift.fleet.store_records import (
+    Change,
+    Delta,
+    Snapshot,
+    Topic,
+    Version,
+)
 from savorylift.routing.configuration import Configuration
 
 # Larger values are sent to the other nodes as differences.
@@ -21,11 +27,6 @@
 _log = structlog.get_logger()
 
 
-# Offset in the store, and the number of changes since then that are not
-# records.
-Version = tuple[int, int]
-
-
 class Decoders(NamedTuple):
     """Decoders and keys of the store's records.
 
@@ -51,24 +52,28 @@
         configuration_loaded: Event that is set once there is a configuration.
         evacuated: Failure domains and backend servers that get no new
             requests.
-        registry: The backend servers.
         operators_version: Offset after the last record by operators.
-        servers_version: Offset after the last changed server entry, and the
-            number of changes since then that are not records, such as
-            expirations.
     """
 
     def __init__(self, decoders: Decoders) -> None:
         """Creates an empty view."""
         self._decoders = decoders
         self._operators: dict[str, bytes] = {}
-        self._servers: dict[str, bytes] = {}
+        self._servers = ServerRecords(decoders.server)
         self.configuration: Configuration | None = None
         self.configuration_loaded = asyncio.Event()
         self.evacuated: frozenset[str] = frozenset()
-        self.registry = Registry()
         self.operators_version = 0
-        self.servers_version: Version = (0, 0)
+
+    @property
+    def registry(self) -> Registry:
+        """The backend servers."""
+        return self._servers.registry
+
+    @property
+    def servers_version(self) -> Version:
+        """The version of the server entries."""
+        return self._servers.version
 
     @property
     def operator_records(self) -> Mapping[str, bytes]:
@@ -88,7 +93,7 @@
         if self.servers_version > servers_version:
             result = result._replace(
                 servers_version=self.servers_version,
-                servers=dict(self._servers),
+                servers=dict(self._servers.values),
             )
         return result
 
@@ -131,7 +136,7 @@
             return False
         if delta.topic is Topic.SERVERS:
             self.apply_server_records(delta.changes, delta.new_version[0])
-            self.servers_version = delta.new_version
+            self._servers.version = delta.new_version
             return True
         patched = [
             Change(patch.key, apply_patch(patch, self._operators[patch.key]))
@@ -157,8 +162,9 @@
             )
             is_changed = True
         if snapshot.servers_version > self.servers_version:
-            self._replace_server_values(snapshot.servers, is_from_store=False)
-            self.servers_version = snapshot.servers_version
+            self._servers.replace_from_peer(
+                snapshot.servers, snapshot.servers_version
+            )
             is_changed = True
         return is_changed
 
@@ -189,32 +195,13 @@
         self, changes: Iterable[Change], offset: int
     ) -> bool:
         """Replaces all server entries; returns whether anything changed."""
-        values = {c.key: c.value for c in changes if c.value is not None}
-        is_changed = self._replace_server_values(values)
-        if is_changed:
-            self.servers_version = (offset, 0)
-        return is_changed
+        return self._servers.replace(changes, offset)
 
     def apply_server_records(
         self, changes: Iterable[Change], offset: int
     ) -> tuple[Change, ...]:
-        """Applies records in order.
-
-        Returns:
-            The changes to tell other nodes; none without an effect here. Since
-            they hear of no heartbeats, a removal comes after the last entry,
-            which a copy of the store may bring back.
-        """
-        now_s = time.monotonic()
-        told: list[Change] = []
-        for change in changes:
-            if change.value is None:
-                told += self._remove_server(change.key, now_s)
-            elif self._put_server(change.key, change.value, now_s):
-                told.append(change)
-        if told:
-            self.servers_version = (offset, 0)
-        return tuple(told)
+        """Applies records in order; returns those to tell other nodes."""
+        return self._servers.apply(changes, offset)
 
     def drop_expired(self) -> bool:
         """Drops servers that did not write again after an outage of the store.
@@ -222,103 +209,7 @@
         Returns:
             Whether a server was dropped.
         """
-        expired = self.registry.drop_expired(time.monotonic())
-        for server_id in expired:
-            self._servers.pop(server_id, None)
-            _log.info("server_lapsed", server=server_id)
-        if expired:
-            offset, changes = self.servers_version
-            self.servers_version = (offset, changes + 1)
-        return bool(expired)
-
-    def _remove_server(
-        self, server_id: str, now_s: float
-    ) -> tuple[Change, ...]:
-        """Removes a server; returns the changes to tell other nodes."""
-        entry = self.registry.find_entry(server_id)
-        has_effect = self.registry.remove(server_id, now_s)
-        if entry is not None:
-            _log_removal(entry, has_effect=has_effect, is_listed=False)
-        if not has_effect:
-            return ()
-        last = self._servers.pop(server_id, None)
-        removal = Change(server_id, None)
-        return (
-            (removal,) if last is None else (Change(server_id, last), removal)
-        )
-
-    def _replace_server_values(
-        self, values: Mapping[str, bytes], *, is_from_store: bool = True
-    ) -> bool:
-        """Replaces all server entries.
-
-        Args:
-            values: The entries.
-            is_from_store: Whether the store has them now; otherwise another
-                node has, which may keep servers that are missing.
-
-        Returns:
-            Whether anything changed.
-        """
-        now_s = time.monotonic()
-        before = dict(self.registry.servers)
-        has_removed = self.registry.keep_only(values, now_s)
-        for server_id, server in before.items():
-            if server_id not in values and server_id in self._servers:
-                has_effect = not self.registry.is_registered(server_id)
-                _log_removal(
-                    server.entry, has_effect=has_effect, is_listed=True
-                )
-        put = [
-            self._put_server(*item, now_s, is_from_store=is_from_store)
-            for item in values.items()
-        ]
-        self._servers = {
-            key: value
-            for key, value in self._servers.items()
-            if key in self.registry.servers
-        }
-        return has_removed or any(put)
-
-    def _put_server(
-        self,
-        server_id: str,
-        value: bytes,
-        now_s: float,
-        *,
-        is_from_store: bool = True,
-    ) -> bool:
-        decoded = self._decoders.server(server_id, value)
-        if not is_successful(decoded):
-            _log.warning(
-                "server_entry_unreadable",
-                server=server_id,
-                detail=decoded.failure(),
-            )
-            return False
-        entry = decoded.unwrap()
-        last = self.registry.find_last_entry(server_id)
-        if self.registry.is_outdated(entry):
-            _log_outdated(entry, last)
-            return False
-        if not is_from_store and self.registry.is_still_missing(entry):
-            return False
-        self._servers[server_id] = value
-        is_changed = self.registry.put(entry, now_s)
-        if is_changed:
-            _log.info(
-                "server_changed",
-                server=server_id,
-                service=entry.service,
-                software_version=entry.software_version,
-                start_ms=entry.started_ms,
-                is_leaving=entry.is_leaving,
-                cold_s=entry.cold_s,
-                sequence=entry.sequence,
-                last_start_ms=None if last is None else last.started_ms,
-                last_sequence=None if last is None else last.sequence,
-            )
-        return is_changed
+        return self._servers.drop_expired()
 
     def _put_operator_records(
         self, changes: Iterable[Change], offset: int
@@ -363,35 +254,3 @@
             bytes=len(value),
             unread_lines=cfg.unread_lines,
         )
-
-
-def _log_outdated(entry: ServerEntry, last: ServerEntry | None) -> None:
-    """Logs an entry that is no news of its server."""
-    _log.info(
-        "server_entry_outdated",
-        server=entry.server_id,
-        start_ms=entry.started_ms,
-        sequence=entry.sequence,
-        last_start_ms=None if last is None else last.started_ms,
-        last_sequence=None if last is None else last.sequence,
-    )
-
-
-def _log_removal(
-    entry: ServerEntry, *, has_effect: bool, is_listed: bool
-) -> None:
-    """Logs that a server's entry is gone.
-
-    Args:
-        entry: The entry.
-        has_effect: Whether the server goes at once; else it is kept for a
-            while, since its entry may have lapsed.
-        is_listed: Whether the entry is missing from a listing.
-    """
-    _log.info(
-        "server_removed" if has_effect else "server_missing",
-        server=entry.server_id,
-        start_ms=entry.started_ms,
-        sequence=entry.sequence,
-        is_listed=is_listed,
-    )
--- a/src/savorylift/front/peer_sync.py
+++ b/src/savorylift/front/peer_sync.py
@@ -30,8 +30,8 @@
 from savorylift.fleet.snapshot_fetcher import SnapshotFetcher
 from savorylift.fleet.snapshot_server import SnapshotServer
 from savorylift.fleet.state import NodeState
-from savorylift.fleet.store_records import Delta, Topic
-from savorylift.fleet.store_view import StoreView, Version
+from savorylift.fleet.store_records import Delta, Topic, Version
+from savorylift.fleet.store_view import StoreView
 from savorylift.front.state_reactions import StateReactions
 from savorylift.front.tasks import BackgroundTasks
 
--- a/src/savorylift/front/state_reactions.py
+++ b/src/savorylift/front/state_reactions.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from savorylift.fleet.state import NodeState
-from savorylift.fleet.store_view import Version
+from savorylift.fleet.store_records import Version
 
 # The fields whose change may let a waiting request go on, or stop one.
 _news = operator.attrgetter(
