--- a/src/savorylift/exchange/engine_queue.py
+++ b/src/savorylift/exchange/engine_queue.py
@@ -79,7 +79,9 @@
         def reserve() -> BackendServer | None:
             run.server = self._pool.reserve_engine(admitted, options, tried)
             if run.server is not None:
-                run.mark_assigned(self._pool.pending_prefill_tokens(run.server))
+                run.mark_assigned(
+                    self._pool.choice.pending_prefill_tokens(run.server)
+                )
             return run.server
 
         run.server = self._pool.reserve_known_engine(admitted, options, tried)
@@ -140,16 +142,17 @@
     def _may_wait(self, run: Run, tried: set[str]) -> bool:
         """Whether engines that have no room now may have some soon."""
         admitted, pool = run.admitted, self._pool
-        if pool.is_closed_by_limits(admitted, tried):
+        if pool.waits.is_closed_by_limits(admitted, tried):
             return False
-        if pool.shortest_hold_s(admitted, tried) is not None:
+        if pool.waits.shortest_hold_s(admitted, tried) is not None:
             return False
-        if run.has_begun and not pool.has_server(admitted, tried):
+        if run.has_begun and not pool.choice.has_server(admitted, tried):
             return False
         if pool.are_all_leaving(admitted):
             return False
         return not (
-            _is_taken_up(run) and pool.has_place_elsewhere(admitted, tried)
+            _is_taken_up(run)
+            and pool.choice.has_place_elsewhere(admitted, tried)
         )
 
     @property
@@ -172,7 +175,9 @@
             # Once the stream has begun, fewer engines may continue it.
             return self._pool.retries.may_retry(
                 run.admitted.service.name
-            ) and self._pool.has_engine_with_room(run.admitted, options, tried)
+            ) and self._pool.choice.has_engine_with_room(
+                run.admitted, options, tried
+            )
 
         return FailoverPolicy.for_request(
             run.admitted,
@@ -229,7 +234,7 @@
         traits = self._traits[service]
         if traits is None:
             return UNKNOWN_ROOM
-        free_tokens = self._pool.count_free_tokens(service, traits)
+        free_tokens = self._pool.choice.count_free_tokens(service, traits)
         return Room(free_tokens, self._release_rate(service).tokens_per_s)
 
     def _release_rate(self, service: str) -> MemoryReleaseRate:
--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -254,16 +254,16 @@
             return fail_generation(run, sink, failure)
         if self._resumption.is_version_gone(run):
             return end_with_refusal(sink, version_gone())
-        if self._pool.is_closed_by_limits(run.admitted, ()):
-            return_after_s = self._pool.assign_return_s(run.admitted)
+        if self._pool.waits.is_closed_by_limits(run.admitted, ()):
+            return_after_s = self._pool.waits.assign_return_s(run.admitted)
             return refuse_generation(sink, Reason.SERVER_LIMIT, return_after_s)
-        hold_s = self._pool.shortest_hold_s(run.admitted)
+        hold_s = self._pool.waits.shortest_hold_s(run.admitted)
         if hold_s is not None:
             return refuse_generation(sink, Reason.SERVER_HOLD, hold_s)
         if self._pool.are_all_leaving(run.admitted):
             return refuse_without_engine(sink)
         if run.obstacle is Obstacle.NOT_ASKED:
-            return_after_s = self._pool.assign_return_s(run.admitted)
+            return_after_s = self._pool.waits.assign_return_s(run.admitted)
             return refuse_generation(sink, Reason.SERVER_LIMIT, return_after_s)
         if run.return_in_s is not None:
             # These are spread in the order of the turns already.
--- a/src/savorylift/exchange/move_destination.py
+++ b/src/savorylift/exchange/move_destination.py
@@ -36,10 +36,12 @@
     # Copies from several engines to the same one would share its link.
     busy = pool.move_queue.destinations()
     # A run may have to wait for a permit before a limited engine takes it.
-    limited = pool.limited_ids()
+    limited = pool.choice.limited_ids()
     return (
-        pool.find_engine(run.admitted, options, tried | busy | limited)
-        or pool.find_least_loaded_engine(run.admitted, options, tried | limited)
-        or pool.find_engine(run.admitted, options, tried | busy)
-        or pool.find_least_loaded_engine(run.admitted, options, tried)
+        pool.choice.find_engine(run.admitted, options, tried | busy | limited)
+        or pool.choice.find_least_loaded_engine(
+            run.admitted, options, tried | limited
+        )
+        or pool.choice.find_engine(run.admitted, options, tried | busy)
+        or pool.choice.find_least_loaded_engine(run.admitted, options, tried)
     )
--- a/src/savorylift/exchange/plain_call.py
+++ b/src/savorylift/exchange/plain_call.py
@@ -169,7 +169,7 @@
             server = self._pool.reserve_plain_server(admitted, tried)
             if server is not None or not self._pool.brittle.is_brittle(service):
                 return server
-            if self._pool.shortest_hold_s(admitted, tried) is not None:
+            if self._pool.waits.shortest_hold_s(admitted, tried) is not None:
                 return None
             wait_s = until_s - time.monotonic()
             if not await self._places.wait(service, wait_s):
@@ -231,14 +231,14 @@
         """Returns the final response if no server is left to try."""
         self._pool.blocks.record_unserved(admitted)
         if last_result is None or is_over_limit(last_result):
-            return_after_s = self._pool.assign_return_s(admitted)
+            return_after_s = self._pool.waits.assign_return_s(admitted)
             if return_after_s is not None:
                 message = "The backend servers take no more; it did not run."
                 return Refused(
                     503, Reason.SERVER_LIMIT, message, return_after_s
                 )
         if last_result is None or isinstance(last_result, NotRun):
-            hold_s = self._pool.shortest_hold_s(admitted)
+            hold_s = self._pool.waits.shortest_hold_s(admitted)
             if hold_s is not None:
                 message = "The backend servers want nothing; it did not run."
                 return Refused(503, Reason.SERVER_HOLD, message, hold_s)
@@ -253,7 +253,7 @@
             admitted.route.objective_s or DEFAULT_OBJECTIVE_S,
             lambda: (
                 self._pool.retries.may_retry(admitted.service.name)
-                and self._pool.has_untried_server(admitted, tried)
+                and self._pool.choice.has_untried_server(admitted, tried)
             ),
             is_last=is_last,
         )
--- a/src/savorylift/exchange/room_placement.py
+++ b/src/savorylift/exchange/room_placement.py
@@ -82,7 +82,7 @@
         if reply is not None and reply.outcome == RoomOutcome.REFUSED:
             reserve_cold_place()
         if cold:
-            prefill_tokens = self._pool.pending_prefill_tokens(cold[0])
+            prefill_tokens = self._pool.choice.pending_prefill_tokens(cold[0])
             result: RoomResult | None = RoomResult(
                 cold[0], prefill_tokens=prefill_tokens
             )
--- a/src/savorylift/exchange/server_pool.py
+++ b/src/savorylift/exchange/server_pool.py
@@ -1,11 +1,11 @@
-"""Selection of backend servers, with load accounting."""
+"""Places that requests take at backend servers."""
 
 import random
 import time
-from collections.abc import Callable, Collection, Iterator, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 from savorylift.backends.brittle_services import BrittleServices
-from savorylift.backends.load import Load, LoadTracker, add_loads
+from savorylift.backends.load import Load, LoadTracker
 from savorylift.backends.registry import BackendServer
 from savorylift.backends.server import ServerEntry
 from savorylift.exchange.admission import AdmittedRequest
@@ -17,34 +17,31 @@
 from savorylift.exchange.retry_budget import RetryBudget
 from savorylift.exchange.run import Run
 from savorylift.exchange.server_blocks import ServerBlocks
+from savorylift.exchange.server_choice import ServerChoice
 from savorylift.exchange.server_gate import ServerGate
 from savorylift.exchange.server_holds import ServerHolds
 from savorylift.exchange.server_places import ServerPlaces
+from savorylift.exchange.server_waits import ServerWaits
 from savorylift.fleet.membership import Membership
 from savorylift.fleet.store_view import StoreView
 from savorylift.limits.limit_gate import LimitGate
-from savorylift.placement.engines import (
-    EngineOptions,
-    choose_engine,
-    choose_least_loaded_engine,
-    count_free_tokens,
-)
-from savorylift.placement.plain_servers import choose_plain_server
+from savorylift.placement.engines import EngineOptions
 from savorylift.rollouts.answers import AnswerObserver
 from savorylift.rollouts.board import RolloutBoard
-from savorylift.routing.configuration import EngineTraits
 from savorylift.speeds.speed_book import SpeedBook
 from savorylift.speeds.usual_times import Work
 
 
 class ServerPool:
-    """Chooses backend servers and accounts for the requests sent to them.
+    """Reserves backend servers and accounts for the requests sent to them.
 
     Attributes:
         load_tracker: Requests of this node at each server.
         brittle: Services whose servers fall over if they reject much.
         holds: Which servers want nothing for a while.
         move_queue: Which run may be copied next.
+        choice: Which server a request would get.
+        waits: When servers take requests again.
         blocks: Why servers get no requests.
         retries: This node's share of the retry budget.
         answers: Follows the requests to services that are rolled out.
@@ -91,7 +88,6 @@
         """
         self._registry = store_view.registry
         self._membership = membership
-        self._rng = rng
         self._announce_load = announce_load or announce
         self._limit_gate = limit_gate
         self._allowed = AllowedServers(
@@ -108,6 +104,18 @@
         self._gate = ServerGate(
             self._allowed, holds, limit_gate.is_open, self._places
         )
+        self.choice = ServerChoice(
+            self._registry,
+            membership,
+            self.load_tracker,
+            self._allowed,
+            self._gate,
+            self._places,
+            limit_gate,
+            self.speeds,
+            rng,
+        )
+        self.waits = ServerWaits(self._allowed, limit_gate, holds)
         self.kept = KeptEngines(
             self._allowed, self._gate, self.brittle, limit_gate.is_limited
         )
@@ -116,7 +124,7 @@
             self._allowed,
             self._gate,
             self._places,
-            self._loads,
+            self.choice.loads,
         )
         self.retries = NodeRetries(budget, membership)
         self.move_queue = MoveQueue(
@@ -132,15 +140,7 @@
 
         The dispatcher removes it from the load tracker when the call has ended.
         """
-        loads = self._loads()
-        candidates = self._eligible_servers(admitted, tried, loads)
-        found = choose_plain_server(
-            candidates,
-            loads,
-            time.monotonic(),
-            self._rng,
-            self.speeds.slowdown,
-        )
+        found = self.choice.find_plain_server(admitted, tried)
         if found is not None:
             self._record_start(found, admitted, 0, 0)
         return found
@@ -155,7 +155,7 @@
 
         The dispatcher removes it from the load tracker when its run has ended.
         """
-        found = self.find_engine(admitted, options, tried)
+        found = self.choice.find_engine(admitted, options, tried)
         if found is not None:
             generation = admitted.req.generation
             prefill_tokens = generation.prompt_tokens if generation else 0
@@ -213,71 +213,6 @@
             self._record_start(server, admitted, options.tokens, 0)
         return server
 
-    def find_engine(
-        self,
-        admitted: AdmittedRequest,
-        options: EngineOptions,
-        excluded: Collection[str],
-    ) -> BackendServer | None:
-        """Returns an engine with room, without adding to its load."""
-        loads = self._loads()
-        candidates = self._eligible_servers(admitted, excluded, loads)
-        options = options._replace(slowdown=self.speeds.slowdown)
-        return choose_engine(candidates, loads, options, self._rng)
-
-    def find_least_loaded_engine(
-        self,
-        admitted: AdmittedRequest,
-        options: EngineOptions,
-        tried: Collection[str],
-    ) -> BackendServer | None:
-        """Returns the engine with the most room, even if it is not enough."""
-        loads = self._loads()
-        candidates = self._eligible_servers(admitted, tried, loads)
-        options = options._replace(slowdown=self.speeds.slowdown)
-        return choose_least_loaded_engine(candidates, loads, options, self._rng)
-
-    def has_engine_with_room(
-        self,
-        admitted: AdmittedRequest,
-        options: EngineOptions,
-        tried: Collection[str],
-    ) -> bool:
-        """Returns whether an untried engine without a limit has room."""
-        excluded = self.limited_ids().union(tried)
-        return self.find_engine(admitted, options, excluded) is not None
-
-    def has_untried_server(
-        self, admitted: AdmittedRequest, tried: Collection[str]
-    ) -> bool:
-        """Returns whether an untried server without a limit has room."""
-        excluded = self.limited_ids().union(tried)
-        return any(
-            True
-            for _ in self._eligible_servers(admitted, excluded, self._loads())
-        )
-
-    def has_server(
-        self, admitted: AdmittedRequest, tried: Collection[str]
-    ) -> bool:
-        """Returns whether an untried server may run it, full or not."""
-        if self._allowed.find_known_engine(admitted, tried) is not None:
-            return True
-        return any(True for _ in self._allowed.find(admitted, tried))
-
-    def has_place_elsewhere(
-        self, admitted: AdmittedRequest, tried: Collection[str]
-    ) -> bool:
-        """Whether another node has a place at a cold server, if this has none.
-
-        To be asked when no server has room for this node.
-        """
-        allowed = self._allowed.find(admitted, tried)
-        return any(
-            self._gate.find_pause(server.entry) is None
-            for server in self._places.find_elsewhere(allowed, self._loads())
-        )
-
     def may_send(self, server: BackendServer, req: CallerRequest) -> bool:
         """Returns whether a request may still go to the server chosen for it.
 
@@ -306,52 +241,6 @@
         """Returns the newest entry of a server that is known."""
         return self._registry.find_entry(server_id)
 
-    def pending_prefill_tokens(self, server: BackendServer) -> int:
-        """Returns how many prompt tokens an engine has yet to prefill."""
-        return self._loads().get(server.entry.server_id, Load()).prefill_tokens
-
-    def count_free_tokens(self, service: str, traits: EngineTraits) -> int:
-        """Returns the memory that is free at a service's engines together."""
-        loads = self._loads()
-        found = (
-            loads.get(server.entry.server_id, Load())
-            for server in self.servers_in_service(service)
-        )
-        return count_free_tokens(found, traits)
-
-    def limited_ids(self) -> set[str]:
-        """Returns the IDs of the servers that name a limit."""
-        return {
-            server_id
-            for server_id, server in self._registry.servers.items()
-            if self._limit_gate.is_limited(server.entry)
-        }
-
-    def is_closed_by_limits(
-        self, admitted: AdmittedRequest, tried: Collection[str]
-    ) -> bool:
-        """Whether the limits of all servers that remain are used up."""
-        entries = [s.entry for s in self._allowed.find(admitted, tried)]
-        return bool(entries) and not any(map(self._limit_gate.is_open, entries))
-
-    def assign_return_s(self, admitted: AdmittedRequest) -> float | None:
-        """Returns after what time a caller refused by limits may return.
-
-        None if no server that may run the request names a limit.
-        """
-        entries = [s.entry for s in self._allowed.find(admitted, ())]
-        return self._limit_gate.assign_return_s(entries)
-
-    def shortest_hold_s(
-        self, admitted: AdmittedRequest, tried: Collection[str] = ()
-    ) -> float | None:
-        """Returns after what time a server may get a request again.
-
-        It is spread a little over the callers. None if one may now.
-        """
-        found = self._allowed.find(admitted, tried)
-        return self.holds.assign_return_s([s.entry.server_id for s in found])
-
     def record_time(
         self, server: BackendServer, kind: str, slots: int, took_s: float
     ) -> None:
@@ -379,43 +268,6 @@
                 run.server.entry.server_id, run.attempt_id
             )
 
-    def _loads(self) -> Mapping[str, Load]:
-        others = self._membership.loads(time.monotonic())
-        return add_loads(others, self.load_tracker.loads())
-
-    def _eligible_servers(
-        self,
-        admitted: AdmittedRequest,
-        tried: Collection[str],
-        loads: Mapping[str, Load],
-    ) -> Iterator[BackendServer]:
-        """Returns the servers from which a request's server is chosen.
-
-        They may run it and have room for it. While its service is rolled out,
-        they are those of the version that it is for, if there are any.
-        """
-        found = self._find_with_room(admitted, tried, loads)
-        rule = self._allowed.find_version_rule(admitted, tried)
-        if rule is None:
-            return found
-        servers = list(found)
-        preferred = [s for s in servers if rule.prefers(s.entry)]
-        return iter(preferred or servers)
-
-    def _find_with_room(
-        self,
-        admitted: AdmittedRequest,
-        tried: Collection[str],
-        loads: Mapping[str, Load],
-    ) -> Iterator[BackendServer]:
-        """Yields the servers that may run a request and have room for it."""
-        demand = self._places.demand(admitted.service)
-        for server in self._allowed.find_matching(admitted, tried):
-            load = loads.get(server.entry.server_id, Load())
-            block = self._gate.find_block(server, demand, load.requests)
-            if block is None:
-                yield server
-
     def _record_start(
         self,
         server: BackendServer,
--- a/src/savorylift/exchange/stream_resumption.py
+++ b/src/savorylift/exchange/stream_resumption.py
@@ -133,7 +133,7 @@
         doubt = await self._find_doubt(bound, origin)
         if doubt is not None and origin is None:
             bound = bound._replace(software_version=None)
-        has_server = doubt is None and self._pool.has_server(bound, ())
+        has_server = doubt is None and self._pool.choice.has_server(bound, ())
         _log.info(
             "stream_taken_up",
             request=req.attempt_id,
@@ -304,7 +304,9 @@
 
     def is_version_gone(self, run: Run) -> bool:
         """Whether no server may continue a stream that has begun."""
-        return run.has_begun and not self._pool.has_server(run.admitted, ())
+        return run.has_begun and not self._pool.choice.has_server(
+            run.admitted, ()
+        )
 
     async def _find_origin_of_start(
         self, admitted: AdmittedRequest
--- a/tests/exchange/test_server_pool.py
+++ b/tests/exchange/test_server_pool.py
@@ -54,7 +54,7 @@
     assert (
         server_pool.reserve_plain_server(admitted, ()) is not None
     ) is is_found
-    assert server_pool.has_untried_server(admitted, ()) is is_found
+    assert server_pool.choice.has_untried_server(admitted, ()) is is_found
 
 
 @pytest.mark.parametrize(
@@ -77,8 +77,11 @@
     store_view.registry.put(entry, time.monotonic())
     server_pool = make_pool(store_view)
     admitted = make_admitted_request()
-    assert server_pool.has_server(admitted, {"tried"}) is is_eligible
-    assert server_pool.has_untried_server(admitted, {"tried"}) is is_eligible
+    assert server_pool.choice.has_server(admitted, {"tried"}) is is_eligible
+    assert (
+        server_pool.choice.has_untried_server(admitted, {"tried"})
+        is is_eligible
+    )
     found = server_pool.reserve_plain_server(admitted, {"tried"})
     assert bool(found) is is_eligible
 
@@ -134,8 +137,8 @@
 ) -> None:
     server_pool = make_full_pool(peer_requests, silent_count, is_cold=is_cold)
     admitted = make_admitted_request()
-    assert server_pool.has_place_elsewhere(admitted, ()) is is_found
-    assert not server_pool.has_place_elsewhere(admitted, ("a",))
+    assert server_pool.choice.has_place_elsewhere(admitted, ()) is is_found
+    assert not server_pool.choice.has_place_elsewhere(admitted, ("a",))
 
 
 def make_taken_up_request(server_id: str) -> AdmittedRequest:
@@ -174,7 +177,7 @@
     )
     found = server_pool.reserve_known_engine(admitted, OPTIONS, ())
     assert (found is not None) is is_asked
-    assert server_pool.has_server(admitted, ("b",)) is is_asked
+    assert server_pool.choice.has_server(admitted, ("b",)) is is_asked
     assert server_pool.reserve_known_engine(admitted, OPTIONS, ("a",)) is None
     if found is not None:
         assert server_pool.may_send(found, admitted.req)
--- a/tests/exchange/test_version_choice.py
+++ b/tests/exchange/test_version_choice.py
@@ -75,7 +75,7 @@
 ) -> None:
     server_pool = make_rolled_out_pool(stage)
     admitted = make_request(is_in_share=is_in_share)
-    engine = server_pool.find_engine(admitted, OPTIONS, ())
+    engine = server_pool.choice.find_engine(admitted, OPTIONS, ())
     assert engine is not None
     assert engine.entry.server_id in expected
     plain = server_pool.reserve_plain_server(admitted, ())
@@ -95,7 +95,7 @@
 ):
     server_pool = make_rolled_out_pool(HELD)
     admitted = make_request(is_in_share=True)
-    engine = server_pool.find_engine(admitted, OPTIONS, tuple(NEW))
+    engine = server_pool.choice.find_engine(admitted, OPTIONS, tuple(NEW))
     assert engine is not None
     assert engine.entry.server_id in OLD
 
@@ -109,5 +109,5 @@
 
 def test_a_stream_that_began_at_a_banned_version_has_no_server() -> None:
     admitted = make_request(is_in_share=True)._replace(software_version="v2")
-    assert make_rolled_out_pool(HELD).has_server(admitted, ())
-    assert not make_rolled_out_pool(BACK).has_server(admitted, ())
+    assert make_rolled_out_pool(HELD).choice.has_server(admitted, ())
+    assert not make_rolled_out_pool(BACK).choice.has_server(admitted, ())
