--- a/src/savorylift/completions/load_poller.py
+++ b/src/savorylift/completions/load_poller.py
@@ -17,6 +17,7 @@
 from savorylift.json_input import decode_json
 from savorylift.wire.client_call import BrokenAnswerError, fetch
 from savorylift.wire.message import ResponseHead
+from savorylift.wire.purpose import Purpose
 
 LOAD_PATH = "/v1/load"
 POLL_INTERVAL_S = 0.5
@@ -61,6 +62,7 @@
                 LOAD_PATH,
                 timeout_s=POLL_TIMEOUT_S,
                 connect_timeout_s=POLL_TIMEOUT_S,
+                purpose=Purpose.REPORT,
             )
         except (OSError, BrokenAnswerError) as exc:
             detail = f"{type(exc).__name__}: {exc}"
--- a/src/savorylift/exchange/reach_probe.py
+++ b/src/savorylift/exchange/reach_probe.py
@@ -9,6 +9,7 @@
 from savorylift.wire.client_call import BrokenAnswerError, ClientCall
 from savorylift.wire.input_timeout import InputTimeout
 from savorylift.wire.message import ResponseHead
+from savorylift.wire.purpose import Purpose
 
 CONNECT_TIMEOUT_S = 0.5
 # A sound server may be silent for about a second.
@@ -58,7 +59,7 @@
         self, server: BackendServer, health_path: str | None
     ) -> bool:
         host, port = server.entry.address
-        channel = await connect(host, port, CONNECT_TIMEOUT_S)
+        channel = await connect(host, port, CONNECT_TIMEOUT_S, Purpose.PROBE)
         try:
             if health_path is None:
                 await asyncio.sleep(OPEN_S)
--- a/src/savorylift/exchange/run_canceller.py
+++ b/src/savorylift/exchange/run_canceller.py
@@ -7,6 +7,7 @@
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange.codec import CancelRequest
 from savorylift.wire.client_call import BrokenAnswerError, fetch
+from savorylift.wire.purpose import Purpose
 
 CONNECT_TIMEOUT_S = 0.2
 CANCEL_TIMEOUT_S = 1.0
@@ -42,6 +43,7 @@
             cancel_request.target,
             timeout_s=CANCEL_TIMEOUT_S,
             connect_timeout_s=CONNECT_TIMEOUT_S,
+            purpose=Purpose.CANCEL,
         )
     except (OSError, BrokenAnswerError) as exc:
         _log.info(
--- a/src/savorylift/exchange/server_opener.py
+++ b/src/savorylift/exchange/server_opener.py
@@ -16,6 +16,7 @@
 from savorylift.processes.life_report import Life
 from savorylift.processes.server_life import ServerLife
 from savorylift.wire.channel import Channel, connect
+from savorylift.wire.purpose import Purpose
 
 # Many round trips: a reachable server accepts within a few milliseconds.
 CONNECT_TIMEOUT_S = 0.2
@@ -154,7 +155,9 @@
             CONNECT_TIMEOUT_S, failover_policy.failover_at_s - time.monotonic()
         )
         try:
-            return await connect(host, port, max(timeout_s, 0.0))
+            return await connect(
+                host, port, max(timeout_s, 0.0), Purpose.REQUEST
+            )
         except OSError as exc:
             if timeout_s >= CONNECT_TIMEOUT_S:
                 self._reach.record_failure(server)
--- a/src/savorylift/front/node_relay.py
+++ b/src/savorylift/front/node_relay.py
@@ -32,6 +32,7 @@
     Response,
     end_to_end_headers,
 )
+from savorylift.wire.purpose import Purpose
 from savorylift.wire.server_connection import ServerConnection
 
 MAX_NODES = 3
@@ -158,7 +159,9 @@
         admitted: AdmittedRequest,
     ) -> Passed | NotTaken | Lost:
         try:
-            channel = await connect(ip, self._peer_port, CONNECT_TIMEOUT_S)
+            channel = await connect(
+                ip, self._peer_port, CONNECT_TIMEOUT_S, Purpose.RELAY
+            )
         except OSError as exc:
             return NotTaken(f"{type(exc).__name__}: {exc}")
         call = ClientCall(channel)
--- a/src/savorylift/platform/engine_client.py
+++ b/src/savorylift/platform/engine_client.py
@@ -17,6 +17,7 @@
 from savorylift.wire.client_call import BrokenAnswerError, fetch, fetch_on
 from savorylift.wire.input_timeout import InputTimeout
 from savorylift.wire.message import Response, ResponseHead
+from savorylift.wire.purpose import Purpose
 
 # Takes the address of a server, its start if it says so, and its notice.
 NoticeHandler = Callable[[tuple[str, int], int | None, ServerNotice], None]
@@ -104,6 +105,7 @@
             body=msgspec.json.encode(payload),
             timeout_s=timeout_s,
             connect_timeout_s=timeout_s,
+            purpose=Purpose.COPY,
         )
     except (OSError, BrokenAnswerError):
         return Failure(CopyError(CopyFault.UNREACHABLE))
@@ -131,6 +133,7 @@
             f"/kv-handle/{handle}",
             timeout_s=timeout_s,
             connect_timeout_s=timeout_s,
+            purpose=Purpose.COPY,
         )
     except (OSError, BrokenAnswerError):
         return False
@@ -241,6 +244,7 @@
             REPORT,
             timeout_s=timeout_s,
             connect_timeout_s=timeout_s,
+            purpose=Purpose.REPORT,
         )
     except (OSError, BrokenAnswerError):
         return None
--- a/src/savorylift/platform/store.py
+++ b/src/savorylift/platform/store.py
@@ -19,6 +19,7 @@
 )
 from savorylift.wire.client_call import BrokenAnswerError, fetch
 from savorylift.wire.message import Response
+from savorylift.wire.purpose import Purpose
 
 OPERATORS_TOPIC = "keyed.op"
 SERVERS_TOPIC = "keyed.servers"
@@ -255,6 +256,7 @@
                 body=body,
                 timeout_s=RESPONSE_TIMEOUT_S + wait_s,
                 connect_timeout_s=CONNECT_TIMEOUT_S,
+                purpose=Purpose.STORE,
             )
         except (OSError, BrokenAnswerError) as exc:
             return StoreError(
--- a/src/savorylift/processes/idle_connections.py
+++ b/src/savorylift/processes/idle_connections.py
@@ -13,6 +13,7 @@
 
 from savorylift.exchange import metrics
 from savorylift.wire.channel import Channel, connect
+from savorylift.wire.purpose import Purpose
 
 CONNECT_TIMEOUT_S = 0.2
 # For how long a connection is kept for answers to come, and a service counts as
@@ -170,7 +171,9 @@
 
     async def _hold_one(self) -> None:
         try:
-            idle = await connect(*self._place.address, CONNECT_TIMEOUT_S)
+            idle = await connect(
+                *self._place.address, CONNECT_TIMEOUT_S, Purpose.IDLE
+            )
         except OSError:
             metrics.IDLE_CONNECTIONS.labels("failed").inc()
             return
--- a/src/savorylift/processes/process_connection.py
+++ b/src/savorylift/processes/process_connection.py
@@ -10,6 +10,7 @@
 from savorylift.backends.server import ServerEntry
 from savorylift.exchange import metrics
 from savorylift.wire.channel import Channel, connect
+from savorylift.wire.purpose import Purpose
 
 CONNECT_TIMEOUT_S = 0.2
 # For how long a connection is kept after its server was last asked about.
@@ -184,7 +185,9 @@
 
     async def _connect(self) -> Channel | None:
         try:
-            return await connect(*self._entry.address, CONNECT_TIMEOUT_S)
+            return await connect(
+                *self._entry.address, CONNECT_TIMEOUT_S, Purpose.IDLE
+            )
         except OSError:
             return None
 
--- a/src/savorylift/processes/server_contact.py
+++ b/src/savorylift/processes/server_contact.py
@@ -5,6 +5,7 @@
 import time
 
 from savorylift.wire.channel import Channel, connect
+from savorylift.wire.purpose import Purpose
 
 # A timeout that is seen so much too late is one of this node.
 LATE_S = 0.05
@@ -38,7 +39,7 @@
     for _ in range(MAX_ATTEMPTS):
         began_s = time.monotonic()
         try:
-            return await connect(*address, timeout_s)
+            return await connect(*address, timeout_s, Purpose.CONTACT)
         except ConnectionRefusedError:
             return NoContact.REFUSED
         except TimeoutError:
--- a/src/savorylift/wire/client_call.py
+++ b/src/savorylift/wire/client_call.py
@@ -16,6 +16,7 @@
 from savorylift.wire.coop_budget import CoopBudget
 from savorylift.wire.input_timeout import InputTimeout
 from savorylift.wire.message import Headers, Response, ResponseHead
+from savorylift.wire.purpose import Purpose
 from savorylift.wire.send_queue import MAX_WRITE_BYTES
 
 # A server in trouble may send without end. Bodies are read whole, so one
@@ -224,6 +225,7 @@
     body: bytes = b"",
     timeout_s: float,
     connect_timeout_s: float,
+    purpose: Purpose = Purpose.OTHER,
 ) -> Response:
     """Sends a request on a new connection and returns the response.
 
@@ -233,7 +235,7 @@
     """
     host, port = address
     async with InputTimeout(timeout_s):
-        channel = await connect(host, port, connect_timeout_s)
+        channel = await connect(host, port, connect_timeout_s, purpose)
         all_headers = (("host", f"{host}:{port}"), *headers)
         return await fetch_on(channel, method, target, all_headers, body)
 
--- a/src/savorylift/wire/metrics.py
+++ b/src/savorylift/wire/metrics.py
@@ -11,6 +11,11 @@
     "savorylift_wire_accepts_paused",
     "Times that accepting paused, as the process had no descriptor left.",
 )
+CONNECTIONS_OPENED = Counter(
+    "savorylift_wire_connections_opened",
+    "Connections that this node opened or tried to open, by purpose.",
+    ["purpose"],
+)
 CONNECTIONS_CLOSED = Counter(
     "savorylift_wire_connections_closed",
     "Connections closed or refused for the sake of others, by listener and by"
--- a/tests/front/test_unframed_answers.py
+++ b/tests/front/test_unframed_answers.py
@@ -17,6 +17,7 @@
 )
 from savorylift.wire.client_call import BrokenAnswerError
 from savorylift.wire.message import Headers
+from savorylift.wire.purpose import Purpose
 from tests.front.environment import (
     NodeEnvironment,
     event_numbers,
@@ -385,7 +386,9 @@
 def test_whole_answer_waits_little_for_a_server_that_is_cut_off(
     path: str, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    async def never_connect(_host: str, _port: int, timeout_s: float) -> None:
+    async def never_connect(
+        _host: str, _port: int, timeout_s: float, _purpose: Purpose
+    ) -> None:
         async with asyncio.timeout(timeout_s):
             await asyncio.Event().wait()
 
@@ -564,7 +567,9 @@
 ) -> None:
     """A connection that was reset or timed out counted as a good sign."""
 
-    async def reset(_host: str, _port: int, _timeout_s: float) -> None:
+    async def reset(
+        _host: str, _port: int, _timeout_s: float, _purpose: Purpose
+    ) -> None:
         raise ConnectionResetError
 
     async def scenario(env: NodeEnvironment) -> None:
--- a/tests/processes/test_idle_connections.py
+++ b/tests/processes/test_idle_connections.py
@@ -11,6 +11,7 @@
     ProcessPlace,
 )
 from savorylift.wire.channel import Channel, connect
+from savorylift.wire.purpose import Purpose
 from tests.wire.loopback import run_with_timeout, serve_bytes
 
 KEEP_S = 0.2
@@ -175,11 +176,13 @@
     """A lost packet as a long answer began left nothing to judge it by."""
     tries: list[str] = []
 
-    async def fail_once(host: str, port: int, timeout_s: float) -> Channel:
+    async def fail_once(
+        host: str, port: int, timeout_s: float, purpose: Purpose
+    ) -> Channel:
         tries.append(host)
         if len(tries) == 1:
             raise TimeoutError
-        return await connect(host, port, timeout_s)
+        return await connect(host, port, timeout_s, purpose)
 
     async def scenario() -> None:
         monkeypatch.setattr(idle_connections, "connect", fail_once)
--- a/tests/processes/test_server_check.py
+++ b/tests/processes/test_server_check.py
@@ -24,6 +24,7 @@
     Channel,
     connect,
 )
+from savorylift.wire.purpose import Purpose
 from tests.exchange.factories import make_server
 from tests.harness.ports import free_addresses
 from tests.wire.loopback import run_with_timeout, serve_bytes
@@ -364,9 +365,11 @@
 ) -> None:
     connects: list[str] = []
 
-    async def count(host: str, port: int, timeout_s: float) -> Channel:
+    async def count(
+        host: str, port: int, timeout_s: float, purpose: Purpose
+    ) -> Channel:
         connects.append(host)
-        return await connect(host, port, timeout_s)
+        return await connect(host, port, timeout_s, purpose)
 
     async def scenario() -> None:
         monkeypatch.setattr(server_contact, "connect", count)
