--- a/src/savorylift/front/peer_sync.py
+++ b/src/savorylift/front/peer_sync.py
@@ -27,8 +27,8 @@
 from savorylift.fleet.snapshot_fetcher import SnapshotFetcher
 from savorylift.fleet.snapshot_server import SnapshotServer
 from savorylift.fleet.state import NodeState
-from savorylift.fleet.store_records import Delta, Topic
-from savorylift.fleet.store_view import StoreView, Version
+from savorylift.fleet.store_records import Delta, Topic, Version
+from savorylift.fleet.store_view import StoreView
 from savorylift.front.state_reactions import StateReactions
 from savorylift.front.tasks import BackgroundTasks
 
