--- a/tests/front/misbehaving_callers.py
+++ b/tests/front/misbehaving_callers.py
@@ -5,18 +5,19 @@
 import itertools
 import pathlib
 import socket
-from collections.abc import AsyncIterator, Callable, Iterator
+from collections.abc import AsyncIterator, Callable, Iterator, Mapping, Sequence
 from typing import NamedTuple
 
 from savorylift.front.settings import FrontSettings
 from savorylift.platform.store import OPERATORS_TOPIC
-from savorylift.wire.channel import connect
+from savorylift.wire.channel import Channel, connect
 from savorylift.wire.client_call import BrokenAnswerError, ClientCall
 from savorylift.wire.message import Headers
 from tests.front.environment import configuration
 from tests.front.limited_node import DESCRIPTORS_VARIABLE
 from tests.front.process_fleet import ProcessFleet
 from tests.front.test_endless_memory import peak_kb
+from tests.harness.certificates import client_context
 
 MAX_BODY_BYTES = 4_194_304
 MAX_HEAD_BYTES = 65_536
@@ -44,6 +45,7 @@
         headers: Headers beside the host.
         method: Method of an ordinary request.
         statuses: Statuses that an ordinary request may get.
+        has_tls: Whether connections use TLS.
     """
 
     name: str
@@ -52,6 +54,7 @@
     headers: Headers = ()
     method: str = "GET"
     statuses: frozenset[int] = frozenset({200})
+    has_tls: bool = False
 
     def head(self, *lines: str) -> bytes:
         """Returns the head of a request, with more lines at its end."""
@@ -89,7 +92,10 @@
     program = "tests.front.limited_node"
 
     def __init__(
-        self, directory: pathlib.Path, descriptors: int, changes: dict[str, int]
+        self,
+        directory: pathlib.Path,
+        descriptors: int,
+        changes: Mapping[str, object],
     ) -> None:
         """Sets the limits of the node.
 
@@ -149,23 +155,32 @@
         ]
 
     async def watch_crowd(
-        self, callers: int, way: Callable[[Place], Script], send_s: float
+        self,
+        callers: int,
+        way: Callable[[Place], Script],
+        send_s: float,
+        crowded: Sequence[Place] | None = None,
+        arriving_s: float = 0.0,
     ) -> Watch:
-        """Lets a crowd come to each place, and then one ordinary caller.
+        """Lets a crowd come, and then one ordinary caller to each place.
 
         Args:
-            callers: Callers at each place.
+            callers: Callers at each place with a crowd.
             way: What each of them does.
             send_s: When the ordinary callers come.
+            crowded: Where the crowd comes; None for all places.
+            arriving_s: Time over which the crowd comes.
         """
         process = self.processes[self.ip]
         places = self.places()
+        crowd = (places if crowded is None else list(crowded)) * callers
         async with contextlib.AsyncExitStack() as stack:
             counts = await stack.enter_async_context(
                 sampled_descriptors(process.pid)
             )
-            for place in places * callers:
-                caller = run_caller(self.ip, place, way(place))
+            for number, place in enumerate(crowd):
+                delay_s = arriving_s * number / len(crowd)
+                caller = run_caller(self.ip, place, way(place), delay_s)
                 task = asyncio.ensure_future(caller)
                 stack.callback(task.cancel)
             await asyncio.sleep(send_s)
@@ -193,7 +208,7 @@
         """Sends one ordinary request; returns the status of its answer."""
         body = bytes(ORDINARY_BODY_BYTES) if place.method == "POST" else b""
         async with asyncio.timeout(TRY_TIMEOUT_S):
-            channel = await connect(self.ip, place.port, TRY_TIMEOUT_S)
+            channel = await _connect(self.ip, place)
             call = ClientCall(channel)
             headers = _ordinary_headers(place)
             try:
@@ -206,6 +221,16 @@
 _numbers = itertools.count()
 
 
+async def _connect(ip: str, place: Place) -> Channel:
+    """Opens a connection as an ordinary caller does."""
+    if not place.has_tls:
+        return await connect(ip, place.port, TRY_TIMEOUT_S)
+    _, channel = await asyncio.get_running_loop().create_connection(
+        Channel, ip, place.port, ssl=client_context()
+    )
+    return channel
+
+
 def _ordinary_headers(place: Place) -> Headers:
     """Returns the headers of an ordinary request, which is an attempt anew."""
     values = {
@@ -237,8 +262,12 @@
         task.cancel()
 
 
-async def run_caller(ip: str, place: Place, script: Script) -> None:
+async def run_caller(
+    ip: str, place: Place, script: Script, delay_s: float = 0.0
+) -> None:
     """Follows a script, never reads, and stays until it is cancelled."""
+    await asyncio.sleep(delay_s)
+    tls = client_context() if place.has_tls else None
     sock = socket.socket()
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
     sock.setblocking(False)
@@ -247,7 +276,15 @@
         with contextlib.suppress(OSError):
             loop = asyncio.get_running_loop()
             await loop.sock_connect(sock, (ip, place.port))
-            _, writer = await asyncio.open_connection(sock=sock, limit=1000)
+            _, writer = await asyncio.open_connection(
+                sock=sock,
+                limit=1000,
+                ssl=tls,
+                server_hostname=ip if tls else None,
+            )
+            if tls:
+                # Otherwise, it would answer the notice that ends a connection.
+                writer.transport.pause_reading()  # type: ignore[attr-defined]
             for step in script:
                 if isinstance(step, float):
                     await asyncio.sleep(step)
