--- /dev/null
+++ b/src/savorylift/checks/rendering.py
@@ -0,0 +1,143 @@
+"""Shows the report of a check to operators, as text and as JSON."""
+
+from collections.abc import Iterable
+from typing import NamedTuple, NotRequired, TypedDict
+
+import msgspec
+
+from savorylift.checks.findings import (
+    Change,
+    CheckReport,
+    Finding,
+    FindingKind,
+    Location,
+)
+
+
+class RenderedText(NamedTuple):
+    """A report as lines.
+
+    Attributes:
+        faults: What keeps the file from being published.
+        lines: The rest.
+    """
+
+    faults: tuple[str, ...]
+    lines: tuple[str, ...]
+
+
+class _LocationJson(TypedDict):
+    line: NotRequired[int]
+    column: NotRequired[int]
+    path: NotRequired[str]
+
+
+class _FindingJson(_LocationJson):
+    kind: str
+    message: str
+    asked_by: str
+
+
+class _ChangeJson(_LocationJson):
+    kind: str
+    entry: str
+    detail: str
+    asked_by: str
+
+
+class _ReportJson(TypedDict):
+    file: str
+    format: str
+    findings: list[_FindingJson]
+    changes: list[_ChangeJson] | None
+    exit_code: int
+
+
+def render_text(file: str, found: CheckReport) -> RenderedText:
+    """Returns the report as lines, which begin as those of compilers do."""
+    faults, lines = [], []
+    for finding in found.findings:
+        if finding.kind is FindingKind.UNREADABLE:
+            faults.append(
+                f"{_place(file, finding.location)}: {finding.message}"
+            )
+        else:
+            lines.append(_render_finding(file, finding))
+    if not found.findings:
+        lines.append(f"{file}: no faults")
+    if found.changes is not None:
+        lines.extend(_render_changes(found.changes))
+    return RenderedText(tuple(faults), tuple(lines))
+
+
+def render_json(
+    file: str, file_format: str, found: CheckReport, exit_code: int
+) -> bytes:
+    """Returns the report as one JSON object."""
+    changes = found.changes
+    data = _ReportJson(
+        file=file,
+        format=file_format,
+        findings=[_finding_json(finding) for finding in found.findings],
+        changes=None
+        if changes is None
+        else [_change_json(change) for change in changes],
+        exit_code=exit_code,
+    )
+    return msgspec.json.encode(data)
+
+
+def _render_finding(file: str, finding: Finding) -> str:
+    place = _place(file, finding.location)
+    asked_by = f" (asked for by {finding.asked_by})" if finding.asked_by else ""
+    return f"{place}: {finding.kind}: {finding.message}{asked_by}"
+
+
+def _place(file: str, location: Location) -> str:
+    """Returns `FILE:LINE:COLUMN`, `FILE:LINE` or `FILE: PATH`."""
+    separator = ": " if location.path else ":"
+    return f"{file}{separator}{location}"
+
+
+def _render_changes(changes: Iterable[Change]) -> Iterable[str]:
+    lines = [_render_change(change) for change in changes]
+    return lines or ["no difference"]
+
+
+def _render_change(change: Change) -> str:
+    place = change.location.path or f"line {change.location.line}"
+    if change.asked_by:
+        place += f", asked for by {change.asked_by}"
+    detail = f": {change.detail}" if change.detail else ""
+    return f"{change.kind} {change.entry} ({place}){detail}"
+
+
+def _finding_json(finding: Finding) -> _FindingJson:
+    return {
+        "kind": finding.kind.value,
+        "message": finding.message,
+        "asked_by": finding.asked_by,
+        **_location_json(finding.location),
+    }
+
+
+def _change_json(change: Change) -> _ChangeJson:
+    return {
+        "kind": change.kind.value,
+        "entry": change.entry,
+        "detail": change.detail,
+        "asked_by": change.asked_by,
+        **_location_json(change.location),
+    }
+
+
+def _location_json(location: Location) -> _LocationJson:
+    """Returns what the format of the file has of a location."""
+    found = _LocationJson()
+    if location.path:
+        found["path"] = location.path
+    if location.line:
+        found["line"] = location.line
+    if location.column:
+        found["column"] = location.column
+    return found
--- a/src/savorylift/operators/rules_arguments.py
+++ b/src/savorylift/operators/rules_arguments.py
@@ -5,7 +5,7 @@
 
 import cappa
 
-from savorylift.operators import rules_commands
+from savorylift.operators import check_command, rules_commands
 from savorylift.operators.order_arguments import Author
 from savorylift.operators.settings_argument import (
     SettingsPath,
@@ -16,13 +16,47 @@
 @cappa.command(name="check")
 @dataclass
 class CheckCommand:
-    """Check a rules file."""
+    """Check a rules file, or a configuration in JSON, before it is sent.
+
+    Exits with 0 if nothing was found, 1 if there are findings, and 2 if
+    something can't be read or the file must not be published.
+    """
 
     file: str
+    against: Annotated[
+        str | None,
+        cappa.Arg(
+            long="--against",
+            help="What it is compared with: another file, or IP:PORT of the "
+            "store, whose newest version is in force.",
+        ),
+    ] = None
+    settings: Annotated[
+        str | None,
+        cappa.Arg(
+            long="--settings",
+            help="JSON settings file of a node whose limits count.",
+        ),
+    ] = None
+    json: Annotated[
+        bool, cappa.Arg(long="--json", help="Print the report as JSON.")
+    ] = False
 
     def run(self) -> int:
-        """Prints all faults of the file."""
-        return rules_commands.check(self.file)
+        """Prints the findings, and what differs."""
+        if self.settings is None:
+            return check_command.check(self._options())
+        return run_with_settings(
+            self.settings,
+            lambda cfg: check_command.check(
+                self._options()._replace(max_open_requests=cfg.most_open)
+            ),
+        )
+
+    def _options(self) -> check_command.CheckOptions:
+        return check_command.CheckOptions(
+            self.file, self.against, is_json=self.json
+        )
 
 
 @cappa.command(name="diff")
--- a/src/savorylift/operators/rules_commands.py
+++ b/src/savorylift/operators/rules_commands.py
@@ -21,14 +21,6 @@
 from savorylift.wire.address import split_address
 
 
-def check(path: str) -> ExitCode:
-    """Checks a rules file and prints its faults."""
-    if _read_valid_file(path) is None:
-        return ExitCode.BAD_INPUT
-    print_line(f"{path}: no faults")
-    return ExitCode.DONE
-
-
 def show(cfg: FrontSettings) -> ExitCode:
     """Prints the newest version of the rules file."""
     stored = _read_stored_rules(cfg)
--- a/src/savorylift/platform/configuration.py
+++ b/src/savorylift/platform/configuration.py
@@ -2,11 +2,16 @@
 
 from collections.abc import Mapping
 
-import msgspec
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 from savorylift.json_input import decode_json
+from savorylift.platform.configuration_record import (
+    ConfigurationRecord,
+    RouteRecord,
+    ServiceRecord,
+    TenantRecord,
+)
 from savorylift.routing.configuration import (
     Configuration,
     EngineTraits,
@@ -26,80 +31,12 @@
     "unsafe": RouteKind.ONCE,
     "streaming": RouteKind.STREAM,
 }
-DEFAULT_PRIORITY = 5
 BYTES_PER_MEGABIT = 125_000.0
 
 
-class _Target(msgspec.Struct):
-    service: str
-    weight: float = 1.0
-
-
-class _Route(msgspec.Struct, rename="camel"):
-    name: str
-    host: str
-    path_prefix: str
-    kind: str
-    service: str | None = None
-    traffic_split: list[_Target] = []
-    timeout_ms: float | None = None
-    # Latency objective of a response, or of the first event of a stream.
-    target_latency_ms: float | None = None
-    max_attempts: int = 1
-    priority: int = DEFAULT_PRIORITY
-    public: bool = False
-    stream_resumption: bool = False
-    # Latency objective between two events of a stream.
-    gap_aim_ms: float | None = None
-    allowed_regions: list[str] = []
-
-
-class _Engine(msgspec.Struct, rename="camel"):
-    slots: int
-    # Capacity of the KV cache in tokens.
-    kv_capacity: int
-    # Size of one token in the KV cache.
-    kv_token_bytes: float = 0.0
-    link_mbps: float = 0.0
-    # Whether a running generation can move to another engine.
-    moves: bool = False
-    # Tokens per event of a stream.
-    stride: int = 1
-
-
-class _Service(msgspec.Struct, rename="camel"):
-    name: str
-    # Maximum request rate of a server during its cold start.
-    cold_per_s: float | None = None
-    engine: _Engine | None = None
-    health_path: str | None = None
-
-
-class _Tenant(msgspec.Struct, rename="camel"):
-    name: str
-    api_keys: list[str] = []
-    priority: int | None = None
-    allowed_regions: list[str] = []
-
-
-class _Limits(msgspec.Struct, rename="camel"):
-    max_header_bytes: int = InputLimits().max_head_bytes
-    max_body_bytes: int = InputLimits().max_body_bytes
-    header_timeout_ms: float = InputLimits().head_timeout_s * 1000
-    idle_timeout_ms: float = InputLimits().idle_timeout_s * 1000
-
-
-class _Configuration(msgspec.Struct):
-    version: int
-    routes: list[_Route]
-    services: list[_Service]
-    tenants: list[_Tenant] | None = None
-    limits: _Limits = msgspec.field(default_factory=_Limits)
-
-
 def decode_configuration(value: bytes) -> Result[Configuration, str]:
     """Decodes a configuration; returns an error message if it is invalid."""
-    decoded = decode_json(value, _Configuration)
+    decoded = decode_json(value, ConfigurationRecord)
     if not is_successful(decoded):
         return Failure(decoded.failure())
     cfg = decoded.unwrap()
@@ -125,7 +62,7 @@
 
 
 def _routes_by_host(
-    routes: list[_Route],
+    routes: list[RouteRecord],
 ) -> Mapping[str, tuple[Route, ...]]:
     by_host: dict[str, list[Route]] = {}
     for item in routes:
@@ -136,7 +73,7 @@
     }
 
 
-def _to_route(item: _Route) -> Route:
+def _to_route(item: RouteRecord) -> Route:
     targets = [Target(part.service, part.weight) for part in item.traffic_split]
     if not targets and item.service is not None:
         targets = [Target(item.service, 1.0)]
@@ -157,7 +94,7 @@
     )
 
 
-def _to_service(item: _Service) -> Service:
+def _to_service(item: ServiceRecord) -> Service:
     engine = None
     if item.engine is not None:
         engine = EngineTraits(
@@ -174,7 +111,7 @@
 
 
 def _teams_by_key(
-    tenants: list[_Tenant] | None,
+    tenants: list[TenantRecord] | None,
 ) -> Mapping[str, Team] | None:
     if tenants is None:
         return None
--- /dev/null
+++ b/tests/checks/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the checks of a configuration."""
