--- a/src/savorylift/completions/codec.py
+++ b/src/savorylift/completions/codec.py
@@ -7,6 +7,7 @@
 
 from savorylift.completions.caller_request import (
     DEADLINE_HEADER,
+    TEAM_HEADER,
     decode_request,
 )
 from savorylift.completions.engine_call import (
@@ -40,6 +41,8 @@
 class CompletionCodec:
     """Translates between the completion interface and the core's types."""
 
+    team_header = TEAM_HEADER
+
     def decode_request(self, req: Request) -> Result[CallerRequest, Refused]:
         """Decodes a caller's request; returns a refusal if it is invalid."""
         return decode_request(req)
--- a/src/savorylift/exchange/codec.py
+++ b/src/savorylift/exchange/codec.py
@@ -118,6 +118,11 @@
 class Codec(Protocol):
     """Encodes and decodes messages of callers and backend servers."""
 
+    @property
+    def team_header(self) -> str:
+        """Name of the header with the key of a caller's team."""
+        ...
+
     def decode_request(self, req: Request) -> Result[CallerRequest, Refused]:
         """Decodes a caller's request, or returns the refusal to send."""
         ...
--- a/src/savorylift/front/caller_parts.py
+++ b/src/savorylift/front/caller_parts.py
@@ -1,5 +1,6 @@
 """The parts of a node that serve callers."""
 
+import functools
 import time
 from typing import NamedTuple
 
@@ -7,6 +8,7 @@
 from savorylift.exchange.generation import GenerationDispatcher
 from savorylift.exchange.plain_call import PlainCallDispatcher
 from savorylift.fleet.peer_transport import StateBuilder
+from savorylift.fleet.store_view import StoreView
 from savorylift.front.caller_directory import CallerDirectory
 from savorylift.front.caller_handler import CallerHandler
 from savorylift.front.node_relay import NodeRelay
@@ -22,6 +24,7 @@
 from savorylift.wire import metrics as wire_metrics
 from savorylift.wire.body_admission import BodyAdmission
 from savorylift.wire.body_budget import BodyBudget
+from savorylift.wire.message import Headers
 
 # The bodies of requests take at most the VM's memory divided by this. Other
 # shares: the program itself, answers, what connections buffer, and gaps between
@@ -87,9 +90,28 @@
         budget,
         shared.interface.codec.decode_time_left,
         metrics.ANSWERS_CUT.inc,
+        functools.partial(
+            _find_team, shared.store_view, shared.interface.codec.team_header
+        ),
     )
 
 
+def _find_team(store_view: StoreView, header: str, headers: Headers) -> str:
+    """Returns the name of a caller's team; empty if it isn't known.
+
+    Args:
+        store_view: Holds the configuration.
+        header: Name of the header with the key of the team.
+        headers: Headers of the caller's request.
+    """
+    cfg = store_view.configuration
+    if cfg is None or cfg.teams_by_key is None:
+        return ""
+    key = next((value for name, value in headers if name == header), "")
+    team = cfg.teams_by_key.get(key)
+    return "" if team is None else team.name
+
+
 def _make_handler(
     shared: SharedParts,
     servers: ServerParts,
--- a/src/savorylift/platform/codec.py
+++ b/src/savorylift/platform/codec.py
@@ -41,6 +41,8 @@
 class PlatformCodec:
     """Translates between the platform's HTTP messages and the core's types."""
 
+    team_header = header_names.API_KEY
+
     def decode_request(self, req: Request) -> Result[CallerRequest, Refused]:
         """Decodes a caller's request; returns a refusal if it is invalid."""
         return decode_request(req).alt(
--- a/src/savorylift/wire/body_budget.py
+++ b/src/savorylift/wire/body_budget.py
@@ -4,11 +4,12 @@
 """
 
 import asyncio
-from collections import deque
+import collections
 from collections.abc import Callable
-from typing import NamedTuple
 
-from savorylift.wire.progress import Progress, behind_first
+from savorylift.wire.body_lease import BodyLease
+from savorylift.wire.body_queue import BodyQueue
+from savorylift.wire.progress import behind_first
 
 # Bodies up to this size have a part of the budget for themselves, so that they
 # never wait for large ones.
@@ -19,68 +20,14 @@
 # Most that the buffers of a connection hold of a body that waits: the system's
 # and those of `Channel`.
 WAITING_BODY_BYTES = 262_144
-# Progress for leases whose connections are never closed for others.
-NEVER_BEHIND = Progress()
-
-
-class BodyLease:
-    """What one connection has taken of a budget.
-
-    Attributes:
-        small: Bytes of the part for small bodies.
-        large: Bytes of the rest.
-        progress: How far the connection has come.
-        abort: Closes the connection.
-    """
-
-    __slots__ = ("abort", "large", "progress", "small")
-
-    def __init__(
-        self,
-        progress: Progress = NEVER_BEHIND,
-        abort: Callable[[], None] = lambda: None,
-    ) -> None:
-        """Creates a lease without bytes.
-
-        Args:
-            progress: How far the connection has come.
-            abort: Closes the connection.
-        """
-        self.small = 0
-        self.large = 0
-        self.progress = progress
-        self.abort = abort
-
-    @property
-    def held_bytes(self) -> int:
-        """Bytes that it has."""
-        return self.small + self.large
-
-    @property
-    def is_used(self) -> bool:
-        """Whether it has any bytes."""
-        return bool(self.small or self.large)
-
-
-class _Waiter(NamedTuple):
-    """A body that waits.
-
-    Attributes:
-        lease: Gets the bytes.
-        size: Bytes to take.
-        granted: Done once the lease has them.
-    """
-
-    lease: BodyLease
-    size: int
-    granted: asyncio.Future[None]
 
 
 class BodyBudget:
     """Bytes that the bodies of requests may take together.
 
     A body is admitted with all bytes that it may still need, so that each one
-    that was begun can be read to its end. Large ones are admitted in order.
+    that was begun can be read to its end. Of those that wait, bodies of the
+    team that holds least go first; those of one team in order.
     """
 
     def __init__(
@@ -110,10 +57,8 @@
         self._large = 0
         self._max_small = reserve
         self._small = 0
-        self._max_waiting = reserve
         self._max_unread = reserve
-        self._waiting = 0
-        self._queue: deque[_Waiter] = deque()
+        self._queue = BodyQueue(reserve)
         # What ends each answer that its caller reads slowly, oldest first.
         self._unread: dict[BodyLease, Callable[[], None]] = {}
         self._unread_bytes = 0
@@ -141,24 +86,20 @@
         if self.take_now(lease, size):
             return True
         buffered = min(size, WAITING_BODY_BYTES)
-        if self._waiting + buffered > self._max_waiting:
+        body = self._queue.add(lease, size * self._copies, buffered)
+        if body is None:
             return False
         self._on_held()
-        granted = asyncio.get_running_loop().create_future()
-        waiter = _Waiter(lease, size * self._copies, granted)
-        self._queue.append(waiter)
-        self._waiting += buffered
         try:
             async with asyncio.timeout(max_wait_s):
-                await granted
+                return await body.granted
         except TimeoutError:
-            pass
+            # It may have been granted meanwhile.
+            granted = body.granted
+            return not granted.cancelled() and granted.result()
         finally:
-            self._waiting -= buffered
-            if waiter in self._queue:
-                self._queue.remove(waiter)
+            if self._queue.leave(body):
                 self._admit_waiting()
-        return granted.done() and not granted.cancelled()
 
     def _reclaim(self, wanted: int) -> None:
         """Closes connections that are behind until enough becomes free."""
@@ -176,7 +117,7 @@
         is_small = size <= SMALL_BODY_BYTES
         if is_small and self._take_small(lease, needed):
             return True
-        return not self._queue and self._take_large(lease, needed)
+        return self._queue.is_empty and self._take_large(lease, needed)
 
     def shrink(self, lease: BodyLease, size: int) -> None:
         """Frees what a lease has above the size of its body."""
@@ -247,19 +188,22 @@
 
     def _admit_waiting_small(self) -> None:
         """Admits small bodies; they don't wait for large ones before them."""
-        for waiter in self._queue:
-            is_small = waiter.size <= SMALL_BODY_BYTES * self._copies
-            if not is_small or waiter.granted.done():
-                continue
-            if not self._take_small(waiter.lease, waiter.size):
+        largest = SMALL_BODY_BYTES * self._copies
+        while not self._queue.is_empty:
+            body = self._queue.next(self._held_by_team(), largest)
+            if body is None or not self._take_small(body.lease, body.size):
                 return
-            waiter.granted.set_result(None)
+            self._queue.grant(body)
 
     def _admit_waiting(self) -> None:
-        while self._queue:
-            waiter = self._queue[0]
-            if not waiter.granted.done():
-                if not self._take_large(waiter.lease, waiter.size):
-                    return
-                waiter.granted.set_result(None)
-            self._queue.popleft()
+        while not self._queue.is_empty:
+            body = self._queue.next(self._held_by_team())
+            if body is None or not self._take_large(body.lease, body.size):
+                return
+            self._queue.grant(body)
+
+    def _held_by_team(self) -> collections.Counter[str]:
+        held: collections.Counter[str] = collections.Counter()
+        for lease in self._held:
+            held[lease.team] += lease.held_bytes
+        return held
--- a/src/savorylift/wire/body_reader.py
+++ b/src/savorylift/wire/body_reader.py
@@ -8,7 +8,8 @@
 import structlog
 
 from savorylift.wire.body_admission import BodyAdmission
-from savorylift.wire.body_budget import SMALL_BODY_BYTES, BodyLease
+from savorylift.wire.body_budget import SMALL_BODY_BYTES
+from savorylift.wire.body_lease import BodyLease
 from savorylift.wire.channel import MAX_READ_BUFFER_BYTES
 from savorylift.wire.connection_input import (
     MAX_HEAD_BUFFER_BYTES,
@@ -66,6 +67,7 @@
         """Declares that nothing refers to the request."""
         if self._lease.is_used:
             self._admission.budget.release(self._lease)
+        self._lease.team = ""
 
     def take_for_head_now(self, size: int) -> bool:
         """Takes memory for a head; returns whether so much is free."""
@@ -109,6 +111,7 @@
             return await self._receive(0, headers, limits)
         if length is not None and length > limits.max_body_bytes:
             return BadRequest(413, "the request body is too large")
+        self._lease.team = self._admission.find_team(headers)
         # A body in chunks takes more once it turns out to be large.
         size = SMALL_BODY_BYTES if length is None else length
         if not self._admission.budget.take_now(
--- a/src/savorylift/wire/metrics.py
+++ b/src/savorylift/wire/metrics.py
@@ -7,6 +7,10 @@
     "Answers that are not valid HTTP/1, by what is wrong with them.",
     ["fault"],
 )
+BODIES_DISPLACED = Counter(
+    "savorylift_wire_bodies_displaced",
+    "Waiting bodies that gave way to one of a team with less in the queue.",
+)
 ACCEPTS_PAUSED = Counter(
     "savorylift_wire_accepts_paused",
     "Times that accepting paused, as the process had no descriptor left.",
--- a/src/savorylift/wire/server_response.py
+++ b/src/savorylift/wire/server_response.py
@@ -6,7 +6,8 @@
 import structlog
 
 from savorylift.wire.body_admission import BodyAdmission
-from savorylift.wire.body_budget import SMALL_BODY_BYTES, BodyLease
+from savorylift.wire.body_budget import SMALL_BODY_BYTES
+from savorylift.wire.body_lease import BodyLease
 from savorylift.wire.channel import Channel
 from savorylift.wire.message import Headers
 
--- a/tests/front/test_full_node.py
+++ b/tests/front/test_full_node.py
@@ -6,7 +6,8 @@
 
 from savorylift.front.node import FrontNode
 from savorylift.front.relay_headers import RELAY_REFUSED, RELAYED
-from savorylift.wire.body_budget import SMALL_BODY_BYTES, BodyLease
+from savorylift.wire.body_budget import SMALL_BODY_BYTES
+from savorylift.wire.body_lease import BodyLease
 from savorylift.wire.channel import connect
 from savorylift.wire.client_call import ClientCall
 from savorylift.wire.message import Headers, Response
--- a/tests/wire/test_body_budget.py
+++ b/tests/wire/test_body_budget.py
@@ -8,11 +8,8 @@
 import pytest
 
 from savorylift.wire.body_admission import BodyAdmission
-from savorylift.wire.body_budget import (
-    SMALL_BODY_BYTES,
-    BodyBudget,
-    BodyLease,
-)
+from savorylift.wire.body_budget import SMALL_BODY_BYTES, BodyBudget
+from savorylift.wire.body_lease import BodyLease
 from savorylift.wire.channel import Channel
 from savorylift.wire.message import Request, decode_milliseconds
 from savorylift.wire.progress import Phase, Progress
