--- a/src/savorylift/platform/record_changes.py
+++ b/src/savorylift/platform/record_changes.py
@@ -85,4 +85,8 @@
 
 
 def _render(value: object) -> str:
-    return ABSENT if value is None else msgspec.json.encode(value).decode()
+    if value is None:
+        return ABSENT
+    if isinstance(value, float) and value.is_integer():
+        return str(int(value))
+    return msgspec.json.encode(value).decode()
