--- a/src/savorylift/operators/check_report.py
+++ b/src/savorylift/operators/check_report.py
@@ -102,7 +102,8 @@
     if other is None:
         return Failure("it is no configuration")
     if record is None:
-        return Success(CheckReport(findings, ()))
+        # What differs can't be told.
+        return Success(CheckReport(findings))
     changes = compare_records(other, record)
     if changes:
         findings = (*findings, *_find_old_version(other, record))
--- a/tests/operators/test_check_command.py
+++ b/tests/operators/test_check_command.py
@@ -164,6 +164,14 @@
     assert "added model vine (line 1, asked" in capsys.readouterr().out
 
 
+def test_unreadable_configuration_is_not_called_the_same(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    other = write(tmp_path / "other", json.dumps(configuration()))
+    assert run(write(tmp_path / "f", "{}"), "--against", other) == 2
+    assert "no difference" not in capsys.readouterr().out
+
+
 @pytest.mark.parametrize("against", ["{}", RULES])
 def test_other_version_that_cannot_be_read_is_no_finding(
     against: str, tmp_path: pathlib.Path
