Take a lookup's answer only with success, and whatever its body holds

Cause: the client library believed addresses in refusals (404, 503), and a body that is JSON but no directory (a list, a number, a number for the list) raised TypeError in the caller's program. Change: only status 200 counts, and all that can't be decoded is no answer.

--- a/src/savorylift/client/node_addresses.py
+++ b/src/savorylift/client/node_addresses.py
@@ -4,12 +4,26 @@
 import threading
 import time
 from collections.abc import Iterator
+from typing import NamedTuple
 
 import urllib3
 
 LOOKUP_TIMEOUT_S = 1.0
 # A node that failed is tried after the others for this long.
 FAILURE_COOLDOWN_S = 2.0
+FOUND_STATUS = 200
+
+
+class _Lookup(NamedTuple):
+    """What a node says of the others.
+
+    Attributes:
+        addresses: Their addresses, IP:PORT.
+        ttl_s: How long these hold.
+    """
+
+    addresses: tuple[str, ...]
+    ttl_s: float
 
 
 class NodeAddresses:
@@ -77,14 +91,27 @@
                 timeout=LOOKUP_TIMEOUT_S,
                 retries=False,
             )
-            body = json.loads(response.data)
-            discovered = tuple(f"{self._scheme}://{a}" for a in body["entries"])
-            ttl_s = float(body["ttl_s"])
-        except (urllib3.exceptions.HTTPError, ValueError, KeyError):
+        except urllib3.exceptions.HTTPError:
+            lookup = None
+        else:
+            lookup = _decode_lookup(response)
+        if lookup is None:
             with self._lock:
                 self._failed_at_s[url] = time.monotonic()
             return False
+        discovered = tuple(f"{self._scheme}://{a}" for a in lookup.addresses)
         with self._lock:
             self._discovered = discovered or self._discovered
-            self._valid_until_s = time.monotonic() + ttl_s
+            self._valid_until_s = time.monotonic() + lookup.ttl_s
         return bool(discovered)
+
+
+def _decode_lookup(response: urllib3.BaseHTTPResponse) -> _Lookup | None:
+    """Returns the addresses in a node's answer; None if it has none."""
+    if response.status != FOUND_STATUS:
+        return None
+    try:
+        body = json.loads(response.data)
+        return _Lookup(tuple(body["entries"]), float(body["ttl_s"]))
+    except (ValueError, KeyError, TypeError):
+        return None
