Count answers that end after an informational status that there is none of

Cause: an answer of status 199 without a final one was lost, but neither counted nor logged, as its end looked like that of a connection: health answers, reports of starts, moves, cancels, the store's answers, loads of completions' servers. Change: an end after an informational status that isn't assigned is a fault.

--- a/src/savorylift/wire/client_call.py
+++ b/src/savorylift/wire/client_call.py
@@ -24,6 +24,8 @@
 _buffers = BufferBudget(16_777_216)
 # Informational responses before the final one.
 MAX_INFORMATIONAL = 8
+# Assigned ones. After others, a connection that ends shows a server in trouble.
+INFORMATIONAL_STATUSES = frozenset({100, 101, 102, 103})
 # Host of a request from which only its method matters.
 ANY_HOST = [("host", "any")]
 MAX_LOGGED_CHARACTERS = 100
@@ -45,6 +47,8 @@
         self._h11 = h11.Connection(h11.CLIENT)
         self._method = ""
         self._coop_budget = CoopBudget()
+        # That of the last informational response, before the final one.
+        self._informational_status: int | None = None
 
     @property
     def channel(self) -> Channel:
@@ -83,9 +87,11 @@
         for _ in range(MAX_INFORMATIONAL + 1):
             event = await self._next_event()
             if isinstance(event, h11.Response):
+                self._informational_status = None
                 return self._decode_head(event)
             if not isinstance(event, h11.InformationalResponse):
                 raise BrokenAnswerError("expected a response head")
+            self._informational_status = event.status_code
         raise BrokenAnswerError("too many informational responses")
 
     def _decode_head(self, event: h11.Response) -> ResponseHead:
@@ -178,6 +184,16 @@
             detail=detail[:MAX_LOGGED_CHARACTERS],
         )
 
+    def _record_protocol_error(
+        self, exc: h11.RemoteProtocolError, *, is_ended: bool
+    ) -> None:
+        """Counts and logs what isn't just the end of a connection."""
+        status = self._informational_status
+        if not is_ended:
+            self._record_fault("syntax", str(exc))
+        elif status is not None and status not in INFORMATIONAL_STATUSES:
+            self._record_fault("status", f"{status} without a final response")
+
     async def _next_event(self) -> object:
         is_ended = False
         while True:
@@ -191,8 +207,7 @@
                 await self._coop_budget.spend(len(data))
                 self._h11.receive_data(data)
             except h11.RemoteProtocolError as exc:
-                if not is_ended:
-                    self._record_fault("syntax", str(exc))
+                self._record_protocol_error(exc, is_ended=is_ended)
                 raise BrokenAnswerError(str(exc)) from exc
             except ConnectionError as exc:
                 raise BrokenAnswerError(f"connection reset: {exc}") from exc
--- a/tests/platform/test_lying_answers.py
+++ b/tests/platform/test_lying_answers.py
@@ -101,7 +101,7 @@
     [
         lambda store: store.list_newest("t"),
         lambda store: store.read("t", 0, 0.1),
-        lambda store: store.read_retained("t"),
+        lambda store: store.read_retained("t", 0),
         lambda store: store.append("t", [Record("k", b"v")]),
     ],
     ids=["list", "read", "read all", "append"],
