--- a/src/savorylift/exchange/server_opener.py
+++ b/src/savorylift/exchange/server_opener.py
@@ -232,7 +232,7 @@
             return NotRun(Reason.OUT_OF_SERVICE, detail, reached_server=False)
         if not self._limit_gate.may_send(server, permit):
             return _over_limit("the permit expired, or a limit has begun")
-        if channel.has_input:
+        if channel.unread_bytes:
             detail = "the server sent bytes before the request"
             return NotRun(Reason.BACKEND_LOST, detail, reached_server=False)
         return None
--- a/src/savorylift/wire/channel.py
+++ b/src/savorylift/wire/channel.py
@@ -22,7 +22,6 @@
 MAX_READ_BYTES = 16_384
 LINGER_TIMEOUT_S = 1.0
 
-
 # Shared by all connections: what arrives is copied at once.
 _received = memoryview(bytearray(MAX_RECEIVE_BYTES))
 
@@ -36,6 +35,8 @@
         connection_error: Why the connection was lost; None if it was closed.
         has_received: Whether any byte has arrived.
         peer_closed: Set together with `is_peer_closed`, for waiters.
+        is_lost: Whether the system's connection is closed.
+        on_lost: Called when that happens.
     """
 
     def __init__(
@@ -57,6 +58,8 @@
         self.has_received = False
         self.connection_error: Exception | None = None
         self.peer_closed = asyncio.Event()
+        self.is_lost = False
+        self.on_lost: Callable[[], None] | None = None
 
     @property
     def transport(self) -> asyncio.Transport:
@@ -92,11 +95,6 @@
             return False
         return is_open_now(self.transport)
 
-    @property
-    def has_input(self) -> bool:
-        """Whether bytes have arrived that were not read yet."""
-        return bool(self._read_buffer)
-
     @property
     def unread_bytes(self) -> int:
         """Number of bytes that have arrived and were not read yet."""
@@ -136,11 +134,14 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Records the end of the connection; `exc` is set if it was reset."""
         self.is_peer_closed = True
+        self.is_lost = True
         self.connection_error = exc
         self._output.clear()
         self.peer_closed.set()
         self._writable.set()
         self._wake()
+        if self.on_lost is not None:
+            self.on_lost()
 
     def pause_writing(self) -> None:
         """Makes `drain` wait: the peer reads too slowly."""
--- a/src/savorylift/wire/connection_limit.py
+++ b/src/savorylift/wire/connection_limit.py
@@ -58,11 +58,11 @@
 
     @property
     def size(self) -> int:
-        """Number of connections that are open or being opened."""
+        """Number of connections that are open, being opened or closed."""
         return self._opening + len(self._open)
 
     def begin(self) -> bool:
-        """Counts a connection that is being opened, if there is room for it."""
+        """Counts a connection that is to be added, if there is room for it."""
         if self.size >= self._max_open:
             self._make_room()
         if self.size >= self._max_open:
@@ -71,15 +71,16 @@
         self._opening += 1
         return True
 
-    def fail(self) -> None:
-        """Declares that a connection was not opened."""
-        self._opening -= 1
-
     def add(self, conn: LimitedConnection) -> None:
-        """Counts a connection as open that was being opened."""
+        """Counts a connection for which there was room, until `remove`."""
         self._opening -= 1
         self._open.add(conn)
 
+    def replace(self, old: LimitedConnection, new: LimitedConnection) -> None:
+        """Counts a connection in place of what it was before."""
+        self._open.discard(old)
+        self._open.add(new)
+
     def remove(self, conn: LimitedConnection) -> None:
         """Counts a connection no more."""
         self._open.discard(conn)
--- a/src/savorylift/wire/listener.py
+++ b/src/savorylift/wire/listener.py
@@ -13,9 +13,11 @@
 from savorylift.wire.acceptor import Acceptor
 from savorylift.wire.body_admission import UNBOUNDED, BodyAdmission
 from savorylift.wire.channel import Channel
+from savorylift.wire.closing_connection import ClosingConnection
 from savorylift.wire.connection_limit import ConnectionLimit
 from savorylift.wire.input_timeout import InputTimeout
 from savorylift.wire.message import Headers, Request, Response
+from savorylift.wire.opening_connection import OpeningConnection
 from savorylift.wire.request_input import BadRequest, CloseReason, InputLimits
 from savorylift.wire.server_connection import ServerConnection
 
@@ -106,11 +108,17 @@
         if not self._limit.begin():
             sock.close()
             return
-        task = asyncio.get_running_loop().create_task(self._open_channel(sock))
+        opening = OpeningConnection(sock)
+        self._limit.add(opening)
+        task = asyncio.get_running_loop().create_task(
+            self._open_channel(sock, opening)
+        )
         self._opening.add(task)
         task.add_done_callback(self._opening.discard)
 
-    async def _open_channel(self, sock: socket.socket) -> None:
+    async def _open_channel(
+        self, sock: socket.socket, opening: OpeningConnection
+    ) -> None:
         loop = asyncio.get_running_loop()
         timeout_s = self._get_limits().head_timeout_s if self._tls else None
         channel: Channel | None = None
@@ -124,12 +132,12 @@
                 )
         finally:
             if channel is None:
-                self._limit.fail()
+                self._limit.remove(opening)
                 sock.close()
         if channel is None:
             return
         conn = ServerConnection(channel, self._get_limits, self._admission)
-        self._limit.add(conn)
+        self._limit.replace(opening, conn)
         self._conns.add(conn)
         task = loop.create_task(self._serve_connection(conn))
         self._tasks.add(task)
@@ -143,9 +151,14 @@
             conn.channel.abort()
         finally:
             self._conns.discard(conn)
-            self._limit.remove(conn)
             conn.release_all()
-            conn.channel.close()
+            self._close(conn)
+
+    def _close(self, conn: ServerConnection) -> None:
+        """Closes a connection, which counts for as long as it is there."""
+        closing = ClosingConnection(conn.channel, conn.address)
+        self._limit.replace(conn, closing)
+        closing.call_when_lost(lambda: self._limit.remove(closing))
 
 
 def connection_handler(
--- a/src/savorylift/wire/progress.py
+++ b/src/savorylift/wire/progress.py
@@ -21,11 +21,13 @@
 class Phase(enum.Enum):
     """What a connection waits for."""
 
+    HANDSHAKE = "the end of its handshake"
     IDLE = "the next request"
     HEAD = "the rest of a head"
     BODY = "the rest of a body"
     SERVED = "this node"
     ANSWER = "its caller to read"
+    CLOSING = "its caller to read the rest, and to close"
 
 
 class Progress:
--- a/tests/wire/test_progress.py
+++ b/tests/wire/test_progress.py
@@ -137,7 +137,35 @@
 
 def test_connection_that_was_not_opened_leaves_its_room() -> None:
     limit = ConnectionLimit(1)
+    opening = Conn(Phase.HANDSHAKE)
     assert limit.begin()
     assert not limit.begin()
-    limit.fail()
+    limit.add(opening)
+    assert not limit.begin()
+    limit.remove(opening)
     assert limit.begin()
+
+
+def test_connection_that_was_opened_counts_once() -> None:
+    limit = ConnectionLimit(2)
+    opening, conn = Conn(Phase.HANDSHAKE), Conn(Phase.IDLE)
+    open_all(limit, [opening])
+    limit.replace(opening, conn)
+    assert limit.size == 1
+    limit.remove(conn)
+    assert limit.size == 0
+
+
+def test_handshake_that_does_not_end_is_closed_for_others() -> None:
+    """It could not be closed, and held its place until a time-out."""
+    reasons: list[str] = []
+    with freezegun.freeze_time(tick=False) as clock:
+        stopped, served = Conn(Phase.HANDSHAKE), Conn(Phase.SERVED)
+        limit = ConnectionLimit(2, reasons.append)
+        open_all(limit, [stopped, served])
+        clock.tick(GRACE_S)
+        assert not limit.begin()
+        clock.tick(GRACE_S)
+        assert limit.begin()
+        assert (stopped.is_aborted, served.is_aborted) == (True, False)
+        assert reasons == ["refused", "handshake"]
