--- a/tests/operators/test_check_command.py
+++ b/tests/operators/test_check_command.py
@@ -11,7 +11,7 @@
 
 from savorylift.cli import main
 from savorylift.platform.store import OPERATORS_TOPIC
-from tests.front.environment import configuration
+from tests.front.environment import configuration, end_other_tasks
 from tests.harness.ports import free_addresses
 from tests.standins.platform_store import PlatformStore
 
@@ -44,6 +44,7 @@
     yield f"127.0.0.1:{port}"
     loop.call_soon_threadsafe(loop.stop)
     thread.join()
+    loop.run_until_complete(end_other_tasks())
     loop.close()
 
 
