--- a/tests/wire/test_tls.py
+++ b/tests/wire/test_tls.py
@@ -9,6 +9,8 @@
 
 from savorylift.settings import TlsSettings
 from savorylift.tls import server_context
+from savorylift.wire.channel import LINGER_TIMEOUT_S
+from savorylift.wire.connection_limit import ConnectionLimit
 from savorylift.wire.listener import Listener, connection_handler
 from savorylift.wire.message import Request, Response
 from savorylift.wire.request_input import InputLimits
@@ -59,6 +61,55 @@
     run_with_timeout(scenario())
 
 
+def test_connection_counts_until_its_caller_has_closed_it_too(
+    tmp_path: pathlib.Path,
+) -> None:
+    """It kept its descriptor for half a minute, and counted no more."""
+    files = write_certificate(tmp_path)
+    (address,) = free_addresses(1)
+    host, _, port = address.rpartition(":")
+
+    async def scenario() -> None:
+        limit = ConnectionLimit(2)
+        listener = Listener(
+            connection_handler(_echo_target), InputLimits, limit=limit
+        )
+        await listener.start(host, int(port), server_context(files))
+        caller = await asyncio.to_thread(TlsCaller, host, int(port))
+        await asyncio.to_thread(caller.send, b"nonsense\r\n\r\n")
+        await asyncio.sleep(LINGER_TIMEOUT_S + AT_ONCE_S)
+        assert limit.size == 1
+        _, end = await asyncio.to_thread(caller.read_to_end)
+        assert end is End.NOTICE
+        while limit.size:
+            await asyncio.sleep(0.01)
+
+    run_with_timeout(scenario())
+
+
+def test_handshake_counts_and_ends_with_its_connection(
+    tmp_path: pathlib.Path,
+) -> None:
+    files = write_certificate(tmp_path)
+    (address,) = free_addresses(1)
+    host, _, port = address.rpartition(":")
+
+    async def scenario() -> None:
+        limit = ConnectionLimit(2)
+        listener = Listener(
+            connection_handler(_echo_target), InputLimits, limit=limit
+        )
+        await listener.start(host, int(port), server_context(files))
+        _, writer = await asyncio.open_connection(host, int(port))
+        while not limit.size:
+            await asyncio.sleep(0.01)
+        writer.close()
+        while limit.size:
+            await asyncio.sleep(0.01)
+
+    run_with_timeout(scenario())
+
+
 def test_missing_certificate_file_is_reported(tmp_path: pathlib.Path) -> None:
     missing = str(tmp_path / "none.pem")
     with pytest.raises(OSError, match="No such file"):
