--- a/src/savorylift/exchange/plain_call.py
+++ b/src/savorylift/exchange/plain_call.py
@@ -16,24 +16,21 @@
 from savorylift.exchange.answer_outcome import find_outcome
 from savorylift.exchange.crash_guard import CrashGuard, is_quarantined
 from savorylift.exchange.failover import FailoverPolicy
+from savorylift.exchange.final_answer import final_answer
+from savorylift.exchange.open_call import OpenCall
 from savorylift.exchange.place_queue import PlaceQueue
 from savorylift.exchange.request_retries import RequestRetries, is_over_limit
-from savorylift.exchange.request_traits import find_traits
 from savorylift.exchange.results import (
-    NO_SERVER_RETRY_AFTER_S,
     Answered,
     NotRun,
     Refused,
     SendResult,
-    Unsure,
 )
 from savorylift.exchange.send import Sender
 from savorylift.exchange.server_pool import ServerPool
 from savorylift.outcomes import Reason
 from savorylift.rollouts.answer_log import Outcome
 
-# A plain service has room again within a few service times.
-BUSY_RETRY_AFTER_S = 0.2
 # Share of the objective for which a call waits for a place at brittle servers.
 PLACE_WAIT_SHARE = 0.5
 # Response time objective of routes that define none.
@@ -45,44 +42,6 @@
 _log = structlog.get_logger()
 
 
-class OpenCall:
-    """State of one plain call at this node.
-
-    Attributes:
-        admitted: The admitted request.
-        traits: What it can be recognized by if it crashes its server.
-        is_at_server: Whether it is being sent to a server or was sent.
-        has_run: Whether an earlier server may have run it.
-        time_limit: Ends the serving of the call; None before it begins.
-        refusal: Why the call was stopped, if it was.
-    """
-
-    def __init__(self, admitted: AdmittedRequest) -> None:
-        """Creates a call that was not sent yet."""
-        self.admitted = admitted
-        self.traits = find_traits(admitted)
-        self.is_at_server = False
-        self.has_run = False
-        self.time_limit: asyncio.Timeout | None = None
-        self.refusal: Refused | None = None
-
-    def end_quarantined(self, refusal: Refused) -> Refused:
-        """Returns the final response, given the refusal of a call."""
-        if not self.is_at_server and not self.has_run:
-            return refusal
-        message = "Requests like this one crash servers; it may have run."
-        return Refused(502, refusal.reason, message)
-
-    def stop(self, refusal: Refused | None) -> None:
-        """Ends the serving of the call now, if there is a refusal."""
-        if refusal is None or self.time_limit is None:
-            return
-        if self.time_limit.expired():
-            return
-        self.refusal = self.end_quarantined(refusal)
-        self.time_limit.reschedule(asyncio.get_running_loop().time())
-
-
 class PlainCallDispatcher:
     """Reserves a server for each call, and retries or gives up on failures."""
 
@@ -128,7 +87,7 @@
             if refusal is not None:
                 return call.end_quarantined(refusal)
             if not retries.take():
-                return _final_answer(last_result)
+                return final_answer(last_result)
             server = await self._reserve(admitted, tried)
             if server is None:
                 return self._end_unserved(admitted, last_result)
@@ -149,11 +108,11 @@
             if isinstance(result, Answered) and not _is_server_error(result):
                 return result
             if possibly_run_attempts >= admitted.route.max_attempts:
-                return _final_answer(last_result)
+                return final_answer(last_result)
             if not admitted.is_idempotent:
-                return _final_answer(last_result)
+                return final_answer(last_result)
             if not self._crash_guard.may_repeat(call.traits):
-                return _final_answer(last_result)
+                return final_answer(last_result)
 
     async def _reserve(
         self, admitted: AdmittedRequest, tried: Collection[str]
@@ -242,7 +201,7 @@
             if hold_s is not None:
                 message = "The backend servers want nothing; it did not run."
                 return Refused(503, Reason.SERVER_HOLD, message, hold_s)
-        return _final_answer(last_result)
+        return final_answer(last_result)
 
     def _failover_policy(
         self, admitted: AdmittedRequest, tried: set[str], *, is_last: bool
@@ -285,23 +244,6 @@
     return f"{result.reason.value}: {result.detail}"
 
 
-def _final_answer(last_result: SendResult | None) -> Answered | Refused:
-    """Returns the final response, given the result that decides it."""
-    if isinstance(last_result, Answered):
-        return last_result
-    if isinstance(last_result, Unsure):
-        status = 504 if last_result.reason is Reason.DEADLINE else 502
-        message = "The backend server gave no whole answer; it may have run."
-        return Refused(status, last_result.reason, message)
-    if isinstance(last_result, NotRun):
-        message = "No backend server took the request; it did not run."
-        return Refused(503, last_result.reason, message, BUSY_RETRY_AFTER_S)
-    message = "No backend server is there for the request; it did not run."
-    return Refused(
-        503, Reason.NO_BACKEND_SERVER, message, NO_SERVER_RETRY_AFTER_S
-    )
-
-
 async def serve_within_deadline(
     admitted: AdmittedRequest, dispatcher: PlainCallDispatcher
 ) -> Answered | Refused:
--- a/tests/exchange/test_stream_resumption.py
+++ b/tests/exchange/test_stream_resumption.py
@@ -10,11 +10,10 @@
 
 from savorylift.boot_clock import boot_time_s
 from savorylift.exchange.admission import AdmittedRequest
+from savorylift.exchange.origin_finder import MAX_START_WAIT_S
 from savorylift.exchange.results import Doubt
-from savorylift.exchange.stream_resumption import (
-    MAX_START_WAIT_S,
-    StreamResumption,
-)
+from savorylift.exchange.stream_beginnings import StreamBeginnings
+from savorylift.exchange.stream_resumption import StreamResumption
 from savorylift.fleet.state import StreamOrigin
 from savorylift.fleet.version_history import VersionHistory
 from savorylift.processes import life_report
@@ -122,20 +121,12 @@
     async def scenario() -> None:
         nothing: Any = None
         life: Any = Life(WITNESS_REPLY_S)
-        resumption = StreamResumption(
-            nothing,
-            nothing,
-            VersionHistory(),
-            life,
-            nothing,
-            lambda name: Service(name, 40.0, None),
-            random.Random(1),
-        )
+        beginnings = StreamBeginnings(nothing, life, nothing)
         run: Any = SimpleNamespace(attempt_id="s1", admitted=take_up())
         run.admitted = run.admitted._replace(route=make_route())
         channel: Any = SimpleNamespace(opened_s=None, is_open=True)
         began_s = asyncio.get_running_loop().time()
-        entry = await resumption._find_entry(
+        entry = await beginnings._find_entry(
             run, make_server(), channel, boot_time_s()
         )
         assert entry is not None
--- a/tests/front/test_lost_fleets.py
+++ b/tests/front/test_lost_fleets.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from savorylift.exchange.stream_resumption import MIN_UPTIME_S
+from savorylift.exchange.origin_finder import MIN_UPTIME_S
 from savorylift.fleet.version_recorder import START_DELAY_S
 from tests.front.test_ended_servers import start_again
 from tests.front.version_fleet import (
