Let fakes and bounds of tests follow the joined parts

Cause: the pool's choice became a part of its own, and the size up to which a fleet counts as small one constant; a fake and a test's import named the old ones.

Change: the fake has the part, the test imports the constant; both values are the same as before.

--- a/tests/exchange/test_stream_resumption.py
+++ b/tests/exchange/test_stream_resumption.py
@@ -52,13 +52,19 @@
         return None
 
 
-class Pool:
-    """A pool with a server of each version."""
+class Choice:
+    """Finds a server of each version."""
 
     def has_server(self, *_: object) -> bool:
         return True
 
 
+class Pool:
+    """A pool with a server of each version."""
+
+    choice = Choice()
+
+
 def take_up() -> AdmittedRequest:
     req = make_caller_request()._replace(resumes="s1", resume_after="4")
     return make_admitted_request(req, make_route()._replace(can_resume=True))
--- a/tests/fleet/test_read_policy.py
+++ b/tests/fleet/test_read_policy.py
@@ -6,7 +6,6 @@
 from savorylift.fleet.read_policy import (
     DECISION_S,
     FALLBACK_RETRY_S,
-    NODES_AT_FALLBACK_RETRY,
     NOTICE_AGE_S,
     POLL_PAUSE_S,
     READER_RETRY_S,
@@ -16,6 +15,7 @@
     STARTING_RETRY_S,
     ReadPolicy,
 )
+from savorylift.fleet.size_scaling import SMALL_FLEET_NODES
 
 INTERVAL_S = 0.2
 STALE_AGE_S = STALE_S + STALE_INTERVALS * INTERVAL_S
@@ -99,9 +99,9 @@
         (True, True, 1, STARTING_RETRY_S),
         (False, True, 350, READER_RETRY_S),
         (False, False, 1, FALLBACK_RETRY_S),
-        (False, False, NODES_AT_FALLBACK_RETRY, FALLBACK_RETRY_S),
+        (False, False, SMALL_FLEET_NODES, FALLBACK_RETRY_S),
         # The store in need gets no more calls of a larger fleet.
-        (False, False, 2 * NODES_AT_FALLBACK_RETRY, 2 * FALLBACK_RETRY_S),
+        (False, False, 2 * SMALL_FLEET_NODES, 2 * FALLBACK_RETRY_S),
     ],
 )
 def test_delay_after_a_failed_call(
