Let periodic work go over the nodes only as they change

Each 0.1 to 0.2 s a node went over all others to choose the readers of the store, to find the newest reading, to say which nodes may hold origins of streams, and to find nodes that weren't heard for long. Now the order of the readers and the homes are kept until the live nodes change, which Membership counts; readings are looked for among nodes that have read lately; nodes in doubt are looked for when one can be. Sums of loads replace the parts of a node's load that differ instead of all of them.

find_reaching moves to caller_choice.py for length; is_reader, which only tests used, goes: they ask ReaderChoice.find_rank.

--- a/src/savorylift/exchange/stream_origins.py
+++ b/src/savorylift/exchange/stream_origins.py
@@ -164,19 +164,24 @@
             if query is not None:
                 query.record(ip, message.origin)
 
-    def update(self, live: Iterable[Home], leaving: Iterable[Home]) -> None:
-        """Follows changes of the nodes; to be called periodically.
+    def update_homes(
+        self, live: Iterable[Home], leaving: Iterable[Home]
+    ) -> None:
+        """Follows changes of the nodes.
 
         Args:
             live: Nodes that stay, this one included unless it leaves.
             leaving: Nodes that are live but drain.
         """
-        for attempt_id in self._table.drop_expired():
-            self.forget(attempt_id)
         staying = tuple(live)
         self._ring.update((*staying, *leaving))
         if self._staying.update(staying):
             self._tell_new_homes()
+
+    def update(self) -> None:
+        """Drops what is out of date, and repeats; to be called periodically."""
+        for attempt_id in self._table.drop_expired():
+            self.forget(attempt_id)
         now_s = time.monotonic()
         for attempt_id, telling in list(self._telling.items()):
             if now_s >= telling.next_s:
--- a/src/savorylift/fleet/caller_choice.py
+++ b/src/savorylift/fleet/caller_choice.py
@@ -1,6 +1,6 @@
-"""Chooses the nodes that callers may connect to."""
+"""Chooses the nodes that may serve a caller or another node's requests."""
 
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Iterable, Sequence
 
 from savorylift.fleet.state import NodeState
 
@@ -31,3 +31,27 @@
     if len(reaching) >= MIN_REACHING_SHARE * len(found):
         return reaching
     return found
+
+
+def find_reaching(
+    states: Iterable[NodeState],
+    service: str,
+    regions: Collection[str] | None,
+) -> list[str]:
+    """Returns the addresses of nodes that may serve a service's requests.
+
+    They are ready, stay, and reach its servers as far as they have said.
+
+    Args:
+        states: Live nodes.
+        service: Name of the service.
+        regions: Regions that the requests must stay in; None for any.
+    """
+    return [
+        state.ip
+        for state in states
+        if state.is_ready
+        and not state.is_leaving
+        and service not in state.unreached_services
+        and (regions is None or state.region in regions)
+    ]
--- a/src/savorylift/fleet/membership.py
+++ b/src/savorylift/fleet/membership.py
@@ -8,6 +8,7 @@
 from savorylift.fleet.peer import LIVENESS_TIMEOUT_S, PatchOutcome, Peer
 from savorylift.fleet.peer_loads import PeerLoads
 from savorylift.fleet.pulse_messages import Pulse, StatePatch
+from savorylift.fleet.recent_readers import RecentReaders
 from savorylift.fleet.running_clock import RunningClock
 from savorylift.fleet.sharing_nodes import SHARING_TIMEOUT_S, SharingNodes
 from savorylift.fleet.state import NodeState
@@ -48,6 +49,8 @@
         self._clock = RunningClock()
         self._sharing = SharingNodes(ip)
         self._loads = PeerLoads()
+        self._readers = RecentReaders()
+        self._changes = 0
         # Called before peers' states are used, to apply messages that waited.
         self.on_read: Callable[[], None] = lambda: None
 
@@ -140,8 +143,19 @@
             self._peers[ip] = peer._replace(is_silenced=True)
             self._loads.forget(ip)
 
+    def count_changes(self, now_s: float) -> int:
+        """Returns how often nodes came, went, started again or moved so far."""
+        return self._changes + self._loads.count_changes(
+            self._clock.read(now_s)
+        )
+
     def _keep(self, ip: str, peer: Peer) -> None:
+        last = self._peers.get(ip)
         self._peers[ip] = peer
+        if last is None or last.state is not peer.state:
+            self._readers.hear(ip, peer.state)
+            if last is None or not last.is_same_node(peer.state):
+                self._changes += 1
         self._heard_s = peer.heard_s
         self._loads.hear(ip, peer.state.loads, peer.live_until_s)
         self._addresses[ip] = peer.heard_s
@@ -171,6 +185,16 @@
             if not peer.is_silenced:
                 yield peer
 
+    def live_recent_readers(self, now_s: float) -> Iterator[Peer]:
+        """Yields live nodes that have read the store lately."""
+        running_s = self._clock.read(now_s)
+        for ip in self._readers.ips:
+            peer = self._peers.get(ip)
+            if peer is None or peer.is_silenced:
+                continue
+            if running_s <= peer.live_until_s:
+                yield peer
+
     def heard_peers(self, now_s: float) -> Iterator[Peer]:
         """Yields the nodes whose last message to this one is recent.
 
@@ -210,10 +234,7 @@
     def own_share(self, server_id: str, slots: int, now_s: float) -> int:
         """Returns how many of a server's slots this node may use.
 
-        Args:
-            server_id: Identifier of the server.
-            slots: Requests that the server accepts from all nodes.
-            now_s: Monotonic time.
+        For the arguments see `SharingNodes.own_share`.
         """
         return self._sharing.own_share(server_id, slots, now_s)
 
@@ -228,28 +249,6 @@
         for peer in self.live_peers(now_s):
             yield from peer.state.moves
 
-    def find_reaching(
-        self, service: str, regions: Collection[str] | None, now_s: float
-    ) -> list[str]:
-        """Returns the addresses of nodes that may serve a service's requests.
-
-        They are ready, stay, and reach its servers as far as they have said.
-
-        Args:
-            service: Name of the service.
-            regions: Regions that the requests must stay in; None for any.
-            now_s: Monotonic time.
-        """
-        states = (peer.state for peer in self.live_peers(now_s))
-        return [
-            state.ip
-            for state in states
-            if state.is_ready
-            and not state.is_leaving
-            and service not in state.unreached_services
-            and (regions is None or state.region in regions)
-        ]
-
     def caller_addresses(
         self,
         own_state: NodeState,
--- a/src/savorylift/fleet/peer.py
+++ b/src/savorylift/fleet/peer.py
@@ -77,6 +77,16 @@
         """Returns the peer with a whole state that patches are for."""
         return self._replace(base=base, base_s=now_s)
 
+    def is_same_node(self, state: NodeState) -> bool:
+        """Whether a state is of the same process at the same place."""
+        last = self.state
+        return (
+            last.incarnation == state.incarnation
+            and last.is_leaving == state.is_leaving
+            and last.node == state.node
+            and last.failure_domain == state.failure_domain
+        )
+
     def touched(self, sequence: int, now_s: float, running_s: float) -> "Peer":
         """Returns the peer after a message that says nothing new."""
         return self._replace(
--- a/src/savorylift/fleet/peer_loads.py
+++ b/src/savorylift/fleet/peer_loads.py
@@ -14,6 +14,7 @@
 # Ends that no longer hold are swept out when there are this many for each node.
 MAX_ENDS_PER_NODE = 8
 MIN_SWEPT_ENDS = 64
+NO_LOAD = Load()
 
 
 class _Heard(NamedTuple):
@@ -37,6 +38,7 @@
         self._totals: dict[str, Load] = {}
         # When what a node said ends, earliest first; some hold no longer.
         self._ends: list[tuple[float, str]] = []
+        self._changes = 0
 
     def hear(
         self, ip: str, loads: tuple[ServerLoad, ...], until_s: float
@@ -49,10 +51,11 @@
             until_s: Time until which that counts.
         """
         heard = self._heard.get(ip)
-        if heard is None or heard.loads != loads:
-            self.forget(ip)
-            for part in loads:
-                self._add(part, 1)
+        if heard is None:
+            self._changes += 1
+            self._replace((), loads)
+        elif heard.loads != loads:
+            self._replace(heard.loads, loads)
         self._heard[ip] = _Heard(loads, until_s)
         heapq.heappush(self._ends, (until_s, ip))
         most = max(MAX_ENDS_PER_NODE * len(self._heard), MIN_SWEPT_ENDS)
@@ -63,8 +66,9 @@
     def forget(self, ip: str) -> None:
         """Forgets what a node has said."""
         heard = self._heard.pop(ip, None)
-        for part in heard.loads if heard is not None else ():
-            self._add(part, -1)
+        if heard is not None:
+            self._changes += 1
+            self._replace(heard.loads, ())
 
     def totals(self, now_s: float) -> Mapping[str, Load]:
         """Returns the load on each server; valid until the next message."""
@@ -76,6 +80,11 @@
         self._forget_silent(now_s)
         return len(self._heard)
 
+    def count_changes(self, now_s: float) -> int:
+        """Returns how often a node became live or silent so far."""
+        self._forget_silent(now_s)
+        return self._changes
+
     def _forget_silent(self, now_s: float) -> None:
         while self._ends and self._ends[0][0] < now_s:
             until_s, ip = heapq.heappop(self._ends)
@@ -83,8 +92,17 @@
             if heard is not None and heard.until_s <= until_s:
                 self.forget(ip)
 
+    def _replace(
+        self, old: tuple[ServerLoad, ...], new: tuple[ServerLoad, ...]
+    ) -> None:
+        """Replaces parts of the sums; most stay as they are."""
+        for part in set(old).difference(new):
+            self._add(part, -1)
+        for part in set(new).difference(old):
+            self._add(part, 1)
+
     def _add(self, part: ServerLoad, sign: int) -> None:
-        known = self._totals.get(part.server_id, Load())
+        known = self._totals.get(part.server_id, NO_LOAD)
         total = Load(
             known.requests + sign * part.requests,
             known.tokens + sign * part.tokens,
@@ -92,7 +110,7 @@
             known.succeeded + sign * part.succeeded,
             known.failed + sign * part.failed,
         )
-        if total == Load():
+        if total == NO_LOAD:
             self._totals.pop(part.server_id, None)
         else:
             self._totals[part.server_id] = total
--- a/src/savorylift/fleet/peer_watch.py
+++ b/src/savorylift/fleet/peer_watch.py
@@ -16,6 +16,8 @@
 # A node is asked for its state after this many intervals without a message:
 # some may have been lost, and one interval later it would count as silent.
 DOUBT_INTERVALS = LIVENESS_TIMEOUT_INTERVALS - 1
+# Longest time until the next look for such nodes.
+MAX_DOUBT_PAUSE_S = 1.0
 
 
 class PeerWatch:
@@ -50,6 +52,7 @@
         self._silence = SilenceWatch(ip, members)
         self._watchers = Watchers(ip)
         self._next_choice_s = 0.0
+        self._next_doubt_s = 0.0
 
     def update(self, failure_domain: str, next_pulse: Pulse) -> None:
         """Does what is due; to be called periodically.
@@ -105,9 +108,15 @@
         self._send(ips, SilenceNews(reports))
 
     def _ask_doubtful(self, now_s: float) -> None:
+        """Asks nodes that were not heard for long, if any can be by now."""
+        if now_s < self._next_doubt_s:
+            return
+        soonest_s = MAX_DOUBT_PAUSE_S
         for peer in self._members.live_peers(now_s):
             doubt_s = DOUBT_INTERVALS * peer.state.interval_s
-            if self._members.silent_s(
-                peer, now_s
-            ) > doubt_s and self._can_pulse(peer.state):
+            left_s = doubt_s - self._members.silent_s(peer, now_s)
+            # One that is new here may send as often as any other does.
+            soonest_s = min(soonest_s, left_s, doubt_s)
+            if left_s < 0 and self._can_pulse(peer.state):
                 self._ask(peer.state.ip, peer.state.incarnation)
+        self._next_doubt_s = now_s + soonest_s
--- a/src/savorylift/front/node_relay.py
+++ b/src/savorylift/front/node_relay.py
@@ -12,6 +12,7 @@
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.results import Refused
 from savorylift.exchange.server_reach import ServerReach
+from savorylift.fleet.caller_choice import find_reaching
 from savorylift.fleet.membership import Membership
 from savorylift.front.relay_headers import RELAYED
 from savorylift.front.relayed_answer import (
@@ -139,7 +140,9 @@
             self._cached_until_s = now_s + CACHE_S
             self._cached.clear()
         if key not in self._cached:
-            self._cached[key] = self._membership.find_reaching(*key, now_s)
+            live = self._membership.live_peers(now_s)
+            states = (peer.state for peer in live)
+            self._cached[key] = find_reaching(states, *key)
         return self._cached[key]
 
     def _choose(self, admitted: AdmittedRequest, tried: set[str]) -> str | None:
--- a/src/savorylift/front/server_news.py
+++ b/src/savorylift/front/server_news.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Collection
+from typing import NamedTuple
 
 from savorylift.backends.registry import Registry
 from savorylift.exchange.notice_recorder import NoticeRecorder, NoticeSource
@@ -57,6 +58,7 @@
         self._version_history = version_history
         self._witness = witness
         self._next_told = 0
+        self._seen: _Seen | None = None
 
     def add_to(self, state: NodeState) -> NodeState:
         """Returns a state message of this node with the news."""
@@ -132,11 +134,44 @@
 
     def _update_homes(self, *, is_leaving: bool) -> None:
         """Tells which nodes may hold the origins of streams."""
-        staying: list[Home] = []
-        leaving: list[Home] = []
-        (leaving if is_leaving else staying).append(self._own_home)
-        for peer in self._membership.live_peers(time.monotonic()):
+        now_s = time.monotonic()
+        seen = _Seen(self._membership.count_changes(now_s), is_leaving)
+        if seen != self._seen:
+            self._seen = seen
+            self._origins.update_homes(*self._find_homes(now_s, seen))
+        self._origins.update()
+
+    def _find_homes(self, now_s: float, seen: "_Seen") -> "_Homes":
+        """Returns the live nodes, this one included."""
+        homes = _Homes([], [])
+        own = homes.leaving if seen.is_leaving else homes.staying
+        own.append(self._own_home)
+        for peer in self._membership.live_peers(now_s):
             state = peer.state
-            homes = leaving if state.is_leaving else staying
-            homes.append(Home(state.ip, state.failure_domain))
-        self._origins.update(staying, leaving)
+            found = homes.leaving if state.is_leaving else homes.staying
+            found.append(Home(state.ip, state.failure_domain))
+        return homes
+
+
+class _Seen(NamedTuple):
+    """What the homes were last chosen for.
+
+    Attributes:
+        changes: How often the live nodes had changed.
+        is_leaving: Whether this node was draining.
+    """
+
+    changes: int
+    is_leaving: bool
+
+
+class _Homes(NamedTuple):
+    """Nodes that may hold the origins of streams.
+
+    Attributes:
+        staying: Those that stay.
+        leaving: Those that drain.
+    """
+
+    staying: list[Home]
+    leaving: list[Home]
--- a/src/savorylift/front/state_reporter.py
+++ b/src/savorylift/front/state_reporter.py
@@ -9,7 +9,7 @@
 from savorylift.fleet.membership import Membership
 from savorylift.fleet.peer_transport import PeerTransport
 from savorylift.fleet.pulse_messages import PULSE_LEVEL, Pulse
-from savorylift.fleet.reader_choice import OwnCandidate, reader_rank
+from savorylift.fleet.reader_choice import OwnCandidate, ReaderChoice
 from savorylift.fleet.state import NodeState
 from savorylift.fleet.store_reader import StoreReader
 from savorylift.fleet.store_view import StoreView
@@ -96,6 +96,7 @@
         self._server_news = server_news
         self._transport = transport
         self._rollouts = rollouts
+        self._reader_choice = ReaderChoice(membership)
         self._sequence = 0
         self._reader_until_s = 0.0
         self.was_reader = self.was_first_reader = False
@@ -118,7 +119,7 @@
             self._lifecycle.is_leaving,
             self._store_reader.has_fault(now_s),
         )
-        rank = reader_rank(self._membership, candidate, now_s)
+        rank = self._reader_choice.find_rank(candidate, now_s)
         self.was_reader = rank is not None
         self.was_first_reader = rank == 0
         return self.was_reader
--- a/tests/exchange/test_stream_origins.py
+++ b/tests/exchange/test_stream_origins.py
@@ -55,7 +55,8 @@
         staying = [home for home in homes if home.ip not in leaving]
         left = [home for home in homes if home.ip in leaving]
         for ip in self.nodes.keys() - self.lost:
-            self.nodes[ip].update(staying, left)
+            self.nodes[ip].update_homes(staying, left)
+            self.nodes[ip].update()
 
     def node(self, number: int) -> StreamOrigins:
         return self.nodes[f"10.0.0.{number}"]
--- a/tests/fleet/test_membership.py
+++ b/tests/fleet/test_membership.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from savorylift.fleet.caller_choice import find_reaching
 from savorylift.fleet.membership import (
     FORGET_TIMEOUT_S,
     LIVENESS_TIMEOUT_S,
@@ -254,8 +255,27 @@
     membership.update_peer(state(3)._replace(unreached_services=("s",)), 1.0)
     membership.update_peer(state(4)._replace(is_leaving=True), 1.0)
     membership.update_peer(state(5)._replace(is_ready=False), 1.0)
-    assert membership.find_reaching("s", None, 1.0) == [state(2).ip]
-    assert len(membership.find_reaching("t", None, 1.0)) == 2
+    live = [peer.state for peer in membership.live_peers(1.0)]
+    assert find_reaching(live, "s", None) == [state(2).ip]
+    assert len(find_reaching(live, "t", None)) == 2
     own_region = [state(2).region]
-    assert membership.find_reaching("s", own_region, 1.0) == [state(2).ip]
-    assert membership.find_reaching("s", ["elsewhere"], 1.0) == []
+    assert find_reaching(live, "s", own_region) == [state(2).ip]
+    assert find_reaching(live, "s", ["elsewhere"]) == []
+
+
+def test_changes_of_live_nodes_are_counted_and_nothing_else() -> None:
+    members = membership(state(2), state(3))
+    known = members.count_changes(0.1)
+    members.update_peer(state(2)._replace(sequence=5, is_ready=False), 0.2)
+    assert members.count_changes(0.2) == known
+    counts = [known]
+    members.update_peer(state(4), 0.3)
+    counts.append(members.count_changes(0.3))
+    members.update_peer(state(4)._replace(sequence=5, is_leaving=True), 0.4)
+    counts.append(members.count_changes(0.4))
+    members.update_peer(state(3)._replace(incarnation=99), 0.5)
+    counts.append(members.count_changes(0.5))
+    members.silence(state(2).ip)
+    counts.append(members.count_changes(0.5))
+    counts.append(members.count_changes(LIVENESS_TIMEOUT_S + 0.45))
+    assert counts == sorted(set(counts))
--- a/tests/fleet/test_reader_choice.py
+++ b/tests/fleet/test_reader_choice.py
@@ -4,7 +4,7 @@
 
 from savorylift.fleet.membership import LIVENESS_TIMEOUT_S, Membership
 from savorylift.fleet.peer_transport import MAX_READER_INTERVAL_S
-from savorylift.fleet.reader_choice import is_reader, reading_age_s
+from savorylift.fleet.reader_choice import ReaderChoice, reading_age_s
 from savorylift.fleet.state import NodeState
 from tests.fleet.test_membership import membership, state
 
@@ -19,7 +19,7 @@
         members = Membership(me.ip, ())
         for other in states:
             members.update_peer(other, 0.0)
-        if is_reader(members, me, 0.1):
+        if ReaderChoice(members).find_rank(me, 0.1) is not None:
             chosen.append(me)
     return chosen
 
@@ -57,7 +57,8 @@
         for other in states:
             heard_s = 0.0 if other.node in lost else takeover_s
             members.update_peer(other, heard_s)
-        if me.node not in lost and is_reader(members, me, takeover_s):
+        rank = ReaderChoice(members).find_rank(me, takeover_s)
+        if me.node not in lost and rank is not None:
             replaced.append(me)
     assert len(replaced) == 2
 
@@ -69,3 +70,53 @@
     )
     assert reading_age_s(members, 0.5) == pytest.approx(0.6)
     assert reading_age_s(members, LIVENESS_TIMEOUT_S + 1) is None
+
+
+def test_reader_is_replaced_as_the_nodes_change() -> None:
+    """What is kept of the order must not outlive the nodes that it is of."""
+    states = [state(n) for n in range(1, 10)]
+    chosen = readers(states)
+    me = next(s for s in states if s not in chosen)
+    members = Membership(me.ip, ())
+    choice = ReaderChoice(members)
+    for other in states:
+        members.update_peer(other, 0.0)
+    assert choice.find_rank(me, 0.1) is None
+    for other in states:
+        if other not in chosen:
+            members.update_peer(other._replace(sequence=2), 1.5)
+    remaining = [s for s in states if s not in chosen]
+    assert (choice.find_rank(me, 1.6) is not None) is (me in readers(remaining))
+    alone_s = 2 * LIVENESS_TIMEOUT_S + 1.6
+    assert choice.find_rank(me, alone_s) == 0
+
+
+@pytest.mark.parametrize("fault_at", [1, 5, 8])
+def test_choice_of_readers_is_as_if_made_anew(fault_at: int) -> None:
+    """Flags of nodes change without a change of the nodes."""
+    states = [state(n) for n in range(1, 10)]
+    members = Membership(states[0].ip, ())
+    for other in states:
+        members.update_peer(other, 0.0)
+    choice = ReaderChoice(members)
+    choice.find_rank(states[0], 0.1)
+    for sequence in range(2, fault_at + 2):
+        other = states[sequence - 1]
+        members.update_peer(
+            other._replace(sequence=sequence, has_store_fault=True), 0.2
+        )
+        now = ReaderChoice(members).find_rank(states[0], 0.2)
+        assert choice.find_rank(states[0], 0.2) == now
+
+
+def test_reading_of_a_lost_reader_does_not_count() -> None:
+    """The newest reading is looked for among nodes that have read lately."""
+    members = membership(
+        state(2)._replace(reading_age_s=0.1, interval_s=0.2),
+        state(3)._replace(reading_age_s=0.9, interval_s=0.2),
+        state(4)._replace(reading_age_s=100.0, interval_s=0.2),
+    )
+    members.silence(state(2).ip)
+    assert reading_age_s(members, 0.0) == pytest.approx(0.9)
+    members.silence(state(3).ip)
+    assert reading_age_s(members, 0.0) == pytest.approx(100.0)
