Look for old readings of the store together with other periodic tasks

Each node with engines whose runs can move woke ten times a second to see whether readings of the store are too old, also while they were fresh: as often again as all else that is periodic, and each look went over all nodes. It now looks with the beat that other tasks share while the readings can't be too old before the next one, so that polls of engines begin as soon as before.

--- a/src/savorylift/exchange/drain_poller.py
+++ b/src/savorylift/exchange/drain_poller.py
@@ -19,8 +19,12 @@
 # An engine gives about 1.5 s of notice before it stops, and copying a run takes
 # up to 0.5 s.
 POLL_INTERVAL_S = 0.4
-# How often to look whether the store is still heard.
+# How often to look whether the store is still heard, if it may soon not be.
 CHECK_INTERVAL_S = 0.1
+# How often to look otherwise, together with other periodic tasks.
+SHARED_INTERVAL_S = 0.2
+# Longest time that a wait for a beat of theirs takes.
+MAX_SHARED_WAIT_S = 1.5 * SHARED_INTERVAL_S
 REPORT_TIMEOUT_S = 0.4
 # Nodes that poll an engine. The second does so half as often, in case the
 # first is lost.
@@ -36,7 +40,7 @@
         limit_gate: LimitGate,
         notices: NoticeRecorder,
         is_held: Callable[[str], bool],
-        is_store_unavailable: Callable[[], bool],
+        get_slack_s: Callable[[], float],
         get_engines: Callable[[], Collection[BackendServer]],
         get_nodes: Callable[[], Iterable[str]],
         own_node: str,
@@ -50,7 +54,8 @@
             notices: Told what engines say of their plans.
             is_held: Returns whether an engine, given by its ID, wants no
                 requests.
-            is_store_unavailable: Returns whether the store sends no updates.
+            get_slack_s: Returns after what time at the earliest the store may
+                have sent no updates for too long; 0 or less if it has not.
             get_engines: Returns the engines whose runs can move.
             get_nodes: Returns the addresses of the other live nodes.
             own_node: Address of this node.
@@ -60,7 +65,7 @@
         self._limit_gate = limit_gate
         self._notices = notices
         self._is_held = is_held
-        self._is_store_unavailable = is_store_unavailable
+        self._get_slack_s = get_slack_s
         self._get_engines = get_engines
         self._get_nodes = get_nodes
         self._own_node = own_node
@@ -70,17 +75,22 @@
     async def run(self) -> None:
         """Polls periodically while the store is unavailable; never returns."""
         while True:
-            has_runs = bool(self._get_engines())
-            # Another run may begin at an engine as late after its last poll.
-            await wait_for_beat(
-                CHECK_INTERVAL_S if has_runs else POLL_INTERVAL_S
-            )
-            if self._get_engines() and self._is_store_unavailable():
+            await wait_for_beat(self._find_interval_s())
+            if self._get_engines() and self._get_slack_s() <= 0:
                 polled_s = time.monotonic()
                 await asyncio.gather(*map(self._poll, self._engines_to_poll()))
                 next_s = polled_s + POLL_INTERVAL_S - CHECK_INTERVAL_S
                 await asyncio.sleep(max(next_s - time.monotonic(), 0.0))
 
+    def _find_interval_s(self) -> float:
+        """Returns how soon to look again."""
+        if not self._get_engines():
+            # A run may begin at an engine as late after its last poll.
+            return POLL_INTERVAL_S
+        if self._get_slack_s() > MAX_SHARED_WAIT_S:
+            return SHARED_INTERVAL_S
+        return CHECK_INTERVAL_S
+
     def _engines_to_poll(self) -> list[BackendServer]:
         """Returns the engines whose turn it is at this node."""
         self._round += 1
--- a/src/savorylift/fleet/read_policy.py
+++ b/src/savorylift/fleet/read_policy.py
@@ -1,5 +1,6 @@
 """Decides when a node reads the store."""
 
+import math
 import time
 from collections.abc import Callable
 
@@ -132,5 +133,11 @@
             servers_age_s: Age of the newest reading of the servers' entries,
                 by any node.
         """
+        return self.notice_slack_s(servers_age_s) < 0
+
+    def notice_slack_s(self, servers_age_s: float | None) -> float:
+        """Returns after what time `may_miss_notices` holds without news."""
+        if servers_age_s is None:
+            return -math.inf
         max_age_s = NOTICE_AGE_S + self._get_reader_interval_s()
-        return servers_age_s is None or servers_age_s > max_age_s
+        return max_age_s - servers_age_s
--- a/src/savorylift/front/store_parts.py
+++ b/src/savorylift/front/store_parts.py
@@ -154,7 +154,7 @@
         servers.limit_gate,
         servers.recorder,
         servers.pool.holds.is_held,
-        lambda: policy.may_miss_notices(newest_reading_s()),
+        lambda: policy.notice_slack_s(newest_reading_s()),
         lambda: _engines_that_move_runs(shared),
         lambda: [
             peer.state.ip
--- a/tests/exchange/test_drain_poller.py
+++ b/tests/exchange/test_drain_poller.py
@@ -2,12 +2,18 @@
 
 import asyncio
 import itertools
+from collections.abc import Callable
 from typing import Any
 
 import pytest
 
 from savorylift.exchange import drain_poller
-from savorylift.exchange.drain_poller import POLL_INTERVAL_S, DrainPoller
+from savorylift.exchange.drain_poller import (
+    CHECK_INTERVAL_S,
+    POLL_INTERVAL_S,
+    SHARED_INTERVAL_S,
+    DrainPoller,
+)
 from savorylift.exchange.server_notice import NO_NOTICE, ServerNotice
 from tests.exchange.factories import make_server
 from tests.harness.virtual_time import run_in_virtual_time
@@ -23,6 +29,8 @@
     """Nodes that hear each other, or only those of their group."""
 
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.get_slack_s: Callable[[], float] = lambda: 0.0
+        self.looks = 0
         # Times at which each engine was polled.
         self.polls_s: dict[str, list[float]] = {s: [] for s in ENGINES}
         self.lost: set[str] = set()
@@ -34,6 +42,10 @@
         self.polls_s[address].append(now_s)
         return NO_NOTICE
 
+    def _look(self) -> float:
+        self.looks += 1
+        return self.get_slack_s()
+
     def start(self, node: str, others: list[str]) -> None:
         servers = {
             server_id: server._replace(
@@ -49,7 +61,7 @@
             gate,
             notices,
             lambda _: False,
-            lambda: True,
+            self._look,
             lambda: servers.values(),
             lambda: others,
             node,
@@ -97,3 +109,32 @@
             assert max(pauses_s) <= MAX_PAUSE_S
 
     run_in_virtual_time(monkeypatch, scenario)
+
+
+@pytest.mark.parametrize("lost_after_s", [0.31, 1.0, 1.07, 2.56])
+def test_node_looks_seldom_but_polls_as_soon_as_readings_are_old(
+    lost_after_s: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Each node looked ten times a second, although the store was heard."""
+
+    async def scenario() -> None:
+        rig = Rig(monkeypatch)
+        began_s = asyncio.get_running_loop().time()
+        lost_s = began_s + lost_after_s
+
+        def get_slack_s() -> float:
+            now_s = asyncio.get_running_loop().time()
+            # A reading each 0.2 s, until there are no more.
+            age_s = (now_s - began_s) % 0.2 if now_s < lost_s else 0.2
+            return 1.0 - age_s - max(now_s - lost_s, 0.0)
+
+        rig.get_slack_s = get_slack_s
+        rig.start(NODES[0], [])
+        await asyncio.sleep(lost_after_s)
+        assert rig.looks <= 2 * (lost_after_s / SHARED_INTERVAL_S + 1)
+        await asyncio.sleep(1.0)
+        latest_s = lost_s + 0.8 + 1.5 * CHECK_INTERVAL_S
+        for polls_s in rig.polls_s.values():
+            assert lost_s + 0.8 <= polls_s[0] <= latest_s
+
+    run_in_virtual_time(monkeypatch, scenario)
