Play callers that return, a keeper that is killed, and messages of earlier builds

Shares of 3 and 1 hold again one and a half runs after the keeper was killed. Messages about room are among those that the codec's tests decode.

--- a/tests/fleet/test_codec.py
+++ b/tests/fleet/test_codec.py
@@ -13,6 +13,12 @@
     decode,
     encode,
 )
+from savorylift.fleet.room_messages import (
+    RoomEnds,
+    RoomOutcome,
+    RoomReply,
+    RoomRequest,
+)
 from savorylift.fleet.state import (
     AnswerCell,
     AnswerReport,
@@ -49,6 +55,10 @@
 PROCESS = ServerProcess("i-1", 5, "v1", 0.5)
 ORIGIN = StreamOrigin("a1", "s", "v1", 30.0, "m1", PROCESS)
 STAGE = Stage("s", "o1", "v2", 12.0, Phase.WATCH, 2, 0.1, 1, 3.0, ("v0",))
+ROOM_REQUEST = RoomRequest(
+    7, "a1", "s", 1, "t", 2.0, 30, 20, 99.0, 1.5, 3.0, 0.1, 30.0,
+    ("i-1",), "v1", ("r",), (5, 6), ("i-2",), "c1", "d1", 1, 2,
+)  # fmt: skip
 MESSAGES: list[Message] = [
     state(2)._replace(
         loads=(ServerLoad("i-1", 1, 2, 3, 4, 5),),
@@ -76,6 +86,9 @@
     AnswerReport(
         "o1", "s", 7, (AnswerCell(0, True, "i-1", "r", 1, 2, 3, ((4, 5),)),)
     ),
+    ROOM_REQUEST,
+    RoomReply(7, RoomOutcome.GRANTED, "i-1", 0.0, 3, 0.4, 5),
+    RoomEnds((5, 6)),
 ]
 
 
@@ -118,6 +131,17 @@
         assert decoded == message._replace(**defaults)
 
 
+def test_room_request_of_an_older_build_asks_the_keeper_of_all_engines() -> (
+    None
+):
+    fields = list(msgspec.to_builtins(ROOM_REQUEST))
+    later = RoomRequest._fields.index("caller")
+    decoded = decode(repack(["room_request", fields[:later]])).unwrap()
+    assert isinstance(decoded, RoomRequest)
+    assert (decoded.caller, decoded.repeat_id) == ("", "")
+    assert (decoded.group, decoded.groups) == (0, 1)
+
+
 def test_unknown_part_of_a_newer_build_is_ignored() -> None:
     fields = msgspec.to_builtins(MESSAGES[0])
     data = repack(["state", fields, "unknown"])
--- a/tests/rooms/test_demand.py
+++ b/tests/rooms/test_demand.py
@@ -6,6 +6,8 @@
 by node.
 """
 
+import collections
+import math
 import random
 import time
 from collections.abc import Callable
@@ -17,7 +19,12 @@
 from savorylift.fleet.room_messages import RoomOutcome, RoomRequest
 from savorylift.rooms.book import PlaceKey
 from savorylift.rooms.service_room import ServiceRoom
-from tests.rooms.factories import TRAITS, make_engines, make_request
+from tests.rooms.factories import (
+    TRAITS,
+    make_engines,
+    make_load,
+    make_request,
+)
 
 ENGINES = make_engines(
     *(f"e{number}" for number in range(10)),
@@ -30,6 +37,8 @@
 BUSY_PER_S = 9.0
 QUIET_PER_S = 1.0
 SWING_S = 12.0
+MOST_NODES = 80
+STEPS_PER_MESSAGE = 20
 
 
 class Source(NamedTuple):
@@ -54,6 +63,7 @@
         # Runs that are all alike would end in waves.
         self.run_s = RUN_S * rng.uniform(0.5, 1.5)
         self.started_s: float | None = None
+        self.engine = ""
 
     @property
     def is_in_aim(self) -> bool:
@@ -90,9 +100,10 @@
     *,
     length_s: float = 4 * SWING_S,
     by_held_room: bool = True,
+    killed_s: float = math.inf,
     seed: int = 1,
 ) -> list[Job]:
-    """Returns the jobs of a load."""
+    """Returns the jobs of a load; a new keeper takes over at `killed_s`."""
     rng = random.Random(seed)
     jobs: list[Job] = []
     waiting: dict[PlaceKey, Job] = {}
@@ -103,6 +114,10 @@
         )
         begun_s = time.monotonic()
         while (at_s := time.monotonic() - begun_s) < length_s:
+            if at_s >= killed_s:
+                room, killed_s = ServiceRoom(random.Random(seed)), math.inf
+            if int(at_s / STEP_S) % STEPS_PER_MESSAGE == 0:
+                tell_loads(room, running)
             for source in sources:
                 if rng.random() < source.per_s(at_s) * STEP_S:
                     job = Job(source, at_s, rng)
@@ -125,7 +140,7 @@
             for key, reply in room.dispatch(ENGINES):
                 job = waiting.pop(key)
                 if reply.outcome == RoomOutcome.GRANTED:
-                    job.started_s = at_s
+                    job.started_s, job.engine = at_s, reply.server_id or ""
                     running[key] = job
             late_s = at_s - 2 * OBJECTIVE_S
             for key in [k for k, j in waiting.items() if j.arrived_s < late_s]:
@@ -134,6 +149,17 @@
     return jobs
 
 
+def tell_loads(room: ServiceRoom, running: dict[PlaceKey, Job]) -> None:
+    """Tells a keeper what nodes have at engines, but not for whom."""
+    loads: dict[str, collections.Counter[str]] = {
+        f"n{node}": collections.Counter() for node in range(MOST_NODES)
+    }
+    for key, job in running.items():
+        loads[key.ip][job.engine] += 1
+    for ip, of_node in loads.items():
+        room.hear(ip, [make_load(e, n, n * TOKENS) for e, n in of_node.items()])
+
+
 def share_in_aim(jobs: list[Job]) -> float:
     return sum(job.is_in_aim for job in jobs) / len(jobs)
 
@@ -196,7 +222,7 @@
     """However many nodes a team's callers come to."""
     sources = [
         Source("few", lambda _: BUSY_PER_S, nodes=2, weight=weight),
-        Source("many", lambda _: BUSY_PER_S, nodes=80),
+        Source("many", lambda _: BUSY_PER_S, nodes=MOST_NODES),
     ]
     at_s = 4 * SWING_S - 1.0
     held = share_held(play(sources), "few", at_s)
@@ -205,6 +231,17 @@
     assert naive < held
 
 
+def test_shares_hold_again_after_the_keeper_was_killed() -> None:
+    """Its successor doesn't know for whom the runs are that it finds."""
+    sources = [
+        Source("heavy", lambda _: BUSY_PER_S, weight=3),
+        Source("light", lambda _: BUSY_PER_S),
+    ]
+    jobs = play(sources, killed_s=2 * SWING_S)
+    at_s = 2 * SWING_S + 1.5 * RUN_S
+    assert abs(share_held(jobs, "heavy", at_s) - 0.75) < 0.08
+
+
 def test_hot_caller_does_not_crowd_out_its_team_mates() -> None:
     sources = [Source("t", lambda _: BUSY_PER_S, caller="hot")]
     sources += [
--- a/tests/rooms/test_returning.py
+++ b/tests/rooms/test_returning.py
@@ -1,6 +1,7 @@
 """Tests of refused requests that come again."""
 
 import random
+import time
 
 import freezegun
 import pytest
@@ -17,6 +18,13 @@
 )
 from savorylift.rooms.service_room import ServiceRoom
 from tests.rooms.factories import ip_of, make_engines, make_request
+from tests.rooms.test_demand import ENGINES, RUN_S, STEP_S, TOKENS
+
+# Engines complete some seven generations a second.
+USUAL_PER_S, BURST_PER_S = 6.0, 18.0
+WAIT_S = 4.0
+BURST_BEGIN_S, BURST_END_S = 5.0, 12.0
+LOAD_S = 30.0
 
 RETURN_IN_S = 2.0
 TICKET = Ticket(1, "", 1000.0, 1000, 0.0, 2.0, 4.0, 7)
@@ -121,3 +129,87 @@
         returned = other._replace(repeat_id="r")
         assert full.ask(3, returned) is None
         assert full.grant_one() == (3 if in_time else 2)
+
+
+class Caller:
+    """A caller that returns when it is told to, and waits for some time."""
+
+    def __init__(self, number: int, first_s: float) -> None:
+        """Creates one that comes first at a time."""
+        self.number, self.first_s, self.comes_s = number, first_s, first_s
+        self.refusals = 0
+        self.served_s: float | None = None
+
+    def make_request(self, number: int, at_s: float) -> RoomRequest:
+        """Returns its request as of a time."""
+        left_s = self.comes_s + WAIT_S - at_s
+        return make_request(number, TOKENS)._replace(
+            start_in_s=left_s, leave_in_s=left_s, repeat_id=f"r{self.number}"
+        )
+
+
+def play_burst(seed: int) -> list[Caller]:
+    """Plays twice the load that engines bear for some seconds."""
+    rng = random.Random(seed)
+    room = ServiceRoom(random.Random(seed))
+    callers: list[Caller] = []
+    coming: list[Caller] = []
+    waiting: dict[PlaceKey, Caller] = {}
+    ends_s: dict[PlaceKey, float] = {}
+    visits = 0
+    with freezegun.freeze_time("2026-01-01") as clock:
+        begun_s = time.monotonic()
+        while (at_s := time.monotonic() - begun_s) < LOAD_S + 2 * RUN_S:
+            is_burst = BURST_BEGIN_S <= at_s < BURST_END_S
+            per_s = BURST_PER_S if is_burst else USUAL_PER_S
+            if at_s < LOAD_S and rng.random() < per_s * STEP_S:
+                callers.append(Caller(len(callers), at_s))
+                coming.append(callers[-1])
+            for caller in [c for c in coming if c.comes_s <= at_s]:
+                coming.remove(caller)
+                visits += 1
+                waiting[PlaceKey(ip_of(visits % 80), visits)] = caller
+            for key in [k for k, end_s in ends_s.items() if end_s <= at_s]:
+                room.end(key)
+                del ends_s[key]
+            for key, caller in list(waiting.items()):
+                if at_s > caller.comes_s + WAIT_S:
+                    del waiting[key]
+                    continue
+                room.add(key, caller.make_request(key.number, at_s))
+            for key, reply in room.dispatch(ENGINES):
+                caller = waiting.pop(key)
+                if reply.outcome == RoomOutcome.GRANTED:
+                    caller.served_s = at_s
+                    ends_s[key] = at_s + RUN_S * rng.uniform(0.5, 1.5)
+                else:
+                    caller.refusals += 1
+                    caller.comes_s = at_s + reply.return_in_s
+                    coming.append(caller)
+            clock.tick(STEP_S)
+    return callers
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_callers_of_a_burst_that_return_in_time_are_served_sooner(
+    seed: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Without their places they stand behind all that came meanwhile."""
+    returned = find_returned(play_burst(seed))
+    monkeypatch.setattr(ReturningRequests, "claim", lambda _self, _id: None)
+    naive = find_returned(play_burst(seed))
+    assert share_served(returned) >= share_served(naive)
+    assert longest_s(returned) < longest_s(naive)
+
+
+def find_returned(callers: list[Caller]) -> list[Caller]:
+    return [caller for caller in callers if caller.refusals]
+
+
+def share_served(callers: list[Caller]) -> float:
+    return sum(c.served_s is not None for c in callers) / len(callers)
+
+
+def longest_s(callers: list[Caller]) -> float:
+    """Returns the longest time from the first visit to a place."""
+    return max(c.served_s - c.first_s for c in callers if c.served_s)
