--- a/tests/fleet/test_codec.py
+++ b/tests/fleet/test_codec.py
@@ -131,9 +131,7 @@
         assert decoded == message._replace(**defaults)
 
 
-def test_room_request_of_an_older_build_asks_the_keeper_of_all_engines() -> (
-    None
-):
+def test_room_request_of_an_older_build_asks_for_all_engines() -> None:
     fields = list(msgspec.to_builtins(ROOM_REQUEST))
     later = RoomRequest._fields.index("caller")
     decoded = decode(repack(["room_request", fields[:later]])).unwrap()
