--- a/src/savorylift/placement/shared_turns.py
+++ b/src/savorylift/placement/shared_turns.py
@@ -6,11 +6,22 @@
 """
 
 import collections
-import itertools
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
 
 from savorylift.placement.held_room import HeldRoom
-from savorylift.placement.turn_order import Ticket, Turns, put_oldest_first
+from savorylift.placement.turn_order import (
+    Rank,
+    Ticket,
+    Turns,
+    put_oldest_first,
+)
+
+
+class _Ranked(NamedTuple):
+    rank: Rank
+    number: int
+    ticket: Ticket
 
 
 class SharedTurns:
@@ -31,43 +42,44 @@
 
     def sort(self, tickets: Iterable[Ticket], now_s: float) -> list[Ticket]:
         """Returns the tickets in the order of their turns."""
-        by_team: dict[str, list[Ticket]] = collections.defaultdict(list)
-        for ticket in tickets:
-            by_team[ticket.team].append(ticket)
+        ranked = [_Ranked(t.rank(now_s), t.number, t) for t in tickets]
+        # The order without any shares; numbers differ, so tickets don't decide.
+        ranked.sort()
+        by_team: dict[str, list[_Ranked]] = collections.defaultdict(list)
+        for item in ranked:
+            by_team[item.ticket.team].append(item)
         levels: dict[int, float] = {}
         for team, of_team in by_team.items():
             level = self._held.of_team(team)
-            for ticket in self._sort_team(of_team, now_s):
-                levels[ticket.number] = level
+            for item in self._sort_team(of_team):
+                levels[item.number] = level
                 # The team holds that much more once this one has its turn.
-                level += ticket.cost
-        ordered = _sort_by_level(
-            itertools.chain.from_iterable(by_team.values()), levels, now_s
-        )
+                level += item.ticket.cost
+        ordered = [item.ticket for item in _sort_by_level(ranked, levels)]
         if self._turns.is_oldest_next:
             put_oldest_first(ordered, now_s)
         return ordered
 
-    def _sort_team(
-        self, tickets: Collection[Ticket], now_s: float
-    ) -> list[Ticket]:
+    def _sort_team(self, ranked: list[_Ranked]) -> list[_Ranked]:
         """Returns the tickets of a team in the order of their turns."""
+        if len(ranked) == 1:
+            return ranked
         levels: dict[int, float] = {}
         by_caller: dict[str, float] = {}
-        for ticket in sorted(tickets, key=lambda t: (t.rank(now_s), t.number)):
-            caller = ticket.caller
+        for item in ranked:
+            caller = item.ticket.caller
             level = by_caller.get(caller)
             if level is None:
-                level = self._held.of_caller(ticket.team, caller)
-            levels[ticket.number] = level
-            by_caller[caller] = level + ticket.cost
-        return _sort_by_level(tickets, levels, now_s)
+                level = self._held.of_caller(item.ticket.team, caller)
+            levels[item.number] = level
+            by_caller[caller] = level + item.ticket.cost
+        return _sort_by_level(ranked, levels)
 
 
 def _sort_by_level(
-    tickets: Iterable[Ticket], levels: Mapping[int, float], now_s: float
-) -> list[Ticket]:
+    ranked: Iterable[_Ranked], levels: Mapping[int, float]
+) -> list[_Ranked]:
     """Sorts tickets by rank, then by the level of each by its number."""
     return sorted(
-        tickets, key=lambda t: (t.rank(now_s), levels[t.number], t.number)
+        ranked, key=lambda item: (item.rank, levels[item.number], item.number)
     )
--- a/src/savorylift/placement/turn_order.py
+++ b/src/savorylift/placement/turn_order.py
@@ -17,6 +17,18 @@
 OLDEST_WAIT_S = 2.0
 
 
+class Rank(NamedTuple):
+    """What decides before the shares of teams; the lowest goes first.
+
+    Attributes:
+        is_late: Whether it can't meet its objective any more.
+        priority: Priority; 0 goes first.
+    """
+
+    is_late: bool
+    priority: int
+
+
 class Ticket(NamedTuple):
     """A generation that waits for room.
 
@@ -43,9 +55,9 @@
     number: int
     caller: str = ""
 
-    def rank(self, now_s: float) -> tuple[bool, int]:
+    def rank(self, now_s: float) -> Rank:
         """Returns what decides before the shares of teams; lowest first."""
-        return now_s > self.latest_start_s, self.priority
+        return Rank(now_s > self.latest_start_s, self.priority)
 
 
 class Turns:
