Count the objective of who returns from its first visit, and refuse at the last moment

One that would wait in vain at the keeper is refused 0.15 s before its time is over, with a slot to return in; before, its node guessed a time from the few ends that it saw, and it returned as new.

--- a/src/savorylift/placement/turn_away.py
+++ b/src/savorylift/placement/turn_away.py
@@ -17,6 +17,9 @@
 # the time that it can wait. A forecast may be that far off, since small
 # generations overtake large ones that don't fit.
 FORECAST_MARGIN = 3.0
+# One that would wait in vain is refused this much before its time is over, with
+# a time to return from whoever knows the room.
+LAST_MOMENT_S = 0.15
 MIN_RETURN_S = 0.5
 # Bounds the time to come back if far more memory is needed than is released.
 MAX_RETURN_S = 8.0
@@ -98,7 +101,8 @@
     for ticket in ordered:
         wanted = ahead + ticket.tokens - room.free_tokens
         wait_s = max(wanted, 0) / room.rate_for(ticket, now_s)
-        if wait_s <= FORECAST_MARGIN * max(ticket.leave_s - now_s, 0.0):
+        left_s = max(ticket.leave_s - now_s, 0.0)
+        if wait_s <= FORECAST_MARGIN * left_s and left_s > LAST_MOMENT_S:
             ahead += ticket.tokens
             continue
         return_in_s = wait_s + away / room.tokens_per_s
--- a/src/savorylift/rooms/returning.py
+++ b/src/savorylift/rooms/returning.py
@@ -1,10 +1,11 @@
 """Refused requests that may come again, and keep their place in the order.
 
-A caller that is refused and returns when it was told to would otherwise stand
-behind all that came meanwhile, however often it returns. It has a new ID then,
-so it is known by what it asks for. That is no proof: another caller of the
-team may ask for the same. So one refusal gives one place, to one that returns
-in time, and those alike are of the same team and size.
+A caller that is refused and returns when it was told to would otherwise count
+as new, however often it returns: behind all that came meanwhile, but before
+those that are as late as itself, and that could still be in time. It has a new
+ID then, so it is known by what it asks for. That is no proof: another caller
+of the team may ask for the same. So one refusal gives one place, to one that
+returns in time, and those alike are of the same team and size.
 """
 
 import collections
@@ -26,10 +27,13 @@
     Attributes:
         number: Sequence number in the order of arrival.
         arrived_s: Monotonic time at which it began to wait.
+        latest_start_s: Monotonic time until which it can start and still meet
+            its objective.
     """
 
     number: int
     arrived_s: float
+    latest_start_s: float
 
 
 class _Refusal(NamedTuple):
@@ -65,7 +69,9 @@
         is_awaited = known is not None and now_s <= _closes_s(known)
         if not repeat_id or is_awaited:
             return
-        first = FirstVisit(ticket.number, ticket.enqueued_s)
+        first = FirstVisit(
+            ticket.number, ticket.enqueued_s, ticket.latest_start_s
+        )
         self._refusals[repeat_id] = _Refusal(first, now_s + return_in_s)
         self._refusals.move_to_end(repeat_id)
         while len(self._refusals) > MAX_REMEMBERED:
--- a/src/savorylift/rooms/service_room.py
+++ b/src/savorylift/rooms/service_room.py
@@ -113,14 +113,16 @@
         first = self._returning.claim(req.repeat_id)
         if first is None:
             self._last_number += 1
-            first = FirstVisit(self._last_number, now_s - req.age_s)
+            first = FirstVisit(
+                self._last_number, now_s - req.age_s, now_s + req.start_in_s
+            )
         ticket = Ticket(
             req.priority,
             req.team,
             req.tokens / req.weight,
             req.tokens,
             first.arrived_s,
-            now_s + req.start_in_s,
+            first.latest_start_s,
             now_s + req.leave_in_s,
             first.number,
             req.caller,
--- a/tests/placement/test_turn_away.py
+++ b/tests/placement/test_turn_away.py
@@ -15,7 +15,9 @@
 )
 from savorylift.placement.turn_away import (
     FORECAST_MARGIN,
+    LAST_MOMENT_S,
     MAX_RETURN_S,
+    MIN_RETURN_S,
     NoRoomInTimeError,
     Room,
     find_hopeless,
@@ -103,6 +105,20 @@
     assert {away.return_in_s for away in late} == {MAX_RETURN_S}
 
 
+@pytest.mark.parametrize(
+    ("left_s", "refused"),
+    [(LAST_MOMENT_S + 0.1, False), (LAST_MOMENT_S, True), (-1.0, True)],
+)
+def test_one_that_waited_in_vain_is_told_when_to_return(
+    left_s: float, *, refused: bool
+) -> None:
+    """It fits nowhere, though memory is free: in pieces, at many engines."""
+    waiting = [ticket(1, leave_s=left_s)]
+    found = list(find_hopeless(waiting, Room(9000, 1000.0), 0.0))
+    assert bool(found) is refused
+    assert all(away.return_in_s == MIN_RETURN_S for away in found)
+
+
 @hypothesis.given(
     st.lists(
         st.tuples(st.integers(0, 9), st.integers(1, 9000), st.floats(0, 9)),
