Tell the stateless rules of roll-outs from the node that applies them

Cause: decider.py held functions without state and deciding.py the class that takes the steps; two enums were named Phase; views of the fleet and watchers' reports were bare tuples. Change: next_stage.py holds the functions, decider.py the class Decider; the enum of roll-outs is RolloutPhase; _CachedView and _Miss name what the tuples held.

--- a/src/savorylift/fleet/rollout_messages.py
+++ b/src/savorylift/fleet/rollout_messages.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 
-class Phase(enum.StrEnum):
+class RolloutPhase(enum.StrEnum):
     """How far a roll-out has come.
 
     Attributes:
@@ -22,7 +22,7 @@
     @property
     def is_final(self) -> bool:
         """Whether no other phase follows."""
-        return self in (Phase.COMPLETED, Phase.ROLLED_BACK)
+        return self in (RolloutPhase.COMPLETED, RolloutPhase.ROLLED_BACK)
 
 
 class Stage(NamedTuple):
@@ -48,7 +48,7 @@
     order_id: str
     version: str
     duration_s: float
-    phase: Phase
+    phase: RolloutPhase
     step: int
     share: float
     epoch: int
--- a/src/savorylift/fleet/silence_watch.py
+++ b/src/savorylift/fleet/silence_watch.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable
+from typing import NamedTuple
 
 import structlog
 
@@ -27,6 +28,18 @@
 _log = structlog.get_logger()
 
 
+class _Miss(NamedTuple):
+    """What a watcher has said of a node that it misses.
+
+    Attributes:
+        sequence: Number of the last message that the watcher got of it.
+        told_s: Monotonic time at which the watcher said so.
+    """
+
+    sequence: int
+    told_s: float
+
+
 class SilenceWatch:
     """What this node misses as a watcher, and what watchers tell it."""
 
@@ -40,9 +53,8 @@
         self._ip = ip
         self._members = members
         self._watched: set[str] = set()
-        # By the address of the node that they are about, and of the watcher:
-        # the number of the last message that it got, and when it said so.
-        self._reports: dict[str, dict[str, tuple[int, float]]] = {}
+        # By the address of the missed node, then by that of the watcher.
+        self._misses: dict[str, dict[str, _Miss]] = {}
 
     def watch(self, ip: str, *, goes_on: bool) -> None:
         """Begins to watch a known node, or ends it."""
@@ -53,7 +65,7 @@
 
     def find_silent(self, now_s: float) -> tuple[SilenceReport, ...]:
         """Returns what all nodes are to be told; to be called periodically."""
-        self._drop_old_reports(now_s)
+        self._drop_old_misses(now_s)
         if not self._members.has_heard_any(now_s - CUT_OFF_S):
             return ()
         found = []
@@ -87,18 +99,18 @@
                 continue
             if peer.state.incarnation != report.incarnation:
                 continue
-            known = self._reports.setdefault(report.ip, {})
-            known[witness] = (report.sequence, now_s)
+            known = self._misses.setdefault(report.ip, {})
+            known[witness] = _Miss(report.sequence, now_s)
             # A watcher whose last message is older than ours proves nothing.
             agreeing = [
                 ip
-                for ip, (sequence, _) in known.items()
-                if sequence >= peer.sequence
+                for ip, miss in known.items()
+                if miss.sequence >= peer.sequence
             ]
             if len(agreeing) >= WITNESS_COUNT:
                 self._members.silence(report.ip)
                 metrics.SILENCED.inc()
-                del self._reports[report.ip]
+                del self._misses[report.ip]
                 _log.info(
                     "peer_silent",
                     peer=peer.state.node,
@@ -106,11 +118,11 @@
                     last_heard_s=round(now_s - peer.heard_s, 3),
                 )
 
-    def _drop_old_reports(self, now_s: float) -> None:
+    def _drop_old_misses(self, now_s: float) -> None:
         oldest_s = now_s - REPORT_VALIDITY_S
-        for ip, known in list(self._reports.items()):
-            kept = {w: r for w, r in known.items() if r[1] >= oldest_s}
+        for ip, known in list(self._misses.items()):
+            kept = {w: m for w, m in known.items() if m.told_s >= oldest_s}
             if kept:
-                self._reports[ip] = kept
+                self._misses[ip] = kept
             else:
-                del self._reports[ip]
+                del self._misses[ip]
--- a/src/savorylift/fleet/state.py
+++ b/src/savorylift/fleet/state.py
@@ -33,8 +33,8 @@
 from savorylift.fleet.rollout_messages import (
     AnswerCell,
     AnswerReport,
-    Phase,
     RolloutMessage,
+    RolloutPhase,
     Stage,
     StageNews,
 )
@@ -77,10 +77,10 @@
     "Patch",
     "PermitReply",
     "PermitRequest",
-    "Phase",
     "QuarantineNews",
     "QuarantinedParts",
     "RolloutMessage",
+    "RolloutPhase",
     "Segment",
     "ServerLoad",
     "ServerProcess",
--- a/src/savorylift/front/rollout_parts.py
+++ b/src/savorylift/front/rollout_parts.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 from savorylift.backends.server import ServerEntry
 from savorylift.fleet.peer_transport import PeerTransport
@@ -60,6 +61,18 @@
     )
 
 
+class _CachedView(NamedTuple):
+    """What was seen of the fleet, and until when that is used.
+
+    Attributes:
+        view: What was seen.
+        expires_s: Monotonic time from which on it is looked at anew.
+    """
+
+    view: FleetView
+    expires_s: float
+
+
 class NodeSurroundings:
     """What roll-outs need of this node."""
 
@@ -86,7 +99,7 @@
         self._has_store_fault = has_store_fault
         self._decode_orders = decode_orders
         self._read_version = -1
-        self._views: dict[str, tuple[float, FleetView]] = {}
+        self._views: dict[str, _CachedView] = {}
 
     def read_orders(self) -> list[RolloutOrder] | None:
         """Returns the orders that stand; None if they haven't changed."""
@@ -114,10 +127,10 @@
         """Returns what this node sees of the fleet."""
         now_s = time.monotonic()
         known = self._views.get(service)
-        if known is not None and now_s < known[0]:
-            return known[1]
+        if known is not None and now_s < known.expires_s:
+            return known.view
         view = self._view_fleet(service, now_s)
-        self._views[service] = now_s + VIEW_S, view
+        self._views[service] = _CachedView(view, now_s + VIEW_S)
         return view
 
     def send(self, message: RolloutMessage, ip: str | None) -> None:
--- a/src/savorylift/platform/rollouts.py
+++ b/src/savorylift/platform/rollouts.py
@@ -7,17 +7,17 @@
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
-from savorylift.fleet.rollout_messages import Phase, Stage
+from savorylift.fleet.rollout_messages import RolloutPhase, Stage
 from savorylift.json_input import decode_json
 from savorylift.platform.store_record import MAX_KEY_BYTES, Record
 from savorylift.rollouts.order import RolloutOrder, make_order_id
 
 ROLLOUT_PREFIX = "rollout/"
 STATE_BY_PHASE = {
-    Phase.WATCH: "running",
-    Phase.SHIFT: "running",
-    Phase.COMPLETED: "completed",
-    Phase.ROLLED_BACK: "rolled_back",
+    RolloutPhase.WATCH: "running",
+    RolloutPhase.SHIFT: "running",
+    RolloutPhase.COMPLETED: "completed",
+    RolloutPhase.ROLLED_BACK: "rolled_back",
 }
 
 _log = structlog.get_logger()
--- a/src/savorylift/rollouts/agent.py
+++ b/src/savorylift/rollouts/agent.py
@@ -10,8 +10,8 @@
 import structlog
 
 from savorylift.fleet.rollout_messages import (
-    Phase,
     RolloutMessage,
+    RolloutPhase,
     Stage,
     StageNews,
 )
@@ -20,10 +20,10 @@
 from savorylift.rollouts.answers import AnswerObserver
 from savorylift.rollouts.board import RolloutBoard
 from savorylift.rollouts.counting import Counting, CountingBook
-from savorylift.rollouts.decider import roll_back
-from savorylift.rollouts.deciding import Deciding, is_order_open
+from savorylift.rollouts.decider import Decider, is_order_open
 from savorylift.rollouts.evidence import FleetEvidence
 from savorylift.rollouts.judging import EvidenceBook
+from savorylift.rollouts.next_stage import roll_back
 from savorylift.rollouts.order import RolloutLimits
 from savorylift.rollouts.recorder import StageRecorder
 from savorylift.rollouts.surroundings import Surroundings
@@ -66,7 +66,7 @@
         self._book = CountingBook(answers, source)
         self._evidence = EvidenceBook()
         self._announcer = Announcer(board, around)
-        self._deciding = Deciding(
+        self._decider = Decider(
             limits, board, self._evidence, recorder, self._announcer, around
         )
         self._updated_s = time.monotonic()
@@ -91,7 +91,7 @@
         """Does what is due and needs no store; to be called periodically."""
         now_s = time.monotonic()
         if now_s - self._updated_s > STANDSTILL_S:
-            self._deciding.give_up()
+            self._decider.give_up()
         self._updated_s = now_s
         orders = self._around.read_orders()
         if orders is not None:
@@ -109,9 +109,9 @@
             for service in self._board.services:
                 view = self._around.view_fleet(service)
                 if view.is_decider and view.hears_enough:
-                    is_done = await self._deciding.decide(service) and is_done
+                    is_done = await self._decider.decide(service) and is_done
                 else:
-                    self._deciding.give_up(service)
+                    self._decider.give_up(service)
             await asyncio.sleep(
                 DECIDE_INTERVAL_S if is_done else RETRY_INTERVAL_S
             )
@@ -142,11 +142,11 @@
         stage = self._board.find_stage(service)
         if stage is None:
             return
-        is_own = self._deciding.is_own(stage)
+        is_own = self._decider.is_own(stage)
         if is_own and hears_enough:
             # No other node tells this one that the stage still stands.
             self._board.accept(stage)
-        if is_own or stage.phase is Phase.ROLLED_BACK:
+        if is_own or stage.phase is RolloutPhase.ROLLED_BACK:
             self._announcer.tell_again(stage)
 
     def _roll_back_if_bad(self, stage: Stage) -> None:
--- a/src/savorylift/rollouts/board.py
+++ b/src/savorylift/rollouts/board.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 
 from savorylift.backends.server import ServerEntry
-from savorylift.fleet.rollout_messages import Phase, Stage
+from savorylift.fleet.rollout_messages import RolloutPhase, Stage
 from savorylift.rendezvous import rank
 from savorylift.rollouts import version_rules
 from savorylift.rollouts.order import RolloutLimits, RolloutOrder
@@ -215,7 +215,7 @@
         if is_bound:
             return None if stage is None else self._make_ban_rule(stage)
         current = self.find_stage(service)
-        if current is not None and current.phase is Phase.COMPLETED:
+        if current is not None and current.phase is RolloutPhase.COMPLETED:
             is_over = self.stage_age_s(service) > version_rules.COMPLETED_RULE_S
             if is_over:
                 return self._make_ban_rule(current)
--- a/src/savorylift/rollouts/decider.py
+++ b/src/savorylift/rollouts/decider.py
@@ -1,266 +1,210 @@
-"""Decides on the next stage of a roll-out, from what is known of it.
+"""Takes the steps of a roll-out, each in the store before it counts."""
 
-These functions keep no state; `deciding.py` calls them and takes the steps.
-"""
+from savorylift.fleet.rollout_messages import Stage
+from savorylift.rollouts.announcer import Announcer
+from savorylift.rollouts.board import RolloutBoard
+from savorylift.rollouts.judging import EvidenceBook
+from savorylift.rollouts.next_stage import Situation, find_next
+from savorylift.rollouts.order import RolloutLimits, RolloutOrder
+from savorylift.rollouts.recorder import StageRecorder
+from savorylift.rollouts.stage import WITHDRAWN_ID, begin, replaces
+from savorylift.rollouts.surroundings import Surroundings
 
-from typing import NamedTuple
 
-from savorylift.fleet.rollout_messages import Phase, Stage
-from savorylift.rollouts.order import RolloutLimits
-from savorylift.rollouts.verdict import Judgement, Opinion
+class Decider:
+    """Decides for the services that are this node's to decide on.
 
-# Shares of the requests that a version may get before it is found sound, as
-# parts of what a bad one may get.
-FIRST_PART = 0.3
-WATCH_PART = 0.9
-# Part of the requests that a bad version may get, its slack included, that the
-# watch may use up.
-WATCH_BUDGET_PART = 0.6
-# A node that has decided for a shorter time doesn't know how many requests
-# there are.
-MIN_RATE_TIME_S = 1.0
-# Share with which it is tried under load, before it gets all requests.
-LOAD_SHARE = 0.3
-# Steps of a roll-out.
-FIRST_STEP = 1
-WATCH_STEP = 2
-LOAD_STEP = 3
-SHIFT_STEP = 4
-# The first step ends after so many sound answers, or this part of the time.
-FIRST_ANSWERS = 5
-FIRST_TIME_PART = 0.25
-# How long the load is tried, as a part of the time.
-LOAD_TIME_PART = 0.07
-MIN_LOAD_S = 0.8
-# A version that is still doubtful after this multiple of that time is rolled
-# back.
-MAX_LOAD_FACTOR = 3
-# What lies between the last decision and the deadline: operators' records and
-# the status both take a moment.
-MARGIN_PART = 0.08
-MIN_MARGIN_S = 1.5
-# Time for old servers to end what they run: of engines, whose streams last,
-# and of others.
-ENGINE_SHIFT_PART = 0.2
-PLAIN_SHIFT_PART = 0.1
-MIN_SHIFT_S = 2.0
-# The least that the shift may take if the version was found sound late.
-SHORTEST_SHIFT_S = 0.6
-
-
-class Situation(NamedTuple):
-    """What the next stage depends on.
-
-    Attributes:
-        elapsed_s: Time since the order.
-        step_age_s: Time since the last stage began.
-        judgement: How the new version answers.
-        has_new: Whether a server of the new version is in service.
-        has_old: Whether one of another version is in service.
-        has_engines: Whether the service has engines, whose streams last.
-        hears_enough: Whether the deciding node hears enough of the fleet.
-        other_builds: Share of the nodes that know nothing of roll-outs.
-        is_ordered: Whether the order still stands.
-    """
-
-    elapsed_s: float
-    step_age_s: float
-    judgement: Judgement
-    has_new: bool
-    has_old: bool
-    has_engines: bool
-    hears_enough: bool
-    other_builds: float
-    is_ordered: bool = True
-
-
-class Timetable(NamedTuple):
-    """When the steps of a roll-out are due, in seconds since the order.
-
-    Attributes:
-        load_s: When the version is tried under load.
-        latest_load_s: After what time it is too late for that.
-        complete_s: When the roll-out is completed.
-    """
-
-    load_s: float
-    latest_load_s: float
-    complete_s: float
-
-
-def make_timetable(duration_s: float, *, has_engines: bool) -> Timetable:
-    """Returns the timetable of an order.
-
-    The version is watched for as long as possible: it may turn bad later.
-    """
-    margin_s = max(MIN_MARGIN_S, MARGIN_PART * duration_s)
-    complete_s = max(duration_s - margin_s, 0.5 * duration_s)
-    part = ENGINE_SHIFT_PART if has_engines else PLAIN_SHIFT_PART
-    shift_s = max(part * duration_s, MIN_SHIFT_S)
-    load_time_s = load_duration_s(duration_s)
-    return Timetable(
-        complete_s - shift_s - load_time_s,
-        complete_s - load_time_s - SHORTEST_SHIFT_S,
-        complete_s,
-    )
-
-
-def load_duration_s(duration_s: float) -> float:
-    """Returns how long a version is tried under load."""
-    return max(MIN_LOAD_S, LOAD_TIME_PART * duration_s)
-
-
-def first_share(limits: RolloutLimits) -> float:
-    """Returns the share that holds without any news of a roll-out."""
-    return FIRST_PART * limits.share
-
-
-def find_next(
-    stage: Stage, situation: Situation, limits: RolloutLimits
-) -> Stage | None:
-    """Returns the stage that follows now; None while the last one stands."""
-    if stage.phase.is_final:
-        return None
-    judgement = situation.judgement
-    if judgement.opinion is Opinion.BAD:
-        assert judgement.finding is not None
-        return roll_back(stage, judgement.finding.describe())
-    if not situation.is_ordered:
-        return roll_back(stage, "the order was withdrawn")
-    if not situation.hears_enough:
-        return _end_late(stage, situation)
-    if stage.step >= SHIFT_STEP:
-        return _end_shift(stage, situation)
-    if stage.step == LOAD_STEP:
-        return _end_load(stage, situation)
-    return (
-        _begin_load(stage, situation)
-        or _end_late(stage, situation)
-        or _raise_share(stage, situation, limits)
-    )
-
-
-def roll_back(stage: Stage, reason: str) -> Stage:
-    """Returns the stage in which the new version gets no more requests."""
-    return stage._replace(
-        phase=Phase.ROLLED_BACK,
-        step=stage.step + 1,
-        share=0.0,
-        reason=reason,
-    )
-
-
-def _raise_share(
-    stage: Stage, situation: Situation, limits: RolloutLimits
-) -> Stage | None:
-    """Returns the stage with the next share below what a bad version may get.
-
-    Nodes of other builds send to any version. What they send there counts.
+    A node that takes over writes a new epoch first. Every write depends on
+    the one before it: once another node has taken over, those of this one
+    fail, however long it stood still in between.
     """
-    if not situation.has_new:
-        return None
-    if stage.step < FIRST_STEP:
-        share = max(FIRST_PART * limits.share - situation.other_builds, 0.0)
-        return _advance(stage, FIRST_STEP, share, "servers are there")
-    if stage.step >= WATCH_STEP or _is_doubtful(situation):
-        return None
-    if situation.step_age_s < MIN_RATE_TIME_S:
-        return None
-    is_due = situation.elapsed_s >= FIRST_TIME_PART * stage.duration_s
-    has_answers = situation.judgement.new_answers >= FIRST_ANSWERS
-    if not is_due and not has_answers:
-        return None
-    watch_share = _watch_share(stage, situation, limits)
-    share = max(watch_share - situation.other_builds, 0.0)
-    return _advance(stage, WATCH_STEP, share, "sound so far")
-
-
-def _watch_share(
-    stage: Stage, situation: Situation, limits: RolloutLimits
-) -> float:
-    """Returns the share with which a version is watched.
-
-    It makes use of the slack, too, which allows a service with few requests
-    far more than the share does.
-    """
-    judgement = situation.judgement
-    answers = judgement.new_answers + judgement.old_answers
-    least = WATCH_PART * limits.share
-    if not answers or situation.elapsed_s <= 0:
-        return least
-    # Expected between order and deadline, and until the watch ends.
-    requests = answers * stage.duration_s / situation.elapsed_s
-    load_s = _find_timetable(stage, situation).load_s
-    watched_requests = requests * load_s / stage.duration_s
-    budget = WATCH_BUDGET_PART * (limits.share * requests + limits.slack)
-    return min(max(budget / max(watched_requests, 1.0), least), LOAD_SHARE)
-
-
-def _begin_load(stage: Stage, situation: Situation) -> Stage | None:
-    timetable = _find_timetable(stage, situation)
-    is_due = timetable.load_s <= situation.elapsed_s <= timetable.latest_load_s
-    if not is_due or not _is_vouched_for(situation):
-        return None
-    if stage.step < FIRST_STEP or not situation.has_new:
-        return None
-    return _advance(stage, LOAD_STEP, LOAD_SHARE, "sound")
-
-
-def _end_load(stage: Stage, situation: Situation) -> Stage | None:
-    load_time_s = load_duration_s(stage.duration_s)
-    if situation.step_age_s < load_time_s:
-        return None
-    late = _end_late(stage, situation)
-    if late is not None:
-        return late
-    if not _is_doubtful(situation):
-        return _advance(stage, SHIFT_STEP, 1.0, "sound under load")
-    if situation.step_age_s < MAX_LOAD_FACTOR * load_time_s:
-        return None
-    return roll_back(stage, "doubtful under load")
-
-
-def _end_shift(stage: Stage, situation: Situation) -> Stage | None:
-    timetable = _find_timetable(stage, situation)
-    if situation.elapsed_s < timetable.complete_s:
-        return None
-    if situation.step_age_s < SHORTEST_SHIFT_S:
-        return None
-    if not situation.has_new:
-        # The old servers would stop at once, and leave none.
-        return _end_late(stage, situation)
-    return stage._replace(
-        phase=Phase.COMPLETED, step=stage.step + 1, reason="sound to the end"
-    )
-
-
-def _end_late(stage: Stage, situation: Situation) -> Stage | None:
-    """Rolls back what can't be completed before the deadline any more."""
-    timetable = _find_timetable(stage, situation)
-    latest_s = timetable.latest_load_s
-    if stage.step >= LOAD_STEP:
-        latest_s = stage.duration_s
-    if situation.elapsed_s <= latest_s:
-        return None
-    return roll_back(stage, "not shown to be sound in time")
-
-
-def _is_vouched_for(situation: Situation) -> bool:
-    """Whether a version is sound, or has no old one to be compared with."""
-    judgement = situation.judgement
-    if judgement.opinion is Opinion.UNKNOWN:
-        return not situation.has_old and not judgement.old_answers
-    return judgement.opinion is Opinion.SOUND
-
-
-def _find_timetable(stage: Stage, situation: Situation) -> Timetable:
-    return make_timetable(stage.duration_s, has_engines=situation.has_engines)
-
-
-def _is_doubtful(situation: Situation) -> bool:
-    return situation.judgement.opinion is Opinion.SUSPECT
-
 
-def _advance(stage: Stage, step: int, share: float, reason: str) -> Stage:
-    phase = Phase.SHIFT if step >= SHIFT_STEP else Phase.WATCH
-    return stage._replace(phase=phase, step=step, share=share, reason=reason)
+    def __init__(
+        self,
+        limits: RolloutLimits,
+        board: RolloutBoard,
+        evidence: EvidenceBook,
+        recorder: StageRecorder,
+        announcer: Announcer,
+        around: Surroundings,
+    ) -> None:
+        """Decides on nothing yet.
+
+        Args:
+            limits: What a bad version may get.
+            board: What is known of roll-outs.
+            evidence: How the versions answer.
+            recorder: Keeps the stages in the store.
+            announcer: Tells the other nodes.
+            around: The rest of the node.
+        """
+        self._limits = limits
+        self._board = board
+        self._evidence = evidence
+        self._recorder = recorder
+        self._announcer = announcer
+        self._around = around
+        # Epoch of each service that this node has taken over.
+        self._epochs: dict[str, int] = {}
+        self._unwritten_status: set[str] = set()
+
+    def is_own(self, stage: Stage) -> bool:
+        """Whether a stage is one that this node answers for."""
+        return self._epochs.get(stage.service) == stage.epoch
+
+    def give_up(self, service: str | None = None) -> None:
+        """Makes this node take a service over anew before it decides again.
+
+        What it knows of the store may be out of date.
+
+        Args:
+            service: Name of the service; None for all.
+        """
+        if service is None:
+            self._epochs.clear()
+        else:
+            self._epochs.pop(service, None)
+
+    async def decide(self, service: str) -> bool:
+        """Takes the next step of a service; returns whether nothing failed."""
+        if not await self._take_over(service):
+            return False
+        stage = self._recorder.find(service)
+        if stage is None:
+            return True
+        following = self._find_following(stage)
+        if following is not None and not await self._write(following):
+            return False
+        return await self._write_status(service)
+
+    def _find_following(self, stage: Stage) -> Stage | None:
+        if stage.phase.is_final:
+            return self._withdraw(stage)
+        known = self._board.find_stage(stage.service)
+        if known is None or not _is_end(known, stage):
+            return find_next(stage, self._situation(stage), self._limits)
+        # An end that the store doesn't have yet, or has lost, stands.
+        return stage._replace(
+            phase=known.phase,
+            step=max(known.step, stage.step + 1),
+            share=known.share,
+            reason=known.reason,
+        )
+
+    async def _take_over(self, service: str) -> bool:
+        """Makes this node the one whose stages count; returns whether it is."""
+        if not self._recorder.is_loaded and not await self._recorder.load():
+            return False
+        last = self._recorder.find(service)
+        order = self._board.orders.get(service)
+        is_current = last is not None and (
+            order is None or last.order_id == order.order_id
+        )
+        if last is not None and is_current:
+            return await self._continue(last)
+        if order is None:
+            return True
+        elapsed_s = self._board.elapsed_s(order.order_id)
+        return await self._write_epoch(begin(order, last, elapsed_s))
+
+    async def _continue(self, last: Stage) -> bool:
+        """Goes on where the store says that a roll-out stands."""
+        if self.is_own(last):
+            self._take_up(last)
+            return True
+        self._announcer.hear(last)
+        if not last.phase.is_final:
+            return await self._write_epoch(last)
+        self._epochs[last.service] = last.epoch
+        if last.order_id != WITHDRAWN_ID:
+            self._unwritten_status.add(last.service)
+        return True
+
+    def _take_up(self, last: Stage) -> None:
+        """Lets a stage count that was written though the answer was lost."""
+        known = self._board.stages.get(last.service)
+        if not replaces(last, known):
+            return
+        self._publish(last)
+
+    async def _write_epoch(self, stage: Stage) -> bool:
+        heard = self._board.stages.get(stage.service)
+        epoch = max(stage.epoch, 0 if heard is None else heard.epoch) + 1
+        if not await self._write(stage._replace(epoch=epoch)):
+            return False
+        self._epochs[stage.service] = epoch
+        return True
+
+    async def _write(self, stage: Stage) -> bool:
+        """Writes a stage, and then lets it count."""
+        elapsed_s = self._board.elapsed_s(stage.order_id)
+        stage = stage._replace(elapsed_s=elapsed_s)
+        recorded = await self._recorder.write(stage)
+        if recorded is None:
+            return False
+        self._publish(recorded)
+        return True
+
+    def _publish(self, recorded: Stage) -> None:
+        """Lets a stage count that the store has."""
+        service = recorded.service
+        if recorded.order_id == WITHDRAWN_ID:
+            self._unwritten_status.discard(service)
+        else:
+            self._unwritten_status.add(service)
+        # A roll-back that was told during the write stands.
+        if self._board.accept(recorded):
+            judgement = self._evidence.judge(service)
+            self._announcer.publish(recorded, judgement)
+
+    async def _write_status(self, service: str) -> bool:
+        stage = self._recorder.find(service)
+        if stage is None or service not in self._unwritten_status:
+            return True
+        if not await self._recorder.write_status(stage):
+            return False
+        self._unwritten_status.discard(service)
+        return True
+
+    def _situation(self, stage: Stage) -> Situation:
+        service, board = stage.service, self._board
+        view = self._around.view_fleet(service)
+        return Situation(
+            elapsed_s=board.elapsed_s(stage.order_id),
+            step_age_s=board.stage_age_s(service),
+            judgement=self._evidence.judge(service),
+            has_new=board.has_new(service),
+            has_old=board.has_old(service),
+            has_engines=self._around.has_engines(service),
+            hears_enough=view.hears_enough,
+            other_builds=view.other_builds,
+            is_ordered=not self._is_withdrawn(stage),
+        )
+
+    def _withdraw(self, stage: Stage) -> Stage | None:
+        """Returns the stage of a service whose last order is withdrawn.
+
+        The same order may come again after that.
+        """
+        if stage.order_id == WITHDRAWN_ID or not self._is_withdrawn(stage):
+            return None
+        epoch = self._epochs[stage.service] = stage.epoch + 1
+        return stage._replace(
+            order_id=WITHDRAWN_ID, epoch=epoch, reason="withdrawn"
+        )
+
+    def _is_withdrawn(self, stage: Stage) -> bool:
+        is_known = self._around.is_known()
+        return is_known and self._board.is_withdrawn(stage.service)
+
+
+def is_order_open(order: RolloutOrder | None, stage: Stage | None) -> bool:
+    """Whether the answers to a service's requests still matter."""
+    if order is None:
+        return False
+    return stage is None or not stage.phase.is_final
+
+
+def _is_end(known: Stage, recorded: Stage) -> bool:
+    """Whether a stage ends the roll-out that the store says goes on."""
+    return known.phase.is_final and known.order_id == recorded.order_id
--- a/src/savorylift/rollouts/stage.py
+++ b/src/savorylift/rollouts/stage.py
@@ -1,6 +1,6 @@
 """Which stage of a roll-out replaces which."""
 
-from savorylift.fleet.rollout_messages import Phase, Stage
+from savorylift.fleet.rollout_messages import RolloutPhase, Stage
 from savorylift.rollouts.order import RolloutOrder
 
 # Versions that stay banned after later orders.
@@ -20,7 +20,7 @@
     if known.phase.is_final and known.is_recorded:
         return False
     if found.phase.is_final:
-        return found.is_recorded or found.phase is Phase.ROLLED_BACK
+        return found.is_recorded or found.phase is RolloutPhase.ROLLED_BACK
     if known.phase.is_final:
         return False
     return (found.epoch, found.step) > (known.epoch, known.step)
@@ -39,7 +39,7 @@
         order_id=order.order_id,
         version=order.version,
         duration_s=order.duration_s,
-        phase=Phase.WATCH,
+        phase=RolloutPhase.WATCH,
         step=0,
         share=0.0,
         epoch=0 if last is None else last.epoch,
@@ -51,7 +51,7 @@
 
 def banned_versions(stage: Stage) -> frozenset[str]:
     """Returns the versions that must get no requests."""
-    if stage.phase is Phase.ROLLED_BACK:
+    if stage.phase is RolloutPhase.ROLLED_BACK:
         return frozenset((*stage.banned, stage.version))
     return frozenset(stage.banned)
 
@@ -61,7 +61,7 @@
 
     One that was still being judged when that came stays out, too.
     """
-    if stage.phase is Phase.COMPLETED:
+    if stage.phase is RolloutPhase.COMPLETED:
         return frozenset(stage.banned)
     return frozenset((*stage.banned, stage.version))
 
--- a/src/savorylift/rollouts/version_rules.py
+++ b/src/savorylift/rollouts/version_rules.py
@@ -9,8 +9,8 @@
 from typing import NamedTuple
 
 from savorylift.backends.server import ServerEntry
-from savorylift.fleet.rollout_messages import Phase, Stage
-from savorylift.rollouts.decider import first_share
+from savorylift.fleet.rollout_messages import RolloutPhase, Stage
+from savorylift.rollouts.next_stage import first_share
 from savorylift.rollouts.order import RolloutLimits
 from savorylift.rollouts.stage import banned_versions
 
@@ -108,11 +108,11 @@
         has_new: Whether a server of the new version is in service.
     """
     banned = frozenset() if stage is None else banned_versions(stage)
-    if stage is not None and stage.phase is Phase.ROLLED_BACK:
+    if stage is not None and stage.phase is RolloutPhase.ROLLED_BACK:
         return VersionRule(
             None, may_use_new=False, may_use_old=True, banned=banned
         )
-    if stage is not None and stage.phase is Phase.COMPLETED:
+    if stage is not None and stage.phase is RolloutPhase.COMPLETED:
         return VersionRule(
             version, may_use_new=True, may_use_old=not has_new, banned=banned
         )
--- a/tests/exchange/test_version_choice.py
+++ b/tests/exchange/test_version_choice.py
@@ -7,7 +7,7 @@
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.kept_engines import Barred
 from savorylift.exchange.server_pool import ServerPool
-from savorylift.fleet.rollout_messages import Phase, Stage
+from savorylift.fleet.rollout_messages import RolloutPhase, Stage
 from savorylift.placement.engines import EngineOptions
 from savorylift.rollouts.board import RolloutBoard
 from savorylift.rollouts.order import RolloutLimits, RolloutOrder
@@ -27,8 +27,8 @@
 OPTIONS = EngineOptions(ENGINE, 100)
 OLD, NEW = {"old-1", "old-2"}, {"new-1", "new-2"}
 HELD = STAGE._replace(share=0.5)
-SHIFT = STAGE._replace(phase=Phase.SHIFT, share=1.0)
-BACK = STAGE._replace(phase=Phase.ROLLED_BACK)
+SHIFT = STAGE._replace(phase=RolloutPhase.SHIFT, share=1.0)
+BACK = STAGE._replace(phase=RolloutPhase.ROLLED_BACK)
 
 
 def make_rolled_out_pool(stage: Stage | None) -> ServerPool:
--- a/tests/fleet/test_codec.py
+++ b/tests/fleet/test_codec.py
@@ -30,8 +30,8 @@
     OriginReply,
     PermitReply,
     PermitRequest,
-    Phase,
     QuarantineNews,
+    RolloutPhase,
     ServerLoad,
     ServerProcess,
     Snapshot,
@@ -48,7 +48,9 @@
 REPORT = LimitReport("i-1", 1, 1.8, 0.5)
 PROCESS = ServerProcess("i-1", 5, "v1", 0.5)
 ORIGIN = StreamOrigin("a1", "s", "v1", 30.0, "m1", PROCESS)
-STAGE = Stage("s", "o1", "v2", 12.0, Phase.WATCH, 2, 0.1, 1, 3.0, ("v0",))
+STAGE = Stage(
+    "s", "o1", "v2", 12.0, RolloutPhase.WATCH, 2, 0.1, 1, 3.0, ("v0",)
+)
 MESSAGES: list[Message] = [
     state(2)._replace(
         loads=(ServerLoad("i-1", 1, 2, 3, 4, 5),),
--- a/tests/platform/test_rollouts.py
+++ b/tests/platform/test_rollouts.py
@@ -3,7 +3,7 @@
 import pytest
 from returns.pipeline import is_successful
 
-from savorylift.fleet.rollout_messages import Phase
+from savorylift.fleet.rollout_messages import RolloutPhase
 from savorylift.platform.rollouts import (
     decode_order,
     decode_orders,
@@ -40,13 +40,15 @@
 @pytest.mark.parametrize(
     ("phase", "state"),
     [
-        (Phase.WATCH, b"running"),
-        (Phase.SHIFT, b"running"),
-        (Phase.COMPLETED, b"completed"),
-        (Phase.ROLLED_BACK, b"rolled_back"),
+        (RolloutPhase.WATCH, b"running"),
+        (RolloutPhase.SHIFT, b"running"),
+        (RolloutPhase.COMPLETED, b"completed"),
+        (RolloutPhase.ROLLED_BACK, b"rolled_back"),
     ],
 )
-def test_the_status_says_state_and_version(phase: Phase, state: bytes) -> None:
+def test_the_status_says_state_and_version(
+    phase: RolloutPhase, state: bytes
+) -> None:
     record = encode_status(STAGE._replace(phase=phase))
     assert record is not None
     assert record.key == "rollout/s"
--- a/tests/rollouts/test_decider.py
+++ b/tests/rollouts/test_next_stage.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from savorylift.fleet.rollout_messages import Phase, Stage
-from savorylift.rollouts.decider import (
+from savorylift.fleet.rollout_messages import RolloutPhase, Stage
+from savorylift.rollouts.next_stage import (
     LOAD_STEP,
     SHIFT_STEP,
     WATCH_STEP,
@@ -23,7 +23,7 @@
 FIRST = WATCH._replace(step=1, share=0.03)
 BEGUN = WATCH._replace(step=0, share=0.0)
 LOAD = WATCH._replace(step=LOAD_STEP, share=0.3)
-SHIFT = WATCH._replace(step=SHIFT_STEP, share=1.0, phase=Phase.SHIFT)
+SHIFT = WATCH._replace(step=SHIFT_STEP, share=1.0, phase=RolloutPhase.SHIFT)
 
 
 def situation(
@@ -46,60 +46,64 @@
     ("stage", "now", "expected"),
     [
         # The first share goes out as soon as there are servers for it.
-        (BEGUN, situation(0.1), (Phase.WATCH, 0.03)),
+        (BEGUN, situation(0.1), (RolloutPhase.WATCH, 0.03)),
         (BEGUN, situation(0.1, has_new=False), None),
         (BEGUN, situation(0.1, hears_enough=False), None),
-        (FIRST, situation(1.0), (Phase.WATCH, 0.09)),
+        (FIRST, situation(1.0), (RolloutPhase.WATCH, 0.09)),
         (FIRST, situation(1.0, Opinion.SUSPECT), None),
         (WATCH, situation(TIMES.load_s - 0.1), None),
-        (WATCH, situation(TIMES.load_s), (Phase.WATCH, 0.3)),
+        (WATCH, situation(TIMES.load_s), (RolloutPhase.WATCH, 0.3)),
         (WATCH, situation(TIMES.load_s, Opinion.UNKNOWN), None),
         (WATCH, situation(TIMES.load_s, Opinion.SUSPECT), None),
-        (LOAD, situation(TIMES.load_s + 2.0), (Phase.SHIFT, 1.0)),
+        (LOAD, situation(TIMES.load_s + 2.0), (RolloutPhase.SHIFT, 1.0)),
         (LOAD, situation(TIMES.load_s + 0.1, step_age_s=0.1), None),
         (LOAD, situation(9.0, Opinion.SUSPECT), None),
         (
             LOAD,
             situation(9.0, Opinion.SUSPECT, step_age_s=6.0),
-            (Phase.ROLLED_BACK, 0.0),
+            (RolloutPhase.ROLLED_BACK, 0.0),
         ),
         (SHIFT, situation(TIMES.complete_s - 0.1), None),
-        (SHIFT, situation(TIMES.complete_s), (Phase.COMPLETED, 1.0)),
+        (SHIFT, situation(TIMES.complete_s), (RolloutPhase.COMPLETED, 1.0)),
         (SHIFT, situation(TIMES.complete_s, has_new=False), None),
         (
             SHIFT,
             situation(DURATION_S + 0.1, has_new=False),
-            (Phase.ROLLED_BACK, 0.0),
+            (RolloutPhase.ROLLED_BACK, 0.0),
         ),
         # Whatever has been decided, a bad version is rolled back.
-        (FIRST, situation(1.0, Opinion.BAD), (Phase.ROLLED_BACK, 0.0)),
-        (SHIFT, situation(19.0, Opinion.BAD), (Phase.ROLLED_BACK, 0.0)),
+        (FIRST, situation(1.0, Opinion.BAD), (RolloutPhase.ROLLED_BACK, 0.0)),
+        (SHIFT, situation(19.0, Opinion.BAD), (RolloutPhase.ROLLED_BACK, 0.0)),
         (
             WATCH,
             situation(1.0, Opinion.BAD, hears_enough=False),
-            (Phase.ROLLED_BACK, 0.0),
+            (RolloutPhase.ROLLED_BACK, 0.0),
         ),
         # So is one that nobody can vouch for in time, or wants any more.
         (
             WATCH,
             situation(TIMES.latest_load_s + 0.1, Opinion.UNKNOWN),
-            (Phase.ROLLED_BACK, 0.0),
+            (RolloutPhase.ROLLED_BACK, 0.0),
         ),
         (
             BEGUN,
             situation(TIMES.latest_load_s + 0.1, has_new=False),
-            (Phase.ROLLED_BACK, 0.0),
+            (RolloutPhase.ROLLED_BACK, 0.0),
         ),
         (
             SHIFT,
             situation(DURATION_S + 0.1, hears_enough=False),
-            (Phase.ROLLED_BACK, 0.0),
+            (RolloutPhase.ROLLED_BACK, 0.0),
+        ),
+        (
+            WATCH,
+            situation(1.0, is_ordered=False),
+            (RolloutPhase.ROLLED_BACK, 0.0),
         ),
-        (WATCH, situation(1.0, is_ordered=False), (Phase.ROLLED_BACK, 0.0)),
         # Nodes of other builds send to any version.
-        (BEGUN, situation(0.1, other_builds=0.02), (Phase.WATCH, 0.01)),
-        (BEGUN, situation(0.1, other_builds=0.5), (Phase.WATCH, 0.0)),
-        (FIRST, situation(1.0, other_builds=0.05), (Phase.WATCH, 0.04)),
+        (BEGUN, situation(0.1, other_builds=0.02), (RolloutPhase.WATCH, 0.01)),
+        (BEGUN, situation(0.1, other_builds=0.5), (RolloutPhase.WATCH, 0.0)),
+        (FIRST, situation(1.0, other_builds=0.05), (RolloutPhase.WATCH, 0.04)),
         # Other servers may be missing from a listing for a moment only.
         (WATCH, situation(1.0, has_old=False), None),
         (
@@ -116,18 +120,18 @@
                 has_old=False,
                 judgement=Judgement(Opinion.UNKNOWN, None, 2, 0),
             ),
-            (Phase.WATCH, 0.3),
+            (RolloutPhase.WATCH, 0.3),
         ),
-        (WATCH._replace(phase=Phase.COMPLETED), situation(1.0), None),
+        (WATCH._replace(phase=RolloutPhase.COMPLETED), situation(1.0), None),
         (
-            WATCH._replace(phase=Phase.ROLLED_BACK),
+            WATCH._replace(phase=RolloutPhase.ROLLED_BACK),
             situation(1.0, Opinion.BAD),
             None,
         ),
     ],
 )
 def test_stages_follow_each_other(
-    stage: Stage, now: Situation, expected: tuple[Phase, float] | None
+    stage: Stage, now: Situation, expected: tuple[RolloutPhase, float] | None
 ) -> None:
     found = find_next(stage, now, LIMITS)
     if expected is None:
--- a/tests/rollouts/test_plays.py
+++ b/tests/rollouts/test_plays.py
@@ -5,8 +5,8 @@
 import pytest
 
 from savorylift.backends.server import ServerEntry
-from savorylift.fleet.rollout_messages import Phase
-from savorylift.rollouts.decider import LOAD_SHARE
+from savorylift.fleet.rollout_messages import RolloutPhase
+from savorylift.rollouts.next_stage import LOAD_SHARE
 from tests.harness import virtual_time
 from tests.rollouts.play import (
     LIMITS,
@@ -187,7 +187,7 @@
     assert not play.unserved
     for node in play.nodes.values():
         if node.is_running:
-            assert node.board.stages[SERVICE].phase is Phase.COMPLETED
+            assert node.board.stages[SERVICE].phase is RolloutPhase.COMPLETED
 
 
 @pytest.mark.parametrize("seed", range(3))
--- a/tests/rollouts/test_recorder.py
+++ b/tests/rollouts/test_recorder.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from savorylift.fleet.rollout_messages import Phase
+from savorylift.fleet.rollout_messages import RolloutPhase
 from savorylift.platform.rollouts import encode_status
 from savorylift.platform.store import ROLLOUTS_TOPIC, STATUS_TOPIC
 from savorylift.platform.store_record import Record
@@ -10,7 +10,7 @@
 from tests.rollouts.memory_store import MemoryStore, MemoryStoreClient
 from tests.rollouts.test_version_rules import STAGE
 
-COMPLETED = STAGE._replace(phase=Phase.COMPLETED, step=5)
+COMPLETED = STAGE._replace(phase=RolloutPhase.COMPLETED, step=5)
 KEY = "rollout/s"
 
 
--- a/tests/rollouts/test_stage.py
+++ b/tests/rollouts/test_stage.py
@@ -2,14 +2,14 @@
 
 import pytest
 
-from savorylift.fleet.rollout_messages import Phase, Stage
+from savorylift.fleet.rollout_messages import RolloutPhase, Stage
 from savorylift.rollouts.order import RolloutOrder
 from savorylift.rollouts.stage import begin, replaces
 from tests.rollouts.test_version_rules import STAGE
 
-SHIFT = STAGE._replace(phase=Phase.SHIFT, step=4, share=1.0)
-COMPLETED = STAGE._replace(phase=Phase.COMPLETED, step=5)
-BACK = STAGE._replace(phase=Phase.ROLLED_BACK, step=5)
+SHIFT = STAGE._replace(phase=RolloutPhase.SHIFT, step=4, share=1.0)
+COMPLETED = STAGE._replace(phase=RolloutPhase.COMPLETED, step=5)
+BACK = STAGE._replace(phase=RolloutPhase.ROLLED_BACK, step=5)
 TOLD_BACK = BACK._replace(is_recorded=False)
 OTHER = STAGE._replace(order_id="o2")
 
--- a/tests/rollouts/test_version_rules.py
+++ b/tests/rollouts/test_version_rules.py
@@ -6,9 +6,9 @@
 from hypothesis import strategies as st
 
 from savorylift.backends.server import ServerEntry
-from savorylift.fleet.rollout_messages import Phase, Stage
+from savorylift.fleet.rollout_messages import RolloutPhase, Stage
 from savorylift.rollouts.board import RolloutBoard
-from savorylift.rollouts.decider import LOAD_SHARE
+from savorylift.rollouts.next_stage import LOAD_SHARE
 from savorylift.rollouts.order import RolloutLimits, RolloutOrder
 from savorylift.rollouts.stage import begin
 from savorylift.rollouts.version_rules import LEASE_S, position
@@ -22,7 +22,7 @@
     order_id="o1",
     version="v2",
     duration_s=12.0,
-    phase=Phase.WATCH,
+    phase=RolloutPhase.WATCH,
     step=2,
     share=0.09,
     epoch=1,
@@ -65,10 +65,10 @@
         (ORDER, STAGE, 0.09, 1.0),
         (LATER_ORDER, STAGE, 0.0, 1.0),
         (ORDER, STAGE._replace(share=LOAD_SHARE), LOAD_SHARE, 1.0),
-        (ORDER, STAGE._replace(phase=Phase.SHIFT, share=1.0), 1.0, 0.0),
-        (ORDER, STAGE._replace(phase=Phase.COMPLETED), 1.0, 0.0),
-        (ORDER, STAGE._replace(phase=Phase.ROLLED_BACK), 0.0, 1.0),
-        (None, STAGE._replace(phase=Phase.ROLLED_BACK), 0.0, 1.0),
+        (ORDER, STAGE._replace(phase=RolloutPhase.SHIFT, share=1.0), 1.0, 0.0),
+        (ORDER, STAGE._replace(phase=RolloutPhase.COMPLETED), 1.0, 0.0),
+        (ORDER, STAGE._replace(phase=RolloutPhase.ROLLED_BACK), 0.0, 1.0),
+        (None, STAGE._replace(phase=RolloutPhase.ROLLED_BACK), 0.0, 1.0),
         (None, STAGE, 0.09, 1.0),
     ],
 )
@@ -105,7 +105,7 @@
 def test_streams_go_on_at_any_version_but_a_banned_one() -> None:
     board = make_board(stage=STAGE)
     assert share_of(board, NEW, is_bound=True) == 1.0
-    board.accept(STAGE._replace(phase=Phase.ROLLED_BACK, step=3))
+    board.accept(STAGE._replace(phase=RolloutPhase.ROLLED_BACK, step=3))
     assert share_of(board, NEW, is_bound=True) == 0.0
     assert share_of(board, OLD, is_bound=True) == 1.0
 
@@ -132,7 +132,7 @@
 
 
 def test_without_another_version_the_new_one_serves() -> None:
-    for stage in (None, STAGE, STAGE._replace(phase=Phase.COMPLETED)):
+    for stage in (None, STAGE, STAGE._replace(phase=RolloutPhase.COMPLETED)):
         board = make_board(stage=stage, servers=(NEW,))
         assert share_of(board, NEW) == 1.0
 
