Know the time since an order after all nodes have started again

Cause: after a restart of all nodes a roll-out's time went on from the last stage written, so that it was late; dates aren't used, as VMs' clocks jump, and the store's answers carry no time. Change: whoever writes a stage adds a mark: its address, the ID of its VM's boot, and when the order came by the boot clock, which goes on while processes start again. A node that takes over and finds its own mark reckons by it.

--- a/src/savorylift/fleet/rollout_messages.py
+++ b/src/savorylift/fleet/rollout_messages.py
@@ -25,6 +25,18 @@
         return self in (RolloutPhase.COMPLETED, RolloutPhase.ROLLED_BACK)
 
 
+class ClockMark(NamedTuple):
+    """When an order came, by the boot clock of a VM.
+
+    Attributes:
+        host: The node, and the boot of its VM that the time counts from.
+        ordered_s: Time of that clock.
+    """
+
+    host: str
+    ordered_s: float
+
+
 class Stage(NamedTuple):
     """Where a roll-out stands; also its record in the store.
 
@@ -42,6 +54,8 @@
         banned: Versions that were rolled back earlier.
         reason: Why the last step was taken.
         is_recorded: Whether the store holds it.
+        clock_marks: When the order came, by the clocks of the nodes that wrote
+            last; only in the store.
     """
 
     service: str
@@ -56,6 +70,7 @@
     banned: tuple[str, ...] = ()
     reason: str = ""
     is_recorded: bool = True
+    clock_marks: tuple[ClockMark, ...] = ()
 
 
 class StageNews(NamedTuple):
--- a/src/savorylift/front/rollout_parts.py
+++ b/src/savorylift/front/rollout_parts.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from savorylift.backends.server import ServerEntry
+from savorylift.boot_clock import boot_time_s, read_boot_id
 from savorylift.fleet.peer_transport import PeerTransport
 from savorylift.fleet.rollout_messages import RolloutMessage
 from savorylift.fleet.state import NodeState
@@ -15,6 +16,7 @@
 from savorylift.rendezvous import rank
 from savorylift.rollouts.agent import RolloutAgent
 from savorylift.rollouts.order import RolloutOrder
+from savorylift.rollouts.order_clock import BootTime
 from savorylift.rollouts.recorder import StageRecorder
 from savorylift.rollouts.surroundings import FleetView
 
@@ -99,6 +101,7 @@
         self._has_store_fault = has_store_fault
         self._decode_orders = decode_orders
         self._read_version = -1
+        self._boot_id = read_boot_id()
         self._views: dict[str, _CachedView] = {}
 
     def read_orders(self) -> list[RolloutOrder] | None:
@@ -133,6 +136,14 @@
         self._views[service] = _CachedView(view, now_s + VIEW_S)
         return view
 
+    def read_boot_clock(self) -> BootTime | None:
+        """Returns the time of this node's VM; None if its boot is unknown."""
+        if self._boot_id is None:
+            return None
+        # Containers of one VM may have boot clocks of their own.
+        host = f"{self._shared.identity.ip} {self._boot_id}"
+        return BootTime(host, boot_time_s())
+
     def send(self, message: RolloutMessage, ip: str | None) -> None:
         """Sends a message to a node; to all live ones without an address."""
         self._transport.send_message(message, ip)
--- a/src/savorylift/rollouts/announcer.py
+++ b/src/savorylift/rollouts/announcer.py
@@ -98,4 +98,4 @@
     def _as_news(self, stage: Stage) -> Stage:
         """Returns a stage with the time since its order as it is now."""
         elapsed_s = self._board.elapsed_s(stage.order_id)
-        return stage._replace(elapsed_s=elapsed_s)
+        return stage._replace(elapsed_s=elapsed_s, clock_marks=())
--- a/src/savorylift/rollouts/board.py
+++ b/src/savorylift/rollouts/board.py
@@ -92,7 +92,7 @@
         for service, order in found.items():
             stage = self.stages.get(service)
             if stage is not None and stage.order_id == order.order_id:
-                self._note_elapsed(stage)
+                self.note_elapsed(stage)
 
     def accept(self, stage: Stage) -> bool:
         """Takes a stage that was heard or decided; returns if it was new."""
@@ -106,9 +106,15 @@
             return False
         self.stages[stage.service] = stage
         self._heard_s[stage.service] = self._begun_s[stage.service] = now_s
-        self._note_elapsed(stage)
+        self.note_elapsed(stage)
         return True
 
+    def note_elapsed(self, stage: Stage) -> None:
+        """Takes the time since an order from a stage if that says longer."""
+        ordered_s = time.monotonic() - stage.elapsed_s
+        known_s = self._ordered_s.get(stage.order_id, ordered_s)
+        self._ordered_s[stage.order_id] = min(known_s, ordered_s)
+
     def elapsed_s(self, order_id: str) -> float:
         """Returns the time since an order."""
         now_s = time.monotonic()
@@ -274,12 +280,6 @@
             return banned_versions(stage)
         return versions_to_ban(stage) - {self._new_version(service)}
 
-    def _note_elapsed(self, stage: Stage) -> None:
-        """Takes the time since an order from a stage if that says longer."""
-        ordered_s = time.monotonic() - stage.elapsed_s
-        known_s = self._ordered_s.get(stage.order_id, ordered_s)
-        self._ordered_s[stage.order_id] = min(known_s, ordered_s)
-
 
 def _is_same(stage: Stage, known: Stage) -> bool:
     return (stage.order_id, stage.epoch, stage.step, stage.phase) == (
--- a/src/savorylift/rollouts/decider.py
+++ b/src/savorylift/rollouts/decider.py
@@ -6,6 +6,7 @@
 from savorylift.rollouts.judging import EvidenceBook
 from savorylift.rollouts.next_stage import Situation, find_next
 from savorylift.rollouts.order import RolloutLimits, RolloutOrder
+from savorylift.rollouts.order_clock import with_mark, with_time_passed
 from savorylift.rollouts.recorder import StageRecorder
 from savorylift.rollouts.stage import WITHDRAWN_ID, begin, replaces
 from savorylift.rollouts.surroundings import Surroundings
@@ -112,6 +113,8 @@
         if self.is_own(last):
             self._take_up(last)
             return True
+        last = with_time_passed(last, self._around.read_boot_clock())
+        self._board.note_elapsed(last)
         self._announcer.hear(last)
         if not last.phase.is_final:
             return await self._write_epoch(last)
@@ -138,7 +141,8 @@
     async def _write(self, stage: Stage) -> bool:
         """Writes a stage, and then lets it count."""
         elapsed_s = self._board.elapsed_s(stage.order_id)
-        stage = stage._replace(elapsed_s=elapsed_s)
+        boot = self._around.read_boot_clock()
+        stage = with_mark(stage._replace(elapsed_s=elapsed_s), boot)
         recorded = await self._recorder.write(stage)
         if recorded is None:
             return False
--- a/src/savorylift/rollouts/surroundings.py
+++ b/src/savorylift/rollouts/surroundings.py
@@ -6,6 +6,7 @@
 from savorylift.backends.server import ServerEntry
 from savorylift.fleet.rollout_messages import RolloutMessage
 from savorylift.rollouts.order import RolloutOrder
+from savorylift.rollouts.order_clock import BootTime
 
 
 class FleetView(NamedTuple):
@@ -47,6 +48,10 @@
         """Returns what this node sees of the fleet."""
         ...
 
+    def read_boot_clock(self) -> BootTime | None:
+        """Returns the time of this node's VM; None if its boot is unknown."""
+        ...
+
     def send(self, message: RolloutMessage, ip: str | None) -> None:
         """Sends a message to a node; to all live ones without an address."""
         ...
--- a/tests/rollouts/play.py
+++ b/tests/rollouts/play.py
@@ -20,6 +20,7 @@
 from savorylift.rollouts.answers import AnswerObserver
 from savorylift.rollouts.board import RolloutBoard
 from savorylift.rollouts.order import RolloutLimits, RolloutOrder
+from savorylift.rollouts.order_clock import BootTime
 from savorylift.rollouts.recorder import StageRecorder
 from savorylift.rollouts.surroundings import FleetView
 from tests.exchange.factories import make_server_entry
@@ -171,6 +172,9 @@
             self._play.other_builds,
         )
 
+    def read_boot_clock(self) -> BootTime | None:
+        return BootTime(f"{self.ip} boot 1", time.monotonic())
+
     def send(self, message: RolloutMessage, ip: str | None) -> None:
         self._play.deliver(self, message, ip)
 
@@ -349,7 +353,7 @@
         expected = self._per_s * STEP_S
         count = int(expected) + (self.rng.random() < expected % 1)
         running = [n for n in self.nodes.values() if n.is_running]
-        for _ in range(count):
+        for _ in range(count if running else 0):
             self._ask(self.rng.choice(running), now_s)
 
     def _ask(self, node: PlayNode, now_s: float) -> None:
--- a/tests/rollouts/test_plays.py
+++ b/tests/rollouts/test_plays.py
@@ -38,6 +38,11 @@
     play.kill(play.decider)
 
 
+def kill_all(play: Play) -> None:
+    for node in play.nodes.values():
+        play.kill(node)
+
+
 def restart_all(play: Play) -> None:
     for node in list(play.nodes.values()):
         play.restart(node)
@@ -255,6 +260,20 @@
     assert bad.exposed <= bad.bound
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_the_deadline_is_kept_after_no_node_ran_for_a_while(
+    monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    at_deadline: list[list[str]] = []
+
+    def note_status(play: Play) -> None:
+        at_deadline.append(play.statuses)
+
+    script = [(0.25, kill_all), (0.5, restart_all), (1.0, note_status)]
+    run_play(monkeypatch, sound, script, seed)
+    assert at_deadline == [["running", "completed"]]
+
+
 def test_restarted_nodes_count_in_the_slices_of_the_order(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
