Shift each route of a roll-out only as long before its end as its requests run

Cause: all routes were shifted a fifth of the time before completion: longer streams were broken off, and short requests went to a version that might turn bad late for longer than needed. Change: nodes report how long requests run at the old version; the decider shifts a route when those that begin there may not end any more, and holds others at the share of the watch. The watch leaves allowance for that.

--- a/src/savorylift/exchange/allowed_servers.py
+++ b/src/savorylift/exchange/allowed_servers.py
@@ -76,6 +76,7 @@
         return self._rollouts.find_rule(
             admitted.service.name,
             admitted.req.attempt_id,
+            route=admitted.route.name,
             is_repeat=bool(tried),
             is_bound=admitted.software_version is not None,
         )
--- a/src/savorylift/fleet/rollout_messages.py
+++ b/src/savorylift/fleet/rollout_messages.py
@@ -56,6 +56,8 @@
         is_recorded: Whether the store holds it.
         clock_marks: When the order came, by the clocks of the nodes that wrote
             last; only in the store.
+        held_routes: Routes that the phase SHIFT doesn't hold for yet, since
+            their requests are short.
     """
 
     service: str
@@ -71,6 +73,7 @@
     reason: str = ""
     is_recorded: bool = True
     clock_marks: tuple[ClockMark, ...] = ()
+    held_routes: tuple[str, ...] = ()
 
 
 class StageNews(NamedTuple):
@@ -111,6 +114,18 @@
     cut: tuple[tuple[int, int], ...] = ()
 
 
+class RunTimes(NamedTuple):
+    """How long requests on a route have run at the old version.
+
+    Attributes:
+        route: Name of the route.
+        times: Histogram of all so far: pairs of a duration class and its count.
+    """
+
+    route: str
+    times: tuple[tuple[int, int], ...]
+
+
 class AnswerReport(NamedTuple):
     """Tells the deciding node how a service's servers have answered.
 
@@ -119,12 +134,14 @@
         service: Name of the service.
         source: Random number of the process that counted.
         cells: What it has counted, in full for each cell.
+        run_times: How long requests have run there; empty in some reports.
     """
 
     order_id: str
     service: str
     source: int
     cells: tuple[AnswerCell, ...]
+    run_times: tuple[RunTimes, ...] = ()
 
 
 RolloutMessage = StageNews | AnswerReport
--- a/src/savorylift/rollouts/agent.py
+++ b/src/savorylift/rollouts/agent.py
@@ -82,6 +82,7 @@
         if order is not None and order.order_id == message.order_id:
             evidence = self._evidence.find(order)
             evidence.merge(message.source, message.cells)
+            evidence.runs.merge(message.source, message.run_times)
 
     def greet(self, ip: str) -> None:
         """Tells a node that has just started where roll-outs stand."""
--- a/src/savorylift/rollouts/announcer.py
+++ b/src/savorylift/rollouts/announcer.py
@@ -63,6 +63,7 @@
             phase=stage.phase.value,
             step=stage.step,
             share=stage.share,
+            held_routes=stage.held_routes,
             epoch=stage.epoch,
             reason=stage.reason,
             elapsed_s=round(stage.elapsed_s, 3),
--- a/src/savorylift/rollouts/answer_log.py
+++ b/src/savorylift/rollouts/answer_log.py
@@ -10,7 +10,7 @@
 from typing import NamedTuple
 
 from savorylift.backends.server import ServerEntry
-from savorylift.fleet.rollout_messages import AnswerCell
+from savorylift.fleet.rollout_messages import AnswerCell, RunTimes
 from savorylift.rollouts.durations import duration_class
 
 # Requests that are open for longer are told before they end.
@@ -19,6 +19,8 @@
 MAX_CELLS = 4096
 # Most requests that are followed at the same time.
 MAX_OPEN = 4096
+# Most routes whose run times are counted.
+MAX_TIMED_ROUTES = 64
 # Name of the series of a route's pauses between events.
 PAUSE_SUFFIX = "/pause"
 
@@ -83,6 +85,8 @@
         self._ordered_s = time.monotonic() - elapsed_s
         self._counts: dict[_Key, _Counts] = {}
         self._open: dict[str, _Open] = {}
+        # Durations of whole requests at the old version, by route.
+        self._run_times: dict[str, collections.Counter[int]] = {}
         self._changed: set[_Key] = set()
         # Cells that were taken once since they changed, and those of them that
         # are to be taken again.
@@ -129,6 +133,8 @@
         found = self._open.pop(attempt_id, None)
         if found is None:
             return
+        if outcome is Outcome.SUCCEEDED and not found.key.is_new:
+            self._note_run(found)
         counts = self._change(found.key)
         counts.succeeded += outcome is Outcome.SUCCEEDED
         counts.failed += outcome is Outcome.FAILED
@@ -139,6 +145,17 @@
             took_s = time.monotonic() - found.began_s
             counts.cut[duration_class(took_s)] += 1
 
+    def run_times(self) -> tuple[RunTimes, ...]:
+        """Returns how long requests have run at the old version."""
+        return tuple(map(self._make_run_times, self._run_times))
+
+    def take_run_times(self, limit: int) -> tuple[RunTimes, ...]:
+        """Returns the same of some routes, in turn."""
+        routes = list(self._run_times)[:limit]
+        for route in routes:
+            self._run_times[route] = self._run_times.pop(route)
+        return tuple(map(self._make_run_times, routes))
+
     def take_changed(self, limit: int) -> tuple[AnswerCell, ...]:
         """Returns cells that changed since they were last taken."""
         waiting = self._find_waiting()
@@ -164,6 +181,18 @@
         for key in self._counts.keys() | waiting.keys():
             yield self._make_cell(key, waiting.get(key, ()))
 
+    def _note_run(self, found: _Open) -> None:
+        route = found.key.series
+        times = self._run_times.get(route)
+        if times is None:
+            if len(self._run_times) >= MAX_TIMED_ROUTES:
+                return
+            times = self._run_times[route] = collections.Counter()
+        times[duration_class(time.monotonic() - found.began_s)] += 1
+
+    def _make_run_times(self, route: str) -> RunTimes:
+        return RunTimes(route, tuple(sorted(self._run_times[route].items())))
+
     def _find_waiting(self) -> dict[_Key, list[int]]:
         """Returns how long requests are open that have no answer yet."""
         now_s = time.monotonic()
--- a/src/savorylift/rollouts/board.py
+++ b/src/savorylift/rollouts/board.py
@@ -6,9 +6,9 @@
 
 from savorylift.backends.server import ServerEntry
 from savorylift.fleet.rollout_messages import RolloutPhase, Stage
-from savorylift.rendezvous import rank
 from savorylift.rollouts import version_rules
 from savorylift.rollouts.order import RolloutLimits, RolloutOrder
+from savorylift.rollouts.service_versions import ServiceVersions
 from savorylift.rollouts.stage import (
     banned_versions,
     replaces,
@@ -16,11 +16,6 @@
 )
 from savorylift.rollouts.version_rules import VersionRule
 
-# While the share is smaller than this, it goes to few of the new servers, so
-# that each has about as much to do as it would have with all requests.
-FULL_SPREAD_SHARE = 0.25
-SPREAD_FACTOR = 2.0
-MIN_SPREAD_SERVERS = 2
 # The store's answers may be some seconds old: an order that is missing counts
 # as withdrawn after this time.
 WITHDRAWAL_S = 6.0
@@ -28,14 +23,6 @@
 MAX_SERVICES = 256
 
 
-class _Versions:
-    """Which servers of a service are in service, by whether they are new."""
-
-    def __init__(self, new_ids: tuple[str, ...], *, has_old: bool) -> None:
-        self.new_ids = new_ids
-        self.has_old = has_old
-
-
 class RolloutBoard:
     """Orders, stages, and what they mean for a request.
 
@@ -57,9 +44,7 @@
         self._heard_s: dict[str, float] = {}
         self._begun_s: dict[str, float] = {}
         self._missing_s: dict[str, float] = {}
-        self._versions: dict[str, _Versions] = {}
-        # Servers among which a share is spread, by service and share.
-        self._spread: dict[tuple[str, float], frozenset[str]] = {}
+        self._versions: dict[str, ServiceVersions] = {}
         # Services whose new version gets nothing more from this node.
         self._stopped: set[str] = set()
 
@@ -171,8 +156,9 @@
                 new_ids.append(entry.server_id)
             elif entry.software_version not in banned:
                 has_old = True
-        self._versions[service] = _Versions(tuple(new_ids), has_old=has_old)
-        self._spread.clear()
+        self._versions[service] = ServiceVersions(
+            service, tuple(new_ids), has_old=has_old
+        )
 
     def has_new(self, service: str) -> bool:
         """Whether a server of the new version is in service."""
@@ -191,11 +177,18 @@
             return False
         return entry.software_version in banned_versions(stage)
 
-    def share(self, service: str) -> float:
-        """Returns the share that this node sends to the new version."""
+    def share(self, service: str, route: str | None = None) -> float:
+        """Returns the share that this node sends to the new version.
+
+        Args:
+            service: Name of the service.
+            route: Name of the route; None for the share that most will have.
+        """
         stage = self.find_stage(service)
         if stage is None or service in self._stopped:
             return 0.0
+        if route is not None:
+            stage = version_rules.for_route(stage, route, self._limits)
         age_s = time.monotonic() - self._heard_s[service]
         return version_rules.held_share(stage, age_s, self._limits)
 
@@ -204,6 +197,7 @@
         service: str,
         attempt_id: str,
         *,
+        route: str | None = None,
         is_repeat: bool,
         is_bound: bool = False,
     ) -> VersionRule | None:
@@ -212,6 +206,7 @@
         Args:
             service: The service.
             attempt_id: ID of the request.
+            route: Name of its route.
             is_repeat: Whether another server has been tried.
             is_bound: Whether it goes on at the version that began it.
         """
@@ -228,13 +223,14 @@
         version = order.version if order is not None else ""
         if current is not None:
             version = current.version
-        share = self.share(service)
+        share = self.share(service, route)
+        versions = self._versions.get(service)
         rule = version_rules.make_rule(
             version,
             current,
             share,
             attempt_id,
-            self._spread_ids(service, share),
+            None if versions is None else versions.spread(share),
             is_repeat=is_repeat,
             has_old=self.has_old(service),
             has_new=self.has_new(service),
@@ -252,18 +248,6 @@
             None, may_use_new=False, may_use_old=True, banned=banned
         )
 
-    def _spread_ids(self, service: str, share: float) -> frozenset[str] | None:
-        known = self._versions.get(service)
-        if known is None or share >= FULL_SPREAD_SHARE:
-            return None
-        spread = self._spread.get((service, share))
-        if spread is None:
-            wanted = math.ceil(SPREAD_FACTOR * share * len(known.new_ids))
-            count = max(wanted, MIN_SPREAD_SERVERS)
-            spread = frozenset(rank(service, known.new_ids)[:count])
-            self._spread[service, share] = spread
-        return spread
-
     def _new_version(self, service: str) -> str | None:
         stage = self.find_stage(service)
         if stage is not None:
--- a/src/savorylift/rollouts/counting.py
+++ b/src/savorylift/rollouts/counting.py
@@ -3,7 +3,11 @@
 import time
 from collections.abc import Callable
 
-from savorylift.fleet.rollout_messages import AnswerCell, AnswerReport
+from savorylift.fleet.rollout_messages import (
+    AnswerCell,
+    AnswerReport,
+    RunTimes,
+)
 from savorylift.rollouts.answer_log import AnswerLog
 from savorylift.rollouts.answers import AnswerObserver
 from savorylift.rollouts.evidence import FleetEvidence
@@ -18,6 +22,8 @@
 # rest comes with the next.
 MAX_REPORTED_CELLS = 20
 MAX_REPORTS = 8
+# Routes whose run times are told at the same time; others come with the next.
+MAX_REPORTED_ROUTES = 4
 # What was reported is repeated once after this time, since it may be lost.
 REPEAT_S = 2.0
 
@@ -69,17 +75,25 @@
         if not cells:
             return False
         self._next_report_s = now_s + REPORT_INTERVAL_S
+        run_times = self.log.take_run_times(MAX_REPORTED_ROUTES)
         for first in range(0, len(cells), MAX_REPORTED_CELLS):
             part = cells[first : first + MAX_REPORTED_CELLS]
-            send(self._make_report(part), ip)
+            send(self._make_report(part, run_times if first == 0 else ()), ip)
         return True
 
     def add_to(self, evidence: FleetEvidence) -> None:
         """Adds what this node has counted itself."""
         evidence.merge(self._source, self.log.all_cells())
-
-    def _make_report(self, cells: tuple[AnswerCell, ...]) -> AnswerReport:
-        return AnswerReport(self.order_id, self._service, self._source, cells)
+        evidence.runs.merge(self._source, self.log.run_times())
+
+    def _make_report(
+        self,
+        cells: tuple[AnswerCell, ...],
+        run_times: tuple[RunTimes, ...],
+    ) -> AnswerReport:
+        return AnswerReport(
+            self.order_id, self._service, self._source, cells, run_times
+        )
 
 
 class CountingBook:
--- a/src/savorylift/rollouts/decider.py
+++ b/src/savorylift/rollouts/decider.py
@@ -177,6 +177,7 @@
             elapsed_s=board.elapsed_s(stage.order_id),
             step_age_s=board.stage_age_s(service),
             judgement=self._evidence.judge(service),
+            routes=self._evidence.find_routes(service),
             has_new=board.has_new(service),
             has_old=board.has_old(service),
             has_engines=self._around.has_engines(service),
--- a/src/savorylift/rollouts/durations.py
+++ b/src/savorylift/rollouts/durations.py
@@ -15,3 +15,8 @@
         return 0
     exact = math.log(duration_s / SHORTEST_S) / math.log(CLASS_RATIO)
     return min(int(exact) + 1, CLASS_COUNT - 1)
+
+
+def longest_duration_s(number: int) -> float:
+    """Returns the longest duration of a class, but for the last one."""
+    return SHORTEST_S * CLASS_RATIO**number
--- a/src/savorylift/rollouts/evidence.py
+++ b/src/savorylift/rollouts/evidence.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Mapping
 
 from savorylift.fleet.rollout_messages import AnswerCell
+from savorylift.rollouts.run_times import FleetRunTimes
 
 # Most cells of all nodes together. Beyond that, the oldest slices stay as they
 # have been counted so far.
@@ -80,11 +81,13 @@
 
     Attributes:
         changes: Number of changes so far.
+        runs: How long requests run at the old version.
     """
 
     def __init__(self) -> None:
         """Starts without counts."""
         self.changes = 0
+        self.runs = FleetRunTimes()
         self._cells: dict[CellKey, AnswerCell] = {}
         self._sums: dict[SumKey, Comparison] = {}
         self._first_open_slice = 0
--- a/src/savorylift/rollouts/judging.py
+++ b/src/savorylift/rollouts/judging.py
@@ -1,7 +1,10 @@
 """The evidence of each order that stands, and what it amounts to."""
 
+from collections.abc import Mapping
+
 from savorylift.rollouts.evidence import FleetEvidence
 from savorylift.rollouts.order import RolloutOrder
+from savorylift.rollouts.run_times import RouteRuns
 from savorylift.rollouts.verdict import Judgement, judge
 
 
@@ -39,6 +42,11 @@
             known.judged_changes = known.evidence.changes
         return known.judgement
 
+    def find_routes(self, service: str) -> Mapping[str, RouteRuns]:
+        """Returns how long requests run at the old version, by route."""
+        known = self._known.get(service)
+        return {} if known is None else known.evidence.runs.find_routes()
+
     def forget(self, service: str) -> None:
         """Forgets the evidence of a service."""
         self._known.pop(service, None)
--- a/src/savorylift/rollouts/next_stage.py
+++ b/src/savorylift/rollouts/next_stage.py
@@ -3,19 +3,30 @@
 These functions keep no state; `decider.py` calls them and takes the steps.
 """
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from savorylift.fleet.rollout_messages import RolloutPhase, Stage
 from savorylift.rollouts.order import RolloutLimits
+from savorylift.rollouts.run_times import RouteRuns
+from savorylift.rollouts.timetable import (
+    SHORTEST_SHIFT_S,
+    Timetable,
+    load_duration_s,
+    make_timetable,
+)
 from savorylift.rollouts.verdict import Judgement, Opinion
 
 # Shares of the requests that a version may get before it is found sound, as
 # parts of what a bad one may get.
 FIRST_PART = 0.3
 WATCH_PART = 0.9
-# Part of the requests that a bad version may get, its slack included, that the
-# watch may use up.
+# Parts of the requests that a bad version may get, its slack included: what the
+# watch may use up at least and at most, and what the watch and all that follows
+# use up together if the version turns bad at the very end.
+LEAST_WATCH_BUDGET_PART = 0.35
 WATCH_BUDGET_PART = 0.6
+WHOLE_BUDGET_PART = 0.9
 # A node that has decided for a shorter time doesn't know how many requests
 # there are.
 MIN_RATE_TIME_S = 1.0
@@ -29,23 +40,9 @@
 # The first step ends after so many sound answers, or this part of the time.
 FIRST_ANSWERS = 5
 FIRST_TIME_PART = 0.25
-# How long the load is tried, as a part of the time.
-LOAD_TIME_PART = 0.07
-MIN_LOAD_S = 0.8
 # A version that is still doubtful after this multiple of that time is rolled
 # back.
 MAX_LOAD_FACTOR = 3
-# What lies between the last decision and the deadline: operators' records and
-# the status both take a moment.
-MARGIN_PART = 0.08
-MIN_MARGIN_S = 1.5
-# Time for old servers to end what they run: of engines, whose streams last,
-# and of others.
-ENGINE_SHIFT_PART = 0.2
-PLAIN_SHIFT_PART = 0.1
-MIN_SHIFT_S = 2.0
-# The least that the shift may take if the version was found sound late.
-SHORTEST_SHIFT_S = 0.6
 
 
 class Situation(NamedTuple):
@@ -61,6 +58,7 @@
         hears_enough: Whether the deciding node hears enough of the fleet.
         other_builds: Share of the nodes that know nothing of roll-outs.
         is_ordered: Whether the order still stands.
+        routes: How long requests run at the old version, as far as known.
     """
 
     elapsed_s: float
@@ -72,42 +70,7 @@
     hears_enough: bool
     other_builds: float
     is_ordered: bool = True
-
-
-class Timetable(NamedTuple):
-    """When the steps of a roll-out are due, in seconds since the order.
-
-    Attributes:
-        load_s: When the version is tried under load.
-        latest_load_s: After what time it is too late for that.
-        complete_s: When the roll-out is completed.
-    """
-
-    load_s: float
-    latest_load_s: float
-    complete_s: float
-
-
-def make_timetable(duration_s: float, *, has_engines: bool) -> Timetable:
-    """Returns the timetable of an order.
-
-    The version is watched for as long as possible: it may turn bad later.
-    """
-    margin_s = max(MIN_MARGIN_S, MARGIN_PART * duration_s)
-    complete_s = max(duration_s - margin_s, 0.5 * duration_s)
-    part = ENGINE_SHIFT_PART if has_engines else PLAIN_SHIFT_PART
-    shift_s = max(part * duration_s, MIN_SHIFT_S)
-    load_time_s = load_duration_s(duration_s)
-    return Timetable(
-        complete_s - shift_s - load_time_s,
-        complete_s - load_time_s - SHORTEST_SHIFT_S,
-        complete_s,
-    )
-
-
-def load_duration_s(duration_s: float) -> float:
-    """Returns how long a version is tried under load."""
-    return max(MIN_LOAD_S, LOAD_TIME_PART * duration_s)
+    routes: Mapping[str, RouteRuns] = {}
 
 
 def first_share(limits: RolloutLimits) -> float:
@@ -115,6 +78,11 @@
     return FIRST_PART * limits.share
 
 
+def watched_share(limits: RolloutLimits) -> float:
+    """Returns the least share with which a version is watched."""
+    return WATCH_PART * limits.share
+
+
 def find_next(
     stage: Stage, situation: Situation, limits: RolloutLimits
 ) -> Stage | None:
@@ -185,15 +153,20 @@
     """
     judgement = situation.judgement
     answers = judgement.new_answers + judgement.old_answers
-    least = WATCH_PART * limits.share
+    least = watched_share(limits)
     if not answers or situation.elapsed_s <= 0:
         return least
-    # Expected between order and deadline, and until the watch ends.
-    requests = answers * stage.duration_s / situation.elapsed_s
-    load_s = _find_timetable(stage, situation).load_s
-    watched_requests = requests * load_s / stage.duration_s
-    budget = WATCH_BUDGET_PART * (limits.share * requests + limits.slack)
-    return min(max(budget / max(watched_requests, 1.0), least), LOAD_SHARE)
+    per_s = answers / situation.elapsed_s
+    timetable = _find_timetable(stage, situation)
+    allowed = limits.share * per_s * stage.duration_s + limits.slack
+    load_time_s = load_duration_s(stage.duration_s)
+    later = per_s * (LOAD_SHARE * load_time_s + timetable.mean_shift_s)
+    budget = max(
+        WHOLE_BUDGET_PART * allowed - later, LEAST_WATCH_BUDGET_PART * allowed
+    )
+    budget = min(budget, WATCH_BUDGET_PART * allowed)
+    watched = max(per_s * timetable.load_s, 1.0)
+    return min(max(budget / watched, least), LOAD_SHARE)
 
 
 def _begin_load(stage: Stage, situation: Situation) -> Stage | None:
@@ -214,14 +187,25 @@
     if late is not None:
         return late
     if not _is_doubtful(situation):
-        return _advance(stage, SHIFT_STEP, 1.0, "sound under load")
+        return _shift(stage, SHIFT_STEP, situation, "sound under load")
     if situation.step_age_s < MAX_LOAD_FACTOR * load_time_s:
         return None
     return roll_back(stage, "doubtful under load")
 
 
+def _shift(stage: Stage, step: int, situation: Situation, reason: str) -> Stage:
+    """Returns the stage in which the routes that are due are shifted."""
+    timetable = _find_timetable(stage, situation)
+    held = timetable.find_held_routes(situation.elapsed_s)
+    return _advance(stage._replace(held_routes=held), step, 1.0, reason)
+
+
 def _end_shift(stage: Stage, situation: Situation) -> Stage | None:
     timetable = _find_timetable(stage, situation)
+    still_held = timetable.find_held_routes(situation.elapsed_s)
+    if not set(stage.held_routes) <= set(still_held):
+        reason = "further routes are due"
+        return _shift(stage, stage.step + 1, situation, reason)
     if situation.elapsed_s < timetable.complete_s:
         return None
     if situation.step_age_s < SHORTEST_SHIFT_S:
@@ -256,7 +240,11 @@
 
 
 def _find_timetable(stage: Stage, situation: Situation) -> Timetable:
-    return make_timetable(stage.duration_s, has_engines=situation.has_engines)
+    return make_timetable(
+        stage.duration_s,
+        situation.routes,
+        has_engines=situation.has_engines,
+    )
 
 
 def _is_doubtful(situation: Situation) -> bool:
--- a/src/savorylift/rollouts/version_rules.py
+++ b/src/savorylift/rollouts/version_rules.py
@@ -10,7 +10,7 @@
 
 from savorylift.backends.server import ServerEntry
 from savorylift.fleet.rollout_messages import RolloutPhase, Stage
-from savorylift.rollouts.next_stage import first_share
+from savorylift.rollouts.next_stage import first_share, watched_share
 from savorylift.rollouts.order import RolloutLimits
 from savorylift.rollouts.stage import banned_versions
 
@@ -66,6 +66,19 @@
     return int.from_bytes(digest) / HASH_RANGE
 
 
+def for_route(stage: Stage, route: str, limits: RolloutLimits) -> Stage:
+    """Returns a stage with the share that holds for a route.
+
+    Args:
+        stage: The stage of a service.
+        route: Name of the route.
+        limits: What a bad version may get.
+    """
+    if route not in stage.held_routes:
+        return stage
+    return stage._replace(share=min(stage.share, watched_share(limits)))
+
+
 def held_share(stage: Stage, news_age_s: float, limits: RolloutLimits) -> float:
     """Returns the share that a node holds, given the age of its last news.
 
--- a/tests/rollouts/play.py
+++ b/tests/rollouts/play.py
@@ -6,11 +6,10 @@
 import json
 import random
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
 from savorylift.backends.server import ServerEntry
-from savorylift.exchange.answer_outcome import FIRST_SERVER_ERROR_STATUS
 from savorylift.fleet.rollout_messages import RolloutMessage
 from savorylift.platform.rollouts import encode_status
 from savorylift.platform.store import STATUS_TOPIC
@@ -24,6 +23,7 @@
 from savorylift.rollouts.recorder import StageRecorder
 from savorylift.rollouts.surroundings import FleetView
 from tests.exchange.factories import make_server_entry
+from tests.rollouts.behaviours import FAILED, Answer, Asked, Behaviour, sound
 from tests.rollouts.memory_store import MemoryStore, MemoryStoreClient
 
 LIMITS = RolloutLimits(share=0.1, slack=50.0, rollback_s=5.0)
@@ -38,70 +38,30 @@
 BAD_ANSWERS = 50  # from which on a roll-back is due
 ORDERED_S = 3.0  # after the beginning
 AFTER_S = 4.0  # that a play goes on after the deadline
-FAILED = FIRST_SERVER_ERROR_STATUS
 
 
-class Answer(NamedTuple):
-    """How a server answers one request."""
-
-    status: int
-    took_s: float
-    is_bad: bool
-
-
-class Asked(NamedTuple):
-    """What a server knows as it is asked.
+class Due(NamedTuple):
+    """Something that happens to a request later.
 
     Attributes:
-        progress: Time since the order, as a part of that to its deadline.
-        new_share: Share of the last requests that went to the new version.
-        route: Name of the route.
-        rng: Source of randomness.
+        at_s: When.
+        number: Tells requests apart.
+        node: The node that sent it.
+        attempt_id: ID of the request.
+        answer: Its answer.
+        is_new: Whether the new version runs it.
+        is_first: Whether its answer begins then.
+        is_end: Whether it ends then.
     """
 
-    progress: float
-    new_share: float
-    route: str
-    rng: random.Random
-
-
-Behaviour = Callable[[Asked], Answer]
-
-
-def sound(asked: Asked) -> Answer:
-    """Answers as the old version does."""
-    took_s = asked.rng.lognormvariate(-2.5, 0.5)
-    is_failure = asked.rng.random() < 0.02
-    return Answer(FAILED if is_failure else 200, took_s, is_bad=False)
-
-
-def failing(portion: float) -> Behaviour:
-    """Returns a behaviour that fails a portion of the requests."""
-
-    def answer(asked: Asked) -> Answer:
-        found = sound(asked)
-        if asked.rng.random() < portion:
-            return Answer(FAILED, found.took_s, is_bad=True)
-        return found
-
-    return answer
-
-
-def slow(portion: float, factor: float) -> Behaviour:
-    """Returns a behaviour that takes several times as long at times."""
-
-    def answer(asked: Asked) -> Answer:
-        found = sound(asked)
-        if asked.rng.random() < portion:
-            return Answer(found.status, found.took_s * factor, is_bad=True)
-        return found
-
-    return answer
-
-
-def when(is_bad: Callable[[Asked], bool], bad: Behaviour) -> Behaviour:
-    """Returns a behaviour that is bad under a condition."""
-    return lambda asked: bad(asked) if is_bad(asked) else sound(asked)
+    at_s: float
+    number: int
+    node: "PlayNode"
+    attempt_id: str
+    answer: Answer
+    is_new: bool
+    is_first: bool
+    is_end: bool
 
 
 class PlayNode:
@@ -178,9 +138,11 @@
     def send(self, message: RolloutMessage, ip: str | None) -> None:
         self._play.deliver(self, message, ip)
 
-    def choose(self, attempt_id: str) -> ServerEntry | None:
+    def choose(self, attempt_id: str, route: str) -> ServerEntry | None:
         """Returns the server that this node sends a request to."""
-        rule = self.board.find_rule(SERVICE, attempt_id, is_repeat=False)
+        rule = self.board.find_rule(
+            SERVICE, attempt_id, route=route, is_repeat=False
+        )
         servers = self._play.servers
         if rule is not None:
             servers = [entry for entry in servers if rule.allows(entry)]
@@ -201,6 +163,7 @@
         exposed: Requests to the new version until the deadline.
         requests: All requests between the order and the deadline.
         unserved: Requests without a server.
+        broken: Requests that ran at the old servers as these stopped.
         last_exposed_s: When the new version last got a request.
         stop_due_s: When a roll-back was due, if it was.
     """
@@ -213,6 +176,7 @@
         nodes: int = 20,
         per_s: float = 34.0,
         duration_s: float = 12.0,
+        run_s: Mapping[str, float] | None = None,
     ) -> None:
         self.rng = random.Random(seed)
         self.store = MemoryStore()
@@ -223,10 +187,12 @@
         self._per_s = per_s
         self.duration_s = duration_s
         self._numbers = itertools.count()
-        self._ends: list[tuple[float, int, PlayNode, str, Answer, bool]] = []
+        # How long requests run on after their answer has begun, by route.
+        self._run_s = run_s or {}
+        self._due: list[Due] = []
         self._last_new = [False] * 40
         self._bad_answers = 0
-        self.exposed = self.requests = self.unserved = 0
+        self.exposed = self.requests = self.unserved = self.broken = 0
         self.last_exposed_s = 0.0
         self.stop_due_s: float | None = None
         self.ordered_s = 0.0
@@ -288,7 +254,7 @@
             self._ask_all(now_s)
             self._end_all(now_s)
             if self.statuses[-1:] == ["completed"]:
-                self.servers = list(self._new)
+                self._stop_old()
             await asyncio.sleep(STEP_S)
         for node in self.nodes.values():
             node.task.cancel()
@@ -358,7 +324,8 @@
 
     def _ask(self, node: PlayNode, now_s: float) -> None:
         attempt_id = f"{self.rng.getrandbits(64):016x}"
-        entry = node.choose(attempt_id)
+        route = self.rng.choice(ROUTES)
+        entry = node.choose(attempt_id, route)
         progress = self._progress(now_s)
         is_counted = 0 <= progress <= 1
         self.requests += is_counted
@@ -370,33 +337,58 @@
         if is_new:
             self.exposed += is_counted
             self.last_exposed_s = now_s
-        route = self.rng.choice(ROUTES)
         asked = Asked(progress, sum(self._last_new) / 40, route, self.rng)
         answer = (self._behaviour if is_new else sound)(asked)
         took_s = answer.took_s * self._speeds[entry.server_id]
         node.answers.begin(entry, route, attempt_id, is_cold=False)
-        heapq.heappush(
-            self._ends,
-            (
-                now_s + took_s,
-                next(self._numbers),
-                node,
-                attempt_id,
-                answer,
-                is_new,
-            ),
+        begun_s = now_s + took_s
+        run_s = self._run_s.get(route, 0.0) * self.rng.uniform(0.5, 1.0)
+        due = Due(
+            begun_s,
+            next(self._numbers),
+            node,
+            attempt_id,
+            answer,
+            is_new,
+            is_first=True,
+            is_end=not run_s or answer.status >= FAILED,
         )
+        heapq.heappush(self._due, due)
+        if not due.is_end:
+            end_s = begun_s + run_s
+            end = due._replace(at_s=end_s, is_first=False, is_end=True)
+            heapq.heappush(self._due, end)
+
+    def _stop_old(self) -> None:
+        """Stops the old servers, with all that they run."""
+        if self.servers == self._new:
+            return
+        self.servers = list(self._new)
+        old = [due for due in self._due if not due.is_new]
+        for due in old:
+            self.broken += due.is_end
+            due.node.answers.finish(due.attempt_id, Outcome.LOST)
+        self._due = [due for due in self._due if due.is_new]
+        heapq.heapify(self._due)
 
     def _end_all(self, now_s: float) -> None:
-        while self._ends and self._ends[0][0] <= now_s:
-            _, _, node, attempt_id, answer, is_new = heapq.heappop(self._ends)
-            is_failure = answer.status >= FAILED
-            if is_new and answer.is_bad:
-                self._bad_answers += 1
-                if self._bad_answers == BAD_ANSWERS:
-                    self.stop_due_s = now_s + LIMITS.rollback_s
+        while self._due and self._due[0].at_s <= now_s:
+            due = heapq.heappop(self._due)
+            is_failure = due.answer.status >= FAILED
+            if due.is_first:
+                self._count_bad(due, now_s)
+            if not due.is_end:
+                due.node.answers.note_answer(due.attempt_id)
+                continue
             outcome = Outcome.FAILED if is_failure else Outcome.SUCCEEDED
-            node.answers.finish(attempt_id, outcome)
+            due.node.answers.finish(due.attempt_id, outcome)
+
+    def _count_bad(self, due: Due, now_s: float) -> None:
+        if not due.is_new or not due.answer.is_bad:
+            return
+        self._bad_answers += 1
+        if self._bad_answers == BAD_ANSWERS:
+            self.stop_due_s = now_s + LIMITS.rollback_s
 
     def _progress(self, now_s: float) -> float:
         return (now_s - self.ordered_s) / self.duration_s
--- a/tests/rollouts/test_next_stage.py
+++ b/tests/rollouts/test_next_stage.py
@@ -9,16 +9,17 @@
     WATCH_STEP,
     Situation,
     find_next,
-    make_timetable,
 )
 from savorylift.rollouts.order import RolloutLimits
+from savorylift.rollouts.run_times import RouteRuns
+from savorylift.rollouts.timetable import make_timetable
 from savorylift.rollouts.verdict import Finding, Judgement, Opinion, Sample
 from tests.rollouts.test_version_rules import STAGE
 
 LIMITS = RolloutLimits(0.1, 0.0, 5.0)
 DURATION_S = 20.0
 FINDING = Finding("failed", "r", Sample(5, 9), Sample(0, 90), 1e-5)
-TIMES = make_timetable(DURATION_S, has_engines=True)
+TIMES = make_timetable(DURATION_S, {}, has_engines=True)
 WATCH = STAGE._replace(duration_s=DURATION_S, step=WATCH_STEP, share=0.09)
 FIRST = WATCH._replace(step=1, share=0.03)
 BEGUN = WATCH._replace(step=0, share=0.0)
@@ -172,6 +173,36 @@
 def test_a_timetable_ends_before_the_deadline(
     duration_s: float, *, has_engines: bool
 ) -> None:
-    times = make_timetable(duration_s, has_engines=has_engines)
+    times = make_timetable(duration_s, {}, has_engines=has_engines)
     assert 0 < times.load_s <= times.latest_load_s < times.complete_s
     assert times.complete_s <= duration_s - 1.0
+
+
+def test_routes_are_shifted_when_they_are_due() -> None:
+    routes = {"short": RouteRuns(90, 0.5), "long": RouteRuns(30, 4.0)}
+    times = make_timetable(DURATION_S, routes, has_engines=True)
+    at_s = {shift.route: shift.at_s for shift in times.route_shifts}
+    assert times.load_s < at_s["long"] < at_s["short"] < times.complete_s
+    stages = [LOAD]
+    for elapsed_s in (at_s["long"], at_s["short"] - 0.1, at_s["short"]):
+        now = situation(elapsed_s, routes=routes)
+        stages.append(find_next(stages[-1], now, LIMITS) or stages[-1])
+    _, first, same, second = stages
+    assert (first.phase, first.held_routes) == (RolloutPhase.SHIFT, ("short",))
+    assert same is first
+    assert (second.phase, second.held_routes) == (RolloutPhase.SHIFT, ())
+    assert second.step > first.step
+    completed = find_next(
+        second, situation(times.complete_s, routes=routes), LIMITS
+    )
+    assert completed is not None
+    assert completed.phase is RolloutPhase.COMPLETED
+
+
+def test_nothing_is_completed_while_a_route_is_held() -> None:
+    held = SHIFT._replace(held_routes=("r",))
+    # A node has taken over late, and knows nothing of the route.
+    now = situation(TIMES.complete_s + 0.1)
+    found = find_next(held, now, LIMITS)
+    assert found is not None
+    assert (found.phase, found.held_routes) == (RolloutPhase.SHIFT, ())
--- a/tests/rollouts/test_plays.py
+++ b/tests/rollouts/test_plays.py
@@ -1,6 +1,6 @@
 """Plays of good and bad versions, while nodes and the store fail."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 import pytest
 
@@ -8,18 +8,8 @@
 from savorylift.fleet.rollout_messages import RolloutPhase
 from savorylift.rollouts.next_stage import LOAD_SHARE
 from tests.harness import virtual_time
-from tests.rollouts.play import (
-    LIMITS,
-    NEW,
-    SERVICE,
-    Behaviour,
-    Play,
-    PlayNode,
-    failing,
-    slow,
-    sound,
-    when,
-)
+from tests.rollouts.behaviours import Behaviour, failing, slow, sound, when
+from tests.rollouts.play import LIMITS, NEW, SERVICE, Play, PlayNode
 
 Script = Iterable[tuple[float, Callable[[Play], None]]]
 
@@ -154,12 +144,19 @@
     seed: int,
     duration_s: float = 20.0,
     per_s: float = 34.0,
+    run_s: Mapping[str, float] | None = None,
 ) -> Play:
     """Returns a play after its end."""
     plays: list[Play] = []
 
     async def scenario() -> None:
-        play = Play(behaviour, seed=seed, duration_s=duration_s, per_s=per_s)
+        play = Play(
+            behaviour,
+            seed=seed,
+            duration_s=duration_s,
+            per_s=per_s,
+            run_s=run_s,
+        )
         plays.append(play)
         await play.run(script)
 
@@ -243,6 +240,27 @@
     assert 0.09 <= min(held) < LOAD_SHARE
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_versions_that_turn_bad_late_get_no_more_than_their_share(
+    monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    behaviour = when(lambda asked: asked.progress > 0.75, failing(0.4))
+    play = run_play(monkeypatch, behaviour, (), seed)
+    assert play.statuses == ["running", "rolled_back"]
+    assert play.exposed <= play.bound
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_streams_longer_than_the_usual_shift_end_at_the_old_version(
+    monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    # The usual shift is a fifth of the time.
+    run_s = {"draft": 0.3 * 40.0}
+    play = run_play(monkeypatch, sound, (), seed, duration_s=40.0, run_s=run_s)
+    assert play.statuses == ["running", "completed"]
+    assert play.broken <= 0.01 * play.requests
+
+
 def test_versions_with_few_requests_are_judged(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/rollouts/test_version_rules.py
+++ b/tests/rollouts/test_version_rules.py
@@ -52,7 +52,9 @@
     """Returns the share of requests that may go to a server."""
     found = 0
     for attempt in ATTEMPTS:
-        rule = board.find_rule("s", attempt, **({"is_repeat": False} | options))
+        rule = board.find_rule(
+            "s", attempt, route="r", **({"is_repeat": False} | options)
+        )
         found += rule is None or rule.allows(entry)
     return found / len(ATTEMPTS)
 
@@ -174,3 +176,23 @@
 def test_ages_of_orders_are_taken_from_stages() -> None:
     board = make_board(stage=STAGE._replace(elapsed_s=5.0))
     assert board.elapsed_s("o1") == pytest.approx(5.0, abs=0.5)
+
+
+@pytest.mark.parametrize(
+    ("route", "expected"), [("short", 0.09), ("long", 1.0)]
+)
+def test_held_routes_keep_the_share_of_the_watch(
+    route: str, expected: float
+) -> None:
+    stage = STAGE._replace(
+        phase=RolloutPhase.SHIFT, share=1.0, held_routes=("short",)
+    )
+    with freezegun.freeze_time():
+        board = make_board(stage=stage)
+        assert board.share("s", route) == pytest.approx(expected)
+        rules = [
+            board.find_rule("s", attempt, route=route, is_repeat=False)
+            for attempt in ATTEMPTS
+        ]
+    old = sum(rule is not None and rule.allows(OLD) for rule in rules)
+    assert (old == 0) is (expected == 1.0)
