--- a/src/savorylift/fleet/rollout_messages.py
+++ b/src/savorylift/fleet/rollout_messages.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 
-class Phase(enum.StrEnum):
+class RolloutPhase(enum.StrEnum):
     """How far a roll-out has come.
 
     Attributes:
@@ -22,7 +22,19 @@
     @property
     def is_final(self) -> bool:
         """Whether no other phase follows."""
-        return self in (Phase.COMPLETED, Phase.ROLLED_BACK)
+        return self in (RolloutPhase.COMPLETED, RolloutPhase.ROLLED_BACK)
+
+
+class ClockMark(NamedTuple):
+    """When an order came, by the boot clock of a VM.
+
+    Attributes:
+        host: The node, and the boot of its VM that the time counts from.
+        ordered_s: Time of that clock.
+    """
+
+    host: str
+    ordered_s: float
 
 
 class Stage(NamedTuple):
@@ -42,13 +54,17 @@
         banned: Versions that were rolled back earlier.
         reason: Why the last step was taken.
         is_recorded: Whether the store holds it.
+        clock_marks: When the order came, by the clocks of the nodes that wrote
+            last; only in the store.
+        held_routes: Routes that the phase SHIFT doesn't hold for yet, since
+            their requests are short.
     """
 
     service: str
     order_id: str
     version: str
     duration_s: float
-    phase: Phase
+    phase: RolloutPhase
     step: int
     share: float
     epoch: int
@@ -56,6 +72,8 @@
     banned: tuple[str, ...] = ()
     reason: str = ""
     is_recorded: bool = True
+    clock_marks: tuple[ClockMark, ...] = ()
+    held_routes: tuple[str, ...] = ()
 
 
 class StageNews(NamedTuple):
@@ -96,6 +114,18 @@
     cut: tuple[tuple[int, int], ...] = ()
 
 
+class RunTimes(NamedTuple):
+    """How long requests on a route have run at the old version.
+
+    Attributes:
+        route: Name of the route.
+        times: Histogram of all so far: pairs of a duration class and its count.
+    """
+
+    route: str
+    times: tuple[tuple[int, int], ...]
+
+
 class AnswerReport(NamedTuple):
     """Tells the deciding node how a service's servers have answered.
 
@@ -104,12 +134,14 @@
         service: Name of the service.
         source: Random number of the process that counted.
         cells: What it has counted, in full for each cell.
+        run_times: How long requests have run there; empty in some reports.
     """
 
     order_id: str
     service: str
     source: int
     cells: tuple[AnswerCell, ...]
+    run_times: tuple[RunTimes, ...] = ()
 
 
 RolloutMessage = StageNews | AnswerReport
--- a/src/savorylift/front/rollout_parts.py
+++ b/src/savorylift/front/rollout_parts.py
@@ -2,8 +2,10 @@
 
 import time
 from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 from savorylift.backends.server import ServerEntry
+from savorylift.boot_clock import boot_time_s, read_boot_id
 from savorylift.fleet.peer_transport import PeerTransport
 from savorylift.fleet.rollout_messages import RolloutMessage
 from savorylift.fleet.state import NodeState
@@ -14,6 +16,7 @@
 from savorylift.rendezvous import rank
 from savorylift.rollouts.agent import RolloutAgent
 from savorylift.rollouts.order import RolloutOrder
+from savorylift.rollouts.order_clock import BootTime
 from savorylift.rollouts.recorder import StageRecorder
 from savorylift.rollouts.surroundings import FleetView
 
@@ -60,6 +63,18 @@
     )
 
 
+class _CachedView(NamedTuple):
+    """What was seen of the fleet, and until when that is used.
+
+    Attributes:
+        view: What was seen.
+        expires_s: Monotonic time from which on it is looked at anew.
+    """
+
+    view: FleetView
+    expires_s: float
+
+
 class NodeSurroundings:
     """What roll-outs need of this node."""
 
@@ -86,7 +101,8 @@
         self._has_store_fault = has_store_fault
         self._decode_orders = decode_orders
         self._read_version = -1
-        self._views: dict[str, tuple[float, FleetView]] = {}
+        self._boot_id = read_boot_id()
+        self._views: dict[str, _CachedView] = {}
 
     def read_orders(self) -> list[RolloutOrder] | None:
         """Returns the orders that stand; None if they haven't changed."""
@@ -114,12 +130,20 @@
         """Returns what this node sees of the fleet."""
         now_s = time.monotonic()
         known = self._views.get(service)
-        if known is not None and now_s < known[0]:
-            return known[1]
+        if known is not None and now_s < known.expires_s:
+            return known.view
         view = self._view_fleet(service, now_s)
-        self._views[service] = now_s + VIEW_S, view
+        self._views[service] = _CachedView(view, now_s + VIEW_S)
         return view
 
+    def read_boot_clock(self) -> BootTime | None:
+        """Returns the time of this node's VM; None if its boot is unknown."""
+        if self._boot_id is None:
+            return None
+        # Containers of one VM may have boot clocks of their own.
+        host = f"{self._shared.identity.ip} {self._boot_id}"
+        return BootTime(host, boot_time_s())
+
     def send(self, message: RolloutMessage, ip: str | None) -> None:
         """Sends a message to a node; to all live ones without an address."""
         self._transport.send_message(message, ip)
--- a/src/savorylift/rollouts/announcer.py
+++ b/src/savorylift/rollouts/announcer.py
@@ -63,6 +63,7 @@
             phase=stage.phase.value,
             step=stage.step,
             share=stage.share,
+            held_routes=stage.held_routes,
             epoch=stage.epoch,
             reason=stage.reason,
             elapsed_s=round(stage.elapsed_s, 3),
@@ -98,4 +99,4 @@
     def _as_news(self, stage: Stage) -> Stage:
         """Returns a stage with the time since its order as it is now."""
         elapsed_s = self._board.elapsed_s(stage.order_id)
-        return stage._replace(elapsed_s=elapsed_s)
+        return stage._replace(elapsed_s=elapsed_s, clock_marks=())
--- a/src/savorylift/rollouts/version_rules.py
+++ b/src/savorylift/rollouts/version_rules.py
@@ -9,8 +9,8 @@
 from typing import NamedTuple
 
 from savorylift.backends.server import ServerEntry
-from savorylift.fleet.rollout_messages import Phase, Stage
-from savorylift.rollouts.decider import first_share
+from savorylift.fleet.rollout_messages import RolloutPhase, Stage
+from savorylift.rollouts.next_stage import first_share, watched_share
 from savorylift.rollouts.order import RolloutLimits
 from savorylift.rollouts.stage import banned_versions
 
@@ -66,6 +66,19 @@
     return int.from_bytes(digest) / HASH_RANGE
 
 
+def for_route(stage: Stage, route: str, limits: RolloutLimits) -> Stage:
+    """Returns a stage with the share that holds for a route.
+
+    Args:
+        stage: The stage of a service.
+        route: Name of the route.
+        limits: What a bad version may get.
+    """
+    if route not in stage.held_routes:
+        return stage
+    return stage._replace(share=min(stage.share, watched_share(limits)))
+
+
 def held_share(stage: Stage, news_age_s: float, limits: RolloutLimits) -> float:
     """Returns the share that a node holds, given the age of its last news.
 
@@ -108,11 +121,11 @@
         has_new: Whether a server of the new version is in service.
     """
     banned = frozenset() if stage is None else banned_versions(stage)
-    if stage is not None and stage.phase is Phase.ROLLED_BACK:
+    if stage is not None and stage.phase is RolloutPhase.ROLLED_BACK:
         return VersionRule(
             None, may_use_new=False, may_use_old=True, banned=banned
         )
-    if stage is not None and stage.phase is Phase.COMPLETED:
+    if stage is not None and stage.phase is RolloutPhase.COMPLETED:
         return VersionRule(
             version, may_use_new=True, may_use_old=not has_new, banned=banned
         )
--- a/tests/rollouts/test_plays.py
+++ b/tests/rollouts/test_plays.py
@@ -1,25 +1,15 @@
 """Plays of good and bad versions, while nodes and the store fail."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 import pytest
 
 from savorylift.backends.server import ServerEntry
-from savorylift.fleet.rollout_messages import Phase
-from savorylift.rollouts.decider import LOAD_SHARE
+from savorylift.fleet.rollout_messages import RolloutPhase
+from savorylift.rollouts.next_stage import LOAD_SHARE
 from tests.harness import virtual_time
-from tests.rollouts.play import (
-    LIMITS,
-    NEW,
-    SERVICE,
-    Behaviour,
-    Play,
-    PlayNode,
-    failing,
-    slow,
-    sound,
-    when,
-)
+from tests.rollouts.behaviours import Behaviour, failing, slow, sound, when
+from tests.rollouts.play import LIMITS, NEW, SERVICE, Play, PlayNode
 
 Script = Iterable[tuple[float, Callable[[Play], None]]]
 
@@ -38,6 +28,11 @@
     play.kill(play.decider)
 
 
+def kill_all(play: Play) -> None:
+    for node in play.nodes.values():
+        play.kill(node)
+
+
 def restart_all(play: Play) -> None:
     for node in list(play.nodes.values()):
         play.restart(node)
@@ -149,12 +144,19 @@
     seed: int,
     duration_s: float = 20.0,
     per_s: float = 34.0,
+    run_s: Mapping[str, float] | None = None,
 ) -> Play:
     """Returns a play after its end."""
     plays: list[Play] = []
 
     async def scenario() -> None:
-        play = Play(behaviour, seed=seed, duration_s=duration_s, per_s=per_s)
+        play = Play(
+            behaviour,
+            seed=seed,
+            duration_s=duration_s,
+            per_s=per_s,
+            run_s=run_s,
+        )
         plays.append(play)
         await play.run(script)
 
@@ -187,7 +189,7 @@
     assert not play.unserved
     for node in play.nodes.values():
         if node.is_running:
-            assert node.board.stages[SERVICE].phase is Phase.COMPLETED
+            assert node.board.stages[SERVICE].phase is RolloutPhase.COMPLETED
 
 
 @pytest.mark.parametrize("seed", range(3))
@@ -238,6 +240,27 @@
     assert 0.09 <= min(held) < LOAD_SHARE
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_versions_that_turn_bad_late_get_no_more_than_their_share(
+    monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    behaviour = when(lambda asked: asked.progress > 0.75, failing(0.4))
+    play = run_play(monkeypatch, behaviour, (), seed)
+    assert play.statuses == ["running", "rolled_back"]
+    assert play.exposed <= play.bound
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_streams_longer_than_the_usual_shift_end_at_the_old_version(
+    monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    # The usual shift is a fifth of the time.
+    run_s = {"draft": 0.3 * 40.0}
+    play = run_play(monkeypatch, sound, (), seed, duration_s=40.0, run_s=run_s)
+    assert play.statuses == ["running", "completed"]
+    assert play.broken <= 0.01 * play.requests
+
+
 def test_versions_with_few_requests_are_judged(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
@@ -255,6 +278,20 @@
     assert bad.exposed <= bad.bound
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_the_deadline_is_kept_after_no_node_ran_for_a_while(
+    monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    at_deadline: list[list[str]] = []
+
+    def note_status(play: Play) -> None:
+        at_deadline.append(play.statuses)
+
+    script = [(0.25, kill_all), (0.5, restart_all), (1.0, note_status)]
+    run_play(monkeypatch, sound, script, seed)
+    assert at_deadline == [["running", "completed"]]
+
+
 def test_restarted_nodes_count_in_the_slices_of_the_order(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
