Keep the timers of a keeper's looks in a class of their own

The count of what waits is also shown when a room is left.

tests/rooms, tests/exchange/test_room_placement.py: passed.

--- a/src/savorylift/rooms/keeper.py
+++ b/src/savorylift/rooms/keeper.py
@@ -5,7 +5,6 @@
 says only directs requests; the engines' own replies decide.
 """
 
-import asyncio
 import random
 import time
 from collections.abc import Callable, Iterable
@@ -24,6 +23,7 @@
 from savorylift.rooms import metrics
 from savorylift.rooms.book import PlaceKey
 from savorylift.rooms.decision_log import AloneReason, RoleChange, log_role
+from savorylift.rooms.dispatch_timers import DispatchTimers
 from savorylift.rooms.engine_groups import EngineGroups, RoomId, keep_group
 from savorylift.rooms.engines import Engines
 from savorylift.rooms.keeper_choice import KeeperChoice
@@ -39,12 +39,6 @@
 HANDOVER_INTERVALS = 1.5
 # A process that didn't run for this long may have missed much.
 STOOD_STILL_S = 0.7
-# Requests and ends that come within this time share a dispatch.
-DISPATCH_DELAY_S = 0.01
-# A dispatch that takes long is followed by a pause of this multiple of its
-# time, so that a small VM also serves its own callers while many wait.
-PAUSE_PER_DISPATCH = 9
-MAX_DISPATCH_DELAY_S = 0.1
 # A keeper that hears less of the fleet leaves the choice to the nodes.
 MIN_LIVE_SHARE = 0.5
 
@@ -104,9 +98,7 @@
         # Boot time at which this process was last seen to run.
         self._ran_s = boot_time_s()
         self._knowledge_age_s = 0.0
-        self._due: dict[RoomId, asyncio.TimerHandle] = {}
-        # How long the latest dispatch took.
-        self._dispatch_took_s = 0.0
+        self._timers = DispatchTimers(self._dispatch)
 
     def receive(self, message: RoomRequest | RoomEnds, ip: str) -> None:
         """Handles a message from a node."""
@@ -219,6 +211,7 @@
         self, room_id: RoomId, change: RoleChange, waiting: int
     ) -> None:
         metrics.ROOM_SERVICES.set(len(self._rooms))
+        self._show_waiting()
         log_role(room_id, change, waiting)
 
     def _leave_alone(
@@ -260,19 +253,11 @@
             self._dispatch_soon(room_id)
 
     def _dispatch_soon(self, room_id: RoomId) -> None:
-        if room_id in self._due or not len(self._rooms[room_id]):
-            return
-        pause_s = min(
-            PAUSE_PER_DISPATCH * self._dispatch_took_s, MAX_DISPATCH_DELAY_S
-        )
-        self._due[room_id] = asyncio.get_running_loop().call_later(
-            max(pause_s, DISPATCH_DELAY_S), self._dispatch, room_id
-        )
+        if len(self._rooms[room_id]):
+            self._timers.set(room_id)
 
     def _dispatch(self, room_id: RoomId) -> None:
-        timer = self._due.pop(room_id, None)
-        if timer is not None:
-            timer.cancel()
+        self._timers.clear(room_id)
         room = self._rooms.get(room_id)
         if room is None:
             return
@@ -287,8 +272,11 @@
         room.hear(self._choice.own_ip, self._own_loads())
         for decision in room.dispatch(keep_group(engines, room_id)):
             self._reply(decision.reply, decision.key.ip)
+        self._show_waiting()
+        self._timers.record(time.monotonic() - begun_s)
+
+    def _show_waiting(self) -> None:
         metrics.ROOM_WAITING.set(sum(map(len, self._rooms.values())))
-        self._dispatch_took_s = time.monotonic() - begun_s
 
     def _reply(self, reply: RoomReply, ip: str) -> None:
         metrics.ROOM_REPLIES.labels(str(reply.outcome)).inc()
