--- a/src/savorylift/fleet/codec.py
+++ b/src/savorylift/fleet/codec.py
@@ -14,6 +14,12 @@
     PermitReply,
     PermitRequest,
 )
+from savorylift.fleet.move_messages import (
+    MoveEnd,
+    MoveMessage,
+    MoveReply,
+    MoveRequest,
+)
 from savorylift.fleet.origin_messages import (
     OriginAck,
     OriginMessage,
@@ -69,6 +75,7 @@
     | OriginMessage
     | RolloutMessage
     | RoomMessage
+    | MoveMessage
     | PulseMessage
 )
 MESSAGE_TYPES: dict[str, type[Message]] = {
@@ -87,6 +94,9 @@
     "room_request": RoomRequest,
     "room_reply": RoomReply,
     "room_ends": RoomEnds,
+    "move_request": MoveRequest,
+    "move_reply": MoveReply,
+    "move_end": MoveEnd,
     "patch": StatePatch,
     "state_query": StateQuery,
     "pulse": Pulse,
--- a/src/savorylift/moves/move_order.py
+++ b/src/savorylift/moves/move_order.py
@@ -11,6 +11,9 @@
 
 from savorylift.routing.configuration import EngineTraits
 
+# Copies between failure domains take so many times as long.
+CROSS_DOMAIN_FACTOR = 2
+
 
 class PlannedMove(NamedTuple):
     """A run that is to be copied off an engine.
@@ -37,12 +40,10 @@
 def copy_time_s(
     tokens: int, traits: EngineTraits, *, is_cross_domain: bool
 ) -> float:
-    """Returns how long a copy takes on links without other traffic.
-
-    Copies to another failure domain take twice as long.
-    """
+    """Returns how long a copy takes on links without other traffic."""
     size = tokens * traits.token_bytes
-    return size / traits.link_bytes_per_s * (2 if is_cross_domain else 1)
+    factor = CROSS_DOMAIN_FACTOR if is_cross_domain else 1
+    return factor * size / traits.link_bytes_per_s
 
 
 def is_next(move: PlannedMove, others: Iterable[PlannedMove]) -> bool:
--- a/tests/fleet/test_codec.py
+++ b/tests/fleet/test_codec.py
@@ -13,6 +13,7 @@
     decode,
     encode,
 )
+from savorylift.fleet.move_messages import MoveEnd, MoveReply, MoveRequest
 from savorylift.fleet.room_messages import (
     RoomEnds,
     RoomOutcome,
@@ -85,6 +86,11 @@
     OriginReply(7, ORIGIN),
     OriginReply(7, None),
     StageNews((STAGE,)),
+    MoveRequest(
+        7, "a1", "s", "i-1", "z1", 0.1, 100, 200, 2, 0.5, False, 1.5, ("i-2",)
+    ),
+    MoveReply(7, "go", "i-2"),
+    MoveEnd(7, "i-2"),
     AnswerReport(
         "o1", "s", 7, (AnswerCell(0, True, "i-1", "r", 1, 2, 3, ((4, 5),)),)
     ),
