Let one node plan the moves off leaving engines in a large fleet

Cause: with 88 nodes, moves that the nodes order by themselves share links and leave them idle: what they hear of each other is up to 1.1 s old. Change: from 17 nodes up the keeper of a service's room gives each run its turn and its destination, holds room for planned copies, and tells runs that may be repeated to be made again elsewhere if no copy would end in time. Without a reply in 40 + 60 ms, and from builds that know nothing of it, moves are ordered as before. Setting move_planner.

--- a/src/savorylift/exchange/engine_runs.py
+++ b/src/savorylift/exchange/engine_runs.py
@@ -87,7 +87,7 @@
             run, tried, is_last=is_last
         )
         run.is_at_engine = True
-        run.is_stopping = run.is_end_known = False
+        run.is_stopping = run.is_end_known = run.is_given_up = False
         started = await self._run_sender.send(
             run, server, ResumePoint(run.resume_after), failover_policy
         )
--- a/src/savorylift/exchange/relay.py
+++ b/src/savorylift/exchange/relay.py
@@ -62,6 +62,9 @@
         coop_budget = CoopBudget()
         try:
             while True:
+                if run.is_given_up:
+                    detail = "its engine leaves before a copy could end"
+                    return Broken(Reason.BACKEND_LOST, detail)
                 chunk = await _read_chunk(
                     run, started, failover_policy, last_event_s
                 )
--- a/src/savorylift/exchange/run.py
+++ b/src/savorylift/exchange/run.py
@@ -76,6 +76,8 @@
             that marks its end as complete.
         is_stopping: Whether its engine was told to stop it, for a move.
         is_end_known: Whether its engine, which lives, has ended its stream.
+        is_given_up: Whether it is to be made again elsewhere, since its engine
+            leaves before a copy could end.
         obstacle: What kept it from going on at the latest engine tried, if it
             had begun; None if that was something else.
         return_in_s: After what time there should be room for it, if it is
@@ -116,6 +118,7 @@
         self.is_framed_for_caller = False
         self.is_stopping = False
         self.is_end_known = False
+        self.is_given_up = False
         self.obstacle: Obstacle | None = None
         self.return_in_s: float | None = None
         self.life_check: asyncio.Task[None] | None = None
--- a/src/savorylift/front/maintenance.py
+++ b/src/savorylift/front/maintenance.py
@@ -73,6 +73,7 @@
         self._servers.limit_gate.update()
         self._streams.server_news.update(is_leaving=shared.lifecycle.is_leaving)
         self._streams.rooms.keeper.update()
+        self._streams.moves.planner.update()
         self._successors.update()
         if self._rollouts is not None:
             self._rollouts.update()
--- /dev/null
+++ b/src/savorylift/front/move_parts.py
@@ -0,0 +1,152 @@
+"""The parts of a node that plan moves off engines, or ask their planners."""
+
+import asyncio
+import time
+from typing import NamedTuple
+
+from savorylift.backends.load import Load, add_loads
+from savorylift.exchange.server_pool import ServerPool
+from savorylift.fleet.membership import Membership
+from savorylift.fleet.move_messages import MoveMessage, MoveReply
+from savorylift.fleet.peer_transport import PeerTransport
+from savorylift.front.room_parts import RoomParts
+from savorylift.front.server_parts import ServerParts
+from savorylift.front.shared_parts import SharedParts
+from savorylift.moves.copy_schedule import Destination
+from savorylift.moves.plan_client import PlanClient
+from savorylift.moves.planner import MovePlanner
+from savorylift.moves.run_outlook import may_repeat
+from savorylift.moves.service_moves import Surroundings
+from savorylift.moves.turns import MoveTurns
+from savorylift.placement.engines import free_tokens
+from savorylift.rooms.engine_groups import keep_group
+from savorylift.rooms.engines import Engines
+
+
+class MoveParts(NamedTuple):
+    """What plans moves, and asks for turns.
+
+    Attributes:
+        planner: Answers the nodes, where this one plans.
+        client: Asks the planners.
+        turns: Turns of this node's runs.
+    """
+
+    planner: MovePlanner
+    client: PlanClient
+    turns: MoveTurns
+
+    def receive(self, message: MoveMessage, ip: str) -> None:
+        """Handles a message from a node, which may be this one."""
+        if isinstance(message, MoveReply):
+            self.client.receive(message, ip)
+        else:
+            self.planner.receive(message, ip)
+
+
+class EngineSite:
+    """The engines, as far as this node knows them."""
+
+    def __init__(
+        self, pool: ServerPool, membership: Membership, rooms: RoomParts
+    ) -> None:
+        """Reads what it is given at each question.
+
+        Args:
+            pool: This node's loads and moves.
+            membership: The other nodes.
+            rooms: Which engines may be used, and what has room there.
+        """
+        self._pool = pool
+        self._membership = membership
+        self._rooms = rooms
+        # Tokens that this node keeps for moves, by service and engine.
+        self._held: dict[str, dict[str, int]] = {}
+
+    def look(self, service: str) -> Surroundings | None:
+        """Returns what plans depend on; None if no engine is known."""
+        engines = self._rooms.find_engines(service)
+        if engines is None or not engines.servers:
+            return None
+        traits = engines.traits
+        if traits.link_bytes_per_s <= 0 or traits.token_bytes <= 0:
+            return None
+        rate = traits.link_bytes_per_s / traits.token_bytes
+        loads = self._find_loads(service, engines)
+        destinations = {}
+        for server in engines.servers:
+            entry = server.entry
+            load = loads.get(entry.server_id, Load())
+            destinations[entry.server_id] = Destination(
+                entry.failure_domain,
+                engines.region_by_domain.get(entry.failure_domain),
+                entry.software_version,
+                free_tokens(load, traits),
+                traits.slots - load.requests,
+                rate,
+            )
+        now_s = time.monotonic()
+        others = self._membership.moves(now_s)
+        announced = [*self._pool.move_queue.planned, *others]
+        return Surroundings(destinations, rate, announced)
+
+    def hold(self, service: str, tokens: dict[str, int]) -> None:
+        """Keeps room for moves, instead of what was kept before, by engine."""
+        self._held[service] = tokens
+        for room in self._rooms.keeper.rooms_of(service).values():
+            room.hold(tokens)
+
+    def _find_loads(self, service: str, engines: Engines) -> dict[str, Load]:
+        """Returns the loads of engines, without what is kept for moves.
+
+        They are exact where this node keeps the room.
+        """
+        loads = add_loads(engines.known, self._pool.load_tracker.loads())
+        held = self._held.get(service, {})
+        rooms = self._rooms.keeper.rooms_of(service)
+        for room_id, room in rooms.items():
+            kept = room.loads(keep_group(engines, room_id))
+            for server_id, load in kept.items():
+                tokens = held.get(server_id, 0)
+                loads[server_id] = load._replace(
+                    requests=load.requests - (tokens > 0),
+                    tokens=load.tokens - tokens,
+                )
+        return loads
+
+
+def make_move_parts(
+    shared: SharedParts,
+    servers: ServerParts,
+    transport: PeerTransport,
+    rooms: RoomParts,
+) -> MoveParts:
+    """Creates the parts.
+
+    Args:
+        shared: What all parts have in common.
+        servers: The parts that decide on servers.
+        transport: Carries messages to the other nodes.
+        rooms: The parts that keep the room of engines.
+    """
+    pool, own_ip = servers.pool, shared.identity.ip
+    is_safe = servers.crash_guard.may_repeat
+
+    def send(message: MoveMessage, ip: str) -> None:
+        if ip == own_ip:
+            loop = asyncio.get_running_loop()
+            loop.call_soon(parts.receive, message, ip)
+        else:
+            transport.send_message(message, ip)
+
+    site = EngineSite(pool, shared.membership, rooms)
+    client = PlanClient(rooms.choice, send, shared.rng)
+    is_planned = shared.settings.move_planner
+    turns = MoveTurns(
+        pool,
+        client if is_planned else None,
+        lambda run: may_repeat(run, pool, is_safe),
+    )
+    planner = MovePlanner(rooms.choice, shared.membership, site, send)
+    parts = MoveParts(planner, client, turns)
+    return parts
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -12,6 +12,7 @@
 from savorylift.exchange.request import AnswerHead
 from savorylift.fleet.limit_messages import LimitMessage
 from savorylift.fleet.message_auth import MessageAuthenticator
+from savorylift.fleet.move_messages import MoveMessage
 from savorylift.fleet.origin_messages import OriginMessage
 from savorylift.fleet.rollout_messages import RolloutMessage
 from savorylift.fleet.room_messages import RoomMessage
@@ -268,8 +269,10 @@
         if self._rollouts is not None:
             self._rollouts.receive(message)
 
-    def _on_room_message(self, message: RoomMessage, ip: str) -> None:
-        self._streams.rooms.receive(message, ip)
+    def _on_room_message(
+        self, message: RoomMessage | MoveMessage, ip: str
+    ) -> None:
+        self._streams.receive(message, ip)
 
     def _on_peer_update(self) -> None:
         """Continues reading the store after the records learned from a peer."""
--- a/src/savorylift/front/peer_sync.py
+++ b/src/savorylift/front/peer_sync.py
@@ -11,6 +11,7 @@
 from savorylift.fleet.limit_messages import LimitMessage
 from savorylift.fleet.membership import Membership
 from savorylift.fleet.message_auth import MessageAuthenticator
+from savorylift.fleet.move_messages import MoveMessage
 from savorylift.fleet.origin_messages import OriginMessage
 from savorylift.fleet.peer_transport import PeerTransport
 from savorylift.fleet.peer_watch import PeerWatch
@@ -70,7 +71,7 @@
         on_rollout_message: Callable[[RolloutMessage], None] = (
             lambda _message: None
         ),
-        on_room_message: Callable[[RoomMessage, str], None] = (
+        on_room_message: Callable[[RoomMessage | MoveMessage, str], None] = (
             lambda _message, _ip: None
         ),
         own_level: int = PULSE_LEVEL,
@@ -96,7 +97,7 @@
                 backend servers and the address that it came from.
             on_origin_message: The same for the origins of streams.
             on_rollout_message: Called with each message about roll-outs.
-            on_room_message: The same for room at engines.
+            on_room_message: The same for room at engines and moves off them.
             own_level: Which messages this node sends and takes, as its states
                 say.
             has_waiting: Returns whether requests wait for what others say.
@@ -208,7 +209,7 @@
             self._on_origin_message(message, ip)
         elif isinstance(message, RolloutMessage):
             self._on_rollout_message(message)
-        elif isinstance(message, RoomMessage):
+        elif isinstance(message, RoomMessage | MoveMessage):
             self._on_room_message(message, ip)
 
     def _receive_state(self, state: NodeState) -> None:
--- a/src/savorylift/front/room_parts.py
+++ b/src/savorylift/front/room_parts.py
@@ -23,11 +23,15 @@
         keeper: Answers the nodes, where this one is the keeper.
         client: Asks the keepers.
         groups: How services' engines are divided among keepers.
+        choice: Which node keeps which service.
+        find_engines: Returns the engines of a service by its name.
     """
 
     keeper: RoomKeeper
     client: RoomClient
     groups: EngineGroups
+    choice: KeeperChoice
+    find_engines: Callable[[str], Engines | None]
 
     def receive(self, message: RoomMessage, ip: str) -> None:
         """Handles a message from a node, which may be this one."""
@@ -96,5 +100,6 @@
         groups,
         shares_by_held_room=shared.settings.room_shares,
     )
-    parts = RoomParts(keeper, RoomClient(choice, send, shared.rng), groups)
+    client = RoomClient(choice, send, shared.rng)
+    parts = RoomParts(keeper, client, groups, choice, find_engines)
     return parts
--- a/src/savorylift/front/settings.py
+++ b/src/savorylift/front/settings.py
@@ -59,6 +59,8 @@
             a service's engines for all.
         room_shares: Whether that node gives teams and callers turns by what
             they hold of the room; else by what teams were granted.
+        move_planner: Whether that node also plans moves off engines that are
+            draining.
         log_lines_per_s: Log lines of one event per second; further ones are
             dropped and counted.
         descriptors: Most descriptors that the process may have open, of which
@@ -99,6 +101,7 @@
     log_lines_per_s: PositiveInt = 200
     room_keeper: bool = True
     room_shares: bool = True
+    move_planner: bool = True
     descriptors: PositiveInt | None = None
     peer_pulses: bool = True
     bulk_port: Annotated[int, msgspec.Meta(ge=0)] = 0
--- a/src/savorylift/front/stream_parts.py
+++ b/src/savorylift/front/stream_parts.py
@@ -9,7 +9,10 @@
 from savorylift.exchange.stream_origins import StreamOrigins
 from savorylift.exchange.stream_resumption import StreamResumption
 from savorylift.fleet.home_ring import Home
+from savorylift.fleet.move_messages import MoveMessage
 from savorylift.fleet.peer_transport import PeerTransport
+from savorylift.fleet.room_messages import RoomMessage
+from savorylift.front.move_parts import MoveParts, make_move_parts
 from savorylift.front.room_parts import RoomParts, make_room_parts
 from savorylift.front.server_news import ServerNews
 from savorylift.front.server_parts import ServerParts
@@ -27,6 +30,7 @@
         mover: Moves runs off draining engines.
         generations: Serves the streams.
         rooms: Keeps the room of engines, or asks its keepers.
+        moves: Plans moves off engines, or asks their planners.
     """
 
     origins: StreamOrigins
@@ -35,6 +39,14 @@
     mover: Mover
     generations: GenerationDispatcher
     rooms: RoomParts
+    moves: MoveParts
+
+    def receive(self, message: RoomMessage | MoveMessage, ip: str) -> None:
+        """Handles a message about room at engines or moves off them."""
+        if isinstance(message, MoveMessage):
+            self.moves.receive(message, ip)
+        else:
+            self.rooms.receive(message, ip)
 
 
 def make_stream_parts(
@@ -71,10 +83,11 @@
         shared.find_service,
         shared.rng,
     )
-    mover = Mover(servers.pool, servers.check)
     rooms = make_room_parts(
         shared, servers, transport, lambda: generations.prefill_per_s
     )
+    moves = make_move_parts(shared, servers, transport, rooms)
+    mover = Mover(servers.pool, servers.check, moves.turns)
     generations = GenerationDispatcher(
         servers.pool,
         shared.interface.codec,
@@ -87,5 +100,5 @@
         RoomPlacement(servers.pool, rooms.client, rooms.groups),
     )
     return StreamParts(
-        origins, origin_log, server_news, mover, generations, rooms
+        origins, origin_log, server_news, mover, generations, rooms, moves
     )
--- a/src/savorylift/moves/move_queue.py
+++ b/src/savorylift/moves/move_queue.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Callable, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable, Iterator
 
 from savorylift.moves.move_order import PlannedMove, is_next
 
@@ -75,6 +75,17 @@
             self._change_event.set()
             self._announce()
 
+    @contextlib.contextmanager
+    def planned_turn(self, move: PlannedMove) -> Iterator[None]:
+        """Holds the turn that a planner gave, until the context exits."""
+        self._planned[move.attempt_id] = move
+        try:
+            yield
+        finally:
+            self._planned.pop(move.attempt_id, None)
+            self._change_event.set()
+            self._announce()
+
     async def _wait_for_turn(self, move: PlannedMove) -> None:
         while not is_next(move, [*self.planned, *self._get_other_moves()]):
             self._change_event.clear()
--- a/src/savorylift/moves/mover.py
+++ b/src/savorylift/moves/mover.py
@@ -3,6 +3,7 @@
 The KV cache is copied while the run continues. The run is then stopped, and
 what was added since is copied, so the caller sees a pause of a few events at
 most. Copies by all nodes share the engine's link, so they run one at a time.
+A run that can't be copied in time may be made again elsewhere instead.
 """
 
 import asyncio
@@ -15,9 +16,10 @@
 from savorylift.exchange.request import KvCopy
 from savorylift.exchange.run import ResumeTarget, Run
 from savorylift.exchange.server_pool import ServerPool
+from savorylift.moves import metrics as move_metrics
 from savorylift.moves.move_destination import choose_destination
-from savorylift.moves.move_order import PlannedMove
 from savorylift.moves.run_copier import RunCopier
+from savorylift.moves.turns import MoveTurns
 from savorylift.platform.engine_client import (
     CopyError,
     CopyFault,
@@ -39,16 +41,24 @@
 class Mover:
     """Moves runs by copying their KV cache."""
 
-    def __init__(self, pool: ServerPool, server_check: ServerCheck) -> None:
+    def __init__(
+        self,
+        pool: ServerPool,
+        server_check: ServerCheck,
+        turns: MoveTurns | None = None,
+    ) -> None:
         """Creates a mover.
 
         Args:
             pool: Engines to choose destinations from.
             server_check: Finds out whether another process has taken the place
                 of an engine's.
+            turns: When runs may be copied, and to where; None to order them
+                among the nodes.
         """
         self._pool = pool
         self._server_check = server_check
+        self._turns = turns or MoveTurns(pool)
         self._drop_tasks: set[asyncio.Task[bool]] = set()
 
     async def move(self, run: Run) -> ResumeTarget | None:
@@ -61,12 +71,18 @@
         source = run.server
         assert source is not None
         deadline_s = time.monotonic() + MOVE_TIMEOUT_S
+        refused_by: set[str] = set()
         while True:
-            planned = PlannedMove(
-                source.entry.server_id, run.kv_cache_tokens, run.attempt_id
-            )
-            async with self._pool.move_queue.turn(planned):
-                result = await self._move_in_turn(run, source, deadline_s)
+            async with self._turns.take(run, refused_by, deadline_s) as turn:
+                if turn.unsaved_reason:
+                    self._give_up(run, turn.unsaved_reason)
+                    return None
+                refused_by.clear()
+                result = await self._move_in_turn(
+                    run, source, deadline_s, turn.destination_id, refused_by
+                )
+                if isinstance(result, ResumeTarget):
+                    turn.moved_to = result.server.entry.server_id
             if isinstance(result, ResumeTarget):
                 metrics.MOVES.labels("moved").inc()
                 return result
@@ -85,12 +101,28 @@
         return None
 
     async def _move_in_turn(
-        self, run: Run, source: BackendServer, deadline_s: float
+        self,
+        run: Run,
+        source: BackendServer,
+        deadline_s: float,
+        planned_id: str | None,
+        refused_by: set[str],
     ) -> ResumeTarget | CopyFault:
+        """Copies a run to the planned engine, or to others.
+
+        Args:
+            run: The run.
+            source: Engine that it is on.
+            deadline_s: Monotonic time at which copies end.
+            planned_id: ID of the engine that is planned; None without a plan.
+            refused_by: Takes the IDs of the engines that have no room.
+        """
         tried = {source.entry.server_id}
         fault = CopyFault.NO_ROOM
         for _ in range(MAX_DESTINATIONS):
-            destination = choose_destination(self._pool, run, tried)
+            destination = self._find_planned(run, tried, planned_id)
+            if destination is None:
+                destination = choose_destination(self._pool, run, tried)
             if destination is None:
                 break
             tried.add(destination.entry.server_id)
@@ -98,11 +130,27 @@
             if isinstance(result, ResumeTarget):
                 return result
             fault = result
+            if fault is CopyFault.NO_ROOM:
+                refused_by.add(destination.entry.server_id)
             has_ended = fault is CopyFault.NO_SUCH_RUN
             if has_ended or time.monotonic() > deadline_s:
                 break
         return fault
 
+    def _find_planned(
+        self, run: Run, tried: set[str], planned_id: str | None
+    ) -> BackendServer | None:
+        """Returns the planned engine, unless this node knows better."""
+        if planned_id is None or planned_id in tried:
+            return None
+        return self._pool.kept.find_granted(run.admitted, tried, planned_id)
+
+    def _give_up(self, run: Run, reason: str) -> None:
+        """Has a run made again elsewhere, while its engine still serves."""
+        run.is_given_up = True
+        move_metrics.RUNS_GIVEN_UP.labels(reason).inc()
+        _log.info("given_up", request=run.attempt_id, reason=reason)
+
     def discard_copy(self, target: ResumeTarget) -> None:
         """Frees the copy of a run that is not resumed.
 
--- /dev/null
+++ b/src/savorylift/moves/planner.py
@@ -0,0 +1,205 @@
+"""Plans the moves of the services that this node was chosen for.
+
+What it says only directs moves; engines' own replies decide.
+"""
+
+import asyncio
+import math
+import time
+from typing import Protocol
+
+import structlog
+
+from savorylift.fleet.membership import Membership
+from savorylift.fleet.move_messages import (
+    MoveEnd,
+    MoveMessage,
+    MoveOutcome,
+    MoveReply,
+    MoveRequest,
+)
+from savorylift.moves import metrics
+from savorylift.moves.begun_copies import MoveKey
+from savorylift.moves.move_plan import MovePlan, UnsavedReason
+from savorylift.moves.service_moves import (
+    Decision,
+    ServiceMoves,
+    Surroundings,
+)
+from savorylift.rooms.keeper_choice import KeeperChoice
+
+# Requests and ends that come within this time share a plan.
+PLAN_DELAY_S = 0.01
+# A planner that hears less of the fleet leaves the order to the nodes.
+MIN_LIVE_SHARE = 0.5
+
+_log = structlog.get_logger()
+
+
+class SendMoveMessage(Protocol):
+    """Sends a message to a node."""
+
+    def __call__(self, message: MoveMessage, ip: str) -> None:
+        """Sends it."""
+        ...
+
+
+class MoveSite(Protocol):
+    """What the planner knows of the engines, and does with them."""
+
+    def look(self, service: str) -> Surroundings | None:
+        """Returns what plans depend on; None if no engine is known."""
+        ...
+
+    def hold(self, service: str, tokens: dict[str, int]) -> None:
+        """Keeps room for moves, instead of what was kept before, by engine."""
+        ...
+
+
+class MovePlanner:
+    """Answers requests for turns, for the services that it plans moves of."""
+
+    def __init__(
+        self,
+        choice: KeeperChoice,
+        membership: Membership,
+        site: MoveSite,
+        send: SendMoveMessage,
+    ) -> None:
+        """Creates a planner without runs.
+
+        Args:
+            choice: Which node plans for which service.
+            membership: The other nodes.
+            site: The engines.
+            send: Sends replies.
+        """
+        self._choice = choice
+        self._membership = membership
+        self._site = site
+        self._send = send
+        self._moves: dict[str, ServiceMoves] = {}
+        self._due: set[str] = set()
+
+    def receive(self, message: MoveRequest | MoveEnd, ip: str) -> None:
+        """Handles a message from a node."""
+        if isinstance(message, MoveEnd):
+            self._end(MoveKey(ip, message.number), message.moved_to)
+        elif _is_sound(message):
+            self._add(MoveKey(ip, message.number), message)
+
+    def update(self) -> None:
+        """Drops what is over; to be called periodically."""
+        if not self._moves:
+            return
+        now_s = time.monotonic()
+        peers = self._membership.heard_peers(now_s)
+        live = {peer.state.ip for peer in peers} | {self._choice.own_ip}
+        for service, moves in list(self._moves.items()):
+            moves.drop_old(live)
+            self._site.hold(service, moves.held_tokens())
+            if moves.is_idle and not moves.held_tokens():
+                del self._moves[service]
+            else:
+                self._plan_soon(service)
+
+    def _may_plan(self, service: str) -> bool:
+        share = self._membership.live_share(time.monotonic())
+        return self._choice.is_keeper(service) and share >= MIN_LIVE_SHARE
+
+    def _add(self, key: MoveKey, req: MoveRequest) -> None:
+        if not self._may_plan(req.service):
+            self._reply(MoveReply(req.number, MoveOutcome.ALONE), key.ip)
+            return
+        moves = self._moves.setdefault(req.service, ServiceMoves())
+        is_new = moves.is_new(key)
+        self._reply(moves.add(key, req), key.ip)
+        if is_new:
+            self._plan_soon(req.service)
+
+    def _end(self, key: MoveKey, moved_to: str | None) -> None:
+        for service, moves in self._moves.items():
+            if not moves.is_new(key):
+                moves.end(key, moved_to)
+                self._plan_soon(service)
+
+    def _plan_soon(self, service: str) -> None:
+        if service in self._due or not self._moves[service].has_waiting:
+            return
+        self._due.add(service)
+        asyncio.get_running_loop().call_later(PLAN_DELAY_S, self._plan, service)
+
+    def _plan(self, service: str) -> None:
+        self._due.discard(service)
+        moves = self._moves.get(service)
+        if moves is None:
+            return
+        around = self._site.look(service)
+        if around is None:
+            self._leave_alone(service, moves)
+            return
+        begun_s = time.monotonic()
+        plan, decisions = moves.decide(around)
+        self._site.hold(service, moves.held_tokens())
+        for decision in decisions:
+            self._reply(decision.reply, decision.key.ip)
+        if decisions:
+            took_s = time.monotonic() - begun_s
+            self._log_plan(service, plan, decisions, around, took_s)
+
+    def _leave_alone(self, service: str, moves: ServiceMoves) -> None:
+        """Lets the nodes order the moves; this one may hear of engines last."""
+        for key in moves.take_waiting():
+            self._reply(MoveReply(key.number, MoveOutcome.ALONE), key.ip)
+        self._site.hold(service, moves.held_tokens())
+
+    def _reply(self, reply: MoveReply, ip: str) -> None:
+        metrics.MOVE_REPLIES.labels(str(reply.outcome)).inc()
+        self._send(reply, ip)
+
+    def _log_plan(
+        self,
+        service: str,
+        plan: MovePlan,
+        decisions: list[Decision],
+        around: Surroundings,
+        took_s: float,
+    ) -> None:
+        now_s = time.monotonic()
+        peers = self._membership.heard_peers(now_s)
+        oldest_s = min((peer.heard_s for peer in peers), default=now_s)
+        reasons = [unsaved.reason for unsaved in plan.unsaved]
+        _log.info(
+            "move_plan",
+            service=service,
+            sources={
+                server_id: round(source.leaves_in_s, 3)
+                for server_id, source in plan.sources.items()
+            },
+            destinations=len(around.destinations),
+            copies=len(plan.copies),
+            late=len(plan.late),
+            trials=len(plan.trials),
+            unsaved_time=reasons.count(UnsavedReason.TIME),
+            unsaved_room=reasons.count(UnsavedReason.ROOM),
+            told={
+                f"{decision.key.ip}/{decision.key.number}": (
+                    decision.reply.destination_id or decision.reply.outcome
+                )
+                for decision in decisions
+            },
+            knowledge_age_s=round(now_s - oldest_s, 3),
+            took_ms=round(took_s * 1000, 1),
+        )
+
+
+def _is_sound(req: MoveRequest) -> bool:
+    """Whether the values of a request make sense."""
+    return (
+        math.isfinite(req.notice_age_s)
+        and req.notice_age_s >= 0
+        and req.tokens >= 0
+        and req.expected_tokens >= 0
+        and 0 <= req.done_share <= 1
+        and (req.ends_in_s is None or req.ends_in_s >= 0)
+    )
--- a/src/savorylift/rooms/book.py
+++ b/src/savorylift/rooms/book.py
@@ -85,6 +85,8 @@
     def __init__(self) -> None:
         """Starts without any places."""
         self.held = HeldRoom()
+        # Tokens that are kept for planned moves, by engine.
+        self.planned: Mapping[str, int] = {}
         self._grants: dict[PlaceKey, Grant] = {}
         # Grants by node and engine, oldest first.
         self._places: dict[str, dict[str, dict[PlaceKey, Grant]]] = {}
@@ -209,9 +211,11 @@
         prefill_tokens = total.prefill_tokens
         prefill_tokens += int(max(pending_s, 0.0) * prefill_per_s)
         results = known.get(server_id, Load())
+        planned = self.planned.get(server_id, 0)
         return results._replace(
-            requests=total.requests,
-            tokens=total.tokens,
+            # An engine to which a run is to move isn't idle.
+            requests=total.requests + (planned > 0),
+            tokens=total.tokens + planned,
             prefill_tokens=prefill_tokens,
         )
 
--- a/src/savorylift/rooms/keeper.py
+++ b/src/savorylift/rooms/keeper.py
@@ -129,6 +129,10 @@
         """Whether this node keeps the room of any service now."""
         return bool(self._rooms)
 
+    def rooms_of(self, service: str) -> dict[RoomId, ServiceRoom]:
+        """Returns the rooms of a service that this node keeps."""
+        return {i: r for i, r in self._rooms.items() if i.service == service}
+
     def hear(self, ip: str, loads: Iterable[ServerLoad]) -> None:
         """Notes what a node says that it has at engines."""
         for room_id, room in self._rooms.items():
--- a/src/savorylift/rooms/service_room.py
+++ b/src/savorylift/rooms/service_room.py
@@ -157,6 +157,19 @@
         if tokens:
             self._release_rate.record_release(tokens)
 
+    def hold(self, tokens: Mapping[str, int]) -> None:
+        """Keeps tokens free for moves, instead of those before, by engine."""
+        self._book.planned = tokens
+
+    def loads(self, engines: Engines) -> dict[str, Load]:
+        """Returns the load of each engine, with what is kept for moves."""
+        return {
+            server.entry.server_id: self._book.load(
+                server.entry.server_id, engines.known, engines.prefill_per_s
+            )
+            for server in engines.servers
+        }
+
     def dispatch(self, engines: Engines) -> Iterator[Decision]:
         """Yields the decisions that can be made now."""
         now_s = time.monotonic()
@@ -165,12 +178,7 @@
             return
         by_number = {w.ticket.number: w for w in self._waiting.values()}
         tickets = [w.ticket for w in by_number.values()]
-        loads = {
-            server.entry.server_id: self._book.load(
-                server.entry.server_id, engines.known, engines.prefill_per_s
-            )
-            for server in engines.servers
-        }
+        loads = self.loads(engines)
         left = []
         all_engines = engines
         bounds = self._prefill_bounds.by_priority()
--- a/tests/rooms/test_service_room.py
+++ b/tests/rooms/test_service_room.py
@@ -240,3 +240,18 @@
     room.add(key(1), make_request(1))
     assert granted(room, engines) == [1]
     assert room.find_engine(key(1)) == "usual"
+
+
+def test_room_that_is_held_for_moves_is_not_granted() -> None:
+    room, engines = make_room(), make_engines("a", "b")
+    room.hold({"a": 9000})
+    assert room.loads(engines)["a"].tokens == 9000
+    for number in (1, 2):
+        room.add(key(number), make_request(number, 4000))
+    assert granted(room, engines) == [1, 2]
+    assert {room.find_engine(key(n)) for n in (1, 2)} == {"b"}
+    # An engine counts as idle only without moves, too.
+    room.add(key(3), make_request(3, 4000))
+    assert granted(room, engines) == []
+    room.hold({})
+    assert granted(room, engines) == [3]
