Give back turns of moves that come too late

Cause: a turn that reached a node after it had gone on without the planner kept the links of two engines in use for up to 2.5 s. Change: the node gives it back, unless it holds that turn and the reply is a copy.

--- a/src/savorylift/moves/plan_client.py
+++ b/src/savorylift/moves/plan_client.py
@@ -54,6 +54,8 @@
         self._send = send
         self._next_number = rng.getrandbits(NUMBER_BITS)
         self._exchanges: dict[int, _Exchange] = {}
+        # Numbers of the requests whose turns are held.
+        self._held: set[int] = set()
         # Monotonic time until which silent planners aren't asked.
         self._silent_until_s: dict[str, float] = {}
 
@@ -88,7 +90,9 @@
             has_turn = reply is not None and reply.outcome == MoveOutcome.GO
         finally:
             del self._exchanges[exchange.number]
-            if not has_turn:
+            if has_turn:
+                self._held.add(exchange.number)
+            else:
                 self.end(ip, exchange.number)
         known = (MoveOutcome.GO, MoveOutcome.UNSAVED)
         # A later build may say what this one doesn't know.
@@ -102,6 +106,7 @@
             number: Number of the request for the turn.
             moved_to: Engine at which the run goes on; None if it wasn't moved.
         """
+        self._held.discard(number)
         self._send(MoveEnd(number, moved_to), ip)
 
     def receive(self, reply: MoveReply, ip: str) -> None:
@@ -110,6 +115,8 @@
         if exchange is not None and exchange.ip == ip:
             exchange.reply = reply
             exchange.has_news.set()
+        elif reply.outcome == MoveOutcome.GO and reply.number not in self._held:
+            self.end(ip, reply.number)
 
     async def _ask_first(
         self, exchange: _Exchange, make_request: Callable[[], MoveRequest]
--- a/tests/moves/test_planner.py
+++ b/tests/moves/test_planner.py
@@ -249,6 +249,31 @@
         reply = await fleet.others[0].ask(make_move_request(1))
         assert is_go(reply)
         assert lost == [reply]
+        # The second copy of the reply gives nothing back.
+        await asyncio.sleep(0.1)
+        assert not any(isinstance(m, MoveEnd) for m in fleet.sent)
+
+    run_in_virtual_time(monkeypatch, scenario)
+
+
+def test_turn_that_comes_too_late_is_given_back(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        fleet = Fleet()
+        first, second = fleet.others[:2]
+        # The planner hears the first node, which doesn't hear it.
+        fleet.deaf.add(first.ip)
+        assert await first.ask(make_move_request(1, tokens=3000)) is None
+        fleet.deaf.clear()
+        late = MoveReply(12345, MoveOutcome.GO, "d0")
+        fleet.planner.planner.receive(
+            make_move_request(12345, tokens=3000), first.ip
+        )
+        first.receive(late, fleet.planner.ip)
+        assert MoveEnd(12345) in fleet.sent
+        await asyncio.sleep(0.1)
+        assert is_go(await second.ask(make_move_request(2)))
 
     run_in_virtual_time(monkeypatch, scenario)
 
