End the wait for a move's turn with the stream, not with a time

Cause: a run that waited for its turn when its engine stopped was waited for up to 1 s more before it went on elsewhere; and one whose engine stayed for long left the plan after 2.5 s, with no time to be copied. Change: a run that only waits for the planner has nothing to wait for once its stream has broken off, and goes on at once; while the planner lets it wait, the time for its copies doesn't run.

--- a/src/savorylift/exchange/engine_runs.py
+++ b/src/savorylift/exchange/engine_runs.py
@@ -188,6 +188,10 @@
         if run.move_task is None:
             return None
         move_task, run.move_task = run.move_task, None
+        if run.awaits_move:
+            # Nothing of it was copied, and its engine has ended its stream.
+            move_task.cancel()
+            return None
         try:
             async with asyncio.timeout(MOVE_COMPLETION_TIMEOUT_S):
                 return await move_task
--- a/src/savorylift/exchange/run.py
+++ b/src/savorylift/exchange/run.py
@@ -76,6 +76,7 @@
             that marks its end as complete.
         is_stopping: Whether its engine was told to stop it, for a move.
         is_end_known: Whether its engine, which lives, has ended its stream.
+        awaits_move: Whether it waits for the planner of moves.
         is_given_up: Whether it is to be made again elsewhere, since its engine
             leaves before a copy could end.
         obstacle: What kept it from going on at the latest engine tried, if it
@@ -118,6 +119,7 @@
         self.is_framed_for_caller = False
         self.is_stopping = False
         self.is_end_known = False
+        self.awaits_move = False
         self.is_given_up = False
         self.obstacle: Obstacle | None = None
         self.return_in_s: float | None = None
--- a/src/savorylift/moves/mover.py
+++ b/src/savorylift/moves/mover.py
@@ -73,7 +73,9 @@
         deadline_s = time.monotonic() + MOVE_TIMEOUT_S
         refused_by: set[str] = set()
         while True:
-            async with self._turns.take(run, refused_by, deadline_s) as turn:
+            async with self._turns.take(run, refused_by) as turn:
+                # While the planner lets it wait, its engine may stay as well.
+                deadline_s += turn.planner_wait_s
                 if turn.unsaved_reason:
                     self._give_up(run, turn.unsaved_reason)
                     return None
--- a/src/savorylift/moves/turns.py
+++ b/src/savorylift/moves/turns.py
@@ -32,16 +32,21 @@
         destination_id: Engine to copy it to; None to choose one.
         unsaved_reason: Why no copy of it would end in time, if it is to be made
             again elsewhere; empty if it is to be copied.
+        planner_wait_s: How long the planner was waited for.
         moved_to: Engine at which it goes on; None if it wasn't moved. Set by
             the one who takes the turn.
     """
 
     def __init__(
-        self, destination_id: str | None = None, unsaved_reason: str = ""
+        self,
+        destination_id: str | None = None,
+        unsaved_reason: str = "",
+        planner_wait_s: float = 0.0,
     ) -> None:
         """Creates a turn of a run that wasn't moved yet."""
         self.destination_id = destination_id
         self.unsaved_reason = unsaved_reason
+        self.planner_wait_s = planner_wait_s
         self.moved_to: str | None = None
 
 
@@ -68,15 +73,12 @@
         self._noticed_s: dict[str, float] = {}
 
     @contextlib.asynccontextmanager
-    async def take(
-        self, run: Run, tried: set[str], leave_s: float
-    ) -> AsyncIterator[Turn]:
+    async def take(self, run: Run, tried: set[str]) -> AsyncIterator[Turn]:
         """Waits for a run's turn and holds it until the context exits.
 
         Args:
             run: The run, which is at an engine.
             tried: IDs of the engines that can't take it.
-            leave_s: Monotonic time until which a turn is of use.
         """
         source = run.server
         assert source is not None
@@ -88,20 +90,25 @@
             planner_ip = self._client.find_planner(source.entry.service)
         begun_s = time.monotonic()
         if self._client is not None and planner_ip is not None:
-            reply = await self._client.ask(
-                planner_ip,
-                lambda: self._make_request(run, source, tried),
-                leave_s,
-            )
-        self._record(run, planner_ip, reply, begun_s)
+            run.awaits_move = True
+            try:
+                reply = await self._client.ask(
+                    planner_ip,
+                    lambda: self._make_request(run, source, tried),
+                    run.admitted.deadline_s,
+                )
+            finally:
+                run.awaits_move = False
+        wait_s = time.monotonic() - begun_s
+        self._record(run, planner_ip, reply, wait_s)
         if self._client is None or planner_ip is None or reply is None:
             async with self._pool.move_queue.turn(move):
-                yield Turn()
+                yield Turn(planner_wait_s=wait_s)
             return
         if reply.outcome == MoveOutcome.UNSAVED:
             yield Turn(unsaved_reason=reply.reason or "unknown")
             return
-        turn = Turn(reply.destination_id)
+        turn = Turn(reply.destination_id, planner_wait_s=wait_s)
         try:
             with self._pool.move_queue.planned_turn(move):
                 yield turn
@@ -147,7 +154,7 @@
         run: Run,
         planner_ip: str | None,
         reply: MoveReply | None,
-        begun_s: float,
+        wait_s: float,
     ) -> None:
         kind = "unplanned" if reply is None else reply.outcome
         metrics.MOVE_TURNS.labels(str(kind)).inc()
@@ -160,7 +167,7 @@
             outcome=kind,
             destination=reply and reply.destination_id,
             reason=reply and reply.reason,
-            waited_ms=round((time.monotonic() - begun_s) * 1000),
+            waited_ms=round(wait_s * 1000),
             tokens=run.kv_cache_tokens,
             done_share=round(done_share(run), 2),
         )
--- a/tests/front/test_planned_moves.py
+++ b/tests/front/test_planned_moves.py
@@ -9,6 +9,8 @@
 from savorylift.fleet.move_messages import MoveOutcome
 from savorylift.moves import metrics as move_metrics
 from savorylift.moves import service_moves
+from savorylift.moves.move_plan import MovePlan, plan_moves
+from savorylift.moves.service_moves import Decision, ServiceMoves, Surroundings
 from savorylift.rooms.keeper_choice import MIN_NODES
 from tests.front.node_fleet import NodeFleet
 from tests.harness.virtual_time import run_in_virtual_time
@@ -32,6 +34,7 @@
     fleet: NodeFleet,
     on_notice: Callable[[NodeFleet], None],
     path: str = "/stream/x",
+    notice_s: float = NOTICE_S,
 ) -> int:
     """Takes an engine away that runs streams of several nodes.
 
@@ -50,7 +53,7 @@
     running = len(leaving.streamed_events)
     on_notice(fleet)
     fleet.publish_entry(leaving, SERVICE, "draining")
-    await asyncio.sleep(NOTICE_S)
+    await asyncio.sleep(notice_s)
     fleet.remove_entry(leaving)
     leaving.close_all()
     await asyncio.sleep(3.0)
@@ -161,3 +164,28 @@
         assert_all_are_served(fleet)
 
     run_in_virtual_time(monkeypatch, scenario)
+
+
+def test_run_whose_engine_stops_before_its_turn_goes_on_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    def decide(
+        self: ServiceMoves, around: Surroundings
+    ) -> tuple[MovePlan, list[Decision]]:
+        return plan_moves([], {}, {}), []
+
+    monkeypatch.setattr(ServiceMoves, "decide", decide)
+
+    async def scenario() -> None:
+        fleet = NodeFleet(MIN_NODES, 3)
+        async with fleet.running():
+            moved_before = moved()
+            running = await leave_with_streams(
+                fleet, lambda _: None, "/resumable/x", notice_s=0.5
+            )
+        assert running > 0
+        assert moved() == moved_before
+        # They would end too late if their nodes waited for a move.
+        assert_all_are_served(fleet)
+
+    run_in_virtual_time(monkeypatch, scenario)
