--- a/tests/moves/factories.py
+++ b/tests/moves/factories.py
@@ -1,5 +1,7 @@
 """Runs and engines for tests of plans of moves."""
 
+from typing import NamedTuple
+
 from savorylift.fleet.move_messages import MoveRequest
 from savorylift.moves.copy_schedule import Destination, LeavingEngine, MovingRun
 
@@ -11,6 +13,14 @@
 SERVICE = "s"
 
 
+class Load(NamedTuple):
+    """Runs on engines that leave, and where they may go."""
+
+    runs: list[MovingRun]
+    sources: dict[str, LeavingEngine]
+    destinations: dict[str, Destination]
+
+
 def make_run(
     number: int,
     source_id: str = "e0",
