--- a/src/savorylift/exchange/engine_runs.py
+++ b/src/savorylift/exchange/engine_runs.py
@@ -87,7 +87,7 @@
             run, tried, is_last=is_last
         )
         run.is_at_engine = True
-        run.is_stopping = run.is_end_known = False
+        run.is_stopping = run.is_end_known = run.is_given_up = False
         started = await self._run_sender.send(
             run, server, ResumePoint(run.resume_after), failover_policy
         )
@@ -188,6 +188,10 @@
         if run.move_task is None:
             return None
         move_task, run.move_task = run.move_task, None
+        if run.awaits_move:
+            # Nothing of it was copied, and its engine has ended its stream.
+            move_task.cancel()
+            return None
         try:
             async with asyncio.timeout(MOVE_COMPLETION_TIMEOUT_S):
                 return await move_task
