Don't wait for the first share of a roll-out where requests are few

Cause: at 8 requests a second the first share brings less than one answer until the watch begins; sound versions were rolled back for want of answers. Change: the watch begins at once if the first share isn't expected to bring two answers.

--- a/src/savorylift/rollouts/next_stage.py
+++ b/src/savorylift/rollouts/next_stage.py
@@ -40,6 +40,8 @@
 # The first step ends after so many sound answers, or this part of the time.
 FIRST_ANSWERS = 5
 FIRST_TIME_PART = 0.25
+# It isn't waited for if so few answers are to be expected by then.
+FEW_FIRST_ANSWERS = 2
 # A version that is still doubtful after this multiple of that time is rolled
 # back.
 MAX_LOAD_FACTOR = 3
@@ -136,13 +138,29 @@
         return None
     is_due = situation.elapsed_s >= FIRST_TIME_PART * stage.duration_s
     has_answers = situation.judgement.new_answers >= FIRST_ANSWERS
-    if not is_due and not has_answers:
+    if not (is_due or has_answers or _is_rare(stage, situation)):
         return None
     watch_share = _watch_share(stage, situation, limits)
     share = max(watch_share - situation.other_builds, 0.0)
     return _advance(stage, WATCH_STEP, share, "sound so far")
 
 
+def _is_rare(stage: Stage, situation: Situation) -> bool:
+    """Whether the first share is too small for a service with few requests."""
+    first_s = FIRST_TIME_PART * stage.duration_s
+    judgement = situation.judgement
+    if judgement.new_answers + judgement.old_answers < FIRST_ANSWERS:
+        return False
+    expected = _requests_per_s(situation) * stage.share * first_s
+    return expected < FEW_FIRST_ANSWERS
+
+
+def _requests_per_s(situation: Situation) -> float:
+    judgement = situation.judgement
+    answers = judgement.new_answers + judgement.old_answers
+    return answers / situation.elapsed_s if situation.elapsed_s > 0 else 0.0
+
+
 def _watch_share(
     stage: Stage, situation: Situation, limits: RolloutLimits
 ) -> float:
@@ -151,12 +169,9 @@
     It makes use of the slack, too, which allows a service with few requests
     far more than the share does.
     """
-    judgement = situation.judgement
-    answers = judgement.new_answers + judgement.old_answers
-    least = watched_share(limits)
-    if not answers or situation.elapsed_s <= 0:
+    least, per_s = watched_share(limits), _requests_per_s(situation)
+    if not per_s:
         return least
-    per_s = answers / situation.elapsed_s
     timetable = _find_timetable(stage, situation)
     allowed = limits.share * per_s * stage.duration_s + limits.slack
     load_time_s = load_duration_s(stage.duration_s)
--- a/tests/front/test_server_notices.py
+++ b/tests/front/test_server_notices.py
@@ -12,6 +12,7 @@
     run_in_environment,
 )
 from tests.front.node_fleet import NodeFleet
+from tests.standins.platform_server import PlatformServer
 
 TOKEN_COUNTS = (("x-savorylift-token-counts", "100,50"),)
 PATHS = ["/safe/x", "/once/x", "/stream/x", "/resumable/x"]
@@ -24,6 +25,7 @@
 HOLD_REACTION_S = 0.5
 MAX_IN_HOLD = 2
 AT_ONCE_S = 0.3
+FIRST_RUN_TIMEOUT_S = 10.0
 
 
 @pytest.mark.parametrize("path", PATHS)
@@ -35,6 +37,8 @@
         fleet = NodeFleet(nodes, 3)
         async with fleet.running():
             leaving = fleet.service(path)[0]
+            # Nodes may learn of the notice by a check, before a request does.
+            await call_until_run(fleet, leaving, path)
             leaving.says_leaving = True
             began_s = time.monotonic()
             await fleet.call_for(path, DRAIN_S + JUDGED_S, PER_S)
@@ -46,12 +50,22 @@
         late = [t for t in leaving.arrivals if t > began_s + DRAIN_S]
         assert late == []
         assert leaving.runs
-        served = sum(e.status == 200 for e in fleet.endings)
-        assert served >= 0.95 * len(fleet.endings)
+        for endings in (fleet.endings, fleet.endings_since(began_s)):
+            served = sum(e.status == 200 for e in endings)
+            assert served >= 0.95 * len(endings)
 
     asyncio.run(scenario())
 
 
+async def call_until_run(
+    fleet: NodeFleet, server: PlatformServer, path: str
+) -> None:
+    """Sends requests until a server has got one of them."""
+    async with asyncio.timeout(FIRST_RUN_TIMEOUT_S):
+        while not server.runs:
+            await fleet.call_for(path, 1 / PER_S, PER_S)
+
+
 def test_server_that_starts_again_counts_as_new() -> None:
     async def scenario(env: NodeEnvironment) -> None:
         for server in env.app:
--- a/tests/rollouts/test_next_stage.py
+++ b/tests/rollouts/test_next_stage.py
@@ -168,6 +168,19 @@
     assert find_next(FIRST, now, limits) is None
 
 
+@pytest.mark.parametrize(
+    ("old_answers", "is_raised"),
+    # Too few to know the rate, few, and enough for the first share to tell.
+    [(4, False), (8, True), (100, False)],
+)
+def test_the_first_share_is_not_waited_for_where_requests_are_few(
+    old_answers: int, *, is_raised: bool
+) -> None:
+    answers = Judgement(Opinion.UNKNOWN, None, 0, old_answers)
+    now = situation(1.5, judgement=answers)
+    assert (find_next(FIRST, now, LIMITS) is not None) is is_raised
+
+
 @pytest.mark.parametrize("has_engines", [True, False])
 @pytest.mark.parametrize("duration_s", [8.0, 12.0, 60.0, 600.0])
 def test_a_timetable_ends_before_the_deadline(
