Count the time in which the decider's VM was suspended

Cause: the time since an order was taken from the monotonic clock, which stands still while a VM is suspended; the mark that the decider wrote then had the wrong time. Change: the decider goes by its mark in the record at each decision.

--- a/src/savorylift/rollouts/decider.py
+++ b/src/savorylift/rollouts/decider.py
@@ -102,6 +102,9 @@
             order is None or last.order_id == order.order_id
         )
         if last is not None and is_current:
+            # The monotonic clock stands still while a VM is suspended.
+            boot = self._around.read_boot_clock()
+            self._board.note_elapsed(with_time_passed(last, boot))
             return await self._continue(last)
         if order is None:
             return True
@@ -113,8 +116,6 @@
         if self.is_own(last):
             self._take_up(last)
             return True
-        last = with_time_passed(last, self._around.read_boot_clock())
-        self._board.note_elapsed(last)
         self._announcer.hear(last)
         if not last.phase.is_final:
             return await self._write_epoch(last)
--- a/tests/rollouts/play.py
+++ b/tests/rollouts/play.py
@@ -133,7 +133,8 @@
         )
 
     def read_boot_clock(self) -> BootTime | None:
-        return BootTime(f"{self.ip} boot 1", time.monotonic())
+        now_s = time.monotonic() + self._play.suspended_s
+        return BootTime(f"{self.ip} boot 1", now_s)
 
     def send(self, message: RolloutMessage, ip: str | None) -> None:
         self._play.deliver(self, message, ip)
@@ -163,6 +164,8 @@
         exposed: Requests to the new version until the deadline.
         requests: All requests between the order and the deadline.
         unserved: Requests without a server.
+        suspended_s: For how long the VMs were suspended, as their boot clocks
+            say; other clocks stood still.
         broken: Requests that ran at the old servers as these stopped.
         last_exposed_s: When the new version last got a request.
         stop_due_s: When a roll-back was due, if it was.
@@ -193,7 +196,7 @@
         self._last_new = [False] * 40
         self._bad_answers = 0
         self.exposed = self.requests = self.unserved = self.broken = 0
-        self.last_exposed_s = 0.0
+        self.last_exposed_s = self.suspended_s = 0.0
         self.stop_due_s: float | None = None
         self.ordered_s = 0.0
         self._old = [_entry(f"o{n}", OLD) for n in range(14)]
--- a/tests/rollouts/test_plays.py
+++ b/tests/rollouts/test_plays.py
@@ -292,6 +292,22 @@
     assert at_deadline == [["running", "completed"]]
 
 
+def test_the_time_in_which_vms_were_suspended_counts(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    at_deadline: list[list[str]] = []
+
+    def suspend(play: Play) -> None:
+        play.suspended_s = 0.2 * play.duration_s
+
+    def note_status(play: Play) -> None:
+        at_deadline.append(play.statuses)
+
+    script = [(0.3, suspend), (0.8, note_status)]
+    run_play(monkeypatch, sound, script, seed=2)
+    assert at_deadline == [["running", "completed"]]
+
+
 def test_restarted_nodes_count_in_the_slices_of_the_order(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
