Let a decider that has just taken over hear how long requests run

Cause: a node that took over while routes were held knew no run times yet, and shifted all of them at once. Change: for a second it shifts only routes that it knows of, and completes nothing while a route is held.

--- a/src/savorylift/rollouts/next_stage.py
+++ b/src/savorylift/rollouts/next_stage.py
@@ -28,7 +28,7 @@
 WATCH_BUDGET_PART = 0.6
 WHOLE_BUDGET_PART = 0.9
 # A node that has decided for a shorter time doesn't know how many requests
-# there are.
+# there are, nor how long they run.
 MIN_RATE_TIME_S = 1.0
 # Share with which it is tried under load, before it gets all requests.
 LOAD_SHARE = 0.3
@@ -202,25 +202,24 @@
     if late is not None:
         return late
     if not _is_doubtful(situation):
-        return _shift(stage, SHIFT_STEP, situation, "sound under load")
+        timetable = _find_timetable(stage, situation)
+        held = timetable.find_held_routes(situation.elapsed_s)
+        shifted = stage._replace(held_routes=held)
+        return _advance(shifted, SHIFT_STEP, 1.0, "sound under load")
     if situation.step_age_s < MAX_LOAD_FACTOR * load_time_s:
         return None
     return roll_back(stage, "doubtful under load")
 
 
-def _shift(stage: Stage, step: int, situation: Situation, reason: str) -> Stage:
-    """Returns the stage in which the routes that are due are shifted."""
-    timetable = _find_timetable(stage, situation)
-    held = timetable.find_held_routes(situation.elapsed_s)
-    return _advance(stage._replace(held_routes=held), step, 1.0, reason)
-
-
 def _end_shift(stage: Stage, situation: Situation) -> Stage | None:
     timetable = _find_timetable(stage, situation)
-    still_held = timetable.find_held_routes(situation.elapsed_s)
-    if not set(stage.held_routes) <= set(still_held):
-        reason = "further routes are due"
-        return _shift(stage, stage.step + 1, situation, reason)
+    due = _find_due_routes(stage, situation, timetable)
+    if due:
+        held = tuple(r for r in stage.held_routes if r not in due)
+        further = stage._replace(held_routes=held)
+        return _advance(further, stage.step + 1, 1.0, "further routes are due")
+    if stage.held_routes:
+        return None
     if situation.elapsed_s < timetable.complete_s:
         return None
     if situation.step_age_s < SHORTEST_SHIFT_S:
@@ -235,6 +234,18 @@
     )
 
 
+def _find_due_routes(
+    stage: Stage, situation: Situation, timetable: Timetable
+) -> set[str]:
+    """Returns the held routes that are due to be shifted."""
+    still_held = timetable.find_held_routes(situation.elapsed_s)
+    due = set(stage.held_routes).difference(still_held)
+    if situation.step_age_s < MIN_RATE_TIME_S:
+        # Nodes are still to tell how long requests run.
+        due.intersection_update(situation.routes)
+    return due
+
+
 def _end_late(stage: Stage, situation: Situation) -> Stage | None:
     """Rolls back what can't be completed before the deadline any more."""
     timetable = _find_timetable(stage, situation)
--- a/tests/rollouts/test_next_stage.py
+++ b/tests/rollouts/test_next_stage.py
@@ -214,8 +214,9 @@
 
 def test_nothing_is_completed_while_a_route_is_held() -> None:
     held = SHIFT._replace(held_routes=("r",))
-    # A node has taken over late, and knows nothing of the route.
+    # A node has taken over late, and knows nothing of the route yet.
     now = situation(TIMES.complete_s + 0.1)
+    assert find_next(held, now._replace(step_age_s=0.7), LIMITS) is None
     found = find_next(held, now, LIMITS)
     assert found is not None
     assert (found.phase, found.held_routes) == (RolloutPhase.SHIFT, ())
