--- a/src/savorylift/rollouts/next_stage.py
+++ b/src/savorylift/rollouts/next_stage.py
@@ -28,7 +28,7 @@
 WATCH_BUDGET_PART = 0.6
 WHOLE_BUDGET_PART = 0.9
 # A node that has decided for a shorter time doesn't know how many requests
-# there are.
+# there are, nor how long they run.
 MIN_RATE_TIME_S = 1.0
 # Share with which it is tried under load, before it gets all requests.
 LOAD_SHARE = 0.3
@@ -40,6 +40,8 @@
 # The first step ends after so many sound answers, or this part of the time.
 FIRST_ANSWERS = 5
 FIRST_TIME_PART = 0.25
+# It isn't waited for if so few answers are to be expected by then.
+FEW_FIRST_ANSWERS = 2
 # A version that is still doubtful after this multiple of that time is rolled
 # back.
 MAX_LOAD_FACTOR = 3
@@ -136,13 +138,29 @@
         return None
     is_due = situation.elapsed_s >= FIRST_TIME_PART * stage.duration_s
     has_answers = situation.judgement.new_answers >= FIRST_ANSWERS
-    if not is_due and not has_answers:
+    if not (is_due or has_answers or _is_rare(stage, situation)):
         return None
     watch_share = _watch_share(stage, situation, limits)
     share = max(watch_share - situation.other_builds, 0.0)
     return _advance(stage, WATCH_STEP, share, "sound so far")
 
 
+def _is_rare(stage: Stage, situation: Situation) -> bool:
+    """Whether the first share is too small for a service with few requests."""
+    first_s = FIRST_TIME_PART * stage.duration_s
+    judgement = situation.judgement
+    if judgement.new_answers + judgement.old_answers < FIRST_ANSWERS:
+        return False
+    expected = _requests_per_s(situation) * stage.share * first_s
+    return expected < FEW_FIRST_ANSWERS
+
+
+def _requests_per_s(situation: Situation) -> float:
+    judgement = situation.judgement
+    answers = judgement.new_answers + judgement.old_answers
+    return answers / situation.elapsed_s if situation.elapsed_s > 0 else 0.0
+
+
 def _watch_share(
     stage: Stage, situation: Situation, limits: RolloutLimits
 ) -> float:
@@ -151,12 +169,9 @@
     It makes use of the slack, too, which allows a service with few requests
     far more than the share does.
     """
-    judgement = situation.judgement
-    answers = judgement.new_answers + judgement.old_answers
-    least = watched_share(limits)
-    if not answers or situation.elapsed_s <= 0:
+    least, per_s = watched_share(limits), _requests_per_s(situation)
+    if not per_s:
         return least
-    per_s = answers / situation.elapsed_s
     timetable = _find_timetable(stage, situation)
     allowed = limits.share * per_s * stage.duration_s + limits.slack
     load_time_s = load_duration_s(stage.duration_s)
@@ -187,25 +202,24 @@
     if late is not None:
         return late
     if not _is_doubtful(situation):
-        return _shift(stage, SHIFT_STEP, situation, "sound under load")
+        timetable = _find_timetable(stage, situation)
+        held = timetable.find_held_routes(situation.elapsed_s)
+        shifted = stage._replace(held_routes=held)
+        return _advance(shifted, SHIFT_STEP, 1.0, "sound under load")
     if situation.step_age_s < MAX_LOAD_FACTOR * load_time_s:
         return None
     return roll_back(stage, "doubtful under load")
 
 
-def _shift(stage: Stage, step: int, situation: Situation, reason: str) -> Stage:
-    """Returns the stage in which the routes that are due are shifted."""
-    timetable = _find_timetable(stage, situation)
-    held = timetable.find_held_routes(situation.elapsed_s)
-    return _advance(stage._replace(held_routes=held), step, 1.0, reason)
-
-
 def _end_shift(stage: Stage, situation: Situation) -> Stage | None:
     timetable = _find_timetable(stage, situation)
-    still_held = timetable.find_held_routes(situation.elapsed_s)
-    if not set(stage.held_routes) <= set(still_held):
-        reason = "further routes are due"
-        return _shift(stage, stage.step + 1, situation, reason)
+    due = _find_due_routes(stage, situation, timetable)
+    if due:
+        held = tuple(r for r in stage.held_routes if r not in due)
+        further = stage._replace(held_routes=held)
+        return _advance(further, stage.step + 1, 1.0, "further routes are due")
+    if stage.held_routes:
+        return None
     if situation.elapsed_s < timetable.complete_s:
         return None
     if situation.step_age_s < SHORTEST_SHIFT_S:
@@ -220,6 +234,18 @@
     )
 
 
+def _find_due_routes(
+    stage: Stage, situation: Situation, timetable: Timetable
+) -> set[str]:
+    """Returns the held routes that are due to be shifted."""
+    still_held = timetable.find_held_routes(situation.elapsed_s)
+    due = set(stage.held_routes).difference(still_held)
+    if situation.step_age_s < MIN_RATE_TIME_S:
+        # Nodes are still to tell how long requests run.
+        due.intersection_update(situation.routes)
+    return due
+
+
 def _end_late(stage: Stage, situation: Situation) -> Stage | None:
     """Rolls back what can't be completed before the deadline any more."""
     timetable = _find_timetable(stage, situation)
