Bound what TLS buffers for a connection, and give slow bodies no memory ahead

Change: 16 and 64 KiB (`wire/tls_buffers.py`); a connection over TLS counts with what that makes, 128 KiB in place of 96; a body's buffer is memory that the system provides as it is written.

--- a/src/savorylift/front/connection_shares.py
+++ b/src/savorylift/front/connection_shares.py
@@ -22,8 +22,9 @@
 # its buffers.
 MEMORY_DIVISOR = 4
 CONNECTION_BYTES = 32_768
-# What TLS adds to a connection's buffers.
-TLS_BYTES = 65_536
+# What TLS adds to a connection's buffers: those of its input, of one record and
+# of its output (`wire/tls_buffers.py`).
+TLS_BYTES = 98_304
 
 
 class ConnectionShares(NamedTuple):
--- a/src/savorylift/wire/body_reader.py
+++ b/src/savorylift/wire/body_reader.py
@@ -219,11 +219,9 @@
 
 def _buffer_for(length: int | None) -> io.BytesIO:
     """Returns an empty buffer for a body of `length` bytes, if it is known."""
-    # Unlike a bytearray, it returns its content without a copy.
-    body = io.BytesIO()
+    # Unlike a bytearray, it returns its content without a copy. All at once:
+    # pieces of memory that grow would leave gaps. The system provides a page
+    # only once something is written there, so that slow bodies take little.
     if length is not None and length > SMALL_BODY_BYTES:
-        # All at once: pieces of memory that grow would leave gaps.
-        body.seek(length - 1)
-        body.write(b"\0")
-        body.seek(0)
-    return body
+        return io.BytesIO(bytes(length))
+    return io.BytesIO()
--- a/src/savorylift/wire/listener.py
+++ b/src/savorylift/wire/listener.py
@@ -20,6 +20,7 @@
 from savorylift.wire.opening_connection import OpeningConnection
 from savorylift.wire.request_input import BadRequest, CloseReason, InputLimits
 from savorylift.wire.server_connection import ServerConnection
+from savorylift.wire.tls_buffers import limit_buffers
 
 if TYPE_CHECKING:
     import ssl
@@ -136,6 +137,7 @@
                 sock.close()
         if channel is None:
             return
+        limit_buffers(channel.transport)
         conn = ServerConnection(channel, self._get_limits, self._admission)
         self._limit.replace(opening, conn)
         self._conns.add(conn)
