Pass on what a connection is for where tests cut links

Cause: `connect` got an argument for its purpose, which the tests' stand-in for it didn't take: each attempt raised TypeError, and test_cut_off_nodes.py failed. Measured: tests/front/test_cut_off_nodes.py, failed at its first case before, 39 passed after, at load 3 to 8.

--- a/tests/front/cut_links.py
+++ b/tests/front/cut_links.py
@@ -11,6 +11,7 @@
 from savorylift.wire import channel
 from savorylift.wire.channel import Channel
 from savorylift.wire.listener import Listener
+from savorylift.wire.purpose import Purpose
 from savorylift.wire.request_input import InputLimits
 from savorylift.wire.server_connection import ServerConnection
 
@@ -74,17 +75,24 @@
         """Heals all links."""
         self._cuts.clear()
 
-    async def _connect(self, host: str, port: int, timeout_s: float) -> Channel:
+    async def _connect(
+        self,
+        host: str,
+        port: int,
+        timeout_s: float,
+        purpose: Purpose = Purpose.OTHER,
+    ) -> Channel:
         how, ports = self._cuts.get(current_node.get(), (None, frozenset()))
         if how is None or port not in ports:
-            return await channel.connect(host, port, timeout_s)
+            return await channel.connect(host, port, timeout_s, purpose)
         self.attempts += 1
         if how is Cut.SILENT:
             await asyncio.sleep(timeout_s)
             raise TimeoutError
         if how is Cut.REFUSED:
             raise ConnectionRefusedError
-        return await channel.connect(host, self._ports[how], timeout_s)
+        cut_port = self._ports[how]
+        return await channel.connect(host, cut_port, timeout_s, purpose)
 
 
 async def _reset(conn: ServerConnection) -> None:
