Move opening connections out of the channel

Change: `connect` is in `wire/connecting.py`, which nothing used so far; import lines only, behaviour is unchanged.

--- a/tests/processes/test_server_check.py
+++ b/tests/processes/test_server_check.py
@@ -19,11 +19,8 @@
     CHECK_TIMEOUT_S,
     PERMIT_WAIT_S,
 )
-from savorylift.wire.channel import (
-    MAX_READ_BUFFER_BYTES,
-    Channel,
-    connect,
-)
+from savorylift.wire.channel import MAX_READ_BUFFER_BYTES, Channel
+from savorylift.wire.connecting import connect
 from savorylift.wire.purpose import Purpose
 from tests.exchange.factories import make_server
 from tests.harness.ports import free_addresses
