Let the keeper of a service's first engines plan its moves

The planner was chosen by the service's name, the keepers of its groups of engines by the names of these.

--- a/src/savorylift/front/move_parts.py
+++ b/src/savorylift/front/move_parts.py
@@ -15,6 +15,7 @@
 from savorylift.moves.copy_schedule import Destination
 from savorylift.moves.plan_client import PlanClient
 from savorylift.moves.planner import MovePlanner
+from savorylift.moves.planner_choice import PlannerChoice
 from savorylift.moves.run_outlook import may_repeat
 from savorylift.moves.service_moves import Surroundings
 from savorylift.moves.turns import MoveTurns
@@ -140,13 +141,14 @@
             transport.send_message(message, ip)
 
     site = EngineSite(pool, shared.membership, rooms)
-    client = PlanClient(rooms.choice, send, shared.rng)
+    choice = PlannerChoice(rooms.choice, rooms.groups)
+    client = PlanClient(choice, send, shared.rng)
     is_planned = shared.settings.move_planner
     turns = MoveTurns(
         pool,
         client if is_planned else None,
         lambda run: may_repeat(run, pool, is_safe),
     )
-    planner = MovePlanner(rooms.choice, shared.membership, site, send)
+    planner = MovePlanner(choice, shared.membership, site, send)
     parts = MoveParts(planner, client, turns)
     return parts
--- a/src/savorylift/moves/plan_client.py
+++ b/src/savorylift/moves/plan_client.py
@@ -12,7 +12,7 @@
     MoveRequest,
 )
 from savorylift.moves.planner import SendMoveMessage
-from savorylift.rooms.keeper_choice import KeeperChoice
+from savorylift.moves.planner_choice import PlannerChoice
 
 # How long to wait for a reply to each try: many round trips between nodes.
 ASK_TIMEOUTS_S = (0.04, 0.06)
@@ -40,7 +40,7 @@
     """Sends requests for turns, matches replies and tells of ends."""
 
     def __init__(
-        self, choice: KeeperChoice, send: SendMoveMessage, rng: random.Random
+        self, choice: PlannerChoice, send: SendMoveMessage, rng: random.Random
     ) -> None:
         """Creates a client without requests.
 
--- a/src/savorylift/moves/planner.py
+++ b/src/savorylift/moves/planner.py
@@ -21,12 +21,12 @@
 from savorylift.moves import metrics
 from savorylift.moves.begun_copies import MoveKey
 from savorylift.moves.move_plan import MovePlan, UnsavedReason
+from savorylift.moves.planner_choice import PlannerChoice
 from savorylift.moves.service_moves import (
     Decision,
     ServiceMoves,
     Surroundings,
 )
-from savorylift.rooms.keeper_choice import KeeperChoice
 
 # Requests and ends that come within this time share a plan.
 PLAN_DELAY_S = 0.01
@@ -61,7 +61,7 @@
 
     def __init__(
         self,
-        choice: KeeperChoice,
+        choice: PlannerChoice,
         membership: Membership,
         site: MoveSite,
         send: SendMoveMessage,
@@ -105,7 +105,7 @@
 
     def _may_plan(self, service: str) -> bool:
         share = self._membership.live_share(time.monotonic())
-        return self._choice.is_keeper(service) and share >= MIN_LIVE_SHARE
+        return self._choice.is_planner(service) and share >= MIN_LIVE_SHARE
 
     def _add(self, key: MoveKey, req: MoveRequest) -> None:
         if not self._may_plan(req.service):
--- a/tests/moves/test_planner.py
+++ b/tests/moves/test_planner.py
@@ -19,7 +19,9 @@
 from savorylift.moves.begun_copies import MAX_COPY_S
 from savorylift.moves.plan_client import PlanClient
 from savorylift.moves.planner import MovePlanner
+from savorylift.moves.planner_choice import PlannerChoice
 from savorylift.moves.service_moves import Surroundings
+from savorylift.rooms.engine_groups import EngineGroups, RoomId
 from savorylift.rooms.keeper_choice import MIN_NODES, KeeperChoice
 from tests.harness.virtual_time import run_in_virtual_time
 from tests.moves.factories import (
@@ -45,6 +47,7 @@
             (),
         )
         self.held: dict[str, int] = {}
+        self.count = 2
 
     def look(self, service: str) -> Surroundings | None:
         """Returns what plans depend on."""
@@ -62,9 +65,11 @@
         """Creates a node that knows the others."""
         self.ip = ip_of(number)
         self.members = make_membership(number, count)
-        self.choice = KeeperChoice(
+        self.keepers = KeeperChoice(
             self.ip, self.members, lambda: False, is_enabled=True
         )
+        groups = EngineGroups(lambda _: fleet.engines.count)
+        self.choice = PlannerChoice(self.keepers, groups)
 
         def send(message: MoveMessage, ip: str) -> None:
             fleet.send(message, self.ip, ip)
@@ -170,6 +175,18 @@
     run_in_virtual_time(monkeypatch, scenario)
 
 
+@pytest.mark.parametrize(("engines", "groups"), [(2, 1), (48, 2), (96, 4)])
+def test_planner_keeps_the_room_of_the_first_engines(
+    engines: int, groups: int
+) -> None:
+    fleet = Fleet()
+    fleet.engines.count = engines
+    for node in fleet.nodes.values():
+        keeper_ip = node.keepers.find(RoomId(SERVICE, 0, groups).name)
+        assert node.client.find_planner(SERVICE) == keeper_ip
+    assert fleet.planner.choice.is_planner(SERVICE)
+
+
 def test_small_fleet_has_no_planner() -> None:
     fleet = Fleet(MIN_NODES - 1)
     node = fleet.nodes[ip_of(1)]
