Give up a run only if it may still be made again

The planner judges by what a node said with its question. By its reply the retry budget may be used up, or the run may have sent an event without a number: it was then broken off although its engine still served it. The node now asks itself once more, and otherwise has the run copied in the order of the nodes. The reason in a reply is a label of a counter: one that this build doesn't know counts as another, so that messages can't make labels without a bound.

--- a/src/savorylift/moves/turns.py
+++ b/src/savorylift/moves/turns.py
@@ -16,11 +16,14 @@
 from savorylift.fleet.move_messages import MoveOutcome, MoveReply, MoveRequest
 from savorylift.moves import metrics
 from savorylift.moves.move_order import PlannedMove
+from savorylift.moves.move_plan import UnsavedReason
 from savorylift.moves.plan_client import PlanClient
 from savorylift.moves.run_outlook import done_share, ends_in_s
 
 # When an engine was first seen to leave is forgotten after this time.
 FORGET_NOTICE_S = 20.0
+# Stands for reasons of later builds, so that counters stay few.
+OTHER_REASON = "other"
 
 _log = structlog.get_logger()
 
@@ -101,13 +104,20 @@
                 run.awaits_move = False
         wait_s = time.monotonic() - begun_s
         self._record(run, planner_ip, reply, wait_s)
-        if self._client is None or planner_ip is None or reply is None:
+        is_unsaved = reply is not None and reply.outcome == MoveOutcome.UNSAVED
+        if reply is not None and is_unsaved and self._may_repeat(run):
+            yield Turn(unsaved_reason=_known_reason(reply.reason))
+            return
+        # One that could be repeated only when the planner was asked stays.
+        if (
+            self._client is None
+            or planner_ip is None
+            or reply is None
+            or is_unsaved
+        ):
             async with self._pool.move_queue.turn(move):
                 yield Turn(planner_wait_s=wait_s)
             return
-        if reply.outcome == MoveOutcome.UNSAVED:
-            yield Turn(unsaved_reason=reply.reason or "unknown")
-            return
         turn = Turn(reply.destination_id, planner_wait_s=wait_s)
         try:
             with self._pool.move_queue.planned_turn(move):
@@ -171,3 +181,7 @@
             tokens=run.kv_cache_tokens,
             done_share=round(done_share(run), 2),
         )
+
+
+def _known_reason(reason: str) -> str:
+    return reason if reason in frozenset(UnsavedReason) else OTHER_REASON
