Keep places in a full line, and the line of prompts of what has ended

While no more generations may wait, those that did were told to place by themselves with their next question, 0.4 s later. Only new ones are now.

A prompt counted as awaiting prefill until its forecast end, also if its generation had ended at once. A caller that states 10^11 prompt tokens is granted an idle engine, which rejects it: the keeper then took the engine's line for months long, and granted it one generation at a time. Its end now takes back what was left.

--- a/src/savorylift/rooms/book.py
+++ b/src/savorylift/rooms/book.py
@@ -49,6 +49,8 @@
         granted_s: Monotonic time of the grant.
         until_s: Monotonic time at which it ends, whatever is heard.
         holder: For whom it was granted.
+        prefill_s: Time that the engine takes to prefill its prompt.
+        prefilled_s: Monotonic time at which it has done so.
     """
 
     server_id: str
@@ -56,6 +58,8 @@
     granted_s: float
     until_s: float
     holder: Holder
+    prefill_s: float
+    prefilled_s: float
 
 
 class _Sum(NamedTuple):
@@ -132,14 +136,18 @@
             holder: For whom it is granted.
         """
         now_s = time.monotonic()
-        grant = Grant(server_id, tokens, now_s, now_s + lease_s, holder)
+        begins_s = max(self._prefilled_s.get(server_id, 0.0), now_s)
+        prefilled_s = begins_s + prefill_s
+        until_s = now_s + lease_s
+        grant = Grant(
+            server_id, tokens, now_s, until_s, holder, prefill_s, prefilled_s
+        )
         self._grants[key] = grant
         places = self._places.setdefault(key.ip, {})
         places.setdefault(server_id, {})[key] = grant
         self._add_granted(grant, 1)
         self.held.add(holder)
-        begins_s = max(self._prefilled_s.get(server_id, 0.0), now_s)
-        self._prefilled_s[server_id] = begins_s + prefill_s
+        self._prefilled_s[server_id] = prefilled_s
 
     def end(self, key: PlaceKey) -> int:
         """Ends a place, if the request has one; returns its tokens."""
@@ -157,6 +165,7 @@
             del self._places[key.ip]
         self._add_granted(grant, -1)
         self.held.remove(grant.holder)
+        self._end_prefill(grant)
         return grant.tokens
 
     def hear(self, ip: str, loads: Iterable[ServerLoad]) -> int:
@@ -252,6 +261,13 @@
     def _add_other(self, server_id: str, other: _Sum, sign: int) -> None:
         _add(self._other_sums, server_id, other, sign)
 
+    def _end_prefill(self, grant: Grant) -> None:
+        """Takes back what an engine had yet to prefill of a prompt."""
+        left_s = grant.prefilled_s - time.monotonic()
+        left_s = min(left_s, grant.prefill_s)
+        if left_s > 0 and grant.server_id in self._prefilled_s:
+            self._prefilled_s[grant.server_id] -= left_s
+
     def _add_granted(self, grant: Grant, sign: int) -> None:
         _add(self._granted, grant.server_id, _Sum(1, grant.tokens), sign)
 
--- a/src/savorylift/rooms/keeper.py
+++ b/src/savorylift/rooms/keeper.py
@@ -226,8 +226,8 @@
 
     def _ask(self, room_id: RoomId, key: PlaceKey, req: RoomRequest) -> None:
         room = self._rooms[room_id]
-        if room.has_ended(key) or room.is_full:
-            is_over = room.has_ended(key)
+        is_over = room.has_ended(key)
+        if is_over or (room.is_full and not room.is_known(key)):
             reason = AloneReason.ENDED if is_over else AloneReason.TOO_MANY
             self._leave_alone(req, key.ip, reason)
             return
--- a/src/savorylift/rooms/service_room.py
+++ b/src/savorylift/rooms/service_room.py
@@ -97,6 +97,10 @@
         """Whether no more generations may wait."""
         return len(self._waiting) >= MAX_WAITING
 
+    def is_known(self, key: PlaceKey) -> bool:
+        """Whether a request waits, or has a place."""
+        return self.is_waiting(key) or self.find_engine(key) is not None
+
     def is_waiting(self, key: PlaceKey) -> bool:
         """Whether the generation of a request waits."""
         return key in self._waiting
--- a/tests/rooms/test_book.py
+++ b/tests/rooms/test_book.py
@@ -37,6 +37,24 @@
         assert not book.has_ended(B)
 
 
+def test_prompt_whose_generation_has_ended_awaits_no_prefill() -> None:
+    with freezegun.freeze_time("2026-01-01"):
+        book = granted(A)
+        # Its caller stated a length that no engine takes.
+        book.grant(B, "e", 1000, 30.0, 1e7)
+        assert load(book).prefill_tokens > 1e10
+        book.end(B)
+        assert load(book).prefill_tokens == pytest.approx(1000, abs=10)
+
+
+def test_end_after_its_prefill_shortens_the_line_for_no_other() -> None:
+    with freezegun.freeze_time("2026-01-01") as clock:
+        book = granted(A, B)
+        clock.tick(0.12)
+        book.end(A)
+        assert load(book).prefill_tokens == pytest.approx(800, abs=10)
+
+
 @pytest.mark.parametrize(
     ("after_s", "stated", "requests", "tokens"),
     [
--- a/tests/rooms/test_keeper.py
+++ b/tests/rooms/test_keeper.py
@@ -21,6 +21,7 @@
 from savorylift.rooms import client as client_module
 from savorylift.rooms import engine_groups as groups_module
 from savorylift.rooms import keeper as keeper_module
+from savorylift.rooms import service_room
 from savorylift.rooms.client import RoomClient
 from savorylift.rooms.engine_groups import EngineGroups, RoomId
 from savorylift.rooms.engines import Engines
@@ -169,6 +170,26 @@
     run_with_timeout(scenario())
 
 
+def test_those_that_wait_keep_their_place_while_no_more_may_wait(
+    fleet: Fleet, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(service_room, "MAX_WAITING", 1)
+    fleet.engines = FULL
+
+    async def scenario() -> None:
+        keeper, ip = fleet.keeper.keeper, fleet.other.ip
+        for number in (1, 2, 1):
+            keeper.receive(make_request(number), ip)
+        replies = [m for m, _ in fleet.sent if isinstance(m, RoomReply)]
+        assert [(r.number, r.outcome) for r in replies] == [
+            (1, RoomOutcome.QUEUED),
+            (2, RoomOutcome.ALONE),
+            (1, RoomOutcome.QUEUED),
+        ]
+
+    run_with_timeout(scenario())
+
+
 @pytest.mark.parametrize("copies", [(0, 1), (1, 0, 1), (2, 2, 2), (2, 0, 2, 1)])
 def test_lost_and_doubled_messages_grant_one_place(
     fleet: Fleet, copies: tuple[int, ...]
