Tell keepers of no more tokens than an engine holds

Callers state prompts and outputs of up to 11 digits. One such request counted for 5 s among what arrives, so that less urgent ones were forecast an eighth of the room and refused, and its end among what becomes free, so that none were. An engine takes it only while idle, with the smaller number as well.

--- a/src/savorylift/exchange/room_placement.py
+++ b/src/savorylift/exchange/room_placement.py
@@ -182,6 +182,8 @@
     parameters, regions = wish.parameters, admitted.regions
     now_s = time.monotonic()
     lease_s = min(max(admitted.deadline_s - now_s, 0.0), MAX_LEASE_S)
+    # What callers state may be any number; no engine holds more.
+    most_tokens = options.traits.memory_tokens
     return RoomRequest(
         number=0,
         attempt_id=run.attempt_id,
@@ -189,8 +191,8 @@
         priority=parameters.priority,
         team=parameters.team,
         weight=admitted.team.weight if admitted.team else 1,
-        tokens=options.tokens,
-        prompt_tokens=options.prompt_tokens,
+        tokens=min(options.tokens, most_tokens),
+        prompt_tokens=min(options.prompt_tokens, most_tokens),
         max_prefill_tokens=options.max_prefill_tokens,
         start_in_s=wish.latest_start_s - now_s,
         leave_in_s=wish.leave_s - now_s,
--- a/tests/exchange/test_room_placement.py
+++ b/tests/exchange/test_room_placement.py
@@ -193,6 +193,23 @@
     run_with_timeout(scenario())
 
 
+def test_keeper_hears_of_no_more_tokens_than_an_engine_holds() -> None:
+    """Callers may state any number; rates and lines of all rest on them."""
+
+    async def scenario() -> None:
+        pool = make_pool(make_store_view(a=9))
+        client = FakeClient(RoomReply(1, RoomOutcome.GRANTED, "a"))
+        queue = EngineQueue(pool, RoomPlacement(pool, client))  # type: ignore[arg-type]
+        req = make_generation_request(prompt_tokens=10**11 - 1)
+        run = Run(make_admitted_request(req, engine=ENGINE), 10**11)
+        assert await queue.acquire(run, set()) is not None
+        (asked,) = client.requests
+        assert asked.tokens == ENGINE.memory_tokens
+        assert asked.prompt_tokens == ENGINE.memory_tokens
+
+    run_with_timeout(scenario())
+
+
 @pytest.mark.parametrize(
     "reply",
     [
