Check the numbers of nodes' requests, and keep no names of theirs

Tokens without a bound made the keeper's and the planner's arithmetic overflow with each look at what waits, for as long as the request counted; a weight that isn't finite put a team's share beyond any order. Such requests are dropped, as other unsound ones are. What callers can state stays far below the bound.

The planner kept the names of services in requests, also of such that have no engines, in its choice and in what it holds; the rates of arrivals kept each priority ever seen.

--- a/src/savorylift/front/move_parts.py
+++ b/src/savorylift/front/move_parts.py
@@ -93,7 +93,9 @@
 
     def hold(self, service: str, tokens: dict[str, int]) -> None:
         """Keeps room for moves, instead of what was kept before, by engine."""
-        self._held[service] = tokens
+        self._held.pop(service, None)
+        if tokens:
+            self._held[service] = tokens
         for room in self._rooms.keeper.rooms_of(service).values():
             room.hold(tokens)
 
--- a/src/savorylift/moves/planner.py
+++ b/src/savorylift/moves/planner.py
@@ -27,6 +27,7 @@
     ServiceMoves,
     Surroundings,
 )
+from savorylift.rooms.request_check import are_tokens
 
 # Requests and ends that come within this time share a plan.
 PLAN_DELAY_S = 0.01
@@ -103,12 +104,16 @@
             else:
                 self._plan_soon(service)
 
+    def _is_known(self, service: str) -> bool:
+        # Names in messages aren't kept if there are no such engines.
+        return service in self._moves or self._site.look(service) is not None
+
     def _may_plan(self, service: str) -> bool:
         share = self._membership.live_share(time.monotonic())
         return self._choice.is_planner(service) and share >= MIN_LIVE_SHARE
 
     def _add(self, key: MoveKey, req: MoveRequest) -> None:
-        if not self._may_plan(req.service):
+        if not self._is_known(req.service) or not self._may_plan(req.service):
             self._reply(MoveReply(req.number, MoveOutcome.ALONE), key.ip)
             return
         moves = self._moves.setdefault(req.service, ServiceMoves())
@@ -198,8 +203,7 @@
     return (
         math.isfinite(req.notice_age_s)
         and req.notice_age_s >= 0
-        and req.tokens >= 0
-        and req.expected_tokens >= 0
+        and are_tokens(req.tokens, req.expected_tokens)
         and 0 <= req.done_share <= 1
         and (req.ends_in_s is None or req.ends_in_s >= 0)
     )
--- a/src/savorylift/placement/arrival_rate.py
+++ b/src/savorylift/placement/arrival_rate.py
@@ -35,4 +35,7 @@
         oldest_s = time.monotonic() - WINDOW_S
         while self._arrivals and self._arrivals[0][0] < oldest_s:
             _, priority, tokens = self._arrivals.popleft()
-            self._tokens[priority] -= tokens
+            left = self._tokens.get(priority, 0) - tokens
+            self._tokens[priority] = left
+            if not left:
+                del self._tokens[priority]
--- a/src/savorylift/rooms/request_check.py
+++ b/src/savorylift/rooms/request_check.py
@@ -5,6 +5,8 @@
 from savorylift.fleet.room_messages import RoomRequest
 
 MAX_LEASE_S = 120.0
+# More than callers can state, and few enough to divide by any rate.
+MAX_TOKENS = 10**12
 
 
 def is_sound(req: RoomRequest) -> bool:
@@ -13,8 +15,14 @@
     return (
         all(map(math.isfinite, times_s))
         and 0 <= req.lease_s <= MAX_LEASE_S
-        and req.weight > 0
-        and req.tokens >= 0
-        and req.prompt_tokens >= 0
+        and are_tokens(req.tokens, req.prompt_tokens)
+        and 0 < req.weight < math.inf
+        and math.isfinite(req.tokens / req.weight)
+        and not math.isnan(req.max_prefill_tokens)
         and 0 <= req.group < req.groups
     )
+
+
+def are_tokens(*counts: int) -> bool:
+    """Whether counts of tokens make sense."""
+    return all(0 <= count <= MAX_TOKENS for count in counts)
--- a/tests/moves/test_planner.py
+++ b/tests/moves/test_planner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 import random
 import time
 from collections.abc import Callable
@@ -346,6 +347,50 @@
     run_in_virtual_time(monkeypatch, scenario)
 
 
+def test_planner_keeps_nothing_of_services_without_engines(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        fleet = Fleet()
+        ip = fleet.planner.ip
+        for number in range(50):
+            req = make_move_request(number)._replace(service=f"x{number}")
+            fleet.planner.planner.receive(req, fleet.others[0].ip)
+        replies = [m for m in fleet.sent if isinstance(m, MoveReply)]
+        assert {reply.outcome for reply in replies} == {MoveOutcome.ALONE}
+        assert len(replies) == 50
+        assert fleet.nodes[ip].planner._moves == {}
+        assert set(fleet.nodes[ip].keepers._keepers) <= {SERVICE}
+
+    run_in_virtual_time(monkeypatch, scenario)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"tokens": -1},
+        {"tokens": 10**400},
+        {"expected_tokens": 10**400},
+        {"notice_age_s": math.nan},
+        {"notice_age_s": -1.0},
+        {"done_share": math.nan},
+        {"done_share": 2.0},
+        {"ends_in_s": math.nan},
+    ],
+)
+def test_numbers_that_make_no_sense_are_dropped(
+    monkeypatch: pytest.MonkeyPatch, changes: dict[str, float]
+) -> None:
+    async def scenario() -> None:
+        fleet = Fleet()
+        req = make_move_request(1)._replace(**changes)  # type: ignore[arg-type]
+        fleet.planner.planner.receive(req, fleet.others[0].ip)
+        await asyncio.sleep(0.1)
+        assert fleet.sent == []
+
+    run_in_virtual_time(monkeypatch, scenario)
+
+
 def test_room_is_kept_until_moves_are_over(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
