--- a/tests/moves/test_planner.py
+++ b/tests/moves/test_planner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import math
 import random
 import time
 from collections.abc import Callable
@@ -19,7 +20,9 @@
 from savorylift.moves.begun_copies import MAX_COPY_S
 from savorylift.moves.plan_client import PlanClient
 from savorylift.moves.planner import MovePlanner
+from savorylift.moves.planner_choice import PlannerChoice
 from savorylift.moves.service_moves import Surroundings
+from savorylift.rooms.engine_groups import EngineGroups, RoomId
 from savorylift.rooms.keeper_choice import MIN_NODES, KeeperChoice
 from tests.harness.virtual_time import run_in_virtual_time
 from tests.moves.factories import (
@@ -45,6 +48,7 @@
             (),
         )
         self.held: dict[str, int] = {}
+        self.count = 2
 
     def look(self, service: str) -> Surroundings | None:
         """Returns what plans depend on."""
@@ -62,9 +66,11 @@
         """Creates a node that knows the others."""
         self.ip = ip_of(number)
         self.members = make_membership(number, count)
-        self.choice = KeeperChoice(
+        self.keepers = KeeperChoice(
             self.ip, self.members, lambda: False, is_enabled=True
         )
+        groups = EngineGroups(lambda _: fleet.engines.count)
+        self.choice = PlannerChoice(self.keepers, groups)
 
         def send(message: MoveMessage, ip: str) -> None:
             fleet.send(message, self.ip, ip)
@@ -170,6 +176,18 @@
     run_in_virtual_time(monkeypatch, scenario)
 
 
+@pytest.mark.parametrize(("engines", "groups"), [(2, 1), (48, 2), (96, 4)])
+def test_planner_keeps_the_room_of_the_first_engines(
+    engines: int, groups: int
+) -> None:
+    fleet = Fleet()
+    fleet.engines.count = engines
+    for node in fleet.nodes.values():
+        keeper_ip = node.keepers.find(RoomId(SERVICE, 0, groups).name)
+        assert node.client.find_planner(SERVICE) == keeper_ip
+    assert fleet.planner.choice.is_planner(SERVICE)
+
+
 def test_small_fleet_has_no_planner() -> None:
     fleet = Fleet(MIN_NODES - 1)
     node = fleet.nodes[ip_of(1)]
@@ -329,6 +347,50 @@
     run_in_virtual_time(monkeypatch, scenario)
 
 
+def test_planner_keeps_nothing_of_services_without_engines(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        fleet = Fleet()
+        ip = fleet.planner.ip
+        for number in range(50):
+            req = make_move_request(number)._replace(service=f"x{number}")
+            fleet.planner.planner.receive(req, fleet.others[0].ip)
+        replies = [m for m in fleet.sent if isinstance(m, MoveReply)]
+        assert {reply.outcome for reply in replies} == {MoveOutcome.ALONE}
+        assert len(replies) == 50
+        assert fleet.nodes[ip].planner._moves == {}
+        assert set(fleet.nodes[ip].keepers._keepers) <= {SERVICE}
+
+    run_in_virtual_time(monkeypatch, scenario)
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"tokens": -1},
+        {"tokens": 10**400},
+        {"expected_tokens": 10**400},
+        {"notice_age_s": math.nan},
+        {"notice_age_s": -1.0},
+        {"done_share": math.nan},
+        {"done_share": 2.0},
+        {"ends_in_s": math.nan},
+    ],
+)
+def test_numbers_that_make_no_sense_are_dropped(
+    monkeypatch: pytest.MonkeyPatch, changes: dict[str, float]
+) -> None:
+    async def scenario() -> None:
+        fleet = Fleet()
+        req = make_move_request(1)._replace(**changes)  # type: ignore[arg-type]
+        fleet.planner.planner.receive(req, fleet.others[0].ip)
+        await asyncio.sleep(0.1)
+        assert fleet.sent == []
+
+    run_in_virtual_time(monkeypatch, scenario)
+
+
 def test_room_is_kept_until_moves_are_over(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
