Admit a waiting body that fits at once, also behind one that doesn't

Cause: who waits was looked at only as some body ended. A body of a team that holds least, which goes first, waited although it fitted, and was refused after 0.7 s if no other ended by then; likewise those behind a body that had given way to another. Change: the queue is looked at whenever a body joins it.

--- a/src/savorylift/wire/body_budget.py
+++ b/src/savorylift/wire/body_budget.py
@@ -89,7 +89,10 @@
         body = self._queue.add(lease, size * self._copies, buffered)
         if body is None:
             return False
-        self._on_held()
+        # Others wait for more than is free, or gave way to it.
+        self._admit_waiting()
+        if not body.granted.done():
+            self._on_held()
         try:
             async with asyncio.timeout(max_wait_s):
                 return await body.granted
--- a/tests/wire/test_body_queue.py
+++ b/tests/wire/test_body_queue.py
@@ -174,3 +174,45 @@
         assert queue.add(lease_of("a"), 5, 5) is not None
 
     run_with_timeout(scenario())
+
+
+def test_body_that_fits_goes_before_one_of_a_team_that_holds_more() -> None:
+    """It waited in vain if no body ended meanwhile, though it had room."""
+
+    async def scenario() -> None:
+        budget = BodyBudget(BUDGET_BYTES)
+        held, large = lease_of("much"), lease_of("much")
+        assert await budget.take(held, 5 * BODY_BYTES, WAIT_S)
+        waiting = asyncio.ensure_future(
+            budget.take(large, 4 * BODY_BYTES, WAIT_S)
+        )
+        await asyncio.sleep(0)
+        assert await budget.take(lease_of("little"), BODY_BYTES, 0.05)
+        assert not waiting.done()
+        waiting.cancel()
+
+    run_with_timeout(scenario())
+
+
+def test_body_that_gives_way_holds_up_no_other() -> None:
+    """Who stood behind it waited until some body ended."""
+
+    async def scenario() -> None:
+        budget = BodyBudget(BUDGET_BYTES)
+        assert await budget.take(lease_of("held"), 4 * BODY_BYTES, WAIT_S)
+        # Each fills a quarter of the queue, and the first needs too much.
+        sizes = {"a": 5 * BODY_BYTES, "b": BODY_BYTES, "c": BODY_BYTES}
+        waiting = {
+            team: asyncio.ensure_future(
+                budget.take(lease_of(team), size, WAIT_S)
+            )
+            for team, size in sizes.items()
+        }
+        await asyncio.sleep(0)
+        assert await budget.take(lease_of("d"), 250_000, 0.05)
+        assert not await waiting["a"]
+        assert await waiting["b"]
+        for task in waiting.values():
+            task.cancel()
+
+    run_with_timeout(scenario())
