Save all counts of refusals at once, in calls of a bounded size

Cause: a node saved 200 counts each time. In fleets of over 16 nodes that is so many a minute, at the least often, and as many at a stop: with more teams and reasons the rest was left, and lost with the node after longer than docs/PROMISES.md says. Change: a save writes all that have changed, 200 a call. Measured: the test not run yet.

--- a/src/savorylift/refusals/writer.py
+++ b/src/savorylift/refusals/writer.py
@@ -9,7 +9,7 @@
 from savorylift.fleet.size_scaling import SMALL_FLEET_NODES, scale_with_nodes
 from savorylift.platform.store import REFUSALS_TOPIC, StoreClient
 from savorylift.platform.store_record import Record
-from savorylift.refusals.counts import RefusalCounts
+from savorylift.refusals.counts import RefusalCount, RefusalCounts
 
 # Each write is charged for. A killed node loses the counts of at most this
 # time, or more if writes failed.
@@ -20,7 +20,7 @@
 MAX_WRITE_INTERVAL_S = 60.0
 # Added to the interval after a failed write.
 RETRY_DELAY_S = 5.0
-# Maximum number of records in a call; the rest is written by later calls.
+# Maximum number of records in a call; the rest is written by further calls.
 MAX_BATCH_RECORDS = 200
 
 _log = structlog.get_logger()
@@ -62,10 +62,15 @@
         return min(interval_s, MAX_WRITE_INTERVAL_S)
 
     async def save(self) -> bool:
-        """Saves a batch of changed counts; returns whether that succeeded."""
-        batch = self._counts.unsaved()[:MAX_BATCH_RECORDS]
-        if not batch:
-            return True
+        """Saves the counts that changed; returns whether that succeeded."""
+        unsaved = self._counts.unsaved()
+        for first in range(0, len(unsaved), MAX_BATCH_RECORDS):
+            batch = unsaved[first : first + MAX_BATCH_RECORDS]
+            if not await self._save_batch(batch):
+                return False
+        return True
+
+    async def _save_batch(self, batch: tuple[RefusalCount, ...]) -> bool:
         records = [Record(count.key, count.encode()) for count in batch]
         written = await self._store.append(REFUSALS_TOPIC, records)
         if not is_successful(written):
