Report what can't be read or shown in a check of a configuration

Cause: the check ended with a traceback on a member that nodes pass over with a number of over 4,300 digits or bytes that aren't UTF-8, on a limit that is too large for a float, on bytes that aren't UTF-8 in the comment of a rule that differs, and on a path that can't be looked up. Change: each has its finding, mark or message, with the documented exit code.

--- a/src/savorylift/checks/rendering.py
+++ b/src/savorylift/checks/rendering.py
@@ -67,7 +67,9 @@
         lines.append(f"{file}: no faults")
     if found.changes is not None:
         lines.extend(_render_changes(found.changes))
-    return RenderedText(tuple(faults), tuple(lines))
+    return RenderedText(
+        tuple(map(_to_printable, faults)), tuple(map(_to_printable, lines))
+    )
 
 
 def render_json(
@@ -76,7 +78,7 @@
     """Returns the report as one JSON object."""
     changes = found.changes
     data = _ReportJson(
-        file=file,
+        file=_to_printable(file),
         format=file_format,
         findings=[_finding_json(finding) for finding in found.findings],
         changes=None
@@ -115,8 +117,8 @@
 def _finding_json(finding: Finding) -> _FindingJson:
     return {
         "kind": finding.kind.value,
-        "message": finding.message,
-        "asked_by": finding.asked_by,
+        "message": _to_printable(finding.message),
+        "asked_by": _to_printable(finding.asked_by),
         **_location_json(finding.location),
     }
 
@@ -124,9 +126,9 @@
 def _change_json(change: Change) -> _ChangeJson:
     return {
         "kind": change.kind.value,
-        "entry": change.entry,
-        "detail": change.detail,
-        "asked_by": change.asked_by,
+        "entry": _to_printable(change.entry),
+        "detail": _to_printable(change.detail),
+        "asked_by": _to_printable(change.asked_by),
         **_location_json(change.location),
     }
 
@@ -141,3 +143,11 @@
     if location.column:
         found["column"] = location.column
     return found
+
+
+def _to_printable(text: str) -> str:
+    """Returns a text with a mark for each byte that isn't UTF-8.
+
+    Rules files are decoded with `surrogateescape`; such text can't be written.
+    """
+    return text.encode("utf-8", "surrogateescape").decode("utf-8", "replace")
--- a/src/savorylift/operators/version_source.py
+++ b/src/savorylift/operators/version_source.py
@@ -21,14 +21,14 @@
         file_format: Format of the version to read from the store.
     """
     path = pathlib.Path(target)
-    address = None if path.exists() else parse_address(target)
-    if address is not None:
-        read = _read_rules if file_format is FileFormat.RULES else _read_record
-        return asyncio.run(read(StoreClient(address)))
     try:
-        return Success(path.read_bytes())
+        address = None if path.exists() else parse_address(target)
+        if address is None:
+            return Success(path.read_bytes())
     except OSError as exc:
         return Failure((exc.strerror or "can't be read").lower())
+    read = _read_rules if file_format is FileFormat.RULES else _read_record
+    return asyncio.run(read(StoreClient(address)))
 
 
 async def _read_rules(store: StoreClient) -> Result[bytes, str]:
--- a/src/savorylift/platform/record_findings.py
+++ b/src/savorylift/platform/record_findings.py
@@ -50,7 +50,7 @@
         return CheckedRecord(None, (_unreadable(decoded.failure()),))
     record = decoded.unwrap()
     findings = (
-        *_find_typing_errors(json.loads(value)),
+        *_find_in_members(value),
         *find_in_routes(record),
         *find_in_services(record),
         *find_in_teams(record),
@@ -72,10 +72,27 @@
             yield Finding(
                 FindingKind.CONTRADICTION,
                 Location(path=f"$.limits.{key}"),
-                f"{value:g} lets no request through",
+                # Whole numbers may be too large for a float.
+                f"{value if isinstance(value, int) else f'{value:g}'} "
+                "lets no request through",
             )
 
 
+def _find_in_members(value: bytes) -> Iterable[Finding]:
+    """Yields the findings in the names of members, also unknown ones.
+
+    Nodes pass over members that they don't know, whatever is in these.
+    """
+    try:
+        # Python converts no integers with very many digits.
+        data = json.loads(value, parse_int=str)
+    except (ValueError, RecursionError) as exc:
+        message = f"a member that nodes don't read is malformed: {exc}"
+        yield Finding(FindingKind.UNREADABLE, Location(path="$"), message)
+        return
+    yield from _find_typing_errors(data)
+
+
 def _find_typing_errors(data: Mapping[str, Any]) -> Iterable[Finding]:
     """Yields keys that aren't read, but look like one that is."""
     parts: list[tuple[str, object, type[msgspec.Struct]]] = [
--- a/tests/operators/test_check_command.py
+++ b/tests/operators/test_check_command.py
@@ -188,3 +188,28 @@
     (address,) = free_addresses(1)
     path = write(tmp_path / "f", RULES)
     assert run(path, "--against", address) == 2
+
+
+@pytest.mark.parametrize("options", [[], ["--json"]])
+def test_bytes_that_are_not_utf8_are_shown_as_such(
+    options: list[str],
+    tmp_path: pathlib.Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    """The comparison ended with a traceback."""
+    path = tmp_path / "f"
+    path.write_bytes(b"set a 1 # ada: \xff\n")
+    other = write(tmp_path / "other", "")
+    assert run(str(path), "--against", other, *options) == 2
+    printed = capsys.readouterr()
+    assert "ada: \ufffd" in printed.out
+    printed.out.encode()
+
+
+def test_path_that_cannot_be_looked_up_is_no_finding(
+    tmp_path: pathlib.Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """The check ended with a traceback."""
+    path = write(tmp_path / "f", RULES)
+    assert run(path, "--against", "x" * 5000) == 2
+    assert "name too long" in capsys.readouterr().err
--- a/tests/platform/test_record_findings.py
+++ b/tests/platform/test_record_findings.py
@@ -227,3 +227,28 @@
     assert checked.record is None
     (found,) = checked.findings
     assert (found.kind, found.location.path) == (UNREADABLE, path)
+
+
+@pytest.mark.parametrize(
+    ("text", "kinds"),
+    [
+        # Valid, though Python doesn't convert it.
+        (b"9" * 5000, []),
+        (b'"\xff"', [UNREADABLE]),
+    ],
+)
+def test_member_that_nodes_pass_over_may_hold_anything(
+    text: bytes, kinds: list[FindingKind]
+) -> None:
+    """The check ended with a traceback."""
+    value = json.dumps(SOUND | {"note": 0}).encode()
+    value = value.replace(b'"note": 0', b'"note": ' + text)
+    checked = check_record(value)
+    assert checked.record is not None
+    assert [finding.kind for finding in checked.findings] == kinds
+
+
+def test_limit_that_is_no_float_is_found() -> None:
+    data = copy.deepcopy(SOUND)
+    data["limits"]["maxBodyBytes"] = -(10**400)
+    assert find(data) == [(CONTRADICTION, "$.limits.maxBodyBytes")]
