Forget nodes that are gone among those that read the store

Cause: the addresses of nodes that had read the store lately stayed in a set for as long as the process ran, also of nodes that were replaced since. Change: they go with the node.

--- a/src/savorylift/exchange/stream_resumption.py
+++ b/src/savorylift/exchange/stream_resumption.py
@@ -19,9 +19,7 @@
 from savorylift.exchange.stream_beginnings import StreamBeginnings
 from savorylift.exchange.stream_origins import StreamOrigins
 from savorylift.fleet.state import StreamOrigin
-from savorylift.fleet.version_history import (
-    VersionHistory,
-)
+from savorylift.fleet.version_history import VersionHistory
 from savorylift.outcomes import Reason
 from savorylift.processes.server_life import ServerLife
 from savorylift.routing.configuration import Service
--- a/src/savorylift/fleet/membership.py
+++ b/src/savorylift/fleet/membership.py
@@ -178,6 +178,7 @@
             if now_s - peer.heard_s > timeout_s:
                 del self._peers[ip]
                 self._loads.forget(ip)
+                self._readers.forget(ip)
 
     def live_peers(self, now_s: float) -> Iterator[Peer]:
         """Yields the heard nodes that no watchers have reported silent."""
--- a/src/savorylift/fleet/recent_readers.py
+++ b/src/savorylift/fleet/recent_readers.py
@@ -27,7 +27,11 @@
         ):
             self._ips.add(ip)
         else:
-            self._ips.discard(ip)
+            self.forget(ip)
+
+    def forget(self, ip: str) -> None:
+        """Forgets a node that is gone."""
+        self._ips.discard(ip)
 
 
 def _is_recent(age_s: float | None) -> bool:
--- a/tests/fleet/test_reader_choice.py
+++ b/tests/fleet/test_reader_choice.py
@@ -2,7 +2,11 @@
 
 import pytest
 
-from savorylift.fleet.membership import LIVENESS_TIMEOUT_S, Membership
+from savorylift.fleet.membership import (
+    LIVENESS_TIMEOUT_S,
+    MINORITY_FORGET_TIMEOUT_S,
+    Membership,
+)
 from savorylift.fleet.peer_transport import MAX_READER_INTERVAL_S
 from savorylift.fleet.reader_choice import ReaderChoice, reading_age_s
 from savorylift.fleet.state import NodeState
@@ -120,3 +124,11 @@
     assert reading_age_s(members, 0.0) == pytest.approx(0.9)
     members.silence(state(3).ip)
     assert reading_age_s(members, 0.0) == pytest.approx(100.0)
+
+
+def test_reader_that_is_gone_for_good_is_forgotten() -> None:
+    """The addresses of replaced nodes were kept as long as the process ran."""
+    members = membership(state(2)._replace(reading_age_s=0.1))
+    assert set(members._readers.ips) == {state(2).ip}
+    members.forget_silent(1.0 + MINORITY_FORGET_TIMEOUT_S)
+    assert set(members._readers.ips) == set()
