Check the numbers in messages and records about roll-outs

Cause: they were used as they came. With a share that is no number, of a record in the store or a message, each request of the service ended with an exception; a verdict on huge counts goes through all of them. Change: a message with a number that can't be is dropped, a record counts as missing, as one that can't be decoded does; the log says so. Measured: the exception, by hand; the tests not run yet.

--- a/src/savorylift/rollouts/agent.py
+++ b/src/savorylift/rollouts/agent.py
@@ -23,6 +23,7 @@
 from savorylift.rollouts.decider import Decider, is_order_open
 from savorylift.rollouts.evidence import FleetEvidence
 from savorylift.rollouts.judging import EvidenceBook
+from savorylift.rollouts.message_check import is_sound
 from savorylift.rollouts.next_stage import roll_back
 from savorylift.rollouts.order import RolloutLimits
 from savorylift.rollouts.recorder import StageRecorder
@@ -74,6 +75,9 @@
 
     def receive(self, message: RolloutMessage) -> None:
         """Handles a message of another node."""
+        if not is_sound(message):
+            _log.warning("rollout_message_unsound")
+            return
         if isinstance(message, StageNews):
             for stage in message.stages:
                 self._announcer.hear(stage)
--- a/src/savorylift/rollouts/recorder.py
+++ b/src/savorylift/rollouts/recorder.py
@@ -17,6 +17,7 @@
     StoreClient,
 )
 from savorylift.platform.store_record import MAX_KEY_BYTES, Record
+from savorylift.rollouts.message_check import is_sound_stage
 
 _log = structlog.get_logger()
 
@@ -62,14 +63,12 @@
         self._stages = {}
         for record in batch.records:
             decoded = decode_record(record.value or b"", Stage)
-            if is_successful(decoded):
+            if not is_successful(decoded):
+                _log_unsound(record.key, decoded.failure())
+            elif not is_sound_stage(decoded.unwrap()):
+                _log_unsound(record.key, "a number that can't be")
+            else:
                 self._stages[record.key] = decoded.unwrap()
-                continue
-            _log.warning(
-                "rollout_record_unsound",
-                service=record.key,
-                detail=decoded.failure(),
-            )
         self._end = batch.next_offset
         return True
 
@@ -134,6 +133,10 @@
         return is_successful(written)
 
 
+def _log_unsound(service: str, detail: str) -> None:
+    _log.warning("rollout_record_unsound", service=service, detail=detail)
+
+
 def _is_same_step(known: Stage, stage: Stage) -> bool:
     """Whether two stages differ at most in when and why they were written."""
     return (
