--- a/src/savorylift/exchange/reach_probe.py
+++ b/src/savorylift/exchange/reach_probe.py
@@ -5,8 +5,8 @@
 
 from savorylift.backends.registry import BackendServer
 from savorylift.limits.limit_gate import LimitGate
-from savorylift.wire.channel import connect
 from savorylift.wire.client_call import BrokenAnswerError, ClientCall
+from savorylift.wire.connecting import connect
 from savorylift.wire.input_timeout import InputTimeout
 from savorylift.wire.message import ResponseHead
 from savorylift.wire.purpose import Purpose
--- a/src/savorylift/exchange/server_opener.py
+++ b/src/savorylift/exchange/server_opener.py
@@ -15,7 +15,8 @@
 from savorylift.outcomes import Reason
 from savorylift.processes.life_report import Life
 from savorylift.processes.server_life import ServerLife
-from savorylift.wire.channel import Channel, connect
+from savorylift.wire.channel import Channel
+from savorylift.wire.connecting import connect
 from savorylift.wire.purpose import Purpose
 
 # Many round trips: a reachable server accepts within a few milliseconds.
--- a/src/savorylift/front/node_relay.py
+++ b/src/savorylift/front/node_relay.py
@@ -25,8 +25,8 @@
     pass_whole,
 )
 from savorylift.outcomes import Reason
-from savorylift.wire.channel import connect
 from savorylift.wire.client_call import BrokenAnswerError, ClientCall
+from savorylift.wire.connecting import connect
 from savorylift.wire.message import (
     Headers,
     Request,
--- a/src/savorylift/processes/idle_connections.py
+++ b/src/savorylift/processes/idle_connections.py
@@ -12,7 +12,8 @@
 from typing import NamedTuple
 
 from savorylift.exchange import metrics
-from savorylift.wire.channel import Channel, connect
+from savorylift.wire.channel import Channel
+from savorylift.wire.connecting import connect
 from savorylift.wire.purpose import Purpose
 
 CONNECT_TIMEOUT_S = 0.2
--- a/src/savorylift/processes/process_connection.py
+++ b/src/savorylift/processes/process_connection.py
@@ -9,7 +9,8 @@
 
 from savorylift.backends.server import ServerEntry
 from savorylift.exchange import metrics
-from savorylift.wire.channel import Channel, connect
+from savorylift.wire.channel import Channel
+from savorylift.wire.connecting import connect
 from savorylift.wire.purpose import Purpose
 
 CONNECT_TIMEOUT_S = 0.2
--- a/src/savorylift/processes/server_contact.py
+++ b/src/savorylift/processes/server_contact.py
@@ -4,7 +4,8 @@
 import enum
 import time
 
-from savorylift.wire.channel import Channel, connect
+from savorylift.wire.channel import Channel
+from savorylift.wire.connecting import connect
 from savorylift.wire.purpose import Purpose
 
 # A timeout that is seen so much too late is one of this node.
--- a/src/savorylift/wire/channel.py
+++ b/src/savorylift/wire/channel.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from typing import cast
 
-from savorylift.wire import metrics
 from savorylift.wire.connection_socket import (
     NO_LINGER,
     RESET_ON_CLOSE,
@@ -13,8 +12,6 @@
     send_at_once,
     set_linger,
 )
-from savorylift.wire.input_timeout import InputTimeout
-from savorylift.wire.purpose import Purpose
 from savorylift.wire.send_queue import SendQueue
 
 MAX_READ_BUFFER_BYTES = 65_536
@@ -287,27 +284,3 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
         self._waiter = None
-
-
-async def connect(
-    host: str,
-    port: int,
-    timeout_s: float,
-    purpose: Purpose = Purpose.OTHER,
-) -> Channel:
-    """Opens a connection.
-
-    Args:
-        host: Address to connect to.
-        port: Port to connect to.
-        timeout_s: Timeout of the attempt.
-        purpose: What it is for, in metrics.
-
-    Raises:
-        OSError: It was refused or reset, or timed out.
-    """
-    metrics.CONNECTIONS_OPENED.labels(purpose.value).inc()
-    loop = asyncio.get_running_loop()
-    async with InputTimeout(timeout_s):
-        _, channel = await loop.create_connection(Channel, host, port)
-    return channel
--- a/src/savorylift/wire/client_call.py
+++ b/src/savorylift/wire/client_call.py
@@ -12,7 +12,8 @@
 from savorylift.wire import metrics
 from savorylift.wire.answer_head_check import find_answer_fault
 from savorylift.wire.buffer_budget import BufferBudget
-from savorylift.wire.channel import Channel, connect
+from savorylift.wire.channel import Channel
+from savorylift.wire.connecting import connect
 from savorylift.wire.coop_budget import CoopBudget
 from savorylift.wire.input_timeout import InputTimeout
 from savorylift.wire.message import Headers, Response, ResponseHead
--- a/tests/completions/environment.py
+++ b/tests/completions/environment.py
@@ -13,8 +13,8 @@
 from savorylift.platform.store import StoreClient
 from savorylift.rules.publication import PublishedVersion, publish
 from savorylift.wire.address import split_address
-from savorylift.wire.channel import connect
 from savorylift.wire.client_call import ClientCall
+from savorylift.wire.connecting import connect
 from savorylift.wire.listener import Listener, connection_handler
 from savorylift.wire.message import Headers, Request, Response
 from savorylift.wire.request_input import InputLimits
--- a/tests/completions/test_bad_input.py
+++ b/tests/completions/test_bad_input.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from savorylift.wire.address import split_address
-from savorylift.wire.channel import connect
+from savorylift.wire.connecting import connect
 from savorylift.wire.message import Response
 from tests.completions.environment import (
     NodeEnvironment,
--- a/tests/front/cut_links.py
+++ b/tests/front/cut_links.py
@@ -8,8 +8,8 @@
 
 import pytest
 
-from savorylift.wire import channel
 from savorylift.wire.channel import Channel
+from savorylift.wire.connecting import connect
 from savorylift.wire.listener import Listener
 from savorylift.wire.purpose import Purpose
 from savorylift.wire.request_input import InputLimits
@@ -84,14 +84,14 @@
     ) -> Channel:
         how, ports = self._cuts.get(current_node.get(), (None, frozenset()))
         if how is None or port not in ports:
-            return await channel.connect(host, port, timeout_s, purpose)
+            return await connect(host, port, timeout_s, purpose)
         self.attempts += 1
         if how is Cut.SILENT:
             await asyncio.sleep(timeout_s)
             raise TimeoutError
         if how is Cut.REFUSED:
             raise ConnectionRefusedError
-        return await channel.connect(host, self._ports[how], timeout_s, purpose)
+        return await connect(host, self._ports[how], timeout_s, purpose)
 
 
 async def _reset(conn: ServerConnection) -> None:
--- a/tests/front/environment.py
+++ b/tests/front/environment.py
@@ -10,8 +10,8 @@
 from savorylift.front.node import FrontNode
 from savorylift.front.settings import FrontSettings
 from savorylift.platform.store import OPERATORS_TOPIC, SERVERS_TOPIC
-from savorylift.wire.channel import connect
 from savorylift.wire.client_call import ClientCall, fetch
+from savorylift.wire.connecting import connect
 from savorylift.wire.message import Headers, Response
 from tests.front.node_settings import make_node_settings
 from tests.harness.ports import free_addresses
--- a/tests/front/misbehaving_callers.py
+++ b/tests/front/misbehaving_callers.py
@@ -10,8 +10,9 @@
 
 from savorylift.front.settings import FrontSettings
 from savorylift.platform.store import OPERATORS_TOPIC
-from savorylift.wire.channel import Channel, connect
+from savorylift.wire.channel import Channel
 from savorylift.wire.client_call import BrokenAnswerError, ClientCall
+from savorylift.wire.connecting import connect
 from savorylift.wire.message import Headers
 from tests.front.environment import configuration
 from tests.front.limited_node import DESCRIPTORS_VARIABLE
--- a/tests/front/node_fleet.py
+++ b/tests/front/node_fleet.py
@@ -13,8 +13,8 @@
 from savorylift.front.node import FrontNode
 from savorylift.front.settings import FrontSettings
 from savorylift.platform.store import OPERATORS_TOPIC, SERVERS_TOPIC
-from savorylift.wire.channel import connect
 from savorylift.wire.client_call import BrokenAnswerError, ClientCall
+from savorylift.wire.connecting import connect
 from savorylift.wire.message import Headers
 from tests.front.environment import configuration, end_other_tasks
 from tests.front.node_settings import make_node_settings
--- a/tests/front/stream_callers.py
+++ b/tests/front/stream_callers.py
@@ -6,7 +6,8 @@
 import ssl
 from typing import NamedTuple, Protocol
 
-from savorylift.wire.channel import Channel, connect
+from savorylift.wire.channel import Channel
+from savorylift.wire.connecting import connect
 from savorylift.wire.message import Headers
 from tests.front.kept_connection import Answer, KeptConnection
 
--- a/tests/front/test_engine_process.py
+++ b/tests/front/test_engine_process.py
@@ -9,8 +9,9 @@
 
 import pytest
 
-from savorylift.wire.channel import Channel, connect
+from savorylift.wire.channel import Channel
 from savorylift.wire.client_call import BrokenAnswerError, fetch
+from savorylift.wire.connecting import connect
 from savorylift.wire.message import Headers, Response
 from tests.front.engine_process import EngineProcess
 from tests.harness.ports import free_addresses
--- a/tests/front/test_full_node.py
+++ b/tests/front/test_full_node.py
@@ -8,8 +8,8 @@
 from savorylift.front.relay_headers import RELAY_REFUSED, RELAYED
 from savorylift.wire.body_budget import SMALL_BODY_BYTES
 from savorylift.wire.body_lease import BodyLease
-from savorylift.wire.channel import connect
 from savorylift.wire.client_call import ClientCall
+from savorylift.wire.connecting import connect
 from savorylift.wire.message import Headers, Response
 from tests.front.environment import HOST, NodeEnvironment, run_in_environment
 
--- a/tests/front/test_leaving_servers.py
+++ b/tests/front/test_leaving_servers.py
@@ -8,7 +8,7 @@
 
 from savorylift.backends.registry import BackendServer
 from savorylift.front.status import STATUS_PATH
-from savorylift.wire.channel import connect
+from savorylift.wire.connecting import connect
 from tests.front.environment import (
     NodeEnvironment,
     decode_body,
--- a/tests/front/test_node_relay.py
+++ b/tests/front/test_node_relay.py
@@ -17,8 +17,8 @@
 )
 from savorylift.platform.codec import PlatformCodec
 from savorylift.routing.configuration import RouteKind
-from savorylift.wire.channel import connect
 from savorylift.wire.client_call import BrokenAnswerError, ClientCall
+from savorylift.wire.connecting import connect
 from savorylift.wire.listener import Listener
 from savorylift.wire.message import Request, Response
 from savorylift.wire.request_input import InputLimits
--- a/tests/front/test_planned_stop.py
+++ b/tests/front/test_planned_stop.py
@@ -7,8 +7,9 @@
 
 import pytest
 
-from savorylift.wire.channel import Channel, connect
+from savorylift.wire.channel import Channel
 from savorylift.wire.client_call import BrokenAnswerError, ClientCall
+from savorylift.wire.connecting import connect
 from savorylift.wire.message import Headers
 from tests.front.environment import (
     CALL_TIMEOUT_S,
--- a/tests/platform/test_lying_answers.py
+++ b/tests/platform/test_lying_answers.py
@@ -18,7 +18,7 @@
 )
 from savorylift.platform.store import StoreClient, StoreFault
 from savorylift.platform.store_record import Record
-from savorylift.wire.channel import connect
+from savorylift.wire.connecting import connect
 from tests.standins.lying_server import (
     STATUSES,
     count_unreadable,
--- a/tests/processes/test_idle_connections.py
+++ b/tests/processes/test_idle_connections.py
@@ -10,7 +10,8 @@
     IdleConnections,
     ProcessPlace,
 )
-from savorylift.wire.channel import Channel, connect
+from savorylift.wire.channel import Channel
+from savorylift.wire.connecting import connect
 from savorylift.wire.purpose import Purpose
 from tests.wire.loopback import run_with_timeout, serve_bytes
 
--- a/tests/processes/test_process_witness.py
+++ b/tests/processes/test_process_witness.py
@@ -11,7 +11,8 @@
 from savorylift.fleet.server_sightings import WitnessedProcess
 from savorylift.processes import process_connection
 from savorylift.processes.process_witness import ProcessWitness, Proof
-from savorylift.wire.channel import Channel, connect
+from savorylift.wire.channel import Channel
+from savorylift.wire.connecting import connect
 from tests.exchange.factories import make_server_entry
 
 DELIVERY_S = 0.2
--- a/tests/processes/test_server_check.py
+++ b/tests/processes/test_server_check.py
@@ -22,8 +22,8 @@
 from savorylift.wire.channel import (
     MAX_READ_BUFFER_BYTES,
     Channel,
-    connect,
 )
+from savorylift.wire.connecting import connect
 from savorylift.wire.purpose import Purpose
 from tests.exchange.factories import make_server
 from tests.harness.ports import free_addresses
--- a/tests/soak/leaving_figures.py
+++ b/tests/soak/leaving_figures.py
@@ -18,8 +18,8 @@
 
 from savorylift.platform.headers import SERVER_LEAVING
 from savorylift.platform.store import SERVERS_TOPIC
-from savorylift.wire.channel import connect
 from savorylift.wire.client_call import BrokenAnswerError, ClientCall
+from savorylift.wire.connecting import connect
 from savorylift.wire.message import Headers
 from tests.front.engine_fleet import EngineProcessFleet
 from tests.front.engine_process import EngineProcess
--- a/tests/wire/loopback.py
+++ b/tests/wire/loopback.py
@@ -5,7 +5,8 @@
 from typing import Any, TypeVar
 
 from savorylift.wire.body_admission import UNBOUNDED, BodyAdmission
-from savorylift.wire.channel import Channel, connect
+from savorylift.wire.channel import Channel
+from savorylift.wire.connecting import connect
 from savorylift.wire.request_input import InputLimits
 from savorylift.wire.server_connection import ServerConnection
 
--- a/tests/wire/test_input_timeout.py
+++ b/tests/wire/test_input_timeout.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from savorylift.wire.channel import connect
+from savorylift.wire.connecting import connect
 from savorylift.wire.input_timeout import InputTimeout
 from tests.wire.loopback import run_with_timeout
 
--- a/tests/wire/test_server_connection.py
+++ b/tests/wire/test_server_connection.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from savorylift.wire.channel import Channel, connect
+from savorylift.wire.channel import Channel
+from savorylift.wire.connecting import connect
 from savorylift.wire.listener import Listener
 from savorylift.wire.message import Request
 from savorylift.wire.request_input import BadRequest, CloseReason, InputLimits
