Say in wire/ what is counted, reserved and displaced

Cause: names and comments stopped a newcomer: a method next(), a body that gives way without a word on whose, buffered bytes kept beside bodies that have them, purposes in words that aren't English.

Change: find_next, _displace_newest, a set of bodies; docstrings.

--- a/src/savorylift/wire/body_budget.py
+++ b/src/savorylift/wire/body_budget.py
@@ -190,14 +190,14 @@
         """Admits small bodies; they don't wait for large ones before them."""
         largest = SMALL_BODY_BYTES * self._copies
         while not self._queue.is_empty:
-            body = self._queue.next(self._held_by_team(), largest)
+            body = self._queue.find_next(self._held_by_team(), largest)
             if body is None or not self._take_small(body.lease, body.size):
                 return
             self._queue.grant(body)
 
     def _admit_waiting(self) -> None:
         while not self._queue.is_empty:
-            body = self._queue.next(self._held_by_team())
+            body = self._queue.find_next(self._held_by_team())
             if body is None or not self._take_large(body.lease, body.size):
                 return
             self._queue.grant(body)
--- a/src/savorylift/wire/body_queue.py
+++ b/src/savorylift/wire/body_queue.py
@@ -1,7 +1,8 @@
 """The bodies that wait for memory, shared fairly by the teams of their callers.
 
-Answers uploads of one team that want more memory than there is: those of other
-teams go before them, and aren't refused for their sake.
+A team whose uploads want more memory than there is doesn't delay the others:
+their bodies are admitted first, and aren't refused because its bodies fill the
+queue.
 """
 
 import asyncio
@@ -42,8 +43,9 @@
         """
         self._max_bytes = max_bytes
         self._bodies: list[WaitingBody] = []
-        # Also those that were granted, until they leave.
-        self._buffered: dict[WaitingBody, int] = {}
+        # Bodies whose bytes are in connections' buffers: those that wait, and
+        # those that were granted, until they leave.
+        self._buffered: set[WaitingBody] = set()
 
     @property
     def is_empty(self) -> bool:
@@ -55,31 +57,34 @@
     ) -> WaitingBody | None:
         """Lets a body wait, unless too much waits already.
 
-        Where bodies of another team fill the queue, the newest of these give
-        way to it.
+        Where bodies of another team fill the queue, the newest of these are
+        refused in its favour.
 
         Args:
             lease: Gets the bytes.
             size: Bytes to take.
             buffered: Bytes that the connection's buffers hold meanwhile.
+
+        Returns:
+            The body that waits; None if there is no room for it.
         """
-        while sum(self._buffered.values()) + buffered > self._max_bytes:
-            if not self._give_way(lease.team, buffered):
+        while self._buffered_bytes + buffered > self._max_bytes:
+            if not self._displace_newest(lease.team, buffered):
                 return None
         granted = asyncio.get_running_loop().create_future()
         body = WaitingBody(lease, size, buffered, granted)
         self._bodies.append(body)
-        self._buffered[body] = buffered
+        self._buffered.add(body)
         return body
 
-    def next(
+    def find_next(
         self, held_by_team: Mapping[str, int], max_size: int = sys.maxsize
     ) -> WaitingBody | None:
-        """Returns the body to admit next: the first of those who hold least.
+        """Returns the body to admit next: the oldest of the team with least.
 
         Args:
-            held_by_team: Bytes that the bodies of each team have.
-            max_size: Size of the largest body to consider.
+            held_by_team: Bytes that admitted bodies of each team hold.
+            max_size: Size in bytes of the largest body to consider.
         """
         return min(
             (
@@ -98,13 +103,17 @@
 
     def leave(self, body: WaitingBody) -> bool:
         """Removes a body; returns whether it was still waiting."""
-        self._buffered.pop(body, None)
+        self._buffered.discard(body)
         if body not in self._bodies:
             return False
         self._bodies.remove(body)
         return True
 
-    def _give_way(self, team: str, buffered: int) -> bool:
+    @property
+    def _buffered_bytes(self) -> int:
+        return sum(body.buffered for body in self._buffered)
+
+    def _displace_newest(self, team: str, buffered: int) -> bool:
         """Refuses the newest body of the team that has most in the queue.
 
         Args:
--- a/src/savorylift/wire/client_call.py
+++ b/src/savorylift/wire/client_call.py
@@ -26,7 +26,8 @@
 _buffers = BufferBudget(16_777_216)
 # Informational responses before the final one.
 MAX_INFORMATIONAL = 8
-# Assigned ones. After others, a connection that ends shows a server in trouble.
+# Assigned by IANA. If a connection ends after any other one, without a final
+# response, the server has sent an invalid status.
 INFORMATIONAL_STATUSES = frozenset({100, 101, 102, 103})
 # Host of a request from which only its method matters.
 ANY_HOST = [("host", "any")]
@@ -49,7 +50,8 @@
         self._h11 = h11.Connection(h11.CLIENT)
         self._method = ""
         self._coop_budget = CoopBudget()
-        # That of the last informational response, before the final one.
+        # Of the last informational response; None if there was none, or once
+        # the final response has come.
         self._informational_status: int | None = None
 
     @property
@@ -189,7 +191,14 @@
     def _record_protocol_error(
         self, exc: h11.RemoteProtocolError, *, is_ended: bool
     ) -> None:
-        """Counts and logs what isn't just the end of a connection."""
+        """Counts and logs a faulty answer.
+
+        The end of a connection alone isn't one: the server may have crashed.
+
+        Args:
+            exc: What is wrong with the input.
+            is_ended: Whether the input has ended.
+        """
         status = self._informational_status
         if not is_ended:
             self._record_fault("syntax", str(exc))
--- a/src/savorylift/wire/closing_connection.py
+++ b/src/savorylift/wire/closing_connection.py
@@ -5,7 +5,8 @@
 from savorylift.wire.channel import Channel
 from savorylift.wire.progress import Phase, Progress
 
-# Most bytes of an answer that the transport below TLS holds back unseen.
+# Most bytes of an answer in the buffer of the transport below TLS, which
+# `Channel.unsent_bytes` doesn't count.
 MAX_UNSEEN_BYTES = 65_536
 
 
@@ -36,7 +37,11 @@
 
     @property
     def progress(self) -> Progress:
-        """How far its caller has come."""
+        """How far its caller has come.
+
+        Bytes that can't be counted are taken for read, so that a caller gets
+        the time to read them before it counts as behind.
+        """
         sent = self._unsent_at_start - self._channel.unsent_bytes
         self._progress.moved_bytes = MAX_UNSEEN_BYTES + sent
         return self._progress
--- a/src/savorylift/wire/connection_limit.py
+++ b/src/savorylift/wire/connection_limit.py
@@ -62,7 +62,10 @@
         return self._opening + len(self._open)
 
     def begin(self) -> bool:
-        """Counts a connection that is to be added, if there is room for it."""
+        """Reserves the place of a connection, if there is one left.
+
+        The caller adds the connection by `add` then.
+        """
         if self.size >= self._max_open:
             self._make_room()
         if self.size >= self._max_open:
@@ -72,12 +75,12 @@
         return True
 
     def add(self, conn: LimitedConnection) -> None:
-        """Counts a connection for which there was room, until `remove`."""
+        """Counts a connection whose place was reserved, until `remove`."""
         self._opening -= 1
         self._open.add(conn)
 
     def replace(self, old: LimitedConnection, new: LimitedConnection) -> None:
-        """Counts a connection in place of what it was before."""
+        """Puts a connection in the place of its earlier phase."""
         self._open.discard(old)
         self._open.add(new)
 
--- a/src/savorylift/wire/listener.py
+++ b/src/savorylift/wire/listener.py
@@ -157,7 +157,7 @@
             self._close(conn)
 
     def _close(self, conn: ServerConnection) -> None:
-        """Closes a connection, which counts for as long as it is there."""
+        """Closes a connection, which counts until its descriptor is free."""
         closing = ClosingConnection(conn.channel, conn.address)
         self._limit.replace(conn, closing)
         closing.call_when_lost(lambda: self._limit.remove(closing))
--- a/src/savorylift/wire/opening_connection.py
+++ b/src/savorylift/wire/opening_connection.py
@@ -13,8 +13,8 @@
     """What decides whether a connection is closed before it is open.
 
     Attributes:
-        progress: How far it has come. What has passed isn't known.
-        held_bytes: Bytes that it holds.
+        progress: How far it has come. The bytes of a handshake aren't counted.
+        held_bytes: Bytes of memory that it takes.
         address: Address of the host that has opened it.
     """
 
--- a/src/savorylift/wire/purpose.py
+++ b/src/savorylift/wire/purpose.py
@@ -8,12 +8,13 @@
 
     Attributes:
         REQUEST: A caller's request to a backend server.
-        REPORT: A question to a server what it says of itself.
-        PROBE: A question to a server for a sign of life.
-        CONTACT: To see whether a server accepts connections.
-        IDLE: To see for how long a server's process lives, without a request.
-        COPY: A copy of a run, or the end of one.
-        CANCEL: The end of a run.
+        REPORT: A query for a server's report of its state.
+        PROBE: A health check of a server that wasn't reached.
+        CONTACT: A check whether a server accepts connections.
+        IDLE: A connection without a request, which the system closes when the
+            server's process ends.
+        COPY: A request to copy a run to another engine, or to drop the copy.
+        CANCEL: A request to cancel a run.
         RELAY: A caller's request to another node.
         STORE: A call to the store.
         OTHER: Anything else.
--- a/tests/wire/test_body_queue.py
+++ b/tests/wire/test_body_queue.py
@@ -71,7 +71,7 @@
         bodies = [queue.add(lease_of("a"), 1, 1) for _ in range(3)]
         for body in bodies:
             assert body is not None
-            assert queue.next({}) is body
+            assert queue.find_next({}) is body
             queue.grant(body)
         assert queue.is_empty
 
@@ -167,7 +167,7 @@
         first, second = (queue.add(lease_of("a"), 5, 5) for _ in range(2))
         assert isinstance(first, WaitingBody)
         first.granted.cancel()
-        assert queue.next({}) is second
+        assert queue.find_next({}) is second
         assert queue.leave(first)
         assert not queue.leave(first)
         # Its bytes are free again.
