Explain turns, levels and rooms where a newcomer stopped

Cause: a level, a place and what a keeper keeps weren't said; a method that finds an obstacle began to keep a room; two classes were called Turns; a constant for the number of groups asked was used nowhere; private tuples had fields without units.

Change: TurnCounter, select_group, RoomKeeper._keep; docstrings; help texts of two metrics say rooms, which they count. The unused constant is gone.

--- a/src/savorylift/front/move_parts.py
+++ b/src/savorylift/front/move_parts.py
@@ -19,7 +19,7 @@
 from savorylift.moves.service_moves import Surroundings
 from savorylift.moves.turns import MoveTurns
 from savorylift.placement.engines import free_tokens
-from savorylift.rooms.engine_groups import keep_group
+from savorylift.rooms.engine_groups import select_group
 from savorylift.rooms.engines import Engines
 
 
@@ -105,7 +105,7 @@
         held = self._held.get(service, {})
         rooms = self._rooms.keeper.rooms_of(service)
         for room_id, room in rooms.items():
-            kept = room.loads(keep_group(engines, room_id))
+            kept = room.loads(select_group(engines, room_id))
             for server_id, load in kept.items():
                 tokens = held.get(server_id, 0)
                 loads[server_id] = load._replace(
--- a/src/savorylift/placement/held_room.py
+++ b/src/savorylift/placement/held_room.py
@@ -5,8 +5,8 @@
 may use what others leave idle, and whoever holds least for its weight gets the
 next room that becomes free. A team that was idle has its share as soon as
 enough generations of others have ended; none is broken off for it. Within a
-team the same holds between its callers, so that a hot one doesn't crowd out
-the others.
+team the same holds between its callers, so that one that sends much doesn't
+crowd out the others.
 """
 
 from typing import NamedTuple, TypeVar
@@ -34,6 +34,13 @@
 
 
 class _Held(NamedTuple):
+    """What a team or a caller holds.
+
+    Attributes:
+        generations: Number of its generations that hold room.
+        cost: Sum of their costs (`Holder.cost`).
+    """
+
     generations: int = 0
     cost: float = 0.0
 
@@ -75,5 +82,5 @@
     if changed.generations > 0:
         held[key] = changed
     else:
-        # Rounding errors don't add up over the years.
+        # Drops rounding errors of the sum together with the entry.
         held.pop(key, None)
--- a/src/savorylift/placement/return_schedule.py
+++ b/src/savorylift/placement/return_schedule.py
@@ -10,8 +10,8 @@
 
 from savorylift.placement.turn_away import MAX_RETURN_S, TurnedAway
 
-# Those whose time would come after `MAX_RETURN_S` return within the last part
-# of it, of this share.
+# Generations whose slots lie after `MAX_RETURN_S` return at random within this
+# last part of it.
 OVERFLOW_SHARE = 0.3
 
 
@@ -37,7 +37,7 @@
         """Returns after what time a refused generation should return.
 
         Args:
-            away: The generation, with the forecast for it alone.
+            away: The generation, with a forecast without earlier refusals.
             tokens_per_s: Rate at which memory is left to its priority.
         """
         now_s = time.monotonic()
--- a/src/savorylift/placement/shared_turns.py
+++ b/src/savorylift/placement/shared_turns.py
@@ -3,6 +3,9 @@
 As in `turn_order`, those that can still be in time go first, then priority
 decides. Among equals it is the team that holds least of the room for its
 weight, in it the caller that holds least, and then the order of arrival.
+
+The level of a ticket is the cost that its team (or caller) holds once those of
+its tickets that go before have got room, too. The lowest level goes first.
 """
 
 import collections
@@ -13,12 +16,20 @@
 from savorylift.placement.turn_order import (
     Rank,
     Ticket,
-    Turns,
+    TurnCounter,
     put_oldest_first,
 )
 
 
 class _Ranked(NamedTuple):
+    """A ticket with its sort key without shares.
+
+    Attributes:
+        rank: What decides before the shares.
+        number: Sequence number of the ticket.
+        ticket: The ticket.
+    """
+
     rank: Rank
     number: int
     ticket: Ticket
@@ -34,7 +45,7 @@
             held: What teams hold; whoever grants room keeps it up to date.
         """
         self._held = held
-        self._turns = Turns()
+        self._turns = TurnCounter()
 
     def record_turn(self, _ticket: Ticket) -> None:
         """Records that a generation has got room."""
@@ -53,7 +64,6 @@
             level = self._held.of_team(team)
             for item in self._sort_team(of_team):
                 levels[item.number] = level
-                # The team holds that much more once this one has its turn.
                 level += item.ticket.cost
         ordered = [item.ticket for item in _sort_by_level(ranked, levels)]
         if self._turns.is_oldest_next:
@@ -65,21 +75,26 @@
         if len(ranked) == 1:
             return ranked
         levels: dict[int, float] = {}
-        by_caller: dict[str, float] = {}
+        next_levels: dict[str, float] = {}
         for item in ranked:
             caller = item.ticket.caller
-            level = by_caller.get(caller)
+            level = next_levels.get(caller)
             if level is None:
                 level = self._held.of_caller(item.ticket.team, caller)
             levels[item.number] = level
-            by_caller[caller] = level + item.ticket.cost
+            next_levels[caller] = level + item.ticket.cost
         return _sort_by_level(ranked, levels)
 
 
 def _sort_by_level(
     ranked: Iterable[_Ranked], levels: Mapping[int, float]
 ) -> list[_Ranked]:
-    """Sorts tickets by rank, then by the level of each by its number."""
+    """Sorts tickets by rank, then by level.
+
+    Args:
+        ranked: The tickets.
+        levels: Level of each, by its number.
+    """
     return sorted(
         ranked, key=lambda item: (item.rank, levels[item.number], item.number)
     )
--- a/src/savorylift/placement/turn_away.py
+++ b/src/savorylift/placement/turn_away.py
@@ -17,8 +17,8 @@
 # the time that it can wait. A forecast may be that far off, since small
 # generations overtake large ones that don't fit.
 FORECAST_MARGIN = 3.0
-# One that would wait in vain is refused this much before its time is over, with
-# a time to return from whoever knows the room.
+# One that has no room yet is refused this long before its node stops waiting,
+# so that it is told when to return by whoever knows the room.
 LAST_MOMENT_S = 0.15
 MIN_RETURN_S = 0.5
 # Bounds the time to come back if far more memory is needed than is released.
--- a/src/savorylift/placement/turn_order.py
+++ b/src/savorylift/placement/turn_order.py
@@ -60,8 +60,8 @@
         return Rank(now_s > self.latest_start_s, self.priority)
 
 
-class Turns:
-    """Counts turns, some of which go to the one that has waited longest."""
+class TurnCounter:
+    """Counts turns: each `TURNS_PER_OLDEST`th is for the oldest ticket."""
 
     def __init__(self) -> None:
         """Starts without any turns taken."""
@@ -83,7 +83,7 @@
     def __init__(self) -> None:
         """Starts without any turns taken."""
         self._share = FairShare()
-        self._turns = Turns()
+        self._turns = TurnCounter()
 
     def record_turn(self, ticket: Ticket) -> None:
         """Records that a generation has got room."""
--- a/src/savorylift/rooms/book.py
+++ b/src/savorylift/rooms/book.py
@@ -25,6 +25,7 @@
 # Places that have ended are remembered, so that a late duplicate of their
 # request gets none.
 MAX_ENDED = 1024
+# Of places that count for no team.
 NOBODY = Holder("", "", 0.0)
 
 
@@ -80,12 +81,12 @@
 
     Attributes:
         held: What teams and their callers hold of what was granted.
+        planned: Tokens that are kept free for planned moves, by engine.
     """
 
     def __init__(self) -> None:
         """Starts without any places."""
         self.held = HeldRoom()
-        # Tokens that are kept for planned moves, by engine.
         self.planned: Mapping[str, int] = {}
         self._grants: dict[PlaceKey, Grant] = {}
         # Grants by node and engine, oldest first.
@@ -213,7 +214,8 @@
         results = known.get(server_id, Load())
         planned = self.planned.get(server_id, 0)
         return results._replace(
-            # An engine to which a run is to move isn't idle.
+            # However many runs are to move to an engine, they count as one
+            # request here, so that it doesn't pass for idle.
             requests=total.requests + (planned > 0),
             tokens=total.tokens + planned,
             prefill_tokens=prefill_tokens,
--- a/src/savorylift/rooms/engine_groups.py
+++ b/src/savorylift/rooms/engine_groups.py
@@ -13,18 +13,17 @@
 
 from savorylift.rooms.engines import Engines
 
-# With fewer engines a group, requests that fit nowhere in theirs are too many.
+# In smaller groups, too many requests would find no room in theirs while
+# another group has some.
 MIN_ENGINES_PER_GROUP = 24
 MAX_GROUPS = 16
-# Keepers that a request asks.
-GROUPS_PER_REQUEST = 2
 # For how long a count is used before the engines are counted again.
 CACHE_S = 0.5
 MAX_SERVICES = 200
 
 
 class RoomId(NamedTuple):
-    """What one keeper keeps.
+    """Identifies a room: a service's engines, or one group of them.
 
     Attributes:
         service: The service.
@@ -38,13 +37,13 @@
 
     @property
     def name(self) -> str:
-        """What the keeper is chosen by."""
+        """Key by which the keeper is chosen."""
         if self.groups == 1:
             return self.service
         return f"{self.service}#{self.group}/{self.groups}"
 
     def has_engine(self, server_id: str) -> bool:
-        """Whether an engine belongs to it."""
+        """Whether an engine belongs to the group."""
         return _hash(server_id) % self.groups == self.group
 
 
@@ -68,14 +67,15 @@
         request_id: What the request and its repeats agree in, so that the
             keeper knows those that return.
     """
-    first = _hash(request_id)
-    yield RoomId(service, first % groups, groups)
+    number = _hash(request_id)
+    yield RoomId(service, number % groups, groups)
     if groups > 1:
-        step = 1 + first // groups % (groups - 1)
-        yield RoomId(service, (first + step) % groups, groups)
+        # From 1 to `groups - 1`, so that the second group is another one.
+        step = 1 + number // groups % (groups - 1)
+        yield RoomId(service, (number + step) % groups, groups)
 
 
-def keep_group(engines: Engines, room: RoomId) -> Engines:
+def select_group(engines: Engines, room: RoomId) -> Engines:
     """Returns the engines that belong to a room."""
     if room.groups == 1:
         return engines
@@ -84,6 +84,14 @@
 
 
 class _Count(NamedTuple):
+    """The number of a service's groups.
+
+    Attributes:
+        groups: The number.
+        changed_s: Monotonic time at which it last changed.
+        until_s: Monotonic time until which it is used.
+    """
+
     groups: int
     changed_s: float
     until_s: float
--- a/src/savorylift/rooms/keeper.py
+++ b/src/savorylift/rooms/keeper.py
@@ -24,7 +24,7 @@
 from savorylift.rooms.book import PlaceKey
 from savorylift.rooms.decision_log import AloneReason, RoleChange, log_role
 from savorylift.rooms.dispatch_timers import DispatchTimers
-from savorylift.rooms.engine_groups import EngineGroups, RoomId, keep_group
+from savorylift.rooms.engine_groups import EngineGroups, RoomId, select_group
 from savorylift.rooms.engines import Engines
 from savorylift.rooms.keeper_choice import KeeperChoice
 from savorylift.rooms.request_check import is_sound
@@ -110,7 +110,7 @@
             return
         self._end(message.ends, ip)
         room_id = RoomId(message.service, message.group, message.groups)
-        reason = self._find_obstacle(room_id)
+        reason = self._keep(room_id)
         if reason is not None:
             self._leave_alone(message, ip, reason)
             return
@@ -162,8 +162,12 @@
         interval_s = self._get_message_interval_s()
         return max(HANDOVER_HOLD_S, HANDOVER_INTERVALS * interval_s)
 
-    def _find_obstacle(self, room_id: RoomId) -> AloneReason | None:
-        """Returns why this node may grant no places of a room now."""
+    def _keep(self, room_id: RoomId) -> AloneReason | None:
+        """Keeps a room from now on, if this node may.
+
+        Returns:
+            Why it may grant no places of the room now; None if it may.
+        """
         is_known = room_id in self._ready_s
         if not is_known and self._find_engines(room_id.service) is None:
             # Names in messages aren't kept if the configuration has none such.
@@ -184,7 +188,11 @@
         return None if room_id in self._rooms else AloneReason.NOT_READY
 
     def _leave_if_over(self, room_id: RoomId) -> AloneReason | None:
-        """Leaves a room that this node isn't to keep; returns why."""
+        """Leaves a room that this node isn't to keep.
+
+        Returns:
+            Why it isn't; None if it is.
+        """
         if self._groups.count(room_id.service) != room_id.groups:
             self._leave(room_id, RoleChange.REGROUPED)
             return AloneReason.OTHER_GROUPS
@@ -274,7 +282,7 @@
             self._leave(room_id, RoleChange.UNKNOWN_SERVICE)
             return
         room.hear(self._choice.own_ip, self._own_loads())
-        for decision in room.dispatch(keep_group(engines, room_id)):
+        for decision in room.dispatch(select_group(engines, room_id)):
             self._reply(decision.reply, decision.key.ip)
         self._show_waiting()
         self._timers.record(time.monotonic() - begun_s)
--- a/src/savorylift/rooms/metrics.py
+++ b/src/savorylift/rooms/metrics.py
@@ -17,11 +17,11 @@
 )
 ROOM_SERVICES = Gauge(
     "savorylift_front_room_services",
-    "Services of which this node keeps the room.",
+    "Rooms that this node keeps: services, or groups of their engines.",
 )
 ROOM_ROLES = Counter(
     "savorylift_front_room_roles",
-    "Services whose room this node began or ceased to keep, by why.",
+    "Rooms that this node began or ceased to keep, by why.",
     ["reason"],
 )
 ROOM_ALONE = Counter(
--- a/src/savorylift/rooms/returning.py
+++ b/src/savorylift/rooms/returning.py
@@ -1,11 +1,10 @@
-"""Refused requests that may come again, and keep their place in the order.
+"""Refused requests that may come again, and keep their turn.
 
 A caller that is refused and returns when it was told to would otherwise count
-as new, however often it returns: behind all that came meanwhile, but before
-those that are as late as itself, and that could still be in time. It has a new
-ID then, so it is known by what it asks for. That is no proof: another caller
-of the team may ask for the same. So one refusal gives one place, to one that
-returns in time, and those alike are of the same team and size.
+as new, however often it returns, and wait behind all that came meanwhile. A
+returning request has a new ID, so it is recognized by a digest of what it asks
+for. That is no proof: another caller of the team may ask for the same. So one
+refusal keeps one turn, for one request that returns in time.
 """
 
 import collections
@@ -37,6 +36,13 @@
 
 
 class _Refusal(NamedTuple):
+    """A refusal that is remembered.
+
+    Attributes:
+        first: When the request came first.
+        return_s: Monotonic time at which it was told to return.
+    """
+
     first: FirstVisit
     return_s: float
 
@@ -61,7 +67,7 @@
 
         Args:
             repeat_id: What repeats of the request agree in; empty if unknown.
-            ticket: Its place in the order.
+            ticket: The request, as it waited.
             return_in_s: Time after which its caller was told to return.
         """
         now_s = time.monotonic()
--- a/src/savorylift/rooms/service_room.py
+++ b/src/savorylift/rooms/service_room.py
@@ -54,6 +54,17 @@
 
 
 class _Waiting(NamedTuple):
+    """A generation that waits.
+
+    Attributes:
+        key: The request for its place.
+        req: The same, with what it asks for.
+        ticket: What its turn depends on. If it was refused before, its times
+            are those of its first visit.
+        asked_s: Monotonic time at which it began to wait on this visit.
+        heard_s: Monotonic time at which its node last asked for it.
+    """
+
     key: PlaceKey
     req: RoomRequest
     ticket: Ticket
@@ -263,7 +274,8 @@
         now_s = time.monotonic()
         for away in find_hopeless(left, room, now_s):
             ticket = away.ticket
-            key, req, *_ = by_number[ticket.number]
+            refused = by_number[ticket.number]
+            key, req = refused.key, refused.req
             del self._waiting[key]
             return_in_s = self._returns.assign_s(
                 away, room.rate_for(ticket, now_s)
--- a/tests/rooms/test_engine_groups.py
+++ b/tests/rooms/test_engine_groups.py
@@ -16,7 +16,7 @@
     RoomId,
     count_groups,
     find_rooms,
-    keep_group,
+    select_group,
 )
 from savorylift.rooms.service_room import ServiceRoom
 from tests.rooms.factories import SERVICE, TRAITS, make_engines, make_request
@@ -61,7 +61,7 @@
 def test_service_without_groups_is_named_as_in_earlier_builds() -> None:
     """Nodes with old and new builds choose the same keeper."""
     assert RoomId(SERVICE).name == SERVICE
-    assert keep_group(ENGINES, RoomId(SERVICE)) is ENGINES
+    assert select_group(ENGINES, RoomId(SERVICE)) is ENGINES
 
 
 def test_change_of_the_number_of_groups_is_noticed() -> None:
@@ -111,7 +111,7 @@
             elif key not in held:
                 rooms[first].add(key, make_request(number, tokens))
             for room_id, room in rooms.items():
-                for decision in room.dispatch(keep_group(ENGINES, room_id)):
+                for decision in room.dispatch(select_group(ENGINES, room_id)):
                     grant = room._book.find(decision.key)
                     if grant is None:
                         continue
