Give the parts of a plan of moves types and units

Cause: bare tuples (the key of a run, its sort key, a plan with its decisions, room that is taken), a log event given_up that doesn't say what, a copy that 'takes' in two senses, the prompt's tokens looked up twice.

Tests: the renamed key and types only.

--- a/src/savorylift/front/move_parts.py
+++ b/src/savorylift/front/move_parts.py
@@ -71,7 +71,7 @@
         traits = engines.traits
         if traits.link_bytes_per_s <= 0 or traits.token_bytes <= 0:
             return None
-        rate = traits.link_bytes_per_s / traits.token_bytes
+        link_tokens_per_s = traits.link_bytes_per_s / traits.token_bytes
         loads = self._find_loads(service, engines)
         destinations = {}
         for server in engines.servers:
@@ -83,15 +83,20 @@
                 entry.software_version,
                 free_tokens(load, traits),
                 traits.slots - load.requests,
-                rate,
+                link_tokens_per_s,
             )
         now_s = time.monotonic()
         others = self._membership.moves(now_s)
         announced = [*self._pool.move_queue.planned, *others]
-        return Surroundings(destinations, rate, announced)
+        return Surroundings(destinations, link_tokens_per_s, announced)
 
     def hold(self, service: str, tokens: dict[str, int]) -> None:
-        """Keeps room for moves, instead of what was kept before, by engine."""
+        """Keeps room for moves, in place of what was kept before.
+
+        Args:
+            service: Name of the service.
+            tokens: Tokens to keep free, by the ID of the engine.
+        """
         self._held[service] = tokens
         for room in self._rooms.keeper.rooms_of(service).values():
             room.hold(tokens)
@@ -108,6 +113,7 @@
             kept = room.loads(select_group(engines, room_id))
             for server_id, load in kept.items():
                 tokens = held.get(server_id, 0)
+                # What is kept for moves counts there as one request.
                 loads[server_id] = load._replace(
                     requests=load.requests - (tokens > 0),
                     tokens=load.tokens - tokens,
--- a/src/savorylift/moves/begun_copies.py
+++ b/src/savorylift/moves/begun_copies.py
@@ -14,7 +14,7 @@
 OVERDUE_S = 0.05
 # The run that was copied counts at its new engine by then.
 SETTLE_S = 0.5
-# What nodes announce of a move may be so old.
+# Nodes may announce a move for this long after it has ended.
 STALE_S = 3.0
 
 
@@ -46,9 +46,27 @@
     ends_s: float
 
 
-class _Settling(NamedTuple):
+class _TakenRoom(NamedTuple):
+    """Room for one run.
+
+    Attributes:
+        server_id: Engine.
+        tokens: Tokens that the run is expected to reach.
+    """
+
     server_id: str
     tokens: int
+
+
+class _Settling(NamedTuple):
+    """A run that was copied and doesn't count at its new engine yet.
+
+    Attributes:
+        taken: Room that it takes there.
+        until_s: Monotonic time from which it counts there.
+    """
+
+    taken: _TakenRoom
     until_s: float
 
 
@@ -58,7 +76,6 @@
     def __init__(self) -> None:
         """Starts without copies."""
         self._copies: dict[MoveKey, BegunCopy] = {}
-        # Runs that were copied and don't count at their new engines yet.
         self._settling: list[_Settling] = []
         # Monotonic time at which copies of these runs ended.
         self._ended_s: dict[str, float] = {}
@@ -78,15 +95,24 @@
         destination_id: str,
         takes_s: float,
     ) -> None:
-        """Records a copy that begins now and should take a time."""
+        """Records a copy that begins now.
+
+        Args:
+            key: The request for its turn.
+            req: The same, with what it asks for.
+            destination_id: Engine that the run is copied to.
+            takes_s: Time that it should take.
+        """
         now_s = time.monotonic()
         ends_s = now_s + takes_s
         self._copies[key] = BegunCopy(req, destination_id, now_s, ends_s)
 
     def end(self, key: MoveKey, moved_to: str | None) -> None:
-        """Records the end of a copy, and the engine at which its run goes on.
+        """Records the end of a copy.
 
-        That is None if the run wasn't moved.
+        Args:
+            key: The request for its turn.
+            moved_to: Engine at which the run goes on; None if it wasn't moved.
         """
         copy = self._copies.pop(key, None)
         if copy is None:
@@ -94,8 +120,8 @@
         now_s = time.monotonic()
         self._ended_s[copy.req.attempt_id] = now_s
         if moved_to is not None:
-            tokens, until_s = copy.req.expected_tokens, now_s + SETTLE_S
-            self._settling.append(_Settling(moved_to, tokens, until_s))
+            taken = _TakenRoom(moved_to, copy.req.expected_tokens)
+            self._settling.append(_Settling(taken, now_s + SETTLE_S))
 
     def drop_old(self, live: Collection[str]) -> None:
         """Ends the copies of nodes not in `live`, and those that are over."""
@@ -117,23 +143,24 @@
     def tokens(self) -> dict[str, int]:
         """Returns the tokens that the copies take, by engine."""
         totals: dict[str, int] = {}
-        for server_id, tokens in self._taken():
-            totals[server_id] = totals.get(server_id, 0) + tokens
+        for taken in self._taken():
+            known = totals.get(taken.server_id, 0)
+            totals[taken.server_id] = known + taken.tokens
         return totals
 
     def places(self) -> dict[str, int]:
         """Returns the places that the copies take, by engine."""
         totals: dict[str, int] = {}
-        for server_id, _ in self._taken():
-            totals[server_id] = totals.get(server_id, 0) + 1
+        for taken in self._taken():
+            totals[taken.server_id] = totals.get(taken.server_id, 0) + 1
         return totals
 
     def busy_s(self, announced: Iterable[PlannedMove]) -> dict[str, float]:
         """Returns for how long engines' links should be in use.
 
         Args:
-            announced: Moves that nodes have announced. Those that are unknown
-                here count as well: their nodes order them by themselves.
+            announced: Moves that nodes have announced. Those without a turn
+                from here count as well: their nodes order them by themselves.
         """
         now_s = time.monotonic()
         busy_s: dict[str, float] = {}
@@ -149,8 +176,8 @@
                 busy_s.setdefault(move.destination, OVERDUE_S)
         return busy_s
 
-    def _taken(self) -> Iterator[tuple[str, int]]:
+    def _taken(self) -> Iterator[_TakenRoom]:
         for copy in self._copies.values():
-            yield copy.destination_id, copy.req.expected_tokens
+            yield _TakenRoom(copy.destination_id, copy.req.expected_tokens)
         for settling in self._settling:
-            yield settling.server_id, settling.tokens
+            yield settling.taken
--- a/src/savorylift/moves/copy_schedule.py
+++ b/src/savorylift/moves/copy_schedule.py
@@ -4,6 +4,7 @@
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
+from savorylift.moves.begun_copies import MoveKey
 from savorylift.moves.move_order import CROSS_DOMAIN_FACTOR
 
 # What a copy takes besides the bytes: the part that the run made meanwhile, and
@@ -18,7 +19,7 @@
     """A run on an engine that leaves.
 
     Attributes:
-        run_id: Identifies it: node and number of its request.
+        key: The request for its turn.
         source_id: Engine that it is on.
         tokens: Tokens that it holds, which are copied.
         expected_tokens: Tokens that it is expected to reach, for which its
@@ -26,14 +27,14 @@
         priority: Priority; 0 goes first.
         done_share: Share of the expected output that has been made.
         may_repeat: Whether it may be made again from its prompt.
-        ends_in_s: Time until it should end by itself.
+        ends_in_s: Time until it should end by itself; infinite if unknown.
         excluded: IDs of the engines that it can't go to.
         software_version: Version of the engines that it may go to; None for
             any.
         regions: Regions that it may go to; None for any.
     """
 
-    run_id: tuple[str, int]
+    key: MoveKey
     source_id: str
     tokens: int
     expected_tokens: int
@@ -134,18 +135,26 @@
         if not found:
             return None
         server_id = self._choose_emptiest(found)
-        took_s = copy_duration_s(
+        takes_s = copy_duration_s(
             run.tokens,
             self._sources[run.source_id],
             self._destinations[server_id],
         )
-        ends_s = self._source_free_s[run.source_id] + took_s
-        return self._take(run, server_id, ends_s)
+        ends_s = self._source_free_s[run.source_id] + takes_s
+        return self._schedule(run, server_id, ends_s)
 
     def add(
         self, run: MovingRun, latest_end_s: float = math.inf
     ) -> PlannedCopy | None:
-        """Plans a copy after those before; None if none ends in time."""
+        """Plans a copy of a run after those that were planned before.
+
+        Args:
+            run: The run.
+            latest_end_s: Time until which the copy must have ended.
+
+        Returns:
+            The copy; None if there is no room or no copy ends in time.
+        """
         source = self._sources[run.source_id]
         free_s = self._source_free_s[run.source_id]
         ends = {
@@ -160,7 +169,7 @@
         last_s = min(first_s + SIMILAR_END_S, latest_end_s)
         found = [server_id for server_id, s in ends.items() if s <= last_s]
         server_id = self._choose_emptiest(found)
-        return self._take(run, server_id, ends[server_id])
+        return self._schedule(run, server_id, ends[server_id])
 
     def has_room(self, run: MovingRun) -> bool:
         """Whether any destination has room for a run."""
@@ -178,7 +187,7 @@
             ),
         )
 
-    def _take(
+    def _schedule(
         self, run: MovingRun, server_id: str, ends_s: float
     ) -> PlannedCopy:
         destination = self._destinations[server_id]
--- a/src/savorylift/moves/move_plan.py
+++ b/src/savorylift/moves/move_plan.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Collection, Iterable, Mapping
 from typing import NamedTuple
 
+from savorylift.moves.begun_copies import MoveKey
 from savorylift.moves.copy_schedule import (
     CopySchedule,
     Destination,
@@ -47,8 +48,8 @@
 
     Attributes:
         copies: Copies that end before the engine leaves, first ones first.
-        unsaved: The other runs, but those that end by themselves.
-        late: For each engine without such copies, that of the next run which
+        unsaved: The other runs, except those that end by themselves.
+        late: For each engine without such copies, a copy of the next run that
             can't be made again or should end by itself: the engine may stay
             longer than expected.
         trials: For each engine without any of these, a copy of the next run
@@ -82,26 +83,27 @@
     schedule = CopySchedule(sources, destinations)
     copies = []
     unsaved = []
-    left = []
-    for run in sorted(runs, key=lambda run: _loss_order(run, sources)):
+    # Runs that are copied if their engines stay longer than expected.
+    leftover = []
+    for run in sorted(runs, key=lambda run: _loss_rank(run, sources)):
         leaves_in_s = sources[run.source_id].leaves_in_s
         copy = schedule.add(run, leaves_in_s)
         if copy is not None:
             copies.append(copy)
             continue
         if run.ends_in_s < leaves_in_s:
-            left.append(run)
+            leftover.append(run)
             continue
         reason = UnsavedReason.ROOM
         if schedule.has_room(run):
             reason = UnsavedReason.TIME
         unsaved.append(UnsavedRun(run, reason))
         if not run.may_repeat:
-            left.append(run)
+            leftover.append(run)
     used = {copy.run.source_id for copy in copies}
-    late = _add_next(left, used, schedule.add)
+    late = _add_next(leftover, used, schedule.add)
     used.update(copy.run.source_id for copy in late)
-    trials = _add_next(left, used, schedule.add_without_room)
+    trials = _add_next(leftover, used, schedule.add_without_room)
     return MovePlan(
         tuple(copies), tuple(unsaved), tuple(late), tuple(trials), sources
     )
@@ -112,7 +114,13 @@
     used: Collection[str],
     add: Callable[[MovingRun], PlannedCopy | None],
 ) -> list[PlannedCopy]:
-    """Plans one copy off each source that isn't in `used`."""
+    """Plans one copy off each source that isn't in `used`.
+
+    Args:
+        runs: Runs to choose from, first ones first.
+        used: IDs of the sources that have copies.
+        add: Plans a copy of a run; returns None if there can be none.
+    """
     found: dict[str, PlannedCopy] = {}
     for run in runs:
         if run.source_id in used or run.source_id in found:
@@ -123,18 +131,33 @@
     return list(found.values())
 
 
-def _loss_order(
-    run: MovingRun, sources: Mapping[str, LeavingEngine]
-) -> tuple[bool, bool, int, float, tuple[str, int]]:
-    """Sort key by what callers lose; the highest loss comes first.
+class _LossRank(NamedTuple):
+    """Sort key by what callers lose; the lowest goes first.
 
-    A nearly finished run is worth up to twice one that has just begun. Of runs
-    that are worth the same, the smallest go first, so that most are saved.
+    Attributes:
+        ends_in_time: Whether the run should end before its engine leaves.
+        may_repeat: Whether it may be made again from its prompt.
+        priority: Priority; 0 goes first.
+        tokens_by_worth: Tokens to copy, divided by the worth of the run: up to
+            twice as much for a nearly finished one as for one that has just
+            begun. The smallest go first, so that most runs are saved.
+        key: Decides between equal ones.
     """
-    return (
+
+    ends_in_time: bool
+    may_repeat: bool
+    priority: int
+    tokens_by_worth: float
+    key: MoveKey
+
+
+def _loss_rank(
+    run: MovingRun, sources: Mapping[str, LeavingEngine]
+) -> _LossRank:
+    return _LossRank(
         run.ends_in_s < sources[run.source_id].leaves_in_s,
         run.may_repeat,
         run.priority,
         run.tokens / (1 + run.done_share),
-        run.run_id,
+        run.key,
     )
--- a/src/savorylift/moves/mover.py
+++ b/src/savorylift/moves/mover.py
@@ -71,10 +71,11 @@
         source = run.server
         assert source is not None
         deadline_s = time.monotonic() + MOVE_TIMEOUT_S
+        # IDs of the engines that had no room in the last turn.
         refused_by: set[str] = set()
         while True:
             async with self._turns.take(run, refused_by) as turn:
-                # While the planner lets it wait, its engine may stay as well.
+                # The wait for the planner doesn't count.
                 deadline_s += turn.planner_wait_s
                 if turn.unsaved_reason:
                     self._give_up(run, turn.unsaved_reason)
@@ -117,7 +118,7 @@
             source: Engine that it is on.
             deadline_s: Monotonic time at which copies end.
             planned_id: ID of the engine that is planned; None without a plan.
-            refused_by: Takes the IDs of the engines that have no room.
+            refused_by: IDs of engines; those that have no room are added.
         """
         tried = {source.entry.server_id}
         fault = CopyFault.NO_ROOM
@@ -148,10 +149,10 @@
         return self._pool.kept.find_granted(run.admitted, tried, planned_id)
 
     def _give_up(self, run: Run, reason: str) -> None:
-        """Has a run made again elsewhere, while its engine still serves."""
+        """Has a run made again from its prompt, on another engine."""
         run.is_given_up = True
         move_metrics.RUNS_GIVEN_UP.labels(reason).inc()
-        _log.info("given_up", request=run.attempt_id, reason=reason)
+        _log.info("run_given_up", request=run.attempt_id, reason=reason)
 
     def discard_copy(self, target: ResumeTarget) -> None:
         """Frees the copy of a run that is not resumed.
--- a/src/savorylift/moves/plan_client.py
+++ b/src/savorylift/moves/plan_client.py
@@ -17,9 +17,9 @@
 # How long to wait for a reply to each try: many round trips between nodes.
 ASK_TIMEOUTS_S = (0.04, 0.06)
 # A node that waits asks again after this time, with what the run holds by then.
-# After more than so many questions in a row without a reply, it goes on without
-# the planner: an engine leaves soon.
 ASK_AGAIN_S = 0.15
+# After more questions in a row without a reply, it goes on without the planner:
+# the engine leaves soon.
 MAX_UNANSWERED = 1
 # A planner that didn't reply isn't asked for this time.
 SILENT_PLANNER_S = 2.0
@@ -27,7 +27,7 @@
 
 
 class _Exchange:
-    """A request and the replies to it."""
+    """A request, its latest reply, and an event that tells of a new one."""
 
     def __init__(self, ip: str, number: int) -> None:
         self.ip = ip
@@ -175,7 +175,7 @@
         async with asyncio.timeout(timeout_s):
             await exchange.has_news.wait()
     except TimeoutError:
-        # A loop that was busy finds the reply and the end of the time at once.
+        # A busy event loop may see the reply and the timeout at once.
         if not exchange.has_news.is_set():
             return False
     exchange.has_news.clear()
--- a/src/savorylift/moves/planner.py
+++ b/src/savorylift/moves/planner.py
@@ -45,14 +45,19 @@
 
 
 class MoveSite(Protocol):
-    """What the planner knows of the engines, and does with them."""
+    """The engines of services, as far as this node knows them."""
 
     def look(self, service: str) -> Surroundings | None:
         """Returns what plans depend on; None if no engine is known."""
         ...
 
     def hold(self, service: str, tokens: dict[str, int]) -> None:
-        """Keeps room for moves, instead of what was kept before, by engine."""
+        """Keeps room for moves, in place of what was kept before.
+
+        Args:
+            service: Name of the service.
+            tokens: Tokens to keep free, by the ID of the engine.
+        """
         ...
 
 
--- a/src/savorylift/moves/run_outlook.py
+++ b/src/savorylift/moves/run_outlook.py
@@ -10,7 +10,8 @@
 
 def done_share(run: Run) -> float:
     """Returns the share of a run's expected output that has been made."""
-    expected, made = _expected_output(run), _made_output(run)
+    expected = _expected_output_tokens(run)
+    made = _made_output_tokens(run)
     return 1.0 if made >= expected else made / expected
 
 
@@ -21,10 +22,10 @@
     """
     engine = run.admitted.service.engine
     pause_s = run.mean_pause_s()
-    left = _expected_output(run) - _made_output(run)
-    if engine is None or pause_s is None or left <= 0:
+    left_tokens = _expected_output_tokens(run) - _made_output_tokens(run)
+    if engine is None or pause_s is None or left_tokens <= 0:
         return None
-    return pause_s * left / engine.tokens_per_event
+    return pause_s * left_tokens / engine.tokens_per_event
 
 
 def may_repeat(
@@ -35,8 +36,8 @@
     Args:
         run: The run, which is at an engine.
         pool: The engines, and the retries that are left.
-        is_sound: Whether a request may be sent again as far as it isn't known
-            to crash engines.
+        is_sound: Whether a request, by its traits, isn't suspected of crashing
+            engines.
     """
     admitted, server = run.admitted, run.server
     engine = admitted.service.engine
@@ -56,13 +57,14 @@
     return is_sound(run.traits)
 
 
-def _expected_output(run: Run) -> int:
-    generation = run.admitted.req.generation
-    prompt_tokens = generation.prompt_tokens if generation else 0
-    return run.expected_tokens - prompt_tokens
+def _expected_output_tokens(run: Run) -> int:
+    return run.expected_tokens - _prompt_tokens(run)
+
+
+def _made_output_tokens(run: Run) -> int:
+    return run.kv_cache_tokens - _prompt_tokens(run)
 
 
-def _made_output(run: Run) -> int:
+def _prompt_tokens(run: Run) -> int:
     generation = run.admitted.req.generation
-    prompt_tokens = generation.prompt_tokens if generation else 0
-    return run.kv_cache_tokens - prompt_tokens
+    return generation.prompt_tokens if generation else 0
--- a/src/savorylift/moves/service_moves.py
+++ b/src/savorylift/moves/service_moves.py
@@ -20,7 +20,7 @@
 # A run that waits is dropped if its node hasn't asked for this time.
 MAX_SILENCE_S = 0.6
 MAX_WAITING = 1000
-# The time at which an engine should have stopped is forgotten so much later.
+# After the time at which an engine should have stopped, it is forgotten.
 FORGET_S = 3.0
 
 
@@ -51,7 +51,26 @@
     reply: MoveReply
 
 
+class DecidedMoves(NamedTuple):
+    """What was planned, and what can be said at once.
+
+    Attributes:
+        plan: The plan.
+        decisions: Replies to the requests that are decided on.
+    """
+
+    plan: MovePlan
+    decisions: list[Decision]
+
+
 class _Waiting(NamedTuple):
+    """A run that waits for its turn.
+
+    Attributes:
+        req: The latest request for the turn.
+        heard_s: Monotonic time at which it came.
+    """
+
     req: MoveRequest
     heard_s: float
 
@@ -122,7 +141,7 @@
         }
         self._begun.drop_old(live)
         self._planned = tuple(
-            copy for copy in self._planned if _key_of(copy.run) in self._waiting
+            copy for copy in self._planned if copy.run.key in self._waiting
         )
         stopped_s = time.monotonic() - FORGET_S
         for server_id, leaves_s in list(self._leaves_s.items()):
@@ -137,7 +156,7 @@
             held[copy.destination_id] = known + copy.run.expected_tokens
         return held
 
-    def decide(self, around: Surroundings) -> tuple[MovePlan, list[Decision]]:
+    def decide(self, around: Surroundings) -> DecidedMoves:
         """Plans anew; returns the plan and what can be said now."""
         busy_s = self._begun.busy_s(around.announced)
         plan = plan_moves(
@@ -147,7 +166,7 @@
         )
         copies = [*plan.copies, *plan.late, *plan.trials]
         decisions = [
-            self._begin(_key_of(copy.run), copy.destination_id, copy.ends_s)
+            self._begin(copy.run.key, copy.destination_id, copy.ends_s)
             for copy in copies
             if copy.begins_s <= 0
         ]
@@ -155,9 +174,9 @@
         self._planned = tuple(
             copy
             for copy in (*plan.copies, *plan.late)
-            if _key_of(copy.run) in self._waiting
+            if copy.run.key in self._waiting
         )
-        return plan, decisions
+        return DecidedMoves(plan, decisions)
 
     def _begin(
         self, key: MoveKey, destination_id: str, takes_s: float
@@ -170,13 +189,13 @@
     def _give_up(self, plan: MovePlan) -> Iterator[Decision]:
         """Tells the nodes which runs are better made again elsewhere."""
         for run, reason in plan.unsaved:
-            waiting = self._waiting.get(_key_of(run))
+            waiting = self._waiting.get(run.key)
             if waiting is not None and run.may_repeat:
-                del self._waiting[_key_of(run)]
+                del self._waiting[run.key]
                 reply = MoveReply(
                     waiting.req.number, MoveOutcome.UNSAVED, reason=reason
                 )
-                yield Decision(_key_of(run), reply)
+                yield Decision(run.key, reply)
 
     def _find_sources(
         self, around: Surroundings, busy_s: Mapping[str, float]
@@ -223,7 +242,3 @@
     if req.ends_in_s is None:
         return run
     return run._replace(ends_in_s=req.ends_in_s)
-
-
-def _key_of(run: MovingRun) -> MoveKey:
-    return MoveKey(*run.run_id)
--- a/src/savorylift/moves/turns.py
+++ b/src/savorylift/moves/turns.py
@@ -19,7 +19,7 @@
 from savorylift.moves.plan_client import PlanClient
 from savorylift.moves.run_outlook import done_share, ends_in_s
 
-# When an engine was first seen to leave is forgotten after this time.
+# For how long it is remembered when an engine was first seen to leave.
 FORGET_NOTICE_S = 20.0
 
 _log = structlog.get_logger()
@@ -85,20 +85,11 @@
         move = PlannedMove(
             source.entry.server_id, run.kv_cache_tokens, run.attempt_id
         )
-        planner_ip, reply = None, None
+        planner_ip = None
         if self._client is not None:
             planner_ip = self._client.find_planner(source.entry.service)
         begun_s = time.monotonic()
-        if self._client is not None and planner_ip is not None:
-            run.awaits_move = True
-            try:
-                reply = await self._client.ask(
-                    planner_ip,
-                    lambda: self._make_request(run, source, tried),
-                    run.admitted.deadline_s,
-                )
-            finally:
-                run.awaits_move = False
+        reply = await self._ask(planner_ip, run, source, tried)
         wait_s = time.monotonic() - begun_s
         self._record(run, planner_ip, reply, wait_s)
         if self._client is None or planner_ip is None or reply is None:
@@ -115,6 +106,26 @@
         finally:
             self._client.end(planner_ip, reply.number, turn.moved_to)
 
+    async def _ask(
+        self,
+        planner_ip: str | None,
+        run: Run,
+        source: BackendServer,
+        tried: set[str],
+    ) -> MoveReply | None:
+        """Returns the planner's last reply; None without a planner or reply."""
+        if self._client is None or planner_ip is None:
+            return None
+        run.awaits_move = True
+        try:
+            return await self._client.ask(
+                planner_ip,
+                lambda: self._make_request(run, source, tried),
+                run.admitted.deadline_s,
+            )
+        finally:
+            run.awaits_move = False
+
     def _make_request(
         self, run: Run, source: BackendServer, tried: set[str]
     ) -> MoveRequest:
--- a/tests/front/test_planned_moves.py
+++ b/tests/front/test_planned_moves.py
@@ -9,8 +9,12 @@
 from savorylift.fleet.move_messages import MoveOutcome
 from savorylift.moves import metrics as move_metrics
 from savorylift.moves import service_moves
-from savorylift.moves.move_plan import MovePlan, plan_moves
-from savorylift.moves.service_moves import Decision, ServiceMoves, Surroundings
+from savorylift.moves.move_plan import plan_moves
+from savorylift.moves.service_moves import (
+    DecidedMoves,
+    ServiceMoves,
+    Surroundings,
+)
 from savorylift.rooms.keeper_choice import MIN_NODES
 from tests.front.node_fleet import NodeFleet
 from tests.harness.virtual_time import run_in_virtual_time
@@ -169,10 +173,8 @@
 def test_run_whose_engine_stops_before_its_turn_goes_on_at_once(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    def decide(
-        self: ServiceMoves, around: Surroundings
-    ) -> tuple[MovePlan, list[Decision]]:
-        return plan_moves([], {}, {}), []
+    def decide(self: ServiceMoves, around: Surroundings) -> DecidedMoves:
+        return DecidedMoves(plan_moves([], {}, {}), [])
 
     monkeypatch.setattr(ServiceMoves, "decide", decide)
 
--- a/tests/moves/factories.py
+++ b/tests/moves/factories.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from savorylift.fleet.move_messages import MoveRequest
+from savorylift.moves.begun_copies import MoveKey
 from savorylift.moves.copy_schedule import Destination, LeavingEngine, MovingRun
 
 # Tokens that a link carries in a second: a run of 3,700 takes 0.2 s within a
@@ -29,7 +30,7 @@
 ) -> MovingRun:
     """Returns a run that can't be repeated, half done."""
     return MovingRun(
-        ("10.0.0.1", number),
+        MoveKey("10.0.0.1", number),
         source_id,
         tokens,
         tokens + 400,
--- a/tests/moves/test_move_bounds.py
+++ b/tests/moves/test_move_bounds.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from savorylift.moves.begun_copies import MoveKey
 from savorylift.moves.copy_schedule import (
     Destination,
     LeavingEngine,
@@ -59,7 +60,7 @@
     )
     runs = [
         MovingRun(
-            ("10.0.0.1", number),
+            MoveKey("10.0.0.1", number),
             source_id,
             size,
             size + 500,
@@ -152,11 +153,11 @@
 def test_each_run_is_copied_once_or_known_as_unsaved(load: Load) -> None:
     plan = plan_moves(*load)
     copies = [*plan.copies, *plan.late, *plan.trials]
-    copied = [copy.run.run_id for copy in copies]
+    copied = [copy.run.key for copy in copies]
     assert len(copied) == len(set(copied))
-    saved = {copy.run.run_id for copy in plan.copies}
-    unsaved = {run.run.run_id for run in plan.unsaved}
+    saved = {copy.run.key for copy in plan.copies}
+    unsaved = {run.run.key for run in plan.unsaved}
     assert not saved & unsaved
     for run in load.runs:
         ends_first = run.ends_in_s < load.sources[run.source_id].leaves_in_s
-        assert run.run_id in saved | unsaved or ends_first
+        assert run.key in saved | unsaved or ends_first
--- a/tests/moves/test_move_plan.py
+++ b/tests/moves/test_move_plan.py
@@ -11,6 +11,7 @@
 
 import pytest
 
+from savorylift.moves.begun_copies import MoveKey
 from savorylift.moves.copy_schedule import (
     LeavingEngine,
     MovingRun,
@@ -60,7 +61,7 @@
     )
 
 
-def save_by_size(load: Load, seed: int) -> set[tuple[str, int]]:
+def save_by_size(load: Load, seed: int) -> set[MoveKey]:
     """Returns the runs that are saved without a plan.
 
     Each engine's runs go one after another, the smallest first, to one of the
@@ -99,24 +100,24 @@
             continue
         free_s[source_id] = free_s[chosen] = ends_s
         free[chosen] -= run.expected_tokens
-        saved.add(run.run_id)
+        saved.add(run.key)
     return saved
 
 
 def find_loss(
-    runs: Sequence[MovingRun], saved: set[tuple[str, int]], priority: int
+    runs: Sequence[MovingRun], saved: set[MoveKey], priority: int
 ) -> float:
     """Returns the answers of a priority that are lost, with the work done."""
     return sum(
         1 + run.done_share
         for run in runs
-        if run.run_id not in saved and run.priority == priority
+        if run.key not in saved and run.priority == priority
     )
 
 
-def find_saved(plan: MovePlan) -> set[tuple[str, int]]:
+def find_saved(plan: MovePlan) -> set[MoveKey]:
     """Returns the runs that a plan saves."""
-    return {copy.run.run_id for copy in plan.copies}
+    return {copy.run.key for copy in plan.copies}
 
 
 @pytest.mark.parametrize("destinations", [ENGINES - LEAVING, 6, 2])
