Name what the timetable and the shares of a roll-out count

Cause: comments whose 'it' and 'that time' had lost what they spoke of in a split, a version that is vouched for, amounts of requests named later, watched and rate, a timetable filled by position.

Change: comments, local names and keywords; nothing else.

--- a/src/savorylift/boot_clock.py
+++ b/src/savorylift/boot_clock.py
@@ -15,7 +15,7 @@
 
 
 def read_boot_id() -> str | None:
-    """Returns what tells this boot of the VM apart; None if it is unknown."""
+    """Returns the ID that the kernel gave this boot; None if it is unknown."""
     try:
         return BOOT_ID_PATH.read_text(encoding="ascii").strip() or None
     except (OSError, ValueError):
--- a/src/savorylift/fleet/rollout_messages.py
+++ b/src/savorylift/fleet/rollout_messages.py
@@ -56,8 +56,8 @@
         is_recorded: Whether the store holds it.
         clock_marks: When the order came, by the clocks of the nodes that wrote
             last; only in the store.
-        held_routes: Routes that the phase SHIFT doesn't hold for yet, since
-            their requests are short.
+        held_routes: Routes that keep the share of the phase WATCH during SHIFT
+            for now: their requests are short, so they are shifted later.
     """
 
     service: str
@@ -134,7 +134,8 @@
         service: Name of the service.
         source: Random number of the process that counted.
         cells: What it has counted, in full for each cell.
-        run_times: How long requests have run there; empty in some reports.
+        run_times: How long requests have run at the old version, on some
+            routes; others come with later reports.
     """
 
     order_id: str
--- a/src/savorylift/front/rollout_parts.py
+++ b/src/savorylift/front/rollout_parts.py
@@ -137,10 +137,11 @@
         return view
 
     def read_boot_clock(self) -> BootTime | None:
-        """Returns the time of this node's VM; None if its boot is unknown."""
+        """Returns the boot clock's time; None if the boot's ID is unknown."""
         if self._boot_id is None:
             return None
-        # Containers of one VM may have boot clocks of their own.
+        # The address is part of it: containers of one VM may have boot clocks
+        # of their own.
         host = f"{self._shared.identity.ip} {self._boot_id}"
         return BootTime(host, boot_time_s())
 
--- a/src/savorylift/refusals/writer.py
+++ b/src/savorylift/refusals/writer.py
@@ -14,9 +14,11 @@
 # Each write is charged for. A killed node loses the counts of at most this
 # time, or more if writes failed.
 WRITE_INTERVAL_S = 5.0
-# The same for the smallest of the large fleets; all nodes of one write once a
-# second together, up to the longest interval. Counts are by minute.
+# In larger fleets than small ones, a second for each node, so that all nodes
+# together write once a second; scaled from this interval for the largest of the
+# small fleets.
 LARGE_FLEET_INTERVAL_S = 16.0
+# Counts are by minute.
 MAX_WRITE_INTERVAL_S = 60.0
 # Added to the interval after a failed write.
 RETRY_DELAY_S = 5.0
--- a/src/savorylift/rollouts/answer_log.py
+++ b/src/savorylift/rollouts/answer_log.py
@@ -150,7 +150,11 @@
         return tuple(map(self._make_run_times, self._run_times))
 
     def take_run_times(self, limit: int) -> tuple[RunTimes, ...]:
-        """Returns the same of some routes, in turn."""
+        """Returns how long requests have run, for some routes in turn.
+
+        Args:
+            limit: Most routes; later calls return the others.
+        """
         routes = list(self._run_times)[:limit]
         for route in routes:
             self._run_times[route] = self._run_times.pop(route)
--- a/src/savorylift/rollouts/board.py
+++ b/src/savorylift/rollouts/board.py
@@ -95,7 +95,7 @@
         return True
 
     def note_elapsed(self, stage: Stage) -> None:
-        """Takes the time since an order from a stage if that says longer."""
+        """Takes the time since an order from a stage, if that is longer."""
         ordered_s = time.monotonic() - stage.elapsed_s
         known_s = self._ordered_s.get(stage.order_id, ordered_s)
         self._ordered_s[stage.order_id] = min(known_s, ordered_s)
@@ -182,7 +182,8 @@
 
         Args:
             service: Name of the service.
-            route: Name of the route; None for the share that most will have.
+            route: Name of the route; None for the share of those that aren't
+                held.
         """
         stage = self.find_stage(service)
         if stage is None or service in self._stopped:
--- a/src/savorylift/rollouts/durations.py
+++ b/src/savorylift/rollouts/durations.py
@@ -17,6 +17,6 @@
     return min(int(exact) + 1, CLASS_COUNT - 1)
 
 
-def longest_duration_s(number: int) -> float:
-    """Returns the longest duration of a class, but for the last one."""
-    return SHORTEST_S * CLASS_RATIO**number
+def longest_duration_s(class_number: int) -> float:
+    """Returns the longest duration of a class; the last one has no longest."""
+    return SHORTEST_S * CLASS_RATIO**class_number
--- a/src/savorylift/rollouts/next_stage.py
+++ b/src/savorylift/rollouts/next_stage.py
@@ -22,15 +22,15 @@
 FIRST_PART = 0.3
 WATCH_PART = 0.9
 # Parts of the requests that a bad version may get, its slack included: what the
-# watch may use up at least and at most, and what the watch and all that follows
-# use up together if the version turns bad at the very end.
+# watch may use up at least and at most, and what all steps together may use up
+# before `completed`.
 LEAST_WATCH_BUDGET_PART = 0.35
 WATCH_BUDGET_PART = 0.6
 WHOLE_BUDGET_PART = 0.9
 # A node that has decided for a shorter time doesn't know how many requests
 # there are, nor how long they run.
 MIN_RATE_TIME_S = 1.0
-# Share with which it is tried under load, before it gets all requests.
+# Share with which a version is tried under load, before it gets all requests.
 LOAD_SHARE = 0.3
 # Steps of a roll-out.
 FIRST_STEP = 1
@@ -40,10 +40,10 @@
 # The first step ends after so many sound answers, or this part of the time.
 FIRST_ANSWERS = 5
 FIRST_TIME_PART = 0.25
-# It isn't waited for if so few answers are to be expected by then.
+# It ends at once if fewer answers than this are to be expected in that time.
 FEW_FIRST_ANSWERS = 2
-# A version that is still doubtful after this multiple of that time is rolled
-# back.
+# A version that is still doubtful after this multiple of the time for the trial
+# under load is rolled back.
 MAX_LOAD_FACTOR = 3
 
 
@@ -60,7 +60,8 @@
         hears_enough: Whether the deciding node hears enough of the fleet.
         other_builds: Share of the nodes that know nothing of roll-outs.
         is_ordered: Whether the order still stands.
-        routes: How long requests run at the old version, as far as known.
+        routes: How long requests run at the old version, by route, as far as
+            known.
     """
 
     elapsed_s: float
@@ -138,15 +139,15 @@
         return None
     is_due = situation.elapsed_s >= FIRST_TIME_PART * stage.duration_s
     has_answers = situation.judgement.new_answers >= FIRST_ANSWERS
-    if not (is_due or has_answers or _is_rare(stage, situation)):
+    if not (is_due or has_answers or _has_few_requests(stage, situation)):
         return None
     watch_share = _watch_share(stage, situation, limits)
     share = max(watch_share - situation.other_builds, 0.0)
     return _advance(stage, WATCH_STEP, share, "sound so far")
 
 
-def _is_rare(stage: Stage, situation: Situation) -> bool:
-    """Whether the first share is too small for a service with few requests."""
+def _has_few_requests(stage: Stage, situation: Situation) -> bool:
+    """Whether the first share brings too few answers to tell anything."""
     first_s = FIRST_TIME_PART * stage.duration_s
     judgement = situation.judgement
     if judgement.new_answers + judgement.old_answers < FIRST_ANSWERS:
@@ -169,25 +170,27 @@
     It makes use of the slack, too, which allows a service with few requests
     far more than the share does.
     """
-    least, per_s = watched_share(limits), _requests_per_s(situation)
+    least_share, per_s = watched_share(limits), _requests_per_s(situation)
     if not per_s:
-        return least
+        return least_share
     timetable = _find_timetable(stage, situation)
+    # All of these are numbers of requests.
     allowed = limits.share * per_s * stage.duration_s + limits.slack
     load_time_s = load_duration_s(stage.duration_s)
-    later = per_s * (LOAD_SHARE * load_time_s + timetable.mean_shift_s)
+    after_watch = per_s * (LOAD_SHARE * load_time_s + timetable.mean_shift_s)
     budget = max(
-        WHOLE_BUDGET_PART * allowed - later, LEAST_WATCH_BUDGET_PART * allowed
+        WHOLE_BUDGET_PART * allowed - after_watch,
+        LEAST_WATCH_BUDGET_PART * allowed,
     )
     budget = min(budget, WATCH_BUDGET_PART * allowed)
-    watched = max(per_s * timetable.load_s, 1.0)
-    return min(max(budget / watched, least), LOAD_SHARE)
+    during_watch = max(per_s * timetable.load_s, 1.0)
+    return min(max(budget / during_watch, least_share), LOAD_SHARE)
 
 
 def _begin_load(stage: Stage, situation: Situation) -> Stage | None:
     timetable = _find_timetable(stage, situation)
     is_due = timetable.load_s <= situation.elapsed_s <= timetable.latest_load_s
-    if not is_due or not _is_vouched_for(situation):
+    if not is_due or not _may_get_load(situation):
         return None
     if stage.step < FIRST_STEP or not situation.has_new:
         return None
@@ -257,7 +260,7 @@
     return roll_back(stage, "not shown to be sound in time")
 
 
-def _is_vouched_for(situation: Situation) -> bool:
+def _may_get_load(situation: Situation) -> bool:
     """Whether a version is sound, or has no old one to be compared with."""
     judgement = situation.judgement
     if judgement.opinion is Opinion.UNKNOWN:
--- a/src/savorylift/rollouts/order_clock.py
+++ b/src/savorylift/rollouts/order_clock.py
@@ -17,7 +17,7 @@
     """A moment, by the boot clock of this node's VM.
 
     Attributes:
-        host: The node, and the boot of its VM.
+        host: Address of the node and ID of its VM's boot, as in `ClockMark`.
         now_s: Time since that boot, including the time suspended.
     """
 
--- a/src/savorylift/rollouts/run_times.py
+++ b/src/savorylift/rollouts/run_times.py
@@ -7,11 +7,11 @@
 from savorylift.fleet.rollout_messages import RunTimes
 from savorylift.rollouts.durations import CLASS_COUNT, longest_duration_s
 
-# Requests on a route that tell how long they run.
+# Fewest requests by which the run time of a route is estimated.
 MIN_RUNS = 20
-# Share of them that a time is to cover.
+# Share of a route's requests that end within its run time.
 COVERED_SHARE = 0.98
-# Most processes and routes that are kept.
+# Most histograms that are kept: one for each process and route.
 MAX_KEPT = 4096
 
 
@@ -20,7 +20,7 @@
 
     Attributes:
         requests: Number of them.
-        run_s: Time in which nearly all of them ended.
+        run_s: Time in which nearly all of them (`COVERED_SHARE`) ended.
     """
 
     requests: int
@@ -28,6 +28,13 @@
 
 
 class _Key(NamedTuple):
+    """Identifies a histogram.
+
+    Attributes:
+        source: Random number of the process that counted.
+        route: Name of the route.
+    """
+
     source: int
     route: str
 
@@ -56,8 +63,8 @@
         sums: dict[str, collections.Counter[int]] = {}
         for found in self._known.values():
             times = sums.setdefault(found.route, collections.Counter())
-            for number, count in found.times:
-                times[number] += count
+            for class_number, count in found.times:
+                times[class_number] += count
         return {
             route: RouteRuns(times.total(), _covering_s(times))
             for route, times in sums.items()
@@ -66,9 +73,10 @@
 
 
 def _covering_s(times: collections.Counter[int]) -> float:
+    """Returns the time that covers the wanted share of a histogram."""
     wanted, count = COVERED_SHARE * times.total(), 0
-    for number in range(CLASS_COUNT):
-        count += times[number]
+    for class_number in range(CLASS_COUNT):
+        count += times[class_number]
         if count >= wanted:
-            return longest_duration_s(number)
+            return longest_duration_s(class_number)
     return longest_duration_s(CLASS_COUNT)
--- a/src/savorylift/rollouts/timetable.py
+++ b/src/savorylift/rollouts/timetable.py
@@ -1,9 +1,10 @@
 """When the steps of a roll-out are due.
 
-The version is watched for as long as possible: it may turn bad later. Requests
-on a route go to the new version only once those that begin at the old one may
-not end before the old servers stop. So routes with short requests are shifted
-later than those with long ones, and a version that turns bad late gets less.
+The version is watched for as long as possible: it may turn bad later. Once a
+route is shifted, all its new requests go to the new version. Each route is
+shifted as late as the requests that began at the old version can still end
+before the old servers stop: one with short requests later than one with long
+ones. So a version that turns bad late gets less.
 """
 
 from collections.abc import Mapping
@@ -11,11 +12,12 @@
 
 from savorylift.rollouts.run_times import RouteRuns
 
-# How long the load is tried, as a part of the time.
+# How long a version is tried under load, as a part of the order's time, and the
+# least. The parts below are of the same time.
 LOAD_TIME_PART = 0.07
 MIN_LOAD_S = 0.8
-# What lies between the last decision and the deadline: operators' records and
-# the status both take a moment.
+# Time between the last decision and the deadline, in which the record and the
+# status have to be written.
 MARGIN_PART = 0.08
 MIN_MARGIN_S = 1.5
 # Time for old servers to end what they run, where nothing is known of that: of
@@ -23,16 +25,16 @@
 ENGINE_SHIFT_PART = 0.2
 PLAIN_SHIFT_PART = 0.1
 MIN_SHIFT_S = 2.0
-# The most that long requests are given to end.
+# The longest time that requests are given to end.
 LONGEST_SHIFT_PART = 0.35
-# Added to the time that requests run: nodes hear of a shift a little late.
+# Added to the run time of requests: nodes hear of a shift a little late.
 SHIFT_MARGIN_S = 0.5
-# The least that the shift may take if the version was found sound late.
+# The shortest time of the shift if the version was found sound late.
 SHORTEST_SHIFT_S = 0.6
 
 
 class RouteShift(NamedTuple):
-    """When the new requests of a route go to the new version only.
+    """When a route is shifted: its new requests all go to the new version.
 
     Attributes:
         route: Name of the route.
@@ -50,10 +52,10 @@
         load_s: When the version is tried under load.
         latest_load_s: After what time it is too late for that.
         complete_s: When the roll-out is completed.
-        route_shifts: When the new requests of routes go to the new version
-            only, if not as soon as it has been tried.
-        mean_shift_s: For how long the requests of a route do so before the
-            roll-out is completed: the mean over all requests.
+        route_shifts: When routes are shifted of which run times are known. All
+            others are shifted as soon as the version has been tried.
+        mean_shift_s: How long before `complete_s` a route is shifted: the mean,
+            weighted by the routes' requests.
     """
 
     load_s: float
@@ -82,22 +84,22 @@
     margin_s = max(MIN_MARGIN_S, MARGIN_PART * duration_s)
     complete_s = max(duration_s - margin_s, 0.5 * duration_s)
     part = ENGINE_SHIFT_PART if has_engines else PLAIN_SHIFT_PART
-    usual_s = max(part * duration_s, MIN_SHIFT_S)
+    default_shift_s = max(part * duration_s, MIN_SHIFT_S)
     shift_s = {
         route: _shift_duration_s(runs.run_s, duration_s)
         for route, runs in sorted(routes.items())
     }
-    first_shift_s = max([usual_s, *shift_s.values()])
+    longest_shift_s = max([default_shift_s, *shift_s.values()])
     load_time_s = load_duration_s(duration_s)
     return Timetable(
-        complete_s - first_shift_s - load_time_s,
-        complete_s - load_time_s - SHORTEST_SHIFT_S,
-        complete_s,
-        tuple(
+        load_s=complete_s - longest_shift_s - load_time_s,
+        latest_load_s=complete_s - load_time_s - SHORTEST_SHIFT_S,
+        complete_s=complete_s,
+        route_shifts=tuple(
             RouteShift(route, complete_s - time_s)
             for route, time_s in shift_s.items()
         ),
-        _mean_s(shift_s, routes) if shift_s else usual_s,
+        mean_shift_s=_mean_s(shift_s, routes) if shift_s else default_shift_s,
     )
 
 
@@ -107,7 +109,7 @@
 
 
 def _shift_duration_s(run_s: float, duration_s: float) -> float:
-    """Returns how long a route's requests take to leave the old version."""
+    """Returns how long before `complete_s` a route is shifted."""
     longest_s = max(LONGEST_SHIFT_PART * duration_s, MIN_SHIFT_S)
     return min(max(run_s + SHIFT_MARGIN_S, MIN_SHIFT_S), longest_s)
 
