Split the checks of routes and teams, and name their parts

Cause: one function looked at attempts, members of streams and priorities; bare tuples of three; 'found' for a report, a finding and JSON members.

Change: functions and tuples with names; order and text of findings as before.

--- a/src/savorylift/checks/rendering.py
+++ b/src/savorylift/checks/rendering.py
@@ -53,32 +53,32 @@
     exit_code: int
 
 
-def render_text(file: str, found: CheckReport) -> RenderedText:
+def render_text(file: str, report: CheckReport) -> RenderedText:
     """Returns the report as lines, which begin as those of compilers do."""
     faults, lines = [], []
-    for finding in found.findings:
+    for finding in report.findings:
         if finding.kind is FindingKind.UNREADABLE:
             faults.append(
                 f"{_place(file, finding.location)}: {finding.message}"
             )
         else:
             lines.append(_render_finding(file, finding))
-    if not found.findings:
+    if not report.findings:
         lines.append(f"{file}: no faults")
-    if found.changes is not None:
-        lines.extend(_render_changes(found.changes))
+    if report.changes is not None:
+        lines.extend(_render_changes(report.changes))
     return RenderedText(tuple(faults), tuple(lines))
 
 
 def render_json(
-    file: str, file_format: str, found: CheckReport, exit_code: int
+    file: str, file_format: str, report: CheckReport, exit_code: int
 ) -> bytes:
     """Returns the report as one JSON object."""
-    changes = found.changes
+    changes = report.changes
     data = _ReportJson(
         file=file,
         format=file_format,
-        findings=[_finding_json(finding) for finding in found.findings],
+        findings=[_finding_json(finding) for finding in report.findings],
         changes=None
         if changes is None
         else [_change_json(change) for change in changes],
@@ -132,12 +132,12 @@
 
 
 def _location_json(location: Location) -> _LocationJson:
-    """Returns what the format of the file has of a location."""
-    found = _LocationJson()
+    """Returns the members of a location that the file's format has."""
+    members = _LocationJson()
     if location.path:
-        found["path"] = location.path
+        members["path"] = location.path
     if location.line:
-        found["line"] = location.line
+        members["line"] = location.line
     if location.column:
-        found["column"] = location.column
-    return found
+        members["column"] = location.column
+    return members
--- a/src/savorylift/checks/rules_changes.py
+++ b/src/savorylift/checks/rules_changes.py
@@ -1,24 +1,31 @@
 """Compares two rules files, rule by rule."""
 
 from collections.abc import Iterable, Mapping
+from typing import NamedTuple
 
 from savorylift.checks.findings import Change, ChangeKind, Location
 from savorylift.rules.parsed_line import Rule, RuleKind
 from savorylift.rules.rule_types import RuleSet
 
 
+class _RulesOfKind(NamedTuple):
+    """The rules of one kind in both versions, by name."""
+
+    kind: RuleKind
+    old: Mapping[str, Rule]
+    new: Mapping[str, Rule]
+
+
 def compare_rules(old: RuleSet, new: RuleSet) -> tuple[Change, ...]:
     """Returns what differs in `new`: by line, and then what is removed."""
     present = [
-        change
-        for kind, old_rules, new_rules in _pairs(old, new)
-        for change in _find_new(kind, old_rules, new_rules)
+        change for rules in _by_kind(old, new) for change in _find_new(rules)
     ]
     removed = [
-        _change(ChangeKind.REMOVED, kind, rule, rule.source.text)
-        for kind, old_rules, new_rules in _pairs(old, new)
-        for name, rule in old_rules.items()
-        if name not in new_rules
+        _change(ChangeKind.REMOVED, rules.kind, rule, rule.source.text)
+        for rules in _by_kind(old, new)
+        for name, rule in rules.old.items()
+        if name not in rules.new
     ]
     return (
         *sorted(present, key=lambda change: change.location),
@@ -26,20 +33,20 @@
     )
 
 
-def _pairs(
-    old: RuleSet, new: RuleSet
-) -> Iterable[tuple[RuleKind, Mapping[str, Rule], Mapping[str, Rule]]]:
+def _by_kind(old: RuleSet, new: RuleSet) -> Iterable[_RulesOfKind]:
     # A rule set has a field for each kind, in the same order.
-    return zip(RuleKind, old, new, strict=True)
+    old_maps: Iterable[Mapping[str, Rule]] = old
+    new_maps: Iterable[Mapping[str, Rule]] = new
+    pairs = zip(old_maps, new_maps, strict=True)
+    for kind, (old_rules, new_rules) in zip(RuleKind, pairs, strict=True):
+        yield _RulesOfKind(kind, old_rules, new_rules)
 
 
-def _find_new(
-    kind: RuleKind,
-    old_rules: Mapping[str, Rule],
-    new_rules: Mapping[str, Rule],
-) -> Iterable[Change]:
-    for name, rule in new_rules.items():
-        old = old_rules.get(name)
+def _find_new(rules: _RulesOfKind) -> Iterable[Change]:
+    """Yields the rules that are added or changed."""
+    kind = rules.kind
+    for name, rule in rules.new.items():
+        old = rules.old.get(name)
         if old is None:
             yield _change(ChangeKind.ADDED, kind, rule, rule.source.text)
         elif _meaning(old) != _meaning(rule):
--- a/src/savorylift/operators/check_command.py
+++ b/src/savorylift/operators/check_command.py
@@ -51,31 +51,31 @@
             message = f"{options.against}: {read.failure()}"
             return fail(message, ExitCode.BAD_INPUT)
         against = read.unwrap()
-    reported = report(data, against, options.max_open_requests)
-    if not is_successful(reported):
-        message = f"{options.against}: {reported.failure()}"
+    result = report(data, against, options.max_open_requests)
+    if not is_successful(result):
+        message = f"{options.against}: {result.failure()}"
         return fail(message, ExitCode.BAD_INPUT)
-    found = reported.unwrap()
-    _print(options, file_format, found)
-    return find_exit_code(found)
+    checked = result.unwrap()
+    _print(options, file_format, checked)
+    return find_exit_code(checked)
 
 
-def find_exit_code(found: CheckReport) -> ExitCode:
-    """Returns the exit code for what was found; differences don't matter."""
-    if not found.is_readable:
+def find_exit_code(checked: CheckReport) -> ExitCode:
+    """Returns the exit code for a report; differences don't matter."""
+    if not checked.is_readable:
         return ExitCode.BAD_INPUT
-    return ExitCode.FAILED if found.findings else ExitCode.DONE
+    return ExitCode.FAILED if checked.findings else ExitCode.DONE
 
 
 def _print(
-    options: CheckOptions, file_format: FileFormat, found: CheckReport
+    options: CheckOptions, file_format: FileFormat, checked: CheckReport
 ) -> None:
     if options.is_json:
         name = file_format.value
-        code = find_exit_code(found)
-        print_line(render_json(options.path, name, found, code).decode())
+        code = find_exit_code(checked)
+        print_line(render_json(options.path, name, checked, code).decode())
         return
-    text = render_text(options.path, found)
+    text = render_text(options.path, checked)
     for line in text.faults:
         print_error(line)
     print_lines(text.lines)
--- a/src/savorylift/operators/check_report.py
+++ b/src/savorylift/operators/check_report.py
@@ -77,7 +77,7 @@
         findings = list(_to_findings(checked.failure()))
     if against is None:
         return CheckReport(tuple(findings))
-    # Nodes read it so, too.
+    # Nodes leave out lines that they can't read, too.
     other, _ = parse_rules_leniently(_decode(against))
     return CheckReport(tuple(findings), compare_rules(other, rule_set))
 
@@ -106,14 +106,14 @@
         return Success(CheckReport(findings))
     changes = compare_records(other, record)
     if changes:
-        findings = (*findings, *_find_old_version(other, record))
+        findings = (*findings, *_find_version_not_raised(other, record))
     return Success(CheckReport(findings, changes))
 
 
-def _find_old_version(
+def _find_version_not_raised(
     other: ConfigurationRecord, record: ConfigurationRecord
 ) -> Iterable[Finding]:
-    """Yields a finding if nodes would keep the other version."""
+    """Yields a finding if nodes would keep the version compared with."""
     if record.version <= other.version:
         yield Finding(
             FindingKind.CONTRADICTION,
--- a/src/savorylift/platform/record_findings.py
+++ b/src/savorylift/platform/record_findings.py
@@ -31,6 +31,20 @@
 TYPO_SIMILARITY = 0.85
 
 
+class _Part(NamedTuple):
+    """A part of the JSON, and what it is decoded to.
+
+    Attributes:
+        path: Its JSON path.
+        value: The part; None if it is missing.
+        struct: Type that it is decoded to.
+    """
+
+    path: str
+    value: object
+    struct: type[msgspec.Struct]
+
+
 class CheckedRecord(NamedTuple):
     """A record that was checked.
 
@@ -50,7 +64,7 @@
         return CheckedRecord(None, (_unreadable(decoded.failure()),))
     record = decoded.unwrap()
     findings = (
-        *_find_typing_errors(json.loads(value)),
+        *_find_misspelt_keys(json.loads(value)),
         *find_in_routes(record),
         *find_in_services(record),
         *find_in_teams(record),
@@ -76,28 +90,28 @@
             )
 
 
-def _find_typing_errors(data: Mapping[str, Any]) -> Iterable[Finding]:
+def _find_misspelt_keys(data: Mapping[str, Any]) -> Iterable[Finding]:
     """Yields keys that aren't read, but look like one that is."""
-    parts: list[tuple[str, object, type[msgspec.Struct]]] = [
-        ("$", data, ConfigurationRecord),
-        ("$.limits", data.get("limits"), LimitsRecord),
-    ]
+    for path, value, struct in _list_parts(data):
+        if isinstance(value, dict):
+            yield from _find_similar_keys(path, value, struct)
+
+
+def _list_parts(data: Mapping[str, Any]) -> Iterable[_Part]:
+    yield _Part("$", data, ConfigurationRecord)
+    yield _Part("$.limits", data.get("limits"), LimitsRecord)
     for number, route in enumerate(data["routes"]):
         path = f"$.routes[{number}]"
-        parts.append((path, route, RouteRecord))
+        yield _Part(path, route, RouteRecord)
         for index, target in enumerate(route.get("trafficSplit", [])):
-            parts.append(
-                (f"{path}.trafficSplit[{index}]", target, TargetRecord)
-            )
+            target_path = f"{path}.trafficSplit[{index}]"
+            yield _Part(target_path, target, TargetRecord)
     for number, service in enumerate(data["services"]):
         path = f"$.services[{number}]"
-        parts.append((path, service, ServiceRecord))
-        parts.append((f"{path}.engine", service.get("engine"), EngineRecord))
+        yield _Part(path, service, ServiceRecord)
+        yield _Part(f"{path}.engine", service.get("engine"), EngineRecord)
     for number, tenant in enumerate(data.get("tenants") or []):
-        parts.append((f"$.tenants[{number}]", tenant, TenantRecord))
-    for path, value, struct in parts:
-        if isinstance(value, dict):
-            yield from _find_similar_keys(path, value, struct)
+        yield _Part(f"$.tenants[{number}]", tenant, TenantRecord)
 
 
 def _find_similar_keys(
--- a/src/savorylift/platform/route_findings.py
+++ b/src/savorylift/platform/route_findings.py
@@ -17,6 +17,18 @@
 MAX_PRIORITY = 9
 
 
+class _Prefix(NamedTuple):
+    """What the requests of a route match.
+
+    Attributes:
+        host: Host in lower case.
+        path_prefix: Prefix of the path.
+    """
+
+    host: str
+    path_prefix: str
+
+
 class _Place(NamedTuple):
     """A route and where it stands.
 
@@ -42,7 +54,7 @@
     """Yields the findings of all routes."""
     service_names = {service.name for service in record.services}
     first_by_name: dict[str, str] = {}
-    first_by_prefix: dict[tuple[str, str], str] = {}
+    first_by_prefix: dict[_Prefix, str] = {}
     for number, route in enumerate(record.routes):
         place = _Place(route, f"$.routes[{number}]")
         if route.kind not in KIND_BY_NAME:
@@ -53,7 +65,7 @@
         if first != place.path:
             message = f"{first} has the same name"
             yield place.found(FindingKind.CONTRADICTION, message, "name")
-        prefix = route.host.lower(), route.path_prefix
+        prefix = _Prefix(route.host.lower(), route.path_prefix)
         first = first_by_prefix.setdefault(prefix, place.path)
         if first != place.path:
             message = (
@@ -63,7 +75,13 @@
         yield from _find_unmatched(place)
         yield from _find_in_targets(place, service_names)
         yield from _find_time_contradictions(place)
-        yield from _find_in_repeats(place)
+        yield from _find_in_attempts(place)
+        yield from _find_stream_members(place)
+        if not 0 <= route.priority <= MAX_PRIORITY:
+            message = (
+                f"priority {route.priority} isn't from 0 to {MAX_PRIORITY}"
+            )
+            yield place.found(FindingKind.CONTRADICTION, message, "priority")
 
 
 def _find_unmatched(place: _Place) -> Iterable[Finding]:
@@ -156,7 +174,7 @@
             yield place.found(FindingKind.CONTRADICTION, message, member)
 
 
-def _find_in_repeats(place: _Place) -> Iterable[Finding]:
+def _find_in_attempts(place: _Place) -> Iterable[Finding]:
     route = place.route
     is_stream = KIND_BY_NAME[route.kind] is RouteKind.STREAM
     may_repeat = (
@@ -176,14 +194,18 @@
     if is_stream and route.stream_resumption and route.max_attempts == 1:
         message = "streamResumption asks for retries, maxAttempts 1 allows none"
         yield place.found(FindingKind.CONTRADICTION, message, "maxAttempts")
-    if not is_stream:
-        for member, is_set in (
-            ("streamResumption", route.stream_resumption),
-            ("gapAimMs", route.gap_aim_ms is not None),
-        ):
-            if is_set:
-                message = f"{member} is for streaming routes"
-                yield place.found(FindingKind.NO_EFFECT, message, member)
-    if not 0 <= route.priority <= MAX_PRIORITY:
-        message = f"priority {route.priority} isn't from 0 to {MAX_PRIORITY}"
-        yield place.found(FindingKind.CONTRADICTION, message, "priority")
+
+
+def _find_stream_members(place: _Place) -> Iterable[Finding]:
+    """Yields members for streams that a route without streams has."""
+    route = place.route
+    if KIND_BY_NAME[route.kind] is RouteKind.STREAM:
+        return
+    is_set_by_member = {
+        "streamResumption": route.stream_resumption,
+        "gapAimMs": route.gap_aim_ms is not None,
+    }
+    for member, is_set in is_set_by_member.items():
+        if is_set:
+            message = f"{member} is for streaming routes"
+            yield place.found(FindingKind.NO_EFFECT, message, member)
--- a/src/savorylift/platform/team_findings.py
+++ b/src/savorylift/platform/team_findings.py
@@ -28,16 +28,7 @@
         if counts[team.name] > 1:
             message = f"the name stands {counts[team.name]} times"
             yield _found(team, FindingKind.CONTRADICTION, message, path)
-        if not team.api_keys:
-            message = "it has no key"
-            yield _found(team, FindingKind.NEVER_MATCHES, message, path)
-        if team.priority is not None and not (
-            0 <= team.priority <= MAX_PRIORITY
-        ):
-            message = f"priority {team.priority} isn't from 0 to {MAX_PRIORITY}"
-            yield _found(
-                team, FindingKind.CONTRADICTION, message, f"{path}.priority"
-            )
+        yield from _find_in_team(team, path)
         if routes and not any(_may_use(team, route) for route in routes):
             message = "no route's allowedRegions have one of its own"
             yield _found(
@@ -54,8 +45,20 @@
         yield Finding(FindingKind.NEVER_MATCHES, location, message)
 
 
+def _find_in_team(team: TenantRecord, path: str) -> Iterable[Finding]:
+    if not team.api_keys:
+        message = "it has no key"
+        yield _found(team, FindingKind.NEVER_MATCHES, message, path)
+    priority = team.priority
+    if priority is not None and not 0 <= priority <= MAX_PRIORITY:
+        message = f"priority {priority} isn't from 0 to {MAX_PRIORITY}"
+        yield _found(
+            team, FindingKind.CONTRADICTION, message, f"{path}.priority"
+        )
+
+
 def _find_shadowed_keys(teams: list[TenantRecord]) -> Iterable[Finding]:
-    """Yields keys that also stand further below, where they count."""
+    """Yields keys that never count: empty ones, and those given again below."""
     last_by_key = {
         key: f"$.tenants[{number}].apiKeys[{index}]"
         for number, team in enumerate(teams)
