Say what is cached, recent and asked in the rest of the parts

Cause: caches named known and all, an entry with a bare time, functions named find_newest and find_least that return ages, comments whose 'that' and 'theirs' a newcomer couldn't place, a loop of 60 lines in EngineRuns.serve.

Change: names, docstrings; the assignments at a call's begin and the end of a whole stream are functions. Tests: two private names.

--- a/src/savorylift/backends/load.py
+++ b/src/savorylift/backends/load.py
@@ -50,9 +50,9 @@
         self._tokens: dict[str, dict[str, int]] = {}
         self._prefill_tokens: dict[tuple[str, str], int] = {}
         self._results: dict[str, collections.deque[tuple[float, bool]]] = {}
-        # What `loads` returned, as far as it hasn't changed since.
-        self._known: dict[str, ServerLoad] = {}
-        self._all: tuple[ServerLoad, ...] | None = None
+        # Results of `_count_load` and `loads` that still hold.
+        self._cached_loads: dict[str, ServerLoad] = {}
+        self._cached_list: tuple[ServerLoad, ...] | None = None
 
     def add_request(
         self,
@@ -104,20 +104,20 @@
         Servers without requests are included while they have recent results.
         """
         self._drop_old_results()
-        if self._all is None:
+        if self._cached_list is None:
             server_ids = sorted(self._tokens.keys() | self._results.keys())
-            self._all = tuple(map(self._find_load, server_ids))
-        return self._all
+            self._cached_list = tuple(map(self._find_load, server_ids))
+        return self._cached_list
 
     def _note_change(self, server_id: str) -> None:
-        self._known.pop(server_id, None)
-        self._all = None
+        self._cached_loads.pop(server_id, None)
+        self._cached_list = None
 
     def _find_load(self, server_id: str) -> ServerLoad:
-        known = self._known.get(server_id)
-        if known is None:
-            known = self._known[server_id] = self._count_load(server_id)
-        return known
+        load = self._cached_loads.get(server_id)
+        if load is None:
+            load = self._cached_loads[server_id] = self._count_load(server_id)
+        return load
 
     def _count_load(self, server_id: str) -> ServerLoad:
         requests = self._tokens.get(server_id, {})
--- a/src/savorylift/exchange/drain_poller.py
+++ b/src/savorylift/exchange/drain_poller.py
@@ -19,11 +19,11 @@
 # An engine gives about 1.5 s of notice before it stops, and copying a run takes
 # up to 0.5 s.
 POLL_INTERVAL_S = 0.4
-# How often to look whether the store is still heard, if it may soon not be.
+# How often to check for updates of the store, if they may be missing soon.
 CHECK_INTERVAL_S = 0.1
-# How often to look otherwise, together with other periodic tasks.
+# How often to check otherwise, at the beat of the other periodic tasks.
 SHARED_INTERVAL_S = 0.2
-# Longest time that a wait for a beat of theirs takes.
+# Longest time until that beat.
 MAX_SHARED_WAIT_S = 1.5 * SHARED_INTERVAL_S
 REPORT_TIMEOUT_S = 0.4
 # Nodes that poll an engine. The second does so half as often, in case the
@@ -83,7 +83,7 @@
                 await asyncio.sleep(max(next_s - time.monotonic(), 0.0))
 
     def _find_interval_s(self) -> float:
-        """Returns how soon to look again."""
+        """Returns the interval until the next check."""
         if not self._get_engines():
             # A run may begin at an engine as late after its last poll.
             return POLL_INTERVAL_S
--- a/src/savorylift/exchange/engine_runs.py
+++ b/src/savorylift/exchange/engine_runs.py
@@ -94,10 +94,7 @@
         while True:
             if not isinstance(started, Started):
                 return started
-            run.call = started.call
-            run.channel = started.call.channel
-            run.cancel_request = started.cancel_request
-            run.is_close_delimited = started.head.is_close_delimited
+            _attach(run, started)
             result = await self._relay.forward(
                 run, started, sink, failover_policy
             )
@@ -105,16 +102,11 @@
             target = None
             if result is not None or run.was_stopped_without_end:
                 target = await self._finish_move(run)
-            if target is None and result is None:
-                result = await self._check_end(run, server, started)
-            if target is None and result is None:
-                self._relay.finish(run, started, sink)
-                self._resumption.record_complete(run)
-                self._pool.load_tracker.record_result(
-                    server.entry.server_id, is_success=True
-                )
-                return None
             if target is None:
+                if result is None:
+                    result = await self._check_end(run, server, started)
+                if result is None:
+                    self._complete(run, server, started, sink)
                 return result
             run.is_stopping = run.is_end_known = False
             run.moves += 1
@@ -158,6 +150,20 @@
         run.is_at_engine = False
         self._queue.dispatch_waiting()
 
+    def _complete(
+        self,
+        run: Run,
+        server: BackendServer,
+        started: Started,
+        sink: EventSink,
+    ) -> None:
+        """Ends the caller's stream, which is whole."""
+        self._relay.finish(run, started, sink)
+        self._resumption.record_complete(run)
+        self._pool.load_tracker.record_result(
+            server.entry.server_id, is_success=True
+        )
+
     async def _check_end(
         self,
         run: Run,
@@ -242,3 +248,11 @@
             target = move_task.result()
             if target is not None:
                 self._mover.discard_copy(target)
+
+
+def _attach(run: Run, started: Started) -> None:
+    """Notes the call by which an engine serves a run."""
+    run.call = started.call
+    run.channel = started.call.channel
+    run.cancel_request = started.cancel_request
+    run.is_close_delimited = started.head.is_close_delimited
--- a/src/savorylift/exchange/final_answer.py
+++ b/src/savorylift/exchange/final_answer.py
@@ -15,7 +15,11 @@
 
 
 def final_answer(last_result: SendResult | None) -> Answered | Refused:
-    """Returns the final response, given the result that decides it."""
+    """Returns the final response.
+
+    Args:
+        last_result: Result of the last attempt; None if there was none.
+    """
     if isinstance(last_result, Answered):
         return last_result
     if isinstance(last_result, Unsure):
--- a/src/savorylift/exchange/origin_finder.py
+++ b/src/savorylift/exchange/origin_finder.py
@@ -20,14 +20,16 @@
 from savorylift.processes.life_report import Life
 from savorylift.processes.server_life import ServerLife
 
+# Longest wait for the answer of a limited server when it started.
 MAX_PROOF_WAIT_S = 1.2
-# By then a node hears the others.
+# A node that runs for this long hears all others.
 MIN_UPTIME_S = 2.0
-# How long a take-up waits for that.
+# How long a resumed stream waits for that.
 MAX_START_WAIT_S = 1.0
 START_POLL_S = 0.25
-# Bounds what a take-up of unknown origin costs in a large service.
+# Bounds what a stream of unknown origin costs in a large service.
 MAX_SERVERS_ASKED = 32
+# Why an origin stays unknown if a server's answer says this.
 DOUBTS = {
     Life.OTHER: Doubt.OTHER,
     Life.SILENT: Doubt.SILENT,
@@ -68,10 +70,10 @@
         self._created_s = time.monotonic()
 
     async def find(self, admitted: AdmittedRequest) -> StreamOrigin | None:
-        """Returns where a resumed stream began; waits if the node just started.
+        """Returns where a resumed stream began; None if nobody knows.
 
-        It hears the nodes that may know one after the other. None if nobody
-        knows.
+        A node that has just started tries again for a while, since it doesn't
+        hear all nodes that may know at once.
         """
         until_s = time.monotonic() + MAX_START_WAIT_S
         while True:
--- a/src/savorylift/exchange/room_placement.py
+++ b/src/savorylift/exchange/room_placement.py
@@ -19,8 +19,9 @@
 from savorylift.rooms.engine_groups import EngineGroups, RoomId, find_rooms
 from savorylift.rooms.request_check import MAX_LEASE_S
 
-# Few enough that the message stays small, and no key can be told from it.
+# So short that messages stay small, and that no digest gives its key away.
 CALLER_DIGEST_BYTES = 4
+# End of a request's digest, by which the keeper recognizes its repeats.
 REPEAT_ID_CHARS = 12
 
 _log = structlog.get_logger()
@@ -208,7 +209,7 @@
 
 
 def _digest_caller(admitted: AdmittedRequest) -> str:
-    """Returns what tells the keys of a team apart without giving them away."""
+    """Returns a digest of the caller's key, which differs between teams."""
     if admitted.team is None or admitted.req.api_key is None:
         return ""
     return hashlib.blake2b(
--- a/src/savorylift/exchange/server_waits.py
+++ b/src/savorylift/exchange/server_waits.py
@@ -9,7 +9,7 @@
 
 
 class ServerWaits:
-    """Tells callers and waiting requests when to try again."""
+    """Finds out why servers take nothing, and when callers may return."""
 
     def __init__(
         self,
@@ -17,7 +17,7 @@
         limit_gate: LimitGate,
         holds: ServerHolds,
     ) -> None:
-        """Creates it.
+        """Reads what it is given each time.
 
         Args:
             allowed: Which servers may run a request.
--- a/src/savorylift/fleet/membership.py
+++ b/src/savorylift/fleet/membership.py
@@ -144,7 +144,7 @@
             self._loads.forget(ip)
 
     def count_changes(self, now_s: float) -> int:
-        """Returns how often nodes came, went, started again or moved so far."""
+        """Returns a number that grows as nodes come, go, restart or drain."""
         return self._changes + self._loads.count_changes(
             self._clock.read(now_s)
         )
--- a/src/savorylift/fleet/peer_transport.py
+++ b/src/savorylift/fleet/peer_transport.py
@@ -21,8 +21,8 @@
 from savorylift.fleet.store_records import Delta
 from savorylift.fleet.transport_sources import PeerAddresses, StateBuilder
 
-# It grows with the fleet: the traffic on a node's network link stays about the
-# same.
+# Of a small fleet. It grows with the fleet, so that the traffic on a node's
+# network link stays about the same.
 BASE_INTERVAL_S = 0.2
 # Interval of the readers of the store. The others must notice the loss of both
 # and take over well within the time in which a change must be in force.
@@ -82,7 +82,7 @@
         self._knows_patches = knows_patches
         self._find_bulk_port = find_bulk_port
         self.bulk = BulkSocket(self.datagram_received)
-        # Whether a change is to be sent to all, and others react to it at once.
+        # Whether a change is to be sent to all, and whether it is urgent.
         self._has_change = self._is_urgent = False
         # Nodes that may not have heard of this one yet.
         self._to_greet: set[str] = set()
@@ -149,10 +149,10 @@
         self._send_requested.set()
 
     def greet_soon(self, ip: str) -> None:
-        """Sends the state soon to a node that is new here.
+        """Sends the state soon to a node that is new here, and to no other.
 
-        As many nodes start, each hears all others one after the other. What
-        one of them may not know yet is no news to the rest.
+        When many nodes start, each hears of the others one by one; those that
+        it has heard of before have its state already.
         """
         self._to_greet.add(ip)
         self._send_requested.set()
--- a/src/savorylift/fleet/peer_watch.py
+++ b/src/savorylift/fleet/peer_watch.py
@@ -108,7 +108,10 @@
         self._send(ips, SilenceNews(reports))
 
     def _ask_doubtful(self, now_s: float) -> None:
-        """Asks nodes that were not heard for long, if any can be by now."""
+        """Asks nodes that were not heard for long for their states.
+
+        Looks through all nodes only once one of them can be in doubt.
+        """
         if now_s < self._next_doubt_s:
             return
         soonest_s = MAX_DOUBT_PAUSE_S
--- a/src/savorylift/fleet/read_policy.py
+++ b/src/savorylift/fleet/read_policy.py
@@ -136,7 +136,10 @@
         return self.notice_slack_s(servers_age_s) < 0
 
     def notice_slack_s(self, servers_age_s: float | None) -> float:
-        """Returns after what time `may_miss_notices` holds without news."""
+        """Returns after what time `may_miss_notices` holds without a reading.
+
+        It is negative if that holds already.
+        """
         if servers_age_s is None:
             return -math.inf
         max_age_s = NOTICE_AGE_S + self._get_reader_interval_s()
--- a/src/savorylift/fleet/reader_choice.py
+++ b/src/savorylift/fleet/reader_choice.py
@@ -126,7 +126,7 @@
 
 def reading_age_s(members: Membership, now_s: float) -> float | None:
     """Returns the age of the newest reading of the store by a live peer."""
-    return _find_newest(members, _reading_age_s, now_s)
+    return _newest_age_s(members, _reading_age_s, now_s)
 
 
 def servers_reading_age_s(members: Membership, now_s: float) -> float | None:
@@ -134,23 +134,23 @@
 
     The reading of builds that don't tell them apart counts as a whole.
     """
-    return _find_newest(members, _servers_reading_age_s, now_s)
+    return _newest_age_s(members, _servers_reading_age_s, now_s)
 
 
-def _find_newest(
+def _newest_age_s(
     members: Membership, read_age: ReadAge, now_s: float
 ) -> float | None:
     """Returns the age of the newest reading that live peers said.
 
-    Only those that have read lately are asked, if their readings are recent.
+    Only recent readers are looked at, if one of them has a recent reading.
     """
-    age_s = _find_least(members.live_recent_readers(now_s), read_age, now_s)
+    age_s = _least_age_s(members.live_recent_readers(now_s), read_age, now_s)
     if age_s is not None and age_s < RECENT_S:
         return age_s
-    return _find_least(members.live_peers(now_s), read_age, now_s)
+    return _least_age_s(members.live_peers(now_s), read_age, now_s)
 
 
-def _find_least(
+def _least_age_s(
     peers: Iterable[Peer], read_age: ReadAge, now_s: float
 ) -> float | None:
     ages = []
--- a/src/savorylift/fleet/recent_readers.py
+++ b/src/savorylift/fleet/recent_readers.py
@@ -4,7 +4,7 @@
 
 from savorylift.fleet.state import NodeState
 
-# Nodes that said an older reading aren't among those that are asked first.
+# A node whose reading was older than this in its last message isn't recent.
 RECENT_S = 10.0
 
 
--- a/src/savorylift/fleet/transport_sources.py
+++ b/src/savorylift/fleet/transport_sources.py
@@ -1,4 +1,4 @@
-"""What messages between nodes are made of, and where they go."""
+"""Interfaces from which the peer transport gets states and addresses."""
 
 from typing import Protocol
 
--- a/src/savorylift/processes/heard_starts.py
+++ b/src/savorylift/processes/heard_starts.py
@@ -1,4 +1,4 @@
-"""Keeps when each server said last that it had started."""
+"""The starts that servers have named when they were asked."""
 
 from typing import NamedTuple
 
@@ -36,7 +36,12 @@
         self._heard: dict[str, HeardStart] = {}
 
     def find(self, server: BackendServer, since_s: float) -> LifeReport | None:
-        """Returns what a question has found that was sent since a moment."""
+        """Returns what the newest answer says; None if it is too old.
+
+        Args:
+            server: The server.
+            since_s: Boot time since which the question must have been sent.
+        """
         heard = self._heard.get(server_key(server))
         if heard is None or heard.asked_s < since_s:
             return None
@@ -56,7 +61,15 @@
         self._heard[key] = heard
 
     def judge(self, server: BackendServer, started_ms: int) -> LifeReport:
-        """Returns what a start says; a process that answers counts as same."""
+        """Returns what a start says of the process that named it.
+
+        `Life.SAME` means only that the server has named a sound start; the
+        caller compares that with the start of the entry.
+
+        Args:
+            server: The server.
+            started_ms: The start; `NO_START` or `NO_REPORT` if it named none.
+        """
         if started_ms == NO_START:
             return LifeReport(Life.UNNAMED)
         latest_ms = self._heard[server_key(server)].latest_ms
--- a/tests/backends/test_load.py
+++ b/tests/backends/test_load.py
@@ -79,6 +79,6 @@
                 elif step == 3:
                     tracker.record_result(server_id, is_success=is_success)
             kept = asked.loads()
-            unasked._known.clear()
-            unasked._all = None
+            unasked._cached_loads.clear()
+            unasked._cached_list = None
             assert kept == unasked.loads()
