--- a/src/savorylift/fleet/peer_watch.py
+++ b/src/savorylift/fleet/peer_watch.py
@@ -114,12 +114,13 @@
         """
         if now_s < self._next_doubt_s:
             return
-        soonest_s = MAX_DOUBT_PAUSE_S
+        pause_s = MAX_DOUBT_PAUSE_S
         for peer in self._members.live_peers(now_s):
             doubt_s = DOUBT_INTERVALS * peer.state.interval_s
             left_s = doubt_s - self._members.silent_s(peer, now_s)
-            # One that is new here may send as often as any other does.
-            soonest_s = min(soonest_s, left_s, doubt_s)
+            # A node that is heard from now on may send as often as this one,
+            # and so be in doubt after the same time.
+            pause_s = min(pause_s, left_s, doubt_s)
             if left_s < 0 and self._can_pulse(peer.state):
                 self._ask(peer.state.ip, peer.state.incarnation)
-        self._next_doubt_s = now_s + soonest_s
+        self._next_doubt_s = now_s + pause_s
--- a/src/savorylift/fleet/reader_choice.py
+++ b/src/savorylift/fleet/reader_choice.py
@@ -61,7 +61,8 @@
         self._changes = -1
         self._own_node = ""
         self._order: list[str] = []
-        # Addresses of the nodes on each VM: a former one may still count.
+        # Addresses by the node's name: after a restart at another address, the
+        # former one may still be heard.
         self._ips: dict[str, list[str]] = {}
 
     def find_rank(self, own: Candidate, now_s: float) -> int | None:
--- a/src/savorylift/front/server_news.py
+++ b/src/savorylift/front/server_news.py
@@ -20,6 +20,30 @@
 MAX_LEAVING_TOLD = 16
 
 
+class _HomesBasis(NamedTuple):
+    """What the choice of the homes rests on.
+
+    Attributes:
+        changes: `Membership.count_changes` at that time.
+        is_leaving: Whether this node was draining.
+    """
+
+    changes: int
+    is_leaving: bool
+
+
+class _Homes(NamedTuple):
+    """Nodes that may hold the origins of streams.
+
+    Attributes:
+        staying: Those that stay.
+        leaving: Those that drain.
+    """
+
+    staying: list[Home]
+    leaving: list[Home]
+
+
 class ServerNews:
     """Adds to this node's messages, and learns from those of others."""
 
@@ -58,7 +82,8 @@
         self._version_history = version_history
         self._witness = witness
         self._next_told = 0
-        self._seen: _Seen | None = None
+        # Of the homes that were told last; None before the first.
+        self._homes_basis: _HomesBasis | None = None
 
     def add_to(self, state: NodeState) -> NodeState:
         """Returns a state message of this node with the news."""
@@ -135,43 +160,21 @@
     def _update_homes(self, *, is_leaving: bool) -> None:
         """Tells which nodes may hold the origins of streams."""
         now_s = time.monotonic()
-        seen = _Seen(self._membership.count_changes(now_s), is_leaving)
-        if seen != self._seen:
-            self._seen = seen
-            self._origins.update_homes(*self._find_homes(now_s, seen))
+        changes = self._membership.count_changes(now_s)
+        basis = _HomesBasis(changes, is_leaving)
+        if basis != self._homes_basis:
+            self._homes_basis = basis
+            homes = self._find_homes(now_s, is_leaving=is_leaving)
+            self._origins.update_homes(homes.staying, homes.leaving)
         self._origins.update()
 
-    def _find_homes(self, now_s: float, seen: "_Seen") -> "_Homes":
+    def _find_homes(self, now_s: float, *, is_leaving: bool) -> _Homes:
         """Returns the live nodes, this one included."""
         homes = _Homes([], [])
-        own = homes.leaving if seen.is_leaving else homes.staying
+        own = homes.leaving if is_leaving else homes.staying
         own.append(self._own_home)
         for peer in self._membership.live_peers(now_s):
             state = peer.state
             found = homes.leaving if state.is_leaving else homes.staying
             found.append(Home(state.ip, state.failure_domain))
         return homes
-
-
-class _Seen(NamedTuple):
-    """What the homes were last chosen for.
-
-    Attributes:
-        changes: How often the live nodes had changed.
-        is_leaving: Whether this node was draining.
-    """
-
-    changes: int
-    is_leaving: bool
-
-
-class _Homes(NamedTuple):
-    """Nodes that may hold the origins of streams.
-
-    Attributes:
-        staying: Those that stay.
-        leaving: Those that drain.
-    """
-
-    staying: list[Home]
-    leaving: list[Home]
--- a/src/savorylift/rollouts/next_stage.py
+++ b/src/savorylift/rollouts/next_stage.py
@@ -40,7 +40,7 @@
 # The first step ends after so many sound answers, or this part of the time.
 FIRST_ANSWERS = 5
 FIRST_TIME_PART = 0.25
-# It ends at once if fewer answers than this are to be expected in that time.
+# It ends after `MIN_RATE_TIME_S` if fewer answers than this are expected in it.
 FEW_FIRST_ANSWERS = 2
 # A version that is still doubtful after this multiple of the time for the trial
 # under load is rolled back.
