Say what becomes of a run that isn't moved

Cause: the docstring of Mover.move left out runs that are made again elsewhere.

Change: it names them.

--- a/src/savorylift/moves/mover.py
+++ b/src/savorylift/moves/mover.py
@@ -66,7 +66,7 @@
 
         Returns:
             Where to resume the run, which has then been stopped; None if it
-            could not be moved and stays on its engine.
+            was not moved: it stays on its engine, unless `Run.is_given_up`.
         """
         source = run.server
         assert source is not None
