--- a/src/savorylift/rooms/prefill_bounds.py
+++ b/src/savorylift/rooms/prefill_bounds.py
@@ -7,6 +7,9 @@
 
 import collections
 import time
+from collections.abc import Mapping
+
+from savorylift.fleet.room_messages import RoomRequest
 
 # Bounds of generations that arrived longer ago than this don't count.
 WINDOW_S = 5.0
@@ -46,3 +49,16 @@
             ordered = sorted(max_tokens for _, max_tokens in known)
             found[priority] = ordered[int(STRICT_SHARE * len(ordered))]
         return found
+
+
+def with_bound(req: RoomRequest, bounds: Mapping[int, float]) -> RoomRequest:
+    """Returns a request that keeps to what more urgent ones bear.
+
+    Args:
+        req: The request.
+        bounds: Prompt tokens that generations bear, by their priority.
+    """
+    stricter = [bound for p, bound in bounds.items() if p < req.priority]
+    return req._replace(
+        max_prefill_tokens=min([req.max_prefill_tokens, *stricter])
+    )
--- a/src/savorylift/rooms/service_room.py
+++ b/src/savorylift/rooms/service_room.py
@@ -33,7 +33,7 @@
     has_allowed,
     without_kept_engine,
 )
-from savorylift.rooms.prefill_bounds import PrefillBounds
+from savorylift.rooms.prefill_bounds import PrefillBounds, with_bound
 from savorylift.rooms.returning import FirstVisit, ReturningRequests
 
 # A generation is dropped if its node hasn't asked for this time.
@@ -202,7 +202,7 @@
             waiting = by_number[ticket.number]
             req, server = waiting.req, None
             if req.tokens <= most_tokens:
-                req = _with_bound(req, bounds)
+                req = with_bound(req, bounds)
                 server = choose_allowed(req, engines, loads, self._rng)
             if server is not None:
                 yield self._grant(waiting, server, engines, loads)
@@ -291,11 +291,3 @@
                 req.number, RoomOutcome.REFUSED, None, return_in_s, waiting
             )
             yield Decision(key, reply)
-
-
-def _with_bound(req: RoomRequest, bounds: Mapping[int, float]) -> RoomRequest:
-    """Returns a request that keeps to what more urgent ones bear."""
-    stricter = [bound for p, bound in bounds.items() if p < req.priority]
-    return req._replace(
-        max_prefill_tokens=min([req.max_prefill_tokens, *stricter])
-    )
