Ask at each beat who has to wake, with one timer for all

Cause: at each beat of 0.2 s six tasks of an idle node were woken, five of them only to see that there was nothing to do; their timers and wake-ups were about 60 % of what the event loop ran. Beats of 0.4 s fell between those of 0.2 s.

Change: tasks that wait for the same beat share one timer, which asks each whether it has something to do and wakes only that one. The questions are those that the tasks asked themselves, at the same times.

--- a/src/savorylift/exchange/drain_poller.py
+++ b/src/savorylift/exchange/drain_poller.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import functools
 import time
 from collections.abc import Callable, Collection, Iterable
 
@@ -75,13 +76,26 @@
     async def run(self) -> None:
         """Polls periodically while the store is unavailable; never returns."""
         while True:
-            await wait_for_beat(self._find_interval_s())
-            if self._get_engines() and self._get_slack_s() <= 0:
+            interval_s = self._find_interval_s()
+            await wait_for_beat(
+                interval_s, functools.partial(self._has_to_act, interval_s)
+            )
+            if self._must_poll():
                 polled_s = time.monotonic()
                 await asyncio.gather(*map(self._poll, self._engines_to_poll()))
                 next_s = polled_s + POLL_INTERVAL_S - CHECK_INTERVAL_S
                 await asyncio.sleep(max(next_s - time.monotonic(), 0.0))
 
+    def _has_to_act(self, interval_s: float) -> bool:
+        """Whether to poll, or to check at another interval from now on."""
+        if self._find_interval_s() != interval_s:
+            return True
+        return interval_s == CHECK_INTERVAL_S and self._must_poll()
+
+    def _must_poll(self) -> bool:
+        """Whether the store may have sent no updates for too long."""
+        return bool(self._get_engines()) and self._get_slack_s() <= 0
+
     def _find_interval_s(self) -> float:
         """Returns the interval until the next check."""
         if not self._get_engines():
--- a/src/savorylift/exchange/origin_log.py
+++ b/src/savorylift/exchange/origin_log.py
@@ -75,13 +75,16 @@
         """Writes new origins forever, in batches."""
         while True:
             if not self._unsaved():
-                await wait_for_beat(CHECK_INTERVAL_S)
+                await wait_for_beat(CHECK_INTERVAL_S, self._has_unsaved)
                 continue
             is_saved = await self.save()
             await asyncio.sleep(
                 self._write_interval_s if is_saved else RETRY_INTERVAL_S
             )
 
+    def _has_unsaved(self) -> bool:
+        return bool(self._unsaved())
+
     async def save(self) -> bool:
         """Writes a batch of origins; returns whether that succeeded."""
         batch = self._unsaved()[:MAX_BATCH_ORIGINS]
--- a/src/savorylift/fleet/topic_consumer.py
+++ b/src/savorylift/fleet/topic_consumer.py
@@ -70,6 +70,8 @@
         self._read_policy = read_policy
         self._on_change = on_change
         self._offset: int | None = None
+        # As it was logged last.
+        self._is_reading = False
         self._last_read_s: float | None = None
         self._last_fault_s: float | None = None
         self._failing_since_s: float | None = None
@@ -96,20 +98,26 @@
 
     async def run(self) -> None:
         """Polls the topic forever, whenever this node should read."""
-        is_reading = False
         while True:
             should_read = self._read_policy.should_read()
-            if should_read != is_reading:
-                is_reading = should_read
+            if should_read != self._is_reading:
+                self._is_reading = should_read
                 self._read_policy.log_decision(
                     self._topic_name, should_read=should_read
                 )
             if not should_read or not self.may_call():
-                await wait_for_beat(POLL_PAUSE_S)
+                await wait_for_beat(POLL_PAUSE_S, self._has_to_act)
                 continue
             wait_s = await self._read()
             await asyncio.sleep(wait_s)
 
+    def _has_to_act(self) -> bool:
+        """Whether to read now, or to log that this node stops reading."""
+        should_read = self._read_policy.should_read()
+        if should_read != self._is_reading:
+            return True
+        return should_read and self.may_call()
+
     async def _read(self) -> float:
         """Makes one call; returns the delay before the next."""
         is_full_read = self._offset is None
--- a/src/savorylift/fleet/version_recorder.py
+++ b/src/savorylift/fleet/version_recorder.py
@@ -100,7 +100,7 @@
         self._history.is_complete = True
         while True:
             if await self._save_in_turn():
-                await wait_for_beat(CHECK_INTERVAL_S)
+                await wait_for_beat(CHECK_INTERVAL_S, self._is_writer)
             else:
                 await asyncio.sleep(RETRY_INTERVAL_S)
 
--- a/tests/fleet/test_topic_consumer.py
+++ b/tests/fleet/test_topic_consumer.py
@@ -27,6 +27,7 @@
     StoreFault,
 )
 from tests.exchange.factories import make_store_view
+from tests.harness.virtual_time import run_in_virtual_time
 
 # A configuration must be in force on all nodes this long after the store has
 # acknowledged it, in a small and in a large fleet.
@@ -101,6 +102,9 @@
         return Success(Batch((), 0))
 
 
+EMPTY: Result[Batch, StoreError] = Success(Batch((), 0))
+
+
 def test_outage_that_other_nodes_saw_the_end_of_is_over_for_all() -> None:
     async def scenario() -> None:
         store, peers_age_s = ChangingStore(), [10.0]
@@ -134,6 +138,64 @@
     asyncio.run(scenario())
 
 
+def test_consumer_is_woken_only_to_begin_to_read(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Woken at each beat just to look, it cost what a message costs."""
+    decided: list[bool] = []
+
+    async def scenario() -> None:
+        store, is_reader = ChangingStore(), [False]
+        store.is_away = False
+        policy = ReadPolicy(
+            lambda: is_reader[0], lambda: 0.0, lambda: False, lambda: 0.2
+        )
+        log_decision = policy.log_decision
+
+        def record(topic_name: str, *, should_read: bool) -> None:
+            decided.append(should_read)
+            log_decision(topic_name, should_read=should_read)
+
+        monkeypatch.setattr(policy, "log_decision", record)
+        consumer = TopicConsumer(
+            cast("StoreClient", store),
+            "keyed.servers",
+            Topic.SERVERS,
+            make_store_view(),
+            policy,
+            lambda _: None,
+        )
+        monkeypatch.setattr(
+            store, "read", lambda *_: asyncio.sleep(1.0, EMPTY), raising=False
+        )
+        reading = asyncio.ensure_future(consumer.run())
+        await asyncio.sleep(0.01)
+        handles = 0
+        run_handle = asyncio.Handle._run
+
+        def count(self: asyncio.Handle) -> None:
+            nonlocal handles
+            handles += 1
+            run_handle(self)
+
+        monkeypatch.setattr(asyncio.Handle, "_run", count)
+        await asyncio.sleep(20 * POLL_PAUSE_S)
+        monkeypatch.setattr(asyncio.Handle, "_run", run_handle)
+        # A timer a beat, and the end of the scenario's own sleep.
+        assert handles <= 23
+        readings = [consumer.last_read_s]
+        is_reader[0] = True
+        await asyncio.sleep(POLL_PAUSE_S + 0.05)
+        readings.append(consumer.last_read_s)
+        assert [read_s is not None for read_s in readings] == [False, True]
+        is_reader[0] = False
+        await asyncio.sleep(1.5)
+        reading.cancel()
+
+    run_in_virtual_time(monkeypatch, scenario)
+    assert decided == [True, False]
+
+
 @pytest.mark.parametrize(
     ("is_standby", "first_age_s", "pause_s"),
     [
