Send the callers of a planned stop on time where the process stands still

Cause: node, servers and callers share one process. Callers sent one request after the other, each 10 ms after the one before was connected; a loop that was 818 ms late left 42 in the time in which the node still takes them, of 50 that are wanted.

Change: requests are due at even times, connect on their own, and those that are late follow at once until there are 60. What is asserted is the same: at least 50 endings, none cut off, each 503 with when to come back.

--- a/tests/front/test_planned_stop.py
+++ b/tests/front/test_planned_stop.py
@@ -7,7 +7,6 @@
 
 import pytest
 
-from savorylift.wire.channel import Channel
 from savorylift.wire.client_call import BrokenAnswerError, ClientCall
 from savorylift.wire.connecting import connect
 from savorylift.wire.message import Headers
@@ -24,6 +23,9 @@
 from tests.harness.virtual_time import run_in_virtual_time
 
 INTERVAL_S = 0.01
+# As many are judged, and a few more that may be refused.
+LEAST_ENDINGS = 50
+ENOUGH_REQUESTS = 60
 HEADERS: Headers = (
     ("host", "h.example"),
     ("x-savorylift-deadline-remaining", "4000"),
@@ -55,24 +57,35 @@
         self._host = host
         self._port = port
         self._path = path
+        self._is_refused = False
         self.tasks: list[asyncio.Task[None]] = []
         self.endings: list[Ending] = []
 
     async def run(self) -> None:
-        """Sends requests on new connections until one is refused."""
-        while True:
-            try:
-                channel = await connect(self._host, self._port, 1.0)
-            except OSError:
-                break
-            self.tasks.append(asyncio.ensure_future(self._call(channel)))
-            await asyncio.sleep(INTERVAL_S)
+        """Sends requests on new connections until one is refused.
+
+        Until there are enough of them, those that are late follow at once.
+        """
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        while not self._is_refused:
+            attempt_id = f"a{len(self.tasks) + 1}"
+            self.tasks.append(asyncio.ensure_future(self._call(attempt_id)))
+            pause_s = INTERVAL_S
+            if len(self.tasks) < ENOUGH_REQUESTS:
+                due_s = began_s + len(self.tasks) * INTERVAL_S
+                pause_s = max(due_s - loop.time(), 0.0)
+            await asyncio.sleep(pause_s)
         await asyncio.gather(*self.tasks)
 
-    async def _call(self, channel: Channel) -> None:
-        number = len(self.tasks)
+    async def _call(self, attempt_id: str) -> None:
+        try:
+            channel = await connect(self._host, self._port, 1.0)
+        except OSError:
+            self._is_refused = True
+            return
         call = ClientCall(channel)
-        headers = (*HEADERS, ("x-savorylift-attempt-id", f"a{number}"))
+        headers = (*HEADERS, ("x-savorylift-attempt-id", attempt_id))
         call.send("POST", self._path, headers, b"question")
         ending = Ending(0, None)
         with contextlib.suppress(BrokenAnswerError, OSError):
@@ -99,7 +112,7 @@
         await env.node_task
         await running
         statuses = [ending.status for ending in callers.endings]
-        assert len(statuses) >= 50
+        assert len(statuses) >= LEAST_ENDINGS
         assert 0 not in statuses
         assert all(e.retry_after for e in callers.endings if e.status == 503)
 
@@ -158,7 +171,7 @@
             fleet.processes[ip].terminate()
             await running
         statuses = [ending.status for ending in callers.endings]
-        assert len(statuses) >= 50
+        assert len(statuses) >= LEAST_ENDINGS
         assert 0 not in statuses
 
     run_with_timeout(scenario())
