Watch an idle connection while its draining server is looked at

Cause: a draining server isn't asked when it started. The node connected to it, waited 10 ms, and only then watched the idle connection for 50 ms, while the caller of a stream that its move had missed waited for its end. Beside load the connection took 20 ms, so that the caller got 0.114 s of 0.1 s.

Change: the 50 ms begin with the check. At their end the idle connection is looked at once more, as it is when it was matched only meanwhile.

The new test fails without it: 0.103 s where less than 0.09 s is wanted.

--- a/src/savorylift/processes/server_check.py
+++ b/src/savorylift/processes/server_check.py
@@ -3,6 +3,7 @@
 Another process may have taken its place, at its address and under its ID.
 """
 
+import asyncio
 import enum
 import time
 import weakref
@@ -148,12 +149,17 @@
             request: Identifies the request in logs.
         """
         began_s = time.monotonic()
-        found = await self._inquire(server, request)
-        end = self._judge(channel, found, request)
-        if end is ProcessEnd.UNKNOWN:
-            found, end = await self._find_by_others(
-                server, channel, request, found
-            )
+        # A draining server isn't asked: the idle connection is what tells.
+        watch = asyncio.ensure_future(self._idle.stays_open(channel, CLOSING_S))
+        try:
+            found = await self._inquire(server, request)
+            end = self._judge(channel, found, request)
+            if end is ProcessEnd.UNKNOWN:
+                found, end = await self._find_by_others(
+                    server, channel, request, found, watch
+                )
+        finally:
+            watch.cancel()
         if end is not ProcessEnd.LIVES and not self._is_in_service(server):
             end = ProcessEnd.LEFT
         metrics.ANSWER_ENDS.labels(end.value).inc()
@@ -174,8 +180,17 @@
         channel: Channel,
         request: str,
         found: Finding,
+        watch: "asyncio.Future[bool]",
     ) -> tuple[Finding, ProcessEnd]:
-        """Judges by other connections, then by a further question."""
+        """Judges by other connections, then by a further question.
+
+        Args:
+            server: The server.
+            channel: Connection whose answer has ended.
+            request: Identifies the request in logs.
+            found: What the first question has found.
+            watch: Whether the idle connection stays open.
+        """
         has_others = self._requests.has_other(channel)
         was_refused = found.outcome is CheckOutcome.GONE
         if was_refused and self._is_in_service(server):
@@ -187,7 +202,10 @@
         lives = False
         if has_others and found.outcome in NOT_SERVING:
             lives = await self._requests.any_stays_open(channel)
-        lives = lives or await self._idle.stays_open(channel, CLOSING_S)
+        if not lives:
+            # It may be known only by now which idle connection tells.
+            silence_s = 0.0 if await watch else CLOSING_S
+            lives = await self._idle.stays_open(channel, silence_s)
         is_accepting = found.outcome is CheckOutcome.ACCEPTED
         if lives or (is_accepting and server.entry.started_ms == NO_START):
             # Of a server without starts, nothing else can be known.
--- a/tests/processes/test_server_check.py
+++ b/tests/processes/test_server_check.py
@@ -457,6 +457,31 @@
     run_with_timeout(scenario())
 
 
+def test_idle_connection_of_a_draining_server_is_watched_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The caller of a stream that has ended waits for its end meanwhile."""
+    monkeypatch.setattr(server_contact, "SETTLE_S", CLOSING_S)
+
+    async def scenario() -> None:
+        listener, port = await serve_bytes(discard)
+        check, _ = make_check(in_service=False)
+        server = server_at(port, started_ms=5)
+        took_s = []
+        for _ in range(5):
+            channel = await begin_unframed(check, server)
+            channel.abort()
+            began_s = time.monotonic()
+            found = await check.find_end(server, channel, "a1")
+            took_s.append(time.monotonic() - began_s)
+            assert found is ProcessEnd.LIVES
+            check.end_unframed(channel)
+        assert CLOSING_S <= min(took_s) < 1.8 * CLOSING_S
+        listener.close()
+
+    run_with_timeout(scenario())
+
+
 def test_limited_server_without_spare_permits_is_asked_in_its_turn() -> None:
     async def scenario() -> None:
         reporter = Reporter(report_of(b'{"born": 6}'))
