End an outage of the store for a node as others read it again

Cause: a node that had failed to read took its own next reading for the end of the outage, also one long after: lapsed entries were kept for 2.2 s from then on, and a server removed then got requests meanwhile. A node with its first reading after an outage also took it for shorter than it was.

Change: an outage lasts from the newest reading by any node before the failed call to the first one by any node after it (`StoreOutage`), by the ages that nodes tell in any case: no new message. Where the others read all the while, no time begins; before, a node cut off from the store alone began one. One cut off from both begins it as before. An earlier return shortens no time that has begun.

--- a/src/savorylift/backends/registry.py
+++ b/src/savorylift/backends/registry.py
@@ -77,9 +77,12 @@
         servers write them again. Such servers are kept for that period.
 
         Args:
-            returned_s: Monotonic time at which the store answered again.
+            returned_s: Monotonic time at which the store answered again. An
+                earlier one than before changes nothing.
         """
-        self._grace_until_s = returned_s + GRACE_PERIOD_S
+        self._grace_until_s = max(
+            self._grace_until_s, returned_s + GRACE_PERIOD_S
+        )
 
     def put(self, entry: ServerEntry, now_s: float) -> bool:
         """Stores an entry unless it is outdated.
--- a/src/savorylift/fleet/read_policy.py
+++ b/src/savorylift/fleet/read_policy.py
@@ -126,6 +126,17 @@
         ]
         return min(ages, default=stale_s + 1) > stale_s
 
+    def others_read_s(self) -> float | None:
+        """Returns when a live peer last read the servers' entries.
+
+        A monotonic time; None without such a reading. Builds that don't tell
+        it count by the age of their reading of both topics.
+        """
+        age_s = self._peers_servers_age_s()
+        if age_s is None:
+            age_s = self._peers_reading_age_s()
+        return None if age_s is None else time.monotonic() - age_s
+
     def may_miss_notices(self, servers_age_s: float | None) -> bool:
         """Whether a server may have given a notice that nobody has read.
 
--- a/src/savorylift/fleet/topic_consumer.py
+++ b/src/savorylift/fleet/topic_consumer.py
@@ -10,6 +10,7 @@
 
 from savorylift.beat import wait_for_beat
 from savorylift.fleet.read_policy import POLL_PAUSE_S, ReadPolicy
+from savorylift.fleet.store_outage import StoreOutage
 from savorylift.fleet.store_records import Change, Delta, Topic
 from savorylift.fleet.store_view import StoreView
 from savorylift.platform.store import (
@@ -22,8 +23,6 @@
 # How long the store may hold a poll open. A dead connection to the store is
 # detected after this time plus the timeout of the call.
 LONG_POLL_S = 1.0
-# Entries in the store may expire during an outage that is longer than this.
-OUTAGE_S = 1.0
 # How long a fault of the store is reported to the other nodes.
 FAULT_REPORTED_S = 10.0
 
@@ -39,7 +38,8 @@
     Attributes:
         is_store_away: Whether the last call met one of `AWAY_FAULTS`.
         may_call: Returns whether the store may be called now.
-        on_recovery: Called with the time at which an outage ended.
+        on_recovery: Called with the time at which an outage ended for the
+            first node.
         on_fault: Called after the first of several calls that failed.
     """
 
@@ -72,7 +72,8 @@
         self._offset: int | None = None
         self._last_read_s: float | None = None
         self._last_fault_s: float | None = None
-        self._failing_since_s: float | None = None
+        self._is_failing = False
+        self._outage = StoreOutage(read_policy.others_read_s)
         self.is_store_away = False
         self.may_call: Callable[[], bool] = lambda: True
         self.on_recovery: Callable[[float], None] = _ignore_recovery
@@ -96,6 +97,9 @@
 
     async def run(self) -> None:
         """Polls the topic forever, whenever this node should read."""
+        await asyncio.gather(self._poll(), self._watch_others())
+
+    async def _poll(self) -> None:
         is_reading = False
         while True:
             should_read = self._read_policy.should_read()
@@ -110,9 +114,16 @@
             wait_s = await self._read()
             await asyncio.sleep(wait_s)
 
+    async def _watch_others(self) -> None:
+        """Notes the end of an outage that other nodes see first."""
+        while True:
+            await wait_for_beat(POLL_PAUSE_S)
+            self._announce_recovery(self._outage.look())
+
     async def _read(self) -> float:
         """Makes one call; returns the delay before the next."""
         is_full_read = self._offset is None
+        self._outage.begin_call(time.monotonic(), self._last_read_s)
         result = await self._call()
         if not is_successful(result):
             return self._handle_error(result.failure())
@@ -159,14 +170,16 @@
     def _handle_success(self) -> None:
         now_s = time.monotonic()
         self.is_store_away = False
-        since_s = self._failing_since_s
-        if since_s is not None:
+        if self._is_failing:
             _log.info("store_regained", topic=self._topic_name)
-            if now_s - since_s > OUTAGE_S:
-                self.on_recovery(now_s)
-        self._failing_since_s = None
+        self._is_failing = False
+        self._announce_recovery(self._outage.end(now_s))
         self._last_read_s = now_s
 
+    def _announce_recovery(self, ended_s: float | None) -> None:
+        if ended_s is not None:
+            self.on_recovery(ended_s)
+
     def _handle_error(self, error: StoreError) -> float:
         """Returns the delay before the next call."""
         now_s = time.monotonic()
@@ -183,8 +196,9 @@
             self.on_recovery(now_s)
             return 0.0
         self.is_store_away = error.fault in AWAY_FAULTS
-        if self._failing_since_s is None:
-            self._failing_since_s = self._last_read_s or now_s
+        self._outage.begin(now_s)
+        if not self._is_failing:
+            self._is_failing = True
             _log.warning(
                 "store_lost", topic=self._topic_name, detail=error.detail
             )
--- a/tests/backends/test_registry.py
+++ b/tests/backends/test_registry.py
@@ -122,6 +122,15 @@
     assert list(registry.servers) == ["back"]
 
 
+def test_earlier_return_of_the_store_shortens_no_grace_period() -> None:
+    registry = Registry()
+    registry.put(make_server_entry(), 0.0)
+    registry.start_grace_period(10.0)
+    registry.start_grace_period(9.0)
+    assert not registry.remove("i-1", 9.0 + GRACE_PERIOD_S)
+    assert registry.drop_expired(10.0 + GRACE_PERIOD_S) == ["i-1"]
+
+
 def test_draining_server_is_dropped_without_a_grace_period() -> None:
     registry = Registry()
     registry.put(make_server_entry()._replace(is_leaving=True), 0.0)
--- a/tests/fleet/test_topic_consumer.py
+++ b/tests/fleet/test_topic_consumer.py
@@ -134,6 +134,42 @@
     asyncio.run(scenario())
 
 
+def test_outage_ends_with_the_first_reading_of_another_node() -> None:
+    """The next call of this node, which waits for seconds, would be late."""
+
+    async def scenario() -> None:
+        read_s = [time.monotonic() - 10.0]
+        policy = ReadPolicy(
+            lambda: False,
+            lambda: time.monotonic() - read_s[0],
+            lambda: False,
+            lambda: 0.2,
+        )
+        consumer = TopicConsumer(
+            cast("StoreClient", ChangingStore()),
+            "keyed.servers",
+            Topic.SERVERS,
+            make_store_view(),
+            policy,
+            lambda _: None,
+        )
+        recoveries: list[float] = []
+        consumer.on_recovery = recoveries.append
+        reading = asyncio.ensure_future(consumer.run())
+        await asyncio.sleep(0.1)
+        read_s[0] = returned_s = time.monotonic()
+        await asyncio.sleep(FALLBACK_RETRY_S / 2)
+        assert recoveries == [pytest.approx(returned_s, abs=0.01)]
+        # The others read on.
+        for _ in range(10):
+            read_s[0] = time.monotonic()
+            await asyncio.sleep(FALLBACK_RETRY_S / 5)
+        reading.cancel()
+        assert len(recoveries) == 1
+
+    asyncio.run(scenario())
+
+
 @pytest.mark.parametrize(
     ("is_standby", "first_age_s", "pause_s"),
     [
