--- a/src/savorylift/front/move_parts.py
+++ b/src/savorylift/front/move_parts.py
@@ -12,7 +12,7 @@
 from savorylift.front.room_parts import RoomParts
 from savorylift.front.server_parts import ServerParts
 from savorylift.front.shared_parts import SharedParts
-from savorylift.moves.copy_schedule import Destination
+from savorylift.moves.move_inputs import Destination
 from savorylift.moves.plan_client import PlanClient
 from savorylift.moves.planner import MovePlanner
 from savorylift.moves.planner_choice import PlannerChoice
--- a/src/savorylift/moves/move_plan.py
+++ b/src/savorylift/moves/move_plan.py
@@ -10,13 +10,8 @@
 from typing import NamedTuple
 
 from savorylift.moves.begun_copies import MoveKey
-from savorylift.moves.copy_schedule import (
-    CopySchedule,
-    Destination,
-    LeavingEngine,
-    MovingRun,
-    PlannedCopy,
-)
+from savorylift.moves.copy_schedule import CopySchedule, PlannedCopy
+from savorylift.moves.move_inputs import Destination, LeavingEngine, MovingRun
 
 
 class UnsavedReason(enum.StrEnum):
--- a/src/savorylift/moves/service_moves.py
+++ b/src/savorylift/moves/service_moves.py
@@ -6,12 +6,8 @@
 
 from savorylift.fleet.move_messages import MoveOutcome, MoveReply, MoveRequest
 from savorylift.moves.begun_copies import BegunCopies, MoveKey
-from savorylift.moves.copy_schedule import (
-    Destination,
-    LeavingEngine,
-    MovingRun,
-    PlannedCopy,
-)
+from savorylift.moves.copy_schedule import PlannedCopy
+from savorylift.moves.move_inputs import Destination, LeavingEngine, MovingRun
 from savorylift.moves.move_order import PlannedMove
 from savorylift.moves.move_plan import MovePlan, plan_moves
 
--- a/tests/moves/factories.py
+++ b/tests/moves/factories.py
@@ -4,7 +4,7 @@
 
 from savorylift.fleet.move_messages import MoveRequest
 from savorylift.moves.begun_copies import MoveKey
-from savorylift.moves.copy_schedule import Destination, LeavingEngine, MovingRun
+from savorylift.moves.move_inputs import Destination, LeavingEngine, MovingRun
 
 # Tokens that a link carries in a second: a run of 3,700 takes 0.2 s within a
 # failure domain, and 0.4 s to another.
--- a/tests/moves/test_move_bounds.py
+++ b/tests/moves/test_move_bounds.py
@@ -7,13 +7,8 @@
 from hypothesis import strategies as st
 
 from savorylift.moves.begun_copies import MoveKey
-from savorylift.moves.copy_schedule import (
-    Destination,
-    LeavingEngine,
-    MovingRun,
-    PlannedCopy,
-    copy_duration_s,
-)
+from savorylift.moves.copy_schedule import PlannedCopy, copy_duration_s
+from savorylift.moves.move_inputs import Destination, LeavingEngine, MovingRun
 from savorylift.moves.move_plan import plan_moves
 from tests.moves.factories import LINK_TOKENS_PER_S, MEMORY_TOKENS, SLOTS, Load
 
--- a/tests/moves/test_move_plan.py
+++ b/tests/moves/test_move_plan.py
@@ -12,11 +12,8 @@
 import pytest
 
 from savorylift.moves.begun_copies import MoveKey
-from savorylift.moves.copy_schedule import (
-    LeavingEngine,
-    MovingRun,
-    copy_duration_s,
-)
+from savorylift.moves.copy_schedule import copy_duration_s
+from savorylift.moves.move_inputs import LeavingEngine, MovingRun
 from savorylift.moves.move_plan import MovePlan, UnsavedReason, plan_moves
 from tests.moves.factories import (
     MEMORY_TOKENS,
