Pace the planner of moves, and have it begin anew after a standstill

Cause: the planner planned anew each 10 ms while runs waited, without a pause. After a standstill of 0.45 s and more it gave turns for runs whose nodes had gone on without it, and room that others had taken meanwhile. A node that gave up asked once more beside the end of its wait; if the end came first, the run waited again.

Change: a plan is followed by a pause of nine times its time, up to 0.1 s, for all services together; a link that gets free is planned with at once, requests share a plan for 10 ms as before. A timer that was held up lets what came meanwhile be read first. After 0.7 s without running the planner forgets all and answers `alone` for a hand-over, as the keeper of room does; both use the same watch and hold. The last question of a node that gives up isn't sent. Tests of keepers set the same constants where they are now.

--- a/src/savorylift/front/move_parts.py
+++ b/src/savorylift/front/move_parts.py
@@ -157,6 +157,12 @@
         client if is_planned else None,
         lambda run: may_repeat(run, pool, is_safe),
     )
-    planner = MovePlanner(choice, shared.membership, site, send)
+    planner = MovePlanner(
+        choice,
+        shared.membership,
+        site,
+        send,
+        lambda: transport.message_interval_s,
+    )
     parts = MoveParts(planner, client, turns)
     return parts
--- a/src/savorylift/moves/plan_client.py
+++ b/src/savorylift/moves/plan_client.py
@@ -136,17 +136,18 @@
     ) -> MoveReply | None:
         """Returns the last reply to a run that waits for its turn."""
         unanswered = 0
-        while unanswered <= MAX_UNANSWERED:
-            if time.monotonic() >= leave_s:
-                return None
+        while time.monotonic() < leave_s:
             if await _await_reply(exchange, ASK_AGAIN_S):
                 unanswered = 0
                 if not _is_waiting(exchange.reply):
                     return exchange.reply
-            else:
-                unanswered += 1
-                self._send_request(exchange, make_request)
-        self._note_silence(exchange.ip)
+                continue
+            unanswered += 1
+            if unanswered > MAX_UNANSWERED:
+                # No other question: its end could overtake it.
+                self._note_silence(exchange.ip)
+                return None
+            self._send_request(exchange, make_request)
         return None
 
     def _note_silence(self, ip: str) -> None:
--- a/src/savorylift/moves/planner.py
+++ b/src/savorylift/moves/planner.py
@@ -3,9 +3,9 @@
 What it says only directs moves; engines' own replies decide.
 """
 
-import asyncio
 import math
 import time
+from collections.abc import Callable
 from typing import Protocol
 
 import structlog
@@ -21,16 +21,17 @@
 from savorylift.moves import metrics
 from savorylift.moves.begun_copies import MoveKey
 from savorylift.moves.move_plan import MovePlan, UnsavedReason
+from savorylift.moves.plan_timers import SHARE_DELAY_S, PlanTimers
 from savorylift.moves.planner_choice import PlannerChoice
 from savorylift.moves.service_moves import (
     Decision,
     ServiceMoves,
     Surroundings,
 )
+from savorylift.rooms.handover import handover_hold_s
 from savorylift.rooms.request_check import are_tokens
+from savorylift.standstill import StandstillWatch
 
-# Requests and ends that come within this time share a plan.
-PLAN_DELAY_S = 0.01
 # A planner that hears less of the fleet leaves the order to the nodes.
 MIN_LIVE_SHARE = 0.5
 
@@ -71,6 +72,7 @@
         membership: Membership,
         site: MoveSite,
         send: SendMoveMessage,
+        get_message_interval_s: Callable[[], float],
     ) -> None:
         """Creates a planner without runs.
 
@@ -79,16 +81,24 @@
             membership: The other nodes.
             site: The engines.
             send: Sends replies.
+            get_message_interval_s: Returns the interval between the nodes'
+                messages.
         """
         self._choice = choice
         self._membership = membership
         self._site = site
         self._send = send
         self._moves: dict[str, ServiceMoves] = {}
-        self._due: set[str] = set()
+        self._timers = PlanTimers(self._plan)
+        self._get_message_interval_s = get_message_interval_s
+        self._standstill = StandstillWatch()
+        # Monotonic time from which turns are given, after this process stood
+        # still.
+        self._ready_s = 0.0
 
     def receive(self, message: MoveRequest | MoveEnd, ip: str) -> None:
         """Handles a message from a node."""
+        self._note_running()
         if isinstance(message, MoveEnd):
             self._end(MoveKey(ip, message.number), message.moved_to)
         elif _is_sound(message):
@@ -96,6 +106,7 @@
 
     def update(self) -> None:
         """Drops what is over; to be called periodically."""
+        self._note_running()
         if not self._moves:
             return
         now_s = time.monotonic()
@@ -109,13 +120,32 @@
             else:
                 self._plan_soon(service)
 
+    def _note_running(self) -> None:
+        """Begins anew if this process stood still.
+
+        Other nodes may have given the same links and room meanwhile, and what
+        it hears first was said before.
+        """
+        if not self._standstill.has_stood_still():
+            return
+        for service, moves in self._moves.items():
+            self._leave_alone(moves)
+            self._site.hold(service, {})
+        self._moves.clear()
+        hold_s = handover_hold_s(self._get_message_interval_s())
+        self._ready_s = time.monotonic() + hold_s
+
     def _is_known(self, service: str) -> bool:
         # Names in messages aren't kept if there are no such engines.
         return service in self._moves or self._site.look(service) is not None
 
     def _may_plan(self, service: str) -> bool:
-        share = self._membership.live_share(time.monotonic())
-        return self._choice.is_planner(service) and share >= MIN_LIVE_SHARE
+        now_s = time.monotonic()
+        return (
+            now_s >= self._ready_s
+            and self._choice.is_planner(service)
+            and self._membership.live_share(now_s) >= MIN_LIVE_SHARE
+        )
 
     def _add(self, key: MoveKey, req: MoveRequest) -> None:
         if not self._is_known(req.service) or not self._may_plan(req.service):
@@ -131,22 +161,22 @@
         for service, moves in self._moves.items():
             if not moves.is_new(key):
                 moves.end(key, moved_to)
-                self._plan_soon(service)
+                # Links are free now.
+                self._plan_soon(service, delay_s=0.0)
 
-    def _plan_soon(self, service: str) -> None:
-        if service in self._due or not self._moves[service].has_waiting:
-            return
-        self._due.add(service)
-        asyncio.get_running_loop().call_later(PLAN_DELAY_S, self._plan, service)
+    def _plan_soon(self, service: str, delay_s: float = SHARE_DELAY_S) -> None:
+        if self._moves[service].has_waiting:
+            self._timers.set(service, delay_s)
 
     def _plan(self, service: str) -> None:
-        self._due.discard(service)
+        self._note_running()
         moves = self._moves.get(service)
-        if moves is None:
+        if moves is None or not moves.has_waiting:
             return
         around = self._site.look(service)
         if around is None:
-            self._leave_alone(service, moves)
+            self._leave_alone(moves)
+            self._site.hold(service, moves.held_tokens())
             return
         begun_s = time.monotonic()
         plan, decisions = moves.decide(around)
@@ -157,11 +187,10 @@
             took_s = time.monotonic() - begun_s
             self._log_plan(service, plan, decisions, around, took_s)
 
-    def _leave_alone(self, service: str, moves: ServiceMoves) -> None:
+    def _leave_alone(self, moves: ServiceMoves) -> None:
         """Lets the nodes order the moves; this one may hear of engines last."""
         for key in moves.take_waiting():
             self._reply(MoveReply(key.number, MoveOutcome.ALONE), key.ip)
-        self._site.hold(service, moves.held_tokens())
 
     def _reply(self, reply: MoveReply, ip: str) -> None:
         metrics.MOVE_REPLIES.labels(str(reply.outcome)).inc()
--- a/src/savorylift/rooms/keeper.py
+++ b/src/savorylift/rooms/keeper.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
-from savorylift.boot_clock import boot_time_s
 from savorylift.fleet.membership import Membership
 from savorylift.fleet.room_messages import (
     RoomEnds,
@@ -26,19 +25,14 @@
 from savorylift.rooms.dispatch_timers import DispatchTimers
 from savorylift.rooms.engine_groups import EngineGroups, RoomId, select_group
 from savorylift.rooms.engines import Engines
+from savorylift.rooms.handover import handover_hold_s
 from savorylift.rooms.keeper_choice import KeeperChoice
 from savorylift.rooms.request_check import is_sound
 from savorylift.rooms.service_room import ServiceRoom
+from savorylift.standstill import StandstillWatch
 
 # A node that has just started doesn't know all others yet.
 START_HOLD_S = 2.5
-# After a change of the live nodes, or after it stood still, a keeper waits
-# until others have told what they have: at least this time.
-HANDOVER_HOLD_S = 1.5
-# The same, as a multiple of the interval between the nodes' messages.
-HANDOVER_INTERVALS = 1.5
-# A process that didn't run for this long may have missed much.
-STOOD_STILL_S = 0.7
 # A keeper that hears less of the fleet leaves the choice to the nodes.
 MIN_LIVE_SHARE = 0.5
 
@@ -95,8 +89,7 @@
         # Monotonic time from which each kept room's places are granted.
         self._ready_s: dict[RoomId, float] = {}
         self._start_ready_s = time.monotonic() + START_HOLD_S
-        # Boot time at which this process was last seen to run.
-        self._ran_s = boot_time_s()
+        self._standstill = StandstillWatch()
         self._knowledge_age_s = 0.0
         self._timers = DispatchTimers(self._dispatch)
 
@@ -150,8 +143,7 @@
 
     def _note_running(self) -> None:
         """Begins anew if this process stood still."""
-        last_s, self._ran_s = self._ran_s, boot_time_s()
-        if self._ran_s - last_s < STOOD_STILL_S:
+        if not self._standstill.has_stood_still():
             return
         for room_id in list(self._ready_s):
             self._leave(room_id, RoleChange.STOOD_STILL)
@@ -159,8 +151,7 @@
         self._start_ready_s = max(self._start_ready_s, ready_s)
 
     def _handover_hold_s(self) -> float:
-        interval_s = self._get_message_interval_s()
-        return max(HANDOVER_HOLD_S, HANDOVER_INTERVALS * interval_s)
+        return handover_hold_s(self._get_message_interval_s())
 
     def _keep(self, room_id: RoomId) -> AloneReason | None:
         """Keeps a room from now on, if this node may.
--- a/tests/harness/virtual_time.py
+++ b/tests/harness/virtual_time.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import selectors
+import time
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -47,6 +48,13 @@
         return events
 
 
+def stand_still(duration_s: float) -> None:
+    """Lets time pass in which nothing else runs; for use in scenarios."""
+    clock = getattr(time.monotonic, "__self__", None)
+    assert isinstance(clock, VirtualClock)
+    clock.now_s += duration_s
+
+
 def run_in_virtual_time(
     monkeypatch: pytest.MonkeyPatch,
     scenario: Callable[[], Coroutine[Any, Any, None]],
--- a/tests/moves/test_planner.py
+++ b/tests/moves/test_planner.py
@@ -76,7 +76,7 @@
             fleet.send(message, self.ip, ip)
 
         self.planner = MovePlanner(
-            self.choice, self.members, fleet.engines, send
+            self.choice, self.members, fleet.engines, send, lambda: 0.2
         )
         self.client = PlanClient(self.choice, send, random.Random(number))
 
--- a/tests/moves/test_service_moves.py
+++ b/tests/moves/test_service_moves.py
@@ -8,7 +8,7 @@
 from savorylift.moves import service_moves
 from savorylift.moves.begun_copies import MAX_COPY_S, SETTLE_S, MoveKey
 from savorylift.moves.move_order import PlannedMove
-from savorylift.moves.planner import PLAN_DELAY_S
+from savorylift.moves.plan_timers import SHARE_DELAY_S
 from savorylift.moves.service_moves import (
     MAX_SILENCE_S,
     NOTICE_S,
@@ -204,7 +204,7 @@
     around = make_surroundings(56)
     best_s = min(_time_of_plan(moves, around) for _ in range(5))
     # Requests share a plan meanwhile.
-    assert best_s < PLAN_DELAY_S
+    assert best_s < SHARE_DELAY_S
 
 
 def _time_of_plan(moves: ServiceMoves, around: Surroundings) -> float:
--- a/tests/rooms/test_keeper.py
+++ b/tests/rooms/test_keeper.py
@@ -9,6 +9,7 @@
 import pytest
 from structlog.testing import capture_logs
 
+from savorylift import standstill
 from savorylift.fleet.room_messages import (
     RoomEnds,
     RoomMessage,
@@ -20,13 +21,13 @@
 from savorylift.placement.memory_release_rate import MIN_RELEASES
 from savorylift.rooms import client as client_module
 from savorylift.rooms import engine_groups as groups_module
+from savorylift.rooms import handover, service_room
 from savorylift.rooms import keeper as keeper_module
-from savorylift.rooms import service_room
 from savorylift.rooms.client import RoomClient
 from savorylift.rooms.engine_groups import EngineGroups, RoomId
 from savorylift.rooms.engines import Engines
+from savorylift.rooms.handover import HANDOVER_HOLD_S
 from savorylift.rooms.keeper import (
-    HANDOVER_HOLD_S,
     START_HOLD_S,
     RoomKeeper,
 )
@@ -139,8 +140,8 @@
 def no_holds(monkeypatch: pytest.MonkeyPatch) -> None:
     """Keepers have heard all others when they are created."""
     monkeypatch.setattr(keeper_module, "START_HOLD_S", 0.0)
-    monkeypatch.setattr(keeper_module, "HANDOVER_HOLD_S", 0.0)
-    monkeypatch.setattr(keeper_module, "HANDOVER_INTERVALS", 0.0)
+    monkeypatch.setattr(handover, "HANDOVER_HOLD_S", 0.0)
+    monkeypatch.setattr(handover, "HANDOVER_INTERVALS", 0.0)
 
 
 @pytest.fixture
@@ -438,7 +439,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     boot_s = 100.0
-    monkeypatch.setattr(keeper_module, "boot_time_s", lambda: boot_s)
+    monkeypatch.setattr(standstill, "boot_time_s", lambda: boot_s)
     with freezegun.freeze_time("2026-01-01") as clock:
         lone = LoneKeeper()
         clock.tick(START_HOLD_S + 0.1)
