Keep a service divided among its keepers while it shrinks a little

Cause: a service whose number of engines swings around 48, 96 and so on changed its keepers each time, and after each change its keepers grant nothing for 1.5 s.

Change: a divided service stays so down to 20 engines a group (40, 80 and so on). Nodes say in their states which services they have divided, a new last field, and follow those with more groups, so that nodes that have just started count alike; no message is added. What is heard of a node's state for streams is passed on in one place.

--- a/src/savorylift/fleet/state.py
+++ b/src/savorylift/fleet/state.py
@@ -117,6 +117,18 @@
     failed: int
 
 
+class DividedService(NamedTuple):
+    """A service whose engines have several keepers.
+
+    Attributes:
+        service: Name of the service.
+        groups: Number of groups of its engines, each with a keeper.
+    """
+
+    service: str
+    groups: int
+
+
 class NodeState(NamedTuple):
     """State message that a node sends periodically and after changes.
 
@@ -158,6 +170,7 @@
         message_level: Kinds of messages that the node knows beside those of
             the first builds: 1 for those of `pulse_messages`.
         bulk_port: UDP port for messages that may wait; 0 if it has none.
+        divided_services: Services whose engines it counts as several groups.
     """
 
     node: str
@@ -189,3 +202,4 @@
     server_speeds: tuple[ServerSpeed, ...] = ()
     message_level: int = 0
     bulk_port: int = 0
+    divided_services: tuple[DividedService, ...] = ()
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -94,6 +94,7 @@
             self._servers.crash_guard,
             self._streams.server_news,
             transport,
+            self._streams.rooms.groups,
             self._servers.rollouts.board,
         )
         self._rollouts = make_rollout_agent(
@@ -282,8 +283,7 @@
 
     def _on_peer_state(self, state: NodeState) -> None:
         self._servers.crash_guard.merge(state.quarantine_news)
-        self._streams.server_news.merge(state)
-        self._streams.rooms.keeper.hear(state.ip, state.loads)
+        self._streams.hear(state)
 
     def _on_peer_news(self) -> None:
         self._servers.pool.move_queue.on_change()
--- a/src/savorylift/front/state_reporter.py
+++ b/src/savorylift/front/state_reporter.py
@@ -17,6 +17,7 @@
 from savorylift.front.server_news import ServerNews
 from savorylift.front.status import Status
 from savorylift.rollouts.board import RolloutBoard
+from savorylift.rooms.engine_groups import EngineGroups
 from savorylift.routing.configuration import Configuration
 
 # For how long the choice of the readers is used before it is made again.
@@ -68,6 +69,7 @@
         crash_guard: CrashGuard,
         server_news: ServerNews,
         transport: PeerTransport,
+        groups: EngineGroups,
         rollouts: RolloutBoard | None = None,
     ) -> None:
         """Connects the parts that the state is read from.
@@ -83,6 +85,7 @@
             crash_guard: Which requests crash servers.
             server_news: What servers said.
             transport: How often messages go.
+            groups: How services' engines are divided among keepers.
             rollouts: Where roll-outs stand; None if there are to be none.
         """
         self._identity = identity
@@ -95,6 +98,7 @@
         self._crash_guard = crash_guard
         self._server_news = server_news
         self._transport = transport
+        self._groups = groups
         self._rollouts = rollouts
         self._reader_choice = ReaderChoice(membership)
         self._sequence = 0
@@ -163,6 +167,7 @@
             knows_rollouts=self._rollouts is not None,
             message_level=self._identity.message_level,
             bulk_port=self._identity.bulk_port,
+            divided_services=self._groups.news(),
         )
         return self._server_news.add_to(state)
 
--- a/src/savorylift/front/stream_parts.py
+++ b/src/savorylift/front/stream_parts.py
@@ -12,6 +12,7 @@
 from savorylift.fleet.move_messages import MoveMessage
 from savorylift.fleet.peer_transport import PeerTransport
 from savorylift.fleet.room_messages import RoomMessage
+from savorylift.fleet.state import NodeState
 from savorylift.front.move_parts import MoveParts, make_move_parts
 from savorylift.front.room_parts import RoomParts, make_room_parts
 from savorylift.front.server_news import ServerNews
@@ -41,6 +42,12 @@
     rooms: RoomParts
     moves: MoveParts
 
+    def hear(self, state: NodeState) -> None:
+        """Learns from the state of another node."""
+        self.server_news.merge(state)
+        self.rooms.groups.hear(state.divided_services)
+        self.rooms.keeper.hear(state.ip, state.loads)
+
     def receive(self, message: RoomMessage | MoveMessage, ip: str) -> None:
         """Handles a message about room at engines or moves off them."""
         if isinstance(message, MoveMessage):
--- a/src/savorylift/rooms/engine_groups.py
+++ b/src/savorylift/rooms/engine_groups.py
@@ -8,18 +8,23 @@
 
 import time
 import zlib
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from typing import NamedTuple
 
+from savorylift.fleet.state import DividedService
 from savorylift.rooms.engines import Engines
 
 # In smaller groups, too many requests would find no room in theirs while
 # another group has some.
 MIN_ENGINES_PER_GROUP = 24
+# A service that is divided stays so until its groups are smaller than this, so
+# that one whose number of engines swings doesn't change keepers each time.
+MIN_ENGINES_TO_STAY = 20
 MAX_GROUPS = 16
 # For how long a count is used before the engines are counted again.
 CACHE_S = 0.5
 MAX_SERVICES = 200
+_DIVISIONS = frozenset({2, 4, 8, MAX_GROUPS})
 
 
 class RoomId(NamedTuple):
@@ -47,13 +52,17 @@
         return _hash(server_id) % self.groups == self.group
 
 
-def count_groups(engines: int) -> int:
+def count_groups(engines: int, min_engines: int = MIN_ENGINES_PER_GROUP) -> int:
     """Returns into how many groups a number of engines is divided.
 
     It is a power of two, so that it seldom changes.
+
+    Args:
+        engines: Number of engines.
+        min_engines: Smallest number of them in a group, on average.
     """
     groups = 1
-    while groups < MAX_GROUPS and engines >= 2 * groups * MIN_ENGINES_PER_GROUP:
+    while groups < MAX_GROUPS and engines >= 2 * groups * min_engines:
         groups *= 2
     return groups
 
@@ -98,7 +107,12 @@
 
 
 class EngineGroups:
-    """Counts the groups of each service's engines."""
+    """Counts the groups of each service's engines.
+
+    A service that has been divided stays so while it shrinks a little. Nodes
+    say which services they have divided, and follow those that have divided one
+    into more groups, so that one that has just started counts as the others do.
+    """
 
     def __init__(self, count_engines: Callable[[str], int]) -> None:
         """Creates it without counts.
@@ -109,6 +123,9 @@
         """
         self._count_engines = count_engines
         self._counts: dict[str, _Count] = {}
+        # Number of groups from which to go on, by service: what this node
+        # counted last, or heard since.
+        self._heard: dict[str, int] = {}
 
     def count(self, service: str) -> int:
         """Returns the number of groups of a service's engines."""
@@ -118,12 +135,31 @@
         """Returns the monotonic time at which the number last changed."""
         return self._refresh(service).changed_s
 
+    def news(self) -> tuple[DividedService, ...]:
+        """Returns what other nodes are to hear of: the divided services."""
+        known = [
+            name for name, count in self._counts.items() if count.groups > 1
+        ]
+        counts = [DividedService(name, self.count(name)) for name in known]
+        return tuple(sorted(count for count in counts if count.groups > 1))
+
+    def hear(self, news: Iterable[DividedService]) -> None:
+        """Notes what another node has divided, for the next count."""
+        for service, groups in news:
+            if groups not in _DIVISIONS or groups <= self._heard.get(
+                service, 1
+            ):
+                continue
+            if len(self._heard) >= MAX_SERVICES:
+                self._heard.clear()
+            self._heard[service] = groups
+
     def _refresh(self, service: str) -> _Count:
         now_s = time.monotonic()
         known = self._counts.get(service)
         if known is not None and now_s < known.until_s:
             return known
-        groups = count_groups(self._count_engines(service))
+        groups = self._divide(service)
         changed_s = float("-inf")
         if known is not None:
             changed_s = known.changed_s if known.groups == groups else now_s
@@ -133,6 +169,17 @@
         self._counts[service] = count
         return count
 
+    def _divide(self, service: str) -> int:
+        engines = self._count_engines(service)
+        most = count_groups(engines, MIN_ENGINES_TO_STAY)
+        stays = min(self._heard.get(service, 1), most)
+        groups = max(count_groups(engines), stays)
+        if groups > 1:
+            self._heard[service] = groups
+        else:
+            self._heard.pop(service, None)
+        return groups
+
 
 def _hash(text: str) -> int:
     return zlib.crc32(text.encode())
--- a/tests/front/test_room_keeper.py
+++ b/tests/front/test_room_keeper.py
@@ -62,3 +62,23 @@
         assert all(ending.took_s < 1.0 + longest_s for ending in endings)
 
     run_in_virtual_time(monkeypatch, scenario)
+
+
+def test_nodes_divide_a_service_alike_whatever_they_counted_before(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        fleet = NodeFleet(MIN_NODES, 2)
+        async with fleet.running():
+            divided = [node._streams.rooms.groups for node in fleet.nodes]
+            # One node has seen it with more engines than the others.
+            monkeypatch.setattr(divided[0], "_count_engines", lambda _: 48)
+            assert divided[0].count(SERVICE) == 2
+            for groups in divided:
+                monkeypatch.setattr(groups, "_count_engines", lambda _: 44)
+            assert divided[1].count(SERVICE) == 1
+            await fleet.call_for("/stream/x", CALLS_S, PER_S)
+            assert {groups.count(SERVICE) for groups in divided} == {2}
+        assert {ending.status for ending in fleet.endings} == {200}
+
+    run_in_virtual_time(monkeypatch, scenario)
--- a/tests/rooms/test_engine_groups.py
+++ b/tests/rooms/test_engine_groups.py
@@ -1,17 +1,20 @@
 """Tests of services whose engines have several keepers."""
 
 import random
+import time
 
 import freezegun
 import hypothesis
 import hypothesis.strategies as st
 import pytest
 
+from savorylift.fleet.state import DividedService
 from savorylift.placement.engines import MAX_MEMORY_SHARE
 from savorylift.rooms.book import Grant, PlaceKey
 from savorylift.rooms.engine_groups import (
     CACHE_S,
     MAX_GROUPS,
+    MAX_SERVICES,
     EngineGroups,
     RoomId,
     count_groups,
@@ -79,6 +82,108 @@
         assert groups.changed_s(SERVICE) == changed_s
 
 
+@pytest.mark.parametrize(
+    ("counts", "groups"),
+    [
+        ((47, 48, 47, 49, 41, 48, 40), (1, 2, 2, 2, 2, 2, 2)),
+        ((48, 39, 40, 47, 48), (2, 1, 1, 1, 2)),
+        ((96, 95, 80, 96, 79, 95), (4, 4, 4, 4, 2, 2)),
+        ((384, 320, 319, 159, 10), (16, 16, 8, 4, 1)),
+    ],
+)
+def test_number_of_engines_that_swings_divides_them_once(
+    counts: tuple[int, ...], groups: tuple[int, ...]
+) -> None:
+    with freezegun.freeze_time("2026-01-01") as clock:
+        left = iter(counts)
+        divided = EngineGroups(lambda _: next(left))
+        found = []
+        for _ in counts:
+            clock.tick(CACHE_S)
+            found.append(divided.count(SERVICE))
+        assert tuple(found) == groups
+
+
+def test_node_that_starts_counts_as_the_others_do() -> None:
+    with freezegun.freeze_time("2026-01-01") as clock:
+        engines = 48
+        old = EngineGroups(lambda _: engines)
+        assert old.count(SERVICE) == 2
+        engines = 44
+        new = EngineGroups(lambda _: engines)
+        assert new.count(SERVICE) == 1
+        new.hear(old.news())
+        clock.tick(CACHE_S)
+        assert new.count(SERVICE) == 2
+        assert new.changed_s(SERVICE) == time.monotonic()
+        # What was said before the service shrank is of no use.
+        said = old.news()
+        engines = 39
+        clock.tick(CACHE_S)
+        assert new.count(SERVICE) == 1
+        new.hear(said)
+        clock.tick(CACHE_S)
+        assert new.count(SERVICE) == 1
+        assert new.news() == ()
+
+
+@pytest.mark.parametrize("groups", [-2, 0, 1, 3, 32, 10**9])
+def test_numbers_of_groups_that_make_no_sense_are_dropped(groups: int) -> None:
+    divided = EngineGroups(lambda _: 44)
+    divided.hear([DividedService(SERVICE, groups)])
+    assert divided.count(SERVICE) == 1
+
+
+def test_no_more_services_are_kept_than_the_bound() -> None:
+    divided = EngineGroups(lambda _: 44)
+    for number in range(2 * MAX_SERVICES):
+        divided.hear([DividedService(f"s{number}", 2)])
+    assert len(divided._heard) <= MAX_SERVICES
+
+
+def make_groups(counts: list[int], number: int) -> EngineGroups:
+    """Returns the groups as a node counts them that sees so many engines."""
+    return EngineGroups(lambda _: counts[number])
+
+
+@hypothesis.given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["count", "hear"]),
+            st.integers(0, 3),
+            st.integers(0, 3),
+            st.integers(30, 110),
+        ),
+        max_size=40,
+    ),
+    st.integers(30, 110),
+)
+def test_nodes_agree_whatever_they_counted_before(
+    steps: list[tuple[str, int, int, int]], engines: int
+) -> None:
+    with freezegun.freeze_time("2026-01-01") as clock:
+        counts = [0] * 4
+        nodes = [make_groups(counts, n) for n in range(4)]
+        for kind, node, other, count in steps:
+            if kind == "count":
+                clock.tick(CACHE_S)
+                counts[node] = count
+                nodes[node].count(SERVICE)
+            else:
+                nodes[node].hear(nodes[other].news())
+        counts[:] = [engines] * 4
+        clock.tick(CACHE_S)
+        # Each node tells all others once.
+        for divided in nodes:
+            divided.count(SERVICE)
+            for listener in nodes:
+                listener.hear(divided.news())
+        clock.tick(CACHE_S)
+        found = {divided.count(SERVICE) for divided in nodes}
+        assert len(found) == 1
+        assert count_groups(engines) in (*found, *(n // 2 for n in found))
+
+
 @hypothesis.given(
     st.lists(
         st.one_of(
