Count a copy of a moving run once at its destination

Cause: the planner kept room for a copy that had begun, beside the load that its node reported at the destination, so engines looked fuller than they were, and runs that had room were planned as if they had none.

Change: a copy that its node has announced counts in the load that came with the announcement, and nowhere else. A node announces its destination after its load counts there, and the planner has the room that it keeps hear of these loads, its own node's too, before it reads what was announced.

Result: a run for which there is room beside an announced copy is planned; the test failed before. tests/moves and the tests of planned moves, parts of moves and notices in tests/front passed.

--- a/src/savorylift/front/move_parts.py
+++ b/src/savorylift/front/move_parts.py
@@ -13,6 +13,7 @@
 from savorylift.front.server_parts import ServerParts
 from savorylift.front.shared_parts import SharedParts
 from savorylift.moves.move_inputs import Destination
+from savorylift.moves.move_order import PlannedMove
 from savorylift.moves.plan_client import PlanClient
 from savorylift.moves.planner import MovePlanner
 from savorylift.moves.planner_choice import PlannerChoice
@@ -73,6 +74,7 @@
         if traits.link_bytes_per_s <= 0 or traits.token_bytes <= 0:
             return None
         link_tokens_per_s = traits.link_bytes_per_s / traits.token_bytes
+        announced = self.find_announced()
         loads = self._find_loads(service, engines)
         destinations = {}
         for server in engines.servers:
@@ -86,11 +88,27 @@
                 traits.slots - load.requests,
                 link_tokens_per_s,
             )
-        now_s = time.monotonic()
-        others = self._membership.moves(now_s)
-        announced = [*self._pool.move_queue.planned, *others]
         return Surroundings(destinations, link_tokens_per_s, announced)
 
+    def find_announced(self) -> list[PlannedMove]:
+        """Returns the moves that nodes have announced, this one included.
+
+        The room that this node keeps counts their copies from then on. It would
+        hear of this node's only when it decides, and of those whose messages
+        are just being read only after that.
+        """
+        now_s = time.monotonic()
+        announced = [
+            *self._pool.move_queue.planned,
+            *self._membership.moves(now_s),
+        ]
+        keeper, own_ip = self._rooms.keeper, self._rooms.choice.own_ip
+        keeper.hear(own_ip, self._pool.load_tracker.loads())
+        for peer in self._membership.live_peers(now_s):
+            if peer.state.moves:
+                keeper.hear(peer.state.ip, peer.state.loads)
+        return announced
+
     def hold(self, service: str, tokens: dict[str, int]) -> None:
         """Keeps room for moves, in place of what was kept before.
 
--- a/src/savorylift/moves/begun_copies.py
+++ b/src/savorylift/moves/begun_copies.py
@@ -58,6 +58,18 @@
     tokens: int
 
 
+class _Arrival(NamedTuple):
+    """A run that is copied, and where to.
+
+    Attributes:
+        attempt_id: The caller's ID for the run.
+        destination_id: Engine that it is copied to.
+    """
+
+    attempt_id: str
+    destination_id: str
+
+
 class _Settling(NamedTuple):
     """A run that was copied and doesn't count at its new engine yet.
 
@@ -77,6 +89,8 @@
         """Starts without copies."""
         self._copies: dict[MoveKey, BegunCopy] = {}
         self._settling: list[_Settling] = []
+        # Copies that count at their destinations in what nodes say of loads.
+        self._reported: frozenset[_Arrival] = frozenset()
         # Monotonic time at which copies of these runs ended.
         self._ended_s: dict[str, float] = {}
 
@@ -140,8 +154,20 @@
         for key in gone:
             self.end(key, None)
 
+    def note_announced(self, announced: Iterable[PlannedMove]) -> None:
+        """Notes which copies nodes' loads include.
+
+        A node counts a copy that it announces among its load at the
+        destination; both are in the same message.
+        """
+        self._reported = frozenset(
+            _Arrival(move.attempt_id, move.destination)
+            for move in announced
+            if move.destination
+        )
+
     def tokens(self) -> dict[str, int]:
-        """Returns the tokens that the copies take, by engine."""
+        """Returns the tokens that the copies take besides loads, by engine."""
         totals: dict[str, int] = {}
         for taken in self._taken():
             known = totals.get(taken.server_id, 0)
@@ -149,7 +175,7 @@
         return totals
 
     def places(self) -> dict[str, int]:
-        """Returns the places that the copies take, by engine."""
+        """Returns the places that the copies take besides loads, by engine."""
         totals: dict[str, int] = {}
         for taken in self._taken():
             totals[taken.server_id] = totals.get(taken.server_id, 0) + 1
@@ -177,7 +203,9 @@
         return busy_s
 
     def _taken(self) -> Iterator[_TakenRoom]:
-        for copy in self._copies.values():
-            yield _TakenRoom(copy.destination_id, copy.req.expected_tokens)
+        for req, destination_id, *_ in self._copies.values():
+            arrival = _Arrival(req.attempt_id, destination_id)
+            if arrival not in self._reported:
+                yield _TakenRoom(destination_id, req.expected_tokens)
         for settling in self._settling:
             yield settling.taken
--- a/src/savorylift/moves/mover.py
+++ b/src/savorylift/moves/mover.py
@@ -182,10 +182,11 @@
     ) -> ResumeTarget | CopyFault:
         copy_id = f"{run.attempt_id}/copy"
         server_id = destination.entry.server_id
-        self._pool.move_queue.set_destination(run.attempt_id, server_id)
+        # Announced with the load: the planner counts it by what is announced.
         self._pool.load_tracker.add_request(
             server_id, copy_id, run.expected_tokens
         )
+        self._pool.move_queue.set_destination(run.attempt_id, server_id)
         copier = RunCopier(run, source, destination, deadline_s)
         target: ResumeTarget | None = None
         is_moved = False
--- a/src/savorylift/moves/planner.py
+++ b/src/savorylift/moves/planner.py
@@ -5,7 +5,7 @@
 
 import math
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Protocol
 
 import structlog
@@ -20,6 +20,7 @@
 )
 from savorylift.moves import metrics
 from savorylift.moves.begun_copies import MoveKey
+from savorylift.moves.move_order import PlannedMove
 from savorylift.moves.move_plan import MovePlan, UnsavedReason
 from savorylift.moves.plan_timers import SHARE_DELAY_S, PlanTimers
 from savorylift.moves.planner_choice import PlannerChoice
@@ -53,6 +54,10 @@
         """Returns what plans depend on; None if no engine is known."""
         ...
 
+    def find_announced(self) -> Collection[PlannedMove]:
+        """Returns the moves that nodes have announced."""
+        ...
+
     def hold(self, service: str, tokens: dict[str, int]) -> None:
         """Keeps room for moves, in place of what was kept before.
 
@@ -114,6 +119,7 @@
         live = {peer.state.ip for peer in peers} | {self._choice.own_ip}
         for service, moves in list(self._moves.items()):
             moves.drop_old(live)
+            moves.note_announced(self._site.find_announced())
             self._site.hold(service, moves.held_tokens())
             if moves.is_idle and not moves.held_tokens():
                 del self._moves[service]
--- a/src/savorylift/moves/service_moves.py
+++ b/src/savorylift/moves/service_moves.py
@@ -127,6 +127,10 @@
         self._planned = ()
         return keys
 
+    def note_announced(self, announced: Collection[PlannedMove]) -> None:
+        """Notes the moves that nodes have announced, with their loads."""
+        self._begun.note_announced(announced)
+
     def drop_old(self, live: Collection[str]) -> None:
         """Ends the turns of nodes not in `live`, and those that are over."""
         oldest_s = time.monotonic() - MAX_SILENCE_S
@@ -154,6 +158,7 @@
 
     def decide(self, around: Surroundings) -> DecidedMoves:
         """Plans anew; returns the plan and what can be said now."""
+        self._begun.note_announced(around.announced)
         busy_s = self._begun.busy_s(around.announced)
         plan = plan_moves(
             [_moving_run(key, w.req) for key, w in self._waiting.items()],
--- a/tests/front/test_move_parts.py
+++ b/tests/front/test_move_parts.py
@@ -1,10 +1,15 @@
 """Tests of what the planner of moves does with the engines."""
 
+import time
 from types import SimpleNamespace
 
 from savorylift.fleet.membership import Membership
+from savorylift.fleet.state import ServerLoad
 from savorylift.front.move_parts import EngineSite
+from savorylift.moves.move_order import PlannedMove
 from tests.exchange.factories import make_pool, make_store_view
+from tests.fleet.test_membership import state
+from tests.rooms.factories import ip_of, make_load, make_membership
 
 
 class FakeRoom:
@@ -31,3 +36,23 @@
     site.hold("s", {})
     assert room.held == {}
     assert site._held == {}
+
+
+def test_copies_that_are_announced_count_in_the_room_that_is_kept() -> None:
+    """The keeper itself hears of its own node only when it decides."""
+    heard: dict[str, tuple[ServerLoad, ...]] = {}
+    rooms = SimpleNamespace(
+        keeper=SimpleNamespace(hear=heard.__setitem__),
+        choice=SimpleNamespace(own_ip=ip_of(1)),
+    )
+    pool, members = make_pool(make_store_view(a=9)), make_membership(1)
+    site = EngineSite(pool, members, rooms)  # type: ignore[arg-type]
+    pool.load_tracker.add_request("a", "copy", 700)
+    load = make_load("a", 1, 500)
+    move = PlannedMove("b", 400, "x", destination="a")
+    told = state(2)._replace(loads=(load,), moves=(move,), sequence=2)
+    members.update_peer(told, time.monotonic())
+    assert site.find_announced() == [move]
+    assert set(heard) == {ip_of(1), ip_of(2)}
+    assert [load.tokens for load in heard[ip_of(1)]] == [700]
+    assert heard[ip_of(2)] == (load,)
--- a/tests/moves/test_frozen_planner.py
+++ b/tests/moves/test_frozen_planner.py
@@ -20,6 +20,7 @@
 )
 from savorylift.moves.copy_schedule import copy_duration_s
 from savorylift.moves.move_inputs import Destination
+from savorylift.moves.move_order import PlannedMove
 from savorylift.moves.plan_client import SILENT_PLANNER_S, PlanClient
 from savorylift.moves.planner import MovePlanner
 from savorylift.moves.planner_choice import PlannerChoice
@@ -97,6 +98,10 @@
         }
         return Surroundings(destinations, LINK_TOKENS_PER_S, ())
 
+    def find_announced(self) -> tuple[PlannedMove, ...]:
+        """Returns the moves that nodes have announced."""
+        return ()
+
     def hold(self, service: str, tokens: dict[str, int]) -> None:
         """Keeps room for moves."""
         self.held = tokens
--- a/tests/moves/test_planner.py
+++ b/tests/moves/test_planner.py
@@ -18,6 +18,7 @@
 )
 from savorylift.moves import plan_client
 from savorylift.moves.begun_copies import MAX_COPY_S
+from savorylift.moves.move_order import PlannedMove
 from savorylift.moves.plan_client import PlanClient
 from savorylift.moves.planner import MovePlanner
 from savorylift.moves.planner_choice import PlannerChoice
@@ -54,6 +55,10 @@
         """Returns what plans depend on."""
         return self.around if service == SERVICE else None
 
+    def find_announced(self) -> tuple[PlannedMove, ...]:
+        """Returns the moves that nodes have announced."""
+        return ()
+
     def hold(self, service: str, tokens: dict[str, int]) -> None:
         """Keeps room for moves."""
         self.held = tokens
--- a/tests/moves/test_service_moves.py
+++ b/tests/moves/test_service_moves.py
@@ -106,6 +106,28 @@
         assert moves.held_tokens() == {}
 
 
+def test_copy_that_counts_in_the_load_of_its_destination_counts_once() -> None:
+    moves = ServiceMoves()
+    first = make_move_request(1, tokens=3000)
+    second = make_move_request(2, "e1")
+    add(moves, first)
+    room = first.expected_tokens + second.expected_tokens
+    around = make_surroundings(1, room)
+    (begun,) = decide(moves, around)
+    assert begun.destination_id == "d0"
+    assert moves.held_tokens() == {"d0": first.expected_tokens}
+    # Its node announces it with its load there, so less is free.
+    copied = PlannedMove("e0", 3000, "a1", destination="d0")
+    around = make_surroundings(1, room - first.expected_tokens, copied)
+    add(moves, second)
+    plan, _ = moves.decide(around)
+    assert [copy.destination_id for copy in plan.copies] == ["d0"]
+    assert moves.held_tokens() == {"d0": second.expected_tokens}
+    # A copy to elsewhere, or the end of it, is no load there.
+    moves.note_announced([copied._replace(destination="d1")])
+    assert moves.held_tokens() == {"d0": room}
+
+
 def test_no_room_is_held_for_a_run_that_was_not_moved() -> None:
     moves = ServiceMoves()
     add(moves, make_move_request(1))
