Return what moves and places give, and name what they need by its job

Cause: a turn of a move and a wait at a keeper wrote into sets and lists of their callers; `Surroundings` stood for two things; `front/move_parts.py` put parts together and looked at engines.

Change: the turn of a move returns where it went, its fault and who had no room; `RoomClient.ask` returns the keeper's reply with the place that was found meanwhile. What a plan depends on is `PlanConditions`, what roll-outs need of a node `RolloutSite`. `EngineSite` has a module of its own. Tests follow the names and types.

--- a/src/savorylift/exchange/room_placement.py
+++ b/src/savorylift/exchange/room_placement.py
@@ -94,32 +94,26 @@
         if keeper_ip is None or kept.find_barred(admitted, tried) is None:
             return None
         begun_s = time.monotonic()
-        cold: list[BackendServer] = []
 
-        def reserve_cold_place() -> bool:
+        def reserve_cold_engine() -> BackendServer | None:
             # Their places are shared by the nodes, not granted.
-            server = self._pool.reserve_cold_engine(
-                admitted, wish.options, tried
-            )
-            if server is not None:
-                cold.append(server)
-            return server is not None
+            return self._pool.reserve_cold_engine(admitted, wish.options, tried)
 
-        reply = await self._client.ask(
+        reply, cold = await self._client.ask(
             keeper_ip,
             run.attempt_id,
             lambda: _make_request(
                 room, run, wish, self._find_barred(admitted, tried), begun_s
             ),
-            reserve_cold_place,
+            reserve_cold_engine,
             wish.leave_s,
         )
         if reply is not None and reply.outcome == RoomOutcome.REFUSED:
-            reserve_cold_place()
-        if cold:
-            prefill_tokens = self._pool.choice.pending_prefill_tokens(cold[0])
+            cold = reserve_cold_engine()
+        if cold is not None:
+            prefill_tokens = self._pool.choice.pending_prefill_tokens(cold)
             result: RoomResult | None = RoomResult(
-                cold[0], prefill_tokens=prefill_tokens
+                cold, prefill_tokens=prefill_tokens
             )
         else:
             result = self._follow(run, wish, tried, reply)
--- a/src/savorylift/front/move_parts.py
+++ b/src/savorylift/front/move_parts.py
@@ -1,28 +1,19 @@
 """The parts of a node that plan moves off engines, or ask their planners."""
 
 import asyncio
-import time
 from typing import NamedTuple
 
-from savorylift.backends.load import Load, add_loads
-from savorylift.exchange.server_pool import ServerPool
-from savorylift.fleet.membership import Membership
 from savorylift.fleet.move_messages import MoveMessage, MoveReply
 from savorylift.fleet.peer_transport import PeerTransport
+from savorylift.front.engine_site import EngineSite
 from savorylift.front.room_parts import RoomParts
 from savorylift.front.server_parts import ServerParts
 from savorylift.front.shared_parts import SharedParts
-from savorylift.moves.move_inputs import Destination
-from savorylift.moves.move_order import PlannedMove
 from savorylift.moves.plan_client import PlanClient
 from savorylift.moves.planner import MovePlanner
 from savorylift.moves.planner_choice import PlannerChoice
 from savorylift.moves.run_outlook import may_repeat
-from savorylift.moves.service_moves import Surroundings
 from savorylift.moves.turns import MoveTurns
-from savorylift.placement.engines import free_tokens
-from savorylift.rooms.engine_groups import select_group
-from savorylift.rooms.engines import Engines
 
 
 class MoveParts(NamedTuple):
@@ -46,102 +37,6 @@
             self.planner.receive(message, ip)
 
 
-class EngineSite:
-    """The engines, as far as this node knows them."""
-
-    def __init__(
-        self, pool: ServerPool, membership: Membership, rooms: RoomParts
-    ) -> None:
-        """Reads what it is given at each question.
-
-        Args:
-            pool: This node's loads and moves.
-            membership: The other nodes.
-            rooms: Which engines may be used, and what has room there.
-        """
-        self._pool = pool
-        self._membership = membership
-        self._rooms = rooms
-        # Tokens that this node keeps for moves, by service and engine.
-        self._held: dict[str, dict[str, int]] = {}
-
-    def look(self, service: str) -> Surroundings | None:
-        """Returns what plans depend on; None if no engine is known."""
-        engines = self._rooms.find_engines(service)
-        if engines is None or not engines.servers:
-            return None
-        traits = engines.traits
-        if traits.link_bytes_per_s <= 0 or traits.token_bytes <= 0:
-            return None
-        link_tokens_per_s = traits.link_bytes_per_s / traits.token_bytes
-        announced = self.find_announced()
-        loads = self._find_loads(service, engines)
-        destinations = {}
-        for server in engines.servers:
-            entry = server.entry
-            load = loads.get(entry.server_id, Load())
-            destinations[entry.server_id] = Destination(
-                entry.failure_domain,
-                engines.region_by_domain.get(entry.failure_domain),
-                entry.software_version,
-                free_tokens(load, traits),
-                traits.slots - load.requests,
-                link_tokens_per_s,
-            )
-        return Surroundings(destinations, link_tokens_per_s, announced)
-
-    def find_announced(self) -> list[PlannedMove]:
-        """Returns the moves that nodes have announced, this one included.
-
-        The room that this node keeps counts their copies from then on. It would
-        hear of this node's only when it decides, and of those whose messages
-        are just being read only after that.
-        """
-        now_s = time.monotonic()
-        announced = [
-            *self._pool.move_queue.planned,
-            *self._membership.moves(now_s),
-        ]
-        keeper, own_ip = self._rooms.keeper, self._rooms.choice.own_ip
-        keeper.hear(own_ip, self._pool.load_tracker.loads())
-        for peer in self._membership.live_peers(now_s):
-            if peer.state.moves:
-                keeper.hear(peer.state.ip, peer.state.loads)
-        return announced
-
-    def hold(self, service: str, tokens: dict[str, int]) -> None:
-        """Keeps room for moves, in place of what was kept before.
-
-        Args:
-            service: Name of the service.
-            tokens: Tokens to keep free, by the ID of the engine.
-        """
-        self._held.pop(service, None)
-        if tokens:
-            self._held[service] = tokens
-        for room in self._rooms.keeper.rooms_of(service).values():
-            room.hold(tokens)
-
-    def _find_loads(self, service: str, engines: Engines) -> dict[str, Load]:
-        """Returns the loads of engines, without what is kept for moves.
-
-        They are exact where this node keeps the room.
-        """
-        loads = add_loads(engines.known, self._pool.load_tracker.loads())
-        held = self._held.get(service, {})
-        rooms = self._rooms.keeper.rooms_of(service)
-        for room_id, room in rooms.items():
-            kept = room.loads(select_group(engines, room_id))
-            for server_id, load in kept.items():
-                tokens = held.get(server_id, 0)
-                # What is kept for moves counts there as one request.
-                loads[server_id] = load._replace(
-                    requests=load.requests - (tokens > 0),
-                    tokens=load.tokens - tokens,
-                )
-        return loads
-
-
 def make_move_parts(
     shared: SharedParts,
     servers: ServerParts,
--- a/src/savorylift/front/rollout_parts.py
+++ b/src/savorylift/front/rollout_parts.py
@@ -18,7 +18,7 @@
 from savorylift.rollouts.order import RolloutOrder
 from savorylift.rollouts.order_clock import BootTime
 from savorylift.rollouts.recorder import StageRecorder
-from savorylift.rollouts.surroundings import FleetView
+from savorylift.rollouts.rollout_site import FleetView
 
 # For how long the choice of the deciding node is used.
 VIEW_S = 0.2
@@ -52,7 +52,7 @@
         rules.board,
         rules.answers,
         StageRecorder(shared.store, codec.encode_status),
-        NodeSurroundings(
+        NodeRolloutSite(
             shared,
             servers,
             transport,
@@ -75,7 +75,7 @@
     expires_s: float
 
 
-class NodeSurroundings:
+class NodeRolloutSite:
     """What roll-outs need of this node."""
 
     def __init__(
--- a/src/savorylift/moves/mover.py
+++ b/src/savorylift/moves/mover.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import time
+from typing import NamedTuple
 
 import structlog
 
@@ -38,6 +39,20 @@
 _log = structlog.get_logger()
 
 
+class _TurnResult(NamedTuple):
+    """What came of a run's turn.
+
+    Attributes:
+        target: Where to resume the run; None if it wasn't moved.
+        fault: Why it wasn't, in the end; None if it was.
+        refused_by: IDs of the engines that had no room.
+    """
+
+    target: ResumeTarget | None
+    fault: CopyFault | None
+    refused_by: frozenset[str]
+
+
 class Mover:
     """Moves runs by copying their KV cache."""
 
@@ -72,7 +87,7 @@
         assert source is not None
         deadline_s = time.monotonic() + MOVE_TIMEOUT_S
         # IDs of the engines that had no room in the last turn.
-        refused_by: set[str] = set()
+        refused_by: frozenset[str] = frozenset()
         while True:
             async with self._turns.take(run, refused_by) as turn:
                 # The wait for the planner doesn't count.
@@ -80,16 +95,15 @@
                 if turn.unsaved_reason:
                     self._give_up(run, turn.unsaved_reason)
                     return None
-                refused_by.clear()
-                result = await self._move_in_turn(
-                    run, source, deadline_s, turn.destination_id, refused_by
+                target, fault, refused_by = await self._move_in_turn(
+                    run, source, deadline_s, turn.destination_id
                 )
-                if isinstance(result, ResumeTarget):
-                    turn.moved_to = result.server.entry.server_id
-            if isinstance(result, ResumeTarget):
+                if target is not None:
+                    turn.moved_to = target.server.entry.server_id
+            if target is not None:
                 metrics.MOVES.labels("moved").inc()
-                return result
-            if result is not CopyFault.NO_ROOM:
+                return target
+            if fault is not CopyFault.NO_ROOM:
                 break
             if time.monotonic() + NO_ROOM_RETRY_S > deadline_s:
                 break
@@ -99,7 +113,7 @@
             "move_failed",
             request=run.attempt_id,
             server=source.entry.server_id,
-            fault=result.value,
+            fault=fault and fault.value,
         )
         return None
 
@@ -109,8 +123,7 @@
         source: BackendServer,
         deadline_s: float,
         planned_id: str | None,
-        refused_by: set[str],
-    ) -> ResumeTarget | CopyFault:
+    ) -> _TurnResult:
         """Copies a run to the planned engine, or to others.
 
         Args:
@@ -118,9 +131,9 @@
             source: Engine that it is on.
             deadline_s: Monotonic time at which copies end.
             planned_id: ID of the engine that is planned; None without a plan.
-            refused_by: IDs of engines; those that have no room are added.
         """
         tried = {source.entry.server_id}
+        refused_by: set[str] = set()
         fault = CopyFault.NO_ROOM
         for _ in range(MAX_DESTINATIONS):
             destination = self._find_planned(run, tried, planned_id)
@@ -131,14 +144,14 @@
             tried.add(destination.entry.server_id)
             result = await self._move_to(run, source, destination, deadline_s)
             if isinstance(result, ResumeTarget):
-                return result
+                return _TurnResult(result, None, frozenset(refused_by))
             fault = result
             if fault is CopyFault.NO_ROOM:
                 refused_by.add(destination.entry.server_id)
             has_ended = fault is CopyFault.NO_SUCH_RUN
             if has_ended or time.monotonic() > deadline_s:
                 break
-        return fault
+        return _TurnResult(None, fault, frozenset(refused_by))
 
     def _find_planned(
         self, run: Run, tried: set[str], planned_id: str | None
--- a/src/savorylift/moves/planner.py
+++ b/src/savorylift/moves/planner.py
@@ -26,8 +26,8 @@
 from savorylift.moves.planner_choice import PlannerChoice
 from savorylift.moves.service_moves import (
     Decision,
+    PlanConditions,
     ServiceMoves,
-    Surroundings,
 )
 from savorylift.rooms.handover import handover_hold_s
 from savorylift.rooms.request_check import are_tokens
@@ -50,7 +50,7 @@
 class MoveSite(Protocol):
     """The engines of services, as far as this node knows them."""
 
-    def look(self, service: str) -> Surroundings | None:
+    def look(self, service: str) -> PlanConditions | None:
         """Returns what plans depend on; None if no engine is known."""
         ...
 
@@ -207,7 +207,7 @@
         service: str,
         plan: MovePlan,
         decisions: list[Decision],
-        around: Surroundings,
+        around: PlanConditions,
         took_s: float,
     ) -> None:
         now_s = time.monotonic()
--- a/src/savorylift/moves/service_moves.py
+++ b/src/savorylift/moves/service_moves.py
@@ -20,7 +20,7 @@
 FORGET_S = 3.0
 
 
-class Surroundings(NamedTuple):
+class PlanConditions(NamedTuple):
     """What a plan depends on besides the runs.
 
     Attributes:
@@ -156,7 +156,7 @@
             held[copy.destination_id] = known + copy.run.expected_tokens
         return held
 
-    def decide(self, around: Surroundings) -> DecidedMoves:
+    def decide(self, around: PlanConditions) -> DecidedMoves:
         """Plans anew; returns the plan and what can be said now."""
         self._begun.note_announced(around.announced)
         busy_s = self._begun.busy_s(around.announced)
@@ -199,7 +199,7 @@
                 yield Decision(run.key, reply)
 
     def _find_sources(
-        self, around: Surroundings, busy_s: Mapping[str, float]
+        self, around: PlanConditions, busy_s: Mapping[str, float]
     ) -> dict[str, LeavingEngine]:
         now_s = time.monotonic()
         sources = {}
@@ -214,7 +214,7 @@
         return sources
 
     def _find_destinations(
-        self, around: Surroundings, busy_s: Mapping[str, float]
+        self, around: PlanConditions, busy_s: Mapping[str, float]
     ) -> dict[str, Destination]:
         tokens, places = self._begun.tokens(), self._begun.places()
         return {
--- a/src/savorylift/moves/turns.py
+++ b/src/savorylift/moves/turns.py
@@ -6,7 +6,7 @@
 
 import contextlib
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Collection
 
 import structlog
 
@@ -76,7 +76,9 @@
         self._noticed_s: dict[str, float] = {}
 
     @contextlib.asynccontextmanager
-    async def take(self, run: Run, tried: set[str]) -> AsyncIterator[Turn]:
+    async def take(
+        self, run: Run, tried: Collection[str]
+    ) -> AsyncIterator[Turn]:
         """Waits for a run's turn and holds it until the context exits.
 
         Args:
@@ -121,7 +123,7 @@
         planner_ip: str | None,
         run: Run,
         source: BackendServer,
-        tried: set[str],
+        tried: Collection[str],
     ) -> MoveReply | None:
         """Returns the planner's last reply; None without a planner or reply."""
         if self._client is None or planner_ip is None:
@@ -137,7 +139,7 @@
             run.awaits_move = False
 
     def _make_request(
-        self, run: Run, source: BackendServer, tried: set[str]
+        self, run: Run, source: BackendServer, tried: Collection[str]
     ) -> MoveRequest:
         admitted, entry = run.admitted, source.entry
         regions = admitted.regions
--- a/src/savorylift/rollouts/agent.py
+++ b/src/savorylift/rollouts/agent.py
@@ -27,7 +27,7 @@
 from savorylift.rollouts.next_stage import roll_back
 from savorylift.rollouts.order import RolloutLimits
 from savorylift.rollouts.recorder import StageRecorder
-from savorylift.rollouts.surroundings import Surroundings
+from savorylift.rollouts.rollout_site import RolloutSite
 from savorylift.rollouts.verdict import Opinion, judge
 
 DECIDE_INTERVAL_S = 0.2
@@ -49,7 +49,7 @@
         board: RolloutBoard,
         answers: AnswerObserver,
         recorder: StageRecorder,
-        around: Surroundings,
+        around: RolloutSite,
         source: int,
     ) -> None:
         """Knows no order yet.
--- a/src/savorylift/rollouts/announcer.py
+++ b/src/savorylift/rollouts/announcer.py
@@ -7,7 +7,7 @@
 from savorylift.fleet.rollout_messages import Stage, StageNews
 from savorylift.rollouts import metrics
 from savorylift.rollouts.board import RolloutBoard
-from savorylift.rollouts.surroundings import Surroundings
+from savorylift.rollouts.rollout_site import RolloutSite
 from savorylift.rollouts.verdict import Judgement
 
 NEWS_INTERVAL_S = 1.0
@@ -21,7 +21,7 @@
 class Announcer:
     """Carries stages between this node and the others."""
 
-    def __init__(self, board: RolloutBoard, around: Surroundings) -> None:
+    def __init__(self, board: RolloutBoard, around: RolloutSite) -> None:
         """Tells nothing yet.
 
         Args:
--- a/src/savorylift/rollouts/decider.py
+++ b/src/savorylift/rollouts/decider.py
@@ -8,8 +8,8 @@
 from savorylift.rollouts.order import RolloutLimits, RolloutOrder
 from savorylift.rollouts.order_clock import with_mark, with_time_passed
 from savorylift.rollouts.recorder import StageRecorder
+from savorylift.rollouts.rollout_site import RolloutSite
 from savorylift.rollouts.stage import WITHDRAWN_ID, begin, replaces
-from savorylift.rollouts.surroundings import Surroundings
 
 
 class Decider:
@@ -27,7 +27,7 @@
         evidence: EvidenceBook,
         recorder: StageRecorder,
         announcer: Announcer,
-        around: Surroundings,
+        around: RolloutSite,
     ) -> None:
         """Decides on nothing yet.
 
--- a/src/savorylift/rollouts/surroundings.py
+++ b/src/savorylift/rollouts/rollout_site.py
@@ -25,7 +25,7 @@
     other_builds: float
 
 
-class Surroundings(Protocol):
+class RolloutSite(Protocol):
     """The rest of a node."""
 
     def read_orders(self) -> list[RolloutOrder] | None:
--- a/src/savorylift/rooms/client.py
+++ b/src/savorylift/rooms/client.py
@@ -4,7 +4,7 @@
 import random
 import time
 from collections.abc import Callable
-from typing import NamedTuple
+from typing import Generic, NamedTuple, TypeVar
 
 from savorylift.fleet.room_messages import (
     RoomEnds,
@@ -32,6 +32,22 @@
 NUMBER_BITS = 48
 
 
+_PlaceT = TypeVar("_PlaceT")
+
+
+class RoomAnswer(NamedTuple, Generic[_PlaceT]):
+    """What became of a request for a place.
+
+    Attributes:
+        reply: The keeper's latest decision; None to place without it.
+        other_place: A place that needs no grant and was found meanwhile; None
+            without one.
+    """
+
+    reply: RoomReply | None
+    other_place: _PlaceT | None = None
+
+
 class _Place(NamedTuple):
     ip: str
     number: int
@@ -97,10 +113,10 @@
         ip: str,
         attempt_id: str,
         make_request: Callable[[], RoomRequest],
-        has_other_place: Callable[[], bool],
+        find_other_place: Callable[[], _PlaceT | None],
         leave_s: float,
-    ) -> RoomReply | None:
-        """Returns the keeper's decision; None to place without it.
+    ) -> RoomAnswer[_PlaceT]:
+        """Returns the keeper's decision, or a place that was found meanwhile.
 
         The place, if granted, is to be given back by `end`.
 
@@ -108,8 +124,8 @@
             ip: The keeper.
             attempt_id: The caller's ID for the generation.
             make_request: Returns the request as of now.
-            has_other_place: Whether it found a place meanwhile that needs no
-                grant; asked from time to time while there is none.
+            find_other_place: Takes a place that needs no grant; asked from
+                time to time until there is one.
             leave_s: Monotonic time until which the generation can wait.
         """
         self._next_number += 1
@@ -118,21 +134,23 @@
         is_granted = False
         try:
             reply = await self._ask_first(exchange, make_request)
+            answer: RoomAnswer[_PlaceT] = RoomAnswer(reply)
             if reply is not None and reply.outcome == RoomOutcome.QUEUED:
-                reply = await self._wait(
-                    exchange, make_request, has_other_place, leave_s
+                answer = await self._wait(
+                    exchange, make_request, find_other_place, leave_s
                 )
+            reply = answer.reply
             is_granted = reply is not None and _is_grant(reply)
         finally:
             del self._exchanges[exchange.place.number]
             if not is_granted:
                 self._tell_end(exchange.place)
         if reply is None or reply.outcome == RoomOutcome.ALONE:
-            return None
+            return RoomAnswer(None)
         if is_granted:
             self.end(attempt_id)
             self._places[attempt_id] = exchange.place
-        return reply
+        return answer
 
     def end(self, attempt_id: str) -> None:
         """Gives back the place of a generation, if it has one."""
@@ -183,24 +201,27 @@
         self,
         exchange: _Exchange,
         make_request: Callable[[], RoomRequest],
-        has_other_place: Callable[[], bool],
+        find_other_place: Callable[[], _PlaceT | None],
         leave_s: float,
-    ) -> RoomReply | None:
-        """Returns the reply to a generation that waits for its turn."""
+    ) -> RoomAnswer[_PlaceT]:
+        """Returns what becomes of a generation that waits for its turn."""
         unanswered = 0
         while unanswered <= MAX_UNANSWERED:
             left_s = leave_s - time.monotonic()
-            if left_s <= 0 or has_other_place():
-                return exchange.reply
+            if left_s <= 0:
+                return RoomAnswer(exchange.reply)
+            other_place = find_other_place()
+            if other_place is not None:
+                return RoomAnswer(exchange.reply, other_place)
             if await _await_reply(exchange, min(ASK_AGAIN_S, left_s)):
                 unanswered = 0
                 reply = exchange.reply
                 if reply is None or reply.outcome != RoomOutcome.QUEUED:
-                    return reply
+                    return RoomAnswer(reply)
             else:
                 unanswered += 1
                 self._send_request(exchange, make_request)
-        return None
+        return RoomAnswer(None)
 
     def _send_request(
         self, exchange: _Exchange, make_request: Callable[[], RoomRequest]
--- a/tests/exchange/test_room_placement.py
+++ b/tests/exchange/test_room_placement.py
@@ -5,11 +5,13 @@
 
 import pytest
 
+from savorylift.backends.registry import BackendServer
 from savorylift.exchange.engine_queue import EngineQueue
 from savorylift.exchange.room_placement import RoomPlacement
 from savorylift.exchange.run import Run
 from savorylift.exchange.server_pool import ServerPool
 from savorylift.fleet.room_messages import RoomOutcome, RoomReply, RoomRequest
+from savorylift.rooms.client import RoomAnswer
 from savorylift.rooms.engine_groups import EngineGroups
 from tests.exchange.factories import (
     ENGINE,
@@ -42,14 +44,13 @@
         _ip: str,
         _attempt_id: str,
         make_request: Callable[[], RoomRequest],
-        has_other_place: Callable[[], bool],
+        find_other_place: Callable[[], BackendServer | None],
         _leave_s: float,
-    ) -> RoomReply | None:
+    ) -> RoomAnswer[BackendServer]:
         """Replies; one that is queued looks for other places."""
         self.requests.append(make_request())
-        if self.reply is QUEUED:
-            has_other_place()
-        return self.reply
+        other_place = find_other_place() if self.reply is QUEUED else None
+        return RoomAnswer(self.reply, other_place)
 
     def end(self, attempt_id: str) -> None:
         """Notes the end of a place."""
@@ -69,13 +70,13 @@
         ip: str,
         attempt_id: str,
         make_request: Callable[[], RoomRequest],
-        has_other_place: Callable[[], bool],
+        find_other_place: Callable[[], BackendServer | None],
         leave_s: float,
-    ) -> RoomReply | None:
+    ) -> RoomAnswer[BackendServer]:
         """Gives the next reply."""
         self.reply = next(self._replies)
         return await super().ask(
-            ip, attempt_id, make_request, has_other_place, leave_s
+            ip, attempt_id, make_request, find_other_place, leave_s
         )
 
 
--- a/tests/front/test_move_parts.py
+++ b/tests/front/test_engine_site.py
@@ -5,7 +5,7 @@
 
 from savorylift.fleet.membership import Membership
 from savorylift.fleet.state import ServerLoad
-from savorylift.front.move_parts import EngineSite
+from savorylift.front.engine_site import EngineSite
 from savorylift.moves.move_order import PlannedMove
 from tests.exchange.factories import make_pool, make_store_view
 from tests.fleet.test_membership import state
--- a/tests/front/test_planned_moves.py
+++ b/tests/front/test_planned_moves.py
@@ -12,8 +12,8 @@
 from savorylift.moves.move_plan import plan_moves
 from savorylift.moves.service_moves import (
     DecidedMoves,
+    PlanConditions,
     ServiceMoves,
-    Surroundings,
 )
 from savorylift.rooms.keeper_choice import MIN_NODES
 from tests.front.node_fleet import NodeFleet
@@ -173,7 +173,7 @@
 def test_run_whose_engine_stops_before_its_turn_goes_on_at_once(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    def decide(self: ServiceMoves, around: Surroundings) -> DecidedMoves:
+    def decide(self: ServiceMoves, around: PlanConditions) -> DecidedMoves:
         return DecidedMoves(plan_moves([], {}, {}), [])
 
     monkeypatch.setattr(ServiceMoves, "decide", decide)
--- a/tests/moves/test_frozen_planner.py
+++ b/tests/moves/test_frozen_planner.py
@@ -24,7 +24,7 @@
 from savorylift.moves.plan_client import SILENT_PLANNER_S, PlanClient
 from savorylift.moves.planner import MovePlanner
 from savorylift.moves.planner_choice import PlannerChoice
-from savorylift.moves.service_moves import Surroundings
+from savorylift.moves.service_moves import PlanConditions
 from savorylift.rooms.engine_groups import EngineGroups
 from savorylift.rooms.keeper_choice import KeeperChoice
 from tests.fleet.test_membership import state
@@ -90,13 +90,13 @@
         """Hears of them again."""
         self._free = dict(self._engines.free)
 
-    def look(self, service: str) -> Surroundings | None:
+    def look(self, service: str) -> PlanConditions | None:
         """Returns what plans depend on."""
         destinations: dict[str, Destination] = {
             server_id: make_destination(free_tokens=free)
             for server_id, free in self._free.items()
         }
-        return Surroundings(destinations, LINK_TOKENS_PER_S, ())
+        return PlanConditions(destinations, LINK_TOKENS_PER_S, ())
 
     def find_announced(self) -> tuple[PlannedMove, ...]:
         """Returns the moves that nodes have announced."""
--- a/tests/moves/test_planner.py
+++ b/tests/moves/test_planner.py
@@ -22,7 +22,7 @@
 from savorylift.moves.plan_client import PlanClient
 from savorylift.moves.planner import MovePlanner
 from savorylift.moves.planner_choice import PlannerChoice
-from savorylift.moves.service_moves import Surroundings
+from savorylift.moves.service_moves import PlanConditions
 from savorylift.rooms.engine_groups import EngineGroups, RoomId
 from savorylift.rooms.keeper_choice import MIN_NODES, KeeperChoice
 from tests.harness.virtual_time import run_in_virtual_time
@@ -43,7 +43,7 @@
 
     def __init__(self) -> None:
         """Creates two engines with room."""
-        self.around: Surroundings | None = Surroundings(
+        self.around: PlanConditions | None = PlanConditions(
             {f"d{n}": make_destination() for n in range(2)},
             LINK_TOKENS_PER_S,
             (),
@@ -51,7 +51,7 @@
         self.held: dict[str, int] = {}
         self.count = 2
 
-    def look(self, service: str) -> Surroundings | None:
+    def look(self, service: str) -> PlanConditions | None:
         """Returns what plans depend on."""
         return self.around if service == SERVICE else None
 
--- a/tests/moves/test_service_moves.py
+++ b/tests/moves/test_service_moves.py
@@ -12,8 +12,8 @@
 from savorylift.moves.service_moves import (
     MAX_SILENCE_S,
     NOTICE_S,
+    PlanConditions,
     ServiceMoves,
-    Surroundings,
 )
 from tests.moves.factories import (
     LINK_TOKENS_PER_S,
@@ -31,13 +31,13 @@
     return MoveKey(NODE, number)
 
 
-def make_surroundings(
+def make_conditions(
     destinations: int = 2,
     free_tokens: float = MEMORY_TOKENS,
     *announced: PlannedMove,
-) -> Surroundings:
+) -> PlanConditions:
     """Returns engines with free links."""
-    return Surroundings(
+    return PlanConditions(
         {
             f"d{n}": make_destination(free_tokens=free_tokens)
             for n in range(destinations)
@@ -55,10 +55,10 @@
 
 
 def decide(
-    moves: ServiceMoves, around: Surroundings | None = None
+    moves: ServiceMoves, around: PlanConditions | None = None
 ) -> list[MoveReply]:
     """Returns what can be said now."""
-    _, decisions = moves.decide(around or make_surroundings())
+    _, decisions = moves.decide(around or make_conditions())
     return [decision.reply for decision in decisions]
 
 
@@ -77,7 +77,7 @@
     moves = ServiceMoves()
     requests = [make_move_request(n, f"e{n}") for n in range(3)]
     add(moves, *requests)
-    begun = decide(moves, make_surroundings(2))
+    begun = decide(moves, make_conditions(2))
     assert len({reply.destination_id for reply in begun}) == len(begun) == 2
 
 
@@ -93,7 +93,7 @@
         moves = ServiceMoves()
         requests = [make_move_request(n) for n in (1, 2)]
         add(moves, *requests)
-        around = make_surroundings(1)
+        around = make_conditions(1)
         decide(moves, around)
         expected = requests[0].expected_tokens
         assert moves.held_tokens() == {"d0": 2 * expected}
@@ -112,13 +112,13 @@
     second = make_move_request(2, "e1")
     add(moves, first)
     room = first.expected_tokens + second.expected_tokens
-    around = make_surroundings(1, room)
+    around = make_conditions(1, room)
     (begun,) = decide(moves, around)
     assert begun.destination_id == "d0"
     assert moves.held_tokens() == {"d0": first.expected_tokens}
     # Its node announces it with its load there, so less is free.
     copied = PlannedMove("e0", 3000, "a1", destination="d0")
-    around = make_surroundings(1, room - first.expected_tokens, copied)
+    around = make_conditions(1, room - first.expected_tokens, copied)
     add(moves, second)
     plan, _ = moves.decide(around)
     assert [copy.destination_id for copy in plan.copies] == ["d0"]
@@ -139,7 +139,7 @@
 def test_run_without_room_tries_an_engine_whose_link_is_free() -> None:
     moves = ServiceMoves()
     requests = [make_move_request(n, f"e{n}") for n in range(3)]
-    around = make_surroundings(2, 1.5 * requests[0].expected_tokens)
+    around = make_conditions(2, 1.5 * requests[0].expected_tokens)
     add(moves, *requests)
     begun = decide(moves, around)
     assert {reply.destination_id for reply in begun} == {"d0", "d1"}
@@ -163,7 +163,7 @@
     moves = ServiceMoves()
     add(moves, make_move_request(1))
     other = PlannedMove("e0", 100, "other", destination="d9")
-    assert decide(moves, make_surroundings(2, MEMORY_TOKENS, other)) == []
+    assert decide(moves, make_conditions(2, MEMORY_TOKENS, other)) == []
     (reply,) = decide(moves)
     assert reply.outcome == MoveOutcome.GO
 
@@ -174,7 +174,7 @@
     (first,) = decide(moves)
     moves.end(key(1))
     old = PlannedMove("e0", 3000, "a1", destination=first.destination_id or "")
-    (second,) = decide(moves, make_surroundings(2, MEMORY_TOKENS, old))
+    (second,) = decide(moves, make_conditions(2, MEMORY_TOKENS, old))
     assert second.number == 2
 
 
@@ -223,13 +223,13 @@
     moves = ServiceMoves()
     for number in range(80):
         moves.add(key(number), make_move_request(number, f"e{number % 11}"))
-    around = make_surroundings(56)
+    around = make_conditions(56)
     best_s = min(_time_of_plan(moves, around) for _ in range(5))
     # Requests share a plan meanwhile.
     assert best_s < SHARE_DELAY_S
 
 
-def _time_of_plan(moves: ServiceMoves, around: Surroundings) -> float:
+def _time_of_plan(moves: ServiceMoves, around: PlanConditions) -> float:
     begun_s = time.perf_counter()
     moves.decide(around)
     return time.perf_counter() - begun_s
--- a/tests/rollouts/play.py
+++ b/tests/rollouts/play.py
@@ -21,7 +21,7 @@
 from savorylift.rollouts.order import RolloutLimits, RolloutOrder
 from savorylift.rollouts.order_clock import BootTime
 from savorylift.rollouts.recorder import StageRecorder
-from savorylift.rollouts.surroundings import FleetView
+from savorylift.rollouts.rollout_site import FleetView
 from tests.exchange.factories import make_server_entry
 from tests.rollouts.behaviours import FAILED, Answer, Asked, Behaviour, sound
 from tests.rollouts.memory_store import MemoryStore, MemoryStoreClient
--- a/tests/rooms/test_keeper.py
+++ b/tests/rooms/test_keeper.py
@@ -23,7 +23,7 @@
 from savorylift.rooms import engine_groups as groups_module
 from savorylift.rooms import handover, service_room
 from savorylift.rooms import keeper as keeper_module
-from savorylift.rooms.client import RoomClient
+from savorylift.rooms.client import RoomAnswer, RoomClient
 from savorylift.rooms.engine_groups import EngineGroups, RoomId
 from savorylift.rooms.engines import Engines
 from savorylift.rooms.handover import HANDOVER_HOLD_S
@@ -90,13 +90,14 @@
         keeper_ip = self.client.find_keeper(SERVICE)
         if keeper_ip is None:
             return None
-        return await self.client.ask(
+        answer: RoomAnswer[str] = await self.client.ask(
             keeper_ip,
             request.attempt_id,
             lambda: request,
-            lambda: False,
+            lambda: None,
             time.monotonic() + WAIT_S,
         )
+        return answer.reply
 
 
 class Fleet:
