--- a/src/savorylift/moves/service_moves.py
+++ b/src/savorylift/moves/service_moves.py
@@ -6,12 +6,8 @@
 
 from savorylift.fleet.move_messages import MoveOutcome, MoveReply, MoveRequest
 from savorylift.moves.begun_copies import BegunCopies, MoveKey
-from savorylift.moves.copy_schedule import (
-    Destination,
-    LeavingEngine,
-    MovingRun,
-    PlannedCopy,
-)
+from savorylift.moves.copy_schedule import PlannedCopy
+from savorylift.moves.move_inputs import Destination, LeavingEngine, MovingRun
 from savorylift.moves.move_order import PlannedMove
 from savorylift.moves.move_plan import MovePlan, plan_moves
 
@@ -24,7 +20,7 @@
 FORGET_S = 3.0
 
 
-class Surroundings(NamedTuple):
+class PlanConditions(NamedTuple):
     """What a plan depends on besides the runs.
 
     Attributes:
@@ -131,6 +127,10 @@
         self._planned = ()
         return keys
 
+    def note_announced(self, announced: Collection[PlannedMove]) -> None:
+        """Notes the moves that nodes have announced, with their loads."""
+        self._begun.note_announced(announced)
+
     def drop_old(self, live: Collection[str]) -> None:
         """Ends the turns of nodes not in `live`, and those that are over."""
         oldest_s = time.monotonic() - MAX_SILENCE_S
@@ -156,8 +156,9 @@
             held[copy.destination_id] = known + copy.run.expected_tokens
         return held
 
-    def decide(self, around: Surroundings) -> DecidedMoves:
+    def decide(self, around: PlanConditions) -> DecidedMoves:
         """Plans anew; returns the plan and what can be said now."""
+        self._begun.note_announced(around.announced)
         busy_s = self._begun.busy_s(around.announced)
         plan = plan_moves(
             [_moving_run(key, w.req) for key, w in self._waiting.items()],
@@ -198,7 +199,7 @@
                 yield Decision(run.key, reply)
 
     def _find_sources(
-        self, around: Surroundings, busy_s: Mapping[str, float]
+        self, around: PlanConditions, busy_s: Mapping[str, float]
     ) -> dict[str, LeavingEngine]:
         now_s = time.monotonic()
         sources = {}
@@ -213,7 +214,7 @@
         return sources
 
     def _find_destinations(
-        self, around: Surroundings, busy_s: Mapping[str, float]
+        self, around: PlanConditions, busy_s: Mapping[str, float]
     ) -> dict[str, Destination]:
         tokens, places = self._begun.tokens(), self._begun.places()
         return {
--- a/tests/moves/test_planner.py
+++ b/tests/moves/test_planner.py
@@ -18,10 +18,11 @@
 )
 from savorylift.moves import plan_client
 from savorylift.moves.begun_copies import MAX_COPY_S
+from savorylift.moves.move_order import PlannedMove
 from savorylift.moves.plan_client import PlanClient
 from savorylift.moves.planner import MovePlanner
 from savorylift.moves.planner_choice import PlannerChoice
-from savorylift.moves.service_moves import Surroundings
+from savorylift.moves.service_moves import PlanConditions
 from savorylift.rooms.engine_groups import EngineGroups, RoomId
 from savorylift.rooms.keeper_choice import MIN_NODES, KeeperChoice
 from tests.harness.virtual_time import run_in_virtual_time
@@ -42,7 +43,7 @@
 
     def __init__(self) -> None:
         """Creates two engines with room."""
-        self.around: Surroundings | None = Surroundings(
+        self.around: PlanConditions | None = PlanConditions(
             {f"d{n}": make_destination() for n in range(2)},
             LINK_TOKENS_PER_S,
             (),
@@ -50,10 +51,14 @@
         self.held: dict[str, int] = {}
         self.count = 2
 
-    def look(self, service: str) -> Surroundings | None:
+    def look(self, service: str) -> PlanConditions | None:
         """Returns what plans depend on."""
         return self.around if service == SERVICE else None
 
+    def find_announced(self) -> tuple[PlannedMove, ...]:
+        """Returns the moves that nodes have announced."""
+        return ()
+
     def hold(self, service: str, tokens: dict[str, int]) -> None:
         """Keeps room for moves."""
         self.held = tokens
@@ -76,7 +81,7 @@
             fleet.send(message, self.ip, ip)
 
         self.planner = MovePlanner(
-            self.choice, self.members, fleet.engines, send
+            self.choice, self.members, fleet.engines, send, lambda: 0.2
         )
         self.client = PlanClient(self.choice, send, random.Random(number))
 
