Escape control characters in what a check prints

Cause: `rules check` printed them as the file has them: text of a file could move the cursor of the operator's terminal, and hide or forge a finding. The rendering had no tests of its own.

Change: control, format and separator characters are shown as escapes; in the JSON they are JSON's escapes, so that programs read the same text as before.

--- a/src/savorylift/checks/rendering.py
+++ b/src/savorylift/checks/rendering.py
@@ -1,6 +1,8 @@
 """Shows the report of a check to operators, as text and as JSON."""
 
-from collections.abc import Iterable
+import json
+import unicodedata
+from collections.abc import Callable, Iterable
 from typing import NamedTuple, NotRequired, TypedDict
 
 import msgspec
@@ -13,6 +15,10 @@
     Location,
 )
 
+# Unicode categories of control characters, of format characters (which change
+# the order of text, or can't be seen) and of separators of lines.
+UNSHOWN_CATEGORIES = frozenset({"Cc", "Cf", "Zl", "Zp"})
+
 
 class RenderedText(NamedTuple):
     """A report as lines.
@@ -54,7 +60,11 @@
 
 
 def render_text(file: str, report: CheckReport) -> RenderedText:
-    """Returns the report as lines, which begin as those of compilers do."""
+    """Returns the report as lines, which begin as those of compilers do.
+
+    Control characters are shown as Python's escapes: a file could otherwise
+    move the cursor of a terminal, and hide or forge a finding.
+    """
     faults, lines = [], []
     for finding in report.findings:
         if finding.kind is FindingKind.UNREADABLE:
@@ -68,17 +78,21 @@
     if report.changes is not None:
         lines.extend(_render_changes(report.changes))
     return RenderedText(
-        tuple(map(_to_printable, faults)), tuple(map(_to_printable, lines))
+        tuple(map(_to_shown, faults)), tuple(map(_to_shown, lines))
     )
 
 
 def render_json(
     file: str, file_format: str, report: CheckReport, exit_code: int
 ) -> bytes:
-    """Returns the report as one JSON object."""
+    """Returns the report as one JSON object.
+
+    Control characters are escaped as JSON does, so that programs read them as
+    they are in the file.
+    """
     changes = report.changes
     data = _ReportJson(
-        file=_to_printable(file),
+        file=_to_encodable(file),
         format=file_format,
         findings=[_finding_json(finding) for finding in report.findings],
         changes=None
@@ -86,7 +100,9 @@
         else [_change_json(change) for change in changes],
         exit_code=exit_code,
     )
-    return msgspec.json.encode(data)
+    # Outside strings there are no such characters.
+    text = msgspec.json.encode(data).decode()
+    return _escape(text, _to_json_escape).encode()
 
 
 def _render_finding(file: str, finding: Finding) -> str:
@@ -117,8 +133,8 @@
 def _finding_json(finding: Finding) -> _FindingJson:
     return {
         "kind": finding.kind.value,
-        "message": _to_printable(finding.message),
-        "asked_by": _to_printable(finding.asked_by),
+        "message": _to_encodable(finding.message),
+        "asked_by": _to_encodable(finding.asked_by),
         **_location_json(finding.location),
     }
 
@@ -126,9 +142,9 @@
 def _change_json(change: Change) -> _ChangeJson:
     return {
         "kind": change.kind.value,
-        "entry": _to_printable(change.entry),
-        "detail": _to_printable(change.detail),
-        "asked_by": _to_printable(change.asked_by),
+        "entry": _to_encodable(change.entry),
+        "detail": _to_encodable(change.detail),
+        "asked_by": _to_encodable(change.asked_by),
         **_location_json(change.location),
     }
 
@@ -145,9 +161,32 @@
     return members
 
 
-def _to_printable(text: str) -> str:
+def _to_encodable(text: str) -> str:
     """Returns a text with a mark for each byte that isn't UTF-8.
 
     Rules files are decoded with `surrogateescape`; such text can't be written.
     """
     return text.encode("utf-8", "surrogateescape").decode("utf-8", "replace")
+
+
+def _to_shown(text: str) -> str:
+    """Returns a text as a terminal may show it."""
+    return _escape(_to_encodable(text), _to_python_escape)
+
+
+def _escape(text: str, to_escape: Callable[[str], str]) -> str:
+    """Returns a text with an escape for each character that isn't shown."""
+    return "".join(
+        to_escape(char)
+        if unicodedata.category(char) in UNSHOWN_CATEGORIES
+        else char
+        for char in text
+    )
+
+
+def _to_python_escape(char: str) -> str:
+    return char.encode("unicode_escape").decode("ascii")
+
+
+def _to_json_escape(char: str) -> str:
+    return json.dumps(char)[1:-1]
