Split the dispatch of generations and the wait for an engine

Change: a function for each of these, with what came of the attempts so far in one object; one context manager for both waits. The options of an engine's choice stand beside the wish that holds them.

--- a/src/savorylift/emulator/simulation.py
+++ b/src/savorylift/emulator/simulation.py
@@ -16,8 +16,7 @@
 from savorylift.emulator.job import FleetSample, Job, Outcome
 from savorylift.emulator.load_file import Arrivals, Loss, Workload
 from savorylift.emulator.policies import Policy
-from savorylift.exchange.engine_queue import PREFILL_SHARE
-from savorylift.exchange.wish import QUEUE_WAIT_FACTOR
+from savorylift.exchange.wish import PREFILL_SHARE, QUEUE_WAIT_FACTOR
 from savorylift.moves.move_order import copy_time_s, is_next
 from savorylift.placement.engines import EngineOptions
 from savorylift.placement.turn_order import Ticket, TurnOrder
--- a/src/savorylift/exchange/engine_queue.py
+++ b/src/savorylift/exchange/engine_queue.py
@@ -1,16 +1,25 @@
 """Assigns engines to generations and queues those that no engine can take."""
 
 import asyncio
+import contextlib
+import functools
 import random
 import time
+from collections.abc import AsyncIterator, Callable
 
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange import metrics
+from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.failover import FailoverPolicy
 from savorylift.exchange.room_placement import RoomPlacement, RoomResult
 from savorylift.exchange.run import Run
 from savorylift.exchange.server_pool import ServerPool
-from savorylift.exchange.wish import Wish, first_event_objective_s, make_wish
+from savorylift.exchange.wish import (
+    Wish,
+    first_event_objective_s,
+    make_engine_options,
+    make_wish,
+)
 from savorylift.placement.engines import EngineOptions
 from savorylift.placement.memory_release_rate import MemoryReleaseRate
 from savorylift.placement.prefill_rate import PrefillRate
@@ -21,18 +30,6 @@
 )
 from savorylift.routing.configuration import EngineTraits, Service
 
-# Share of the objective that prefill of pending prompts may take at an engine.
-PREFILL_SHARE = 0.6
-# Used for services that define no engine traits.
-DEFAULT_ENGINE_TRAITS = EngineTraits(
-    slots=1,
-    memory_tokens=1,
-    token_bytes=0.0,
-    link_bytes_per_s=0.0,
-    can_move=False,
-    tokens_per_event=1,
-)
-
 
 class EngineQueue:
     """Queues this node's generations for each service."""
@@ -80,16 +77,7 @@
     async def _acquire(self, run: Run, tried: set[str]) -> BackendServer | None:
         admitted = run.admitted
         run.return_in_s = None
-        options = self._engine_options(run)
-
-        def reserve() -> BackendServer | None:
-            run.server = self._pool.reserve_engine(admitted, options, tried)
-            if run.server is not None:
-                run.mark_assigned(
-                    self._pool.choice.pending_prefill_tokens(run.server)
-                )
-            return run.server
-
+        options = make_engine_options(run, self.prefill_per_s)
         run.server = self._pool.reserve_known_engine(admitted, options, tried)
         if run.server is not None:
             run.mark_assigned(0)
@@ -99,11 +87,10 @@
         if self._rooms and can_wait and self._may_wait(run, tried):
             result = await self._ask_keeper(self._rooms, run, wish, tried)
             if result is not None:
-                run.server = result.server
-                run.return_in_s = result.return_in_s
-                if run.server is not None:
-                    run.mark_assigned(result.prefill_tokens)
-                return run.server
+                return _take_result(run, result)
+        reserve = functools.partial(
+            self._reserve, run, admitted, options, tried
+        )
         queue = self._find_queue(admitted.service)
         if not queue:
             found = reserve()
@@ -111,10 +98,33 @@
                 return found
         if not self._may_wait(run, tried):
             return None
-        metrics.WAITING.inc()
+        return await self._wait_in(queue, run, wish, reserve)
+
+    def _reserve(
+        self,
+        run: Run,
+        admitted: AdmittedRequest,
+        options: EngineOptions,
+        tried: set[str],
+    ) -> BackendServer | None:
+        """Reserves an engine that has room now, if one has."""
+        run.server = self._pool.reserve_engine(admitted, options, tried)
+        if run.server is not None:
+            run.mark_assigned(
+                self._pool.choice.pending_prefill_tokens(run.server)
+            )
+        return run.server
+
+    async def _wait_in(
+        self,
+        queue: WaitQueue,
+        run: Run,
+        wish: Wish,
+        reserve: Callable[[], BackendServer | None],
+    ) -> BackendServer | None:
+        """Waits in this node's queue until an engine has room, if in time."""
         try:
-            async with asyncio.timeout_at(wish.leave_s) as limit:
-                self._waits[run] = limit
+            async with self._waiting(run, wish):
                 return await queue.wait(
                     wish.parameters,
                     wish.latest_start_s,
@@ -126,21 +136,29 @@
         except NoRoomInTimeError as exc:
             run.return_in_s = exc.return_in_s
             return None
-        finally:
-            self._waits.pop(run, None)
-            metrics.WAITING.dec()
 
     async def _ask_keeper(
         self, rooms: RoomPlacement, run: Run, wish: Wish, tried: set[str]
     ) -> RoomResult | None:
         """Returns what the keeper of the engines' room says, if any."""
-        metrics.WAITING.inc()
         try:
-            async with asyncio.timeout_at(wish.leave_s) as limit:
-                self._waits[run] = limit
+            async with self._waiting(run, wish):
                 return await rooms.find(run, wish, tried)
         except TimeoutError:
             return RoomResult(None)
+
+    @contextlib.asynccontextmanager
+    async def _waiting(self, run: Run, wish: Wish) -> AsyncIterator[None]:
+        """Counts a run as waiting; it may be ended before its time.
+
+        Raises:
+            TimeoutError: The wait has ended.
+        """
+        metrics.WAITING.inc()
+        try:
+            async with asyncio.timeout_at(wish.leave_s) as limit:
+                self._waits[run] = limit
+                yield
         finally:
             self._waits.pop(run, None)
             metrics.WAITING.dec()
@@ -175,7 +193,7 @@
         self, run: Run, tried: set[str], *, is_last: bool
     ) -> FailoverPolicy:
         """Returns how long to wait for an engine before trying another."""
-        options = self._engine_options(run)
+        options = make_engine_options(run, self.prefill_per_s)
 
         def has_alternative() -> bool:
             # Once the stream has begun, fewer engines may continue it.
@@ -260,22 +278,16 @@
             if not limit.expired() and self._pool.are_all_leaving(run.admitted):
                 limit.reschedule(time.monotonic())
 
-    def _engine_options(self, run: Run) -> EngineOptions:
-        engine = run.admitted.service.engine or DEFAULT_ENGINE_TRAITS
-        generation = run.admitted.req.generation
-        prompt_tokens = (
-            generation.prompt_tokens if generation is not None else 0
-        )
-        max_pending_prefill = (
-            PREFILL_SHARE
-            * first_event_objective_s(run.admitted)
-            * self._prefill_rate.tokens_per_s
-        )
-        return EngineOptions(
-            engine, run.expected_tokens, prompt_tokens, max_pending_prefill
-        )
-
 
 def _is_taken_up(run: Run) -> bool:
     """Whether the caller resumes a stream, and gets its rest from here."""
     return run.admitted.req.resume_after is not None and run.last_event is None
+
+
+def _take_result(run: Run, result: RoomResult) -> BackendServer | None:
+    """Applies what a keeper says of a run; returns the engine granted."""
+    run.server = result.server
+    run.return_in_s = result.return_in_s
+    if run.server is not None:
+        run.mark_assigned(result.prefill_tokens)
+    return run.server
--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -7,6 +7,7 @@
 from returns.pipeline import is_successful
 
 from savorylift.backends.quarantine import QuarantinedTraits
+from savorylift.backends.registry import BackendServer
 from savorylift.exchange import metrics
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.answer_outcome import find_outcome
@@ -155,64 +156,89 @@
         bound = await self._resumption.bind(run.admitted)
         if not is_successful(bound):
             return end_with_refusal(sink, bound.failure())
-        admitted = run.admitted = bound.unwrap()
-        tried: set[str] = set()
-        retries = RequestRetries(self._pool, admitted)
-        reason = Reason.QUEUE_FULL
+        run.admitted = bound.unwrap()
+        attempts = _Attempts(RequestRetries(self._pool, run.admitted))
         while True:
             run.refusal = self._crash_guard.refuse(run.traits)
             if run.refusal is not None:
                 return self._unserved.end_refused(run, sink, run.refusal)
-            if not retries.take():
-                failure = Broken(reason, "the retry budget is used up")
-                return self._unserved.end_unserved(run, sink, failure)
-            await self._resumption.settle(run)
-            server = await self._queue.acquire(run, tried)
-            if server is None:
-                failure = Broken(reason, "no engine has room")
-                return self._unserved.end_unserved(run, sink, failure)
-            if retries.is_retry:
-                metrics.RETRIES.labels(reason.value).inc()
-            is_last = (
-                run.possibly_run_attempts + 1 >= admitted.route.max_attempts
-            )
-            tried.add(server.entry.server_id)
-            result = await self._engine_runs.serve(
-                run, server, sink, tried, is_last=is_last
-            )
-            self._crash_guard.record_result(run, result)
-            self._pool.answers.finish(run.attempt_id, find_outcome(result))
-            self._engine_runs.release(run, was_sent=not is_over_limit(result))
+            server = await self._acquire(run, attempts)
+            if isinstance(server, Broken):
+                return self._unserved.end_unserved(run, sink, server)
+            result = await self._serve_at(server, run, sink, attempts)
             if result is None:
                 return None
-            retries.record_result(result)
-            run.obstacle = (
-                result.obstacle if isinstance(result, NotRun) else None
-            )
-            if is_over_limit(result):
-                reason = Reason.SERVER_LIMIT
-                if run.obstacle is not Obstacle.NOT_ASKED:
-                    tried.discard(server.entry.server_id)
-                continue
-            self._pool.load_tracker.record_result(
-                server.entry.server_id, is_success=False
-            )
-            if isinstance(result, NotRun):
-                reason = result.reason
+            self._record_failure(server, run, attempts, result)
+            if self._may_go_on(run, result):
                 continue
+            if isinstance(result, Answered) and not sink.is_started:
+                return result
+            return fail_generation(run, sink, to_broken(result))
+
+    async def _acquire(
+        self, run: Run, attempts: "_Attempts"
+    ) -> BackendServer | Broken:
+        """Reserves the next engine; returns why there is none otherwise."""
+        if not attempts.retries.take():
+            return Broken(attempts.reason, "the retry budget is used up")
+        await self._resumption.settle(run)
+        server = await self._queue.acquire(run, attempts.tried)
+        if server is None:
+            return Broken(attempts.reason, "no engine has room")
+        if attempts.retries.is_retry:
+            metrics.RETRIES.labels(attempts.reason.value).inc()
+        attempts.tried.add(server.entry.server_id)
+        return server
+
+    async def _serve_at(
+        self,
+        server: BackendServer,
+        run: Run,
+        sink: EventSink,
+        attempts: "_Attempts",
+    ) -> NotRun | Answered | Broken | None:
+        """Serves a run at an engine; returns the failure that ended it."""
+        max_attempts = run.admitted.route.max_attempts
+        result = await self._engine_runs.serve(
+            run,
+            server,
+            sink,
+            attempts.tried,
+            is_last=run.possibly_run_attempts + 1 >= max_attempts,
+        )
+        self._crash_guard.record_result(run, result)
+        self._pool.answers.finish(run.attempt_id, find_outcome(result))
+        self._engine_runs.release(run, was_sent=not is_over_limit(result))
+        return result
+
+    def _record_failure(
+        self,
+        server: BackendServer,
+        run: Run,
+        attempts: "_Attempts",
+        result: NotRun | Answered | Broken,
+    ) -> None:
+        """Records that an engine has not served a run."""
+        attempts.record(result)
+        run.obstacle = result.obstacle if isinstance(result, NotRun) else None
+        server_id = server.entry.server_id
+        if not is_over_limit(result):
+            self._pool.load_tracker.record_result(server_id, is_success=False)
+        elif run.obstacle is not Obstacle.NOT_ASKED:
+            attempts.tried.discard(server_id)
+        if not isinstance(result, NotRun):
             run.possibly_run_attempts += 1
-            may_repeat = admitted.is_idempotent and not is_last
-            may_repeat = may_repeat and run.is_position_known
-            if may_repeat:
-                may_repeat = self._crash_guard.may_repeat(run.traits)
-            if not may_repeat:
-                if isinstance(result, Answered) and not sink.is_started:
-                    return result
-                return fail_generation(run, sink, to_broken(result))
-            if isinstance(result, Answered):
-                reason = Reason.BACKEND_ERROR
-            else:
-                reason = result.reason
+
+    def _may_go_on(self, run: Run, result: NotRun | Answered | Broken) -> bool:
+        """Whether a run that failed may be sent to another engine."""
+        if isinstance(result, NotRun):
+            return True
+        admitted = run.admitted
+        if run.possibly_run_attempts >= admitted.route.max_attempts:
+            return False
+        if not admitted.is_idempotent or not run.is_position_known:
+            return False
+        return self._crash_guard.may_repeat(run.traits)
 
     def _stop_quarantined(self, begun: Collection[QuarantinedTraits]) -> None:
         """Stops the requests that no engine has begun to answer yet."""
@@ -221,3 +247,26 @@
                 continue
             if is_quarantined(run.traits, begun):
                 run.stop(self._crash_guard.refuse(run.traits))
+
+
+class _Attempts:
+    """The attempts to serve one generation.
+
+    Attributes:
+        retries: Takes retries for them.
+        tried: IDs of the engines that have failed.
+        reason: Why another attempt is needed, or that there was none.
+    """
+
+    def __init__(self, retries: RequestRetries) -> None:
+        self.retries = retries
+        self.tried: set[str] = set()
+        self.reason = Reason.QUEUE_FULL
+
+    def record(self, result: NotRun | Answered | Broken) -> None:
+        """Records that an attempt has failed."""
+        self.retries.record_result(result)
+        if isinstance(result, Answered):
+            self.reason = Reason.BACKEND_ERROR
+        else:
+            self.reason = result.reason
--- a/src/savorylift/exchange/wish.py
+++ b/src/savorylift/exchange/wish.py
@@ -7,6 +7,7 @@
 from savorylift.exchange.run import Run
 from savorylift.placement.engines import EngineOptions
 from savorylift.placement.wait_queue import SchedulingParameters
+from savorylift.routing.configuration import EngineTraits
 
 # First-event objective of routes that define none.
 DEFAULT_OBJECTIVE_S = 2.0
@@ -16,6 +17,17 @@
 QUEUE_WAIT_FACTOR = 2.0
 # Longest wait in the queue, as a share of the caller's timeout.
 QUEUE_WAIT_SHARE = 0.4
+# Share of the objective that prefill of pending prompts may take at an engine.
+PREFILL_SHARE = 0.6
+# Used for services that define no engine traits.
+DEFAULT_ENGINE_TRAITS = EngineTraits(
+    slots=1,
+    memory_tokens=1,
+    token_bytes=0.0,
+    link_bytes_per_s=0.0,
+    can_move=False,
+    tokens_per_event=1,
+)
 # Goes before all priorities of callers: what has been streamed would be lost.
 STREAM_PRIORITY = -1
 
@@ -37,6 +49,23 @@
     leave_s: float
 
 
+def make_engine_options(run: Run, prefill_per_s: float) -> EngineOptions:
+    """Returns what the choice of a run's engine depends on.
+
+    Args:
+        run: The run.
+        prefill_per_s: Prompt tokens that an engine prefills each second.
+    """
+    admitted = run.admitted
+    generation = admitted.req.generation
+    return EngineOptions(
+        admitted.service.engine or DEFAULT_ENGINE_TRAITS,
+        run.expected_tokens,
+        generation.prompt_tokens if generation is not None else 0,
+        PREFILL_SHARE * first_event_objective_s(admitted) * prefill_per_s,
+    )
+
+
 def make_wish(run: Run, options: EngineOptions, prefill_per_s: float) -> Wish:
     """Returns the wish of a run.
 
