Split the other long functions of requests and roll-outs

Change: own functions for the team and the priority of a request, the end of a stream that may not be whole, the writing of answers and of refusals, why a file isn't published, what a source says of a copy, when a completed roll-out is over, and traits that can't be told apart; the rule of a version is made from two. No behaviour changes.

--- a/src/savorylift/backends/culprit.py
+++ b/src/savorylift/backends/culprit.py
@@ -75,11 +75,8 @@
         return trait not in sound, counts[trait], depths[trait], trait
 
     first = max(counts, key=rank_trait)
-    is_known = first in sound
-    common = {trait for trait in counts if (trait in sound) is is_known}
-    for crash in crashes:
-        if is_request(first) or now_s - crash.time_s < PART_WINDOW_S:
-            _keep_common(common, first, crash)
+    common = {t for t in counts if (t in sound) is (first in sound)}
+    _keep_common_to_all(common, first, crashes, now_s)
     if not is_request(first):
         return Culprit(frozenset(common), frozenset(common))
     traits = next(traits for traits in requests if first in traits)
@@ -87,6 +84,15 @@
     return Culprit(frozenset({general}), frozenset(common))
 
 
+def _keep_common_to_all(
+    common: set[str], first: str, crashes: Iterable[Crash], now_s: float
+) -> None:
+    """Removes the traits that can be told apart from the first one."""
+    for crash in crashes:
+        if is_request(first) or now_s - crash.time_s < PART_WINDOW_S:
+            _keep_common(common, first, crash)
+
+
 def _find_depths(requests: Iterable[Traits]) -> dict[str, int]:
     """Returns how special each trait is, at most, among those of a request."""
     depths: dict[str, int] = {}
--- a/src/savorylift/exchange/admission.py
+++ b/src/savorylift/exchange/admission.py
@@ -19,6 +19,12 @@
 # A node that has waited for its configuration without success may need this
 # much longer to receive it.
 STARTING_RETRY_AFTER_S = 1.0
+NOT_CONFIGURED = Refused(
+    503,
+    Reason.NODE_STARTING,
+    "This node knows no configuration yet.",
+    STARTING_RETRY_AFTER_S,
+)
 # Priorities range from 0, which is served first, to 9.
 MAX_PRIORITY = 9
 # Resolution of weighted traffic splits.
@@ -82,23 +88,15 @@
         default_timeout_s: Upper bound on the timeout of every request.
     """
     if cfg is None:
-        return Failure(
-            Refused(
-                503,
-                Reason.NODE_STARTING,
-                "This node knows no configuration yet.",
-                STARTING_RETRY_AFTER_S,
-            )
-        )
+        return Failure(NOT_CONFIGURED)
     route = find_route(cfg, req.host, req.path)
     if route is None:
         return Failure(Refused(404, req.no_route_reason, "No route matches."))
-    team = None
-    if cfg.teams_by_key is not None and not route.is_public:
-        team = cfg.teams_by_key.get(req.api_key or "")
-        if team is None:
-            message = "The API key is missing or unknown."
-            return Failure(Refused(401, Reason.UNKNOWN_TEAM, message))
+    needs_team = cfg.teams_by_key is not None and not route.is_public
+    team = _find_team(cfg, req) if needs_team else None
+    if needs_team and team is None:
+        message = "The API key is missing or unknown."
+        return Failure(Refused(401, Reason.UNKNOWN_TEAM, message))
     service_name = _pick_target(route, req.resumes or req.attempt_id) or ""
     if team is not None and not _may_use(team, service_name):
         message = f"Team {team.name} may not use {route.name}."
@@ -109,26 +107,36 @@
     if service is None:
         message = "The route's service is not defined."
         return Failure(Refused(503, Reason.UNKNOWN_SERVICE, message, 1.0))
-    priority = route.priority
-    if team is not None and team.priority is not None:
-        priority = team.priority
-    if req.priority is not None:
-        priority = req.priority
-    timeouts_s = [default_timeout_s]
-    timeouts_s += [] if route.timeout_s is None else [route.timeout_s]
-    timeouts_s += [] if req.time_left_s is None else [req.time_left_s]
+    timeouts_s = (default_timeout_s, route.timeout_s, req.time_left_s)
     return Success(
         AdmittedRequest(
             req,
             route,
             service,
             team,
-            min(max(priority, 0), MAX_PRIORITY),
-            req.arrived_s + min(timeouts_s),
+            _choose_priority(req, team, route),
+            req.arrived_s + min(t for t in timeouts_s if t is not None),
         )
     )
 
 
+def _find_team(cfg: Configuration, req: CallerRequest) -> Team | None:
+    """Returns the team whose key a request has."""
+    return (cfg.teams_by_key or {}).get(req.api_key or "")
+
+
+def _choose_priority(
+    req: CallerRequest, team: Team | None, route: Route
+) -> int:
+    """Returns the caller's priority, else that of the team or the route."""
+    priority = route.priority
+    if team is not None and team.priority is not None:
+        priority = team.priority
+    if req.priority is not None:
+        priority = req.priority
+    return min(max(priority, 0), MAX_PRIORITY)
+
+
 def refusal_for_team(
     team: Team,
     status: int,
--- a/src/savorylift/exchange/engine_runs.py
+++ b/src/savorylift/exchange/engine_runs.py
@@ -102,20 +102,17 @@
             target = None
             if result is not None or run.was_stopped_without_end:
                 target = await self._finish_move(run)
+            if target is None and result is None:
+                return await self._finish(run, server, started, sink)
             if target is None:
-                if result is None:
-                    result = await self._check_end(run, server, started)
-                if result is None:
-                    self._complete(run, server, started, sink)
                 return result
             run.is_stopping = run.is_end_known = False
             run.moves += 1
-            resumed = await self._run_sender.resume(run, target)
-            if not isinstance(resumed, Started):
-                return to_broken(resumed)
+            started = await self._run_sender.resume(run, target)
+            if not isinstance(started, Started):
+                return to_broken(started)
             assert run.server is not None
             server = run.server
-            started = resumed
 
     def start_move_if_draining(self, run: Run) -> None:
         """Starts to move a run if its engine is draining."""
@@ -150,19 +147,23 @@
         run.is_at_engine = False
         self._queue.dispatch_waiting()
 
-    def _complete(
+    async def _finish(
         self,
         run: Run,
         server: BackendServer,
         started: Started,
         sink: EventSink,
-    ) -> None:
-        """Ends the caller's stream, which is whole."""
+    ) -> Broken | None:
+        """Ends the caller's stream, unless it may not be whole."""
+        failure = await self._check_end(run, server, started)
+        if failure is not None:
+            return failure
         self._relay.finish(run, started, sink)
         self._resumption.record_complete(run)
         self._pool.load_tracker.record_result(
             server.entry.server_id, is_success=True
         )
+        return None
 
     async def _check_end(
         self,
--- a/src/savorylift/front/responder.py
+++ b/src/savorylift/front/responder.py
@@ -65,20 +65,13 @@
             answer: The answer.
         """
         if isinstance(answer, Answered):
+            _write_answer(conn, answer)
             status = answer.head.status
-            respond = conn.respond
-            if answer.head.is_close_delimited:
-                respond = conn.respond_unframed
-            respond(status, answer.head.headers, answer.body)
             reason = detail = "answered"
         else:
+            self._refuse(conn, caller_req, answer)
             status = answer.status
-            if conn.added_headers and _is_up_to_node(answer):
-                conn.add_headers(RELAY_REFUSED)
-            headers, body = self._codec.encode_refusal(caller_req, answer)
-            conn.respond(status, headers, body)
             reason, detail = answer.reason.value, answer.message
-            self._count_refusal(caller_req, answer)
         metrics.ANSWERS.labels(str(status)).inc()
         if caller_req is None:
             _log.info(
@@ -101,6 +94,19 @@
             configuration=cfg and cfg.version,
         )
 
+    def _refuse(
+        self,
+        conn: ServerConnection,
+        caller_req: CallerRequest | None,
+        refused: Refused,
+    ) -> None:
+        """Writes a refusal of this node, and counts it."""
+        if conn.added_headers and _is_up_to_node(refused):
+            conn.add_headers(RELAY_REFUSED)
+        headers, body = self._codec.encode_refusal(caller_req, refused)
+        conn.respond(refused.status, headers, body)
+        self._count_refusal(caller_req, refused)
+
     def _count_refusal(
         self, caller_req: CallerRequest | None, refused: Refused
     ) -> None:
@@ -146,6 +152,15 @@
         )
 
 
+def _write_answer(conn: ServerConnection, answered: Answered) -> None:
+    """Writes the answer of a backend server."""
+    head = answered.head
+    respond = conn.respond
+    if head.is_close_delimited:
+        respond = conn.respond_unframed
+    respond(head.status, head.headers, answered.body)
+
+
 def _is_up_to_node(refused: Refused) -> bool:
     """Whether another node may take a request that did not run."""
     return refused.ending is Ending.NOT_RUN and refused.reason in NODE_REASONS
--- a/src/savorylift/platform/engine_client.py
+++ b/src/savorylift/platform/engine_client.py
@@ -109,6 +109,11 @@
         )
     except (OSError, BrokenAnswerError):
         return Failure(CopyError(CopyFault.UNREACHABLE))
+    return _read_copy(response)
+
+
+def _read_copy(response: Response) -> Result[CopyResult, CopyError]:
+    """Reads what the source of a copy has answered."""
     body = decode_json(response.body or b"{}", dict).value_or({})
     handle = body.get("handle")
     handle = None if handle is None else str(handle)
--- a/src/savorylift/rollouts/board.py
+++ b/src/savorylift/rollouts/board.py
@@ -217,10 +217,8 @@
         if is_bound:
             return None if stage is None else self._make_ban_rule(stage)
         current = self.find_stage(service)
-        if current is not None and current.phase is RolloutPhase.COMPLETED:
-            is_over = self.stage_age_s(service) > version_rules.COMPLETED_RULE_S
-            if is_over:
-                return self._make_ban_rule(current)
+        if current is not None and self._is_over(current):
+            return self._make_ban_rule(current)
         version = order.version if order is not None else ""
         if current is not None:
             version = current.version
@@ -240,6 +238,13 @@
             return rule._replace(banned=self._banned(service))
         return rule
 
+    def _is_over(self, stage: Stage) -> bool:
+        """Whether a completed roll-out directs requests no longer."""
+        if stage.phase is not RolloutPhase.COMPLETED:
+            return False
+        age_s = self.stage_age_s(stage.service)
+        return age_s > version_rules.COMPLETED_RULE_S
+
     def _make_ban_rule(self, stage: Stage) -> VersionRule | None:
         """Returns a rule against banned versions alone; None without any."""
         banned = banned_versions(stage)
--- a/src/savorylift/rollouts/version_rules.py
+++ b/src/savorylift/rollouts/version_rules.py
@@ -121,31 +121,19 @@
         has_new: Whether a server of the new version is in service.
     """
     banned = frozenset() if stage is None else banned_versions(stage)
+    old_only = VersionRule(
+        version, may_use_new=False, may_use_old=True, banned=banned
+    )
+    new_first = old_only._replace(may_use_new=True, may_use_old=not has_new)
     if stage is not None and stage.phase is RolloutPhase.ROLLED_BACK:
-        return VersionRule(
-            None, may_use_new=False, may_use_old=True, banned=banned
-        )
+        return old_only._replace(version=None)
     if stage is not None and stage.phase is RolloutPhase.COMPLETED:
-        return VersionRule(
-            version, may_use_new=True, may_use_old=not has_new, banned=banned
-        )
+        return new_first
     if not has_old:
         # Somebody has to serve; without another version nothing is moved.
-        return VersionRule(
-            version, may_use_new=True, may_use_old=True, banned=banned
-        )
+        return old_only._replace(may_use_new=True)
     if share >= 1.0:
-        return VersionRule(
-            version, may_use_new=True, may_use_old=not has_new, banned=banned
-        )
+        return new_first
     if is_repeat or position(attempt_id) >= share:
-        return VersionRule(
-            version, may_use_new=False, may_use_old=True, banned=banned
-        )
-    return VersionRule(
-        version,
-        may_use_new=True,
-        may_use_old=True,
-        banned=banned,
-        new_ids=new_ids,
-    )
+        return old_only
+    return old_only._replace(may_use_new=True, new_ids=new_ids)
--- a/src/savorylift/rules/publication.py
+++ b/src/savorylift/rules/publication.py
@@ -193,11 +193,8 @@
         read = await read_rules(store)
         if not is_successful(read):
             detail = read.failure().detail
-            return (
-                WriteFailure(detail)
-                if candidate is None
-                else UnconfirmedWrite(detail)
-            )
+            is_unsent = candidate is None
+            return (WriteFailure if is_unsent else UnconfirmedWrite)(detail)
         current = read.unwrap()
         initial = current if initial is None else initial
         if candidate is not None and _is_same_publication(
@@ -205,10 +202,9 @@
         ):
             diff = render_diff(initial.lines, current.lines)
             return PublishedVersion(candidate.version, current.end, diff)
-        if current.version != (initial.version if base is None else base):
-            return _version_conflict(initial, current, base)
-        if current.newest is not None and current.newest.text == text:
-            return UnchangedRules(current.version)
+        obstacle = _find_obstacle(initial, current, text, base)
+        if obstacle is not None:
+            return obstacle
         candidate = candidate or RulesVersion(
             current.version + 1, author, text, new_id("rules"), time.time()
         )
@@ -225,6 +221,17 @@
     return UnconfirmedWrite("the store did not confirm the write")
 
 
+def _find_obstacle(
+    initial: StoredRules, current: StoredRules, text: str, base: int | None
+) -> VersionConflict | UnchangedRules | None:
+    """Returns why a file isn't written over the newest version, if so."""
+    if current.version != (initial.version if base is None else base):
+        return _version_conflict(initial, current, base)
+    if current.newest is not None and current.newest.text == text:
+        return UnchangedRules(current.version)
+    return None
+
+
 def _is_same_publication(
     newest: RulesVersion | None, candidate: RulesVersion
 ) -> bool:
