Let backends and limits import nothing of the exchange

Cause: `exchange` imports both, and they imported from it: the class of a named limit, the head of an answer, metrics, and when refused callers return.

Change: `NamedLimit` stands with what is believed of limits, `ReturnTimes` and the metrics of limits in `limits`; what limits need of an answer's head is a protocol.

--- a/src/savorylift/backends/named_limits.py
+++ b/src/savorylift/backends/named_limits.py
@@ -10,7 +10,6 @@
 from typing import NamedTuple
 
 from savorylift.backends.server import ServerEntry
-from savorylift.exchange.request import NamedLimit
 from savorylift.fleet.limit_messages import LimitReport
 
 # The end of a limit is forgotten after this time, and so is the limit of a
@@ -22,6 +21,17 @@
 MAX_REPORTS = 64
 
 
+class NamedLimit(NamedTuple):
+    """A limit on its requests that a backend server names in a response.
+
+    Attributes:
+        requests_per_s: Requests per second that it takes from all nodes
+            together; None if the value can't be read.
+    """
+
+    requests_per_s: float | None
+
+
 class Belief(NamedTuple):
     """What the newest response of a server said of its limit.
 
--- a/src/savorylift/exchange/metrics.py
+++ b/src/savorylift/exchange/metrics.py
@@ -74,15 +74,6 @@
     "Answers that ended with nothing but a close while another process had"
     " taken the place of their server.",
 )
-PERMITS = Counter(
-    "savorylift_front_permits",
-    "Requests for which a limited backend server needed a permit.",
-    ["outcome"],
-)
-LIMITED_SERVERS = Gauge(
-    "savorylift_front_limited_servers",
-    "Backend servers that name a limit on their requests.",
-)
 STREAM_ORIGINS = Counter(
     "savorylift_front_stream_origins",
     "Resumed streams, by how this node knows where they began.",
@@ -93,10 +84,6 @@
     "Streams that callers took up, by what became of them.",
     ["outcome"],
 )
-PROCESS_QUESTIONS = Counter(
-    "savorylift_front_process_questions",
-    "Limited servers that this node asked for all when they started.",
-)
 SERVER_LIVES = Counter(
     "savorylift_front_server_lives",
     "Checks whether a server has started again since its entry was read.",
--- a/src/savorylift/exchange/request.py
+++ b/src/savorylift/exchange/request.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from savorylift.backends.named_limits import NamedLimit
 from savorylift.exchange.server_notice import NO_NOTICE, ServerNotice
 from savorylift.outcomes import Reason
 from savorylift.wire.message import Headers
@@ -127,17 +128,6 @@
     model_version: str | None = None
 
 
-class NamedLimit(NamedTuple):
-    """A limit on its requests that a backend server names in a response.
-
-    Attributes:
-        requests_per_s: Requests per second that it takes from all nodes
-            together; None if the value can't be read.
-    """
-
-    requests_per_s: float | None
-
-
 class AnswerHead(NamedTuple):
     """Decoded head of a backend server's response.
 
--- a/src/savorylift/limits/limit_gate.py
+++ b/src/savorylift/limits/limit_gate.py
@@ -12,9 +12,6 @@
 from savorylift.backends.server import ServerEntry
 from savorylift.backends.turns import Turns
 from savorylift.boot_clock import boot_time_s
-from savorylift.exchange import metrics
-from savorylift.exchange.request import AnswerHead
-from savorylift.exchange.return_times import ReturnTimes
 from savorylift.fleet.limit_check import is_sound
 from savorylift.fleet.state import (
     LimitMessage,
@@ -22,8 +19,9 @@
     LimitReport,
     PermitRequest,
 )
+from savorylift.limits import metrics
 from savorylift.limits.closed_limits import MIN_CLOSED_S, ClosedLimits
-from savorylift.limits.limit_sync import LimitSync
+from savorylift.limits.limit_sync import LimitedAnswer, LimitSync
 from savorylift.limits.permit_client import SendLimitMessage
 from savorylift.limits.permit_exchange import PermitExchange
 from savorylift.limits.permit_issuer import (
@@ -32,6 +30,7 @@
     PermitIssuer,
 )
 from savorylift.limits.process_lookup import ProcessLookup
+from savorylift.limits.return_times import ReturnTimes
 
 # A permit must be used within this time.
 PERMIT_VALIDITY_S = 0.5
@@ -217,7 +216,7 @@
         return self._return_times.assign_s(limits, self._count_nodes())
 
     def record_head(
-        self, server: BackendServer, request: str, head: AnswerHead
+        self, server: BackendServer, request: str, head: LimitedAnswer
     ) -> None:
         """Records whether the head of a response names a limit."""
         self._sync.record_head(server, request, head)
--- a/src/savorylift/limits/limit_sync.py
+++ b/src/savorylift/limits/limit_sync.py
@@ -2,12 +2,12 @@
 
 import time
 from collections.abc import Callable, Iterable
+from typing import Protocol
 
 import structlog
 
-from savorylift.backends.named_limits import NamedLimits
+from savorylift.backends.named_limits import NamedLimit, NamedLimits
 from savorylift.backends.registry import BackendServer
-from savorylift.exchange.request import AnswerHead
 from savorylift.fleet.limit_messages import LimitNews, LimitReport
 from savorylift.limits.permit_client import SendLimitMessage
 from savorylift.limits.permit_issuer import PermitIssuer
@@ -19,6 +19,30 @@
 _log = structlog.get_logger()
 
 
+class LimitedAnswer(Protocol):
+    """The head of a server's answer, as far as limits depend on it."""
+
+    @property
+    def status(self) -> int:
+        """Status code."""
+        ...
+
+    @property
+    def matches_request(self) -> bool:
+        """Whether it responds to the request that was sent."""
+        ...
+
+    @property
+    def is_not_run(self) -> bool:
+        """Whether the server declares that it did not run the request."""
+        ...
+
+    @property
+    def named_limit(self) -> NamedLimit | None:
+        """Limit on its requests that the server names, if any."""
+        ...
+
+
 class LimitSync:
     """Limits from this node's responses and from the news of other nodes.
 
@@ -55,7 +79,7 @@
         self.limits = NamedLimits()
 
     def record_head(
-        self, server: BackendServer, request: str, head: AnswerHead
+        self, server: BackendServer, request: str, head: LimitedAnswer
     ) -> None:
         """Records whether the head of a response names a limit."""
         if head.status == MISDIRECTED_STATUS:
--- a/src/savorylift/limits/process_lookup.py
+++ b/src/savorylift/limits/process_lookup.py
@@ -13,7 +13,7 @@
 
 from savorylift.backends.server import ServerEntry
 from savorylift.boot_clock import boot_time_s
-from savorylift.exchange import metrics
+from savorylift.limits import metrics
 from savorylift.limits.permit_issuer import PermitIssuer
 
 # A caller waits for the rest of its stream meanwhile.
--- a/src/savorylift/platform/codec.py
+++ b/src/savorylift/platform/codec.py
@@ -7,6 +7,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from savorylift.backends.named_limits import NamedLimit
 from savorylift.exchange.codec import CallerStream, OutgoingRequest
 from savorylift.exchange.events import NumberedEventReader
 from savorylift.exchange.request import (
@@ -15,7 +16,6 @@
     ForwardingOptions,
     Generation,
     KvCopy,
-    NamedLimit,
 )
 from savorylift.exchange.results import Refused
 from savorylift.exchange.server_notice import ServerNotice
--- a/tests/backends/test_named_limits.py
+++ b/tests/backends/test_named_limits.py
@@ -10,9 +10,9 @@
     ENDED_REPORT_S,
     MAX_REPORTS,
     RETENTION_S,
+    NamedLimit,
     NamedLimits,
 )
-from savorylift.exchange.request import NamedLimit
 from savorylift.fleet.limit_messages import LimitReport
 from tests.exchange.factories import make_server_entry
 
--- a/tests/limits/test_limit_gate.py
+++ b/tests/limits/test_limit_gate.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from savorylift.exchange.request import AnswerHead, NamedLimit
-from savorylift.exchange.return_times import MAX_RETURN_S
+from savorylift.backends.named_limits import NamedLimit
+from savorylift.exchange.request import AnswerHead
 from savorylift.fleet.membership import Membership
 from savorylift.fleet.state import (
     LimitMessage,
@@ -18,6 +18,7 @@
 )
 from savorylift.limits.limit_gate import LimitGate
 from savorylift.limits.permit_issuer import START_HOLD_S, PermitIssuer
+from savorylift.limits.return_times import MAX_RETURN_S
 from savorylift.rendezvous import rank
 from tests.exchange.factories import make_process_lookup, make_server
 from tests.fleet.test_membership import state
--- a/tests/platform/test_codec.py
+++ b/tests/platform/test_codec.py
@@ -3,10 +3,10 @@
 import pytest
 from returns.pipeline import is_successful
 
+from savorylift.backends.named_limits import NamedLimit
 from savorylift.exchange.request import (
     ForwardingOptions,
     KvCopy,
-    NamedLimit,
 )
 from savorylift.platform.codec import (
     decode_answer_head,
