Join what ends requests early and what chooses engines

Cause: plain calls, runs and waits ended their time limits by the same lines, and two choices of an engine differed only in the function that chooses.

No behaviour changes.

Result: tests/exchange and four files of tests/front (deadly and crashing requests, drain notice, leaving servers): 464 passed.

--- a/src/savorylift/exchange/engine_queue.py
+++ b/src/savorylift/exchange/engine_queue.py
@@ -14,6 +14,7 @@
 from savorylift.exchange.room_placement import RoomPlacement, RoomResult
 from savorylift.exchange.run import Run
 from savorylift.exchange.server_pool import ServerPool
+from savorylift.exchange.time_limit import end_now
 from savorylift.exchange.wish import (
     Wish,
     first_event_objective_s,
@@ -275,8 +276,8 @@
         for run, limit in self._waits.items():
             if run.admitted.service.name != service:
                 continue
-            if not limit.expired() and self._pool.are_all_leaving(run.admitted):
-                limit.reschedule(time.monotonic())
+            if self._pool.are_all_leaving(run.admitted):
+                end_now(limit)
 
 
 def _is_taken_up(run: Run) -> bool:
--- a/src/savorylift/exchange/open_call.py
+++ b/src/savorylift/exchange/open_call.py
@@ -5,6 +5,7 @@
 from savorylift.exchange.admission import AdmittedRequest
 from savorylift.exchange.request_traits import find_traits
 from savorylift.exchange.results import Refused
+from savorylift.exchange.time_limit import end_now
 
 
 class OpenCall:
@@ -37,9 +38,5 @@
 
     def stop(self, refusal: Refused | None) -> None:
         """Ends the serving of the call now, if there is a refusal."""
-        if refusal is None or self.time_limit is None:
-            return
-        if self.time_limit.expired():
-            return
-        self.refusal = self.end_quarantined(refusal)
-        self.time_limit.reschedule(asyncio.get_running_loop().time())
+        if refusal is not None and end_now(self.time_limit):
+            self.refusal = self.end_quarantined(refusal)
--- a/src/savorylift/exchange/run.py
+++ b/src/savorylift/exchange/run.py
@@ -11,6 +11,7 @@
 from savorylift.exchange.request import KvCopy
 from savorylift.exchange.request_traits import find_traits
 from savorylift.exchange.results import Obstacle, Refused
+from savorylift.exchange.time_limit import end_now
 from savorylift.speeds.stream_pace import StreamPace
 from savorylift.wire.channel import Channel
 from savorylift.wire.client_call import ClientCall
@@ -202,12 +203,8 @@
 
     def stop(self, refusal: Refused | None) -> None:
         """Ends the serving of the request now, if there is a refusal."""
-        if refusal is None or self.time_limit is None:
-            return
-        if self.time_limit.expired():
-            return
-        self.refusal = refusal
-        self.time_limit.reschedule(asyncio.get_running_loop().time())
+        if refusal is not None and end_now(self.time_limit):
+            self.refusal = refusal
 
     def mark_assigned(self, prefill_tokens: int) -> None:
         """Records that the queue assigned an engine to the run.
--- a/src/savorylift/exchange/server_choice.py
+++ b/src/savorylift/exchange/server_choice.py
@@ -2,7 +2,7 @@
 
 import random
 import time
-from collections.abc import Collection, Iterator, Mapping
+from collections.abc import Callable, Collection, Iterator, Mapping
 
 from savorylift.backends.load import Load, LoadTracker, add_loads
 from savorylift.backends.registry import BackendServer, Registry
@@ -22,6 +22,12 @@
 from savorylift.routing.configuration import EngineTraits
 from savorylift.speeds.speed_book import SpeedBook
 
+# Chooses one of some engines, given all loads.
+EngineChooser = Callable[
+    [Iterator[BackendServer], Mapping[str, Load], EngineOptions, random.Random],
+    BackendServer | None,
+]
+
 
 class ServerChoice:
     """Chooses servers; takes no place there."""
@@ -87,10 +93,7 @@
         excluded: Collection[str],
     ) -> BackendServer | None:
         """Returns an engine with room."""
-        loads = self.loads()
-        candidates = self._eligible_servers(admitted, excluded, loads)
-        options = options._replace(slowdown=self._speeds.slowdown)
-        return choose_engine(candidates, loads, options, self._rng)
+        return self._find_engine(choose_engine, admitted, options, excluded)
 
     def find_least_loaded_engine(
         self,
@@ -99,10 +102,9 @@
         tried: Collection[str],
     ) -> BackendServer | None:
         """Returns the engine with the most room, even if it is not enough."""
-        loads = self.loads()
-        candidates = self._eligible_servers(admitted, tried, loads)
-        options = options._replace(slowdown=self._speeds.slowdown)
-        return choose_least_loaded_engine(candidates, loads, options, self._rng)
+        return self._find_engine(
+            choose_least_loaded_engine, admitted, options, tried
+        )
 
     def has_engine_with_room(
         self,
@@ -166,6 +168,19 @@
             if self._limit_gate.is_limited(server.entry)
         }
 
+    def _find_engine(
+        self,
+        choose: EngineChooser,
+        admitted: AdmittedRequest,
+        options: EngineOptions,
+        excluded: Collection[str],
+    ) -> BackendServer | None:
+        """Chooses an engine by the loads and speeds that are known now."""
+        loads = self.loads()
+        candidates = self._eligible_servers(admitted, excluded, loads)
+        options = options._replace(slowdown=self._speeds.slowdown)
+        return choose(candidates, loads, options, self._rng)
+
     def _eligible_servers(
         self,
         admitted: AdmittedRequest,
