Split the making of a node's parts and the search for a culprit

Change: a function for each part that takes many arguments, one that counts the suspects. No behaviour changes.

--- a/src/savorylift/backends/culprit.py
+++ b/src/savorylift/backends/culprit.py
@@ -56,16 +56,7 @@
         past_traits: Traits that were quarantined, or suspected, before.
         now_s: Monotonic time.
     """
-
-    def counts_since_s(trait: str) -> float:
-        window_s = REQUEST_WINDOW_S if is_request(trait) else PART_WINDOW_S
-        return max(sound.time_s(trait), now_s - window_s)
-
-    counts = {
-        trait: count
-        for trait, count in count_by_trait(crashes, counts_since_s).items()
-        if count >= _crashes_needed(trait, sound, past_traits)
-    }
+    counts = _count_suspects(crashes, sound, past_traits, now_s)
     if not counts:
         return None
     requests = [traits for crash in crashes for traits in crash.requests]
@@ -84,6 +75,25 @@
     return Culprit(frozenset({general}), frozenset(common))
 
 
+def _count_suspects(
+    crashes: Sequence[Crash],
+    sound: SoundTraits,
+    past_traits: Container[str],
+    now_s: float,
+) -> dict[str, int]:
+    """Returns the crashes of each trait that has enough of them."""
+
+    def counts_since_s(trait: str) -> float:
+        window_s = REQUEST_WINDOW_S if is_request(trait) else PART_WINDOW_S
+        return max(sound.time_s(trait), now_s - window_s)
+
+    return {
+        trait: count
+        for trait, count in count_by_trait(crashes, counts_since_s).items()
+        if count >= _crashes_needed(trait, sound, past_traits)
+    }
+
+
 def _keep_common_to_all(
     common: set[str], first: str, crashes: Iterable[Crash], now_s: float
 ) -> None:
--- a/src/savorylift/front/room_parts.py
+++ b/src/savorylift/front/room_parts.py
@@ -56,30 +56,10 @@
         get_prefill_per_s: Returns the prompt tokens that an engine prefills
             each second.
     """
-    membership, pool, own_ip = (
-        shared.membership,
-        servers.pool,
-        shared.identity.ip,
-    )
-    choice = KeeperChoice(
-        own_ip,
-        membership,
-        lambda: shared.lifecycle.is_leaving,
-        is_enabled=shared.settings.room_keeper,
-    )
-
-    def find_engines(name: str) -> Engines | None:
-        service = shared.find_service(name)
-        if service is None or service.engine is None:
-            return None
-        return Engines(
-            pool.kept.find(name),
-            service.engine,
-            membership.loads(time.monotonic()),
-            shared.settings.regions,
-            get_prefill_per_s(),
-            pool.speeds.slowdown,
-        )
+    membership, pool = shared.membership, servers.pool
+    own_ip = shared.identity.ip
+    choice = _make_keeper_choice(shared)
+    find_engines = _make_engine_finder(shared, servers, get_prefill_per_s)
 
     def send(message: RoomMessage, ip: str) -> None:
         if ip == own_ip:
@@ -103,3 +83,36 @@
     client = RoomClient(choice, send, shared.rng)
     parts = RoomParts(keeper, client, groups, choice, find_engines)
     return parts
+
+
+def _make_keeper_choice(shared: SharedParts) -> KeeperChoice:
+    return KeeperChoice(
+        shared.identity.ip,
+        shared.membership,
+        lambda: shared.lifecycle.is_leaving,
+        is_enabled=shared.settings.room_keeper,
+    )
+
+
+def _make_engine_finder(
+    shared: SharedParts,
+    servers: ServerParts,
+    get_prefill_per_s: Callable[[], float],
+) -> Callable[[str], Engines | None]:
+    """Returns what finds the engines of a service by its name."""
+    membership, pool = shared.membership, servers.pool
+
+    def find_engines(name: str) -> Engines | None:
+        service = shared.find_service(name)
+        if service is None or service.engine is None:
+            return None
+        return Engines(
+            pool.kept.find(name),
+            service.engine,
+            membership.loads(time.monotonic()),
+            shared.settings.regions,
+            get_prefill_per_s(),
+            pool.speeds.slowdown,
+        )
+
+    return find_engines
--- a/src/savorylift/front/store_parts.py
+++ b/src/savorylift/front/store_parts.py
@@ -94,15 +94,7 @@
     load_poller = shared.interface.make_load_poller(
         shared.store_view.registry, generations.on_change
     )
-    version_recorder = VersionRecorder(
-        shared.store,
-        servers.version_history,
-        lambda name: shared.find_service(name) is not None,
-        role.was_reader,
-        shared.store_era,
-        VERSIONS_HEARING_S if shared.membership.addresses else 0.0,
-        role.was_first,
-    )
+    version_recorder = _make_version_recorder(shared, servers, role)
     registration = Registration(
         shared.store,
         shared.membership,
@@ -115,6 +107,20 @@
     )
 
 
+def _make_version_recorder(
+    shared: SharedParts, servers: ServerParts, role: ReaderRole
+) -> VersionRecorder:
+    return VersionRecorder(
+        shared.store,
+        servers.version_history,
+        lambda name: shared.find_service(name) is not None,
+        role.was_reader,
+        shared.store_era,
+        VERSIONS_HEARING_S if shared.membership.addresses else 0.0,
+        role.was_first,
+    )
+
+
 def _make_read_policy(
     shared: SharedParts, transport: PeerTransport, role: ReaderRole
 ) -> ReadPolicy:
--- a/src/savorylift/front/stream_parts.py
+++ b/src/savorylift/front/stream_parts.py
@@ -53,27 +53,10 @@
     shared: SharedParts, servers: ServerParts, transport: PeerTransport
 ) -> StreamParts:
     """Creates the parts; opens no connection."""
-    membership, identity = shared.membership, shared.identity
-    origins = StreamOrigins(identity.ip, transport.send_message, shared.rng)
-    origin_log = OriginLog(
-        identity.vm,
-        shared.store,
-        origins,
-        servers.version_history,
-        lambda: membership.count_live_nodes(time.monotonic()),
-        shared.store_era,
-    )
-    server_news = ServerNews(
-        Home(identity.ip, identity.failure_domain),
-        membership,
-        shared.store_view.registry,
-        servers.recorder,
-        servers.pool,
-        servers.reach,
-        origins,
-        servers.version_history,
-        servers.witness,
-    )
+    own_ip = shared.identity.ip
+    origins = StreamOrigins(own_ip, transport.send_message, shared.rng)
+    origin_log = _make_origin_log(shared, servers, origins)
+    server_news = _make_server_news(shared, servers, origins)
     resumption = StreamResumption(
         origins,
         origin_log,
@@ -102,3 +85,34 @@
     return StreamParts(
         origins, origin_log, server_news, mover, generations, rooms, moves
     )
+
+
+def _make_origin_log(
+    shared: SharedParts, servers: ServerParts, origins: StreamOrigins
+) -> OriginLog:
+    membership = shared.membership
+    return OriginLog(
+        shared.identity.vm,
+        shared.store,
+        origins,
+        servers.version_history,
+        lambda: membership.count_live_nodes(time.monotonic()),
+        shared.store_era,
+    )
+
+
+def _make_server_news(
+    shared: SharedParts, servers: ServerParts, origins: StreamOrigins
+) -> ServerNews:
+    identity = shared.identity
+    return ServerNews(
+        Home(identity.ip, identity.failure_domain),
+        shared.membership,
+        shared.store_view.registry,
+        servers.recorder,
+        servers.pool,
+        servers.reach,
+        origins,
+        servers.version_history,
+        servers.witness,
+    )
