Believe no first connection where servers name versions

Cause: while no connection to a server that can't say who it is was kept, its first one counted as one to the process of its entry.

Change: that belief, own or told by another node, counts only in services whose servers name no versions. Elsewhere a process is known once an entry written since a node connected to it shows it (about a second and a heartbeat; ten seconds without heartbeats), or another node that knows. To hold the price down, a process that is shown to live proves where a stream of its time began, as one that names its start does.

Tests: two fleets that stream at once now write heartbeats, as servers do; without any, nothing tells such a server from one that was replaced before, and both passed only by the belief. Their bounds stay. The test of what another node knows now tells a shown process; one for a mere belief is added, which must not count.

--- a/src/savorylift/exchange/origin_finder.py
+++ b/src/savorylift/exchange/origin_finder.py
@@ -141,7 +141,7 @@
             is_probe=False,
             since_s=boot_time_s() - process.age_s,
         )
-        if report.life is not Life.SAME:
+        if report.life not in (Life.SAME, Life.SHOWN):
             return origin
         return origin._replace(software_version=server.entry.software_version)
 
--- a/src/savorylift/fleet/version_history.py
+++ b/src/savorylift/fleet/version_history.py
@@ -225,6 +225,10 @@
             return version
         return None
 
+    def has_versions(self, service: str) -> bool:
+        """Whether servers of a service have named versions lately, or may."""
+        return self.sole_version(service) != UNNAMED_VERSION
+
     def only_version(self, service: str) -> str | None:
         """Returns the one version that a service is known to have had lately.
 
--- a/src/savorylift/front/server_parts.py
+++ b/src/savorylift/front/server_parts.py
@@ -101,9 +101,7 @@
     version_history = VersionHistory()
     witness = ProcessWitness(
         shared.store_view.registry.find_entry,
-        lambda service: (
-            service in version_history.restarted_services(time.monotonic())
-        ),
+        version_history.has_versions,
         transport.send_soon,
     )
     life = ServerLife(
--- a/src/savorylift/processes/process_witness.py
+++ b/src/savorylift/processes/process_witness.py
@@ -46,27 +46,28 @@
 class ProcessWitness:
     """Keeps one connection to each server that can't say which process it is.
 
-    The first connection counts as one to the process of the server's entry
-    unless servers of its service have started again lately, or another node
-    knows that this process may have ended.
+    Another process may have taken the place of that of the server's entry
+    before the first connection. So that one counts as one to the process of the
+    entry only where servers name no versions, unless another node knows that
+    this process may have ended.
     """
 
     def __init__(
         self,
         find_entry: Callable[[str], ServerEntry | None],
-        has_restarted: Callable[[str], bool],
+        has_versions: Callable[[str], bool],
         on_end: Callable[[], object],
     ) -> None:
         """Keeps no connection yet.
 
         Args:
             find_entry: Returns the newest entry of a server by its ID.
-            has_restarted: Returns whether a server of a service has started
-                again lately.
+            has_versions: Returns whether servers of a service may name
+                versions.
             on_end: Called when a process may have ended that was known.
         """
         self._find_entry = find_entry
-        self._has_restarted = has_restarted
+        self._has_versions = has_versions
         self._on_end = on_end
         # By the ID of the server.
         self._keepers: dict[str, ProcessConnection] = {}
@@ -162,12 +163,21 @@
         until_s = min(
             time.monotonic() + max_wait_s, keeper.opened_s + MAX_NEWS_WAIT_S
         )
-        while not keeper.shows(entry.started_ms):
+        while not self._is_known(keeper, entry):
             if time.monotonic() >= until_s or not keeper.is_open:
                 return Proof.NONE
             await asyncio.sleep(POLL_S)
         return Proof.SHOWN if keeper.is_shown else Proof.BELIEVED
 
+    def _is_known(self, keeper: ProcessConnection, entry: ServerEntry) -> bool:
+        """Whether the process of an entry lives, as far as that must be shown.
+
+        Nodes of an earlier build tell what they only believe.
+        """
+        return keeper.shows(entry.started_ms) and (
+            keeper.is_shown or not self._has_versions(entry.service)
+        )
+
     def _keeper(self, entry: ServerEntry) -> ProcessConnection:
         keeper = self._keepers.get(entry.server_id)
         if keeper is None or keeper.is_done or not keeper.is_at(entry.address):
@@ -190,7 +200,7 @@
         ended = self._ended.get(entry.server_id)
         if ended is not None and ended.started_ms == entry.started_ms:
             return False
-        return not self._has_restarted(entry.service)
+        return not self._has_versions(entry.service)
 
     def _end(self, server_id: str, started_ms: int) -> None:
         self._record_end(server_id, started_ms, is_own=True)
--- a/tests/exchange/test_stream_resumption.py
+++ b/tests/exchange/test_stream_resumption.py
@@ -3,18 +3,18 @@
 import asyncio
 import random
 from types import SimpleNamespace
-from typing import Any
+from typing import Any, cast
 
 import pytest
 from returns.pipeline import is_successful
 
 from savorylift.boot_clock import boot_time_s
 from savorylift.exchange.admission import AdmittedRequest
-from savorylift.exchange.origin_finder import MAX_START_WAIT_S
+from savorylift.exchange.origin_finder import MAX_START_WAIT_S, OriginFinder
 from savorylift.exchange.results import Doubt
-from savorylift.exchange.stream_beginnings import StreamBeginnings
+from savorylift.exchange.stream_beginnings import StreamBeginnings, process_of
 from savorylift.exchange.stream_resumption import StreamResumption
-from savorylift.fleet.state import StreamOrigin
+from savorylift.fleet.state import UNKNOWN_VERSION, StreamOrigin
 from savorylift.fleet.version_history import VersionHistory
 from savorylift.processes import life_report
 from savorylift.processes.life_report import LifeReport
@@ -140,3 +140,49 @@
         assert took_s <= 2 * WITNESS_REPLY_S
 
     run_in_virtual_time(monkeypatch, scenario)
+
+
+@pytest.mark.parametrize(
+    ("life", "version"),
+    [
+        (life_report.Life.SAME, "v1"),
+        (life_report.Life.SHOWN, "v1"),
+        (life_report.Life.UNSHOWN, UNKNOWN_VERSION),
+        (life_report.Life.NO_REPORT, UNKNOWN_VERSION),
+    ],
+)
+def test_process_that_lives_shows_where_a_stream_of_its_time_began(
+    life: life_report.Life, version: str
+) -> None:
+    """Servers that can't say who they are proved nothing."""
+
+    async def scenario() -> None:
+        server = make_server()
+        entry = server.entry._replace(started_ms=1, software_version="v1")
+        server = server._replace(entry=entry)
+        origin = StreamOrigin(
+            "s1", "s", UNKNOWN_VERSION, 60.0, process=process_of(entry)
+        )
+
+        async def check(*_: object, **__: object) -> LifeReport:
+            return LifeReport(life)
+
+        async def find(_: str) -> StreamOrigin:
+            return origin
+
+        async def find_none(_: str) -> None:
+            return None
+
+        finder = OriginFinder(
+            cast("Any", SimpleNamespace(find=find)),
+            cast("Any", SimpleNamespace(find=find_none)),
+            VersionHistory(),
+            cast("Any", SimpleNamespace(check=check)),
+            cast("Any", SimpleNamespace(find_server=lambda _: server)),
+            random.Random(1),
+        )
+        found = await finder.find(take_up())
+        assert found is not None
+        assert found.software_version == version
+
+    asyncio.run(scenario())
--- a/tests/fleet/test_version_history.py
+++ b/tests/fleet/test_version_history.py
@@ -21,6 +21,16 @@
     assert history.only_version("s") is None
 
 
+def test_service_has_versions_unless_its_servers_name_none() -> None:
+    history = VersionHistory()
+    assert history.has_versions("s")
+    unnamed = V1._replace(software_version="")
+    history.observe([unnamed], 0.0)
+    assert not history.has_versions("s")
+    history.observe([unnamed, V2], 1.0)
+    assert history.has_versions("s")
+
+
 def test_replaced_version_counts_until_no_caller_may_resume() -> None:
     history = VersionHistory()
     history.observe([V1], 0.0)
--- a/tests/front/test_reborn_servers.py
+++ b/tests/front/test_reborn_servers.py
@@ -217,8 +217,9 @@
         for server in fleet.pool:
             server.has_report = False
             server.event_interval_s = SLOW_EVENT_INTERVAL_S
-        parts = await fleet.broken_streams(STREAMS)
-        rests = await fleet.take_up_all(1, parts)
+        async with fleet.heartbeats(fleet.pool):
+            parts = await fleet.broken_streams(STREAMS)
+            rests = await fleet.take_up_all(1, parts)
         assert mixed(*join(parts, rests)) == []
         # The users' bound is that half as many go on as begin.
         assert sum(bool(rest.versions) for rest in rests) >= STREAMS / 2
--- a/tests/front/test_unreported_servers.py
+++ b/tests/front/test_unreported_servers.py
@@ -71,14 +71,15 @@
 
     async def scenario(fleet: VersionFleet) -> None:
         set_up(fleet, 404)
-        await broken_streams(fleet, "b")
-        set_pace(fleet, SLOW_EVENT_INTERVAL_S)
-        server = fleet.pool[0]
-        await start_again(server, "v2")
-        await asyncio.sleep(READ_S)
-        parts = await broken_streams(fleet, "a")
-        set_pace(fleet, EVENT_INTERVAL_S)
-        await asyncio.sleep(DELIVERY_S)
+        server, *others = fleet.pool
+        async with fleet.heartbeats(others):
+            await broken_streams(fleet, "b")
+            set_pace(fleet, SLOW_EVENT_INTERVAL_S)
+            await start_again(server, "v2")
+            await asyncio.sleep(READ_S)
+            parts = await broken_streams(fleet, "a")
+            set_pace(fleet, EVENT_INTERVAL_S)
+            await asyncio.sleep(DELIVERY_S)
         fleet.publish_entry(server, "pool")
         await asyncio.sleep(READ_S)
         events = [part.versions for part in parts]
--- a/tests/front/version_fleet.py
+++ b/tests/front/version_fleet.py
@@ -4,7 +4,9 @@
 """
 
 import asyncio
+import contextlib
 import pathlib
+from collections.abc import AsyncIterator, Sequence
 from typing import NamedTuple
 
 from savorylift.front.settings import FrontSettings
@@ -18,6 +20,7 @@
 )
 from tests.front.process_fleet import ProcessFleet
 from tests.front.stream_callers import Call, FreshCaller, StreamCaller
+from tests.standins.platform_server import PlatformServer
 from tests.standins.platform_store import PlatformStore
 
 ENGINES = 4
@@ -26,6 +29,8 @@
 STREAM_TIMEOUT_S = 8.0
 PATH = "/resumable/x"
 POLL_INTERVAL_S = 0.05
+# Time between two entries of an engine.
+HEARTBEAT_S = 1.2
 SOURCE_VARIABLE = "PYTHONPATH"
 
 
@@ -80,6 +85,29 @@
         for server, version in zip(self.pool, versions, strict=True):
             server.software_version = version
 
+    @contextlib.asynccontextmanager
+    async def heartbeats(
+        self, servers: Sequence[PlatformServer]
+    ) -> AsyncIterator[None]:
+        """Lets engines write their entries regularly, each at its moment."""
+
+        async def write(number: int, server: PlatformServer) -> None:
+            await asyncio.sleep(number * HEARTBEAT_S / len(servers))
+            while True:
+                self.publish_entry(server, "pool")
+                await asyncio.sleep(HEARTBEAT_S)
+
+        async with asyncio.TaskGroup() as group:
+            tasks = [
+                group.create_task(write(number, server))
+                for number, server in enumerate(servers)
+            ]
+            try:
+                yield
+            finally:
+                for task in tasks:
+                    task.cancel()
+
     async def stream(
         self,
         node: int,
--- a/tests/processes/test_process_witness.py
+++ b/tests/processes/test_process_witness.py
@@ -25,12 +25,12 @@
 class Place:
     """An address with at most one process, and its entry."""
 
-    def __init__(self, *, has_restarted: bool) -> None:
+    def __init__(self, *, has_versions: bool) -> None:
         self.entry = make_server_entry("i-1")._replace(started_ms=1, sequence=1)
         self.opened = 0
         self.ends = 0
         self.witness = ProcessWitness(
-            lambda _: self.entry, lambda _: has_restarted, self._count_end
+            lambda _: self.entry, lambda _: has_versions, self._count_end
         )
         self._listener: asyncio.Server | None = None
         self._writers: list[asyncio.StreamWriter] = []
@@ -76,7 +76,7 @@
     scenario: Callable[[Place], Awaitable[None]],
     monkeypatch: pytest.MonkeyPatch,
     *,
-    has_restarted: bool = False,
+    has_versions: bool = False,
 ) -> None:
     monkeypatch.setattr(process_connection, "DELIVERY_S", DELIVERY_S)
     monkeypatch.setattr(process_connection, "LOOK_INTERVAL_S", 0.05)
@@ -90,21 +90,21 @@
     )
 
     async def main() -> None:
-        place = Place(has_restarted=has_restarted)
+        place = Place(has_versions=has_versions)
         await place.start()
         await scenario(place)
 
     asyncio.run(main())
 
 
-@pytest.mark.parametrize("has_restarted", [False, True])
-def test_first_process_counts_unless_servers_have_restarted_lately(
-    monkeypatch: pytest.MonkeyPatch, *, has_restarted: bool
+@pytest.mark.parametrize("has_versions", [False, True])
+def test_first_process_counts_unless_servers_name_versions(
+    monkeypatch: pytest.MonkeyPatch, *, has_versions: bool
 ) -> None:
     async def scenario(place: Place) -> None:
-        assert await place.shows() is not has_restarted
+        assert await place.shows() is not has_versions
 
-    run(scenario, monkeypatch, has_restarted=has_restarted)
+    run(scenario, monkeypatch, has_versions=has_versions)
 
 
 def test_process_that_follows_is_not_that_of_the_entry(
@@ -135,7 +135,7 @@
         assert await place.shows()
         assert await place.shows(earlier) is (changes[0] == 1)
 
-    run(scenario, monkeypatch, has_restarted=True)
+    run(scenario, monkeypatch, has_versions=True)
 
 
 def test_entry_that_may_have_been_written_before_shows_nothing(
@@ -149,7 +149,7 @@
         await asyncio.sleep(MAX_ENTRY_DELAY_S)
         assert await place.shows()
 
-    run(scenario, monkeypatch, has_restarted=True)
+    run(scenario, monkeypatch, has_versions=True)
 
 
 def test_connection_to_an_earlier_process_is_not_held(
@@ -188,7 +188,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def scenario(place: Place) -> None:
-        news = [WitnessedProcess("i-1", 1, lives=True)]
+        news = [WitnessedProcess("i-1", 1, lives=True, is_shown=True)]
         assert not await place.shows()
         place.witness.merge(news)
         assert not await place.shows()
@@ -197,7 +197,25 @@
         assert await place.shows()
         assert place.witness.news() == tuple(news)
 
-    run(scenario, monkeypatch, has_restarted=True)
+    run(scenario, monkeypatch, has_versions=True)
+
+
+@pytest.mark.parametrize("has_versions", [False, True])
+def test_belief_of_another_node_counts_only_where_no_versions_are_named(
+    monkeypatch: pytest.MonkeyPatch, *, has_versions: bool
+) -> None:
+    """Another process may have taken its place before that node connected."""
+
+    async def scenario(place: Place) -> None:
+        believed = WitnessedProcess("i-1", 1, lives=True)
+        await place.shows()
+        await asyncio.sleep(NEWS_DELAY_S)
+        place.witness.merge([believed])
+        assert await place.shows() is not has_versions
+        place.witness.merge([believed._replace(is_shown=True)])
+        assert await place.shows()
+
+    run(scenario, monkeypatch, has_versions=has_versions)
 
 
 def test_process_that_may_have_ended_as_another_node_says_is_not_trusted(
