Let take-ups at limited servers wait for the question that is due

Cause: the process of a limited server is asked about once a second, after a permit. A take-up that came just after a question waited 1.2 s for the next and gave up as this one was being sent (traced: a few to 50 ms before its answer), waited for another server's, and its route's 2 s ended with events missing, so that its caller returned once more. Polls for draining, which begin where the store sends nothing for 0.7 s, took permits just before these questions, and asked for the same report (10 of 19 reports in a traced run).

Change: a take-up waits 1.5 s for that, room for a question a second, its permit and its answer. What a poll for draining hears of the start counts as the answer to a question that was due. Logs of permits moved to permit_log.py.

--- a/src/savorylift/exchange/drain_poller.py
+++ b/src/savorylift/exchange/drain_poller.py
@@ -11,6 +11,7 @@
 
 from savorylift.backends.registry import BackendServer, Registry
 from savorylift.beat import wait_for_beat
+from savorylift.boot_clock import boot_time_s
 from savorylift.exchange.notice_recorder import NoticeRecorder, NoticeSource
 from savorylift.limits.limit_gate import LimitGate
 from savorylift.platform.engine_client import read_notice
@@ -122,8 +123,14 @@
         )
         if permit is None:
             return
+        asked_s = boot_time_s()
+        # Streams that wait to know the process need no question of their own.
         notice = await read_notice(
-            server.entry.address, timeout_s=REPORT_TIMEOUT_S
+            server.entry.address,
+            timeout_s=REPORT_TIMEOUT_S,
+            on_start=lambda started_ms: self._limit_gate.record_start(
+                server, asked_s, started_ms
+            ),
         )
         if self._notices.record(server, notice, NoticeSource.CHECK):
             self._on_change()
--- a/src/savorylift/exchange/server_opener.py
+++ b/src/savorylift/exchange/server_opener.py
@@ -22,8 +22,10 @@
 # Many round trips: a reachable server accepts within a few milliseconds.
 CONNECT_TIMEOUT_S = 0.2
 # How long a stream that goes on waits until the process of a limited server is
-# known: callers abandon it after a pause of two seconds.
-MAX_QUESTION_WAIT_S = 1.2
+# known: for a question a second, its permit and its answer. Another server
+# would have to be asked, too, and callers abandon it after a pause of two
+# seconds.
+MAX_QUESTION_WAIT_S = 1.5
 # The same, then, for its permit: longer than streams that begin wait.
 MAX_PERMIT_WAIT_S = 1.0
 OBSTACLES = {
--- a/src/savorylift/limits/limit_gate.py
+++ b/src/savorylift/limits/limit_gate.py
@@ -19,7 +19,6 @@
 from savorylift.fleet.state import (
     LimitMessage,
     LimitNews,
-    LimitReport,
     PermitRequest,
 )
 from savorylift.limits.closed_limits import MIN_CLOSED_S, ClosedLimits
@@ -31,6 +30,7 @@
     PermitDecision,
     PermitIssuer,
 )
+from savorylift.limits.permit_log import find_outcome, log_decision
 from savorylift.limits.process_lookup import ProcessLookup
 
 # A permit must be used within this time.
@@ -138,11 +138,11 @@
             issuer_ip, report, limit, max_wait_s, is_probe=is_probe
         )
         took_s = boot_time_s() - asked_s
-        outcome = _outcome(decision)
+        outcome = find_outcome(decision)
         if decision is None and not is_probe:
             decision = self._take_turn(entry.server_id, limit)
             outcome = "own_turn" if decision else outcome
-        _log_decision(request, issuer_ip, report, outcome, decision, took_s)
+        log_decision(request, issuer_ip, report, outcome, decision, took_s)
         if decision is None or not decision.is_granted:
             if not is_probe:
                 self._closed.close(entry.server_id, decision, max_wait_s)
@@ -196,6 +196,19 @@
                 return None
             await asyncio.sleep(wait_s)
 
+    def record_start(
+        self, server: BackendServer, asked_s: float, started_ms: int
+    ) -> None:
+        """Records what a server has answered another question of this node.
+
+        Args:
+            server: The server.
+            asked_s: Boot time before the question was sent.
+            started_ms: The start that it named, as a `StartReader` says.
+        """
+        if self.is_limited(server.entry):
+            self._processes.record(server.entry.server_id, started_ms, asked_s)
+
     def may_send(self, server: BackendServer, permit: Permit) -> bool:
         """Whether a permit still holds; to be checked just before sending."""
         if permit.expires_s is not None:
@@ -266,31 +279,3 @@
             return None
         self._turn_used_s[server_id] = time.monotonic()
         return PermitDecision(is_granted=True, wait_s=0.0)
-
-
-def _outcome(decision: PermitDecision | None) -> str:
-    if decision is None:
-        return "no_reply"
-    return "granted" if decision.is_granted else "denied"
-
-
-def _log_decision(
-    request: str,
-    issuer_ip: str,
-    report: LimitReport,
-    outcome: str,
-    decision: PermitDecision | None,
-    took_s: float,
-) -> None:
-    metrics.PERMITS.labels(outcome).inc()
-    _log.info(
-        "permit",
-        request=request,
-        server=report.server_id,
-        outcome=outcome,
-        issuer=issuer_ip,
-        wait_ms=decision and round(decision.wait_s * 1000),
-        took_ms=round(took_s * 1000),
-        requests_per_s=report.requests_per_s,
-        limit_age_s=round(report.age_s, 3),
-    )
--- a/src/savorylift/limits/process_lookup.py
+++ b/src/savorylift/limits/process_lookup.py
@@ -144,6 +144,20 @@
         )
         return ProcessAnswer(None, wait_s=decision.wait_s + ANSWER_S)
 
+    def record(
+        self, server_id: str, started_ms: int | None, asked_s: float
+    ) -> None:
+        """Records what a server has answered this node, if it is the newest.
+
+        Args:
+            server_id: The server.
+            started_ms: The start that it named, as a `StartReader` says.
+            asked_s: Boot time before the question was sent.
+        """
+        known = self._known.get(server_id)
+        if known is None or known.asked_s < asked_s:
+            self._known[server_id] = _Known(started_ms, asked_s)
+
     def _is_due(self, server_id: str, per_s: float) -> bool:
         """Whether sound streams have waited long for what requests leave."""
         now_s = boot_time_s()
@@ -167,7 +181,7 @@
                 return
             asked_s = boot_time_s()
             started_ms = await self._read_start(entry.address, REPORT_TIMEOUT_S)
-            self._known[server_id] = _Known(started_ms, asked_s)
+            self.record(server_id, started_ms, asked_s)
             metrics.PROCESS_QUESTIONS.inc()
             _log.info(
                 "process_asked",
--- a/src/savorylift/platform/engine_client.py
+++ b/src/savorylift/platform/engine_client.py
@@ -216,12 +216,24 @@
 
 
 async def read_notice(
-    address: tuple[str, int], *, timeout_s: float
+    address: tuple[str, int],
+    *,
+    timeout_s: float,
+    on_start: Callable[[int], None] | None = None,
 ) -> ServerNotice:
-    """Returns what an engine says of its plans; nothing on errors."""
+    """Returns what an engine says of its plans; nothing on errors.
+
+    Args:
+        address: Address of the engine.
+        timeout_s: Timeout of the whole call.
+        on_start: Called with what `read_start` would return, if it answers.
+    """
     response = await _fetch_report(address, timeout_s)
     if response is None:
         return NO_NOTICE
+    if on_start is not None:
+        has_report = response.status not in NO_REPORT_STATUSES
+        on_start(_start_in(response) if has_report else NO_REPORT)
     notice = decode_notice(_head_of(response))
     report = decode_json(response.body, dict).value_or({})
     if report.get("state") == "draining":
--- a/tests/limits/test_process_lookup.py
+++ b/tests/limits/test_process_lookup.py
@@ -102,6 +102,25 @@
     run(monkeypatch, scenario)
 
 
+def test_answer_to_another_question_holds_for_all_that_wait(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A server that was polled for draining was asked once more."""
+
+    async def scenario(lookup: Lookup) -> None:
+        since_s = boot_time_s()
+        lookup.lookup.record("i-1", 7, since_s - 1.0)
+        lookup.lookup.record("i-1", 6, since_s)
+        lookup.lookup.record("i-1", 5, since_s - 0.5)
+        assert lookup.find(since_s).started_ms == 6
+        assert lookup.asked_s == []
+        await asyncio.sleep(1.0)
+        assert (await lookup.wait(boot_time_s())).started_ms == 5
+        assert len(lookup.asked_s) == 1
+
+    run(monkeypatch, scenario)
+
+
 def test_answer_to_an_earlier_question_shows_no_process(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/tests/platform/test_engine_client.py
+++ b/tests/platform/test_engine_client.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from savorylift.backends.server_start import NO_REPORT
+from savorylift.backends.server_start import NO_REPORT, NO_START
 from savorylift.exchange.server_notice import ServerNotice
 from savorylift.platform.engine_client import read_notice, read_start
 from savorylift.wire.listener import Listener
@@ -73,6 +73,26 @@
     assert notice == expected
 
 
+@pytest.mark.parametrize(
+    ("status", "body", "started_ms"),
+    [(200, b'{"born": 5}', 5), (200, b"{}", NO_START), (404, b"", NO_REPORT)],
+)
+def test_poll_of_an_engine_hears_its_start(
+    status: int, body: bytes, started_ms: int
+) -> None:
+    heard: list[int] = []
+    asyncio.run(
+        ask(
+            lambda address: read_notice(
+                address, timeout_s=1.0, on_start=heard.append
+            ),
+            status,
+            body,
+        )
+    )
+    assert heard == [started_ms]
+
+
 @pytest.mark.parametrize(
     ("status", "body", "said_ms"),
     [(200, b'{"born": 5}', 5), (200, b"{}", None), (404, b"", None)],
