Let the shares of memory and the process fit the VM together

Cause: bodies and connections had a third and a quarter of the memory, whatever the process itself takes (39 MB at rest); below 108 MB all three exceeded it. And glibc kept freed bodies in its heap, with gaps between those that grow side by side. Change: one module names the shares; connections get at most what bodies and the process leave. Blocks of 128 KiB and more keep pages of their own. Nothing changes from 108 MB up but that freed bodies return to the system. The new tests fail before.

--- a/src/savorylift/front/caller_parts.py
+++ b/src/savorylift/front/caller_parts.py
@@ -11,6 +11,7 @@
 from savorylift.fleet.transport_sources import StateBuilder
 from savorylift.front.caller_directory import CallerDirectory
 from savorylift.front.caller_handler import CallerHandler
+from savorylift.front.memory_shares import share_memory
 from savorylift.front.node_relay import NodeRelay
 from savorylift.front.request_handler import (
     RequestHandler,
@@ -26,10 +27,6 @@
 from savorylift.wire.body_budget import BodyBudget
 from savorylift.wire.message import Headers
 
-# The bodies of requests take at most the VM's memory divided by this. Other
-# shares: the program itself, answers, what connections buffer, and gaps between
-# pieces of memory.
-BODY_MEMORY_DIVISOR = 3
 BYTES_PER_MB = 1_000_000
 
 
@@ -81,7 +78,7 @@
 def _make_admission(shared: SharedParts) -> BodyAdmission:
     memory_bytes = shared.settings.memory_mb * BYTES_PER_MB
     budget = BodyBudget(
-        memory_bytes // BODY_MEMORY_DIVISOR,
+        share_memory(memory_bytes).bodies,
         copies=shared.interface.body_copies,
         on_held=metrics.BODIES_HELD.inc,
         on_closed=wire_metrics.UPLOADS_CLOSED.inc,
--- a/src/savorylift/front/connection_shares.py
+++ b/src/savorylift/front/connection_shares.py
@@ -18,9 +18,7 @@
 # That of the directory, the readiness checks and the metrics, each.
 PLATFORM_SHARE = 1 / 32
 MIN_CONNECTIONS = 8
-# Callers' connections may take a quarter of the memory, if each has so much in
-# its buffers.
-MEMORY_DIVISOR = 4
+# What a connection has in its buffers at most.
 CONNECTION_BYTES = 32_768
 # What TLS adds to a connection's buffers: those of its input, of one record and
 # of its output (`wire/tls_buffers.py`).
@@ -52,12 +50,12 @@
 
     Args:
         descriptors: Most descriptors that it may have open.
-        memory_bytes: Its memory.
+        memory_bytes: Memory for the buffers of callers' connections.
         has_tls: Whether callers use TLS.
     """
     sockets = descriptors - min(FILE_DESCRIPTORS, descriptors // 2)
     conn_bytes = CONNECTION_BYTES + (TLS_BYTES if has_tls else 0)
-    fitting = memory_bytes // MEMORY_DIVISOR // conn_bytes
+    fitting = memory_bytes // conn_bytes
     platform = _part(sockets, PLATFORM_SHARE)
     return ConnectionShares(
         min(_part(sockets, CALLERS_SHARE), max(fitting, MIN_CONNECTIONS)),
--- a/src/savorylift/front/listeners.py
+++ b/src/savorylift/front/listeners.py
@@ -7,6 +7,7 @@
     most_descriptors,
     share_connections,
 )
+from savorylift.front.memory_shares import share_memory
 from savorylift.front.operator_handler import operator_handler
 from savorylift.front.peer_handler import peer_connection_handler
 from savorylift.front.shared_parts import SharedParts
@@ -57,7 +58,7 @@
         self._serve_snapshots = serve_snapshots
         self._shares = share_connections(
             most_descriptors(self._settings.descriptors),
-            self._settings.memory_mb * BYTES_PER_MB,
+            share_memory(self._settings.memory_mb * BYTES_PER_MB).connections,
             has_tls=self._settings.caller_tls is not None,
         )
         self._caller_listener = Listener(
--- a/src/savorylift/front/process.py
+++ b/src/savorylift/front/process.py
@@ -6,6 +6,7 @@
 from returns.pipeline import is_successful
 from returns.result import Result
 
+from savorylift.front.large_blocks import keep_large_blocks_apart
 from savorylift.front.log_output import configure_logging
 from savorylift.front.node import FrontNode
 from savorylift.front.reload_signal import ReloadSignal
@@ -33,6 +34,7 @@
             print(fault, file=sys.stderr)
         return EXIT_BAD_INPUT
     settings = result.unwrap()
+    keep_large_blocks_apart()
     configure_logging(settings.vm, settings.log_lines_per_s)
     try:
         asyncio.run(FrontNode(settings, read).run(reload_signal))
--- a/tests/front/test_connection_shares.py
+++ b/tests/front/test_connection_shares.py
@@ -6,6 +6,7 @@
     most_descriptors,
     share_connections,
 )
+from savorylift.front.memory_shares import share_memory
 
 MB = 1_000_000
 # What a node has open beside connections: listeners, logs, its event loop.
@@ -18,13 +19,16 @@
 def test_listeners_leave_descriptors_for_own_connections(
     descriptors: int, memory_mb: int, *, has_tls: bool
 ) -> None:
-    shares = share_connections(descriptors, memory_mb * MB, has_tls=has_tls)
+    memory = share_memory(memory_mb * MB)
+    shares = share_connections(descriptors, memory.connections, has_tls=has_tls)
     assert sum(shares) + OWN_DESCRIPTORS < 0.8 * descriptors
     assert min(shares) >= 8
 
 
 def test_smallest_machine_serves_a_thousand_callers() -> None:
-    assert share_connections(4100, 150 * MB, has_tls=False).callers >= 1000
+    memory = share_memory(150 * MB)
+    shares = share_connections(4100, memory.connections, has_tls=False)
+    assert shares.callers >= 1000
 
 
 def test_setting_lowers_what_the_system_allows() -> None:
