--- a/src/savorylift/limits/permit_log.py
+++ b/src/savorylift/limits/permit_log.py
@@ -2,8 +2,8 @@
 
 import structlog
 
-from savorylift.exchange import metrics
 from savorylift.fleet.state import LimitReport
+from savorylift.limits import metrics
 from savorylift.limits.permit_issuer import PermitDecision
 
 _log = structlog.get_logger()
