Take no call that hangs for an outage that others didn't see

Cause: an outage lasted from the newest reading before the failed call to the first one known after its failure. A call from before the end of an outage that failed after it had the end noted a second time, later.

Change: the readings of others are followed during a call, by the beat's question; it wakes no task. An outage's end isn't counted again.

--- a/src/savorylift/fleet/store_outage.py
+++ b/src/savorylift/fleet/store_outage.py
@@ -26,9 +26,11 @@
         self._others_read_s = others_read_s
         # Time of the newest reading by any node; None without an outage.
         self._since_s: float | None = None
-        # The same, as the last call began.
+        # From which a failure of the call under way counts: the newest reading
+        # as it began, or later as far as others went on reading.
         self._before_s = 0.0
         self._fault_s = 0.0
+        self._is_calling = False
 
     def begin_call(self, now_s: float, own_read_s: float | None) -> None:
         """Notes a call that may fail long after the store was lost, and back.
@@ -41,9 +43,23 @@
         self._before_s = max(
             (read_s for read_s in readings if read_s is not None), default=now_s
         )
+        self._is_calling = True
+
+    def follow(self) -> None:
+        """Notes readings by others during a call; to be called periodically.
+
+        A call that hangs may fail long after it began: only so is it known
+        whether the store answered others all the while.
+        """
+        if not self._is_calling or self._since_s is not None:
+            return
+        read_s = self._others_read_s()
+        if read_s is not None and read_s - self._before_s <= OTHERS_OUTAGE_S:
+            self._before_s = max(self._before_s, read_s)
 
     def begin(self, now_s: float) -> None:
         """Notes that the call failed."""
+        self._is_calling = False
         self._fault_s = now_s
         if self._since_s is None:
             self._since_s = self._before_s
@@ -54,6 +70,7 @@
         Returns:
             Time at which an outage ended; None if none ends now.
         """
+        self._is_calling = False
         ended_s = self.look()
         since_s, self._since_s = self._since_s, None
         if since_s is not None and now_s - since_s > OUTAGE_S:
@@ -73,6 +90,8 @@
         if self._since_s is None or read_s is None or read_s <= self._since_s:
             return None
         gap_s, self._since_s = read_s - self._since_s, read_s
+        # A call that began before doesn't count this time again.
+        self._before_s = max(self._before_s, read_s)
         if gap_s > OTHERS_OUTAGE_S:
             self._since_s = None
             return read_s
--- a/src/savorylift/fleet/topic_consumer.py
+++ b/src/savorylift/fleet/topic_consumer.py
@@ -125,9 +125,14 @@
     async def _watch_others(self) -> None:
         """Notes the end of an outage that other nodes see first."""
         while True:
-            await wait_for_beat(POLL_PAUSE_S, self._outage.has_news)
+            await wait_for_beat(POLL_PAUSE_S, self._has_news_of_others)
             self._announce_recovery(self._outage.look())
 
+    def _has_news_of_others(self) -> bool:
+        """Whether another node has read during an outage."""
+        self._outage.follow()
+        return self._outage.has_news()
+
     async def _read(self) -> float:
         """Makes one call; returns the delay before the next."""
         is_full_read = self._offset is None
--- a/tests/fleet/test_store_outage.py
+++ b/tests/fleet/test_store_outage.py
@@ -116,3 +116,44 @@
     others.read_s = FAULT_S + LONG_S
     others.outage.begin(FAULT_S + LONG_S + SHORT_S)
     assert others.outage.look() == FAULT_S + LONG_S
+
+
+def test_outage_that_ended_during_a_call_begins_no_second_time() -> None:
+    others = Others(FAULT_S)
+    others.fail(FAULT_S, FAULT_S)
+    returned_s = FAULT_S + 5 * LONG_S
+    # Hangs on a connection from before.
+    others.outage.begin_call(returned_s - SHORT_S, FAULT_S)
+    others.read_s = returned_s
+    assert others.outage.look() == returned_s
+    others.outage.begin(returned_s + SHORT_S)
+    others.read_s = returned_s + SHORT_S
+    assert others.outage.look() is None
+    assert others.outage.end(returned_s + 1.5 * SHORT_S) is None
+
+
+@pytest.mark.parametrize("calls", [1, 3])
+def test_call_that_hangs_while_others_read_is_no_outage(calls: int) -> None:
+    others = Others(FAULT_S)
+    now_s = FAULT_S
+    for _ in range(calls):
+        others.outage.begin_call(now_s, FAULT_S)
+        for _ in range(10):
+            now_s += SHORT_S / 2
+            others.read_s = now_s
+            others.outage.follow()
+            assert others.outage.look() is None
+        others.outage.begin(now_s)
+        now_s += SHORT_S / 2
+        others.read_s = now_s
+        assert others.outage.look() is None
+
+
+def test_outage_within_a_call_that_hangs_is_seen_as_it_fails() -> None:
+    others = Others(FAULT_S)
+    others.outage.begin_call(FAULT_S, FAULT_S)
+    for delay_s in (SHORT_S, SHORT_S + LONG_S, 2 * SHORT_S + LONG_S):
+        others.read_s = FAULT_S + delay_s
+        others.outage.follow()
+    others.outage.begin(others.read_s or 0.0)
+    assert others.outage.look() == others.read_s
--- a/tests/fleet/test_topic_consumer.py
+++ b/tests/fleet/test_topic_consumer.py
@@ -19,8 +19,9 @@
 )
 from savorylift.fleet.store_reader import StoreReader
 from savorylift.fleet.store_records import Topic
-from savorylift.fleet.topic_consumer import TopicConsumer
+from savorylift.fleet.topic_consumer import LONG_POLL_S, TopicConsumer
 from savorylift.platform.store import (
+    RESPONSE_TIMEOUT_S,
     Batch,
     StoreClient,
     StoreError,
@@ -174,6 +175,54 @@
     asyncio.run(scenario())
 
 
+def test_reader_that_alone_loses_the_store_sees_no_outage(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Its calls hang for as long as those on a dead connection do."""
+
+    async def scenario() -> None:
+        store = ChangingStore()
+        store.is_away = False
+        others_s = [time.monotonic()]
+        policy = ReadPolicy(
+            lambda: True,
+            lambda: time.monotonic() - others_s[0],
+            lambda: False,
+            lambda: 0.2,
+        )
+        consumer = TopicConsumer(
+            cast("StoreClient", store),
+            "keyed.servers",
+            Topic.SERVERS,
+            make_store_view(),
+            policy,
+            lambda _: None,
+        )
+        lost: Result[Batch, StoreError] = Failure(
+            StoreError(StoreFault.UNREACHABLE, "")
+        )
+        hangs_s = LONG_POLL_S + RESPONSE_TIMEOUT_S
+        monkeypatch.setattr(
+            store,
+            "read",
+            lambda *_: asyncio.sleep(hangs_s, lost),
+            raising=False,
+        )
+        recoveries: list[float] = []
+        consumer.on_recovery = recoveries.append
+        reading = asyncio.ensure_future(consumer.run())
+        for _ in range(30):
+            await asyncio.sleep(0.3)
+            others_s[0] = time.monotonic()
+        reading.cancel()
+        await asyncio.wait([reading])
+        assert consumer.last_read_s is not None
+        assert consumer.has_fault(time.monotonic())
+        assert recoveries == []
+
+    run_in_virtual_time(monkeypatch, scenario)
+
+
 def test_consumer_is_woken_only_to_begin_to_read(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
