Keep the beats of a process whatever a task's question raises

Cause: a future refuses StopIteration. Raised by the question of one task, as by `next` without a default, it ended the beat's callback before it set the next timer: all tasks of that interval waited forever, maintenance among them.

Change: what a question raises is passed on as the result of the wait, and raised there. No present question raises it.

--- a/src/savorylift/beat.py
+++ b/src/savorylift/beat.py
@@ -51,14 +51,14 @@
     """A task that waits.
 
     Attributes:
-        fut: Ends the wait.
+        fut: Ends the wait, with what `is_due` raised if it did.
         is_due: Whether the task has something to do.
         due_s: Time of the beat at which it is asked next, by the loop's clock.
     """
 
     def __init__(
         self,
-        fut: asyncio.Future[None],
+        fut: asyncio.Future[Exception | None],
         is_due: Callable[[], bool],
         due_s: float,
     ) -> None:
@@ -72,8 +72,9 @@
             if self.is_due():
                 self.fut.set_result(None)
         except Exception as exc:
-            # It belongs to the task; the other ones go on.
-            self.fut.set_exception(exc)
+            # It belongs to the task; the other ones go on. Passed on as a
+            # result, since futures refuse some exceptions.
+            self.fut.set_result(exc)
 
 
 class _Beat:
@@ -94,7 +95,9 @@
         )
         self._waiters.append(waiter)
         self._start_timer(loop)
-        await waiter.fut
+        exc = await waiter.fut
+        if exc is not None:
+            raise exc
         return loop.time() - waiter.due_s
 
     def _next_s(self, now_s: float) -> float:
--- a/tests/test_beat.py
+++ b/tests/test_beat.py
@@ -110,11 +110,21 @@
             assert min(abs(at_s - s) for s in woken_s[shorter_s]) < 0.01
 
 
+@pytest.mark.parametrize(
+    ("raised", "expected"),
+    [
+        (LookupError("gone"), LookupError),
+        # No future and no coroutine may raise it.
+        (StopIteration(), RuntimeError),
+    ],
+)
 def test_task_that_ends_or_fails_leaves_the_others_waiting(
     monkeypatch: pytest.MonkeyPatch,
+    raised: Exception,
+    expected: type[Exception],
 ) -> None:
     def fail() -> bool:
-        raise LookupError("gone")
+        raise raised
 
     async def scenario() -> None:
         failing = asyncio.ensure_future(wait_for_beat(INTERVAL_S, fail))
@@ -124,7 +134,7 @@
         cancelled.cancel()
         async with asyncio.timeout(1.5 * INTERVAL_S):
             await sound
-        with pytest.raises(LookupError):
+        with pytest.raises(expected):
             await failing
         assert cancelled.cancelled()
         # Beats go on after all of that.
