Look at no engines for turns that a planner may not give

Its periodic update went over all nodes once for each service.

Change: it looks whether it is ready before it looks at the engines, and for the announced moves once.

--- a/src/savorylift/moves/planner.py
+++ b/src/savorylift/moves/planner.py
@@ -117,9 +117,10 @@
         now_s = time.monotonic()
         peers = self._membership.heard_peers(now_s)
         live = {peer.state.ip for peer in peers} | {self._choice.own_ip}
+        announced = self._site.find_announced()
         for service, moves in list(self._moves.items()):
             moves.drop_old(live)
-            moves.note_announced(self._site.find_announced())
+            moves.note_announced(announced)
             self._site.hold(service, moves.held_tokens())
             if moves.is_idle and not moves.held_tokens():
                 del self._moves[service]
@@ -145,16 +146,22 @@
         # Names in messages aren't kept if there are no such engines.
         return service in self._moves or self._site.look(service) is not None
 
+    def _is_ready(self) -> bool:
+        """Whether it has heard the others since it stood still, if it did."""
+        return time.monotonic() >= self._ready_s
+
     def _may_plan(self, service: str) -> bool:
-        now_s = time.monotonic()
-        return (
-            now_s >= self._ready_s
-            and self._choice.is_planner(service)
-            and self._membership.live_share(now_s) >= MIN_LIVE_SHARE
-        )
+        share = self._membership.live_share(time.monotonic())
+        return self._choice.is_planner(service) and share >= MIN_LIVE_SHARE
 
     def _add(self, key: MoveKey, req: MoveRequest) -> None:
-        if not self._is_known(req.service) or not self._may_plan(req.service):
+        # In this order: a look at the engines goes over all nodes, and the
+        # choice of a planner remembers names.
+        if not (
+            self._is_ready()
+            and self._is_known(req.service)
+            and self._may_plan(req.service)
+        ):
             self._reply(MoveReply(req.number, MoveOutcome.ALONE), key.ip)
             return
         moves = self._moves.setdefault(req.service, ServiceMoves())
--- a/tests/moves/test_planner.py
+++ b/tests/moves/test_planner.py
@@ -9,6 +9,8 @@
 
 import pytest
 
+from savorylift import standstill
+from savorylift.boot_clock import boot_time_s
 from savorylift.fleet.move_messages import (
     MoveEnd,
     MoveMessage,
@@ -50,9 +52,11 @@
         )
         self.held: dict[str, int] = {}
         self.count = 2
+        self.looks = 0
 
     def look(self, service: str) -> PlanConditions | None:
         """Returns what plans depend on."""
+        self.looks += 1
         return self.around if service == SERVICE else None
 
     def find_announced(self) -> tuple[PlannedMove, ...]:
@@ -352,6 +356,25 @@
     run_in_virtual_time(monkeypatch, scenario)
 
 
+def test_planner_that_stood_still_looks_at_no_engines(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A look goes over all nodes and engines, and runs ask again and again."""
+
+    async def scenario() -> None:
+        fleet = Fleet()
+        planner = fleet.planner.planner
+        boot_s = boot_time_s() + 2 * standstill.STOOD_STILL_S
+        monkeypatch.setattr(standstill, "boot_time_s", lambda: boot_s)
+        for number in range(20):
+            planner.receive(make_move_request(number), fleet.others[0].ip)
+        assert fleet.engines.looks == 0
+        replies = [m for m in fleet.sent if isinstance(m, MoveReply)]
+        assert [r.outcome for r in replies] == 20 * [MoveOutcome.ALONE]
+
+    run_in_virtual_time(monkeypatch, scenario)
+
+
 def test_planner_keeps_nothing_of_services_without_engines(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
