Give no turns to move once another planner was chosen

Cause: a planner looked whether it may plan only as a request came. It went on to give turns to the runs that had asked before another one was chosen, or before it lost half of the fleet: also to one that it had just told to move alone. Both planners gave the same links meanwhile.

Change: it looks again before each plan, and answers `alone` to all that wait.

--- a/src/savorylift/moves/planner.py
+++ b/src/savorylift/moves/planner.py
@@ -186,7 +186,8 @@
         moves = self._moves.get(service)
         if moves is None or not moves.has_waiting:
             return
-        around = self._site.look(service)
+        # Another one may have been chosen since they asked.
+        around = self._site.look(service) if self._may_plan(service) else None
         if around is None:
             self._leave_alone(moves)
             self._site.hold(service, moves.held_tokens())
--- a/tests/moves/test_planner.py
+++ b/tests/moves/test_planner.py
@@ -22,6 +22,7 @@
 from savorylift.moves.begun_copies import MAX_COPY_S
 from savorylift.moves.move_order import PlannedMove
 from savorylift.moves.plan_client import PlanClient
+from savorylift.moves.plan_timers import SHARE_DELAY_S
 from savorylift.moves.planner import MovePlanner
 from savorylift.moves.planner_choice import PlannerChoice
 from savorylift.moves.service_moves import PlanConditions
@@ -375,6 +376,31 @@
     run_in_virtual_time(monkeypatch, scenario)
 
 
+def test_planner_that_is_replaced_gives_no_more_turns(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        fleet = Fleet()
+        planner, ip = fleet.planner.planner, fleet.others[0].ip
+        for number in range(3):
+            planner.receive(make_move_request(number, "e0"), ip)
+        await asyncio.sleep(1.2 * SHARE_DELAY_S)
+        (given,) = [
+            m for m in fleet.sent if isinstance(m, MoveReply) and is_go(m)
+        ]
+        fleet.sent.clear()
+        monkeypatch.setattr(planner._choice, "is_planner", lambda _: False)
+        # One asks again, and the link is free for the next.
+        planner.receive(make_move_request(2, "e0"), ip)
+        planner.receive(MoveEnd(given.number), ip)
+        await asyncio.sleep(WAIT_S)
+        replies = [m for m in fleet.sent if isinstance(m, MoveReply)]
+        assert {reply.outcome for reply in replies} == {MoveOutcome.ALONE}
+        assert {reply.number for reply in replies} == {1, 2}
+
+    run_in_virtual_time(monkeypatch, scenario)
+
+
 def test_planner_keeps_nothing_of_services_without_engines(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
