Name what plans, roll-outs and outages are given by their jobs

Cause: `around` stayed the name of what is now `PlanConditions` and `RolloutSite`; `begin` and `end` of an outage note a failed call and a reading, which may begin or end none; why a question for announced moves tells rooms of loads was hard to read.

Change: names and docstrings alone.

Measured: make lint clean; tests/moves, tests/rollouts, tests/fleet, tests/front/test_planned_moves.py and test_engine_site.py pass.

--- a/src/savorylift/fleet/store_outage.py
+++ b/src/savorylift/fleet/store_outage.py
@@ -57,14 +57,14 @@
         if read_s is not None and read_s - self._before_s <= OTHERS_OUTAGE_S:
             self._before_s = max(self._before_s, read_s)
 
-    def begin(self, now_s: float) -> None:
+    def note_failure(self, now_s: float) -> None:
         """Notes that the call failed."""
         self._is_calling = False
         self._fault_s = now_s
         if self._since_s is None:
             self._since_s = self._before_s
 
-    def end(self, now_s: float) -> float | None:
+    def note_reading(self, now_s: float) -> float | None:
         """Notes a reading by this node.
 
         Returns:
--- a/src/savorylift/fleet/topic_consumer.py
+++ b/src/savorylift/fleet/topic_consumer.py
@@ -186,7 +186,7 @@
         if self._is_failing:
             _log.info("store_regained", topic=self._topic_name)
         self._is_failing = False
-        self._announce_recovery(self._outage.end(now_s))
+        self._announce_recovery(self._outage.note_reading(now_s))
         self._last_read_s = now_s
 
     def _announce_recovery(self, ended_s: float | None) -> None:
@@ -209,7 +209,7 @@
             self.on_recovery(now_s)
             return 0.0
         self.is_store_away = error.fault in AWAY_FAULTS
-        self._outage.begin(now_s)
+        self._outage.note_failure(now_s)
         if not self._is_failing:
             self._is_failing = True
             _log.warning(
--- a/src/savorylift/front/engine_site.py
+++ b/src/savorylift/front/engine_site.py
@@ -61,9 +61,10 @@
     def find_announced(self) -> list[PlannedMove]:
         """Returns the moves that nodes have announced, this one included.
 
-        The room that this node keeps counts their copies from then on. It would
-        hear of this node's only when it decides, and of those whose messages
-        are just being read only after that.
+        The nodes' loads include the copies that they announce. So the rooms
+        that this node keeps are first told the loads that come with them:
+        otherwise they would learn this node's at the next decision, and those
+        of a message that is being read just after that.
         """
         now_s = time.monotonic()
         announced = [
--- a/src/savorylift/moves/planner.py
+++ b/src/savorylift/moves/planner.py
@@ -187,19 +187,21 @@
         if moves is None or not moves.has_waiting:
             return
         # Another one may have been chosen since they asked.
-        around = self._site.look(service) if self._may_plan(service) else None
-        if around is None:
+        conditions = (
+            self._site.look(service) if self._may_plan(service) else None
+        )
+        if conditions is None:
             self._leave_alone(moves)
             self._site.hold(service, moves.held_tokens())
             return
         begun_s = time.monotonic()
-        plan, decisions = moves.decide(around)
+        plan, decisions = moves.decide(conditions)
         self._site.hold(service, moves.held_tokens())
         for decision in decisions:
             self._reply(decision.reply, decision.key.ip)
         if decisions:
             took_s = time.monotonic() - begun_s
-            self._log_plan(service, plan, decisions, around, took_s)
+            self._log_plan(service, plan, decisions, conditions, took_s)
 
     def _leave_alone(self, moves: ServiceMoves) -> None:
         """Lets the nodes order the moves; this one may hear of engines last."""
@@ -215,7 +217,7 @@
         service: str,
         plan: MovePlan,
         decisions: list[Decision],
-        around: PlanConditions,
+        conditions: PlanConditions,
         took_s: float,
     ) -> None:
         now_s = time.monotonic()
@@ -229,7 +231,7 @@
                 server_id: round(source.leaves_in_s, 3)
                 for server_id, source in plan.sources.items()
             },
-            destinations=len(around.destinations),
+            destinations=len(conditions.destinations),
             copies=len(plan.copies),
             late=len(plan.late),
             trials=len(plan.trials),
--- a/src/savorylift/moves/service_moves.py
+++ b/src/savorylift/moves/service_moves.py
@@ -156,14 +156,14 @@
             held[copy.destination_id] = known + copy.run.expected_tokens
         return held
 
-    def decide(self, around: PlanConditions) -> DecidedMoves:
+    def decide(self, conditions: PlanConditions) -> DecidedMoves:
         """Plans anew; returns the plan and what can be said now."""
-        self._begun.note_announced(around.announced)
-        busy_s = self._begun.busy_s(around.announced)
+        self._begun.note_announced(conditions.announced)
+        busy_s = self._begun.busy_s(conditions.announced)
         plan = plan_moves(
             [_moving_run(key, w.req) for key, w in self._waiting.items()],
-            self._find_sources(around, busy_s),
-            self._find_destinations(around, busy_s),
+            self._find_sources(conditions, busy_s),
+            self._find_destinations(conditions, busy_s),
         )
         copies = [*plan.copies, *plan.late, *plan.trials]
         decisions = [
@@ -199,7 +199,7 @@
                 yield Decision(run.key, reply)
 
     def _find_sources(
-        self, around: PlanConditions, busy_s: Mapping[str, float]
+        self, conditions: PlanConditions, busy_s: Mapping[str, float]
     ) -> dict[str, LeavingEngine]:
         now_s = time.monotonic()
         sources = {}
@@ -208,13 +208,13 @@
             sources[req.server_id] = LeavingEngine(
                 req.failure_domain,
                 leaves_s - now_s,
-                around.link_tokens_per_s,
+                conditions.link_tokens_per_s,
                 busy_s.get(req.server_id, 0.0),
             )
         return sources
 
     def _find_destinations(
-        self, around: PlanConditions, busy_s: Mapping[str, float]
+        self, conditions: PlanConditions, busy_s: Mapping[str, float]
     ) -> dict[str, Destination]:
         tokens, places = self._begun.tokens(), self._begun.places()
         return {
@@ -223,7 +223,7 @@
                 free_places=destination.free_places - places.get(server_id, 0),
                 busy_s=busy_s.get(server_id, 0.0),
             )
-            for server_id, destination in around.destinations.items()
+            for server_id, destination in conditions.destinations.items()
         }
 
 
--- a/src/savorylift/rollouts/agent.py
+++ b/src/savorylift/rollouts/agent.py
@@ -49,7 +49,7 @@
         board: RolloutBoard,
         answers: AnswerObserver,
         recorder: StageRecorder,
-        around: RolloutSite,
+        site: RolloutSite,
         source: int,
     ) -> None:
         """Knows no order yet.
@@ -59,16 +59,16 @@
             board: What is known of roll-outs.
             answers: Follows the requests.
             recorder: Keeps the stages in the store.
-            around: The rest of the node.
+            site: The rest of the node.
             source: Random number of this process.
         """
         self._board = board
-        self._around = around
+        self._site = site
         self._book = CountingBook(answers, source)
         self._evidence = EvidenceBook()
-        self._announcer = Announcer(board, around)
+        self._announcer = Announcer(board, site)
         self._decider = Decider(
-            limits, board, self._evidence, recorder, self._announcer, around
+            limits, board, self._evidence, recorder, self._announcer, site
         )
         self._updated_s = time.monotonic()
         self._has_services = asyncio.Event()
@@ -98,7 +98,7 @@
         if now_s - self._updated_s > STANDSTILL_S:
             self._decider.give_up()
         self._updated_s = now_s
-        orders = self._around.read_orders()
+        orders = self._site.read_orders()
         if orders is not None:
             self._board.set_orders(orders)
         for service in self._board.services:
@@ -112,7 +112,7 @@
             await self._has_services.wait()
             is_done = True
             for service in self._board.services:
-                view = self._around.view_fleet(service)
+                view = self._site.view_fleet(service)
                 if view.is_decider and view.hears_enough:
                     is_done = await self._decider.decide(service) and is_done
                 else:
@@ -123,9 +123,9 @@
 
     def _update_service(self, service: str) -> None:
         board = self._board
-        board.note_servers(service, self._around.find_servers(service))
+        board.note_servers(service, self._site.find_servers(service))
         stage, order = board.find_stage(service), board.orders.get(service)
-        view = self._around.view_fleet(service)
+        view = self._site.view_fleet(service)
         if order is None or not is_order_open(order, stage):
             self._book.end(service)
             self._evidence.forget(service)
@@ -137,7 +137,7 @@
             if view.is_decider:
                 counting.add_to(self._evidence.find(order))
                 self._roll_back_if_bad(stage)
-            elif counting.report(view.decider_ip, self._around.send):
+            elif counting.report(view.decider_ip, self._site.send):
                 self._stop_by_itself(service, counting)
         if stage is not None and view.is_decider:
             self._tell_again(service, hears_enough=view.hears_enough)
--- a/src/savorylift/rollouts/announcer.py
+++ b/src/savorylift/rollouts/announcer.py
@@ -21,15 +21,15 @@
 class Announcer:
     """Carries stages between this node and the others."""
 
-    def __init__(self, board: RolloutBoard, around: RolloutSite) -> None:
+    def __init__(self, board: RolloutBoard, site: RolloutSite) -> None:
         """Tells nothing yet.
 
         Args:
             board: What is known of roll-outs.
-            around: The rest of the node.
+            site: The rest of the node.
         """
         self._board = board
-        self._around = around
+        self._site = site
         # Monotonic time at which the stage of a service is told again.
         self._next_s: dict[str, float] = {}
 
@@ -84,17 +84,17 @@
         stages = tuple(
             self._as_news(stage)
             for service, stage in self._board.stages.items()
-            if self._around.view_fleet(service).is_decider
+            if self._site.view_fleet(service).is_decider
         )
         if stages:
-            self._around.send(StageNews(stages), ip)
+            self._site.send(StageNews(stages), ip)
 
     def _tell(self, stage: Stage) -> None:
         is_old = self._board.stage_age_s(stage.service) > FINAL_NEWS_S
         is_rare = stage.phase.is_final and is_old
         interval_s = FINAL_NEWS_INTERVAL_S if is_rare else NEWS_INTERVAL_S
         self._next_s[stage.service] = time.monotonic() + interval_s
-        self._around.send(StageNews((self._as_news(stage),)), None)
+        self._site.send(StageNews((self._as_news(stage),)), None)
 
     def _as_news(self, stage: Stage) -> Stage:
         """Returns a stage with the time since its order as it is now."""
--- a/src/savorylift/rollouts/decider.py
+++ b/src/savorylift/rollouts/decider.py
@@ -27,7 +27,7 @@
         evidence: EvidenceBook,
         recorder: StageRecorder,
         announcer: Announcer,
-        around: RolloutSite,
+        site: RolloutSite,
     ) -> None:
         """Decides on nothing yet.
 
@@ -37,14 +37,14 @@
             evidence: How the versions answer.
             recorder: Keeps the stages in the store.
             announcer: Tells the other nodes.
-            around: The rest of the node.
+            site: The rest of the node.
         """
         self._limits = limits
         self._board = board
         self._evidence = evidence
         self._recorder = recorder
         self._announcer = announcer
-        self._around = around
+        self._site = site
         # Epoch of each service that this node has taken over.
         self._epochs: dict[str, int] = {}
         self._unwritten_status: set[str] = set()
@@ -103,7 +103,7 @@
         )
         if last is not None and is_current:
             # The monotonic clock stands still while a VM is suspended.
-            boot = self._around.read_boot_clock()
+            boot = self._site.read_boot_clock()
             self._board.note_elapsed(with_time_passed(last, boot))
             return await self._continue(last)
         if order is None:
@@ -142,7 +142,7 @@
     async def _write(self, stage: Stage) -> bool:
         """Writes a stage, and then lets it count."""
         elapsed_s = self._board.elapsed_s(stage.order_id)
-        boot = self._around.read_boot_clock()
+        boot = self._site.read_boot_clock()
         stage = with_mark(stage._replace(elapsed_s=elapsed_s), boot)
         recorded = await self._recorder.write(stage)
         if recorded is None:
@@ -173,7 +173,7 @@
 
     def _situation(self, stage: Stage) -> Situation:
         service, board = stage.service, self._board
-        view = self._around.view_fleet(service)
+        view = self._site.view_fleet(service)
         return Situation(
             elapsed_s=board.elapsed_s(stage.order_id),
             step_age_s=board.stage_age_s(service),
@@ -181,7 +181,7 @@
             routes=self._evidence.find_routes(service),
             has_new=board.has_new(service),
             has_old=board.has_old(service),
-            has_engines=self._around.has_engines(service),
+            has_engines=self._site.has_engines(service),
             hears_enough=view.hears_enough,
             other_builds=view.other_builds,
             is_ordered=not self._is_withdrawn(stage),
@@ -200,7 +200,7 @@
         )
 
     def _is_withdrawn(self, stage: Stage) -> bool:
-        is_known = self._around.is_known()
+        is_known = self._site.is_known()
         return is_known and self._board.is_withdrawn(stage.service)
 
 
--- a/tests/fleet/test_store_outage.py
+++ b/tests/fleet/test_store_outage.py
@@ -23,7 +23,7 @@
     def fail(self, now_s: float, own_s: float | None) -> None:
         """Has a call fail at once."""
         self.outage.begin_call(now_s, own_s)
-        self.outage.begin(now_s)
+        self.outage.note_failure(now_s)
 
 
 @pytest.mark.parametrize(
@@ -56,7 +56,7 @@
 ) -> None:
     others = Others(others_s)
     others.fail(FAULT_S, own_s)
-    assert others.outage.end(ended_s) == expected_s
+    assert others.outage.note_reading(ended_s) == expected_s
 
 
 def test_outage_ends_once_when_the_first_node_reads() -> None:
@@ -67,14 +67,14 @@
     assert others.outage.look() == FAULT_S + LONG_S
     others.read_s += LONG_S
     assert others.outage.look() is None
-    assert others.outage.end(FAULT_S + 5 * LONG_S) is None
+    assert others.outage.note_reading(FAULT_S + 5 * LONG_S) is None
 
 
 def test_own_reading_ends_an_outage_when_others_read_first() -> None:
     others = Others(FAULT_S)
     others.fail(FAULT_S, FAULT_S)
     others.read_s = FAULT_S + LONG_S
-    assert others.outage.end(FAULT_S + 2 * LONG_S) == FAULT_S + LONG_S
+    assert others.outage.note_reading(FAULT_S + 2 * LONG_S) == FAULT_S + LONG_S
 
 
 def test_node_that_alone_has_no_store_sees_no_outage() -> None:
@@ -84,7 +84,7 @@
         others.read_s = FAULT_S + step * SHORT_S
         assert others.outage.look() is None
         others.fail(FAULT_S + step * SHORT_S, FAULT_S)
-    assert others.outage.end(FAULT_S + 10 * SHORT_S) is None
+    assert others.outage.note_reading(FAULT_S + 10 * SHORT_S) is None
 
 
 def test_second_outage_counts_from_the_end_of_the_first() -> None:
@@ -114,7 +114,7 @@
     others = Others(FAULT_S)
     others.outage.begin_call(FAULT_S, FAULT_S)
     others.read_s = FAULT_S + LONG_S
-    others.outage.begin(FAULT_S + LONG_S + SHORT_S)
+    others.outage.note_failure(FAULT_S + LONG_S + SHORT_S)
     assert others.outage.look() == FAULT_S + LONG_S
 
 
@@ -126,10 +126,10 @@
     others.outage.begin_call(returned_s - SHORT_S, FAULT_S)
     others.read_s = returned_s
     assert others.outage.look() == returned_s
-    others.outage.begin(returned_s + SHORT_S)
+    others.outage.note_failure(returned_s + SHORT_S)
     others.read_s = returned_s + SHORT_S
     assert others.outage.look() is None
-    assert others.outage.end(returned_s + 1.5 * SHORT_S) is None
+    assert others.outage.note_reading(returned_s + 1.5 * SHORT_S) is None
 
 
 @pytest.mark.parametrize("calls", [1, 3])
@@ -143,7 +143,7 @@
             others.read_s = now_s
             others.outage.follow()
             assert others.outage.look() is None
-        others.outage.begin(now_s)
+        others.outage.note_failure(now_s)
         now_s += SHORT_S / 2
         others.read_s = now_s
         assert others.outage.look() is None
@@ -155,5 +155,5 @@
     for delay_s in (SHORT_S, SHORT_S + LONG_S, 2 * SHORT_S + LONG_S):
         others.read_s = FAULT_S + delay_s
         others.outage.follow()
-    others.outage.begin(others.read_s or 0.0)
+    others.outage.note_failure(others.read_s or 0.0)
     assert others.outage.look() == others.read_s
--- a/tests/front/test_planned_moves.py
+++ b/tests/front/test_planned_moves.py
@@ -173,7 +173,7 @@
 def test_run_whose_engine_stops_before_its_turn_goes_on_at_once(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    def decide(self: ServiceMoves, around: PlanConditions) -> DecidedMoves:
+    def decide(self: ServiceMoves, conditions: PlanConditions) -> DecidedMoves:
         return DecidedMoves(plan_moves([], {}, {}), [])
 
     monkeypatch.setattr(ServiceMoves, "decide", decide)
--- a/tests/moves/test_planner.py
+++ b/tests/moves/test_planner.py
@@ -46,7 +46,7 @@
 
     def __init__(self) -> None:
         """Creates two engines with room."""
-        self.around: PlanConditions | None = PlanConditions(
+        self.conditions: PlanConditions | None = PlanConditions(
             {f"d{n}": make_destination() for n in range(2)},
             LINK_TOKENS_PER_S,
             (),
@@ -58,7 +58,7 @@
     def look(self, service: str) -> PlanConditions | None:
         """Returns what plans depend on."""
         self.looks += 1
-        return self.around if service == SERVICE else None
+        return self.conditions if service == SERVICE else None
 
     def find_announced(self) -> tuple[PlannedMove, ...]:
         """Returns the moves that nodes have announced."""
@@ -334,7 +334,7 @@
 ) -> None:
     async def scenario() -> None:
         fleet = Fleet()
-        fleet.engines.around = None
+        fleet.engines.conditions = None
         begun_s = time.monotonic()
         assert await fleet.others[0].ask(make_move_request(1)) is None
         assert time.monotonic() - begun_s < 0.1
--- a/tests/moves/test_service_moves.py
+++ b/tests/moves/test_service_moves.py
@@ -55,10 +55,10 @@
 
 
 def decide(
-    moves: ServiceMoves, around: PlanConditions | None = None
+    moves: ServiceMoves, conditions: PlanConditions | None = None
 ) -> list[MoveReply]:
     """Returns what can be said now."""
-    _, decisions = moves.decide(around or make_conditions())
+    _, decisions = moves.decide(conditions or make_conditions())
     return [decision.reply for decision in decisions]
 
 
@@ -93,12 +93,12 @@
         moves = ServiceMoves()
         requests = [make_move_request(n) for n in (1, 2)]
         add(moves, *requests)
-        around = make_conditions(1)
-        decide(moves, around)
+        conditions = make_conditions(1)
+        decide(moves, conditions)
         expected = requests[0].expected_tokens
         assert moves.held_tokens() == {"d0": 2 * expected}
         moves.end(key(1), "d0")
-        decide(moves, around)
+        decide(moves, conditions)
         moves.end(key(2), "d0")
         assert moves.held_tokens() == {"d0": 2 * expected}
         clock.tick(SETTLE_S + 0.01)
@@ -112,15 +112,15 @@
     second = make_move_request(2, "e1")
     add(moves, first)
     room = first.expected_tokens + second.expected_tokens
-    around = make_conditions(1, room)
-    (begun,) = decide(moves, around)
+    conditions = make_conditions(1, room)
+    (begun,) = decide(moves, conditions)
     assert begun.destination_id == "d0"
     assert moves.held_tokens() == {"d0": first.expected_tokens}
     # Its node announces it with its load there, so less is free.
     copied = PlannedMove("e0", 3000, "a1", destination="d0")
-    around = make_conditions(1, room - first.expected_tokens, copied)
+    conditions = make_conditions(1, room - first.expected_tokens, copied)
     add(moves, second)
-    plan, _ = moves.decide(around)
+    plan, _ = moves.decide(conditions)
     assert [copy.destination_id for copy in plan.copies] == ["d0"]
     assert moves.held_tokens() == {"d0": second.expected_tokens}
     # A copy to elsewhere, or the end of it, is no load there.
@@ -139,14 +139,14 @@
 def test_run_without_room_tries_an_engine_whose_link_is_free() -> None:
     moves = ServiceMoves()
     requests = [make_move_request(n, f"e{n}") for n in range(3)]
-    around = make_conditions(2, 1.5 * requests[0].expected_tokens)
+    conditions = make_conditions(2, 1.5 * requests[0].expected_tokens)
     add(moves, *requests)
-    begun = decide(moves, around)
+    begun = decide(moves, conditions)
     assert {reply.destination_id for reply in begun} == {"d0", "d1"}
     # Both have no room left, and their links are in use.
-    assert decide(moves, around) == []
+    assert decide(moves, conditions) == []
     moves.end(key(begun[0].number), begun[0].destination_id)
-    (trial,) = decide(moves, around)
+    (trial,) = decide(moves, conditions)
     assert trial.destination_id == begun[0].destination_id
 
 
@@ -223,13 +223,13 @@
     moves = ServiceMoves()
     for number in range(80):
         moves.add(key(number), make_move_request(number, f"e{number % 11}"))
-    around = make_conditions(56)
-    best_s = min(_time_of_plan(moves, around) for _ in range(5))
+    conditions = make_conditions(56)
+    best_s = min(_time_of_plan(moves, conditions) for _ in range(5))
     # Requests share a plan meanwhile.
     assert best_s < SHARE_DELAY_S
 
 
-def _time_of_plan(moves: ServiceMoves, around: PlanConditions) -> float:
+def _time_of_plan(moves: ServiceMoves, conditions: PlanConditions) -> float:
     begun_s = time.perf_counter()
-    moves.decide(around)
+    moves.decide(conditions)
     return time.perf_counter() - begun_s
