Tell rooms no old loads again while moves are planned

Cause: each look for announced moves told the rooms that this node keeps the latest loads of all nodes with moves, also those that came long before. Such a load shows no place that was granted since: 0.5 s after its grant the place was taken for one that had ended, and could be granted again. Nodes tell their loads less often than that from 40 nodes up. Places that had ended since were counted again, at any size.

Change: only loads that were read within the last 50 ms are told, which the rooms may not have heard yet; this node's own are of now.

--- a/src/savorylift/front/engine_site.py
+++ b/src/savorylift/front/engine_site.py
@@ -13,6 +13,10 @@
 from savorylift.rooms.engine_groups import select_group
 from savorylift.rooms.engines import Engines
 
+# Rooms aren't told what came earlier than this again: they have heard it, and
+# it shows nothing that was granted or ended since.
+JUST_READ_S = 0.05
+
 
 class EngineSite:
     """The engines, as far as this node knows them."""
@@ -62,9 +66,9 @@
         """Returns the moves that nodes have announced, this one included.
 
         The nodes' loads include the copies that they announce. So the rooms
-        that this node keeps are first told the loads that come with them:
-        otherwise they would learn this node's at the next decision, and those
-        of a message that is being read just after that.
+        that this node keeps are told the loads that came with them, if they
+        don't know them yet: this node's, which they would ask for at the next
+        decision, and those of messages that were read just now.
         """
         now_s = time.monotonic()
         announced = [
@@ -74,7 +78,8 @@
         keeper, own_ip = self._rooms.keeper, self._rooms.choice.own_ip
         keeper.hear(own_ip, self._pool.load_tracker.loads())
         for peer in self._membership.live_peers(now_s):
-            if peer.state.moves:
+            is_new = now_s - peer.received_s < JUST_READ_S
+            if is_new and peer.state.moves:
                 keeper.hear(peer.state.ip, peer.state.loads)
         return announced
 
--- a/tests/front/test_engine_site.py
+++ b/tests/front/test_engine_site.py
@@ -1,15 +1,26 @@
 """Tests of what the planner of moves does with the engines."""
 
+import random
 import time
 from types import SimpleNamespace
 
+import freezegun
+
 from savorylift.fleet.membership import Membership
 from savorylift.fleet.state import ServerLoad
 from savorylift.front.engine_site import EngineSite
 from savorylift.moves.move_order import PlannedMove
+from savorylift.rooms.book import SETTLE_S, PlaceKey
+from savorylift.rooms.service_room import ServiceRoom
 from tests.exchange.factories import make_pool, make_store_view
 from tests.fleet.test_membership import state
-from tests.rooms.factories import ip_of, make_load, make_membership
+from tests.rooms.factories import (
+    ip_of,
+    make_engines,
+    make_load,
+    make_membership,
+    make_request,
+)
 
 
 class FakeRoom:
@@ -56,3 +67,26 @@
     assert set(heard) == {ip_of(1), ip_of(2)}
     assert [load.tokens for load in heard[ip_of(1)]] == [700]
     assert heard[ip_of(2)] == (load,)
+
+
+def test_old_loads_beside_announced_moves_end_no_place_granted_since() -> None:
+    """In large fleets nodes tell their loads more seldom than this."""
+    with freezegun.freeze_time("2026-01-01") as clock:
+        room, engines = ServiceRoom(random.Random(1)), make_engines("a")
+        rooms = SimpleNamespace(
+            keeper=SimpleNamespace(hear=room.hear),
+            choice=SimpleNamespace(own_ip=ip_of(1)),
+        )
+        pool, members = make_pool(make_store_view(a=9)), make_membership(1)
+        site = EngineSite(pool, members, rooms)  # type: ignore[arg-type]
+        move = PlannedMove("b", 400, "x")
+        told = state(2)._replace(moves=(move,), sequence=2, interval_s=100.0)
+        members.update_peer(told, time.monotonic())
+        room.hear(told.ip, told.loads)
+        clock.tick(0.01)
+        room.add(PlaceKey(told.ip, 1), make_request(1))
+        assert len(list(room.dispatch(engines))) == 1
+        assert room.loads(engines)["a"].requests == 1
+        clock.tick(SETTLE_S + 0.1)
+        assert site.find_announced() == [move]
+        assert room.loads(engines)["a"].requests == 1
