--- a/src/savorylift/fleet/topic_consumer.py
+++ b/src/savorylift/fleet/topic_consumer.py
@@ -125,9 +125,14 @@
     async def _watch_others(self) -> None:
         """Notes the end of an outage that other nodes see first."""
         while True:
-            await wait_for_beat(POLL_PAUSE_S, self._outage.has_news)
+            await wait_for_beat(POLL_PAUSE_S, self._has_news_of_others)
             self._announce_recovery(self._outage.look())
 
+    def _has_news_of_others(self) -> bool:
+        """Whether another node has read during an outage."""
+        self._outage.follow()
+        return self._outage.has_news()
+
     async def _read(self) -> float:
         """Makes one call; returns the delay before the next."""
         is_full_read = self._offset is None
@@ -181,7 +186,7 @@
         if self._is_failing:
             _log.info("store_regained", topic=self._topic_name)
         self._is_failing = False
-        self._announce_recovery(self._outage.end(now_s))
+        self._announce_recovery(self._outage.note_reading(now_s))
         self._last_read_s = now_s
 
     def _announce_recovery(self, ended_s: float | None) -> None:
@@ -204,7 +209,7 @@
             self.on_recovery(now_s)
             return 0.0
         self.is_store_away = error.fault in AWAY_FAULTS
-        self._outage.begin(now_s)
+        self._outage.note_failure(now_s)
         if not self._is_failing:
             self._is_failing = True
             _log.warning(
--- a/src/savorylift/front/engine_site.py
+++ b/src/savorylift/front/engine_site.py
@@ -13,6 +13,10 @@
 from savorylift.rooms.engine_groups import select_group
 from savorylift.rooms.engines import Engines
 
+# Rooms aren't told what came earlier than this again: they have heard it, and
+# it shows nothing that was granted or ended since.
+JUST_READ_S = 0.05
+
 
 class EngineSite:
     """The engines, as far as this node knows them."""
@@ -61,9 +65,10 @@
     def find_announced(self) -> list[PlannedMove]:
         """Returns the moves that nodes have announced, this one included.
 
-        The room that this node keeps counts their copies from then on. It would
-        hear of this node's only when it decides, and of those whose messages
-        are just being read only after that.
+        The nodes' loads include the copies that they announce. So the rooms
+        that this node keeps are told the loads that came with them, if they
+        don't know them yet: this node's, which they would ask for at the next
+        decision, and those of messages that were read just now.
         """
         now_s = time.monotonic()
         announced = [
@@ -73,7 +78,8 @@
         keeper, own_ip = self._rooms.keeper, self._rooms.choice.own_ip
         keeper.hear(own_ip, self._pool.load_tracker.loads())
         for peer in self._membership.live_peers(now_s):
-            if peer.state.moves:
+            is_new = now_s - peer.received_s < JUST_READ_S
+            if is_new and peer.state.moves:
                 keeper.hear(peer.state.ip, peer.state.loads)
         return announced
 
--- a/tests/moves/test_planner.py
+++ b/tests/moves/test_planner.py
@@ -9,6 +9,8 @@
 
 import pytest
 
+from savorylift import standstill
+from savorylift.boot_clock import boot_time_s
 from savorylift.fleet.move_messages import (
     MoveEnd,
     MoveMessage,
@@ -20,6 +22,7 @@
 from savorylift.moves.begun_copies import MAX_COPY_S
 from savorylift.moves.move_order import PlannedMove
 from savorylift.moves.plan_client import PlanClient
+from savorylift.moves.plan_timers import SHARE_DELAY_S
 from savorylift.moves.planner import MovePlanner
 from savorylift.moves.planner_choice import PlannerChoice
 from savorylift.moves.service_moves import PlanConditions
@@ -43,17 +46,19 @@
 
     def __init__(self) -> None:
         """Creates two engines with room."""
-        self.around: PlanConditions | None = PlanConditions(
+        self.conditions: PlanConditions | None = PlanConditions(
             {f"d{n}": make_destination() for n in range(2)},
             LINK_TOKENS_PER_S,
             (),
         )
         self.held: dict[str, int] = {}
         self.count = 2
+        self.looks = 0
 
     def look(self, service: str) -> PlanConditions | None:
         """Returns what plans depend on."""
-        return self.around if service == SERVICE else None
+        self.looks += 1
+        return self.conditions if service == SERVICE else None
 
     def find_announced(self) -> tuple[PlannedMove, ...]:
         """Returns the moves that nodes have announced."""
@@ -329,7 +334,7 @@
 ) -> None:
     async def scenario() -> None:
         fleet = Fleet()
-        fleet.engines.around = None
+        fleet.engines.conditions = None
         begun_s = time.monotonic()
         assert await fleet.others[0].ask(make_move_request(1)) is None
         assert time.monotonic() - begun_s < 0.1
@@ -352,6 +357,50 @@
     run_in_virtual_time(monkeypatch, scenario)
 
 
+def test_planner_that_stood_still_looks_at_no_engines(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A look goes over all nodes and engines, and runs ask again and again."""
+
+    async def scenario() -> None:
+        fleet = Fleet()
+        planner = fleet.planner.planner
+        boot_s = boot_time_s() + 2 * standstill.STOOD_STILL_S
+        monkeypatch.setattr(standstill, "boot_time_s", lambda: boot_s)
+        for number in range(20):
+            planner.receive(make_move_request(number), fleet.others[0].ip)
+        assert fleet.engines.looks == 0
+        replies = [m for m in fleet.sent if isinstance(m, MoveReply)]
+        assert [r.outcome for r in replies] == 20 * [MoveOutcome.ALONE]
+
+    run_in_virtual_time(monkeypatch, scenario)
+
+
+def test_planner_that_is_replaced_gives_no_more_turns(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def scenario() -> None:
+        fleet = Fleet()
+        planner, ip = fleet.planner.planner, fleet.others[0].ip
+        for number in range(3):
+            planner.receive(make_move_request(number, "e0"), ip)
+        await asyncio.sleep(1.2 * SHARE_DELAY_S)
+        (given,) = [
+            m for m in fleet.sent if isinstance(m, MoveReply) and is_go(m)
+        ]
+        fleet.sent.clear()
+        monkeypatch.setattr(planner._choice, "is_planner", lambda _: False)
+        # One asks again, and the link is free for the next.
+        planner.receive(make_move_request(2, "e0"), ip)
+        planner.receive(MoveEnd(given.number), ip)
+        await asyncio.sleep(WAIT_S)
+        replies = [m for m in fleet.sent if isinstance(m, MoveReply)]
+        assert {reply.outcome for reply in replies} == {MoveOutcome.ALONE}
+        assert {reply.number for reply in replies} == {1, 2}
+
+    run_in_virtual_time(monkeypatch, scenario)
+
+
 def test_planner_keeps_nothing_of_services_without_engines(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
