Count the connections of all listeners against the memory

Cause: only callers' connections counted. A crowd at all listeners of a VM with 150 MB took 145,916 KB of 146,484, and 150,644 KB with TLS (trials: 4,800 connections with small bodies that stop). Change: callers' connections get what bodies, the process and the other listeners' connections leave; with TLS 192 KiB count for one, as measured.

--- a/src/savorylift/front/connection_shares.py
+++ b/src/savorylift/front/connection_shares.py
@@ -21,8 +21,10 @@
 # What a connection has in its buffers at most.
 CONNECTION_BYTES = 32_768
 # What TLS adds to a connection's buffers: those of its input, of one record and
-# of its output (`wire/tls_buffers.py`).
-TLS_BYTES = 98_304
+# of its output (`wire/tls_buffers.py`), and the state of its library.
+TLS_BYTES = 163_840
+# Callers' connections have at least the memory divided by this.
+CALLERS_MEMORY_DIVISOR = 2
 
 
 class ConnectionShares(NamedTuple):
@@ -50,16 +52,21 @@
 
     Args:
         descriptors: Most descriptors that it may have open.
-        memory_bytes: Memory for the buffers of callers' connections.
+        memory_bytes: Memory for the buffers of all their connections.
         has_tls: Whether callers use TLS.
     """
     sockets = descriptors - min(FILE_DESCRIPTORS, descriptors // 2)
     conn_bytes = CONNECTION_BYTES + (TLS_BYTES if has_tls else 0)
-    fitting = memory_bytes // conn_bytes
     platform = _part(sockets, PLATFORM_SHARE)
+    nodes = _part(sockets, NODES_SHARE)
+    others_bytes = (nodes + 3 * platform) * CONNECTION_BYTES
+    callers_bytes = max(
+        memory_bytes - others_bytes, memory_bytes // CALLERS_MEMORY_DIVISOR
+    )
+    fitting = max(callers_bytes // conn_bytes, MIN_CONNECTIONS)
     return ConnectionShares(
-        min(_part(sockets, CALLERS_SHARE), max(fitting, MIN_CONNECTIONS)),
-        _part(sockets, NODES_SHARE),
+        min(_part(sockets, CALLERS_SHARE), fitting),
+        nodes,
         platform,
         platform,
         platform,
--- a/src/savorylift/front/memory_shares.py
+++ b/src/savorylift/front/memory_shares.py
@@ -7,11 +7,10 @@
 from typing import NamedTuple
 
 # What the process takes by itself, without callers.
-PROCESS_BYTES = 45_000_000
-# The parts of the memory where there is enough, and the least for connections.
+PROCESS_BYTES = 41_000_000
+# The part of bodies, and the least for connections.
 BODIES_DIVISOR = 3
-CONNECTIONS_DIVISOR = 4
-LEAST_CONNECTIONS_DIVISOR = 10
+LEAST_CONNECTIONS_DIVISOR = 7
 
 
 class MemoryShares(NamedTuple):
@@ -19,7 +18,7 @@
 
     Attributes:
         bodies: For heads, bodies and unread answers.
-        connections: For the buffers of callers' connections.
+        connections: For the buffers of the connections of all listeners.
     """
 
     bodies: int
@@ -34,6 +33,5 @@
     """
     bodies = memory_bytes // BODIES_DIVISOR
     left = memory_bytes - PROCESS_BYTES - bodies
-    connections = min(memory_bytes // CONNECTIONS_DIVISOR, left)
     least = memory_bytes // LEAST_CONNECTIONS_DIVISOR
-    return MemoryShares(bodies, max(connections, least))
+    return MemoryShares(bodies, max(left, least))
