Run the bursts of uploads apart from other tests

Cause: the test sends ten bodies of 4 MB at a time, which end together after 0.9 to 1.8 s of the 2 s that the route gives; beside four busy processes they got 504 in one of five runs. Change: it runs alone, as the other crowds of callers do; nothing else of it changed.

--- a/tests/front/test_upload_memory.py
+++ b/tests/front/test_upload_memory.py
@@ -185,6 +185,8 @@
         await asyncio.sleep(SMALL_INTERVAL_S)
 
 
+# Its ten bodies of 4 MB at a time share their calls' 2 s with all other tests.
+@pytest.mark.alone
 @pytest.mark.parametrize("chunked", [False, True])
 def test_bursts_of_uploads_leave_a_node_its_memory(
     *, chunked: bool, tmp_path: pathlib.Path
