--- a/tests/exchange/test_drain_poller.py
+++ b/tests/exchange/test_drain_poller.py
@@ -2,11 +2,13 @@
 
 import asyncio
 import itertools
+import types
 from collections.abc import Callable
 from typing import Any
 
 import pytest
 
+from savorylift.backends.registry import BackendServer
 from savorylift.exchange import drain_poller
 from savorylift.exchange.drain_poller import (
     CHECK_INTERVAL_S,
@@ -23,6 +25,9 @@
 OUTAGE_S = 4.0
 # Engines give 1.5 s of notice, and copies of runs take half a second.
 MAX_PAUSE_S = 1.0
+# How long an engine takes for its report, and the start that it names.
+REPORT_S = 0.05
+STARTED_MS = 7
 
 
 class Rig:
@@ -34,14 +39,25 @@
         # Times at which each engine was polled.
         self.polls_s: dict[str, list[float]] = {s: [] for s in ENGINES}
         self.lost: set[str] = set()
+        # Servers and the starts that polls found out, with when they were sent.
+        self.starts: list[tuple[str, float, int]] = []
         self.tasks: list[asyncio.Task[None]] = []
         monkeypatch.setattr(drain_poller, "read_notice", self._read_notice)
 
-    async def _read_notice(self, address: str, **_: object) -> ServerNotice:
+    async def _read_notice(
+        self, address: str, *, on_start: Callable[[int], None], **_: object
+    ) -> ServerNotice:
         now_s = asyncio.get_running_loop().time()
         self.polls_s[address].append(now_s)
+        await asyncio.sleep(REPORT_S)
+        on_start(STARTED_MS)
         return NO_NOTICE
 
+    def _record_start(
+        self, server: BackendServer, asked_s: float, started_ms: int
+    ) -> None:
+        self.starts.append((server.entry.server_id, asked_s, started_ms))
+
     def _look(self) -> float:
         self.looks += 1
         return self.get_slack_s()
@@ -54,7 +70,9 @@
             for server_id, server in ENGINES.items()
         }
         registry: Any = type("Registry", (), {"servers": servers})
-        gate: Any = type("Gate", (), {"acquire": staticmethod(_permit)})
+        gate: Any = types.SimpleNamespace(
+            acquire=_permit, record_start=self._record_start
+        )
         notices: Any = type("Notices", (), {"record": lambda *_: False})()
         poller = DrainPoller(
             registry,
@@ -138,3 +156,22 @@
             assert lost_s + 0.8 <= polls_s[0] <= latest_s
 
     run_in_virtual_time(monkeypatch, scenario)
+
+
+def test_start_that_a_poll_finds_out_is_of_before_the_poll(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Streams that wait for it asked the same engine once more."""
+
+    async def scenario() -> None:
+        rig = Rig(monkeypatch)
+        clock = asyncio.get_running_loop().time
+        monkeypatch.setattr(drain_poller, "boot_time_s", clock)
+        rig.start(NODES[0], [])
+        await asyncio.sleep(POLL_INTERVAL_S)
+        assert {server_id for server_id, _, _ in rig.starts} == set(ENGINES)
+        for server_id, asked_s, started_ms in rig.starts:
+            assert started_ms == STARTED_MS
+            assert asked_s in rig.polls_s[server_id]
+
+    run_in_virtual_time(monkeypatch, scenario)
