--- a/tests/moves/test_plan_timers.py
+++ b/tests/moves/test_plan_timers.py
@@ -15,6 +15,9 @@
 )
 from tests.harness.virtual_time import run_in_virtual_time, stand_still
 
+# Engines leave with at least so much notice.
+LEAST_NOTICE_S = 1.5
+
 
 class Planner:
     """Makes plans that take a time, and for which there is always a reason."""
@@ -97,6 +100,29 @@
     run_in_virtual_time(monkeypatch, scenario)
 
 
+def test_engines_of_many_services_leave_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The last service's plan came after 1.5 s, as its engines stopped."""
+
+    async def scenario() -> None:
+        planner = Planner(0.011, is_restless=True)
+        services = [f"s{number}" for number in range(15)]
+        begun_s = time.monotonic()
+        for service in services:
+            planner.timers.set(service)
+        await asyncio.sleep(4.0)
+        first = planner.begun[: len(services)]
+        assert {service for service, _ in first} == set(services)
+        assert first[-1][1] - begun_s < SHARE_DELAY_S + 0.011 * len(services)
+        for service in services:
+            times_s = [t for name, t in planner.begun if name == service]
+            waits_s = [b - a for a, b in itertools.pairwise(times_s)]
+            assert max(waits_s) < LEAST_NOTICE_S
+
+    run_in_virtual_time(monkeypatch, scenario)
+
+
 def test_pause_after_a_long_plan_is_bounded(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
