--- a/src/savorylift/backends/registry.py
+++ b/src/savorylift/backends/registry.py
@@ -80,9 +80,8 @@
             returned_s: Monotonic time at which the store answered again. An
                 earlier one than before changes nothing.
         """
-        self._grace_until_s = max(
-            self._grace_until_s, returned_s + GRACE_PERIOD_S
-        )
+        until_s = returned_s + GRACE_PERIOD_S
+        self._grace_until_s = max(self._grace_until_s, until_s)
 
     def put(self, entry: ServerEntry, now_s: float) -> bool:
         """Stores an entry unless it is outdated.
