Play nodes that miss that servers of another version joined

A rig of our own: a fault of the soak that lets nodes hear neither others nor the store, or stand still, while an engine of another version joins under an ID of its own; and tests with one such node.

--- a/tests/front/cut_node.py
+++ b/tests/front/cut_node.py
@@ -1,12 +1,15 @@
 """Runs a node that signals cut off from all other nodes, and heal.
 
 Servers and the store are reached meanwhile: they listen on `SERVER_HOST`, as
-no node does. Another signal lets these refuse connections instead.
+no node does. Another signal lets these refuse connections instead, and a
+further one lets connections to the store alone hang until it heals.
 
 Run as `python -m tests.front.cut_node SETTINGS`.
 """
 
 import asyncio
+import json
+import pathlib
 import signal
 import sys
 from types import FrameType
@@ -18,6 +21,7 @@
 CUT_SIGNAL = signal.SIGUSR1
 HEAL_SIGNAL = signal.SIGUSR2
 SERVER_CUT_SIGNAL = signal.SIGRTMIN
+STORE_CUT_SIGNAL = signal.SIGRTMAX
 SERVER_HOST = "127.0.0.1"
 
 
@@ -27,27 +31,35 @@
     Attributes:
         is_cut: Whether it is cut off.
         is_refused: Whether servers and the store refuse connections.
+        is_store_cut: Whether new connections to the store hang.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, store_port: int) -> None:
         """Starts in touch; signals change that."""
+        self._store_port = store_port
         self.is_cut = False
         self.is_refused = False
+        self.is_store_cut = False
 
     def install(self) -> None:
         """Sets the handlers, and stands before sockets of this process."""
         signal.signal(CUT_SIGNAL, self._on_signal)
         signal.signal(HEAL_SIGNAL, self._on_signal)
         signal.signal(SERVER_CUT_SIGNAL, self._on_server_cut)
+        signal.signal(STORE_CUT_SIGNAL, self._on_store_cut)
         self._stand_before_datagrams()
         self._stand_before_connections()
 
     def _on_signal(self, number: int, _: FrameType | None) -> None:
         self.is_cut = number == CUT_SIGNAL
+        self.is_store_cut = False
 
     def _on_server_cut(self, _number: int, _: FrameType | None) -> None:
         self.is_refused = True
 
+    def _on_store_cut(self, _number: int, _: FrameType | None) -> None:
+        self.is_store_cut = True
+
     def _stand_before_datagrams(self) -> None:
         transport_class: Any = PeerTransport
         send_all = transport_class._send_all
@@ -73,20 +85,24 @@
         create_connection = loop_class.create_connection
 
         async def connect(
-            loop: object, factory: object, host: str, *args: object
+            loop: object, factory: object, host: str, port: int, *args: object
         ) -> object:
             if self.is_cut and host != SERVER_HOST:
                 await asyncio.Event().wait()
+            if self.is_store_cut and port == self._store_port:
+                await asyncio.Event().wait()
             if self.is_refused and host == SERVER_HOST:
                 raise ConnectionRefusedError
-            return await create_connection(loop, factory, host, *args)
+            return await create_connection(loop, factory, host, port, *args)
 
         loop_class.create_connection = connect
 
 
 def main() -> int:
     """Runs the node until it is stopped; returns the exit code."""
-    CutNode().install()
+    settings = json.loads(pathlib.Path(sys.argv[1]).read_text())
+    _, _, store_port = settings["store"].rpartition(":")
+    CutNode(int(store_port)).install()
     return program.main()
 
 
--- a/tests/front/engine_fleet.py
+++ b/tests/front/engine_fleet.py
@@ -6,8 +6,19 @@
 from tests.front.engine_process import EngineProcess
 from tests.front.node_fleet import GENERATION_PATHS
 from tests.front.version_fleet import PATH, VersionProcessFleet
+from tests.harness.ports import free_addresses
 from tests.standins.platform_server import PlatformServer
 
+# What engines of a fleet have in common.
+ENGINE_OPTIONS = (
+    "answers_in_parts",
+    "delay_s",
+    "event_interval_s",
+    "events_per_stream",
+    "resets_after",
+    "says_version",
+)
+
 
 class EngineProcessFleet(VersionProcessFleet):
     """A `VersionProcessFleet` with a process for each server of one service.
@@ -31,6 +42,7 @@
         self._written: dict[str, int] = {}
         super().__init__(nodes, directory)
         self.path = path
+        self._engine_logs = directory
         self.engines = [
             EngineProcess(server.server_id, directory)
             for server in self.service(path)
@@ -44,6 +56,18 @@
             engine.says_version = True
             engine.answers_in_parts = True
 
+    async def add_engine(self, version: str) -> EngineProcess:
+        """Starts another engine, like the first one but for its version."""
+        first, number = self.engines[0], len(self.engines)
+        engine = EngineProcess(f"added-{number}", self._engine_logs)
+        for name in ENGINE_OPTIONS:
+            setattr(engine, name, getattr(first, name))
+        engine.software_version = version
+        self.engines.append(engine)
+        (address,) = free_addresses(1)
+        await engine.start(int(address.rpartition(":")[2]))
+        return engine
+
     def publish_entry(
         self,
         server: PlatformServer,
--- a/tests/front/version_fleet.py
+++ b/tests/front/version_fleet.py
@@ -12,7 +12,12 @@
 from savorylift.front.settings import FrontSettings
 from savorylift.settings import TlsSettings
 from savorylift.wire.message import Headers
-from tests.front.cut_node import CUT_SIGNAL, HEAL_SIGNAL, SERVER_CUT_SIGNAL
+from tests.front.cut_node import (
+    CUT_SIGNAL,
+    HEAL_SIGNAL,
+    SERVER_CUT_SIGNAL,
+    STORE_CUT_SIGNAL,
+)
 from tests.front.node_fleet import (
     GENERATION_PATHS,
     START_TIMEOUT_S,
@@ -272,6 +277,10 @@
         for ip in ips:
             self.processes[ip].send_signal(CUT_SIGNAL)
 
+    def cut_off_store(self, ip: str) -> None:
+        """Lets a node's new connections to the store hang until it heals."""
+        self.processes[ip].send_signal(STORE_CUT_SIGNAL)
+
     def cut_off_servers(self, ip: str) -> None:
         """Lets a node reach neither servers nor the store any more."""
         self.processes[ip].send_signal(SERVER_CUT_SIGNAL)
--- a/tests/soak/shape.py
+++ b/tests/soak/shape.py
@@ -41,6 +41,8 @@
         CUT: Some nodes hear no other node for some seconds.
         ROLL: All nodes are ended and started again, one by one.
         RELEASE: The same; each node starts again with the other build.
+        JOIN: Some nodes hear neither others nor the store for some seconds, or
+            stand still; meanwhile an engine of another version joins.
         END: A node gets SIGTERM, and other signals before it ends; then it
             starts again. Several nodes may do so at once.
         STORE_AWAY: The store refuses or hangs for some seconds.
@@ -64,6 +66,7 @@
     CUT = "cut"
     ROLL = "roll"
     RELEASE = "release"
+    JOIN = "join"
     END = "end"
     STORE_AWAY = "store away"
     STORE_BACK = "store back"
--- a/tests/soak/version_faults.py
+++ b/tests/soak/version_faults.py
@@ -4,6 +4,7 @@
 
 from tests.soak.engine_faults import EngineFaults
 from tests.soak.fault_context import FaultContext
+from tests.soak.join_faults import JoinFaults
 from tests.soak.node_faults import NodeFaults
 from tests.soak.notice_faults import NoticeFaults
 from tests.soak.store_faults import StoreFaults
@@ -18,6 +19,7 @@
         self._actions = {
             **EngineFaults(context).actions(),
             **NodeFaults(context).actions(),
+            **JoinFaults(context).actions(),
             **StoreFaults(context).actions(),
             **NoticeFaults(context).actions(),
         }
--- a/tests/soak/version_shapes.py
+++ b/tests/soak/version_shapes.py
@@ -38,6 +38,11 @@
     entry_delays_s=(0.5, 2.0),
     resets_after=BREAK_AFTER_EVENTS,
 )
+# Engines of another version join while some nodes are out of step. It counts
+# until all nodes know both versions.
+JOINED = RELEASE._replace(
+    faults=(Fault.JOIN,), releases=("v2",), fault_interval_s=(1.0, 2.0)
+)
 LATE_SWAPS = Shape(entry_delays_s=LATE_ENTRY_DELAYS_S)
 # One software version, whose engines all name a limit.
 LIMITED = Shape(
@@ -135,6 +140,9 @@
     ),
     "notices-two-builds": NOTICES._replace(other_nodes=1),
     "release": RELEASE,
+    "joined": JOINED,
+    "joined-9": JOINED._replace(nodes=MANY_NODES),
+    "joined-kills": JOINED._replace(faults=(Fault.JOIN, Fault.KILL_ONE)),
     "drains": Shape(faults=(*BASE_FAULTS, Fault.DRAIN, Fault.DRAIN)),
     "short": Shape(events=SHORT_EVENTS, resets_after=BREAK_AFTER_EVENTS),
     "unframed": Shape(is_unframed=True),
