Ask the store before a stream of unknown origin goes on

Callers saw: a stream that began at a server of a new version broke off, was taken up at a node that had been cut off or had stood still while that server joined, and went on at a server of the version before.

Cause: if no node that is heard knows where a stream began, it goes on at the only version that the node has heard of. Nothing checked that the node had heard what those who began the stream had: a node out of step can't tell that it is, and the servers that it knows are what their entries say.

Change: such a stream goes on only if the servers' entries and the records of versions, listed from the store after the caller came, name no other version; otherwise, or if the store can't be asked, it is refused as not run (doubts version_read and versions_unread). If they name another, the origins in the store are looked up, as where the node knows both versions.

Why it works: nodes send requests only to servers whose entries are in the store, whose answers are linearizable. So a listing that began after the stream did shows its server's version; that of a server that has left is in the records of versions for a minute.

--- a/src/savorylift/exchange/origin_finder.py
+++ b/src/savorylift/exchange/origin_finder.py
@@ -12,6 +12,7 @@
 from savorylift.exchange.stream_beginnings import RESUME_SLACK_S, process_of
 from savorylift.exchange.stream_origins import StreamOrigins
 from savorylift.fleet.state import UNKNOWN_VERSION, StreamOrigin
+from savorylift.fleet.stored_versions import StoredVersions
 from savorylift.fleet.version_history import (
     RETENTION_S,
     UNNAMED_VERSION,
@@ -47,6 +48,7 @@
         origins: StreamOrigins,
         origin_log: OriginLog,
         history: VersionHistory,
+        stored_versions: StoredVersions,
         server_life: ServerLife,
         pool: ServerPool,
         rng: random.Random,
@@ -56,7 +58,9 @@
         Args:
             origins: Where streams began, as far as nodes know.
             origin_log: The same, as far as the store knows.
-            history: Software versions that have served lately.
+            history: Software versions that have served lately, as far as this
+                node has heard.
+            stored_versions: The same, as the store says now.
             server_life: Finds out whether a server has started again.
             pool: The servers.
             rng: Draws the servers to ask in a large service.
@@ -64,6 +68,7 @@
         self._origins = origins
         self._origin_log = origin_log
         self._history = history
+        self._stored_versions = stored_versions
         self._server_life = server_life
         self._pool = pool
         self._rng = rng
@@ -115,11 +120,22 @@
             return origin
         if self._is_unnamed(admitted):
             return origin
-        is_sole = self._history.sole_version(admitted.service.name) is not None
-        if is_sole and not self._has_restarted(admitted):
+        if await self._is_of_sole_version(admitted, origin):
             return origin
         return await self._origin_log.find(attempt_id) or origin
 
+    async def _is_of_sole_version(
+        self, admitted: AdmittedRequest, origin: StreamOrigin | None
+    ) -> bool:
+        """Whether the store need not be asked where a stream began."""
+        version = self._history.sole_version(admitted.service.name)
+        if version is None or self._has_restarted(admitted):
+            return False
+        if origin is not None:
+            return True
+        doubt = await self._find_stored_doubt(admitted, version)
+        return doubt in (None, Doubt.UNREAD)
+
     async def _prove(
         self, admitted: AdmittedRequest, origin: StreamOrigin
     ) -> StreamOrigin:
@@ -158,6 +174,11 @@
             return Doubt.STARTED
         if self._has_restarted(admitted):
             return Doubt.RESTARTED
+        stored = await self._find_stored_doubt(
+            admitted, admitted.software_version
+        )
+        if stored is not None:
+            return stored
         service = admitted.service.name
         servers = self._pool.servers_in_service(service)
         asked = self._rng.sample(servers, min(len(servers), MAX_SERVERS_ASKED))
@@ -182,6 +203,27 @@
         doubts = [DOUBTS[r.life] for r in reports if r.life in DOUBTS]
         return doubts[0] if doubts else None
 
+    async def _find_stored_doubt(
+        self, admitted: AdmittedRequest, version: str | None
+    ) -> Doubt | None:
+        """Returns why the store casts doubt on the only version known here.
+
+        This node may have missed what others knew as the stream began.
+        """
+        service = admitted.service.name
+        stored = await self._stored_versions.find(
+            service, admitted.req.arrived_s
+        )
+        if stored is None:
+            return Doubt.UNREAD
+        others = stored - {version}
+        if others == {UNKNOWN_VERSION}:
+            # Then it is known here, too, when the server started again.
+            now_s = time.monotonic()
+            is_known = service in self._history.restarted_services(now_s)
+            return None if is_known else Doubt.RESTARTED
+        return Doubt.READ if others else None
+
     def _has_restarted(self, admitted: AdmittedRequest) -> bool:
         """Whether a server has started again since a stream could begin."""
         service = admitted.service.name
--- a/src/savorylift/exchange/results.py
+++ b/src/savorylift/exchange/results.py
@@ -65,6 +65,7 @@
         SILENT: No node knows, and a server didn't answer.
         OTHER: No node knows, and a server is another process than its entry's.
         READ: No node knows, and an entry of another version has been read.
+        UNREAD: No node knows, and the store can't be asked for the versions.
     """
 
     UNKNOWN = "origin_unknown"
@@ -75,6 +76,7 @@
     SILENT = "server_silent"
     OTHER = "server_other"
     READ = "version_read"
+    UNREAD = "versions_unread"
 
 
 class NotRun(NamedTuple):
--- a/src/savorylift/exchange/stream_resumption.py
+++ b/src/savorylift/exchange/stream_resumption.py
@@ -19,6 +19,7 @@
 from savorylift.exchange.stream_beginnings import StreamBeginnings
 from savorylift.exchange.stream_origins import StreamOrigins
 from savorylift.fleet.state import StreamOrigin
+from savorylift.fleet.stored_versions import StoredVersions
 from savorylift.fleet.version_history import VersionHistory
 from savorylift.outcomes import Reason
 from savorylift.processes.server_life import ServerLife
@@ -46,6 +47,7 @@
         origins: StreamOrigins,
         origin_log: OriginLog,
         history: VersionHistory,
+        stored_versions: StoredVersions,
         server_life: ServerLife,
         pool: ServerPool,
         find_service: Callable[[str], Service | None],
@@ -56,7 +58,9 @@
         Args:
             origins: Where streams began, as far as nodes know.
             origin_log: The same, as far as the store knows.
-            history: Software versions that have served lately.
+            history: Software versions that have served lately, as far as this
+                node has heard.
+            stored_versions: The same, as the store says now.
             server_life: Finds out whether a server has started again.
             pool: The servers.
             find_service: Returns a configured service by its name.
@@ -67,7 +71,13 @@
         self._find_service = find_service
         self._beginnings = StreamBeginnings(origins, server_life, pool)
         self._finder = OriginFinder(
-            origins, origin_log, history, server_life, pool, rng
+            origins,
+            origin_log,
+            history,
+            stored_versions,
+            server_life,
+            pool,
+            rng,
         )
         self.on_start = self._beginnings.on_start
 
--- a/src/savorylift/fleet/metrics.py
+++ b/src/savorylift/fleet/metrics.py
@@ -30,6 +30,11 @@
     "savorylift_fleet_silenced_peers",
     "Nodes taken for silent because several watchers miss them.",
 )
+STORED_VERSIONS = Counter(
+    "savorylift_fleet_stored_version_readings",
+    "Readings of the software versions that the store knows.",
+    ["outcome"],
+)
 LOOP_DELAY = Histogram(
     "savorylift_fleet_loop_delay_seconds",
     "How late the event loop runs a periodic task.",
--- a/src/savorylift/front/stream_parts.py
+++ b/src/savorylift/front/stream_parts.py
@@ -13,6 +13,7 @@
 from savorylift.fleet.peer_transport import PeerTransport
 from savorylift.fleet.room_messages import RoomMessage
 from savorylift.fleet.state import NodeState
+from savorylift.fleet.stored_versions import StoredVersions
 from savorylift.front.move_parts import MoveParts, make_move_parts
 from savorylift.front.room_parts import RoomParts, make_room_parts
 from savorylift.front.server_news import ServerNews
@@ -68,6 +69,7 @@
         origins,
         origin_log,
         servers.version_history,
+        _make_stored_versions(shared),
         servers.life,
         servers.pool,
         shared.find_service,
@@ -108,6 +110,14 @@
     )
 
 
+def _make_stored_versions(shared: SharedParts) -> StoredVersions:
+    return StoredVersions(
+        shared.store,
+        shared.interface.decoders.server,
+        lambda: shared.membership.count_live_nodes(time.monotonic()),
+    )
+
+
 def _make_server_news(
     shared: SharedParts, servers: ServerParts, origins: StreamOrigins
 ) -> ServerNews:
--- a/tests/exchange/test_origin_finder.py
+++ b/tests/exchange/test_origin_finder.py
@@ -16,7 +16,7 @@
 )
 from savorylift.exchange.results import Doubt
 from savorylift.exchange.server_pool import ServerPool
-from savorylift.exchange.stream_beginnings import process_of
+from savorylift.exchange.stream_beginnings import RESUME_SLACK_S, process_of
 from savorylift.fleet.state import UNKNOWN_VERSION, StreamOrigin
 from savorylift.fleet.version_history import VersionHistory
 from savorylift.processes.life_report import Life, LifeReport
@@ -56,6 +56,23 @@
         return self._origin
 
 
+class Stored:
+    """A store that says which versions of any service may count.
+
+    Attributes:
+        versions: The versions; None while it can't be read.
+        since_s: From when on they had to be read, in the last question.
+    """
+
+    def __init__(self, versions: frozenset[str] | None) -> None:
+        self.versions = versions
+        self.since_s: float | None = None
+
+    async def find(self, _: str, since_s: float) -> frozenset[str] | None:
+        self.since_s = since_s
+        return self.versions
+
+
 class Lives:
     """Servers of which all answer alike, but for some.
 
@@ -85,6 +102,7 @@
         history: What is known of their versions.
         store: The store.
         lives: What the servers answer.
+        stored: What the store says of their versions.
     """
 
     def __init__(
@@ -103,11 +121,19 @@
         self.history.observe(entries, time.monotonic())
         self.store = Origins(saved)
         self.lives = Lives(life, others or {})
+        self.stored = Stored(frozenset({version}))
         nodes: Any = Origins(origin)
         store: Any = self.store
         lives: Any = self.lives
+        stored: Any = self.stored
         self.finder = OriginFinder(
-            nodes, store, self.history, lives, self.pool, random.Random(1)
+            nodes,
+            store,
+            self.history,
+            stored,
+            lives,
+            self.pool,
+            random.Random(1),
         )
 
     def restart(self, server_id: str = "a") -> None:
@@ -191,6 +217,77 @@
     run_in_virtual_time(monkeypatch, scenario)
 
 
+@pytest.mark.parametrize(
+    ("stored", "questions", "doubt"),
+    [
+        ({"v1"}, 0, None),
+        # All servers are gone, and nobody recorded a version.
+        (set(), 0, None),
+        ({"v1", "v2"}, 1, Doubt.READ),
+        ({"v2"}, 1, Doubt.READ),
+        ({"v1", UNKNOWN_VERSION}, 1, Doubt.RESTARTED),
+        ({"v1", "v2", UNKNOWN_VERSION}, 1, Doubt.READ),
+        # A store that can't be read has no origins either.
+        (None, 0, Doubt.UNREAD),
+    ],
+)
+def test_the_only_version_known_here_must_be_the_only_one_of_the_store(
+    stored: set[str] | None,
+    questions: int,
+    doubt: Doubt | None,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A node that had been cut off took what it knew for all there was."""
+
+    async def scenario() -> None:
+        fixture = Fixture()
+        await asyncio.sleep(MIN_UPTIME_S)
+        fixture.stored.versions = None if stored is None else frozenset(stored)
+        admitted = take_up("v1")
+        assert await fixture.finder.find(admitted) is None
+        assert fixture.store.questions == questions
+        assert await fixture.finder.find_doubt(admitted, None) is doubt
+        assert fixture.stored.since_s == admitted.req.arrived_s
+        assert fixture.lives.asked == ([] if doubt else ["a"])
+
+    run_in_virtual_time(monkeypatch, scenario)
+
+
+def test_restart_that_is_known_here_counts_for_its_time_only(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The store's record says only that there was one in the last minute."""
+
+    async def scenario() -> None:
+        fixture = Fixture()
+        admitted = take_up("v1")
+        timeout_s = admitted.route.timeout_s
+        assert timeout_s is not None
+        fixture.restart()
+        now_s = time.monotonic()
+        fixture.history.note_starts(
+            [s.entry for s in fixture.pool.servers_in_service("s")], now_s
+        )
+        fixture.stored.versions = frozenset({"v1", UNKNOWN_VERSION})
+        await asyncio.sleep(timeout_s + RESUME_SLACK_S + MIN_UPTIME_S)
+        later = take_up("v1")
+        assert fixture.history.restarted_services(time.monotonic()) == {"s"}
+        assert await fixture.finder.find_doubt(later, None) is None
+
+    run_in_virtual_time(monkeypatch, scenario)
+
+
+def test_node_needs_no_versions_of_the_store_where_one_knows_the_stream() -> (
+    None
+):
+    async def scenario() -> None:
+        fixture = Fixture(ORIGIN)
+        assert await fixture.finder.find(take_up()) == ORIGIN
+        assert fixture.stored.since_s is None
+
+    asyncio.run(scenario())
+
+
 def test_nobody_is_asked_of_a_request_that_names_no_stream() -> None:
     async def scenario() -> None:
         fixture = Fixture(ORIGIN, SAVED)
--- a/tests/exchange/test_short_streams.py
+++ b/tests/exchange/test_short_streams.py
@@ -95,6 +95,7 @@
             origins,
             nothing,
             VersionHistory(),
+            nothing,
             life,
             nothing,
             lambda name: Service(name, 40.0, None),
--- a/tests/exchange/test_stream_resumption.py
+++ b/tests/exchange/test_stream_resumption.py
@@ -80,12 +80,14 @@
     async def scenario() -> None:
         origins: Any = Origins(heard_after_s)
         log: Any = Nothing()
+        stored: Any = None
         life: Any = None
         pool: Any = Pool()
         resumption = StreamResumption(
             origins,
             log,
             VersionHistory(),
+            stored,
             life,
             pool,
             lambda name: Service(name, 40.0, None),
@@ -177,6 +179,7 @@
             cast("Any", SimpleNamespace(find=find)),
             cast("Any", SimpleNamespace(find=find_none)),
             VersionHistory(),
+            cast("Any", None),
             cast("Any", SimpleNamespace(check=check)),
             cast("Any", SimpleNamespace(find_server=lambda _: server)),
             random.Random(1),
--- a/tests/soak/test_version_soak.py
+++ b/tests/soak/test_version_soak.py
@@ -34,7 +34,9 @@
     assert any(stream.is_whole for stream in result.streams)
 
 
-@pytest.mark.parametrize(("shape", "seed"), [("release", 2), ("begins", 1)])
+@pytest.mark.parametrize(
+    ("shape", "seed"), [("release", 2), ("begins", 1), ("joined", 1)]
+)
 def test_streams_keep_their_version_in_shapes_that_broke_it(
     shape: str, seed: int, tmp_path: pathlib.Path
 ) -> None:
