Write no versions over those that another node knows

Cause: a node that begins to write the records of versions (it hears no other node, or the writers are gone) read them, dropped what it hadn't heard of itself, and wrote the rest over it. A version that had come and gone while the node was cut off, or a restart of a server, was so erased for all. A write that the store carries out late did the same.

Evidence: in the logs of a test with a node cut off, versions_loaded with v1 and a restart, and 3 ms later versions_saved with v1 alone.

Change: what the records hold and the node hasn't heard of counts there from then on, so that it is written, told and forgotten as anything else; what it has heard keeps its age. A write holds only if nothing was written since the node read or wrote the records; else it reads them first. The store's era needs no rule of its own but to read again.

A change of versions still takes two calls more at most, since the second writer's call is refused and its reading finds nothing to write.

--- a/src/savorylift/fleet/version_history.py
+++ b/src/savorylift/fleet/version_history.py
@@ -197,7 +197,7 @@
         starts: Iterable[ServerStart],
         now_s: float,
     ) -> None:
-        """Adds what was known at some time before this node started.
+        """Adds what other nodes knew at some time, as far as it is new here.
 
         How long ago a version served, or a server started again, isn't known:
         it counts as if it was just now.
@@ -206,9 +206,10 @@
         for software_version in versions:
             version = _Version(service, software_version)
             if software_version == UNKNOWN_VERSION:
-                self._restarted_s[service] = now_s
+                if service not in self.restarted_services(now_s):
+                    self._restarted_s[service] = now_s
             elif version not in self._serving:
-                self._gone_s[version] = now_s
+                self._gone_s.setdefault(version, now_s)
         for server_id, started_ms in starts:
             known = self._processes.setdefault(
                 server_id, _Process(service, started_ms, now_s)
--- a/src/savorylift/fleet/version_recorder.py
+++ b/src/savorylift/fleet/version_recorder.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 from typing import NamedTuple
 
 import structlog
@@ -16,7 +16,11 @@
 from savorylift.fleet.record_codec import decode_record, encode_record
 from savorylift.fleet.state import UNKNOWN_VERSION
 from savorylift.fleet.version_history import ServerStart, VersionHistory
-from savorylift.platform.store import VERSIONS_TOPIC, StoreClient
+from savorylift.platform.store import (
+    VERSIONS_TOPIC,
+    StoreClient,
+    StoreFault,
+)
 from savorylift.platform.store_record import MAX_KEY_BYTES, Record
 
 CHECK_INTERVAL_S = 0.2
@@ -89,7 +93,8 @@
         self._get_era = get_era
         self._era = 0
         self._saved: dict[str, VersionRecord] = {}
-        self._has_loaded = False
+        # End of the topic as it was read or written last; None before.
+        self._end: int | None = None
 
     async def run(self) -> None:
         """Reads the records, and then writes changes forever."""
@@ -123,35 +128,44 @@
         """Writes what has changed if this node is a writer."""
         if not self._is_writer():
             return True
-        has_loaded = self._has_loaded or await self._load()
+        era = self._get_era()
+        if era != self._era:
+            self._era, self._end = era, None
+        has_loaded = self._end is not None or await self._load()
         return has_loaded and await self.save()
 
     async def save(self) -> bool:
-        """Writes what has changed; returns whether that succeeded."""
-        era = self._get_era()
-        if era != self._era:
-            self._saved.clear()
-            self._era = era
+        """Writes what has changed; returns whether that succeeded.
+
+        Not over what another node has written since, which may know more: that
+        is read first.
+        """
         changed = self._find_changed()
         if not changed or not self._is_due(changed):
             return True
         self._next_starts_s = time.monotonic() + STARTS_INTERVAL_S
         records = [_encode(*item) for item in changed.items()]
-        written = await self._store.append(VERSIONS_TOPIC, records)
+        written = await self._store.append(VERSIONS_TOPIC, records, self._end)
+        is_saved = is_successful(written)
         _log.info(
             "versions_saved",
             versions={s: record.versions for s, record in changed.items()},
-            era=era,
-            is_saved=is_successful(written),
+            era=self._era,
+            is_saved=is_saved,
+            detail=None if is_saved else written.failure().detail,
         )
-        if is_successful(written):
-            self._saved |= changed
-            self._saved = {
-                service: record
-                for service, record in self._saved.items()
-                if record.versions
-            }
-        return is_successful(written)
+        if not is_saved:
+            if written.failure().fault is StoreFault.CONFLICT:
+                return await self._load()
+            return False
+        self._end = written.unwrap() + len(records)
+        self._saved |= changed
+        self._saved = {
+            service: record
+            for service, record in self._saved.items()
+            if record.versions
+        }
+        return True
 
     def _is_due(self, changed: dict[str, VersionRecord]) -> bool:
         """Whether changes must be written now.
@@ -195,28 +209,18 @@
     async def _load(self) -> bool:
         """Reads all records; returns whether that succeeded.
 
-        What other nodes have told before is newer than the records.
+        What they hold and this node has not heard of counts from now on.
         """
         listed = await self._store.list_newest(VERSIONS_TOPIC)
         if not is_successful(listed):
             _log.warning("versions_not_loaded", detail=listed.failure().detail)
             return False
-        records = listed.unwrap().records
-        for record in records:
-            decoded = decode_record(record.value or b"", VersionRecord)
-            if not is_successful(decoded):
-                _log.warning(
-                    "version_record_unsound",
-                    service=record.key,
-                    detail=decoded.failure(),
-                )
-                continue
-            found = decoded.unwrap()
-            self._saved[record.key] = found
-            if not self._history.is_complete:
-                self._history.restore(record.key, *found, time.monotonic())
-        self._has_loaded = True
-        if records:
+        batch = listed.unwrap()
+        self._end = batch.next_offset
+        self._saved = dict(_decode_records(batch.records))
+        for service, record in self._saved.items():
+            self._restore(service, record)
+        if batch.records:
             self._history.is_complete = True
         _log.info(
             "versions_loaded",
@@ -224,6 +228,29 @@
         )
         return True
 
+    def _restore(self, service: str, record: VersionRecord) -> None:
+        """Adds what a record holds to what this node has heard."""
+        # Starts are written late, and a node that runs has seen them itself.
+        starts = () if self._history.is_complete else record.starts
+        now_s = time.monotonic()
+        self._history.restore(service, record.versions, starts, now_s)
+
+
+def _decode_records(
+    records: Iterable[Record],
+) -> Iterator[tuple[str, VersionRecord]]:
+    """Yields the service and the content of each record that can be read."""
+    for record in records:
+        decoded = decode_record(record.value or b"", VersionRecord)
+        if is_successful(decoded):
+            yield record.key, decoded.unwrap()
+        else:
+            _log.warning(
+                "version_record_unsound",
+                service=record.key,
+                detail=decoded.failure(),
+            )
+
 
 def _encode(service: str, record: VersionRecord) -> Record:
     """Returns a record for the store; it removes the key if it is empty."""
--- a/tests/fleet/test_version_history.py
+++ b/tests/fleet/test_version_history.py
@@ -57,6 +57,19 @@
     assert newer.only_version("s") == "v2"
 
 
+def test_what_is_known_already_is_not_younger_in_a_record() -> None:
+    history = VersionHistory()
+    history.observe([V1, V2], 0.0)
+    history.observe([V1], 10.0)
+    history.note_starts([V1._replace(started_ms=2)], 10.0)
+    history.restore("s", ("v1", "v2", "v3", UNKNOWN_VERSION), (), 50.0)
+    assert history.known_versions() == {"s": {"v1", "v2", "v3"}}
+    assert not history.has_restarted("s", 10.1)
+    history.observe([V1._replace(started_ms=2)], 10.0 + RETENTION_S)
+    assert history.known_versions() == {"s": {"v1", "v3"}}
+    assert history.restarted_services(10.0 + RETENTION_S) == frozenset()
+
+
 def test_server_that_starts_again_under_its_id_is_noticed() -> None:
     history = VersionHistory()
     first = V1._replace(started_ms=1)
--- a/tests/fleet/test_version_recorder.py
+++ b/tests/fleet/test_version_recorder.py
@@ -7,6 +7,8 @@
 import pytest
 
 from savorylift.backends.server import ServerEntry
+from savorylift.fleet.record_codec import decode_record, encode_record
+from savorylift.fleet.state import UNKNOWN_VERSION
 from savorylift.fleet.version_history import RETENTION_S, VersionHistory
 from savorylift.fleet.version_recorder import (
     CHECK_INTERVAL_S,
@@ -14,6 +16,7 @@
     RETRY_INTERVAL_S,
     START_DELAY_S,
     STARTS_INTERVAL_S,
+    VersionRecord,
     VersionRecorder,
 )
 from savorylift.platform.store import VERSIONS_TOPIC, StoreClient
@@ -25,6 +28,7 @@
 
 V1 = make_server_entry("i-1")._replace(software_version="v1")
 V2 = make_server_entry("i-2")._replace(software_version="v2")
+V3 = make_server_entry("i-3")._replace(software_version="v3")
 
 
 class Fleet:
@@ -58,6 +62,13 @@
         for task in self._tasks:
             task.cancel()
 
+    async def read_versions(self) -> set[str]:
+        """Returns the versions of service `s` in the store."""
+        listed = await self.client.list_newest(VERSIONS_TOPIC)
+        records = {r.key: r.value for r in listed.unwrap().records}
+        found = decode_record(records["s"] or b"", VersionRecord)
+        return set(found.unwrap().versions)
+
     @property
     def appends(self) -> int:
         return self.store.called_paths.count("/log-append")
@@ -285,6 +296,47 @@
     run_with_timeout(scenario())
 
 
+def test_node_that_becomes_a_writer_keeps_what_it_has_not_heard_of() -> None:
+    """A node that had been cut off erased the version that it had missed."""
+
+    async def scenario() -> None:
+        fleet = Fleet()
+        fleet.is_writer = False
+        history = await fleet.start_node(V1)
+        # As other nodes tell it.
+        history.is_complete = True
+        await asyncio.sleep(START_DELAY_S)
+        record = VersionRecord(("v1", "v2", UNKNOWN_VERSION))
+        value = encode_record(record)
+        await fleet.client.append(VERSIONS_TOPIC, [Record("s", value)])
+        fleet.is_writer = True
+        await wait_until_written(fleet, 2)
+        assert await fleet.read_versions() == {"v1", "v2", UNKNOWN_VERSION}
+        assert history.known_versions() == {"s": {"v1", "v2"}}
+        assert history.restarted_services(time.monotonic()) == {"s"}
+
+    run_with_timeout(scenario())
+
+
+def test_nothing_is_written_over_what_another_node_has_written_since() -> None:
+    """A writer that had stood still knew less than the one beside it."""
+
+    async def scenario() -> None:
+        fleet = Fleet()
+        late = await fleet.start_node(V1)
+        await wait_until_written(fleet, 1)
+        record = VersionRecord(("v1", "v2"))
+        value = encode_record(record)
+        await fleet.client.append(VERSIONS_TOPIC, [Record("s", value)])
+        late.observe([V1, V3], 1.0)
+        async with asyncio.timeout(START_DELAY_S):
+            while await fleet.read_versions() != {"v1", "v2", "v3"}:
+                await asyncio.sleep(0.05)
+        assert late.known_versions() == {"s": {"v1", "v2", "v3"}}
+
+    run_with_timeout(scenario())
+
+
 def test_starts_of_servers_are_written_together() -> None:
     async def scenario() -> None:
         fleet = Fleet()
