Tell other nodes of a process whose entry isn't read, at once

Cause: a node that is answered by another process than that of a server's entry kept it to itself until the entry came. If that process ended without ever writing one, and its server's entry was removed, a node that heard neither the first one nor the homes of its streams found one version everywhere, and no server that had started again.

Change: such an answer counts as a restart of the service for the node that got it, which tells the others and has it recorded as it does with restarts that it reads. Most entries come a moment later and count the same, so that streams of unknown origin wait for as long as before.

--- a/src/savorylift/fleet/version_history.py
+++ b/src/savorylift/fleet/version_history.py
@@ -106,6 +106,13 @@
                 entry.service, entry.started_ms, now_s
             )
 
+    def note_unread_process(self, service: str, now_s: float) -> None:
+        """Records that a process answered whose entry isn't read.
+
+        It counts as a restart at once: its entry may never be written.
+        """
+        self._restarted_s[service] = now_s
+
     def _end_observation(self) -> None:
         """Notes when the processes were seen that were observed last."""
         for entry in self._observed or ():
--- a/src/savorylift/front/server_parts.py
+++ b/src/savorylift/front/server_parts.py
@@ -110,6 +110,9 @@
         ask_start,
         version_history.sole_version,
         witness,
+        lambda service: version_history.note_unread_process(
+            service, time.monotonic()
+        ),
     )
     sender = Sender(
         shared.interface.codec,
--- a/src/savorylift/processes/server_life.py
+++ b/src/savorylift/processes/server_life.py
@@ -46,6 +46,7 @@
         read_start: StartReader,
         sole_version: Callable[[str], str | None],
         witness: ProcessWitness,
+        on_other: Callable[[str], object],
     ) -> None:
         """Asks nobody yet.
 
@@ -57,12 +58,15 @@
             sole_version: Returns the software version that began all streams
                 of a service; None if there may be several.
             witness: Shows whether processes live that can't say who they are.
+            on_other: Called with the service of each server that answers as
+                another process than that of its entry.
         """
         self._limit_gate = limit_gate
         self._is_held = is_held
         self._read_start = read_start
         self._sole_version = sole_version
         self._witness = witness
+        self._on_other = on_other
         self._checks: SharedChecks[LifeReport] = SharedChecks()
         self._heard = HeardStarts()
 
@@ -128,6 +132,8 @@
                 )
             )
             report = LIFE_REPORTS.get(proof, report)
+        if report.life is Life.OTHER:
+            self._on_other(entry.service)
         metrics.SERVER_LIVES.labels(report.life.value).inc()
         if report.life is not Life.SAME and entry.started_ms != NO_START:
             _log.info(
--- a/tests/fleet/test_version_history.py
+++ b/tests/fleet/test_version_history.py
@@ -70,6 +70,19 @@
     assert history.restarted_services(10.0 + RETENTION_S) == frozenset()
 
 
+def test_process_whose_entry_is_not_read_counts_as_a_restart() -> None:
+    history, other = VersionHistory(), VersionHistory()
+    for node in (history, other):
+        node.observe([V1], 0.0)
+    history.note_unread_process("s", 1.0)
+    other.merge(history.sightings(2.0), 2.0)
+    for node in (history, other):
+        assert node.has_restarted("s", 1.0)
+        assert node.restarted_services(2.0) == {"s"}
+        assert node.only_version("s") == "v1"
+    assert history.restarted_services(1.0 + RETENTION_S) == frozenset()
+
+
 def test_server_that_starts_again_under_its_id_is_noticed() -> None:
     history = VersionHistory()
     first = V1._replace(started_ms=1)
--- a/tests/front/test_nodes_out_of_step.py
+++ b/tests/front/test_nodes_out_of_step.py
@@ -12,6 +12,7 @@
 from savorylift.fleet.reader_choice import READERS_KEY
 from savorylift.fleet.version_recorder import START_DELAY_S
 from savorylift.rendezvous import rank
+from tests.front.test_ended_servers import start_again
 from tests.front.version_fleet import (
     EVENTS,
     Part,
@@ -98,6 +99,33 @@
     asyncio.run(scenario())
 
 
+def test_node_that_hears_no_other_continues_no_stream_of_an_unread_process(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Those who knew of the process kept it to themselves."""
+
+    async def scenario() -> None:
+        fleet = VersionProcessFleet(NODES, tmp_path)
+        fleet.set_versions("v1", "v1", "v1", "v1")
+        async with fleet.running():
+            await asyncio.sleep(START_DELAY_S)
+            late = late_node(fleet)
+            fleet.cut_off_nodes([fleet.ips[late]])
+            server = fleet.pool[0]
+            await start_again(server, "v2")
+            parts = await fleet.broken_streams(STREAMS, (late + 1) % NODES)
+            server.stop()
+            server.abort_all()
+            await asyncio.sleep(NOTICE_S)
+            fleet.remove_entry(server)
+            await asyncio.sleep(HEAL_S)
+            rests = await fleet.take_up_all(late, parts)
+            assert any("v2" in part.versions for part in parts)
+            assert mixed(*join(parts, rests)) == []
+
+    asyncio.run(scenario())
+
+
 def test_streams_go_on_once_the_node_is_in_step_again(
     tmp_path: pathlib.Path,
 ) -> None:
--- a/tests/processes/test_server_life.py
+++ b/tests/processes/test_server_life.py
@@ -1,6 +1,7 @@
 """Tests of finding out whether a server has started again."""
 
 import asyncio
+from collections.abc import Callable
 
 import pytest
 
@@ -72,6 +73,7 @@
     is_held: bool = False,
     sole_version: str | None = None,
     proof: Proof = Proof.BELIEVED,
+    on_other: Callable[[str], object] = lambda _: None,
 ) -> ServerLife:
     gate = Gate(grants=grants)
     return ServerLife(
@@ -80,6 +82,7 @@
         servers.read_start,
         lambda _: sole_version,
         Witness(proof),  # type: ignore[arg-type]
+        on_other,
     )
 
 
@@ -104,6 +107,19 @@
     assert found.life is life
 
 
+@pytest.mark.parametrize(
+    ("started_ms", "told"), [(5, []), (6, ["s"]), (None, []), (NO_START, [])]
+)
+def test_process_without_a_read_entry_is_told_of(
+    started_ms: int | None, told: list[str]
+) -> None:
+    """Nodes that asked it knew of it alone, and its entry may never come."""
+    others: list[str] = []
+    life = make_life(Servers(started_ms), on_other=others.append)
+    asyncio.run(life.check(make_server(5), "r"))
+    assert others == told
+
+
 def test_start_that_goes_back_is_not_the_same_process() -> None:
     async def scenario() -> None:
         servers = Servers(6)
--- a/tests/processes/test_successor_check.py
+++ b/tests/processes/test_successor_check.py
@@ -53,6 +53,7 @@
             self._read_start,
             lambda _: None,
             Witness(Proof.SHOWN),  # type: ignore[arg-type]
+            lambda _: None,
         )
         self._tasks: set[asyncio.Future[None]] = set()
         self.check = SuccessorCheck(
