Go by entries as they are read where servers can't say who they are

Cause: a kept connection to a server without reports is that to the process of an entry if the entry is written a second after the connection was opened, or if it is the only one for ten seconds. Both were judged by the time at which the node looks, so that an entry which a node out of step gets late, or an old one in a store that is away, passed for that of the process which lives.

Change: the age of the connection counts as of the last reading of entries, by this node or one that it hears. The drain poller asks the same question for the same reading.

--- a/src/savorylift/fleet/store_view.py
+++ b/src/savorylift/fleet/store_view.py
@@ -53,6 +53,8 @@
         evacuated: Failure domains and backend servers that get no new
             requests.
         operators_version: Offset after the last record by operators.
+        servers_read_s: Monotonic time at which this node itself last read the
+            entries of servers from the store; None before the first time.
     """
 
     def __init__(self, decoders: Decoders) -> None:
@@ -64,6 +66,7 @@
         self.configuration_loaded = asyncio.Event()
         self.evacuated: frozenset[str] = frozenset()
         self.operators_version = 0
+        self.servers_read_s: float | None = None
 
     @property
     def registry(self) -> Registry:
--- a/src/savorylift/fleet/topic_consumer.py
+++ b/src/savorylift/fleet/topic_consumer.py
@@ -188,6 +188,8 @@
         self._is_failing = False
         self._announce_recovery(self._outage.note_reading(now_s))
         self._last_read_s = now_s
+        if self._topic is Topic.SERVERS:
+            self._store_view.servers_read_s = now_s
 
     def _announce_recovery(self, ended_s: float | None) -> None:
         if ended_s is None:
--- a/src/savorylift/front/server_parts.py
+++ b/src/savorylift/front/server_parts.py
@@ -101,6 +101,7 @@
     version_history = VersionHistory()
     witness = ProcessWitness(
         shared.store_view.registry.find_entry,
+        shared.entries_read_s,
         version_history.has_versions,
         transport.send_soon,
     )
--- a/src/savorylift/front/shared_parts.py
+++ b/src/savorylift/front/shared_parts.py
@@ -1,10 +1,12 @@
 """The parts of a node that all others share."""
 
 import random
+import time
 from typing import NamedTuple
 
 from savorylift.fleet.membership import Membership
 from savorylift.fleet.pulse_messages import PULSE_LEVEL
+from savorylift.fleet.reader_choice import servers_reading_age_s
 from savorylift.fleet.store_view import StoreView
 from savorylift.front.caller_directory import MAX_ENTRY_TTL_S
 from savorylift.front.interface import Interface, choose_interface
@@ -48,6 +50,19 @@
         cfg = self.store_view.configuration
         return None if cfg is None else cfg.services.get(name)
 
+    def entries_read_s(self) -> float | None:
+        """Returns when a node last read the servers' entries.
+
+        A monotonic time; None if this node hasn't, and has heard of none.
+        """
+        now_s = time.monotonic()
+        age_s = servers_reading_age_s(self.membership, now_s)
+        times_s = (
+            self.store_view.servers_read_s,
+            None if age_s is None else now_s - age_s,
+        )
+        return max((t for t in times_s if t is not None), default=None)
+
     def store_era(self) -> int:
         """Returns how often the store has come back from a copy."""
         return era_of(self.store_view.servers_version[0])
--- a/src/savorylift/front/store_parts.py
+++ b/src/savorylift/front/store_parts.py
@@ -88,9 +88,7 @@
         on_change,
         transport.send_soon,
     )
-    drain_poller = _make_drain_poller(
-        shared, servers, generations, policy, reader
-    )
+    drain_poller = _make_drain_poller(shared, servers, generations, policy)
     load_poller = shared.interface.make_load_poller(
         shared.store_view.registry, generations.on_change
     )
@@ -144,23 +142,18 @@
     servers: ServerParts,
     generations: GenerationDispatcher,
     policy: ReadPolicy,
-    reader: StoreReader,
 ) -> DrainPoller:
-    def newest_reading_s() -> float | None:
+    def newest_reading_age_s() -> float | None:
         """Returns the age of the newest reading of the servers' entries."""
-        now_s = time.monotonic()
-        ages = (
-            reader.servers_reading_age_s(now_s),
-            servers_reading_age_s(shared.membership, now_s),
-        )
-        return min((a for a in ages if a is not None), default=None)
+        read_s = shared.entries_read_s()
+        return None if read_s is None else time.monotonic() - read_s
 
     return DrainPoller(
         shared.store_view.registry,
         servers.limit_gate,
         servers.recorder,
         servers.pool.holds.is_held,
-        lambda: policy.notice_slack_s(newest_reading_s()),
+        lambda: policy.notice_slack_s(newest_reading_age_s()),
         lambda: _engines_that_move_runs(shared),
         lambda: [
             peer.state.ip
--- a/src/savorylift/processes/process_connection.py
+++ b/src/savorylift/processes/process_connection.py
@@ -43,6 +43,7 @@
         self,
         entry: ServerEntry,
         find_entry: Callable[[str], ServerEntry | None],
+        entries_read_s: Callable[[], float | None],
         on_end: Callable[[int], None],
         *,
         trusts_entry: bool,
@@ -52,12 +53,15 @@
         Args:
             entry: The entry of the server.
             find_entry: Returns the newest entry of a server by its ID.
+            entries_read_s: Returns the monotonic time of the last reading of
+                entries that this node has heard of; None before the first.
             on_end: Called with the start of a process that may have ended.
             trusts_entry: Whether the first connection counts as one to the
                 process of the entry.
         """
         self._entry = entry
         self._find_entry = find_entry
+        self._entries_read_s = entries_read_s
         self._on_end = on_end
         self._trusts_entry = trusts_entry
         self._idle: Channel | None = None
@@ -227,12 +231,17 @@
         """Finds out which process accepted the connection.
 
         Entries are written by their own process, soon after it has started.
+        Those that this node gets late, as it was cut off, show nothing: hence
+        the age of the connection as entries were last read.
         """
         newest = self._find_entry(self._entry.server_id)
         if newest is None or newest.address != self._entry.address:
             return
-        age_s = time.monotonic() - self.opened_s
-        if age_s < DELIVERY_S or self._is_shown:
+        read_s = self._entries_read_s()
+        if read_s is None or self._is_shown:
+            return
+        age_s = read_s - self.opened_s
+        if age_s < DELIVERY_S:
             return
         if self._earlier is None:
             self._earlier = newest
--- a/src/savorylift/processes/process_witness.py
+++ b/src/savorylift/processes/process_witness.py
@@ -55,6 +55,7 @@
     def __init__(
         self,
         find_entry: Callable[[str], ServerEntry | None],
+        entries_read_s: Callable[[], float | None],
         has_versions: Callable[[str], bool],
         on_end: Callable[[], object],
     ) -> None:
@@ -62,11 +63,14 @@
 
         Args:
             find_entry: Returns the newest entry of a server by its ID.
+            entries_read_s: Returns the monotonic time of the last reading of
+                entries that this node has heard of; None before the first.
             has_versions: Returns whether servers of a service may name
                 versions.
             on_end: Called when a process may have ended that was known.
         """
         self._find_entry = find_entry
+        self._entries_read_s = entries_read_s
         self._has_versions = has_versions
         self._on_end = on_end
         # By the ID of the server.
@@ -188,6 +192,7 @@
             keeper = ProcessConnection(
                 entry,
                 self._find_entry,
+                self._entries_read_s,
                 lambda started_ms: self._end(entry.server_id, started_ms),
                 trusts_entry=self._trusts(entry),
             )
--- a/tests/front/test_server_news.py
+++ b/tests/front/test_server_news.py
@@ -47,7 +47,10 @@
         StreamOrigins(IP, lambda _a, _b: None, rng),
         VersionHistory(),
         ProcessWitness(
-            store_view.registry.find_entry, lambda _: False, lambda: None
+            store_view.registry.find_entry,
+            lambda: None,
+            lambda _: False,
+            lambda: None,
         ),
     )
     return news, store_view.registry
--- a/tests/processes/test_process_witness.py
+++ b/tests/processes/test_process_witness.py
@@ -1,6 +1,7 @@
 """Tests of connections that show which process of a server lives."""
 
 import asyncio
+import time
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -23,14 +24,26 @@
 
 
 class Place:
-    """An address with at most one process, and its entry."""
+    """An address with at most one process, and its entry.
+
+    Attributes:
+        entry: The entry.
+        opened: Number of connections.
+        ends: Number of processes that are known to have ended.
+        read_s: When entries were last read; None for now, at any time.
+        witness: What is tested.
+    """
 
     def __init__(self, *, has_versions: bool) -> None:
         self.entry = make_server_entry("i-1")._replace(started_ms=1, sequence=1)
         self.opened = 0
         self.ends = 0
+        self.read_s: float | None = None
         self.witness = ProcessWitness(
-            lambda _: self.entry, lambda _: has_versions, self._count_end
+            lambda _: self.entry,
+            lambda: time.monotonic() if self.read_s is None else self.read_s,
+            lambda _: has_versions,
+            self._count_end,
         )
         self._listener: asyncio.Server | None = None
         self._writers: list[asyncio.StreamWriter] = []
@@ -138,6 +151,26 @@
     run(scenario, monkeypatch, has_versions=True)
 
 
+def test_entry_that_a_node_gets_late_shows_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A node that was cut off took it for written since its connection."""
+
+    async def scenario(place: Place) -> None:
+        assert not await place.shows()
+        place.read_s = time.monotonic()
+        await asyncio.sleep(MAX_ENTRY_DELAY_S + DELIVERY_S)
+        assert not await place.shows()
+        place.entry = place.entry._replace(sequence=2)
+        assert not await place.shows()
+        place.read_s = time.monotonic() - MAX_ENTRY_DELAY_S / 2
+        assert not await place.shows()
+        place.entry = place.entry._replace(sequence=3)
+        assert await place.shows()
+
+    run(scenario, monkeypatch, has_versions=True)
+
+
 def test_entry_that_may_have_been_written_before_shows_nothing(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
