Wait for a store that can't be read once a take-up

The finder asks for the versions in the store twice for one stream, where it looks up the origin and where it looks for a doubt. While the store is away, the second question waited as long as the first: up to two seconds in all where callers abandon a stream after two.

Who asks for the same time again gets the same answer. A record that can't be read counts as one of a version that no server has, also where a restart is known.

--- a/src/savorylift/exchange/origin_finder.py
+++ b/src/savorylift/exchange/origin_finder.py
@@ -120,21 +120,21 @@
             return origin
         if self._is_unnamed(admitted):
             return origin
-        if await self._is_of_sole_version(admitted, origin):
+        if not await self._may_have_other_versions(admitted, origin):
             return origin
         return await self._origin_log.find(attempt_id) or origin
 
-    async def _is_of_sole_version(
+    async def _may_have_other_versions(
         self, admitted: AdmittedRequest, origin: StreamOrigin | None
     ) -> bool:
-        """Whether the store need not be asked where a stream began."""
+        """Whether a service has had versions whose streams the store knows."""
         version = self._history.sole_version(admitted.service.name)
         if version is None or self._has_restarted(admitted):
-            return False
-        if origin is not None:
             return True
+        if origin is not None:
+            return False
         doubt = await self._find_stored_doubt(admitted, version)
-        return doubt in (None, Doubt.UNREAD)
+        return doubt not in (None, Doubt.UNREAD)
 
     async def _prove(
         self, admitted: AdmittedRequest, origin: StreamOrigin
@@ -206,7 +206,7 @@
     async def _find_stored_doubt(
         self, admitted: AdmittedRequest, version: str | None
     ) -> Doubt | None:
-        """Returns why the store casts doubt on the only version known here.
+        """Returns why the only version known here may not be the only one.
 
         This node may have missed what others knew as the stream began.
         """
@@ -218,7 +218,7 @@
             return Doubt.UNREAD
         others = stored - {version}
         if others == {UNKNOWN_VERSION}:
-            # Then it is known here, too, when the server started again.
+            # How long ago it was only those know who have heard of it.
             now_s = time.monotonic()
             is_known = service in self._history.restarted_services(now_s)
             return None if is_known else Doubt.RESTARTED
--- a/src/savorylift/fleet/stored_versions.py
+++ b/src/savorylift/fleet/stored_versions.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import math
 import time
 from collections.abc import Callable, Iterable
 from typing import NamedTuple
@@ -33,8 +34,9 @@
 MIN_INTERVAL_S = 0.2
 # Callers abandon a stream after a pause of two seconds.
 MAX_WAIT_S = 1.0
-# Stands for a record that can't be read: it may hold any version.
-UNREADABLE = VersionRecord((UNKNOWN_VERSION,))
+# Stands for a record that can't be read, and may hold any version: no server
+# has this one.
+UNREADABLE = VersionRecord((2 * UNKNOWN_VERSION,))
 
 _log = structlog.get_logger()
 
@@ -71,6 +73,8 @@
         self._decode_entry = decode_entry
         self._count_nodes = count_nodes
         self._reading: _Reading | None = None
+        # Those who ask for what the store has held since then have got nothing.
+        self._failed_s = -math.inf
         self._next_s = 0.0
         self._task: asyncio.Task[bool] | None = None
 
@@ -85,6 +89,8 @@
         """
         until_s = time.monotonic() + MAX_WAIT_S
         while self._reading is None or self._reading.begun_s < since_s:
+            if since_s <= self._failed_s:
+                return None
             if self._task is None:
                 loop = asyncio.get_running_loop()
                 self._task = loop.create_task(self._read_in_turn())
@@ -92,7 +98,7 @@
             wait_s = max(until_s - time.monotonic(), 0.0)
             await asyncio.wait((task,), timeout=wait_s)
             if not task.done() or not task.result():
-                return None
+                self._failed_s = max(self._failed_s, since_s)
         return frozenset(self._reading.versions.get(service, ()))
 
     async def _read_in_turn(self) -> bool:
