--- a/src/savorylift/exchange/origin_finder.py
+++ b/src/savorylift/exchange/origin_finder.py
@@ -218,7 +218,7 @@
             return Doubt.UNREAD
         others = stored - {version}
         if others == {UNKNOWN_VERSION}:
-            # How long ago it was only those know who have heard of it.
+            # The record doesn't say when; a node that has heard of it knows.
             now_s = time.monotonic()
             is_known = service in self._history.restarted_services(now_s)
             return None if is_known else Doubt.RESTARTED
