Share the set-up of the tests of nodes out of step

Three tests repeated how their fleet begins, and the soak's fault did in one function what three steps are.

--- a/tests/front/test_nodes_out_of_step.py
+++ b/tests/front/test_nodes_out_of_step.py
@@ -5,7 +5,8 @@
 
 import asyncio
 import pathlib
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
 
 import pytest
 
@@ -78,6 +79,22 @@
     return parts
 
 
+def run_in_fleet(
+    directory: pathlib.Path,
+    scenario: Callable[[VersionProcessFleet], Coroutine[Any, Any, None]],
+) -> None:
+    """Runs a scenario once all nodes know that v1 alone has ever served."""
+
+    async def main() -> None:
+        fleet = VersionProcessFleet(NODES, directory)
+        fleet.set_versions("v1", "v1", "v1", "v1")
+        async with fleet.running():
+            await asyncio.sleep(START_DELAY_S)
+            await scenario(fleet)
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize(
     "fall_behind", [cut_off, cut_off_with_store, stand_still]
 )
@@ -87,16 +104,12 @@
 ) -> None:
     """The one version that the node had read passed for the only one."""
 
-    async def scenario() -> None:
-        fleet = VersionProcessFleet(NODES, tmp_path)
-        fleet.set_versions("v1", "v1", "v1", "v1")
-        async with fleet.running():
-            await asyncio.sleep(START_DELAY_S)
-            parts = await fall_behind(fleet)
-            rests = await fleet.take_up_all(late_node(fleet), parts)
-            assert mixed(*join(parts, rests)) == []
+    async def scenario(fleet: VersionProcessFleet) -> None:
+        parts = await fall_behind(fleet)
+        rests = await fleet.take_up_all(late_node(fleet), parts)
+        assert mixed(*join(parts, rests)) == []
 
-    asyncio.run(scenario())
+    run_in_fleet(tmp_path, scenario)
 
 
 def test_node_that_hears_no_other_continues_no_stream_of_an_unread_process(
@@ -104,26 +117,21 @@
 ) -> None:
     """Those who knew of the process kept it to themselves."""
 
-    async def scenario() -> None:
-        fleet = VersionProcessFleet(NODES, tmp_path)
-        fleet.set_versions("v1", "v1", "v1", "v1")
-        async with fleet.running():
-            await asyncio.sleep(START_DELAY_S)
-            late = late_node(fleet)
-            fleet.cut_off_nodes([fleet.ips[late]])
-            server = fleet.pool[0]
-            await start_again(server, "v2")
-            parts = await fleet.broken_streams(STREAMS, (late + 1) % NODES)
-            server.stop()
-            server.abort_all()
-            await asyncio.sleep(NOTICE_S)
-            fleet.remove_entry(server)
-            await asyncio.sleep(HEAL_S)
-            rests = await fleet.take_up_all(late, parts)
-            assert any("v2" in part.versions for part in parts)
-            assert mixed(*join(parts, rests)) == []
-
-    asyncio.run(scenario())
+    async def scenario(fleet: VersionProcessFleet) -> None:
+        late, server = late_node(fleet), fleet.pool[0]
+        fleet.cut_off_nodes([fleet.ips[late]])
+        await start_again(server, "v2")
+        parts = await fleet.broken_streams(STREAMS, (late + 1) % NODES)
+        server.stop()
+        server.abort_all()
+        await asyncio.sleep(NOTICE_S)
+        fleet.remove_entry(server)
+        await asyncio.sleep(HEAL_S)
+        rests = await fleet.take_up_all(late, parts)
+        assert any("v2" in part.versions for part in parts)
+        assert mixed(*join(parts, rests)) == []
+
+    run_in_fleet(tmp_path, scenario)
 
 
 def test_streams_go_on_once_the_node_is_in_step_again(
@@ -131,18 +139,12 @@
 ) -> None:
     """The other side of the same: what it has missed it learns."""
 
-    async def scenario() -> None:
-        fleet = VersionProcessFleet(NODES, tmp_path)
-        fleet.set_versions("v1", "v1", "v1", "v1")
-        async with fleet.running():
-            await asyncio.sleep(START_DELAY_S)
-            parts = await cut_off_with_store(fleet)
-            fleet.heal_nodes()
-            await asyncio.sleep(HEAL_S)
-            joined = join(
-                parts, await fleet.take_up_all(late_node(fleet), parts)
-            )
-            assert mixed(*joined) == []
-            assert [len(events) for events in joined] == [EVENTS] * STREAMS
-
-    asyncio.run(scenario())
+    async def scenario(fleet: VersionProcessFleet) -> None:
+        parts = await cut_off_with_store(fleet)
+        fleet.heal_nodes()
+        await asyncio.sleep(HEAL_S)
+        joined = join(parts, await fleet.take_up_all(late_node(fleet), parts))
+        assert mixed(*joined) == []
+        assert [len(events) for events in joined] == [EVENTS] * STREAMS
+
+    run_in_fleet(tmp_path, scenario)
--- a/tests/soak/join_faults.py
+++ b/tests/soak/join_faults.py
@@ -37,6 +37,16 @@
         version = self._rng.choice(self._context.shape.releases)
         how = "stand still" if stops else "are cut off"
         self._context.describe(f"{ips} {how}, an engine joins at {version}")
+        await self._put_out_of_step(ips, stops=stops)
+        await asyncio.sleep(self._rng.uniform(*JOIN_AFTER_S))
+        engine = await self._fleet.add_engine(version)
+        self._fleet.publish_entry(engine, self._fleet.engine_service)
+        await asyncio.sleep(self._rng.uniform(*BEHIND_S))
+        await self._bring_back(ips, stops=stops)
+        self._context.release(NODES)
+
+    async def _put_out_of_step(self, ips: list[str], *, stops: bool) -> None:
+        """Cuts nodes off from others and the store, and may stop them."""
         self._fleet.cut_off_nodes(ips)
         for ip in ips:
             self._fleet.cut_off_store(ip)
@@ -44,14 +54,11 @@
         if stops:
             for ip in ips:
                 self._fleet.processes[ip].pause()
-        await asyncio.sleep(self._rng.uniform(*JOIN_AFTER_S))
-        engine = await self._fleet.add_engine(version)
-        self._fleet.publish_entry(engine, self._fleet.engine_service)
-        await asyncio.sleep(self._rng.uniform(*BEHIND_S))
+
+    async def _bring_back(self, ips: list[str], *, stops: bool) -> None:
+        """Lets nodes go on; those that stood still hear nobody at first."""
         if stops:
             for ip in ips:
                 self._fleet.processes[ip].resume()
-            # They hear nobody in the first moments.
             await asyncio.sleep(self._rng.uniform(*BEHIND_S))
         self._fleet.heal_nodes(ips)
-        self._context.release(NODES)
