--- a/review/standins2/deployment.py
+++ b/review/standins2/deployment.py
@@ -236,7 +236,19 @@
         self._crowd: subprocess.Popen[bytes] | None = None
 
     async def __aenter__(self) -> Self:
-        """Starts everything and waits until all nodes are ready."""
+        """Starts everything and waits until all nodes are ready.
+
+        Raises:
+            CaseNotRunError: They aren't, or the deploy file was not built.
+        """
+        try:
+            await self._start()
+        except BaseException:
+            await self.__aexit__()
+            raise
+        return self
+
+    async def _start(self) -> None:
         if not (DEPENDENCIES / "savorylift").is_dir():
             raise CaseNotRunError("the deploy file was not built")
         await self.store.start(self._ports[0])
@@ -252,7 +264,6 @@
             node.start()
         await self._wait_ready()
         await asyncio.sleep(SETTLE_S)
-        return self
 
     async def __aexit__(self, *_: object) -> None:
         """Ends all processes."""
