--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -31,7 +31,7 @@
 from savorylift.front.state_reporter import StateReporter
 from savorylift.front.store_parts import ReaderRole, make_store_parts
 from savorylift.front.stream_parts import make_stream_parts
-from savorylift.front.tasks import BackgroundTasks
+from savorylift.front.tasks import BackgroundTasks, log_callback_failures
 from savorylift.processes.successor_check import SuccessorCheck
 
 _log = structlog.get_logger()
@@ -181,6 +181,7 @@
         Raises:
             OSError: An address is in use.
         """
+        log_callback_failures()
         self._handle_signals(reload_signal)
         identity = self._shared.identity
         await self._peer_sync.transport.start(identity.ip, identity.bulk_port)
