Open sockets once their addresses are free, and serve meanwhile

Callers saw a fleet that didn't come back: a node whose port was held when it started ended with exit code 1, and again at each start. All nodes have the same ports, that of metrics (9464) is one that nobody keeps free for them, and the process before or an outgoing connection may have any one.

Cause: each of the seven sockets had to open at the first try, those that no caller needs too. Class: what a process meets at its start decides whether it lives. A node whose callers can't connect isn't ready, so that no directory names it; one without its socket for messages that may wait asks for none. Logged: address_held, address_opened.

--- a/src/savorylift/fleet/bulk_socket.py
+++ b/src/savorylift/fleet/bulk_socket.py
@@ -26,6 +26,7 @@
     """Datagrams that are read when they are asked for.
 
     Attributes:
+        port: Port of the socket; 0 while there is none.
         is_reading: Whether datagrams are being passed on.
     """
 
@@ -42,6 +43,7 @@
         self._buffer = bytearray(MAX_DATAGRAM_BYTES)
         self._next_s = 0.0
         self._is_eager = False
+        self.port = 0
         self.is_reading = False
 
     def open(self, host: str, port: int) -> None:
@@ -50,16 +52,21 @@
         Raises:
             OSError: The address is in use.
         """
-        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self._socket.setblocking(False)
-        self._socket.bind((host, port))
+        opened = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        try:
+            opened.setblocking(False)
+            opened.bind((host, port))
+        except OSError:
+            opened.close()
+            raise
+        self._socket, self.port = opened, port
 
     def close(self) -> None:
         """Closes the socket."""
         self.set_eager(is_eager=False)
         if self._socket is not None:
             self._socket.close()
-            self._socket = None
+            self._socket, self.port = None, 0
 
     def set_eager(self, *, is_eager: bool) -> None:
         """Sets whether datagrams are read as soon as they come."""
--- a/src/savorylift/fleet/peer_transport.py
+++ b/src/savorylift/fleet/peer_transport.py
@@ -90,10 +90,12 @@
         # Addresses that the base of the patches was sent to.
         self._based: frozenset[str] = frozenset()
 
-    async def start(self, host: str, bulk_port: int = 0) -> None:
-        """Opens the socket, and one for bulk messages if it has a port."""
-        if bulk_port:
-            self.bulk.open(host, bulk_port)
+    async def start(self, host: str) -> None:
+        """Opens the socket.
+
+        Raises:
+            OSError: The address is in use.
+        """
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(
             lambda: self, local_addr=(host, self._port)
--- a/src/savorylift/front/lifecycle.py
+++ b/src/savorylift/front/lifecycle.py
@@ -18,6 +18,7 @@
     """Counts open requests; decides when a draining node may exit.
 
     Attributes:
+        takes_callers: Whether callers can connect.
         is_leaving: Whether the node is draining.
         leaving_since_s: Monotonic time at which draining began.
     """
@@ -31,6 +32,7 @@
         self._grace_period_s = grace_period_s
         self._open_requests = 0
         self._ended: asyncio.Future[None] | None = None
+        self.takes_callers = False
         self.is_leaving = False
         self.leaving_since_s = 0.0
 
--- a/src/savorylift/front/listeners.py
+++ b/src/savorylift/front/listeners.py
@@ -1,6 +1,6 @@
 """The addresses on which a node accepts connections."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 from savorylift.front.caller_parts import BYTES_PER_MB, CallerParts
 from savorylift.front.connection_shares import (
@@ -8,6 +8,7 @@
     share_connections,
 )
 from savorylift.front.memory_shares import share_memory
+from savorylift.front.openings import Opening
 from savorylift.front.operator_handler import operator_handler
 from savorylift.front.peer_handler import peer_connection_handler
 from savorylift.front.shared_parts import SharedParts
@@ -52,6 +53,7 @@
         """
         self._settings = shared.settings
         self._ip = shared.identity.ip
+        self._lifecycle = shared.lifecycle
         self._store_view = shared.store_view
         self._callers = callers
         self._reporter = reporter
@@ -69,34 +71,28 @@
         )
         self._caller_tls = server_context(self._settings.caller_tls)
 
-    async def start(self) -> None:
-        """Opens all sockets, that of callers last.
-
-        Raises:
-            OSError: An address is in use.
-        """
-        await self._listen_to_nodes()
-        directory = directory_handler(self._callers.directory.resolve)
-        await self._listen_http(
+    def openings(self) -> Iterator[Opening]:
+        """Yields how to open each socket, that of callers last."""
+        yield Opening("nodes", self._listen_to_nodes)
+        yield self._http_opening(
+            "directory",
             self._settings.directory_listen,
-            directory,
-            _make_limit("directory", self._shares.directory),
+            directory_handler(self._callers.directory.resolve),
+            self._shares.directory,
         )
-        readiness = readiness_handler(lambda: self._reporter.is_ready)
-        await self._listen_http(
+        yield self._http_opening(
+            "readiness",
             self._settings.readiness_listen,
-            readiness,
-            _make_limit("readiness", self._shares.readiness),
+            readiness_handler(lambda: self._reporter.is_ready),
+            self._shares.readiness,
         )
-        metrics_address = f"{self._ip}:{self._settings.metrics_port}"
-        await self._listen_http(
-            metrics_address,
+        yield self._http_opening(
+            "metrics",
+            f"{self._ip}:{self._settings.metrics_port}",
             operator_handler(self._reporter.status),
-            _make_limit("metrics", self._shares.metrics),
-        )
-        await self._caller_listener.start(
-            *split_address(self._settings.caller_listen), self._caller_tls
+            self._shares.metrics,
         )
+        yield Opening("callers", self._listen_to_callers)
 
     def close_after_response(self) -> None:
         """Makes callers' connections close after their next response."""
@@ -120,14 +116,23 @@
         )
         await listener.start(self._ip, self._settings.peer_port)
 
-    async def _listen_http(
-        self, address: str, handle: HttpHandler, limit: ConnectionLimit
-    ) -> None:
-        handler = connection_handler(handle)
+    async def _listen_to_callers(self) -> None:
+        await self._caller_listener.start(
+            *split_address(self._settings.caller_listen), self._caller_tls
+        )
+        self._lifecycle.takes_callers = True
+
+    def _http_opening(
+        self, name: str, address: str, handle: HttpHandler, max_open: int
+    ) -> Opening:
         listener = Listener(
-            handler, InputLimits, self._callers.admission, limit
+            connection_handler(handle),
+            InputLimits,
+            self._callers.admission,
+            _make_limit(name, max_open),
         )
-        await listener.start(*split_address(address))
+        host, port = split_address(address)
+        return Opening(name, lambda: listener.start(host, port))
 
     def _input_limits(self) -> InputLimits:
         cfg = self._store_view.configuration
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -21,6 +21,7 @@
 from savorylift.front.caller_parts import make_caller_parts
 from savorylift.front.listeners import Listeners
 from savorylift.front.maintenance import Maintenance
+from savorylift.front.openings import message_openings, open_all
 from savorylift.front.peer_sync import PeerSync
 from savorylift.front.reload_signal import ReloadSignal
 from savorylift.front.rollout_parts import make_rollout_agent
@@ -177,17 +178,17 @@
 
         Args:
             reload_signal: Records a SIGHUP that arrived before the call.
-
-        Raises:
-            OSError: An address is in use.
         """
         log_callback_failures()
         self._handle_signals(reload_signal)
-        identity = self._shared.identity
-        await self._peer_sync.transport.start(identity.ip, identity.bulk_port)
-        await self._listeners.start()
+        openings = (
+            *message_openings(self._peer_sync.transport, self._settings),
+            *self._listeners.openings(),
+        )
+        held = await open_all(openings, self._tasks)
         _log.info(
             "start",
+            held=held,
             incarnation=self._shared.identity.incarnation,
             process=os.getpid(),
             settings=self._settings.redacted(),
--- a/src/savorylift/front/process.py
+++ b/src/savorylift/front/process.py
@@ -39,7 +39,7 @@
     try:
         asyncio.run(FrontNode(settings, read).run(reload_signal))
     except OSError as exc:
-        # For example an address in use, or a TLS file that can't be read.
+        # For example a TLS file that can't be read.
         print(f"{path}: {exc}", file=sys.stderr)
         return EXIT_FAILED
     return 0
--- a/src/savorylift/front/shared_parts.py
+++ b/src/savorylift/front/shared_parts.py
@@ -97,5 +97,4 @@
         settings.caller_listen,
         random.getrandbits(INCARNATION_BITS),
         PULSE_LEVEL if settings.peer_pulses else 0,
-        settings.bulk_port,
     )
--- a/src/savorylift/front/state_reporter.py
+++ b/src/savorylift/front/state_reporter.py
@@ -35,7 +35,6 @@
         caller_address: Where callers connect.
         incarnation: Random number that identifies the process.
         message_level: Kinds of messages that it knows, as in `NodeState`.
-        bulk_port: UDP port for messages that may wait; 0 if it has none.
     """
 
     vm: str
@@ -45,7 +44,6 @@
     caller_address: str
     incarnation: int
     message_level: int = PULSE_LEVEL
-    bulk_port: int = 0
 
 
 class StateReporter:
@@ -109,7 +107,11 @@
     def is_ready(self) -> bool:
         """Whether the node takes requests."""
         has_configuration = self._store_view.configuration is not None
-        return has_configuration and not self._lifecycle.is_leaving
+        return (
+            has_configuration
+            and self._lifecycle.takes_callers
+            and not self._lifecycle.is_leaving
+        )
 
     def is_reader(self) -> bool:
         """Whether this node is to read the store, among those it hears."""
@@ -166,7 +168,7 @@
             quarantine_news=self._crash_guard.news(),
             knows_rollouts=self._rollouts is not None,
             message_level=self._identity.message_level,
-            bulk_port=self._identity.bulk_port,
+            bulk_port=self._transport.bulk.port,
             divided_services=self._groups.news(),
         )
         return self._server_news.add_to(state)
--- /dev/null
+++ b/tests/front/test_openings.py
@@ -0,0 +1,46 @@
+"""Tests of opening sockets whose addresses are held."""
+
+import asyncio
+import errno
+
+import pytest
+import structlog
+
+from savorylift.front import openings
+from savorylift.front.openings import Opening, open_all
+from savorylift.front.tasks import BackgroundTasks
+
+
+class HeldAddress:
+    """An address that is free after some attempts to open it."""
+
+    def __init__(self, attempts: int) -> None:
+        self.left = attempts
+
+    async def open(self) -> None:
+        self.left -= 1
+        if self.left >= 0:
+            raise OSError(errno.EADDRINUSE, "Address already in use")
+
+
+def test_held_addresses_are_tried_until_free_and_keep_nothing_else(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(openings, "RETRY_INTERVAL_S", 0.001)
+    held, free = HeldAddress(3), HeldAddress(0)
+
+    async def scenario() -> tuple[str, ...]:
+        items = (Opening("held", held.open), Opening("free", free.open))
+        names = await open_all(items, BackgroundTasks(lambda: None))
+        assert free.left < 0
+        async with asyncio.timeout(5.0):
+            while held.left >= 0:
+                await asyncio.sleep(0.001)
+        return names
+
+    with structlog.testing.capture_logs() as logs:
+        assert asyncio.run(scenario()) == ("held",)
+    assert [(line["event"], line["socket"]) for line in logs] == [
+        ("address_held", "held"),
+        ("address_opened", "held"),
+    ]
