Run background tasks again after an error instead of leaving

A background task that failed made its node leave.

Class: one error anywhere decides over the process. Now a task that fails is logged, counted and run again after 0.1 s, up to 5 s; each step of the maintenance runs whatever the others do; a topic whose records were lost on the way is listed anew; tasks that belong together end together.

--- a/src/savorylift/fleet/store_reader.py
+++ b/src/savorylift/fleet/store_reader.py
@@ -58,7 +58,9 @@
 
     async def run(self) -> None:
         """Reads both topics forever."""
-        await asyncio.gather(self._operators.run(), self._servers.run())
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._operators.run())
+            group.create_task(self._servers.run())
 
     def skip_known(self) -> None:
         """Skips the records that the view has learned from other nodes."""
--- a/src/savorylift/fleet/topic_consumer.py
+++ b/src/savorylift/fleet/topic_consumer.py
@@ -98,8 +98,18 @@
             self._offset = offset
 
     async def run(self) -> None:
-        """Polls the topic forever, whenever this node should read."""
-        await asyncio.gather(self._poll(), self._watch_others())
+        """Polls the topic forever, whenever this node should read.
+
+        After an error of our own, it is to be called again: it then lists the
+        topic anew, as the records of the last call may have been lost.
+        """
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._poll())
+                group.create_task(self._watch_others())
+        except BaseException:
+            self._offset = None
+            raise
 
     async def _poll(self) -> None:
         while True:
--- a/src/savorylift/front/maintenance.py
+++ b/src/savorylift/front/maintenance.py
@@ -1,7 +1,7 @@
 """What a node does periodically."""
 
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import structlog
 
@@ -10,6 +10,7 @@
 from savorylift.front.server_parts import ServerParts
 from savorylift.front.shared_parts import SharedParts
 from savorylift.front.stream_parts import StreamParts
+from savorylift.front.tasks import record_failure
 from savorylift.processes.successor_check import SuccessorCheck
 from savorylift.rollouts.agent import RolloutAgent
 
@@ -59,30 +60,51 @@
         """Repeats until cancelled."""
         while True:
             _record_loop_delay(await wait_for_beat(MAINTENANCE_INTERVAL_S))
-            self._update()
+            for step in self._steps():
+                _run_step(step)
 
-    def _update(self) -> None:
-        shared = self._shared
+    def _steps(self) -> Iterator[Callable[[], object]]:
+        yield self._note_running
+        yield self._watch_peers
+        yield self._forget_silent
+        yield self._servers.crash_guard.update
+        yield self._servers.limit_gate.update
+        yield self._update_news
+        yield self._streams.rooms.keeper.update
+        yield self._streams.moves.planner.update
+        yield self._successors.update
+        if self._rollouts is not None:
+            yield self._rollouts.update
+        yield self._drop_expired
+
+    def _note_running(self) -> None:
+        self._shared.membership.note_running(time.monotonic())
+
+    def _forget_silent(self) -> None:
         now_s = time.monotonic()
-        shared.membership.note_running(now_s)
-        self._watch_peers()
         if now_s >= self._next_forget_s:
             self._next_forget_s = now_s + FORGET_INTERVAL_S
-            shared.membership.forget_silent(now_s)
-        self._servers.crash_guard.update()
-        self._servers.limit_gate.update()
-        self._streams.server_news.update(is_leaving=shared.lifecycle.is_leaving)
-        self._streams.rooms.keeper.update()
-        self._streams.moves.planner.update()
-        self._successors.update()
-        if self._rollouts is not None:
-            self._rollouts.update()
-        if shared.store_view.drop_expired():
+            self._shared.membership.forget_silent(now_s)
+
+    def _update_news(self) -> None:
+        is_leaving = self._shared.lifecycle.is_leaving
+        self._streams.server_news.update(is_leaving=is_leaving)
+
+    def _drop_expired(self) -> None:
+        if self._shared.store_view.drop_expired():
             self._on_expired()
         else:
             self._streams.generations.on_change()
 
 
+def _run_step(step: Callable[[], object]) -> None:
+    """Runs a step; one that fails keeps none of the others from theirs."""
+    try:
+        step()
+    except Exception as exc:
+        record_failure(step.__qualname__, exc)
+
+
 def _record_loop_delay(delay_s: float) -> None:
     metrics.LOOP_DELAY.observe(delay_s)
     if delay_s > LATE_LOOP_S:
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -55,7 +55,7 @@
         """
         self._settings = settings
         self._stop_requested = asyncio.Event()
-        self._tasks = BackgroundTasks(self.leave)
+        self._tasks = BackgroundTasks()
         self._shared = make_shared_parts(settings)
         self._reload = SettingsReload(
             settings, read_settings, self._shared.membership
@@ -194,7 +194,7 @@
             settings=self._settings.redacted(),
         )
         for run in self._background_runs():
-            self._tasks.spawn(run())
+            self._tasks.keep_running(run)
         await self._stop_requested.wait()
         await self._end()
 
--- a/src/savorylift/front/tasks.py
+++ b/src/savorylift/front/tasks.py
@@ -1,37 +1,89 @@
-"""Background tasks that report their failures."""
+"""Background tasks whose failures don't end the process.
+
+All nodes read the same records and hear the same messages. What one of them
+can't cope with must not end all of them, and end them again once they are back.
+"""
 
 import asyncio
+import time
 from collections.abc import Callable, Coroutine, Mapping
 
 import structlog
 
 from savorylift.front import metrics
 
+# Pauses before a task that failed runs again: the first, and the longest.
+MIN_PAUSE_S = 0.1
+MAX_PAUSE_S = 5.0
+# A task that has run for so long since its last failure counts as sound.
+SOUND_S = 60.0
+
 _log = structlog.get_logger()
 
 
 class BackgroundTasks:
-    """Keeps references to running tasks and logs those that fail."""
+    """Keeps references to running tasks; logs and counts those that fail."""
 
-    def __init__(self, on_failure: Callable[[], None]) -> None:
-        """Calls `on_failure` after a task has ended with an exception."""
-        self._on_failure = on_failure
+    def __init__(self) -> None:
+        """Runs nothing yet."""
         self._tasks: set[asyncio.Task[None]] = set()
 
     def spawn(self, coro: Coroutine[object, object, None]) -> None:
-        """Runs a coroutine in the background."""
+        """Runs a coroutine in the background, once."""
         name = getattr(coro, "__qualname__", None)
         task = asyncio.get_running_loop().create_task(coro, name=name)
         self._tasks.add(task)
         task.add_done_callback(self._on_done)
 
+    def keep_running(
+        self, run: Callable[[], Coroutine[object, object, None]]
+    ) -> None:
+        """Runs a coroutine in the background, and again after it has failed.
+
+        Args:
+            run: Returns the coroutine; called anew for each run.
+        """
+        self.spawn(_run_again(run))
+
     def _on_done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            name = task.get_name()
-            metrics.TASK_FAILURES.labels(name).inc()
-            _log.error("task_failed", task=name, exc_info=task.exception())
-            self._on_failure()
+        if not task.cancelled():
+            exc = task.exception()
+            if exc is not None:
+                record_failure(task.get_name(), exc)
+
+
+async def _run_again(
+    run: Callable[[], Coroutine[object, object, None]],
+) -> None:
+    pause_s = MIN_PAUSE_S
+    while True:
+        began_s = time.monotonic()
+        try:
+            await run()
+        except Exception as exc:
+            if time.monotonic() - began_s >= SOUND_S:
+                pause_s = MIN_PAUSE_S
+            record_failure(run.__qualname__, exc, again_in_s=pause_s)
+        else:
+            return
+        await asyncio.sleep(pause_s)
+        pause_s = min(2 * pause_s, MAX_PAUSE_S)
+
+
+def record_failure(
+    name: str, exc: BaseException, again_in_s: float | None = None
+) -> None:
+    """Logs and counts an error in our own code.
+
+    Args:
+        name: What has failed.
+        exc: The error.
+        again_in_s: After what time it runs again; None if that is up to the
+            caller.
+    """
+    metrics.TASK_FAILURES.labels(name).inc()
+    _log.error("task_failed", task=name, again_in_s=again_in_s, exc_info=exc)
 
 
 def log_callback_failures() -> None:
--- a/tests/fleet/virtual_fleet.py
+++ b/tests/fleet/virtual_fleet.py
@@ -51,7 +51,7 @@
             self.members,
             make_store_view(),
             self._make_state,
-            BackgroundTasks(lambda: None),
+            BackgroundTasks(),
             MessageAuthenticator(("key",)),
             lambda: False,
             on_update=lambda: None,
--- a/tests/front/test_openings.py
+++ b/tests/front/test_openings.py
@@ -31,7 +31,7 @@
 
     async def scenario() -> tuple[str, ...]:
         items = (Opening("held", held.open), Opening("free", free.open))
-        names = await open_all(items, BackgroundTasks(lambda: None))
+        names = await open_all(items, BackgroundTasks())
         assert free.left < 0
         async with asyncio.timeout(5.0):
             while held.left >= 0:
--- a/tests/front/test_peer_sync.py
+++ b/tests/front/test_peer_sync.py
@@ -47,7 +47,7 @@
             self._membership,
             self.view,
             self._make_state,
-            BackgroundTasks(lambda: None),
+            BackgroundTasks(),
             MessageAuthenticator(),
             lambda: False,
             on_update=lambda: None,
--- a/tests/front/test_tasks.py
+++ b/tests/front/test_tasks.py
@@ -2,19 +2,37 @@
 
 import asyncio
 
+import pytest
 import structlog
 
-from savorylift.front import metrics
+from savorylift.front import metrics, tasks
 from savorylift.front.tasks import BackgroundTasks, log_callback_failures
+from tests.harness.virtual_time import VirtualClock
 
 
 async def fail() -> None:
     raise ValueError("unforeseen")
 
 
+class FailingRun:
+    """Fails some times, after a while each, and then waits forever."""
+
+    def __init__(self, clock: VirtualClock, durations_s: list[float]) -> None:
+        self._clock = clock
+        self._durations_s = durations_s
+        self.runs = 0
+
+    async def run(self) -> None:
+        self.runs += 1
+        if not self._durations_s:
+            await asyncio.Event().wait()
+        self._clock.now_s += self._durations_s.pop(0)
+        raise ValueError("unforeseen")
+
+
 def test_failed_task_is_logged_and_counted_by_its_name() -> None:
     async def scenario() -> None:
-        BackgroundTasks(lambda: None).spawn(fail())
+        BackgroundTasks().spawn(fail())
         await asyncio.sleep(0.01)
 
     counter = metrics.TASK_FAILURES.labels("fail")
@@ -25,6 +43,46 @@
     assert counter.value == before + 1
 
 
+def test_failed_task_runs_again_after_pauses_that_grow_until_it_is_sound(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    clock = VirtualClock()
+    monkeypatch.setattr("time.monotonic", clock.monotonic)
+    pauses: list[float] = []
+    sleep = asyncio.sleep
+
+    async def record_pause(pause_s: float) -> None:
+        pauses.append(pause_s)
+        await sleep(0)
+
+    async def scenario() -> None:
+        BackgroundTasks().keep_running(failing.run)
+        for _ in range(20):
+            await sleep(0)
+
+    failing = FailingRun(clock, [0.0, 1.0, tasks.SOUND_S, 0.0])
+    monkeypatch.setattr("asyncio.sleep", record_pause)
+    with structlog.testing.capture_logs() as logs:
+        asyncio.run(scenario())
+    assert pauses == [0.1, 0.2, 0.1, 0.2]
+    assert [line["again_in_s"] for line in logs] == pauses
+    assert failing.runs == 5
+
+
+def test_task_that_returns_is_not_run_again() -> None:
+    runs: list[int] = []
+
+    async def run() -> None:
+        runs.append(1)
+
+    async def scenario() -> None:
+        BackgroundTasks().keep_running(run)
+        await asyncio.sleep(0.01)
+
+    asyncio.run(scenario())
+    assert runs == [1]
+
+
 def test_failed_callback_is_logged_and_counted() -> None:
     def fail_soon() -> None:
         raise ValueError("unforeseen")
