Wait for settings that are being written, and ignore unknown ones

A node whose settings file was missing, empty or half written when it started, or held a key of a later build, `null` or 300.0 for 300, ended with exit code 2; a SIGHUP before the file was whole lost the change.

test_settings_file.py wanted a fault for an unknown key. The users' pages say that new fields may come and are to be ignored, so the case is replaced: such a key must be named and change nothing. Faults beside it still name it.

--- a/src/savorylift/front/process.py
+++ b/src/savorylift/front/process.py
@@ -3,19 +3,27 @@
 import asyncio
 import sys
 
+import structlog
 from returns.pipeline import is_successful
 from returns.result import Result
 
+from savorylift.front.awaited_settings import await_settings
 from savorylift.front.large_blocks import keep_large_blocks_apart
 from savorylift.front.log_output import configure_logging
 from savorylift.front.node import FrontNode
 from savorylift.front.reload_signal import ReloadSignal
 from savorylift.front.settings import FrontSettings
-from savorylift.settings_file import SettingsFault, read_settings
+from savorylift.settings_file import (
+    SettingsFault,
+    read_settings,
+    read_unknown,
+)
 
 EXIT_FAILED = 1
 EXIT_BAD_INPUT = 2
 
+_log = structlog.get_logger()
+
 
 def run_node(path: str, reload_signal: ReloadSignal) -> int:
     """Runs a node until it is stopped; returns the exit code.
@@ -28,7 +36,7 @@
     def read() -> Result[FrontSettings, tuple[SettingsFault, ...]]:
         return read_settings(path, FrontSettings)
 
-    result = read()
+    result = await_settings(path)
     if not is_successful(result):
         for fault in result.failure():
             print(fault, file=sys.stderr)
@@ -36,6 +44,8 @@
     settings = result.unwrap()
     keep_large_blocks_apart()
     configure_logging(settings.vm, settings.log_lines_per_s)
+    for fault in read_unknown(path, FrontSettings):
+        _log.warning("setting_ignored", key=fault.key)
     try:
         asyncio.run(FrontNode(settings, read).run(reload_signal))
     except OSError as exc:
--- a/src/savorylift/front/settings.py
+++ b/src/savorylift/front/settings.py
@@ -82,12 +82,12 @@
     peer_port: PositiveInt
     metrics_port: PositiveInt
     store: Address
-    seeds: tuple[Address, ...]
-    grace_period_s: Seconds
-    retry_ratio: float
-    retry_window_s: Seconds
-    retry_slack: float
-    entry_ttl_max_s: Seconds
+    seeds: tuple[Address, ...] = ()
+    grace_period_s: Seconds = 8.0
+    retry_ratio: float = 0.2
+    retry_window_s: Seconds = 10.0
+    retry_slack: float = 5.0
+    entry_ttl_max_s: Seconds = 5.0
     regions: Mapping[Name, Name] = MappingProxyType({})
     rollout_share: float | None = None
     rollout_slack: float = 0.0
--- a/src/savorylift/operators/settings_argument.py
+++ b/src/savorylift/operators/settings_argument.py
@@ -8,7 +8,7 @@
 
 from savorylift.front.settings import FrontSettings
 from savorylift.operators.output import ExitCode, print_error
-from savorylift.settings_file import read_settings
+from savorylift.settings_file import read_settings, read_unknown
 
 SettingsPath = Annotated[
     str,
@@ -22,6 +22,8 @@
     """Reads the settings and runs a command; prints faults of the settings."""
     settings = read_settings(path, FrontSettings)
     if is_successful(settings):
+        for fault in read_unknown(path, FrontSettings):
+            print_error(f"{fault}, ignored")
         return run(settings.unwrap())
     for fault in settings.failure():
         print_error(str(fault))
--- a/src/savorylift/settings_file.py
+++ b/src/savorylift/settings_file.py
@@ -7,6 +7,7 @@
 from typing import Any, NamedTuple, TypeVar, cast, get_type_hints
 
 import msgspec
+from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
 MAX_PORT = 65_535
@@ -37,29 +38,70 @@
     path: str, settings_type: type[SettingsT]
 ) -> Result[SettingsT, tuple[SettingsFault, ...]]:
     """Reads a settings file; returns the settings or all faults in it."""
+    loaded = _load(path)
+    if not is_successful(loaded):
+        return Failure((loaded.failure(),))
+    return check_settings(loaded.unwrap(), path, settings_type)
+
+
+def _load(path: str) -> Result[object, SettingsFault]:
+    """Returns what a settings file holds."""
     try:
-        data = json.loads(pathlib.Path(path).read_text(encoding="utf-8"))
+        return Success(
+            json.loads(pathlib.Path(path).read_text(encoding="utf-8"))
+        )
     except OSError as exc:
         cause = exc.strerror or "can't be read"
-        return Failure((SettingsFault(path, "", cause.lower()),))
-    except ValueError as exc:
-        return Failure((SettingsFault(path, "", f"not JSON: {exc}"),))
-    return check_settings(data, path, settings_type)
+        return Failure(SettingsFault(path, "", cause.lower()))
+    except (ValueError, RecursionError) as exc:
+        return Failure(SettingsFault(path, "", f"not JSON: {exc}"))
 
 
 def check_settings(
     data: object, path: str, settings_type: type[SettingsT]
 ) -> Result[SettingsT, tuple[SettingsFault, ...]]:
-    """Validates decoded JSON; `path` is only named in the faults."""
+    """Validates decoded JSON; `path` is only named in the faults.
+
+    Keys that are not known are ignored, as a file may be for a later build.
+    Those without a value have their default.
+    """
     if not isinstance(data, dict):
         return Failure((SettingsFault(path, "", "expected a JSON object"),))
+    defaults = _field_defaults(settings_type)
+    known = {
+        key: value
+        for key, value in data.items()
+        if key in _field_types(settings_type)
+        and not (value is None and key in defaults)
+    }
     faults = tuple(
         SettingsFault(path, key, message)
-        for key, message in _find_faults(data, settings_type)
+        for key, message in _find_faults(known, settings_type)
     )
     if faults:
-        return Failure(faults)
-    return Success(settings_type(**_convert_fields(data, settings_type)))
+        return Failure((*find_unknown(data, path, settings_type), *faults))
+    return Success(settings_type(**_convert_fields(known, settings_type)))
+
+
+def find_unknown(
+    data: Mapping[str, object], path: str, settings_type: type[SettingsT]
+) -> tuple[SettingsFault, ...]:
+    """Returns the keys of decoded JSON that are ignored."""
+    unknown = sorted(data.keys() - _field_types(settings_type).keys())
+    return tuple(SettingsFault(path, key, "unknown key") for key in unknown)
+
+
+def read_unknown(
+    path: str, settings_type: type[SettingsT]
+) -> tuple[SettingsFault, ...]:
+    """Returns the keys of a settings file that are ignored.
+
+    None if the file can't be read now.
+    """
+    data = _load(path).value_or(None)
+    if not isinstance(data, dict):
+        return ()
+    return find_unknown(data, path, settings_type)
 
 
 def _find_faults(
@@ -67,8 +109,6 @@
 ) -> Iterator[tuple[str, str]]:
     """Yields a key and a message for each fault."""
     hints = _field_types(settings_type)
-    for key in sorted(data.keys() - hints.keys()):
-        yield key, "unknown key"
     for key, hint in hints.items():
         if key in data:
             yield from _find_value_faults(data[key], hint, key)
@@ -109,7 +149,13 @@
 def _convert(value: object, hint: object) -> object:
     # Settings files write NamedTuple values as JSON objects, but msgspec
     # converts them from arrays.
-    return msgspec.convert(_objects_to_arrays(value, hint), type=hint)
+    converted = _objects_to_arrays(value, hint)
+    try:
+        return msgspec.convert(converted, type=hint)
+    except msgspec.ValidationError:
+        if isinstance(value, float) and value.is_integer():
+            return msgspec.convert(int(value), type=hint)
+        raise
 
 
 def _objects_to_arrays(value: object, hint: object) -> object:
