Keep closed standard streams from connections, and start

A node whose standard output was closed ended with a traceback at each start. Had it not, a connection would have got descriptor 1, and the log with it.

--- a/src/savorylift/front/process.py
+++ b/src/savorylift/front/process.py
@@ -13,6 +13,7 @@
 from savorylift.front.node import FrontNode
 from savorylift.front.reload_signal import ReloadSignal
 from savorylift.front.settings import FrontSettings
+from savorylift.front.standard_streams import open_standard_streams
 from savorylift.settings_file import (
     SettingsFault,
     read_settings,
@@ -36,6 +37,7 @@
     def read() -> Result[FrontSettings, tuple[SettingsFault, ...]]:
         return read_settings(path, FrontSettings)
 
+    open_standard_streams()
     result = await_settings(path)
     if not is_successful(result):
         for fault in result.failure():
--- a/tests/front/test_hard_starts.py
+++ b/tests/front/test_hard_starts.py
@@ -1,6 +1,7 @@
 """Tests of nodes that start while something isn't as it should be."""
 
 import json
+import os
 import pathlib
 import signal
 import subprocess
@@ -134,3 +135,17 @@
     while node.count_events("reload") < 2:
         assert time.monotonic() < until_s
         time.sleep(POLL_S)
+
+
+@pytest.mark.parametrize("closed", [(1,), (0, 1, 2)])
+def test_node_starts_without_standard_streams(
+    closed: tuple[int, ...], node: StartedNode
+) -> None:
+    def close() -> None:
+        for descriptor in closed:
+            os.close(descriptor)
+
+    node.settings_path.write_text(json.dumps(valid_settings()))
+    node.start(close)
+    time.sleep(WRITING_S)
+    assert node.is_running
