Show that a held port that no caller needs kept all nodes away

The incident as it was reproduced: all six nodes killed, the port of metrics held by another socket when they return, started again 0.3 s after each end.

--- a/tests/front/test_held_ports.py
+++ b/tests/front/test_held_ports.py
@@ -38,7 +38,11 @@
 def hold(ip: str, port: int, kind: socket.SocketKind) -> socket.socket:
     """Takes a port, as an outgoing connection does that the kernel gave it."""
     holder = socket.socket(type=kind)
+    if kind is socket.SOCK_STREAM:
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     holder.bind((ip, port))
+    if kind is socket.SOCK_STREAM:
+        holder.listen()
     return holder
 
 
@@ -57,12 +61,17 @@
 
 
 class HeldPortFleet(ProcessFleet):
-    """A fleet whose nodes the tests start, with bulk ports."""
+    """A fleet whose nodes the tests start, with bulk ports.
+
+    Attributes:
+        holders: Sockets that hold ports until the end.
+    """
 
     def __init__(self, nodes: int, directory: pathlib.Path) -> None:
         super().__init__(nodes, 1, directory)
         (bulk,) = free_addresses(1, self.ips)
         self._bulk_port = _port(bulk)
+        self.holders: list[socket.socket] = []
 
     def settings(self, ip: str) -> FrontSettings:
         """Returns the settings of a node."""
@@ -84,6 +93,11 @@
     async def _start_nodes(self) -> None:
         """Leaves it to the tests."""
 
+    def _stop_nodes(self) -> None:
+        super()._stop_nodes()
+        for holder in self.holders:
+            holder.close()
+
 
 @pytest.mark.parametrize(
     "name", ["callers", "directory", "readiness", "nodes", "metrics"]
@@ -178,3 +192,31 @@
             assert [e.status for e in endings] == [200] * len(fleet.ips)
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("name", ["metrics", "directory", "readiness", "nodes"])
+def test_nodes_that_return_serve_while_a_port_that_no_caller_needs_stays_held(
+    name: str, tmp_path: pathlib.Path
+) -> None:
+    async def scenario() -> None:
+        fleet = HeldPortFleet(3, tmp_path)
+        async with fleet.running():
+            for ip in fleet.ips:
+                fleet.start_node(ip)
+            until_s = time.monotonic() + START_S
+            for ip in fleet.ips:
+                await fleet.wait_until_ready(ip, until_s)
+            for process in fleet.processes.values():
+                process.kill()
+            port = ports(fleet.settings(fleet.ips[0]))[name]
+            for ip in fleet.ips:
+                holder = hold(ip, port, socket.SOCK_STREAM)
+                fleet.holders.append(holder)
+                fleet.start_node(ip)
+            await asyncio.sleep(HELD_S)
+            endings = [
+                await fleet.call(ip, "/once/x", f"a-{ip}") for ip in fleet.ips
+            ]
+            assert [e.status for e in endings] == [200] * len(fleet.ips)
+
+    asyncio.run(scenario())
