Count the grace of lapsed entries from the store's return, not from a miss

Callers' requests reached a server more than 2 s after the operator had removed it: a node that was back late (cut off from the store and the others) logged `server_missing` and kept the server 2.2 s more.

Cause: the node dated the end of the outage by its own first reading, or by the newest reading of others, and so began a grace period of its own.

Change: readers tell since when the store has answered without an outage (`store_up_age_s`, `store_era`). A node dates its grace back by spans of its era or a later one that reach the return that it saw. While none is told, as by earlier builds, the return isn't known and the whole period holds. A node that stood still waits until its backlog is read.

--- a/src/savorylift/backends/registry.py
+++ b/src/savorylift/backends/registry.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
+from savorylift.backends.grace_period import GracePeriod
 from savorylift.backends.latest_entries import LatestEntries
 from savorylift.backends.leaving_marks import (
     LeavingMark,
@@ -48,7 +49,7 @@
         self._servers: dict[str, BackendServer] = {}
         self._latest = LatestEntries()
         self._static: dict[str, ServerEntry] = {}
-        self._grace_until_s = 0.0
+        self._grace = GracePeriod(GRACE_PERIOD_S)
         # Which processes said that they were draining.
         self._marks = LeavingMarks()
 
@@ -80,8 +81,11 @@
             returned_s: Monotonic time at which the store answered again. An
                 earlier one than before changes nothing.
         """
-        until_s = returned_s + GRACE_PERIOD_S
-        self._grace_until_s = max(self._grace_until_s, until_s)
+        self._grace.start(returned_s)
+
+    def date_grace_period_back(self, returned_s: float) -> None:
+        """Ends the grace period earlier: the store answered by that time."""
+        self._grace.date_back(returned_s)
 
     def put(self, entry: ServerEntry, now_s: float) -> bool:
         """Stores an entry unless it is outdated.
@@ -133,10 +137,10 @@
         server = self._servers.get(server_id)
         if server is None:
             return False
-        if now_s < self._grace_until_s and not server.entry.is_leaving:
+        if not (self._grace.is_over(now_s) or server.entry.is_leaving):
             if server.expires_at_s is None:
                 self._servers[server_id] = server._replace(
-                    expires_at_s=self._grace_until_s
+                    expires_at_s=self._grace.until_s
                 )
             return False
         self._drop(server_id, now_s)
@@ -213,7 +217,7 @@
         Returns:
             Whether it is news that the server is draining.
         """
-        entry = self._find_newest(server_id)
+        entry = self._latest.find(server_id) or self.find_entry(server_id)
         if entry is None:
             return False
         before = self._marks.judge(entry)
@@ -232,11 +236,6 @@
             return False
         return before is Standing.IN_DOUBT or not server.entry.is_leaving
 
-    def _find_newest(self, server_id: str) -> ServerEntry | None:
-        """Returns the newest entry of a server, also of a missing one."""
-        latest = self._latest.find(server_id)
-        return self.find_entry(server_id) if latest is None else latest
-
     @property
     def has_marks(self) -> bool:
         """Whether any server has said that it is draining."""
@@ -291,7 +290,8 @@
         expired = [
             server_id
             for server_id, server in self._servers.items()
-            if server.expires_at_s is not None and now_s >= server.expires_at_s
+            if server.expires_at_s is not None
+            and now_s >= min(server.expires_at_s, self._grace.until_s)
         ]
         for server_id in expired:
             self._drop(server_id, now_s)
--- a/src/savorylift/fleet/state.py
+++ b/src/savorylift/fleet/state.py
@@ -171,6 +171,10 @@
             the first builds: 1 for those of `pulse_messages`.
         bulk_port: UDP port for messages that may wait; 0 if it has none.
         divided_services: Services whose engines it counts as several groups.
+        store_up_age_s: Age of the first reading of the servers' entries, by
+            any node, since which the store has had no outage up to this node's
+            last one; None if the node doesn't know.
+        store_era: How often the store had come back from a copy by then.
     """
 
     node: str
@@ -203,3 +207,5 @@
     message_level: int = 0
     bulk_port: int = 0
     divided_services: tuple[DividedService, ...] = ()
+    store_up_age_s: float | None = None
+    store_era: int = 0
--- a/src/savorylift/fleet/state_patches.py
+++ b/src/savorylift/fleet/state_patches.py
@@ -22,7 +22,8 @@
 )
 # They grow with time, so a receiver works them out.
 _AGES = frozenset(
-    _POSITIONS[name] for name in ("reading_age_s", "servers_reading_age_s")
+    _POSITIONS[name]
+    for name in ("reading_age_s", "servers_reading_age_s", "store_up_age_s")
 )
 # Ages told at two times are of the same reading if they fit within this.
 AGE_SLACK_S = 0.005
--- a/src/savorylift/fleet/store_reader.py
+++ b/src/savorylift/fleet/store_reader.py
@@ -3,15 +3,21 @@
 import asyncio
 from collections.abc import Callable
 
-from savorylift.fleet.read_policy import ReadPolicy
+from savorylift.beat import wait_for_beat
+from savorylift.fleet.read_policy import POLL_PAUSE_S, ReadPolicy
 from savorylift.fleet.store_records import Delta, Topic
+from savorylift.fleet.store_return import StoreReturn, ToldSpans
 from savorylift.fleet.store_view import StoreView
 from savorylift.fleet.topic_consumer import TopicConsumer
-from savorylift.platform.store import SERVERS_TOPIC, StoreClient
+from savorylift.platform.store import SERVERS_TOPIC, StoreClient, era_of
 
 
 class StoreReader:
-    """Keeps a store view up to date, whenever this node should read."""
+    """Keeps a store view up to date, whenever this node should read.
+
+    Attributes:
+        store_return: When the store returned from its last outage.
+    """
 
     def __init__(
         self,
@@ -21,6 +27,7 @@
         read_policy: ReadPolicy,
         on_change: Callable[[Delta | None], None],
         on_fault: Callable[[], None],
+        others_spans: ToldSpans = lambda _: (),
     ) -> None:
         """Reads nothing until `run` is called.
 
@@ -32,6 +39,8 @@
             on_change: Called after each change, with the delta to send to the
                 other nodes; None after a full listing.
             on_fault: Called after the first of several calls that failed.
+            others_spans: Returns since when the store has answered other
+                nodes, as they told since a monotonic time.
         """
         self._store_view = store_view
         self._operators = TopicConsumer(
@@ -50,7 +59,13 @@
             read_policy,
             on_change,
         )
-        self._servers.on_recovery = store_view.registry.start_grace_period
+        self.store_return = StoreReturn(
+            store_view.registry,
+            others_spans,
+            lambda: era_of(store_view.servers_version[0]),
+        )
+        self._servers.on_reading = self._note_reading
+        self._servers.on_recovery = self._note_return
         # While the store is away, calls for one topic show when it is back.
         self._operators.may_call = lambda: not self._servers.is_store_away
         self._operators.on_fault = on_fault
@@ -61,6 +76,20 @@
         async with asyncio.TaskGroup() as group:
             group.create_task(self._operators.run())
             group.create_task(self._servers.run())
+            group.create_task(self._watch_return())
+
+    async def _watch_return(self) -> None:
+        """Dates the store's return back as soon as others tell it."""
+        while True:
+            await wait_for_beat(POLL_PAUSE_S)
+            self.store_return.correct()
+
+    def _note_reading(self, position: int) -> None:
+        self.store_return.note_reading(era_of(position))
+
+    def _note_return(self, ended_s: float) -> None:
+        self.store_return.note_return(ended_s)
+        self.store_return.correct()
 
     def skip_known(self) -> None:
         """Skips the records that the view has learned from other nodes."""
--- a/src/savorylift/fleet/topic_consumer.py
+++ b/src/savorylift/fleet/topic_consumer.py
@@ -40,6 +40,8 @@
         may_call: Returns whether the store may be called now.
         on_recovery: Called with the time at which an outage ended for the
             first node.
+        on_reading: Called with the position after each call that the store
+            answered, before `on_recovery` and before its records are applied.
         on_fault: Called after the first of several calls that failed.
     """
 
@@ -79,6 +81,7 @@
         self.is_store_away = False
         self.may_call: Callable[[], bool] = lambda: True
         self.on_recovery: Callable[[float], None] = _ignore_recovery
+        self.on_reading: Callable[[int], None] = _ignore_reading
         self.on_fault: Callable[[], None] = _ignore_fault
 
     @property
@@ -150,8 +153,8 @@
         result = await self._call()
         if not is_successful(result):
             return self._handle_error(result.failure())
-        self._handle_success()
         batch = result.unwrap()
+        self._handle_success(batch.next_offset)
         if self._offset is not None and batch.next_offset < self._offset:
             return POLL_PAUSE_S
         self._offset = batch.next_offset
@@ -190,12 +193,13 @@
             self._topic_name, self._offset, LONG_POLL_S
         )
 
-    def _handle_success(self) -> None:
+    def _handle_success(self, position: int) -> None:
         now_s = time.monotonic()
         self.is_store_away = False
         if self._is_failing:
             _log.info("store_regained", topic=self._topic_name)
         self._is_failing = False
+        self.on_reading(position)
         self._announce_recovery(self._outage.note_reading(now_s))
         self._last_read_s = now_s
         if self._topic is Topic.SERVERS:
@@ -222,6 +226,8 @@
                 "store_restored", topic=self._topic_name, detail=error.detail
             )
             self._offset = None
+            if error.start is not None:
+                self.on_reading(error.start)
             # Entries written since the copy are missing until written again.
             self.on_recovery(now_s)
             return 0.0
@@ -243,5 +249,9 @@
     """Default callback for the first of several failed calls."""
 
 
+def _ignore_reading(_position: int) -> None:
+    """Default callback for a successful call."""
+
+
 def _ignore_recovery(_recovered_s: float) -> None:
     """Default callback for the end of an outage."""
--- a/src/savorylift/front/state_reporter.py
+++ b/src/savorylift/front/state_reporter.py
@@ -170,6 +170,8 @@
             message_level=self._identity.message_level,
             bulk_port=self._transport.bulk.port,
             divided_services=self._groups.news(),
+            store_up_age_s=self._store_reader.store_return.up_age_s(now_s),
+            store_era=self._store_reader.store_return.era,
         )
         return self._server_news.add_to(state)
 
--- a/src/savorylift/front/store_parts.py
+++ b/src/savorylift/front/store_parts.py
@@ -7,6 +7,7 @@
 from savorylift.backends.registry import BackendServer
 from savorylift.exchange.drain_poller import DrainPoller
 from savorylift.exchange.generation import GenerationDispatcher
+from savorylift.fleet.answering_span import told_spans
 from savorylift.fleet.peer_transport import PeerTransport
 from savorylift.fleet.read_policy import ReadPolicy
 from savorylift.fleet.reader_choice import (
@@ -87,6 +88,9 @@
         policy,
         on_change,
         transport.send_soon,
+        lambda since_s: told_spans(
+            shared.membership, time.monotonic(), since_s
+        ),
     )
     drain_poller = _make_drain_poller(shared, servers, generations, policy)
     load_poller = shared.interface.make_load_poller(
--- a/tests/front/node_fleet.py
+++ b/tests/front/node_fleet.py
@@ -174,6 +174,10 @@
         """Cuts a node off from all other nodes, but not from the servers."""
         self._cut.add(self.ips[index])
 
+    def rejoin(self, index: int) -> None:
+        """Heals the links of a node that was cut off."""
+        self._cut.discard(self.ips[index])
+
     async def call_for(
         self,
         path: str,
