Look at waiting generations once a turn, and only at what can move

Cause: each generation that came or went had all that waited sorted and, until one blocked the others, tried at every engine: in that profile 17.1 of 26.7 s in WaitQueue.dispatch, 4,435 calls, 11.1 s of it sorting. Each end went over all waits besides, to find the services that leave.

Change: tickets are kept by rank, team and number (placement/waiting_tickets.py) and walked lazily in the order that the sort gives; a look ends at the first that blocks the others, and after 32 tried in vain or 256 looked at. One that needs as much as one that found no engine isn't tried (placement/unmet_needs.py). Looks are shared by all that asks for them in a turn of the loop, and one that takes long is followed by a pause of nine times its time, 0.1 s at most, as at keepers (paced_call.py). The order is that of the sort, compared on random tickets; past the two bounds, smaller ones behind don't overtake in the half second before the first one blocks them. Ticket and Rank moved to a module of their own, and waits of runs to exchange/engine_waits.py, by service.

--- a/src/savorylift/emulator/simulation.py
+++ b/src/savorylift/emulator/simulation.py
@@ -19,7 +19,8 @@
 from savorylift.exchange.wish import PREFILL_SHARE, QUEUE_WAIT_FACTOR
 from savorylift.moves.move_order import copy_time_s, is_next
 from savorylift.placement.engines import EngineOptions
-from savorylift.placement.turn_order import Ticket, TurnOrder
+from savorylift.placement.ticket import Ticket
+from savorylift.placement.turn_order import TurnOrder
 from savorylift.routing.configuration import EngineTraits
 
 BYTES_PER_MEGABIT = 125_000.0
--- a/src/savorylift/exchange/engine_queue.py
+++ b/src/savorylift/exchange/engine_queue.py
@@ -1,20 +1,17 @@
 """Assigns engines to generations and queues those that no engine can take."""
 
-import asyncio
-import contextlib
 import functools
 import random
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 
 from savorylift.backends.registry import BackendServer
-from savorylift.exchange import metrics
 from savorylift.exchange.admission import AdmittedRequest
+from savorylift.exchange.engine_waits import EngineWaits
 from savorylift.exchange.failover import FailoverPolicy
 from savorylift.exchange.room_placement import RoomPlacement, RoomResult
 from savorylift.exchange.run import Run
 from savorylift.exchange.server_pool import ServerPool
-from savorylift.exchange.time_limit import end_now
 from savorylift.exchange.wish import (
     Wish,
     first_event_objective_s,
@@ -25,6 +22,7 @@
 from savorylift.placement.memory_release_rate import MemoryReleaseRate
 from savorylift.placement.prefill_rate import PrefillRate
 from savorylift.placement.turn_away import NoRoomInTimeError, Room
+from savorylift.placement.unmet_needs import Need
 from savorylift.placement.wait_queue import (
     UNKNOWN_ROOM,
     WaitQueue,
@@ -54,7 +52,7 @@
         self._queues: dict[str, WaitQueue] = {}
         self._traits: dict[str, EngineTraits | None] = {}
         self._release_rates: dict[str, MemoryReleaseRate] = {}
-        self._waits: dict[Run, asyncio.Timeout] = {}
+        self._waits = EngineWaits(pool)
         self._prefill_rate = PrefillRate()
 
     async def acquire(self, run: Run, tried: set[str]) -> BackendServer | None:
@@ -99,7 +97,8 @@
                 return found
         if not self._may_wait(run, tried):
             return None
-        return await self._wait_in(queue, run, wish, reserve)
+        find_need = functools.partial(self._find_need, admitted, options, tried)
+        return await self._wait_in(queue, run, wish, reserve, find_need)
 
     def _reserve(
         self,
@@ -116,21 +115,42 @@
             )
         return run.server
 
+    def _find_need(
+        self, admitted: AdmittedRequest, options: EngineOptions, tried: set[str]
+    ) -> Need | None:
+        """Returns what a request needs; None if its ID decides on engines."""
+        if self._pool.choice.is_bound_by_rule(admitted, tried):
+            return None
+        kind = (
+            admitted.service,
+            admitted.regions,
+            admitted.software_version,
+            frozenset(tried),
+        )
+        return Need(
+            kind,
+            options.tokens,
+            options.prompt_tokens,
+            options.max_prefill_tokens,
+        )
+
     async def _wait_in(
         self,
         queue: WaitQueue,
         run: Run,
         wish: Wish,
         reserve: Callable[[], BackendServer | None],
+        find_need: Callable[[], Need | None],
     ) -> BackendServer | None:
         """Waits in this node's queue until an engine has room, if in time."""
         try:
-            async with self._waiting(run, wish):
+            async with self._waits.hold(run, wish):
                 return await queue.wait(
                     wish.parameters,
                     wish.latest_start_s,
                     reserve,
                     wish.leave_s,
+                    find_need,
                 )
         except TimeoutError:
             return None
@@ -143,28 +163,11 @@
     ) -> RoomResult | None:
         """Returns what the keeper of the engines' room says, if any."""
         try:
-            async with self._waiting(run, wish):
+            async with self._waits.hold(run, wish):
                 return await rooms.find(run, wish, tried)
         except TimeoutError:
             return RoomResult(None)
 
-    @contextlib.asynccontextmanager
-    async def _waiting(self, run: Run, wish: Wish) -> AsyncIterator[None]:
-        """Counts a run as waiting while the body of the context waits.
-
-        Raises:
-            TimeoutError: It has waited as long as it can, or all its engines
-                leave.
-        """
-        metrics.WAITING.inc()
-        try:
-            async with asyncio.timeout_at(wish.leave_s) as limit:
-                self._waits[run] = limit
-                yield
-        finally:
-            self._waits.pop(run, None)
-            metrics.WAITING.dec()
-
     def _may_wait(self, run: Run, tried: set[str]) -> bool:
         """Whether engines that have no room now may have some soon."""
         admitted, pool = run.admitted, self._pool
@@ -244,10 +247,8 @@
         """
         for queue in self._queues.values():
             if queue:
-                queue.dispatch()
-        for service in {run.admitted.service.name for run in self._waits}:
-            if not self._pool.servers_in_service(service):
-                self._end_waits(service)
+                queue.dispatch_soon()
+        self._waits.end_soon()
 
     def _find_queue(self, service: Service) -> WaitQueue:
         name = service.name
@@ -273,13 +274,6 @@
     def _release_rate(self, service: str) -> MemoryReleaseRate:
         return self._release_rates.setdefault(service, MemoryReleaseRate())
 
-    def _end_waits(self, service: str) -> None:
-        for run, limit in self._waits.items():
-            if run.admitted.service.name != service:
-                continue
-            if self._pool.are_all_leaving(run.admitted):
-                end_now(limit)
-
 
 def _is_taken_up(run: Run) -> bool:
     """Whether the caller resumes a stream, and gets its rest from here."""
--- a/src/savorylift/exchange/server_choice.py
+++ b/src/savorylift/exchange/server_choice.py
@@ -134,6 +134,12 @@
             return True
         return any(True for _ in self._allowed.find(admitted, tried))
 
+    def is_bound_by_rule(
+        self, admitted: AdmittedRequest, tried: Collection[str]
+    ) -> bool:
+        """Whether a roll-out decides on a request's servers by its ID."""
+        return self._allowed.find_version_rule(admitted, tried) is not None
+
     def has_place_elsewhere(
         self, admitted: AdmittedRequest, tried: Collection[str]
     ) -> bool:
--- a/src/savorylift/placement/shared_turns.py
+++ b/src/savorylift/placement/shared_turns.py
@@ -13,12 +13,8 @@
 from typing import NamedTuple
 
 from savorylift.placement.held_room import HeldRoom
-from savorylift.placement.turn_order import (
-    Rank,
-    Ticket,
-    TurnCounter,
-    put_oldest_first,
-)
+from savorylift.placement.ticket import Rank, Ticket
+from savorylift.placement.turn_order import TurnCounter, put_oldest_first
 
 
 class _Ranked(NamedTuple):
--- a/src/savorylift/placement/turn_away.py
+++ b/src/savorylift/placement/turn_away.py
@@ -11,7 +11,8 @@
 from types import MappingProxyType
 from typing import NamedTuple
 
-from savorylift.placement.turn_order import TURNS_PER_OLDEST, Ticket
+from savorylift.placement.ticket import Ticket
+from savorylift.placement.turn_order import TURNS_PER_OLDEST
 
 # A generation is refused if its turn is forecast only after this multiple of
 # the time that it can wait. A forecast may be that far off, since small
--- a/src/savorylift/placement/turn_order.py
+++ b/src/savorylift/placement/turn_order.py
@@ -6,10 +6,12 @@
 waits without a bound, some turns go to the one that has waited longest.
 """
 
-from collections.abc import Iterable
-from typing import NamedTuple
+import heapq
+from collections.abc import Callable, Iterable, Iterator, Mapping, Sequence
 
 from savorylift.placement.fair_share import FairShare
+from savorylift.placement.ticket import Ticket
+from savorylift.placement.waiting_tickets import WaitingTickets
 
 # One turn in this many goes to the generation that has waited longest, if it
 # has waited for OLDEST_WAIT_S.
@@ -17,49 +19,6 @@
 OLDEST_WAIT_S = 2.0
 
 
-class Rank(NamedTuple):
-    """What decides before the shares of teams; the lowest goes first.
-
-    Attributes:
-        is_late: Whether it can't meet its objective any more.
-        priority: Priority; 0 goes first.
-    """
-
-    is_late: bool
-    priority: int
-
-
-class Ticket(NamedTuple):
-    """A generation that waits for room.
-
-    Attributes:
-        priority: Priority; 0 goes first.
-        team: Team of the caller; empty if unknown.
-        cost: Expected tokens, divided by the team's weight.
-        tokens: Tokens that it is expected to reach.
-        enqueued_s: Monotonic time at which it began to wait.
-        latest_start_s: Monotonic time until which it can start and still meet
-            its objective.
-        leave_s: Monotonic time after which it waits no longer.
-        number: Sequence number in the order of arrival.
-        caller: Which of the team's callers it is for; empty if unknown.
-    """
-
-    priority: int
-    team: str
-    cost: float
-    tokens: int
-    enqueued_s: float
-    latest_start_s: float
-    leave_s: float
-    number: int
-    caller: str = ""
-
-    def rank(self, now_s: float) -> Rank:
-        """Returns what decides before the shares of teams; lowest first."""
-        return Rank(now_s > self.latest_start_s, self.priority)
-
-
 class TurnCounter:
     """Counts turns: each `TURNS_PER_OLDEST`th is for the oldest ticket."""
 
@@ -119,6 +78,75 @@
             put_oldest_first(ordered, now_s)
         return ordered
 
+    def walk(
+        self,
+        tickets: WaitingTickets,
+        now_s: float,
+        is_waiting: Callable[[Ticket], bool],
+        *,
+        serves_oldest: bool = True,
+    ) -> Iterator[Ticket]:
+        """Yields the tickets in the order of `sort`, as far as it is asked.
+
+        The first costs the number of teams that wait, each further one the
+        logarithm of it. Neither tickets nor turns may change meanwhile.
+
+        Args:
+            tickets: Generations that wait.
+            now_s: Monotonic time.
+            is_waiting: Whether a ticket still waits; others are left out.
+            serves_oldest: Whether some turns go to the one that has waited
+                longest.
+        """
+        first = None
+        if serves_oldest and self._turns.is_oldest_next:
+            first = _find_oldest(tickets, now_s, is_waiting)
+        if first is not None:
+            yield first
+        tags: dict[str, float] = {}
+        for lines in tickets.by_rank(now_s):
+            for ticket in self._merge(lines, tags, is_waiting):
+                if ticket is not first:
+                    yield ticket
+
+    def _merge(
+        self,
+        lines: Mapping[str, Sequence[Ticket]],
+        tags: dict[str, float],
+        is_waiting: Callable[[Ticket], bool],
+    ) -> Iterator[Ticket]:
+        """Yields the tickets of one rank; `tags` are the teams' next ones."""
+        heads: list[tuple[float, int, Ticket, Iterator[Ticket]]] = []
+        for team, line in lines.items():
+            rest: Iterator[Ticket] = filter(is_waiting, line)
+            ticket = next(rest, None)
+            if ticket is not None:
+                tag = tags.get(team, self._share.start_tag(team))
+                heads.append((tag, ticket.number, ticket, rest))
+        heapq.heapify(heads)
+        while heads:
+            tag, _, ticket, rest = heads[0]
+            yield ticket
+            next_tag = tags[ticket.team] = tag + ticket.cost
+            behind = next(rest, None)
+            if behind is None:
+                heapq.heappop(heads)
+            else:
+                heapq.heapreplace(
+                    heads, (next_tag, behind.number, behind, rest)
+                )
+
+
+def _find_oldest(
+    tickets: WaitingTickets, now_s: float, is_waiting: Callable[[Ticket], bool]
+) -> Ticket | None:
+    """Returns the one that has waited longest, if that is long."""
+    for ticket in tickets.oldest_first():
+        if is_waiting(ticket):
+            has_long = now_s - ticket.enqueued_s > OLDEST_WAIT_S
+            return ticket if has_long else None
+    return None
+
 
 def put_oldest_first(ordered: list[Ticket], now_s: float) -> None:
     """Puts the one that has waited longest first, if that is long."""
--- a/src/savorylift/rooms/returning.py
+++ b/src/savorylift/rooms/returning.py
@@ -11,7 +11,7 @@
 import time
 from typing import NamedTuple
 
-from savorylift.placement.turn_order import Ticket
+from savorylift.placement.ticket import Ticket
 from savorylift.rooms import metrics
 
 MAX_REMEMBERED = 1000
--- a/src/savorylift/rooms/service_room.py
+++ b/src/savorylift/rooms/service_room.py
@@ -21,8 +21,9 @@
 from savorylift.placement.memory_release_rate import MemoryReleaseRate
 from savorylift.placement.return_schedule import ReturnSchedule
 from savorylift.placement.shared_turns import SharedTurns
+from savorylift.placement.ticket import Ticket
 from savorylift.placement.turn_away import Room, find_hopeless
-from savorylift.placement.turn_order import Ticket, TurnOrder
+from savorylift.placement.turn_order import TurnOrder
 from savorylift.placement.wait_queue import BYPASS_LIMIT_S
 from savorylift.rooms import decision_log, metrics
 from savorylift.rooms.book import PlaceKey, RoomBook
--- a/tests/exchange/test_engine_queue.py
+++ b/tests/exchange/test_engine_queue.py
@@ -1,6 +1,7 @@
 """Tests of generations that wait for room on an engine."""
 
 import asyncio
+import gc
 import time
 
 import pytest
@@ -154,3 +155,53 @@
             assert await task is None
 
     asyncio.run(scenario())
+
+
+# Most that anything else waits while the loop is held (issue 62).
+MAX_HELD_S = 0.1
+# Generations that come within one turn of the loop.
+BATCH = 100
+
+
+async def watch_loop(holds_s: list[float]) -> None:
+    """Notes how long each turn of the loop takes."""
+    began_s = time.perf_counter()
+    while True:
+        await asyncio.sleep(0)
+        now_s = time.perf_counter()
+        holds_s.append(now_s - began_s)
+        began_s = now_s
+
+
+@pytest.mark.parametrize("waiting", [10, 100, 1000, 5000])
+def test_loop_is_not_held_while_generations_come_wait_and_end(
+    waiting: int,
+) -> None:
+    async def scenario() -> None:
+        holds_s: list[float] = []
+        watch = asyncio.ensure_future(watch_loop(holds_s))
+        queue = EngineQueue(make_full_pool((2, 2)))
+        req = make_generation_request()
+        tasks: list[asyncio.Task[object]] = []
+        for number in range(waiting):
+            run = Run(make_admitted_request(req, engine=ENGINE), 100)
+            tasks.append(asyncio.ensure_future(queue.acquire(run, set())))
+            if number % BATCH == 0:
+                await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        assert queue.has_waiting
+        for number, task in enumerate(tasks):
+            task.cancel()
+            queue.dispatch_waiting()
+            if number % BATCH == 0:
+                await asyncio.sleep(0)
+        watch.cancel()
+        await asyncio.wait(tasks)
+        assert max(holds_s) < MAX_HELD_S
+
+    # Collections of garbage are left out: they grow with the test process.
+    gc.disable()
+    try:
+        asyncio.run(scenario())
+    finally:
+        gc.enable()
--- a/tests/placement/test_return_schedule.py
+++ b/tests/placement/test_return_schedule.py
@@ -15,8 +15,8 @@
     OVERFLOW_SHARE,
     ReturnSchedule,
 )
+from savorylift.placement.ticket import Ticket
 from savorylift.placement.turn_away import MAX_RETURN_S, TurnedAway
-from savorylift.placement.turn_order import Ticket
 
 TOKENS_PER_S = 1000.0
 
--- a/tests/placement/test_shared_turns.py
+++ b/tests/placement/test_shared_turns.py
@@ -5,11 +5,8 @@
 
 from savorylift.placement.held_room import HeldRoom, Holder
 from savorylift.placement.shared_turns import SharedTurns
-from savorylift.placement.turn_order import (
-    OLDEST_WAIT_S,
-    TURNS_PER_OLDEST,
-    Ticket,
-)
+from savorylift.placement.ticket import Ticket
+from savorylift.placement.turn_order import OLDEST_WAIT_S, TURNS_PER_OLDEST
 
 TICKET = Ticket(1, "", 1000.0, 1000, 0.0, 2.0, 4.0, 1)
 
--- a/tests/placement/test_turn_away.py
+++ b/tests/placement/test_turn_away.py
@@ -13,6 +13,7 @@
     WINDOW_S,
     MemoryReleaseRate,
 )
+from savorylift.placement.ticket import Ticket
 from savorylift.placement.turn_away import (
     FORECAST_MARGIN,
     LAST_MOMENT_S,
@@ -25,7 +26,6 @@
 from savorylift.placement.turn_order import (
     OLDEST_WAIT_S,
     TURNS_PER_OLDEST,
-    Ticket,
     TurnOrder,
 )
 from savorylift.placement.wait_queue import SchedulingParameters, WaitQueue
--- a/tests/placement/test_wait_queue.py
+++ b/tests/placement/test_wait_queue.py
@@ -3,10 +3,15 @@
 import asyncio
 import time
 
+import pytest
+
 from savorylift.backends.registry import BackendServer
 from savorylift.placement.fair_share import FairShare
+from savorylift.placement.unmet_needs import Need
 from savorylift.placement.wait_queue import (
     BYPASS_LIMIT_S,
+    MAX_LOOKED_AT,
+    MAX_TRIED_IN_VAIN,
     SchedulingParameters,
     WaitQueue,
 )
@@ -171,3 +176,124 @@
         share.charge(f"team-{number}", 1.0)
         share.charge("busy", 2.0)
     assert len(share._finish_tags) < 10
+
+
+class FullEngine:
+    """An engine without room, which counts how often it is asked."""
+
+    def __init__(self) -> None:
+        """Starts without any question."""
+        self.asked = 0
+
+    def find(self) -> BackendServer | None:
+        """Returns that there is no room."""
+        self.asked += 1
+        return None
+
+
+async def count_questions(waiting: int, changes: int) -> tuple[int, int]:
+    """Returns the questions while generations come, and at changes."""
+    queue, engine = WaitQueue(is_fleet_large=lambda: False), FullEngine()
+    leave_s = time.monotonic() + 60.0
+    tasks = [
+        asyncio.ensure_future(
+            queue.wait(
+                SchedulingParameters(2, "", 100.0, 100),
+                leave_s,
+                engine.find,
+                leave_s,
+                lambda: Need("alike", 100, 50, 1000.0),
+            )
+        )
+        for _ in range(waiting)
+    ]
+    await asyncio.sleep(0.01)
+    at_arrival, engine.asked = engine.asked, 0
+    for _ in range(changes):
+        queue.dispatch_soon()
+        queue.dispatch_soon()
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+    assert len(queue) == waiting
+    for task in tasks:
+        task.cancel()
+    await asyncio.wait(tasks)
+    return at_arrival, engine.asked
+
+
+@pytest.mark.parametrize("waiting", [10, 100, 1000, 5000])
+def test_engines_are_asked_once_a_change_however_many_wait(
+    waiting: int,
+) -> None:
+    async def scenario() -> None:
+        at_arrival, at_changes = await count_questions(waiting, changes=20)
+        assert at_arrival <= 2
+        assert at_changes <= 20
+
+    run_with_timeout(scenario())
+
+
+@pytest.mark.parametrize("waiting", [1000, 5000])
+def test_generations_that_differ_are_tried_in_vain_up_to_a_bound(
+    waiting: int,
+) -> None:
+    async def scenario() -> None:
+        queue, engine = WaitQueue(is_fleet_large=lambda: False), FullEngine()
+        leave_s = time.monotonic() + 60.0
+        tasks = [
+            asyncio.ensure_future(
+                queue.wait(
+                    SchedulingParameters(2, "", 100.0, 100),
+                    leave_s,
+                    engine.find,
+                    leave_s,
+                )
+            )
+            for _ in range(waiting)
+        ]
+        await asyncio.sleep(0.01)
+        engine.asked = 0
+        queue.dispatch()
+        assert engine.asked == MAX_TRIED_IN_VAIN
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks)
+
+    run_with_timeout(scenario())
+
+
+def test_smaller_generation_overtakes_one_that_needs_more_of_the_same() -> None:
+    async def scenario() -> None:
+        queue, memory = WaitQueue(), EngineMemory(5)
+        tasks = [
+            asyncio.ensure_future(
+                queue.wait(
+                    SchedulingParameters(2, "", tokens, tokens),
+                    time.monotonic() + 9.0,
+                    lambda name=f"{tokens}", tokens=tokens: (  # type: ignore[misc]
+                        memory.allocate(name, tokens)
+                    ),
+                    find_need=lambda tokens=tokens: (  # type: ignore[misc]
+                        Need("alike", tokens, 1, 100.0)
+                    ),
+                )
+            )
+            for tokens in (9, 7, 3, 2)
+        ]
+        await asyncio.sleep(0.05)
+        assert memory.order == ["3", "2"]
+        for task in tasks:
+            task.cancel()
+
+    run_with_timeout(scenario())
+
+
+def test_more_than_one_look_goes_over_all_get_room_that_is_free() -> None:
+    async def scenario() -> None:
+        waiting = 3 * MAX_LOOKED_AT
+        queue, memory = WaitQueue(), EngineMemory(waiting)
+        tasks = [wait(queue, memory, "one", 1, 1) for _ in range(waiting)]
+        await asyncio.gather(*tasks)
+        assert memory.free_tokens == 0
+
+    run_with_timeout(scenario())
--- a/tests/rooms/test_load.py
+++ b/tests/rooms/test_load.py
@@ -16,7 +16,8 @@
 from savorylift.backends.load import Load
 from savorylift.fleet.room_messages import RoomOutcome
 from savorylift.placement.engines import EngineOptions, choose_engine
-from savorylift.placement.turn_order import Ticket, TurnOrder
+from savorylift.placement.ticket import Ticket
+from savorylift.placement.turn_order import TurnOrder
 from savorylift.rooms.book import PlaceKey
 from savorylift.rooms.service_room import ServiceRoom
 from tests.rooms.factories import TRAITS, make_engines, make_request
--- a/tests/rooms/test_returning.py
+++ b/tests/rooms/test_returning.py
@@ -9,7 +9,7 @@
 
 from savorylift.fleet.room_messages import RoomOutcome, RoomReply, RoomRequest
 from savorylift.placement.memory_release_rate import MIN_RELEASES
-from savorylift.placement.turn_order import Ticket
+from savorylift.placement.ticket import Ticket
 from savorylift.rooms.book import PlaceKey
 from savorylift.rooms.engines import Engines
 from savorylift.rooms.returning import (
