Go only over runs at engines at a change, and ask once for those alike

Each message of another node, change of the store and beat of 0.2 s went over all open runs; for each waiting one that is bound to a software version it searched the servers for one of that version.

Cause: on_change looked at each open run for both questions, though only runs at engines can move, and whether a version is gone is the same for all that the same servers may continue.

Change: EngineRuns knows the runs that are at engines, and EngineWaits those that wait and are bound, by service, version and regions; is_version_gone is asked once for each of these kinds. A run that names an engine is a kind of its own.

--- a/src/savorylift/exchange/engine_queue.py
+++ b/src/savorylift/exchange/engine_queue.py
@@ -215,6 +215,10 @@
             is_last=is_last,
         )
 
+    def find_begun(self, is_gone: Callable[[Run], bool]) -> list[Run]:
+        """Returns the waiting runs that have begun and fulfil a condition."""
+        return self._waits.find_begun(is_gone)
+
     @property
     def has_waiting(self) -> bool:
         """Whether generations wait for an engine."""
--- a/src/savorylift/exchange/engine_runs.py
+++ b/src/savorylift/exchange/engine_runs.py
@@ -67,6 +67,7 @@
         self._crash_guard = crash_guard
         self._resumption = resumption
         self._run_sender = RunSender(pool, sender, queue.dispatch_waiting)
+        self._running: set[Run] = set()
         self._relay = Relay(codec, self._on_first_event, self._on_event)
 
     async def serve(
@@ -87,6 +88,7 @@
             run, tried, is_last=is_last
         )
         run.is_at_engine = True
+        self._running.add(run)
         run.is_stopping = run.is_end_known = run.is_given_up = False
         started = await self._run_sender.send(
             run, server, ResumePoint(run.resume_after), failover_policy
@@ -114,6 +116,11 @@
             assert run.server is not None
             server = run.server
 
+    def start_moves(self) -> None:
+        """Starts to move the runs whose engines are draining."""
+        for run in list(self._running):
+            self.start_move_if_draining(run)
+
     def start_move_if_draining(self, run: Run) -> None:
         """Starts to move a run if its engine is draining."""
         if run.move_task is not None or run.server is None or run.call is None:
@@ -145,6 +152,7 @@
         self._queue.give_back(run)
         run.server = None
         run.is_at_engine = False
+        self._running.discard(run)
         self._queue.dispatch_waiting()
 
     async def _finish(
--- a/src/savorylift/exchange/engine_waits.py
+++ b/src/savorylift/exchange/engine_waits.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable, Hashable
 
 from savorylift.exchange import metrics
 from savorylift.exchange.run import Run
@@ -23,6 +23,8 @@
         """
         self._pool = pool
         self._limits: dict[str, dict[Run, asyncio.Timeout]] = {}
+        # Those that have begun, by what decides which servers may go on.
+        self._begun: dict[Hashable, dict[Run, None]] = {}
         self._look = PacedCall(self._end_hopeless)
 
     @contextlib.asynccontextmanager
@@ -35,13 +37,17 @@
         """
         service = run.admitted.service.name
         limits = self._limits.setdefault(service, {})
+        kind = _kind(run)
         metrics.WAITING.inc()
         try:
             async with asyncio.timeout_at(wish.leave_s) as limit:
                 limits[run] = limit
+                if run.has_begun:
+                    self._begun.setdefault(kind, {})[run] = None
                 yield
         finally:
             limits.pop(run, None)
+            self._forget_begun(run, kind)
             metrics.WAITING.dec()
 
     def end_soon(self) -> None:
@@ -49,9 +55,36 @@
         if any(self._limits.values()):
             self._look.request()
 
+    def find_begun(self, is_gone: Callable[[Run], bool]) -> list[Run]:
+        """Returns those that have begun and fulfil a condition.
+
+        Args:
+            is_gone: The condition; asked once for all that the same servers may
+                continue.
+        """
+        found: list[Run] = []
+        for alike in self._begun.values():
+            if is_gone(next(iter(alike))):
+                found += alike
+        return found
+
+    def _forget_begun(self, run: Run, kind: Hashable) -> None:
+        alike = self._begun.get(kind, {})
+        alike.pop(run, None)
+        if not alike:
+            self._begun.pop(kind, None)
+
     def _end_hopeless(self) -> None:
         for service, limits in self._limits.items():
             if limits and not self._pool.servers_in_service(service):
                 for run, limit in limits.items():
                     if self._pool.are_all_leaving(run.admitted):
                         end_now(limit)
+
+
+def _kind(run: Run) -> Hashable:
+    """Returns what decides which servers may continue a run that has begun."""
+    admitted = run.admitted
+    if admitted.req.known_run is not None:
+        return run.attempt_id
+    return admitted.service.name, admitted.software_version, admitted.regions
--- a/src/savorylift/exchange/generation.py
+++ b/src/savorylift/exchange/generation.py
@@ -106,10 +106,9 @@
 
     def on_change(self) -> None:
         """Reacts to a change of servers, nodes or loads."""
-        for run in list(self._runs):
-            self._engine_runs.start_move_if_draining(run)
-            is_waiting = not run.is_at_engine and run.is_version_certain
-            if is_waiting and self._resumption.is_version_gone(run):
+        self._engine_runs.start_moves()
+        for run in self._queue.find_begun(self._resumption.is_version_gone):
+            if run.is_version_certain:
                 run.stop(version_gone())
         self._queue.dispatch_waiting()
 
--- a/tests/exchange/test_engine_queue.py
+++ b/tests/exchange/test_engine_queue.py
@@ -205,3 +205,35 @@
         asyncio.run(scenario())
     finally:
         gc.enable()
+
+
+@pytest.mark.parametrize("waiting", [10, 100, 1000, 5000])
+def test_those_that_the_same_servers_may_continue_are_asked_for_once(
+    waiting: int,
+) -> None:
+    async def scenario() -> None:
+        queue = EngineQueue(make_full_pool((2, 2)))
+        tasks = []
+        for number in range(waiting):
+            admitted = make_admitted_request(
+                make_generation_request(), engine=ENGINE
+            )
+            run = Run(admitted, 100)
+            if number % 2:
+                run.bind_version("")
+            tasks.append(asyncio.ensure_future(queue.acquire(run, set())))
+        await asyncio.sleep(0)
+        asked: list[Run] = []
+
+        def is_gone(run: Run) -> bool:
+            asked.append(run)
+            return True
+
+        assert len(queue.find_begun(is_gone)) == waiting // 2
+        assert len(asked) == 1
+        for task in tasks:
+            task.cancel()
+        await asyncio.wait(tasks)
+        assert not queue.find_begun(lambda _: True)
+
+    asyncio.run(scenario())
