Let each open request watch the end of draining by itself

Cause: all open requests waited for one future of the node's end, and to stop waiting for a future goes over all that wait for it.

Change: each request has a future of its own, which the end completes (Lifecycle.watch_end).

--- a/src/savorylift/front/caller_handler.py
+++ b/src/savorylift/front/caller_handler.py
@@ -115,10 +115,11 @@
         )
         disconnect_task = asyncio.ensure_future(conn.channel.peer_closed.wait())
         try:
-            await asyncio.wait(
-                (serve_task, disconnect_task, self._lifecycle.ended),
-                return_when=asyncio.FIRST_COMPLETED,
-            )
+            with self._lifecycle.watch_end() as ended:
+                await asyncio.wait(
+                    (serve_task, disconnect_task, ended),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
             is_caller_gone = disconnect_task.done() and not serve_task.done()
             if is_caller_gone:
                 metrics.CALLERS_GONE.inc()
--- a/src/savorylift/front/lifecycle.py
+++ b/src/savorylift/front/lifecycle.py
@@ -1,7 +1,9 @@
 """Tracks open requests and the draining of a node before it stops."""
 
 import asyncio
+import contextlib
 import time
+from collections.abc import Iterator
 
 # Draining ends this long before SIGKILL, so that final responses can still be
 # sent.
@@ -31,7 +33,8 @@
         """
         self._grace_period_s = grace_period_s
         self._open_requests = 0
-        self._ended: asyncio.Future[None] | None = None
+        self._has_ended = False
+        self._end_watches: set[asyncio.Future[None]] = set()
         self.takes_callers = False
         self.is_leaving = False
         self.leaving_since_s = 0.0
@@ -61,22 +64,33 @@
         """Whether a request that may take so long can be served to its end."""
         if not self.is_leaving:
             return True
-        if self.ended.done():
+        if self._has_ended:
             return False
         end_s = time.monotonic() + duration_s
         return end_s < self._latest_end_s - REFUSING_S
 
-    @property
-    def ended(self) -> asyncio.Future[None]:
-        """Done once open requests must be answered, finished or not."""
-        if self._ended is None:
-            self._ended = asyncio.get_running_loop().create_future()
-        return self._ended
+    @contextlib.contextmanager
+    def watch_end(self) -> Iterator[asyncio.Future[None]]:
+        """Yields a future that is done once requests must be answered.
+
+        Finished or not. Each request has its own: to stop waiting for one that
+        all shared would take as long as there are requests.
+        """
+        fut: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        if self._has_ended:
+            fut.set_result(None)
+        self._end_watches.add(fut)
+        try:
+            yield fut
+        finally:
+            self._end_watches.discard(fut)
 
     def end(self) -> None:
         """Ends draining: from now on each request is answered at once."""
-        if not self.ended.done():
-            self.ended.set_result(None)
+        self._has_ended = True
+        for fut in self._end_watches:
+            if not fut.done():
+                fut.set_result(None)
 
     @property
     def _latest_end_s(self) -> float:
