--- a/tests/front/node_fleet.py
+++ b/tests/front/node_fleet.py
@@ -65,8 +65,11 @@
         nodes: The nodes, in the order of their addresses; empty before the
             start.
         endings: Ended requests of the callers.
+        settling_s: Time from the start of the nodes until tests begin.
     """
 
+    settling_s = 2.0
+
     def __init__(self, nodes: int, servers: int) -> None:
         self.ips = [f"{NETWORK}.{number + 1}" for number in range(nodes)]
         hosts = ["127.0.0.1", *self.ips]
@@ -100,7 +103,7 @@
             for server in servers:
                 server.peers = {other.port: other for other in servers}
         await self._start_nodes()
-        await asyncio.sleep(2.0)
+        await asyncio.sleep(self.settling_s)
         try:
             yield
         finally:
--- a/tests/front/process_fleet.py
+++ b/tests/front/process_fleet.py
@@ -33,10 +33,12 @@
     def start_node(self, ip: str) -> None:
         """Starts the process of a node that is not running."""
         path = self._directory / f"{ip}.json"
-        settings = _without_defaults(self._settings(ip))
-        path.write_bytes(msgspec.json.encode(settings))
+        path.write_bytes(self._encoded_settings(ip))
         self.processes[ip].start("-m", self.program, str(path))
 
+    def _encoded_settings(self, ip: str) -> bytes:
+        return msgspec.json.encode(_without_defaults(self._settings(ip)))
+
     async def _start_nodes(self) -> None:
         for ip in self.ips:
             self.start_node(ip)
