Take a port of thousands of digits for no address

A single server entry whose port has thousands of digits made parse_address raise a ValueError (int refuses them), which nobody expects: the reading of all entries ended, was made again, and ended again, on all nodes, for as long as the entry was in the store. No later entry was applied.

Such a port is now no address, and the entry one that can't be read.

--- a/src/savorylift/wire/address.py
+++ b/src/savorylift/wire/address.py
@@ -2,6 +2,9 @@
 
 import ipaddress
 
+# `int` refuses thousands of digits.
+MAX_PORT_DIGITS = 5
+
 
 def parse_address(text: str) -> tuple[str, int] | None:
     """Returns host and port of an IPv4 address, or None if it is invalid."""
@@ -10,9 +13,10 @@
         ipaddress.IPv4Address(host)
     except ValueError:
         return None
-    if not port.isascii() or not port.isdigit() or not 0 < int(port) < 65_536:
+    is_number = port.isascii() and port.isdigit()
+    if not is_number or len(port) > MAX_PORT_DIGITS:
         return None
-    return host, int(port)
+    return (host, int(port)) if 0 < int(port) < 65_536 else None
 
 
 def split_address(text: str) -> tuple[str, int]:
