Give no requests to servers whose ID no header can hold

The key of an entry may be any text.

Such an entry now counts as unreadable. Other IDs are accepted as before. test_server_whose_id_no_header_can_hold_gets_no_requests failed before.

--- a/src/savorylift/platform/backend_servers.py
+++ b/src/savorylift/platform/backend_servers.py
@@ -1,5 +1,7 @@
 """Decodes the entries that backend servers write to the store."""
 
+import re
+
 import msgspec
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
@@ -11,6 +13,8 @@
 IS_DRAINING_BY_STATE = {"ready": False, "draining": True}
 # Numbers of an entry must be smaller; no server counts so far.
 MAX_NUMBER = 1 << 63
+# Requests name the ID of their server in a header.
+ID_PATTERN = re.compile(r"[!-~\x80-\xff]([\t -~\x80-\xff]*[!-~\x80-\xff])?")
 
 
 class _Entry(msgspec.Struct, rename="camel"):
@@ -31,6 +35,8 @@
 
 def decode_server(server_id: str, value: bytes) -> Result[ServerEntry, str]:
     """Decodes a server's entry; returns an error message if it is invalid."""
+    if ID_PATTERN.fullmatch(server_id) is None:
+        return Failure("the ID can't be in a header")
     decoded = decode_json(value, _Entry)
     if not is_successful(decoded):
         return Failure(decoded.failure())
--- a/tests/platform/test_backend_servers.py
+++ b/tests/platform/test_backend_servers.py
@@ -57,6 +57,31 @@
     assert not is_successful(decode_server("i", entry.encode()))
 
 
+@pytest.mark.parametrize("port", ["9" * 5000, "0" * 5000 + "80", "\u0661", ""])
+def test_entry_with_an_endless_port_keeps_no_other_from_being_read(
+    port: str,
+) -> None:
+    entry = json.dumps(ENTRY | {"address": f"10.0.0.1:{port}"}).encode()
+    assert not is_successful(decode_server("i", entry))
+
+
+@pytest.mark.parametrize(
+    "server_id", ["", "a\r\nb: c", "\0", "a\x7f", " a", "a ", "\u540d"]
+)
+def test_server_whose_id_no_header_can_hold_gets_no_requests(
+    server_id: str,
+) -> None:
+    entry = json.dumps(ENTRY).encode()
+    assert not is_successful(decode_server(server_id, entry))
+
+
+@pytest.mark.parametrize(
+    "server_id", ["i", "pool-3.f7a1", "a b", "a/b:c~1", "\xe9"]
+)
+def test_usual_server_ids_are_accepted(server_id: str) -> None:
+    assert is_successful(decode_server(server_id, json.dumps(ENTRY).encode()))
+
+
 def test_draining_state_marks_server_as_leaving() -> None:
     value = json.dumps(ENTRY | {"state": "draining"}).encode()
     assert decode_server("i", value).unwrap().is_leaving
