Read what can be read of the store's answers, and fail the rest

An era of thousands of digits raised in each reading. An end of a topic that is negative or too large made positions of eras that no answer names, so that each listing was followed by a reading that failed and by the next listing. An item that can't be decoded failed the whole listing, at each attempt. A listing whose pages repeat had no end, and its records grew without bound.

--- a/src/savorylift/platform/store.py
+++ b/src/savorylift/platform/store.py
@@ -1,17 +1,21 @@
 """Client of the platform's store, a log with compaction by key."""
 
-import base64
 import enum
 import urllib.parse
 from collections.abc import Sequence
 from typing import NamedTuple
 
-import msgspec
 from returns.pipeline import is_successful
 from returns.result import Failure, Result, Success
 
-from savorylift.json_input import decode_json
 from savorylift.metric import Counter
+from savorylift.platform.store_answers import (
+    OFFSETS_PER_ERA,
+    decode_appended,
+    decode_era,
+    decode_first,
+    decode_page,
+)
 from savorylift.platform.store_record import (
     Record,
     decode_records,
@@ -32,13 +36,6 @@
 # Its records expire by themselves.
 ORIGINS_TOPIC = "origins"
 
-# Number of times that the store has come back from an older copy. Offsets go
-# back then and are given out again.
-ERA_HEADER = "store-era"
-# Positions of records grow with each era, so that later ones are always
-# larger. No topic holds as many records.
-OFFSETS_PER_ERA = 1 << 40
-
 CALLS = Counter(
     "savorylift_store_calls", "Calls to the store by what they are.", ["call"]
 )
@@ -91,26 +88,6 @@
     next_offset: int
 
 
-class _Item(msgspec.Struct):
-    key: str
-    value: str
-    offset: int
-
-
-class _Trimmed(msgspec.Struct):
-    first: int
-
-
-class _Appended(msgspec.Struct):
-    offset: int
-
-
-class _Page(msgspec.Struct, rename="camel"):
-    items: list[_Item]
-    end: int
-    has_more: bool = False
-
-
 class StoreClient:
     """Client that reads and writes partition 0 of keyed topics."""
 
@@ -128,6 +105,7 @@
         records: list[Record] = []
         start: int | None = None
         after = ""
+        begun = {after}
         while True:
             query = {"topic": topic, "part": "0"}
             if after:
@@ -135,22 +113,22 @@
             response = await self._call("GET", "/log-newest", query)
             if isinstance(response, StoreError):
                 return Failure(response)
-            decoded = decode_json(response.body, _Page)
+            decoded = decode_page(response.body)
             if not is_successful(decoded):
                 return Failure(_unreadable(decoded.failure()))
             page = decoded.unwrap()
-            try:
-                records += [_decode_item(item) for item in page.items]
-            except ValueError as exc:
-                return Failure(_unreadable(str(exc)))
-            era = _decode_era(response)
+            records += page.records
+            era = decode_era(response)
             if start is None:
                 start = _position(era, page.end)
             elif start // OFFSETS_PER_ERA != era:
                 return Failure(_restored(era))
-            if not page.has_more or not page.items:
+            if page.next_after is None:
                 return Success(Batch(tuple(records), start))
-            after = page.items[-1].key
+            if page.next_after in begun:
+                return Failure(_unreadable("the listing has no end"))
+            after = page.next_after
+            begun.add(after)
 
     async def read(
         self, topic: str, offset: int, wait_s: float
@@ -171,12 +149,12 @@
         response = await self._call("GET", "/log-read", query, wait_s=wait_s)
         if isinstance(response, StoreError):
             return Failure(response)
-        era = _decode_era(response)
+        era = decode_era(response)
         if era != known_era:
             return Failure(_restored(era))
         if response.status == GONE_STATUS:
-            trimmed = decode_json(response.body, _Trimmed)
-            start = trimmed.map(lambda t: _position(era, t.first)).value_or(
+            first = decode_first(response.body)
+            start = first.map(lambda found: _position(era, found)).value_or(
                 None
             )
             return Failure(StoreError(StoreFault.TRIMMED, "410", start))
@@ -232,8 +210,8 @@
         if isinstance(response, StoreError):
             return Failure(response)
         return (
-            decode_json(response.body, _Appended)
-            .map(lambda found: _position(_decode_era(response), found.offset))
+            decode_appended(response.body)
+            .map(lambda found: _position(decode_era(response), found))
             .alt(_unreadable)
         )
 
@@ -274,11 +252,6 @@
     return position // OFFSETS_PER_ERA
 
 
-def _decode_era(response: Response) -> int:
-    text = response.header(ERA_HEADER) or ""
-    return int(text) if text.isascii() and text.isdigit() else 0
-
-
 def _position(era: int, offset: int) -> int:
     return era * OFFSETS_PER_ERA + offset
 
@@ -290,7 +263,3 @@
 def _restored(era: int) -> StoreError:
     detail = f"the store is in era {era} now"
     return StoreError(StoreFault.RESTORED, detail, _position(era, 0))
-
-
-def _decode_item(item: _Item) -> Record:
-    return Record(item.key, base64.b64decode(item.value))
