Pause before a topic is listed again at once

A store that lists a topic and refuses each reading that follows (410, or an era that differs between the two calls) was called without any pause by each reader.

--- a/src/savorylift/fleet/topic_consumer.py
+++ b/src/savorylift/fleet/topic_consumer.py
@@ -70,6 +70,8 @@
         self._read_policy = read_policy
         self._on_change = on_change
         self._offset: int | None = None
+        # Monotonic time at which it was listed last, or that was tried.
+        self._listed_s = float("-inf")
         # As it was logged last.
         self._is_reading = False
         self._last_read_s: float | None = None
@@ -146,6 +148,8 @@
     async def _read(self) -> float:
         """Makes one call; returns the delay before the next."""
         is_full_read = self._offset is None
+        if is_full_read:
+            self._listed_s = time.monotonic()
         self._outage.begin_call(time.monotonic(), self._last_read_s)
         result = await self._call()
         if not is_successful(result):
@@ -216,7 +220,7 @@
         if error.fault is StoreFault.TRIMMED:
             _log.warning("store_trimmed", topic=self._topic_name)
             self._offset = None
-            return 0.0
+            return self._listing_pause_s(now_s)
         if error.fault is StoreFault.RESTORED:
             _log.warning(
                 "store_restored", topic=self._topic_name, detail=error.detail
@@ -224,7 +228,7 @@
             self._offset = None
             # Entries written since the copy are missing until written again.
             self.on_recovery(now_s)
-            return 0.0
+            return self._listing_pause_s(now_s)
         self.is_store_away = error.fault in AWAY_FAULTS
         self._outage.note_failure(now_s)
         if not self._is_failing:
@@ -238,6 +242,14 @@
         self._last_fault_s = now_s
         return self._read_policy.retry_s
 
+    def _listing_pause_s(self, now_s: float) -> float:
+        """Returns the delay before a listing: none, unless one has just been.
+
+        A store may refuse each reading that follows a listing.
+        """
+        retry_s = self._read_policy.retry_s
+        return 0.0 if now_s - self._listed_s >= retry_s else retry_s
+
 
 def _ignore_fault() -> None:
     """Default callback for the first of several failed calls."""
--- a/tests/fleet/test_topic_consumer.py
+++ b/tests/fleet/test_topic_consumer.py
@@ -359,3 +359,51 @@
     ) -> Result[Batch, StoreError]:
         await asyncio.sleep(wait_s)
         return Success(Batch((), offset))
+
+
+# A store that is listed more often is listed without pause.
+MAX_LISTINGS = 50
+
+
+class OldestMissingStore:
+    """A store that can be listed, and refuses each reading that follows."""
+
+    def __init__(self, fault: StoreFault) -> None:
+        self.listings = 0
+        self._fault = fault
+
+    async def list_newest(self, _topic: str) -> Result[Batch, StoreError]:
+        self.listings += 1
+        if self.listings > MAX_LISTINGS:
+            await asyncio.sleep(60.0)
+        return Success(Batch((), 1))
+
+    async def read(
+        self, _topic: str, _offset: int, _wait_s: float
+    ) -> Result[Batch, StoreError]:
+        return Failure(StoreError(self._fault, "410"))
+
+
+@pytest.mark.parametrize("fault", [StoreFault.TRIMMED, StoreFault.RESTORED])
+def test_store_that_refuses_each_reading_is_not_listed_without_pause(
+    fault: StoreFault, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    store = OldestMissingStore(fault)
+    consumer = TopicConsumer(
+        cast("StoreClient", store),
+        "topic",
+        Topic.SERVERS,
+        make_store_view(),
+        make_policy(None),
+        lambda _: None,
+    )
+
+    async def scenario() -> None:
+        reading = asyncio.ensure_future(consumer.run())
+        await asyncio.sleep(4.0)
+        reading.cancel()
+        await asyncio.gather(reading, return_exceptions=True)
+
+    run_in_virtual_time(monkeypatch, scenario)
+    # Once at once, and then after the delay that follows any failed call.
+    assert store.listings <= 2 + 4.0 / READER_RETRY_S
