Take no state whose values fail wherever they are used

A state with an address such as one with a null character, or with a bulk port of 70000, was sent to: asyncio then closes the datagram socket for good ("Fatal write error on datagram transport"), and the node neither hears nor tells others anything until it is started again. All nodes hear the same state, and pass the address on. Names were looked up, which stops the event loop meanwhile. Numbers of hundreds of digits raised in calculations, and an infinite interval kept a node live for ever.

fleet/sound_values.py names the values that can be, and the types of the fields check them as a message is converted; a message with others is unreadable, as one of a wrong type is. Patches of states are checked alike. Small negative ages are taken as before.

--- a/src/savorylift/fleet/state.py
+++ b/src/savorylift/fleet/state.py
@@ -45,6 +45,14 @@
     VersionSighting,
     WitnessedProcess,
 )
+from savorylift.fleet.sound_values import (
+    Count,
+    Interval,
+    Ip,
+    Number,
+    Port,
+    Seconds,
+)
 from savorylift.fleet.store_records import (
     Change,
     Delta,
@@ -110,11 +118,11 @@
     """
 
     server_id: str
-    requests: int
-    tokens: int
-    prefill_tokens: int
-    succeeded: int
-    failed: int
+    requests: Count
+    tokens: Count
+    prefill_tokens: Count
+    succeeded: Count
+    failed: Count
 
 
 class DividedService(NamedTuple):
@@ -126,7 +134,7 @@
     """
 
     service: str
-    groups: int
+    groups: Count
 
 
 class NodeState(NamedTuple):
@@ -174,32 +182,32 @@
     """
 
     node: str
-    ip: str
+    ip: Ip
     region: str
     failure_domain: str
     caller_address: str
-    incarnation: int
-    sequence: int
+    incarnation: Number
+    sequence: Number
     is_ready: bool
     is_leaving: bool
-    operators_version: int
-    servers_version: tuple[int, int]
-    reading_age_s: float | None
+    operators_version: Number
+    servers_version: tuple[Number, Number]
+    reading_age_s: Seconds | None
     has_store_fault: bool
     loads: tuple[ServerLoad, ...]
     moves: tuple[PlannedMove, ...]
-    interval_s: float
-    peers: tuple[str, ...]
+    interval_s: Interval
+    peers: tuple[Ip, ...]
     quarantine_news: QuarantineNews = QuarantineNews()
     version_sightings: tuple[VersionSighting, ...] = ()
     unreached_services: tuple[str, ...] = ()
     brittle_services: tuple[BrittleNews, ...] = ()
     leaving_servers: tuple[LeavingServer, ...] = ()
-    servers_reading_age_s: float | None = None
+    servers_reading_age_s: Seconds | None = None
     has_version_history: bool = False
     witnessed_processes: tuple[WitnessedProcess, ...] = ()
     knows_rollouts: bool = False
     server_speeds: tuple[ServerSpeed, ...] = ()
     message_level: int = 0
-    bulk_port: int = 0
+    bulk_port: Port = 0
     divided_services: tuple[DividedService, ...] = ()
--- a/src/savorylift/fleet/state_patches.py
+++ b/src/savorylift/fleet/state_patches.py
@@ -13,7 +13,7 @@
 from savorylift.fleet.pulse_messages import StatePatch
 from savorylift.fleet.state import NodeState
 
-_TYPES = tuple(typing.get_type_hints(NodeState).values())
+_TYPES = tuple(typing.get_type_hints(NodeState, include_extras=True).values())
 _POSITIONS = {name: n for n, name in enumerate(NodeState._fields)}
 # Not in patches: they name the node, or each message has values of its own.
 _OMITTED = frozenset(
