--- a/src/savorylift/fleet/snapshot_fetcher.py
+++ b/src/savorylift/fleet/snapshot_fetcher.py
@@ -15,6 +15,7 @@
 from savorylift.fleet.snapshot_server import BUSY_STATUS, SNAPSHOT_PATH
 from savorylift.fleet.store_records import Snapshot, Version
 from savorylift.fleet.store_view import StoreView
+from savorylift.wire.address import is_ip
 from savorylift.wire.client_call import BrokenAnswerError, fetch
 from savorylift.wire.message import Response
 
@@ -182,7 +183,7 @@
             return None
         if response.status == BUSY_STATUS:
             ips = body.decode("ascii", "replace").split(",")
-            return Referral(frozenset(ip for ip in ips if ip))
+            return Referral(frozenset(filter(is_ip, ips)))
         decoded = decode(body)
         if not is_successful(decoded):
             detail = decoded.failure()
--- a/src/savorylift/wire/address.py
+++ b/src/savorylift/wire/address.py
@@ -6,12 +6,19 @@
 MAX_PORT_DIGITS = 5
 
 
+def is_ip(text: str) -> bool:
+    """Whether a text is an IPv4 address."""
+    try:
+        ipaddress.IPv4Address(text)
+    except ValueError:
+        return False
+    return True
+
+
 def parse_address(text: str) -> tuple[str, int] | None:
     """Returns host and port of an IPv4 address, or None if it is invalid."""
     host, _, port = text.rpartition(":")
-    try:
-        ipaddress.IPv4Address(host)
-    except ValueError:
+    if not is_ip(host):
         return None
     is_number = port.isascii() and port.isdigit()
     if not is_number or len(port) > MAX_PORT_DIGITS:
