Serve teams whose name no header can hold

Each request of a team whose name has a control character, a blank at an end or a character beyond Latin-1 raised while its head was written, and its caller's connection was closed without an answer (one such configuration: all four requests of a caller, each time).

A name beyond Latin-1 is now sent as UTF-8, as operators write it; the header is left out if no header can hold the name.

--- a/src/savorylift/platform/codec.py
+++ b/src/savorylift/platform/codec.py
@@ -35,6 +35,10 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # A decimal number of requests per second, without sign or exponent.
 LIMIT_PATTERN = re.compile(r"[0-9]+(\.[0-9]*)?|\.[0-9]+")
+# What a header can hold.
+HEADER_VALUE_PATTERN = re.compile(
+    r"([!-~\x80-\xff]([\t -~\x80-\xff]*[!-~\x80-\xff])?)?"
+)
 JSON_CONTENT_TYPE = ("content-type", "application/json")
 
 
@@ -162,7 +166,7 @@
     added = [(header_names.EXPECTED_INSTANCE, forwarding.server_id)]
     added.append(_encode_time_left(forwarding.time_left_s))
     if forwarding.team is not None:
-        added.append((header_names.TEAM, forwarding.team))
+        added += _encode_team(forwarding.team)
     if forwarding.priority is not None:
         added.append((header_names.PRIORITY, str(forwarding.priority)))
     if forwarding.resume_after is not None:
@@ -177,6 +181,20 @@
     return req.headers + tuple(added)
 
 
+def _encode_team(team: str) -> Headers:
+    """Returns the header with a team's name; none if none can hold it.
+
+    A name beyond Latin-1 is sent as the UTF-8 that operators write it in.
+    """
+    try:
+        team.encode("latin-1")
+    except UnicodeEncodeError:
+        team = team.encode().decode("latin-1")
+    if HEADER_VALUE_PATTERN.fullmatch(team) is None:
+        return ()
+    return ((header_names.TEAM, team),)
+
+
 def _encode_time_left(time_left_s: float) -> tuple[str, str]:
     return header_names.TIME_LEFT_MS, str(max(int(time_left_s * 1000), 1))
 
--- a/tests/platform/test_codec.py
+++ b/tests/platform/test_codec.py
@@ -208,3 +208,25 @@
     assert ("retry-after", "0.250") in headers
     assert body == b'{"error":"full"}'
     assert "retry-after" not in dict(encode_refusal("no", None)[0])
+
+
+@pytest.mark.parametrize(
+    ("team", "values"),
+    [
+        ("team", ["team"]),
+        ("a b", ["a b"]),
+        ("\xe9", ["\xe9"]),
+        ("\u540d", ["\u540d".encode().decode("latin-1")]),
+        ("a\r\nb: c", []),
+        ("\0", []),
+        (" a", []),
+    ],
+)
+def test_team_whose_name_no_header_can_hold_is_served_without(
+    team: str, values: list[str]
+) -> None:
+    decoded = decode_request(request()).unwrap()
+    forwarding = ForwardingOptions("i", 1.0, team, None, None, None)
+    headers = encode_forwarded_headers(decoded, forwarding)
+    found = [value for name, value in headers if name.endswith("-tenant")]
+    assert found == values
