Ask no server for a health path that can't be one

A health path with blanks, control characters or characters beyond ASCII raised in the check whether a service is reached (callback_failed: Task exception was never retrieved), at each check: whether the node is cut off from the service was never found out.

--- a/src/savorylift/platform/configuration.py
+++ b/src/savorylift/platform/configuration.py
@@ -1,5 +1,6 @@
 """Decodes the operators' configuration from its record in the store."""
 
+import re
 from collections.abc import Mapping
 
 from returns.pipeline import is_successful
@@ -31,6 +32,8 @@
     "unsafe": RouteKind.ONCE,
     "streaming": RouteKind.STREAM,
 }
+# Characters that the target of a request can have.
+TARGET_PATTERN = re.compile("[!-~]+")
 BYTES_PER_MEGABIT = 125_000.0
 
 
@@ -106,10 +109,19 @@
             tokens_per_event=max(item.engine.stride, 1),
         )
     return Service(
-        item.name, item.cold_per_s, engine, health_path=item.health_path
+        item.name,
+        item.cold_per_s,
+        engine,
+        health_path=_to_health_path(item.health_path),
     )
 
 
+def _to_health_path(path: str | None) -> str | None:
+    """Returns a path that can be asked for; None without one."""
+    is_path = path is not None and TARGET_PATTERN.fullmatch(path) is not None
+    return path if is_path else None
+
+
 def _teams_by_key(
     tenants: list[TenantRecord] | None,
 ) -> Mapping[str, Team] | None:
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -110,3 +110,9 @@
     result = decode_configuration(value)
     assert not is_successful(result)
     assert result.failure()
+
+
+@pytest.mark.parametrize("path", ["", "/a b", "/\r\nx: y", "/\0", "/\u540d"])
+def test_health_path_that_can_not_be_asked_for_is_none(path: str) -> None:
+    service = SERVICE | {"healthPath": path}
+    assert decode({"services": [service]}).services["s"].health_path is None
