Refuse a request that can't be sent, and wait for nothing

If the head of a request couldn't be written, the caller's connection was closed without an answer. The wait for the first byte had begun by then and never ended: the node kept it for good, and counted it against the server after 0.8 s. Calls in the background (cancels, copies that are dropped) failed as tasks.

--- a/src/savorylift/exchange/send.py
+++ b/src/savorylift/exchange/send.py
@@ -187,11 +187,17 @@
         admitted: AdmittedRequest,
         outgoing: OutgoingRequest,
         failover_policy: FailoverPolicy,
-    ) -> Started | Unsure:
+    ) -> Started | NotRun | Unsure:
+        try:
+            call.send(
+                outgoing.method,
+                outgoing.target,
+                outgoing.headers,
+                outgoing.body,
+            )
+        except BrokenAnswerError as exc:
+            return NotRun(Reason.BAD_REQUEST, str(exc), reached_server=False)
         wait = self._reach.begin_wait(server, admitted.req.attempt_id)
-        call.send(
-            outgoing.method, outgoing.target, outgoing.headers, outgoing.body
-        )
         try:
             head = await self._head_reader.read(
                 server, call, admitted.req, failover_policy
--- a/src/savorylift/wire/client_call.py
+++ b/src/savorylift/wire/client_call.py
@@ -62,15 +62,15 @@
     def send(
         self, method: str, target: str, headers: Headers, body: bytes
     ) -> None:
-        """Writes the request; sets a content length if it has a body."""
+        """Writes the request; sets a content length if it has a body.
+
+        Raises:
+            BrokenAnswerError: There can be no such request; nothing was sent.
+        """
         self._method = method
         if body or method not in ("GET", "HEAD", "DELETE"):
             headers = (*headers, ("content-length", str(len(body))))
-        head = h11.Request(
-            method=method,
-            target=target,
-            headers=[(k.encode(), v.encode("latin-1")) for k, v in headers],
-        )
+        head = _encode_head(method, target, headers)
         data = self._h11.send(head) or b""
         sent_body = self._h11.send(h11.Data(data=body)) or b"" if body else b""
         self._h11.send(h11.EndOfMessage())
@@ -224,6 +224,22 @@
                 raise BrokenAnswerError(f"connection reset: {exc}") from exc
 
 
+def _encode_head(method: str, target: str, headers: Headers) -> h11.Request:
+    """Returns the head of a request.
+
+    Raises:
+        BrokenAnswerError: It has characters that no head can have.
+    """
+    try:
+        return h11.Request(
+            method=method,
+            target=target,
+            headers=[(k.encode(), v.encode("latin-1")) for k, v in headers],
+        )
+    except (h11.LocalProtocolError, UnicodeEncodeError) as exc:
+        raise BrokenAnswerError(f"the request can't be sent: {exc}") from exc
+
+
 def _make_parser(method: str) -> h11.Connection:
     """Returns a parser of the response to a request that was sent before."""
     parser = h11.Connection(h11.CLIENT)
--- a/tests/wire/test_client_call.py
+++ b/tests/wire/test_client_call.py
@@ -132,3 +132,37 @@
             )
 
     run_with_timeout(scenario())
+
+
+@pytest.mark.parametrize(
+    ("target", "header"),
+    [
+        ("/a b", "v"),
+        ("/\r\nx: y", "v"),
+        ("/\u540d", "v"),
+        ("/", "a\r\nb: c"),
+        ("/", "\0"),
+        ("/", " v"),
+        ("/", "\u540d"),
+    ],
+)
+def test_request_that_can_not_be_sent_is_a_failed_call(
+    target: str, header: str
+) -> None:
+    async def serve(channel: Channel) -> None:
+        await channel.read()
+
+    async def scenario() -> None:
+        server, port = await serve_bytes(serve)
+        with pytest.raises(BrokenAnswerError):
+            await fetch(
+                ("127.0.0.1", port),
+                "GET",
+                target,
+                headers=(("x", header),),
+                timeout_s=2.0,
+                connect_timeout_s=1.0,
+            )
+        server.close()
+
+    run_with_timeout(scenario())
