Reject numbers in a configuration that fail in each request

A KV capacity of 0 divided by zero, and one of hundreds of digits overflowed, as an engine was chosen: each generation's connection was closed without an answer (measured on a node: both streams of a caller, with each of the two). A version of hundreds of digits was taken, and none could follow it.

Numbers beyond 62 bits now make a configuration unreadable, as those of thousands of digits did, so that the last one stays in use; those of limits are left to the check of a configuration, which names them. An engine has at least one token of memory. 13 cases of tests/platform/test_configuration.py failed before.

--- a/src/savorylift/platform/configuration.py
+++ b/src/savorylift/platform/configuration.py
@@ -102,7 +102,7 @@
     if item.engine is not None:
         engine = EngineTraits(
             slots=item.engine.slots,
-            memory_tokens=item.engine.kv_capacity,
+            memory_tokens=max(item.engine.kv_capacity, 1),
             token_bytes=item.engine.kv_token_bytes,
             link_bytes_per_s=item.engine.link_mbps * BYTES_PER_MEGABIT,
             can_move=item.engine.moves,
--- a/src/savorylift/platform/configuration_record.py
+++ b/src/savorylift/platform/configuration_record.py
@@ -1,10 +1,16 @@
 """The operators' configuration as its record in the store has it."""
 
+from typing import Annotated
+
 import msgspec
 
 from savorylift.wire.request_input import InputLimits
 
 DEFAULT_PRIORITY = 5
+# Larger numbers can't be calculated with as floats, or be in logs.
+MAX_WHOLE = 1 << 62
+
+Whole = Annotated[int, msgspec.Meta(ge=-MAX_WHOLE, le=MAX_WHOLE)]
 
 
 class TargetRecord(msgspec.Struct):
@@ -26,8 +32,8 @@
     timeout_ms: float | None = None
     # Latency objective of a response, or of the first event of a stream.
     target_latency_ms: float | None = None
-    max_attempts: int = 1
-    priority: int = DEFAULT_PRIORITY
+    max_attempts: Whole = 1
+    priority: Whole = DEFAULT_PRIORITY
     public: bool = False
     stream_resumption: bool = False
     # Latency objective between two events of a stream.
@@ -38,16 +44,16 @@
 class EngineRecord(msgspec.Struct, rename="camel"):
     """What the model engines of a service can do."""
 
-    slots: int
+    slots: Whole
     # Capacity of the KV cache in tokens.
-    kv_capacity: int
+    kv_capacity: Whole
     # Size of one token in the KV cache.
     kv_token_bytes: float = 0.0
     link_mbps: float = 0.0
     # Whether a running generation can move to another engine.
     moves: bool = False
     # Tokens per event of a stream.
-    stride: int = 1
+    stride: Whole = 1
 
 
 class ServiceRecord(msgspec.Struct, rename="camel"):
@@ -65,7 +71,7 @@
 
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: Whole | None = None
     allowed_regions: list[str] = []
 
 
@@ -81,7 +87,7 @@
 class ConfigurationRecord(msgspec.Struct):
     """The whole record."""
 
-    version: int
+    version: Whole
     routes: list[RouteRecord]
     services: list[ServiceRecord]
     tenants: list[TenantRecord] | None = None
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -116,3 +116,30 @@
 def test_health_path_that_can_not_be_asked_for_is_none(path: str) -> None:
     service = SERVICE | {"healthPath": path}
     assert decode({"services": [service]}).services["s"].health_path is None
+
+
+@pytest.mark.parametrize("digits", [19, 30, 400])
+@pytest.mark.parametrize("name", ["slots", "kvCapacity", "stride"])
+def test_number_too_large_for_calculations_is_rejected(
+    name: str, digits: int
+) -> None:
+    engine = {"slots": 1, "kvCapacity": 1, "stride": 1} | {name: 10**digits}
+    services = [SERVICE | {"engine": engine}]
+    cfg = {"version": 7, "routes": [ROUTE], "services": services}
+    assert not is_successful(decode_configuration(json.dumps(cfg).encode()))
+
+
+@pytest.mark.parametrize("digits", [19, 400])
+def test_version_that_none_can_follow_is_rejected(digits: int) -> None:
+    cfg = {"version": 10**digits, "routes": [], "services": []}
+    assert not is_successful(decode_configuration(json.dumps(cfg).encode()))
+
+
+@pytest.mark.parametrize("capacity", [0, -5])
+def test_engine_without_memory_keeps_no_request_from_an_answer(
+    capacity: int,
+) -> None:
+    service = SERVICE | {"engine": {"slots": 1, "kvCapacity": capacity}}
+    engine = decode({"services": [service]}).services["s"].engine
+    assert engine is not None
+    assert engine.memory_tokens > 0
