--- a/tests/fleet/test_sound_values.py
+++ b/tests/fleet/test_sound_values.py
@@ -44,9 +44,10 @@
 
 @pytest.mark.parametrize(("field", "value"), UNSOUND)
 def test_value_that_can_not_be_used_is_not_taken_from_a_state(
-    field: str, value: Any
+    field: str, value: object
 ) -> None:
-    message = state(2)._replace(**{field: value})
+    fields: dict[str, Any] = {field: value}
+    message = state(2)._replace(**fields)
     assert not is_successful(decode(encode(message)))
 
 
@@ -55,7 +56,7 @@
     [u for u in UNSOUND if u[0] not in {"incarnation", "sequence"}],
 )
 def test_value_that_can_not_be_used_is_not_taken_from_a_patch(
-    field: str, value: Any
+    field: str, value: object
 ) -> None:
     position = NodeState._fields.index(field)
     fields = {position: msgspec.to_builtins(value)}
@@ -85,6 +86,7 @@
         ("loads", (LOAD._replace(tokens=10**9),)),
     ],
 )
-def test_values_that_can_be_are_taken(field: str, value: Any) -> None:
-    message = state(2)._replace(**{field: value})
+def test_values_that_can_be_are_taken(field: str, value: object) -> None:
+    fields: dict[str, Any] = {field: value}
+    message = state(2)._replace(**fields)
     assert decode(encode(message)).unwrap() == message
