Let no decoder's unforeseen error keep other records from being applied

An error that a decoder of the configuration or of a server's entry isn't known to raise ended the whole reading, and each that followed: none of the other records was applied, for as long as that one was in the store (as it was with a port of thousands of digits).

--- a/src/savorylift/front/interface.py
+++ b/src/savorylift/front/interface.py
@@ -12,6 +12,7 @@
 from savorylift.fleet.rollout_messages import Stage
 from savorylift.fleet.store_view import Decoders
 from savorylift.front.settings import FrontSettings
+from savorylift.guarded import guard
 from savorylift.platform.backend_servers import decode_server
 from savorylift.platform.store_record import Record
 from savorylift.rollouts.order import RolloutOrder
@@ -92,8 +93,8 @@
     from savorylift.platform.store import OPERATORS_TOPIC
 
     decoders = Decoders(
-        configuration.decode_configuration,
-        decode_server,
+        guard(configuration.decode_configuration),
+        guard(decode_server),
         configuration.CONFIGURATION_KEY,
         configuration.EVACUATION_PREFIX,
     )
@@ -115,8 +116,8 @@
     from savorylift.rules import publication
 
     decoders = Decoders(
-        publication.decode_configuration,
-        decode_server,
+        guard(publication.decode_configuration),
+        guard(decode_server),
         publication.RULES_KEY,
         publication.OUT_OF_SERVICE_PREFIX,
     )
