Let no request wait for a connection that was stopped before it began

A task that is cancelled before its first step runs none of its code, also not what is to run at its end: has_tried was never set, and a request that waited for it waited until its deadline. So it was if another request met an entry with another address of the same server at once, or the keeper was dropped as one of too many.

stop() sets it. tests/processes/test_process_connection.py failed before.

--- a/src/savorylift/processes/process_connection.py
+++ b/src/savorylift/processes/process_connection.py
@@ -88,6 +88,8 @@
 
     def stop(self) -> None:
         """Closes the connection."""
+        # A task that is cancelled before its first step does nothing at all.
+        self.has_tried.set()
         if self._task is not None:
             self._task.cancel()
 
