Open the socket of messages again when it is lost

asyncio closes a datagram socket for good after an error that it doesn't foresee ("Fatal write error on datagram transport", seen with an address that can't be sent to). The node then neither heard the others nor was heard until it was started again, though it served and said that it was ready: alive, but without its fleet.

The loss is logged (peer_socket_lost) and the socket opened as at the start. tests/front/test_openings.py: failed before (no socket after 5 s), passes now.

--- a/src/savorylift/fleet/peer_transport.py
+++ b/src/savorylift/fleet/peer_transport.py
@@ -8,14 +8,14 @@
 
 import structlog
 from returns.pipeline import is_successful
-from returns.result import Failure, Result
 
 from savorylift.fleet import metrics
 from savorylift.fleet.bulk_socket import BulkSocket
-from savorylift.fleet.codec import Message, decode, encode
+from savorylift.fleet.codec import Message, encode
 from savorylift.fleet.message_auth import MessageAuthenticator
 from savorylift.fleet.pulse_messages import Pulse
 from savorylift.fleet.relay_groups import relay_groups
+from savorylift.fleet.signed_messages import decode_signed
 from savorylift.fleet.size_scaling import SMALL_FLEET_NODES, scale_with_nodes
 from savorylift.fleet.state_patches import PatchMaker
 from savorylift.fleet.store_records import Delta
@@ -76,6 +76,7 @@
         self._peer_addresses = peer_addresses
         self._is_reader = is_reader
         self._transport: asyncio.DatagramTransport | None = None
+        self.on_lost: Callable[[], None] = lambda: None
         self._send_requested = asyncio.Event()
         # Live nodes as of the last message to them all.
         self._nodes = 0
@@ -279,9 +280,15 @@
         """Stores the transport of the opened socket."""
         self._transport = cast("asyncio.DatagramTransport", transport)
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Logs that the socket is gone, and has it opened again."""
+        _log.error("peer_socket_lost", detail=str(exc))
+        self._transport = None
+        self.on_lost()
+
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Passes on a valid message; an invalid one is logged and dropped."""
-        decoded = _verify_and_decode(data, self._authenticator)
+        decoded = decode_signed(data, self._authenticator)
         if not is_successful(decoded):
             detail = decoded.failure()
             _log.warning("peer_message_unreadable", peer=addr[0], detail=detail)
@@ -291,12 +298,3 @@
     def error_received(self, exc: Exception) -> None:
         """Logs a socket error; later messages may still be delivered."""
         _log.info("peer_message_lost", detail=str(exc))
-
-
-def _verify_and_decode(
-    data: bytes, authenticator: MessageAuthenticator
-) -> Result[Message, str]:
-    message = authenticator.verify(data)
-    if message is None:
-        return Failure("message authentication failed with every peer key")
-    return decode(message)
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import os
-import signal
 import time
 from collections.abc import Callable, Coroutine, Iterator
 
@@ -29,6 +28,7 @@
 from savorylift.front.settings import FrontSettings
 from savorylift.front.settings_reload import SettingsReader, SettingsReload
 from savorylift.front.shared_parts import make_shared_parts
+from savorylift.front.signals import handle_signals
 from savorylift.front.state_reporter import StateReporter
 from savorylift.front.store_parts import ReaderRole, make_store_parts
 from savorylift.front.stream_parts import make_stream_parts
@@ -180,9 +180,10 @@
             reload_signal: Records a SIGHUP that arrived before the call.
         """
         log_callback_failures()
-        self._handle_signals(reload_signal)
+        handle_signals(self.leave, self.reload, reload_signal)
+        transport = self._peer_sync.transport
         openings = (
-            *message_openings(self._peer_sync.transport, self._settings),
+            *message_openings(transport, self._settings, self._tasks),
             *self._listeners.openings(),
         )
         held = await open_all(openings, self._tasks)
@@ -198,14 +199,6 @@
         await self._stop_requested.wait()
         await self._end()
 
-    def _handle_signals(self, reload_signal: ReloadSignal | None) -> None:
-        loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self.leave)
-        loop.add_signal_handler(signal.SIGINT, self.leave)
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
-        if reload_signal is not None and reload_signal.is_received:
-            self.reload()
-
     def _background_runs(
         self,
     ) -> Iterator[Callable[[], Coroutine[object, object, None]]]:
--- a/src/savorylift/front/openings.py
+++ b/src/savorylift/front/openings.py
@@ -54,15 +54,23 @@
 
 
 def message_openings(
-    transport: PeerTransport, settings: FrontSettings
+    transport: PeerTransport, settings: FrontSettings, tasks: BackgroundTasks
 ) -> Iterator[Opening]:
-    """Yields how to open the sockets of messages between nodes."""
+    """Yields how to open the sockets of messages between nodes.
+
+    Args:
+        transport: Has these sockets.
+        settings: Their addresses.
+        tasks: Opens the one that all nodes need again if it is lost.
+    """
     ip, _ = split_address(settings.caller_listen)
 
     async def open_bulk() -> None:
         transport.bulk.open(ip, settings.bulk_port)
 
-    yield Opening("messages", lambda: transport.start(ip))
+    messages = Opening("messages", lambda: transport.start(ip))
+    transport.on_lost = lambda: tasks.spawn(messages.keep_trying())
+    yield messages
     if settings.bulk_port:
         yield Opening("bulk_messages", open_bulk)
 
--- a/tests/front/test_openings.py
+++ b/tests/front/test_openings.py
@@ -9,6 +9,7 @@
 from savorylift.front import openings
 from savorylift.front.openings import Opening, open_all
 from savorylift.front.tasks import BackgroundTasks
+from tests.front.environment import NodeEnvironment, run_in_environment
 
 
 class HeldAddress:
@@ -44,3 +45,17 @@
         ("address_held", "held"),
         ("address_opened", "held"),
     ]
+
+
+def test_socket_of_messages_that_is_lost_is_opened_again() -> None:
+    async def scenario(env: NodeEnvironment) -> None:
+        assert env.node is not None
+        transport = env.node._peer_sync.transport
+        lost = transport._transport
+        assert lost is not None
+        lost.abort()
+        async with asyncio.timeout(5.0):
+            while transport._transport in (None, lost):
+                await asyncio.sleep(0.02)
+
+    run_in_environment(scenario)
