Let the system receive little for connections that aren't read

Cause: a connection whose request is being served isn't read, but the system went on receiving for it, some 100 KB each, which the platform counts. The same held for answers of servers whose caller doesn't read.

A connection's own buffer is 4 KiB while no body is read, and while one is, as large as the rest of it, so that it gets little of what follows. Connections to the store and of copies stay as they were. SO_SNDBUF stays: what the system doesn't take would be in the process.

Tried and taken out: a wide window while a long body is read, narrowed before its end.

--- a/src/savorylift/wire/acceptor.py
+++ b/src/savorylift/wire/acceptor.py
@@ -7,6 +7,10 @@
 import structlog
 
 from savorylift.wire import metrics
+from savorylift.wire.connection_socket import (
+    INPUT_WINDOW_BYTES,
+    limit_receive_buffer,
+)
 
 BACKLOG = 1024
 # Connections accepted before other tasks run: each takes a descriptor, even if
@@ -38,6 +42,7 @@
             OSError: The address is in use.
         """
         self._socket = socket.create_server((host, port), backlog=BACKLOG)
+        limit_receive_buffer(self._socket, INPUT_WINDOW_BYTES)
         self._socket.setblocking(False)
         self._resume()
 
--- a/src/savorylift/wire/body_reader.py
+++ b/src/savorylift/wire/body_reader.py
@@ -10,7 +10,6 @@
 from savorylift.wire.body_admission import BodyAdmission
 from savorylift.wire.body_budget import SMALL_BODY_BYTES
 from savorylift.wire.body_lease import BodyLease
-from savorylift.wire.channel import MAX_READ_BUFFER_BYTES
 from savorylift.wire.connection_input import (
     MAX_HEAD_BUFFER_BYTES,
     ConnectionInput,
@@ -122,15 +121,9 @@
             self._send_continue()
         self._progress.enter(Phase.BODY)
         try:
-            if length is not None and length > SMALL_BODY_BYTES:
-                self._use_large_buffer()
             return await self._receive(length, headers, limits)
         finally:
-            self._source.channel.limit_input(MAX_HEAD_BUFFER_BYTES)
-
-    def _use_large_buffer(self) -> None:
-        """Buffers more of a large body, which has its memory already."""
-        self._source.channel.limit_input(MAX_READ_BUFFER_BYTES)
+            self._source.expect(0)
 
     def _latest_end_s(
         self, length: int | None, headers: Headers, limits: InputLimits
@@ -170,12 +163,16 @@
                     rest = limits.max_body_bytes
                     if not await self._wait_for_memory(rest, headers):
                         return NO_MEMORY
-                    self._use_large_buffer()
                 body.write(event.data)
             elif event is h11.NEED_DATA:
                 if end_s is None:
                     end_s = self._latest_end_s(length, headers, limits)
                 wait_s = min(limits.idle_timeout_s, end_s - time.monotonic())
+                # Chunks don't tell where their body ends.
+                rest = MAX_HEAD_BUFFER_BYTES
+                if length is not None:
+                    rest = length - body.tell()
+                self._source.expect(rest)
                 async with asyncio.timeout(wait_s):
                     data = await self._source.channel.read()
                 if not data:
--- a/src/savorylift/wire/channel.py
+++ b/src/savorylift/wire/channel.py
@@ -116,7 +116,8 @@
         """Returns where to put what arrives."""
         if self._is_discarding:
             return _received
-        return _received[: self._max_input_bytes]
+        free = self._max_input_bytes - len(self._read_buffer)
+        return _received[: max(free, 1)]
 
     def buffer_updated(self, nbytes: int) -> None:
         """Buffers input; pauses reading when the buffer is full."""
--- a/src/savorylift/wire/connection_input.py
+++ b/src/savorylift/wire/connection_input.py
@@ -3,12 +3,14 @@
 import asyncio
 from collections.abc import Callable
 
-from savorylift.wire.channel import Channel
+from savorylift.wire.channel import MAX_READ_BUFFER_BYTES, Channel
 from savorylift.wire.coop_budget import CoopBudget
 from savorylift.wire.head_check import HEAD_END
 from savorylift.wire.request_input import NO_MEMORY, BadRequest, CloseReason
 
-# Input that a connection buffers while no large body is being read.
+# Input that a connection buffers while no body is being read.
+INPUT_BUFFER_BYTES = 4096
+# Larger heads take memory for bodies.
 MAX_HEAD_BUFFER_BYTES = 16_384
 
 
@@ -22,7 +24,7 @@
 
     def __init__(self, channel: Channel) -> None:
         """Starts with nothing read."""
-        channel.limit_input(MAX_HEAD_BUFFER_BYTES)
+        channel.limit_input(INPUT_BUFFER_BYTES)
         self.channel = channel
         self.coop_budget = CoopBudget()
         self._unparsed = bytearray()
@@ -32,6 +34,17 @@
         """Bytes that were received and no request has used."""
         return len(self._unparsed) + self.channel.unread_bytes
 
+    def expect(self, rest: int) -> None:
+        """Fits the buffer to a body, which has its memory.
+
+        It gets little that follows the body.
+
+        Args:
+            rest: Bytes of the body that are yet to come; 0 if there is none.
+        """
+        size = min(max(rest, INPUT_BUFFER_BYTES), MAX_READ_BUFFER_BYTES)
+        self.channel.limit_input(size)
+
     async def wait(self, timeout_s: float) -> bool:
         """Waits for input; returns whether there is any."""
         if self._unparsed:
--- /dev/null
+++ b/tests/harness/unread_input.py
@@ -0,0 +1,26 @@
+"""What sockets have received and their process hasn't read."""
+
+import contextlib
+import pathlib
+
+LISTENING = "0A"
+# Columns of /proc/PID/net/tcp.
+STATE_COLUMN = 3
+QUEUES_COLUMN = 4
+INODE_COLUMN = 9
+
+
+def unread_bytes(pid: int | str = "self") -> int:
+    """Returns the bytes that a process's connections hold unread in all."""
+    inodes = set()
+    for entry in pathlib.Path(f"/proc/{pid}/fd").iterdir():
+        with contextlib.suppress(OSError):
+            inodes.add(str(entry.readlink()))
+    total = 0
+    lines = pathlib.Path(f"/proc/{pid}/net/tcp").read_text().splitlines()
+    for line in lines[1:]:
+        fields = line.split()
+        is_own = f"socket:[{fields[INODE_COLUMN]}]" in inodes
+        if is_own and fields[STATE_COLUMN] != LISTENING:
+            total += int(fields[QUEUES_COLUMN].partition(":")[2], 16)
+    return total
