--- a/src/savorylift/fleet/state_patches.py
+++ b/src/savorylift/fleet/state_patches.py
@@ -13,7 +13,7 @@
 from savorylift.fleet.pulse_messages import StatePatch
 from savorylift.fleet.state import NodeState
 
-_TYPES = tuple(typing.get_type_hints(NodeState).values())
+_TYPES = tuple(typing.get_type_hints(NodeState, include_extras=True).values())
 _POSITIONS = {name: n for n, name in enumerate(NodeState._fields)}
 # Not in patches: they name the node, or each message has values of its own.
 _OMITTED = frozenset(
@@ -22,7 +22,8 @@
 )
 # They grow with time, so a receiver works them out.
 _AGES = frozenset(
-    _POSITIONS[name] for name in ("reading_age_s", "servers_reading_age_s")
+    _POSITIONS[name]
+    for name in ("reading_age_s", "servers_reading_age_s", "store_up_age_s")
 )
 # Ages told at two times are of the same reading if they fit within this.
 AGE_SLACK_S = 0.005
--- a/src/savorylift/fleet/topic_consumer.py
+++ b/src/savorylift/fleet/topic_consumer.py
@@ -40,6 +40,8 @@
         may_call: Returns whether the store may be called now.
         on_recovery: Called with the time at which an outage ended for the
             first node.
+        on_reading: Called with the position after each call that the store
+            answered, before `on_recovery` and before its records are applied.
         on_fault: Called after the first of several calls that failed.
     """
 
@@ -70,6 +72,8 @@
         self._read_policy = read_policy
         self._on_change = on_change
         self._offset: int | None = None
+        # Monotonic time at which it was listed last, or that was tried.
+        self._listed_s = float("-inf")
         # As it was logged last.
         self._is_reading = False
         self._last_read_s: float | None = None
@@ -79,6 +83,7 @@
         self.is_store_away = False
         self.may_call: Callable[[], bool] = lambda: True
         self.on_recovery: Callable[[float], None] = _ignore_recovery
+        self.on_reading: Callable[[int], None] = _ignore_reading
         self.on_fault: Callable[[], None] = _ignore_fault
 
     @property
@@ -98,8 +103,18 @@
             self._offset = offset
 
     async def run(self) -> None:
-        """Polls the topic forever, whenever this node should read."""
-        await asyncio.gather(self._poll(), self._watch_others())
+        """Polls the topic forever, whenever this node should read.
+
+        After an error of our own, it is to be called again: it then lists the
+        topic anew, as the records of the last call may have been lost.
+        """
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._poll())
+                group.create_task(self._watch_others())
+        except BaseException:
+            self._offset = None
+            raise
 
     async def _poll(self) -> None:
         while True:
@@ -136,12 +151,14 @@
     async def _read(self) -> float:
         """Makes one call; returns the delay before the next."""
         is_full_read = self._offset is None
+        if is_full_read:
+            self._listed_s = time.monotonic()
         self._outage.begin_call(time.monotonic(), self._last_read_s)
         result = await self._call()
         if not is_successful(result):
             return self._handle_error(result.failure())
-        self._handle_success()
         batch = result.unwrap()
+        self._handle_success(batch.next_offset)
         if self._offset is not None and batch.next_offset < self._offset:
             return POLL_PAUSE_S
         self._offset = batch.next_offset
@@ -180,12 +197,13 @@
             self._topic_name, self._offset, LONG_POLL_S
         )
 
-    def _handle_success(self) -> None:
+    def _handle_success(self, position: int) -> None:
         now_s = time.monotonic()
         self.is_store_away = False
         if self._is_failing:
             _log.info("store_regained", topic=self._topic_name)
         self._is_failing = False
+        self.on_reading(position)
         self._announce_recovery(self._outage.note_reading(now_s))
         self._last_read_s = now_s
         if self._topic is Topic.SERVERS:
@@ -206,15 +224,17 @@
         if error.fault is StoreFault.TRIMMED:
             _log.warning("store_trimmed", topic=self._topic_name)
             self._offset = None
-            return 0.0
+            return self._listing_pause_s(now_s)
         if error.fault is StoreFault.RESTORED:
             _log.warning(
                 "store_restored", topic=self._topic_name, detail=error.detail
             )
             self._offset = None
+            if error.start is not None:
+                self.on_reading(error.start)
             # Entries written since the copy are missing until written again.
             self.on_recovery(now_s)
-            return 0.0
+            return self._listing_pause_s(now_s)
         self.is_store_away = error.fault in AWAY_FAULTS
         self._outage.note_failure(now_s)
         if not self._is_failing:
@@ -228,10 +248,22 @@
         self._last_fault_s = now_s
         return self._read_policy.retry_s
 
+    def _listing_pause_s(self, now_s: float) -> float:
+        """Returns the delay before a listing: none, unless one has just been.
+
+        A store may refuse each reading that follows a listing.
+        """
+        retry_s = self._read_policy.retry_s
+        return 0.0 if now_s - self._listed_s >= retry_s else retry_s
+
 
 def _ignore_fault() -> None:
     """Default callback for the first of several failed calls."""
 
 
+def _ignore_reading(_position: int) -> None:
+    """Default callback for a successful call."""
+
+
 def _ignore_recovery(_recovered_s: float) -> None:
     """Default callback for the end of an outage."""
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import os
-import signal
 import time
 from collections.abc import Callable, Coroutine, Iterator
 
@@ -21,6 +20,7 @@
 from savorylift.front.caller_parts import make_caller_parts
 from savorylift.front.listeners import Listeners
 from savorylift.front.maintenance import Maintenance
+from savorylift.front.openings import message_openings, open_all
 from savorylift.front.peer_sync import PeerSync
 from savorylift.front.reload_signal import ReloadSignal
 from savorylift.front.rollout_parts import make_rollout_agent
@@ -28,10 +28,11 @@
 from savorylift.front.settings import FrontSettings
 from savorylift.front.settings_reload import SettingsReader, SettingsReload
 from savorylift.front.shared_parts import make_shared_parts
+from savorylift.front.signals import handle_signals
 from savorylift.front.state_reporter import StateReporter
 from savorylift.front.store_parts import ReaderRole, make_store_parts
 from savorylift.front.stream_parts import make_stream_parts
-from savorylift.front.tasks import BackgroundTasks
+from savorylift.front.tasks import BackgroundTasks, log_callback_failures
 from savorylift.processes.successor_check import SuccessorCheck
 
 _log = structlog.get_logger()
@@ -54,7 +55,7 @@
         """
         self._settings = settings
         self._stop_requested = asyncio.Event()
-        self._tasks = BackgroundTasks(self.leave)
+        self._tasks = BackgroundTasks()
         self._shared = make_shared_parts(settings)
         self._reload = SettingsReload(
             settings, read_settings, self._shared.membership
@@ -177,33 +178,27 @@
 
         Args:
             reload_signal: Records a SIGHUP that arrived before the call.
-
-        Raises:
-            OSError: An address is in use.
         """
-        self._handle_signals(reload_signal)
-        identity = self._shared.identity
-        await self._peer_sync.transport.start(identity.ip, identity.bulk_port)
-        await self._listeners.start()
+        log_callback_failures()
+        handle_signals(self.leave, self.reload, reload_signal)
+        transport = self._peer_sync.transport
+        openings = (
+            *message_openings(transport, self._settings, self._tasks),
+            *self._listeners.openings(),
+        )
+        held = await open_all(openings, self._tasks)
         _log.info(
             "start",
+            held=held,
             incarnation=self._shared.identity.incarnation,
             process=os.getpid(),
             settings=self._settings.redacted(),
         )
         for run in self._background_runs():
-            self._tasks.spawn(run())
+            self._tasks.keep_running(run)
         await self._stop_requested.wait()
         await self._end()
 
-    def _handle_signals(self, reload_signal: ReloadSignal | None) -> None:
-        loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self.leave)
-        loop.add_signal_handler(signal.SIGINT, self.leave)
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
-        if reload_signal is not None and reload_signal.is_received:
-            self.reload()
-
     def _background_runs(
         self,
     ) -> Iterator[Callable[[], Coroutine[object, object, None]]]:
