--- a/tests/front/cut_node.py
+++ b/tests/front/cut_node.py
@@ -81,21 +81,22 @@
         transport_class.datagram_received = hear
 
     def _stand_before_connections(self) -> None:
-        loop_class: Any = asyncio.BaseEventLoop
-        create_connection = loop_class.create_connection
+        loop_class: Any = asyncio.SelectorEventLoop
+        sock_connect = loop_class.sock_connect
 
         async def connect(
-            loop: object, factory: object, host: str, port: int, *args: object
-        ) -> object:
+            loop: object, sock: object, address: tuple[str, int]
+        ) -> None:
+            host, port = address
             if self.is_cut and host != SERVER_HOST:
                 await asyncio.Event().wait()
             if self.is_store_cut and port == self._store_port:
                 await asyncio.Event().wait()
             if self.is_refused and host == SERVER_HOST:
                 raise ConnectionRefusedError
-            return await create_connection(loop, factory, host, port, *args)
+            await sock_connect(loop, sock, address)
 
-        loop_class.create_connection = connect
+        loop_class.sock_connect = connect
 
 
 def main() -> int:
