Tell of awaited settings without depending on who reads it

Found by the review: the line on standard error that says that a node waits for its settings ended it where the reader was gone or the disk full, and held it for ever at a full pipe. It is written as the log is, without blocking. tests/front/test_hard_starts.py, three cases, failed before and pass now.

--- a/src/savorylift/front/awaited_settings.py
+++ b/src/savorylift/front/awaited_settings.py
@@ -1,17 +1,18 @@
 """Reads the settings of a node that starts while they are being written."""
 
-import sys
 import time
 
 from returns.pipeline import is_successful
 from returns.result import Result
 
+from savorylift.front.log_output import LineWriter
 from savorylift.front.settings import FrontSettings
 from savorylift.settings_file import SettingsFault, read_settings
 
 # The platform writes the file at each start and at each change.
 MAX_WAIT_S = 10.0
 POLL_INTERVAL_S = 0.05
+STANDARD_ERROR = 2
 
 
 def await_settings(
@@ -30,7 +31,7 @@
         if time.monotonic() >= until_s:
             return result
         if not is_told:
-            print(f"{result.failure()[0]}; waiting", file=sys.stderr)
+            LineWriter(STANDARD_ERROR).write(f"{result.failure()[0]}; waiting")
             is_told = True
         time.sleep(POLL_INTERVAL_S)
 
--- a/tests/front/test_awaited_settings.py
+++ b/tests/front/test_awaited_settings.py
@@ -36,7 +36,7 @@
 def test_file_that_is_missing_empty_or_half_written_is_waited_for(
     tmp_path: pathlib.Path,
     monkeypatch: pytest.MonkeyPatch,
-    capsys: pytest.CaptureFixture[str],
+    capfd: pytest.CaptureFixture[str],
 ) -> None:
     path = tmp_path / "s.json"
     text = json.dumps(VALID)
@@ -50,7 +50,7 @@
     )
     assert await_settings(str(path)).unwrap().vm == VALID["vm"]
     assert writer.sleeps == 3
-    errors = capsys.readouterr().err.splitlines()
+    errors = capfd.readouterr().err.splitlines()
     assert errors == [f"{path}: no such file or directory; waiting"]
 
 
--- a/tests/front/test_hard_starts.py
+++ b/tests/front/test_hard_starts.py
@@ -1,5 +1,6 @@
 """Tests of nodes that start while something isn't as it should be."""
 
+import contextlib
 import json
 import os
 import pathlib
@@ -27,7 +28,7 @@
         self._log_path = directory / "log"
         self._process: subprocess.Popen[bytes] | None = None
 
-    def start(self, before: Callable[[], None] | None = None) -> None:
+    def start(self, before: Callable[[], object] | None = None) -> None:
         """Starts the process.
 
         Args:
@@ -149,3 +150,27 @@
     node.start(close)
     time.sleep(WRITING_S)
     assert node.is_running
+
+
+@pytest.mark.parametrize("stream", ["reader_gone", "full_disk", "unread_pipe"])
+def test_node_whose_errors_nobody_reads_starts_once_its_settings_are_written(
+    stream: str, node: StartedNode
+) -> None:
+    reader, writer = os.pipe()
+    if stream == "reader_gone":
+        os.close(reader)
+    elif stream == "full_disk":
+        os.close(writer)
+        writer = os.open("/dev/full", os.O_WRONLY)
+    else:
+        os.set_blocking(writer, False)
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                os.write(writer, b"x" * 4096)
+        os.set_blocking(writer, True)
+    node.settings_path.write_text("")
+    node.start(lambda: os.dup2(writer, 2))
+    time.sleep(WRITING_S)
+    assert node.is_running
+    node.settings_path.write_text(json.dumps(valid_settings()))
+    node.wait_for_event("start")
