Keep trying to open a socket whatever error comes

Found by the review: an error other than OSError in a later attempt ended the attempts for good, and a listener that failed after its socket was bound held its own port: alive, and never ready. Attempts are kept running now, and such a socket is closed. tests/front/test_openings.py failed before, passes now.

--- a/src/savorylift/front/openings.py
+++ b/src/savorylift/front/openings.py
@@ -10,7 +10,7 @@
 from savorylift.fleet.peer_transport import PeerTransport
 from savorylift.front import metrics
 from savorylift.front.settings import FrontSettings
-from savorylift.front.tasks import BackgroundTasks
+from savorylift.front.tasks import BackgroundTasks, record_failure
 from savorylift.wire.address import split_address
 
 RETRY_INTERVAL_S = 0.1
@@ -37,6 +37,9 @@
             metrics.ADDRESSES_HELD.labels(self.name).inc()
             _log.warning("address_held", socket=self.name, detail=str(exc))
             return False
+        except Exception as exc:
+            record_failure(f"open {self.name}", exc)
+            return False
         return True
 
     async def keep_trying(self) -> None:
@@ -69,7 +72,7 @@
         transport.bulk.open(ip, settings.bulk_port)
 
     messages = Opening("messages", lambda: transport.start(ip))
-    transport.on_lost = lambda: tasks.spawn(messages.keep_trying())
+    transport.on_lost = lambda: tasks.keep_running(messages.keep_trying)
     yield messages
     if settings.bulk_port:
         yield Opening("bulk_messages", open_bulk)
@@ -92,5 +95,5 @@
     """
     held = [item for item in openings if not await item.try_open()]
     for opening in held:
-        tasks.spawn(opening.keep_trying())
+        tasks.keep_running(opening.keep_trying)
     return tuple(opening.name for opening in held)
--- a/src/savorylift/wire/acceptor.py
+++ b/src/savorylift/wire/acceptor.py
@@ -42,9 +42,14 @@
             OSError: The address is in use.
         """
         self._socket = socket.create_server((host, port), backlog=BACKLOG)
-        limit_receive_buffer(self._socket, INPUT_WINDOW_BYTES)
-        self._socket.setblocking(False)
-        self._resume()
+        try:
+            limit_receive_buffer(self._socket, INPUT_WINDOW_BYTES)
+            self._socket.setblocking(False)
+            self._resume()
+        except BaseException:
+            self._socket.close()
+            self._socket = None
+            raise
 
     def stop(self) -> None:
         """Hands over what has arrived, and closes the listening socket."""
