Keep an error in one part of a node from the others at reading and end

Found by the review, with errors put into parts of a node: - one that came with each reading of the operators' records cancelled each reading of the servers' entries: a server that drained got 9 of 20 requests 14 s later, and the node told others of a fresh reading. The two topics and the watch of the store's return run by themselves now; a reading whose records weren't applied counts as none, and as a fault that others hear of; - one as a node began to leave kept it from ending at all, one in a save at its end lost the other saves. Each step and each save goes on by itself; - a task that met a cancellation from within vanished without a line. It runs again.

--- a/src/savorylift/fleet/store_reader.py
+++ b/src/savorylift/fleet/store_reader.py
@@ -1,7 +1,6 @@
 """Reads both topics of the store for a node."""
 
-import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine, Iterator
 
 from savorylift.beat import wait_for_beat
 from savorylift.fleet.read_policy import POLL_PAUSE_S, ReadPolicy
@@ -71,12 +70,11 @@
         self._operators.on_fault = on_fault
         self._servers.on_fault = on_fault
 
-    async def run(self) -> None:
-        """Reads both topics forever."""
-        async with asyncio.TaskGroup() as group:
-            group.create_task(self._operators.run())
-            group.create_task(self._servers.run())
-            group.create_task(self._watch_return())
+    def runs(self) -> Iterator[Callable[[], Coroutine[object, object, None]]]:
+        """Yields what reads both topics forever, each by itself."""
+        yield self._operators.run
+        yield self._servers.run
+        yield self._watch_return
 
     async def _watch_return(self) -> None:
         """Dates the store's return back as soon as others tell it."""
--- a/src/savorylift/fleet/topic_consumer.py
+++ b/src/savorylift/fleet/topic_consumer.py
@@ -77,6 +77,8 @@
         # As it was logged last.
         self._is_reading = False
         self._last_read_s: float | None = None
+        # The last one whose records were applied.
+        self._applied_s: float | None = None
         self._last_fault_s: float | None = None
         self._is_failing = False
         self._outage = StoreOutage(read_policy.others_read_s)
@@ -106,7 +108,8 @@
         """Polls the topic forever, whenever this node should read.
 
         After an error of our own, it is to be called again: it then lists the
-        topic anew, as the records of the last call may have been lost.
+        topic anew, as the records of the last call may have been lost. That
+        call doesn't count as a reading, and other nodes are told of a fault.
         """
         try:
             async with asyncio.TaskGroup() as group:
@@ -114,6 +117,8 @@
                 group.create_task(self._watch_others())
         except BaseException:
             self._offset = None
+            self._last_fault_s = time.monotonic()
+            self._set_read(self._applied_s)
             raise
 
     async def _poll(self) -> None:
@@ -167,6 +172,7 @@
             self._replace(changes, batch.next_offset)
         else:
             self._apply(changes, batch.next_offset)
+        self._applied_s = self._last_read_s
         return self._read_policy.pause_s if batch.records else 0.0
 
     def _replace(self, changes: tuple[Change, ...], offset: int) -> None:
@@ -205,9 +211,12 @@
         self._is_failing = False
         self.on_reading(position)
         self._announce_recovery(self._outage.note_reading(now_s))
-        self._last_read_s = now_s
+        self._set_read(now_s)
+
+    def _set_read(self, read_s: float | None) -> None:
+        self._last_read_s = read_s
         if self._topic is Topic.SERVERS:
-            self._store_view.servers_read_s = now_s
+            self._store_view.servers_read_s = read_s
 
     def _announce_recovery(self, ended_s: float | None) -> None:
         if ended_s is None:
--- a/src/savorylift/front/maintenance.py
+++ b/src/savorylift/front/maintenance.py
@@ -12,7 +12,7 @@
 from savorylift.front.server_parts import ServerParts
 from savorylift.front.shared_parts import SharedParts
 from savorylift.front.stream_parts import StreamParts
-from savorylift.front.tasks import record_failure
+from savorylift.front.tasks import run_step
 from savorylift.processes.successor_check import SuccessorCheck
 from savorylift.rollouts.agent import RolloutAgent
 
@@ -63,7 +63,7 @@
         while True:
             _record_loop_delay(await wait_for_beat(MAINTENANCE_INTERVAL_S))
             for step in self._steps():
-                _run_step(step)
+                run_step(step)
 
     def _steps(self) -> Iterator[Callable[[], object]]:
         yield self._note_running
@@ -99,14 +99,6 @@
             self._streams.generations.on_change()
 
 
-def _run_step(step: Callable[[], object]) -> None:
-    """Runs a step; one that fails keeps none of the others from theirs."""
-    try:
-        step()
-    except Exception as exc:
-        record_failure(step.__qualname__, exc)
-
-
 def _record_loop_delay(delay_s: float) -> None:
     metrics.LOOP_DELAY.observe(delay_s)
     longest_s = take_longest_turn_s()
--- a/src/savorylift/front/node.py
+++ b/src/savorylift/front/node.py
@@ -1,6 +1,7 @@
 """Composition root of a front node: creates its parts and runs them."""
 
 import asyncio
+import functools
 import os
 import time
 from collections.abc import Callable, Coroutine, Iterator
@@ -32,7 +33,12 @@
 from savorylift.front.state_reporter import StateReporter
 from savorylift.front.store_parts import ReaderRole, make_store_parts
 from savorylift.front.stream_parts import make_stream_parts
-from savorylift.front.tasks import BackgroundTasks, log_callback_failures
+from savorylift.front.tasks import (
+    BackgroundTasks,
+    log_callback_failures,
+    run_all,
+    run_step,
+)
 from savorylift.processes.successor_check import SuccessorCheck
 
 _log = structlog.get_logger()
@@ -162,12 +168,12 @@
 
     def leave(self) -> None:
         """Begins draining, as on SIGTERM."""
+        self._stop_requested.set()
         if self._shared.lifecycle.leave():
             _log.info("leaving")
-            self._listeners.close_after_response()
-            self._peer_sync.announce(None)
-            self._streams.server_news.hand_over()
-        self._stop_requested.set()
+            run_step(self._listeners.close_after_response)
+            run_step(functools.partial(self._peer_sync.announce, None))
+            run_step(self._streams.server_news.hand_over)
 
     def reload(self) -> None:
         """Reads the settings again; only new seeds apply without a restart."""
@@ -204,7 +210,7 @@
     ) -> Iterator[Callable[[], Coroutine[object, object, None]]]:
         """Yields what runs until the process ends."""
         yield self._peer_sync.transport.run
-        yield self._store.reader.run
+        yield from self._store.reader.runs()
         yield self._maintenance.run
         yield self._store.registration.run
         yield self._callers.refusal_writer.run
@@ -221,10 +227,10 @@
         await lifecycle.wait_until_drained()
         lifecycle.end()
         await self._listeners.close_when_served()
-        await asyncio.gather(
-            self._callers.refusal_writer.save(),
-            self._streams.origin_log.save(),
-            self._streams.mover.finish(),
+        await run_all(
+            self._callers.refusal_writer.save,
+            self._streams.origin_log.save,
+            self._streams.mover.finish,
         )
         _log.info("stop", after_s=time.monotonic() - lifecycle.leaving_since_s)
 
--- a/src/savorylift/front/tasks.py
+++ b/src/savorylift/front/tasks.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Awaitable, Callable, Coroutine, Mapping
 
 import structlog
 
@@ -59,18 +59,57 @@
     pause_s = MIN_PAUSE_S
     while True:
         began_s = time.monotonic()
-        try:
-            await run()
-        except Exception as exc:
-            if time.monotonic() - began_s >= SOUND_S:
-                pause_s = MIN_PAUSE_S
-            record_failure(run.__qualname__, exc, again_in_s=pause_s)
-        else:
+        exc = await _run_to_end(run)
+        if exc is None:
             return
+        if time.monotonic() - began_s >= SOUND_S:
+            pause_s = MIN_PAUSE_S
+        record_failure(run.__qualname__, exc, again_in_s=pause_s)
         await asyncio.sleep(pause_s)
         pause_s = min(2 * pause_s, MAX_PAUSE_S)
 
 
+async def _run_to_end(
+    run: Callable[[], Coroutine[object, object, None]],
+) -> BaseException | None:
+    """Returns the error with which a run ends; None if it returns.
+
+    In a task of its own: so a run that is cancelled from within can be told
+    from the end of what waits for it.
+    """
+    task = asyncio.get_running_loop().create_task(run())
+    try:
+        await asyncio.wait((task,))
+    finally:
+        task.cancel()
+    return asyncio.CancelledError() if task.cancelled() else task.exception()
+
+
+def run_step(step: Callable[[], object]) -> None:
+    """Runs a step; one that fails keeps none of the others from theirs."""
+    try:
+        step()
+    except Exception as exc:
+        record_failure(_name_of(step), exc)
+
+
+async def run_all(*runs: Callable[[], Awaitable[object]]) -> None:
+    """Runs coroutines at once, each to its end whatever the others do."""
+
+    async def run_one(run: Callable[[], Awaitable[object]]) -> None:
+        await run()
+
+    results = await asyncio.gather(*map(run_one, runs), return_exceptions=True)
+    for run, result in zip(runs, results, strict=True):
+        if isinstance(result, Exception):
+            record_failure(_name_of(run), result)
+
+
+def _name_of(function: Callable[..., object]) -> str:
+    function = getattr(function, "func", function)
+    return getattr(function, "__qualname__", repr(function))
+
+
 def record_failure(
     name: str, exc: BaseException, again_in_s: float | None = None
 ) -> None:
--- a/tests/fleet/test_topic_consumer.py
+++ b/tests/fleet/test_topic_consumer.py
@@ -333,12 +333,13 @@
             lambda _: None,
             lambda: None,
         )
-        reading = asyncio.ensure_future(reader.run())
+        reading = [asyncio.ensure_future(run()) for run in reader.runs()]
         await asyncio.sleep(2.2 * READER_RETRY_S)
         assert store.calls["keyed.op"] <= 1 < store.calls["keyed.servers"]
         store.is_away = False
         await asyncio.sleep(1.5 * READER_RETRY_S)
-        reading.cancel()
+        for task in reading:
+            task.cancel()
         assert reader.reading_age_s(time.monotonic()) is not None
 
     asyncio.run(scenario())
--- a/tests/front/test_tasks.py
+++ b/tests/front/test_tasks.py
@@ -97,3 +97,33 @@
         asyncio.run(scenario())
     assert [line["event"] for line in logs] == ["callback_failed"]
     assert metrics.CALLBACK_FAILURES.labels().value == before + 1
+
+
+def test_task_that_meets_a_cancellation_of_others_runs_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(tasks, "MIN_PAUSE_S", 0.001)
+    runs: list[int] = []
+
+    async def run() -> None:
+        runs.append(1)
+        if len(runs) == 1:
+            raise asyncio.CancelledError
+
+    async def scenario() -> None:
+        BackgroundTasks().keep_running(run)
+        await asyncio.sleep(0.05)
+
+    asyncio.run(scenario())
+    assert len(runs) == 2
+
+
+def test_runs_at_once_go_to_their_ends_whatever_one_does() -> None:
+    ended: list[str] = []
+
+    async def save() -> None:
+        await asyncio.sleep(0.01)
+        ended.append("save")
+
+    asyncio.run(tasks.run_all(fail, save, fail))
+    assert ended == ["save"]
