Wait until nodes have started before they are asked to serve

Traced beside 12 busy processes, four of four cases failed: the nodes logged their start 1.1 to 1.3 s after theirs, or later, and the test called after 1.0 s, a time of its own.

--- a/tests/front/test_held_ports.py
+++ b/tests/front/test_held_ports.py
@@ -224,6 +224,10 @@
                 holder = hold(ip, port, socket.SOCK_STREAM)
                 fleet.holders.append(holder)
                 fleet.start_node(ip)
+            until_s = time.monotonic() + START_S
+            callers = ports(fleet.settings(fleet.ips[0]))["callers"]
+            for ip in fleet.ips:
+                await wait_until_accepting(ip, callers, until_s)
             await asyncio.sleep(HELD_S)
             endings = [
                 await fleet.call(ip, "/once/x", f"a-{ip}") for ip in fleet.ips
