Schedule the next reading of settings in one place, and name failed futures

Found as the change was read once more: a reload scheduled its next reading in two places; callback_failed named neither task nor future when an exception was never retrieved (the loop gives the future); a page of a function said None for an empty result. No behaviour changes but that line of the log.

--- a/src/savorylift/front/settings_reload.py
+++ b/src/savorylift/front/settings_reload.py
@@ -56,11 +56,12 @@
         faults = result.failure()
         _log.error("reload", faults=[str(fault) for fault in faults])
         if is_unfinished(faults) and self._retry is None:
-            loop = asyncio.get_running_loop()
-            until_s = time.monotonic() + MAX_WAIT_S
-            self._retry = loop.call_later(
-                POLL_INTERVAL_S, self._read_again, until_s
-            )
+            self._read_again_soon(time.monotonic() + MAX_WAIT_S)
+
+    def _read_again_soon(self, until_s: float) -> None:
+        self._retry = asyncio.get_running_loop().call_later(
+            POLL_INTERVAL_S, self._read_again, until_s
+        )
 
     def _read_again(self, until_s: float) -> None:
         """Reads a file that wasn't whole, until a monotonic time at most."""
@@ -69,10 +70,7 @@
         if is_successful(result):
             self._apply(result.unwrap())
         elif is_unfinished(result.failure()) and time.monotonic() < until_s:
-            loop = asyncio.get_running_loop()
-            self._retry = loop.call_later(
-                POLL_INTERVAL_S, self._read_again, until_s
-            )
+            self._read_again_soon(until_s)
 
     def _apply(self, settings: FrontSettings) -> None:
         old, new = self._settings._asdict(), settings._asdict()
--- a/src/savorylift/front/tasks.py
+++ b/src/savorylift/front/tasks.py
@@ -137,6 +137,10 @@
     _log.error(
         "callback_failed",
         detail=context.get("message"),
-        callback=repr(context.get("handle") or context.get("task")),
+        callback=repr(
+            context.get("handle")
+            or context.get("task")
+            or context.get("future")
+        ),
         exc_info=context.get("exception"),
     )
--- a/src/savorylift/settings_file.py
+++ b/src/savorylift/settings_file.py
@@ -96,7 +96,7 @@
 ) -> tuple[SettingsFault, ...]:
     """Returns the keys of a settings file that are ignored.
 
-    None if the file can't be read now.
+    There are none if the file can't be read now.
     """
     data = _load(path).value_or(None)
     if not isinstance(data, dict):
